--- a/src/bin/weldloom-benchlink/codec.rs
+++ b/src/bin/quinceflow-benchlink/codec.rs
@@ -1,8 +1,8 @@
 //! Frames and records: bytes to what they say, and actions to bytes.
 
+use quinceflow::*;
 use std::fmt;
 use std::io::{ErrorKind, Read};
-use weldloom::*;
 
 /// What is wrong with the input, and where.
 #[derive(Debug, PartialEq, Eq)]
--- a/src/bin/weldloom-benchlink/host.rs
+++ b/src/bin/quinceflow-benchlink/host.rs
@@ -1,9 +1,9 @@
 //! The instances in this process, and which events are whose.
 
 use crate::codec::{read_records, Batch, Malformed, Record, Reply};
-use crate::settings;
+
+use quinceflow::{settings, *};
 use std::collections::BTreeMap;
-use weldloom::*;
 
 /// All instances of this process; they share nothing but the wire.
 #[derive(Default)]
--- a/src/bin/weldloom-benchlink/main.rs
+++ b/src/bin/quinceflow-benchlink/main.rs
@@ -3,7 +3,6 @@
 
 mod codec;
 mod host;
-mod settings;
 
 use std::io::{self, BufReader, BufWriter, Write};
 use std::process::ExitCode;
@@ -12,7 +11,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("weldloom-benchlink: {why}");
+            eprintln!("quinceflow-benchlink: {why}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,434 @@
+//! The core: it owns the module, the held queries, attempt numbers, timers and counters, and knows no wire.
+//!
+//! A driver collects what comes in and calls [`Core::turn`] with all of it and one reading of the clock. The turn
+//! hands the module its events, carries out its actions in order and gives back what is to be done outside.
+
+mod counters;
+mod types;
+
+pub use counters::{invariant, Counter, Counters, COUNTERS};
+pub use types::*;
+
+use crate::interface::*;
+use crate::rules::Aggregator;
+use crate::time::Micros;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Kept free of a client's time for the way here, the turn and the way back; the module keeps its own ticks.
+const WAY: Micros = Micros::from_millis(3);
+/// An end this near to the wanted time was brought by it: the module ends a query some ticks ahead.
+const NEAR_END: Micros = Micros::from_millis(25);
+
+/// An attempt that is out.
+#[derive(Debug)]
+struct Flight {
+    replica: ReplicaId,
+    sent: Micros,
+    until: Micros,
+    written: bool,
+}
+
+/// A query that has no final answer yet.
+#[derive(Debug)]
+struct Held {
+    request: Request,
+    /// When its client's time is over.
+    until: Micros,
+    /// When its answer is wanted.
+    wanted: Micros,
+    values: Vec<Option<Value>>,
+}
+
+/// The core of one coordinator.
+#[derive(Debug)]
+pub struct Core {
+    module: Aggregator,
+    set: Settings,
+    most_held: usize,
+    held: BTreeMap<QueryId, Held>,
+    held_count: usize,
+    tokens: HashMap<Token, QueryId>,
+    parts: HashMap<PartId, (QueryId, usize)>,
+    flights: BTreeMap<AttemptKey, Flight>,
+    attempts: HashMap<PartId, u16>,
+    time_outs: BTreeSet<(Micros, AttemptKey)>,
+    ends: BTreeSet<(Micros, QueryId)>,
+    wake: Option<Micros>,
+    next_id: u64,
+    next_group: u32,
+    names: HashMap<Arc<str>, ReplicaId>,
+    servers: BTreeMap<ReplicaId, (Arc<str>, bool)>,
+    /// Events that arose while actions were carried out; they are for the next turn.
+    pending: Vec<Event>,
+}
+
+impl Core {
+    /// A core that holds nothing yet.
+    pub fn new(mut set: Settings, most_held: usize, seed: u64, now: Micros) -> Self {
+        // No front speaks of a second step.
+        set.classes.iter_mut().for_each(|c| c.follow_up = 0);
+        Self {
+            module: Aggregator::new(set.clone(), seed, now.to_nanos()),
+            set,
+            most_held,
+            held: BTreeMap::new(),
+            held_count: 0,
+            tokens: HashMap::new(),
+            parts: HashMap::new(),
+            flights: BTreeMap::new(),
+            attempts: HashMap::new(),
+            time_outs: BTreeSet::new(),
+            ends: BTreeSet::new(),
+            wake: None,
+            next_id: 1,
+            next_group: 1,
+            names: HashMap::new(),
+            servers: BTreeMap::new(),
+            pending: Vec::new(),
+        }
+    }
+
+    /// Queries that wait for their final answer.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Is this attempt out?
+    pub fn is_out(&self, key: AttemptKey) -> bool {
+        self.flights.contains_key(&key)
+    }
+
+    /// Attempts that are out.
+    pub fn out(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// When the next turn is due at the latest; `None` while nothing is.
+    pub fn due(&self) -> Option<Micros> {
+        if !self.pending.is_empty() {
+            return Some(Micros::ZERO);
+        }
+        let first = [self.time_outs.first().map(|t| t.0), self.ends.first().map(|t| t.0), self.wake];
+        first.into_iter().flatten().min()
+    }
+
+    /// One turn: takes in what came, hands the module its events, and appends what is to be done, in order.
+    pub fn turn(&mut self, now: Micros, inputs: impl IntoIterator<Item = Input>, out: &mut Vec<Command>) {
+        let mut events = std::mem::take(&mut self.pending);
+        for input in inputs {
+            self.take(now, input, &mut events, out);
+        }
+        self.time_outs_due(now, &mut events, out);
+        self.ends_due(now, &mut events, out);
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+            events.push(Event::Wake);
+        }
+        let mut actions = Vec::new();
+        self.module.handle(now.to_nanos(), &events, &mut actions);
+        for action in actions {
+            self.carry_out(now, action, out);
+        }
+        bundle(out, self.set.bundle.max(1) as usize);
+    }
+
+    fn take(&mut self, now: Micros, input: Input, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+        match input {
+            Input::Roster(roster) => self.take_roster(roster, events, out),
+            Input::Ask(request) => self.take_request(now, request, events, out),
+            Input::Left(token) => {
+                if let Some(query) = self.tokens.get(&token).copied() {
+                    COUNTERS.gone.add();
+                    self.forget(query);
+                    events.push(Event::Gone(query));
+                }
+            }
+            Input::Written(key) => {
+                if let Some(flight) = self.flights.get_mut(&key) {
+                    COUNTERS.written.add();
+                    flight.written = true;
+                }
+            }
+            Input::Ended(key, end) => self.take_end(now, key, end, events),
+            Input::Probed(replica, outcome, load) => events.push(Event::Probed { replica, outcome, load }),
+        }
+    }
+
+    fn take_roster(&mut self, roster: Roster, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+        COUNTERS.rosters.add();
+        let mut members = Vec::new();
+        let mut named = BTreeSet::new();
+        for node in roster.nodes {
+            let fresh = self.names.len() as u32;
+            let replica = *self.names.entry(node.name).or_insert_with(|| {
+                let [a, b, c, d] = fresh.to_be_bytes();
+                ReplicaId([a, b, c, d, 0, 0])
+            });
+            named.insert(replica);
+            let ready = node.state == MemberState::Ready;
+            let line = (node.address, ready);
+            if self.servers.get(&replica) != Some(&line) {
+                out.push(Command::Server(replica, line.0.clone(), ready));
+                self.servers.insert(replica, line);
+            }
+            let since = node.started.map_or(0, Micros::to_nanos);
+            let (zone, cell) = (ZoneId(node.zone), CellId(node.cell));
+            members.push(Member { replica, zone, cell, state: node.state, since });
+        }
+        if matches!(roster.kind, ListKind::Full | ListKind::Cached) {
+            for (replica, line) in self.servers.iter_mut().filter(|(r, l)| l.1 && !named.contains(r)) {
+                line.1 = false;
+                out.push(Command::Server(*replica, line.0.clone(), false));
+            }
+        }
+        events.push(Event::List { kind: roster.kind, members });
+    }
+
+    fn take_request(
+        &mut self,
+        now: Micros,
+        request: Request,
+        events: &mut Vec<Event>,
+        out: &mut Vec<Command>,
+    ) {
+        let size = 1 + request.parts.len();
+        if self.held_count + size > self.most_held {
+            // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
+            COUNTERS.over_held.add();
+            COUNTERS.refused.add();
+            let come_back = self.set.retry_after.map(Micros::from_nanos);
+            return out.push(Command::Reply(request.token, Answer::Refused { come_back, late: false }));
+        }
+        COUNTERS.taken.add();
+        self.held_count += size;
+        let query = QueryId(self.next_id);
+        let group = Group(self.next_group);
+        self.next_group = self.next_group.wrapping_add(1);
+        self.next_id += size as u64;
+        let until = request.sent + request.patience;
+        let aim = self.set.classes.get(usize::from(request.class.0)).map_or(0, |c| c.aim);
+        let hints: Option<Micros> =
+            request.parts.iter().map(|p| p.hint).try_fold(Micros::ZERO, |sum, hint| hint.map(|h| sum + h));
+        events.push(Event::Query {
+            query,
+            group,
+            class: request.class,
+            tenant: request.tenant,
+            key: 0,
+            hint: hints.filter(|_| !request.parts.is_empty()).map(Micros::to_nanos),
+            time_left: until.since(now + WAY).to_nanos(),
+        });
+        for (at, p) in request.parts.iter().enumerate() {
+            let part = PartId(query.0 + 1 + at as u64);
+            self.parts.insert(part, (query, at));
+            events.push(Event::Part { part, group, shard: p.shard, weight: p.weight });
+        }
+        self.tokens.insert(request.token, query);
+        self.ends.insert((until, query));
+        let wanted = request.sent + Micros::from_nanos(aim);
+        let values = vec![None; request.parts.len()];
+        self.held.insert(query, Held { request, until, wanted, values });
+    }
+
+    fn take_end(&mut self, now: Micros, key: AttemptKey, end: End, events: &mut Vec<Event>) {
+        // An answer to an attempt that was called off or timed out has had its outcome.
+        let Some(flight) = self.land(key) else { return };
+        let outcome = match end {
+            End::Served(value) => {
+                if let Some((query, at)) = self.parts.get(&key.part) {
+                    if let Some(slot) = self.held.get_mut(query).and_then(|h| h.values.get_mut(*at)) {
+                        *slot = Some(value);
+                    }
+                }
+                Outcome::Ok
+            }
+            End::Not(outcome) => outcome,
+        };
+        self.tell(now, key, &flight, outcome, events);
+    }
+
+    /// Takes an attempt off the books: after this it can have no second outcome.
+    fn land(&mut self, key: AttemptKey) -> Option<Flight> {
+        let flight = self.flights.remove(&key)?;
+        self.time_outs.remove(&(flight.until, key));
+        Some(flight)
+    }
+
+    fn tell(&self, now: Micros, key: AttemptKey, flight: &Flight, outcome: Outcome, events: &mut Vec<Event>) {
+        match outcome {
+            Outcome::Ok => &COUNTERS.served,
+            Outcome::Error => &COUNTERS.errors,
+            Outcome::Full => &COUNTERS.turned_away,
+            Outcome::TimedOut => &COUNTERS.timed_out,
+            Outcome::ConnectFailed => &COUNTERS.connect_failed,
+            Outcome::Reset => &COUNTERS.resets,
+            Outcome::Cancelled => &COUNTERS.cancelled,
+            Outcome::Moot => &COUNTERS.unsent,
+        }
+        .add();
+        let waited = now.since(flight.sent).to_nanos();
+        events.push(Event::Outcome { part: key.part, attempt: key.attempt, outcome, waited });
+    }
+
+    fn time_outs_due(&mut self, now: Micros, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+        while let Some((_, key)) = self.time_outs.first().copied().filter(|t| t.0 <= now) {
+            let Some(flight) = self.land(key) else {
+                self.time_outs.pop_first();
+                continue;
+            };
+            out.push(Command::CallOff(flight.replica, key));
+            // What never left this machine whole never ran: a class that must not repeat may go again.
+            let outcome = if flight.written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            self.tell(now, key, &flight, outcome, events);
+        }
+    }
+
+    /// The module ends every query in time; should it not, the client still gets its one answer.
+    fn ends_due(&mut self, now: Micros, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+        while let Some((_, query)) = self.ends.first().copied().filter(|e| e.0 <= now) {
+            invariant(false, "a query outlived its client's time");
+            if let Some(held) = self.forget(query) {
+                COUNTERS.failed.add();
+                out.push(Command::Reply(held.request.token, Answer::Failed { late: true }));
+            }
+            events.push(Event::Gone(query));
+        }
+    }
+
+    /// Takes a query off the books, so that it can have no second answer.
+    fn forget(&mut self, query: QueryId) -> Option<Held> {
+        let held = self.held.remove(&query)?;
+        self.held_count -= 1 + held.values.len();
+        self.ends.remove(&(held.until, query));
+        self.tokens.remove(&held.request.token);
+        for at in 0..held.values.len() as u64 {
+            self.parts.remove(&PartId(query.0 + 1 + at));
+            self.attempts.remove(&PartId(query.0 + 1 + at));
+        }
+        Some(held)
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
+        match action {
+            Action::Send { part, replica, timeout } => self.launch(now, part, replica, timeout, out),
+            Action::Cancel { part, attempt } => {
+                let key = AttemptKey { part, attempt };
+                if let Some(flight) = self.land(key) {
+                    out.push(Command::CallOff(flight.replica, key));
+                    let outcome = if flight.written { Outcome::Cancelled } else { Outcome::Moot };
+                    let mut events = std::mem::take(&mut self.pending);
+                    self.tell(now, key, &flight, outcome, &mut events);
+                    self.pending = events;
+                }
+            }
+            Action::Answer { query, whole } => self.answer(query, whole, out),
+            Action::Refuse { query, come_back } => {
+                let come_back = come_back.map(Micros::from_nanos);
+                self.give_up(now, query, |late| Answer::Refused { come_back, late }, &COUNTERS.refused, out);
+            }
+            Action::Fail(query) => {
+                self.give_up(now, query, |late| Answer::Failed { late }, &COUNTERS.failed, out);
+            }
+            Action::WakeAt(at) => {
+                // Rounded up: a wake-up before its time would find nothing due and be set again.
+                let at = Micros::from_nanos(at.saturating_add(999));
+                self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+            }
+            Action::CloseIdle(replica) => out.push(Command::CloseIdle(replica)),
+            Action::Probe(replica) => {
+                COUNTERS.probes.add();
+                out.push(Command::Probe(replica));
+            }
+            // The watch runs from the start to the end.
+            Action::Subscribe => {}
+        }
+    }
+
+    fn launch(
+        &mut self,
+        now: Micros,
+        part: PartId,
+        replica: ReplicaId,
+        timeout: Nanos,
+        out: &mut Vec<Command>,
+    ) {
+        let number = self.attempts.entry(part).or_insert(0);
+        let key = AttemptKey { part, attempt: AttemptNo(*number) };
+        let live = self.parts.get(&part).and_then(|(query, at)| Some((self.held.get(query)?, *at)));
+        let Some((held, at)) = live else {
+            self.attempts.remove(&part);
+            return invariant(false, "an attempt at a part that is over");
+        };
+        *number += 1;
+        let until = (now + Micros::from_nanos(timeout)).min(held.until);
+        COUNTERS.attempts.add();
+        invariant(
+            self.set.second_copies || !self.flights.keys().any(|k| k.part == part),
+            "a part has two attempts out",
+        );
+        self.flights.insert(key, Flight { replica, sent: now, until, written: false });
+        self.time_outs.insert((until, key));
+        let job = Job {
+            key,
+            label: held.request.label.clone(),
+            shard: held.request.parts[at].shard,
+            text: held.request.text.clone(),
+            patience: until.since(now),
+        };
+        out.push(Command::Launch(replica, vec![job]));
+    }
+
+    fn answer(&mut self, query: QueryId, whole: bool, out: &mut Vec<Command>) {
+        let Some(held) = self.forget(query) else { return invariant(false, "an answer to no query") };
+        let class = &self.set.classes[usize::from(held.request.class.0)];
+        let parts = held.request.parts.iter().zip(held.values);
+        let mut weight = 0.0;
+        let mut values = Vec::new();
+        for (part, value) in parts {
+            if let Some(value) = value {
+                weight += part.weight;
+                values.push((part.shard, value));
+            }
+        }
+        let least = if whole { class.need } else { class.floor };
+        invariant(weight + 1e-4 >= least, "an answer from too few parts");
+        if whole { &COUNTERS.whole } else { &COUNTERS.partial }.add();
+        out.push(Command::Reply(held.request.token, Answer::Served { whole, parts: values }));
+    }
+
+    fn give_up(
+        &mut self,
+        now: Micros,
+        query: QueryId,
+        answer: impl FnOnce(bool) -> Answer,
+        counter: &Counter,
+        out: &mut Vec<Command>,
+    ) {
+        // A class that is none is failed by the module before its parts are known.
+        let Some(held) = self.forget(query) else { return invariant(false, "an end to no query") };
+        counter.add();
+        let late = now + NEAR_END >= held.wanted.min(held.until);
+        out.push(Command::Reply(held.request.token, answer(late)));
+    }
+}
+
+/// Joins launches of one turn to one server into calls of at most so many parts.
+fn bundle(out: &mut Vec<Command>, most: usize) {
+    if most < 2 {
+        return;
+    }
+    let mut joined: Vec<Command> = Vec::with_capacity(out.len());
+    for command in out.drain(..) {
+        if let Command::Launch(replica, jobs) = &command {
+            let fits =
+                |c: &&mut Command| matches!(c, Command::Launch(r, j) if r == replica && j.len() < most);
+            if let Some(Command::Launch(_, call)) = joined.iter_mut().find(fits) {
+                call.extend(jobs.iter().cloned());
+                continue;
+            }
+        }
+        joined.push(command);
+    }
+    *out = joined;
+}
--- /dev/null
+++ b/src/core/types.rs
@@ -0,0 +1,161 @@
+//! Requests, attempts and outcomes as plain data. No wire's words here.
+
+use crate::interface::{AttemptNo, ClassId, Outcome, PartId, ReplicaId, ShardId, TenantId};
+use crate::time::Micros;
+use std::sync::Arc;
+
+/// How a front names a request that it waits for; never reused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+/// A query as a front hands it in.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Where the answer goes.
+    pub token: Token,
+    /// What the request is called at the servers and in logs.
+    pub label: Arc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant; 0 where there are none.
+    pub tenant: TenantId,
+    /// How long its client waits, from `sent`.
+    pub patience: Micros,
+    /// When its client sent it, as near as its front can tell.
+    pub sent: Micros,
+    /// Its parts.
+    pub parts: Vec<PartOf>,
+    /// What each part carries to its server.
+    pub text: Arc<[u8]>,
+}
+
+/// A part of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PartOf {
+    /// Where it can be answered.
+    pub shard: ShardId,
+    /// Its share of the answer.
+    pub weight: f64,
+    /// Expected work, where told.
+    pub hint: Option<Micros>,
+}
+
+/// One attempt at a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptKey {
+    /// The part.
+    pub part: PartId,
+    /// Which attempt at it.
+    pub attempt: AttemptNo,
+}
+
+/// What a server gave for a part, untouched.
+pub type Value = Arc<[u8]>;
+
+/// How an attempt ended, as its driver saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// Served with this.
+    Served(Value),
+    /// Anything else; never [`Outcome::Ok`].
+    Not(Outcome),
+}
+
+/// A server as a roster names it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Node {
+    /// Its lasting name.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its zone.
+    pub zone: u16,
+    /// Its cell.
+    pub cell: u16,
+    /// Its state.
+    pub state: crate::interface::MemberState,
+    /// When it last started; `None`: long ago.
+    pub started: Option<Micros>,
+}
+
+/// News of the servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Roster {
+    /// How much of the list this is.
+    pub kind: crate::interface::ListKind,
+    /// Its lines.
+    pub nodes: Vec<Node>,
+}
+
+/// What reaches the core.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// News of the servers.
+    Roster(Roster),
+    /// A request was taken.
+    Ask(Request),
+    /// The client that waited for this has left.
+    Left(Token),
+    /// The attempt's request has left this machine whole: from here on it may run.
+    Written(AttemptKey),
+    /// An attempt ended.
+    Ended(AttemptKey, End),
+    /// A probe ended, with the values of its load report in the order of the settings; none if it had none.
+    Probed(ReplicaId, Outcome, Vec<f64>),
+}
+
+/// What an attempt asks of a server.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Which attempt.
+    pub key: AttemptKey,
+    /// The request's label.
+    pub label: Arc<str>,
+    /// Which shard.
+    pub shard: ShardId,
+    /// What it carries.
+    pub text: Arc<[u8]>,
+    /// How long this program will wait for it.
+    pub patience: Micros,
+}
+
+/// The final answer to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// Answered from these parts.
+    Served {
+        /// It is whole.
+        whole: bool,
+        /// The shards that are in, with what they gave, in the request's order.
+        parts: Vec<(ShardId, Value)>,
+    },
+    /// Sent back: asking again does no harm.
+    Refused {
+        /// When to come back, where clients are told.
+        come_back: Option<Micros>,
+        /// Its time ran out first.
+        late: bool,
+    },
+    /// Given up, with no promise.
+    Failed {
+        /// Its time ran out first.
+        late: bool,
+    },
+}
+
+/// What the core wants done, in order.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// This is where a server is, and whether it takes new work.
+    Server(ReplicaId, Arc<str>, bool),
+    /// Start these attempts in one call.
+    Launch(ReplicaId, Vec<Job>),
+    /// Stop waiting for an attempt.
+    CallOff(ReplicaId, AttemptKey),
+    /// Close idle connections.
+    CloseIdle(ReplicaId),
+    /// Ask for a load report.
+    Probe(ReplicaId),
+    /// Give this answer.
+    Reply(Token, Answer),
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,28 @@
+//! The fronts: each parses its protocol's requests, maps them to the core's, and renders the core's answers.
+
+pub mod platform;
+
+use crate::core::{Answer, Request, Token};
+use crate::proto::http::{HttpError, HttpRequest, Response};
+use crate::time::Micros;
+
+/// How a core's answer becomes a response.
+pub type Render = Box<dyn FnOnce(Answer) -> Response + Send>;
+
+/// What becomes of a request.
+pub enum Reaction {
+    /// It is answered at once.
+    Respond(Response),
+    /// It goes to the core, and its answer is rendered by this.
+    Ask(Request, Render),
+}
+
+/// A front.
+pub trait Front: Send + Sync {
+    /// Takes a request that came whole. `sent`: when its client sent it, as near as can be told; `ready`: the
+    /// program is ready to serve.
+    fn take(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction;
+
+    /// The response to what could not be read.
+    fn unreadable(&self, error: HttpError) -> Response;
+}
--- /dev/null
+++ b/src/front/platform/mod.rs
@@ -0,0 +1,155 @@
+//! The platform's protocol: `POST /api` with a query's parts in JSON, and `GET /up`.
+
+use super::{Front, Reaction};
+use crate::core::{Answer, PartOf, Request, Token, COUNTERS};
+use crate::interface::{ClassId, ShardId, TenantId};
+use crate::proto::http::{HttpError, HttpRequest, Response};
+use crate::settings::Deployment;
+use crate::time::Micros;
+use serde::{Deserialize, Serialize};
+
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; charset=utf-8";
+/// Longest id of a query: it is repeated in every frame.
+const MOST_ID: usize = 128;
+/// Longest time a client may state; anything longer is as good as this.
+const MOST_PATIENCE_S: f64 = 3_600.0;
+
+#[derive(Deserialize)]
+struct Query {
+    tablets: Vec<Tablet>,
+    #[serde(default)]
+    statement: String,
+}
+
+#[derive(Deserialize)]
+struct Tablet {
+    tablet: u32,
+    fraction: f64,
+    guess: Option<f64>,
+}
+
+#[derive(Serialize)]
+struct Served<'a> {
+    full: bool,
+    pieces: Vec<Piece<'a>>,
+}
+
+#[derive(Serialize)]
+struct Piece<'a> {
+    tablet: u32,
+    cell: std::borrow::Cow<'a, str>,
+}
+
+/// The front for the platform's protocol.
+#[derive(Debug)]
+pub struct Platform {
+    classes: Vec<String>,
+    deadlines: Vec<Micros>,
+    shards: u32,
+}
+
+impl Platform {
+    /// A front for these classes and shards.
+    pub fn new(deployment: &Deployment) -> Self {
+        Platform {
+            classes: deployment.class_names.clone(),
+            deadlines: deployment.module.classes.iter().map(|c| Micros::from_nanos(c.deadline)).collect(),
+            shards: deployment.module.shards,
+        }
+    }
+
+    fn query(&self, request: &HttpRequest, token: Token, sent: Micros) -> Result<Request, String> {
+        let header = |name| request.headers.get(name).ok_or_else(|| format!("{name} is missing"));
+        let label = header("X-Trace-Id")?;
+        if label.is_empty() || label.len() > MOST_ID || !label.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err("X-Trace-Id is no id".to_owned());
+        }
+        let name = header("X-Qos")?;
+        let class = self.classes.iter().position(|c| c == name).ok_or("X-Qos names no class")?;
+        let patience = match request.headers.get("X-Expires-In") {
+            None => self.deadlines[class],
+            Some(text) => {
+                let seconds = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
+                let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MOST_PATIENCE_S);
+                Micros((seconds * 1e6) as u64)
+            }
+        };
+        let query: Query = serde_json::from_slice(&request.body).map_err(|e| format!("body: {e}"))?;
+        let mut parts: Vec<PartOf> = Vec::with_capacity(query.tablets.len());
+        for t in query.tablets {
+            let weight =
+                Some(t.fraction).filter(|w| w.is_finite() && *w >= 0.0).ok_or("a fraction is no share")?;
+            if t.tablet >= self.shards {
+                return Err(format!("tablet {} is none", t.tablet));
+            }
+            if parts.iter().any(|p| p.shard.0 == t.tablet) {
+                return Err(format!("tablet {} is named twice", t.tablet));
+            }
+            let hint = t.guess.filter(|g| g.is_finite() && *g >= 0.0).map(|g| Micros(g as u64));
+            parts.push(PartOf { shard: ShardId(t.tablet), weight, hint });
+        }
+        if parts.is_empty() {
+            return Err("no tablets".to_owned());
+        }
+        Ok(Request {
+            token,
+            label: label.into(),
+            class: ClassId(class as u16),
+            tenant: TenantId(0),
+            patience,
+            sent,
+            parts,
+            text: query.statement.into_bytes().into(),
+        })
+    }
+}
+
+impl Front for Platform {
+    fn take(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
+        let path = request.target.split('?').next().unwrap_or_default();
+        let respond = |status, text: &str| Reaction::Respond(Response::new(status, TEXT, text));
+        match (request.method.as_str(), path) {
+            ("GET" | "HEAD", "/up") if ready => respond(200, "ready\n"),
+            ("GET" | "HEAD", "/up") => respond(503, "not ready\n"),
+            ("POST", "/api") => match self.query(&request, token, sent) {
+                Ok(request) => Reaction::Ask(request, Box::new(render)),
+                Err(why) => {
+                    COUNTERS.bad_requests.add();
+                    respond(400, &format!("{why}\n"))
+                }
+            },
+            (_, "/up" | "/api") => respond(405, "another method is needed\n"),
+            _ => respond(404, "nothing is here\n"),
+        }
+    }
+
+    fn unreadable(&self, error: HttpError) -> Response {
+        Response::new(error.status(), TEXT, format!("{error:?}\n"))
+    }
+}
+
+/// Seconds with decimals, as `Retry-After` may have them here.
+fn seconds(time: Micros) -> String {
+    format!("{}.{:03}", time.0 / 1_000_000, time.0 / 1_000 % 1_000)
+}
+
+fn render(answer: Answer) -> Response {
+    match answer {
+        Answer::Served { whole, parts } => {
+            let piece = |(shard, value)| Piece { tablet: shard, cell: String::from_utf8_lossy(value) };
+            let body = Served { full: whole, pieces: parts.iter().map(|p| piece((p.0 .0, &p.1))).collect() };
+            match serde_json::to_vec(&body) {
+                Ok(body) => Response::new(200, JSON, body),
+                Err(e) => Response::new(500, TEXT, format!("{e}\n")),
+            }
+        }
+        Answer::Refused { come_back, .. } => {
+            let mut response = Response::new(503, TEXT, "refused: ask again\n");
+            response.headers.extend(come_back.map(|t| ("Retry-After", seconds(t))));
+            response
+        }
+        Answer::Failed { late: true } => Response::new(504, TEXT, "out of time\n"),
+        Answer::Failed { late: false } => Response::new(502, TEXT, "failed\n"),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,7 @@
 //! The types are in [`interface`], the decisions in [`rules`].
 //!
 //! ```
-//! use weldloom::*;
+//! use quinceflow::*;
 //!
 //! const MS: Nanos = 1_000_000;
 //! let class = Class {
@@ -91,8 +91,14 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod core;
+pub mod front;
 pub mod interface;
+pub mod net;
+pub mod proto;
 pub mod rules;
+pub mod settings;
+pub mod time;
 
 pub use interface::*;
 pub use rules::Aggregator;
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,91 @@
+//! What a coordinator is told at its start.
+
+use crate::settings::{read_deployment, Deployment};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: serde_json::Value,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// The start's configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// This coordinator's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The servers as last known, in discovery's form.
+    pub known: Vec<u8>,
+    /// The settings.
+    pub deployment: Deployment,
+}
+
+impl Config {
+    /// Reads the file that the environment names; the environment's own words go first.
+    pub fn from_env() -> Result<Self, String> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        let var = |name| std::env::var(name).ok();
+        Self::read(&text, var("NODE_LISTEN"), var("NODE_DISCOVERY"), var("NODE_NAME"))
+            .map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Reads the text of the file.
+    pub fn read(
+        text: &[u8],
+        listen: Option<String>,
+        discovery: Option<String>,
+        name: Option<String>,
+    ) -> Result<Self, String> {
+        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let address = |what: &str, env: Option<String>, file: Option<String>| {
+            let text = env.or(file).ok_or_else(|| format!("{what}: no address"))?;
+            text.parse::<SocketAddr>().map_err(|e| format!("{what}: {text:?}: {e}"))
+        };
+        Ok(Config {
+            listen: address("listen", listen, file.listen)?,
+            discovery: address("discovery", discovery, file.discovery)?,
+            name: name.unwrap_or(file.name),
+            seed: seed(&file.seed),
+            sockets: file.limits.sockets,
+            known: serde_json::to_vec(&file.known).map_err(|e| format!("known: {e}"))?,
+            deployment: read_deployment(file.settings).map_err(|e| format!("settings: {e}"))?,
+        })
+    }
+}
+
+/// The seed is hex; anything else still gives one, by its bytes.
+fn seed(text: &str) -> u64 {
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| text.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+}
--- /dev/null
+++ b/src/net/links.rs
@@ -0,0 +1,364 @@
+//! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
+
+use super::{spawn, try_read, try_write, Tried, SMALL_STACK};
+use crate::core::{AttemptKey, Input, Job, COUNTERS};
+use crate::interface::{Outcome, ReplicaId};
+use crate::proto::frames::{Link, LinkEvent};
+use crate::settings::Deployment;
+use crate::time::{Clock, Micros};
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use may::sync::mpsc::Sender;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// An idle connection is left alone so long before the other side may close it: a write after that is a reset,
+/// and a reset part may have run.
+const IDLE_MARGIN: Micros = Micros::from_secs(3);
+/// A connection on which nothing came while an attempt was out so long before it was given up is suspect.
+const SILENT: Micros = Micros::from_millis(400);
+/// Most connections to one node, whatever happens.
+const MOST_LINKS: usize = 8;
+
+/// A connection as the pool and its driver share it.
+#[derive(Default)]
+struct Slot {
+    state: Mutex<SlotState>,
+}
+
+#[derive(Default)]
+struct SlotState {
+    link: Link,
+    waker: Option<WaitIoWaker>,
+    /// It has ended, or never came up.
+    dead: bool,
+    /// Close it once nothing is out.
+    closing: bool,
+    /// Nothing came on it for long while something should have.
+    suspect: bool,
+    /// When bytes last came, or when it was opened.
+    heard: Micros,
+    /// When it was last in use.
+    used: Micros,
+}
+
+impl Slot {
+    fn lock(&self) -> MutexGuard<'_, SlotState> {
+        // Nothing panics while it holds the lock; if something did, the state is still whole.
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+struct Node {
+    address: Option<SocketAddr>,
+    ready: bool,
+    links: Vec<Arc<Slot>>,
+}
+
+/// All connections to data nodes.
+pub struct Links {
+    nodes: HashMap<ReplicaId, Node>,
+    sent: HashMap<AttemptKey, Micros>,
+    inbox: Sender<Input>,
+    clock: Clock,
+    dial_timeout: Micros,
+    idle_limit: Micros,
+    most_parts: usize,
+    report: Arc<Vec<String>>,
+}
+
+impl Links {
+    /// A pool without connections.
+    pub fn new(deployment: &Deployment, inbox: Sender<Input>, clock: Clock) -> Self {
+        let idle = Micros::from_nanos(deployment.idle_close);
+        Links {
+            nodes: HashMap::new(),
+            sent: HashMap::new(),
+            inbox,
+            clock,
+            dial_timeout: Micros::from_nanos(deployment.dial_timeout),
+            idle_limit: (idle - IDLE_MARGIN).max(Micros(idle.0 / 2)),
+            most_parts: deployment.streams_per_conn,
+            report: Arc::new(deployment.report_names.clone()),
+        }
+    }
+
+    /// Learns where a node is and whether it takes new work.
+    pub fn server(&mut self, replica: ReplicaId, address: &str, ready: bool) {
+        let address = address.parse().ok();
+        let node = self.nodes.entry(replica).or_insert(Node { address, ready, links: Vec::new() });
+        if node.address != address {
+            node.address = address;
+            node.links.iter().for_each(|l| close_when_idle(l));
+        }
+        node.ready = ready;
+        if !ready {
+            // Told of a drain: nothing that waits for its connection may still go.
+            for slot in &node.links {
+                let mut events = Vec::new();
+                slot.lock().link.take_back(&mut events);
+                forward(&self.inbox, replica, &self.report, events);
+            }
+        }
+    }
+
+    /// Sends a call.
+    pub fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
+        self.sent.extend(jobs.iter().map(|j| (j.key, now)));
+        let slot = self.slot(replica, now, jobs.len());
+        let Some(slot) = slot else {
+            let refused =
+                jobs.iter().map(|j| LinkEvent::Ended(j.key, crate::core::End::Not(Outcome::ConnectFailed)));
+            return forward(&self.inbox, replica, &self.report, refused);
+        };
+        let mut state = slot.lock();
+        state.link.call(jobs);
+        state.used = now;
+        wake(&state);
+    }
+
+    /// Probes a node.
+    pub fn probe(&mut self, replica: ReplicaId, now: Micros) {
+        match self.slot(replica, now, 0) {
+            Some(slot) => {
+                let mut state = slot.lock();
+                state.link.probe();
+                state.used = now;
+                wake(&state);
+            }
+            None => forward(
+                &self.inbox,
+                replica,
+                &self.report,
+                [LinkEvent::Probed(Outcome::ConnectFailed, String::new())],
+            ),
+        }
+    }
+
+    /// Gives an attempt up.
+    pub fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
+        let sent = self.sent.remove(&key).unwrap_or(now);
+        let Some(node) = self.nodes.get(&replica) else { return };
+        for slot in &node.links {
+            let mut state = slot.lock();
+            if state.link.holds(key) {
+                state.link.call_off(key);
+                state.used = now;
+                // A machine that vanished leaves its connections open and silent, and resets them when it is
+                // back: what goes out on such a one is lost. A new one fails in time and proves it never ran.
+                if state.heard < sent && now.since(sent) > SILENT && !state.suspect {
+                    COUNTERS.links_suspect.add();
+                    state.suspect = true;
+                    state.closing = true;
+                }
+                wake(&state);
+            }
+        }
+    }
+
+    /// Closes idle connections to a node.
+    pub fn close_idle(&mut self, replica: ReplicaId) {
+        if let Some(node) = self.nodes.get(&replica) {
+            node.links.iter().filter(|l| l.lock().link.idle()).for_each(|l| close_when_idle(l));
+        }
+    }
+
+    /// Closes what has stood idle for too long and forgets what has ended.
+    pub fn tidy(&mut self, now: Micros, out: impl Fn(AttemptKey) -> bool) {
+        let limit = self.idle_limit;
+        for node in self.nodes.values_mut() {
+            node.links.retain(|slot| {
+                let mut state = slot.lock();
+                if state.link.idle() && !state.closing && now.since(state.used) >= limit {
+                    COUNTERS.links_idle_closed.add();
+                    state.closing = true;
+                    wake(&state);
+                }
+                !state.dead
+            });
+        }
+        self.sent.retain(|key, _| out(*key));
+    }
+
+    /// Open connections, for the log.
+    pub fn open(&self) -> usize {
+        self.nodes.values().map(|n| n.links.len()).sum()
+    }
+
+    fn slot(&mut self, replica: ReplicaId, now: Micros, parts: usize) -> Option<Arc<Slot>> {
+        let node = self.nodes.get_mut(&replica)?;
+        let address = node.address.filter(|_| node.ready)?;
+        node.links.retain(|l| !l.lock().dead);
+        let (limit, most) = (self.idle_limit, self.most_parts);
+        for slot in &node.links {
+            let mut state = slot.lock();
+            if state.link.idle() && now.since(state.used) >= limit {
+                state.closing = true;
+                wake(&state);
+            }
+            if !state.closing && state.link.load() + parts <= most {
+                drop(state);
+                return Some(slot.clone());
+            }
+        }
+        if node.links.len() >= MOST_LINKS {
+            return None;
+        }
+        COUNTERS.dials.add();
+        let slot = Arc::new(Slot::default());
+        {
+            let mut state = slot.lock();
+            (state.heard, state.used) = (now, now);
+        }
+        node.links.push(slot.clone());
+        let driver = Driver {
+            slot: slot.clone(),
+            replica,
+            inbox: self.inbox.clone(),
+            clock: self.clock,
+            report: self.report.clone(),
+        };
+        let dial_timeout = self.dial_timeout;
+        if spawn(SMALL_STACK, move || driver.run(address, dial_timeout)).is_err() {
+            slot.lock().dead = true;
+            return None;
+        }
+        Some(slot)
+    }
+}
+
+fn wake(state: &SlotState) {
+    if let Some(waker) = &state.waker {
+        waker.wakeup();
+    }
+}
+
+fn close_when_idle(slot: &Slot) {
+    let mut state = slot.lock();
+    state.closing = true;
+    wake(&state);
+}
+
+/// Names that data nodes give the values of a report, and what the settings call them.
+const REPORT_NAMES: [(&str, &str); 6] = [
+    ("util", "busy"),
+    ("inflight", "rif"),
+    ("queue", "q"),
+    ("latency_ms", "lat_ms"),
+    ("qps", "rate"),
+    ("eps", "fail_rate"),
+];
+
+/// The values of a report in the order of the settings; none if one is missing.
+fn report(text: &str, names: &[String]) -> Vec<f64> {
+    let value = |name: &String| {
+        let told = REPORT_NAMES.iter().find(|n| n.1 == name).map_or(name.as_str(), |n| n.0);
+        let mut values = text.split(',').filter_map(|v| v.split_once('='));
+        values.find(|v| v.0 == told).and_then(|v| v.1.parse().ok())
+    };
+    names.iter().map(value).collect::<Option<_>>().unwrap_or_default()
+}
+
+fn forward(
+    inbox: &Sender<Input>,
+    replica: ReplicaId,
+    names: &[String],
+    events: impl IntoIterator<Item = LinkEvent>,
+) {
+    for event in events {
+        let input = match event {
+            LinkEvent::Written(key) => Input::Written(key),
+            LinkEvent::Ended(key, end) => Input::Ended(key, end),
+            LinkEvent::Probed(outcome, text) => Input::Probed(replica, outcome, report(&text, names)),
+        };
+        // The core outlives every driver.
+        let _ = inbox.send(input);
+    }
+}
+
+struct Driver {
+    slot: Arc<Slot>,
+    replica: ReplicaId,
+    inbox: Sender<Input>,
+    clock: Clock,
+    report: Arc<Vec<String>>,
+}
+
+impl Driver {
+    fn run(self, address: SocketAddr, dial_timeout: Micros) {
+        match TcpStream::connect_timeout(&address, dial_timeout.to_duration()) {
+            Ok(stream) => {
+                // Only speed is lost without it.
+                let _ = stream.set_nodelay(true);
+                self.slot.lock().waker = Some(stream.waker());
+                while self.step(stream.inner()) {
+                    stream.wait_io();
+                }
+            }
+            Err(_) => COUNTERS.dials_failed.add(),
+        }
+        let mut events = Vec::new();
+        {
+            let mut state = self.slot.lock();
+            state.dead = true;
+            state.waker = None;
+            if !state.link.idle() {
+                COUNTERS.links_lost.add();
+            }
+            state.link.broken(&mut events);
+        }
+        self.forward(events);
+    }
+
+    /// Reads and writes what there is. False: the connection has ended.
+    fn step(&self, stream: &std::net::TcpStream) -> bool {
+        let mut events = Vec::new();
+        let mut state = self.slot.lock();
+        let open = self.exchange(&mut state, stream, &mut events);
+        let done = state.closing && state.link.idle();
+        drop(state);
+        self.forward(events);
+        open && !done
+    }
+
+    fn exchange(
+        &self,
+        state: &mut SlotState,
+        stream: &std::net::TcpStream,
+        events: &mut Vec<LinkEvent>,
+    ) -> bool {
+        // Reading comes first: a frame must not go out on a connection whose end is here already.
+        loop {
+            match try_read(stream, state.link.input().room()) {
+                Tried::Moved(n) => {
+                    state.link.input().filled(n);
+                    state.heard = self.clock.now();
+                    if let Err(bad) = state.link.read(events) {
+                        COUNTERS.bad_frames.add();
+                        eprintln!("quinceflow: data node {}: {}", stream_name(stream), bad.0);
+                        return false;
+                    }
+                }
+                Tried::Wait => break,
+                Tried::Ended => return false,
+            }
+        }
+        while !state.link.output().is_empty() {
+            match try_write(stream, state.link.output()) {
+                Tried::Moved(n) => state.link.wrote(n, events),
+                Tried::Wait => break,
+                Tried::Ended => return false,
+            }
+        }
+        true
+    }
+
+    fn forward(&self, events: Vec<LinkEvent>) {
+        forward(&self.inbox, self.replica, &self.report, events);
+    }
+}
+
+fn stream_name(stream: &std::net::TcpStream) -> String {
+    stream.peer_addr().map_or_else(|_| "?".to_owned(), |a| a.to_string())
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,48 @@
+//! Thin drivers on coroutines: they read and write sockets and hand bytes to the state machines. No policy.
+
+pub mod clients;
+pub mod config;
+pub mod links;
+pub mod server;
+pub mod watch;
+
+use may::coroutine::{Builder, JoinHandle};
+use std::io;
+
+/// Stack of a coroutine that drives a connection, in words of eight bytes. Only touched pages count as memory.
+pub const SMALL_STACK: usize = 0x2000;
+/// Stack of a coroutine that parses lists or runs the module.
+pub const LARGE_STACK: usize = 0x8000;
+
+/// Starts a coroutine.
+pub fn spawn(stack: usize, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    may::go!(Builder::new().stack_size(stack), work)
+}
+
+/// What one try at a socket that does not block came to.
+enum Tried {
+    /// So many bytes went.
+    Moved(usize),
+    /// Nothing goes now.
+    Wait,
+    /// The other side has ended, or the connection broke.
+    Ended,
+}
+
+fn tried(result: io::Result<usize>) -> Tried {
+    match result {
+        Ok(0) => Tried::Ended,
+        Ok(n) => Tried::Moved(n),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Tried::Wait,
+        Err(e) if e.kind() == io::ErrorKind::Interrupted => Tried::Moved(0),
+        Err(_) => Tried::Ended,
+    }
+}
+
+fn try_read(mut stream: &std::net::TcpStream, room: &mut [u8]) -> Tried {
+    tried(io::Read::read(&mut stream, room))
+}
+
+fn try_write(mut stream: &std::net::TcpStream, bytes: &[u8]) -> Tried {
+    tried(io::Write::write(&mut stream, bytes))
+}
--- /dev/null
+++ b/src/proto/frames.rs
@@ -0,0 +1,214 @@
+//! The data nodes' frames: one connection that carries many parts at a time.
+//!
+//! A frame is a length of four bytes, most significant first, a letter, and the rest; the length counts both.
+
+use super::buffer::Buffer;
+use crate::core::{AttemptKey, End, Job};
+use crate::interface::Outcome;
+use std::collections::{HashMap, VecDeque};
+
+/// Most bytes of a frame from a data node: a value's bound and its line.
+const MOST_FRAME: usize = 64 * 1024 + 1024;
+
+/// What came of the bytes that were written or read.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LinkEvent {
+    /// The last byte of an attempt's frame is written.
+    Written(AttemptKey),
+    /// An attempt ended.
+    Ended(AttemptKey, End),
+    /// A probe ended, with its report as it came.
+    Probed(Outcome, String),
+}
+
+/// What a data node sent cannot be used: the connection ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadFrame(pub String);
+
+#[derive(Debug)]
+struct Outgoing {
+    bytes: Vec<u8>,
+    written: usize,
+    keys: Vec<AttemptKey>,
+}
+
+/// One connection to a data node.
+#[derive(Debug, Default)]
+pub struct Link {
+    input: Buffer,
+    output: VecDeque<Outgoing>,
+    /// The parts that are out here, by their ids, and whether their frames are written.
+    out: HashMap<String, (AttemptKey, bool)>,
+    ids: HashMap<AttemptKey, String>,
+    probes: usize,
+}
+
+fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(rest.len() + 5);
+    bytes.extend((rest.len() as u32 + 1).to_be_bytes());
+    bytes.push(letter);
+    bytes.extend_from_slice(rest);
+    bytes
+}
+
+impl Link {
+    /// Queues one call of these parts.
+    pub fn call(&mut self, jobs: &[Job]) {
+        let mut rest = Vec::new();
+        let mut keys = Vec::new();
+        for job in jobs {
+            let id = format!("{}.{}", job.label, job.shard.0);
+            // The node's wait ends with this program's, rounded up: it must not give up first.
+            let wait = job.patience.0.div_ceil(1_000);
+            rest.extend_from_slice(format!("{id} {} d={wait} {}\n", job.shard.0, job.text.len()).as_bytes());
+            rest.extend_from_slice(&job.text);
+            keys.push(job.key);
+            self.ids.insert(job.key, id.clone());
+            if let Some((old, _)) = self.out.insert(id, (job.key, false)) {
+                self.ids.remove(&old);
+            }
+        }
+        self.output.push_back(Outgoing { bytes: frame(b'q', &rest), written: 0, keys });
+    }
+
+    /// Queues a probe for a load report.
+    pub fn probe(&mut self) {
+        self.probes += 1;
+        self.output.push_back(Outgoing { bytes: frame(b'l', b""), written: 0, keys: Vec::new() });
+    }
+
+    /// Gives an attempt up. One whose frame has not begun to go out never goes.
+    pub fn call_off(&mut self, key: AttemptKey) {
+        let Some(id) = self.ids.remove(&key) else { return };
+        self.out.remove(&id);
+        let waiting = self.output.iter().position(|f| f.written == 0 && f.keys == [key]);
+        match waiting {
+            Some(at) => {
+                self.output.remove(at);
+            }
+            None => {
+                let bytes = frame(b'c', id.as_bytes());
+                self.output.push_back(Outgoing { bytes, written: 0, keys: Vec::new() });
+            }
+        }
+    }
+
+    /// Takes back every frame that has not begun to go out: after a drain nothing new may.
+    pub fn take_back(&mut self, events: &mut Vec<LinkEvent>) {
+        let (back, kept) =
+            self.output.drain(..).partition::<Vec<_>, _>(|f| f.written == 0 && !f.keys.is_empty());
+        self.output = kept.into();
+        for key in back.into_iter().flat_map(|f| f.keys) {
+            if let Some(id) = self.ids.remove(&key) {
+                self.out.remove(&id);
+                events.push(LinkEvent::Ended(key, End::Not(Outcome::Moot)));
+            }
+        }
+    }
+
+    /// Bytes to write.
+    pub fn output(&self) -> &[u8] {
+        self.output.front().map_or(&[], |f| &f.bytes[f.written..])
+    }
+
+    /// So many of them were written.
+    pub fn wrote(&mut self, n: usize, events: &mut Vec<LinkEvent>) {
+        let Some(front) = self.output.front_mut() else { return };
+        front.written += n;
+        if front.written < front.bytes.len() {
+            return;
+        }
+        for key in self.output.pop_front().map(|f| f.keys).unwrap_or_default() {
+            if let Some(entry) = self.ids.get(&key).and_then(|id| self.out.get_mut(id)) {
+                entry.1 = true;
+                events.push(LinkEvent::Written(key));
+            }
+        }
+    }
+
+    /// Where reads go.
+    pub fn input(&mut self) -> &mut Buffer {
+        &mut self.input
+    }
+
+    /// Takes in what was read.
+    pub fn read(&mut self, events: &mut Vec<LinkEvent>) -> Result<(), BadFrame> {
+        loop {
+            let data = self.input.data();
+            let Some(head) = data.first_chunk::<4>() else { return Ok(()) };
+            let length = u32::from_be_bytes(*head) as usize;
+            if length == 0 || length > MOST_FRAME {
+                return Err(BadFrame(format!("a frame of {length} bytes")));
+            }
+            let Some(body) = data.get(4..4 + length) else { return Ok(()) };
+            let (letter, rest) = (body[0], &body[1..]);
+            match letter {
+                b'a' => {
+                    let (id, end) = answer(rest)?;
+                    // An answer to an attempt that was given up is of no use any more.
+                    if let Some((key, _)) = self.out.remove(id) {
+                        self.ids.remove(&key);
+                        events.push(LinkEvent::Ended(key, end));
+                    }
+                }
+                b'l' | b'p' => {
+                    let text = String::from_utf8_lossy(rest).trim().to_owned();
+                    let outcome = if text == "broke" { Outcome::Error } else { Outcome::Ok };
+                    if self.probes > 0 {
+                        self.probes -= 1;
+                        events.push(LinkEvent::Probed(outcome, text));
+                    }
+                }
+                b'e' => return Err(BadFrame(format!("refused: {}", String::from_utf8_lossy(rest)))),
+                other => return Err(BadFrame(format!("unknown letter {:?}", char::from(other)))),
+            }
+            self.input.used(4 + length);
+        }
+    }
+
+    /// The connection has ended, or never came up: every attempt on it gets its outcome. Only a frame whose last
+    /// byte was written can have run.
+    pub fn broken(&mut self, events: &mut Vec<LinkEvent>) {
+        self.output.clear();
+        self.ids.clear();
+        let mut out: Vec<_> = self.out.drain().map(|o| o.1).collect();
+        out.sort_unstable();
+        for (key, written) in out {
+            let outcome = if written { Outcome::Reset } else { Outcome::ConnectFailed };
+            events.push(LinkEvent::Ended(key, End::Not(outcome)));
+        }
+        for _ in 0..std::mem::take(&mut self.probes) {
+            events.push(LinkEvent::Probed(Outcome::Reset, String::new()));
+        }
+    }
+
+    /// Parts that are out here.
+    pub fn load(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Nothing is out and nothing is to be written.
+    pub fn idle(&self) -> bool {
+        self.out.is_empty() && self.output.is_empty() && self.probes == 0
+    }
+
+    /// Is this attempt here?
+    pub fn holds(&self, key: AttemptKey) -> bool {
+        self.ids.contains_key(&key)
+    }
+}
+
+fn answer(rest: &[u8]) -> Result<(&str, End), BadFrame> {
+    let bad = || BadFrame("an answer without its line".to_owned());
+    let end = rest.iter().position(|b| *b == b'\n').ok_or_else(bad)?;
+    let line = std::str::from_utf8(&rest[..end]).map_err(|_| bad())?;
+    let mut words = line.split(' ');
+    let (Some(id), Some(how)) = (words.next(), words.next()) else { return Err(bad()) };
+    let end = match how {
+        "served" => End::Served(rest[end + 1..].into()),
+        "broke" => End::Not(Outcome::Error),
+        "skipped" => End::Not(Outcome::Full),
+        other => return Err(BadFrame(format!("unknown end {other:?}"))),
+    };
+    Ok((id, end))
+}
--- /dev/null
+++ b/src/proto/mod.rs
@@ -0,0 +1,6 @@
+//! Protocols as state machines: fed bytes, they yield events and bytes to write. None knows a socket or a clock.
+
+pub mod buffer;
+pub mod discovery;
+pub mod frames;
+pub mod http;
--- a/src/bin/weldloom-benchlink/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings text of a new instance. Unknown keys are skipped; an absent one has the wire's meaning of absent.
 
+use crate::interface::*;
 use serde::Deserialize;
-use weldloom::*;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -38,6 +38,8 @@
     points: f64,
     #[serde(default)]
     late_worth: f64,
+    #[serde(default)]
+    name: String,
 }
 
 #[derive(Deserialize)]
@@ -75,11 +77,15 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Limits {
     cancel: bool,
+    dial_timeout: Option<Nanos>,
+    idle_close: Option<Nanos>,
     max_attempts: u32,
     max_retry_after: Nanos,
+    most_held: Option<usize>,
     probing: bool,
     retry_after: bool,
     second_copies: bool,
+    streams_per_conn: Option<usize>,
 }
 
 #[derive(Deserialize, Default)]
@@ -105,9 +111,46 @@
     }
 }
 
-/// Reads the settings text.
+/// What a co-ordinator is told beside what the module needs: names and the limits of its connections.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Deployment {
+    /// For the module.
+    pub module: Settings,
+    /// The names of the classes, in the order of [`Settings::classes`].
+    pub class_names: Vec<String>,
+    /// The names of a load report's values, in order.
+    pub report_names: Vec<String>,
+    /// A connection that is not ready by then has failed.
+    pub dial_timeout: Nanos,
+    /// An idle connection is closed by the other side after this at the latest.
+    pub idle_close: Nanos,
+    /// Calls that one connection carries at a time.
+    pub streams_per_conn: usize,
+    /// Queries and parts that may be held at a time.
+    pub most_held: usize,
+}
+
+/// Reads the settings text for the module.
 pub fn read(text: &str) -> Result<Settings, String> {
-    let boot: BootInfo = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    serde_json::from_str(text).map_err(|e| e.to_string()).and_then(module_settings)
+}
+
+/// Reads the settings for a co-ordinator on sockets.
+pub fn read_deployment(value: serde_json::Value) -> Result<Deployment, String> {
+    let boot: BootInfo = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    let limits = &boot.limits;
+    Ok(Deployment {
+        class_names: boot.classes.iter().map(|c| c.name.clone()).collect(),
+        report_names: boot.report.names.clone(),
+        dial_timeout: limits.dial_timeout.unwrap_or(250_000_000),
+        idle_close: limits.idle_close.unwrap_or(15_000_000_000),
+        streams_per_conn: limits.streams_per_conn.unwrap_or(100).max(1),
+        most_held: limits.most_held.unwrap_or(usize::MAX),
+        module: module_settings(boot)?,
+    })
+}
+
+fn module_settings(boot: BootInfo) -> Result<Settings, String> {
     let (family, rules, limits) = (boot.family_info, boot.invariants, boot.limits);
     let mut classes = Vec::new();
     for (at, c) in boot.classes.into_iter().enumerate() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small co-ordinator for the tests: settings, a fleet and a clock.
 #![allow(dead_code)]
 
-use weldloom::*;
+use quinceflow::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weldloom::*;
+use quinceflow::*;
 
 #[test]
 fn every_query_gets_one_final_answer_in_time() {
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weldloom::*;
+use quinceflow::*;
 
 fn partial(follow_up: u32) -> Class {
     Class { floor: 0.5, follow_up, ..class(Effect::Safe) }
