Serve OGC feature queries on the same core and module, set up by an operator's file

A second front: landing page, conformance, collections, items with bbox, limit, datetime and an S_INTERSECTS polygon, single features, problem JSON. Its parts are the shards that hold a collection; one attempt walks every page of one server, and a walk that breaks off gives nothing. The inventory is CSV or YAML, read anew on SIGHUP.

Tests run the program against stand-in feature servers: errors, hang, a page cut off, drain between pages, burst, links that lead elsewhere, in circles or on for ever.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -166,6 +166,9 @@
                 ReplicaId([a, b, c, d, 0, 0])
             });
             named.insert(replica);
+            if let Some(shards) = node.shards {
+                events.push(Event::Placement { replica, shards });
+            }
             let ready = node.state == MemberState::Ready;
             let line = (node.address, ready);
             if self.servers.get(&replica) != Some(&line) {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -72,6 +72,8 @@
     pub zone: u16,
     /// Its cell.
     pub cell: u16,
+    /// The shards it holds, where its cell does not tell.
+    pub shards: Option<Vec<ShardId>>,
     /// Its state.
     pub state: crate::interface::MemberState,
     /// When it last started; `None`: long ago.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: each parses its protocol's requests, maps them to the core's, and renders the core's answers.
 
+pub mod ogc;
 pub mod platform;
 
 use crate::core::{Answer, Request, Token};
--- /dev/null
+++ b/src/front/ogc/config.rs
@@ -0,0 +1,269 @@
+//! The operator's file that sets this front up.
+
+use super::inventory::{read_file, InventoryError, Server};
+use crate::interface::{Class, ColdRule, Effect, Settings};
+use crate::time::Micros;
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// The file as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Edge {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The inventory's file; from the folder of this one.
+    pub inventory: PathBuf,
+    /// Coordinators that share the servers, this one included.
+    #[serde(default = "one")]
+    pub coordinators: u32,
+    /// Most attempts at a part.
+    #[serde(default = "four")]
+    pub attempts: u32,
+    /// Queries and parts held at a time.
+    #[serde(default = "held")]
+    pub most_held: usize,
+    /// Descriptors that the process may hold.
+    #[serde(default = "sockets")]
+    pub sockets: usize,
+    /// Features of an answer when its query names no limit.
+    #[serde(default = "limit")]
+    pub default_limit: usize,
+    /// Most features of an answer, whatever its query says.
+    #[serde(default = "most_limit")]
+    pub most_limit: usize,
+    /// Features asked of a server at a time.
+    #[serde(default = "page")]
+    pub page_size: usize,
+    /// Most pages of a part.
+    #[serde(default = "pages")]
+    pub most_pages: usize,
+    /// Most bytes of a part, over all its pages.
+    #[serde(default = "bytes")]
+    pub most_bytes: usize,
+    /// Connections to one server at a time.
+    #[serde(default = "connections")]
+    pub most_connections: usize,
+    /// A connection that is not ready by then has failed.
+    #[serde(default = "dial")]
+    pub dial_timeout_ms: u64,
+    /// Idle connections to servers are kept so long: less than the servers keep theirs.
+    #[serde(default = "idle")]
+    pub idle_ms: u64,
+    /// The longest wait that a refused client is asked for.
+    #[serde(default = "retry")]
+    pub retry_after_ms: u64,
+    /// How a server that just started is spared; absent: not at all.
+    pub warm_up: Option<WarmUp>,
+    /// Classes of query; the first is for queries that name none.
+    #[serde(rename = "class")]
+    pub classes: Vec<EdgeClass>,
+    /// What is to be told of collections beside their names.
+    #[serde(rename = "collection", default)]
+    pub collections: Vec<Collection>,
+}
+
+/// A class of query.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EdgeClass {
+    /// Its name, as `X-Qos` gives it.
+    pub name: String,
+    /// Wanted within this time.
+    pub aim_ms: u64,
+    /// Given up after this time.
+    pub deadline_ms: u64,
+    /// Least share of the parts that an answer may be given from.
+    #[serde(default = "whole")]
+    pub floor: f64,
+    /// `safe`: parts may be asked again; `unsafe`: never once they may have run.
+    #[serde(default = "safe")]
+    pub effect: String,
+    /// Worth of a whole answer beside other classes'.
+    #[serde(default = "whole")]
+    pub worth: f64,
+    /// Share of the worth that an answer after the aim still has.
+    #[serde(default)]
+    pub late_worth: f64,
+}
+
+/// How a server that just started is spared.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WarmUp {
+    /// Share of its capacity that it starts with.
+    pub start: f64,
+    /// Warm after this.
+    pub ms: u64,
+    /// Never sent more than this multiple of what it can do
+    pub factor: f64,
+    /// for this long.
+    pub span_ms: u64,
+}
+
+/// What is told of a collection.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Collection {
+    /// Its name.
+    pub id: String,
+    /// Its title.
+    pub title: Option<String>,
+    /// Its description.
+    pub description: Option<String>,
+}
+
+fn one() -> u32 {
+    1
+}
+fn four() -> u32 {
+    4
+}
+fn held() -> usize {
+    400
+}
+fn sockets() -> usize {
+    1024
+}
+fn limit() -> usize {
+    100
+}
+fn most_limit() -> usize {
+    5_000
+}
+fn page() -> usize {
+    500
+}
+fn pages() -> usize {
+    200
+}
+fn bytes() -> usize {
+    4 * 1024 * 1024
+}
+fn connections() -> usize {
+    16
+}
+fn dial() -> u64 {
+    250
+}
+fn idle() -> u64 {
+    4_000
+}
+fn retry() -> u64 {
+    2_000
+}
+fn whole() -> f64 {
+    1.0
+}
+fn safe() -> String {
+    "safe".to_owned()
+}
+
+/// What is wrong with the operator's file.
+#[derive(Debug)]
+pub enum EdgeError {
+    /// It, or a value in it.
+    File(String),
+    /// Its inventory.
+    Inventory(InventoryError),
+}
+
+impl fmt::Display for EdgeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            EdgeError::File(why) => f.write_str(why),
+            EdgeError::Inventory(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for EdgeError {}
+
+impl Edge {
+    /// Reads the file.
+    pub fn read_file(path: &Path) -> Result<Self, EdgeError> {
+        let fault = |why: String| EdgeError::File(format!("{}: {why}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
+        let mut edge: Edge = toml::from_str(&text).map_err(|e| fault(e.to_string()))?;
+        edge.check().map_err(fault)?;
+        edge.inventory = path.parent().unwrap_or(Path::new("")).join(&edge.inventory);
+        Ok(edge)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let class = self.classes.first().ok_or("a [[class]] is needed")?;
+        if class.name.is_empty() {
+            return Err("class: name is empty".to_owned());
+        }
+        for c in &self.classes {
+            let fault = |why: &str| Err(format!("class {:?}: {why}", c.name));
+            if c.aim_ms == 0 || c.deadline_ms < c.aim_ms {
+                return fault("aim_ms must be above 0 and at most deadline_ms");
+            }
+            if !(c.floor > 0.0 && c.floor <= 1.0) {
+                return fault("floor must be above 0 and at most 1");
+            }
+            if !matches!(c.effect.as_str(), "safe" | "unsafe") {
+                return fault("effect must be safe or unsafe");
+            }
+        }
+        let positive =
+            [self.default_limit, self.most_limit, self.page_size, self.most_pages, self.most_bytes];
+        if positive.contains(&0) || self.most_connections == 0 || self.attempts == 0 || self.coordinators == 0
+        {
+            return Err("limits must be above 0".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Reads the inventory.
+    pub fn servers(&self) -> Result<Vec<Server>, EdgeError> {
+        read_file(&self.inventory).map_err(EdgeError::Inventory)
+    }
+
+    /// The module's settings.
+    pub fn settings(&self) -> Settings {
+        let ns = |ms: u64| Micros::from_millis(ms).to_nanos();
+        let class = |c: &EdgeClass| Class {
+            aim: ns(c.aim_ms),
+            aim_stretch: 0.0,
+            deadline: ns(c.deadline_ms),
+            effect: if c.effect == "unsafe" { Effect::Unsafe } else { Effect::Safe },
+            points: c.worth,
+            late_worth: c.late_worth,
+            need: 1.0,
+            floor: c.floor,
+            follow_up: 0,
+        };
+        let cold = |w: &WarmUp| ColdRule {
+            factor: w.factor,
+            span: ns(w.span_ms),
+            start: w.start,
+            warm_up: ns(w.ms),
+        };
+        Settings {
+            aggregators: self.coordinators,
+            tick: ns(5),
+            classes: self.classes.iter().map(class).collect(),
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            // Shards and who holds them come with the inventory.
+            shards: 0,
+            cells: 1,
+            reach: 1,
+            bundle: 1,
+            call_cost: 0,
+            ask_within: None,
+            extra: None,
+            cold: self.warm_up.as_ref().map(cold),
+            cancel: true,
+            second_copies: false,
+            max_attempts: self.attempts,
+            report: Vec::new(),
+            probing: false,
+            retry_after: Some(ns(self.retry_after_ms)),
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -222,6 +222,13 @@
         /// Its lines.
         members: Vec<Member>,
     },
+    /// What a replica holds, where its cell does not tell; comes ahead of the list that names it.
+    Placement {
+        /// Which replica.
+        replica: ReplicaId,
+        /// The shards it holds.
+        shards: Vec<ShardId>,
+    },
     /// A query was taken; its parts follow in the same batch.
     Query {
         /// Its id.
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -1,6 +1,6 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
-use super::{spawn, try_read, try_write, Tried, SMALL_STACK};
+use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK};
 use crate::core::{AttemptKey, Input, Job, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
@@ -84,8 +84,50 @@
         }
     }
 
-    /// Learns where a node is and whether it takes new work.
-    pub fn server(&mut self, replica: ReplicaId, address: &str, ready: bool) {
+    fn slot(&mut self, replica: ReplicaId, now: Micros, parts: usize) -> Option<Arc<Slot>> {
+        let node = self.nodes.get_mut(&replica)?;
+        let address = node.address.filter(|_| node.ready)?;
+        node.links.retain(|l| !l.lock().dead);
+        let (limit, most) = (self.idle_limit, self.most_parts);
+        for slot in &node.links {
+            let mut state = slot.lock();
+            if state.link.idle() && now.since(state.used) >= limit {
+                state.closing = true;
+                wake(&state);
+            }
+            if !state.closing && state.link.load() + parts <= most {
+                drop(state);
+                return Some(slot.clone());
+            }
+        }
+        if node.links.len() >= MOST_LINKS {
+            return None;
+        }
+        COUNTERS.dials.add();
+        let slot = Arc::new(Slot::default());
+        {
+            let mut state = slot.lock();
+            (state.heard, state.used) = (now, now);
+        }
+        node.links.push(slot.clone());
+        let driver = Driver {
+            slot: slot.clone(),
+            replica,
+            inbox: self.inbox.clone(),
+            clock: self.clock,
+            report: self.report.clone(),
+        };
+        let dial_timeout = self.dial_timeout;
+        if spawn(SMALL_STACK, move || driver.run(address, dial_timeout)).is_err() {
+            slot.lock().dead = true;
+            return None;
+        }
+        Some(slot)
+    }
+}
+
+impl Upstream for Links {
+    fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let address = address.parse().ok();
         let node = self.nodes.entry(replica).or_insert(Node { address, ready, links: Vec::new() });
         if node.address != address {
@@ -103,8 +145,7 @@
         }
     }
 
-    /// Sends a call.
-    pub fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
+    fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
         self.sent.extend(jobs.iter().map(|j| (j.key, now)));
         let slot = self.slot(replica, now, jobs.len());
         let Some(slot) = slot else {
@@ -118,8 +159,7 @@
         wake(&state);
     }
 
-    /// Probes a node.
-    pub fn probe(&mut self, replica: ReplicaId, now: Micros) {
+    fn probe(&mut self, replica: ReplicaId, now: Micros) {
         match self.slot(replica, now, 0) {
             Some(slot) => {
                 let mut state = slot.lock();
@@ -136,8 +176,7 @@
         }
     }
 
-    /// Gives an attempt up.
-    pub fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
+    fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
         let sent = self.sent.remove(&key).unwrap_or(now);
         let Some(node) = self.nodes.get(&replica) else { return };
         for slot in &node.links {
@@ -157,15 +196,13 @@
         }
     }
 
-    /// Closes idle connections to a node.
-    pub fn close_idle(&mut self, replica: ReplicaId) {
+    fn close_idle(&mut self, replica: ReplicaId) {
         if let Some(node) = self.nodes.get(&replica) {
             node.links.iter().filter(|l| l.lock().link.idle()).for_each(|l| close_when_idle(l));
         }
     }
 
-    /// Closes what has stood idle for too long and forgets what has ended.
-    pub fn tidy(&mut self, now: Micros, out: impl Fn(AttemptKey) -> bool) {
+    fn tidy(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool) {
         let limit = self.idle_limit;
         for node in self.nodes.values_mut() {
             node.links.retain(|slot| {
@@ -180,52 +217,6 @@
         }
         self.sent.retain(|key, _| out(*key));
     }
-
-    /// Open connections, for the log.
-    pub fn open(&self) -> usize {
-        self.nodes.values().map(|n| n.links.len()).sum()
-    }
-
-    fn slot(&mut self, replica: ReplicaId, now: Micros, parts: usize) -> Option<Arc<Slot>> {
-        let node = self.nodes.get_mut(&replica)?;
-        let address = node.address.filter(|_| node.ready)?;
-        node.links.retain(|l| !l.lock().dead);
-        let (limit, most) = (self.idle_limit, self.most_parts);
-        for slot in &node.links {
-            let mut state = slot.lock();
-            if state.link.idle() && now.since(state.used) >= limit {
-                state.closing = true;
-                wake(&state);
-            }
-            if !state.closing && state.link.load() + parts <= most {
-                drop(state);
-                return Some(slot.clone());
-            }
-        }
-        if node.links.len() >= MOST_LINKS {
-            return None;
-        }
-        COUNTERS.dials.add();
-        let slot = Arc::new(Slot::default());
-        {
-            let mut state = slot.lock();
-            (state.heard, state.used) = (now, now);
-        }
-        node.links.push(slot.clone());
-        let driver = Driver {
-            slot: slot.clone(),
-            replica,
-            inbox: self.inbox.clone(),
-            clock: self.clock,
-            report: self.report.clone(),
-        };
-        let dial_timeout = self.dial_timeout;
-        if spawn(SMALL_STACK, move || driver.run(address, dial_timeout)).is_err() {
-            slot.lock().dead = true;
-            return None;
-        }
-        Some(slot)
-    }
 }
 
 fn wake(state: &SlotState) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,13 +4,33 @@
 pub mod config;
 pub mod links;
 pub mod server;
+pub mod walks;
 pub mod watch;
 
+use crate::core::{AttemptKey, Job};
+use crate::interface::ReplicaId;
+use crate::time::Micros;
 use may::coroutine::{Builder, JoinHandle};
 use std::io;
 
+/// What carries attempts to servers. Ends come back through the core's inbox.
+pub trait Upstream: Send {
+    /// Learns where a server is and whether it takes new work.
+    fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, now: Micros);
+    /// Starts attempts in one call.
+    fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros);
+    /// Gives an attempt up.
+    fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros);
+    /// Closes idle connections to a server.
+    fn close_idle(&mut self, replica: ReplicaId);
+    /// Asks a server for a load report.
+    fn probe(&mut self, replica: ReplicaId, now: Micros);
+    /// Closes what has stood idle for too long and forgets what has ended; `out`: an attempt is still out.
+    fn tidy(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool);
+}
+
 /// Stack of a coroutine that drives a connection, in words of eight bytes. Only touched pages count as memory.
-pub const SMALL_STACK: usize = 0x2000;
+pub const SMALL_STACK: usize = 0x4000;
 /// Stack of a coroutine that parses lists or runs the module.
 pub const LARGE_STACK: usize = 0x8000;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,17 +1,23 @@
-//! The program: one core, one front, and the coroutines that feed them.
+//! The program: for each front a core, and the coroutines that feed it.
 
 use super::clients::Clients;
 use super::config::Config;
 use super::links::Links;
-use super::{spawn, watch, LARGE_STACK};
-use crate::core::{Command, Core, Input, COUNTERS};
+use super::walks::Walks;
+use super::{spawn, watch, Upstream, LARGE_STACK};
+use crate::core::{Command, Core, Input, Roster, COUNTERS};
+use crate::front::ogc::config::Edge;
+use crate::front::ogc::{self, Ogc, SharedCatalog};
 use crate::front::platform::Platform;
+use crate::front::Front;
 use crate::proto::discovery::read_listing;
 use crate::time::{unix_ms, Clock, Micros};
+use may::coroutine::JoinHandle;
 use may::net::TcpListener;
-use may::sync::mpsc::{channel, Receiver};
+use may::sync::mpsc::{channel, Receiver, Sender};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,23 +32,60 @@
 /// Nothing is waited for longer than this after SIGTERM.
 const LAST_EXIT: Micros = Micros::from_secs(8);
 
-/// Runs the coordinator until it is told to end.
-pub fn run(config: Config) -> Result<(), String> {
+/// What a service is made of beside its core.
+struct Parts {
+    name: String,
+    listener: TcpListener,
+    most_clients: usize,
+    front: Box<dyn Front>,
+    core: Core,
+    upstream: Box<dyn Upstream>,
+    inbox: Sender<Input>,
+    arrivals: Receiver<Input>,
+    listed: Arc<AtomicBool>,
+    reload: Option<Reload>,
+}
+
+/// Reads the list of servers anew.
+type Reload = Box<dyn FnMut(Micros) -> Result<Roster, String> + Send>;
+
+/// Runs what is set up, the platform's front, the one for feature queries, or both, until it is told to end.
+pub fn run(platform: Option<Config>, edge: Option<Edge>) -> Result<(), String> {
     // One core is all there is; and the worker must not choose which, since others may share it.
     may::config().set_workers(1).set_worker_pin(false);
     let clock = Clock::start();
-    let listener =
-        TcpListener::bind(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let signals = listen_for_signals()?;
+    let mut services = Vec::new();
+    if let Some(config) = platform {
+        services.push(platform_service(&config, clock)?);
+    }
+    if let Some(edge) = edge {
+        services.push(edge_service(edge, clock)?);
+    }
+    let running: Vec<_> =
+        services.into_iter().map(|s| serve(s, clock, signals.clone())).collect::<Result<_, _>>()?;
+    for done in running {
+        done.join().map_err(|_| "a core panicked".to_owned())?;
+    }
+    eprintln!("quinceflow: {COUNTERS}");
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).map_err(|e| format!("listen on {address}: {e}"))
+}
+
+fn most_clients(sockets: usize) -> usize {
+    sockets.saturating_sub(RESERVED).max(sockets / 2)
+}
+
+fn no_coroutine(e: std::io::Error) -> String {
+    format!("a coroutine: {e}")
+}
+
+fn platform_service(config: &Config, clock: Clock) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
-    let front = Box::new(Platform::new(&config.deployment));
-    let most = config.sockets.saturating_sub(RESERVED).max(config.sockets / 2);
-    let clients = Clients::new(front, most, inbox.clone(), clock);
     let listed = Arc::new(AtomicBool::new(false));
-    let set = config.deployment.module.clone();
-    let core = Core::new(set, config.deployment.most_held, config.seed, clock.now());
-    let links = Links::new(&config.deployment, inbox.clone(), clock);
-
     let mut rev = 0;
     match read_listing(&config.known, true, clock.now(), unix_ms()) {
         Ok(known) => {
@@ -51,12 +94,73 @@
         }
         Err(e) => eprintln!("quinceflow: the known list cannot be read: {e}"),
     }
-    let start = |e: std::io::Error| format!("a coroutine: {e}");
     let (watch_inbox, watch_listed, discovery) = (inbox.clone(), listed.clone(), config.discovery);
     spawn(LARGE_STACK, move || watch::follow(discovery, rev, &watch_inbox, clock, &watch_listed))
-        .map_err(start)?;
-    let accepting = clients.clone();
-    spawn(LARGE_STACK, move || accepting.accept(&listener)).map_err(start)?;
+        .map_err(no_coroutine)?;
+    let deployment = &config.deployment;
+    Ok(Parts {
+        name: config.name.clone(),
+        listener: listen(config.listen)?,
+        most_clients: most_clients(config.sockets),
+        front: Box::new(Platform::new(deployment)),
+        core: Core::new(deployment.module.clone(), deployment.most_held, config.seed, clock.now()),
+        upstream: Box::new(Links::new(deployment, inbox.clone(), clock)),
+        inbox,
+        arrivals,
+        listed,
+        reload: None,
+    })
+}
+
+fn edge_service(edge: Edge, clock: Clock) -> Result<Parts, String> {
+    let (inbox, arrivals) = channel();
+    let catalog = SharedCatalog::default();
+    let mut reload: Reload = {
+        let (edge, catalog) = (edge.clone(), catalog.clone());
+        Box::new(move |now| {
+            let servers = edge.servers().map_err(|e| e.to_string())?;
+            Ok(ogc::lock(&catalog).load(&servers, now))
+        })
+    };
+    let _ = inbox.send(Input::Roster(reload(clock.now())?));
+    // Two edges that start together must not go in step.
+    let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
+    Ok(Parts {
+        name: "feature queries".to_owned(),
+        listener: listen(edge.listen)?,
+        most_clients: most_clients(edge.sockets),
+        core: Core::new(edge.settings(), edge.most_held, seed, clock.now()),
+        upstream: Box::new(Walks::new(&edge, catalog.clone(), inbox.clone(), clock)),
+        front: Box::new(Ogc::new(edge, catalog)),
+        inbox,
+        arrivals,
+        listed: Arc::new(AtomicBool::new(true)),
+        reload: Some(reload),
+    })
+}
+
+fn serve(parts: Parts, clock: Clock, signals: Arc<Signals>) -> Result<JoinHandle<()>, String> {
+    let address = parts.listener.local_addr().map_err(|e| e.to_string())?;
+    let clients = Clients::new(parts.front, parts.most_clients, parts.inbox, clock);
+    let (accepting, listener) = (clients.clone(), parts.listener);
+    spawn(LARGE_STACK, move || accepting.accept(&listener)).map_err(no_coroutine)?;
+    eprintln!("quinceflow: {} listens on {address}", parts.name);
+    let turns = Turns {
+        core: parts.core,
+        upstream: parts.upstream,
+        clients,
+        clock,
+        arrivals: parts.arrivals,
+        reloads: signals.reloads.load(Relaxed),
+        signals,
+        listed: parts.listed,
+        reload: parts.reload,
+        started: clock.now(),
+    };
+    spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)
+}
+
+fn listen_for_signals() -> Result<Arc<Signals>, String> {
     let signals = Arc::new(Signals::default());
     let heard = signals.clone();
     let mut caught =
@@ -69,33 +173,33 @@
                 match signal {
                     SIGTERM | SIGINT => heard.end.store(true, Relaxed),
                     SIGUSR1 => eprintln!("quinceflow: {COUNTERS}"),
-                    _ => heard.reload.store(true, Relaxed),
+                    _ => {
+                        heard.reloads.fetch_add(1, Relaxed);
+                    }
                 }
             }
         })
         .map_err(|e| e.to_string())?;
-    eprintln!("quinceflow: {} listens on {address}", config.name);
-    let turns = Turns { core, links, clients, clock, arrivals, signals, listed, started: clock.now() };
-    let done = spawn(LARGE_STACK, move || turns.run()).map_err(start)?;
-    done.join().map_err(|_| "the core panicked".to_owned())?;
-    eprintln!("quinceflow: {COUNTERS}");
-    Ok(())
+    Ok(signals)
 }
 
 #[derive(Default)]
 struct Signals {
     end: AtomicBool,
-    reload: AtomicBool,
+    /// How often a reload was asked for.
+    reloads: AtomicU64,
 }
 
 struct Turns {
     core: Core,
-    links: Links,
+    upstream: Box<dyn Upstream>,
     clients: Arc<Clients>,
     clock: Clock,
     arrivals: Receiver<Input>,
     signals: Arc<Signals>,
     listed: Arc<AtomicBool>,
+    reload: Option<Reload>,
+    reloads: u64,
     started: Micros,
 }
 
@@ -106,7 +210,9 @@
         let mut tidied = self.clock.now();
         let mut leaving: Option<Micros> = None;
         loop {
-            inputs.extend(self.wait());
+            if inputs.is_empty() {
+                inputs.extend(self.wait());
+            }
             while let Ok(input) = self.arrivals.try_recv() {
                 inputs.push(input);
             }
@@ -117,12 +223,13 @@
             }
             if now.since(tidied) >= MOST_SLEEP {
                 tidied = now;
-                self.links.tidy(now, |key| self.core.is_out(key));
+                self.upstream.tidy(now, &|key| self.core.is_out(key));
                 self.clients.tidy(now);
             }
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_LIST {
                 self.clients.ready.store(true, Relaxed);
             }
+            self.reload_if_asked(now, &mut inputs);
             if leaving.is_none() && self.signals.end.load(Relaxed) {
                 eprintln!("quinceflow: told to end: {} queries held", self.core.held());
                 leaving = Some(now);
@@ -141,6 +248,27 @@
         }
     }
 
+    /// A reload brings drains; a bad file changes nothing and says so.
+    fn reload_if_asked(&mut self, now: Micros, inputs: &mut Vec<Input>) {
+        let asked = self.signals.reloads.load(Relaxed);
+        if asked == self.reloads {
+            return;
+        }
+        self.reloads = asked;
+        match self.reload.as_mut().map(|reload| reload(now)) {
+            None => {}
+            Some(Ok(roster)) => {
+                COUNTERS.reloads.add();
+                eprintln!("quinceflow: the inventory is loaded anew: {} servers", roster.nodes.len());
+                inputs.push(Input::Roster(roster));
+            }
+            Some(Err(why)) => {
+                COUNTERS.bad_reloads.add();
+                eprintln!("quinceflow: the inventory stays as it was: {why}");
+            }
+        }
+    }
+
     /// Waits for an input, the core's next due time, or the longest sleep.
     fn wait(&self) -> Option<Input> {
         let most = if self.signals.end.load(Relaxed) { Micros::from_millis(20) } else { MOST_SLEEP };
@@ -154,11 +282,11 @@
 
     fn carry_out(&mut self, now: Micros, command: Command) {
         match command {
-            Command::Server(replica, address, ready) => self.links.server(replica, &address, ready),
-            Command::Launch(replica, jobs) => self.links.launch(replica, &jobs, now),
-            Command::CallOff(replica, key) => self.links.call_off(replica, key, now),
-            Command::CloseIdle(replica) => self.links.close_idle(replica),
-            Command::Probe(replica) => self.links.probe(replica, now),
+            Command::Server(replica, address, ready) => self.upstream.server(replica, &address, ready, now),
+            Command::Launch(replica, jobs) => self.upstream.launch(replica, &jobs, now),
+            Command::CallOff(replica, key) => self.upstream.call_off(replica, key, now),
+            Command::CloseIdle(replica) => self.upstream.close_idle(replica),
+            Command::Probe(replica) => self.upstream.probe(replica, now),
             Command::Reply(token, answer) => self.clients.answer(token, answer),
         }
     }
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -60,6 +60,7 @@
             address: t.endpoint.into(),
             zone: t.az.bytes().next().map_or(0, |b| u16::from(b.saturating_sub(b'a'))),
             cell: t.pod_group,
+            shards: None,
             state: match t.state.as_str() {
                 "in_service" => MemberState::Ready,
                 "terminating" => MemberState::Draining,
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -4,3 +4,4 @@
 pub mod discovery;
 pub mod frames;
 pub mod http;
+pub mod pages;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -227,6 +227,8 @@
     lost: [f64; 2],
     replicas: BTreeMap<ReplicaId, Replica>,
     holders: Vec<Vec<ReplicaId>>,
+    /// What a replica holds where its cell does not tell.
+    placed: BTreeMap<ReplicaId, BTreeSet<ShardId>>,
     turns: Vec<usize>,
     /// Typical response time of the fleet, and of a part of each class on an idle core.
     typical: f64,
@@ -267,6 +269,7 @@
             lost: [0.0; 2],
             replicas: BTreeMap::new(),
             holders: vec![Vec::new(); set.shards as usize],
+            placed: BTreeMap::new(),
             turns,
             typical: least_aim as f64 * FIRST_GUESS,
             per_part: 0.0,
@@ -308,6 +311,14 @@
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::List { kind, members } => self.take_list(*kind, members),
+            Event::Placement { replica, shards } => {
+                // Shards that are new since the start get their places here; turns begin anywhere, as in `new`.
+                let most = shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0).max(self.holders.len());
+                self.holders.resize(most, Vec::new());
+                let rng = &mut self.rng;
+                self.turns.resize_with(most, || rng.usize(..1 << 16));
+                self.placed.insert(*replica, shards.iter().copied().collect());
+            }
             Event::Query { query, group, class, tenant, key, hint, time_left } => {
                 let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
                     return actions.push(Action::Fail(*query));
@@ -402,8 +413,11 @@
         let cells = self.set.cells.max(1);
         for (s, holders) in self.holders.iter_mut().enumerate() {
             let first = s as u32 % cells;
-            let holds = |r: &Replica| (u32::from(r.cell.0) + cells - first) % cells < self.set.reach.max(1);
-            *holders = self.replicas.iter().filter(|(_, r)| r.ready && holds(r)).map(|(id, _)| *id).collect();
+            let holds = |(id, r): &(&ReplicaId, &Replica)| match self.placed.get(*id) {
+                Some(placed) => placed.contains(&ShardId(s as u32)),
+                None => (u32::from(r.cell.0) + cells - first) % cells < self.set.reach.max(1),
+            };
+            *holders = self.replicas.iter().filter(|r| r.1.ready && holds(r)).map(|(id, _)| *id).collect();
         }
     }
 
--- /dev/null
+++ b/tests/standin/mod.rs
@@ -0,0 +1,268 @@
+//! Stand-ins on loopback: feature servers that misbehave as told, the program itself, and a client.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+
+/// What a stand-in does with a request.
+pub enum Reply {
+    /// 200 with this body.
+    Json(String),
+    /// This status, no body to speak of.
+    Status(u16),
+    /// No answer; the connection stays open.
+    Hang,
+    /// The head and half the body, then the connection ends.
+    Cut(String),
+}
+
+type Behaviour = Box<dyn FnMut(&str) -> Reply + Send>;
+
+/// A feature server.
+pub struct Server {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<String>>>,
+    behaviour: Arc<Mutex<Behaviour>>,
+}
+
+impl Server {
+    pub fn start(behaviour: impl FnMut(&str) -> Reply + Send + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let behaviour: Arc<Mutex<Behaviour>> = Arc::new(Mutex::new(Box::new(behaviour)));
+        let (log, act) = (seen.clone(), behaviour.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (log, act) = (log.clone(), act.clone());
+                std::thread::spawn(move || serve(stream, &log, &act));
+            }
+        });
+        Server { address, seen, behaviour }
+    }
+
+    /// A sound server of these features, in pages of so many.
+    pub fn of(ids: std::ops::Range<usize>, page: usize) -> Server {
+        Server::start(move |target| good(target, ids.clone(), page))
+    }
+
+    pub fn count(&self, what: impl Fn(&str) -> bool) -> usize {
+        self.seen.lock().expect("log").iter().filter(|t| what(t)).count()
+    }
+}
+
+fn serve(stream: TcpStream, log: &Mutex<Vec<String>>, act: &Mutex<Behaviour>) {
+    let mut lines = BufReader::new(stream.try_clone().expect("a handle")).lines();
+    let mut stream = stream;
+    while let Some(Ok(first)) = lines.next() {
+        while lines.next().and_then(Result::ok).is_some_and(|l| !l.is_empty()) {}
+        let target = first.split(' ').nth(1).unwrap_or_default().to_owned();
+        log.lock().expect("log").push(target.clone());
+        let reply = (act.lock().expect("behaviour"))(&target);
+        let sent = match reply {
+            Reply::Json(body) => {
+                write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            }
+            Reply::Status(s) => write!(stream, "HTTP/1.1 {s} X\r\nContent-Length: 0\r\n\r\n"),
+            Reply::Hang => continue,
+            Reply::Cut(body) => {
+                let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let _ = stream.write_all(&body.as_bytes()[..body.len() / 2]);
+                return;
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+pub fn param(target: &str, name: &str) -> Option<usize> {
+    let query = target.split_once('?')?.1;
+    query.split('&').filter_map(|p| p.split_once('=')).find(|p| p.0 == name)?.1.parse().ok()
+}
+
+fn feature(id: usize) -> String {
+    format!(
+        r#"{{"type":"Feature","id":"d{id}","geometry":{{"type":"Point","coordinates":[{id},1]}},"properties":{{}}}}"#
+    )
+}
+
+/// A sound answer: a page of features with a next link, or one feature.
+pub fn good(target: &str, ids: std::ops::Range<usize>, page: usize) -> Reply {
+    let path = target.split('?').next().unwrap_or_default();
+    if let Some((_, id)) = path.split_once("/items/") {
+        let id = id.trim_start_matches('d').parse().unwrap_or(usize::MAX);
+        return if ids.contains(&id) { Reply::Json(feature(id)) } else { Reply::Status(404) };
+    }
+    let from = ids.start + param(target, "offset").unwrap_or(0);
+    let to = (from + page).min(ids.end);
+    let list: Vec<String> = (from..to).map(feature).collect();
+    let next = if to < ids.end {
+        format!(r#"{{"rel":"next","href":"{path}?offset={}"}}"#, to - ids.start)
+    } else {
+        String::new()
+    };
+    Reply::Json(format!(r#"{{"type":"FeatureCollection","features":[{}],"links":[{next}]}}"#, list.join(",")))
+}
+
+/// The program with the front for feature queries.
+pub struct Edge {
+    child: Child,
+    pub address: SocketAddr,
+    folder: PathBuf,
+    log: Mutex<Receiver<String>>,
+}
+
+pub const CLASSES: &str = r#"
+[[class]]
+name = "exact"
+aim_ms = 20000
+deadline_ms = 30000
+[[class]]
+name = "brief"
+aim_ms = 400
+deadline_ms = 800
+[[class]]
+name = "part"
+aim_ms = 400
+deadline_ms = 800
+floor = 0.5
+[[class]]
+name = "once"
+aim_ms = 20000
+deadline_ms = 30000
+effect = "unsafe"
+"#;
+
+/// A line of the inventory.
+pub fn row(name: &str, server: &Server, held: &str, state: &str) -> String {
+    format!("{name},{},{held},{state}\n", server.address)
+}
+
+impl Edge {
+    /// Starts it with further settings and the rows of an inventory.
+    pub fn start(test: &str, settings: &str, rows: &str) -> Edge {
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let text = format!("listen = \"127.0.0.1:0\"\ninventory = \"i.csv\"\n{settings}\n{CLASSES}");
+        std::fs::write(folder.join("edge.toml"), text).expect("settings");
+        inventory(&folder, rows);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_quinceflow"))
+            .arg("--edge")
+            .arg(folder.join("edge.toml"))
+            .env_remove("NODE_CONFIG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (lines, log) = channel();
+        let errors = child.stderr.take().expect("piped");
+        std::thread::spawn(move || {
+            BufReader::new(errors).lines().map_while(Result::ok).for_each(|l| drop(lines.send(l)))
+        });
+        let mut edge = Edge { child, address: ([127, 0, 0, 1], 0).into(), folder, log: Mutex::new(log) };
+        let line = edge.wait_for("listens on");
+        edge.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("its address");
+        edge
+    }
+
+    /// The next log line that holds this.
+    pub fn wait_for(&self, what: &str) -> String {
+        loop {
+            let line = self.log.lock().expect("log").recv().expect("the program's log goes on");
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn inventory(&self, rows: &str) {
+        inventory(&self.folder, rows);
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub fn get(&self, target: &str) -> Answer {
+        self.ask(target, "")
+    }
+
+    /// A request with further header lines, each ended by CR LF.
+    pub fn ask(&self, target: &str, headers: &str) -> Answer {
+        self.send(&format!(
+            "GET {target} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n{headers}\r\n",
+            self.address
+        ))
+    }
+
+    pub fn send(&self, request: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.address).expect("it listens");
+        stream.write_all(request.as_bytes()).expect("it reads");
+        let mut text = Vec::new();
+        stream.read_to_end(&mut text).expect("it answers");
+        Answer::read(&String::from_utf8(text).expect("text"))
+    }
+
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("it ends").success()
+    }
+}
+
+impl Drop for Edge {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn inventory(folder: &std::path::Path, rows: &str) {
+    let text = format!("name,address,collections,state\n{rows}");
+    std::fs::write(folder.join("i.csv"), text).expect("an inventory");
+}
+
+/// A response.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+impl Answer {
+    fn read(text: &str) -> Answer {
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        let mut lines = head.lines();
+        let status =
+            lines.next().and_then(|l| l.split(' ').nth(1)).and_then(|s| s.parse().ok()).expect("a status");
+        let header = |l: &str| l.split_once(": ").map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()));
+        Answer { status, headers: lines.filter_map(header).collect(), body: body.to_owned() }
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+
+    /// The features' ids, in order.
+    pub fn ids(&self) -> Vec<String> {
+        let json = self.json();
+        let list = json["features"].as_array().unwrap_or_else(|| panic!("no features: {self:?}"));
+        list.iter().map(|f| f["id"].as_str().expect("an id").to_owned()).collect()
+    }
+
+    /// Where the link of that relation leads, without scheme and host.
+    pub fn link(&self, rel: &str) -> Option<String> {
+        let json = self.json();
+        let link = json["links"].as_array()?.iter().find(|l| l["rel"] == rel)?;
+        let href = link["href"].as_str()?;
+        Some(format!("/{}", href.splitn(4, '/').nth(3)?))
+    }
+}
