--- a/src/rules.rs
+++ b/src/rules.rs
@@ -312,7 +312,7 @@
         match event {
             Event::List { kind, members } => self.take_list(*kind, members),
             Event::Placement { replica, shards } => {
-                // Shards that are new since the start get their places here; turns begin anywhere, as in `new`.
+                // Shards that are new get their places here; turns begin anywhere, as in `new`.
                 let most = shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0).max(self.holders.len());
                 self.holders.resize(most, Vec::new());
                 let rng = &mut self.rng;
