Redial for frames that met a closing, log rarely, call off what nobody waits for

Models of a link's and a client connection's states and of the core, checked by random steps with fixed seeds; each was seen to fail with the guard taken out (outcome by what was written, partly written frames, redial, most-held, idle, never written).

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -57,7 +57,7 @@
     /// Probes sent.
     probes,
     /// Connections.
-    accepted, accept_errors, evicted, dials, dials_failed, links_idle_closed, links_lost, links_suspect,
+    accepted, accept_errors, evicted, dials, dials_failed, links_idle_closed, links_lost, links_suspect, links_redialed,
     /// Requests that could not be read, or were for nothing that is here.
     bad_requests, client_timeouts,
     /// Frames that could not be read.
@@ -71,11 +71,19 @@
 /// The counters of this process.
 pub static COUNTERS: Counters = Counters::new();
 
+/// Logs what may come too often to log each time: the 1st, 2nd, 4th, 8th of its counter and so on. Standard error may
+/// be a pipe, and a full one would block the worker.
+pub fn log_rarely(counter: &Counter, line: impl FnOnce() -> String) {
+    counter.add();
+    if counter.get().is_power_of_two() {
+        eprintln!("quinceflow: {}", line());
+    }
+}
+
 /// What must hold: asserted in debug builds, counted and logged in release builds.
 pub fn invariant(holds: bool, what: &str) {
     debug_assert!(holds, "invariant: {what}");
     if !holds {
-        COUNTERS.broken_invariants.add();
-        eprintln!("quinceflow: invariant broken: {what}");
+        log_rarely(&COUNTERS.broken_invariants, || format!("invariant broken: {what}"));
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,7 +6,7 @@
 mod counters;
 mod types;
 
-pub use counters::{invariant, Counter, Counters, COUNTERS};
+pub use counters::{invariant, log_rarely, Counter, Counters, COUNTERS};
 pub use types::*;
 
 use crate::interface::*;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepted, read, answered, and closed when there are too many or they stand idle.
 
 use super::{spawn, try_read, try_write, Tried, SMALL_STACK};
-use crate::core::{Answer, Input, Token, COUNTERS};
+use crate::core::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
 use crate::proto::http::Server;
 use crate::time::{Clock, Micros};
@@ -110,8 +110,7 @@
                 Ok((stream, _)) => self.adopt(stream),
                 Err(e) => {
                     // Most likely no descriptor is left (EMFILE): an idle connection gives way.
-                    COUNTERS.accept_errors.add();
-                    eprintln!("quinceflow: accept: {e}");
+                    log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
                     self.evict();
                     may::coroutine::sleep(ACCEPT_PAUSE);
                 }
@@ -140,8 +139,7 @@
             guard(&clients.conns).remove(&number);
         });
         if let Err(e) = started {
-            COUNTERS.accept_errors.add();
-            eprintln!("quinceflow: no coroutine for a connection: {e}");
+            log_rarely(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
             guard(&self.conns).remove(&number);
         }
     }
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -1,7 +1,7 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
 use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK};
-use crate::core::{AttemptKey, Input, Job, COUNTERS};
+use crate::core::{log_rarely, AttemptKey, Input, Job, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
 use crate::settings::Deployment;
@@ -278,16 +278,15 @@
 
 impl Driver {
     fn run(self, address: SocketAddr, dial_timeout: Micros) {
-        match TcpStream::connect_timeout(&address, dial_timeout.to_duration()) {
-            Ok(stream) => {
-                // Only speed is lost without it.
-                let _ = stream.set_nodelay(true);
-                self.slot.lock().waker = Some(stream.waker());
-                while self.step(stream.inner()) {
-                    stream.wait_io();
-                }
+        while self.connect_and_drive(address, dial_timeout) {
+            // The node closed the connection before anything that waits was written: it is owed another one.
+            let mut state = self.slot.lock();
+            state.waker = None;
+            if state.closing || !state.link.restart() {
+                break;
             }
-            Err(_) => COUNTERS.dials_failed.add(),
+            COUNTERS.links_redialed.add();
+            COUNTERS.dials.add();
         }
         let mut events = Vec::new();
         {
@@ -302,11 +301,28 @@
         self.forward(events);
     }
 
+    /// False: no connection came up. True: one did, and has ended.
+    fn connect_and_drive(&self, address: SocketAddr, dial_timeout: Micros) -> bool {
+        let Ok(stream) = TcpStream::connect_timeout(&address, dial_timeout.to_duration()) else {
+            COUNTERS.dials_failed.add();
+            return false;
+        };
+        // Only speed is lost without it.
+        let _ = stream.set_nodelay(true);
+        self.slot.lock().waker = Some(stream.waker());
+        let mut heard = false;
+        while self.step(stream.inner(), &mut heard) {
+            stream.wait_io();
+        }
+        // One that ends before a byte came or went is no better than none: another would end alike.
+        heard
+    }
+
     /// Reads and writes what there is. False: the connection has ended.
-    fn step(&self, stream: &std::net::TcpStream) -> bool {
+    fn step(&self, stream: &std::net::TcpStream, heard: &mut bool) -> bool {
         let mut events = Vec::new();
         let mut state = self.slot.lock();
-        let open = self.exchange(&mut state, stream, &mut events);
+        let open = self.exchange(&mut state, stream, &mut events, heard);
         let done = state.closing && state.link.idle();
         drop(state);
         self.forward(events);
@@ -318,6 +334,7 @@
         state: &mut SlotState,
         stream: &std::net::TcpStream,
         events: &mut Vec<LinkEvent>,
+        heard: &mut bool,
     ) -> bool {
         // Reading comes first: a frame must not go out on a connection whose end is here already.
         loop {
@@ -325,9 +342,11 @@
                 Tried::Moved(n) => {
                     state.link.input().filled(n);
                     state.heard = self.clock.now();
+                    *heard = true;
                     if let Err(bad) = state.link.read(events) {
-                        COUNTERS.bad_frames.add();
-                        eprintln!("quinceflow: data node {}: {}", stream_name(stream), bad.0);
+                        log_rarely(&COUNTERS.bad_frames, || {
+                            format!("data node {}: {}", stream_name(stream), bad.0)
+                        });
                         return false;
                     }
                 }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: followed from the known list on, opened anew when it ends or falls silent.
 
-use crate::core::{Input, COUNTERS};
+use crate::core::{log_rarely, Input, COUNTERS};
 use crate::proto::discovery::Watch;
 use crate::time::{unix_ms, Clock, Micros};
 use may::net::TcpStream;
@@ -29,11 +29,10 @@
     loop {
         let before = rev;
         let ended = one_watch(address, &mut rev, inbox, clock, listed);
-        COUNTERS.watch_breaks.add();
-        match ended {
-            Ok(()) => eprintln!("quinceflow: discovery: the watch ended at version {rev}"),
-            Err(e) => eprintln!("quinceflow: discovery: the watch broke at version {rev}: {e}"),
-        }
+        log_rarely(&COUNTERS.watch_breaks, || match &ended {
+            Ok(()) => format!("discovery: the watch ended at version {rev}"),
+            Err(e) => format!("discovery: the watch broke at version {rev}: {e}"),
+        });
         wait = if rev == before { (wait * 2).min(WAITS_MS.1) } else { WAITS_MS.0 };
         may::coroutine::sleep(Duration::from_millis(wait));
     }
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -166,6 +166,21 @@
         }
     }
 
+    /// The connection has ended: can what waits on it go out on a new one? Only if nothing that may have run is out;
+    /// then every frame begins anew. A node closes idle connections, and a part must not pay for that.
+    pub fn restart(&mut self) -> bool {
+        if self.out.is_empty() || self.out.values().any(|o| o.1) {
+            return false;
+        }
+        self.input = Buffer::default();
+        self.output.retain(|f| f.keys.iter().any(|k| self.ids.contains_key(k)));
+        self.output.iter_mut().for_each(|f| f.written = 0);
+        for _ in 0..std::mem::take(&mut self.probes) {
+            self.probe();
+        }
+        true
+    }
+
     /// The connection has ended, or never came up: every attempt on it gets its outcome. Only a frame whose last
     /// byte was written can have run.
     pub fn broken(&mut self, events: &mut Vec<LinkEvent>) {
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -239,6 +239,8 @@
     written: usize,
     /// The client asked for the connection to close after this answer, or it must.
     close: bool,
+    /// The connection ends once nothing of a request is here.
+    wind_up: bool,
     /// This request's answer goes without a body.
     head_only: bool,
     ended: bool,
@@ -252,6 +254,7 @@
             output: Vec::new(),
             written: 0,
             close: false,
+            wind_up: false,
             head_only: false,
             ended: false,
         }
@@ -399,15 +402,14 @@
 
     /// All is said: the connection can be closed.
     pub fn finished(&self) -> bool {
-        matches!(self.state, State::Closed) && self.output().is_empty()
+        (matches!(self.state, State::Closed) && self.output().is_empty()) || (self.wind_up && self.idle())
     }
 
-    /// Close it as soon as no request is under way.
+    /// Close it as soon as no request is under way. One that is here but not read yet is still taken: the client
+    /// would count it as lost, or pay for asking again.
     pub fn close_when_idle(&mut self) {
         self.close = true;
-        if self.idle() {
-            self.state = State::Closed;
-        }
+        self.wind_up = true;
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -374,8 +374,14 @@
             }
             Event::Probed { load, .. } => self.take_load(load),
             Event::Gone(query) => {
-                if let Some(q) = self.queries.values_mut().find(|q| q.id == *query) {
+                if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
                     q.stage = Stage::Over;
+                    // Nobody waits for these any more: on poor links clients leave long before their time.
+                    for p in q.parts.iter().filter(|_| self.set.cancel) {
+                        for (n, _) in p.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none()) {
+                            actions.push(Action::Cancel { part: p.id, attempt: AttemptNo(n as u16) });
+                        }
+                    }
                 }
             }
             Event::Wake => self.wake = 0,
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,325 @@
+//! Models of a connection's states, against which random steps are checked. Fixed seeds: the same verdict each time.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use quinceflow::core::{AttemptKey, End, Job};
+use quinceflow::proto::frames::{Link, LinkEvent};
+use quinceflow::proto::http::{Response, Server};
+use quinceflow::time::Micros;
+use quinceflow::{AttemptNo, Outcome, PartId, ShardId};
+use std::collections::BTreeMap;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(300)
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Call,
+    CallOff(usize),
+    Write(usize),
+    /// An answer for one of the parts, how it ended, and where its frame is cut in two.
+    Answer(usize, usize, usize),
+    TakeBack,
+    Restart,
+    Break,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => Just(Step::Call),
+        2 => any::<usize>().prop_map(Step::CallOff),
+        4 => (1usize..90).prop_map(Step::Write),
+        4 => (any::<usize>(), 0usize..3, any::<usize>()).prop_map(|(n, how, cut)| Step::Answer(n, how, cut)),
+        1 => Just(Step::TakeBack),
+        1 => Just(Step::Restart),
+        1 => Just(Step::Break),
+    ]
+}
+
+/// What the model knows of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Known {
+    /// Of its frame so many bytes are still to be written.
+    Left(usize),
+    Written,
+    /// Given up here, or ended.
+    Over,
+}
+
+fn key(n: usize) -> AttemptKey {
+    AttemptKey { part: PartId(n as u64), attempt: AttemptNo(0) }
+}
+
+fn job(n: usize) -> Job {
+    let text: &[u8] = b"c41e77d0";
+    Job {
+        key: key(n),
+        label: "9b1f".into(),
+        shard: ShardId(n as u32),
+        text: text.into(),
+        patience: Micros(240_000),
+    }
+}
+
+fn frame(letter: char, rest: &str) -> Vec<u8> {
+    [&(rest.len() as u32 + 1).to_be_bytes()[..], letter.to_string().as_bytes(), rest.as_bytes()].concat()
+}
+
+/// The frames that the data node has read whole, as letter and rest.
+fn frames(mut bytes: &[u8]) -> Vec<(char, String)> {
+    let mut all = Vec::new();
+    while let Some(head) = bytes.first_chunk::<4>() {
+        let Some(body) = bytes.get(4..4 + u32::from_be_bytes(*head) as usize) else { break };
+        all.push((char::from(body[0]), String::from_utf8_lossy(&body[1..]).into_owned()));
+        bytes = &bytes[4 + body.len()..];
+    }
+    all
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn every_attempt_on_a_link_ends_once_and_as_far_as_its_frame_went(steps in vec(step(), 1..60)) {
+        let mut link = Link::default();
+        let mut known: Vec<Known> = Vec::new();
+        // What is written on the present connection, and what is queued: whose call it is, and its bytes left.
+        let mut wire = Vec::new();
+        let mut queue: Vec<(Option<usize>, usize, usize)> = Vec::new();
+        for step in steps.into_iter().chain([Step::Break]) {
+            let mut events = Vec::new();
+            let mut expected: BTreeMap<usize, Option<Outcome>> = BTreeMap::new();
+            let mut broken = false;
+            match step {
+                Step::Call => {
+                    let n = known.len();
+                    link.call(&[job(n)]);
+                    let size = frame('q', &format!("9b1f.{n} {n} d=240 8\nc41e77d0")).len();
+                    known.push(Known::Left(size));
+                    queue.push((Some(n), size, size));
+                }
+                Step::CallOff(n) if !known.is_empty() => {
+                    let n = n % known.len();
+                    link.call_off(key(n));
+                    let unbegun = queue.iter().position(|q| q.0 == Some(n) && q.1 == q.2);
+                    if known[n] != Known::Over {
+                        match unbegun {
+                            Some(at) => drop(queue.remove(at)),
+                            None => {
+                                let size = frame('c', &format!("9b1f.{n}")).len();
+                                queue.push((None, size, size));
+                            }
+                        }
+                    }
+                    known[n] = Known::Over;
+                }
+                Step::Write(n) => {
+                    let n = n.min(link.output().len());
+                    wire.extend_from_slice(&link.output()[..n]);
+                    link.wrote(n, &mut events);
+                    if n > 0 {
+                        queue[0].1 -= n;
+                        if queue[0].1 == 0 {
+                            if let Some(call) = queue.remove(0).0.filter(|c| known[*c] != Known::Over) {
+                                known[call] = Known::Written;
+                                prop_assert_eq!(&events[..], &[LinkEvent::Written(key(call))]);
+                                events.clear();
+                            }
+                        }
+                    }
+                }
+                Step::Answer(n, how, cut) if !known.is_empty() => {
+                    let n = n % known.len();
+                    // A data node answers only what it has read.
+                    if matches!(known[n], Known::Left(_)) {
+                        continue;
+                    }
+                    let word = ["served", "broke", "skipped"][how];
+                    let bytes = frame('a', &format!("9b1f.{n} {word} 1 -\nvalue"));
+                    let cut = cut % bytes.len();
+                    for half in [&bytes[..cut], &bytes[cut..]] {
+                        link.input().feed(half);
+                        prop_assert!(link.read(&mut events).is_ok());
+                    }
+                    if std::mem::replace(&mut known[n], Known::Over) == Known::Written {
+                        expected.insert(n, [None, Some(Outcome::Error), Some(Outcome::Full)][how]);
+                    }
+                }
+                Step::TakeBack => {
+                    link.take_back(&mut events);
+                    queue.retain(|q| q.1 < q.2 || q.0.is_none() || {
+                        expected.insert(q.0.unwrap_or_default(), Some(Outcome::Moot));
+                        false
+                    });
+                    expected.keys().for_each(|n| known[*n] = Known::Over);
+                }
+                Step::Restart => {
+                    let may = !known.contains(&Known::Written) && known.iter().any(|k| matches!(k, Known::Left(_)));
+                    prop_assert_eq!(link.restart(), may);
+                    if may {
+                        queue.retain(|q| q.0.is_some_and(|n| known[n] != Known::Over));
+                        queue.iter_mut().for_each(|q| q.1 = q.2);
+                        wire.clear();
+                    }
+                }
+                Step::Break => {
+                    link.broken(&mut events);
+                    for (n, k) in known.iter_mut().enumerate() {
+                        match std::mem::replace(k, Known::Over) {
+                            Known::Over => continue,
+                            Known::Written => expected.insert(n, Some(Outcome::Reset)),
+                            Known::Left(_) => expected.insert(n, Some(Outcome::ConnectFailed)),
+                        };
+                    }
+                    broken = true;
+                }
+                _ => continue,
+            }
+            let got: BTreeMap<usize, Option<Outcome>> = events.iter().filter_map(|e| match e {
+                LinkEvent::Ended(k, End::Served(v)) => {
+                    assert_eq!(&v[..], b"value");
+                    Some((k.part.0 as usize, None))
+                }
+                LinkEvent::Ended(k, End::Not(o)) => Some((k.part.0 as usize, Some(*o))),
+                _ => None,
+            }).collect();
+            prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
+            prop_assert_eq!(got, expected);
+            if broken {
+                prop_assert!(link.idle());
+                queue.clear();
+                wire.clear();
+            }
+            let written = frames(&wire);
+            for (n, k) in known.iter().enumerate().filter(|(_, k)| **k == Known::Written) {
+                let id = format!("9b1f.{n} ");
+                let calls = written.iter().filter(|f| f.0 == 'q' && f.1.starts_with(&id)).count();
+                prop_assert_eq!(calls, 1, "part {} is {:?}", n, k);
+            }
+        }
+    }
+
+    #[test]
+    fn requests_come_out_whole_one_at_a_time_however_they_are_cut(
+        bodies in vec((vec(any::<u8>(), 0..200), any::<bool>()), 1..5),
+        cuts in vec(1usize..120, 1..60),
+        writes in vec(1usize..150, 1..60),
+    ) {
+        let mut bytes = Vec::new();
+        for (body, chunked) in &bodies {
+            if *chunked {
+                bytes.extend_from_slice(b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for part in body.chunks(7) {
+                    bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+                    bytes.extend_from_slice(part);
+                    bytes.extend_from_slice(b"\r\n");
+                }
+                bytes.extend_from_slice(b"0\r\n\r\n");
+            } else {
+                bytes.extend_from_slice(format!("POST /api HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes());
+                bytes.extend_from_slice(body);
+            }
+        }
+        let (mut server, mut got, mut out) = (Server::default(), Vec::new(), Vec::new());
+        let (mut cuts, mut writes) = (cuts.into_iter().cycle(), writes.into_iter().cycle());
+        let mut rest = &bytes[..];
+        loop {
+            let n = cuts.next().unwrap_or(1).min(rest.len());
+            server.input().feed(&rest[..n]);
+            rest = &rest[n..];
+            if let Some(request) = server.poll() {
+                got.push(request.expect("well formed").body);
+                prop_assert!(server.poll().is_none(), "the next one waits for the answer");
+                prop_assert!(server.busy() && !server.idle() && !server.finished());
+                server.respond(&Response::new(200, "text/plain", got.len().to_string()), got.len() == bodies.len());
+            }
+            let n = writes.next().unwrap_or(1).min(server.output().len());
+            out.extend_from_slice(&server.output()[..n]);
+            server.wrote(n);
+            if server.finished() {
+                break;
+            }
+        }
+        let sent: Vec<_> = bodies.into_iter().map(|b| b.0).collect();
+        prop_assert_eq!(&got, &sent);
+        let out = String::from_utf8(out).expect("text");
+        prop_assert_eq!(out.matches("HTTP/1.1 200 OK").count(), sent.len());
+        prop_assert_eq!(out.matches("Connection: close").count(), 1);
+    }
+
+    #[test]
+    fn no_bytes_make_a_connection_panic_or_grow_without_end(chunks in vec(vec(any::<u8>(), 0..400), 0..20), text in "[ -~\r\n]{0,600}") {
+        let (mut server, mut link) = (Server::default(), Link::default());
+        let mut events = Vec::new();
+        let mut sound = true;
+        for chunk in chunks.iter().map(Vec::as_slice).chain([text.as_bytes()]) {
+            server.input().feed(chunk);
+            if let Some(Err(error)) = server.poll() {
+                prop_assert!((400..=501).contains(&error.status()));
+                server.respond(&Response::new(error.status(), "", ""), true);
+                server.wrote(server.output().len());
+                prop_assert!(server.finished());
+            }
+            if sound {
+                link.input().feed(chunk);
+                sound = link.read(&mut events).is_ok();
+            }
+        }
+        server.end();
+        let _ = server.poll();
+        prop_assert!(server.busy() || server.input().capacity() < 128 * 1024);
+    }
+}
+
+#[test]
+fn what_is_malformed_gets_a_fitting_status() {
+    let status = |text: &str| {
+        let mut server = Server::default();
+        server.input().feed(text.as_bytes());
+        let first = server.poll();
+        server.end();
+        first.or_else(|| server.poll()).and_then(Result::err).map(|e| e.status())
+    };
+    let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000));
+    let headers = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(100));
+    let chunks = format!(
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+        "ff\r\n".to_owned() + &"x".repeat(300)
+    );
+    let cases = [
+        ("\0\0\0", Some(400)),
+        ("GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", Some(400)),
+        ("GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", Some(400)),
+        ("GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", Some(400)),
+        ("GET / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", Some(413)),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n", Some(413)),
+        ("GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", Some(501)),
+        ("GET / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", Some(400)),
+        ("GET / HT", Some(400)),
+        (&long, Some(431)),
+        (&headers, Some(431)),
+        (&chunks, Some(400)),
+        ("", None),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(status(text), expected, "{:?}", &text[..text.len().min(80)]);
+    }
+}
+
+#[test]
+fn an_idle_connection_told_to_close_still_takes_the_request_that_is_here() {
+    // A request that crossed the closing was dropped unread.
+    let mut server = Server::default();
+    server.close_when_idle();
+    server.input().feed(b"GET /up HTTP/1.1\r\n\r\n");
+    assert!(matches!(server.poll(), Some(Ok(_))));
+    assert!(!server.finished());
+    server.respond(&Response::new(200, "", ""), false);
+    assert!(String::from_utf8_lossy(server.output()).contains("Connection: close"));
+}
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,261 @@
+//! The core against random steps: one outcome an attempt, one final answer a query, and its bound on what it holds.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use quinceflow::core::{Answer, AttemptKey, Command, Core, End, Input, Node, PartOf, Request, Roster, Token};
+use quinceflow::time::Micros;
+use quinceflow::{
+    Class, ClassId, Effect, ListKind, MemberState, Outcome, ReplicaId, Settings, ShardId, TenantId,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: u64 = 1_000_000;
+const MOST_HELD: usize = 12;
+
+fn settings() -> Settings {
+    let class = |effect, floor| Class {
+        aim: 300 * MS,
+        aim_stretch: 0.0,
+        deadline: 900 * MS,
+        effect,
+        points: 1.0,
+        late_worth: 0.1,
+        need: 1.0,
+        floor,
+        follow_up: 0,
+    };
+    Settings {
+        aggregators: 1,
+        tick: 5 * MS,
+        classes: vec![class(Effect::Safe, 1.0), class(Effect::Unsafe, 1.0), class(Effect::Safe, 0.5)],
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        shards: 3,
+        cells: 3,
+        reach: 2,
+        bundle: 1,
+        call_cost: 0,
+        ask_within: None,
+        extra: None,
+        cold: None,
+        cancel: true,
+        second_copies: false,
+        max_attempts: 3,
+        report: Vec::new(),
+        probing: false,
+        retry_after: Some(500 * MS),
+    }
+}
+
+fn node(n: u16, state: MemberState) -> Node {
+    let (name, address) = (format!("s{n}").into(), format!("127.0.0.1:{n}").into());
+    Node { name, address, zone: 0, cell: n, shards: None, state, started: None }
+}
+
+fn ask(token: u64, class: u16, parts: u32, sent: Micros) -> Input {
+    let part = |shard| PartOf { shard: ShardId(shard), weight: 1.0 / f64::from(parts), hint: None };
+    Input::Ask(Request {
+        token: Token(token),
+        label: format!("q{token}").into(),
+        class: ClassId(class),
+        tenant: TenantId(0),
+        patience: Micros::from_millis(900),
+        sent,
+        parts: (0..parts).map(part).collect(),
+        text: b"x".as_slice().into(),
+    })
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ask(u16, u32),
+    Wait(u64),
+    /// The end of an attempt that is out: which, how, and whether it comes twice.
+    End(usize, usize, bool),
+    Written(usize),
+    Leave(usize),
+    Drain(u16, bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0u16..3, 1u32..4).prop_map(|(c, p)| Step::Ask(c, p)),
+        3 => (0u64..200).prop_map(Step::Wait),
+        6 => (any::<usize>(), 0usize..5, any::<bool>()).prop_map(|(n, h, t)| Step::End(n, h, t)),
+        4 => any::<usize>().prop_map(Step::Written),
+        1 => any::<usize>().prop_map(Step::Leave),
+        1 => (0u16..3, any::<bool>()).prop_map(|(n, d)| Step::Drain(n, d)),
+    ]
+}
+
+fn how(n: usize) -> End {
+    match n {
+        0 => End::Not(Outcome::Error),
+        1 => End::Not(Outcome::Full),
+        2 => End::Not(Outcome::Reset),
+        _ => End::Served(b"v".as_slice().into()),
+    }
+}
+
+/// What the core did, checked as it comes.
+#[derive(Default)]
+struct Watcher {
+    out: BTreeMap<AttemptKey, (u64, bool)>,
+    /// Parts of the class that must not repeat that may have run.
+    risky: BTreeSet<(u64, u32)>,
+    asked: BTreeMap<u64, u16>,
+    answered: BTreeSet<u64>,
+    draining: BTreeSet<ReplicaId>,
+    servers: BTreeMap<String, ReplicaId>,
+}
+
+impl Watcher {
+    fn see(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Server(replica, address, ready) => {
+                    self.servers.insert(address.to_string(), replica);
+                    if ready {
+                        self.draining.remove(&replica)
+                    } else {
+                        self.draining.insert(replica)
+                    };
+                }
+                Command::Launch(replica, jobs) => {
+                    assert!(!self.draining.contains(&replica), "nothing new to a server that drains");
+                    for job in jobs {
+                        let token: u64 = job.label[1..].parse().expect("its token");
+                        assert!(!self.answered.contains(&token), "an attempt after the answer");
+                        assert!(self.out.keys().all(|k| k.part != job.key.part), "two attempts out at once");
+                        let part = (token, job.shard.0);
+                        assert!(!self.risky.contains(&part), "a part that may have run goes again");
+                        assert!(job.key.attempt.0 < 3);
+                        if self.asked[&token] == 1 {
+                            self.risky.insert(part);
+                        }
+                        self.out.insert(job.key, (token, false));
+                    }
+                }
+                Command::CallOff(_, key) => {
+                    let (token, written) = self.out.remove(&key).expect("it was out");
+                    if !written {
+                        self.risky.retain(|r| r.0 != token);
+                    }
+                }
+                Command::Reply(token, answer) => {
+                    assert!(self.answered.insert(token.0), "a second answer");
+                    if let Answer::Served { whole, parts } = answer {
+                        assert!(!parts.is_empty());
+                        assert!(
+                            whole || self.asked[&token.0] == 2,
+                            "only one class answers from less than all"
+                        );
+                    }
+                }
+                Command::CloseIdle(_) | Command::Probe(_) => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..ProptestConfig::with_cases(300)
+    })]
+
+    #[test]
+    fn whatever_comes_each_query_gets_one_answer_in_time(steps in vec(step(), 1..80)) {
+        let mut now = Micros::from_secs(100);
+        let mut core = Core::new(settings(), MOST_HELD, 7, now);
+        let mut watcher = Watcher::default();
+        let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
+        let mut inputs = vec![Input::Roster(Roster { kind: ListKind::Cached, nodes })];
+        let mut tokens = 0;
+        let mut left = BTreeSet::new();
+        // After the steps, time alone must end everything.
+        for step in steps.into_iter().chain((0..100).map(|_| Step::Wait(20))) {
+            let pick = |n: usize| watcher.out.keys().nth(n % watcher.out.len().max(1)).copied();
+            match step {
+                Step::Ask(class, parts) => {
+                    tokens += 1;
+                    watcher.asked.insert(tokens, class);
+                    inputs.push(ask(tokens, class, parts, now));
+                }
+                Step::Wait(ms) => now = now + Micros::from_millis(ms.min(20)),
+                Step::End(n, h, twice) => {
+                    if let Some(key) = pick(n) {
+                        let (token, _) = watcher.out.remove(&key).expect("picked");
+                        if h == 1 {
+                            // Turned away: it never ran.
+                            watcher.risky.retain(|r| r.0 != token);
+                        }
+                        inputs.extend([Input::Written(key), Input::Ended(key, how(h))]);
+                        inputs.extend(twice.then(|| Input::Ended(key, how(3))));
+                    }
+                }
+                Step::Written(n) => {
+                    if let Some(key) = pick(n) {
+                        watcher.out.get_mut(&key).expect("picked").1 = true;
+                        inputs.push(Input::Written(key));
+                    }
+                }
+                Step::Leave(n) => {
+                    let token = n as u64 % (tokens + 1);
+                    left.insert(token);
+                    inputs.push(Input::Left(Token(token)));
+                }
+                Step::Drain(n, drain) => {
+                    let state = if drain { MemberState::Draining } else { MemberState::Ready };
+                    inputs.push(Input::Roster(Roster { kind: ListKind::Delta, nodes: vec![node(n, state)] }));
+                }
+            }
+            loop {
+                let mut commands = Vec::new();
+                core.turn(now, inputs.drain(..), &mut commands);
+                watcher.see(commands);
+                if core.due().is_none_or(|due| due > now) {
+                    break;
+                }
+            }
+            prop_assert!(core.held() <= MOST_HELD / 2);
+        }
+        prop_assert_eq!(core.held(), 0);
+        prop_assert_eq!(core.out(), 0, "every attempt has had its outcome");
+        for token in 1..=tokens {
+            prop_assert!(watcher.answered.contains(&token) || left.contains(&token), "no answer to {}", token);
+        }
+    }
+}
+
+#[test]
+fn what_was_never_written_whole_never_ran() {
+    // An attempt that waited for its connection until its time-out told the module that it may have run, so its
+    // query failed where refusing it would have done no harm.
+    for written in [false, true] {
+        let mut now = Micros::from_secs(100);
+        let mut core = Core::new(settings(), MOST_HELD, 7, now);
+        let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
+        let mut out = Vec::new();
+        core.turn(
+            now,
+            [Input::Roster(Roster { kind: ListKind::Cached, nodes }), ask(1, 1, 1, now)],
+            &mut out,
+        );
+        let launched =
+            out.iter().find_map(|c| if let Command::Launch(_, jobs) = c { Some(jobs[0].key) } else { None });
+        let mut inputs = Vec::from_iter(launched.filter(|_| written).map(Input::Written));
+        let mut answer = None;
+        while answer.is_none() {
+            now = now + Micros::from_millis(5);
+            core.turn(now, inputs.drain(..), &mut out);
+            answer =
+                out.iter().find_map(|c| if let Command::Reply(_, a) = c { Some(a.clone()) } else { None });
+        }
+        match answer.expect("found") {
+            Answer::Refused { late, .. } => assert!(late && !written),
+            Answer::Failed { late } => assert!(late && written),
+            Answer::Served { .. } => panic!("nothing came"),
+        }
+    }
+}
