Test the platform's front end to end; bound connections to feature servers in all

Stand-ins for data nodes, discovery and clients, no kit needed: whole answers over kept connections, errors and full queues going to the other node while what may have run does not, a connection closed under a part, a drain, malformed requests, no descriptor left (ulimit 40, 100 idle clients), SIGTERM with a request half here.

walks.rs: connections were bounded a server, not in all; 200 now, idle ones give way.

--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -14,6 +14,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
+/// Connections to all servers at a time: what the clients' bound leaves, with some to spare.
+const MOST_OPEN: usize = 200;
 /// A server that drains gets no new page request later than this after it was told.
 const DRAIN_GRACE: Micros = Micros::from_millis(250);
 
@@ -66,13 +68,26 @@
         }
     }
 
+    /// Is there room for one more connection? Idle ones give way.
+    fn room(&self) -> bool {
+        let sum =
+            |count: fn(&Server) -> usize| self.servers.values().map(|s| count(&guard(s))).sum::<usize>();
+        if sum(|s| s.busy + s.idle.len()) >= MOST_OPEN {
+            self.servers.values().for_each(|s| guard(s).idle.clear());
+        }
+        sum(|s| s.busy) < MOST_OPEN
+    }
+
     fn start(&mut self, replica: ReplicaId, job: &Job) -> Result<(), Outcome> {
+        if !self.room() {
+            // Like a server that has all the connections it takes: nothing was sent.
+            return Err(Outcome::ConnectFailed);
+        }
         let server = self.servers.get(&replica).ok_or(Outcome::Moot)?;
         let address = {
             let mut state = guard(server);
             let address = state.address.filter(|_| state.ready).ok_or(Outcome::Moot)?;
             if state.busy >= self.most {
-                // Like a server that has all the connections it takes: nothing was sent.
                 return Err(Outcome::ConnectFailed);
             }
             state.busy += 1;
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,288 @@
+//! The platform's front with stand-ins for data nodes, discovery and clients.
+
+mod standin;
+
+use serde_json::json;
+use standin::Edge;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+
+/// What a data node does with a part.
+#[derive(Clone, Copy, PartialEq)]
+enum Act {
+    Serve,
+    Break,
+    Skip,
+    /// Says nothing.
+    Hang,
+    /// Ends the connection with the part on it.
+    Reset,
+    /// Serves and ends the connection.
+    ServeAndClose,
+}
+
+struct Node {
+    address: SocketAddr,
+    /// The ids of the parts that came, in order.
+    seen: Arc<Mutex<Vec<String>>>,
+    connections: Arc<Mutex<usize>>,
+    /// Connections that it has ended.
+    closed: Arc<Mutex<usize>>,
+}
+
+fn frame(stream: &mut TcpStream, letter: u8, rest: &str) -> std::io::Result<()> {
+    let mut bytes = (rest.len() as u32 + 1).to_be_bytes().to_vec();
+    bytes.push(letter);
+    bytes.extend_from_slice(rest.as_bytes());
+    stream.write_all(&bytes)
+}
+
+fn node(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (connections, closed): (Arc<Mutex<usize>>, Arc<Mutex<usize>>) = Default::default();
+    let (log, count, ends, act) = (seen.clone(), connections.clone(), closed.clone(), Arc::new(act));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            *count.lock().expect("count") += 1;
+            let (log, ends, act) = (log.clone(), ends.clone(), act.clone());
+            std::thread::spawn(move || {
+                let _ = serve(stream, &log, &*act);
+                *ends.lock().expect("count") += 1;
+            });
+        }
+    });
+    Node { address, seen, connections, closed }
+}
+
+fn serve(mut stream: TcpStream, log: &Mutex<Vec<String>>, act: &dyn Fn(usize) -> Act) -> std::io::Result<()> {
+    loop {
+        let mut head = [0; 5];
+        stream.read_exact(&mut head)?;
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let mut rest = vec![0; length - 1];
+        stream.read_exact(&mut rest)?;
+        if head[4] != b'q' {
+            continue;
+        }
+        let text = String::from_utf8(rest).expect("text");
+        let (line, query) = text.split_once('\n').expect("a line");
+        let words: Vec<&str> = line.split(' ').collect();
+        assert_eq!((words.len(), words[2].starts_with("d="), query), (4, true, "c41e77d0"));
+        let number = {
+            let mut log = log.lock().expect("log");
+            log.push(words[0].to_owned());
+            log.len()
+        };
+        let id = words[0];
+        match act(number) {
+            Act::Hang => {}
+            Act::Reset => return Ok(()),
+            Act::Break => frame(&mut stream, b'a', &format!("{id} broke 0 -\n"))?,
+            Act::Skip => frame(&mut stream, b'a', &format!("{id} skipped 0 -\n"))?,
+            served => {
+                frame(&mut stream, b'a', &format!("{id} served 18 inflight=1,util=0.5\ncell{}", words[1]))?;
+                if served == Act::ServeAndClose {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Discovery: the first line answers each watch, those sent later follow.
+fn discovery(first: String) -> (SocketAddr, Sender<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (more, changes): (Sender<String>, Receiver<String>) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut lines = BufReader::new(stream.try_clone().expect("a handle")).lines();
+            while lines.next().and_then(Result::ok).is_some_and(|l| !l.is_empty()) {}
+            let mut stream = stream;
+            let _ = write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let mut say = |line: &str| write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1);
+            let _ = say(&first);
+            while changes.recv().is_ok_and(|line| say(&line).is_ok()) {}
+        }
+    });
+    (address, more)
+}
+
+fn list(rev: u64, all: bool, nodes: &[(&Node, &str)]) -> String {
+    let target = |(n, (node, state)): (usize, &(&Node, &str))| {
+        json!({"uid": format!("s-{n}"), "endpoint": node.address.to_string(), "az": "a", "model": "m", "pod_group": n,
+            "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+    };
+    let targets: Vec<_> = nodes.iter().enumerate().map(target).collect();
+    json!({"rev": rev, "all": all, "targets": targets}).to_string()
+}
+
+fn start(test: &str, nodes: &[&Node], descriptors: usize) -> (Edge, Sender<String>) {
+    let ready: Vec<_> = nodes.iter().map(|n| (*n, "in_service")).collect();
+    let (address, changes) = discovery(list(1, true, &ready));
+    let class = |name, effect, aim: u64| {
+        json!({"name": name, "effect": effect, "aim": aim * 1_000_000, "deadline": 2 * aim * 1_000_000,
+            "points": 1.0, "late-worth": 0.0})
+    };
+    let cells = nodes.len();
+    let settings = json!({
+        "balancers": 1, "tick": 5_000_000, "discovery": "push",
+        "classes": [class("lookup", "read_like", 10_000), class("brief", "read_like", 300),
+            class("send", "non_idempotent", 10_000)],
+        "family-info": {"bundle-max": 1, "cells": cells, "in-a-row": 2, "slices": cells},
+        "limits": {"cancel": true, "max-attempts": 4, "retry-after": true, "max-retry-after": 500_000_000},
+    });
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address.to_string(), "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": descriptors}, "settings": settings,
+        "known": serde_json::from_str::<serde_json::Value>(&list(0, true, &ready)).expect("a list")});
+    (Edge::platform(test, &config, descriptors), changes)
+}
+
+fn ask(edge: &Edge, id: &str, class: &str, shards: &[u32]) -> standin::Answer {
+    let share = 1.0 / shards.len() as f64;
+    let tablets: Vec<_> = shards.iter().map(|s| json!({"tablet": s, "fraction": share})).collect();
+    let body = json!({"tablets": tablets, "statement": "c41e77d0"}).to_string();
+    edge.send(&format!(
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Expires-In: 8\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+fn until_ready(edge: &Edge) {
+    while edge.get("/up").status != 200 {}
+}
+
+#[test]
+fn a_query_is_answered_from_its_parts_over_one_connection_a_node() {
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, _changes) = start("whole", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    for n in 0..20 {
+        let answer = ask(&edge, &format!("q{n}"), "lookup", &[0, 1, 2]);
+        let cell = |s: u32| json!({"tablet": s, "cell": format!("cell{s}")});
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.json(), json!({"full": true, "pieces": [cell(0), cell(1), cell(2)]}));
+    }
+    let open: Vec<usize> = nodes.iter().map(|n| *n.connections.lock().expect("count")).collect();
+    assert!(open.iter().all(|n| *n <= 1), "connections are kept: {open:?}");
+}
+
+#[test]
+fn errors_and_full_queues_go_to_the_other_node_and_what_may_have_run_does_not() {
+    for (act, class, status) in [
+        (Act::Break, "lookup", 200),
+        (Act::Reset, "lookup", 200),
+        (Act::Skip, "send", 200),
+        (Act::Break, "send", 502),
+        (Act::Reset, "send", 502),
+    ] {
+        // The first part that any node sees meets the fault.
+        let struck = Arc::new(Mutex::new(false));
+        let first = |struck: Arc<Mutex<bool>>| {
+            move |_| {
+                if std::mem::replace(&mut *struck.lock().expect("flag"), true) {
+                    Act::Serve
+                } else {
+                    act
+                }
+            }
+        };
+        let nodes = [node(first(struck.clone())), node(first(struck))];
+        let (edge, _changes) = start(&format!("fault{}{class}", act as u8), &nodes.each_ref(), 1024);
+        until_ready(&edge);
+        assert_eq!(ask(&edge, "q1", class, &[0]).status, status);
+        let sent: usize = nodes.iter().map(|n| n.seen.lock().expect("log").len()).sum();
+        assert_eq!(sent, if status == 200 { 2 } else { 1 }, "a part that may have run goes out once");
+    }
+}
+
+#[test]
+fn a_connection_that_its_node_closed_costs_no_part() {
+    // A node closes what stands idle; the part that met that was lost with its connection.
+    let nodes = [node(|_| Act::ServeAndClose), node(|_| Act::ServeAndClose)];
+    let (edge, _changes) = start("closed", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    for n in 0..10 {
+        assert_eq!(ask(&edge, &format!("q{n}"), "send", &[0]).status, 200, "query {n}");
+        while nodes.iter().map(|n| *n.closed.lock().expect("count")).sum::<usize>() <= n {
+            std::thread::yield_now();
+        }
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_node_after_its_drain_is_told() {
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, changes) = start("drain", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
+    changes.send(list(2, false, &[(&nodes[0], "terminating")])).expect("told");
+    // Told when the program has counted it: the known list, discovery's first, and this.
+    loop {
+        edge.signal("USR1");
+        if edge.wait_for("counters").contains(" rosters=3 ") {
+            break;
+        }
+    }
+    let before = nodes[0].seen.lock().expect("log").len();
+    for n in 1..10 {
+        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+    }
+    assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
+}
+
+#[test]
+fn out_of_time_refused_and_malformed_requests_are_answered_as_such() {
+    let nodes = [node(|_| Act::Hang), node(|_| Act::Hang)];
+    let (edge, _changes) = start("hang", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    let late = ask(&edge, "q0", "brief", &[0]);
+    assert_eq!(late.status, 503, "a class that may repeat is sent back");
+    assert!(late.headers.contains_key("retry-after"));
+    assert_eq!(ask(&edge, "q1", "none", &[0]).status, 400);
+    assert_eq!(ask(&edge, "q 2", "lookup", &[0]).status, 400);
+    assert_eq!(ask(&edge, "q3", "lookup", &[9]).status, 400);
+    assert_eq!(ask(&edge, "q4", "lookup", &[]).status, 400);
+    assert_eq!(ask(&edge, "q5", "lookup", &[1, 1]).status, 400);
+    assert_eq!(edge.get("/elsewhere").status, 404);
+    assert_eq!(edge.get("/api").status, 405);
+    assert_eq!(edge.send("POST /api HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").status, 413);
+    assert_eq!(edge.send("\u{1}\u{2}\r\n\r\n").status, 400);
+}
+
+#[test]
+fn it_lives_on_when_no_descriptor_is_left() {
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, _changes) = start("descriptors", &nodes.each_ref(), 40);
+    until_ready(&edge);
+    assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
+    let crowd: Vec<TcpStream> =
+        (0..100).map(|_| TcpStream::connect(edge.address).expect("the machine accepts")).collect();
+    for n in 1..10 {
+        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+    }
+    drop(crowd);
+}
+
+#[test]
+fn told_to_end_it_answers_on_kept_connections_and_closes_them() {
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (mut edge, _changes) = start("term", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    let mut kept = TcpStream::connect(edge.address).expect("it listens");
+    // A request that has begun is no idle connection.
+    write!(kept, "GET /up HTTP/1.1\r\n").expect("written");
+    assert_eq!(ask(&edge, "q1", "lookup", &[0, 1]).status, 200);
+    edge.signal("TERM");
+    edge.wait_for("told to end");
+    write!(kept, "\r\n").expect("written");
+    let mut text = String::new();
+    kept.read_to_string(&mut text).expect("read");
+    assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("Connection: close"), "{text}");
+    assert!(edge.wait());
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -154,13 +154,31 @@
         let text = format!("listen = \"127.0.0.1:0\"\ninventory = \"i.csv\"\n{settings}\n{CLASSES}");
         std::fs::write(folder.join("edge.toml"), text).expect("settings");
         inventory(&folder, rows);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_quinceflow"))
-            .arg("--edge")
-            .arg(folder.join("edge.toml"))
-            .env_remove("NODE_CONFIG")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
+        command.arg("--edge").arg(folder.join("edge.toml")).env_remove("NODE_CONFIG");
+        Edge::launch(command, folder)
+    }
+
+    /// Starts it with the platform's configuration.
+    pub fn platform(test: &str, config: &serde_json::Value, descriptors: usize) -> Edge {
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("a configuration");
+        let mut command = Command::new("sh");
+        command
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
+            .arg(env!("CARGO_BIN_EXE_quinceflow"));
+        for name in ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME"] {
+            command.env_remove(name);
+        }
+        command.env("NODE_CONFIG", folder.join("config.json"));
+        Edge::launch(command, folder)
+    }
+
+    fn launch(mut command: Command, folder: PathBuf) -> Edge {
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let (lines, log) = channel();
         let errors = child.stderr.take().expect("piped");
         std::thread::spawn(move || {
