Refuse no query for a guess; leave late ends to the module; bound what is over on arrival

Cause: the guess at a class's work and at the fleet's pace is an eighth of an aim (rules.rs, `work` and `typical` in `new`); with an aim of 20 s and clients that wait 1.5 s it exceeds their time, so `crowd` refuses all, and nothing is ever seen that could mend the guess. Until a figure was seen it is bounded by an eighth of the query's own time.

Seen while reading core/mod.rs: a query whose time was over on arrival, or a turn that came late, tripped the guard against a module that lets a query's time pass. The guard looks after the module's turn now; a query that is over is refused at once and counted.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -50,8 +50,8 @@
     taken,
     /// Final answers by kind.
     whole, partial, refused, failed, gone,
-    /// Queries refused since the core was full.
-    over_held,
+    /// Queries refused since the core was full, or since their time was over when they came.
+    over_held, over_time,
     /// Attempts: launched, written whole, and how they ended.
     attempts, written, served, errors, turned_away, timed_out, connect_failed, resets, cancelled, unsent,
     /// Probes sent.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -120,7 +120,6 @@
             self.take(now, input, &mut events, out);
         }
         self.time_outs_due(now, &mut events, out);
-        self.ends_due(now, &mut events, out);
         if self.wake.is_some_and(|at| at <= now) {
             self.wake = None;
             events.push(Event::Wake);
@@ -130,6 +129,8 @@
         for action in actions {
             self.carry_out(now, action, out);
         }
+        // After the module: a turn that comes late must leave it to the module to end what is over.
+        self.ends_due(now, out);
         bundle(out, self.set.bundle.max(1) as usize);
     }
 
@@ -195,6 +196,13 @@
         events: &mut Vec<Event>,
         out: &mut Vec<Command>,
     ) {
+        let until = request.sent + request.patience;
+        if until <= now + WAY {
+            // Over before it began: nothing can be in time any more, and nothing was sent.
+            COUNTERS.over_time.add();
+            COUNTERS.refused.add();
+            return out.push(Command::Reply(request.token, Answer::Refused { come_back: None, late: true }));
+        }
         let size = 1 + request.parts.len();
         if self.held_count + size > self.most_held {
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
@@ -209,7 +217,6 @@
         let group = Group(self.next_group);
         self.next_group = self.next_group.wrapping_add(1);
         self.next_id += size as u64;
-        let until = request.sent + request.patience;
         let aim = self.set.classes.get(usize::from(request.class.0)).map_or(0, |c| c.aim);
         let hints: Option<Micros> =
             request.parts.iter().map(|p| p.hint).try_fold(Micros::ZERO, |sum, hint| hint.map(|h| sum + h));
@@ -288,14 +295,14 @@
     }
 
     /// The module ends every query in time; should it not, the client still gets its one answer.
-    fn ends_due(&mut self, now: Micros, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+    fn ends_due(&mut self, now: Micros, out: &mut Vec<Command>) {
         while let Some((_, query)) = self.ends.first().copied().filter(|e| e.0 <= now) {
             invariant(false, "a query outlived its client's time");
             if let Some(held) = self.forget(query) {
                 COUNTERS.failed.add();
                 out.push(Command::Reply(held.request.token, Answer::Failed { late: true }));
             }
-            events.push(Event::Gone(query));
+            self.pending.push(Event::Gone(query));
         }
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -237,6 +237,8 @@
     /// Time between two uses of a replica: memory of its pace lasts no shorter.
     visits: f64,
     work: Vec<f64>,
+    /// The classes whose work was seen; until then it is a guess.
+    met: Vec<bool>,
     taken: VecDeque<Nanos>,
     extras: VecDeque<Nanos>,
     ranks: VecDeque<f64>,
@@ -275,6 +277,7 @@
             per_part: 0.0,
             visits: 0.0,
             work: set.classes.iter().map(|c| c.aim as f64 * FIRST_GUESS).collect(),
+            met: vec![false; set.classes.len()],
             taken: VecDeque::new(),
             extras: VecDeque::new(),
             ranks: VecDeque::new(),
@@ -447,6 +450,7 @@
                     r.used = now;
                     self.per_part += (took / place - self.per_part) * FLEET_GAIN;
                     self.typical += (took - self.typical) * FLEET_GAIN;
+                    self.met[usize::from(class.0)] = true;
                     let w = &mut self.work[usize::from(class.0)];
                     *w += (took - *w) * if took < *w { PACE_GAIN } else { 0.002 };
                 }
@@ -795,9 +799,13 @@
             spare -= waits.pop().map_or(0.0, |w| w.1);
         }
         let busy = self.busy.iter().map(|b| b.1).sum::<f64>() / self.busy.len().max(REPORTS / 2) as f64;
-        let told = self.work[usize::from(q.class.0)] / (1.0 - busy).max(1e-3);
-        let wait = waits.last().map_or(0.0, |w| w.0).max(told);
         let room = q.due.saturating_sub(self.now + self.reserve(c)) as f64;
+        // A guess alone refuses nobody: where all are refused nothing is ever seen that could mend it.
+        let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * FIRST_GUESS) };
+        let at = usize::from(q.class.0);
+        let told = fair(self.work[at], self.met[at]) / (1.0 - busy).max(1e-3);
+        let longest = waits.last().map_or(0.0, |w| w.0);
+        let wait = fair(longest, longest > self.typical || self.met.contains(&true)).max(told);
         wait / room.max(1.0)
     }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,5 +1,8 @@
 //! The core against random steps: one outcome an attempt, one final answer a query, and its bound on what it holds.
 
+mod common;
+
+use common::MS;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -10,42 +13,14 @@
 };
 use std::collections::{BTreeMap, BTreeSet};
 
-const MS: u64 = 1_000_000;
 const MOST_HELD: usize = 12;
 
 fn settings() -> Settings {
-    let class = |effect, floor| Class {
-        aim: 300 * MS,
-        aim_stretch: 0.0,
-        deadline: 900 * MS,
-        effect,
-        points: 1.0,
-        late_worth: 0.1,
-        need: 1.0,
-        floor,
-        follow_up: 0,
-    };
-    Settings {
-        aggregators: 1,
-        tick: 5 * MS,
-        classes: vec![class(Effect::Safe, 1.0), class(Effect::Unsafe, 1.0), class(Effect::Safe, 0.5)],
-        tenants: Vec::new(),
-        over_share_worth: 1.0,
-        shards: 3,
-        cells: 3,
-        reach: 2,
-        bundle: 1,
-        call_cost: 0,
-        ask_within: None,
-        extra: None,
-        cold: None,
-        cancel: true,
-        second_copies: false,
-        max_attempts: 3,
-        report: Vec::new(),
-        probing: false,
-        retry_after: Some(500 * MS),
-    }
+    let class = |effect, floor| Class { aim: 300 * MS, deadline: 900 * MS, floor, ..common::class(effect) };
+    let mut set = common::settings(class(Effect::Safe, 1.0));
+    set.classes.extend([class(Effect::Unsafe, 1.0), class(Effect::Safe, 0.5)]);
+    set.max_attempts = 3;
+    set
 }
 
 fn node(n: u16, state: MemberState) -> Node {
@@ -53,6 +28,11 @@
     Node { name, address, zone: 0, cell: n, shards: None, state, started: None }
 }
 
+fn fleet() -> Input {
+    let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
+    Input::Roster(Roster { kind: ListKind::Cached, nodes })
+}
+
 fn ask(token: u64, class: u16, parts: u32, sent: Micros) -> Input {
     let part = |shard| PartOf { shard: ShardId(shard), weight: 1.0 / f64::from(parts), hint: None };
     Input::Ask(Request {
@@ -169,8 +149,7 @@
         let mut now = Micros::from_secs(100);
         let mut core = Core::new(settings(), MOST_HELD, 7, now);
         let mut watcher = Watcher::default();
-        let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
-        let mut inputs = vec![Input::Roster(Roster { kind: ListKind::Cached, nodes })];
+        let mut inputs = vec![fleet()];
         let mut tokens = 0;
         let mut left = BTreeSet::new();
         // After the steps, time alone must end everything.
@@ -259,3 +238,17 @@
         }
     }
 }
+
+#[test]
+fn a_query_that_is_over_on_arrival_and_a_turn_that_comes_late_break_nothing() {
+    // Both tripped the core's own guard, which is there for a module that lets a query's time pass.
+    let start = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, start);
+    let mut out = Vec::new();
+    core.turn(start, [fleet(), ask(1, 0, 1, start)], &mut out);
+    let late = start + Micros::from_secs(2);
+    core.turn(late, [ask(2, 0, 1, start)], &mut out);
+    let replies = out.iter().filter(|c| matches!(c, Command::Reply(..))).count();
+    assert_eq!((replies, core.held()), (2, 0));
+    assert_eq!(quinceflow::core::COUNTERS.broken_invariants.get(), 0);
+}
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -354,6 +354,16 @@
     }
 }
 
+#[test]
+fn a_class_is_not_refused_for_a_guess_at_its_work() {
+    // A class with a long aim and clients of little patience was refused for ever: the guess at its work came from
+    // its aim, was longer than its clients' time, and with all refused nothing was ever seen that could mend it.
+    let mut bench = Bench::new(settings(Class { aim: 20 * S, deadline: 30 * S, ..class(Effect::Safe) }));
+    let part = Event::Part { part: PartId(2), group: Group(1), shard: ShardId(0), weight: 1.0 };
+    let actions = bench.tell(vec![query_event(1, 0, 0, 1_500 * MS), part]);
+    assert_eq!((sends(&actions).len(), refused(&actions)), (1, false));
+}
+
 #[test]
 fn the_module_keeps_its_size() {
     let text = include_str!("../src/rules.rs");
