Tell a request that was cut off once; let a drain close its node's connections

Seen while reading http.rs against its driver: `Server::poll` gave `Truncated` again at each call when a client went away in the middle of a request, so clients.rs looped, with an answer more in memory each time: one such client would have stopped the worker and filled its memory. The new assertion fails without the guard (checked by taking it out). poll says nothing more after an error.

links.rs: a frame half written when its node drains could begin anew on another connection after the drain. A drain now marks the node's connections as closing.

server.rs: SIGTERM was noticed up to 250 ms late, which moved the closing of idle connections beyond 0.7 s after it; now at most 50 ms.

--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -136,10 +136,14 @@
         }
         node.ready = ready;
         if !ready {
-            // Told of a drain: nothing that waits for its connection may still go.
+            // Told of a drain: nothing that waits for its connection may still go, nor go out anew on another.
             for slot in &node.links {
                 let mut events = Vec::new();
-                slot.lock().link.take_back(&mut events);
+                let mut state = slot.lock();
+                state.link.take_back(&mut events);
+                state.closing = true;
+                wake(&state);
+                drop(state);
                 forward(&self.inbox, replica, &self.report, events);
             }
         }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -23,12 +23,14 @@
 
 /// Descriptors kept for connections to servers, the watch, logs and the runtime.
 const RESERVED: usize = 256;
-/// The longest sleep of the core; what is tidied now and then is.
-const MOST_SLEEP: Micros = Micros::from_millis(250);
+/// The longest sleep of the core: signals are looked at this often.
+const MOST_SLEEP: Micros = Micros::from_millis(50);
+/// Connections are tidied this often.
+const TIDY_EVERY: Micros = Micros::from_millis(250);
 /// Without a word from discovery, the list known at the start serves after so long.
 const WAIT_FOR_LIST: Micros = Micros::from_millis(400);
 /// After SIGTERM connections are accepted so long: the front still deals some out.
-const STILL_ACCEPTING: Micros = Micros::from_millis(500);
+const STILL_ACCEPTING: Micros = Micros::from_millis(450);
 /// Nothing is waited for longer than this after SIGTERM.
 const LAST_EXIT: Micros = Micros::from_secs(8);
 
@@ -221,7 +223,7 @@
             for command in commands.drain(..) {
                 self.carry_out(now, command);
             }
-            if now.since(tidied) >= MOST_SLEEP {
+            if now.since(tidied) >= TIDY_EVERY {
                 tidied = now;
                 self.upstream.tidy(now, &|key| self.core.is_out(key));
                 self.clients.tidy(now);
@@ -271,8 +273,7 @@
 
     /// Waits for an input, the core's next due time, or the longest sleep.
     fn wait(&self) -> Option<Input> {
-        let most = if self.signals.end.load(Relaxed) { Micros::from_millis(20) } else { MOST_SLEEP };
-        let wait = self.core.due().map_or(most, |due| due.since(self.clock.now()).min(most));
+        let wait = self.core.due().map_or(MOST_SLEEP, |due| due.since(self.clock.now()).min(MOST_SLEEP));
         if wait == Micros::ZERO {
             return None;
         }
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -279,8 +279,11 @@
 
     /// The next request that came whole, or what is wrong; after an error nothing more is read.
     pub fn poll(&mut self) -> Option<Result<HttpRequest, HttpError>> {
-        let result = self.advance();
-        if let Err(e) = result {
+        // After an error nothing more is said: told again and again, a request cut off would fill the memory.
+        if matches!(self.state, State::Closed) {
+            return None;
+        }
+        if let Err(e) = self.advance() {
             self.state = State::Closed;
             self.close = true;
             return Some(Err(e));
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -284,7 +284,14 @@
         server.input().feed(text.as_bytes());
         let first = server.poll();
         server.end();
-        first.or_else(|| server.poll()).and_then(Result::err).map(|e| e.status())
+        let error = first.or_else(|| server.poll()).and_then(Result::err);
+        if let Some(e) = error {
+            // A client that went away in the middle of a request had the worker say so without end.
+            assert!(server.poll().is_none());
+            server.respond(&Response::new(e.status(), "", ""), true);
+            assert!(server.poll().is_none());
+        }
+        error.map(|e| e.status())
     };
     let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000));
     let headers = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(100));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -253,6 +253,12 @@
     assert_eq!(edge.get("/api").status, 405);
     assert_eq!(edge.send("POST /api HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").status, 413);
     assert_eq!(edge.send("\u{1}\u{2}\r\n\r\n").status, 400);
+    let mut cut = TcpStream::connect(edge.address).expect("it listens");
+    write!(cut, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
+    cut.shutdown(std::net::Shutdown::Write).expect("half closed");
+    let mut text = String::new();
+    cut.read_to_string(&mut text).expect("read");
+    assert_eq!(text.matches("HTTP/1.1 400 ").count(), 1, "cut off in the middle: told once");
 }
 
 #[test]
