Ask for the whole list after a bad line; let two fronts share the descriptors

Seen while reading watch.rs: a line from discovery that cannot be read ended the watch, and the next one went on from the last good version, so a change in that line, or one beside it, could stay unknown.

server.rs: with both fronts in one process each took the clients' bound whole; they divide it now.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -57,6 +57,8 @@
     may::config().set_workers(1).set_worker_pin(false);
     let clock = Clock::start();
     let signals = listen_for_signals()?;
+    // The descriptors are the process's: two fronts share them.
+    let fronts = usize::from(platform.is_some()) + usize::from(edge.is_some());
     let mut services = Vec::new();
     if let Some(config) = platform {
         services.push(platform_service(&config, clock)?);
@@ -64,6 +66,7 @@
     if let Some(edge) = edge {
         services.push(edge_service(edge, clock)?);
     }
+    services.iter_mut().for_each(|s| s.most_clients /= fronts.max(1));
     let running: Vec<_> =
         services.into_iter().map(|s| serve(s, clock, signals.clone())).collect::<Result<_, _>>()?;
     for done in running {
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -58,6 +58,8 @@
         let now: Micros = clock.now();
         let (news, ended) = watch.advance(now, unix_ms()).map_err(|e| {
             COUNTERS.bad_rosters.add();
+            // What the line said is not known, so changes after it would not do: the whole list is asked for.
+            *rev = 0;
             io::Error::new(io::ErrorKind::InvalidData, format!("{e:?}"))
         })?;
         for one in news {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -93,15 +93,25 @@
     }
 }
 
+/// What a test has of discovery: where changes go, and what was asked of it.
+struct Discovery {
+    more: Sender<String>,
+    asked: Arc<Mutex<Vec<String>>>,
+}
+
 /// Discovery: the first line answers each watch, those sent later follow.
-fn discovery(first: String) -> (SocketAddr, Sender<String>) {
+fn discovery(first: String) -> (SocketAddr, Discovery) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let (more, changes): (Sender<String>, Receiver<String>) = channel();
+    let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+    let log = asked.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let mut lines = BufReader::new(stream.try_clone().expect("a handle")).lines();
+            let request = lines.next().and_then(Result::ok).unwrap_or_default();
             while lines.next().and_then(Result::ok).is_some_and(|l| !l.is_empty()) {}
+            log.lock().expect("log").push(request);
             let mut stream = stream;
             let _ = write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             let mut say = |line: &str| write!(stream, "{:x}\r\n{line}\n\r\n", line.len() + 1);
@@ -109,7 +119,7 @@
             while changes.recv().is_ok_and(|line| say(&line).is_ok()) {}
         }
     });
-    (address, more)
+    (address, Discovery { more, asked })
 }
 
 fn list(rev: u64, all: bool, nodes: &[(&Node, &str)]) -> String {
@@ -121,7 +131,7 @@
     json!({"rev": rev, "all": all, "targets": targets}).to_string()
 }
 
-fn start(test: &str, nodes: &[&Node], descriptors: usize) -> (Edge, Sender<String>) {
+fn start(test: &str, nodes: &[&Node], descriptors: usize) -> (Edge, Discovery) {
     let ready: Vec<_> = nodes.iter().map(|n| (*n, "in_service")).collect();
     let (address, changes) = discovery(list(1, true, &ready));
     let class = |name, effect, aim: u64| {
@@ -221,7 +231,7 @@
     let (edge, changes) = start("drain", &nodes.each_ref(), 1024);
     until_ready(&edge);
     assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
-    changes.send(list(2, false, &[(&nodes[0], "terminating")])).expect("told");
+    changes.more.send(list(2, false, &[(&nodes[0], "terminating")])).expect("told");
     // Told when the program has counted it: the known list, discovery's first, and this.
     loop {
         edge.signal("USR1");
@@ -236,6 +246,23 @@
     assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
 }
 
+#[test]
+fn after_a_line_that_cannot_be_read_the_whole_list_is_asked_for() {
+    // The watch went on from the last good version, so what the bad line said was never known.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, discovery) = start("line", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    discovery.more.send("{no list".to_owned()).expect("told");
+    while discovery.asked.lock().expect("log").len() < 2 {
+        // The stand-in notices at its next words that the watch has ended.
+        discovery.more.send(String::new()).expect("told");
+        std::thread::yield_now();
+    }
+    let asked = discovery.asked.lock().expect("log").clone();
+    assert!(asked[0].contains("since=0") && asked[1].contains("since=0"), "{asked:?}");
+    assert_eq!(ask(&edge, "q1", "lookup", &[0, 1]).status, 200);
+}
+
 #[test]
 fn out_of_time_refused_and_malformed_requests_are_answered_as_such() {
     let nodes = [node(|_| Act::Hang), node(|_| Act::Hang)];
