Follow discovery to its new address on SIGHUP

To blame: server.rs platform_service, 'reload: None'; watch.rs follow, a fixed address. Now the file is read anew, an address that is new in it outranks the environment (which cannot change in a running program), and the watch goes on there from its last version, so the list in use stays. A bad file changes nothing and is told. Test: a_reload_moves_the_watch_without_dropping_the_list.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,6 +3,7 @@
 use crate::settings::{read_deployment, Deployment};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 #[derive(Deserialize)]
 struct File {
@@ -40,6 +41,10 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where the file is, to be read anew.
+    pub path: PathBuf,
+    /// Where discovery is in the file's own words, whatever the environment said.
+    pub told: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -56,8 +61,9 @@
         let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
         let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
         let var = |name| std::env::var(name).ok();
-        Self::read(&text, var("NODE_LISTEN"), var("NODE_DISCOVERY"), var("NODE_NAME"))
-            .map_err(|e| format!("{path}: {e}"))
+        let read = Self::read(&text, var("NODE_LISTEN"), var("NODE_DISCOVERY"), var("NODE_NAME"));
+        let config = read.map_err(|e| format!("{path}: {e}"))?;
+        Ok(Config { path: path.into(), ..config })
     }
 
     /// Reads the text of the file.
@@ -73,6 +79,8 @@
             text.parse::<SocketAddr>().map_err(|e| format!("{what}: {text:?}: {e}"))
         };
         Ok(Config {
+            path: PathBuf::new(),
+            told: file.discovery.as_ref().and_then(|d| d.parse().ok()),
             listen: address("listen", listen, file.listen)?,
             discovery: address("discovery", discovery, file.discovery)?,
             name: name.unwrap_or(file.name),
@@ -84,6 +92,18 @@
     }
 }
 
+/// Where a replaced file says that discovery is: all that a running program takes from it.
+pub fn reread(path: &Path) -> Result<SocketAddr, String> {
+    #[derive(Deserialize)]
+    struct Moved {
+        discovery: String,
+    }
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let text = std::fs::read(path).map_err(|e| told(&e))?;
+    let file: Moved = serde_json::from_slice(&text).map_err(|e| told(&e))?;
+    file.discovery.parse().map_err(|e| told(&format!("discovery: {:?}: {e}", file.discovery)))
+}
+
 /// The seed is hex; anything else still gives one, by its bytes.
 fn seed(text: &str) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,7 +1,7 @@
 //! The program: for each front a core, and the coroutines that feed it.
 
 use super::clients::Clients;
-use super::config::Config;
+use super::config::{self, Config};
 use super::links::Links;
 use super::walks::Walks;
 use super::{spawn, watch, Upstream, LARGE_STACK};
@@ -48,8 +48,8 @@
     reload: Option<Reload>,
 }
 
-/// Reads the list of servers anew.
-type Reload = Box<dyn FnMut(Micros) -> Result<Roster, String> + Send>;
+/// Reads anew what may change while the program runs: what came of it in words, and a list of servers if it holds one.
+type Reload = Box<dyn FnMut(Micros) -> Result<(String, Option<Roster>), String> + Send>;
 
 /// Runs what is set up, the platform's front, the one for feature queries, or both, until it is told to end.
 pub fn run(platform: Option<Config>, edge: Option<Edge>) -> Result<(), String> {
@@ -99,8 +99,9 @@
         }
         Err(e) => eprintln!("quinceflow: the known list cannot be read: {e}"),
     }
-    let (watch_inbox, watch_listed, discovery) = (inbox.clone(), listed.clone(), config.discovery);
-    spawn(LARGE_STACK, move || watch::follow(discovery, rev, &watch_inbox, clock, &watch_listed))
+    let place = watch::Place::new(config.discovery);
+    let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
+    spawn(LARGE_STACK, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed))
         .map_err(no_coroutine)?;
     let deployment = &config.deployment;
     Ok(Parts {
@@ -113,7 +114,20 @@
         inbox,
         arrivals,
         listed,
-        reload: None,
+        reload: Some(reload_discovery(config, place)),
+    })
+}
+
+/// The platform's file may move discovery while the program runs. At the start the environment outranks the file, but
+/// it cannot change; an address that is new in the file is the later word.
+fn reload_discovery(config: &Config, place: watch::Place) -> Reload {
+    let (path, mut told) = (config.path.clone(), config.told);
+    Box::new(move |_| {
+        let address = config::reread(&path).map_err(|e| format!("the configuration stays as it was: {e}"))?;
+        if told.replace(address) != Some(address) {
+            place.move_to(address);
+        }
+        Ok((format!("the configuration is read anew: discovery is at {}", place.address()), None))
     })
 }
 
@@ -123,11 +137,14 @@
     let mut reload: Reload = {
         let (edge, catalog) = (edge.clone(), catalog.clone());
         Box::new(move |now| {
-            let servers = edge.servers().map_err(|e| e.to_string())?;
-            Ok(ogc::lock(&catalog).load(&servers, now))
+            let servers = edge.servers().map_err(|e| format!("the inventory stays as it was: {e}"))?;
+            let roster = ogc::lock(&catalog).load(&servers, now);
+            let nodes = roster.nodes.len();
+            Ok((format!("the inventory is loaded anew: {nodes} servers"), Some(roster)))
         })
     };
-    let _ = inbox.send(Input::Roster(reload(clock.now())?));
+    let (_, roster) = reload(clock.now())?;
+    let _ = roster.map(|r| inbox.send(Input::Roster(r)));
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Parts {
@@ -262,14 +279,14 @@
         self.reloads = asked;
         match self.reload.as_mut().map(|reload| reload(now)) {
             None => {}
-            Some(Ok(roster)) => {
+            Some(Ok((what, roster))) => {
                 COUNTERS.reloads.add();
-                eprintln!("quinceflow: the inventory is loaded anew: {} servers", roster.nodes.len());
-                inputs.push(Input::Roster(roster));
+                eprintln!("quinceflow: {what}");
+                inputs.extend(roster.map(Input::Roster));
             }
             Some(Err(why)) => {
                 COUNTERS.bad_reloads.add();
-                eprintln!("quinceflow: the inventory stays as it was: {why}");
+                eprintln!("quinceflow: {why}");
             }
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -246,6 +246,38 @@
     assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
 }
 
+#[test]
+fn a_reload_moves_the_watch_without_dropping_the_list() {
+    // SIGHUP read the edge's inventory only: after discovery had moved no drain was heard of.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, first) = start("moved", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    let lists = |n: usize| loop {
+        edge.signal("USR1");
+        if edge.wait_for("counters").contains(&format!(" rosters={n} ")) {
+            break;
+        }
+    };
+    lists(2);
+    edge.configure("{\"discovery\":\"nowhere\"}");
+    edge.signal("HUP");
+    edge.wait_for("the configuration stays as it was: ");
+    assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
+    // The new address knows of a drain, as a change after the version that the old one told last.
+    let (address, moved) = discovery(list(2, false, &[(&nodes[0], "terminating")]));
+    edge.configure(&json!({"discovery": address.to_string()}).to_string());
+    edge.signal("HUP");
+    edge.wait_for("the configuration is read anew: discovery is at ");
+    lists(3);
+    assert!(moved.asked.lock().expect("log")[0].contains("since=1"), "it goes on where it was");
+    let before = nodes[0].seen.lock().expect("log").len();
+    for n in 1..10 {
+        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+    }
+    assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
+    drop(first);
+}
+
 #[test]
 fn after_a_line_that_cannot_be_read_the_whole_list_is_asked_for() {
     // The watch went on from the last good version, so what the bad line said was never known.
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Replaces the platform's configuration.
+    pub fn configure(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("a configuration");
+    }
+
     pub fn inventory(&self, rows: &str) {
         inventory(&self.folder, rows);
     }
