Tell a later try by an uncommon time left, not by one longer time seen

Looked at: a log of one refusal in 32 showed outlook (crowd 0.02 to 0.05), share (1.0) and quality (1.0) all calm, every replica with room and none shut; so cold replicas, jams and the controller are excluded. A log of that: first tries come with 852 ms of a deadline of 1,340, and a few tries with 1,219 (a client's further try gets what is left of its time, which may be more than a first one had). To blame: rules.rs, take, Event::Query: 'longest' and 'cut'. Now a try is a later one when its time left is uncommon (under a quarter of the last 64 of its class are near it) while another is common; where none is common nothing is known and nothing is assumed. Test: one_longer_time_left_does_not_make_first_tries_of_the_others.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,8 +29,10 @@
 const GAINS: [f64; 3] = [0.4, 0.1, 0.05];
 /// Bound of the error, in units of the room above the target: one bad reading must not empty the share.
 const ERROR_BOUND: f64 = 3.0;
-/// Low-worth queries remembered to tell the least worth of them: enough for a rank.
+/// Low-worth queries remembered to tell the least worth, and times left of a class: enough for a rank.
 const RANKED: usize = 64;
+/// A time left that this share of a class's queries came with is a first try's.
+const COMMON: f64 = 0.25;
 /// Weight of a new response time in a replica's pace.
 const PACE_GAIN: f64 = 0.5;
 /// The same for the typical figures of the fleet, which see many more answers.
@@ -243,7 +245,8 @@
     extras: VecDeque<Nanos>,
     ranks: VecDeque<f64>,
     quotas: Vec<(f64, Nanos)>,
-    longest: Vec<Nanos>,
+    /// The time left that the last queries of each class came with; see `later_try`.
+    patience: Vec<VecDeque<Nanos>>,
     share: f64,
     errors: [f64; 2],
     control_at: Nanos,
@@ -282,7 +285,7 @@
             extras: VecDeque::new(),
             ranks: VecDeque::new(),
             quotas: vec![(1.0, now); set.tenants.len()],
-            longest: vec![0; set.classes.len()],
+            patience: vec![VecDeque::new(); set.classes.len()],
             share: 1.0,
             errors: [0.0; 2],
             control_at: now,
@@ -327,11 +330,8 @@
                     return actions.push(Action::Fail(*query));
                 };
                 let aim = (c.aim + (c.aim_stretch * hint.unwrap_or(0) as f64) as Nanos).min(c.deadline);
-                // A later try comes with less time than a first one: what is missing has passed already.
-                let longest = &mut self.longest[usize::from(class.0)];
-                *longest = (*longest).max(*time_left);
-                let cut = *time_left + 2 * END_TICKS * self.set.tick < *longest;
-                let spent = if cut { c.deadline.saturating_sub(*time_left) } else { 0 };
+                let later = self.later_try(*class, *time_left);
+                let spent = if later { c.deadline.saturating_sub(*time_left) } else { 0 };
                 let past = spent >= aim;
                 let share = if self.over_quota(*tenant) { self.set.over_share_worth } else { 1.0 };
                 let worth = c.points * share * if past { c.late_worth } else { 1.0 };
@@ -517,6 +517,21 @@
         self.set.classes.iter().map(|c| c.points).fold(0.0, f64::max)
     }
 
+    /// A client's last try gets what is left of its time, which tells how much has passed. First tries of a
+    /// class come with the same time, or a few, so an uncommon one is a later try's, be it shorter or longer:
+    /// a first try may have less than all of the client's time. Where no time is common nothing is known.
+    fn later_try(&mut self, class: ClassId, time_left: Nanos) -> bool {
+        let width = 2 * END_TICKS * self.set.tick;
+        let seen = &mut self.patience[usize::from(class.0)];
+        seen.push_back(time_left);
+        if seen.len() > RANKED {
+            seen.pop_front();
+        }
+        let near = |t: Nanos| seen.iter().filter(|s| s.abs_diff(t) <= width).count();
+        let common = |t: Nanos| near(t) as f64 >= COMMON * seen.len() as f64;
+        !common(time_left) && seen.iter().any(|t| common(*t))
+    }
+
     /// A token bucket a tenant, filled with this instance's even share of the quota.
     fn over_quota(&mut self, tenant: TenantId) -> bool {
         let at = tenant.0 as usize;
