Take each query for what it asks: time left no longer tells a later try

An impatient client's first try has as little time left as a later try of a patient one, and came out as past its aim.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 
 /// Ticks kept free before an aim: one to see the answer, one to send it, one for the way to the client.
 const AIM_TICKS: u64 = 3;
-/// Ticks kept free before the client's time is up; two first tries' time left may differ by twice as many.
+/// Ticks kept free before the client's time is up.
 const END_TICKS: u64 = 4;
 /// Room for a second step, in typical response times: the last of its parts counts, and late is worth little.
 const SECOND_ROOM: f64 = 2.5;
@@ -29,10 +29,8 @@
 const GAINS: [f64; 3] = [0.4, 0.1, 0.05];
 /// Bound of the error, in units of the room above the target: one bad reading must not empty the share.
 const ERROR_BOUND: f64 = 3.0;
-/// Low-worth queries remembered to tell the least worth, and times left of a class: enough for a rank.
+/// Low-worth queries remembered to tell the least worth of them: enough for a rank.
 const RANKED: usize = 64;
-/// A time left that this share of a class's queries came with is a first try's.
-const COMMON: f64 = 0.25;
 /// Weight of a new response time in a replica's pace.
 const PACE_GAIN: f64 = 0.5;
 /// The same for the typical figures of the fleet, which see many more answers.
@@ -245,8 +243,6 @@
     extras: VecDeque<Nanos>,
     ranks: VecDeque<f64>,
     quotas: Vec<(f64, Nanos)>,
-    /// The time left that the last queries of each class came with; see `later_try`.
-    patience: Vec<VecDeque<Nanos>>,
     share: f64,
     errors: [f64; 2],
     control_at: Nanos,
@@ -285,7 +281,6 @@
             extras: VecDeque::new(),
             ranks: VecDeque::new(),
             quotas: vec![(1.0, now); set.tenants.len()],
-            patience: vec![VecDeque::new(); set.classes.len()],
             share: 1.0,
             errors: [0.0; 2],
             control_at: now,
@@ -330,17 +325,16 @@
                     return actions.push(Action::Fail(*query));
                 };
                 let aim = (c.aim + (c.aim_stretch * hint.unwrap_or(0) as f64) as Nanos).min(c.deadline);
-                let later = self.later_try(*class, *time_left);
-                let spent = if later { c.deadline.saturating_sub(*time_left) } else { 0 };
-                let past = spent >= aim;
+                // Time left tells no later try: a last one gets all that is left, which may be more than
+                // a first one had, and an impatient client's first one comes with as little as any.
                 let share = if self.over_quota(*tenant) { self.set.over_share_worth } else { 1.0 };
-                let worth = c.points * share * if past { c.late_worth } else { 1.0 };
+                let worth = c.points * share;
                 // A key keeps its luck for a while: a client's next try should not gamble.
                 let epoch = self.now / QUALITY_WINDOW;
                 let dice = if *key == 0 { self.rng.u64(..) } else { *key };
                 let luck = fastrand::Rng::with_seed(dice ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)).f64();
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
-                let due = self.now + aim.saturating_sub(spent + AIM_TICKS * self.set.tick);
+                let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
                 self.taken.push_back(self.now);
                 let few = (self.queries.values().filter(|q| q.sampled).count() as f64) < WANTED_READINGS;
                 let sampled = worth >= self.top() && (few || self.rng.f64() < LEAST_SAMPLE);
@@ -354,7 +348,7 @@
                     luck,
                     stage: Stage::New,
                     taken: self.now,
-                    due: if past { end } else { due.min(end) },
+                    due: due.min(end),
                     end,
                     sampled,
                     first: None,
@@ -517,21 +511,6 @@
         self.set.classes.iter().map(|c| c.points).fold(0.0, f64::max)
     }
 
-    /// A client's last try gets what is left of its time, which tells how much has passed. First tries of a
-    /// class come with the same time, or a few, so an uncommon one is a later try's, be it shorter or longer:
-    /// a first try may have less than all of the client's time. Where no time is common nothing is known.
-    fn later_try(&mut self, class: ClassId, time_left: Nanos) -> bool {
-        let width = 2 * END_TICKS * self.set.tick;
-        let seen = &mut self.patience[usize::from(class.0)];
-        seen.push_back(time_left);
-        if seen.len() > RANKED {
-            seen.pop_front();
-        }
-        let near = |t: Nanos| seen.iter().filter(|s| s.abs_diff(t) <= width).count();
-        let common = |t: Nanos| near(t) as f64 >= COMMON * seen.len() as f64;
-        !common(time_left) && seen.iter().any(|t| common(*t))
-    }
-
     /// A token bucket a tenant, filled with this instance's even share of the quota.
     fn over_quota(&mut self, tenant: TenantId) -> bool {
         let at = tenant.0 as usize;
