Leave a connection that fell silent, and end one whose answer is spoilt

Looked at: no connect fails, no error, no reset, CPU under its limit; so load and nodes are excluded. A connection was only suspect once an attempt on it had been out for 0.4 s: here answers take 6 ms, attempts are given up after some 33 ms, so none ever was, and every part for that node went on behind the silence. Half a frame was waited for without end, and what came next would have been taken for its end. To blame: links.rs, SILENT and call_off; slot() took any connection that was not closing; frames.rs read(): an id that is not out was passed over (its part waited in vain), values were taken unchecked, a score could be anything. Now a connection is silent after four typical response times (measured on all nodes) and 5 ms without a byte: new parts take another one, at most four to a node, and one whose attempt is given up then carries nothing new. A frame without its end for 50 ms, an unknown id, a line or score that cannot be read and a value with control characters end the connection, and its parts as reset. A report may be anything; copies and late answers are passed over by their ids, which each connection keeps, 256 at most. Tests: a_connection_that_falls_silent..., only_a_sound_answer_is_an_answer..., copies_and_late_answers...; the model of a link answers only what it has read.

--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -1,7 +1,7 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
 use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK};
-use crate::core::{log_rarely, AttemptKey, Input, Job, COUNTERS};
+use crate::core::{log_rarely, AttemptKey, End, Input, Job, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
 use crate::settings::Deployment;
@@ -11,15 +11,22 @@
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// An idle connection is left alone so long before the other side may close it: a write after that is a reset,
 /// and a reset part may have run.
 const IDLE_MARGIN: Micros = Micros::from_secs(3);
-/// A connection on which nothing came while an attempt was out so long before it was given up is suspect.
-const SILENT: Micros = Micros::from_millis(400);
+/// A connection on which nothing came while an attempt was out for so many typical response times, and this on top, is
+/// silent: the attempt may be slow, but what matters is that nothing new waits behind it.
+const SILENT: (u64, Micros) = (4, Micros::from_millis(5));
+/// The typical response time before any was seen.
+const FIRST_TYPICAL: Micros = Micros::from_millis(60);
+/// A frame that began to come is here whole by then, or its length is wrong and it never will be: what comes after it
+/// would be taken for its end.
+const MOST_PARTIAL: Micros = Micros::from_millis(50);
 /// Most connections to one node, whatever happens.
-const MOST_LINKS: usize = 8;
+const MOST_LINKS: usize = 4;
 
 /// A connection as the pool and its driver share it.
 #[derive(Default)]
@@ -37,10 +44,47 @@
     closing: bool,
     /// Nothing came on it for long while something should have.
     suspect: bool,
+    /// Since when the begin of a frame has been here without its end.
+    partial: Option<Micros>,
+    /// What came on it cannot be used: it is to end now.
+    spoilt: bool,
     /// When bytes last came, or when it was opened.
     heard: Micros,
     /// When it was last in use.
     used: Micros,
+    /// When each attempt that is out on it was launched.
+    sent: HashMap<AttemptKey, Micros>,
+}
+
+impl SlotState {
+    /// An attempt that has ended is out no more; when it was launched.
+    fn forget(&mut self, event: &LinkEvent) -> Option<Micros> {
+        match event {
+            LinkEvent::Ended(key, _) => self.sent.remove(key),
+            _ => None,
+        }
+    }
+
+    /// Since when something has been out while nothing came.
+    fn quiet_since(&self) -> Option<Micros> {
+        self.sent.values().min().map(|oldest| self.heard.max(*oldest))
+    }
+}
+
+/// The typical response time of all nodes, as the drivers see it.
+#[derive(Debug)]
+struct Typical(AtomicU64);
+
+impl Typical {
+    fn saw(&self, took: Micros) {
+        let before = self.0.load(Relaxed);
+        self.0.store(before - before / 32 + took.0 / 32, Relaxed);
+    }
+
+    /// What is quiet for longer is silent.
+    fn patience(&self) -> Micros {
+        Micros(self.0.load(Relaxed) * SILENT.0) + SILENT.1
+    }
 }
 
 impl Slot {
@@ -59,7 +103,7 @@
 /// All connections to data nodes.
 pub struct Links {
     nodes: HashMap<ReplicaId, Node>,
-    sent: HashMap<AttemptKey, Micros>,
+    typical: Arc<Typical>,
     inbox: Sender<Input>,
     clock: Clock,
     dial_timeout: Micros,
@@ -74,7 +118,7 @@
         let idle = Micros::from_nanos(deployment.idle_close);
         Links {
             nodes: HashMap::new(),
-            sent: HashMap::new(),
+            typical: Arc::new(Typical(AtomicU64::new(FIRST_TYPICAL.0))),
             inbox,
             clock,
             dial_timeout: Micros::from_nanos(deployment.dial_timeout),
@@ -88,20 +132,26 @@
         let node = self.nodes.get_mut(&replica)?;
         let address = node.address.filter(|_| node.ready)?;
         node.links.retain(|l| !l.lock().dead);
-        let (limit, most) = (self.idle_limit, self.most_parts);
+        let (limit, most, patience) = (self.idle_limit, self.most_parts, self.typical.patience());
+        let mut silent = None;
         for slot in &node.links {
             let mut state = slot.lock();
             if state.link.idle() && now.since(state.used) >= limit {
                 state.closing = true;
                 wake(&state);
             }
-            if !state.closing && state.link.load() + parts <= most {
+            if state.closing || state.link.load() + parts > most {
+                continue;
+            }
+            // A connection can fall silent while its node is sound: what follows takes another one.
+            if state.partial.is_none() && state.quiet_since().is_none_or(|t| now.since(t) <= patience) {
                 drop(state);
                 return Some(slot.clone());
             }
+            silent = Some(slot.clone());
         }
         if node.links.len() >= MOST_LINKS {
-            return None;
+            return silent;
         }
         COUNTERS.dials.add();
         let slot = Arc::new(Slot::default());
@@ -116,6 +166,7 @@
             inbox: self.inbox.clone(),
             clock: self.clock,
             report: self.report.clone(),
+            typical: self.typical.clone(),
         };
         let dial_timeout = self.dial_timeout;
         if spawn(SMALL_STACK, move || driver.run(address, dial_timeout)).is_err() {
@@ -141,6 +192,9 @@
                 let mut events = Vec::new();
                 let mut state = slot.lock();
                 state.link.take_back(&mut events);
+                for event in &events {
+                    let _ = state.forget(event);
+                }
                 state.closing = true;
                 wake(&state);
                 drop(state);
@@ -150,15 +204,14 @@
     }
 
     fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
-        self.sent.extend(jobs.iter().map(|j| (j.key, now)));
         let slot = self.slot(replica, now, jobs.len());
         let Some(slot) = slot else {
-            let refused =
-                jobs.iter().map(|j| LinkEvent::Ended(j.key, crate::core::End::Not(Outcome::ConnectFailed)));
+            let refused = jobs.iter().map(|j| LinkEvent::Ended(j.key, End::Not(Outcome::ConnectFailed)));
             return forward(&self.inbox, replica, &self.report, refused);
         };
         let mut state = slot.lock();
         state.link.call(jobs);
+        state.sent.extend(jobs.iter().map(|j| (j.key, now)));
         state.used = now;
         wake(&state);
     }
@@ -181,16 +234,17 @@
     }
 
     fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
-        let sent = self.sent.remove(&key).unwrap_or(now);
+        let patience = self.typical.patience();
         let Some(node) = self.nodes.get(&replica) else { return };
         for slot in &node.links {
             let mut state = slot.lock();
             if state.link.holds(key) {
                 state.link.call_off(key);
+                let sent = state.sent.remove(&key).unwrap_or(now);
                 state.used = now;
                 // A machine that vanished leaves its connections open and silent, and resets them when it is
                 // back: what goes out on such a one is lost. A new one fails in time and proves it never ran.
-                if state.heard < sent && now.since(sent) > SILENT && !state.suspect {
+                if state.heard < sent && now.since(sent) > patience && !state.suspect {
                     COUNTERS.links_suspect.add();
                     state.suspect = true;
                     state.closing = true;
@@ -206,11 +260,18 @@
         }
     }
 
-    fn tidy(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool) {
+    fn tidy(&mut self, now: Micros, _out: &dyn Fn(AttemptKey) -> bool) {
         let limit = self.idle_limit;
         for node in self.nodes.values_mut() {
             node.links.retain(|slot| {
                 let mut state = slot.lock();
+                if state.partial.is_some_and(|since| now.since(since) > MOST_PARTIAL) && !state.spoilt {
+                    log_rarely(&COUNTERS.bad_frames, || {
+                        format!("data node {:?}: a frame without its end", node.address)
+                    });
+                    (state.spoilt, state.closing) = (true, true);
+                    wake(&state);
+                }
                 if state.link.idle() && !state.closing && now.since(state.used) >= limit {
                     COUNTERS.links_idle_closed.add();
                     state.closing = true;
@@ -219,7 +280,6 @@
                 !state.dead
             });
         }
-        self.sent.retain(|key, _| out(*key));
     }
 }
 
@@ -278,6 +338,7 @@
     inbox: Sender<Input>,
     clock: Clock,
     report: Arc<Vec<String>>,
+    typical: Arc<Typical>,
 }
 
 impl Driver {
@@ -286,6 +347,7 @@
             // The node closed the connection before anything that waits was written: it is owed another one.
             let mut state = self.slot.lock();
             state.waker = None;
+            state.partial = None;
             if state.closing || !state.link.restart() {
                 break;
             }
@@ -326,7 +388,7 @@
     fn step(&self, stream: &std::net::TcpStream, heard: &mut bool) -> bool {
         let mut events = Vec::new();
         let mut state = self.slot.lock();
-        let open = self.exchange(&mut state, stream, &mut events, heard);
+        let open = !state.spoilt && self.exchange(&mut state, stream, &mut events, heard);
         let done = state.closing && state.link.idle();
         drop(state);
         self.forward(events);
@@ -347,11 +409,24 @@
                     state.link.input().filled(n);
                     state.heard = self.clock.now();
                     *heard = true;
-                    if let Err(bad) = state.link.read(events) {
-                        log_rarely(&COUNTERS.bad_frames, || {
-                            format!("data node {}: {}", stream_name(stream), bad.0)
-                        });
-                        return false;
+                    let read = state.link.read(events);
+                    for event in events.iter() {
+                        let sent = state.forget(event);
+                        if let (Some(sent), LinkEvent::Ended(_, End::Served(_))) = (sent, event) {
+                            self.typical.saw(state.heard.since(sent));
+                        }
+                    }
+                    match read {
+                        Ok(whole) => {
+                            let since = state.partial.filter(|_| whole == 0).or(Some(state.heard));
+                            state.partial = since.filter(|_| state.link.partial());
+                        }
+                        Err(bad) => {
+                            log_rarely(&COUNTERS.bad_frames, || {
+                                format!("data node {}: {}", stream_name(stream), bad.0)
+                            });
+                            return false;
+                        }
                     }
                 }
                 Tried::Wait => break,
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -9,6 +9,8 @@
 
 /// Most bytes of a frame from a data node: a value's bound and its line.
 const MOST_FRAME: usize = 64 * 1024 + 1024;
+/// Ids remembered of parts that are over here: late answers and second copies bear them.
+const MOST_PAST: usize = 256;
 
 /// What came of the bytes that were written or read.
 #[derive(Debug, Clone, PartialEq)]
@@ -40,6 +42,8 @@
     /// The parts that are out here, by their ids, and whether their frames are written.
     out: HashMap<String, (AttemptKey, bool)>,
     ids: HashMap<AttemptKey, String>,
+    /// The ids of parts that went out here and are over, the oldest first.
+    past: VecDeque<String>,
     probes: usize,
 }
 
@@ -89,6 +93,7 @@
             None => {
                 let bytes = frame(b'c', id.as_bytes());
                 self.output.push_back(Outgoing { bytes, written: 0, keys: Vec::new() });
+                remember(&mut self.past, id);
             }
         }
     }
@@ -131,24 +136,29 @@
         &mut self.input
     }
 
-    /// Takes in what was read.
-    pub fn read(&mut self, events: &mut Vec<LinkEvent>) -> Result<(), BadFrame> {
+    /// Takes in what was read: how many frames came whole.
+    pub fn read(&mut self, events: &mut Vec<LinkEvent>) -> Result<usize, BadFrame> {
+        let mut whole = 0;
         loop {
             let data = self.input.data();
-            let Some(head) = data.first_chunk::<4>() else { return Ok(()) };
+            let Some(head) = data.first_chunk::<4>() else { return Ok(whole) };
             let length = u32::from_be_bytes(*head) as usize;
             if length == 0 || length > MOST_FRAME {
                 return Err(BadFrame(format!("a frame of {length} bytes")));
             }
-            let Some(body) = data.get(4..4 + length) else { return Ok(()) };
+            let Some(body) = data.get(4..4 + length) else { return Ok(whole) };
             let (letter, rest) = (body[0], &body[1..]);
             match letter {
                 b'a' => {
                     let (id, end) = answer(rest)?;
-                    // An answer to an attempt that was given up is of no use any more.
                     if let Some((key, _)) = self.out.remove(id) {
                         self.ids.remove(&key);
+                        remember(&mut self.past, id.to_owned());
                         events.push(LinkEvent::Ended(key, end));
+                    } else if !self.past.iter().any(|p| p == id) {
+                        // A second copy, or the answer to what was given up, is of no use any more. One to what never
+                        // went out here is some part's answer spoilt: that part would be waited for in vain.
+                        return Err(BadFrame("an answer to what never went out".to_owned()));
                     }
                 }
                 b'l' | b'p' => {
@@ -163,9 +173,15 @@
                 other => return Err(BadFrame(format!("unknown letter {:?}", char::from(other)))),
             }
             self.input.used(4 + length);
+            whole += 1;
         }
     }
 
+    /// The begin of a frame is here and its end is not.
+    pub fn partial(&self) -> bool {
+        !self.input.data().is_empty()
+    }
+
     /// The connection has ended: can what waits on it go out on a new one? Only if nothing that may have run is out;
     /// then every frame begins anew. A node closes idle connections, and a part must not pay for that.
     pub fn restart(&mut self) -> bool {
@@ -173,6 +189,7 @@
             return false;
         }
         self.input = Buffer::default();
+        self.past.clear();
         self.output.retain(|f| f.keys.iter().any(|k| self.ids.contains_key(k)));
         self.output.iter_mut().for_each(|f| f.written = 0);
         for _ in 0..std::mem::take(&mut self.probes) {
@@ -213,17 +230,39 @@
     }
 }
 
+fn remember(past: &mut VecDeque<String>, id: String) {
+    past.push_back(id);
+    if past.len() > MOST_PAST {
+        past.pop_front();
+    }
+}
+
+/// An answer's id and end. Nothing but a value that came as it was made may reach a client, so whatever is not as it
+/// should be spoils the answer; only the report may be anything, since nothing hangs on it.
 fn answer(rest: &[u8]) -> Result<(&str, End), BadFrame> {
-    let bad = || BadFrame("an answer without its line".to_owned());
-    let end = rest.iter().position(|b| *b == b'\n').ok_or_else(bad)?;
-    let line = std::str::from_utf8(&rest[..end]).map_err(|_| bad())?;
-    let mut words = line.split(' ');
-    let (Some(id), Some(how)) = (words.next(), words.next()) else { return Err(bad()) };
+    let bad = |what: &str| BadFrame(format!("an answer with {what}"));
+    let end = rest.iter().position(|b| *b == b'\n').ok_or_else(|| bad("no end of its line"))?;
+    let mut words = rest[..end].splitn(4, |b| *b == b' ').map(std::str::from_utf8);
+    let (Some(Ok(id)), Some(Ok(how)), Some(Ok(score)), Some(_)) =
+        (words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(bad("a line that cannot be read"));
+    };
     let end = match how {
-        "served" => End::Served(rest[end + 1..].into()),
+        "served" => {
+            let value = &rest[end + 1..];
+            if score.parse::<f64>().is_ok_and(f64::is_finite)
+                && std::str::from_utf8(value).is_ok_and(|v| !v.contains(char::is_control))
+            {
+                End::Served(value.into())
+            } else {
+                // Two frames run together by a wrong length hold the second one's head.
+                return Err(bad("a score or a value that cannot be read"));
+            }
+        }
         "broke" => End::Not(Outcome::Error),
         "skipped" => End::Not(Outcome::Full),
-        other => return Err(BadFrame(format!("unknown end {other:?}"))),
+        other => return Err(bad(&format!("the unknown end {other:?}"))),
     };
     Ok((id, end))
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -8,7 +8,7 @@
 use quinceflow::proto::http::{Response, Server};
 use quinceflow::time::Micros;
 use quinceflow::{AttemptNo, Outcome, PartId, ShardId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn config() -> ProptestConfig {
     ProptestConfig {
@@ -18,6 +18,22 @@
     }
 }
 
+/// What a data node may send that is no good answer to part 0: what it is, and whether the connection is of use after.
+const ODD: [(&str, bool); 12] = [
+    ("9b1f.0 served 1 inflight=\u{fffd} x,util\nvalue", true),
+    ("9b1f.0 served 1 -\nvalue\0\0\0", false),
+    ("9b1f.0 served 1 -\nva\nlue", false),
+    ("9b1f.0 served x -\nvalue", false),
+    ("9b1f.0 served 1\nvalue", false),
+    ("9b1f.0 serve 1 -\nvalue", false),
+    ("9b1f.0served 1 -\nvalue", false),
+    ("9b1f.0 served 1 -", false),
+    ("9b1f.00 served 1 -\nvalue", false),
+    ("", false),
+    ("9b1f.0 broke 1 -\n", true),
+    ("9b1f.0 skipped 1 -\n", true),
+];
+
 #[derive(Debug, Clone)]
 enum Step {
     Call,
@@ -92,6 +108,8 @@
         // What is written on the present connection, and what is queued: whose call it is, and its bytes left.
         let mut wire = Vec::new();
         let mut queue: Vec<(Option<usize>, usize, usize)> = Vec::new();
+        // The parts that the data node has read on the present connection: it answers no others.
+        let mut met = BTreeSet::new();
         for step in steps.into_iter().chain([Step::Break]) {
             let mut events = Vec::new();
             let mut expected: BTreeMap<usize, Option<Outcome>> = BTreeMap::new();
@@ -126,7 +144,9 @@
                     if n > 0 {
                         queue[0].1 -= n;
                         if queue[0].1 == 0 {
-                            if let Some(call) = queue.remove(0).0.filter(|c| known[*c] != Known::Over) {
+                            let call = queue.remove(0).0;
+                            met.extend(call);
+                            if let Some(call) = call.filter(|c| known[*c] != Known::Over) {
                                 known[call] = Known::Written;
                                 prop_assert_eq!(&events[..], &[LinkEvent::Written(key(call))]);
                                 events.clear();
@@ -136,8 +156,7 @@
                 }
                 Step::Answer(n, how, cut) if !known.is_empty() => {
                     let n = n % known.len();
-                    // A data node answers only what it has read.
-                    if matches!(known[n], Known::Left(_)) {
+                    if !met.contains(&n) {
                         continue;
                     }
                     let word = ["served", "broke", "skipped"][how];
@@ -166,6 +185,7 @@
                         queue.retain(|q| q.0.is_some_and(|n| known[n] != Known::Over));
                         queue.iter_mut().for_each(|q| q.1 = q.2);
                         wire.clear();
+                        met.clear();
                     }
                 }
                 Step::Break => {
@@ -195,6 +215,7 @@
                 prop_assert!(link.idle());
                 queue.clear();
                 wire.clear();
+                met.clear();
             }
             let written = frames(&wire);
             for (n, k) in known.iter().enumerate().filter(|(_, k)| **k == Known::Written) {
@@ -277,6 +298,49 @@
     }
 }
 
+#[test]
+fn only_a_sound_answer_is_an_answer_and_its_report_may_be_anything() {
+    // An unknown id was passed over, and its part waited in vain; values came as they were, with the next frame's head.
+    for (text, sound) in ODD {
+        let (mut link, mut events) = (Link::default(), Vec::new());
+        link.call(&[job(0)]);
+        link.wrote(link.output().len(), &mut events);
+        events.clear();
+        link.input().feed(&frame('a', text));
+        assert_eq!(link.read(&mut events).is_ok(), sound, "{text:?}");
+        assert_eq!(events.len(), usize::from(sound), "{text:?}");
+        let served = matches!(&events[..], [LinkEvent::Ended(_, End::Served(v))] if &v[..] == b"value");
+        assert_eq!(served, sound && text.contains("served"), "{text:?}");
+        events.clear();
+        link.broken(&mut events);
+        let reset = [LinkEvent::Ended(key(0), End::Not(Outcome::Reset))];
+        assert_eq!(&events[..], if sound { &[][..] } else { &reset[..] }, "it may have run: {text:?}");
+    }
+}
+
+#[test]
+fn copies_and_late_answers_spoil_nothing_and_half_a_frame_shows() {
+    let (mut link, mut events) = (Link::default(), Vec::new());
+    link.call(&[job(0)]);
+    link.call(&[job(1)]);
+    while !link.output().is_empty() {
+        link.wrote(link.output().len(), &mut events);
+    }
+    link.call_off(key(1));
+    let answer = |n: usize| frame('a', &format!("9b1f.{n} served 1 -\nvalue"));
+    events.clear();
+    for bytes in [answer(0), answer(0), answer(1)] {
+        link.input().feed(&bytes);
+    }
+    assert_eq!(link.read(&mut events).ok(), Some(3));
+    assert_eq!(events.len(), 1, "{events:?}");
+    assert!(!link.partial());
+    // A length that does not fit: nothing may come after it that would be taken for its end.
+    link.input().feed(&answer(0)[..9]);
+    assert_eq!(link.read(&mut events).ok(), Some(0));
+    assert!(link.partial());
+}
+
 #[test]
 fn what_is_malformed_gets_a_fitting_status() {
     let status = |text: &str| {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -21,6 +21,10 @@
     Reset,
     /// Serves and ends the connection.
     ServeAndClose,
+    /// Says nothing on this connection from now on; others are served.
+    Mute,
+    /// Sends the begin of an answer, and says nothing on this connection from now on.
+    Half,
 }
 
 struct Node {
@@ -59,6 +63,7 @@
 }
 
 fn serve(mut stream: TcpStream, log: &Mutex<Vec<String>>, act: &dyn Fn(usize) -> Act) -> std::io::Result<()> {
+    let mut mute = false;
     loop {
         let mut head = [0; 5];
         stream.read_exact(&mut head)?;
@@ -78,8 +83,16 @@
             log.len()
         };
         let id = words[0];
+        if mute {
+            continue;
+        }
         match act(number) {
             Act::Hang => {}
+            Act::Mute => mute = true,
+            Act::Half => {
+                mute = true;
+                stream.write_all(&[0, 0, 0, 90, b'a', b'9'])?;
+            }
             Act::Reset => return Ok(()),
             Act::Break => frame(&mut stream, b'a', &format!("{id} broke 0 -\n"))?,
             Act::Skip => frame(&mut stream, b'a', &format!("{id} skipped 0 -\n"))?,
@@ -211,6 +224,25 @@
     }
 }
 
+#[test]
+fn a_connection_that_falls_silent_costs_no_query_while_its_node_is_sound() {
+    // It was used on until an attempt had been out for 0.4 s, which where answers take milliseconds none ever was; and
+    // what followed half an answer was taken for its end.
+    for fault in [Act::Mute, Act::Half] {
+        let nodes = [(); 2].map(|()| node(move |n| if n == 100 { fault } else { Act::Serve }));
+        let (edge, _changes) = start(&format!("mute{}", fault as u8), &nodes.each_ref(), 1024);
+        until_ready(&edge);
+        let seen = |n: &Node| n.seen.lock().expect("log").len();
+        for n in 0..1_000 {
+            assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200, "query {n}");
+            if nodes.iter().all(|n| seen(n) > 120) {
+                break;
+            }
+        }
+        assert!(nodes.iter().all(|n| seen(n) > 120 && *n.connections.lock().expect("count") > 1));
+    }
+}
+
 #[test]
 fn a_connection_that_its_node_closed_costs_no_part() {
     // A node closes what stands idle; the part that met that was lost with its connection.
