Bound clients by the limits told, give a request 2.2 s, turn bad input away

Read from the code, each shown by a test that failed before: half a request had 10 s, a connection that said nothing 120 s or, once it had sent a byte, no end but that; eviction took only connections between requests, the same one again until its coroutine ran, so a silent crowd held all places; what was still being sent after an error was cut by a reset; a query without a deadline or text, or with shares that miss 1, was served; the id of an open request took over that request's answers at the nodes. Excluded: both lengths at once (400 and a close already), unknown classes and shards, shards named twice. To blame: clients.rs MOST_REQUEST, MOST_IDLE, evict, adopt; server.rs most_clients; platform/mod.rs query; core/mod.rs take_request, which knew no labels. Now: two thirds of the descriptors for clients; room is made by the failed, the silent and the half-sent first; 2.2 s for a request, counted for the first from being accepted (then 408 and a close); what clients sent is bounded by memory_mb; a client that takes no answers is not read from; after an error what comes is dropped for 1 s or 1 MiB before the close. 409 for the id of a request that is held or out. A request's time counts from its last byte, as the protocol says; it did from its first. All of it holds for both fronts. Tests: who_says_nothing..., an_error_reaches_a_client..., the_id_of_an_open_request..., a_label_is_free_again..., bounds.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -52,6 +52,8 @@
     whole, partial, refused, failed, gone,
     /// Queries refused since the core was full, or since their time was over when they came.
     over_held, over_time,
+    /// Requests turned away since their label was that of an open one.
+    labels_taken,
     /// Attempts: launched, written whole, and how they ended.
     attempts, written, served, errors, turned_away, timed_out, connect_failed, resets, cancelled, unsent,
     /// Probes sent.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,6 +27,7 @@
     sent: Micros,
     until: Micros,
     written: bool,
+    label: Arc<str>,
 }
 
 /// A query that has no final answer yet.
@@ -49,6 +50,8 @@
     held: BTreeMap<QueryId, Held>,
     held_count: usize,
     tokens: HashMap<Token, QueryId>,
+    /// What is held or out under each label: servers know parts by it, so two requests must not share one.
+    labels: HashMap<Arc<str>, usize>,
     parts: HashMap<PartId, (QueryId, usize)>,
     flights: BTreeMap<AttemptKey, Flight>,
     attempts: HashMap<PartId, u16>,
@@ -75,6 +78,7 @@
             held: BTreeMap::new(),
             held_count: 0,
             tokens: HashMap::new(),
+            labels: HashMap::new(),
             parts: HashMap::new(),
             flights: BTreeMap::new(),
             attempts: HashMap::new(),
@@ -211,7 +215,12 @@
             let come_back = self.set.retry_after.map(Micros::from_nanos);
             return out.push(Command::Reply(request.token, Answer::Refused { come_back, late: false }));
         }
+        if self.labels.contains_key(&request.label) {
+            COUNTERS.labels_taken.add();
+            return out.push(Command::Reply(request.token, Answer::Taken));
+        }
         COUNTERS.taken.add();
+        self.labels.insert(request.label.clone(), 1);
         self.held_count += size;
         let query = QueryId(self.next_id);
         let group = Group(self.next_group);
@@ -262,6 +271,7 @@
     fn land(&mut self, key: AttemptKey) -> Option<Flight> {
         let flight = self.flights.remove(&key)?;
         self.time_outs.remove(&(flight.until, key));
+        self.unlabel(&flight.label);
         Some(flight)
     }
 
@@ -306,9 +316,20 @@
         }
     }
 
+    /// One user less of a label; with the last one it is free again.
+    fn unlabel(&mut self, label: &Arc<str>) {
+        if let Some(users) = self.labels.get_mut(label) {
+            *users -= 1;
+            if *users == 0 {
+                self.labels.remove(label);
+            }
+        }
+    }
+
     /// Takes a query off the books, so that it can have no second answer.
     fn forget(&mut self, query: QueryId) -> Option<Held> {
         let held = self.held.remove(&query)?;
+        self.unlabel(&held.request.label);
         self.held_count -= 1 + held.values.len();
         self.ends.remove(&(held.until, query));
         self.tokens.remove(&held.request.token);
@@ -377,11 +398,14 @@
             self.set.second_copies || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
         );
-        self.flights.insert(key, Flight { replica, sent: now, until, written: false });
+        let label = held.request.label.clone();
+        let flight = Flight { replica, sent: now, until, written: false, label: label.clone() };
+        self.flights.insert(key, flight);
+        *self.labels.entry(label.clone()).or_insert(0) += 1;
         self.time_outs.insert((until, key));
         let job = Job {
             key,
-            label: held.request.label.clone(),
+            label,
             shard: held.request.parts[at].shard,
             text: held.request.text.clone(),
             patience: until.since(now),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -138,6 +138,8 @@
         /// Its time ran out first.
         late: bool,
     },
+    /// Its label is that of a request that is still open: it was not begun.
+    Taken,
     /// Given up, with no promise.
     Failed {
         /// Its time ran out first.
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -28,6 +28,9 @@
     /// Descriptors that the process may hold.
     #[serde(default = "sockets")]
     pub sockets: usize,
+    /// Memory that the process may use, in MiB.
+    #[serde(default = "memory")]
+    pub memory_mb: usize,
     /// Features of an answer when its query names no limit.
     #[serde(default = "limit")]
     pub default_limit: usize,
@@ -127,6 +130,9 @@
 fn sockets() -> usize {
     1024
 }
+fn memory() -> usize {
+    192
+}
 fn limit() -> usize {
     100
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -14,11 +14,12 @@
 const MOST_ID: usize = 128;
 /// Longest time a client may state; anything longer is as good as this.
 const MOST_PATIENCE_S: f64 = 3_600.0;
+/// Shares are rounded: together they may miss 1 by so much.
+const MOST_ROUNDING: f64 = 1e-3;
 
 #[derive(Deserialize)]
 struct Query {
     tablets: Vec<Tablet>,
-    #[serde(default)]
     statement: String,
 }
 
@@ -45,18 +46,13 @@
 #[derive(Debug)]
 pub struct Platform {
     classes: Vec<String>,
-    deadlines: Vec<Micros>,
     shards: u32,
 }
 
 impl Platform {
     /// A front for these classes and shards.
     pub fn new(deployment: &Deployment) -> Self {
-        Platform {
-            classes: deployment.class_names.clone(),
-            deadlines: deployment.module.classes.iter().map(|c| Micros::from_nanos(c.deadline)).collect(),
-            shards: deployment.module.shards,
-        }
+        Platform { classes: deployment.class_names.clone(), shards: deployment.module.shards }
     }
 
     fn query(&self, request: &HttpRequest, token: Token, sent: Micros) -> Result<Request, String> {
@@ -67,14 +63,9 @@
         }
         let name = header("X-Qos")?;
         let class = self.classes.iter().position(|c| c == name).ok_or("X-Qos names no class")?;
-        let patience = match request.headers.get("X-Expires-In") {
-            None => self.deadlines[class],
-            Some(text) => {
-                let seconds = text.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
-                let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MOST_PATIENCE_S);
-                Micros((seconds * 1e6) as u64)
-            }
-        };
+        let seconds = header("X-Expires-In")?.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
+        let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MOST_PATIENCE_S);
+        let patience = Micros((seconds * 1e6) as u64);
         let query: Query = serde_json::from_slice(&request.body).map_err(|e| format!("body: {e}"))?;
         let mut parts: Vec<PartOf> = Vec::with_capacity(query.tablets.len());
         for t in query.tablets {
@@ -92,6 +83,10 @@
         if parts.is_empty() {
             return Err("no tablets".to_owned());
         }
+        // Shares that do not add up would let an answer pass for whole that is not.
+        if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > MOST_ROUNDING {
+            return Err("the fractions do not add up to 1".to_owned());
+        }
         Ok(Request {
             token,
             label: label.into(),
@@ -149,6 +144,7 @@
             response.headers.extend(come_back.map(|t| ("Retry-After", seconds(t))));
             response
         }
+        Answer::Taken => Response::new(409, TEXT, "X-Trace-Id is that of an open request\n"),
         Answer::Failed { late: true } => Response::new(504, TEXT, "out of time\n"),
         Answer::Failed { late: false } => Response::new(502, TEXT, "failed\n"),
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,25 +3,62 @@
 use super::{spawn, try_read, try_write, Tried, SMALL_STACK};
 use crate::core::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
-use crate::proto::http::Server;
+use crate::proto::http::{HttpError, Server};
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::net::Shutdown;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-/// A request that began must be here whole by then.
-const MOST_REQUEST: Micros = Micros::from_secs(10);
-/// An idle connection is kept so long.
-const MOST_IDLE: Micros = Micros::from_secs(120);
+/// A request must be here whole by then, and the first one of a connection begun: the clients are owed an error or a
+/// close within 3 s.
+const MOST_REQUEST: Micros = Micros::from_millis(2_200);
+/// An idle connection is kept so long,
+const MOST_IDLE: Micros = Micros::from_secs(30);
+/// or so long while more than half of the places are taken.
+const MOST_IDLE_CROWDED: Micros = Micros::from_millis(2_500);
+/// Whoever was accepted so lately may just be about to ask, and does not give way to others.
+const NEW: Micros = Micros::from_millis(200);
+/// After an error what still comes is read and dropped for so long, and so much of it: a close with unread input is a
+/// reset, which can eat the error.
+const MOST_LINGER: Micros = Micros::from_secs(1);
+/// See [`MOST_LINGER`].
+const MOST_LINGER_BYTES: usize = 1024 * 1024;
 /// An answer must be taken by then.
 const MOST_ANSWER: Micros = Micros::from_secs(15);
 /// The pause when no connection can be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Memory that every process of this program needs before it has a client: a share of the rest is for what clients
+/// have sent.
+const BASE_MEMORY: usize = 16 * 1024 * 1024;
+
+/// What client connections may take of the process, by its limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections at a time.
+    pub connections: usize,
+    /// Bytes of requests that are not answered yet.
+    pub bytes: usize,
+}
+
+impl Bounds {
+    /// The bounds under these limits of the process. The usual clients need a third of the descriptors; another third
+    /// is for those that say nothing until they are shed, and the last for servers, the watch and the runtime.
+    pub fn new(sockets: usize, memory: usize) -> Self {
+        let bytes = (memory.saturating_sub(BASE_MEMORY) / 3).max(1024 * 1024);
+        Bounds { connections: (sockets * 2 / 3).max(1), bytes }
+    }
+
+    /// A share of them, where so many fronts share the process.
+    pub fn shared(self, fronts: usize) -> Self {
+        let fronts = fronts.max(1);
+        Bounds { connections: (self.connections / fronts).max(1), bytes: self.bytes / fronts }
+    }
+}
 
 #[derive(Default)]
 struct Conn {
@@ -37,6 +74,14 @@
     began: Option<Micros>,
     /// When something last happened.
     active: Micros,
+    /// When it was accepted.
+    accepted: Micros,
+    /// A request came whole on it.
+    asked: bool,
+    /// Since when what comes is dropped, and how much was: its last answer is an error.
+    lingering: Option<(Micros, usize)>,
+    /// What it holds in memory, as last counted.
+    bytes: usize,
     /// It is to end now, whatever is under way.
     cut: bool,
 }
@@ -53,6 +98,26 @@
             waker.wakeup();
         }
     }
+
+    fn cut(&mut self) {
+        self.cut = true;
+        self.wake();
+    }
+
+    /// Who gives way first when there is no room: those that were answered with an error, those that were never
+    /// heard of or stopped in their first request, then those between requests; the longest in that state first.
+    fn dispensable(&self, now: Micros) -> Option<(u8, Micros)> {
+        if self.cut || self.server.winding_up() {
+            return None;
+        }
+        match self.lingering {
+            Some((since, _)) => Some((0, since)),
+            None if !self.asked && !self.server.busy() => {
+                (now.since(self.accepted) > NEW).then_some((1, self.accepted))
+            }
+            None => self.server.idle().then_some((2, self.active)),
+        }
+    }
 }
 
 /// All client connections.
@@ -60,7 +125,9 @@
     conns: Mutex<HashMap<u64, Arc<Conn>>>,
     waiting: Mutex<HashMap<Token, Arc<Conn>>>,
     next: AtomicU64,
-    most: usize,
+    bounds: Bounds,
+    /// What all of them hold in memory.
+    bytes: AtomicUsize,
     front: Box<dyn Front>,
     inbox: Sender<Input>,
     clock: Clock,
@@ -77,13 +144,14 @@
 }
 
 impl Clients {
-    /// No connections yet, and at most so many.
-    pub fn new(front: Box<dyn Front>, most: usize, inbox: Sender<Input>, clock: Clock) -> Arc<Self> {
+    /// No connections yet, and never more than the bounds allow.
+    pub fn new(front: Box<dyn Front>, bounds: Bounds, inbox: Sender<Input>, clock: Clock) -> Arc<Self> {
         Arc::new(Clients {
             conns: Mutex::default(),
             waiting: Mutex::default(),
             next: AtomicU64::new(1),
-            most,
+            bounds,
+            bytes: AtomicUsize::new(0),
             front,
             inbox,
             clock,
@@ -101,9 +169,14 @@
     /// Accepts for as long as the program listens.
     pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
         while !self.deaf.load(Relaxed) {
-            if self.open() >= self.most && !self.evict() {
-                // Left in the backlog: the machine has accepted it, so it must not be cut.
-                may::coroutine::sleep(ACCEPT_PAUSE);
+            if self.open() >= self.bounds.connections {
+                if self.evict() {
+                    // The one that gives way ends in its own coroutine.
+                    may::coroutine::yield_now();
+                } else {
+                    // Left in the backlog: the machine has accepted it, so it must not be cut.
+                    may::coroutine::sleep(ACCEPT_PAUSE);
+                }
                 continue;
             }
             match listener.accept() {
@@ -124,7 +197,8 @@
         let conn = Arc::new(Conn::default());
         {
             let mut state = conn.lock();
-            state.active = self.clock.now();
+            state.accepted = self.clock.now();
+            state.active = state.accepted;
             state.waker = Some(stream.waker());
         }
         let number = self.next.fetch_add(1, Relaxed);
@@ -132,6 +206,7 @@
         let clients = self.clone();
         let started = spawn(SMALL_STACK, move || {
             while clients.step(&conn, &stream) {
+                clients.shed_bytes();
                 stream.wait_io();
             }
             clients.leave(&conn);
@@ -148,12 +223,28 @@
     fn step(self: &Arc<Self>, conn: &Arc<Conn>, stream: &TcpStream) -> bool {
         let mut state = conn.lock();
         let sys = stream.inner();
-        while state.server.wants_input() {
+        let open = !state.cut && self.exchange(conn, &mut state, sys);
+        let bytes = if open { state.server.memory() } else { 0 };
+        self.bytes.fetch_add(bytes, Relaxed);
+        self.bytes.fetch_sub(std::mem::replace(&mut state.bytes, bytes), Relaxed);
+        open
+    }
+
+    fn exchange(
+        self: &Arc<Self>,
+        conn: &Arc<Conn>,
+        state: &mut ConnState,
+        sys: &std::net::TcpStream,
+    ) -> bool {
+        // A client that was told to go on elsewhere, or was answered while more of its bytes were here already.
+        self.take(conn, state);
+        while state.lingering.is_none() && state.server.wants_input() {
             match try_read(sys, state.server.input().room()) {
                 Tried::Moved(n) => {
                     state.server.input().filled(n);
                     state.active = self.clock.now();
                     state.began = state.began.or(Some(state.active));
+                    self.take(conn, state);
                 }
                 Tried::Wait => break,
                 Tried::Ended => {
@@ -162,13 +253,40 @@
                         return false;
                     }
                     state.server.end();
+                    self.take(conn, state);
                     break;
                 }
             }
         }
+        while !state.server.output().is_empty() {
+            match try_write(sys, state.server.output()) {
+                Tried::Moved(n) => {
+                    state.server.wrote(n);
+                    state.active = self.clock.now();
+                }
+                Tried::Wait => break,
+                Tried::Ended => return false,
+            }
+        }
+        if state.server.idle() {
+            state.began = None;
+        }
+        if !state.server.finished() {
+            return true;
+        }
+        if state.lingering.is_none() {
+            if !state.server.must_linger() || sys.shutdown(Shutdown::Write).is_err() {
+                return false;
+            }
+            state.lingering = Some((self.clock.now(), 0));
+        }
+        linger(state, sys)
+    }
+
+    /// Takes the requests that are here whole.
+    fn take(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState) {
         while let Some(polled) = state.server.poll() {
             let close = self.leaving.load(Relaxed);
-            let sent = state.began.unwrap_or_else(|| self.clock.now());
             match polled {
                 Err(error) => {
                     COUNTERS.bad_requests.add();
@@ -176,11 +294,14 @@
                     state.server.respond(&response, true);
                 }
                 Ok(request) => {
+                    state.asked = true;
                     let token = Token(self.next.fetch_add(1, Relaxed));
+                    // A request's time counts from its last byte, which came with the last read.
+                    let sent = state.active;
                     match self.front.take(request, token, sent, self.ready.load(Relaxed) && !close) {
                         Reaction::Respond(response) => {
                             state.server.respond(&response, close);
-                            state.began = None;
+                            state.began = state.server.began().then_some(state.active);
                         }
                         Reaction::Ask(request, render) => {
                             state.waiting = Some((token, render));
@@ -191,20 +312,6 @@
                 }
             }
         }
-        while !state.server.output().is_empty() {
-            match try_write(sys, state.server.output()) {
-                Tried::Moved(n) => {
-                    state.server.wrote(n);
-                    state.active = self.clock.now();
-                }
-                Tried::Wait => break,
-                Tried::Ended => return false,
-            }
-        }
-        if state.server.idle() {
-            state.began = None;
-        }
-        !state.server.finished() && !state.cut
     }
 
     /// The connection is over: whoever waited on it is gone.
@@ -225,37 +332,82 @@
         let response = render(answer);
         let close = self.leaving.load(Relaxed);
         state.server.respond(&response, close);
-        state.began = None;
         state.active = self.clock.now();
+        // What came of a next request while this one was answered has its time from now on.
+        state.began = state.server.began().then_some(state.active);
         state.wake();
     }
 
-    /// Closes the connection that has been idle the longest. False: none is idle.
+    /// Makes room for another connection. False: nobody gives way.
     fn evict(&self) -> bool {
+        let now = self.clock.now();
         let conns = guard(&self.conns);
-        let idle = |c: &&Arc<Conn>| c.lock().server.idle();
-        let Some(conn) = conns.values().filter(idle).min_by_key(|c| c.lock().active) else { return false };
+        let first = conns.values().filter_map(|c| Some((c.lock().dispensable(now)?, c))).min_by_key(|c| c.0);
+        let Some(((kind, _), conn)) = first else { return false };
         COUNTERS.evicted.add();
         let mut state = conn.lock();
-        state.server.close_when_idle();
-        state.wake();
+        if kind == 2 {
+            // A request that is here already but unread is still taken.
+            state.server.close_when_idle();
+            state.wake();
+        } else {
+            state.cut();
+        }
         true
     }
 
-    /// Closes what has stood idle for long, sends half a request, or takes no answer.
+    /// Keeps what clients have sent within its bound: those that hold the most and wait for no answer give way.
+    fn shed_bytes(&self) {
+        if self.bytes.load(Relaxed) <= self.bounds.bytes {
+            return;
+        }
+        let conns = guard(&self.conns);
+        let held = |c: &Arc<Conn>| {
+            let state = c.lock();
+            (!state.cut && !state.server.busy()).then_some(state.bytes)
+        };
+        if let Some((_, conn)) = conns.values().filter_map(|c| Some((held(c)?, c))).max_by_key(|c| c.0) {
+            COUNTERS.evicted.add();
+            conn.lock().cut();
+        }
+    }
+
+    /// Closes what has stood idle for long, says nothing, sends half a request, or takes no answer.
     pub fn tidy(&self, now: Micros) {
-        for conn in guard(&self.conns).values() {
+        let conns = guard(&self.conns);
+        let crowded = conns.len() * 2 > self.bounds.connections;
+        let most_idle = if crowded { MOST_IDLE_CROWDED } else { MOST_IDLE };
+        for conn in conns.values() {
             let mut state = conn.lock();
             let quiet = now.since(state.active);
-            let slow = state.began.is_some_and(|t| now.since(t) > MOST_REQUEST) && !state.server.busy();
-            let stuck = !state.server.output().is_empty() && quiet > MOST_ANSWER;
-            if state.server.idle() && quiet > MOST_IDLE {
-                state.server.close_when_idle();
-                state.wake();
-            } else if (slow && state.server.output().is_empty()) || stuck {
-                COUNTERS.client_timeouts.add();
-                state.cut = true;
-                state.wake();
+            if state.lingering.is_some_and(|(since, _)| now.since(since) > MOST_LINGER) {
+                state.cut();
+            } else if !state.server.output().is_empty() {
+                if quiet > MOST_ANSWER {
+                    COUNTERS.client_timeouts.add();
+                    state.cut();
+                }
+            } else if !state.asked && state.server.idle() {
+                // A connection that was never used is owed nothing but its end.
+                if now.since(state.accepted) > MOST_REQUEST {
+                    COUNTERS.client_timeouts.add();
+                    state.cut();
+                }
+            } else if state.server.idle() {
+                if quiet > most_idle {
+                    state.server.close_when_idle();
+                    state.wake();
+                }
+            } else if !state.server.busy() && state.lingering.is_none() {
+                // The first request has its time from the connection's begin: who sends a byte now and then gains
+                // none.
+                let since = if state.asked { state.began.unwrap_or(state.active) } else { state.accepted };
+                if now.since(since) > MOST_REQUEST {
+                    COUNTERS.client_timeouts.add();
+                    let response = self.front.unreadable(HttpError::TooSlow);
+                    state.server.give_up(&response);
+                    state.wake();
+                }
             }
         }
     }
@@ -275,3 +427,43 @@
         }
     }
 }
+
+/// Drops what still comes after the last answer. False: the client has read it, or the bound is reached.
+fn linger(state: &mut ConnState, sys: &std::net::TcpStream) -> bool {
+    let Some((since, mut bytes)) = state.lingering else { return false };
+    let open = loop {
+        let input = state.server.input();
+        let left = input.data().len();
+        input.used(left);
+        match try_read(sys, input.room()) {
+            Tried::Moved(n) => {
+                bytes += n;
+                if bytes > MOST_LINGER_BYTES {
+                    break false;
+                }
+            }
+            Tried::Wait => break true,
+            Tried::Ended => break false,
+        }
+    };
+    state.lingering = Some((since, bytes));
+    open
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bounds_follow_the_limits_however_small() {
+        // Half of the descriptors or more went to clients, but with 256 nothing was left for a crowd beside the usual.
+        let of = |sockets, mb: usize| Bounds::new(sockets, mb * 1024 * 1024);
+        for (sockets, mb) in [(256, 32), (384, 48), (1024, 192)] {
+            let bounds = of(sockets, mb);
+            assert!(bounds.connections > sockets / 2 && bounds.connections + sockets / 4 < sockets);
+            assert!(bounds.bytes >= 5 * 1024 * 1024 && bounds.bytes < mb * 1024 * 1024 / 2);
+        }
+        assert_eq!(of(40, 0), Bounds { connections: 26, bytes: 1024 * 1024 });
+        assert_eq!(of(1, 32).shared(2).connections, 1);
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -24,11 +24,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -49,6 +50,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
     /// The servers as last known, in discovery's form.
     pub known: Vec<u8>,
     /// The settings.
@@ -86,6 +89,7 @@
             name: name.unwrap_or(file.name),
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
+            memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
             known: serde_json::to_vec(&file.known).map_err(|e| format!("known: {e}"))?,
             deployment: read_deployment(file.settings).map_err(|e| format!("settings: {e}"))?,
         })
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,6 @@
 //! The program: for each front a core, and the coroutines that feed it.
 
-use super::clients::Clients;
+use super::clients::{Bounds, Clients};
 use super::config::{self, Config};
 use super::links::Links;
 use super::walks::Walks;
@@ -21,12 +21,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Descriptors kept for connections to servers, the watch, logs and the runtime.
-const RESERVED: usize = 256;
 /// The longest sleep of the core: signals are looked at this often.
 const MOST_SLEEP: Micros = Micros::from_millis(50);
-/// Connections are tidied this often.
+/// Client connections are tidied this often,
 const TIDY_EVERY: Micros = Micros::from_millis(250);
+/// and those to servers so often: a part may be waiting for what will never come.
+const TIDY_SERVERS_EVERY: Micros = MOST_SLEEP;
 /// Without a word from discovery, the list known at the start serves after so long.
 const WAIT_FOR_LIST: Micros = Micros::from_millis(400);
 /// After SIGTERM connections are accepted so long: the front still deals some out.
@@ -38,7 +38,7 @@
 struct Parts {
     name: String,
     listener: TcpListener,
-    most_clients: usize,
+    bounds: Bounds,
     front: Box<dyn Front>,
     core: Core,
     upstream: Box<dyn Upstream>,
@@ -57,7 +57,7 @@
     may::config().set_workers(1).set_worker_pin(false);
     let clock = Clock::start();
     let signals = listen_for_signals()?;
-    // The descriptors are the process's: two fronts share them.
+    // Descriptors and memory are the process's: two fronts share them.
     let fronts = usize::from(platform.is_some()) + usize::from(edge.is_some());
     let mut services = Vec::new();
     if let Some(config) = platform {
@@ -66,7 +66,7 @@
     if let Some(edge) = edge {
         services.push(edge_service(edge, clock)?);
     }
-    services.iter_mut().for_each(|s| s.most_clients /= fronts.max(1));
+    services.iter_mut().for_each(|s| s.bounds = s.bounds.shared(fronts));
     let running: Vec<_> =
         services.into_iter().map(|s| serve(s, clock, signals.clone())).collect::<Result<_, _>>()?;
     for done in running {
@@ -80,10 +80,6 @@
     TcpListener::bind(address).map_err(|e| format!("listen on {address}: {e}"))
 }
 
-fn most_clients(sockets: usize) -> usize {
-    sockets.saturating_sub(RESERVED).max(sockets / 2)
-}
-
 fn no_coroutine(e: std::io::Error) -> String {
     format!("a coroutine: {e}")
 }
@@ -107,7 +103,7 @@
     Ok(Parts {
         name: config.name.clone(),
         listener: listen(config.listen)?,
-        most_clients: most_clients(config.sockets),
+        bounds: Bounds::new(config.sockets, config.memory),
         front: Box::new(Platform::new(deployment)),
         core: Core::new(deployment.module.clone(), deployment.most_held, config.seed, clock.now()),
         upstream: Box::new(Links::new(deployment, inbox.clone(), clock)),
@@ -150,7 +146,7 @@
     Ok(Parts {
         name: "feature queries".to_owned(),
         listener: listen(edge.listen)?,
-        most_clients: most_clients(edge.sockets),
+        bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
         core: Core::new(edge.settings(), edge.most_held, seed, clock.now()),
         upstream: Box::new(Walks::new(&edge, catalog.clone(), inbox.clone(), clock)),
         front: Box::new(Ogc::new(edge, catalog)),
@@ -163,7 +159,7 @@
 
 fn serve(parts: Parts, clock: Clock, signals: Arc<Signals>) -> Result<JoinHandle<()>, String> {
     let address = parts.listener.local_addr().map_err(|e| e.to_string())?;
-    let clients = Clients::new(parts.front, parts.most_clients, parts.inbox, clock);
+    let clients = Clients::new(parts.front, parts.bounds, parts.inbox, clock);
     let (accepting, listener) = (clients.clone(), parts.listener);
     spawn(LARGE_STACK, move || accepting.accept(&listener)).map_err(no_coroutine)?;
     eprintln!("quinceflow: {} listens on {address}", parts.name);
@@ -229,7 +225,7 @@
     fn run(mut self) {
         let mut commands = Vec::new();
         let mut inputs = Vec::new();
-        let mut tidied = self.clock.now();
+        let (mut tidied, mut tidied_servers) = (self.clock.now(), self.clock.now());
         let mut leaving: Option<Micros> = None;
         loop {
             if inputs.is_empty() {
@@ -243,9 +239,12 @@
             for command in commands.drain(..) {
                 self.carry_out(now, command);
             }
+            if now.since(tidied_servers) >= TIDY_SERVERS_EVERY {
+                tidied_servers = now;
+                self.upstream.tidy(now, &|key| self.core.is_out(key));
+            }
             if now.since(tidied) >= TIDY_EVERY {
                 tidied = now;
-                self.upstream.tidy(now, &|key| self.core.is_out(key));
                 self.clients.tidy(now);
             }
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_LIST {
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -25,6 +25,8 @@
     UnknownCoding,
     /// It ended in the middle.
     Truncated,
+    /// It did not come in time.
+    TooSlow,
 }
 
 impl HttpError {
@@ -35,6 +37,7 @@
             HttpError::HeadTooLarge => 431,
             HttpError::BodyTooLarge => 413,
             HttpError::UnknownCoding => 501,
+            HttpError::TooSlow => 408,
         }
     }
 }
@@ -244,6 +247,8 @@
     /// This request's answer goes without a body.
     head_only: bool,
     ended: bool,
+    /// The last answer is to something that could not be read: more of it may be on its way.
+    failed: bool,
 }
 
 impl Default for Server {
@@ -257,6 +262,7 @@
             wind_up: false,
             head_only: false,
             ended: false,
+            failed: false,
         }
     }
 }
@@ -267,9 +273,38 @@
         &mut self.input
     }
 
-    /// Is there room to read more? A client that pipelines without end must wait.
+    /// Is there room to read more? A client that pipelines without end, or takes no answers, must wait.
     pub fn wants_input(&self) -> bool {
-        self.input.data().len() < MOST_HEAD + MOST_BODY && !matches!(self.state, State::Closed)
+        self.input.data().len() < MOST_HEAD + MOST_BODY
+            && self.output().len() < MOST_BODY
+            && !matches!(self.state, State::Closed)
+    }
+
+    /// Memory held for what came and what is to be written.
+    pub fn memory(&self) -> usize {
+        let body = if let State::Body(request, _) = &self.state { request.body.capacity() } else { 0 };
+        self.input.capacity() + body + self.output.capacity()
+    }
+
+    /// Something of a request is here that is not handed out yet.
+    pub fn began(&self) -> bool {
+        matches!(self.state, State::Body(..)) || !self.input.data().is_empty()
+    }
+
+    /// The rest of a request is not waited for any more: this is its answer.
+    pub fn give_up(&mut self, response: &Response) {
+        self.failed = true;
+        self.respond(response, true);
+    }
+
+    /// The client may still be sending what nobody reads: closing on that would be a reset, which can eat the answer.
+    pub fn must_linger(&self) -> bool {
+        !self.ended && (self.failed || !self.input.data().is_empty())
+    }
+
+    /// It is to end as soon as no request is under way.
+    pub fn winding_up(&self) -> bool {
+        self.wind_up
     }
 
     /// The client will send nothing more.
@@ -286,6 +321,7 @@
         if let Err(e) = self.advance() {
             self.state = State::Closed;
             self.close = true;
+            self.failed = true;
             return Some(Err(e));
         }
         match std::mem::replace(&mut self.state, State::Busy) {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -234,11 +234,30 @@
         match answer.expect("found") {
             Answer::Refused { late, .. } => assert!(late && !written),
             Answer::Failed { late } => assert!(late && written),
-            Answer::Served { .. } => panic!("nothing came"),
+            Answer::Served { .. } | Answer::Taken => panic!("nothing came"),
         }
     }
 }
 
+#[test]
+fn a_label_is_free_again_once_nothing_of_its_request_is_held_or_out() {
+    let now = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, now);
+    let named = |token, label: &str| match ask(token, 0, 1, now) {
+        Input::Ask(request) => Input::Ask(Request { label: label.into(), ..request }),
+        other => other,
+    };
+    let taken = |out: &[Command], token| {
+        out.iter().any(|c| matches!(c, Command::Reply(t, Answer::Taken) if *t == Token(token)))
+    };
+    let mut out = Vec::new();
+    core.turn(now, [fleet(), named(1, "a"), named(2, "a"), named(3, "b")], &mut out);
+    assert!(taken(&out, 2) && !taken(&out, 1) && !taken(&out, 3));
+    core.turn(now, [Input::Left(Token(1))], &mut out);
+    core.turn(now + Micros::from_millis(1), [named(4, "a")], &mut out);
+    assert!(!taken(&out, 4), "its client has left, and its attempt was called off");
+}
+
 #[test]
 fn a_query_that_is_over_on_arrival_and_a_turn_that_comes_late_break_nothing() {
     // Both tripped the core's own guard, which is there for a module that lets a query's time pass.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -340,6 +340,22 @@
     assert_eq!(ask(&edge, "q3", "lookup", &[9]).status, 400);
     assert_eq!(ask(&edge, "q4", "lookup", &[]).status, 400);
     assert_eq!(ask(&edge, "q5", "lookup", &[1, 1]).status, 400);
+    // Shares that miss 1 passed for whole answers; a query without its time or its text went out to the nodes.
+    let asked = |shares: &str, time: &str, text: &str| {
+        let body = format!("{{\"tablets\":[{shares}]{text}}}");
+        let head =
+            format!("POST /api HTTP/1.1\r\nX-Trace-Id: q6\r\nX-Qos: brief\r\n{time}Connection: close\r\n");
+        edge.send(&format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())).status
+    };
+    let (whole, time, text) =
+        ("{\"tablet\":0,\"fraction\":1}", "X-Expires-In: 0.2\r\n", ",\"statement\":\"c\"");
+    assert_eq!(asked(whole, time, text), 503, "a sound one meets nodes that say nothing");
+    assert_eq!(asked(whole, "", text), 400);
+    assert_eq!(asked(whole, "X-Expires-In: soon\r\n", text), 400);
+    assert_eq!(asked(whole, time, ""), 400);
+    for shares in ["0.5", "1.5", "-1", "1e308"] {
+        assert_eq!(asked(&format!("{{\"tablet\":0,\"fraction\":{shares}}}"), time, text), 400, "{shares}");
+    }
     assert_eq!(edge.get("/elsewhere").status, 404);
     assert_eq!(edge.get("/api").status, 405);
     assert_eq!(edge.send("POST /api HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").status, 413);
@@ -352,6 +368,70 @@
     assert_eq!(text.matches("HTTP/1.1 400 ").count(), 1, "cut off in the middle: told once");
 }
 
+#[test]
+fn the_id_of_an_open_request_is_turned_away_and_that_request_served() {
+    // Data nodes know parts by that id: the second request took over the first one's answers.
+    let gate = Arc::new(Mutex::new(()));
+    let held = gate.lock().expect("gate");
+    let wait = |gate: Arc<Mutex<()>>| {
+        move |_| {
+            drop(gate.lock());
+            Act::Serve
+        }
+    };
+    let nodes = [node(wait(gate.clone())), node(wait(gate.clone()))];
+    let (edge, _changes) = start("taken", &nodes.each_ref(), 1024);
+    until_ready(&edge);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| ask(&edge, "q1", "lookup", &[0]).status);
+        while nodes.iter().all(|n| n.seen.lock().expect("log").is_empty()) {
+            std::thread::yield_now();
+        }
+        assert_eq!(ask(&edge, "q1", "lookup", &[0]).status, 409);
+        drop(held);
+        assert_eq!(first.join().expect("answered"), 200);
+        assert_eq!(ask(&edge, "q1", "lookup", &[0]).status, 200, "free again");
+    });
+}
+
+#[test]
+fn who_says_nothing_or_stops_halfway_is_closed_and_shuts_nobody_out() {
+    // Half requests had 10 s and silent connections no end at all; a full table closed none of either.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, _changes) = start("silent", &nodes.each_ref(), 60);
+    until_ready(&edge);
+    let connect = || TcpStream::connect(edge.address).expect("the machine accepts");
+    let mut half = connect();
+    write!(half, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
+    let mut text = String::new();
+    half.read_to_string(&mut text).expect("an answer and an end");
+    assert!(text.starts_with("HTTP/1.1 408 ") && text.contains("Connection: close"), "{text}");
+    let mut crowd: Vec<TcpStream> = (0..150).map(|_| connect()).collect();
+    assert_eq!(ask(&edge, "q1", "lookup", &[0, 1]).status, 200);
+    for silent in &mut crowd {
+        // Closed with nothing said; the test's reader would wait for ever otherwise.
+        assert!(matches!(silent.read(&mut [0; 1]), Ok(0) | Err(_)));
+    }
+}
+
+#[test]
+fn an_error_reaches_a_client_that_goes_on_sending() {
+    // The connection was closed on unread input: a reset, which ate the error.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, _changes) = start("linger", &nodes.each_ref(), 1024);
+    let mut client = TcpStream::connect(edge.address).expect("it listens");
+    write!(client, "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").expect("written");
+    let mut lines = BufReader::new(client.try_clone().expect("a handle")).lines();
+    assert_eq!(lines.next().and_then(Result::ok).as_deref(), Some("HTTP/1.1 413 Content Too Large"));
+    // The answer is here, and what is sent after it is still taken.
+    for _ in 0..50 {
+        client.write_all(&[b'x'; 1_000]).expect("not reset");
+    }
+    assert!(lines.by_ref().map_while(Result::ok).any(|l| l == "Connection: close"));
+    client.shutdown(std::net::Shutdown::Write).expect("half closed");
+    assert!(lines.all(|l| l.is_ok()), "it ends in good order");
+}
+
 #[test]
 fn it_lives_on_when_no_descriptor_is_left() {
     let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
