Pass over replicas by what their errors cost a part of its class

To blame: rules.rs take_outcome: an error soon after other answers is no sign ('brief'), so nothing that pick looks at ever showed it. Now each replica has a share of errors among its answers, smoothed and fading within aims; pick adds what that may cost: an aim where the part must not run twice, two response times where it can go again. So parts that can go again still go there while it pays, and find out when it is sound. Test: a_replica_that_fails_fast_gets_nothing_that_must_not_run_twice.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,6 +37,11 @@
 const FLEET_GAIN: f64 = 0.03;
 /// A pace loses half its distance to the fleet's in so many aims: a skipped replica gets another look.
 const FADE_AIMS: f64 = 0.5;
+/// Weight of a new answer in a replica's share of errors, which loses half of itself in so many aims.
+const ERROR_GAIN: f64 = 0.15;
+const ERROR_FADE_AIMS: f64 = 4.0;
+/// What an error costs a part that may be repeated, in typical response times: the way there and another.
+const ERROR_COST: f64 = 2.0;
 /// Share of the aim that a pace fades to at most, so that a jam's memory can't outlive it.
 const CALM_SHARE: f64 = 0.25;
 /// Low-worth queries begin to be refused when their wait takes this share of the time they have.
@@ -176,6 +181,9 @@
     pace: f64,
     paced: Nanos,
     last_ok: Nanos,
+    /// Share of its answers that were errors, and when that was last moved.
+    errors: f64,
+    erred: Nanos,
     /// When a connection to it was last in use, and whether it had been idle then.
     used: Nanos,
     idle: bool,
@@ -427,12 +435,18 @@
     fn take_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, waited: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
         let (now, typical, aim) = (self.now, self.typical, self.class(class).aim as f64);
+        let fade = self.least_aim as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
             let sent = now.saturating_sub(waited);
             r.flights.retain(|f| (f.1, f.2) != (part, attempt));
             let silent = r.last_ok < sent;
             let lost = f64::from(outcome != Outcome::Ok && silent);
             self.lost[usize::from(idle)] += (lost - self.lost[usize::from(idle)]) * FLEET_GAIN;
+            if matches!(outcome, Outcome::Ok | Outcome::Error) {
+                let error = f64::from(outcome == Outcome::Error);
+                let before = r.errors * 0.5f64.powf((now - r.erred) as f64 / (ERROR_FADE_AIMS * fade));
+                (r.errors, r.erred) = (before + (error - before) * ERROR_GAIN, now);
+            }
             let brief = (waited as f64) < OVERDUE_RATIO * typical && now - r.last_ok < aim as Nanos;
             match outcome {
                 Outcome::Ok => {
@@ -588,6 +602,14 @@
         wait + if shut { class.aim as f64 } else { 0.0 }
     }
 
+    /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
+    /// A replica that fails fast looks idle; parts that can go again find out when it is sound again.
+    fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
+        let fade = ERROR_FADE_AIMS * self.least_aim as f64;
+        let errors = r.errors * 0.5f64.powf((self.now - r.erred) as f64 / fade);
+        errors * if class.effect == Effect::Unsafe { class.aim as f64 } else { ERROR_COST * self.typical }
+    }
+
     /// A shard's replicas in turn, skipping one with a part out past the aim; if all are, the next goes.
     /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
     /// Where a call costs, a part joins one that its query sends now; the turn moves on past that.
@@ -596,17 +618,17 @@
         let holders = self.holders.get(p.shard.0 as usize)?;
         let turn = self.turns[p.shard.0 as usize];
         let order = (0..holders.len()).map(|i| holders[(turn + i) % holders.len()]);
-        let able: Vec<(ReplicaId, f64)> = order
+        let able: Vec<(ReplicaId, f64, f64)> = order
             .filter(|id| !not.contains(id))
             .filter_map(|id| self.replicas.get(&id).map(|r| (id, r)))
             .filter(|(_, r)| self.cold_room(r, p.class))
-            .map(|(id, r)| (id, self.wait_at(r, c)))
+            .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
-        let best = able.iter().map(|r| r.1).fold(f64::INFINITY, f64::min);
-        let mut fit = able.iter().filter(|r| r.1 <= SKIP_RATIO * best + 0.5 * self.typical);
+        let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
+        let mut fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical);
         let joined = |id: &ReplicaId| join.iter().filter(|j| *j == id).count() as u32;
         let near = fit.clone().find(|r| (1..self.set.bundle).contains(&joined(&r.0)));
-        near.or_else(|| fit.next()).copied()
+        near.or_else(|| fit.next()).map(|r| (r.0, r.1))
     }
 
     /// Rule 4: may a part of this class go to a replica that just started? What all may send is split evenly;
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -391,3 +391,33 @@
     assert!(longest <= 110, "a line of {longest} characters");
     assert!(text.lines().next().is_some_and(|l| l.contains("src/interface.rs")));
 }
+
+#[test]
+fn a_replica_that_fails_fast_gets_nothing_that_must_not_run_twice() {
+    // It looked idle: an error was no sign where answers came lately, and half of the parts went there to be lost.
+    let mut set = settings(class(Effect::Safe));
+    set.classes.push(class(Effect::Unsafe));
+    let mut bench = Bench::new(set);
+    let mut errors = |class: u16, rounds: usize, failing: bool| {
+        let (mut seen, mut met) = (0, 0);
+        for _ in 0..rounds {
+            let (_, parts, actions) = bench.ask_as(class, 0, &[0]);
+            let mut sent = sends(&actions);
+            let mut attempt = 0;
+            while let Some((_, to)) = sent.pop() {
+                bench.now += 10 * MS;
+                // Every other answer of replica 0 is an error.
+                met += usize::from(to == replica(0));
+                let fails = failing && to == replica(0) && met % 2 == 1;
+                seen += usize::from(fails);
+                let outcome = if fails { Outcome::Error } else { Outcome::Ok };
+                sent = sends(&bench.end(parts[0], attempt, outcome, 10 * MS));
+                attempt += 1;
+            }
+        }
+        seen
+    };
+    errors(0, 20, false);
+    assert!(errors(0, 40, true) > 0, "parts that can go again find it out");
+    assert_eq!(errors(1, 40, true), 0);
+}
