Told to end, serve on for as long as the kill allows before closing connections

Looked at: counters four times a second around the restarts. The one that restarts answers /up at once but gets its first client 0.6 s later; the one told to end next had closed its 42 connections within 0.45 s by then, each with its answer, so for half a second nobody took requests. Excluded: a late list (/up is 200 on the first try), held queries (0 at the end), refusals. To blame: server.rs STILL_ACCEPTING and start_leaving at the signal; clients keep the connections they have for as long as these are open, and a kill comes no sooner than the longest deadline (3 s at least) and 0.7 s after the signal.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -133,7 +133,9 @@
     clock: Clock,
     /// The program is ready to serve.
     pub ready: AtomicBool,
-    /// The program is about to end: every answer closes its connection.
+    /// The program is told to end.
+    ending: AtomicBool,
+    /// It is about to: every answer closes its connection.
     leaving: AtomicBool,
     /// The listener is to stop.
     deaf: AtomicBool,
@@ -156,6 +158,7 @@
             inbox,
             clock,
             ready: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             deaf: AtomicBool::new(false),
         })
@@ -298,7 +301,8 @@
                     let token = Token(self.next.fetch_add(1, Relaxed));
                     // A request's time counts from its last byte, which came with the last read.
                     let sent = state.active;
-                    match self.front.take(request, token, sent, self.ready.load(Relaxed) && !close) {
+                    let ready = self.ready.load(Relaxed) && !self.ending.load(Relaxed);
+                    match self.front.take(request, token, sent, ready) {
                         Reaction::Respond(response) => {
                             state.server.respond(&response, close);
                             state.began = state.server.began().then_some(state.active);
@@ -412,14 +416,15 @@
         }
     }
 
-    /// From now on every answer closes its connection.
-    pub fn start_leaving(&self) {
-        self.leaving.store(true, Relaxed);
+    /// The program is told to end: nobody new is to be sent here.
+    pub fn not_ready(&self) {
+        self.ending.store(true, Relaxed);
     }
 
-    /// Stops listening and closes what is between requests.
-    pub fn stop_listening(&self) {
+    /// Stops listening, closes what is between requests, and from now on every other with its answer.
+    pub fn leave_all(&self) {
         self.deaf.store(true, Relaxed);
+        self.leaving.store(true, Relaxed);
         for conn in guard(&self.conns).values() {
             let mut state = conn.lock();
             state.server.close_when_idle();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -10,6 +10,7 @@
 use crate::front::ogc::{self, Ogc, SharedCatalog};
 use crate::front::platform::Platform;
 use crate::front::Front;
+use crate::interface::Settings;
 use crate::proto::discovery::read_listing;
 use crate::time::{unix_ms, Clock, Micros};
 use may::coroutine::JoinHandle;
@@ -29,16 +30,27 @@
 const TIDY_SERVERS_EVERY: Micros = MOST_SLEEP;
 /// Without a word from discovery, the list known at the start serves after so long.
 const WAIT_FOR_LIST: Micros = Micros::from_millis(400);
-/// After SIGTERM connections are accepted so long: the front still deals some out.
-const STILL_ACCEPTING: Micros = Micros::from_millis(450);
+/// A program told to end is killed no sooner than the longest deadline, or this if that is shorter,
+const LEAST_DEADLINE: Micros = Micros::from_secs(3);
+/// and this on top.
+const KILL_GRACE: Micros = Micros::from_millis(700);
+/// Of that so much is kept free.
+const KILL_MARGIN: Micros = Micros::from_millis(250);
 /// Nothing is waited for longer than this after SIGTERM.
 const LAST_EXIT: Micros = Micros::from_secs(8);
 
+/// How long a program that is told to end goes on serving: its clients keep the connections they have, and whoever is
+/// to take over may not be taken in yet. What is taken last can still have its whole time before the kill.
+fn stay(longest: Micros) -> Micros {
+    longest.max(LEAST_DEADLINE) - longest + KILL_GRACE - KILL_MARGIN
+}
+
 /// What a service is made of beside its core.
 struct Parts {
     name: String,
     listener: TcpListener,
     bounds: Bounds,
+    stay: Micros,
     front: Box<dyn Front>,
     core: Core,
     upstream: Box<dyn Upstream>,
@@ -80,6 +92,10 @@
     TcpListener::bind(address).map_err(|e| format!("listen on {address}: {e}"))
 }
 
+fn longest(settings: &Settings) -> Micros {
+    Micros::from_nanos(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0))
+}
+
 fn no_coroutine(e: std::io::Error) -> String {
     format!("a coroutine: {e}")
 }
@@ -101,6 +117,7 @@
         .map_err(no_coroutine)?;
     let deployment = &config.deployment;
     Ok(Parts {
+        stay: stay(longest(&deployment.module)),
         name: config.name.clone(),
         listener: listen(config.listen)?,
         bounds: Bounds::new(config.sockets, config.memory),
@@ -144,6 +161,7 @@
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Parts {
+        stay: stay(longest(&edge.settings())),
         name: "feature queries".to_owned(),
         listener: listen(edge.listen)?,
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
@@ -173,6 +191,7 @@
         signals,
         listed: parts.listed,
         reload: parts.reload,
+        stay: parts.stay,
         started: clock.now(),
     };
     spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)
@@ -218,6 +237,7 @@
     listed: Arc<AtomicBool>,
     reload: Option<Reload>,
     reloads: u64,
+    stay: Micros,
     started: Micros,
 }
 
@@ -254,11 +274,11 @@
             if leaving.is_none() && self.signals.end.load(Relaxed) {
                 eprintln!("quinceflow: told to end: {} queries held", self.core.held());
                 leaving = Some(now);
-                self.clients.start_leaving();
+                self.clients.not_ready();
             }
             if let Some(since) = leaving {
-                if now.since(since) >= STILL_ACCEPTING {
-                    self.clients.stop_listening();
+                if now.since(since) >= self.stay {
+                    self.clients.leave_all();
                     let drained = self.core.held() == 0 && self.clients.open() == 0;
                     if drained || now.since(since) >= LAST_EXIT {
                         eprintln!("quinceflow: ends: {} queries held", self.core.held());
