Let idle clients hold a sixth of the descriptors; serve until shortly before the kill

Looked at: counters and states of client connections four times a second, who gives way, and what is answered without a query. Idle connections climb to exactly 128, a third of the descriptors, and queries taken halve from then on; a crowd asks GET /up 700 times a second and stays, and what gave way to it were the usual clients' connections, idle for longer. Excluded: the backlog (0.03 s of grace for silent ones in place of 0.2 s changed nothing by itself), nodes, CPU. Now connections between queries have a sixth of the descriptors, the longest idle end; those without a query give way first, after 0.03 s; after SIGTERM the program serves until 0.5 s before the kill, and the core gives whatever it takes from then on its answer 0.2 s before that. Tests: the_longest_idle_end..., who_brought_no_query..., what_is_taken_before_the_end_is_answered_by_then.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -58,6 +58,8 @@
     time_outs: BTreeSet<(Micros, AttemptKey)>,
     ends: BTreeSet<(Micros, QueryId)>,
     wake: Option<Micros>,
+    /// What is taken from now on must be answered by then.
+    last: Option<Micros>,
     next_id: u64,
     next_group: u32,
     names: HashMap<Arc<str>, ReplicaId>,
@@ -85,6 +87,7 @@
             time_outs: BTreeSet::new(),
             ends: BTreeSet::new(),
             wake: None,
+            last: None,
             next_id: 1,
             next_group: 1,
             names: HashMap::new(),
@@ -98,6 +101,11 @@
         self.held.len()
     }
 
+    /// The program is to end: whatever is taken from now on has its answer by then.
+    pub fn answer_by(&mut self, last: Micros) {
+        self.last = Some(last);
+    }
+
     /// Is this attempt out?
     pub fn is_out(&self, key: AttemptKey) -> bool {
         self.flights.contains_key(&key)
@@ -201,6 +209,7 @@
         out: &mut Vec<Command>,
     ) {
         let until = request.sent + request.patience;
+        let until = self.last.map_or(until, |last| until.min(last));
         if until <= now + WAY {
             // Over before it began: nothing can be in time any more, and nothing was sent.
             COUNTERS.over_time.add();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -21,8 +21,9 @@
 const MOST_IDLE: Micros = Micros::from_secs(30);
 /// or so long while more than half of the places are taken.
 const MOST_IDLE_CROWDED: Micros = Micros::from_millis(2_500);
-/// Whoever was accepted so lately may just be about to ask, and does not give way to others.
-const NEW: Micros = Micros::from_millis(200);
+/// Whoever was heard of so lately may just be about to ask, and does not give way to others. No longer than a way: in a
+/// crowd everybody behind, who may have asked long since, waits for this.
+const NEW: Micros = Micros::from_millis(30);
 /// After an error what still comes is read and dropped for so long, and so much of it: a close with unread input is a
 /// reset, which can eat the error.
 const MOST_LINGER: Micros = Micros::from_secs(1);
@@ -41,6 +42,9 @@
 pub struct Bounds {
     /// Connections at a time.
     pub connections: usize,
+    /// Of those, the ones between two queries: clients that asked once may never ask again, yet hold places that the
+    /// platform grants to clients in all.
+    pub idle: usize,
     /// Bytes of requests that are not answered yet.
     pub bytes: usize,
 }
@@ -50,13 +54,14 @@
     /// is for those that say nothing until they are shed, and the last for servers, the watch and the runtime.
     pub fn new(sockets: usize, memory: usize) -> Self {
         let bytes = (memory.saturating_sub(BASE_MEMORY) / 3).max(1024 * 1024);
-        Bounds { connections: (sockets * 2 / 3).max(1), bytes }
+        Bounds { connections: (sockets * 2 / 3).max(1), idle: sockets / 6, bytes }
     }
 
     /// A share of them, where so many fronts share the process.
     pub fn shared(self, fronts: usize) -> Self {
         let fronts = fronts.max(1);
-        Bounds { connections: (self.connections / fronts).max(1), bytes: self.bytes / fronts }
+        let connections = (self.connections / fronts).max(1);
+        Bounds { connections, idle: self.idle / fronts, bytes: self.bytes / fronts }
     }
 }
 
@@ -78,6 +83,8 @@
     accepted: Micros,
     /// A request came whole on it.
     asked: bool,
+    /// One of them was a query, and not just answered at once.
+    queried: bool,
     /// Since when what comes is dropped, and how much was: its last answer is an error.
     lingering: Option<(Micros, usize)>,
     /// What it holds in memory, as last counted.
@@ -104,20 +111,32 @@
         self.wake();
     }
 
-    /// Who gives way first when there is no room: those that were answered with an error, those that were never
-    /// heard of or stopped in their first request, then those between requests; the longest in that state first.
+    /// Who gives way first when there is no room: those that were answered with an error, those that have brought no
+    /// query, then those between queries; the longest in that state first.
     fn dispensable(&self, now: Micros) -> Option<(u8, Micros)> {
-        if self.cut || self.server.winding_up() {
+        if self.cut || self.server.winding_up() || self.server.busy() {
             return None;
         }
         match self.lingering {
             Some((since, _)) => Some((0, since)),
-            None if !self.asked && !self.server.busy() => {
-                (now.since(self.accepted) > NEW).then_some((1, self.accepted))
+            None if !self.queried => {
+                let since = if self.asked { self.active } else { self.accepted };
+                (now.since(since) > NEW).then_some((1, since))
             }
             None => self.server.idle().then_some((2, self.active)),
         }
     }
+
+    /// Makes it end. A request that is here already but unread is still taken.
+    fn give_way(&mut self) {
+        COUNTERS.evicted.add();
+        if self.asked && self.server.idle() {
+            self.server.close_when_idle();
+            self.wake();
+        } else {
+            self.cut();
+        }
+    }
 }
 
 /// All client connections.
@@ -183,7 +202,10 @@
                 continue;
             }
             match listener.accept() {
-                Ok((stream, _)) => self.adopt(stream),
+                Ok((stream, _)) => {
+                    self.adopt(stream);
+                    self.trim();
+                }
                 Err(e) => {
                     // Most likely no descriptor is left (EMFILE): an idle connection gives way.
                     log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
@@ -308,6 +330,7 @@
                             state.began = state.server.began().then_some(state.active);
                         }
                         Reaction::Ask(request, render) => {
+                            state.queried = true;
                             state.waiting = Some((token, render));
                             guard(&self.waiting).insert(token, conn.clone());
                             let _ = self.inbox.send(Input::Ask(request));
@@ -347,19 +370,24 @@
         let now = self.clock.now();
         let conns = guard(&self.conns);
         let first = conns.values().filter_map(|c| Some((c.lock().dispensable(now)?, c))).min_by_key(|c| c.0);
-        let Some(((kind, _), conn)) = first else { return false };
-        COUNTERS.evicted.add();
-        let mut state = conn.lock();
-        if kind == 2 {
-            // A request that is here already but unread is still taken.
-            state.server.close_when_idle();
-            state.wake();
-        } else {
-            state.cut();
-        }
+        let Some((_, conn)) = first else { return false };
+        conn.lock().give_way();
         true
     }
 
+    /// Keeps those between queries within their bound: the longest idle end.
+    fn trim(&self) {
+        let now = self.clock.now();
+        let conns = guard(&self.conns);
+        let idle = |c: &Arc<Conn>| c.lock().dispensable(now).filter(|d| d.0 == 2);
+        let mut idle: Vec<_> = conns.values().filter_map(|c| Some((idle(c)?.1, c))).collect();
+        if idle.len() > self.bounds.idle {
+            idle.sort_by_key(|c| c.0);
+            let over = idle.len() - self.bounds.idle;
+            idle[..over].iter().for_each(|(_, conn)| conn.lock().give_way());
+        }
+    }
+
     /// Keeps what clients have sent within its bound: those that hold the most and wait for no answer give way.
     fn shed_bytes(&self) {
         if self.bytes.load(Relaxed) <= self.bounds.bytes {
@@ -378,6 +406,7 @@
 
     /// Closes what has stood idle for long, says nothing, sends half a request, or takes no answer.
     pub fn tidy(&self, now: Micros) {
+        self.trim();
         let conns = guard(&self.conns);
         let crowded = conns.len() * 2 > self.bounds.connections;
         let most_idle = if crowded { MOST_IDLE_CROWDED } else { MOST_IDLE };
@@ -458,6 +487,64 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::proto::http::{HttpRequest, Response};
+    use may::sync::mpsc::channel;
+
+    struct Nothing;
+
+    impl Front for Nothing {
+        fn take(&self, _: HttpRequest, _: Token, _: Micros, _: bool) -> Reaction {
+            Reaction::Respond(Response::new(404, "", ""))
+        }
+        fn unreadable(&self, error: HttpError) -> Response {
+            Response::new(error.status(), "", "")
+        }
+    }
+
+    /// Connections without sockets, each as old as it says.
+    fn clients(bounds: Bounds, conns: Vec<ConnState>) -> (Arc<Clients>, Vec<Arc<Conn>>) {
+        let clients = Clients::new(Box::new(Nothing), bounds, channel().0, Clock::start());
+        let conns: Vec<_> = conns.into_iter().map(|c| Arc::new(Conn { state: Mutex::new(c) })).collect();
+        guard(&clients.conns).extend((0..).zip(conns.iter().cloned()));
+        (clients, conns)
+    }
+
+    fn conn(age_s: u64, asked: bool, queried: bool) -> ConnState {
+        let accepted = Clock::start().now() - Micros::from_secs(age_s);
+        ConnState { accepted, active: accepted, asked, queried, ..ConnState::default() }
+    }
+
+    fn ending(conns: &[Arc<Conn>]) -> Vec<bool> {
+        conns.iter().map(|c| c.lock().cut || c.lock().server.winding_up()).collect()
+    }
+
+    #[test]
+    fn the_longest_idle_end_so_that_new_clients_find_a_place() {
+        // Clients that asked once kept all the places that the platform grants to clients, for two minutes.
+        let bounds = Bounds { connections: 100, idle: 2, bytes: 1 };
+        let mut busy = conn(50, true, true);
+        busy.server.input().feed(b"GET / HTTP/1.1\r\n\r\n");
+        assert!(matches!(busy.server.poll(), Some(Ok(_))));
+        let states =
+            vec![conn(9, true, true), busy, conn(3, true, true), conn(7, true, true), conn(99, true, false)];
+        let (clients, conns) = clients(bounds, states);
+        clients.trim();
+        assert_eq!(ending(&conns), [true, false, false, false, false]);
+    }
+
+    #[test]
+    fn who_brought_no_query_gives_way_before_who_did() {
+        // A crowd that asked for /up and stayed had the usual clients' connections closed, which were idle for longer.
+        let bounds = Bounds { connections: 3, idle: 3, bytes: 1 };
+        let states =
+            vec![conn(50, true, true), conn(5, true, false), conn(4, false, false), conn(0, false, false)];
+        let (clients, conns) = clients(bounds, states);
+        for expected in [[false, true, false, false], [false, true, true, false], [true, true, true, false]] {
+            assert!(clients.evict());
+            assert_eq!(ending(&conns), expected);
+        }
+        assert!(!clients.evict(), "the last one has only just come");
+    }
 
     #[test]
     fn bounds_follow_the_limits_however_small() {
@@ -466,9 +553,11 @@
         for (sockets, mb) in [(256, 32), (384, 48), (1024, 192)] {
             let bounds = of(sockets, mb);
             assert!(bounds.connections > sockets / 2 && bounds.connections + sockets / 4 < sockets);
+            // The usual clients may hold a third of the descriptors: there is always room for new ones among them.
+            assert!(bounds.idle > 0 && bounds.idle < sockets / 3 - sockets / 8);
             assert!(bounds.bytes >= 5 * 1024 * 1024 && bounds.bytes < mb * 1024 * 1024 / 2);
         }
-        assert_eq!(of(40, 0), Bounds { connections: 26, bytes: 1024 * 1024 });
+        assert_eq!(of(40, 0), Bounds { connections: 26, idle: 6, bytes: 1024 * 1024 });
         assert_eq!(of(1, 32).shared(2).connections, 1);
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -30,19 +30,20 @@
 const TIDY_SERVERS_EVERY: Micros = MOST_SLEEP;
 /// Without a word from discovery, the list known at the start serves after so long.
 const WAIT_FOR_LIST: Micros = Micros::from_millis(400);
-/// A program told to end is killed no sooner than the longest deadline, or this if that is shorter,
-const LEAST_DEADLINE: Micros = Micros::from_secs(3);
+/// A program told to end is killed no sooner than the longest deadline, or this if that is longer,
+const MOST_DEADLINE: Micros = Micros::from_secs(3);
 /// and this on top.
 const KILL_GRACE: Micros = Micros::from_millis(700);
-/// Of that so much is kept free.
-const KILL_MARGIN: Micros = Micros::from_millis(250);
+/// So long before that all is answered,
+const KILL_MARGIN: Micros = Micros::from_millis(200);
+/// and so long before that nothing more is taken.
+const LAST_TIME: Micros = Micros::from_millis(300);
 /// Nothing is waited for longer than this after SIGTERM.
 const LAST_EXIT: Micros = Micros::from_secs(8);
 
-/// How long a program that is told to end goes on serving: its clients keep the connections they have, and whoever is
-/// to take over may not be taken in yet. What is taken last can still have its whole time before the kill.
-fn stay(longest: Micros) -> Micros {
-    longest.max(LEAST_DEADLINE) - longest + KILL_GRACE - KILL_MARGIN
+/// When a program that is told to end has answered all that it takes after that, counted from then: before the kill.
+fn last_answer(longest: Micros) -> Micros {
+    longest.min(MOST_DEADLINE) + KILL_GRACE - KILL_MARGIN
 }
 
 /// What a service is made of beside its core.
@@ -50,7 +51,7 @@
     name: String,
     listener: TcpListener,
     bounds: Bounds,
-    stay: Micros,
+    last_answer: Micros,
     front: Box<dyn Front>,
     core: Core,
     upstream: Box<dyn Upstream>,
@@ -117,7 +118,7 @@
         .map_err(no_coroutine)?;
     let deployment = &config.deployment;
     Ok(Parts {
-        stay: stay(longest(&deployment.module)),
+        last_answer: last_answer(longest(&deployment.module)),
         name: config.name.clone(),
         listener: listen(config.listen)?,
         bounds: Bounds::new(config.sockets, config.memory),
@@ -161,7 +162,7 @@
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Parts {
-        stay: stay(longest(&edge.settings())),
+        last_answer: last_answer(longest(&edge.settings())),
         name: "feature queries".to_owned(),
         listener: listen(edge.listen)?,
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
@@ -191,7 +192,7 @@
         signals,
         listed: parts.listed,
         reload: parts.reload,
-        stay: parts.stay,
+        last_answer: parts.last_answer,
         started: clock.now(),
     };
     spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)
@@ -237,7 +238,7 @@
     listed: Arc<AtomicBool>,
     reload: Option<Reload>,
     reloads: u64,
-    stay: Micros,
+    last_answer: Micros,
     started: Micros,
 }
 
@@ -274,10 +275,11 @@
             if leaving.is_none() && self.signals.end.load(Relaxed) {
                 eprintln!("quinceflow: told to end: {} queries held", self.core.held());
                 leaving = Some(now);
+                self.core.answer_by(now + self.last_answer);
                 self.clients.not_ready();
             }
             if let Some(since) = leaving {
-                if now.since(since) >= self.stay {
+                if now.since(since) >= self.last_answer - LAST_TIME {
                     self.clients.leave_all();
                     let drained = self.core.held() == 0 && self.clients.open() == 0;
                     if drained || now.since(since) >= LAST_EXIT {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -258,6 +258,24 @@
     assert!(!taken(&out, 4), "its client has left, and its attempt was called off");
 }
 
+#[test]
+fn what_is_taken_before_the_end_is_answered_by_then() {
+    // Told to end it went on to take queries whose whole time would have outlasted the kill.
+    let mut now = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, now);
+    let last = now + Micros::from_millis(400);
+    core.answer_by(last);
+    let mut out = Vec::new();
+    core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
+    while core.held() > 0 {
+        now = now + Micros::from_millis(5);
+        core.turn(now, [], &mut out);
+    }
+    assert!(now <= last);
+    core.turn(last, [ask(2, 0, 1, last)], &mut out);
+    assert_eq!(core.held(), 0, "too late to be taken");
+}
+
 #[test]
 fn a_query_that_is_over_on_arrival_and_a_turn_that_comes_late_break_nothing() {
     // Both tripped the core's own guard, which is there for a module that lets a query's time pass.
