Forget servers that are gone for good, their names, connections and tables

Excluded as growing: parts, attempts, tokens, labels, time-outs (each ends with its query). Now the core forgets a server 30 s after the list had it last and nothing of it is out, tells the driver (Forget), and never reuses its number; the module forgets a replica that is not ready after three windows. Tests: servers_that_are_replaced_for_ever..., replicas_that_are_replaced_for_ever....

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,19 @@
 /// An end this near to the wanted time was brought by it: the module ends a query some ticks ahead.
 const NEAR_END: Micros = Micros::from_millis(25);
 
+/// A server that was listed as gone, or not at all, is remembered so long: it may come back under its name.
+const MOST_GONE: Micros = Micros::from_secs(30);
+
+/// A server that some list has named.
+#[derive(Debug)]
+struct Listed {
+    name: Arc<str>,
+    address: Arc<str>,
+    ready: bool,
+    /// Since when the list has it no more.
+    gone: Option<Micros>,
+}
+
 /// An attempt that is out.
 #[derive(Debug)]
 struct Flight {
@@ -63,7 +76,9 @@
     next_id: u64,
     next_group: u32,
     names: HashMap<Arc<str>, ReplicaId>,
-    servers: BTreeMap<ReplicaId, (Arc<str>, bool)>,
+    servers: BTreeMap<ReplicaId, Listed>,
+    /// The number of the next server; never reused.
+    next_server: u32,
     /// Events that arose while actions were carried out; they are for the next turn.
     pending: Vec<Event>,
 }
@@ -92,6 +107,7 @@
             next_group: 1,
             names: HashMap::new(),
             servers: BTreeMap::new(),
+            next_server: 0,
             pending: Vec::new(),
         }
     }
@@ -148,7 +164,7 @@
 
     fn take(&mut self, now: Micros, input: Input, events: &mut Vec<Event>, out: &mut Vec<Command>) {
         match input {
-            Input::Roster(roster) => self.take_roster(roster, events, out),
+            Input::Roster(roster) => self.take_roster(now, roster, events, out),
             Input::Ask(request) => self.take_request(now, request, events, out),
             Input::Left(token) => {
                 if let Some(query) = self.tokens.get(&token).copied() {
@@ -168,14 +184,14 @@
         }
     }
 
-    fn take_roster(&mut self, roster: Roster, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+    fn take_roster(&mut self, now: Micros, roster: Roster, events: &mut Vec<Event>, out: &mut Vec<Command>) {
         COUNTERS.rosters.add();
         let mut members = Vec::new();
         let mut named = BTreeSet::new();
         for node in roster.nodes {
-            let fresh = self.names.len() as u32;
-            let replica = *self.names.entry(node.name).or_insert_with(|| {
-                let [a, b, c, d] = fresh.to_be_bytes();
+            let replica = *self.names.entry(node.name.clone()).or_insert_with(|| {
+                let [a, b, c, d] = self.next_server.to_be_bytes();
+                self.next_server = self.next_server.wrapping_add(1);
                 ReplicaId([a, b, c, d, 0, 0])
             });
             named.insert(replica);
@@ -183,22 +199,44 @@
                 events.push(Event::Placement { replica, shards });
             }
             let ready = node.state == MemberState::Ready;
-            let line = (node.address, ready);
-            if self.servers.get(&replica) != Some(&line) {
-                out.push(Command::Server(replica, line.0.clone(), ready));
-                self.servers.insert(replica, line);
+            let known = self.servers.get(&replica);
+            if known.is_none_or(|l| (&l.address, l.ready) != (&node.address, ready)) {
+                out.push(Command::Server(replica, node.address.clone(), ready));
             }
+            let gone = (node.state == MemberState::Gone).then(|| known.and_then(|l| l.gone).unwrap_or(now));
+            self.servers.insert(replica, Listed { name: node.name, address: node.address, ready, gone });
             let since = node.started.map_or(0, Micros::to_nanos);
             let (zone, cell) = (ZoneId(node.zone), CellId(node.cell));
             members.push(Member { replica, zone, cell, state: node.state, since });
         }
         if matches!(roster.kind, ListKind::Full | ListKind::Cached) {
-            for (replica, line) in self.servers.iter_mut().filter(|(r, l)| l.1 && !named.contains(r)) {
-                line.1 = false;
-                out.push(Command::Server(*replica, line.0.clone(), false));
+            for (replica, line) in self.servers.iter_mut().filter(|(r, _)| !named.contains(r)) {
+                line.gone = line.gone.or(Some(now));
+                if std::mem::take(&mut line.ready) {
+                    out.push(Command::Server(*replica, line.address.clone(), false));
+                }
             }
         }
         events.push(Event::List { kind: roster.kind, members });
+        self.forget_gone(now, out);
+    }
+
+    /// Servers are replaced by new ones with new names for as long as the program runs: what is kept of those that are
+    /// gone has its end here.
+    fn forget_gone(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let over = |l: &Listed| l.gone.is_some_and(|since| now.since(since) > MOST_GONE);
+        let gone: Vec<_> = self.servers.iter().filter(|s| over(s.1)).map(|s| *s.0).collect();
+        for replica in gone.into_iter().filter(|r| self.flights.values().all(|f| f.replica != *r)) {
+            if let Some(line) = self.servers.remove(&replica) {
+                self.names.remove(&line.name);
+                out.push(Command::Forget(replica));
+            }
+        }
+    }
+
+    /// Servers that are remembered, listed or not.
+    pub fn servers(&self) -> usize {
+        self.servers.len()
     }
 
     fn take_request(
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -156,6 +156,8 @@
     Launch(ReplicaId, Vec<Job>),
     /// Stop waiting for an attempt.
     CallOff(ReplicaId, AttemptKey),
+    /// A server is gone for good: nothing of it needs to be kept.
+    Forget(ReplicaId),
     /// Close idle connections.
     CloseIdle(ReplicaId),
     /// Ask for a load report.
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -254,6 +254,13 @@
         }
     }
 
+    fn forget(&mut self, replica: ReplicaId) {
+        if let Some(node) = self.nodes.remove(&replica) {
+            // No attempt is out on any of them: what still stands open ends here.
+            node.links.iter().for_each(|l| close_when_idle(l));
+        }
+    }
+
     fn close_idle(&mut self, replica: ReplicaId) {
         if let Some(node) = self.nodes.get(&replica) {
             node.links.iter().filter(|l| l.lock().link.idle()).for_each(|l| close_when_idle(l));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,8 @@
     fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros);
     /// Gives an attempt up.
     fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros);
+    /// Forgets a server that is gone for good.
+    fn forget(&mut self, replica: ReplicaId);
     /// Closes idle connections to a server.
     fn close_idle(&mut self, replica: ReplicaId);
     /// Asks a server for a load report.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -327,6 +327,7 @@
             Command::Server(replica, address, ready) => self.upstream.server(replica, &address, ready, now),
             Command::Launch(replica, jobs) => self.upstream.launch(replica, &jobs, now),
             Command::CallOff(replica, key) => self.upstream.call_off(replica, key, now),
+            Command::Forget(replica) => self.upstream.forget(replica),
             Command::CloseIdle(replica) => self.upstream.close_idle(replica),
             Command::Probe(replica) => self.upstream.probe(replica, now),
             Command::Reply(token, answer) => self.clients.answer(token, answer),
--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -150,6 +150,10 @@
         }
     }
 
+    fn forget(&mut self, replica: ReplicaId) {
+        self.servers.remove(&replica);
+    }
+
     fn close_idle(&mut self, replica: ReplicaId) {
         if let Some(server) = self.servers.get(&replica) {
             guard(server).idle.clear();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,6 +18,8 @@
 const QUALITY_TARGET: f64 = 0.8;
 /// Window of the quality readings, in ns: the design's 10 s.
 const QUALITY_WINDOW: Nanos = 10_000_000_000;
+/// A replica that is not ready is forgotten after so many windows.
+const GONE_WINDOWS: u64 = 3;
 /// Readings wanted in a window: the document takes 20 of 100 requests; 6 cost more than they save.
 const WANTED_READINGS: f64 = 20.0;
 /// Least share of high-worth queries sampled: the document's.
@@ -175,6 +177,8 @@
 struct Replica {
     cell: CellId,
     ready: bool,
+    /// When a list last named it, or left it out as it was ready.
+    listed: Nanos,
     /// When it is taken to have started; `None`: long ago.
     started: Option<Nanos>,
     /// Smoothed response time, and when it was last moved.
@@ -404,7 +408,9 @@
             self.ask_at = None;
         }
         if kind != ListKind::Delta {
-            self.replicas.values_mut().for_each(|r| r.ready = false);
+            for r in self.replicas.values_mut().filter(|r| r.ready) {
+                (r.ready, r.listed) = (false, self.now);
+            }
         }
         for m in members {
             let (typical, now) = (self.typical, self.now);
@@ -416,6 +422,7 @@
                 ..Replica::default()
             });
             r.cell = m.cell;
+            r.listed = now;
             r.ready = m.state == MemberState::Ready;
             if m.since > 0 {
                 r.started = Some(r.started.map_or(m.since, |s| s.max(m.since)));
@@ -571,6 +578,10 @@
         self.queries.retain(|_, q| q.open() || (q.sampled && q.taken >= horizon));
         let kept = &self.queries;
         self.parts.retain(|_, (seq, _)| kept.contains_key(seq));
+        // Replicas are replaced by new ones for ever; one that comes back is told anew, with its start.
+        let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
+        self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
+        self.placed.retain(|id, _| self.replicas.contains_key(id));
         let back = self.set.extra.map_or(0, |b| 2 * b.look_back);
         self.taken.retain(|t| t + back >= self.now);
         self.extras.retain(|t| t + back >= self.now);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -133,7 +133,7 @@
                         );
                     }
                 }
-                Command::CloseIdle(_) | Command::Probe(_) => {}
+                Command::CloseIdle(_) | Command::Probe(_) | Command::Forget(_) => {}
             }
         }
     }
@@ -258,6 +258,30 @@
     assert!(!taken(&out, 4), "its client has left, and its attempt was called off");
 }
 
+#[test]
+fn servers_that_are_replaced_for_ever_are_forgotten_and_their_numbers_not_reused() {
+    // Names, addresses and connections of every server that ever was were kept.
+    let mut now = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, now);
+    let (mut out, mut seen) = (Vec::new(), BTreeSet::new());
+    let mut open: BTreeSet<ReplicaId> = BTreeSet::new();
+    for n in 0..400 {
+        now = now + Micros::from_secs(1);
+        let nodes = vec![node(n, MemberState::Gone), node(n + 1, MemberState::Ready)];
+        core.turn(now, [Input::Roster(Roster { kind: ListKind::Delta, nodes })], &mut out);
+        for command in out.drain(..) {
+            match command {
+                Command::Server(replica, _, true) => assert!(seen.insert(replica) && open.insert(replica)),
+                Command::Forget(replica) => {
+                    open.remove(&replica);
+                }
+                _ => {}
+            }
+        }
+        assert!(core.servers() <= 35 && open.len() <= 35, "{} kept", core.servers());
+    }
+}
+
 #[test]
 fn what_is_taken_before_the_end_is_answered_by_then() {
     // Told to end it went on to take queries whose whole time would have outlasted the kill.
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -421,3 +421,18 @@
     assert!(errors(0, 40, true) > 0, "parts that can go again find it out");
     assert_eq!(errors(1, 40, true), 0);
 }
+
+#[test]
+fn replicas_that_are_replaced_for_ever_are_forgotten() {
+    // Every replica that ever was stayed in the tables, and each list was worked out over all of them.
+    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    for n in 3..200 {
+        let gone = member(n, MemberState::Gone, 0);
+        let ready = member(n + 1, MemberState::Ready, 0);
+        bench.tell(vec![Event::List { kind: ListKind::Delta, members: vec![gone, ready] }]);
+        bench.wait(S);
+    }
+    let kept = format!("{:?}", bench.module).matches("Replica {").count();
+    assert!(kept <= 40, "{kept} kept");
+    assert_eq!(sends(&bench.ask(&[0, 1]).2).len(), 2);
+}
