Keep slow replicas' answers from raising the typical response time

Looked at: what the module believes of each replica four times a second, in both coordinators. The same three of twelve answer after 0.5 to 1.2 s in both views, so nodes, not connections; CPU, descriptors, cold room and the controller (share 1.0) are calm. The typical response time climbs from 12 to 50 to 90 ms with their answers, so a part there is overdue, and tried elsewhere, after 300 to 500 ms in place of 70, past the aim. To blame: rules.rs take_outcome, 'self.typical += (took - typical)'. Now an answer counts there for at most twice the typical time; a change of the whole fleet still comes through at 3 % an answer. Test: a_few_slow_replicas_do_not_put_off_when_a_part_is_overdue.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,6 +62,8 @@
 const COLD_CORES: f64 = 0.8;
 /// Deviations by which what chance sends to a cold replica stays under the rule.
 const CHANCE: f64 = 2.5;
+/// A response time counts in the typical one for at most so many of those.
+const ODD_RATIO: f64 = 2.0;
 /// Share of an aim taken for a response time before any was seen.
 const FIRST_GUESS: f64 = 0.125;
 /// Idle connections are closed before use when they lose so much more of what is sent than others.
@@ -464,7 +466,8 @@
                     r.last_ok = now;
                     r.used = now;
                     self.per_part += (took / place - self.per_part) * FLEET_GAIN;
-                    self.typical += (took - self.typical) * FLEET_GAIN;
+                    // A few slow replicas must not put off the time from which their parts are overdue.
+                    self.typical += (took.min(ODD_RATIO * self.typical) - self.typical) * FLEET_GAIN;
                     self.met[usize::from(class.0)] = true;
                     let w = &mut self.work[usize::from(class.0)];
                     *w += (took - *w) * if took < *w { PACE_GAIN } else { 0.002 };
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -436,3 +436,20 @@
     assert!(kept <= 40, "{kept} kept");
     assert_eq!(sends(&bench.ask(&[0, 1]).2).len(), 2);
 }
+
+#[test]
+fn a_few_slow_replicas_do_not_put_off_when_a_part_is_overdue() {
+    // Their answers raised the typical response time, and with it the wait before the other replica was tried.
+    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    for (answers, took) in [(200, 20), (20, 800)] {
+        for _ in 0..answers {
+            let (_, parts, _) = bench.ask(&[0]);
+            bench.now += took * MS;
+            bench.end(parts[0], 0, Outcome::Ok, took * MS);
+        }
+    }
+    let (_, parts, actions) = bench.ask(&[0]);
+    assert_eq!(sends(&actions).len(), 1);
+    let cancel = Action::Cancel { part: parts[0], attempt: AttemptNo(0) };
+    assert!(bench.wait(400 * MS).contains(&cancel));
+}
