Tell overdue parts by a response time of their own; the pace keeps its memory

Cause: typical serves two ends in rules.rs, when a part is overdue and what a pace fades to and is compared with. Only the first was to change. Now a usual response time, to which an answer counts for at most twice, tells the first; typical is as it was.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,13 +56,13 @@
 const LIGHT_PART: f64 = 0.6;
 /// A replica is skipped when its expected wait is so many times the best of the shard's.
 const SKIP_RATIO: f64 = 1.4;
-/// A part is overdue after so many times the fleet's typical response time.
+/// A part is overdue after so many times the fleet's usual response time.
 const OVERDUE_RATIO: f64 = 5.5;
 /// Cores assumed of a cold replica: the fewest it can have, less a fifth since work varies about its mean.
 const COLD_CORES: f64 = 0.8;
 /// Deviations by which what chance sends to a cold replica stays under the rule.
 const CHANCE: f64 = 2.5;
-/// A response time counts in the typical one for at most so many of those.
+/// A response time counts in the usual one for at most so many of those.
 const ODD_RATIO: f64 = 2.0;
 /// Share of an aim taken for a response time before any was seen.
 const FIRST_GUESS: f64 = 0.125;
@@ -246,6 +246,8 @@
     turns: Vec<usize>,
     /// Typical response time of the fleet, and of a part of each class on an idle core.
     typical: f64,
+    /// The same of what is not slow: a few slow replicas must not put off when their parts are overdue.
+    usual: f64,
     /// Typical response time for each part that this instance has at the replica: what its queue costs.
     per_part: f64,
     /// Time between two uses of a replica: memory of its pace lasts no shorter.
@@ -287,6 +289,7 @@
             placed: BTreeMap::new(),
             turns,
             typical: least_aim as f64 * FIRST_GUESS,
+            usual: least_aim as f64 * FIRST_GUESS,
             per_part: 0.0,
             visits: 0.0,
             work: set.classes.iter().map(|c| c.aim as f64 * FIRST_GUESS).collect(),
@@ -456,7 +459,7 @@
                 let before = r.errors * 0.5f64.powf((now - r.erred) as f64 / (ERROR_FADE_AIMS * fade));
                 (r.errors, r.erred) = (before + (error - before) * ERROR_GAIN, now);
             }
-            let brief = (waited as f64) < OVERDUE_RATIO * typical && now - r.last_ok < aim as Nanos;
+            let brief = (waited as f64) < OVERDUE_RATIO * self.usual && now - r.last_ok < aim as Nanos;
             match outcome {
                 Outcome::Ok => {
                     let took = waited as f64;
@@ -466,8 +469,8 @@
                     r.last_ok = now;
                     r.used = now;
                     self.per_part += (took / place - self.per_part) * FLEET_GAIN;
-                    // A few slow replicas must not put off the time from which their parts are overdue.
-                    self.typical += (took.min(ODD_RATIO * self.typical) - self.typical) * FLEET_GAIN;
+                    self.typical += (took - self.typical) * FLEET_GAIN;
+                    self.usual += (took.min(ODD_RATIO * self.usual) - self.usual) * FLEET_GAIN;
                     self.met[usize::from(class.0)] = true;
                     let w = &mut self.work[usize::from(class.0)];
                     *w += (took - *w) * if took < *w { PACE_GAIN } else { 0.002 };
@@ -911,7 +914,7 @@
                 continue;
             }
             let out = p.attempts.iter().enumerate().find(|(_, a)| a.ended.is_none());
-            let overdue = out.is_some_and(|(_, a)| (self.now - a.at) as f64 > OVERDUE_RATIO * self.typical);
+            let overdue = out.is_some_and(|(_, a)| (self.now - a.at) as f64 > OVERDUE_RATIO * self.usual);
             if (out.is_some() && !overdue) || p.out() > 1 || self.extras_left() < 1.0 {
                 continue;
             }
