Answer operators at a second address: HEALTH, and figures by class name

Cause: nothing listens there (src/net/server.rs), and the counters know no classes (src/core/counters.rs). Change: a thread of its own (src/net/mgmt.rs) over a state machine (src/proto/calls.rs); figures counted where an answer is given (Core::reply) and where a last byte is written (Link::wrote, Walks). Its descriptors come off the clients' share. Ruled out: a worker too busy to answer (CPU 0.06 s in the busiest second). pool_ejected was told too high at first (3 for 0 to 1): the module prefers another replica for moments, so a second of it is asked for.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -12,7 +12,7 @@
 
         impl Counters {
             const fn new() -> Self {
-                Counters { $($name: Counter(AtomicU64::new(0)),)* }
+                Counters { $($name: Counter::new(),)* }
             }
         }
 
@@ -27,10 +27,14 @@
 }
 
 /// A number that only grows.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Counter(AtomicU64);
 
 impl Counter {
+    /// None yet.
+    pub const fn new() -> Self {
+        Counter(AtomicU64::new(0))
+    }
     /// One more.
     pub fn add(&self) {
         self.add_n(1);
@@ -62,6 +66,8 @@
     accepted, accept_errors, evicted, dials, dials_failed, links_idle_closed, links_lost, links_suspect, links_redialed,
     /// Requests that could not be read, or were for nothing that is here.
     bad_requests, client_timeouts,
+    /// Calls at the second address.
+    calls,
     /// Frames that could not be read.
     bad_frames,
     /// The list of servers.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,10 +3,14 @@
 //! A driver collects what comes in and calls [`Core::turn`] with all of it and one reading of the clock. The turn
 //! hands the module its events, carries out its actions in order and gives back what is to be done outside.
 
+mod classes;
 mod counters;
+mod figures;
 mod types;
 
+use classes::Classes;
 pub use counters::{invariant, log_rarely, Counter, Counters, COUNTERS};
+pub use figures::{Figures, Tally};
 pub use types::*;
 
 use crate::interface::*;
@@ -20,6 +24,10 @@
 /// An end this near to the wanted time was brought by it: the module ends a query some ticks ahead.
 const NEAR_END: Micros = Micros::from_millis(25);
 
+/// What the module believes of servers is asked of it this often, for the figures.
+const ASK_POOL_EVERY: Micros = Micros::from_millis(100);
+/// A server counts as avoided once the module has avoided it for so long: many are for a moment, when another is quicker.
+const AVOIDED_FOR: Micros = Micros::from_secs(1);
 /// A server that was listed as gone, or not at all, is remembered so long: it may come back under its name.
 const MOST_GONE: Micros = Micros::from_secs(30);
 
@@ -41,12 +49,14 @@
     until: Micros,
     written: bool,
     label: Arc<str>,
+    class: ClassId,
 }
 
 /// A query that has no final answer yet.
 #[derive(Debug)]
 struct Held {
     request: Request,
+    class: ClassId,
     /// When its client's time is over.
     until: Micros,
     /// When its answer is wanted.
@@ -59,6 +69,13 @@
 pub struct Core {
     module: Aggregator,
     set: Settings,
+    classes: Classes,
+    figures: Arc<Figures>,
+    /// What this core last said of `active`, `pool_size` and `pool_ejected`.
+    said: [usize; 3],
+    asked_pool: Micros,
+    /// Since when the module has avoided which servers.
+    avoided: BTreeMap<ReplicaId, Micros>,
     most_held: usize,
     held: BTreeMap<QueryId, Held>,
     held_count: usize,
@@ -85,12 +102,16 @@
 
 impl Core {
     /// A core that holds nothing yet.
-    pub fn new(mut set: Settings, most_held: usize, seed: u64, now: Micros) -> Self {
-        // No front speaks of a second step.
-        set.classes.iter_mut().for_each(|c| c.follow_up = 0);
+    pub fn new(set: Settings, most_held: usize, seed: u64, now: Micros, figures: Arc<Figures>) -> Self {
+        let set = without_second_steps(set);
         Self {
             module: Aggregator::new(set.clone(), seed, now.to_nanos()),
+            classes: Classes::new(&set.classes, figures.clone()),
             set,
+            figures,
+            said: [0; 3],
+            asked_pool: Micros::ZERO,
+            avoided: BTreeMap::new(),
             most_held,
             held: BTreeMap::new(),
             held_count: 0,
@@ -160,6 +181,46 @@
         // After the module: a turn that comes late must leave it to the module to end what is over.
         self.ends_due(now, out);
         bundle(out, self.set.bundle.max(1) as usize);
+        self.say(now);
+    }
+
+    /// Tells the figures what is held and what the module believes.
+    fn say(&mut self, now: Micros) {
+        let before = self.said;
+        self.said[0] = self.held.len();
+        if now.since(self.asked_pool) >= ASK_POOL_EVERY {
+            self.asked_pool = now;
+            self.said[1] = self.servers.values().filter(|l| l.gone.is_none()).count();
+            let avoided = self.module.avoided();
+            self.avoided.retain(|id, _| avoided.contains(id));
+            for id in avoided {
+                self.avoided.entry(id).or_insert(now);
+            }
+            self.said[2] = self.avoided.values().filter(|since| now.since(**since) >= AVOIDED_FOR).count();
+        }
+        let gauges = [&self.figures.active, &self.figures.pool_size, &self.figures.pool_ejected];
+        gauges.iter().zip(before.iter().zip(self.said)).for_each(|(g, (b, s))| g.moved(*b, s));
+    }
+
+    /// Other settings are in force from now on; what is open keeps the class it began with.
+    fn take_settings(&mut self, set: Settings, most_held: usize, events: &mut Vec<Event>) {
+        let set = without_second_steps(set);
+        let heirs = self.classes.replace(&set.classes);
+        self.set = Settings { classes: self.classes.told(), ..set };
+        self.most_held = most_held;
+        events.push(Event::Settings { set: Box::new(self.set.clone()), heirs });
+    }
+
+    /// Gives a request its final answer: the one place where answers are counted for operators.
+    fn reply(&self, class: ClassId, token: Token, answer: Answer, out: &mut Vec<Command>) {
+        let tally = self.classes.tally(class);
+        match answer {
+            Answer::Served { .. } => &tally.ok,
+            Answer::Refused { .. } => &tally.shed,
+            Answer::Failed { .. } | Answer::Taken | Answer::NoClass => &tally.errors,
+        }
+        .add();
+        out.push(Command::Reply(token, answer));
     }
 
     fn take(&mut self, now: Micros, input: Input, events: &mut Vec<Event>, out: &mut Vec<Command>) {
@@ -181,6 +242,7 @@
             }
             Input::Ended(key, end) => self.take_end(now, key, end, events),
             Input::Probed(replica, outcome, load) => events.push(Event::Probed { replica, outcome, load }),
+            Input::Settings(set, most_held) => self.take_settings(*set, most_held, events),
         }
     }
 
@@ -246,13 +308,19 @@
         events: &mut Vec<Event>,
         out: &mut Vec<Command>,
     ) {
+        let Some(class) = self.classes.find(&request.class) else {
+            // Dropped by a reload while the request was on its way here.
+            COUNTERS.bad_requests.add();
+            return out.push(Command::Reply(request.token, Answer::NoClass));
+        };
         let until = request.sent + request.patience;
         let until = self.last.map_or(until, |last| until.min(last));
         if until <= now + WAY {
             // Over before it began: nothing can be in time any more, and nothing was sent.
             COUNTERS.over_time.add();
             COUNTERS.refused.add();
-            return out.push(Command::Reply(request.token, Answer::Refused { come_back: None, late: true }));
+            let answer = Answer::Refused { come_back: None, late: true };
+            return self.reply(class, request.token, answer, out);
         }
         let size = 1 + request.parts.len();
         if self.held_count + size > self.most_held {
@@ -260,11 +328,11 @@
             COUNTERS.over_held.add();
             COUNTERS.refused.add();
             let come_back = self.set.retry_after.map(Micros::from_nanos);
-            return out.push(Command::Reply(request.token, Answer::Refused { come_back, late: false }));
+            return self.reply(class, request.token, Answer::Refused { come_back, late: false }, out);
         }
         if self.labels.contains_key(&request.label) {
             COUNTERS.labels_taken.add();
-            return out.push(Command::Reply(request.token, Answer::Taken));
+            return self.reply(class, request.token, Answer::Taken, out);
         }
         COUNTERS.taken.add();
         self.labels.insert(request.label.clone(), 1);
@@ -273,13 +341,14 @@
         let group = Group(self.next_group);
         self.next_group = self.next_group.wrapping_add(1);
         self.next_id += size as u64;
-        let aim = self.set.classes.get(usize::from(request.class.0)).map_or(0, |c| c.aim);
+        let aim = self.classes.get(class).aim;
+        self.classes.begin(class);
         let hints: Option<Micros> =
             request.parts.iter().map(|p| p.hint).try_fold(Micros::ZERO, |sum, hint| hint.map(|h| sum + h));
         events.push(Event::Query {
             query,
             group,
-            class: request.class,
+            class,
             tenant: request.tenant,
             key: 0,
             hint: hints.filter(|_| !request.parts.is_empty()).map(Micros::to_nanos),
@@ -294,7 +363,7 @@
         self.ends.insert((until, query));
         let wanted = request.sent + Micros::from_nanos(aim);
         let values = vec![None; request.parts.len()];
-        self.held.insert(query, Held { request, until, wanted, values });
+        self.held.insert(query, Held { request, class, until, wanted, values });
     }
 
     fn take_end(&mut self, now: Micros, key: AttemptKey, end: End, events: &mut Vec<Event>) {
@@ -319,6 +388,7 @@
         let flight = self.flights.remove(&key)?;
         self.time_outs.remove(&(flight.until, key));
         self.unlabel(&flight.label);
+        self.classes.end(flight.class);
         Some(flight)
     }
 
@@ -357,7 +427,7 @@
             invariant(false, "a query outlived its client's time");
             if let Some(held) = self.forget(query) {
                 COUNTERS.failed.add();
-                out.push(Command::Reply(held.request.token, Answer::Failed { late: true }));
+                self.reply(held.class, held.request.token, Answer::Failed { late: true }, out);
             }
             self.pending.push(Event::Gone(query));
         }
@@ -377,6 +447,7 @@
     fn forget(&mut self, query: QueryId) -> Option<Held> {
         let held = self.held.remove(&query)?;
         self.unlabel(&held.request.label);
+        self.classes.end(held.class);
         self.held_count -= 1 + held.values.len();
         self.ends.remove(&(held.until, query));
         self.tokens.remove(&held.request.token);
@@ -445,8 +516,8 @@
             self.set.second_copies || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
         );
-        let label = held.request.label.clone();
-        let flight = Flight { replica, sent: now, until, written: false, label: label.clone() };
+        let (label, class) = (held.request.label.clone(), held.class);
+        let flight = Flight { replica, sent: now, until, written: false, label: label.clone(), class };
         self.flights.insert(key, flight);
         *self.labels.entry(label.clone()).or_insert(0) += 1;
         self.time_outs.insert((until, key));
@@ -456,13 +527,15 @@
             shard: held.request.parts[at].shard,
             text: held.request.text.clone(),
             patience: until.since(now),
+            tally: self.classes.tally(class).clone(),
         };
+        self.classes.begin(class);
         out.push(Command::Launch(replica, vec![job]));
     }
 
     fn answer(&mut self, query: QueryId, whole: bool, out: &mut Vec<Command>) {
         let Some(held) = self.forget(query) else { return invariant(false, "an answer to no query") };
-        let class = &self.set.classes[usize::from(held.request.class.0)];
+        let class = self.classes.get(held.class);
         let parts = held.request.parts.iter().zip(held.values);
         let mut weight = 0.0;
         let mut values = Vec::new();
@@ -475,7 +548,7 @@
         let least = if whole { class.need } else { class.floor };
         invariant(weight + 1e-4 >= least, "an answer from too few parts");
         if whole { &COUNTERS.whole } else { &COUNTERS.partial }.add();
-        out.push(Command::Reply(held.request.token, Answer::Served { whole, parts: values }));
+        self.reply(held.class, held.request.token, Answer::Served { whole, parts: values }, out);
     }
 
     fn give_up(
@@ -490,10 +563,16 @@
         let Some(held) = self.forget(query) else { return invariant(false, "an end to no query") };
         counter.add();
         let late = now + NEAR_END >= held.wanted.min(held.until);
-        out.push(Command::Reply(held.request.token, answer(late)));
+        self.reply(held.class, held.request.token, answer(late), out);
     }
 }
 
+/// No front speaks of a second step.
+fn without_second_steps(mut set: Settings) -> Settings {
+    set.classes.iter_mut().for_each(|c| c.follow_up = 0);
+    set
+}
+
 /// Joins launches of one turn to one server into calls of at most so many parts.
 fn bundle(out: &mut Vec<Command>, most: usize) {
     if most < 2 {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,6 +1,7 @@
 //! Requests, attempts and outcomes as plain data. No wire's words here.
 
-use crate::interface::{AttemptNo, ClassId, Outcome, PartId, ReplicaId, ShardId, TenantId};
+use super::figures::Tally;
+use crate::interface::{AttemptNo, Outcome, PartId, ReplicaId, Settings, ShardId, TenantId};
 use crate::time::Micros;
 use std::sync::Arc;
 
@@ -15,8 +16,8 @@
     pub token: Token,
     /// What the request is called at the servers and in logs.
     pub label: Arc<str>,
-    /// Its class.
-    pub class: ClassId,
+    /// The name of its class: numbers may change while it is on its way to the core.
+    pub class: Arc<str>,
     /// Its tenant; 0 where there are none.
     pub tenant: TenantId,
     /// How long its client waits, from `sent`.
@@ -104,6 +105,8 @@
     Ended(AttemptKey, End),
     /// A probe ended, with the values of its load report in the order of the settings; none if it had none.
     Probed(ReplicaId, Outcome, Vec<f64>),
+    /// The settings change, and with them how many queries and parts may be held.
+    Settings(Box<Settings>, usize),
 }
 
 /// What an attempt asks of a server.
@@ -119,6 +122,8 @@
     pub text: Arc<[u8]>,
     /// How long this program will wait for it.
     pub patience: Micros,
+    /// Where it is counted once its last byte is written.
+    pub tally: Arc<Tally>,
 }
 
 /// The final answer to a request.
@@ -140,6 +145,8 @@
     },
     /// Its label is that of a request that is still open: it was not begun.
     Taken,
+    /// Its class is none (any more): it was not begun.
+    NoClass,
     /// Given up, with no promise.
     Failed {
         /// Its time ran out first.
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -14,6 +14,8 @@
 pub struct Edge {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators are answered, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// The inventory's file; from the folder of this one.
     pub inventory: PathBuf,
     /// Coordinators that share the servers, this one included.
@@ -233,6 +235,8 @@
     pub fn settings(&self) -> Settings {
         let ns = |ms: u64| Micros::from_millis(ms).to_nanos();
         let class = |c: &EdgeClass| Class {
+            name: c.name.clone(),
+            listed: true,
             aim: ns(c.aim_ms),
             aim_stretch: 0.0,
             deadline: ns(c.deadline_ms),
@@ -242,6 +246,7 @@
             need: 1.0,
             floor: c.floor,
             follow_up: 0,
+            max_attempts: self.attempts,
         };
         let cold = |w: &WarmUp| ColdRule {
             factor: w.factor,
@@ -266,7 +271,6 @@
             cold: self.warm_up.as_ref().map(cold),
             cancel: true,
             second_copies: false,
-            max_attempts: self.attempts,
             report: Vec::new(),
             probing: false,
             retry_after: Some(ns(self.retry_after_ms)),
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -15,7 +15,7 @@
 
 use super::{Front, Reaction};
 use crate::core::{PartOf, Request, Token, COUNTERS};
-use crate::interface::{ClassId, ShardId, TenantId};
+use crate::interface::{ShardId, TenantId};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
 use config::Edge;
@@ -180,7 +180,7 @@
         Ok(Request {
             token,
             label: format!("q{}", token.0).into(),
-            class: ClassId(class as u16),
+            class: self.edge.classes[class].name.as_str().into(),
             tenant: TenantId(0),
             patience,
             sent,
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -149,6 +149,7 @@
             response.headers.push(("Retry-After", wait.to_string()));
             Some(response)
         }
+        Answer::NoClass => Some(problem(400, "X-Qos names no class")),
         Answer::Taken => Some(problem(409, "another request of that name is open")),
         Answer::Failed { late: false } => Some(problem(502, "too many of the servers failed")),
     }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -2,11 +2,12 @@
 
 use super::{Front, Reaction};
 use crate::core::{Answer, PartOf, Request, Token, COUNTERS};
-use crate::interface::{ClassId, ShardId, TenantId};
+use crate::interface::{ShardId, TenantId};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::settings::Deployment;
 use crate::time::Micros;
 use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex};
 
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
@@ -45,24 +46,43 @@
 /// The front for the platform's protocol.
 #[derive(Debug)]
 pub struct Platform {
-    classes: Vec<String>,
+    named: SharedNamed,
+}
+
+/// What a request may name; a reload changes it.
+#[derive(Debug)]
+pub struct Named {
+    classes: Vec<Arc<str>>,
     shards: u32,
 }
 
+/// The same as the front and a reload share it.
+pub type SharedNamed = Arc<Mutex<Arc<Named>>>;
+
+impl Named {
+    /// By these settings.
+    pub fn new(deployment: &Deployment) -> Arc<Self> {
+        let module = &deployment.module;
+        let classes = module.classes.iter().map(|c| c.name.as_str().into()).collect();
+        Arc::new(Named { classes, shards: module.shards })
+    }
+}
+
 impl Platform {
-    /// A front for these classes and shards.
-    pub fn new(deployment: &Deployment) -> Self {
-        Platform { classes: deployment.class_names.clone(), shards: deployment.module.shards }
+    /// A front for what may be named now.
+    pub fn new(named: SharedNamed) -> Self {
+        Platform { named }
     }
 
     fn query(&self, request: &HttpRequest, token: Token, sent: Micros) -> Result<Request, String> {
+        let named = self.named.lock().unwrap_or_else(|e| e.into_inner()).clone();
         let header = |name| request.headers.get(name).ok_or_else(|| format!("{name} is missing"));
         let label = header("X-Trace-Id")?;
         if label.is_empty() || label.len() > MOST_ID || !label.bytes().all(|b| b.is_ascii_graphic()) {
             return Err("X-Trace-Id is no id".to_owned());
         }
         let name = header("X-Qos")?;
-        let class = self.classes.iter().position(|c| c == name).ok_or("X-Qos names no class")?;
+        let class = named.classes.iter().find(|c| &***c == name).ok_or("X-Qos names no class")?.clone();
         let seconds = header("X-Expires-In")?.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
         let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MOST_PATIENCE_S);
         let patience = Micros((seconds * 1e6) as u64);
@@ -71,7 +91,7 @@
         for t in query.tablets {
             let weight =
                 Some(t.fraction).filter(|w| w.is_finite() && *w >= 0.0).ok_or("a fraction is no share")?;
-            if t.tablet >= self.shards {
+            if t.tablet >= named.shards {
                 return Err(format!("tablet {} is none", t.tablet));
             }
             if parts.iter().any(|p| p.shard.0 == t.tablet) {
@@ -90,7 +110,7 @@
         Ok(Request {
             token,
             label: label.into(),
-            class: ClassId(class as u16),
+            class,
             tenant: TenantId(0),
             patience,
             sent,
@@ -144,6 +164,7 @@
             response.headers.extend(come_back.map(|t| ("Retry-After", seconds(t))));
             response
         }
+        Answer::NoClass => Response::new(400, TEXT, "X-Qos names no class\n"),
         Answer::Taken => Response::new(409, TEXT, "X-Trace-Id is that of an open request\n"),
         Answer::Failed { late: true } => Response::new(504, TEXT, "out of time\n"),
         Answer::Failed { late: false } => Response::new(502, TEXT, "failed\n"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,6 +48,10 @@
 /// A class of query.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Class {
+    /// Its name, which outlives its number.
+    pub name: String,
+    /// It is in the settings in force; one that is not is kept for the queries that began with it.
+    pub listed: bool,
     /// Wanted within this time.
     pub aim: Nanos,
     /// The aim grows by so many times the work that the query's hint names.
@@ -66,6 +70,8 @@
     pub floor: f64,
     /// Parts of the second step; 0 where there is none.
     pub follow_up: u32,
+    /// Most attempts at a part.
+    pub max_attempts: u32,
 }
 
 /// A tenant and its quota of queries a second, over all co-ordinators; `None` where none is stated.
@@ -142,8 +148,6 @@
     pub cancel: bool,
     /// Two attempts at a part may be out at once.
     pub second_copies: bool,
-    /// Most attempts at a part.
-    pub max_attempts: u32,
     /// What the values of a probe's load report are, in order.
     pub report: Vec<Figure>,
     /// Replicas may be probed for a report.
@@ -279,6 +283,13 @@
     },
     /// The client of a query has left, or the query's time is over.
     Gone(QueryId),
+    /// The settings change. Open queries keep the number of their class, and what it says stays as it was.
+    Settings {
+        /// From now on.
+        set: Box<Settings>,
+        /// For each class, the one whose seen figures it goes on with.
+        heirs: Vec<ClassId>,
+    },
     /// A wake-up is due.
     Wake,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 //!
 //! const MS: Nanos = 1_000_000;
 //! let class = Class {
+//!     name: "lookup".to_owned(),
+//!     listed: true,
 //!     aim: 1_000 * MS,
 //!     aim_stretch: 0.0,
 //!     deadline: 3_000 * MS,
@@ -21,6 +23,7 @@
 //!     need: 1.0,
 //!     floor: 1.0,
 //!     follow_up: 0,
+//!     max_attempts: 2,
 //! };
 //! let settings = Settings {
 //!     aggregators: 1,
@@ -38,7 +41,6 @@
 //!     cold: None,
 //!     cancel: true,
 //!     second_copies: false,
-//!     max_attempts: 2,
 //!     report: Vec::new(),
 //!     probing: false,
 //!     retry_after: None,
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -11,6 +11,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    mgmt: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -33,6 +34,19 @@
     }
 }
 
+/// What the environment says; it goes before the file.
+#[derive(Debug, Default)]
+pub struct Env {
+    /// See [`Config`].
+    pub listen: Option<String>,
+    /// See [`Config`].
+    pub discovery: Option<String>,
+    /// See [`Config`].
+    pub mgmt: Option<String>,
+    /// See [`Config`].
+    pub name: Option<String>,
+}
+
 /// The start's configuration.
 #[derive(Debug)]
 pub struct Config {
@@ -42,6 +56,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators are answered, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// Where the file is, to be read anew.
     pub path: PathBuf,
     /// Where discovery is in the file's own words, whatever the environment said.
@@ -64,29 +80,32 @@
         let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
         let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
         let var = |name| std::env::var(name).ok();
-        let read = Self::read(&text, var("NODE_LISTEN"), var("NODE_DISCOVERY"), var("NODE_NAME"));
-        let config = read.map_err(|e| format!("{path}: {e}"))?;
+        let env = Env {
+            listen: var("NODE_LISTEN"),
+            discovery: var("NODE_DISCOVERY"),
+            mgmt: var("NODE_MGMT"),
+            name: var("NODE_NAME"),
+        };
+        let config = Self::read(&text, env).map_err(|e| format!("{path}: {e}"))?;
         Ok(Config { path: path.into(), ..config })
     }
 
     /// Reads the text of the file.
-    pub fn read(
-        text: &[u8],
-        listen: Option<String>,
-        discovery: Option<String>,
-        name: Option<String>,
-    ) -> Result<Self, String> {
+    pub fn read(text: &[u8], env: Env) -> Result<Self, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        let address = |what: &str, env: Option<String>, file: Option<String>| {
-            let text = env.or(file).ok_or_else(|| format!("{what}: no address"))?;
+        let parse = |what: &str, text: String| {
             text.parse::<SocketAddr>().map_err(|e| format!("{what}: {text:?}: {e}"))
         };
+        let address = |what: &str, env: Option<String>, file: Option<String>| {
+            parse(what, env.or(file).ok_or_else(|| format!("{what}: no address"))?)
+        };
         Ok(Config {
             path: PathBuf::new(),
             told: file.discovery.as_ref().and_then(|d| d.parse().ok()),
-            listen: address("listen", listen, file.listen)?,
-            discovery: address("discovery", discovery, file.discovery)?,
-            name: name.unwrap_or(file.name),
+            listen: address("listen", env.listen, file.listen)?,
+            discovery: address("discovery", env.discovery, file.discovery)?,
+            mgmt: env.mgmt.or(file.mgmt).map(|text| parse("mgmt", text)).transpose()?,
+            name: env.name.unwrap_or(file.name),
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
             memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 pub mod config;
 pub mod links;
+pub mod mgmt;
 pub mod server;
 pub mod walks;
 pub mod watch;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -3,12 +3,13 @@
 use super::clients::{Bounds, Clients};
 use super::config::{self, Config};
 use super::links::Links;
+use super::mgmt;
 use super::walks::Walks;
 use super::{spawn, watch, Upstream, LARGE_STACK};
-use crate::core::{Command, Core, Input, Roster, COUNTERS};
+use crate::core::{Command, Core, Figures, Input, Roster, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::{self, Ogc, SharedCatalog};
-use crate::front::platform::Platform;
+use crate::front::platform::{Named, Platform};
 use crate::front::Front;
 use crate::interface::Settings;
 use crate::proto::discovery::read_listing;
@@ -19,7 +20,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// The longest sleep of the core: signals are looked at this often.
@@ -30,6 +31,8 @@
 const TIDY_SERVERS_EVERY: Micros = MOST_SLEEP;
 /// Without a word from discovery, the list known at the start serves after so long.
 const WAIT_FOR_LIST: Micros = Micros::from_millis(400);
+/// `HEALTH` waits for discovery, but not for ever: the platform starts coordinators while discovery is down, too.
+const WAIT_FOR_NEWS: Micros = Micros::from_millis(3_000);
 /// A program told to end is killed no sooner than the longest deadline, or this if that is longer,
 const MOST_DEADLINE: Micros = Micros::from_secs(3);
 /// and this on top.
@@ -72,17 +75,27 @@
     let signals = listen_for_signals()?;
     // Descriptors and memory are the process's: two fronts share them.
     let fronts = usize::from(platform.is_some()) + usize::from(edge.is_some());
+    let figures = Arc::new(Figures::default());
+    let told = platform.as_ref().map(|c| (c.mgmt, c.sockets));
+    let also = edge.as_ref().map(|e| (e.mgmt, e.sockets));
     let mut services = Vec::new();
     if let Some(config) = platform {
-        services.push(platform_service(&config, clock)?);
+        services.push(platform_service(&config, clock, &figures)?);
     }
     if let Some(edge) = edge {
-        services.push(edge_service(edge, clock)?);
+        services.push(edge_service(edge, clock, &figures)?);
     }
     services.iter_mut().for_each(|s| s.bounds = s.bounds.shared(fronts));
     let running: Vec<_> =
         services.into_iter().map(|s| serve(s, clock, signals.clone())).collect::<Result<_, _>>()?;
-    for done in running {
+    // One address for the whole process; the platform's goes first.
+    for (address, sockets) in told.into_iter().chain(also).filter_map(|(a, n)| Some((a?, n))).take(1) {
+        let fronts: Vec<_> = running.iter().map(|r| r.0.clone()).collect();
+        let health = Box::new(move || fronts.iter().try_for_each(|c| c.health()));
+        let most = mgmt::reserved(sockets) - 1;
+        mgmt::start(address, mgmt::Told { figures: figures.clone(), health, most })?;
+    }
+    for (_, done) in running {
         done.join().map_err(|_| "a core panicked".to_owned())?;
     }
     eprintln!("quinceflow: {COUNTERS}");
@@ -101,7 +114,7 @@
     format!("a coroutine: {e}")
 }
 
-fn platform_service(config: &Config, clock: Clock) -> Result<Parts, String> {
+fn platform_service(config: &Config, clock: Clock, figures: &Arc<Figures>) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
     let listed = Arc::new(AtomicBool::new(false));
     let mut rev = 0;
@@ -122,8 +135,14 @@
         name: config.name.clone(),
         listener: listen(config.listen)?,
         bounds: Bounds::new(config.sockets, config.memory),
-        front: Box::new(Platform::new(deployment)),
-        core: Core::new(deployment.module.clone(), deployment.most_held, config.seed, clock.now()),
+        front: Box::new(Platform::new(Arc::new(Mutex::new(Named::new(deployment))))),
+        core: Core::new(
+            deployment.module.clone(),
+            deployment.most_held,
+            config.seed,
+            clock.now(),
+            figures.clone(),
+        ),
         upstream: Box::new(Links::new(deployment, inbox.clone(), clock)),
         inbox,
         arrivals,
@@ -145,7 +164,7 @@
     })
 }
 
-fn edge_service(edge: Edge, clock: Clock) -> Result<Parts, String> {
+fn edge_service(edge: Edge, clock: Clock, figures: &Arc<Figures>) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
     let catalog = SharedCatalog::default();
     let mut reload: Reload = {
@@ -166,7 +185,7 @@
         name: "feature queries".to_owned(),
         listener: listen(edge.listen)?,
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
-        core: Core::new(edge.settings(), edge.most_held, seed, clock.now()),
+        core: Core::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
         upstream: Box::new(Walks::new(&edge, catalog.clone(), inbox.clone(), clock)),
         front: Box::new(Ogc::new(edge, catalog)),
         inbox,
@@ -176,7 +195,10 @@
     })
 }
 
-fn serve(parts: Parts, clock: Clock, signals: Arc<Signals>) -> Result<JoinHandle<()>, String> {
+/// The clients of a service, and what ends with it.
+type Running = (Arc<Clients>, JoinHandle<()>);
+
+fn serve(parts: Parts, clock: Clock, signals: Arc<Signals>) -> Result<Running, String> {
     let address = parts.listener.local_addr().map_err(|e| e.to_string())?;
     let clients = Clients::new(parts.front, parts.bounds, parts.inbox, clock);
     let (accepting, listener) = (clients.clone(), parts.listener);
@@ -185,7 +207,7 @@
     let turns = Turns {
         core: parts.core,
         upstream: parts.upstream,
-        clients,
+        clients: clients.clone(),
         clock,
         arrivals: parts.arrivals,
         reloads: signals.reloads.load(Relaxed),
@@ -195,7 +217,7 @@
         last_answer: parts.last_answer,
         started: clock.now(),
     };
-    spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)
+    Ok((clients, spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)?))
 }
 
 fn listen_for_signals() -> Result<Arc<Signals>, String> {
@@ -271,6 +293,9 @@
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_LIST {
                 self.clients.ready.store(true, Relaxed);
             }
+            if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_NEWS {
+                self.clients.informed.store(true, Relaxed);
+            }
             self.reload_if_asked(now, &mut inputs);
             if leaving.is_none() && self.signals.end.load(Relaxed) {
                 eprintln!("quinceflow: told to end: {} queries held", self.core.held());
--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -1,7 +1,7 @@
 //! Attempts at feature servers: each walks its pages over one connection, taken from those that stand idle.
 
 use super::{spawn, try_read, try_write, Tried, Upstream, LARGE_STACK};
-use crate::core::{AttemptKey, End, Input, Job, COUNTERS};
+use crate::core::{AttemptKey, End, Input, Job, Tally, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::{lock, SharedCatalog};
 use crate::interface::{Outcome, ReplicaId};
@@ -104,6 +104,7 @@
             server: server.clone(),
             slot,
             key: job.key,
+            tally: job.tally.clone(),
             inbox: self.inbox.clone(),
             clock: self.clock,
             dial_timeout: self.dial_timeout,
@@ -181,6 +182,7 @@
     server: Arc<Mutex<Server>>,
     slot: Arc<Mutex<Slot>>,
     key: AttemptKey,
+    tally: Arc<Tally>,
     inbox: Sender<Input>,
     clock: Clock,
     dial_timeout: Micros,
@@ -293,6 +295,7 @@
             match try_write(stream, self.walk.output()) {
                 Tried::Moved(n) => {
                     if self.walk.wrote(n) {
+                        self.tally.tries.add();
                         let _ = self.inbox.send(Input::Written(self.key));
                     }
                 }
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -3,9 +3,10 @@
 //! A frame is a length of four bytes, most significant first, a letter, and the rest; the length counts both.
 
 use super::buffer::Buffer;
-use crate::core::{AttemptKey, End, Job};
+use crate::core::{AttemptKey, End, Job, Tally};
 use crate::interface::Outcome;
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Most bytes of a frame from a data node: a value's bound and its line.
 const MOST_FRAME: usize = 64 * 1024 + 1024;
@@ -32,6 +33,14 @@
     bytes: Vec<u8>,
     written: usize,
     keys: Vec<AttemptKey>,
+    /// Where its parts are counted once it is written: also those given up since it began to go out.
+    tallies: Vec<Arc<Tally>>,
+}
+
+impl Outgoing {
+    fn plain(bytes: Vec<u8>) -> Self {
+        Outgoing { bytes, written: 0, keys: Vec::new(), tallies: Vec::new() }
+    }
 }
 
 /// One connection to a data node.
@@ -72,13 +81,14 @@
                 self.ids.remove(&old);
             }
         }
-        self.output.push_back(Outgoing { bytes: frame(b'q', &rest), written: 0, keys });
+        let tallies = jobs.iter().map(|j| j.tally.clone()).collect();
+        self.output.push_back(Outgoing { keys, tallies, ..Outgoing::plain(frame(b'q', &rest)) });
     }
 
     /// Queues a probe for a load report.
     pub fn probe(&mut self) {
         self.probes += 1;
-        self.output.push_back(Outgoing { bytes: frame(b'l', b""), written: 0, keys: Vec::new() });
+        self.output.push_back(Outgoing::plain(frame(b'l', b"")));
     }
 
     /// Gives an attempt up. One whose frame has not begun to go out never goes.
@@ -91,8 +101,7 @@
                 self.output.remove(at);
             }
             None => {
-                let bytes = frame(b'c', id.as_bytes());
-                self.output.push_back(Outgoing { bytes, written: 0, keys: Vec::new() });
+                self.output.push_back(Outgoing::plain(frame(b'c', id.as_bytes())));
                 remember(&mut self.past, id);
             }
         }
@@ -123,7 +132,9 @@
         if front.written < front.bytes.len() {
             return;
         }
-        for key in self.output.pop_front().map(|f| f.keys).unwrap_or_default() {
+        let Some(whole) = self.output.pop_front() else { return };
+        whole.tallies.iter().for_each(|t| t.tries.add());
+        for key in whole.keys {
             if let Some(entry) = self.ids.get(&key).and_then(|id| self.out.get_mut(id)) {
                 entry.1 = true;
                 events.push(LinkEvent::Written(key));
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -1,6 +1,7 @@
 //! Protocols as state machines: fed bytes, they yield events and bytes to write. None knows a socket or a clock.
 
 pub mod buffer;
+pub mod calls;
 pub mod discovery;
 pub mod frames;
 pub mod http;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -221,6 +221,10 @@
     lost[1] > lost[0] + IDLE_LOSS
 }
 
+fn least_aim(set: &Settings) -> Nanos {
+    set.classes.iter().filter(|c| c.listed).map(|c| c.aim).min().unwrap_or(set.tick)
+}
+
 /// A part: its query, and its place there.
 type PartAt = (u64, usize);
 
@@ -271,7 +275,7 @@
 impl Aggregator {
     /// An instance that holds nothing yet.
     pub fn new(set: Settings, seed: u64, now: Nanos) -> Self {
-        let least_aim = set.classes.iter().map(|c| c.aim).min().unwrap_or(set.tick);
+        let least_aim = least_aim(&set);
         let mut rng = fastrand::Rng::with_seed(seed);
         // Where turns begin: were it the same everywhere, instances with little traffic would go in step.
         let turns = (0..set.shards).map(|_| rng.usize(..1 << 16)).collect();
@@ -330,11 +334,7 @@
         match event {
             Event::List { kind, members } => self.take_list(*kind, members),
             Event::Placement { replica, shards } => {
-                // Shards that are new get their places here; turns begin anywhere, as in `new`.
-                let most = shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0).max(self.holders.len());
-                self.holders.resize(most, Vec::new());
-                let rng = &mut self.rng;
-                self.turns.resize_with(most, || rng.usize(..1 << 16));
+                self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
             Event::Query { query, group, class, tenant, key, hint, time_left } => {
@@ -398,10 +398,46 @@
                     }
                 }
             }
+            Event::Settings { set, heirs } => self.take_settings(set, heirs),
             Event::Wake => self.wake = 0,
         }
     }
 
+    /// Shards that are new get their places here; turns begin anywhere, as in `new`.
+    fn grow(&mut self, shards: usize) {
+        let most = shards.max(self.holders.len());
+        self.holders.resize(most, Vec::new());
+        let rng = &mut self.rng;
+        self.turns.resize_with(most, || rng.usize(..1 << 16));
+    }
+
+    /// Ready replicas that no part of a listed class would go to now, whatever its shard.
+    pub fn avoided(&self) -> Vec<ReplicaId> {
+        let Some(c) = self.set.classes.iter().position(|c| c.listed) else { return Vec::new() };
+        let class = ClassId(c as u16);
+        let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
+        let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
+        let used: BTreeSet<ReplicaId> = (0..self.holders.len()).flat_map(fit).collect();
+        let holds = |id: &ReplicaId| self.holders.iter().any(|h| h.contains(id));
+        let ready = self.replicas.iter().filter(|r| r.1.ready).map(|r| *r.0);
+        ready.filter(|id| holds(id) && !used.contains(id)).collect()
+    }
+
+    /// What was seen of replicas and classes stays; a class that is new begins with a guess.
+    fn take_settings(&mut self, set: &Settings, heirs: &[ClassId]) {
+        let seen = |(c, heir): (&Class, &ClassId)| {
+            let at = usize::from(heir.0);
+            let work = self.work.get(at).copied().filter(|_| self.met[at]);
+            (work.unwrap_or(c.aim as f64 * FIRST_GUESS), work.is_some())
+        };
+        (self.work, self.met) = set.classes.iter().zip(heirs).map(seen).unzip();
+        self.least_aim = least_aim(set);
+        self.quotas.resize(set.tenants.len(), (1.0, self.now));
+        self.set = set.clone();
+        self.grow(set.shards as usize);
+        self.take_list(ListKind::Delta, &[]);
+    }
+
     fn take_list(&mut self, kind: ListKind, members: &[Member]) {
         if kind == ListKind::Failed {
             // Ask again after a jittered wait, well inside the time that counts as told.
@@ -535,7 +571,7 @@
     }
 
     fn top(&self) -> f64 {
-        self.set.classes.iter().map(|c| c.points).fold(0.0, f64::max)
+        self.set.classes.iter().filter(|c| c.listed).map(|c| c.points).fold(0.0, f64::max)
     }
 
     /// A token bucket a tenant, filled with this instance's even share of the quota.
@@ -631,8 +667,16 @@
     /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
     /// Where a call costs, a part joins one that its query sends now; the turn moves on past that.
     fn pick(&self, p: &Part, not: &[ReplicaId], join: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
+        let fit = self.fit(p, not);
+        let joined = |id: &ReplicaId| join.iter().filter(|j| *j == id).count() as u32;
+        let near = fit.iter().find(|r| (1..self.set.bundle).contains(&joined(&r.0)));
+        near.or_else(|| fit.first()).copied()
+    }
+
+    /// The replicas that a part may go to, in turn, with the wait to expect there.
+    fn fit(&self, p: &Part, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
         let c = self.class(p.class);
-        let holders = self.holders.get(p.shard.0 as usize)?;
+        let Some(holders) = self.holders.get(p.shard.0 as usize) else { return Vec::new() };
         let turn = self.turns[p.shard.0 as usize];
         let order = (0..holders.len()).map(|i| holders[(turn + i) % holders.len()]);
         let able: Vec<(ReplicaId, f64, f64)> = order
@@ -642,10 +686,8 @@
             .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
         let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
-        let mut fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical);
-        let joined = |id: &ReplicaId| join.iter().filter(|j| *j == id).count() as u32;
-        let near = fit.clone().find(|r| (1..self.set.bundle).contains(&joined(&r.0)));
-        near.or_else(|| fit.next()).map(|r| (r.0, r.1))
+        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical);
+        fit.map(|r| (r.0, r.1)).collect()
     }
 
     /// Rule 4: may a part of this class go to a replica that just started? What all may send is split evenly;
@@ -711,7 +753,7 @@
             && r.ready
             && holds
             && self.cold_room(r, p.class)
-            && (p.attempts.len() as u32) < self.set.max_attempts.max(1)
+            && (p.attempts.len() as u32) < self.class(q.class).max_attempts.max(1)
             && (p.out() == 0 || (self.set.second_copies && p.out() < 2))
             && (!further || left >= 1.0);
         if !allowed {
@@ -887,7 +929,7 @@
     /// May the rules of its class ever allow another attempt?
     fn may_try(&self, p: &Part, c: &Class) -> bool {
         let again = c.effect != Effect::Unsafe || !p.may_have_run();
-        again && (p.attempts.len() as u32) < self.set.max_attempts.max(1)
+        again && (p.attempts.len() as u32) < c.max_attempts.max(1)
     }
 
     fn send_parts(&mut self, seq: u64, c: &Class, actions: &mut Vec<Action>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -116,8 +116,6 @@
 pub struct Deployment {
     /// For the module.
     pub module: Settings,
-    /// The names of the classes, in the order of [`Settings::classes`].
-    pub class_names: Vec<String>,
     /// The names of a load report's values, in order.
     pub report_names: Vec<String>,
     /// A connection that is not ready by then has failed.
@@ -140,7 +138,6 @@
     let boot: BootInfo = serde_json::from_value(value).map_err(|e| e.to_string())?;
     let limits = &boot.limits;
     Ok(Deployment {
-        class_names: boot.classes.iter().map(|c| c.name.clone()).collect(),
         report_names: boot.report.names.clone(),
         dial_timeout: limits.dial_timeout.unwrap_or(250_000_000),
         idle_close: limits.idle_close.unwrap_or(15_000_000_000),
@@ -162,6 +159,8 @@
         };
         let need = family.class_need.get(at).copied().unwrap_or(1.0);
         classes.push(Class {
+            name: c.name,
+            listed: true,
             aim: c.aim,
             aim_stretch: c.aim_stretch,
             deadline: c.deadline,
@@ -171,6 +170,7 @@
             need,
             floor: family.least_share.get(at).copied().unwrap_or(need),
             follow_up: family.follow_up.get(at).copied().unwrap_or(0),
+            max_attempts: limits.max_attempts,
         });
     }
     let extra = rules.look_back.map(|look_back| ExtraBudget {
@@ -203,7 +203,6 @@
         cold,
         cancel: limits.cancel,
         second_copies: limits.second_copies,
-        max_attempts: limits.max_attempts,
         report: boot.report.names.iter().map(|n| figure(n)).collect(),
         probing: limits.probing,
         retry_after: limits.retry_after.then_some(limits.max_retry_after),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,6 +9,8 @@
 
 pub fn class(effect: Effect) -> Class {
     Class {
+        name: "lookup".to_owned(),
+        listed: true,
         aim: S,
         aim_stretch: 0.0,
         deadline: 4 * S,
@@ -18,6 +20,7 @@
         need: 1.0,
         floor: 1.0,
         follow_up: 0,
+        max_attempts: 4,
     }
 }
 
@@ -39,7 +42,6 @@
         cold: None,
         cancel: true,
         second_copies: false,
-        max_attempts: 4,
         report: Vec::new(),
         probing: false,
         retry_after: Some(S),
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -80,6 +80,7 @@
         shard: ShardId(n as u32),
         text: text.into(),
         patience: Micros(240_000),
+        tally: Default::default(),
     }
 }
 
