Take up settings at SIGHUP: check the whole file, then swap all of it or nothing

Cause: config::reread took discovery from any file that parsed, a broken one too, and settings from none, so new classes got 400 and drains were not heard of.

--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -61,20 +61,16 @@
     /// again once nothing is left that began with it.
     pub fn replace(&mut self, classes: &[Class]) -> Vec<ClassId> {
         let before: Vec<Option<ClassId>> = classes.iter().map(|c| self.find(&c.name)).collect();
+        let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { listed: true, ..class.clone() };
+        let stays: Vec<bool> =
+            classes.iter().zip(&before).map(|(c, b)| b.is_some_and(|b| same(c, &b))).collect();
         let mut heirs: Vec<ClassId> = (0..self.places.len()).map(|at| ClassId(at as u16)).collect();
         self.places.iter_mut().for_each(|p| p.class.listed = false);
-        for (class, before) in classes.iter().zip(&before) {
-            let class = Class { listed: true, ..class.clone() };
-            if let Some(place) = before.map(|b| &mut self.places[usize::from(b.0)]) {
-                if (Class { listed: true, ..place.class.clone() }) == class {
-                    place.class.listed = true;
-                }
-            }
+        for id in before.iter().zip(&stays).filter_map(|(b, stays)| b.filter(|_| *stays)) {
+            self.places[usize::from(id.0)].class.listed = true;
         }
-        for (class, before) in classes.iter().zip(before) {
-            if before.is_some_and(|b| self.get(b).listed) {
-                continue;
-            }
+        // Decided before the first place is used again: it may be that of a class that comes later in the file.
+        for ((class, before), _) in classes.iter().zip(before).zip(stays).filter(|(_, stays)| !stays) {
             let tally = self.figures.class(&class.name);
             let place = Place { class: Class { listed: true, ..class.clone() }, tally, users: 0 };
             let heir = before.unwrap_or(NONE);
@@ -94,3 +90,63 @@
         self.places.iter().map(|p| p.class.clone()).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::Effect;
+
+    fn class(name: &str, max_attempts: u32) -> Class {
+        Class {
+            name: name.to_owned(),
+            listed: true,
+            aim: 1,
+            aim_stretch: 0.0,
+            deadline: 2,
+            effect: Effect::Safe,
+            points: 1.0,
+            late_worth: 0.0,
+            need: 1.0,
+            floor: 1.0,
+            follow_up: 0,
+            max_attempts,
+        }
+    }
+
+    /// The classes in force: name, attempts, place.
+    fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
+        let listed = classes.told().into_iter().filter(|c| c.listed);
+        let mut all: Vec<_> = listed
+            .map(|c| (c.name.clone(), c.max_attempts, classes.find(&c.name).expect("listed").0))
+            .collect();
+        all.sort();
+        all
+    }
+
+    #[test]
+    fn a_reload_that_changes_all_classes_loses_none() {
+        // The place of a later class was given to an earlier one, and the later one was taken for unchanged.
+        let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
+        let heirs = classes.replace(&[class("a", 2), class("b", 2), class("c", 2)]);
+        let names: Vec<_> = in_force(&classes).into_iter().map(|c| (c.0, c.1)).collect();
+        assert_eq!(names, [("a".to_owned(), 2), ("b".to_owned(), 2), ("c".to_owned(), 2)]);
+        let heir = |name: &str| heirs[usize::from(classes.find(name).expect("in force").0)];
+        assert_eq!((heir("a"), heir("b"), heir("c")), (ClassId(0), ClassId(1), NONE));
+    }
+
+    #[test]
+    fn a_place_lives_until_what_began_with_it_has_ended() {
+        let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
+        let a = classes.find("a").expect("in force");
+        classes.begin(a);
+        classes.replace(&[class("a", 1), class("b", 4)]);
+        assert_eq!((classes.get(a).max_attempts, classes.find("b")), (4, Some(ClassId(1))));
+        assert_eq!(classes.get(classes.find("a").expect("in force")).max_attempts, 1);
+        // Dropped, and its first place still in use: a third one is needed; after its end it is used again.
+        classes.replace(&[class("b", 4), class("c", 1)]);
+        assert_eq!((classes.find("a"), classes.find("c")), (None, Some(ClassId(2))));
+        classes.end(a);
+        classes.replace(&[class("b", 4), class("c", 1), class("d", 1)]);
+        assert_eq!((classes.find("d"), classes.told().len()), (Some(a), 3));
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,9 +1,9 @@
 //! What a coordinator is told at its start.
 
-use crate::settings::{read_deployment, Deployment};
+use crate::settings::{missing_key, read_deployment, Deployment};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 #[derive(Deserialize)]
 struct File {
@@ -60,6 +60,8 @@
     pub mgmt: Option<SocketAddr>,
     /// Where the file is, to be read anew.
     pub path: PathBuf,
+    /// The file's keys, for the next one to be compared with.
+    form: serde_json::Value,
     /// Where discovery is in the file's own words, whatever the environment said.
     pub told: Option<SocketAddr>,
     /// For random numbers.
@@ -101,6 +103,7 @@
         };
         Ok(Config {
             path: PathBuf::new(),
+            form: form(text)?,
             told: file.discovery.as_ref().and_then(|d| d.parse().ok()),
             listen: address("listen", env.listen, file.listen)?,
             discovery: address("discovery", env.discovery, file.discovery)?,
@@ -115,16 +118,55 @@
     }
 }
 
-/// Where a replaced file says that discovery is: all that a running program takes from it.
-pub fn reread(path: &Path) -> Result<SocketAddr, String> {
-    #[derive(Deserialize)]
-    struct Moved {
-        discovery: String,
+/// The platform's file as a running program has it: the one in force, against which a replaced one is checked.
+#[derive(Debug)]
+pub struct InForce {
+    path: PathBuf,
+    /// Its keys; the list of servers is left out, since it may hold any number of any form.
+    form: serde_json::Value,
+}
+
+/// What a running program takes from a replaced file.
+#[derive(Debug)]
+pub struct Replaced {
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The settings.
+    pub deployment: Deployment,
+}
+
+impl InForce {
+    /// The file at the start.
+    pub fn at_start(config: &Config) -> Self {
+        InForce { path: config.path.clone(), form: config.form.clone() }
+    }
+
+    /// Reads the file anew. With an error nothing of it is to be used.
+    pub fn reread(&mut self) -> Result<Replaced, String> {
+        let text = std::fs::read(&self.path).map_err(|e| e.to_string());
+        text.and_then(|t| self.replace(&t)).map_err(|e| format!("{}: {e}", self.path.display()))
+    }
+
+    /// The same with its text.
+    fn replace(&mut self, text: &[u8]) -> Result<Replaced, String> {
+        let form = form(text)?;
+        if let Some(key) = missing_key(&self.form, &form) {
+            return Err(format!("{key} is missing"));
+        }
+        let config = Config::read(text, Env::default())?;
+        config.deployment.check().map_err(|e| format!("settings: {e}"))?;
+        self.form = form;
+        Ok(Replaced { discovery: config.discovery, deployment: config.deployment })
+    }
+}
+
+/// What of a file is compared with the next one.
+fn form(text: &[u8]) -> Result<serde_json::Value, String> {
+    let mut form: serde_json::Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    if let Some(known) = form.get_mut("known") {
+        *known = serde_json::Value::Null;
     }
-    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-    let text = std::fs::read(path).map_err(|e| told(&e))?;
-    let file: Moved = serde_json::from_slice(&text).map_err(|e| told(&e))?;
-    file.discovery.parse().map_err(|e| told(&format!("discovery: {:?}: {e}", file.discovery)))
+    Ok(form)
 }
 
 /// The seed is hex; anything else still gives one, by its bytes.
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -115,17 +115,18 @@
 impl Links {
     /// A pool without connections.
     pub fn new(deployment: &Deployment, inbox: Sender<Input>, clock: Clock) -> Self {
-        let idle = Micros::from_nanos(deployment.idle_close);
-        Links {
+        let mut links = Links {
             nodes: HashMap::new(),
             typical: Arc::new(Typical(AtomicU64::new(FIRST_TYPICAL.0))),
             inbox,
             clock,
-            dial_timeout: Micros::from_nanos(deployment.dial_timeout),
-            idle_limit: (idle - IDLE_MARGIN).max(Micros(idle.0 / 2)),
-            most_parts: deployment.streams_per_conn,
-            report: Arc::new(deployment.report_names.clone()),
-        }
+            dial_timeout: Micros::ZERO,
+            idle_limit: Micros::ZERO,
+            most_parts: 1,
+            report: Arc::default(),
+        };
+        links.retune(deployment);
+        links
     }
 
     fn slot(&mut self, replica: ReplicaId, now: Micros, parts: usize) -> Option<Arc<Slot>> {
@@ -267,6 +268,14 @@
         }
     }
 
+    fn retune(&mut self, deployment: &Deployment) {
+        let idle = Micros::from_nanos(deployment.idle_close);
+        self.dial_timeout = Micros::from_nanos(deployment.dial_timeout);
+        self.idle_limit = (idle - IDLE_MARGIN).max(Micros(idle.0 / 2));
+        self.most_parts = deployment.streams_per_conn;
+        self.report = Arc::new(deployment.report_names.clone());
+    }
+
     fn tidy(&mut self, now: Micros, _out: &dyn Fn(AttemptKey) -> bool) {
         let limit = self.idle_limit;
         for node in self.nodes.values_mut() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::core::{AttemptKey, Job};
 use crate::interface::ReplicaId;
+use crate::settings::Deployment;
 use crate::time::Micros;
 use may::coroutine::{Builder, JoinHandle};
 use std::io;
@@ -28,6 +29,8 @@
     fn close_idle(&mut self, replica: ReplicaId);
     /// Asks a server for a load report.
     fn probe(&mut self, replica: ReplicaId, now: Micros);
+    /// The settings have changed.
+    fn retune(&mut self, _deployment: &Deployment) {}
     /// Closes what has stood idle for too long and forgets what has ended; `out`: an attempt is still out.
     fn tidy(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool);
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,18 +1,19 @@
 //! The program: for each front a core, and the coroutines that feed it.
 
 use super::clients::{Bounds, Clients};
-use super::config::{self, Config};
+use super::config::{Config, InForce};
 use super::links::Links;
 use super::mgmt;
 use super::walks::Walks;
 use super::{spawn, watch, Upstream, LARGE_STACK};
-use crate::core::{Command, Core, Figures, Input, Roster, COUNTERS};
+use crate::core::{Command, Core, Figures, Input, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::{self, Ogc, SharedCatalog};
-use crate::front::platform::{Named, Platform};
+use crate::front::platform::{Named, Platform, SharedNamed};
 use crate::front::Front;
 use crate::interface::Settings;
 use crate::proto::discovery::read_listing;
+use crate::settings::Deployment;
 use crate::time::{unix_ms, Clock, Micros};
 use may::coroutine::JoinHandle;
 use may::net::TcpListener;
@@ -61,11 +62,21 @@
     inbox: Sender<Input>,
     arrivals: Receiver<Input>,
     listed: Arc<AtomicBool>,
-    reload: Option<Reload>,
+    reload: Reload,
 }
 
-/// Reads anew what may change while the program runs: what came of it in words, and a list of servers if it holds one.
-type Reload = Box<dyn FnMut(Micros) -> Result<(String, Option<Roster>), String> + Send>;
+/// What a reload brought.
+struct Reloaded {
+    /// In words.
+    words: String,
+    /// For the core: a list of servers, or settings.
+    input: Input,
+    /// Settings, where they came.
+    deployment: Option<Deployment>,
+}
+
+/// Reads anew what may change while the program runs.
+type Reload = Box<dyn FnMut(Micros) -> Result<Reloaded, String> + Send>;
 
 /// Runs what is set up, the platform's front, the one for feature queries, or both, until it is told to end.
 pub fn run(platform: Option<Config>, edge: Option<Edge>) -> Result<(), String> {
@@ -130,12 +141,13 @@
     spawn(LARGE_STACK, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed))
         .map_err(no_coroutine)?;
     let deployment = &config.deployment;
+    let named = Arc::new(Mutex::new(Named::new(deployment)));
     Ok(Parts {
         last_answer: last_answer(longest(&deployment.module)),
         name: config.name.clone(),
         listener: listen(config.listen)?,
         bounds: Bounds::new(config.sockets, config.memory),
-        front: Box::new(Platform::new(Arc::new(Mutex::new(Named::new(deployment))))),
+        front: Box::new(Platform::new(named.clone())),
         core: Core::new(
             deployment.module.clone(),
             deployment.most_held,
@@ -147,20 +159,38 @@
         inbox,
         arrivals,
         listed,
-        reload: Some(reload_discovery(config, place)),
+        reload: reload_configuration(config, place, named, figures.clone()),
     })
 }
 
-/// The platform's file may move discovery while the program runs. At the start the environment outranks the file, but
-/// it cannot change; an address that is new in the file is the later word.
-fn reload_discovery(config: &Config, place: watch::Place) -> Reload {
-    let (path, mut told) = (config.path.clone(), config.told);
+/// The platform's file may move discovery and change the settings while the program runs. At the start the environment
+/// outranks the file, but it cannot change; an address that is new in the file is the later word.
+fn reload_configuration(
+    config: &Config,
+    place: watch::Place,
+    named: SharedNamed,
+    figures: Arc<Figures>,
+) -> Reload {
+    let (mut file, mut told) = (InForce::at_start(config), config.told);
     Box::new(move |_| {
-        let address = config::reread(&path).map_err(|e| format!("the configuration stays as it was: {e}"))?;
-        if told.replace(address) != Some(address) {
-            place.move_to(address);
+        let replaced = file.reread().map_err(|e| {
+            figures.config_rejected.add();
+            format!("the configuration stays as it was: {e}")
+        })?;
+        figures.config_applied.add();
+        if told.replace(replaced.discovery) != Some(replaced.discovery) {
+            place.move_to(replaced.discovery);
         }
-        Ok((format!("the configuration is read anew: discovery is at {}", place.address()), None))
+        let deployment = replaced.deployment;
+        let names: Vec<_> = deployment.module.classes.iter().map(|c| c.name.as_str()).collect();
+        let words = format!(
+            "the configuration is read anew: discovery is at {}, classes {}",
+            place.address(),
+            names.join(" ")
+        );
+        *named.lock().unwrap_or_else(|e| e.into_inner()) = Named::new(&deployment);
+        let input = Input::Settings(Box::new(deployment.module.clone()), deployment.most_held);
+        Ok(Reloaded { words, input, deployment: Some(deployment) })
     })
 }
 
@@ -173,11 +203,11 @@
             let servers = edge.servers().map_err(|e| format!("the inventory stays as it was: {e}"))?;
             let roster = ogc::lock(&catalog).load(&servers, now);
             let nodes = roster.nodes.len();
-            Ok((format!("the inventory is loaded anew: {nodes} servers"), Some(roster)))
+            let words = format!("the inventory is loaded anew: {nodes} servers");
+            Ok(Reloaded { words, input: Input::Roster(roster), deployment: None })
         })
     };
-    let (_, roster) = reload(clock.now())?;
-    let _ = roster.map(|r| inbox.send(Input::Roster(r)));
+    let _ = inbox.send(reload(clock.now())?.input);
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Parts {
@@ -191,7 +221,7 @@
         inbox,
         arrivals,
         listed: Arc::new(AtomicBool::new(true)),
-        reload: Some(reload),
+        reload,
     })
 }
 
@@ -258,7 +288,7 @@
     arrivals: Receiver<Input>,
     signals: Arc<Signals>,
     listed: Arc<AtomicBool>,
-    reload: Option<Reload>,
+    reload: Reload,
     reloads: u64,
     last_answer: Micros,
     started: Micros,
@@ -323,14 +353,21 @@
             return;
         }
         self.reloads = asked;
-        match self.reload.as_mut().map(|reload| reload(now)) {
-            None => {}
-            Some(Ok((what, roster))) => {
+        match (self.reload)(now) {
+            Ok(Reloaded { words, input, deployment }) => {
                 COUNTERS.reloads.add();
-                eprintln!("quinceflow: {what}");
-                inputs.extend(roster.map(Input::Roster));
+                eprintln!("quinceflow: {words}");
+                if let Some(deployment) = deployment {
+                    self.last_answer = last_answer(longest(&deployment.module));
+                    self.upstream.retune(&deployment);
+                }
+                // What was read under the old settings goes before the new ones.
+                while let Ok(earlier) = self.arrivals.try_recv() {
+                    inputs.push(earlier);
+                }
+                inputs.push(input);
             }
-            Some(Err(why)) => {
+            Err(why) => {
                 COUNTERS.bad_reloads.add();
                 eprintln!("quinceflow: {why}");
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -128,6 +128,56 @@
     pub most_held: usize,
 }
 
+impl Deployment {
+    /// What settings must hold so that a running program may go over to them.
+    pub fn check(&self) -> Result<(), String> {
+        let classes = &self.module.classes;
+        for (at, c) in classes.iter().enumerate() {
+            let fault = |why: &str| Err(format!("class {:?}: {why}", c.name));
+            match () {
+                () if c.name.is_empty() => return fault("it has no name"),
+                () if classes[..at].iter().any(|b| b.name == c.name) => return fault("it is named twice"),
+                () if c.deadline == 0 => return fault("its deadline is not above 0"),
+                () if c.max_attempts == 0 => return fault("its attempts are not above 0"),
+                () => {}
+            }
+        }
+        if classes.is_empty() {
+            return Err("there are no classes".to_owned());
+        }
+        Ok(())
+    }
+}
+
+/// Keys that the wire lets settings go without.
+const OPTIONAL: [&str; 8] = [
+    "aim-stretch",
+    "warm-keys",
+    "extra-floor",
+    "extra-ratio",
+    "look-back",
+    "quota-rps",
+    "dedup-window",
+    "dedup-scope",
+];
+
+/// The first key that `old` has and `new` lacks, at any depth: defaults would stand in for it unseen. The elements of a
+/// list of objects are all of the form of its first.
+pub fn missing_key(old: &serde_json::Value, new: &serde_json::Value) -> Option<String> {
+    use serde_json::Value::{Array, Object};
+    match (old, new) {
+        (Object(old), Object(new)) => old.iter().find_map(|(key, value)| match new.get(key) {
+            None => (!OPTIONAL.contains(&key.as_str())).then(|| key.clone()),
+            Some(new) => missing_key(value, new).map(|inner| format!("{key}.{inner}")),
+        }),
+        (Array(old), Array(new)) => {
+            old.first().and_then(|form| new.iter().find_map(|n| missing_key(form, n)))
+        }
+        (Object(old), _) => old.keys().next().cloned(),
+        _ => None,
+    }
+}
+
 /// Reads the settings text for the module.
 pub fn read(text: &str) -> Result<Settings, String> {
     serde_json::from_str(text).map_err(|e| e.to_string()).and_then(module_settings)
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -318,3 +318,37 @@
     assert_eq!((replies, core.held()), (2, 0));
     assert_eq!(quinceflow::core::COUNTERS.broken_invariants.get(), 0);
 }
+
+#[test]
+fn an_open_query_keeps_its_class_and_a_new_one_has_the_settings_in_force() {
+    // Attempts and effects were looked up by the class's place in the file, whatever the file said by then.
+    let mut now = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut out = Vec::new();
+    core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
+    let mut set = settings();
+    set.classes[0] = Class { effect: Effect::Unsafe, max_attempts: 1, ..set.classes[0].clone() };
+    set.classes.swap(0, 2);
+    core.turn(now, [Input::Settings(Box::new(set), MOST_HELD), ask(2, 0, 1, now)], &mut out);
+    let (mut attempts, mut answers) = (BTreeMap::new(), BTreeMap::new());
+    while answers.len() < 2 {
+        let mut inputs = Vec::new();
+        for command in out.drain(..) {
+            match command {
+                Command::Launch(_, jobs) => {
+                    *attempts.entry(jobs[0].label.to_string()).or_insert(0) += 1;
+                    inputs.extend([Input::Written(jobs[0].key), Input::Ended(jobs[0].key, how(2))]);
+                }
+                Command::Reply(token, answer) => {
+                    answers.insert(token, answer);
+                }
+                _ => {}
+            }
+        }
+        now = now + Micros::from_millis(5);
+        core.turn(now, inputs, &mut out);
+    }
+    assert_eq!(attempts, BTreeMap::from([("q1".to_owned(), 3), ("q2".to_owned(), 1)]));
+    assert!(matches!(answers[&Token(1)], Answer::Refused { .. }), "safe when it came");
+    assert!(matches!(answers[&Token(2)], Answer::Failed { .. }), "unsafe by now");
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -230,6 +230,9 @@
         let (edge, _changes) = start(&format!("fault{}{class}", act as u8), &nodes.each_ref(), 1024);
         until_ready(&edge);
         assert_eq!(ask(&edge, "q1", class, &[0]).status, status);
+        let dump = call(edge.second_address(), "DUMP\n");
+        let errors = figure(&dump, &format!("node.responses.{class}.errors"));
+        assert_eq!(errors, u64::from(status != 200), "{dump}");
         let sent: usize = nodes.iter().map(|n| n.seen.lock().expect("log").len()).sum();
         assert_eq!(sent, if status == 200 { 2 } else { 1 }, "a part that may have run goes out once");
     }
@@ -308,7 +311,7 @@
     assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
     // The new address knows of a drain, as a change after the version that the old one told last.
     let (address, moved) = discovery(list(2, false, &[(&nodes[0], "terminating")]));
-    edge.configure(&json!({"discovery": address.to_string()}).to_string());
+    edge.configure(&edge.with("/discovery", json!(address.to_string())));
     edge.signal("HUP");
     edge.wait_for("the configuration is read anew: discovery is at ");
     lists(3);
@@ -544,3 +547,60 @@
     .expect("told");
     while call(edge.second_address(), "HEALTH\n") != "YES\n" {}
 }
+
+#[test]
+fn a_reload_takes_all_of_a_file_or_nothing() {
+    // Whatever parsed moved discovery: a broken file sent the watch to an address where nobody was.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, _changes) = start("retune", &nodes.each_ref(), 1024);
+    let second = edge.second_address();
+    until_ready(&edge);
+    let whole = edge.with("/name", json!("n0"));
+    let lost = |pointer: &str, key: &str| {
+        let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
+        config.pointer_mut(pointer).and_then(|o| o.as_object_mut()?.remove(key)).expect("it was there");
+        config.to_string()
+    };
+    let broken = [
+        String::new(),
+        whole[..whole.len() / 2].to_owned(),
+        lost("", "settings"),
+        lost("", "discovery"),
+        lost("/settings", "limits"),
+        lost("/settings/limits", "max-attempts"),
+        lost("/settings/classes/2", "late-worth"),
+        edge.with("/settings/limits/max-attempts", json!(0)),
+        edge.with("/settings/limits/max-attempts", json!(-1)),
+        edge.with("/settings/classes/1/deadline", json!(0)),
+        edge.with("/settings/classes/1/deadline", json!("soon")),
+        edge.with("/settings/classes/1/name", json!("lookup")),
+        edge.with("/settings/classes", json!([])),
+        edge.with("/discovery", json!("nowhere")),
+    ];
+    for text in &broken {
+        edge.configure(text);
+        edge.signal("HUP");
+        edge.wait_for("the configuration stays as it was: ");
+    }
+    assert_eq!(ask(&edge, "q0", "later", &[0]).status, 400);
+    assert_eq!(ask(&edge, "q1", "brief", &[0]).status, 200);
+    // One class is new, one is dropped, one may not repeat any more, and all have fewer attempts.
+    let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
+    config["settings"]["limits"]["max-attempts"] = json!(2);
+    config["settings"]["classes"][0]["effect"] = json!("non_idempotent");
+    config["settings"]["classes"][1]["name"] = json!("later");
+    config["settings"]["classes"][2]["effect"] = json!("read_like");
+    edge.configure(&config.to_string());
+    edge.signal("HUP");
+    assert!(edge.wait_for("the configuration is read anew").ends_with("classes lookup later send"));
+    for (id, class, status) in
+        [("q2", "brief", 400), ("q3", "send", 200), ("q4", "later", 200), ("q5", "lookup", 200)]
+    {
+        assert_eq!(ask(&edge, id, class, &[0, 1]).status, status, "{class}");
+    }
+    let dump = call(second, "DUMP\n");
+    let of = |name: &str| figure(&dump, &format!("node.{name}"));
+    assert_eq!((of("config_applied"), of("config_rejected")), (1, broken.len() as u64));
+    let ok = ["brief", "later", "lookup", "send"].map(|c| of(&format!("responses.{c}.ok")));
+    assert_eq!((ok, of("responses.later.tries")), ([1, 1, 1, 1], 2));
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -171,7 +171,9 @@
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        std::fs::write(folder.join("config.json"), config.to_string()).expect("a configuration");
+        for file in ["config.json", "start.json"] {
+            std::fs::write(folder.join(file), config.to_string()).expect("a configuration");
+        }
         let mut command = Command::new("sh");
         command
             .arg("-c")
@@ -217,6 +219,14 @@
         }
     }
 
+    /// The platform's configuration with another value at this place.
+    pub fn with(&self, pointer: &str, value: serde_json::Value) -> String {
+        let text = std::fs::read(self.folder.join("start.json")).expect("a configuration");
+        let mut config: serde_json::Value = serde_json::from_slice(&text).expect("JSON");
+        *config.pointer_mut(pointer).expect("such a place") = value;
+        config.to_string()
+    }
+
     /// Replaces the platform's configuration.
     pub fn configure(&self, text: &str) {
         std::fs::write(self.folder.join("config.json"), text).expect("a configuration");
