Hand the listening sockets and half of the limits over to a new version

Seen: both processes listened by themselves; limits, quotas and the cold rule held for each, not for the sum, and what waits at a listener that closes is reset. Cause: server::run knew of no other process. Ruled out: stale file, hung peer, other version (tests): the new one then listens by SO_REUSEPORT as before. The listening sockets are never closed before the process ends: CoIo closes a descriptor before it leaves epoll, and a socket that another process has too would go on telling a freed record.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -64,11 +64,22 @@
     values: Vec<Option<Value>>,
 }
 
+/// Which of two processes this one is while a new version is started beside the old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Beside {
+    /// The one that served so far.
+    Old,
+    /// The one that takes over.
+    New,
+}
+
 /// The core of one coordinator.
 #[derive(Debug)]
 pub struct Core {
     module: Aggregator,
     set: Settings,
+    /// Another process shares what is allowed to one, and it is the older one.
+    beside: Option<Beside>,
     classes: Classes,
     figures: Arc<Figures>,
     /// What this core last said of `active`, `pool_size` and `pool_ejected`.
@@ -108,6 +119,7 @@
             module: Aggregator::new(set.clone(), seed, now.to_nanos()),
             classes: Classes::new(&set.classes, figures.clone()),
             set,
+            beside: None,
             figures,
             said: [0; 3],
             asked_pool: Micros::ZERO,
@@ -202,13 +214,38 @@
         gauges.iter().zip(before.iter().zip(self.said)).for_each(|(g, (b, s))| g.moved(*b, s));
     }
 
+    /// Another process shares what is allowed to one, or does no more. Rules hold for the sum of both.
+    pub fn share(&mut self, beside: Option<Beside>) {
+        self.beside = beside;
+        let heirs = self.classes.replace(&self.set.classes.clone());
+        let event = self.tell_settings(heirs);
+        self.pending.push(event);
+    }
+
+    /// The settings as the module is to have them: one of two processes counts for two coordinators, which halves its
+    /// share of what all may send; free further attempts stay with the one that may have used them.
+    fn tell_settings(&self, heirs: Vec<ClassId>) -> Event {
+        let mut set = Settings { classes: self.classes.told(), ..self.set.clone() };
+        if let Some(beside) = self.beside {
+            set.aggregators *= 2;
+            set.extra =
+                set.extra.map(|e| if beside == Beside::New { ExtraBudget { free: 0.0, ..e } } else { e });
+        }
+        Event::Settings { set: Box::new(set), heirs }
+    }
+
+    /// Queries and parts that may be held now.
+    fn most_held(&self) -> usize {
+        self.most_held / if self.beside.is_some() { 2 } else { 1 }
+    }
+
     /// Other settings are in force from now on; what is open keeps the class it began with.
     fn take_settings(&mut self, set: Settings, most_held: usize, events: &mut Vec<Event>) {
         let set = without_second_steps(set);
         let heirs = self.classes.replace(&set.classes);
-        self.set = Settings { classes: self.classes.told(), ..set };
+        self.set = set;
         self.most_held = most_held;
-        events.push(Event::Settings { set: Box::new(self.set.clone()), heirs });
+        events.push(self.tell_settings(heirs));
     }
 
     /// Gives a request its final answer: the one place where answers are counted for operators.
@@ -323,7 +360,7 @@
             return self.reply(class, request.token, answer, out);
         }
         let size = 1 + request.parts.len();
-        if self.held_count + size > self.most_held {
+        if self.held_count + size > self.most_held() {
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
             COUNTERS.over_held.add();
             COUNTERS.refused.add();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -5,11 +5,11 @@
 use crate::front::{Front, Reaction, Render};
 use crate::proto::http::{HttpError, Server};
 use crate::time::{Clock, Micros};
-use may::io::{WaitIo, WaitIoWaker};
-use may::net::{TcpListener, TcpStream};
+use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
-use std::net::Shutdown;
+use std::io::ErrorKind;
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -58,6 +58,12 @@
         Bounds { connections: (sockets * 2 / 3).max(1), idle: sockets / 6, bytes }
     }
 
+    /// What is left while two processes share the limits. The idle keep theirs: they are part of the connections.
+    fn halved(self) -> Self {
+        let connections = (self.connections / 2).max(1);
+        Bounds { connections, idle: self.idle.min(connections / 2), bytes: self.bytes / 2 }
+    }
+
     /// A share of them, where so many fronts share the process.
     pub fn shared(self, fronts: usize) -> Self {
         let fronts = fronts.max(1);
@@ -146,6 +152,10 @@
     waiting: Mutex<HashMap<Token, Arc<Conn>>>,
     next: AtomicU64,
     bounds: Bounds,
+    /// Another process has half of that.
+    halved: AtomicBool,
+    /// Kept until the process ends: what the runtime knows of a socket that another process has too must outlive its use.
+    listener: Arc<CoIo<TcpListener>>,
     /// What all of them hold in memory.
     bytes: AtomicUsize,
     front: Box<dyn Front>,
@@ -169,8 +179,16 @@
 
 impl Clients {
     /// No connections yet, and never more than the bounds allow.
-    pub fn new(front: Box<dyn Front>, bounds: Bounds, inbox: Sender<Input>, clock: Clock) -> Arc<Self> {
+    pub fn new(
+        front: Box<dyn Front>,
+        listener: Arc<CoIo<TcpListener>>,
+        bounds: Bounds,
+        inbox: Sender<Input>,
+        clock: Clock,
+    ) -> Arc<Self> {
         Arc::new(Clients {
+            halved: AtomicBool::new(false),
+            listener,
             conns: Mutex::default(),
             waiting: Mutex::default(),
             next: AtomicU64::new(1),
@@ -201,10 +219,27 @@
         }
     }
 
-    /// Accepts for as long as the program listens.
-    pub fn accept(self: &Arc<Self>, listener: &TcpListener) {
+    fn bounds(&self) -> Bounds {
+        if self.halved.load(Relaxed) {
+            self.bounds.halved()
+        } else {
+            self.bounds
+        }
+    }
+
+    /// Another process shares the limits, or does no more.
+    pub fn share(&self, shared: bool) {
+        self.halved.store(shared, Relaxed);
+    }
+
+    /// Accepts for as long as the program listens. `beside`: another process serves at the same address, so nothing is
+    /// accepted before this one knows its servers.
+    pub fn accept(self: &Arc<Self>, beside: bool) {
+        while beside && !self.informed.load(Relaxed) {
+            may::coroutine::sleep(ACCEPT_PAUSE);
+        }
         while !self.deaf.load(Relaxed) {
-            if self.open() >= self.bounds.connections {
+            if self.open() >= self.bounds().connections {
                 if self.evict() {
                     // The one that gives way ends in its own coroutine.
                     may::coroutine::yield_now();
@@ -214,11 +249,14 @@
                 }
                 continue;
             }
-            match listener.accept() {
+            match self.listener.inner().accept() {
                 Ok((stream, _)) => {
                     self.adopt(stream);
                     self.trim();
                 }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.listener.wait_io();
+                }
                 Err(e) => {
                     // Most likely no descriptor is left (EMFILE): an idle connection gives way.
                     log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
@@ -232,6 +270,14 @@
     fn adopt(self: &Arc<Self>, stream: TcpStream) {
         COUNTERS.accepted.add();
         let _ = stream.set_nodelay(true);
+        let stream = match CoIo::new(stream) {
+            Ok(stream) => stream,
+            Err(e) => {
+                return log_rarely(&COUNTERS.accept_errors, || {
+                    format!("a connection cannot be waited on: {e}")
+                })
+            }
+        };
         let conn = Arc::new(Conn::default());
         {
             let mut state = conn.lock();
@@ -248,7 +294,7 @@
                 stream.wait_io();
             }
             clients.leave(&conn);
-            let _ = stream.shutdown(Shutdown::Both);
+            let _ = stream.inner().shutdown(Shutdown::Both);
             guard(&clients.conns).remove(&number);
         });
         if let Err(e) = started {
@@ -258,7 +304,7 @@
     }
 
     /// Reads, takes requests and writes. False: the connection has ended.
-    fn step(self: &Arc<Self>, conn: &Arc<Conn>, stream: &TcpStream) -> bool {
+    fn step(self: &Arc<Self>, conn: &Arc<Conn>, stream: &CoIo<TcpStream>) -> bool {
         let mut state = conn.lock();
         let sys = stream.inner();
         let open = !state.cut && self.exchange(conn, &mut state, sys);
@@ -268,12 +314,7 @@
         open
     }
 
-    fn exchange(
-        self: &Arc<Self>,
-        conn: &Arc<Conn>,
-        state: &mut ConnState,
-        sys: &std::net::TcpStream,
-    ) -> bool {
+    fn exchange(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState, sys: &TcpStream) -> bool {
         // A client that was told to go on elsewhere, or was answered while more of its bytes were here already.
         self.take(conn, state);
         while state.lingering.is_none() && state.server.wants_input() {
@@ -394,16 +435,17 @@
         let conns = guard(&self.conns);
         let idle = |c: &Arc<Conn>| c.lock().dispensable(now).filter(|d| d.0 == 2);
         let mut idle: Vec<_> = conns.values().filter_map(|c| Some((idle(c)?.1, c))).collect();
-        if idle.len() > self.bounds.idle {
+        let most = self.bounds().idle;
+        if idle.len() > most {
             idle.sort_by_key(|c| c.0);
-            let over = idle.len() - self.bounds.idle;
+            let over = idle.len() - most;
             idle[..over].iter().for_each(|(_, conn)| conn.lock().give_way());
         }
     }
 
     /// Keeps what clients have sent within its bound: those that hold the most and wait for no answer give way.
     fn shed_bytes(&self) {
-        if self.bytes.load(Relaxed) <= self.bounds.bytes {
+        if self.bytes.load(Relaxed) <= self.bounds().bytes {
             return;
         }
         let conns = guard(&self.conns);
@@ -421,7 +463,7 @@
     pub fn tidy(&self, now: Micros) {
         self.trim();
         let conns = guard(&self.conns);
-        let crowded = conns.len() * 2 > self.bounds.connections;
+        let crowded = conns.len() * 2 > self.bounds().connections;
         let most_idle = if crowded { MOST_IDLE_CROWDED } else { MOST_IDLE };
         for conn in conns.values() {
             let mut state = conn.lock();
@@ -463,9 +505,21 @@
         self.ending.store(true, Relaxed);
     }
 
+    /// Another process has the listening socket and this one is told to end: nobody new comes here, and whoever is here
+    /// goes there with the next answer. Those between requests may be about to ask, so they are left open.
+    pub fn hand_over(&self) {
+        self.leaving.store(true, Relaxed);
+        self.stop_listening();
+    }
+
+    fn stop_listening(&self) {
+        self.deaf.store(true, Relaxed);
+        self.listener.waker().wakeup();
+    }
+
     /// Stops listening, closes what is between requests, and from now on every other with its answer.
     pub fn leave_all(&self) {
-        self.deaf.store(true, Relaxed);
+        self.stop_listening();
         self.leaving.store(true, Relaxed);
         for conn in guard(&self.conns).values() {
             let mut state = conn.lock();
@@ -476,7 +530,7 @@
 }
 
 /// Drops what still comes after the last answer. False: the client has read it, or the bound is reached.
-fn linger(state: &mut ConnState, sys: &std::net::TcpStream) -> bool {
+fn linger(state: &mut ConnState, sys: &TcpStream) -> bool {
     let Some((since, mut bytes)) = state.lingering else { return false };
     let open = loop {
         let input = state.server.input();
@@ -516,7 +570,9 @@
 
     /// Connections without sockets, each as old as it says.
     fn clients(bounds: Bounds, conns: Vec<ConnState>) -> (Arc<Clients>, Vec<Arc<Conn>>) {
-        let clients = Clients::new(Box::new(Nothing), bounds, channel().0, Clock::start());
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listener = Arc::new(CoIo::new(listener).expect("waited on"));
+        let clients = Clients::new(Box::new(Nothing), listener, bounds, channel().0, Clock::start());
         let conns: Vec<_> = conns.into_iter().map(|c| Arc::new(Conn { state: Mutex::new(c) })).collect();
         guard(&clients.conns).extend((0..).zip(conns.iter().cloned()));
         (clients, conns)
@@ -572,5 +628,9 @@
         }
         assert_eq!(of(40, 0), Bounds { connections: 24, idle: 6, bytes: 1024 * 1024 });
         assert_eq!(of(1, 32).shared(2).connections, 1);
+        // Two processes of an upgrade keep the limits of one, and the old one's idle clients are not cut for it.
+        let (whole, half) = (of(384, 48), of(384, 48).halved());
+        assert!(half.connections * 2 <= whole.connections && half.bytes * 2 <= whole.bytes);
+        assert_eq!(half.idle, whole.idle);
     }
 }
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,239 @@
+//! A new version beside the old one: the old process hands its listening sockets over a Unix socket in `$TMPDIR`, and
+//! the line between the two stays open for as long as both live.
+
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use std::io::{self, IoSlice, IoSliceMut, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What both say first: a peer that says something else is of another version, and each goes its own way.
+const HELLO: &str = "quinceflow hand-over 1";
+/// What the new process says once it has the sockets.
+const TAKEN: &[u8] = b"taken\n";
+/// A peer that hangs is not waited for: a start must not depend on it.
+const MOST_WAIT: Duration = Duration::from_millis(400);
+/// Sockets that one message carries: a process has a front or two.
+const MOST_SOCKETS: usize = 4;
+/// Most bytes of a message.
+const MOST_MESSAGE: usize = 1024;
+/// Stack of a thread that waits for the other process.
+const STACK: usize = 64 * 1024;
+
+/// A listening socket and the address that its operator gave it.
+pub type Listening<L> = (SocketAddr, L);
+
+/// Where the process that listens at this address waits for the next one; nowhere without `$TMPDIR`, since a folder that
+/// all users share is no place for it.
+pub fn place(address: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
+    Some(PathBuf::from(folder).join(format!("quinceflow-{}-{}.sock", address.ip(), address.port())))
+}
+
+/// Has the other process gone? Its end of the line tells, however it went.
+#[derive(Debug, Clone)]
+pub struct Peer(Arc<AtomicBool>);
+
+impl Peer {
+    /// It lives.
+    pub fn lives(&self) -> bool {
+        self.0.load(Relaxed)
+    }
+}
+
+/// Asks the process that waits here for its sockets. `None`: nobody is there, or nobody that can be used.
+pub fn take(place: &Path) -> Option<(Vec<Listening<TcpListener>>, Peer)> {
+    match try_take(place) {
+        Ok(taken) => Some(taken),
+        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => None,
+        Err(e) => {
+            eprintln!("quinceflow: no hand-over: {e}");
+            None
+        }
+    }
+}
+
+fn try_take(place: &Path) -> io::Result<(Vec<Listening<TcpListener>>, Peer)> {
+    let mut line = UnixStream::connect(place)?;
+    line.set_read_timeout(Some(MOST_WAIT))?;
+    line.set_write_timeout(Some(MOST_WAIT))?;
+    writeln!(line, "{HELLO}")?;
+    let mut text = [0; MOST_MESSAGE];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_SOCKETS))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let message = recvmsg(&line, &mut [IoSliceMut::new(&mut text)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let mut sockets: Vec<OwnedFd> = Vec::new();
+    for part in control.drain() {
+        if let RecvAncillaryMessage::ScmRights(rights) = part {
+            sockets.extend(rights);
+        }
+    }
+    let fault = |why: &str| io::Error::new(io::ErrorKind::InvalidData, why.to_owned());
+    let words = std::str::from_utf8(&text[..message.bytes]).ok().and_then(|t| t.strip_prefix(HELLO));
+    let words = words.ok_or_else(|| fault("the other process is of another version"))?;
+    let addresses: Vec<SocketAddr> = words.split_whitespace().filter_map(|w| w.parse().ok()).collect();
+    if sockets.is_empty() || addresses.len() != sockets.len() {
+        return Err(fault("sockets and addresses do not match"));
+    }
+    line.write_all(TAKEN)?;
+    let listening = addresses.into_iter().zip(sockets.into_iter().map(TcpListener::from)).collect();
+    Ok((listening, watch(line)?))
+}
+
+/// Waits on a thread for the end of the line.
+fn watch(mut line: UnixStream) -> io::Result<Peer> {
+    line.set_read_timeout(None)?;
+    let peer = Peer(Arc::new(AtomicBool::new(true)));
+    let lives = peer.0.clone();
+    std::thread::Builder::new().stack_size(STACK).spawn(move || {
+        let mut rest = [0; 64];
+        loop {
+            match line.read(&mut rest) {
+                Ok(0) => break,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => break,
+            }
+        }
+        lives.store(false, Relaxed);
+    })?;
+    Ok(peer)
+}
+
+/// Waits for the next process, for as long as this one lives. `taken` learns of each that has the sockets.
+pub fn offer<L: AsFd + Send + 'static>(
+    place: PathBuf,
+    listening: Vec<Listening<L>>,
+    taken: impl Fn(Peer) + Send + 'static,
+) -> io::Result<()> {
+    // Made under a name of its own and then put in place: what stands there may be stale, or a predecessor's.
+    let own = place.with_extension(std::process::id().to_string());
+    let _ = std::fs::remove_file(&own);
+    let door = UnixListener::bind(&own)?;
+    std::fs::rename(&own, &place)?;
+    std::thread::Builder::new().stack_size(STACK).spawn(move || {
+        let mut last: Option<Peer> = None;
+        for line in door.incoming().flatten() {
+            // One at a time: limits are split between two.
+            if last.as_ref().is_some_and(Peer::lives) {
+                continue;
+            }
+            match give(line, &listening) {
+                Ok(peer) => {
+                    last = Some(peer.clone());
+                    taken(peer);
+                }
+                Err(e) => eprintln!("quinceflow: no hand-over: {e}"),
+            }
+        }
+    })?;
+    Ok(())
+}
+
+/// Gives the sockets to whoever says the right words.
+fn give<L: AsFd>(mut line: UnixStream, listening: &[Listening<L>]) -> io::Result<Peer> {
+    line.set_read_timeout(Some(MOST_WAIT))?;
+    line.set_write_timeout(Some(MOST_WAIT))?;
+    let mut said = [0; HELLO.len() + 1];
+    line.read_exact(&mut said)?;
+    if said.strip_suffix(b"\n") != Some(HELLO.as_bytes()) {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "the other process is of another version"));
+    }
+    let words: Vec<String> = listening.iter().map(|l| l.0.to_string()).collect();
+    let text = format!("{HELLO} {}", words.join(" "));
+    let sockets: Vec<BorrowedFd<'_>> = listening.iter().map(|l| l.1.as_fd()).collect();
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_SOCKETS))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    if !control.push(SendAncillaryMessage::ScmRights(&sockets)) {
+        return Err(io::Error::other("too many sockets"));
+    }
+    sendmsg(&line, &[IoSlice::new(text.as_bytes())], &mut control, SendFlags::NOSIGNAL)?;
+    let mut said = [0; TAKEN.len()];
+    line.read_exact(&mut said)?;
+    watch(line)
+}
+
+/// A listening socket of one's own. SO_REUSEPORT: a process that could not get the sockets can still start beside this.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    use rustix::net::{bind, listen, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    sockopt::set_socket_reuseport(&socket, true)?;
+    bind(&socket, &address)?;
+    listen(&socket, 1024)?;
+    Ok(socket.into())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::mpsc::channel;
+
+    /// A place of its own for a test.
+    fn empty(test: &str) -> PathBuf {
+        let place = std::env::temp_dir().join(format!("quinceflow-{test}-{}.sock", std::process::id()));
+        let _ = std::fs::remove_file(&place);
+        place
+    }
+
+    #[test]
+    fn the_sockets_go_over_and_each_end_tells_of_the_other() {
+        let place = empty("over");
+        // What a killed process leaves stands in nobody's way.
+        drop(UnixListener::bind(&place));
+        assert!(take(&place).is_none(), "stale");
+        let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let listener = listen(address).expect("a port");
+        let at = listener.local_addr().expect("bound");
+        let (tell, told) = channel();
+        offer(place.clone(), vec![(address, listener)], move |peer| drop(tell.send(peer))).expect("offered");
+        let (taken, old) = take(&place).expect("somebody is there");
+        let new = told.recv().expect("told");
+        assert_eq!((taken[0].0, taken[0].1.local_addr().expect("bound")), (address, at));
+        assert!(old.lives() && new.lives());
+        // A second one gets none while the first lives: limits are split between two.
+        assert!(take(&place).is_none());
+        let _ = std::fs::remove_file(&place);
+    }
+
+    #[test]
+    fn a_peer_that_hangs_or_says_something_else_does_not_stop_a_start() {
+        let place = empty("hung");
+        let door = UnixListener::bind(&place).expect("a door");
+        // It accepts, by its queue, and says nothing.
+        assert!(take(&place).is_none());
+        let other = std::thread::spawn(move || {
+            for _ in 0..2 {
+                let (mut line, _) = door.accept().expect("a caller");
+                let _ = line.write_all(b"quinceflow hand-over 2 127.0.0.1:80");
+                // Held until the caller has left.
+                let _ = line.read_to_end(&mut Vec::new());
+            }
+        });
+        assert!(take(&place).is_none(), "of another version");
+        other.join().expect("it ends");
+        let _ = std::fs::remove_file(&place);
+    }
+
+    #[test]
+    fn what_is_no_successor_gets_no_socket() {
+        let place = empty("stranger");
+        let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let listener = listen(address).expect("a port");
+        offer(place.clone(), vec![(address, listener)], |_| panic!("nobody took them")).expect("offered");
+        let mut line = UnixStream::connect(&place).expect("it waits");
+        line.write_all(&[b'x'; HELLO.len() + 1]).expect("said");
+        assert_eq!(line.read_to_end(&mut Vec::new()).ok(), Some(0));
+        assert!(take(&place).is_some(), "the next one is served");
+        let _ = std::fs::remove_file(&place);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clients;
 pub mod config;
+pub mod handover;
 pub mod links;
 pub mod mgmt;
 pub mod server;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,11 +2,12 @@
 
 use super::clients::{Bounds, Clients};
 use super::config::{Config, InForce};
+use super::handover::{self, Peer};
 use super::links::Links;
 use super::mgmt;
 use super::walks::Walks;
-use super::{spawn, watch, Upstream, LARGE_STACK};
-use crate::core::{Command, Core, Figures, Input, COUNTERS};
+use super::{spawn, watch, Upstream, LARGE_STACK, SMALL_STACK};
+use crate::core::{Beside, Command, Core, Figures, Input, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::{self, Ogc, SharedCatalog};
 use crate::front::platform::{Named, Platform, SharedNamed};
@@ -16,10 +17,12 @@
 use crate::settings::Deployment;
 use crate::time::{unix_ms, Clock, Micros};
 use may::coroutine::JoinHandle;
-use may::net::TcpListener;
+use may::io::CoIo;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -50,10 +53,31 @@
     longest.min(MOST_DEADLINE) + KILL_GRACE - KILL_MARGIN
 }
 
+/// A listening socket as the runtime waits on it.
+type Listener = Arc<CoIo<TcpListener>>;
+
+/// The other process while a new version is started beside the old.
+#[derive(Default)]
+struct Others {
+    /// The one that served before this one.
+    before: Option<Peer>,
+    /// The one that takes over.
+    after: Mutex<Option<Peer>>,
+}
+
+impl Others {
+    /// Which of two this one is, as long as both live.
+    fn beside(&self) -> Option<Beside> {
+        let lives = |p: &Option<Peer>| p.as_ref().is_some_and(Peer::lives);
+        let after = lives(&self.after.lock().unwrap_or_else(|e| e.into_inner()));
+        after.then_some(Beside::Old).or(lives(&self.before).then_some(Beside::New))
+    }
+}
+
 /// What a service is made of beside its core.
 struct Parts {
     name: String,
-    listener: TcpListener,
+    listen: SocketAddr,
     bounds: Bounds,
     last_answer: Micros,
     front: Box<dyn Front>,
@@ -97,8 +121,27 @@
         services.push(edge_service(edge, clock, &figures)?);
     }
     services.iter_mut().for_each(|s| s.bounds = s.bounds.shared(fronts));
-    let running: Vec<_> =
-        services.into_iter().map(|s| serve(s, clock, signals.clone())).collect::<Result<_, _>>()?;
+    let place = services.first().and_then(|s| handover::place(s.listen));
+    let (mut taken, before) =
+        place.as_deref().and_then(handover::take).map_or((Vec::new(), None), |t| (t.0, Some(t.1)));
+    let others = Arc::new(Others { before, after: Mutex::default() });
+    let listeners: Vec<_> =
+        services.iter().map(|s| listen(s.listen, &mut taken)).collect::<Result<_, _>>()?;
+    let listening: Vec<_> =
+        services.iter().map(|s| s.listen).zip(listeners.iter().cloned().map(Socket)).collect();
+    if let Some(place) = place {
+        let others = others.clone();
+        if others.before.is_none() {
+            offer_sockets(&place, listening, others);
+        } else {
+            spawn(SMALL_STACK, move || offer_sockets(&place, listening, others)).map_err(no_coroutine)?;
+        }
+    }
+    let running: Vec<_> = services
+        .into_iter()
+        .zip(listeners)
+        .map(|(s, l)| serve(s, l, clock, signals.clone(), others.clone()))
+        .collect::<Result<_, _>>()?;
     // One address for the whole process; the platform's goes first.
     for (address, sockets) in told.into_iter().chain(also).filter_map(|(a, n)| Some((a?, n))).take(1) {
         let fronts: Vec<_> = running.iter().map(|r| r.0.clone()).collect();
@@ -113,8 +156,40 @@
     Ok(())
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).map_err(|e| format!("listen on {address}: {e}"))
+/// The listening socket that was handed over, or one's own.
+fn listen(
+    address: SocketAddr,
+    taken: &mut Vec<handover::Listening<TcpListener>>,
+) -> Result<Listener, String> {
+    let at = taken.iter().position(|t| t.0 == address);
+    let listener = match at {
+        Some(at) => taken.swap_remove(at).1,
+        None => handover::listen(address).map_err(|e| format!("listen on {address}: {e}"))?,
+    };
+    CoIo::new(listener).map(Arc::new).map_err(|e| format!("listen on {address}: {e}"))
+}
+
+/// A listening socket as it is handed over.
+struct Socket(Listener);
+
+impl AsFd for Socket {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.inner().as_fd()
+    }
+}
+
+/// Offers the sockets to the next process, once the one before has gone: until then that one does.
+fn offer_sockets(place: &Path, listening: Vec<handover::Listening<Socket>>, others: Arc<Others>) {
+    while others.before.as_ref().is_some_and(Peer::lives) {
+        may::coroutine::sleep(MOST_SLEEP.to_duration());
+    }
+    let offered = handover::offer(place.to_owned(), listening, move |peer| {
+        eprintln!("quinceflow: the sockets are handed over to a new process");
+        *others.after.lock().unwrap_or_else(|e| e.into_inner()) = Some(peer);
+    });
+    if let Err(e) = offered {
+        eprintln!("quinceflow: a new version cannot take the sockets over: {}: {e}", place.display());
+    }
 }
 
 fn longest(settings: &Settings) -> Micros {
@@ -145,13 +220,14 @@
     Ok(Parts {
         last_answer: last_answer(longest(&deployment.module)),
         name: config.name.clone(),
-        listener: listen(config.listen)?,
+        listen: config.listen,
         bounds: Bounds::new(config.sockets, config.memory),
         front: Box::new(Platform::new(named.clone())),
         core: Core::new(
             deployment.module.clone(),
             deployment.most_held,
-            config.seed,
+            // In an upgrade both processes have one seed; in step they would take the same turns.
+            config.seed ^ (u64::from(std::process::id()) << 32),
             clock.now(),
             figures.clone(),
         ),
@@ -213,7 +289,7 @@
     Ok(Parts {
         last_answer: last_answer(longest(&edge.settings())),
         name: "feature queries".to_owned(),
-        listener: listen(edge.listen)?,
+        listen: edge.listen,
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
         core: Core::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
         upstream: Box::new(Walks::new(&edge, catalog.clone(), inbox.clone(), clock)),
@@ -228,11 +304,20 @@
 /// The clients of a service, and what ends with it.
 type Running = (Arc<Clients>, JoinHandle<()>);
 
-fn serve(parts: Parts, clock: Clock, signals: Arc<Signals>) -> Result<Running, String> {
-    let address = parts.listener.local_addr().map_err(|e| e.to_string())?;
-    let clients = Clients::new(parts.front, parts.bounds, parts.inbox, clock);
-    let (accepting, listener) = (clients.clone(), parts.listener);
-    spawn(LARGE_STACK, move || accepting.accept(&listener)).map_err(no_coroutine)?;
+fn serve(
+    parts: Parts,
+    listener: Listener,
+    clock: Clock,
+    signals: Arc<Signals>,
+    others: Arc<Others>,
+) -> Result<Running, String> {
+    let address = listener.inner().local_addr().map_err(|e| e.to_string())?;
+    let clients = Clients::new(parts.front, listener, parts.bounds, parts.inbox, clock);
+    let (accepting, beside) = (clients.clone(), others.before.is_some());
+    spawn(LARGE_STACK, move || accepting.accept(beside)).map_err(no_coroutine)?;
+    if beside {
+        eprintln!("quinceflow: the sockets are taken over from the process before");
+    }
     eprintln!("quinceflow: {} listens on {address}", parts.name);
     let turns = Turns {
         core: parts.core,
@@ -246,6 +331,8 @@
         reload: parts.reload,
         last_answer: parts.last_answer,
         started: clock.now(),
+        others,
+        beside: None,
     };
     Ok((clients, spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)?))
 }
@@ -292,6 +379,8 @@
     reloads: u64,
     last_answer: Micros,
     started: Micros,
+    others: Arc<Others>,
+    beside: Option<Beside>,
 }
 
 impl Turns {
@@ -326,26 +415,42 @@
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_NEWS {
                 self.clients.informed.store(true, Relaxed);
             }
+            self.share_if_beside();
             self.reload_if_asked(now, &mut inputs);
             if leaving.is_none() && self.signals.end.load(Relaxed) {
                 eprintln!("quinceflow: told to end: {} queries held", self.core.held());
                 leaving = Some(now);
                 self.core.answer_by(now + self.last_answer);
                 self.clients.not_ready();
+                if self.beside == Some(Beside::Old) {
+                    self.clients.hand_over();
+                }
             }
             if let Some(since) = leaving {
-                if now.since(since) >= self.last_answer - LAST_TIME {
+                let last = now.since(since) >= self.last_answer - LAST_TIME;
+                if last {
                     self.clients.leave_all();
-                    let drained = self.core.held() == 0 && self.clients.open() == 0;
-                    if drained || now.since(since) >= LAST_EXIT {
-                        eprintln!("quinceflow: ends: {} queries held", self.core.held());
-                        return;
-                    }
+                }
+                let drained = self.core.held() == 0 && self.clients.open() == 0;
+                let may_end = last || self.beside == Some(Beside::Old);
+                if (drained && may_end) || now.since(since) >= LAST_EXIT {
+                    eprintln!("quinceflow: ends: {} queries held", self.core.held());
+                    return;
                 }
             }
         }
     }
 
+    /// A new version is started beside this one, or the other of the two has gone.
+    fn share_if_beside(&mut self) {
+        let beside = self.others.beside();
+        if beside != self.beside {
+            self.beside = beside;
+            self.core.share(beside);
+            self.clients.share(beside.is_some());
+        }
+    }
+
     /// A reload brings drains; a bad file changes nothing and says so.
     fn reload_if_asked(&mut self, now: Micros, inputs: &mut Vec<Input>) {
         let asked = self.signals.reloads.load(Relaxed);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -435,7 +435,9 @@
         self.quotas.resize(set.tenants.len(), (1.0, self.now));
         self.set = set.clone();
         self.grow(set.shards as usize);
+        let ask_at = self.ask_at;
         self.take_list(ListKind::Delta, &[]);
+        self.ask_at = ask_at;
     }
 
     fn take_list(&mut self, kind: ListKind, members: &[Member]) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -135,6 +135,21 @@
     (address, Discovery { more, asked })
 }
 
+/// Discovery that answers any number of watches with this line and has nothing more to say.
+fn many_watches(first: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let _ = write!(stream, "{head}{:x}\r\n{first}\n\r\n", first.len() + 1);
+            open.push(stream);
+        }
+    });
+    address
+}
+
 fn list(rev: u64, all: bool, nodes: &[(&Node, &str)]) -> String {
     let target = |(n, (node, state)): (usize, &(&Node, &str))| {
         json!({"uid": format!("s-{n}"), "endpoint": node.address.to_string(), "az": "a", "model": "m", "pod_group": n,
@@ -604,3 +619,47 @@
     let ok = ["brief", "later", "lookup", "send"].map(|c| of(&format!("responses.{c}.ok")));
     assert_eq!((ok, of("responses.later.tries")), ([1, 1, 1, 1], 2));
 }
+
+#[test]
+fn a_new_version_takes_over_the_queue_of_the_old_one() {
+    // Each listened by itself: a queue died with its listener, and each had all of what is allowed to one.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let ready: Vec<_> = nodes.iter().map(|n| (n, "in_service")).collect();
+    let address = many_watches(list(1, true, &ready));
+    let first = start_at("upgrade", &nodes.each_ref(), 1024, 10_000, address);
+    let temporary = std::env::temp_dir().join(format!("quinceflow-upgrade-{}", std::process::id()));
+    std::fs::create_dir_all(&temporary).expect("a folder");
+    // A process killed here left its socket behind.
+    drop(std::os::unix::net::UnixListener::bind(temporary.join("quinceflow-127.0.0.1-0.sock")));
+    let mut old = first.beside(&temporary);
+    assert_ne!(old.address, first.address, "nobody was there to take over from");
+    let (old_told, mut kept) = (old.second_address(), TcpStream::connect(old.address).expect("it listens"));
+    until_ready(&old);
+    let new = old.beside(&temporary);
+    assert_eq!(new.address, old.address, "the same socket");
+    let new_told = new.second_address();
+    while call(new_told, "HEALTH\n") != "YES\n" {}
+    assert_eq!(call(old_told, "HEALTH\n"), "YES\n");
+    let ask_kept = |kept: &mut TcpStream, id: &str| {
+        let body = "{\"tablets\":[{\"tablet\":0,\"fraction\":1}],\"statement\":\"c41e77d0\"}";
+        let head = format!("POST /api HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Qos: lookup\r\nX-Expires-In: 9\r\n");
+        write!(kept, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).expect("written");
+        let mut lines = BufReader::new(kept).lines().map_while(Result::ok);
+        lines.by_ref().take_while(|l| !l.is_empty()).collect::<Vec<_>>().join("\n")
+    };
+    let answer = ask_kept(&mut kept, "q1");
+    assert!(answer.starts_with("HTTP/1.1 200 ") && !answer.contains("Connection: close"), "{answer}");
+    old.signal("TERM");
+    while call(old_told, "HEALTH\n") != "NO it is told to end\n" {}
+    for n in 2..12 {
+        assert_eq!(ask(&new, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+    }
+    let ok = |address| figure(&call(address, "DUMP\n"), "node.responses.lookup.ok");
+    assert_eq!(ok(new_told), 10, "whoever is new comes to the new one");
+    let answer = ask_kept(&mut kept, "q12");
+    assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
+    drop(kept);
+    assert!(old.wait(), "it ends once nobody is left");
+    assert_eq!(ask(&new, "q13", "lookup", &[0, 1]).status, 200);
+    let _ = std::fs::remove_dir_all(&temporary);
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -162,7 +162,7 @@
         std::fs::write(folder.join("edge.toml"), text).expect("settings");
         inventory(&folder, rows);
         let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
-        command.arg("--edge").arg(folder.join("edge.toml")).env_remove("NODE_CONFIG");
+        command.arg("--edge").arg(folder.join("edge.toml")).env_remove("NODE_CONFIG").env_remove("TMPDIR");
         Edge::launch(command, folder)
     }
 
@@ -179,13 +179,21 @@
             .arg("-c")
             .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
             .arg(env!("CARGO_BIN_EXE_quinceflow"));
-        for name in ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME", "NODE_MGMT"] {
+        for name in ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME", "NODE_MGMT", "TMPDIR"] {
             command.env_remove(name);
         }
         command.env("NODE_CONFIG", folder.join("config.json"));
         Edge::launch(command, folder)
     }
 
+    /// Starts the next version beside this one, with the same configuration. Both have this folder for temporary files.
+    pub fn beside(&self, temporary: &std::path::Path) -> Edge {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
+        let start = self.folder.ancestors().find(|f| f.join("config.json").exists()).expect("its start");
+        command.env("NODE_CONFIG", start.join("config.json")).env("TMPDIR", temporary);
+        Edge::launch(command, self.folder.join("next"))
+    }
+
     fn launch(mut command: Command, folder: PathBuf) -> Edge {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let (lines, log) = channel();
