Let only what the wire calls optional be missing from a replaced file

Seen while checking L's list: the check let dedup windows and quotas go, which the wire does not call optional.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -150,16 +150,7 @@
 }
 
 /// Keys that the wire lets settings go without.
-const OPTIONAL: [&str; 8] = [
-    "aim-stretch",
-    "warm-keys",
-    "extra-floor",
-    "extra-ratio",
-    "look-back",
-    "quota-rps",
-    "dedup-window",
-    "dedup-scope",
-];
+const OPTIONAL: [&str; 5] = ["aim-stretch", "warm-keys", "extra-floor", "extra-ratio", "look-back"];
 
 /// The first key that `old` has and `new` lacks, at any depth: defaults would stand in for it unseen. The elements of a
 /// list of objects are all of the form of its first.
