Stop accepting also when the signal outruns the word that the sockets were taken

Seen: 10 ms between the hand-over and SIGTERM in the logs; the old process looked at its successor once, at the signal.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -508,8 +508,9 @@
     /// Another process has the listening socket and this one is told to end: nobody new comes here, and whoever is here
     /// goes there with the next answer. Those between requests may be about to ask, so they are left open.
     pub fn hand_over(&self) {
-        self.leaving.store(true, Relaxed);
-        self.stop_listening();
+        if !self.leaving.swap(true, Relaxed) {
+            self.stop_listening();
+        }
     }
 
     fn stop_listening(&self) {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -422,11 +422,12 @@
                 leaving = Some(now);
                 self.core.answer_by(now + self.last_answer);
                 self.clients.not_ready();
+            }
+            if let Some(since) = leaving {
+                // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
                 if self.beside == Some(Beside::Old) {
                     self.clients.hand_over();
                 }
-            }
-            if let Some(since) = leaving {
                 let last = now.since(since) >= self.last_answer - LAST_TIME;
                 if last {
                     self.clients.leave_all();
