Keep the seed unless another process is taken over; serve without a second address

It is mixed in only where a process takes over another one now. A second address that cannot be listened at ended the start; it is logged instead.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -113,18 +113,20 @@
     let figures = Arc::new(Figures::default());
     let told = platform.as_ref().map(|c| (c.mgmt, c.sockets));
     let also = edge.as_ref().map(|e| (e.mgmt, e.sockets));
+    // Asked before anything else is made: whoever takes over is not to go in step with the one before.
+    let first = platform.as_ref().map(|c| c.listen).or(edge.as_ref().map(|e| e.listen));
+    let place = first.and_then(handover::place);
+    let (mut taken, before) =
+        place.as_deref().and_then(handover::take).map_or((Vec::new(), None), |t| (t.0, Some(t.1)));
+    let others = Arc::new(Others { before, after: Mutex::default() });
     let mut services = Vec::new();
     if let Some(config) = platform {
-        services.push(platform_service(&config, clock, &figures)?);
+        services.push(platform_service(&config, clock, &figures, others.before.is_some())?);
     }
     if let Some(edge) = edge {
         services.push(edge_service(edge, clock, &figures)?);
     }
     services.iter_mut().for_each(|s| s.bounds = s.bounds.shared(fronts));
-    let place = services.first().and_then(|s| handover::place(s.listen));
-    let (mut taken, before) =
-        place.as_deref().and_then(handover::take).map_or((Vec::new(), None), |t| (t.0, Some(t.1)));
-    let others = Arc::new(Others { before, after: Mutex::default() });
     let listeners: Vec<_> =
         services.iter().map(|s| listen(s.listen, &mut taken)).collect::<Result<_, _>>()?;
     let listening: Vec<_> =
@@ -147,7 +149,10 @@
         let fronts: Vec<_> = running.iter().map(|r| r.0.clone()).collect();
         let health = Box::new(move || fronts.iter().try_for_each(|c| c.health()));
         let most = mgmt::reserved(sockets) - 1;
-        mgmt::start(address, mgmt::Told { figures: figures.clone(), health, most })?;
+        // Clients are served without it too.
+        if let Err(e) = mgmt::start(address, mgmt::Told { figures: figures.clone(), health, most }) {
+            eprintln!("quinceflow: operators are not answered: {e}");
+        }
     }
     for (_, done) in running {
         done.join().map_err(|_| "a core panicked".to_owned())?;
@@ -200,7 +205,12 @@
     format!("a coroutine: {e}")
 }
 
-fn platform_service(config: &Config, clock: Clock, figures: &Arc<Figures>) -> Result<Parts, String> {
+fn platform_service(
+    config: &Config,
+    clock: Clock,
+    figures: &Arc<Figures>,
+    beside: bool,
+) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
     let listed = Arc::new(AtomicBool::new(false));
     let mut rev = 0;
@@ -227,7 +237,7 @@
             deployment.module.clone(),
             deployment.most_held,
             // In an upgrade both processes have one seed; in step they would take the same turns.
-            config.seed ^ (u64::from(std::process::id()) << 32),
+            if beside { config.seed ^ (u64::from(std::process::id()) << 32) } else { config.seed },
             clock.now(),
             figures.clone(),
         ),
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,12 +3,14 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::core::{AttemptKey, End, Job};
+use quinceflow::core::{AttemptKey, End, Job, Tally};
+use quinceflow::proto::calls::{Call, Caller};
 use quinceflow::proto::frames::{Link, LinkEvent};
 use quinceflow::proto::http::{Response, Server};
 use quinceflow::time::Micros;
 use quinceflow::{AttemptNo, Outcome, PartId, ShardId};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 fn config() -> ProptestConfig {
     ProptestConfig {
@@ -111,6 +113,8 @@
         let mut queue: Vec<(Option<usize>, usize, usize)> = Vec::new();
         // The parts that the data node has read on the present connection: it answers no others.
         let mut met = BTreeSet::new();
+        // Frames written whole, whatever became of their parts: operators are told of these.
+        let (tally, mut whole) = (Arc::new(Tally::default()), 0);
         for step in steps.into_iter().chain([Step::Break]) {
             let mut events = Vec::new();
             let mut expected: BTreeMap<usize, Option<Outcome>> = BTreeMap::new();
@@ -118,7 +122,7 @@
             match step {
                 Step::Call => {
                     let n = known.len();
-                    link.call(&[job(n)]);
+                    link.call(&[Job { tally: tally.clone(), ..job(n) }]);
                     let size = frame('q', &format!("9b1f.{n} {n} d=240 8\nc41e77d0")).len();
                     known.push(Known::Left(size));
                     queue.push((Some(n), size, size));
@@ -147,6 +151,7 @@
                         if queue[0].1 == 0 {
                             let call = queue.remove(0).0;
                             met.extend(call);
+                            whole += u64::from(call.is_some());
                             if let Some(call) = call.filter(|c| known[*c] != Known::Over) {
                                 known[call] = Known::Written;
                                 prop_assert_eq!(&events[..], &[LinkEvent::Written(key(call))]);
@@ -212,6 +217,7 @@
             }).collect();
             prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
             prop_assert_eq!(got, expected);
+            prop_assert_eq!(tally.tries.get(), whole);
             if broken {
                 prop_assert!(link.idle());
                 queue.clear();
@@ -227,6 +233,30 @@
         }
     }
 
+    #[test]
+    fn an_operators_call_is_known_by_its_first_line_however_it_is_cut(
+        line in prop_oneof![Just("HEALTH".to_owned()), Just("DUMP".to_owned()), "[ -~]{0,300}"],
+        end in prop_oneof![Just("\n"), Just("\r\n"), Just("")],
+        cuts in vec(1usize..90, 1..20),
+    ) {
+        let bytes = format!("{line}{end}");
+        let (mut caller, mut rest, mut cuts) = (Caller::default(), bytes.as_bytes(), cuts.into_iter().cycle());
+        let mut call = caller.call(false);
+        while call.is_none() && !rest.is_empty() {
+            let (now, later) = rest.split_at(cuts.next().unwrap_or(1).min(rest.len()));
+            caller.input.feed(now);
+            rest = later;
+            call = caller.call(false);
+        }
+        prop_assert!(call.is_some() || end.is_empty(), "a whole line is a call");
+        let known = match line.trim() {
+            "HEALTH" => Some(Call::Health),
+            "DUMP" => Some(Call::Dump),
+            _ => Some(Call::Unknown),
+        };
+        prop_assert_eq!(call.or(caller.call(true)), known.filter(|_| !bytes.is_empty()));
+    }
+
     #[test]
     fn requests_come_out_whole_one_at_a_time_however_they_are_cut(
         bodies in vec((vec(any::<u8>(), 0..200), any::<bool>()), 1..5),
--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -3,6 +3,8 @@
 mod standin;
 
 use standin::{good, param, row, Edge, Reply, Server};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
 
@@ -234,3 +236,25 @@
     });
     assert!(edge.wait());
 }
+
+#[test]
+fn feature_queries_count_in_the_figures_by_their_class() {
+    let server = Server::of(0..3, 2);
+    let edge = Edge::start("figures", "mgmt = \"127.0.0.1:0\"", &row("a", &server, "devices", ""));
+    let dump = |call: &str| {
+        let mut stream = TcpStream::connect(edge.second_address()).expect("it listens");
+        stream.write_all(call.as_bytes()).expect("it reads");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("it replies and ends");
+        text
+    };
+    while dump("HEALTH\n") != "YES\n" {}
+    assert_eq!(edge.get(ITEMS).status, 200);
+    assert_eq!(edge.ask(ITEMS, "X-Qos: once\r\n").status, 200);
+    let text = dump("DUMP\n");
+    // A walk over two pages is one attempt.
+    for figure in ["exact.ok=1", "exact.tries=1", "once.ok=1", "once.tries=1", "part.ok=0"] {
+        assert!(text.contains(&format!("\nnode.responses.{figure}\n")), "{figure} in {text}");
+    }
+    assert!(text.contains("\nnode.pool_size=1\n") && text.contains("\nnode.active=0\n"), "{text}");
+}
