Build a workspace; arguments by clap with check, the log by tracing; sound out test races

Need: the second front grows into a subsystem with stand-ins and checks of its own, which the program must not link; an operator wants to know every fault of an edge file before it is put in service; logs are to be collected as JSON. One failure was the program's: the first attempt on a new connection never counted as silent, since its launch counted as a word from the node (net/links.rs, give_up).

--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,2 @@
+//! Stand-ins, load and checks for quinceflow.
+fn main() {}
--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -4,32 +4,65 @@
 //! for feature queries. Either is enough, and both may be given.
 #![forbid(unsafe_code)]
 
+use clap::{Parser, Subcommand};
+use quinceflow::front::ogc::check;
 use quinceflow::front::ogc::config::Edge;
+use quinceflow::log::{self, LogForm};
 use quinceflow::net::{config::Config, server};
-use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: quinceflow [--edge FILE]; the platform's part is set up by NODE_CONFIG";
+/// A query coordinator: serves the platform's protocol as NODE_CONFIG sets it up, and feature queries as an edge file does
+#[derive(Parser)]
+#[command(name = "quinceflow", version, args_conflicts_with_subcommands = true)]
+struct Arguments {
+    /// Serve feature queries as this file sets them up
+    #[arg(long, value_name = "FILE")]
+    edge: Option<PathBuf>,
+    /// How the log on standard error is written
+    #[arg(long, value_enum, default_value_t, value_name = "FORM")]
+    log: LogForm,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Read an edge file and its inventory and tell every fault with its line; exit 0 if there is none, else 2
+    Check {
+        /// The edge file
+        file: PathBuf,
+    },
+}
 
 fn main() -> ExitCode {
-    match start() {
+    let arguments = Arguments::parse();
+    if let Some(Command::Check { file }) = arguments.command {
+        return told(&check::edge_file(&file));
+    }
+    log::start(arguments.log);
+    match serve(arguments.edge) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("quinceflow: {why}");
+            tracing::error!("{why}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let mut args = std::env::args_os().skip(1);
-    let edge = match (args.next(), args.next(), args.next()) {
-        (None, ..) => None,
-        (Some(flag), Some(file), None) if flag == "--edge" => {
-            Some(Edge::read_file(Path::new(&file)).map_err(|e| e.to_string())?)
-        }
-        _ => return Err(USAGE.to_owned()),
-    };
+/// Prints what a check found.
+fn told(report: &check::Report) -> ExitCode {
+    report.faults.iter().for_each(|fault| println!("{fault}"));
+    if report.faults.is_empty() {
+        println!("{}", report.summary);
+        return ExitCode::SUCCESS;
+    }
+    println!("{} fault{}", report.faults.len(), if report.faults.len() == 1 { "" } else { "s" });
+    ExitCode::from(2)
+}
+
+fn serve(edge: Option<PathBuf>) -> Result<(), String> {
+    let edge = edge.map(|file| Edge::read_file(&file).map_err(|e| e.to_string())).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
         None if edge.is_some() => None,
         _ => Some(Config::from_env()?),
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -84,7 +84,7 @@
 pub fn log_rarely(counter: &Counter, line: impl FnOnce() -> String) {
     counter.add();
     if counter.get().is_power_of_two() {
-        eprintln!("quinceflow: {}", line());
+        tracing::info!("{}", line());
     }
 }
 
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -195,35 +195,52 @@
         let fault = |why: String| EdgeError::File(format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
         let mut edge: Edge = toml::from_str(&text).map_err(|e| fault(e.to_string()))?;
-        edge.check().map_err(fault)?;
+        if let Some((_, why)) = edge.faults().into_iter().next() {
+            return Err(fault(why));
+        }
         edge.inventory = path.parent().unwrap_or(Path::new("")).join(&edge.inventory);
         Ok(edge)
     }
 
-    fn check(&self) -> Result<(), String> {
-        let class = self.classes.first().ok_or("a [[class]] is needed")?;
-        if class.name.is_empty() {
-            return Err("class: name is empty".to_owned());
+    /// What is wrong with its values: text that stands in the faulty line, and why.
+    pub fn faults(&self) -> Vec<(String, String)> {
+        let mut faults = Vec::new();
+        if self.classes.is_empty() {
+            faults.push(("class".to_owned(), "a [[class]] is needed".to_owned()));
         }
-        for c in &self.classes {
-            let fault = |why: &str| Err(format!("class {:?}: {why}", c.name));
+        for (n, c) in self.classes.iter().enumerate() {
+            let mut fault =
+                |why: &str| faults.push((format!("\"{}\"", c.name), format!("class {:?}: {why}", c.name)));
+            if c.name.is_empty() {
+                fault("its name is empty");
+            }
+            if self.classes[..n].iter().any(|other| other.name == c.name) {
+                fault("is there twice");
+            }
             if c.aim_ms == 0 || c.deadline_ms < c.aim_ms {
-                return fault("aim_ms must be above 0 and at most deadline_ms");
+                fault("aim_ms must be above 0 and at most deadline_ms");
             }
             if !(c.floor > 0.0 && c.floor <= 1.0) {
-                return fault("floor must be above 0 and at most 1");
+                fault("floor must be above 0 and at most 1");
             }
             if !matches!(c.effect.as_str(), "safe" | "unsafe") {
-                return fault("effect must be safe or unsafe");
+                fault("effect must be safe or unsafe");
             }
         }
-        let positive =
-            [self.default_limit, self.most_limit, self.page_size, self.most_pages, self.most_bytes];
-        if positive.contains(&0) || self.most_connections == 0 || self.attempts == 0 || self.coordinators == 0
-        {
-            return Err("limits must be above 0".to_owned());
+        let positive = [
+            ("default_limit", self.default_limit),
+            ("most_limit", self.most_limit),
+            ("page_size", self.page_size),
+            ("most_pages", self.most_pages),
+            ("most_bytes", self.most_bytes),
+            ("most_connections", self.most_connections),
+            ("attempts", self.attempts as usize),
+            ("coordinators", self.coordinators as usize),
+        ];
+        for (key, _) in positive.iter().filter(|p| p.1 == 0) {
+            faults.push(((*key).to_owned(), format!("{key} must be above 0")));
         }
-        Ok(())
+        faults
     }
 
     /// Reads the inventory.
--- a/src/front/ogc/inventory.rs
+++ b/src/front/ogc/inventory.rs
@@ -78,20 +78,36 @@
     file: &'a str,
 }
 
-/// Reads the file; its ending tells the form.
+/// All that is wrong with an inventory; never empty.
+pub type Faults = Vec<InventoryError>;
+
+fn first(mut faults: Faults) -> InventoryError {
+    faults.swap_remove(0)
+}
+
+/// Reads the file; its ending tells the form. Of several faults the first is told.
 pub fn read_file(path: &Path) -> Result<Vec<Server>, InventoryError> {
+    read_whole_file(path).map_err(first)
+}
+
+/// Reads the file and tells every fault.
+pub fn read_whole_file(path: &Path) -> Result<Vec<Server>, Faults> {
     let file = path.file_name().unwrap_or(path.as_os_str()).to_string_lossy().into_owned();
     let fault = |why: String| InventoryError { file: file.clone(), line: 0, field: String::new(), why };
-    let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
+    let text = std::fs::read_to_string(path).map_err(|e| vec![fault(e.to_string())])?;
     match path.extension().and_then(|e| e.to_str()) {
-        Some("csv") => read_csv(&file, &text),
-        Some("yaml" | "yml") => read_yaml(&file, &text),
-        _ => Err(fault("neither .csv nor .yaml".to_owned())),
+        Some("csv") => csv_servers(&file, &text),
+        Some("yaml" | "yml") => yaml_servers(&file, &text),
+        _ => Err(vec![fault("neither .csv nor .yaml".to_owned())]),
     }
 }
 
 /// Reads CSV with a header.
 pub fn read_csv(file: &str, text: &str) -> Result<Vec<Server>, InventoryError> {
+    csv_servers(file, text).map_err(first)
+}
+
+fn csv_servers(file: &str, text: &str) -> Result<Vec<Server>, Faults> {
     let reader = Reader { file };
     let mut rows = csv::ReaderBuilder::new()
         .trim(csv::Trim::All)
@@ -99,15 +115,25 @@
         .flexible(false)
         .from_reader(text.as_bytes());
     let place = |e: &csv::Error| e.position().map_or(1, |p| p.line() as usize);
-    let header = rows.headers().map_err(|e| reader.fault(place(&e), "", &e.to_string()))?.clone();
-    for needed in ["name", "address", "collections"] {
-        if !header.iter().any(|h| h == needed) {
-            return Err(reader.fault(1, needed, "the header lacks this column"));
-        }
+    let header = rows.headers().map_err(|e| vec![reader.fault(place(&e), "", &e.to_string())])?.clone();
+    let lacks = |needed: &str| !header.iter().any(|h| h == needed);
+    let mut faults: Faults = ["name", "address", "collections"]
+        .iter()
+        .filter(|n| lacks(n))
+        .map(|needed| reader.fault(1, needed, "the header lacks this column"))
+        .collect();
+    if !faults.is_empty() {
+        return Err(faults);
     }
     let mut entries = Vec::new();
     for row in rows.records() {
-        let row = row.map_err(|e| reader.fault(place(&e), "", &e.to_string()))?;
+        let row = match row {
+            Ok(row) => row,
+            Err(e) => {
+                faults.push(reader.fault(place(&e), "", &e.to_string()));
+                continue;
+            }
+        };
         let line = row.position().map_or(0, |p| p.line() as usize);
         let mut entry = Entry { line, ..Entry::default() };
         for (name, text) in header.iter().zip(row.iter()) {
@@ -119,12 +145,16 @@
         }
         entries.push(entry);
     }
-    reader.servers(entries)
+    reader.servers(entries, faults)
 }
 
 /// Reads YAML in the shape of configuration tools: groups with `hosts`, `vars` and `children`. A host's own vars go
 /// before its groups', an inner group's before an outer's; what a host holds adds up over its groups.
 pub fn read_yaml(file: &str, text: &str) -> Result<Vec<Server>, InventoryError> {
+    yaml_servers(file, text).map_err(first)
+}
+
+fn yaml_servers(file: &str, text: &str) -> Result<Vec<Server>, Faults> {
     let reader = Reader { file };
     let options = LoaderOptions::default().error_on_duplicate_keys(true);
     let root = marked_yaml::parse_yaml_with_options(0, text, options).map_err(|e| {
@@ -139,15 +169,16 @@
                 (twice.key.span().start().map_or(1, |m| m.line()), twice.key.as_str())
             }
         };
-        reader.fault(line, field, &e.to_string())
+        vec![reader.fault(line, field, &e.to_string())]
     })?;
-    let mut entries = Vec::new();
+    let (mut entries, mut faults) = (Vec::new(), Vec::new());
     if let Some(root) = root.as_mapping() {
         for (name, group) in root.iter() {
-            reader.group(name.as_str(), group, &BTreeMap::new(), &mut entries)?;
+            let read = reader.group(name.as_str(), group, &BTreeMap::new(), &mut entries);
+            faults.extend(read.err());
         }
     }
-    reader.servers(entries)
+    reader.servers(entries, faults)
 }
 
 fn line_of(node: &Yaml) -> usize {
@@ -253,23 +284,36 @@
         }
     }
 
-    fn servers(&self, entries: Vec<Entry>) -> Result<Vec<Server>, InventoryError> {
+    /// The servers, or every fault: those found before and those of the entries.
+    fn servers(&self, entries: Vec<Entry>, mut faults: Faults) -> Result<Vec<Server>, Faults> {
         let mut servers: Vec<Server> = Vec::new();
         for entry in entries {
-            let server = self.server(&entry)?;
+            let server = match self.server(&entry) {
+                Ok(server) => server,
+                Err(fault) => {
+                    faults.push(fault);
+                    continue;
+                }
+            };
             if servers.iter().any(|s| s.name == server.name) {
-                return Err(self.fault(entry.line, "name", &format!("{:?} is there twice", server.name)));
+                faults.push(self.fault(entry.line, "name", &format!("{:?} is there twice", server.name)));
+            } else if servers.iter().any(|s| s.address == server.address) {
+                let why = format!("{} is there twice", server.address);
+                faults.push(self.fault(entry.line, "address", &why));
+            } else {
+                servers.push(server);
             }
-            if servers.iter().any(|s| s.address == server.address) {
-                return Err(self.fault(entry.line, "address", &format!("{} is there twice", server.address)));
-            }
-            servers.push(server);
         }
-        if servers.is_empty() {
+        if servers.is_empty() && faults.is_empty() {
             // Most likely cut off or the wrong file; read as it stands it would drain everything.
-            return Err(self.fault(1, "", "no server is named"));
+            faults.push(self.fault(1, "", "no server is named"));
+        }
+        faults.sort_by_key(|f| f.line);
+        if faults.is_empty() {
+            Ok(servers)
+        } else {
+            Err(faults)
         }
-        Ok(servers)
     }
 
     fn server(&self, entry: &Entry) -> Result<Server, InventoryError> {
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -6,6 +6,7 @@
 
 mod area;
 mod catalog;
+pub mod check;
 pub mod config;
 pub mod inventory;
 mod params;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -55,7 +55,7 @@
         Ok(taken) => Some(taken),
         Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => None,
         Err(e) => {
-            eprintln!("quinceflow: no hand-over: {e}");
+            tracing::warn!("no hand-over: {e}");
             None
         }
     }
@@ -131,7 +131,7 @@
                     last = Some(peer.clone());
                     taken(peer);
                 }
-                Err(e) => eprintln!("quinceflow: no hand-over: {e}"),
+                Err(e) => tracing::warn!("no hand-over: {e}"),
             }
         }
     })?;
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -88,7 +88,8 @@
     /// in time and proves that it never ran.
     fn give_up(&mut self, key: AttemptKey, now: Micros, patience: Micros) -> bool {
         let sent = self.sent.remove(&key).unwrap_or(now);
-        if self.heard >= sent {
+        // A new connection counts as heard of when its first attempt is launched: that proves nothing yet.
+        if self.heard > sent {
             return false;
         }
         self.unheard = self.unheard + now.since(sent.max(self.counted));
@@ -520,6 +521,9 @@
             assert_eq!(state.give_up(key(n), at + ms(10), patience), silent, "attempt {n}");
         }
         assert!(state.quiet(ms(400)) > patience, "nothing more goes there");
+        let mut fresh = SlotState { heard: ms(100), ..SlotState::default() };
+        fresh.sent.insert(key(1), ms(100));
+        assert!(fresh.give_up(key(1), ms(150), patience), "nothing ever came on it");
         state.hear(ms(500));
         assert_eq!(state.quiet(ms(900)), Micros::ZERO);
         for n in 5..25 {
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -46,7 +46,7 @@
             }
         })
         .map_err(fault)?;
-    eprintln!("quinceflow: operators are answered on {at}");
+    tracing::info!("operators are answered on {at}");
     Ok(())
 }
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -151,13 +151,13 @@
         let most = mgmt::reserved(sockets) - 1;
         // Clients are served without it too.
         if let Err(e) = mgmt::start(address, mgmt::Told { figures: figures.clone(), health, most }) {
-            eprintln!("quinceflow: operators are not answered: {e}");
+            tracing::warn!("operators are not answered: {e}");
         }
     }
     for (_, done) in running {
         done.join().map_err(|_| "a core panicked".to_owned())?;
     }
-    eprintln!("quinceflow: {COUNTERS}");
+    tracing::info!("{COUNTERS}");
     Ok(())
 }
 
@@ -189,11 +189,11 @@
         may::coroutine::sleep(MOST_SLEEP.to_duration());
     }
     let offered = handover::offer(place.to_owned(), listening, move |peer| {
-        eprintln!("quinceflow: the sockets are handed over to a new process");
+        tracing::info!("the sockets are handed over to a new process");
         *others.after.lock().unwrap_or_else(|e| e.into_inner()) = Some(peer);
     });
     if let Err(e) = offered {
-        eprintln!("quinceflow: a new version cannot take the sockets over: {}: {e}", place.display());
+        tracing::warn!("a new version cannot take the sockets over: {}: {e}", place.display());
     }
 }
 
@@ -219,7 +219,7 @@
             rev = known.rev;
             let _ = inbox.send(Input::Roster(known.roster));
         }
-        Err(e) => eprintln!("quinceflow: the known list cannot be read: {e}"),
+        Err(e) => tracing::warn!("the known list cannot be read: {e}"),
     }
     let place = watch::Place::new(config.discovery);
     let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
@@ -326,9 +326,9 @@
     let (accepting, beside) = (clients.clone(), others.before.is_some());
     spawn(LARGE_STACK, move || accepting.accept(beside)).map_err(no_coroutine)?;
     if beside {
-        eprintln!("quinceflow: the sockets are taken over from the process before");
+        tracing::info!("the sockets are taken over from the process before");
     }
-    eprintln!("quinceflow: {} listens on {address}", parts.name);
+    tracing::info!("{} listens on {address}", parts.name);
     let turns = Turns {
         core: parts.core,
         upstream: parts.upstream,
@@ -359,7 +359,7 @@
             for signal in caught.forever() {
                 match signal {
                     SIGTERM | SIGINT => heard.end.store(true, Relaxed),
-                    SIGUSR1 => eprintln!("quinceflow: {COUNTERS}"),
+                    SIGUSR1 => tracing::info!("{COUNTERS}"),
                     _ => {
                         heard.reloads.fetch_add(1, Relaxed);
                     }
@@ -428,10 +428,11 @@
             self.share_if_beside();
             self.reload_if_asked(now, &mut inputs);
             if leaving.is_none() && self.signals.end.load(Relaxed) {
-                eprintln!("quinceflow: told to end: {} queries held", self.core.held());
                 leaving = Some(now);
                 self.core.answer_by(now + self.last_answer);
                 self.clients.not_ready();
+                // Said once it is so: whoever waits for this line may ask at once.
+                tracing::info!("told to end: {} queries held", self.core.held());
             }
             if let Some(since) = leaving {
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
@@ -445,7 +446,7 @@
                 let drained = self.core.held() == 0 && self.clients.open() == 0;
                 let may_end = last || self.beside == Some(Beside::Old);
                 if (drained && may_end) || now.since(since) >= LAST_EXIT {
-                    eprintln!("quinceflow: ends: {} queries held", self.core.held());
+                    tracing::info!("ends: {} queries held", self.core.held());
                     return;
                 }
             }
@@ -472,7 +473,7 @@
         match (self.reload)(now) {
             Ok(Reloaded { words, input, deployment }) => {
                 COUNTERS.reloads.add();
-                eprintln!("quinceflow: {words}");
+                tracing::info!("{words}");
                 if let Some(deployment) = deployment {
                     self.last_answer = last_answer(longest(&deployment.module));
                     self.upstream.retune(&deployment);
@@ -485,7 +486,7 @@
             }
             Err(why) => {
                 COUNTERS.bad_reloads.add();
-                eprintln!("quinceflow: {why}");
+                tracing::warn!("{why}");
             }
         }
     }
