--- /dev/null
+++ b/src/front/ogc/learn.rs
@@ -0,0 +1,210 @@
+//! What servers can do: learned from their conformance pages and queryables, kept with an age, and learned anew.
+//!
+//! A decision table without clock or socket. Who wants to know asks [`Learned::want`]; whoever is told to look does so for all,
+//! so that neither a restart nor an age that ends sends more than one look to a server at a time.
+
+use super::cql2::{Able, Queryables};
+use crate::time::Micros;
+use serde_json::Value as Json;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A look that came to nothing is not made again for so long, doubled each time,
+const FIRST_PAUSE: Micros = Micros::from_secs(2);
+/// up to this.
+const MOST_PAUSE: Micros = Micros::from_secs(120);
+/// Whoever looks has so long; then another may.
+const MOST_LOOK: Micros = Micros::from_secs(5);
+/// Most that is remembered; the longest unused gives way.
+const MOST_KNOWN: usize = 4_096;
+
+/// A shard at a server: the server's address, and its name for the shard.
+pub type At = (Arc<str>, Arc<str>);
+
+#[derive(Debug, Default)]
+struct Entry {
+    known: Option<(Arc<Able>, Micros)>,
+    /// Since when somebody looks.
+    looking: Option<Micros>,
+    /// Looks in a row that came to nothing, and when the next may be made.
+    failed: u32,
+    not_before: Micros,
+    used: Micros,
+}
+
+/// What is to be done about a server's abilities.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Want {
+    /// This is known.
+    Known(Arc<Able>),
+    /// Look, and tell what came; until then this is known, if anything.
+    Look(Option<Arc<Able>>),
+    /// Go on without.
+    Without,
+}
+
+/// What is known of all servers.
+#[derive(Debug, Default)]
+pub struct Learned {
+    entries: HashMap<At, Entry>,
+    age: Micros,
+}
+
+impl Learned {
+    /// Nothing yet; what is learned serves for `age`.
+    pub fn new(age: Micros) -> Self {
+        Learned { entries: HashMap::new(), age }
+    }
+
+    /// Somebody wants to know what a server can do with a shard.
+    pub fn want(&mut self, at: &At, now: Micros) -> Want {
+        if !self.entries.contains_key(at) && self.entries.len() >= MOST_KNOWN {
+            let oldest = self.entries.iter().min_by_key(|e| e.1.used).map(|e| e.0.clone());
+            oldest.map(|at| self.entries.remove(&at));
+        }
+        // Servers that were learned together are not learned anew together.
+        let spread =
+            Micros(self.age.0 / 4 * (super::cursor::hash(&[at.0.as_bytes(), at.1.as_bytes()]) % 256) / 256);
+        let age = self.age - spread;
+        let entry = self.entries.entry(at.clone()).or_default();
+        entry.used = now;
+        let known = entry.known.as_ref().map(|k| k.0.clone());
+        let fresh = entry.known.as_ref().is_some_and(|k| now.since(k.1) < age);
+        let looked_at = entry.looking.is_some_and(|since| now.since(since) < MOST_LOOK);
+        match known {
+            Some(able) if fresh || looked_at || now < entry.not_before => Want::Known(able),
+            None if looked_at || now < entry.not_before => Want::Without,
+            known => {
+                entry.looking = Some(now);
+                Want::Look(known)
+            }
+        }
+    }
+
+    /// What a look came to; `None`: to nothing.
+    pub fn found(&mut self, at: &At, able: Option<Able>, now: Micros) {
+        let Some(entry) = self.entries.get_mut(at) else { return };
+        entry.looking = None;
+        match able {
+            Some(able) => {
+                (entry.known, entry.failed) = (Some((Arc::new(able), now)), 0);
+            }
+            None => {
+                // What was known of it is as good as before: a server that is down can do nothing else.
+                let pause = FIRST_PAUSE.0 << entry.failed.min(16);
+                entry.failed = entry.failed.saturating_add(1);
+                entry.not_before = now + Micros(pause).min(MOST_PAUSE);
+            }
+        }
+    }
+
+    /// What all of these can do together; `None` if of one of them nothing is known.
+    pub fn common<'a>(&self, of: impl Iterator<Item = &'a At>) -> Option<Able> {
+        let mut all: Option<Able> = None;
+        for at in of {
+            let able = &self.entries.get(at)?.known.as_ref()?.0;
+            all = Some(match all {
+                None => Able::clone(able),
+                Some(before) => Able {
+                    classes: before.classes.intersection(&able.classes).cloned().collect(),
+                    queryables: before.queryables.both(&able.queryables),
+                    most_text: before.most_text.min(able.most_text),
+                },
+            });
+        }
+        all
+    }
+}
+
+/// A server's abilities from its two documents. `None`: the first is no conformance page.
+pub fn read(conformance: &[u8], queryables: Option<&[u8]>, most_text: usize) -> Option<Able> {
+    let json: Json = serde_json::from_slice(conformance).ok()?;
+    let classes = json["conformsTo"].as_array()?.iter().filter_map(Json::as_str);
+    let last = |uri: &str| uri.rsplit('/').next().unwrap_or_default().to_owned();
+    let schema = queryables.and_then(|q| serde_json::from_slice::<Json>(q).ok());
+    let queryables = schema.as_ref().and_then(Queryables::from_schema).unwrap_or_default();
+    Some(Able { classes: classes.map(last).collect(), queryables, most_text })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(n: usize) -> At {
+        (format!("s{n}").into(), "north".into())
+    }
+
+    fn secs(s: u64) -> Micros {
+        Micros::from_secs(s)
+    }
+
+    #[test]
+    fn one_looks_for_all_and_the_others_go_on() {
+        let mut learned = Learned::new(secs(100));
+        assert_eq!(learned.want(&at(1), secs(1)), Want::Look(None));
+        assert_eq!(learned.want(&at(1), secs(2)), Want::Without, "another looks");
+        assert_eq!(learned.want(&at(1), secs(7)), Want::Look(None), "who looked never came back");
+        let able = read(br#"{"conformsTo":["http://x/conf/basic-cql2"]}"#, None, 9).expect("a page");
+        learned.found(&at(1), Some(able.clone()), secs(8));
+        let known = Want::Known(Arc::new(able.clone()));
+        assert_eq!(learned.want(&at(1), secs(9)), known);
+        assert_eq!(learned.want(&at(1), secs(200)), Want::Look(Some(Arc::new(able))), "too old, yet of use");
+        assert_eq!(learned.want(&at(1), secs(200)), known);
+    }
+
+    #[test]
+    fn a_look_that_fails_is_not_made_again_at_once() {
+        let mut learned = Learned::new(secs(100));
+        let mut looks = 0;
+        for second in 0..1_000 {
+            if let Want::Look(_) = learned.want(&at(1), secs(second)) {
+                looks += 1;
+                learned.found(&at(1), None, secs(second));
+            }
+        }
+        assert!((8..=16).contains(&looks), "{looks}");
+    }
+
+    #[test]
+    fn servers_are_not_learned_anew_all_at_once_and_memory_has_an_end() {
+        let mut learned = Learned::new(secs(100));
+        let able = || read(br#"{"conformsTo":[]}"#, None, 9);
+        for n in 0..200 {
+            learned.want(&at(n), secs(0));
+            learned.found(&at(n), able(), secs(0));
+        }
+        let mut most = 0;
+        for second in 70..=100 {
+            let looks: Vec<_> =
+                (0..200).filter(|n| matches!(learned.want(&at(*n), secs(second)), Want::Look(_))).collect();
+            most = most.max(looks.len());
+            looks.into_iter().for_each(|n| learned.found(&at(n), able(), secs(second)));
+        }
+        assert!(most < 40, "{most} at once");
+        for n in 0..10_000 {
+            learned.want(&at(n), secs(200 + n as u64));
+        }
+        assert!(learned.entries.len() <= MOST_KNOWN);
+    }
+
+    #[test]
+    fn together_servers_can_do_what_each_can() {
+        let mut learned = Learned::new(secs(100));
+        let told = |classes: &str, names: &str| {
+            let page = format!("{{\"conformsTo\":[{classes}]}}");
+            let schema = format!("{{\"properties\":{{{names}}}}}");
+            read(page.as_bytes(), Some(schema.as_bytes()), 9)
+        };
+        for (n, able) in [told("\"c/a\",\"c/b\"", "\"x\":{},\"y\":{}"), told("\"d/b\"", "\"y\":{}")]
+            .into_iter()
+            .enumerate()
+        {
+            learned.want(&at(n), secs(0));
+            learned.found(&at(n), able, secs(0));
+        }
+        let both = learned.common([at(0), at(1)].iter()).expect("known");
+        assert_eq!((both.classes.len(), both.queryables.named.len()), (1, 1));
+        assert_eq!(learned.common([at(0), at(2)].iter()), None);
+        assert!(read(b"<html>", None, 9).is_none() && read(b"{}", None, 9).is_none());
+    }
+}
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -8,11 +8,14 @@
 pub mod check;
 pub mod config;
 pub mod cql2;
+mod crs;
 pub mod cursor;
 pub mod inventory;
 mod items;
+pub mod learn;
 pub mod paging;
 mod params;
+pub mod ranking;
 mod render;
 pub mod visit;
 
