Serve filters, reference systems, orders, selections, HTML, gzip and tags; POST /search

What mapping clients use of Parts 2, 3, 5 and the CQL2 standard was missing.

Change: parameters become one typed query in CRS84; a query with a filter or an order first learns what its servers can do (conformance and queryables, at most 0.5 s, one look a server), each shard is asked the part of the filter that all its servers can do, and the rest is filtered here on what they give, with the filter's box passed on. sortby is a merge in bounded memory. Answers in other systems and with fewer properties, HTML with a map, ETag and 304, gzip, Content-Crs; queryables, sortables and schema of a collection. Large filters come by POST /search in the form of the STAC API's Item Search. Answers are written from the pages' own bytes, not from copies.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,7 +4,7 @@
 pub mod platform;
 
 use crate::core::{Answer, Request, Token};
-use crate::proto::http::{HttpError, HttpRequest, Response};
+use crate::proto::http::{HttpError, HttpRequest, Response, MOST_BODY};
 use crate::time::Micros;
 
 /// How a core's answer becomes a response, or another question to the core where one round is not enough.
@@ -26,4 +26,16 @@
 
     /// The response to what could not be read.
     fn unreadable(&self, error: HttpError) -> Response;
+
+    /// Most bytes of a request's body.
+    fn most_body(&self) -> usize {
+        MOST_BODY
+    }
+
+    /// Stack of the coroutine that serves a connection, in words of eight bytes. Only touched pages count as memory.
+    /// Measured over the tests of the platform's front in a release build: 722 words at most; debug builds need several
+    /// times that.
+    fn stack(&self) -> usize {
+        0x4000
+    }
 }
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -4,7 +4,7 @@
 use crate::core::{Node, Roster};
 use crate::interface::{ListKind, MemberState, ShardId};
 use crate::time::Micros;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Other holders of a shard that are told apart: numbers grow with the square of the holders.
 const MOST_OTHERS: usize = 8;
@@ -20,6 +20,8 @@
     /// A shard at one server, by its name: what is gone on with there has a number of its own, which that server alone
     /// holds, so that the module knows no other place for it.
     pins: HashMap<(ShardId, String), ShardId>,
+    /// Those numbers that the present inventory gives to a server.
+    pinned_now: HashSet<ShardId>,
     /// A shard anywhere but at one server, by its name: where a shard broke off, it is begun anew elsewhere.
     without: HashMap<(ShardId, String), ShardId>,
     /// Of each number the shard that it stands for at some of its servers, if it does.
@@ -34,6 +36,11 @@
     pub fn load(&mut self, servers: &[Server], now: Micros) -> Roster {
         self.live.clear();
         self.places.clear();
+        self.pinned_now.clear();
+        // Numbers are never given out again, since a query may know one; what they were given to is forgotten.
+        let named: HashSet<&str> = servers.iter().map(|s| s.name.as_str()).collect();
+        self.pins.retain(|k, _| named.contains(k.1.as_str()));
+        self.without.retain(|k, _| named.contains(k.1.as_str()));
         let mut nodes = Vec::new();
         let mut known = HashMap::new();
         for server in servers {
@@ -46,6 +53,7 @@
                     self.pinned.push(None);
                 }
                 let pin = self.pin(shard, share, &server.name);
+                self.pinned_now.insert(pin);
                 shards.extend([shard, pin]);
                 let others = servers.iter().filter(|s| s.name != server.name && s.shares.contains(share));
                 for other in others.take(MOST_OTHERS) {
@@ -118,15 +126,23 @@
     /// The number of a shard anywhere but at the server of this address, if another one that takes new work holds it.
     pub fn elsewhere(&self, shard: ShardId, address: &str) -> Option<ShardId> {
         let (name, _) = self.places.get(address)?;
-        let mut others = self.pins.keys().filter(|k| k.0 == shard && k.1 != *name);
-        let ready = |name: &str| self.places.values().any(|p| p.0 == name && p.1 == MemberState::Ready);
-        others.any(|k| ready(&k.1)).then(|| self.without.get(&(shard, name.clone())).copied()).flatten()
+        let other = self.holders(shard).iter().any(|h| h.1 != address);
+        other.then(|| self.without.get(&(shard, name.clone())).copied()).flatten()
     }
 
     /// The number of a shard at the server of this address, if that takes new work and holds it.
     pub fn pinned(&self, shard: ShardId, address: &str) -> Option<ShardId> {
         let (name, _) = self.places.get(address).filter(|p| p.1 == MemberState::Ready)?;
-        self.pins.get(&(shard, name.clone())).copied()
+        self.pins.get(&(shard, name.clone())).copied().filter(|pin| self.pinned_now.contains(pin))
+    }
+
+    /// The servers that take new work and hold a shard: the shard's number there, and the server's address.
+    pub fn holders(&self, shard: ShardId) -> Vec<(ShardId, &str)> {
+        let ready = self.places.iter().filter(|p| p.1 .1 == MemberState::Ready);
+        let mut holders: Vec<_> =
+            ready.filter_map(|(address, _)| Some((self.pinned(shard, address)?, address.as_str()))).collect();
+        holders.sort_unstable_by_key(|h| h.0 .0);
+        holders
     }
 
     /// The shard that a number pins to a server.
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -1,9 +1,11 @@
 //! The operator's file that sets this front up.
 
+use super::cql2::{Kind, Queryables};
 use super::inventory::{read_file, InventoryError, Server};
 use crate::interface::{Class, ColdRule, Effect, Settings};
 use crate::time::Micros;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -51,6 +53,12 @@
     /// A cursor serves for so long, in seconds from its query's first answer.
     #[serde(default = "cursor_age")]
     pub cursor_age_s: u64,
+    /// What servers can do is learned anew after so long, in seconds.
+    #[serde(default = "learned_age")]
+    pub learned_age_s: u64,
+    /// Most characters of a filter that is passed on in a request's head.
+    #[serde(default = "filter_text")]
+    pub most_filter_text: usize,
     /// Most pages of an answer.
     #[serde(default = "pages")]
     pub most_pages: usize,
@@ -131,6 +139,36 @@
     /// them began another may go on with.
     #[serde(default)]
     pub same_order: bool,
+    /// The box that its features lie in, in CRS84.
+    pub bbox: Option<[f64; 4]>,
+    /// What can be asked of it, by name: `text`, `number`, `bool`, `time`, `geometry`, `array` or `any`. Absent: what its
+    /// servers tell.
+    #[serde(default)]
+    pub queryables: BTreeMap<String, String>,
+}
+
+impl Collection {
+    /// What can be asked of it, if that is told.
+    pub fn queryables(&self) -> Option<Queryables> {
+        if self.queryables.is_empty() {
+            return None;
+        }
+        let named = self.queryables.iter().filter_map(|(n, k)| Some((n.clone(), kind(k)?))).collect();
+        Some(Queryables { named, open: false })
+    }
+}
+
+fn kind(name: &str) -> Option<Kind> {
+    Some(match name {
+        "text" => Kind::Text,
+        "number" => Kind::Number,
+        "bool" => Kind::Bool,
+        "time" => Kind::Time,
+        "geometry" => Kind::Geometry,
+        "array" => Kind::Array,
+        "any" => Kind::Any,
+        _ => return None,
+    })
 }
 
 fn one() -> u32 {
@@ -160,6 +198,12 @@
 fn at_once() -> usize {
     8
 }
+fn learned_age() -> u64 {
+    600
+}
+fn filter_text() -> usize {
+    2_000
+}
 fn cursor_age() -> u64 {
     3_600
 }
@@ -246,6 +290,12 @@
                 fault("effect must be safe or unsafe");
             }
         }
+        for c in &self.collections {
+            for (name, _) in c.queryables.iter().filter(|q| kind(q.1).is_none()) {
+                let why = format!("collection {:?}: queryable {name:?} is of no kind that is known", c.id);
+                faults.push((name.clone(), why));
+            }
+        }
         if let Err(why) = self.cursor_key() {
             faults.push(("cursor_key".to_owned(), why));
         }
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -16,7 +16,7 @@
 pub use geometry::{envelope, read_geojson};
 pub use json::{read_json, to_json};
 pub use split::{split, Able, Split};
-pub use text::read_text;
+pub use text::{flat, read_text};
 
 use geo::Geometry;
 
--- a/src/front/ogc/cql2/split.rs
+++ b/src/front/ogc/cql2/split.rs
@@ -107,10 +107,8 @@
     let literal =
         |v: &Value| !plain(v) && !matches!(v, Value::Arithmetic(..) | Value::Casei(_) | Value::Accenti(_));
     match filter {
-        Filter::Compare(_, a, b) => {
-            if !(plain(a) && literal(b)) {
-                into.insert("property-property");
-            }
+        Filter::Compare(_, a, b) if !(plain(a) && literal(b)) => {
+            into.insert("property-property");
         }
         Filter::Like(..) | Filter::Between(..) | Filter::In(..) => {
             into.insert("advanced-comparison-operators");
--- a/src/front/ogc/cql2/text.rs
+++ b/src/front/ogc/cql2/text.rs
@@ -97,7 +97,7 @@
 }
 
 /// One list of parts that are joined alike, however they were put in brackets.
-pub(super) fn flat(parts: Vec<Filter>, and: bool) -> Vec<Filter> {
+pub fn flat(parts: Vec<Filter>, and: bool) -> Vec<Filter> {
     let inner = |part| match part {
         Filter::And(inner) if and => inner,
         Filter::Or(inner) if !and => inner,
--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -34,6 +34,9 @@
     /// The server, its link, and its page's size; absent at the shard's begin.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub link: Option<(String, String, usize)>,
+    /// Something of the filter is done here on what that server gives.
+    #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
+    pub kept: bool,
     /// The last feature's sort keys and id, in an ordered answer.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub after: Option<Vec<serde_json::Value>>,
@@ -123,7 +126,10 @@
     /// The cursor after this one, which leads on to `link`. Found to go in a circle by Brent's method: the link of answer
     /// 1, 2, 4, 8 ... is remembered, and if it comes again nothing new will ever come.
     pub fn followed(mut self, before: Option<&Cursor>) -> Result<Self, CursorError> {
-        let here = hash(&[self.shard.as_bytes(), format!("{:?} {}", self.link, self.skip).as_bytes()]);
+        let here = hash(&[
+            self.shard.as_bytes(),
+            format!("{:?} {} {:?}", self.link, self.skip, self.after).as_bytes(),
+        ]);
         let Some(before) = before else { return Ok(Cursor { mark: here, answers: 1, ..self }) };
         self.at = before.at;
         self.answers = before.answers.saturating_add(1);
@@ -158,6 +164,7 @@
             shard: "north".to_owned(),
             skip: 3,
             link: Some(("a".to_owned(), target.to_owned(), 50)),
+            kept: false,
             after: None,
             answers: 0,
             mark: 0,
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -1,17 +1,27 @@
-//! A query for features under way: rounds of pages until its answer is ready.
+//! A query for features under way: it learns what servers can do where that is of use, then asks rounds of pages until its
+//! answer is ready.
 
+use super::cql2::{split, Able, Comparison, Filter, Matcher, Queryables, Value};
 use super::cursor::{hash, Cursor, CursorError};
-use super::paging::{Gather, Page, Place, Position, Step, Wanted};
+use super::learn::{self, At, Want};
+use super::paging::{Ask, Gather, Page, Place, Position, Step, Wanted};
 use super::params::Params;
-use super::visit::{Kind, Visit};
+use super::ranking::{Ranked, Ranking};
+use super::visit::{Kind, Sieve, Visit};
 use super::{lock, render, Fault, Shared};
 use crate::core::{Answer, Errand, PartOf, Request, Tally, Token};
 use crate::front::{Reaction, Render};
 use crate::interface::{ShardId, TenantId};
 use crate::proto::http::Response;
 use crate::time::{unix_ms, Micros};
+use std::ops::Range;
 use std::sync::Arc;
 
+/// Looks at servers before a query is answered take at most so long, and a quarter of its time.
+const MOST_LOOK: Micros = Micros::from_millis(500);
+/// Looks of one query at a time.
+const MOST_LOOKS: usize = 16;
+
 /// Who asks, for how long and as what: the same for all rounds of a query.
 #[derive(Debug, Clone)]
 pub(super) struct Asker {
@@ -21,26 +31,53 @@
     pub sent: Micros,
 }
 
-/// A query for features of a collection.
-pub(super) struct Items {
-    shared: Arc<Shared>,
-    asker: Asker,
+/// What a query asks, and how its answer's links are written.
+pub(super) struct Asked {
     pub base: String,
     pub collection: String,
+    /// The query string as it came; of a search its body is in `search`.
     pub query: String,
+    pub search: Option<Vec<u8>>,
     pub params: Params,
+    pub html: bool,
+}
+
+/// How a shard is asked, and what of the filter is left to do here.
+#[derive(Clone, Default)]
+struct Plan {
+    passed: Option<String>,
+    sieve: Option<Sieve>,
+    envelope: Option<[f64; 4]>,
+    /// It comes in the order that is wanted.
+    ordered: bool,
+}
+
+enum Mode {
+    Pages(Box<Gather>),
+    Ranked(Ranking),
+}
+
+/// What came of a round: the shard's place, the size that was asked for, and the page.
+type Came = (usize, usize, Option<Arc<Page>>);
+
+/// A query for features of a collection.
+pub(super) struct Items {
+    shared: Arc<Shared>,
+    asker: Asker,
+    pub asked: Asked,
     /// The shards of the collection, with the servers' names for them, in order.
     pub shards: Vec<(ShardId, String)>,
-    gather: Gather,
-    /// What was asked in the round under way: the shard's place, the size and the visit.
+    plans: Vec<Plan>,
+    mode: Mode,
+    /// What was asked in the round under way.
     out: Vec<(usize, usize, Arc<Visit>)>,
     before: Option<Cursor>,
 }
 
 /// An answer that is ready to be rendered.
 pub(super) struct Ready<'a> {
-    pub items: &'a Items,
-    pub pages: &'a [(Arc<Page>, std::ops::Range<usize>)],
+    pub asked: &'a Asked,
+    pub pages: Vec<(Arc<Page>, Range<usize>)>,
     pub count: usize,
     pub whole: bool,
     pub missing: Vec<&'a str>,
@@ -80,14 +117,66 @@
     .add();
 }
 
-/// The hash that binds a cursor to its query: all that decides which features there are and in which order.
-pub(super) fn query_hash(collection: &str, params: &Params) -> u64 {
-    let mut parts = vec![collection.as_bytes()];
-    for (name, value) in &params.passed {
-        parts.push(name.as_bytes());
-        parts.push(value.as_bytes());
+fn query_hash(asked: &Asked) -> u64 {
+    hash(&[asked.collection.as_bytes(), asked.params.bound().as_bytes()])
+}
+
+/// Where the pages of a shard can come from.
+fn holders(shared: &Shared, shards: &[(ShardId, String)]) -> Vec<Vec<(ShardId, At)>> {
+    let catalog = lock(&shared.catalog);
+    let of = |(shard, name): &(ShardId, String)| {
+        let servers = catalog.holders(*shard).into_iter();
+        servers.map(|(pin, address)| (pin, (Arc::from(address), Arc::from(name.as_str())))).collect()
+    };
+    shards.iter().map(of).collect()
+}
+
+/// The queryables of a collection: the operator's, else what all its servers tell, as far as that is known.
+pub(super) fn queryables(shared: &Shared, collection: &str, shards: &[(ShardId, String)]) -> Queryables {
+    if let Some(told) = shared.declared(collection) {
+        return told;
     }
-    hash(&parts)
+    let all = holders(shared, shards);
+    let known = shared.learned().common(all.iter().flatten().map(|h| &h.1));
+    known.map(|able| able.queryables).filter(|q| !q.named.is_empty()).unwrap_or_else(Queryables::unknown)
+}
+
+/// Asks servers what they can do, if that is of use and nobody else does; then goes on.
+pub(super) fn learned(
+    shared: Arc<Shared>,
+    asker: Asker,
+    shards: &[(ShardId, String)],
+    then: impl FnOnce(Arc<Shared>) -> Reaction + Send + 'static,
+) -> Reaction {
+    let mut looks = Vec::new();
+    for (pin, at) in holders(&shared, shards).into_iter().flatten() {
+        if looks.len() < MOST_LOOKS {
+            if let Want::Look(_) = shared.learned().want(&at, asker.sent) {
+                let document = |path: String| Arc::new(Visit::new(Kind::Document, path));
+                let of = format!("/collections/{}/queryables", at.1);
+                looks.push((pin, at, document("/conformance".to_owned()), document(of)));
+            }
+        }
+    }
+    if looks.is_empty() {
+        return then(shared);
+    }
+    let parts: Vec<_> = looks.iter().flat_map(|l| [(l.0, l.2.clone()), (l.0, l.3.clone())]).collect();
+    let patience = Micros(asker.patience.0 / 4).min(MOST_LOOK);
+    let request = round(&shared, &Asker { patience, ..asker.clone() }, parts.into_iter());
+    Reaction::Ask(
+        request,
+        Box::new(move |_| {
+            for (_, at, conformance, queryables) in &looks {
+                // Whatever became of the round: what came is there.
+                let (page, schema) = (conformance.last(), queryables.last());
+                let schema = schema.as_ref().map(|s| s.body.as_slice());
+                let able = page.and_then(|p| learn::read(&p.body, schema, shared.edge.most_filter_text));
+                shared.learned().found(at, able, asker.sent);
+            }
+            then(shared)
+        }),
+    )
 }
 
 impl Items {
@@ -95,73 +184,81 @@
     pub fn begin(
         shared: Arc<Shared>,
         asker: Asker,
-        base: String,
-        collection: &str,
-        query: &str,
-        params: Params,
+        asked: Asked,
         shards: Vec<(ShardId, String)>,
     ) -> Result<Reaction, Fault> {
-        let edge = &shared.edge;
-        let mut from = Position::START;
         let mut before = None;
-        if let Some(token) = &params.cursor {
-            let bound = query_hash(collection, &params);
-            let cursor = shared.key.open(token, bound, unix_ms() / 1_000, edge.cursor_age_s).map_err(told)?;
-            from = position(&shared, collection, &cursor, &shards)?;
+        if let Some(token) = &asked.params.cursor {
+            let now = unix_ms() / 1_000;
+            let cursor =
+                shared.key.open(token, query_hash(&asked), now, shared.edge.cursor_age_s).map_err(told)?;
             before = Some(cursor);
         }
-        let wanted = Wanted {
-            limit: params.limit,
-            page: edge.page_size,
-            at_once: edge.at_once,
-            pages: edge.most_pages,
-            bytes: edge.most_bytes,
-            sieved: false,
-            floor: edge.classes[asker.class].floor,
-            again: edge.classes[asker.class].effect != "unsafe",
+        let from = match &before {
+            Some(cursor) if cursor.after.is_none() => position(&shared, &asked.collection, cursor, &shards)?,
+            _ => Position::START,
         };
-        let gather = Gather::new(wanted, from, shards.len());
-        let items = Items {
-            shared,
-            asker,
-            base,
-            collection: collection.to_owned(),
-            query: query.to_owned(),
-            params,
-            shards,
-            gather,
-            out: Vec::new(),
-            before,
+        if asked.params.filter.is_none() && asked.params.sortby.is_empty() {
+            let plans = vec![Plan::default(); shards.len()];
+            return Ok(Items::start(shared, asker, asked, shards, plans, from, before));
+        }
+        let of = shards.clone();
+        Ok(learned(shared, asker.clone(), &of, move |shared| {
+            let after = before.as_ref().and_then(|c| c.after.clone());
+            let kept = before.as_ref().filter(|c| c.link.is_some()).map(|c| (from.shard, c.kept));
+            let plans = plans(&shared, &asked.params, &shards, after.as_deref(), kept);
+            Items::start(shared, asker, asked, shards, plans, from, before)
+        }))
+    }
+
+    fn start(
+        shared: Arc<Shared>,
+        asker: Asker,
+        asked: Asked,
+        shards: Vec<(ShardId, String)>,
+        plans: Vec<Plan>,
+        from: Position,
+        before: Option<Cursor>,
+    ) -> Reaction {
+        let (edge, params) = (&shared.edge, &asked.params);
+        let class = &edge.classes[asker.class];
+        let mode = if params.sortby.is_empty() {
+            let wanted = Wanted {
+                limit: params.limit,
+                page: edge.page_size,
+                at_once: edge.at_once,
+                pages: edge.most_pages,
+                bytes: edge.most_bytes,
+                sieved: plans.iter().any(|p| p.sieve.is_some()),
+                floor: class.floor,
+                again: class.effect != "unsafe",
+            };
+            Mode::Pages(Box::new(Gather::new(wanted, from, shards.len())))
+        } else {
+            let ordered: Vec<bool> = plans.iter().map(|p| p.ordered).collect();
+            let after = before.as_ref().and_then(|c| c.after.clone());
+            let by = params.sortby.clone();
+            let (page, pages) = (edge.page_size, edge.most_pages);
+            Mode::Ranked(Ranking::new(by, params.limit, page, pages, class.floor, after, &ordered))
         };
-        Ok(items.ask())
+        Items { shared, asker, asked, shards, plans, mode, out: Vec::new(), before }.ask()
     }
 
     /// Asks for the next round's pages.
     fn ask(mut self) -> Reaction {
+        let asks = match &self.mode {
+            Mode::Pages(gather) => gather.asks(),
+            Mode::Ranked(ranking) => ranking.asks(),
+        };
         let mut parts = Vec::new();
         let mut gone = Vec::new();
-        {
-            let catalog = lock(&self.shared.catalog);
-            for ask in self.gather.asks() {
-                let (shard, name) = &self.shards[ask.shard];
-                let (shard, target) = match &ask.place {
-                    Place::Start => (Some(*shard), server_query(name, &self.params, ask.size)),
-                    Place::Link { target, .. } if self.shared.same_order(&self.collection) => {
-                        (Some(*shard), target.to_string())
-                    }
-                    // What comes after a page is known to its server alone.
-                    Place::Link { server, target, .. } => {
-                        (catalog.pinned(*shard, server), target.to_string())
-                    }
-                };
-                match shard {
-                    Some(shard) => {
-                        let visit = Arc::new(Visit::new(Kind::Items, target));
-                        parts.push((shard, visit.clone()));
-                        self.out.push((ask.shard, ask.size, visit));
-                    }
-                    None => gone.push((ask.shard, ask.size, None)),
+        for ask in asks {
+            match self.visit(&ask) {
+                Some((shard, visit)) => {
+                    parts.push((shard, visit.clone()));
+                    self.out.push((ask.shard, ask.size, visit));
                 }
+                None => gone.push((ask.shard, ask.size, None)),
             }
         }
         if parts.is_empty() {
@@ -172,16 +269,40 @@
         Reaction::Ask(request, render)
     }
 
-    fn answered(mut self, answer: Answer, gone: Vec<(usize, usize, Option<Arc<Page>>)>) -> Reaction {
+    /// What is asked for a page, and under which number: that of its shard, or of its shard at the one server that can go on.
+    fn visit(&self, ask: &Ask) -> Option<(ShardId, Arc<Visit>)> {
+        let (shard, name) = &self.shards[ask.shard];
+        let plan = &self.plans[ask.shard];
+        let catalog = lock(&self.shared.catalog);
+        let (number, target) = match &ask.place {
+            Place::Start => {
+                let broken = match &self.mode {
+                    Mode::Pages(gather) => gather.broken.as_ref().filter(|b| b.0 == ask.shard),
+                    Mode::Ranked(_) => None,
+                };
+                let elsewhere = broken.and_then(|b| catalog.elsewhere(*shard, &b.1));
+                (elsewhere.unwrap_or(*shard), server_query(name, &self.asked.params, plan, ask.size))
+            }
+            Place::Link { target, .. } if self.shared.same_order(&self.asked.collection) => {
+                (*shard, target.to_string())
+            }
+            // What comes after a page is known to its server alone.
+            Place::Link { server, target, .. } => (catalog.pinned(*shard, server)?, target.to_string()),
+        };
+        let mut visit = Visit::new(Kind::Items, target);
+        visit.sieve = plan.sieve.clone();
+        Some((number, Arc::new(visit)))
+    }
+
+    fn answered(mut self, answer: Answer, gone: Vec<Came>) -> Reaction {
         let out = std::mem::take(&mut self.out);
         let mut came = gone;
         match answer {
             Answer::Served { parts, .. } => {
-                let shards = &self.shards;
                 // Pinned or not, a part stands for the one shard that was asked in its place.
                 let mut values = parts.into_iter().peekable();
                 for (at, size, visit) in out {
-                    let value = values.next_if(|v| self.shared.stands_for(v.0, shards[at].0));
+                    let value = values.next_if(|v| self.shared.stands_for(v.0, self.shards[at].0));
                     came.push((at, size, value.and_then(|v| visit.page(&v.1))));
                 }
                 self.came(came, None)
@@ -196,71 +317,193 @@
         }
     }
 
-    fn came(mut self, came: Vec<(usize, usize, Option<Arc<Page>>)>, answer: Option<Answer>) -> Reaction {
+    fn came(mut self, came: Vec<Came>, answer: Option<Answer>) -> Reaction {
         let late = matches!(answer, Some(Answer::Refused { late: true, .. } | Answer::Failed { late: true }));
-        match self.gather.take(came, render::feature_id) {
-            Step::More if !late => self.ask(),
-            Step::Done if self.gather.above_floor() => self.end(None),
-            _ => self.end(Some(answer.unwrap_or(Answer::Failed { late: false }))),
+        let failed = || answer.unwrap_or(Answer::Failed { late: false });
+        match &mut self.mode {
+            Mode::Pages(gather) => match gather.take(came, render::feature_id) {
+                Step::More if !late => self.ask(),
+                Step::Done if gather.above_floor() => self.end(None),
+                _ => self.end(Some(failed())),
+            },
+            Mode::Ranked(ranking) => match ranking.take(came) {
+                Ranked::More if !late => self.ask(),
+                Ranked::Done => self.end(None),
+                Ranked::TooMany => {
+                    let why = "too many features to put in order here, and their servers cannot: ask for fewer by a filter or a box";
+                    self.finish(render::problem(400, why))
+                }
+                _ => self.end(Some(failed())),
+            },
         }
     }
 
     /// Gives the answer: what is in, if that is one, or why there is none.
     fn end(self, failed: Option<Answer>) -> Reaction {
-        let tally_at = self.shared.tally(self.asker.class);
-        let good = self.gather.count() > 0 && self.gather.above_floor();
-        let response = match failed {
-            // What is in is in order and whole up to where its next link leads.
-            Some(answer) if !good => {
-                render::unanswered(&answer).unwrap_or_else(|| render::problem(500, "no answer"))
+        // What is in is in order and whole up to where its next link leads; an ordered answer is in order only once all is in.
+        let good = match &self.mode {
+            Mode::Pages(gather) => gather.count() > 0 && gather.above_floor(),
+            Mode::Ranked(_) => false,
+        };
+        if let Some(answer) = failed.filter(|_| !good) {
+            let response = render::unanswered(&answer).unwrap_or_else(|| render::problem(500, "no answer"));
+            return self.finish(response);
+        }
+        let response = match self.next_cursor() {
+            Ok(next) => render::items(self.ready(next)),
+            Err(e) => {
+                let (status, why) = told(e);
+                render::problem(status, &why)
             }
-            _ => match self.next_cursor() {
-                Ok(next) => {
-                    let missing = self.gather.missing();
-                    let passed = |n: &&usize| **n < self.gather.next().map_or(usize::MAX, |p| p.shard);
-                    render::items(&Ready {
-                        items: &self,
-                        pages: &self.gather.taken,
-                        count: self.gather.count(),
-                        whole: self.gather.whole(),
-                        missing: missing.iter().filter(passed).map(|n| self.shards[*n].1.as_str()).collect(),
-                        matched: self.gather.matched(),
-                        next,
-                    })
-                }
-                Err(e) => {
-                    let (status, why) = told(e);
-                    render::problem(status, &why)
-                }
-            },
         };
-        tally(&tally_at, &response);
+        self.finish(response)
+    }
+
+    fn finish(self, response: Response) -> Reaction {
+        tally(&self.shared.tally(self.asker.class), &response);
         Reaction::Respond(response)
     }
 
-    fn next_cursor(&self) -> Result<Option<String>, CursorError> {
-        let Some(at) = self.gather.next() else { return Ok(None) };
-        let link = match &at.place {
-            Place::Start => None,
-            Place::Link { server, target, size } => {
-                let name = lock(&self.shared.catalog).name_at(server).unwrap_or(server).to_owned();
-                Some((name, target.to_string(), *size))
+    fn ready(&self, next: Option<String>) -> Ready<'_> {
+        let names = |missing: Vec<usize>| missing.into_iter().map(|n| self.shards[n].1.as_str()).collect();
+        match &self.mode {
+            Mode::Pages(gather) => {
+                let end = gather.next().map_or(usize::MAX, |p| p.shard);
+                Ready {
+                    asked: &self.asked,
+                    pages: gather.taken.clone(),
+                    count: gather.count(),
+                    whole: gather.whole(),
+                    missing: names(gather.missing().into_iter().filter(|n| *n < end).collect()),
+                    matched: gather.matched(),
+                    next,
+                }
             }
-        };
-        let cursor = Cursor {
-            query: query_hash(&self.collection, &self.params),
+            Mode::Ranked(ranking) => {
+                let page = Arc::new(ranking.page());
+                let count = page.features.len();
+                Ready {
+                    asked: &self.asked,
+                    pages: vec![(page, 0..count)],
+                    count,
+                    whole: ranking.missing().is_empty(),
+                    missing: names(ranking.missing()),
+                    matched: None,
+                    next,
+                }
+            }
+        }
+    }
+
+    fn next_cursor(&self) -> Result<Option<String>, CursorError> {
+        let mut cursor = Cursor {
+            query: query_hash(&self.asked),
             at: unix_ms() / 1_000,
-            shard: self.shards[at.shard].1.clone(),
-            skip: at.skip,
-            link,
+            shard: String::new(),
+            skip: 0,
+            link: None,
+            kept: false,
             after: None,
             answers: 0,
             mark: 0,
         };
+        match &self.mode {
+            Mode::Pages(gather) => {
+                let Some(at) = gather.next() else { return Ok(None) };
+                cursor.shard = self.shards[at.shard].1.clone();
+                cursor.skip = at.skip;
+                if let Place::Link { server, target, size } = &at.place {
+                    let name = lock(&self.shared.catalog).name_at(server).unwrap_or(server).to_owned();
+                    cursor.link = Some((name, target.to_string(), *size));
+                    cursor.kept = self.plans[at.shard].sieve.is_some();
+                }
+            }
+            Mode::Ranked(ranking) => {
+                let Some(after) = ranking.next() else { return Ok(None) };
+                cursor.after = Some(after);
+            }
+        }
         Ok(Some(self.shared.key.seal(&cursor.followed(self.before.as_ref())?)))
     }
 }
 
+/// How each shard is asked. `after`: what was given last in an ordered answer; `kept`: the shard that a link goes on in, and
+/// whether something was filtered here from its begin on. Then all is, since the link may say less than would be said now.
+fn plans(
+    shared: &Shared,
+    params: &Params,
+    shards: &[(ShardId, String)],
+    after: Option<&[serde_json::Value]>,
+    kept: Option<(usize, bool)>,
+) -> Vec<Plan> {
+    let whole = |filter: &Filter| -> Sieve {
+        let matcher = Matcher::new(filter.clone());
+        Arc::new(move |feature: &[u8]| matcher.matches_text(feature))
+    };
+    let all = holders(shared, shards);
+    let plan = |(n, at): (usize, &Vec<(ShardId, At)>)| {
+        let able = shared.learned().common(at.iter().map(|h| &h.1)).unwrap_or_default();
+        let mut plan = Plan::default();
+        if let Some((_, kept)) = kept.filter(|k| k.0 == n) {
+            plan.sieve = params.filter.as_ref().filter(|_| kept).map(whole);
+            return plan;
+        }
+        plan.ordered = can_order(&able, params);
+        let mut wanted = params.filter.clone();
+        if let Some(beyond) = after.filter(|_| plan.ordered).and_then(|keys| beyond(params, keys)) {
+            // Only where the server can do all of it: the rank is looked at here in any case.
+            if split(&beyond, &able).kept.is_none() {
+                wanted = Filter::all(wanted.into_iter().chain([beyond]).collect());
+            }
+        }
+        if let Some(filter) = wanted {
+            let split = split(&filter, &able);
+            plan.passed = split.passed.map(|f| f.to_string());
+            plan.sieve = split.kept.as_ref().map(whole);
+            plan.envelope = split.envelope;
+        }
+        plan
+    };
+    all.iter().enumerate().map(plan).collect()
+}
+
+/// Can servers of these abilities give features in this order?
+fn can_order(able: &Able, params: &Params) -> bool {
+    let known = |name: &str| able.queryables.named.contains_key(name);
+    !params.sortby.is_empty()
+        && able.classes.contains("sorting")
+        && known("id")
+        && params.sortby.iter().all(|b| known(&b.name))
+}
+
+/// What lies beyond these keys in the order. `None`: it cannot be said, since one of them has no value.
+fn beyond(params: &Params, keys: &[serde_json::Value]) -> Option<Filter> {
+    let literal = |key: &serde_json::Value| match key {
+        serde_json::Value::String(text) => Some(Value::Text(text.clone())),
+        serde_json::Value::Number(n) => n.as_f64().map(Value::Number),
+        _ => None,
+    };
+    let names = params.sortby.iter().map(|b| (b.name.as_str(), b.descending)).chain([("id", false)]);
+    let keys: Vec<_> = names.zip(keys).map(|((n, d), k)| Some((n, d, literal(k)?))).collect::<Option<_>>()?;
+    let compare = |op, (name, _, value): &(&str, bool, Value)| {
+        Filter::Compare(op, Value::Property((*name).to_owned()), value.clone())
+    };
+    let ways = (0..keys.len()).map(|n| {
+        let op = if keys[n].1 { Comparison::Less } else { Comparison::Greater };
+        let same = keys[..n].iter().map(|k| compare(Comparison::Equal, k));
+        let mut parts: Vec<Filter> = same.chain([compare(op, &keys[n])]).collect();
+        // What has no value comes last.
+        if n + 1 < keys.len() {
+            let none = Filter::IsNull(Value::Property(keys[n].0.to_owned()));
+            let last = parts.pop();
+            parts.extend(last.map(|l| Filter::Or(vec![l, none])));
+        }
+        Filter::all(parts)
+    });
+    let mut ways: Vec<Filter> = ways.flatten().collect();
+    Some(if ways.len() == 1 { ways.swap_remove(0) } else { Filter::Or(super::cql2::flat(ways, false)) })
+}
+
 /// Why a cursor is not gone on with, in words.
 fn told(e: CursorError) -> Fault {
     match e {
@@ -299,11 +542,26 @@
 }
 
 /// The query for a server: a page of a shard.
-fn server_query(source: &str, params: &Params, size: usize) -> String {
+fn server_query(source: &str, params: &Params, plan: &Plan, size: usize) -> String {
     let mut query = url::form_urlencoded::Serializer::new(String::new());
-    params.passed.iter().for_each(|(name, value)| {
-        query.append_pair(name, value);
+    let bbox = params.bbox_text().or_else(|| {
+        // All that can pass here lies in it.
+        plan.envelope.map(|e| e.map(|n| n.to_string()).join(","))
     });
+    if let Some(bbox) = bbox {
+        query.append_pair("bbox", &bbox);
+    }
+    if let Some(datetime) = &params.datetime {
+        query.append_pair("datetime", datetime);
+    }
+    if let Some(filter) = &plan.passed {
+        query.append_pair("filter", filter).append_pair("filter-lang", "cql2-text");
+    }
+    if plan.ordered {
+        let key = |b: &super::ranking::By| format!("{}{}", if b.descending { "-" } else { "+" }, b.name);
+        let keys: Vec<String> = params.sortby.iter().map(key).chain(["+id".to_owned()]).collect();
+        query.append_pair("sortby", &keys.join(","));
+    }
     query.append_pair("limit", &size.to_string());
     format!("/collections/{source}/items?{}", query.finish())
 }
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -10,6 +10,8 @@
 pub mod cql2;
 mod crs;
 pub mod cursor;
+mod deliver;
+mod html;
 pub mod inventory;
 mod items;
 pub mod learn;
@@ -27,8 +29,13 @@
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
 use config::Edge;
+use cql2::Queryables;
+use crs::Crs;
 use cursor::Key;
-use items::{Asker, Items};
+use deliver::Manner;
+use items::{Asked, Asker, Items};
+use learn::Learned;
+use render::Here;
 use std::sync::{Arc, Mutex, MutexGuard};
 use visit::{Kind, Visit};
 
@@ -49,9 +56,19 @@
     catalog: SharedCatalog,
     key: Key,
     figures: Arc<Figures>,
+    learned: Mutex<Learned>,
 }
 
 impl Shared {
+    fn learned(&self) -> MutexGuard<'_, Learned> {
+        self.learned.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// What the operator says can be asked of a collection.
+    fn declared(&self, collection: &str) -> Option<Queryables> {
+        self.edge.collections.iter().find(|c| c.id == collection)?.queryables()
+    }
+
     fn tally(&self, class: usize) -> Arc<Tally> {
         self.figures.class(&self.edge.classes[class].name)
     }
@@ -78,7 +95,8 @@
 impl Ogc {
     /// A front with these settings.
     pub fn new(edge: Edge, catalog: SharedCatalog, key: Key, figures: Arc<Figures>) -> Self {
-        Ogc { shared: Arc::new(Shared { edge, catalog, key, figures }) }
+        let learned = Mutex::new(Learned::new(Micros::from_secs(edge.learned_age_s)));
+        Ogc { shared: Arc::new(Shared { edge, catalog, key, figures, learned }) }
     }
 
     fn route(
@@ -96,54 +114,79 @@
             .collect::<Result<_, _>>()
             .map_err(|_| (400, "the path is no UTF-8".to_owned()))?;
         let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+        let base = self.base(request);
+        if segments == ["search"] {
+            return self.search(request, token, sent, base);
+        }
         if !matches!(request.method.as_str(), "GET" | "HEAD") {
-            return Err((405, "only GET and HEAD are served".to_owned()));
+            return Err((405, "only GET and HEAD are served here".to_owned()));
         }
-        let base = self.base(request);
-        let plain = |response: Response| {
-            for (name, value) in params::form_urlencoded(query) {
-                match name.as_str() {
-                    "f" => params::format(&value).map_err(|e| (400, e))?,
-                    other => return Err((400, format!("unknown parameter {other:?}"))),
-                }
-            }
-            Ok(Reaction::Respond(response))
-        };
-        let find = |id: &str| {
-            let catalog = lock(&self.shared.catalog);
-            let shards = catalog.shards(id).ok_or_else(|| (404, format!("there is no collection {id:?}")))?;
-            let named = |s: &ShardId| (*s, catalog.source(*s).unwrap_or_default().to_owned());
-            Ok::<_, Fault>(shards.iter().map(named).collect::<Vec<_>>())
-        };
+        let pairs = params::form_urlencoded(query);
+        let f = pairs.iter().find(|p| p.0 == "f").map(|p| p.1.as_str());
+        let html = params::format(f, request.headers.get("Accept"))? == params::Format::Html;
+        let path = path.trim_end_matches('/');
+        let here = Here { base: &base, path: if path.is_empty() { "/" } else { path }, html };
+        let only =
+            |allowed: &[&str]| match pairs.iter().find(|p| p.0 != "f" && !allowed.contains(&p.0.as_str())) {
+                Some((other, _)) => Err((400, format!("unknown parameter {other:?}"))),
+                None => Ok(()),
+            };
+        let plain = |response: Response| only(&[]).map(|()| Reaction::Respond(response));
+        let edge = &self.shared.edge;
         match segments[..] {
             ["up"] if ready => plain(Response::new(200, "text/plain", "ready\n")),
             ["up"] => plain(Response::new(503, "text/plain", "not ready\n")),
-            [] => plain(render::landing(&base)),
-            ["conformance"] => plain(render::conformance()),
-            ["api"] => plain(render::api(&base, &self.shared.edge)),
+            [] => plain(render::landing(&here)),
+            ["conformance"] => plain(render::conformance(&here)),
+            ["api"] => plain(render::api(&here, edge)),
             ["collections"] => {
                 let names: Vec<String> =
                     lock(&self.shared.catalog).collections().map(str::to_owned).collect();
-                plain(render::collections(&base, &names, &self.shared.edge))
+                plain(render::collections(&here, &names, edge))
             }
             ["collections", id] => {
-                find(id)?;
-                plain(render::collection(&base, id, &self.shared.edge))
+                self.find(id)?;
+                plain(render::collection(&here, id, edge))
+            }
+            ["collections", id, what @ ("queryables" | "sortables" | "schema")] => {
+                only(&[])?;
+                let shards = self.find(id)?;
+                let asker = self.asker(request, token, sent)?;
+                let (id, what, of) = (id.to_owned(), what.to_owned(), shards.clone());
+                let (base, path) = (base.clone(), here.path.to_owned());
+                Ok(items::learned(self.shared.clone(), asker, &of, move |shared| {
+                    let mut told = items::queryables(&shared, &id, &shards);
+                    if what == "sortables" {
+                        use cql2::Kind::{Array, Geometry};
+                        told.named.retain(|_, kind| !matches!(kind, Geometry | Array));
+                    }
+                    let here = Here { base: &base, path: &path, html };
+                    Reaction::Respond(render::schema(&here, &format!("{what} of {id}"), &told))
+                }))
             }
             ["collections", id, "items"] => {
-                let shards = find(id)?;
-                let edge = &self.shared.edge;
-                let params =
-                    params::read(query, edge.default_limit, edge.most_limit).map_err(|e| (400, e))?;
+                let shards = self.find(id)?;
+                let queryables = items::queryables(&self.shared, id, &shards);
+                let (default_limit, most_limit) = (edge.default_limit, edge.most_limit);
+                let known = params::Known { default_limit, most_limit, queryables: &queryables };
+                let params = params::read(&pairs, &known).map_err(|e| (400, e))?;
                 let asker = self.asker(request, token, sent)?;
-                Items::begin(self.shared.clone(), asker, base, id, query, params, shards)
+                let (collection, query) = (id.to_owned(), query.to_owned());
+                let asked = Asked { base, collection, query, search: None, params, html };
+                Items::begin(self.shared.clone(), asker, asked, shards)
             }
             ["collections", id, "items", feature] => {
-                let shards = find(id)?;
+                let shards = self.find(id)?;
                 if feature.len() > MOST_ID {
                     return Err((404, "there is no feature of that id".to_owned()));
                 }
-                plain(Response::new(200, "", ""))?;
+                only(&["crs"])?;
+                let crs = match pairs.iter().find(|p| p.0 == "crs") {
+                    None => Crs::Crs84,
+                    Some((_, text)) => {
+                        Crs::read(text).ok_or_else(|| (400, format!("crs: {text:?} is not served")))?
+                    }
+                };
                 let escaped =
                     percent_encoding::utf8_percent_encode(feature, percent_encoding::NON_ALPHANUMERIC);
                 let asker = self.asker(request, token, sent)?;
@@ -159,7 +202,7 @@
                 Ok(Reaction::Ask(
                     request,
                     Box::new(move |answer| {
-                        let response = render::feature(&base, &id, &visits, answer);
+                        let response = render::feature(&base, &id, &visits, (crs, html), answer);
                         items::tally(&tally, &response);
                         Reaction::Respond(response)
                     }),
@@ -169,6 +212,43 @@
         }
     }
 
+    /// The shards of a collection, with the servers' names for them.
+    fn find(&self, id: &str) -> Result<Vec<(ShardId, String)>, Fault> {
+        let catalog = lock(&self.shared.catalog);
+        let shards = catalog.shards(id).ok_or_else(|| (404, format!("there is no collection {id:?}")))?;
+        let named = |s: &ShardId| (*s, catalog.source(*s).unwrap_or_default().to_owned());
+        Ok(shards.iter().map(named).collect())
+    }
+
+    /// A query in a body, for what is too long for a head: in the form of the STAC API's Item Search, `POST /search`.
+    fn search(
+        &self,
+        request: &HttpRequest,
+        token: Token,
+        sent: Micros,
+        base: String,
+    ) -> Result<Reaction, Fault> {
+        if request.method != "POST" {
+            return Err((405, "only POST is served here".to_owned()));
+        }
+        let kind = request.headers.get("Content-Type").unwrap_or_default();
+        if !kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("application/json") {
+            return Err((415, "Content-Type: application/json is needed".to_owned()));
+        }
+        let edge = &self.shared.edge;
+        let known = |id: &str| {
+            let shards = self.find(id).ok()?;
+            Some(items::queryables(&self.shared, id, &shards))
+        };
+        let most = (edge.default_limit, edge.most_limit);
+        let (collection, params) = params::read_search(&request.body, known, most).map_err(|e| (400, e))?;
+        let shards = self.find(&collection)?;
+        let asker = self.asker(request, token, sent)?;
+        let search = Some(request.body.clone());
+        let asked = Asked { base, collection, query: String::new(), search, params, html: false };
+        Items::begin(self.shared.clone(), asker, asked, shards)
+    }
+
     /// Where clients reach this front, as they say themselves.
     fn base(&self, request: &HttpRequest) -> String {
         let plain = |h: &&str| {
@@ -203,19 +283,34 @@
     }
 }
 
+/// Most bytes of a request's body: a drawn area of ten thousand points is half of this.
+const MOST_SEARCH: usize = 1024 * 1024;
+
 impl Front for Ogc {
     fn take(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
-        self.route(&request, token, sent, ready).unwrap_or_else(|(status, detail)| {
+        let manner = Manner::of(&request);
+        let reaction = self.route(&request, token, sent, ready).unwrap_or_else(|(status, detail)| {
             COUNTERS.bad_requests.add();
             let mut response = render::problem(status, &detail);
             if status == 405 {
-                response.headers.push(("Allow", "GET, HEAD".to_owned()));
+                let search = request.target.starts_with("/search");
+                response.headers.push(("Allow", if search { "POST" } else { "GET, HEAD" }.to_owned()));
             }
             Reaction::Respond(response)
-        })
+        });
+        manner.wrap(reaction)
     }
 
     fn unreadable(&self, error: HttpError) -> Response {
         render::problem(error.status(), &format!("the request cannot be read: {error:?}"))
     }
+
+    fn most_body(&self) -> usize {
+        MOST_SEARCH
+    }
+
+    /// Filters are parsed on it, nested as deep as they may be; measured with the deepest in a debug build.
+    fn stack(&self) -> usize {
+        0x20000
+    }
 }
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -94,6 +94,11 @@
         End::Served(Value::from((came.len() as u32 - 1).to_be_bytes().as_slice()))
     }
 
+    /// What came last, whatever the core made of it.
+    pub fn last(&self) -> Option<Arc<Page>> {
+        self.came().last().cloned()
+    }
+
     /// The page that the core's value stands for.
     pub fn page(&self, value: &Value) -> Option<Arc<Page>> {
         let place: [u8; 4] = value.as_ref().try_into().ok()?;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: accepted, read, answered, and closed when there are too many or they stand idle.
 
-use super::{spawn, try_read, try_write, Tried, SMALL_STACK};
+use super::{spawn, try_read, try_write, Tried};
 use crate::core::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
 use crate::proto::http::{HttpError, Server};
@@ -284,11 +284,12 @@
             state.accepted = self.clock.now();
             state.active = state.accepted;
             state.waker = Some(stream.waker());
+            state.server.allow_body(self.front.most_body());
         }
         let number = self.next.fetch_add(1, Relaxed);
         guard(&self.conns).insert(number, conn.clone());
         let clients = self.clone();
-        let started = spawn(SMALL_STACK, move || {
+        let started = spawn(self.front.stack(), move || {
             while clients.step(&conn, &stream) {
                 clients.shed_bytes();
                 stream.wait_io();
@@ -370,7 +371,7 @@
                 Err(error) => {
                     COUNTERS.bad_requests.add();
                     let response = self.front.unreadable(error);
-                    state.server.respond(&response, true);
+                    state.server.respond(response, true);
                 }
                 Ok(request) => {
                     state.asked = true;
@@ -380,7 +381,7 @@
                     let ready = self.ready.load(Relaxed) && !self.ending.load(Relaxed);
                     match self.front.take(request, token, sent, ready) {
                         Reaction::Respond(response) => {
-                            state.server.respond(&response, close);
+                            state.server.respond(response, close);
                             state.began = state.server.began().then_some(state.active);
                         }
                         Reaction::Ask(request, render) => {
@@ -420,7 +421,7 @@
             }
         };
         let close = self.leaving.load(Relaxed);
-        state.server.respond(&response, close);
+        state.server.respond(response, close);
         state.active = self.clock.now();
         // What came of a next request while this one was answered has its time from now on.
         state.began = state.server.began().then_some(state.active);
@@ -501,7 +502,7 @@
                 if now.since(since) > MOST_REQUEST {
                     COUNTERS.client_timeouts.add();
                     let response = self.front.unreadable(HttpError::TooSlow);
-                    state.server.give_up(&response);
+                    state.server.give_up(response);
                     state.wake();
                 }
             }
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1: the server's side of a connection, and a reader of responses for the client's side.
 
+use super::body::Body;
 use super::buffer::Buffer;
 use std::fmt::Write as _;
 
@@ -192,12 +193,12 @@
     /// Further headers.
     pub headers: Vec<(&'static str, String)>,
     /// Its body.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Response {
     /// A response with a body.
-    pub fn new(status: u16, content_type: &'static str, body: impl Into<Vec<u8>>) -> Self {
+    pub fn new(status: u16, content_type: &'static str, body: impl Into<Body>) -> Self {
         Response { status, content_type, headers: Vec::new(), body: body.into() }
     }
 }
@@ -206,11 +207,13 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        304 => "Not Modified",
         404 => "Not Found",
         405 => "Method Not Allowed",
         406 => "Not Acceptable",
         410 => "Gone",
         408 => "Request Timeout",
+        415 => "Unsupported Media Type",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
@@ -239,8 +242,9 @@
 pub struct Server {
     input: Buffer,
     state: State,
-    output: Vec<u8>,
-    written: usize,
+    output: Body,
+    /// Most bytes of a request's body.
+    most_body: usize,
     /// The client asked for the connection to close after this answer, or it must.
     close: bool,
     /// The connection ends once nothing of a request is here.
@@ -257,8 +261,8 @@
         Server {
             input: Buffer::default(),
             state: State::Head,
-            output: Vec::new(),
-            written: 0,
+            output: Body::default(),
+            most_body: MOST_BODY,
             close: false,
             wind_up: false,
             head_only: false,
@@ -269,6 +273,11 @@
 }
 
 impl Server {
+    /// Requests may have a body of so many bytes.
+    pub fn allow_body(&mut self, bytes: usize) {
+        self.most_body = bytes;
+    }
+
     /// Where reads go; bounded, since nothing is read while a request that came is unanswered and enough is here.
     pub fn input(&mut self) -> &mut Buffer {
         &mut self.input
@@ -277,14 +286,14 @@
     /// Is there room to read more? A client that pipelines without end, or takes no answers, must wait.
     pub fn wants_input(&self) -> bool {
         self.input.data().len() < MOST_HEAD + MOST_BODY
-            && self.output().len() < MOST_BODY
+            && self.output.len() < MOST_BODY
             && !matches!(self.state, State::Closed)
     }
 
     /// Memory held for what came and what is to be written.
     pub fn memory(&self) -> usize {
         let body = if let State::Body(request, _) = &self.state { request.body.capacity() } else { 0 };
-        self.input.capacity() + body + self.output.capacity()
+        self.input.capacity() + body + self.output.memory()
     }
 
     /// Something of a request is here that is not handed out yet.
@@ -293,7 +302,7 @@
     }
 
     /// The rest of a request is not waited for any more: this is its answer.
-    pub fn give_up(&mut self, response: &Response) {
+    pub fn give_up(&mut self, response: Response) {
         self.failed = true;
         self.respond(response, true);
     }
@@ -351,7 +360,7 @@
             }
         }
         if let State::Body(request, framing) = &mut self.state {
-            if framing.read(&mut self.input, &mut request.body, MOST_BODY)? {
+            if framing.read(&mut self.input, &mut request.body, self.most_body)? {
                 *framing = Framing::Length(0);
             }
         }
@@ -374,7 +383,7 @@
         };
         let headers = Headers::from_parsed(parsed.headers)?;
         let framing = headers.framing()?.unwrap_or(Framing::Length(0));
-        if matches!(framing, Framing::Length(n) if n > MOST_BODY as u64) {
+        if matches!(framing, Framing::Length(n) if n > self.most_body as u64) {
             return Err(HttpError::BodyTooLarge);
         }
         let old = parsed.version == Some(0);
@@ -388,13 +397,13 @@
         };
         self.input.used(used);
         if request.headers.lists("expect", "100-continue") {
-            self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+            self.output.push(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         Ok(Some((request, framing)))
     }
 
     /// Answers the request that was handed out (or the error); with `close` the connection ends after it.
-    pub fn respond(&mut self, response: &Response, close: bool) {
+    pub fn respond(&mut self, response: Response, close: bool) {
         self.close |= close;
         let mut head = String::with_capacity(160);
         let _ = write!(head, "HTTP/1.1 {} {}\r\n", response.status, reason(response.status));
@@ -408,26 +417,21 @@
             head.push_str("Connection: close\r\n");
         }
         let _ = write!(head, "Content-Length: {}\r\n\r\n", response.body.len());
-        self.output.extend_from_slice(head.as_bytes());
+        self.output.push(head.as_bytes());
         if !std::mem::take(&mut self.head_only) {
-            self.output.extend_from_slice(&response.body);
+            self.output.append(response.body);
         }
         self.state = if self.close { State::Closed } else { State::Head };
     }
 
     /// Bytes to write.
     pub fn output(&self) -> &[u8] {
-        &self.output[self.written..]
+        self.output.front()
     }
 
     /// So many of them were written.
     pub fn wrote(&mut self, n: usize) {
-        self.written += n;
-        if self.written >= self.output.len() {
-            self.output.clear();
-            self.written = 0;
-            self.output.shrink_to(MOST_HEAD);
-        }
+        self.output.advance(n);
     }
 
     /// A request was handed out and awaits its answer.
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -1,5 +1,6 @@
 //! Protocols as state machines: fed bytes, they yield events and bytes to write. None knows a socket or a clock.
 
+pub mod body;
 pub mod buffer;
 pub mod calls;
 pub mod discovery;
