Add the lab: stand-in feature servers, demo, a conformance suite with planted faults

Need: the front's promises were checked by its own tests alone; users want a first command that shows it at work, and proof against the standards that does not use the program's own filters.

Found on the way and mended: a queryable was lost when one server of the collection told none; a page's tag changed with its cursor; answers are packed on the turns' coroutine, whose stack was too small in debug builds.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,2 +1,89 @@
 //! Stand-ins, load and checks for quinceflow.
-fn main() {}
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use quinceflow_lab::conform::{Checked, Outcome, Suite};
+use quinceflow_lab::demo::{self, Demo};
+use quinceflow_lab::edge;
+use std::net::ToSocketAddrs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Stand-ins, load and checks for quinceflow; everything stays on loopback
+#[derive(Parser)]
+#[command(name = "quinceflow-lab", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start stand-in feature servers and the edge over them, and print what to try
+    Demo {
+        /// Ask some queries, check the answers, print a table and end
+        #[arg(long)]
+        once: bool,
+        /// The program; by default the one beside this
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
+    /// Check a service against the standards; exit 1 on any failure
+    Conform {
+        /// Its landing page, such as http://127.0.0.1:8080/
+        url: String,
+        /// Write the outcomes there as JSON
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("quinceflow-lab: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(command: Command) -> Result<bool, String> {
+    match command {
+        Command::Demo { once, program } => {
+            let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
+            let demo = Demo::start(&program).map_err(|e| e.to_string())?;
+            if !once {
+                return demo::run(&demo).map(|()| true).map_err(|e| e.to_string());
+            }
+            demo::once(&demo).map_err(|e| e.to_string())
+        }
+        Command::Conform { url, json } => conform(&url, json),
+    }
+}
+
+fn conform(url: &str, json: Option<PathBuf>) -> Result<bool, String> {
+    let url = url::Url::parse(url).map_err(|e| e.to_string())?;
+    let host = url.host_str().ok_or("the URL has no host")?.trim_matches(['[', ']']);
+    let port = url.port_or_known_default().ok_or("the URL has no port")?;
+    let address = (host, port).to_socket_addrs().map_err(|e| e.to_string())?.next().ok_or("no address")?;
+    let mut suite = Suite::open(address, url.path())?;
+    let made = suite.run();
+    let count = |is: fn(&Outcome) -> bool| made.iter().filter(|c| is(&c.outcome)).count();
+    for Checked { id, outcome } in &made {
+        match outcome {
+            Outcome::Pass => println!("pass            {id}"),
+            Outcome::Fail(why) => println!("FAIL            {id}: {why}"),
+            Outcome::NotApplicable(why) => println!("not applicable  {id}: {why}"),
+        }
+    }
+    let failed = count(|o| matches!(o, Outcome::Fail(_)));
+    let passed = count(|o| matches!(o, Outcome::Pass));
+    println!("{passed} passed, {failed} failed, {} not applicable", made.len() - passed - failed);
+    if let Some(file) = json {
+        let text = serde_json::to_vec_pretty(&made).map_err(|e| e.to_string())?;
+        std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    Ok(failed == 0)
+}
--- /dev/null
+++ b/lab/tests/conform.rs
@@ -0,0 +1,74 @@
+//! The conformance suite against the edge over stand-ins that misbehave, and against services with planted faults.
+
+use quinceflow_lab::conform::{Outcome, Suite};
+use quinceflow_lab::edge::{self, Edge, CLASSES};
+use quinceflow_lab::features::{devices, Fault, Server, Skill};
+use quinceflow_lab::twist::{Twist, FAULTS};
+
+const EACH: usize = 150;
+
+fn start() -> (Edge, Vec<Server>) {
+    let of = |from: usize, skill| Server::start(devices(from..from + EACH), skill).expect("a stand-in");
+    let servers = vec![of(0, Skill::All), of(0, Skill::Basic), of(EACH, Skill::Core), of(EACH, Skill::All)];
+    let held = ["devices/north", "devices/north", "devices/south", "devices/south"];
+    let rows: String =
+        servers.iter().zip(held).enumerate().map(|(n, (s, h))| s.row(&format!("s{n}"), h, "")).collect();
+    let program = edge::program().expect("the program is built with the workspace");
+    // Learned again all the time: what servers can do must not change what comes out.
+    let settings = "retry_after_ms = 50\nlearned_age_s = 1\npage_size = 100";
+    (Edge::start(&program, settings, &rows, CLASSES).expect("it starts"), servers)
+}
+
+#[test]
+fn the_edge_conforms_over_servers_that_misbehave() {
+    let (edge, servers) = start();
+    // Every seventh request or so to one of each two replicas is struck, each time by another fault.
+    let mix = [
+        Fault::Error,
+        Fault::Cut,
+        Fault::Html,
+        Fault::Close,
+        Fault::Full,
+        Fault::Busy,
+        Fault::Short,
+        Fault::Slow,
+    ];
+    for (n, server) in servers.iter().enumerate() {
+        server.script(move |number, _| {
+            let struck = n % 2 == 0 && number % 7 == 3;
+            if struck {
+                mix[(number / 7) as usize % mix.len()]
+            } else {
+                Fault::Sound
+            }
+        });
+    }
+    let mut suite = Suite::open(edge.address, "/").expect("it answers");
+    let made = suite.run();
+    let failed: Vec<_> = made.iter().filter(|c| !matches!(c.outcome, Outcome::Pass)).collect();
+    // A count that the servers tell stays right; nothing here has a reason not to apply.
+    assert!(failed.is_empty(), "{failed:#?}");
+    assert!(made.len() >= 90, "{}", made.len());
+    let counters = edge.counters().expect("told");
+    assert!(counters.contains(" broken_invariants=0"), "{counters}");
+}
+
+#[test]
+fn every_planted_fault_is_found_by_the_check_meant_for_it() {
+    let (edge, _servers) = start();
+    let twist = Twist::start(edge.address).expect("it starts");
+    assert!(FAULTS.len() >= 25);
+    let mut suite = Suite::open(twist.address, "/").expect("it answers");
+    for fault in FAULTS {
+        twist.plant(None);
+        let sound = suite.one(fault.found_by);
+        assert_eq!(sound, Some(Outcome::Pass), "{} without a fault", fault.found_by);
+        twist.plant(Some(fault));
+        // What is wrong from the begin on is seen when the suite is opened.
+        let mut own = Suite::open(twist.address, "/").expect("it answers");
+        own.claim_all();
+        let found = [suite.one(fault.found_by), own.one(fault.found_by)];
+        let failed = |o: &Option<Outcome>| matches!(o, Some(Outcome::Fail(_)));
+        assert!(found.iter().any(failed), "{}: {}: {found:?}", fault.found_by, fault.what);
+    }
+}
--- a/src/front/ogc/cql2/check.rs
+++ b/src/front/ogc/cql2/check.rs
@@ -91,6 +91,18 @@
         Queryables { named, open: self.open && other.open }
     }
 
+    /// What either has; of one kind, if they agree on it.
+    pub fn either(mut self, other: &Queryables) -> Self {
+        for (name, theirs) in &other.named {
+            let kind = self.named.entry(name.clone()).or_insert(*theirs);
+            if kind != theirs {
+                *kind = Kind::Any;
+            }
+        }
+        self.open |= other.open;
+        self
+    }
+
     fn kind(&self, name: &str) -> Result<Kind, FilterError> {
         match self.named.get(name) {
             Some(kind) => Ok(*kind),
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -131,14 +131,14 @@
     shards.iter().map(of).collect()
 }
 
-/// The queryables of a collection: the operator's, else what all its servers tell, as far as that is known.
+/// The queryables of a collection: the operator's, else what any of its servers tells: what one of them cannot filter is
+/// filtered here.
 pub(super) fn queryables(shared: &Shared, collection: &str, shards: &[(ShardId, String)]) -> Queryables {
     if let Some(told) = shared.declared(collection) {
         return told;
     }
     let all = holders(shared, shards);
-    let known = shared.learned().common(all.iter().flatten().map(|h| &h.1));
-    known.map(|able| able.queryables).filter(|q| !q.named.is_empty()).unwrap_or_else(Queryables::unknown)
+    shared.learned().told(all.iter().flatten().map(|h| &h.1)).unwrap_or_else(Queryables::unknown)
 }
 
 /// Asks servers what they can do, if that is of use and nobody else does; then goes on.
--- a/src/front/ogc/learn.rs
+++ b/src/front/ogc/learn.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// What any of these tells that can be asked; `None` if none tells anything.
+    pub fn told<'a>(&self, of: impl Iterator<Item = &'a At>) -> Option<Queryables> {
+        let known = of.filter_map(|at| Some(&self.entries.get(at)?.known.as_ref()?.0.queryables));
+        known.filter(|q| !q.named.is_empty()).cloned().reduce(|all, more| all.either(&more))
+    }
+
     /// What all of these can do together; `None` if of one of them nothing is known.
     pub fn common<'a>(&self, of: impl Iterator<Item = &'a At>) -> Option<Able> {
         let mut all: Option<Able> = None;
@@ -205,6 +211,9 @@
         let both = learned.common([at(0), at(1)].iter()).expect("known");
         assert_eq!((both.classes.len(), both.queryables.named.len()), (1, 1));
         assert_eq!(learned.common([at(0), at(2)].iter()), None);
+        let either = learned.told([at(0), at(1), at(2)].iter()).expect("told");
+        assert_eq!(either.named.into_keys().collect::<Vec<_>>(), ["x", "y"]);
+        assert_eq!(learned.told([at(2)].iter()), None);
         assert!(read(b"<html>", None, 9).is_none() && read(b"{}", None, 9).is_none());
     }
 }
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -355,7 +355,10 @@
             let last = page.features[range.clone()].last().map_or(0, |f| f.end);
             (page.clone(), first..last.max(first))
         };
-        let told = format!("{:?} {:?} {:?} {}", ready.next, ready.matched, ready.missing, asked.html);
+        // Not the cursor itself: each answer's is another one.
+        let more = ready.next.is_some();
+        let told =
+            format!("{more} {:?} {:?} {} {}", ready.matched, ready.missing, asked.html, asked.params.bound());
         let all: Vec<_> = ready.pages.iter().map(features).collect();
         deliver::tag(all.iter().map(|(page, range)| &page.body[range.clone()]).chain([told.as_bytes()]))
     };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -43,6 +43,10 @@
 /// nested JSON may take more.
 pub const LARGE_STACK: usize = 0x8000;
 
+/// Stack of the coroutine that runs the turns: answers are rendered on it, and packing one in a debug build takes most of
+/// what [`LARGE_STACK`] has.
+pub const TURNS_STACK: usize = 0x20000;
+
 /// Starts a coroutine.
 pub fn spawn(stack: usize, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
     may::go!(Builder::new().stack_size(stack), work)
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -6,7 +6,7 @@
 use super::links::Links;
 use super::mgmt;
 use super::walks::Walks;
-use super::{spawn, watch, Upstream, LARGE_STACK, SMALL_STACK};
+use super::{spawn, watch, Upstream, LARGE_STACK, SMALL_STACK, TURNS_STACK};
 use crate::core::{Beside, Command, Core, Figures, Input, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::cursor::Key;
@@ -346,7 +346,7 @@
         others,
         beside: None,
     };
-    Ok((clients, spawn(LARGE_STACK, move || turns.run()).map_err(no_coroutine)?))
+    Ok((clients, spawn(TURNS_STACK, move || turns.run()).map_err(no_coroutine)?))
 }
 
 fn listen_for_signals() -> Result<Arc<Signals>, String> {
