Let requests under way follow response times; take queries on by cost; budget repeats

Need: a fixed 16 requests a server is too many for one that lost its cores and too few for one that has them; a map of everything kept small questions waiting; further attempts at servers in trouble had no end but the attempts of each part.

Change: src/limits/, free of I/O: a gradient on response times by size of answer, let down every 8 s to see the calm time again, cut by overload, Retry-After followed; admission by pages under way over what servers bear, and by memory. Parts beyond a limit wait unsent and are taken back by drains and call-offs. The module's budget for further attempts is set.

--- a/lab/src/twist.rs
+++ b/lab/src/twist.rs
@@ -123,7 +123,7 @@
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         head.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
-        if asked.method == "HEAD" && !fault.is_some_and(|f| f.found_by == "/conf/core/http") {
+        if asked.method == "HEAD" && fault.is_none_or(|f| f.found_by != "/conf/core/http") {
             body.clear();
         }
         stream.write_all(&[head.as_bytes(), &body].concat())?;
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -56,6 +56,8 @@
     whole, partial, refused, failed, gone,
     /// Queries refused since the core was full, or since their time was over when they came.
     over_held, over_time,
+    /// Queries of the edge refused for what they cost.
+    over_cost,
     /// Requests turned away since their label was that of an open one.
     labels_taken,
     /// Attempts: launched, written whole, and how they ended.
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -2,7 +2,8 @@
 
 use super::cql2::{Kind, Queryables};
 use super::inventory::{read_file, InventoryError, Server};
-use crate::interface::{Class, ColdRule, Effect, Settings};
+use crate::interface::{Class, ColdRule, Effect, ExtraBudget, Settings};
+use crate::limits::Rule;
 use crate::time::Micros;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -77,6 +78,9 @@
     /// The longest wait that a refused client is asked for.
     #[serde(default = "retry")]
     pub retry_after_ms: u64,
+    /// Limits on what servers and this edge take on.
+    #[serde(default)]
+    pub limits: Limits,
     /// How a server that just started is spared; absent: not at all.
     pub warm_up: Option<WarmUp>,
     /// Classes of query; the first is for queries that name none.
@@ -87,6 +91,33 @@
     pub collections: Vec<Collection>,
 }
 
+/// Limits on what servers and this edge take on.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// `adaptive`: requests under way at a server follow its response times; `fixed`: always `most_connections`.
+    pub mode: String,
+    /// Requests under way at a server at first, and at least.
+    pub start: usize,
+    /// See `start`.
+    pub least: usize,
+    /// Further attempts at parts, as a share of the parts of the last ten seconds; ten more are free.
+    pub repeats: f64,
+    /// Queries are taken on by what they cost against what servers bear; `false`: all that `most_held` allows.
+    pub admission: bool,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { mode: "adaptive".to_owned(), start: 8, least: 2, repeats: 0.25, admission: true }
+    }
+}
+
+/// Further attempts are counted over this span.
+const REPEATS_SPAN: Micros = Micros::from_secs(10);
+/// Further attempts that are free in it.
+const FREE_REPEATS: f64 = 10.0;
+
 /// A class of query.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -214,7 +245,7 @@
     4 * 1024 * 1024
 }
 fn connections() -> usize {
-    16
+    32
 }
 fn dial() -> u64 {
     250
@@ -296,6 +327,15 @@
                 faults.push((name.clone(), why));
             }
         }
+        if !matches!(self.limits.mode.as_str(), "adaptive" | "fixed") {
+            faults.push(("mode".to_owned(), "limits: mode must be adaptive or fixed".to_owned()));
+        }
+        if self.limits.start == 0 || self.limits.least == 0 || self.limits.least > self.limits.start {
+            faults.push(("least".to_owned(), "limits: least must be above 0 and at most start".to_owned()));
+        }
+        if !(0.0..=10.0).contains(&self.limits.repeats) {
+            faults.push(("repeats".to_owned(), "limits: repeats must be from 0 to 10".to_owned()));
+        }
         if let Err(why) = self.cursor_key() {
             faults.push(("cursor_key".to_owned(), why));
         }
@@ -315,6 +355,18 @@
         faults
     }
 
+    /// How the requests under way at a server are limited.
+    pub fn limit_rule(&self) -> Rule {
+        match self.limits.mode.as_str() {
+            "fixed" => Rule::Fixed(self.most_connections),
+            _ => Rule::Adaptive {
+                start: self.limits.start.min(self.most_connections),
+                least: self.limits.least.min(self.most_connections),
+                most: self.most_connections,
+            },
+        }
+    }
+
     /// The key of cursors: the file's, or one that is new.
     pub fn cursor_key(&self) -> Result<Vec<u8>, String> {
         let Some(text) = &self.cursor_key else {
@@ -370,7 +422,12 @@
             bundle: 1,
             call_cost: 0,
             ask_within: None,
-            extra: None,
+            // The module's own budget for further attempts.
+            extra: Some(ExtraBudget {
+                ratio: self.limits.repeats,
+                free: FREE_REPEATS,
+                look_back: REPEATS_SPAN.to_nanos(),
+            }),
             cold: self.warm_up.as_ref().map(cold),
             cancel: true,
             second_copies: false,
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -9,9 +9,10 @@
 use super::ranking::{Ranked, Ranking};
 use super::visit::{Kind, Sieve, Visit};
 use super::{lock, render, Fault, Shared};
-use crate::core::{Answer, Errand, PartOf, Request, Tally, Token};
+use crate::core::{Answer, Errand, PartOf, Request, Tally, Token, COUNTERS};
 use crate::front::{Reaction, Render};
 use crate::interface::{ShardId, TenantId};
+use crate::limits::Cost;
 use crate::proto::http::Response;
 use crate::time::{unix_ms, Micros};
 use std::ops::Range;
@@ -72,11 +73,32 @@
     /// What was asked in the round under way.
     out: Vec<(usize, usize, Arc<Visit>)>,
     before: Option<Cursor>,
+    _pages: PagesTaken,
+    bytes: Arc<BytesTaken>,
+}
+
+/// What a query that was taken on has under way; given back when it ends, however it does.
+struct PagesTaken(Arc<Shared>, Cost);
+
+impl Drop for PagesTaken {
+    fn drop(&mut self) {
+        self.0.admission().release(self.1);
+    }
+}
+
+/// What is set aside for an answer; given back once it is written.
+pub(super) struct BytesTaken(Arc<Shared>, f64);
+
+impl Drop for BytesTaken {
+    fn drop(&mut self) {
+        self.0.admission().freed(self.1);
+    }
 }
 
 /// An answer that is ready to be rendered.
 pub(super) struct Ready<'a> {
     pub asked: &'a Asked,
+    pub bytes: Arc<BytesTaken>,
     pub pages: Vec<(Arc<Page>, Range<usize>)>,
     pub count: usize,
     pub whole: bool,
@@ -198,16 +220,23 @@
             Some(cursor) if cursor.after.is_none() => position(&shared, &asked.collection, cursor, &shards)?,
             _ => Position::START,
         };
+        let taken = match admit(&shared, &asker, &asked, shards.len()) {
+            Ok(taken) => taken,
+            Err(response) => {
+                tally(&shared.tally(asker.class), &response);
+                return Ok(Reaction::Respond(response));
+            }
+        };
         if asked.params.filter.is_none() && asked.params.sortby.is_empty() {
             let plans = vec![Plan::default(); shards.len()];
-            return Ok(Items::start(shared, asker, asked, shards, plans, from, before));
+            return Ok(Items::start(shared, asker, asked, shards, plans, (from, before), taken));
         }
         let of = shards.clone();
         Ok(learned(shared, asker.clone(), &of, move |shared| {
             let after = before.as_ref().and_then(|c| c.after.clone());
             let kept = before.as_ref().filter(|c| c.link.is_some()).map(|c| (from.shard, c.kept));
             let plans = plans(&shared, &asked.params, &shards, after.as_deref(), kept);
-            Items::start(shared, asker, asked, shards, plans, from, before)
+            Items::start(shared, asker, asked, shards, plans, (from, before), taken)
         }))
     }
 
@@ -217,8 +246,8 @@
         asked: Asked,
         shards: Vec<(ShardId, String)>,
         plans: Vec<Plan>,
-        from: Position,
-        before: Option<Cursor>,
+        (from, before): (Position, Option<Cursor>),
+        (pages, bytes): (PagesTaken, Arc<BytesTaken>),
     ) -> Reaction {
         let (edge, params) = (&shared.edge, &asked.params);
         let class = &edge.classes[asker.class];
@@ -241,7 +270,8 @@
             let (page, pages) = (edge.page_size, edge.most_pages);
             Mode::Ranked(Ranking::new(by, params.limit, page, pages, class.floor, after, &ordered))
         };
-        Items { shared, asker, asked, shards, plans, mode, out: Vec::new(), before }.ask()
+        Items { shared, asker, asked, shards, plans, mode, out: Vec::new(), before, _pages: pages, bytes }
+            .ask()
     }
 
     /// Asks for the next round's pages.
@@ -303,7 +333,11 @@
                 let mut values = parts.into_iter().peekable();
                 for (at, size, visit) in out {
                     let value = values.next_if(|v| self.shared.stands_for(v.0, self.shards[at].0));
-                    came.push((at, size, value.and_then(|v| visit.page(&v.1))));
+                    let page = value.and_then(|v| visit.page(&v.1));
+                    if let Some(page) = &page {
+                        self.shared.admission().page(page.body.len(), page.given, size);
+                    }
+                    came.push((at, size, page));
                 }
                 self.came(came, None)
             }
@@ -371,6 +405,7 @@
                 let end = gather.next().map_or(usize::MAX, |p| p.shard);
                 Ready {
                     asked: &self.asked,
+                    bytes: self.bytes.clone(),
                     pages: gather.taken.clone(),
                     count: gather.count(),
                     whole: gather.whole(),
@@ -384,6 +419,7 @@
                 let count = page.features.len();
                 Ready {
                     asked: &self.asked,
+                    bytes: self.bytes.clone(),
                     pages: vec![(page, 0..count)],
                     count,
                     whole: ranking.missing().is_empty(),
@@ -427,6 +463,32 @@
     }
 }
 
+/// Takes a query on, or says when to come back.
+fn admit(
+    shared: &Arc<Shared>,
+    asker: &Asker,
+    asked: &Asked,
+    shards: usize,
+) -> Result<(PagesTaken, Arc<BytesTaken>), Response> {
+    let (edge, params) = (&shared.edge, &asked.params);
+    let weight = params.filter.as_ref().map_or(0, Filter::weight);
+    let ordered = (!params.sortby.is_empty()).then_some(edge.most_pages);
+    let cost = Cost::of(params.limit, edge.page_size, shards, edge.at_once, weight, ordered);
+    let aim = Micros::from_millis(edge.classes[asker.class].aim_ms).min(asker.patience);
+    let bytes = if edge.limits.admission {
+        shared.admission().admit(cost, aim, shared.bears.rate()).map_err(|refusal| {
+            COUNTERS.over_cost.add();
+            render::refused(Some(refusal.come_back))
+        })?
+    } else {
+        return Ok((
+            PagesTaken(shared.clone(), Cost { pages: 0.0, held: 0.0 }),
+            Arc::new(BytesTaken(shared.clone(), 0.0)),
+        ));
+    };
+    Ok((PagesTaken(shared.clone(), cost), Arc::new(BytesTaken(shared.clone(), bytes))))
+}
+
 /// How each shard is asked. `after`: what was given last in an ordered answer; `kept`: the shard that a link goes on in, and
 /// whether something was filtered here from its begin on. Then all is, since the link may say less than would be said now.
 fn plans(
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -26,6 +26,7 @@
 use super::{Front, Reaction};
 use crate::core::{Figures, Tally, Token, COUNTERS};
 use crate::interface::ShardId;
+use crate::limits::{Admission, Bears};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
 use config::Edge;
@@ -42,6 +43,11 @@
 /// Longest feature id passed on.
 const MOST_ID: usize = 512;
 
+/// What the process needs before it has a client.
+const BASE_MEMORY: usize = 16 * 1024 * 1024;
+/// Share of the rest that answers may hold; a third is for what clients send.
+const ANSWERS_SHARE: f64 = 0.45;
+
 /// The catalog as the front, the driver and a reload share it.
 pub type SharedCatalog = Arc<Mutex<Catalog>>;
 
@@ -57,9 +63,15 @@
     key: Key,
     figures: Arc<Figures>,
     learned: Mutex<Learned>,
+    bears: Arc<Bears>,
+    admission: Mutex<Admission>,
 }
 
 impl Shared {
+    fn admission(&self) -> MutexGuard<'_, Admission> {
+        self.admission.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn learned(&self) -> MutexGuard<'_, Learned> {
         self.learned.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -94,9 +106,17 @@
 
 impl Ogc {
     /// A front with these settings.
-    pub fn new(edge: Edge, catalog: SharedCatalog, key: Key, figures: Arc<Figures>) -> Self {
+    pub fn new(
+        edge: Edge,
+        catalog: SharedCatalog,
+        key: Key,
+        figures: Arc<Figures>,
+        bears: Arc<Bears>,
+    ) -> Self {
         let learned = Mutex::new(Learned::new(Micros::from_secs(edge.learned_age_s)));
-        Ogc { shared: Arc::new(Shared { edge, catalog, key, figures, learned }) }
+        let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY);
+        let admission = Mutex::new(Admission::new((memory as f64 * ANSWERS_SHARE) as usize));
+        Ogc { shared: Arc::new(Shared { edge, catalog, key, figures, learned, bears, admission }) }
     }
 
     fn route(
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -4,7 +4,7 @@
 use super::cql2::Queryables;
 use super::crs::{Crs, Transform};
 use super::cursor::hash;
-use super::items::Ready;
+use super::items::{BytesTaken, Ready};
 use super::paging::Page;
 use super::params::Params;
 use super::visit::Visit;
@@ -304,6 +304,15 @@
     }
 }
 
+/// Sent back for now.
+pub(super) fn refused(come_back: Option<Micros>) -> Response {
+    let mut response = problem(503, "too much is asked at present; ask again");
+    // Whole seconds here, and never none: that would ask for a storm.
+    let wait = come_back.unwrap_or(Micros::ZERO).0.div_ceil(1_000_000).max(1);
+    response.headers.push(("Retry-After", wait.to_string()));
+    response
+}
+
 /// What a query gets that is not answered.
 pub(super) fn unanswered(answer: &Answer) -> Option<Response> {
     match answer {
@@ -311,13 +320,7 @@
         Answer::Refused { late: true, .. } | Answer::Failed { late: true } => {
             Some(problem(504, "the servers did not answer in time"))
         }
-        Answer::Refused { come_back, late: false } => {
-            let mut response = problem(503, "too much is asked at present; ask again");
-            // Whole seconds here, and never none: that would ask for a storm.
-            let wait = come_back.unwrap_or(Micros::ZERO).0.div_ceil(1_000_000).max(1);
-            response.headers.push(("Retry-After", wait.to_string()));
-            Some(response)
-        }
+        Answer::Refused { come_back, late: false } => Some(refused(*come_back)),
         Answer::NoClass => Some(problem(400, "X-Qos names no class")),
         Answer::Taken => Some(problem(409, "another request of that name is open")),
         Answer::Failed { late: false } => Some(problem(502, "too many of the servers failed")),
@@ -336,7 +339,7 @@
 }
 
 /// A page's bytes, shared with an answer that is written.
-struct Bytes(Arc<Page>);
+struct Bytes(Arc<Page>, #[allow(dead_code)] Arc<BytesTaken>);
 
 impl AsRef<[u8]> for Bytes {
     fn as_ref(&self) -> &[u8] {
@@ -439,7 +442,7 @@
             }
             continue;
         }
-        let held: Held = Arc::new(Bytes(page.clone()));
+        let held: Held = Arc::new(Bytes(page.clone(), ready.bytes.clone()));
         // Between two features that follow each other in the page there is a comma and nothing else that counts.
         let joined = |a: &std::ops::Range<usize>, b: &std::ops::Range<usize>| {
             let between = &page.body[a.end..b.start];
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,36 @@
+//! Limits that follow what servers bear: how many requests each may have under way, and which queries an edge takes on.
+//!
+//! This folder owns those decisions and their state, and nothing else: no clock, no socket, no thread. Drivers tell it what
+//! ended and how long it took, and ask it before they begin. Which server a part goes to, whether it is tried again and
+//! what is given up stays with the module.
+
+mod admission;
+mod server;
+
+pub use admission::{Admission, Cost, Refusal};
+pub use server::{Ended, Limiter, Rule};
+
+use crate::interface::ReplicaId;
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+/// What all servers together bear, as the driver sees it and the front asks.
+#[derive(Debug, Default)]
+pub struct Bears(Mutex<HashMap<ReplicaId, f64>>);
+
+impl Bears {
+    /// A server bears so many pages a second; `None`: it takes nothing, or nothing is known of it.
+    pub fn told(&self, replica: ReplicaId, rate: Option<f64>) {
+        let mut rates = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        match rate {
+            Some(rate) => rates.insert(replica, rate),
+            None => rates.remove(&replica),
+        };
+    }
+
+    /// All of them, in pages a second; `None` before anything is known.
+    pub fn rate(&self) -> Option<f64> {
+        let rates = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        (!rates.is_empty()).then(|| rates.values().sum())
+    }
+}
--- /dev/null
+++ b/src/limits/server.rs
@@ -0,0 +1,327 @@
+//! How many requests a server may have under way.
+//!
+//! Weighed: a fixed number (either too many for a server that lost cores or too few for one that has them), AIMD on errors
+//! alone (a server that queues gives no errors until all of it is late), and a gradient on response times: where what is
+//! usual now exceeds what a calm server takes, work waits there, and the limit shrinks by that ratio; else it grows by its
+//! square root, which lets a short queue stand. The gradient is chosen, and errors that tell of overload cut it as AIMD does.
+
+use crate::time::Micros;
+use std::collections::VecDeque;
+
+/// Times that long over the calm one are still calm: noise, and a queue of a few.
+const TOLERANCE: f64 = 1.8;
+/// Weight of a new time in what is usual now.
+const GAIN: f64 = 0.2;
+/// Weight of a new limit against the old one.
+const SMOOTH: f64 = 0.4;
+/// The calm time is the least of so many spans
+const SPANS: usize = 6;
+/// of this length: a server that became slower for good is calm again after all of them.
+const SPAN: Micros = Micros::from_secs(5);
+/// A server that always has a queue never shows its calm time: so often the limit is let down to its least,
+const LET_DOWN: Micros = Micros::from_secs(8);
+/// for so many of the times that are usual then: the queue ends, and what comes after it is calm.
+const LET_DOWN_FOR: f64 = 2.5;
+/// What overload does to the limit, at most once in a usual time.
+const CUT: f64 = 0.7;
+/// A limit grows only while at least this share of it is in use: else nothing tells what more would do.
+const USED: f64 = 0.5;
+/// A server's own wish to be left alone is followed for so long at most.
+const MOST_HOLD: Micros = Micros::from_secs(30);
+
+/// How limits are set.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Rule {
+    /// Always this many.
+    Fixed(usize),
+    /// Between these, from `start` on.
+    Adaptive {
+        /// At first.
+        start: usize,
+        /// Never fewer: a server that gets nothing shows nothing.
+        least: usize,
+        /// Never more.
+        most: usize,
+    },
+}
+
+/// How a request ended, as far as limits go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Answered, with so many features.
+    Well(usize),
+    /// The server has too much: it said so.
+    Overload,
+    /// Given up here: overload if it had waited for long, else nothing follows from it.
+    GivenUp,
+    /// Otherwise: nothing follows from it.
+    Otherwise,
+}
+
+/// Answers are compared with those of about their size: a page of five hundred features takes longer than a look at one,
+/// however calm the server is.
+const SIZES: usize = 6;
+/// A request given up after so many times the usual was in a jam.
+const JAM: f64 = 4.0;
+
+/// Times of answers of one size.
+#[derive(Debug, Clone, Default)]
+struct Track {
+    /// What is usual now, in microseconds; 0 before any.
+    now: f64,
+    /// The least of each span: when it began, and what it was.
+    calm: VecDeque<(Micros, f64)>,
+}
+
+impl Track {
+    /// Takes a time in: how calm the server is, from 1 downward.
+    fn saw(&mut self, now: Micros, took: f64) -> f64 {
+        self.now = if self.now == 0.0 { took } else { self.now + (took - self.now) * GAIN };
+        match self.calm.back_mut() {
+            Some((began, least)) if now.since(*began) < SPAN => *least = least.min(took),
+            _ => self.calm.push_back((now, took)),
+        }
+        while self.calm.len() > SPANS {
+            self.calm.pop_front();
+        }
+        let calm = self.calm.iter().map(|c| c.1).fold(f64::INFINITY, f64::min);
+        (TOLERANCE * calm / self.now).clamp(0.5, 1.0)
+    }
+}
+
+/// The limit of one server.
+#[derive(Debug, Clone)]
+pub struct Limiter {
+    rule: Rule,
+    limit: f64,
+    /// What a request takes now, whatever its size, in microseconds.
+    now: f64,
+    tracks: [Track; SIZES],
+    /// When the limit is let down next; while it is, what it was and until when.
+    down_at: Option<Micros>,
+    down: Option<(f64, Micros)>,
+    moved: Micros,
+    cut: Micros,
+    hold: Micros,
+}
+
+impl Limiter {
+    /// At the rule's start.
+    pub fn new(rule: Rule) -> Self {
+        let limit = match rule {
+            Rule::Fixed(n) => n,
+            Rule::Adaptive { start, .. } => start,
+        };
+        Limiter {
+            rule,
+            limit: limit as f64,
+            now: 0.0,
+            tracks: Default::default(),
+            down_at: None,
+            down: None,
+            moved: Micros::ZERO,
+            cut: Micros::ZERO,
+            hold: Micros::ZERO,
+        }
+    }
+
+    /// How many may be under way.
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// May another begin beside so many?
+    pub fn room(&self, under_way: usize, now: Micros) -> bool {
+        under_way < self.limit() && !self.held(now)
+    }
+
+    /// Its server wishes to be left alone.
+    pub fn held(&self, now: Micros) -> bool {
+        now < self.hold
+    }
+
+    /// It wishes so for this long.
+    pub fn hold(&mut self, now: Micros, wish: Micros) {
+        self.hold = self.hold.max(now + wish.min(MOST_HOLD));
+    }
+
+    /// Requests a second that it bears as it is now, if that is known.
+    pub fn rate(&self) -> Option<f64> {
+        let limit = self.down.map_or(self.limit, |d| d.0);
+        (self.now > 0.0).then(|| limit * 1e6 / self.now)
+    }
+
+    /// A request has ended: how, after what time, with how many others beside it.
+    pub fn ended(&mut self, now: Micros, how: Ended, took: Micros, beside: usize) {
+        match how {
+            Ended::Otherwise => {}
+            Ended::Overload => self.overload(now),
+            Ended::GivenUp if self.now > 0.0 && took.0 as f64 > JAM * self.now => self.overload(now),
+            Ended::GivenUp => {}
+            Ended::Well(features) => self.answered(now, features, took, beside),
+        }
+    }
+
+    /// Is the limit let down now? Only while it has grown over its least, and comes back as it was.
+    fn let_down(&mut self, now: Micros, least: usize) -> bool {
+        if let Some((was, until)) = self.down {
+            if now < until {
+                return true;
+            }
+            (self.limit, self.down) = (was, None);
+            self.now = 0.0;
+            self.tracks.iter_mut().for_each(|t| t.now = 0.0);
+            return false;
+        }
+        let due = *self.down_at.get_or_insert(now + Micros(LET_DOWN.0 / 8));
+        if now >= due && self.limit > least as f64 + 0.5 {
+            self.down_at = Some(now + LET_DOWN);
+            self.down = Some((self.limit, now + Micros((self.now * LET_DOWN_FOR) as u64)));
+            self.limit = least as f64;
+            return true;
+        }
+        false
+    }
+
+    fn overload(&mut self, now: Micros) {
+        let Rule::Adaptive { least, .. } = self.rule else { return };
+        // Of a burst of errors that one jam brought, one counts.
+        if now.since(self.cut) > Micros(self.now.max(10_000.0) as u64) {
+            self.cut = now;
+            self.limit = (self.limit * CUT).max(least as f64);
+            self.down = self.down.map(|(was, until)| ((was * CUT).max(least as f64), until));
+        }
+    }
+
+    fn answered(&mut self, now: Micros, features: usize, took: Micros, beside: usize) {
+        let took = (took.0 as f64).max(1.0);
+        self.now = if self.now == 0.0 { took } else { self.now + (took - self.now) * GAIN };
+        let size = (features.checked_ilog2().map_or(0, |n| n / 2 + 1) as usize).min(SIZES - 1);
+        let gradient = self.tracks[size].saw(now, took);
+        let Rule::Adaptive { least, most, .. } = self.rule else { return };
+        if self.let_down(now, least) {
+            return;
+        }
+        // Once a usual time: answers that come sooner were begun under the limit before.
+        if now.since(self.moved) < Micros(self.now as u64) {
+            return;
+        }
+        let wanted = self.limit * gradient + self.limit.sqrt();
+        if wanted > self.limit && (beside as f64) < USED * self.limit {
+            return;
+        }
+        self.moved = now;
+        let next = self.limit + (wanted - self.limit) * SMOOTH;
+        self.limit = next.clamp(least as f64, most as f64);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    const RULE: Rule = Rule::Adaptive { start: 8, least: 2, most: 200 };
+
+    /// A server of so many slots, each request 10 ms of work, asked by more clients than any limit allows: each step is a
+    /// millisecond. Answers the limit at the end and the most that were under way in the last half.
+    fn play(limiter: &mut Limiter, slots: usize, from: u64, steps: u64) -> usize {
+        let ms = Micros::from_millis;
+        let mut under_way: Vec<(Micros, f64)> = Vec::new();
+        let mut most = 0;
+        for step in 0..steps {
+            let now = ms(from + step);
+            while limiter.room(under_way.len(), now) {
+                under_way.push((now, 10.0));
+            }
+            if step > steps / 2 {
+                most = most.max(under_way.len());
+            }
+            let share = (slots as f64 / under_way.len().max(1) as f64).min(1.0);
+            under_way.iter_mut().for_each(|r| r.1 -= share);
+            let beside = under_way.len();
+            under_way.retain(|(began, left)| {
+                if *left <= 0.0 {
+                    limiter.ended(now + ms(1), Ended::Well(1), (now + ms(1)).since(*began), beside);
+                }
+                *left > 0.0
+            });
+        }
+        most
+    }
+
+    #[test]
+    fn the_limit_follows_what_a_server_bears() {
+        for slots in [2, 8, 32] {
+            let mut limiter = Limiter::new(RULE);
+            let most = play(&mut limiter, slots, 1_000, 20_000);
+            assert!(most >= slots, "{slots} slots are used: {most}");
+            assert!(most <= slots * 3 + 6, "{slots} slots are not overrun: {most}");
+        }
+        // Three quarters of its cores are lost for a while.
+        let mut limiter = Limiter::new(RULE);
+        play(&mut limiter, 32, 1_000, 10_000);
+        let before = limiter.limit();
+        play(&mut limiter, 8, 11_000, 6_000);
+        assert!(limiter.limit() < before, "{} after {before}", limiter.limit());
+        play(&mut limiter, 32, 17_000, 20_000);
+        assert!(limiter.limit() >= 32, "it comes back: {}", limiter.limit());
+    }
+
+    #[test]
+    fn overload_cuts_once_a_jam_and_wishes_are_followed_within_reason() {
+        let s = Micros::from_secs;
+        let mut limiter = Limiter::new(RULE);
+        (0..50).for_each(|_| limiter.ended(s(1), Ended::Overload, s(1), 8));
+        assert_eq!(limiter.limit(), 5);
+        (2..60).for_each(|n| limiter.ended(s(n), Ended::Overload, s(1), 8));
+        assert_eq!(limiter.limit(), 2, "never none");
+        limiter.hold(s(100), s(5));
+        assert!(!limiter.room(0, s(104)) && limiter.room(0, s(106)));
+        limiter.hold(s(200), s(9_999));
+        assert!(!limiter.room(0, s(229)) && limiter.room(0, s(231)), "not for hours");
+        let mut fixed = Limiter::new(Rule::Fixed(16));
+        (0..50).for_each(|n| fixed.ended(s(n), Ended::Overload, s(1), 8));
+        assert_eq!(fixed.limit(), 16);
+    }
+
+    #[test]
+    fn large_answers_beside_small_ones_are_no_jam() {
+        let mut limiter = Limiter::new(RULE);
+        for n in 0..2_000 {
+            let (features, took) = if n % 2 == 0 { (1, 1_000) } else { (500, 30_000) };
+            limiter.ended(Micros::from_millis(n), Ended::Well(features), Micros(took), limiter.limit());
+        }
+        assert!(limiter.limit() > 100, "{}", limiter.limit());
+        let before = limiter.limit();
+        limiter.ended(Micros::from_secs(3), Ended::GivenUp, Micros(2_000), 9);
+        assert_eq!(limiter.limit(), before, "its client left early");
+        limiter.ended(Micros::from_secs(3), Ended::GivenUp, Micros::from_secs(1), 9);
+        assert!(limiter.limit() < before, "it waited for long");
+    }
+
+    #[test]
+    fn what_is_not_used_does_not_grow() {
+        let mut limiter = Limiter::new(RULE);
+        (0..1_000).for_each(|n| limiter.ended(Micros::from_millis(n), Ended::Well(1), Micros(1_000), 1));
+        assert_eq!(limiter.limit(), 8);
+        assert!(limiter.rate().is_some_and(|r| (7_000.0..9_000.0).contains(&r)));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(13), failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+
+        #[test]
+        fn a_limit_stays_within_its_bounds(steps in proptest::collection::vec((0_u8..3, 0_u64..10_000_000, 0_u64..500_000, 0_usize..300), 0..300)) {
+            let mut limiter = Limiter::new(RULE);
+            let mut now = Micros::ZERO;
+            for (how, took, passed, beside) in steps {
+                now = now + Micros(passed);
+                let how = [Ended::Well(usize::from(how) * 40), Ended::Overload, Ended::GivenUp][usize::from(how)];
+                limiter.ended(now, how, Micros(took), beside);
+                prop_assert!((2..=200).contains(&limiter.limit()));
+            }
+        }
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -14,6 +14,7 @@
 use crate::front::platform::{Named, Platform, SharedNamed};
 use crate::front::Front;
 use crate::interface::Settings;
+use crate::limits::Bears;
 use crate::proto::discovery::read_listing;
 use crate::settings::Deployment;
 use crate::time::{unix_ms, Clock, Micros};
@@ -295,6 +296,7 @@
         })
     };
     let _ = inbox.send(reload(clock.now())?.input);
+    let bears = Arc::new(Bears::default());
     let key = Key::new(&edge.cursor_key().map_err(|e| e.to_string())?);
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
@@ -304,8 +306,8 @@
         listen: edge.listen,
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
         core: Core::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
-        upstream: Box::new(Walks::new(&edge, inbox.clone(), clock)),
-        front: Box::new(Ogc::new(edge, catalog, key, figures.clone())),
+        upstream: Box::new(Walks::new(&edge, inbox.clone(), clock, bears.clone())),
+        front: Box::new(Ogc::new(edge, catalog, key, figures.clone(), bears)),
         inbox,
         arrivals,
         listed: Arc::new(AtomicBool::new(true)),
--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -5,12 +5,13 @@
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::visit::Visit;
 use crate::interface::{Outcome, ReplicaId};
+use crate::limits::{Bears, Ended, Limiter, Rule};
 use crate::proto::fetch::{Fetch, Progress};
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -27,6 +28,35 @@
     ready: bool,
     idle: Vec<(TcpStream, Micros)>,
     busy: usize,
+    limiter: Option<Limiter>,
+    /// What waits for others to end, the longest first.
+    waiting: VecDeque<Driver>,
+}
+
+/// Attempts that wait at a server, as a multiple of its limit: more would only find out late that they come too late.
+const MOST_WAITING: usize = 4;
+
+impl Server {
+    fn limiter(&mut self, rule: Rule) -> &mut Limiter {
+        self.limiter.get_or_insert_with(|| Limiter::new(rule))
+    }
+
+    /// What waits and may begin now.
+    fn next(&mut self, rule: Rule, now: Micros) -> Vec<Driver> {
+        let mut next = Vec::new();
+        while !self.waiting.is_empty() && self.ready {
+            let busy = self.busy;
+            if !self.limiter(rule).room(busy, now) {
+                break;
+            }
+            let Some(driver) = self.waiting.pop_front() else { break };
+            if !guard(&driver.slot).called_off {
+                self.busy += 1;
+                next.push(driver);
+            }
+        }
+        next
+    }
 }
 
 #[derive(Default)]
@@ -44,12 +74,13 @@
     most_body: usize,
     dial_timeout: Micros,
     idle_limit: Micros,
-    most: usize,
+    rule: Rule,
+    bears: Arc<Bears>,
 }
 
 impl Walks {
     /// None yet.
-    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock) -> Self {
+    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, bears: Arc<Bears>) -> Self {
         Walks {
             servers: HashMap::new(),
             out: HashMap::new(),
@@ -58,7 +89,8 @@
             most_body: edge.most_bytes,
             dial_timeout: Micros::from_millis(edge.dial_timeout_ms),
             idle_limit: Micros::from_millis(edge.idle_ms),
-            most: edge.most_connections,
+            rule: edge.limit_rule(),
+            bears,
         }
     }
 
@@ -77,42 +109,59 @@
             // Like a server that has all the connections it takes: nothing was sent.
             return Err(Outcome::ConnectFailed);
         }
+        let now = self.clock.now();
         let server = self.servers.get(&replica).ok_or(Outcome::Moot)?;
-        let address = {
+        let visit = job.errand.as_ref().and_then(|e| e.get::<Visit>()).ok_or(Outcome::Moot)?;
+        let slot = Arc::new(Mutex::new(Slot::default()));
+        let driver = {
             let mut state = guard(server);
             let address = state.address.filter(|_| state.ready).ok_or(Outcome::Moot)?;
-            if state.busy >= self.most {
-                return Err(Outcome::ConnectFailed);
+            let (busy, waiting) = (state.busy, state.waiting.len());
+            let limiter = state.limiter(self.rule);
+            if limiter.held(now) || waiting >= MOST_WAITING * limiter.limit() {
+                // It wishes to be left alone, or more wait than it can serve in time: nothing was sent.
+                return Err(Outcome::Full);
+            }
+            let begins = limiter.room(busy, now) && waiting == 0;
+            let driver = Driver {
+                fetch: Fetch::new(visit.request(&address.to_string()), self.most_body),
+                visit,
+                address,
+                replica,
+                server: server.clone(),
+                slot: slot.clone(),
+                key: job.key,
+                tally: job.tally.clone(),
+                inbox: self.inbox.clone(),
+                clock: self.clock,
+                dial_timeout: self.dial_timeout,
+                idle_limit: self.idle_limit,
+                rule: self.rule,
+                bears: self.bears.clone(),
+            };
+            if begins {
+                state.busy += 1;
+                Some(driver)
+            } else {
+                state.waiting.push_back(driver);
+                None
             }
-            state.busy += 1;
-            address
         };
-        let visit = job.errand.as_ref().and_then(|e| e.get::<Visit>());
-        let slot = Arc::new(Mutex::new(Slot::default()));
-        self.out.insert(job.key, slot.clone());
-        let driver = visit.map(|visit| Driver {
-            fetch: Fetch::new(visit.request(&address.to_string()), self.most_body),
-            visit,
-            host: address.to_string(),
-            server: server.clone(),
-            slot,
-            key: job.key,
-            tally: job.tally.clone(),
-            inbox: self.inbox.clone(),
-            clock: self.clock,
-            dial_timeout: self.dial_timeout,
-            idle_limit: self.idle_limit,
-        });
-        let started = driver.is_some_and(|d| spawn(LARGE_STACK, move || d.run(address)).is_ok());
-        if !started {
-            guard(server).busy -= 1;
-            self.out.remove(&job.key);
-            return Err(Outcome::Moot);
-        }
+        self.out.insert(job.key, slot);
+        driver.into_iter().for_each(begin);
         Ok(())
     }
 }
 
+/// Starts an attempt whose place is taken already.
+fn begin(driver: Driver) {
+    let (server, inbox, key) = (driver.server.clone(), driver.inbox.clone(), driver.key);
+    if spawn(LARGE_STACK, move || driver.run()).is_err() {
+        guard(&server).busy -= 1;
+        let _ = inbox.send(Input::Ended(key, End::Not(Outcome::Moot)));
+    }
+}
+
 impl Upstream for Walks {
     fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let server = self.servers.entry(replica).or_default();
@@ -123,6 +172,14 @@
         }
         state.address = address;
         state.ready = ready;
+        let rate = state.limiter.as_ref().and_then(Limiter::rate).filter(|_| ready);
+        self.bears.told(replica, rate);
+        // A server that drains gets nothing that has not begun.
+        let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
+        drop(state);
+        for driver in waiting {
+            let _ = self.inbox.send(Input::Ended(driver.key, End::Not(Outcome::Moot)));
+        }
     }
 
     fn launch(&mut self, replica: ReplicaId, jobs: &[Job], _now: Micros) {
@@ -145,6 +202,7 @@
 
     fn forget(&mut self, replica: ReplicaId) {
         self.servers.remove(&replica);
+        self.bears.told(replica, None);
     }
 
     fn close_idle(&mut self, replica: ReplicaId) {
@@ -164,6 +222,11 @@
             let before = state.idle.len();
             state.idle.retain(|(_, since)| now.since(*since) < self.idle_limit);
             COUNTERS.links_idle_closed.add_n(before - state.idle.len());
+            // Whoever was called off waits no more; and a server's wish to be left alone may be over.
+            state.waiting.retain(|d| !guard(&d.slot).called_off);
+            let next = state.next(self.rule, now);
+            drop(state);
+            next.into_iter().for_each(begin);
         }
         self.out.retain(|key, _| out(*key));
     }
@@ -172,7 +235,8 @@
 struct Driver {
     fetch: Fetch,
     visit: Arc<Visit>,
-    host: String,
+    address: SocketAddr,
+    replica: ReplicaId,
     server: Arc<Mutex<Server>>,
     slot: Arc<Mutex<Slot>>,
     key: AttemptKey,
@@ -181,31 +245,62 @@
     clock: Clock,
     dial_timeout: Micros,
     idle_limit: Micros,
+    rule: Rule,
+    bears: Arc<Bears>,
 }
 
 impl Driver {
-    fn run(mut self, address: SocketAddr) {
-        let stream = self.idle_connection().or_else(|| self.dial(address));
+    fn run(mut self) {
+        let began = self.clock.now();
+        let stream = self.idle_connection().or_else(|| self.dial(self.address));
         let progress = match &stream {
             Some(stream) => self.drive(stream),
             None => self.fetch.broken(),
         };
+        let now = self.clock.now();
         let sound = matches!(progress, Progress::Came(_)) && self.fetch.reusable();
+        let (mut how, mut wish) = (Ended::Otherwise, None);
+        let host = self.address.to_string();
         let end = match progress {
             // The server's name is where it is: what goes on there is asked by that.
-            Progress::Came(fetched) => self.visit.judge(&self.host, &self.host, fetched),
-            Progress::Broke(outcome) => End::Not(outcome),
+            Progress::Came(fetched) => {
+                if matches!(fetched.status, 429 | 503) {
+                    how = Ended::Overload;
+                    wish = fetched.headers.get("Retry-After").and_then(|s| s.trim().parse().ok());
+                }
+                let end = self.visit.judge(&host, &host, fetched);
+                if let End::Served(value) = &end {
+                    how = Ended::Well(self.visit.page(value).map_or(0, |p| p.given));
+                }
+                end
+            }
+            Progress::Broke(outcome) => {
+                if guard(&self.slot).called_off && self.fetch.may_have_run() {
+                    how = Ended::GivenUp;
+                }
+                End::Not(outcome)
+            }
             Progress::On => End::Not(Outcome::Error),
         };
         let mut server = guard(&self.server);
+        let beside = server.busy;
         server.busy -= 1;
+        let limiter = server.limiter(self.rule);
+        limiter.ended(now, how, now.since(began), beside);
+        if let Some(seconds) = wish {
+            limiter.hold(now, Micros::from_secs(seconds));
+        }
+        let rate = limiter.rate();
+        self.bears.told(self.replica, rate.filter(|_| server.ready));
         if let Some(stream) = stream.filter(|_| sound && server.ready) {
             guard(&self.slot).waker = None;
-            server.idle.push((stream, self.clock.now()));
+            server.idle.push((stream, now));
         }
+        let next = server.next(self.rule, now);
         drop(server);
         // The core passes over the end of an attempt that it called off.
         let _ = self.inbox.send(Input::Ended(self.key, end));
+        next.into_iter().for_each(begin);
     }
 
     fn dial(&self, address: SocketAddr) -> Option<TcpStream> {
