--- /dev/null
+++ b/fuzz/fuzz_targets/head.rs
@@ -0,0 +1,23 @@
+//! Any bytes on a connection are requests or one error, and after an error nothing more is said.
+#![no_main]
+use libfuzzer_sys::fuzz_target;
+use quinceflow::proto::http::{Response, Server};
+
+fuzz_target!(|bytes: &[u8]| {
+    let mut server = Server::default();
+    server.input().feed(bytes);
+    server.end();
+    let mut errors = 0;
+    while let Some(polled) = server.poll() {
+        match polled {
+            Ok(_) => server.respond(Response::new(200, "", "x"), false),
+            Err(e) => {
+                errors += 1;
+                server.respond(Response::new(e.status(), "", ""), true);
+            }
+        }
+        let n = server.output().len();
+        server.wrote(n);
+    }
+    assert!(errors <= 1);
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/query.rs
@@ -0,0 +1,16 @@
+//! Any query string and any body are parameters or an error.
+#![no_main]
+use libfuzzer_sys::fuzz_target;
+use quinceflow::front::ogc::cql2::Queryables;
+use quinceflow::front::ogc::params::{form_urlencoded, format, read, read_search, Known};
+
+fuzz_target!(|text: &str| {
+    let queryables = Queryables::unknown();
+    let known = Known { default_limit: 10, most_limit: 100, queryables: &queryables };
+    if let Ok(params) = read(&form_urlencoded(text), &known) {
+        assert!((1..=100).contains(&params.limit));
+        assert!(params.bbox.iter().flatten().all(|n| n.is_finite()));
+    }
+    let _ = read_search(text.as_bytes(), |_| Some(Queryables::unknown()), (10, 100));
+    let _ = format(None, Some(text));
+});
--- a/lab/src/features.rs
+++ b/lab/src/features.rs
@@ -99,7 +99,7 @@
     asked: AtomicU64,
     bytes: AtomicU64,
     most_busy: AtomicUsize,
-    log: Mutex<Vec<(Instant, String)>>,
+    log: Mutex<Vec<(Instant, String, Fault)>>,
 }
 
 /// A stand-in server.
@@ -228,8 +228,8 @@
         self.state.most_busy.swap(0, Relaxed)
     }
 
-    /// When which targets were asked for.
-    pub fn log(&self) -> Vec<(Instant, String)> {
+    /// When which targets were asked for, and what befell them.
+    pub fn log(&self) -> Vec<(Instant, String, Fault)> {
         guard(&self.state.log).clone()
     }
 
@@ -266,13 +266,13 @@
             lines.by_ref().take(length).read_to_end(&mut Vec::new())?;
             let target = first.split(' ').nth(1).unwrap_or_default().to_owned();
             let number = self.asked.fetch_add(1, Relaxed);
+            let fault = guard(&self.script)(number, &target);
             {
                 let mut log = guard(&self.log);
-                if log.len() < 100_000 {
-                    log.push((Instant::now(), target.clone()));
+                if log.len() < 1_000_000 {
+                    log.push((Instant::now(), target.clone(), fault));
                 }
             }
-            let fault = guard(&self.script)(number, &target);
             if !self.answer(&mut stream, &target, number, fault)? {
                 let _ = stream.shutdown(Shutdown::Both);
                 return Ok(());
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod edge;
 pub mod features;
 pub mod load;
+pub mod measure;
+pub mod storm;
 pub mod twist;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,10 +4,11 @@
 use clap::{Parser, Subcommand};
 use quinceflow_lab::conform::{Checked, Outcome, Suite};
 use quinceflow_lab::demo::{self, Demo};
-use quinceflow_lab::edge;
+use quinceflow_lab::{edge, measure, storm};
 use std::net::ToSocketAddrs;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Stand-ins, load and checks for quinceflow; everything stays on loopback
 #[derive(Parser)]
@@ -28,6 +29,36 @@
         #[arg(long, value_name = "FILE")]
         program: Option<PathBuf>,
     },
+    /// Ask for minutes under a mix of faults and count every rule; exit 1 if one was broken
+    Storm {
+        /// How long
+        #[arg(long, default_value_t = 120)]
+        seconds: u64,
+        /// Where the faults and queries begin
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The program; by default the one beside this
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
+    /// Measure the front for feature queries, beside an earlier version if one is named; prints Markdown
+    Measure {
+        /// The program of an earlier version
+        #[arg(long, value_name = "FILE")]
+        beside: Option<PathBuf>,
+        /// What the earlier version is called
+        #[arg(long, default_value = "earlier")]
+        name: String,
+        /// How long each load lasts
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// Features of each of the two shards
+        #[arg(long, default_value_t = 20_000)]
+        each: usize,
+        /// The program; by default the one beside this
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
     /// Check a service against the standards; exit 1 on any failure
     Conform {
         /// Its landing page, such as http://127.0.0.1:8080/
@@ -59,6 +90,35 @@
             }
             demo::once(&demo).map_err(|e| e.to_string())
         }
+        Command::Storm { seconds, seed, program } => {
+            let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
+            let report =
+                storm::run(&program, Duration::from_secs(seconds), seed).map_err(|e| e.to_string())?;
+            for ((class, kind), count) in &report.answers {
+                println!("{class:<6} {kind:<12} {count:>8}");
+            }
+            println!(
+                "requests at servers {}, parts that must not run twice {}, drains {}, slowest answer {} ms",
+                report.requests,
+                report.unsafe_parts,
+                report.drains,
+                report.slowest.as_millis()
+            );
+            println!("{}", report.counters);
+            for rule in report.broken.iter().take(40) {
+                println!("BROKEN {rule}");
+            }
+            println!("{} rules broken", report.broken.len());
+            Ok(report.broken.is_empty())
+        }
+        Command::Measure { beside, name, seconds, each, program } => {
+            let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
+            let earlier = beside.map(|file| (name, file));
+            let programs = earlier.into_iter().chain([("this version".to_owned(), program)]).collect();
+            let plan = measure::Plan { programs, seconds, each };
+            print!("{}", measure::run(&plan).map_err(|e| e.to_string())?);
+            Ok(true)
+        }
         Command::Conform { url, json } => conform(&url, json),
     }
 }
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -8,7 +8,7 @@
 pub mod check;
 pub mod config;
 pub mod cql2;
-mod crs;
+pub mod crs;
 pub mod cursor;
 mod deliver;
 mod html;
@@ -16,7 +16,7 @@
 mod items;
 pub mod learn;
 pub mod paging;
-mod params;
+pub mod params;
 pub mod ranking;
 mod render;
 pub mod visit;
@@ -334,3 +334,7 @@
         0x20000
     }
 }
+
+#[cfg(test)]
+#[path = "front_tests.rs"]
+mod front_tests;
