Give a page's doubles no place in the next answer; ask unsafe parts for nothing twice

Change: a page is used up to the first new feature that has no room; looks go on in their own pages for unsafe classes.

--- a/src/front/ogc/paging.rs
+++ b/src/front/ogc/paging.rs
@@ -282,7 +282,8 @@
             let begun = self.at.place != Place::Start || here == self.from.shard;
             let need = self.need();
             let more = page.next.is_some();
-            if more && !begun && !self.wanted.sieved {
+            // What must not run twice is not begun anew: it goes on in the pages that it has.
+            if more && !begun && !self.wanted.sieved && self.wanted.again {
                 let look = (size as f64) < LOOK * self.start_size(need) as f64;
                 let filled = self.count as f64 >= SHORT_ENOUGH * self.wanted.limit as f64;
                 let small = size < self.start_size(self.wanted.limit);
@@ -297,17 +298,16 @@
             // A page that is read again may be shorter than it was: the next one has the rest of what was given.
             let skip = self.at.skip.min(page.features.len());
             self.at.skip -= skip;
-            let room = (page.features.len() - skip).min(need);
-            let fresh = self.put(&page, skip..skip + room, id);
-            self.seen[here].used += room as u64;
-            if room > 0 && fresh == 0 && more {
+            let (used, fresh) = self.put(&page, skip, id);
+            self.seen[here].used += fresh as u64;
+            if used > skip && fresh == 0 && more {
                 // Pages that bring nothing new may come for ever.
                 self.seen[here].missing = true;
                 continue;
             }
-            if skip + room < page.features.len() {
+            if used < page.features.len() {
                 // The server gave more than was asked for, or it is thinned here: the rest is read again.
-                self.at.skip = skip + room;
+                self.at.skip = used;
                 return Step::Done;
             }
             match &page.next {
@@ -375,27 +375,33 @@
         }
     }
 
-    /// Features of a page into the answer; what a server gives twice is put in once. How many were new.
-    fn put(&mut self, page: &Arc<Page>, range: Range<usize>, id: &impl Fn(&[u8]) -> u64) -> usize {
-        let (mut from, before) = (range.start, self.count);
-        for n in range.clone() {
-            let key = id(&page.body[page.features[n].clone()]);
-            let fresh = key == 0 || self.ids.insert(key);
-            if !fresh {
+    /// Features of a page from here on into the answer, until its limit; what a server gives twice is passed over. Up to
+    /// where the page is used, and how many were new.
+    fn put(&mut self, page: &Arc<Page>, start: usize, id: &impl Fn(&[u8]) -> u64) -> (usize, usize) {
+        let (mut from, mut at, before) = (start, start, self.count);
+        while at < page.features.len() {
+            let key = id(&page.body[page.features[at].clone()]);
+            let known = key != 0 && self.ids.contains(&key);
+            if !known && self.need() == 0 {
+                break;
+            }
+            if known {
                 self.doubled += 1;
-                if from < n {
-                    self.taken.push((page.clone(), from..n));
+                if from < at {
+                    self.taken.push((page.clone(), from..at));
                 }
-                from = n + 1;
+                from = at + 1;
             } else {
+                self.ids.insert(key);
                 self.count += 1;
             }
+            at += 1;
         }
-        if from < range.end {
-            self.taken.push((page.clone(), from..range.end));
+        if from < at {
+            self.taken.push((page.clone(), from..at));
         }
         invariant(self.count <= self.wanted.limit, "an answer beyond its limit");
-        self.count - before
+        (at, self.count - before)
     }
 
     /// Features in the answer.
--- a/src/front/ogc/paging_tests.rs
+++ b/src/front/ogc/paging_tests.rs
@@ -123,6 +123,22 @@
     assert!(servers.asked <= 100);
 }
 
+#[test]
+fn what_must_not_run_twice_is_asked_for_once() {
+    let mut servers = model(&[40, 300, 300]);
+    let mut gather = Gather::new(Wanted { again: false, ..wanted(100) }, Position::START, 3);
+    let mut asked = HashSet::new();
+    loop {
+        let asks = gather.asks();
+        assert!(asks.iter().all(|a| asked.insert(format!("{} {:?}", a.shard, a.place))), "{asks:?}");
+        let came = asks.iter().map(|a| (a.shard, a.size, Some(servers.page(a)))).collect();
+        if gather.take(came, id) == Step::Done {
+            break;
+        }
+    }
+    assert!(gather.count() > 40 && gather.whole());
+}
+
 #[test]
 fn a_missing_shard_is_told_and_passed_only_where_the_floor_allows() {
     let run = |floor: f64, gone: usize| {
@@ -168,6 +184,10 @@
     // It goes on where the circle was met: what is in is in order.
     assert_eq!((gather.count(), gather.doubled, gather.matched()), (2, 1, None));
     assert!(gather.next().is_some());
+    // One more than was asked for, and it is one that came already: nothing of it is left for the next answer.
+    let mut gather = Gather::new(wanted(2), Position::START, 1);
+    assert_eq!(gather.take(vec![(0, 2, page("000000010000000200000001", Some("x"), None))], id), Step::Done);
+    assert_eq!((gather.count(), gather.next().map(|p| p.skip)), (2, Some(0)));
     // Links that are new each time, and pages that are not.
     let mut gather = Gather::new(Wanted { floor: 0.5, again: false, ..wanted(10) }, Position::START, 1);
     assert_eq!(gather.take(vec![(0, 2, page("00000001", Some("x"), None))], id), Step::More);
