Keep the module's cost from growing with load: budget by search, readings bounded

Change: times in the window are counted by binary search; beyond 200 readings no more are kept (the document wants 20).

--- a/lab/src/features.rs
+++ b/lab/src/features.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -54,10 +54,13 @@
     Slow,
     /// A page that never ends, a byte now and then.
     Drip,
+    /// The connection ends without an answer, as if the process had gone.
+    Gone,
 }
 
 /// All faults but none.
-pub const FAULTS: [Fault; 13] = [
+pub const FAULTS: [Fault; 14] = [
+    Fault::Gone,
     Fault::Error,
     Fault::Busy,
     Fault::Full,
@@ -99,6 +102,8 @@
     asked: AtomicU64,
     bytes: AtomicU64,
     most_busy: AtomicUsize,
+    /// What is asked for is logged twice: a planted fault.
+    echo: AtomicBool,
     log: Mutex<Vec<(Instant, String, Fault)>>,
 }
 
@@ -188,6 +193,7 @@
             asked: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             most_busy: AtomicUsize::new(0),
+            echo: AtomicBool::new(false),
             log: Mutex::default(),
         });
         let own = state.clone();
@@ -233,6 +239,11 @@
         guard(&self.state.log).clone()
     }
 
+    /// From now on each request is seen twice: a planted fault.
+    pub fn echo(&self, on: bool) {
+        self.state.echo.store(on, Relaxed);
+    }
+
     /// Forgets what was asked for.
     pub fn forget(&self) {
         guard(&self.state.log).clear();
@@ -269,8 +280,10 @@
             let fault = guard(&self.script)(number, &target);
             {
                 let mut log = guard(&self.log);
-                if log.len() < 1_000_000 {
-                    log.push((Instant::now(), target.clone(), fault));
+                for _ in 0..1 + usize::from(self.echo.load(Relaxed)) {
+                    if log.len() < 1_000_000 {
+                        log.push((Instant::now(), target.clone(), fault));
+                    }
                 }
             }
             if !self.answer(&mut stream, &target, number, fault)? {
@@ -307,6 +320,7 @@
         let status = |s: u16, more: &str| format!("HTTP/1.1 {s} X\r\n{more}Content-Length: 0\r\n\r\n");
         match fault {
             Fault::Hang => return Ok(true),
+            Fault::Gone => return Ok(false),
             Fault::Error => return stream.write_all(status(500, "").as_bytes()).map(|()| true),
             Fault::Busy => {
                 return stream.write_all(status(503, "Retry-After: 1\r\n").as_bytes()).map(|()| true)
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -34,6 +34,9 @@
         /// How long
         #[arg(long, default_value_t = 120)]
         seconds: u64,
+        /// Plant a fault that must be found: twice or limit
+        #[arg(long, value_parser = storm::PLANTED)]
+        plant: Option<String>,
         /// Where the faults and queries begin
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -90,10 +93,10 @@
             }
             demo::once(&demo).map_err(|e| e.to_string())
         }
-        Command::Storm { seconds, seed, program } => {
+        Command::Storm { seconds, seed, plant, program } => {
             let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
-            let report =
-                storm::run(&program, Duration::from_secs(seconds), seed).map_err(|e| e.to_string())?;
+            let report = storm::run(&program, Duration::from_secs(seconds), seed, plant.as_deref())
+                .map_err(|e| e.to_string())?;
             for ((class, kind), count) in &report.answers {
                 println!("{class:<6} {kind:<12} {count:>8}");
             }
--- a/lab/src/storm.rs
+++ b/lab/src/storm.rs
@@ -6,6 +6,7 @@
 use crate::client::Client;
 use crate::edge::{Edge, CLASSES};
 use crate::features::{devices, Fault, Server, Skill, FAULTS};
+use crate::twist::{self, Twist};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::Result;
 use std::path::Path;
@@ -72,8 +73,12 @@
     north.strip_prefix("89.")?.parse().ok()
 }
 
-/// Runs for so long with this seed.
-pub fn run(program: &Path, lasts: Duration, seed: u64) -> Result<Report> {
+/// What may be planted to see that the observer finds it.
+pub const PLANTED: [&str; 2] = ["twice", "limit"];
+
+/// Runs for so long with this seed. `plant`: `twice`, each request is seen twice at the servers; `limit`, answers hold one
+/// feature too many.
+pub fn run(program: &Path, lasts: Duration, seed: u64, plant: Option<&str>) -> Result<Report> {
     let faults: [Arc<AtomicUsize>; 6] = Default::default();
     let skills = [Skill::All, Skill::Basic, Skill::Core];
     // Six machines of two servers each: what befalls a machine befalls both. Each shard is held on four of them.
@@ -100,6 +105,12 @@
             .collect()
     };
     let edge = Edge::start(program, "retry_after_ms = 300\nlearned_age_s = 5", &rows(None), CLASSES)?;
+    shards.iter().for_each(|s| s.echo(plant == Some("twice")));
+    let twist = Twist::start(edge.address)?;
+    twist.plant(
+        twist::FAULTS.iter().find(|f| plant == Some("limit") && f.found_by.ends_with("fc-limit-response")),
+    );
+    let address = if plant == Some("limit") { twist.address } else { edge.address };
     let report = Mutex::new(Report::default());
     let (over, marks) = (AtomicBool::new(false), AtomicU64::new(seed * 1_000_000 + 1));
     // Of each query its class, and when each of its answers was asked for: parts of one answer must not run twice, and the
@@ -108,10 +119,10 @@
     let drains: Mutex<Vec<(usize, Instant, Instant)>> = Mutex::default();
     std::thread::scope(|scope| -> Result<()> {
         for number in 0..CLIENTS {
-            let (over, marks, report, classes, edge) = (&over, &marks, &report, &classes, &edge);
+            let (over, marks, report, classes) = (&over, &marks, &report, &classes);
             scope.spawn(move || {
                 let mut rng = fastrand::Rng::with_seed(seed ^ (number as u64) << 32);
-                let mut client = Client::new(edge.address);
+                let mut client = Client::new(address);
                 client.patience = Duration::from_secs_f64(WAITS) + MARGIN * 4;
                 while !over.load(Relaxed) {
                     let class = ["map", "part", "once"][rng.usize(..3)];
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,8 @@
 const GONE_WINDOWS: u64 = 3;
 /// Readings wanted in a window: the document takes 20 of 100 requests; 6 cost more than they save.
 const WANTED_READINGS: f64 = 20.0;
+/// Readings kept at most: more cost time each turn and tell nothing new.
+const MOST_READINGS: f64 = 200.0;
 /// Least share of high-worth queries sampled: the document's.
 const LEAST_SAMPLE: f64 = 0.2;
 /// Period of the controller, in ticks; open queries are looked at, and probes awaited, for a tenth of it.
@@ -153,9 +155,8 @@
         let second = self.stage == Stage::Second;
         self.parts.iter().filter(|p| p.second == second && p.came.is_some()).map(|p| p.weight).sum()
     }
-    /// Low-worth parts share the fate of low-worth queries: beyond the admitted share, those with far less
-    /// than an even weight are not asked, the least first, down to the floor. Holds for any shortage; might
-    /// hurt where a heavy part then fails.
+    /// Low-worth parts share the fate of low-worth queries: beyond the admitted share those with far less than
+    /// an even weight are not asked, down to the floor. Might hurt where a heavy part then fails.
     fn trim(&mut self, floor: f64, admitted: f64) {
         self.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight));
         let light = LIGHT_PART / self.parts.len().max(1) as f64;
@@ -215,8 +216,7 @@
     ((to - crowd) / (to - from)).clamp(0.0, 1.0)
 }
 
-/// Something drops idle connections unseen: what goes out on them is lost far more often than on others. An
-/// outage or a jam raises both shares.
+/// Idle connections are dropped unseen: far more is lost on them than on others. An outage raises both.
 fn reaped(lost: [f64; 2]) -> bool {
     lost[1] > lost[0] + IDLE_LOSS
 }
@@ -353,8 +353,9 @@
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
                 let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
                 self.taken.push_back(self.now);
-                let few = (self.queries.values().filter(|q| q.sampled).count() as f64) < WANTED_READINGS;
-                let sampled = worth >= self.top() && (few || self.rng.f64() < LEAST_SAMPLE);
+                let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
+                let more = |rng: &mut fastrand::Rng| seen < MOST_READINGS && rng.f64() < LEAST_SAMPLE;
+                let sampled = worth >= self.top() && (seen < WANTED_READINGS || more(&mut self.rng));
                 let seq = self.next_query;
                 self.next_query += 1;
                 let q = Query {
@@ -726,8 +727,8 @@
     fn extras_left(&self) -> f64 {
         let Some(b) = self.set.extra else { return f64::INFINITY };
         let edge = 2 * self.set.tick;
-        let since = |times: &VecDeque<Nanos>, back: Nanos| {
-            times.iter().rev().take_while(|t| **t + back >= self.now).count() as f64
+        let since = |times: &VecDeque<Nanos>, back| {
+            (times.len() - times.partition_point(|t| t + back < self.now)) as f64
         };
         b.free + b.ratio * since(&self.taken, b.look_back.saturating_sub(edge))
             - since(&self.extras, b.look_back + edge)
