--- a/src/rules.rs
+++ b/src/rules.rs
@@ -155,7 +155,7 @@
         let second = self.stage == Stage::Second;
         self.parts.iter().filter(|p| p.second == second && p.came.is_some()).map(|p| p.weight).sum()
     }
-    /// Low-worth parts share the fate of low-worth queries: beyond the admitted share those with far less than
+    /// Low-worth parts share the fate of such queries: beyond the admitted share those with far less than
     /// an even weight are not asked, down to the floor. Might hurt where a heavy part then fails.
     fn trim(&mut self, floor: f64, admitted: f64) {
         self.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight));
