Divide a query under way by concern: how shards are asked is a file of its own

Plans (the split of filters over servers, orders, what lies beyond a place) go to plans.rs; the lab's two loads count in one place. No change of what is done.

--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,6 +1,6 @@
 //! Load on an edge, and what it takes: latencies by `hdrhistogram`, requests, bytes and memory.
 
-use crate::client::Client;
+use crate::client::{Answer, Client};
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -36,6 +36,51 @@
     }
 }
 
+/// Counts of a load that goes on.
+#[derive(Default)]
+struct Counts {
+    served: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    bytes: AtomicU64,
+    times: Mutex<Vec<u64>>,
+}
+
+impl Counts {
+    /// An answer came, so long after it was due; later than `wanted` it counts as failed.
+    fn came(&self, answer: std::io::Result<Answer>, took: Duration, wanted: Duration) {
+        match answer {
+            Ok(a) if a.status == 200 && took <= wanted => {
+                self.served.fetch_add(1, Relaxed);
+                self.bytes.fetch_add(a.body.len() as u64, Relaxed);
+                self.times.lock().unwrap_or_else(|e| e.into_inner()).push((took.as_micros() as u64).max(1));
+            }
+            Ok(a) if a.status == 503 => {
+                self.refused.fetch_add(1, Relaxed);
+            }
+            _ => {
+                self.failed.fetch_add(1, Relaxed);
+            }
+        }
+    }
+
+    fn over(self, lasted: Duration) -> Load {
+        let bounds = Histogram::new_with_bounds(1, 60_000_000, 3);
+        let mut times = bounds.unwrap_or_else(|_| unreachable!("fixed bounds"));
+        for time in self.times.into_inner().unwrap_or_else(|e| e.into_inner()) {
+            times.saturating_record(time);
+        }
+        Load {
+            times,
+            served: self.served.into_inner(),
+            refused: self.refused.into_inner(),
+            failed: self.failed.into_inner(),
+            bytes: self.bytes.into_inner(),
+            lasted,
+        }
+    }
+}
+
 /// So many clients, each asking one query after the other, for so long. Of each the target is `target(client, number)`.
 pub fn closed(
     address: SocketAddr,
@@ -43,17 +88,11 @@
     lasts: Duration,
     target: impl Fn(usize, u64) -> String + Sync,
 ) -> Load {
-    let (served, refused, failed, bytes) =
-        (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
-    let times = Mutex::new(
-        Histogram::new_with_bounds(1, 60_000_000, 3).unwrap_or_else(|_| unreachable!("fixed bounds")),
-    );
-    let over = AtomicBool::new(false);
+    let (counts, over) = (Counts::default(), AtomicBool::new(false));
     let began = Instant::now();
     std::thread::scope(|scope| {
         for number in 0..clients {
-            let (target, over, times) = (&target, &over, &times);
-            let (served, refused, failed, bytes) = (&served, &refused, &failed, &bytes);
+            let (target, over, counts) = (&target, &over, &counts);
             scope.spawn(move || {
                 let mut client = Client::new(address);
                 let mut asked = 0;
@@ -61,34 +100,14 @@
                     let at = Instant::now();
                     let answer = client.get(&target(number, asked));
                     asked += 1;
-                    match answer {
-                        Ok(a) if a.status == 200 => {
-                            served.fetch_add(1, Relaxed);
-                            bytes.fetch_add(a.body.len() as u64, Relaxed);
-                            let took = at.elapsed().as_micros() as u64;
-                            let _ = times.lock().unwrap_or_else(|e| e.into_inner()).record(took.max(1));
-                        }
-                        Ok(a) if a.status == 503 => {
-                            refused.fetch_add(1, Relaxed);
-                        }
-                        _ => {
-                            failed.fetch_add(1, Relaxed);
-                        }
-                    }
+                    counts.came(answer, at.elapsed(), Duration::MAX);
                 }
             });
         }
         std::thread::sleep(lasts);
         over.store(true, Relaxed);
     });
-    Load {
-        times: times.into_inner().unwrap_or_else(|e| e.into_inner()),
-        served: served.into_inner(),
-        refused: refused.into_inner(),
-        failed: failed.into_inner(),
-        bytes: bytes.into_inner(),
-        lasted: began.elapsed(),
-    }
+    counts.over(began.elapsed())
 }
 
 /// Queries at a steady rate, whatever becomes of them, for so long. What is not answered within `wanted` of its time counts as
@@ -101,18 +120,12 @@
     target: impl Fn(u64) -> String + Sync,
 ) -> Load {
     const MOST: usize = 400;
-    let (served, refused, failed, bytes) =
-        (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
-    let times = Mutex::new(
-        Histogram::new_with_bounds(1, 60_000_000, 3).unwrap_or_else(|_| unreachable!("fixed bounds")),
-    );
-    let next = AtomicU64::new(0);
+    let (counts, next) = (Counts::default(), AtomicU64::new(0));
     let total = (rate * lasts.as_secs_f64()) as u64;
     let began = Instant::now();
     std::thread::scope(|scope| {
         for _ in 0..MOST {
-            let (target, times, next) = (&target, &times, &next);
-            let (served, refused, failed, bytes) = (&served, &refused, &failed, &bytes);
+            let (target, counts, next) = (&target, &counts, &next);
             let work = move || {
                 let mut client = Client::new(address);
                 loop {
@@ -121,42 +134,20 @@
                         return;
                     }
                     let due = began + Duration::from_secs_f64(number as f64 / rate);
-                    let now = Instant::now();
-                    if due > now {
-                        std::thread::sleep(due - now);
-                    }
+                    std::thread::sleep(due.saturating_duration_since(Instant::now()));
                     // Counted from when it was due: a client that comes late has waited.
                     let left = wanted.saturating_sub(due.elapsed());
                     if left < Duration::from_millis(1) {
-                        failed.fetch_add(1, Relaxed);
+                        counts.failed.fetch_add(1, Relaxed);
                         continue;
                     }
                     client.patience = left;
-                    match client.get(&target(number)) {
-                        Ok(a) if a.status == 200 && due.elapsed() <= wanted => {
-                            served.fetch_add(1, Relaxed);
-                            bytes.fetch_add(a.body.len() as u64, Relaxed);
-                            let took = due.elapsed().as_micros() as u64;
-                            let _ = times.lock().unwrap_or_else(|e| e.into_inner()).record(took.max(1));
-                        }
-                        Ok(a) if a.status == 503 => {
-                            refused.fetch_add(1, Relaxed);
-                        }
-                        _ => {
-                            failed.fetch_add(1, Relaxed);
-                        }
-                    }
+                    let answer = client.get(&target(number));
+                    counts.came(answer, due.elapsed(), wanted);
                 }
             };
             let _ = std::thread::Builder::new().stack_size(256 * 1024).spawn_scoped(scope, work);
         }
     });
-    Load {
-        times: times.into_inner().unwrap_or_else(|e| e.into_inner()),
-        served: served.into_inner(),
-        refused: refused.into_inner(),
-        failed: failed.into_inner(),
-        bytes: bytes.into_inner(),
-        lasted: began.elapsed(),
-    }
+    counts.over(began.elapsed())
 }
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -17,6 +17,7 @@
 pub mod learn;
 pub mod paging;
 pub mod params;
+mod plans;
 pub mod ranking;
 mod render;
 pub mod visit;
