--- /dev/null
+++ b/src/levels/table.rs
@@ -0,0 +1,224 @@
+//! The operator's table of levels, and whether it is sane.
+
+use super::Signal;
+use crate::time::Micros;
+use serde::Deserialize;
+
+/// Between what enters a level and what leaves it there must be this much, as a share of what enters: noise is of that size.
+const LEAST_GAP: f64 = 0.15;
+/// Holds and stays are at least so long: a signal is refreshed twice in it.
+const LEAST_HOLD_MS: u64 = 500;
+
+/// A signal is at or over a value.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Condition {
+    /// Which signal.
+    pub signal: Signal,
+    /// The level is wanted from here on,
+    pub enter: f64,
+    /// and not wanted any more under this.
+    pub leave: f64,
+    /// Holds only together with all others of this mark; without one it is enough by itself.
+    pub with: Option<String>,
+}
+
+/// What a level does.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Effects {
+    /// Share of each class's queries admitted, by the class's name; a class that is not named is admitted whole.
+    pub admit: std::collections::BTreeMap<String, f64>,
+    /// Most attempts at a part.
+    pub most_attempts: Option<u32>,
+    /// Late parts are not sampled, and nothing is probed.
+    pub quiet: bool,
+    /// Partial classes are answered after this share of their aim, never under their floor.
+    pub answer_after: Option<f64>,
+    /// `Retry-After` is multiplied by this.
+    pub come_back: f64,
+}
+
+impl Default for Effects {
+    fn default() -> Self {
+        Effects {
+            admit: Default::default(),
+            most_attempts: None,
+            quiet: false,
+            answer_after: None,
+            come_back: 1.0,
+        }
+    }
+}
+
+/// A level of reduced service.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Level {
+    /// Its name.
+    pub name: String,
+    /// When it is wanted: any of these, or all of one mark.
+    pub when: Vec<Condition>,
+    /// It is entered when it has been wanted for so long,
+    pub enter_ms: u64,
+    /// left when it has not been for so long,
+    pub leave_ms: u64,
+    /// and kept for so long at least.
+    pub stay_ms: u64,
+    /// What it does.
+    #[serde(default)]
+    pub effects: Effects,
+}
+
+/// All levels, the mildest first; before them is full service.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+pub struct Table {
+    /// The levels.
+    #[serde(default, rename = "level")]
+    pub levels: Vec<Level>,
+}
+
+/// What is wrong with a table: the level's name, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableFault {
+    /// Which level.
+    pub level: String,
+    /// What is wrong.
+    pub why: String,
+}
+
+impl Table {
+    /// Sound defaults: reduced when a fifth of the nodes is avoided or much is repeated, essential when half is.
+    pub fn shipped() -> Self {
+        let on = |signal, enter, leave| Condition { signal, enter, leave, with: None };
+        let both = |signal, enter, leave| Condition { signal, enter, leave, with: Some("jam".to_owned()) };
+        let reduced = Level {
+            name: "reduced".to_owned(),
+            when: vec![
+                on(Signal::Avoided, 0.2, 0.1),
+                on(Signal::Repeats, 1.0, 0.6),
+                both(Signal::Lacking, 0.2, 0.1),
+                both(Signal::Out, 1.5, 1.1),
+            ],
+            enter_ms: 1_500,
+            leave_ms: 6_000,
+            stay_ms: 10_000,
+            effects: Effects { most_attempts: Some(3), quiet: true, come_back: 2.0, ..Effects::default() },
+        };
+        let essential = Level {
+            name: "essential".to_owned(),
+            when: vec![
+                on(Signal::Avoided, 0.5, 0.35),
+                on(Signal::Repeats, 2.5, 1.5),
+                on(Signal::TurnDelay, 8.0, 3.0),
+            ],
+            enter_ms: 2_000,
+            leave_ms: 8_000,
+            stay_ms: 15_000,
+            effects: Effects {
+                most_attempts: Some(2),
+                quiet: true,
+                answer_after: Some(0.6),
+                come_back: 4.0,
+                ..Effects::default()
+            },
+        };
+        Table { levels: vec![reduced, essential] }
+    }
+
+    /// Everything that is wrong with it: gaps that would swing, levels out of reach, effects that break a rule. `attempts`:
+    /// the most that any class allows.
+    pub fn faults(&self, attempts: u32) -> Vec<TableFault> {
+        let mut faults = Vec::new();
+        for (n, level) in self.levels.iter().enumerate() {
+            let mut fault = |why: String| faults.push(TableFault { level: level.name.clone(), why });
+            if level.name.is_empty() || self.levels[..n].iter().any(|l| l.name == level.name) {
+                fault("its name is empty or there twice".to_owned());
+            }
+            if level.when.is_empty() {
+                fault("it is out of reach: no condition enters it".to_owned());
+            }
+            if [level.enter_ms, level.leave_ms, level.stay_ms].iter().any(|ms| *ms < LEAST_HOLD_MS) {
+                fault(format!("enter_ms, leave_ms and stay_ms must be {LEAST_HOLD_MS} or more"));
+            }
+            for c in &level.when {
+                if !(c.enter.is_finite() && c.leave.is_finite() && c.enter > 0.0 && c.leave >= 0.0) {
+                    fault(format!("{:?}: enter and leave must be numbers, and enter above 0", c.signal));
+                } else if c.leave > c.enter * (1.0 - LEAST_GAP) {
+                    fault(format!(
+                        "{:?}: between enter {} and leave {} noise would swing it",
+                        c.signal, c.enter, c.leave
+                    ));
+                }
+                if c.signal == Signal::Lacking {
+                    let with = |o: &&Condition| o.with.is_some() && o.with == c.with && o.signal != c.signal;
+                    if level.when.iter().find(with).is_none() {
+                        fault(
+                            "Lacking must not be believed alone: name another signal with the same `with`"
+                                .to_owned(),
+                        );
+                    }
+                }
+                // A level above must not be entered by less than the one below it is.
+                let below = n.checked_sub(1).map(|b| &self.levels[b].when);
+                let milder = below.into_iter().flatten().find(|b| b.signal == c.signal && b.with == c.with);
+                if milder.is_some_and(|b| b.enter >= c.enter) {
+                    fault(format!("{:?}: it is entered by no more than the level below it", c.signal));
+                }
+            }
+            let e = &level.effects;
+            if e.admit.values().any(|share| !(0.0..=1.0).contains(share)) {
+                fault("admit: shares must be from 0 to 1".to_owned());
+            }
+            if e.most_attempts.is_some_and(|most| most == 0 || most > attempts) {
+                fault(format!("most_attempts must be from 1 to {attempts}"));
+            }
+            if e.answer_after.is_some_and(|share| !(share > 0.0 && share <= 1.0)) {
+                fault("answer_after must be above 0 and at most 1".to_owned());
+            }
+            if !(1.0..=60.0).contains(&e.come_back) {
+                fault("come_back must be from 1 to 60".to_owned());
+            }
+        }
+        faults
+    }
+
+    /// How long a hold takes.
+    pub(super) fn hold(ms: u64, stretch: f64) -> Micros {
+        Micros((ms as f64 * 1e3 * stretch) as u64)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_ships_is_sane_and_what_is_not_is_told() {
+        assert_eq!(Table::shipped().faults(4), []);
+        let mut table = Table::shipped();
+        table.levels[0].when[0].leave = 0.19;
+        table.levels[0].when.remove(3);
+        table.levels[1].when[0].enter = 0.2;
+        table.levels[1].when[0].leave = 0.1;
+        table.levels[1].effects.most_attempts = Some(5);
+        table.levels[1].effects.come_back = 0.5;
+        let faults = table.faults(4);
+        let words =
+            ["would swing", "believed alone", "no more than the level below", "most_attempts", "come_back"];
+        assert!(words.iter().all(|w| faults.iter().any(|f| f.why.contains(w))), "{faults:?}");
+        assert_eq!(faults.len(), words.len(), "{faults:?}");
+        table.levels[0].when.clear();
+        table.levels[1].stay_ms = 0;
+        assert!(table.faults(4).iter().any(|f| f.why.contains("out of reach")));
+    }
+
+    #[test]
+    fn the_operators_file_says_the_same() {
+        let text = "[[level]]\nname = \"reduced\"\nenter_ms = 1000\nleave_ms = 2000\nstay_ms = 3000\n\
+            when = [{ signal = \"avoided\", enter = 0.3, leave = 0.1 }]\neffects = { most_attempts = 2, admit = { lookup = 0.5 } }\n";
+        let table: Table = toml::from_str(text).expect("a table");
+        assert_eq!((table.faults(4), table.levels[0].effects.admit["lookup"]), (vec![], 0.5));
+        assert!(toml::from_str::<Table>(&text.replace("avoided", "weather")).is_err());
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod core;
 pub mod front;
 pub mod interface;
+pub mod levels;
 pub mod limits;
 pub mod log;
 pub mod net;
