Look at what can be asked before a name is judged, whoever asked before

Cause: queryables as parameters, filters and orders were read against what was known by then (front/ogc/mod.rs, items): the first query with volts=141 after a start got 400, and one with a name that is none was taken until somebody had filtered.

Change: a query with more than the plain parameters looks first (one look a server, as before) and is read after that; the same for POST /search.

--- a/lab/tests/conform.rs
+++ b/lab/tests/conform.rs
@@ -72,3 +72,19 @@
         assert!(found.iter().any(failed), "{}: {}: {found:?}", fault.found_by, fault.what);
     }
 }
+
+#[test]
+fn whether_a_name_can_be_asked_for_does_not_hang_on_who_asked_before() {
+    // Until somebody had filtered, a queryable was an unknown parameter and any name a good one.
+    let ask = |target: &str| {
+        let (edge, _servers) = start();
+        let answer = quinceflow_lab::client::Client::new(edge.address).get(target).expect("an answer");
+        (answer.status, answer.ids().len())
+    };
+    let expected = devices(0..2 * EACH).iter().filter(|f| f["properties"]["volts"] == 141).count();
+    assert!(expected > 0);
+    assert_eq!(ask("/collections/devices/items?limit=500&volts=141"), (200, expected));
+    assert_eq!(ask("/collections/devices/items?watts=141").0, 400);
+    assert_eq!(ask("/collections/devices/items?filter=watts=141").0, 400);
+    assert_eq!(ask("/collections/devices/items?sortby=watts").0, 400);
+}
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -102,6 +102,9 @@
     shared: Arc<Shared>,
 }
 
+/// Parameters of the items that mean the same whatever servers tell.
+const PLAIN: [&str; 8] = ["limit", "bbox", "bbox-crs", "datetime", "crs", "properties", "cursor", "f"];
+
 /// What is wrong with a request, as a status and what to say.
 type Fault = (u16, String);
 
@@ -187,14 +190,19 @@
             }
             ["collections", id, "items"] => {
                 let shards = self.find(id)?;
-                let queryables = items::queryables(&self.shared, id, &shards);
-                let (default_limit, most_limit) = (edge.default_limit, edge.most_limit);
-                let known = params::Known { default_limit, most_limit, queryables: &queryables };
-                let params = params::read(&pairs, &known).map_err(|e| (400, e))?;
                 let asker = self.asker(request, token, sent)?;
-                let (collection, query) = (id.to_owned(), query.to_owned());
-                let asked = Asked { base, collection, query, search: None, params, html };
-                Items::begin(self.shared.clone(), asker, asked, shards)
+                let plain = pairs.iter().all(|p| PLAIN.contains(&p.0.as_str()));
+                let (collection, query, of) = (id.to_owned(), query.to_owned(), shards.clone());
+                let own = asker.clone();
+                let begin = move |shared: Arc<Shared>| {
+                    let queryables = items::queryables(&shared, &collection, &shards);
+                    let (default_limit, most_limit) = (shared.edge.default_limit, shared.edge.most_limit);
+                    let known = params::Known { default_limit, most_limit, queryables: &queryables };
+                    let params = params::read(&pairs, &known).map_err(|e| (400, e))?;
+                    let asked = Asked { base, collection, query, search: None, params, html };
+                    Items::begin(shared, own, asked, shards)
+                };
+                self.begin(plain, asker, &of, begin)
             }
             ["collections", id, "items", feature] => {
                 let shards = self.find(id)?;
@@ -256,18 +264,39 @@
         if !kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("application/json") {
             return Err((415, "Content-Type: application/json is needed".to_owned()));
         }
-        let edge = &self.shared.edge;
-        let known = |id: &str| {
-            let shards = self.find(id).ok()?;
-            Some(items::queryables(&self.shared, id, &shards))
-        };
-        let most = (edge.default_limit, edge.most_limit);
-        let (collection, params) = params::read_search(&request.body, known, most).map_err(|e| (400, e))?;
+        let collection = params::searched(&request.body).map_err(|e| (400, e))?;
         let shards = self.find(&collection)?;
         let asker = self.asker(request, token, sent)?;
-        let search = Some(request.body.clone());
-        let asked = Asked { base, collection, query: String::new(), search, params, html: false };
-        Items::begin(self.shared.clone(), asker, asked, shards)
+        let (body, of, own) = (request.body.clone(), shards.clone(), asker.clone());
+        let begin = move |shared: Arc<Shared>| {
+            let known = |id: &str| Some(items::queryables(&shared, id, &shards));
+            let most = (shared.edge.default_limit, shared.edge.most_limit);
+            let (collection, params) = params::read_search(&body, known, most).map_err(|e| (400, e))?;
+            let asked =
+                Asked { base, collection, query: String::new(), search: Some(body), params, html: false };
+            Items::begin(shared, own, asked, shards)
+        };
+        self.begin(false, asker, &of, begin)
+    }
+
+    /// Begins a query. Unless it is plain, what servers tell of what can be asked is looked at first: whether a name is one
+    /// must not hang on who asked before.
+    fn begin(
+        &self,
+        plain: bool,
+        asker: Asker,
+        shards: &[(ShardId, String)],
+        begin: impl FnOnce(Arc<Shared>) -> Result<Reaction, Fault> + Send + 'static,
+    ) -> Result<Reaction, Fault> {
+        if plain {
+            return begin(self.shared.clone());
+        }
+        Ok(items::learned(self.shared.clone(), asker, shards, |shared| {
+            begin(shared).unwrap_or_else(|(status, why)| {
+                COUNTERS.bad_requests.add();
+                Reaction::Respond(render::problem(status, &why))
+            })
+        }))
     }
 
     /// Where clients reach this front, as they say themselves.
--- a/src/front/ogc/params.rs
+++ b/src/front/ogc/params.rs
@@ -135,6 +135,16 @@
     Ok(params)
 }
 
+/// The collection that the body of a search names.
+pub fn searched(body: &[u8]) -> Result<String, String> {
+    let json: Json = serde_json::from_slice(body).map_err(|e| format!("the body: {e}"))?;
+    let collections = json["collections"].as_array().ok_or("collections: a list of one is needed")?;
+    match collections.as_slice() {
+        [Json::String(one)] => Ok(one.clone()),
+        _ => Err("collections: one, and no more, can be searched at a time".to_owned()),
+    }
+}
+
 /// Reads the body of a search (STAC API, Item Search, `POST /search`): the collection and its parameters.
 pub fn read_search(
     body: &[u8],
@@ -143,11 +153,7 @@
 ) -> Result<(String, Params), String> {
     let json: Json = serde_json::from_slice(body).map_err(|e| format!("the body: {e}"))?;
     let members = json.as_object().ok_or("the body is no JSON object")?;
-    let collections = json["collections"].as_array().ok_or("collections: a list of one is needed")?;
-    let collection = match collections.as_slice() {
-        [Json::String(one)] => one.clone(),
-        _ => return Err("collections: one, and no more, can be searched at a time".to_owned()),
-    };
+    let collection = searched(body)?;
     let queryables = known(&collection).ok_or_else(|| format!("there is no collection {collection:?}"))?;
     let known = Known { default_limit: most.0, most_limit: most.1, queryables: &queryables };
     let mut params = Params::plain(&known);
