Let a look take a quarter of a long aim; stop accepting before the end is told

Change: a look has 0.5 s or a quarter of the aim, whichever is more, within a quarter of its client's time. The old process stops accepting first, then says that it ends.

Measured: a test with a long aim: one request of 5 features, filtered and ordered by its server.

--- a/lab/tests/conform.rs
+++ b/lab/tests/conform.rs
@@ -88,3 +88,22 @@
     assert_eq!(ask("/collections/devices/items?filter=watts=141").0, 400);
     assert_eq!(ask("/collections/devices/items?sortby=watts").0, 400);
 }
+
+#[test]
+fn what_servers_can_do_is_learned_in_a_class_with_a_long_aim_too() {
+    // The module took the look for one that would come late, refused it, and all was filtered here for good.
+    let server = Server::start(devices(0..EACH), Skill::All).expect("a stand-in");
+    let program = edge::program().expect("the program is built with the workspace");
+    let classes = "[[class]]\nname = \"map\"\naim_ms = 8000\ndeadline_ms = 10000\n";
+    let edge = Edge::start(&program, "", &server.row("a", "devices", ""), classes).expect("it starts");
+    let mut client = quinceflow_lab::client::Client::new(edge.address);
+    let answer =
+        client.get("/collections/devices/items?filter=volts%3E200&sortby=-volts&limit=5").expect("an answer");
+    assert_eq!((answer.status, answer.ids().len()), (200, 5));
+    let asked: Vec<String> = server.log().into_iter().map(|l| l.1).collect();
+    assert!(
+        asked.iter().any(|t| t.contains("filter=") && t.contains("sortby=-volts") && t.contains("limit=5")),
+        "{asked:?}"
+    );
+    assert_eq!(asked.iter().filter(|t| t.contains("/items")).count(), 1, "{asked:?}");
+}
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -19,7 +19,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-/// Looks at servers before a query is answered take at most so long, and a quarter of its time.
+/// Looks at servers before a query is answered take at most so long, or a quarter of its aim, and a quarter of its time.
 const MOST_LOOK: Micros = Micros::from_millis(500);
 /// Looks of one query at a time.
 const MOST_LOOKS: usize = 16;
@@ -165,7 +165,9 @@
         return then(shared);
     }
     let parts: Vec<_> = looks.iter().flat_map(|l| [(l.0, l.2.clone()), (l.0, l.3.clone())]).collect();
-    let patience = Micros(asker.patience.0 / 4).min(MOST_LOOK);
+    // A class with a long aim is taken for a slow one until answers were seen: with less time the module would refuse it.
+    let aim = Micros::from_millis(shared.edge.classes[asker.class].aim_ms);
+    let patience = Micros(asker.patience.0 / 4).min(MOST_LOOK.max(Micros(aim.0 / 4)));
     let request = round(&shared, &Asker { patience, ..asker.clone() }, parts.into_iter());
     Reaction::Ask(
         request,
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -434,8 +434,11 @@
             if leaving.is_none() && self.signals.end.load(Relaxed) {
                 leaving = Some(now);
                 self.core.answer_by(now + self.last_answer);
+                if self.beside == Some(Beside::Old) {
+                    self.clients.hand_over();
+                }
                 self.clients.not_ready();
-                // Said once it is so: whoever waits for this line may ask at once.
+                // Told, to operators too, once it is so: whoever waits for that may ask at once.
                 tracing::info!("told to end: {} queries held", self.core.held());
             }
             if let Some(since) = leaving {
