Give each round a label of its own; a missing document ends no other look

Cause, found by the whole test run under load: a query answered 409 to itself. All rounds of a query had one label, and a late part of its look was still out when the next round began (front/ogc/items.rs, round). And a server without queryables (404) made its part hopeless, so the module gave up the round and the looks at all other servers came to nothing (visit.rs, judge).

Change: labels count rounds; whatever a server says to a look is an answer, if an empty one.

--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -17,6 +17,7 @@
 use crate::proto::http::Response;
 use crate::time::{unix_ms, Micros};
 use std::ops::Range;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
 /// Looks at servers before a query is answered take at most so long, or a quarter of its aim, and a quarter of its time.
@@ -98,6 +99,9 @@
     pub next: Option<String>,
 }
 
+/// Rounds asked by this process.
+static ROUNDS: AtomicU64 = AtomicU64::new(0);
+
 /// A request of the core for one round.
 pub(super) fn round(
     shared: &Shared,
@@ -107,7 +111,8 @@
     let weight = 1.0 / parts.len().max(1) as f64;
     Request {
         token: asker.token,
-        label: format!("q{}", asker.token.0).into(),
+        // Each round has its own: late parts of one may still be out when the next one begins.
+        label: format!("q{}.{}", asker.token.0, ROUNDS.fetch_add(1, Relaxed)).into(),
         class: shared.edge.classes[asker.class].name.as_str().into(),
         tenant: TenantId(0),
         patience: asker.patience,
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -84,6 +84,8 @@
             (200, Kind::Feature) => read_feature(fetched.body),
             (200, Kind::Document) => Some(Page { body: fetched.body, ..Page::default() }),
             (404, Kind::Feature) => Some(Page::default()),
+            // A server without such a document has said so: its look must not end those at others.
+            (status, Kind::Document) if status != 429 => Some(Page::default()),
             // Only this status says that the request was not taken up; any other failure may have run.
             (429, _) => return End::Not(Outcome::Full),
             _ => None,
@@ -212,6 +214,7 @@
         assert_eq!(end(Kind::Items, 200, "<html>"), End::Not(Outcome::Error));
         assert_eq!(end(Kind::Feature, 200, "[1]"), End::Not(Outcome::Error));
         assert!(matches!(end(Kind::Feature, 404, ""), End::Served(_)));
+        assert!(matches!(end(Kind::Document, 500, ""), End::Served(_)));
         let visit = Visit::new(Kind::Feature, "/x".into());
         let End::Served(value) = visit.judge("s", "a:1", fetched(200, "{}")) else { panic!("served") };
         assert_eq!(visit.page(&value).map(|p| (p.server.to_string(), p.given)), Some(("s".to_owned(), 1)));
