Hand over in one place when the program is told to end

The turn that hears the signal handed over before the look of each turn did so again. The look stays, and what is said of the end follows it in the same turn. No change of what is done: the listener stops, then operators hear.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -431,21 +431,21 @@
             }
             self.share_if_beside();
             self.reload_if_asked(now, &mut inputs);
-            if leaving.is_none() && self.signals.end.load(Relaxed) {
+            let told = leaving.is_none() && self.signals.end.load(Relaxed);
+            if told {
                 leaving = Some(now);
                 self.core.answer_by(now + self.last_answer);
-                if self.beside == Some(Beside::Old) {
-                    self.clients.hand_over();
-                }
-                self.clients.not_ready();
-                // Told, to operators too, once it is so: whoever waits for that may ask at once.
-                tracing::info!("told to end: {} queries held", self.core.held());
             }
             if let Some(since) = leaving {
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
                 if self.beside == Some(Beside::Old) {
                     self.clients.hand_over();
                 }
+                if told {
+                    self.clients.not_ready();
+                    // Said, to operators too, once it is so: whoever waits for that may ask at once.
+                    tracing::info!("told to end: {} queries held", self.core.held());
+                }
                 let last = now.since(since) >= self.last_answer - LAST_TIME;
                 if last {
                     self.clients.leave_all();
