--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -22,13 +22,12 @@
     lock.lock().unwrap_or_else(|e| e.into_inner())
 }
 
-#[derive(Default)]
 struct Server {
     address: Option<SocketAddr>,
     ready: bool,
     idle: Vec<(TcpStream, Micros)>,
     busy: usize,
-    limiter: Option<Limiter>,
+    limiter: Limiter,
     /// What waits for others to end, the longest first.
     waiting: VecDeque<Driver>,
 }
@@ -37,18 +36,16 @@
 const MOST_WAITING: usize = 4;
 
 impl Server {
-    fn limiter(&mut self, rule: Rule) -> &mut Limiter {
-        self.limiter.get_or_insert_with(|| Limiter::new(rule))
+    /// One of which nothing is known yet.
+    fn new(rule: Rule) -> Self {
+        let limiter = Limiter::new(rule);
+        Server { address: None, ready: false, idle: Vec::new(), busy: 0, limiter, waiting: VecDeque::new() }
     }
 
     /// What waits and may begin now.
-    fn next(&mut self, rule: Rule, now: Micros) -> Vec<Driver> {
+    fn next(&mut self, now: Micros) -> Vec<Driver> {
         let mut next = Vec::new();
-        while !self.waiting.is_empty() && self.ready {
-            let busy = self.busy;
-            if !self.limiter(rule).room(busy, now) {
-                break;
-            }
+        while self.ready && self.limiter.room(self.busy, now) {
             let Some(driver) = self.waiting.pop_front() else { break };
             if !guard(&driver.slot).called_off {
                 self.busy += 1;
@@ -116,13 +113,12 @@
         let driver = {
             let mut state = guard(server);
             let address = state.address.filter(|_| state.ready).ok_or(Outcome::Moot)?;
-            let (busy, waiting) = (state.busy, state.waiting.len());
-            let limiter = state.limiter(self.rule);
+            let (limiter, waiting) = (&state.limiter, state.waiting.len());
             if limiter.held(now) || waiting >= MOST_WAITING * limiter.limit() {
                 // It wishes to be left alone, or more wait than it can serve in time: nothing was sent.
                 return Err(Outcome::Full);
             }
-            let begins = limiter.room(busy, now) && waiting == 0;
+            let begins = limiter.room(state.busy, now) && waiting == 0;
             let driver = Driver {
                 fetch: Fetch::new(visit.request(&address.to_string()), self.most_body),
                 visit,
@@ -136,7 +132,6 @@
                 clock: self.clock,
                 dial_timeout: self.dial_timeout,
                 idle_limit: self.idle_limit,
-                rule: self.rule,
                 bears: self.bears.clone(),
             };
             if begins {
@@ -164,7 +159,8 @@
 
 impl Upstream for Walks {
     fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
-        let server = self.servers.entry(replica).or_default();
+        let server =
+            self.servers.entry(replica).or_insert_with(|| Arc::new(Mutex::new(Server::new(self.rule))));
         let mut state = guard(server);
         let address = address.parse().ok();
         if state.address != address || !ready {
@@ -172,7 +168,7 @@
         }
         state.address = address;
         state.ready = ready;
-        let rate = state.limiter.as_ref().and_then(Limiter::rate).filter(|_| ready);
+        let rate = state.limiter.rate().filter(|_| ready);
         self.bears.told(replica, rate);
         // A server that drains gets nothing that has not begun.
         let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
@@ -224,7 +220,7 @@
             COUNTERS.links_idle_closed.add_n(before - state.idle.len());
             // Whoever was called off waits no more; and a server's wish to be left alone may be over.
             state.waiting.retain(|d| !guard(&d.slot).called_off);
-            let next = state.next(self.rule, now);
+            let next = state.next(now);
             drop(state);
             next.into_iter().for_each(begin);
         }
@@ -245,7 +241,6 @@
     clock: Clock,
     dial_timeout: Micros,
     idle_limit: Micros,
-    rule: Rule,
     bears: Arc<Bears>,
 }
 
@@ -285,18 +280,16 @@
         let mut server = guard(&self.server);
         let beside = server.busy;
         server.busy -= 1;
-        let limiter = server.limiter(self.rule);
-        limiter.ended(now, how, now.since(began), beside);
+        server.limiter.ended(now, how, now.since(began), beside);
         if let Some(seconds) = wish {
-            limiter.hold(now, Micros::from_secs(seconds));
+            server.limiter.hold(now, Micros::from_secs(seconds));
         }
-        let rate = limiter.rate();
-        self.bears.told(self.replica, rate.filter(|_| server.ready));
+        self.bears.told(self.replica, server.limiter.rate().filter(|_| server.ready));
         if let Some(stream) = stream.filter(|_| sound && server.ready) {
             guard(&self.slot).waker = None;
             server.idle.push((stream, now));
         }
-        let next = server.next(self.rule, now);
+        let next = server.next(now);
         drop(server);
         // The core passes over the end of an attempt that it called off.
         let _ = self.inbox.send(Input::Ended(self.key, end));
