Do once what a feature query did twice; drop what nothing used

A filtered query looked at its servers twice, a plain one worked out queryables that it never asked for, and a search's body was parsed up to five times. Parts are found again by the number they were asked under, so the catalog keeps no table of what numbers stand for, and one function gives all numbers out. Requests with a body to servers were never made. The base of the memory limits, and the lock, are each one piece.

--- a/fuzz/fuzz_targets/query.rs
+++ b/fuzz/fuzz_targets/query.rs
@@ -2,7 +2,7 @@
 #![no_main]
 use libfuzzer_sys::fuzz_target;
 use quinceflow::front::ogc::cql2::Queryables;
-use quinceflow::front::ogc::params::{form_urlencoded, format, read, read_search, Known};
+use quinceflow::front::ogc::params::{form_urlencoded, format, read, read_search, search_body, Known};
 
 fuzz_target!(|text: &str| {
     let queryables = Queryables::unknown();
@@ -11,6 +11,8 @@
         assert!((1..=100).contains(&params.limit));
         assert!(params.bbox.iter().flatten().all(|n| n.is_finite()));
     }
-    let _ = read_search(text.as_bytes(), |_| Some(Queryables::unknown()), (10, 100));
+    if let Ok(body) = search_body(text.as_bytes()) {
+        let _ = read_search(&body, |_| Some(Queryables::unknown()), (10, 100));
+    }
     let _ = format(None, Some(text));
 });
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -5,6 +5,7 @@
 use crate::interface::{ListKind, MemberState, ShardId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::Hash;
 
 /// Other holders of a shard that are told apart: numbers grow with the square of the holders.
 const MOST_OTHERS: usize = 8;
@@ -24,12 +25,23 @@
     pinned_now: HashSet<ShardId>,
     /// A shard anywhere but at one server, by its name: where a shard broke off, it is begun anew elsewhere.
     without: HashMap<(ShardId, String), ShardId>,
-    /// Of each number the shard that it stands for at some of its servers, if it does.
-    pinned: Vec<Option<ShardId>>,
     /// The servers by their addresses: name and state.
     places: HashMap<String, (String, MemberState)>,
 }
 
+/// The number of a share, or of a share at some of its servers; a new one if it has none yet.
+fn number<K: Eq + Hash>(
+    numbers: &mut HashMap<K, ShardId>,
+    key: K,
+    shares: &mut Vec<Share>,
+    share: &Share,
+) -> ShardId {
+    *numbers.entry(key).or_insert_with(|| {
+        shares.push(share.clone());
+        ShardId(shares.len() as u32 - 1)
+    })
+}
+
 impl Catalog {
     /// Takes an inventory in and tells the core's view of it. A server that appears or comes back after the first
     /// inventory counts as just started.
@@ -46,18 +58,14 @@
         for server in servers {
             let mut shards = Vec::new();
             for share in &server.shares {
-                let fresh = ShardId(self.shares.len() as u32);
-                let shard = *self.numbers.entry(share.clone()).or_insert(fresh);
-                if shard == fresh {
-                    self.shares.push(share.clone());
-                    self.pinned.push(None);
-                }
-                let pin = self.pin(shard, share, &server.name);
+                let shard = number(&mut self.numbers, share.clone(), &mut self.shares, share);
+                let at = |server: &Server| (shard, server.name.clone());
+                let pin = number(&mut self.pins, at(server), &mut self.shares, share);
                 self.pinned_now.insert(pin);
                 shards.extend([shard, pin]);
                 let others = servers.iter().filter(|s| s.name != server.name && s.shares.contains(share));
                 for other in others.take(MOST_OTHERS) {
-                    shards.push(self.without(shard, share, &other.name));
+                    shards.push(number(&mut self.without, at(other), &mut self.shares, share));
                 }
                 if server.state != MemberState::Gone {
                     let live = self.live.entry(share.collection.clone()).or_default();
@@ -102,27 +110,6 @@
         self.live.get(collection).map(Vec::as_slice)
     }
 
-    fn pin(&mut self, shard: ShardId, share: &Share, server: &str) -> ShardId {
-        let fresh = ShardId(self.shares.len() as u32);
-        let pin = *self.pins.entry((shard, server.to_owned())).or_insert(fresh);
-        self.stand_in(pin == fresh, shard, share);
-        pin
-    }
-
-    fn without(&mut self, shard: ShardId, share: &Share, server: &str) -> ShardId {
-        let fresh = ShardId(self.shares.len() as u32);
-        let number = *self.without.entry((shard, server.to_owned())).or_insert(fresh);
-        self.stand_in(number == fresh, shard, share);
-        number
-    }
-
-    fn stand_in(&mut self, fresh: bool, shard: ShardId, share: &Share) {
-        if fresh {
-            self.shares.push(share.clone());
-            self.pinned.push(Some(shard));
-        }
-    }
-
     /// The number of a shard anywhere but at the server of this address, if another one that takes new work holds it.
     pub fn elsewhere(&self, shard: ShardId, address: &str) -> Option<ShardId> {
         let (name, _) = self.places.get(address)?;
@@ -145,11 +132,6 @@
         holders
     }
 
-    /// The shard that a number pins to a server.
-    pub fn pinned_of(&self, shard: ShardId) -> Option<ShardId> {
-        self.pinned.get(shard.0 as usize).copied().flatten()
-    }
-
     /// The name of the server at an address.
     pub fn name_at(&self, address: &str) -> Option<&str> {
         self.places.get(address).map(|p| p.0.as_str())
--- a/src/front/ogc/cql2/json.rs
+++ b/src/front/ogc/cql2/json.rs
@@ -12,7 +12,12 @@
 /// Reads a filter from JSON text.
 pub fn read_json(text: &str) -> Read<Filter> {
     let json: Json = serde_json::from_str(text).map_err(|e| FilterError(e.to_string()))?;
-    filter(&json, 1)?.bounded()
+    from_json(&json)
+}
+
+/// Reads a filter from JSON that is parsed already.
+pub fn from_json(json: &Json) -> Read<Filter> {
+    filter(json, 1)?.bounded()
 }
 
 fn deep(depth: usize) -> Read<()> {
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -14,7 +14,7 @@
 pub use check::{check, Kind, Queryables};
 pub use eval::{Feature, Matcher};
 pub use geometry::{envelope, read_geojson};
-pub use json::{read_json, to_json};
+pub use json::{from_json, read_json, to_json};
 pub use split::{split, Able, Split};
 pub use text::{flat, read_text};
 
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -40,7 +40,7 @@
     pub collection: String,
     /// The query string as it came; of a search its body is in `search`.
     pub query: String,
-    pub search: Option<Vec<u8>>,
+    pub search: Option<serde_json::Value>,
     pub params: Params,
     pub html: bool,
 }
@@ -62,8 +62,8 @@
     pub shards: Vec<(ShardId, String)>,
     plans: Vec<Plan>,
     mode: Mode,
-    /// What was asked in the round under way.
-    out: Vec<(usize, usize, Arc<Visit>)>,
+    /// What was asked in the round under way, and under which number.
+    out: Vec<(ShardId, Ask, Arc<Visit>)>,
     before: Option<Cursor>,
     _pages: PagesTaken,
     bytes: Arc<BytesTaken>,
@@ -215,17 +215,15 @@
                 return Ok(Reaction::Respond(response));
             }
         };
-        if asked.params.filter.is_none() && asked.params.sortby.is_empty() {
-            let plans = vec![Plan::default(); shards.len()];
-            return Ok(Items::start(shared, asker, asked, shards, plans, (from, before), taken));
-        }
-        let of = shards.clone();
-        Ok(learned(shared, asker.clone(), &of, move |shared| {
-            let after = before.as_ref().and_then(|c| c.after.clone());
+        // Whoever asks for a filter or an order has looked at what servers can do.
+        let plans = if asked.params.filter.is_none() && asked.params.sortby.is_empty() {
+            vec![Plan::default(); shards.len()]
+        } else {
+            let after = before.as_ref().and_then(|c| c.after.as_deref());
             let kept = before.as_ref().filter(|c| c.link.is_some()).map(|c| (from.shard, c.kept));
-            let plans = plans(&shared, &asked.params, &shards, after.as_deref(), kept);
-            Items::start(shared, asker, asked, shards, plans, (from, before), taken)
-        }))
+            plans(&shared, &asked.params, &shards, after, kept)
+        };
+        Ok(Items::start(shared, asker, asked, shards, plans, (from, before), taken))
     }
 
     fn start(
@@ -272,9 +270,9 @@
         let mut gone = Vec::new();
         for ask in asks {
             match self.visit(&ask) {
-                Some((shard, visit)) => {
-                    parts.push((shard, visit.clone()));
-                    self.out.push((ask.shard, ask.size, visit));
+                Some((number, visit)) => {
+                    parts.push((number, visit.clone()));
+                    self.out.push((number, ask, visit));
                 }
                 None => gone.push((ask.shard, ask.size, None)),
             }
@@ -317,15 +315,13 @@
         let mut came = gone;
         match answer {
             Answer::Served { parts, .. } => {
-                // Pinned or not, a part stands for the one shard that was asked in its place.
-                let mut values = parts.into_iter().peekable();
-                for (at, size, visit) in out {
-                    let value = values.next_if(|v| self.shared.stands_for(v.0, self.shards[at].0));
+                for (number, ask, visit) in out {
+                    let value = parts.iter().find(|p| p.0 == number);
                     let page = value.and_then(|v| visit.page(&v.1));
                     if let Some(page) = &page {
-                        self.shared.admission().page(page.body.len(), page.given, size);
+                        self.shared.admission().page(page.body.len(), page.given, ask.size);
                     }
-                    came.push((at, size, page));
+                    came.push((ask.shard, ask.size, page));
                 }
                 self.came(came, None)
             }
@@ -333,7 +329,7 @@
             // Refused for load: no shard is missing, there was just no room to ask.
             Answer::Refused { late: false, .. } if !out.iter().any(|o| o.2.tried()) => self.end(Some(answer)),
             answer => {
-                came.extend(out.into_iter().map(|(at, size, _)| (at, size, None)));
+                came.extend(out.into_iter().map(|(_, ask, _)| (ask.shard, ask.size, None)));
                 self.came(came, Some(answer))
             }
         }
@@ -463,16 +459,15 @@
     let ordered = (!params.sortby.is_empty()).then_some(edge.most_pages);
     let cost = Cost::of(params.limit, edge.page_size, shards, edge.at_once, weight, ordered);
     let aim = Micros::from_millis(edge.classes[asker.class].aim_ms).min(asker.patience);
-    let bytes = if edge.limits.admission {
-        shared.admission().admit(cost, aim, shared.bears.rate()).map_err(|refusal| {
+    let (cost, bytes) = if edge.limits.admission {
+        let admitted = shared.admission().admit(cost, aim, shared.bears.rate());
+        let bytes = admitted.map_err(|refusal| {
             COUNTERS.over_cost.add();
             render::refused(Some(refusal.come_back))
-        })?
+        })?;
+        (cost, bytes)
     } else {
-        return Ok((
-            PagesTaken(shared.clone(), Cost { pages: 0.0, held: 0.0 }),
-            Arc::new(BytesTaken(shared.clone(), 0.0)),
-        ));
+        (Cost { pages: 0.0, held: 0.0 }, 0.0)
     };
     Ok((PagesTaken(shared.clone(), cost), Arc::new(BytesTaken(shared.clone(), bytes))))
 }
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -1,4 +1,4 @@
-//! OGC API – Features, Part 1 Core, and a drawn area as a CQL2 filter.
+//! OGC API – Features: Parts 1, 2, 3 and 5, with CQL2 filters, orders and selections.
 //!
 //! A query for features is answered in rounds: each asks pages of some shards, a part a page. Which pages those are is
 //! decided in [`paging`]; which server is asked, whether again, and what is refused, by the module.
@@ -27,7 +27,7 @@
 use super::{Front, Reaction};
 use crate::core::{Figures, Tally, Token, COUNTERS};
 use crate::interface::ShardId;
-use crate::limits::{Admission, Bears};
+use crate::limits::{Admission, Bears, BASE_MEMORY};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
 use config::Edge;
@@ -44,17 +44,15 @@
 /// Longest feature id passed on.
 const MOST_ID: usize = 512;
 
-/// What the process needs before it has a client.
-const BASE_MEMORY: usize = 16 * 1024 * 1024;
-/// Share of the rest that answers may hold; a third is for what clients send.
+/// Share of the memory beyond the base that answers may hold; a third is for what clients send.
 const ANSWERS_SHARE: f64 = 0.45;
 
 /// The catalog as the front, the driver and a reload share it.
 pub type SharedCatalog = Arc<Mutex<Catalog>>;
 
-/// Locks the catalog.
-pub fn lock(catalog: &SharedCatalog) -> MutexGuard<'_, Catalog> {
-    catalog.lock().unwrap_or_else(|e| e.into_inner())
+/// Locks what is shared here. Nothing panics while it holds a lock; if something did, the state is still whole.
+pub fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(|e| e.into_inner())
 }
 
 /// What all queries of this front share.
@@ -70,11 +68,11 @@
 
 impl Shared {
     fn admission(&self) -> MutexGuard<'_, Admission> {
-        self.admission.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.admission)
     }
 
     fn learned(&self) -> MutexGuard<'_, Learned> {
-        self.learned.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.learned)
     }
 
     /// What the operator says can be asked of a collection.
@@ -90,11 +88,6 @@
     fn same_order(&self, collection: &str) -> bool {
         self.edge.collections.iter().any(|c| c.id == collection && c.same_order)
     }
-
-    /// Is the one shard asked the other, or that one at a certain server?
-    fn stands_for(&self, asked: ShardId, shard: ShardId) -> bool {
-        asked == shard || lock(&self.catalog).pinned_of(asked) == Some(shard)
-    }
 }
 
 /// The front for feature queries.
@@ -195,7 +188,11 @@
                 let (collection, query, of) = (id.to_owned(), query.to_owned(), shards.clone());
                 let own = asker.clone();
                 let begin = move |shared: Arc<Shared>| {
-                    let queryables = items::queryables(&shared, &collection, &shards);
+                    // Plain parameters mean the same whatever can be asked.
+                    let queryables = match plain {
+                        true => Queryables::unknown(),
+                        false => items::queryables(&shared, &collection, &shards),
+                    };
                     let (default_limit, most_limit) = (shared.edge.default_limit, shared.edge.most_limit);
                     let known = params::Known { default_limit, most_limit, queryables: &queryables };
                     let params = params::read(&pairs, &known).map_err(|e| (400, e))?;
@@ -264,10 +261,11 @@
         if !kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("application/json") {
             return Err((415, "Content-Type: application/json is needed".to_owned()));
         }
-        let collection = params::searched(&request.body).map_err(|e| (400, e))?;
+        let body = params::search_body(&request.body).map_err(|e| (400, e))?;
+        let collection = params::searched(&body).map_err(|e| (400, e))?;
         let shards = self.find(&collection)?;
         let asker = self.asker(request, token, sent)?;
-        let (body, of, own) = (request.body.clone(), shards.clone(), asker.clone());
+        let (of, own) = (shards.clone(), asker.clone());
         let begin = move |shared: Arc<Shared>| {
             let known = |id: &str| Some(items::queryables(&shared, id, &shards));
             let most = (shared.edge.default_limit, shared.edge.most_limit);
--- a/src/front/ogc/params.rs
+++ b/src/front/ogc/params.rs
@@ -135,9 +135,13 @@
     Ok(params)
 }
 
+/// The body of a search as JSON.
+pub fn search_body(body: &[u8]) -> Result<Json, String> {
+    serde_json::from_slice(body).map_err(|e| format!("the body: {e}"))
+}
+
 /// The collection that the body of a search names.
-pub fn searched(body: &[u8]) -> Result<String, String> {
-    let json: Json = serde_json::from_slice(body).map_err(|e| format!("the body: {e}"))?;
+pub fn searched(json: &Json) -> Result<String, String> {
     let collections = json["collections"].as_array().ok_or("collections: a list of one is needed")?;
     match collections.as_slice() {
         [Json::String(one)] => Ok(one.clone()),
@@ -147,13 +151,12 @@
 
 /// Reads the body of a search (STAC API, Item Search, `POST /search`): the collection and its parameters.
 pub fn read_search(
-    body: &[u8],
+    json: &Json,
     known: impl Fn(&str) -> Option<Queryables>,
     most: (usize, usize),
 ) -> Result<(String, Params), String> {
-    let json: Json = serde_json::from_slice(body).map_err(|e| format!("the body: {e}"))?;
     let members = json.as_object().ok_or("the body is no JSON object")?;
-    let collection = searched(body)?;
+    let collection = searched(json)?;
     let queryables = known(&collection).ok_or_else(|| format!("there is no collection {collection:?}"))?;
     let known = Known { default_limit: most.0, most_limit: most.1, queryables: &queryables };
     let mut params = Params::plain(&known);
@@ -179,7 +182,7 @@
             "filter" => {
                 let read = match value.as_str() {
                     Some(text) => cql2::read_text(text),
-                    None => cql2::read_json(&value.to_string()),
+                    None => cql2::from_json(value),
                 };
                 let mut filter = read.map_err(|e| format!("filter: {e}"))?;
                 prepare(&mut filter, filter_crs, known.queryables)?;
@@ -462,8 +465,8 @@
 
     #[test]
     fn a_search_says_the_same_in_its_body() {
-        let search =
-            |body: &str| read_search(body.as_bytes(), |name| (name == "devices").then(closed), (10, 50));
+        let known = |name: &str| (name == "devices").then(closed);
+        let search = |body: &str| read_search(&search_body(body.as_bytes())?, known, (10, 50));
         let body = r#"{"collections":["devices"],"limit":5,"bbox":[0,0,9,9],"filter-lang":"cql2-json",
             "filter":{"op":">","args":[{"property":"volts"},1]},"sortby":[{"field":"properties.volts","direction":"desc"}]}"#;
         let (collection, params) = search(body).expect("good");
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -400,7 +400,8 @@
         Some(body) => {
             let href = format!("{}/search", asked.base);
             links.push(json!({"rel": "self", "href": href, "method": "POST", "type": GEOJSON}));
-            if let (Some(cursor), Ok(mut body)) = (&ready.next, serde_json::from_slice::<Json>(body)) {
+            if let Some(cursor) = &ready.next {
+                let mut body = body.clone();
                 body["token"] = cursor.as_str().into();
                 links.push(
                     json!({"rel": "next", "href": href, "method": "POST", "type": GEOJSON, "body": body}),
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -1,5 +1,6 @@
 //! What is asked of a feature server in one attempt, and what its response comes to.
 
+use super::lock;
 use super::paging::Page;
 use crate::core::{End, Value};
 use crate::interface::Outcome;
@@ -35,8 +36,6 @@
     pub kind: Kind,
     /// Path and query.
     pub target: String,
-    /// A JSON body, and with it POST in place of GET.
-    pub body: Option<Vec<u8>>,
     /// What is filtered here.
     pub sieve: Option<Sieve>,
     /// A server was, or was to be, asked.
@@ -48,28 +47,18 @@
 impl Visit {
     /// A visit that has not been made.
     pub fn new(kind: Kind, target: String) -> Self {
-        Visit { kind, target, body: None, sieve: None, tried: AtomicBool::new(false), came: Mutex::default() }
+        Visit { kind, target, sieve: None, tried: AtomicBool::new(false), came: Mutex::default() }
     }
 
     fn came(&self) -> MutexGuard<'_, Vec<Arc<Page>>> {
-        self.came.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.came)
     }
 
     /// The request as it is written.
     pub fn request(&self, host: &str) -> Vec<u8> {
         self.tried.store(true, Relaxed);
-        let method = if self.body.is_some() { "POST" } else { "GET" };
-        let mut text = format!(
-            "{method} {} HTTP/1.1\r\nHost: {host}\r\nAccept: application/geo+json, application/json\r\n",
-            self.target
-        );
-        if let Some(body) = &self.body {
-            text.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len()));
-        }
-        text.push_str("\r\n");
-        let mut bytes = text.into_bytes();
-        bytes.extend(self.body.iter().flatten());
-        bytes
+        let head = "Accept: application/geo+json, application/json\r\n";
+        format!("GET {} HTTP/1.1\r\nHost: {host}\r\n{head}\r\n", self.target).into_bytes()
     }
 
     /// A server was tried: a refusal is not for want of room, but since none could answer.
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -14,6 +14,9 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 
+/// Memory that every process of this program needs before it has a client, in bytes: limits share out the rest.
+pub const BASE_MEMORY: usize = 16 * 1024 * 1024;
+
 /// What all servers together bear, as the driver sees it and the front asks.
 #[derive(Debug, Default)]
 pub struct Bears(Mutex<HashMap<ReplicaId, f64>>);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,6 +3,7 @@
 use super::{spawn, try_read, try_write, Tried};
 use crate::core::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
+use crate::limits::BASE_MEMORY;
 use crate::proto::http::{HttpError, Server};
 use crate::time::{Clock, Micros};
 use may::io::{CoIo, WaitIo, WaitIoWaker};
@@ -33,9 +34,6 @@
 const MOST_ANSWER: Micros = Micros::from_secs(15);
 /// The pause when no connection can be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// Memory that every process of this program needs before it has a client: a share of the rest is for what clients
-/// have sent.
-const BASE_MEMORY: usize = 16 * 1024 * 1024;
 
 /// What client connections may take of the process, by its limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
