Derive what paging kept twice; share the link of a page with the ordered merge

Whether an answer has ended follows from its place; when a look is thrown away is one decision after the other; a page knows its link. No change of what is done; tests keep their assertions.

--- a/lab/src/conform/core.rs
+++ b/lab/src/conform/core.rs
@@ -368,7 +368,7 @@
     found.ok_or_else(|| Stop::Failed(format!("the API has no parameter {name}")))
 }
 
-fn linked(json: &Json, rel: &str) -> Option<String> {
+pub(super) fn linked(json: &Json, rel: &str) -> Option<String> {
     let links = json["links"].as_array()?;
     links.iter().find(|l| l["rel"] == rel)?["href"].as_str().map(str::to_owned)
 }
--- a/lab/src/conform/filters.rs
+++ b/lab/src/conform/filters.rs
@@ -1,6 +1,6 @@
 //! Part 3 and CQL2: what filters must give is worked out here from the features themselves.
 
-use super::core::{middle, parameter, point};
+use super::core::{linked, middle, parameter, point};
 use super::{hold, Check, Stop, Suite};
 use serde_json::{json, Value as Json};
 
@@ -12,9 +12,7 @@
     ("/req/queryables/queryables-link", "ogcapi-features-3/1.0/conf/queryables", |s| {
         let json = s.json(&format!("/collections/{}", s.collection))?;
         let rel = "http://www.opengis.net/def/rel/ogc/1.0/queryables";
-        hold(json["links"].as_array().is_some_and(|l| l.iter().any(|l| l["rel"] == rel)), || {
-            "no link to the queryables".to_owned()
-        })
+        hold(linked(&json, rel).is_some(), || "no link to the queryables".to_owned())
     }),
     ("/req/queryables/get-queryables-response", "ogcapi-features-3/1.0/conf/queryables", |s| {
         let path = format!("/collections/{}/queryables", s.collection);
--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -94,7 +94,7 @@
             Err(e) => {
                 let why = e.message().to_owned();
                 let span = e.span().unwrap_or(0..0);
-                let line = left[..span.start.min(left.len())].matches('\n').count() + 1;
+                let line = line_at(&left, &span);
                 faults.push((line, why.clone()));
                 // What is missing can't be blanked; an unfinished table hides the rest.
                 if span.is_empty() || why.starts_with("missing field") || !mend(&mut left, line) {
@@ -115,7 +115,7 @@
     let before = text[start..end].to_owned();
     let still = |text: &str| match toml::from_str::<Edge>(text) {
         Ok(_) => false,
-        Err(e) => text[..e.span().map_or(0, |s| s.start).min(text.len())].matches('\n').count() + 1 == line,
+        Err(e) => line_at(text, &e.span().unwrap_or(0..0)) == line,
     };
     if let Some((key, _)) = before.split_once('=') {
         for value in ["1", "1.0", "\"x\"", "\"127.0.0.1:0\"", "true", "[]"] {
@@ -133,6 +133,11 @@
     !before.trim().is_empty()
 }
 
+/// The line in which a stretch of a text begins, from 1.
+fn line_at(text: &str, span: &std::ops::Range<usize>) -> usize {
+    text[..span.start.min(text.len())].matches('\n').count() + 1
+}
+
 /// The first line that holds this outside of a comment; 1 if none does.
 fn line_with(text: &str, what: &str) -> usize {
     let holds = |l: &str| l.split('#').next().unwrap_or_default().contains(what);
--- a/src/front/ogc/paging.rs
+++ b/src/front/ogc/paging.rs
@@ -38,6 +38,14 @@
     pub matched: Option<u64>,
 }
 
+impl Page {
+    /// Where its shard is gone on with after it; its pages hold what this one holds, whatever was asked for.
+    pub fn link(&self) -> Option<Place> {
+        let target = self.next.as_deref()?.into();
+        Some(Place::Link { server: self.server.clone(), target, size: self.given.max(1) })
+    }
+}
+
 /// Where a shard is gone on with.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Place {
@@ -138,8 +146,6 @@
     bytes: usize,
     pages: usize,
     ahead: usize,
-    /// Everything up to the end is in.
-    ended: bool,
     hasher: RandomState,
     /// The features of the present shard, and how much was in the answer when it was begun; `None`: in an earlier one.
     ids: HashSet<u64>,
@@ -166,7 +172,6 @@
             bytes: 0,
             pages: 0,
             ahead: FIRST_AHEAD,
-            ended: shards == 0,
             hasher: RandomState::new(),
             ids: HashSet::new(),
             begun: (from.place == Place::Start && from.skip == 0).then_some((0, 0)),
@@ -194,7 +199,7 @@
     /// The pages wanted next; none if a page that is here must be used first.
     pub fn asks(&self) -> Vec<Ask> {
         let mut asks = Vec::new();
-        if self.ended {
+        if self.at_end() {
             return asks;
         }
         let here = self.at.shard;
@@ -262,7 +267,6 @@
             let shards = self.seen.len();
             let here = self.at.shard;
             if here >= shards {
-                self.ended = true;
                 return Step::Done;
             }
             if self.seen[here].missing && self.begin_anew() {
@@ -287,13 +291,13 @@
                 let look = (size as f64) < LOOK * self.start_size(need) as f64;
                 let filled = self.count as f64 >= SHORT_ENOUGH * self.wanted.limit as f64;
                 let small = size < self.start_size(self.wanted.limit);
-                if look || need == 0 || (small && filled) {
-                    // Begun anew, in pages that fit: by this answer, or by the next one.
-                    if look && need > 0 && !(small && filled) {
-                        return self.wants_more();
-                    }
+                // Begun anew, in pages that fit: by the next answer, or by this one.
+                if need == 0 || (small && filled) {
                     return Step::Done;
                 }
+                if look {
+                    return self.wants_more();
+                }
             }
             // A page that is read again may be shorter than it was: the next one has the rest of what was given.
             let skip = self.at.skip.min(page.features.len());
@@ -310,14 +314,10 @@
                 self.at.skip = used;
                 return Step::Done;
             }
-            match &page.next {
+            match page.link() {
                 None => self.next_shard(),
-                Some(target) => {
-                    // What its pages hold, whatever was asked for.
-                    let size = page.given.max(1);
-                    let link =
-                        Place::Link { server: page.server.clone(), target: target.as_str().into(), size };
-                    if !self.links.insert(self.hasher.hash_one((here, &page.server, target))) {
+                Some(link) => {
+                    if !self.links.insert(self.hasher.hash_one((here, &page.server, &page.next))) {
                         // It leads in a circle: what is in is all that can be had of this shard.
                         self.seen[here].missing = true;
                         continue;
@@ -428,7 +428,7 @@
 
     /// Where the next answer begins; `None` after the last feature.
     pub fn next(&self) -> Option<&Position> {
-        (!self.at_end() && !self.ended).then_some(&self.at)
+        (!self.at_end()).then_some(&self.at)
     }
 
     /// How many match in all: only where every server told it, or gave all it has.
--- a/src/front/ogc/ranking.rs
+++ b/src/front/ogc/ranking.rs
@@ -197,11 +197,7 @@
             for feature in &page.features {
                 self.put(at, &page.body[feature.clone()]);
             }
-            let next = page.next.as_ref().map(|target| Place::Link {
-                server: page.server.clone(),
-                target: target.as_str().into(),
-                size: page.given.max(1),
-            });
+            let next = page.link();
             let shard = &mut self.shards[at];
             // A link that leads to where it stands would never end.
             let circle = next.is_some() && next == shard.place;
--- a/src/proto/body.rs
+++ b/src/proto/body.rs
@@ -63,10 +63,8 @@
     pub fn append(&mut self, mut other: Body) {
         debug_assert_eq!(other.gone, 0, "only whole bodies are joined");
         // The first piece is joined to what is here, so that a small answer is one write.
-        if let Some(Piece::Own(first)) = other.pieces.front() {
-            if first.len() <= JOINED {
-                let first = first.clone();
-                other.pieces.pop_front();
+        if matches!(other.pieces.front(), Some(Piece::Own(first)) if first.len() <= JOINED) {
+            if let Some(Piece::Own(first)) = other.pieces.pop_front() {
                 other.length -= first.len();
                 self.push(&first);
             }
--- a/tests/paging.rs
+++ b/tests/paging.rs
@@ -25,6 +25,19 @@
     ))
 }
 
+/// One of two replicas, which answers with errors while it is away.
+fn replica(
+    away: &Arc<AtomicBool>,
+    ids: std::ops::Range<usize>,
+    order: impl Fn(usize) -> usize + Send + 'static,
+) -> Server {
+    let away = away.clone();
+    Server::start(move |target| match away.load(Relaxed) {
+        true => Reply::Status(500),
+        false => page(target, &ids, &order),
+    })
+}
+
 fn server(ids: std::ops::Range<usize>) -> Server {
     Server::start(move |target| page(target, &ids, &|n| n))
 }
@@ -78,14 +91,8 @@
 fn each_feature_comes_once_though_replicas_differ_a_server_leaves_and_the_inventory_is_read_anew() {
     // Two replicas in opposite orders, each gone for a while in turn: what one began the other cannot go on with.
     let away: [Arc<AtomicBool>; 2] = Default::default();
-    let replica = |n: usize| {
-        let away = away[n].clone();
-        Server::start(move |target| match away.load(Relaxed) {
-            true => Reply::Status(500),
-            false => page(target, &(0..2_000), &|at| if n == 0 { at } else { 1_999 - at }),
-        })
-    };
-    let (a, b, other) = (replica(0), replica(1), server(5_000..6_000));
+    let (a, b) = (replica(&away[0], 0..2_000, |at| at), replica(&away[1], 0..2_000, |at| 1_999 - at));
+    let other = server(5_000..6_000);
     let rows =
         row("a", &a, "devices/n", "") + &row("b", &b, "devices/n", "") + &row("c", &other, "devices/s", "");
     let edge = Edge::start("differ", "retry_after_ms = 50", &rows);
@@ -131,14 +138,7 @@
 #[test]
 fn where_all_servers_have_one_order_another_goes_on() {
     let away: [Arc<AtomicBool>; 2] = Default::default();
-    let replica = |n: usize| {
-        let away = away[n].clone();
-        Server::start(move |target| match away.load(Relaxed) {
-            true => Reply::Status(500),
-            false => page(target, &(0..1_000), &|at| at),
-        })
-    };
-    let (a, b) = (replica(0), replica(1));
+    let [a, b] = [0, 1].map(|n| replica(&away[n], 0..1_000, |at| at));
     let rows = row("a", &a, "devices/n", "") + &row("b", &b, "devices/n", "");
     let settings = "[[collection]]\nid = \"devices\"\nsame_order = true\n";
     let edge = Edge::start("order", settings, &rows);
