Measure the memory of each answer, each with a program of its own

The issue asks for memory per answer; the measurement gave memory only for the whole run. Each query now starts a program of its own, warmed by one read, and reports how far that answer raised its most resident memory.

--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -78,11 +78,8 @@
 
 /// Requests, bytes and time of an answer, and of all answers over `next`.
 fn answers(plan: &Plan, bed: &Bed, text: &mut String) -> Result<()> {
-    let _ = writeln!(text, "| program | query | status | features | requests to servers | KiB read | ms |\n| --- | --- | --- | --- | --- | --- | --- |");
+    let _ = writeln!(text, "| program | query | status | features | requests to servers | KiB read | KiB more memory | ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (name, program) in &plan.programs {
-        let edge = start(program, bed, ROOM, CLASSES)?;
-        let mut client = Client::new(edge.address);
-        client.patience = Duration::from_secs(60);
         let queries = [
             ("limit=2", "/collections/devices/items?limit=2"),
             ("limit=100", "/collections/devices/items?limit=100"),
@@ -92,20 +89,28 @@
             ("sortby=-volts, limit=100", "/collections/devices/items?limit=100&sortby=-volts"),
         ];
         for (what, target) in queries {
-            let before = bed.asked();
+            // A program of its own for each, so that its most memory is this answer's; the first answer warms it.
+            let edge = start(program, bed, ROOM, CLASSES)?;
+            let mut client = Client::new(edge.address);
+            client.get("/collections/devices/items/d00001")?;
+            let (before, resident) = (bed.asked(), edge.memory("VmHWM").unwrap_or(0));
             let began = std::time::Instant::now();
             let answer = client.get(target)?;
             let ms = began.elapsed().as_secs_f64() * 1e3;
             let after = bed.asked();
             let _ = writeln!(
                 text,
-                "| {name} | {what} | {} | {} | {} | {} | {ms:.1} |",
+                "| {name} | {what} | {} | {} | {} | {} | {} | {ms:.1} |",
                 answer.status,
                 answer.ids().len(),
                 after.0 - before.0,
-                (after.1 - before.1) / 1024
+                (after.1 - before.1) / 1024,
+                edge.memory("VmHWM").unwrap_or(0).saturating_sub(resident)
             );
         }
+        let edge = start(program, bed, ROOM, CLASSES)?;
+        let mut client = Client::new(edge.address);
+        client.patience = Duration::from_secs(60);
         for limit in [500, 5_000] {
             let (before, began) = (bed.asked(), std::time::Instant::now());
             let (mut at, mut count, mut answers) =
@@ -121,12 +126,12 @@
             let after = bed.asked();
             let _ = writeln!(
                 text,
-                "| {name} | all by next, limit={limit} ({answers} answers) | 200 | {count} | {} | {} | {:.0} |",
-                after.0 - before.0, (after.1 - before.1) / 1024, began.elapsed().as_secs_f64() * 1e3
+                "| {name} | all by next, limit={limit} ({answers} answers) | 200 | {count} | {} | {} | {} | {:.0} |",
+                after.0 - before.0, (after.1 - before.1) / 1024, edge.memory("VmHWM").unwrap_or(0), began.elapsed().as_secs_f64() * 1e3
             );
         }
     }
-    text.push('\n');
+    text.push_str("\nMemory of `all by next` is all that the program had resident at most.\n\n");
     Ok(())
 }
 
