Answer a query whose parts are all in, whatever rounding left of their weights

The lines to blame: `finish` in src/rules.rs gave up an answer silently when the weight in was under the floor by more than 0.000001, though all parts were in; nothing could ever come to fill it, and `step` took the query for answered. With ten nodes a query has seven parts and the sum is near enough to 1. The change: with all parts in the weight is not asked.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -762,9 +762,8 @@
         if !allowed {
             return;
         }
-        let (part, class, shard) = (p.id, q.class, p.shard.0 as usize);
+        let (part, class, shard, now) = (p.id, q.class, p.shard.0 as usize, self.now);
         let attempt = AttemptNo(p.attempts.len() as u16);
-        let now = self.now;
         let horizon = self.set.cold.map_or(0, |c| now.saturating_sub(c.span));
         let fresh = now.saturating_sub(self.least_aim / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
@@ -807,11 +806,12 @@
                 let weight = q.weight_in();
                 let second = q.stage == Stage::Second;
                 let floor = if second { c.floor } else { c.floor.min(c.need) };
-                if weight + 1e-6 < floor || (second && c.floor >= c.need && !q.complete(false)) {
+                // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
+                let all = q.complete(false);
+                if !all && (weight + 1e-6 < floor || (second && c.floor >= c.need)) {
                     return;
                 }
-                let enough = q.complete(false) || (!second && weight + 1e-6 >= c.need);
-                let whole = enough && q.first.is_none_or(|f| f.1);
+                let whole = (all || (!second && weight + 1e-6 >= c.need)) && q.first.is_none_or(|f| f.1);
                 actions.push(Action::Answer { query: q.id, whole });
                 if q.first.is_none() {
                     q.first = Some((self.now, whole));
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -453,3 +453,14 @@
     let cancel = Action::Cancel { part: parts[0], attempt: AttemptNo(0) };
     assert!(bench.wait(400 * MS).contains(&cancel));
 }
+
+#[test]
+fn a_query_is_answered_whole_when_all_its_parts_are_in_however_their_weights_were_rounded() {
+    // 35 parts of 0.02857 each come to 0.99995: nothing is missing, and nothing better will ever come.
+    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let parts: Vec<PartId> = (2..37).map(PartId).collect();
+    let part = |p: &PartId| Event::Part { part: *p, group: Group(1), shard: ShardId(0), weight: 0.028_57 };
+    bench.tell(std::iter::once(query_event(1, 0, 0, 3 * S)).chain(parts.iter().map(part)).collect());
+    let answers: Vec<Action> = parts.iter().flat_map(|p| bench.end(*p, 0, Outcome::Ok, 10 * MS)).collect();
+    assert_eq!(finals(&answers), vec![Action::Answer { query: QueryId(1), whole: true }]);
+}
