Send no probes before a query; let old silence and old slow answers refuse nobody

The lines to blame, `wait_at` in src/rules.rs: - `per_part * (flights + 1)` had no bound: one query of 200 late parts set it past the aim, every query was refused for what its own parts would cost, and with nothing sent nothing mended it. It is bounded like the pace that is remembered. - only one part of a class that can go again was a trial at a struck node. When a trial is due the classes with parts to spare make it, and the others may go there after anything better.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,7 +26,7 @@
 const MOST_READINGS: f64 = 200.0;
 /// Least share of high-worth queries sampled: the document's.
 const LEAST_SAMPLE: f64 = 0.2;
-/// Period of the controller, in ticks; open queries are looked at, and probes awaited, for a tenth of it.
+/// Period of the controller, in ticks; open queries are looked at after each tenth of it.
 const CONTROL_TICKS: u64 = 50;
 /// Gains: of the error's change, the document's 40% for the current reading; of the error, per second: a
 /// full swing takes about a window; of its second difference, small, since samples are few.
@@ -70,12 +70,8 @@
 const FIRST_GUESS: f64 = 0.125;
 /// Idle connections are closed before use when they lose so much more of what is sent than others.
 const IDLE_LOSS: f64 = 0.25;
-/// After this fraction of the least aim a load report is old, and an unused connection idle.
+/// After this fraction of the least aim an unused connection is idle.
 const STALE: u64 = 4;
-/// Reports kept at most, and wanted before a wide query is judged.
-const REPORTS: usize = 24;
-/// Probes for a query, as a share of its parts: a probe costs next to nothing beside a part.
-const PROBE_SHARE: f64 = 0.25;
 /// Share of `must-ask-in` within which an unanswered call for the list is made again.
 const ASK_SHARE: u64 = 8;
 
@@ -267,8 +263,6 @@
     errors: [f64; 2],
     control_at: Nanos,
     ask_at: Option<Nanos>,
-    /// How busy the replicas of late reports were, and when that was told.
-    busy: VecDeque<(Nanos, f64)>,
     wake: Nanos,
 }
 
@@ -306,7 +300,6 @@
             errors: [0.0; 2],
             control_at: now,
             ask_at: set.ask_within.map(|_| now),
-            busy: VecDeque::new(),
             wake: 0,
             set,
         }
@@ -387,7 +380,7 @@
             Event::Outcome { part, attempt, outcome, waited } => {
                 self.take_outcome(*part, *attempt, *outcome, *waited)
             }
-            Event::Probed { load, .. } => self.take_load(load),
+            Event::Probed { .. } => {}
             Event::Gone(query) => {
                 if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
                     q.stage = Stage::Over;
@@ -539,36 +532,6 @@
         p.came = p.came.or((outcome == Outcome::Ok).then_some(now));
     }
 
-    /// Reports are late and may be untrue: a few recent ones together tell how busy the fleet is, none alone.
-    fn take_load(&mut self, load: &[f64]) {
-        let at = self.set.report.iter().position(|f| *f == Figure::Busy);
-        if let Some(busy) = at.and_then(|at| load.get(at)).filter(|b| b.is_finite()) {
-            self.busy.push_back((self.now, busy.clamp(0.0, 1.0)));
-        }
-        let from = self.now.saturating_sub(self.least_aim / STALE);
-        while self.busy.front().is_some_and(|b| b.0 < from || self.busy.len() > REPORTS) {
-            self.busy.pop_front();
-        }
-    }
-
-    /// Where own answers are too few to tell the load, some of a wide query's holders are probed first.
-    fn probe(&mut self, seq: u64, actions: &mut Vec<Action>) -> bool {
-        self.take_load(&[]);
-        let Some(q) = self.queries.get(&seq) else { return false };
-        let wanted = ((q.parts.len() as f64 * PROBE_SHARE) as usize).min(REPORTS);
-        let able = self.set.probing && self.set.report.contains(&Figure::Busy) && wanted >= REPORTS / 6;
-        let until = q.taken + CONTROL_TICKS / 10 * self.set.tick;
-        if !able || self.busy.len() >= wanted || until >= q.end || self.now >= until {
-            return false;
-        }
-        for _ in 0..if self.now == q.taken { wanted } else { 0 } {
-            let shard = q.parts[self.rng.usize(..q.parts.len())].shard;
-            let holders = self.holders.get(shard.0 as usize);
-            actions.extend(holders.and_then(|h| self.rng.choice(h)).map(|r| Action::Probe(*r)));
-        }
-        true
-    }
-
     fn class(&self, class: ClassId) -> &Class {
         &self.set.classes[usize::from(class.0)]
     }
@@ -644,18 +607,22 @@
 
     /// The one judgement of a replica: the wait to expect there. The longest of what it took lately, which
     /// fades; how long its oldest part has been out; and what own parts there cost.
-    /// One that was silent, but for a trial part when that is due, or has a part out past the aim, has an
-    /// aim on top: it is passed over where another can be had, and a query that needs it has a poor outlook.
+    /// One that was silent, or has a part out past the aim, has an aim on top: it is passed over where
+    /// another can be had, and a query that needs it has a poor outlook. When a trial is due the classes with
+    /// parts to spare make it; the others have half an aim on top, so that nothing is refused for ever for a
+    /// silence that is long over: where queries are few, few trials come.
     fn wait_at(&self, r: &Replica, class: &Class) -> f64 {
         let aim = self.least_aim as f64;
         let idle = (self.now - r.paced) as f64 / (FADE_AIMS * aim).max(self.visits);
         let calm = self.typical.min(aim * CALM_SHARE);
         let pace = calm + (r.pace - calm) * 0.5f64.powf(idle);
         let out = r.flights.first().map_or(0, |f| self.now - f.0);
-        let wait = pace.max(out as f64).max(self.per_part * (r.flights.len() as f64 + 1.0));
-        let trial = class.effect != Effect::Unsafe && r.flights.is_empty() && self.now >= r.trial_at;
+        let wait =
+            pace.max(out as f64).max(self.per_part.min(aim * CALM_SHARE) * (r.flights.len() as f64 + 1.0));
+        let trial = r.flights.is_empty() && self.now >= r.trial_at;
         let shut = (r.strikes > 0 && !trial) || out >= class.aim;
-        wait + if shut { class.aim as f64 } else { 0.0 }
+        let on_top = if shut { 1.0 } else { f64::from(r.strikes > 0 && class.floor >= class.need) / 2.0 };
+        wait + on_top * class.aim as f64
     }
 
     /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
@@ -876,15 +843,13 @@
         while waits.last().is_some_and(|w| w.1 < spare) {
             spare -= waits.pop().map_or(0.0, |w| w.1);
         }
-        let busy = self.busy.iter().map(|b| b.1).sum::<f64>() / self.busy.len().max(REPORTS / 2) as f64;
         let room = q.due.saturating_sub(self.now + self.reserve(c)) as f64;
         // A guess alone refuses nobody: where all are refused nothing is ever seen that could mend it.
         let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * FIRST_GUESS) };
         let at = usize::from(q.class.0);
-        let told = fair(self.work[at], self.met[at]) / (1.0 - busy).max(1e-3);
         let longest = waits.last().map_or(0.0, |w| w.0);
-        let wait = fair(longest, longest > self.typical || self.met.contains(&true)).max(told);
-        wait / room.max(1.0)
+        let wait = fair(longest, longest > self.typical || self.met.contains(&true));
+        wait.max(fair(self.work[at], self.met[at])) / room.max(1.0)
     }
 
     /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
@@ -892,9 +857,6 @@
         let Some(q) = self.queries.get(&seq).filter(|q| q.open()) else { return };
         let c = self.class(q.class).clone();
         if q.stage == Stage::New {
-            if self.probe(seq, actions) {
-                return;
-            }
             let crowd = self.crowd(seq);
             if self.turned_away(seq, crowd) {
                 return self.finish(seq, Final::GiveUp, actions);
