Tests: wait until a node's close has reached the program, not until the node closed

The node counted its close when it had closed: its end reaches the program later on a busy machine, and a `send` part that goes out in between is reset, may have run, and fails. Nothing on this side can tell that, so the test was wrong, not the program.

What the test was for, a part that goes out before its driver has seen the end that is here, is a test of the driver, which fails if it writes before it reads (`nothing was written: [Written(..)]`).

--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -502,7 +502,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::interface::{AttemptNo, PartId};
+    use crate::core::Tally;
+    use crate::interface::{AttemptNo, PartId, ShardId};
+    use std::net::TcpListener;
 
     fn key(part: u64) -> AttemptKey {
         AttemptKey { part: PartId(part), attempt: AttemptNo(0) }
@@ -532,6 +534,40 @@
         assert!((5..25).all(|n| !state.give_up(key(n), ms(1_010), patience)), "out together: counted once");
     }
 
+    #[test]
+    fn nothing_goes_out_on_a_connection_whose_end_is_here() {
+        // A part that was written to a connection that its node had closed counts as one that may have run.
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream =
+            std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
+        drop(listener.accept().expect("a connection"));
+        assert_eq!(stream.peek(&mut [0]).expect("its end"), 0);
+        stream.set_nonblocking(true).expect("set");
+        let driver = Driver {
+            slot: Arc::default(),
+            replica: ReplicaId([1; 6]),
+            inbox: may::sync::mpsc::channel().0,
+            clock: Clock::start(),
+            report: Arc::default(),
+            typical: Arc::new(Typical(AtomicU64::new(1_000))),
+        };
+        let slot = driver.slot.clone();
+        let mut state = slot.lock();
+        state.link.call(&[Job {
+            key: key(1),
+            label: "q1".into(),
+            shard: ShardId(0),
+            text: Arc::from(&b"c41e77d0"[..]),
+            errand: None,
+            patience: Micros::from_millis(100),
+            tally: Arc::new(Tally::default()),
+        }]);
+        let mut events = Vec::new();
+        assert!(!driver.exchange(&mut state, &stream, &mut events, &mut true), "it has ended");
+        assert!(events.is_empty(), "nothing was written: {events:?}");
+        assert!(state.link.restart(), "the part is owed another connection");
+    }
+
     #[test]
     fn a_few_odd_answers_do_not_lengthen_the_patience() {
         let typical = Typical(AtomicU64::new(1_000));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use standin::Edge;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 
@@ -100,7 +100,9 @@
             served => {
                 frame(&mut stream, b'a', &format!("{id} served 18 inflight=1,util=0.5\ncell{}", words[1]))?;
                 if served == Act::ServeAndClose {
-                    return Ok(());
+                    // Until the program has closed too: that this side has says nothing of when the other learns it.
+                    stream.shutdown(Shutdown::Write)?;
+                    return stream.read(&mut [0; 64]).map(drop);
                 }
             }
         }
@@ -280,7 +282,8 @@
 
 #[test]
 fn a_connection_that_its_node_closed_costs_no_part() {
-    // A node closes what stands idle; the part that met that was lost with its connection.
+    // A node closes what stands idle; the part that met that was lost with its connection. Here each end has reached the
+    // program before the next part; `src/net/links.rs` has the part that goes out before its driver has seen it.
     let nodes = [node(|_| Act::ServeAndClose), node(|_| Act::ServeAndClose)];
     let (edge, _changes) = start("closed", &nodes.each_ref(), 1024);
     until_ready(&edge);
