Wake the turns by a thread of their own: the runtime's wait with a limit can be lost

Seen: three of 60 plays of tests/platform.rs with twelve side by side never ended, in `told_to_end_..` and `a_reload_moves_..`. In the one looked at with gdb, 45 s after SIGTERM the coordinator was there, though LAST_EXIT is 8 s: main thread in `Join::wait`, timer thread in `thread::park` (no limit: it knew no timer), worker in `epoll_wait`, signal thread idle. Ruled out: a lost signal (the test had read "told to end" before), a client not closed (LAST_EXIT needs none).

Blamed: `Turns::wait`'s `recv_timeout`. `Park::subscribe` of may 0.3.51 adds the timer and then stores the coroutine where the timer looks for it; fired in between, the timer finds nothing and the coroutine waits until something comes. With waits from 1 ms a thread stopped for that long is enough, and all timers of the coordinator stop with it. `sleep` stores first, and sockets' timers fire on the worker itself: neither has it.

`src/net/alarm.rs`: one time to ring at, a thread that sleeps until then and sends `Input::Due`; the turns wait without a limit. Its thread is woken only for an earlier time, where the runtime's was woken twice a turn.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -287,6 +287,7 @@
             Input::Ended(key, end) => self.take_end(now, key, end, events),
             Input::Probed(replica, outcome, load) => events.push(Event::Probed { replica, outcome, load }),
             Input::Settings(set, most_held) => self.take_settings(*set, most_held, events),
+            Input::Due => {}
         }
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -142,6 +142,8 @@
     Probed(ReplicaId, Outcome, Vec<f64>),
     /// The settings change, and with them how many queries and parts may be held.
     Settings(Box<Settings>, usize),
+    /// It is time: something is due.
+    Due,
 }
 
 /// What an attempt asks of a server.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Thin drivers on coroutines: they read and write sockets and hand bytes to the state machines. No policy.
 
+pub mod alarm;
 pub mod clients;
 pub mod config;
 pub mod handover;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! The program: for each front a core, and the coroutines that feed it.
 
+use super::alarm::Alarm;
 use super::clients::{Bounds, Clients};
 use super::config::{Config, InForce};
 use super::handover::{self, Peer};
@@ -27,7 +28,6 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 /// The longest sleep of the core: signals are looked at this often.
 const MOST_SLEEP: Micros = Micros::from_millis(50);
@@ -326,6 +326,9 @@
     others: Arc<Others>,
 ) -> Result<Running, String> {
     let address = listener.inner().local_addr().map_err(|e| e.to_string())?;
+    let ring = parts.inbox.clone();
+    // The core outlives the alarm.
+    let alarm = Alarm::start(clock, move || drop(ring.send(Input::Due))).map_err(|e| e.to_string())?;
     let clients = Clients::new(parts.front, listener, parts.bounds, parts.inbox, clock);
     let (accepting, beside) = (clients.clone(), others.before.is_some());
     spawn(LARGE_STACK, move || accepting.accept(beside)).map_err(no_coroutine)?;
@@ -339,6 +342,7 @@
         clients: clients.clone(),
         clock,
         arrivals: parts.arrivals,
+        alarm,
         reloads: signals.reloads.load(Relaxed),
         signals,
         listed: parts.listed,
@@ -387,6 +391,7 @@
     clients: Arc<Clients>,
     clock: Clock,
     arrivals: Receiver<Input>,
+    alarm: Alarm,
     signals: Arc<Signals>,
     listed: Arc<AtomicBool>,
     reload: Reload,
@@ -500,12 +505,13 @@
 
     /// Waits for an input, the core's next due time, or the longest sleep.
     fn wait(&self) -> Option<Input> {
-        let wait = self.core.due().map_or(MOST_SLEEP, |due| due.since(self.clock.now()).min(MOST_SLEEP));
-        if wait == Micros::ZERO {
+        let now = self.clock.now();
+        let due = self.core.due().map_or(now + MOST_SLEEP, |due| due.min(now + MOST_SLEEP));
+        if due <= now {
             return None;
         }
-        // Whole milliseconds, rounded up: the runtime keeps a list for each length of wait that it ever saw.
-        self.arrivals.recv_timeout(Duration::from_millis(wait.0.div_ceil(1_000))).ok()
+        self.alarm.set(due);
+        self.arrivals.recv().ok()
     }
 
     fn carry_out(&mut self, now: Micros, command: Command) {
