--- a/src/rules.rs
+++ b/src/rules.rs
@@ -155,7 +155,7 @@
     /// an even weight are not asked, down to the floor. Might hurt where a heavy part then fails.
     /// Nor are those that are to wait long, the longest first, down to half of what may be missing: they
     /// would be late, and take the room of queries that can't spare theirs.
-    fn trim(&mut self, floor: f64, admitted: f64, mut long: Vec<(f64, PartId)>) {
+    fn trim(&mut self, floor: f64, admitted: f64, long: impl Iterator<Item = PartId>) {
         self.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight));
         let light = LIGHT_PART / self.parts.len().max(1) as f64;
         let keep = floor + (1.0 - floor) * admitted;
@@ -165,8 +165,7 @@
             p.asked = left < keep;
         }
         let mut left: f64 = self.parts.iter().filter(|p| p.asked).map(|p| p.weight).sum();
-        long.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, id) in long {
+        for id in long {
             let part = self.parts.iter_mut().find(|p| p.id == id && p.asked);
             if let Some(p) = part.filter(|p| left - p.weight + 1e-6 >= (1.0 + floor) / 2.0) {
                 (left, p.asked) = (left - p.weight, false);
@@ -451,9 +450,7 @@
             self.ask_at = self.set.ask_within.map(wait).map(|wait| self.now + wait as Nanos);
             return;
         }
-        if kind != ListKind::Cached {
-            self.ask_at = None;
-        }
+        self.ask_at = self.ask_at.filter(|_| kind == ListKind::Cached);
         if kind != ListKind::Delta {
             for r in self.replicas.values_mut().filter(|r| r.ready) {
                 (r.ready, r.listed) = (false, self.now);
@@ -574,12 +571,8 @@
         for q in self.queries.values().filter(|q| q.sampled && q.taken >= from).filter(ripe) {
             let by = q.first.map_or(q.due, |f| f.0.min(q.due));
             for p in q.parts.iter().filter(|p| !p.second) {
-                if p.came.is_some_and(|t| t <= by) {
-                    got += p.weight;
-                }
-                if p.came.is_some() || p.attempts.iter().any(late) {
-                    all += p.weight;
-                }
+                got += p.weight * f64::from(p.came.is_some_and(|t| t <= by));
+                all += p.weight * f64::from(p.came.is_some() || p.attempts.iter().any(late));
             }
             readings += 1.0;
         }
@@ -594,8 +587,7 @@
         self.control_at = self.now + period;
         let horizon = self.now.saturating_sub(QUALITY_WINDOW);
         self.queries.retain(|_, q| q.open() || (q.sampled && q.taken >= horizon));
-        let kept = &self.queries;
-        self.parts.retain(|_, (seq, _)| kept.contains_key(seq));
+        self.parts.retain(|_, (seq, _)| self.queries.contains_key(seq));
         // Replicas are replaced by new ones for ever; one that comes back is told anew, with its start.
         let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
         self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
@@ -767,9 +759,7 @@
             p.attempts.push(Attempt { replica, at: now, ended: None });
         }
         self.flights.insert((part, attempt), (replica, class, place, idle));
-        if further {
-            self.extras.push_back(now);
-        }
+        self.extras.extend(further.then_some(now));
         actions.push(Action::Send { part, replica, timeout });
     }
 
@@ -834,53 +824,49 @@
         let same = self.ranks.iter().filter(|w| **w == worth).count() as f64;
         let rank = (less + luck * (same + 1.0)) / (self.ranks.len() as f64 + 1.0);
         self.ranks.push_back(worth);
-        if self.ranks.len() > RANKED {
-            self.ranks.pop_front();
-        }
+        self.ranks.drain(..self.ranks.len().saturating_sub(RANKED));
         rank < 1.0 - self.share.min(outlook(crowd, LOW_CROWD)) || worth <= 0.0
     }
 
+    /// The wait to expect for each part of a query, with its weight, the longest first.
+    fn waits(&self, q: &Query) -> Vec<(f64, f64, PartId)> {
+        let wait = |p: &Part| self.pick(p, &[], &[]).map_or(f64::INFINITY, |h| h.1);
+        let mut waits: Vec<_> = q.parts.iter().map(|p| (wait(p), p.weight, p.id)).collect();
+        waits.sort_by(|a, b| b.0.total_cmp(&a.0));
+        waits
+    }
+
     /// Share of a query's time that its replicas take now, for `outlook`: the controller needs a window to
     /// see a jam, this sees it at once. Also holds for a burst, a shared cause or a lost zone. Might hurt
     /// where one odd answer makes a shard look slow; that fades.
-    fn crowd(&self, seq: u64) -> f64 {
-        let Some(q) = self.queries.get(&seq) else { return 0.0 };
+    fn crowd(&self, q: &Query, waits: &[(f64, f64, PartId)]) -> f64 {
         let c = self.class(q.class);
-        let wait = |p: &Part| (self.pick(p, &[], &[]).map_or(f64::INFINITY, |h| h.1), p.weight);
-        let mut waits: Vec<(f64, f64)> = q.parts.iter().map(wait).collect();
-        waits.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut spare = 1.0 - c.floor + 1e-6;
-        while waits.last().is_some_and(|w| w.1 < spare) {
-            spare -= waits.pop().map_or(0.0, |w| w.1);
-        }
+        let needed = waits.iter().find(|w| {
+            spare -= w.1;
+            spare <= 0.0
+        });
         let room = q.due.saturating_sub(self.now + self.reserve(c)) as f64;
         // A guess alone refuses nobody: where all are refused nothing is ever seen that could mend it.
         let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * FIRST_GUESS) };
         let at = usize::from(q.class.0);
-        let longest = waits.last().map_or(0.0, |w| w.0);
+        let longest = needed.map_or(0.0, |w| w.0);
         let wait = fair(longest, longest > self.typical || self.met.contains(&true));
         wait.max(fair(self.work[at], self.met[at])) / room.max(1.0)
     }
 
-    /// The parts of a query that would wait for a large share of its time, with their waits.
-    fn long(&self, seq: u64) -> Vec<(f64, PartId)> {
-        let Some(q) = self.queries.get(&seq) else { return Vec::new() };
-        let room = q.due.saturating_sub(self.now) as f64 * TOP_CROWD.0;
-        let wait = |p: &Part| (self.pick(p, &[], &[]).map_or(f64::INFINITY, |h| h.1), p.id);
-        q.parts.iter().map(wait).filter(|w| w.0 >= room).collect()
-    }
-
     /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
     fn step(&mut self, seq: u64, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&seq).filter(|q| q.open()) else { return };
         let c = self.class(q.class).clone();
         if q.stage == Stage::New {
-            let crowd = self.crowd(seq);
+            let waits = self.waits(q);
+            let (crowd, late) = (self.crowd(q, &waits), q.due.saturating_sub(self.now) as f64 * TOP_CROWD.0);
             if self.turned_away(seq, crowd) {
                 return self.finish(seq, Final::GiveUp, actions);
             }
             let admitted = self.share.min(outlook(crowd, LIGHT_CROWD));
-            let long = if c.floor < c.need { self.long(seq) } else { Vec::new() };
+            let long = waits.iter().filter(|w| c.floor < c.need && w.0 >= late).map(|w| w.2);
             if let Some(q) = self.queries.get_mut(&seq) {
                 q.stage = Stage::First;
                 q.trim(c.floor, admitted, long);
