Let the module obey a level of reduced service, told as settings; nothing enters one yet

`Effects::on` works a level's effects into the settings, and the event for settings tells the module; an event of its own would have bounded attempts and waits in two places. New is `Settings::reduced`: share of each class admitted, samples' late parts called off, when a partial class is answered (never under its floor), how near the least told wait comes to the most (never over what clients follow, still drawn). docs/design-levels.md weighs the ways.

With no level its decisions are the same.

tests/levels.rs, five tests; each failed with its fault planted: no share for low or for top worth, the floor passed over, no early answer, samples that run on, attempts over the settings', waits that don't grow.

--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -2,7 +2,7 @@
 
 use super::cql2::{Kind, Queryables};
 use super::inventory::{read_file, InventoryError, Server};
-use crate::interface::{Class, ColdRule, Effect, ExtraBudget, Settings};
+use crate::interface::{Class, ColdRule, Effect, ExtraBudget, Reduced, Settings};
 use crate::limits::Rule;
 use crate::time::Micros;
 use serde::Deserialize;
@@ -434,6 +434,7 @@
             report: Vec::new(),
             probing: false,
             retry_after: Some(ns(self.retry_after_ms)),
+            reduced: Reduced::default(),
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,6 +154,27 @@
     pub probing: bool,
     /// Longest wait that a refused client obeys; `None` where it is not told.
     pub retry_after: Option<Nanos>,
+    /// What the level of reduced service takes back.
+    pub reduced: Reduced,
+}
+
+/// What a level of reduced service takes back; the default takes nothing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reduced {
+    /// Share of each class's queries that is admitted, by its number; a class without one is admitted whole.
+    pub admit: Vec<f64>,
+    /// Late parts of samples are called off like others.
+    pub quiet: bool,
+    /// A class that may lack parts is answered after this share of its aim, once its floor is in.
+    pub answer_after: f64,
+    /// The least that a refused client is told to wait, half of the most, comes so many times nearer to that.
+    pub come_back: f64,
+}
+
+impl Default for Reduced {
+    fn default() -> Self {
+        Reduced { admit: Vec::new(), quiet: false, answer_after: 1.0, come_back: 1.0 }
+    }
 }
 
 /// The state of a replica in the list.
--- a/src/levels/mod.rs
+++ b/src/levels/mod.rs
@@ -1,7 +1,8 @@
 //! Named levels of reduced service: signals in, a level and its effects out.
 //!
 //! This folder owns the operator's table of levels, the machine that moves between them, and the history of its moves. It
-//! reads no clock and knows no socket; nothing in the program uses it yet (docs/design-levels.md says what comes next).
+//! reads no clock and knows no socket. The module obeys a level as settings ([`Effects::on`]); nothing in the program enters
+//! one yet (docs/design-levels.md says what comes next).
 
 mod machine;
 mod table;
--- a/src/levels/table.rs
+++ b/src/levels/table.rs
@@ -1,6 +1,7 @@
 //! The operator's table of levels, and whether it is sane.
 
 use super::Signal;
+use crate::interface::{Class, Reduced, Settings};
 use crate::time::Micros;
 use serde::Deserialize;
 
@@ -51,6 +52,24 @@
     }
 }
 
+impl Effects {
+    /// The settings as the module has them in this level. Nothing is taken back that they don't have: no more attempts, no
+    /// longer wait for clients than they follow.
+    pub fn on(&self, set: &Settings) -> Settings {
+        let mut set = set.clone();
+        let most = self.most_attempts.unwrap_or(u32::MAX).max(1);
+        set.classes.iter_mut().for_each(|c| c.max_attempts = c.max_attempts.min(most));
+        let share = |c: &Class| self.admit.get(&c.name).map_or(1.0, |share| share.clamp(0.0, 1.0));
+        set.reduced = Reduced {
+            admit: set.classes.iter().map(share).collect(),
+            quiet: self.quiet,
+            answer_after: self.answer_after.unwrap_or(1.0).clamp(0.0, 1.0),
+            come_back: self.come_back.max(1.0),
+        };
+        set
+    }
+}
+
 /// A level of reduced service.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 //!     report: Vec::new(),
 //!     probing: false,
 //!     retry_after: None,
+//!     reduced: Reduced::default(),
 //! };
 //! let mut aggregator = Aggregator::new(settings, 42, 0);
 //!
--- a/src/rules/admission.rs
+++ b/src/rules/admission.rs
@@ -32,17 +32,18 @@
 
     /// Low-worth queries beyond the admitted share, the least worth first.
     pub(super) fn turned_away(&mut self, seq: u64, crowd: f64) -> bool {
-        let (worth, luck) = self.queries.get(&seq).map_or((0.0, 0.0), |q| (q.worth, q.luck));
+        let Some(&Query { worth, luck, class, .. }) = self.queries.get(&seq) else { return true };
+        let admit = self.set.reduced.admit.get(usize::from(class.0)).map_or(1.0, |a| *a);
         if worth >= self.top() {
             // Only when all of it would be late: then serving some beats serving none.
-            return luck >= outlook(crowd, TOP_CROWD);
+            return luck >= outlook(crowd, TOP_CROWD).min(admit);
         }
         let less = self.ranks.iter().filter(|w| **w < worth).count() as f64;
         let same = self.ranks.iter().filter(|w| **w == worth).count() as f64;
         let rank = (less + luck * (same + 1.0)) / (self.ranks.len() as f64 + 1.0);
         self.ranks.push_back(worth);
         self.ranks.drain(..self.ranks.len().saturating_sub(RANKED));
-        rank < 1.0 - self.share.min(outlook(crowd, LOW_CROWD)) || worth <= 0.0
+        rank < 1.0 - self.share.min(outlook(crowd, LOW_CROWD)) || worth <= 0.0 || luck < 1.0 - admit
     }
 
     /// The wait to expect for each part of a query, with its weight, the longest first.
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -267,23 +267,24 @@
                 }
                 let whole = (all || (!second && weight + 1e-6 >= c.need)) && q.first.is_none_or(|f| f.1);
                 actions.push(Action::Answer { query: q.id, whole });
-                if q.first.is_none() {
-                    q.first = Some((self.now, whole));
-                    if c.follow_up > 0 {
-                        q.stage = Stage::Second;
-                        return;
-                    }
+                let first = q.first.is_none();
+                q.first = q.first.or(Some((self.now, whole)));
+                if first && c.follow_up > 0 {
+                    q.stage = Stage::Second;
+                    return;
                 }
             }
             Final::GiveUp if !risky => {
-                let come_back =
-                    self.set.retry_after.map(|m| (m as f64 * (0.5 + 0.5 * self.rng.f64())) as Nanos);
+                let least = 1.0 - 0.5 / self.set.reduced.come_back.max(1.0);
+                let wait = |m: Nanos| (m as f64 * (least + (1.0 - least) * self.rng.f64())) as Nanos;
+                let come_back = self.set.retry_after.map(wait);
                 actions.push(Action::Refuse { query: q.id, come_back });
             }
             Final::GiveUp => actions.push(Action::Fail(q.id)),
         }
         // A sample's late parts run on to the record limit; the others are called off.
-        for p in q.parts.iter().filter(|p| self.set.cancel && (!q.sampled || p.second || p.came.is_some())) {
+        let runs_on = |p: &Part| q.sampled && !self.set.reduced.quiet && !p.second && p.came.is_none();
+        for p in q.parts.iter().filter(|p| self.set.cancel && !runs_on(p)) {
             for (n, _) in p.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none()) {
                 actions.push(Action::Cancel { part: p.id, attempt: AttemptNo(n as u16) });
             }
@@ -294,10 +295,8 @@
     /// Time kept for a second step: what parts take now, with room to spare.
     /// Bounded: a reserve that filled the aim would refuse everything, and nothing would ever correct it.
     fn reserve(&self, c: &Class) -> Nanos {
-        if c.follow_up == 0 {
-            return 0;
-        }
-        (SECOND_ROOM * self.typical).min(SECOND_MOST * c.aim as f64) as Nanos
+        let most = SECOND_MOST * c.aim as f64 * f64::from(c.follow_up.min(1));
+        (SECOND_ROOM * self.typical).min(most) as Nanos
     }
 
     /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
@@ -326,14 +325,14 @@
         let weight = q.weight_in();
         let first = q.stage == Stage::First;
         let reserve = if first { self.reserve(&c) } else { 0 };
-        let due = self.now + reserve >= q.due;
+        let early = self.set.reduced.answer_after * q.due.saturating_sub(q.taken) as f64;
+        let due = self.now + reserve >= q.taken + early as Nanos;
         let enough = q.complete(true) || (first && weight >= c.need && c.need < 1.0);
         if enough || (due && partial && weight > 0.0 && weight >= c.floor) {
             return self.finish(seq, Final::Answer, actions);
         }
         let lost = |p: &Part| p.came.is_none() && p.out() == 0 && !self.may_try(p, &c);
-        let needed = |p: &&Part| p.second != first;
-        let gone: f64 = q.parts.iter().filter(needed).filter(|p| lost(p)).map(|p| p.weight).sum();
+        let gone: f64 = q.parts.iter().filter(|p| p.second != first && lost(p)).map(|p| p.weight).sum();
         let hopeless = if partial { 1.0 - gone < c.floor - 1e-6 } else { gone > 0.0 };
         let worthless = c.late_worth <= 0.0 && self.now >= q.due;
         if self.now >= q.end || hopeless || worthless {
--- a/src/rules/sending.rs
+++ b/src/rules/sending.rs
@@ -86,7 +86,7 @@
     pub(super) fn send_parts(&mut self, seq: u64, c: &Class, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&seq) else { return };
         let count = q.parts.len();
-        let (due, end, sampled) = (q.due, q.end, q.sampled);
+        let (due, end, sampled) = (q.due, q.end, q.sampled && !self.set.reduced.quiet);
         let second = q.stage == Stage::Second;
         // Late worth is chased only while nothing is shed: otherwise a part not begun by the aim is dropped.
         let chase = sampled || (c.late_worth > 0.0 && self.share >= 1.0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -247,5 +247,6 @@
         report: boot.report.names.iter().map(|n| figure(n)).collect(),
         probing: limits.probing,
         retry_after: limits.retry_after.then_some(limits.max_retry_after),
+        reduced: Reduced::default(),
     })
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,6 +45,7 @@
         report: Vec::new(),
         probing: false,
         retry_after: Some(S),
+        reduced: Reduced::default(),
     }
 }
 
--- /dev/null
+++ b/tests/levels.rs
@@ -0,0 +1,135 @@
+//! What a level of reduced service has the module take back, and give again once it is left.
+
+mod common;
+use common::*;
+use quinceflow::levels::Effects;
+use quinceflow::*;
+
+/// Tells the module the level, as its settings.
+fn enter(bench: &mut Bench, set: &Settings, effects: &Effects) {
+    let heirs = (0..set.classes.len()).map(|c| ClassId(c as u16)).collect();
+    bench.tell(vec![Event::Settings { set: Box::new(effects.on(set)), heirs }]);
+}
+
+/// An alert of high worth, and a survey of low worth.
+fn two_classes() -> Settings {
+    let mut set = settings(Class { name: "alert".to_owned(), points: 3.0, ..class(Effect::Safe) });
+    set.classes.push(Class { name: "survey".to_owned(), ..class(Effect::Safe) });
+    set
+}
+
+/// Of 400 queries of a class how many are sent; the others are refused at once.
+fn admitted(bench: &mut Bench, class: u16) -> usize {
+    let mut sent = 0;
+    for _ in 0..400 {
+        let (_, parts, actions) = bench.ask_as(class, 0, &[0]);
+        if sends(&actions).is_empty() {
+            assert!(
+                matches!(finals(&actions)[..], [Action::Refuse { come_back: Some(_), .. }]),
+                "{actions:?}"
+            );
+        } else {
+            sent += 1;
+            bench.serve(parts[0]);
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_level_admits_a_share_of_each_class_and_refuses_the_rest_at_once() {
+    let set = two_classes();
+    for class in 0..2 {
+        let mut bench = Bench::new(set.clone());
+        let name = set.classes[class].name.clone();
+        enter(&mut bench, &set, &Effects { admit: [(name, 0.5)].into(), ..Effects::default() });
+        let (of_other, of_this) =
+            (admitted(&mut bench, 1 - class as u16), admitted(&mut bench, class as u16));
+        assert_eq!(of_other, 400, "the class that is not named");
+        assert!((150..=250).contains(&of_this), "{of_this} of 400 of class {class}");
+        let mut bench = Bench::new(set.clone());
+        enter(
+            &mut bench,
+            &set,
+            &Effects { admit: [(set.classes[class].name.clone(), 0.0)].into(), ..Effects::default() },
+        );
+        assert_eq!(admitted(&mut bench, class as u16), 0);
+        enter(&mut bench, &set, &Effects::default());
+        assert_eq!(admitted(&mut bench, class as u16), 400, "the level is left");
+    }
+}
+
+#[test]
+fn a_level_bounds_attempts_and_never_allows_more_than_the_settings() {
+    // Three is what there is time for here.
+    for (of_settings, of_level, allowed) in [(4, None, 3), (4, Some(2), 2), (2, Some(9), 2), (4, Some(0), 1)]
+    {
+        let set = settings(Class { max_attempts: of_settings, ..class(Effect::Safe) });
+        let mut bench = Bench::new(set.clone());
+        enter(&mut bench, &set, &Effects { most_attempts: of_level, ..Effects::default() });
+        let (_, parts, actions) = bench.ask(&[0]);
+        let mut sent = sends(&actions).len();
+        for attempt in 0..10 {
+            sent += sends(&bench.end(parts[0], attempt, Outcome::ConnectFailed, MS)).len();
+            sent += sends(&bench.wait(100 * MS)).len();
+        }
+        assert_eq!(sent, allowed, "with {of_settings} and {of_level:?}");
+    }
+}
+
+#[test]
+fn a_level_answers_early_from_what_is_in_but_never_under_the_floor() {
+    let set = settings(Class { floor: 0.6, ..class(Effect::Safe) });
+    for (come, early) in [(2, true), (1, false)] {
+        let mut bench = Bench::new(set.clone());
+        enter(&mut bench, &set, &Effects { answer_after: Some(0.5), ..Effects::default() });
+        let (query, parts, _) = bench.ask(&[0, 1, 2]);
+        for part in &parts[..come] {
+            bench.serve(*part);
+        }
+        let answer = Action::Answer { query, whole: false };
+        let before = finals(&bench.wait(500 * MS - come as u64 * 100 * MS - 25 * MS));
+        assert_eq!(before, [], "not before half of the aim");
+        let then = finals(&bench.wait(100 * MS));
+        assert_eq!(then, if early { vec![answer.clone()] } else { vec![] }, "{come} of 3 are in");
+        if !early {
+            // What comes after that is still waited for, up to the aim.
+            assert!(finals(&bench.wait(200 * MS)).is_empty());
+            assert_eq!(finals(&bench.serve(parts[1])), vec![answer], "as soon as the floor is in");
+        }
+    }
+}
+
+#[test]
+fn a_level_calls_late_parts_of_samples_off() {
+    for quiet in [false, true] {
+        let set = settings(Class { floor: 0.3, ..class(Effect::Safe) });
+        let mut bench = Bench::new(set.clone());
+        enter(&mut bench, &set, &Effects { quiet, ..Effects::default() });
+        let (_, parts, _) = bench.ask(&[0, 1]);
+        bench.serve(parts[0]);
+        let actions = bench.wait(S);
+        let answered = actions.iter().position(|a| matches!(a, Action::Answer { .. })).expect("an answer");
+        let late = |a: &Action| matches!(a, Action::Cancel { part, .. } if *part == parts[1]);
+        let called_off = actions[answered..].iter().any(late);
+        assert_eq!(called_off, quiet);
+    }
+}
+
+#[test]
+fn refused_clients_are_told_longer_waits_that_stay_spread_and_within_what_they_follow() {
+    let set = settings(class(Effect::Safe));
+    for (come_back, least) in [(1.0, S / 2), (2.0, 3 * S / 4), (4.0, 7 * S / 8), (0.0, S / 2)] {
+        let mut bench = Bench::new(set.clone());
+        let admit = [("lookup".to_owned(), 0.0)].into();
+        enter(&mut bench, &set, &Effects { admit, come_back, ..Effects::default() });
+        let told = |_| match finals(&bench.ask(&[0]).2)[..] {
+            [Action::Refuse { come_back: Some(wait), .. }] => wait,
+            ref other => panic!("{other:?}"),
+        };
+        let waits: Vec<Nanos> = (0..200).map(told).collect();
+        let (low, high) = (*waits.iter().min().expect("some"), *waits.iter().max().expect("some"));
+        assert!(low >= least && high <= S, "{come_back}: {low} to {high}");
+        assert!(high - low > (S - least) * 9 / 10, "{come_back}: spread from {low} to {high}");
+    }
+}
