Ask a shared discovery for the watch again after growing, drawn waits

`W tried after 2000500 us: Status(503)`: discovery has room for some forty calls, lets them wait for 2 s and turns them away, the others at once (`after 2403 us: Status(503)`). Harmless in one coordinator: each alone asks once in 3 s. Fault: `net/watch.rs`, `WAITS_MS`, 25 ms to 1 s for all kinds of discovery, and no draw.

Ruled out: a discovery that is down (with longer waits it serves all of them from 13 s on); the list's size; the reader. Probe: waits from 250 ms gave 22 of 70 a list, from 1 s all 70.

Where lists are asked for, waits now grow from a tenth of `must-ask-in` to all of it and are drawn between half and all; an agent beside the coordinator costs nothing and is asked as before.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -225,9 +225,10 @@
     }
     let place = watch::Place::new(config.discovery);
     let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
-    spawn(LARGE_STACK, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed))
-        .map_err(no_coroutine)?;
     let deployment = &config.deployment;
+    let waits = watch::Waits::new(deployment.module.ask_within, config.seed);
+    spawn(LARGE_STACK, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
+        .map_err(no_coroutine)?;
     let named = Arc::new(Mutex::new(Named::new(deployment)));
     Ok(Parts {
         last_answer: last_answer(longest(&deployment.module)),
