Share the turns over a shard's holders by what each can do now

A shard has two holders; the neighbours of one that drains or is cold hold its shards alone and still took half of what they share with others. One coordinator sends each node half a part a second, so none sees it in time, and all do it. Fault: `replicas.rs`, turns that are even whatever the list tells.

Turns now fall in shares, balanced over all holders by what each can do: warmth by the rule's figures, half for each silent failure in a row. The list alone tells most of it, so every instance knows at once.

Test: 300 instances, a node drains; its neighbours get less than 1.2 times the mean (1.33 with even turns).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -115,7 +115,7 @@
 }
 
 /// What an instance is told at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
     /// How many co-ordinators share the replicas, this one included.
     pub aggregators: u32,
--- a/src/rules/admission.rs
+++ b/src/rules/admission.rs
@@ -48,15 +48,14 @@
 
     /// The wait to expect for each part of a query, with its weight, the longest first.
     pub(super) fn waits(&self, q: &Query) -> Vec<(f64, f64, PartId)> {
-        let wait = |p: &Part| self.pick(p, &[], &[]).map_or(f64::INFINITY, |h| h.1);
+        let wait = |p: &Part| self.pick(p, &[]).map_or(f64::INFINITY, |h| h.1);
         let mut waits: Vec<_> = q.parts.iter().map(|p| (wait(p), p.weight, p.id)).collect();
         waits.sort_by(|a, b| b.0.total_cmp(&a.0));
         waits
     }
 
     /// Share of a query's time that its replicas take now, for `outlook`: the controller needs a window to
-    /// see a jam, this sees it at once. Also holds for a burst, a shared cause or a lost zone. Might hurt
-    /// where one odd answer makes a shard look slow; that fades.
+    /// see a jam, this sees it at once. Might hurt where one odd answer makes a shard look slow; that fades.
     pub(super) fn crowd(&self, q: &Query, waits: &[(f64, f64, PartId)]) -> f64 {
         let c = self.class(q.class);
         let mut spare = 1.0 - c.floor + 1e-6;
@@ -64,7 +63,7 @@
             spare -= w.1;
             spare <= 0.0
         });
-        let room = q.due.saturating_sub(self.now + self.reserve(c)) as f64;
+        let room = q.due.saturating_sub(self.now) as f64;
         // A guess alone refuses nobody: where all are refused nothing is ever seen that could mend it.
         let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * FIRST_GUESS) };
         let at = usize::from(q.class.0);
--- a/src/rules/cold.rs
+++ b/src/rules/cold.rs
@@ -8,27 +8,30 @@
 const CHANCE: f64 = 2.5;
 
 impl Aggregator {
+    /// What a replica can do at a time, as a share of what it can when warm.
+    pub(super) fn warmth(&self, r: &Replica, at: Nanos) -> f64 {
+        let (Some(rule), Some(started)) = (self.set.cold, r.started) else { return 1.0 };
+        let age = at.saturating_sub(started) as f64 / rule.warm_up.max(1) as f64;
+        rule.start + (1.0 - rule.start) * age.min(1.0)
+    }
+
     /// Rule 4: may a part of this class go to a replica that just started? What all may send is split evenly;
     /// where a share holds no whole part, chance spends it: parts go at drawn times, as far apart on average
     /// as keeps the whole fleet's, with a margin for chance, under the rule.
     pub(super) fn cold_room(&self, r: &Replica, class: ClassId) -> bool {
         let cost = self.cost(class);
         let (Some(rule), Some(started)) = (self.set.cold, r.started) else { return true };
-        let age = |at: Nanos| at.saturating_sub(started) as f64 / rule.warm_up.max(1) as f64;
-        if age(self.now) >= 1.0 {
+        if self.warmth(r, self.now) >= 1.0 {
             return true;
         }
-        let all = |age: f64| {
-            let can = rule.start + (1.0 - rule.start) * age;
-            rule.factor * can * COLD_CORES * rule.span as f64
-        };
+        let all = |at| rule.factor * self.warmth(r, at) * COLD_CORES * rule.span as f64;
         let (from, others) = (self.now.saturating_sub(rule.span), f64::from(self.set.aggregators.max(1)));
-        let share = all(age(self.now)) / others;
+        let share = all(self.now) / others;
         if share >= cost {
             return share - r.cold_sent.iter().filter(|s| s.0 >= from).map(|s| s.1).sum::<f64>() >= cost;
         }
         let last = r.cold_sent.back().map_or(started, |s| s.0).max(started);
-        let fits = all((age(last) + age(self.now)) / 2.0) / cost;
+        let fits = all(last.midpoint(self.now)) / cost;
         let safe = (((CHANCE * CHANCE / 4.0 + fits).sqrt() - CHANCE / 2.0).powi(2)).min(fits);
         (self.now - last) as f64 / rule.span as f64 * safe / others >= r.cold_draw
     }
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -9,10 +9,11 @@
 mod query;
 mod replicas;
 mod sending;
+mod shares;
 
 use crate::interface::*;
 use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
-use quality::{CONTROL_TICKS, LEAST_SAMPLE, MOST_READINGS, QUALITY_WINDOW, WANTED_READINGS};
+use quality::{CONTROL_TICKS, LEAST_SAMPLE, MOST_READINGS, WANTED_READINGS};
 use query::{Attempt, Part, Query, Stage};
 use replicas::{reaped, Replica, FLEET_GAIN};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,10 +22,6 @@
 const AIM_TICKS: u64 = 3;
 /// Ticks kept free before the client's time is up.
 const END_TICKS: u64 = 4;
-/// Room for a second step, in typical response times: the last of its parts counts, and late is worth little.
-const SECOND_ROOM: f64 = 2.5;
-/// Most of an aim that is kept for a second step.
-const SECOND_MOST: f64 = 0.35;
 /// A part is overdue after so many times the fleet's usual response time.
 const OVERDUE_RATIO: f64 = 5.5;
 /// Share of an aim taken for a response time before any was seen.
@@ -45,7 +42,7 @@
 type PartAt = (u64, usize);
 
 /// The decisions of one co-ordinator.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Aggregator {
     set: Settings,
     rng: fastrand::Rng,
@@ -60,10 +57,12 @@
     /// Share lost of what went out on connections in use or new, and on idle ones; see `reaped`.
     lost: [f64; 2],
     replicas: BTreeMap<ReplicaId, Replica>,
-    holders: Vec<Vec<ReplicaId>>,
+    /// Who holds each shard, and its share of the turns.
+    holders: Vec<Vec<(ReplicaId, f64)>>,
     /// What a replica holds where its cell does not tell.
     placed: BTreeMap<ReplicaId, BTreeSet<ShardId>>,
-    turns: Vec<usize>,
+    /// Where the turns of each shard are, 0 to 1.
+    turns: Vec<f64>,
     /// Typical response time of the fleet, and of a part of each class on an idle core.
     typical: f64,
     /// The same of what is not slow: a few slow replicas must not put off when their parts are overdue.
@@ -92,36 +91,23 @@
         let least_aim = least_aim(&set);
         let mut rng = fastrand::Rng::with_seed(seed);
         // Where turns begin: were it the same everywhere, instances with little traffic would go in step.
-        let turns = (0..set.shards).map(|_| rng.usize(..1 << 16)).collect();
+        let turns = (0..set.shards).map(|_| rng.f64()).collect();
         Self {
             rng,
             now,
             least_aim,
-            queries: BTreeMap::new(),
-            next_query: 0,
-            parts: BTreeMap::new(),
-            flights: BTreeMap::new(),
-            lost: [0.0; 2],
-            replicas: BTreeMap::new(),
             holders: vec![Vec::new(); set.shards as usize],
-            placed: BTreeMap::new(),
             turns,
             typical: least_aim as f64 * FIRST_GUESS,
             usual: least_aim as f64 * FIRST_GUESS,
-            per_part: 0.0,
-            visits: 0.0,
             work: set.classes.iter().map(|c| c.aim as f64 * FIRST_GUESS).collect(),
             met: vec![false; set.classes.len()],
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
-            ranks: VecDeque::new(),
             quotas: vec![(1.0, now); set.tenants.len()],
             share: 1.0,
-            errors: [0.0; 2],
             control_at: now,
             ask_at: set.ask_within.map(|_| now),
-            wake: 0,
             set,
+            ..Self::default()
         }
     }
 
@@ -150,19 +136,13 @@
                 self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
-            Event::Query { query, group, class, tenant, key, hint, time_left } => {
+            Event::Query { query, group, class, tenant, hint, time_left, .. } => {
                 let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
                     return actions.push(Action::Fail(*query));
                 };
                 let aim = (c.aim + (c.aim_stretch * hint.unwrap_or(0) as f64) as Nanos).min(c.deadline);
-                // Time left tells no later try: a last one gets all that is left, which may be more than
-                // a first one had, and an impatient client's first one comes with as little as any.
                 let share = if self.over_quota(*tenant) { self.set.over_share_worth } else { 1.0 };
                 let worth = c.points * share;
-                // A key keeps its luck for a while: a client's next try should not gamble.
-                let epoch = self.now / QUALITY_WINDOW;
-                let dice = if *key == 0 { self.rng.u64(..) } else { *key };
-                let luck = fastrand::Rng::with_seed(dice ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)).f64();
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
                 let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
                 self.taken.push_back(self.now);
@@ -176,7 +156,7 @@
                     class: *class,
                     group: *group,
                     worth,
-                    luck,
+                    luck: self.rng.f64(),
                     stage: Stage::New,
                     taken: self.now,
                     due: due.min(end),
@@ -219,7 +199,7 @@
         let most = shards.max(self.holders.len());
         self.holders.resize(most, Vec::new());
         let rng = &mut self.rng;
-        self.turns.resize_with(most, || rng.usize(..1 << 16));
+        self.turns.resize_with(most, || rng.f64());
     }
 
     /// What was seen of replicas and classes stays; a class that is new begins with a guess.
@@ -272,8 +252,8 @@
                 }
             }
             Final::GiveUp if !risky => {
-                let least = 1.0 - 0.5 / self.set.reduced.come_back.max(1.0);
-                let wait = |m: Nanos| (m as f64 * (least + (1.0 - least) * self.rng.f64())) as Nanos;
+                let drawn = 0.5 * self.rng.f64() / self.set.reduced.come_back.max(1.0);
+                let wait = |most: Nanos| (most as f64 * (1.0 - drawn)) as Nanos;
                 let come_back = self.set.retry_after.map(wait);
                 actions.push(Action::Refuse { query: q.id, come_back });
             }
@@ -286,15 +266,6 @@
         q.stage = Stage::Over;
     }
 
-    /// Time kept for a second step: what parts take now, with room to spare.
-    /// Bounded: a reserve that filled the aim would refuse everything, and nothing would ever correct it.
-    fn reserve(&self, c: &Class) -> Nanos {
-        if c.follow_up == 0 {
-            return 0;
-        }
-        (SECOND_ROOM * self.typical).min(SECOND_MOST * c.aim as f64) as Nanos
-    }
-
     /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
     fn step(&mut self, seq: u64, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&seq).filter(|q| q.open()) else { return };
@@ -320,9 +291,8 @@
         let partial = c.floor < c.need;
         let weight = q.weight_in();
         let first = q.stage == Stage::First;
-        let reserve = if first { self.reserve(&c) } else { 0 };
         let early = self.set.reduced.answer_after * q.due.saturating_sub(q.taken) as f64;
-        let due = self.now + reserve >= q.taken + early as Nanos;
+        let due = self.now >= q.taken + early as Nanos;
         let enough = q.complete(true) || (first && weight >= c.need && c.need < 1.0);
         if enough || (due && partial && weight > 0.0 && weight >= c.floor) {
             return self.finish(seq, Final::Answer, actions);
@@ -338,8 +308,7 @@
 
     fn wake_up(&mut self, actions: &mut Vec<Action>) {
         let open = || self.queries.values().filter(|q| q.open());
-        let reserve = |q: &Query| self.reserve(self.class(q.class));
-        let dues = open().flat_map(|q| [q.due.saturating_sub(reserve(q)), q.due, q.end]);
+        let dues = open().flat_map(|q| [q.due, q.end]);
         let poll = open().next().map(|_| self.now + CONTROL_TICKS / 10 * self.set.tick);
         let idle = Some(self.control_at.max(self.now + self.set.tick));
         let next = dues.filter(|t| *t > self.now).chain(poll).chain(idle).chain(self.ask_at).min();
--- a/src/rules/quality.rs
+++ b/src/rules/quality.rs
@@ -58,6 +58,7 @@
         let back = self.set.extra.map_or(0, |b| 2 * b.look_back);
         self.taken.retain(|t| t + back >= self.now);
         self.extras.retain(|t| t + back >= self.now);
+        self.balance();
         let (quality, readings) = self.quality();
         let trust = (readings / (WANTED_READINGS / 4.0)).min(1.0);
         let error = trust * ((quality - QUALITY_TARGET) / (1.0 - QUALITY_TARGET)).max(-ERROR_BOUND);
--- a/src/rules/query.rs
+++ b/src/rules/query.rs
@@ -86,8 +86,7 @@
         let second = self.stage == Stage::Second;
         self.parts.iter().filter(|p| p.second == second && p.came.is_some()).map(|p| p.weight).sum()
     }
-    /// Low-worth parts share the fate of such queries: beyond the admitted share those with far less than
-    /// an even weight are not asked, down to the floor. Might hurt where a heavy part then fails.
+    /// Beyond the admitted share parts with far less than an even weight are not asked, down to the floor.
     /// Nor are those that are to wait long, the longest first, down to half of what may be missing: they
     /// would be late, and take the room of queries that can't spare theirs.
     pub(super) fn trim(&mut self, floor: f64, admitted: f64, long: impl Iterator<Item = PartId>) {
--- a/src/rules/replicas.rs
+++ b/src/rules/replicas.rs
@@ -65,7 +65,7 @@
         let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
         let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
         let used: BTreeSet<ReplicaId> = (0..self.holders.len()).flat_map(fit).collect();
-        let holds = |id: &ReplicaId| self.holders.iter().any(|h| h.contains(id));
+        let holds = |id: &ReplicaId| self.holders.iter().flatten().any(|h| h.0 == *id);
         let ready = self.replicas.iter().filter(|r| r.1.ready).map(|r| *r.0);
         ready.filter(|id| holds(id) && !used.contains(id)).collect()
     }
@@ -106,8 +106,10 @@
                 Some(placed) => placed.contains(&ShardId(s as u32)),
                 None => (u32::from(r.cell.0) + cells - first) % cells < self.set.reach.max(1),
             };
-            *holders = self.replicas.iter().filter(|r| r.1.ready && holds(r)).map(|(id, _)| *id).collect();
+            let ready = self.replicas.iter().filter(|r| r.1.ready && holds(r));
+            *holders = ready.map(|(id, _)| (*id, 1.0)).collect();
         }
+        self.balance();
     }
 
     pub(super) fn take_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, waited: Nanos) {
@@ -169,9 +171,8 @@
     /// The one judgement of a replica: the wait to expect there. The longest of what it took lately, which
     /// fades; how long its oldest part has been out; and what own parts there cost.
     /// One that was silent, or has a part out past the aim, has an aim on top: it is passed over where
-    /// another can be had, and a query that needs it has a poor outlook. When a trial is due the classes with
-    /// parts to spare make it; the others have half an aim on top, so that nothing is refused for ever for a
-    /// silence that is long over: where queries are few, few trials come.
+    /// another can be had. When a trial is due the classes with parts to spare make it; the others have half
+    /// an aim on top, so that nothing is refused for ever for a silence that is long over.
     fn wait_at(&self, r: &Replica, class: &Class) -> f64 {
         let aim = self.least_aim as f64;
         let idle = (self.now - r.paced) as f64 / (FADE_AIMS * aim).max(self.visits);
@@ -194,22 +195,20 @@
         errors * if class.effect == Effect::Unsafe { class.aim as f64 } else { ERROR_COST * self.typical }
     }
 
-    /// A shard's replicas in turn, skipping one with a part out past the aim; if all are, the next goes.
-    /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
-    /// Where a call costs, a part joins one that its query sends now; the turn moves on past that.
-    pub(super) fn pick(&self, p: &Part, not: &[ReplicaId], join: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
-        let fit = self.fit(p, not);
-        let joined = |id: &ReplicaId| join.iter().filter(|j| *j == id).count() as u32;
-        let near = fit.iter().find(|r| (1..self.set.bundle).contains(&joined(&r.0)));
-        near.or_else(|| fit.first()).copied()
+    /// Where a part goes, with the wait to expect there.
+    pub(super) fn pick(&self, p: &Part, not: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
+        self.fit(p, not).first().copied()
     }
 
-    /// The replicas that a part may go to, in turn, with the wait to expect there.
+    /// A shard's replicas in turn, skipping one with a part out past the aim; if all are, the next goes.
+    /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
     fn fit(&self, p: &Part, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
         let c = self.class(p.class);
         let Some(holders) = self.holders.get(p.shard.0 as usize) else { return Vec::new() };
-        let turn = self.turns[p.shard.0 as usize];
-        let order = (0..holders.len()).map(|i| holders[(turn + i) % holders.len()]);
+        // First the one in whose share the turn is.
+        let upto = |n: usize| holders[..=n].iter().map(|h| h.1).sum::<f64>();
+        let first = (0..holders.len()).find(|n| self.turns[p.shard.0 as usize] < upto(*n)).unwrap_or(0);
+        let order = (0..holders.len()).map(|i| holders[(first + i) % holders.len()].0);
         let able: Vec<(ReplicaId, f64, f64)> = order
             .filter(|id| !not.contains(id))
             .filter_map(|id| self.replicas.get(&id).map(|r| (id, r)))
--- a/src/rules/sending.rs
+++ b/src/rules/sending.rs
@@ -4,6 +4,8 @@
 
 /// After this fraction of the least aim an unused connection is idle.
 const STALE: u64 = 4;
+/// What a turn goes on beyond an even step, so that in time it meets all of each share.
+const SLIP: f64 = 0.01;
 
 impl Aggregator {
     /// Rule 6: further attempts left in the window, never optimistic at its edge.
@@ -28,7 +30,7 @@
             (Effect::Keyed(window), Some(t)) => self.now + END_TICKS * self.set.tick < t + window,
             (Effect::Unsafe, Some(_)) => false,
         };
-        let holds = self.holders.get(p.shard.0 as usize).is_some_and(|h| h.contains(&replica));
+        let holds = self.holders.get(p.shard.0 as usize).is_some_and(|h| h.iter().any(|h| h.0 == replica));
         let cost = self.cost(q.class);
         let further = !p.attempts.is_empty();
         let allowed = q.open()
@@ -66,9 +68,7 @@
         r.cold_sent.retain(|s| s.0 >= horizon);
         r.cold_sent.push_back((now, cost));
         r.cold_draw = -self.rng.f64().max(f64::MIN_POSITIVE).ln();
-        if let Some(place) = self.holders[shard].iter().position(|h| *h == replica) {
-            self.turns[shard] = (place + 1) % self.holders[shard].len();
-        }
+        self.turns[shard] = (self.turns[shard] + 1.0 / self.holders[shard].len() as f64 + SLIP).fract();
         if let Some(p) = self.queries.get_mut(&seq).and_then(|q| q.parts.get_mut(at)) {
             p.attempts.push(Attempt { replica, at: now, ended: None });
         }
@@ -92,7 +92,6 @@
         let chase = sampled || (c.late_worth > 0.0 && self.share >= 1.0);
         let until = if chase || self.now >= due { end } else { due };
         let timeout = until.saturating_sub(self.now).max(self.set.tick);
-        let mut join = Vec::new();
         for at in 0..count {
             let Some(p) = self.queries.get(&seq).and_then(|q| q.parts.get(at)) else { return };
             if p.second != second || !p.asked || p.came.is_some() || !self.may_try(p, c) {
@@ -100,9 +99,8 @@
             }
             let tried: Vec<ReplicaId> = p.attempts.iter().map(|a| a.replica).collect();
             if tried.is_empty() {
-                if let Some((r, _)) = self.pick(p, &[], &join) {
+                if let Some((r, _)) = self.pick(p, &[]) {
                     self.send((seq, at), r, timeout, actions);
-                    join.extend((self.set.call_cost > 0).then_some(r));
                 }
                 continue;
             }
@@ -113,7 +111,7 @@
             }
             // Another replica, or when all were tried, one where this part is not out.
             let busy = out.map_or(vec![], |a| vec![a.replica]);
-            let pick = self.pick(p, &tried, &[]).or_else(|| self.pick(p, &busy, &[]));
+            let pick = self.pick(p, &tried).or_else(|| self.pick(p, &busy));
             let Some((r, wait)) = pick else { continue };
             let in_time = self.now as f64 + wait < due as f64;
             // Where a part was turned away it goes again when that may be in time, or late anyhow.
