Tests: all holders of a shard cold at once, a list that names a node twice or nobody

The core: of a node named twice in a list the last line holds, and a list of nobody leads to refusals, not to sends.

--- a/tests/core.rs
+++ b/tests/core.rs
@@ -375,3 +375,30 @@
     }
     assert!(commands.iter().any(served), "10 ms are left for the way");
 }
+
+#[test]
+fn a_list_that_names_a_node_twice_or_names_none_leads_to_no_send_it_forbids() {
+    let now = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut out = Vec::new();
+    let full = |nodes| Input::Roster(Roster { kind: ListKind::Full, nodes });
+    let launches = |out: &[Command], to: u8| {
+        out.iter().filter(|c| matches!(c, Command::Launch(r, _) if r.0[3] == to)).count()
+    };
+    core.turn(now, [fleet()], &mut out);
+    let (ready, drains) = (node(0, MemberState::Ready), node(0, MemberState::Draining));
+    let others = [1, 2].map(|n| node(n, MemberState::Ready));
+    core.turn(now, [full([ready, drains].into_iter().chain(others).collect())], &mut out);
+    (0..4).for_each(|n| core.turn(now, [ask(n, 0, 2, now)], &mut out));
+    assert_eq!(launches(&out, 0), 0, "its last line says that it drains");
+    assert_eq!(launches(&out, 1) + launches(&out, 2), 8);
+    out.clear();
+    let later = now + Micros::from_secs(1);
+    core.turn(later, [full(Vec::new()), ask(9, 0, 2, later)], &mut out);
+    for ms in (0..1_000).step_by(10) {
+        core.turn(later + Micros::from_millis(ms), [], &mut out);
+    }
+    assert_eq!((0..3).map(|n| launches(&out, n)).sum::<usize>(), 0, "nobody is listed");
+    let finals = out.iter().filter(|c| matches!(c, Command::Reply(Token(9), Answer::Refused { .. })));
+    assert_eq!(finals.count(), 1);
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -229,28 +229,53 @@
     assert!(after > 0.98, "{after}");
 }
 
-#[test]
-fn the_whole_fleet_spares_a_node_that_starts_and_uses_it() {
-    let rule = ColdRule { factor: 3.0, span: S, start: 0.2, warm_up: 20 * S };
-    let mut fleet = Fleet::new(&Settings { cold: Some(rule), ..site() });
-    let told = START + 5 * S;
-    for n in 0..INSTANCES {
-        fleet.later(told - START, n, Due::Fresh(3));
-    }
-    fleet.run(told + 20 * S);
-    let sent: Vec<_> = fleet.sent.iter().filter(|s| s.1 == 3 && s.0 >= told).collect();
+/// The rule over the sum of all instances: what a node that starts is sent in any second stays under what it bears.
+/// How many parts it was sent.
+fn spared(fleet: &Fleet, node: u8, told: Nanos) -> usize {
+    let sent: Vec<_> = fleet.sent.iter().filter(|s| s.1 == node && s.0 >= told).collect();
     for (n, (at, ..)) in sent.iter().enumerate() {
         let age = (at - told) as f64 / (20 * S) as f64;
         let work: Nanos = sent[..=n].iter().filter(|s| s.0 + S > *at).map(|s| s.2).sum();
         let bears = 3.0 * (0.2 + 0.8 * age) * S as f64;
-        assert!(work as f64 <= bears, "{work} ns of work at {age:.2} of the warm-up");
+        assert!(work as f64 <= bears, "node {node}: {work} ns of work at {age:.2} of the warm-up");
     }
-    assert!(sent.len() > 100, "{} parts in its warm-up", sent.len());
+    sent.len()
+}
+
+/// A fleet in which these nodes start at one time, told to all at once.
+fn with_fresh(nodes: &[u8], told: Nanos) -> Fleet {
+    let rule = ColdRule { factor: 3.0, span: S, start: 0.2, warm_up: 20 * S };
+    let mut fleet = Fleet::new(&Settings { cold: Some(rule), ..site() });
+    for n in 0..INSTANCES {
+        nodes.iter().for_each(|node| fleet.later(told - START, n, Due::Fresh(*node)));
+    }
+    fleet.run(told + 20 * S);
+    fleet
+}
+
+#[test]
+fn the_whole_fleet_spares_a_node_that_starts_and_uses_it() {
+    let told = START + 5 * S;
+    let fleet = with_fresh(&[3], told);
+    let sent = spared(&fleet, 3, told);
+    assert!(sent > 100, "{sent} parts in its warm-up");
     for class in [SEND, LOOKUP, REPORT] {
         assert!(fleet.served(class, told, told + 18 * S) > 0.99, "class {class}");
     }
 }
 
+#[test]
+fn all_holders_of_a_shard_that_start_at_once_are_spared_and_no_query_is_lost() {
+    let told = START + 5 * S;
+    let fleet = with_fresh(&[3, 4], told);
+    let sent = [3, 4].map(|node| spared(&fleet, node, told));
+    assert!(sent.iter().all(|n| *n > 100), "{sent:?} parts in their warm-up");
+    let open = |f: &Fate| f.finals == 0 && f.at + S >= told + 20 * S;
+    assert!(fleet.fates.values().all(|f| f.finals == 1 || open(f)), "one final answer each");
+    // Who can spare a part of twenty is served meanwhile.
+    assert!(fleet.served(REPORT, told, told + 18 * S) > 0.9);
+}
+
 #[test]
 fn the_neighbours_of_a_node_that_drains_share_its_parts_with_theirs() {
     // They held two shards alone and half of the two they share: half as much again, and their queues filled, while
