Draw where turns begin in one place; drop the key that no decision reads

`Aggregator::new` drew where turns begin and made the holders' places by itself, as `grow` does: it calls `grow` now, with the same draws in the same order. `Event::Query` bore a key that nothing has read since the luck is drawn for each query; the wire's field is still read over.

--- a/src/bin/quinceflow-benchlink/codec.rs
+++ b/src/bin/quinceflow-benchlink/codec.rs
@@ -220,7 +220,7 @@
 fn read_ask(f: &mut Fields<'_>) -> Result<Event, Malformed> {
     let id = f.u64()?;
     let group = Group(f.whole()?.unwrap_or(0));
-    let (hint, key, marks, tenant) = (f.u64()?, f.u64()?, f.u8()?, TenantId(f.u32()?));
+    let (hint, _key, marks, tenant) = (f.u64()?, f.u64()?, f.u8()?, TenantId(f.u32()?));
     let shard = f.whole()?;
     let weight = f64::from(f.f32()?);
     let (class, time_left) = (ClassId(u16::from(f.u8()?)), f.u64()?);
@@ -231,7 +231,6 @@
             group,
             class,
             tenant,
-            key,
             hint: (marks & 1 != 0).then_some(hint),
             time_left,
         },
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -394,7 +394,6 @@
             group,
             class,
             tenant: request.tenant,
-            key: 0,
             hint: hints.filter(|_| !request.parts.is_empty()).map(Micros::to_nanos),
             time_left: until.since(now + WAY).to_nanos(),
         });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -251,8 +251,6 @@
         class: ClassId,
         /// Its tenant.
         tenant: TenantId,
-        /// What it is about; 0: no key.
-        key: u64,
         /// Expected work of all parts, where told.
         hint: Option<Nanos>,
         /// Time before the client abandons this try.
--- a/src/levels/table.rs
+++ b/src/levels/table.rs
@@ -32,7 +32,7 @@
     pub admit: std::collections::BTreeMap<String, f64>,
     /// Most attempts at a part.
     pub most_attempts: Option<u32>,
-    /// Late parts are not sampled, and nothing is probed.
+    /// Late parts are not sampled.
     pub quiet: bool,
     /// Partial classes are answered after this share of their aim, never under their floor.
     pub answer_after: Option<f64>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,7 +59,6 @@
 //!                 group: Group(1),
 //!                 class: ClassId(0),
 //!                 tenant: TenantId(0),
-//!                 key: 0,
 //!                 hint: None,
 //!                 time_left: 3_000 * MS,
 //!             },
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -89,15 +89,11 @@
     /// An instance that holds nothing yet.
     pub fn new(set: Settings, seed: u64, now: Nanos) -> Self {
         let least_aim = least_aim(&set);
-        let mut rng = fastrand::Rng::with_seed(seed);
-        // Where turns begin: were it the same everywhere, instances with little traffic would go in step.
-        let turns = (0..set.shards).map(|_| rng.f64()).collect();
-        Self {
-            rng,
+        let shards = set.shards as usize;
+        let mut module = Self {
+            rng: fastrand::Rng::with_seed(seed),
             now,
             least_aim,
-            holders: vec![Vec::new(); set.shards as usize],
-            turns,
             typical: least_aim as f64 * FIRST_GUESS,
             usual: least_aim as f64 * FIRST_GUESS,
             work: set.classes.iter().map(|c| c.aim as f64 * FIRST_GUESS).collect(),
@@ -108,7 +104,9 @@
             ask_at: set.ask_within.map(|_| now),
             set,
             ..Self::default()
-        }
+        };
+        module.grow(shards);
+        module
     }
 
     /// Takes a batch of events that came at `now`, in order, and appends what is to be done, in order.
@@ -136,7 +134,7 @@
                 self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
-            Event::Query { query, group, class, tenant, hint, time_left, .. } => {
+            Event::Query { query, group, class, tenant, hint, time_left } => {
                 let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
                     return actions.push(Action::Fail(*query));
                 };
@@ -193,7 +191,8 @@
         }
     }
 
-    /// Shards that are new get their places here; turns begin anywhere, as in `new`.
+    /// Shards that are new get their places here. Where turns begin is drawn: were it the same everywhere,
+    /// instances with little traffic would go in step.
     fn grow(&mut self, shards: usize) {
         let most = shards.max(self.holders.len());
         self.holders.resize(most, Vec::new());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -62,7 +62,6 @@
         group: Group(id as u32),
         class: ClassId(class),
         tenant: TenantId(tenant),
-        key: 0,
         hint: None,
         time_left,
     }
