Read a list that comes indented over several lines, and notice one cut off

Cause: the watch took each line of discovery's answer for one list (proto/discovery.rs). An indented list was no list by its first line: the watch was closed as malformed, opened anew, got the same list, and no drain was heard of any more. A list now ends where its object ends. An empty line inside one is discovery's word that nothing changes, so the list before it was cut off and the watch is opened anew.

Tests in proto/discovery.rs: forms, every cut of the bytes, every cut-off list. The first fails with the old reading (seen).

--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -53,7 +53,10 @@
 
 /// Reads one list. `now` and `unix_now_ms` are one moment on the two clocks.
 pub fn read_listing(text: &[u8], cached: bool, now: Micros, unix_now_ms: u64) -> Result<News, String> {
-    let listing: Listing = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    read(serde_json::from_slice(text).map_err(|e| e.to_string())?, cached, now, unix_now_ms)
+}
+
+fn read(listing: Listing, cached: bool, now: Micros, unix_now_ms: u64) -> Result<News, String> {
     let node = |t: Target| {
         Ok(Node {
             name: t.uid.into(),
@@ -79,6 +82,29 @@
     Ok(News { rev: listing.rev, roster: Roster { kind, nodes } })
 }
 
+/// The lists that are whole at the front of what came, and how many bytes they took. A list stands on one line, or is
+/// indented over several: its end is where its object ends. None has an empty line in it, for that is what discovery says
+/// while nothing changes: a list that was cut off would else be waited for as long as the watch lives.
+fn lists(text: &[u8], now: Micros, unix_now_ms: u64) -> Result<(Vec<News>, usize), String> {
+    let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
+    let mut objects = serde_json::Deserializer::from_slice(&text[..whole]).into_iter::<Listing>();
+    let (mut news, mut used) = (Vec::new(), 0);
+    loop {
+        match objects.next() {
+            None => return Ok((news, whole)),
+            Some(Ok(listing)) => news.push(read(listing, false, now, unix_now_ms)?),
+            Some(Err(e)) if e.is_eof() => break,
+            Some(Err(e)) => return Err(e.to_string()),
+        }
+        used = objects.byte_offset();
+    }
+    let begun = text[used..whole].trim_ascii_start();
+    if begun.split(|b| *b == b'\n').rev().skip(1).any(|line| line.trim_ascii().is_empty()) {
+        return Err("a list without its end".to_owned());
+    }
+    Ok((news, used))
+}
+
 /// One watch.
 #[derive(Debug)]
 pub struct Watch {
@@ -104,13 +130,66 @@
         if let Some(status) = self.reader.head().map(|h| h.status).filter(|s| *s != 200) {
             return Err(WatchError::Status(status));
         }
-        let mut news = Vec::new();
-        let body = &mut self.reader.body;
-        let whole = body.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
-        for line in body[..whole].split(|b| *b == b'\n').map(<[u8]>::trim_ascii).filter(|l| !l.is_empty()) {
-            news.push(read_listing(line, false, now, unix_now_ms).map_err(WatchError::Line)?);
-        }
-        body.drain(..whole);
+        let (news, used) = lists(&self.reader.body, now, unix_now_ms).map_err(WatchError::Line)?;
+        self.reader.body.drain(..used);
         Ok((news, ended))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIST: &str =
+        r#"{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"terminating"}]}"#;
+
+    /// What comes of these pieces of a watch's answer: the versions that were told, in order.
+    fn told(pieces: &[&str]) -> Result<Vec<u64>, WatchError> {
+        let mut watch = Watch::default();
+        let mut versions = Vec::new();
+        for piece in std::iter::once(&"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chain(pieces) {
+            let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+            watch.reader.input.feed(if piece.starts_with("HTTP") {
+                piece.as_bytes()
+            } else {
+                chunk.as_bytes()
+            });
+            versions.extend(watch.advance(Micros::ZERO, 0)?.0.iter().map(|n| n.rev));
+        }
+        Ok(versions)
+    }
+
+    #[test]
+    fn a_list_is_read_on_one_line_or_indented_however_it_is_cut() {
+        // An indented list was no list by its first line: the watch was closed and opened for ever, and no drain was heard.
+        let value: serde_json::Value = serde_json::from_str(LIST).expect("a list");
+        let indented = serde_json::to_string_pretty(&value).expect("a list");
+        for form in [
+            format!("{LIST}\n"),
+            format!("{indented}\n"),
+            format!("\r\n  {}\r\n\n", indented.replace('\n', "\r\n")),
+        ] {
+            assert_eq!(told(&[&form, "\n", &form]), Ok(vec![43, 43]), "{form}");
+            assert_eq!(told(&[&format!("{form}{form}")]), Ok(vec![43, 43]), "{form}");
+            let cut: Vec<String> = form.chars().map(String::from).collect();
+            let cut: Vec<&str> = cut.iter().map(String::as_str).collect();
+            assert_eq!(told(&cut), Ok(vec![43]), "{form}");
+        }
+    }
+
+    #[test]
+    fn a_list_that_is_cut_off_ends_the_watch_at_the_next_word_and_not_never() {
+        let whole = format!("{LIST}\n");
+        for cut in 1..LIST.len() {
+            let begun = format!("{}\n", &LIST[..cut]);
+            assert!(
+                matches!(told(&[&whole, &begun, "\n"]), Err(WatchError::Line(_))),
+                "then nothing new: {begun}"
+            );
+            assert!(
+                matches!(told(&[&begun, &whole, "\n"]), Err(WatchError::Line(_))),
+                "then a list: {begun}"
+            );
+        }
+    }
+}
