Take no drain back for an older list, and drop nobody that it does not name

Cause: the core took every list as it came, whatever its version (Core::take_roster). Discovery that had moved or came back from an older copy may tell a list that goes back: nodes told to drain were called in service, and parts went there again; nodes that it did not know yet lost all work. A list below the highest version so far now brings only what cannot be wrong: drains and ends in the life that is known, later lives, and nodes never heard of. Told by one log line and the counter rosters_back. A second process with versions of its own would stay "older" until the program starts anew: nodes still come and go by it, only a drain stays.

Test: tests/core.rs, fails without the mend (seen).

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -71,7 +71,7 @@
     /// Frames that could not be read.
     bad_frames,
     /// The list of servers.
-    rosters, watch_breaks, bad_rosters, reloads, bad_reloads,
+    rosters, rosters_back, watch_breaks, bad_rosters, reloads, bad_reloads,
     /// Invariants that did not hold.
     broken_invariants,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -41,10 +41,33 @@
     name: Arc<str>,
     address: Arc<str>,
     ready: bool,
+    /// When it last started, as far as lists have told.
+    started: Option<Micros>,
     /// Since when the list has it no more.
     gone: Option<Micros>,
 }
 
+/// The same start comes out a little different each time it is told: it is reckoned from two clocks.
+const SAME_START: Micros = Micros::from_millis(500);
+
+impl Listed {
+    /// A line tells of another life of it than the one that is known: a later one, or an earlier.
+    fn later(&self, started: Option<Micros>) -> bool {
+        started.is_some_and(|s| self.started.is_none_or(|known| s > known + SAME_START))
+    }
+
+    fn earlier(&self, started: Option<Micros>) -> bool {
+        self.started.is_some_and(|known| started.is_none_or(|s| s + SAME_START < known))
+    }
+
+    /// Does an old list tell news of it? That it drains or has gone is never taken back in the same life, so that is
+    /// believed however old the list is, and a later life is. All else the newer list told better.
+    fn learns(&self, node: &Node) -> bool {
+        self.later(node.started)
+            || (self.ready && node.state != MemberState::Ready && !self.earlier(node.started))
+    }
+}
+
 /// An attempt that is out.
 #[derive(Debug)]
 struct Flight {
@@ -109,6 +132,8 @@
     next_group: u32,
     names: HashMap<Arc<str>, ReplicaId>,
     servers: BTreeMap<ReplicaId, Listed>,
+    /// The highest version of the list that came.
+    version: u64,
     /// The number of the next server; never reused.
     next_server: u32,
     /// Events that arose while actions were carried out; they are for the next turn.
@@ -144,6 +169,7 @@
             next_group: 1,
             names: HashMap::new(),
             servers: BTreeMap::new(),
+            version: 0,
             next_server: 0,
             pending: Vec::new(),
         }
@@ -290,8 +316,15 @@
         }
     }
 
-    fn take_roster(&mut self, now: Micros, roster: Roster, events: &mut Vec<Event>, out: &mut Vec<Command>) {
+    fn take_roster(
+        &mut self,
+        now: Micros,
+        mut roster: Roster,
+        events: &mut Vec<Event>,
+        out: &mut Vec<Command>,
+    ) {
         COUNTERS.rosters.add();
+        self.keep_what_is_newer(&mut roster);
         let mut members = Vec::new();
         let mut named = BTreeSet::new();
         for node in roster.nodes {
@@ -310,7 +343,9 @@
                 out.push(Command::Server(replica, node.address.clone(), ready));
             }
             let gone = (node.state == MemberState::Gone).then(|| known.and_then(|l| l.gone).unwrap_or(now));
-            self.servers.insert(replica, Listed { name: node.name, address: node.address, ready, gone });
+            let started = node.started.max(known.and_then(|l| l.started));
+            self.servers
+                .insert(replica, Listed { name: node.name, address: node.address, ready, started, gone });
             let since = node.started.map_or(0, Micros::to_nanos);
             let (zone, cell) = (ZoneId(node.zone), CellId(node.cell));
             members.push(Member { replica, zone, cell, state: node.state, since });
@@ -327,6 +362,25 @@
         self.forget_gone(now, out);
     }
 
+    /// Discovery that was moved, or came back from an older copy, may tell an older list than the one in force: whom it
+    /// does not name may be newer than it, and whom it calls in service may have been told to drain since.
+    fn keep_what_is_newer(&mut self, roster: &mut Roster) {
+        let Some(version) = roster.version else { return };
+        if version >= self.version {
+            self.version = version;
+            return;
+        }
+        log_rarely(&COUNTERS.rosters_back, || {
+            format!(
+                "discovery: the list goes back from version {} to {version}: drains are taken from it",
+                self.version
+            )
+        });
+        roster.kind = ListKind::Delta;
+        let known = |n: &Node| self.names.get(&n.name).and_then(|r| self.servers.get(r));
+        roster.nodes.retain(|node| known(node).is_none_or(|listed| listed.learns(node)));
+    }
+
     /// Servers are replaced by new ones with new names for as long as the program runs: what is kept of those that are
     /// gone has its end here.
     fn forget_gone(&mut self, now: Micros, out: &mut Vec<Command>) {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -121,6 +121,8 @@
 pub struct Roster {
     /// How much of the list this is.
     pub kind: crate::interface::ListKind,
+    /// Its version, where lists have one: a later list has no lower one.
+    pub version: Option<u64>,
     /// Its lines.
     pub nodes: Vec<Node>,
 }
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -97,7 +97,7 @@
             .values_mut()
             .for_each(|l| l.sort_by(|a, b| shares[a.0 as usize].cmp(&shares[b.0 as usize])));
         (self.known, self.loaded) = (known, true);
-        Roster { kind: ListKind::Full, nodes }
+        Roster { kind: ListKind::Full, version: None, nodes }
     }
 
     /// The names of the collections, in order.
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -79,7 +79,8 @@
         _ => ListKind::Delta,
     };
     let nodes = listing.targets.into_iter().map(node).collect::<Result<_, String>>()?;
-    Ok(News { rev: listing.rev, roster: Roster { kind, nodes } })
+    let roster = Roster { kind, version: Some(listing.rev), nodes };
+    Ok(News { rev: listing.rev, roster })
 }
 
 /// The lists that are whole at the front of what came, and how many bytes they took. A list stands on one line, or is
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -35,7 +35,7 @@
 
 fn fleet() -> Input {
     let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
-    Input::Roster(Roster { kind: ListKind::Cached, nodes })
+    Input::Roster(Roster { kind: ListKind::Cached, version: None, nodes })
 }
 
 fn ask(token: u64, class: u16, parts: u32, sent: Micros) -> Input {
@@ -193,7 +193,7 @@
                 }
                 Step::Drain(n, drain) => {
                     let state = if drain { MemberState::Draining } else { MemberState::Ready };
-                    inputs.push(Input::Roster(Roster { kind: ListKind::Delta, nodes: vec![node(n, state)] }));
+                    inputs.push(Input::Roster(Roster { kind: ListKind::Delta, version: None, nodes: vec![node(n, state)] }));
                 }
             }
             loop {
@@ -225,7 +225,7 @@
         let mut out = Vec::new();
         core.turn(
             now,
-            [Input::Roster(Roster { kind: ListKind::Cached, nodes }), ask(1, 1, 1, now)],
+            [Input::Roster(Roster { kind: ListKind::Cached, version: None, nodes }), ask(1, 1, 1, now)],
             &mut out,
         );
         let launched =
@@ -275,7 +275,7 @@
     for n in 0..400 {
         now = now + Micros::from_secs(1);
         let nodes = vec![node(n, MemberState::Gone), node(n + 1, MemberState::Ready)];
-        core.turn(now, [Input::Roster(Roster { kind: ListKind::Delta, nodes })], &mut out);
+        core.turn(now, [Input::Roster(Roster { kind: ListKind::Delta, version: None, nodes })], &mut out);
         for command in out.drain(..) {
             match command {
                 Command::Server(replica, _, true) => assert!(seen.insert(replica) && open.insert(replica)),
@@ -381,7 +381,7 @@
     let now = Micros::from_secs(100);
     let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
-    let full = |nodes| Input::Roster(Roster { kind: ListKind::Full, nodes });
+    let full = |nodes| Input::Roster(Roster { kind: ListKind::Full, version: None, nodes });
     let launches = |out: &[Command], to: u8| {
         out.iter().filter(|c| matches!(c, Command::Launch(r, _) if r.0[3] == to)).count()
     };
@@ -402,3 +402,38 @@
     let finals = out.iter().filter(|c| matches!(c, Command::Reply(Token(9), Answer::Refused { .. })));
     assert_eq!(finals.count(), 1);
 }
+
+#[test]
+fn an_older_list_takes_no_drain_back_and_drops_nobody() {
+    // Discovery had moved, or came back from an older copy: its list called nodes in service that had been told to drain,
+    // and parts went there again; whom it did not know yet lost all work.
+    let now = Micros::from_secs(100);
+    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut out = Vec::new();
+    let list = |version, kind, nodes| Input::Roster(Roster { kind, version: Some(version), nodes });
+    let at = |n, state, started: u64| Node { started: Some(Micros::from_secs(started)), ..node(n, state) };
+    let ready = |out: &mut Vec<Command>| {
+        let told = out.drain(..).filter_map(|c| match c {
+            Command::Server(r, _, ready) => Some((r.0[3], ready)),
+            _ => None,
+        });
+        told.collect::<Vec<_>>()
+    };
+    let all = |first| vec![first, at(1, MemberState::Ready, 50), node(2, MemberState::Ready)];
+    core.turn(now, [list(7, ListKind::Full, all(at(0, MemberState::Ready, 50)))], &mut out);
+    core.turn(now, [list(8, ListKind::Delta, vec![at(0, MemberState::Draining, 50)])], &mut out);
+    assert_eq!(ready(&mut out), [(0, true), (1, true), (2, true), (0, false)]);
+    core.turn(now, [list(6, ListKind::Full, vec![at(0, MemberState::Ready, 50)])], &mut out);
+    assert_eq!(ready(&mut out), [], "the drain stands, and so do those that it does not name");
+    core.turn(now, [ask(1, 0, 2, now)], &mut out);
+    assert!(!out.iter().any(|c| matches!(c, Command::Launch(r, _) if r.0[3] == 0)), "nothing goes there");
+    out.clear();
+    core.turn(now, [list(6, ListKind::Full, all(at(0, MemberState::Ready, 90)))], &mut out);
+    assert_eq!(ready(&mut out), [(0, true)], "it has started anew since");
+    core.turn(now, [list(5, ListKind::Delta, vec![at(0, MemberState::Draining, 50)])], &mut out);
+    assert_eq!(ready(&mut out), [], "that was in its life before");
+    core.turn(now, [list(5, ListKind::Delta, vec![at(1, MemberState::Draining, 50)])], &mut out);
+    assert_eq!(ready(&mut out), [(1, false)], "a drain is believed however old its list is");
+    core.turn(now, [list(8, ListKind::Full, all(at(0, MemberState::Draining, 90)))], &mut out);
+    assert_eq!(ready(&mut out), [(0, false), (1, true)], "what is as new as the newest goes as it is");
+}
