--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -223,10 +223,10 @@
         }
         Err(e) => tracing::warn!("the known list cannot be read: {e}"),
     }
-    let place = watch::Place::new(config.discovery);
-    let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
     let deployment = &config.deployment;
-    let waits = watch::Waits::new(deployment.module.ask_within, config.seed);
+    let place = watch::Place::new(config.discovery, deployment.module.ask_within);
+    let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
+    let waits = watch::Waits::new(config.seed);
     spawn(LARGE_STACK, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
         .map_err(no_coroutine)?;
     let named = Arc::new(Mutex::new(Named::new(deployment)));
@@ -271,6 +271,7 @@
             place.move_to(replaced.discovery);
         }
         let deployment = replaced.deployment;
+        place.ask_within_is(deployment.module.ask_within);
         let names: Vec<_> = deployment.module.classes.iter().map(|c| c.name.as_str()).collect();
         let words = format!(
             "the configuration is read anew: discovery is at {}, classes {}",
