Send nothing of a query that is over, and take no part for unsent that is going out

Causes, by reading frames, links and core line by line: - a part was taken out of an unwritten frame only where it was alone in it (Link::call_off): of a call of several parts (sites with batch above 1) all went out after their query was over, and again on a redialled connection (restart). - an attempt whose frame had begun to go out, not whole yet, was told as never run at its time-out or cancel, while the rest of the frame still went out: a class that must not repeat could go twice. It counts as begun from its first byte. - both attempts at a part have one id: a late "broke" or "skipped" to the one given up ended the next one on the same connection, and a third went out beside it. The next one takes another connection while an answer is owed. - where calling off is not allowed, what waited for a connection went out after its client had left or had its answer. - a node told at another address kept what waited for the old one. - queries held at SIGTERM whose time outlasts the kill got a reset for an answer; they are answered by then.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -74,7 +74,8 @@
     replica: ReplicaId,
     sent: Micros,
     until: Micros,
-    written: bool,
+    /// Some of it has left this machine: it may run.
+    begun: bool,
     label: Arc<str>,
     class: ClassId,
 }
@@ -180,9 +181,17 @@
         self.held.len()
     }
 
-    /// The program is to end: whatever is taken from now on has its answer by then.
+    /// The program is to end: whatever is held or taken from now on has its answer by then.
     pub fn answer_by(&mut self, last: Micros) {
         self.last = Some(last);
+        let late: Vec<_> = self.ends.range((last, QueryId(u64::MAX))..).copied().collect();
+        for (until, query) in late {
+            if let Some(held) = self.held.get_mut(&query) {
+                held.until = last;
+                self.ends.remove(&(until, query));
+                self.ends.insert((last, query));
+            }
+        }
     }
 
     /// Is this attempt out?
@@ -300,14 +309,21 @@
             Input::Left(token) => {
                 if let Some(query) = self.tokens.get(&token).copied() {
                     COUNTERS.gone.add();
-                    self.forget(query);
                     events.push(Event::Gone(query));
+                    if let Some(held) = self.forget(query) {
+                        self.take_back(now, query, &held, events, out);
+                    }
                 }
             }
             Input::Written(key) => {
                 if let Some(flight) = self.flights.get_mut(&key) {
                     COUNTERS.written.add();
-                    flight.written = true;
+                    flight.begun = true;
+                }
+            }
+            Input::Begun(key) => {
+                if let Some(flight) = self.flights.get_mut(&key) {
+                    flight.begun = true;
                 }
             }
             Input::Ended(key, end) => self.take_end(now, key, end, events),
@@ -512,8 +528,9 @@
                 continue;
             };
             out.push(Command::CallOff(flight.replica, key));
-            // What never left this machine whole never ran: a class that must not repeat may go again.
-            let outcome = if flight.written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            // What never began to leave this machine is taken back, so it never ran: a class that must not repeat may go
+            // again. What began to leave it goes on to its last byte, and runs.
+            let outcome = if flight.begun { Outcome::TimedOut } else { Outcome::ConnectFailed };
             self.tell(now, key, &flight, outcome, events);
         }
     }
@@ -521,8 +538,10 @@
     /// The module ends every query in time; should it not, the client still gets its one answer.
     fn ends_due(&mut self, now: Micros, out: &mut Vec<Command>) {
         while let Some((_, query)) = self.ends.first().copied().filter(|e| e.0 <= now) {
-            invariant(false, "a query outlived its client's time");
             if let Some(held) = self.forget(query) {
+                let told_to_end = self.last.is_some_and(|last| held.until >= last);
+                invariant(told_to_end, "a query outlived its client's time");
+                self.take_back_later(now, query, &held, out);
                 COUNTERS.failed.add();
                 self.reply(held.class, &held.request, Answer::Failed { late: true }, out);
             }
@@ -555,6 +574,37 @@
         Some(held)
     }
 
+    /// A query has its end: what of it has not begun to leave this machine never does, whether or not nodes may be told
+    /// to call parts off. A part that waited for its connection went out to nobody's use else.
+    fn take_back(
+        &mut self,
+        now: Micros,
+        query: QueryId,
+        held: &Held,
+        events: &mut Vec<Event>,
+        out: &mut Vec<Command>,
+    ) {
+        for at in 0..held.values.len() as u64 {
+            let part = PartId(query.0 + 1 + at);
+            let of = |n| AttemptKey { part, attempt: AttemptNo(n) };
+            let out_of_it = self.flights.range(of(0)..=of(u16::MAX));
+            let waiting: Vec<_> = out_of_it.filter(|f| !f.1.begun).map(|f| *f.0).collect();
+            for key in waiting {
+                if let Some(flight) = self.land(key) {
+                    out.push(Command::CallOff(flight.replica, key));
+                    self.tell(now, key, &flight, Outcome::Moot, events);
+                }
+            }
+        }
+    }
+
+    /// The same for an end that the module gave: it hears of it in the next turn.
+    fn take_back_later(&mut self, now: Micros, query: QueryId, held: &Held, out: &mut Vec<Command>) {
+        let mut events = std::mem::take(&mut self.pending);
+        self.take_back(now, query, held, &mut events, out);
+        self.pending = events;
+    }
+
     fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
         match action {
             Action::Send { part, replica, timeout } => self.launch(now, part, replica, timeout, out),
@@ -562,13 +612,13 @@
                 let key = AttemptKey { part, attempt };
                 if let Some(flight) = self.land(key) {
                     out.push(Command::CallOff(flight.replica, key));
-                    let outcome = if flight.written { Outcome::Cancelled } else { Outcome::Moot };
+                    let outcome = if flight.begun { Outcome::Cancelled } else { Outcome::Moot };
                     let mut events = std::mem::take(&mut self.pending);
                     self.tell(now, key, &flight, outcome, &mut events);
                     self.pending = events;
                 }
             }
-            Action::Answer { query, whole } => self.answer(query, whole, out),
+            Action::Answer { query, whole } => self.answer(now, query, whole, out),
             Action::Refuse { query, come_back } => {
                 let come_back = come_back.map(Micros::from_nanos);
                 self.give_up(now, query, |late| Answer::Refused { come_back, late }, &COUNTERS.refused, out);
@@ -610,7 +660,7 @@
             "a part has two attempts out",
         );
         let (label, class) = (held.request.label.clone(), held.class);
-        let flight = Flight { replica, sent: now, until, written: false, label: label.clone(), class };
+        let flight = Flight { replica, sent: now, until, begun: false, label: label.clone(), class };
         self.flights.insert(key, flight);
         *self.labels.entry(label.clone()).or_insert(0) += 1;
         self.time_outs.insert((until, key));
@@ -627,8 +677,9 @@
         out.push(Command::Launch(replica, vec![job]));
     }
 
-    fn answer(&mut self, query: QueryId, whole: bool, out: &mut Vec<Command>) {
+    fn answer(&mut self, now: Micros, query: QueryId, whole: bool, out: &mut Vec<Command>) {
         let Some(held) = self.forget(query) else { return invariant(false, "an answer to no query") };
+        self.take_back_later(now, query, &held, out);
         let class = self.classes.get(held.class);
         let parts = held.request.parts.iter().zip(held.values);
         let mut weight = 0.0;
@@ -655,6 +706,7 @@
     ) {
         // A class that is none is failed by the module before its parts are known.
         let Some(held) = self.forget(query) else { return invariant(false, "an end to no query") };
+        self.take_back_later(now, query, &held, out);
         counter.add();
         let late = now + NEAR_END >= held.wanted.min(held.until);
         self.reply(held.class, &held.request, answer(late), out);
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -136,6 +136,8 @@
     Ask(Request),
     /// The client that waited for this has left.
     Left(Token),
+    /// Some of the attempt's request has left this machine: what is left of it follows, so it can't be taken back.
+    Begun(AttemptKey),
     /// The attempt's request has left this machine whole: from here on it may run.
     Written(AttemptKey),
     /// An attempt ended.
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -161,7 +161,7 @@
         links
     }
 
-    fn slot(&mut self, replica: ReplicaId, now: Micros, parts: usize) -> Option<Arc<Slot>> {
+    fn slot(&mut self, replica: ReplicaId, now: Micros, jobs: &[Job]) -> Option<Arc<Slot>> {
         let node = self.nodes.get_mut(&replica)?;
         let address = node.address.filter(|_| node.ready)?;
         node.links.retain(|l| !l.lock().dead);
@@ -173,7 +173,10 @@
                 state.closing = true;
                 wake(&state);
             }
-            if state.closing || state.link.load() + parts > most {
+            if state.closing
+                || state.link.load() + jobs.len() > most
+                || jobs.iter().any(|j| state.link.owes(j))
+            {
                 continue;
             }
             // A connection can fall silent while its node is sound: what follows takes another one.
@@ -212,13 +215,11 @@
     fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let address = address.parse().ok();
         let node = self.nodes.entry(replica).or_insert(Node { address, ready, links: Vec::new() });
-        if node.address != address {
-            node.address = address;
-            node.links.iter().for_each(|l| close_when_idle(l));
-        }
-        node.ready = ready;
-        if !ready {
-            // Told of a drain: nothing that waits for its connection may still go, nor go out anew on another.
+        let moved = node.address != address;
+        (node.address, node.ready) = (address, ready);
+        if moved || !ready {
+            // Told of a drain, or of another address: nothing that waits for its connection may still go, nor go out anew
+            // on another.
             for slot in &node.links {
                 let mut events = Vec::new();
                 let mut state = slot.lock();
@@ -235,7 +236,7 @@
     }
 
     fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
-        let slot = self.slot(replica, now, jobs.len());
+        let slot = self.slot(replica, now, jobs);
         let Some(slot) = slot else {
             let refused = jobs.iter().map(|j| LinkEvent::Ended(j.key, End::Not(Outcome::ConnectFailed)));
             return forward(&self.inbox, refused);
@@ -323,6 +324,7 @@
 fn forward(inbox: &Sender<Input>, events: impl IntoIterator<Item = LinkEvent>) {
     for event in events {
         let input = match event {
+            LinkEvent::Begun(key) => Input::Begun(key),
             LinkEvent::Written(key) => Input::Written(key),
             LinkEvent::Ended(key, end) => Input::Ended(key, end),
         };
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -12,10 +12,14 @@
 const MOST_FRAME: usize = 64 * 1024 + 1024;
 /// Ids remembered of parts that are over here: late answers and second copies bear them.
 const MOST_PAST: usize = 256;
+/// A frame's length and letter.
+const HEAD: usize = 5;
 
 /// What came of the bytes that were written or read.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LinkEvent {
+    /// Some of an attempt's frame is written: it can't be taken back any more.
+    Begun(AttemptKey),
     /// The last byte of an attempt's frame is written.
     Written(AttemptKey),
     /// An attempt ended.
@@ -26,18 +30,49 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BadFrame(pub String);
 
+/// A part's stretch of a frame.
+#[derive(Debug)]
+struct Piece {
+    key: AttemptKey,
+    bytes: usize,
+    /// Where it is counted once it is written: also when it was given up since its frame began to go out.
+    tally: Arc<Tally>,
+}
+
+/// A frame that is to be written, with its parts in order.
 #[derive(Debug)]
 struct Outgoing {
     bytes: Vec<u8>,
     written: usize,
-    keys: Vec<AttemptKey>,
-    /// Where its parts are counted once it is written: also those given up since it began to go out.
-    tallies: Vec<Arc<Tally>>,
+    parts: Vec<Piece>,
 }
 
 impl Outgoing {
     fn plain(bytes: Vec<u8>) -> Self {
-        Outgoing { bytes, written: 0, keys: Vec::new(), tallies: Vec::new() }
+        Outgoing { bytes, written: 0, parts: Vec::new() }
+    }
+
+    /// It carries this part and has not begun to go out.
+    fn waits_with(&self, key: AttemptKey) -> bool {
+        self.written == 0 && self.parts.iter().any(|p| p.key == key)
+    }
+
+    /// Only these parts are to go. Nothing of it has gone, or all of it is to go anew.
+    fn keep(&mut self, stays: impl Fn(AttemptKey) -> bool) {
+        self.written = 0;
+        let mut at = HEAD;
+        let bytes = &mut self.bytes;
+        self.parts.retain(|part| {
+            let stays = stays(part.key);
+            if stays {
+                at += part.bytes;
+            } else {
+                bytes.drain(at..at + part.bytes);
+            }
+            stays
+        });
+        let length = (bytes.len() as u32 - 4).to_be_bytes();
+        bytes[..4].copy_from_slice(&length);
     }
 }
 
@@ -49,8 +84,8 @@
     /// The parts that are out here, by their ids, and whether their frames are written.
     out: HashMap<String, (AttemptKey, bool)>,
     ids: HashMap<AttemptKey, String>,
-    /// The ids of parts that went out here and are over, the oldest first.
-    past: VecDeque<String>,
+    /// The ids of parts that went out here and are over, the oldest first, and whether an answer came.
+    past: VecDeque<(String, bool)>,
 }
 
 fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
@@ -65,45 +100,54 @@
     /// Queues one call of these parts.
     pub fn call(&mut self, jobs: &[Job]) {
         let mut rest = Vec::new();
-        let mut keys = Vec::new();
+        let mut parts = Vec::new();
         for job in jobs {
-            let id = format!("{}.{}", job.label, job.shard.0);
+            let (id, before) = (id(job), rest.len());
             // The node's wait ends with this program's, rounded up: it must not give up first.
             let wait = job.patience.0.div_ceil(1_000);
             rest.extend_from_slice(format!("{id} {} d={wait} {}\n", job.shard.0, job.text.len()).as_bytes());
             rest.extend_from_slice(&job.text);
-            keys.push(job.key);
+            parts.push(Piece { key: job.key, bytes: rest.len() - before, tally: job.tally.clone() });
             self.ids.insert(job.key, id.clone());
             if let Some((old, _)) = self.out.insert(id, (job.key, false)) {
                 self.ids.remove(&old);
             }
         }
-        let tallies = jobs.iter().map(|j| j.tally.clone()).collect();
-        self.output.push_back(Outgoing { keys, tallies, ..Outgoing::plain(frame(b'q', &rest)) });
+        self.output.push_back(Outgoing { parts, ..Outgoing::plain(frame(b'q', &rest)) });
     }
 
-    /// Gives an attempt up. One whose frame has not begun to go out never goes.
+    /// Gives an attempt up. One whose frame has not begun to go out never goes, whatever else is in that frame.
     pub fn call_off(&mut self, key: AttemptKey) {
         let Some(id) = self.ids.remove(&key) else { return };
         self.out.remove(&id);
-        let waiting = self.output.iter().position(|f| f.written == 0 && f.keys == [key]);
-        match waiting {
-            Some(at) => {
-                self.output.remove(at);
+        let waiting = self.output.iter_mut().position(|f| f.waits_with(key));
+        match waiting.and_then(|at| Some((at, self.output.get_mut(at)?))) {
+            Some((at, frame)) => {
+                frame.keep(|k| k != key);
+                if frame.parts.is_empty() {
+                    self.output.remove(at);
+                }
             }
             None => {
                 self.output.push_back(Outgoing::plain(frame(b'c', id.as_bytes())));
-                remember(&mut self.past, id);
+                remember(&mut self.past, id, false);
             }
         }
     }
 
+    /// An earlier attempt at this part was given up here and may still be answered. The answer would be taken for that to
+    /// the next attempt, which bears the same id: were it turned away or broken, the part would go out a third time while
+    /// the second is out.
+    pub fn owes(&self, job: &Job) -> bool {
+        job.key.attempt.0 > 0 && self.past.contains(&(id(job), false))
+    }
+
     /// Takes back every frame that has not begun to go out: after a drain nothing new may.
     pub fn take_back(&mut self, events: &mut Vec<LinkEvent>) {
         let (back, kept) =
-            self.output.drain(..).partition::<Vec<_>, _>(|f| f.written == 0 && !f.keys.is_empty());
+            self.output.drain(..).partition::<Vec<_>, _>(|f| f.written == 0 && !f.parts.is_empty());
         self.output = kept.into();
-        for key in back.into_iter().flat_map(|f| f.keys) {
+        for key in back.into_iter().flat_map(|f| f.parts).map(|p| p.key) {
             if let Some(id) = self.ids.remove(&key) {
                 self.out.remove(&id);
                 events.push(LinkEvent::Ended(key, End::Not(Outcome::Moot)));
@@ -119,16 +163,18 @@
     /// So many of them were written.
     pub fn wrote(&mut self, n: usize, events: &mut Vec<LinkEvent>) {
         let Some(front) = self.output.front_mut() else { return };
+        let begins = front.written == 0 && n > 0;
         front.written += n;
         if front.written < front.bytes.len() {
-            return;
+            let here = front.parts.iter().map(|p| p.key).filter(|key| begins && self.ids.contains_key(key));
+            return events.extend(here.map(LinkEvent::Begun));
         }
         let Some(whole) = self.output.pop_front() else { return };
-        whole.tallies.iter().for_each(|t| t.tries.add());
-        for key in whole.keys {
-            if let Some(entry) = self.ids.get(&key).and_then(|id| self.out.get_mut(id)) {
+        for part in whole.parts {
+            part.tally.tries.add();
+            if let Some(entry) = self.ids.get(&part.key).and_then(|id| self.out.get_mut(id)) {
                 entry.1 = true;
-                events.push(LinkEvent::Written(key));
+                events.push(LinkEvent::Written(part.key));
             }
         }
     }
@@ -155,9 +201,11 @@
                     let (id, end) = answer(rest)?;
                     if let Some((key, _)) = self.out.remove(id) {
                         self.ids.remove(&key);
-                        remember(&mut self.past, id.to_owned());
+                        remember(&mut self.past, id.to_owned(), true);
                         events.push(LinkEvent::Ended(key, end));
-                    } else if !self.past.iter().any(|p| p == id) {
+                    } else if let Some(past) = self.past.iter_mut().find(|p| p.0 == id) {
+                        past.1 = true;
+                    } else {
                         // A second copy, or the answer to what was given up, is of no use any more. One to what never
                         // went out here is some part's answer spoilt: that part would be waited for in vain.
                         return Err(BadFrame("an answer to what never went out".to_owned()));
@@ -186,8 +234,9 @@
         }
         self.input = Buffer::default();
         self.past.clear();
-        self.output.retain(|f| f.keys.iter().any(|k| self.ids.contains_key(k)));
-        self.output.iter_mut().for_each(|f| f.written = 0);
+        let ids = &self.ids;
+        self.output.iter_mut().for_each(|f| f.keep(|key| ids.contains_key(&key)));
+        self.output.retain(|f| !f.parts.is_empty());
         true
     }
 
@@ -220,8 +269,14 @@
     }
 }
 
-fn remember(past: &mut VecDeque<String>, id: String) {
-    past.push_back(id);
+/// What a part is called at its node.
+fn id(job: &Job) -> String {
+    format!("{}.{}", job.label, job.shard.0)
+}
+
+fn remember(past: &mut VecDeque<(String, bool)>, id: String, answered: bool) {
+    past.retain(|p| p.0 != id);
+    past.push_back((id, answered));
     if past.len() > MOST_PAST {
         past.pop_front();
     }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -148,6 +148,11 @@
                     wire.extend_from_slice(&link.output()[..n]);
                     link.wrote(n, &mut events);
                     if n > 0 {
+                        let begins = queue[0].1 == queue[0].2 && n < queue[0].1;
+                        if let Some(call) = queue[0].0.filter(|c| begins && known[*c] != Known::Over) {
+                            prop_assert_eq!(&events[..], &[LinkEvent::Begun(key(call))]);
+                            events.clear();
+                        }
                         queue[0].1 -= n;
                         if queue[0].1 == 0 {
                             let call = queue.remove(0).0;
@@ -373,6 +378,74 @@
     assert!(link.partial());
 }
 
+#[test]
+fn of_a_call_only_the_parts_that_are_not_given_up_go_out_whatever_is_given_up_when() {
+    // A part was taken out of its frame only where it was the only one: of a call of several, all went out to the node after
+    // their query was over, each with a cancel behind it.
+    for gone in 0..8_usize {
+        for (begun, restarts) in [(false, false), (true, false), (false, true), (true, true)] {
+            let (mut link, mut events, mut wire) = (Link::default(), Vec::new(), Vec::new());
+            link.call(&[job(0), job(1), job(2)]);
+            if begun {
+                wire.extend_from_slice(&link.output()[..7]);
+                link.wrote(7, &mut events);
+                assert_eq!(events, [0, 1, 2].map(|n| LinkEvent::Begun(key(n))));
+            }
+            events.clear();
+            let given_up = |n: usize| gone & (1 << n) > 0;
+            (0..3).filter(|n| given_up(*n)).for_each(|n| link.call_off(key(n)));
+            if restarts {
+                assert_eq!(link.restart(), gone < 7, "the rest is owed another connection");
+                wire.clear();
+            }
+            while !link.output().is_empty() {
+                wire.extend_from_slice(link.output());
+                link.wrote(link.output().len(), &mut events);
+            }
+            let went: Vec<_> = (0..3).filter(|n| !given_up(*n)).collect();
+            assert_eq!(events, went.iter().map(|n| LinkEvent::Written(key(*n))).collect::<Vec<_>>());
+            let on_wire = |n: usize| format!("9b1f.{n} {n} d=240 8\nc41e77d0");
+            let (all, left) =
+                ((0..3).map(on_wire).collect::<String>(), went.iter().map(|n| on_wire(*n)).collect());
+            let mut expected = vec![];
+            let whole = begun && !restarts;
+            if whole || (!went.is_empty()) {
+                expected.push(('q', if whole { all } else { left }));
+            }
+            if whole {
+                expected.extend((0..3).filter(|n| given_up(*n)).map(|n| ('c', format!("9b1f.{n}"))));
+            }
+            if !(restarts && gone == 7) {
+                assert_eq!(frames(&wire), expected, "given up {gone:b}, begun {begun}, anew {restarts}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_late_answer_is_not_taken_for_the_next_attempts() {
+    // Both attempts at a part have one id. A late "broke" or "skipped" to the one that was given up ended the other, which
+    // was out: the part went out a third time beside it.
+    let again = |attempt| Job { key: AttemptKey { attempt: AttemptNo(attempt), ..key(1) }, ..job(1) };
+    let (mut link, mut events) = (Link::default(), Vec::new());
+    link.call(&[job(0), job(1)]);
+    link.wrote(link.output().len(), &mut events);
+    assert!(!link.owes(&again(1)), "it is out here, and asked for nowhere else");
+    link.call_off(key(1));
+    link.wrote(link.output().len(), &mut events);
+    assert!(link.owes(&again(1)), "it may still be answered");
+    assert!(!link.owes(&Job { label: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
+    link.input().feed(&frame('a', "9b1f.1 skipped 1 -\n"));
+    assert_eq!(link.read(&mut events).ok(), Some(1));
+    assert!(!link.owes(&again(1)), "now it is answered");
+    link.input().feed(&frame('a', "9b1f.0 skipped 1 -\n"));
+    assert_eq!(link.read(&mut events).ok(), Some(1));
+    assert!(
+        !link.owes(&Job { key: AttemptKey { attempt: AttemptNo(1), ..key(0) }, ..job(0) }),
+        "answered in time"
+    );
+}
+
 #[test]
 fn what_is_malformed_gets_a_fitting_status() {
     let status = |text: &str| {
