--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins on loopback: feature servers that misbehave as told, the program itself, and a client.
 #![allow(dead_code)]
 
+pub mod platform;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
