Accept until the end, close in good order, and see a client leave behind what it sent

Causes, by reading clients, server and http line by line: - from 300 ms before the last answer on nobody was accepted, but the machine went on accepting: what stood in its queue was reset when the program ended. Now whoever comes is answered and closed, and the queue is looked at once more at the end. - a connection accepted then was closed at once, its request on the way; it is given 300 ms. - an answer that closes its connection was followed by a close, which is a reset, and can eat the answer, when bytes have come since the last read. It lingers now, as after an error. - with 80 KB behind its request a client was not read from any more: that it left was seen with its answer. What is too much is dropped and reading goes on; the connection ends with the answer. - a new process that died while the old one was told to end left the queue to nobody; the old one takes it back.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -30,6 +30,8 @@
 const MOST_LINGER: Micros = Micros::from_secs(1);
 /// See [`MOST_LINGER`].
 const MOST_LINGER_BYTES: usize = 1024 * 1024;
+/// A connection that was accepted while the program leaves is given so long for its request: it was on its way.
+const LAST_WORD: Micros = Micros::from_millis(300);
 /// An answer must be taken by then.
 const MOST_ANSWER: Micros = Micros::from_secs(15);
 /// The pause when no connection can be accepted.
@@ -167,8 +169,10 @@
     ending: AtomicBool,
     /// It is about to: every answer closes its connection.
     leaving: AtomicBool,
-    /// The listener is to stop.
+    /// Another process accepts at the same socket, and this one does not.
     deaf: AtomicBool,
+    /// What is between requests is closed: there is no way back.
+    last: AtomicBool,
 }
 
 fn guard<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -200,6 +204,7 @@
             ending: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             deaf: AtomicBool::new(false),
+            last: AtomicBool::new(false),
         })
     }
 
@@ -236,7 +241,11 @@
         while beside && !self.informed.load(Relaxed) {
             may::coroutine::sleep(ACCEPT_PAUSE);
         }
-        while !self.deaf.load(Relaxed) {
+        loop {
+            if self.deaf.load(Relaxed) {
+                may::coroutine::sleep(ACCEPT_PAUSE);
+                continue;
+            }
             if self.open() >= self.bounds().connections {
                 if self.evict() {
                     // The one that gives way ends in its own coroutine.
@@ -316,7 +325,7 @@
     fn exchange(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState, sys: &TcpStream) -> bool {
         // A client that was told to go on elsewhere, or was answered while more of its bytes were here already.
         self.take(conn, state);
-        while state.lingering.is_none() && state.server.wants_input() {
+        while state.lingering.is_none() && (state.server.wants_input() || state.server.overrun()) {
             match try_read(sys, state.server.input().room()) {
                 Tried::Moved(n) => {
                     state.server.input().filled(n);
@@ -515,24 +524,44 @@
     /// Another process has the listening socket and this one is told to end: nobody new comes here, and whoever is here
     /// goes there with the next answer. Those between requests may be about to ask, so they are left open.
     pub fn hand_over(&self) {
-        if !self.leaving.swap(true, Relaxed) {
-            self.stop_listening();
+        if !self.deaf.swap(true, Relaxed) {
+            self.leaving.store(true, Relaxed);
+            self.listener.waker().wakeup();
         }
     }
 
-    fn stop_listening(&self) {
-        self.deaf.store(true, Relaxed);
-        self.listener.waker().wakeup();
+    /// The other process has gone before this one: whoever stands in the queue of the socket is this one's again.
+    pub fn take_back(&self) {
+        if self.deaf.swap(false, Relaxed) {
+            self.leaving.store(self.last.load(Relaxed), Relaxed);
+        }
     }
 
-    /// Stops listening, closes what is between requests, and from now on every other with its answer.
-    pub fn leave_all(&self) {
-        self.stop_listening();
+    /// Closes what is between requests, and from now on every other with its answer. Who comes now is still accepted, and
+    /// answered: the machine accepts him anyway, and what it accepted would be reset at the end.
+    pub fn leave_all(&self, now: Micros) {
+        self.last.store(true, Relaxed);
         self.leaving.store(true, Relaxed);
         for conn in guard(&self.conns).values() {
             let mut state = conn.lock();
-            state.server.close_when_idle();
-            state.wake();
+            if state.asked || now.since(state.accepted) > LAST_WORD {
+                state.server.close_when_idle();
+                state.wake();
+            }
+        }
+    }
+
+    /// Does nobody wait at the socket? Whoever does is accepted: at the program's end he would be reset.
+    pub fn queue_is_empty(self: &Arc<Self>) -> bool {
+        if self.deaf.load(Relaxed) {
+            return true;
+        }
+        match self.listener.inner().accept() {
+            Ok((stream, _)) => {
+                self.adopt(stream);
+                false
+            }
+            Err(_) => true,
         }
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -447,6 +447,8 @@
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
                 if self.beside == Some(Beside::Old) {
                     self.clients.hand_over();
+                } else {
+                    self.clients.take_back();
                 }
                 if told {
                     self.clients.not_ready();
@@ -455,11 +457,11 @@
                 }
                 let last = now.since(since) >= self.last_answer - LAST_TIME;
                 if last {
-                    self.clients.leave_all();
+                    self.clients.leave_all(now);
                 }
                 let drained = self.core.held() == 0 && self.clients.open() == 0;
                 let may_end = last || self.beside == Some(Beside::Old);
-                if (drained && may_end) || now.since(since) >= LAST_EXIT {
+                if (may_end && drained && self.clients.queue_is_empty()) || now.since(since) >= LAST_EXIT {
                     tracing::info!("ends: {} queries held", self.core.held());
                     return;
                 }
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -10,6 +10,8 @@
 pub const MOST_BODY: usize = 64 * 1024;
 /// Most headers of a head.
 const MOST_HEADERS: usize = 64;
+/// What comes behind a request that is under way is read and dropped up to here once too much of it came.
+const MOST_DROPPED: usize = 1024 * 1024;
 /// Most bytes of a chunk's size line or of one trailer.
 const MOST_LINE: usize = 1024;
 
@@ -252,8 +254,8 @@
     /// This request's answer goes without a body.
     head_only: bool,
     ended: bool,
-    /// The last answer is to something that could not be read: more of it may be on its way.
-    failed: bool,
+    /// What came behind a request under way and was dropped.
+    dropped: usize,
 }
 
 impl Default for Server {
@@ -267,7 +269,7 @@
             wind_up: false,
             head_only: false,
             ended: false,
-            failed: false,
+            dropped: 0,
         }
     }
 }
@@ -303,13 +305,26 @@
 
     /// The rest of a request is not waited for any more: this is its answer.
     pub fn give_up(&mut self, response: Response) {
-        self.failed = true;
         self.respond(response, true);
     }
 
-    /// The client may still be sending what nobody reads: closing on that would be a reset, which can eat the answer.
+    /// The client may still be sending what nobody reads, or has sent it since the last read: closing on that would be a
+    /// reset, which can eat the answer. One between requests has its last answer: it sends nothing before.
     pub fn must_linger(&self) -> bool {
-        !self.ended && (self.failed || !self.input.data().is_empty())
+        !self.ended && (matches!(self.state, State::Closed) || !self.input.data().is_empty())
+    }
+
+    /// More came behind the request under way than is kept: true if it was dropped, and the connection ends with the answer.
+    /// Reading goes on, for only so is it seen that the client has left: its parts went out for nobody else.
+    pub fn overrun(&mut self) -> bool {
+        let left = self.input.data().len();
+        let over = self.busy() && left >= MOST_HEAD + MOST_BODY && self.dropped < MOST_DROPPED;
+        if over {
+            self.dropped += left;
+            self.input.used(left);
+            self.close = true;
+        }
+        over
     }
 
     /// It is to end as soon as no request is under way.
@@ -331,7 +346,6 @@
         if let Err(e) = self.advance() {
             self.state = State::Closed;
             self.close = true;
-            self.failed = true;
             return Some(Err(e));
         }
         match std::mem::replace(&mut self.state, State::Busy) {
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -446,6 +446,34 @@
     );
 }
 
+#[test]
+fn what_comes_behind_a_request_never_stops_the_reading_of_it_and_costs_it_no_answer() {
+    // With 80 KB behind its request a client was not read from any more, so nobody saw that it left.
+    let mut server = Server::default();
+    server.input().feed(b"GET /up HTTP/1.1\r\n\r\n");
+    assert!(matches!(server.poll(), Some(Ok(_))) && server.busy());
+    let mut kept = 0;
+    for _ in 0..12 {
+        assert!(server.wants_input() || server.overrun(), "what is here is dropped, and reading goes on");
+        server.input().feed(&[b'x'; 20_000]);
+        kept = kept.max(server.memory());
+    }
+    assert!(kept < 400_000, "{kept} bytes");
+    server.respond(Response::new(200, "", "ok"), false);
+    assert!(
+        server.output().starts_with(b"HTTP/1.1 200 OK\r\nConnection: close\r\n"),
+        "the rest is not looked at"
+    );
+    assert!(server.poll().is_none());
+    server.wrote(server.output().len());
+    assert!(server.finished() && server.must_linger(), "a close on unread bytes is a reset");
+    for _ in 0..200 {
+        server.input().feed(&[b'x'; 20_000]);
+        assert!(!server.overrun(), "nobody is waited for any more");
+        server.input().used(20_000);
+    }
+}
+
 #[test]
 fn what_is_malformed_gets_a_fitting_status() {
     let status = |text: &str| {
