--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -236,9 +236,9 @@
     }
 
     /// Accepts for as long as the program listens. `beside`: another process serves at the same address, so nothing is
-    /// accepted before this one knows its servers.
-    pub fn accept(self: &Arc<Self>, beside: bool) {
-        while beside && !self.informed.load(Relaxed) {
+    /// accepted before this one knows its servers, or the other has gone.
+    pub fn accept(self: &Arc<Self>, beside: impl Fn() -> bool) {
+        while beside() && !self.informed.load(Relaxed) {
             may::coroutine::sleep(ACCEPT_PAUSE);
         }
         loop {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -332,9 +332,10 @@
     // The core outlives the alarm.
     let alarm = Alarm::start(clock, move || drop(ring.send(Input::Due))).map_err(|e| e.to_string())?;
     let clients = Clients::new(parts.front, listener, parts.bounds, parts.inbox, clock);
-    let (accepting, beside) = (clients.clone(), others.before.is_some());
+    let (accepting, watched) = (clients.clone(), others.clone());
+    let beside = move || watched.before.as_ref().is_some_and(Peer::lives);
     spawn(LARGE_STACK, move || accepting.accept(beside)).map_err(no_coroutine)?;
-    if beside {
+    if others.before.is_some() {
         tracing::info!("the sockets are taken over from the process before");
     }
     tracing::info!("{} listens on {address}", parts.name);
