Call off what a query leaves behind in one place of the core

What three ways out of a query did each for itself, forgetting it and taking back what has not begun to go out, is one piece now: forget does both, and call_off serves it and the module's cancels.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -310,21 +310,13 @@
                 if let Some(query) = self.tokens.get(&token).copied() {
                     COUNTERS.gone.add();
                     events.push(Event::Gone(query));
-                    if let Some(held) = self.forget(query) {
-                        self.take_back(now, query, &held, events, out);
-                    }
+                    self.forget(now, query, out);
                 }
             }
+            Input::Begun(key) => self.begun(key),
             Input::Written(key) => {
-                if let Some(flight) = self.flights.get_mut(&key) {
-                    COUNTERS.written.add();
-                    flight.begun = true;
-                }
-            }
-            Input::Begun(key) => {
-                if let Some(flight) = self.flights.get_mut(&key) {
-                    flight.begun = true;
-                }
+                COUNTERS.written.add_n(usize::from(self.is_out(key)));
+                self.begun(key);
             }
             Input::Ended(key, end) => self.take_end(now, key, end, events),
             Input::Settings(set, most_held) => self.take_settings(*set, most_held, events),
@@ -479,6 +471,13 @@
         self.held.insert(query, Held { request, class, until, wanted, values });
     }
 
+    /// Some of an attempt's request has left this machine.
+    fn begun(&mut self, key: AttemptKey) {
+        if let Some(flight) = self.flights.get_mut(&key) {
+            flight.begun = true;
+        }
+    }
+
     fn take_end(&mut self, now: Micros, key: AttemptKey, end: End, events: &mut Vec<Event>) {
         // An answer to an attempt that was called off or timed out has had its outcome.
         let Some(flight) = self.land(key) else { return };
@@ -538,10 +537,9 @@
     /// The module ends every query in time; should it not, the client still gets its one answer.
     fn ends_due(&mut self, now: Micros, out: &mut Vec<Command>) {
         while let Some((_, query)) = self.ends.first().copied().filter(|e| e.0 <= now) {
-            if let Some(held) = self.forget(query) {
+            if let Some(held) = self.forget(now, query, out) {
                 let told_to_end = self.last.is_some_and(|last| held.until >= last);
                 invariant(told_to_end, "a query outlived its client's time");
-                self.take_back_later(now, query, &held, out);
                 COUNTERS.failed.add();
                 self.reply(held.class, &held.request, Answer::Failed { late: true }, out);
             }
@@ -559,65 +557,41 @@
         }
     }
 
-    /// Takes a query off the books, so that it can have no second answer.
-    fn forget(&mut self, query: QueryId) -> Option<Held> {
+    /// Takes a query off the books, so that it can have no second answer. What of it has not begun to leave this machine
+    /// never does, whether or not nodes may be told to call parts off: a part that waited for its connection went out to
+    /// nobody's use else.
+    fn forget(&mut self, now: Micros, query: QueryId, out: &mut Vec<Command>) -> Option<Held> {
         let held = self.held.remove(&query)?;
         self.unlabel(&held.request.label);
         self.classes.end(held.class);
         self.held_count -= 1 + held.values.len();
         self.ends.remove(&(held.until, query));
         self.tokens.remove(&held.request.token);
-        for at in 0..held.values.len() as u64 {
-            self.parts.remove(&PartId(query.0 + 1 + at));
-            self.attempts.remove(&PartId(query.0 + 1 + at));
-        }
-        Some(held)
-    }
-
-    /// A query has its end: what of it has not begun to leave this machine never does, whether or not nodes may be told
-    /// to call parts off. A part that waited for its connection went out to nobody's use else.
-    fn take_back(
-        &mut self,
-        now: Micros,
-        query: QueryId,
-        held: &Held,
-        events: &mut Vec<Event>,
-        out: &mut Vec<Command>,
-    ) {
-        for at in 0..held.values.len() as u64 {
-            let part = PartId(query.0 + 1 + at);
+        for part in (0..held.values.len() as u64).map(|at| PartId(query.0 + 1 + at)) {
+            self.parts.remove(&part);
+            self.attempts.remove(&part);
             let of = |n| AttemptKey { part, attempt: AttemptNo(n) };
-            let out_of_it = self.flights.range(of(0)..=of(u16::MAX));
-            let waiting: Vec<_> = out_of_it.filter(|f| !f.1.begun).map(|f| *f.0).collect();
-            for key in waiting {
-                if let Some(flight) = self.land(key) {
-                    out.push(Command::CallOff(flight.replica, key));
-                    self.tell(now, key, &flight, Outcome::Moot, events);
-                }
-            }
+            let flights = self.flights.range(of(0)..=of(u16::MAX));
+            let waiting: Vec<_> = flights.filter(|f| !f.1.begun).map(|f| *f.0).collect();
+            waiting.into_iter().for_each(|key| self.call_off(now, key, out));
         }
+        Some(held)
     }
 
-    /// The same for an end that the module gave: it hears of it in the next turn.
-    fn take_back_later(&mut self, now: Micros, query: QueryId, held: &Held, out: &mut Vec<Command>) {
+    /// Gives an attempt up; the module hears of its end in the next turn.
+    fn call_off(&mut self, now: Micros, key: AttemptKey, out: &mut Vec<Command>) {
+        let Some(flight) = self.land(key) else { return };
+        out.push(Command::CallOff(flight.replica, key));
+        let outcome = if flight.begun { Outcome::Cancelled } else { Outcome::Moot };
         let mut events = std::mem::take(&mut self.pending);
-        self.take_back(now, query, held, &mut events, out);
+        self.tell(now, key, &flight, outcome, &mut events);
         self.pending = events;
     }
 
     fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
         match action {
             Action::Send { part, replica, timeout } => self.launch(now, part, replica, timeout, out),
-            Action::Cancel { part, attempt } => {
-                let key = AttemptKey { part, attempt };
-                if let Some(flight) = self.land(key) {
-                    out.push(Command::CallOff(flight.replica, key));
-                    let outcome = if flight.begun { Outcome::Cancelled } else { Outcome::Moot };
-                    let mut events = std::mem::take(&mut self.pending);
-                    self.tell(now, key, &flight, outcome, &mut events);
-                    self.pending = events;
-                }
-            }
+            Action::Cancel { part, attempt } => self.call_off(now, AttemptKey { part, attempt }, out),
             Action::Answer { query, whole } => self.answer(now, query, whole, out),
             Action::Refuse { query, come_back } => {
                 let come_back = come_back.map(Micros::from_nanos);
@@ -678,8 +652,9 @@
     }
 
     fn answer(&mut self, now: Micros, query: QueryId, whole: bool, out: &mut Vec<Command>) {
-        let Some(held) = self.forget(query) else { return invariant(false, "an answer to no query") };
-        self.take_back_later(now, query, &held, out);
+        let Some(held) = self.forget(now, query, out) else {
+            return invariant(false, "an answer to no query");
+        };
         let class = self.classes.get(held.class);
         let parts = held.request.parts.iter().zip(held.values);
         let mut weight = 0.0;
@@ -705,8 +680,7 @@
         out: &mut Vec<Command>,
     ) {
         // A class that is none is failed by the module before its parts are known.
-        let Some(held) = self.forget(query) else { return invariant(false, "an end to no query") };
-        self.take_back_later(now, query, &held, out);
+        let Some(held) = self.forget(now, query, out) else { return invariant(false, "an end to no query") };
         counter.add();
         let late = now + NEAR_END >= held.wanted.min(held.until);
         self.reply(held.class, &held.request, answer(late), out);
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -120,11 +120,10 @@
     pub fn call_off(&mut self, key: AttemptKey) {
         let Some(id) = self.ids.remove(&key) else { return };
         self.out.remove(&id);
-        let waiting = self.output.iter_mut().position(|f| f.waits_with(key));
-        match waiting.and_then(|at| Some((at, self.output.get_mut(at)?))) {
-            Some((at, frame)) => {
-                frame.keep(|k| k != key);
-                if frame.parts.is_empty() {
+        match self.output.iter().position(|f| f.waits_with(key)) {
+            Some(at) => {
+                self.output[at].keep(|k| k != key);
+                if self.output[at].parts.is_empty() {
                     self.output.remove(at);
                 }
             }
