Take back a repeat that has not left by the end of its class's window

The module now says with each attempt by when it must have begun to leave, and the core takes back what has not by then, like any attempt that never ran.

Tests: tests/core.rs in virtual time and tests/crossings.rs on real sockets, where a node lets the connection up after the window (the first seen failing without the mend).

--- a/src/bin/quinceflow-benchlink/codec.rs
+++ b/src/bin/quinceflow-benchlink/codec.rs
@@ -287,7 +287,7 @@
 
     pub fn action(&mut self, action: &Action) {
         match action {
-            Action::Send { part, replica, timeout } => {
+            Action::Send { part, replica, timeout, .. } => {
                 self.record(65, &[&part.0.to_le_bytes(), &replica.0, &timeout.to_le_bytes()]);
             }
             Action::Cancel { part, attempt } => {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -74,6 +74,8 @@
     replica: ReplicaId,
     sent: Micros,
     until: Micros,
+    /// When it is looked at next: at `until`, or when it must have begun to leave if that is earlier.
+    look: Micros,
     /// Some of it has left this machine: it may run.
     begun: bool,
     label: Arc<str>,
@@ -498,7 +500,7 @@
     /// Takes an attempt off the books: after this it can have no second outcome.
     fn land(&mut self, key: AttemptKey) -> Option<Flight> {
         let flight = self.flights.remove(&key)?;
-        self.time_outs.remove(&(flight.until, key));
+        self.time_outs.remove(&(flight.look, key));
         self.unlabel(&flight.label);
         self.classes.end(flight.class);
         Some(flight)
@@ -522,10 +524,14 @@
 
     fn time_outs_due(&mut self, now: Micros, events: &mut Vec<Event>, out: &mut Vec<Command>) {
         while let Some((_, key)) = self.time_outs.first().copied().filter(|t| t.0 <= now) {
-            let Some(flight) = self.land(key) else {
-                self.time_outs.pop_first();
+            self.time_outs.pop_first();
+            let Some(flight) = self.flights.get_mut(&key) else { continue };
+            if flight.begun && now < flight.until {
+                flight.look = flight.until;
+                self.time_outs.insert((flight.until, key));
                 continue;
-            };
+            }
+            let Some(flight) = self.land(key) else { continue };
             out.push(Command::CallOff(flight.replica, key));
             // What never began to leave this machine is taken back, so it never ran: a class that must not repeat may go
             // again. What began to leave it goes on to its last byte, and runs.
@@ -590,7 +596,9 @@
 
     fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
         match action {
-            Action::Send { part, replica, timeout } => self.launch(now, part, replica, timeout, out),
+            Action::Send { part, replica, timeout, by } => {
+                self.launch(now, part, replica, (timeout, by), out);
+            }
             Action::Cancel { part, attempt } => self.call_off(now, AttemptKey { part, attempt }, out),
             Action::Answer { query, whole } => self.answer(now, query, whole, out),
             Action::Refuse { query, come_back } => {
@@ -616,7 +624,7 @@
         now: Micros,
         part: PartId,
         replica: ReplicaId,
-        timeout: Nanos,
+        (timeout, by): (Nanos, Nanos),
         out: &mut Vec<Command>,
     ) {
         let number = self.attempts.entry(part).or_insert(0);
@@ -634,10 +642,12 @@
             "a part has two attempts out",
         );
         let (label, class) = (held.request.label.clone(), held.class);
-        let flight = Flight { replica, sent: now, until, begun: false, label: label.clone(), class };
+        // A connection may come up long after: what must not go out by then is taken back before.
+        let look = until.min(Micros::from_nanos(by));
+        let flight = Flight { replica, sent: now, until, look, begun: false, label: label.clone(), class };
         self.flights.insert(key, flight);
         *self.labels.entry(label.clone()).or_insert(0) += 1;
-        self.time_outs.insert((until, key));
+        self.time_outs.insert((look, key));
         let job = Job {
             key,
             label,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -302,6 +302,8 @@
         replica: ReplicaId,
         /// Time-out of this attempt.
         timeout: Nanos,
+        /// Not begun to leave by then it never may: it would repeat a part outside its class's window.
+        by: Nanos,
     },
     /// Call an attempt off.
     Cancel {
--- a/src/rules/sending.rs
+++ b/src/rules/sending.rs
@@ -25,10 +25,10 @@
         let Some(q) = self.queries.get(&seq) else { return };
         let (Some(p), Some(r)) = (q.parts.get(at), self.replicas.get(&replica)) else { return };
         let first_risk = p.attempts.iter().find(|a| a.may_have_run()).map(|a| a.at);
-        let effect = match (self.class(q.class).effect, first_risk) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Keyed(window), Some(t)) => self.now + END_TICKS * self.set.tick < t + window,
-            (Effect::Unsafe, Some(_)) => false,
+        let by = match (self.class(q.class).effect, first_risk) {
+            (Effect::Safe, _) | (_, None) => Nanos::MAX,
+            (Effect::Keyed(window), Some(t)) => (t + window).saturating_sub(END_TICKS * self.set.tick),
+            (Effect::Unsafe, Some(_)) => 0,
         };
         let holds = self.holders.get(p.shard.0 as usize).is_some_and(|h| h.iter().any(|h| h.0 == replica));
         let cost = self.cost(q.class);
@@ -37,7 +37,7 @@
             && p.second == (q.stage == Stage::Second)
             && p.came.is_none()
             && self.now < q.end
-            && effect
+            && self.now < by
             && r.ready
             && holds
             && self.cold_room(r, p.class)
@@ -74,7 +74,7 @@
         }
         self.flights.insert((part, attempt), (replica, class, place, idle));
         self.extras.extend(further.then_some(now));
-        actions.push(Action::Send { part, replica, timeout });
+        actions.push(Action::Send { part, replica, timeout, by });
     }
 
     /// May the rules of its class ever allow another attempt?
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -248,6 +248,34 @@
     }
 }
 
+#[test]
+fn a_repeat_that_has_not_begun_to_leave_when_its_window_ends_is_taken_back() {
+    let mut set = settings();
+    set.classes[0].effect = Effect::Keyed(100 * MS);
+    for begun in [false, true] {
+        let mut now = Micros::from_secs(100);
+        let mut core = Core::new(set.clone(), MOST_HELD, 7, now, Arc::default());
+        let mut out = Vec::new();
+        core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
+        let first = out.drain(..).find_map(|c| launched(&c)).expect("sent");
+        let lost = [Input::Written(first), Input::Ended(first, End::Not(Outcome::Reset))];
+        now = now + Micros::from_millis(20);
+        core.turn(now, lost, &mut out);
+        let again = out.drain(..).find_map(|c| launched(&c)).expect("within its window");
+        if begun {
+            core.turn(now, [Input::Begun(again)], &mut out);
+        }
+        let over = now + Micros::from_millis(80);
+        while now < over {
+            now = now + Micros::from_millis(5);
+            core.turn(now, [], &mut out);
+        }
+        let back = out.iter().any(|c| matches!(c, Command::CallOff(_, key) if *key == again));
+        assert_eq!(back, !begun, "at the end of its window");
+        assert_eq!(core.is_out(again), begun);
+    }
+}
+
 #[test]
 fn a_label_is_free_again_once_nothing_of_its_request_is_held_or_out() {
     let now = Micros::from_secs(100);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -27,13 +27,14 @@
         let ms = 1_000_000;
         let class = |name, effect, floor: f64| {
             let c = json!({"name": name, "effect": effect, "aim": self.aim_ms * ms, "deadline": 2 * self.aim_ms * ms,
-                "points": 1.0, "late-worth": 0.0});
+                "points": 1.0, "late-worth": 0.0, "dedup-window": 400 * ms});
             (c, floor)
         };
         let classes = [
             class("look", "read_like", 1.0),
             class("once", "non_idempotent", 1.0),
             class("some", "read_like", 0.5),
+            class("key", "idempotency_key", 1.0),
         ];
         json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "1f",
         "mgmt": "127.0.0.1:0",
@@ -594,6 +595,33 @@
     assert_eq!(seen(&sound).len(), 16);
 }
 
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
+    // The window was looked at when the repeat was launched; its connection came up when it was over, and it went out.
+    let (held, shut) = (TcpListener::bind("127.0.0.1:0").expect("a port"), Shut::new());
+    let addresses = [held.local_addr().expect("bound"), shut.address()];
+    let agent = Agent::new();
+    let (edge, mut watch) = started("window", &USUAL, &agent, &addresses);
+    watch.say(&list(2, false, &[(1, addresses[1], "terminating")]).to_string());
+    until(&edge, "rosters", 3);
+    let client = waiting(&edge, &request("key", "key", &[0], "Connection: close\r\n"));
+    let (mut first, _) = held.accept().expect("a connection");
+    assert_eq!(parts(&mut first).expect("the first attempt"), ["key.0"]);
+    watch.say(
+        &list(3, false, &[(0, addresses[0], "terminating"), (1, addresses[1], "in_service")]).to_string(),
+    );
+    until(&edge, "rosters", 4);
+    // It may have run: within its window it may go again, to the node that lets nobody in.
+    drop(first);
+    until(&edge, "attempts", 2);
+    until(&edge, "connect_failed", 1);
+    let log = Log::of(shut);
+    drop(client);
+    until(&edge, "gone", 1);
+    drop(edge);
+    assert_eq!(log.whole(), Vec::<String>::new());
+}
+
 #[test]
 fn what_the_machine_accepted_before_a_sigterm_is_read_is_answered() {
     let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -151,7 +151,7 @@
         self.modules[instance].handle(self.now, &events, &mut actions);
         for action in actions {
             match action {
-                Action::Send { part, replica: ReplicaId(id), timeout } => {
+                Action::Send { part, replica: ReplicaId(id), timeout, .. } => {
                     self.send(instance, part, id[3], timeout);
                 }
                 Action::Cancel { part, attempt } => {
