End by itself before the kill, whoever keeps his connection open

Causes, by reading server.rs: a client that takes its last answer and does not close held the program for 1 s of lingering, past the kill (0.2 s after the last answer); with short deadlines the program ended 0.3 s after SIGTERM, while new connections go on coming for 0.4 s; a reload after the signal moved the last answer, which the kill does not follow. Owed is now who brings a request, awaits its answer or has not taken it; the others end with the program 50 ms before the kill.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -213,6 +213,16 @@
         guard(&self.conns).len()
     }
 
+    /// Those of them that bring a request, await its answer or have not taken it.
+    pub fn owed(&self) -> usize {
+        let owed = |c: &&Arc<Conn>| {
+            let state = c.lock();
+            let server = &state.server;
+            state.lingering.is_none() && (server.busy() || server.began() || !server.output().is_empty())
+        };
+        guard(&self.conns).values().filter(owed).count()
+    }
+
     /// Would a request of a client be served? If not, why.
     pub fn health(&self) -> Result<(), &'static str> {
         match () {
@@ -315,7 +325,13 @@
     fn step(self: &Arc<Self>, conn: &Arc<Conn>, stream: &CoIo<TcpStream>) -> bool {
         let mut state = conn.lock();
         let sys = stream.inner();
-        let open = !state.cut && self.exchange(conn, &mut state, sys);
+        // A request that is here already when a new connection gives way is still taken: its client has no answer else.
+        let mut open = (!state.cut || !state.asked) && self.exchange(conn, &mut state, sys);
+        if open && state.cut {
+            open = state.server.busy();
+            state.cut = false;
+            state.server.close_when_idle();
+        }
         let bytes = if open { state.server.memory() } else { 0 };
         self.bytes.fetch_add(bytes, Relaxed);
         self.bytes.fetch_sub(std::mem::replace(&mut state.bytes, bytes), Relaxed);
@@ -334,7 +350,7 @@
                     self.take(conn, state);
                 }
                 Tried::Wait => break,
-                Tried::Ended => {
+                Tried::Ended | Tried::Broke => {
                     // A client that closes its connection has gone away.
                     if state.server.busy() {
                         return false;
@@ -352,7 +368,7 @@
                     state.active = self.clock.now();
                 }
                 Tried::Wait => break,
-                Tried::Ended => return false,
+                Tried::Ended | Tried::Broke => return false,
             }
         }
         if state.server.idle() {
@@ -581,7 +597,7 @@
                 }
             }
             Tried::Wait => break true,
-            Tried::Ended => break false,
+            Tried::Ended | Tried::Broke => break false,
         }
     };
     state.lingering = Some((since, bytes));
@@ -652,6 +668,30 @@
         assert!(!clients.evict(), "the last one has only just come");
     }
 
+    #[test]
+    fn a_new_connection_that_gives_way_is_answered_if_its_request_is_here() {
+        // It was closed unread, so the client had a reset for an answer.
+        let (clients, conns) =
+            clients(Bounds { connections: 1, idle: 1, bytes: 1 }, vec![conn(1, false, false)]);
+        let mut client =
+            TcpStream::connect(clients.listener.inner().local_addr().expect("bound")).expect("it listens");
+        std::io::Write::write_all(&mut client, b"GET /up HTTP/1.1\r\n\r\n").expect("sent");
+        let stream = loop {
+            match clients.listener.inner().accept() {
+                Ok((stream, _)) => break stream,
+                Err(_) => std::thread::yield_now(),
+            }
+        };
+        stream.peek(&mut [0]).expect("it is here");
+        let stream = CoIo::new(stream).expect("waited on");
+        assert!(clients.evict());
+        assert!(!clients.step(&conns[0], &stream), "it gives way");
+        drop(stream);
+        let mut head = [0; 12];
+        std::io::Read::read_exact(&mut client, &mut head).expect("an answer");
+        assert_eq!(&head, b"HTTP/1.1 404");
+    }
+
     #[test]
     fn bounds_follow_the_limits_however_small() {
         // Half of the descriptors or more went to clients, but with 256 nothing was left for a crowd beside the usual.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -47,6 +47,10 @@
 const KILL_MARGIN: Micros = Micros::from_millis(200);
 /// and so long before that nothing more is taken.
 const LAST_TIME: Micros = Micros::from_millis(300);
+/// So long before it the program ends, whoever has his answer and does not close.
+const END_MARGIN: Micros = Micros::from_millis(50);
+/// After SIGTERM new connections go on coming for 0.2 to 0.4 s: so long the program stays, however short all deadlines are.
+const LAST_COMERS: Micros = Micros::from_millis(450);
 /// Nothing is waited for longer than this after SIGTERM.
 const LAST_EXIT: Micros = Micros::from_secs(8);
 
@@ -410,7 +414,8 @@
         let mut commands = Vec::new();
         let mut inputs = Vec::new();
         let (mut tidied, mut tidied_servers) = (self.clock.now(), self.clock.now());
-        let mut leaving: Option<Micros> = None;
+        // Since when, and when all is answered: a reload that comes after the signal moves the kill no more.
+        let mut leaving: Option<(Micros, Micros)> = None;
         loop {
             if inputs.is_empty() {
                 inputs.extend(self.wait());
@@ -441,10 +446,10 @@
             self.reload_if_asked(now, &mut inputs);
             let told = leaving.is_none() && self.signals.end.load(Relaxed);
             if told {
-                leaving = Some(now);
+                leaving = Some((now, self.last_answer));
                 self.core.answer_by(now + self.last_answer);
             }
-            if let Some(since) = leaving {
+            if let Some((since, last_answer)) = leaving {
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
                 if self.beside == Some(Beside::Old) {
                     self.clients.hand_over();
@@ -456,11 +461,13 @@
                     // Said, to operators too, once it is so: whoever waits for that may ask at once.
                     tracing::info!("told to end: {} queries held", self.core.held());
                 }
-                let last = now.since(since) >= self.last_answer - LAST_TIME;
+                let last = now.since(since) >= (last_answer - LAST_TIME).max(LAST_COMERS);
                 if last {
                     self.clients.leave_all(now);
                 }
-                let drained = self.core.held() == 0 && self.clients.open() == 0;
+                let over = now.since(since) >= last_answer + KILL_MARGIN - END_MARGIN;
+                let open = if over { self.clients.owed() } else { self.clients.open() };
+                let drained = self.core.held() == 0 && open == 0;
                 let may_end = last || self.beside == Some(Beside::Old);
                 if (may_end && drained && self.clients.queue_is_empty()) || now.since(since) >= LAST_EXIT {
                     tracing::info!("ends: {} queries held", self.core.held());
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -696,6 +696,34 @@
     assert!(began.elapsed().as_millis() < 5_500, "{:?}", began.elapsed());
 }
 
+#[test]
+fn a_client_that_has_its_answer_and_never_closes_does_not_keep_the_program_until_the_kill() {
+    let (hangs, other) = (node(|_| Act::Hang), node(|_| Act::Hang));
+    let agent = Agent::new();
+    let site = Site { aim_ms: 500, ..USUAL };
+    let (mut edge, _watch) = started("never-closes", &site, &agent, &[hangs.address, other.address]);
+    let mut client = BufReader::new(waiting(&edge, &request("q", "once", &[0], "")));
+    until(&edge, "taken", 1);
+    // Settings that come after the signal change nothing about when the kill comes: it is 1.7 s from here.
+    let began = std::time::Instant::now();
+    edge.signal("TERM");
+    edge.wait_for("told to end");
+    let longer = edge.with("/settings/classes/0/deadline", json!(8_000_000_000_u64));
+    edge.configure(&longer);
+    edge.signal("HUP");
+    assert_eq!(read_answer(&mut client), Some((504, false)));
+    assert_eq!(client.read(&mut [0]).expect("closed in good order"), 0, "shortly before the last answer");
+    let mut last = BufReader::new(waiting(&edge, &request("last", "once", &[1], "")));
+    let answer = read_answer(&mut last).expect("an answer, and no reset");
+    assert!(answer.0 / 100 == 5 && answer.1, "{answer:?}");
+    assert!(edge.wait(), "it ends by itself");
+    assert!(
+        began.elapsed().as_millis() < 2_300,
+        "{:?}: it lingered for 1 s after its last answer",
+        began.elapsed()
+    );
+}
+
 #[test]
 fn an_answer_that_closes_is_followed_by_no_reset() {
     let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
