--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -379,7 +379,8 @@
         while self.step(stream.inner(), &mut heard) {
             stream.wait_io();
         }
-        // One that ends before a byte came or went is no better than none: another would end alike.
+        // One that ends before a whole frame came is no better than none: another would end alike, and one that brings
+        // nothing but rubbish would be dialled again without a pause.
         heard
     }
 
@@ -407,7 +408,6 @@
                 Tried::Moved(n) => {
                     state.link.input().filled(n);
                     state.hear(self.clock.now());
-                    *heard = true;
                     let read = state.link.read(events);
                     for event in events.iter() {
                         let sent = state.forget(event);
@@ -417,6 +417,7 @@
                     }
                     match read {
                         Ok(whole) => {
+                            *heard |= whole > 0;
                             let since = state.partial.filter(|_| whole == 0).or(Some(state.heard));
                             state.partial = since.filter(|_| state.link.partial());
                         }
@@ -429,14 +430,14 @@
                     }
                 }
                 Tried::Wait => break,
-                Tried::Ended => return false,
+                Tried::Ended | Tried::Broke => return false,
             }
         }
         while !state.link.output().is_empty() {
             match try_write(stream, state.link.output()) {
                 Tried::Moved(n) => state.link.wrote(n, events),
                 Tried::Wait => break,
-                Tried::Ended => return false,
+                Tried::Ended | Tried::Broke => return false,
             }
         }
         true
@@ -518,6 +519,30 @@
         assert!(state.link.restart(), "the part is owed another connection");
     }
 
+    #[test]
+    fn a_connection_that_brought_only_rubbish_is_not_dialled_again_at_once() {
+        // It counted as one that had served, so its waiting parts had another one dialled, for as long as they waited.
+        for (bytes, served) in [(&b"\0\0\0\x06zwhat"[..], false), (b"\0\0\0\x02l-", true)] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let stream =
+                std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
+            let (mut node, _) = listener.accept().expect("a connection");
+            std::io::Write::write_all(&mut node, bytes).expect("written");
+            drop(node);
+            stream.peek(&mut [0]).expect("it is here");
+            stream.set_nonblocking(true).expect("set");
+            let driver = Driver {
+                slot: Arc::default(),
+                inbox: may::sync::mpsc::channel().0,
+                clock: Clock::start(),
+                typical: Arc::new(Typical(AtomicU64::new(1_000))),
+            };
+            let (slot, mut heard) = (driver.slot.clone(), false);
+            while driver.exchange(&mut slot.lock(), &stream, &mut Vec::new(), &mut heard) {}
+            assert_eq!(heard, served);
+        }
+    }
+
     #[test]
     fn a_few_odd_answers_do_not_lengthen_the_patience() {
         let typical = Typical(AtomicU64::new(1_000));
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -54,6 +54,7 @@
     stream: TcpStream,
     caller: Caller,
     since: Instant,
+    replied: bool,
 }
 
 /// Waits, accepts, and answers whoever has asked.
@@ -67,10 +68,11 @@
     drop(waited);
     while let Some(stream) = accept(listener) {
         if callers.len() >= told.most {
-            // The oldest has had its time: a caller that asks must not wait behind those that do not.
-            callers.remove(0);
+            // One that has its reply, or else the oldest, has had its time: a caller that asks must not wait behind those
+            // that do not.
+            callers.remove(callers.iter().position(|c| c.replied).unwrap_or(0));
         }
-        callers.push(Conn { stream, caller: Caller::default(), since: Instant::now() });
+        callers.push(Conn { stream, caller: Caller::default(), since: Instant::now(), replied: false });
         // Most calls come with their connection.
         callers.retain_mut(|c| !answered(c, told));
     }
@@ -100,8 +102,14 @@
             false
         }
         Tried::Wait => false,
-        Tried::Ended => true,
+        Tried::Ended | Tried::Broke => true,
     };
+    if conn.replied {
+        // What comes behind the call is dropped until the caller has closed: a close on unread bytes is a reset, which
+        // can eat the reply.
+        conn.caller = Caller::default();
+        return ended;
+    }
     let Some(call) = conn.caller.call(ended) else { return ended };
     COUNTERS.calls.add();
     let reply = match call {
@@ -115,5 +123,6 @@
     // A fresh connection takes a few KiB at once; who lets nothing through is not waited for.
     let _ = conn.stream.write_all(reply.as_bytes());
     let _ = conn.stream.shutdown(Shutdown::Write);
-    true
+    conn.replied = true;
+    ended
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -57,8 +57,10 @@
     Moved(usize),
     /// Nothing goes now.
     Wait,
-    /// The other side has ended, or the connection broke.
+    /// The other side has ended in good order.
     Ended,
+    /// The connection broke: that is no end of what was coming.
+    Broke,
 }
 
 fn tried(result: io::Result<usize>) -> Tried {
@@ -67,7 +69,7 @@
         Ok(n) => Tried::Moved(n),
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => Tried::Wait,
         Err(e) if e.kind() == io::ErrorKind::Interrupted => Tried::Moved(0),
-        Err(_) => Tried::Ended,
+        Err(_) => Tried::Broke,
     }
 }
 
@@ -78,3 +80,28 @@
 fn try_write(mut stream: &std::net::TcpStream, bytes: &[u8]) -> Tried {
     tried(io::Write::write(&mut stream, bytes))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::{TcpListener, TcpStream};
+
+    #[test]
+    fn a_reset_is_no_end() {
+        for reset in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let stream = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+            let (other, _) = listener.accept().expect("accepted");
+            if reset {
+                rustix::net::sockopt::set_socket_linger(&other, Some(std::time::Duration::ZERO))
+                    .expect("set");
+            }
+            drop(other);
+            match try_read(&stream, &mut [0]) {
+                Tried::Ended => assert!(!reset),
+                Tried::Broke => assert!(reset),
+                Tried::Moved(_) | Tried::Wait => panic!("it has ended"),
+            }
+        }
+    }
+}
--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -345,7 +345,7 @@
                         }
                     }
                     Tried::Wait => break,
-                    Tried::Ended => return self.fetch.broken(),
+                    Tried::Ended | Tried::Broke => return self.fetch.broken(),
                 }
             }
             match try_read(stream, self.fetch.reader.input.room()) {
@@ -357,7 +357,8 @@
                     }
                 }
                 Tried::Wait => return Progress::On,
-                Tried::Ended => return self.fetch.broken(),
+                Tried::Ended => return self.fetch.ended(),
+                Tried::Broke => return self.fetch.broken(),
             }
         }
     }
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -84,22 +84,22 @@
 }
 
 /// The lists that are whole at the front of what came, and how many bytes they took. A list stands on one line, or is
-/// indented over several: its end is where its object ends. None has an empty line in it, for that is what discovery says
+/// indented over several: its end is where its object ends, whether or not the line's end has come yet, for a watch may be
+/// reset in between. None has an empty line in it, for that is what discovery says
 /// while nothing changes: a list that was cut off would else be waited for as long as the watch lives.
 fn lists(text: &[u8], now: Micros, unix_now_ms: u64) -> Result<(Vec<News>, usize), String> {
-    let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
-    let mut objects = serde_json::Deserializer::from_slice(&text[..whole]).into_iter::<Listing>();
+    let mut objects = serde_json::Deserializer::from_slice(text).into_iter::<Listing>();
     let (mut news, mut used) = (Vec::new(), 0);
     loop {
         match objects.next() {
-            None => return Ok((news, whole)),
+            None => return Ok((news, text.len())),
             Some(Ok(listing)) => news.push(read(listing, false, now, unix_now_ms)?),
             Some(Err(e)) if e.is_eof() => break,
             Some(Err(e)) => return Err(e.to_string()),
         }
         used = objects.byte_offset();
     }
-    let begun = text[used..whole].trim_ascii_start();
+    let begun = text[used..].trim_ascii_start();
     if begun.split(|b| *b == b'\n').rev().skip(1).any(|line| line.trim_ascii().is_empty()) {
         return Err("a list without its end".to_owned());
     }
@@ -169,6 +169,8 @@
             format!("{LIST}\n"),
             format!("{indented}\n"),
             format!("\r\n  {}\r\n\n", indented.replace('\n', "\r\n")),
+            // Reset before the line's end: what it said was not heard before the next watch.
+            LIST.to_owned(),
         ] {
             assert_eq!(told(&[&form, "\n", &form]), Ok(vec![43, 43]), "{form}");
             assert_eq!(told(&[&format!("{form}{form}")]), Ok(vec![43, 43]), "{form}");
--- a/src/proto/fetch.rs
+++ b/src/proto/fetch.rs
@@ -70,11 +70,16 @@
         }
     }
 
-    /// The connection has ended, or never came up.
-    pub fn broken(&mut self) -> Progress {
+    /// The connection has ended in good order: a response without a length ends so.
+    pub fn ended(&mut self) -> Progress {
         if self.reader.end() {
             return self.came();
         }
+        self.broken()
+    }
+
+    /// The connection broke, or never came up.
+    pub fn broken(&mut self) -> Progress {
         Progress::Broke(if self.may_have_run() { Outcome::Reset } else { Outcome::ConnectFailed })
     }
 
@@ -95,3 +100,22 @@
             && self.reader.input.data().is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_response_without_a_length_ends_with_its_connection_and_not_with_a_reset() {
+        for (reset, head) in
+            [(false, ""), (true, ""), (false, "Content-Length: 9\r\n"), (true, "Content-Length: 9\r\n")]
+        {
+            let mut fetch = Fetch::new(b"GET / HTTP/1.1\r\n\r\n".to_vec(), 100);
+            fetch.wrote(18);
+            fetch.reader.input.feed(format!("HTTP/1.1 200 OK\r\n{head}\r\n{{}}").as_bytes());
+            assert!(matches!(fetch.advance(), Progress::On));
+            let whole = matches!(if reset { fetch.broken() } else { fetch.ended() }, Progress::Came(_));
+            assert_eq!(whole, !reset && head.is_empty());
+        }
+    }
+}
