Check settings at the start as at a reload; tests of five more crossings

Settings were checked at a reload only: at the start a count of 0 or a share above 1 was served by. Now both tell the key and the start ends before anything is served.

Tests on real sockets, each crossing forced: a retry due at SIGTERM, 20 clients that leave before they are read, a part that answers after its query, our idle close by the time in the settings; and a successor that dies before it says that it has the sockets.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -101,6 +101,8 @@
         let address = |what: &str, env: Option<String>, file: Option<String>| {
             parse(what, env.or(file).ok_or_else(|| format!("{what}: no address"))?)
         };
+        let deployment = read_deployment(file.settings).map_err(|e| format!("settings: {e}"))?;
+        deployment.check().map_err(|e| format!("settings: {e}"))?;
         Ok(Config {
             path: PathBuf::new(),
             form: form(text)?,
@@ -113,7 +115,7 @@
             sockets: file.limits.sockets,
             memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
             known: serde_json::to_vec(&file.known).map_err(|e| format!("known: {e}"))?,
-            deployment: read_deployment(file.settings).map_err(|e| format!("settings: {e}"))?,
+            deployment,
         })
     }
 }
@@ -154,7 +156,6 @@
             return Err(format!("{key} is missing"));
         }
         let config = Config::read(text, Env::default())?;
-        config.deployment.check().map_err(|e| format!("settings: {e}"))?;
         self.form = form;
         Ok(Replaced { discovery: config.discovery, deployment: config.deployment })
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -224,6 +224,23 @@
         let _ = std::fs::remove_file(&place);
     }
 
+    #[test]
+    fn a_successor_that_dies_before_it_says_that_it_has_the_sockets_is_none() {
+        let place = empty("broken");
+        let address: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let listener = listen(address).expect("a port");
+        let (tell, told) = channel();
+        offer(place.clone(), vec![(address, listener)], move |peer| drop(tell.send(peer))).expect("offered");
+        let mut line = UnixStream::connect(&place).expect("it waits");
+        writeln!(line, "{HELLO}").expect("said");
+        assert!(line.read(&mut [0; MOST_MESSAGE]).expect("the sockets") > 0);
+        drop(line);
+        let (_, old) = take(&place).expect("the next one is served");
+        assert!(told.recv().expect("told").lives() && old.lives());
+        assert!(told.try_recv().is_err(), "the first one never had them");
+        let _ = std::fs::remove_file(&place);
+    }
+
     #[test]
     fn what_is_no_successor_gets_no_socket() {
         let place = empty("stranger");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,16 +111,33 @@
 }
 
 impl Deployment {
-    /// What settings must hold so that a running program may go over to them.
+    /// What settings must hold so that a program may begin with them, or go over to them while it runs.
     pub fn check(&self) -> Result<(), String> {
-        let classes = &self.module.classes;
+        let m = &self.module;
+        let counts = [
+            ("balancers", u64::from(m.aggregators)),
+            ("tick", m.tick),
+            ("family-info.slices", u64::from(m.shards)),
+            ("family-info.cells", u64::from(m.cells)),
+            ("family-info.in-a-row", u64::from(m.reach)),
+            ("limits.dial-timeout", self.dial_timeout),
+        ];
+        if let Some((key, _)) = counts.iter().find(|c| c.1 == 0) {
+            return Err(format!("{key} is not above 0"));
+        }
+        let classes = &m.classes;
         for (at, c) in classes.iter().enumerate() {
             let fault = |why: &str| Err(format!("class {:?}: {why}", c.name));
             match () {
                 () if c.name.is_empty() => return fault("it has no name"),
                 () if classes[..at].iter().any(|b| b.name == c.name) => return fault("it is named twice"),
                 () if c.deadline == 0 => return fault("its deadline is not above 0"),
-                () if c.max_attempts == 0 => return fault("its attempts are not above 0"),
+                () if c.max_attempts == 0 => {
+                    return fault("its attempts (limits.max-attempts) are not above 0")
+                }
+                () if !(0.0..=1.0).contains(&c.need) => return fault("its class-need is no share"),
+                () if !(0.0..=1.0).contains(&c.floor) => return fault("its least-share is no share"),
+                () if c.points < 0.0 || c.late_worth < 0.0 => return fault("its worth is below 0"),
                 () => {}
             }
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -17,9 +17,17 @@
     bundle: u32,
     dial_timeout_ms: u64,
     aim_ms: u64,
+    idle_close_ms: u64,
 }
 
-const USUAL: Site = Site { push: true, cancel: true, bundle: 1, dial_timeout_ms: 20_000, aim_ms: 20_000 };
+const USUAL: Site = Site {
+    push: true,
+    cancel: true,
+    bundle: 1,
+    dial_timeout_ms: 20_000,
+    aim_ms: 20_000,
+    idle_close_ms: 60_000,
+};
 
 impl Site {
     /// Its configuration, with these data nodes known in service.
@@ -47,7 +55,7 @@
             "family-info": {"bundle-max": self.bundle, "cells": nodes.len(), "in-a-row": 2, "slices": 4 * nodes.len(),
                 "least-share": classes.iter().map(|c| c.1).collect::<Vec<_>>()},
             "limits": {"cancel": self.cancel, "max-attempts": 4, "retry-after": true, "max-retry-after": 500 * ms,
-                "dial-timeout": self.dial_timeout_ms * ms, "idle-close": 60_000 * ms},
+                "dial-timeout": self.dial_timeout_ms * ms, "idle-close": self.idle_close_ms * ms},
         }})
     }
 }
@@ -736,6 +744,95 @@
     );
 }
 
+#[test]
+fn a_retry_that_is_due_when_it_is_told_to_end_is_made() {
+    let agent = Agent::new();
+    let nodes = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
+    let (mut edge, _watch) = started("retry-end", &USUAL, &agent, &addresses);
+    let client = waiting(&edge, &request("q", "once", &[0], ""));
+    let (tell, asked) = channel();
+    for listener in nodes {
+        let tell = tell.clone();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let ids = parts(&mut stream).expect("a part");
+            tell.send((ids, stream)).expect("told");
+        });
+    }
+    let (ids, mut first) = asked.recv().expect("the first attempt");
+    edge.signal("TERM");
+    edge.wait_for("told to end");
+    frame(&mut first, b'a', &format!("{} skipped 0 -\n", ids[0])).expect("told");
+    let (ids, mut second) = asked.recv().expect("the next one");
+    frame(&mut second, b'a', &format!("{} served 1 -\ncell", ids[0])).expect("told");
+    assert!(answer(client).starts_with("HTTP/1.1 200"));
+    assert!(edge.wait(), "it ends by itself");
+}
+
+#[test]
+fn clients_that_leave_before_they_are_read_have_nothing_sent_on() {
+    // They stand in the queue of the socket, their request and their end behind it, when the program goes on.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let agent = Agent::new();
+    let (edge, _watch) = started("unread", &USUAL, &agent, &nodes.each_ref().map(|n| n.address));
+    edge.signal("STOP");
+    for n in 0..20 {
+        drop(waiting(
+            &edge,
+            &request(&format!("left{n}"), ["look", "once", "some", "key"][n % 4], &[0, 1], ""),
+        ));
+    }
+    let stays = waiting(&edge, &request("stays", "look", &[0, 1], "Connection: close\r\n"));
+    edge.signal("CONT");
+    assert!(answer(stays).starts_with("HTTP/1.1 200"));
+    until(&edge, "gone", 20);
+    let mut came: Vec<_> = nodes.iter().flat_map(seen).collect();
+    came.sort();
+    assert_eq!(came, ["stays.0", "stays.1"]);
+}
+
+#[test]
+fn a_part_that_answers_after_its_query_harms_nothing_and_goes_nowhere_again() {
+    let agent = Agent::new();
+    let (sound, held) = (node(|_| Act::Serve), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let addresses = [sound.address, held.local_addr().expect("bound")];
+    // Two shards, each with one of the two: the other holders drain, so that the late part has nowhere else to go.
+    let (edge, mut watch) = started("after", &Site { aim_ms: 600, ..USUAL }, &agent, &addresses);
+    watch.say(&list(2, false, &[(0, addresses[0], "terminating")]).to_string());
+    until(&edge, "rosters", 3);
+    let client = waiting(&edge, &request("q", "some", &[0, 1], "Connection: close\r\n"));
+    let (mut stream, _) = held.accept().expect("a connection");
+    let mut ids = parts(&mut stream).expect("a part");
+    if ids.len() < 2 {
+        ids.extend(parts(&mut stream).expect("the other"));
+    }
+    frame(&mut stream, b'a', &format!("{} served 1 -\ncell", ids[0])).expect("told");
+    let text = answer(client);
+    assert!(text.starts_with("HTTP/1.1 200") && text.contains("\"full\":false"), "{text}");
+    // The late one, then a query on the same connection.
+    frame(&mut stream, b'a', &format!("{} served 1 -\ncell", ids[1])).expect("told");
+    let next = waiting(&edge, &request("next", "look", &[1], "Connection: close\r\n"));
+    assert_eq!(parts(&mut stream).expect("on the connection that is open"), ["next.1"]);
+    frame(&mut stream, b'a', "next.1 served 1 -\ncell").expect("told");
+    assert!(answer(next).starts_with("HTTP/1.1 200"));
+    until(&edge, "attempts", 3);
+}
+
+#[test]
+fn an_idle_connection_is_left_before_its_node_may_close_it_by_the_time_in_the_settings() {
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let addresses = nodes.each_ref().map(|n| n.address);
+    let agent = Agent::new();
+    let site = Site { idle_close_ms: 600, ..USUAL };
+    let (edge, _watch) = started("idle", &site, &agent, &addresses);
+    assert_eq!(ask(&edge, "q0", "once", &[0]).status, 200);
+    until(&edge, "links_idle_closed", 1);
+    assert_eq!(ask(&edge, "q1", "once", &[0]).status, 200);
+    let open: usize = nodes.iter().map(|n| *n.connections.lock().expect("count")).sum();
+    assert_eq!((open, nodes.iter().map(|n| seen(n).len()).sum::<usize>()), (2, 2));
+}
+
 #[test]
 fn an_answer_that_closes_is_followed_by_no_reset() {
     let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -387,6 +387,11 @@
         edge.with("/settings/classes/1/deadline", json!("soon")),
         edge.with("/settings/classes/1/name", json!("lookup")),
         edge.with("/settings/classes", json!([])),
+        edge.with("/settings/balancers", json!(0)),
+        edge.with("/settings/tick", json!(0)),
+        edge.with("/settings/family-info/slices", json!(0)),
+        edge.with("/settings/family-info/in-a-row", json!(0)),
+        edge.with("/settings/classes/0/points", json!(-1.0)),
         edge.with("/discovery", json!("nowhere")),
     ];
     for text in &broken {
@@ -460,3 +465,29 @@
     assert_eq!(ask(&new, "q13", "lookup", &[0, 1]).status, 200);
     let _ = std::fs::remove_dir_all(&temporary);
 }
+
+#[test]
+fn settings_that_cannot_be_served_by_are_told_by_their_key_before_anything_is_served() {
+    // They were checked at a reload only: at the start a default, or nonsense, stood in for what was given.
+    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let (edge, _changes) = start("refused", &nodes.each_ref(), 1024);
+    for (pointer, value, key) in [
+        ("/settings/limits/max-attempts", json!(0), "max-attempts"),
+        ("/settings/family-info/slices", json!(0), "family-info.slices"),
+        ("/settings/classes/1/deadline", json!(0), "deadline"),
+    ] {
+        let path = std::env::temp_dir().join(format!("quinceflow-refused-{}-{key}.json", std::process::id()));
+        std::fs::write(&path, edge.with(pointer, value)).expect("written");
+        let mut run = std::process::Command::new(env!("CARGO_BIN_EXE_quinceflow"))
+            .env("NODE_CONFIG", &path)
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        // It says why and ends, or that it listens; then it is not waited for.
+        let mut said = String::new();
+        BufReader::new(run.stderr.take().expect("piped")).read_line(&mut said).expect("a word");
+        let _ = run.kill();
+        assert!(!run.wait().expect("ended").success() && said.contains(key), "{said}");
+        let _ = std::fs::remove_file(&path);
+    }
+}
