--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod platform;
+pub mod site;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
