Wait for the rest of a list that is cut within a number, as within anything else

The logs of the coordinators that had not restarted say at 14.3 s: discovery: the watch broke at version 0: Line("invalid number at line 1 ..."). Cause: proto/discovery.rs, lists, since: an unfinished line is read too, and a cut behind 1. is no end of input to the JSON reader but a malformed number. The watch was closed, and the whole list asked for again. Of an unfinished line only whole lists are taken now; the rest waits. Test: the list of the test has a number with a point, cut at each byte (fails without the mend, seen).

--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -88,18 +88,31 @@
 /// reset in between. None has an empty line in it, for that is what discovery says
 /// while nothing changes: a list that was cut off would else be waited for as long as the watch lives.
 fn lists(text: &[u8], now: Micros, unix_now_ms: u64) -> Result<(Vec<News>, usize), String> {
-    let mut objects = serde_json::Deserializer::from_slice(text).into_iter::<Listing>();
+    let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
+    let mut objects = serde_json::Deserializer::from_slice(&text[..whole]).into_iter::<Listing>();
     let (mut news, mut used) = (Vec::new(), 0);
-    loop {
+    let begun = loop {
         match objects.next() {
-            None => return Ok((news, text.len())),
+            None => {
+                used = whole;
+                break &[][..];
+            }
             Some(Ok(listing)) => news.push(read(listing, false, now, unix_now_ms)?),
-            Some(Err(e)) if e.is_eof() => break,
+            Some(Err(e)) if e.is_eof() => break text[used..whole].trim_ascii_start(),
             Some(Err(e)) => return Err(e.to_string()),
         }
         used = objects.byte_offset();
+    };
+    // Of a line that has not ended nothing but whole lists can be told: cut within a number it looks malformed.
+    let mut objects = serde_json::Deserializer::from_slice(&text[used..]).into_iter::<Listing>();
+    let mut further = 0;
+    while let Some(Ok(listing)) = objects.next() {
+        news.push(read(listing, false, now, unix_now_ms)?);
+        further = objects.byte_offset();
+    }
+    if further > 0 {
+        return Ok((news, used + further));
     }
-    let begun = text[used..].trim_ascii_start();
     if begun.split(|b| *b == b'\n').rev().skip(1).any(|line| line.trim_ascii().is_empty()) {
         return Err("a list without its end".to_owned());
     }
@@ -141,8 +154,7 @@
 mod tests {
     use super::*;
 
-    const LIST: &str =
-        r#"{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"terminating"}]}"#;
+    const LIST: &str = r#"{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"terminating","capacity_hint":1.25e-1}]}"#;
 
     /// What comes of these pieces of a watch's answer: the versions that were told, in order.
     fn told(pieces: &[&str]) -> Result<Vec<u64>, WatchError> {
