--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -116,25 +116,25 @@
             .input()
             .feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
         let request = server.poll().expect("whole").expect("well formed");
-        let mut reaction = front.take(request, Token(1), Micros::ZERO, true);
+        let mut reaction = front.handle(request, Token(1), Micros::ZERO, true);
         loop {
             match reaction {
                 Reaction::Respond(response) => {
                     assert_eq!(response.status, 200);
                     return response.body.len();
                 }
-                Reaction::Ask(request, render) => {
+                Reaction::Submit(request, render) => {
                     let parts = request.parts.iter().map(|part| {
-                        let visit = part.errand.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
+                        let visit = part.context.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
                         let fetched =
                             Fetched { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             End::Served(value) => (part.shard, value),
-                            End::Not(outcome) => panic!("{outcome:?}"),
+                            End::Failed(outcome) => panic!("{outcome:?}"),
                         }
                     });
                     let parts = parts.collect();
-                    reaction = render(Answer::Served { whole: true, parts });
+                    reaction = render(Answer::Served { complete: true, parts });
                 }
             }
         }
--- a/src/bin/quinceflow-benchlink/codec.rs
+++ b/src/bin/quinceflow-benchlink/codec.rs
@@ -29,14 +29,14 @@
     On(u16),
     Pool {
         sheet: u16,
-        members: Vec<Member>,
+        members: Vec<Endpoint>,
     },
     New {
         seed: u64,
         boot_info: String,
     },
     Members {
-        kind: ListKind,
+        kind: EndpointListKind,
         sheet: u16,
     },
     Destroy,
@@ -171,10 +171,10 @@
             let how = f.u8()?;
             let (_version, sheet) = (f.u32()?, f.u16()?);
             let kind = match how {
-                0 => ListKind::Delta,
-                1 => ListKind::Full,
-                2 => ListKind::Cached,
-                3 => ListKind::Failed,
+                0 => EndpointListKind::Delta,
+                1 => EndpointListKind::Full,
+                2 => EndpointListKind::Cached,
+                3 => EndpointListKind::Failed,
                 _ => return Err(Malformed(format!("MEMBERSHIP: unknown kind {how}"))),
             };
             Record::Members { kind, sheet }
@@ -190,10 +190,10 @@
             f.load()?;
             Record::Event(Event::Outcome { part, attempt, outcome, waited })
         }
-        6 => Record::Event(Event::Gone(QueryId(fields("LAPSED").u64()?))),
+        6 => Record::Event(Event::Abandoned(QueryId(fields("LAPSED").u64()?))),
         7 => {
             fields("REMINDER").u64()?;
-            Record::Event(Event::Wake)
+            Record::Event(Event::TimerFired)
         }
         8 => {
             let mut f = fields("PROBED");
@@ -203,7 +203,7 @@
             f.load()?;
             Record::Other
         }
-        // No class streams, no co-ordinator speaks to another, and none probes here.
+        // No class streams, no coordinator speaks to another, and none probes here.
         4 | 9 => Record::Other,
         10 => Record::Destroy,
         11 => {
@@ -231,22 +231,22 @@
             group,
             class,
             tenant,
-            hint: (marks & 1 != 0).then_some(hint),
+            expected_work: (marks & 1 != 0).then_some(hint),
             time_left,
         },
     })
 }
 
-fn read_member(f: &mut Fields<'_>) -> Result<Member, Malformed> {
+fn read_member(f: &mut Fields<'_>) -> Result<Endpoint, Malformed> {
     let (replica, zone, _kind, cell) = (f.replica()?, ZoneId(f.u16()?), f.u16()?, CellId(f.u16()?));
     let state = match f.u8()? {
-        0 => MemberState::Gone,
-        1 => MemberState::Ready,
-        2 => MemberState::Draining,
+        0 => EndpointState::Removed,
+        1 => EndpointState::Ready,
+        2 => EndpointState::Draining,
         other => return Err(Malformed(format!("POOL: unknown state {other}"))),
     };
     f.f32()?;
-    Ok(Member { replica, zone, cell, state, since: f.u64()? })
+    Ok(Endpoint { replica, zone, cell, state, started_at: f.u64()? })
 }
 
 fn outcome(code: u8) -> Result<Outcome, Malformed> {
@@ -254,8 +254,8 @@
         0 => Outcome::Ok,
         1 => Outcome::Cancelled,
         4 => Outcome::TimedOut,
-        8 => Outcome::Full,
-        9 => Outcome::Moot,
+        8 => Outcome::Rejected,
+        9 => Outcome::NotSent,
         10 => Outcome::Reset,
         13 => Outcome::Error,
         14 => Outcome::ConnectFailed,
@@ -293,14 +293,14 @@
             Action::Cancel { part, attempt } => {
                 self.record(68, &[&part.0.to_le_bytes(), &attempt.0.to_le_bytes()]);
             }
-            Action::Answer { query, whole } => {
+            Action::Answer { query, complete: whole } => {
                 self.record(77, &[&query.0.to_le_bytes(), &[u8::from(*whole)]])
             }
-            Action::Refuse { query, come_back } => {
+            Action::Reject { query, retry_after: come_back } => {
                 self.record(66, &[&query.0.to_le_bytes(), &come_back.unwrap_or(0).to_le_bytes()]);
             }
             Action::Fail(query) => self.record(67, &[&query.0.to_le_bytes()]),
-            Action::WakeAt(at) => self.record(69, &[&at.to_le_bytes(), &0u64.to_le_bytes()]),
+            Action::SetTimer(at) => self.record(69, &[&at.to_le_bytes(), &0u64.to_le_bytes()]),
             Action::CloseIdle(replica) => self.record(71, &[&replica.0]),
             Action::Subscribe => self.record(75, &[&[1]]),
         }
--- a/src/bin/quinceflow-benchlink/host.rs
+++ b/src/bin/quinceflow-benchlink/host.rs
@@ -8,8 +8,8 @@
 /// All instances of this process; they share nothing but the wire.
 #[derive(Default)]
 pub struct Host {
-    instances: BTreeMap<u16, Aggregator>,
-    pools: BTreeMap<u16, Vec<Member>>,
+    instances: BTreeMap<u16, DecisionPolicy>,
+    pools: BTreeMap<u16, Vec<Endpoint>>,
 }
 
 impl Host {
@@ -31,7 +31,7 @@
                 Record::New { seed, boot_info } => {
                     let set = settings::read(&boot_info)
                         .map_err(|e| Malformed(format!("batch {}: boot-info: {e}", batch.number)))?;
-                    self.instances.insert(here()?, Aggregator::new(set, seed, batch.now));
+                    self.instances.insert(here()?, DecisionPolicy::new(set, seed, batch.now));
                     inboxes.insert(here()?, Vec::new());
                 }
                 Record::Destroy => {
@@ -40,12 +40,12 @@
                 }
                 Record::Members { kind, sheet } => {
                     let members = match kind {
-                        ListKind::Failed => Vec::new(),
+                        EndpointListKind::Failed => Vec::new(),
                         _ => self.pools.get(&sheet).cloned().ok_or_else(|| {
                             Malformed(format!("batch {}: MEMBERSHIP names no POOL {sheet}", batch.number))
                         })?,
                     };
-                    inboxes.entry(here()?).or_default().push(Event::List { kind, members });
+                    inboxes.entry(here()?).or_default().push(Event::Endpoints { kind, endpoints: members });
                 }
                 Record::Event(event) => inboxes.entry(here()?).or_default().push(event),
                 Record::Other => {
--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -1,6 +1,6 @@
 //! The classes by name and by number. The module knows a class by its place; names outlive places.
 
-use super::figures::{Figures, Tally};
+use super::figures::{ClassMetrics, Metrics};
 use crate::interface::{Class, ClassId};
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 struct Place {
     class: Class,
-    tally: Arc<Tally>,
+    tally: Arc<ClassMetrics>,
     /// Queries and attempts that began with it and have not ended.
     users: usize,
 }
@@ -19,12 +19,12 @@
 #[derive(Debug)]
 pub struct Classes {
     places: Vec<Place>,
-    figures: Arc<Figures>,
+    figures: Arc<Metrics>,
 }
 
 impl Classes {
     /// The first ones.
-    pub fn new(classes: &[Class], figures: Arc<Figures>) -> Self {
+    pub fn new(classes: &[Class], figures: Arc<Metrics>) -> Self {
         let mut all = Classes { places: Vec::new(), figures };
         all.replace(classes);
         all
@@ -32,7 +32,7 @@
 
     /// The number of the class in force that has this name.
     pub fn find(&self, name: &str) -> Option<ClassId> {
-        let at = self.places.iter().position(|p| p.class.listed && p.class.name == name)?;
+        let at = self.places.iter().position(|p| p.class.in_force && p.class.name == name)?;
         Some(ClassId(at as u16))
     }
 
@@ -42,7 +42,7 @@
     }
 
     /// Where its figures are counted.
-    pub fn tally(&self, id: ClassId) -> &Arc<Tally> {
+    pub fn tally(&self, id: ClassId) -> &Arc<ClassMetrics> {
         &self.places[usize::from(id.0)].tally
     }
 
@@ -61,20 +61,20 @@
     /// again once nothing is left that began with it.
     pub fn replace(&mut self, classes: &[Class]) -> Vec<ClassId> {
         let before: Vec<Option<ClassId>> = classes.iter().map(|c| self.find(&c.name)).collect();
-        let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { listed: true, ..class.clone() };
+        let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { in_force: true, ..class.clone() };
         let stays: Vec<bool> =
             classes.iter().zip(&before).map(|(c, b)| b.is_some_and(|b| same(c, &b))).collect();
         let mut heirs: Vec<ClassId> = (0..self.places.len()).map(|at| ClassId(at as u16)).collect();
-        self.places.iter_mut().for_each(|p| p.class.listed = false);
+        self.places.iter_mut().for_each(|p| p.class.in_force = false);
         for id in before.iter().zip(&stays).filter_map(|(b, stays)| b.filter(|_| *stays)) {
-            self.places[usize::from(id.0)].class.listed = true;
+            self.places[usize::from(id.0)].class.in_force = true;
         }
         // Decided before the first place is used again: it may be that of a class that comes later in the file.
         for ((class, before), _) in classes.iter().zip(before).zip(stays).filter(|(_, stays)| !stays) {
             let tally = self.figures.class(&class.name);
-            let place = Place { class: Class { listed: true, ..class.clone() }, tally, users: 0 };
+            let place = Place { class: Class { in_force: true, ..class.clone() }, tally, users: 0 };
             let heir = before.unwrap_or(NONE);
-            match self.places.iter().position(|p| !p.class.listed && p.users == 0) {
+            match self.places.iter().position(|p| !p.class.in_force && p.users == 0) {
                 Some(at) => (self.places[at], heirs[at]) = (place, heir),
                 None => {
                     self.places.push(place);
@@ -99,15 +99,15 @@
     fn class(name: &str, max_attempts: u32) -> Class {
         Class {
             name: name.to_owned(),
-            listed: true,
-            aim: 1,
-            aim_stretch: 0.0,
+            in_force: true,
+            latency_objective: 1,
+            objective_stretch: 0.0,
             deadline: 2,
-            effect: Effect::Safe,
-            points: 1.0,
-            late_worth: 0.0,
-            need: 1.0,
-            floor: 1.0,
+            effect: Effect::Idempotent,
+            priority_weight: 1.0,
+            late_weight: 0.0,
+            required_share: 1.0,
+            min_share: 1.0,
             follow_up: 0,
             max_attempts,
         }
@@ -115,7 +115,7 @@
 
     /// The classes in force: name, attempts, place.
     fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
-        let listed = classes.told().into_iter().filter(|c| c.listed);
+        let listed = classes.told().into_iter().filter(|c| c.in_force);
         let mut all: Vec<_> = listed
             .map(|c| (c.name.clone(), c.max_attempts, classes.find(&c.name).expect("listed").0))
             .collect();
--- a/src/core/figures.rs
+++ b/src/core/figures.rs
@@ -11,7 +11,7 @@
 
 /// What became of a class's requests.
 #[derive(Debug, Default)]
-pub struct Tally {
+pub struct ClassMetrics {
     /// Requests served, refused and failed.
     pub ok: Counter,
     /// See `ok`.
@@ -39,8 +39,8 @@
 
 /// All figures of the process.
 #[derive(Debug, Default)]
-pub struct Figures {
-    classes: Mutex<BTreeMap<String, Arc<Tally>>>,
+pub struct Metrics {
+    classes: Mutex<BTreeMap<String, Arc<ClassMetrics>>>,
     /// Requests taken and not yet ended.
     pub active: Gauge,
     /// Servers in the list.
@@ -53,9 +53,9 @@
     pub config_rejected: Counter,
 }
 
-impl Figures {
+impl Metrics {
     /// The figures of a class. A class that is dropped keeps them: they count from the process's start.
-    pub fn class(&self, name: &str) -> Arc<Tally> {
+    pub fn class(&self, name: &str) -> Arc<ClassMetrics> {
         let mut classes = self.classes.lock().unwrap_or_else(|e| e.into_inner());
         classes.entry(name.to_owned()).or_default().clone()
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,11 +10,11 @@
 
 use classes::Classes;
 pub use counters::{invariant, log_rarely, Counter, Counters, COUNTERS};
-pub use figures::{Figures, Tally};
+pub use figures::{ClassMetrics, Metrics};
 pub use types::*;
 
 use crate::interface::*;
-use crate::rules::Aggregator;
+use crate::rules::DecisionPolicy;
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -64,7 +64,7 @@
     /// believed however old the list is, and a later life is. All else the newer list told better.
     fn learns(&self, node: &Node) -> bool {
         self.later(node.started)
-            || (self.ready && node.state != MemberState::Ready && !self.earlier(node.started))
+            || (self.ready && node.state != EndpointState::Ready && !self.earlier(node.started))
     }
 }
 
@@ -106,12 +106,12 @@
 /// The core of one coordinator.
 #[derive(Debug)]
 pub struct Core {
-    module: Aggregator,
+    module: DecisionPolicy,
     set: Settings,
     /// Another process shares what is allowed to one, and it is the older one.
     beside: Option<Beside>,
     classes: Classes,
-    figures: Arc<Figures>,
+    figures: Arc<Metrics>,
     /// What this core last said of `active`, `pool_size` and `pool_ejected`.
     said: [usize; 3],
     asked_pool: Micros,
@@ -145,10 +145,10 @@
 
 impl Core {
     /// A core that holds nothing yet.
-    pub fn new(set: Settings, most_held: usize, seed: u64, now: Micros, figures: Arc<Figures>) -> Self {
+    pub fn new(set: Settings, most_held: usize, seed: u64, now: Micros, figures: Arc<Metrics>) -> Self {
         let set = without_second_steps(set);
         Self {
-            module: Aggregator::new(ahead(set.clone()), seed, now.to_nanos()),
+            module: DecisionPolicy::new(ahead(set.clone()), seed, now.to_nanos()),
             classes: Classes::new(&set.classes, figures.clone()),
             set,
             beside: None,
@@ -224,7 +224,7 @@
         self.time_outs_due(now, &mut events, out);
         if self.wake.is_some_and(|at| at <= now) {
             self.wake = None;
-            events.push(Event::Wake);
+            events.push(Event::TimerFired);
         }
         let mut actions = Vec::new();
         self.module.handle(now.to_nanos(), &events, &mut actions);
@@ -233,7 +233,7 @@
         }
         // After the module: a turn that comes late must leave it to the module to end what is over.
         self.ends_due(now, out);
-        bundle(out, self.set.bundle.max(1) as usize);
+        bundle(out, self.set.max_batch.max(1) as usize);
         self.say(now);
     }
 
@@ -268,11 +268,12 @@
     fn tell_settings(&self, heirs: Vec<ClassId>) -> Event {
         let mut set = Settings { classes: self.classes.told(), ..self.set.clone() };
         if let Some(beside) = self.beside {
-            set.aggregators *= 2;
-            set.extra =
-                set.extra.map(|e| if beside == Beside::New { ExtraBudget { free: 0.0, ..e } } else { e });
+            set.coordinators *= 2;
+            set.retry_budget =
+                set.retry_budget
+                    .map(|e| if beside == Beside::New { RetryBudget { free: 0.0, ..e } } else { e });
         }
-        Event::Settings { set: Box::new(ahead(set)), heirs }
+        Event::Settings { settings: Box::new(ahead(set)), class_mapping: heirs }
     }
 
     /// Queries and parts that may be held now.
@@ -296,8 +297,8 @@
             let tally = self.classes.tally(class);
             match answer {
                 Answer::Served { .. } => &tally.ok,
-                Answer::Refused { .. } => &tally.shed,
-                Answer::Failed { .. } | Answer::Taken | Answer::NoClass => &tally.errors,
+                Answer::Rejected { .. } => &tally.shed,
+                Answer::Failed { .. } | Answer::DuplicateRequestId | Answer::UnknownClass => &tally.errors,
             }
             .add();
         }
@@ -306,30 +307,30 @@
 
     fn take(&mut self, now: Micros, input: Input, events: &mut Vec<Event>, out: &mut Vec<Command>) {
         match input {
-            Input::Roster(roster) => self.take_roster(now, roster, events, out),
-            Input::Ask(request) => self.take_request(now, request, events, out),
-            Input::Left(token) => {
+            Input::EndpointUpdate(roster) => self.take_roster(now, roster, events, out),
+            Input::Submit(request) => self.take_request(now, request, events, out),
+            Input::ClientLeft(token) => {
                 if let Some(query) = self.tokens.get(&token).copied() {
                     COUNTERS.gone.add();
-                    events.push(Event::Gone(query));
+                    events.push(Event::Abandoned(query));
                     self.forget(now, query, out);
                 }
             }
-            Input::Begun(key) => self.begun(key),
-            Input::Written(key) => {
+            Input::WriteStarted(key) => self.begun(key),
+            Input::FullyWritten(key) => {
                 COUNTERS.written.add_n(usize::from(self.is_out(key)));
                 self.begun(key);
             }
-            Input::Ended(key, end) => self.take_end(now, key, end, events),
+            Input::AttemptEnded(key, end) => self.take_end(now, key, end, events),
             Input::Settings(set, most_held) => self.take_settings(*set, most_held, events),
-            Input::Due => {}
+            Input::TimerDue => {}
         }
     }
 
     fn take_roster(
         &mut self,
         now: Micros,
-        mut roster: Roster,
+        mut roster: EndpointUpdate,
         events: &mut Vec<Event>,
         out: &mut Vec<Command>,
     ) {
@@ -347,34 +348,35 @@
             if let Some(shards) = node.shards {
                 events.push(Event::Placement { replica, shards });
             }
-            let ready = node.state == MemberState::Ready;
+            let ready = node.state == EndpointState::Ready;
             let known = self.servers.get(&replica);
             if known.is_none_or(|l| (&l.address, l.ready) != (&node.address, ready)) {
-                out.push(Command::Server(replica, node.address.clone(), ready));
+                out.push(Command::UpdateServer(replica, node.address.clone(), ready));
             }
-            let gone = (node.state == MemberState::Gone).then(|| known.and_then(|l| l.gone).unwrap_or(now));
+            let gone =
+                (node.state == EndpointState::Removed).then(|| known.and_then(|l| l.gone).unwrap_or(now));
             let started = node.started.max(known.and_then(|l| l.started));
             self.servers
                 .insert(replica, Listed { name: node.name, address: node.address, ready, started, gone });
             let since = node.started.map_or(0, Micros::to_nanos);
             let (zone, cell) = (ZoneId(node.zone), CellId(node.cell));
-            members.push(Member { replica, zone, cell, state: node.state, since });
+            members.push(Endpoint { replica, zone, cell, state: node.state, started_at: since });
         }
-        if matches!(roster.kind, ListKind::Full | ListKind::Cached) {
+        if matches!(roster.kind, EndpointListKind::Full | EndpointListKind::Cached) {
             for (replica, line) in self.servers.iter_mut().filter(|(r, _)| !named.contains(r)) {
                 line.gone = line.gone.or(Some(now));
                 if std::mem::take(&mut line.ready) {
-                    out.push(Command::Server(*replica, line.address.clone(), false));
+                    out.push(Command::UpdateServer(*replica, line.address.clone(), false));
                 }
             }
         }
-        events.push(Event::List { kind: roster.kind, members });
+        events.push(Event::Endpoints { kind: roster.kind, endpoints: members });
         self.forget_gone(now, out);
     }
 
     /// Discovery that was moved, or came back from an older copy, may tell an older list than the one in force: whom it
     /// does not name may be newer than it, and whom it calls in service may have been told to drain since.
-    fn keep_what_is_newer(&mut self, roster: &mut Roster) {
+    fn keep_what_is_newer(&mut self, roster: &mut EndpointUpdate) {
         let Some(version) = roster.version else { return };
         if version >= self.version {
             self.version = version;
@@ -386,7 +388,7 @@
                 self.version
             )
         });
-        roster.kind = ListKind::Delta;
+        roster.kind = EndpointListKind::Delta;
         let known = |n: &Node| self.names.get(&n.name).and_then(|r| self.servers.get(r));
         roster.nodes.retain(|node| known(node).is_none_or(|listed| listed.learns(node)));
     }
@@ -399,7 +401,7 @@
         for replica in gone.into_iter().filter(|r| self.flights.values().all(|f| f.replica != *r)) {
             if let Some(line) = self.servers.remove(&replica) {
                 self.names.remove(&line.name);
-                out.push(Command::Forget(replica));
+                out.push(Command::RemoveServer(replica));
             }
         }
     }
@@ -419,15 +421,15 @@
         let Some(class) = self.classes.find(&request.class) else {
             // Dropped by a reload while the request was on its way here.
             COUNTERS.bad_requests.add();
-            return out.push(Command::Reply(request.token, Answer::NoClass));
+            return out.push(Command::Reply(request.token, Answer::UnknownClass));
         };
-        let until = request.sent + request.patience;
+        let until = request.sent_at + request.timeout;
         let until = self.last.map_or(until, |last| until.min(last));
         if until <= now + WAY {
             // Over before it began: nothing can be in time any more, and nothing was sent.
             COUNTERS.over_time.add();
             COUNTERS.refused.add();
-            let answer = Answer::Refused { come_back: None, late: true };
+            let answer = Answer::Rejected { retry_after: None, late: true };
             return self.reply(class, &request, answer, out);
         }
         let size = 1 + request.parts.len();
@@ -435,30 +437,38 @@
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
             COUNTERS.over_held.add();
             COUNTERS.refused.add();
-            let come_back = self.set.retry_after.map(Micros::from_nanos);
-            return self.reply(class, &request, Answer::Refused { come_back, late: false }, out);
+            let come_back = self.set.max_retry_after.map(Micros::from_nanos);
+            return self.reply(
+                class,
+                &request,
+                Answer::Rejected { retry_after: come_back, late: false },
+                out,
+            );
         }
-        if self.labels.contains_key(&request.label) {
+        if self.labels.contains_key(&request.request_id) {
             COUNTERS.labels_taken.add();
-            return self.reply(class, &request, Answer::Taken, out);
+            return self.reply(class, &request, Answer::DuplicateRequestId, out);
         }
         COUNTERS.taken.add();
-        self.labels.insert(request.label.clone(), 1);
+        self.labels.insert(request.request_id.clone(), 1);
         self.held_count += size;
         let query = QueryId(self.next_id);
         let group = Group(self.next_group);
         self.next_group = self.next_group.wrapping_add(1);
         self.next_id += size as u64;
-        let aim = self.classes.get(class).aim;
+        let aim = self.classes.get(class).latency_objective;
         self.classes.begin(class);
-        let hints: Option<Micros> =
-            request.parts.iter().map(|p| p.hint).try_fold(Micros::ZERO, |sum, hint| hint.map(|h| sum + h));
+        let hints: Option<Micros> = request
+            .parts
+            .iter()
+            .map(|p| p.expected_work)
+            .try_fold(Micros::ZERO, |sum, hint| hint.map(|h| sum + h));
         events.push(Event::Query {
             query,
             group,
             class,
             tenant: request.tenant,
-            hint: hints.filter(|_| !request.parts.is_empty()).map(Micros::to_nanos),
+            expected_work: hints.filter(|_| !request.parts.is_empty()).map(Micros::to_nanos),
             time_left: until.since(now + WAY).to_nanos(),
         });
         for (at, p) in request.parts.iter().enumerate() {
@@ -468,7 +478,7 @@
         }
         self.tokens.insert(request.token, query);
         self.ends.insert((until, query));
-        let wanted = request.sent + Micros::from_nanos(aim);
+        let wanted = request.sent_at + Micros::from_nanos(aim);
         let values = vec![None; request.parts.len()];
         self.held.insert(query, Held { request, class, until, wanted, values });
     }
@@ -492,7 +502,7 @@
                 }
                 Outcome::Ok
             }
-            End::Not(outcome) => outcome,
+            End::Failed(outcome) => outcome,
         };
         self.tell(now, key, &flight, outcome, events);
     }
@@ -510,12 +520,12 @@
         match outcome {
             Outcome::Ok => &COUNTERS.served,
             Outcome::Error => &COUNTERS.errors,
-            Outcome::Full => &COUNTERS.turned_away,
+            Outcome::Rejected => &COUNTERS.turned_away,
             Outcome::TimedOut => &COUNTERS.timed_out,
             Outcome::ConnectFailed => &COUNTERS.connect_failed,
             Outcome::Reset => &COUNTERS.resets,
             Outcome::Cancelled => &COUNTERS.cancelled,
-            Outcome::Moot => &COUNTERS.unsent,
+            Outcome::NotSent => &COUNTERS.unsent,
         }
         .add();
         let waited = now.since(flight.sent).to_nanos();
@@ -532,7 +542,7 @@
                 continue;
             }
             let Some(flight) = self.land(key) else { continue };
-            out.push(Command::CallOff(flight.replica, key));
+            out.push(Command::CancelAttempt(flight.replica, key));
             // What never began to leave this machine is taken back, so it never ran: a class that must not repeat may go
             // again. What began to leave it goes on to its last byte, and runs.
             let outcome = if flight.begun { Outcome::TimedOut } else { Outcome::ConnectFailed };
@@ -549,7 +559,7 @@
                 COUNTERS.failed.add();
                 self.reply(held.class, &held.request, Answer::Failed { late: true }, out);
             }
-            self.pending.push(Event::Gone(query));
+            self.pending.push(Event::Abandoned(query));
         }
     }
 
@@ -568,7 +578,7 @@
     /// nobody's use else.
     fn forget(&mut self, now: Micros, query: QueryId, out: &mut Vec<Command>) -> Option<Held> {
         let held = self.held.remove(&query)?;
-        self.unlabel(&held.request.label);
+        self.unlabel(&held.request.request_id);
         self.classes.end(held.class);
         self.held_count -= 1 + held.values.len();
         self.ends.remove(&(held.until, query));
@@ -587,8 +597,8 @@
     /// Gives an attempt up; the module hears of its end in the next turn.
     fn call_off(&mut self, now: Micros, key: AttemptKey, out: &mut Vec<Command>) {
         let Some(flight) = self.land(key) else { return };
-        out.push(Command::CallOff(flight.replica, key));
-        let outcome = if flight.begun { Outcome::Cancelled } else { Outcome::Moot };
+        out.push(Command::CancelAttempt(flight.replica, key));
+        let outcome = if flight.begun { Outcome::Cancelled } else { Outcome::NotSent };
         let mut events = std::mem::take(&mut self.pending);
         self.tell(now, key, &flight, outcome, &mut events);
         self.pending = events;
@@ -596,19 +606,25 @@
 
     fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Command>) {
         match action {
-            Action::Send { part, replica, timeout, by } => {
+            Action::Send { part, replica, timeout, not_after: by } => {
                 self.launch(now, part, replica, (timeout, by), out);
             }
             Action::Cancel { part, attempt } => self.call_off(now, AttemptKey { part, attempt }, out),
-            Action::Answer { query, whole } => self.answer(now, query, whole, out),
-            Action::Refuse { query, come_back } => {
+            Action::Answer { query, complete: whole } => self.answer(now, query, whole, out),
+            Action::Reject { query, retry_after: come_back } => {
                 let come_back = come_back.map(Micros::from_nanos);
-                self.give_up(now, query, |late| Answer::Refused { come_back, late }, &COUNTERS.refused, out);
+                self.give_up(
+                    now,
+                    query,
+                    |late| Answer::Rejected { retry_after: come_back, late },
+                    &COUNTERS.refused,
+                    out,
+                );
             }
             Action::Fail(query) => {
                 self.give_up(now, query, |late| Answer::Failed { late }, &COUNTERS.failed, out);
             }
-            Action::WakeAt(at) => {
+            Action::SetTimer(at) => {
                 // Rounded up: a wake-up before its time would find nothing due and be set again.
                 let at = Micros::from_nanos(at.saturating_add(999));
                 self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
@@ -638,10 +654,10 @@
         let until = (now + Micros::from_nanos(timeout)).min(held.until);
         COUNTERS.attempts.add();
         invariant(
-            self.set.second_copies || !self.flights.keys().any(|k| k.part == part),
+            self.set.hedging || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
         );
-        let (label, class) = (held.request.label.clone(), held.class);
+        let (label, class) = (held.request.request_id.clone(), held.class);
         // A connection may come up long after: what must not go out by then is taken back before.
         let look = until.min(Micros::from_nanos(by));
         let flight = Flight { replica, sent: now, until, look, begun: false, label: label.clone(), class };
@@ -650,15 +666,15 @@
         self.time_outs.insert((look, key));
         let job = Job {
             key,
-            label,
+            request_id: label,
             shard: held.request.parts[at].shard,
-            text: held.request.text.clone(),
-            errand: held.request.parts[at].errand.clone(),
-            patience: until.since(now),
-            tally: self.classes.tally(class).clone(),
+            payload: held.request.payload.clone(),
+            context: held.request.parts[at].context.clone(),
+            timeout: until.since(now),
+            metrics: self.classes.tally(class).clone(),
         };
         self.classes.begin(class);
-        out.push(Command::Launch(replica, vec![job]));
+        out.push(Command::Dispatch(replica, vec![job]));
     }
 
     fn answer(&mut self, now: Micros, query: QueryId, whole: bool, out: &mut Vec<Command>) {
@@ -675,10 +691,10 @@
                 values.push((part.shard, value));
             }
         }
-        let least = if whole { class.need } else { class.floor };
+        let least = if whole { class.required_share } else { class.min_share };
         invariant(weight + 1e-4 >= least, "an answer from too few parts");
         if whole { &COUNTERS.whole } else { &COUNTERS.partial }.add();
-        self.reply(held.class, &held.request, Answer::Served { whole, parts: values }, out);
+        self.reply(held.class, &held.request, Answer::Served { complete: whole, parts: values }, out);
     }
 
     fn give_up(
@@ -699,7 +715,10 @@
 
 /// The settings as the module has them: it aims ahead of what clients want by what lies between.
 fn ahead(mut set: Settings) -> Settings {
-    set.classes.iter_mut().for_each(|c| c.aim = c.aim.saturating_sub(ANSWER_WAY.to_nanos()).max(c.aim / 2));
+    set.classes.iter_mut().for_each(|c| {
+        c.latency_objective =
+            c.latency_objective.saturating_sub(ANSWER_WAY.to_nanos()).max(c.latency_objective / 2)
+    });
     set
 }
 
@@ -716,10 +735,10 @@
     }
     let mut joined: Vec<Command> = Vec::with_capacity(out.len());
     for command in out.drain(..) {
-        if let Command::Launch(replica, jobs) = &command {
+        if let Command::Dispatch(replica, jobs) = &command {
             let fits =
-                |c: &&mut Command| matches!(c, Command::Launch(r, j) if r == replica && j.len() < most);
-            if let Some(Command::Launch(_, call)) = joined.iter_mut().find(fits) {
+                |c: &&mut Command| matches!(c, Command::Dispatch(r, j) if r == replica && j.len() < most);
+            if let Some(Command::Dispatch(_, call)) = joined.iter_mut().find(fits) {
                 call.extend(jobs.iter().cloned());
                 continue;
             }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,6 +1,6 @@
 //! Requests, attempts and outcomes as plain data. No wire's words here.
 
-use super::figures::Tally;
+use super::figures::ClassMetrics;
 use crate::interface::{AttemptNo, Outcome, PartId, ReplicaId, Settings, ShardId, TenantId};
 use crate::time::Micros;
 use std::any::Any;
@@ -17,19 +17,19 @@
     /// Where the answer goes.
     pub token: Token,
     /// What the request is called at the servers and in logs.
-    pub label: Arc<str>,
+    pub request_id: Arc<str>,
     /// The name of its class: numbers may change while it is on its way to the core.
     pub class: Arc<str>,
     /// Its tenant; 0 where there are none.
     pub tenant: TenantId,
     /// How long its client waits, from `sent`.
-    pub patience: Micros,
+    pub timeout: Micros,
     /// When its client sent it, as near as its front can tell.
-    pub sent: Micros,
+    pub sent_at: Micros,
     /// Its parts.
-    pub parts: Vec<PartOf>,
+    pub parts: Vec<PartRequest>,
     /// What each part carries to its server.
-    pub text: Arc<[u8]>,
+    pub payload: Arc<[u8]>,
     /// Its end is an end for its client, and counts as one in the figures. A front that asks in several rounds counts the
     /// end of the last one itself.
     pub counted: bool,
@@ -37,12 +37,12 @@
 
 /// What a front hands to its own driver along with a part; the core only carries it.
 #[derive(Clone)]
-pub struct Errand(Arc<dyn Any + Send + Sync>);
+pub struct RequestContext(Arc<dyn Any + Send + Sync>);
 
-impl Errand {
+impl RequestContext {
     /// An errand that the driver knows by its type.
     pub fn new<T: Any + Send + Sync>(what: Arc<T>) -> Self {
-        Errand(what)
+        RequestContext(what)
     }
 
     /// What was handed in, if it is of this type.
@@ -51,13 +51,13 @@
     }
 }
 
-impl fmt::Debug for Errand {
+impl fmt::Debug for RequestContext {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Errand")
     }
 }
 
-impl PartialEq for Errand {
+impl PartialEq for RequestContext {
     fn eq(&self, other: &Self) -> bool {
         Arc::ptr_eq(&self.0, &other.0)
     }
@@ -65,15 +65,15 @@
 
 /// A part of a request.
 #[derive(Debug, Clone, PartialEq)]
-pub struct PartOf {
+pub struct PartRequest {
     /// Where it can be answered.
     pub shard: ShardId,
     /// Its share of the answer.
     pub weight: f64,
     /// Expected work, where told.
-    pub hint: Option<Micros>,
+    pub expected_work: Option<Micros>,
     /// What its driver needs beside the request's text.
-    pub errand: Option<Errand>,
+    pub context: Option<RequestContext>,
 }
 
 /// One attempt at a part.
@@ -94,7 +94,7 @@
     /// Served with this.
     Served(Value),
     /// Anything else; never [`Outcome::Ok`].
-    Not(Outcome),
+    Failed(Outcome),
 }
 
 /// A server as a roster names it.
@@ -111,16 +111,16 @@
     /// The shards it holds, where its cell does not tell.
     pub shards: Option<Vec<ShardId>>,
     /// Its state.
-    pub state: crate::interface::MemberState,
+    pub state: crate::interface::EndpointState,
     /// When it last started; `None`: long ago.
     pub started: Option<Micros>,
 }
 
 /// News of the servers.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Roster {
+pub struct EndpointUpdate {
     /// How much of the list this is.
-    pub kind: crate::interface::ListKind,
+    pub kind: crate::interface::EndpointListKind,
     /// Its version, where lists have one: a later list has no lower one.
     pub version: Option<u64>,
     /// Its lines.
@@ -131,21 +131,21 @@
 #[derive(Debug, Clone)]
 pub enum Input {
     /// News of the servers.
-    Roster(Roster),
+    EndpointUpdate(EndpointUpdate),
     /// A request was taken.
-    Ask(Request),
+    Submit(Request),
     /// The client that waited for this has left.
-    Left(Token),
+    ClientLeft(Token),
     /// Some of the attempt's request has left this machine: what is left of it follows, so it can't be taken back.
-    Begun(AttemptKey),
+    WriteStarted(AttemptKey),
     /// The attempt's request has left this machine whole: from here on it may run.
-    Written(AttemptKey),
+    FullyWritten(AttemptKey),
     /// An attempt ended.
-    Ended(AttemptKey, End),
+    AttemptEnded(AttemptKey, End),
     /// The settings change, and with them how many queries and parts may be held.
     Settings(Box<Settings>, usize),
     /// It is time: something is due.
-    Due,
+    TimerDue,
 }
 
 /// What an attempt asks of a server.
@@ -154,17 +154,17 @@
     /// Which attempt.
     pub key: AttemptKey,
     /// The request's label.
-    pub label: Arc<str>,
+    pub request_id: Arc<str>,
     /// Which shard.
     pub shard: ShardId,
     /// What it carries.
-    pub text: Arc<[u8]>,
+    pub payload: Arc<[u8]>,
     /// What the front handed in for its driver.
-    pub errand: Option<Errand>,
+    pub context: Option<RequestContext>,
     /// How long this program will wait for it.
-    pub patience: Micros,
+    pub timeout: Micros,
     /// Where it is counted once its last byte is written.
-    pub tally: Arc<Tally>,
+    pub metrics: Arc<ClassMetrics>,
 }
 
 /// The final answer to a request.
@@ -173,21 +173,21 @@
     /// Answered from these parts.
     Served {
         /// It is whole.
-        whole: bool,
+        complete: bool,
         /// The shards that are in, with what they gave, in the request's order.
         parts: Vec<(ShardId, Value)>,
     },
     /// Sent back: asking again does no harm.
-    Refused {
+    Rejected {
         /// When to come back, where clients are told.
-        come_back: Option<Micros>,
+        retry_after: Option<Micros>,
         /// Its time ran out first.
         late: bool,
     },
     /// Its label is that of a request that is still open: it was not begun.
-    Taken,
+    DuplicateRequestId,
     /// Its class is none (any more): it was not begun.
-    NoClass,
+    UnknownClass,
     /// Given up, with no promise.
     Failed {
         /// Its time ran out first.
@@ -199,13 +199,13 @@
 #[derive(Debug, Clone)]
 pub enum Command {
     /// This is where a server is, and whether it takes new work.
-    Server(ReplicaId, Arc<str>, bool),
+    UpdateServer(ReplicaId, Arc<str>, bool),
     /// Start these attempts in one call.
-    Launch(ReplicaId, Vec<Job>),
+    Dispatch(ReplicaId, Vec<Job>),
     /// Stop waiting for an attempt.
-    CallOff(ReplicaId, AttemptKey),
+    CancelAttempt(ReplicaId, AttemptKey),
     /// A server is gone for good: nothing of it needs to be kept.
-    Forget(ReplicaId),
+    RemoveServer(ReplicaId),
     /// Close idle connections.
     CloseIdle(ReplicaId),
     /// Give this answer.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -15,27 +15,27 @@
     /// It is answered at once.
     Respond(Response),
     /// It goes to the core, and its answer is rendered by this.
-    Ask(Request, Render),
+    Submit(Request, Render),
 }
 
 /// A front.
 pub trait Front: Send + Sync {
     /// Takes a request that came whole. `sent`: when its client sent it, as near as can be told; `ready`: the
     /// program is ready to serve.
-    fn take(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction;
+    fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction;
 
     /// The response to what could not be read.
-    fn unreadable(&self, error: HttpError) -> Response;
+    fn malformed_response(&self, error: HttpError) -> Response;
 
     /// Most bytes of a request's body.
-    fn most_body(&self) -> usize {
+    fn max_body(&self) -> usize {
         MOST_BODY
     }
 
     /// Stack of the coroutine that serves a connection, in words of eight bytes. Only touched pages count as memory.
     /// Measured over the tests of the platform's front in a release build: 722 words at most; debug builds need several
     /// times that.
-    fn stack(&self) -> usize {
+    fn stack_words(&self) -> usize {
         0x4000
     }
 }
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,8 +1,8 @@
 //! Which collections there are, which shards hold each, and which servers hold each shard.
 
 use super::inventory::{Server, Share};
-use crate::core::{Node, Roster};
-use crate::interface::{ListKind, MemberState, ShardId};
+use crate::core::{EndpointUpdate, Node};
+use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::Hash;
@@ -16,7 +16,7 @@
     numbers: HashMap<Share, ShardId>,
     shares: Vec<Share>,
     live: BTreeMap<String, Vec<ShardId>>,
-    known: HashMap<String, (MemberState, Option<Micros>)>,
+    known: HashMap<String, (EndpointState, Option<Micros>)>,
     loaded: bool,
     /// A shard at one server, by its name: what is gone on with there has a number of its own, which that server alone
     /// holds, so that the module knows no other place for it.
@@ -26,7 +26,7 @@
     /// A shard anywhere but at one server, by its name: where a shard broke off, it is begun anew elsewhere.
     without: HashMap<(ShardId, String), ShardId>,
     /// The servers by their addresses: name and state.
-    places: HashMap<String, (String, MemberState)>,
+    places: HashMap<String, (String, EndpointState)>,
 }
 
 /// The number of a share, or of a share at some of its servers; a new one if it has none yet.
@@ -45,7 +45,7 @@
 impl Catalog {
     /// Takes an inventory in and tells the core's view of it. A server that appears or comes back after the first
     /// inventory counts as just started.
-    pub fn load(&mut self, servers: &[Server], now: Micros) -> Roster {
+    pub fn load(&mut self, servers: &[Server], now: Micros) -> EndpointUpdate {
         self.live.clear();
         self.places.clear();
         self.pinned_now.clear();
@@ -67,7 +67,7 @@
                 for other in others.take(MOST_OTHERS) {
                     shards.push(number(&mut self.without, at(other), &mut self.shares, share));
                 }
-                if server.state != MemberState::Gone {
+                if server.state != EndpointState::Removed {
                     let live = self.live.entry(share.collection.clone()).or_default();
                     if !live.contains(&shard) {
                         live.push(shard);
@@ -77,9 +77,9 @@
             self.places.insert(server.address.to_string(), (server.name.clone(), server.state));
             let before = self.known.get(&server.name).copied();
             let started = match before {
-                Some((MemberState::Ready, started)) => started,
+                Some((EndpointState::Ready, started)) => started,
                 None if !self.loaded => None,
-                _ => (server.state == MemberState::Ready).then_some(now),
+                _ => (server.state == EndpointState::Ready).then_some(now),
             };
             known.insert(server.name.clone(), (server.state, started));
             nodes.push(Node {
@@ -97,7 +97,7 @@
             .values_mut()
             .for_each(|l| l.sort_by(|a, b| shares[a.0 as usize].cmp(&shares[b.0 as usize])));
         (self.known, self.loaded) = (known, true);
-        Roster { kind: ListKind::Full, version: None, nodes }
+        EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes }
     }
 
     /// The names of the collections, in order.
@@ -119,13 +119,13 @@
 
     /// The number of a shard at the server of this address, if that takes new work and holds it.
     pub fn pinned(&self, shard: ShardId, address: &str) -> Option<ShardId> {
-        let (name, _) = self.places.get(address).filter(|p| p.1 == MemberState::Ready)?;
+        let (name, _) = self.places.get(address).filter(|p| p.1 == EndpointState::Ready)?;
         self.pins.get(&(shard, name.clone())).copied().filter(|pin| self.pinned_now.contains(pin))
     }
 
     /// The servers that take new work and hold a shard: the shard's number there, and the server's address.
     pub fn holders(&self, shard: ShardId) -> Vec<(ShardId, &str)> {
-        let ready = self.places.iter().filter(|p| p.1 .1 == MemberState::Ready);
+        let ready = self.places.iter().filter(|p| p.1 .1 == EndpointState::Ready);
         let mut holders: Vec<_> =
             ready.filter_map(|(address, _)| Some((self.pinned(shard, address)?, address.as_str()))).collect();
         holders.sort_unstable_by_key(|h| h.0 .0);
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -2,7 +2,7 @@
 
 use super::cql2::{Kind, Queryables};
 use super::inventory::{read_file, InventoryError, Server};
-use crate::interface::{Class, ColdRule, Effect, ExtraBudget, Reduced, Settings};
+use crate::interface::{Class, Effect, RetryBudget, ServiceReduction, Settings, SlowStartRule};
 use crate::limits::Rule;
 use crate::time::Micros;
 use serde::Deserialize;
@@ -391,48 +391,48 @@
         let ns = |ms: u64| Micros::from_millis(ms).to_nanos();
         let class = |c: &EdgeClass| Class {
             name: c.name.clone(),
-            listed: true,
-            aim: ns(c.aim_ms),
-            aim_stretch: 0.0,
+            in_force: true,
+            latency_objective: ns(c.aim_ms),
+            objective_stretch: 0.0,
             deadline: ns(c.deadline_ms),
-            effect: if c.effect == "unsafe" { Effect::Unsafe } else { Effect::Safe },
-            points: c.worth,
-            late_worth: c.late_worth,
-            need: 1.0,
-            floor: c.floor,
+            effect: if c.effect == "unsafe" { Effect::NonIdempotent } else { Effect::Idempotent },
+            priority_weight: c.worth,
+            late_weight: c.late_worth,
+            required_share: 1.0,
+            min_share: c.floor,
             follow_up: 0,
             max_attempts: self.attempts,
         };
-        let cold = |w: &WarmUp| ColdRule {
-            factor: w.factor,
-            span: ns(w.span_ms),
-            start: w.start,
+        let cold = |w: &WarmUp| SlowStartRule {
+            overload_factor: w.factor,
+            overload_window: ns(w.span_ms),
+            initial_capacity: w.start,
             warm_up: ns(w.ms),
         };
         Settings {
-            aggregators: self.coordinators,
+            coordinators: self.coordinators,
             tick: ns(5),
             classes: self.classes.iter().map(class).collect(),
             tenants: Vec::new(),
-            over_share_worth: 1.0,
+            over_quota_weight: 1.0,
             // Shards and who holds them come with the inventory.
             shards: 0,
             cells: 1,
-            reach: 1,
-            bundle: 1,
+            cells_per_shard: 1,
+            max_batch: 1,
             call_cost: 0,
-            ask_within: None,
+            max_poll_interval: None,
             // The module's own budget for further attempts.
-            extra: Some(ExtraBudget {
+            retry_budget: Some(RetryBudget {
                 ratio: self.limits.repeats,
                 free: FREE_REPEATS,
-                look_back: REPEATS_SPAN.to_nanos(),
+                window: REPEATS_SPAN.to_nanos(),
             }),
-            cold: self.warm_up.as_ref().map(cold),
-            cancel: true,
-            second_copies: false,
-            retry_after: Some(ns(self.retry_after_ms)),
-            reduced: Reduced::default(),
+            slow_start: self.warm_up.as_ref().map(cold),
+            cancellation: true,
+            hedging: false,
+            max_retry_after: Some(ns(self.retry_after_ms)),
+            reduction: ServiceReduction::default(),
         }
     }
 }
--- a/src/front/ogc/deliver.rs
+++ b/src/front/ogc/deliver.rs
@@ -41,8 +41,8 @@
     pub fn wrap(self, reaction: Reaction) -> Reaction {
         match reaction {
             Reaction::Respond(response) => Reaction::Respond(self.deliver(response)),
-            Reaction::Ask(request, render) => {
-                Reaction::Ask(request, Box::new(move |answer| self.wrap(render(answer))))
+            Reaction::Submit(request, render) => {
+                Reaction::Submit(request, Box::new(move |answer| self.wrap(render(answer))))
             }
         }
     }
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -17,17 +17,17 @@
 /// What a connection's bytes come to: an answer, or a query that goes to the core (with the answer to one that fails).
 fn said(front: &Ogc, bytes: &[u8]) -> Option<Response> {
     let mut server = Server::default();
-    server.allow_body(front.most_body());
+    server.allow_body(front.max_body());
     server.input().feed(bytes);
     server.end();
     match server.poll()? {
-        Err(e) => Some(front.unreadable(e)),
-        Ok(request) => match front.take(request, Token(1), Micros::ZERO, true) {
+        Err(e) => Some(front.malformed_response(e)),
+        Ok(request) => match front.handle(request, Token(1), Micros::ZERO, true) {
             Reaction::Respond(response) => Some(response),
-            Reaction::Ask(_, render) => match render(Answer::Failed { late: false }) {
+            Reaction::Submit(_, render) => match render(Answer::Failed { late: false }) {
                 Reaction::Respond(response) => Some(response),
                 // Learning came to nothing: the query itself is asked.
-                Reaction::Ask(..) => None,
+                Reaction::Submit(..) => None,
             },
         },
     }
@@ -181,7 +181,7 @@
 #[test]
 fn the_deepest_filters_fit_the_stack_of_a_connection() {
     // On a stack as small as the coroutines', in whatever build this is.
-    let words = front().stack();
+    let words = front().stack_words();
     let deep = |n: usize| format!("{}volts = 1{}", "NOT (".repeat(n), ")".repeat(n));
     let run = move || {
         let front = front();
--- a/src/front/ogc/inventory.rs
+++ b/src/front/ogc/inventory.rs
@@ -4,7 +4,7 @@
 //! A server has a name, an address, a state, and what it holds: `collection`, or `collection/shard`, where the
 //! shard is the name that the server itself gives that share of the collection.
 
-use crate::interface::MemberState;
+use crate::interface::EndpointState;
 use marked_yaml::types::MarkedMappingNode;
 use marked_yaml::{LoadError, LoaderOptions, Node as Yaml};
 use std::collections::BTreeMap;
@@ -31,7 +31,7 @@
     /// What it holds.
     pub shares: Vec<Share>,
     /// Its state.
-    pub state: MemberState,
+    pub state: EndpointState,
 }
 
 /// What is wrong with an inventory, and where.
@@ -356,9 +356,9 @@
             return Err(fault("collections", "is empty"));
         }
         let state = match get("state").unwrap_or("in_service") {
-            "in_service" | "ready" | "present" => MemberState::Ready,
-            "draining" | "terminating" => MemberState::Draining,
-            "gone" | "terminated" | "absent" => MemberState::Gone,
+            "in_service" | "ready" | "present" => EndpointState::Ready,
+            "draining" | "terminating" => EndpointState::Draining,
+            "gone" | "terminated" | "absent" => EndpointState::Removed,
             other => return Err(fault("state", &format!("{other:?} is none of in_service, draining, gone"))),
         };
         Ok(Server { name: entry.name.clone(), address, shares, state })
@@ -385,7 +385,7 @@
         let (a, b) = (read_csv("i.csv", csv).expect("csv"), read_yaml("i.yaml", yaml).expect("yaml"));
         assert_eq!(a, b);
         assert_eq!(a[0].shares.len(), 2);
-        assert_eq!(a[1].state, MemberState::Draining);
+        assert_eq!(a[1].state, EndpointState::Draining);
     }
 
     #[test]
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -10,7 +10,7 @@
 use super::ranking::{Ranked, Ranking};
 use super::visit::{Kind, Visit};
 use super::{lock, render, Fault, Shared};
-use crate::core::{Answer, Errand, PartOf, Request, Tally, Token, COUNTERS};
+use crate::core::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
 use crate::front::{Reaction, Render};
 use crate::interface::{ShardId, TenantId};
 use crate::limits::Cost;
@@ -112,21 +112,26 @@
     Request {
         token: asker.token,
         // Each round has its own: late parts of one may still be out when the next one begins.
-        label: format!("q{}.{}", asker.token.0, ROUNDS.fetch_add(1, Relaxed)).into(),
+        request_id: format!("q{}.{}", asker.token.0, ROUNDS.fetch_add(1, Relaxed)).into(),
         class: shared.edge.classes[asker.class].name.as_str().into(),
         tenant: TenantId(0),
-        patience: asker.patience,
-        sent: asker.sent,
+        timeout: asker.patience,
+        sent_at: asker.sent,
         parts: parts
-            .map(|(shard, visit)| PartOf { shard, weight, hint: None, errand: Some(Errand::new(visit)) })
+            .map(|(shard, visit)| PartRequest {
+                shard,
+                weight,
+                expected_work: None,
+                context: Some(RequestContext::new(visit)),
+            })
             .collect(),
-        text: Arc::default(),
+        payload: Arc::default(),
         counted: false,
     }
 }
 
 /// Counts the end of a query: its rounds are not counted by the core.
-pub(super) fn tally(tally: &Tally, response: &Response) {
+pub(super) fn tally(tally: &ClassMetrics, response: &Response) {
     match response.status {
         200..=399 | 404 => &tally.ok,
         503 | 429 => &tally.shed,
@@ -174,7 +179,7 @@
     let aim = Micros::from_millis(shared.edge.classes[asker.class].aim_ms);
     let patience = Micros(asker.patience.0 / 4).min(MOST_LOOK.max(Micros(aim.0 / 4)));
     let request = round(&shared, &Asker { patience, ..asker.clone() }, parts.into_iter());
-    Reaction::Ask(
+    Reaction::Submit(
         request,
         Box::new(move |_| {
             for (_, at, conformance, queryables) in &looks {
@@ -282,7 +287,7 @@
         }
         let request = round(&self.shared, &self.asker, parts.into_iter());
         let render: Render = Box::new(move |answer| self.answered(answer, gone));
-        Reaction::Ask(request, render)
+        Reaction::Submit(request, render)
     }
 
     /// What is asked for a page, and under which number: that of its shard, or of its shard at the one server that can go on.
@@ -325,9 +330,11 @@
                 }
                 self.came(came, None)
             }
-            Answer::Taken | Answer::NoClass => self.end(Some(answer)),
+            Answer::DuplicateRequestId | Answer::UnknownClass => self.end(Some(answer)),
             // Refused for load: no shard is missing, there was just no room to ask.
-            Answer::Refused { late: false, .. } if !out.iter().any(|o| o.2.tried()) => self.end(Some(answer)),
+            Answer::Rejected { late: false, .. } if !out.iter().any(|o| o.2.tried()) => {
+                self.end(Some(answer))
+            }
             answer => {
                 came.extend(out.into_iter().map(|(_, ask, _)| (ask.shard, ask.size, None)));
                 self.came(came, Some(answer))
@@ -336,7 +343,8 @@
     }
 
     fn came(mut self, came: Vec<Came>, answer: Option<Answer>) -> Reaction {
-        let late = matches!(answer, Some(Answer::Refused { late: true, .. } | Answer::Failed { late: true }));
+        let late =
+            matches!(answer, Some(Answer::Rejected { late: true, .. } | Answer::Failed { late: true }));
         let failed = || answer.unwrap_or(Answer::Failed { late: false });
         match &mut self.mode {
             Mode::Pages(gather) => match gather.take(came, render::feature_id) {
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -25,9 +25,9 @@
 pub use catalog::Catalog;
 
 use super::{Front, Reaction};
-use crate::core::{Figures, Tally, Token, COUNTERS};
+use crate::core::{ClassMetrics, Metrics, Token, COUNTERS};
 use crate::interface::ShardId;
-use crate::limits::{Admission, Bears, BASE_MEMORY};
+use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
 use config::Edge;
@@ -60,9 +60,9 @@
     edge: Edge,
     catalog: SharedCatalog,
     key: Key,
-    figures: Arc<Figures>,
+    figures: Arc<Metrics>,
     learned: Mutex<Learned>,
-    bears: Arc<Bears>,
+    bears: Arc<ServerCapacity>,
     admission: Mutex<Admission>,
 }
 
@@ -80,7 +80,7 @@
         self.edge.collections.iter().find(|c| c.id == collection)?.queryables()
     }
 
-    fn tally(&self, class: usize) -> Arc<Tally> {
+    fn tally(&self, class: usize) -> Arc<ClassMetrics> {
         self.figures.class(&self.edge.classes[class].name)
     }
 
@@ -107,8 +107,8 @@
         edge: Edge,
         catalog: SharedCatalog,
         key: Key,
-        figures: Arc<Figures>,
-        bears: Arc<Bears>,
+        figures: Arc<Metrics>,
+        bears: Arc<ServerCapacity>,
     ) -> Self {
         let learned = Mutex::new(Learned::new(Micros::from_secs(edge.learned_age_s)));
         let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY);
@@ -225,7 +225,7 @@
                     .collect();
                 let request = items::round(&self.shared, &asker, visits.iter().cloned());
                 let (id, tally) = (id.to_owned(), self.shared.tally(asker.class));
-                Ok(Reaction::Ask(
+                Ok(Reaction::Submit(
                     request,
                     Box::new(move |answer| {
                         let response = render::feature(&base, &id, &visits, (crs, html), answer);
@@ -335,7 +335,7 @@
 const MOST_SEARCH: usize = 1024 * 1024;
 
 impl Front for Ogc {
-    fn take(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
+    fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
         let manner = Manner::of(&request);
         let reaction = self.route(&request, token, sent, ready).unwrap_or_else(|(status, detail)| {
             COUNTERS.bad_requests.add();
@@ -349,16 +349,16 @@
         manner.wrap(reaction)
     }
 
-    fn unreadable(&self, error: HttpError) -> Response {
+    fn malformed_response(&self, error: HttpError) -> Response {
         render::problem(error.status(), &format!("the request cannot be read: {error:?}"))
     }
 
-    fn most_body(&self) -> usize {
+    fn max_body(&self) -> usize {
         MOST_SEARCH
     }
 
     /// Filters are parsed on it, nested as deep as they may be; measured with the deepest in a debug build.
-    fn stack(&self) -> usize {
+    fn stack_words(&self) -> usize {
         0x20000
     }
 }
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -317,12 +317,12 @@
 pub(super) fn unanswered(answer: &Answer) -> Option<Response> {
     match answer {
         Answer::Served { .. } => None,
-        Answer::Refused { late: true, .. } | Answer::Failed { late: true } => {
+        Answer::Rejected { late: true, .. } | Answer::Failed { late: true } => {
             Some(problem(504, "the servers did not answer in time"))
         }
-        Answer::Refused { come_back, late: false } => Some(refused(*come_back)),
-        Answer::NoClass => Some(problem(400, "X-Qos names no class")),
-        Answer::Taken => Some(problem(409, "another request of that name is open")),
+        Answer::Rejected { retry_after: come_back, late: false } => Some(refused(*come_back)),
+        Answer::UnknownClass => Some(problem(400, "X-Qos names no class")),
+        Answer::DuplicateRequestId => Some(problem(409, "another request of that name is open")),
         Answer::Failed { late: false } => Some(problem(502, "too many of the servers failed")),
     }
 }
@@ -473,7 +473,7 @@
     if let Some(response) = unanswered(&answer) {
         return response;
     }
-    let Answer::Served { whole, parts } = answer else { return problem(500, "no answer") };
+    let Answer::Served { complete: whole, parts } = answer else { return problem(500, "no answer") };
     let page = |(shard, value): &(ShardId, Value)| visits.iter().find(|v| v.0 == *shard)?.1.page(value);
     let text = |page: Arc<Page>| Some(page.body[page.features.first()?.clone()].to_vec());
     let found = parts.iter().filter_map(page).find_map(text);
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -76,10 +76,10 @@
             // A server without such a document has said so: its look must not end those at others.
             (status, Kind::Document) if status != 429 => Some(Page::default()),
             // Only this status says that the request was not taken up; any other failure may have run.
-            (429, _) => return End::Not(Outcome::Full),
+            (429, _) => return End::Failed(Outcome::Rejected),
             _ => None,
         };
-        let Some(page) = page else { return End::Not(Outcome::Error) };
+        let Some(page) = page else { return End::Failed(Outcome::Error) };
         let mut came = self.came();
         came.push(Arc::new(Page { server: server.into(), ..page }));
         End::Served(Value::from((came.len() as u32 - 1).to_be_bytes().as_slice()))
@@ -198,10 +198,10 @@
     fn each_status_has_its_end() {
         let fetched = |status, body: &str| Fetched { status, headers: Default::default(), body: body.into() };
         let end = |kind, status, body| Visit::new(kind, "/x".into()).judge("s", "a:1", fetched(status, body));
-        assert_eq!(end(Kind::Items, 429, ""), End::Not(Outcome::Full));
-        assert_eq!(end(Kind::Items, 503, ""), End::Not(Outcome::Error));
-        assert_eq!(end(Kind::Items, 200, "<html>"), End::Not(Outcome::Error));
-        assert_eq!(end(Kind::Feature, 200, "[1]"), End::Not(Outcome::Error));
+        assert_eq!(end(Kind::Items, 429, ""), End::Failed(Outcome::Rejected));
+        assert_eq!(end(Kind::Items, 503, ""), End::Failed(Outcome::Error));
+        assert_eq!(end(Kind::Items, 200, "<html>"), End::Failed(Outcome::Error));
+        assert_eq!(end(Kind::Feature, 200, "[1]"), End::Failed(Outcome::Error));
         assert!(matches!(end(Kind::Feature, 404, ""), End::Served(_)));
         assert!(matches!(end(Kind::Document, 500, ""), End::Served(_)));
         let visit = Visit::new(Kind::Feature, "/x".into());
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol: `POST /api` with a query's parts in JSON, and `GET /up`.
 
 use super::{Front, Reaction};
-use crate::core::{Answer, PartOf, Request, Token, COUNTERS};
+use crate::core::{Answer, PartRequest, Request, Token, COUNTERS};
 use crate::interface::{ShardId, TenantId};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::settings::Deployment;
@@ -87,7 +87,7 @@
         let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MOST_PATIENCE_S);
         let patience = Micros((seconds * 1e6) as u64);
         let query: Query = serde_json::from_slice(&request.body).map_err(|e| format!("body: {e}"))?;
-        let mut parts: Vec<PartOf> = Vec::with_capacity(query.tablets.len());
+        let mut parts: Vec<PartRequest> = Vec::with_capacity(query.tablets.len());
         for t in query.tablets {
             let weight =
                 Some(t.fraction).filter(|w| w.is_finite() && *w >= 0.0).ok_or("a fraction is no share")?;
@@ -98,7 +98,7 @@
                 return Err(format!("tablet {} is named twice", t.tablet));
             }
             let hint = t.guess.filter(|g| g.is_finite() && *g >= 0.0).map(|g| Micros(g as u64));
-            parts.push(PartOf { shard: ShardId(t.tablet), weight, hint, errand: None });
+            parts.push(PartRequest { shard: ShardId(t.tablet), weight, expected_work: hint, context: None });
         }
         if parts.is_empty() {
             return Err("no tablets".to_owned());
@@ -109,27 +109,29 @@
         }
         Ok(Request {
             token,
-            label: label.into(),
+            request_id: label.into(),
             class,
             tenant: TenantId(0),
-            patience,
-            sent,
+            timeout: patience,
+            sent_at: sent,
             parts,
-            text: query.statement.into_bytes().into(),
+            payload: query.statement.into_bytes().into(),
             counted: true,
         })
     }
 }
 
 impl Front for Platform {
-    fn take(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
+    fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
         let path = request.target.split('?').next().unwrap_or_default();
         let respond = |status, text: &str| Reaction::Respond(Response::new(status, TEXT, text));
         match (request.method.as_str(), path) {
             ("GET" | "HEAD", "/up") if ready => respond(200, "ready\n"),
             ("GET" | "HEAD", "/up") => respond(503, "not ready\n"),
             ("POST", "/api") => match self.query(&request, token, sent) {
-                Ok(request) => Reaction::Ask(request, Box::new(|answer| Reaction::Respond(render(answer)))),
+                Ok(request) => {
+                    Reaction::Submit(request, Box::new(|answer| Reaction::Respond(render(answer))))
+                }
                 Err(why) => {
                     COUNTERS.bad_requests.add();
                     respond(400, &format!("{why}\n"))
@@ -140,7 +142,7 @@
         }
     }
 
-    fn unreadable(&self, error: HttpError) -> Response {
+    fn malformed_response(&self, error: HttpError) -> Response {
         Response::new(error.status(), TEXT, format!("{error:?}\n"))
     }
 }
@@ -152,7 +154,7 @@
 
 fn render(answer: Answer) -> Response {
     match answer {
-        Answer::Served { whole, parts } => {
+        Answer::Served { complete: whole, parts } => {
             let piece = |(shard, value)| Piece { tablet: shard, cell: String::from_utf8_lossy(value) };
             let body = Served { full: whole, pieces: parts.iter().map(|p| piece((p.0 .0, &p.1))).collect() };
             match serde_json::to_vec(&body) {
@@ -160,13 +162,13 @@
                 Err(e) => Response::new(500, TEXT, format!("{e}\n")),
             }
         }
-        Answer::Refused { come_back, .. } => {
+        Answer::Rejected { retry_after: come_back, .. } => {
             let mut response = Response::new(503, TEXT, "refused: ask again\n");
             response.headers.extend(come_back.map(|t| ("Retry-After", seconds(t))));
             response
         }
-        Answer::NoClass => Response::new(400, TEXT, "X-Qos names no class\n"),
-        Answer::Taken => Response::new(409, TEXT, "X-Trace-Id is that of an open request\n"),
+        Answer::UnknownClass => Response::new(400, TEXT, "X-Qos names no class\n"),
+        Answer::DuplicateRequestId => Response::new(409, TEXT, "X-Trace-Id is that of an open request\n"),
         Answer::Failed { late: true } => Response::new(504, TEXT, "out of time\n"),
         Answer::Failed { late: false } => Response::new(502, TEXT, "failed\n"),
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,4 @@
-//! The words between a co-ordinator and the module: settings, events and actions. Plain data, no logic.
+//! The words between a coordinator and the module: settings, events and actions. Plain data, no logic.
 
 /// A point in time or a span of it, in nanoseconds of the caller's clock.
 pub type Nanos = u64;
@@ -12,7 +12,7 @@
 }
 
 ids! {
-    /// A query, as the co-ordinator names it.
+    /// A query, as the coordinator names it.
     QueryId(u64);
     /// One part of a query; queries and parts share one space of ids.
     PartId(u64);
@@ -38,11 +38,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
     /// Nothing: repeat it freely.
-    Safe,
+    Idempotent,
     /// Repeats are dropped for so long after the first attempt that may have run.
-    Keyed(Nanos),
+    Deduplicated(Nanos),
     /// Harm: never again unless no earlier attempt ran.
-    Unsafe,
+    NonIdempotent,
 }
 
 /// A class of query.
@@ -51,30 +51,30 @@
     /// Its name, which outlives its number.
     pub name: String,
     /// It is in the settings in force; one that is not is kept for the queries that began with it.
-    pub listed: bool,
+    pub in_force: bool,
     /// Wanted within this time.
-    pub aim: Nanos,
+    pub latency_objective: Nanos,
     /// The aim grows by so many times the work that the query's hint names.
-    pub aim_stretch: f64,
+    pub objective_stretch: f64,
     /// The client's patience over all its tries.
     pub deadline: Nanos,
     /// May its parts run twice?
     pub effect: Effect,
     /// Worth of a whole answer.
-    pub points: f64,
+    pub priority_weight: f64,
     /// Share of the worth that an answer after the aim still earns.
-    pub late_worth: f64,
+    pub late_weight: f64,
     /// Share of the first step's weight that makes a whole answer.
-    pub need: f64,
+    pub required_share: f64,
     /// Least share of the weight that an answer may be given from.
-    pub floor: f64,
+    pub min_share: f64,
     /// Parts of the second step; 0 where there is none.
     pub follow_up: u32,
     /// Most attempts at a part.
     pub max_attempts: u32,
 }
 
-/// A tenant and its quota of queries a second, over all co-ordinators; `None` where none is stated.
+/// A tenant and its quota of queries a second, over all coordinators; `None` where none is stated.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
     /// Queries a second within its share.
@@ -83,24 +83,24 @@
 
 /// The budget for attempts beyond each part's first.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ExtraBudget {
+pub struct RetryBudget {
     /// So many are free in any window.
     pub free: f64,
     /// And so many for each query or part taken in it.
     pub ratio: f64,
     /// The window.
-    pub look_back: Nanos,
+    pub window: Nanos,
 }
 
 /// When a replica that just started falls over.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ColdRule {
+pub struct SlowStartRule {
     /// It falls when sent this multiple of what it can do,
-    pub factor: f64,
+    pub overload_factor: f64,
     /// for this long.
-    pub span: Nanos,
+    pub overload_window: Nanos,
     /// Least share of its capacity at the start.
-    pub start: f64,
+    pub initial_capacity: f64,
     /// Warm after this time at the latest.
     pub warm_up: Nanos,
 }
@@ -108,8 +108,8 @@
 /// What an instance is told at its start.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
-    /// How many co-ordinators share the replicas, this one included.
-    pub aggregators: u32,
+    /// How many coordinators share the replicas, this one included.
+    pub coordinators: u32,
     /// The shortest time between two batches.
     pub tick: Nanos,
     /// The classes of query.
@@ -117,67 +117,72 @@
     /// The tenants; may be empty.
     pub tenants: Vec<Tenant>,
     /// Worth of a query past its tenant's quota, as a share of its class's.
-    pub over_share_worth: f64,
+    pub over_quota_weight: f64,
     /// Number of shards.
     pub shards: u32,
     /// Number of cells: shard `s` is held by cells `(s + j) % cells`, `j` below `reach`.
     pub cells: u32,
     /// See `cells`.
-    pub reach: u32,
+    pub cells_per_shard: u32,
     /// Most parts that one call carries.
-    pub bundle: u32,
+    pub max_batch: u32,
     /// Work of a call beside its parts'.
     pub call_cost: Nanos,
     /// The list comes only when asked; without asking for so long an instance counts as told. `None`: it
     /// comes on its own.
-    pub ask_within: Option<Nanos>,
+    pub max_poll_interval: Option<Nanos>,
     /// The budget for further attempts, if there is one.
-    pub extra: Option<ExtraBudget>,
+    pub retry_budget: Option<RetryBudget>,
     /// The rule for replicas that just started, if there is one.
-    pub cold: Option<ColdRule>,
+    pub slow_start: Option<SlowStartRule>,
     /// Attempts can be called off.
-    pub cancel: bool,
+    pub cancellation: bool,
     /// Two attempts at a part may be out at once.
-    pub second_copies: bool,
+    pub hedging: bool,
     /// Longest wait that a refused client obeys; `None` where it is not told.
-    pub retry_after: Option<Nanos>,
+    pub max_retry_after: Option<Nanos>,
     /// What the level of reduced service takes back.
-    pub reduced: Reduced,
+    pub reduction: ServiceReduction,
 }
 
 /// What a level of reduced service takes back; the default takes nothing.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Reduced {
+pub struct ServiceReduction {
     /// Share of each class's queries that is admitted, by its number; a class without one is admitted whole.
-    pub admit: Vec<f64>,
+    pub admitted_shares: Vec<f64>,
     /// Late parts of samples are called off like others.
-    pub quiet: bool,
+    pub skip_late_samples: bool,
     /// A class that may lack parts is answered after this share of its aim, once its floor is in.
     pub answer_after: f64,
     /// The least that a refused client is told to wait, half of the most, comes so many times nearer to that.
-    pub come_back: f64,
+    pub retry_after_factor: f64,
 }
 
-impl Default for Reduced {
+impl Default for ServiceReduction {
     fn default() -> Self {
-        Reduced { admit: Vec::new(), quiet: false, answer_after: 1.0, come_back: 1.0 }
+        ServiceReduction {
+            admitted_shares: Vec::new(),
+            skip_late_samples: false,
+            answer_after: 1.0,
+            retry_after_factor: 1.0,
+        }
     }
 }
 
 /// The state of a replica in the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MemberState {
+pub enum EndpointState {
     /// Takes work.
     Ready,
     /// Wraps up; nothing new.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
 /// A line of the list.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Member {
+pub struct Endpoint {
     /// Which replica.
     pub replica: ReplicaId,
     /// Its zone.
@@ -185,14 +190,14 @@
     /// Its cell.
     pub cell: CellId,
     /// Its state.
-    pub state: MemberState,
+    pub state: EndpointState,
     /// When it last started; 0: long ago.
-    pub since: Nanos,
+    pub started_at: Nanos,
 }
 
 /// How much of the list came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListKind {
+pub enum EndpointListKind {
     /// Changes only.
     Delta,
     /// All of it.
@@ -211,7 +216,7 @@
     /// An error came back; it may have run.
     Error,
     /// Turned away unseen: it never ran.
-    Full,
+    Rejected,
     /// No answer in time; it may have run.
     TimedOut,
     /// No connection: it never ran.
@@ -221,18 +226,18 @@
     /// Called off; it may have run.
     Cancelled,
     /// Not sent: it never ran.
-    Moot,
+    NotSent,
 }
 
-/// What a co-ordinator tells the module.
+/// What a coordinator tells the module.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
     /// News of the list.
-    List {
+    Endpoints {
         /// How much of it came.
-        kind: ListKind,
+        kind: EndpointListKind,
         /// Its lines.
-        members: Vec<Member>,
+        endpoints: Vec<Endpoint>,
     },
     /// What a replica holds, where its cell does not tell; comes ahead of the list that names it.
     Placement {
@@ -252,7 +257,7 @@
         /// Its tenant.
         tenant: TenantId,
         /// Expected work of all parts, where told.
-        hint: Option<Nanos>,
+        expected_work: Option<Nanos>,
         /// Time before the client abandons this try.
         time_left: Nanos,
     },
@@ -279,19 +284,19 @@
         waited: Nanos,
     },
     /// The client of a query has left, or the query's time is over.
-    Gone(QueryId),
+    Abandoned(QueryId),
     /// The settings change. Open queries keep the number of their class, and what it says stays as it was.
     Settings {
         /// From now on.
-        set: Box<Settings>,
+        settings: Box<Settings>,
         /// For each class, the one whose seen figures it goes on with.
-        heirs: Vec<ClassId>,
+        class_mapping: Vec<ClassId>,
     },
     /// A wake-up is due.
-    Wake,
+    TimerFired,
 }
 
-/// What the module tells its co-ordinator to do, in order.
+/// What the module tells its coordinator to do, in order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Launch an attempt at a part.
@@ -303,7 +308,7 @@
         /// Time-out of this attempt.
         timeout: Nanos,
         /// Not begun to leave by then it never may: it would repeat a part outside its class's window.
-        by: Nanos,
+        not_after: Nanos,
     },
     /// Call an attempt off.
     Cancel {
@@ -317,19 +322,19 @@
         /// Which query.
         query: QueryId,
         /// It is whole.
-        whole: bool,
+        complete: bool,
     },
     /// Send a query back: asking again does no harm.
-    Refuse {
+    Reject {
         /// Which query.
         query: QueryId,
         /// When to come back, where clients are told.
-        come_back: Option<Nanos>,
+        retry_after: Option<Nanos>,
     },
     /// Give a query up, with no promise.
     Fail(QueryId),
     /// Send [`Event::Wake`] at this time.
-    WakeAt(Nanos),
+    SetTimer(Nanos),
     /// Close the idle connections to a replica.
     CloseIdle(ReplicaId),
     /// Subscribe to the list.
--- a/src/levels/table.rs
+++ b/src/levels/table.rs
@@ -1,7 +1,7 @@
 //! The operator's table of levels, and whether it is sane.
 
 use super::Signal;
-use crate::interface::{Class, Reduced, Settings};
+use crate::interface::{Class, ServiceReduction, Settings};
 use crate::time::Micros;
 use serde::Deserialize;
 
@@ -60,11 +60,11 @@
         let most = self.most_attempts.unwrap_or(u32::MAX).max(1);
         set.classes.iter_mut().for_each(|c| c.max_attempts = c.max_attempts.min(most));
         let share = |c: &Class| self.admit.get(&c.name).map_or(1.0, |share| share.clamp(0.0, 1.0));
-        set.reduced = Reduced {
-            admit: set.classes.iter().map(share).collect(),
-            quiet: self.quiet,
+        set.reduction = ServiceReduction {
+            admitted_shares: set.classes.iter().map(share).collect(),
+            skip_late_samples: self.quiet,
             answer_after: self.answer_after.unwrap_or(1.0).clamp(0.0, 1.0),
-            come_back: self.come_back.max(1.0),
+            retry_after_factor: self.come_back.max(1.0),
         };
         set
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
-//! The decisions of an aggregator that serves a query from many shards.
+//! The decisions of a coordinator that answers a query from many shards.
 //!
-//! A co-ordinator is handed queries, each with parts that need answers from shards, each shard held by some
-//! replicas. [`Aggregator`] decides where each part goes, how long to wait, whether to try again, when to answer,
-//! and which queries to refuse. It opens no socket and reads no clock: hand it the events of a moment, carry out
+//! A coordinator is handed queries, each with parts that need answers from shards, each shard held by some
+//! replicas. [`DecisionPolicy`] decides where each part goes, how long to wait, whether to try again, when to answer,
+//! and which queries to reject. It opens no socket and reads no clock: hand it the events of a moment, carry out
 //! its actions in order, and wake it when it asks.
 //!
 //! The types are in [`interface`], the decisions in [`rules`].
@@ -13,44 +13,44 @@
 //! const MS: Nanos = 1_000_000;
 //! let class = Class {
 //!     name: "lookup".to_owned(),
-//!     listed: true,
-//!     aim: 1_000 * MS,
-//!     aim_stretch: 0.0,
+//!     in_force: true,
+//!     latency_objective: 1_000 * MS,
+//!     objective_stretch: 0.0,
 //!     deadline: 3_000 * MS,
-//!     effect: Effect::Safe,
-//!     points: 1.0,
-//!     late_worth: 0.1,
-//!     need: 1.0,
-//!     floor: 1.0,
+//!     effect: Effect::Idempotent,
+//!     priority_weight: 1.0,
+//!     late_weight: 0.1,
+//!     required_share: 1.0,
+//!     min_share: 1.0,
 //!     follow_up: 0,
 //!     max_attempts: 2,
 //! };
 //! let settings = Settings {
-//!     aggregators: 1,
+//!     coordinators: 1,
 //!     tick: 5 * MS,
 //!     classes: vec![class],
 //!     tenants: Vec::new(),
-//!     over_share_worth: 1.0,
+//!     over_quota_weight: 1.0,
 //!     shards: 1,
 //!     cells: 1,
-//!     reach: 1,
-//!     bundle: 1,
+//!     cells_per_shard: 1,
+//!     max_batch: 1,
 //!     call_cost: 0,
-//!     ask_within: None,
-//!     extra: None,
-//!     cold: None,
-//!     cancel: true,
-//!     second_copies: false,
-//!     retry_after: None,
-//!     reduced: Reduced::default(),
+//!     max_poll_interval: None,
+//!     retry_budget: None,
+//!     slow_start: None,
+//!     cancellation: true,
+//!     hedging: false,
+//!     max_retry_after: None,
+//!     reduction: ServiceReduction::default(),
 //! };
-//! let mut aggregator = Aggregator::new(settings, 42, 0);
+//! let mut policy = DecisionPolicy::new(settings, 42, 0);
 //!
-//! // The co-ordinator's loop: what came in, then what is to be done.
+//! // The coordinator's loop: what came in, then what is to be done.
 //! let replica = ReplicaId([10, 0, 0, 1, 0, 80]);
-//! let member = Member { replica, zone: ZoneId(0), cell: CellId(0), state: MemberState::Ready, since: 0 };
+//! let endpoint = Endpoint { replica, zone: ZoneId(0), cell: CellId(0), state: EndpointState::Ready, started_at: 0 };
 //! let batches = vec![
-//!     (5 * MS, vec![Event::List { kind: ListKind::Cached, members: vec![member] }]),
+//!     (5 * MS, vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: vec![endpoint] }]),
 //!     (
 //!         10 * MS,
 //!         vec![
@@ -59,7 +59,7 @@
 //!                 group: Group(1),
 //!                 class: ClassId(0),
 //!                 tenant: TenantId(0),
-//!                 hint: None,
+//!                 expected_work: None,
 //!                 time_left: 3_000 * MS,
 //!             },
 //!             Event::Part { part: PartId(2), group: Group(1), shard: ShardId(0), weight: 1.0 },
@@ -78,16 +78,16 @@
 //! let mut done = Vec::new();
 //! for (now, events) in batches {
 //!     let mut actions = Vec::new();
-//!     aggregator.handle(now, &events, &mut actions);
+//!     policy.handle(now, &events, &mut actions);
 //!     for action in actions {
 //!         match action {
-//!             Action::WakeAt(_) => {} // set a timer that brings Event::Wake
+//!             Action::SetTimer(_) => {} // set a timer that brings Event::TimerFired
 //!             other => done.push(other), // send, cancel, answer, refuse, fail, ...
 //!         }
 //!     }
 //! }
 //! assert!(matches!(done[0], Action::Send { part: PartId(2), .. }));
-//! assert_eq!(done[1], Action::Answer { query: QueryId(1), whole: true });
+//! assert_eq!(done[1], Action::Answer { query: QueryId(1), complete: true });
 //! ```
 #![forbid(unsafe_code)]
 
@@ -104,4 +104,4 @@
 pub mod time;
 
 pub use interface::*;
-pub use rules::Aggregator;
+pub use rules::DecisionPolicy;
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -19,11 +19,11 @@
 
 /// What all servers together bear, as the driver sees it and the front asks.
 #[derive(Debug, Default)]
-pub struct Bears(Mutex<HashMap<ReplicaId, f64>>);
+pub struct ServerCapacity(Mutex<HashMap<ReplicaId, f64>>);
 
-impl Bears {
+impl ServerCapacity {
     /// A server bears so many pages a second; `None`: it takes nothing, or nothing is known of it.
-    pub fn told(&self, replica: ReplicaId, rate: Option<f64>) {
+    pub fn report(&self, replica: ReplicaId, rate: Option<f64>) {
         let mut rates = self.0.lock().unwrap_or_else(|e| e.into_inner());
         match rate {
             Some(rate) => rates.insert(replica, rate),
--- a/src/net/alarm.rs
+++ b/src/net/alarm.rs
@@ -128,6 +128,9 @@
                 arrivals.recv().expect("the alarm lives");
             }
         };
-        super::super::spawn(super::super::LARGE_STACK, rounds).expect("a coroutine").join().expect("ended");
+        super::super::spawn(super::super::LARGE_STACK_WORDS, rounds)
+            .expect("a coroutine")
+            .join()
+            .expect("ended");
     }
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -301,12 +301,12 @@
             state.accepted = self.clock.now();
             state.active = state.accepted;
             state.waker = Some(stream.waker());
-            state.server.allow_body(self.front.most_body());
+            state.server.allow_body(self.front.max_body());
         }
         let number = self.next.fetch_add(1, Relaxed);
         guard(&self.conns).insert(number, conn.clone());
         let clients = self.clone();
-        let started = spawn(self.front.stack(), move || {
+        let started = spawn(self.front.stack_words(), move || {
             while clients.step(&conn, &stream) {
                 clients.shed_bytes();
                 stream.wait_io();
@@ -393,7 +393,7 @@
             match polled {
                 Err(error) => {
                     COUNTERS.bad_requests.add();
-                    let response = self.front.unreadable(error);
+                    let response = self.front.malformed_response(error);
                     state.server.respond(response, true);
                 }
                 Ok(request) => {
@@ -402,16 +402,16 @@
                     // A request's time counts from its last byte, which came with the last read.
                     let sent = state.active;
                     let ready = self.ready.load(Relaxed) && !self.ending.load(Relaxed);
-                    match self.front.take(request, token, sent, ready) {
+                    match self.front.handle(request, token, sent, ready) {
                         Reaction::Respond(response) => {
                             state.server.respond(response, close);
                             state.began = state.server.began().then_some(state.active);
                         }
-                        Reaction::Ask(request, render) => {
+                        Reaction::Submit(request, render) => {
                             state.queried = true;
                             state.waiting = Some((token, render));
                             guard(&self.waiting).insert(token, conn.clone());
-                            let _ = self.inbox.send(Input::Ask(request));
+                            let _ = self.inbox.send(Input::Submit(request));
                         }
                     }
                 }
@@ -425,7 +425,7 @@
         state.waker = None;
         if let Some((token, _)) = state.waiting.take() {
             guard(&self.waiting).remove(&token);
-            let _ = self.inbox.send(Input::Left(token));
+            let _ = self.inbox.send(Input::ClientLeft(token));
         }
     }
 
@@ -436,10 +436,10 @@
         let Some((_, render)) = state.waiting.take_if(|w| w.0 == token) else { return };
         let response = match render(answer) {
             Reaction::Respond(response) => response,
-            Reaction::Ask(request, render) => {
+            Reaction::Submit(request, render) => {
                 state.waiting = Some((token, render));
                 guard(&self.waiting).insert(token, conn.clone());
-                let _ = self.inbox.send(Input::Ask(request));
+                let _ = self.inbox.send(Input::Submit(request));
                 return;
             }
         };
@@ -524,7 +524,7 @@
                 let since = if state.asked { state.began.unwrap_or(state.active) } else { state.accepted };
                 if now.since(since) > MOST_REQUEST {
                     COUNTERS.client_timeouts.add();
-                    let response = self.front.unreadable(HttpError::TooSlow);
+                    let response = self.front.malformed_response(HttpError::TooSlow);
                     state.server.give_up(response);
                     state.wake();
                 }
@@ -613,10 +613,10 @@
     struct Nothing;
 
     impl Front for Nothing {
-        fn take(&self, _: HttpRequest, _: Token, _: Micros, _: bool) -> Reaction {
+        fn handle(&self, _: HttpRequest, _: Token, _: Micros, _: bool) -> Reaction {
             Reaction::Respond(Response::new(404, "", ""))
         }
-        fn unreadable(&self, error: HttpError) -> Response {
+        fn malformed_response(&self, error: HttpError) -> Response {
             Response::new(error.status(), "", "")
         }
     }
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -1,6 +1,6 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
-use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK};
+use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK_WORDS};
 use crate::core::{log_rarely, AttemptKey, End, Input, Job, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
@@ -157,7 +157,7 @@
             idle_limit: Micros::ZERO,
             most_parts: 1,
         };
-        links.retune(deployment);
+        links.reconfigure(deployment);
         links
     }
 
@@ -203,7 +203,7 @@
             typical: self.typical.clone(),
         };
         let dial_timeout = self.dial_timeout;
-        if spawn(SMALL_STACK, move || driver.run(address, dial_timeout)).is_err() {
+        if spawn(SMALL_STACK_WORDS, move || driver.run(address, dial_timeout)).is_err() {
             slot.lock().dead = true;
             return None;
         }
@@ -212,7 +212,7 @@
 }
 
 impl Upstream for Links {
-    fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
+    fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let address = address.parse().ok();
         let node = self.nodes.entry(replica).or_insert(Node { address, ready, links: Vec::new() });
         let moved = node.address != address;
@@ -235,10 +235,10 @@
         }
     }
 
-    fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
+    fn dispatch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
         let slot = self.slot(replica, now, jobs);
         let Some(slot) = slot else {
-            let refused = jobs.iter().map(|j| LinkEvent::Ended(j.key, End::Not(Outcome::ConnectFailed)));
+            let refused = jobs.iter().map(|j| LinkEvent::Ended(j.key, End::Failed(Outcome::ConnectFailed)));
             return forward(&self.inbox, refused);
         };
         let mut state = slot.lock();
@@ -248,7 +248,7 @@
         wake(&state);
     }
 
-    fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
+    fn cancel(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
         let patience = self.typical.overdue();
         let Some(node) = self.nodes.get(&replica) else { return };
         for slot in &node.links {
@@ -266,7 +266,7 @@
         }
     }
 
-    fn forget(&mut self, replica: ReplicaId) {
+    fn remove_server(&mut self, replica: ReplicaId) {
         if let Some(node) = self.nodes.remove(&replica) {
             // No attempt is out on any of them: what still stands open ends here.
             node.links.iter().for_each(|l| close_when_idle(l));
@@ -279,14 +279,14 @@
         }
     }
 
-    fn retune(&mut self, deployment: &Deployment) {
+    fn reconfigure(&mut self, deployment: &Deployment) {
         let idle = Micros::from_nanos(deployment.idle_close);
         self.dial_timeout = Micros::from_nanos(deployment.dial_timeout);
         self.idle_limit = (idle - IDLE_MARGIN).max(Micros(idle.0 / 2));
         self.most_parts = deployment.streams_per_conn;
     }
 
-    fn tidy(&mut self, now: Micros, _out: &dyn Fn(AttemptKey) -> bool) {
+    fn reap(&mut self, now: Micros, _out: &dyn Fn(AttemptKey) -> bool) {
         let limit = self.idle_limit;
         for node in self.nodes.values_mut() {
             node.links.retain(|slot| {
@@ -324,9 +324,9 @@
 fn forward(inbox: &Sender<Input>, events: impl IntoIterator<Item = LinkEvent>) {
     for event in events {
         let input = match event {
-            LinkEvent::Begun(key) => Input::Begun(key),
-            LinkEvent::Written(key) => Input::Written(key),
-            LinkEvent::Ended(key, end) => Input::Ended(key, end),
+            LinkEvent::Begun(key) => Input::WriteStarted(key),
+            LinkEvent::Written(key) => Input::FullyWritten(key),
+            LinkEvent::Ended(key, end) => Input::AttemptEnded(key, end),
         };
         // The core outlives every driver.
         let _ = inbox.send(input);
@@ -455,7 +455,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::core::Tally;
+    use crate::core::ClassMetrics;
     use crate::interface::{AttemptNo, PartId, ShardId};
     use std::net::TcpListener;
 
@@ -506,12 +506,12 @@
         let mut state = slot.lock();
         state.link.call(&[Job {
             key: key(1),
-            label: "q1".into(),
+            request_id: "q1".into(),
             shard: ShardId(0),
-            text: Arc::from(&b"c41e77d0"[..]),
-            errand: None,
-            patience: Micros::from_millis(100),
-            tally: Arc::new(Tally::default()),
+            payload: Arc::from(&b"c41e77d0"[..]),
+            context: None,
+            timeout: Micros::from_millis(100),
+            metrics: Arc::new(ClassMetrics::default()),
         }]);
         let mut events = Vec::new();
         assert!(!driver.exchange(&mut state, &stream, &mut events, &mut true), "it has ended");
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -2,7 +2,7 @@
 //! reads atomics only.
 
 use super::{try_read, Tried};
-use crate::core::{log_rarely, Counter, Figures, COUNTERS};
+use crate::core::{log_rarely, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::Write;
@@ -23,7 +23,7 @@
 /// What is told here.
 pub struct Told {
     /// The figures.
-    pub figures: Arc<Figures>,
+    pub figures: Arc<Metrics>,
     /// Can this process serve? If not, why.
     pub health: Box<dyn Fn() -> Result<(), &'static str> + Send>,
     /// Callers at a time.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,31 +20,31 @@
 /// What carries attempts to servers. Ends come back through the core's inbox.
 pub trait Upstream: Send {
     /// Learns where a server is and whether it takes new work.
-    fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, now: Micros);
+    fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, now: Micros);
     /// Starts attempts in one call.
-    fn launch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros);
+    fn dispatch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros);
     /// Gives an attempt up.
-    fn call_off(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros);
+    fn cancel(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros);
     /// Forgets a server that is gone for good.
-    fn forget(&mut self, replica: ReplicaId);
+    fn remove_server(&mut self, replica: ReplicaId);
     /// Closes idle connections to a server.
     fn close_idle(&mut self, replica: ReplicaId);
     /// The settings have changed.
-    fn retune(&mut self, _deployment: &Deployment) {}
+    fn reconfigure(&mut self, _deployment: &Deployment) {}
     /// Closes what has stood idle for too long and forgets what has ended; `out`: an attempt is still out.
-    fn tidy(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool);
+    fn reap(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool);
 }
 
 /// Stack of a coroutine that drives a connection, in words of eight bytes. Only touched pages count as memory.
 /// Measured over the tests of both fronts in a release build: 722 words at most; debug builds need several times that.
-pub const SMALL_STACK: usize = 0x4000;
+pub const SMALL_STACK_WORDS: usize = 0x4000;
 /// Stack of a coroutine that parses lists or pages, or runs the module. Measured likewise: 1,569 words at most; deeply
 /// nested JSON may take more.
-pub const LARGE_STACK: usize = 0x8000;
+pub const LARGE_STACK_WORDS: usize = 0x8000;
 
 /// Stack of the coroutine that runs the turns: answers are rendered on it, and packing one in a debug build takes most of
-/// what [`LARGE_STACK`] has.
-pub const TURNS_STACK: usize = 0x20000;
+/// what [`LARGE_STACK_WORDS`] has.
+pub const TURN_STACK_WORDS: usize = 0x20000;
 
 /// Starts a coroutine.
 pub fn spawn(stack: usize, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -7,15 +7,15 @@
 use super::links::Links;
 use super::mgmt;
 use super::walks::Walks;
-use super::{spawn, watch, Upstream, LARGE_STACK, SMALL_STACK, TURNS_STACK};
-use crate::core::{Beside, Command, Core, Figures, Input, COUNTERS};
+use super::{spawn, watch, Upstream, LARGE_STACK_WORDS, SMALL_STACK_WORDS, TURN_STACK_WORDS};
+use crate::core::{Beside, Command, Core, Input, Metrics, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::cursor::Key;
 use crate::front::ogc::{self, Ogc, SharedCatalog};
 use crate::front::platform::{Named, Platform, SharedNamed};
 use crate::front::Front;
 use crate::interface::Settings;
-use crate::limits::Bears;
+use crate::limits::ServerCapacity;
 use crate::proto::discovery::read_listing;
 use crate::settings::Deployment;
 use crate::time::{unix_ms, Clock, Micros};
@@ -116,7 +116,7 @@
     let signals = listen_for_signals()?;
     // Descriptors and memory are the process's: two fronts share them.
     let fronts = usize::from(platform.is_some()) + usize::from(edge.is_some());
-    let figures = Arc::new(Figures::default());
+    let figures = Arc::new(Metrics::default());
     let told = platform.as_ref().map(|c| (c.mgmt, c.sockets));
     let also = edge.as_ref().map(|e| (e.mgmt, e.sockets));
     // Asked before anything else is made: whoever takes over is not to go in step with the one before.
@@ -142,7 +142,8 @@
         if others.before.is_none() {
             offer_sockets(&place, listening, others);
         } else {
-            spawn(SMALL_STACK, move || offer_sockets(&place, listening, others)).map_err(no_coroutine)?;
+            spawn(SMALL_STACK_WORDS, move || offer_sockets(&place, listening, others))
+                .map_err(no_coroutine)?;
         }
     }
     let running: Vec<_> = services
@@ -214,7 +215,7 @@
 fn platform_service(
     config: &Config,
     clock: Clock,
-    figures: &Arc<Figures>,
+    figures: &Arc<Metrics>,
     beside: bool,
 ) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
@@ -223,15 +224,15 @@
     match read_listing(&config.known, true, clock.now(), unix_ms()) {
         Ok(known) => {
             rev = known.rev;
-            let _ = inbox.send(Input::Roster(known.roster));
+            let _ = inbox.send(Input::EndpointUpdate(known.roster));
         }
         Err(e) => tracing::warn!("the known list cannot be read: {e}"),
     }
     let deployment = &config.deployment;
-    let place = watch::Place::new(config.discovery, deployment.module.ask_within);
+    let place = watch::Place::new(config.discovery, deployment.module.max_poll_interval);
     let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
     let waits = watch::Waits::new(config.seed);
-    spawn(LARGE_STACK, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
+    spawn(LARGE_STACK_WORDS, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
         .map_err(no_coroutine)?;
     let named = Arc::new(Mutex::new(Named::new(deployment)));
     Ok(Parts {
@@ -262,7 +263,7 @@
     config: &Config,
     place: watch::Place,
     named: SharedNamed,
-    figures: Arc<Figures>,
+    figures: Arc<Metrics>,
 ) -> Reload {
     let (mut file, mut told) = (InForce::at_start(config), config.told);
     Box::new(move |_| {
@@ -275,7 +276,7 @@
             place.move_to(replaced.discovery);
         }
         let deployment = replaced.deployment;
-        place.ask_within_is(deployment.module.ask_within);
+        place.ask_within_is(deployment.module.max_poll_interval);
         let names: Vec<_> = deployment.module.classes.iter().map(|c| c.name.as_str()).collect();
         let words = format!(
             "the configuration is read anew: discovery is at {}, classes {}",
@@ -288,7 +289,7 @@
     })
 }
 
-fn edge_service(edge: Edge, clock: Clock, figures: &Arc<Figures>) -> Result<Parts, String> {
+fn edge_service(edge: Edge, clock: Clock, figures: &Arc<Metrics>) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
     let catalog = SharedCatalog::default();
     let mut reload: Reload = {
@@ -298,11 +299,11 @@
             let roster = ogc::lock(&catalog).load(&servers, now);
             let nodes = roster.nodes.len();
             let words = format!("the inventory is loaded anew: {nodes} servers");
-            Ok(Reloaded { words, input: Input::Roster(roster), deployment: None })
+            Ok(Reloaded { words, input: Input::EndpointUpdate(roster), deployment: None })
         })
     };
     let _ = inbox.send(reload(clock.now())?.input);
-    let bears = Arc::new(Bears::default());
+    let bears = Arc::new(ServerCapacity::default());
     let key = Key::new(&edge.cursor_key().map_err(|e| e.to_string())?);
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
@@ -334,11 +335,11 @@
     let address = listener.inner().local_addr().map_err(|e| e.to_string())?;
     let ring = parts.inbox.clone();
     // The core outlives the alarm.
-    let alarm = Alarm::start(clock, move || drop(ring.send(Input::Due))).map_err(|e| e.to_string())?;
+    let alarm = Alarm::start(clock, move || drop(ring.send(Input::TimerDue))).map_err(|e| e.to_string())?;
     let clients = Clients::new(parts.front, listener, parts.bounds, parts.inbox, clock);
     let (accepting, watched) = (clients.clone(), others.clone());
     let beside = move || watched.before.as_ref().is_some_and(Peer::lives);
-    spawn(LARGE_STACK, move || accepting.accept(beside)).map_err(no_coroutine)?;
+    spawn(LARGE_STACK_WORDS, move || accepting.accept(beside)).map_err(no_coroutine)?;
     if others.before.is_some() {
         tracing::info!("the sockets are taken over from the process before");
     }
@@ -359,7 +360,7 @@
         others,
         beside: None,
     };
-    Ok((clients, spawn(TURNS_STACK, move || turns.run()).map_err(no_coroutine)?))
+    Ok((clients, spawn(TURN_STACK_WORDS, move || turns.run()).map_err(no_coroutine)?))
 }
 
 fn listen_for_signals() -> Result<Arc<Signals>, String> {
@@ -430,7 +431,7 @@
             }
             if now.since(tidied_servers) >= TIDY_SERVERS_EVERY {
                 tidied_servers = now;
-                self.upstream.tidy(now, &|key| self.core.is_out(key));
+                self.upstream.reap(now, &|key| self.core.is_out(key));
             }
             if now.since(tidied) >= TIDY_EVERY {
                 tidied = now;
@@ -500,7 +501,7 @@
                 tracing::info!("{words}");
                 if let Some(deployment) = deployment {
                     self.last_answer = last_answer(longest(&deployment.module));
-                    self.upstream.retune(&deployment);
+                    self.upstream.reconfigure(&deployment);
                 }
                 // What was read under the old settings goes before the new ones.
                 while let Ok(earlier) = self.arrivals.try_recv() {
@@ -528,10 +529,12 @@
 
     fn carry_out(&mut self, now: Micros, command: Command) {
         match command {
-            Command::Server(replica, address, ready) => self.upstream.server(replica, &address, ready, now),
-            Command::Launch(replica, jobs) => self.upstream.launch(replica, &jobs, now),
-            Command::CallOff(replica, key) => self.upstream.call_off(replica, key, now),
-            Command::Forget(replica) => self.upstream.forget(replica),
+            Command::UpdateServer(replica, address, ready) => {
+                self.upstream.update_server(replica, &address, ready, now)
+            }
+            Command::Dispatch(replica, jobs) => self.upstream.dispatch(replica, &jobs, now),
+            Command::CancelAttempt(replica, key) => self.upstream.cancel(replica, key, now),
+            Command::RemoveServer(replica) => self.upstream.remove_server(replica),
             Command::CloseIdle(replica) => self.upstream.close_idle(replica),
             Command::Reply(token, answer) => self.clients.answer(token, answer),
         }
--- a/src/net/walks.rs
+++ b/src/net/walks.rs
@@ -1,11 +1,11 @@
 //! Attempts at feature servers: each a request over one connection, taken from those that stand idle.
 
-use super::{spawn, try_read, try_write, Tried, Upstream, LARGE_STACK};
-use crate::core::{AttemptKey, End, Input, Job, Tally, COUNTERS};
+use super::{spawn, try_read, try_write, Tried, Upstream, LARGE_STACK_WORDS};
+use crate::core::{AttemptKey, ClassMetrics, End, Input, Job, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::visit::Visit;
 use crate::interface::{Outcome, ReplicaId};
-use crate::limits::{Bears, Ended, Limiter, Rule};
+use crate::limits::{Ended, Limiter, Rule, ServerCapacity};
 use crate::proto::fetch::{Fetch, Progress};
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
@@ -72,12 +72,12 @@
     dial_timeout: Micros,
     idle_limit: Micros,
     rule: Rule,
-    bears: Arc<Bears>,
+    bears: Arc<ServerCapacity>,
 }
 
 impl Walks {
     /// None yet.
-    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, bears: Arc<Bears>) -> Self {
+    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, bears: Arc<ServerCapacity>) -> Self {
         Walks {
             servers: HashMap::new(),
             out: HashMap::new(),
@@ -107,16 +107,16 @@
             return Err(Outcome::ConnectFailed);
         }
         let now = self.clock.now();
-        let server = self.servers.get(&replica).ok_or(Outcome::Moot)?;
-        let visit = job.errand.as_ref().and_then(|e| e.get::<Visit>()).ok_or(Outcome::Moot)?;
+        let server = self.servers.get(&replica).ok_or(Outcome::NotSent)?;
+        let visit = job.context.as_ref().and_then(|e| e.get::<Visit>()).ok_or(Outcome::NotSent)?;
         let slot = Arc::new(Mutex::new(Slot::default()));
         let driver = {
             let mut state = guard(server);
-            let address = state.address.filter(|_| state.ready).ok_or(Outcome::Moot)?;
+            let address = state.address.filter(|_| state.ready).ok_or(Outcome::NotSent)?;
             let (limiter, waiting) = (&state.limiter, state.waiting.len());
             if limiter.held(now) || waiting >= MOST_WAITING * limiter.limit() {
                 // It wishes to be left alone, or more wait than it can serve in time: nothing was sent.
-                return Err(Outcome::Full);
+                return Err(Outcome::Rejected);
             }
             let begins = limiter.room(state.busy, now) && waiting == 0;
             let driver = Driver {
@@ -127,7 +127,7 @@
                 server: server.clone(),
                 slot: slot.clone(),
                 key: job.key,
-                tally: job.tally.clone(),
+                tally: job.metrics.clone(),
                 inbox: self.inbox.clone(),
                 clock: self.clock,
                 dial_timeout: self.dial_timeout,
@@ -151,14 +151,14 @@
 /// Starts an attempt whose place is taken already.
 fn begin(driver: Driver) {
     let (server, inbox, key) = (driver.server.clone(), driver.inbox.clone(), driver.key);
-    if spawn(LARGE_STACK, move || driver.run()).is_err() {
+    if spawn(LARGE_STACK_WORDS, move || driver.run()).is_err() {
         guard(&server).busy -= 1;
-        let _ = inbox.send(Input::Ended(key, End::Not(Outcome::Moot)));
+        let _ = inbox.send(Input::AttemptEnded(key, End::Failed(Outcome::NotSent)));
     }
 }
 
 impl Upstream for Walks {
-    fn server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
+    fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let server =
             self.servers.entry(replica).or_insert_with(|| Arc::new(Mutex::new(Server::new(self.rule))));
         let mut state = guard(server);
@@ -169,24 +169,24 @@
         state.address = address;
         state.ready = ready;
         let rate = state.limiter.rate().filter(|_| ready);
-        self.bears.told(replica, rate);
+        self.bears.report(replica, rate);
         // A server that drains gets nothing that has not begun.
         let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
         drop(state);
         for driver in waiting {
-            let _ = self.inbox.send(Input::Ended(driver.key, End::Not(Outcome::Moot)));
+            let _ = self.inbox.send(Input::AttemptEnded(driver.key, End::Failed(Outcome::NotSent)));
         }
     }
 
-    fn launch(&mut self, replica: ReplicaId, jobs: &[Job], _now: Micros) {
+    fn dispatch(&mut self, replica: ReplicaId, jobs: &[Job], _now: Micros) {
         for job in jobs {
             if let Err(outcome) = self.start(replica, job) {
-                let _ = self.inbox.send(Input::Ended(job.key, End::Not(outcome)));
+                let _ = self.inbox.send(Input::AttemptEnded(job.key, End::Failed(outcome)));
             }
         }
     }
 
-    fn call_off(&mut self, _replica: ReplicaId, key: AttemptKey, _now: Micros) {
+    fn cancel(&mut self, _replica: ReplicaId, key: AttemptKey, _now: Micros) {
         if let Some(slot) = self.out.remove(&key) {
             let mut state = guard(&slot);
             state.called_off = true;
@@ -196,9 +196,9 @@
         }
     }
 
-    fn forget(&mut self, replica: ReplicaId) {
+    fn remove_server(&mut self, replica: ReplicaId) {
         self.servers.remove(&replica);
-        self.bears.told(replica, None);
+        self.bears.report(replica, None);
     }
 
     fn close_idle(&mut self, replica: ReplicaId) {
@@ -207,7 +207,7 @@
         }
     }
 
-    fn tidy(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool) {
+    fn reap(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool) {
         for server in self.servers.values() {
             let mut state = guard(server);
             let before = state.idle.len();
@@ -231,12 +231,12 @@
     server: Arc<Mutex<Server>>,
     slot: Arc<Mutex<Slot>>,
     key: AttemptKey,
-    tally: Arc<Tally>,
+    tally: Arc<ClassMetrics>,
     inbox: Sender<Input>,
     clock: Clock,
     dial_timeout: Micros,
     idle_limit: Micros,
-    bears: Arc<Bears>,
+    bears: Arc<ServerCapacity>,
 }
 
 impl Driver {
@@ -268,9 +268,9 @@
                 if guard(&self.slot).called_off && self.fetch.may_have_run() {
                     how = Ended::GivenUp;
                 }
-                End::Not(outcome)
+                End::Failed(outcome)
             }
-            Progress::On => End::Not(Outcome::Error),
+            Progress::On => End::Failed(Outcome::Error),
         };
         let mut server = guard(&self.server);
         let beside = server.busy;
@@ -279,7 +279,7 @@
         if let Some(seconds) = wish {
             server.limiter.hold(now, Micros::from_secs(seconds));
         }
-        self.bears.told(self.replica, server.limiter.rate().filter(|_| server.ready));
+        self.bears.report(self.replica, server.limiter.rate().filter(|_| server.ready));
         if let Some(stream) = stream.filter(|_| sound && server.ready) {
             guard(&self.slot).waker = None;
             server.idle.push((stream, now));
@@ -287,7 +287,7 @@
         let next = server.next(now);
         drop(server);
         // The core passes over the end of an attempt that it called off.
-        let _ = self.inbox.send(Input::Ended(self.key, end));
+        let _ = self.inbox.send(Input::AttemptEnded(self.key, end));
         next.into_iter().for_each(begin);
     }
 
@@ -341,7 +341,7 @@
                     Tried::Moved(n) => {
                         if self.fetch.wrote(n) {
                             self.tally.tries.add();
-                            let _ = self.inbox.send(Input::Written(self.key));
+                            let _ = self.inbox.send(Input::FullyWritten(self.key));
                         }
                     }
                     Tried::Wait => break,
@@ -367,7 +367,7 @@
         if self.fetch.may_have_run() {
             Outcome::Error
         } else {
-            Outcome::Moot
+            Outcome::NotSent
         }
     }
 }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -182,7 +182,7 @@
         for one in news {
             // One that goes back brings older words; what came since the newest is asked for.
             *rev = one.rev.max(*rev);
-            let _ = inbox.send(Input::Roster(one.roster));
+            let _ = inbox.send(Input::EndpointUpdate(one.roster));
             listed.store(true, Release);
         }
         if ended {
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery's watch: an answer that stays open and holds one JSON object a line.
 
 use super::http::{HttpError, ResponseReader};
-use crate::core::{Node, Roster};
-use crate::interface::{ListKind, MemberState};
+use crate::core::{EndpointUpdate, Node};
+use crate::interface::{EndpointListKind, EndpointState};
 use crate::time::{started_at, Micros};
 use serde::Deserialize;
 
@@ -37,7 +37,7 @@
     /// The version.
     pub rev: u64,
     /// What it says.
-    pub roster: Roster,
+    pub roster: EndpointUpdate,
 }
 
 /// What is wrong with a watch.
@@ -65,21 +65,21 @@
             cell: t.pod_group,
             shards: None,
             state: match t.state.as_str() {
-                "in_service" => MemberState::Ready,
-                "terminating" => MemberState::Draining,
-                "terminated" => MemberState::Gone,
+                "in_service" => EndpointState::Ready,
+                "terminating" => EndpointState::Draining,
+                "terminated" => EndpointState::Removed,
                 other => return Err(format!("unknown state {other:?}")),
             },
             started: started_at(t.boot_ms, unix_now_ms, now),
         })
     };
     let kind = match (cached, listing.all) {
-        (true, _) => ListKind::Cached,
-        (_, true) => ListKind::Full,
-        _ => ListKind::Delta,
+        (true, _) => EndpointListKind::Cached,
+        (_, true) => EndpointListKind::Full,
+        _ => EndpointListKind::Delta,
     };
     let nodes = listing.targets.into_iter().map(node).collect::<Result<_, String>>()?;
-    let roster = Roster { kind, version: Some(listing.rev), nodes };
+    let roster = EndpointUpdate { kind, version: Some(listing.rev), nodes };
     Ok(News { rev: listing.rev, roster })
 }
 
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -3,7 +3,7 @@
 //! A frame is a length of four bytes, most significant first, a letter, and the rest; the length counts both.
 
 use super::buffer::Buffer;
-use crate::core::{AttemptKey, End, Job, Tally};
+use crate::core::{AttemptKey, ClassMetrics, End, Job};
 use crate::interface::Outcome;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -36,7 +36,7 @@
     key: AttemptKey,
     bytes: usize,
     /// Where it is counted once it is written: also when it was given up since its frame began to go out.
-    tally: Arc<Tally>,
+    tally: Arc<ClassMetrics>,
 }
 
 /// A frame that is to be written, with its parts in order.
@@ -104,10 +104,12 @@
         for job in jobs {
             let (id, before) = (id(job), rest.len());
             // The node's wait ends with this program's, rounded up: it must not give up first.
-            let wait = job.patience.0.div_ceil(1_000);
-            rest.extend_from_slice(format!("{id} {} d={wait} {}\n", job.shard.0, job.text.len()).as_bytes());
-            rest.extend_from_slice(&job.text);
-            parts.push(Piece { key: job.key, bytes: rest.len() - before, tally: job.tally.clone() });
+            let wait = job.timeout.0.div_ceil(1_000);
+            rest.extend_from_slice(
+                format!("{id} {} d={wait} {}\n", job.shard.0, job.payload.len()).as_bytes(),
+            );
+            rest.extend_from_slice(&job.payload);
+            parts.push(Piece { key: job.key, bytes: rest.len() - before, tally: job.metrics.clone() });
             self.ids.insert(job.key, id.clone());
             if let Some((old, _)) = self.out.insert(id, (job.key, false)) {
                 self.ids.remove(&old);
@@ -149,7 +151,7 @@
         for key in back.into_iter().flat_map(|f| f.parts).map(|p| p.key) {
             if let Some(id) = self.ids.remove(&key) {
                 self.out.remove(&id);
-                events.push(LinkEvent::Ended(key, End::Not(Outcome::Moot)));
+                events.push(LinkEvent::Ended(key, End::Failed(Outcome::NotSent)));
             }
         }
     }
@@ -248,7 +250,7 @@
         out.sort_unstable();
         for (key, written) in out {
             let outcome = if written { Outcome::Reset } else { Outcome::ConnectFailed };
-            events.push(LinkEvent::Ended(key, End::Not(outcome)));
+            events.push(LinkEvent::Ended(key, End::Failed(outcome)));
         }
     }
 
@@ -270,7 +272,7 @@
 
 /// What a part is called at its node.
 fn id(job: &Job) -> String {
-    format!("{}.{}", job.label, job.shard.0)
+    format!("{}.{}", job.request_id, job.shard.0)
 }
 
 fn remember(past: &mut VecDeque<(String, bool)>, id: String, answered: bool) {
@@ -304,8 +306,8 @@
                 return Err(bad("a score or a value that cannot be read"));
             }
         }
-        "broke" => End::Not(Outcome::Error),
-        "skipped" => End::Not(Outcome::Full),
+        "broke" => End::Failed(Outcome::Error),
+        "skipped" => End::Failed(Outcome::Rejected),
         other => return Err(bad(&format!("the unknown end {other:?}"))),
     };
     Ok((id, end))
--- a/src/rules/admission.rs
+++ b/src/rules/admission.rs
@@ -16,13 +16,13 @@
     ((to - crowd) / (to - from)).clamp(0.0, 1.0)
 }
 
-impl Aggregator {
+impl DecisionPolicy {
     /// A token bucket a tenant, filled with this instance's even share of the quota.
     pub(super) fn over_quota(&mut self, tenant: TenantId) -> bool {
         let at = tenant.0 as usize;
         let Some(quota) = self.set.tenants.get(at).and_then(|t| t.quota) else { return false };
         let (level, last) = self.quotas[at];
-        let rate = quota / f64::from(self.set.aggregators.max(1));
+        let rate = quota / f64::from(self.set.coordinators.max(1));
         let gap = (self.now - last) as f64 / 1e9;
         let level = (level + gap * rate).min((2.0 * rate).max(2.0));
         let over = level < 1.0;
@@ -33,7 +33,7 @@
     /// Low-worth queries beyond the admitted share, the least worth first.
     pub(super) fn turned_away(&mut self, seq: u64, crowd: f64) -> bool {
         let Some(&Query { worth, luck, class, .. }) = self.queries.get(&seq) else { return true };
-        let admit = self.set.reduced.admit.get(usize::from(class.0)).map_or(1.0, |a| *a);
+        let admit = self.set.reduction.admitted_shares.get(usize::from(class.0)).map_or(1.0, |a| *a);
         if worth >= self.top() {
             // Only when all of it would be late: then serving some beats serving none.
             return luck >= outlook(crowd, TOP_CROWD).min(admit);
@@ -58,7 +58,7 @@
     /// see a jam, this sees it at once. Might hurt where one odd answer makes a shard look slow; that fades.
     pub(super) fn crowd(&self, q: &Query, waits: &[(f64, f64, PartId)]) -> f64 {
         let c = self.class(q.class);
-        let mut spare = 1.0 - c.floor + 1e-6;
+        let mut spare = 1.0 - c.min_share + 1e-6;
         let needed = waits.iter().find(|w| {
             spare -= w.1;
             spare <= 0.0
--- a/src/rules/cold.rs
+++ b/src/rules/cold.rs
@@ -7,12 +7,12 @@
 /// Deviations by which what chance sends to a cold replica stays under the rule.
 const CHANCE: f64 = 2.5;
 
-impl Aggregator {
+impl DecisionPolicy {
     /// What a replica can do at a time, as a share of what it can when warm.
     pub(super) fn warmth(&self, r: &Replica, at: Nanos) -> f64 {
-        let (Some(rule), Some(started)) = (self.set.cold, r.started) else { return 1.0 };
+        let (Some(rule), Some(started)) = (self.set.slow_start, r.started) else { return 1.0 };
         let age = at.saturating_sub(started) as f64 / rule.warm_up.max(1) as f64;
-        rule.start + (1.0 - rule.start) * age.min(1.0)
+        rule.initial_capacity + (1.0 - rule.initial_capacity) * age.min(1.0)
     }
 
     /// Rule 4: may a part of this class go to a replica that just started? What all may send is split evenly;
@@ -20,12 +20,13 @@
     /// as keeps the whole fleet's, with a margin for chance, under the rule.
     pub(super) fn cold_room(&self, r: &Replica, class: ClassId) -> bool {
         let cost = self.cost(class);
-        let (Some(rule), Some(started)) = (self.set.cold, r.started) else { return true };
+        let (Some(rule), Some(started)) = (self.set.slow_start, r.started) else { return true };
         if self.warmth(r, self.now) >= 1.0 {
             return true;
         }
-        let all = |at| rule.factor * self.warmth(r, at) * COLD_CORES * rule.span as f64;
-        let (from, others) = (self.now.saturating_sub(rule.span), f64::from(self.set.aggregators.max(1)));
+        let all = |at| rule.overload_factor * self.warmth(r, at) * COLD_CORES * rule.overload_window as f64;
+        let (from, others) =
+            (self.now.saturating_sub(rule.overload_window), f64::from(self.set.coordinators.max(1)));
         let share = all(self.now) / others;
         if share >= cost {
             return share - r.cold_sent.iter().filter(|s| s.0 >= from).map(|s| s.1).sum::<f64>() >= cost;
@@ -33,7 +34,7 @@
         let last = r.cold_sent.back().map_or(started, |s| s.0).max(started);
         let fits = all(last.midpoint(self.now)) / cost;
         let safe = (((CHANCE * CHANCE / 4.0 + fits).sqrt() - CHANCE / 2.0).powi(2)).min(fits);
-        (self.now - last) as f64 / rule.span as f64 * safe / others >= r.cold_draw
+        (self.now - last) as f64 / rule.overload_window as f64 * safe / others >= r.cold_draw
     }
 
     /// Work of a part with its call, as far as seen.
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -35,15 +35,15 @@
 }
 
 fn least_aim(set: &Settings) -> Nanos {
-    set.classes.iter().filter(|c| c.listed).map(|c| c.aim).min().unwrap_or(set.tick)
+    set.classes.iter().filter(|c| c.in_force).map(|c| c.latency_objective).min().unwrap_or(set.tick)
 }
 
 /// A part: its query, and its place there.
 type PartAt = (u64, usize);
 
-/// The decisions of one co-ordinator.
+/// The decisions of one coordinator.
 #[derive(Debug, Default)]
-pub struct Aggregator {
+pub struct DecisionPolicy {
     set: Settings,
     rng: fastrand::Rng,
     now: Nanos,
@@ -85,7 +85,7 @@
     wake: Nanos,
 }
 
-impl Aggregator {
+impl DecisionPolicy {
     /// An instance that holds nothing yet.
     pub fn new(set: Settings, seed: u64, now: Nanos) -> Self {
         let least_aim = least_aim(&set);
@@ -96,12 +96,12 @@
             least_aim,
             typical: least_aim as f64 * FIRST_GUESS,
             usual: least_aim as f64 * FIRST_GUESS,
-            work: set.classes.iter().map(|c| c.aim as f64 * FIRST_GUESS).collect(),
+            work: set.classes.iter().map(|c| c.latency_objective as f64 * FIRST_GUESS).collect(),
             met: vec![false; set.classes.len()],
             quotas: vec![(1.0, now); set.tenants.len()],
             share: 1.0,
             control_at: now,
-            ask_at: set.ask_within.map(|_| now),
+            ask_at: set.max_poll_interval.map(|_| now),
             set,
             ..Self::default()
         };
@@ -117,7 +117,7 @@
         }
         if self.ask_at.is_some_and(|at| at <= self.now) {
             actions.push(Action::Subscribe);
-            self.ask_at = Some(self.now + self.set.ask_within.unwrap_or(Nanos::MAX) / 2);
+            self.ask_at = Some(self.now + self.set.max_poll_interval.unwrap_or(Nanos::MAX) / 2);
         }
         self.control();
         let open: Vec<u64> = self.queries.keys().copied().collect();
@@ -129,18 +129,19 @@
 
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
-            Event::List { kind, members } => self.take_list(*kind, members),
+            Event::Endpoints { kind, endpoints: members } => self.take_list(*kind, members),
             Event::Placement { replica, shards } => {
                 self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
-            Event::Query { query, group, class, tenant, hint, time_left } => {
+            Event::Query { query, group, class, tenant, expected_work: hint, time_left } => {
                 let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
                     return actions.push(Action::Fail(*query));
                 };
-                let aim = (c.aim + (c.aim_stretch * hint.unwrap_or(0) as f64) as Nanos).min(c.deadline);
-                let share = if self.over_quota(*tenant) { self.set.over_share_worth } else { 1.0 };
-                let worth = c.points * share;
+                let aim = (c.latency_objective + (c.objective_stretch * hint.unwrap_or(0) as f64) as Nanos)
+                    .min(c.deadline);
+                let share = if self.over_quota(*tenant) { self.set.over_quota_weight } else { 1.0 };
+                let worth = c.priority_weight * share;
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
                 let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
                 self.taken.push_back(self.now);
@@ -178,16 +179,16 @@
             Event::Outcome { part, attempt, outcome, waited } => {
                 self.take_outcome(*part, *attempt, *outcome, *waited)
             }
-            Event::Gone(query) => {
+            Event::Abandoned(query) => {
                 if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
                     q.stage = Stage::Over;
                     // Nobody waits for these any more: on poor links clients leave long before their time.
-                    let parts = q.parts.iter().filter(|_| self.set.cancel);
+                    let parts = q.parts.iter().filter(|_| self.set.cancellation);
                     actions.extend(parts.flat_map(Part::call_off));
                 }
             }
-            Event::Settings { set, heirs } => self.take_settings(set, heirs),
-            Event::Wake => self.wake = 0,
+            Event::Settings { settings: set, class_mapping: heirs } => self.take_settings(set, heirs),
+            Event::TimerFired => self.wake = 0,
         }
     }
 
@@ -205,7 +206,7 @@
         let seen = |(c, heir): (&Class, &ClassId)| {
             let at = usize::from(heir.0);
             let work = self.work.get(at).copied().filter(|_| self.met[at]);
-            (work.unwrap_or(c.aim as f64 * FIRST_GUESS), work.is_some())
+            (work.unwrap_or(c.latency_objective as f64 * FIRST_GUESS), work.is_some())
         };
         (self.work, self.met) = set.classes.iter().zip(heirs).map(seen).unzip();
         self.least_aim = least_aim(set);
@@ -213,7 +214,7 @@
         self.set = set.clone();
         self.grow(set.shards as usize);
         let ask_at = self.ask_at;
-        self.take_list(ListKind::Delta, &[]);
+        self.take_list(EndpointListKind::Delta, &[]);
         self.ask_at = ask_at;
     }
 
@@ -222,26 +223,27 @@
     }
 
     fn top(&self) -> f64 {
-        self.set.classes.iter().filter(|c| c.listed).map(|c| c.points).fold(0.0, f64::max)
+        self.set.classes.iter().filter(|c| c.in_force).map(|c| c.priority_weight).fold(0.0, f64::max)
     }
 
     /// The one way out for a query. Rules 1, 2 and 5 are checked here.
     fn finish(&mut self, seq: u64, how: Final, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get_mut(&seq).filter(|q| q.open()) else { return };
         let c = &self.set.classes[usize::from(q.class.0)];
-        let risky = c.effect != Effect::Safe && q.parts.iter().any(Part::may_have_run);
+        let risky = c.effect != Effect::Idempotent && q.parts.iter().any(Part::may_have_run);
         match how {
             Final::Answer => {
                 let weight = q.weight_in();
                 let second = q.stage == Stage::Second;
-                let floor = if second { c.floor } else { c.floor.min(c.need) };
+                let floor = if second { c.min_share } else { c.min_share.min(c.required_share) };
                 // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
                 let all = q.complete(false);
-                if !all && (weight + 1e-6 < floor || (second && c.floor >= c.need)) {
+                if !all && (weight + 1e-6 < floor || (second && c.min_share >= c.required_share)) {
                     return;
                 }
-                let whole = (all || (!second && weight + 1e-6 >= c.need)) && q.first.is_none_or(|f| f.1);
-                actions.push(Action::Answer { query: q.id, whole });
+                let whole =
+                    (all || (!second && weight + 1e-6 >= c.required_share)) && q.first.is_none_or(|f| f.1);
+                actions.push(Action::Answer { query: q.id, complete: whole });
                 let first = q.first.is_none();
                 q.first = q.first.or(Some((self.now, whole)));
                 if first && c.follow_up > 0 {
@@ -250,16 +252,17 @@
                 }
             }
             Final::GiveUp if !risky => {
-                let drawn = 0.5 * self.rng.f64() / self.set.reduced.come_back.max(1.0);
+                let drawn = 0.5 * self.rng.f64() / self.set.reduction.retry_after_factor.max(1.0);
                 let wait = |most: Nanos| (most as f64 * (1.0 - drawn)) as Nanos;
-                let come_back = self.set.retry_after.map(wait);
-                actions.push(Action::Refuse { query: q.id, come_back });
+                let come_back = self.set.max_retry_after.map(wait);
+                actions.push(Action::Reject { query: q.id, retry_after: come_back });
             }
             Final::GiveUp => actions.push(Action::Fail(q.id)),
         }
         // A sample's late parts run on to the record limit; the others are called off.
-        let runs_on = |p: &Part| q.sampled && !self.set.reduced.quiet && !p.second && p.came.is_none();
-        let parts = q.parts.iter().filter(|p| self.set.cancel && !runs_on(p));
+        let runs_on =
+            |p: &Part| q.sampled && !self.set.reduction.skip_late_samples && !p.second && p.came.is_none();
+        let parts = q.parts.iter().filter(|p| self.set.cancellation && !runs_on(p));
         actions.extend(parts.flat_map(Part::call_off));
         q.stage = Stage::Over;
     }
@@ -275,10 +278,10 @@
                 return self.finish(seq, Final::GiveUp, actions);
             }
             let admitted = self.share.min(outlook(crowd, LIGHT_CROWD));
-            let long = waits.iter().filter(|w| c.floor < c.need && w.0 >= late).map(|w| w.2);
+            let long = waits.iter().filter(|w| c.min_share < c.required_share && w.0 >= late).map(|w| w.2);
             if let Some(q) = self.queries.get_mut(&seq) {
                 q.stage = Stage::First;
-                q.trim(c.floor, admitted, long);
+                q.trim(c.min_share, admitted, long);
                 for (at, p) in q.parts.iter().enumerate() {
                     self.parts.insert(p.id, (seq, at));
                 }
@@ -286,19 +289,19 @@
         }
         self.send_parts(seq, &c, actions);
         let Some(q) = self.queries.get(&seq) else { return };
-        let partial = c.floor < c.need;
+        let partial = c.min_share < c.required_share;
         let weight = q.weight_in();
         let first = q.stage == Stage::First;
-        let early = self.set.reduced.answer_after * q.due.saturating_sub(q.taken) as f64;
+        let early = self.set.reduction.answer_after * q.due.saturating_sub(q.taken) as f64;
         let due = self.now >= q.taken + early as Nanos;
-        let enough = q.complete(true) || (first && weight >= c.need && c.need < 1.0);
-        if enough || (due && partial && weight > 0.0 && weight >= c.floor) {
+        let enough = q.complete(true) || (first && weight >= c.required_share && c.required_share < 1.0);
+        if enough || (due && partial && weight > 0.0 && weight >= c.min_share) {
             return self.finish(seq, Final::Answer, actions);
         }
         let lost = |p: &Part| p.came.is_none() && p.out() == 0 && !self.may_try(p, &c);
         let gone: f64 = q.parts.iter().filter(|p| p.second != first && lost(p)).map(|p| p.weight).sum();
-        let hopeless = if partial { 1.0 - gone < c.floor - 1e-6 } else { gone > 0.0 };
-        let worthless = c.late_worth <= 0.0 && self.now >= q.due;
+        let hopeless = if partial { 1.0 - gone < c.min_share - 1e-6 } else { gone > 0.0 };
+        let worthless = c.late_weight <= 0.0 && self.now >= q.due;
         if self.now >= q.end || hopeless || worthless {
             self.finish(seq, Final::GiveUp, actions);
         }
@@ -312,7 +315,7 @@
         let next = dues.filter(|t| *t > self.now).chain(poll).chain(idle).chain(self.ask_at).min();
         if let Some(at) = next.filter(|at| self.wake <= self.now || *at < self.wake) {
             self.wake = at;
-            actions.push(Action::WakeAt(at));
+            actions.push(Action::SetTimer(at));
         }
     }
 }
--- a/src/rules/quality.rs
+++ b/src/rules/quality.rs
@@ -22,14 +22,14 @@
 /// Bound of the error, in units of the room above the target: one bad reading must not empty the share.
 const ERROR_BOUND: f64 = 3.0;
 
-impl Aggregator {
+impl DecisionPolicy {
     /// Quality: the weight that was answered over the weight that would have been in by the record limit.
     /// A part that is missing counts if its replica has answered others since: then it is late, not lost.
     fn quality(&self) -> (f64, f64) {
         let from = self.now.saturating_sub(QUALITY_WINDOW);
         let (mut got, mut all, mut readings) = (0.0, 0.0, 0.0);
         let alive = |a: &Attempt| self.replicas.get(&a.replica).is_some_and(|r| r.last_ok > a.at);
-        let late = |a: &Attempt| a.ended == Some(Outcome::Full) || alive(a);
+        let late = |a: &Attempt| a.ended == Some(Outcome::Rejected) || alive(a);
         let ripe = |q: &&Query| q.first.is_some() || !q.open() || self.now >= q.due;
         for q in self.queries.values().filter(|q| q.sampled && q.taken >= from).filter(ripe) {
             let by = q.first.map_or(q.due, |f| f.0.min(q.due));
@@ -55,7 +55,7 @@
         let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
         self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
         self.placed.retain(|id, _| self.replicas.contains_key(id));
-        let back = self.set.extra.map_or(0, |b| 2 * b.look_back);
+        let back = self.set.retry_budget.map_or(0, |b| 2 * b.window);
         self.taken.retain(|t| t + back >= self.now);
         self.extras.retain(|t| t + back >= self.now);
         self.balance();
--- a/src/rules/replicas.rs
+++ b/src/rules/replicas.rs
@@ -57,10 +57,10 @@
     lost[1] > lost[0] + IDLE_LOSS
 }
 
-impl Aggregator {
+impl DecisionPolicy {
     /// Ready replicas that no part of a listed class would go to now, whatever its shard.
     pub fn avoided(&self) -> Vec<ReplicaId> {
-        let Some(c) = self.set.classes.iter().position(|c| c.listed) else { return Vec::new() };
+        let Some(c) = self.set.classes.iter().position(|c| c.in_force) else { return Vec::new() };
         let class = ClassId(c as u16);
         let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
         let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
@@ -70,15 +70,15 @@
         ready.filter(|id| holds(id) && !used.contains(id)).collect()
     }
 
-    pub(super) fn take_list(&mut self, kind: ListKind, members: &[Member]) {
-        if kind == ListKind::Failed {
+    pub(super) fn take_list(&mut self, kind: EndpointListKind, members: &[Endpoint]) {
+        if kind == EndpointListKind::Failed {
             // Ask again after a jittered wait, well inside the time that counts as told.
             let wait = |within| (within / ASK_SHARE) as f64 * (0.25 + 0.75 * self.rng.f64());
-            self.ask_at = self.set.ask_within.map(wait).map(|wait| self.now + wait as Nanos);
+            self.ask_at = self.set.max_poll_interval.map(wait).map(|wait| self.now + wait as Nanos);
             return;
         }
-        self.ask_at = self.ask_at.filter(|_| kind == ListKind::Cached);
-        if kind != ListKind::Delta {
+        self.ask_at = self.ask_at.filter(|_| kind == EndpointListKind::Cached);
+        if kind != EndpointListKind::Delta {
             for r in self.replicas.values_mut().filter(|r| r.ready) {
                 (r.ready, r.listed) = (false, self.now);
             }
@@ -94,9 +94,9 @@
             });
             r.cell = m.cell;
             r.listed = now;
-            r.ready = m.state == MemberState::Ready;
-            if m.since > 0 {
-                r.started = Some(r.started.map_or(m.since, |s| s.max(m.since)));
+            r.ready = m.state == EndpointState::Ready;
+            if m.started_at > 0 {
+                r.started = Some(r.started.map_or(m.started_at, |s| s.max(m.started_at)));
             }
         }
         let cells = self.set.cells.max(1);
@@ -104,7 +104,7 @@
             let first = s as u32 % cells;
             let holds = |(id, r): &(&ReplicaId, &Replica)| match self.placed.get(*id) {
                 Some(placed) => placed.contains(&ShardId(s as u32)),
-                None => (u32::from(r.cell.0) + cells - first) % cells < self.set.reach.max(1),
+                None => (u32::from(r.cell.0) + cells - first) % cells < self.set.cells_per_shard.max(1),
             };
             let ready = self.replicas.iter().filter(|r| r.1.ready && holds(r));
             *holders = ready.map(|(id, _)| (*id, 1.0)).collect();
@@ -114,7 +114,7 @@
 
     pub(super) fn take_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, waited: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
-        let (now, typical, aim) = (self.now, self.typical, self.class(class).aim as f64);
+        let (now, typical, aim) = (self.now, self.typical, self.class(class).latency_objective as f64);
         let fade = self.least_aim as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
             let sent = now.saturating_sub(waited);
@@ -144,9 +144,9 @@
                     *w += (took - *w) * if took < *w { PACE_GAIN } else { 0.002 };
                 }
                 // Turned away in no time, yet a full waiting room is a long wait, whatever was seen before.
-                Outcome::Full => (r.pace, r.paced) = (r.pace.max(aim), now),
+                Outcome::Rejected => (r.pace, r.paced) = (r.pace.max(aim), now),
                 // Not sent, lost with an idle connection, or ended early where answers came lately: no sign.
-                _ if outcome == Outcome::Moot || (idle && silent && reaped(self.lost)) => {}
+                _ if outcome == Outcome::NotSent || (idle && silent && reaped(self.lost)) => {}
                 Outcome::Cancelled | Outcome::Reset | Outcome::Error if brief => {}
                 _ if !silent && outcome != Outcome::ConnectFailed => {
                     // Given up on while others were answered: the wait is known to be at least this long.
@@ -182,9 +182,13 @@
         let wait =
             pace.max(out as f64).max(self.per_part.min(aim * CALM_SHARE) * (r.flights.len() as f64 + 1.0));
         let trial = r.flights.is_empty() && self.now >= r.trial_at;
-        let shut = (r.strikes > 0 && !trial) || out >= class.aim;
-        let on_top = if shut { 1.0 } else { f64::from(r.strikes > 0 && class.floor >= class.need) / 2.0 };
-        wait + on_top * class.aim as f64
+        let shut = (r.strikes > 0 && !trial) || out >= class.latency_objective;
+        let on_top = if shut {
+            1.0
+        } else {
+            f64::from(r.strikes > 0 && class.min_share >= class.required_share) / 2.0
+        };
+        wait + on_top * class.latency_objective as f64
     }
 
     /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
@@ -192,7 +196,12 @@
     fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
         let fade = ERROR_FADE_AIMS * self.least_aim as f64;
         let errors = r.errors * 0.5f64.powf((self.now - r.erred) as f64 / fade);
-        errors * if class.effect == Effect::Unsafe { class.aim as f64 } else { ERROR_COST * self.typical }
+        errors
+            * if class.effect == Effect::NonIdempotent {
+                class.latency_objective as f64
+            } else {
+                ERROR_COST * self.typical
+            }
     }
 
     /// Where a part goes, with the wait to expect there.
--- a/src/rules/sending.rs
+++ b/src/rules/sending.rs
@@ -7,16 +7,16 @@
 /// What a turn goes on beyond an even step, so that in time it meets all of each share.
 const SLIP: f64 = 0.01;
 
-impl Aggregator {
+impl DecisionPolicy {
     /// Rule 6: further attempts left in the window, never optimistic at its edge.
     fn extras_left(&self) -> f64 {
-        let Some(b) = self.set.extra else { return f64::INFINITY };
+        let Some(b) = self.set.retry_budget else { return f64::INFINITY };
         let edge = 2 * self.set.tick;
         let since = |times: &VecDeque<Nanos>, back| {
             (times.len() - times.partition_point(|t| t + back < self.now)) as f64
         };
-        b.free + b.ratio * since(&self.taken, b.look_back.saturating_sub(edge))
-            - since(&self.extras, b.look_back + edge)
+        b.free + b.ratio * since(&self.taken, b.window.saturating_sub(edge))
+            - since(&self.extras, b.window + edge)
     }
 
     /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
@@ -26,9 +26,9 @@
         let (Some(p), Some(r)) = (q.parts.get(at), self.replicas.get(&replica)) else { return };
         let first_risk = p.attempts.iter().find(|a| a.may_have_run()).map(|a| a.at);
         let by = match (self.class(q.class).effect, first_risk) {
-            (Effect::Safe, _) | (_, None) => Nanos::MAX,
-            (Effect::Keyed(window), Some(t)) => (t + window).saturating_sub(END_TICKS * self.set.tick),
-            (Effect::Unsafe, Some(_)) => 0,
+            (Effect::Idempotent, _) | (_, None) => Nanos::MAX,
+            (Effect::Deduplicated(window), Some(t)) => (t + window).saturating_sub(END_TICKS * self.set.tick),
+            (Effect::NonIdempotent, Some(_)) => 0,
         };
         let holds = self.holders.get(p.shard.0 as usize).is_some_and(|h| h.iter().any(|h| h.0 == replica));
         let cost = self.cost(q.class);
@@ -42,14 +42,14 @@
             && holds
             && self.cold_room(r, p.class)
             && (p.attempts.len() as u32) < self.class(q.class).max_attempts.max(1)
-            && (p.out() == 0 || (self.set.second_copies && p.out() < 2))
+            && (p.out() == 0 || (self.set.hedging && p.out() < 2))
             && (!further || left >= 1.0);
         if !allowed {
             return;
         }
         let (part, class, shard, now) = (p.id, q.class, p.shard.0 as usize, self.now);
         let attempt = AttemptNo(p.attempts.len() as u16);
-        let horizon = self.set.cold.map_or(0, |c| now.saturating_sub(c.span));
+        let horizon = self.set.slow_start.map_or(0, |c| now.saturating_sub(c.overload_window));
         let fresh = now.saturating_sub(self.least_aim / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         if r.used < now && r.flights.is_empty() {
@@ -74,22 +74,22 @@
         }
         self.flights.insert((part, attempt), (replica, class, place, idle));
         self.extras.extend(further.then_some(now));
-        actions.push(Action::Send { part, replica, timeout, by });
+        actions.push(Action::Send { part, replica, timeout, not_after: by });
     }
 
     /// May the rules of its class ever allow another attempt?
     pub(super) fn may_try(&self, p: &Part, c: &Class) -> bool {
-        let again = c.effect != Effect::Unsafe || !p.may_have_run();
+        let again = c.effect != Effect::NonIdempotent || !p.may_have_run();
         again && (p.attempts.len() as u32) < c.max_attempts.max(1)
     }
 
     pub(super) fn send_parts(&mut self, seq: u64, c: &Class, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&seq) else { return };
         let count = q.parts.len();
-        let (due, end, sampled) = (q.due, q.end, q.sampled && !self.set.reduced.quiet);
+        let (due, end, sampled) = (q.due, q.end, q.sampled && !self.set.reduction.skip_late_samples);
         let second = q.stage == Stage::Second;
         // Late worth is chased only while nothing is shed: otherwise a part not begun by the aim is dropped.
-        let chase = sampled || (c.late_worth > 0.0 && self.share >= 1.0);
+        let chase = sampled || (c.late_weight > 0.0 && self.share >= 1.0);
         let until = if chase || self.now >= due { end } else { due };
         let timeout = until.saturating_sub(self.now).max(self.set.tick);
         for at in 0..count {
@@ -115,8 +115,8 @@
             let Some((r, wait)) = pick else { continue };
             let in_time = self.now as f64 + wait < due as f64;
             // Where a part was turned away it goes again when that may be in time, or late anyhow.
-            let late = out.is_none() && c.late_worth > 0.0 && (self.now >= due || !tried.contains(&r));
-            let stop = !self.set.second_copies && self.set.cancel && c.effect == Effect::Safe;
+            let late = out.is_none() && c.late_weight > 0.0 && (self.now >= due || !tried.contains(&r));
+            let stop = !self.set.hedging && self.set.cancellation && c.effect == Effect::Idempotent;
             match out {
                 Some(_) if in_time && stop => actions.extend(p.call_off()),
                 _ if in_time || late || (out.is_some() && second) => {
--- a/src/rules/shares.rs
+++ b/src/rules/shares.rs
@@ -9,7 +9,7 @@
 /// and the least of one that is silent or cold, as a share of a sound one: someone has to try it.
 const LEAST: f64 = 0.1;
 
-impl Aggregator {
+impl DecisionPolicy {
     /// A replica whose neighbour drains or is cold has that one's parts on top. All instances know that from
     /// their list at once, while each would need many answers to see it. What it shares goes to others.
     pub(super) fn balance(&mut self) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -95,7 +95,7 @@
     1.0
 }
 
-/// What a co-ordinator is told beside what the module needs: names and the limits of its connections.
+/// What a coordinator is told beside what the module needs: names and the limits of its connections.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Deployment {
     /// For the module.
@@ -115,11 +115,11 @@
     pub fn check(&self) -> Result<(), String> {
         let m = &self.module;
         let counts = [
-            ("balancers", u64::from(m.aggregators)),
+            ("balancers", u64::from(m.coordinators)),
             ("tick", m.tick),
             ("family-info.slices", u64::from(m.shards)),
             ("family-info.cells", u64::from(m.cells)),
-            ("family-info.in-a-row", u64::from(m.reach)),
+            ("family-info.in-a-row", u64::from(m.cells_per_shard)),
             ("limits.dial-timeout", self.dial_timeout),
         ];
         if let Some((key, _)) = counts.iter().find(|c| c.1 == 0) {
@@ -135,9 +135,9 @@
                 () if c.max_attempts == 0 => {
                     return fault("its attempts (limits.max-attempts) are not above 0")
                 }
-                () if !(0.0..=1.0).contains(&c.need) => return fault("its class-need is no share"),
-                () if !(0.0..=1.0).contains(&c.floor) => return fault("its least-share is no share"),
-                () if c.points < 0.0 || c.late_worth < 0.0 => return fault("its worth is below 0"),
+                () if !(0.0..=1.0).contains(&c.required_share) => return fault("its class-need is no share"),
+                () if !(0.0..=1.0).contains(&c.min_share) => return fault("its least-share is no share"),
+                () if c.priority_weight < 0.0 || c.late_weight < 0.0 => return fault("its worth is below 0"),
                 () => {}
             }
         }
@@ -173,7 +173,7 @@
     serde_json::from_str(text).map_err(|e| e.to_string()).and_then(module_settings)
 }
 
-/// Reads the settings for a co-ordinator on sockets.
+/// Reads the settings for a coordinator on sockets.
 pub fn read_deployment(value: serde_json::Value) -> Result<Deployment, String> {
     let boot: BootInfo = serde_json::from_value(value).map_err(|e| e.to_string())?;
     let limits = &boot.limits;
@@ -191,58 +191,58 @@
     let mut classes = Vec::new();
     for (at, c) in boot.classes.into_iter().enumerate() {
         let effect = match c.effect.as_str() {
-            "read_like" => Effect::Safe,
-            "idempotency_key" => Effect::Keyed(c.dedup_window),
-            "non_idempotent" => Effect::Unsafe,
+            "read_like" => Effect::Idempotent,
+            "idempotency_key" => Effect::Deduplicated(c.dedup_window),
+            "non_idempotent" => Effect::NonIdempotent,
             other => return Err(format!("class {at}: unknown effect {other:?}")),
         };
         let need = family.class_need.get(at).copied().unwrap_or(1.0);
         classes.push(Class {
             name: c.name,
-            listed: true,
-            aim: c.aim,
-            aim_stretch: c.aim_stretch,
+            in_force: true,
+            latency_objective: c.aim,
+            objective_stretch: c.aim_stretch,
             deadline: c.deadline,
             effect,
-            points: c.points,
-            late_worth: c.late_worth,
-            need,
-            floor: family.least_share.get(at).copied().unwrap_or(need),
+            priority_weight: c.points,
+            late_weight: c.late_worth,
+            required_share: need,
+            min_share: family.least_share.get(at).copied().unwrap_or(need),
             follow_up: family.follow_up.get(at).copied().unwrap_or(0),
             max_attempts: limits.max_attempts,
         });
     }
-    let extra = rules.look_back.map(|look_back| ExtraBudget {
+    let extra = rules.look_back.map(|look_back| RetryBudget {
         free: rules.extra_floor.unwrap_or(0.0),
         ratio: rules.extra_ratio.unwrap_or(0.0),
-        look_back,
+        window: look_back,
     });
     let cold = match (rules.overload_factor, rules.overload_for) {
-        (Some(factor), Some(span)) => Some(ColdRule {
-            factor,
-            span,
-            start: rules.start_capacity.unwrap_or(0.0),
+        (Some(factor), Some(span)) => Some(SlowStartRule {
+            overload_factor: factor,
+            overload_window: span,
+            initial_capacity: rules.start_capacity.unwrap_or(0.0),
             warm_up: rules.warm_up.unwrap_or(0),
         }),
         _ => None,
     };
     Ok(Settings {
-        aggregators: boot.balancers,
+        coordinators: boot.balancers,
         tick: boot.tick,
         classes,
         tenants: boot.tenants.into_iter().map(|t| Tenant { quota: t.quota_rps }).collect(),
-        over_share_worth: boot.over_share_worth,
+        over_quota_weight: boot.over_share_worth,
         shards: family.slices,
         cells: family.cells,
-        reach: family.in_a_row,
-        bundle: family.bundle_max,
+        cells_per_shard: family.in_a_row,
+        max_batch: family.bundle_max,
         call_cost: family.call_cost,
-        ask_within: (boot.discovery == "ask").then_some(rules.must_ask_in.unwrap_or(Nanos::MAX)),
-        extra,
-        cold,
-        cancel: limits.cancel,
-        second_copies: limits.second_copies,
-        retry_after: limits.retry_after.then_some(limits.max_retry_after),
-        reduced: Reduced::default(),
+        max_poll_interval: (boot.discovery == "ask").then_some(rules.must_ask_in.unwrap_or(Nanos::MAX)),
+        retry_budget: extra,
+        slow_start: cold,
+        cancellation: limits.cancel,
+        hedging: limits.second_copies,
+        max_retry_after: limits.retry_after.then_some(limits.max_retry_after),
+        reduction: ServiceReduction::default(),
     })
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A small co-ordinator for the tests: settings, a fleet and a clock.
+//! A small coordinator for the tests: settings, a fleet and a clock.
 #![allow(dead_code)]
 
 use quinceflow::*;
@@ -10,15 +10,15 @@
 pub fn class(effect: Effect) -> Class {
     Class {
         name: "lookup".to_owned(),
-        listed: true,
-        aim: S,
-        aim_stretch: 0.0,
+        in_force: true,
+        latency_objective: S,
+        objective_stretch: 0.0,
         deadline: 4 * S,
         effect,
-        points: 1.0,
-        late_worth: 0.1,
-        need: 1.0,
-        floor: 1.0,
+        priority_weight: 1.0,
+        late_weight: 0.1,
+        required_share: 1.0,
+        min_share: 1.0,
         follow_up: 0,
         max_attempts: 4,
     }
@@ -27,23 +27,23 @@
 /// One class, one shard a cell, three cells, each shard held by two of them.
 pub fn settings(class: Class) -> Settings {
     Settings {
-        aggregators: 2,
+        coordinators: 2,
         tick: 5 * MS,
         classes: vec![class],
         tenants: Vec::new(),
-        over_share_worth: 1.0,
+        over_quota_weight: 1.0,
         shards: 3,
         cells: 3,
-        reach: 2,
-        bundle: 1,
+        cells_per_shard: 2,
+        max_batch: 1,
         call_cost: 0,
-        ask_within: None,
-        extra: None,
-        cold: None,
-        cancel: true,
-        second_copies: false,
-        retry_after: Some(S),
-        reduced: Reduced::default(),
+        max_poll_interval: None,
+        retry_budget: None,
+        slow_start: None,
+        cancellation: true,
+        hedging: false,
+        max_retry_after: Some(S),
+        reduction: ServiceReduction::default(),
     }
 }
 
@@ -51,8 +51,8 @@
     ReplicaId([10, 0, 0, n, 0, 80])
 }
 
-pub fn member(n: u8, state: MemberState, since: Nanos) -> Member {
-    Member { replica: replica(n), zone: ZoneId(0), cell: CellId(u16::from(n)), state, since }
+pub fn member(n: u8, state: EndpointState, since: Nanos) -> Endpoint {
+    Endpoint { replica: replica(n), zone: ZoneId(0), cell: CellId(u16::from(n)), state, started_at: since }
 }
 
 /// A query whose parts bear its id as their group.
@@ -62,13 +62,13 @@
         group: Group(id as u32),
         class: ClassId(class),
         tenant: TenantId(tenant),
-        hint: None,
+        expected_work: None,
         time_left,
     }
 }
 
 pub struct Bench {
-    pub module: Aggregator,
+    pub module: DecisionPolicy,
     pub now: Nanos,
     next: u64,
 }
@@ -80,22 +80,22 @@
     }
 
     pub fn with_seed(set: Settings, seed: u64) -> Self {
-        let mut bench = Self { module: Aggregator::new(set, seed, START), now: START, next: 1 };
-        let members = (0..3).map(|n| member(n, MemberState::Ready, 0)).collect();
-        bench.tell(vec![Event::List { kind: ListKind::Cached, members }]);
+        let mut bench = Self { module: DecisionPolicy::new(set, seed, START), now: START, next: 1 };
+        let members = (0..3).map(|n| member(n, EndpointState::Ready, 0)).collect();
+        bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: members }]);
         bench
     }
 
     pub fn tell(&mut self, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
         self.module.handle(self.now, &events, &mut actions);
-        actions.retain(|a| !matches!(a, Action::WakeAt(_)));
+        actions.retain(|a| !matches!(a, Action::SetTimer(_)));
         actions
     }
 
     pub fn pass(&mut self, time: Nanos) -> Vec<Action> {
         self.now += time;
-        self.tell(vec![Event::Wake])
+        self.tell(vec![Event::TimerFired])
     }
 
     /// Passes time in steps, as wake-ups would; all actions.
@@ -151,10 +151,10 @@
 
 /// The final answers (and first ones of two steps) among the actions.
 pub fn finals(actions: &[Action]) -> Vec<Action> {
-    let end = |a: &&Action| matches!(a, Action::Answer { .. } | Action::Refuse { .. } | Action::Fail(_));
+    let end = |a: &&Action| matches!(a, Action::Answer { .. } | Action::Reject { .. } | Action::Fail(_));
     actions.iter().filter(end).cloned().collect()
 }
 
 pub fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,7 +3,7 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::core::{AttemptKey, End, Job, Tally};
+use quinceflow::core::{AttemptKey, ClassMetrics, End, Job};
 use quinceflow::proto::calls::{Call, Caller};
 use quinceflow::proto::frames::{Link, LinkEvent};
 use quinceflow::proto::http::{Response, Server};
@@ -78,12 +78,12 @@
     let text: &[u8] = b"c41e77d0";
     Job {
         key: key(n),
-        label: "9b1f".into(),
+        request_id: "9b1f".into(),
         shard: ShardId(n as u32),
-        text: text.into(),
-        errand: None,
-        patience: Micros(240_000),
-        tally: Default::default(),
+        payload: text.into(),
+        context: None,
+        timeout: Micros(240_000),
+        metrics: Default::default(),
     }
 }
 
@@ -115,7 +115,7 @@
         // The parts that the data node has read on the present connection: it answers no others.
         let mut met = BTreeSet::new();
         // Frames written whole, whatever became of their parts: operators are told of these.
-        let (tally, mut whole) = (Arc::new(Tally::default()), 0);
+        let (tally, mut whole) = (Arc::new(ClassMetrics::default()), 0);
         for step in steps.into_iter().chain([Step::Break]) {
             let mut events = Vec::new();
             let mut expected: BTreeMap<usize, Option<Outcome>> = BTreeMap::new();
@@ -123,7 +123,7 @@
             match step {
                 Step::Call => {
                     let n = known.len();
-                    link.call(&[Job { tally: tally.clone(), ..job(n) }]);
+                    link.call(&[Job { metrics: tally.clone(), ..job(n) }]);
                     let size = frame('q', &format!("9b1f.{n} {n} d=240 8\nc41e77d0")).len();
                     known.push(Known::Left(size));
                     queue.push((Some(n), size, size));
@@ -179,13 +179,13 @@
                         prop_assert!(link.read(&mut events).is_ok());
                     }
                     if std::mem::replace(&mut known[n], Known::Over) == Known::Written {
-                        expected.insert(n, [None, Some(Outcome::Error), Some(Outcome::Full)][how]);
+                        expected.insert(n, [None, Some(Outcome::Error), Some(Outcome::Rejected)][how]);
                     }
                 }
                 Step::TakeBack => {
                     link.take_back(&mut events);
                     queue.retain(|q| q.1 < q.2 || q.0.is_none() || {
-                        expected.insert(q.0.unwrap_or_default(), Some(Outcome::Moot));
+                        expected.insert(q.0.unwrap_or_default(), Some(Outcome::NotSent));
                         false
                     });
                     expected.keys().for_each(|n| known[*n] = Known::Over);
@@ -218,7 +218,7 @@
                     assert_eq!(&v[..], b"value");
                     Some((k.part.0 as usize, None))
                 }
-                LinkEvent::Ended(k, End::Not(o)) => Some((k.part.0 as usize, Some(*o))),
+                LinkEvent::Ended(k, End::Failed(o)) => Some((k.part.0 as usize, Some(*o))),
                 _ => None,
             }).collect();
             prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
@@ -350,7 +350,7 @@
         assert_eq!(served, sound && text.contains("served"), "{text:?}");
         events.clear();
         link.broken(&mut events);
-        let reset = [LinkEvent::Ended(key(0), End::Not(Outcome::Reset))];
+        let reset = [LinkEvent::Ended(key(0), End::Failed(Outcome::Reset))];
         assert_eq!(&events[..], if sound { &[][..] } else { &reset[..] }, "it may have run: {text:?}");
     }
 }
@@ -434,7 +434,7 @@
     link.call_off(key(1));
     link.wrote(link.output().len(), &mut events);
     assert!(link.owes(&again(1)), "it may still be answered");
-    assert!(!link.owes(&Job { label: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
+    assert!(!link.owes(&Job { request_id: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
     link.input().feed(&frame('a', "9b1f.1 skipped 1 -\n"));
     assert_eq!(link.read(&mut events).ok(), Some(1));
     assert!(!link.owes(&again(1)), "now it is answered");
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -6,9 +6,13 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::core::{Answer, AttemptKey, Command, Core, End, Input, Node, PartOf, Request, Roster, Token};
+use quinceflow::core::{
+    Answer, AttemptKey, Command, Core, End, EndpointUpdate, Input, Node, PartRequest, Request, Token,
+};
 use quinceflow::time::Micros;
-use quinceflow::{Class, Effect, ListKind, MemberState, Outcome, ReplicaId, Settings, ShardId, TenantId};
+use quinceflow::{
+    Class, Effect, EndpointListKind, EndpointState, Outcome, ReplicaId, Settings, ShardId, TenantId,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -17,39 +21,43 @@
 fn settings() -> Settings {
     let class = |name: &str, effect, floor| Class {
         name: name.to_owned(),
-        aim: 300 * MS,
+        latency_objective: 300 * MS,
         deadline: 900 * MS,
-        floor,
+        min_share: floor,
         max_attempts: 3,
         ..common::class(effect)
     };
-    let mut set = common::settings(class("c0", Effect::Safe, 1.0));
-    set.classes.extend([class("c1", Effect::Unsafe, 1.0), class("c2", Effect::Safe, 0.5)]);
+    let mut set = common::settings(class("c0", Effect::Idempotent, 1.0));
+    set.classes.extend([class("c1", Effect::NonIdempotent, 1.0), class("c2", Effect::Idempotent, 0.5)]);
     set
 }
 
-fn node(n: u16, state: MemberState) -> Node {
+fn node(n: u16, state: EndpointState) -> Node {
     let (name, address) = (format!("s{n}").into(), format!("127.0.0.1:{n}").into());
     Node { name, address, zone: 0, cell: n, shards: None, state, started: None }
 }
 
 fn fleet() -> Input {
-    let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
-    Input::Roster(Roster { kind: ListKind::Cached, version: None, nodes })
+    let nodes = (0..3).map(|n| node(n, EndpointState::Ready)).collect();
+    Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Cached, version: None, nodes })
 }
 
 fn ask(token: u64, class: u16, parts: u32, sent: Micros) -> Input {
-    let part =
-        |shard| PartOf { shard: ShardId(shard), weight: 1.0 / f64::from(parts), hint: None, errand: None };
-    Input::Ask(Request {
+    let part = |shard| PartRequest {
+        shard: ShardId(shard),
+        weight: 1.0 / f64::from(parts),
+        expected_work: None,
+        context: None,
+    };
+    Input::Submit(Request {
         token: Token(token),
-        label: format!("q{token}").into(),
+        request_id: format!("q{token}").into(),
         class: format!("c{class}").into(),
         tenant: TenantId(0),
-        patience: Micros::from_millis(900),
-        sent,
+        timeout: Micros::from_millis(900),
+        sent_at: sent,
         parts: (0..parts).map(part).collect(),
-        text: b"x".as_slice().into(),
+        payload: b"x".as_slice().into(),
         counted: true,
     })
 }
@@ -78,9 +86,9 @@
 
 fn how(n: usize) -> End {
     match n {
-        0 => End::Not(Outcome::Error),
-        1 => End::Not(Outcome::Full),
-        2 => End::Not(Outcome::Reset),
+        0 => End::Failed(Outcome::Error),
+        1 => End::Failed(Outcome::Rejected),
+        2 => End::Failed(Outcome::Reset),
         _ => End::Served(b"v".as_slice().into()),
     }
 }
@@ -101,7 +109,7 @@
     fn see(&mut self, commands: Vec<Command>) {
         for command in commands {
             match command {
-                Command::Server(replica, address, ready) => {
+                Command::UpdateServer(replica, address, ready) => {
                     self.servers.insert(address.to_string(), replica);
                     if ready {
                         self.draining.remove(&replica)
@@ -109,10 +117,10 @@
                         self.draining.insert(replica)
                     };
                 }
-                Command::Launch(replica, jobs) => {
+                Command::Dispatch(replica, jobs) => {
                     assert!(!self.draining.contains(&replica), "nothing new to a server that drains");
                     for job in jobs {
-                        let token: u64 = job.label[1..].parse().expect("its token");
+                        let token: u64 = job.request_id[1..].parse().expect("its token");
                         assert!(!self.answered.contains(&token), "an attempt after the answer");
                         assert!(self.out.keys().all(|k| k.part != job.key.part), "two attempts out at once");
                         let part = (token, job.shard.0);
@@ -124,7 +132,7 @@
                         self.out.insert(job.key, (token, false));
                     }
                 }
-                Command::CallOff(_, key) => {
+                Command::CancelAttempt(_, key) => {
                     let (token, written) = self.out.remove(&key).expect("it was out");
                     if !written {
                         self.risky.retain(|r| r.0 != token);
@@ -132,7 +140,7 @@
                 }
                 Command::Reply(token, answer) => {
                     assert!(self.answered.insert(token.0), "a second answer");
-                    if let Answer::Served { whole, parts } = answer {
+                    if let Answer::Served { complete: whole, parts } = answer {
                         assert!(!parts.is_empty());
                         assert!(
                             whole || self.asked[&token.0] == 2,
@@ -140,7 +148,7 @@
                         );
                     }
                 }
-                Command::CloseIdle(_) | Command::Forget(_) => {}
+                Command::CloseIdle(_) | Command::RemoveServer(_) => {}
             }
         }
     }
@@ -176,24 +184,24 @@
                             // Turned away: it never ran.
                             watcher.risky.retain(|r| r.0 != token);
                         }
-                        inputs.extend([Input::Written(key), Input::Ended(key, how(h))]);
-                        inputs.extend(twice.then(|| Input::Ended(key, how(3))));
+                        inputs.extend([Input::FullyWritten(key), Input::AttemptEnded(key, how(h))]);
+                        inputs.extend(twice.then(|| Input::AttemptEnded(key, how(3))));
                     }
                 }
                 Step::Written(n) => {
                     if let Some(key) = pick(n) {
                         watcher.out.get_mut(&key).expect("picked").1 = true;
-                        inputs.push(Input::Written(key));
+                        inputs.push(Input::FullyWritten(key));
                     }
                 }
                 Step::Leave(n) => {
                     let token = n as u64 % (tokens + 1);
                     left.insert(token);
-                    inputs.push(Input::Left(Token(token)));
+                    inputs.push(Input::ClientLeft(Token(token)));
                 }
                 Step::Drain(n, drain) => {
-                    let state = if drain { MemberState::Draining } else { MemberState::Ready };
-                    inputs.push(Input::Roster(Roster { kind: ListKind::Delta, version: None, nodes: vec![node(n, state)] }));
+                    let state = if drain { EndpointState::Draining } else { EndpointState::Ready };
+                    inputs.push(Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Delta, version: None, nodes: vec![node(n, state)] }));
                 }
             }
             loop {
@@ -218,19 +226,27 @@
 fn what_was_never_written_whole_never_ran() {
     // An attempt that waited for its connection until its time-out told the module that it may have run, so its
     // query failed where refusing it would have done no harm.
-    for sign in [None, Some(Input::Begun as fn(AttemptKey) -> Input), Some(Input::Written)] {
+    for sign in [None, Some(Input::WriteStarted as fn(AttemptKey) -> Input), Some(Input::FullyWritten)] {
         let written = sign.is_some();
         let mut now = Micros::from_secs(100);
         let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
-        let nodes = (0..3).map(|n| node(n, MemberState::Ready)).collect();
+        let nodes = (0..3).map(|n| node(n, EndpointState::Ready)).collect();
         let mut out = Vec::new();
         core.turn(
             now,
-            [Input::Roster(Roster { kind: ListKind::Cached, version: None, nodes }), ask(1, 1, 1, now)],
+            [
+                Input::EndpointUpdate(EndpointUpdate {
+                    kind: EndpointListKind::Cached,
+                    version: None,
+                    nodes,
+                }),
+                ask(1, 1, 1, now),
+            ],
             &mut out,
         );
         let launched =
-            out.iter().find_map(|c| if let Command::Launch(_, jobs) = c { Some(jobs[0].key) } else { None });
+            out.iter()
+                .find_map(|c| if let Command::Dispatch(_, jobs) = c { Some(jobs[0].key) } else { None });
         // What has begun to go out goes on to its last byte, also after its time-out: it may run as well.
         let mut inputs = Vec::from_iter(launched.zip(sign).map(|(key, sign)| sign(key)));
         let mut answer = None;
@@ -241,9 +257,11 @@
                 out.iter().find_map(|c| if let Command::Reply(_, a) = c { Some(a.clone()) } else { None });
         }
         match answer.expect("found") {
-            Answer::Refused { late, .. } => assert!(late && !written),
+            Answer::Rejected { late, .. } => assert!(late && !written),
             Answer::Failed { late } => assert!(late && written),
-            Answer::Served { .. } | Answer::Taken | Answer::NoClass => panic!("nothing came"),
+            Answer::Served { .. } | Answer::DuplicateRequestId | Answer::UnknownClass => {
+                panic!("nothing came")
+            }
         }
     }
 }
@@ -251,26 +269,26 @@
 #[test]
 fn a_repeat_that_has_not_begun_to_leave_when_its_window_ends_is_taken_back() {
     let mut set = settings();
-    set.classes[0].effect = Effect::Keyed(100 * MS);
+    set.classes[0].effect = Effect::Deduplicated(100 * MS);
     for begun in [false, true] {
         let mut now = Micros::from_secs(100);
         let mut core = Core::new(set.clone(), MOST_HELD, 7, now, Arc::default());
         let mut out = Vec::new();
         core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
         let first = out.drain(..).find_map(|c| launched(&c)).expect("sent");
-        let lost = [Input::Written(first), Input::Ended(first, End::Not(Outcome::Reset))];
+        let lost = [Input::FullyWritten(first), Input::AttemptEnded(first, End::Failed(Outcome::Reset))];
         now = now + Micros::from_millis(20);
         core.turn(now, lost, &mut out);
         let again = out.drain(..).find_map(|c| launched(&c)).expect("within its window");
         if begun {
-            core.turn(now, [Input::Begun(again)], &mut out);
+            core.turn(now, [Input::WriteStarted(again)], &mut out);
         }
         let over = now + Micros::from_millis(80);
         while now < over {
             now = now + Micros::from_millis(5);
             core.turn(now, [], &mut out);
         }
-        let back = out.iter().any(|c| matches!(c, Command::CallOff(_, key) if *key == again));
+        let back = out.iter().any(|c| matches!(c, Command::CancelAttempt(_, key) if *key == again));
         assert_eq!(back, !begun, "at the end of its window");
         assert_eq!(core.is_out(again), begun);
     }
@@ -281,16 +299,16 @@
     let now = Micros::from_secs(100);
     let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
     let named = |token, label: &str| match ask(token, 0, 1, now) {
-        Input::Ask(request) => Input::Ask(Request { label: label.into(), ..request }),
+        Input::Submit(request) => Input::Submit(Request { request_id: label.into(), ..request }),
         other => other,
     };
     let taken = |out: &[Command], token| {
-        out.iter().any(|c| matches!(c, Command::Reply(t, Answer::Taken) if *t == Token(token)))
+        out.iter().any(|c| matches!(c, Command::Reply(t, Answer::DuplicateRequestId) if *t == Token(token)))
     };
     let mut out = Vec::new();
     core.turn(now, [fleet(), named(1, "a"), named(2, "a"), named(3, "b")], &mut out);
     assert!(taken(&out, 2) && !taken(&out, 1) && !taken(&out, 3));
-    core.turn(now, [Input::Left(Token(1))], &mut out);
+    core.turn(now, [Input::ClientLeft(Token(1))], &mut out);
     core.turn(now + Micros::from_millis(1), [named(4, "a")], &mut out);
     assert!(!taken(&out, 4), "its client has left, and its attempt was called off");
 }
@@ -304,12 +322,18 @@
     let mut open: BTreeSet<ReplicaId> = BTreeSet::new();
     for n in 0..400 {
         now = now + Micros::from_secs(1);
-        let nodes = vec![node(n, MemberState::Gone), node(n + 1, MemberState::Ready)];
-        core.turn(now, [Input::Roster(Roster { kind: ListKind::Delta, version: None, nodes })], &mut out);
+        let nodes = vec![node(n, EndpointState::Removed), node(n + 1, EndpointState::Ready)];
+        core.turn(
+            now,
+            [Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Delta, version: None, nodes })],
+            &mut out,
+        );
         for command in out.drain(..) {
             match command {
-                Command::Server(replica, _, true) => assert!(seen.insert(replica) && open.insert(replica)),
-                Command::Forget(replica) => {
+                Command::UpdateServer(replica, _, true) => {
+                    assert!(seen.insert(replica) && open.insert(replica))
+                }
+                Command::RemoveServer(replica) => {
                     open.remove(&replica);
                 }
                 _ => {}
@@ -359,7 +383,7 @@
     let mut out = Vec::new();
     core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
     let mut set = settings();
-    set.classes[0] = Class { effect: Effect::Unsafe, max_attempts: 1, ..set.classes[0].clone() };
+    set.classes[0] = Class { effect: Effect::NonIdempotent, max_attempts: 1, ..set.classes[0].clone() };
     set.classes.swap(0, 2);
     core.turn(now, [Input::Settings(Box::new(set), MOST_HELD), ask(2, 0, 1, now)], &mut out);
     let (mut attempts, mut answers) = (BTreeMap::new(), BTreeMap::new());
@@ -367,9 +391,10 @@
         let mut inputs = Vec::new();
         for command in out.drain(..) {
             match command {
-                Command::Launch(_, jobs) => {
-                    *attempts.entry(jobs[0].label.to_string()).or_insert(0) += 1;
-                    inputs.extend([Input::Written(jobs[0].key), Input::Ended(jobs[0].key, how(2))]);
+                Command::Dispatch(_, jobs) => {
+                    *attempts.entry(jobs[0].request_id.to_string()).or_insert(0) += 1;
+                    inputs
+                        .extend([Input::FullyWritten(jobs[0].key), Input::AttemptEnded(jobs[0].key, how(2))]);
                 }
                 Command::Reply(token, answer) => {
                     answers.insert(token, answer);
@@ -381,7 +406,7 @@
         core.turn(now, inputs, &mut out);
     }
     assert_eq!(attempts, BTreeMap::from([("q1".to_owned(), 3), ("q2".to_owned(), 1)]));
-    assert!(matches!(answers[&Token(1)], Answer::Refused { .. }), "safe when it came");
+    assert!(matches!(answers[&Token(1)], Answer::Rejected { .. }), "safe when it came");
     assert!(matches!(answers[&Token(2)], Answer::Failed { .. }), "unsafe by now");
 }
 
@@ -393,11 +418,11 @@
     let mut core = Core::new(Settings { tick: MS, ..settings() }, MOST_HELD, 7, now, Arc::default());
     let mut commands = Vec::new();
     core.turn(now, [fleet(), ask(1, 2, 2, now)], &mut commands);
-    let jobs = |c: &Command| if let Command::Launch(_, jobs) = c { jobs.clone() } else { Vec::new() };
+    let jobs = |c: &Command| if let Command::Dispatch(_, jobs) = c { jobs.clone() } else { Vec::new() };
     let first = commands.iter().flat_map(jobs).next().expect("both are sent").key;
-    let ends = [Input::Written(first), Input::Ended(first, End::Served(b"v".as_slice().into()))];
+    let ends = [Input::FullyWritten(first), Input::AttemptEnded(first, End::Served(b"v".as_slice().into()))];
     core.turn(now, ends, &mut commands);
-    let served = |c: &Command| matches!(c, Command::Reply(_, Answer::Served { whole: false, .. }));
+    let served = |c: &Command| matches!(c, Command::Reply(_, Answer::Served { complete: false, .. }));
     for ms in 1..=291 {
         now = Micros::from_secs(100) + Micros::from_millis(ms);
         core.turn(now, [], &mut commands);
@@ -411,13 +436,14 @@
     let now = Micros::from_secs(100);
     let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
-    let full = |nodes| Input::Roster(Roster { kind: ListKind::Full, version: None, nodes });
+    let full =
+        |nodes| Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes });
     let launches = |out: &[Command], to: u8| {
-        out.iter().filter(|c| matches!(c, Command::Launch(r, _) if r.0[3] == to)).count()
+        out.iter().filter(|c| matches!(c, Command::Dispatch(r, _) if r.0[3] == to)).count()
     };
     core.turn(now, [fleet()], &mut out);
-    let (ready, drains) = (node(0, MemberState::Ready), node(0, MemberState::Draining));
-    let others = [1, 2].map(|n| node(n, MemberState::Ready));
+    let (ready, drains) = (node(0, EndpointState::Ready), node(0, EndpointState::Draining));
+    let others = [1, 2].map(|n| node(n, EndpointState::Ready));
     core.turn(now, [full([ready, drains].into_iter().chain(others).collect())], &mut out);
     (0..4).for_each(|n| core.turn(now, [ask(n, 0, 2, now)], &mut out));
     assert_eq!(launches(&out, 0), 0, "its last line says that it drains");
@@ -429,7 +455,7 @@
         core.turn(later + Micros::from_millis(ms), [], &mut out);
     }
     assert_eq!((0..3).map(|n| launches(&out, n)).sum::<usize>(), 0, "nobody is listed");
-    let finals = out.iter().filter(|c| matches!(c, Command::Reply(Token(9), Answer::Refused { .. })));
+    let finals = out.iter().filter(|c| matches!(c, Command::Reply(Token(9), Answer::Rejected { .. })));
     assert_eq!(finals.count(), 1);
 }
 
@@ -440,31 +466,32 @@
     let now = Micros::from_secs(100);
     let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
-    let list = |version, kind, nodes| Input::Roster(Roster { kind, version: Some(version), nodes });
+    let list =
+        |version, kind, nodes| Input::EndpointUpdate(EndpointUpdate { kind, version: Some(version), nodes });
     let at = |n, state, started: u64| Node { started: Some(Micros::from_secs(started)), ..node(n, state) };
     let ready = |out: &mut Vec<Command>| {
         let told = out.drain(..).filter_map(|c| match c {
-            Command::Server(r, _, ready) => Some((r.0[3], ready)),
+            Command::UpdateServer(r, _, ready) => Some((r.0[3], ready)),
             _ => None,
         });
         told.collect::<Vec<_>>()
     };
-    let all = |first| vec![first, at(1, MemberState::Ready, 50), node(2, MemberState::Ready)];
-    core.turn(now, [list(7, ListKind::Full, all(at(0, MemberState::Ready, 50)))], &mut out);
-    core.turn(now, [list(8, ListKind::Delta, vec![at(0, MemberState::Draining, 50)])], &mut out);
+    let all = |first| vec![first, at(1, EndpointState::Ready, 50), node(2, EndpointState::Ready)];
+    core.turn(now, [list(7, EndpointListKind::Full, all(at(0, EndpointState::Ready, 50)))], &mut out);
+    core.turn(now, [list(8, EndpointListKind::Delta, vec![at(0, EndpointState::Draining, 50)])], &mut out);
     assert_eq!(ready(&mut out), [(0, true), (1, true), (2, true), (0, false)]);
-    core.turn(now, [list(6, ListKind::Full, vec![at(0, MemberState::Ready, 50)])], &mut out);
+    core.turn(now, [list(6, EndpointListKind::Full, vec![at(0, EndpointState::Ready, 50)])], &mut out);
     assert_eq!(ready(&mut out), [], "the drain stands, and so do those that it does not name");
     core.turn(now, [ask(1, 0, 2, now)], &mut out);
-    assert!(!out.iter().any(|c| matches!(c, Command::Launch(r, _) if r.0[3] == 0)), "nothing goes there");
+    assert!(!out.iter().any(|c| matches!(c, Command::Dispatch(r, _) if r.0[3] == 0)), "nothing goes there");
     out.clear();
-    core.turn(now, [list(6, ListKind::Full, all(at(0, MemberState::Ready, 90)))], &mut out);
+    core.turn(now, [list(6, EndpointListKind::Full, all(at(0, EndpointState::Ready, 90)))], &mut out);
     assert_eq!(ready(&mut out), [(0, true)], "it has started anew since");
-    core.turn(now, [list(5, ListKind::Delta, vec![at(0, MemberState::Draining, 50)])], &mut out);
+    core.turn(now, [list(5, EndpointListKind::Delta, vec![at(0, EndpointState::Draining, 50)])], &mut out);
     assert_eq!(ready(&mut out), [], "that was in its life before");
-    core.turn(now, [list(5, ListKind::Delta, vec![at(1, MemberState::Draining, 50)])], &mut out);
+    core.turn(now, [list(5, EndpointListKind::Delta, vec![at(1, EndpointState::Draining, 50)])], &mut out);
     assert_eq!(ready(&mut out), [(1, false)], "a drain is believed however old its list is");
-    core.turn(now, [list(8, ListKind::Full, all(at(0, MemberState::Draining, 90)))], &mut out);
+    core.turn(now, [list(8, EndpointListKind::Full, all(at(0, EndpointState::Draining, 90)))], &mut out);
     assert_eq!(ready(&mut out), [(0, false), (1, true)], "what is as new as the newest goes as it is");
 }
 
@@ -473,14 +500,18 @@
     // Where nodes may not be told to call parts off, parts that waited for a connection went out whenever it came up.
     for (leaves, begun) in [(true, false), (true, true), (false, false), (false, true)] {
         let now = Micros::from_secs(100);
-        let mut core = Core::new(Settings { cancel: false, ..settings() }, MOST_HELD, 7, now, Arc::default());
+        let mut core =
+            Core::new(Settings { cancellation: false, ..settings() }, MOST_HELD, 7, now, Arc::default());
         let mut out = Vec::new();
         core.turn(now, [fleet(), ask(1, 2, 2, now)], &mut out);
         let keys: Vec<_> = out.drain(..).filter_map(|c| launched(&c)).collect();
         assert_eq!(keys.len(), 2);
-        let sign = begun.then_some(Input::Begun(keys[1]));
-        let end =
-            if leaves { Input::Left(Token(1)) } else { Input::Ended(keys[0], End::Served(b"x"[..].into())) };
+        let sign = begun.then_some(Input::WriteStarted(keys[1]));
+        let end = if leaves {
+            Input::ClientLeft(Token(1))
+        } else {
+            Input::AttemptEnded(keys[0], End::Served(b"x"[..].into()))
+        };
         let mut at = now + Micros::from_millis(1);
         core.turn(at, sign.into_iter().chain([end]), &mut out);
         while core.held() > 0 {
@@ -491,7 +522,7 @@
         assert_eq!(replies, usize::from(!leaves), "half of it is enough");
         let back: Vec<_> = out
             .iter()
-            .filter_map(|c| if let Command::CallOff(_, key) = c { Some(*key) } else { None })
+            .filter_map(|c| if let Command::CancelAttempt(_, key) = c { Some(*key) } else { None })
             .collect();
         let first = leaves.then_some(keys[0]);
         assert_eq!(
@@ -510,7 +541,7 @@
     let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
     core.turn(now, [fleet(), ask(1, 1, 1, now)], &mut out);
-    let sign = out.drain(..).find_map(|c| launched(&c)).map(Input::Written);
+    let sign = out.drain(..).find_map(|c| launched(&c)).map(Input::FullyWritten);
     let last = now + Micros::from_millis(30);
     core.turn(now + Micros::from_millis(1), sign, &mut out);
     core.answer_by(last);
@@ -525,7 +556,7 @@
 }
 
 fn launched(command: &Command) -> Option<AttemptKey> {
-    if let Command::Launch(_, jobs) = command {
+    if let Command::Dispatch(_, jobs) = command {
         Some(jobs[0].key)
     } else {
         None
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -18,18 +18,24 @@
 fn site() -> Settings {
     let of = |name: &str, effect| Class {
         name: name.to_owned(),
-        aim: 400 * MS,
+        latency_objective: 400 * MS,
         deadline: 800 * MS,
-        late_worth: 0.0,
+        late_weight: 0.0,
         ..class(effect)
     };
     let classes = vec![
-        of("send", Effect::Unsafe),
-        of("lookup", Effect::Safe),
-        Class { floor: 0.8, ..of("report", Effect::Safe) },
+        of("send", Effect::NonIdempotent),
+        of("lookup", Effect::Idempotent),
+        Class { min_share: 0.8, ..of("report", Effect::Idempotent) },
     ];
     let cells = u32::from(NODES);
-    Settings { aggregators: INSTANCES as u32, classes, shards: cells, cells, ..settings(class(Effect::Safe)) }
+    Settings {
+        coordinators: INSTANCES as u32,
+        classes,
+        shards: cells,
+        cells,
+        ..settings(class(Effect::Idempotent))
+    }
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,7 +57,7 @@
 }
 
 struct Fleet {
-    modules: Vec<Aggregator>,
+    modules: Vec<DecisionPolicy>,
     /// When each is due next, and what for; the first number orders what is due at once.
     due: BinaryHeap<Reverse<(Nanos, u64, usize, Due)>>,
     order: u64,
@@ -72,7 +78,7 @@
 impl Fleet {
     fn new(set: &Settings) -> Self {
         let mut fleet = Fleet {
-            modules: (0..INSTANCES).map(|n| Aggregator::new(set.clone(), n as u64, START)).collect(),
+            modules: (0..INSTANCES).map(|n| DecisionPolicy::new(set.clone(), n as u64, START)).collect(),
             due: BinaryHeap::new(),
             order: 0,
             now: START,
@@ -85,8 +91,8 @@
             silent: (0, 0, 0),
         };
         for n in 0..INSTANCES {
-            let members = (0..NODES).map(|n| member(n, MemberState::Ready, 0)).collect();
-            fleet.tell(n, vec![Event::List { kind: ListKind::Cached, members }]);
+            let members = (0..NODES).map(|n| member(n, EndpointState::Ready, 0)).collect();
+            fleet.tell(n, vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: members }]);
             let first = fleet.rng.u64(..PAUSE);
             fleet.later(first, n, Due::Ask);
         }
@@ -104,18 +110,21 @@
             self.now = at;
             match what {
                 Due::Ask => self.ask(instance),
-                Due::Wake => self.tell(instance, vec![Event::Wake]),
+                Due::Wake => self.tell(instance, vec![Event::TimerFired]),
                 Due::End(part, attempt, outcome, waited) => {
                     self.end(instance, part, attempt, outcome, waited)
                 }
-                Due::Fresh(node) => self.list(instance, member(node, MemberState::Ready, at)),
-                Due::Drains(node) => self.list(instance, member(node, MemberState::Draining, 0)),
+                Due::Fresh(node) => self.list(instance, member(node, EndpointState::Ready, at)),
+                Due::Drains(node) => self.list(instance, member(node, EndpointState::Draining, 0)),
             }
         }
     }
 
-    fn list(&mut self, instance: usize, member: Member) {
-        self.tell(instance, vec![Event::List { kind: ListKind::Delta, members: vec![member] }]);
+    fn list(&mut self, instance: usize, member: Endpoint) {
+        self.tell(
+            instance,
+            vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![member] }],
+        );
     }
 
     fn ask(&mut self, instance: usize) {
@@ -161,8 +170,8 @@
                     }
                 }
                 Action::Answer { query, .. } => self.answered(instance, query, true),
-                Action::Refuse { query, .. } | Action::Fail(query) => self.answered(instance, query, false),
-                Action::WakeAt(at) => self.later(at - self.now, instance, Due::Wake),
+                Action::Reject { query, .. } | Action::Fail(query) => self.answered(instance, query, false),
+                Action::SetTimer(at) => self.later(at - self.now, instance, Due::Wake),
                 Action::CloseIdle(_) | Action::Subscribe => {}
             }
         }
@@ -244,8 +253,9 @@
 
 /// A fleet in which these nodes start at one time, told to all at once.
 fn with_fresh(nodes: &[u8], told: Nanos) -> Fleet {
-    let rule = ColdRule { factor: 3.0, span: S, start: 0.2, warm_up: 20 * S };
-    let mut fleet = Fleet::new(&Settings { cold: Some(rule), ..site() });
+    let rule =
+        SlowStartRule { overload_factor: 3.0, overload_window: S, initial_capacity: 0.2, warm_up: 20 * S };
+    let mut fleet = Fleet::new(&Settings { slow_start: Some(rule), ..site() });
     for n in 0..INSTANCES {
         nodes.iter().for_each(|node| fleet.later(told - START, n, Due::Fresh(*node)));
     }
