--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -6,20 +6,20 @@
 
 #[test]
 fn every_query_gets_one_final_answer_in_time() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let (query, parts, mut all) = bench.ask(&[0, 1]);
     all.extend(bench.wait(3 * S));
     assert_eq!(finals(&all).len(), 1);
-    assert!(matches!(finals(&all)[0], Action::Refuse { query: q, .. } if q == query));
+    assert!(matches!(finals(&all)[0], Action::Reject { query: q, .. } if q == query));
     let late = bench.end(parts[0], 0, Outcome::Ok, 3 * S);
     assert!(sends(&late).is_empty() && finals(&late).is_empty(), "{late:?}");
 }
 
 #[test]
 fn nothing_is_sent_once_the_client_has_left() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let (query, parts, _) = bench.ask(&[0]);
-    bench.tell(vec![Event::Gone(query)]);
+    bench.tell(vec![Event::Abandoned(query)]);
     let after = bench.end(parts[0], 0, Outcome::ConnectFailed, 50 * MS);
     assert!(sends(&after).is_empty() && finals(&after).is_empty());
 }
@@ -27,7 +27,7 @@
 #[test]
 fn an_unsafe_part_that_may_have_run_is_neither_sent_again_nor_refused() {
     for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
-        let mut bench = Bench::new(settings(class(Effect::Unsafe)));
+        let mut bench = Bench::new(settings(class(Effect::NonIdempotent)));
         let (query, parts, _) = bench.ask(&[0]);
         bench.now += 100 * MS;
         let mut after = bench.end(parts[0], 0, outcome, 100 * MS);
@@ -39,8 +39,8 @@
 
 #[test]
 fn an_unsafe_part_that_never_ran_is_sent_again() {
-    for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot] {
-        let mut bench = Bench::new(settings(class(Effect::Unsafe)));
+    for outcome in [Outcome::Rejected, Outcome::ConnectFailed, Outcome::NotSent] {
+        let mut bench = Bench::new(settings(class(Effect::NonIdempotent)));
         let (_, parts, _) = bench.ask(&[0]);
         bench.now += 50 * MS;
         let again = sends(&bench.end(parts[0], 0, outcome, 50 * MS));
@@ -50,8 +50,8 @@
 
 #[test]
 fn a_keyed_part_is_sent_again_only_within_its_window() {
-    let mut keyed = class(Effect::Keyed(200 * MS));
-    keyed.aim = 2 * S;
+    let mut keyed = class(Effect::Deduplicated(200 * MS));
+    keyed.latency_objective = 2 * S;
     let mut bench = Bench::new(settings(keyed));
     let (_, parts, _) = bench.ask(&[0]);
     bench.now += 300 * MS;
@@ -62,9 +62,12 @@
 
 #[test]
 fn a_draining_or_gone_replica_gets_nothing_new() {
-    for state in [MemberState::Draining, MemberState::Gone] {
-        let mut bench = Bench::new(settings(class(Effect::Safe)));
-        bench.tell(vec![Event::List { kind: ListKind::Delta, members: vec![member(0, state, 0)] }]);
+    for state in [EndpointState::Draining, EndpointState::Removed] {
+        let mut bench = Bench::new(settings(class(Effect::Idempotent)));
+        bench.tell(vec![Event::Endpoints {
+            kind: EndpointListKind::Delta,
+            endpoints: vec![member(0, state, 0)],
+        }]);
         for _ in 0..6 {
             let (_, _, actions) = bench.ask(&[0, 2]);
             assert!(sends(&actions).iter().all(|s| s.1 != replica(0)));
@@ -74,25 +77,30 @@
 
 #[test]
 fn a_replica_absent_from_a_full_list_has_left() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
-    let members = vec![member(1, MemberState::Ready, 0), member(2, MemberState::Ready, 0)];
-    bench.tell(vec![Event::List { kind: ListKind::Full, members }]);
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
+    let members = vec![member(1, EndpointState::Ready, 0), member(2, EndpointState::Ready, 0)];
+    bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Full, endpoints: members }]);
     let (_, _, actions) = bench.ask(&[0]);
     assert_eq!(sends(&actions)[0].1, replica(1));
 }
 
 #[test]
 fn a_cold_replica_gets_no_more_than_this_instances_share() {
-    let mut set = settings(class(Effect::Safe));
-    set.cold = Some(ColdRule { factor: 2.0, span: S, start: 0.2, warm_up: 20 * S });
+    let mut set = settings(class(Effect::Idempotent));
+    set.slow_start = Some(SlowStartRule {
+        overload_factor: 2.0,
+        overload_window: S,
+        initial_capacity: 0.2,
+        warm_up: 20 * S,
+    });
     let mut bench = Bench::new(set);
     // Parts take 100 ms on the warm ones.
     for _ in 0..20 {
         let (_, parts, _) = bench.ask(&[1]);
         bench.serve(parts[0]);
     }
-    let fresh = member(0, MemberState::Ready, bench.now);
-    bench.tell(vec![Event::List { kind: ListKind::Delta, members: vec![fresh] }]);
+    let fresh = member(0, EndpointState::Ready, bench.now);
+    bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![fresh] }]);
     let mut to_cold = 0;
     for _ in 0..50 {
         let (_, parts, actions) = bench.ask(&[0]);
@@ -116,13 +124,14 @@
 fn many_instances_together_spare_a_cold_replica_and_still_use_it() {
     // Found on the grown deployments: an even share of the allowance held no whole part, so nobody sent any.
     let count = 60;
-    let rule = ColdRule { factor: 3.0, span: S, start: 0.2, warm_up: 20 * S };
-    let set = Settings { aggregators: count, cold: Some(rule), ..settings(class(Effect::Safe)) };
+    let rule =
+        SlowStartRule { overload_factor: 3.0, overload_window: S, initial_capacity: 0.2, warm_up: 20 * S };
+    let set = Settings { coordinators: count, slow_start: Some(rule), ..settings(class(Effect::Idempotent)) };
     let mut benches: Vec<Bench> = (0..count).map(|n| Bench::with_seed(set.clone(), u64::from(n))).collect();
-    let fresh = member(0, MemberState::Ready, START);
+    let fresh = member(0, EndpointState::Ready, START);
     let mut sent: Vec<Nanos> = Vec::new();
     for bench in &mut benches {
-        bench.tell(vec![Event::List { kind: ListKind::Delta, members: vec![fresh] }]);
+        bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![fresh] }]);
     }
     for round in 0..60 {
         for (n, bench) in benches.iter_mut().enumerate() {
@@ -143,8 +152,8 @@
 
 #[test]
 fn no_answer_from_under_the_floor_and_none_marked_whole_that_is_not() {
-    let mut partial = class(Effect::Safe);
-    partial.floor = 0.6;
+    let mut partial = class(Effect::Idempotent);
+    partial.min_share = 0.6;
     let mut bench = Bench::new(settings(partial));
     let (_, parts, _) = bench.ask(&[0, 1, 2]);
     bench.serve(parts[0]);
@@ -153,13 +162,13 @@
     assert!(!early.iter().any(|a| matches!(a, Action::Answer { .. })), "a third is under the floor");
     bench.end(parts[1], 0, Outcome::Ok, S);
     let answer = finals(&bench.wait(3 * S));
-    assert!(answer.iter().all(|a| !matches!(a, Action::Answer { whole: true, .. })), "{answer:?}");
+    assert!(answer.iter().all(|a| !matches!(a, Action::Answer { complete: true, .. })), "{answer:?}");
 }
 
 #[test]
 fn further_attempts_stay_within_the_budget() {
-    let mut set = settings(class(Effect::Safe));
-    set.extra = Some(ExtraBudget { free: 2.0, ratio: 0.0, look_back: 10 * S });
+    let mut set = settings(class(Effect::Idempotent));
+    set.retry_budget = Some(RetryBudget { free: 2.0, ratio: 0.0, window: 10 * S });
     let mut bench = Bench::new(set);
     let mut again = 0;
     for shard in [0, 1, 2, 0, 1, 2] {
@@ -172,7 +181,7 @@
 
 #[test]
 fn attempts_are_capped_and_one_at_a_time_where_copies_are_not_allowed() {
-    let mut set = settings(class(Effect::Safe));
+    let mut set = settings(class(Effect::Idempotent));
     set.classes[0].max_attempts = 2;
     let mut bench = Bench::new(set);
     let (query, parts, actions) = bench.ask(&[0]);
@@ -181,16 +190,16 @@
     assert_eq!(sends(&bench.end(parts[0], 0, Outcome::Cancelled, 800 * MS)).len(), 1);
     let last = bench.end(parts[0], 1, Outcome::ConnectFailed, 10 * MS);
     assert!(sends(&last).is_empty());
-    assert!(matches!(finals(&last)[..], [Action::Refuse { query: q, .. }] if q == query), "{last:?}");
+    assert!(matches!(finals(&last)[..], [Action::Reject { query: q, .. }] if q == query), "{last:?}");
 }
 
 #[test]
 fn impossible_input_is_ignored_or_failed() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let odd =
         |shard, weight| Event::Part { part: PartId(900), group: Group(77), shard: ShardId(shard), weight };
     let events = vec![
-        Event::Gone(QueryId(500)),
+        Event::Abandoned(QueryId(500)),
         odd(0, 0.5),
         Event::Outcome { part: PartId(501), attempt: AttemptNo(9), outcome: Outcome::TimedOut, waited: S },
     ];
@@ -199,8 +208,8 @@
     assert_eq!(actions, vec![Action::Fail(query)]);
     let (query, _, mut actions) = bench.ask(&[4_000_000]);
     actions.extend(bench.wait(3 * S));
-    assert!(matches!(finals(&actions)[..], [Action::Refuse { query: q, .. }] if q == query), "{actions:?}");
-    bench.tell(vec![Event::List { kind: ListKind::Full, members: Vec::new() }]);
+    assert!(matches!(finals(&actions)[..], [Action::Reject { query: q, .. }] if q == query), "{actions:?}");
+    bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Full, endpoints: Vec::new() }]);
     let (_, _, mut actions) = bench.ask(&[0]);
     actions.extend(bench.wait(3 * S));
     assert!(sends(&actions).is_empty());
--- a/tests/levels.rs
+++ b/tests/levels.rs
@@ -8,13 +8,14 @@
 /// Tells the module the level, as its settings.
 fn enter(bench: &mut Bench, set: &Settings, effects: &Effects) {
     let heirs = (0..set.classes.len()).map(|c| ClassId(c as u16)).collect();
-    bench.tell(vec![Event::Settings { set: Box::new(effects.on(set)), heirs }]);
+    bench.tell(vec![Event::Settings { settings: Box::new(effects.on(set)), class_mapping: heirs }]);
 }
 
 /// An alert of high worth, and a survey of low worth.
 fn two_classes() -> Settings {
-    let mut set = settings(Class { name: "alert".to_owned(), points: 3.0, ..class(Effect::Safe) });
-    set.classes.push(Class { name: "survey".to_owned(), ..class(Effect::Safe) });
+    let mut set =
+        settings(Class { name: "alert".to_owned(), priority_weight: 3.0, ..class(Effect::Idempotent) });
+    set.classes.push(Class { name: "survey".to_owned(), ..class(Effect::Idempotent) });
     set
 }
 
@@ -25,7 +26,7 @@
         let (_, parts, actions) = bench.ask_as(class, 0, &[0]);
         if sends(&actions).is_empty() {
             assert!(
-                matches!(finals(&actions)[..], [Action::Refuse { come_back: Some(_), .. }]),
+                matches!(finals(&actions)[..], [Action::Reject { retry_after: Some(_), .. }]),
                 "{actions:?}"
             );
         } else {
@@ -64,7 +65,7 @@
     // Three is what there is time for here.
     for (of_settings, of_level, allowed) in [(4, None, 3), (4, Some(2), 2), (2, Some(9), 2), (4, Some(0), 1)]
     {
-        let set = settings(Class { max_attempts: of_settings, ..class(Effect::Safe) });
+        let set = settings(Class { max_attempts: of_settings, ..class(Effect::Idempotent) });
         let mut bench = Bench::new(set.clone());
         enter(&mut bench, &set, &Effects { most_attempts: of_level, ..Effects::default() });
         let (_, parts, actions) = bench.ask(&[0]);
@@ -79,7 +80,7 @@
 
 #[test]
 fn a_level_answers_early_from_what_is_in_but_never_under_the_floor() {
-    let set = settings(Class { floor: 0.6, ..class(Effect::Safe) });
+    let set = settings(Class { min_share: 0.6, ..class(Effect::Idempotent) });
     for (come, early) in [(2, true), (1, false)] {
         let mut bench = Bench::new(set.clone());
         enter(&mut bench, &set, &Effects { answer_after: Some(0.5), ..Effects::default() });
@@ -87,7 +88,7 @@
         for part in &parts[..come] {
             bench.serve(*part);
         }
-        let answer = Action::Answer { query, whole: false };
+        let answer = Action::Answer { query, complete: false };
         let before = finals(&bench.wait(500 * MS - come as u64 * 100 * MS - 25 * MS));
         assert_eq!(before, [], "not before half of the aim");
         let then = finals(&bench.wait(100 * MS));
@@ -103,7 +104,7 @@
 #[test]
 fn a_level_calls_late_parts_of_samples_off() {
     for quiet in [false, true] {
-        let set = settings(Class { floor: 0.3, ..class(Effect::Safe) });
+        let set = settings(Class { min_share: 0.3, ..class(Effect::Idempotent) });
         let mut bench = Bench::new(set.clone());
         enter(&mut bench, &set, &Effects { quiet, ..Effects::default() });
         let (_, parts, _) = bench.ask(&[0, 1]);
@@ -118,13 +119,13 @@
 
 #[test]
 fn refused_clients_are_told_longer_waits_that_stay_spread_and_within_what_they_follow() {
-    let set = settings(class(Effect::Safe));
+    let set = settings(class(Effect::Idempotent));
     for (come_back, least) in [(1.0, S / 2), (2.0, 3 * S / 4), (4.0, 7 * S / 8), (0.0, S / 2)] {
         let mut bench = Bench::new(set.clone());
         let admit = [("lookup".to_owned(), 0.0)].into();
         enter(&mut bench, &set, &Effects { admit, come_back, ..Effects::default() });
         let told = |_| match finals(&bench.ask(&[0]).2)[..] {
-            [Action::Refuse { come_back: Some(wait), .. }] => wait,
+            [Action::Reject { retry_after: Some(wait), .. }] => wait,
             ref other => panic!("{other:?}"),
         };
         let waits: Vec<Nanos> = (0..200).map(told).collect();
--- a/tests/ogc_run.rs
+++ b/tests/ogc_run.rs
@@ -42,7 +42,7 @@
 }
 
 #[derive(Default)]
-struct Tally {
+struct ClassMetrics {
     answers: BTreeMap<(String, String), usize>,
     slowest_ms: u128,
 }
@@ -70,7 +70,7 @@
 "#;
     let edge = Edge::start("run", settings, &rows(None));
     let (over, burst) = (AtomicBool::new(false), AtomicBool::new(false));
-    let tally = Mutex::new(Tally::default());
+    let tally = Mutex::new(ClassMetrics::default());
     let drains = Mutex::new(Vec::new());
     let began = Instant::now();
     std::thread::scope(|scope| {
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -5,29 +5,29 @@
 use quinceflow::*;
 
 fn partial(follow_up: u32) -> Class {
-    Class { floor: 0.5, follow_up, ..class(Effect::Safe) }
+    Class { min_share: 0.5, follow_up, ..class(Effect::Idempotent) }
 }
 
 /// Two classes: 0 of high worth, 1 of low.
 fn two_worths() -> Settings {
-    let mut set = settings(Class { points: 3.0, ..class(Effect::Safe) });
-    set.classes.push(class(Effect::Safe));
+    let mut set = settings(Class { priority_weight: 3.0, ..class(Effect::Idempotent) });
+    set.classes.push(class(Effect::Idempotent));
     set
 }
 
 #[test]
 fn a_complete_query_is_answered_at_once_and_whole() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let (query, parts, _) = bench.ask(&[0, 1]);
     assert!(finals(&bench.serve(parts[0])).is_empty());
-    assert_eq!(finals(&bench.serve(parts[1])), vec![Action::Answer { query, whole: true }]);
+    assert_eq!(finals(&bench.serve(parts[1])), vec![Action::Answer { query, complete: true }]);
 }
 
 #[test]
 fn a_query_is_taken_for_what_it_asks_whatever_time_others_had_left() {
     // A client's last try may have more time than first ones had: once one had come, every first try was taken for a
     // later one past its aim, worth nothing, and refused. So were the first tries of impatient clients.
-    let mut bench = Bench::new(settings(Class { late_worth: 0.0, ..class(Effect::Safe) }));
+    let mut bench = Bench::new(settings(Class { late_weight: 0.0, ..class(Effect::Idempotent) }));
     for (n, left) in
         [2_500, 3_600, 2_500, 2_500, 2_500, 2_500, 2_500, 900, 2_500, 700].into_iter().enumerate()
     {
@@ -48,7 +48,7 @@
     let mut all = bench.serve(parts[0]);
     all.extend(bench.wait(850 * MS));
     assert!(finals(&all).is_empty(), "not before: the second part may still come");
-    assert_eq!(finals(&bench.wait(45 * MS)), vec![Action::Answer { query, whole: false }]);
+    assert_eq!(finals(&bench.wait(45 * MS)), vec![Action::Answer { query, complete: false }]);
 }
 
 #[test]
@@ -56,7 +56,7 @@
     let mut bench = Bench::new(settings(partial(0)));
     let (query, parts, _) = bench.ask(&[0, 1]);
     assert!(finals(&bench.wait(S)).is_empty());
-    assert_eq!(finals(&bench.serve(parts[0])), vec![Action::Answer { query, whole: false }]);
+    assert_eq!(finals(&bench.serve(parts[0])), vec![Action::Answer { query, complete: false }]);
 }
 
 #[test]
@@ -66,28 +66,28 @@
     let first = bench.serve(parts[0]);
     assert!(finals(&first).is_empty());
     let before = bench.wait(S);
-    assert_eq!(finals(&before), vec![Action::Answer { query, whole: false }]);
+    assert_eq!(finals(&before), vec![Action::Answer { query, complete: false }]);
     let group = Group(query.0 as u32);
     let second = Event::Part { part: PartId(800), group, shard: ShardId(0), weight: 1.0 };
     assert_eq!(sends(&bench.tell(vec![second])).len(), 1);
     bench.now += 20 * MS;
     let last = bench.end(PartId(800), 0, Outcome::Ok, 20 * MS);
-    assert_eq!(finals(&last), vec![Action::Answer { query, whole: false }]);
+    assert_eq!(finals(&last), vec![Action::Answer { query, complete: false }]);
 }
 
 #[test]
 fn a_class_without_late_worth_is_given_up_at_its_aim_with_advice() {
-    let mut bench = Bench::new(settings(Class { late_worth: 0.0, ..class(Effect::Safe) }));
+    let mut bench = Bench::new(settings(Class { late_weight: 0.0, ..class(Effect::Idempotent) }));
     let (query, _, mut all) = bench.ask(&[0]);
     all.extend(bench.wait(S));
-    let [Action::Refuse { query: q, come_back: Some(wait) }] = finals(&all)[..] else { panic!("{all:?}") };
+    let [Action::Reject { query: q, retry_after: Some(wait) }] = finals(&all)[..] else { panic!("{all:?}") };
     assert_eq!(q, query);
     assert!((S / 2..=S).contains(&wait));
 }
 
 #[test]
 fn replicas_take_turns_and_one_with_an_overdue_part_is_skipped() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let mut seen = Vec::new();
     for _ in 0..4 {
         let (_, parts, actions) = bench.ask(&[0]);
@@ -110,7 +110,7 @@
 
 #[test]
 fn if_all_replicas_are_late_the_next_one_goes() {
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     bench.ask(&[0]);
     bench.ask(&[0]);
     bench.wait(1200 * MS);
@@ -162,7 +162,7 @@
 #[test]
 fn a_first_try_a_few_ticks_short_is_not_taken_for_a_later_one() {
     // Found on the first incidents: the way here varies a first try's time left.
-    let mut set = settings(class(Effect::Safe));
+    let mut set = settings(class(Effect::Idempotent));
     set.classes[0].deadline = 5 * S;
     let mut bench = Bench::new(set);
     for (n, short) in [0, 3 * MS, 8 * MS].into_iter().enumerate() {
@@ -188,16 +188,19 @@
 
 #[test]
 fn a_failed_call_for_the_list_is_made_again_before_it_counts_as_told() {
-    let mut set = settings(class(Effect::Safe));
-    set.ask_within = Some(10 * S);
-    let mut module = Aggregator::new(set, 3, START);
+    let mut set = settings(class(Effect::Idempotent));
+    set.max_poll_interval = Some(10 * S);
+    let mut module = DecisionPolicy::new(set, 3, START);
     let mut now = START;
     let mut asked = Vec::new();
     for n in 0..4000 {
         let mut actions = Vec::new();
-        let failed = Event::List { kind: ListKind::Failed, members: Vec::new() };
-        let events =
-            if n > 0 && asked.last() == Some(&(now - 5 * MS)) { vec![failed] } else { vec![Event::Wake] };
+        let failed = Event::Endpoints { kind: EndpointListKind::Failed, endpoints: Vec::new() };
+        let events = if n > 0 && asked.last() == Some(&(now - 5 * MS)) {
+            vec![failed]
+        } else {
+            vec![Event::TimerFired]
+        };
         module.handle(now, &events, &mut actions);
         if actions.contains(&Action::Subscribe) {
             asked.push(now);
@@ -242,7 +245,7 @@
         }
         bench.tell(events)
     };
-    let mut bench = Bench::new(settings(Class { floor: 0.5, ..class(Effect::Safe) }));
+    let mut bench = Bench::new(settings(Class { min_share: 0.5, ..class(Effect::Idempotent) }));
     assert_eq!(sends(&ask(&mut bench, 100)).len(), 6, "all are asked while there is room");
     bench.wait(700 * MS);
     let asked = sends(&ask(&mut bench, 200));
@@ -292,7 +295,7 @@
     let mut sent = 0;
     for seed in 0..20 {
         let mut set = two_worths();
-        set.classes[1].effect = Effect::Unsafe;
+        set.classes[1].effect = Effect::NonIdempotent;
         let mut bench = Bench::with_seed(set, seed);
         for _ in 0..6 {
             let (_, parts, _) = bench.ask(&[0]);
@@ -312,7 +315,7 @@
     let closes = |a: &[Action]| a.iter().any(|a| matches!(a, Action::CloseIdle(_)));
     let mut closed = [0, 0];
     for (idle, closed) in [true, false].into_iter().zip(&mut closed) {
-        let mut bench = Bench::new(settings(class(Effect::Safe)));
+        let mut bench = Bench::new(settings(class(Effect::Idempotent)));
         for n in 0..200 {
             let (_, parts, actions) = bench.ask(&[0]);
             *closed += u32::from(closes(&actions));
@@ -332,11 +335,11 @@
 #[test]
 fn a_full_replica_is_passed_over_for_a_while() {
     // Found on i7896a1 and i7ec26b: turned away in no time, a full replica looked fast and drew a third of the sends.
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     for _ in 0..20 {
         let (_, parts, actions) = bench.ask(&[0]);
         let full = sends(&actions)[0].1 == replica(0);
-        let again = bench.end(parts[0], 0, if full { Outcome::Full } else { Outcome::Ok }, 2 * MS);
+        let again = bench.end(parts[0], 0, if full { Outcome::Rejected } else { Outcome::Ok }, 2 * MS);
         if full {
             assert_eq!(sends(&again)[0].1, replica(1));
             bench.end(parts[0], 1, Outcome::Ok, 100 * MS);
@@ -352,7 +355,7 @@
 #[test]
 fn a_slow_replica_is_remembered_as_long_as_it_takes_to_meet_it_again() {
     // Found on wms-kalendarz-later: with ten seconds between two looks a slow replica was forgotten each time.
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let mut met = 0;
     for n in 0..180 {
         let (_, parts, actions) = bench.ask(&[n % 3]);
@@ -369,11 +372,11 @@
 #[test]
 fn a_part_turned_away_everywhere_waits_before_it_goes_again() {
     // Found on i45c43f: with one holder left each part was thrown three times at the same full waiting room.
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let (_, parts, _) = bench.ask(&[0]);
-    let again = bench.end(parts[0], 0, Outcome::Full, MS);
+    let again = bench.end(parts[0], 0, Outcome::Rejected, MS);
     assert_eq!(sends(&again).len(), 1, "the other holder is asked: {again:?}");
-    let third = bench.end(parts[0], 1, Outcome::Full, MS);
+    let third = bench.end(parts[0], 1, Outcome::Rejected, MS);
     assert!(sends(&third).is_empty(), "{third:?}");
     assert_eq!(sends(&bench.wait(1100 * MS)).len(), 1, "and again once it is late anyhow");
 }
@@ -381,8 +384,13 @@
 #[test]
 fn resets_between_answers_are_not_silence() {
     // Found on i281b39: broken connections all over a sound fleet shut it out and made it look cold.
-    let mut set = settings(class(Effect::Safe));
-    set.cold = Some(ColdRule { factor: 2.0, span: S, start: 0.1, warm_up: 20 * S });
+    let mut set = settings(class(Effect::Idempotent));
+    set.slow_start = Some(SlowStartRule {
+        overload_factor: 2.0,
+        overload_window: S,
+        initial_capacity: 0.1,
+        warm_up: 20 * S,
+    });
     let mut bench = Bench::new(set);
     for n in 0..30 {
         let (_, parts, actions) = bench.ask(&[0]);
@@ -403,7 +411,11 @@
 fn a_class_is_not_refused_for_a_guess_at_its_work() {
     // A class with a long aim and clients of little patience was refused for ever: the guess at its work came from
     // its aim, was longer than its clients' time, and with all refused nothing was ever seen that could mend it.
-    let mut bench = Bench::new(settings(Class { aim: 20 * S, deadline: 30 * S, ..class(Effect::Safe) }));
+    let mut bench = Bench::new(settings(Class {
+        latency_objective: 20 * S,
+        deadline: 30 * S,
+        ..class(Effect::Idempotent)
+    }));
     let part = Event::Part { part: PartId(2), group: Group(1), shard: ShardId(0), weight: 1.0 };
     let actions = bench.tell(vec![query_event(1, 0, 0, 1_500 * MS), part]);
     assert_eq!((sends(&actions).len(), refused(&actions)), (1, false));
@@ -426,8 +438,8 @@
 #[test]
 fn a_replica_that_fails_fast_gets_nothing_that_must_not_run_twice() {
     // It looked idle: an error was no sign where answers came lately, and half of the parts went there to be lost.
-    let mut set = settings(class(Effect::Safe));
-    set.classes.push(class(Effect::Unsafe));
+    let mut set = settings(class(Effect::Idempotent));
+    set.classes.push(class(Effect::NonIdempotent));
     let mut bench = Bench::new(set);
     let mut errors = |class: u16, rounds: usize, failing: bool| {
         let (mut seen, mut met) = (0, 0);
@@ -456,11 +468,11 @@
 #[test]
 fn replicas_that_are_replaced_for_ever_are_forgotten() {
     // Every replica that ever was stayed in the tables, and each list was worked out over all of them.
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     for n in 3..200 {
-        let gone = member(n, MemberState::Gone, 0);
-        let ready = member(n + 1, MemberState::Ready, 0);
-        bench.tell(vec![Event::List { kind: ListKind::Delta, members: vec![gone, ready] }]);
+        let gone = member(n, EndpointState::Removed, 0);
+        let ready = member(n + 1, EndpointState::Ready, 0);
+        bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![gone, ready] }]);
         bench.wait(S);
     }
     let kept = format!("{:?}", bench.module).matches("Replica {").count();
@@ -471,7 +483,7 @@
 #[test]
 fn a_few_slow_replicas_do_not_put_off_when_a_part_is_overdue() {
     // Their answers raised the typical response time, and with it the wait before the other replica was tried.
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     for (answers, took) in [(200, 20), (8, 800)] {
         for _ in 0..answers {
             let (_, parts, _) = bench.ask(&[0]);
@@ -488,25 +500,25 @@
 #[test]
 fn a_query_is_answered_whole_when_all_its_parts_are_in_however_their_weights_were_rounded() {
     // 35 parts of 0.02857 each come to 0.99995: nothing is missing, and nothing better will ever come.
-    let mut bench = Bench::new(settings(class(Effect::Safe)));
+    let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let parts: Vec<PartId> = (2..37).map(PartId).collect();
     let part = |p: &PartId| Event::Part { part: *p, group: Group(1), shard: ShardId(0), weight: 0.028_57 };
     bench.tell(std::iter::once(query_event(1, 0, 0, 3 * S)).chain(parts.iter().map(part)).collect());
     let answers: Vec<Action> = parts.iter().flat_map(|p| bench.end(*p, 0, Outcome::Ok, 10 * MS)).collect();
-    assert_eq!(finals(&answers), vec![Action::Answer { query: QueryId(1), whole: true }]);
+    assert_eq!(finals(&answers), vec![Action::Answer { query: QueryId(1), complete: true }]);
 }
 
 #[test]
 fn parts_that_would_be_late_are_not_asked_where_they_can_be_spared() {
     // On the full fleet a fifth of the nodes took ten times as long as the others: the parts of wide queries there came too
     // late, and took the room of queries that need theirs.
-    let mut set = settings(Class { floor: 0.6, ..class(Effect::Safe) });
+    let mut set = settings(Class { min_share: 0.6, ..class(Effect::Idempotent) });
     set.cells = 10;
     set.shards = 10;
-    set.reach = 1;
+    set.cells_per_shard = 1;
     let mut bench = Bench::new(set);
-    let members = (0..10).map(|n| member(n, MemberState::Ready, 0)).collect();
-    bench.tell(vec![Event::List { kind: ListKind::Full, members }]);
+    let members = (0..10).map(|n| member(n, EndpointState::Ready, 0)).collect();
+    bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Full, endpoints: members }]);
     let all: Vec<u32> = (0..10).collect();
     for _ in 0..4 {
         let (_, parts, _) = bench.ask(&all);
