--- a/src/rules/cold.rs
+++ b/src/rules/cold.rs
@@ -25,16 +25,16 @@
             return true;
         }
         let all = |at| rule.overload_factor * self.warmth(r, at) * COLD_CORES * rule.overload_window as f64;
-        let (from, others) =
-            (self.now.saturating_sub(rule.overload_window), f64::from(self.set.coordinators.max(1)));
+        let (window, others) = (rule.overload_window, f64::from(self.set.coordinators.max(1)));
         let share = all(self.now) / others;
         if share >= cost {
-            return share - r.cold_sent.iter().filter(|s| s.0 >= from).map(|s| s.1).sum::<f64>() >= cost;
+            return share - r.cold_sent.iter().filter(|s| s.0 + window >= self.now).map(|s| s.1).sum::<f64>()
+                >= cost;
         }
-        let last = r.cold_sent.back().map_or(started, |s| s.0).max(started);
+        let last = r.cold_sent.back().map_or(started, |s| s.0.max(started));
         let fits = all(last.midpoint(self.now)) / cost;
         let safe = (((CHANCE * CHANCE / 4.0 + fits).sqrt() - CHANCE / 2.0).powi(2)).min(fits);
-        (self.now - last) as f64 / rule.overload_window as f64 * safe / others >= r.cold_draw
+        (self.now - last) as f64 / window as f64 * safe / others >= r.cold_draw
     }
 
     /// Work of a part with its call, as far as seen.
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -1,7 +1,7 @@
-//! Every decision of the aggregator. Its types, events and actions: `src/interface.rs`.
+//! Every decision of the coordinator. Its types, events and actions: `src/interface.rs`.
 //!
-//! A batch is taken in first (`take`), then each open query is looked at in order of arrival (`step`): admit,
-//! send, try further, answer or give up. Each rule has one guard, where its action leaves: `send`, `finish`.
+//! Each batch of events is applied, then every open query is advanced in order of arrival: admit, send, retry,
+//! answer or give up. Each rule is checked where its action leaves: `send`, `finish`.
 
 mod admission;
 mod cold;
@@ -129,17 +129,17 @@
 
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Endpoints { kind, endpoints: members } => self.take_list(*kind, members),
+            Event::Endpoints { kind, endpoints } => self.take_list(*kind, endpoints),
             Event::Placement { replica, shards } => {
                 self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
-            Event::Query { query, group, class, tenant, expected_work: hint, time_left } => {
+            Event::Query { query, group, class, tenant, expected_work, time_left } => {
                 let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
                     return actions.push(Action::Fail(*query));
                 };
-                let aim = (c.latency_objective + (c.objective_stretch * hint.unwrap_or(0) as f64) as Nanos)
-                    .min(c.deadline);
+                let stretch = (c.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
+                let aim = (c.latency_objective + stretch).min(c.deadline);
                 let share = if self.over_quota(*tenant) { self.set.over_quota_weight } else { 1.0 };
                 let worth = c.priority_weight * share;
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
@@ -187,7 +187,7 @@
                     actions.extend(parts.flat_map(Part::call_off));
                 }
             }
-            Event::Settings { settings: set, class_mapping: heirs } => self.take_settings(set, heirs),
+            Event::Settings { settings, class_mapping } => self.take_settings(settings, class_mapping),
             Event::TimerFired => self.wake = 0,
         }
     }
@@ -241,11 +241,11 @@
                 if !all && (weight + 1e-6 < floor || (second && c.min_share >= c.required_share)) {
                     return;
                 }
-                let whole =
-                    (all || (!second && weight + 1e-6 >= c.required_share)) && q.first.is_none_or(|f| f.1);
-                actions.push(Action::Answer { query: q.id, complete: whole });
+                let enough = all || (!second && weight + 1e-6 >= c.required_share);
+                let complete = enough && q.first.is_none_or(|f| f.1);
+                actions.push(Action::Answer { query: q.id, complete });
                 let first = q.first.is_none();
-                q.first = q.first.or(Some((self.now, whole)));
+                q.first = q.first.or(Some((self.now, complete)));
                 if first && c.follow_up > 0 {
                     q.stage = Stage::Second;
                     return;
@@ -253,15 +253,14 @@
             }
             Final::GiveUp if !risky => {
                 let drawn = 0.5 * self.rng.f64() / self.set.reduction.retry_after_factor.max(1.0);
-                let wait = |most: Nanos| (most as f64 * (1.0 - drawn)) as Nanos;
-                let come_back = self.set.max_retry_after.map(wait);
-                actions.push(Action::Reject { query: q.id, retry_after: come_back });
+                let retry_after = self.set.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
+                actions.push(Action::Reject { query: q.id, retry_after });
             }
             Final::GiveUp => actions.push(Action::Fail(q.id)),
         }
         // A sample's late parts run on to the record limit; the others are called off.
-        let runs_on =
-            |p: &Part| q.sampled && !self.set.reduction.skip_late_samples && !p.second && p.came.is_none();
+        let sampled = q.sampled && !self.set.reduction.skip_late_samples;
+        let runs_on = |p: &Part| sampled && !p.second && p.came.is_none();
         let parts = q.parts.iter().filter(|p| self.set.cancellation && !runs_on(p));
         actions.extend(parts.flat_map(Part::call_off));
         q.stage = Stage::Over;
--- a/src/rules/replicas.rs
+++ b/src/rules/replicas.rs
@@ -183,11 +183,8 @@
             pace.max(out as f64).max(self.per_part.min(aim * CALM_SHARE) * (r.flights.len() as f64 + 1.0));
         let trial = r.flights.is_empty() && self.now >= r.trial_at;
         let shut = (r.strikes > 0 && !trial) || out >= class.latency_objective;
-        let on_top = if shut {
-            1.0
-        } else {
-            f64::from(r.strikes > 0 && class.min_share >= class.required_share) / 2.0
-        };
+        let all_needed = class.min_share >= class.required_share;
+        let on_top = if shut { 1.0 } else { f64::from(r.strikes > 0 && all_needed) / 2.0 };
         wait + on_top * class.latency_objective as f64
     }
 
@@ -196,12 +193,8 @@
     fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
         let fade = ERROR_FADE_AIMS * self.least_aim as f64;
         let errors = r.errors * 0.5f64.powf((self.now - r.erred) as f64 / fade);
-        errors
-            * if class.effect == Effect::NonIdempotent {
-                class.latency_objective as f64
-            } else {
-                ERROR_COST * self.typical
-            }
+        let unrepeatable = class.effect == Effect::NonIdempotent;
+        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.typical }
     }
 
     /// Where a part goes, with the wait to expect there.
--- a/src/rules/sending.rs
+++ b/src/rules/sending.rs
@@ -15,8 +15,8 @@
         let since = |times: &VecDeque<Nanos>, back| {
             (times.len() - times.partition_point(|t| t + back < self.now)) as f64
         };
-        b.free + b.ratio * since(&self.taken, b.window.saturating_sub(edge))
-            - since(&self.extras, b.window + edge)
+        let earned = b.ratio * since(&self.taken, b.window.saturating_sub(edge));
+        b.free + earned - since(&self.extras, b.window + edge)
     }
 
     /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
