--- a/src/rules/cold.rs
+++ b/src/rules/cold.rs
@@ -19,17 +19,17 @@
     /// where a share holds no whole part, chance spends it: parts go at drawn times, as far apart on average
     /// as keeps the whole fleet's, with a margin for chance, under the rule.
     pub(super) fn cold_room(&self, r: &Replica, class: ClassId) -> bool {
-        let cost = self.cost(class);
         let (Some(rule), Some(started)) = (self.set.slow_start, r.started) else { return true };
         if self.warmth(r, self.now) >= 1.0 {
             return true;
         }
         let all = |at| rule.overload_factor * self.warmth(r, at) * COLD_CORES * rule.overload_window as f64;
+        let cost = self.cost(class);
         let (window, others) = (rule.overload_window, f64::from(self.set.coordinators.max(1)));
         let share = all(self.now) / others;
         if share >= cost {
-            return share - r.cold_sent.iter().filter(|s| s.0 + window >= self.now).map(|s| s.1).sum::<f64>()
-                >= cost;
+            let recent = r.cold_sent.iter().filter(|s| s.0 + window >= self.now);
+            return share - recent.map(|s| s.1).sum::<f64>() >= cost;
         }
         let last = r.cold_sent.back().map_or(started, |s| s.0.max(started));
         let fits = all(last.midpoint(self.now)) / cost;
--- a/src/rules/sending.rs
+++ b/src/rules/sending.rs
@@ -12,9 +12,8 @@
     fn extras_left(&self) -> f64 {
         let Some(b) = self.set.retry_budget else { return f64::INFINITY };
         let edge = 2 * self.set.tick;
-        let since = |times: &VecDeque<Nanos>, back| {
-            (times.len() - times.partition_point(|t| t + back < self.now)) as f64
-        };
+        let old = |times: &VecDeque<Nanos>, back| times.partition_point(|t| t + back < self.now);
+        let since = |times: &VecDeque<Nanos>, back| (times.len() - old(times, back)) as f64;
         let earned = b.ratio * since(&self.taken, b.window.saturating_sub(edge));
         b.free + earned - since(&self.extras, b.window + edge)
     }
