--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -1,7 +1,7 @@
 //! Every decision of the coordinator. Its types, events and actions: `src/interface.rs`.
 //!
-//! Each batch of events is applied, then every open query is advanced in order of arrival: admit, send, retry,
-//! answer or give up. Each rule is checked where its action leaves: `send`, `finish`.
+//! Each batch of events is applied, then every open query is advanced in order of arrival: admit, send,
+//! retry, answer or give up. Each rule is checked where its action leaves: `send`, `finish`.
 
 mod admission;
 mod cold;
