--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -1,8 +1,8 @@
 //! Micro-benchmarks of the front for feature queries: parsing, splitting, merging, rendering.
-//! `cargo bench -p quinceflow-lab`
+//! `cargo bench -p quinceflow-testkit`
 
 use divan::Bencher;
-use quinceflow::core::{Answer, End, Token};
+use quinceflow::coordinator::{Answer, AttemptEnd, Token};
 use quinceflow::front::ogc::config::Edge;
 use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Able, Matcher, Queryables};
 use quinceflow::front::ogc::cursor::Key;
@@ -14,7 +14,7 @@
 use quinceflow::proto::fetch::Fetched;
 use quinceflow::proto::http::Server;
 use quinceflow::time::Micros;
-use quinceflow_lab::features::devices;
+use quinceflow_testkit::features::devices;
 use std::sync::Arc;
 
 fn main() {
@@ -129,8 +129,8 @@
                         let fetched =
                             Fetched { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
-                            End::Served(value) => (part.shard, value),
-                            End::Failed(outcome) => panic!("{outcome:?}"),
+                            AttemptEnd::Served(value) => (part.shard, value),
+                            AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
                         }
                     });
                     let parts = parts.collect();
--- a/lab/src/conform.rs
+++ b/lab/src/conform.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 
 /// Most features that the suite works on.
-const MOST_FEATURES: usize = 20_000;
+const MAX_FEATURES: usize = 20_000;
 /// An answer that is refused is asked for again so often.
 const TRIES: usize = 40;
 
@@ -216,7 +216,7 @@
             let json = answer.json();
             let page = json["features"].as_array().cloned().unwrap_or_default();
             features.extend(page);
-            hold(features.len() <= MOST_FEATURES, || {
+            hold(features.len() <= MAX_FEATURES, || {
                 "more features than the suite works on, or a circle".to_owned()
             })?;
             at = answer.link("next").map(|t| t.strip_prefix(&self.root).unwrap_or(&t).to_owned());
--- a/lab/src/edge.rs
+++ b/lab/src/edge.rs
@@ -49,7 +49,7 @@
     pub fn start(program: &Path, settings: &str, rows: &str, classes: &str) -> Result<Edge> {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Relaxed);
-        let folder = std::env::temp_dir().join(format!("quinceflow-lab-{}-{number}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("quinceflow-testkit-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let text = format!("listen = \"127.0.0.1:0\"\ninventory = \"i.csv\"\n{settings}\n{classes}");
         std::fs::write(folder.join("edge.toml"), text)?;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,9 +2,9 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use quinceflow_lab::conform::{Checked, Outcome, Suite};
-use quinceflow_lab::demo::{self, Demo};
-use quinceflow_lab::{edge, measure, storm};
+use quinceflow_testkit::conform::{Checked, Outcome, Suite};
+use quinceflow_testkit::demo::{self, Demo};
+use quinceflow_testkit::{edge, measure, storm};
 use std::net::ToSocketAddrs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -12,7 +12,7 @@
 
 /// Stand-ins, load and checks for quinceflow; everything stays on loopback
 #[derive(Parser)]
-#[command(name = "quinceflow-lab", version)]
+#[command(name = "quinceflow-testkit", version)]
 struct Arguments {
     #[command(subcommand)]
     command: Command,
@@ -77,7 +77,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(why) => {
-            eprintln!("quinceflow-lab: {why}");
+            eprintln!("quinceflow-testkit: {why}");
             ExitCode::from(2)
         }
     }
--- a/lab/tests/conform.rs
+++ b/lab/tests/conform.rs
@@ -1,9 +1,9 @@
 //! The conformance suite against the edge over stand-ins that misbehave, and against services with planted faults.
 
-use quinceflow_lab::conform::{Outcome, Suite};
-use quinceflow_lab::edge::{self, Edge, CLASSES};
-use quinceflow_lab::features::{devices, Fault, Server, Skill};
-use quinceflow_lab::twist::{Twist, FAULTS};
+use quinceflow_testkit::conform::{Outcome, Suite};
+use quinceflow_testkit::edge::{self, Edge, CLASSES};
+use quinceflow_testkit::features::{devices, Fault, Server, Skill};
+use quinceflow_testkit::twist::{Twist, FAULTS};
 
 const EACH: usize = 150;
 
@@ -78,7 +78,7 @@
     // Until somebody had filtered, a queryable was an unknown parameter and any name a good one.
     let ask = |target: &str| {
         let (edge, _servers) = start();
-        let answer = quinceflow_lab::client::Client::new(edge.address).get(target).expect("an answer");
+        let answer = quinceflow_testkit::client::Client::new(edge.address).get(target).expect("an answer");
         (answer.status, answer.ids().len())
     };
     let expected = devices(0..2 * EACH).iter().filter(|f| f["properties"]["volts"] == 141).count();
@@ -96,7 +96,7 @@
     let program = edge::program().expect("the program is built with the workspace");
     let classes = "[[class]]\nname = \"map\"\naim_ms = 8000\ndeadline_ms = 10000\n";
     let edge = Edge::start(&program, "", &server.row("a", "devices", ""), classes).expect("it starts");
-    let mut client = quinceflow_lab::client::Client::new(edge.address);
+    let mut client = quinceflow_testkit::client::Client::new(edge.address);
     let answer =
         client.get("/collections/devices/items?filter=volts%3E200&sortby=-volts&limit=5").expect("an answer");
     assert_eq!((answer.status, answer.ids().len()), (200, 5));
--- a/lab/tests/storm.rs
+++ b/lab/tests/storm.rs
@@ -1,6 +1,6 @@
 //! The storm's observer finds what is planted.
 
-use quinceflow_lab::{edge, storm};
+use quinceflow_testkit::{edge, storm};
 use std::time::Duration;
 
 #[test]
--- a/src/bin/quinceflow-benchlink/main.rs
+++ b/src/bin/quinceflow-sim-adapter/main.rs
@@ -11,7 +11,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("quinceflow-benchlink: {why}");
+            eprintln!("quinceflow-sim-adapter: {why}");
             ExitCode::FAILURE
         }
     }
--- a/src/core/mod.rs
+++ b/src/coordinator/mod.rs
@@ -1,6 +1,6 @@
 //! The core: it owns the module, the held queries, attempt numbers, timers and counters, and knows no wire.
 //!
-//! A driver collects what comes in and calls [`Core::turn`] with all of it and one reading of the clock. The turn
+//! A driver collects what comes in and calls [`Coordinator::turn`] with all of it and one reading of the clock. The turn
 //! hands the module its events, carries out its actions in order and gives back what is to be done outside.
 
 mod classes;
@@ -14,7 +14,7 @@
 pub use types::*;
 
 use crate::interface::*;
-use crate::rules::DecisionPolicy;
+use crate::policy::DecisionPolicy;
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -29,11 +29,11 @@
 const NEAR_END: Micros = Micros::from_millis(25);
 
 /// What the module believes of servers is asked of it this often, for the figures.
-const ASK_POOL_EVERY: Micros = Micros::from_millis(100);
+const ASK_POOL_INTERVAL: Micros = Micros::from_millis(100);
 /// A server counts as avoided once the module has avoided it for so long: many are for a moment, when another is quicker.
 const AVOIDED_FOR: Micros = Micros::from_secs(1);
 /// A server that was listed as gone, or not at all, is remembered so long: it may come back under its name.
-const MOST_GONE: Micros = Micros::from_secs(30);
+const MAX_GONE: Micros = Micros::from_secs(30);
 
 /// A server that some list has named.
 #[derive(Debug)]
@@ -96,20 +96,20 @@
 
 /// Which of two processes this one is while a new version is started beside the old.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Beside {
+pub enum ProcessGeneration {
     /// The one that served so far.
-    Old,
+    Predecessor,
     /// The one that takes over.
-    New,
+    Successor,
 }
 
 /// The core of one coordinator.
 #[derive(Debug)]
-pub struct Core {
-    module: DecisionPolicy,
-    set: Settings,
+pub struct Coordinator {
+    policy: DecisionPolicy,
+    settings: Settings,
     /// Another process shares what is allowed to one, and it is the older one.
-    beside: Option<Beside>,
+    beside: Option<ProcessGeneration>,
     classes: Classes,
     figures: Arc<Metrics>,
     /// What this core last said of `active`, `pool_size` and `pool_ejected`.
@@ -117,7 +117,7 @@
     asked_pool: Micros,
     /// Since when the module has avoided which servers.
     avoided: BTreeMap<ReplicaId, Micros>,
-    most_held: usize,
+    max_in_flight: usize,
     held: BTreeMap<QueryId, Held>,
     held_count: usize,
     tokens: HashMap<Token, QueryId>,
@@ -143,20 +143,20 @@
     pending: Vec<Event>,
 }
 
-impl Core {
+impl Coordinator {
     /// A core that holds nothing yet.
     pub fn new(set: Settings, most_held: usize, seed: u64, now: Micros, figures: Arc<Metrics>) -> Self {
         let set = without_second_steps(set);
         Self {
-            module: DecisionPolicy::new(ahead(set.clone()), seed, now.to_nanos()),
+            policy: DecisionPolicy::new(ahead(set.clone()), seed, now.to_nanos()),
             classes: Classes::new(&set.classes, figures.clone()),
-            set,
+            settings: set,
             beside: None,
             figures,
             said: [0; 3],
             asked_pool: Micros::ZERO,
             avoided: BTreeMap::new(),
-            most_held,
+            max_in_flight: most_held,
             held: BTreeMap::new(),
             held_count: 0,
             tokens: HashMap::new(),
@@ -227,13 +227,13 @@
             events.push(Event::TimerFired);
         }
         let mut actions = Vec::new();
-        self.module.handle(now.to_nanos(), &events, &mut actions);
+        self.policy.handle(now.to_nanos(), &events, &mut actions);
         for action in actions {
             self.carry_out(now, action, out);
         }
         // After the module: a turn that comes late must leave it to the module to end what is over.
         self.ends_due(now, out);
-        bundle(out, self.set.max_batch.max(1) as usize);
+        bundle(out, self.settings.max_batch.max(1) as usize);
         self.say(now);
     }
 
@@ -241,10 +241,10 @@
     fn say(&mut self, now: Micros) {
         let before = self.said;
         self.said[0] = self.held.len();
-        if now.since(self.asked_pool) >= ASK_POOL_EVERY {
+        if now.since(self.asked_pool) >= ASK_POOL_INTERVAL {
             self.asked_pool = now;
             self.said[1] = self.servers.values().filter(|l| l.gone.is_none()).count();
-            let avoided = self.module.avoided();
+            let avoided = self.policy.avoided();
             self.avoided.retain(|id, _| avoided.contains(id));
             for id in avoided {
                 self.avoided.entry(id).or_insert(now);
@@ -256,9 +256,9 @@
     }
 
     /// Another process shares what is allowed to one, or does no more. Rules hold for the sum of both.
-    pub fn share(&mut self, beside: Option<Beside>) {
+    pub fn share(&mut self, beside: Option<ProcessGeneration>) {
         self.beside = beside;
-        let heirs = self.classes.replace(&self.set.classes.clone());
+        let heirs = self.classes.replace(&self.settings.classes.clone());
         let event = self.tell_settings(heirs);
         self.pending.push(event);
     }
@@ -266,27 +266,31 @@
     /// The settings as the module is to have them: one of two processes counts for two coordinators, which halves its
     /// share of what all may send; free further attempts stay with the one that may have used them.
     fn tell_settings(&self, heirs: Vec<ClassId>) -> Event {
-        let mut set = Settings { classes: self.classes.told(), ..self.set.clone() };
+        let mut set = Settings { classes: self.classes.told(), ..self.settings.clone() };
         if let Some(beside) = self.beside {
             set.coordinators *= 2;
-            set.retry_budget =
-                set.retry_budget
-                    .map(|e| if beside == Beside::New { RetryBudget { free: 0.0, ..e } } else { e });
+            set.retry_budget = set.retry_budget.map(|e| {
+                if beside == ProcessGeneration::Successor {
+                    RetryBudget { free: 0.0, ..e }
+                } else {
+                    e
+                }
+            });
         }
         Event::Settings { settings: Box::new(ahead(set)), class_mapping: heirs }
     }
 
     /// Queries and parts that may be held now.
     fn most_held(&self) -> usize {
-        self.most_held / if self.beside.is_some() { 2 } else { 1 }
+        self.max_in_flight / if self.beside.is_some() { 2 } else { 1 }
     }
 
     /// Other settings are in force from now on; what is open keeps the class it began with.
     fn take_settings(&mut self, set: Settings, most_held: usize, events: &mut Vec<Event>) {
         let set = without_second_steps(set);
         let heirs = self.classes.replace(&set.classes);
-        self.set = set;
-        self.most_held = most_held;
+        self.settings = set;
+        self.max_in_flight = most_held;
         events.push(self.tell_settings(heirs));
     }
 
@@ -396,7 +400,7 @@
     /// Servers are replaced by new ones with new names for as long as the program runs: what is kept of those that are
     /// gone has its end here.
     fn forget_gone(&mut self, now: Micros, out: &mut Vec<Command>) {
-        let over = |l: &Listed| l.gone.is_some_and(|since| now.since(since) > MOST_GONE);
+        let over = |l: &Listed| l.gone.is_some_and(|since| now.since(since) > MAX_GONE);
         let gone: Vec<_> = self.servers.iter().filter(|s| over(s.1)).map(|s| *s.0).collect();
         for replica in gone.into_iter().filter(|r| self.flights.values().all(|f| f.replica != *r)) {
             if let Some(line) = self.servers.remove(&replica) {
@@ -437,7 +441,7 @@
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
             COUNTERS.over_held.add();
             COUNTERS.refused.add();
-            let come_back = self.set.max_retry_after.map(Micros::from_nanos);
+            let come_back = self.settings.max_retry_after.map(Micros::from_nanos);
             return self.reply(
                 class,
                 &request,
@@ -490,11 +494,11 @@
         }
     }
 
-    fn take_end(&mut self, now: Micros, key: AttemptKey, end: End, events: &mut Vec<Event>) {
+    fn take_end(&mut self, now: Micros, key: AttemptKey, end: AttemptEnd, events: &mut Vec<Event>) {
         // An answer to an attempt that was called off or timed out has had its outcome.
         let Some(flight) = self.land(key) else { return };
         let outcome = match end {
-            End::Served(value) => {
+            AttemptEnd::Served(value) => {
                 if let Some((query, at)) = self.parts.get(&key.part) {
                     if let Some(slot) = self.held.get_mut(query).and_then(|h| h.values.get_mut(*at)) {
                         *slot = Some(value);
@@ -502,7 +506,7 @@
                 }
                 Outcome::Ok
             }
-            End::Failed(outcome) => outcome,
+            AttemptEnd::Failed(outcome) => outcome,
         };
         self.tell(now, key, &flight, outcome, events);
     }
@@ -654,7 +658,7 @@
         let until = (now + Micros::from_nanos(timeout)).min(held.until);
         COUNTERS.attempts.add();
         invariant(
-            self.set.hedging || !self.flights.keys().any(|k| k.part == part),
+            self.settings.hedging || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
         );
         let (label, class) = (held.request.request_id.clone(), held.class);
@@ -664,7 +668,7 @@
         self.flights.insert(key, flight);
         *self.labels.entry(label.clone()).or_insert(0) += 1;
         self.time_outs.insert((look, key));
-        let job = Job {
+        let job = AttemptRequest {
             key,
             request_id: label,
             shard: held.request.parts[at].shard,
--- a/src/core/types.rs
+++ b/src/coordinator/types.rs
@@ -90,7 +90,7 @@
 
 /// How an attempt ended, as its driver saw it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum End {
+pub enum AttemptEnd {
     /// Served with this.
     Served(Value),
     /// Anything else; never [`Outcome::Ok`].
@@ -141,7 +141,7 @@
     /// The attempt's request has left this machine whole: from here on it may run.
     FullyWritten(AttemptKey),
     /// An attempt ended.
-    AttemptEnded(AttemptKey, End),
+    AttemptEnded(AttemptKey, AttemptEnd),
     /// The settings change, and with them how many queries and parts may be held.
     Settings(Box<Settings>, usize),
     /// It is time: something is due.
@@ -150,7 +150,7 @@
 
 /// What an attempt asks of a server.
 #[derive(Debug, Clone)]
-pub struct Job {
+pub struct AttemptRequest {
     /// Which attempt.
     pub key: AttemptKey,
     /// The request's label.
@@ -201,7 +201,7 @@
     /// This is where a server is, and whether it takes new work.
     UpdateServer(ReplicaId, Arc<str>, bool),
     /// Start these attempts in one call.
-    Dispatch(ReplicaId, Vec<Job>),
+    Dispatch(ReplicaId, Vec<AttemptRequest>),
     /// Stop waiting for an attempt.
     CancelAttempt(ReplicaId, AttemptKey),
     /// A server is gone for good: nothing of it needs to be kept.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,8 +3,8 @@
 pub mod ogc;
 pub mod platform;
 
-use crate::core::{Answer, Request, Token};
-use crate::proto::http::{HttpError, HttpRequest, Response, MOST_BODY};
+use crate::coordinator::{Answer, Request, Token};
+use crate::proto::http::{HttpError, HttpRequest, Response, MAX_BODY};
 use crate::time::Micros;
 
 /// How a core's answer becomes a response, or another question to the core where one round is not enough.
@@ -29,7 +29,7 @@
 
     /// Most bytes of a request's body.
     fn max_body(&self) -> usize {
-        MOST_BODY
+        MAX_BODY
     }
 
     /// Stack of the coroutine that serves a connection, in words of eight bytes. Only touched pages count as memory.
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,14 +1,14 @@
 //! Which collections there are, which shards hold each, and which servers hold each shard.
 
 use super::inventory::{Server, Share};
-use crate::core::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, Node};
 use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::Hash;
 
 /// Other holders of a shard that are told apart: numbers grow with the square of the holders.
-const MOST_OTHERS: usize = 8;
+const MAX_OTHERS: usize = 8;
 
 /// The collections of the present inventory. Shards keep their numbers over reloads.
 #[derive(Debug, Default)]
@@ -64,7 +64,7 @@
                 self.pinned_now.insert(pin);
                 shards.extend([shard, pin]);
                 let others = servers.iter().filter(|s| s.name != server.name && s.shares.contains(share));
-                for other in others.take(MOST_OTHERS) {
+                for other in others.take(MAX_OTHERS) {
                     shards.push(number(&mut self.without, at(other), &mut self.shares, share));
                 }
                 if server.state != EndpointState::Removed {
--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 /// Faults told at most: a file of another kind has one a line.
-const MOST_FAULTS: usize = 100;
+const MAX_FAULTS: usize = 100;
 
 /// What is wrong, and where.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -72,7 +72,7 @@
             })),
         }
     }
-    faults.truncate(MOST_FAULTS);
+    faults.truncate(MAX_FAULTS);
     Report { faults, ..report }
 }
 
@@ -81,7 +81,7 @@
 fn read(text: &str) -> (Option<Edge>, Vec<(usize, String)>) {
     let mut left = text.to_owned();
     let mut faults: Vec<(usize, String)> = Vec::new();
-    while faults.len() < MOST_FAULTS {
+    while faults.len() < MAX_FAULTS {
         match toml::from_str::<Edge>(&left) {
             Ok(edge) => {
                 // Values that were put in for faulty ones are none of the file's.
--- a/src/front/ogc/cql2/geometry.rs
+++ b/src/front/ogc/cql2/geometry.rs
@@ -9,7 +9,7 @@
 use std::fmt::Write as _;
 
 /// Deepest nesting of collections.
-const MOST_NESTED: usize = 4;
+const MAX_NESTED: usize = 4;
 
 /// Points of a geometry.
 pub fn points(geometry: &Geometry<f64>) -> usize {
@@ -70,7 +70,7 @@
 }
 
 fn nested(json: &Json, depth: usize) -> Result<Geometry<f64>, FilterError> {
-    if depth > MOST_NESTED {
+    if depth > MAX_NESTED {
         return fault("geometry collections are nested too deep");
     }
     let at = &json["coordinates"];
--- a/src/front/ogc/cql2/json.rs
+++ b/src/front/ogc/cql2/json.rs
@@ -3,7 +3,7 @@
 use super::geometry::{read_geojson, to_geojson};
 use super::text::flat;
 use super::{
-    fault, Arithmetic, Arrays, Comparison, Filter, FilterError, Spatial, Temporal, Value, MOST_DEPTH,
+    fault, Arithmetic, Arrays, Comparison, Filter, FilterError, Spatial, Temporal, Value, MAX_DEPTH,
 };
 use serde_json::{json, Value as Json};
 
@@ -21,8 +21,8 @@
 }
 
 fn deep(depth: usize) -> Read<()> {
-    if depth > MOST_DEPTH {
-        return fault(format!("it is nested more than {MOST_DEPTH} deep"));
+    if depth > MAX_DEPTH {
+        return fault(format!("it is nested more than {MAX_DEPTH} deep"));
     }
     Ok(())
 }
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -21,11 +21,11 @@
 use geo::Geometry;
 
 /// Deepest nesting of a filter.
-pub const MOST_DEPTH: usize = 24;
+pub const MAX_DEPTH: usize = 24;
 /// Most nodes of a filter's tree, geometries' points apart.
-pub const MOST_NODES: usize = 2_000;
+pub const MAX_NODES: usize = 2_000;
 /// Most points of all its geometries.
-pub const MOST_POINTS: usize = 20_000;
+pub const MAX_POINTS: usize = 20_000;
 
 /// What is wrong with a filter, in words for whoever wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -248,11 +248,11 @@
                 points += geometry::points(g);
             }
         });
-        if nodes > MOST_NODES {
-            return fault(format!("it has more than {MOST_NODES} parts"));
+        if nodes > MAX_NODES {
+            return fault(format!("it has more than {MAX_NODES} parts"));
         }
-        if points > MOST_POINTS {
-            return fault(format!("its geometries have more than {MOST_POINTS} points"));
+        if points > MAX_POINTS {
+            return fault(format!("its geometries have more than {MAX_POINTS} points"));
         }
         Ok(self)
     }
--- a/src/front/ogc/cql2/text.rs
+++ b/src/front/ogc/cql2/text.rs
@@ -2,7 +2,7 @@
 
 use super::geometry::{line, polygon, ring};
 use super::{
-    fault, Arithmetic, Arrays, Comparison, Filter, FilterError, Spatial, Temporal, Value, MOST_DEPTH,
+    fault, Arithmetic, Arrays, Comparison, Filter, FilterError, Spatial, Temporal, Value, MAX_DEPTH,
 };
 use geo::{
     Coord, Geometry, GeometryCollection, LineString, MultiLineString, MultiPoint, MultiPolygon, Point,
@@ -39,7 +39,7 @@
                 _ => None,
             });
             fault(match (wanted, rest(&input)) {
-                (Some("depth"), _) => format!("it is nested more than {MOST_DEPTH} deep"),
+                (Some("depth"), _) => format!("it is nested more than {MAX_DEPTH} deep"),
                 (Some(wanted), at) if at.is_empty() => format!("{wanted} is needed at the end"),
                 (Some(wanted), at) => format!("{wanted} is needed before {at:?}"),
                 (None, at) => format!("not understood from {at:?} on"),
@@ -55,7 +55,7 @@
 ) -> impl FnMut(&mut Input<'a>) -> Parsed<T> {
     move |input| {
         input.state.0 += 1;
-        if input.state.0 > MOST_DEPTH {
+        if input.state.0 > MAX_DEPTH {
             let mut e = ContextError::new();
             e.push(StrContext::Label("depth"));
             return Err(ErrMode::Cut(e));
@@ -236,7 +236,7 @@
             _ => 0,
         }
     }
-    if input.state.0 + depth(&left) > MOST_DEPTH {
+    if input.state.0 + depth(&left) > MAX_DEPTH {
         let mut e = ContextError::new();
         e.push(StrContext::Label("depth"));
         return Err(ErrMode::Cut(e));
--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -14,7 +14,7 @@
 /// Bytes of the code at a token's end.
 const CODE: usize = 16;
 /// Most characters of a token: a link of a server is the largest part.
-const MOST_TOKEN: usize = 8 * 1024;
+const MAX_TOKEN: usize = 8 * 1024;
 
 /// What a cursor carries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,7 +101,7 @@
 
     /// The cursor of a token: of this query, and no older than `age` seconds at `now` (Unix time in seconds).
     pub fn open(&self, token: &str, query: u64, now: u64, age: u64) -> Result<Cursor, CursorError> {
-        if token.len() > MOST_TOKEN {
+        if token.len() > MAX_TOKEN {
             return Err(CursorError::Forged);
         }
         let bytes = URL_SAFE_NO_PAD.decode(token).map_err(|_| CursorError::Forged)?;
--- a/src/front/ogc/deliver.rs
+++ b/src/front/ogc/deliver.rs
@@ -8,7 +8,7 @@
 use std::io::Write;
 
 /// Smaller bodies are sent as they are: the head alone is as large.
-const LEAST_GZIP: usize = 1_024;
+const MIN_GZIP: usize = 1_024;
 
 /// What a client said of how it wants its answer.
 #[derive(Debug, Clone, Default)]
@@ -66,7 +66,7 @@
                 body: Body::default(),
             };
         }
-        if self.gzip && response.body.len() >= LEAST_GZIP {
+        if self.gzip && response.body.len() >= MIN_GZIP {
             // Fast, not small: one worker serves all.
             let mut small = GzEncoder::new(Vec::with_capacity(response.body.len() / 4), Compression::fast());
             let whole = response.body.chunks().try_for_each(|c| small.write_all(c));
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -1,7 +1,7 @@
 //! Whatever comes in: a 4xx as problem JSON, or a query; never a panic.
 
 use super::*;
-use crate::core::Answer;
+use crate::coordinator::Answer;
 use crate::proto::http::Server;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -191,7 +191,7 @@
             let bytes = format!("GET /collections/devices/items?{} HTTP/1.1\r\n\r\n", query.finish());
             let response = said(&front, bytes.as_bytes());
             let refused = response.as_ref().is_some_and(|r| r.status == 400);
-            assert_eq!(refused, 2 * n + 1 > cql2::MOST_DEPTH, "{n}: {response:?}");
+            assert_eq!(refused, 2 * n + 1 > cql2::MAX_DEPTH, "{n}: {response:?}");
         }
     };
     // The test's own frames and libraries need some more than the program's.
--- a/src/front/ogc/html.rs
+++ b/src/front/ogc/html.rs
@@ -8,9 +8,9 @@
 
 const HTML: &str = "text/html; charset=utf-8";
 /// Features drawn and listed; an answer may have more.
-const MOST_SHOWN: usize = 1_000;
+const MAX_SHOWN: usize = 1_000;
 /// Points drawn of one line or ring.
-const MOST_DRAWN: usize = 2_000;
+const MAX_DRAWN: usize = 2_000;
 /// The map's size.
 const WIDTH: f64 = 800.0;
 const HEIGHT: f64 = 500.0;
@@ -110,7 +110,7 @@
         .flat_map(|(page, range)| page.features[range.clone()].iter().map(move |f| &page.body[f.clone()]));
     let shape = render::Shape::of(&asked.params);
     let shown: Vec<Json> = all
-        .take(MOST_SHOWN)
+        .take(MAX_SHOWN)
         .filter_map(|f| shape.apply(f))
         .filter_map(|f| serde_json::from_slice(&f).ok())
         .collect();
@@ -195,7 +195,7 @@
     let path = |line: &Json, close: bool| {
         let mut points = Vec::new();
         positions(line, &mut points);
-        points.truncate(MOST_DRAWN);
+        points.truncate(MAX_DRAWN);
         let mut d = String::new();
         for (n, point) in points.into_iter().enumerate() {
             let (x, y) = at(point);
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -10,7 +10,7 @@
 use super::ranking::{Ranked, Ranking};
 use super::visit::{Kind, Visit};
 use super::{lock, render, Fault, Shared};
-use crate::core::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
+use crate::coordinator::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
 use crate::front::{Reaction, Render};
 use crate::interface::{ShardId, TenantId};
 use crate::limits::Cost;
@@ -21,9 +21,9 @@
 use std::sync::Arc;
 
 /// Looks at servers before a query is answered take at most so long, or a quarter of its aim, and a quarter of its time.
-const MOST_LOOK: Micros = Micros::from_millis(500);
+const MAX_LOOK: Micros = Micros::from_millis(500);
 /// Looks of one query at a time.
-const MOST_LOOKS: usize = 16;
+const MAX_LOOKS: usize = 16;
 
 /// Who asks, for how long and as what: the same for all rounds of a query.
 #[derive(Debug, Clone)]
@@ -163,7 +163,7 @@
 ) -> Reaction {
     let mut looks = Vec::new();
     for (pin, at) in holders(&shared, shards).into_iter().flatten() {
-        if looks.len() < MOST_LOOKS {
+        if looks.len() < MAX_LOOKS {
             if let Want::Look(_) = shared.learned().want(&at, asker.sent) {
                 let document = |path: String| Arc::new(Visit::new(Kind::Document, path));
                 let of = format!("/collections/{}/queryables", at.1);
@@ -177,7 +177,7 @@
     let parts: Vec<_> = looks.iter().flat_map(|l| [(l.0, l.2.clone()), (l.0, l.3.clone())]).collect();
     // A class with a long aim is taken for a slow one until answers were seen: with less time the module would refuse it.
     let aim = Micros::from_millis(shared.edge.classes[asker.class].aim_ms);
-    let patience = Micros(asker.patience.0 / 4).min(MOST_LOOK.max(Micros(aim.0 / 4)));
+    let patience = Micros(asker.patience.0 / 4).min(MAX_LOOK.max(Micros(aim.0 / 4)));
     let request = round(&shared, &Asker { patience, ..asker.clone() }, parts.into_iter());
     Reaction::Submit(
         request,
--- a/src/front/ogc/learn.rs
+++ b/src/front/ogc/learn.rs
@@ -12,11 +12,11 @@
 /// A look that came to nothing is not made again for so long, doubled each time,
 const FIRST_PAUSE: Micros = Micros::from_secs(2);
 /// up to this.
-const MOST_PAUSE: Micros = Micros::from_secs(120);
+const MAX_PAUSE: Micros = Micros::from_secs(120);
 /// Whoever looks has so long; then another may.
-const MOST_LOOK: Micros = Micros::from_secs(5);
+const MAX_LOOK: Micros = Micros::from_secs(5);
 /// Most that is remembered; the longest unused gives way.
-const MOST_KNOWN: usize = 4_096;
+const MAX_KNOWN: usize = 4_096;
 
 /// A shard at a server: the server's address, and its name for the shard.
 pub type At = (Arc<str>, Arc<str>);
@@ -58,7 +58,7 @@
 
     /// Somebody wants to know what a server can do with a shard.
     pub fn want(&mut self, at: &At, now: Micros) -> Want {
-        if !self.entries.contains_key(at) && self.entries.len() >= MOST_KNOWN {
+        if !self.entries.contains_key(at) && self.entries.len() >= MAX_KNOWN {
             let oldest = self.entries.iter().min_by_key(|e| e.1.used).map(|e| e.0.clone());
             oldest.map(|at| self.entries.remove(&at));
         }
@@ -70,7 +70,7 @@
         entry.used = now;
         let known = entry.known.as_ref().map(|k| k.0.clone());
         let fresh = entry.known.as_ref().is_some_and(|k| now.since(k.1) < age);
-        let looked_at = entry.looking.is_some_and(|since| now.since(since) < MOST_LOOK);
+        let looked_at = entry.looking.is_some_and(|since| now.since(since) < MAX_LOOK);
         match known {
             Some(able) if fresh || looked_at || now < entry.not_before => Want::Known(able),
             None if looked_at || now < entry.not_before => Want::Without,
@@ -93,7 +93,7 @@
                 // What was known of it is as good as before: a server that is down can do nothing else.
                 let pause = FIRST_PAUSE.0 << entry.failed.min(16);
                 entry.failed = entry.failed.saturating_add(1);
-                entry.not_before = now + Micros(pause).min(MOST_PAUSE);
+                entry.not_before = now + Micros(pause).min(MAX_PAUSE);
             }
         }
     }
@@ -190,7 +190,7 @@
         for n in 0..10_000 {
             learned.want(&at(n), secs(200 + n as u64));
         }
-        assert!(learned.entries.len() <= MOST_KNOWN);
+        assert!(learned.entries.len() <= MAX_KNOWN);
     }
 
     #[test]
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -25,7 +25,7 @@
 pub use catalog::Catalog;
 
 use super::{Front, Reaction};
-use crate::core::{ClassMetrics, Metrics, Token, COUNTERS};
+use crate::coordinator::{ClassMetrics, Metrics, Token, COUNTERS};
 use crate::interface::ShardId;
 use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
 use crate::proto::http::{HttpError, HttpRequest, Response};
@@ -42,7 +42,7 @@
 use visit::{Kind, Visit};
 
 /// Longest feature id passed on.
-const MOST_ID: usize = 512;
+const MAX_ID: usize = 512;
 
 /// Share of the memory beyond the base that answers may hold; a third is for what clients send.
 const ANSWERS_SHARE: f64 = 0.45;
@@ -203,7 +203,7 @@
             }
             ["collections", id, "items", feature] => {
                 let shards = self.find(id)?;
-                if feature.len() > MOST_ID {
+                if feature.len() > MAX_ID {
                     return Err((404, "there is no feature of that id".to_owned()));
                 }
                 only(&["crs"])?;
@@ -332,7 +332,7 @@
 }
 
 /// Most bytes of a request's body: a drawn area of ten thousand points is half of this.
-const MOST_SEARCH: usize = 1024 * 1024;
+const MAX_SEARCH: usize = 1024 * 1024;
 
 impl Front for Ogc {
     fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
@@ -354,7 +354,7 @@
     }
 
     fn max_body(&self) -> usize {
-        MOST_SEARCH
+        MAX_SEARCH
     }
 
     /// Filters are parsed on it, nested as deep as they may be; measured with the deepest in a debug build.
--- a/src/front/ogc/paging.rs
+++ b/src/front/ogc/paging.rs
@@ -5,7 +5,7 @@
 //! a client that follows `next` to the end has each of them read once: sizes are chosen so that a page boundary falls on
 //! the limit, and an answer ends early, with a `next` link, rather than begin a page that it could not use up.
 
-use crate::core::invariant;
+use crate::coordinator::invariant;
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
 use std::ops::Range;
@@ -19,7 +19,7 @@
 /// Shards asked beside the present one when nothing is known of their size: doubled each round.
 const FIRST_AHEAD: usize = 1;
 /// Most shards asked in a round beside the present one.
-const MOST_AHEAD: usize = 32;
+const MAX_AHEAD: usize = 32;
 
 /// A page as a server gave it.
 #[derive(Debug, Default)]
@@ -234,7 +234,7 @@
                 Some(matched) => left = left.saturating_sub(matched),
                 None => unknown += 1,
             }
-            if left == 0 || unknown > self.ahead || asks.len() > MOST_AHEAD {
+            if left == 0 || unknown > self.ahead || asks.len() > MAX_AHEAD {
                 break;
             }
         }
@@ -244,7 +244,7 @@
     /// Takes in what came of a round's pages: of each ask its shard, the size asked for and the page, or nothing.
     pub fn take(&mut self, came: Vec<(usize, usize, Option<Arc<Page>>)>, id: impl Fn(&[u8]) -> u64) -> Step {
         self.pages += came.len();
-        self.ahead = (self.ahead * 2).min(MOST_AHEAD);
+        self.ahead = (self.ahead * 2).min(MAX_AHEAD);
         for (shard, size, page) in came {
             let seen = &mut self.seen[shard];
             match page {
--- a/src/front/ogc/params.rs
+++ b/src/front/ogc/params.rs
@@ -10,9 +10,9 @@
 use time::OffsetDateTime;
 
 /// Most keys of an order.
-const MOST_KEYS: usize = 8;
+const MAX_KEYS: usize = 8;
 /// Most properties named in a selection.
-const MOST_PROPERTIES: usize = 200;
+const MAX_PROPERTIES: usize = 200;
 
 /// How an answer is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -278,7 +278,7 @@
 
 fn selection(value: &str) -> Result<Vec<String>, String> {
     let names: Vec<String> = value.split(',').map(|n| n.trim().to_owned()).collect();
-    if names.iter().any(String::is_empty) || names.len() > MOST_PROPERTIES {
+    if names.iter().any(String::is_empty) || names.len() > MAX_PROPERTIES {
         return Err("properties: names apart by commas are needed".to_owned());
     }
     Ok(names)
@@ -311,8 +311,8 @@
 }
 
 fn sortable(keys: Vec<By>, queryables: &Queryables) -> Result<Vec<By>, String> {
-    if keys.is_empty() || keys.len() > MOST_KEYS {
-        return Err(format!("sortby: 1 to {MOST_KEYS} properties are needed"));
+    if keys.is_empty() || keys.len() > MAX_KEYS {
+        return Err(format!("sortby: 1 to {MAX_KEYS} properties are needed"));
     }
     for (n, key) in keys.iter().enumerate() {
         let kind = queryables.named.get(&key.name);
--- a/src/front/ogc/ranking.rs
+++ b/src/front/ogc/ranking.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 /// Shards asked at a time.
-const MOST_AT_ONCE: usize = 8;
+const MAX_AT_ONCE: usize = 8;
 
 /// One key of the order.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -172,7 +172,7 @@
     /// The pages wanted next.
     pub fn asks(&self) -> Vec<Ask> {
         let open = self.shards.iter().enumerate().filter(|(_, s)| self.open(s));
-        open.take(MOST_AT_ONCE.min(self.pages_left.max(1)))
+        open.take(MAX_AT_ONCE.min(self.pages_left.max(1)))
             .filter_map(|(shard, s)| {
                 let place = s.place.clone()?;
                 let size = match &place {
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -9,7 +9,7 @@
 use super::params::Params;
 use super::visit::Visit;
 use super::{deliver, html};
-use crate::core::{Answer, Value, COUNTERS};
+use crate::coordinator::{Answer, Value, COUNTERS};
 use crate::interface::ShardId;
 use crate::proto::body::{Body, Held};
 use crate::proto::http::Response;
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -2,7 +2,7 @@
 
 use super::lock;
 use super::paging::Page;
-use crate::core::{End, Value};
+use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
 use crate::proto::fetch::Fetched;
 use serde::Deserialize;
@@ -14,7 +14,7 @@
 use url::Url;
 
 /// Most characters of a link that is followed.
-const MOST_LINK: usize = 4 * 1024;
+const MAX_LINK: usize = 4 * 1024;
 
 /// What a visit is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,7 +67,7 @@
     }
 
     /// What a response comes to.
-    pub fn judge(&self, server: &str, host: &str, fetched: Fetched) -> End {
+    pub fn judge(&self, server: &str, host: &str, fetched: Fetched) -> AttemptEnd {
         let page = match (fetched.status, self.kind) {
             (200, Kind::Items) => read_page(fetched.body, host, &self.target, self.sieve.as_ref()),
             (200, Kind::Feature) => read_feature(fetched.body),
@@ -76,13 +76,13 @@
             // A server without such a document has said so: its look must not end those at others.
             (status, Kind::Document) if status != 429 => Some(Page::default()),
             // Only this status says that the request was not taken up; any other failure may have run.
-            (429, _) => return End::Failed(Outcome::Rejected),
+            (429, _) => return AttemptEnd::Failed(Outcome::Rejected),
             _ => None,
         };
-        let Some(page) = page else { return End::Failed(Outcome::Error) };
+        let Some(page) = page else { return AttemptEnd::Failed(Outcome::Error) };
         let mut came = self.came();
         came.push(Arc::new(Page { server: server.into(), ..page }));
-        End::Served(Value::from((came.len() as u32 - 1).to_be_bytes().as_slice()))
+        AttemptEnd::Served(Value::from((came.len() as u32 - 1).to_be_bytes().as_slice()))
     }
 
     /// What came last, whatever the core made of it.
@@ -157,7 +157,7 @@
     let plain = there.username().is_empty() && there.password().is_none();
     let on = there[url::Position::BeforePath..url::Position::AfterQuery].to_owned();
     let same = here[url::Position::BeforePath..url::Position::AfterQuery] == on;
-    (home && plain && !same && on.len() <= MOST_LINK).then_some(on)
+    (home && plain && !same && on.len() <= MAX_LINK).then_some(on)
 }
 
 #[cfg(test)]
@@ -198,14 +198,14 @@
     fn each_status_has_its_end() {
         let fetched = |status, body: &str| Fetched { status, headers: Default::default(), body: body.into() };
         let end = |kind, status, body| Visit::new(kind, "/x".into()).judge("s", "a:1", fetched(status, body));
-        assert_eq!(end(Kind::Items, 429, ""), End::Failed(Outcome::Rejected));
-        assert_eq!(end(Kind::Items, 503, ""), End::Failed(Outcome::Error));
-        assert_eq!(end(Kind::Items, 200, "<html>"), End::Failed(Outcome::Error));
-        assert_eq!(end(Kind::Feature, 200, "[1]"), End::Failed(Outcome::Error));
-        assert!(matches!(end(Kind::Feature, 404, ""), End::Served(_)));
-        assert!(matches!(end(Kind::Document, 500, ""), End::Served(_)));
+        assert_eq!(end(Kind::Items, 429, ""), AttemptEnd::Failed(Outcome::Rejected));
+        assert_eq!(end(Kind::Items, 503, ""), AttemptEnd::Failed(Outcome::Error));
+        assert_eq!(end(Kind::Items, 200, "<html>"), AttemptEnd::Failed(Outcome::Error));
+        assert_eq!(end(Kind::Feature, 200, "[1]"), AttemptEnd::Failed(Outcome::Error));
+        assert!(matches!(end(Kind::Feature, 404, ""), AttemptEnd::Served(_)));
+        assert!(matches!(end(Kind::Document, 500, ""), AttemptEnd::Served(_)));
         let visit = Visit::new(Kind::Feature, "/x".into());
-        let End::Served(value) = visit.judge("s", "a:1", fetched(200, "{}")) else { panic!("served") };
+        let AttemptEnd::Served(value) = visit.judge("s", "a:1", fetched(200, "{}")) else { panic!("served") };
         assert_eq!(visit.page(&value).map(|p| (p.server.to_string(), p.given)), Some(("s".to_owned(), 1)));
     }
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -1,10 +1,10 @@
 //! The platform's protocol: `POST /api` with a query's parts in JSON, and `GET /up`.
 
 use super::{Front, Reaction};
-use crate::core::{Answer, PartRequest, Request, Token, COUNTERS};
+use crate::coordinator::{Answer, PartRequest, Request, Token, COUNTERS};
 use crate::interface::{ShardId, TenantId};
 use crate::proto::http::{HttpError, HttpRequest, Response};
-use crate::settings::Deployment;
+use crate::settings::CoordinatorSettings;
 use crate::time::Micros;
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex};
@@ -12,11 +12,11 @@
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
 /// Longest id of a query: it is repeated in every frame.
-const MOST_ID: usize = 128;
+const MAX_ID: usize = 128;
 /// Longest time a client may state; anything longer is as good as this.
-const MOST_PATIENCE_S: f64 = 3_600.0;
+const MAX_PATIENCE_S: f64 = 3_600.0;
 /// Shares are rounded: together they may miss 1 by so much.
-const MOST_ROUNDING: f64 = 1e-3;
+const MAX_ROUNDING: f64 = 1e-3;
 
 #[derive(Deserialize)]
 struct Query {
@@ -61,8 +61,8 @@
 
 impl Named {
     /// By these settings.
-    pub fn new(deployment: &Deployment) -> Arc<Self> {
-        let module = &deployment.module;
+    pub fn new(deployment: &CoordinatorSettings) -> Arc<Self> {
+        let module = &deployment.policy;
         let classes = module.classes.iter().map(|c| c.name.as_str().into()).collect();
         Arc::new(Named { classes, shards: module.shards })
     }
@@ -78,13 +78,13 @@
         let named = self.named.lock().unwrap_or_else(|e| e.into_inner()).clone();
         let header = |name| request.headers.get(name).ok_or_else(|| format!("{name} is missing"));
         let label = header("X-Trace-Id")?;
-        if label.is_empty() || label.len() > MOST_ID || !label.bytes().all(|b| b.is_ascii_graphic()) {
+        if label.is_empty() || label.len() > MAX_ID || !label.bytes().all(|b| b.is_ascii_graphic()) {
             return Err("X-Trace-Id is no id".to_owned());
         }
         let name = header("X-Qos")?;
         let class = named.classes.iter().find(|c| &***c == name).ok_or("X-Qos names no class")?.clone();
         let seconds = header("X-Expires-In")?.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
-        let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MOST_PATIENCE_S);
+        let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MAX_PATIENCE_S);
         let patience = Micros((seconds * 1e6) as u64);
         let query: Query = serde_json::from_slice(&request.body).map_err(|e| format!("body: {e}"))?;
         let mut parts: Vec<PartRequest> = Vec::with_capacity(query.tablets.len());
@@ -104,7 +104,7 @@
             return Err("no tablets".to_owned());
         }
         // Shares that do not add up would let an answer pass for whole that is not.
-        if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > MOST_ROUNDING {
+        if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > MAX_ROUNDING {
             return Err("the fractions do not add up to 1".to_owned());
         }
         Ok(Request {
--- a/src/levels/machine.rs
+++ b/src/levels/machine.rs
@@ -5,9 +5,9 @@
 use std::collections::VecDeque;
 
 /// A signal that has said nothing for so long says nothing: it neither enters a level nor keeps it.
-const MOST_AGE: Micros = Micros::from_secs(5);
+const MAX_AGE: Micros = Micros::from_secs(5);
 /// Moves that are remembered.
-const MOST_HISTORY: usize = 64;
+const MAX_HISTORY: usize = 64;
 /// A level that is entered again within this after it was left was left too soon: it is kept for so long then. So a level is
 /// entered, left and entered again at most once in this time, whatever flaps.
 const AGAIN: Micros = Micros::from_secs(300);
@@ -119,8 +119,7 @@
         let stay = if self.again[present].0 { stay.max(AGAIN) } else { stay };
         let calm = now.since(since) >= Table::hold(level.leave_ms, self.stretch);
         if calm && now.since(self.since) >= stay {
-            let by =
-                level.when.iter().filter_map(|c| Some((c.signal, readings.of(c.signal, now, MOST_AGE)?)));
+            let by = level.when.iter().filter_map(|c| Some((c.signal, readings.of(c.signal, now, MAX_AGE)?)));
             let by = by.collect();
             return self.go(present, now, by, false);
         }
@@ -146,7 +145,7 @@
     ) -> Vec<(Signal, f64)> {
         let when = &self.table.levels[level].when;
         let over = |c: &super::Condition| {
-            let said = readings.of(c.signal, now, MOST_AGE)?;
+            let said = readings.of(c.signal, now, MAX_AGE)?;
             (said >= bound(c)).then_some((c.signal, said))
         };
         let holds = |c: &super::Condition| match &c.with {
@@ -166,7 +165,7 @@
             *again = left.is_some_and(|left| now.since(left) < AGAIN);
         }
         (self.level, self.since, self.wanted, self.unwanted) = (to, now, None, None);
-        if self.history.len() >= MOST_HISTORY {
+        if self.history.len() >= MAX_HISTORY {
             self.history.pop_front();
         }
         self.history.push_back(Change { at: now, from, to, by, pinned });
--- a/src/levels/table.rs
+++ b/src/levels/table.rs
@@ -6,9 +6,9 @@
 use serde::Deserialize;
 
 /// Between what enters a level and what leaves it there must be this much, as a share of what enters: noise is of that size.
-const LEAST_GAP: f64 = 0.15;
+const MIN_GAP: f64 = 0.15;
 /// Holds and stays are at least so long: a signal is refreshed twice in it.
-const LEAST_HOLD_MS: u64 = 500;
+const MIN_HOLD_MS: u64 = 500;
 
 /// A signal is at or over a value.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -157,13 +157,13 @@
             if level.when.is_empty() {
                 fault("it is out of reach: no condition enters it".to_owned());
             }
-            if [level.enter_ms, level.leave_ms, level.stay_ms].iter().any(|ms| *ms < LEAST_HOLD_MS) {
-                fault(format!("enter_ms, leave_ms and stay_ms must be {LEAST_HOLD_MS} or more"));
+            if [level.enter_ms, level.leave_ms, level.stay_ms].iter().any(|ms| *ms < MIN_HOLD_MS) {
+                fault(format!("enter_ms, leave_ms and stay_ms must be {MIN_HOLD_MS} or more"));
             }
             for c in &level.when {
                 if !(c.enter.is_finite() && c.leave.is_finite() && c.enter > 0.0 && c.leave >= 0.0) {
                     fault(format!("{:?}: enter and leave must be numbers, and enter above 0", c.signal));
-                } else if c.leave > c.enter * (1.0 - LEAST_GAP) {
+                } else if c.leave > c.enter * (1.0 - MIN_GAP) {
                     fault(format!(
                         "{:?}: between enter {} and leave {} noise would swing it",
                         c.signal, c.enter, c.leave
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! and which queries to reject. It opens no socket and reads no clock: hand it the events of a moment, carry out
 //! its actions in order, and wake it when it asks.
 //!
-//! The types are in [`interface`], the decisions in [`rules`].
+//! The types are in [`interface`], the decisions in [`policy`].
 //!
 //! ```
 //! use quinceflow::*;
@@ -91,17 +91,17 @@
 //! ```
 #![forbid(unsafe_code)]
 
-pub mod core;
+pub mod coordinator;
 pub mod front;
 pub mod interface;
 pub mod levels;
 pub mod limits;
 pub mod log;
 pub mod net;
+pub mod policy;
 pub mod proto;
-pub mod rules;
 pub mod settings;
 pub mod time;
 
 pub use interface::*;
-pub use rules::DecisionPolicy;
+pub use policy::DecisionPolicy;
--- a/src/limits/server.rs
+++ b/src/limits/server.rs
@@ -27,7 +27,7 @@
 /// A limit grows only while at least this share of it is in use: else nothing tells what more would do.
 const USED: f64 = 0.5;
 /// A server's own wish to be left alone is followed for so long at most.
-const MOST_HOLD: Micros = Micros::from_secs(30);
+const MAX_HOLD: Micros = Micros::from_secs(30);
 
 /// How limits are set.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -142,7 +142,7 @@
 
     /// It wishes so for this long.
     pub fn hold(&mut self, now: Micros, wish: Micros) {
-        self.hold = self.hold.max(now + wish.min(MOST_HOLD));
+        self.hold = self.hold.max(now + wish.min(MAX_HOLD));
     }
 
     /// Requests a second that it bears as it is now, if that is known.
--- a/src/net/mgmt.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,7 @@
 //! reads atomics only.
 
 use super::{try_read, Tried};
-use crate::core::{log_rarely, Counter, Metrics, COUNTERS};
+use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::Write;
@@ -11,9 +11,9 @@
 use std::time::{Duration, Instant};
 
 /// A caller without a whole call is closed after this; the oldest goes sooner where places are short.
-const MOST_CALL: Duration = Duration::from_secs(6);
+const MAX_CALL: Duration = Duration::from_secs(6);
 /// The longest sleep, and the pause when no connection can be accepted.
-const MOST_SLEEP_MS: (i64, u64) = (250, 10);
+const MAX_SLEEP_MS: (i64, u64) = (250, 10);
 
 /// Descriptors kept for this address, out of so many of the process: its listener and its callers.
 pub fn reserved(sockets: usize) -> usize {
@@ -61,7 +61,7 @@
 fn round(listener: &TcpListener, callers: &mut Vec<Conn>, told: &Told) {
     let mut waited: Vec<PollFd<'_>> = vec![PollFd::new(listener, PollFlags::IN)];
     waited.extend(callers.iter().map(|c| PollFd::new(&c.stream, PollFlags::IN)));
-    let sleep = Timespec { tv_sec: 0, tv_nsec: MOST_SLEEP_MS.0 * 1_000_000 };
+    let sleep = Timespec { tv_sec: 0, tv_nsec: MAX_SLEEP_MS.0 * 1_000_000 };
     if poll(&mut waited, Some(&sleep)).is_err() {
         return;
     }
@@ -76,7 +76,7 @@
         // Most calls come with their connection.
         callers.retain_mut(|c| !answered(c, told));
     }
-    callers.retain_mut(|c| !answered(c, told) && c.since.elapsed() < MOST_CALL);
+    callers.retain_mut(|c| !answered(c, told) && c.since.elapsed() < MAX_CALL);
 }
 
 fn accept(listener: &TcpListener) -> Option<TcpStream> {
@@ -88,7 +88,7 @@
         Err(e) => {
             static REFUSED: Counter = Counter::new();
             log_rarely(&REFUSED, || format!("the second address: accept: {e}"));
-            std::thread::sleep(Duration::from_millis(MOST_SLEEP_MS.1));
+            std::thread::sleep(Duration::from_millis(MAX_SLEEP_MS.1));
             None
         }
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepted, read, answered, and closed when there are too many or they stand idle.
 
 use super::{spawn, try_read, try_write, Tried};
-use crate::core::{log_rarely, Answer, Input, Token, COUNTERS};
+use crate::coordinator::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
 use crate::limits::BASE_MEMORY;
 use crate::proto::http::{HttpError, Server};
@@ -17,23 +17,23 @@
 
 /// A request must be here whole by then, and the first one of a connection begun: the clients are owed an error or a
 /// close within 3 s.
-const MOST_REQUEST: Micros = Micros::from_millis(2_200);
+const MAX_REQUEST: Micros = Micros::from_millis(2_200);
 /// An idle connection is kept so long,
-const MOST_IDLE: Micros = Micros::from_secs(30);
+const MAX_IDLE: Micros = Micros::from_secs(30);
 /// or so long while more than half of the places are taken.
-const MOST_IDLE_CROWDED: Micros = Micros::from_millis(2_500);
+const MAX_IDLE_CROWDED: Micros = Micros::from_millis(2_500);
 /// Whoever was heard of so lately may just be about to ask, and does not give way to others. No longer than a way: in a
 /// crowd everybody behind, who may have asked long since, waits for this.
 const NEW: Micros = Micros::from_millis(30);
 /// After an error what still comes is read and dropped for so long, and so much of it: a close with unread input is a
 /// reset, which can eat the error.
-const MOST_LINGER: Micros = Micros::from_secs(1);
-/// See [`MOST_LINGER`].
-const MOST_LINGER_BYTES: usize = 1024 * 1024;
+const MAX_LINGER: Micros = Micros::from_secs(1);
+/// See [`MAX_LINGER`].
+const MAX_LINGER_BYTES: usize = 1024 * 1024;
 /// A connection that was accepted while the program leaves is given so long for its request: it was on its way.
 const LAST_WORD: Micros = Micros::from_millis(300);
 /// An answer must be taken by then.
-const MOST_ANSWER: Micros = Micros::from_secs(15);
+const MAX_ANSWER: Micros = Micros::from_secs(15);
 /// The pause when no connection can be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -53,7 +53,7 @@
     /// The bounds under these limits of the process. The usual clients need a third of the descriptors; another third
     /// is for those that say nothing until they are shed, and the last for servers, the watch and the runtime.
     pub fn new(sockets: usize, memory: usize) -> Self {
-        let sockets = sockets.saturating_sub(super::mgmt::reserved(sockets));
+        let sockets = sockets.saturating_sub(super::admin::reserved(sockets));
         let bytes = (memory.saturating_sub(BASE_MEMORY) / 3).max(1024 * 1024);
         Bounds { connections: (sockets * 2 / 3).max(1), idle: sockets / 6, bytes }
     }
@@ -496,20 +496,20 @@
         self.trim();
         let conns = guard(&self.conns);
         let crowded = conns.len() * 2 > self.bounds().connections;
-        let most_idle = if crowded { MOST_IDLE_CROWDED } else { MOST_IDLE };
+        let most_idle = if crowded { MAX_IDLE_CROWDED } else { MAX_IDLE };
         for conn in conns.values() {
             let mut state = conn.lock();
             let quiet = now.since(state.active);
-            if state.lingering.is_some_and(|(since, _)| now.since(since) > MOST_LINGER) {
+            if state.lingering.is_some_and(|(since, _)| now.since(since) > MAX_LINGER) {
                 state.cut();
             } else if !state.server.output().is_empty() {
-                if quiet > MOST_ANSWER {
+                if quiet > MAX_ANSWER {
                     COUNTERS.client_timeouts.add();
                     state.cut();
                 }
             } else if !state.asked && state.server.idle() {
                 // A connection that was never used is owed nothing but its end.
-                if now.since(state.accepted) > MOST_REQUEST {
+                if now.since(state.accepted) > MAX_REQUEST {
                     COUNTERS.client_timeouts.add();
                     state.cut();
                 }
@@ -522,7 +522,7 @@
                 // The first request has its time from the connection's begin: who sends a byte now and then gains
                 // none.
                 let since = if state.asked { state.began.unwrap_or(state.active) } else { state.accepted };
-                if now.since(since) > MOST_REQUEST {
+                if now.since(since) > MAX_REQUEST {
                     COUNTERS.client_timeouts.add();
                     let response = self.front.malformed_response(HttpError::TooSlow);
                     state.server.give_up(response);
@@ -592,7 +592,7 @@
         match try_read(sys, input.room()) {
             Tried::Moved(n) => {
                 bytes += n;
-                if bytes > MOST_LINGER_BYTES {
+                if bytes > MAX_LINGER_BYTES {
                     break false;
                 }
             }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! What a coordinator is told at its start.
 
-use crate::settings::{missing_key, read_deployment, Deployment};
+use crate::settings::{missing_key, read_deployment, CoordinatorSettings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -73,7 +73,7 @@
     /// The servers as last known, in discovery's form.
     pub known: Vec<u8>,
     /// The settings.
-    pub deployment: Deployment,
+    pub deployment: CoordinatorSettings,
 }
 
 impl Config {
@@ -134,7 +134,7 @@
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// The settings.
-    pub deployment: Deployment,
+    pub deployment: CoordinatorSettings,
 }
 
 impl InForce {
--- a/src/net/walks.rs
+++ b/src/net/feature_client.rs
@@ -1,7 +1,7 @@
 //! Attempts at feature servers: each a request over one connection, taken from those that stand idle.
 
 use super::{spawn, try_read, try_write, Tried, Upstream, LARGE_STACK_WORDS};
-use crate::core::{AttemptKey, ClassMetrics, End, Input, Job, COUNTERS};
+use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics, Input, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::visit::Visit;
 use crate::interface::{Outcome, ReplicaId};
@@ -16,7 +16,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Connections to all servers at a time: what the clients' bound leaves, with some to spare.
-const MOST_OPEN: usize = 200;
+const MAX_OPEN: usize = 200;
 
 fn guard<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
     lock.lock().unwrap_or_else(|e| e.into_inner())
@@ -33,7 +33,7 @@
 }
 
 /// Attempts that wait at a server, as a multiple of its limit: more would only find out late that they come too late.
-const MOST_WAITING: usize = 4;
+const MAX_WAITING: usize = 4;
 
 impl Server {
     /// One of which nothing is known yet.
@@ -63,7 +63,7 @@
 }
 
 /// All attempts and connections to feature servers.
-pub struct Walks {
+pub struct FeatureClient {
     servers: HashMap<ReplicaId, Arc<Mutex<Server>>>,
     out: HashMap<AttemptKey, Arc<Mutex<Slot>>>,
     inbox: Sender<Input>,
@@ -75,10 +75,10 @@
     bears: Arc<ServerCapacity>,
 }
 
-impl Walks {
+impl FeatureClient {
     /// None yet.
     pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, bears: Arc<ServerCapacity>) -> Self {
-        Walks {
+        FeatureClient {
             servers: HashMap::new(),
             out: HashMap::new(),
             inbox,
@@ -95,13 +95,13 @@
     fn room(&self) -> bool {
         let sum =
             |count: fn(&Server) -> usize| self.servers.values().map(|s| count(&guard(s))).sum::<usize>();
-        if sum(|s| s.busy + s.idle.len()) >= MOST_OPEN {
+        if sum(|s| s.busy + s.idle.len()) >= MAX_OPEN {
             self.servers.values().for_each(|s| guard(s).idle.clear());
         }
-        sum(|s| s.busy) < MOST_OPEN
+        sum(|s| s.busy) < MAX_OPEN
     }
 
-    fn start(&mut self, replica: ReplicaId, job: &Job) -> Result<(), Outcome> {
+    fn start(&mut self, replica: ReplicaId, job: &AttemptRequest) -> Result<(), Outcome> {
         if !self.room() {
             // Like a server that has all the connections it takes: nothing was sent.
             return Err(Outcome::ConnectFailed);
@@ -114,7 +114,7 @@
             let mut state = guard(server);
             let address = state.address.filter(|_| state.ready).ok_or(Outcome::NotSent)?;
             let (limiter, waiting) = (&state.limiter, state.waiting.len());
-            if limiter.held(now) || waiting >= MOST_WAITING * limiter.limit() {
+            if limiter.held(now) || waiting >= MAX_WAITING * limiter.limit() {
                 // It wishes to be left alone, or more wait than it can serve in time: nothing was sent.
                 return Err(Outcome::Rejected);
             }
@@ -153,11 +153,11 @@
     let (server, inbox, key) = (driver.server.clone(), driver.inbox.clone(), driver.key);
     if spawn(LARGE_STACK_WORDS, move || driver.run()).is_err() {
         guard(&server).busy -= 1;
-        let _ = inbox.send(Input::AttemptEnded(key, End::Failed(Outcome::NotSent)));
+        let _ = inbox.send(Input::AttemptEnded(key, AttemptEnd::Failed(Outcome::NotSent)));
     }
 }
 
-impl Upstream for Walks {
+impl Upstream for FeatureClient {
     fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let server =
             self.servers.entry(replica).or_insert_with(|| Arc::new(Mutex::new(Server::new(self.rule))));
@@ -174,14 +174,14 @@
         let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
         drop(state);
         for driver in waiting {
-            let _ = self.inbox.send(Input::AttemptEnded(driver.key, End::Failed(Outcome::NotSent)));
+            let _ = self.inbox.send(Input::AttemptEnded(driver.key, AttemptEnd::Failed(Outcome::NotSent)));
         }
     }
 
-    fn dispatch(&mut self, replica: ReplicaId, jobs: &[Job], _now: Micros) {
+    fn dispatch(&mut self, replica: ReplicaId, jobs: &[AttemptRequest], _now: Micros) {
         for job in jobs {
             if let Err(outcome) = self.start(replica, job) {
-                let _ = self.inbox.send(Input::AttemptEnded(job.key, End::Failed(outcome)));
+                let _ = self.inbox.send(Input::AttemptEnded(job.key, AttemptEnd::Failed(outcome)));
             }
         }
     }
@@ -259,7 +259,7 @@
                     wish = fetched.headers.get("Retry-After").and_then(|s| s.trim().parse().ok());
                 }
                 let end = self.visit.judge(&host, &host, fetched);
-                if let End::Served(value) = &end {
+                if let AttemptEnd::Served(value) = &end {
                     how = Ended::Well(self.visit.page(value).map_or(0, |p| p.given));
                 }
                 end
@@ -268,9 +268,9 @@
                 if guard(&self.slot).called_off && self.fetch.may_have_run() {
                     how = Ended::GivenUp;
                 }
-                End::Failed(outcome)
+                AttemptEnd::Failed(outcome)
             }
-            Progress::On => End::Failed(Outcome::Error),
+            Progress::On => AttemptEnd::Failed(Outcome::Error),
         };
         let mut server = guard(&self.server);
         let beside = server.busy;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -20,11 +20,11 @@
 /// What the new process says once it has the sockets.
 const TAKEN: &[u8] = b"taken\n";
 /// A peer that hangs is not waited for: a start must not depend on it.
-const MOST_WAIT: Duration = Duration::from_millis(400);
+const MAX_WAIT: Duration = Duration::from_millis(400);
 /// Sockets that one message carries: a process has a front or two.
-const MOST_SOCKETS: usize = 4;
+const MAX_SOCKETS: usize = 4;
 /// Most bytes of a message.
-const MOST_MESSAGE: usize = 1024;
+const MAX_MESSAGE: usize = 1024;
 /// Stack of a thread that waits for the other process.
 const STACK: usize = 64 * 1024;
 
@@ -63,11 +63,11 @@
 
 fn try_take(place: &Path) -> io::Result<(Vec<Listening<TcpListener>>, Peer)> {
     let mut line = UnixStream::connect(place)?;
-    line.set_read_timeout(Some(MOST_WAIT))?;
-    line.set_write_timeout(Some(MOST_WAIT))?;
+    line.set_read_timeout(Some(MAX_WAIT))?;
+    line.set_write_timeout(Some(MAX_WAIT))?;
     writeln!(line, "{HELLO}")?;
-    let mut text = [0; MOST_MESSAGE];
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_SOCKETS))];
+    let mut text = [0; MAX_MESSAGE];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_SOCKETS))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let message = recvmsg(&line, &mut [IoSliceMut::new(&mut text)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
     let mut sockets: Vec<OwnedFd> = Vec::new();
@@ -140,8 +140,8 @@
 
 /// Gives the sockets to whoever says the right words.
 fn give<L: AsFd>(mut line: UnixStream, listening: &[Listening<L>]) -> io::Result<Peer> {
-    line.set_read_timeout(Some(MOST_WAIT))?;
-    line.set_write_timeout(Some(MOST_WAIT))?;
+    line.set_read_timeout(Some(MAX_WAIT))?;
+    line.set_write_timeout(Some(MAX_WAIT))?;
     let mut said = [0; HELLO.len() + 1];
     line.read_exact(&mut said)?;
     if said.strip_suffix(b"\n") != Some(HELLO.as_bytes()) {
@@ -150,7 +150,7 @@
     let words: Vec<String> = listening.iter().map(|l| l.0.to_string()).collect();
     let text = format!("{HELLO} {}", words.join(" "));
     let sockets: Vec<BorrowedFd<'_>> = listening.iter().map(|l| l.1.as_fd()).collect();
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_SOCKETS))];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_SOCKETS))];
     let mut control = SendAncillaryBuffer::new(&mut space);
     if !control.push(SendAncillaryMessage::ScmRights(&sockets)) {
         return Err(io::Error::other("too many sockets"));
@@ -233,7 +233,7 @@
         offer(place.clone(), vec![(address, listener)], move |peer| drop(tell.send(peer))).expect("offered");
         let mut line = UnixStream::connect(&place).expect("it waits");
         writeln!(line, "{HELLO}").expect("said");
-        assert!(line.read(&mut [0; MOST_MESSAGE]).expect("the sockets") > 0);
+        assert!(line.read(&mut [0; MAX_MESSAGE]).expect("the sockets") > 0);
         drop(line);
         let (_, old) = take(&place).expect("the next one is served");
         assert!(told.recv().expect("told").lives() && old.lives());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,18 +1,18 @@
 //! Thin drivers on coroutines: they read and write sockets and hand bytes to the state machines. No policy.
 
-pub mod alarm;
+pub mod admin;
 pub mod clients;
 pub mod config;
+pub mod feature_client;
 pub mod handover;
-pub mod links;
-pub mod mgmt;
+pub mod node_client;
 pub mod server;
-pub mod walks;
+pub mod timer;
 pub mod watch;
 
-use crate::core::{AttemptKey, Job};
+use crate::coordinator::{AttemptKey, AttemptRequest};
 use crate::interface::ReplicaId;
-use crate::settings::Deployment;
+use crate::settings::CoordinatorSettings;
 use crate::time::Micros;
 use may::coroutine::{Builder, JoinHandle};
 use std::io;
@@ -22,7 +22,7 @@
     /// Learns where a server is and whether it takes new work.
     fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, now: Micros);
     /// Starts attempts in one call.
-    fn dispatch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros);
+    fn dispatch(&mut self, replica: ReplicaId, jobs: &[AttemptRequest], now: Micros);
     /// Gives an attempt up.
     fn cancel(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros);
     /// Forgets a server that is gone for good.
@@ -30,7 +30,7 @@
     /// Closes idle connections to a server.
     fn close_idle(&mut self, replica: ReplicaId);
     /// The settings have changed.
-    fn reconfigure(&mut self, _deployment: &Deployment) {}
+    fn reconfigure(&mut self, _deployment: &CoordinatorSettings) {}
     /// Closes what has stood idle for too long and forgets what has ended; `out`: an attempt is still out.
     fn reap(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool);
 }
--- a/src/net/links.rs
+++ b/src/net/node_client.rs
@@ -1,10 +1,10 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
 use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK_WORDS};
-use crate::core::{log_rarely, AttemptKey, End, Input, Job, COUNTERS};
+use crate::coordinator::{log_rarely, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
-use crate::settings::Deployment;
+use crate::settings::CoordinatorSettings;
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
 use may::net::TcpStream;
@@ -27,9 +27,9 @@
 const FIRST_TYPICAL: Micros = Micros::from_millis(60);
 /// A frame that began to come is here whole by then, or its length is wrong and it never will be: what comes after it
 /// would be taken for its end.
-const MOST_PARTIAL: Micros = Micros::from_millis(50);
+const MAX_PARTIAL: Micros = Micros::from_millis(50);
 /// Most connections to one node, whatever happens.
-const MOST_LINKS: usize = 4;
+const MAX_LINKS: usize = 4;
 
 /// A connection as the pool and its driver share it.
 #[derive(Default)]
@@ -135,7 +135,7 @@
 }
 
 /// All connections to data nodes.
-pub struct Links {
+pub struct NodeClient {
     nodes: HashMap<ReplicaId, Node>,
     typical: Arc<Typical>,
     inbox: Sender<Input>,
@@ -145,10 +145,10 @@
     most_parts: usize,
 }
 
-impl Links {
+impl NodeClient {
     /// A pool without connections.
-    pub fn new(deployment: &Deployment, inbox: Sender<Input>, clock: Clock) -> Self {
-        let mut links = Links {
+    pub fn new(deployment: &CoordinatorSettings, inbox: Sender<Input>, clock: Clock) -> Self {
+        let mut links = NodeClient {
             nodes: HashMap::new(),
             typical: Arc::new(Typical(AtomicU64::new(FIRST_TYPICAL.0))),
             inbox,
@@ -161,7 +161,7 @@
         links
     }
 
-    fn slot(&mut self, replica: ReplicaId, now: Micros, jobs: &[Job]) -> Option<Arc<Slot>> {
+    fn slot(&mut self, replica: ReplicaId, now: Micros, jobs: &[AttemptRequest]) -> Option<Arc<Slot>> {
         let node = self.nodes.get_mut(&replica)?;
         let address = node.address.filter(|_| node.ready)?;
         node.links.retain(|l| !l.lock().dead);
@@ -186,7 +186,7 @@
             }
             silent = Some(slot.clone());
         }
-        if node.links.len() >= MOST_LINKS {
+        if node.links.len() >= MAX_LINKS {
             return silent;
         }
         COUNTERS.dials.add();
@@ -211,7 +211,7 @@
     }
 }
 
-impl Upstream for Links {
+impl Upstream for NodeClient {
     fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
         let address = address.parse().ok();
         let node = self.nodes.entry(replica).or_insert(Node { address, ready, links: Vec::new() });
@@ -235,10 +235,11 @@
         }
     }
 
-    fn dispatch(&mut self, replica: ReplicaId, jobs: &[Job], now: Micros) {
+    fn dispatch(&mut self, replica: ReplicaId, jobs: &[AttemptRequest], now: Micros) {
         let slot = self.slot(replica, now, jobs);
         let Some(slot) = slot else {
-            let refused = jobs.iter().map(|j| LinkEvent::Ended(j.key, End::Failed(Outcome::ConnectFailed)));
+            let refused =
+                jobs.iter().map(|j| LinkEvent::Ended(j.key, AttemptEnd::Failed(Outcome::ConnectFailed)));
             return forward(&self.inbox, refused);
         };
         let mut state = slot.lock();
@@ -279,7 +280,7 @@
         }
     }
 
-    fn reconfigure(&mut self, deployment: &Deployment) {
+    fn reconfigure(&mut self, deployment: &CoordinatorSettings) {
         let idle = Micros::from_nanos(deployment.idle_close);
         self.dial_timeout = Micros::from_nanos(deployment.dial_timeout);
         self.idle_limit = (idle - IDLE_MARGIN).max(Micros(idle.0 / 2));
@@ -291,7 +292,7 @@
         for node in self.nodes.values_mut() {
             node.links.retain(|slot| {
                 let mut state = slot.lock();
-                if state.partial.is_some_and(|since| now.since(since) > MOST_PARTIAL) && !state.spoilt {
+                if state.partial.is_some_and(|since| now.since(since) > MAX_PARTIAL) && !state.spoilt {
                     log_rarely(&COUNTERS.bad_frames, || {
                         format!("data node {:?}: a frame without its end", node.address)
                     });
@@ -411,7 +412,7 @@
                     let read = state.link.read(events);
                     for event in events.iter() {
                         let sent = state.forget(event);
-                        if let (Some(sent), LinkEvent::Ended(_, End::Served(_))) = (sent, event) {
+                        if let (Some(sent), LinkEvent::Ended(_, AttemptEnd::Served(_))) = (sent, event) {
                             self.typical.saw(state.heard.since(sent));
                         }
                     }
@@ -455,7 +456,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::core::ClassMetrics;
+    use crate::coordinator::ClassMetrics;
     use crate::interface::{AttemptNo, PartId, ShardId};
     use std::net::TcpListener;
 
@@ -504,7 +505,7 @@
         };
         let slot = driver.slot.clone();
         let mut state = slot.lock();
-        state.link.call(&[Job {
+        state.link.call(&[AttemptRequest {
             key: key(1),
             request_id: "q1".into(),
             shard: ShardId(0),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,14 +1,14 @@
 //! The program: for each front a core, and the coroutines that feed it.
 
-use super::alarm::Alarm;
+use super::admin;
 use super::clients::{Bounds, Clients};
 use super::config::{Config, InForce};
+use super::feature_client::FeatureClient;
 use super::handover::{self, Peer};
-use super::links::Links;
-use super::mgmt;
-use super::walks::Walks;
+use super::node_client::NodeClient;
+use super::timer::Timer;
 use super::{spawn, watch, Upstream, LARGE_STACK_WORDS, SMALL_STACK_WORDS, TURN_STACK_WORDS};
-use crate::core::{Beside, Command, Core, Input, Metrics, COUNTERS};
+use crate::coordinator::{Command, Coordinator, Input, Metrics, ProcessGeneration, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::cursor::Key;
 use crate::front::ogc::{self, Ogc, SharedCatalog};
@@ -17,7 +17,7 @@
 use crate::interface::Settings;
 use crate::limits::ServerCapacity;
 use crate::proto::discovery::read_listing;
-use crate::settings::Deployment;
+use crate::settings::CoordinatorSettings;
 use crate::time::{unix_ms, Clock, Micros};
 use may::coroutine::JoinHandle;
 use may::io::CoIo;
@@ -30,17 +30,17 @@
 use std::sync::{Arc, Mutex};
 
 /// The longest sleep of the core: signals are looked at this often.
-const MOST_SLEEP: Micros = Micros::from_millis(50);
+const MAX_SLEEP: Micros = Micros::from_millis(50);
 /// Client connections are tidied this often,
-const TIDY_EVERY: Micros = Micros::from_millis(250);
+const TIDY_INTERVAL: Micros = Micros::from_millis(250);
 /// and those to servers so often: a part may be waiting for what will never come.
-const TIDY_SERVERS_EVERY: Micros = MOST_SLEEP;
+const TIDY_SERVERS_INTERVAL: Micros = MAX_SLEEP;
 /// Without a word from discovery, the list known at the start serves after so long.
 const WAIT_FOR_LIST: Micros = Micros::from_millis(400);
 /// `HEALTH` waits for discovery, but not for ever: the platform starts coordinators while discovery is down, too.
 const WAIT_FOR_NEWS: Micros = Micros::from_millis(3_000);
 /// A program told to end is killed no sooner than the longest deadline, or this if that is longer,
-const MOST_DEADLINE: Micros = Micros::from_secs(3);
+const MAX_DEADLINE: Micros = Micros::from_secs(3);
 /// and this on top.
 const KILL_GRACE: Micros = Micros::from_millis(700);
 /// So long before that all is answered,
@@ -56,7 +56,7 @@
 
 /// When a program that is told to end has answered all that it takes after that, counted from then: before the kill.
 fn last_answer(longest: Micros) -> Micros {
-    longest.min(MOST_DEADLINE) + KILL_GRACE - KILL_MARGIN
+    longest.min(MAX_DEADLINE) + KILL_GRACE - KILL_MARGIN
 }
 
 /// A listening socket as the runtime waits on it.
@@ -73,10 +73,12 @@
 
 impl Others {
     /// Which of two this one is, as long as both live.
-    fn beside(&self) -> Option<Beside> {
+    fn beside(&self) -> Option<ProcessGeneration> {
         let lives = |p: &Option<Peer>| p.as_ref().is_some_and(Peer::lives);
         let after = lives(&self.after.lock().unwrap_or_else(|e| e.into_inner()));
-        after.then_some(Beside::Old).or(lives(&self.before).then_some(Beside::New))
+        after
+            .then_some(ProcessGeneration::Predecessor)
+            .or(lives(&self.before).then_some(ProcessGeneration::Successor))
     }
 }
 
@@ -87,7 +89,7 @@
     bounds: Bounds,
     last_answer: Micros,
     front: Box<dyn Front>,
-    core: Core,
+    core: Coordinator,
     upstream: Box<dyn Upstream>,
     inbox: Sender<Input>,
     arrivals: Receiver<Input>,
@@ -102,7 +104,7 @@
     /// For the core: a list of servers, or settings.
     input: Input,
     /// Settings, where they came.
-    deployment: Option<Deployment>,
+    deployment: Option<CoordinatorSettings>,
 }
 
 /// Reads anew what may change while the program runs.
@@ -155,9 +157,9 @@
     for (address, sockets) in told.into_iter().chain(also).filter_map(|(a, n)| Some((a?, n))).take(1) {
         let fronts: Vec<_> = running.iter().map(|r| r.0.clone()).collect();
         let health = Box::new(move || fronts.iter().try_for_each(|c| c.health()));
-        let most = mgmt::reserved(sockets) - 1;
+        let most = admin::reserved(sockets) - 1;
         // Clients are served without it too.
-        if let Err(e) = mgmt::start(address, mgmt::Told { figures: figures.clone(), health, most }) {
+        if let Err(e) = admin::start(address, admin::Told { figures: figures.clone(), health, most }) {
             tracing::warn!("operators are not answered: {e}");
         }
     }
@@ -193,7 +195,7 @@
 /// Offers the sockets to the next process, once the one before has gone: until then that one does.
 fn offer_sockets(place: &Path, listening: Vec<handover::Listening<Socket>>, others: Arc<Others>) {
     while others.before.as_ref().is_some_and(Peer::lives) {
-        may::coroutine::sleep(MOST_SLEEP.to_duration());
+        may::coroutine::sleep(MAX_SLEEP.to_duration());
     }
     let offered = handover::offer(place.to_owned(), listening, move |peer| {
         tracing::info!("the sockets are handed over to a new process");
@@ -229,27 +231,27 @@
         Err(e) => tracing::warn!("the known list cannot be read: {e}"),
     }
     let deployment = &config.deployment;
-    let place = watch::Place::new(config.discovery, deployment.module.max_poll_interval);
+    let place = watch::Place::new(config.discovery, deployment.policy.max_poll_interval);
     let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
     let waits = watch::Waits::new(config.seed);
     spawn(LARGE_STACK_WORDS, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
         .map_err(no_coroutine)?;
     let named = Arc::new(Mutex::new(Named::new(deployment)));
     Ok(Parts {
-        last_answer: last_answer(longest(&deployment.module)),
+        last_answer: last_answer(longest(&deployment.policy)),
         name: config.name.clone(),
         listen: config.listen,
         bounds: Bounds::new(config.sockets, config.memory),
         front: Box::new(Platform::new(named.clone())),
-        core: Core::new(
-            deployment.module.clone(),
-            deployment.most_held,
+        core: Coordinator::new(
+            deployment.policy.clone(),
+            deployment.max_in_flight,
             // In an upgrade both processes have one seed; in step they would take the same turns.
             if beside { config.seed ^ (u64::from(std::process::id()) << 32) } else { config.seed },
             clock.now(),
             figures.clone(),
         ),
-        upstream: Box::new(Links::new(deployment, inbox.clone(), clock)),
+        upstream: Box::new(NodeClient::new(deployment, inbox.clone(), clock)),
         inbox,
         arrivals,
         listed,
@@ -276,15 +278,15 @@
             place.move_to(replaced.discovery);
         }
         let deployment = replaced.deployment;
-        place.ask_within_is(deployment.module.max_poll_interval);
-        let names: Vec<_> = deployment.module.classes.iter().map(|c| c.name.as_str()).collect();
+        place.ask_within_is(deployment.policy.max_poll_interval);
+        let names: Vec<_> = deployment.policy.classes.iter().map(|c| c.name.as_str()).collect();
         let words = format!(
             "the configuration is read anew: discovery is at {}, classes {}",
             place.address(),
             names.join(" ")
         );
         *named.lock().unwrap_or_else(|e| e.into_inner()) = Named::new(&deployment);
-        let input = Input::Settings(Box::new(deployment.module.clone()), deployment.most_held);
+        let input = Input::Settings(Box::new(deployment.policy.clone()), deployment.max_in_flight);
         Ok(Reloaded { words, input, deployment: Some(deployment) })
     })
 }
@@ -312,8 +314,8 @@
         name: "feature queries".to_owned(),
         listen: edge.listen,
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
-        core: Core::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
-        upstream: Box::new(Walks::new(&edge, inbox.clone(), clock, bears.clone())),
+        core: Coordinator::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
+        upstream: Box::new(FeatureClient::new(&edge, inbox.clone(), clock, bears.clone())),
         front: Box::new(Ogc::new(edge, catalog, key, figures.clone(), bears)),
         inbox,
         arrivals,
@@ -335,7 +337,7 @@
     let address = listener.inner().local_addr().map_err(|e| e.to_string())?;
     let ring = parts.inbox.clone();
     // The core outlives the alarm.
-    let alarm = Alarm::start(clock, move || drop(ring.send(Input::TimerDue))).map_err(|e| e.to_string())?;
+    let alarm = Timer::start(clock, move || drop(ring.send(Input::TimerDue))).map_err(|e| e.to_string())?;
     let clients = Clients::new(parts.front, listener, parts.bounds, parts.inbox, clock);
     let (accepting, watched) = (clients.clone(), others.clone());
     let beside = move || watched.before.as_ref().is_some_and(Peer::lives);
@@ -394,12 +396,12 @@
 }
 
 struct Turns {
-    core: Core,
+    core: Coordinator,
     upstream: Box<dyn Upstream>,
     clients: Arc<Clients>,
     clock: Clock,
     arrivals: Receiver<Input>,
-    alarm: Alarm,
+    alarm: Timer,
     signals: Arc<Signals>,
     listed: Arc<AtomicBool>,
     reload: Reload,
@@ -407,7 +409,7 @@
     last_answer: Micros,
     started: Micros,
     others: Arc<Others>,
-    beside: Option<Beside>,
+    beside: Option<ProcessGeneration>,
 }
 
 impl Turns {
@@ -429,11 +431,11 @@
             for command in commands.drain(..) {
                 self.carry_out(now, command);
             }
-            if now.since(tidied_servers) >= TIDY_SERVERS_EVERY {
+            if now.since(tidied_servers) >= TIDY_SERVERS_INTERVAL {
                 tidied_servers = now;
                 self.upstream.reap(now, &|key| self.core.is_out(key));
             }
-            if now.since(tidied) >= TIDY_EVERY {
+            if now.since(tidied) >= TIDY_INTERVAL {
                 tidied = now;
                 self.clients.tidy(now);
             }
@@ -452,7 +454,7 @@
             }
             if let Some((since, last_answer)) = leaving {
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
-                if self.beside == Some(Beside::Old) {
+                if self.beside == Some(ProcessGeneration::Predecessor) {
                     self.clients.hand_over();
                 } else {
                     self.clients.take_back();
@@ -469,7 +471,7 @@
                 let over = now.since(since) >= last_answer + KILL_MARGIN - END_MARGIN;
                 let open = if over { self.clients.owed() } else { self.clients.open() };
                 let drained = self.core.held() == 0 && open == 0;
-                let may_end = last || self.beside == Some(Beside::Old);
+                let may_end = last || self.beside == Some(ProcessGeneration::Predecessor);
                 if (may_end && drained && self.clients.queue_is_empty()) || now.since(since) >= LAST_EXIT {
                     tracing::info!("ends: {} queries held", self.core.held());
                     return;
@@ -500,7 +502,7 @@
                 COUNTERS.reloads.add();
                 tracing::info!("{words}");
                 if let Some(deployment) = deployment {
-                    self.last_answer = last_answer(longest(&deployment.module));
+                    self.last_answer = last_answer(longest(&deployment.policy));
                     self.upstream.reconfigure(&deployment);
                 }
                 // What was read under the old settings goes before the new ones.
@@ -519,7 +521,7 @@
     /// Waits for an input, the core's next due time, or the longest sleep.
     fn wait(&self) -> Option<Input> {
         let now = self.clock.now();
-        let due = self.core.due().map_or(now + MOST_SLEEP, |due| due.min(now + MOST_SLEEP));
+        let due = self.core.due().map_or(now + MAX_SLEEP, |due| due.min(now + MAX_SLEEP));
         if due <= now {
             return None;
         }
--- a/src/net/alarm.rs
+++ b/src/net/timer.rs
@@ -49,9 +49,9 @@
 }
 
 /// One time at which to ring; its thread ends with it.
-pub struct Alarm(Arc<Shared>);
+pub struct Timer(Arc<Shared>);
 
-impl Alarm {
+impl Timer {
     /// Nothing is set yet.
     pub fn start(clock: Clock, ring: impl Fn() + Send + 'static) -> io::Result<Self> {
         let shared = Arc::<Shared>::default();
@@ -60,7 +60,7 @@
             .name("alarm".to_owned())
             .stack_size(128 * 1024)
             .spawn(move || keep(&seen, clock, ring))?;
-        Ok(Alarm(shared))
+        Ok(Timer(shared))
     }
 
     /// Rings once at that time, or as soon after it as the machine allows. An earlier setting is forgotten.
@@ -71,7 +71,7 @@
     }
 }
 
-impl Drop for Alarm {
+impl Drop for Timer {
     fn drop(&mut self) {
         self.0.lock().ended = true;
         self.0.changed.notify_one();
@@ -121,7 +121,7 @@
     fn a_coroutine_that_waits_for_very_little_always_goes_on() {
         // With the runtime's wait this stopped for good within some thousand rounds.
         let (clock, (inbox, arrivals)) = (Clock::start(), may::sync::mpsc::channel());
-        let alarm = Alarm::start(clock, move || inbox.send(()).expect("it waits")).expect("a thread");
+        let alarm = Timer::start(clock, move || inbox.send(()).expect("it waits")).expect("a thread");
         let rounds = move || {
             for _ in 0..5_000 {
                 alarm.set(clock.now() + Micros(1));
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: followed from the known list on, opened anew when it ends or falls silent.
 
-use crate::core::{log_rarely, Input, COUNTERS};
+use crate::coordinator::{log_rarely, Input, COUNTERS};
 use crate::interface::Nanos;
 use crate::proto::discovery::Watch;
 use crate::time::{unix_ms, Clock, Micros};
--- a/src/rules/mod.rs
+++ b/src/policy/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::interface::*;
 use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
-use quality::{CONTROL_TICKS, LEAST_SAMPLE, MOST_READINGS, WANTED_READINGS};
+use quality::{CONTROL_TICKS, MAX_READINGS, MIN_SAMPLE, WANTED_READINGS};
 use query::{Attempt, Part, Query, Stage};
 use replicas::{reaped, Replica, FLEET_GAIN};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -146,7 +146,7 @@
                 let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
                 self.taken.push_back(self.now);
                 let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
-                let more = |rng: &mut fastrand::Rng| seen < MOST_READINGS && rng.f64() < LEAST_SAMPLE;
+                let more = |rng: &mut fastrand::Rng| seen < MAX_READINGS && rng.f64() < MIN_SAMPLE;
                 let sampled = worth >= self.top() && (seen < WANTED_READINGS || more(&mut self.rng));
                 let seq = self.next_query;
                 self.next_query += 1;
--- a/src/rules/quality.rs
+++ b/src/policy/quality.rs
@@ -11,9 +11,9 @@
 /// Readings wanted in a window: the document takes 20 of 100 requests; 6 cost more than they save.
 pub(super) const WANTED_READINGS: f64 = 20.0;
 /// Readings kept at most: more cost time each turn and tell nothing new.
-pub(super) const MOST_READINGS: f64 = 200.0;
+pub(super) const MAX_READINGS: f64 = 200.0;
 /// Least share of high-worth queries sampled: the document's.
-pub(super) const LEAST_SAMPLE: f64 = 0.2;
+pub(super) const MIN_SAMPLE: f64 = 0.2;
 /// Period of the controller, in ticks; open queries are looked at after each tenth of it.
 pub(super) const CONTROL_TICKS: u64 = 50;
 /// Gains: of the error's change, the document's 40% for the current reading; of the error, per second: a
--- a/src/rules/sending.rs
+++ b/src/policy/sending.rs
@@ -54,7 +54,7 @@
         if r.used < now && r.flights.is_empty() {
             // Dropped idle connections are met by closing them, but for a sample that tells when it ends.
             let idle = (1..fresh).contains(&r.used);
-            let close = idle && reaped(self.lost) && self.rng.f64() > LEAST_SAMPLE;
+            let close = idle && reaped(self.lost) && self.rng.f64() > MIN_SAMPLE;
             actions.extend(close.then_some(Action::CloseIdle(replica)));
             r.idle = idle && !close;
         }
--- a/src/proto/buffer.rs
+++ b/src/proto/buffer.rs
@@ -1,7 +1,7 @@
 //! The one buffer of a connection's reading side: it grows as needed, is compacted in place, and is bounded.
 
 /// Smallest room offered to a read.
-const LEAST_ROOM: usize = 2 * 1024;
+const MIN_ROOM: usize = 2 * 1024;
 /// An empty buffer gives memory beyond this back.
 const KEPT: usize = 16 * 1024;
 
@@ -21,12 +21,12 @@
 
     /// Room for a read; follow with [`Buffer::filled`].
     pub fn room(&mut self) -> &mut [u8] {
-        if self.bytes.len() - self.to < LEAST_ROOM {
+        if self.bytes.len() - self.to < MIN_ROOM {
             self.bytes.copy_within(self.from..self.to, 0);
             self.to -= self.from;
             self.from = 0;
-            if self.bytes.len() - self.to < LEAST_ROOM {
-                let size = (self.bytes.len() * 2).max(self.to + LEAST_ROOM);
+            if self.bytes.len() - self.to < MIN_ROOM {
+                let size = (self.bytes.len() * 2).max(self.to + MIN_ROOM);
                 self.bytes.resize(size, 0);
             }
         }
--- a/src/proto/calls.rs
+++ b/src/proto/calls.rs
@@ -3,7 +3,7 @@
 use super::buffer::Buffer;
 
 /// Longest line that is read for a call.
-const MOST_LINE: usize = 256;
+const MAX_LINE: usize = 256;
 
 /// What an operator may ask.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,7 +29,7 @@
         let data = self.input.data();
         let end = data.iter().position(|b| *b == b'\n');
         match end {
-            None if data.len() > MOST_LINE => Some(Call::Unknown),
+            None if data.len() > MAX_LINE => Some(Call::Unknown),
             None if !ended => None,
             None if data.is_empty() => None,
             _ => Some(match data[..end.unwrap_or(data.len())].trim_ascii() {
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -1,13 +1,13 @@
 //! Discovery's watch: an answer that stays open and holds one JSON object a line.
 
 use super::http::{HttpError, ResponseReader};
-use crate::core::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, Node};
 use crate::interface::{EndpointListKind, EndpointState};
 use crate::time::{started_at, Micros};
 use serde::Deserialize;
 
 /// Most bytes of one line: a whole list of a fleet far larger than any served.
-const MOST_LINE: usize = 1024 * 1024;
+const MAX_LINE: usize = 1024 * 1024;
 
 #[derive(Deserialize)]
 struct Listing {
@@ -128,7 +128,7 @@
 
 impl Default for Watch {
     fn default() -> Self {
-        Watch { reader: ResponseReader::new(MOST_LINE) }
+        Watch { reader: ResponseReader::new(MAX_LINE) }
     }
 }
 
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -3,15 +3,15 @@
 //! A frame is a length of four bytes, most significant first, a letter, and the rest; the length counts both.
 
 use super::buffer::Buffer;
-use crate::core::{AttemptKey, ClassMetrics, End, Job};
+use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics};
 use crate::interface::Outcome;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 /// Most bytes of a frame from a data node: a value's bound and its line.
-const MOST_FRAME: usize = 64 * 1024 + 1024;
+const MAX_FRAME: usize = 64 * 1024 + 1024;
 /// Ids remembered of parts that are over here: late answers and second copies bear them.
-const MOST_PAST: usize = 256;
+const MAX_PAST: usize = 256;
 /// A frame's length and letter.
 const HEAD: usize = 5;
 
@@ -23,7 +23,7 @@
     /// The last byte of an attempt's frame is written.
     Written(AttemptKey),
     /// An attempt ended.
-    Ended(AttemptKey, End),
+    Ended(AttemptKey, AttemptEnd),
 }
 
 /// What a data node sent cannot be used: the connection ends.
@@ -98,7 +98,7 @@
 
 impl Link {
     /// Queues one call of these parts.
-    pub fn call(&mut self, jobs: &[Job]) {
+    pub fn call(&mut self, jobs: &[AttemptRequest]) {
         let mut rest = Vec::new();
         let mut parts = Vec::new();
         for job in jobs {
@@ -139,7 +139,7 @@
     /// An earlier attempt at this part was given up here and may still be answered. The answer would be taken for that to
     /// the next attempt, which bears the same id: were it turned away or broken, the part would go out a third time while
     /// the second is out.
-    pub fn owes(&self, job: &Job) -> bool {
+    pub fn owes(&self, job: &AttemptRequest) -> bool {
         job.key.attempt.0 > 0 && self.past.contains(&(id(job), false))
     }
 
@@ -151,7 +151,7 @@
         for key in back.into_iter().flat_map(|f| f.parts).map(|p| p.key) {
             if let Some(id) = self.ids.remove(&key) {
                 self.out.remove(&id);
-                events.push(LinkEvent::Ended(key, End::Failed(Outcome::NotSent)));
+                events.push(LinkEvent::Ended(key, AttemptEnd::Failed(Outcome::NotSent)));
             }
         }
     }
@@ -192,7 +192,7 @@
             let data = self.input.data();
             let Some(head) = data.first_chunk::<4>() else { return Ok(whole) };
             let length = u32::from_be_bytes(*head) as usize;
-            if length == 0 || length > MOST_FRAME {
+            if length == 0 || length > MAX_FRAME {
                 return Err(BadFrame(format!("a frame of {length} bytes")));
             }
             let Some(body) = data.get(4..4 + length) else { return Ok(whole) };
@@ -250,7 +250,7 @@
         out.sort_unstable();
         for (key, written) in out {
             let outcome = if written { Outcome::Reset } else { Outcome::ConnectFailed };
-            events.push(LinkEvent::Ended(key, End::Failed(outcome)));
+            events.push(LinkEvent::Ended(key, AttemptEnd::Failed(outcome)));
         }
     }
 
@@ -271,21 +271,21 @@
 }
 
 /// What a part is called at its node.
-fn id(job: &Job) -> String {
+fn id(job: &AttemptRequest) -> String {
     format!("{}.{}", job.request_id, job.shard.0)
 }
 
 fn remember(past: &mut VecDeque<(String, bool)>, id: String, answered: bool) {
     past.retain(|p| p.0 != id);
     past.push_back((id, answered));
-    if past.len() > MOST_PAST {
+    if past.len() > MAX_PAST {
         past.pop_front();
     }
 }
 
 /// An answer's id and end. Nothing but a value that came as it was made may reach a client, so whatever is not as it
 /// should be spoils the answer; only the report may be anything, since nothing hangs on it.
-fn answer(rest: &[u8]) -> Result<(&str, End), BadFrame> {
+fn answer(rest: &[u8]) -> Result<(&str, AttemptEnd), BadFrame> {
     let bad = |what: &str| BadFrame(format!("an answer with {what}"));
     let end = rest.iter().position(|b| *b == b'\n').ok_or_else(|| bad("no end of its line"))?;
     let mut words = rest[..end].splitn(4, |b| *b == b' ').map(std::str::from_utf8);
@@ -300,14 +300,14 @@
             if score.parse::<f64>().is_ok_and(f64::is_finite)
                 && std::str::from_utf8(value).is_ok_and(|v| !v.contains(char::is_control))
             {
-                End::Served(value.into())
+                AttemptEnd::Served(value.into())
             } else {
                 // Two frames run together by a wrong length hold the second one's head.
                 return Err(bad("a score or a value that cannot be read"));
             }
         }
-        "broke" => End::Failed(Outcome::Error),
-        "skipped" => End::Failed(Outcome::Rejected),
+        "broke" => AttemptEnd::Failed(Outcome::Error),
+        "skipped" => AttemptEnd::Failed(Outcome::Rejected),
         other => return Err(bad(&format!("the unknown end {other:?}"))),
     };
     Ok((id, end))
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -5,15 +5,15 @@
 use std::fmt::Write as _;
 
 /// Most bytes of a head; real ones are a few hundred.
-pub const MOST_HEAD: usize = 16 * 1024;
+pub const MAX_HEAD: usize = 16 * 1024;
 /// Most bytes of a request's body: the platform's limit.
-pub const MOST_BODY: usize = 64 * 1024;
+pub const MAX_BODY: usize = 64 * 1024;
 /// Most headers of a head.
-const MOST_HEADERS: usize = 64;
+const MAX_HEADERS: usize = 64;
 /// What comes behind a request that is under way is read and dropped up to here once too much of it came.
-const MOST_DROPPED: usize = 1024 * 1024;
+const MAX_DROPPED: usize = 1024 * 1024;
 /// Most bytes of a chunk's size line or of one trailer.
-const MOST_LINE: usize = 1024;
+const MAX_LINE: usize = 1024;
 
 /// What is wrong with what came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -145,7 +145,7 @@
                         buffer.used(used);
                         *self = Framing::Chunked(if size == 0 { Chunk::Trailers } else { Chunk::Data(size) });
                     }
-                    Ok(httparse::Status::Partial) if data.len() < MOST_LINE => return Ok(false),
+                    Ok(httparse::Status::Partial) if data.len() < MAX_LINE => return Ok(false),
                     _ => return Err(HttpError::Malformed),
                 },
                 Framing::Chunked(Chunk::DataEnd) => {
@@ -160,7 +160,7 @@
                 }
                 Framing::Chunked(Chunk::Trailers) => {
                     let Some(end) = data.windows(2).position(|w| w == b"\r\n") else {
-                        return if data.len() < MOST_LINE { Ok(false) } else { Err(HttpError::Malformed) };
+                        return if data.len() < MAX_LINE { Ok(false) } else { Err(HttpError::Malformed) };
                     };
                     buffer.used(end + 2);
                     if end == 0 {
@@ -264,7 +264,7 @@
             input: Buffer::default(),
             state: State::Head,
             output: Body::default(),
-            most_body: MOST_BODY,
+            most_body: MAX_BODY,
             close: false,
             wind_up: false,
             head_only: false,
@@ -287,8 +287,8 @@
 
     /// Is there room to read more? A client that pipelines without end, or takes no answers, must wait.
     pub fn wants_input(&self) -> bool {
-        self.input.data().len() < MOST_HEAD + MOST_BODY
-            && self.output.len() < MOST_BODY
+        self.input.data().len() < MAX_HEAD + MAX_BODY
+            && self.output.len() < MAX_BODY
             && !matches!(self.state, State::Closed)
     }
 
@@ -318,7 +318,7 @@
     /// Reading goes on, for only so is it seen that the client has left: its parts went out for nobody else.
     pub fn overrun(&mut self) -> bool {
         let left = self.input.data().len();
-        let over = self.busy() && left >= MOST_HEAD + MOST_BODY && self.dropped < MOST_DROPPED;
+        let over = self.busy() && left >= MAX_HEAD + MAX_BODY && self.dropped < MAX_DROPPED;
         if over {
             self.dropped += left;
             self.input.used(left);
@@ -386,12 +386,12 @@
         while self.input.data().starts_with(b"\r\n") {
             self.input.used(2);
         }
-        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
         let data = self.input.data();
         let used = match parsed.parse(data) {
-            Ok(httparse::Status::Complete(used)) if used <= MOST_HEAD => used,
-            Ok(httparse::Status::Partial) if data.len() < MOST_HEAD => return Ok(None),
+            Ok(httparse::Status::Complete(used)) if used <= MAX_HEAD => used,
+            Ok(httparse::Status::Partial) if data.len() < MAX_HEAD => return Ok(None),
             Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
             Err(_) => return Err(HttpError::Malformed),
         };
@@ -513,12 +513,12 @@
 
     fn read_head(&mut self) -> Result<bool, HttpError> {
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut parsed = httparse::Response::new(&mut headers);
             let data = self.input.data();
             let used = match parsed.parse(data) {
                 Ok(httparse::Status::Complete(used)) => used,
-                Ok(httparse::Status::Partial) if data.len() < MOST_HEAD => return Ok(false),
+                Ok(httparse::Status::Partial) if data.len() < MAX_HEAD => return Ok(false),
                 Ok(_) => return Err(HttpError::HeadTooLarge),
                 Err(_) => return Err(HttpError::Malformed),
             };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -97,9 +97,9 @@
 
 /// What a coordinator is told beside what the module needs: names and the limits of its connections.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Deployment {
+pub struct CoordinatorSettings {
     /// For the module.
-    pub module: Settings,
+    pub policy: Settings,
     /// A connection that is not ready by then has failed.
     pub dial_timeout: Nanos,
     /// An idle connection is closed by the other side after this at the latest.
@@ -107,13 +107,13 @@
     /// Calls that one connection carries at a time.
     pub streams_per_conn: usize,
     /// Queries and parts that may be held at a time.
-    pub most_held: usize,
+    pub max_in_flight: usize,
 }
 
-impl Deployment {
+impl CoordinatorSettings {
     /// What settings must hold so that a program may begin with them, or go over to them while it runs.
     pub fn check(&self) -> Result<(), String> {
-        let m = &self.module;
+        let m = &self.policy;
         let counts = [
             ("balancers", u64::from(m.coordinators)),
             ("tick", m.tick),
@@ -174,15 +174,15 @@
 }
 
 /// Reads the settings for a coordinator on sockets.
-pub fn read_deployment(value: serde_json::Value) -> Result<Deployment, String> {
+pub fn read_deployment(value: serde_json::Value) -> Result<CoordinatorSettings, String> {
     let boot: BootInfo = serde_json::from_value(value).map_err(|e| e.to_string())?;
     let limits = &boot.limits;
-    Ok(Deployment {
+    Ok(CoordinatorSettings {
         dial_timeout: limits.dial_timeout.unwrap_or(250_000_000),
         idle_close: limits.idle_close.unwrap_or(15_000_000_000),
         streams_per_conn: limits.streams_per_conn.unwrap_or(100).max(1),
-        most_held: limits.most_held.unwrap_or(usize::MAX),
-        module: module_settings(boot)?,
+        max_in_flight: limits.most_held.unwrap_or(usize::MAX),
+        policy: module_settings(boot)?,
     })
 }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,7 +3,7 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::core::{AttemptKey, ClassMetrics, End, Job};
+use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics};
 use quinceflow::proto::calls::{Call, Caller};
 use quinceflow::proto::frames::{Link, LinkEvent};
 use quinceflow::proto::http::{Response, Server};
@@ -74,9 +74,9 @@
     AttemptKey { part: PartId(n as u64), attempt: AttemptNo(0) }
 }
 
-fn job(n: usize) -> Job {
+fn job(n: usize) -> AttemptRequest {
     let text: &[u8] = b"c41e77d0";
-    Job {
+    AttemptRequest {
         key: key(n),
         request_id: "9b1f".into(),
         shard: ShardId(n as u32),
@@ -123,7 +123,7 @@
             match step {
                 Step::Call => {
                     let n = known.len();
-                    link.call(&[Job { metrics: tally.clone(), ..job(n) }]);
+                    link.call(&[AttemptRequest { metrics: tally.clone(), ..job(n) }]);
                     let size = frame('q', &format!("9b1f.{n} {n} d=240 8\nc41e77d0")).len();
                     known.push(Known::Left(size));
                     queue.push((Some(n), size, size));
@@ -214,11 +214,11 @@
                 _ => continue,
             }
             let got: BTreeMap<usize, Option<Outcome>> = events.iter().filter_map(|e| match e {
-                LinkEvent::Ended(k, End::Served(v)) => {
+                LinkEvent::Ended(k, AttemptEnd::Served(v)) => {
                     assert_eq!(&v[..], b"value");
                     Some((k.part.0 as usize, None))
                 }
-                LinkEvent::Ended(k, End::Failed(o)) => Some((k.part.0 as usize, Some(*o))),
+                LinkEvent::Ended(k, AttemptEnd::Failed(o)) => Some((k.part.0 as usize, Some(*o))),
                 _ => None,
             }).collect();
             prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
@@ -346,11 +346,12 @@
         link.input().feed(&frame('a', text));
         assert_eq!(link.read(&mut events).is_ok(), sound, "{text:?}");
         assert_eq!(events.len(), usize::from(sound), "{text:?}");
-        let served = matches!(&events[..], [LinkEvent::Ended(_, End::Served(v))] if &v[..] == b"value");
+        let served =
+            matches!(&events[..], [LinkEvent::Ended(_, AttemptEnd::Served(v))] if &v[..] == b"value");
         assert_eq!(served, sound && text.contains("served"), "{text:?}");
         events.clear();
         link.broken(&mut events);
-        let reset = [LinkEvent::Ended(key(0), End::Failed(Outcome::Reset))];
+        let reset = [LinkEvent::Ended(key(0), AttemptEnd::Failed(Outcome::Reset))];
         assert_eq!(&events[..], if sound { &[][..] } else { &reset[..] }, "it may have run: {text:?}");
     }
 }
@@ -426,7 +427,8 @@
 fn a_late_answer_is_not_taken_for_the_next_attempts() {
     // Both attempts at a part have one id. A late "broke" or "skipped" to the one that was given up ended the other, which
     // was out: the part went out a third time beside it.
-    let again = |attempt| Job { key: AttemptKey { attempt: AttemptNo(attempt), ..key(1) }, ..job(1) };
+    let again =
+        |attempt| AttemptRequest { key: AttemptKey { attempt: AttemptNo(attempt), ..key(1) }, ..job(1) };
     let (mut link, mut events) = (Link::default(), Vec::new());
     link.call(&[job(0), job(1)]);
     link.wrote(link.output().len(), &mut events);
@@ -434,14 +436,14 @@
     link.call_off(key(1));
     link.wrote(link.output().len(), &mut events);
     assert!(link.owes(&again(1)), "it may still be answered");
-    assert!(!link.owes(&Job { request_id: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
+    assert!(!link.owes(&AttemptRequest { request_id: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
     link.input().feed(&frame('a', "9b1f.1 skipped 1 -\n"));
     assert_eq!(link.read(&mut events).ok(), Some(1));
     assert!(!link.owes(&again(1)), "now it is answered");
     link.input().feed(&frame('a', "9b1f.0 skipped 1 -\n"));
     assert_eq!(link.read(&mut events).ok(), Some(1));
     assert!(
-        !link.owes(&Job { key: AttemptKey { attempt: AttemptNo(1), ..key(0) }, ..job(0) }),
+        !link.owes(&AttemptRequest { key: AttemptKey { attempt: AttemptNo(1), ..key(0) }, ..job(0) }),
         "answered in time"
     );
 }
--- a/tests/core.rs
+++ b/tests/coordinator.rs
@@ -6,8 +6,9 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::core::{
-    Answer, AttemptKey, Command, Core, End, EndpointUpdate, Input, Node, PartRequest, Request, Token,
+use quinceflow::coordinator::{
+    Answer, AttemptEnd, AttemptKey, Command, Coordinator, EndpointUpdate, Input, Node, PartRequest, Request,
+    Token,
 };
 use quinceflow::time::Micros;
 use quinceflow::{
@@ -16,7 +17,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-const MOST_HELD: usize = 12;
+const MAX_HELD: usize = 12;
 
 fn settings() -> Settings {
     let class = |name: &str, effect, floor| Class {
@@ -67,7 +68,7 @@
     Ask(u16, u32),
     Wait(u64),
     /// The end of an attempt that is out: which, how, and whether it comes twice.
-    End(usize, usize, bool),
+    AttemptEnd(usize, usize, bool),
     Written(usize),
     Leave(usize),
     Drain(u16, bool),
@@ -77,19 +78,19 @@
     prop_oneof![
         3 => (0u16..3, 1u32..4).prop_map(|(c, p)| Step::Ask(c, p)),
         3 => (0u64..200).prop_map(Step::Wait),
-        6 => (any::<usize>(), 0usize..5, any::<bool>()).prop_map(|(n, h, t)| Step::End(n, h, t)),
+        6 => (any::<usize>(), 0usize..5, any::<bool>()).prop_map(|(n, h, t)| Step::AttemptEnd(n, h, t)),
         4 => any::<usize>().prop_map(Step::Written),
         1 => any::<usize>().prop_map(Step::Leave),
         1 => (0u16..3, any::<bool>()).prop_map(|(n, d)| Step::Drain(n, d)),
     ]
 }
 
-fn how(n: usize) -> End {
+fn how(n: usize) -> AttemptEnd {
     match n {
-        0 => End::Failed(Outcome::Error),
-        1 => End::Failed(Outcome::Rejected),
-        2 => End::Failed(Outcome::Reset),
-        _ => End::Served(b"v".as_slice().into()),
+        0 => AttemptEnd::Failed(Outcome::Error),
+        1 => AttemptEnd::Failed(Outcome::Rejected),
+        2 => AttemptEnd::Failed(Outcome::Reset),
+        _ => AttemptEnd::Served(b"v".as_slice().into()),
     }
 }
 
@@ -162,7 +163,7 @@
     #[test]
     fn whatever_comes_each_query_gets_one_answer_in_time(steps in vec(step(), 1..80)) {
         let mut now = Micros::from_secs(100);
-        let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+        let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
         let mut watcher = Watcher::default();
         let mut inputs = vec![fleet()];
         let mut tokens = 0;
@@ -177,7 +178,7 @@
                     inputs.push(ask(tokens, class, parts, now));
                 }
                 Step::Wait(ms) => now = now + Micros::from_millis(ms.min(20)),
-                Step::End(n, h, twice) => {
+                Step::AttemptEnd(n, h, twice) => {
                     if let Some(key) = pick(n) {
                         let (token, _) = watcher.out.remove(&key).expect("picked");
                         if h == 1 {
@@ -212,7 +213,7 @@
                     break;
                 }
             }
-            prop_assert!(core.held() <= MOST_HELD / 2);
+            prop_assert!(core.held() <= MAX_HELD / 2);
         }
         prop_assert_eq!(core.held(), 0);
         prop_assert_eq!(core.out(), 0, "every attempt has had its outcome");
@@ -229,7 +230,7 @@
     for sign in [None, Some(Input::WriteStarted as fn(AttemptKey) -> Input), Some(Input::FullyWritten)] {
         let written = sign.is_some();
         let mut now = Micros::from_secs(100);
-        let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+        let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
         let nodes = (0..3).map(|n| node(n, EndpointState::Ready)).collect();
         let mut out = Vec::new();
         core.turn(
@@ -272,11 +273,12 @@
     set.classes[0].effect = Effect::Deduplicated(100 * MS);
     for begun in [false, true] {
         let mut now = Micros::from_secs(100);
-        let mut core = Core::new(set.clone(), MOST_HELD, 7, now, Arc::default());
+        let mut core = Coordinator::new(set.clone(), MAX_HELD, 7, now, Arc::default());
         let mut out = Vec::new();
         core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
         let first = out.drain(..).find_map(|c| launched(&c)).expect("sent");
-        let lost = [Input::FullyWritten(first), Input::AttemptEnded(first, End::Failed(Outcome::Reset))];
+        let lost =
+            [Input::FullyWritten(first), Input::AttemptEnded(first, AttemptEnd::Failed(Outcome::Reset))];
         now = now + Micros::from_millis(20);
         core.turn(now, lost, &mut out);
         let again = out.drain(..).find_map(|c| launched(&c)).expect("within its window");
@@ -297,7 +299,7 @@
 #[test]
 fn a_label_is_free_again_once_nothing_of_its_request_is_held_or_out() {
     let now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let named = |token, label: &str| match ask(token, 0, 1, now) {
         Input::Submit(request) => Input::Submit(Request { request_id: label.into(), ..request }),
         other => other,
@@ -317,7 +319,7 @@
 fn servers_that_are_replaced_for_ever_are_forgotten_and_their_numbers_not_reused() {
     // Names, addresses and connections of every server that ever was were kept.
     let mut now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let (mut out, mut seen) = (Vec::new(), BTreeSet::new());
     let mut open: BTreeSet<ReplicaId> = BTreeSet::new();
     for n in 0..400 {
@@ -347,7 +349,7 @@
 fn what_is_taken_before_the_end_is_answered_by_then() {
     // Told to end it went on to take queries whose whole time would have outlasted the kill.
     let mut now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let last = now + Micros::from_millis(400);
     core.answer_by(last);
     let mut out = Vec::new();
@@ -365,27 +367,27 @@
 fn a_query_that_is_over_on_arrival_and_a_turn_that_comes_late_break_nothing() {
     // Both tripped the core's own guard, which is there for a module that lets a query's time pass.
     let start = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, start, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, start, Arc::default());
     let mut out = Vec::new();
     core.turn(start, [fleet(), ask(1, 0, 1, start)], &mut out);
     let late = start + Micros::from_secs(2);
     core.turn(late, [ask(2, 0, 1, start)], &mut out);
     let replies = out.iter().filter(|c| matches!(c, Command::Reply(..))).count();
     assert_eq!((replies, core.held()), (2, 0));
-    assert_eq!(quinceflow::core::COUNTERS.broken_invariants.get(), 0);
+    assert_eq!(quinceflow::coordinator::COUNTERS.broken_invariants.get(), 0);
 }
 
 #[test]
 fn an_open_query_keeps_its_class_and_a_new_one_has_the_settings_in_force() {
     // Attempts and effects were looked up by the class's place in the file, whatever the file said by then.
     let mut now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
     core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
     let mut set = settings();
     set.classes[0] = Class { effect: Effect::NonIdempotent, max_attempts: 1, ..set.classes[0].clone() };
     set.classes.swap(0, 2);
-    core.turn(now, [Input::Settings(Box::new(set), MOST_HELD), ask(2, 0, 1, now)], &mut out);
+    core.turn(now, [Input::Settings(Box::new(set), MAX_HELD), ask(2, 0, 1, now)], &mut out);
     let (mut attempts, mut answers) = (BTreeMap::new(), BTreeMap::new());
     while answers.len() < 2 {
         let mut inputs = Vec::new();
@@ -415,12 +417,13 @@
     // The module kept three ticks for turn, rendering and way: with a tick of 1 ms each answer that was given from a part of
     // its values left 2 ms before the aim, and came after it.
     let mut now = Micros::from_secs(100);
-    let mut core = Core::new(Settings { tick: MS, ..settings() }, MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(Settings { tick: MS, ..settings() }, MAX_HELD, 7, now, Arc::default());
     let mut commands = Vec::new();
     core.turn(now, [fleet(), ask(1, 2, 2, now)], &mut commands);
     let jobs = |c: &Command| if let Command::Dispatch(_, jobs) = c { jobs.clone() } else { Vec::new() };
     let first = commands.iter().flat_map(jobs).next().expect("both are sent").key;
-    let ends = [Input::FullyWritten(first), Input::AttemptEnded(first, End::Served(b"v".as_slice().into()))];
+    let ends =
+        [Input::FullyWritten(first), Input::AttemptEnded(first, AttemptEnd::Served(b"v".as_slice().into()))];
     core.turn(now, ends, &mut commands);
     let served = |c: &Command| matches!(c, Command::Reply(_, Answer::Served { complete: false, .. }));
     for ms in 1..=291 {
@@ -434,7 +437,7 @@
 #[test]
 fn a_list_that_names_a_node_twice_or_names_none_leads_to_no_send_it_forbids() {
     let now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
     let full =
         |nodes| Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes });
@@ -464,7 +467,7 @@
     // Discovery had moved, or came back from an older copy: its list called nodes in service that had been told to drain,
     // and parts went there again; whom it did not know yet lost all work.
     let now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
     let list =
         |version, kind, nodes| Input::EndpointUpdate(EndpointUpdate { kind, version: Some(version), nodes });
@@ -500,8 +503,13 @@
     // Where nodes may not be told to call parts off, parts that waited for a connection went out whenever it came up.
     for (leaves, begun) in [(true, false), (true, true), (false, false), (false, true)] {
         let now = Micros::from_secs(100);
-        let mut core =
-            Core::new(Settings { cancellation: false, ..settings() }, MOST_HELD, 7, now, Arc::default());
+        let mut core = Coordinator::new(
+            Settings { cancellation: false, ..settings() },
+            MAX_HELD,
+            7,
+            now,
+            Arc::default(),
+        );
         let mut out = Vec::new();
         core.turn(now, [fleet(), ask(1, 2, 2, now)], &mut out);
         let keys: Vec<_> = out.drain(..).filter_map(|c| launched(&c)).collect();
@@ -510,7 +518,7 @@
         let end = if leaves {
             Input::ClientLeft(Token(1))
         } else {
-            Input::AttemptEnded(keys[0], End::Served(b"x"[..].into()))
+            Input::AttemptEnded(keys[0], AttemptEnd::Served(b"x"[..].into()))
         };
         let mut at = now + Micros::from_millis(1);
         core.turn(at, sign.into_iter().chain([end]), &mut out);
@@ -538,7 +546,7 @@
 fn what_is_held_when_it_is_told_to_end_is_answered_before_the_kill() {
     // Queries taken before SIGTERM whose clients waited longer than the kill takes got a reset for an answer.
     let now = Micros::from_secs(100);
-    let mut core = Core::new(settings(), MOST_HELD, 7, now, Arc::default());
+    let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
     core.turn(now, [fleet(), ask(1, 1, 1, now)], &mut out);
     let sign = out.drain(..).find_map(|c| launched(&c)).map(Input::FullyWritten);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -42,7 +42,7 @@
 enum Due {
     Ask,
     Wake,
-    End(PartId, AttemptNo, Outcome, Nanos),
+    AttemptEnd(PartId, AttemptNo, Outcome, Nanos),
     /// The list tells of a node: it has just started, or it drains.
     Fresh(u8),
     Drains(u8),
@@ -111,7 +111,7 @@
             match what {
                 Due::Ask => self.ask(instance),
                 Due::Wake => self.tell(instance, vec![Event::TimerFired]),
-                Due::End(part, attempt, outcome, waited) => {
+                Due::AttemptEnd(part, attempt, outcome, waited) => {
                     self.end(instance, part, attempt, outcome, waited)
                 }
                 Due::Fresh(node) => self.list(instance, member(node, EndpointState::Ready, at)),
@@ -166,7 +166,7 @@
                 Action::Cancel { part, attempt } => {
                     if let Some(at) = self.out.get(&(instance, part, attempt)) {
                         let waited = self.now - at;
-                        self.later(0, instance, Due::End(part, attempt, Outcome::Cancelled, waited));
+                        self.later(0, instance, Due::AttemptEnd(part, attempt, Outcome::Cancelled, waited));
                     }
                 }
                 Action::Answer { query, .. } => self.answered(instance, query, true),
@@ -187,7 +187,7 @@
         let silent = node < self.silent.0 && (self.silent.1..self.silent.2).contains(&self.now);
         let (outcome, waited) =
             if silent || took > timeout { (Outcome::TimedOut, timeout) } else { (Outcome::Ok, took) };
-        self.later(waited, instance, Due::End(part, attempt, outcome, waited));
+        self.later(waited, instance, Due::AttemptEnd(part, attempt, outcome, waited));
     }
 
     fn answered(&mut self, instance: usize, query: QueryId, served: bool) {
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -423,7 +423,7 @@
 
 #[test]
 fn the_module_keeps_its_size() {
-    let texts: Vec<String> = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/src/rules"))
+    let texts: Vec<String> = std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/src/policy"))
         .expect("the module")
         .map(|f| std::fs::read_to_string(f.expect("a file").path()).expect("text"))
         .collect();
@@ -431,7 +431,7 @@
     assert!((500..=950).contains(&lines), "{lines} lines");
     let longest = texts.iter().flat_map(|t| t.lines()).map(|l| l.chars().count()).max().unwrap_or(0);
     assert!(longest <= 110, "a line of {longest} characters");
-    let first = include_str!("../src/rules/mod.rs").lines().next();
+    let first = include_str!("../src/policy/mod.rs").lines().next();
     assert!(first.is_some_and(|l| l.contains("src/interface.rs")));
 }
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -8,7 +8,7 @@
  "family-info": {"cells": 1, "in-a-row": 1, "slices": 1}, "report": {"names": ["never-heard-of"], "via": "inline"}}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_quinceflow-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_quinceflow-sim-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
