--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -2,7 +2,7 @@
 
 mod standin;
 
-use standin::{good, param, row, Edge, Reply, Server};
+use standin::{healthy_reply, inventory_row, query_parameter, FeatureServer, Process, Reply};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::mpsc::channel;
@@ -16,15 +16,15 @@
 
 #[test]
 fn pages_of_all_shards_are_joined_and_a_cut_answer_goes_on() {
-    let (north, south) = (Server::of(0..7, 3), Server::of(100..105, 2));
-    let rows = row("a", &north, "devices/n", "") + &row("b", &south, "devices/s", "");
-    let edge = Edge::start("pages", "", &rows);
+    let (north, south) = (FeatureServer::healthy(0..7, 3), FeatureServer::healthy(100..105, 2));
+    let rows = inventory_row("a", &north, "devices/n", "") + &inventory_row("b", &south, "devices/s", "");
+    let edge = Process::start_edge("pages", "", &rows);
     let whole = edge.get(ITEMS);
     let all: Vec<String> = expected(0..7).into_iter().chain(expected(100..105)).collect();
     assert_eq!((whole.status, whole.ids()), (200, all.clone()));
     assert_eq!(whole.json()["numberMatched"], 12);
     assert_eq!(whole.headers["x-answer-whole"], "true");
-    assert_eq!(north.count(|t| t.starts_with("/collections/n/items")), 3, "every page, each once");
+    assert_eq!(north.count_requests(|t| t.starts_with("/collections/n/items")), 3, "every page, each once");
     let (mut got, mut at) = (Vec::new(), Some(format!("{ITEMS}?limit=4&bbox=0,0,9,9")));
     while let Some(target) = at {
         let page = edge.get(&target);
@@ -33,13 +33,13 @@
         at = page.link("next");
     }
     assert_eq!(got, all, "nothing doubled, nothing missing over the next links");
-    assert!(north.count(|t| t.contains("bbox=0%2C0%2C9%2C9")) > 0, "the box goes on to the servers");
+    assert!(north.count_requests(|t| t.contains("bbox=0%2C0%2C9%2C9")) > 0, "the box goes on to the servers");
 }
 
 #[test]
 fn the_core_pages_and_their_errors() {
-    let server = Server::of(0..3, 10);
-    let edge = Edge::start("core", "", &row("a", &server, "devices", ""));
+    let server = FeatureServer::healthy(0..3, 10);
+    let edge = Process::start_edge("core", "", &inventory_row("a", &server, "devices", ""));
     let landing = edge.get("/");
     for rel in ["self", "service-desc", "conformance", "data"] {
         let target = landing.link(rel).unwrap_or_else(|| panic!("no {rel}"));
@@ -53,8 +53,8 @@
     let area = "filter=S_INTERSECTS(geometry,POLYGON((0%200,9%200,9%209,0%200)))&filter-lang=cql2-text";
     assert_eq!(edge.get(&format!("{ITEMS}?{area}")).status, 200);
     // A server that does not say it can filter is asked for the box that all of it lies in, and no more.
-    assert_eq!(server.count(|t| t.contains("filter=")), 0);
-    assert_eq!(server.count(|t| t.contains("bbox=0%2C0%2C9%2C9")), 1);
+    assert_eq!(server.count_requests(|t| t.contains("filter=")), 0);
+    assert_eq!(server.count_requests(|t| t.contains("bbox=0%2C0%2C9%2C9")), 1);
     let bad = [
         (404, "/collections/none".to_owned()),
         (404, "/collections/none/items".to_owned()),
@@ -73,146 +73,155 @@
         assert_eq!(answer.headers["content-type"], "application/problem+json", "{target}");
         assert_eq!(answer.json()["status"], status, "{target}");
     }
-    assert_eq!(edge.send("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").status, 405);
-    assert_eq!(edge.send("no http at all\r\n\r\n").status, 400);
+    assert_eq!(edge.send_request("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").status, 405);
+    assert_eq!(edge.send_request("no http at all\r\n\r\n").status, 400);
 }
 
 #[test]
 fn fast_errors_and_a_page_cut_off_go_to_the_other_server_and_double_nothing() {
-    let cut = |target: &str| match (param(target, "offset"), good(target, 0..6, 2)) {
-        (Some(4), Reply::Json(body)) => Reply::Cut(body),
+    let cut = |target: &str| match (query_parameter(target, "offset"), healthy_reply(target, 0..6, 2)) {
+        (Some(4), Reply::Json(body)) => Reply::Truncated(body),
         (_, reply) => reply,
     };
-    for (test, bad) in [("errors", Server::start(|_| Reply::Status(500))), ("cut", Server::start(cut))] {
-        let sound = Server::of(0..6, 2);
-        let rows = row("bad", &bad, "devices", "") + &row("good", &sound, "devices", "");
-        let edge = Edge::start(test, "", &rows);
+    for (test, bad) in
+        [("errors", FeatureServer::start(|_| Reply::Status(500))), ("cut", FeatureServer::start(cut))]
+    {
+        let sound = FeatureServer::healthy(0..6, 2);
+        let rows = inventory_row("bad", &bad, "devices", "") + &inventory_row("good", &sound, "devices", "");
+        let edge = Process::start_edge(test, "", &rows);
         for _ in 0..4 {
             let answer = edge.get(ITEMS);
             assert_eq!((answer.status, answer.ids()), (200, expected(0..6)), "{test}");
         }
-        assert!(bad.count(|_| true) > 0, "{test}: its turn came");
+        assert!(bad.count_requests(|_| true) > 0, "{test}: its turn came");
     }
 }
 
 #[test]
 fn a_server_that_closes_after_every_page_is_walked_to_the_end() {
     // Such a walk failed at its first next link.
-    let server = Server::start(|target| match good(target, 0..6, 2) {
-        Reply::Json(body) => Reply::Close(body),
+    let server = FeatureServer::start(|target| match healthy_reply(target, 0..6, 2) {
+        Reply::Json(body) => Reply::CloseDelimited(body),
         other => other,
     });
-    let edge = Edge::start("close", "", &row("a", &server, "devices", ""));
+    let edge = Process::start_edge("close", "", &inventory_row("a", &server, "devices", ""));
     let answer = edge.get(ITEMS);
     assert_eq!((answer.status, answer.ids()), (200, expected(0..6)));
-    assert_eq!(server.count(|_| true), 3);
+    assert_eq!(server.count_requests(|_| true), 3);
 }
 
 #[test]
 fn a_part_that_may_have_run_is_not_asked_again_where_its_class_forbids_it() {
-    let cut = |target: &str| match good(target, 0..6, 2) {
-        Reply::Json(body) => Reply::Cut(body),
+    let cut = |target: &str| match healthy_reply(target, 0..6, 2) {
+        Reply::Json(body) => Reply::Truncated(body),
         other => other,
     };
-    let (a, b) = (Server::start(cut), Server::start(cut));
-    let rows = row("a", &a, "devices", "") + &row("b", &b, "devices", "");
-    let edge = Edge::start("once", "", &rows);
-    assert_eq!(edge.ask(ITEMS, "X-Qos: once\r\n").status, 502);
-    assert_eq!(a.count(|_| true) + b.count(|_| true), 1);
-    assert_eq!(edge.ask(ITEMS, "X-Qos: none\r\n").status, 400);
+    let (a, b) = (FeatureServer::start(cut), FeatureServer::start(cut));
+    let rows = inventory_row("a", &a, "devices", "") + &inventory_row("b", &b, "devices", "");
+    let edge = Process::start_edge("once", "", &rows);
+    assert_eq!(edge.get_with_headers(ITEMS, "X-Qos: once\r\n").status, 502);
+    assert_eq!(a.count_requests(|_| true) + b.count_requests(|_| true), 1);
+    assert_eq!(edge.get_with_headers(ITEMS, "X-Qos: none\r\n").status, 400);
 }
 
 #[test]
 fn a_server_that_hangs_runs_out_of_time_or_leaves_an_answer_in_part() {
-    let (sound, hung) = (Server::of(0..3, 10), Server::start(|_| Reply::Hang));
-    let rows = row("a", &sound, "devices/n", "") + &row("b", &hung, "devices/s", "");
-    let edge = Edge::start("hang", "", &rows);
-    let late = edge.ask(ITEMS, "X-Qos: brief\r\n");
+    let (sound, hung) = (FeatureServer::healthy(0..3, 10), FeatureServer::start(|_| Reply::Hang));
+    let rows = inventory_row("a", &sound, "devices/n", "") + &inventory_row("b", &hung, "devices/s", "");
+    let edge = Process::start_edge("hang", "", &rows);
+    let late = edge.get_with_headers(ITEMS, "X-Qos: brief\r\n");
     assert_eq!((late.status, late.json()["status"].as_u64()), (504, Some(504)));
-    let part = edge.ask(ITEMS, "X-Qos: part\r\n");
+    let part = edge.get_with_headers(ITEMS, "X-Qos: part\r\n");
     assert_eq!((part.status, part.ids()), (200, expected(0..3)));
     assert_eq!(part.headers["x-answer-whole"], "false");
     let json = part.json();
     assert_eq!((&json["partial"], &json["missing"][0]), (&true.into(), &"s".into()));
     assert!(json.get("numberMatched").is_none(), "what is not known is not told");
-    let one = edge.ask("/collections/devices/items/d77", "X-Qos: part\r\n");
+    let one = edge.get_with_headers("/collections/devices/items/d77", "X-Qos: part\r\n");
     assert_eq!(one.status, 502, "the server that hangs may hold it");
 }
 
 #[test]
 fn next_links_lead_nowhere_but_on_at_the_same_server() {
-    let elsewhere = Server::of(0..2, 1);
+    let elsewhere = FeatureServer::healthy(0..2, 1);
     let other = elsewhere.address;
     let lead = move |href: String| {
         Reply::Json(format!(r#"{{"features":[{{"id":"d0"}}],"links":[{{"rel":"next","href":"{href}"}}]}}"#))
     };
-    let away = Server::start(move |_| lead(format!("http://{other}/collections/away/items?offset=1")));
-    let round = Server::start(move |t| lead(t.to_owned()));
+    let away = FeatureServer::start(move |_| lead(format!("http://{other}/collections/away/items?offset=1")));
+    let round = FeatureServer::start(move |t| lead(t.to_owned()));
     let mut page = 0;
-    let endless = Server::start(move |_| {
+    let endless = FeatureServer::start(move |_| {
         page += 1;
         lead(format!("/collections/endless/items?offset={page}"))
     });
-    let large = Server::start(|_| Reply::Json(format!(r#"{{"features":[],"x":"{}"}}"#, "x".repeat(100_000))));
-    let rows = row("a", &away, "away", "")
-        + &row("b", &round, "round", "")
-        + &row("c", &endless, "endless", "")
-        + &row("d", &large, "large", "");
-    let edge = Edge::start("links", "attempts = 1\nmost_pages = 7\nmost_bytes = 50000", &rows);
+    let large =
+        FeatureServer::start(|_| Reply::Json(format!(r#"{{"features":[],"x":"{}"}}"#, "x".repeat(100_000))));
+    let rows = inventory_row("a", &away, "away", "")
+        + &inventory_row("b", &round, "round", "")
+        + &inventory_row("c", &endless, "endless", "")
+        + &inventory_row("d", &large, "large", "");
+    let edge = Process::start_edge("links", "attempts = 1\nmost_pages = 7\nmost_bytes = 50000", &rows);
     for name in ["away", "round", "large"] {
         assert!(edge.get(&format!("/collections/{name}/items")).status >= 500, "{name}");
     }
-    assert_eq!(elsewhere.count(|_| true), 0);
-    assert_eq!((round.count(|_| true), large.count(|_| true)), (1, 1));
+    assert_eq!(elsewhere.count_requests(|_| true), 0);
+    assert_eq!((round.count_requests(|_| true), large.count_requests(|_| true)), (1, 1));
     // New links for ever, and never a new feature: what there is, once, after no more than two tries of two pages.
     let answer = edge.get("/collections/endless/items");
     assert_eq!((answer.status, answer.ids()), (200, expected(0..1)));
-    assert!(endless.count(|_| true) <= 4, "{}", endless.count(|_| true));
+    assert!(endless.count_requests(|_| true) <= 4, "{}", endless.count_requests(|_| true));
 }
 
 #[test]
 fn a_drain_ends_a_walk_between_pages_and_a_bad_reload_changes_nothing() {
     let (gate, held) = channel::<()>();
     let held = Mutex::new(held);
-    let draining = Server::start(move |target| {
-        if param(target, "offset").is_none() {
+    let draining = FeatureServer::start(move |target| {
+        if query_parameter(target, "offset").is_none() {
             held.lock().expect("gate").recv().expect("opened");
         }
-        good(target, 0..6, 2)
+        healthy_reply(target, 0..6, 2)
     });
-    let (sound, hung) = (Server::of(0..6, 2), Server::start(|_| Reply::Hang));
-    let clock = row("h", &hung, "hung", "");
-    let edge = Edge::start("drain", "", &(row("a", &draining, "devices", "") + &clock));
+    let (sound, hung) = (FeatureServer::healthy(0..6, 2), FeatureServer::start(|_| Reply::Hang));
+    let clock = inventory_row("h", &hung, "hung", "");
+    let edge = Process::start_edge("drain", "", &(inventory_row("a", &draining, "devices", "") + &clock));
     std::thread::scope(|scope| {
         let asked = scope.spawn(|| edge.get(ITEMS));
-        while draining.count(|_| true) == 0 {
+        while draining.count_requests(|_| true) == 0 {
             std::thread::yield_now();
         }
-        edge.inventory("a,nowhere,devices,\n");
+        edge.write_inventory("a,nowhere,devices,\n");
         edge.signal("HUP");
-        assert!(edge.wait_for("stays as it was").contains("i.csv:2: address: "));
-        edge.inventory(
-            &(row("a", &draining, "devices", "draining") + &row("b", &sound, "devices", "") + &clock),
+        assert!(edge.wait_for_log("stays as it was").contains("i.csv:2: address: "));
+        edge.write_inventory(
+            &(inventory_row("a", &draining, "devices", "draining")
+                + &inventory_row("b", &sound, "devices", "")
+                + &clock),
         );
         edge.signal("HUP");
-        edge.wait_for("loaded anew");
+        edge.wait_for_log("loaded anew");
         // This one runs out of time 400 ms on: by then the drain's grace is over.
-        assert_eq!(edge.ask("/collections/hung/items", "X-Qos: brief\r\n").status, 504);
+        assert_eq!(edge.get_with_headers("/collections/hung/items", "X-Qos: brief\r\n").status, 504);
         gate.send(()).expect("it waits");
         let answer = asked.join().expect("asked");
         assert_eq!((answer.status, answer.ids()), (200, expected(0..6)));
     });
-    assert_eq!(draining.count(|_| true), 1, "no page was asked of it after the grace");
+    assert_eq!(draining.count_requests(|_| true), 1, "no page was asked of it after the grace");
     assert_eq!(edge.get(ITEMS).status, 200);
-    assert_eq!(draining.count(|_| true), 1);
+    assert_eq!(draining.count_requests(|_| true), 1);
 }
 
 #[test]
 fn a_burst_beyond_what_is_held_is_refused_with_retry_after() {
-    let hung = Server::start(|_| Reply::Hang);
-    let edge = Edge::start("burst", "most_held = 4\nretry_after_ms = 1500", &row("a", &hung, "devices", ""));
+    let hung = FeatureServer::start(|_| Reply::Hang);
+    let edge = Process::start_edge(
+        "burst",
+        "most_held = 4\nretry_after_ms = 1500",
+        &inventory_row("a", &hung, "devices", ""),
+    );
     let statuses = std::thread::scope(|scope| {
-        let ask = || edge.ask(ITEMS, "X-Qos: brief\r\n");
+        let ask = || edge.get_with_headers(ITEMS, "X-Qos: brief\r\n");
         let asked: Vec<_> = (0..12).map(|_| scope.spawn(ask)).collect();
         asked.into_iter().map(|a| a.join().expect("asked")).collect::<Vec<_>>()
     });
@@ -225,31 +234,32 @@
 fn told_to_end_it_answers_what_it_holds_and_leaves() {
     let (gate, held) = channel::<()>();
     let held = Mutex::new(held);
-    let server = Server::start(move |target| {
+    let server = FeatureServer::start(move |target| {
         held.lock().expect("gate").recv().expect("opened");
-        good(target, 0..2, 2)
+        healthy_reply(target, 0..2, 2)
     });
-    let mut edge = Edge::start("end", "", &row("a", &server, "devices", ""));
+    let mut edge = Process::start_edge("end", "", &inventory_row("a", &server, "devices", ""));
     std::thread::scope(|scope| {
-        let asked = scope.spawn(|| edge.send(&format!("GET {ITEMS} HTTP/1.1\r\nHost: x\r\n\r\n")));
-        while server.count(|_| true) == 0 {
+        let asked = scope.spawn(|| edge.send_request(&format!("GET {ITEMS} HTTP/1.1\r\nHost: x\r\n\r\n")));
+        while server.count_requests(|_| true) == 0 {
             std::thread::yield_now();
         }
         edge.signal("TERM");
-        edge.wait_for("told to end");
+        edge.wait_for_log("told to end");
         gate.send(()).expect("it waits");
         // Its connection is kept: it ends with the program.
         assert_eq!(asked.join().expect("asked").status, 200);
     });
-    assert!(edge.wait());
+    assert!(edge.wait_for_exit());
 }
 
 #[test]
 fn feature_queries_count_in_the_figures_by_their_class() {
-    let server = Server::of(0..3, 2);
-    let edge = Edge::start("figures", "mgmt = \"127.0.0.1:0\"", &row("a", &server, "devices", ""));
+    let server = FeatureServer::healthy(0..3, 2);
+    let edge =
+        Process::start_edge("figures", "mgmt = \"127.0.0.1:0\"", &inventory_row("a", &server, "devices", ""));
     let dump = |call: &str| {
-        let mut stream = TcpStream::connect(edge.second_address()).expect("it listens");
+        let mut stream = TcpStream::connect(edge.management_address()).expect("it listens");
         stream.write_all(call.as_bytes()).expect("it reads");
         let mut text = String::new();
         stream.read_to_string(&mut text).expect("it replies and ends");
@@ -257,7 +267,7 @@
     };
     while dump("HEALTH\n") != "YES\n" {}
     assert_eq!(edge.get(ITEMS).status, 200);
-    assert_eq!(edge.ask(ITEMS, "X-Qos: once\r\n").status, 200);
+    assert_eq!(edge.get_with_headers(ITEMS, "X-Qos: once\r\n").status, 200);
     let text = dump("DUMP\n");
     // A page is an attempt, and an answer of two pages one answer.
     for figure in ["exact.ok=1", "exact.tries=2", "once.ok=1", "once.tries=2", "part.ok=0"] {
--- a/tests/ogc_run.rs
+++ b/tests/ogc_run.rs
@@ -3,7 +3,7 @@
 
 mod standin;
 
-use standin::{good, param, row, Edge, Reply, Server};
+use standin::{healthy_reply, inventory_row, query_parameter, FeatureServer, Process, Reply};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -18,20 +18,20 @@
 }
 
 /// A server of two shards whose fault is set from outside.
-fn server(shards: [usize; 2], fault: Arc<AtomicUsize>) -> Server {
+fn server(shards: [usize; 2], fault: Arc<AtomicUsize>) -> FeatureServer {
     let (mut seed, fail) = (7usize, |n: usize| {
         // Every other page or so is struck: a fault that strikes all is met on the first page only.
         n.is_multiple_of(2)
     });
-    Server::start(move |target| {
+    FeatureServer::start(move |target| {
         let shard =
             shards.into_iter().find(|s| target.contains(&format!("/{}/", SHARDS[*s]))).expect("its shard");
-        let reply = good(target, ids(shard), 10);
+        let reply = healthy_reply(target, ids(shard), 10);
         seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         match (FAULTS[fault.load(Relaxed)], reply) {
             ("errors", _) if fail(seed >> 33) => Reply::Status(500),
             ("hang", _) => Reply::Hang,
-            ("cut", Reply::Json(body)) if fail(seed >> 33) => Reply::Cut(body),
+            ("cut", Reply::Json(body)) if fail(seed >> 33) => Reply::Truncated(body),
             ("slow", reply) => {
                 std::thread::sleep(Duration::from_millis(30));
                 reply
@@ -52,12 +52,17 @@
 fn minutes_of_the_usual_faults() {
     let minutes: f64 = std::env::var("MINUTES").ok().and_then(|m| m.parse().ok()).unwrap_or(3.0);
     let faults: Vec<Arc<AtomicUsize>> = (0..6).map(|_| Arc::default()).collect();
-    let servers: Vec<Server> =
+    let servers: Vec<FeatureServer> =
         faults.iter().enumerate().map(|(n, f)| server([n % 3, (n + 1) % 3], f.clone())).collect();
     let rows = |drained: Option<usize>| -> String {
-        let line = |(n, s): (usize, &Server)| {
+        let line = |(n, s): (usize, &FeatureServer)| {
             let held = format!("devices/{};devices/{}", SHARDS[n % 3], SHARDS[(n + 1) % 3]);
-            row(&format!("s{n}"), s, &held, if drained == Some(n) { "draining" } else { "in_service" })
+            inventory_row(
+                &format!("s{n}"),
+                s,
+                &held,
+                if drained == Some(n) { "draining" } else { "in_service" },
+            )
         };
         servers.iter().enumerate().map(line).collect()
     };
@@ -68,7 +73,7 @@
 aim_ms = 1000
 deadline_ms = 2000
 "#;
-    let edge = Edge::start("run", settings, &rows(None));
+    let edge = Process::start_edge("run", settings, &rows(None));
     let (over, burst) = (AtomicBool::new(false), AtomicBool::new(false));
     let tally = Mutex::new(ClassMetrics::default());
     let drains = Mutex::new(Vec::new());
@@ -91,7 +96,8 @@
                         n as f64 / 1e5
                     );
                     let start = Instant::now();
-                    let answer = edge.ask(&target, &format!("X-Qos: {class}\r\nX-Expires-In: 1.5\r\n"));
+                    let answer =
+                        edge.get_with_headers(&target, &format!("X-Qos: {class}\r\nX-Expires-In: 1.5\r\n"));
                     let took = start.elapsed().as_millis();
                     let kind = match answer.status {
                         200 => check(&answer),
@@ -111,16 +117,16 @@
             faults[struck].store(fault, Relaxed);
             burst.store(FAULTS[fault] == "burst", Relaxed);
             if FAULTS[fault] == "drain" {
-                edge.inventory(&rows(Some(struck)));
+                edge.write_inventory(&rows(Some(struck)));
                 edge.signal("HUP");
-                edge.wait_for("loaded anew");
+                edge.wait_for_log("loaded anew");
                 std::thread::sleep(Duration::from_millis(300));
-                let before = servers[struck].count(|_| true);
+                let before = servers[struck].count_requests(|_| true);
                 std::thread::sleep(Duration::from_millis(3_700));
-                drains.lock().expect("drains").push(servers[struck].count(|_| true) - before);
-                edge.inventory(&rows(None));
+                drains.lock().expect("drains").push(servers[struck].count_requests(|_| true) - before);
+                edge.write_inventory(&rows(None));
                 edge.signal("HUP");
-                edge.wait_for("loaded anew");
+                edge.wait_for_log("loaded anew");
             } else {
                 std::thread::sleep(Duration::from_secs(4));
             }
@@ -134,7 +140,7 @@
     for target in servers.iter().flat_map(|s| s.seen.lock().expect("log").clone()) {
         let (path, query) = target.split_once('?').expect("a query");
         if let (None, Some(bbox)) =
-            (param(&target, "offset"), query.split('&').find(|p| p.starts_with("bbox")))
+            (query_parameter(&target, "offset"), query.split('&').find(|p| p.starts_with("bbox")))
         {
             *begun.entry((path.to_owned(), bbox.to_owned())).or_default() += 1;
         }
@@ -146,7 +152,7 @@
     };
     let repeated = begun.iter().filter(|((_, bbox), n)| once(bbox) && **n > 1).count();
     edge.signal("USR1");
-    println!("{}", edge.wait_for("counters"));
+    println!("{}", edge.wait_for_log("counters"));
     let tally = tally.into_inner().expect("tally");
     println!("{minutes} minutes; slowest answer {} ms; answers by class and kind:", tally.slowest_ms);
     tally.answers.iter().for_each(|((class, kind), n)| println!("  {class:6} {kind:8} {n}"));
@@ -163,7 +169,7 @@
 }
 
 /// An answer must hold all features of each shard that it does not call missing, each once.
-fn check(answer: &standin::Answer) -> String {
+fn check(answer: &standin::Response) -> String {
     let json = answer.json();
     let missing: BTreeSet<&str> =
         json["missing"].as_array().into_iter().flatten().filter_map(|m| m.as_str()).collect();
--- a/tests/paging.rs
+++ b/tests/paging.rs
@@ -2,7 +2,7 @@
 
 mod standin;
 
-use standin::{param, row, Edge, Reply, Server};
+use standin::{inventory_row, query_parameter, FeatureServer, Process, Reply};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 
@@ -10,8 +10,8 @@
 
 /// A page by `limit` and `offset`, as most servers do; `order` is where each server has a feature.
 fn page(target: &str, ids: &std::ops::Range<usize>, order: &dyn Fn(usize) -> usize) -> Reply {
-    let size = param(target, "limit").unwrap_or(10).min(500);
-    let from = param(target, "offset").unwrap_or(0);
+    let size = query_parameter(target, "limit").unwrap_or(10).min(500);
+    let from = query_parameter(target, "offset").unwrap_or(0);
     let to = (from + size).min(ids.len());
     let feature = |n: usize| format!(r#"{{"type":"Feature","id":"d{}"}}"#, ids.start + order(n));
     let list: Vec<String> = (from..to).map(feature).collect();
@@ -30,20 +30,20 @@
     away: &Arc<AtomicBool>,
     ids: std::ops::Range<usize>,
     order: impl Fn(usize) -> usize + Send + 'static,
-) -> Server {
+) -> FeatureServer {
     let away = away.clone();
-    Server::start(move |target| match away.load(Relaxed) {
+    FeatureServer::start(move |target| match away.load(Relaxed) {
         true => Reply::Status(500),
         false => page(target, &ids, &order),
     })
 }
 
-fn server(ids: std::ops::Range<usize>) -> Server {
-    Server::start(move |target| page(target, &ids, &|n| n))
+fn server(ids: std::ops::Range<usize>) -> FeatureServer {
+    FeatureServer::start(move |target| page(target, &ids, &|n| n))
 }
 
 /// All ids over the next links; `between` is called before each answer with its number.
-fn follow(edge: &Edge, first: &str, mut between: impl FnMut(usize)) -> (Vec<String>, usize) {
+fn follow(edge: &Process, first: &str, mut between: impl FnMut(usize)) -> (Vec<String>, usize) {
     let (mut ids, mut at, mut answers) = (Vec::new(), Some(first.to_owned()), 0);
     while let Some(target) = at {
         between(answers);
@@ -72,9 +72,9 @@
 #[test]
 fn an_answer_costs_what_it_returns() {
     let (north, south) = (server(0..20_000), server(20_000..40_000));
-    let rows = row("a", &north, "devices/n", "") + &row("b", &south, "devices/s", "");
-    let edge = Edge::start("cost", "", &rows);
-    let asked = || north.count(|_| true) + south.count(|_| true);
+    let rows = inventory_row("a", &north, "devices/n", "") + &inventory_row("b", &south, "devices/s", "");
+    let edge = Process::start_edge("cost", "", &rows);
+    let asked = || north.count_requests(|_| true) + south.count_requests(|_| true);
     let two = edge.get(&format!("{ITEMS}?limit=2"));
     assert_eq!((two.ids().len(), two.json()["numberMatched"].as_u64(), asked()), (2, Some(40_000), 2));
     for (limit, pages) in [(500, 80), (5_000, 80)] {
@@ -93,31 +93,33 @@
     let away: [Arc<AtomicBool>; 2] = Default::default();
     let (a, b) = (replica(&away[0], 0..2_000, |at| at), replica(&away[1], 0..2_000, |at| 1_999 - at));
     let other = server(5_000..6_000);
-    let rows =
-        row("a", &a, "devices/n", "") + &row("b", &b, "devices/n", "") + &row("c", &other, "devices/s", "");
-    let edge = Edge::start("differ", "retry_after_ms = 50", &rows);
+    let rows = inventory_row("a", &a, "devices/n", "")
+        + &inventory_row("b", &b, "devices/n", "")
+        + &inventory_row("c", &other, "devices/s", "");
+    let edge = Process::start_edge("differ", "retry_after_ms = 50", &rows);
     let (ids, _) = follow(&edge, &format!("{ITEMS}?limit=100"), |n| {
         // Each is away before one answer, and both are back at the next.
         away[0].store(n == 3, Relaxed);
         away[1].store(n == 7, Relaxed);
         if n == 5 {
-            edge.inventory(
-                &(rows.clone() + &row("d", &b, "more", "").replace(&b.address.to_string(), "127.0.0.1:9")),
+            edge.write_inventory(
+                &(rows.clone()
+                    + &inventory_row("d", &b, "more", "").replace(&b.address.to_string(), "127.0.0.1:9")),
             );
             edge.signal("HUP");
-            edge.wait_for("loaded anew");
+            edge.wait_for_log("loaded anew");
         }
     });
     each_once(ids, 3_000);
-    let asked = a.count(|_| true) + b.count(|_| true) + other.count(|_| true);
+    let asked = a.count_requests(|_| true) + b.count_requests(|_| true) + other.count_requests(|_| true);
     assert!(asked <= 36 + 8, "30 pages, and what a server that was away was asked: {asked}");
 }
 
 #[test]
 fn a_cursor_that_is_forged_stale_or_of_another_query_is_told_as_such() {
     let (north, south) = (server(0..50), server(100..150));
-    let rows = row("a", &north, "devices/n", "") + &row("b", &south, "devices/s", "");
-    let edge = Edge::start("cursors", "", &rows);
+    let rows = inventory_row("a", &north, "devices/n", "") + &inventory_row("b", &south, "devices/s", "");
+    let edge = Process::start_edge("cursors", "", &rows);
     let next = edge.get(&format!("{ITEMS}?limit=10&bbox=0,0,9,9")).link("next").expect("a next link");
     assert_eq!(edge.get(&next).status, 200);
     let told = |target: &str, status: u16, words: &str| {
@@ -129,9 +131,11 @@
     told(&format!("{ITEMS}?cursor=AAAA"), 400, "not made by this service");
     assert_eq!(edge.get(&next.replace("limit=10", "limit=20")).status, 200, "the limit may change");
     // The server that knows how its pages go on has left for good.
-    edge.inventory(&(row("e", &server(0..50), "devices/n", "") + &row("b", &south, "devices/s", "")));
+    edge.write_inventory(
+        &(inventory_row("e", &server(0..50), "devices/n", "") + &inventory_row("b", &south, "devices/s", "")),
+    );
     edge.signal("HUP");
-    edge.wait_for("loaded anew");
+    edge.wait_for_log("loaded anew");
     told(&next, 410, "begin anew");
 }
 
@@ -139,9 +143,9 @@
 fn where_all_servers_have_one_order_another_goes_on() {
     let away: [Arc<AtomicBool>; 2] = Default::default();
     let [a, b] = [0, 1].map(|n| replica(&away[n], 0..1_000, |at| at));
-    let rows = row("a", &a, "devices/n", "") + &row("b", &b, "devices/n", "");
+    let rows = inventory_row("a", &a, "devices/n", "") + &inventory_row("b", &b, "devices/n", "");
     let settings = "[[collection]]\nid = \"devices\"\nsame_order = true\n";
-    let edge = Edge::start("order", settings, &rows);
+    let edge = Process::start_edge("order", settings, &rows);
     let (ids, answers) = follow(&edge, &format!("{ITEMS}?limit=100"), |n| {
         away[0].store((2..5).contains(&n), Relaxed);
         away[1].store((6..9).contains(&n), Relaxed);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,8 +4,8 @@
 
 use serde_json::json;
 use standin::platform::{
-    ask, call, discovery, figure, list, many_watches, node, start, start_at, start_with, until_ready, Act,
-    Node,
+    dump_value, endpoint_list, management_call, query, serve_constant_list, start_discovery, start_platform,
+    start_with_discovery, start_with_objective, wait_until_ready, DataNode, NodeBehaviour,
 };
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -13,11 +13,11 @@
 
 #[test]
 fn a_query_is_answered_from_its_parts_over_kept_connections() {
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, _changes) = start("whole", &nodes.each_ref(), 1024);
-    until_ready(&edge);
+    let nodes = [DataNode::serving(), DataNode::serving(), DataNode::serving()];
+    let (edge, _changes) = start_platform("whole", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
     for n in 0..20 {
-        let answer = ask(&edge, &format!("q{n}"), "lookup", &[0, 1, 2]);
+        let answer = query(&edge, &format!("q{n}"), "lookup", &[0, 1, 2]);
         let cell = |s: u32| json!({"tablet": s, "cell": format!("cell{s}")});
         assert_eq!(answer.status, 200);
         assert_eq!(answer.json(), json!({"full": true, "pieces": [cell(0), cell(1), cell(2)]}));
@@ -30,29 +30,29 @@
 #[test]
 fn errors_and_full_queues_go_to_the_other_node_and_what_may_have_run_does_not() {
     for (act, class, status) in [
-        (Act::Break, "lookup", 200),
-        (Act::Reset, "lookup", 200),
-        (Act::Skip, "send", 200),
-        (Act::Break, "send", 502),
-        (Act::Reset, "send", 502),
+        (NodeBehaviour::Fail, "lookup", 200),
+        (NodeBehaviour::Disconnect, "lookup", 200),
+        (NodeBehaviour::Reject, "send", 200),
+        (NodeBehaviour::Fail, "send", 502),
+        (NodeBehaviour::Disconnect, "send", 502),
     ] {
         // The first part that any node sees meets the fault.
         let struck = Arc::new(Mutex::new(false));
         let first = |struck: Arc<Mutex<bool>>| {
             move |_| {
                 if std::mem::replace(&mut *struck.lock().expect("flag"), true) {
-                    Act::Serve
+                    NodeBehaviour::Serve
                 } else {
                     act
                 }
             }
         };
-        let nodes = [node(first(struck.clone())), node(first(struck))];
-        let (edge, _changes) = start(&format!("fault{}{class}", act as u8), &nodes.each_ref(), 1024);
-        until_ready(&edge);
-        assert_eq!(ask(&edge, "q1", class, &[0]).status, status);
-        let dump = call(edge.second_address(), "DUMP\n");
-        let errors = figure(&dump, &format!("node.responses.{class}.errors"));
+        let nodes = [DataNode::start(first(struck.clone())), DataNode::start(first(struck))];
+        let (edge, _changes) = start_platform(&format!("fault{}{class}", act as u8), &nodes.each_ref(), 1024);
+        wait_until_ready(&edge);
+        assert_eq!(query(&edge, "q1", class, &[0]).status, status);
+        let dump = management_call(edge.management_address(), "DUMP\n");
+        let errors = dump_value(&dump, &format!("node.responses.{class}.errors"));
         assert_eq!(errors, u64::from(status != 200), "{dump}");
         let sent: usize = nodes.iter().map(|n| n.seen.lock().expect("log").len()).sum();
         assert_eq!(sent, if status == 200 { 2 } else { 1 }, "a part that may have run goes out once");
@@ -63,13 +63,14 @@
 fn a_connection_that_falls_silent_costs_no_query_while_its_node_is_sound() {
     // It was used on until an attempt had been out for 0.4 s, which where answers take milliseconds none ever was; and
     // what followed half an answer was taken for its end.
-    for fault in [Act::Mute, Act::Half] {
-        let nodes = [(); 2].map(|()| node(move |n| if n == 100 { fault } else { Act::Serve }));
-        let (edge, _changes) = start(&format!("mute{}", fault as u8), &nodes.each_ref(), 1024);
-        until_ready(&edge);
-        let seen = |n: &Node| n.seen.lock().expect("log").len();
+    for fault in [NodeBehaviour::StopResponding, NodeBehaviour::PartialResponse] {
+        let nodes =
+            [(); 2].map(|()| DataNode::start(move |n| if n == 100 { fault } else { NodeBehaviour::Serve }));
+        let (edge, _changes) = start_platform(&format!("mute{}", fault as u8), &nodes.each_ref(), 1024);
+        wait_until_ready(&edge);
+        let seen = |n: &DataNode| n.seen.lock().expect("log").len();
         for n in 0..1_000 {
-            assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200, "query {n}");
+            assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200, "query {n}");
             if nodes.iter().all(|n| seen(n) > 120) {
                 break;
             }
@@ -86,11 +87,14 @@
 fn a_connection_that_its_node_closed_costs_no_part() {
     // A node closes what stands idle; the part that met that was lost with its connection. Here each end has reached the
     // program before the next part; `src/net/links.rs` has the part that goes out before its driver has seen it.
-    let nodes = [node(|_| Act::ServeAndClose), node(|_| Act::ServeAndClose)];
-    let (edge, _changes) = start("closed", &nodes.each_ref(), 1024);
-    until_ready(&edge);
+    let nodes = [
+        DataNode::start(|_| NodeBehaviour::ServeAndClose),
+        DataNode::start(|_| NodeBehaviour::ServeAndClose),
+    ];
+    let (edge, _changes) = start_platform("closed", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
     for n in 0..10 {
-        assert_eq!(ask(&edge, &format!("q{n}"), "send", &[0]).status, 200, "query {n}");
+        assert_eq!(query(&edge, &format!("q{n}"), "send", &[0]).status, 200, "query {n}");
         while nodes.iter().map(|n| *n.closed.lock().expect("count")).sum::<usize>() <= n {
             std::thread::yield_now();
         }
@@ -99,21 +103,21 @@
 
 #[test]
 fn nothing_goes_to_a_node_after_its_drain_is_told() {
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, changes) = start("drain", &nodes.each_ref(), 1024);
-    until_ready(&edge);
-    assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
-    changes.more.send(list(2, false, &[(&nodes[0], "terminating")])).expect("told");
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, changes) = start_platform("drain", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
+    assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
+    changes.updates.send(endpoint_list(2, false, &[(&nodes[0], "terminating")])).expect("told");
     // Told when the program has counted it: the known list, discovery's first, and this.
     loop {
         edge.signal("USR1");
-        if edge.wait_for("counters").contains(" rosters=3 ") {
+        if edge.wait_for_log("counters").contains(" rosters=3 ") {
             break;
         }
     }
     let before = nodes[0].seen.lock().expect("log").len();
     for n in 1..10 {
-        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+        assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
     assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
 }
@@ -121,30 +125,30 @@
 #[test]
 fn a_reload_moves_the_watch_without_dropping_the_list() {
     // SIGHUP read the edge's inventory only: after discovery had moved no drain was heard of.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, first) = start("moved", &nodes.each_ref(), 1024);
-    until_ready(&edge);
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, first) = start_platform("moved", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
     let lists = |n: usize| loop {
         edge.signal("USR1");
-        if edge.wait_for("counters").contains(&format!(" rosters={n} ")) {
+        if edge.wait_for_log("counters").contains(&format!(" rosters={n} ")) {
             break;
         }
     };
     lists(2);
-    edge.configure("{\"discovery\":\"nowhere\"}");
+    edge.write_configuration("{\"discovery\":\"nowhere\"}");
     edge.signal("HUP");
-    edge.wait_for("the configuration stays as it was: ");
-    assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
+    edge.wait_for_log("the configuration stays as it was: ");
+    assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
     // The new address knows of a drain, as a change after the version that the old one told last.
-    let (address, moved) = discovery(list(2, false, &[(&nodes[0], "terminating")]));
-    edge.configure(&edge.with("/discovery", json!(address.to_string())));
+    let (address, moved) = start_discovery(endpoint_list(2, false, &[(&nodes[0], "terminating")]));
+    edge.write_configuration(&edge.configuration_with("/discovery", json!(address.to_string())));
     edge.signal("HUP");
-    edge.wait_for("the configuration is read anew: discovery is at ");
+    edge.wait_for_log("the configuration is read anew: discovery is at ");
     lists(3);
-    assert!(moved.asked.lock().expect("log")[0].contains("since=1"), "it goes on where it was");
+    assert!(moved.requests.lock().expect("log")[0].contains("since=1"), "it goes on where it was");
     let before = nodes[0].seen.lock().expect("log").len();
     for n in 1..10 {
-        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+        assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
     assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
     drop(first);
@@ -153,39 +157,39 @@
 #[test]
 fn after_a_line_that_cannot_be_read_the_whole_list_is_asked_for() {
     // The watch went on from the last good version, so what the bad line said was never known.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, discovery) = start("line", &nodes.each_ref(), 1024);
-    until_ready(&edge);
-    discovery.more.send("{no list".to_owned()).expect("told");
-    while discovery.asked.lock().expect("log").len() < 2 {
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, discovery) = start_platform("line", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
+    discovery.updates.send("{no list".to_owned()).expect("told");
+    while discovery.requests.lock().expect("log").len() < 2 {
         // The stand-in notices at its next words that the watch has ended.
-        discovery.more.send(String::new()).expect("told");
+        discovery.updates.send(String::new()).expect("told");
         std::thread::yield_now();
     }
-    let asked = discovery.asked.lock().expect("log").clone();
+    let asked = discovery.requests.lock().expect("log").clone();
     assert!(asked[0].contains("since=0") && asked[1].contains("since=0"), "{asked:?}");
-    assert_eq!(ask(&edge, "q1", "lookup", &[0, 1]).status, 200);
+    assert_eq!(query(&edge, "q1", "lookup", &[0, 1]).status, 200);
 }
 
 #[test]
 fn out_of_time_refused_and_malformed_requests_are_answered_as_such() {
-    let nodes = [node(|_| Act::Hang), node(|_| Act::Hang)];
-    let (edge, _changes) = start("hang", &nodes.each_ref(), 1024);
-    until_ready(&edge);
-    let late = ask(&edge, "q0", "brief", &[0]);
+    let nodes = [DataNode::hanging(), DataNode::hanging()];
+    let (edge, _changes) = start_platform("hang", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
+    let late = query(&edge, "q0", "brief", &[0]);
     assert_eq!(late.status, 503, "a class that may repeat is sent back");
     assert!(late.headers.contains_key("retry-after"));
-    assert_eq!(ask(&edge, "q1", "none", &[0]).status, 400);
-    assert_eq!(ask(&edge, "q 2", "lookup", &[0]).status, 400);
-    assert_eq!(ask(&edge, "q3", "lookup", &[9]).status, 400);
-    assert_eq!(ask(&edge, "q4", "lookup", &[]).status, 400);
-    assert_eq!(ask(&edge, "q5", "lookup", &[1, 1]).status, 400);
+    assert_eq!(query(&edge, "q1", "none", &[0]).status, 400);
+    assert_eq!(query(&edge, "q 2", "lookup", &[0]).status, 400);
+    assert_eq!(query(&edge, "q3", "lookup", &[9]).status, 400);
+    assert_eq!(query(&edge, "q4", "lookup", &[]).status, 400);
+    assert_eq!(query(&edge, "q5", "lookup", &[1, 1]).status, 400);
     // Shares that miss 1 passed for whole answers; a query without its time or its text went out to the nodes.
     let asked = |shares: &str, time: &str, text: &str| {
         let body = format!("{{\"tablets\":[{shares}]{text}}}");
         let head =
             format!("POST /api HTTP/1.1\r\nX-Trace-Id: q6\r\nX-Qos: brief\r\n{time}Connection: close\r\n");
-        edge.send(&format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())).status
+        edge.send_request(&format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())).status
     };
     let (whole, time, text) =
         ("{\"tablet\":0,\"fraction\":1}", "X-Expires-In: 0.2\r\n", ",\"statement\":\"c\"");
@@ -198,8 +202,8 @@
     }
     assert_eq!(edge.get("/elsewhere").status, 404);
     assert_eq!(edge.get("/api").status, 405);
-    assert_eq!(edge.send("POST /api HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").status, 413);
-    assert_eq!(edge.send("\u{1}\u{2}\r\n\r\n").status, 400);
+    assert_eq!(edge.send_request("POST /api HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").status, 413);
+    assert_eq!(edge.send_request("\u{1}\u{2}\r\n\r\n").status, 400);
     let mut cut = TcpStream::connect(edge.address).expect("it listens");
     write!(cut, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
     cut.shutdown(std::net::Shutdown::Write).expect("half closed");
@@ -216,30 +220,30 @@
     let wait = |gate: Arc<Mutex<()>>| {
         move |_| {
             drop(gate.lock());
-            Act::Serve
+            NodeBehaviour::Serve
         }
     };
-    let nodes = [node(wait(gate.clone())), node(wait(gate.clone()))];
-    let (edge, _changes) = start("taken", &nodes.each_ref(), 1024);
-    until_ready(&edge);
+    let nodes = [DataNode::start(wait(gate.clone())), DataNode::start(wait(gate.clone()))];
+    let (edge, _changes) = start_platform("taken", &nodes.each_ref(), 1024);
+    wait_until_ready(&edge);
     std::thread::scope(|scope| {
-        let first = scope.spawn(|| ask(&edge, "q1", "lookup", &[0]).status);
+        let first = scope.spawn(|| query(&edge, "q1", "lookup", &[0]).status);
         while nodes.iter().all(|n| n.seen.lock().expect("log").is_empty()) {
             std::thread::yield_now();
         }
-        assert_eq!(ask(&edge, "q1", "lookup", &[0]).status, 409);
+        assert_eq!(query(&edge, "q1", "lookup", &[0]).status, 409);
         drop(held);
         assert_eq!(first.join().expect("answered"), 200);
-        assert_eq!(ask(&edge, "q1", "lookup", &[0]).status, 200, "free again");
+        assert_eq!(query(&edge, "q1", "lookup", &[0]).status, 200, "free again");
     });
 }
 
 #[test]
 fn who_says_nothing_or_stops_halfway_is_closed_and_shuts_nobody_out() {
     // Half requests had 10 s and silent connections no end at all; a full table closed none of either.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, _changes) = start("silent", &nodes.each_ref(), 60);
-    until_ready(&edge);
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, _changes) = start_platform("silent", &nodes.each_ref(), 60);
+    wait_until_ready(&edge);
     let connect = || TcpStream::connect(edge.address).expect("the machine accepts");
     let mut half = connect();
     write!(half, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
@@ -247,7 +251,7 @@
     half.read_to_string(&mut text).expect("an answer and an end");
     assert!(text.starts_with("HTTP/1.1 408 ") && text.contains("Connection: close"), "{text}");
     let mut crowd: Vec<TcpStream> = (0..150).map(|_| connect()).collect();
-    assert_eq!(ask(&edge, "q1", "lookup", &[0, 1]).status, 200);
+    assert_eq!(query(&edge, "q1", "lookup", &[0, 1]).status, 200);
     for silent in &mut crowd {
         // Closed with nothing said; the test's reader would wait for ever otherwise.
         assert!(matches!(silent.read(&mut [0; 1]), Ok(0) | Err(_)));
@@ -257,8 +261,8 @@
 #[test]
 fn an_error_reaches_a_client_that_goes_on_sending() {
     // The connection was closed on unread input: a reset, which ate the error.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, _changes) = start("linger", &nodes.each_ref(), 1024);
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, _changes) = start_platform("linger", &nodes.each_ref(), 1024);
     let mut client = TcpStream::connect(edge.address).expect("it listens");
     write!(client, "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").expect("written");
     let mut lines = BufReader::new(client.try_clone().expect("a handle")).lines();
@@ -274,14 +278,14 @@
 
 #[test]
 fn it_lives_on_when_no_descriptor_is_left() {
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, _changes) = start("descriptors", &nodes.each_ref(), 40);
-    until_ready(&edge);
-    assert_eq!(ask(&edge, "q0", "lookup", &[0, 1]).status, 200);
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, _changes) = start_platform("descriptors", &nodes.each_ref(), 40);
+    wait_until_ready(&edge);
+    assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
     let crowd: Vec<TcpStream> =
         (0..100).map(|_| TcpStream::connect(edge.address).expect("the machine accepts")).collect();
     for n in 1..10 {
-        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+        assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
     drop(crowd);
 }
@@ -289,15 +293,15 @@
 #[test]
 fn told_to_end_it_serves_on_kept_connections_before_it_closes_them() {
     // Every answer closed its connection from the signal on, and for half a second and more nobody took the clients in.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (mut edge, _changes) = start_with("term", &nodes.each_ref(), 1024, 1_000);
-    until_ready(&edge);
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (mut edge, _changes) = start_with_objective("term", &nodes.each_ref(), 1024, 1_000);
+    wait_until_ready(&edge);
     let mut kept = TcpStream::connect(edge.address).expect("it listens");
     // A request that has begun is no idle connection.
     write!(kept, "GET /up HTTP/1.1\r\n").expect("written");
     edge.signal("HUP");
     edge.signal("TERM");
-    edge.wait_for("told to end");
+    edge.wait_for_log("told to end");
     write!(kept, "\r\n").expect("written");
     let body = "{\"tablets\":[{\"tablet\":0,\"fraction\":1}],\"statement\":\"c41e77d0\"}";
     write!(
@@ -306,33 +310,36 @@
         body.len()
     )
     .expect("written");
-    assert_eq!(ask(&edge, "q2", "lookup", &[0, 1]).status, 200);
+    assert_eq!(query(&edge, "q2", "lookup", &[0, 1]).status, 200);
     let mut text = String::new();
     kept.read_to_string(&mut text).expect("read");
     assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("HTTP/1.1 200 "), "{text}");
     assert!(!text.contains("Connection: close"), "{text}");
-    assert!(edge.wait());
+    assert!(edge.wait_for_exit());
 }
 
 #[test]
 fn operators_are_answered_beside_callers_that_never_ask() {
-    let nodes = [node(|_| Act::Serve), node(|n| if n == 1 { Act::Break } else { Act::Serve })];
-    let (edge, _changes) = start("mgmt", &nodes.each_ref(), 1024);
-    let address = edge.second_address();
+    let nodes = [
+        DataNode::serving(),
+        DataNode::start(|n| if n == 1 { NodeBehaviour::Fail } else { NodeBehaviour::Serve }),
+    ];
+    let (edge, _changes) = start_platform("mgmt", &nodes.each_ref(), 1024);
+    let address = edge.management_address();
     // More than there are places, and half a call each.
     let mut idle: Vec<TcpStream> = (0..80).map(|_| TcpStream::connect(address).expect("accepted")).collect();
     idle.iter_mut().for_each(|s| s.write_all(b"HEAL").expect("taken"));
-    while !call(address, "HEALTH\n").starts_with("YES") {}
-    assert!(call(address, "health me\r\n").starts_with("NO "));
-    assert!(call(address, &"x".repeat(400)).starts_with("NO "), "a line without end is no call");
+    while !management_call(address, "HEALTH\n").starts_with("YES") {}
+    assert!(management_call(address, "health me\r\n").starts_with("NO "));
+    assert!(management_call(address, &"x".repeat(400)).starts_with("NO "), "a line without end is no call");
     // One part fails once and goes again; one query meets no class, one a class that may not repeat.
     for n in 0..5 {
-        assert_eq!(ask(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+        assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
-    assert_eq!(ask(&edge, "q5", "none", &[0]).status, 400);
-    let dump = call(address, "DUMP\r\n");
+    assert_eq!(query(&edge, "q5", "none", &[0]).status, 400);
+    let dump = management_call(address, "DUMP\r\n");
     assert!(dump.starts_with("YES\n") && dump.ends_with("\nEND\n"), "{dump}");
-    let of = |name: &str| figure(&dump, &format!("node.{name}"));
+    let of = |name: &str| dump_value(&dump, &format!("node.{name}"));
     assert_eq!(
         (of("responses.lookup.ok"), of("responses.lookup.shed"), of("responses.lookup.errors")),
         (5, 0, 0)
@@ -345,29 +352,30 @@
 fn it_is_not_healthy_before_discovery_has_spoken() {
     // The known list may be old: it serves, but it is not news.
     let quiet = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let edge = start_at("news", &nodes.each_ref(), 1024, 10_000, quiet.local_addr().expect("bound"));
-    assert_eq!(call(edge.second_address(), "HEALTH\n"), "NO the servers are not known yet\n");
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let edge =
+        start_with_discovery("news", &nodes.each_ref(), 1024, 10_000, quiet.local_addr().expect("bound"));
+    assert_eq!(management_call(edge.management_address(), "HEALTH\n"), "NO the servers are not known yet\n");
     let (mut watch, _) = quiet.accept().expect("a watch");
     let ready: Vec<_> = nodes.iter().map(|n| (n, "in_service")).collect();
-    let news = list(1, true, &ready);
+    let news = endpoint_list(1, true, &ready);
     write!(
         watch,
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{news}\n\r\n",
         news.len() + 1
     )
     .expect("told");
-    while call(edge.second_address(), "HEALTH\n") != "YES\n" {}
+    while management_call(edge.management_address(), "HEALTH\n") != "YES\n" {}
 }
 
 #[test]
 fn a_reload_takes_all_of_a_file_or_nothing() {
     // Whatever parsed moved discovery: a broken file sent the watch to an address where nobody was.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, _changes) = start("retune", &nodes.each_ref(), 1024);
-    let second = edge.second_address();
-    until_ready(&edge);
-    let whole = edge.with("/name", json!("n0"));
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, _changes) = start_platform("retune", &nodes.each_ref(), 1024);
+    let second = edge.management_address();
+    wait_until_ready(&edge);
+    let whole = edge.configuration_with("/name", json!("n0"));
     let lost = |pointer: &str, key: &str| {
         let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
         config.pointer_mut(pointer).and_then(|o| o.as_object_mut()?.remove(key)).expect("it was there");
@@ -381,42 +389,42 @@
         lost("/settings", "limits"),
         lost("/settings/limits", "max-attempts"),
         lost("/settings/classes/2", "late-worth"),
-        edge.with("/settings/limits/max-attempts", json!(0)),
-        edge.with("/settings/limits/max-attempts", json!(-1)),
-        edge.with("/settings/classes/1/deadline", json!(0)),
-        edge.with("/settings/classes/1/deadline", json!("soon")),
-        edge.with("/settings/classes/1/name", json!("lookup")),
-        edge.with("/settings/classes", json!([])),
-        edge.with("/settings/balancers", json!(0)),
-        edge.with("/settings/tick", json!(0)),
-        edge.with("/settings/family-info/slices", json!(0)),
-        edge.with("/settings/family-info/in-a-row", json!(0)),
-        edge.with("/settings/classes/0/points", json!(-1.0)),
-        edge.with("/discovery", json!("nowhere")),
+        edge.configuration_with("/settings/limits/max-attempts", json!(0)),
+        edge.configuration_with("/settings/limits/max-attempts", json!(-1)),
+        edge.configuration_with("/settings/classes/1/deadline", json!(0)),
+        edge.configuration_with("/settings/classes/1/deadline", json!("soon")),
+        edge.configuration_with("/settings/classes/1/name", json!("lookup")),
+        edge.configuration_with("/settings/classes", json!([])),
+        edge.configuration_with("/settings/balancers", json!(0)),
+        edge.configuration_with("/settings/tick", json!(0)),
+        edge.configuration_with("/settings/family-info/slices", json!(0)),
+        edge.configuration_with("/settings/family-info/in-a-row", json!(0)),
+        edge.configuration_with("/settings/classes/0/points", json!(-1.0)),
+        edge.configuration_with("/discovery", json!("nowhere")),
     ];
     for text in &broken {
-        edge.configure(text);
+        edge.write_configuration(text);
         edge.signal("HUP");
-        edge.wait_for("the configuration stays as it was: ");
+        edge.wait_for_log("the configuration stays as it was: ");
     }
-    assert_eq!(ask(&edge, "q0", "later", &[0]).status, 400);
-    assert_eq!(ask(&edge, "q1", "brief", &[0]).status, 200);
+    assert_eq!(query(&edge, "q0", "later", &[0]).status, 400);
+    assert_eq!(query(&edge, "q1", "brief", &[0]).status, 200);
     // One class is new, one is dropped, one may not repeat any more, and all have fewer attempts.
     let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
     config["settings"]["limits"]["max-attempts"] = json!(2);
     config["settings"]["classes"][0]["effect"] = json!("non_idempotent");
     config["settings"]["classes"][1]["name"] = json!("later");
     config["settings"]["classes"][2]["effect"] = json!("read_like");
-    edge.configure(&config.to_string());
+    edge.write_configuration(&config.to_string());
     edge.signal("HUP");
-    assert!(edge.wait_for("the configuration is read anew").ends_with("classes lookup later send"));
+    assert!(edge.wait_for_log("the configuration is read anew").ends_with("classes lookup later send"));
     for (id, class, status) in
         [("q2", "brief", 400), ("q3", "send", 200), ("q4", "later", 200), ("q5", "lookup", 200)]
     {
-        assert_eq!(ask(&edge, id, class, &[0, 1]).status, status, "{class}");
+        assert_eq!(query(&edge, id, class, &[0, 1]).status, status, "{class}");
     }
-    let dump = call(second, "DUMP\n");
-    let of = |name: &str| figure(&dump, &format!("node.{name}"));
+    let dump = management_call(second, "DUMP\n");
+    let of = |name: &str| dump_value(&dump, &format!("node.{name}"));
     assert_eq!((of("config_applied"), of("config_rejected")), (1, broken.len() as u64));
     let ok = ["brief", "later", "lookup", "send"].map(|c| of(&format!("responses.{c}.ok")));
     assert_eq!((ok, of("responses.later.tries")), ([1, 1, 1, 1], 2));
@@ -425,23 +433,24 @@
 #[test]
 fn a_new_version_takes_over_the_queue_of_the_old_one() {
     // Each listened by itself: a queue died with its listener, and each had all of what is allowed to one.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
+    let nodes = [DataNode::serving(), DataNode::serving()];
     let ready: Vec<_> = nodes.iter().map(|n| (n, "in_service")).collect();
-    let address = many_watches(list(1, true, &ready));
-    let first = start_at("upgrade", &nodes.each_ref(), 1024, 10_000, address);
+    let address = serve_constant_list(endpoint_list(1, true, &ready));
+    let first = start_with_discovery("upgrade", &nodes.each_ref(), 1024, 10_000, address);
     let temporary = std::env::temp_dir().join(format!("quinceflow-upgrade-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a folder");
     // A process killed here left its socket behind.
     drop(std::os::unix::net::UnixListener::bind(temporary.join("quinceflow-127.0.0.1-0.sock")));
-    let mut old = first.beside(&temporary);
+    let mut old = first.start_successor(&temporary);
     assert_ne!(old.address, first.address, "nobody was there to take over from");
-    let (old_told, mut kept) = (old.second_address(), TcpStream::connect(old.address).expect("it listens"));
-    until_ready(&old);
-    let new = old.beside(&temporary);
+    let (old_told, mut kept) =
+        (old.management_address(), TcpStream::connect(old.address).expect("it listens"));
+    wait_until_ready(&old);
+    let new = old.start_successor(&temporary);
     assert_eq!(new.address, old.address, "the same socket");
-    let new_told = new.second_address();
-    while call(new_told, "HEALTH\n") != "YES\n" {}
-    assert_eq!(call(old_told, "HEALTH\n"), "YES\n");
+    let new_told = new.management_address();
+    while management_call(new_told, "HEALTH\n") != "YES\n" {}
+    assert_eq!(management_call(old_told, "HEALTH\n"), "YES\n");
     let ask_kept = |kept: &mut TcpStream, id: &str| {
         let body = "{\"tablets\":[{\"tablet\":0,\"fraction\":1}],\"statement\":\"c41e77d0\"}";
         let head = format!("POST /api HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Qos: lookup\r\nX-Expires-In: 9\r\n");
@@ -452,32 +461,32 @@
     let answer = ask_kept(&mut kept, "q1");
     assert!(answer.starts_with("HTTP/1.1 200 ") && !answer.contains("Connection: close"), "{answer}");
     old.signal("TERM");
-    while call(old_told, "HEALTH\n") != "NO it is told to end\n" {}
+    while management_call(old_told, "HEALTH\n") != "NO it is told to end\n" {}
     for n in 2..12 {
-        assert_eq!(ask(&new, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+        assert_eq!(query(&new, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
-    let ok = |address| figure(&call(address, "DUMP\n"), "node.responses.lookup.ok");
+    let ok = |address| dump_value(&management_call(address, "DUMP\n"), "node.responses.lookup.ok");
     assert_eq!(ok(new_told), 10, "whoever is new comes to the new one");
     let answer = ask_kept(&mut kept, "q12");
     assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
     drop(kept);
-    assert!(old.wait(), "it ends once nobody is left");
-    assert_eq!(ask(&new, "q13", "lookup", &[0, 1]).status, 200);
+    assert!(old.wait_for_exit(), "it ends once nobody is left");
+    assert_eq!(query(&new, "q13", "lookup", &[0, 1]).status, 200);
     let _ = std::fs::remove_dir_all(&temporary);
 }
 
 #[test]
 fn settings_that_cannot_be_served_by_are_told_by_their_key_before_anything_is_served() {
     // They were checked at a reload only: at the start a default, or nonsense, stood in for what was given.
-    let nodes = [node(|_| Act::Serve), node(|_| Act::Serve)];
-    let (edge, _changes) = start("refused", &nodes.each_ref(), 1024);
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let (edge, _changes) = start_platform("refused", &nodes.each_ref(), 1024);
     for (pointer, value, key) in [
         ("/settings/limits/max-attempts", json!(0), "max-attempts"),
         ("/settings/family-info/slices", json!(0), "family-info.slices"),
         ("/settings/classes/1/deadline", json!(0), "deadline"),
     ] {
         let path = std::env::temp_dir().join(format!("quinceflow-refused-{}-{key}.json", std::process::id()));
-        std::fs::write(&path, edge.with(pointer, value)).expect("written");
+        std::fs::write(&path, edge.configuration_with(pointer, value)).expect("written");
         let mut run = std::process::Command::new(env!("CARGO_BIN_EXE_quinceflow"))
             .env("NODE_CONFIG", &path)
             .stderr(std::process::Stdio::piped())
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -21,22 +21,22 @@
     /// No answer; the connection stays open.
     Hang,
     /// 200 with this body, whose end is the connection's.
-    Close(String),
+    CloseDelimited(String),
     /// The head and half the body, then the connection ends.
-    Cut(String),
+    Truncated(String),
 }
 
 type Behaviour = Box<dyn FnMut(&str) -> Reply + Send>;
 
 /// A feature server.
-pub struct Server {
+pub struct FeatureServer {
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<String>>>,
     behaviour: Arc<Mutex<Behaviour>>,
 }
 
-impl Server {
-    pub fn start(behaviour: impl FnMut(&str) -> Reply + Send + 'static) -> Server {
+impl FeatureServer {
+    pub fn start(behaviour: impl FnMut(&str) -> Reply + Send + 'static) -> FeatureServer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let seen = Arc::new(Mutex::new(Vec::new()));
@@ -48,15 +48,15 @@
                 std::thread::spawn(move || serve(stream, &log, &act));
             }
         });
-        Server { address, seen, behaviour }
+        FeatureServer { address, seen, behaviour }
     }
 
     /// A sound server of these features, in pages of so many.
-    pub fn of(ids: std::ops::Range<usize>, page: usize) -> Server {
-        Server::start(move |target| good(target, ids.clone(), page))
+    pub fn healthy(ids: std::ops::Range<usize>, page: usize) -> FeatureServer {
+        FeatureServer::start(move |target| healthy_reply(target, ids.clone(), page))
     }
 
-    pub fn count(&self, what: impl Fn(&str) -> bool) -> usize {
+    pub fn count_requests(&self, what: impl Fn(&str) -> bool) -> usize {
         self.seen.lock().expect("log").iter().filter(|t| what(t)).count()
     }
 }
@@ -75,11 +75,11 @@
             }
             Reply::Status(s) => write!(stream, "HTTP/1.1 {s} X\r\nContent-Length: 0\r\n\r\n"),
             Reply::Hang => continue,
-            Reply::Close(body) => {
+            Reply::CloseDelimited(body) => {
                 let _ = write!(stream, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{body}");
                 return;
             }
-            Reply::Cut(body) => {
+            Reply::Truncated(body) => {
                 let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                 let _ = stream.write_all(&body.as_bytes()[..body.len() / 2]);
                 return;
@@ -91,7 +91,7 @@
     }
 }
 
-pub fn param(target: &str, name: &str) -> Option<usize> {
+pub fn query_parameter(target: &str, name: &str) -> Option<usize> {
     let query = target.split_once('?')?.1;
     query.split('&').filter_map(|p| p.split_once('=')).find(|p| p.0 == name)?.1.parse().ok()
 }
@@ -103,13 +103,13 @@
 }
 
 /// A sound answer: a page of features with a next link, or one feature.
-pub fn good(target: &str, ids: std::ops::Range<usize>, page: usize) -> Reply {
+pub fn healthy_reply(target: &str, ids: std::ops::Range<usize>, page: usize) -> Reply {
     let path = target.split('?').next().unwrap_or_default();
     if let Some((_, id)) = path.split_once("/items/") {
         let id = id.trim_start_matches('d').parse().unwrap_or(usize::MAX);
         return if ids.contains(&id) { Reply::Json(feature(id)) } else { Reply::Status(404) };
     }
-    let from = ids.start + param(target, "offset").unwrap_or(0);
+    let from = ids.start + query_parameter(target, "offset").unwrap_or(0);
     let to = (from + page).min(ids.end);
     let list: Vec<String> = (from..to).map(feature).collect();
     let next = if to < ids.end {
@@ -121,12 +121,12 @@
 }
 
 /// The program with the front for feature queries.
-pub struct Edge {
+pub struct Process {
     child: Child,
     pub address: SocketAddr,
     folder: PathBuf,
     log: Mutex<Receiver<String>>,
-    second: Mutex<Option<SocketAddr>>,
+    management: Mutex<Option<SocketAddr>>,
 }
 
 pub const CLASSES: &str = r#"
@@ -151,26 +151,26 @@
 "#;
 
 /// A line of the inventory.
-pub fn row(name: &str, server: &Server, held: &str, state: &str) -> String {
+pub fn inventory_row(name: &str, server: &FeatureServer, held: &str, state: &str) -> String {
     format!("{name},{},{held},{state}\n", server.address)
 }
 
-impl Edge {
+impl Process {
     /// Starts it with further settings and the rows of an inventory.
-    pub fn start(test: &str, settings: &str, rows: &str) -> Edge {
+    pub fn start_edge(test: &str, settings: &str, rows: &str) -> Process {
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let text = format!("listen = \"127.0.0.1:0\"\ninventory = \"i.csv\"\n{settings}\n{CLASSES}");
         std::fs::write(folder.join("edge.toml"), text).expect("settings");
-        inventory(&folder, rows);
+        write_inventory(&folder, rows);
         let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
         command.arg("--edge").arg(folder.join("edge.toml")).env_remove("NODE_CONFIG").env_remove("TMPDIR");
-        Edge::launch(command, folder)
+        Process::spawn(command, folder)
     }
 
     /// Starts it with the platform's configuration.
-    pub fn platform(test: &str, config: &serde_json::Value, descriptors: usize) -> Edge {
+    pub fn start_platform(test: &str, config: &serde_json::Value, descriptors: usize) -> Process {
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -186,42 +186,42 @@
             command.env_remove(name);
         }
         command.env("NODE_CONFIG", folder.join("config.json"));
-        Edge::launch(command, folder)
+        Process::spawn(command, folder)
     }
 
     /// Starts the next version beside this one, with the same configuration. Both have this folder for temporary files.
-    pub fn beside(&self, temporary: &std::path::Path) -> Edge {
+    pub fn start_successor(&self, temporary: &std::path::Path) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
         let start = self.folder.ancestors().find(|f| f.join("config.json").exists()).expect("its start");
         command.env("NODE_CONFIG", start.join("config.json")).env("TMPDIR", temporary);
-        Edge::launch(command, self.folder.join("next"))
+        Process::spawn(command, self.folder.join("next"))
     }
 
-    fn launch(mut command: Command, folder: PathBuf) -> Edge {
+    fn spawn(mut command: Command, folder: PathBuf) -> Process {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let (lines, log) = channel();
         let errors = child.stderr.take().expect("piped");
         std::thread::spawn(move || {
             BufReader::new(errors).lines().map_while(Result::ok).for_each(|l| drop(lines.send(l)))
         });
-        let (address, second) = (([127, 0, 0, 1], 0).into(), Mutex::default());
-        let mut edge = Edge { child, address, folder, log: Mutex::new(log), second };
-        let line = edge.wait_for("listens on");
+        let (address, management) = (([127, 0, 0, 1], 0).into(), Mutex::default());
+        let mut edge = Process { child, address, folder, log: Mutex::new(log), management };
+        let line = edge.wait_for_log("listens on");
         edge.address = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("its address");
         edge
     }
 
     /// Where it answers operators.
-    pub fn second_address(&self) -> SocketAddr {
-        let mut known = self.second.lock().expect("known");
+    pub fn management_address(&self) -> SocketAddr {
+        let mut known = self.management.lock().expect("known");
         *known.get_or_insert_with(|| {
-            let line = self.wait_for("operators are answered on");
-            line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("its second address")
+            let line = self.wait_for_log("operators are answered on");
+            line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("its management address")
         })
     }
 
     /// The next log line that holds this.
-    pub fn wait_for(&self, what: &str) -> String {
+    pub fn wait_for_log(&self, what: &str) -> String {
         loop {
             let line = self.log.lock().expect("log").recv().expect("the program's log goes on");
             if line.contains(what) {
@@ -231,7 +231,7 @@
     }
 
     /// The platform's configuration with another value at this place.
-    pub fn with(&self, pointer: &str, value: serde_json::Value) -> String {
+    pub fn configuration_with(&self, pointer: &str, value: serde_json::Value) -> String {
         let text = std::fs::read(self.folder.join("start.json")).expect("a configuration");
         let mut config: serde_json::Value = serde_json::from_slice(&text).expect("JSON");
         *config.pointer_mut(pointer).expect("such a place") = value;
@@ -239,12 +239,12 @@
     }
 
     /// Replaces the platform's configuration.
-    pub fn configure(&self, text: &str) {
+    pub fn write_configuration(&self, text: &str) {
         std::fs::write(self.folder.join("config.json"), text).expect("a configuration");
     }
 
-    pub fn inventory(&self, rows: &str) {
-        inventory(&self.folder, rows);
+    pub fn write_inventory(&self, rows: &str) {
+        write_inventory(&self.folder, rows);
     }
 
     pub fn signal(&self, name: &str) {
@@ -252,32 +252,32 @@
         assert!(sent.expect("kill runs").success());
     }
 
-    pub fn get(&self, target: &str) -> Answer {
-        self.ask(target, "")
+    pub fn get(&self, target: &str) -> Response {
+        self.get_with_headers(target, "")
     }
 
     /// A request with further header lines, each ended by CR LF.
-    pub fn ask(&self, target: &str, headers: &str) -> Answer {
-        self.send(&format!(
+    pub fn get_with_headers(&self, target: &str, headers: &str) -> Response {
+        self.send_request(&format!(
             "GET {target} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n{headers}\r\n",
             self.address
         ))
     }
 
-    pub fn send(&self, request: &str) -> Answer {
+    pub fn send_request(&self, request: &str) -> Response {
         let mut stream = TcpStream::connect(self.address).expect("it listens");
         stream.write_all(request.as_bytes()).expect("it reads");
         let mut text = Vec::new();
         stream.read_to_end(&mut text).expect("it answers");
-        Answer::read(&String::from_utf8(text).expect("text"))
+        Response::read(&String::from_utf8(text).expect("text"))
     }
 
-    pub fn wait(&mut self) -> bool {
+    pub fn wait_for_exit(&mut self) -> bool {
         self.child.wait().expect("it ends").success()
     }
 }
 
-impl Drop for Edge {
+impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -285,27 +285,27 @@
     }
 }
 
-fn inventory(folder: &std::path::Path, rows: &str) {
+fn write_inventory(folder: &std::path::Path, rows: &str) {
     let text = format!("name,address,collections,state\n{rows}");
     std::fs::write(folder.join("i.csv"), text).expect("an inventory");
 }
 
 /// A response.
 #[derive(Debug)]
-pub struct Answer {
+pub struct Response {
     pub status: u16,
     pub headers: BTreeMap<String, String>,
     pub body: String,
 }
 
-impl Answer {
-    fn read(text: &str) -> Answer {
+impl Response {
+    fn read(text: &str) -> Response {
         let (head, body) = text.split_once("\r\n\r\n").expect("a head");
         let mut lines = head.lines();
         let status =
             lines.next().and_then(|l| l.split(' ').nth(1)).and_then(|s| s.parse().ok()).expect("a status");
         let header = |l: &str| l.split_once(": ").map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()));
-        Answer { status, headers: lines.filter_map(header).collect(), body: body.to_owned() }
+        Response { status, headers: lines.filter_map(header).collect(), body: body.to_owned() }
     }
 
     pub fn json(&self) -> serde_json::Value {
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the platform: data nodes and discovery that act as told, and a client of the program before them.
 #![allow(dead_code)]
 
-use super::{Answer, Edge};
+use super::{Process, Response};
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -10,23 +10,23 @@
 
 /// What a data node does with a part.
 #[derive(Clone, Copy, PartialEq)]
-pub enum Act {
+pub enum NodeBehaviour {
     Serve,
-    Break,
-    Skip,
+    Fail,
+    Reject,
     /// Says nothing.
     Hang,
     /// Ends the connection with the part on it.
-    Reset,
+    Disconnect,
     /// Serves and ends the connection.
     ServeAndClose,
     /// Says nothing on this connection from now on; others are served.
-    Mute,
+    StopResponding,
     /// Sends the begin of an answer, and says nothing on this connection from now on.
-    Half,
+    PartialResponse,
 }
 
-pub struct Node {
+pub struct DataNode {
     pub address: SocketAddr,
     /// The ids of the parts that came, in order.
     pub seen: Arc<Mutex<Vec<String>>>,
@@ -35,34 +35,51 @@
     pub closed: Arc<Mutex<usize>>,
 }
 
-pub fn frame(stream: &mut TcpStream, letter: u8, rest: &str) -> std::io::Result<()> {
+pub fn write_frame(stream: &mut TcpStream, letter: u8, rest: &str) -> std::io::Result<()> {
     let mut bytes = (rest.len() as u32 + 1).to_be_bytes().to_vec();
     bytes.push(letter);
     bytes.extend_from_slice(rest.as_bytes());
     stream.write_all(&bytes)
 }
 
-pub fn node(act: impl Fn(usize) -> Act + Send + Sync + 'static) -> Node {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let seen: Arc<Mutex<Vec<String>>> = Arc::default();
-    let (connections, closed): (Arc<Mutex<usize>>, Arc<Mutex<usize>>) = Default::default();
-    let (log, count, ends, act) = (seen.clone(), connections.clone(), closed.clone(), Arc::new(act));
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            *count.lock().expect("count") += 1;
-            let (log, ends, act) = (log.clone(), ends.clone(), act.clone());
-            std::thread::spawn(move || {
-                if serve(stream, &log, &*act).is_ok() {
-                    *ends.lock().expect("count") += 1;
-                }
-            });
-        }
-    });
-    Node { address, seen, connections, closed }
+impl DataNode {
+    /// A node that serves every part.
+    pub fn serving() -> DataNode {
+        DataNode::start(|_| NodeBehaviour::Serve)
+    }
+
+    /// A node that answers nothing.
+    pub fn hanging() -> DataNode {
+        DataNode::start(|_| NodeBehaviour::Hang)
+    }
+
+    /// A node whose behaviour depends on the number of the part, from 1.
+    pub fn start(act: impl Fn(usize) -> NodeBehaviour + Send + Sync + 'static) -> DataNode {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (connections, closed): (Arc<Mutex<usize>>, Arc<Mutex<usize>>) = Default::default();
+        let (log, count, ends, act) = (seen.clone(), connections.clone(), closed.clone(), Arc::new(act));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                *count.lock().expect("count") += 1;
+                let (log, ends, act) = (log.clone(), ends.clone(), act.clone());
+                std::thread::spawn(move || {
+                    if serve(stream, &log, &*act).is_ok() {
+                        *ends.lock().expect("count") += 1;
+                    }
+                });
+            }
+        });
+        DataNode { address, seen, connections, closed }
+    }
 }
 
-fn serve(mut stream: TcpStream, log: &Mutex<Vec<String>>, act: &dyn Fn(usize) -> Act) -> std::io::Result<()> {
+fn serve(
+    mut stream: TcpStream,
+    log: &Mutex<Vec<String>>,
+    act: &dyn Fn(usize) -> NodeBehaviour,
+) -> std::io::Result<()> {
     let mut mute = false;
     loop {
         let mut head = [0; 5];
@@ -87,18 +104,22 @@
             continue;
         }
         match act(number) {
-            Act::Hang => {}
-            Act::Mute => mute = true,
-            Act::Half => {
+            NodeBehaviour::Hang => {}
+            NodeBehaviour::StopResponding => mute = true,
+            NodeBehaviour::PartialResponse => {
                 mute = true;
                 stream.write_all(&[0, 0, 0, 90, b'a', b'9'])?;
             }
-            Act::Reset => return Ok(()),
-            Act::Break => frame(&mut stream, b'a', &format!("{id} broke 0 -\n"))?,
-            Act::Skip => frame(&mut stream, b'a', &format!("{id} skipped 0 -\n"))?,
+            NodeBehaviour::Disconnect => return Ok(()),
+            NodeBehaviour::Fail => write_frame(&mut stream, b'a', &format!("{id} broke 0 -\n"))?,
+            NodeBehaviour::Reject => write_frame(&mut stream, b'a', &format!("{id} skipped 0 -\n"))?,
             served => {
-                frame(&mut stream, b'a', &format!("{id} served 18 inflight=1,util=0.5\ncell{}", words[1]))?;
-                if served == Act::ServeAndClose {
+                write_frame(
+                    &mut stream,
+                    b'a',
+                    &format!("{id} served 18 inflight=1,util=0.5\ncell{}", words[1]),
+                )?;
+                if served == NodeBehaviour::ServeAndClose {
                     // Until the program has closed too: that this side has says nothing of when the other learns it.
                     stream.shutdown(Shutdown::Write)?;
                     return stream.read(&mut [0; 64]).map(drop);
@@ -110,12 +131,12 @@
 
 /// What a test has of discovery: where changes go, and what was asked of it.
 pub struct Discovery {
-    pub more: Sender<String>,
-    pub asked: Arc<Mutex<Vec<String>>>,
+    pub updates: Sender<String>,
+    pub requests: Arc<Mutex<Vec<String>>>,
 }
 
 /// A call for the watch that was asked beside another one, which was answered first: the program has closed it.
-pub fn given_up(stream: &TcpStream) -> bool {
+pub fn is_abandoned(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).expect("set");
     let ended = matches!(stream.peek(&mut [0]), Ok(0));
     stream.set_nonblocking(false).expect("set");
@@ -123,7 +144,7 @@
 }
 
 /// Discovery: the first line answers each watch, those sent later follow.
-pub fn discovery(first: String) -> (SocketAddr, Discovery) {
+pub fn start_discovery(first: String) -> (SocketAddr, Discovery) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let (more, changes): (Sender<String>, Receiver<String>) = channel();
@@ -134,7 +155,7 @@
             let mut lines = BufReader::new(stream.try_clone().expect("a handle")).lines();
             let request = lines.next().and_then(Result::ok).unwrap_or_default();
             while lines.next().and_then(Result::ok).is_some_and(|l| !l.is_empty()) {}
-            if given_up(&stream) {
+            if is_abandoned(&stream) {
                 continue;
             }
             log.lock().expect("log").push(request);
@@ -145,11 +166,11 @@
             while changes.recv().is_ok_and(|line| say(&line).is_ok()) {}
         }
     });
-    (address, Discovery { more, asked })
+    (address, Discovery { updates: more, requests: asked })
 }
 
 /// Discovery that answers any number of watches with this line and has nothing more to say.
-pub fn many_watches(first: String) -> SocketAddr {
+pub fn serve_constant_list(first: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
@@ -163,8 +184,8 @@
     address
 }
 
-pub fn list(rev: u64, all: bool, nodes: &[(&Node, &str)]) -> String {
-    let target = |(n, (node, state)): (usize, &(&Node, &str))| {
+pub fn endpoint_list(rev: u64, all: bool, nodes: &[(&DataNode, &str)]) -> String {
+    let target = |(n, (node, state)): (usize, &(&DataNode, &str))| {
         json!({"uid": format!("s-{n}"), "endpoint": node.address.to_string(), "az": "a", "model": "m", "pod_group": n,
             "state": state, "capacity_hint": 1.0, "boot_ms": 0})
     };
@@ -172,18 +193,29 @@
     json!({"rev": rev, "all": all, "targets": targets}).to_string()
 }
 
-pub fn start(test: &str, nodes: &[&Node], descriptors: usize) -> (Edge, Discovery) {
-    start_with(test, nodes, descriptors, 10_000)
+pub fn start_platform(test: &str, nodes: &[&DataNode], descriptors: usize) -> (Process, Discovery) {
+    start_with_objective(test, nodes, descriptors, 10_000)
 }
 
-pub fn start_with(test: &str, nodes: &[&Node], descriptors: usize, aim: u64) -> (Edge, Discovery) {
+pub fn start_with_objective(
+    test: &str,
+    nodes: &[&DataNode],
+    descriptors: usize,
+    aim: u64,
+) -> (Process, Discovery) {
     let ready: Vec<_> = nodes.iter().map(|n| (*n, "in_service")).collect();
-    let (address, changes) = discovery(list(1, true, &ready));
-    (start_at(test, nodes, descriptors, aim, address), changes)
+    let (address, changes) = start_discovery(endpoint_list(1, true, &ready));
+    (start_with_discovery(test, nodes, descriptors, aim, address), changes)
 }
 
 /// Starts the program with discovery at this address.
-pub fn start_at(test: &str, nodes: &[&Node], descriptors: usize, aim: u64, address: SocketAddr) -> Edge {
+pub fn start_with_discovery(
+    test: &str,
+    nodes: &[&DataNode],
+    descriptors: usize,
+    aim: u64,
+    address: SocketAddr,
+) -> Process {
     let ready: Vec<_> = nodes.iter().map(|n| (*n, "in_service")).collect();
     let class = |name, effect, aim: u64| {
         json!({"name": name, "effect": effect, "aim": aim * 1_000_000, "deadline": 2 * aim * 1_000_000,
@@ -200,27 +232,27 @@
     let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": address.to_string(), "seed": "1f",
         "mgmt": "127.0.0.1:0",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": descriptors}, "settings": settings,
-        "known": serde_json::from_str::<serde_json::Value>(&list(0, true, &ready)).expect("a list")});
-    Edge::platform(test, &config, descriptors)
+        "known": serde_json::from_str::<serde_json::Value>(&endpoint_list(0, true, &ready)).expect("a list")});
+    Process::start_platform(test, &config, descriptors)
 }
 
-pub fn ask(edge: &Edge, id: &str, class: &str, shards: &[u32]) -> Answer {
+pub fn query(edge: &Process, id: &str, class: &str, shards: &[u32]) -> Response {
     let share = 1.0 / shards.len() as f64;
     let tablets: Vec<_> = shards.iter().map(|s| json!({"tablet": s, "fraction": share})).collect();
     let body = json!({"tablets": tablets, "statement": "c41e77d0"}).to_string();
-    edge.send(&format!(
+    edge.send_request(&format!(
         "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Expires-In: 8\r\n\
          Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     ))
 }
 
-pub fn until_ready(edge: &Edge) {
+pub fn wait_until_ready(edge: &Process) {
     while edge.get("/up").status != 200 {}
 }
 
 /// One call at the second address, whole.
-pub fn call(address: SocketAddr, line: &str) -> String {
+pub fn management_call(address: SocketAddr, line: &str) -> String {
     let mut stream = TcpStream::connect(address).expect("it listens");
     stream.write_all(line.as_bytes()).expect("it reads");
     let mut text = String::new();
@@ -228,7 +260,7 @@
     text
 }
 
-pub fn figure(dump: &str, name: &str) -> u64 {
+pub fn dump_value(dump: &str, name: &str) -> u64 {
     let value = dump.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
     value.unwrap_or_else(|| panic!("no {name} in {dump}")).parse().expect("a number")
 }
