--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,11 +4,15 @@
 mod standin;
 
 use serde_json::json;
-use standin::platform::{write_frame, DataNode};
-use standin::site::*;
-use standin::Process;
+use standin::client::{query, query_request, read_until_close, send_request};
+use standin::data_node::{DataNode, RecordingNode, UnreachableNode};
+use standin::deployment::Deployment;
+use standin::discovery::{
+    all_in_service, endpoint_list, endpoint_list_json, in_service, terminating, ControlledDiscovery,
+};
+use standin::frames::{read_frame, read_part_ids, serve_parts, write_answer, CALL, CANCEL};
+use standin::http::bind_loopback;
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpListener;
 use std::sync::mpsc::channel;
 
 #[test]
@@ -19,8 +23,8 @@
         let nodes = [UnreachableNode::new(), UnreachableNode::new()];
         let addresses = [nodes[0].address(), nodes[1].address()];
         let agent = ControlledDiscovery::new();
-        let site = Deployment { cancellation: cancel, max_batch: bundle, ..DEFAULT_DEPLOYMENT };
-        let (edge, _watch) = start_deployment(&format!("left-{cancel}-{bundle}"), &site, &agent, &addresses);
+        let site = Deployment { cancellation: cancel, max_batch: bundle, ..Deployment::ALL_EFFECTS };
+        let (edge, _watch) = site.start_controlled(&format!("left-{cancel}-{bundle}"), &agent, &addresses);
         let behind = [
             String::new(),
             "POST /api HTT".to_owned(),
@@ -40,10 +44,10 @@
             clients.push(client);
         }
         let cases = clients.len();
-        wait_for_counter(&edge, "taken", cases as u64);
-        wait_for_counter(&edge, "attempts", 2);
+        edge.wait_for_counter("taken", cases as u64);
+        edge.wait_for_counter("attempts", 2);
         drop(clients);
-        wait_for_counter(&edge, "gone", cases as u64);
+        edge.wait_for_counter("gone", cases as u64);
         let logs = nodes.map(RecordingNode::start);
         assert_eq!(query(&edge, "stays", "look", &[0, 1, 2, 3, 4, 5]).status, 200);
         drop(edge);
@@ -64,9 +68,9 @@
 #[test]
 fn a_client_that_leaves_while_its_part_waits_for_a_retry_has_it_not_sent_again() {
     let agent = ControlledDiscovery::new();
-    let nodes = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let nodes = [0, 1].map(|_| bind_loopback());
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
-    let (edge, mut watch) = start_deployment("left-retry", &DEFAULT_DEPLOYMENT, &agent, &addresses);
+    let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("left-retry", &agent, &addresses);
     let client = send_request(&edge, &query_request("left", "look", &[0], ""));
     // Whichever node it goes to holds it until nobody is left to take it.
     let (tell, asked) = channel();
@@ -80,25 +84,25 @@
         })
     });
     let (ids, mut stream) = asked.recv().expect("one of them");
-    let drained: Vec<_> = in_service(&addresses).into_iter().map(|(n, a, _)| (n, a, "terminating")).collect();
-    watch.send(&endpoint_list(2, false, &drained).to_string());
-    wait_for_counter(&edge, "rosters", 3);
-    write_frame(&mut stream, b'a', &format!("{} skipped 0 -\n", ids[0])).expect("told");
-    wait_for_counter(&edge, "turned_away", 1);
+    let drained: Vec<_> = addresses.iter().enumerate().map(|(n, a)| terminating(n, *a)).collect();
+    watch.send(&endpoint_list(2, false, &drained));
+    edge.wait_for_counter("rosters", 3);
+    write_answer(&mut stream, &format!("{} skipped 0 -\n", ids[0])).expect("told");
+    edge.wait_for_counter("turned_away", 1);
     drop(client);
-    wait_for_counter(&edge, "gone", 1);
-    watch.send(&endpoint_list(3, false, &in_service(&addresses)).to_string());
-    wait_for_counter(&edge, "rosters", 4);
+    edge.wait_for_counter("gone", 1);
+    watch.send(&endpoint_list(3, false, &all_in_service(&addresses)));
+    edge.wait_for_counter("rosters", 4);
     // Sound again, and asked by another: that one's part alone goes out.
     let other = send_request(&edge, &query_request("stays", "look", &[0], ""));
     let (ids, mut stream) = asked.recv().expect("one of them");
     assert_eq!(ids, ["stays.0"]);
-    write_frame(&mut stream, b'a', "stays.0 served 1 -\ncell").expect("told");
+    write_answer(&mut stream, "stays.0 served 1 -\ncell").expect("told");
     drop(stream);
     let mut first = String::new();
     BufReader::new(other).read_line(&mut first).expect("an answer");
     assert!(first.starts_with("HTTP/1.1 200"), "{first}");
-    wait_for_counter(&edge, "attempts", 2);
+    edge.wait_for_counter("attempts", 2);
     drop(edge);
     drop(served);
 }
@@ -109,8 +113,8 @@
         let nodes = [UnreachableNode::new(), UnreachableNode::new()];
         let addresses = [nodes[0].address(), nodes[1].address()];
         let agent = ControlledDiscovery::new();
-        let site = Deployment { max_batch: bundle, ..DEFAULT_DEPLOYMENT };
-        let (edge, mut watch) = start_deployment(&format!("drain-dial-{bundle}"), &site, &agent, &addresses);
+        let site = Deployment { max_batch: bundle, ..Deployment::ALL_EFFECTS };
+        let (edge, mut watch) = site.start_controlled(&format!("drain-dial-{bundle}"), &agent, &addresses);
         let clients: Vec<_> = (0..4)
             .map(|n| {
                 send_request(
@@ -119,11 +123,11 @@
                 )
             })
             .collect();
-        wait_for_counter(&edge, "dials", 2);
-        wait_for_counter(&edge, "taken", 4);
-        watch.send(&endpoint_list(2, false, &[(0, addresses[0], "terminating")]).to_string());
-        wait_for_counter(&edge, "rosters", 3);
-        wait_for_counter(&edge, "unsent", 1);
+        edge.wait_for_counter("dials", 2);
+        edge.wait_for_counter("taken", 4);
+        watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
+        edge.wait_for_counter("rosters", 3);
+        edge.wait_for_counter("unsent", 1);
         let logs = nodes.map(RecordingNode::start);
         for client in clients {
             assert!(read_until_close(client).starts_with("HTTP/1.1 200"), "the other node takes it");
@@ -141,7 +145,7 @@
     for silent in [true, false] {
         let agent = ControlledDiscovery::new();
         let (edge, first) =
-            start_deployment(&format!("watch-{silent}"), &DEFAULT_DEPLOYMENT, &agent, &addresses);
+            Deployment::ALL_EFFECTS.start_controlled(&format!("watch-{silent}"), &agent, &addresses);
         let began = std::time::Instant::now();
         let kept = if silent {
             Some(first)
@@ -153,18 +157,18 @@
         };
         // The change comes while no watch is open; the next one tells of it, indented.
         let told =
-            serde_json::to_string_pretty(&endpoint_list(2, false, &[(0, addresses[0], "terminating")]))
+            serde_json::to_string_pretty(&endpoint_list_json(2, false, &[terminating(0, addresses[0])]))
                 .expect("a list");
         let second = agent.answer_watch(&told);
         let took = began.elapsed().as_millis();
         assert!(took < if silent { 5_000 } else { 1_000 }, "{took} ms: it counts as told after 6 s");
         assert!(second.request.contains("since=1"), "{}", second.request);
-        wait_for_counter(&edge, "rosters", 3);
-        let before = received_parts(&nodes[0]).len();
+        edge.wait_for_counter("rosters", 3);
+        let before = nodes[0].received_parts().len();
         for n in 0..6 {
             assert_eq!(query(&edge, &format!("q{silent}{n}"), "look", &[0, 1, 2, 3]).status, 200);
         }
-        assert_eq!(received_parts(&nodes[0]).len(), before, "it drains");
+        assert_eq!(nodes[0].received_parts().len(), before, "it drains");
         drop(kept);
     }
 }
@@ -174,21 +178,21 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
-    let edge =
-        Process::start_platform("agent", &DEFAULT_DEPLOYMENT.config(agent.address(), &addresses), 1024);
+    let edge = Deployment::ALL_EFFECTS.start_with_discovery("agent", agent.address(), &addresses);
     let began = std::time::Instant::now();
     // Down: whoever asks gets no answer, then or later.
     let unanswered = [agent.accept_watch(), agent.accept_watch()];
     assert!(began.elapsed().as_millis() < 2_500, "what it gets at its return counts at once");
-    let _back = agent.answer_watch(
-        &endpoint_list(5, true, &[(0, addresses[0], "terminating"), (1, addresses[1], "in_service")])
-            .to_string(),
-    );
-    wait_for_counter(&edge, "rosters", 2);
+    let _back = agent.answer_watch(&endpoint_list(
+        5,
+        true,
+        &[terminating(0, addresses[0]), in_service(1, addresses[1])],
+    ));
+    edge.wait_for_counter("rosters", 2);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
-    assert_eq!(received_parts(&nodes[0]).len(), 0);
+    assert_eq!(nodes[0].received_parts().len(), 0);
     drop(unanswered);
 }
 
@@ -197,15 +201,15 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
-    let (edge, mut watch) = start_deployment("back", &DEFAULT_DEPLOYMENT, &agent, &addresses);
-    watch.send(&endpoint_list(7, false, &[(0, addresses[0], "terminating")]).to_string());
-    watch.send(&endpoint_list(6, true, &in_service(&addresses)).to_string());
+    let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("back", &agent, &addresses);
+    watch.send(&endpoint_list(7, false, &[terminating(0, addresses[0])]));
+    watch.send(&endpoint_list(6, true, &all_in_service(&addresses)));
     edge.wait_for_log("the list goes back from version 7 to 6");
-    wait_for_counter(&edge, "rosters", 4);
+    edge.wait_for_counter("rosters", 4);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1, 2, 3]).status, 200);
     }
-    assert_eq!(received_parts(&nodes[0]).len(), 0);
+    assert_eq!(nodes[0].received_parts().len(), 0);
     watch.reset();
     assert!(agent.accept_watch().request.contains("since=7"), "what came since the newest is asked for");
 }
@@ -216,23 +220,23 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let (old, new) = (ControlledDiscovery::new(), ControlledDiscovery::new());
-    let edge = Process::start_platform(
+    let edge = Deployment { push_discovery: false, ..Deployment::ALL_EFFECTS }.start_with_discovery(
         "moved",
-        &Deployment { push_discovery: false, ..DEFAULT_DEPLOYMENT }.config(old.address(), &addresses),
-        1024,
+        old.address(),
+        &addresses,
     );
     old.accept_watch().reset();
     edge.wait_for_log("the watch broke");
     edge.write_configuration(&edge.configuration_with("/discovery", json!(new.address().to_string())));
     edge.signal("HUP");
-    let _watch = new.answer_watch(&endpoint_list(2, false, &[(0, addresses[0], "terminating")]).to_string());
+    let _watch = new.answer_watch(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
     old.listener.set_nonblocking(true).expect("set");
     assert!(old.listener.accept().is_err(), "the old one was not asked again meanwhile");
-    wait_for_counter(&edge, "rosters", 2);
+    edge.wait_for_counter("rosters", 2);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
-    assert_eq!(received_parts(&nodes[0]).len(), 0);
+    assert_eq!(nodes[0].received_parts().len(), 0);
 }
 
 #[test]
@@ -240,21 +244,17 @@
     // Nodes that read nothing: a long frame stands half written until its time-out. It was told as never sent, so its query
     // was refused, or it went to the other node, while the rest of it went out and ran.
     use rustix::net::sockopt::set_socket_recv_buffer_size;
-    let nodes = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let nodes = [0, 1].map(|_| bind_loopback());
     nodes.iter().for_each(|n| set_socket_recv_buffer_size(n, 2_048).expect("set"));
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
     let agent = ControlledDiscovery::new();
-    let (edge, _watch) = start_deployment(
-        "begun",
-        &Deployment { latency_objective_ms: 400, ..DEFAULT_DEPLOYMENT },
-        &agent,
-        &addresses,
-    );
+    let (edge, _watch) = Deployment { latency_objective_ms: 400, ..Deployment::ALL_EFFECTS }
+        .start_controlled("begun", &agent, &addresses);
     let body =
         json!({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x".repeat(60_000)}).to_string();
     let head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: long\r\nX-Qos: once\r\nX-Expires-In: 0.8\r\nConnection: close";
     let answer = edge.send_request(&format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-    wait_for_counter(&edge, "attempts", 1);
+    edge.wait_for_counter("attempts", 1);
     assert_eq!(answer.status, 504, "it may run: {answer:?}");
     let mut runs = 0;
     for listener in nodes {
@@ -263,8 +263,8 @@
             stream.set_nonblocking(false).expect("set");
             // Read to the frame that follows it: the cancel.
             while let Ok((letter, _)) = read_frame(&mut stream) {
-                runs += usize::from(letter == b'q');
-                if letter == b'c' {
+                runs += usize::from(letter == CALL);
+                if letter == CANCEL {
                     break;
                 }
             }
@@ -275,15 +275,11 @@
 
 #[test]
 fn a_late_answer_beside_the_next_attempt_leads_to_no_third() {
-    let nodes = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let nodes = [0, 1].map(|_| bind_loopback());
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
     let agent = ControlledDiscovery::new();
-    let (edge, _watch) = start_deployment(
-        "late",
-        &Deployment { latency_objective_ms: 8_000, ..DEFAULT_DEPLOYMENT },
-        &agent,
-        &addresses,
-    );
+    let (edge, _watch) = Deployment { latency_objective_ms: 8_000, ..Deployment::ALL_EFFECTS }
+        .start_controlled("late", &agent, &addresses);
     let client = send_request(&edge, &query_request("late", "look", &[0], "Connection: close\r\n"));
     let (tell, asked) = channel();
     for (n, listener) in nodes.into_iter().enumerate() {
@@ -303,27 +299,27 @@
         });
     }
     let (first, letter, _, mut its) = asked.recv().expect("the first attempt");
-    assert_eq!(letter, b'q');
+    assert_eq!(letter, CALL);
     // It is called off and goes to the other, in whichever order that is seen here.
     let both = [asked.recv().expect("a frame"), asked.recv().expect("a frame")];
-    let other = both.into_iter().find(|f| f.1 == b'q').expect("the next attempt");
+    let other = both.into_iter().find(|f| f.1 == CALL).expect("the next attempt");
     assert_ne!(other.0, first);
-    write_frame(&mut its, b'a', "late.0 broke 0 -\n").expect("told");
-    wait_for_counter(&edge, "cancelled", 1);
+    write_answer(&mut its, "late.0 broke 0 -\n").expect("told");
+    edge.wait_for_counter("cancelled", 1);
     let mut its = other.3;
-    write_frame(&mut its, b'a', "late.0 served 1 -\ncell").expect("told");
+    write_answer(&mut its, "late.0 served 1 -\ncell").expect("told");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
     drop(edge);
     drop(tell);
-    assert!(asked.try_iter().all(|f| f.1 != b'q'), "two attempts, one after the other");
+    assert!(asked.try_iter().all(|f| f.1 != CALL), "two attempts, one after the other");
 }
 
 #[test]
 fn a_connection_that_comes_up_after_it_was_given_up_carries_nothing() {
     let (shut, sound) = (UnreachableNode::new(), DataNode::serving());
     let agent = ControlledDiscovery::new();
-    let site = Deployment { connect_timeout_ms: 150, ..DEFAULT_DEPLOYMENT };
-    let (edge, _watch) = start_deployment("late-dial", &site, &agent, &[shut.address(), sound.address]);
+    let site = Deployment { connect_timeout_ms: Some(150), ..Deployment::ALL_EFFECTS };
+    let (edge, _watch) = site.start_controlled("late-dial", &agent, &[shut.address(), sound.address]);
     let clients: Vec<_> = (0..4)
         .map(|n| {
             send_request(
@@ -335,41 +331,38 @@
     for client in clients {
         assert!(read_until_close(client).starts_with("HTTP/1.1 200"), "never sent there: it may go again");
     }
-    wait_for_counter(&edge, "dials_failed", 1);
+    edge.wait_for_counter("dials_failed", 1);
     let log = RecordingNode::start(shut);
     drop(edge);
     assert_eq!(log.wait_until_closed(), Vec::<String>::new());
-    let mut came = received_parts(&sound);
+    let mut came = sound.received_parts();
     came.sort();
     came.dedup();
     assert_eq!(came.len(), 16, "each part once");
-    assert_eq!(received_parts(&sound).len(), 16);
+    assert_eq!(sound.received_parts().len(), 16);
 }
 
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
     // The window was looked at when the repeat was launched; its connection came up when it was over, and it went out.
-    let (held, shut) = (TcpListener::bind("127.0.0.1:0").expect("a port"), UnreachableNode::new());
+    let (held, shut) = (bind_loopback(), UnreachableNode::new());
     let addresses = [held.local_addr().expect("bound"), shut.address()];
     let agent = ControlledDiscovery::new();
-    let (edge, mut watch) = start_deployment("window", &DEFAULT_DEPLOYMENT, &agent, &addresses);
-    watch.send(&endpoint_list(2, false, &[(1, addresses[1], "terminating")]).to_string());
-    wait_for_counter(&edge, "rosters", 3);
+    let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("window", &agent, &addresses);
+    watch.send(&endpoint_list(2, false, &[terminating(1, addresses[1])]));
+    edge.wait_for_counter("rosters", 3);
     let client = send_request(&edge, &query_request("key", "key", &[0], "Connection: close\r\n"));
     let (mut first, _) = held.accept().expect("a connection");
     assert_eq!(read_part_ids(&mut first).expect("the first attempt"), ["key.0"]);
-    watch.send(
-        &endpoint_list(3, false, &[(0, addresses[0], "terminating"), (1, addresses[1], "in_service")])
-            .to_string(),
-    );
-    wait_for_counter(&edge, "rosters", 4);
+    watch.send(&endpoint_list(3, false, &[terminating(0, addresses[0]), in_service(1, addresses[1])]));
+    edge.wait_for_counter("rosters", 4);
     // It may have run: within its window it may go again, to the node that lets nobody in.
     drop(first);
-    wait_for_counter(&edge, "attempts", 2);
-    wait_for_counter(&edge, "connect_failed", 1);
+    edge.wait_for_counter("attempts", 2);
+    edge.wait_for_counter("connect_failed", 1);
     let log = RecordingNode::start(shut);
     drop(client);
-    wait_for_counter(&edge, "gone", 1);
+    edge.wait_for_counter("gone", 1);
     drop(edge);
     assert_eq!(log.wait_until_closed(), Vec::<String>::new());
 }
@@ -380,7 +373,7 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let agent = ControlledDiscovery::new();
     let (edge, _watch) =
-        start_deployment("unread", &DEFAULT_DEPLOYMENT, &agent, &nodes.each_ref().map(|n| n.address));
+        Deployment::ALL_EFFECTS.start_controlled("unread", &agent, &nodes.each_ref().map(|n| n.address));
     edge.signal("STOP");
     for n in 0..20 {
         drop(send_request(
@@ -391,8 +384,8 @@
     let stays = send_request(&edge, &query_request("stays", "look", &[0, 1], "Connection: close\r\n"));
     edge.signal("CONT");
     assert!(read_until_close(stays).starts_with("HTTP/1.1 200"));
-    wait_for_counter(&edge, "gone", 20);
-    let mut came: Vec<_> = nodes.iter().flat_map(received_parts).collect();
+    edge.wait_for_counter("gone", 20);
+    let mut came: Vec<_> = nodes.iter().flat_map(DataNode::received_parts).collect();
     came.sort();
     assert_eq!(came, ["stays.0", "stays.1"]);
 }
@@ -403,13 +396,13 @@
     // behind it. They never ran, so they go again, whatever their class; what was written whole may have run and does not.
     use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
     const QUERIES: usize = 90;
-    let (deaf, sound) = (TcpListener::bind("127.0.0.1:0").expect("a port"), UnreachableNode::new());
+    let (deaf, sound) = (bind_loopback(), UnreachableNode::new());
     set_socket_recv_buffer_size(&deaf, 2_048).expect("set");
     let addresses = [deaf.local_addr().expect("bound"), sound.address()];
     let agent = ControlledDiscovery::new();
-    let (edge, mut watch) = start_deployment("half-frames", &DEFAULT_DEPLOYMENT, &agent, &addresses);
-    watch.send(&endpoint_list(2, false, &[(1, addresses[1], "terminating")]).to_string());
-    wait_for_counter(&edge, "rosters", 3);
+    let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("half-frames", &agent, &addresses);
+    watch.send(&endpoint_list(2, false, &[terminating(1, addresses[1])]));
+    edge.wait_for_counter("rosters", 3);
     let body =
         json!({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x".repeat(60_000)}).to_string();
     let clients: Vec<_> = (0..QUERIES)
@@ -424,10 +417,10 @@
             )
         })
         .collect();
-    wait_for_counter(&edge, "attempts", QUERIES as u64);
-    wait_for_counter(&edge, "written", 1);
-    watch.send(&endpoint_list(3, false, &[(1, addresses[1], "in_service")]).to_string());
-    wait_for_counter(&edge, "rosters", 4);
+    edge.wait_for_counter("attempts", QUERIES as u64);
+    edge.wait_for_counter("written", 1);
+    watch.send(&endpoint_list(3, false, &[in_service(1, addresses[1])]));
+    edge.wait_for_counter("rosters", 4);
     let log = RecordingNode::start(sound);
     deaf.set_nonblocking(true).expect("set");
     while let Ok((stream, _)) = deaf.accept() {
@@ -447,33 +440,29 @@
 #[test]
 fn a_part_that_answers_after_its_query_harms_nothing_and_goes_nowhere_again() {
     let agent = ControlledDiscovery::new();
-    let (sound, held) = (DataNode::serving(), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let (sound, held) = (DataNode::serving(), bind_loopback());
     let addresses = [sound.address, held.local_addr().expect("bound")];
     // Two shards, each with one of the two: the other holders drain, so that the late part has nowhere else to go.
-    let (edge, mut watch) = start_deployment(
-        "after",
-        &Deployment { latency_objective_ms: 600, ..DEFAULT_DEPLOYMENT },
-        &agent,
-        &addresses,
-    );
-    watch.send(&endpoint_list(2, false, &[(0, addresses[0], "terminating")]).to_string());
-    wait_for_counter(&edge, "rosters", 3);
+    let (edge, mut watch) = Deployment { latency_objective_ms: 600, ..Deployment::ALL_EFFECTS }
+        .start_controlled("after", &agent, &addresses);
+    watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
+    edge.wait_for_counter("rosters", 3);
     let client = send_request(&edge, &query_request("q", "some", &[0, 1], "Connection: close\r\n"));
     let (mut stream, _) = held.accept().expect("a connection");
     let mut ids = read_part_ids(&mut stream).expect("a part");
     if ids.len() < 2 {
         ids.extend(read_part_ids(&mut stream).expect("the other"));
     }
-    write_frame(&mut stream, b'a', &format!("{} served 1 -\ncell", ids[0])).expect("told");
+    write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[0])).expect("told");
     let text = read_until_close(client);
     assert!(text.starts_with("HTTP/1.1 200") && text.contains("\"full\":false"), "{text}");
     // The late one, then a query on the same connection.
-    write_frame(&mut stream, b'a', &format!("{} served 1 -\ncell", ids[1])).expect("told");
+    write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[1])).expect("told");
     let next = send_request(&edge, &query_request("next", "look", &[1], "Connection: close\r\n"));
     assert_eq!(read_part_ids(&mut stream).expect("on the connection that is open"), ["next.1"]);
-    write_frame(&mut stream, b'a', "next.1 served 1 -\ncell").expect("told");
+    write_answer(&mut stream, "next.1 served 1 -\ncell").expect("told");
     assert!(read_until_close(next).starts_with("HTTP/1.1 200"));
-    wait_for_counter(&edge, "attempts", 3);
+    edge.wait_for_counter("attempts", 3);
 }
 
 #[test]
@@ -481,11 +470,11 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
-    let site = Deployment { idle_timeout_ms: 600, ..DEFAULT_DEPLOYMENT };
-    let (edge, _watch) = start_deployment("idle", &site, &agent, &addresses);
+    let site = Deployment { idle_timeout_ms: Some(600), ..Deployment::ALL_EFFECTS };
+    let (edge, _watch) = site.start_controlled("idle", &agent, &addresses);
     assert_eq!(query(&edge, "q0", "once", &[0]).status, 200);
-    wait_for_counter(&edge, "links_idle_closed", 1);
+    edge.wait_for_counter("links_idle_closed", 1);
     assert_eq!(query(&edge, "q1", "once", &[0]).status, 200);
-    let open: usize = nodes.iter().map(|n| *n.connections.lock().expect("count")).sum();
-    assert_eq!((open, nodes.iter().map(|n| received_parts(n).len()).sum::<usize>()), (2, 2));
+    let open: usize = nodes.iter().map(DataNode::connections).sum();
+    assert_eq!((open, nodes.iter().map(|n| n.received_parts().len()).sum::<usize>()), (2, 2));
 }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -3,19 +3,22 @@
 mod standin;
 
 use serde_json::json;
-use standin::platform::{management_call, serve_constant_list, wait_until_ready, write_frame, DataNode};
-use standin::site::*;
-use standin::Process;
+use standin::client::{query, query_request, read_response, read_until_close, send_request, ResponseHead};
+use standin::data_node::{DataNode, UnreachableNode};
+use standin::deployment::Deployment;
+use standin::discovery::{all_in_service, endpoint_list, serve_constant_list, ControlledDiscovery};
+use standin::frames::{read_part_ids, write_answer};
+use standin::http::bind_loopback;
+use standin::management::management_call;
 use std::io::{BufReader, Read, Write};
-use std::net::TcpListener;
 use std::sync::mpsc::channel;
 
 #[test]
 fn what_the_machine_accepted_before_a_sigterm_is_read_is_answered() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let agent = ControlledDiscovery::new();
-    let site = Deployment { latency_objective_ms: 500, ..DEFAULT_DEPLOYMENT };
-    let (mut edge, _watch) = start_deployment("queue", &site, &agent, &nodes.each_ref().map(|n| n.address));
+    let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
+    let (mut edge, _watch) = site.start_controlled("queue", &agent, &nodes.each_ref().map(|n| n.address));
     let mut kept = send_request(&edge, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(kept.read(&mut [0; 512]).expect("an answer") > 0);
     // Stopped: all this is with the machine when the program goes on, and the signal with it.
@@ -44,7 +47,7 @@
     let (hangs, shut) = (DataNode::hanging(), UnreachableNode::new());
     let agent = ControlledDiscovery::new();
     let (mut edge, _watch) =
-        start_deployment("hung", &DEFAULT_DEPLOYMENT, &agent, &[hangs.address, shut.address()]);
+        Deployment::ALL_EFFECTS.start_controlled("hung", &agent, &[hangs.address, shut.address()]);
     let held: Vec<_> = ["look", "once", "some"]
         .iter()
         .flat_map(|class| (0..4).map(move |n| (class, n)))
@@ -55,7 +58,7 @@
             )
         })
         .collect();
-    wait_for_counter(&edge, "taken", 12);
+    edge.wait_for_counter("taken", 12);
     let began = std::time::Instant::now();
     edge.signal("TERM");
     edge.wait_for_log("told to end");
@@ -69,7 +72,7 @@
             if client.get_mut().write_all(next.as_bytes()).is_err() {
                 break;
             }
-            let Some((status, closes)) = read_response(&mut client) else {
+            let Some(ResponseHead { status, closes }) = read_response(&mut client) else {
                 assert!(closed == 0, "a connection made since it says that it closes is answered");
                 break;
             };
@@ -94,23 +97,23 @@
 fn a_client_that_has_its_answer_and_never_closes_does_not_keep_the_program_until_the_kill() {
     let (hangs, other) = (DataNode::hanging(), DataNode::hanging());
     let agent = ControlledDiscovery::new();
-    let site = Deployment { latency_objective_ms: 500, ..DEFAULT_DEPLOYMENT };
-    let (mut edge, _watch) = start_deployment("never-closes", &site, &agent, &[hangs.address, other.address]);
+    let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
+    let (mut edge, _watch) = site.start_controlled("never-closes", &agent, &[hangs.address, other.address]);
     let mut client = BufReader::new(send_request(&edge, &query_request("q", "once", &[0], "")));
-    wait_for_counter(&edge, "taken", 1);
+    edge.wait_for_counter("taken", 1);
     // Settings that come after the signal change nothing about when the kill comes: it is 1.7 s from here.
     edge.signal("TERM");
     edge.wait_for_log("told to end");
     let longer = edge.configuration_with("/settings/classes/0/deadline", json!(8_000_000_000_u64));
     edge.write_configuration(&longer);
     edge.signal("HUP");
-    assert_eq!(read_response(&mut client), Some((504, false)));
+    assert_eq!(read_response(&mut client), Some(ResponseHead { status: 504, closes: false }));
     assert_eq!(client.read(&mut [0]).expect("closed in good order"), 0, "shortly before the last answer");
     let mut last = BufReader::new(send_request(&edge, &query_request("last", "once", &[1], "")));
     let answer = read_response(&mut last).expect("an answer, and no reset");
     // From here, and not from the signal: the machine may be busy.
     let began = std::time::Instant::now();
-    assert!(answer.0 / 100 == 5 && answer.1, "{answer:?}");
+    assert!(answer.status / 100 == 5 && answer.closes, "{answer:?}");
     assert!(edge.wait_for_exit(), "it ends by itself");
     assert!(began.elapsed().as_millis() < 900, "{:?}: it lingered for 1 s and more", began.elapsed());
 }
@@ -118,9 +121,9 @@
 #[test]
 fn a_retry_that_is_due_when_it_is_told_to_end_is_made() {
     let agent = ControlledDiscovery::new();
-    let nodes = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let nodes = [0, 1].map(|_| bind_loopback());
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
-    let (mut edge, _watch) = start_deployment("retry-end", &DEFAULT_DEPLOYMENT, &agent, &addresses);
+    let (mut edge, _watch) = Deployment::ALL_EFFECTS.start_controlled("retry-end", &agent, &addresses);
     let client = send_request(&edge, &query_request("q", "once", &[0], ""));
     let (tell, asked) = channel();
     for listener in nodes {
@@ -134,9 +137,9 @@
     let (ids, mut first) = asked.recv().expect("the first attempt");
     edge.signal("TERM");
     edge.wait_for_log("told to end");
-    write_frame(&mut first, b'a', &format!("{} skipped 0 -\n", ids[0])).expect("told");
+    write_answer(&mut first, &format!("{} skipped 0 -\n", ids[0])).expect("told");
     let (ids, mut second) = asked.recv().expect("the next one");
-    write_frame(&mut second, b'a', &format!("{} served 1 -\ncell", ids[0])).expect("told");
+    write_answer(&mut second, &format!("{} served 1 -\ncell", ids[0])).expect("told");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
     assert!(edge.wait_for_exit(), "it ends by itself");
 }
@@ -146,7 +149,7 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let agent = ControlledDiscovery::new();
     let (edge, _watch) =
-        start_deployment("linger-end", &DEFAULT_DEPLOYMENT, &agent, &nodes.each_ref().map(|n| n.address));
+        Deployment::ALL_EFFECTS.start_controlled("linger-end", &agent, &nodes.each_ref().map(|n| n.address));
     let mut client = send_request(&edge, &query_request("q", "look", &[0], "Connection: close\r\n"));
     let mut text = String::new();
     client.read_to_string(&mut text).expect("to its end");
@@ -162,13 +165,12 @@
     // Only the new one accepted, so when it died nobody did, and who stood in the queue was reset when the old one ended.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
-    let discovery = serve_constant_list(endpoint_list(1, true, &in_service(&addresses)).to_string());
-    let first =
-        Process::start_platform("broken-off", &DEFAULT_DEPLOYMENT.config(discovery, &addresses), 1024);
+    let discovery = serve_constant_list(endpoint_list(1, true, &all_in_service(&addresses)));
+    let first = Deployment::ALL_EFFECTS.start_with_discovery("broken-off", discovery, &addresses);
     let temporary = std::env::temp_dir().join(format!("quinceflow-off-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a folder");
     let mut old = first.start_successor(&temporary);
-    wait_until_ready(&old);
+    old.wait_until_ready();
     // Somebody is still there, so the old one does not end when it is told to.
     let mut kept = send_request(&old, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(kept.read(&mut [0; 512]).expect("an answer") > 0);
--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -2,7 +2,8 @@
 
 mod standin;
 
-use standin::{healthy_reply, inventory_row, query_parameter, FeatureServer, Process, Reply};
+use standin::feature_server::{healthy_reply, inventory_row, query_parameter, FeatureServer, Reply};
+use standin::process::Process;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::mpsc::channel;
--- a/tests/ogc_run.rs
+++ b/tests/ogc_run.rs
@@ -3,7 +3,9 @@
 
 mod standin;
 
-use standin::{healthy_reply, inventory_row, query_parameter, FeatureServer, Process, Reply};
+use standin::client::Response;
+use standin::feature_server::{healthy_reply, inventory_row, query_parameter, FeatureServer, Reply};
+use standin::process::Process;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -137,7 +139,7 @@
     });
     // How often each query that must not repeat began at each shard, over all servers.
     let mut begun: BTreeMap<(String, String), usize> = BTreeMap::new();
-    for target in servers.iter().flat_map(|s| s.seen.lock().expect("log").clone()) {
+    for target in servers.iter().flat_map(FeatureServer::requests) {
         let (path, query) = target.split_once('?').expect("a query");
         if let (None, Some(bbox)) =
             (query_parameter(&target, "offset"), query.split('&').find(|p| p.starts_with("bbox")))
@@ -169,7 +171,7 @@
 }
 
 /// An answer must hold all features of each shard that it does not call missing, each once.
-fn check(answer: &standin::Response) -> String {
+fn check(answer: &Response) -> String {
     let json = answer.json();
     let missing: BTreeSet<&str> =
         json["missing"].as_array().into_iter().flatten().filter_map(|m| m.as_str()).collect();
--- a/tests/paging.rs
+++ b/tests/paging.rs
@@ -2,7 +2,8 @@
 
 mod standin;
 
-use standin::{inventory_row, query_parameter, FeatureServer, Process, Reply};
+use standin::feature_server::{inventory_row, query_parameter, FeatureServer, Reply};
+use standin::process::Process;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,26 +3,36 @@
 mod standin;
 
 use serde_json::json;
-use standin::platform::{
-    dump_value, endpoint_list, management_call, query, serve_constant_list, start_discovery, start_platform,
-    start_with_discovery, start_with_objective, wait_until_ready, DataNode, NodeBehaviour,
-};
+use standin::client::{query_with_timeout, Response};
+use standin::data_node::{addresses_of, DataNode, NodeBehaviour};
+use standin::deployment::Deployment;
+use standin::discovery::{all_in_service, endpoint_list, serve_constant_list, terminating, Discovery};
+use standin::http::{bind_loopback, write_chunked_head, write_line_chunk};
+use standin::management::{dump_value, management_call};
+use standin::process::Process;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 
+/// How long clients wait for an answer, in seconds: less than the latency objective of the classes.
+const QUERY_TIMEOUT_SECONDS: u32 = 8;
+
+fn query(process: &Process, id: &str, class: &str, shards: &[u32]) -> Response {
+    query_with_timeout(process, id, class, shards, QUERY_TIMEOUT_SECONDS)
+}
+
 #[test]
 fn a_query_is_answered_from_its_parts_over_kept_connections() {
     let nodes = [DataNode::serving(), DataNode::serving(), DataNode::serving()];
-    let (edge, _changes) = start_platform("whole", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
+    let (edge, _changes) = Deployment::BASIC.start("whole", &nodes);
+    edge.wait_until_ready();
     for n in 0..20 {
         let answer = query(&edge, &format!("q{n}"), "lookup", &[0, 1, 2]);
         let cell = |s: u32| json!({"tablet": s, "cell": format!("cell{s}")});
         assert_eq!(answer.status, 200);
         assert_eq!(answer.json(), json!({"full": true, "pieces": [cell(0), cell(1), cell(2)]}));
     }
-    let open: Vec<usize> = nodes.iter().map(|n| *n.connections.lock().expect("count")).collect();
+    let open: Vec<usize> = nodes.iter().map(DataNode::connections).collect();
     // Not one each: where this machine stops for a while an answer is overdue, and what follows it goes elsewhere.
     assert!(open.iter().all(|n| *n <= 4), "connections are kept: {open:?}");
 }
@@ -48,13 +58,13 @@
             }
         };
         let nodes = [DataNode::start(first(struck.clone())), DataNode::start(first(struck))];
-        let (edge, _changes) = start_platform(&format!("fault{}{class}", act as u8), &nodes.each_ref(), 1024);
-        wait_until_ready(&edge);
+        let (edge, _changes) = Deployment::BASIC.start(&format!("fault{}{class}", act as u8), &nodes);
+        edge.wait_until_ready();
         assert_eq!(query(&edge, "q1", class, &[0]).status, status);
         let dump = management_call(edge.management_address(), "DUMP\n");
         let errors = dump_value(&dump, &format!("node.responses.{class}.errors"));
         assert_eq!(errors, u64::from(status != 200), "{dump}");
-        let sent: usize = nodes.iter().map(|n| n.seen.lock().expect("log").len()).sum();
+        let sent: usize = nodes.iter().map(|n| n.received_parts().len()).sum();
         assert_eq!(sent, if status == 200 { 2 } else { 1 }, "a part that may have run goes out once");
     }
 }
@@ -66,16 +76,16 @@
     for fault in [NodeBehaviour::StopResponding, NodeBehaviour::PartialResponse] {
         let nodes =
             [(); 2].map(|()| DataNode::start(move |n| if n == 100 { fault } else { NodeBehaviour::Serve }));
-        let (edge, _changes) = start_platform(&format!("mute{}", fault as u8), &nodes.each_ref(), 1024);
-        wait_until_ready(&edge);
-        let seen = |n: &DataNode| n.seen.lock().expect("log").len();
+        let (edge, _changes) = Deployment::BASIC.start(&format!("mute{}", fault as u8), &nodes);
+        edge.wait_until_ready();
+        let seen = |n: &DataNode| n.received_parts().len();
         for n in 0..1_000 {
             assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200, "query {n}");
             if nodes.iter().all(|n| seen(n) > 120) {
                 break;
             }
         }
-        let met = nodes.each_ref().map(|n| (seen(n), *n.connections.lock().expect("count")));
+        let met = nodes.each_ref().map(|n| (seen(n), n.connections()));
         assert!(
             met.iter().all(|(parts, links)| *parts > 120 && *links > 1),
             "parts and connections: {met:?}"
@@ -91,11 +101,11 @@
         DataNode::start(|_| NodeBehaviour::ServeAndClose),
         DataNode::start(|_| NodeBehaviour::ServeAndClose),
     ];
-    let (edge, _changes) = start_platform("closed", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
+    let (edge, _changes) = Deployment::BASIC.start("closed", &nodes);
+    edge.wait_until_ready();
     for n in 0..10 {
         assert_eq!(query(&edge, &format!("q{n}"), "send", &[0]).status, 200, "query {n}");
-        while nodes.iter().map(|n| *n.closed.lock().expect("count")).sum::<usize>() <= n {
+        while nodes.iter().map(DataNode::closed_connections).sum::<usize>() <= n {
             std::thread::yield_now();
         }
     }
@@ -104,10 +114,10 @@
 #[test]
 fn nothing_goes_to_a_node_after_its_drain_is_told() {
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, changes) = start_platform("drain", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
+    let (edge, changes) = Deployment::BASIC.start("drain", &nodes);
+    edge.wait_until_ready();
     assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
-    changes.updates.send(endpoint_list(2, false, &[(&nodes[0], "terminating")])).expect("told");
+    changes.send(&endpoint_list(2, false, &[terminating(0, nodes[0].address)]));
     // Told when the program has counted it: the known list, discovery's first, and this.
     loop {
         edge.signal("USR1");
@@ -115,19 +125,19 @@
             break;
         }
     }
-    let before = nodes[0].seen.lock().expect("log").len();
+    let before = nodes[0].received_parts().len();
     for n in 1..10 {
         assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
-    assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
+    assert_eq!(nodes[0].received_parts().len(), before);
 }
 
 #[test]
 fn a_reload_moves_the_watch_without_dropping_the_list() {
     // SIGHUP read the edge's inventory only: after discovery had moved no drain was heard of.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, first) = start_platform("moved", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
+    let (edge, first) = Deployment::BASIC.start("moved", &nodes);
+    edge.wait_until_ready();
     let lists = |n: usize| loop {
         edge.signal("USR1");
         if edge.wait_for_log("counters").contains(&format!(" rosters={n} ")) {
@@ -140,17 +150,17 @@
     edge.wait_for_log("the configuration stays as it was: ");
     assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
     // The new address knows of a drain, as a change after the version that the old one told last.
-    let (address, moved) = start_discovery(endpoint_list(2, false, &[(&nodes[0], "terminating")]));
-    edge.write_configuration(&edge.configuration_with("/discovery", json!(address.to_string())));
+    let moved = Discovery::start(endpoint_list(2, false, &[terminating(0, nodes[0].address)]));
+    edge.write_configuration(&edge.configuration_with("/discovery", json!(moved.address.to_string())));
     edge.signal("HUP");
     edge.wait_for_log("the configuration is read anew: discovery is at ");
     lists(3);
-    assert!(moved.requests.lock().expect("log")[0].contains("since=1"), "it goes on where it was");
-    let before = nodes[0].seen.lock().expect("log").len();
+    assert!(moved.requests()[0].contains("since=1"), "it goes on where it was");
+    let before = nodes[0].received_parts().len();
     for n in 1..10 {
         assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
-    assert_eq!(nodes[0].seen.lock().expect("log").len(), before);
+    assert_eq!(nodes[0].received_parts().len(), before);
     drop(first);
 }
 
@@ -158,15 +168,15 @@
 fn after_a_line_that_cannot_be_read_the_whole_list_is_asked_for() {
     // The watch went on from the last good version, so what the bad line said was never known.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, discovery) = start_platform("line", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
-    discovery.updates.send("{no list".to_owned()).expect("told");
-    while discovery.requests.lock().expect("log").len() < 2 {
+    let (edge, discovery) = Deployment::BASIC.start("line", &nodes);
+    edge.wait_until_ready();
+    discovery.send("{no list");
+    while discovery.requests().len() < 2 {
         // The stand-in notices at its next words that the watch has ended.
-        discovery.updates.send(String::new()).expect("told");
+        discovery.send("");
         std::thread::yield_now();
     }
-    let asked = discovery.requests.lock().expect("log").clone();
+    let asked = discovery.requests();
     assert!(asked[0].contains("since=0") && asked[1].contains("since=0"), "{asked:?}");
     assert_eq!(query(&edge, "q1", "lookup", &[0, 1]).status, 200);
 }
@@ -174,8 +184,8 @@
 #[test]
 fn out_of_time_refused_and_malformed_requests_are_answered_as_such() {
     let nodes = [DataNode::hanging(), DataNode::hanging()];
-    let (edge, _changes) = start_platform("hang", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
+    let (edge, _changes) = Deployment::BASIC.start("hang", &nodes);
+    edge.wait_until_ready();
     let late = query(&edge, "q0", "brief", &[0]);
     assert_eq!(late.status, 503, "a class that may repeat is sent back");
     assert!(late.headers.contains_key("retry-after"));
@@ -224,11 +234,11 @@
         }
     };
     let nodes = [DataNode::start(wait(gate.clone())), DataNode::start(wait(gate.clone()))];
-    let (edge, _changes) = start_platform("taken", &nodes.each_ref(), 1024);
-    wait_until_ready(&edge);
+    let (edge, _changes) = Deployment::BASIC.start("taken", &nodes);
+    edge.wait_until_ready();
     std::thread::scope(|scope| {
         let first = scope.spawn(|| query(&edge, "q1", "lookup", &[0]).status);
-        while nodes.iter().all(|n| n.seen.lock().expect("log").is_empty()) {
+        while nodes.iter().all(|n| n.received_parts().is_empty()) {
             std::thread::yield_now();
         }
         assert_eq!(query(&edge, "q1", "lookup", &[0]).status, 409);
@@ -242,8 +252,8 @@
 fn who_says_nothing_or_stops_halfway_is_closed_and_shuts_nobody_out() {
     // Half requests had 10 s and silent connections no end at all; a full table closed none of either.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, _changes) = start_platform("silent", &nodes.each_ref(), 60);
-    wait_until_ready(&edge);
+    let (edge, _changes) = Deployment { descriptors: 60, ..Deployment::BASIC }.start("silent", &nodes);
+    edge.wait_until_ready();
     let connect = || TcpStream::connect(edge.address).expect("the machine accepts");
     let mut half = connect();
     write!(half, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
@@ -262,7 +272,7 @@
 fn an_error_reaches_a_client_that_goes_on_sending() {
     // The connection was closed on unread input: a reset, which ate the error.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, _changes) = start_platform("linger", &nodes.each_ref(), 1024);
+    let (edge, _changes) = Deployment::BASIC.start("linger", &nodes);
     let mut client = TcpStream::connect(edge.address).expect("it listens");
     write!(client, "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").expect("written");
     let mut lines = BufReader::new(client.try_clone().expect("a handle")).lines();
@@ -279,8 +289,8 @@
 #[test]
 fn it_lives_on_when_no_descriptor_is_left() {
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, _changes) = start_platform("descriptors", &nodes.each_ref(), 40);
-    wait_until_ready(&edge);
+    let (edge, _changes) = Deployment { descriptors: 40, ..Deployment::BASIC }.start("descriptors", &nodes);
+    edge.wait_until_ready();
     assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
     let crowd: Vec<TcpStream> =
         (0..100).map(|_| TcpStream::connect(edge.address).expect("the machine accepts")).collect();
@@ -294,8 +304,9 @@
 fn told_to_end_it_serves_on_kept_connections_before_it_closes_them() {
     // Every answer closed its connection from the signal on, and for half a second and more nobody took the clients in.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (mut edge, _changes) = start_with_objective("term", &nodes.each_ref(), 1024, 1_000);
-    wait_until_ready(&edge);
+    let (mut edge, _changes) =
+        Deployment { latency_objective_ms: 1_000, ..Deployment::BASIC }.start("term", &nodes);
+    edge.wait_until_ready();
     let mut kept = TcpStream::connect(edge.address).expect("it listens");
     // A request that has begun is no idle connection.
     write!(kept, "GET /up HTTP/1.1\r\n").expect("written");
@@ -324,7 +335,7 @@
         DataNode::serving(),
         DataNode::start(|n| if n == 1 { NodeBehaviour::Fail } else { NodeBehaviour::Serve }),
     ];
-    let (edge, _changes) = start_platform("mgmt", &nodes.each_ref(), 1024);
+    let (edge, _changes) = Deployment::BASIC.start("mgmt", &nodes);
     let address = edge.management_address();
     // More than there are places, and half a call each.
     let mut idle: Vec<TcpStream> = (0..80).map(|_| TcpStream::connect(address).expect("accepted")).collect();
@@ -351,20 +362,15 @@
 #[test]
 fn it_is_not_healthy_before_discovery_has_spoken() {
     // The known list may be old: it serves, but it is not news.
-    let quiet = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let quiet = bind_loopback();
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let edge =
-        start_with_discovery("news", &nodes.each_ref(), 1024, 10_000, quiet.local_addr().expect("bound"));
+    let addresses = addresses_of(&nodes);
+    let edge = Deployment::BASIC.start_with_discovery("news", quiet.local_addr().expect("bound"), &addresses);
     assert_eq!(management_call(edge.management_address(), "HEALTH\n"), "NO the servers are not known yet\n");
     let (mut watch, _) = quiet.accept().expect("a watch");
-    let ready: Vec<_> = nodes.iter().map(|n| (n, "in_service")).collect();
-    let news = endpoint_list(1, true, &ready);
-    write!(
-        watch,
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{news}\n\r\n",
-        news.len() + 1
-    )
-    .expect("told");
+    let news = endpoint_list(1, true, &all_in_service(&addresses));
+    write_chunked_head(&mut watch).expect("it listens");
+    write_line_chunk(&mut watch, &news).expect("it listens");
     while management_call(edge.management_address(), "HEALTH\n") != "YES\n" {}
 }
 
@@ -372,9 +378,9 @@
 fn a_reload_takes_all_of_a_file_or_nothing() {
     // Whatever parsed moved discovery: a broken file sent the watch to an address where nobody was.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, _changes) = start_platform("retune", &nodes.each_ref(), 1024);
+    let (edge, _changes) = Deployment::BASIC.start("retune", &nodes);
     let second = edge.management_address();
-    wait_until_ready(&edge);
+    edge.wait_until_ready();
     let whole = edge.configuration_with("/name", json!("n0"));
     let lost = |pointer: &str, key: &str| {
         let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
@@ -434,9 +440,9 @@
 fn a_new_version_takes_over_the_queue_of_the_old_one() {
     // Each listened by itself: a queue died with its listener, and each had all of what is allowed to one.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let ready: Vec<_> = nodes.iter().map(|n| (n, "in_service")).collect();
-    let address = serve_constant_list(endpoint_list(1, true, &ready));
-    let first = start_with_discovery("upgrade", &nodes.each_ref(), 1024, 10_000, address);
+    let addresses = addresses_of(&nodes);
+    let address = serve_constant_list(endpoint_list(1, true, &all_in_service(&addresses)));
+    let first = Deployment::BASIC.start_with_discovery("upgrade", address, &addresses);
     let temporary = std::env::temp_dir().join(format!("quinceflow-upgrade-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a folder");
     // A process killed here left its socket behind.
@@ -445,7 +451,7 @@
     assert_ne!(old.address, first.address, "nobody was there to take over from");
     let (old_told, mut kept) =
         (old.management_address(), TcpStream::connect(old.address).expect("it listens"));
-    wait_until_ready(&old);
+    old.wait_until_ready();
     let new = old.start_successor(&temporary);
     assert_eq!(new.address, old.address, "the same socket");
     let new_told = new.management_address();
@@ -479,7 +485,7 @@
 fn settings_that_cannot_be_served_by_are_told_by_their_key_before_anything_is_served() {
     // They were checked at a reload only: at the start a default, or nonsense, stood in for what was given.
     let nodes = [DataNode::serving(), DataNode::serving()];
-    let (edge, _changes) = start_platform("refused", &nodes.each_ref(), 1024);
+    let (edge, _changes) = Deployment::BASIC.start("refused", &nodes);
     for (pointer, value, key) in [
         ("/settings/limits/max-attempts", json!(0), "max-attempts"),
         ("/settings/family-info/slices", json!(0), "family-info.slices"),
--- /dev/null
+++ b/tests/standin/client.rs
@@ -0,0 +1,115 @@
+//! Clients of the process under test.
+
+use super::process::Process;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+
+/// How long a client waits for the answer of a query, in seconds, as its header says.
+const QUERY_TIMEOUT_SECONDS: u32 = 30;
+
+/// A request for a query over these shards, with further header lines, each ended by CR LF.
+pub fn query_request(id: &str, class: &str, shards: &[u32], headers: &str) -> String {
+    query_request_with_timeout(id, class, shards, headers, QUERY_TIMEOUT_SECONDS)
+}
+
+fn query_request_with_timeout(id: &str, class: &str, shards: &[u32], headers: &str, seconds: u32) -> String {
+    let fraction = 1.0 / shards.len() as f64;
+    let tablets: Vec<_> = shards.iter().map(|shard| json!({"tablet": shard, "fraction": fraction})).collect();
+    let body = json!({"tablets": tablets, "statement": "c41e77d0"}).to_string();
+    format!(
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {id}\r\nX-Qos: {class}\r\nX-Expires-In: {seconds}\r\n{headers}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends a query on a connection of its own and waits for the answer.
+pub fn query(process: &Process, id: &str, class: &str, shards: &[u32]) -> Response {
+    query_with_timeout(process, id, class, shards, QUERY_TIMEOUT_SECONDS)
+}
+
+/// Like [`query`], by a client that waits for so many seconds.
+pub fn query_with_timeout(
+    process: &Process,
+    id: &str,
+    class: &str,
+    shards: &[u32],
+    seconds: u32,
+) -> Response {
+    process.send_request(&query_request_with_timeout(id, class, shards, "Connection: close\r\n", seconds))
+}
+
+/// Sends a request and returns the connection on which its response will arrive.
+pub fn send_request(process: &Process, request: &str) -> TcpStream {
+    let mut client = TcpStream::connect(process.address).expect("it listens");
+    client.write_all(request.as_bytes()).expect("it reads");
+    client
+}
+
+/// All that arrives until the connection closes in good order.
+pub fn read_until_close(mut client: TcpStream) -> String {
+    let mut text = String::new();
+    client.read_to_string(&mut text).expect("an answer, and no reset");
+    text
+}
+
+/// What a client on a persistent connection sees of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseHead {
+    pub status: u16,
+    /// Whether it says that the connection closes.
+    pub closes: bool,
+}
+
+/// Reads the next response on a persistent connection; `None` if the connection ends before it.
+pub fn read_response(client: &mut BufReader<TcpStream>) -> Option<ResponseHead> {
+    let head: Vec<_> =
+        client.by_ref().lines().map_while(Result::ok).take_while(|line| !line.is_empty()).collect();
+    let status = head.first()?.split(' ').nth(1)?.parse().ok()?;
+    let length = head.iter().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok())?;
+    client.read_exact(&mut vec![0; length]).ok()?;
+    Some(ResponseHead { status, closes: head.iter().any(|line| line == "Connection: close") })
+}
+
+/// A response.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    /// By their names in lower case.
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+impl Response {
+    pub fn parse(text: &str) -> Response {
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        let mut lines = head.lines();
+        let status =
+            lines.next().and_then(|l| l.split(' ').nth(1)).and_then(|s| s.parse().ok()).expect("a status");
+        let header = |line: &str| {
+            line.split_once(": ").map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        };
+        Response { status, headers: lines.filter_map(header).collect(), body: body.to_owned() }
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+
+    /// The ids of its features, in order.
+    pub fn ids(&self) -> Vec<String> {
+        let json = self.json();
+        let features = json["features"].as_array().unwrap_or_else(|| panic!("no features: {self:?}"));
+        features.iter().map(|feature| feature["id"].as_str().expect("an id").to_owned()).collect()
+    }
+
+    /// Where its link of that relation leads, without scheme and host.
+    pub fn link(&self, relation: &str) -> Option<String> {
+        let json = self.json();
+        let link = json["links"].as_array()?.iter().find(|link| link["rel"] == relation)?;
+        let href = link["href"].as_str()?;
+        Some(format!("/{}", href.splitn(4, '/').nth(3)?))
+    }
+}
--- /dev/null
+++ b/tests/standin/data_node.rs
@@ -0,0 +1,204 @@
+//! Stand-ins for data nodes.
+
+use super::frames::{read_call, serve_parts, write_answer};
+use super::http::accept_on_thread;
+use std::io::{Read, Result, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// The payload of each part that tests send.
+const PAYLOAD: &str = "c41e77d0";
+
+/// What a data node does with a part.
+#[derive(Clone, Copy, PartialEq)]
+pub enum NodeBehaviour {
+    Serve,
+    /// Answers that the part failed.
+    Fail,
+    /// Answers that the part was not started.
+    Reject,
+    /// Answers nothing.
+    Hang,
+    /// Ends the connection with the part on it.
+    Disconnect,
+    /// Serves and ends the connection.
+    ServeAndClose,
+    /// Answers nothing on this connection from now on; others are served.
+    StopResponding,
+    /// Sends the beginning of an answer, and nothing on this connection from now on.
+    PartialResponse,
+}
+
+#[derive(Default)]
+struct NodeLog {
+    received_parts: Mutex<Vec<String>>,
+    connections: Mutex<usize>,
+    closed_connections: Mutex<usize>,
+}
+
+/// A data node that accepts connections and reads calls of one part each.
+pub struct DataNode {
+    pub address: SocketAddr,
+    log: Arc<NodeLog>,
+}
+
+impl DataNode {
+    /// A node that serves every part.
+    pub fn serving() -> DataNode {
+        DataNode::start(|_| NodeBehaviour::Serve)
+    }
+
+    /// A node that answers nothing.
+    pub fn hanging() -> DataNode {
+        DataNode::start(|_| NodeBehaviour::Hang)
+    }
+
+    /// A node whose behaviour depends on the number of the part, from 1.
+    pub fn start(behaviour: impl Fn(usize) -> NodeBehaviour + Send + Sync + 'static) -> DataNode {
+        let log = Arc::new(NodeLog::default());
+        let (shared, behaviour) = (log.clone(), Arc::new(behaviour));
+        let address = accept_on_thread(move |stream| {
+            *shared.connections.lock().expect("count") += 1;
+            let (log, behaviour) = (shared.clone(), behaviour.clone());
+            std::thread::spawn(move || {
+                if serve(stream, &log, &*behaviour).is_ok() {
+                    *log.closed_connections.lock().expect("count") += 1;
+                }
+            });
+        });
+        DataNode { address, log }
+    }
+
+    /// The ids of the parts that were received, in order.
+    pub fn received_parts(&self) -> Vec<String> {
+        self.log.received_parts.lock().expect("log").clone()
+    }
+
+    /// How many connections were accepted.
+    pub fn connections(&self) -> usize {
+        *self.log.connections.lock().expect("count")
+    }
+
+    /// How many connections the node ended by itself after a part; one that the process gave up does not count.
+    pub fn closed_connections(&self) -> usize {
+        *self.log.closed_connections.lock().expect("count")
+    }
+}
+
+fn serve(mut stream: TcpStream, log: &NodeLog, behaviour: &dyn Fn(usize) -> NodeBehaviour) -> Result<()> {
+    let mut responding = true;
+    loop {
+        let call = read_call(&mut stream)?;
+        let (line, payload) = call.split_once('\n').expect("a line");
+        let words: Vec<&str> = line.split(' ').collect();
+        assert_eq!((words.len(), words[2].starts_with("d="), payload), (4, true, PAYLOAD));
+        let (id, shard) = (words[0], words[1]);
+        let number = {
+            let mut received = log.received_parts.lock().expect("log");
+            received.push(id.to_owned());
+            received.len()
+        };
+        if !responding {
+            continue;
+        }
+        match behaviour(number) {
+            NodeBehaviour::Hang => {}
+            NodeBehaviour::StopResponding => responding = false,
+            NodeBehaviour::PartialResponse => {
+                responding = false;
+                stream.write_all(&[0, 0, 0, 90, b'a', b'9'])?;
+            }
+            NodeBehaviour::Disconnect => return Ok(()),
+            NodeBehaviour::Fail => write_answer(&mut stream, &format!("{id} broke 0 -\n"))?,
+            NodeBehaviour::Reject => write_answer(&mut stream, &format!("{id} skipped 0 -\n"))?,
+            NodeBehaviour::Serve => write_served(&mut stream, id, shard)?,
+            NodeBehaviour::ServeAndClose => {
+                write_served(&mut stream, id, shard)?;
+                return close_and_wait(&mut stream);
+            }
+        }
+    }
+}
+
+fn write_served(stream: &mut TcpStream, id: &str, shard: &str) -> Result<()> {
+    write_answer(stream, &format!("{id} served 18 inflight=1,util=0.5\ncell{shard}"))
+}
+
+/// Ends this side and waits until the process has closed too: before that nothing says that it has seen the end.
+fn close_and_wait(stream: &mut TcpStream) -> Result<()> {
+    stream.shutdown(Shutdown::Write)?;
+    stream.read(&mut [0; 64]).map(drop)
+}
+
+/// The addresses of nodes, in their order.
+pub fn addresses_of(nodes: &[DataNode]) -> Vec<SocketAddr> {
+    nodes.iter().map(|node| node.address).collect()
+}
+
+/// A data node to which no connection is established before the test lets it: its accept queue is full.
+pub struct UnreachableNode {
+    listener: TcpListener,
+    queued: TcpStream,
+}
+
+impl UnreachableNode {
+    pub fn new() -> UnreachableNode {
+        use rustix::net::{bind, listen, socket, AddressFamily, SocketType};
+        let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+        bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        listen(&socket, 0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        // The queue has one place, for a connection that nobody accepts.
+        let queued = TcpStream::connect(listener.local_addr().expect("bound")).expect("the one place");
+        UnreachableNode { listener, queued }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+}
+
+#[derive(Default)]
+struct Recording {
+    parts: Vec<String>,
+    open_connections: usize,
+}
+
+/// A data node that serves every part and whose connections are read to their ends.
+pub struct RecordingNode {
+    recording: Arc<Mutex<Recording>>,
+}
+
+impl RecordingNode {
+    /// Makes a node reachable and serves what arrives.
+    pub fn start(node: UnreachableNode) -> RecordingNode {
+        let recording = Arc::new(Mutex::new(Recording::default()));
+        let shared = recording.clone();
+        std::thread::spawn(move || {
+            drop(node.listener.accept());
+            drop(node.queued);
+            for stream in node.listener.incoming().flatten() {
+                let recording = shared.clone();
+                recording.lock().expect("recording").open_connections += 1;
+                std::thread::spawn(move || {
+                    let record = |id: &str| recording.lock().expect("recording").parts.push(id.to_owned());
+                    let _ = serve_parts(stream, record);
+                    recording.lock().expect("recording").open_connections -= 1;
+                });
+            }
+        });
+        RecordingNode { recording }
+    }
+
+    /// The ids of all received parts, once no connection is open any more.
+    pub fn wait_until_closed(self) -> Vec<String> {
+        loop {
+            let recording = self.recording.lock().expect("recording");
+            if recording.open_connections == 0 {
+                return recording.parts.clone();
+            }
+            drop(recording);
+            std::thread::yield_now();
+        }
+    }
+}
--- /dev/null
+++ b/tests/standin/deployment.rs
@@ -0,0 +1,159 @@
+//! Deployments of the platform's front: its configuration, and its start over data nodes.
+
+use super::data_node::{addresses_of, DataNode};
+use super::discovery::{
+    all_in_service, endpoint_list, endpoint_list_json, ControlledDiscovery, Discovery, Watch,
+};
+use super::process::Process;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+const NANOS_PER_MS: u64 = 1_000_000;
+
+/// A class of queries in a deployment.
+#[derive(Clone, Copy)]
+pub struct ClassTemplate {
+    name: &'static str,
+    effect: &'static str,
+    /// Its own latency objective; by default the deployment's.
+    latency_objective_ms: Option<u64>,
+    min_share: f64,
+}
+
+impl ClassTemplate {
+    const fn new(name: &'static str, effect: &'static str) -> ClassTemplate {
+        ClassTemplate { name, effect, latency_objective_ms: None, min_share: 1.0 }
+    }
+}
+
+const BASIC_CLASSES: &[ClassTemplate] = &[
+    ClassTemplate::new("lookup", "read_like"),
+    ClassTemplate { latency_objective_ms: Some(300), ..ClassTemplate::new("brief", "read_like") },
+    ClassTemplate::new("send", "non_idempotent"),
+];
+
+const ALL_EFFECT_CLASSES: &[ClassTemplate] = &[
+    ClassTemplate::new("look", "read_like"),
+    ClassTemplate::new("once", "non_idempotent"),
+    ClassTemplate { min_share: 0.5, ..ClassTemplate::new("some", "read_like") },
+    ClassTemplate::new("key", "idempotency_key"),
+];
+
+/// What a test sets of a deployment. `None` leaves the key out of the configuration.
+#[derive(Clone, Copy)]
+pub struct Deployment {
+    pub classes: &'static [ClassTemplate],
+    /// Of every class that has none of its own; deadlines are twice as long.
+    pub latency_objective_ms: u64,
+    pub deduplication_window_ms: Option<u64>,
+    /// Whether discovery pushes changes; otherwise it is polled.
+    pub push_discovery: bool,
+    /// Whether data nodes may be sent cancels.
+    pub cancellation: bool,
+    pub max_batch: u32,
+    pub shards_per_node: usize,
+    pub connect_timeout_ms: Option<u64>,
+    pub idle_timeout_ms: Option<u64>,
+    /// The limit of file descriptors.
+    pub descriptors: usize,
+}
+
+impl Deployment {
+    /// One shard a node; classes `lookup`, `brief` (short deadline) and `send` (not idempotent).
+    pub const BASIC: Deployment = Deployment {
+        classes: BASIC_CLASSES,
+        latency_objective_ms: 10_000,
+        deduplication_window_ms: None,
+        push_discovery: true,
+        cancellation: true,
+        max_batch: 1,
+        shards_per_node: 1,
+        connect_timeout_ms: None,
+        idle_timeout_ms: None,
+        descriptors: 1024,
+    };
+
+    /// Four shards a node, long time-outs, and a class of each effect: `look`, `once` (not idempotent), `some` (half of the
+    /// shards suffice) and `key` (idempotency key).
+    pub const ALL_EFFECTS: Deployment = Deployment {
+        classes: ALL_EFFECT_CLASSES,
+        latency_objective_ms: 20_000,
+        deduplication_window_ms: Some(400),
+        shards_per_node: 4,
+        connect_timeout_ms: Some(20_000),
+        idle_timeout_ms: Some(60_000),
+        ..Deployment::BASIC
+    };
+
+    /// Starts it over these nodes, with discovery that knows them in service.
+    pub fn start(&self, test: &str, nodes: &[DataNode]) -> (Process, Discovery) {
+        let addresses = addresses_of(nodes);
+        let discovery = Discovery::start(endpoint_list(1, true, &all_in_service(&addresses)));
+        (self.start_with_discovery(test, discovery.address, &addresses), discovery)
+    }
+
+    /// Starts it with discovery at this address and returns at once.
+    pub fn start_with_discovery(&self, test: &str, discovery: SocketAddr, nodes: &[SocketAddr]) -> Process {
+        Process::start_platform(test, &self.configuration(discovery, nodes), self.descriptors)
+    }
+
+    /// Starts it, answers its first watch with these nodes in service, and waits until it is ready.
+    pub fn start_controlled(
+        &self,
+        test: &str,
+        discovery: &ControlledDiscovery,
+        nodes: &[SocketAddr],
+    ) -> (Process, Watch) {
+        let process = self.start_with_discovery(test, discovery.address(), nodes);
+        let watch = discovery.answer_watch(&endpoint_list(1, true, &all_in_service(nodes)));
+        process.wait_until_ready();
+        (process, watch)
+    }
+
+    /// The configuration, with these nodes as the known list.
+    pub fn configuration(&self, discovery: SocketAddr, nodes: &[SocketAddr]) -> Value {
+        json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "1f",
+            "mgmt": "127.0.0.1:0",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.descriptors},
+            "settings": self.settings(nodes.len()),
+            "known": endpoint_list_json(0, true, &all_in_service(nodes))})
+    }
+
+    fn settings(&self, nodes: usize) -> Value {
+        let classes: Vec<Value> = self.classes.iter().map(|class| self.class_settings(class)).collect();
+        let mut settings = json!({
+            "balancers": 1, "tick": 5 * NANOS_PER_MS,
+            "discovery": if self.push_discovery { "push" } else { "ask" },
+            "classes": classes,
+            "family-info": {"bundle-max": self.max_batch, "cells": nodes, "in-a-row": 2,
+                "slices": self.shards_per_node * nodes},
+            "limits": {"cancel": self.cancellation, "max-attempts": 4, "retry-after": true,
+                "max-retry-after": 500 * NANOS_PER_MS},
+        });
+        if !self.push_discovery {
+            settings["invariants"] = json!({"must-ask-in": 600_000 * NANOS_PER_MS});
+        }
+        if self.classes.iter().any(|class| class.min_share < 1.0) {
+            let shares: Vec<f64> = self.classes.iter().map(|class| class.min_share).collect();
+            settings["family-info"]["least-share"] = json!(shares);
+        }
+        set_time(&mut settings["limits"], "dial-timeout", self.connect_timeout_ms);
+        set_time(&mut settings["limits"], "idle-close", self.idle_timeout_ms);
+        settings
+    }
+
+    fn class_settings(&self, class: &ClassTemplate) -> Value {
+        let objective_ms = class.latency_objective_ms.unwrap_or(self.latency_objective_ms);
+        let mut settings = json!({"name": class.name, "effect": class.effect, "aim": objective_ms * NANOS_PER_MS,
+            "deadline": 2 * objective_ms * NANOS_PER_MS, "points": 1.0, "late-worth": 0.0});
+        set_time(&mut settings, "dedup-window", self.deduplication_window_ms);
+        settings
+    }
+}
+
+/// Sets a time in nanoseconds, if there is one.
+fn set_time(settings: &mut Value, key: &str, milliseconds: Option<u64>) {
+    if let Some(milliseconds) = milliseconds {
+        settings[key] = json!(milliseconds * NANOS_PER_MS);
+    }
+}
--- /dev/null
+++ b/tests/standin/discovery.rs
@@ -0,0 +1,175 @@
+//! Stand-ins for discovery: one that answers by itself, and one whose watches the test holds.
+
+use super::http::{
+    accept_on_thread, bind_loopback, lines_of, read_request_line, write_chunked_head, write_line_chunk,
+};
+use serde_json::{json, Value};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex, Once};
+use std::time::Duration;
+
+/// After this time a test that waits for what never arrives fails instead of hanging.
+const WATCHDOG_TIMEOUT: Duration = Duration::from_secs(150);
+
+/// An endpoint as discovery lists it. Its index is its pod group, and its unique id is made from it.
+#[derive(Clone, Copy)]
+pub struct ListedEndpoint {
+    index: usize,
+    address: SocketAddr,
+    state: &'static str,
+}
+
+/// An endpoint in service.
+pub fn in_service(index: usize, address: SocketAddr) -> ListedEndpoint {
+    ListedEndpoint { index, address, state: "in_service" }
+}
+
+/// An endpoint that drains.
+pub fn terminating(index: usize, address: SocketAddr) -> ListedEndpoint {
+    ListedEndpoint { index, address, state: "terminating" }
+}
+
+/// These endpoints in service, indexed by their places.
+pub fn all_in_service(addresses: &[SocketAddr]) -> Vec<ListedEndpoint> {
+    addresses.iter().enumerate().map(|(index, address)| in_service(index, *address)).collect()
+}
+
+/// A list of endpoints as discovery sends it: a revision, and whether it is complete or a change.
+pub fn endpoint_list(revision: u64, complete: bool, endpoints: &[ListedEndpoint]) -> String {
+    endpoint_list_json(revision, complete, endpoints).to_string()
+}
+
+/// See [`endpoint_list`].
+pub fn endpoint_list_json(revision: u64, complete: bool, endpoints: &[ListedEndpoint]) -> Value {
+    let target = |endpoint: &ListedEndpoint| {
+        let ListedEndpoint { index, address, state } = endpoint;
+        json!({"uid": format!("s-{index}"), "endpoint": address.to_string(), "az": "a", "model": "m",
+            "pod_group": index, "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+    };
+    json!({"rev": revision, "all": complete, "targets": endpoints.iter().map(target).collect::<Vec<_>>()})
+}
+
+/// A watch that was requested beside another one, which was answered first: the process has closed it.
+fn is_abandoned(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("set");
+    let ended = matches!(stream.peek(&mut [0]), Ok(0));
+    stream.set_nonblocking(false).expect("set");
+    ended
+}
+
+/// Discovery that answers each watch with its first line; lines sent later follow.
+pub struct Discovery {
+    pub address: SocketAddr,
+    updates: Sender<String>,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl Discovery {
+    pub fn start(first: String) -> Discovery {
+        let (updates, pending) = channel::<String>();
+        let requests: Arc<Mutex<Vec<String>>> = Arc::default();
+        let log = requests.clone();
+        let address = accept_on_thread(move |mut stream| {
+            let request = read_request_line(&mut lines_of(&stream)).unwrap_or_default();
+            if is_abandoned(&stream) {
+                return;
+            }
+            log.lock().expect("log").push(request);
+            let _ = write_chunked_head(&mut stream);
+            let _ = write_line_chunk(&mut stream, &first);
+            while pending.recv().is_ok_and(|line| write_line_chunk(&mut stream, &line).is_ok()) {}
+        });
+        Discovery { address, updates, requests }
+    }
+
+    /// Sends a line on the open watch.
+    pub fn send(&self, line: &str) {
+        self.updates.send(line.to_owned()).expect("discovery runs");
+    }
+
+    /// The first lines of the watch requests so far.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().expect("log").clone()
+    }
+}
+
+/// Discovery that answers any number of watches with this line and sends nothing more.
+pub fn serve_constant_list(first: String) -> SocketAddr {
+    let mut open = Vec::new();
+    accept_on_thread(move |mut stream| {
+        let _ = write_chunked_head(&mut stream);
+        let _ = write_line_chunk(&mut stream, &first);
+        open.push(stream);
+    })
+}
+
+/// Discovery whose watches the test holds: each is answered when and with what the test decides.
+pub struct ControlledDiscovery {
+    pub listener: TcpListener,
+}
+
+/// A watch that the process has opened.
+pub struct Watch {
+    pub stream: TcpStream,
+    pub request: String,
+}
+
+/// Ends the test program after [`WATCHDOG_TIMEOUT`].
+fn start_watchdog() {
+    static STARTED: Once = Once::new();
+    STARTED.call_once(|| {
+        std::thread::spawn(|| {
+            std::thread::sleep(WATCHDOG_TIMEOUT);
+            eprintln!("a test waits for something that never arrives");
+            std::process::exit(101);
+        });
+    });
+}
+
+impl ControlledDiscovery {
+    pub fn new() -> ControlledDiscovery {
+        start_watchdog();
+        ControlledDiscovery { listener: bind_loopback() }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+
+    /// The next watch that the process opens, unanswered.
+    pub fn accept_watch(&self) -> Watch {
+        loop {
+            let (stream, _) = self.listener.accept().expect("a watch");
+            let request = read_request_line(&mut lines_of(&stream)).unwrap_or_default();
+            if !is_abandoned(&stream) {
+                return Watch { stream, request };
+            }
+        }
+    }
+
+    /// The next watch, answered with this line.
+    pub fn answer_watch(&self, first: &str) -> Watch {
+        self.accept_watch().answer(first)
+    }
+}
+
+impl Watch {
+    /// Begins the answer, with this line first.
+    pub fn answer(mut self, first: &str) -> Watch {
+        write_chunked_head(&mut self.stream).expect("it listens");
+        self.send(first);
+        self
+    }
+
+    /// Sends a line.
+    pub fn send(&mut self, line: &str) {
+        write_line_chunk(&mut self.stream, line).expect("it listens");
+    }
+
+    /// Ends it by a reset.
+    pub fn reset(self) {
+        let linger = rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+        linger.expect("set");
+    }
+}
--- /dev/null
+++ b/tests/standin/feature_server.rs
@@ -0,0 +1,123 @@
+//! Stand-in feature servers that misbehave as the test tells them.
+
+use super::http::{accept_on_thread, lines_of, read_request_line};
+use std::io::{Result, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
+use std::sync::{Arc, Mutex};
+
+/// What a feature server does with a request.
+pub enum Reply {
+    /// 200 with this body.
+    Json(String),
+    /// This status, without a body.
+    Status(u16),
+    /// No answer; the connection stays open.
+    Hang,
+    /// 200 with this body, which ends with the connection.
+    CloseDelimited(String),
+    /// The head and half the body, then the connection ends.
+    Truncated(String),
+}
+
+type Behaviour = Box<dyn FnMut(&str) -> Reply + Send>;
+
+/// A feature server; its behaviour is a function of the request's target.
+pub struct FeatureServer {
+    pub address: SocketAddr,
+    targets: Arc<Mutex<Vec<String>>>,
+}
+
+impl FeatureServer {
+    pub fn start(behaviour: impl FnMut(&str) -> Reply + Send + 'static) -> FeatureServer {
+        let targets: Arc<Mutex<Vec<String>>> = Arc::default();
+        let log = targets.clone();
+        let behaviour: Arc<Mutex<Behaviour>> = Arc::new(Mutex::new(Box::new(behaviour)));
+        let address = accept_on_thread(move |stream| {
+            let (log, behaviour) = (log.clone(), behaviour.clone());
+            std::thread::spawn(move || serve(stream, &log, &behaviour));
+        });
+        FeatureServer { address, targets }
+    }
+
+    /// A healthy server of these features, in pages of so many.
+    pub fn healthy(ids: Range<usize>, page: usize) -> FeatureServer {
+        FeatureServer::start(move |target| healthy_reply(target, ids.clone(), page))
+    }
+
+    /// The targets of all requests, in order.
+    pub fn requests(&self) -> Vec<String> {
+        self.targets.lock().expect("log").clone()
+    }
+
+    /// How many requests had such a target.
+    pub fn count_requests(&self, matches: impl Fn(&str) -> bool) -> usize {
+        self.targets.lock().expect("log").iter().filter(|target| matches(target)).count()
+    }
+}
+
+fn serve(mut stream: TcpStream, log: &Mutex<Vec<String>>, behaviour: &Mutex<Behaviour>) {
+    let mut lines = lines_of(&stream);
+    while let Some(request_line) = read_request_line(&mut lines) {
+        let target = request_line.split(' ').nth(1).unwrap_or_default().to_owned();
+        log.lock().expect("log").push(target.clone());
+        let reply = (behaviour.lock().expect("behaviour"))(&target);
+        let ends = matches!(reply, Reply::CloseDelimited(_) | Reply::Truncated(_));
+        if write_reply(&mut stream, reply).is_err() || ends {
+            return;
+        }
+    }
+}
+
+fn write_reply(stream: &mut TcpStream, reply: Reply) -> Result<()> {
+    match reply {
+        Reply::Json(body) => {
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        }
+        Reply::Status(status) => write!(stream, "HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"),
+        Reply::Hang => Ok(()),
+        Reply::CloseDelimited(body) => {
+            write!(stream, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{body}")
+        }
+        Reply::Truncated(body) => {
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len())?;
+            stream.write_all(&body.as_bytes()[..body.len() / 2])
+        }
+    }
+}
+
+/// The number that a target's query has under this name.
+pub fn query_parameter(target: &str, name: &str) -> Option<usize> {
+    let query = target.split_once('?')?.1;
+    query.split('&').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name)?.1.parse().ok()
+}
+
+fn feature(id: usize) -> String {
+    format!(
+        r#"{{"type":"Feature","id":"d{id}","geometry":{{"type":"Point","coordinates":[{id},1]}},"properties":{{}}}}"#
+    )
+}
+
+/// The reply of a healthy server: a page of features with a next link, or one feature.
+pub fn healthy_reply(target: &str, ids: Range<usize>, page: usize) -> Reply {
+    let path = target.split('?').next().unwrap_or_default();
+    if let Some((_, id)) = path.split_once("/items/") {
+        let id = id.trim_start_matches('d').parse().unwrap_or(usize::MAX);
+        return if ids.contains(&id) { Reply::Json(feature(id)) } else { Reply::Status(404) };
+    }
+    let from = ids.start + query_parameter(target, "offset").unwrap_or(0);
+    let to = (from + page).min(ids.end);
+    let features: Vec<String> = (from..to).map(feature).collect();
+    let next = if to < ids.end {
+        format!(r#"{{"rel":"next","href":"{path}?offset={}"}}"#, to - ids.start)
+    } else {
+        String::new()
+    };
+    let features = features.join(",");
+    Reply::Json(format!(r#"{{"type":"FeatureCollection","features":[{features}],"links":[{next}]}}"#))
+}
+
+/// A line of the inventory: the server's name, the collections it serves, and its state.
+pub fn inventory_row(name: &str, server: &FeatureServer, collections: &str, state: &str) -> String {
+    format!("{name},{},{collections},{state}\n", server.address)
+}
--- /dev/null
+++ b/tests/standin/process.rs
@@ -0,0 +1,219 @@
+//! The process under test: its start, its log, its signals and its configuration.
+
+use super::client::Response;
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// How long a counter may take to reach the value that a test waits for.
+const COUNTER_TIMEOUT: Duration = Duration::from_secs(20);
+/// The configuration that the process reads again at SIGHUP.
+const CONFIGURATION: &str = "config.json";
+/// The configuration as it was at the start.
+const START_CONFIGURATION: &str = "start.json";
+
+/// The classes of the front for feature queries.
+pub const CLASSES: &str = r#"
+[[class]]
+name = "exact"
+aim_ms = 20000
+deadline_ms = 30000
+[[class]]
+name = "brief"
+aim_ms = 400
+deadline_ms = 800
+[[class]]
+name = "part"
+aim_ms = 400
+deadline_ms = 800
+floor = 0.5
+[[class]]
+name = "once"
+aim_ms = 20000
+deadline_ms = 30000
+effect = "unsafe"
+"#;
+
+/// A running process; it is killed, and its folder removed, when this is dropped.
+pub struct Process {
+    child: Child,
+    /// Where it answers clients.
+    pub address: SocketAddr,
+    folder: PathBuf,
+    log: Mutex<Receiver<String>>,
+    management: Mutex<Option<SocketAddr>>,
+}
+
+impl Process {
+    /// Starts the front for feature queries with further settings and the rows of an inventory.
+    pub fn start_edge(test: &str, settings: &str, rows: &str) -> Process {
+        let folder = create_folder(test);
+        let text = format!("listen = \"127.0.0.1:0\"\ninventory = \"i.csv\"\n{settings}\n{CLASSES}");
+        std::fs::write(folder.join("edge.toml"), text).expect("settings");
+        write_inventory(&folder, rows);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
+        command.arg("--edge").arg(folder.join("edge.toml")).env_remove("NODE_CONFIG").env_remove("TMPDIR");
+        Process::spawn(command, folder)
+    }
+
+    /// Starts the platform's front with its configuration and a limit of file descriptors.
+    pub fn start_platform(test: &str, configuration: &Value, descriptors: usize) -> Process {
+        let folder = create_folder(test);
+        for file in [CONFIGURATION, START_CONFIGURATION] {
+            std::fs::write(folder.join(file), configuration.to_string()).expect("a configuration");
+        }
+        let mut command = Command::new("sh");
+        command
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
+            .arg(env!("CARGO_BIN_EXE_quinceflow"));
+        for name in ["NODE_LISTEN", "NODE_DISCOVERY", "NODE_NAME", "NODE_MGMT", "TMPDIR"] {
+            command.env_remove(name);
+        }
+        command.env("NODE_CONFIG", folder.join(CONFIGURATION));
+        Process::spawn(command, folder)
+    }
+
+    /// Starts a successor of this process with the same configuration. Both use this folder for temporary files.
+    pub fn start_successor(&self, temporary: &Path) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_quinceflow"));
+        let start = self.folder.ancestors().find(|f| f.join(CONFIGURATION).exists()).expect("its start");
+        command.env("NODE_CONFIG", start.join(CONFIGURATION)).env("TMPDIR", temporary);
+        Process::spawn(command, self.folder.join("next"))
+    }
+
+    fn spawn(mut command: Command, folder: PathBuf) -> Process {
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let (lines, log) = channel();
+        let errors = child.stderr.take().expect("piped");
+        std::thread::spawn(move || {
+            BufReader::new(errors).lines().map_while(Result::ok).for_each(|l| drop(lines.send(l)))
+        });
+        let (address, management) = (([127, 0, 0, 1], 0).into(), Mutex::default());
+        let mut process = Process { child, address, folder, log: Mutex::new(log), management };
+        process.address = last_address(&process.wait_for_log("listens on"));
+        process
+    }
+
+    /// Where it answers operators.
+    pub fn management_address(&self) -> SocketAddr {
+        let mut known = self.management.lock().expect("known");
+        *known.get_or_insert_with(|| last_address(&self.wait_for_log("operators are answered on")))
+    }
+
+    /// The next log line that contains this.
+    pub fn wait_for_log(&self, text: &str) -> String {
+        loop {
+            let line = self.log.lock().expect("log").recv().expect("the program's log goes on");
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    /// The counters as it logs them at SIGUSR1.
+    pub fn log_counters(&self) -> String {
+        self.signal("USR1");
+        self.wait_for_log("counters")
+    }
+
+    /// Waits until a counter has at least this value.
+    pub fn wait_for_counter(&self, counter: &str, value: u64) {
+        let started = Instant::now();
+        loop {
+            let line = self.log_counters();
+            let current =
+                line.split(' ').find_map(|w| w.strip_prefix(counter)?.strip_prefix('=')?.parse::<u64>().ok());
+            if current.expect("such a counter") >= value {
+                return;
+            }
+            assert!(started.elapsed() < COUNTER_TIMEOUT, "{counter} never reaches {value}: {line}");
+            std::thread::yield_now();
+        }
+    }
+
+    /// Waits until it says that it is up.
+    pub fn wait_until_ready(&self) {
+        while self.get("/up").status != 200 {}
+    }
+
+    /// The configuration of the start with another value at this place.
+    pub fn configuration_with(&self, pointer: &str, value: Value) -> String {
+        let text = std::fs::read(self.folder.join(START_CONFIGURATION)).expect("a configuration");
+        let mut configuration: Value = serde_json::from_slice(&text).expect("JSON");
+        *configuration.pointer_mut(pointer).expect("such a place") = value;
+        configuration.to_string()
+    }
+
+    /// Replaces the configuration; the process reads it again at SIGHUP.
+    pub fn write_configuration(&self, text: &str) {
+        std::fs::write(self.folder.join(CONFIGURATION), text).expect("a configuration");
+    }
+
+    /// Replaces the inventory; the process reads it again at SIGHUP.
+    pub fn write_inventory(&self, rows: &str) {
+        write_inventory(&self.folder, rows);
+    }
+
+    /// Sends a signal by its name without `SIG`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// GET on a connection of its own.
+    pub fn get(&self, target: &str) -> Response {
+        self.get_with_headers(target, "")
+    }
+
+    /// GET with further header lines, each ended by CR LF.
+    pub fn get_with_headers(&self, target: &str, headers: &str) -> Response {
+        self.send_request(&format!(
+            "GET {target} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n{headers}\r\n",
+            self.address
+        ))
+    }
+
+    /// Sends these bytes on a connection of its own and reads to its end.
+    pub fn send_request(&self, request: &str) -> Response {
+        let mut stream = TcpStream::connect(self.address).expect("it listens");
+        stream.write_all(request.as_bytes()).expect("it reads");
+        let mut text = Vec::new();
+        stream.read_to_end(&mut text).expect("it answers");
+        Response::parse(&String::from_utf8(text).expect("text"))
+    }
+
+    /// Waits until it has exited; whether with success.
+    pub fn wait_for_exit(&mut self) -> bool {
+        self.child.wait().expect("it ends").success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn create_folder(test: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// The address at the end of a log line.
+fn last_address(line: &str) -> SocketAddr {
+    line.rsplit(' ').next().and_then(|word| word.parse().ok()).expect("an address")
+}
+
+fn write_inventory(folder: &Path, rows: &str) {
+    let text = format!("name,address,collections,state\n{rows}");
+    std::fs::write(folder.join("i.csv"), text).expect("an inventory");
+}
