--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -14,7 +14,7 @@
 use quinceflow::proto::fetch::Fetched;
 use quinceflow::proto::http::Server;
 use quinceflow::time::Micros;
-use quinceflow_testkit::features::devices;
+use quinceflow_testkit::feature_server::devices;
 use std::sync::Arc;
 
 fn main() {
--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -13,12 +13,12 @@
     stream: Option<TcpStream>,
     rest: Vec<u8>,
     /// How long an answer is waited for.
-    pub patience: Duration,
+    pub timeout: Duration,
 }
 
 /// A response.
 #[derive(Debug, Clone)]
-pub struct Answer {
+pub struct Response {
     /// Its status.
     pub status: u16,
     /// Its headers, by their names in lower case.
@@ -29,7 +29,7 @@
     pub carried: usize,
 }
 
-impl Answer {
+impl Response {
     /// Its body as JSON; null if it is none.
     pub fn json(&self) -> Json {
         serde_json::from_slice(&self.body).unwrap_or_default()
@@ -75,16 +75,16 @@
 impl Client {
     /// A client of this server; it connects when it asks.
     pub fn new(address: SocketAddr) -> Self {
-        Client { address, stream: None, rest: Vec::new(), patience: Duration::from_secs(30) }
+        Client { address, stream: None, rest: Vec::new(), timeout: Duration::from_secs(30) }
     }
 
     /// GET.
-    pub fn get(&mut self, target: &str) -> Result<Answer> {
+    pub fn get(&mut self, target: &str) -> Result<Response> {
         self.ask("GET", target, &[], &[])
     }
 
     /// GET with further headers.
-    pub fn get_with(&mut self, target: &str, headers: &[(&str, &str)]) -> Result<Answer> {
+    pub fn get_with(&mut self, target: &str, headers: &[(&str, &str)]) -> Result<Response> {
         self.ask("GET", target, headers, &[])
     }
 
@@ -95,7 +95,7 @@
         target: &str,
         headers: &[(&str, &str)],
         body: &[u8],
-    ) -> Result<Answer> {
+    ) -> Result<Response> {
         let kept = self.stream.is_some();
         match self.once(method, target, headers, body) {
             Err(e)
@@ -113,15 +113,21 @@
         .inspect_err(|_| self.stream = None)
     }
 
-    fn once(&mut self, method: &str, target: &str, headers: &[(&str, &str)], body: &[u8]) -> Result<Answer> {
+    fn once(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Result<Response> {
         if self.stream.is_none() {
-            let stream = TcpStream::connect_timeout(&self.address, self.patience)?;
+            let stream = TcpStream::connect_timeout(&self.address, self.timeout)?;
             stream.set_nodelay(true)?;
             self.rest.clear();
             self.stream = Some(stream);
         }
         let Some(stream) = &mut self.stream else { return Err(ErrorKind::NotConnected.into()) };
-        stream.set_read_timeout(Some(self.patience))?;
+        stream.set_read_timeout(Some(self.timeout))?;
         let mut head = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
@@ -155,7 +161,7 @@
 }
 
 /// Reads one response; true: the connection ends with it.
-fn read(stream: &mut TcpStream, rest: &mut Vec<u8>, head_only: bool) -> Result<(Answer, bool)> {
+fn read(stream: &mut TcpStream, rest: &mut Vec<u8>, head_only: bool) -> Result<(Response, bool)> {
     let (status, headers, used) = loop {
         let mut room = [httparse::EMPTY_HEADER; 64];
         let mut parsed = httparse::Response::new(&mut room);
@@ -210,5 +216,5 @@
         GzDecoder::new(body.as_slice()).read_to_end(&mut whole)?;
         body = whole;
     }
-    Ok((Answer { status, headers, body, carried }, close))
+    Ok((Response { status, headers, body, carried }, close))
 }
--- a/lab/src/conform.rs
+++ b/lab/src/conformance.rs
@@ -5,10 +5,10 @@
 //! is used for it.
 
 mod core;
+mod crs;
 mod filters;
-mod systems;
 
-use crate::client::{Answer, Client};
+use crate::client::{Client, Response};
 use serde::Serialize;
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
@@ -97,7 +97,7 @@
 
 /// All checks, by their identifiers.
 pub fn checks() -> Vec<(&'static str, &'static str, Check)> {
-    core::CHECKS.iter().chain(systems::CHECKS).chain(filters::CHECKS).copied().collect()
+    core::CHECKS.iter().chain(crs::CHECKS).chain(filters::CHECKS).copied().collect()
 }
 
 impl Suite {
@@ -159,12 +159,12 @@
         format!("/collections/{}/items", self.collection)
     }
 
-    pub(crate) fn get(&mut self, path: &str) -> Result<Answer, Stop> {
+    pub(crate) fn get(&mut self, path: &str) -> Result<Response, Stop> {
         self.get_with(path, &[])
     }
 
     /// GET; what is refused for now is asked for again, as a client would.
-    pub(crate) fn get_with(&mut self, path: &str, headers: &[(&str, &str)]) -> Result<Answer, Stop> {
+    pub(crate) fn get_with(&mut self, path: &str, headers: &[(&str, &str)]) -> Result<Response, Stop> {
         self.ask("GET", path, headers, &[])
     }
 
@@ -174,7 +174,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &[u8],
-    ) -> Result<Answer, Stop> {
+    ) -> Result<Response, Stop> {
         let target = format!("{}{path}", self.root);
         let mut last = None;
         for _ in 0..TRIES {
@@ -200,7 +200,7 @@
     }
 
     /// A page that links lead to: the root of the service is part of it already.
-    pub(crate) fn follow(&mut self, href: &str) -> Result<Answer, Stop> {
+    pub(crate) fn follow(&mut self, href: &str) -> Result<Response, Stop> {
         let target = crate::client::target(href);
         let path = target.strip_prefix(&self.root).unwrap_or(&target).to_owned();
         self.get(&path)
--- a/lab/src/conform/core.rs
+++ b/lab/src/conformance/core.rs
@@ -1,7 +1,7 @@
 //! Part 1: Core, GeoJSON, HTML and OpenAPI 3.0.
 
 use super::{hold, id, Check, Stop, Suite};
-use crate::client::Answer;
+use crate::client::Response;
 use serde_json::Value as Json;
 
 /// The checks: identifier, the class that must be claimed, and the check.
@@ -350,7 +350,7 @@
 ];
 
 /// An error of this status, told as such.
-fn error(answer: &Answer, status: u16) -> Result<(), Stop> {
+fn error(answer: &Response, status: u16) -> Result<(), Stop> {
     hold(answer.status == status, || format!("status {} in place of {status}", answer.status))
 }
 
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -1,8 +1,8 @@
 //! The edge over stand-ins, to try by hand and to show that it works.
 
 use crate::client::Client;
-use crate::edge::{Edge, CLASSES};
-use crate::features::{devices, Server, Skill};
+use crate::feature_server::{devices, Capabilities, FeatureServer};
+use crate::process::{EdgeProcess, CLASSES};
 use std::io::Result;
 use std::path::Path;
 
@@ -12,9 +12,9 @@
 /// An edge over four servers: two shards, each on two of them, of different skill.
 pub struct Demo {
     /// The edge.
-    pub edge: Edge,
+    pub edge: EdgeProcess,
     /// Its servers.
-    pub servers: Vec<Server>,
+    pub servers: Vec<FeatureServer>,
 }
 
 /// How the demo's collection is described.
@@ -29,19 +29,20 @@
 impl Demo {
     /// Starts all of it.
     pub fn start(program: &Path) -> Result<Demo> {
-        let start = |from: usize, skill| Server::start(devices(from..from + EACH), skill);
+        let start = |from: usize, skill| FeatureServer::start(devices(from..from + EACH), skill);
         let servers = vec![
-            start(0, Skill::All)?,
-            start(0, Skill::All)?,
-            start(EACH, Skill::Basic)?,
-            start(EACH, Skill::Core)?,
+            start(0, Capabilities::All)?,
+            start(0, Capabilities::All)?,
+            start(EACH, Capabilities::Basic)?,
+            start(EACH, Capabilities::Core)?,
         ];
         let held = ["devices/north", "devices/north", "devices/south", "devices/south"];
-        let row = |(n, (s, held)): (usize, (&Server, &str))| {
+        let row = |(n, (s, held)): (usize, (&FeatureServer, &str))| {
             s.row(&format!("features-{}", n + 1), held, "in_service")
         };
         let rows: String = servers.iter().zip(held).enumerate().map(row).collect();
-        let edge = Edge::start(program, "mgmt = \"127.0.0.1:0\"", &rows, &format!("{CLASSES}{COLLECTION}"))?;
+        let edge =
+            EdgeProcess::start(program, "mgmt = \"127.0.0.1:0\"", &rows, &format!("{CLASSES}{COLLECTION}"))?;
         Ok(Demo { edge, servers })
     }
 }
@@ -91,11 +92,11 @@
         "query", "status", "features", "expected", "requests", "ms"
     );
     for ((what, target), expected) in QUERIES.iter().zip(expected) {
-        let before: u64 = demo.servers.iter().map(Server::asked).sum();
+        let before: u64 = demo.servers.iter().map(FeatureServer::asked).sum();
         let began = std::time::Instant::now();
         let answer = client.get(target)?;
         let took = began.elapsed().as_secs_f64() * 1e3;
-        let asked = demo.servers.iter().map(Server::asked).sum::<u64>() - before;
+        let asked = demo.servers.iter().map(FeatureServer::asked).sum::<u64>() - before;
         let found = if target.contains("f=html") {
             answer.text().matches("<circle").count()
         } else if target.contains("/items/") {
--- a/lab/src/twist.rs
+++ b/lab/src/fault_injection.rs
@@ -1,7 +1,7 @@
 //! A service with a planted fault: it passes requests on to a sound one and spoils the answers, so that the checks of the
 //! conformance suite can be shown to fail.
 
-use crate::client::{Answer, Client};
+use crate::client::{Client, Response};
 use serde_json::{json, Value as Json};
 use std::io::{BufRead, BufReader, Read, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,7 +9,7 @@
 
 /// A request as it came.
 #[derive(Debug, Clone)]
-pub struct Asked {
+pub struct ForwardedRequest {
     /// Its method.
     pub method: String,
     /// Path and query.
@@ -20,7 +20,7 @@
     pub body: Vec<u8>,
 }
 
-impl Asked {
+impl ForwardedRequest {
     fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
     }
@@ -36,20 +36,20 @@
     pub found_by: &'static str,
     /// What is wrong.
     pub what: &'static str,
-    ask: fn(&mut Asked),
-    answer: fn(&Asked, &mut Answer),
+    ask: fn(&mut ForwardedRequest),
+    answer: fn(&ForwardedRequest, &mut Response),
 }
 
 /// A service that passes on and spoils.
-pub struct Twist {
+pub struct FaultInjector {
     /// Where it listens.
     pub address: SocketAddr,
     fault: Arc<Mutex<Option<&'static Fault>>>,
 }
 
-impl Twist {
+impl FaultInjector {
     /// In front of this service.
-    pub fn start(behind: SocketAddr) -> Result<Twist> {
+    pub fn start(behind: SocketAddr) -> Result<FaultInjector> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let fault: Arc<Mutex<Option<&'static Fault>>> = Arc::default();
@@ -60,7 +60,7 @@
                 std::thread::spawn(move || serve(stream, behind, &fault));
             }
         });
-        Ok(Twist { address, fault })
+        Ok(FaultInjector { address, fault })
     }
 
     /// From now on this fault, or none.
@@ -94,7 +94,7 @@
         }
         let mut body = Vec::new();
         lines.by_ref().take(length).read_to_end(&mut body)?;
-        let mut asked = Asked { method, target, headers, body };
+        let mut asked = ForwardedRequest { method, target, headers, body };
         let fault = *fault.lock().unwrap_or_else(|e| e.into_inner());
         if let Some(fault) = fault {
             (fault.ask)(&mut asked);
@@ -130,14 +130,14 @@
     }
 }
 
-fn edit(answer: &mut Answer, change: impl FnOnce(&mut Json)) {
+fn edit(answer: &mut Response, change: impl FnOnce(&mut Json)) {
     if let Ok(mut json) = serde_json::from_slice::<Json>(&answer.body) {
         change(&mut json);
         answer.body = json.to_string().into_bytes();
     }
 }
 
-fn without(answer: &mut Answer, rel: &str) {
+fn without(answer: &mut Response, rel: &str) {
     edit(answer, |j| {
         if let Some(links) = j["links"].as_array_mut() {
             links.retain(|l| l["rel"] != rel);
@@ -145,7 +145,7 @@
     });
 }
 
-fn features(answer: &mut Answer, change: impl FnOnce(&mut Vec<Json>)) {
+fn features(answer: &mut Response, change: impl FnOnce(&mut Vec<Json>)) {
     edit(answer, |j| {
         if let Some(list) = j["features"].as_array_mut() {
             change(list);
@@ -153,11 +153,11 @@
     });
 }
 
-fn nothing(_: &mut Asked) {}
+fn nothing(_: &mut ForwardedRequest) {}
 
-fn as_is(_: &Asked, _: &mut Answer) {}
+fn as_is(_: &ForwardedRequest, _: &mut Response) {}
 
-fn cut(asked: &mut Asked, name: &str) {
+fn cut(asked: &mut ForwardedRequest, name: &str) {
     let (path, query) =
         asked.target.split_once('?').map_or((asked.target.clone(), ""), |(p, q)| (p.to_owned(), q));
     let kept: Vec<&str> =
--- a/lab/src/storm.rs
+++ b/lab/src/fault_scenario.rs
@@ -4,9 +4,9 @@
 //! servers: so their logs tell which query a request was for.
 
 use crate::client::Client;
-use crate::edge::{Edge, CLASSES};
-use crate::features::{devices, Fault, Server, Skill, FAULTS};
-use crate::twist::{self, Twist};
+use crate::fault_injection::{self, FaultInjector};
+use crate::feature_server::{devices, Capabilities, Fault, FeatureServer, FAULTS};
+use crate::process::{EdgeProcess, CLASSES};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::Result;
 use std::path::Path;
@@ -80,13 +80,14 @@
 /// feature too many.
 pub fn run(program: &Path, lasts: Duration, seed: u64, plant: Option<&str>) -> Result<Report> {
     let faults: [Arc<AtomicUsize>; 6] = Default::default();
-    let skills = [Skill::All, Skill::Basic, Skill::Core];
+    let skills = [Capabilities::All, Capabilities::Basic, Capabilities::Core];
     // Six machines of two servers each: what befalls a machine befalls both. Each shard is held on four of them.
     let held = |n: usize| (n / 4 + n % 2) % 3;
-    let mut shards: Vec<Server> = Vec::new();
+    let mut shards: Vec<FeatureServer> = Vec::new();
     for (n, machine) in faults.iter().enumerate() {
         for place in 0..2 {
-            let server = Server::start(devices(numbers(held(2 * n + place))), skills[(n + place) % 3])?;
+            let server =
+                FeatureServer::start(devices(numbers(held(2 * n + place))), skills[(n + place) % 3])?;
             let fault = machine.clone();
             server.script(move |number, _| match fault.load(Relaxed) {
                 0 => Fault::Sound,
@@ -104,11 +105,13 @@
             .map(|n| row(n, if draining == Some(n) { "draining" } else { "in_service" }))
             .collect()
     };
-    let edge = Edge::start(program, "retry_after_ms = 300\nlearned_age_s = 5", &rows(None), CLASSES)?;
+    let edge = EdgeProcess::start(program, "retry_after_ms = 300\nlearned_age_s = 5", &rows(None), CLASSES)?;
     shards.iter().for_each(|s| s.echo(plant == Some("twice")));
-    let twist = Twist::start(edge.address)?;
+    let twist = FaultInjector::start(edge.address)?;
     twist.plant(
-        twist::FAULTS.iter().find(|f| plant == Some("limit") && f.found_by.ends_with("fc-limit-response")),
+        fault_injection::FAULTS
+            .iter()
+            .find(|f| plant == Some("limit") && f.found_by.ends_with("fc-limit-response")),
     );
     let address = if plant == Some("limit") { twist.address } else { edge.address };
     let report = Mutex::new(Report::default());
@@ -123,7 +126,7 @@
             scope.spawn(move || {
                 let mut rng = fastrand::Rng::with_seed(seed ^ (number as u64) << 32);
                 let mut client = Client::new(address);
-                client.patience = Duration::from_secs_f64(WAITS) + MARGIN * 4;
+                client.timeout = Duration::from_secs_f64(WAITS) + MARGIN * 4;
                 while !over.load(Relaxed) {
                     let class = ["map", "part", "once"][rng.usize(..3)];
                     let query = Query {
--- a/lab/src/features.rs
+++ b/lab/src/feature_server.rs
@@ -14,7 +14,7 @@
 
 /// What a server can do beside Part 1 Core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Skill {
+pub enum Capabilities {
     /// Nothing: Core alone.
     Core,
     /// Simple filters.
@@ -93,7 +93,7 @@
 struct State {
     features: Vec<Json>,
     texts: Vec<String>,
-    skill: Skill,
+    skill: Capabilities,
     script: Mutex<Script>,
     capacity: Mutex<Option<Capacity>>,
     /// Requests in work, and those that wait.
@@ -109,7 +109,7 @@
 
 /// A stand-in server.
 #[derive(Clone)]
-pub struct Server {
+pub struct FeatureServer {
     /// Where it listens.
     pub address: SocketAddr,
     state: Arc<State>,
@@ -150,15 +150,15 @@
 
 const CQL2: &str = "http://www.opengis.net/spec/cql2/1.0/conf/";
 
-fn conformance(skill: Skill) -> Json {
+fn conformance(skill: Capabilities) -> Json {
     let features = "http://www.opengis.net/spec/ogcapi-features-";
     let mut all = vec![format!("{features}1/1.0/conf/core"), format!("{features}1/1.0/conf/geojson")];
-    if skill != Skill::Core {
+    if skill != Capabilities::Core {
         let names = ["cql2-text", "basic-cql2", "basic-spatial-functions"];
         all.extend(names.map(|n| format!("{CQL2}{n}")));
         all.extend(["queryables", "filter", "features-filter"].map(|n| format!("{features}3/1.0/conf/{n}")));
     }
-    if skill == Skill::All {
+    if skill == Capabilities::All {
         let names = [
             "advanced-comparison-operators",
             "case-insensitive-comparison",
@@ -176,9 +176,9 @@
     json!({"conformsTo": all})
 }
 
-impl Server {
+impl FeatureServer {
     /// Starts a server of these features.
-    pub fn start(features: Vec<Json>, skill: Skill) -> std::io::Result<Server> {
+    pub fn start(features: Vec<Json>, skill: Capabilities) -> std::io::Result<FeatureServer> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let texts = features.iter().map(Json::to_string).collect();
@@ -206,7 +206,7 @@
                 });
             }
         });
-        Ok(Server { address, state })
+        Ok(FeatureServer { address, state })
     }
 
     /// From now on this befalls requests.
@@ -367,7 +367,7 @@
         const JSON: &str = "application/json";
         match words[..] {
             ["conformance"] => (200, JSON, conformance(self.skill).to_string()),
-            ["collections", _, "queryables"] if self.skill != Skill::Core => {
+            ["collections", _, "queryables"] if self.skill != Capabilities::Core => {
                 (200, "application/schema+json", queryables().to_string())
             }
             ["collections", _, "items"] => self.items(path, &query, number, fault),
@@ -393,7 +393,7 @@
         let number_of = |name: &str| query.get(name).and_then(|n| n.parse::<usize>().ok());
         let mut chosen: Vec<usize> = (0..self.features.len()).collect();
         if let Some(text) = query.get("filter") {
-            if self.skill == Skill::Core {
+            if self.skill == Capabilities::Core {
                 return bad("no filter is known here");
             }
             let Ok(filter) = cql2::read_text(text) else { return bad("the filter") };
@@ -419,7 +419,7 @@
             chosen.retain(|n| (open(from) || at(*n).as_str() >= from) && (open(to) || at(*n).as_str() <= to));
         }
         if let Some(keys) = query.get("sortby") {
-            if self.skill != Skill::All {
+            if self.skill != Capabilities::All {
                 return bad("no order is known here");
             }
             let key = |n: usize, name: &str| match name {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,11 +2,11 @@
 #![forbid(unsafe_code)]
 
 pub mod client;
-pub mod conform;
+pub mod conformance;
 pub mod demo;
-pub mod edge;
-pub mod features;
+pub mod fault_injection;
+pub mod fault_scenario;
+pub mod feature_server;
 pub mod load;
 pub mod measure;
-pub mod storm;
-pub mod twist;
+pub mod process;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,6 +1,6 @@
 //! Load on an edge, and what it takes: latencies by `hdrhistogram`, requests, bytes and memory.
 
-use crate::client::{Answer, Client};
+use crate::client::{Client, Response};
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -48,7 +48,7 @@
 
 impl Counts {
     /// An answer came, so long after it was due; later than `wanted` it counts as failed.
-    fn came(&self, answer: std::io::Result<Answer>, took: Duration, wanted: Duration) {
+    fn came(&self, answer: std::io::Result<Response>, took: Duration, wanted: Duration) {
         match answer {
             Ok(a) if a.status == 200 && took <= wanted => {
                 self.served.fetch_add(1, Relaxed);
@@ -141,7 +141,7 @@
                         counts.failed.fetch_add(1, Relaxed);
                         continue;
                     }
-                    client.patience = left;
+                    client.timeout = left;
                     let answer = client.get(&target(number));
                     counts.came(answer, due.elapsed(), wanted);
                 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,9 +2,9 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use quinceflow_testkit::conform::{Checked, Outcome, Suite};
+use quinceflow_testkit::conformance::{Checked, Outcome, Suite};
 use quinceflow_testkit::demo::{self, Demo};
-use quinceflow_testkit::{edge, measure, storm};
+use quinceflow_testkit::{fault_scenario, measure, process};
 use std::net::ToSocketAddrs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -35,7 +35,7 @@
         #[arg(long, default_value_t = 120)]
         seconds: u64,
         /// Plant a fault that must be found: twice or limit
-        #[arg(long, value_parser = storm::PLANTED)]
+        #[arg(long, value_parser = fault_scenario::PLANTED)]
         plant: Option<String>,
         /// Where the faults and queries begin
         #[arg(long, default_value_t = 1)]
@@ -86,7 +86,7 @@
 fn run(command: Command) -> Result<bool, String> {
     match command {
         Command::Demo { once, program } => {
-            let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
+            let program = program.map_or_else(process::program, Ok).map_err(|e| e.to_string())?;
             let demo = Demo::start(&program).map_err(|e| e.to_string())?;
             if !once {
                 return demo::run(&demo).map(|()| true).map_err(|e| e.to_string());
@@ -94,8 +94,8 @@
             demo::once(&demo).map_err(|e| e.to_string())
         }
         Command::Storm { seconds, seed, plant, program } => {
-            let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
-            let report = storm::run(&program, Duration::from_secs(seconds), seed, plant.as_deref())
+            let program = program.map_or_else(process::program, Ok).map_err(|e| e.to_string())?;
+            let report = fault_scenario::run(&program, Duration::from_secs(seconds), seed, plant.as_deref())
                 .map_err(|e| e.to_string())?;
             for ((class, kind), count) in &report.answers {
                 println!("{class:<6} {kind:<12} {count:>8}");
@@ -115,7 +115,7 @@
             Ok(report.broken.is_empty())
         }
         Command::Measure { beside, name, seconds, each, program } => {
-            let program = program.map_or_else(edge::program, Ok).map_err(|e| e.to_string())?;
+            let program = program.map_or_else(process::program, Ok).map_err(|e| e.to_string())?;
             let earlier = beside.map(|file| (name, file));
             let programs = earlier.into_iter().chain([("this version".to_owned(), program)]).collect();
             let plan = measure::Plan { programs, seconds, each };
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -1,9 +1,9 @@
 //! The figures of the front for feature queries: this version beside another in one run, over the same stand-ins.
 
 use crate::client::Client;
-use crate::edge::Edge;
-use crate::features::{devices, Capacity, Server, Skill};
+use crate::feature_server::{devices, Capabilities, Capacity, FeatureServer};
 use crate::load::{closed, Load};
+use crate::process::EdgeProcess;
 use std::fmt::Write as _;
 use std::io::Result;
 use std::path::{Path, PathBuf};
@@ -35,14 +35,14 @@
 /// The earlier version reads whole shards, which takes more than the default allows.
 const ROOM: &str = "most_bytes = 33554432";
 
-struct Bed {
-    servers: Vec<Server>,
+struct TestBed {
+    servers: Vec<FeatureServer>,
 }
 
-impl Bed {
-    fn new(each: usize) -> Result<Bed> {
-        let of = |from: usize| Server::start(devices(from..from + each), Skill::All);
-        Ok(Bed { servers: vec![of(0)?, of(0)?, of(each)?, of(each)?] })
+impl TestBed {
+    fn new(each: usize) -> Result<TestBed> {
+        let of = |from: usize| FeatureServer::start(devices(from..from + each), Capabilities::All);
+        Ok(TestBed { servers: vec![of(0)?, of(0)?, of(each)?, of(each)?] })
     }
 
     fn rows(&self) -> String {
@@ -51,13 +51,16 @@
     }
 
     fn asked(&self) -> (u64, u64) {
-        (self.servers.iter().map(Server::asked).sum(), self.servers.iter().map(Server::bytes).sum())
+        (
+            self.servers.iter().map(FeatureServer::asked).sum(),
+            self.servers.iter().map(FeatureServer::bytes).sum(),
+        )
     }
 }
 
 /// Makes all measurements and gives them as tables in Markdown.
 pub fn run(plan: &Plan) -> Result<String> {
-    let bed = Bed::new(plan.each)?;
+    let bed = TestBed::new(plan.each)?;
     let mut text = String::new();
     let _ = writeln!(
         text,
@@ -72,12 +75,12 @@
     Ok(text)
 }
 
-fn start(program: &Path, bed: &Bed, settings: &str, classes: &str) -> Result<Edge> {
-    Edge::start(program, settings, &bed.rows(), classes)
+fn start(program: &Path, bed: &TestBed, settings: &str, classes: &str) -> Result<EdgeProcess> {
+    EdgeProcess::start(program, settings, &bed.rows(), classes)
 }
 
 /// Requests, bytes and time of an answer, and of all answers over `next`.
-fn answers(plan: &Plan, bed: &Bed, text: &mut String) -> Result<()> {
+fn answers(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<()> {
     let _ = writeln!(text, "| program | query | status | features | requests to servers | KiB read | KiB more memory | ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
     for (name, program) in &plan.programs {
         let queries = [
@@ -110,7 +113,7 @@
         }
         let edge = start(program, bed, ROOM, CLASSES)?;
         let mut client = Client::new(edge.address);
-        client.patience = Duration::from_secs(60);
+        client.timeout = Duration::from_secs(60);
         for limit in [500, 5_000] {
             let (before, began) = (bed.asked(), std::time::Instant::now());
             let (mut at, mut count, mut answers) =
@@ -140,7 +143,7 @@
 }
 
 /// Times at three loads.
-fn loads(plan: &Plan, bed: &Bed, text: &mut String) -> Result<()> {
+fn loads(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<()> {
     let _ = writeln!(text, "`limit=100` by so many clients at a time, {} s each:\n", plan.seconds);
     let _ = writeln!(text, "| program | clients | answers a second | p50 ms | p99 ms | p99.9 ms | refused | failed |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
     for clients in [1, 8, 32] {
@@ -164,7 +167,7 @@
 }
 
 /// Memory with a hundred clients at five thousand features each.
-fn memory(plan: &Plan, bed: &Bed, text: &mut String) -> Result<()> {
+fn memory(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<()> {
     let _ = writeln!(text, "100 clients at `limit=5000`, {} s:\n", plan.seconds);
     let _ = writeln!(text, "| program | answers | refused | failed | MiB resident before | MiB at most |\n| --- | --- | --- | --- | --- | --- |");
     for (name, program) in &plan.programs {
@@ -189,7 +192,7 @@
 }
 
 /// Throughput as a share of one stand-in asked directly.
-fn share(plan: &Plan, bed: &Bed, text: &mut String) -> Result<()> {
+fn share(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<()> {
     let lasts = Duration::from_secs(plan.seconds);
     let direct =
         closed(bed.servers[0].address, 8, lasts, |_, _| "/collections/north/items?limit=100".to_owned());
@@ -209,7 +212,7 @@
 }
 
 /// Worth answered in time beyond what the servers bear, with limits that follow and with fixed ones.
-fn overload(plan: &Plan, bed: &Bed, text: &mut String) -> Result<()> {
+fn overload(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<()> {
     let capacity = Capacity { slots: 4, base: Duration::from_millis(20), each: Duration::ZERO };
     bed.servers.iter().for_each(|s| s.capacity(Some(capacity)));
     // Each server does 4 / 20 ms = 200 pages a second.
@@ -231,7 +234,7 @@
                 &[("", "")]
             };
             for (way, settings) in ways {
-                let edge = Edge::start(program, ROOM, &bed.rows(), &format!("{TIGHT}{settings}"))?;
+                let edge = EdgeProcess::start(program, ROOM, &bed.rows(), &format!("{TIGHT}{settings}"))?;
                 let rate = bears * times / 3.8;
                 let load = crate::load::open(
                     edge.address,
--- a/lab/src/edge.rs
+++ b/lab/src/process.rs
@@ -9,7 +9,7 @@
 use std::sync::Mutex;
 
 /// The program, started with an edge file. It ends when this is dropped.
-pub struct Edge {
+pub struct EdgeProcess {
     child: Child,
     /// Where it answers clients.
     pub address: SocketAddr,
@@ -44,9 +44,9 @@
         .ok_or_else(|| Error::new(ErrorKind::NotFound, "the program is not built: cargo build --workspace"))
 }
 
-impl Edge {
+impl EdgeProcess {
     /// Starts `program` with these settings, rows of an inventory and classes.
-    pub fn start(program: &Path, settings: &str, rows: &str, classes: &str) -> Result<Edge> {
+    pub fn start(program: &Path, settings: &str, rows: &str, classes: &str) -> Result<EdgeProcess> {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Relaxed);
         let folder = std::env::temp_dir().join(format!("quinceflow-testkit-{}-{number}", std::process::id()));
@@ -67,7 +67,8 @@
                 BufReader::new(errors).lines().map_while(Result::ok).for_each(|l| drop(lines.send(l)));
             });
         }
-        let mut edge = Edge { child, address: ([127, 0, 0, 1], 0).into(), folder, log: Mutex::new(log) };
+        let mut edge =
+            EdgeProcess { child, address: ([127, 0, 0, 1], 0).into(), folder, log: Mutex::new(log) };
         let line = edge.wait_for("listens on")?;
         edge.address = line
             .rsplit(' ')
@@ -117,7 +118,7 @@
     }
 }
 
-impl Drop for Edge {
+impl Drop for EdgeProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/lab/tests/conform.rs
+++ b/lab/tests/conformance.rs
@@ -1,22 +1,28 @@
 //! The conformance suite against the edge over stand-ins that misbehave, and against services with planted faults.
 
-use quinceflow_testkit::conform::{Outcome, Suite};
-use quinceflow_testkit::edge::{self, Edge, CLASSES};
-use quinceflow_testkit::features::{devices, Fault, Server, Skill};
-use quinceflow_testkit::twist::{Twist, FAULTS};
+use quinceflow_testkit::conformance::{Outcome, Suite};
+use quinceflow_testkit::fault_injection::{FaultInjector, FAULTS};
+use quinceflow_testkit::feature_server::{devices, Capabilities, Fault, FeatureServer};
+use quinceflow_testkit::process::{self, EdgeProcess, CLASSES};
 
 const EACH: usize = 150;
 
-fn start() -> (Edge, Vec<Server>) {
-    let of = |from: usize, skill| Server::start(devices(from..from + EACH), skill).expect("a stand-in");
-    let servers = vec![of(0, Skill::All), of(0, Skill::Basic), of(EACH, Skill::Core), of(EACH, Skill::All)];
+fn start() -> (EdgeProcess, Vec<FeatureServer>) {
+    let of =
+        |from: usize, skill| FeatureServer::start(devices(from..from + EACH), skill).expect("a stand-in");
+    let servers = vec![
+        of(0, Capabilities::All),
+        of(0, Capabilities::Basic),
+        of(EACH, Capabilities::Core),
+        of(EACH, Capabilities::All),
+    ];
     let held = ["devices/north", "devices/north", "devices/south", "devices/south"];
     let rows: String =
         servers.iter().zip(held).enumerate().map(|(n, (s, h))| s.row(&format!("s{n}"), h, "")).collect();
-    let program = edge::program().expect("the program is built with the workspace");
+    let program = process::program().expect("the program is built with the workspace");
     // Learned again all the time: what servers can do must not change what comes out.
     let settings = "retry_after_ms = 50\nlearned_age_s = 1\npage_size = 100";
-    (Edge::start(&program, settings, &rows, CLASSES).expect("it starts"), servers)
+    (EdgeProcess::start(&program, settings, &rows, CLASSES).expect("it starts"), servers)
 }
 
 #[test]
@@ -56,7 +62,7 @@
 #[test]
 fn every_planted_fault_is_found_by_the_check_meant_for_it() {
     let (edge, _servers) = start();
-    let twist = Twist::start(edge.address).expect("it starts");
+    let twist = FaultInjector::start(edge.address).expect("it starts");
     assert!(FAULTS.len() >= 25);
     let mut suite = Suite::open(twist.address, "/").expect("it answers");
     for fault in FAULTS {
@@ -92,10 +98,10 @@
 #[test]
 fn what_servers_can_do_is_learned_in_a_class_with_a_long_aim_too() {
     // The module took the look for one that would come late, refused it, and all was filtered here for good.
-    let server = Server::start(devices(0..EACH), Skill::All).expect("a stand-in");
-    let program = edge::program().expect("the program is built with the workspace");
+    let server = FeatureServer::start(devices(0..EACH), Capabilities::All).expect("a stand-in");
+    let program = process::program().expect("the program is built with the workspace");
     let classes = "[[class]]\nname = \"map\"\naim_ms = 8000\ndeadline_ms = 10000\n";
-    let edge = Edge::start(&program, "", &server.row("a", "devices", ""), classes).expect("it starts");
+    let edge = EdgeProcess::start(&program, "", &server.row("a", "devices", ""), classes).expect("it starts");
     let mut client = quinceflow_testkit::client::Client::new(edge.address);
     let answer =
         client.get("/collections/devices/items?filter=volts%3E200&sortby=-volts&limit=5").expect("an answer");
