--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -1,71 +1,116 @@
-//! A plain HTTP/1.1 client that blocks: one connection, one request at a time.
+//! A blocking HTTP/1.1 client: one connection, one request at a time.
 
 use flate2::read::GzDecoder;
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
-use std::io::{Error, ErrorKind, Read, Result, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
+use thiserror::Error;
 
-/// A connection to a server.
+/// How long a response is waited for unless a caller sets another time.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes that one read from the socket takes at most.
+const READ_SIZE: usize = 16 * 1024;
+/// Headers that a response has at most.
+const MAX_HEADERS: usize = 64;
+/// The line end of HTTP/1.1.
+const CRLF: &[u8] = b"\r\n";
+
+/// Why a request got no response.
+#[derive(Debug, Error)]
+pub enum ClientError {
+    /// The connection failed, ended early or timed out.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The head of the response is malformed.
+    #[error(transparent)]
+    Head(#[from] httparse::Error),
+    /// The size of a chunk is no hexadecimal number.
+    #[error("a chunk's size")]
+    ChunkSize,
+    /// `Content-Length` is no number.
+    #[error("a length")]
+    ContentLength,
+}
+
+impl ClientError {
+    /// Whether the server has closed the connection, as it may at any time on one that stood idle.
+    fn is_closed_connection(&self) -> bool {
+        let ClientError::Io(error) = self else { return false };
+        matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset | ErrorKind::UnexpectedEof)
+    }
+}
+
+/// A client of one server, with a persistent connection.
 pub struct Client {
     address: SocketAddr,
-    stream: Option<TcpStream>,
-    rest: Vec<u8>,
-    /// How long an answer is waited for.
+    connection: Option<Connection>,
+    /// How long a response is waited for.
     pub timeout: Duration,
 }
 
 /// A response.
 #[derive(Debug, Clone)]
 pub struct Response {
-    /// Its status.
+    /// Its status code.
     pub status: u16,
     /// Its headers, by their names in lower case.
     pub headers: BTreeMap<String, String>,
-    /// Its body, unpacked.
+    /// Its body, decompressed.
     pub body: Vec<u8>,
-    /// Bytes of the body as it came.
-    pub carried: usize,
+    /// Bytes of the body as it was transferred.
+    pub encoded_length: usize,
 }
 
 impl Response {
     /// Its body as JSON; null if it is none.
+    #[must_use]
     pub fn json(&self) -> Json {
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
 
     /// Its body as text.
+    #[must_use]
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
-    /// A header's value, or nothing.
+    /// A header's value; empty if there is none of this name, which is in lower case.
+    #[must_use]
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", String::as_str)
     }
 
-    /// The ids of its features.
+    /// The ids of its features, in order.
+    #[must_use]
     pub fn ids(&self) -> Vec<String> {
         let json = self.json();
-        let id = |f: &Json| match &f["id"] {
-            Json::String(id) => id.clone(),
-            id => id.to_string(),
-        };
-        json["features"].as_array().map(|l| l.iter().map(id).collect()).unwrap_or_default()
+        json["features"].as_array().map(|list| list.iter().map(feature_id).collect()).unwrap_or_default()
     }
 
-    /// Where its link of this relation leads: path and query.
-    pub fn link(&self, rel: &str) -> Option<String> {
+    /// The target (path and query) of its link with this relation.
+    #[must_use]
+    pub fn link(&self, relation: &str) -> Option<String> {
         let json = self.json();
         let links = json["links"].as_array()?;
-        let href = links.iter().find(|l| l["rel"] == rel)?["href"].as_str()?;
-        Some(target(href))
+        let href = links.iter().find(|link| link["rel"] == relation)?["href"].as_str()?;
+        Some(target_of(href))
+    }
+}
+
+/// A feature's id as text.
+#[must_use]
+pub fn feature_id(feature: &Json) -> String {
+    match &feature["id"] {
+        Json::String(id) => id.clone(),
+        id => id.to_string(),
     }
 }
 
-/// The path and query of a URL; a path stays as it is.
-pub fn target(href: &str) -> String {
+/// The path and query of a URL; a path is returned as it is.
+#[must_use]
+pub fn target_of(href: &str) -> String {
     match href.split_once("://") {
         Some((_, rest)) => rest.find('/').map_or("/".to_owned(), |at| rest[at..].to_owned()),
         None => href.to_owned(),
@@ -73,61 +118,63 @@
 }
 
 impl Client {
-    /// A client of this server; it connects when it asks.
+    /// A client of this server; it connects at its first request.
+    #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Client { address, stream: None, rest: Vec::new(), timeout: Duration::from_secs(30) }
+        Client { address, connection: None, timeout: DEFAULT_TIMEOUT }
     }
 
     /// GET.
-    pub fn get(&mut self, target: &str) -> Result<Response> {
-        self.ask("GET", target, &[], &[])
+    ///
+    /// # Errors
+    /// See [`Client::request`].
+    pub fn get(&mut self, target: &str) -> Result<Response, ClientError> {
+        self.request("GET", target, &[], &[])
     }
 
     /// GET with further headers.
-    pub fn get_with(&mut self, target: &str, headers: &[(&str, &str)]) -> Result<Response> {
-        self.ask("GET", target, headers, &[])
+    ///
+    /// # Errors
+    /// See [`Client::request`].
+    pub fn get_with(&mut self, target: &str, headers: &[(&str, &str)]) -> Result<Response, ClientError> {
+        self.request("GET", target, headers, &[])
     }
 
-    /// Any request. A kept connection that has ended is opened anew, once.
-    pub fn ask(
+    /// Any request. If a persistent connection turns out to be closed it is sent again, once, on a new one.
+    ///
+    /// # Errors
+    /// If the server can't be reached, ends the connection before the end of the response, takes longer than the
+    /// time-out, or sends a malformed response.
+    pub fn request(
         &mut self,
         method: &str,
         target: &str,
         headers: &[(&str, &str)],
         body: &[u8],
-    ) -> Result<Response> {
-        let kept = self.stream.is_some();
-        match self.once(method, target, headers, body) {
-            Err(e)
-                if kept
-                    && matches!(
-                        e.kind(),
-                        ErrorKind::BrokenPipe | ErrorKind::ConnectionReset | ErrorKind::UnexpectedEof
-                    ) =>
-            {
-                self.stream = None;
-                self.once(method, target, headers, body)
+    ) -> Result<Response, ClientError> {
+        let reused = self.connection.is_some();
+        let result = match self.request_once(method, target, headers, body) {
+            Err(error) if reused && error.is_closed_connection() => {
+                self.connection = None;
+                self.request_once(method, target, headers, body)
             }
             result => result,
-        }
-        .inspect_err(|_| self.stream = None)
+        };
+        result.inspect_err(|_| self.connection = None)
     }
 
-    fn once(
+    fn request_once(
         &mut self,
         method: &str,
         target: &str,
         headers: &[(&str, &str)],
         body: &[u8],
-    ) -> Result<Response> {
-        if self.stream.is_none() {
-            let stream = TcpStream::connect_timeout(&self.address, self.timeout)?;
-            stream.set_nodelay(true)?;
-            self.rest.clear();
-            self.stream = Some(stream);
-        }
-        let Some(stream) = &mut self.stream else { return Err(ErrorKind::NotConnected.into()) };
-        stream.set_read_timeout(Some(self.timeout))?;
+    ) -> Result<Response, ClientError> {
+        let connection = match &mut self.connection {
+            Some(connection) => connection,
+            none => none.insert(Connection::open(self.address, self.timeout)?),
+        };
+        connection.stream.set_read_timeout(Some(self.timeout))?;
         let mut head = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
@@ -136,85 +183,137 @@
             head.push_str(&format!("Content-Length: {}\r\n", body.len()));
         }
         head.push_str("\r\n");
-        stream.write_all(&[head.as_bytes(), body].concat())?;
-        let (answer, close) = read(stream, &mut self.rest, method == "HEAD")?;
-        if close {
-            self.stream = None;
+        connection.stream.write_all(&[head.as_bytes(), body].concat())?;
+        let ReadResponse { response, closes } = connection.read_response(method == "HEAD")?;
+        if closes {
+            self.connection = None;
         }
-        Ok(answer)
+        Ok(response)
     }
 }
 
-fn bad(why: &str) -> Error {
-    Error::new(ErrorKind::InvalidData, why.to_owned())
+/// A connection and what was read from it beyond the last response.
+struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
 }
 
-fn more(stream: &mut TcpStream, rest: &mut Vec<u8>) -> Result<()> {
-    let mut room = [0; 16 * 1024];
-    match stream.read(&mut room)? {
-        0 => Err(ErrorKind::UnexpectedEof.into()),
-        n => {
-            rest.extend_from_slice(&room[..n]);
-            Ok(())
-        }
+struct ReadResponse {
+    response: Response,
+    /// Whether the connection ends with it.
+    closes: bool,
+}
+
+struct Head {
+    status: u16,
+    headers: BTreeMap<String, String>,
+}
+
+impl Head {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
     }
 }
 
-/// Reads one response; true: the connection ends with it.
-fn read(stream: &mut TcpStream, rest: &mut Vec<u8>, head_only: bool) -> Result<(Response, bool)> {
-    let (status, headers, used) = loop {
-        let mut room = [httparse::EMPTY_HEADER; 64];
-        let mut parsed = httparse::Response::new(&mut room);
-        match parsed.parse(rest).map_err(|e| bad(&e.to_string()))? {
-            httparse::Status::Complete(used) => {
-                let text = |v: &[u8]| String::from_utf8_lossy(v).trim().to_owned();
-                let of = |h: &httparse::Header<'_>| (h.name.to_ascii_lowercase(), text(h.value));
-                let headers: BTreeMap<_, _> = parsed.headers.iter().map(of).collect();
-                break (parsed.code.unwrap_or(0), headers, used);
-            }
-            httparse::Status::Partial => more(stream, rest)?,
+impl Connection {
+    fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, timeout)?;
+        stream.set_nodelay(true)?;
+        Ok(Connection { stream, buffer: Vec::new() })
+    }
+
+    fn read_response(&mut self, head_only: bool) -> Result<ReadResponse, ClientError> {
+        let head = self.read_head()?;
+        let mut closes = head.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+        let mut body = if head_only || matches!(head.status, 204 | 304) {
+            Vec::new()
+        } else if head.header("transfer-encoding").is_some() {
+            self.read_chunks()?
+        } else if let Some(length) = head.header("content-length") {
+            self.read_exact(length.parse().map_err(|_| ClientError::ContentLength)?)?
+        } else {
+            closes = true;
+            self.read_to_end()
+        };
+        let encoded_length = body.len();
+        if head.header("content-encoding") == Some("gzip") {
+            body = decompress(&body)?;
         }
-    };
-    rest.drain(..used);
-    let header = |name: &str| headers.get(name).map(String::as_str);
-    let mut close = header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
-    let mut body = Vec::new();
-    if head_only || matches!(status, 204 | 304) {
-    } else if header("transfer-encoding").is_some() {
+        let response = Response { status: head.status, headers: head.headers, body, encoded_length };
+        Ok(ReadResponse { response, closes })
+    }
+
+    fn read_head(&mut self) -> Result<Head, ClientError> {
         loop {
-            let line = loop {
-                match rest.windows(2).position(|w| w == b"\r\n") {
-                    Some(at) => break at,
-                    None => more(stream, rest)?,
-                }
-            };
-            let text = String::from_utf8_lossy(&rest[..line]).trim().to_owned();
-            let size = usize::from_str_radix(&text, 16).map_err(|_| bad("a chunk's size"))?;
-            while rest.len() < line + 2 + size + 2 {
-                more(stream, rest)?;
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut parsed = httparse::Response::new(&mut headers);
+            if let httparse::Status::Complete(length) = parsed.parse(&self.buffer)? {
+                let headers = parsed.headers.iter().map(header_entry).collect();
+                let status = parsed.code.unwrap_or(0);
+                self.buffer.drain(..length);
+                return Ok(Head { status, headers });
             }
-            body.extend_from_slice(&rest[line + 2..line + 2 + size]);
-            rest.drain(..line + 2 + size + 2);
+            self.fill()?;
+        }
+    }
+
+    fn read_chunks(&mut self) -> Result<Vec<u8>, ClientError> {
+        let mut body = Vec::new();
+        loop {
+            let size = self.read_chunk_size()?;
+            let mut chunk = self.read_exact(size + CRLF.len())?;
+            chunk.truncate(size);
+            body.append(&mut chunk);
             if size == 0 {
-                break;
+                return Ok(body);
             }
         }
-    } else if let Some(length) = header("content-length") {
-        let length: usize = length.parse().map_err(|_| bad("a length"))?;
-        while rest.len() < length {
-            more(stream, rest)?;
+    }
+
+    fn read_chunk_size(&mut self) -> Result<usize, ClientError> {
+        let end = loop {
+            match self.buffer.windows(CRLF.len()).position(|window| window == CRLF) {
+                Some(end) => break end,
+                None => self.fill()?,
+            }
+        };
+        let line: Vec<u8> = self.buffer.drain(..end + CRLF.len()).collect();
+        let text = String::from_utf8_lossy(&line).trim().to_owned();
+        usize::from_str_radix(&text, 16).map_err(|_| ClientError::ChunkSize)
+    }
+
+    fn read_exact(&mut self, length: usize) -> io::Result<Vec<u8>> {
+        while self.buffer.len() < length {
+            self.fill()?;
         }
-        body.extend(rest.drain(..length));
-    } else {
-        while more(stream, rest).is_ok() {}
-        body.append(rest);
-        close = true;
-    }
-    let carried = body.len();
-    if header("content-encoding") == Some("gzip") {
-        let mut whole = Vec::new();
-        GzDecoder::new(body.as_slice()).read_to_end(&mut whole)?;
-        body = whole;
-    }
-    Ok((Response { status, headers, body, carried }, close))
+        Ok(self.buffer.drain(..length).collect())
+    }
+
+    fn read_to_end(&mut self) -> Vec<u8> {
+        while self.fill().is_ok() {}
+        std::mem::take(&mut self.buffer)
+    }
+
+    /// Reads at least one byte into the buffer.
+    fn fill(&mut self) -> io::Result<()> {
+        let mut bytes = [0; READ_SIZE];
+        match self.stream.read(&mut bytes)? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            count => {
+                self.buffer.extend_from_slice(&bytes[..count]);
+                Ok(())
+            }
+        }
+    }
+}
+
+fn header_entry(header: &httparse::Header<'_>) -> (String, String) {
+    let value = String::from_utf8_lossy(header.value).trim().to_owned();
+    (header.name.to_ascii_lowercase(), value)
+}
+
+fn decompress(body: &[u8]) -> io::Result<Vec<u8>> {
+    let mut plain = Vec::new();
+    GzDecoder::new(body).read_to_end(&mut plain)?;
+    Ok(plain)
 }
--- /dev/null
+++ b/lab/src/conformance/documents.rs
@@ -0,0 +1,51 @@
+//! What checks read from the documents of a service: links, the API definition, and errors.
+
+use super::check::{require, Stop, Verdict};
+use super::Suite;
+use crate::client::Response;
+use serde_json::Value as Json;
+
+/// The target of a document's link with this relation.
+pub(super) fn link_of(document: &Json, relation: &str) -> Option<String> {
+    let links = document["links"].as_array()?;
+    links.iter().find(|link| link["rel"] == relation)?["href"].as_str().map(str::to_owned)
+}
+
+/// Requires links with all these relations.
+pub(super) fn require_links(document: &Json, what: &str, relations: &[&str]) -> Verdict {
+    let missing: Vec<_> = relations.iter().filter(|relation| link_of(document, relation).is_none()).collect();
+    require(missing.is_empty(), || format!("{what}: no link {missing:?}"))
+}
+
+/// Requires a relation and a media type of every link.
+pub(super) fn require_typed_links(document: &Json, what: &str) -> Verdict {
+    let mut links = document["links"].as_array().into_iter().flatten();
+    require(links.all(|link| link["rel"].is_string() && link["type"].is_string()), || {
+        format!("{what}: a link has no rel or type")
+    })
+}
+
+/// Requires an error of this status.
+pub(super) fn require_status(response: &Response, status: u16) -> Verdict {
+    require(response.status == status, || format!("status {} in place of {status}", response.status))
+}
+
+/// The service's API definition.
+pub(super) fn api_definition(suite: &mut Suite) -> Result<Json, Stop> {
+    Ok(get_api_definition(suite)?.json())
+}
+
+/// The response with the service's API definition.
+pub(super) fn get_api_definition(suite: &mut Suite) -> Result<Response, Stop> {
+    let landing = suite.get_json("/")?;
+    let href = link_of(&landing, "service-desc").ok_or("no link service-desc")?;
+    suite.follow(&href)
+}
+
+/// The definition of a parameter of the items.
+pub(super) fn parameter(suite: &mut Suite, name: &str) -> Result<Json, Stop> {
+    let api = api_definition(suite)?;
+    let parameters = api["paths"]["/collections/{collectionId}/items"]["get"]["parameters"].as_array();
+    let found = parameters.into_iter().flatten().find(|parameter| parameter["name"] == name);
+    found.cloned().ok_or_else(|| Stop::Failed(format!("the API has no parameter {name}")))
+}
--- /dev/null
+++ b/lab/src/conformance/schemas.rs
@@ -0,0 +1,86 @@
+//! Part 5: schemas and sortables; and orders and selections of properties.
+
+use super::check::{all_unique, require, Check, Stop, Verdict};
+use super::samples::number_of;
+use super::Suite;
+use crate::client::feature_id;
+use serde_json::Value as Json;
+
+const SCHEMAS: &str = "ogcapi-features-5/1.0/conf/schemas";
+const SORTABLES: &str = "ogcapi-features-5/1.0/conf/sortables";
+const SORTING: &str = "ogcapi-features-8/1.0/conf/sorting";
+/// The class of checks that always apply.
+const ANY: &str = "";
+
+pub(super) const CHECKS: &[Check] = &[
+    Check::new("/conf/schemas/schema", SCHEMAS, |suite| {
+        let path = suite.collection_path("schema");
+        let response = suite.get(&path)?;
+        require(response.header("content-type").starts_with("application/schema+json"), || {
+            format!("Content-Type is {:?}", response.header("content-type"))
+        })?;
+        let schema = suite.get_json(&path)?;
+        let is_schema =
+            schema["$schema"].is_string() && schema["type"] == "object" && schema["properties"].is_object();
+        require(is_schema, || "it is no schema".to_owned())
+    }),
+    Check::new("/conf/schemas/properties", SCHEMAS, |suite| {
+        let schema = suite.get_json(&suite.collection_path("schema"))?;
+        let mut names = suite
+            .features
+            .iter()
+            .filter_map(|feature| feature["properties"].as_object())
+            .flat_map(|properties| properties.keys());
+        let missing = names.find(|name| schema["properties"].get(name.as_str()).is_none());
+        require(missing.is_none() || schema["additionalProperties"] == true, || {
+            format!("{missing:?} is not in the schema")
+        })
+    }),
+    Check::new("/conf/sortables/sortables", SORTABLES, |suite| {
+        let sortables = suite.get_json(&suite.collection_path("sortables"))?;
+        require(sortables["properties"].is_object(), || "no properties".to_owned())
+    }),
+    Check::new("/conf/sorting/sortby", SORTING, |suite| {
+        let name = suite.queryable("number", "")?;
+        require_sorted(suite, &name, &name, |left, right| left <= right)?;
+        require_sorted(suite, &format!("-{name}"), &name, |left, right| left >= right)
+    }),
+    Check::new("/conf/sorting/sortby-ties", SORTING, |suite| {
+        let name = suite.queryable("boolean", "")?;
+        let sorted = suite.get_all(&format!("{}?limit=61&sortby={name}", suite.items_path()))?;
+        let ids: Vec<String> = sorted.iter().map(feature_id).collect();
+        require(all_unique(&ids) && ids.len() == suite.features.len(), || {
+            "features that stand alike are lost or doubled over pages".to_owned()
+        })
+    }),
+    Check::new("/conf/sorting/sortby-unknown", SORTING, |suite| {
+        if suite.queryables.is_empty() {
+            return Err(Stop::not_applicable("no sortables are told"));
+        }
+        let response = suite.get(&format!("{}?sortby=no-such-property", suite.items_path()))?;
+        require(response.status == 400, || format!("status {}", response.status))
+    }),
+    Check::new("/conf/property-selection/properties", ANY, |suite| {
+        let name = suite.queryable("number", "")?;
+        let json = suite.get_items(&format!("limit=5&properties={name}"))?;
+        let has_only_this = |feature: &Json| {
+            let properties = feature["properties"].as_object();
+            properties.is_some_and(|properties| properties.len() == 1 && properties.contains_key(&name))
+                && feature["id"].is_string()
+        };
+        require(json["features"].as_array().is_some_and(|list| list.iter().all(has_only_this)), || {
+            "other properties came too".to_owned()
+        })
+    }),
+];
+
+/// Requires all features, with a number in this order.
+fn require_sorted(suite: &mut Suite, key: &str, name: &str, in_order: fn(f64, f64) -> bool) -> Verdict {
+    let sorted = suite.get_all(&format!("{}?limit=300&sortby={key}", suite.items_path()))?;
+    require(sorted.len() == suite.features.len(), || {
+        format!("{} features for {}", sorted.len(), suite.features.len())
+    })?;
+    let values: Vec<f64> = sorted.iter().filter_map(|feature| number_of(feature, name)).collect();
+    let all_in_order = values.windows(2).all(|pair| in_order(pair[0], pair[1]));
+    require(all_in_order, || format!("sortby={key}: not in order"))
+}
--- /dev/null
+++ b/lab/src/conformance/suite.rs
@@ -0,0 +1,210 @@
+//! The suite at work on a service.
+
+use super::all_checks;
+use super::check::{features_of, require, Check, CheckResult, Outcome, Stop};
+use crate::client::{feature_id, target_of, Client, Response};
+use serde_json::Value as Json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Features of a collection that the suite works on at most.
+const MAX_FEATURES: usize = 20_000;
+/// A request that is rejected or fails at the server is sent so often at most.
+const MAX_ATTEMPTS: usize = 40;
+/// The wait after a 503.
+const RETRY_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Why a service could not be opened: what the request for one of its documents came to.
+#[derive(Debug, Error)]
+#[error("{0:?}")]
+pub struct OpenError(Stop);
+
+/// The suite, with the service's collection that it works on.
+pub struct Suite {
+    client: Client,
+    /// The path before those of the standard.
+    root: String,
+    conformance_classes: Vec<String>,
+    /// The id of the collection: the first one.
+    pub(super) collection: String,
+    /// All its features, by the `next` links.
+    pub(super) features: Vec<Json>,
+    /// Its queryables: their schemas by their names.
+    pub(super) queryables: BTreeMap<String, Json>,
+}
+
+impl Suite {
+    /// Reads what the service claims, and its first collection.
+    ///
+    /// # Errors
+    /// If the conformance page or the list of collections can't be requested.
+    pub fn open(address: SocketAddr, root: &str) -> Result<Self, OpenError> {
+        let mut suite = Suite {
+            client: Client::new(address),
+            root: root.trim_end_matches('/').to_owned(),
+            conformance_classes: Vec::new(),
+            collection: String::new(),
+            features: Vec::new(),
+            queryables: BTreeMap::new(),
+        };
+        let conformance = suite.get("/conformance").map_err(OpenError)?.json();
+        suite.conformance_classes = texts(&conformance["conformsTo"]);
+        let collections = suite.get("/collections").map_err(OpenError)?.json();
+        suite.collection = collections["collections"][0]["id"].as_str().unwrap_or_default().to_owned();
+        suite.features = suite.get_all(&format!("{}?limit=500", suite.items_path())).unwrap_or_default();
+        let schema = suite.get(&suite.collection_path("queryables"));
+        let schema = schema.map(|response| response.json()).unwrap_or_default();
+        let properties = schema["properties"].as_object().cloned().unwrap_or_default();
+        suite.queryables = properties.into_iter().collect();
+        Ok(suite)
+    }
+
+    /// Runs every check.
+    pub fn run(&mut self) -> Vec<CheckResult> {
+        all_checks().map(|check| CheckResult { id: check.id, outcome: self.outcome_of(check) }).collect()
+    }
+
+    /// Runs one check; `None`: there is none of this identifier.
+    pub fn run_one(&mut self, id: &str) -> Option<Outcome> {
+        let check = all_checks().find(|check| check.id == id)?;
+        Some(self.outcome_of(check))
+    }
+
+    /// Assumes that the service claims every class: a service that claims none has nothing to fail.
+    pub fn claim_all(&mut self) {
+        self.conformance_classes = all_checks().map(|check| check.class.to_owned()).collect();
+    }
+
+    fn outcome_of(&mut self, check: &Check) -> Outcome {
+        let class = check.class;
+        if !class.is_empty() && !self.conformance_classes.iter().any(|claimed| claimed.ends_with(class)) {
+            return Outcome::NotApplicable(format!("the service does not claim {class}"));
+        }
+        match (check.run)(self) {
+            Ok(()) => Outcome::Pass,
+            Err(stop) => stop.into(),
+        }
+    }
+
+    /// The path of the collection's items.
+    pub(super) fn items_path(&self) -> String {
+        self.collection_path("items")
+    }
+
+    /// The path of a document of the collection.
+    pub(super) fn collection_path(&self, document: &str) -> String {
+        format!("/collections/{}/{document}", self.collection)
+    }
+
+    /// GET.
+    pub(super) fn get(&mut self, path: &str) -> Result<Response, Stop> {
+        self.get_with(path, &[])
+    }
+
+    /// GET with further headers.
+    pub(super) fn get_with(&mut self, path: &str, headers: &[(&str, &str)]) -> Result<Response, Stop> {
+        self.request("GET", path, headers, &[])
+    }
+
+    /// Any request; what is rejected for now is sent again, as a client would.
+    pub(super) fn request(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Result<Response, Stop> {
+        let target = format!("{}{path}", self.root);
+        let mut last = None;
+        for _ in 0..MAX_ATTEMPTS {
+            let response = self.client.request(method, &target, headers, body)?;
+            if !matches!(response.status, 429 | 500..=504) {
+                return Ok(response);
+            }
+            if response.status == 503 {
+                std::thread::sleep(RETRY_BACKOFF);
+            }
+            last = Some(response);
+        }
+        last.ok_or_else(|| "never asked".into())
+    }
+
+    /// A JSON object that must be there.
+    pub(super) fn get_json(&mut self, path: &str) -> Result<Json, Stop> {
+        let response = self.get(path)?;
+        require(response.status == 200, || format!("{path}: status {}", response.status))?;
+        let json = response.json();
+        require(json.is_object(), || format!("{path}: no JSON object"))?;
+        Ok(json)
+    }
+
+    /// The collection's own document.
+    pub(super) fn get_collection(&mut self) -> Result<Json, Stop> {
+        self.get_json(&format!("/collections/{}", self.collection))
+    }
+
+    /// A page of the collection's items with this query.
+    pub(super) fn get_items(&mut self, query: &str) -> Result<Json, Stop> {
+        self.get_json(&format!("{}?{query}", self.items_path()))
+    }
+
+    /// What a link leads to.
+    pub(super) fn follow(&mut self, href: &str) -> Result<Response, Stop> {
+        let path = self.without_root(&target_of(href));
+        self.get(&path)
+    }
+
+    /// The root of the service is part of its links already.
+    fn without_root(&self, target: &str) -> String {
+        target.strip_prefix(&self.root).unwrap_or(target).to_owned()
+    }
+
+    /// All features of a query, over its `next` links.
+    pub(super) fn get_all(&mut self, path: &str) -> Result<Vec<Json>, Stop> {
+        let mut features = Vec::new();
+        let mut next = Some(path.to_owned());
+        while let Some(path) = next {
+            let response = self.get(&path)?;
+            require(response.status == 200, || {
+                format!("{path}: status {}: {}", response.status, response.text())
+            })?;
+            features.extend(features_of(&response.json()));
+            require(features.len() <= MAX_FEATURES, || {
+                "more features than the suite works on, or a circle".to_owned()
+            })?;
+            next = response.link("next").map(|target| self.without_root(&target));
+        }
+        Ok(features)
+    }
+
+    /// The sorted ids of all items that a query matches.
+    pub(super) fn get_ids(&mut self, query: &str) -> Result<Vec<String>, Stop> {
+        let features = self.get_all(&format!("{}?limit=500&{query}", self.items_path()))?;
+        Ok(sorted_ids(&features))
+    }
+
+    /// The sorted ids of all items that a filter in this language matches.
+    pub(super) fn get_filtered(&mut self, filter: &str, language: &str) -> Result<Vec<String>, Stop> {
+        let mut query = url::form_urlencoded::Serializer::new(String::new());
+        query.append_pair("filter", filter).append_pair("filter-lang", language);
+        self.get_ids(&query.finish())
+    }
+
+    /// The sorted ids of the features for which this holds.
+    pub(super) fn expected_ids(&self, matches: impl Fn(&Json) -> bool) -> Vec<String> {
+        sorted_ids(self.features.iter().filter(|feature| matches(feature)))
+    }
+}
+
+/// The sorted ids of features.
+fn sorted_ids<'a>(features: impl IntoIterator<Item = &'a Json>) -> Vec<String> {
+    let mut ids: Vec<String> = features.into_iter().map(feature_id).collect();
+    ids.sort();
+    ids
+}
+
+fn texts(list: &Json) -> Vec<String> {
+    list.as_array().into_iter().flatten().filter_map(|text| text.as_str().map(str::to_owned)).collect()
+}
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -1,24 +1,25 @@
-//! The edge over stand-ins, to try by hand and to show that it works.
+//! A demonstration: the front for feature queries over stand-in feature servers, to try by hand or to check once.
 
-use crate::client::Client;
+use crate::client::{Client, ClientError, Response};
 use crate::feature_server::{devices, Capabilities, FeatureServer};
-use crate::process::{EdgeProcess, CLASSES};
-use std::io::Result;
+use crate::process::{EdgeProcess, ProcessError, CLASSES};
+use serde_json::Value as Json;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::io;
 use std::path::Path;
+use std::time::Instant;
+use thiserror::Error;
 
 /// Features of each of the two shards.
-const EACH: usize = 2_000;
+const FEATURES_PER_SHARD: usize = 2_000;
+/// Features of one answer at most, by the `limit` of the examples.
+const MAX_EXAMPLE_FEATURES: usize = 1_000;
+/// Slack for points on the hypotenuse of the drawn area.
+const EDGE_TOLERANCE: f64 = 1e-12;
 
-/// An edge over four servers: two shards, each on two of them, of different skill.
-pub struct Demo {
-    /// The edge.
-    pub edge: EdgeProcess,
-    /// Its servers.
-    pub servers: Vec<FeatureServer>,
-}
-
-/// How the demo's collection is described.
-pub const COLLECTION: &str = "
+/// The settings of the demonstration's collection.
+const COLLECTION: &str = "
 [[collection]]
 id = \"devices\"
 title = \"Customer devices\"
@@ -26,106 +27,196 @@
 bbox = [-121.0, 37.0, -119.0, 39.0]
 ";
 
+/// Why the demonstration could not run.
+#[derive(Debug, Error)]
+pub enum DemoError {
+    /// The stand-ins or the signal handler could not be started.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The program could not be run.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// An example got no response.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+}
+
+/// The program over four feature servers: two shards, each on two servers of different capabilities.
+pub struct Demo {
+    process: EdgeProcess,
+    servers: Vec<FeatureServer>,
+}
+
+/// A query to try.
+struct Example {
+    description: &'static str,
+    target: &'static str,
+    /// How many of all devices the answer must have.
+    expected: fn(&[Json]) -> usize,
+}
+
+const EXAMPLES: [Example; 9] = [
+    Example {
+        description: "all devices, a page",
+        target: "/collections/devices/items?limit=100",
+        expected: |_| 100,
+    },
+    Example {
+        description: "in a box",
+        target: "/collections/devices/items?bbox=-120.5,37.5,-119.5,38.5&limit=1000",
+        expected: |devices| {
+            count(devices, |device| {
+                let (longitude, latitude) = point(device);
+                (-120.5..=-119.5).contains(&longitude) && (37.5..=38.5).contains(&latitude)
+            })
+        },
+    },
+    Example {
+        description: "in a drawn area",
+        target: "/collections/devices/items?limit=1000&filter=S_INTERSECTS(geometry,POLYGON((-121%2037,-120%2037,-121%2038,-121%2037)))",
+        expected: |devices| {
+            count(devices, |device| {
+                let (longitude, latitude) = point(device);
+                (longitude + 121.0) + (latitude - 37.0) <= 1.0 + EDGE_TOLERANCE
+            })
+        },
+    },
+    Example {
+        description: "by voltage",
+        target: "/collections/devices/items?limit=1000&filter=volts%20%3E%20230%20AND%20live%20%3D%20TRUE",
+        expected: |devices| {
+            count(devices, |device| {
+                let properties = &device["properties"];
+                properties["volts"].as_f64() > Some(230.0) && properties["live"] == true
+            })
+        },
+    },
+    Example {
+        description: "by name, accents apart",
+        target: "/collections/devices/items?limit=1000&filter=ACCENTI(name)%20LIKE%20%27cafe%25%27",
+        expected: |devices| {
+            count(devices, |device| {
+                device["properties"]["name"].as_str().is_some_and(|name| name.starts_with("café"))
+            })
+        },
+    },
+    Example {
+        description: "highest voltage first",
+        target: "/collections/devices/items?limit=20&sortby=-volts",
+        expected: |_| 20,
+    },
+    Example {
+        description: "in Web Mercator",
+        target: "/collections/devices/items?limit=5&crs=http://www.opengis.net/def/crs/EPSG/0/3857",
+        expected: |_| 5,
+    },
+    Example {
+        description: "a map for people",
+        target: "/collections/devices/items?limit=200&f=html",
+        expected: |_| 200,
+    },
+    Example { description: "one device", target: "/collections/devices/items/d00042", expected: |_| 1 },
+];
+
 impl Demo {
-    /// Starts all of it.
-    pub fn start(program: &Path) -> Result<Demo> {
-        let start = |from: usize, skill| FeatureServer::start(devices(from..from + EACH), skill);
+    /// Starts the feature servers and the program over them.
+    ///
+    /// # Errors
+    /// If a server or the program can't be started.
+    pub fn start(program: &Path) -> Result<Demo, DemoError> {
+        let start = |from: usize, capabilities| {
+            FeatureServer::start(devices(from..from + FEATURES_PER_SHARD), capabilities)
+        };
         let servers = vec![
-            start(0, Capabilities::All)?,
-            start(0, Capabilities::All)?,
-            start(EACH, Capabilities::Basic)?,
-            start(EACH, Capabilities::Core)?,
+            start(0, Capabilities::FiltersAndSorting)?,
+            start(0, Capabilities::FiltersAndSorting)?,
+            start(FEATURES_PER_SHARD, Capabilities::SimpleFilters)?,
+            start(FEATURES_PER_SHARD, Capabilities::Core)?,
         ];
-        let held = ["devices/north", "devices/north", "devices/south", "devices/south"];
-        let row = |(n, (s, held)): (usize, (&FeatureServer, &str))| {
-            s.row(&format!("features-{}", n + 1), held, "in_service")
+        let shards = ["devices/north", "devices/north", "devices/south", "devices/south"];
+        let row = |(index, (server, shard)): (usize, (&FeatureServer, &str))| {
+            server.inventory_row(&format!("features-{}", index + 1), shard, "in_service")
         };
-        let rows: String = servers.iter().zip(held).enumerate().map(row).collect();
-        let edge =
-            EdgeProcess::start(program, "mgmt = \"127.0.0.1:0\"", &rows, &format!("{CLASSES}{COLLECTION}"))?;
-        Ok(Demo { edge, servers })
+        let rows: String = servers.iter().zip(shards).enumerate().map(row).collect();
+        let classes = format!("{CLASSES}{COLLECTION}");
+        let process = EdgeProcess::start(program, "mgmt = \"127.0.0.1:0\"", &rows, &classes)?;
+        Ok(Demo { process, servers })
     }
-}
 
-/// A query to try: what it shows, and where it is.
-pub const QUERIES: [(&str, &str); 9] = [
-    ("all devices, a page", "/collections/devices/items?limit=100"),
-    ("in a box", "/collections/devices/items?bbox=-120.5,37.5,-119.5,38.5&limit=1000"),
-    ("in a drawn area", "/collections/devices/items?limit=1000&filter=S_INTERSECTS(geometry,POLYGON((-121%2037,-120%2037,-121%2038,-121%2037)))"),
-    ("by voltage", "/collections/devices/items?limit=1000&filter=volts%20%3E%20230%20AND%20live%20%3D%20TRUE"),
-    ("by name, accents apart", "/collections/devices/items?limit=1000&filter=ACCENTI(name)%20LIKE%20%27cafe%25%27"),
-    ("highest voltage first", "/collections/devices/items?limit=20&sortby=-volts"),
-    ("in Web Mercator", "/collections/devices/items?limit=5&crs=http://www.opengis.net/def/crs/EPSG/0/3857"),
-    ("a map for people", "/collections/devices/items?limit=200&f=html"),
-    ("one device", "/collections/devices/items/d00042"),
-];
+    /// Sends the examples, checks the answers and prints a table. True: all were as expected.
+    ///
+    /// # Errors
+    /// If an example gets no response.
+    pub fn check_once(&self) -> Result<bool, DemoError> {
+        let mut client = Client::new(self.process.address);
+        let all = devices(0..2 * FEATURES_PER_SHARD);
+        println!(
+            "{:<26} {:>6} {:>9} {:>9} {:>9} {:>8}",
+            "query", "status", "features", "expected", "requests", "ms"
+        );
+        let mut all_right = true;
+        for example in &EXAMPLES {
+            all_right &= self.check(&mut client, example, (example.expected)(&all))?;
+        }
+        println!("{}", if all_right { "all as expected" } else { "something is wrong" });
+        Ok(all_right)
+    }
 
-/// Asks the queries, checks the answers and prints a table. True: all were right.
-pub fn once(demo: &Demo) -> Result<bool> {
-    let mut client = Client::new(demo.edge.address);
-    let all = devices(0..2 * EACH);
-    let point = |f: &serde_json::Value| {
-        let c = &f["geometry"]["coordinates"];
-        (c[0].as_f64().unwrap_or(0.0), c[1].as_f64().unwrap_or(0.0))
-    };
-    let count = |holds: &dyn Fn(&serde_json::Value) -> bool| all.iter().filter(|f| holds(f)).count();
-    let expected = [
-        100,
-        count(&|f| {
-            let (x, y) = point(f);
-            (-120.5..=-119.5).contains(&x) && (37.5..=38.5).contains(&y)
-        }),
-        count(&|f| {
-            let (x, y) = point(f);
-            (x + 121.0) + (y - 37.0) <= 1.0 + 1e-12
-        }),
-        count(&|f| f["properties"]["volts"].as_f64() > Some(230.0) && f["properties"]["live"] == true),
-        count(&|f| f["properties"]["name"].as_str().is_some_and(|n| n.starts_with("café"))),
-        20,
-        5,
-        200,
-        1,
-    ];
-    let mut right = true;
-    println!(
-        "{:<26} {:>6} {:>9} {:>9} {:>9} {:>8}",
-        "query", "status", "features", "expected", "requests", "ms"
-    );
-    for ((what, target), expected) in QUERIES.iter().zip(expected) {
-        let before: u64 = demo.servers.iter().map(FeatureServer::asked).sum();
-        let began = std::time::Instant::now();
-        let answer = client.get(target)?;
-        let took = began.elapsed().as_secs_f64() * 1e3;
-        let asked = demo.servers.iter().map(FeatureServer::asked).sum::<u64>() - before;
-        let found = if target.contains("f=html") {
-            answer.text().matches("<circle").count()
-        } else if target.contains("/items/") {
-            usize::from(answer.json()["id"] == "d00042")
-        } else {
-            answer.ids().len()
-        };
-        let good = answer.status == 200 && found == expected.min(1_000);
-        right &= good;
+    fn check(&self, client: &mut Client, example: &Example, expected: usize) -> Result<bool, DemoError> {
+        let requests_before = self.server_requests();
+        let started = Instant::now();
+        let response = client.get(example.target)?;
+        let elapsed_ms = started.elapsed().as_secs_f64() * 1e3;
+        let requests = self.server_requests() - requests_before;
+        let found = count_found(example, &response);
+        let right = response.status == 200 && found == expected.min(MAX_EXAMPLE_FEATURES);
         println!(
-            "{what:<26} {:>6} {found:>9} {expected:>9} {asked:>9} {took:>8.1}{}",
-            answer.status,
-            if good { "" } else { "  WRONG" }
+            "{:<26} {:>6} {found:>9} {expected:>9} {requests:>9} {elapsed_ms:>8.1}{}",
+            example.description,
+            response.status,
+            if right { "" } else { "  WRONG" }
         );
+        Ok(right)
+    }
+
+    fn server_requests(&self) -> u64 {
+        self.servers.iter().map(FeatureServer::request_count).sum()
     }
-    println!("{}", if right { "all as expected" } else { "something is wrong" });
-    Ok(right)
+
+    /// Prints what to try and waits for SIGINT or SIGTERM.
+    ///
+    /// # Errors
+    /// If no signal handler can be set.
+    pub fn run_until_signal(&self) -> Result<(), DemoError> {
+        let mut signals = Signals::new([SIGINT, SIGTERM])?;
+        let address = self.process.address;
+        println!("the edge is at http://{address}/");
+        for Example { description, target, .. } in &EXAMPLES {
+            println!("  {description:<26} curl 'http://{address}{target}'");
+        }
+        println!("ends with Ctrl-C");
+        // Handled and not left to the default, so that the program's process is ended by its destructor.
+        signals.forever().next();
+        Ok(())
+    }
+}
+
+fn point(device: &Json) -> (f64, f64) {
+    let coordinates = &device["geometry"]["coordinates"];
+    (coordinates[0].as_f64().unwrap_or(0.0), coordinates[1].as_f64().unwrap_or(0.0))
+}
+
+fn count(devices: &[Json], matches: impl Fn(&Json) -> bool) -> usize {
+    devices.iter().filter(|device| matches(device)).count()
 }
 
-/// Prints what to try and waits until it is ended.
-pub fn run(demo: &Demo) -> Result<()> {
-    let mut ended =
-        signal_hook::iterator::Signals::new([signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM])?;
-    println!("the edge is at http://{}/", demo.edge.address);
-    for (what, target) in QUERIES {
-        println!("  {what:<26} curl 'http://{}{target}'", demo.edge.address);
+/// How many features a response to an example has.
+fn count_found(example: &Example, response: &Response) -> usize {
+    if example.target.contains("f=html") {
+        response.text().matches("<circle").count()
+    } else if example.target.contains("/items/") {
+        usize::from(response.json()["id"] == "d00042")
+    } else {
+        response.ids().len()
     }
-    println!("ends with Ctrl-C");
-    // The edge ends with this, by its destructor: a process that is just killed would leave it behind.
-    ended.forever().next();
-    Ok(())
 }
--- a/lab/src/fault_injection.rs
+++ b/lab/src/fault_injection.rs
@@ -1,23 +1,35 @@
-//! A service with a planted fault: it passes requests on to a sound one and spoils the answers, so that the checks of the
-//! conformance suite can be shown to fail.
+//! Fault injection: a proxy before a sound service that alters requests or responses, so that each check of the conformance
+//! suite can be shown to fail.
 
-use crate::client::{Client, Response};
-use serde_json::{json, Value as Json};
-use std::io::{BufRead, BufReader, Read, Result, Write};
+mod edits;
+mod faults;
+
+pub use faults::INJECTED_FAULTS;
+
+use crate::client::{Client, ClientError, Response};
+use flate2::{write::GzEncoder, Compression};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
+use thiserror::Error;
+
+/// Headers that the proxy writes itself.
+const OWN_HEADERS: [&str; 3] = ["content-length", "connection", "transfer-encoding"];
 
-/// A request as it came.
+/// A request before it is forwarded.
 #[derive(Debug, Clone)]
 pub struct ForwardedRequest {
-    /// Its method.
-    pub method: String,
+    method: String,
     /// Path and query.
-    pub target: String,
-    /// Its headers, as lines.
-    pub headers: Vec<(String, String)>,
-    /// Its body.
-    pub body: Vec<u8>,
+    target: String,
+    headers: Vec<Header>,
+    body: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+struct Header {
+    name: String,
+    value: String,
 }
 
 impl ForwardedRequest {
@@ -25,279 +37,153 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
-    fn has(&self, text: &str) -> bool {
+    fn target_contains(&self, text: &str) -> bool {
         self.target.contains(text)
     }
+
+    fn accepts_encoding(&self) -> bool {
+        self.headers.iter().any(|header| header.name.eq_ignore_ascii_case("accept-encoding"))
+    }
+}
+
+/// What a fault alters.
+#[derive(Clone, Copy)]
+enum Alteration {
+    /// The request before it is forwarded.
+    Request(fn(&mut ForwardedRequest)),
+    /// The response before it is returned.
+    Response(fn(&ForwardedRequest, &mut Response)),
 }
 
-/// What spoils: the request before it goes on, and the answer before it goes back.
-pub struct Fault {
-    /// The check that is meant to find it.
+/// A fault that can be injected.
+pub struct InjectedFault {
+    /// The identifier of the check that must find it.
     pub found_by: &'static str,
     /// What is wrong.
-    pub what: &'static str,
-    ask: fn(&mut ForwardedRequest),
-    answer: fn(&ForwardedRequest, &mut Response),
+    pub description: &'static str,
+    alteration: Alteration,
 }
 
-/// A service that passes on and spoils.
+/// The proxy.
 pub struct FaultInjector {
     /// Where it listens.
     pub address: SocketAddr,
-    fault: Arc<Mutex<Option<&'static Fault>>>,
+    active: Arc<ActiveFault>,
+}
+
+type ActiveFault = Mutex<Option<&'static InjectedFault>>;
+
+/// Why a connection of the proxy ended.
+#[derive(Debug, Error)]
+enum ForwardError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Client(#[from] ClientError),
 }
 
 impl FaultInjector {
-    /// In front of this service.
-    pub fn start(behind: SocketAddr) -> Result<FaultInjector> {
+    /// Starts the proxy on a free loopback port, before this service and without a fault.
+    ///
+    /// # Errors
+    /// If no port is free.
+    pub fn start(service: SocketAddr) -> io::Result<FaultInjector> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let fault: Arc<Mutex<Option<&'static Fault>>> = Arc::default();
-        let shared = fault.clone();
+        let active: Arc<ActiveFault> = Arc::default();
+        let shared = active.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let fault = shared.clone();
-                std::thread::spawn(move || serve(stream, behind, &fault));
+                let active = shared.clone();
+                std::thread::spawn(move || forward_connection(stream, service, &active));
             }
         });
-        Ok(FaultInjector { address, fault })
+        Ok(FaultInjector { address, active })
     }
 
-    /// From now on this fault, or none.
-    pub fn plant(&self, fault: Option<&'static Fault>) {
-        *self.fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
+    /// From now on this fault is injected, or none.
+    pub fn inject(&self, fault: Option<&'static InjectedFault>) {
+        *self.active.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 }
 
-fn serve(mut stream: TcpStream, behind: SocketAddr, fault: &Mutex<Option<&'static Fault>>) -> Result<()> {
+/// Forwards the requests of a connection until it ends.
+fn forward_connection(
+    mut stream: TcpStream,
+    service: SocketAddr,
+    active: &ActiveFault,
+) -> Result<(), ForwardError> {
     stream.set_nodelay(true)?;
-    let mut lines = BufReader::new(stream.try_clone()?);
-    let mut client = Client::new(behind);
-    loop {
-        let mut first = String::new();
-        if lines.read_line(&mut first)? == 0 {
-            return Ok(());
-        }
-        let mut words = first.split_whitespace().map(str::to_owned);
-        let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-        let (mut headers, mut length) = (Vec::new(), 0);
-        loop {
-            let mut line = String::new();
-            lines.read_line(&mut line)?;
-            let Some((name, value)) = line.trim_end().split_once(": ") else { break };
-            match name.to_ascii_lowercase().as_str() {
-                "content-length" => length = value.parse().unwrap_or(0),
-                // Links must lead back here.
-                "host" | "connection" => headers.push(("Host".to_owned(), value.to_owned())),
-                _ => headers.push((name.to_owned(), value.to_owned())),
-            }
-        }
-        let mut body = Vec::new();
-        lines.by_ref().take(length).read_to_end(&mut body)?;
-        let mut asked = ForwardedRequest { method, target, headers, body };
-        let fault = *fault.lock().unwrap_or_else(|e| e.into_inner());
-        if let Some(fault) = fault {
-            (fault.ask)(&mut asked);
-        }
-        let packed = asked.headers.iter().any(|h| h.0.eq_ignore_ascii_case("accept-encoding"));
-        let own: Vec<(&str, &str)> =
-            asked.headers.iter().filter(|h| h.0 != "Host").map(|h| (h.0.as_str(), h.1.as_str())).collect();
-        let mut answer = client.ask(&asked.method, &asked.target, &own, &asked.body)?;
-        let text = answer.text().replace(&behind.to_string(), &stream.local_addr()?.to_string());
-        answer.body = text.into_bytes();
-        if let Some(fault) = fault {
-            (fault.answer)(&asked, &mut answer);
+    let own_address = stream.local_addr()?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut client = Client::new(service);
+    while let Some(mut request) = read_request(&mut reader)? {
+        let fault = *active.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(Alteration::Request(alter)) = fault.map(|fault| fault.alteration) {
+            alter(&mut request);
         }
-        let mut body = answer.body.clone();
-        if packed && answer.header("content-encoding") == "gzip" {
-            let mut small = flate2::write::GzEncoder::new(Vec::new(), flate2::Compression::fast());
-            small.write_all(&body)?;
-            body = small.finish()?;
+        let mut response = forward(&mut client, &request)?;
+        // Links must lead back to the proxy.
+        let text = response.text().replace(&service.to_string(), &own_address.to_string());
+        response.body = text.into_bytes();
+        if let Some(Alteration::Response(alter)) = fault.map(|fault| fault.alteration) {
+            alter(&request, &mut response);
         }
-        let mut head = format!("HTTP/1.1 {} X\r\n", answer.status);
-        for (name, value) in answer
-            .headers
-            .iter()
-            .filter(|h| !matches!(h.0.as_str(), "content-length" | "connection" | "transfer-encoding"))
-        {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
-        if asked.method == "HEAD" && fault.is_none_or(|f| f.found_by != "/conf/core/http") {
-            body.clear();
-        }
-        stream.write_all(&[head.as_bytes(), &body].concat())?;
+        write_response(&mut stream, &request, &response)?;
     }
+    Ok(())
 }
 
-fn edit(answer: &mut Response, change: impl FnOnce(&mut Json)) {
-    if let Ok(mut json) = serde_json::from_slice::<Json>(&answer.body) {
-        change(&mut json);
-        answer.body = json.to_string().into_bytes();
+/// Reads a request; `None` at the end of the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<ForwardedRequest>> {
+    let mut request_line = String::new();
+    if reader.read_line(&mut request_line)? == 0 {
+        return Ok(None);
     }
-}
-
-fn without(answer: &mut Response, rel: &str) {
-    edit(answer, |j| {
-        if let Some(links) = j["links"].as_array_mut() {
-            links.retain(|l| l["rel"] != rel);
-        }
-    });
-}
-
-fn features(answer: &mut Response, change: impl FnOnce(&mut Vec<Json>)) {
-    edit(answer, |j| {
-        if let Some(list) = j["features"].as_array_mut() {
-            change(list);
+    let mut words = request_line.split_whitespace().map(str::to_owned);
+    let method = words.next().unwrap_or_default();
+    let target = words.next().unwrap_or_default();
+    let (mut headers, mut body_length) = (Vec::new(), 0);
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => body_length = value.parse().unwrap_or(0),
+            // The client sets its own.
+            "host" | "connection" => {}
+            _ => headers.push(Header { name: name.to_owned(), value: value.to_owned() }),
         }
-    });
-}
-
-fn nothing(_: &mut ForwardedRequest) {}
-
-fn as_is(_: &ForwardedRequest, _: &mut Response) {}
-
-fn cut(asked: &mut ForwardedRequest, name: &str) {
-    let (path, query) =
-        asked.target.split_once('?').map_or((asked.target.clone(), ""), |(p, q)| (p.to_owned(), q));
-    let kept: Vec<&str> =
-        query.split('&').filter(|p| !p.is_empty() && p.split('=').next() != Some(name)).collect();
-    asked.target = if kept.is_empty() { path } else { format!("{path}?{}", kept.join("&")) };
-}
-
-macro_rules! faults {
-    ($($found_by:literal $what:literal ask $ask:expr, answer $answer:expr;)*) => {
-        /// All planted faults.
-        pub const FAULTS: &[Fault] = &[$(Fault { found_by: $found_by, what: $what, ask: $ask, answer: $answer }),*];
-    };
+    }
+    let mut body = Vec::new();
+    reader.take(body_length).read_to_end(&mut body)?;
+    Ok(Some(ForwardedRequest { method, target, headers, body }))
 }
 
-faults! {
-    "/conf/core/root-success" "the landing page has no link to the conformance page"
-        ask nothing, answer |a, r| if a.path() == "/" { without(r, "conformance") };
-    "/conf/core/api-definition-success" "the API is of no version"
-        ask nothing, answer |a, r| if a.path() == "/api" { edit(r, |j| j["openapi"] = Json::Null) };
-    "/conf/core/conformance-success" "Core is not claimed"
-        ask nothing, answer |a, r| if a.path() == "/conformance" { edit(r, |j| j["conformsTo"] = json!(["http://x/other"])) };
-    "/conf/core/fc-md-links" "a link of the collections has no type"
-        ask nothing, answer |a, r| if a.path() == "/collections" { edit(r, |j| j["links"][0]["type"] = Json::Null) };
-    "/conf/core/fc-md-items-links" "a collection has no link to its items"
-        ask nothing, answer |a, r| if a.path() == "/collections" { edit(r, |j| without_items(&mut j["collections"][0])) };
-    "/conf/core/sfc-md-success" "a collection is titled otherwise by itself"
-        ask nothing, answer |a, r| if a.path() == "/collections/devices" { edit(r, |j| j["title"] = "other".into()) };
-    "/conf/core/sfc-md-unknown" "a collection that is none is there"
-        ask nothing, answer |a, r| if a.has("no-such-collection") { r.status = 200 };
-    "/conf/core/fc-response" "features have no type"
-        ask nothing, answer |_, r| features(r, |l| l.iter_mut().for_each(|f| f["type"] = Json::Null));
-    "/conf/core/fc-limit-definition" "limit is defined without its most"
-        ask nothing, answer |a, r| if a.path() == "/api" { edit(r, |j| *parameter(j, "limit") = json!({"type": "integer", "minimum": 1})) };
-    "/conf/core/fc-limit-response" "one feature more than the limit"
-        ask nothing, answer |_, r| features(r, |l| l.extend(l.first().cloned()));
-    "/conf/core/fc-bbox-response" "the box is passed over"
-        ask |a| cut(a, "bbox"), answer as_is;
-    "/conf/core/fc-time-response" "the time is passed over"
-        ask |a| cut(a, "datetime"), answer as_is;
-    "/conf/core/query-param-unknown" "a parameter that is not known is passed over"
-        ask |a| cut(a, "no-such-parameter"), answer as_is;
-    "/conf/core/query-param-invalid" "a limit of none is taken"
-        ask |a| if a.has("limit=0") { cut(a, "limit") }, answer as_is;
-    "/conf/core/fc-links" "there is no next link"
-        ask nothing, answer |a, r| if a.has("limit=2") { without(r, "next") };
-    "/conf/core/fc-next-complete" "a feature of each page is lost"
-        ask nothing, answer |a, r| if a.has("limit=97") { features(r, |l| { l.pop(); }) };
-    "/conf/core/fc-timeStamp" "the time stamp is none"
-        ask nothing, answer |_, r| edit(r, |j| j["timeStamp"] = "today".into());
-    "/conf/core/fc-numberMatched" "one more is said to match"
-        ask nothing, answer |_, r| edit(r, |j| if let Some(n) = j["numberMatched"].as_u64() { j["numberMatched"] = (n + 1).into() });
-    "/conf/core/fc-numberReturned" "one more is said to be returned"
-        ask nothing, answer |_, r| edit(r, |j| j["numberReturned"] = json!(j["numberReturned"].as_u64().unwrap_or(0) + 1));
-    "/conf/core/f-success" "another feature comes for an id"
-        ask nothing, answer |a, r| if a.has("/items/") { edit(r, |j| j["id"] = "other".into()) };
-    "/conf/core/f-links" "a feature has no link to its collection"
-        ask nothing, answer |a, r| if a.has("/items/") { without(r, "collection") };
-    "/conf/core/f-unknown" "a feature that is none is there"
-        ask nothing, answer |a, r| if a.has("no-such-feature") { r.status = 200 };
-    "/conf/core/http" "HEAD has a body"
-        ask |a| if a.method == "HEAD" { a.method = "GET".to_owned() }, answer as_is;
-    "/conf/core/cache" "what is known is sent again"
-        ask |a| a.headers.retain(|h| !h.0.eq_ignore_ascii_case("if-none-match")), answer as_is;
-    "/conf/core/problem" "an error is plain text"
-        ask nothing, answer |_, r| if r.status >= 400 { r.headers.insert("content-type".to_owned(), "text/plain".to_owned()); };
-    "/conf/geojson/definition" "features come as plain JSON"
-        ask nothing, answer |_, r| if r.header("content-type") == "application/geo+json" { r.headers.insert("content-type".to_owned(), "application/json".to_owned()); };
-    "/conf/geojson/content" "a geometry is of no kind"
-        ask nothing, answer |_, r| features(r, |l| if let Some(f) = l.first_mut() { f["geometry"]["type"] = "Spot".into() });
-    "/conf/html/definition" "HTML is not served"
-        ask |a| a.headers.retain(|h| !h.0.eq_ignore_ascii_case("accept")), answer as_is;
-    "/conf/html/content" "features are not drawn"
-        ask nothing, answer |_, r| if r.header("content-type").starts_with("text/html") { r.body = r.text().replace("<circle", "<x").into_bytes() };
-    "/conf/oas30/completeness" "the API lacks the items"
-        ask nothing, answer |a, r| if a.path() == "/api" { edit(r, |j| j["paths"]["/collections/{collectionId}/items"] = Json::Null) };
-    "/conf/crs/fc-md-crs-list" "CRS84 is not listed"
-        ask nothing, answer |a, r| if a.path() == "/collections/devices" { edit(r, |j| j["crs"] = json!(["http://www.opengis.net/def/crs/EPSG/0/4326"])) };
-    "/conf/crs/fc-md-storageCrs-valid-value" "the stored system is not listed"
-        ask nothing, answer |a, r| if a.path() == "/collections/devices" { edit(r, |j| j["storageCrs"] = "http://www.opengis.net/def/crs/EPSG/0/1".into()) };
-    "/conf/crs/fc-crs-valid-value" "a system that is none is taken"
-        ask |a| if a.has("EPSG/0/1") { cut(a, "crs") }, answer as_is;
-    "/conf/crs/fc-crs-action" "latitude and longitude are the wrong way round"
-        ask nothing, answer |a, r| if a.has("EPSG/0/4326") && !a.has("bbox") { features(r, |l| l.iter_mut().for_each(turn)) };
-    "/conf/crs/bbox-crs-action" "the box's system is passed over"
-        ask |a| cut(a, "bbox-crs"), answer as_is;
-    "/conf/crs/ogc-crs-header-value" "the header names another system"
-        ask nothing, answer |_, r| { r.headers.insert("content-crs".to_owned(), "<http://www.opengis.net/def/crs/EPSG/0/3857>".to_owned()); };
-    "/conf/schemas/properties" "a property is not in the schema"
-        ask nothing, answer |a, r| if a.path().ends_with("/schema") { edit(r, |j| { if let Some(p) = j["properties"].as_object_mut() { p.remove("volts"); } }) };
-    "/conf/sorting/sortby" "two features are the wrong way round"
-        ask nothing, answer |a, r| if a.has("sortby") { features(r, |l| l.reverse()) };
-    "/conf/sorting/sortby-ties" "features that stand alike are lost between pages"
-        ask nothing, answer |a, r| if a.has("sortby") { features(r, |l| { l.pop(); }) };
-    "/conf/property-selection/properties" "all properties come"
-        ask |a| cut(a, "properties"), answer as_is;
-    "/req/queryables/get-queryables-response" "the queryables have no $id"
-        ask nothing, answer |a, r| if a.path().ends_with("/queryables") { edit(r, |j| j["$id"] = Json::Null) };
-    "/req/filter/filter-param" "the filter is passed over"
-        ask |a| cut(a, "filter"), answer as_is;
-    "/req/filter/filter-lang-param" "any language is taken"
-        ask |a| if a.has("no-such-language") { cut(a, "filter-lang"); cut(a, "filter") }, answer as_is;
-    "/req/filter/filter-crs-param" "the filter's system is passed over"
-        ask |a| cut(a, "filter-crs"), answer as_is;
-    "/req/features-filter/queryable-unknown" "a name that is none is taken"
-        ask |a| if a.has("no_such_queryable") { cut(a, "filter") }, answer as_is;
-    "/req/basic-cql2/cql2-filter" "less or equal is taken for less"
-        ask |a| a.target = a.target.replace("+%3C%3D+", "+%3C+"), answer as_is;
-    "/req/basic-cql2/is-null" "what has no value passes its negation"
-        ask |a| a.target = a.target.replace("NOT+%28feeder+%3D+%27no+such+value%27%29", "TRUE"), answer as_is;
-    "/req/advanced-comparison-operators/between-predicate" "an end of a span is left out"
-        ask |a| a.target = a.target.replace("volts+BETWEEN", "volts+%2B+1+BETWEEN"), answer as_is;
-    "/req/case-insensitive-comparison/casei-function" "case is not passed over"
-        ask |a| a.target = a.target.replace("CASEI", ""), answer as_is;
-    "/req/spatial-functions/spatial-predicates" "within is taken for disjoint"
-        ask |a| a.target = a.target.replace("S_WITHIN", "S_DISJOINT"), answer as_is;
-    "/req/temporal-functions/temporal-predicates" "after is taken for before"
-        ask |a| a.target = a.target.replace("T_AFTER", "T_BEFORE"), answer as_is;
-    "/req/array-functions/array-predicates" "contains is taken for overlaps"
-        ask |a| a.target = a.target.replace("A_EQUALS", "A_OVERLAPS"), answer as_is;
-    "/req/arithmetic/arithmetic" "a product is taken for a sum"
-        ask |a| a.target = a.target.replace("+*+", "+%2B+"), answer as_is;
-    "/req/search/post" "the area of a search is passed over"
-        ask |a| if a.target == "/search" { a.body = json!({"collections": ["devices"], "limit": 500}).to_string().into_bytes() }, answer as_is;
+fn forward(client: &mut Client, request: &ForwardedRequest) -> Result<Response, ClientError> {
+    let headers: Vec<(&str, &str)> =
+        request.headers.iter().map(|header| (header.name.as_str(), header.value.as_str())).collect();
+    client.request(&request.method, &request.target, &headers, &request.body)
 }
 
-fn without_items(collection: &mut Json) {
-    if let Some(links) = collection["links"].as_array_mut() {
-        links.retain(|l| l["rel"] != "items");
+fn write_response(stream: &mut TcpStream, request: &ForwardedRequest, response: &Response) -> io::Result<()> {
+    let compressed = request.accepts_encoding() && response.header("content-encoding") == "gzip";
+    let body = if compressed { compress(&response.body)? } else { response.body.clone() };
+    let mut bytes = format!("HTTP/1.1 {} X\r\n", response.status);
+    let passed_on = response.headers.iter().filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
+    for (name, value) in passed_on {
+        bytes.push_str(&format!("{name}: {value}\r\n"));
     }
-}
-
-fn turn(feature: &mut Json) {
-    if let Some(c) = feature["geometry"]["coordinates"].as_array_mut() {
-        c.reverse();
+    bytes.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
+    let mut bytes = bytes.into_bytes();
+    if request.method != "HEAD" {
+        bytes.extend_from_slice(&body);
     }
+    stream.write_all(&bytes)
 }
 
-/// The schema of a parameter of the items.
-fn parameter<'j>(api: &'j mut Json, name: &str) -> &'j mut Json {
-    let list = &mut api["paths"]["/collections/{collectionId}/items"]["get"]["parameters"];
-    let at = list.as_array().and_then(|l| l.iter().position(|p| p["name"] == name)).unwrap_or(0);
-    &mut list[at]["schema"]
+fn compress(body: &[u8]) -> io::Result<Vec<u8>> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(body)?;
+    encoder.finish()
 }
--- /dev/null
+++ b/lab/src/fault_scenario/client.rs
@@ -0,0 +1,210 @@
+//! Clients of a fault scenario: they send queries, follow links and check the answers.
+
+use super::fleet::{shard_of_feature, FEATURES_PER_SHARD, SHARDS};
+use super::lock;
+use super::query::{Class, Query, QueryLog};
+use super::report::{AnswerKind, AnswerViolation, Report, Violation};
+use crate::client::{Client, ClientError, Response};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// How long a client wants to wait, in seconds, as its header says.
+const TIMEOUT_SECONDS: f64 = 2.0;
+/// Beyond the client's time by so much an answer counts as late: the network margin of a busy machine.
+const NETWORK_MARGIN: Duration = Duration::from_millis(250);
+/// How many network margins beyond its time a client waits for a response.
+const MARGINS_WAITED: u32 = 4;
+/// Pages of a query at most, with those that were requested again.
+const MAX_PAGES: usize = 60;
+const RETRY_BACKOFF: Duration = Duration::from_millis(100);
+const LIMITS: [usize; 4] = [10, 100, 500, 5_000];
+/// One in so many queries follows its links to the end.
+const QUERIES_PER_FOLLOWED: u8 = 4;
+/// The part of the shards that an answer must have at least.
+const MIN_SHARE: f64 = 0.4;
+/// Slack for the division of shards.
+const SHARE_TOLERANCE: f64 = 1e-9;
+
+/// A client that sends one query after the other.
+pub(super) struct ScenarioClient<'a> {
+    client: Client,
+    rng: fastrand::Rng,
+    next_mark: &'a AtomicU64,
+    queries: &'a QueryLog,
+    report: &'a Mutex<Report>,
+}
+
+/// What the pages of a query have given so far.
+#[derive(Default)]
+struct Answers {
+    ids: Vec<String>,
+    missing: BTreeSet<String>,
+    violations: Vec<AnswerViolation>,
+    /// Whether the last page had no `next` link.
+    at_end: bool,
+}
+
+impl<'a> ScenarioClient<'a> {
+    pub(super) fn new(
+        address: SocketAddr,
+        seed: u64,
+        next_mark: &'a AtomicU64,
+        queries: &'a QueryLog,
+        report: &'a Mutex<Report>,
+    ) -> Self {
+        let mut client = Client::new(address);
+        client.timeout = Duration::from_secs_f64(TIMEOUT_SECONDS) + NETWORK_MARGIN * MARGINS_WAITED;
+        ScenarioClient { client, rng: fastrand::Rng::with_seed(seed), next_mark, queries, report }
+    }
+
+    /// Sends a random query, follows its links if it does, and reports what is wrong.
+    pub(super) fn run_query(&mut self) {
+        let query = Query {
+            class: Class::ALL[self.rng.usize(..Class::ALL.len())],
+            mark: self.next_mark.fetch_add(1, Relaxed),
+            follows_links: self.rng.u8(..QUERIES_PER_FOLLOWED) == 0,
+            limit: LIMITS[self.rng.usize(..LIMITS.len())],
+        };
+        self.queries.record_query(&query);
+        let answers = self.request_pages(&query);
+        let (mark, class) = (query.mark, query.class.name());
+        let violations = answers.into_violations().into_iter();
+        let violations = violations.map(|violation| Violation::Answer { mark, class, violation });
+        lock(self.report).violations.extend(violations);
+    }
+
+    fn request_pages(&mut self, query: &Query) -> Answers {
+        let mut answers = Answers::default();
+        let mut next = Some(query.first_target());
+        let mut pages = 0;
+        while let Some(target) = next.take() {
+            let (response, kind) = self.request_page(query, &target, &mut answers);
+            let Ok(response) = response else {
+                answers.violations.push(AnswerViolation::NoResponse);
+                break;
+            };
+            match kind {
+                AnswerKind::Complete | AnswerKind::Partial => {
+                    answers.add_page(query, &response, kind);
+                    let link = response.link("next");
+                    answers.at_end = link.is_none();
+                    next = link.filter(|_| query.follows_links);
+                }
+                AnswerKind::Rejected if !response.headers.contains_key("retry-after") => {
+                    answers.violations.push(AnswerViolation::NoRetryAfter);
+                }
+                AnswerKind::Rejected | AnswerKind::Failed | AnswerKind::DeadlineExceeded => {
+                    if query.follows_links && query.class != Class::Once && pages > 0 && pages < MAX_PAGES {
+                        std::thread::sleep(RETRY_BACKOFF);
+                        next = Some(target);
+                    }
+                }
+                AnswerKind::Other => answers.violations.push(AnswerViolation::UnexpectedStatus {
+                    status: response.status,
+                    body: response.text(),
+                }),
+                AnswerKind::StaleCursor | AnswerKind::Lost => {}
+            }
+            pages += 1;
+        }
+        answers
+    }
+
+    /// Requests one page and records its latency and kind.
+    fn request_page(
+        &mut self,
+        query: &Query,
+        target: &str,
+        answers: &mut Answers,
+    ) -> (Result<Response, ClientError>, AnswerKind) {
+        let started = Instant::now();
+        self.queries.record_page(query.mark, started);
+        let timeout = TIMEOUT_SECONDS.to_string();
+        let headers = [("X-Qos", query.class.name()), ("X-Expires-In", timeout.as_str())];
+        let response = self.client.get_with(target, &headers);
+        let latency = started.elapsed();
+        let kind = response.as_ref().map_or(AnswerKind::Lost, kind_of);
+        lock(self.report).record_answer(query.class.name(), kind, latency);
+        if latency > Duration::from_secs_f64(TIMEOUT_SECONDS) + NETWORK_MARGIN {
+            answers.violations.push(AnswerViolation::Late(latency));
+        }
+        (response, kind)
+    }
+}
+
+fn kind_of(response: &Response) -> AnswerKind {
+    match response.status {
+        200 if response.header("x-answer-whole") == "true" => AnswerKind::Complete,
+        200 => AnswerKind::Partial,
+        410 => AnswerKind::StaleCursor,
+        503 => AnswerKind::Rejected,
+        504 => AnswerKind::DeadlineExceeded,
+        502 => AnswerKind::Failed,
+        _ => AnswerKind::Other,
+    }
+}
+
+impl Answers {
+    /// Checks a page by itself and adds it.
+    fn add_page(&mut self, query: &Query, response: &Response, kind: AnswerKind) {
+        let json = response.json();
+        let missing: BTreeSet<String> = json["missing"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|shard| shard.as_str().map(str::to_owned))
+            .collect();
+        if (kind == AnswerKind::Complete) != missing.is_empty() {
+            let missing = missing.clone();
+            self.violations.push(AnswerViolation::WrongCompleteness { kind, missing });
+        }
+        if query.class != Class::Part && kind == AnswerKind::Partial {
+            self.violations.push(AnswerViolation::PartialNotAllowed);
+        }
+        self.missing.extend(missing);
+        let present = SHARDS.len() - self.missing.len();
+        if present as f64 / SHARDS.len() as f64 + SHARE_TOLERANCE < MIN_SHARE {
+            self.violations.push(AnswerViolation::BelowMinShare { missing: self.missing.clone() });
+        }
+        let page = response.ids();
+        let number_returned = &json["numberReturned"];
+        if page.len() > query.limit || *number_returned != page.len() {
+            self.violations.push(AnswerViolation::WrongCount {
+                features: page.len(),
+                limit: query.limit,
+                number_returned: number_returned.to_string(),
+            });
+        }
+        self.ids.extend(page);
+    }
+
+    /// Checks all pages together; all that is wrong.
+    fn into_violations(mut self) -> Vec<AnswerViolation> {
+        let unique: BTreeSet<&String> = self.ids.iter().collect();
+        // A server that gives a feature twice over pages, as one of the faults does, is found out within an answer only.
+        if unique.len() != self.ids.len() {
+            self.violations.push(AnswerViolation::DuplicateFeatures(self.ids.len() - unique.len()));
+        }
+        if self.ids.iter().any(|id| shard_of_feature(id).is_none()) {
+            self.violations.push(AnswerViolation::UnknownFeature);
+        }
+        if self.at_end && !self.ids.is_empty() {
+            self.check_shards();
+        }
+        self.violations
+    }
+
+    /// Each shard must be complete that is not called missing.
+    fn check_shards(&mut self) {
+        for (index, shard) in SHARDS.into_iter().enumerate() {
+            let received = self.ids.iter().filter(|id| shard_of_feature(id) == Some(index)).count();
+            if !self.missing.contains(shard) && received != FEATURES_PER_SHARD {
+                let expected = FEATURES_PER_SHARD;
+                self.violations.push(AnswerViolation::IncompleteShard { received, expected, shard });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/fault_scenario/fleet.rs
@@ -0,0 +1,91 @@
+//! The servers of a fault scenario: six machines of two servers each, which hold three shards.
+
+use crate::feature_server::{devices, Capabilities, Fault, FeatureServer, ALL_FAULTS};
+use std::io;
+use std::ops::Range;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
+
+const MACHINES: usize = 6;
+const SERVERS_PER_MACHINE: usize = 2;
+/// Features of each shard: more than a page.
+pub(super) const FEATURES_PER_SHARD: usize = 900;
+/// Numbers of devices of one shard are this far apart from those of the next.
+const NUMBERS_PER_SHARD: usize = 10_000;
+pub(super) const SHARDS: [&str; 3] = ["east", "north", "south"];
+const CAPABILITIES: [Capabilities; 3] =
+    [Capabilities::FiltersAndSorting, Capabilities::SimpleFilters, Capabilities::Core];
+
+/// A machine; its fault befalls both of its servers.
+#[derive(Clone, Default)]
+pub(super) struct Machine {
+    /// 0: none; otherwise one more than the index in [`ALL_FAULTS`].
+    fault: Arc<AtomicUsize>,
+}
+
+impl Machine {
+    /// Sets its fault by the index in [`ALL_FAULTS`], or none.
+    pub(super) fn set_fault(&self, index: Option<usize>) {
+        self.fault.store(index.map_or(0, |index| index + 1), Relaxed);
+    }
+
+    /// The fault of a server's request by its number: hangs and delays at all requests, others at every second one.
+    fn fault_of_request(&self, number: u64) -> Fault {
+        let Some(index) = self.fault.load(Relaxed).checked_sub(1) else { return Fault::None };
+        let fault = ALL_FAULTS[index];
+        if number.is_multiple_of(2) || matches!(fault, Fault::Hang | Fault::Slow) {
+            fault
+        } else {
+            Fault::None
+        }
+    }
+}
+
+/// All machines and their servers, in the order of machines.
+pub(super) struct Fleet {
+    pub(super) machines: [Machine; MACHINES],
+    pub(super) servers: Vec<FeatureServer>,
+}
+
+impl Fleet {
+    pub(super) fn start() -> io::Result<Fleet> {
+        let machines: [Machine; MACHINES] = Default::default();
+        let mut servers = Vec::new();
+        for (machine_number, machine) in machines.iter().enumerate() {
+            for place in 0..SERVERS_PER_MACHINE {
+                let shard = shard_of_server(SERVERS_PER_MACHINE * machine_number + place);
+                let capabilities = CAPABILITIES[(machine_number + place) % CAPABILITIES.len()];
+                let server = FeatureServer::start(devices(device_numbers(shard)), capabilities)?;
+                let machine = machine.clone();
+                server.set_fault_script(move |number, _| machine.fault_of_request(number));
+                servers.push(server);
+            }
+        }
+        Ok(Fleet { machines, servers })
+    }
+
+    /// The rows of the inventory, with one server draining or none.
+    pub(super) fn inventory(&self, draining: Option<usize>) -> String {
+        let row = |(index, server): (usize, &FeatureServer)| {
+            let state = if draining == Some(index) { "draining" } else { "in_service" };
+            let shard = SHARDS[shard_of_server(index)];
+            server.inventory_row(&format!("s{index}"), &format!("devices/{shard}"), state)
+        };
+        self.servers.iter().enumerate().map(row).collect()
+    }
+}
+
+/// Each shard is held by four servers on four machines.
+fn shard_of_server(server: usize) -> usize {
+    (server / 4 + server % 2) % SHARDS.len()
+}
+
+fn device_numbers(shard: usize) -> Range<usize> {
+    shard * NUMBERS_PER_SHARD..shard * NUMBERS_PER_SHARD + FEATURES_PER_SHARD
+}
+
+/// The shard that a feature is in; `None` if no server has it.
+pub(super) fn shard_of_feature(id: &str) -> Option<usize> {
+    let number: usize = id.strip_prefix('d')?.parse().ok()?;
+    (0..SHARDS.len()).find(|shard| device_numbers(*shard).contains(&number))
+}
--- /dev/null
+++ b/lab/src/fault_scenario/observer.rs
@@ -0,0 +1,76 @@
+//! Checks of what the servers of a fault scenario received.
+
+use super::fleet::Fleet;
+use super::query::{mark_of_target, QueryLog};
+use super::report::{Report, Violation};
+use crate::feature_server::{Fault, LoggedRequest};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// A drained server may receive requests for so long.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+
+/// A drain of a server.
+pub(super) struct Drain {
+    /// The server's place in the fleet.
+    pub(super) server: usize,
+    /// When the program had read it.
+    pub(super) started_at: Instant,
+    /// When the program was about to be notified of its end.
+    pub(super) ended_at: Instant,
+}
+
+impl Drain {
+    /// The time since it began, if it forbids a request at this time.
+    fn forbids(&self, at: Instant) -> Option<Duration> {
+        let forbidden = at > self.started_at + DRAIN_GRACE && at < self.ended_at;
+        forbidden.then(|| at.duration_since(self.started_at))
+    }
+}
+
+/// A part of a query that is not idempotent.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Part {
+    mark: u64,
+    page: usize,
+    target: String,
+}
+
+/// Checks the logs of all servers.
+pub(super) fn observe(fleet: &Fleet, drains: &[Drain], queries: &QueryLog, report: &mut Report) {
+    let mut received: BTreeMap<Part, u32> = BTreeMap::new();
+    for (index, server) in fleet.servers.iter().enumerate() {
+        let log = server.log();
+        report.server_requests += log.len() as u64;
+        for request in log {
+            let drains = drains.iter().filter(|drain| drain.server == index);
+            let forbidden = drains.filter_map(|drain| drain.forbids(request.received_at));
+            report.violations.extend(
+                forbidden
+                    .map(|after| Violation::RequestWhileDraining { after, target: request.target.clone() }),
+            );
+            if let Some(part) = non_idempotent_part(request, queries) {
+                report.non_idempotent_parts += 1;
+                *received.entry(part).or_default() += 1;
+            }
+        }
+    }
+    report.drains = drains.len() as u64;
+    let repeated = received.into_iter().filter(|(_, times)| *times > 1);
+    report.violations.extend(repeated.map(|(part, times)| Violation::PartRepeated {
+        mark: part.mark,
+        times,
+        target: part.target,
+    }));
+}
+
+/// The part that a request was for, if it must run once at most and may have run. A request that was rejected unprocessed
+/// did not run and may be sent again.
+fn non_idempotent_part(request: LoggedRequest, queries: &QueryLog) -> Option<Part> {
+    if request.fault == Fault::TooManyRequests {
+        return None;
+    }
+    let mark = mark_of_target(&request.target)?;
+    let page = queries.non_idempotent_page(mark, request.received_at)?;
+    Some(Part { mark, page, target: request.target })
+}
--- /dev/null
+++ b/lab/src/feature_server/dataset.rs
@@ -0,0 +1,86 @@
+//! Made-up devices: the features that servers hold.
+
+use serde_json::{json, Value as Json};
+use std::ops::Range;
+
+/// Features with their texts, in the server's order.
+pub(super) struct Dataset {
+    pub(super) features: Vec<Json>,
+    pub(super) texts: Vec<String>,
+}
+
+impl Dataset {
+    pub(super) fn new(features: Vec<Json>) -> Dataset {
+        let texts = features.iter().map(Json::to_string).collect();
+        Dataset { features, texts }
+    }
+
+    /// The text of the feature with this id.
+    pub(super) fn find(&self, id: &str) -> Option<&str> {
+        let index = self.features.iter().position(|feature| feature["id"] == id)?;
+        Some(&self.texts[index])
+    }
+
+    pub(super) fn longitude_latitude(&self, index: usize) -> (f64, f64) {
+        let coordinates = &self.features[index]["geometry"]["coordinates"];
+        (coordinates[0].as_f64().unwrap_or(0.0), coordinates[1].as_f64().unwrap_or(0.0))
+    }
+
+    /// When the device was installed: its instant in time.
+    pub(super) fn installed(&self, index: usize) -> &str {
+        self.features[index]["properties"]["installed"].as_str().unwrap_or_default()
+    }
+
+    /// A property, or `id`.
+    pub(super) fn value(&self, index: usize, name: &str) -> &Json {
+        match name {
+            "id" => &self.features[index]["id"],
+            name => &self.features[index]["properties"][name],
+        }
+    }
+}
+
+/// Devices with these numbers. What each is follows from its number alone.
+#[must_use]
+pub fn devices(numbers: Range<usize>) -> Vec<Json> {
+    numbers.map(device).collect()
+}
+
+fn device(number: usize) -> Json {
+    const KINDS: [&str; 4] = ["meter", "relay", "Wächter", "café sensor"];
+    let longitude = -121.0 + (number * 7919 % 20_000) as f64 / 10_000.0;
+    let latitude = 37.0 + (number * 104_729 % 20_000) as f64 / 10_000.0;
+    let (year, month, day) = (10 + number % 15, 1 + number % 12, 1 + number % 28);
+    let feeder = if number.is_multiple_of(10) { Json::Null } else { json!(format!("F-{}", number % 40)) };
+    json!({
+        "type": "Feature", "id": format!("d{number:05}"),
+        "geometry": {"type": "Point", "coordinates": [longitude, latitude]},
+        "properties": {
+            "name": format!("{} {number}", KINDS[number % KINDS.len()]),
+            "volts": 110 + number * 31 % 140,
+            "live": !number.is_multiple_of(3),
+            "installed": format!("20{year:02}-{month:02}-{day:02}T00:00:00Z"),
+            "tags": [format!("t{}", number % 5), format!("z{}", number % 7)],
+            "feeder": feeder,
+        }
+    })
+}
+
+/// The document of `/collections/ID/queryables`.
+pub(super) fn queryables() -> Json {
+    json!({
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        "type": "object",
+        "additionalProperties": false,
+        "properties": {
+            "id": {"type": "string"},
+            "name": {"type": "string"},
+            "volts": {"type": "number"},
+            "live": {"type": "boolean"},
+            "installed": {"type": "string", "format": "date-time"},
+            "tags": {"type": "array"},
+            "feeder": {"type": "string"},
+            "geometry": {"format": "geometry-point"}
+        }
+    })
+}
--- /dev/null
+++ b/lab/src/feature_server/items.rs
@@ -0,0 +1,199 @@
+//! Pages of features: selection by filter, box and time, order, and `next` links.
+
+use super::connection::Document;
+use super::dataset::Dataset;
+use super::{Capabilities, Fault, RegisteredRequest, ServerState};
+use quinceflow::front::ogc::cql2::{self, Matcher};
+use serde_json::{json, Value as Json};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+const DEFAULT_LIMIT: usize = 10;
+const MAX_LIMIT: usize = 500;
+/// The media type of pages, as their links have it.
+const GEO_JSON: &str = "application/geo+json";
+
+/// A request for features of a collection.
+pub(super) struct ItemsRequest<'a> {
+    path: &'a str,
+    parameters: BTreeMap<String, String>,
+}
+
+/// A part of a selection, by indices into it.
+#[derive(Clone, Copy)]
+struct PageRange {
+    start: usize,
+    end: usize,
+}
+
+impl<'a> ItemsRequest<'a> {
+    pub(super) fn new(path: &'a str, query: &str) -> Self {
+        let parameters = url::form_urlencoded::parse(query.as_bytes()).into_owned().collect();
+        ItemsRequest { path, parameters }
+    }
+
+    fn text(&self, name: &str) -> Option<&str> {
+        self.parameters.get(name).map(String::as_str)
+    }
+
+    fn number(&self, name: &str) -> Option<usize> {
+        self.text(name)?.parse().ok()
+    }
+
+    fn page_range(&self, selected: usize, fault: Fault) -> PageRange {
+        let limit = self.number("limit").unwrap_or(DEFAULT_LIMIT).clamp(1, MAX_LIMIT);
+        let limit = if fault == Fault::ShortPage { limit.div_ceil(2) } else { limit };
+        let start = self.number("offset").unwrap_or(0).min(selected);
+        PageRange { start, end: (start + limit).min(selected) }
+    }
+
+    /// The links of a page after which the features from `offset` on follow.
+    fn links(&self, offset: usize, selected: usize) -> Json {
+        if offset >= selected {
+            return json!([]);
+        }
+        let mut query = url::form_urlencoded::Serializer::new(String::new());
+        query.extend_pairs(self.parameters.iter().filter(|p| p.0 != "offset" && p.0 != "limit"));
+        query.append_pair("limit", self.text("limit").unwrap_or("10"));
+        if offset > 0 {
+            query.append_pair("offset", &offset.to_string());
+        }
+        json!([{"rel": "next", "href": format!("{}?{}", self.path, query.finish()), "type": GEO_JSON}])
+    }
+}
+
+impl ServerState {
+    /// A page of features, or a bad request.
+    pub(super) fn items(&self, items: &ItemsRequest<'_>, request: RegisteredRequest) -> Document {
+        let mut selected: Vec<usize> = (0..self.dataset.features.len()).collect();
+        if let Some(filter) = items.text("filter") {
+            if self.capabilities == Capabilities::Core {
+                return Document::bad_request("no filter is known here");
+            }
+            let Ok(filter) = cql2::read_text(filter) else { return Document::bad_request("the filter") };
+            let matcher = Matcher::new(filter);
+            selected.retain(|index| matcher.matches(&self.dataset.features[*index]));
+        }
+        if let Some(bbox) = items.text("bbox") {
+            let Some(bbox) = BoundingBox::parse(bbox) else { return Document::bad_request("the box") };
+            selected.retain(|index| bbox.contains(self.dataset.longitude_latitude(*index)));
+        }
+        if let Some(interval) = items.text("datetime") {
+            let interval = TimeInterval::parse(interval);
+            selected.retain(|index| interval.contains(self.dataset.installed(*index)));
+        }
+        if let Some(keys) = items.text("sortby") {
+            if self.capabilities != Capabilities::FiltersAndSorting {
+                return Document::bad_request("no order is known here");
+            }
+            sort(&self.dataset, &mut selected, keys);
+        }
+        self.page(items, request, &selected)
+    }
+
+    fn page(&self, items: &ItemsRequest<'_>, request: RegisteredRequest, selected: &[usize]) -> Document {
+        let RegisteredRequest { number, fault } = request;
+        let range = items.page_range(selected.len(), fault);
+        self.slots.work(range.end - range.start);
+        let mut texts: Vec<&str> = selected[range.start..range.end]
+            .iter()
+            .map(|index| self.dataset.texts[*index].as_str())
+            .collect();
+        if fault == Fault::DuplicateFeature {
+            texts.extend(texts.first().copied());
+        }
+        let next_offset = if fault == Fault::LinkToSelf { range.start } else { range.end };
+        let links = items.links(next_offset, selected.len());
+        let excess = if fault == Fault::UnstableCount { number % 7 + 1 } else { 0 };
+        let matched = selected.len() as u64 + excess;
+        Document::geo_json(format!(
+            "{{\"type\":\"FeatureCollection\",\"numberMatched\":{matched},\"links\":{links},\"features\":[{}]}}",
+            texts.join(",\n")
+        ))
+    }
+}
+
+/// A box of longitudes and latitudes; with west beyond east it crosses the antimeridian.
+struct BoundingBox {
+    west: f64,
+    south: f64,
+    east: f64,
+    north: f64,
+}
+
+impl BoundingBox {
+    fn parse(text: &str) -> Option<Self> {
+        let numbers: Vec<f64> = text.split(',').filter_map(|number| number.parse().ok()).collect();
+        let [west, south, east, north] = numbers[..] else { return None };
+        Some(BoundingBox { west, south, east, north })
+    }
+
+    fn contains(&self, (longitude, latitude): (f64, f64)) -> bool {
+        let BoundingBox { west, south, east, north } = *self;
+        let across = if west <= east {
+            west <= longitude && longitude <= east
+        } else {
+            longitude >= west || longitude <= east
+        };
+        across && south <= latitude && latitude <= north
+    }
+}
+
+/// A closed interval of instants in RFC 3339 and UTC, which compare as texts. An end may be open: empty or `..`.
+struct TimeInterval<'a> {
+    start: &'a str,
+    end: &'a str,
+}
+
+impl<'a> TimeInterval<'a> {
+    fn parse(text: &'a str) -> Self {
+        let (start, end) = text.split_once('/').unwrap_or((text, text));
+        TimeInterval { start, end }
+    }
+
+    fn contains(&self, instant: &str) -> bool {
+        let is_open = |end: &str| matches!(end, "" | "..");
+        (is_open(self.start) || instant >= self.start) && (is_open(self.end) || instant <= self.end)
+    }
+}
+
+/// A property to sort by.
+struct SortKey<'a> {
+    name: &'a str,
+    descending: bool,
+}
+
+impl<'a> SortKey<'a> {
+    fn parse(text: &'a str) -> Self {
+        match text.strip_prefix('-') {
+            Some(name) => SortKey { name, descending: true },
+            None => SortKey { name: text.trim_start_matches(['+', ' ']), descending: false },
+        }
+    }
+
+    /// Features without a value come last in both directions.
+    fn compare(&self, left: &Json, right: &Json) -> Ordering {
+        let ascending = match (left, right) {
+            (Json::Null, Json::Null) => Ordering::Equal,
+            (Json::Null, _) => return Ordering::Greater,
+            (_, Json::Null) => return Ordering::Less,
+            (Json::String(left), Json::String(right)) => left.cmp(right),
+            (left, right) => left.as_f64().partial_cmp(&right.as_f64()).unwrap_or(Ordering::Equal),
+        };
+        if self.descending {
+            ascending.reverse()
+        } else {
+            ascending
+        }
+    }
+}
+
+/// Sorts by these keys, separated by commas; the sort is stable.
+fn sort(dataset: &Dataset, selected: &mut [usize], keys: &str) {
+    let keys: Vec<SortKey<'_>> = keys.split(',').map(SortKey::parse).collect();
+    selected.sort_by(|left, right| {
+        keys.iter().fold(Ordering::Equal, |order, key| {
+            order.then(key.compare(dataset.value(*left, key.name), dataset.value(*right, key.name)))
+        })
+    });
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,4 +1,5 @@
-//! Stand-ins, load and checks for quinceflow. The program links none of it; this links the program's filters.
+//! Test kit of quinceflow: stand-ins, load, fault injection and conformance checks. The program links none of it; the kit
+//! links the program's filter evaluator for its stand-ins.
 #![forbid(unsafe_code)]
 
 pub mod client;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,153 +1,193 @@
-//! Load on an edge, and what it takes: latencies by `hdrhistogram`, requests, bytes and memory.
+//! Load on a server: closed-loop and open-loop clients, with latencies in an HDR histogram.
 
-use crate::client::{Client, Response};
+use crate::client::{Client, ClientError, Response};
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// What came of a load.
+/// Queries of an open-loop load that are in flight at a time at most.
+const MAX_IN_FLIGHT: usize = 400;
+/// A query that is due with less time left than this fails without being sent.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
+/// Stack of a client's thread: there may be hundreds.
+const CLIENT_STACK_BYTES: usize = 256 * 1024;
+/// The largest latency that the histogram holds, in microseconds.
+const MAX_LATENCY_MICROS: u64 = 60_000_000;
+/// Significant decimal digits of the histogram.
+const HISTOGRAM_DIGITS: u8 = 3;
+
+/// What a load measured.
 #[derive(Debug)]
-pub struct Load {
-    /// Times of the answers that served, in microseconds.
-    pub times: Histogram<u64>,
-    /// Answers: served, refused, and others.
+pub struct LoadResult {
+    /// Latencies of the served queries, in microseconds.
+    pub latencies: Histogram<u64>,
+    /// Queries answered with 200, within the time that was set.
     pub served: u64,
-    /// See `served`.
-    pub refused: u64,
-    /// See `served`.
+    /// Queries answered with 503.
+    pub rejected: u64,
+    /// All other queries.
     pub failed: u64,
-    /// Bytes of the served answers' bodies.
+    /// Bytes of the served responses' bodies.
     pub bytes: u64,
-    /// How long it went on.
-    pub lasted: Duration,
+    /// How long the load ran.
+    pub elapsed: Duration,
 }
 
-impl Load {
-    /// A quantile of the times, in milliseconds.
-    pub fn ms(&self, quantile: f64) -> f64 {
-        self.times.value_at_quantile(quantile) as f64 / 1e3
+impl LoadResult {
+    /// A quantile of the latencies, in milliseconds.
+    #[must_use]
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latencies.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Served queries a second.
+    #[must_use]
+    pub fn served_per_second(&self) -> f64 {
+        self.served as f64 / self.elapsed.as_secs_f64()
     }
 
-    /// Served answers a second.
-    pub fn rate(&self) -> f64 {
-        self.served as f64 / self.lasted.as_secs_f64()
+    /// All queries.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.served + self.rejected + self.failed
     }
 }
 
-/// Counts of a load that goes on.
+/// Counts of a running load.
 #[derive(Default)]
-struct Counts {
+struct Recorder {
     served: AtomicU64,
-    refused: AtomicU64,
+    rejected: AtomicU64,
     failed: AtomicU64,
     bytes: AtomicU64,
-    times: Mutex<Vec<u64>>,
+    latencies_micros: Mutex<Vec<u64>>,
 }
 
-impl Counts {
-    /// An answer came, so long after it was due; later than `wanted` it counts as failed.
-    fn came(&self, answer: std::io::Result<Response>, took: Duration, wanted: Duration) {
-        match answer {
-            Ok(a) if a.status == 200 && took <= wanted => {
+impl Recorder {
+    /// Records a response, or its absence, so long after the query was due; later than `timeout` it counts as failed.
+    fn record(&self, response: Result<Response, ClientError>, latency: Duration, timeout: Duration) {
+        match response {
+            Ok(response) if response.status == 200 && latency <= timeout => {
                 self.served.fetch_add(1, Relaxed);
-                self.bytes.fetch_add(a.body.len() as u64, Relaxed);
-                self.times.lock().unwrap_or_else(|e| e.into_inner()).push((took.as_micros() as u64).max(1));
+                self.bytes.fetch_add(response.body.len() as u64, Relaxed);
+                let micros = (latency.as_micros() as u64).max(1);
+                self.latencies_micros.lock().unwrap_or_else(PoisonError::into_inner).push(micros);
             }
-            Ok(a) if a.status == 503 => {
-                self.refused.fetch_add(1, Relaxed);
-            }
-            _ => {
-                self.failed.fetch_add(1, Relaxed);
+            Ok(response) if response.status == 503 => {
+                self.rejected.fetch_add(1, Relaxed);
             }
+            _ => self.record_failure(),
         }
     }
 
-    fn over(self, lasted: Duration) -> Load {
-        let bounds = Histogram::new_with_bounds(1, 60_000_000, 3);
-        let mut times = bounds.unwrap_or_else(|_| unreachable!("fixed bounds"));
-        for time in self.times.into_inner().unwrap_or_else(|e| e.into_inner()) {
-            times.saturating_record(time);
+    fn record_failure(&self) {
+        self.failed.fetch_add(1, Relaxed);
+    }
+
+    fn finish(self, elapsed: Duration) -> LoadResult {
+        let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, HISTOGRAM_DIGITS);
+        let mut latencies = histogram.unwrap_or_else(|_| unreachable!("fixed bounds"));
+        for micros in self.latencies_micros.into_inner().unwrap_or_else(PoisonError::into_inner) {
+            latencies.saturating_record(micros);
         }
-        Load {
-            times,
+        LoadResult {
+            latencies,
             served: self.served.into_inner(),
-            refused: self.refused.into_inner(),
+            rejected: self.rejected.into_inner(),
             failed: self.failed.into_inner(),
             bytes: self.bytes.into_inner(),
-            lasted,
+            elapsed,
         }
     }
 }
 
-/// So many clients, each asking one query after the other, for so long. Of each the target is `target(client, number)`.
-pub fn closed(
+/// A closed loop: each of the clients sends one query after the other, for so long. `target(client, number)` gives the
+/// target of a client's query.
+pub fn run_closed_loop(
     address: SocketAddr,
     clients: usize,
-    lasts: Duration,
+    duration: Duration,
     target: impl Fn(usize, u64) -> String + Sync,
-) -> Load {
-    let (counts, over) = (Counts::default(), AtomicBool::new(false));
-    let began = Instant::now();
+) -> LoadResult {
+    let (recorder, stopped) = (Recorder::default(), AtomicBool::new(false));
+    let started = Instant::now();
     std::thread::scope(|scope| {
-        for number in 0..clients {
-            let (target, over, counts) = (&target, &over, &counts);
+        for client_number in 0..clients {
+            let (target, stopped, recorder) = (&target, &stopped, &recorder);
             scope.spawn(move || {
                 let mut client = Client::new(address);
-                let mut asked = 0;
-                while !over.load(Relaxed) {
-                    let at = Instant::now();
-                    let answer = client.get(&target(number, asked));
-                    asked += 1;
-                    counts.came(answer, at.elapsed(), Duration::MAX);
+                let mut sent = 0;
+                while !stopped.load(Relaxed) {
+                    let sent_at = Instant::now();
+                    let response = client.get(&target(client_number, sent));
+                    sent += 1;
+                    recorder.record(response, sent_at.elapsed(), Duration::MAX);
                 }
             });
         }
-        std::thread::sleep(lasts);
-        over.store(true, Relaxed);
+        std::thread::sleep(duration);
+        stopped.store(true, Relaxed);
     });
-    counts.over(began.elapsed())
+    recorder.finish(started.elapsed())
 }
 
-/// Queries at a steady rate, whatever becomes of them, for so long. What is not answered within `wanted` of its time counts as
-/// failed; its connection is given up then. At most some hundred are under way: beyond that a query is failed unasked.
-pub fn open(
-    address: SocketAddr,
-    rate: f64,
-    lasts: Duration,
-    wanted: Duration,
-    target: impl Fn(u64) -> String + Sync,
-) -> Load {
-    const MOST: usize = 400;
-    let (counts, next) = (Counts::default(), AtomicU64::new(0));
-    let total = (rate * lasts.as_secs_f64()) as u64;
-    let began = Instant::now();
-    std::thread::scope(|scope| {
-        for _ in 0..MOST {
-            let (target, counts, next) = (&target, &counts, &next);
-            let work = move || {
-                let mut client = Client::new(address);
-                loop {
-                    let number = next.fetch_add(1, Relaxed);
-                    if number >= total {
-                        return;
-                    }
-                    let due = began + Duration::from_secs_f64(number as f64 / rate);
-                    std::thread::sleep(due.saturating_duration_since(Instant::now()));
-                    // Counted from when it was due: a client that comes late has waited.
-                    let left = wanted.saturating_sub(due.elapsed());
-                    if left < Duration::from_millis(1) {
-                        counts.failed.fetch_add(1, Relaxed);
-                        continue;
-                    }
-                    client.timeout = left;
-                    let answer = client.get(&target(number));
-                    counts.came(answer, due.elapsed(), wanted);
-                }
-            };
-            let _ = std::thread::Builder::new().stack_size(256 * 1024).spawn_scoped(scope, work);
+/// An open loop: queries are due at a steady rate whatever becomes of them.
+#[derive(Debug, Clone, Copy)]
+pub struct OpenLoop {
+    /// The server.
+    pub address: SocketAddr,
+    /// Queries a second.
+    pub rate: f64,
+    /// For how long queries are due.
+    pub duration: Duration,
+    /// A query without an answer so long after it was due counts as failed, and its connection is closed.
+    pub timeout: Duration,
+}
+
+impl OpenLoop {
+    /// Runs it; `target(number)` gives the target of a query. Where [`MAX_IN_FLIGHT`] queries are in flight, those that
+    /// are due meanwhile start late and may fail without being sent.
+    pub fn run(&self, target: impl Fn(u64) -> String + Sync) -> LoadResult {
+        let (recorder, next) = (Recorder::default(), AtomicU64::new(0));
+        let started = Instant::now();
+        std::thread::scope(|scope| {
+            for _ in 0..MAX_IN_FLIGHT {
+                let (target, recorder, next) = (&target, &recorder, &next);
+                let client = move || self.run_client(started, next, recorder, target);
+                let _ =
+                    std::thread::Builder::new().stack_size(CLIENT_STACK_BYTES).spawn_scoped(scope, client);
+            }
+        });
+        recorder.finish(started.elapsed())
+    }
+
+    fn run_client(
+        &self,
+        started: Instant,
+        next: &AtomicU64,
+        recorder: &Recorder,
+        target: &impl Fn(u64) -> String,
+    ) {
+        let total = (self.rate * self.duration.as_secs_f64()) as u64;
+        let mut client = Client::new(self.address);
+        loop {
+            let number = next.fetch_add(1, Relaxed);
+            if number >= total {
+                return;
+            }
+            let due = started + Duration::from_secs_f64(number as f64 / self.rate);
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            // Counted from when it was due: a query that starts late has waited already.
+            let time_left = self.timeout.saturating_sub(due.elapsed());
+            if time_left < MIN_TIME_LEFT {
+                recorder.record_failure();
+                continue;
+            }
+            client.timeout = time_left;
+            let response = client.get(&target(number));
+            recorder.record(response, due.elapsed(), self.timeout);
         }
-    });
-    counts.over(began.elapsed())
+    }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,14 +1,24 @@
-//! Stand-ins, load and checks for quinceflow.
+//! The command line of the test kit.
 #![forbid(unsafe_code)]
 
-use clap::{Parser, Subcommand};
-use quinceflow_testkit::conformance::{Checked, Outcome, Suite};
-use quinceflow_testkit::demo::{self, Demo};
-use quinceflow_testkit::{fault_scenario, measure, process};
-use std::net::ToSocketAddrs;
+use clap::builder::PossibleValue;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use quinceflow_testkit::conformance::{CheckResult, OpenError, Outcome, Suite};
+use quinceflow_testkit::demo::{Demo, DemoError};
+use quinceflow_testkit::fault_scenario::{self, PlantedFault, Report, ScenarioError, ScenarioOptions};
+use quinceflow_testkit::measure::{self, MeasureError, Plan, Version, THIS_VERSION};
+use quinceflow_testkit::process::{find_program, ProcessError};
+use std::io;
+use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use thiserror::Error;
+
+/// Violations that are printed at most.
+const MAX_PRINTED_VIOLATIONS: usize = 40;
+/// The exit status if a command could not be run to its end.
+const EXIT_ERROR: u8 = 2;
 
 /// Stand-ins, load and checks for quinceflow; everything stays on loopback
 #[derive(Parser)]
@@ -20,133 +30,228 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Start stand-in feature servers and the edge over them, and print what to try
-    Demo {
-        /// Ask some queries, check the answers, print a table and end
-        #[arg(long)]
-        once: bool,
-        /// The program; by default the one beside this
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-    },
-    /// Ask for minutes under a mix of faults and count every rule; exit 1 if one was broken
-    Storm {
-        /// How long
-        #[arg(long, default_value_t = 120)]
-        seconds: u64,
-        /// Plant a fault that must be found: twice or limit
-        #[arg(long, value_parser = fault_scenario::PLANTED)]
-        plant: Option<String>,
-        /// Where the faults and queries begin
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// The program; by default the one beside this
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-    },
-    /// Measure the front for feature queries, beside an earlier version if one is named; prints Markdown
-    Measure {
-        /// The program of an earlier version
-        #[arg(long, value_name = "FILE")]
-        beside: Option<PathBuf>,
-        /// What the earlier version is called
-        #[arg(long, default_value = "earlier")]
-        name: String,
-        /// How long each load lasts
-        #[arg(long, default_value_t = 5)]
-        seconds: u64,
-        /// Features of each of the two shards
-        #[arg(long, default_value_t = 20_000)]
-        each: usize,
-        /// The program; by default the one beside this
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-    },
+    /// Start stand-in feature servers and the front over them, and print queries to try
+    Demo(DemoArguments),
+    /// Send queries for minutes under a mix of faults and check every rule; exit 1 if one was broken
+    #[command(alias = "storm")]
+    FaultScenario(ScenarioArguments),
+    /// Measure the front for feature queries, and an earlier version if one is named; prints Markdown
+    Measure(MeasureArguments),
     /// Check a service against the standards; exit 1 on any failure
-    Conform {
-        /// Its landing page, such as http://127.0.0.1:8080/
-        url: String,
-        /// Write the outcomes there as JSON
-        #[arg(long, value_name = "FILE")]
-        json: Option<PathBuf>,
-    },
+    #[command(alias = "conform")]
+    Conformance(ConformanceArguments),
+}
+
+#[derive(Args)]
+struct ProgramArgument {
+    /// The program; by default the one beside this
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct DemoArguments {
+    /// Send the queries, check the answers, print a table and end
+    #[arg(long)]
+    once: bool,
+    #[command(flatten)]
+    program: ProgramArgument,
+}
+
+#[derive(Args)]
+struct ScenarioArguments {
+    /// How long
+    #[arg(long, default_value_t = 120)]
+    seconds: u64,
+    /// Plant a fault that must be found
+    #[arg(long)]
+    plant: Option<PlantArgument>,
+    /// The seed of faults and queries
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[command(flatten)]
+    program: ProgramArgument,
+}
+
+#[derive(Args)]
+struct MeasureArguments {
+    /// The program of an earlier version
+    #[arg(long, alias = "beside", value_name = "FILE")]
+    baseline: Option<PathBuf>,
+    /// What the earlier version is called
+    #[arg(long, alias = "name", value_name = "NAME", default_value = "earlier")]
+    baseline_name: String,
+    /// How long each load lasts
+    #[arg(long, default_value_t = 5)]
+    seconds: u64,
+    /// Features of each of the two shards
+    #[arg(long, alias = "each", value_name = "COUNT", default_value_t = 20_000)]
+    features_per_shard: usize,
+    #[command(flatten)]
+    program: ProgramArgument,
+}
+
+#[derive(Args)]
+struct ConformanceArguments {
+    /// Its landing page, such as http://127.0.0.1:8080/
+    url: String,
+    /// Write the outcomes there as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// A planted fault by its name on the command line.
+#[derive(Clone, Copy)]
+struct PlantArgument(PlantedFault);
+
+impl ValueEnum for PlantArgument {
+    fn value_variants<'a>() -> &'a [Self] {
+        &[PlantArgument(PlantedFault::DuplicateRequests), PlantArgument(PlantedFault::ExcessFeatures)]
+    }
+
+    fn to_possible_value(&self) -> Option<PossibleValue> {
+        Some(match self.0 {
+            PlantedFault::DuplicateRequests => PossibleValue::new("duplicate-requests").alias("twice"),
+            PlantedFault::ExcessFeatures => PossibleValue::new("excess-features").alias("limit"),
+        })
+    }
+}
+
+/// Why a command could not be run to its end.
+#[derive(Debug, Error)]
+enum CommandError {
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    #[error(transparent)]
+    Demo(#[from] DemoError),
+    #[error(transparent)]
+    Scenario(#[from] ScenarioError),
+    #[error(transparent)]
+    Measure(#[from] MeasureError),
+    #[error(transparent)]
+    Url(#[from] url::ParseError),
+    #[error("the URL has no host")]
+    NoHost,
+    #[error("the URL has no port")]
+    NoPort,
+    #[error("no address")]
+    NoAddress,
+    #[error(transparent)]
+    Resolve(io::Error),
+    #[error(transparent)]
+    Open(#[from] OpenError),
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error("{}: {source}", .file.display())]
+    Write { file: PathBuf, source: io::Error },
 }
 
 fn main() -> ExitCode {
     match run(Arguments::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
-        Err(why) => {
-            eprintln!("quinceflow-testkit: {why}");
-            ExitCode::from(2)
+        Err(error) => {
+            eprintln!("quinceflow-testkit: {error}");
+            ExitCode::from(EXIT_ERROR)
         }
     }
 }
 
-fn run(command: Command) -> Result<bool, String> {
+/// Runs a command. False: it found something wrong.
+fn run(command: Command) -> Result<bool, CommandError> {
     match command {
-        Command::Demo { once, program } => {
-            let program = program.map_or_else(process::program, Ok).map_err(|e| e.to_string())?;
-            let demo = Demo::start(&program).map_err(|e| e.to_string())?;
-            if !once {
-                return demo::run(&demo).map(|()| true).map_err(|e| e.to_string());
-            }
-            demo::once(&demo).map_err(|e| e.to_string())
-        }
-        Command::Storm { seconds, seed, plant, program } => {
-            let program = program.map_or_else(process::program, Ok).map_err(|e| e.to_string())?;
-            let report = fault_scenario::run(&program, Duration::from_secs(seconds), seed, plant.as_deref())
-                .map_err(|e| e.to_string())?;
-            for ((class, kind), count) in &report.answers {
-                println!("{class:<6} {kind:<12} {count:>8}");
-            }
-            println!(
-                "requests at servers {}, parts that must not run twice {}, drains {}, slowest answer {} ms",
-                report.requests,
-                report.unsafe_parts,
-                report.drains,
-                report.slowest.as_millis()
-            );
-            println!("{}", report.counters);
-            for rule in report.broken.iter().take(40) {
-                println!("BROKEN {rule}");
-            }
-            println!("{} rules broken", report.broken.len());
-            Ok(report.broken.is_empty())
-        }
-        Command::Measure { beside, name, seconds, each, program } => {
-            let program = program.map_or_else(process::program, Ok).map_err(|e| e.to_string())?;
-            let earlier = beside.map(|file| (name, file));
-            let programs = earlier.into_iter().chain([("this version".to_owned(), program)]).collect();
-            let plan = measure::Plan { programs, seconds, each };
-            print!("{}", measure::run(&plan).map_err(|e| e.to_string())?);
-            Ok(true)
-        }
-        Command::Conform { url, json } => conform(&url, json),
+        Command::Demo(arguments) => run_demo(arguments),
+        Command::FaultScenario(arguments) => run_scenario(arguments),
+        Command::Measure(arguments) => run_measure(arguments),
+        Command::Conformance(arguments) => run_conformance(&arguments),
     }
 }
 
-fn conform(url: &str, json: Option<PathBuf>) -> Result<bool, String> {
-    let url = url::Url::parse(url).map_err(|e| e.to_string())?;
-    let host = url.host_str().ok_or("the URL has no host")?.trim_matches(['[', ']']);
-    let port = url.port_or_known_default().ok_or("the URL has no port")?;
-    let address = (host, port).to_socket_addrs().map_err(|e| e.to_string())?.next().ok_or("no address")?;
-    let mut suite = Suite::open(address, url.path())?;
-    let made = suite.run();
-    let count = |is: fn(&Outcome) -> bool| made.iter().filter(|c| is(&c.outcome)).count();
-    for Checked { id, outcome } in &made {
-        match outcome {
-            Outcome::Pass => println!("pass            {id}"),
-            Outcome::Fail(why) => println!("FAIL            {id}: {why}"),
-            Outcome::NotApplicable(why) => println!("not applicable  {id}: {why}"),
-        }
+impl ProgramArgument {
+    fn path(self) -> Result<PathBuf, ProcessError> {
+        self.program.map_or_else(find_program, Ok)
+    }
+}
+
+fn run_demo(arguments: DemoArguments) -> Result<bool, CommandError> {
+    let demo = Demo::start(&arguments.program.path()?)?;
+    if arguments.once {
+        return Ok(demo.check_once()?);
+    }
+    demo.run_until_signal()?;
+    Ok(true)
+}
+
+fn run_scenario(arguments: ScenarioArguments) -> Result<bool, CommandError> {
+    let options = ScenarioOptions {
+        duration: Duration::from_secs(arguments.seconds),
+        seed: arguments.seed,
+        planted: arguments.plant.map(|plant| plant.0),
+    };
+    let report = fault_scenario::run(&arguments.program.path()?, &options)?;
+    print_report(&report);
+    Ok(report.violations.is_empty())
+}
+
+fn print_report(report: &Report) {
+    for (group, count) in &report.answers {
+        println!("{:<6} {:<12} {count:>8}", group.class, group.kind);
     }
-    let failed = count(|o| matches!(o, Outcome::Fail(_)));
-    let passed = count(|o| matches!(o, Outcome::Pass));
-    println!("{passed} passed, {failed} failed, {} not applicable", made.len() - passed - failed);
-    if let Some(file) = json {
-        let text = serde_json::to_vec_pretty(&made).map_err(|e| e.to_string())?;
-        std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    println!(
+        "requests at servers {}, parts that must not run twice {}, drains {}, slowest answer {} ms",
+        report.server_requests,
+        report.non_idempotent_parts,
+        report.drains,
+        report.slowest.as_millis()
+    );
+    println!("{}", report.counters);
+    for violation in report.violations.iter().take(MAX_PRINTED_VIOLATIONS) {
+        println!("BROKEN {violation}");
+    }
+    println!("{} rules broken", report.violations.len());
+}
+
+fn run_measure(arguments: MeasureArguments) -> Result<bool, CommandError> {
+    let this = Version { name: THIS_VERSION.to_owned(), program: arguments.program.path()? };
+    let name = arguments.baseline_name;
+    let baseline = arguments.baseline.map(|program| Version { name, program });
+    let plan = Plan {
+        versions: baseline.into_iter().chain([this]).collect(),
+        load_duration: Duration::from_secs(arguments.seconds),
+        features_per_shard: arguments.features_per_shard,
+    };
+    print!("{}", measure::run(&plan)?);
+    Ok(true)
+}
+
+fn run_conformance(arguments: &ConformanceArguments) -> Result<bool, CommandError> {
+    let url = url::Url::parse(&arguments.url)?;
+    let mut suite = Suite::open(resolve(&url)?, url.path())?;
+    let results = suite.run();
+    results.iter().for_each(print_result);
+    let count = |matches: fn(&Outcome) -> bool| results.iter().filter(|r| matches(&r.outcome)).count();
+    let failed = count(|outcome| matches!(outcome, Outcome::Fail(_)));
+    let passed = count(|outcome| matches!(outcome, Outcome::Pass));
+    println!("{passed} passed, {failed} failed, {} not applicable", results.len() - passed - failed);
+    if let Some(file) = &arguments.json {
+        let text = serde_json::to_vec_pretty(&results)?;
+        std::fs::write(file, text).map_err(|source| CommandError::Write { file: file.clone(), source })?;
     }
     Ok(failed == 0)
 }
+
+fn print_result(CheckResult { id, outcome }: &CheckResult) {
+    match outcome {
+        Outcome::Pass => println!("pass            {id}"),
+        Outcome::Fail(reason) => println!("FAIL            {id}: {reason}"),
+        Outcome::NotApplicable(reason) => println!("not applicable  {id}: {reason}"),
+    }
+}
+
+/// The address of a URL's host and port.
+fn resolve(url: &url::Url) -> Result<SocketAddr, CommandError> {
+    let host = url.host_str().ok_or(CommandError::NoHost)?.trim_matches(['[', ']']);
+    let port = url.port_or_known_default().ok_or(CommandError::NoPort)?;
+    let mut addresses = (host, port).to_socket_addrs().map_err(CommandError::Resolve)?;
+    addresses.next().ok_or(CommandError::NoAddress)
+}
--- /dev/null
+++ b/lab/src/measure/overload.rs
@@ -0,0 +1,103 @@
+//! The table of an open-loop load beyond the servers' capacity, in Markdown.
+
+use super::test_bed::{TestBed, SETTINGS};
+use super::{MeasureError, Plan, Version, THIS_VERSION};
+use crate::feature_server::Capacity;
+use crate::load::{LoadResult, OpenLoop};
+use crate::process::EdgeProcess;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// A class with a short deadline, for overload.
+const SHORT_CLASSES: &str = "
+[[class]]
+name = \"map\"
+aim_ms = 1000
+deadline_ms = 1500
+";
+
+/// Limits that a version is measured with.
+struct Limits {
+    name: &'static str,
+    settings: &'static str,
+}
+
+const THIS_VERSION_LIMITS: &[Limits] = &[
+    Limits { name: "adaptive", settings: "[limits]\nmode = \"adaptive\"\n" },
+    Limits { name: "fixed", settings: "[limits]\nmode = \"fixed\"\nadmission = false\n" },
+];
+/// An earlier version may know of no limits.
+const EARLIER_VERSION_LIMITS: &[Limits] = &[Limits { name: "", settings: "" }];
+
+const SERVER_SLOTS: usize = 4;
+const PAGE_TIME: Duration = Duration::from_millis(20);
+/// Pages a second of one server: `SERVER_SLOTS / PAGE_TIME`.
+const PAGES_PER_SECOND: f64 = 200.0;
+/// Pages of an average query: two for a small answer, and twenty for one in ten.
+const PAGES_PER_QUERY: f64 = 3.8;
+const OVERLOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Loads as multiples of the servers' capacity.
+const LOAD_FACTORS: [f64; 3] = [0.5, 2.0, 4.0];
+/// One in so many queries requests a large answer.
+const QUERIES_PER_LARGE: u64 = 10;
+const LARGE_LIMIT: usize = 5_000;
+const SMALL_LIMIT: usize = 10;
+
+/// Queries answered in time beyond the servers' capacity, with adaptive limits and with fixed ones.
+pub(super) fn measure_overload(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+    let capacity = Capacity { slots: SERVER_SLOTS, base: PAGE_TIME, per_feature: Duration::ZERO };
+    bed.servers.iter().for_each(|server| server.set_capacity(Some(capacity)));
+    let total_pages = PAGES_PER_SECOND * bed.servers.len() as f64;
+    let _ = writeln!(
+        text,
+        "Servers of 4 slots and 20 ms a page (together {total_pages:.0} pages a second); clients ask one device's page (a first answer \
+         asks both shards: 2 pages) at a steady rate and want it within 1 s; one in ten asks 5,000 features. In time: answers \
+         within 1 s of those asked for.\n"
+    );
+    let _ = writeln!(text, "| program and limits | times what they bear | asked | in time | share | refused | late or failed | p99 ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for factor in LOAD_FACTORS {
+        for version in &plan.versions {
+            let is_this = version.name == THIS_VERSION;
+            for limits in if is_this { THIS_VERSION_LIMITS } else { EARLIER_VERSION_LIMITS } {
+                let rate = total_pages * factor / PAGES_PER_QUERY;
+                let load = run_overload(plan, bed, version, limits, rate)?;
+                write_overload_row(text, version, limits, factor, &load);
+            }
+        }
+    }
+    bed.servers.iter().for_each(|server| server.set_capacity(None));
+    text.push('\n');
+    Ok(())
+}
+
+fn run_overload(
+    plan: &Plan,
+    bed: &TestBed,
+    version: &Version,
+    limits: &Limits,
+    rate: f64,
+) -> Result<LoadResult, MeasureError> {
+    let classes = format!("{SHORT_CLASSES}{}", limits.settings);
+    let process = EdgeProcess::start(&version.program, SETTINGS, &bed.inventory(), &classes)?;
+    let load =
+        OpenLoop { address: process.address, rate, duration: plan.load_duration, timeout: OVERLOAD_TIMEOUT };
+    Ok(load.run(|number| {
+        let limit = if number % QUERIES_PER_LARGE == 0 { LARGE_LIMIT } else { SMALL_LIMIT };
+        format!("/collections/devices/items?limit={limit}")
+    }))
+}
+
+fn write_overload_row(text: &mut String, version: &Version, limits: &Limits, factor: f64, load: &LoadResult) {
+    let total = load.total();
+    let _ = writeln!(
+        text,
+        "| {} {} | {factor} | {total} | {} | {:.2} | {} | {} | {:.0} |",
+        version.name,
+        limits.name,
+        load.served,
+        load.served as f64 / total.max(1) as f64,
+        load.rejected,
+        load.failed,
+        load.quantile_ms(0.99)
+    );
+}
--- /dev/null
+++ b/lab/src/measure/tables.rs
@@ -0,0 +1,207 @@
+//! Tables of single answers, latencies, memory and throughput, in Markdown.
+
+use super::test_bed::TestBed;
+use super::{MeasureError, Plan, Version};
+use crate::client::Client;
+use crate::load::{run_closed_loop, LoadResult};
+use crate::process::EdgeProcess;
+use std::fmt::Write as _;
+use std::time::{Duration, Instant};
+
+const KIB: u64 = 1024;
+const PAGE_TARGET: &str = "/collections/devices/items?limit=100";
+const LARGE_PAGE_TARGET: &str = "/collections/devices/items?limit=5000";
+/// A query that makes a version known to its servers before others are measured.
+const WARM_UP_TARGET: &str = "/collections/devices/items/d00001";
+const CLIENTS: [usize; 3] = [1, 8, 32];
+const MEMORY_CLIENTS: usize = 100;
+const SHARE_CLIENTS: usize = 8;
+/// Pages that are followed by `next` at most, and for how long.
+const MAX_FOLLOWED_PAGES: usize = 200;
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Peak of the resident memory in the kernel's status page.
+const PEAK_MEMORY: &str = "VmHWM";
+/// Resident memory in the kernel's status page.
+const RESIDENT_MEMORY: &str = "VmRSS";
+
+/// A query that is measured by itself.
+struct SingleQuery {
+    description: &'static str,
+    target: &'static str,
+}
+
+const SINGLE_QUERIES: [SingleQuery; 6] = [
+    SingleQuery { description: "limit=2", target: "/collections/devices/items?limit=2" },
+    SingleQuery { description: "limit=100", target: PAGE_TARGET },
+    SingleQuery { description: "limit=5000", target: LARGE_PAGE_TARGET },
+    SingleQuery {
+        description: "a box, limit=100",
+        target: "/collections/devices/items?limit=100&bbox=-120.1,37.9,-119.9,38.1",
+    },
+    SingleQuery {
+        description: "an area, limit=100",
+        target: "/collections/devices/items?limit=100&filter=S_INTERSECTS(geometry,POLYGON((-121%2037,-120%2037,-121%2038,-121%2037)))",
+    },
+    SingleQuery {
+        description: "sortby=-volts, limit=100",
+        target: "/collections/devices/items?limit=100&sortby=-volts",
+    },
+];
+
+/// Work of single answers, and of all pages over `next`.
+pub(super) fn measure_answers(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+    let _ = writeln!(text, "| program | query | status | features | requests to servers | KiB read | KiB more memory | ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for version in &plan.versions {
+        for query in &SINGLE_QUERIES {
+            measure_single_query(version, query, bed, text)?;
+        }
+        let process = bed.start_version(&version.program)?;
+        for limit in [500, 5_000] {
+            measure_all_pages(version, &process, limit, bed, text)?;
+        }
+    }
+    text.push_str("\nMemory of `all by next` is all that the program had resident at most.\n\n");
+    Ok(())
+}
+
+/// Measures a query in a process of its own, so that its peak of memory is this answer's.
+fn measure_single_query(
+    version: &Version,
+    query: &SingleQuery,
+    bed: &TestBed,
+    text: &mut String,
+) -> Result<(), MeasureError> {
+    let process = bed.start_version(&version.program)?;
+    let mut client = Client::new(process.address);
+    client.get(WARM_UP_TARGET)?;
+    let (work_before, memory_before) = (bed.work(), memory_kib(&process, PEAK_MEMORY));
+    let started = Instant::now();
+    let response = client.get(query.target)?;
+    let elapsed_ms = started.elapsed().as_secs_f64() * 1e3;
+    let work = bed.work().since(work_before);
+    let _ = writeln!(
+        text,
+        "| {} | {} | {} | {} | {} | {} | {} | {elapsed_ms:.1} |",
+        version.name,
+        query.description,
+        response.status,
+        response.ids().len(),
+        work.requests,
+        work.body_bytes / KIB,
+        memory_kib(&process, PEAK_MEMORY).saturating_sub(memory_before)
+    );
+    Ok(())
+}
+
+/// Follows `next` links from a first page of so many features.
+fn measure_all_pages(
+    version: &Version,
+    process: &EdgeProcess,
+    limit: usize,
+    bed: &TestBed,
+    text: &mut String,
+) -> Result<(), MeasureError> {
+    let mut client = Client::new(process.address);
+    client.timeout = FOLLOW_TIMEOUT;
+    let (work_before, started) = (bed.work(), Instant::now());
+    let mut next = Some(format!("/collections/devices/items?limit={limit}"));
+    let (mut features, mut pages) = (0, 0);
+    while let Some(target) = next {
+        let response = client.get(&target)?;
+        features += response.ids().len();
+        pages += 1;
+        let goes_on = pages < MAX_FOLLOWED_PAGES && started.elapsed() < FOLLOW_TIMEOUT;
+        next = response.link("next").filter(|_| goes_on);
+    }
+    let work = bed.work().since(work_before);
+    let _ = writeln!(
+        text,
+        "| {} | all by next, limit={limit} ({pages} answers) | 200 | {features} | {} | {} | {} | {:.0} |",
+        version.name,
+        work.requests,
+        work.body_bytes / KIB,
+        memory_kib(process, PEAK_MEMORY),
+        started.elapsed().as_secs_f64() * 1e3
+    );
+    Ok(())
+}
+
+fn memory_kib(process: &EdgeProcess, name: &str) -> u64 {
+    process.memory_kib(name).unwrap_or(0)
+}
+
+fn quantile_columns(load: &LoadResult) -> String {
+    format!("{:.1} | {:.1} | {:.1}", load.quantile_ms(0.5), load.quantile_ms(0.99), load.quantile_ms(0.999))
+}
+
+/// Latencies at three closed-loop loads.
+pub(super) fn measure_loads(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+    let seconds = plan.load_duration.as_secs();
+    let _ = writeln!(text, "`limit=100` by so many clients at a time, {seconds} s each:\n");
+    let _ = writeln!(text, "| program | clients | answers a second | p50 ms | p99 ms | p99.9 ms | refused | failed |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for clients in CLIENTS {
+        for Version { name, program } in &plan.versions {
+            let process = bed.start_version(program)?;
+            let load =
+                run_closed_loop(process.address, clients, plan.load_duration, |_, _| PAGE_TARGET.to_owned());
+            let _ = writeln!(
+                text,
+                "| {name} | {clients} | {:.0} | {} | {} | {} |",
+                load.served_per_second(),
+                quantile_columns(&load),
+                load.rejected,
+                load.failed
+            );
+        }
+    }
+    text.push('\n');
+    Ok(())
+}
+
+/// Memory with a hundred clients that request large pages.
+pub(super) fn measure_memory(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+    let _ = writeln!(text, "{MEMORY_CLIENTS} clients at `limit=5000`, {} s:\n", plan.load_duration.as_secs());
+    let _ = writeln!(text, "| program | answers | refused | failed | MiB resident before | MiB at most |\n| --- | --- | --- | --- | --- | --- |");
+    for Version { name, program } in &plan.versions {
+        let process = bed.start_version(program)?;
+        let before_kib = memory_kib(&process, RESIDENT_MEMORY);
+        let load = run_closed_loop(process.address, MEMORY_CLIENTS, plan.load_duration, |_, _| {
+            LARGE_PAGE_TARGET.to_owned()
+        });
+        let _ = writeln!(
+            text,
+            "| {name} | {} | {} | {} | {} | {} |",
+            load.served,
+            load.rejected,
+            load.failed,
+            before_kib / KIB,
+            memory_kib(&process, PEAK_MEMORY) / KIB
+        );
+    }
+    text.push('\n');
+    Ok(())
+}
+
+/// Throughput as a share of that of one stand-in without the program.
+pub(super) fn measure_share(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+    let direct = run_closed_loop(bed.servers[0].address, SHARE_CLIENTS, plan.load_duration, |_, _| {
+        "/collections/north/items?limit=100".to_owned()
+    });
+    let _ = writeln!(
+        text,
+        "`limit=100` by {SHARE_CLIENTS} clients, beside one stand-in asked directly ({:.0} answers a second):\n",
+        direct.served_per_second()
+    );
+    let _ = writeln!(text, "| program | answers a second | share |\n| --- | --- | --- |");
+    for Version { name, program } in &plan.versions {
+        let process = bed.start_version(program)?;
+        let load = run_closed_loop(process.address, SHARE_CLIENTS, plan.load_duration, |_, _| {
+            PAGE_TARGET.to_owned()
+        });
+        let share = load.served_per_second() / direct.served_per_second();
+        let _ = writeln!(text, "| {name} | {:.0} | {share:.2} |", load.served_per_second());
+    }
+    text.push('\n');
+    Ok(())
+}
--- a/lab/tests/fault_scenario.rs
+++ b/lab/tests/fault_scenario.rs
@@ -1,14 +1,31 @@
-//! The storm's observer finds what is planted.
+//! The observer of the fault scenario finds planted faults.
 
-use quinceflow_testkit::{fault_scenario, process};
+use quinceflow_testkit::fault_scenario::{
+    self, AnswerViolation, PlantedFault, Report, ScenarioOptions, Violation,
+};
+use quinceflow_testkit::process::find_program;
 use std::time::Duration;
 
+fn run_with(planted: PlantedFault) -> Report {
+    let program = find_program().expect("the program is built with the workspace");
+    let options = ScenarioOptions { duration: Duration::from_millis(300), seed: 5, planted: Some(planted) };
+    fault_scenario::run(&program, &options).expect("it runs")
+}
+
 #[test]
 fn planted_faults_are_seen_from_the_wire() {
-    let program = process::program().expect("the program is built with the workspace");
-    for (plant, words) in [("twice", "came 2 times"), ("limit", "features, limit")] {
-        let report =
-            fault_scenario::run(&program, Duration::from_millis(300), 5, Some(plant)).expect("it runs");
-        assert!(report.broken.iter().any(|b| b.contains(words)), "{plant}: {:?}", report.broken.first());
-    }
+    let report = run_with(PlantedFault::DuplicateRequests);
+    let is_repeated = |violation: &Violation| {
+        matches!(violation, Violation::PartRepeated { times: 2, .. })
+            && violation.to_string().contains("came 2 times")
+    };
+    assert!(report.violations.iter().any(is_repeated), "{:?}", report.violations.first());
+
+    let report = run_with(PlantedFault::ExcessFeatures);
+    let is_excess = |violation: &Violation| {
+        let Violation::Answer { violation: answer, .. } = violation else { return false };
+        matches!(answer, AnswerViolation::WrongCount { .. })
+            && violation.to_string().contains("features, limit")
+    };
+    assert!(report.violations.iter().any(is_excess), "{:?}", report.violations.first());
 }
