--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -50,6 +50,58 @@
     pub timeout: Duration,
 }
 
+/// A header of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Header<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its value.
+    pub value: &'a str,
+}
+
+impl<'a> Header<'a> {
+    /// A header of this name and value.
+    #[must_use]
+    pub const fn new(name: &'a str, value: &'a str) -> Self {
+        Header { name, value }
+    }
+}
+
+/// A request.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// Its method.
+    pub method: &'a str,
+    /// Its path and query.
+    pub target: &'a str,
+    /// Headers beside `Host` and `Content-Length`.
+    pub headers: &'a [Header<'a>],
+    /// Its body; none if it is empty.
+    pub body: &'a [u8],
+}
+
+impl<'a> Request<'a> {
+    /// A request without a body.
+    #[must_use]
+    pub const fn new(method: &'a str, target: &'a str, headers: &'a [Header<'a>]) -> Self {
+        Request { method, target, headers, body: &[] }
+    }
+
+    /// The bytes that are sent.
+    fn to_bytes(self, host: SocketAddr) -> Vec<u8> {
+        let Request { method, target, headers, body } = self;
+        let mut head = format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n");
+        for Header { name, value } in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !body.is_empty() {
+            head.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        }
+        head.push_str("\r\n");
+        [head.as_bytes(), body].concat()
+    }
+}
+
 /// A response.
 #[derive(Debug, Clone)]
 pub struct Response {
@@ -127,64 +179,45 @@
     /// GET.
     ///
     /// # Errors
-    /// See [`Client::request`].
+    /// See [`Client::send`].
     pub fn get(&mut self, target: &str) -> Result<Response, ClientError> {
-        self.request("GET", target, &[], &[])
+        self.get_with(target, &[])
     }
 
     /// GET with further headers.
     ///
     /// # Errors
-    /// See [`Client::request`].
-    pub fn get_with(&mut self, target: &str, headers: &[(&str, &str)]) -> Result<Response, ClientError> {
-        self.request("GET", target, headers, &[])
+    /// See [`Client::send`].
+    pub fn get_with(&mut self, target: &str, headers: &[Header<'_>]) -> Result<Response, ClientError> {
+        self.send(&Request::new("GET", target, headers))
     }
 
-    /// Any request. If a persistent connection turns out to be closed it is sent again, once, on a new one.
+    /// Sends a request and reads its response. If a persistent connection turns out to be closed it is sent again, once, on
+    /// a new one.
     ///
     /// # Errors
     /// If the server can't be reached, ends the connection before the end of the response, takes longer than the
     /// time-out, or sends a malformed response.
-    pub fn request(
-        &mut self,
-        method: &str,
-        target: &str,
-        headers: &[(&str, &str)],
-        body: &[u8],
-    ) -> Result<Response, ClientError> {
+    pub fn send(&mut self, request: &Request<'_>) -> Result<Response, ClientError> {
         let reused = self.connection.is_some();
-        let result = match self.request_once(method, target, headers, body) {
+        let result = match self.send_once(request) {
             Err(error) if reused && error.is_closed_connection() => {
                 self.connection = None;
-                self.request_once(method, target, headers, body)
+                self.send_once(request)
             }
             result => result,
         };
         result.inspect_err(|_| self.connection = None)
     }
 
-    fn request_once(
-        &mut self,
-        method: &str,
-        target: &str,
-        headers: &[(&str, &str)],
-        body: &[u8],
-    ) -> Result<Response, ClientError> {
+    fn send_once(&mut self, request: &Request<'_>) -> Result<Response, ClientError> {
         let connection = match &mut self.connection {
             Some(connection) => connection,
             none => none.insert(Connection::open(self.address, self.timeout)?),
         };
         connection.stream.set_read_timeout(Some(self.timeout))?;
-        let mut head = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
-        for (name, value) in headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        if !body.is_empty() {
-            head.push_str(&format!("Content-Length: {}\r\n", body.len()));
-        }
-        head.push_str("\r\n");
-        connection.stream.write_all(&[head.as_bytes(), body].concat())?;
-        let ReadResponse { response, closes } = connection.read_response(method == "HEAD")?;
+        connection.stream.write_all(&request.to_bytes(self.address))?;
+        let ReadResponse { response, closes } = connection.read_response(request.method == "HEAD")?;
         if closes {
             self.connection = None;
         }
--- a/lab/src/conformance/encodings.rs
+++ b/lab/src/conformance/encodings.rs
@@ -5,7 +5,7 @@
 use super::core::CORE;
 use super::documents::{api_definition, require_status};
 use super::Suite;
-use crate::client::feature_id;
+use crate::client::{feature_id, Header, Request};
 use serde_json::Value as Json;
 
 const GEO_JSON: &str = "ogcapi-features-1/1.0/conf/geojson";
@@ -30,12 +30,12 @@
 
 pub(super) const CHECKS: &[Check] = &[
     Check::new("/conf/core/http", CORE, |suite| {
-        let delete = suite.request("DELETE", "/collections", &[], &[])?;
+        let delete = suite.send(&Request::new("DELETE", "/collections", &[]))?;
         require(delete.status == 405 && !delete.header("allow").is_empty(), || {
             format!("DELETE: {} without Allow", delete.status)
         })?;
         let path = suite.items_path();
-        let head = suite.request("HEAD", &path, &[], &[])?;
+        let head = suite.send(&Request::new("HEAD", &path, &[]))?;
         let get = suite.get(&path)?;
         let is_head_of_get = head.status == 200
             && head.body.is_empty()
@@ -48,7 +48,7 @@
         if tag.is_empty() {
             return Err(Stop::not_applicable("no ETag is given"));
         }
-        let again = suite.get_with(&path, &[("If-None-Match", &tag)])?;
+        let again = suite.get_with(&path, &[Header::new("If-None-Match", &tag)])?;
         require(again.status == 304 && again.body.is_empty(), || {
             format!("status {} for a tag that is known", again.status)
         })
@@ -56,7 +56,7 @@
     Check::new("/conf/core/gzip", ANY, |suite| {
         let path = format!("{}?limit=200", suite.items_path());
         let plain = suite.get(&path)?;
-        let compressed = suite.get_with(&path, &[("Accept-Encoding", "gzip")])?;
+        let compressed = suite.get_with(&path, &[Header::new("Accept-Encoding", "gzip")])?;
         if compressed.header("content-encoding") != "gzip" {
             return Err(Stop::not_applicable("answers are not made small"));
         }
@@ -69,7 +69,7 @@
         let items = suite.items_path();
         let item = format!("{items}/{}", feature_id(suite.first_feature()?));
         for path in [items, item] {
-            let response = suite.get_with(&path, &[("Accept", "application/geo+json")])?;
+            let response = suite.get_with(&path, &[Header::new("Accept", "application/geo+json")])?;
             require(response.header("content-type").starts_with("application/geo+json"), || {
                 format!("{path}: {:?}", response.header("content-type"))
             })?;
@@ -84,7 +84,7 @@
     Check::new("/conf/html/definition", HTML, |suite| {
         let collection = format!("/collections/{}", suite.collection);
         for path in ["/".to_owned(), "/collections".to_owned(), collection, suite.items_path()] {
-            let response = suite.get_with(&path, &[("Accept", "text/html")])?;
+            let response = suite.get_with(&path, &[Header::new("Accept", "text/html")])?;
             let media_type = response.header("content-type");
             require(response.status == 200 && media_type.starts_with("text/html"), || {
                 format!("{path}: {} {media_type:?}", response.status)
@@ -94,7 +94,7 @@
     }),
     Check::new("/conf/html/content", HTML, html_shows_and_draws_features),
     Check::new("/conf/html/negotiation", HTML, |suite| {
-        let response = suite.get_with("/collections", &[("Accept", "image/png")])?;
+        let response = suite.get_with("/collections", &[Header::new("Accept", "image/png")])?;
         require_status(&response, 406)
     }),
     Check::new("/conf/oas30/completeness", OPEN_API, |suite| {
--- a/lab/src/conformance/filter_functions.rs
+++ b/lab/src/conformance/filter_functions.rs
@@ -5,6 +5,7 @@
 use super::filters::{number_is, quoted, require_matches};
 use super::samples::{point_of, text_of, BoundingBox, Sample};
 use super::Suite;
+use crate::client::{Header, Request};
 use serde_json::{json, Value as Json};
 
 const COMPARISON: &str = "conf/advanced-comparison-operators";
@@ -197,8 +198,10 @@
         "collections": [suite.collection], "limit": SEARCH_LIMIT, "filter-lang": "cql2-json",
         "filter": {"op": "and", "args": [above, within]}
     });
-    let headers = [("Content-Type", "application/json")];
-    let response = suite.request("POST", "/search", &headers, body.to_string().as_bytes())?;
+    let headers = [Header::new("Content-Type", "application/json")];
+    let body = body.to_string();
+    let response =
+        suite.send(&Request { body: body.as_bytes(), ..Request::new("POST", "/search", &headers) })?;
     if matches!(response.status, 404 | 405) {
         return Err(Stop::not_applicable("there is no POST /search"));
     }
--- a/lab/src/conformance/suite.rs
+++ b/lab/src/conformance/suite.rs
@@ -2,7 +2,7 @@
 
 use super::all_checks;
 use super::check::{features_of, require, Check, CheckResult, Outcome, Stop};
-use crate::client::{feature_id, target_of, Client, Response};
+use crate::client::{feature_id, target_of, Client, Header, Request, Response};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -104,22 +104,17 @@
     }
 
     /// GET with further headers.
-    pub(super) fn get_with(&mut self, path: &str, headers: &[(&str, &str)]) -> Result<Response, Stop> {
-        self.request("GET", path, headers, &[])
-    }
-
-    /// Any request; what is rejected for now is sent again, as a client would.
-    pub(super) fn request(
-        &mut self,
-        method: &str,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: &[u8],
-    ) -> Result<Response, Stop> {
-        let target = format!("{}{path}", self.root);
+    pub(super) fn get_with(&mut self, path: &str, headers: &[Header<'_>]) -> Result<Response, Stop> {
+        self.send(&Request::new("GET", path, headers))
+    }
+
+    /// Sends a request whose target is below the service's root; what is rejected for now is sent again, as a client would.
+    pub(super) fn send(&mut self, request: &Request<'_>) -> Result<Response, Stop> {
+        let target = format!("{}{}", self.root, request.target);
+        let request = Request { target: &target, ..*request };
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            let response = self.client.request(method, &target, headers, body)?;
+            let response = self.client.send(&request)?;
             if !matches!(response.status, 429 | 500..=504) {
                 return Ok(response);
             }
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -1,15 +1,14 @@
 //! A demonstration: the front for feature queries over stand-in feature servers, to try by hand or to check once.
 
-use crate::client::{Client, ClientError, Response};
+use crate::client::{Client, Response};
+use crate::error::RunError;
 use crate::feature_server::{devices, Capabilities, FeatureServer};
-use crate::process::{EdgeProcess, ProcessError, CLASSES};
+use crate::process::{EdgeProcess, CLASSES};
 use serde_json::Value as Json;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::io;
 use std::path::Path;
 use std::time::Instant;
-use thiserror::Error;
 
 /// Features of each of the two shards.
 const FEATURES_PER_SHARD: usize = 2_000;
@@ -27,20 +26,6 @@
 bbox = [-121.0, 37.0, -119.0, 39.0]
 ";
 
-/// Why the demonstration could not run.
-#[derive(Debug, Error)]
-pub enum DemoError {
-    /// The stand-ins or the signal handler could not be started.
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    /// The program could not be run.
-    #[error(transparent)]
-    Process(#[from] ProcessError),
-    /// An example got no response.
-    #[error(transparent)]
-    Client(#[from] ClientError),
-}
-
 /// The program over four feature servers: two shards, each on two servers of different capabilities.
 pub struct Demo {
     process: EdgeProcess,
@@ -123,7 +108,7 @@
     ///
     /// # Errors
     /// If a server or the program can't be started.
-    pub fn start(program: &Path) -> Result<Demo, DemoError> {
+    pub fn start(program: &Path) -> Result<Demo, RunError> {
         let start = |from: usize, capabilities| {
             FeatureServer::start(devices(from..from + FEATURES_PER_SHARD), capabilities)
         };
@@ -147,7 +132,7 @@
     ///
     /// # Errors
     /// If an example gets no response.
-    pub fn check_once(&self) -> Result<bool, DemoError> {
+    pub fn check_once(&self) -> Result<bool, RunError> {
         let mut client = Client::new(self.process.address);
         let all = devices(0..2 * FEATURES_PER_SHARD);
         println!(
@@ -162,7 +147,7 @@
         Ok(all_right)
     }
 
-    fn check(&self, client: &mut Client, example: &Example, expected: usize) -> Result<bool, DemoError> {
+    fn check(&self, client: &mut Client, example: &Example, expected: usize) -> Result<bool, RunError> {
         let requests_before = self.server_requests();
         let started = Instant::now();
         let response = client.get(example.target)?;
@@ -187,7 +172,7 @@
     ///
     /// # Errors
     /// If no signal handler can be set.
-    pub fn run_until_signal(&self) -> Result<(), DemoError> {
+    pub fn run_until_signal(&self) -> Result<(), RunError> {
         let mut signals = Signals::new([SIGINT, SIGTERM])?;
         let address = self.process.address;
         println!("the edge is at http://{address}/");
--- a/lab/src/fault_injection.rs
+++ b/lab/src/fault_injection.rs
@@ -6,7 +6,7 @@
 
 pub use faults::INJECTED_FAULTS;
 
-use crate::client::{Client, ClientError, Response};
+use crate::client::{Client, ClientError, Header, Request, Response};
 use flate2::{write::GzEncoder, Compression};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,12 +22,12 @@
     method: String,
     /// Path and query.
     target: String,
-    headers: Vec<Header>,
+    headers: Vec<OwnedHeader>,
     body: Vec<u8>,
 }
 
 #[derive(Debug, Clone)]
-struct Header {
+struct OwnedHeader {
     name: String,
     value: String,
 }
@@ -152,7 +152,7 @@
             "content-length" => body_length = value.parse().unwrap_or(0),
             // The client sets its own.
             "host" | "connection" => {}
-            _ => headers.push(Header { name: name.to_owned(), value: value.to_owned() }),
+            _ => headers.push(OwnedHeader { name: name.to_owned(), value: value.to_owned() }),
         }
     }
     let mut body = Vec::new();
@@ -161,9 +161,9 @@
 }
 
 fn forward(client: &mut Client, request: &ForwardedRequest) -> Result<Response, ClientError> {
-    let headers: Vec<(&str, &str)> =
-        request.headers.iter().map(|header| (header.name.as_str(), header.value.as_str())).collect();
-    client.request(&request.method, &request.target, &headers, &request.body)
+    let headers: Vec<Header<'_>> =
+        request.headers.iter().map(|header| Header::new(&header.name, &header.value)).collect();
+    client.send(&Request { body: &request.body, ..Request::new(&request.method, &request.target, &headers) })
 }
 
 fn write_response(stream: &mut TcpStream, request: &ForwardedRequest, response: &Response) -> io::Result<()> {
--- a/lab/src/fault_scenario.rs
+++ b/lab/src/fault_scenario.rs
@@ -11,19 +11,18 @@
 
 pub use report::{AnswerGroup, AnswerKind, AnswerViolation, Report, Violation};
 
+use crate::error::RunError;
 use crate::fault_injection::{FaultInjector, INJECTED_FAULTS};
 use crate::feature_server::ALL_FAULTS;
-use crate::process::{EdgeProcess, ProcessError, CLASSES};
+use crate::process::{EdgeProcess, CLASSES};
 use client::ScenarioClient;
 use fleet::Fleet;
 use observer::{observe, Drain};
 use query::QueryLog;
-use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use thiserror::Error;
 
 const CLIENTS: usize = 6;
 /// How long a fault or a drain lasts.
@@ -58,17 +57,6 @@
     pub planted: Option<PlantedFault>,
 }
 
-/// Why a scenario could not be run to its end.
-#[derive(Debug, Error)]
-pub enum ScenarioError {
-    /// A stand-in could not be started.
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    /// The program could not be run.
-    #[error(transparent)]
-    Process(#[from] ProcessError),
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -81,7 +69,7 @@
 ///
 /// # Errors
 /// If a stand-in or the program can't be started, or the program ends before its time.
-pub fn run(program: &Path, options: &ScenarioOptions) -> Result<Report, ScenarioError> {
+pub fn run(program: &Path, options: &ScenarioOptions) -> Result<Report, RunError> {
     let fleet = Fleet::start()?;
     let process = EdgeProcess::start(program, SETTINGS, &fleet.inventory(None), CLASSES)?;
     if options.planted == Some(PlantedFault::DuplicateRequests) {
@@ -121,7 +109,7 @@
     fleet: &Fleet,
     process: &EdgeProcess,
     options: &ScenarioOptions,
-) -> Result<Vec<Drain>, ScenarioError> {
+) -> Result<Vec<Drain>, RunError> {
     let mut rng = fastrand::Rng::with_seed(options.seed);
     let mut drains = Vec::new();
     let started = Instant::now();
@@ -142,7 +130,7 @@
 }
 
 /// Drains a server for a while by reloads of the inventory.
-fn drain(fleet: &Fleet, process: &EdgeProcess, server: usize) -> Result<Drain, ScenarioError> {
+fn drain(fleet: &Fleet, process: &EdgeProcess, server: usize) -> Result<Drain, RunError> {
     process.reload_inventory(&fleet.inventory(Some(server)))?;
     let started_at = Instant::now();
     std::thread::sleep(FAULT_DURATION);
--- a/lab/src/fault_scenario/client.rs
+++ b/lab/src/fault_scenario/client.rs
@@ -4,7 +4,7 @@
 use super::lock;
 use super::query::{Class, Query, QueryLog};
 use super::report::{AnswerKind, AnswerViolation, Report, Violation};
-use crate::client::{Client, ClientError, Response};
+use crate::client::{Client, ClientError, Header, Response};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -123,7 +123,7 @@
         let started = Instant::now();
         self.queries.record_page(query.mark, started);
         let timeout = TIMEOUT_SECONDS.to_string();
-        let headers = [("X-Qos", query.class.name()), ("X-Expires-In", timeout.as_str())];
+        let headers = [Header::new("X-Qos", query.class.name()), Header::new("X-Expires-In", &timeout)];
         let response = self.client.get_with(target, &headers);
         let latency = started.elapsed();
         let kind = response.as_ref().map_or(AnswerKind::Lost, kind_of);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod conformance;
 pub mod demo;
+pub mod error;
 pub mod fault_injection;
 pub mod fault_scenario;
 pub mod feature_server;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,9 +4,10 @@
 use clap::builder::PossibleValue;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use quinceflow_testkit::conformance::{CheckResult, OpenError, Outcome, Suite};
-use quinceflow_testkit::demo::{Demo, DemoError};
-use quinceflow_testkit::fault_scenario::{self, PlantedFault, Report, ScenarioError, ScenarioOptions};
-use quinceflow_testkit::measure::{self, MeasureError, Plan, Version, THIS_VERSION};
+use quinceflow_testkit::demo::Demo;
+use quinceflow_testkit::error::RunError;
+use quinceflow_testkit::fault_scenario::{self, PlantedFault, Report, ScenarioOptions};
+use quinceflow_testkit::measure::{self, Plan, Version, THIS_VERSION};
 use quinceflow_testkit::process::{find_program, ProcessError};
 use std::io;
 use std::net::{SocketAddr, ToSocketAddrs};
@@ -123,11 +124,7 @@
     #[error(transparent)]
     Process(#[from] ProcessError),
     #[error(transparent)]
-    Demo(#[from] DemoError),
-    #[error(transparent)]
-    Scenario(#[from] ScenarioError),
-    #[error(transparent)]
-    Measure(#[from] MeasureError),
+    Run(#[from] RunError),
     #[error(transparent)]
     Url(#[from] url::ParseError),
     #[error("the URL has no host")]
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -4,16 +4,13 @@
 mod tables;
 mod test_bed;
 
-use crate::client::ClientError;
-use crate::process::ProcessError;
+use crate::error::RunError;
 use overload::measure_overload;
 use std::fmt::Write as _;
-use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
 use tables::{measure_answers, measure_loads, measure_memory, measure_share};
 use test_bed::TestBed;
-use thiserror::Error;
 
 /// The name of the program that is not an earlier version.
 pub const THIS_VERSION: &str = "this version";
@@ -36,25 +33,11 @@
     pub features_per_shard: usize,
 }
 
-/// Why a measurement could not be made.
-#[derive(Debug, Error)]
-pub enum MeasureError {
-    /// A stand-in could not be started.
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    /// A version could not be run.
-    #[error(transparent)]
-    Process(#[from] ProcessError),
-    /// A single query got no response.
-    #[error(transparent)]
-    Client(#[from] ClientError),
-}
-
 /// Makes all measurements and returns them as tables in Markdown.
 ///
 /// # Errors
 /// If a stand-in or a version can't be started, or a query that is measured by itself gets no response.
-pub fn run(plan: &Plan) -> Result<String, MeasureError> {
+pub fn run(plan: &Plan) -> Result<String, RunError> {
     let bed = TestBed::start(plan.features_per_shard)?;
     let mut text = String::new();
     let _ = writeln!(
--- a/lab/src/measure/overload.rs
+++ b/lab/src/measure/overload.rs
@@ -1,7 +1,8 @@
 //! The table of an open-loop load beyond the servers' capacity, in Markdown.
 
 use super::test_bed::{TestBed, SETTINGS};
-use super::{MeasureError, Plan, Version, THIS_VERSION};
+use super::{Plan, Version, THIS_VERSION};
+use crate::error::RunError;
 use crate::feature_server::Capacity;
 use crate::load::{LoadResult, OpenLoop};
 use crate::process::EdgeProcess;
@@ -44,7 +45,7 @@
 const SMALL_LIMIT: usize = 10;
 
 /// Queries answered in time beyond the servers' capacity, with adaptive limits and with fixed ones.
-pub(super) fn measure_overload(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+pub(super) fn measure_overload(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), RunError> {
     let capacity = Capacity { slots: SERVER_SLOTS, base: PAGE_TIME, per_feature: Duration::ZERO };
     bed.servers.iter().for_each(|server| server.set_capacity(Some(capacity)));
     let total_pages = PAGES_PER_SECOND * bed.servers.len() as f64;
@@ -76,7 +77,7 @@
     version: &Version,
     limits: &Limits,
     rate: f64,
-) -> Result<LoadResult, MeasureError> {
+) -> Result<LoadResult, RunError> {
     let classes = format!("{SHORT_CLASSES}{}", limits.settings);
     let process = EdgeProcess::start(&version.program, SETTINGS, &bed.inventory(), &classes)?;
     let load =
--- a/lab/src/measure/tables.rs
+++ b/lab/src/measure/tables.rs
@@ -1,8 +1,9 @@
 //! Tables of single answers, latencies, memory and throughput, in Markdown.
 
 use super::test_bed::TestBed;
-use super::{MeasureError, Plan, Version};
+use super::{Plan, Version};
 use crate::client::Client;
+use crate::error::RunError;
 use crate::load::{run_closed_loop, LoadResult};
 use crate::process::EdgeProcess;
 use std::fmt::Write as _;
@@ -50,7 +51,7 @@
 ];
 
 /// Work of single answers, and of all pages over `next`.
-pub(super) fn measure_answers(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+pub(super) fn measure_answers(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), RunError> {
     let _ = writeln!(text, "| program | query | status | features | requests to servers | KiB read | KiB more memory | ms |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
     for version in &plan.versions {
         for query in &SINGLE_QUERIES {
@@ -71,7 +72,7 @@
     query: &SingleQuery,
     bed: &TestBed,
     text: &mut String,
-) -> Result<(), MeasureError> {
+) -> Result<(), RunError> {
     let process = bed.start_version(&version.program)?;
     let mut client = Client::new(process.address);
     client.get(WARM_UP_TARGET)?;
@@ -101,7 +102,7 @@
     limit: usize,
     bed: &TestBed,
     text: &mut String,
-) -> Result<(), MeasureError> {
+) -> Result<(), RunError> {
     let mut client = Client::new(process.address);
     client.timeout = FOLLOW_TIMEOUT;
     let (work_before, started) = (bed.work(), Instant::now());
@@ -136,7 +137,7 @@
 }
 
 /// Latencies at three closed-loop loads.
-pub(super) fn measure_loads(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+pub(super) fn measure_loads(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), RunError> {
     let seconds = plan.load_duration.as_secs();
     let _ = writeln!(text, "`limit=100` by so many clients at a time, {seconds} s each:\n");
     let _ = writeln!(text, "| program | clients | answers a second | p50 ms | p99 ms | p99.9 ms | refused | failed |\n| --- | --- | --- | --- | --- | --- | --- | --- |");
@@ -160,7 +161,7 @@
 }
 
 /// Memory with a hundred clients that request large pages.
-pub(super) fn measure_memory(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+pub(super) fn measure_memory(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), RunError> {
     let _ = writeln!(text, "{MEMORY_CLIENTS} clients at `limit=5000`, {} s:\n", plan.load_duration.as_secs());
     let _ = writeln!(text, "| program | answers | refused | failed | MiB resident before | MiB at most |\n| --- | --- | --- | --- | --- | --- |");
     for Version { name, program } in &plan.versions {
@@ -184,7 +185,7 @@
 }
 
 /// Throughput as a share of that of one stand-in without the program.
-pub(super) fn measure_share(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), MeasureError> {
+pub(super) fn measure_share(plan: &Plan, bed: &TestBed, text: &mut String) -> Result<(), RunError> {
     let direct = run_closed_loop(bed.servers[0].address, SHARE_CLIENTS, plan.load_duration, |_, _| {
         "/collections/north/items?limit=100".to_owned()
     });
