--- a/src/coordinator/figures.rs
+++ b/src/coordinator/figures.rs
@@ -4,6 +4,7 @@
 //! written. So both fronts count, and a class that a reload brings counts from its first request on.
 
 use super::Counter;
+use crate::sync::lock;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
@@ -56,13 +57,13 @@
 impl Metrics {
     /// The figures of a class. A class that is dropped keeps them: they count from the process's start.
     pub fn class(&self, name: &str) -> Arc<ClassMetrics> {
-        let mut classes = self.classes.lock().unwrap_or_else(|e| e.into_inner());
+        let mut classes = lock(&self.classes);
         classes.entry(name.to_owned()).or_default().clone()
     }
 
     /// All of them, a line each.
     pub fn dump(&self) -> String {
-        let classes = self.classes.lock().unwrap_or_else(|e| e.into_inner());
+        let classes = lock(&self.classes);
         let mut text = String::new();
         for (name, t) in classes.iter() {
             for (what, counter) in
