--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -62,7 +62,7 @@
 
     /// Does an old list tell news of it? That it drains or has gone is never taken back in the same life, so that is
     /// believed however old the list is, and a later life is. All else the newer list told better.
-    fn learns(&self, node: &Node) -> bool {
+    fn learns(&self, node: &NodeEndpoint) -> bool {
         self.later(node.started)
             || (self.ready && node.state != EndpointState::Ready && !self.earlier(node.started))
     }
@@ -306,7 +306,7 @@
             }
             .add();
         }
-        out.push(Command::Reply(token, answer));
+        out.push(Command::Reply { token, answer });
     }
 
     fn take(&mut self, now: Micros, input: Input, events: &mut Vec<Event>, out: &mut Vec<Command>) {
@@ -325,8 +325,10 @@
                 COUNTERS.written.add_n(usize::from(self.is_out(key)));
                 self.begun(key);
             }
-            Input::AttemptEnded(key, end) => self.take_end(now, key, end, events),
-            Input::Settings(set, most_held) => self.take_settings(*set, most_held, events),
+            Input::AttemptEnded { key, end } => self.take_end(now, key, end, events),
+            Input::Settings { settings, max_in_flight } => {
+                self.take_settings(*settings, max_in_flight, events)
+            }
             Input::TimerDue => {}
         }
     }
@@ -355,7 +357,7 @@
             let ready = node.state == EndpointState::Ready;
             let known = self.servers.get(&replica);
             if known.is_none_or(|l| (&l.address, l.ready) != (&node.address, ready)) {
-                out.push(Command::UpdateServer(replica, node.address.clone(), ready));
+                out.push(Command::UpdateServer { replica, address: node.address.clone(), ready });
             }
             let gone =
                 (node.state == EndpointState::Removed).then(|| known.and_then(|l| l.gone).unwrap_or(now));
@@ -370,7 +372,11 @@
             for (replica, line) in self.servers.iter_mut().filter(|(r, _)| !named.contains(r)) {
                 line.gone = line.gone.or(Some(now));
                 if std::mem::take(&mut line.ready) {
-                    out.push(Command::UpdateServer(*replica, line.address.clone(), false));
+                    out.push(Command::UpdateServer {
+                        replica: *replica,
+                        address: line.address.clone(),
+                        ready: false,
+                    });
                 }
             }
         }
@@ -393,7 +399,7 @@
             )
         });
         roster.kind = EndpointListKind::Delta;
-        let known = |n: &Node| self.names.get(&n.name).and_then(|r| self.servers.get(r));
+        let known = |n: &NodeEndpoint| self.names.get(&n.name).and_then(|r| self.servers.get(r));
         roster.nodes.retain(|node| known(node).is_none_or(|listed| listed.learns(node)));
     }
 
@@ -425,7 +431,7 @@
         let Some(class) = self.classes.find(&request.class) else {
             // Dropped by a reload while the request was on its way here.
             COUNTERS.bad_requests.add();
-            return out.push(Command::Reply(request.token, Answer::UnknownClass));
+            return out.push(Command::Reply { token: request.token, answer: Answer::UnknownClass });
         };
         let until = request.sent_at + request.timeout;
         let until = self.last.map_or(until, |last| until.min(last));
@@ -546,7 +552,7 @@
                 continue;
             }
             let Some(flight) = self.land(key) else { continue };
-            out.push(Command::CancelAttempt(flight.replica, key));
+            out.push(Command::CancelAttempt { replica: flight.replica, key });
             // What never began to leave this machine is taken back, so it never ran: a class that must not repeat may go
             // again. What began to leave it goes on to its last byte, and runs.
             let outcome = if flight.begun { Outcome::TimedOut } else { Outcome::ConnectFailed };
@@ -601,7 +607,7 @@
     /// Gives an attempt up; the module hears of its end in the next turn.
     fn call_off(&mut self, now: Micros, key: AttemptKey, out: &mut Vec<Command>) {
         let Some(flight) = self.land(key) else { return };
-        out.push(Command::CancelAttempt(flight.replica, key));
+        out.push(Command::CancelAttempt { replica: flight.replica, key });
         let outcome = if flight.begun { Outcome::Cancelled } else { Outcome::NotSent };
         let mut events = std::mem::take(&mut self.pending);
         self.tell(now, key, &flight, outcome, &mut events);
@@ -678,7 +684,7 @@
             metrics: self.classes.tally(class).clone(),
         };
         self.classes.begin(class);
-        out.push(Command::Dispatch(replica, vec![job]));
+        out.push(Command::Dispatch { replica, attempts: vec![job] });
     }
 
     fn answer(&mut self, now: Micros, query: QueryId, whole: bool, out: &mut Vec<Command>) {
@@ -692,7 +698,7 @@
         for (part, value) in parts {
             if let Some(value) = value {
                 weight += part.weight;
-                values.push((part.shard, value));
+                values.push(ServedPart { shard: part.shard, value });
             }
         }
         let least = if whole { class.required_share } else { class.min_share };
@@ -739,11 +745,10 @@
     }
     let mut joined: Vec<Command> = Vec::with_capacity(out.len());
     for command in out.drain(..) {
-        if let Command::Dispatch(replica, jobs) = &command {
-            let fits =
-                |c: &&mut Command| matches!(c, Command::Dispatch(r, j) if r == replica && j.len() < most);
-            if let Some(Command::Dispatch(_, call)) = joined.iter_mut().find(fits) {
-                call.extend(jobs.iter().cloned());
+        if let Command::Dispatch { replica, attempts } = &command {
+            let fits = |c: &&mut Command| matches!(c, Command::Dispatch { replica: to, attempts: call } if to == replica && call.len() < most);
+            if let Some(Command::Dispatch { attempts: call, .. }) = joined.iter_mut().find(fits) {
+                call.extend(attempts.iter().cloned());
                 continue;
             }
         }
--- a/src/coordinator/types.rs
+++ b/src/coordinator/types.rs
@@ -97,9 +97,9 @@
     Failed(Outcome),
 }
 
-/// A server as a roster names it.
+/// A server as an endpoint list describes it.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Node {
+pub struct NodeEndpoint {
     /// Its lasting name.
     pub name: Arc<str>,
     /// Where it listens.
@@ -124,7 +124,7 @@
     /// Its version, where lists have one: a later list has no lower one.
     pub version: Option<u64>,
     /// Its lines.
-    pub nodes: Vec<Node>,
+    pub nodes: Vec<NodeEndpoint>,
 }
 
 /// What reaches the core.
@@ -141,9 +141,19 @@
     /// The attempt's request has left this machine whole: from here on it may run.
     FullyWritten(AttemptKey),
     /// An attempt ended.
-    AttemptEnded(AttemptKey, AttemptEnd),
-    /// The settings change, and with them how many queries and parts may be held.
-    Settings(Box<Settings>, usize),
+    AttemptEnded {
+        /// Which attempt.
+        key: AttemptKey,
+        /// How it ended.
+        end: AttemptEnd,
+    },
+    /// The configuration was reloaded.
+    Settings {
+        /// The settings from now on.
+        settings: Box<Settings>,
+        /// How many queries and parts may be reserved at the same time from now on.
+        max_in_flight: usize,
+    },
     /// It is time: something is due.
     TimerDue,
 }
@@ -167,15 +177,24 @@
     pub metrics: Arc<ClassMetrics>,
 }
 
+/// A part of a request that was answered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServedPart {
+    /// The shard that it was asked of.
+    pub shard: ShardId,
+    /// What the server returned.
+    pub value: Value,
+}
+
 /// The final answer to a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
     /// Answered from these parts.
     Served {
-        /// It is whole.
+        /// Whether every part was answered, as far as the class requires it.
         complete: bool,
-        /// The shards that are in, with what they gave, in the request's order.
-        parts: Vec<(ShardId, Value)>,
+        /// The parts that were answered, in the request's order.
+        parts: Vec<ServedPart>,
     },
     /// Sent back: asking again does no harm.
     Rejected {
@@ -198,16 +217,38 @@
 /// What the core wants done, in order.
 #[derive(Debug, Clone)]
 pub enum Command {
-    /// This is where a server is, and whether it takes new work.
-    UpdateServer(ReplicaId, Arc<str>, bool),
+    /// A server was added, or its address or readiness changed.
+    UpdateServer {
+        /// The server.
+        replica: ReplicaId,
+        /// Where it listens.
+        address: Arc<str>,
+        /// Whether it accepts new attempts.
+        ready: bool,
+    },
     /// Start these attempts in one call.
-    Dispatch(ReplicaId, Vec<AttemptRequest>),
+    Dispatch {
+        /// The server to call.
+        replica: ReplicaId,
+        /// The attempts, at most `max_batch` of them.
+        attempts: Vec<AttemptRequest>,
+    },
     /// Stop waiting for an attempt.
-    CancelAttempt(ReplicaId, AttemptKey),
+    CancelAttempt {
+        /// The server that it was dispatched to.
+        replica: ReplicaId,
+        /// Which attempt.
+        key: AttemptKey,
+    },
     /// A server is gone for good: nothing of it needs to be kept.
     RemoveServer(ReplicaId),
     /// Close idle connections.
     CloseIdle(ReplicaId),
-    /// Give this answer.
-    Reply(Token, Answer),
+    /// Give a request its final answer.
+    Reply {
+        /// The request.
+        token: Token,
+        /// Its answer.
+        answer: Answer,
+    },
 }
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,7 +1,7 @@
 //! Which collections there are, which shards hold each, and which servers hold each shard.
 
 use super::inventory::{Server, Share};
-use crate::coordinator::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, NodeEndpoint};
 use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -82,7 +82,7 @@
                 _ => (server.state == EndpointState::Ready).then_some(now),
             };
             known.insert(server.name.clone(), (server.state, started));
-            nodes.push(Node {
+            nodes.push(NodeEndpoint {
                 name: server.name.as_str().into(),
                 address: server.address.to_string().into(),
                 zone: 0,
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -321,8 +321,8 @@
         match answer {
             Answer::Served { parts, .. } => {
                 for (number, ask, visit) in out {
-                    let value = parts.iter().find(|p| p.0 == number);
-                    let page = value.and_then(|v| visit.page(&v.1));
+                    let value = parts.iter().find(|p| p.shard == number);
+                    let page = value.and_then(|v| visit.page(&v.value));
                     if let Some(page) = &page {
                         self.shared.admission().page(page.body.len(), page.given, ask.size);
                     }
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -9,7 +9,7 @@
 use super::params::Params;
 use super::visit::Visit;
 use super::{deliver, html};
-use crate::coordinator::{Answer, Value, COUNTERS};
+use crate::coordinator::{Answer, ServedPart, COUNTERS};
 use crate::interface::ShardId;
 use crate::proto::body::{Body, Held};
 use crate::proto::http::Response;
@@ -474,7 +474,7 @@
         return response;
     }
     let Answer::Served { complete: whole, parts } = answer else { return problem(500, "no answer") };
-    let page = |(shard, value): &(ShardId, Value)| visits.iter().find(|v| v.0 == *shard)?.1.page(value);
+    let page = |part: &ServedPart| visits.iter().find(|v| v.0 == part.shard)?.1.page(&part.value);
     let text = |page: Arc<Page>| Some(page.body[page.features.first()?.clone()].to_vec());
     let found = parts.iter().filter_map(page).find_map(text);
     match found {
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol: `POST /api` with a query's parts in JSON, and `GET /up`.
 
 use super::{Front, Reaction};
-use crate::coordinator::{Answer, PartRequest, Request, Token, COUNTERS};
+use crate::coordinator::{Answer, PartRequest, Request, ServedPart, Token, COUNTERS};
 use crate::interface::{ShardId, TenantId};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::settings::CoordinatorSettings;
@@ -152,11 +152,15 @@
     format!("{}.{:03}", time.0 / 1_000_000, time.0 / 1_000 % 1_000)
 }
 
+/// An answered part as it stands in the body.
+fn piece(part: &ServedPart) -> Piece<'_> {
+    Piece { tablet: part.shard.0, cell: String::from_utf8_lossy(&part.value) }
+}
+
 fn render(answer: Answer) -> Response {
     match answer {
         Answer::Served { complete: whole, parts } => {
-            let piece = |(shard, value)| Piece { tablet: shard, cell: String::from_utf8_lossy(value) };
-            let body = Served { full: whole, pieces: parts.iter().map(|p| piece((p.0 .0, &p.1))).collect() };
+            let body = Served { full: whole, pieces: parts.iter().map(piece).collect() };
             match serde_json::to_vec(&body) {
                 Ok(body) => Response::new(200, JSON, body),
                 Err(e) => Response::new(500, TEXT, format!("{e}\n")),
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -153,7 +153,7 @@
     let (server, inbox, key) = (driver.server.clone(), driver.inbox.clone(), driver.key);
     if spawn(LARGE_STACK_WORDS, move || driver.run()).is_err() {
         guard(&server).busy -= 1;
-        let _ = inbox.send(Input::AttemptEnded(key, AttemptEnd::Failed(Outcome::NotSent)));
+        let _ = inbox.send(Input::AttemptEnded { key, end: AttemptEnd::Failed(Outcome::NotSent) });
     }
 }
 
@@ -174,14 +174,17 @@
         let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
         drop(state);
         for driver in waiting {
-            let _ = self.inbox.send(Input::AttemptEnded(driver.key, AttemptEnd::Failed(Outcome::NotSent)));
+            let _ = self
+                .inbox
+                .send(Input::AttemptEnded { key: driver.key, end: AttemptEnd::Failed(Outcome::NotSent) });
         }
     }
 
     fn dispatch(&mut self, replica: ReplicaId, jobs: &[AttemptRequest], _now: Micros) {
         for job in jobs {
             if let Err(outcome) = self.start(replica, job) {
-                let _ = self.inbox.send(Input::AttemptEnded(job.key, AttemptEnd::Failed(outcome)));
+                let _ =
+                    self.inbox.send(Input::AttemptEnded { key: job.key, end: AttemptEnd::Failed(outcome) });
             }
         }
     }
@@ -287,7 +290,7 @@
         let next = server.next(now);
         drop(server);
         // The core passes over the end of an attempt that it called off.
-        let _ = self.inbox.send(Input::AttemptEnded(self.key, end));
+        let _ = self.inbox.send(Input::AttemptEnded { key: self.key, end });
         next.into_iter().for_each(begin);
     }
 
--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -327,7 +327,7 @@
         let input = match event {
             LinkEvent::Begun(key) => Input::WriteStarted(key),
             LinkEvent::Written(key) => Input::FullyWritten(key),
-            LinkEvent::Ended(key, end) => Input::AttemptEnded(key, end),
+            LinkEvent::Ended(key, end) => Input::AttemptEnded { key, end },
         };
         // The core outlives every driver.
         let _ = inbox.send(input);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -286,7 +286,10 @@
             names.join(" ")
         );
         *named.lock().unwrap_or_else(|e| e.into_inner()) = Named::new(&deployment);
-        let input = Input::Settings(Box::new(deployment.policy.clone()), deployment.max_in_flight);
+        let input = Input::Settings {
+            settings: Box::new(deployment.policy.clone()),
+            max_in_flight: deployment.max_in_flight,
+        };
         Ok(Reloaded { words, input, deployment: Some(deployment) })
     })
 }
@@ -531,14 +534,14 @@
 
     fn carry_out(&mut self, now: Micros, command: Command) {
         match command {
-            Command::UpdateServer(replica, address, ready) => {
+            Command::UpdateServer { replica, address, ready } => {
                 self.upstream.update_server(replica, &address, ready, now)
             }
-            Command::Dispatch(replica, jobs) => self.upstream.dispatch(replica, &jobs, now),
-            Command::CancelAttempt(replica, key) => self.upstream.cancel(replica, key, now),
+            Command::Dispatch { replica, attempts } => self.upstream.dispatch(replica, &attempts, now),
+            Command::CancelAttempt { replica, key } => self.upstream.cancel(replica, key, now),
             Command::RemoveServer(replica) => self.upstream.remove_server(replica),
             Command::CloseIdle(replica) => self.upstream.close_idle(replica),
-            Command::Reply(token, answer) => self.clients.answer(token, answer),
+            Command::Reply { token, answer } => self.clients.answer(token, answer),
         }
     }
 }
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery's watch: an answer that stays open and holds one JSON object a line.
 
 use super::http::{HttpError, ResponseReader};
-use crate::coordinator::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, NodeEndpoint};
 use crate::interface::{EndpointListKind, EndpointState};
 use crate::time::{started_at, Micros};
 use serde::Deserialize;
@@ -58,7 +58,7 @@
 
 fn read(listing: Listing, cached: bool, now: Micros, unix_now_ms: u64) -> Result<News, String> {
     let node = |t: Target| {
-        Ok(Node {
+        Ok(NodeEndpoint {
             name: t.uid.into(),
             address: t.endpoint.into(),
             zone: t.az.bytes().next().map_or(0, |b| u16::from(b.saturating_sub(b'a'))),
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -7,8 +7,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use quinceflow::coordinator::{
-    Answer, AttemptEnd, AttemptKey, Command, Coordinator, EndpointUpdate, Input, Node, PartRequest, Request,
-    Token,
+    Answer, AttemptEnd, AttemptKey, Command, Coordinator, EndpointUpdate, Input, NodeEndpoint, PartRequest,
+    Request, Token,
 };
 use quinceflow::time::Micros;
 use quinceflow::{
@@ -33,9 +33,9 @@
     set
 }
 
-fn node(n: u16, state: EndpointState) -> Node {
+fn node(n: u16, state: EndpointState) -> NodeEndpoint {
     let (name, address) = (format!("s{n}").into(), format!("127.0.0.1:{n}").into());
-    Node { name, address, zone: 0, cell: n, shards: None, state, started: None }
+    NodeEndpoint { name, address, zone: 0, cell: n, shards: None, state, started: None }
 }
 
 fn fleet() -> Input {
@@ -110,7 +110,7 @@
     fn see(&mut self, commands: Vec<Command>) {
         for command in commands {
             match command {
-                Command::UpdateServer(replica, address, ready) => {
+                Command::UpdateServer { replica, address, ready } => {
                     self.servers.insert(address.to_string(), replica);
                     if ready {
                         self.draining.remove(&replica)
@@ -118,7 +118,7 @@
                         self.draining.insert(replica)
                     };
                 }
-                Command::Dispatch(replica, jobs) => {
+                Command::Dispatch { replica, attempts: jobs } => {
                     assert!(!self.draining.contains(&replica), "nothing new to a server that drains");
                     for job in jobs {
                         let token: u64 = job.request_id[1..].parse().expect("its token");
@@ -133,13 +133,13 @@
                         self.out.insert(job.key, (token, false));
                     }
                 }
-                Command::CancelAttempt(_, key) => {
+                Command::CancelAttempt { key, .. } => {
                     let (token, written) = self.out.remove(&key).expect("it was out");
                     if !written {
                         self.risky.retain(|r| r.0 != token);
                     }
                 }
-                Command::Reply(token, answer) => {
+                Command::Reply { token, answer } => {
                     assert!(self.answered.insert(token.0), "a second answer");
                     if let Answer::Served { complete: whole, parts } = answer {
                         assert!(!parts.is_empty());
@@ -185,8 +185,8 @@
                             // Turned away: it never ran.
                             watcher.risky.retain(|r| r.0 != token);
                         }
-                        inputs.extend([Input::FullyWritten(key), Input::AttemptEnded(key, how(h))]);
-                        inputs.extend(twice.then(|| Input::AttemptEnded(key, how(3))));
+                        inputs.extend([Input::FullyWritten(key), Input::AttemptEnded { key, end: how(h) }]);
+                        inputs.extend(twice.then(|| Input::AttemptEnded { key, end: how(3) }));
                     }
                 }
                 Step::Written(n) => {
@@ -245,17 +245,26 @@
             ],
             &mut out,
         );
-        let launched =
-            out.iter()
-                .find_map(|c| if let Command::Dispatch(_, jobs) = c { Some(jobs[0].key) } else { None });
+        let launched = out.iter().find_map(|c| {
+            if let Command::Dispatch { attempts: jobs, .. } = c {
+                Some(jobs[0].key)
+            } else {
+                None
+            }
+        });
         // What has begun to go out goes on to its last byte, also after its time-out: it may run as well.
         let mut inputs = Vec::from_iter(launched.zip(sign).map(|(key, sign)| sign(key)));
         let mut answer = None;
         while answer.is_none() {
             now = now + Micros::from_millis(5);
             core.turn(now, inputs.drain(..), &mut out);
-            answer =
-                out.iter().find_map(|c| if let Command::Reply(_, a) = c { Some(a.clone()) } else { None });
+            answer = out.iter().find_map(|c| {
+                if let Command::Reply { answer: a, .. } = c {
+                    Some(a.clone())
+                } else {
+                    None
+                }
+            });
         }
         match answer.expect("found") {
             Answer::Rejected { late, .. } => assert!(late && !written),
@@ -277,8 +286,10 @@
         let mut out = Vec::new();
         core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
         let first = out.drain(..).find_map(|c| launched(&c)).expect("sent");
-        let lost =
-            [Input::FullyWritten(first), Input::AttemptEnded(first, AttemptEnd::Failed(Outcome::Reset))];
+        let lost = [
+            Input::FullyWritten(first),
+            Input::AttemptEnded { key: first, end: AttemptEnd::Failed(Outcome::Reset) },
+        ];
         now = now + Micros::from_millis(20);
         core.turn(now, lost, &mut out);
         let again = out.drain(..).find_map(|c| launched(&c)).expect("within its window");
@@ -290,7 +301,7 @@
             now = now + Micros::from_millis(5);
             core.turn(now, [], &mut out);
         }
-        let back = out.iter().any(|c| matches!(c, Command::CancelAttempt(_, key) if *key == again));
+        let back = out.iter().any(|c| matches!(c, Command::CancelAttempt { key, .. } if *key == again));
         assert_eq!(back, !begun, "at the end of its window");
         assert_eq!(core.is_out(again), begun);
     }
@@ -305,7 +316,7 @@
         other => other,
     };
     let taken = |out: &[Command], token| {
-        out.iter().any(|c| matches!(c, Command::Reply(t, Answer::DuplicateRequestId) if *t == Token(token)))
+        out.iter().any(|c| matches!(c, Command::Reply { token: t, answer: Answer::DuplicateRequestId } if *t == Token(token)))
     };
     let mut out = Vec::new();
     core.turn(now, [fleet(), named(1, "a"), named(2, "a"), named(3, "b")], &mut out);
@@ -332,7 +343,7 @@
         );
         for command in out.drain(..) {
             match command {
-                Command::UpdateServer(replica, _, true) => {
+                Command::UpdateServer { replica, ready: true, .. } => {
                     assert!(seen.insert(replica) && open.insert(replica))
                 }
                 Command::RemoveServer(replica) => {
@@ -372,7 +383,7 @@
     core.turn(start, [fleet(), ask(1, 0, 1, start)], &mut out);
     let late = start + Micros::from_secs(2);
     core.turn(late, [ask(2, 0, 1, start)], &mut out);
-    let replies = out.iter().filter(|c| matches!(c, Command::Reply(..))).count();
+    let replies = out.iter().filter(|c| matches!(c, Command::Reply { .. })).count();
     assert_eq!((replies, core.held()), (2, 0));
     assert_eq!(quinceflow::coordinator::COUNTERS.broken_invariants.get(), 0);
 }
@@ -387,18 +398,24 @@
     let mut set = settings();
     set.classes[0] = Class { effect: Effect::NonIdempotent, max_attempts: 1, ..set.classes[0].clone() };
     set.classes.swap(0, 2);
-    core.turn(now, [Input::Settings(Box::new(set), MAX_HELD), ask(2, 0, 1, now)], &mut out);
+    core.turn(
+        now,
+        [Input::Settings { settings: Box::new(set), max_in_flight: MAX_HELD }, ask(2, 0, 1, now)],
+        &mut out,
+    );
     let (mut attempts, mut answers) = (BTreeMap::new(), BTreeMap::new());
     while answers.len() < 2 {
         let mut inputs = Vec::new();
         for command in out.drain(..) {
             match command {
-                Command::Dispatch(_, jobs) => {
+                Command::Dispatch { attempts: jobs, .. } => {
                     *attempts.entry(jobs[0].request_id.to_string()).or_insert(0) += 1;
-                    inputs
-                        .extend([Input::FullyWritten(jobs[0].key), Input::AttemptEnded(jobs[0].key, how(2))]);
+                    inputs.extend([
+                        Input::FullyWritten(jobs[0].key),
+                        Input::AttemptEnded { key: jobs[0].key, end: how(2) },
+                    ]);
                 }
-                Command::Reply(token, answer) => {
+                Command::Reply { token, answer } => {
                     answers.insert(token, answer);
                 }
                 _ => {}
@@ -420,12 +437,21 @@
     let mut core = Coordinator::new(Settings { tick: MS, ..settings() }, MAX_HELD, 7, now, Arc::default());
     let mut commands = Vec::new();
     core.turn(now, [fleet(), ask(1, 2, 2, now)], &mut commands);
-    let jobs = |c: &Command| if let Command::Dispatch(_, jobs) = c { jobs.clone() } else { Vec::new() };
+    let jobs = |c: &Command| {
+        if let Command::Dispatch { attempts: jobs, .. } = c {
+            jobs.clone()
+        } else {
+            Vec::new()
+        }
+    };
     let first = commands.iter().flat_map(jobs).next().expect("both are sent").key;
-    let ends =
-        [Input::FullyWritten(first), Input::AttemptEnded(first, AttemptEnd::Served(b"v".as_slice().into()))];
+    let ends = [
+        Input::FullyWritten(first),
+        Input::AttemptEnded { key: first, end: AttemptEnd::Served(b"v".as_slice().into()) },
+    ];
     core.turn(now, ends, &mut commands);
-    let served = |c: &Command| matches!(c, Command::Reply(_, Answer::Served { complete: false, .. }));
+    let served =
+        |c: &Command| matches!(c, Command::Reply { answer: Answer::Served { complete: false, .. }, .. });
     for ms in 1..=291 {
         now = Micros::from_secs(100) + Micros::from_millis(ms);
         core.turn(now, [], &mut commands);
@@ -442,7 +468,7 @@
     let full =
         |nodes| Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes });
     let launches = |out: &[Command], to: u8| {
-        out.iter().filter(|c| matches!(c, Command::Dispatch(r, _) if r.0[3] == to)).count()
+        out.iter().filter(|c| matches!(c, Command::Dispatch { replica: r, .. } if r.0[3] == to)).count()
     };
     core.turn(now, [fleet()], &mut out);
     let (ready, drains) = (node(0, EndpointState::Ready), node(0, EndpointState::Draining));
@@ -458,7 +484,9 @@
         core.turn(later + Micros::from_millis(ms), [], &mut out);
     }
     assert_eq!((0..3).map(|n| launches(&out, n)).sum::<usize>(), 0, "nobody is listed");
-    let finals = out.iter().filter(|c| matches!(c, Command::Reply(Token(9), Answer::Rejected { .. })));
+    let finals = out
+        .iter()
+        .filter(|c| matches!(c, Command::Reply { token: Token(9), answer: Answer::Rejected { .. } }));
     assert_eq!(finals.count(), 1);
 }
 
@@ -471,10 +499,11 @@
     let mut out = Vec::new();
     let list =
         |version, kind, nodes| Input::EndpointUpdate(EndpointUpdate { kind, version: Some(version), nodes });
-    let at = |n, state, started: u64| Node { started: Some(Micros::from_secs(started)), ..node(n, state) };
+    let at =
+        |n, state, started: u64| NodeEndpoint { started: Some(Micros::from_secs(started)), ..node(n, state) };
     let ready = |out: &mut Vec<Command>| {
         let told = out.drain(..).filter_map(|c| match c {
-            Command::UpdateServer(r, _, ready) => Some((r.0[3], ready)),
+            Command::UpdateServer { replica: r, ready, .. } => Some((r.0[3], ready)),
             _ => None,
         });
         told.collect::<Vec<_>>()
@@ -486,7 +515,10 @@
     core.turn(now, [list(6, EndpointListKind::Full, vec![at(0, EndpointState::Ready, 50)])], &mut out);
     assert_eq!(ready(&mut out), [], "the drain stands, and so do those that it does not name");
     core.turn(now, [ask(1, 0, 2, now)], &mut out);
-    assert!(!out.iter().any(|c| matches!(c, Command::Dispatch(r, _) if r.0[3] == 0)), "nothing goes there");
+    assert!(
+        !out.iter().any(|c| matches!(c, Command::Dispatch { replica: r, .. } if r.0[3] == 0)),
+        "nothing goes there"
+    );
     out.clear();
     core.turn(now, [list(6, EndpointListKind::Full, all(at(0, EndpointState::Ready, 90)))], &mut out);
     assert_eq!(ready(&mut out), [(0, true)], "it has started anew since");
@@ -518,7 +550,7 @@
         let end = if leaves {
             Input::ClientLeft(Token(1))
         } else {
-            Input::AttemptEnded(keys[0], AttemptEnd::Served(b"x"[..].into()))
+            Input::AttemptEnded { key: keys[0], end: AttemptEnd::Served(b"x"[..].into()) }
         };
         let mut at = now + Micros::from_millis(1);
         core.turn(at, sign.into_iter().chain([end]), &mut out);
@@ -526,11 +558,11 @@
             at = at + Micros::from_millis(1);
             core.turn(at, [], &mut out);
         }
-        let replies = out.iter().filter(|c| matches!(c, Command::Reply(..))).count();
+        let replies = out.iter().filter(|c| matches!(c, Command::Reply { .. })).count();
         assert_eq!(replies, usize::from(!leaves), "half of it is enough");
         let back: Vec<_> = out
             .iter()
-            .filter_map(|c| if let Command::CancelAttempt(_, key) = c { Some(*key) } else { None })
+            .filter_map(|c| if let Command::CancelAttempt { key, .. } = c { Some(*key) } else { None })
             .collect();
         let first = leaves.then_some(keys[0]);
         assert_eq!(
@@ -555,16 +587,16 @@
     core.answer_by(last);
     assert_eq!(core.due().map(|due| due <= last), Some(true));
     core.turn(last, [], &mut out);
-    let replies: Vec<_> = out.iter().filter(|c| matches!(c, Command::Reply(..))).collect();
+    let replies: Vec<_> = out.iter().filter(|c| matches!(c, Command::Reply { .. })).collect();
     assert!(
-        matches!(replies[..], [Command::Reply(Token(1), Answer::Failed { .. })]),
+        matches!(replies[..], [Command::Reply { token: Token(1), answer: Answer::Failed { .. } }]),
         "it may have run: {replies:?}"
     );
     assert_eq!(core.held(), 0);
 }
 
 fn launched(command: &Command) -> Option<AttemptKey> {
-    if let Command::Dispatch(_, jobs) = command {
+    if let Command::Dispatch { attempts: jobs, .. } = command {
         Some(jobs[0].key)
     } else {
         None
