--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -7,7 +7,6 @@
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// Counters of the whole process. They only grow.
         #[derive(Debug)]
-        #[allow(missing_docs)]
         pub struct Counters { $($(#[$doc])* pub $name: Counter,)* }
 
         impl Counters {
@@ -50,29 +49,85 @@
 }
 
 counters! {
-    /// Queries taken by the core.
-    taken,
-    /// Final answers by kind.
-    whole, partial, refused, failed, gone,
-    /// Queries refused since the core was full, or since their time was over when they came.
-    over_held, over_time,
-    /// Queries of the edge refused for what they cost.
-    over_cost,
-    /// Requests turned away since their label was that of an open one.
-    labels_taken,
-    /// Attempts: launched, written whole, and how they ended.
-    attempts, written, served, errors, turned_away, timed_out, connect_failed, resets, cancelled, unsent,
-    /// Connections.
-    accepted, accept_errors, evicted, dials, dials_failed, links_idle_closed, links_lost, links_suspect, links_redialed,
-    /// Requests that could not be read, or were for nothing that is here.
-    bad_requests, client_timeouts,
-    /// Calls at the second address.
-    calls,
-    /// Frames that could not be read.
+    /// Queries that were handed to the policy.
+    queries_accepted,
+    /// Queries answered from all the parts that their class requires.
+    queries_complete,
+    /// Queries answered from some of their parts.
+    queries_partial,
+    /// Queries rejected: repeating them is safe.
+    queries_rejected,
+    /// Queries that failed.
+    queries_failed,
+    /// Queries whose client closed its connection before the final answer.
+    queries_abandoned,
+    /// Queries rejected because all slots were reserved; also in `queries_rejected`.
+    rejected_over_capacity,
+    /// Queries rejected because their deadline had passed on arrival; also in `queries_rejected`.
+    rejected_expired,
+    /// Feature queries rejected for their estimated cost; the coordinator never received them.
+    rejected_over_cost,
+    /// Requests rejected because their id is that of a pending one.
+    duplicate_request_ids,
+    /// Attempts dispatched to a server's driver.
+    attempts_dispatched,
+    /// Attempts whose request was written to the last byte.
+    attempts_fully_written,
+    /// Attempts that returned a value.
+    attempts_served,
+    /// Attempts that the server answered with an error.
+    attempts_error,
+    /// Attempts that the server rejected without running them.
+    attempts_rejected,
+    /// Attempts that timed out after some of their request was written.
+    attempts_timed_out,
+    /// Attempts that had no connection before their timeout.
+    attempts_connect_failed,
+    /// Attempts whose connection broke.
+    attempts_reset,
+    /// Attempts cancelled after some of their request was written.
+    attempts_cancelled,
+    /// Attempts that ended before any of their request was written.
+    attempts_not_sent,
+    /// Connections accepted from clients.
+    connections_accepted,
+    /// Connections of clients that could not be accepted.
+    accept_errors,
+    /// Connections of clients that were closed to make room.
+    connections_evicted,
+    /// Connections to servers that were begun.
+    dials,
+    /// Connections to servers that were never established.
+    dials_failed,
+    /// Connections to servers closed after their idle time.
+    server_connections_idle_closed,
+    /// Connections to servers that broke with attempts in flight.
+    server_connections_lost,
+    /// Connections to servers given up because the server was silent.
+    server_connections_unresponsive,
+    /// Connections to servers dialled again for requests that waited when the old one closed.
+    server_connections_redialed,
+    /// Requests of clients that could not be parsed, or whose target does not exist.
+    bad_requests,
+    /// Clients that sent nothing, sent half a request, or did not read their answer in time.
+    client_timeouts,
+    /// Calls at the admin address.
+    admin_calls,
+    /// Frames and answers of servers that could not be used.
     bad_frames,
-    /// The list of servers.
-    rosters, rosters_back, watch_breaks, bad_rosters, reloads, bad_reloads,
-    /// Invariants that did not hold.
+    /// Endpoint lists and changes to them that were received.
+    endpoint_updates,
+    /// Endpoint lists that were older than the newest one.
+    stale_endpoint_updates,
+    /// Watches of discovery that ended.
+    watch_disconnects,
+    /// Endpoint lists that could not be parsed.
+    bad_endpoint_updates,
+    /// Reloads of the configuration or the inventory that were applied.
+    reloads,
+    /// Reloads that were rejected.
+    bad_reloads,
+    /// Invariants that did not hold: defects of the program.
     broken_invariants,
 }
 
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -315,14 +315,14 @@
             Input::Submit(request) => self.take_request(now, request, events, out),
             Input::ClientLeft(token) => {
                 if let Some(query) = self.tokens.get(&token).copied() {
-                    COUNTERS.gone.add();
+                    COUNTERS.queries_abandoned.add();
                     events.push(Event::Abandoned(query));
                     self.forget(now, query, out);
                 }
             }
             Input::WriteStarted(key) => self.begun(key),
             Input::FullyWritten(key) => {
-                COUNTERS.written.add_n(usize::from(self.is_out(key)));
+                COUNTERS.attempts_fully_written.add_n(usize::from(self.is_out(key)));
                 self.begun(key);
             }
             Input::AttemptEnded { key, end } => self.take_end(now, key, end, events),
@@ -340,7 +340,7 @@
         events: &mut Vec<Event>,
         out: &mut Vec<Command>,
     ) {
-        COUNTERS.rosters.add();
+        COUNTERS.endpoint_updates.add();
         self.keep_what_is_newer(&mut roster);
         let mut members = Vec::new();
         let mut named = BTreeSet::new();
@@ -392,7 +392,7 @@
             self.version = version;
             return;
         }
-        log_rarely(&COUNTERS.rosters_back, || {
+        log_rarely(&COUNTERS.stale_endpoint_updates, || {
             format!(
                 "discovery: the list goes back from version {} to {version}: drains are taken from it",
                 self.version
@@ -437,16 +437,16 @@
         let until = self.last.map_or(until, |last| until.min(last));
         if until <= now + WAY {
             // Over before it began: nothing can be in time any more, and nothing was sent.
-            COUNTERS.over_time.add();
-            COUNTERS.refused.add();
+            COUNTERS.rejected_expired.add();
+            COUNTERS.queries_rejected.add();
             let answer = Answer::Rejected { retry_after: None, late: true };
             return self.reply(class, &request, answer, out);
         }
         let size = 1 + request.parts.len();
         if self.held_count + size > self.most_held() {
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
-            COUNTERS.over_held.add();
-            COUNTERS.refused.add();
+            COUNTERS.rejected_over_capacity.add();
+            COUNTERS.queries_rejected.add();
             let come_back = self.settings.max_retry_after.map(Micros::from_nanos);
             return self.reply(
                 class,
@@ -456,10 +456,10 @@
             );
         }
         if self.labels.contains_key(&request.request_id) {
-            COUNTERS.labels_taken.add();
+            COUNTERS.duplicate_request_ids.add();
             return self.reply(class, &request, Answer::DuplicateRequestId, out);
         }
-        COUNTERS.taken.add();
+        COUNTERS.queries_accepted.add();
         self.labels.insert(request.request_id.clone(), 1);
         self.held_count += size;
         let query = QueryId(self.next_id);
@@ -528,14 +528,14 @@
 
     fn tell(&self, now: Micros, key: AttemptKey, flight: &Flight, outcome: Outcome, events: &mut Vec<Event>) {
         match outcome {
-            Outcome::Ok => &COUNTERS.served,
-            Outcome::Error => &COUNTERS.errors,
-            Outcome::Rejected => &COUNTERS.turned_away,
-            Outcome::TimedOut => &COUNTERS.timed_out,
-            Outcome::ConnectFailed => &COUNTERS.connect_failed,
-            Outcome::Reset => &COUNTERS.resets,
-            Outcome::Cancelled => &COUNTERS.cancelled,
-            Outcome::NotSent => &COUNTERS.unsent,
+            Outcome::Ok => &COUNTERS.attempts_served,
+            Outcome::Error => &COUNTERS.attempts_error,
+            Outcome::Rejected => &COUNTERS.attempts_rejected,
+            Outcome::TimedOut => &COUNTERS.attempts_timed_out,
+            Outcome::ConnectFailed => &COUNTERS.attempts_connect_failed,
+            Outcome::Reset => &COUNTERS.attempts_reset,
+            Outcome::Cancelled => &COUNTERS.attempts_cancelled,
+            Outcome::NotSent => &COUNTERS.attempts_not_sent,
         }
         .add();
         let waited = now.since(flight.sent).to_nanos();
@@ -566,7 +566,7 @@
             if let Some(held) = self.forget(now, query, out) {
                 let told_to_end = self.last.is_some_and(|last| held.until >= last);
                 invariant(told_to_end, "a query outlived its client's time");
-                COUNTERS.failed.add();
+                COUNTERS.queries_failed.add();
                 self.reply(held.class, &held.request, Answer::Failed { late: true }, out);
             }
             self.pending.push(Event::Abandoned(query));
@@ -627,12 +627,12 @@
                     now,
                     query,
                     |late| Answer::Rejected { retry_after: come_back, late },
-                    &COUNTERS.refused,
+                    &COUNTERS.queries_rejected,
                     out,
                 );
             }
             Action::Fail(query) => {
-                self.give_up(now, query, |late| Answer::Failed { late }, &COUNTERS.failed, out);
+                self.give_up(now, query, |late| Answer::Failed { late }, &COUNTERS.queries_failed, out);
             }
             Action::SetTimer(at) => {
                 // Rounded up: a wake-up before its time would find nothing due and be set again.
@@ -662,7 +662,7 @@
         };
         *number += 1;
         let until = (now + Micros::from_nanos(timeout)).min(held.until);
-        COUNTERS.attempts.add();
+        COUNTERS.attempts_dispatched.add();
         invariant(
             self.settings.hedging || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
@@ -703,7 +703,7 @@
         }
         let least = if whole { class.required_share } else { class.min_share };
         invariant(weight + 1e-4 >= least, "an answer from too few parts");
-        if whole { &COUNTERS.whole } else { &COUNTERS.partial }.add();
+        if whole { &COUNTERS.queries_complete } else { &COUNTERS.queries_partial }.add();
         self.reply(held.class, &held.request, Answer::Served { complete: whole, parts: values }, out);
     }
 
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -470,7 +470,7 @@
     let (cost, bytes) = if edge.limits.admission {
         let admitted = shared.admission().admit(cost, aim, shared.bears.rate());
         let bytes = admitted.map_err(|refusal| {
-            COUNTERS.over_cost.add();
+            COUNTERS.rejected_over_cost.add();
             render::refused(Some(refusal.come_back))
         })?;
         (cost, bytes)
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -111,7 +111,7 @@
         return ended;
     }
     let Some(call) = conn.caller.call(ended) else { return ended };
-    COUNTERS.calls.add();
+    COUNTERS.admin_calls.add();
     let reply = match call {
         Call::Health => match (told.health)() {
             Ok(()) => "YES\n".to_owned(),
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -136,7 +136,7 @@
 
     /// Makes it end. A request that is here already but unread is still taken.
     fn give_way(&mut self) {
-        COUNTERS.evicted.add();
+        COUNTERS.connections_evicted.add();
         if self.asked && self.server.idle() {
             self.server.close_when_idle();
             self.wake();
@@ -285,7 +285,7 @@
     }
 
     fn adopt(self: &Arc<Self>, stream: TcpStream) {
-        COUNTERS.accepted.add();
+        COUNTERS.connections_accepted.add();
         let _ = stream.set_nodelay(true);
         let stream = match CoIo::new(stream) {
             Ok(stream) => stream,
@@ -486,7 +486,7 @@
             (!state.cut && !state.server.busy()).then_some(state.bytes)
         };
         if let Some((_, conn)) = conns.values().filter_map(|c| Some((held(c)?, c))).max_by_key(|c| c.0) {
-            COUNTERS.evicted.add();
+            COUNTERS.connections_evicted.add();
             conn.lock().cut();
         }
     }
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -215,7 +215,7 @@
             let mut state = guard(server);
             let before = state.idle.len();
             state.idle.retain(|(_, since)| now.since(*since) < self.idle_limit);
-            COUNTERS.links_idle_closed.add_n(before - state.idle.len());
+            COUNTERS.server_connections_idle_closed.add_n(before - state.idle.len());
             // Whoever was called off waits no more; and a server's wish to be left alone may be over.
             state.waiting.retain(|d| !guard(&d.slot).called_off);
             let next = state.next(now);
--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -258,7 +258,7 @@
                 state.link.call_off(key);
                 state.used = now;
                 if state.give_up(key, now, patience) && !state.suspect {
-                    COUNTERS.links_suspect.add();
+                    COUNTERS.server_connections_unresponsive.add();
                     state.suspect = true;
                     state.closing = true;
                 }
@@ -300,7 +300,7 @@
                     wake(&state);
                 }
                 if state.link.idle() && !state.closing && now.since(state.used) >= limit {
-                    COUNTERS.links_idle_closed.add();
+                    COUNTERS.server_connections_idle_closed.add();
                     state.closing = true;
                     wake(&state);
                 }
@@ -351,7 +351,7 @@
             if state.closing || !state.link.restart() {
                 break;
             }
-            COUNTERS.links_redialed.add();
+            COUNTERS.server_connections_redialed.add();
             COUNTERS.dials.add();
         }
         let mut events = Vec::new();
@@ -360,7 +360,7 @@
             state.dead = true;
             state.waker = None;
             if !state.link.idle() {
-                COUNTERS.links_lost.add();
+                COUNTERS.server_connections_lost.add();
             }
             state.link.broken(&mut events);
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -39,10 +39,10 @@
             clients.push(client);
         }
         let cases = clients.len();
-        until(&edge, "taken", cases as u64);
-        until(&edge, "attempts", 2);
+        until(&edge, "queries_accepted", cases as u64);
+        until(&edge, "attempts_dispatched", 2);
         drop(clients);
-        until(&edge, "gone", cases as u64);
+        until(&edge, "queries_abandoned", cases as u64);
         let logs = nodes.map(Log::of);
         assert_eq!(ask(&edge, "stays", "look", &[0, 1, 2, 3, 4, 5]).status, 200);
         drop(edge);
@@ -81,13 +81,13 @@
     let (ids, mut stream) = asked.recv().expect("one of them");
     let drained: Vec<_> = in_service(&addresses).into_iter().map(|(n, a, _)| (n, a, "terminating")).collect();
     watch.say(&list(2, false, &drained).to_string());
-    until(&edge, "rosters", 3);
+    until(&edge, "endpoint_updates", 3);
     frame(&mut stream, b'a', &format!("{} skipped 0 -\n", ids[0])).expect("told");
-    until(&edge, "turned_away", 1);
+    until(&edge, "attempts_rejected", 1);
     drop(client);
-    until(&edge, "gone", 1);
+    until(&edge, "queries_abandoned", 1);
     watch.say(&list(3, false, &in_service(&addresses)).to_string());
-    until(&edge, "rosters", 4);
+    until(&edge, "endpoint_updates", 4);
     // Sound again, and asked by another: that one's part alone goes out.
     let other = waiting(&edge, &request("stays", "look", &[0], ""));
     let (ids, mut stream) = asked.recv().expect("one of them");
@@ -97,7 +97,7 @@
     let mut first = String::new();
     BufReader::new(other).read_line(&mut first).expect("an answer");
     assert!(first.starts_with("HTTP/1.1 200"), "{first}");
-    until(&edge, "attempts", 2);
+    until(&edge, "attempts_dispatched", 2);
     drop(edge);
     drop(served);
 }
@@ -116,10 +116,10 @@
             })
             .collect();
         until(&edge, "dials", 2);
-        until(&edge, "taken", 4);
+        until(&edge, "queries_accepted", 4);
         watch.say(&list(2, false, &[(0, addresses[0], "terminating")]).to_string());
-        until(&edge, "rosters", 3);
-        until(&edge, "unsent", 1);
+        until(&edge, "endpoint_updates", 3);
+        until(&edge, "attempts_not_sent", 1);
         let logs = nodes.map(Log::of);
         for client in clients {
             assert!(answer(client).starts_with("HTTP/1.1 200"), "the other node takes it");
@@ -153,7 +153,7 @@
         let took = began.elapsed().as_millis();
         assert!(took < if silent { 5_000 } else { 1_000 }, "{took} ms: it counts as told after 6 s");
         assert!(second.request.contains("since=1"), "{}", second.request);
-        until(&edge, "rosters", 3);
+        until(&edge, "endpoint_updates", 3);
         let before = seen(&nodes[0]).len();
         for n in 0..6 {
             assert_eq!(ask(&edge, &format!("q{silent}{n}"), "look", &[0, 1, 2, 3]).status, 200);
@@ -176,7 +176,7 @@
     let _back = agent.tell(
         &list(5, true, &[(0, addresses[0], "terminating"), (1, addresses[1], "in_service")]).to_string(),
     );
-    until(&edge, "rosters", 2);
+    until(&edge, "endpoint_updates", 2);
     for n in 0..6 {
         assert_eq!(ask(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
@@ -193,7 +193,7 @@
     watch.say(&list(7, false, &[(0, addresses[0], "terminating")]).to_string());
     watch.say(&list(6, true, &in_service(&addresses)).to_string());
     edge.wait_for("the list goes back from version 7 to 6");
-    until(&edge, "rosters", 4);
+    until(&edge, "endpoint_updates", 4);
     for n in 0..6 {
         assert_eq!(ask(&edge, &format!("q{n}"), "look", &[0, 1, 2, 3]).status, 200);
     }
@@ -217,7 +217,7 @@
     let _watch = new.tell(&list(2, false, &[(0, addresses[0], "terminating")]).to_string());
     old.listener.set_nonblocking(true).expect("set");
     assert!(old.listener.accept().is_err(), "the old one was not asked again meanwhile");
-    until(&edge, "rosters", 2);
+    until(&edge, "endpoint_updates", 2);
     for n in 0..6 {
         assert_eq!(ask(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
@@ -238,7 +238,7 @@
         json!({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x".repeat(60_000)}).to_string();
     let head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: long\r\nX-Qos: once\r\nX-Expires-In: 0.8\r\nConnection: close";
     let answer = edge.send(&format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-    until(&edge, "attempts", 1);
+    until(&edge, "attempts_dispatched", 1);
     assert_eq!(answer.status, 504, "it may run: {answer:?}");
     let mut runs = 0;
     for listener in nodes {
@@ -288,7 +288,7 @@
     let other = both.into_iter().find(|f| f.1 == b'q').expect("the next attempt");
     assert_ne!(other.0, first);
     frame(&mut its, b'a', "late.0 broke 0 -\n").expect("told");
-    until(&edge, "cancelled", 1);
+    until(&edge, "attempts_cancelled", 1);
     let mut its = other.3;
     frame(&mut its, b'a', "late.0 served 1 -\ncell").expect("told");
     assert!(answer(client).starts_with("HTTP/1.1 200"));
@@ -328,21 +328,21 @@
     let agent = Agent::new();
     let (edge, mut watch) = started("window", &USUAL, &agent, &addresses);
     watch.say(&list(2, false, &[(1, addresses[1], "terminating")]).to_string());
-    until(&edge, "rosters", 3);
+    until(&edge, "endpoint_updates", 3);
     let client = waiting(&edge, &request("key", "key", &[0], "Connection: close\r\n"));
     let (mut first, _) = held.accept().expect("a connection");
     assert_eq!(parts(&mut first).expect("the first attempt"), ["key.0"]);
     watch.say(
         &list(3, false, &[(0, addresses[0], "terminating"), (1, addresses[1], "in_service")]).to_string(),
     );
-    until(&edge, "rosters", 4);
+    until(&edge, "endpoint_updates", 4);
     // It may have run: within its window it may go again, to the node that lets nobody in.
     drop(first);
-    until(&edge, "attempts", 2);
-    until(&edge, "connect_failed", 1);
+    until(&edge, "attempts_dispatched", 2);
+    until(&edge, "attempts_connect_failed", 1);
     let log = Log::of(shut);
     drop(client);
-    until(&edge, "gone", 1);
+    until(&edge, "queries_abandoned", 1);
     drop(edge);
     assert_eq!(log.whole(), Vec::<String>::new());
 }
@@ -363,7 +363,7 @@
     let stays = waiting(&edge, &request("stays", "look", &[0, 1], "Connection: close\r\n"));
     edge.signal("CONT");
     assert!(answer(stays).starts_with("HTTP/1.1 200"));
-    until(&edge, "gone", 20);
+    until(&edge, "queries_abandoned", 20);
     let mut came: Vec<_> = nodes.iter().flat_map(seen).collect();
     came.sort();
     assert_eq!(came, ["stays.0", "stays.1"]);
@@ -381,7 +381,7 @@
     let agent = Agent::new();
     let (edge, mut watch) = started("half-frames", &USUAL, &agent, &addresses);
     watch.say(&list(2, false, &[(1, addresses[1], "terminating")]).to_string());
-    until(&edge, "rosters", 3);
+    until(&edge, "endpoint_updates", 3);
     let body =
         json!({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x".repeat(60_000)}).to_string();
     let clients: Vec<_> = (0..QUERIES)
@@ -393,10 +393,10 @@
             waiting(&edge, &format!("{head}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"))
         })
         .collect();
-    until(&edge, "attempts", QUERIES as u64);
-    until(&edge, "written", 1);
+    until(&edge, "attempts_dispatched", QUERIES as u64);
+    until(&edge, "attempts_fully_written", 1);
     watch.say(&list(3, false, &[(1, addresses[1], "in_service")]).to_string());
-    until(&edge, "rosters", 4);
+    until(&edge, "endpoint_updates", 4);
     let log = Log::of(sound);
     deaf.set_nonblocking(true).expect("set");
     while let Ok((stream, _)) = deaf.accept() {
@@ -421,7 +421,7 @@
     // Two shards, each with one of the two: the other holders drain, so that the late part has nowhere else to go.
     let (edge, mut watch) = started("after", &Site { aim_ms: 600, ..USUAL }, &agent, &addresses);
     watch.say(&list(2, false, &[(0, addresses[0], "terminating")]).to_string());
-    until(&edge, "rosters", 3);
+    until(&edge, "endpoint_updates", 3);
     let client = waiting(&edge, &request("q", "some", &[0, 1], "Connection: close\r\n"));
     let (mut stream, _) = held.accept().expect("a connection");
     let mut ids = parts(&mut stream).expect("a part");
@@ -437,7 +437,7 @@
     assert_eq!(parts(&mut stream).expect("on the connection that is open"), ["next.1"]);
     frame(&mut stream, b'a', "next.1 served 1 -\ncell").expect("told");
     assert!(answer(next).starts_with("HTTP/1.1 200"));
-    until(&edge, "attempts", 3);
+    until(&edge, "attempts_dispatched", 3);
 }
 
 #[test]
@@ -448,7 +448,7 @@
     let site = Site { idle_close_ms: 600, ..USUAL };
     let (edge, _watch) = started("idle", &site, &agent, &addresses);
     assert_eq!(ask(&edge, "q0", "once", &[0]).status, 200);
-    until(&edge, "links_idle_closed", 1);
+    until(&edge, "server_connections_idle_closed", 1);
     assert_eq!(ask(&edge, "q1", "once", &[0]).status, 200);
     let open: usize = nodes.iter().map(|n| *n.connections.lock().expect("count")).sum();
     assert_eq!((open, nodes.iter().map(|n| seen(n).len()).sum::<usize>()), (2, 2));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -49,7 +49,7 @@
             waiting(&edge, &request(&format!("{class}{n}"), class, &[0, 1, 2, 3], "Connection: close\r\n"))
         })
         .collect();
-    until(&edge, "taken", 12);
+    until(&edge, "queries_accepted", 12);
     let began = std::time::Instant::now();
     edge.signal("TERM");
     edge.wait_for("told to end");
@@ -91,7 +91,7 @@
     let site = Site { aim_ms: 500, ..USUAL };
     let (mut edge, _watch) = started("never-closes", &site, &agent, &[hangs.address, other.address]);
     let mut client = BufReader::new(waiting(&edge, &request("q", "once", &[0], "")));
-    until(&edge, "taken", 1);
+    until(&edge, "queries_accepted", 1);
     // Settings that come after the signal change nothing about when the kill comes: it is 1.7 s from here.
     edge.signal("TERM");
     edge.wait_for("told to end");
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -107,7 +107,7 @@
     // Told when the program has counted it: the known list, discovery's first, and this.
     loop {
         edge.signal("USR1");
-        if edge.wait_for("counters").contains(" rosters=3 ") {
+        if edge.wait_for("counters").contains(" endpoint_updates=3 ") {
             break;
         }
     }
@@ -126,7 +126,7 @@
     until_ready(&edge);
     let lists = |n: usize| loop {
         edge.signal("USR1");
-        if edge.wait_for("counters").contains(&format!(" rosters={n} ")) {
+        if edge.wait_for("counters").contains(&format!(" endpoint_updates={n} ")) {
             break;
         }
     };
