--- a/src/coordinator/classes.rs
+++ b/src/coordinator/classes.rs
@@ -1,6 +1,6 @@
 //! The classes by name and by number. The module knows a class by its place; names outlive places.
 
-use super::figures::{ClassMetrics, Metrics};
+use super::metrics::{ClassMetrics, Metrics};
 use crate::interface::{Class, ClassId};
 use std::sync::Arc;
 
--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -35,11 +35,11 @@
         Counter(AtomicU64::new(0))
     }
     /// One more.
-    pub fn add(&self) {
-        self.add_n(1);
+    pub fn increment(&self) {
+        self.add(1);
     }
     /// So many more.
-    pub fn add_n(&self, n: usize) {
+    pub fn add(&self, n: usize) {
         self.0.fetch_add(n as u64, Relaxed);
     }
     /// The figure.
@@ -136,8 +136,8 @@
 
 /// Logs what may come too often to log each time: the 1st, 2nd, 4th, 8th of its counter and so on. Standard error may
 /// be a pipe, and a full one would block the worker.
-pub fn log_rarely(counter: &Counter, line: impl FnOnce() -> String) {
-    counter.add();
+pub fn log_throttled(counter: &Counter, line: impl FnOnce() -> String) {
+    counter.increment();
     if counter.get().is_power_of_two() {
         tracing::info!("{}", line());
     }
@@ -147,6 +147,6 @@
 pub fn invariant(holds: bool, what: &str) {
     debug_assert!(holds, "invariant: {what}");
     if !holds {
-        log_rarely(&COUNTERS.broken_invariants, || format!("invariant broken: {what}"));
+        log_throttled(&COUNTERS.broken_invariants, || format!("invariant broken: {what}"));
     }
 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -5,12 +5,12 @@
 
 mod classes;
 mod counters;
-mod figures;
+mod metrics;
 mod types;
 
 use classes::Classes;
-pub use counters::{invariant, log_rarely, Counter, Counters, COUNTERS};
-pub use figures::{ClassMetrics, Metrics};
+pub use counters::{invariant, log_throttled, Counter, Counters, COUNTERS};
+pub use metrics::{ClassMetrics, Metrics};
 pub use types::*;
 
 use crate::interface::*;
@@ -179,12 +179,12 @@
     }
 
     /// Queries that wait for their final answer.
-    pub fn held(&self) -> usize {
+    pub fn pending_queries(&self) -> usize {
         self.held.len()
     }
 
     /// The program is to end: whatever is held or taken from now on has its answer by then.
-    pub fn answer_by(&mut self, last: Micros) {
+    pub fn set_final_deadline(&mut self, last: Micros) {
         self.last = Some(last);
         let late: Vec<_> = self.ends.range((last, QueryId(u64::MAX))..).copied().collect();
         for (until, query) in late {
@@ -197,17 +197,17 @@
     }
 
     /// Is this attempt out?
-    pub fn is_out(&self, key: AttemptKey) -> bool {
+    pub fn is_in_flight(&self, key: AttemptKey) -> bool {
         self.flights.contains_key(&key)
     }
 
     /// Attempts that are out.
-    pub fn out(&self) -> usize {
+    pub fn attempts_in_flight(&self) -> usize {
         self.flights.len()
     }
 
     /// When the next turn is due at the latest; `None` while nothing is.
-    pub fn due(&self) -> Option<Micros> {
+    pub fn next_turn_due(&self) -> Option<Micros> {
         if !self.pending.is_empty() {
             return Some(Micros::ZERO);
         }
@@ -256,7 +256,7 @@
     }
 
     /// Another process shares what is allowed to one, or does no more. Rules hold for the sum of both.
-    pub fn share(&mut self, beside: Option<ProcessGeneration>) {
+    pub fn set_process_generation(&mut self, beside: Option<ProcessGeneration>) {
         self.beside = beside;
         let heirs = self.classes.replace(&self.settings.classes.clone());
         let event = self.tell_settings(heirs);
@@ -304,7 +304,7 @@
                 Answer::Rejected { .. } => &tally.shed,
                 Answer::Failed { .. } | Answer::DuplicateRequestId | Answer::UnknownClass => &tally.errors,
             }
-            .add();
+            .increment();
         }
         out.push(Command::Reply { token, answer });
     }
@@ -315,14 +315,14 @@
             Input::Submit(request) => self.take_request(now, request, events, out),
             Input::ClientLeft(token) => {
                 if let Some(query) = self.tokens.get(&token).copied() {
-                    COUNTERS.queries_abandoned.add();
+                    COUNTERS.queries_abandoned.increment();
                     events.push(Event::Abandoned(query));
                     self.forget(now, query, out);
                 }
             }
             Input::WriteStarted(key) => self.begun(key),
             Input::FullyWritten(key) => {
-                COUNTERS.attempts_fully_written.add_n(usize::from(self.is_out(key)));
+                COUNTERS.attempts_fully_written.add(usize::from(self.is_in_flight(key)));
                 self.begun(key);
             }
             Input::AttemptEnded { key, end } => self.take_end(now, key, end, events),
@@ -340,7 +340,7 @@
         events: &mut Vec<Event>,
         out: &mut Vec<Command>,
     ) {
-        COUNTERS.endpoint_updates.add();
+        COUNTERS.endpoint_updates.increment();
         self.keep_what_is_newer(&mut roster);
         let mut members = Vec::new();
         let mut named = BTreeSet::new();
@@ -392,7 +392,7 @@
             self.version = version;
             return;
         }
-        log_rarely(&COUNTERS.stale_endpoint_updates, || {
+        log_throttled(&COUNTERS.stale_endpoint_updates, || {
             format!(
                 "discovery: the list goes back from version {} to {version}: drains are taken from it",
                 self.version
@@ -417,7 +417,7 @@
     }
 
     /// Servers that are remembered, listed or not.
-    pub fn servers(&self) -> usize {
+    pub fn known_endpoints(&self) -> usize {
         self.servers.len()
     }
 
@@ -430,23 +430,23 @@
     ) {
         let Some(class) = self.classes.find(&request.class) else {
             // Dropped by a reload while the request was on its way here.
-            COUNTERS.bad_requests.add();
+            COUNTERS.bad_requests.increment();
             return out.push(Command::Reply { token: request.token, answer: Answer::UnknownClass });
         };
         let until = request.sent_at + request.timeout;
         let until = self.last.map_or(until, |last| until.min(last));
         if until <= now + WAY {
             // Over before it began: nothing can be in time any more, and nothing was sent.
-            COUNTERS.rejected_expired.add();
-            COUNTERS.queries_rejected.add();
+            COUNTERS.rejected_expired.increment();
+            COUNTERS.queries_rejected.increment();
             let answer = Answer::Rejected { retry_after: None, late: true };
             return self.reply(class, &request, answer, out);
         }
         let size = 1 + request.parts.len();
         if self.held_count + size > self.most_held() {
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
-            COUNTERS.rejected_over_capacity.add();
-            COUNTERS.queries_rejected.add();
+            COUNTERS.rejected_over_capacity.increment();
+            COUNTERS.queries_rejected.increment();
             let come_back = self.settings.max_retry_after.map(Micros::from_nanos);
             return self.reply(
                 class,
@@ -456,10 +456,10 @@
             );
         }
         if self.labels.contains_key(&request.request_id) {
-            COUNTERS.duplicate_request_ids.add();
+            COUNTERS.duplicate_request_ids.increment();
             return self.reply(class, &request, Answer::DuplicateRequestId, out);
         }
-        COUNTERS.queries_accepted.add();
+        COUNTERS.queries_accepted.increment();
         self.labels.insert(request.request_id.clone(), 1);
         self.held_count += size;
         let query = QueryId(self.next_id);
@@ -537,7 +537,7 @@
             Outcome::Cancelled => &COUNTERS.attempts_cancelled,
             Outcome::NotSent => &COUNTERS.attempts_not_sent,
         }
-        .add();
+        .increment();
         let waited = now.since(flight.sent).to_nanos();
         events.push(Event::Outcome { part: key.part, attempt: key.attempt, outcome, waited });
     }
@@ -566,7 +566,7 @@
             if let Some(held) = self.forget(now, query, out) {
                 let told_to_end = self.last.is_some_and(|last| held.until >= last);
                 invariant(told_to_end, "a query outlived its client's time");
-                COUNTERS.queries_failed.add();
+                COUNTERS.queries_failed.increment();
                 self.reply(held.class, &held.request, Answer::Failed { late: true }, out);
             }
             self.pending.push(Event::Abandoned(query));
@@ -662,7 +662,7 @@
         };
         *number += 1;
         let until = (now + Micros::from_nanos(timeout)).min(held.until);
-        COUNTERS.attempts_dispatched.add();
+        COUNTERS.attempts_dispatched.increment();
         invariant(
             self.settings.hedging || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
@@ -703,7 +703,7 @@
         }
         let least = if whole { class.required_share } else { class.min_share };
         invariant(weight + 1e-4 >= least, "an answer from too few parts");
-        if whole { &COUNTERS.queries_complete } else { &COUNTERS.queries_partial }.add();
+        if whole { &COUNTERS.queries_complete } else { &COUNTERS.queries_partial }.increment();
         self.reply(held.class, &held.request, Answer::Served { complete: whole, parts: values }, out);
     }
 
@@ -717,7 +717,7 @@
     ) {
         // A class that is none is failed by the module before its parts are known.
         let Some(held) = self.forget(now, query, out) else { return invariant(false, "an end to no query") };
-        counter.add();
+        counter.increment();
         let late = now + NEAR_END >= held.wanted.min(held.until);
         self.reply(held.class, &held.request, answer(late), out);
     }
--- a/src/coordinator/types.rs
+++ b/src/coordinator/types.rs
@@ -1,6 +1,6 @@
 //! Requests, attempts and outcomes as plain data. No wire's words here.
 
-use super::figures::ClassMetrics;
+use super::metrics::ClassMetrics;
 use crate::interface::{AttemptNo, Outcome, PartId, ReplicaId, Settings, ShardId, TenantId};
 use crate::time::Micros;
 use std::any::Any;
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -137,7 +137,7 @@
         503 | 429 => &tally.shed,
         _ => &tally.errors,
     }
-    .add();
+    .increment();
 }
 
 fn query_hash(asked: &Asked) -> u64 {
@@ -470,7 +470,7 @@
     let (cost, bytes) = if edge.limits.admission {
         let admitted = shared.admission().admit(cost, aim, shared.bears.rate());
         let bytes = admitted.map_err(|refusal| {
-            COUNTERS.rejected_over_cost.add();
+            COUNTERS.rejected_over_cost.increment();
             render::refused(Some(refusal.come_back))
         })?;
         (cost, bytes)
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -291,7 +291,7 @@
         }
         Ok(items::learned(self.shared.clone(), asker, shards, |shared| {
             begin(shared).unwrap_or_else(|(status, why)| {
-                COUNTERS.bad_requests.add();
+                COUNTERS.bad_requests.increment();
                 Reaction::Respond(render::problem(status, &why))
             })
         }))
@@ -338,7 +338,7 @@
     fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
         let manner = Manner::of(&request);
         let reaction = self.route(&request, token, sent, ready).unwrap_or_else(|(status, detail)| {
-            COUNTERS.bad_requests.add();
+            COUNTERS.bad_requests.increment();
             let mut response = render::problem(status, &detail);
             if status == 405 {
                 let search = request.target.starts_with("/search");
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -480,7 +480,7 @@
     match found {
         Some(text) => {
             let Ok(mut feature @ Json::Object(_)) = serde_json::from_slice::<Json>(&text) else {
-                COUNTERS.bad_frames.add();
+                COUNTERS.bad_frames.increment();
                 return problem(502, "a server gave what is no feature");
             };
             let transform = if crs == Crs::Crs84 { None } else { Transform::of(crs) };
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -133,7 +133,7 @@
                     Reaction::Submit(request, Box::new(|answer| Reaction::Respond(render(answer))))
                 }
                 Err(why) => {
-                    COUNTERS.bad_requests.add();
+                    COUNTERS.bad_requests.increment();
                     respond(400, &format!("{why}\n"))
                 }
             },
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,7 +2,7 @@
 //! reads atomics only.
 
 use super::{try_read, Tried};
-use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
+use crate::coordinator::{log_throttled, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::Write;
@@ -87,7 +87,7 @@
         }
         Err(e) => {
             static REFUSED: Counter = Counter::new();
-            log_rarely(&REFUSED, || format!("the second address: accept: {e}"));
+            log_throttled(&REFUSED, || format!("the second address: accept: {e}"));
             std::thread::sleep(Duration::from_millis(MAX_SLEEP_MS.1));
             None
         }
@@ -111,7 +111,7 @@
         return ended;
     }
     let Some(call) = conn.caller.call(ended) else { return ended };
-    COUNTERS.admin_calls.add();
+    COUNTERS.admin_calls.increment();
     let reply = match call {
         Call::Health => match (told.health)() {
             Ok(()) => "YES\n".to_owned(),
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepted, read, answered, and closed when there are too many or they stand idle.
 
 use super::{spawn, try_read, try_write, Tried};
-use crate::coordinator::{log_rarely, Answer, Input, Token, COUNTERS};
+use crate::coordinator::{log_throttled, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
 use crate::limits::BASE_MEMORY;
 use crate::proto::http::{HttpError, Server};
@@ -136,7 +136,7 @@
 
     /// Makes it end. A request that is here already but unread is still taken.
     fn give_way(&mut self) {
-        COUNTERS.connections_evicted.add();
+        COUNTERS.connections_evicted.increment();
         if self.asked && self.server.idle() {
             self.server.close_when_idle();
             self.wake();
@@ -276,7 +276,7 @@
                 }
                 Err(e) => {
                     // Most likely no descriptor is left (EMFILE): an idle connection gives way.
-                    log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
+                    log_throttled(&COUNTERS.accept_errors, || format!("accept: {e}"));
                     self.evict();
                     may::coroutine::sleep(ACCEPT_PAUSE);
                 }
@@ -285,12 +285,12 @@
     }
 
     fn adopt(self: &Arc<Self>, stream: TcpStream) {
-        COUNTERS.connections_accepted.add();
+        COUNTERS.connections_accepted.increment();
         let _ = stream.set_nodelay(true);
         let stream = match CoIo::new(stream) {
             Ok(stream) => stream,
             Err(e) => {
-                return log_rarely(&COUNTERS.accept_errors, || {
+                return log_throttled(&COUNTERS.accept_errors, || {
                     format!("a connection cannot be waited on: {e}")
                 })
             }
@@ -316,7 +316,7 @@
             guard(&clients.conns).remove(&number);
         });
         if let Err(e) = started {
-            log_rarely(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
+            log_throttled(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
             guard(&self.conns).remove(&number);
         }
     }
@@ -392,7 +392,7 @@
             let close = self.leaving.load(Relaxed);
             match polled {
                 Err(error) => {
-                    COUNTERS.bad_requests.add();
+                    COUNTERS.bad_requests.increment();
                     let response = self.front.malformed_response(error);
                     state.server.respond(response, true);
                 }
@@ -486,7 +486,7 @@
             (!state.cut && !state.server.busy()).then_some(state.bytes)
         };
         if let Some((_, conn)) = conns.values().filter_map(|c| Some((held(c)?, c))).max_by_key(|c| c.0) {
-            COUNTERS.connections_evicted.add();
+            COUNTERS.connections_evicted.increment();
             conn.lock().cut();
         }
     }
@@ -504,13 +504,13 @@
                 state.cut();
             } else if !state.server.output().is_empty() {
                 if quiet > MAX_ANSWER {
-                    COUNTERS.client_timeouts.add();
+                    COUNTERS.client_timeouts.increment();
                     state.cut();
                 }
             } else if !state.asked && state.server.idle() {
                 // A connection that was never used is owed nothing but its end.
                 if now.since(state.accepted) > MAX_REQUEST {
-                    COUNTERS.client_timeouts.add();
+                    COUNTERS.client_timeouts.increment();
                     state.cut();
                 }
             } else if state.server.idle() {
@@ -523,7 +523,7 @@
                 // none.
                 let since = if state.asked { state.began.unwrap_or(state.active) } else { state.accepted };
                 if now.since(since) > MAX_REQUEST {
-                    COUNTERS.client_timeouts.add();
+                    COUNTERS.client_timeouts.increment();
                     let response = self.front.malformed_response(HttpError::TooSlow);
                     state.server.give_up(response);
                     state.wake();
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -215,7 +215,7 @@
             let mut state = guard(server);
             let before = state.idle.len();
             state.idle.retain(|(_, since)| now.since(*since) < self.idle_limit);
-            COUNTERS.server_connections_idle_closed.add_n(before - state.idle.len());
+            COUNTERS.server_connections_idle_closed.add(before - state.idle.len());
             // Whoever was called off waits no more; and a server's wish to be left alone may be over.
             state.waiting.retain(|d| !guard(&d.slot).called_off);
             let next = state.next(now);
@@ -295,10 +295,10 @@
     }
 
     fn dial(&self, address: SocketAddr) -> Option<TcpStream> {
-        COUNTERS.dials.add();
+        COUNTERS.dials.increment();
         let stream = TcpStream::connect_timeout(&address, self.dial_timeout.to_duration());
         if stream.is_err() {
-            COUNTERS.dials_failed.add();
+            COUNTERS.dials_failed.increment();
         }
         stream.ok()
     }
@@ -343,7 +343,7 @@
                 match try_write(stream, self.fetch.output()) {
                     Tried::Moved(n) => {
                         if self.fetch.wrote(n) {
-                            self.tally.tries.add();
+                            self.tally.tries.increment();
                             let _ = self.inbox.send(Input::FullyWritten(self.key));
                         }
                     }
--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -1,7 +1,7 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
 use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK_WORDS};
-use crate::coordinator::{log_rarely, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
+use crate::coordinator::{log_throttled, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
 use crate::settings::CoordinatorSettings;
@@ -189,7 +189,7 @@
         if node.links.len() >= MAX_LINKS {
             return silent;
         }
-        COUNTERS.dials.add();
+        COUNTERS.dials.increment();
         let slot = Arc::new(Slot::default());
         {
             let mut state = slot.lock();
@@ -258,7 +258,7 @@
                 state.link.call_off(key);
                 state.used = now;
                 if state.give_up(key, now, patience) && !state.suspect {
-                    COUNTERS.server_connections_unresponsive.add();
+                    COUNTERS.server_connections_unresponsive.increment();
                     state.suspect = true;
                     state.closing = true;
                 }
@@ -293,14 +293,14 @@
             node.links.retain(|slot| {
                 let mut state = slot.lock();
                 if state.partial.is_some_and(|since| now.since(since) > MAX_PARTIAL) && !state.spoilt {
-                    log_rarely(&COUNTERS.bad_frames, || {
+                    log_throttled(&COUNTERS.bad_frames, || {
                         format!("data node {:?}: a frame without its end", node.address)
                     });
                     (state.spoilt, state.closing) = (true, true);
                     wake(&state);
                 }
                 if state.link.idle() && !state.closing && now.since(state.used) >= limit {
-                    COUNTERS.server_connections_idle_closed.add();
+                    COUNTERS.server_connections_idle_closed.increment();
                     state.closing = true;
                     wake(&state);
                 }
@@ -351,8 +351,8 @@
             if state.closing || !state.link.restart() {
                 break;
             }
-            COUNTERS.server_connections_redialed.add();
-            COUNTERS.dials.add();
+            COUNTERS.server_connections_redialed.increment();
+            COUNTERS.dials.increment();
         }
         let mut events = Vec::new();
         {
@@ -360,7 +360,7 @@
             state.dead = true;
             state.waker = None;
             if !state.link.idle() {
-                COUNTERS.server_connections_lost.add();
+                COUNTERS.server_connections_lost.increment();
             }
             state.link.broken(&mut events);
         }
@@ -370,7 +370,7 @@
     /// False: no connection came up. True: one did, and has ended.
     fn connect_and_drive(&self, address: SocketAddr, dial_timeout: Micros) -> bool {
         let Ok(stream) = TcpStream::connect_timeout(&address, dial_timeout.to_duration()) else {
-            COUNTERS.dials_failed.add();
+            COUNTERS.dials_failed.increment();
             return false;
         };
         // Only speed is lost without it.
@@ -423,7 +423,7 @@
                             state.partial = since.filter(|_| state.link.partial());
                         }
                         Err(bad) => {
-                            log_rarely(&COUNTERS.bad_frames, || {
+                            log_throttled(&COUNTERS.bad_frames, || {
                                 format!("data node {}: {}", stream_name(stream), bad.0)
                             });
                             return false;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -270,10 +270,10 @@
     let (mut file, mut told) = (InForce::at_start(config), config.told);
     Box::new(move |_| {
         let replaced = file.reread().map_err(|e| {
-            figures.config_rejected.add();
+            figures.config_rejected.increment();
             format!("the configuration stays as it was: {e}")
         })?;
-        figures.config_applied.add();
+        figures.config_applied.increment();
         if told.replace(replaced.discovery) != Some(replaced.discovery) {
             place.move_to(replaced.discovery);
         }
@@ -436,7 +436,7 @@
             }
             if now.since(tidied_servers) >= TIDY_SERVERS_INTERVAL {
                 tidied_servers = now;
-                self.upstream.reap(now, &|key| self.core.is_out(key));
+                self.upstream.reap(now, &|key| self.core.is_in_flight(key));
             }
             if now.since(tidied) >= TIDY_INTERVAL {
                 tidied = now;
@@ -453,7 +453,7 @@
             let told = leaving.is_none() && self.signals.end.load(Relaxed);
             if told {
                 leaving = Some((now, self.last_answer));
-                self.core.answer_by(now + self.last_answer);
+                self.core.set_final_deadline(now + self.last_answer);
             }
             if let Some((since, last_answer)) = leaving {
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
@@ -465,7 +465,7 @@
                 if told {
                     self.clients.not_ready();
                     // Said, to operators too, once it is so: whoever waits for that may ask at once.
-                    tracing::info!("told to end: {} queries held", self.core.held());
+                    tracing::info!("told to end: {} queries held", self.core.pending_queries());
                 }
                 let last = now.since(since) >= (last_answer - LAST_TIME).max(LAST_COMERS);
                 if last {
@@ -473,10 +473,10 @@
                 }
                 let over = now.since(since) >= last_answer + KILL_MARGIN - END_MARGIN;
                 let open = if over { self.clients.owed() } else { self.clients.open() };
-                let drained = self.core.held() == 0 && open == 0;
+                let drained = self.core.pending_queries() == 0 && open == 0;
                 let may_end = last || self.beside == Some(ProcessGeneration::Predecessor);
                 if (may_end && drained && self.clients.queue_is_empty()) || now.since(since) >= LAST_EXIT {
-                    tracing::info!("ends: {} queries held", self.core.held());
+                    tracing::info!("ends: {} queries held", self.core.pending_queries());
                     return;
                 }
             }
@@ -488,7 +488,7 @@
         let beside = self.others.beside();
         if beside != self.beside {
             self.beside = beside;
-            self.core.share(beside);
+            self.core.set_process_generation(beside);
             self.clients.share(beside.is_some());
         }
     }
@@ -502,7 +502,7 @@
         self.reloads = asked;
         match (self.reload)(now) {
             Ok(Reloaded { words, input, deployment }) => {
-                COUNTERS.reloads.add();
+                COUNTERS.reloads.increment();
                 tracing::info!("{words}");
                 if let Some(deployment) = deployment {
                     self.last_answer = last_answer(longest(&deployment.policy));
@@ -515,7 +515,7 @@
                 inputs.push(input);
             }
             Err(why) => {
-                COUNTERS.bad_reloads.add();
+                COUNTERS.bad_reloads.increment();
                 tracing::warn!("{why}");
             }
         }
@@ -524,7 +524,7 @@
     /// Waits for an input, the core's next due time, or the longest sleep.
     fn wait(&self) -> Option<Input> {
         let now = self.clock.now();
-        let due = self.core.due().map_or(now + MAX_SLEEP, |due| due.min(now + MAX_SLEEP));
+        let due = self.core.next_turn_due().map_or(now + MAX_SLEEP, |due| due.min(now + MAX_SLEEP));
         if due <= now {
             return None;
         }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: followed from the known list on, opened anew when it ends or falls silent.
 
-use crate::coordinator::{log_rarely, Input, COUNTERS};
+use crate::coordinator::{log_throttled, Input, COUNTERS};
 use crate::interface::Nanos;
 use crate::proto::discovery::Watch;
 use crate::time::{unix_ms, Clock, Micros};
@@ -123,10 +123,10 @@
                 waits.next = 0;
                 continue;
             }
-            Ok(Ended::Closed) => log_rarely(&COUNTERS.watch_disconnects, || {
+            Ok(Ended::Closed) => log_throttled(&COUNTERS.watch_disconnects, || {
                 format!("discovery: the watch ended at version {rev}")
             }),
-            Err(e) => log_rarely(&COUNTERS.watch_disconnects, || {
+            Err(e) => log_throttled(&COUNTERS.watch_disconnects, || {
                 format!("discovery: the watch broke at version {rev}: {e}")
             }),
         }
@@ -174,7 +174,7 @@
         let now = clock.now();
         (heard, patience) = (now, SILENT);
         let (news, ended) = watch.advance(now, unix_ms()).map_err(|e| {
-            COUNTERS.bad_endpoint_updates.add();
+            COUNTERS.bad_endpoint_updates.increment();
             // What the line said is not known, so changes after it would not do: the whole list is asked for.
             *rev = 0;
             io::Error::new(io::ErrorKind::InvalidData, format!("{e:?}"))
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -209,14 +209,14 @@
                 let mut commands = Vec::new();
                 core.turn(now, inputs.drain(..), &mut commands);
                 watcher.see(commands);
-                if core.due().is_none_or(|due| due > now) {
+                if core.next_turn_due().is_none_or(|due| due > now) {
                     break;
                 }
             }
-            prop_assert!(core.held() <= MAX_HELD / 2);
+            prop_assert!(core.pending_queries() <= MAX_HELD / 2);
         }
-        prop_assert_eq!(core.held(), 0);
-        prop_assert_eq!(core.out(), 0, "every attempt has had its outcome");
+        prop_assert_eq!(core.pending_queries(), 0);
+        prop_assert_eq!(core.attempts_in_flight(), 0, "every attempt has had its outcome");
         for token in 1..=tokens {
             prop_assert!(watcher.answered.contains(&token) || left.contains(&token), "no answer to {}", token);
         }
@@ -303,7 +303,7 @@
         }
         let back = out.iter().any(|c| matches!(c, Command::CancelAttempt { key, .. } if *key == again));
         assert_eq!(back, !begun, "at the end of its window");
-        assert_eq!(core.is_out(again), begun);
+        assert_eq!(core.is_in_flight(again), begun);
     }
 }
 
@@ -352,7 +352,7 @@
                 _ => {}
             }
         }
-        assert!(core.servers() <= 35 && open.len() <= 35, "{} kept", core.servers());
+        assert!(core.known_endpoints() <= 35 && open.len() <= 35, "{} kept", core.known_endpoints());
     }
 }
 
@@ -362,16 +362,16 @@
     let mut now = Micros::from_secs(100);
     let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let last = now + Micros::from_millis(400);
-    core.answer_by(last);
+    core.set_final_deadline(last);
     let mut out = Vec::new();
     core.turn(now, [fleet(), ask(1, 0, 1, now)], &mut out);
-    while core.held() > 0 {
+    while core.pending_queries() > 0 {
         now = now + Micros::from_millis(5);
         core.turn(now, [], &mut out);
     }
     assert!(now <= last);
     core.turn(last, [ask(2, 0, 1, last)], &mut out);
-    assert_eq!(core.held(), 0, "too late to be taken");
+    assert_eq!(core.pending_queries(), 0, "too late to be taken");
 }
 
 #[test]
@@ -384,7 +384,7 @@
     let late = start + Micros::from_secs(2);
     core.turn(late, [ask(2, 0, 1, start)], &mut out);
     let replies = out.iter().filter(|c| matches!(c, Command::Reply { .. })).count();
-    assert_eq!((replies, core.held()), (2, 0));
+    assert_eq!((replies, core.pending_queries()), (2, 0));
     assert_eq!(quinceflow::coordinator::COUNTERS.broken_invariants.get(), 0);
 }
 
@@ -554,7 +554,7 @@
         };
         let mut at = now + Micros::from_millis(1);
         core.turn(at, sign.into_iter().chain([end]), &mut out);
-        while core.held() > 0 {
+        while core.pending_queries() > 0 {
             at = at + Micros::from_millis(1);
             core.turn(at, [], &mut out);
         }
@@ -570,7 +570,7 @@
             first.into_iter().chain((!begun).then_some(keys[1])).collect::<Vec<_>>(),
             "{leaves} {begun}"
         );
-        assert_eq!(core.out(), usize::from(begun));
+        assert_eq!(core.attempts_in_flight(), usize::from(begun));
     }
 }
 
@@ -584,15 +584,15 @@
     let sign = out.drain(..).find_map(|c| launched(&c)).map(Input::FullyWritten);
     let last = now + Micros::from_millis(30);
     core.turn(now + Micros::from_millis(1), sign, &mut out);
-    core.answer_by(last);
-    assert_eq!(core.due().map(|due| due <= last), Some(true));
+    core.set_final_deadline(last);
+    assert_eq!(core.next_turn_due().map(|due| due <= last), Some(true));
     core.turn(last, [], &mut out);
     let replies: Vec<_> = out.iter().filter(|c| matches!(c, Command::Reply { .. })).collect();
     assert!(
         matches!(replies[..], [Command::Reply { token: Token(1), answer: Answer::Failed { .. } }]),
         "it may have run: {replies:?}"
     );
-    assert_eq!(core.held(), 0);
+    assert_eq!(core.pending_queries(), 0);
 }
 
 fn launched(command: &Command) -> Option<AttemptKey> {
