--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -144,7 +144,7 @@
 }
 
 /// What must hold: asserted in debug builds, counted and logged in release builds.
-pub fn invariant(holds: bool, what: &str) {
+pub fn check_invariant(holds: bool, what: &str) {
     debug_assert!(holds, "invariant: {what}");
     if !holds {
         log_throttled(&COUNTERS.broken_invariants, || format!("invariant broken: {what}"));
--- a/src/coordinator/metrics.rs
+++ b/src/coordinator/metrics.rs
@@ -20,7 +20,7 @@
     /// See `ok`.
     pub errors: Counter,
     /// Attempts whose last byte went out.
-    pub tries: Counter,
+    pub attempts: Counter,
 }
 
 /// A figure that rises and falls: the sum of what each core last said.
@@ -29,7 +29,7 @@
 
 impl Gauge {
     /// One core's share was `before` and is `now`.
-    pub fn moved(&self, before: usize, now: usize) {
+    pub fn update(&self, before: usize, now: usize) {
         self.0.fetch_add(now.wrapping_sub(before), Relaxed);
     }
     /// The figure.
@@ -67,7 +67,7 @@
         let mut text = String::new();
         for (name, t) in classes.iter() {
             for (what, counter) in
-                [("ok", &t.ok), ("shed", &t.shed), ("errors", &t.errors), ("tries", &t.tries)]
+                [("ok", &t.ok), ("shed", &t.shed), ("errors", &t.errors), ("tries", &t.attempts)]
             {
                 let _ = writeln!(text, "node.responses.{name}.{what}={}", counter.get());
             }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -9,7 +9,7 @@
 mod types;
 
 use classes::Classes;
-pub use counters::{invariant, log_throttled, Counter, Counters, COUNTERS};
+pub use counters::{check_invariant, log_throttled, Counter, Counters, COUNTERS};
 pub use metrics::{ClassMetrics, Metrics};
 pub use types::*;
 
@@ -252,7 +252,7 @@
             self.said[2] = self.avoided.values().filter(|since| now.since(**since) >= AVOIDED_FOR).count();
         }
         let gauges = [&self.figures.active, &self.figures.pool_size, &self.figures.pool_ejected];
-        gauges.iter().zip(before.iter().zip(self.said)).for_each(|(g, (b, s))| g.moved(*b, s));
+        gauges.iter().zip(before.iter().zip(self.said)).for_each(|(g, (b, s))| g.update(*b, s));
     }
 
     /// Another process shares what is allowed to one, or does no more. Rules hold for the sum of both.
@@ -344,7 +344,7 @@
         self.keep_what_is_newer(&mut roster);
         let mut members = Vec::new();
         let mut named = BTreeSet::new();
-        for node in roster.nodes {
+        for node in roster.endpoints {
             let replica = *self.names.entry(node.name.clone()).or_insert_with(|| {
                 let [a, b, c, d] = self.next_server.to_be_bytes();
                 self.next_server = self.next_server.wrapping_add(1);
@@ -400,7 +400,7 @@
         });
         roster.kind = EndpointListKind::Delta;
         let known = |n: &NodeEndpoint| self.names.get(&n.name).and_then(|r| self.servers.get(r));
-        roster.nodes.retain(|node| known(node).is_none_or(|listed| listed.learns(node)));
+        roster.endpoints.retain(|node| known(node).is_none_or(|listed| listed.learns(node)));
     }
 
     /// Servers are replaced by new ones with new names for as long as the program runs: what is kept of those that are
@@ -565,7 +565,7 @@
         while let Some((_, query)) = self.ends.first().copied().filter(|e| e.0 <= now) {
             if let Some(held) = self.forget(now, query, out) {
                 let told_to_end = self.last.is_some_and(|last| held.until >= last);
-                invariant(told_to_end, "a query outlived its client's time");
+                check_invariant(told_to_end, "a query outlived its client's time");
                 COUNTERS.queries_failed.increment();
                 self.reply(held.class, &held.request, Answer::Failed { late: true }, out);
             }
@@ -658,12 +658,12 @@
         let live = self.parts.get(&part).and_then(|(query, at)| Some((self.held.get(query)?, *at)));
         let Some((held, at)) = live else {
             self.attempts.remove(&part);
-            return invariant(false, "an attempt at a part that is over");
+            return check_invariant(false, "an attempt at a part that is over");
         };
         *number += 1;
         let until = (now + Micros::from_nanos(timeout)).min(held.until);
         COUNTERS.attempts_dispatched.increment();
-        invariant(
+        check_invariant(
             self.settings.hedging || !self.flights.keys().any(|k| k.part == part),
             "a part has two attempts out",
         );
@@ -689,7 +689,7 @@
 
     fn answer(&mut self, now: Micros, query: QueryId, whole: bool, out: &mut Vec<Command>) {
         let Some(held) = self.forget(now, query, out) else {
-            return invariant(false, "an answer to no query");
+            return check_invariant(false, "an answer to no query");
         };
         let class = self.classes.get(held.class);
         let parts = held.request.parts.iter().zip(held.values);
@@ -702,7 +702,7 @@
             }
         }
         let least = if whole { class.required_share } else { class.min_share };
-        invariant(weight + 1e-4 >= least, "an answer from too few parts");
+        check_invariant(weight + 1e-4 >= least, "an answer from too few parts");
         if whole { &COUNTERS.queries_complete } else { &COUNTERS.queries_partial }.increment();
         self.reply(held.class, &held.request, Answer::Served { complete: whole, parts: values }, out);
     }
@@ -716,7 +716,9 @@
         out: &mut Vec<Command>,
     ) {
         // A class that is none is failed by the module before its parts are known.
-        let Some(held) = self.forget(now, query, out) else { return invariant(false, "an end to no query") };
+        let Some(held) = self.forget(now, query, out) else {
+            return check_invariant(false, "an end to no query");
+        };
         counter.increment();
         let late = now + NEAR_END >= held.wanted.min(held.until);
         self.reply(held.class, &held.request, answer(late), out);
--- a/src/coordinator/types.rs
+++ b/src/coordinator/types.rs
@@ -124,7 +124,7 @@
     /// Its version, where lists have one: a later list has no lower one.
     pub version: Option<u64>,
     /// Its lines.
-    pub nodes: Vec<NodeEndpoint>,
+    pub endpoints: Vec<NodeEndpoint>,
 }
 
 /// What reaches the core.
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -97,7 +97,7 @@
             .values_mut()
             .for_each(|l| l.sort_by(|a, b| shares[a.0 as usize].cmp(&shares[b.0 as usize])));
         (self.known, self.loaded) = (known, true);
-        EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes }
+        EndpointUpdate { kind: EndpointListKind::Full, version: None, endpoints: nodes }
     }
 
     /// The names of the collections, in order.
--- a/src/front/ogc/paging.rs
+++ b/src/front/ogc/paging.rs
@@ -5,7 +5,7 @@
 //! a client that follows `next` to the end has each of them read once: sizes are chosen so that a page boundary falls on
 //! the limit, and an answer ends early, with a `next` link, rather than begin a page that it could not use up.
 
-use crate::coordinator::invariant;
+use crate::coordinator::check_invariant;
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
 use std::ops::Range;
@@ -400,7 +400,7 @@
         if from < at {
             self.taken.push((page.clone(), from..at));
         }
-        invariant(self.count <= self.wanted.limit, "an answer beyond its limit");
+        check_invariant(self.count <= self.wanted.limit, "an answer beyond its limit");
         (at, self.count - before)
     }
 
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -343,7 +343,7 @@
                 match try_write(stream, self.fetch.output()) {
                     Tried::Moved(n) => {
                         if self.fetch.wrote(n) {
-                            self.tally.tries.increment();
+                            self.tally.attempts.increment();
                             let _ = self.inbox.send(Input::FullyWritten(self.key));
                         }
                     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -302,7 +302,7 @@
         Box::new(move |now| {
             let servers = edge.servers().map_err(|e| format!("the inventory stays as it was: {e}"))?;
             let roster = ogc::lock(&catalog).load(&servers, now);
-            let nodes = roster.nodes.len();
+            let nodes = roster.endpoints.len();
             let words = format!("the inventory is loaded anew: {nodes} servers");
             Ok(Reloaded { words, input: Input::EndpointUpdate(roster), deployment: None })
         })
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -79,7 +79,7 @@
         _ => EndpointListKind::Delta,
     };
     let nodes = listing.targets.into_iter().map(node).collect::<Result<_, String>>()?;
-    let roster = EndpointUpdate { kind, version: Some(listing.rev), nodes };
+    let roster = EndpointUpdate { kind, version: Some(listing.rev), endpoints: nodes };
     Ok(News { rev: listing.rev, roster })
 }
 
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -172,7 +172,7 @@
         }
         let Some(whole) = self.output.pop_front() else { return };
         for part in whole.parts {
-            part.tally.tries.increment();
+            part.tally.attempts.increment();
             if let Some(entry) = self.ids.get(&part.key).and_then(|id| self.out.get_mut(id)) {
                 entry.1 = true;
                 events.push(LinkEvent::Written(part.key));
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -223,7 +223,7 @@
             }).collect();
             prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
             prop_assert_eq!(got, expected);
-            prop_assert_eq!(tally.tries.get(), whole);
+            prop_assert_eq!(tally.attempts.get(), whole);
             if broken {
                 prop_assert!(link.idle());
                 queue.clear();
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -40,7 +40,7 @@
 
 fn fleet() -> Input {
     let nodes = (0..3).map(|n| node(n, EndpointState::Ready)).collect();
-    Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Cached, version: None, nodes })
+    Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Cached, version: None, endpoints: nodes })
 }
 
 fn ask(token: u64, class: u16, parts: u32, sent: Micros) -> Input {
@@ -202,7 +202,7 @@
                 }
                 Step::Drain(n, drain) => {
                     let state = if drain { EndpointState::Draining } else { EndpointState::Ready };
-                    inputs.push(Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Delta, version: None, nodes: vec![node(n, state)] }));
+                    inputs.push(Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Delta, version: None, endpoints: vec![node(n, state)] }));
                 }
             }
             loop {
@@ -239,7 +239,7 @@
                 Input::EndpointUpdate(EndpointUpdate {
                     kind: EndpointListKind::Cached,
                     version: None,
-                    nodes,
+                    endpoints: nodes,
                 }),
                 ask(1, 1, 1, now),
             ],
@@ -338,7 +338,11 @@
         let nodes = vec![node(n, EndpointState::Removed), node(n + 1, EndpointState::Ready)];
         core.turn(
             now,
-            [Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Delta, version: None, nodes })],
+            [Input::EndpointUpdate(EndpointUpdate {
+                kind: EndpointListKind::Delta,
+                version: None,
+                endpoints: nodes,
+            })],
             &mut out,
         );
         for command in out.drain(..) {
@@ -465,8 +469,13 @@
     let now = Micros::from_secs(100);
     let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
-    let full =
-        |nodes| Input::EndpointUpdate(EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes });
+    let full = |nodes| {
+        Input::EndpointUpdate(EndpointUpdate {
+            kind: EndpointListKind::Full,
+            version: None,
+            endpoints: nodes,
+        })
+    };
     let launches = |out: &[Command], to: u8| {
         out.iter().filter(|c| matches!(c, Command::Dispatch { replica: r, .. } if r.0[3] == to)).count()
     };
@@ -497,8 +506,9 @@
     let now = Micros::from_secs(100);
     let mut core = Coordinator::new(settings(), MAX_HELD, 7, now, Arc::default());
     let mut out = Vec::new();
-    let list =
-        |version, kind, nodes| Input::EndpointUpdate(EndpointUpdate { kind, version: Some(version), nodes });
+    let list = |version, kind, nodes| {
+        Input::EndpointUpdate(EndpointUpdate { kind, version: Some(version), endpoints: nodes })
+    };
     let at =
         |n, state, started: u64| NodeEndpoint { started: Some(Micros::from_secs(started)), ..node(n, state) };
     let ready = |out: &mut Vec<Command>| {
