--- a/src/coordinator/classes.rs
+++ b/src/coordinator/classes.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 
 /// No class: a new one has nobody's seen figures to go on with.
-const NONE: ClassId = ClassId(u16::MAX);
+const NO_PREDECESSOR: ClassId = ClassId(u16::MAX);
 
 #[derive(Debug)]
-struct Place {
+struct ClassSlot {
     class: Class,
-    tally: Arc<ClassMetrics>,
+    metrics: Arc<ClassMetrics>,
     /// Queries and attempts that began with it and have not ended.
     users: usize,
 }
@@ -18,42 +18,42 @@
 /// The classes in force, and those that only live on for what began with them.
 #[derive(Debug)]
 pub struct Classes {
-    places: Vec<Place>,
-    figures: Arc<Metrics>,
+    slots: Vec<ClassSlot>,
+    metrics: Arc<Metrics>,
 }
 
 impl Classes {
     /// The first ones.
-    pub fn new(classes: &[Class], figures: Arc<Metrics>) -> Self {
-        let mut all = Classes { places: Vec::new(), figures };
+    pub fn new(classes: &[Class], metrics: Arc<Metrics>) -> Self {
+        let mut all = Classes { slots: Vec::new(), metrics };
         all.replace(classes);
         all
     }
 
     /// The number of the class in force that has this name.
     pub fn find(&self, name: &str) -> Option<ClassId> {
-        let at = self.places.iter().position(|p| p.class.in_force && p.class.name == name)?;
+        let at = self.slots.iter().position(|p| p.class.in_force && p.class.name == name)?;
         Some(ClassId(at as u16))
     }
 
     /// What it says.
     pub fn get(&self, id: ClassId) -> &Class {
-        &self.places[usize::from(id.0)].class
+        &self.slots[usize::from(id.0)].class
     }
 
     /// Where its figures are counted.
-    pub fn tally(&self, id: ClassId) -> &Arc<ClassMetrics> {
-        &self.places[usize::from(id.0)].tally
+    pub fn metrics(&self, id: ClassId) -> &Arc<ClassMetrics> {
+        &self.slots[usize::from(id.0)].metrics
     }
 
     /// A query or an attempt begins with it.
-    pub fn begin(&mut self, id: ClassId) {
-        self.places[usize::from(id.0)].users += 1;
+    pub fn acquire(&mut self, id: ClassId) {
+        self.slots[usize::from(id.0)].users += 1;
     }
 
     /// One has ended.
-    pub fn end(&mut self, id: ClassId) {
-        self.places[usize::from(id.0)].users -= 1;
+    pub fn release(&mut self, id: ClassId) {
+        self.slots[usize::from(id.0)].users -= 1;
     }
 
     /// From now on these are in force: whose seen figures each place goes on with. A class that is as it was keeps its
@@ -64,20 +64,20 @@
         let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { in_force: true, ..class.clone() };
         let stays: Vec<bool> =
             classes.iter().zip(&before).map(|(c, b)| b.is_some_and(|b| same(c, &b))).collect();
-        let mut heirs: Vec<ClassId> = (0..self.places.len()).map(|at| ClassId(at as u16)).collect();
-        self.places.iter_mut().for_each(|p| p.class.in_force = false);
+        let mut heirs: Vec<ClassId> = (0..self.slots.len()).map(|at| ClassId(at as u16)).collect();
+        self.slots.iter_mut().for_each(|p| p.class.in_force = false);
         for id in before.iter().zip(&stays).filter_map(|(b, stays)| b.filter(|_| *stays)) {
-            self.places[usize::from(id.0)].class.in_force = true;
+            self.slots[usize::from(id.0)].class.in_force = true;
         }
         // Decided before the first place is used again: it may be that of a class that comes later in the file.
         for ((class, before), _) in classes.iter().zip(before).zip(stays).filter(|(_, stays)| !stays) {
-            let tally = self.figures.class(&class.name);
-            let place = Place { class: Class { in_force: true, ..class.clone() }, tally, users: 0 };
-            let heir = before.unwrap_or(NONE);
-            match self.places.iter().position(|p| !p.class.in_force && p.users == 0) {
-                Some(at) => (self.places[at], heirs[at]) = (place, heir),
+            let metrics = self.metrics.class(&class.name);
+            let place = ClassSlot { class: Class { in_force: true, ..class.clone() }, metrics, users: 0 };
+            let heir = before.unwrap_or(NO_PREDECESSOR);
+            match self.slots.iter().position(|p| !p.class.in_force && p.users == 0) {
+                Some(at) => (self.slots[at], heirs[at]) = (place, heir),
                 None => {
-                    self.places.push(place);
+                    self.slots.push(place);
                     heirs.push(heir);
                 }
             }
@@ -86,8 +86,8 @@
     }
 
     /// What the module is told.
-    pub fn told(&self) -> Vec<Class> {
-        self.places.iter().map(|p| p.class.clone()).collect()
+    pub fn all(&self) -> Vec<Class> {
+        self.slots.iter().map(|p| p.class.clone()).collect()
     }
 }
 
@@ -115,7 +115,7 @@
 
     /// The classes in force: name, attempts, place.
     fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
-        let listed = classes.told().into_iter().filter(|c| c.in_force);
+        let listed = classes.all().into_iter().filter(|c| c.in_force);
         let mut all: Vec<_> = listed
             .map(|c| (c.name.clone(), c.max_attempts, classes.find(&c.name).expect("listed").0))
             .collect();
@@ -131,22 +131,22 @@
         let names: Vec<_> = in_force(&classes).into_iter().map(|c| (c.0, c.1)).collect();
         assert_eq!(names, [("a".to_owned(), 2), ("b".to_owned(), 2), ("c".to_owned(), 2)]);
         let heir = |name: &str| heirs[usize::from(classes.find(name).expect("in force").0)];
-        assert_eq!((heir("a"), heir("b"), heir("c")), (ClassId(0), ClassId(1), NONE));
+        assert_eq!((heir("a"), heir("b"), heir("c")), (ClassId(0), ClassId(1), NO_PREDECESSOR));
     }
 
     #[test]
     fn a_place_lives_until_what_began_with_it_has_ended() {
         let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
         let a = classes.find("a").expect("in force");
-        classes.begin(a);
+        classes.acquire(a);
         classes.replace(&[class("a", 1), class("b", 4)]);
         assert_eq!((classes.get(a).max_attempts, classes.find("b")), (4, Some(ClassId(1))));
         assert_eq!(classes.get(classes.find("a").expect("in force")).max_attempts, 1);
         // Dropped, and its first place still in use: a third one is needed; after its end it is used again.
         classes.replace(&[class("b", 4), class("c", 1)]);
         assert_eq!((classes.find("a"), classes.find("c")), (None, Some(ClassId(2))));
-        classes.end(a);
+        classes.release(a);
         classes.replace(&[class("b", 4), class("c", 1), class("d", 1)]);
-        assert_eq!((classes.find("d"), classes.told().len()), (Some(a), 3));
+        assert_eq!((classes.find("d"), classes.all().len()), (Some(a), 3));
     }
 }
--- a/src/coordinator/types.rs
+++ b/src/coordinator/types.rs
@@ -113,7 +113,7 @@
     /// Its state.
     pub state: crate::interface::EndpointState,
     /// When it last started; `None`: long ago.
-    pub started: Option<Micros>,
+    pub started_at: Option<Micros>,
 }
 
 /// News of the servers.
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -89,7 +89,7 @@
                 cell: 0,
                 shards: Some(shards),
                 state: server.state,
-                started,
+                started_at: started,
             });
         }
         let shares = &self.shares;
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -70,7 +70,7 @@
                 "terminated" => EndpointState::Removed,
                 other => return Err(format!("unknown state {other:?}")),
             },
-            started: started_at(t.boot_ms, unix_now_ms, now),
+            started_at: started_at(t.boot_ms, unix_now_ms, now),
         })
     };
     let kind = match (cached, listing.all) {
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -35,7 +35,7 @@
 
 fn node(n: u16, state: EndpointState) -> NodeEndpoint {
     let (name, address) = (format!("s{n}").into(), format!("127.0.0.1:{n}").into());
-    NodeEndpoint { name, address, zone: 0, cell: n, shards: None, state, started: None }
+    NodeEndpoint { name, address, zone: 0, cell: n, shards: None, state, started_at: None }
 }
 
 fn fleet() -> Input {
@@ -509,8 +509,10 @@
     let list = |version, kind, nodes| {
         Input::EndpointUpdate(EndpointUpdate { kind, version: Some(version), endpoints: nodes })
     };
-    let at =
-        |n, state, started: u64| NodeEndpoint { started: Some(Micros::from_secs(started)), ..node(n, state) };
+    let at = |n, state, started: u64| NodeEndpoint {
+        started_at: Some(Micros::from_secs(started)),
+        ..node(n, state)
+    };
     let ready = |out: &mut Vec<Command>| {
         let told = out.drain(..).filter_map(|c| match c {
             Command::UpdateServer { replica: r, ready, .. } => Some((r.0[3], ready)),
