--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -3,14 +3,20 @@
 //! A driver collects what comes in and calls [`Coordinator::turn`] with all of it and one reading of the clock. The turn
 //! hands the module its events, carries out its actions in order and gives back what is to be done outside.
 
+mod active_settings;
+mod batching;
 mod classes;
 mod counters;
 mod metrics;
+mod reporting;
 mod types;
 
+use active_settings::ActiveSettings;
+use batching::batch_dispatches;
 use classes::Classes;
 pub use counters::{check_invariant, log_throttled, Counter, Counters, COUNTERS};
 pub use metrics::{ClassMetrics, Metrics};
+use reporting::MetricsReporter;
 pub use types::*;
 
 use crate::interface::*;
@@ -21,17 +27,9 @@
 
 /// Kept free of a client's time for the way here, the turn and the way back; the module keeps its own ticks.
 const NETWORK_MARGIN: Micros = Micros::from_millis(3);
-/// Kept free of an aim for the turn, the rendering of some hundred values and their way to the client: the time of an
-/// answer is that of its last byte. The module keeps its own ticks, which are short on some sites: there every answer
-/// that was given from a part of its values just before the aim came just after it.
-const RESPONSE_MARGIN: Micros = Micros::from_millis(10);
 /// An end this near to the wanted time was brought by it: the module ends a query some ticks ahead.
 const LATE_TOLERANCE: Micros = Micros::from_millis(25);
 
-/// What the module believes of servers is asked of it this often, for the figures.
-const POLICY_POLL_INTERVAL: Micros = Micros::from_millis(100);
-/// A server counts as avoided once the module has avoided it for so long: many are for a moment, when another is quicker.
-const EJECTED_AFTER: Micros = Micros::from_secs(1);
 /// A server that was listed as gone, or not at all, is remembered so long: it may come back under its name.
 const REMOVED_RETENTION: Micros = Micros::from_secs(30);
 
@@ -109,17 +107,9 @@
 #[derive(Debug)]
 pub struct Coordinator {
     policy: DecisionPolicy,
-    settings: Settings,
-    /// Another process shares what is allowed to one, and it is the older one.
-    generation: Option<ProcessGeneration>,
+    settings: ActiveSettings,
     classes: Classes,
-    metrics: Arc<Metrics>,
-    /// What this core last said of `active`, `pool_size` and `pool_ejected`.
-    reported: [usize; 3],
-    last_policy_poll: Micros,
-    /// Since when the module has avoided which servers.
-    ejected_since: BTreeMap<ReplicaId, Micros>,
-    max_in_flight: usize,
+    reporter: MetricsReporter,
     pending: BTreeMap<QueryId, PendingQuery>,
     reserved_slots: usize,
     by_token: HashMap<Token, QueryId>,
@@ -146,19 +136,20 @@
 }
 
 impl Coordinator {
-    /// A core that holds nothing yet.
-    pub fn new(set: Settings, most_held: usize, seed: u64, now: Micros, figures: Arc<Metrics>) -> Self {
-        let set = without_follow_ups(set);
+    /// A coordinator without queries or endpoints.
+    pub fn new(
+        settings: Settings,
+        max_in_flight: usize,
+        seed: u64,
+        now: Micros,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let settings = ActiveSettings::new(settings, max_in_flight);
         Self {
-            policy: DecisionPolicy::new(with_response_margin(set.clone()), seed, now.to_nanos()),
-            classes: Classes::new(&set.classes, figures.clone()),
-            settings: set,
-            generation: None,
-            metrics: figures,
-            reported: [0; 3],
-            last_policy_poll: Micros::ZERO,
-            ejected_since: BTreeMap::new(),
-            max_in_flight: most_held,
+            policy: DecisionPolicy::new(settings.for_new_policy(), seed, now.to_nanos()),
+            classes: Classes::new(settings.classes(), metrics.clone()),
+            settings,
+            reporter: MetricsReporter::new(metrics),
             pending: BTreeMap::new(),
             reserved_slots: 0,
             by_token: HashMap::new(),
@@ -236,66 +227,31 @@
         }
         // After the module: a turn that comes late must leave it to the module to end what is over.
         self.expire_queries(now, out);
-        batch_dispatches(out, self.settings.max_batch.max(1) as usize);
-        self.report(now);
-    }
-
-    /// Tells the figures what is held and what the module believes.
-    fn report(&mut self, now: Micros) {
-        let before = self.reported;
-        self.reported[0] = self.pending.len();
-        if now.since(self.last_policy_poll) >= POLICY_POLL_INTERVAL {
-            self.last_policy_poll = now;
-            self.reported[1] = self.endpoints.values().filter(|l| l.removed_at.is_none()).count();
-            let avoided = self.policy.avoided();
-            self.ejected_since.retain(|id, _| avoided.contains(id));
-            for id in avoided {
-                self.ejected_since.entry(id).or_insert(now);
-            }
-            self.reported[2] =
-                self.ejected_since.values().filter(|since| now.since(**since) >= EJECTED_AFTER).count();
-        }
-        let gauges = [&self.metrics.active, &self.metrics.pool_size, &self.metrics.pool_ejected];
-        gauges.iter().zip(before.iter().zip(self.reported)).for_each(|(g, (b, s))| g.update(*b, s));
+        batch_dispatches(out, self.settings.max_batch());
+        let endpoints = &self.endpoints;
+        let count_listed = || endpoints.values().filter(|endpoint| endpoint.removed_at.is_none()).count();
+        self.reporter.report(now, self.pending.len(), &self.policy, count_listed);
     }
 
-    /// Another process shares what is allowed to one, or does no more. Rules hold for the sum of both.
-    pub fn set_process_generation(&mut self, beside: Option<ProcessGeneration>) {
-        self.generation = beside;
-        let heirs = self.classes.replace(&self.settings.classes.clone());
-        let event = self.settings_event(heirs);
+    /// Another process of a hand-over shares the limits of this one from now on, or no longer does. Limits hold for the sum
+    /// of both.
+    pub fn set_process_generation(&mut self, generation: Option<ProcessGeneration>) {
+        self.settings.set_generation(generation);
+        let event = self.settings_event();
         self.deferred_events.push(event);
     }
 
-    /// The settings as the module is to have them: one of two processes counts for two coordinators, which halves its
-    /// share of what all may send; free further attempts stay with the one that may have used them.
-    fn settings_event(&self, heirs: Vec<ClassId>) -> Event {
-        let mut set = Settings { classes: self.classes.all(), ..self.settings.clone() };
-        if let Some(beside) = self.generation {
-            set.coordinators *= 2;
-            set.retry_budget = set.retry_budget.map(|e| {
-                if beside == ProcessGeneration::Successor {
-                    RetryBudget { free: 0.0, ..e }
-                } else {
-                    e
-                }
-            });
-        }
-        Event::Settings { settings: Box::new(with_response_margin(set)), class_mapping: heirs }
-    }
-
-    /// Queries and parts that may be held now.
-    fn max_reserved_slots(&self) -> usize {
-        self.max_in_flight / if self.generation.is_some() { 2 } else { 1 }
+    /// Puts other settings in force; a pending query keeps the class that it came with.
+    fn apply_settings(&mut self, settings: Settings, max_in_flight: usize, events: &mut Vec<Event>) {
+        self.settings.replace(settings, max_in_flight);
+        events.push(self.settings_event());
     }
 
-    /// Other settings are in force from now on; what is open keeps the class it began with.
-    fn apply_settings(&mut self, set: Settings, most_held: usize, events: &mut Vec<Event>) {
-        let set = without_follow_ups(set);
-        let heirs = self.classes.replace(&set.classes);
-        self.settings = set;
-        self.max_in_flight = most_held;
-        events.push(self.settings_event(heirs));
+    /// Brings the classes up to the settings in force, and tells the policy both.
+    fn settings_event(&mut self) -> Event {
+        let class_mapping = self.classes.replace(self.settings.classes());
+        let settings = self.settings.for_policy(self.classes.all());
+        Event::Settings { settings: Box::new(settings), class_mapping }
     }
 
     /// Gives a request its final answer: the one place where answers are counted for operators.
@@ -449,11 +405,11 @@
             return self.reply(class, &request, answer, out);
         }
         let size = 1 + request.parts.len();
-        if self.reserved_slots + size > self.max_reserved_slots() {
+        if self.reserved_slots + size > self.settings.max_reserved_slots() {
             // Told at once, like a refusal of the module's: nothing was sent, asking again does no harm.
             COUNTERS.rejected_over_capacity.increment();
             COUNTERS.queries_rejected.increment();
-            let come_back = self.settings.max_retry_after.map(Micros::from_nanos);
+            let come_back = self.settings.max_retry_after();
             return self.reply(
                 class,
                 &request,
@@ -678,7 +634,7 @@
         let until = (now + Micros::from_nanos(timeout)).min(held.deadline);
         COUNTERS.attempts_dispatched.increment();
         check_invariant(
-            self.settings.hedging || !self.in_flight.keys().any(|k| k.part == part),
+            self.settings.hedging() || !self.in_flight.keys().any(|k| k.part == part),
             "a part has two attempts out",
         );
         let (label, class) = (held.request.request_id.clone(), held.class);
@@ -746,37 +702,3 @@
         self.reply(held.class, &held.request, answer(late), out);
     }
 }
-
-/// The settings as the module has them: it aims ahead of what clients want by what lies between.
-fn with_response_margin(mut set: Settings) -> Settings {
-    set.classes.iter_mut().for_each(|c| {
-        c.latency_objective =
-            c.latency_objective.saturating_sub(RESPONSE_MARGIN.to_nanos()).max(c.latency_objective / 2)
-    });
-    set
-}
-
-/// No front speaks of a second step.
-fn without_follow_ups(mut set: Settings) -> Settings {
-    set.classes.iter_mut().for_each(|c| c.follow_up = 0);
-    set
-}
-
-/// Joins launches of one turn to one server into calls of at most so many parts.
-fn batch_dispatches(out: &mut Vec<Command>, most: usize) {
-    if most < 2 {
-        return;
-    }
-    let mut joined: Vec<Command> = Vec::with_capacity(out.len());
-    for command in out.drain(..) {
-        if let Command::Dispatch { replica, attempts } = &command {
-            let fits = |c: &&mut Command| matches!(c, Command::Dispatch { replica: to, attempts: call } if to == replica && call.len() < most);
-            if let Some(Command::Dispatch { attempts: call, .. }) = joined.iter_mut().find(fits) {
-                call.extend(attempts.iter().cloned());
-                continue;
-            }
-        }
-        joined.push(command);
-    }
-    *out = joined;
-}
