--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod batching;
 mod classes;
 mod counters;
+mod endpoints;
 mod metrics;
 mod reporting;
 mod types;
@@ -15,6 +16,7 @@
 use batching::batch_dispatches;
 use classes::Classes;
 pub use counters::{check_invariant, log_throttled, Counter, Counters, COUNTERS};
+use endpoints::EndpointRegistry;
 pub use metrics::{ClassMetrics, Metrics};
 use reporting::MetricsReporter;
 pub use types::*;
@@ -30,44 +32,6 @@
 /// An end this near to the wanted time was brought by it: the module ends a query some ticks ahead.
 const LATE_TOLERANCE: Micros = Micros::from_millis(25);
 
-/// A server that was listed as gone, or not at all, is remembered so long: it may come back under its name.
-const REMOVED_RETENTION: Micros = Micros::from_secs(30);
-
-/// A server that some list has named.
-#[derive(Debug)]
-struct KnownEndpoint {
-    name: Arc<str>,
-    address: Arc<str>,
-    ready: bool,
-    /// When it last started, as far as lists have told.
-    started_at: Option<Micros>,
-    /// Since when the list has it no more.
-    removed_at: Option<Micros>,
-}
-
-/// The same start comes out a little different each time it is told: it is reckoned from two clocks.
-const START_TIME_TOLERANCE: Micros = Micros::from_millis(500);
-
-impl KnownEndpoint {
-    /// A line tells of another life of it than the one that is known: a later one, or an earlier.
-    fn is_later_incarnation(&self, started: Option<Micros>) -> bool {
-        started.is_some_and(|s| self.started_at.is_none_or(|known| s > known + START_TIME_TOLERANCE))
-    }
-
-    fn is_earlier_incarnation(&self, started: Option<Micros>) -> bool {
-        self.started_at.is_some_and(|known| started.is_none_or(|s| s + START_TIME_TOLERANCE < known))
-    }
-
-    /// Does an old list tell news of it? That it drains or has gone is never taken back in the same life, so that is
-    /// believed however old the list is, and a later life is. All else the newer list told better.
-    fn accepts_stale(&self, node: &NodeEndpoint) -> bool {
-        self.is_later_incarnation(node.started_at)
-            || (self.ready
-                && node.state != EndpointState::Ready
-                && !self.is_earlier_incarnation(node.started_at))
-    }
-}
-
 /// An attempt that is out.
 #[derive(Debug)]
 struct InFlightAttempt {
@@ -125,12 +89,7 @@
     final_deadline: Option<Micros>,
     next_id: u64,
     next_group: u32,
-    ids: HashMap<Arc<str>, ReplicaId>,
-    endpoints: BTreeMap<ReplicaId, KnownEndpoint>,
-    /// The highest version of the list that came.
-    list_version: u64,
-    /// The number of the next server; never reused.
-    next_replica: u32,
+    endpoints: EndpointRegistry,
     /// Events that arose while actions were carried out; they are for the next turn.
     deferred_events: Vec<Event>,
 }
@@ -163,10 +122,7 @@
             final_deadline: None,
             next_id: 1,
             next_group: 1,
-            ids: HashMap::new(),
-            endpoints: BTreeMap::new(),
-            list_version: 0,
-            next_replica: 0,
+            endpoints: EndpointRegistry::default(),
             deferred_events: Vec::new(),
         }
     }
@@ -229,8 +185,7 @@
         self.expire_queries(now, out);
         batch_dispatches(out, self.settings.max_batch());
         let endpoints = &self.endpoints;
-        let count_listed = || endpoints.values().filter(|endpoint| endpoint.removed_at.is_none()).count();
-        self.reporter.report(now, self.pending.len(), &self.policy, count_listed);
+        self.reporter.report(now, self.pending.len(), &self.policy, || endpoints.count_listed());
     }
 
     /// Another process of a hand-over shares the limits of this one from now on, or no longer does. Limits hold for the sum
@@ -296,92 +251,14 @@
     fn apply_endpoint_update(
         &mut self,
         now: Micros,
-        mut roster: EndpointUpdate,
+        update: EndpointUpdate,
         events: &mut Vec<Event>,
         out: &mut Vec<Command>,
     ) {
-        COUNTERS.endpoint_updates.increment();
-        self.filter_stale_update(&mut roster);
-        let mut members = Vec::new();
-        let mut named = BTreeSet::new();
-        for node in roster.endpoints {
-            let replica = *self.ids.entry(node.name.clone()).or_insert_with(|| {
-                let [a, b, c, d] = self.next_replica.to_be_bytes();
-                self.next_replica = self.next_replica.wrapping_add(1);
-                ReplicaId([a, b, c, d, 0, 0])
-            });
-            named.insert(replica);
-            if let Some(shards) = node.shards {
-                events.push(Event::Placement { replica, shards });
-            }
-            let ready = node.state == EndpointState::Ready;
-            let known = self.endpoints.get(&replica);
-            if known.is_none_or(|l| (&l.address, l.ready) != (&node.address, ready)) {
-                out.push(Command::UpdateServer { replica, address: node.address.clone(), ready });
-            }
-            let gone = (node.state == EndpointState::Removed)
-                .then(|| known.and_then(|l| l.removed_at).unwrap_or(now));
-            let started = node.started_at.max(known.and_then(|l| l.started_at));
-            self.endpoints.insert(
-                replica,
-                KnownEndpoint {
-                    name: node.name,
-                    address: node.address,
-                    ready,
-                    started_at: started,
-                    removed_at: gone,
-                },
-            );
-            let since = node.started_at.map_or(0, Micros::to_nanos);
-            let (zone, cell) = (ZoneId(node.zone), CellId(node.cell));
-            members.push(Endpoint { replica, zone, cell, state: node.state, started_at: since });
-        }
-        if matches!(roster.kind, EndpointListKind::Full | EndpointListKind::Cached) {
-            for (replica, line) in self.endpoints.iter_mut().filter(|(r, _)| !named.contains(r)) {
-                line.removed_at = line.removed_at.or(Some(now));
-                if std::mem::take(&mut line.ready) {
-                    out.push(Command::UpdateServer {
-                        replica: *replica,
-                        address: line.address.clone(),
-                        ready: false,
-                    });
-                }
-            }
-        }
-        events.push(Event::Endpoints { kind: roster.kind, endpoints: members });
-        self.remove_expired_endpoints(now, out);
-    }
-
-    /// Discovery that was moved, or came back from an older copy, may tell an older list than the one in force: whom it
-    /// does not name may be newer than it, and whom it calls in service may have been told to drain since.
-    fn filter_stale_update(&mut self, roster: &mut EndpointUpdate) {
-        let Some(version) = roster.version else { return };
-        if version >= self.list_version {
-            self.list_version = version;
-            return;
-        }
-        log_throttled(&COUNTERS.stale_endpoint_updates, || {
-            format!(
-                "discovery: the list goes back from version {} to {version}: drains are taken from it",
-                self.list_version
-            )
-        });
-        roster.kind = EndpointListKind::Delta;
-        let known = |n: &NodeEndpoint| self.ids.get(&n.name).and_then(|r| self.endpoints.get(r));
-        roster.endpoints.retain(|node| known(node).is_none_or(|listed| listed.accepts_stale(node)));
-    }
-
-    /// Servers are replaced by new ones with new names for as long as the program runs: what is kept of those that are
-    /// gone has its end here.
-    fn remove_expired_endpoints(&mut self, now: Micros, out: &mut Vec<Command>) {
-        let over = |l: &KnownEndpoint| l.removed_at.is_some_and(|since| now.since(since) > REMOVED_RETENTION);
-        let gone: Vec<_> = self.endpoints.iter().filter(|s| over(s.1)).map(|s| *s.0).collect();
-        for replica in gone.into_iter().filter(|r| self.in_flight.values().all(|f| f.replica != *r)) {
-            if let Some(line) = self.endpoints.remove(&replica) {
-                self.ids.remove(&line.name);
-                out.push(Command::RemoveServer(replica));
-            }
-        }
+        self.endpoints.apply(now, update, events, out);
+        let in_flight = &self.in_flight;
+        let has_attempts = |replica| in_flight.values().any(|attempt| attempt.replica == replica);
+        self.endpoints.purge_removed(now, has_attempts, out);
     }
 
     /// Servers that are remembered, listed or not.
