--- a/src/coordinator/endpoints.rs
+++ b/src/coordinator/endpoints.rs
@@ -1,5 +1,6 @@
 //! The registry of endpoints: the servers that endpoint lists have named, their ids, and what is known of each.
 
+use super::turn::Turn;
 use super::{log_throttled, Command, EndpointUpdate, NodeEndpoint, COUNTERS};
 use crate::interface::{CellId, Endpoint, EndpointListKind, EndpointState, Event, ReplicaId, ZoneId};
 use crate::time::Micros;
@@ -67,26 +68,20 @@
     }
 
     /// Applies a list or a change to it, and passes it on to the policy and the drivers.
-    pub(super) fn apply(
-        &mut self,
-        now: Micros,
-        mut update: EndpointUpdate,
-        events: &mut Vec<Event>,
-        commands: &mut Vec<Command>,
-    ) {
+    pub(super) fn apply(&mut self, mut update: EndpointUpdate, turn: &mut Turn<'_>) {
         COUNTERS.endpoint_updates.increment();
         self.filter_stale(&mut update);
         let mut endpoints = Vec::new();
         let mut listed = BTreeSet::new();
         for node in update.endpoints {
-            let endpoint = self.update(now, node, events, commands);
+            let endpoint = self.update(node, turn);
             listed.insert(endpoint.replica);
             endpoints.push(endpoint);
         }
         if matches!(update.kind, EndpointListKind::Full | EndpointListKind::Cached) {
-            self.remove_unlisted(now, &listed, commands);
+            self.remove_unlisted(&listed, turn);
         }
-        events.push(Event::Endpoints { kind: update.kind, endpoints });
+        turn.events.push(Event::Endpoints { kind: update.kind, endpoints });
     }
 
     /// Discovery that was moved, or came back from an older copy, may send an older list than the current one: endpoints that
@@ -111,24 +106,18 @@
     }
 
     /// Applies one line of a list.
-    fn update(
-        &mut self,
-        now: Micros,
-        node: NodeEndpoint,
-        events: &mut Vec<Event>,
-        commands: &mut Vec<Command>,
-    ) -> Endpoint {
+    fn update(&mut self, node: NodeEndpoint, turn: &mut Turn<'_>) -> Endpoint {
         let replica = self.id_of(&node.name);
         if let Some(shards) = node.shards {
-            events.push(Event::Placement { replica, shards });
+            turn.events.push(Event::Placement { replica, shards });
         }
         let ready = node.state == EndpointState::Ready;
         let known = self.endpoints.get(&replica);
         if known.is_none_or(|known| known.address != node.address || known.ready != ready) {
-            commands.push(Command::UpdateServer { replica, address: node.address.clone(), ready });
+            turn.commands.push(Command::UpdateServer { replica, address: node.address.clone(), ready });
         }
         let removed = node.state == EndpointState::Removed;
-        let removed_at = removed.then(|| known.and_then(|known| known.removed_at).unwrap_or(now));
+        let removed_at = removed.then(|| known.and_then(|known| known.removed_at).unwrap_or(turn.now));
         let started_at = node.started_at.max(known.and_then(|known| known.started_at));
         let known = KnownEndpoint { name: node.name, address: node.address, ready, started_at, removed_at };
         self.endpoints.insert(replica, known);
@@ -152,29 +141,24 @@
     }
 
     /// A complete list that lacks an endpoint removes it.
-    fn remove_unlisted(&mut self, now: Micros, listed: &BTreeSet<ReplicaId>, commands: &mut Vec<Command>) {
+    fn remove_unlisted(&mut self, listed: &BTreeSet<ReplicaId>, turn: &mut Turn<'_>) {
         for (replica, endpoint) in &mut self.endpoints {
             if listed.contains(replica) {
                 continue;
             }
-            endpoint.removed_at = endpoint.removed_at.or(Some(now));
+            endpoint.removed_at = endpoint.removed_at.or(Some(turn.now));
             if std::mem::take(&mut endpoint.ready) {
                 let address = endpoint.address.clone();
-                commands.push(Command::UpdateServer { replica: *replica, address, ready: false });
+                turn.commands.push(Command::UpdateServer { replica: *replica, address, ready: false });
             }
         }
     }
 
     /// Forgets endpoints that were removed long ago and have no attempt in flight: servers are replaced by new ones with new
     /// names for as long as the program runs.
-    pub(super) fn purge_removed(
-        &mut self,
-        now: Micros,
-        has_attempts: impl Fn(ReplicaId) -> bool,
-        commands: &mut Vec<Command>,
-    ) {
+    pub(super) fn purge_removed(&mut self, has_attempts: impl Fn(ReplicaId) -> bool, turn: &mut Turn<'_>) {
         let expired = |endpoint: &KnownEndpoint| {
-            endpoint.removed_at.is_some_and(|since| now.since(since) > REMOVED_RETENTION)
+            endpoint.removed_at.is_some_and(|since| turn.now.since(since) > REMOVED_RETENTION)
         };
         let candidates: Vec<ReplicaId> =
             self.endpoints.iter().filter(|(_, endpoint)| expired(endpoint)).map(|(id, _)| *id).collect();
@@ -184,7 +168,7 @@
             }
             if let Some(endpoint) = self.endpoints.remove(&replica) {
                 self.ids.remove(&endpoint.name);
-                commands.push(Command::RemoveServer(replica));
+                turn.commands.push(Command::RemoveServer(replica));
             }
         }
     }
--- /dev/null
+++ b/src/coordinator/queries/admission.rs
@@ -0,0 +1,60 @@
+//! Admission: a request becomes a pending query, or is rejected at once.
+
+use super::pending::{slots, PendingQuery};
+use super::{QueryTracker, NETWORK_MARGIN};
+use crate::coordinator::active_settings::ActiveSettings;
+use crate::coordinator::turn::Turn;
+use crate::coordinator::{Answer, Command, Request, COUNTERS};
+use crate::time::Micros;
+
+impl QueryTracker {
+    /// Accepts a request as a pending query, or rejects it.
+    pub(in crate::coordinator) fn submit(
+        &mut self,
+        request: Request,
+        settings: &ActiveSettings,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some(class) = self.classes.find(&request.class) else {
+            // A reload dropped the class while the request was on its way here.
+            COUNTERS.bad_requests.increment();
+            turn.commands.push(Command::Reply { token: request.token, answer: Answer::UnknownClass });
+            return;
+        };
+        let deadline = self.pending.bounded_deadline(request.sent_at + request.timeout);
+        if let Some(answer) = self.rejection(&request, deadline, settings, turn.now) {
+            self.reply(class, &request, answer, turn);
+            return;
+        }
+        COUNTERS.queries_accepted.increment();
+        self.request_ids.acquire(&request.request_id);
+        self.classes.acquire(class);
+        let objective = request.sent_at + Micros::from_nanos(self.classes.get(class).latency_objective);
+        self.pending.insert(PendingQuery::new(request, class, deadline, objective), turn);
+    }
+
+    /// Why a request can't be accepted. Nothing of it was sent, so a retry does no harm.
+    fn rejection(
+        &self,
+        request: &Request,
+        deadline: Micros,
+        settings: &ActiveSettings,
+        now: Micros,
+    ) -> Option<Answer> {
+        if deadline <= now + NETWORK_MARGIN {
+            COUNTERS.rejected_expired.increment();
+            COUNTERS.queries_rejected.increment();
+            return Some(Answer::Rejected { retry_after: None, late: true });
+        }
+        if self.pending.reserved_slots() + slots(request) > settings.max_reserved_slots() {
+            COUNTERS.rejected_over_capacity.increment();
+            COUNTERS.queries_rejected.increment();
+            return Some(Answer::Rejected { retry_after: settings.max_retry_after(), late: false });
+        }
+        if self.request_ids.is_in_use(&request.request_id) {
+            COUNTERS.duplicate_request_ids.increment();
+            return Some(Answer::DuplicateRequestId);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/coordinator/queries/attempts.rs
@@ -0,0 +1,143 @@
+//! The life of an attempt: dispatch, outcome, timeout and cancellation.
+
+use super::in_flight::InFlightAttempt;
+use super::QueryTracker;
+use crate::coordinator::active_settings::ActiveSettings;
+use crate::coordinator::turn::Turn;
+use crate::coordinator::{
+    check_invariant, AttemptEnd, AttemptKey, AttemptRequest, Command, Counter, COUNTERS,
+};
+use crate::interface::{Event, Outcome, PartId, ReplicaId};
+use crate::time::Micros;
+
+/// What the policy orders: an attempt at a part.
+pub(in crate::coordinator) struct DispatchOrder {
+    /// The part.
+    pub(in crate::coordinator) part: PartId,
+    /// The server.
+    pub(in crate::coordinator) replica: ReplicaId,
+    /// How long to wait for the value.
+    pub(in crate::coordinator) timeout: Micros,
+    /// When the write must have started, or never may: later it would repeat a part outside the window of its class.
+    pub(in crate::coordinator) write_by: Micros,
+}
+
+impl QueryTracker {
+    /// Dispatches an attempt at a part.
+    pub(in crate::coordinator) fn dispatch(
+        &mut self,
+        order: &DispatchOrder,
+        settings: &ActiveSettings,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some(pending) = self.pending.part(order.part) else {
+            return check_invariant(false, "an attempt at a part that is over");
+        };
+        let no_attempt_in_flight = || !self.in_flight.contains_part(order.part);
+        check_invariant(settings.hedging() || no_attempt_in_flight(), "a part has two attempts out");
+        COUNTERS.attempts_dispatched.increment();
+        let query = pending.query;
+        let deadline = (turn.now + order.timeout).min(query.deadline);
+        let key = self.in_flight.next_key(order.part);
+        let attempt = InFlightAttempt {
+            replica: order.replica,
+            dispatched_at: turn.now,
+            deadline,
+            // A connection may be established much later: what must not be written by then is cancelled before.
+            timer_at: deadline.min(order.write_by),
+            write_started: false,
+            request_id: query.request.request_id.clone(),
+            class: query.class,
+        };
+        let request = AttemptRequest {
+            key,
+            request_id: query.request.request_id.clone(),
+            shard: pending.part.shard,
+            payload: query.request.payload.clone(),
+            context: pending.part.context.clone(),
+            timeout: deadline.since(turn.now),
+            metrics: self.classes.metrics(query.class).clone(),
+        };
+        self.request_ids.acquire(&attempt.request_id);
+        self.classes.acquire(attempt.class);
+        self.in_flight.insert(key, attempt);
+        turn.commands.push(Command::Dispatch { replica: order.replica, attempts: vec![request] });
+    }
+
+    /// Some of an attempt's request was written.
+    pub(in crate::coordinator) fn write_started(&mut self, key: AttemptKey) {
+        self.in_flight.mark_write_started(key);
+    }
+
+    /// An attempt's request was written to the last byte.
+    pub(in crate::coordinator) fn fully_written(&mut self, key: AttemptKey) {
+        COUNTERS.attempts_fully_written.add(usize::from(self.is_in_flight(key)));
+        self.in_flight.mark_write_started(key);
+    }
+
+    /// An attempt has ended. If it was cancelled or has timed out, it has had its outcome before.
+    pub(in crate::coordinator) fn attempt_ended(
+        &mut self,
+        key: AttemptKey,
+        end: AttemptEnd,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some(attempt) = self.remove_attempt(key) else { return };
+        let outcome = match end {
+            AttemptEnd::Served(value) => {
+                self.pending.store(key.part, value);
+                Outcome::Ok
+            }
+            AttemptEnd::Failed(outcome) => outcome,
+        };
+        turn.events.push(record_outcome(key, &attempt, outcome, turn.now));
+    }
+
+    /// Ends the attempts that have timed out, or whose write has not started in time.
+    pub(in crate::coordinator) fn expire_attempts(&mut self, turn: &mut Turn<'_>) {
+        while let Some(key) = self.in_flight.next_expired(turn.now) {
+            let Some(attempt) = self.remove_attempt(key) else { continue };
+            turn.commands.push(Command::CancelAttempt { replica: attempt.replica, key });
+            // An attempt whose write never started is taken back, so it never ran, and a part that must not be repeated may
+            // be sent again. One whose write has started goes on to its last byte, and runs.
+            let outcome = if attempt.write_started { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            turn.events.push(record_outcome(key, &attempt, outcome, turn.now));
+        }
+    }
+
+    /// Cancels an attempt; the policy hears of its end in the next turn.
+    pub(in crate::coordinator) fn cancel(&mut self, key: AttemptKey, turn: &mut Turn<'_>) {
+        let Some(attempt) = self.remove_attempt(key) else { return };
+        turn.commands.push(Command::CancelAttempt { replica: attempt.replica, key });
+        let outcome = if attempt.write_started { Outcome::Cancelled } else { Outcome::NotSent };
+        turn.deferred_events.push(record_outcome(key, &attempt, outcome, turn.now));
+    }
+
+    /// Removes an attempt with all that it uses: after this it can have no second outcome.
+    fn remove_attempt(&mut self, key: AttemptKey) -> Option<InFlightAttempt> {
+        let attempt = self.in_flight.remove(key)?;
+        self.request_ids.release(&attempt.request_id);
+        self.classes.release(attempt.class);
+        Some(attempt)
+    }
+}
+
+/// Counts the outcome of an attempt and returns the policy's event of it.
+fn record_outcome(key: AttemptKey, attempt: &InFlightAttempt, outcome: Outcome, now: Micros) -> Event {
+    outcome_counter(outcome).increment();
+    let waited = now.since(attempt.dispatched_at).to_nanos();
+    Event::Outcome { part: key.part, attempt: key.attempt, outcome, waited }
+}
+
+fn outcome_counter(outcome: Outcome) -> &'static Counter {
+    match outcome {
+        Outcome::Ok => &COUNTERS.attempts_served,
+        Outcome::Error => &COUNTERS.attempts_error,
+        Outcome::Rejected => &COUNTERS.attempts_rejected,
+        Outcome::TimedOut => &COUNTERS.attempts_timed_out,
+        Outcome::ConnectFailed => &COUNTERS.attempts_connect_failed,
+        Outcome::Reset => &COUNTERS.attempts_reset,
+        Outcome::Cancelled => &COUNTERS.attempts_cancelled,
+        Outcome::NotSent => &COUNTERS.attempts_not_sent,
+    }
+}
--- /dev/null
+++ b/src/coordinator/queries/completion.rs
@@ -0,0 +1,104 @@
+//! Completion: each pending query ends once, with its final answer or without one if its client has left.
+
+use super::pending::{part_ids, PendingQuery};
+use super::QueryTracker;
+use crate::coordinator::turn::Turn;
+use crate::coordinator::{check_invariant, Answer, Command, Request, Token, COUNTERS};
+use crate::interface::{ClassId, Event, QueryId};
+use crate::time::Micros;
+
+/// Weights of parts are rounded: their sum may fall short of a share by this much.
+const WEIGHT_TOLERANCE: f64 = 1e-4;
+
+impl QueryTracker {
+    /// The client of a query closed its connection.
+    pub(in crate::coordinator) fn abandon(&mut self, token: Token, turn: &mut Turn<'_>) {
+        let Some(query) = self.pending.find(token) else { return };
+        COUNTERS.queries_abandoned.increment();
+        turn.events.push(Event::Abandoned(query));
+        self.remove_query(query, turn);
+    }
+
+    /// Answers a query from the parts that have a value.
+    pub(in crate::coordinator) fn answer(&mut self, query: QueryId, complete: bool, turn: &mut Turn<'_>) {
+        let Some(mut pending) = self.remove_query(query, turn) else {
+            return check_invariant(false, "an answer to no query");
+        };
+        let class = self.classes.get(pending.class);
+        let min_weight = if complete { class.required_share } else { class.min_share };
+        let enough = pending.served_weight() + WEIGHT_TOLERANCE >= min_weight;
+        check_invariant(enough, "an answer from too few parts");
+        let counter = if complete { &COUNTERS.queries_complete } else { &COUNTERS.queries_partial };
+        counter.increment();
+        let answer = Answer::Served { complete, parts: pending.take_served_parts() };
+        self.reply(pending.class, &pending.request, answer, turn);
+    }
+
+    /// Rejects a query: a retry does no harm.
+    pub(in crate::coordinator) fn reject(
+        &mut self,
+        query: QueryId,
+        retry_after: Option<Micros>,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some(pending) = self.remove_query(query, turn) else {
+            return check_invariant(false, "an end to no query");
+        };
+        COUNTERS.queries_rejected.increment();
+        let answer = Answer::Rejected { retry_after, late: pending.is_late(turn.now) };
+        self.reply(pending.class, &pending.request, answer, turn);
+    }
+
+    /// Fails a query: parts of it may have run.
+    pub(in crate::coordinator) fn fail(&mut self, query: QueryId, turn: &mut Turn<'_>) {
+        let Some(pending) = self.remove_query(query, turn) else {
+            return check_invariant(false, "an end to no query");
+        };
+        COUNTERS.queries_failed.increment();
+        let answer = Answer::Failed { late: pending.is_late(turn.now) };
+        self.reply(pending.class, &pending.request, answer, turn);
+    }
+
+    /// Fails the queries whose deadline has passed. The policy ends each query in time, other than at a shutdown; should it
+    /// not, the client still gets its one answer.
+    pub(in crate::coordinator) fn expire_queries(&mut self, turn: &mut Turn<'_>) {
+        while let Some(query) = self.pending.next_expired(turn.now) {
+            if let Some(pending) = self.remove_query(query, turn) {
+                let shut_down = self.pending.is_final(pending.deadline);
+                check_invariant(shut_down, "a query outlived its client's time");
+                COUNTERS.queries_failed.increment();
+                self.reply(pending.class, &pending.request, Answer::Failed { late: true }, turn);
+            }
+            turn.deferred_events.push(Event::Abandoned(query));
+        }
+    }
+
+    /// Removes a query with all that it uses. Its attempts whose write has not started are cancelled, whether or not the
+    /// settings allow cancellation at the servers: one that waited for its connection would run to no use.
+    fn remove_query(&mut self, query: QueryId, turn: &mut Turn<'_>) -> Option<PendingQuery> {
+        let pending = self.pending.remove(query)?;
+        self.request_ids.release(&pending.request.request_id);
+        self.classes.release(pending.class);
+        for part in part_ids(query, &pending.request) {
+            self.in_flight.forget_part(part);
+            for key in self.in_flight.unwritten_at(part) {
+                self.cancel(key, turn);
+            }
+        }
+        Some(pending)
+    }
+
+    /// Gives a request its final answer. The metrics of its class are counted nowhere else.
+    pub(super) fn reply(&self, class: ClassId, request: &Request, answer: Answer, turn: &mut Turn<'_>) {
+        if request.counted {
+            let metrics = self.classes.metrics(class);
+            let counter = match answer {
+                Answer::Served { .. } => &metrics.ok,
+                Answer::Rejected { .. } => &metrics.shed,
+                Answer::Failed { .. } | Answer::DuplicateRequestId | Answer::UnknownClass => &metrics.errors,
+            };
+            counter.increment();
+        }
+        turn.commands.push(Command::Reply { token: request.token, answer });
+    }
+}
--- /dev/null
+++ b/src/coordinator/queries/mod.rs
@@ -0,0 +1,85 @@
+//! The pending queries and their attempts, from the request to the final answer.
+//!
+//! [`admission`] turns requests into pending queries, [`attempts`] dispatches attempts at their parts and records the outcomes,
+//! [`completion`] gives the final answers.
+
+mod admission;
+mod attempts;
+mod completion;
+mod in_flight;
+mod pending;
+mod request_ids;
+
+pub(super) use attempts::DispatchOrder;
+
+use super::{AttemptKey, Classes};
+use crate::interface::{Class, ClassId, ReplicaId};
+use crate::time::Micros;
+use in_flight::InFlightAttempts;
+use pending::PendingQueries;
+use request_ids::RequestIds;
+
+/// Kept free of a client's timeout for the way here, the turn and the way back; the policy keeps its own ticks.
+const NETWORK_MARGIN: Micros = Micros::from_millis(3);
+
+/// Tracks pending queries and in-flight attempts, with the classes and the request ids that they use.
+#[derive(Debug)]
+pub(super) struct QueryTracker {
+    classes: Classes,
+    request_ids: RequestIds,
+    pending: PendingQueries,
+    in_flight: InFlightAttempts,
+}
+
+impl QueryTracker {
+    /// A tracker without queries.
+    pub(super) fn new(classes: Classes) -> Self {
+        Self {
+            classes,
+            request_ids: RequestIds::default(),
+            pending: PendingQueries::new(),
+            in_flight: InFlightAttempts::default(),
+        }
+    }
+
+    /// The number of pending queries.
+    pub(super) fn pending_queries(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// The number of attempts in flight.
+    pub(super) fn attempts_in_flight(&self) -> usize {
+        self.in_flight.len()
+    }
+
+    /// Whether this attempt is in flight.
+    pub(super) fn is_in_flight(&self, key: AttemptKey) -> bool {
+        self.in_flight.contains(key)
+    }
+
+    /// Whether an attempt is in flight to this server.
+    pub(super) fn has_attempts_at(&self, replica: ReplicaId) -> bool {
+        self.in_flight.contains_replica(replica)
+    }
+
+    /// When the next attempt or query expires.
+    pub(super) fn next_expiry(&self) -> Option<Micros> {
+        let expiries = [self.in_flight.next_timer(), self.pending.next_deadline()];
+        expiries.into_iter().flatten().min()
+    }
+
+    /// The program shuts down: every pending query, and every later one, has its answer by then.
+    pub(super) fn set_final_deadline(&mut self, final_deadline: Micros) {
+        self.pending.set_final_deadline(final_deadline);
+    }
+
+    /// Puts other classes in force; returns the class that each one succeeds.
+    pub(super) fn replace_classes(&mut self, classes: &[Class]) -> Vec<ClassId> {
+        self.classes.replace(classes)
+    }
+
+    /// All classes that queries or attempts may have.
+    pub(super) fn classes(&self) -> Vec<Class> {
+        self.classes.all()
+    }
+}
--- a/src/coordinator/types.rs
+++ b/src/coordinator/types.rs
@@ -127,6 +127,15 @@
     pub endpoints: Vec<NodeEndpoint>,
 }
 
+/// Which of two processes this one is while a new version is started beside the running one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessGeneration {
+    /// The one that has served so far.
+    Predecessor,
+    /// The one that takes over.
+    Successor,
+}
+
 /// What reaches the core.
 #[derive(Debug, Clone)]
 pub enum Input {
