--- a/src/coordinator/active_settings.rs
+++ b/src/coordinator/active_settings.rs
@@ -1,6 +1,6 @@
 //! The settings in force and their form for the policy.
 
-use super::ProcessGeneration;
+use super::messages::ProcessGeneration;
 use crate::interface::{Class, RetryBudget, Settings};
 use crate::time::Micros;
 
--- a/src/coordinator/batching.rs
+++ b/src/coordinator/batching.rs
@@ -1,6 +1,6 @@
 //! Batching of dispatches: one call to a server carries several attempts where the settings allow it.
 
-use super::Command;
+use super::messages::Command;
 
 /// Joins the dispatches to one server into calls of at most `max_batch` attempts, each in the place of its first attempt.
 pub(super) fn batch_dispatches(commands: &mut Vec<Command>, max_batch: usize) {
--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -1,4 +1,4 @@
-//! What the program took in, sent and answered, and the invariants that did not hold.
+//! The counters of the process, printed on SIGUSR1 and at the end.
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -30,19 +30,24 @@
 pub struct Counter(AtomicU64);
 
 impl Counter {
-    /// None yet.
+    /// A counter at 0.
+    #[must_use]
     pub const fn new() -> Self {
         Counter(AtomicU64::new(0))
     }
-    /// One more.
+
+    /// Counts one event.
     pub fn increment(&self) {
         self.add(1);
     }
-    /// So many more.
+
+    /// Counts `n` events.
     pub fn add(&self, n: usize) {
         self.0.fetch_add(n as u64, Relaxed);
     }
-    /// The figure.
+
+    /// The number of events so far.
+    #[must_use]
     pub fn get(&self) -> u64 {
         self.0.load(Relaxed)
     }
@@ -133,20 +138,3 @@
 
 /// The counters of this process.
 pub static COUNTERS: Counters = Counters::new();
-
-/// Logs what may come too often to log each time: the 1st, 2nd, 4th, 8th of its counter and so on. Standard error may
-/// be a pipe, and a full one would block the worker.
-pub fn log_throttled(counter: &Counter, line: impl FnOnce() -> String) {
-    counter.increment();
-    if counter.get().is_power_of_two() {
-        tracing::info!("{}", line());
-    }
-}
-
-/// What must hold: asserted in debug builds, counted and logged in release builds.
-pub fn check_invariant(holds: bool, what: &str) {
-    debug_assert!(holds, "invariant: {what}");
-    if !holds {
-        log_throttled(&COUNTERS.broken_invariants, || format!("invariant broken: {what}"));
-    }
-}
--- a/src/coordinator/endpoints.rs
+++ b/src/coordinator/endpoints.rs
@@ -1,7 +1,10 @@
 //! The registry of endpoints: the servers that endpoint lists have named, their ids, and what is known of each.
 
+use super::counters::COUNTERS;
+use super::diagnostics::log_throttled;
+use super::messages::{Command, EndpointUpdate, NodeEndpoint};
 use super::turn::Turn;
-use super::{log_throttled, Command, EndpointUpdate, NodeEndpoint, COUNTERS};
+
 use crate::interface::{CellId, Endpoint, EndpointListKind, EndpointState, Event, ReplicaId, ZoneId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/coordinator/metrics.rs
+++ b/src/coordinator/metrics.rs
@@ -3,7 +3,7 @@
 //! Each is counted in one place, where it happens: an answer where the core gives it, an attempt where its last byte is
 //! written. So both fronts count, and a class that a reload brings counts from its first request on.
 
-use super::Counter;
+use super::counters::Counter;
 use crate::sync::lock;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -8,31 +8,35 @@
 mod batching;
 mod classes;
 mod counters;
+mod diagnostics;
 mod endpoints;
+mod messages;
 mod metrics;
 mod queries;
 mod reporting;
+mod request;
 mod turn;
-mod types;
 
+pub use counters::{Counter, Counters, COUNTERS};
+pub use diagnostics::{check_invariant, log_throttled};
+pub use messages::{
+    Answer, AttemptEnd, AttemptRequest, Command, EndpointUpdate, Input, NodeEndpoint, ProcessGeneration,
+    ServedPart,
+};
+pub use metrics::{ClassMetrics, Gauge, Metrics};
+pub use request::{AttemptKey, PartRequest, Request, RequestContext, Token, Value};
+
+use crate::interface::{Action, Event, Nanos, Settings};
+use crate::policy::DecisionPolicy;
+use crate::time::Micros;
 use active_settings::ActiveSettings;
 use batching::batch_dispatches;
 use classes::Classes;
-pub use counters::{check_invariant, log_throttled, Counter, Counters, COUNTERS};
 use endpoints::EndpointRegistry;
-pub use metrics::{ClassMetrics, Gauge, Metrics};
 use queries::{DispatchOrder, QueryTracker};
 use reporting::MetricsReporter;
-use turn::Turn;
-pub use types::{
-    Answer, AttemptEnd, AttemptKey, AttemptRequest, Command, EndpointUpdate, Input, NodeEndpoint,
-    PartRequest, ProcessGeneration, Request, RequestContext, ServedPart, Token, Value,
-};
-
-use crate::interface::{Action, Event, Nanos, Settings};
-use crate::policy::DecisionPolicy;
-use crate::time::Micros;
 use std::sync::Arc;
+use turn::Turn;
 
 const NANOS_PER_MICROSECOND: Nanos = 1_000;
 
--- a/src/coordinator/queries/admission.rs
+++ b/src/coordinator/queries/admission.rs
@@ -1,10 +1,12 @@
 //! Admission: a request becomes a pending query, or is rejected at once.
 
-use super::pending::{slots, PendingQuery};
-use super::{QueryTracker, NETWORK_MARGIN};
+use super::pending::{slots, PendingQuery, NETWORK_MARGIN};
+use super::QueryTracker;
 use crate::coordinator::active_settings::ActiveSettings;
+use crate::coordinator::counters::COUNTERS;
+use crate::coordinator::messages::{Answer, Command};
+use crate::coordinator::request::Request;
 use crate::coordinator::turn::Turn;
-use crate::coordinator::{Answer, Command, Request, COUNTERS};
 use crate::time::Micros;
 
 impl QueryTracker {
--- a/src/coordinator/queries/attempts.rs
+++ b/src/coordinator/queries/attempts.rs
@@ -3,10 +3,11 @@
 use super::in_flight::InFlightAttempt;
 use super::QueryTracker;
 use crate::coordinator::active_settings::ActiveSettings;
+use crate::coordinator::counters::{Counter, COUNTERS};
+use crate::coordinator::diagnostics::check_invariant;
+use crate::coordinator::messages::{AttemptEnd, AttemptRequest, Command};
+use crate::coordinator::request::AttemptKey;
 use crate::coordinator::turn::Turn;
-use crate::coordinator::{
-    check_invariant, AttemptEnd, AttemptKey, AttemptRequest, Command, Counter, COUNTERS,
-};
 use crate::interface::{Event, Outcome, PartId, ReplicaId};
 use crate::time::Micros;
 
--- a/src/coordinator/queries/completion.rs
+++ b/src/coordinator/queries/completion.rs
@@ -2,8 +2,11 @@
 
 use super::pending::{part_ids, PendingQuery};
 use super::QueryTracker;
+use crate::coordinator::counters::COUNTERS;
+use crate::coordinator::diagnostics::check_invariant;
+use crate::coordinator::messages::{Answer, Command};
+use crate::coordinator::request::{Request, Token};
 use crate::coordinator::turn::Turn;
-use crate::coordinator::{check_invariant, Answer, Command, Request, Token, COUNTERS};
 use crate::interface::{ClassId, Event, QueryId};
 use crate::time::Micros;
 
--- a/src/coordinator/queries/in_flight.rs
+++ b/src/coordinator/queries/in_flight.rs
@@ -1,6 +1,6 @@
 //! The attempts in flight and their timers.
 
-use crate::coordinator::AttemptKey;
+use crate::coordinator::request::AttemptKey;
 use crate::interface::{AttemptNo, ClassId, PartId, ReplicaId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/coordinator/queries/mod.rs
+++ b/src/coordinator/queries/mod.rs
@@ -12,16 +12,14 @@
 
 pub(super) use attempts::DispatchOrder;
 
-use super::{AttemptKey, Classes};
+use super::classes::Classes;
+use super::request::AttemptKey;
 use crate::interface::{Class, ClassId, ReplicaId};
 use crate::time::Micros;
 use in_flight::InFlightAttempts;
 use pending::PendingQueries;
 use request_ids::RequestIds;
 
-/// Kept free of a client's timeout for the way here, the turn and the way back; the policy keeps its own ticks.
-const NETWORK_MARGIN: Micros = Micros::from_millis(3);
-
 /// Tracks pending queries and in-flight attempts, with the classes and the request ids that they use.
 #[derive(Debug)]
 pub(super) struct QueryTracker {
--- a/src/coordinator/queries/pending.rs
+++ b/src/coordinator/queries/pending.rs
@@ -1,12 +1,14 @@
 //! The pending queries: those that have no final answer yet.
 
-use super::NETWORK_MARGIN;
+use crate::coordinator::messages::ServedPart;
+use crate::coordinator::request::{PartRequest, Request, Token, Value};
 use crate::coordinator::turn::Turn;
-use crate::coordinator::{PartRequest, Request, ServedPart, Token, Value};
 use crate::interface::{ClassId, Event, Group, PartId, QueryId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// Kept free of a client's timeout for the way here, the turn and the way back; the policy keeps its own ticks.
+pub(super) const NETWORK_MARGIN: Micros = Micros::from_millis(3);
 /// An end this close to the objective was brought about by it: the policy ends a query some ticks ahead.
 const LATE_TOLERANCE: Micros = Micros::from_millis(25);
 
--- a/src/coordinator/reporting.rs
+++ b/src/coordinator/reporting.rs
@@ -1,6 +1,6 @@
 //! The gauges that one coordinator reports to the metrics of the process.
 
-use super::Metrics;
+use super::metrics::Metrics;
 use crate::interface::ReplicaId;
 use crate::policy::DecisionPolicy;
 use crate::time::Micros;
--- a/src/coordinator/turn.rs
+++ b/src/coordinator/turn.rs
@@ -1,6 +1,6 @@
 //! What one turn of the coordinator reads and produces.
 
-use super::Command;
+use super::messages::Command;
 use crate::interface::Event;
 use crate::time::Micros;
 
