--- a/src/coordinator/classes.rs
+++ b/src/coordinator/classes.rs
@@ -1,94 +1,130 @@
-//! The classes by name and by number. The module knows a class by its place; names outlive places.
+//! The classes by name and by number. The policy knows a class by its number, which is its slot here; clients and the
+//! configuration know it by its name.
 
 use super::metrics::{ClassMetrics, Metrics};
 use crate::interface::{Class, ClassId};
 use std::sync::Arc;
 
-/// No class: a new one has nobody's seen figures to go on with.
+/// The predecessor of a new class: it continues no other class's statistics.
 const NO_PREDECESSOR: ClassId = ClassId(u16::MAX);
 
 #[derive(Debug)]
 struct ClassSlot {
     class: Class,
     metrics: Arc<ClassMetrics>,
-    /// Queries and attempts that began with it and have not ended.
+    /// Pending queries and in-flight attempts of the class.
     users: usize,
 }
 
-/// The classes in force, and those that only live on for what began with them.
+/// A class of a reloaded configuration.
+struct ReloadedClass<'a> {
+    class: &'a Class,
+    /// The class in force of the same name.
+    current: Option<ClassId>,
+    /// Whether the reload leaves it as it is.
+    unchanged: bool,
+}
+
+/// The classes in force, and those that a reload dropped or changed while queries or attempts still use them.
 #[derive(Debug)]
-pub struct Classes {
+pub(super) struct Classes {
     slots: Vec<ClassSlot>,
     metrics: Arc<Metrics>,
 }
 
 impl Classes {
-    /// The first ones.
-    pub fn new(classes: &[Class], metrics: Arc<Metrics>) -> Self {
+    /// The classes of the first configuration.
+    pub(super) fn new(classes: &[Class], metrics: Arc<Metrics>) -> Self {
         let mut all = Classes { slots: Vec::new(), metrics };
         all.replace(classes);
         all
     }
 
-    /// The number of the class in force that has this name.
-    pub fn find(&self, name: &str) -> Option<ClassId> {
-        let at = self.slots.iter().position(|p| p.class.in_force && p.class.name == name)?;
-        Some(ClassId(at as u16))
+    /// The number of the class in force of this name.
+    pub(super) fn find(&self, name: &str) -> Option<ClassId> {
+        let index = self.slots.iter().position(|slot| slot.class.in_force && slot.class.name == name)?;
+        Some(class_id(index))
     }
 
-    /// What it says.
-    pub fn get(&self, id: ClassId) -> &Class {
+    /// The class of this number.
+    pub(super) fn get(&self, id: ClassId) -> &Class {
         &self.slots[usize::from(id.0)].class
     }
 
-    /// Where its figures are counted.
-    pub fn metrics(&self, id: ClassId) -> &Arc<ClassMetrics> {
+    /// The metrics of a class; a class that a reload changed keeps those of its name.
+    pub(super) fn metrics(&self, id: ClassId) -> &Arc<ClassMetrics> {
         &self.slots[usize::from(id.0)].metrics
     }
 
-    /// A query or an attempt begins with it.
-    pub fn acquire(&mut self, id: ClassId) {
+    /// A query or an attempt begins to use a class.
+    pub(super) fn acquire(&mut self, id: ClassId) {
         self.slots[usize::from(id.0)].users += 1;
     }
 
-    /// One has ended.
-    pub fn release(&mut self, id: ClassId) {
+    /// A query or an attempt of a class has ended.
+    pub(super) fn release(&mut self, id: ClassId) {
         self.slots[usize::from(id.0)].users -= 1;
     }
 
-    /// From now on these are in force: whose seen figures each place goes on with. A class that is as it was keeps its
-    /// place; one that changed gets another, so that what began with the old one keeps its rules. A place is used
-    /// again once nothing is left that began with it.
-    pub fn replace(&mut self, classes: &[Class]) -> Vec<ClassId> {
-        let before: Vec<Option<ClassId>> = classes.iter().map(|c| self.find(&c.name)).collect();
-        let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { in_force: true, ..class.clone() };
-        let stays: Vec<bool> =
-            classes.iter().zip(&before).map(|(c, b)| b.is_some_and(|b| same(c, &b))).collect();
-        let mut heirs: Vec<ClassId> = (0..self.slots.len()).map(|at| ClassId(at as u16)).collect();
-        self.slots.iter_mut().for_each(|p| p.class.in_force = false);
-        for id in before.iter().zip(&stays).filter_map(|(b, stays)| b.filter(|_| *stays)) {
-            self.slots[usize::from(id.0)].class.in_force = true;
-        }
-        // Decided before the first place is used again: it may be that of a class that comes later in the file.
-        for ((class, before), _) in classes.iter().zip(before).zip(stays).filter(|(_, stays)| !stays) {
-            let metrics = self.metrics.class(&class.name);
-            let place = ClassSlot { class: Class { in_force: true, ..class.clone() }, metrics, users: 0 };
-            let heir = before.unwrap_or(NO_PREDECESSOR);
-            match self.slots.iter().position(|p| !p.class.in_force && p.users == 0) {
-                Some(at) => (self.slots[at], heirs[at]) = (place, heir),
-                None => {
-                    self.slots.push(place);
-                    heirs.push(heir);
-                }
+    /// Puts the classes of a reload in force. An unchanged class keeps its slot; a changed one gets another, so that the
+    /// queries that use the old one keep its rules. A slot is reused once its class is not in force and has no users.
+    ///
+    /// Returns for each slot the class whose statistics the policy continues there.
+    pub(super) fn replace(&mut self, classes: &[Class]) -> Vec<ClassId> {
+        // Compared before the first slot is reused: it may be that of a class that comes later in the configuration.
+        let reloaded: Vec<ReloadedClass<'_>> = classes.iter().map(|class| self.compare(class)).collect();
+        self.keep_in_force(&reloaded);
+        let mut predecessors: Vec<ClassId> = (0..self.slots.len()).map(class_id).collect();
+        for class in reloaded.iter().filter(|class| !class.unchanged) {
+            let slot = self.new_slot(class.class);
+            let predecessor = class.current.unwrap_or(NO_PREDECESSOR);
+            if let Some(index) = self.free_slot() {
+                self.slots[index] = slot;
+                predecessors[index] = predecessor;
+            } else {
+                self.slots.push(slot);
+                predecessors.push(predecessor);
             }
         }
-        heirs
+        predecessors
+    }
+
+    /// All classes by number, for the policy.
+    pub(super) fn all(&self) -> Vec<Class> {
+        self.slots.iter().map(|slot| slot.class.clone()).collect()
     }
 
-    /// What the module is told.
-    pub fn all(&self) -> Vec<Class> {
-        self.slots.iter().map(|p| p.class.clone()).collect()
+    fn compare<'a>(&self, class: &'a Class) -> ReloadedClass<'a> {
+        let current = self.find(&class.name);
+        let unchanged = current.is_some_and(|id| *self.get(id) == in_force(class));
+        ReloadedClass { class, current, unchanged }
     }
+
+    /// Takes all classes out of force but those that the reload leaves unchanged.
+    fn keep_in_force(&mut self, reloaded: &[ReloadedClass<'_>]) {
+        for slot in &mut self.slots {
+            slot.class.in_force = false;
+        }
+        for id in reloaded.iter().filter(|class| class.unchanged).filter_map(|class| class.current) {
+            self.slots[usize::from(id.0)].class.in_force = true;
+        }
+    }
+
+    fn new_slot(&self, class: &Class) -> ClassSlot {
+        ClassSlot { class: in_force(class), metrics: self.metrics.class(&class.name), users: 0 }
+    }
+
+    fn free_slot(&self) -> Option<usize> {
+        self.slots.iter().position(|slot| !slot.class.in_force && slot.users == 0)
+    }
+}
+
+fn in_force(class: &Class) -> Class {
+    Class { in_force: true, ..class.clone() }
+}
+
+fn class_id(index: usize) -> ClassId {
+    ClassId(index as u16)
 }
 
 #[cfg(test)]
--- a/src/coordinator/classes/tests.rs
+++ b/src/coordinator/classes/tests.rs
@@ -21,7 +21,7 @@
     }
 }
 
-/// The classes in force: name, attempts, place.
+/// The classes in force: name, attempts, number.
 fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
     let listed = classes.all().into_iter().filter(|c| c.in_force);
     let mut all: Vec<_> =
@@ -31,25 +31,28 @@
 }
 
 #[test]
-fn a_reload_that_changes_all_classes_loses_none() {
-    // The place of a later class was given to an earlier one, and the later one was taken for unchanged.
+fn reload_that_changes_all_classes_keeps_all_in_force() {
+    // Regression: the slot of a later class was given to an earlier one, and the later one was taken for unchanged.
     let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
-    let heirs = classes.replace(&[class("a", 2), class("b", 2), class("c", 2)]);
+    let predecessors = classes.replace(&[class("a", 2), class("b", 2), class("c", 2)]);
     let names: Vec<_> = in_force(&classes).into_iter().map(|c| (c.0, c.1)).collect();
     assert_eq!(names, [("a".to_owned(), 2), ("b".to_owned(), 2), ("c".to_owned(), 2)]);
-    let heir = |name: &str| heirs[usize::from(classes.find(name).expect("in force").0)];
-    assert_eq!((heir("a"), heir("b"), heir("c")), (ClassId(0), ClassId(1), NO_PREDECESSOR));
+    let predecessor = |name: &str| predecessors[usize::from(classes.find(name).expect("in force").0)];
+    assert_eq!(
+        (predecessor("a"), predecessor("b"), predecessor("c")),
+        (ClassId(0), ClassId(1), NO_PREDECESSOR)
+    );
 }
 
 #[test]
-fn a_place_lives_until_what_began_with_it_has_ended() {
+fn slot_of_a_replaced_class_is_reused_only_after_its_last_user_ends() {
     let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
     let a = classes.find("a").expect("in force");
     classes.acquire(a);
     classes.replace(&[class("a", 1), class("b", 4)]);
     assert_eq!((classes.get(a).max_attempts, classes.find("b")), (4, Some(ClassId(1))));
     assert_eq!(classes.get(classes.find("a").expect("in force")).max_attempts, 1);
-    // Dropped, and its first place still in use: a third one is needed; after its end it is used again.
+    // Class a is dropped while its first slot is in use, so c needs a third one; after the release the slot is reused.
     classes.replace(&[class("b", 4), class("c", 1)]);
     assert_eq!((classes.find("a"), classes.find("c")), (None, Some(ClassId(2))));
     classes.release(a);
--- a/src/coordinator/metrics.rs
+++ b/src/coordinator/metrics.rs
@@ -1,6 +1,6 @@
-//! The figures that operators ask for at the second address, by class name where they belong to a class.
+//! The figures that operators read at the admin address, by class name where they belong to a class.
 //!
-//! Each is counted in one place, where it happens: an answer where the core gives it, an attempt where its last byte is
+//! Each is counted in one place, where it happens: an answer where the coordinator gives it, an attempt where its last byte is
 //! written. So both fronts count, and a class that a reload brings counts from its first request on.
 
 use super::counters::Counter;
@@ -10,29 +10,31 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 
-/// What became of a class's requests.
+/// The counters of one class.
 #[derive(Debug, Default)]
 pub struct ClassMetrics {
-    /// Requests served, refused and failed.
+    /// Requests served.
     pub ok: Counter,
-    /// See `ok`.
+    /// Requests rejected.
     pub shed: Counter,
-    /// See `ok`.
+    /// Requests failed.
     pub errors: Counter,
-    /// Attempts whose last byte went out.
+    /// Attempts whose last byte was written.
     pub attempts: Counter,
 }
 
-/// A figure that rises and falls: the sum of what each core last said.
+/// A figure that rises and falls: the sum of what each coordinator of the process last reported.
 #[derive(Debug, Default)]
 pub struct Gauge(AtomicUsize);
 
 impl Gauge {
-    /// One core's share was `before` and is `now`.
-    pub fn update(&self, before: usize, now: usize) {
-        self.0.fetch_add(now.wrapping_sub(before), Relaxed);
+    /// Replaces a coordinator's previous value by its current one.
+    pub fn update(&self, previous: usize, current: usize) {
+        self.0.fetch_add(current.wrapping_sub(previous), Relaxed);
     }
-    /// The figure.
+
+    /// The sum over all coordinators.
+    #[must_use]
     pub fn get(&self) -> usize {
         self.0.load(Relaxed)
     }
@@ -42,46 +44,54 @@
 #[derive(Debug, Default)]
 pub struct Metrics {
     classes: Mutex<BTreeMap<String, Arc<ClassMetrics>>>,
-    /// Requests taken and not yet ended.
+    /// Requests accepted and not yet ended.
     pub active: Gauge,
-    /// Servers in the list.
+    /// Servers in the endpoint list.
     pub pool_size: Gauge,
-    /// Those of them that the module avoids.
+    /// Those of them that the policy has avoided for a while.
     pub pool_ejected: Gauge,
-    /// Configurations taken at SIGHUP, and those turned down.
+    /// Configurations applied at SIGHUP.
     pub config_applied: Counter,
-    /// See `config_applied`.
+    /// Configurations rejected at SIGHUP.
     pub config_rejected: Counter,
 }
 
 impl Metrics {
-    /// The figures of a class. A class that is dropped keeps them: they count from the process's start.
+    /// The metrics of a class. A class that is dropped keeps them: they count from the start of the process.
     pub fn class(&self, name: &str) -> Arc<ClassMetrics> {
         let mut classes = lock(&self.classes);
         classes.entry(name.to_owned()).or_default().clone()
     }
 
-    /// All of them, a line each.
+    /// All figures, one on each line.
+    #[must_use]
     pub fn dump(&self) -> String {
-        let classes = lock(&self.classes);
         let mut text = String::new();
-        for (name, t) in classes.iter() {
-            for (what, counter) in
-                [("ok", &t.ok), ("shed", &t.shed), ("errors", &t.errors), ("tries", &t.attempts)]
-            {
-                let _ = writeln!(text, "node.responses.{name}.{what}={}", counter.get());
-            }
+        for (name, metrics) in lock(&self.classes).iter() {
+            append_class(&mut text, name, metrics);
         }
-        let rest = [
+        let figures = [
             ("active", self.active.get() as u64),
             ("pool_size", self.pool_size.get() as u64),
             ("pool_ejected", self.pool_ejected.get() as u64),
             ("config_applied", self.config_applied.get()),
             ("config_rejected", self.config_rejected.get()),
         ];
-        rest.iter().for_each(|(name, figure)| {
+        for (name, figure) in figures {
             let _ = writeln!(text, "node.{name}={figure}");
-        });
+        }
         text
     }
 }
+
+fn append_class(text: &mut String, class: &str, metrics: &ClassMetrics) {
+    let counters = [
+        ("ok", &metrics.ok),
+        ("shed", &metrics.shed),
+        ("errors", &metrics.errors),
+        ("tries", &metrics.attempts),
+    ];
+    for (name, counter) in counters {
+        let _ = writeln!(text, "node.responses.{class}.{name}={}", counter.get());
+    }
+}
