--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -137,7 +137,7 @@
         503 | 429 => &tally.shed,
         _ => &tally.errors,
     }
-    .add();
+    .increment();
 }
 
 fn query_hash(asked: &Asked) -> u64 {
@@ -321,8 +321,8 @@
         match answer {
             Answer::Served { parts, .. } => {
                 for (number, ask, visit) in out {
-                    let value = parts.iter().find(|p| p.0 == number);
-                    let page = value.and_then(|v| visit.page(&v.1));
+                    let value = parts.iter().find(|p| p.shard == number);
+                    let page = value.and_then(|v| visit.page(&v.value));
                     if let Some(page) = &page {
                         self.shared.admission().page(page.body.len(), page.given, ask.size);
                     }
@@ -470,7 +470,7 @@
     let (cost, bytes) = if edge.limits.admission {
         let admitted = shared.admission().admit(cost, aim, shared.bears.rate());
         let bytes = admitted.map_err(|refusal| {
-            COUNTERS.over_cost.add();
+            COUNTERS.rejected_over_cost.increment();
             render::refused(Some(refusal.come_back))
         })?;
         (cost, bytes)
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -153,7 +153,7 @@
     let (server, inbox, key) = (driver.server.clone(), driver.inbox.clone(), driver.key);
     if spawn(LARGE_STACK_WORDS, move || driver.run()).is_err() {
         guard(&server).busy -= 1;
-        let _ = inbox.send(Input::AttemptEnded(key, AttemptEnd::Failed(Outcome::NotSent)));
+        let _ = inbox.send(Input::AttemptEnded { key, end: AttemptEnd::Failed(Outcome::NotSent) });
     }
 }
 
@@ -174,14 +174,17 @@
         let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
         drop(state);
         for driver in waiting {
-            let _ = self.inbox.send(Input::AttemptEnded(driver.key, AttemptEnd::Failed(Outcome::NotSent)));
+            let _ = self
+                .inbox
+                .send(Input::AttemptEnded { key: driver.key, end: AttemptEnd::Failed(Outcome::NotSent) });
         }
     }
 
     fn dispatch(&mut self, replica: ReplicaId, jobs: &[AttemptRequest], _now: Micros) {
         for job in jobs {
             if let Err(outcome) = self.start(replica, job) {
-                let _ = self.inbox.send(Input::AttemptEnded(job.key, AttemptEnd::Failed(outcome)));
+                let _ =
+                    self.inbox.send(Input::AttemptEnded { key: job.key, end: AttemptEnd::Failed(outcome) });
             }
         }
     }
@@ -212,7 +215,7 @@
             let mut state = guard(server);
             let before = state.idle.len();
             state.idle.retain(|(_, since)| now.since(*since) < self.idle_limit);
-            COUNTERS.links_idle_closed.add_n(before - state.idle.len());
+            COUNTERS.server_connections_idle_closed.add(before - state.idle.len());
             // Whoever was called off waits no more; and a server's wish to be left alone may be over.
             state.waiting.retain(|d| !guard(&d.slot).called_off);
             let next = state.next(now);
@@ -287,15 +290,15 @@
         let next = server.next(now);
         drop(server);
         // The core passes over the end of an attempt that it called off.
-        let _ = self.inbox.send(Input::AttemptEnded(self.key, end));
+        let _ = self.inbox.send(Input::AttemptEnded { key: self.key, end });
         next.into_iter().for_each(begin);
     }
 
     fn dial(&self, address: SocketAddr) -> Option<TcpStream> {
-        COUNTERS.dials.add();
+        COUNTERS.dials.increment();
         let stream = TcpStream::connect_timeout(&address, self.dial_timeout.to_duration());
         if stream.is_err() {
-            COUNTERS.dials_failed.add();
+            COUNTERS.dials_failed.increment();
         }
         stream.ok()
     }
@@ -340,7 +343,7 @@
                 match try_write(stream, self.fetch.output()) {
                     Tried::Moved(n) => {
                         if self.fetch.wrote(n) {
-                            self.tally.tries.add();
+                            self.tally.attempts.increment();
                             let _ = self.inbox.send(Input::FullyWritten(self.key));
                         }
                     }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -44,10 +44,10 @@
             clients.push(client);
         }
         let cases = clients.len();
-        edge.wait_for_counter("taken", cases as u64);
-        edge.wait_for_counter("attempts", 2);
+        edge.wait_for_counter("queries_accepted", cases as u64);
+        edge.wait_for_counter("attempts_dispatched", 2);
         drop(clients);
-        edge.wait_for_counter("gone", cases as u64);
+        edge.wait_for_counter("queries_abandoned", cases as u64);
         let logs = nodes.map(RecordingNode::start);
         assert_eq!(query(&edge, "stays", "look", &[0, 1, 2, 3, 4, 5]).status, 200);
         drop(edge);
@@ -86,13 +86,13 @@
     let (ids, mut stream) = asked.recv().expect("one of them");
     let drained: Vec<_> = addresses.iter().enumerate().map(|(n, a)| terminating(n, *a)).collect();
     watch.send(&endpoint_list(2, false, &drained));
-    edge.wait_for_counter("rosters", 3);
+    edge.wait_for_counter("endpoint_updates", 3);
     write_answer(&mut stream, &format!("{} skipped 0 -\n", ids[0])).expect("told");
-    edge.wait_for_counter("turned_away", 1);
+    edge.wait_for_counter("attempts_rejected", 1);
     drop(client);
-    edge.wait_for_counter("gone", 1);
+    edge.wait_for_counter("queries_abandoned", 1);
     watch.send(&endpoint_list(3, false, &all_in_service(&addresses)));
-    edge.wait_for_counter("rosters", 4);
+    edge.wait_for_counter("endpoint_updates", 4);
     // Sound again, and asked by another: that one's part alone goes out.
     let other = send_request(&edge, &query_request("stays", "look", &[0], ""));
     let (ids, mut stream) = asked.recv().expect("one of them");
@@ -102,7 +102,7 @@
     let mut first = String::new();
     BufReader::new(other).read_line(&mut first).expect("an answer");
     assert!(first.starts_with("HTTP/1.1 200"), "{first}");
-    edge.wait_for_counter("attempts", 2);
+    edge.wait_for_counter("attempts_dispatched", 2);
     drop(edge);
     drop(served);
 }
@@ -124,10 +124,10 @@
             })
             .collect();
         edge.wait_for_counter("dials", 2);
-        edge.wait_for_counter("taken", 4);
+        edge.wait_for_counter("queries_accepted", 4);
         watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
-        edge.wait_for_counter("rosters", 3);
-        edge.wait_for_counter("unsent", 1);
+        edge.wait_for_counter("endpoint_updates", 3);
+        edge.wait_for_counter("attempts_not_sent", 1);
         let logs = nodes.map(RecordingNode::start);
         for client in clients {
             assert!(read_until_close(client).starts_with("HTTP/1.1 200"), "the other node takes it");
@@ -163,7 +163,7 @@
         let took = began.elapsed().as_millis();
         assert!(took < if silent { 5_000 } else { 1_000 }, "{took} ms: it counts as told after 6 s");
         assert!(second.request.contains("since=1"), "{}", second.request);
-        edge.wait_for_counter("rosters", 3);
+        edge.wait_for_counter("endpoint_updates", 3);
         let before = nodes[0].received_parts().len();
         for n in 0..6 {
             assert_eq!(query(&edge, &format!("q{silent}{n}"), "look", &[0, 1, 2, 3]).status, 200);
@@ -188,7 +188,7 @@
         true,
         &[terminating(0, addresses[0]), in_service(1, addresses[1])],
     ));
-    edge.wait_for_counter("rosters", 2);
+    edge.wait_for_counter("endpoint_updates", 2);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
@@ -205,7 +205,7 @@
     watch.send(&endpoint_list(7, false, &[terminating(0, addresses[0])]));
     watch.send(&endpoint_list(6, true, &all_in_service(&addresses)));
     edge.wait_for_log("the list goes back from version 7 to 6");
-    edge.wait_for_counter("rosters", 4);
+    edge.wait_for_counter("endpoint_updates", 4);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1, 2, 3]).status, 200);
     }
@@ -232,7 +232,7 @@
     let _watch = new.answer_watch(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
     old.listener.set_nonblocking(true).expect("set");
     assert!(old.listener.accept().is_err(), "the old one was not asked again meanwhile");
-    edge.wait_for_counter("rosters", 2);
+    edge.wait_for_counter("endpoint_updates", 2);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
@@ -254,7 +254,7 @@
         json!({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x".repeat(60_000)}).to_string();
     let head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: long\r\nX-Qos: once\r\nX-Expires-In: 0.8\r\nConnection: close";
     let answer = edge.send_request(&format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-    edge.wait_for_counter("attempts", 1);
+    edge.wait_for_counter("attempts_dispatched", 1);
     assert_eq!(answer.status, 504, "it may run: {answer:?}");
     let mut runs = 0;
     for listener in nodes {
@@ -305,7 +305,7 @@
     let other = both.into_iter().find(|f| f.1 == CALL).expect("the next attempt");
     assert_ne!(other.0, first);
     write_answer(&mut its, "late.0 broke 0 -\n").expect("told");
-    edge.wait_for_counter("cancelled", 1);
+    edge.wait_for_counter("attempts_cancelled", 1);
     let mut its = other.3;
     write_answer(&mut its, "late.0 served 1 -\ncell").expect("told");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
@@ -350,19 +350,19 @@
     let agent = ControlledDiscovery::new();
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("window", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(1, addresses[1])]));
-    edge.wait_for_counter("rosters", 3);
+    edge.wait_for_counter("endpoint_updates", 3);
     let client = send_request(&edge, &query_request("key", "key", &[0], "Connection: close\r\n"));
     let (mut first, _) = held.accept().expect("a connection");
     assert_eq!(read_part_ids(&mut first).expect("the first attempt"), ["key.0"]);
     watch.send(&endpoint_list(3, false, &[terminating(0, addresses[0]), in_service(1, addresses[1])]));
-    edge.wait_for_counter("rosters", 4);
+    edge.wait_for_counter("endpoint_updates", 4);
     // It may have run: within its window it may go again, to the node that lets nobody in.
     drop(first);
-    edge.wait_for_counter("attempts", 2);
-    edge.wait_for_counter("connect_failed", 1);
+    edge.wait_for_counter("attempts_dispatched", 2);
+    edge.wait_for_counter("attempts_connect_failed", 1);
     let log = RecordingNode::start(shut);
     drop(client);
-    edge.wait_for_counter("gone", 1);
+    edge.wait_for_counter("queries_abandoned", 1);
     drop(edge);
     assert_eq!(log.wait_until_closed(), Vec::<String>::new());
 }
@@ -384,7 +384,7 @@
     let stays = send_request(&edge, &query_request("stays", "look", &[0, 1], "Connection: close\r\n"));
     edge.signal("CONT");
     assert!(read_until_close(stays).starts_with("HTTP/1.1 200"));
-    edge.wait_for_counter("gone", 20);
+    edge.wait_for_counter("queries_abandoned", 20);
     let mut came: Vec<_> = nodes.iter().flat_map(DataNode::received_parts).collect();
     came.sort();
     assert_eq!(came, ["stays.0", "stays.1"]);
@@ -402,7 +402,7 @@
     let agent = ControlledDiscovery::new();
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("half-frames", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(1, addresses[1])]));
-    edge.wait_for_counter("rosters", 3);
+    edge.wait_for_counter("endpoint_updates", 3);
     let body =
         json!({"tablets": [{"tablet": 0, "fraction": 1}], "statement": "x".repeat(60_000)}).to_string();
     let clients: Vec<_> = (0..QUERIES)
@@ -417,10 +417,10 @@
             )
         })
         .collect();
-    edge.wait_for_counter("attempts", QUERIES as u64);
-    edge.wait_for_counter("written", 1);
+    edge.wait_for_counter("attempts_dispatched", QUERIES as u64);
+    edge.wait_for_counter("attempts_fully_written", 1);
     watch.send(&endpoint_list(3, false, &[in_service(1, addresses[1])]));
-    edge.wait_for_counter("rosters", 4);
+    edge.wait_for_counter("endpoint_updates", 4);
     let log = RecordingNode::start(sound);
     deaf.set_nonblocking(true).expect("set");
     while let Ok((stream, _)) = deaf.accept() {
@@ -446,7 +446,7 @@
     let (edge, mut watch) = Deployment { latency_objective_ms: 600, ..Deployment::ALL_EFFECTS }
         .start_controlled("after", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
-    edge.wait_for_counter("rosters", 3);
+    edge.wait_for_counter("endpoint_updates", 3);
     let client = send_request(&edge, &query_request("q", "some", &[0, 1], "Connection: close\r\n"));
     let (mut stream, _) = held.accept().expect("a connection");
     let mut ids = read_part_ids(&mut stream).expect("a part");
@@ -462,7 +462,7 @@
     assert_eq!(read_part_ids(&mut stream).expect("on the connection that is open"), ["next.1"]);
     write_answer(&mut stream, "next.1 served 1 -\ncell").expect("told");
     assert!(read_until_close(next).starts_with("HTTP/1.1 200"));
-    edge.wait_for_counter("attempts", 3);
+    edge.wait_for_counter("attempts_dispatched", 3);
 }
 
 #[test]
@@ -473,7 +473,7 @@
     let site = Deployment { idle_timeout_ms: Some(600), ..Deployment::ALL_EFFECTS };
     let (edge, _watch) = site.start_controlled("idle", &agent, &addresses);
     assert_eq!(query(&edge, "q0", "once", &[0]).status, 200);
-    edge.wait_for_counter("links_idle_closed", 1);
+    edge.wait_for_counter("server_connections_idle_closed", 1);
     assert_eq!(query(&edge, "q1", "once", &[0]).status, 200);
     let open: usize = nodes.iter().map(DataNode::connections).sum();
     assert_eq!((open, nodes.iter().map(|n| n.received_parts().len()).sum::<usize>()), (2, 2));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -58,7 +58,7 @@
             )
         })
         .collect();
-    edge.wait_for_counter("taken", 12);
+    edge.wait_for_counter("queries_accepted", 12);
     let began = std::time::Instant::now();
     edge.signal("TERM");
     edge.wait_for_log("told to end");
@@ -100,7 +100,7 @@
     let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
     let (mut edge, _watch) = site.start_controlled("never-closes", &agent, &[hangs.address, other.address]);
     let mut client = BufReader::new(send_request(&edge, &query_request("q", "once", &[0], "")));
-    edge.wait_for_counter("taken", 1);
+    edge.wait_for_counter("queries_accepted", 1);
     // Settings that come after the signal change nothing about when the kill comes: it is 1.7 s from here.
     edge.signal("TERM");
     edge.wait_for_log("told to end");
