--- a/fuzz/fuzz_targets/cursor.rs
+++ b/fuzz/fuzz_targets/cursor.rs
@@ -1,4 +1,4 @@
-//! No bytes but those that were given out are a cursor.
+//! Arbitrary text is never accepted as a cursor: a cursor is authenticated by a key that the fuzzer does not have.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
 use quinceflow::front::ogc::cursor::{CursorError, Key};
--- a/fuzz/fuzz_targets/filter.rs
+++ b/fuzz/fuzz_targets/filter.rs
@@ -1,4 +1,4 @@
-//! Any text is a filter or an error; a filter reads back as printed, in both forms.
+//! Arbitrary text is a CQL2 filter or an error, and a filter that is printed as text or JSON parses to the same filter.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
 use quinceflow::front::ogc::cql2::{read_json, read_text, to_json};
--- a/fuzz/fuzz_targets/head.rs
+++ b/fuzz/fuzz_targets/head.rs
@@ -1,4 +1,4 @@
-//! Any bytes on a connection are requests or one error, and after an error nothing more is said.
+//! Arbitrary bytes on a connection are HTTP requests and at most one error, after which nothing more is parsed.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
 use quinceflow::proto::http::{Response, Server};
@@ -11,13 +11,13 @@
     while let Some(polled) = server.poll() {
         match polled {
             Ok(_) => server.respond(Response::new(200, "", "x"), false),
-            Err(e) => {
+            Err(error) => {
                 errors += 1;
-                server.respond(Response::new(e.status(), "", ""), true);
+                server.respond(Response::new(error.status(), "", ""), true);
             }
         }
-        let n = server.output().len();
-        server.wrote(n);
+        let written = server.output().len();
+        server.wrote(written);
     }
     assert!(errors <= 1);
 });
