--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -10,9 +10,10 @@
 use standin::discovery::{
     all_in_service, endpoint_list, endpoint_list_json, in_service, terminating, ControlledDiscovery,
 };
-use standin::frames::{read_frame, read_part_ids, serve_parts, write_answer, CALL, CANCEL};
+use standin::frames::{read_frame, read_part_ids, serve_parts, write_answer, Frame, CALL, CANCEL};
 use standin::http::bind_loopback;
 use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::sync::mpsc::channel;
 
 #[test]
@@ -262,9 +263,9 @@
         while let Ok((mut stream, _)) = listener.accept() {
             stream.set_nonblocking(false).expect("set");
             // Read to the frame that follows it: the cancel.
-            while let Ok((letter, _)) = read_frame(&mut stream) {
-                runs += usize::from(letter == CALL);
-                if letter == CANCEL {
+            while let Ok(frame) = read_frame(&mut stream) {
+                runs += usize::from(frame.kind == CALL);
+                if frame.kind == CANCEL {
                     break;
                 }
             }
@@ -273,6 +274,13 @@
     assert_eq!(runs, 1);
 }
 
+/// A frame that one of two data nodes received, and the connection that it arrived on.
+struct ReceivedFrame {
+    node: usize,
+    kind: u8,
+    stream: TcpStream,
+}
+
 #[test]
 fn a_late_answer_beside_the_next_attempt_leads_to_no_third() {
     let nodes = [0, 1].map(|_| bind_loopback());
@@ -282,15 +290,15 @@
         .start_controlled("late", &agent, &addresses);
     let client = send_request(&edge, &query_request("late", "look", &[0], "Connection: close\r\n"));
     let (tell, asked) = channel();
-    for (n, listener) in nodes.into_iter().enumerate() {
+    for (node, listener) in nodes.into_iter().enumerate() {
         let tell = tell.clone();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let tell = tell.clone();
                 std::thread::spawn(move || {
-                    while let Ok((letter, rest)) = read_frame(&mut stream) {
+                    while let Ok(Frame { kind, .. }) = read_frame(&mut stream) {
                         let stream = stream.try_clone().expect("a handle");
-                        if tell.send((n, letter, rest, stream)).is_err() {
+                        if tell.send(ReceivedFrame { node, kind, stream }).is_err() {
                             return;
                         }
                     }
@@ -298,20 +306,19 @@
             }
         });
     }
-    let (first, letter, _, mut its) = asked.recv().expect("the first attempt");
-    assert_eq!(letter, CALL);
+    let mut first = asked.recv().expect("the first attempt");
+    assert_eq!(first.kind, CALL);
     // It is called off and goes to the other, in whichever order that is seen here.
     let both = [asked.recv().expect("a frame"), asked.recv().expect("a frame")];
-    let other = both.into_iter().find(|f| f.1 == CALL).expect("the next attempt");
-    assert_ne!(other.0, first);
-    write_answer(&mut its, "late.0 broke 0 -\n").expect("told");
+    let mut other = both.into_iter().find(|frame| frame.kind == CALL).expect("the next attempt");
+    assert_ne!(other.node, first.node);
+    write_answer(&mut first.stream, "late.0 broke 0 -\n").expect("told");
     edge.wait_for_counter("attempts_cancelled", 1);
-    let mut its = other.3;
-    write_answer(&mut its, "late.0 served 1 -\ncell").expect("told");
+    write_answer(&mut other.stream, "late.0 served 1 -\ncell").expect("told");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
     drop(edge);
     drop(tell);
-    assert!(asked.try_iter().all(|f| f.1 != CALL), "two attempts, one after the other");
+    assert!(asked.try_iter().all(|frame| frame.kind != CALL), "two attempts, one after the other");
 }
 
 #[test]
--- a/tests/standin/client.rs
+++ b/tests/standin/client.rs
@@ -83,6 +83,7 @@
 }
 
 impl Response {
+    /// Parses the text of a response that ends with its connection.
     pub fn parse(text: &str) -> Response {
         let (head, body) = text.split_once("\r\n\r\n").expect("a head");
         let mut lines = head.lines();
@@ -94,6 +95,7 @@
         Response { status, headers: lines.filter_map(header).collect(), body: body.to_owned() }
     }
 
+    /// Its body, which must be JSON.
     pub fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
     }
--- a/tests/standin/data_node.rs
+++ b/tests/standin/data_node.rs
@@ -12,6 +12,7 @@
 /// What a data node does with a part.
 #[derive(Clone, Copy, PartialEq)]
 pub enum NodeBehaviour {
+    /// Answers with the shard's value.
     Serve,
     /// Answers that the part failed.
     Fail,
@@ -142,6 +143,7 @@
 }
 
 impl UnreachableNode {
+    /// Listens without accepting.
     pub fn new() -> UnreachableNode {
         use rustix::net::{bind, listen, socket, AddressFamily, SocketType};
         let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
@@ -153,6 +155,7 @@
         UnreachableNode { listener, queued }
     }
 
+    /// Where it will be reachable.
     pub fn address(&self) -> SocketAddr {
         self.listener.local_addr().expect("bound")
     }
--- a/tests/standin/discovery.rs
+++ b/tests/standin/discovery.rs
@@ -66,6 +66,7 @@
 }
 
 impl Discovery {
+    /// Starts it with the first line of every watch.
     pub fn start(first: String) -> Discovery {
         let (updates, pending) = channel::<String>();
         let requests: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -128,11 +129,13 @@
 }
 
 impl ControlledDiscovery {
+    /// Listens, and starts the watchdog of these tests.
     pub fn new() -> ControlledDiscovery {
         start_watchdog();
         ControlledDiscovery { listener: bind_loopback() }
     }
 
+    /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.listener.local_addr().expect("bound")
     }
--- a/tests/standin/feature_server.rs
+++ b/tests/standin/feature_server.rs
@@ -29,6 +29,7 @@
 }
 
 impl FeatureServer {
+    /// Starts a server; the behaviour gives the reply to each target.
     pub fn start(behaviour: impl FnMut(&str) -> Reply + Send + 'static) -> FeatureServer {
         let targets: Arc<Mutex<Vec<String>>> = Arc::default();
         let log = targets.clone();
--- a/tests/standin/frames.rs
+++ b/tests/standin/frames.rs
@@ -23,22 +23,29 @@
     write_frame(stream, ANSWER, text)
 }
 
-/// Reads the next frame: its kind and its text.
-pub fn read_frame(stream: &mut TcpStream) -> Result<(u8, String)> {
+/// A frame as it was read.
+pub struct Frame {
+    /// One of the constants of this module.
+    pub kind: u8,
+    pub text: String,
+}
+
+/// Reads the next frame.
+pub fn read_frame(stream: &mut TcpStream) -> Result<Frame> {
     let mut head = [0; 5];
     stream.read_exact(&mut head)?;
     let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
     let mut text = vec![0; length - 1];
     stream.read_exact(&mut text)?;
-    Ok((head[4], String::from_utf8(text).expect("text")))
+    Ok(Frame { kind: head[4], text: String::from_utf8(text).expect("text") })
 }
 
 /// Reads the next call; cancels before it are skipped.
 pub fn read_call(stream: &mut TcpStream) -> Result<String> {
     loop {
-        let (kind, text) = read_frame(stream)?;
-        if kind == CALL {
-            return Ok(text);
+        let frame = read_frame(stream)?;
+        if frame.kind == CALL {
+            return Ok(frame.text);
         }
     }
 }
