--- a/src/bin/quinceflow-sim-adapter/codec.rs
+++ b/src/bin/quinceflow-sim-adapter/codec.rs
@@ -185,10 +185,10 @@
             let (part, attempt) = (PartId(f.u64()?), AttemptNo(f.u16()?));
             f.replica()?;
             let outcome = outcome(f.u8()?)?;
-            let waited = f.u64()?;
+            let elapsed = f.u64()?;
             f.u8()?;
             f.load()?;
-            Record::Event(Event::Outcome { part, attempt, outcome, waited })
+            Record::Event(Event::Outcome { part, attempt, outcome, elapsed })
         }
         6 => Record::Event(Event::Abandoned(QueryId(fields("LAPSED").u64()?))),
         7 => {
@@ -219,7 +219,7 @@
 
 fn read_ask(f: &mut Fields<'_>) -> Result<Event, Malformed> {
     let id = f.u64()?;
-    let group = Group(f.whole()?.unwrap_or(0));
+    let group = GroupId(f.whole()?.unwrap_or(0));
     let (hint, _key, marks, tenant) = (f.u64()?, f.u64()?, f.u8()?, TenantId(f.u32()?));
     let shard = f.whole()?;
     let weight = f64::from(f.f32()?);
--- a/src/coordinator/classes.rs
+++ b/src/coordinator/classes.rs
@@ -32,7 +32,7 @@
 
     /// The number of the class in force that has this name.
     pub fn find(&self, name: &str) -> Option<ClassId> {
-        let at = self.places.iter().position(|p| p.class.in_force && p.class.name == name)?;
+        let at = self.places.iter().position(|p| p.class.active && p.class.name == name)?;
         Some(ClassId(at as u16))
     }
 
@@ -61,20 +61,20 @@
     /// again once nothing is left that began with it.
     pub fn replace(&mut self, classes: &[Class]) -> Vec<ClassId> {
         let before: Vec<Option<ClassId>> = classes.iter().map(|c| self.find(&c.name)).collect();
-        let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { in_force: true, ..class.clone() };
+        let same = |class: &Class, id: &ClassId| *self.get(*id) == Class { active: true, ..class.clone() };
         let stays: Vec<bool> =
             classes.iter().zip(&before).map(|(c, b)| b.is_some_and(|b| same(c, &b))).collect();
         let mut heirs: Vec<ClassId> = (0..self.places.len()).map(|at| ClassId(at as u16)).collect();
-        self.places.iter_mut().for_each(|p| p.class.in_force = false);
+        self.places.iter_mut().for_each(|p| p.class.active = false);
         for id in before.iter().zip(&stays).filter_map(|(b, stays)| b.filter(|_| *stays)) {
-            self.places[usize::from(id.0)].class.in_force = true;
+            self.places[usize::from(id.0)].class.active = true;
         }
         // Decided before the first place is used again: it may be that of a class that comes later in the file.
         for ((class, before), _) in classes.iter().zip(before).zip(stays).filter(|(_, stays)| !stays) {
             let tally = self.figures.class(&class.name);
-            let place = Place { class: Class { in_force: true, ..class.clone() }, tally, users: 0 };
+            let place = Place { class: Class { active: true, ..class.clone() }, tally, users: 0 };
             let heir = before.unwrap_or(NONE);
-            match self.places.iter().position(|p| !p.class.in_force && p.users == 0) {
+            match self.places.iter().position(|p| !p.class.active && p.users == 0) {
                 Some(at) => (self.places[at], heirs[at]) = (place, heir),
                 None => {
                     self.places.push(place);
@@ -99,7 +99,7 @@
     fn class(name: &str, max_attempts: u32) -> Class {
         Class {
             name: name.to_owned(),
-            in_force: true,
+            active: true,
             latency_objective: 1,
             objective_stretch: 0.0,
             deadline: 2,
@@ -108,14 +108,14 @@
             late_weight: 0.0,
             required_share: 1.0,
             min_share: 1.0,
-            follow_up: 0,
+            follow_up_parts: 0,
             max_attempts,
         }
     }
 
     /// The classes in force: name, attempts, place.
     fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
-        let listed = classes.told().into_iter().filter(|c| c.in_force);
+        let listed = classes.told().into_iter().filter(|c| c.active);
         let mut all: Vec<_> = listed
             .map(|c| (c.name.clone(), c.max_attempts, classes.find(&c.name).expect("listed").0))
             .collect();
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -244,7 +244,7 @@
         if now.since(self.asked_pool) >= ASK_POOL_INTERVAL {
             self.asked_pool = now;
             self.said[1] = self.servers.values().filter(|l| l.gone.is_none()).count();
-            let avoided = self.policy.avoided();
+            let avoided = self.policy.ejected();
             self.avoided.retain(|id, _| avoided.contains(id));
             for id in avoided {
                 self.avoided.entry(id).or_insert(now);
@@ -457,7 +457,7 @@
         self.labels.insert(request.request_id.clone(), 1);
         self.held_count += size;
         let query = QueryId(self.next_id);
-        let group = Group(self.next_group);
+        let group = GroupId(self.next_group);
         self.next_group = self.next_group.wrapping_add(1);
         self.next_id += size as u64;
         let aim = self.classes.get(class).latency_objective;
@@ -532,8 +532,8 @@
             Outcome::NotSent => &COUNTERS.unsent,
         }
         .add();
-        let waited = now.since(flight.sent).to_nanos();
-        events.push(Event::Outcome { part: key.part, attempt: key.attempt, outcome, waited });
+        let elapsed = now.since(flight.sent).to_nanos();
+        events.push(Event::Outcome { part: key.part, attempt: key.attempt, outcome, elapsed });
     }
 
     fn time_outs_due(&mut self, now: Micros, events: &mut Vec<Event>, out: &mut Vec<Command>) {
@@ -728,7 +728,7 @@
 
 /// No front speaks of a second step.
 fn without_second_steps(mut set: Settings) -> Settings {
-    set.classes.iter_mut().for_each(|c| c.follow_up = 0);
+    set.classes.iter_mut().for_each(|c| c.follow_up_parts = 0);
     set
 }
 
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -391,7 +391,7 @@
         let ns = |ms: u64| Micros::from_millis(ms).to_nanos();
         let class = |c: &EdgeClass| Class {
             name: c.name.clone(),
-            in_force: true,
+            active: true,
             latency_objective: ns(c.aim_ms),
             objective_stretch: 0.0,
             deadline: ns(c.deadline_ms),
@@ -400,7 +400,7 @@
             late_weight: c.late_worth,
             required_share: 1.0,
             min_share: c.floor,
-            follow_up: 0,
+            follow_up_parts: 0,
             max_attempts: self.attempts,
         };
         let cold = |w: &WarmUp| SlowStartRule {
@@ -420,7 +420,7 @@
             cells: 1,
             cells_per_shard: 1,
             max_batch: 1,
-            call_cost: 0,
+            call_overhead: 0,
             max_poll_interval: None,
             // The module's own budget for further attempts.
             retry_budget: Some(RetryBudget {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -17,7 +17,7 @@
     /// One part of a query; queries and parts share one space of ids.
     PartId(u64);
     /// The number that ties parts to their query.
-    Group(u32);
+    GroupId(u32);
     /// A shard, from 0.
     ShardId(u32);
     /// A place in [`Settings::classes`].
@@ -51,7 +51,7 @@
     /// Its name, which outlives its number.
     pub name: String,
     /// It is in the settings in force; one that is not is kept for the queries that began with it.
-    pub in_force: bool,
+    pub active: bool,
     /// Wanted within this time.
     pub latency_objective: Nanos,
     /// The aim grows by so many times the work that the query's hint names.
@@ -69,7 +69,7 @@
     /// Least share of the weight that an answer may be given from.
     pub min_share: f64,
     /// Parts of the second step; 0 where there is none.
-    pub follow_up: u32,
+    pub follow_up_parts: u32,
     /// Most attempts at a part.
     pub max_attempts: u32,
 }
@@ -127,7 +127,7 @@
     /// Most parts that one call carries.
     pub max_batch: u32,
     /// Work of a call beside its parts'.
-    pub call_cost: Nanos,
+    pub call_overhead: Nanos,
     /// The list comes only when asked; without asking for so long an instance counts as told. `None`: it
     /// comes on its own.
     pub max_poll_interval: Option<Nanos>,
@@ -251,7 +251,7 @@
         /// Its id.
         query: QueryId,
         /// The number its parts bear.
-        group: Group,
+        group: GroupId,
         /// Its class.
         class: ClassId,
         /// Its tenant.
@@ -266,7 +266,7 @@
         /// Its id.
         part: PartId,
         /// The number of its query.
-        group: Group,
+        group: GroupId,
         /// Its shard.
         shard: ShardId,
         /// Its weight in its step.
@@ -281,7 +281,7 @@
         /// How.
         outcome: Outcome,
         /// How long ago it was sent.
-        waited: Nanos,
+        elapsed: Nanos,
     },
     /// The client of a query has left, or the query's time is over.
     Abandoned(QueryId),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 //! const MS: Nanos = 1_000_000;
 //! let class = Class {
 //!     name: "lookup".to_owned(),
-//!     in_force: true,
+//!     active: true,
 //!     latency_objective: 1_000 * MS,
 //!     objective_stretch: 0.0,
 //!     deadline: 3_000 * MS,
@@ -22,7 +22,7 @@
 //!     late_weight: 0.1,
 //!     required_share: 1.0,
 //!     min_share: 1.0,
-//!     follow_up: 0,
+//!     follow_up_parts: 0,
 //!     max_attempts: 2,
 //! };
 //! let settings = Settings {
@@ -35,7 +35,7 @@
 //!     cells: 1,
 //!     cells_per_shard: 1,
 //!     max_batch: 1,
-//!     call_cost: 0,
+//!     call_overhead: 0,
 //!     max_poll_interval: None,
 //!     retry_budget: None,
 //!     slow_start: None,
@@ -56,13 +56,13 @@
 //!         vec![
 //!             Event::Query {
 //!                 query: QueryId(1),
-//!                 group: Group(1),
+//!                 group: GroupId(1),
 //!                 class: ClassId(0),
 //!                 tenant: TenantId(0),
 //!                 expected_work: None,
 //!                 time_left: 3_000 * MS,
 //!             },
-//!             Event::Part { part: PartId(2), group: Group(1), shard: ShardId(0), weight: 1.0 },
+//!             Event::Part { part: PartId(2), group: GroupId(1), shard: ShardId(0), weight: 1.0 },
 //!         ],
 //!     ),
 //!     (
@@ -71,7 +71,7 @@
 //!             part: PartId(2),
 //!             attempt: AttemptNo(0),
 //!             outcome: Outcome::Ok,
-//!             waited: 80 * MS,
+//!             elapsed: 80 * MS,
 //!         }],
 //!     ),
 //! ];
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -39,6 +39,6 @@
 
     /// Work of a part with its call, as far as seen.
     pub(super) fn cost(&self, class: ClassId) -> f64 {
-        self.work[usize::from(class.0)] + self.set.call_cost as f64
+        self.work[usize::from(class.0)] + self.set.call_overhead as f64
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,7 +35,7 @@
 }
 
 fn least_aim(set: &Settings) -> Nanos {
-    set.classes.iter().filter(|c| c.in_force).map(|c| c.latency_objective).min().unwrap_or(set.tick)
+    set.classes.iter().filter(|c| c.active).map(|c| c.latency_objective).min().unwrap_or(set.tick)
 }
 
 /// A part: its query, and its place there.
@@ -176,8 +176,8 @@
                 let (id, class, shard) = (*part, q.class, *shard);
                 q.parts.push(Part { id, class, shard, weight, second, asked: true, ..Part::default() });
             }
-            Event::Outcome { part, attempt, outcome, waited } => {
-                self.take_outcome(*part, *attempt, *outcome, *waited)
+            Event::Outcome { part, attempt, outcome, elapsed } => {
+                self.on_outcome(*part, *attempt, *outcome, *elapsed)
             }
             Event::Abandoned(query) => {
                 if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
@@ -223,7 +223,7 @@
     }
 
     fn top(&self) -> f64 {
-        self.set.classes.iter().filter(|c| c.in_force).map(|c| c.priority_weight).fold(0.0, f64::max)
+        self.set.classes.iter().filter(|c| c.active).map(|c| c.priority_weight).fold(0.0, f64::max)
     }
 
     /// The one way out for a query. Rules 1, 2 and 5 are checked here.
@@ -246,7 +246,7 @@
                 actions.push(Action::Answer { query: q.id, complete });
                 let first = q.first.is_none();
                 q.first = q.first.or(Some((self.now, complete)));
-                if first && c.follow_up > 0 {
+                if first && c.follow_up_parts > 0 {
                     q.stage = Stage::Second;
                     return;
                 }
--- a/src/policy/query.rs
+++ b/src/policy/query.rs
@@ -62,7 +62,7 @@
 pub(super) struct Query {
     pub(super) id: QueryId,
     pub(super) class: ClassId,
-    pub(super) group: Group,
+    pub(super) group: GroupId,
     pub(super) worth: f64,
     pub(super) luck: f64,
     pub(super) stage: Stage,
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -59,8 +59,8 @@
 
 impl DecisionPolicy {
     /// Ready replicas that no part of a listed class would go to now, whatever its shard.
-    pub fn avoided(&self) -> Vec<ReplicaId> {
-        let Some(c) = self.set.classes.iter().position(|c| c.in_force) else { return Vec::new() };
+    pub fn ejected(&self) -> Vec<ReplicaId> {
+        let Some(c) = self.set.classes.iter().position(|c| c.active) else { return Vec::new() };
         let class = ClassId(c as u16);
         let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
         let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
@@ -112,12 +112,12 @@
         self.balance();
     }
 
-    pub(super) fn take_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, waited: Nanos) {
+    pub(super) fn on_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
         let (now, typical, aim) = (self.now, self.typical, self.class(class).latency_objective as f64);
         let fade = self.least_aim as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
-            let sent = now.saturating_sub(waited);
+            let sent = now.saturating_sub(elapsed);
             r.flights.retain(|f| (f.1, f.2) != (part, attempt));
             let silent = r.last_ok < sent;
             let lost = f64::from(outcome != Outcome::Ok && silent);
@@ -127,10 +127,10 @@
                 let before = r.errors * 0.5f64.powf((now - r.erred) as f64 / (ERROR_FADE_AIMS * fade));
                 (r.errors, r.erred) = (before + (error - before) * ERROR_GAIN, now);
             }
-            let brief = (waited as f64) < OVERDUE_RATIO * self.usual && now - r.last_ok < aim as Nanos;
+            let brief = (elapsed as f64) < OVERDUE_RATIO * self.usual && now - r.last_ok < aim as Nanos;
             match outcome {
                 Outcome::Ok => {
-                    let took = waited as f64;
+                    let took = elapsed as f64;
                     r.strikes = 0;
                     r.pace += (took - r.pace) * PACE_GAIN;
                     r.paced = now;
@@ -150,7 +150,7 @@
                 Outcome::Cancelled | Outcome::Reset | Outcome::Error if brief => {}
                 _ if !silent && outcome != Outcome::ConnectFailed => {
                     // Given up on while others were answered: the wait is known to be at least this long.
-                    r.pace += (waited as f64 - r.pace).max(0.0) * PACE_GAIN;
+                    r.pace += (elapsed as f64 - r.pace).max(0.0) * PACE_GAIN;
                     r.paced = now;
                 }
                 _ => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -199,7 +199,7 @@
         let need = family.class_need.get(at).copied().unwrap_or(1.0);
         classes.push(Class {
             name: c.name,
-            in_force: true,
+            active: true,
             latency_objective: c.aim,
             objective_stretch: c.aim_stretch,
             deadline: c.deadline,
@@ -208,7 +208,7 @@
             late_weight: c.late_worth,
             required_share: need,
             min_share: family.least_share.get(at).copied().unwrap_or(need),
-            follow_up: family.follow_up.get(at).copied().unwrap_or(0),
+            follow_up_parts: family.follow_up.get(at).copied().unwrap_or(0),
             max_attempts: limits.max_attempts,
         });
     }
@@ -236,7 +236,7 @@
         cells: family.cells,
         cells_per_shard: family.in_a_row,
         max_batch: family.bundle_max,
-        call_cost: family.call_cost,
+        call_overhead: family.call_cost,
         max_poll_interval: (boot.discovery == "ask").then_some(rules.must_ask_in.unwrap_or(Nanos::MAX)),
         retry_budget: extra,
         slow_start: cold,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,7 +10,7 @@
 pub fn class(effect: Effect) -> Class {
     Class {
         name: "lookup".to_owned(),
-        in_force: true,
+        active: true,
         latency_objective: S,
         objective_stretch: 0.0,
         deadline: 4 * S,
@@ -19,7 +19,7 @@
         late_weight: 0.1,
         required_share: 1.0,
         min_share: 1.0,
-        follow_up: 0,
+        follow_up_parts: 0,
         max_attempts: 4,
     }
 }
@@ -36,7 +36,7 @@
         cells: 3,
         cells_per_shard: 2,
         max_batch: 1,
-        call_cost: 0,
+        call_overhead: 0,
         max_poll_interval: None,
         retry_budget: None,
         slow_start: None,
@@ -59,7 +59,7 @@
 pub fn query_event(id: u64, class: u16, tenant: u32, time_left: Nanos) -> Event {
     Event::Query {
         query: QueryId(id),
-        group: Group(id as u32),
+        group: GroupId(id as u32),
         class: ClassId(class),
         tenant: TenantId(tenant),
         expected_work: None,
@@ -117,7 +117,7 @@
     pub fn ask_as(&mut self, class: u16, tenant: u32, shards: &[u32]) -> (QueryId, Vec<PartId>, Vec<Action>) {
         let id = self.next;
         self.next += 1 + shards.len() as u64;
-        let group = Group(id as u32);
+        let group = GroupId(id as u32);
         let query = QueryId(id);
         let mut events = vec![query_event(id, class, tenant, 3 * S)];
         let parts: Vec<PartId> = (1..=shards.len() as u64).map(|n| PartId(id + n)).collect();
@@ -129,9 +129,9 @@
         (query, parts, actions)
     }
 
-    pub fn end(&mut self, part: PartId, attempt: u16, outcome: Outcome, waited: Nanos) -> Vec<Action> {
+    pub fn end(&mut self, part: PartId, attempt: u16, outcome: Outcome, elapsed: Nanos) -> Vec<Action> {
         let attempt = AttemptNo(attempt);
-        self.tell(vec![Event::Outcome { part, attempt, outcome, waited }])
+        self.tell(vec![Event::Outcome { part, attempt, outcome, elapsed }])
     }
 
     /// Answers a part after 100 ms.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -111,8 +111,8 @@
             match what {
                 Due::Ask => self.ask(instance),
                 Due::Wake => self.tell(instance, vec![Event::TimerFired]),
-                Due::AttemptEnd(part, attempt, outcome, waited) => {
-                    self.end(instance, part, attempt, outcome, waited)
+                Due::AttemptEnd(part, attempt, outcome, elapsed) => {
+                    self.end(instance, part, attempt, outcome, elapsed)
                 }
                 Due::Fresh(node) => self.list(instance, member(node, EndpointState::Ready, at)),
                 Due::Drains(node) => self.list(instance, member(node, EndpointState::Draining, 0)),
@@ -142,16 +142,16 @@
         let weight = 1.0 / shards.len() as f64;
         events.extend(shards.iter().zip(id + 1..).map(|(shard, part)| Event::Part {
             part: PartId(part),
-            group: Group(id as u32),
+            group: GroupId(id as u32),
             shard: ShardId(*shard),
             weight,
         }));
         self.tell(instance, events);
     }
 
-    fn end(&mut self, instance: usize, part: PartId, attempt: AttemptNo, outcome: Outcome, waited: Nanos) {
+    fn end(&mut self, instance: usize, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         if self.out.remove(&(instance, part, attempt)).is_some() {
-            self.tell(instance, vec![Event::Outcome { part, attempt, outcome, waited }]);
+            self.tell(instance, vec![Event::Outcome { part, attempt, outcome, elapsed }]);
         }
     }
 
@@ -165,8 +165,8 @@
                 }
                 Action::Cancel { part, attempt } => {
                     if let Some(at) = self.out.get(&(instance, part, attempt)) {
-                        let waited = self.now - at;
-                        self.later(0, instance, Due::AttemptEnd(part, attempt, Outcome::Cancelled, waited));
+                        let elapsed = self.now - at;
+                        self.later(0, instance, Due::AttemptEnd(part, attempt, Outcome::Cancelled, elapsed));
                     }
                 }
                 Action::Answer { query, .. } => self.answered(instance, query, true),
@@ -185,9 +185,9 @@
         let took = 30 * MS + self.rng.u64(..40 * MS);
         self.sent.push((self.now, node, took));
         let silent = node < self.silent.0 && (self.silent.1..self.silent.2).contains(&self.now);
-        let (outcome, waited) =
+        let (outcome, elapsed) =
             if silent || took > timeout { (Outcome::TimedOut, timeout) } else { (Outcome::Ok, took) };
-        self.later(waited, instance, Due::AttemptEnd(part, attempt, outcome, waited));
+        self.later(elapsed, instance, Due::AttemptEnd(part, attempt, outcome, elapsed));
     }
 
     fn answered(&mut self, instance: usize, query: QueryId, served: bool) {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -197,11 +197,11 @@
 fn impossible_input_is_ignored_or_failed() {
     let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let odd =
-        |shard, weight| Event::Part { part: PartId(900), group: Group(77), shard: ShardId(shard), weight };
+        |shard, weight| Event::Part { part: PartId(900), group: GroupId(77), shard: ShardId(shard), weight };
     let events = vec![
         Event::Abandoned(QueryId(500)),
         odd(0, 0.5),
-        Event::Outcome { part: PartId(501), attempt: AttemptNo(9), outcome: Outcome::TimedOut, waited: S },
+        Event::Outcome { part: PartId(501), attempt: AttemptNo(9), outcome: Outcome::TimedOut, elapsed: S },
     ];
     assert!(bench.tell(events).is_empty());
     let (query, _, actions) = bench.ask_as(40, 0, &[0]);
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -4,8 +4,8 @@
 use common::*;
 use quinceflow::*;
 
-fn partial(follow_up: u32) -> Class {
-    Class { min_share: 0.5, follow_up, ..class(Effect::Idempotent) }
+fn partial(follow_up_parts: u32) -> Class {
+    Class { min_share: 0.5, follow_up_parts, ..class(Effect::Idempotent) }
 }
 
 /// Two classes: 0 of high worth, 1 of low.
@@ -33,7 +33,7 @@
     {
         let id = 100 + 2 * n as u64;
         let part =
-            Event::Part { part: PartId(id + 1), group: Group(id as u32), shard: ShardId(0), weight: 1.0 };
+            Event::Part { part: PartId(id + 1), group: GroupId(id as u32), shard: ShardId(0), weight: 1.0 };
         let actions = bench.tell(vec![query_event(id, 0, 0, left * MS), part]);
         assert_eq!((sends(&actions).len(), refused(&actions)), (1, false), "query {n}");
         bench.now += 20 * MS;
@@ -67,7 +67,7 @@
     assert!(finals(&first).is_empty());
     let before = bench.wait(S);
     assert_eq!(finals(&before), vec![Action::Answer { query, complete: false }]);
-    let group = Group(query.0 as u32);
+    let group = GroupId(query.0 as u32);
     let second = Event::Part { part: PartId(800), group, shard: ShardId(0), weight: 1.0 };
     assert_eq!(sends(&bench.tell(vec![second])).len(), 1);
     bench.now += 20 * MS;
@@ -169,7 +169,7 @@
         let id = 600 + 10 * n as u64;
         let query = query_event(id, 0, 0, 3 * S - short);
         let part =
-            Event::Part { part: PartId(id + 1), group: Group(id as u32), shard: ShardId(0), weight: 1.0 };
+            Event::Part { part: PartId(id + 1), group: GroupId(id as u32), shard: ShardId(0), weight: 1.0 };
         let actions = bench.tell(vec![query, part]);
         assert_eq!(sends(&actions).len(), 1, "{actions:?}");
         bench.serve(PartId(id + 1));
@@ -237,7 +237,7 @@
 fn light_parts_go_unasked_when_their_replicas_are_slow() {
     // Found on tbilisi-main's bursts: the many light parts cost as much as the heavy ones.
     let ask = |bench: &mut Bench, id: u64| {
-        let group = Group(id as u32);
+        let group = GroupId(id as u32);
         let mut events = vec![query_event(id, 0, 0, 3 * S)];
         for (n, weight) in [0.5, 0.3, 0.1, 0.04, 0.03, 0.03].into_iter().enumerate() {
             let part = PartId(id + 1 + n as u64);
@@ -416,7 +416,7 @@
         deadline: 30 * S,
         ..class(Effect::Idempotent)
     }));
-    let part = Event::Part { part: PartId(2), group: Group(1), shard: ShardId(0), weight: 1.0 };
+    let part = Event::Part { part: PartId(2), group: GroupId(1), shard: ShardId(0), weight: 1.0 };
     let actions = bench.tell(vec![query_event(1, 0, 0, 1_500 * MS), part]);
     assert_eq!((sends(&actions).len(), refused(&actions)), (1, false));
 }
@@ -502,7 +502,7 @@
     // 35 parts of 0.02857 each come to 0.99995: nothing is missing, and nothing better will ever come.
     let mut bench = Bench::new(settings(class(Effect::Idempotent)));
     let parts: Vec<PartId> = (2..37).map(PartId).collect();
-    let part = |p: &PartId| Event::Part { part: *p, group: Group(1), shard: ShardId(0), weight: 0.028_57 };
+    let part = |p: &PartId| Event::Part { part: *p, group: GroupId(1), shard: ShardId(0), weight: 0.028_57 };
     bench.tell(std::iter::once(query_event(1, 0, 0, 3 * S)).chain(parts.iter().map(part)).collect());
     let answers: Vec<Action> = parts.iter().flat_map(|p| bench.end(*p, 0, Outcome::Ok, 10 * MS)).collect();
     assert_eq!(finals(&answers), vec![Action::Answer { query: QueryId(1), complete: true }]);
