--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,7 @@
 pub mod policy;
 pub mod proto;
 pub mod settings;
+pub mod stats;
 pub mod time;
 
 pub use interface::*;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -21,13 +21,8 @@
     pub(super) fn over_quota(&mut self, tenant: TenantId) -> bool {
         let at = tenant.0 as usize;
         let Some(quota) = self.set.tenants.get(at).and_then(|t| t.quota) else { return false };
-        let (level, last) = self.quotas[at];
         let rate = quota / f64::from(self.set.coordinators.max(1));
-        let gap = (self.now - last) as f64 / 1e9;
-        let level = (level + gap * rate).min((2.0 * rate).max(2.0));
-        let over = level < 1.0;
-        self.quotas[at] = (if over { level } else { level - 1.0 }, self.now);
-        over
+        !self.quotas[at].try_take(self.now, rate, (2.0 * rate).max(2.0))
     }
 
     /// Low-worth queries beyond the admitted share, the least worth first.
@@ -38,11 +33,8 @@
             // Only when all of it would be late: then serving some beats serving none.
             return luck >= outlook(crowd, TOP_CROWD).min(admit);
         }
-        let less = self.ranks.iter().filter(|w| **w < worth).count() as f64;
-        let same = self.ranks.iter().filter(|w| **w == worth).count() as f64;
-        let rank = (less + luck * (same + 1.0)) / (self.ranks.len() as f64 + 1.0);
-        self.ranks.push_back(worth);
-        self.ranks.drain(..self.ranks.len().saturating_sub(RANKED));
+        let rank = self.ranks.rank(worth, luck);
+        self.ranks.push(worth, RANKED);
         rank < 1.0 - self.share.min(outlook(crowd, LOW_CROWD)) || worth <= 0.0 || luck < 1.0 - admit
     }
 
@@ -68,7 +60,7 @@
         let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * FIRST_GUESS) };
         let at = usize::from(q.class.0);
         let longest = needed.map_or(0.0, |w| w.0);
-        let wait = fair(longest, longest > self.typical || self.met.contains(&true));
-        wait.max(fair(self.work[at], self.met[at])) / room.max(1.0)
+        let wait = fair(longest, longest > self.typical.value() || self.met.contains(&true));
+        wait.max(fair(self.work[at].value(), self.met[at])) / room.max(1.0)
     }
 }
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -28,10 +28,9 @@
         let (window, others) = (rule.overload_window, f64::from(self.set.coordinators.max(1)));
         let share = all(self.now) / others;
         if share >= cost {
-            let recent = r.cold_sent.iter().filter(|s| s.0 + window >= self.now);
-            return share - recent.map(|s| s.1).sum::<f64>() >= cost;
+            return share - r.cold_sent.sum(self.now, window) >= cost;
         }
-        let last = r.cold_sent.back().map_or(started, |s| s.0.max(started));
+        let last = r.cold_sent.latest().map_or(started, |sent| sent.max(started));
         let fits = all(last.midpoint(self.now)) / cost;
         let safe = (((CHANCE * CHANCE / 4.0 + fits).sqrt() - CHANCE / 2.0).powi(2)).min(fits);
         (self.now - last) as f64 / window as f64 * safe / others >= r.cold_draw
@@ -39,6 +38,6 @@
 
     /// Work of a part with its call, as far as seen.
     pub(super) fn cost(&self, class: ClassId) -> f64 {
-        self.work[usize::from(class.0)] + self.set.call_overhead as f64
+        self.work[usize::from(class.0)].value() + self.set.call_overhead as f64
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,11 +12,12 @@
 mod shares;
 
 use crate::interface::*;
+use crate::stats::{exponential, DecayingAverage, Ewma, RecentValues, TimeWindow, TokenBucket};
 use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
 use quality::{CONTROL_TICKS, MAX_READINGS, MIN_SAMPLE, WANTED_READINGS};
 use query::{Attempt, Part, Query, Stage};
 use replicas::{reaped, Replica, FLEET_GAIN};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Ticks kept free before an aim: one to see the answer, one to send it, one for the way to the client.
 const AIM_TICKS: u64 = 3;
@@ -38,6 +39,11 @@
     set.classes.iter().filter(|c| c.active).map(|c| c.latency_objective).min().unwrap_or(set.tick)
 }
 
+/// A response time to start from, before any was seen.
+fn first_guess(aim: Nanos) -> Ewma {
+    Ewma::new(aim as f64 * FIRST_GUESS)
+}
+
 /// A part: its query, and its place there.
 type PartAt = (u64, usize);
 
@@ -55,7 +61,7 @@
     /// it went out on a connection that had been idle.
     flights: BTreeMap<(PartId, AttemptNo), (ReplicaId, ClassId, f64, bool)>,
     /// Share lost of what went out on connections in use or new, and on idle ones; see `reaped`.
-    lost: [f64; 2],
+    lost: [Ewma; 2],
     replicas: BTreeMap<ReplicaId, Replica>,
     /// Who holds each shard, and its share of the turns.
     holders: Vec<Vec<(ReplicaId, f64)>>,
@@ -64,20 +70,20 @@
     /// Where the turns of each shard are, 0 to 1.
     turns: Vec<f64>,
     /// Typical response time of the fleet, and of a part of each class on an idle core.
-    typical: f64,
+    typical: Ewma,
     /// The same of what is not slow: a few slow replicas must not put off when their parts are overdue.
-    usual: f64,
+    usual: Ewma,
     /// Typical response time for each part that this instance has at the replica: what its queue costs.
-    per_part: f64,
+    per_part: Ewma,
     /// Time between two uses of a replica: memory of its pace lasts no shorter.
-    visits: f64,
-    work: Vec<f64>,
+    visits: Ewma,
+    work: Vec<Ewma>,
     /// The classes whose work was seen; until then it is a guess.
     met: Vec<bool>,
-    taken: VecDeque<Nanos>,
-    extras: VecDeque<Nanos>,
-    ranks: VecDeque<f64>,
-    quotas: Vec<(f64, Nanos)>,
+    taken: TimeWindow,
+    extras: TimeWindow,
+    ranks: RecentValues,
+    quotas: Vec<TokenBucket>,
     share: f64,
     errors: [f64; 2],
     control_at: Nanos,
@@ -94,11 +100,11 @@
             rng: fastrand::Rng::with_seed(seed),
             now,
             least_aim,
-            typical: least_aim as f64 * FIRST_GUESS,
-            usual: least_aim as f64 * FIRST_GUESS,
-            work: set.classes.iter().map(|c| c.latency_objective as f64 * FIRST_GUESS).collect(),
+            typical: first_guess(least_aim),
+            usual: first_guess(least_aim),
+            work: set.classes.iter().map(|c| first_guess(c.latency_objective)).collect(),
             met: vec![false; set.classes.len()],
-            quotas: vec![(1.0, now); set.tenants.len()],
+            quotas: vec![TokenBucket::new(1.0, now); set.tenants.len()],
             share: 1.0,
             control_at: now,
             ask_at: set.max_poll_interval.map(|_| now),
@@ -144,7 +150,7 @@
                 let worth = c.priority_weight * share;
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
                 let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
-                self.taken.push_back(self.now);
+                self.taken.push(self.now, ());
                 let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
                 let more = |rng: &mut fastrand::Rng| seen < MAX_READINGS && rng.f64() < MIN_SAMPLE;
                 let sampled = worth >= self.top() && (seen < WANTED_READINGS || more(&mut self.rng));
@@ -167,7 +173,7 @@
                 self.queries.insert(seq, q);
             }
             Event::Part { part, group, shard, weight } => {
-                self.taken.push_back(self.now);
+                self.taken.push(self.now, ());
                 let mut open = self.queries.iter_mut().rev().filter(|(_, q)| q.open());
                 let Some((seq, q)) = open.find(|(_, q)| q.group == *group) else { return };
                 self.parts.insert(*part, (*seq, q.parts.len()));
@@ -206,11 +212,11 @@
         let seen = |(c, heir): (&Class, &ClassId)| {
             let at = usize::from(heir.0);
             let work = self.work.get(at).copied().filter(|_| self.met[at]);
-            (work.unwrap_or(c.latency_objective as f64 * FIRST_GUESS), work.is_some())
+            (work.unwrap_or(first_guess(c.latency_objective)), work.is_some())
         };
         (self.work, self.met) = set.classes.iter().zip(heirs).map(seen).unzip();
         self.least_aim = least_aim(set);
-        self.quotas.resize(set.tenants.len(), (1.0, self.now));
+        self.quotas.resize(set.tenants.len(), TokenBucket::new(1.0, self.now));
         self.set = set.clone();
         self.grow(set.shards as usize);
         let ask_at = self.ask_at;
--- a/src/policy/quality.rs
+++ b/src/policy/quality.rs
@@ -56,8 +56,8 @@
         self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
         self.placed.retain(|id, _| self.replicas.contains_key(id));
         let back = self.set.retry_budget.map_or(0, |b| 2 * b.window);
-        self.taken.retain(|t| t + back >= self.now);
-        self.extras.retain(|t| t + back >= self.now);
+        self.taken.expire(self.now, back);
+        self.extras.expire(self.now, back);
         self.balance();
         let (quality, readings) = self.quality();
         let trust = (readings / (WANTED_READINGS / 4.0)).min(1.0);
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -4,6 +4,8 @@
 
 /// Weight of a new response time in a replica's pace.
 const PACE_GAIN: f64 = 0.5;
+/// The same for a class's work when an answer took longer: only the quickest tell the work itself.
+const SLOW_WORK_GAIN: f64 = 0.002;
 /// The same for the typical figures of the fleet, which see many more answers.
 pub(super) const FLEET_GAIN: f64 = 0.03;
 /// A pace loses half its distance to the fleet's in so many aims: a skipped replica gets another look.
@@ -32,13 +34,11 @@
     pub(super) listed: Nanos,
     /// When it is taken to have started; `None`: long ago.
     pub(super) started: Option<Nanos>,
-    /// Smoothed response time, and when it was last moved.
-    pub(super) pace: f64,
-    pub(super) paced: Nanos,
+    /// Smoothed response time.
+    pub(super) pace: DecayingAverage,
     pub(super) last_ok: Nanos,
-    /// Share of its answers that were errors, and when that was last moved.
-    pub(super) errors: f64,
-    pub(super) erred: Nanos,
+    /// Share of its answers that were errors.
+    pub(super) errors: DecayingAverage,
     /// When a connection to it was last in use, and whether it had been idle then.
     pub(super) used: Nanos,
     pub(super) idle: bool,
@@ -47,14 +47,14 @@
     pub(super) trial_at: Nanos,
     pub(super) flights: BTreeSet<(Nanos, PartId, AttemptNo)>,
     /// Work sent while cold.
-    pub(super) cold_sent: VecDeque<(Nanos, f64)>,
+    pub(super) cold_sent: TimeWindow<f64>,
     /// Chance's part in when it gets its next one; see `cold_room`.
     pub(super) cold_draw: f64,
 }
 
 /// Idle connections are dropped unseen: far more is lost on them than on others. An outage raises both.
-pub(super) fn reaped(lost: [f64; 2]) -> bool {
-    lost[1] > lost[0] + IDLE_LOSS
+pub(super) fn reaped(lost: [Ewma; 2]) -> bool {
+    lost[1].value() > lost[0].value() + IDLE_LOSS
 }
 
 impl DecisionPolicy {
@@ -84,11 +84,10 @@
             }
         }
         for m in members {
-            let (typical, now) = (self.typical, self.now);
-            let draw = -self.rng.f64().max(f64::MIN_POSITIVE).ln();
+            let (typical, now) = (self.typical.value(), self.now);
+            let draw = exponential(&mut self.rng);
             let r = self.replicas.entry(m.replica).or_insert_with(|| Replica {
-                pace: typical,
-                paced: now,
+                pace: DecayingAverage::new(typical, now),
                 cold_draw: draw,
                 ..Replica::default()
             });
@@ -114,44 +113,42 @@
 
     pub(super) fn on_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
-        let (now, typical, aim) = (self.now, self.typical, self.class(class).latency_objective as f64);
-        let fade = self.least_aim as f64;
+        let (now, typical) = (self.now, self.typical.value());
+        let aim = self.class(class).latency_objective as f64;
+        let fade = ERROR_FADE_AIMS * self.least_aim as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
             let sent = now.saturating_sub(elapsed);
             r.flights.retain(|f| (f.1, f.2) != (part, attempt));
             let silent = r.last_ok < sent;
             let lost = f64::from(outcome != Outcome::Ok && silent);
-            self.lost[usize::from(idle)] += (lost - self.lost[usize::from(idle)]) * FLEET_GAIN;
+            self.lost[usize::from(idle)].record(lost, FLEET_GAIN);
             if matches!(outcome, Outcome::Ok | Outcome::Error) {
-                let error = f64::from(outcome == Outcome::Error);
-                let before = r.errors * 0.5f64.powf((now - r.erred) as f64 / (ERROR_FADE_AIMS * fade));
-                (r.errors, r.erred) = (before + (error - before) * ERROR_GAIN, now);
+                r.errors.record_decayed(now, fade, f64::from(outcome == Outcome::Error), ERROR_GAIN);
             }
-            let brief = (elapsed as f64) < OVERDUE_RATIO * self.usual && now - r.last_ok < aim as Nanos;
+            let brief =
+                (elapsed as f64) < OVERDUE_RATIO * self.usual.value() && now - r.last_ok < aim as Nanos;
             match outcome {
                 Outcome::Ok => {
                     let took = elapsed as f64;
                     r.strikes = 0;
-                    r.pace += (took - r.pace) * PACE_GAIN;
-                    r.paced = now;
+                    r.pace.record(now, took, PACE_GAIN);
                     r.last_ok = now;
                     r.used = now;
-                    self.per_part += (took / place - self.per_part) * FLEET_GAIN;
-                    self.typical += (took - self.typical) * FLEET_GAIN;
-                    self.usual += (took.min(ODD_RATIO * self.usual) - self.usual) * FLEET_GAIN;
+                    self.per_part.record(took / place, FLEET_GAIN);
+                    self.typical.record(took, FLEET_GAIN);
+                    self.usual.record(took.min(ODD_RATIO * self.usual.value()), FLEET_GAIN);
                     self.met[usize::from(class.0)] = true;
                     let w = &mut self.work[usize::from(class.0)];
-                    *w += (took - *w) * if took < *w { PACE_GAIN } else { 0.002 };
+                    w.record(took, if took < w.value() { PACE_GAIN } else { SLOW_WORK_GAIN });
                 }
                 // Turned away in no time, yet a full waiting room is a long wait, whatever was seen before.
-                Outcome::Rejected => (r.pace, r.paced) = (r.pace.max(aim), now),
+                Outcome::Rejected => r.pace.raise_to(now, aim),
                 // Not sent, lost with an idle connection, or ended early where answers came lately: no sign.
                 _ if outcome == Outcome::NotSent || (idle && silent && reaped(self.lost)) => {}
                 Outcome::Cancelled | Outcome::Reset | Outcome::Error if brief => {}
                 _ if !silent && outcome != Outcome::ConnectFailed => {
                     // Given up on while others were answered: the wait is known to be at least this long.
-                    r.pace += (elapsed as f64 - r.pace).max(0.0) * PACE_GAIN;
-                    r.paced = now;
+                    r.pace.record_lower_bound(now, elapsed as f64, PACE_GAIN);
                 }
                 _ => {
                     // Nothing answered since it was sent: a trial after two typical responses, then four, ...
@@ -175,12 +172,11 @@
     /// an aim on top, so that nothing is refused for ever for a silence that is long over.
     fn wait_at(&self, r: &Replica, class: &Class) -> f64 {
         let aim = self.least_aim as f64;
-        let idle = (self.now - r.paced) as f64 / (FADE_AIMS * aim).max(self.visits);
-        let calm = self.typical.min(aim * CALM_SHARE);
-        let pace = calm + (r.pace - calm) * 0.5f64.powf(idle);
+        let calm = self.typical.value().min(aim * CALM_SHARE);
+        let pace = r.pace.value_at(self.now, (FADE_AIMS * aim).max(self.visits.value()), calm);
         let out = r.flights.first().map_or(0, |f| self.now - f.0);
-        let wait =
-            pace.max(out as f64).max(self.per_part.min(aim * CALM_SHARE) * (r.flights.len() as f64 + 1.0));
+        let per_part = self.per_part.value().min(aim * CALM_SHARE);
+        let wait = pace.max(out as f64).max(per_part * (r.flights.len() as f64 + 1.0));
         let trial = r.flights.is_empty() && self.now >= r.trial_at;
         let shut = (r.strikes > 0 && !trial) || out >= class.latency_objective;
         let all_needed = class.min_share >= class.required_share;
@@ -191,10 +187,9 @@
     /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
     /// A replica that fails fast looks idle; parts that can go again find out when it is sound again.
     fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
-        let fade = ERROR_FADE_AIMS * self.least_aim as f64;
-        let errors = r.errors * 0.5f64.powf((self.now - r.erred) as f64 / fade);
+        let errors = r.errors.value_at(self.now, ERROR_FADE_AIMS * self.least_aim as f64, 0.0);
         let unrepeatable = class.effect == Effect::NonIdempotent;
-        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.typical }
+        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.typical.value() }
     }
 
     /// Where a part goes, with the wait to expect there.
@@ -218,7 +213,7 @@
             .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
         let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
-        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical);
+        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical.value());
         fit.map(|r| (r.0, r.1)).collect()
     }
 }
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -12,10 +12,8 @@
     fn extras_left(&self) -> f64 {
         let Some(b) = self.set.retry_budget else { return f64::INFINITY };
         let edge = 2 * self.set.tick;
-        let old = |times: &VecDeque<Nanos>, back| times.partition_point(|t| t + back < self.now);
-        let since = |times: &VecDeque<Nanos>, back| (times.len() - old(times, back)) as f64;
-        let earned = b.ratio * since(&self.taken, b.window.saturating_sub(edge));
-        b.free + earned - since(&self.extras, b.window + edge)
+        let taken = self.taken.count(self.now, b.window.saturating_sub(edge)) as f64;
+        b.free + b.ratio * taken - self.extras.count(self.now, b.window + edge) as f64
     }
 
     /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
@@ -48,7 +46,6 @@
         }
         let (part, class, shard, now) = (p.id, q.class, p.shard.0 as usize, self.now);
         let attempt = AttemptNo(p.attempts.len() as u16);
-        let horizon = self.set.slow_start.map_or(0, |c| now.saturating_sub(c.overload_window));
         let fresh = now.saturating_sub(self.least_aim / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         if r.used < now && r.flights.is_empty() {
@@ -59,20 +56,24 @@
             r.idle = idle && !close;
         }
         if r.used > 0 && r.used < now {
-            self.visits += ((now - r.used) as f64 - self.visits) * FLEET_GAIN;
+            self.visits.record((now - r.used) as f64, FLEET_GAIN);
         }
         r.used = now;
         r.flights.insert((now, part, attempt));
         let (idle, place) = (r.idle, r.flights.len() as f64);
-        r.cold_sent.retain(|s| s.0 >= horizon);
-        r.cold_sent.push_back((now, cost));
-        r.cold_draw = -self.rng.f64().max(f64::MIN_POSITIVE).ln();
+        if let Some(rule) = self.set.slow_start {
+            r.cold_sent.expire(now, rule.overload_window);
+        }
+        r.cold_sent.push(now, cost);
+        r.cold_draw = exponential(&mut self.rng);
         self.turns[shard] = (self.turns[shard] + 1.0 / self.holders[shard].len() as f64 + SLIP).fract();
         if let Some(p) = self.queries.get_mut(&seq).and_then(|q| q.parts.get_mut(at)) {
             p.attempts.push(Attempt { replica, at: now, ended: None });
         }
         self.flights.insert((part, attempt), (replica, class, place, idle));
-        self.extras.extend(further.then_some(now));
+        if further {
+            self.extras.push(now, ());
+        }
         actions.push(Action::Send { part, replica, timeout, not_after: by });
     }
 
@@ -104,7 +105,7 @@
                 continue;
             }
             let out = p.attempts.iter().find(|a| a.ended.is_none());
-            let overdue = out.is_some_and(|a| (self.now - a.at) as f64 > OVERDUE_RATIO * self.usual);
+            let overdue = out.is_some_and(|a| (self.now - a.at) as f64 > OVERDUE_RATIO * self.usual.value());
             if (out.is_some() && !overdue) || p.out() > 1 || self.extras_left() < 1.0 {
                 continue;
             }
--- /dev/null
+++ b/src/stats/tests.rs
@@ -0,0 +1,103 @@
+//! Each statistic on its own.
+
+use super::*;
+
+const SECOND: Nanos = 1_000_000_000;
+
+#[test]
+fn an_ewma_moves_by_the_gain_towards_each_sample() {
+    let mut average = Ewma::new(100.0);
+    average.record(200.0, 0.5);
+    assert_eq!(average.value(), 150.0);
+    average.record(50.0, 0.1);
+    assert_eq!(average.value(), 140.0);
+}
+
+#[test]
+fn a_decaying_average_loses_half_its_distance_to_the_baseline_in_a_half_life() {
+    let average = DecayingAverage::new(80.0, SECOND);
+    let half_life = SECOND as f64;
+    assert_eq!(average.value_at(SECOND, half_life, 20.0), 80.0);
+    assert_eq!(average.value_at(2 * SECOND, half_life, 20.0), 50.0);
+    assert_eq!(average.value_at(3 * SECOND, half_life, 20.0), 35.0);
+    assert_eq!(average.value_at(2 * SECOND, half_life, 100.0), 90.0, "a baseline above it draws it up");
+}
+
+#[test]
+fn a_decaying_average_is_recorded_with_or_without_its_decay() {
+    let mut average = DecayingAverage::new(80.0, 0);
+    average.record(SECOND, 100.0, 0.5);
+    assert_eq!(average.value_at(SECOND, 1.0, 0.0), 90.0);
+    let mut average = DecayingAverage::new(80.0, 0);
+    average.record_decayed(SECOND, SECOND as f64, 100.0, 0.5);
+    assert_eq!(average.value_at(SECOND, 1.0, 0.0), 70.0, "half of 80 was left");
+}
+
+#[test]
+fn a_lower_bound_moves_only_an_average_that_is_below_it() {
+    for (bound, expected) in [(100.0, 90.0), (60.0, 80.0)] {
+        let mut average = DecayingAverage::new(80.0, 0);
+        average.record_lower_bound(SECOND, bound, 0.5);
+        assert_eq!(average.value_at(SECOND, 1.0, 0.0), expected);
+    }
+}
+
+#[test]
+fn raising_an_average_never_lowers_it_and_starts_its_decay_anew() {
+    for (floor, expected) in [(100.0, 100.0), (60.0, 80.0)] {
+        let mut average = DecayingAverage::new(80.0, 0);
+        average.raise_to(SECOND, floor);
+        assert_eq!(average.value_at(SECOND, 1.0, 0.0), expected);
+    }
+}
+
+#[test]
+fn a_token_bucket_gives_its_burst_at_once_and_then_its_rate() {
+    let mut bucket = TokenBucket::new(1.0, 0);
+    let take = |bucket: &mut TokenBucket, now| bucket.try_take(now, 2.0, 4.0);
+    assert!(take(&mut bucket, 0));
+    assert!(!take(&mut bucket, 0));
+    assert!(!take(&mut bucket, SECOND / 4), "half a token is none");
+    assert!(take(&mut bucket, SECOND / 2), "what was refused took nothing");
+    let after_long = (0..10).filter(|_| take(&mut bucket, 100 * SECOND)).count();
+    assert_eq!(after_long, 4, "the burst");
+}
+
+#[test]
+fn a_time_window_counts_and_sums_what_is_recent() {
+    let mut window = TimeWindow::default();
+    assert_eq!((window.count(0, SECOND), window.sum(0, SECOND), window.latest()), (0, 0.0, None));
+    for second in 1..=4 {
+        window.push(second * SECOND, second as f64);
+    }
+    let now = 4 * SECOND;
+    assert_eq!(window.count(now, 2 * SECOND), 3, "the edge belongs to the window");
+    assert_eq!(window.sum(now, 2 * SECOND), 9.0);
+    assert_eq!(window.latest(), Some(now));
+    window.expire(now, SECOND);
+    assert_eq!(window.count(now, 10 * SECOND), 2);
+}
+
+#[test]
+fn recent_values_rank_a_new_one_among_them() {
+    let mut recent = RecentValues::default();
+    assert_eq!(recent.rank(5.0, 0.5), 0.5, "the only one");
+    for value in [1.0, 2.0, 2.0] {
+        recent.push(value, 3);
+    }
+    assert_eq!(recent.rank(3.0, 0.0), 0.75);
+    assert_eq!(recent.rank(0.5, 0.0), 0.0);
+    assert_eq!(recent.rank(2.0, 0.0), 0.25);
+    assert_eq!(recent.rank(2.0, 1.0), 1.0);
+    recent.push(9.0, 3);
+    assert_eq!(recent.rank(1.5, 0.0), 0.0, "the oldest is gone");
+}
+
+#[test]
+fn exponential_draws_have_mean_one() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let draws: Vec<f64> = (0..10_000).map(|_| exponential(&mut rng)).collect();
+    assert!(draws.iter().all(|d| d.is_finite() && *d >= 0.0));
+    let mean = draws.iter().sum::<f64>() / draws.len() as f64;
+    assert!((0.95..1.05).contains(&mean), "{mean}");
+}
