--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,7 +12,7 @@
 mod shares;
 
 use crate::interface::*;
-use crate::stats::{exponential, DecayingAverage, Ewma, RecentValues, TimeWindow, TokenBucket};
+use crate::stats::{exponential, DecayingAverage, Ewma, RatioBudget, RecentValues, TimeWindow, TokenBucket};
 use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
 use quality::{CONTROL_TICKS, MAX_READINGS, MIN_SAMPLE, WANTED_READINGS};
 use query::{Attempt, Part, Query, Stage};
@@ -80,8 +80,8 @@
     work: Vec<Ewma>,
     /// The classes whose work was seen; until then it is a guess.
     met: Vec<bool>,
-    taken: TimeWindow,
-    extras: TimeWindow,
+    /// Retries and hedged requests against what was received; see rule 6.
+    retries: RatioBudget,
     ranks: RecentValues,
     quotas: Vec<TokenBucket>,
     share: f64,
@@ -150,7 +150,7 @@
                 let worth = c.priority_weight * share;
                 let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
                 let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
-                self.taken.push(self.now, ());
+                self.retries.earn(self.now);
                 let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
                 let more = |rng: &mut fastrand::Rng| seen < MAX_READINGS && rng.f64() < MIN_SAMPLE;
                 let sampled = worth >= self.top() && (seen < WANTED_READINGS || more(&mut self.rng));
@@ -173,7 +173,7 @@
                 self.queries.insert(seq, q);
             }
             Event::Part { part, group, shard, weight } => {
-                self.taken.push(self.now, ());
+                self.retries.earn(self.now);
                 let mut open = self.queries.iter_mut().rev().filter(|(_, q)| q.open());
                 let Some((seq, q)) = open.find(|(_, q)| q.group == *group) else { return };
                 self.parts.insert(*part, (*seq, q.parts.len()));
--- a/src/policy/quality.rs
+++ b/src/policy/quality.rs
@@ -55,9 +55,7 @@
         let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
         self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
         self.placed.retain(|id, _| self.replicas.contains_key(id));
-        let back = self.set.retry_budget.map_or(0, |b| 2 * b.window);
-        self.taken.expire(self.now, back);
-        self.extras.expire(self.now, back);
+        self.retries.expire(self.now, self.set.retry_budget.map_or(0, |b| 2 * b.window));
         self.balance();
         let (quality, readings) = self.quality();
         let trust = (readings / (WANTED_READINGS / 4.0)).min(1.0);
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -4,21 +4,21 @@
 
 /// After this fraction of the least aim an unused connection is idle.
 const STALE: u64 = 4;
+/// Ticks at the edges of the retry budget's window that count against it.
+const EDGE_TICKS: u64 = 2;
 /// What a turn goes on beyond an even step, so that in time it meets all of each share.
 const SLIP: f64 = 0.01;
 
 impl DecisionPolicy {
-    /// Rule 6: further attempts left in the window, never optimistic at its edge.
-    fn extras_left(&self) -> f64 {
+    /// Rule 6: retries left in the window, never optimistic at its edge.
+    fn retries_left(&self) -> f64 {
         let Some(b) = self.set.retry_budget else { return f64::INFINITY };
-        let edge = 2 * self.set.tick;
-        let taken = self.taken.count(self.now, b.window.saturating_sub(edge)) as f64;
-        b.free + b.ratio * taken - self.extras.count(self.now, b.window + edge) as f64
+        self.retries.available(self.now, b.free, b.ratio, b.window, EDGE_TICKS * self.set.tick)
     }
 
     /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
     fn send(&mut self, (seq, at): PartAt, replica: ReplicaId, timeout: Nanos, actions: &mut Vec<Action>) {
-        let left = self.extras_left();
+        let left = self.retries_left();
         let Some(q) = self.queries.get(&seq) else { return };
         let (Some(p), Some(r)) = (q.parts.get(at), self.replicas.get(&replica)) else { return };
         let first_risk = p.attempts.iter().find(|a| a.may_have_run()).map(|a| a.at);
@@ -72,7 +72,7 @@
         }
         self.flights.insert((part, attempt), (replica, class, place, idle));
         if further {
-            self.extras.push(now, ());
+            self.retries.spend(now);
         }
         actions.push(Action::Send { part, replica, timeout, not_after: by });
     }
@@ -106,7 +106,7 @@
             }
             let out = p.attempts.iter().find(|a| a.ended.is_none());
             let overdue = out.is_some_and(|a| (self.now - a.at) as f64 > OVERDUE_RATIO * self.usual.value());
-            if (out.is_some() && !overdue) || p.out() > 1 || self.extras_left() < 1.0 {
+            if (out.is_some() && !overdue) || p.out() > 1 || self.retries_left() < 1.0 {
                 continue;
             }
             // Another replica, or when all were tried, one where this part is not out.
--- a/src/stats/mod.rs
+++ b/src/stats/mod.rs
@@ -4,14 +4,14 @@
 //! caller's clock, handed in with each call; random draws come from the caller's generator.
 
 mod average;
-mod bucket;
+mod budget;
 mod window;
 
 #[cfg(test)]
 mod tests;
 
 pub use average::{DecayingAverage, Ewma};
-pub use bucket::TokenBucket;
+pub use budget::{RatioBudget, TokenBucket};
 pub use window::{RecentValues, TimeWindow};
 
 use crate::interface::Nanos;
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -63,6 +63,29 @@
     assert_eq!(after_long, 4, "the burst");
 }
 
+#[test]
+fn a_ratio_budget_earns_within_its_window_and_is_never_optimistic_at_its_edge() {
+    let mut budget = RatioBudget::default();
+    let available = |budget: &RatioBudget, second, margin| {
+        budget.available(second * SECOND, 1.0, 0.5, 10 * SECOND, margin * SECOND)
+    };
+    assert_eq!(available(&budget, 0, 0), 1.0, "what is free");
+    budget.earn(10 * SECOND);
+    budget.earn(10 * SECOND);
+    budget.spend(10 * SECOND);
+    assert_eq!(available(&budget, 20, 0), 1.0);
+    assert_eq!(
+        available(&budget, 20, 1),
+        0.0,
+        "spent counts to the window's far edge, earned to its near one"
+    );
+    assert_eq!(available(&budget, 21, 0), 1.0, "all is past");
+    budget.expire(21 * SECOND, 20 * SECOND);
+    assert_eq!(available(&budget, 21, 5), 0.0, "what the span holds is kept");
+    budget.expire(21 * SECOND, 10 * SECOND);
+    assert_eq!(available(&budget, 21, 5), 1.0);
+}
+
 #[test]
 fn a_time_window_counts_and_sums_what_is_recent() {
     let mut window = TimeWindow::default();
