--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,4 @@
-//! The words between a coordinator and the module: settings, events and actions. Plain data, no logic.
+//! The words between a coordinator and the module: settings, events and actions. Plain data, no decisions.
 
 /// A point in time or a span of it, in nanoseconds of the caller's clock.
 pub type Nanos = u64;
@@ -74,6 +74,14 @@
     pub max_attempts: u32,
 }
 
+impl Class {
+    /// An answer may lack parts.
+    #[must_use]
+    pub fn allows_partial(&self) -> bool {
+        self.min_share < self.required_share
+    }
+}
+
 /// A tenant and its quota of queries a second, over all coordinators; `None` where none is stated.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
@@ -145,6 +153,39 @@
     pub reduction: ServiceReduction,
 }
 
+impl Settings {
+    /// A class by its number.
+    ///
+    /// # Panics
+    /// Where the settings have no such class.
+    #[must_use]
+    pub fn class(&self, id: ClassId) -> &Class {
+        &self.classes[usize::from(id.0)]
+    }
+
+    /// The shortest latency objective of an active class; a tick where no class is active.
+    #[must_use]
+    pub fn min_latency_objective(&self) -> Nanos {
+        self.active_classes().map(|class| class.latency_objective).min().unwrap_or(self.tick)
+    }
+
+    /// The highest priority weight of an active class; 0 where no class is active.
+    #[must_use]
+    pub fn max_priority_weight(&self) -> f64 {
+        self.active_classes().map(|class| class.priority_weight).fold(0.0, f64::max)
+    }
+
+    /// The time of so many ticks.
+    #[must_use]
+    pub fn ticks(&self, count: u64) -> Nanos {
+        count * self.tick
+    }
+
+    fn active_classes(&self) -> impl Iterator<Item = &Class> {
+        self.classes.iter().filter(|class| class.active)
+    }
+}
+
 /// What a level of reduced service takes back; the default takes nothing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceReduction {
@@ -229,6 +270,14 @@
     NotSent,
 }
 
+impl Outcome {
+    /// The attempt may have run at the replica: nothing proves that it did not.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
 /// What a coordinator tells the module.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -20,16 +20,16 @@
     /// A token bucket a tenant, filled with this instance's even share of the quota.
     pub(super) fn over_quota(&mut self, tenant: TenantId) -> bool {
         let at = tenant.0 as usize;
-        let Some(quota) = self.set.tenants.get(at).and_then(|t| t.quota) else { return false };
-        let rate = quota / f64::from(self.set.coordinators.max(1));
+        let Some(quota) = self.settings.tenants.get(at).and_then(|t| t.quota) else { return false };
+        let rate = quota / f64::from(self.settings.coordinators.max(1));
         !self.quotas[at].try_take(self.now, rate, (2.0 * rate).max(2.0))
     }
 
     /// Low-worth queries beyond the admitted share, the least worth first.
     pub(super) fn turned_away(&mut self, seq: u64, crowd: f64) -> bool {
         let Some(&Query { worth, luck, class, .. }) = self.queries.get(&seq) else { return true };
-        let admit = self.set.reduction.admitted_shares.get(usize::from(class.0)).map_or(1.0, |a| *a);
-        if worth >= self.top() {
+        let admit = self.settings.reduction.admitted_shares.get(usize::from(class.0)).map_or(1.0, |a| *a);
+        if worth >= self.settings.max_priority_weight() {
             // Only when all of it would be late: then serving some beats serving none.
             return luck >= outlook(crowd, TOP_CROWD).min(admit);
         }
@@ -49,7 +49,7 @@
     /// Share of a query's time that its replicas take now, for `outlook`: the controller needs a window to
     /// see a jam, this sees it at once. Might hurt where one odd answer makes a shard look slow; that fades.
     pub(super) fn crowd(&self, q: &Query, waits: &[(f64, f64, PartId)]) -> f64 {
-        let c = self.class(q.class);
+        let c = self.settings.class(q.class);
         let mut spare = 1.0 - c.min_share + 1e-6;
         let needed = waits.iter().find(|w| {
             spare -= w.1;
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -10,7 +10,7 @@
 impl DecisionPolicy {
     /// What a replica can do at a time, as a share of what it can when warm.
     pub(super) fn warmth(&self, r: &Replica, at: Nanos) -> f64 {
-        let (Some(rule), Some(started)) = (self.set.slow_start, r.started) else { return 1.0 };
+        let (Some(rule), Some(started)) = (self.settings.slow_start, r.started) else { return 1.0 };
         let age = at.saturating_sub(started) as f64 / rule.warm_up.max(1) as f64;
         rule.initial_capacity + (1.0 - rule.initial_capacity) * age.min(1.0)
     }
@@ -19,13 +19,13 @@
     /// where a share holds no whole part, chance spends it: parts go at drawn times, as far apart on average
     /// as keeps the whole fleet's, with a margin for chance, under the rule.
     pub(super) fn cold_room(&self, r: &Replica, class: ClassId) -> bool {
-        let (Some(rule), Some(started)) = (self.set.slow_start, r.started) else { return true };
+        let (Some(rule), Some(started)) = (self.settings.slow_start, r.started) else { return true };
         if self.warmth(r, self.now) >= 1.0 {
             return true;
         }
         let all = |at| rule.overload_factor * self.warmth(r, at) * COLD_CORES * rule.overload_window as f64;
         let cost = self.cost(class);
-        let (window, others) = (rule.overload_window, f64::from(self.set.coordinators.max(1)));
+        let (window, others) = (rule.overload_window, f64::from(self.settings.coordinators.max(1)));
         let share = all(self.now) / others;
         if share >= cost {
             return share - r.cold_sent.sum(self.now, window) >= cost;
@@ -38,6 +38,6 @@
 
     /// Work of a part with its call, as far as seen.
     pub(super) fn cost(&self, class: ClassId) -> f64 {
-        self.work[usize::from(class.0)].value() + self.set.call_overhead as f64
+        self.work[usize::from(class.0)].value() + self.settings.call_overhead as f64
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,10 +35,6 @@
     GiveUp,
 }
 
-fn least_aim(set: &Settings) -> Nanos {
-    set.classes.iter().filter(|c| c.active).map(|c| c.latency_objective).min().unwrap_or(set.tick)
-}
-
 /// A response time to start from, before any was seen.
 fn first_guess(aim: Nanos) -> Ewma {
     Ewma::new(aim as f64 * FIRST_GUESS)
@@ -50,10 +46,9 @@
 /// The decisions of one coordinator.
 #[derive(Debug, Default)]
 pub struct DecisionPolicy {
-    set: Settings,
+    settings: Settings,
     rng: fastrand::Rng,
     now: Nanos,
-    least_aim: Nanos,
     queries: BTreeMap<u64, Query>,
     next_query: u64,
     parts: BTreeMap<PartId, PartAt>,
@@ -93,22 +88,21 @@
 
 impl DecisionPolicy {
     /// An instance that holds nothing yet.
-    pub fn new(set: Settings, seed: u64, now: Nanos) -> Self {
-        let least_aim = least_aim(&set);
-        let shards = set.shards as usize;
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
+        let objective = settings.min_latency_objective();
+        let shards = settings.shards as usize;
         let mut module = Self {
             rng: fastrand::Rng::with_seed(seed),
             now,
-            least_aim,
-            typical: first_guess(least_aim),
-            usual: first_guess(least_aim),
-            work: set.classes.iter().map(|c| first_guess(c.latency_objective)).collect(),
-            met: vec![false; set.classes.len()],
-            quotas: vec![TokenBucket::new(1.0, now); set.tenants.len()],
+            typical: first_guess(objective),
+            usual: first_guess(objective),
+            work: settings.classes.iter().map(|c| first_guess(c.latency_objective)).collect(),
+            met: vec![false; settings.classes.len()],
+            quotas: vec![TokenBucket::new(1.0, now); settings.tenants.len()],
             share: 1.0,
             control_at: now,
-            ask_at: set.max_poll_interval.map(|_| now),
-            set,
+            ask_at: settings.max_poll_interval.map(|_| now),
+            settings,
             ..Self::default()
         };
         module.grow(shards);
@@ -123,7 +117,7 @@
         }
         if self.ask_at.is_some_and(|at| at <= self.now) {
             actions.push(Action::Subscribe);
-            self.ask_at = Some(self.now + self.set.max_poll_interval.unwrap_or(Nanos::MAX) / 2);
+            self.ask_at = Some(self.now + self.settings.max_poll_interval.unwrap_or(Nanos::MAX) / 2);
         }
         self.control();
         let open: Vec<u64> = self.queries.keys().copied().collect();
@@ -141,19 +135,20 @@
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
             Event::Query { query, group, class, tenant, expected_work, time_left } => {
-                let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
+                let Some(c) = self.settings.classes.get(usize::from(class.0)).cloned() else {
                     return actions.push(Action::Fail(*query));
                 };
                 let stretch = (c.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
                 let aim = (c.latency_objective + stretch).min(c.deadline);
-                let share = if self.over_quota(*tenant) { self.set.over_quota_weight } else { 1.0 };
+                let share = if self.over_quota(*tenant) { self.settings.over_quota_weight } else { 1.0 };
                 let worth = c.priority_weight * share;
-                let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
-                let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
+                let end = self.now.saturating_add(time_left.saturating_sub(self.settings.ticks(END_TICKS)));
+                let due = self.now + aim.saturating_sub(self.settings.ticks(AIM_TICKS));
                 self.retries.earn(self.now);
                 let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
                 let more = |rng: &mut fastrand::Rng| seen < MAX_READINGS && rng.f64() < MIN_SAMPLE;
-                let sampled = worth >= self.top() && (seen < WANTED_READINGS || more(&mut self.rng));
+                let sampled = worth >= self.settings.max_priority_weight()
+                    && (seen < WANTED_READINGS || more(&mut self.rng));
                 let seq = self.next_query;
                 self.next_query += 1;
                 let q = Query {
@@ -189,7 +184,7 @@
                 if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
                     q.stage = Stage::Over;
                     // Nobody waits for these any more: on poor links clients leave long before their time.
-                    let parts = q.parts.iter().filter(|_| self.set.cancellation);
+                    let parts = q.parts.iter().filter(|_| self.settings.cancellation);
                     actions.extend(parts.flat_map(Part::call_off));
                 }
             }
@@ -208,34 +203,25 @@
     }
 
     /// What was seen of replicas and classes stays; a class that is new begins with a guess.
-    fn take_settings(&mut self, set: &Settings, heirs: &[ClassId]) {
+    fn take_settings(&mut self, settings: &Settings, heirs: &[ClassId]) {
         let seen = |(c, heir): (&Class, &ClassId)| {
             let at = usize::from(heir.0);
             let work = self.work.get(at).copied().filter(|_| self.met[at]);
             (work.unwrap_or(first_guess(c.latency_objective)), work.is_some())
         };
-        (self.work, self.met) = set.classes.iter().zip(heirs).map(seen).unzip();
-        self.least_aim = least_aim(set);
-        self.quotas.resize(set.tenants.len(), TokenBucket::new(1.0, self.now));
-        self.set = set.clone();
-        self.grow(set.shards as usize);
+        (self.work, self.met) = settings.classes.iter().zip(heirs).map(seen).unzip();
+        self.quotas.resize(settings.tenants.len(), TokenBucket::new(1.0, self.now));
+        self.settings = settings.clone();
+        self.grow(settings.shards as usize);
         let ask_at = self.ask_at;
         self.take_list(EndpointListKind::Delta, &[]);
         self.ask_at = ask_at;
     }
 
-    fn class(&self, class: ClassId) -> &Class {
-        &self.set.classes[usize::from(class.0)]
-    }
-
-    fn top(&self) -> f64 {
-        self.set.classes.iter().filter(|c| c.active).map(|c| c.priority_weight).fold(0.0, f64::max)
-    }
-
     /// The one way out for a query. Rules 1, 2 and 5 are checked here.
     fn finish(&mut self, seq: u64, how: Final, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get_mut(&seq).filter(|q| q.open()) else { return };
-        let c = &self.set.classes[usize::from(q.class.0)];
+        let c = self.settings.class(q.class);
         let risky = c.effect != Effect::Idempotent && q.parts.iter().any(Part::may_have_run);
         match how {
             Final::Answer => {
@@ -244,7 +230,7 @@
                 let floor = if second { c.min_share } else { c.min_share.min(c.required_share) };
                 // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
                 let all = q.complete(false);
-                if !all && (weight + 1e-6 < floor || (second && c.min_share >= c.required_share)) {
+                if !all && (weight + 1e-6 < floor || (second && !c.allows_partial())) {
                     return;
                 }
                 let enough = all || (!second && weight + 1e-6 >= c.required_share);
@@ -258,16 +244,17 @@
                 }
             }
             Final::GiveUp if !risky => {
-                let drawn = 0.5 * self.rng.f64() / self.set.reduction.retry_after_factor.max(1.0);
-                let retry_after = self.set.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
+                let drawn = 0.5 * self.rng.f64() / self.settings.reduction.retry_after_factor.max(1.0);
+                let retry_after =
+                    self.settings.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
                 actions.push(Action::Reject { query: q.id, retry_after });
             }
             Final::GiveUp => actions.push(Action::Fail(q.id)),
         }
         // A sample's late parts run on to the record limit; the others are called off.
-        let sampled = q.sampled && !self.set.reduction.skip_late_samples;
+        let sampled = q.sampled && !self.settings.reduction.skip_late_samples;
         let runs_on = |p: &Part| sampled && !p.second && p.came.is_none();
-        let parts = q.parts.iter().filter(|p| self.set.cancellation && !runs_on(p));
+        let parts = q.parts.iter().filter(|p| self.settings.cancellation && !runs_on(p));
         actions.extend(parts.flat_map(Part::call_off));
         q.stage = Stage::Over;
     }
@@ -275,7 +262,7 @@
     /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
     fn step(&mut self, seq: u64, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&seq).filter(|q| q.open()) else { return };
-        let c = self.class(q.class).clone();
+        let c = self.settings.class(q.class).clone();
         if q.stage == Stage::New {
             let waits = self.waits(q);
             let (crowd, late) = (self.crowd(q, &waits), q.due.saturating_sub(self.now) as f64 * TOP_CROWD.0);
@@ -283,7 +270,7 @@
                 return self.finish(seq, Final::GiveUp, actions);
             }
             let admitted = self.share.min(outlook(crowd, LIGHT_CROWD));
-            let long = waits.iter().filter(|w| c.min_share < c.required_share && w.0 >= late).map(|w| w.2);
+            let long = waits.iter().filter(|w| c.allows_partial() && w.0 >= late).map(|w| w.2);
             if let Some(q) = self.queries.get_mut(&seq) {
                 q.stage = Stage::First;
                 q.trim(c.min_share, admitted, long);
@@ -294,10 +281,10 @@
         }
         self.send_parts(seq, &c, actions);
         let Some(q) = self.queries.get(&seq) else { return };
-        let partial = c.min_share < c.required_share;
+        let partial = c.allows_partial();
         let weight = q.weight_in();
         let first = q.stage == Stage::First;
-        let early = self.set.reduction.answer_after * q.due.saturating_sub(q.taken) as f64;
+        let early = self.settings.reduction.answer_after * q.due.saturating_sub(q.taken) as f64;
         let due = self.now >= q.taken + early as Nanos;
         let enough = q.complete(true) || (first && weight >= c.required_share && c.required_share < 1.0);
         if enough || (due && partial && weight > 0.0 && weight >= c.min_share) {
@@ -315,8 +302,8 @@
     fn wake_up(&mut self, actions: &mut Vec<Action>) {
         let open = || self.queries.values().filter(|q| q.open());
         let dues = open().flat_map(|q| [q.due, q.end]);
-        let poll = open().next().map(|_| self.now + CONTROL_TICKS / 10 * self.set.tick);
-        let idle = Some(self.control_at.max(self.now + self.set.tick));
+        let poll = open().next().map(|_| self.now + self.settings.ticks(CONTROL_TICKS / 10));
+        let idle = Some(self.control_at.max(self.now + self.settings.tick));
         let next = dues.filter(|t| *t > self.now).chain(poll).chain(idle).chain(self.ask_at).min();
         if let Some(at) = next.filter(|at| self.wake <= self.now || *at < self.wake) {
             self.wake = at;
--- a/src/policy/quality.rs
+++ b/src/policy/quality.rs
@@ -46,7 +46,7 @@
         if self.now < self.control_at {
             return;
         }
-        let period = CONTROL_TICKS * self.set.tick;
+        let period = self.settings.ticks(CONTROL_TICKS);
         self.control_at = self.now + period;
         let horizon = self.now.saturating_sub(QUALITY_WINDOW);
         self.queries.retain(|_, q| q.open() || (q.sampled && q.taken >= horizon));
@@ -55,7 +55,7 @@
         let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
         self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
         self.placed.retain(|id, _| self.replicas.contains_key(id));
-        self.retries.expire(self.now, self.set.retry_budget.map_or(0, |b| 2 * b.window));
+        self.retries.expire(self.now, self.settings.retry_budget.map_or(0, |b| 2 * b.window));
         self.balance();
         let (quality, readings) = self.quality();
         let trust = (readings / (WANTED_READINGS / 4.0)).min(1.0);
--- a/src/policy/query.rs
+++ b/src/policy/query.rs
@@ -16,7 +16,7 @@
 impl Attempt {
     /// Rule 2: only these outcomes prove that it never ran.
     pub(super) fn may_have_run(&self) -> bool {
-        !matches!(self.ended, Some(Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent))
+        self.ended.is_none_or(Outcome::may_have_run)
     }
 }
 
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -60,7 +60,7 @@
 impl DecisionPolicy {
     /// Ready replicas that no part of a listed class would go to now, whatever its shard.
     pub fn ejected(&self) -> Vec<ReplicaId> {
-        let Some(c) = self.set.classes.iter().position(|c| c.active) else { return Vec::new() };
+        let Some(c) = self.settings.classes.iter().position(|c| c.active) else { return Vec::new() };
         let class = ClassId(c as u16);
         let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
         let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
@@ -74,7 +74,7 @@
         if kind == EndpointListKind::Failed {
             // Ask again after a jittered wait, well inside the time that counts as told.
             let wait = |within| (within / ASK_SHARE) as f64 * (0.25 + 0.75 * self.rng.f64());
-            self.ask_at = self.set.max_poll_interval.map(wait).map(|wait| self.now + wait as Nanos);
+            self.ask_at = self.settings.max_poll_interval.map(wait).map(|wait| self.now + wait as Nanos);
             return;
         }
         self.ask_at = self.ask_at.filter(|_| kind == EndpointListKind::Cached);
@@ -98,12 +98,12 @@
                 r.started = Some(r.started.map_or(m.started_at, |s| s.max(m.started_at)));
             }
         }
-        let cells = self.set.cells.max(1);
+        let cells = self.settings.cells.max(1);
         for (s, holders) in self.holders.iter_mut().enumerate() {
             let first = s as u32 % cells;
             let holds = |(id, r): &(&ReplicaId, &Replica)| match self.placed.get(*id) {
                 Some(placed) => placed.contains(&ShardId(s as u32)),
-                None => (u32::from(r.cell.0) + cells - first) % cells < self.set.cells_per_shard.max(1),
+                None => (u32::from(r.cell.0) + cells - first) % cells < self.settings.cells_per_shard.max(1),
             };
             let ready = self.replicas.iter().filter(|r| r.1.ready && holds(r));
             *holders = ready.map(|(id, _)| (*id, 1.0)).collect();
@@ -114,8 +114,8 @@
     pub(super) fn on_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
         let (now, typical) = (self.now, self.typical.value());
-        let aim = self.class(class).latency_objective as f64;
-        let fade = ERROR_FADE_AIMS * self.least_aim as f64;
+        let aim = self.settings.class(class).latency_objective as f64;
+        let fade = ERROR_FADE_AIMS * self.settings.min_latency_objective() as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
             let sent = now.saturating_sub(elapsed);
             r.flights.retain(|f| (f.1, f.2) != (part, attempt));
@@ -171,7 +171,7 @@
     /// another can be had. When a trial is due the classes with parts to spare make it; the others have half
     /// an aim on top, so that nothing is refused for ever for a silence that is long over.
     fn wait_at(&self, r: &Replica, class: &Class) -> f64 {
-        let aim = self.least_aim as f64;
+        let aim = self.settings.min_latency_objective() as f64;
         let calm = self.typical.value().min(aim * CALM_SHARE);
         let pace = r.pace.value_at(self.now, (FADE_AIMS * aim).max(self.visits.value()), calm);
         let out = r.flights.first().map_or(0, |f| self.now - f.0);
@@ -179,7 +179,7 @@
         let wait = pace.max(out as f64).max(per_part * (r.flights.len() as f64 + 1.0));
         let trial = r.flights.is_empty() && self.now >= r.trial_at;
         let shut = (r.strikes > 0 && !trial) || out >= class.latency_objective;
-        let all_needed = class.min_share >= class.required_share;
+        let all_needed = !class.allows_partial();
         let on_top = if shut { 1.0 } else { f64::from(r.strikes > 0 && all_needed) / 2.0 };
         wait + on_top * class.latency_objective as f64
     }
@@ -187,7 +187,8 @@
     /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
     /// A replica that fails fast looks idle; parts that can go again find out when it is sound again.
     fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
-        let errors = r.errors.value_at(self.now, ERROR_FADE_AIMS * self.least_aim as f64, 0.0);
+        let errors =
+            r.errors.value_at(self.now, ERROR_FADE_AIMS * self.settings.min_latency_objective() as f64, 0.0);
         let unrepeatable = class.effect == Effect::NonIdempotent;
         errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.typical.value() }
     }
@@ -200,7 +201,7 @@
     /// A shard's replicas in turn, skipping one with a part out past the aim; if all are, the next goes.
     /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
     fn fit(&self, p: &Part, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
-        let c = self.class(p.class);
+        let c = self.settings.class(p.class);
         let Some(holders) = self.holders.get(p.shard.0 as usize) else { return Vec::new() };
         // First the one in whose share the turn is.
         let upto = |n: usize| holders[..=n].iter().map(|h| h.1).sum::<f64>();
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -12,8 +12,8 @@
 impl DecisionPolicy {
     /// Rule 6: retries left in the window, never optimistic at its edge.
     fn retries_left(&self) -> f64 {
-        let Some(b) = self.set.retry_budget else { return f64::INFINITY };
-        self.retries.available(self.now, b.free, b.ratio, b.window, EDGE_TICKS * self.set.tick)
+        let Some(b) = self.settings.retry_budget else { return f64::INFINITY };
+        self.retries.available(self.now, b.free, b.ratio, b.window, self.settings.ticks(EDGE_TICKS))
     }
 
     /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
@@ -22,9 +22,11 @@
         let Some(q) = self.queries.get(&seq) else { return };
         let (Some(p), Some(r)) = (q.parts.get(at), self.replicas.get(&replica)) else { return };
         let first_risk = p.attempts.iter().find(|a| a.may_have_run()).map(|a| a.at);
-        let by = match (self.class(q.class).effect, first_risk) {
+        let by = match (self.settings.class(q.class).effect, first_risk) {
             (Effect::Idempotent, _) | (_, None) => Nanos::MAX,
-            (Effect::Deduplicated(window), Some(t)) => (t + window).saturating_sub(END_TICKS * self.set.tick),
+            (Effect::Deduplicated(window), Some(t)) => {
+                (t + window).saturating_sub(self.settings.ticks(END_TICKS))
+            }
             (Effect::NonIdempotent, Some(_)) => 0,
         };
         let holds = self.holders.get(p.shard.0 as usize).is_some_and(|h| h.iter().any(|h| h.0 == replica));
@@ -38,15 +40,15 @@
             && r.ready
             && holds
             && self.cold_room(r, p.class)
-            && (p.attempts.len() as u32) < self.class(q.class).max_attempts.max(1)
-            && (p.out() == 0 || (self.set.hedging && p.out() < 2))
+            && (p.attempts.len() as u32) < self.settings.class(q.class).max_attempts.max(1)
+            && (p.out() == 0 || (self.settings.hedging && p.out() < 2))
             && (!further || left >= 1.0);
         if !allowed {
             return;
         }
         let (part, class, shard, now) = (p.id, q.class, p.shard.0 as usize, self.now);
         let attempt = AttemptNo(p.attempts.len() as u16);
-        let fresh = now.saturating_sub(self.least_aim / STALE);
+        let fresh = now.saturating_sub(self.settings.min_latency_objective() / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         if r.used < now && r.flights.is_empty() {
             // Dropped idle connections are met by closing them, but for a sample that tells when it ends.
@@ -61,7 +63,7 @@
         r.used = now;
         r.flights.insert((now, part, attempt));
         let (idle, place) = (r.idle, r.flights.len() as f64);
-        if let Some(rule) = self.set.slow_start {
+        if let Some(rule) = self.settings.slow_start {
             r.cold_sent.expire(now, rule.overload_window);
         }
         r.cold_sent.push(now, cost);
@@ -86,12 +88,12 @@
     pub(super) fn send_parts(&mut self, seq: u64, c: &Class, actions: &mut Vec<Action>) {
         let Some(q) = self.queries.get(&seq) else { return };
         let count = q.parts.len();
-        let (due, end, sampled) = (q.due, q.end, q.sampled && !self.set.reduction.skip_late_samples);
+        let (due, end, sampled) = (q.due, q.end, q.sampled && !self.settings.reduction.skip_late_samples);
         let second = q.stage == Stage::Second;
         // Late worth is chased only while nothing is shed: otherwise a part not begun by the aim is dropped.
         let chase = sampled || (c.late_weight > 0.0 && self.share >= 1.0);
         let until = if chase || self.now >= due { end } else { due };
-        let timeout = until.saturating_sub(self.now).max(self.set.tick);
+        let timeout = until.saturating_sub(self.now).max(self.settings.tick);
         for at in 0..count {
             let Some(p) = self.queries.get(&seq).and_then(|q| q.parts.get(at)) else { return };
             if p.second != second || !p.asked || p.came.is_some() || !self.may_try(p, c) {
@@ -116,7 +118,7 @@
             let in_time = self.now as f64 + wait < due as f64;
             // Where a part was turned away it goes again when that may be in time, or late anyhow.
             let late = out.is_none() && c.late_weight > 0.0 && (self.now >= due || !tried.contains(&r));
-            let stop = !self.set.hedging && self.set.cancellation && c.effect == Effect::Idempotent;
+            let stop = !self.settings.hedging && self.settings.cancellation && c.effect == Effect::Idempotent;
             match out {
                 Some(_) if in_time && stop => actions.extend(p.call_off()),
                 _ if in_time || late || (out.is_some() && second) => {
