--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -11,6 +11,9 @@
 /// The same for the highest worth: from where it would be late, since an estimate errs both ways.
 pub(super) const TOP_CROWD: (f64, f64) = (0.8, 1.2);
 
+/// Share of a query's time that a wait takes at most while it is only guessed.
+const GUESS_SHARE: f64 = 0.125;
+
 /// How well a query may still fare, 0 to 1: from 1 at the first share of its time down to 0 at the second.
 pub(super) fn outlook(crowd: f64, (from, to): (f64, f64)) -> f64 {
     ((to - crowd) / (to - from)).clamp(0.0, 1.0)
@@ -57,10 +60,9 @@
         });
         let room = q.due.saturating_sub(self.now) as f64;
         // A guess alone refuses nobody: where all are refused nothing is ever seen that could mend it.
-        let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * FIRST_GUESS) };
-        let at = usize::from(q.class.0);
+        let fair = |figure: f64, seen: bool| if seen { figure } else { figure.min(room * GUESS_SHARE) };
         let longest = needed.map_or(0.0, |w| w.0);
-        let wait = fair(longest, longest > self.typical.value() || self.met.contains(&true));
-        wait.max(fair(self.work[at].value(), self.met[at])) / room.max(1.0)
+        let wait = fair(longest, longest > self.latency.mean() || self.latency.any_observed());
+        wait.max(fair(self.latency.work(q.class), self.latency.observed(q.class))) / room.max(1.0)
     }
 }
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -38,6 +38,6 @@
 
     /// Work of a part with its call, as far as seen.
     pub(super) fn cost(&self, class: ClassId) -> f64 {
-        self.work[usize::from(class.0)].value() + self.settings.call_overhead as f64
+        self.latency.work(class) + self.settings.call_overhead as f64
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,11 +12,14 @@
 mod shares;
 
 use crate::interface::*;
-use crate::stats::{exponential, DecayingAverage, Ewma, RatioBudget, RecentValues, TimeWindow, TokenBucket};
+use crate::stats::{
+    exponential, ConnectionUse, DecayingAverage, FleetLatency, RatioBudget, RecentValues, TimeWindow,
+    TokenBucket,
+};
 use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
 use quality::{CONTROL_TICKS, MAX_READINGS, MIN_SAMPLE, WANTED_READINGS};
 use query::{Attempt, Part, Query, Stage};
-use replicas::{reaped, Replica, FLEET_GAIN};
+use replicas::{reaped, Replica};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Ticks kept free before an aim: one to see the answer, one to send it, one for the way to the client.
@@ -25,8 +28,6 @@
 const END_TICKS: u64 = 4;
 /// A part is overdue after so many times the fleet's usual response time.
 const OVERDUE_RATIO: f64 = 5.5;
-/// Share of an aim taken for a response time before any was seen.
-const FIRST_GUESS: f64 = 0.125;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Final {
@@ -35,11 +36,6 @@
     GiveUp,
 }
 
-/// A response time to start from, before any was seen.
-fn first_guess(aim: Nanos) -> Ewma {
-    Ewma::new(aim as f64 * FIRST_GUESS)
-}
-
 /// A part: its query, and its place there.
 type PartAt = (u64, usize);
 
@@ -55,8 +51,6 @@
     /// Where each attempt is, its class, how many of this instance's were there, it included, and whether
     /// it went out on a connection that had been idle.
     flights: BTreeMap<(PartId, AttemptNo), (ReplicaId, ClassId, f64, bool)>,
-    /// Share lost of what went out on connections in use or new, and on idle ones; see `reaped`.
-    lost: [Ewma; 2],
     replicas: BTreeMap<ReplicaId, Replica>,
     /// Who holds each shard, and its share of the turns.
     holders: Vec<Vec<(ReplicaId, f64)>>,
@@ -64,17 +58,8 @@
     placed: BTreeMap<ReplicaId, BTreeSet<ShardId>>,
     /// Where the turns of each shard are, 0 to 1.
     turns: Vec<f64>,
-    /// Typical response time of the fleet, and of a part of each class on an idle core.
-    typical: Ewma,
-    /// The same of what is not slow: a few slow replicas must not put off when their parts are overdue.
-    usual: Ewma,
-    /// Typical response time for each part that this instance has at the replica: what its queue costs.
-    per_part: Ewma,
-    /// Time between two uses of a replica: memory of its pace lasts no shorter.
-    visits: Ewma,
-    work: Vec<Ewma>,
-    /// The classes whose work was seen; until then it is a guess.
-    met: Vec<bool>,
+    latency: FleetLatency,
+    connections: ConnectionUse,
     /// Retries and hedged requests against what was received; see rule 6.
     retries: RatioBudget,
     ranks: RecentValues,
@@ -89,15 +74,11 @@
 impl DecisionPolicy {
     /// An instance that holds nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
-        let objective = settings.min_latency_objective();
         let shards = settings.shards as usize;
         let mut module = Self {
             rng: fastrand::Rng::with_seed(seed),
             now,
-            typical: first_guess(objective),
-            usual: first_guess(objective),
-            work: settings.classes.iter().map(|c| first_guess(c.latency_objective)).collect(),
-            met: vec![false; settings.classes.len()],
+            latency: FleetLatency::new(&settings),
             quotas: vec![TokenBucket::new(1.0, now); settings.tenants.len()],
             share: 1.0,
             control_at: now,
@@ -204,12 +185,7 @@
 
     /// What was seen of replicas and classes stays; a class that is new begins with a guess.
     fn take_settings(&mut self, settings: &Settings, heirs: &[ClassId]) {
-        let seen = |(c, heir): (&Class, &ClassId)| {
-            let at = usize::from(heir.0);
-            let work = self.work.get(at).copied().filter(|_| self.met[at]);
-            (work.unwrap_or(first_guess(c.latency_objective)), work.is_some())
-        };
-        (self.work, self.met) = settings.classes.iter().zip(heirs).map(seen).unzip();
+        self.latency.apply_settings(settings, heirs);
         self.quotas.resize(settings.tenants.len(), TokenBucket::new(1.0, self.now));
         self.settings = settings.clone();
         self.grow(settings.shards as usize);
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -4,10 +4,6 @@
 
 /// Weight of a new response time in a replica's pace.
 const PACE_GAIN: f64 = 0.5;
-/// The same for a class's work when an answer took longer: only the quickest tell the work itself.
-const SLOW_WORK_GAIN: f64 = 0.002;
-/// The same for the typical figures of the fleet, which see many more answers.
-pub(super) const FLEET_GAIN: f64 = 0.03;
 /// A pace loses half its distance to the fleet's in so many aims: a skipped replica gets another look.
 const FADE_AIMS: f64 = 0.5;
 /// Weight of a new answer in a replica's share of errors, which loses half of itself in so many aims.
@@ -19,8 +15,6 @@
 const CALM_SHARE: f64 = 0.25;
 /// A replica is skipped when its expected wait is so many times the best of the shard's.
 const SKIP_RATIO: f64 = 1.4;
-/// A response time counts in the usual one for at most so many of those.
-const ODD_RATIO: f64 = 2.0;
 /// Idle connections are closed before use when they lose so much more of what is sent than others.
 const IDLE_LOSS: f64 = 0.25;
 /// Share of `must-ask-in` within which an unanswered call for the list is made again.
@@ -53,8 +47,8 @@
 }
 
 /// Idle connections are dropped unseen: far more is lost on them than on others. An outage raises both.
-pub(super) fn reaped(lost: [Ewma; 2]) -> bool {
-    lost[1].value() > lost[0].value() + IDLE_LOSS
+pub(super) fn reaped(connections: &ConnectionUse) -> bool {
+    connections.idle_loss() > connections.in_use_loss() + IDLE_LOSS
 }
 
 impl DecisionPolicy {
@@ -84,7 +78,7 @@
             }
         }
         for m in members {
-            let (typical, now) = (self.typical.value(), self.now);
+            let (typical, now) = (self.latency.mean(), self.now);
             let draw = exponential(&mut self.rng);
             let r = self.replicas.entry(m.replica).or_insert_with(|| Replica {
                 pace: DecayingAverage::new(typical, now),
@@ -113,38 +107,31 @@
 
     pub(super) fn on_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
-        let (now, typical) = (self.now, self.typical.value());
+        let (now, typical) = (self.now, self.latency.mean());
         let aim = self.settings.class(class).latency_objective as f64;
         let fade = ERROR_FADE_AIMS * self.settings.min_latency_objective() as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
             let sent = now.saturating_sub(elapsed);
             r.flights.retain(|f| (f.1, f.2) != (part, attempt));
             let silent = r.last_ok < sent;
-            let lost = f64::from(outcome != Outcome::Ok && silent);
-            self.lost[usize::from(idle)].record(lost, FLEET_GAIN);
+            self.connections.record_attempt(idle, outcome != Outcome::Ok && silent);
             if matches!(outcome, Outcome::Ok | Outcome::Error) {
                 r.errors.record_decayed(now, fade, f64::from(outcome == Outcome::Error), ERROR_GAIN);
             }
             let brief =
-                (elapsed as f64) < OVERDUE_RATIO * self.usual.value() && now - r.last_ok < aim as Nanos;
+                (elapsed as f64) < OVERDUE_RATIO * self.latency.baseline() && now - r.last_ok < aim as Nanos;
             match outcome {
                 Outcome::Ok => {
-                    let took = elapsed as f64;
                     r.strikes = 0;
-                    r.pace.record(now, took, PACE_GAIN);
+                    r.pace.record(now, elapsed as f64, PACE_GAIN);
                     r.last_ok = now;
                     r.used = now;
-                    self.per_part.record(took / place, FLEET_GAIN);
-                    self.typical.record(took, FLEET_GAIN);
-                    self.usual.record(took.min(ODD_RATIO * self.usual.value()), FLEET_GAIN);
-                    self.met[usize::from(class.0)] = true;
-                    let w = &mut self.work[usize::from(class.0)];
-                    w.record(took, if took < w.value() { PACE_GAIN } else { SLOW_WORK_GAIN });
+                    self.latency.record(class, elapsed, place);
                 }
                 // Turned away in no time, yet a full waiting room is a long wait, whatever was seen before.
                 Outcome::Rejected => r.pace.raise_to(now, aim),
                 // Not sent, lost with an idle connection, or ended early where answers came lately: no sign.
-                _ if outcome == Outcome::NotSent || (idle && silent && reaped(self.lost)) => {}
+                _ if outcome == Outcome::NotSent || (idle && silent && reaped(&self.connections)) => {}
                 Outcome::Cancelled | Outcome::Reset | Outcome::Error if brief => {}
                 _ if !silent && outcome != Outcome::ConnectFailed => {
                     // Given up on while others were answered: the wait is known to be at least this long.
@@ -172,10 +159,10 @@
     /// an aim on top, so that nothing is refused for ever for a silence that is long over.
     fn wait_at(&self, r: &Replica, class: &Class) -> f64 {
         let aim = self.settings.min_latency_objective() as f64;
-        let calm = self.typical.value().min(aim * CALM_SHARE);
-        let pace = r.pace.value_at(self.now, (FADE_AIMS * aim).max(self.visits.value()), calm);
+        let calm = self.latency.mean().min(aim * CALM_SHARE);
+        let pace = r.pace.value_at(self.now, (FADE_AIMS * aim).max(self.connections.reuse_interval()), calm);
         let out = r.flights.first().map_or(0, |f| self.now - f.0);
-        let per_part = self.per_part.value().min(aim * CALM_SHARE);
+        let per_part = self.latency.per_in_flight().min(aim * CALM_SHARE);
         let wait = pace.max(out as f64).max(per_part * (r.flights.len() as f64 + 1.0));
         let trial = r.flights.is_empty() && self.now >= r.trial_at;
         let shut = (r.strikes > 0 && !trial) || out >= class.latency_objective;
@@ -190,7 +177,7 @@
         let errors =
             r.errors.value_at(self.now, ERROR_FADE_AIMS * self.settings.min_latency_objective() as f64, 0.0);
         let unrepeatable = class.effect == Effect::NonIdempotent;
-        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.typical.value() }
+        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.latency.mean() }
     }
 
     /// Where a part goes, with the wait to expect there.
@@ -214,7 +201,7 @@
             .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
         let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
-        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical.value());
+        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.latency.mean());
         fit.map(|r| (r.0, r.1)).collect()
     }
 }
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -53,12 +53,12 @@
         if r.used < now && r.flights.is_empty() {
             // Dropped idle connections are met by closing them, but for a sample that tells when it ends.
             let idle = (1..fresh).contains(&r.used);
-            let close = idle && reaped(self.lost) && self.rng.f64() > MIN_SAMPLE;
+            let close = idle && reaped(&self.connections) && self.rng.f64() > MIN_SAMPLE;
             actions.extend(close.then_some(Action::CloseIdle(replica)));
             r.idle = idle && !close;
         }
         if r.used > 0 && r.used < now {
-            self.visits.record((now - r.used) as f64, FLEET_GAIN);
+            self.connections.record_reuse(now - r.used);
         }
         r.used = now;
         r.flights.insert((now, part, attempt));
@@ -107,7 +107,8 @@
                 continue;
             }
             let out = p.attempts.iter().find(|a| a.ended.is_none());
-            let overdue = out.is_some_and(|a| (self.now - a.at) as f64 > OVERDUE_RATIO * self.usual.value());
+            let overdue =
+                out.is_some_and(|a| (self.now - a.at) as f64 > OVERDUE_RATIO * self.latency.baseline());
             if (out.is_some() && !overdue) || p.out() > 1 || self.retries_left() < 1.0 {
                 continue;
             }
--- a/src/stats/mod.rs
+++ b/src/stats/mod.rs
@@ -1,10 +1,11 @@
 //! Small statistics for a stream of observations: moving averages, sliding windows, token buckets.
 //!
-//! Nothing here knows about queries or replicas, and nothing here decides. Times are [`Nanos`] of the
+//! Nothing here decides. Times are [`Nanos`] of the
 //! caller's clock, handed in with each call; random draws come from the caller's generator.
 
 mod average;
 mod budget;
+mod fleet;
 mod window;
 
 #[cfg(test)]
@@ -12,6 +13,7 @@
 
 pub use average::{DecayingAverage, Ewma};
 pub use budget::{RatioBudget, TokenBucket};
+pub use fleet::{ConnectionUse, FleetLatency};
 pub use window::{RecentValues, TimeWindow};
 
 use crate::interface::Nanos;
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -1,6 +1,8 @@
 //! Each statistic on its own.
 
-use super::*;
+use super::{exponential, ConnectionUse, DecayingAverage, Ewma, FleetLatency, RatioBudget};
+use super::{RecentValues, TimeWindow, TokenBucket};
+use crate::interface::{Class, ClassId, Effect, Nanos, Settings};
 
 const SECOND: Nanos = 1_000_000_000;
 
@@ -124,3 +126,67 @@
     let mean = draws.iter().sum::<f64>() / draws.len() as f64;
     assert!((0.95..1.05).contains(&mean), "{mean}");
 }
+
+fn class(objective: Nanos) -> Class {
+    Class {
+        name: String::new(),
+        active: true,
+        latency_objective: objective,
+        objective_stretch: 0.0,
+        deadline: 2 * objective,
+        effect: Effect::Idempotent,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        required_share: 1.0,
+        min_share: 1.0,
+        follow_up_parts: 0,
+        max_attempts: 1,
+    }
+}
+
+fn settings(objectives: &[Nanos]) -> Settings {
+    Settings {
+        classes: objectives.iter().map(|objective| class(*objective)).collect(),
+        ..Settings::default()
+    }
+}
+
+#[test]
+fn fleet_latency_is_guessed_from_the_objectives_until_answers_are_observed() {
+    let mut latency = FleetLatency::new(&settings(&[800, 1_600]));
+    assert_eq!((latency.mean(), latency.baseline()), (100.0, 100.0));
+    assert_eq!((latency.work(ClassId(0)), latency.work(ClassId(1))), (100.0, 200.0));
+    assert!(!latency.any_observed());
+    latency.record(ClassId(1), 100, 2.0);
+    assert!(latency.any_observed() && latency.observed(ClassId(1)) && !latency.observed(ClassId(0)));
+    assert_eq!(latency.work(ClassId(1)), 150.0, "quicker than thought counts by half");
+}
+
+#[test]
+fn an_outlier_moves_the_mean_latency_more_than_the_baseline() {
+    let mut latency = FleetLatency::new(&settings(&[800]));
+    latency.record(ClassId(0), 1_100, 1.0);
+    assert!((latency.mean() - 130.0).abs() < 1e-9);
+    assert!((latency.baseline() - 103.0).abs() < 1e-9);
+    assert!((latency.work(ClassId(0)) - 102.0).abs() < 1e-9, "a long answer hardly raises the work");
+}
+
+#[test]
+fn new_settings_keep_what_was_observed_of_a_class_and_guess_the_others() {
+    let mut latency = FleetLatency::new(&settings(&[800, 800]));
+    latency.record(ClassId(0), 60, 1.0);
+    latency.apply_settings(&settings(&[1_600, 1_600, 1_600]), &[ClassId(1), ClassId(0), ClassId(7)]);
+    assert_eq!([0, 1, 2].map(|class| latency.work(ClassId(class))), [200.0, 80.0, 200.0]);
+    assert_eq!([0, 1, 2].map(|class| latency.observed(ClassId(class))), [false, true, false]);
+}
+
+#[test]
+fn losses_are_kept_apart_for_idle_connections_and_others() {
+    let mut connections = ConnectionUse::default();
+    connections.record_attempt(true, true);
+    assert_eq!((connections.idle_loss(), connections.in_use_loss()), (0.03, 0.0));
+    connections.record_attempt(false, true);
+    assert_eq!((connections.idle_loss(), connections.in_use_loss()), (0.03, 0.03));
+    connections.record_reuse(100);
+    assert_eq!(connections.reuse_interval(), 3.0);
+}
