--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -38,7 +38,9 @@
         }
         let rank = self.ranks.rank(worth, luck);
         self.ranks.push(worth, RANKED);
-        rank < 1.0 - self.share.min(outlook(crowd, LOW_CROWD)) || worth <= 0.0 || luck < 1.0 - admit
+        rank < 1.0 - self.controller.admitted_share().min(outlook(crowd, LOW_CROWD))
+            || worth <= 0.0
+            || luck < 1.0 - admit
     }
 
     /// The wait to expect for each part of a query, with its weight, the longest first.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod cold;
+mod controller;
 mod quality;
 mod query;
 mod replicas;
@@ -17,7 +18,8 @@
     TokenBucket,
 };
 use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
-use quality::{CONTROL_TICKS, MAX_READINGS, MIN_SAMPLE, WANTED_READINGS};
+use controller::PidController;
+use quality::QUALITY_WINDOW;
 use query::{Attempt, Part, Query, Stage};
 use replicas::{reaped, Replica};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +28,10 @@
 const AIM_TICKS: u64 = 3;
 /// Ticks kept free before the client's time is up.
 const END_TICKS: u64 = 4;
+/// Period of the controller, in ticks; open queries are looked at after each tenth of it.
+const CONTROL_TICKS: u64 = 50;
+/// A replica that is not ready is forgotten after so many windows.
+const GONE_WINDOWS: u64 = 3;
 /// A part is overdue after so many times the fleet's usual response time.
 const OVERDUE_RATIO: f64 = 5.5;
 
@@ -64,8 +70,7 @@
     retries: RatioBudget,
     ranks: RecentValues,
     quotas: Vec<TokenBucket>,
-    share: f64,
-    errors: [f64; 2],
+    controller: PidController,
     control_at: Nanos,
     ask_at: Option<Nanos>,
     wake: Nanos,
@@ -80,7 +85,7 @@
             now,
             latency: FleetLatency::new(&settings),
             quotas: vec![TokenBucket::new(1.0, now); settings.tenants.len()],
-            share: 1.0,
+            controller: PidController::new(),
             control_at: now,
             ask_at: settings.max_poll_interval.map(|_| now),
             settings,
@@ -126,10 +131,9 @@
                 let end = self.now.saturating_add(time_left.saturating_sub(self.settings.ticks(END_TICKS)));
                 let due = self.now + aim.saturating_sub(self.settings.ticks(AIM_TICKS));
                 self.retries.earn(self.now);
-                let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
-                let more = |rng: &mut fastrand::Rng| seen < MAX_READINGS && rng.f64() < MIN_SAMPLE;
-                let sampled = worth >= self.settings.max_priority_weight()
-                    && (seen < WANTED_READINGS || more(&mut self.rng));
+                let samples = self.queries.values().filter(|q| q.sampled).count();
+                let top = worth >= self.settings.max_priority_weight();
+                let sampled = top && quality::take_sample(samples, &mut self.rng);
                 let seq = self.next_query;
                 self.next_query += 1;
                 let q = Query {
@@ -245,7 +249,7 @@
             if self.turned_away(seq, crowd) {
                 return self.finish(seq, Final::GiveUp, actions);
             }
-            let admitted = self.share.min(outlook(crowd, LIGHT_CROWD));
+            let admitted = self.controller.admitted_share().min(outlook(crowd, LIGHT_CROWD));
             let long = waits.iter().filter(|w| c.allows_partial() && w.0 >= late).map(|w| w.2);
             if let Some(q) = self.queries.get_mut(&seq) {
                 q.stage = Stage::First;
@@ -275,6 +279,28 @@
         }
     }
 
+    /// Forgets what is over, and sets the admitted share by the quality of the last window.
+    fn control(&mut self) {
+        if self.now < self.control_at {
+            return;
+        }
+        let period = self.settings.ticks(CONTROL_TICKS);
+        self.control_at = self.now + period;
+        let horizon = self.now.saturating_sub(QUALITY_WINDOW);
+        self.queries.retain(|_, q| q.open() || (q.sampled && q.taken >= horizon));
+        self.parts.retain(|_, (seq, _)| self.queries.contains_key(seq));
+        // Replicas are replaced by new ones for ever; one that comes back is told anew, with its start.
+        let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
+        self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
+        self.placed.retain(|id, _| self.replicas.contains_key(id));
+        self.retries.expire(self.now, self.settings.retry_budget.map_or(0, |b| 2 * b.window));
+        self.balance();
+        let samples = self.queries.values().filter(|q| q.sampled);
+        let last_ok = |a: &Attempt| self.replicas.get(&a.replica).map(|r| r.last_ok);
+        let reading = quality::measure(samples, |a| last_ok(a).is_some_and(|ok| ok > a.at), self.now);
+        self.controller.update(&reading, period);
+    }
+
     fn wake_up(&mut self, actions: &mut Vec<Action>) {
         let open = || self.queries.values().filter(|q| q.open());
         let dues = open().flat_map(|q| [q.due, q.end]);
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -6,6 +6,8 @@
 const STALE: u64 = 4;
 /// Ticks at the edges of the retry budget's window that count against it.
 const EDGE_TICKS: u64 = 2;
+/// Share of sends that still use idle connections where those are dropped unseen, to learn when it ends.
+const IDLE_SAMPLE: f64 = 0.2;
 /// What a turn goes on beyond an even step, so that in time it meets all of each share.
 const SLIP: f64 = 0.01;
 
@@ -53,7 +55,7 @@
         if r.used < now && r.flights.is_empty() {
             // Dropped idle connections are met by closing them, but for a sample that tells when it ends.
             let idle = (1..fresh).contains(&r.used);
-            let close = idle && reaped(&self.connections) && self.rng.f64() > MIN_SAMPLE;
+            let close = idle && reaped(&self.connections) && self.rng.f64() > IDLE_SAMPLE;
             actions.extend(close.then_some(Action::CloseIdle(replica)));
             r.idle = idle && !close;
         }
@@ -91,7 +93,7 @@
         let (due, end, sampled) = (q.due, q.end, q.sampled && !self.settings.reduction.skip_late_samples);
         let second = q.stage == Stage::Second;
         // Late worth is chased only while nothing is shed: otherwise a part not begun by the aim is dropped.
-        let chase = sampled || (c.late_weight > 0.0 && self.share >= 1.0);
+        let chase = sampled || (c.late_weight > 0.0 && self.controller.admitted_share() >= 1.0);
         let until = if chase || self.now >= due { end } else { due };
         let timeout = until.saturating_sub(self.now).max(self.settings.tick);
         for at in 0..count {
