--- a/src/lib.rs
+++ b/src/lib.rs
@@ -100,6 +100,7 @@
 pub mod net;
 pub mod policy;
 pub mod proto;
+pub mod queries;
 pub mod settings;
 pub mod stats;
 pub mod time;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,20 +7,18 @@
 mod cold;
 mod controller;
 mod quality;
-mod query;
 mod replicas;
 mod sending;
 mod shares;
 
 use crate::interface::*;
+use crate::queries::{Attempt, FirstAnswer, Part, PartKey, Query, QueryNo, QueryTable, Stage};
 use crate::stats::{
     exponential, ConnectionUse, DecayingAverage, FleetLatency, RatioBudget, RecentValues, TimeWindow,
     TokenBucket,
 };
-use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
 use controller::PidController;
 use quality::QUALITY_WINDOW;
-use query::{Attempt, Part, Query, Stage};
 use replicas::{reaped, Replica};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,18 +40,13 @@
     GiveUp,
 }
 
-/// A part: its query, and its place there.
-type PartAt = (u64, usize);
-
 /// The decisions of one coordinator.
 #[derive(Debug, Default)]
 pub struct DecisionPolicy {
     settings: Settings,
     rng: fastrand::Rng,
     now: Nanos,
-    queries: BTreeMap<u64, Query>,
-    next_query: u64,
-    parts: BTreeMap<PartId, PartAt>,
+    queries: QueryTable,
     /// Where each attempt is, its class, how many of this instance's were there, it included, and whether
     /// it went out on a connection that had been idle.
     flights: BTreeMap<(PartId, AttemptNo), (ReplicaId, ClassId, f64, bool)>,
@@ -106,9 +99,9 @@
             self.ask_at = Some(self.now + self.settings.max_poll_interval.unwrap_or(Nanos::MAX) / 2);
         }
         self.control();
-        let open: Vec<u64> = self.queries.keys().copied().collect();
-        for seq in open {
-            self.step(seq, actions);
+        let numbers: Vec<QueryNo> = self.queries.numbers().collect();
+        for number in numbers {
+            self.step(number, actions);
         }
         self.wake_up(actions);
     }
@@ -125,52 +118,43 @@
                     return actions.push(Action::Fail(*query));
                 };
                 let stretch = (c.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
-                let aim = (c.latency_objective + stretch).min(c.deadline);
+                let objective = (c.latency_objective + stretch).min(c.deadline);
                 let share = if self.over_quota(*tenant) { self.settings.over_quota_weight } else { 1.0 };
-                let worth = c.priority_weight * share;
-                let end = self.now.saturating_add(time_left.saturating_sub(self.settings.ticks(END_TICKS)));
-                let due = self.now + aim.saturating_sub(self.settings.ticks(AIM_TICKS));
+                let priority = c.priority_weight * share;
+                let time_left = time_left.saturating_sub(self.settings.ticks(END_TICKS));
+                let deadline = self.now.saturating_add(time_left);
+                let respond_by = self.now + objective.saturating_sub(self.settings.ticks(AIM_TICKS));
                 self.retries.earn(self.now);
-                let samples = self.queries.values().filter(|q| q.sampled).count();
-                let top = worth >= self.settings.max_priority_weight();
-                let sampled = top && quality::take_sample(samples, &mut self.rng);
-                let seq = self.next_query;
-                self.next_query += 1;
-                let q = Query {
+                let top = priority >= self.settings.max_priority_weight();
+                let sampled = top && quality::take_sample(self.queries.samples().count(), &mut self.rng);
+                self.queries.insert(Query {
                     id: *query,
                     class: *class,
                     group: *group,
-                    worth,
-                    luck: self.rng.f64(),
-                    stage: Stage::New,
-                    taken: self.now,
-                    due: due.min(end),
-                    end,
+                    priority,
+                    admission_draw: self.rng.f64(),
+                    stage: Stage::Received,
+                    received_at: self.now,
+                    respond_by: respond_by.min(deadline),
+                    deadline,
                     sampled,
-                    first: None,
+                    first_answer: None,
                     parts: Vec::new(),
-                };
-                self.queries.insert(seq, q);
+                });
             }
             Event::Part { part, group, shard, weight } => {
                 self.retries.earn(self.now);
-                let mut open = self.queries.iter_mut().rev().filter(|(_, q)| q.open());
-                let Some((seq, q)) = open.find(|(_, q)| q.group == *group) else { return };
-                self.parts.insert(*part, (*seq, q.parts.len()));
-                let second = q.stage == Stage::Second;
-                let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
-                let (id, class, shard) = (*part, q.class, *shard);
-                q.parts.push(Part { id, class, shard, weight, second, asked: true, ..Part::default() });
+                self.queries.add_part(*group, Part::new(*part, *shard, *weight));
             }
             Event::Outcome { part, attempt, outcome, elapsed } => {
                 self.on_outcome(*part, *attempt, *outcome, *elapsed)
             }
             Event::Abandoned(query) => {
-                if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
-                    q.stage = Stage::Over;
+                if let Some(query) = self.queries.find_open_mut(*query) {
+                    query.stage = Stage::Closed;
                     // Nobody waits for these any more: on poor links clients leave long before their time.
-                    let parts = q.parts.iter().filter(|_| self.settings.cancellation);
-                    actions.extend(parts.flat_map(Part::call_off));
+                    let parts = query.parts.iter().filter(|_| self.settings.cancellation);
+                    actions.extend(parts.flat_map(Part::cancellations));
                 }
             }
             Event::Settings { settings, class_mapping } => self.take_settings(settings, class_mapping),
@@ -199,27 +183,28 @@
     }
 
     /// The one way out for a query. Rules 1, 2 and 5 are checked here.
-    fn finish(&mut self, seq: u64, how: Final, actions: &mut Vec<Action>) {
-        let Some(q) = self.queries.get_mut(&seq).filter(|q| q.open()) else { return };
-        let c = self.settings.class(q.class);
-        let risky = c.effect != Effect::Idempotent && q.parts.iter().any(Part::may_have_run);
+    fn finish(&mut self, number: QueryNo, how: Final, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get_open_mut(number) else { return };
+        let class = self.settings.class(query.class);
+        let risky = class.effect != Effect::Idempotent && query.parts.iter().any(Part::may_have_run);
         match how {
             Final::Answer => {
-                let weight = q.weight_in();
-                let second = q.stage == Stage::Second;
-                let floor = if second { c.min_share } else { c.min_share.min(c.required_share) };
+                let weight = query.answered_weight();
+                let follow_up = query.stage == Stage::FollowUp;
+                let floor =
+                    if follow_up { class.min_share } else { class.min_share.min(class.required_share) };
                 // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
-                let all = q.complete(false);
-                if !all && (weight + 1e-6 < floor || (second && !c.allows_partial())) {
+                let all = query.all_answered();
+                if !all && (weight + 1e-6 < floor || (follow_up && !class.allows_partial())) {
                     return;
                 }
-                let enough = all || (!second && weight + 1e-6 >= c.required_share);
-                let complete = enough && q.first.is_none_or(|f| f.1);
-                actions.push(Action::Answer { query: q.id, complete });
-                let first = q.first.is_none();
-                q.first = q.first.or(Some((self.now, complete)));
-                if first && c.follow_up_parts > 0 {
-                    q.stage = Stage::Second;
+                let enough = all || (!follow_up && weight + 1e-6 >= class.required_share);
+                let complete = enough && query.first_answer.is_none_or(|first| first.complete);
+                actions.push(Action::Answer { query: query.id, complete });
+                let first = query.first_answer.is_none();
+                query.first_answer = query.first_answer.or(Some(FirstAnswer { at: self.now, complete }));
+                if first && class.follow_up_parts > 0 {
+                    query.stage = Stage::FollowUp;
                     return;
                 }
             }
@@ -227,55 +212,46 @@
                 let drawn = 0.5 * self.rng.f64() / self.settings.reduction.retry_after_factor.max(1.0);
                 let retry_after =
                     self.settings.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
-                actions.push(Action::Reject { query: q.id, retry_after });
+                actions.push(Action::Reject { query: query.id, retry_after });
             }
-            Final::GiveUp => actions.push(Action::Fail(q.id)),
+            Final::GiveUp => actions.push(Action::Fail(query.id)),
         }
-        // A sample's late parts run on to the record limit; the others are called off.
-        let sampled = q.sampled && !self.settings.reduction.skip_late_samples;
-        let runs_on = |p: &Part| sampled && !p.second && p.came.is_none();
-        let parts = q.parts.iter().filter(|p| self.settings.cancellation && !runs_on(p));
-        actions.extend(parts.flat_map(Part::call_off));
-        q.stage = Stage::Over;
+        // A sample's late parts run on to the record limit; the others are cancelled.
+        let sampled = query.sampled && !self.settings.reduction.skip_late_samples;
+        let runs_on = |part: &Part| sampled && !part.follow_up && !part.is_answered();
+        let parts = query.parts.iter().filter(|part| self.settings.cancellation && !runs_on(part));
+        actions.extend(parts.flat_map(Part::cancellations));
+        query.stage = Stage::Closed;
     }
 
-    /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
-    fn step(&mut self, seq: u64, actions: &mut Vec<Action>) {
-        let Some(q) = self.queries.get(&seq).filter(|q| q.open()) else { return };
-        let c = self.settings.class(q.class).clone();
-        if q.stage == Stage::New {
-            let waits = self.waits(q);
-            let (crowd, late) = (self.crowd(q, &waits), q.due.saturating_sub(self.now) as f64 * TOP_CROWD.0);
-            if self.turned_away(seq, crowd) {
-                return self.finish(seq, Final::GiveUp, actions);
-            }
-            let admitted = self.controller.admitted_share().min(outlook(crowd, LIGHT_CROWD));
-            let long = waits.iter().filter(|w| c.allows_partial() && w.0 >= late).map(|w| w.2);
-            if let Some(q) = self.queries.get_mut(&seq) {
-                q.stage = Stage::First;
-                q.trim(c.min_share, admitted, long);
-                for (at, p) in q.parts.iter().enumerate() {
-                    self.parts.insert(p.id, (seq, at));
-                }
-            }
+    /// Advances an open query: admits or rejects it, sends its parts, and ends it when that is due.
+    fn step(&mut self, number: QueryNo, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get_open(number) else { return };
+        let class = self.settings.class(query.class).clone();
+        if query.stage == Stage::Received && !self.admit(number, &class) {
+            return self.finish(number, Final::GiveUp, actions);
         }
-        self.send_parts(seq, &c, actions);
-        let Some(q) = self.queries.get(&seq) else { return };
-        let partial = c.allows_partial();
-        let weight = q.weight_in();
-        let first = q.stage == Stage::First;
-        let early = self.settings.reduction.answer_after * q.due.saturating_sub(q.taken) as f64;
-        let due = self.now >= q.taken + early as Nanos;
-        let enough = q.complete(true) || (first && weight >= c.required_share && c.required_share < 1.0);
-        if enough || (due && partial && weight > 0.0 && weight >= c.min_share) {
-            return self.finish(seq, Final::Answer, actions);
+        self.send_parts(number, &class, actions);
+        let Some(query) = self.queries.get(number) else { return };
+        let partial = class.allows_partial();
+        let weight = query.answered_weight();
+        let time = query.respond_by.saturating_sub(query.received_at) as f64;
+        let answer_at = query.received_at + (self.settings.reduction.answer_after * time) as Nanos;
+        let first = query.stage == Stage::FirstStep;
+        let required = first && weight >= class.required_share && class.required_share < 1.0;
+        let due = self.now >= answer_at;
+        if query.all_requested_answered()
+            || required
+            || (due && partial && weight > 0.0 && weight >= class.min_share)
+        {
+            return self.finish(number, Final::Answer, actions);
         }
-        let lost = |p: &Part| p.came.is_none() && p.out() == 0 && !self.may_try(p, &c);
-        let gone: f64 = q.parts.iter().filter(|p| p.second != first && lost(p)).map(|p| p.weight).sum();
-        let hopeless = if partial { 1.0 - gone < c.min_share - 1e-6 } else { gone > 0.0 };
-        let worthless = c.late_weight <= 0.0 && self.now >= q.due;
-        if self.now >= q.end || hopeless || worthless {
-            self.finish(seq, Final::GiveUp, actions);
+        let lost = |p: &&Part| !p.is_answered() && p.in_flight().next().is_none() && !self.may_try(p, &class);
+        let gone: f64 = query.step_parts().filter(lost).map(|part| part.weight).sum();
+        let hopeless = if partial { 1.0 - gone < class.min_share - 1e-6 } else { gone > 0.0 };
+        let worthless = class.late_weight <= 0.0 && self.now >= query.respond_by;
+        if self.now >= query.deadline || hopeless || worthless {
+            self.finish(number, Final::GiveUp, actions);
         }
     }
 
@@ -287,24 +263,25 @@
         let period = self.settings.ticks(CONTROL_TICKS);
         self.control_at = self.now + period;
         let horizon = self.now.saturating_sub(QUALITY_WINDOW);
-        self.queries.retain(|_, q| q.open() || (q.sampled && q.taken >= horizon));
-        self.parts.retain(|_, (seq, _)| self.queries.contains_key(seq));
+        self.queries.remove_closed(horizon);
         // Replicas are replaced by new ones for ever; one that comes back is told anew, with its start.
         let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
         self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
         self.placed.retain(|id, _| self.replicas.contains_key(id));
         self.retries.expire(self.now, self.settings.retry_budget.map_or(0, |b| 2 * b.window));
         self.balance();
-        let samples = self.queries.values().filter(|q| q.sampled);
         let last_ok = |a: &Attempt| self.replicas.get(&a.replica).map(|r| r.last_ok);
-        let reading = quality::measure(samples, |a| last_ok(a).is_some_and(|ok| ok > a.at), self.now);
+        let reading = quality::measure(
+            self.queries.samples(),
+            |a| last_ok(a).is_some_and(|ok| ok > a.sent_at),
+            self.now,
+        );
         self.controller.update(&reading, period);
     }
 
     fn wake_up(&mut self, actions: &mut Vec<Action>) {
-        let open = || self.queries.values().filter(|q| q.open());
-        let dues = open().flat_map(|q| [q.due, q.end]);
-        let poll = open().next().map(|_| self.now + self.settings.ticks(CONTROL_TICKS / 10));
+        let dues = self.queries.open().flat_map(|query| [query.respond_by, query.deadline]);
+        let poll = self.queries.open().next().map(|_| self.now + self.settings.ticks(CONTROL_TICKS / 10));
         let idle = Some(self.control_at.max(self.now + self.settings.tick));
         let next = dues.filter(|t| *t > self.now).chain(poll).chain(idle).chain(self.ask_at).min();
         if let Some(at) = next.filter(|at| self.wake <= self.now || *at < self.wake) {
--- a/src/policy/quality.rs
+++ b/src/policy/quality.rs
@@ -1,7 +1,7 @@
 //! Answer quality as the paper (Ubora) measures it: on a sample of the queries of the highest priority.
 
-use super::query::{Attempt, Query};
 use crate::interface::{Nanos, Outcome};
+use crate::queries::{Attempt, Query};
 
 /// Window of the quality readings, in ns: the design's 10 s.
 pub(super) const QUALITY_WINDOW: Nanos = 10_000_000_000;
@@ -35,14 +35,14 @@
     now: Nanos,
 ) -> QualityReading {
     let from = now.saturating_sub(QUALITY_WINDOW);
-    let late = |a: &Attempt| a.ended == Some(Outcome::Rejected) || answered_since(a);
-    let ripe = |q: &&Query| q.first.is_some() || !q.open() || now >= q.due;
+    let late = |a: &Attempt| a.outcome == Some(Outcome::Rejected) || answered_since(a);
+    let ripe = |q: &&Query| q.first_answer.is_some() || !q.is_open() || now >= q.respond_by;
     let (mut answered, mut expected, mut count) = (0.0, 0.0, 0.0);
-    for query in samples.filter(|q| q.taken >= from).filter(ripe) {
-        let by = query.first.map_or(query.due, |f| f.0.min(query.due));
-        for part in query.parts.iter().filter(|p| !p.second) {
-            answered += part.weight * f64::from(part.came.is_some_and(|at| at <= by));
-            expected += part.weight * f64::from(part.came.is_some() || part.attempts.iter().any(late));
+    for query in samples.filter(|q| q.received_at >= from).filter(ripe) {
+        let by = query.first_answer.map_or(query.respond_by, |first| first.at.min(query.respond_by));
+        for part in query.parts.iter().filter(|p| !p.follow_up) {
+            answered += part.weight * f64::from(part.answered_at.is_some_and(|at| at <= by));
+            expected += part.weight * f64::from(part.is_answered() || part.attempts.iter().any(late));
         }
         count += 1.0;
     }
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -56,8 +56,7 @@
     pub fn ejected(&self) -> Vec<ReplicaId> {
         let Some(c) = self.settings.classes.iter().position(|c| c.active) else { return Vec::new() };
         let class = ClassId(c as u16);
-        let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
-        let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
+        let fit = |s: usize| self.fit(class, ShardId(s as u32), &[]).into_iter().map(|r| r.0);
         let used: BTreeSet<ReplicaId> = (0..self.holders.len()).flat_map(fit).collect();
         let holds = |id: &ReplicaId| self.holders.iter().flatten().any(|h| h.0 == *id);
         let ready = self.replicas.iter().filter(|r| r.1.ready).map(|r| *r.0);
@@ -144,12 +143,7 @@
                 }
             }
         }
-        let Some(&(seq, at)) = self.parts.get(&part) else { return };
-        let Some(p) = self.queries.get_mut(&seq).and_then(|q| q.parts.get_mut(at)) else { return };
-        if let Some(a) = p.attempts.get_mut(usize::from(attempt.0)) {
-            a.ended = Some(outcome);
-        }
-        p.came = p.came.or((outcome == Outcome::Ok).then_some(now));
+        self.queries.complete_attempt(part, attempt, outcome, now);
     }
 
     /// The one judgement of a replica: the wait to expect there. The longest of what it took lately, which
@@ -181,23 +175,23 @@
     }
 
     /// Where a part goes, with the wait to expect there.
-    pub(super) fn pick(&self, p: &Part, not: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
-        self.fit(p, not).first().copied()
+    pub(super) fn pick(&self, class: ClassId, shard: ShardId, not: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
+        self.fit(class, shard, not).first().copied()
     }
 
     /// A shard's replicas in turn, skipping one with a part out past the aim; if all are, the next goes.
     /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
-    fn fit(&self, p: &Part, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
-        let c = self.settings.class(p.class);
-        let Some(holders) = self.holders.get(p.shard.0 as usize) else { return Vec::new() };
+    fn fit(&self, class: ClassId, shard: ShardId, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
+        let c = self.settings.class(class);
+        let Some(holders) = self.holders.get(shard.0 as usize) else { return Vec::new() };
         // First the one in whose share the turn is.
         let upto = |n: usize| holders[..=n].iter().map(|h| h.1).sum::<f64>();
-        let first = (0..holders.len()).find(|n| self.turns[p.shard.0 as usize] < upto(*n)).unwrap_or(0);
+        let first = (0..holders.len()).find(|n| self.turns[shard.0 as usize] < upto(*n)).unwrap_or(0);
         let order = (0..holders.len()).map(|i| holders[(first + i) % holders.len()].0);
         let able: Vec<(ReplicaId, f64, f64)> = order
             .filter(|id| !not.contains(id))
             .filter_map(|id| self.replicas.get(&id).map(|r| (id, r)))
-            .filter(|(_, r)| self.cold_room(r, p.class))
+            .filter(|(_, r)| self.cold_room(r, class))
             .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
         let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -19,37 +19,37 @@
     }
 
     /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
-    fn send(&mut self, (seq, at): PartAt, replica: ReplicaId, timeout: Nanos, actions: &mut Vec<Action>) {
-        let left = self.retries_left();
-        let Some(q) = self.queries.get(&seq) else { return };
-        let (Some(p), Some(r)) = (q.parts.get(at), self.replicas.get(&replica)) else { return };
-        let first_risk = p.attempts.iter().find(|a| a.may_have_run()).map(|a| a.at);
-        let by = match (self.settings.class(q.class).effect, first_risk) {
+    fn send(&mut self, key: PartKey, replica: ReplicaId, timeout: Nanos, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get_open(key.query) else { return };
+        let (Some(part), Some(r)) = (query.parts.get(key.index), self.replicas.get(&replica)) else { return };
+        let class = self.settings.class(query.class);
+        let first_risk = part.attempts.iter().find(|attempt| attempt.may_have_run());
+        let not_after = match (class.effect, first_risk) {
             (Effect::Idempotent, _) | (_, None) => Nanos::MAX,
-            (Effect::Deduplicated(window), Some(t)) => {
-                (t + window).saturating_sub(self.settings.ticks(END_TICKS))
+            (Effect::Deduplicated(window), Some(attempt)) => {
+                (attempt.sent_at + window).saturating_sub(self.settings.ticks(END_TICKS))
             }
             (Effect::NonIdempotent, Some(_)) => 0,
         };
-        let holds = self.holders.get(p.shard.0 as usize).is_some_and(|h| h.iter().any(|h| h.0 == replica));
-        let cost = self.cost(q.class);
-        let further = !p.attempts.is_empty();
-        let allowed = q.open()
-            && p.second == (q.stage == Stage::Second)
-            && p.came.is_none()
-            && self.now < q.end
-            && self.now < by
+        let shard = part.shard.0 as usize;
+        let holds = self.holders.get(shard).is_some_and(|h| h.iter().any(|h| h.0 == replica));
+        let in_flight = part.in_flight().count();
+        let retry = !part.attempts.is_empty();
+        let allowed = part.follow_up == (query.stage == Stage::FollowUp)
+            && !part.is_answered()
+            && self.now < query.deadline
+            && self.now < not_after
             && r.ready
             && holds
-            && self.cold_room(r, p.class)
-            && (p.attempts.len() as u32) < self.settings.class(q.class).max_attempts.max(1)
-            && (p.out() == 0 || (self.settings.hedging && p.out() < 2))
-            && (!further || left >= 1.0);
+            && self.cold_room(r, query.class)
+            && (part.attempts.len() as u32) < class.max_attempts.max(1)
+            && (in_flight == 0 || (self.settings.hedging && in_flight < 2))
+            && (!retry || self.retries_left() >= 1.0);
         if !allowed {
             return;
         }
-        let (part, class, shard, now) = (p.id, q.class, p.shard.0 as usize, self.now);
-        let attempt = AttemptNo(p.attempts.len() as u16);
+        let (id, class, cost, now) = (part.id, query.class, self.cost(query.class), self.now);
+        let attempt = AttemptNo(part.attempts.len() as u16);
         let fresh = now.saturating_sub(self.settings.min_latency_objective() / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
         if r.used < now && r.flights.is_empty() {
@@ -63,7 +63,7 @@
             self.connections.record_reuse(now - r.used);
         }
         r.used = now;
-        r.flights.insert((now, part, attempt));
+        r.flights.insert((now, id, attempt));
         let (idle, place) = (r.idle, r.flights.len() as f64);
         if let Some(rule) = self.settings.slow_start {
             r.cold_sent.expire(now, rule.overload_window);
@@ -71,61 +71,70 @@
         r.cold_sent.push(now, cost);
         r.cold_draw = exponential(&mut self.rng);
         self.turns[shard] = (self.turns[shard] + 1.0 / self.holders[shard].len() as f64 + SLIP).fract();
-        if let Some(p) = self.queries.get_mut(&seq).and_then(|q| q.parts.get_mut(at)) {
-            p.attempts.push(Attempt { replica, at: now, ended: None });
+        if let Some(part) = self.queries.part_mut(key) {
+            part.attempts.push(Attempt { replica, sent_at: now, outcome: None });
         }
-        self.flights.insert((part, attempt), (replica, class, place, idle));
-        if further {
+        self.flights.insert((id, attempt), (replica, class, place, idle));
+        if retry {
             self.retries.spend(now);
         }
-        actions.push(Action::Send { part, replica, timeout, not_after: by });
+        actions.push(Action::Send { part: id, replica, timeout, not_after });
     }
 
     /// May the rules of its class ever allow another attempt?
-    pub(super) fn may_try(&self, p: &Part, c: &Class) -> bool {
-        let again = c.effect != Effect::NonIdempotent || !p.may_have_run();
-        again && (p.attempts.len() as u32) < c.max_attempts.max(1)
+    pub(super) fn may_try(&self, part: &Part, class: &Class) -> bool {
+        let again = class.effect != Effect::NonIdempotent || !part.may_have_run();
+        again && (part.attempts.len() as u32) < class.max_attempts.max(1)
     }
 
-    pub(super) fn send_parts(&mut self, seq: u64, c: &Class, actions: &mut Vec<Action>) {
-        let Some(q) = self.queries.get(&seq) else { return };
-        let count = q.parts.len();
-        let (due, end, sampled) = (q.due, q.end, q.sampled && !self.settings.reduction.skip_late_samples);
-        let second = q.stage == Stage::Second;
+    /// Sends what parts of a query are to be sent now, for the first time or again.
+    pub(super) fn send_parts(&mut self, number: QueryNo, class: &Class, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get(number) else { return };
+        let count = query.parts.len();
+        let (due, deadline) = (query.respond_by, query.deadline);
+        let sampled = query.sampled && !self.settings.reduction.skip_late_samples;
+        let (follow_up, id) = (query.stage == Stage::FollowUp, query.class);
         // Late worth is chased only while nothing is shed: otherwise a part not begun by the aim is dropped.
-        let chase = sampled || (c.late_weight > 0.0 && self.controller.admitted_share() >= 1.0);
-        let until = if chase || self.now >= due { end } else { due };
+        let chase = sampled || (class.late_weight > 0.0 && self.controller.admitted_share() >= 1.0);
+        let until = if chase || self.now >= due { deadline } else { due };
         let timeout = until.saturating_sub(self.now).max(self.settings.tick);
-        for at in 0..count {
-            let Some(p) = self.queries.get(&seq).and_then(|q| q.parts.get(at)) else { return };
-            if p.second != second || !p.asked || p.came.is_some() || !self.may_try(p, c) {
+        for index in 0..count {
+            let key = PartKey { query: number, index };
+            let Some(part) = self.queries.part(key) else { return };
+            if part.follow_up != follow_up
+                || !part.requested
+                || part.is_answered()
+                || !self.may_try(part, class)
+            {
                 continue;
             }
-            let tried: Vec<ReplicaId> = p.attempts.iter().map(|a| a.replica).collect();
+            let tried: Vec<ReplicaId> = part.attempts.iter().map(|attempt| attempt.replica).collect();
             if tried.is_empty() {
-                if let Some((r, _)) = self.pick(p, &[]) {
-                    self.send((seq, at), r, timeout, actions);
+                if let Some((replica, _)) = self.pick(id, part.shard, &[]) {
+                    self.send(key, replica, timeout, actions);
                 }
                 continue;
             }
-            let out = p.attempts.iter().find(|a| a.ended.is_none());
+            let out = part.in_flight().next();
             let overdue =
-                out.is_some_and(|a| (self.now - a.at) as f64 > OVERDUE_RATIO * self.latency.baseline());
-            if (out.is_some() && !overdue) || p.out() > 1 || self.retries_left() < 1.0 {
+                out.is_some_and(|a| (self.now - a.sent_at) as f64 > OVERDUE_RATIO * self.latency.baseline());
+            if (out.is_some() && !overdue) || part.in_flight().count() > 1 || self.retries_left() < 1.0 {
                 continue;
             }
             // Another replica, or when all were tried, one where this part is not out.
             let busy = out.map_or(vec![], |a| vec![a.replica]);
-            let pick = self.pick(p, &tried).or_else(|| self.pick(p, &busy));
-            let Some((r, wait)) = pick else { continue };
+            let pick = self.pick(id, part.shard, &tried).or_else(|| self.pick(id, part.shard, &busy));
+            let Some((replica, wait)) = pick else { continue };
             let in_time = self.now as f64 + wait < due as f64;
             // Where a part was turned away it goes again when that may be in time, or late anyhow.
-            let late = out.is_none() && c.late_weight > 0.0 && (self.now >= due || !tried.contains(&r));
-            let stop = !self.settings.hedging && self.settings.cancellation && c.effect == Effect::Idempotent;
+            let late =
+                out.is_none() && class.late_weight > 0.0 && (self.now >= due || !tried.contains(&replica));
+            let stop =
+                !self.settings.hedging && self.settings.cancellation && class.effect == Effect::Idempotent;
             match out {
-                Some(_) if in_time && stop => actions.extend(p.call_off()),
-                _ if in_time || late || (out.is_some() && second) => {
-                    self.send((seq, at), r, timeout, actions)
+                Some(_) if in_time && stop => actions.extend(part.cancellations()),
+                _ if in_time || late || (out.is_some() && follow_up) => {
+                    self.send(key, replica, timeout, actions)
                 }
                 _ => {}
             }
--- /dev/null
+++ b/src/queries/mod.rs
@@ -0,0 +1,125 @@
+//! The table of queries: each with its parts, their attempts, and how far it is.
+//!
+//! Plain records that are kept up to date by what happens. What to do about them is for the policy to decide.
+
+mod query;
+
+#[cfg(test)]
+mod tests;
+
+pub use query::{Attempt, FirstAnswer, Part, Query, Stage};
+
+use crate::interface::{AttemptNo, GroupId, Nanos, Outcome, PartId, QueryId};
+use std::collections::BTreeMap;
+
+/// The number of a query in the table, in order of arrival.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueryNo(u64);
+
+/// Where a part is: its query, and its place among that one's parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartKey {
+    /// The part's query.
+    pub query: QueryNo,
+    /// Its index in [`Query::parts`].
+    pub index: usize,
+}
+
+/// Queries in order of arrival, found by their number, and parts by their id.
+#[derive(Debug, Default)]
+pub struct QueryTable {
+    queries: BTreeMap<QueryNo, Query>,
+    parts: BTreeMap<PartId, PartKey>,
+    next: QueryNo,
+}
+
+impl QueryTable {
+    /// Adds a query that was received.
+    pub fn insert(&mut self, query: Query) {
+        self.queries.insert(self.next, query);
+        self.next.0 += 1;
+    }
+
+    /// Adds a part to the latest open query of its group; without one it is dropped.
+    pub fn add_part(&mut self, group: GroupId, part: Part) {
+        let mut open = self.queries.iter_mut().rev().filter(|(_, query)| query.is_open());
+        let Some((number, query)) = open.find(|(_, query)| query.group == group) else { return };
+        self.parts.insert(part.id, PartKey { query: *number, index: query.parts.len() });
+        query.parts.push(Part { follow_up: query.stage == Stage::FollowUp, ..part });
+    }
+
+    /// A query that is still in the table.
+    #[must_use]
+    pub fn get(&self, number: QueryNo) -> Option<&Query> {
+        self.queries.get(&number)
+    }
+
+    /// The same, to change it.
+    pub fn get_mut(&mut self, number: QueryNo) -> Option<&mut Query> {
+        self.queries.get_mut(&number)
+    }
+
+    /// A query that awaits its final answer.
+    #[must_use]
+    pub fn get_open(&self, number: QueryNo) -> Option<&Query> {
+        self.get(number).filter(|query| query.is_open())
+    }
+
+    /// The same, to change it.
+    pub fn get_open_mut(&mut self, number: QueryNo) -> Option<&mut Query> {
+        self.get_mut(number).filter(|query| query.is_open())
+    }
+
+    /// The open query with this id, to change it.
+    pub fn find_open_mut(&mut self, id: QueryId) -> Option<&mut Query> {
+        self.queries.values_mut().find(|query| query.id == id && query.is_open())
+    }
+
+    /// A part of a query.
+    #[must_use]
+    pub fn part(&self, key: PartKey) -> Option<&Part> {
+        self.get(key.query).and_then(|query| query.parts.get(key.index))
+    }
+
+    /// The same, to change it.
+    pub fn part_mut(&mut self, key: PartKey) -> Option<&mut Part> {
+        self.get_mut(key.query).and_then(|query| query.parts.get_mut(key.index))
+    }
+
+    /// The numbers of all queries, in order of arrival.
+    pub fn numbers(&self) -> impl Iterator<Item = QueryNo> + '_ {
+        self.queries.keys().copied()
+    }
+
+    /// The queries that await their final answer.
+    pub fn open(&self) -> impl Iterator<Item = &Query> {
+        self.queries.values().filter(|query| query.is_open())
+    }
+
+    /// The queries sampled for the quality of answers, open or closed.
+    pub fn samples(&self) -> impl Iterator<Item = &Query> {
+        self.queries.values().filter(|query| query.sampled)
+    }
+
+    /// Records how an attempt ended.
+    pub fn complete_attempt(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, now: Nanos) {
+        let Some(key) = self.parts.get(&part).copied() else { return };
+        if let Some(part) = self.part_mut(key) {
+            part.complete_attempt(attempt, outcome, now);
+        }
+    }
+
+    /// Looks up anew where the parts of a query are, after its parts were put in another order.
+    pub fn reindex(&mut self, number: QueryNo) {
+        let Some(query) = self.queries.get(&number) else { return };
+        for (index, part) in query.parts.iter().enumerate() {
+            self.parts.insert(part.id, PartKey { query: number, index });
+        }
+    }
+
+    /// Removes closed queries, but for samples received since `horizon`.
+    pub fn remove_closed(&mut self, horizon: Nanos) {
+        self.queries.retain(|_, query| query.is_open() || (query.sampled && query.received_at >= horizon));
+        self.parts.retain(|_, key| self.queries.contains_key(&key.query));
+    }
+}
--- /dev/null
+++ b/src/queries/tests.rs
@@ -0,0 +1,156 @@
+//! The query table and its records.
+
+use super::{Attempt, Part, PartKey, Query, QueryNo, QueryTable, Stage};
+use crate::interface::{
+    Action, AttemptNo, ClassId, GroupId, Nanos, Outcome, PartId, QueryId, ReplicaId, ShardId,
+};
+
+const REPLICA: ReplicaId = ReplicaId([10, 0, 0, 1, 0, 80]);
+
+fn query(id: u64, group: u32, received_at: Nanos) -> Query {
+    Query {
+        id: QueryId(id),
+        class: ClassId(0),
+        group: GroupId(group),
+        priority: 1.0,
+        admission_draw: 0.5,
+        stage: Stage::Received,
+        received_at,
+        respond_by: received_at + 100,
+        deadline: received_at + 200,
+        sampled: false,
+        first_answer: None,
+        parts: Vec::new(),
+    }
+}
+
+fn part(id: u64, weight: f64) -> Part {
+    Part::new(PartId(id), ShardId(0), weight)
+}
+
+fn attempt(outcome: Option<Outcome>) -> Attempt {
+    Attempt { replica: REPLICA, sent_at: 0, outcome }
+}
+
+fn number(table: &QueryTable, id: u64) -> QueryNo {
+    let found =
+        table.numbers().find(|number| table.get(*number).is_some_and(|query| query.id == QueryId(id)));
+    found.expect("the query is in the table")
+}
+
+#[test]
+fn parts_go_to_the_latest_open_query_of_their_group() {
+    let mut table = QueryTable::default();
+    table.insert(query(1, 7, 0));
+    table.insert(query(2, 7, 0));
+    table.insert(query(3, 8, 0));
+    table.add_part(GroupId(7), part(10, 1.0));
+    table.find_open_mut(QueryId(2)).expect("open").stage = Stage::Closed;
+    table.add_part(GroupId(7), part(11, 1.0));
+    table.add_part(GroupId(9), part(12, 1.0));
+    let parts = |id| table.get(number(&table, id)).map(|query| query.parts.iter().map(|p| p.id.0).collect());
+    assert_eq!([1, 2, 3].map(parts), [Some(vec![11]), Some(vec![10]), Some(vec![])]);
+}
+
+#[test]
+fn parts_of_the_follow_up_step_are_told_apart_and_only_the_present_step_counts() {
+    let mut table = QueryTable::default();
+    table.insert(query(1, 7, 0));
+    table.add_part(GroupId(7), part(10, 0.75));
+    table.complete_attempt(PartId(10), AttemptNo(0), Outcome::Ok, 5);
+    let first = table.find_open_mut(QueryId(1)).expect("open");
+    assert!(first.all_answered());
+    assert_eq!(first.answered_weight(), 0.75);
+    first.stage = Stage::FollowUp;
+    assert!(!first.all_answered(), "no part of this step has come yet");
+    table.add_part(GroupId(7), part(11, 0.5));
+    let query = table.get(number(&table, 1)).expect("kept");
+    assert_eq!(query.step_parts().map(|part| part.id).collect::<Vec<_>>(), [PartId(11)]);
+    assert_eq!(query.answered_weight(), 0.0);
+}
+
+#[test]
+fn a_part_that_is_not_requested_is_missing_only_from_the_complete_answer() {
+    let mut query = query(1, 7, 0);
+    query.stage = Stage::FirstStep;
+    let (mut asked, mut omitted) = (part(10, 0.5), part(11, 0.5));
+    asked.answered_at = Some(5);
+    omitted.requested = false;
+    query.parts = vec![asked, omitted];
+    assert!(query.all_requested_answered() && !query.all_answered());
+}
+
+#[test]
+fn the_first_answer_to_a_part_counts_and_unknown_attempts_are_ignored() {
+    let mut table = QueryTable::default();
+    table.insert(query(1, 7, 0));
+    table.add_part(GroupId(7), part(10, 1.0));
+    let key = PartKey { query: number(&table, 1), index: 0 };
+    table.part_mut(key).expect("kept").attempts = vec![attempt(None), attempt(None)];
+    table.complete_attempt(PartId(10), AttemptNo(1), Outcome::Ok, 50);
+    table.complete_attempt(PartId(10), AttemptNo(0), Outcome::Ok, 60);
+    table.complete_attempt(PartId(10), AttemptNo(9), Outcome::Error, 70);
+    table.complete_attempt(PartId(99), AttemptNo(0), Outcome::Ok, 80);
+    let part = table.part(key).expect("kept");
+    assert_eq!(part.answered_at, Some(50));
+    assert_eq!(part.attempts, [attempt(Some(Outcome::Ok)), attempt(Some(Outcome::Ok))]);
+}
+
+#[test]
+fn only_attempts_in_flight_are_cancelled() {
+    let mut part = part(10, 1.0);
+    part.attempts = vec![attempt(Some(Outcome::Error)), attempt(None)];
+    let cancel = Action::Cancel { part: PartId(10), attempt: AttemptNo(1) };
+    assert_eq!(part.cancellations().collect::<Vec<_>>(), [cancel]);
+    assert_eq!(part.in_flight().count(), 1);
+}
+
+#[test]
+fn only_three_outcomes_prove_that_an_attempt_never_ran() {
+    for outcome in [Outcome::Rejected, Outcome::ConnectFailed, Outcome::NotSent] {
+        assert!(!attempt(Some(outcome)).may_have_run(), "{outcome:?}");
+    }
+    for outcome in [Outcome::Ok, Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+        assert!(attempt(Some(outcome)).may_have_run(), "{outcome:?}");
+    }
+    assert!(attempt(None).may_have_run(), "in flight");
+}
+
+#[test]
+fn a_weight_that_is_no_share_counts_as_nothing() {
+    for weight in [f64::NAN, f64::INFINITY, -1.0] {
+        assert_eq!(part(10, weight).weight, 0.0);
+    }
+}
+
+#[test]
+fn parts_are_found_after_they_were_put_in_another_order() {
+    let mut table = QueryTable::default();
+    table.insert(query(1, 7, 0));
+    table.add_part(GroupId(7), part(10, 0.1));
+    table.add_part(GroupId(7), part(11, 0.9));
+    let number = number(&table, 1);
+    table.get_mut(number).expect("kept").parts.reverse();
+    table.reindex(number);
+    table.complete_attempt(PartId(10), AttemptNo(0), Outcome::Ok, 5);
+    let answered = |index| table.part(PartKey { query: number, index }).map(Part::is_answered);
+    assert_eq!([answered(0), answered(1)], [Some(false), Some(true)]);
+}
+
+#[test]
+fn closed_queries_are_removed_but_for_recent_samples() {
+    let mut table = QueryTable::default();
+    for (id, sampled, received_at) in [(1, false, 100), (2, true, 100), (3, true, 10), (4, false, 10)] {
+        table.insert(Query { sampled, ..query(id, id as u32, received_at) });
+        table.add_part(GroupId(id as u32), part(10 * id, 1.0));
+    }
+    for id in [1, 2, 3] {
+        table.find_open_mut(QueryId(id)).expect("open").stage = Stage::Closed;
+    }
+    table.remove_closed(50);
+    let left: Vec<u64> = table.numbers().filter_map(|n| table.get(n)).map(|query| query.id.0).collect();
+    assert_eq!(left, [2, 4]);
+    assert_eq!(table.open().map(|query| query.id.0).collect::<Vec<_>>(), [4]);
+    assert_eq!(table.samples().map(|query| query.id.0).collect::<Vec<_>>(), [2]);
+    assert_eq!(table.parts.len(), 2, "their parts are gone with them");
+}
