--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,22 +4,22 @@
 //! retry, answer or give up. Each rule is checked where its action leaves: `send`, `finish`.
 
 mod admission;
-mod cold;
 mod controller;
 mod quality;
 mod replicas;
 mod sending;
 mod shares;
+mod slow_start;
 
 use crate::interface::*;
 use crate::queries::{Attempt, FirstAnswer, Part, PartKey, Query, QueryNo, QueryTable, Stage};
 use crate::stats::{
-    exponential, ConnectionUse, DecayingAverage, FleetLatency, RatioBudget, RecentValues, TimeWindow,
-    TokenBucket,
+    exponential, ConnectionUse, DecayingAverage, FleetLatency, RatioBudget, RecentValues, TokenBucket,
 };
 use controller::PidController;
 use quality::QUALITY_WINDOW;
 use replicas::{reaped, Replica};
+use slow_start::SlowStartGuard;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Ticks kept free before an aim: one to see the answer, one to send it, one for the way to the client.
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -26,8 +26,6 @@
     pub(super) ready: bool,
     /// When a list last named it, or left it out as it was ready.
     pub(super) listed: Nanos,
-    /// When it is taken to have started; `None`: long ago.
-    pub(super) started: Option<Nanos>,
     /// Smoothed response time.
     pub(super) pace: DecayingAverage,
     pub(super) last_ok: Nanos,
@@ -40,10 +38,7 @@
     pub(super) strikes: u32,
     pub(super) trial_at: Nanos,
     pub(super) flights: BTreeSet<(Nanos, PartId, AttemptNo)>,
-    /// Work sent while cold.
-    pub(super) cold_sent: TimeWindow<f64>,
-    /// Chance's part in when it gets its next one; see `cold_room`.
-    pub(super) cold_draw: f64,
+    pub(super) slow_start: SlowStartGuard,
 }
 
 /// Idle connections are dropped unseen: far more is lost on them than on others. An outage raises both.
@@ -81,15 +76,13 @@
             let draw = exponential(&mut self.rng);
             let r = self.replicas.entry(m.replica).or_insert_with(|| Replica {
                 pace: DecayingAverage::new(typical, now),
-                cold_draw: draw,
+                slow_start: SlowStartGuard::new(draw),
                 ..Replica::default()
             });
             r.cell = m.cell;
             r.listed = now;
             r.ready = m.state == EndpointState::Ready;
-            if m.started_at > 0 {
-                r.started = Some(r.started.map_or(m.started_at, |s| s.max(m.started_at)));
-            }
+            r.slow_start.restart(m.started_at);
         }
         let cells = self.settings.cells.max(1);
         for (s, holders) in self.holders.iter_mut().enumerate() {
@@ -165,6 +158,11 @@
         wait + on_top * class.latency_objective as f64
     }
 
+    /// Work of a part with its call, as far as observed.
+    pub(super) fn work(&self, class: ClassId) -> f64 {
+        self.latency.work(class) + self.settings.call_overhead as f64
+    }
+
     /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
     /// A replica that fails fast looks idle; parts that can go again find out when it is sound again.
     fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
@@ -191,7 +189,7 @@
         let able: Vec<(ReplicaId, f64, f64)> = order
             .filter(|id| !not.contains(id))
             .filter_map(|id| self.replicas.get(&id).map(|r| (id, r)))
-            .filter(|(_, r)| self.cold_room(r, class))
+            .filter(|(_, r)| r.slow_start.admits(self.work(class), &self.settings, self.now))
             .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
         let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -33,6 +33,7 @@
         };
         let shard = part.shard.0 as usize;
         let holds = self.holders.get(shard).is_some_and(|h| h.iter().any(|h| h.0 == replica));
+        let work = self.work(query.class);
         let in_flight = part.in_flight().count();
         let retry = !part.attempts.is_empty();
         let allowed = part.follow_up == (query.stage == Stage::FollowUp)
@@ -41,14 +42,14 @@
             && self.now < not_after
             && r.ready
             && holds
-            && self.cold_room(r, query.class)
+            && r.slow_start.admits(work, &self.settings, self.now)
             && (part.attempts.len() as u32) < class.max_attempts.max(1)
             && (in_flight == 0 || (self.settings.hedging && in_flight < 2))
             && (!retry || self.retries_left() >= 1.0);
         if !allowed {
             return;
         }
-        let (id, class, cost, now) = (part.id, query.class, self.cost(query.class), self.now);
+        let (id, class, now) = (part.id, query.class, self.now);
         let attempt = AttemptNo(part.attempts.len() as u16);
         let fresh = now.saturating_sub(self.settings.min_latency_objective() / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
@@ -65,11 +66,7 @@
         r.used = now;
         r.flights.insert((now, id, attempt));
         let (idle, place) = (r.idle, r.flights.len() as f64);
-        if let Some(rule) = self.settings.slow_start {
-            r.cold_sent.expire(now, rule.overload_window);
-        }
-        r.cold_sent.push(now, cost);
-        r.cold_draw = exponential(&mut self.rng);
+        r.slow_start.record_send(work, self.settings.slow_start, now, &mut self.rng);
         self.turns[shard] = (self.turns[shard] + 1.0 / self.holders[shard].len() as f64 + SLIP).fract();
         if let Some(part) = self.queries.part_mut(key) {
             part.attempts.push(Attempt { replica, sent_at: now, outcome: None });
--- a/src/policy/shares.rs
+++ b/src/policy/shares.rs
@@ -14,7 +14,10 @@
     /// their list at once, while each would need many answers to see it. What it shares goes to others.
     pub(super) fn balance(&mut self) {
         let places: BTreeMap<ReplicaId, usize> = self.replicas.keys().copied().zip(0..).collect();
-        let can = |r: &Replica| (self.warmth(r, self.now) * SILENT.powi(r.strikes as i32)).max(LEAST);
+        let can = |r: &Replica| {
+            (r.slow_start.capacity(self.settings.slow_start, self.now) * SILENT.powi(r.strikes as i32))
+                .max(LEAST)
+        };
         let can: Vec<f64> = self.replicas.values().map(can).collect();
         let even = |held: &Vec<_>| held.iter().map(|h: &(_, f64)| (places[&h.0], 1.0)).collect();
         let mut shares: Vec<Vec<(usize, f64)>> = self.holders.iter().map(even).collect();
