--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,8 +7,8 @@
 mod controller;
 mod quality;
 mod replicas;
+mod rotation;
 mod sending;
-mod shares;
 mod slow_start;
 
 use crate::interface::*;
@@ -19,6 +19,7 @@
 use controller::PidController;
 use quality::QUALITY_WINDOW;
 use replicas::{reaped, Replica};
+use rotation::Rotation;
 use slow_start::SlowStartGuard;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -51,12 +52,9 @@
     /// it went out on a connection that had been idle.
     flights: BTreeMap<(PartId, AttemptNo), (ReplicaId, ClassId, f64, bool)>,
     replicas: BTreeMap<ReplicaId, Replica>,
-    /// Who holds each shard, and its share of the turns.
-    holders: Vec<Vec<(ReplicaId, f64)>>,
+    rotation: Rotation,
     /// What a replica holds where its cell does not tell.
     placed: BTreeMap<ReplicaId, BTreeSet<ShardId>>,
-    /// Where the turns of each shard are, 0 to 1.
-    turns: Vec<f64>,
     latency: FleetLatency,
     connections: ConnectionUse,
     /// Retries and hedged requests against what was received; see rule 6.
@@ -84,7 +82,7 @@
             settings,
             ..Self::default()
         };
-        module.grow(shards);
+        module.rotation.grow(shards, &mut module.rng);
         module
     }
 
@@ -110,7 +108,8 @@
         match event {
             Event::Endpoints { kind, endpoints } => self.take_list(*kind, endpoints),
             Event::Placement { replica, shards } => {
-                self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
+                let count = shards.iter().map(|shard| shard.0 as usize + 1).max().unwrap_or(0);
+                self.rotation.grow(count, &mut self.rng);
                 self.placed.insert(*replica, shards.iter().copied().collect());
             }
             Event::Query { query, group, class, tenant, expected_work, time_left } => {
@@ -162,21 +161,12 @@
         }
     }
 
-    /// Shards that are new get their places here. Where turns begin is drawn: were it the same everywhere,
-    /// instances with little traffic would go in step.
-    fn grow(&mut self, shards: usize) {
-        let most = shards.max(self.holders.len());
-        self.holders.resize(most, Vec::new());
-        let rng = &mut self.rng;
-        self.turns.resize_with(most, || rng.f64());
-    }
-
     /// What was seen of replicas and classes stays; a class that is new begins with a guess.
     fn take_settings(&mut self, settings: &Settings, heirs: &[ClassId]) {
         self.latency.apply_settings(settings, heirs);
         self.quotas.resize(settings.tenants.len(), TokenBucket::new(1.0, self.now));
         self.settings = settings.clone();
-        self.grow(settings.shards as usize);
+        self.rotation.grow(settings.shards as usize, &mut self.rng);
         let ask_at = self.ask_at;
         self.take_list(EndpointListKind::Delta, &[]);
         self.ask_at = ask_at;
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -20,6 +20,11 @@
 /// Share of `must-ask-in` within which an unanswered call for the list is made again.
 const ASK_SHARE: u64 = 8;
 
+/// What is thought of a replica with each of its silent failures in a row, as a share of before,
+const FAILURE_FACTOR: f64 = 0.5;
+/// and the least of one that is silent or warms up, as a share of a sound one: someone has to try it.
+const MIN_CAPACITY: f64 = 0.1;
+
 #[derive(Debug, Default)]
 pub(super) struct Replica {
     pub(super) cell: CellId,
@@ -51,11 +56,10 @@
     pub fn ejected(&self) -> Vec<ReplicaId> {
         let Some(c) = self.settings.classes.iter().position(|c| c.active) else { return Vec::new() };
         let class = ClassId(c as u16);
-        let fit = |s: usize| self.fit(class, ShardId(s as u32), &[]).into_iter().map(|r| r.0);
-        let used: BTreeSet<ReplicaId> = (0..self.holders.len()).flat_map(fit).collect();
-        let holds = |id: &ReplicaId| self.holders.iter().flatten().any(|h| h.0 == *id);
+        let fit = |shard| self.fit(class, shard, &[]).into_iter().map(|r| r.0);
+        let used: BTreeSet<ReplicaId> = self.rotation.shards().flat_map(fit).collect();
         let ready = self.replicas.iter().filter(|r| r.1.ready).map(|r| *r.0);
-        ready.filter(|id| holds(id) && !used.contains(id)).collect()
+        ready.filter(|id| self.rotation.holds_any(*id) && !used.contains(id)).collect()
     }
 
     pub(super) fn take_list(&mut self, kind: EndpointListKind, members: &[Endpoint]) {
@@ -85,18 +89,28 @@
             r.slow_start.restart(m.started_at);
         }
         let cells = self.settings.cells.max(1);
-        for (s, holders) in self.holders.iter_mut().enumerate() {
-            let first = s as u32 % cells;
+        for shard in self.rotation.shards() {
+            let first = shard.0 % cells;
             let holds = |(id, r): &(&ReplicaId, &Replica)| match self.placed.get(*id) {
-                Some(placed) => placed.contains(&ShardId(s as u32)),
+                Some(placed) => placed.contains(&shard),
                 None => (u32::from(r.cell.0) + cells - first) % cells < self.settings.cells_per_shard.max(1),
             };
             let ready = self.replicas.iter().filter(|r| r.1.ready && holds(r));
-            *holders = ready.map(|(id, _)| (*id, 1.0)).collect();
+            self.rotation.set_holders(shard, ready.map(|(id, _)| *id));
         }
         self.balance();
     }
 
+    /// Has each replica bear by what it can do now.
+    pub(super) fn balance(&mut self) {
+        let capacity = |r: &Replica| {
+            let warm = r.slow_start.capacity(self.settings.slow_start, self.now);
+            (warm * FAILURE_FACTOR.powi(r.strikes as i32)).max(MIN_CAPACITY)
+        };
+        let capacities = self.replicas.iter().map(|(id, r)| (*id, capacity(r))).collect();
+        self.rotation.balance(&capacities);
+    }
+
     pub(super) fn on_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
         let (now, typical) = (self.now, self.latency.mean());
@@ -181,12 +195,9 @@
     /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
     fn fit(&self, class: ClassId, shard: ShardId, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
         let c = self.settings.class(class);
-        let Some(holders) = self.holders.get(shard.0 as usize) else { return Vec::new() };
-        // First the one in whose share the turn is.
-        let upto = |n: usize| holders[..=n].iter().map(|h| h.1).sum::<f64>();
-        let first = (0..holders.len()).find(|n| self.turns[shard.0 as usize] < upto(*n)).unwrap_or(0);
-        let order = (0..holders.len()).map(|i| holders[(first + i) % holders.len()].0);
-        let able: Vec<(ReplicaId, f64, f64)> = order
+        let able: Vec<(ReplicaId, f64, f64)> = self
+            .rotation
+            .in_turn(shard)
             .filter(|id| !not.contains(id))
             .filter_map(|id| self.replicas.get(&id).map(|r| (id, r)))
             .filter(|(_, r)| r.slow_start.admits(self.work(class), &self.settings, self.now))
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -8,8 +8,6 @@
 const EDGE_TICKS: u64 = 2;
 /// Share of sends that still use idle connections where those are dropped unseen, to learn when it ends.
 const IDLE_SAMPLE: f64 = 0.2;
-/// What a turn goes on beyond an even step, so that in time it meets all of each share.
-const SLIP: f64 = 0.01;
 
 impl DecisionPolicy {
     /// Rule 6: retries left in the window, never optimistic at its edge.
@@ -31,8 +29,6 @@
             }
             (Effect::NonIdempotent, Some(_)) => 0,
         };
-        let shard = part.shard.0 as usize;
-        let holds = self.holders.get(shard).is_some_and(|h| h.iter().any(|h| h.0 == replica));
         let work = self.work(query.class);
         let in_flight = part.in_flight().count();
         let retry = !part.attempts.is_empty();
@@ -41,7 +37,7 @@
             && self.now < query.deadline
             && self.now < not_after
             && r.ready
-            && holds
+            && self.rotation.holds(part.shard, replica)
             && r.slow_start.admits(work, &self.settings, self.now)
             && (part.attempts.len() as u32) < class.max_attempts.max(1)
             && (in_flight == 0 || (self.settings.hedging && in_flight < 2))
@@ -49,7 +45,7 @@
         if !allowed {
             return;
         }
-        let (id, class, now) = (part.id, query.class, self.now);
+        let (id, shard, class, now) = (part.id, part.shard, query.class, self.now);
         let attempt = AttemptNo(part.attempts.len() as u16);
         let fresh = now.saturating_sub(self.settings.min_latency_objective() / STALE);
         let Some(r) = self.replicas.get_mut(&replica) else { return };
@@ -67,7 +63,7 @@
         r.flights.insert((now, id, attempt));
         let (idle, place) = (r.idle, r.flights.len() as f64);
         r.slow_start.record_send(work, self.settings.slow_start, now, &mut self.rng);
-        self.turns[shard] = (self.turns[shard] + 1.0 / self.holders[shard].len() as f64 + SLIP).fract();
+        self.rotation.advance(shard);
         if let Some(part) = self.queries.part_mut(key) {
             part.attempts.push(Attempt { replica, sent_at: now, outcome: None });
         }
