--- a/src/coordinator/classes/tests.rs
+++ b/src/coordinator/classes/tests.rs
@@ -7,7 +7,7 @@
 fn class(name: &str, max_attempts: u32) -> Class {
     Class {
         name: name.to_owned(),
-        in_force: true,
+        active: true,
         latency_objective: 1,
         objective_stretch: 0.0,
         deadline: 2,
@@ -16,14 +16,14 @@
         late_weight: 0.0,
         required_share: 1.0,
         min_share: 1.0,
-        follow_up: 0,
+        follow_up_parts: 0,
         max_attempts,
     }
 }
 
 /// The classes in force: name, attempts, number.
 fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
-    let listed = classes.all().into_iter().filter(|c| c.in_force);
+    let listed = classes.all().into_iter().filter(|c| c.active);
     let mut all: Vec<_> =
         listed.map(|c| (c.name.clone(), c.max_attempts, classes.find(&c.name).expect("listed").0)).collect();
     all.sort();
--- a/src/policy/replicas.rs
+++ b/src/policy/replicas.rs
@@ -4,8 +4,6 @@
 
 /// Weight of a new response time in a replica's pace.
 const PACE_GAIN: f64 = 0.5;
-/// The same for the typical figures of the fleet, which see many more answers.
-pub(super) const FLEET_GAIN: f64 = 0.03;
 /// A pace loses half its distance to the fleet's in so many aims: a skipped replica gets another look.
 const FADE_AIMS: f64 = 0.5;
 /// Weight of a new answer in a replica's share of errors, which loses half of itself in so many aims.
@@ -17,28 +15,27 @@
 const CALM_SHARE: f64 = 0.25;
 /// A replica is skipped when its expected wait is so many times the best of the shard's.
 const SKIP_RATIO: f64 = 1.4;
-/// A response time counts in the usual one for at most so many of those.
-const ODD_RATIO: f64 = 2.0;
 /// Idle connections are closed before use when they lose so much more of what is sent than others.
 const IDLE_LOSS: f64 = 0.25;
 /// Share of `must-ask-in` within which an unanswered call for the list is made again.
 const ASK_SHARE: u64 = 8;
 
+/// What is thought of a replica with each of its silent failures in a row, as a share of before,
+const FAILURE_FACTOR: f64 = 0.5;
+/// and the least of one that is silent or warms up, as a share of a sound one: someone has to try it.
+const MIN_CAPACITY: f64 = 0.1;
+
 #[derive(Debug, Default)]
 pub(super) struct Replica {
     pub(super) cell: CellId,
     pub(super) ready: bool,
     /// When a list last named it, or left it out as it was ready.
     pub(super) listed: Nanos,
-    /// When it is taken to have started; `None`: long ago.
-    pub(super) started: Option<Nanos>,
-    /// Smoothed response time, and when it was last moved.
-    pub(super) pace: f64,
-    pub(super) paced: Nanos,
+    /// Smoothed response time.
+    pub(super) pace: DecayingAverage,
     pub(super) last_ok: Nanos,
-    /// Share of its answers that were errors, and when that was last moved.
-    pub(super) errors: f64,
-    pub(super) erred: Nanos,
+    /// Share of its answers that were errors.
+    pub(super) errors: DecayingAverage,
     /// When a connection to it was last in use, and whether it had been idle then.
     pub(super) used: Nanos,
     pub(super) idle: bool,
@@ -46,35 +43,30 @@
     pub(super) strikes: u32,
     pub(super) trial_at: Nanos,
     pub(super) flights: BTreeSet<(Nanos, PartId, AttemptNo)>,
-    /// Work sent while cold.
-    pub(super) cold_sent: VecDeque<(Nanos, f64)>,
-    /// Chance's part in when it gets its next one; see `cold_room`.
-    pub(super) cold_draw: f64,
+    pub(super) slow_start: SlowStartGuard,
 }
 
 /// Idle connections are dropped unseen: far more is lost on them than on others. An outage raises both.
-pub(super) fn reaped(lost: [f64; 2]) -> bool {
-    lost[1] > lost[0] + IDLE_LOSS
+pub(super) fn reaped(connections: &ConnectionUse) -> bool {
+    connections.idle_loss() > connections.in_use_loss() + IDLE_LOSS
 }
 
 impl DecisionPolicy {
     /// Ready replicas that no part of a listed class would go to now, whatever its shard.
-    pub fn avoided(&self) -> Vec<ReplicaId> {
-        let Some(c) = self.set.classes.iter().position(|c| c.in_force) else { return Vec::new() };
+    pub fn ejected(&self) -> Vec<ReplicaId> {
+        let Some(c) = self.settings.classes.iter().position(|c| c.active) else { return Vec::new() };
         let class = ClassId(c as u16);
-        let part = |s: usize| Part { class, shard: ShardId(s as u32), ..Part::default() };
-        let fit = |s: usize| self.fit(&part(s), &[]).into_iter().map(|r| r.0);
-        let used: BTreeSet<ReplicaId> = (0..self.holders.len()).flat_map(fit).collect();
-        let holds = |id: &ReplicaId| self.holders.iter().flatten().any(|h| h.0 == *id);
+        let fit = |shard| self.fit(class, shard, &[]).into_iter().map(|r| r.0);
+        let used: BTreeSet<ReplicaId> = self.rotation.shards().flat_map(fit).collect();
         let ready = self.replicas.iter().filter(|r| r.1.ready).map(|r| *r.0);
-        ready.filter(|id| holds(id) && !used.contains(id)).collect()
+        ready.filter(|id| self.rotation.holds_any(*id) && !used.contains(id)).collect()
     }
 
     pub(super) fn take_list(&mut self, kind: EndpointListKind, members: &[Endpoint]) {
         if kind == EndpointListKind::Failed {
             // Ask again after a jittered wait, well inside the time that counts as told.
             let wait = |within| (within / ASK_SHARE) as f64 * (0.25 + 0.75 * self.rng.f64());
-            self.ask_at = self.set.max_poll_interval.map(wait).map(|wait| self.now + wait as Nanos);
+            self.ask_at = self.settings.max_poll_interval.map(wait).map(|wait| self.now + wait as Nanos);
             return;
         }
         self.ask_at = self.ask_at.filter(|_| kind == EndpointListKind::Cached);
@@ -84,74 +76,72 @@
             }
         }
         for m in members {
-            let (typical, now) = (self.typical, self.now);
-            let draw = -self.rng.f64().max(f64::MIN_POSITIVE).ln();
+            let (typical, now) = (self.latency.mean(), self.now);
+            let draw = exponential(&mut self.rng);
             let r = self.replicas.entry(m.replica).or_insert_with(|| Replica {
-                pace: typical,
-                paced: now,
-                cold_draw: draw,
+                pace: DecayingAverage::new(typical, now),
+                slow_start: SlowStartGuard::new(draw),
                 ..Replica::default()
             });
             r.cell = m.cell;
             r.listed = now;
             r.ready = m.state == EndpointState::Ready;
-            if m.started_at > 0 {
-                r.started = Some(r.started.map_or(m.started_at, |s| s.max(m.started_at)));
-            }
+            r.slow_start.restart(m.started_at);
         }
-        let cells = self.set.cells.max(1);
-        for (s, holders) in self.holders.iter_mut().enumerate() {
-            let first = s as u32 % cells;
+        let cells = self.settings.cells.max(1);
+        for shard in self.rotation.shards() {
+            let first = shard.0 % cells;
             let holds = |(id, r): &(&ReplicaId, &Replica)| match self.placed.get(*id) {
-                Some(placed) => placed.contains(&ShardId(s as u32)),
-                None => (u32::from(r.cell.0) + cells - first) % cells < self.set.cells_per_shard.max(1),
+                Some(placed) => placed.contains(&shard),
+                None => (u32::from(r.cell.0) + cells - first) % cells < self.settings.cells_per_shard.max(1),
             };
             let ready = self.replicas.iter().filter(|r| r.1.ready && holds(r));
-            *holders = ready.map(|(id, _)| (*id, 1.0)).collect();
+            self.rotation.set_holders(shard, ready.map(|(id, _)| *id));
         }
         self.balance();
     }
 
-    pub(super) fn take_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, waited: Nanos) {
+    /// Has each replica bear by what it can do now.
+    pub(super) fn balance(&mut self) {
+        let capacity = |r: &Replica| {
+            let warm = r.slow_start.capacity(self.settings.slow_start, self.now);
+            (warm * FAILURE_FACTOR.powi(r.strikes as i32)).max(MIN_CAPACITY)
+        };
+        let capacities = self.replicas.iter().map(|(id, r)| (*id, capacity(r))).collect();
+        self.rotation.balance(&capacities);
+    }
+
+    pub(super) fn on_outcome(&mut self, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
         let Some((replica, class, place, idle)) = self.flights.remove(&(part, attempt)) else { return };
-        let (now, typical, aim) = (self.now, self.typical, self.class(class).latency_objective as f64);
-        let fade = self.least_aim as f64;
+        let (now, typical) = (self.now, self.latency.mean());
+        let aim = self.settings.class(class).latency_objective as f64;
+        let fade = ERROR_FADE_AIMS * self.settings.min_latency_objective() as f64;
         if let Some(r) = self.replicas.get_mut(&replica) {
-            let sent = now.saturating_sub(waited);
+            let sent = now.saturating_sub(elapsed);
             r.flights.retain(|f| (f.1, f.2) != (part, attempt));
             let silent = r.last_ok < sent;
-            let lost = f64::from(outcome != Outcome::Ok && silent);
-            self.lost[usize::from(idle)] += (lost - self.lost[usize::from(idle)]) * FLEET_GAIN;
+            self.connections.record_attempt(idle, outcome != Outcome::Ok && silent);
             if matches!(outcome, Outcome::Ok | Outcome::Error) {
-                let error = f64::from(outcome == Outcome::Error);
-                let before = r.errors * 0.5f64.powf((now - r.erred) as f64 / (ERROR_FADE_AIMS * fade));
-                (r.errors, r.erred) = (before + (error - before) * ERROR_GAIN, now);
+                r.errors.record_decayed(now, fade, f64::from(outcome == Outcome::Error), ERROR_GAIN);
             }
-            let brief = (waited as f64) < OVERDUE_RATIO * self.usual && now - r.last_ok < aim as Nanos;
+            let brief =
+                (elapsed as f64) < OVERDUE_RATIO * self.latency.baseline() && now - r.last_ok < aim as Nanos;
             match outcome {
                 Outcome::Ok => {
-                    let took = waited as f64;
                     r.strikes = 0;
-                    r.pace += (took - r.pace) * PACE_GAIN;
-                    r.paced = now;
+                    r.pace.record(now, elapsed as f64, PACE_GAIN);
                     r.last_ok = now;
                     r.used = now;
-                    self.per_part += (took / place - self.per_part) * FLEET_GAIN;
-                    self.typical += (took - self.typical) * FLEET_GAIN;
-                    self.usual += (took.min(ODD_RATIO * self.usual) - self.usual) * FLEET_GAIN;
-                    self.met[usize::from(class.0)] = true;
-                    let w = &mut self.work[usize::from(class.0)];
-                    *w += (took - *w) * if took < *w { PACE_GAIN } else { 0.002 };
+                    self.latency.record(class, elapsed, place);
                 }
                 // Turned away in no time, yet a full waiting room is a long wait, whatever was seen before.
-                Outcome::Rejected => (r.pace, r.paced) = (r.pace.max(aim), now),
+                Outcome::Rejected => r.pace.raise_to(now, aim),
                 // Not sent, lost with an idle connection, or ended early where answers came lately: no sign.
-                _ if outcome == Outcome::NotSent || (idle && silent && reaped(self.lost)) => {}
+                _ if outcome == Outcome::NotSent || (idle && silent && reaped(&self.connections)) => {}
                 Outcome::Cancelled | Outcome::Reset | Outcome::Error if brief => {}
                 _ if !silent && outcome != Outcome::ConnectFailed => {
                     // Given up on while others were answered: the wait is known to be at least this long.
-                    r.pace += (waited as f64 - r.pace).max(0.0) * PACE_GAIN;
-                    r.paced = now;
+                    r.pace.record_lower_bound(now, elapsed as f64, PACE_GAIN);
                 }
                 _ => {
                     // Nothing answered since it was sent: a trial after two typical responses, then four, ...
@@ -160,12 +150,7 @@
                 }
             }
         }
-        let Some(&(seq, at)) = self.parts.get(&part) else { return };
-        let Some(p) = self.queries.get_mut(&seq).and_then(|q| q.parts.get_mut(at)) else { return };
-        if let Some(a) = p.attempts.get_mut(usize::from(attempt.0)) {
-            a.ended = Some(outcome);
-        }
-        p.came = p.came.or((outcome == Outcome::Ok).then_some(now));
+        self.queries.complete_attempt(part, attempt, outcome, now);
     }
 
     /// The one judgement of a replica: the wait to expect there. The longest of what it took lately, which
@@ -174,51 +159,52 @@
     /// another can be had. When a trial is due the classes with parts to spare make it; the others have half
     /// an aim on top, so that nothing is refused for ever for a silence that is long over.
     fn wait_at(&self, r: &Replica, class: &Class) -> f64 {
-        let aim = self.least_aim as f64;
-        let idle = (self.now - r.paced) as f64 / (FADE_AIMS * aim).max(self.visits);
-        let calm = self.typical.min(aim * CALM_SHARE);
-        let pace = calm + (r.pace - calm) * 0.5f64.powf(idle);
+        let aim = self.settings.min_latency_objective() as f64;
+        let calm = self.latency.mean().min(aim * CALM_SHARE);
+        let pace = r.pace.value_at(self.now, (FADE_AIMS * aim).max(self.connections.reuse_interval()), calm);
         let out = r.flights.first().map_or(0, |f| self.now - f.0);
-        let wait =
-            pace.max(out as f64).max(self.per_part.min(aim * CALM_SHARE) * (r.flights.len() as f64 + 1.0));
+        let per_part = self.latency.per_in_flight().min(aim * CALM_SHARE);
+        let wait = pace.max(out as f64).max(per_part * (r.flights.len() as f64 + 1.0));
         let trial = r.flights.is_empty() && self.now >= r.trial_at;
         let shut = (r.strikes > 0 && !trial) || out >= class.latency_objective;
-        let all_needed = class.min_share >= class.required_share;
+        let all_needed = !class.allows_partial();
         let on_top = if shut { 1.0 } else { f64::from(r.strikes > 0 && all_needed) / 2.0 };
         wait + on_top * class.latency_objective as f64
     }
 
+    /// Work of a part with its call, as far as observed.
+    pub(super) fn work(&self, class: ClassId) -> f64 {
+        self.latency.work(class) + self.settings.call_overhead as f64
+    }
+
     /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
     /// A replica that fails fast looks idle; parts that can go again find out when it is sound again.
     fn risk_at(&self, r: &Replica, class: &Class) -> f64 {
-        let fade = ERROR_FADE_AIMS * self.least_aim as f64;
-        let errors = r.errors * 0.5f64.powf((self.now - r.erred) as f64 / fade);
+        let errors =
+            r.errors.value_at(self.now, ERROR_FADE_AIMS * self.settings.min_latency_objective() as f64, 0.0);
         let unrepeatable = class.effect == Effect::NonIdempotent;
-        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.typical }
+        errors * if unrepeatable { class.latency_objective as f64 } else { ERROR_COST * self.latency.mean() }
     }
 
     /// Where a part goes, with the wait to expect there.
-    pub(super) fn pick(&self, p: &Part, not: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
-        self.fit(p, not).first().copied()
+    pub(super) fn pick(&self, class: ClassId, shard: ShardId, not: &[ReplicaId]) -> Option<(ReplicaId, f64)> {
+        self.fit(class, shard, not).first().copied()
     }
 
     /// A shard's replicas in turn, skipping one with a part out past the aim; if all are, the next goes.
     /// Beyond the design it skips any whose wait is far over the shard's best; with all slow it skips none.
-    fn fit(&self, p: &Part, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
-        let c = self.class(p.class);
-        let Some(holders) = self.holders.get(p.shard.0 as usize) else { return Vec::new() };
-        // First the one in whose share the turn is.
-        let upto = |n: usize| holders[..=n].iter().map(|h| h.1).sum::<f64>();
-        let first = (0..holders.len()).find(|n| self.turns[p.shard.0 as usize] < upto(*n)).unwrap_or(0);
-        let order = (0..holders.len()).map(|i| holders[(first + i) % holders.len()].0);
-        let able: Vec<(ReplicaId, f64, f64)> = order
+    fn fit(&self, class: ClassId, shard: ShardId, not: &[ReplicaId]) -> Vec<(ReplicaId, f64)> {
+        let c = self.settings.class(class);
+        let able: Vec<(ReplicaId, f64, f64)> = self
+            .rotation
+            .in_turn(shard)
             .filter(|id| !not.contains(id))
             .filter_map(|id| self.replicas.get(&id).map(|r| (id, r)))
-            .filter(|(_, r)| self.cold_room(r, p.class))
+            .filter(|(_, r)| r.slow_start.admits(self.work(class), &self.settings, self.now))
             .map(|(id, r)| (id, self.wait_at(r, c), self.risk_at(r, c)))
             .collect();
         let best = able.iter().map(|r| r.1 + r.2).fold(f64::INFINITY, f64::min);
-        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.typical);
+        let fit = able.iter().filter(|r| r.1 + r.2 <= SKIP_RATIO * best + 0.5 * self.latency.mean());
         fit.map(|r| (r.0, r.1)).collect()
     }
 }
