--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,7 +1,7 @@
 //! The second address, for operators: a thread of its own, so that a worker with too much to do delays no reply. It
 //! reads atomics only.
 
-use super::{try_read, Tried};
+use super::{try_read, IoOutcome};
 use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -21,7 +21,7 @@
 }
 
 /// What is told here.
-pub struct Told {
+pub struct AdminEndpoint {
     /// The figures.
     pub figures: Arc<Metrics>,
     /// Can this process serve? If not, why.
@@ -31,7 +31,7 @@
 }
 
 /// Answers calls for as long as the process lives.
-pub fn start(address: SocketAddr, told: Told) -> Result<(), String> {
+pub fn start(address: SocketAddr, told: AdminEndpoint) -> Result<(), String> {
     let fault = |e: std::io::Error| format!("the second address {address}: {e}");
     let listener = TcpListener::bind(address).map_err(fault)?;
     listener.set_nonblocking(true).map_err(fault)?;
@@ -58,7 +58,7 @@
 }
 
 /// Waits, accepts, and answers whoever has asked.
-fn round(listener: &TcpListener, callers: &mut Vec<Conn>, told: &Told) {
+fn round(listener: &TcpListener, callers: &mut Vec<Conn>, told: &AdminEndpoint) {
     let mut waited: Vec<PollFd<'_>> = vec![PollFd::new(listener, PollFlags::IN)];
     waited.extend(callers.iter().map(|c| PollFd::new(&c.stream, PollFlags::IN)));
     let sleep = Timespec { tv_sec: 0, tv_nsec: MAX_SLEEP_MS.0 * 1_000_000 };
@@ -95,14 +95,14 @@
 }
 
 /// Reads on, and replies once the call is here. True: this caller is done.
-fn answered(conn: &mut Conn, told: &Told) -> bool {
+fn answered(conn: &mut Conn, told: &AdminEndpoint) -> bool {
     let ended = match try_read(&conn.stream, conn.caller.input.room()) {
-        Tried::Moved(n) => {
+        IoOutcome::Transferred(n) => {
             conn.caller.input.filled(n);
             false
         }
-        Tried::Wait => false,
-        Tried::Ended | Tried::Broke => true,
+        IoOutcome::WouldBlock => false,
+        IoOutcome::EndOfStream | IoOutcome::Broken => true,
     };
     if conn.replied {
         // What comes behind the call is dropped until the caller has closed: a close on unread bytes is a reset, which
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: accepted, read, answered, and closed when there are too many or they stand idle.
 
-use super::{spawn, try_read, try_write, Tried};
+use super::{spawn, try_read, try_write, IoOutcome};
 use crate::coordinator::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
 use crate::limits::BASE_MEMORY;
@@ -39,7 +39,7 @@
 
 /// What client connections may take of the process, by its limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Bounds {
+pub struct ClientLimits {
     /// Connections at a time.
     pub connections: usize,
     /// Of those, the ones between two queries: clients that asked once may never ask again, yet hold places that the
@@ -49,26 +49,26 @@
     pub bytes: usize,
 }
 
-impl Bounds {
+impl ClientLimits {
     /// The bounds under these limits of the process. The usual clients need a third of the descriptors; another third
     /// is for those that say nothing until they are shed, and the last for servers, the watch and the runtime.
     pub fn new(sockets: usize, memory: usize) -> Self {
         let sockets = sockets.saturating_sub(super::admin::reserved(sockets));
         let bytes = (memory.saturating_sub(BASE_MEMORY) / 3).max(1024 * 1024);
-        Bounds { connections: (sockets * 2 / 3).max(1), idle: sockets / 6, bytes }
+        ClientLimits { connections: (sockets * 2 / 3).max(1), idle: sockets / 6, bytes }
     }
 
     /// What is left while two processes share the limits. The idle keep theirs: they are part of the connections.
     fn halved(self) -> Self {
         let connections = (self.connections / 2).max(1);
-        Bounds { connections, idle: self.idle.min(connections / 2), bytes: self.bytes / 2 }
+        ClientLimits { connections, idle: self.idle.min(connections / 2), bytes: self.bytes / 2 }
     }
 
     /// A share of them, where so many fronts share the process.
     pub fn shared(self, fronts: usize) -> Self {
         let fronts = fronts.max(1);
         let connections = (self.connections / fronts).max(1);
-        Bounds { connections, idle: self.idle / fronts, bytes: self.bytes / fronts }
+        ClientLimits { connections, idle: self.idle / fronts, bytes: self.bytes / fronts }
     }
 }
 
@@ -147,11 +147,11 @@
 }
 
 /// All client connections.
-pub struct Clients {
+pub struct ClientConnections {
     conns: Mutex<HashMap<u64, Arc<Conn>>>,
     waiting: Mutex<HashMap<Token, Arc<Conn>>>,
     next: AtomicU64,
-    bounds: Bounds,
+    bounds: ClientLimits,
     /// Another process has half of that.
     halved: AtomicBool,
     /// Kept until the process ends: what the runtime knows of a socket that another process has too must outlive its use.
@@ -179,16 +179,16 @@
     lock.lock().unwrap_or_else(|e| e.into_inner())
 }
 
-impl Clients {
+impl ClientConnections {
     /// No connections yet, and never more than the bounds allow.
     pub fn new(
         front: Box<dyn Front>,
         listener: Arc<CoIo<TcpListener>>,
-        bounds: Bounds,
+        bounds: ClientLimits,
         inbox: Sender<Input>,
         clock: Clock,
     ) -> Arc<Self> {
-        Arc::new(Clients {
+        Arc::new(ClientConnections {
             halved: AtomicBool::new(false),
             listener,
             conns: Mutex::default(),
@@ -232,7 +232,7 @@
         }
     }
 
-    fn bounds(&self) -> Bounds {
+    fn bounds(&self) -> ClientLimits {
         if self.halved.load(Relaxed) {
             self.bounds.halved()
         } else {
@@ -343,14 +343,14 @@
         self.take(conn, state);
         while state.lingering.is_none() && (state.server.wants_input() || state.server.overrun()) {
             match try_read(sys, state.server.input().room()) {
-                Tried::Moved(n) => {
+                IoOutcome::Transferred(n) => {
                     state.server.input().filled(n);
                     state.active = self.clock.now();
                     state.began = state.began.or(Some(state.active));
                     self.take(conn, state);
                 }
-                Tried::Wait => break,
-                Tried::Ended | Tried::Broke => {
+                IoOutcome::WouldBlock => break,
+                IoOutcome::EndOfStream | IoOutcome::Broken => {
                     // A client that closes its connection has gone away.
                     if state.server.busy() {
                         return false;
@@ -363,12 +363,12 @@
         }
         while !state.server.output().is_empty() {
             match try_write(sys, state.server.output()) {
-                Tried::Moved(n) => {
+                IoOutcome::Transferred(n) => {
                     state.server.wrote(n);
                     state.active = self.clock.now();
                 }
-                Tried::Wait => break,
-                Tried::Ended | Tried::Broke => return false,
+                IoOutcome::WouldBlock => break,
+                IoOutcome::EndOfStream | IoOutcome::Broken => return false,
             }
         }
         if state.server.idle() {
@@ -590,14 +590,14 @@
         let left = input.data().len();
         input.used(left);
         match try_read(sys, input.room()) {
-            Tried::Moved(n) => {
+            IoOutcome::Transferred(n) => {
                 bytes += n;
                 if bytes > MAX_LINGER_BYTES {
                     break false;
                 }
             }
-            Tried::Wait => break true,
-            Tried::Ended | Tried::Broke => break false,
+            IoOutcome::WouldBlock => break true,
+            IoOutcome::EndOfStream | IoOutcome::Broken => break false,
         }
     };
     state.lingering = Some((since, bytes));
@@ -622,10 +622,11 @@
     }
 
     /// Connections without sockets, each as old as it says.
-    fn clients(bounds: Bounds, conns: Vec<ConnState>) -> (Arc<Clients>, Vec<Arc<Conn>>) {
+    fn clients(bounds: ClientLimits, conns: Vec<ConnState>) -> (Arc<ClientConnections>, Vec<Arc<Conn>>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let listener = Arc::new(CoIo::new(listener).expect("waited on"));
-        let clients = Clients::new(Box::new(Nothing), listener, bounds, channel().0, Clock::start());
+        let clients =
+            ClientConnections::new(Box::new(Nothing), listener, bounds, channel().0, Clock::start());
         let conns: Vec<_> = conns.into_iter().map(|c| Arc::new(Conn { state: Mutex::new(c) })).collect();
         guard(&clients.conns).extend((0..).zip(conns.iter().cloned()));
         (clients, conns)
@@ -642,8 +643,8 @@
 
     #[test]
     fn the_longest_idle_end_so_that_new_clients_find_a_place() {
-        // Clients that asked once kept all the places that the platform grants to clients, for two minutes.
-        let bounds = Bounds { connections: 100, idle: 2, bytes: 1 };
+        // ClientConnections that asked once kept all the places that the platform grants to clients, for two minutes.
+        let bounds = ClientLimits { connections: 100, idle: 2, bytes: 1 };
         let mut busy = conn(50, true, true);
         busy.server.input().feed(b"GET / HTTP/1.1\r\n\r\n");
         assert!(matches!(busy.server.poll(), Some(Ok(_))));
@@ -657,7 +658,7 @@
     #[test]
     fn who_brought_no_query_gives_way_before_who_did() {
         // A crowd that asked for /up and stayed had the usual clients' connections closed, which were idle for longer.
-        let bounds = Bounds { connections: 3, idle: 3, bytes: 1 };
+        let bounds = ClientLimits { connections: 3, idle: 3, bytes: 1 };
         let states =
             vec![conn(50, true, true), conn(5, true, false), conn(4, false, false), conn(0, false, false)];
         let (clients, conns) = clients(bounds, states);
@@ -672,7 +673,7 @@
     fn a_new_connection_that_gives_way_is_answered_if_its_request_is_here() {
         // It was closed unread, so the client had a reset for an answer.
         let (clients, conns) =
-            clients(Bounds { connections: 1, idle: 1, bytes: 1 }, vec![conn(1, false, false)]);
+            clients(ClientLimits { connections: 1, idle: 1, bytes: 1 }, vec![conn(1, false, false)]);
         let mut client =
             TcpStream::connect(clients.listener.inner().local_addr().expect("bound")).expect("it listens");
         std::io::Write::write_all(&mut client, b"GET /up HTTP/1.1\r\n\r\n").expect("sent");
@@ -695,7 +696,7 @@
     #[test]
     fn bounds_follow_the_limits_however_small() {
         // Half of the descriptors or more went to clients, but with 256 nothing was left for a crowd beside the usual.
-        let of = |sockets, mb: usize| Bounds::new(sockets, mb * 1024 * 1024);
+        let of = |sockets, mb: usize| ClientLimits::new(sockets, mb * 1024 * 1024);
         for (sockets, mb) in [(256, 32), (384, 48), (1024, 192)] {
             let bounds = of(sockets, mb);
             assert!(bounds.connections > sockets / 2 && bounds.connections + sockets / 4 < sockets);
@@ -703,7 +704,7 @@
             assert!(bounds.idle > 0 && bounds.idle < sockets / 3 - sockets / 8);
             assert!(bounds.bytes >= 5 * 1024 * 1024 && bounds.bytes < mb * 1024 * 1024 / 2);
         }
-        assert_eq!(of(40, 0), Bounds { connections: 24, idle: 6, bytes: 1024 * 1024 });
+        assert_eq!(of(40, 0), ClientLimits { connections: 24, idle: 6, bytes: 1024 * 1024 });
         assert_eq!(of(1, 32).shared(2).connections, 1);
         // Two processes of an upgrade keep the limits of one, and the old one's idle clients are not cut for it.
         let (whole, half) = (of(384, 48), of(384, 48).halved());
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -1,6 +1,6 @@
 //! Attempts at feature servers: each a request over one connection, taken from those that stand idle.
 
-use super::{spawn, try_read, try_write, Tried, Upstream, LARGE_STACK_WORDS};
+use super::{spawn, try_read, try_write, IoOutcome, Upstream, LARGE_STACK_WORDS};
 use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics, Input, COUNTERS};
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::visit::Visit;
@@ -320,7 +320,7 @@
         let mut server = guard(&self.server);
         while let Some((stream, since)) = server.idle.pop() {
             let fresh = self.clock.now().since(since) < self.idle_limit;
-            if fresh && matches!(try_read(stream.inner(), &mut [0]), Tried::Wait) {
+            if fresh && matches!(try_read(stream.inner(), &mut [0]), IoOutcome::WouldBlock) {
                 return Some(stream);
             }
         }
@@ -338,27 +338,27 @@
                     return Progress::Broke(self.called_off());
                 }
                 match try_write(stream, self.fetch.output()) {
-                    Tried::Moved(n) => {
+                    IoOutcome::Transferred(n) => {
                         if self.fetch.wrote(n) {
                             self.tally.tries.add();
                             let _ = self.inbox.send(Input::FullyWritten(self.key));
                         }
                     }
-                    Tried::Wait => break,
-                    Tried::Ended | Tried::Broke => return self.fetch.broken(),
+                    IoOutcome::WouldBlock => break,
+                    IoOutcome::EndOfStream | IoOutcome::Broken => return self.fetch.broken(),
                 }
             }
             match try_read(stream, self.fetch.reader.input.room()) {
-                Tried::Moved(n) => {
+                IoOutcome::Transferred(n) => {
                     self.fetch.reader.input.filled(n);
                     match self.fetch.advance() {
                         Progress::On => {}
                         done => return done,
                     }
                 }
-                Tried::Wait => return Progress::On,
-                Tried::Ended => return self.fetch.ended(),
-                Tried::Broke => return self.fetch.broken(),
+                IoOutcome::WouldBlock => return Progress::On,
+                IoOutcome::EndOfStream => return self.fetch.ended(),
+                IoOutcome::Broken => return self.fetch.broken(),
             }
         }
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -29,20 +29,20 @@
 const STACK: usize = 64 * 1024;
 
 /// A listening socket and the address that its operator gave it.
-pub type Listening<L> = (SocketAddr, L);
+pub type ListeningSocket<L> = (SocketAddr, L);
 
 /// Where the process that listens at this address waits for the next one; nowhere without `$TMPDIR`, since a folder that
 /// all users share is no place for it.
-pub fn place(address: SocketAddr) -> Option<PathBuf> {
+pub fn socket_path(address: SocketAddr) -> Option<PathBuf> {
     let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
     Some(PathBuf::from(folder).join(format!("quinceflow-{}-{}.sock", address.ip(), address.port())))
 }
 
 /// Has the other process gone? Its end of the line tells, however it went.
 #[derive(Debug, Clone)]
-pub struct Peer(Arc<AtomicBool>);
+pub struct PeerProcess(Arc<AtomicBool>);
 
-impl Peer {
+impl PeerProcess {
     /// It lives.
     pub fn lives(&self) -> bool {
         self.0.load(Relaxed)
@@ -50,8 +50,8 @@
 }
 
 /// Asks the process that waits here for its sockets. `None`: nobody is there, or nobody that can be used.
-pub fn take(place: &Path) -> Option<(Vec<Listening<TcpListener>>, Peer)> {
-    match try_take(place) {
+pub fn take_over(place: &Path) -> Option<(Vec<ListeningSocket<TcpListener>>, PeerProcess)> {
+    match try_take_over(place) {
         Ok(taken) => Some(taken),
         Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => None,
         Err(e) => {
@@ -61,7 +61,7 @@
     }
 }
 
-fn try_take(place: &Path) -> io::Result<(Vec<Listening<TcpListener>>, Peer)> {
+fn try_take_over(place: &Path) -> io::Result<(Vec<ListeningSocket<TcpListener>>, PeerProcess)> {
     let mut line = UnixStream::connect(place)?;
     line.set_read_timeout(Some(MAX_WAIT))?;
     line.set_write_timeout(Some(MAX_WAIT))?;
@@ -89,9 +89,9 @@
 }
 
 /// Waits on a thread for the end of the line.
-fn watch(mut line: UnixStream) -> io::Result<Peer> {
+fn watch(mut line: UnixStream) -> io::Result<PeerProcess> {
     line.set_read_timeout(None)?;
-    let peer = Peer(Arc::new(AtomicBool::new(true)));
+    let peer = PeerProcess(Arc::new(AtomicBool::new(true)));
     let lives = peer.0.clone();
     std::thread::Builder::new().stack_size(STACK).spawn(move || {
         let mut rest = [0; 64];
@@ -111,8 +111,8 @@
 /// Waits for the next process, for as long as this one lives. `taken` learns of each that has the sockets.
 pub fn offer<L: AsFd + Send + 'static>(
     place: PathBuf,
-    listening: Vec<Listening<L>>,
-    taken: impl Fn(Peer) + Send + 'static,
+    listening: Vec<ListeningSocket<L>>,
+    taken: impl Fn(PeerProcess) + Send + 'static,
 ) -> io::Result<()> {
     // Made under a name of its own and then put in place: what stands there may be stale, or a predecessor's.
     let own = place.with_extension(std::process::id().to_string());
@@ -120,10 +120,10 @@
     let door = UnixListener::bind(&own)?;
     std::fs::rename(&own, &place)?;
     std::thread::Builder::new().stack_size(STACK).spawn(move || {
-        let mut last: Option<Peer> = None;
+        let mut last: Option<PeerProcess> = None;
         for line in door.incoming().flatten() {
             // One at a time: limits are split between two.
-            if last.as_ref().is_some_and(Peer::lives) {
+            if last.as_ref().is_some_and(PeerProcess::lives) {
                 continue;
             }
             match give(line, &listening) {
@@ -139,7 +139,7 @@
 }
 
 /// Gives the sockets to whoever says the right words.
-fn give<L: AsFd>(mut line: UnixStream, listening: &[Listening<L>]) -> io::Result<Peer> {
+fn give<L: AsFd>(mut line: UnixStream, listening: &[ListeningSocket<L>]) -> io::Result<PeerProcess> {
     line.set_read_timeout(Some(MAX_WAIT))?;
     line.set_write_timeout(Some(MAX_WAIT))?;
     let mut said = [0; HELLO.len() + 1];
@@ -190,18 +190,18 @@
         let place = empty("over");
         // What a killed process leaves stands in nobody's way.
         drop(UnixListener::bind(&place));
-        assert!(take(&place).is_none(), "stale");
+        assert!(take_over(&place).is_none(), "stale");
         let address: SocketAddr = ([127, 0, 0, 1], 0).into();
         let listener = listen(address).expect("a port");
         let at = listener.local_addr().expect("bound");
         let (tell, told) = channel();
         offer(place.clone(), vec![(address, listener)], move |peer| drop(tell.send(peer))).expect("offered");
-        let (taken, old) = take(&place).expect("somebody is there");
+        let (taken, old) = take_over(&place).expect("somebody is there");
         let new = told.recv().expect("told");
         assert_eq!((taken[0].0, taken[0].1.local_addr().expect("bound")), (address, at));
         assert!(old.lives() && new.lives());
         // A second one gets none while the first lives: limits are split between two.
-        assert!(take(&place).is_none());
+        assert!(take_over(&place).is_none());
         let _ = std::fs::remove_file(&place);
     }
 
@@ -210,7 +210,7 @@
         let place = empty("hung");
         let door = UnixListener::bind(&place).expect("a door");
         // It accepts, by its queue, and says nothing.
-        assert!(take(&place).is_none());
+        assert!(take_over(&place).is_none());
         let other = std::thread::spawn(move || {
             for _ in 0..2 {
                 let (mut line, _) = door.accept().expect("a caller");
@@ -219,7 +219,7 @@
                 let _ = line.read_to_end(&mut Vec::new());
             }
         });
-        assert!(take(&place).is_none(), "of another version");
+        assert!(take_over(&place).is_none(), "of another version");
         other.join().expect("it ends");
         let _ = std::fs::remove_file(&place);
     }
@@ -235,7 +235,7 @@
         writeln!(line, "{HELLO}").expect("said");
         assert!(line.read(&mut [0; MAX_MESSAGE]).expect("the sockets") > 0);
         drop(line);
-        let (_, old) = take(&place).expect("the next one is served");
+        let (_, old) = take_over(&place).expect("the next one is served");
         assert!(told.recv().expect("told").lives() && old.lives());
         assert!(told.try_recv().is_err(), "the first one never had them");
         let _ = std::fs::remove_file(&place);
@@ -250,7 +250,7 @@
         let mut line = UnixStream::connect(&place).expect("it waits");
         line.write_all(&[b'x'; HELLO.len() + 1]).expect("said");
         assert_eq!(line.read_to_end(&mut Vec::new()).ok(), Some(0));
-        assert!(take(&place).is_some(), "the next one is served");
+        assert!(take_over(&place).is_some(), "the next one is served");
         let _ = std::fs::remove_file(&place);
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -51,34 +51,34 @@
     may::go!(Builder::new().stack_size(stack), work)
 }
 
-/// What one try at a socket that does not block came to.
-enum Tried {
-    /// So many bytes went.
-    Moved(usize),
-    /// Nothing goes now.
-    Wait,
-    /// The other side has ended in good order.
-    Ended,
-    /// The connection broke: that is no end of what was coming.
-    Broke,
+/// The outcome of one read or write on a non-blocking socket.
+enum IoOutcome {
+    /// This many bytes were read or written.
+    Transferred(usize),
+    /// The socket has no data, or no space, at present.
+    WouldBlock,
+    /// The peer closed its sending side in good order.
+    EndOfStream,
+    /// The connection failed, so what was received may be truncated.
+    Broken,
 }
 
-fn tried(result: io::Result<usize>) -> Tried {
+fn io_outcome(result: io::Result<usize>) -> IoOutcome {
     match result {
-        Ok(0) => Tried::Ended,
-        Ok(n) => Tried::Moved(n),
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Tried::Wait,
-        Err(e) if e.kind() == io::ErrorKind::Interrupted => Tried::Moved(0),
-        Err(_) => Tried::Broke,
+        Ok(0) => IoOutcome::EndOfStream,
+        Ok(n) => IoOutcome::Transferred(n),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => IoOutcome::WouldBlock,
+        Err(e) if e.kind() == io::ErrorKind::Interrupted => IoOutcome::Transferred(0),
+        Err(_) => IoOutcome::Broken,
     }
 }
 
-fn try_read(mut stream: &std::net::TcpStream, room: &mut [u8]) -> Tried {
-    tried(io::Read::read(&mut stream, room))
+fn try_read(mut stream: &std::net::TcpStream, room: &mut [u8]) -> IoOutcome {
+    io_outcome(io::Read::read(&mut stream, room))
 }
 
-fn try_write(mut stream: &std::net::TcpStream, bytes: &[u8]) -> Tried {
-    tried(io::Write::write(&mut stream, bytes))
+fn try_write(mut stream: &std::net::TcpStream, bytes: &[u8]) -> IoOutcome {
+    io_outcome(io::Write::write(&mut stream, bytes))
 }
 
 #[cfg(test)]
@@ -98,9 +98,9 @@
             }
             drop(other);
             match try_read(&stream, &mut [0]) {
-                Tried::Ended => assert!(!reset),
-                Tried::Broke => assert!(reset),
-                Tried::Moved(_) | Tried::Wait => panic!("it has ended"),
+                IoOutcome::EndOfStream => assert!(!reset),
+                IoOutcome::Broken => assert!(reset),
+                IoOutcome::Transferred(_) | IoOutcome::WouldBlock => panic!("it has ended"),
             }
         }
     }
--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -1,6 +1,6 @@
 //! Connections to data nodes: one carries many parts, so a node has one as long as that is sound.
 
-use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK_WORDS};
+use super::{spawn, try_read, try_write, IoOutcome, Upstream, SMALL_STACK_WORDS};
 use crate::coordinator::{log_rarely, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::{Link, LinkEvent};
@@ -406,7 +406,7 @@
         // Reading comes first: a frame must not go out on a connection whose end is here already.
         loop {
             match try_read(stream, state.link.input().room()) {
-                Tried::Moved(n) => {
+                IoOutcome::Transferred(n) => {
                     state.link.input().filled(n);
                     state.hear(self.clock.now());
                     let read = state.link.read(events);
@@ -430,15 +430,15 @@
                         }
                     }
                 }
-                Tried::Wait => break,
-                Tried::Ended | Tried::Broke => return false,
+                IoOutcome::WouldBlock => break,
+                IoOutcome::EndOfStream | IoOutcome::Broken => return false,
             }
         }
         while !state.link.output().is_empty() {
             match try_write(stream, state.link.output()) {
-                Tried::Moved(n) => state.link.wrote(n, events),
-                Tried::Wait => break,
-                Tried::Ended | Tried::Broke => return false,
+                IoOutcome::Transferred(n) => state.link.wrote(n, events),
+                IoOutcome::WouldBlock => break,
+                IoOutcome::EndOfStream | IoOutcome::Broken => return false,
             }
         }
         true
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,10 +1,10 @@
 //! The program: for each front a core, and the coroutines that feed it.
 
 use super::admin;
-use super::clients::{Bounds, Clients};
+use super::clients::{ClientConnections, ClientLimits};
 use super::config::{Config, InForce};
 use super::feature_client::FeatureClient;
-use super::handover::{self, Peer};
+use super::handover::{self, PeerProcess};
 use super::node_client::NodeClient;
 use super::timer::Timer;
 use super::{spawn, watch, Upstream, LARGE_STACK_WORDS, SMALL_STACK_WORDS, TURN_STACK_WORDS};
@@ -66,15 +66,15 @@
 #[derive(Default)]
 struct Others {
     /// The one that served before this one.
-    before: Option<Peer>,
+    before: Option<PeerProcess>,
     /// The one that takes over.
-    after: Mutex<Option<Peer>>,
+    after: Mutex<Option<PeerProcess>>,
 }
 
 impl Others {
     /// Which of two this one is, as long as both live.
     fn beside(&self) -> Option<ProcessGeneration> {
-        let lives = |p: &Option<Peer>| p.as_ref().is_some_and(Peer::lives);
+        let lives = |p: &Option<PeerProcess>| p.as_ref().is_some_and(PeerProcess::lives);
         let after = lives(&self.after.lock().unwrap_or_else(|e| e.into_inner()));
         after
             .then_some(ProcessGeneration::Predecessor)
@@ -86,7 +86,7 @@
 struct Parts {
     name: String,
     listen: SocketAddr,
-    bounds: Bounds,
+    bounds: ClientLimits,
     last_answer: Micros,
     front: Box<dyn Front>,
     core: Coordinator,
@@ -123,9 +123,9 @@
     let also = edge.as_ref().map(|e| (e.mgmt, e.sockets));
     // Asked before anything else is made: whoever takes over is not to go in step with the one before.
     let first = platform.as_ref().map(|c| c.listen).or(edge.as_ref().map(|e| e.listen));
-    let place = first.and_then(handover::place);
+    let place = first.and_then(handover::socket_path);
     let (mut taken, before) =
-        place.as_deref().and_then(handover::take).map_or((Vec::new(), None), |t| (t.0, Some(t.1)));
+        place.as_deref().and_then(handover::take_over).map_or((Vec::new(), None), |t| (t.0, Some(t.1)));
     let others = Arc::new(Others { before, after: Mutex::default() });
     let mut services = Vec::new();
     if let Some(config) = platform {
@@ -158,8 +158,9 @@
         let fronts: Vec<_> = running.iter().map(|r| r.0.clone()).collect();
         let health = Box::new(move || fronts.iter().try_for_each(|c| c.health()));
         let most = admin::reserved(sockets) - 1;
-        // Clients are served without it too.
-        if let Err(e) = admin::start(address, admin::Told { figures: figures.clone(), health, most }) {
+        // ClientConnections are served without it too.
+        if let Err(e) = admin::start(address, admin::AdminEndpoint { figures: figures.clone(), health, most })
+        {
             tracing::warn!("operators are not answered: {e}");
         }
     }
@@ -173,7 +174,7 @@
 /// The listening socket that was handed over, or one's own.
 fn listen(
     address: SocketAddr,
-    taken: &mut Vec<handover::Listening<TcpListener>>,
+    taken: &mut Vec<handover::ListeningSocket<TcpListener>>,
 ) -> Result<Listener, String> {
     let at = taken.iter().position(|t| t.0 == address);
     let listener = match at {
@@ -193,8 +194,8 @@
 }
 
 /// Offers the sockets to the next process, once the one before has gone: until then that one does.
-fn offer_sockets(place: &Path, listening: Vec<handover::Listening<Socket>>, others: Arc<Others>) {
-    while others.before.as_ref().is_some_and(Peer::lives) {
+fn offer_sockets(place: &Path, listening: Vec<handover::ListeningSocket<Socket>>, others: Arc<Others>) {
+    while others.before.as_ref().is_some_and(PeerProcess::lives) {
         may::coroutine::sleep(MAX_SLEEP.to_duration());
     }
     let offered = handover::offer(place.to_owned(), listening, move |peer| {
@@ -241,7 +242,7 @@
         last_answer: last_answer(longest(&deployment.policy)),
         name: config.name.clone(),
         listen: config.listen,
-        bounds: Bounds::new(config.sockets, config.memory),
+        bounds: ClientLimits::new(config.sockets, config.memory),
         front: Box::new(Platform::new(named.clone())),
         core: Coordinator::new(
             deployment.policy.clone(),
@@ -313,7 +314,7 @@
         last_answer: last_answer(longest(&edge.settings())),
         name: "feature queries".to_owned(),
         listen: edge.listen,
-        bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
+        bounds: ClientLimits::new(edge.sockets, edge.memory_mb * 1024 * 1024),
         core: Coordinator::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
         upstream: Box::new(FeatureClient::new(&edge, inbox.clone(), clock, bears.clone())),
         front: Box::new(Ogc::new(edge, catalog, key, figures.clone(), bears)),
@@ -325,7 +326,7 @@
 }
 
 /// The clients of a service, and what ends with it.
-type Running = (Arc<Clients>, JoinHandle<()>);
+type Running = (Arc<ClientConnections>, JoinHandle<()>);
 
 fn serve(
     parts: Parts,
@@ -338,9 +339,9 @@
     let ring = parts.inbox.clone();
     // The core outlives the alarm.
     let alarm = Timer::start(clock, move || drop(ring.send(Input::TimerDue))).map_err(|e| e.to_string())?;
-    let clients = Clients::new(parts.front, listener, parts.bounds, parts.inbox, clock);
+    let clients = ClientConnections::new(parts.front, listener, parts.bounds, parts.inbox, clock);
     let (accepting, watched) = (clients.clone(), others.clone());
-    let beside = move || watched.before.as_ref().is_some_and(Peer::lives);
+    let beside = move || watched.before.as_ref().is_some_and(PeerProcess::lives);
     spawn(LARGE_STACK_WORDS, move || accepting.accept(beside)).map_err(no_coroutine)?;
     if others.before.is_some() {
         tracing::info!("the sockets are taken over from the process before");
@@ -398,7 +399,7 @@
 struct Turns {
     core: Coordinator,
     upstream: Box<dyn Upstream>,
-    clients: Arc<Clients>,
+    clients: Arc<ClientConnections>,
     clock: Clock,
     arrivals: Receiver<Input>,
     alarm: Timer,
