--- /dev/null
+++ b/src/net/lifecycle.rs
@@ -0,0 +1,169 @@
+//! The life cycle of the process as its clients and operators see it.
+//!
+//! Startup and shutdown are two independent state machines: a process may be told to exit before it knows the servers,
+//! and one that waits for its predecessor to exit still has to learn them. One coroutine per front makes the transitions;
+//! connections and the admin thread only read.
+
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering::Relaxed};
+use thiserror::Error;
+
+/// How far the startup has come. A phase is never left for an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StartupPhase {
+    /// The endpoint list is still waited for.
+    Starting,
+    /// Requests are served, perhaps from the endpoint list that was cached at the start.
+    Ready,
+    /// Discovery has sent its endpoint list, or was waited for as long as it may take.
+    EndpointsKnown,
+}
+
+/// How far the shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServicePhase {
+    /// Not told to exit.
+    Serving,
+    /// Told to exit: the health check fails, all else goes on as before.
+    Draining,
+    /// Told to exit, and a successor accepts at the same listening socket: nothing is accepted here, and each response
+    /// closes its connection. Returns to [`ServicePhase::Draining`] if the successor exits first.
+    HandedOver,
+    /// About to exit: connections are still accepted, since the kernel would reset those in the backlog, and each response
+    /// closes its connection.
+    Closing,
+    /// About to exit, while a successor accepts.
+    ClosingHandedOver,
+}
+
+/// What moves a process from one [`ServicePhase`] to the next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShutdownEvent {
+    /// Told to exit, and no successor has the listening socket (any more).
+    DrainAlone,
+    /// Told to exit, and a successor accepts at the same listening socket.
+    DrainBesideSuccessor,
+    /// The time for new requests on connections that are open is over.
+    Close,
+}
+
+impl ServicePhase {
+    const ALL: [ServicePhase; 5] = [
+        ServicePhase::Serving,
+        ServicePhase::Draining,
+        ServicePhase::HandedOver,
+        ServicePhase::Closing,
+        ServicePhase::ClosingHandedOver,
+    ];
+
+    /// The phase that follows on an event. Every event is legal in every phase; none leads back to
+    /// [`ServicePhase::Serving`] or out of the closing phases.
+    #[must_use]
+    pub fn next(self, event: ShutdownEvent) -> ServicePhase {
+        use ServicePhase::{Closing, ClosingHandedOver, Draining, HandedOver, Serving};
+        match (self, event) {
+            (Serving | Draining | HandedOver, ShutdownEvent::DrainAlone) => Draining,
+            (Serving | Draining | HandedOver, ShutdownEvent::DrainBesideSuccessor) => HandedOver,
+            (Serving | Draining, ShutdownEvent::Close) => Closing,
+            (HandedOver, ShutdownEvent::Close) => ClosingHandedOver,
+            (Closing | ClosingHandedOver, ShutdownEvent::DrainAlone) => Closing,
+            (Closing | ClosingHandedOver, ShutdownEvent::DrainBesideSuccessor) => ClosingHandedOver,
+            (Closing | ClosingHandedOver, ShutdownEvent::Close) => self,
+        }
+    }
+
+    /// Whether the process was told to exit.
+    #[must_use]
+    pub fn is_draining(self) -> bool {
+        self != ServicePhase::Serving
+    }
+
+    /// Whether new connections are accepted.
+    #[must_use]
+    pub fn accepts_connections(self) -> bool {
+        !matches!(self, ServicePhase::HandedOver | ServicePhase::ClosingHandedOver)
+    }
+
+    /// Whether each response closes its connection.
+    #[must_use]
+    pub fn closes_after_response(self) -> bool {
+        !matches!(self, ServicePhase::Serving | ServicePhase::Draining)
+    }
+}
+
+/// Why the health check fails; the texts are the reply to operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Unhealthy {
+    /// The process was told to exit.
+    #[error("it is told to end")]
+    Draining,
+    /// No endpoint list has come from discovery.
+    #[error("the servers are not known yet")]
+    EndpointsUnknown,
+}
+
+/// The present phases of one front, readable from any thread. The transitions are made by one coroutine.
+#[derive(Debug, Default)]
+pub struct Lifecycle {
+    /// A [`StartupPhase`] as its discriminant.
+    startup: AtomicU8,
+    /// A [`ServicePhase`] as its discriminant.
+    service: AtomicU8,
+    /// Another process serves beside this one, so each has half of the limits.
+    limits_shared: AtomicBool,
+}
+
+impl Lifecycle {
+    /// Moves the startup on to a phase; an earlier one changes nothing.
+    pub fn advance_startup(&self, phase: StartupPhase) {
+        self.startup.fetch_max(phase as u8, Relaxed);
+    }
+
+    /// Makes the transition of an event and returns the phase that it leads to.
+    pub fn shut_down(&self, event: ShutdownEvent) -> ServicePhase {
+        let next = self.service_phase().next(event);
+        self.service.store(next as u8, Relaxed);
+        next
+    }
+
+    /// Notes whether another process serves beside this one.
+    pub fn set_limits_shared(&self, shared: bool) {
+        self.limits_shared.store(shared, Relaxed);
+    }
+
+    /// Whether each of two processes has half of the limits.
+    pub fn limits_shared(&self) -> bool {
+        self.limits_shared.load(Relaxed)
+    }
+
+    /// The present phase of the shutdown.
+    pub fn service_phase(&self) -> ServicePhase {
+        ServicePhase::ALL[usize::from(self.service.load(Relaxed))]
+    }
+
+    /// Whether requests are served as those of a ready process.
+    pub fn is_ready(&self) -> bool {
+        self.startup.load(Relaxed) >= StartupPhase::Ready as u8 && !self.service_phase().is_draining()
+    }
+
+    /// Whether discovery's endpoint list is known, or not waited for any more.
+    pub fn endpoints_known(&self) -> bool {
+        self.startup.load(Relaxed) >= StartupPhase::EndpointsKnown as u8
+    }
+
+    /// Whether a client's request would be served.
+    ///
+    /// # Errors
+    /// Why it would not.
+    pub fn health(&self) -> Result<(), Unhealthy> {
+        if self.service_phase().is_draining() {
+            return Err(Unhealthy::Draining);
+        }
+        if !self.endpoints_known() {
+            return Err(Unhealthy::EndpointsUnknown);
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/lifecycle/tests.rs
@@ -0,0 +1,75 @@
+//! Tests of the life cycle's transitions.
+
+use super::*;
+use ShutdownEvent::{Close, DrainAlone, DrainBesideSuccessor};
+
+#[test]
+fn each_service_phase_is_found_by_its_discriminant() {
+    for (index, phase) in ServicePhase::ALL.into_iter().enumerate() {
+        assert_eq!(phase as usize, index);
+    }
+}
+
+#[test]
+fn startup_moves_on_and_never_back() {
+    let lifecycle = Lifecycle::default();
+    assert!(!lifecycle.is_ready() && !lifecycle.endpoints_known());
+    lifecycle.advance_startup(StartupPhase::Ready);
+    assert!(lifecycle.is_ready() && !lifecycle.endpoints_known());
+    lifecycle.advance_startup(StartupPhase::EndpointsKnown);
+    lifecycle.advance_startup(StartupPhase::Ready);
+    assert!(lifecycle.is_ready() && lifecycle.endpoints_known());
+}
+
+#[test]
+fn a_drain_without_successor_accepts_and_keeps_connections_until_it_closes() {
+    let lifecycle = Lifecycle::default();
+    assert_eq!(lifecycle.service_phase(), ServicePhase::Serving);
+    assert_eq!(lifecycle.shut_down(DrainAlone), ServicePhase::Draining);
+    let draining = lifecycle.service_phase();
+    assert!(draining.is_draining() && draining.accepts_connections() && !draining.closes_after_response());
+    assert_eq!(lifecycle.shut_down(Close), ServicePhase::Closing);
+    let closing = lifecycle.service_phase();
+    assert!(closing.is_draining() && closing.accepts_connections() && closing.closes_after_response());
+}
+
+#[test]
+fn a_successor_takes_the_accepting_over_and_gives_it_back_when_it_exits_first() {
+    let lifecycle = Lifecycle::default();
+    let handed_over = lifecycle.shut_down(DrainBesideSuccessor);
+    assert_eq!(handed_over, ServicePhase::HandedOver);
+    assert!(!handed_over.accepts_connections() && handed_over.closes_after_response());
+    assert_eq!(lifecycle.shut_down(DrainAlone), ServicePhase::Draining);
+    // Connections that are closing stay closing, whether or not the successor lives.
+    lifecycle.shut_down(DrainBesideSuccessor);
+    assert_eq!(lifecycle.shut_down(Close), ServicePhase::ClosingHandedOver);
+    assert!(!lifecycle.service_phase().accepts_connections());
+    assert_eq!(lifecycle.shut_down(DrainAlone), ServicePhase::Closing);
+    assert!(lifecycle.service_phase().closes_after_response());
+}
+
+#[test]
+fn no_event_leads_back_to_serving_or_out_of_closing() {
+    for phase in ServicePhase::ALL {
+        for event in [DrainAlone, DrainBesideSuccessor, Close] {
+            let next = phase.next(event);
+            assert!(next.is_draining(), "{phase:?} {event:?}");
+            let closing = |p| matches!(p, ServicePhase::Closing | ServicePhase::ClosingHandedOver);
+            assert!(!closing(phase) || closing(next), "{phase:?} {event:?}");
+        }
+    }
+}
+
+#[test]
+fn the_health_check_fails_while_endpoints_are_unknown_and_from_the_drain_on() {
+    let lifecycle = Lifecycle::default();
+    lifecycle.advance_startup(StartupPhase::Ready);
+    assert_eq!(lifecycle.health(), Err(Unhealthy::EndpointsUnknown));
+    lifecycle.advance_startup(StartupPhase::EndpointsKnown);
+    assert_eq!(lifecycle.health(), Ok(()));
+    lifecycle.shut_down(DrainAlone);
+    assert_eq!(lifecycle.health(), Err(Unhealthy::Draining));
+    assert!(!lifecycle.is_ready());
+    let texts = [Unhealthy::Draining, Unhealthy::EndpointsUnknown].map(|why| why.to_string());
+    assert_eq!(texts, ["it is told to end", "the servers are not known yet"]);
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,11 +1,14 @@
-//! Thin drivers on coroutines: they read and write sockets and hand bytes to the state machines. No policy.
+//! Drivers for sockets, on coroutines: they move bytes between sockets and the protocol state machines, and decide nothing
+//! about queries.
 
 pub mod admin;
 pub mod clients;
 pub mod config;
 pub mod feature_client;
 pub mod handover;
+pub mod lifecycle;
 pub mod node_client;
+mod nonblocking;
 pub mod server;
 pub mod timer;
 pub mod watch;
@@ -15,71 +18,43 @@
 use crate::settings::CoordinatorSettings;
 use crate::time::Micros;
 use may::coroutine::{Builder, JoinHandle};
+use nonblocking::{try_read, try_write, IoOutcome};
 use std::io;
 
-/// What carries attempts to servers. Ends come back through the core's inbox.
+/// The connections that carry attempts to servers. The end of each attempt is reported to the coordinator's inbox.
 pub trait Upstream: Send {
-    /// Learns where a server is and whether it takes new work.
+    /// Records the address of a server, and whether it accepts new attempts.
     fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, now: Micros);
-    /// Starts attempts in one call.
-    fn dispatch(&mut self, replica: ReplicaId, jobs: &[AttemptRequest], now: Micros);
-    /// Gives an attempt up.
+    /// Sends these attempts to a server in one call.
+    fn dispatch(&mut self, replica: ReplicaId, attempts: &[AttemptRequest], now: Micros);
+    /// Cancels an attempt, whose end is not reported any more.
     fn cancel(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros);
-    /// Forgets a server that is gone for good.
+    /// Removes a server that left the endpoint list for good.
     fn remove_server(&mut self, replica: ReplicaId);
     /// Closes idle connections to a server.
     fn close_idle(&mut self, replica: ReplicaId);
-    /// The settings have changed.
-    fn reconfigure(&mut self, _deployment: &CoordinatorSettings) {}
-    /// Closes what has stood idle for too long and forgets what has ended; `out`: an attempt is still out.
-    fn reap(&mut self, now: Micros, out: &dyn Fn(AttemptKey) -> bool);
+    /// Applies reloaded settings.
+    fn reconfigure(&mut self, _settings: &CoordinatorSettings) {}
+    /// Closes connections that have been idle for too long and removes the records of attempts that have ended.
+    /// `in_flight` tells whether the coordinator still waits for an attempt.
+    fn reap(&mut self, now: Micros, in_flight: &dyn Fn(AttemptKey) -> bool);
 }
 
 /// Stack of a coroutine that drives a connection, in words of eight bytes. Only touched pages count as memory.
 /// Measured over the tests of both fronts in a release build: 722 words at most; debug builds need several times that.
 pub const SMALL_STACK_WORDS: usize = 0x4000;
-/// Stack of a coroutine that parses lists or pages, or runs the module. Measured likewise: 1,569 words at most; deeply
-/// nested JSON may take more.
+/// Stack of a coroutine that parses endpoint lists or pages, or runs the policy, in words. Measured likewise: 1,569 words
+/// at most; deeply nested JSON may take more.
 pub const LARGE_STACK_WORDS: usize = 0x8000;
 
-/// Stack of the coroutine that runs the turns: answers are rendered on it, and packing one in a debug build takes most of
-/// what [`LARGE_STACK_WORDS`] has.
+/// Stack of the coroutine that runs the coordinator, in words: it renders responses, and compressing one in a debug build
+/// takes most of [`LARGE_STACK_WORDS`].
 pub const TURN_STACK_WORDS: usize = 0x20000;
 
-/// Starts a coroutine.
-pub fn spawn(stack: usize, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
-    may::go!(Builder::new().stack_size(stack), work)
+/// Starts a coroutine with a stack of so many words.
+///
+/// # Errors
+/// The runtime cannot allocate the stack.
+pub fn spawn(stack_words: usize, work: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    may::go!(Builder::new().stack_size(stack_words), work)
 }
-
-/// The outcome of one read or write on a non-blocking socket.
-enum IoOutcome {
-    /// This many bytes were read or written.
-    Transferred(usize),
-    /// The socket has no data, or no space, at present.
-    WouldBlock,
-    /// The peer closed its sending side in good order.
-    EndOfStream,
-    /// The connection failed, so what was received may be truncated.
-    Broken,
-}
-
-fn io_outcome(result: io::Result<usize>) -> IoOutcome {
-    match result {
-        Ok(0) => IoOutcome::EndOfStream,
-        Ok(n) => IoOutcome::Transferred(n),
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock => IoOutcome::WouldBlock,
-        Err(e) if e.kind() == io::ErrorKind::Interrupted => IoOutcome::Transferred(0),
-        Err(_) => IoOutcome::Broken,
-    }
-}
-
-fn try_read(mut stream: &std::net::TcpStream, room: &mut [u8]) -> IoOutcome {
-    io_outcome(io::Read::read(&mut stream, room))
-}
-
-fn try_write(mut stream: &std::net::TcpStream, bytes: &[u8]) -> IoOutcome {
-    io_outcome(io::Write::write(&mut stream, bytes))
-}
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/src/net/nonblocking.rs
@@ -0,0 +1,39 @@
+//! Single reads and writes on non-blocking TCP sockets.
+
+use std::io;
+use std::net::TcpStream;
+
+/// The outcome of one read or write on a non-blocking socket.
+pub(super) enum IoOutcome {
+    /// This many bytes were read or written.
+    Transferred(usize),
+    /// The socket has no data, or no space, at present.
+    WouldBlock,
+    /// The peer closed its sending side in good order.
+    EndOfStream,
+    /// The connection failed, so what was received may be truncated.
+    Broken,
+}
+
+/// Reads once into `buffer`.
+pub(super) fn try_read(mut stream: &TcpStream, buffer: &mut [u8]) -> IoOutcome {
+    outcome(io::Read::read(&mut stream, buffer))
+}
+
+/// Writes once from `bytes`.
+pub(super) fn try_write(mut stream: &TcpStream, bytes: &[u8]) -> IoOutcome {
+    outcome(io::Write::write(&mut stream, bytes))
+}
+
+fn outcome(result: io::Result<usize>) -> IoOutcome {
+    match result {
+        Ok(0) => IoOutcome::EndOfStream,
+        Ok(n) => IoOutcome::Transferred(n),
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => IoOutcome::WouldBlock,
+        Err(e) if e.kind() == io::ErrorKind::Interrupted => IoOutcome::Transferred(0),
+        Err(_) => IoOutcome::Broken,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/tests.rs
+++ b/src/net/nonblocking/tests.rs
@@ -1,22 +1,23 @@
-//! Tests of reads and writes on non-blocking sockets.
+//! Tests of reads on non-blocking sockets.
 
 use super::*;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
+use std::time::Duration;
 
 #[test]
-fn a_reset_is_no_end() {
+fn a_reset_connection_reads_as_broken_and_not_as_end_of_stream() {
     for reset in [false, true] {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let stream = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
-        let (other, _) = listener.accept().expect("accepted");
+        let (peer, _) = listener.accept().expect("accepted");
         if reset {
-            rustix::net::sockopt::set_socket_linger(&other, Some(std::time::Duration::ZERO)).expect("set");
+            rustix::net::sockopt::set_socket_linger(&peer, Some(Duration::ZERO)).expect("set");
         }
-        drop(other);
+        drop(peer);
         match try_read(&stream, &mut [0]) {
             IoOutcome::EndOfStream => assert!(!reset),
             IoOutcome::Broken => assert!(reset),
-            IoOutcome::Transferred(_) | IoOutcome::WouldBlock => panic!("it has ended"),
+            IoOutcome::Transferred(_) | IoOutcome::WouldBlock => panic!("the peer has closed the connection"),
         }
     }
 }
