--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -24,18 +24,18 @@
 const MAX_IDLE_CROWDED: Micros = Micros::from_millis(2_500);
 /// Whoever was heard of so lately may just be about to ask, and does not give way to others. No longer than a way: in a
 /// crowd everybody behind, who may have asked long since, waits for this.
-const NEW: Micros = Micros::from_millis(30);
+const MIN_SILENCE: Micros = Micros::from_millis(30);
 /// After an error what still comes is read and dropped for so long, and so much of it: a close with unread input is a
 /// reset, which can eat the error.
 const MAX_LINGER: Micros = Micros::from_secs(1);
 /// See [`MAX_LINGER`].
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
 /// A connection that was accepted while the program leaves is given so long for its request: it was on its way.
-const LAST_WORD: Micros = Micros::from_millis(300);
+const MIN_FIRST_REQUEST: Micros = Micros::from_millis(300);
 /// An answer must be taken by then.
-const MAX_ANSWER: Micros = Micros::from_secs(15);
+const MAX_WRITE_STALL: Micros = Micros::from_secs(15);
 /// The pause when no connection can be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// What client connections may take of the process, by its limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,83 +73,83 @@
 }
 
 #[derive(Default)]
-struct Conn {
-    state: Mutex<ConnState>,
+struct Connection {
+    state: Mutex<ConnectionState>,
 }
 
 #[derive(Default)]
-struct ConnState {
+struct ConnectionState {
     server: Server,
     waker: Option<WaitIoWaker>,
     waiting: Option<(Token, Render)>,
     /// When the first byte of the present request came; `None` between requests.
-    began: Option<Micros>,
+    request_started_at: Option<Micros>,
     /// When something last happened.
-    active: Micros,
+    last_activity_at: Micros,
     /// When it was accepted.
-    accepted: Micros,
+    accepted_at: Micros,
     /// A request came whole on it.
-    asked: bool,
+    received_request: bool,
     /// One of them was a query, and not just answered at once.
-    queried: bool,
+    submitted_query: bool,
     /// Since when what comes is dropped, and how much was: its last answer is an error.
     lingering: Option<(Micros, usize)>,
     /// What it holds in memory, as last counted.
-    bytes: usize,
+    buffered_bytes: usize,
     /// It is to end now, whatever is under way.
-    cut: bool,
+    abort_requested: bool,
 }
 
-impl Conn {
-    fn lock(&self) -> MutexGuard<'_, ConnState> {
+impl Connection {
+    fn lock(&self) -> MutexGuard<'_, ConnectionState> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
-impl ConnState {
+impl ConnectionState {
     fn wake(&self) {
         if let Some(waker) = &self.waker {
             waker.wakeup();
         }
     }
 
-    fn cut(&mut self) {
-        self.cut = true;
+    fn abort(&mut self) {
+        self.abort_requested = true;
         self.wake();
     }
 
     /// Who gives way first when there is no room: those that were answered with an error, those that have brought no
     /// query, then those between queries; the longest in that state first.
-    fn dispensable(&self, now: Micros) -> Option<(u8, Micros)> {
-        if self.cut || self.server.winding_up() || self.server.busy() {
+    fn eviction_priority(&self, now: Micros) -> Option<(u8, Micros)> {
+        if self.abort_requested || self.server.winding_up() || self.server.busy() {
             return None;
         }
         match self.lingering {
             Some((since, _)) => Some((0, since)),
-            None if !self.queried => {
-                let since = if self.asked { self.active } else { self.accepted };
-                (now.since(since) > NEW).then_some((1, since))
+            None if !self.submitted_query => {
+                let since = if self.received_request { self.last_activity_at } else { self.accepted_at };
+                (now.since(since) > MIN_SILENCE).then_some((1, since))
             }
-            None => self.server.idle().then_some((2, self.active)),
+            None => self.server.idle().then_some((2, self.last_activity_at)),
         }
     }
 
     /// Makes it end. A request that is here already but unread is still taken.
-    fn give_way(&mut self) {
+    fn evict(&mut self) {
         COUNTERS.evicted.add();
-        if self.asked && self.server.idle() {
+        if self.received_request && self.server.idle() {
             self.server.close_when_idle();
             self.wake();
         } else {
-            self.cut();
+            self.abort();
         }
     }
 }
 
 /// All client connections.
 pub struct ClientConnections {
-    conns: Mutex<HashMap<u64, Arc<Conn>>>,
-    waiting: Mutex<HashMap<Token, Arc<Conn>>>,
+    connections: Mutex<HashMap<u64, Arc<Connection>>>,
+    awaiting: Mutex<HashMap<Token, Arc<Connection>>>,
     next: AtomicU64,
     bounds: ClientLimits,
     /// Another process has half of that.
@@ -191,8 +191,8 @@
         Arc::new(ClientConnections {
             halved: AtomicBool::new(false),
             listener,
-            conns: Mutex::default(),
-            waiting: Mutex::default(),
+            connections: Mutex::default(),
+            awaiting: Mutex::default(),
             next: AtomicU64::new(1),
             bounds,
             bytes: AtomicUsize::new(0),
@@ -209,18 +209,18 @@
     }
 
     /// Open connections.
-    pub fn open(&self) -> usize {
-        guard(&self.conns).len()
+    pub fn open_connections(&self) -> usize {
+        guard(&self.connections).len()
     }
 
     /// Those of them that bring a request, await its answer or have not taken it.
-    pub fn owed(&self) -> usize {
-        let owed = |c: &&Arc<Conn>| {
+    pub fn owed_connections(&self) -> usize {
+        let owed = |c: &&Arc<Connection>| {
             let state = c.lock();
             let server = &state.server;
             state.lingering.is_none() && (server.busy() || server.began() || !server.output().is_empty())
         };
-        guard(&self.conns).values().filter(owed).count()
+        guard(&self.connections).values().filter(owed).count()
     }
 
     /// Would a request of a client be served? If not, why.
@@ -249,27 +249,27 @@
     /// accepted before this one knows its servers, or the other has gone.
     pub fn accept(self: &Arc<Self>, beside: impl Fn() -> bool) {
         while beside() && !self.informed.load(Relaxed) {
-            may::coroutine::sleep(ACCEPT_PAUSE);
+            may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
         }
         loop {
             if self.deaf.load(Relaxed) {
-                may::coroutine::sleep(ACCEPT_PAUSE);
+                may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
                 continue;
             }
-            if self.open() >= self.bounds().connections {
-                if self.evict() {
+            if self.open_connections() >= self.bounds().connections {
+                if self.evict_one() {
                     // The one that gives way ends in its own coroutine.
                     may::coroutine::yield_now();
                 } else {
                     // Left in the backlog: the machine has accepted it, so it must not be cut.
-                    may::coroutine::sleep(ACCEPT_PAUSE);
+                    may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
                 }
                 continue;
             }
             match self.listener.inner().accept() {
                 Ok((stream, _)) => {
                     self.adopt(stream);
-                    self.trim();
+                    self.evict_excess_idle();
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.listener.wait_io();
@@ -277,8 +277,8 @@
                 Err(e) => {
                     // Most likely no descriptor is left (EMFILE): an idle connection gives way.
                     log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
-                    self.evict();
-                    may::coroutine::sleep(ACCEPT_PAUSE);
+                    self.evict_one();
+                    may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
                 }
             }
         }
@@ -295,59 +295,65 @@
                 })
             }
         };
-        let conn = Arc::new(Conn::default());
+        let conn = Arc::new(Connection::default());
         {
             let mut state = conn.lock();
-            state.accepted = self.clock.now();
-            state.active = state.accepted;
+            state.accepted_at = self.clock.now();
+            state.last_activity_at = state.accepted_at;
             state.waker = Some(stream.waker());
             state.server.allow_body(self.front.max_body());
         }
         let number = self.next.fetch_add(1, Relaxed);
-        guard(&self.conns).insert(number, conn.clone());
+        guard(&self.connections).insert(number, conn.clone());
         let clients = self.clone();
         let started = spawn(self.front.stack_words(), move || {
-            while clients.step(&conn, &stream) {
-                clients.shed_bytes();
+            while clients.drive(&conn, &stream) {
+                clients.evict_for_memory();
                 stream.wait_io();
             }
-            clients.leave(&conn);
+            clients.release(&conn);
             let _ = stream.inner().shutdown(Shutdown::Both);
-            guard(&clients.conns).remove(&number);
+            guard(&clients.connections).remove(&number);
         });
         if let Err(e) = started {
             log_rarely(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
-            guard(&self.conns).remove(&number);
+            guard(&self.connections).remove(&number);
         }
     }
 
     /// Reads, takes requests and writes. False: the connection has ended.
-    fn step(self: &Arc<Self>, conn: &Arc<Conn>, stream: &CoIo<TcpStream>) -> bool {
+    fn drive(self: &Arc<Self>, conn: &Arc<Connection>, stream: &CoIo<TcpStream>) -> bool {
         let mut state = conn.lock();
-        let sys = stream.inner();
+        let socket = stream.inner();
         // A request that is here already when a new connection gives way is still taken: its client has no answer else.
-        let mut open = (!state.cut || !state.asked) && self.exchange(conn, &mut state, sys);
-        if open && state.cut {
+        let mut open =
+            (!state.abort_requested || !state.received_request) && self.exchange(conn, &mut state, socket);
+        if open && state.abort_requested {
             open = state.server.busy();
-            state.cut = false;
+            state.abort_requested = false;
             state.server.close_when_idle();
         }
         let bytes = if open { state.server.memory() } else { 0 };
         self.bytes.fetch_add(bytes, Relaxed);
-        self.bytes.fetch_sub(std::mem::replace(&mut state.bytes, bytes), Relaxed);
+        self.bytes.fetch_sub(std::mem::replace(&mut state.buffered_bytes, bytes), Relaxed);
         open
     }
 
-    fn exchange(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState, sys: &TcpStream) -> bool {
+    fn exchange(
+        self: &Arc<Self>,
+        conn: &Arc<Connection>,
+        state: &mut ConnectionState,
+        socket: &TcpStream,
+    ) -> bool {
         // A client that was told to go on elsewhere, or was answered while more of its bytes were here already.
-        self.take(conn, state);
+        self.handle_requests(conn, state);
         while state.lingering.is_none() && (state.server.wants_input() || state.server.overrun()) {
-            match try_read(sys, state.server.input().room()) {
+            match try_read(socket, state.server.input().room()) {
                 IoOutcome::Transferred(n) => {
                     state.server.input().filled(n);
-                    state.active = self.clock.now();
-                    state.began = state.began.or(Some(state.active));
-                    self.take(conn, state);
+                    state.last_activity_at = self.clock.now();
+                    state.request_started_at = state.request_started_at.or(Some(state.last_activity_at));
+                    self.handle_requests(conn, state);
                 }
                 IoOutcome::WouldBlock => break,
                 IoOutcome::EndOfStream | IoOutcome::Broken => {
@@ -356,38 +362,38 @@
                         return false;
                     }
                     state.server.end();
-                    self.take(conn, state);
+                    self.handle_requests(conn, state);
                     break;
                 }
             }
         }
         while !state.server.output().is_empty() {
-            match try_write(sys, state.server.output()) {
+            match try_write(socket, state.server.output()) {
                 IoOutcome::Transferred(n) => {
                     state.server.wrote(n);
-                    state.active = self.clock.now();
+                    state.last_activity_at = self.clock.now();
                 }
                 IoOutcome::WouldBlock => break,
                 IoOutcome::EndOfStream | IoOutcome::Broken => return false,
             }
         }
         if state.server.idle() {
-            state.began = None;
+            state.request_started_at = None;
         }
         if !state.server.finished() {
             return true;
         }
         if state.lingering.is_none() {
-            if !state.server.must_linger() || sys.shutdown(Shutdown::Write).is_err() {
+            if !state.server.must_linger() || socket.shutdown(Shutdown::Write).is_err() {
                 return false;
             }
             state.lingering = Some((self.clock.now(), 0));
         }
-        linger(state, sys)
+        linger(state, socket)
     }
 
     /// Takes the requests that are here whole.
-    fn take(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState) {
+    fn handle_requests(self: &Arc<Self>, conn: &Arc<Connection>, state: &mut ConnectionState) {
         while let Some(polled) = state.server.poll() {
             let close = self.leaving.load(Relaxed);
             match polled {
@@ -397,20 +403,20 @@
                     state.server.respond(response, true);
                 }
                 Ok(request) => {
-                    state.asked = true;
+                    state.received_request = true;
                     let token = Token(self.next.fetch_add(1, Relaxed));
                     // A request's time counts from its last byte, which came with the last read.
-                    let sent = state.active;
+                    let sent = state.last_activity_at;
                     let ready = self.ready.load(Relaxed) && !self.ending.load(Relaxed);
                     match self.front.handle(request, token, sent, ready) {
                         Reaction::Respond(response) => {
                             state.server.respond(response, close);
-                            state.began = state.server.began().then_some(state.active);
+                            state.request_started_at = state.server.began().then_some(state.last_activity_at);
                         }
                         Reaction::Submit(request, render) => {
-                            state.queried = true;
+                            state.submitted_query = true;
                             state.waiting = Some((token, render));
-                            guard(&self.waiting).insert(token, conn.clone());
+                            guard(&self.awaiting).insert(token, conn.clone());
                             let _ = self.inbox.send(Input::Submit(request));
                         }
                     }
@@ -420,98 +426,99 @@
     }
 
     /// The connection is over: whoever waited on it is gone.
-    fn leave(&self, conn: &Conn) {
+    fn release(&self, conn: &Connection) {
         let mut state = conn.lock();
         state.waker = None;
         if let Some((token, _)) = state.waiting.take() {
-            guard(&self.waiting).remove(&token);
+            guard(&self.awaiting).remove(&token);
             let _ = self.inbox.send(Input::ClientLeft(token));
         }
     }
 
     /// Gives a request its answer.
-    pub fn answer(&self, token: Token, answer: Answer) {
-        let Some(conn) = guard(&self.waiting).remove(&token) else { return };
+    pub fn deliver(&self, token: Token, answer: Answer) {
+        let Some(conn) = guard(&self.awaiting).remove(&token) else { return };
         let mut state = conn.lock();
         let Some((_, render)) = state.waiting.take_if(|w| w.0 == token) else { return };
         let response = match render(answer) {
             Reaction::Respond(response) => response,
             Reaction::Submit(request, render) => {
                 state.waiting = Some((token, render));
-                guard(&self.waiting).insert(token, conn.clone());
+                guard(&self.awaiting).insert(token, conn.clone());
                 let _ = self.inbox.send(Input::Submit(request));
                 return;
             }
         };
         let close = self.leaving.load(Relaxed);
         state.server.respond(response, close);
-        state.active = self.clock.now();
+        state.last_activity_at = self.clock.now();
         // What came of a next request while this one was answered has its time from now on.
-        state.began = state.server.began().then_some(state.active);
+        state.request_started_at = state.server.began().then_some(state.last_activity_at);
         state.wake();
     }
 
     /// Makes room for another connection. False: nobody gives way.
-    fn evict(&self) -> bool {
+    fn evict_one(&self) -> bool {
         let now = self.clock.now();
-        let conns = guard(&self.conns);
-        let first = conns.values().filter_map(|c| Some((c.lock().dispensable(now)?, c))).min_by_key(|c| c.0);
+        let conns = guard(&self.connections);
+        let first =
+            conns.values().filter_map(|c| Some((c.lock().eviction_priority(now)?, c))).min_by_key(|c| c.0);
         let Some((_, conn)) = first else { return false };
-        conn.lock().give_way();
+        conn.lock().evict();
         true
     }
 
     /// Keeps those between queries within their bound: the longest idle end.
-    fn trim(&self) {
+    fn evict_excess_idle(&self) {
         let now = self.clock.now();
-        let conns = guard(&self.conns);
-        let idle = |c: &Arc<Conn>| c.lock().dispensable(now).filter(|d| d.0 == 2);
+        let conns = guard(&self.connections);
+        let idle = |c: &Arc<Connection>| c.lock().eviction_priority(now).filter(|d| d.0 == 2);
         let mut idle: Vec<_> = conns.values().filter_map(|c| Some((idle(c)?.1, c))).collect();
         let most = self.bounds().idle;
         if idle.len() > most {
             idle.sort_by_key(|c| c.0);
             let over = idle.len() - most;
-            idle[..over].iter().for_each(|(_, conn)| conn.lock().give_way());
+            idle[..over].iter().for_each(|(_, conn)| conn.lock().evict());
         }
     }
 
     /// Keeps what clients have sent within its bound: those that hold the most and wait for no answer give way.
-    fn shed_bytes(&self) {
+    fn evict_for_memory(&self) {
         if self.bytes.load(Relaxed) <= self.bounds().bytes {
             return;
         }
-        let conns = guard(&self.conns);
-        let held = |c: &Arc<Conn>| {
+        let conns = guard(&self.connections);
+        let held = |c: &Arc<Connection>| {
             let state = c.lock();
-            (!state.cut && !state.server.busy()).then_some(state.bytes)
+            (!state.abort_requested && !state.server.busy()).then_some(state.buffered_bytes)
         };
         if let Some((_, conn)) = conns.values().filter_map(|c| Some((held(c)?, c))).max_by_key(|c| c.0) {
             COUNTERS.evicted.add();
-            conn.lock().cut();
+            conn.lock().abort();
         }
     }
 
     /// Closes what has stood idle for long, says nothing, sends half a request, or takes no answer.
-    pub fn tidy(&self, now: Micros) {
-        self.trim();
-        let conns = guard(&self.conns);
+    pub fn reap(&self, now: Micros) {
+        self.evict_excess_idle();
+        let conns = guard(&self.connections);
         let crowded = conns.len() * 2 > self.bounds().connections;
         let most_idle = if crowded { MAX_IDLE_CROWDED } else { MAX_IDLE };
         for conn in conns.values() {
             let mut state = conn.lock();
-            let quiet = now.since(state.active);
+            let quiet = now.since(state.last_activity_at);
             if state.lingering.is_some_and(|(since, _)| now.since(since) > MAX_LINGER) {
-                state.cut();
+                state.abort();
             } else if !state.server.output().is_empty() {
-                if quiet > MAX_ANSWER {
+                if quiet > MAX_WRITE_STALL {
                     COUNTERS.client_timeouts.add();
-                    state.cut();
+                    state.abort();
                 }
-            } else if !state.asked && state.server.idle() {
+            } else if !state.received_request && state.server.idle() {
                 // A connection that was never used is owed nothing but its end.
-                if now.since(state.accepted) > MAX_REQUEST {
+                if now.since(state.accepted_at) > MAX_REQUEST {
                     COUNTERS.client_timeouts.add();
-                    state.cut();
+                    state.abort();
                 }
             } else if state.server.idle() {
                 if quiet > most_idle {
@@ -521,7 +528,11 @@
             } else if !state.server.busy() && state.lingering.is_none() {
                 // The first request has its time from the connection's begin: who sends a byte now and then gains
                 // none.
-                let since = if state.asked { state.began.unwrap_or(state.active) } else { state.accepted };
+                let since = if state.received_request {
+                    state.request_started_at.unwrap_or(state.last_activity_at)
+                } else {
+                    state.accepted_at
+                };
                 if now.since(since) > MAX_REQUEST {
                     COUNTERS.client_timeouts.add();
                     let response = self.front.malformed_response(HttpError::TooSlow);
@@ -558,9 +569,9 @@
     pub fn leave_all(&self, now: Micros) {
         self.last.store(true, Relaxed);
         self.leaving.store(true, Relaxed);
-        for conn in guard(&self.conns).values() {
+        for conn in guard(&self.connections).values() {
             let mut state = conn.lock();
-            if state.asked || now.since(state.accepted) > LAST_WORD {
+            if state.received_request || now.since(state.accepted_at) > MIN_FIRST_REQUEST {
                 state.server.close_when_idle();
                 state.wake();
             }
@@ -568,7 +579,7 @@
     }
 
     /// Does nobody wait at the socket? Whoever does is accepted: at the program's end he would be reset.
-    pub fn queue_is_empty(self: &Arc<Self>) -> bool {
+    pub fn backlog_is_empty(self: &Arc<Self>) -> bool {
         if self.deaf.load(Relaxed) {
             return true;
         }
@@ -583,13 +594,13 @@
 }
 
 /// Drops what still comes after the last answer. False: the client has read it, or the bound is reached.
-fn linger(state: &mut ConnState, sys: &TcpStream) -> bool {
+fn linger(state: &mut ConnectionState, socket: &TcpStream) -> bool {
     let Some((since, mut bytes)) = state.lingering else { return false };
     let open = loop {
         let input = state.server.input();
         let left = input.data().len();
         input.used(left);
-        match try_read(sys, input.room()) {
+        match try_read(socket, input.room()) {
             IoOutcome::Transferred(n) => {
                 bytes += n;
                 if bytes > MAX_LINGER_BYTES {
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -16,22 +16,31 @@
 }
 
 /// Connections without sockets, each as old as it says.
-fn clients(bounds: ClientLimits, conns: Vec<ConnState>) -> (Arc<ClientConnections>, Vec<Arc<Conn>>) {
+fn clients(
+    bounds: ClientLimits,
+    conns: Vec<ConnectionState>,
+) -> (Arc<ClientConnections>, Vec<Arc<Connection>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let listener = Arc::new(CoIo::new(listener).expect("waited on"));
     let clients = ClientConnections::new(Box::new(Nothing), listener, bounds, channel().0, Clock::start());
-    let conns: Vec<_> = conns.into_iter().map(|c| Arc::new(Conn { state: Mutex::new(c) })).collect();
-    guard(&clients.conns).extend((0..).zip(conns.iter().cloned()));
+    let conns: Vec<_> = conns.into_iter().map(|c| Arc::new(Connection { state: Mutex::new(c) })).collect();
+    guard(&clients.connections).extend((0..).zip(conns.iter().cloned()));
     (clients, conns)
 }
 
-fn conn(age_s: u64, asked: bool, queried: bool) -> ConnState {
+fn conn(age_s: u64, asked: bool, queried: bool) -> ConnectionState {
     let accepted = Clock::start().now() - Micros::from_secs(age_s);
-    ConnState { accepted, active: accepted, asked, queried, ..ConnState::default() }
+    ConnectionState {
+        accepted_at: accepted,
+        last_activity_at: accepted,
+        received_request: asked,
+        submitted_query: queried,
+        ..ConnectionState::default()
+    }
 }
 
-fn ending(conns: &[Arc<Conn>]) -> Vec<bool> {
-    conns.iter().map(|c| c.lock().cut || c.lock().server.winding_up()).collect()
+fn ending(conns: &[Arc<Connection>]) -> Vec<bool> {
+    conns.iter().map(|c| c.lock().abort_requested || c.lock().server.winding_up()).collect()
 }
 
 #[test]
@@ -44,7 +53,7 @@
     let states =
         vec![conn(9, true, true), busy, conn(3, true, true), conn(7, true, true), conn(99, true, false)];
     let (clients, conns) = clients(bounds, states);
-    clients.trim();
+    clients.evict_excess_idle();
     assert_eq!(ending(&conns), [true, false, false, false, false]);
 }
 
@@ -56,10 +65,10 @@
         vec![conn(50, true, true), conn(5, true, false), conn(4, false, false), conn(0, false, false)];
     let (clients, conns) = clients(bounds, states);
     for expected in [[false, true, false, false], [false, true, true, false], [true, true, true, false]] {
-        assert!(clients.evict());
+        assert!(clients.evict_one());
         assert_eq!(ending(&conns), expected);
     }
-    assert!(!clients.evict(), "the last one has only just come");
+    assert!(!clients.evict_one(), "the last one has only just come");
 }
 
 #[test]
@@ -78,8 +87,8 @@
     };
     stream.peek(&mut [0]).expect("it is here");
     let stream = CoIo::new(stream).expect("waited on");
-    assert!(clients.evict());
-    assert!(!clients.step(&conns[0], &stream), "it gives way");
+    assert!(clients.evict_one());
+    assert!(!clients.drive(&conns[0], &stream), "it gives way");
     drop(stream);
     let mut head = [0; 12];
     std::io::Read::read_exact(&mut client, &mut head).expect("an answer");
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -438,7 +438,7 @@
             }
             if now.since(tidied) >= TIDY_INTERVAL {
                 tidied = now;
-                self.clients.tidy(now);
+                self.clients.reap(now);
             }
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_LIST {
                 self.clients.ready.store(true, Relaxed);
@@ -470,10 +470,11 @@
                     self.clients.leave_all(now);
                 }
                 let over = now.since(since) >= last_answer + KILL_MARGIN - END_MARGIN;
-                let open = if over { self.clients.owed() } else { self.clients.open() };
+                let open =
+                    if over { self.clients.owed_connections() } else { self.clients.open_connections() };
                 let drained = self.core.held() == 0 && open == 0;
                 let may_end = last || self.beside == Some(ProcessGeneration::Predecessor);
-                if (may_end && drained && self.clients.queue_is_empty()) || now.since(since) >= LAST_EXIT {
+                if (may_end && drained && self.clients.backlog_is_empty()) || now.since(since) >= LAST_EXIT {
                     tracing::info!("ends: {} queries held", self.core.held());
                     return;
                 }
@@ -539,7 +540,7 @@
             Command::CancelAttempt(replica, key) => self.upstream.cancel(replica, key, now),
             Command::RemoveServer(replica) => self.upstream.remove_server(replica),
             Command::CloseIdle(replica) => self.upstream.close_idle(replica),
-            Command::Reply(token, answer) => self.clients.answer(token, answer),
+            Command::Reply(token, answer) => self.clients.deliver(token, answer),
         }
     }
 }
