--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,6 +1,7 @@
 //! The second address, for operators: a thread of its own, so that a worker with too much to do delays no reply. It
 //! reads atomics only.
 
+use super::lifecycle::Unhealthy;
 use super::{try_read, IoOutcome};
 use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
@@ -25,7 +26,7 @@
     /// The figures.
     pub figures: Arc<Metrics>,
     /// Can this process serve? If not, why.
-    pub health: Box<dyn Fn() -> Result<(), &'static str> + Send>,
+    pub health: Box<dyn Fn() -> Result<(), Unhealthy> + Send>,
     /// Callers at a time.
     pub most: usize,
 }
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Client connections: accepted, read, answered, and closed when there are too many or they stand idle.
 
+use super::lifecycle::{Lifecycle, ShutdownEvent};
 use super::{spawn, try_read, try_write, IoOutcome};
 use crate::coordinator::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
@@ -11,7 +12,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -152,8 +153,6 @@
     awaiting: Mutex<HashMap<Token, Arc<Connection>>>,
     next: AtomicU64,
     bounds: ClientLimits,
-    /// Another process has half of that.
-    halved: AtomicBool,
     /// Kept until the process ends: what the runtime knows of a socket that another process has too must outlive its use.
     listener: Arc<CoIo<TcpListener>>,
     /// What all of them hold in memory.
@@ -161,18 +160,7 @@
     front: Box<dyn Front>,
     inbox: Sender<Input>,
     clock: Clock,
-    /// The program is ready to serve.
-    pub ready: AtomicBool,
-    /// It listens, and the servers' list is news and not an old one.
-    pub informed: AtomicBool,
-    /// The program is told to end.
-    ending: AtomicBool,
-    /// It is about to: every answer closes its connection.
-    leaving: AtomicBool,
-    /// Another process accepts at the same socket, and this one does not.
-    deaf: AtomicBool,
-    /// What is between requests is closed: there is no way back.
-    last: AtomicBool,
+    lifecycle: Lifecycle,
 }
 
 fn guard<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -189,7 +177,6 @@
         clock: Clock,
     ) -> Arc<Self> {
         Arc::new(ClientConnections {
-            halved: AtomicBool::new(false),
             listener,
             connections: Mutex::default(),
             awaiting: Mutex::default(),
@@ -199,12 +186,7 @@
             front,
             inbox,
             clock,
-            ready: AtomicBool::new(false),
-            informed: AtomicBool::new(false),
-            ending: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
-            deaf: AtomicBool::new(false),
-            last: AtomicBool::new(false),
+            lifecycle: Lifecycle::default(),
         })
     }
 
@@ -223,36 +205,27 @@
         guard(&self.connections).values().filter(owed).count()
     }
 
-    /// Would a request of a client be served? If not, why.
-    pub fn health(&self) -> Result<(), &'static str> {
-        match () {
-            () if self.ending.load(Relaxed) => Err("it is told to end"),
-            () if !self.informed.load(Relaxed) => Err("the servers are not known yet"),
-            () => Ok(()),
-        }
+    /// The phases of this front, which other threads may read.
+    pub fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
     }
 
     fn bounds(&self) -> ClientLimits {
-        if self.halved.load(Relaxed) {
+        if self.lifecycle.limits_shared() {
             self.bounds.halved()
         } else {
             self.bounds
         }
     }
 
-    /// Another process shares the limits, or does no more.
-    pub fn share(&self, shared: bool) {
-        self.halved.store(shared, Relaxed);
-    }
-
     /// Accepts for as long as the program listens. `beside`: another process serves at the same address, so nothing is
     /// accepted before this one knows its servers, or the other has gone.
     pub fn accept(self: &Arc<Self>, beside: impl Fn() -> bool) {
-        while beside() && !self.informed.load(Relaxed) {
+        while beside() && !self.lifecycle.endpoints_known() {
             may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
         }
         loop {
-            if self.deaf.load(Relaxed) {
+            if !self.lifecycle.service_phase().accepts_connections() {
                 may::coroutine::sleep(ACCEPT_RETRY_INTERVAL);
                 continue;
             }
@@ -395,7 +368,7 @@
     /// Takes the requests that are here whole.
     fn handle_requests(self: &Arc<Self>, conn: &Arc<Connection>, state: &mut ConnectionState) {
         while let Some(polled) = state.server.poll() {
-            let close = self.leaving.load(Relaxed);
+            let close = self.lifecycle.service_phase().closes_after_response();
             match polled {
                 Err(error) => {
                     COUNTERS.bad_requests.add();
@@ -407,7 +380,7 @@
                     let token = Token(self.next.fetch_add(1, Relaxed));
                     // A request's time counts from its last byte, which came with the last read.
                     let sent = state.last_activity_at;
-                    let ready = self.ready.load(Relaxed) && !self.ending.load(Relaxed);
+                    let ready = self.lifecycle.is_ready();
                     match self.front.handle(request, token, sent, ready) {
                         Reaction::Respond(response) => {
                             state.server.respond(response, close);
@@ -449,7 +422,7 @@
                 return;
             }
         };
-        let close = self.leaving.load(Relaxed);
+        let close = self.lifecycle.service_phase().closes_after_response();
         state.server.respond(response, close);
         state.last_activity_at = self.clock.now();
         // What came of a next request while this one was answered has its time from now on.
@@ -543,32 +516,23 @@
         }
     }
 
-    /// The program is told to end: nobody new is to be sent here.
-    pub fn not_ready(&self) {
-        self.ending.store(true, Relaxed);
-    }
-
-    /// Another process has the listening socket and this one is told to end: nobody new comes here, and whoever is here
-    /// goes there with the next answer. Those between requests may be about to ask, so they are left open.
-    pub fn hand_over(&self) {
-        if !self.deaf.swap(true, Relaxed) {
-            self.leaving.store(true, Relaxed);
+    /// Drains, as the process was told to exit. Connections between requests stay open, since their clients may be about to
+    /// send one. Where a successor accepts at the listening socket, nothing is accepted here any more and each response
+    /// closes its connection; if the successor exits first, the backlog is this process's again.
+    pub fn drain(&self, successor_accepts: bool) {
+        let before = self.lifecycle.service_phase();
+        let event =
+            if successor_accepts { ShutdownEvent::DrainBesideSuccessor } else { ShutdownEvent::DrainAlone };
+        let after = self.lifecycle.shut_down(event);
+        if before.accepts_connections() && !after.accepts_connections() {
             self.listener.waker().wakeup();
         }
     }
 
-    /// The other process has gone before this one: whoever stands in the queue of the socket is this one's again.
-    pub fn take_back(&self) {
-        if self.deaf.swap(false, Relaxed) {
-            self.leaving.store(self.last.load(Relaxed), Relaxed);
-        }
-    }
-
-    /// Closes what is between requests, and from now on every other with its answer. Who comes now is still accepted, and
-    /// answered: the machine accepts him anyway, and what it accepted would be reset at the end.
-    pub fn leave_all(&self, now: Micros) {
-        self.last.store(true, Relaxed);
-        self.leaving.store(true, Relaxed);
+    /// Closes connections between requests, and from now on each other one with its response. New connections are still
+    /// accepted and answered: the kernel completes them in any case, and would reset them when the process exits.
+    pub fn close_idle(&self, now: Micros) {
+        self.lifecycle.shut_down(ShutdownEvent::Close);
         for conn in guard(&self.connections).values() {
             let mut state = conn.lock();
             if state.received_request || now.since(state.accepted_at) > MIN_FIRST_REQUEST {
@@ -580,7 +544,7 @@
 
     /// Does nobody wait at the socket? Whoever does is accepted: at the program's end he would be reset.
     pub fn backlog_is_empty(self: &Arc<Self>) -> bool {
-        if self.deaf.load(Relaxed) {
+        if !self.lifecycle.service_phase().accepts_connections() {
             return true;
         }
         match self.listener.inner().accept() {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -5,6 +5,7 @@
 use super::config::{Config, InForce};
 use super::feature_client::FeatureClient;
 use super::handover::{self, PeerProcess};
+use super::lifecycle::StartupPhase;
 use super::node_client::NodeClient;
 use super::timer::Timer;
 use super::{spawn, watch, Upstream, LARGE_STACK_WORDS, SMALL_STACK_WORDS, TURN_STACK_WORDS};
@@ -156,7 +157,7 @@
     // One address for the whole process; the platform's goes first.
     for (address, sockets) in told.into_iter().chain(also).filter_map(|(a, n)| Some((a?, n))).take(1) {
         let fronts: Vec<_> = running.iter().map(|r| r.0.clone()).collect();
-        let health = Box::new(move || fronts.iter().try_for_each(|c| c.health()));
+        let health = Box::new(move || fronts.iter().try_for_each(|c| c.lifecycle().health()));
         let most = admin::reserved(sockets) - 1;
         // ClientConnections are served without it too.
         if let Err(e) = admin::start(address, admin::AdminEndpoint { figures: figures.clone(), health, most })
@@ -441,10 +442,10 @@
                 self.clients.reap(now);
             }
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_LIST {
-                self.clients.ready.store(true, Relaxed);
+                self.clients.lifecycle().advance_startup(StartupPhase::Ready);
             }
             if self.listed.load(Relaxed) || now.since(self.started) >= WAIT_FOR_NEWS {
-                self.clients.informed.store(true, Relaxed);
+                self.clients.lifecycle().advance_startup(StartupPhase::EndpointsKnown);
             }
             self.share_if_beside();
             self.reload_if_asked(now, &mut inputs);
@@ -455,19 +456,14 @@
             }
             if let Some((since, last_answer)) = leaving {
                 // Looked at each turn: the signal may be quicker than the word that the sockets were taken.
-                if self.beside == Some(ProcessGeneration::Predecessor) {
-                    self.clients.hand_over();
-                } else {
-                    self.clients.take_back();
-                }
+                self.clients.drain(self.beside == Some(ProcessGeneration::Predecessor));
                 if told {
-                    self.clients.not_ready();
                     // Said, to operators too, once it is so: whoever waits for that may ask at once.
                     tracing::info!("told to end: {} queries held", self.core.held());
                 }
                 let last = now.since(since) >= (last_answer - LAST_TIME).max(LAST_COMERS);
                 if last {
-                    self.clients.leave_all(now);
+                    self.clients.close_idle(now);
                 }
                 let over = now.since(since) >= last_answer + KILL_MARGIN - END_MARGIN;
                 let open =
@@ -488,7 +484,7 @@
         if beside != self.beside {
             self.beside = beside;
             self.core.share(beside);
-            self.clients.share(beside.is_some());
+            self.clients.lifecycle().set_limits_shared(beside.is_some());
         }
     }
 
