--- /dev/null
+++ b/src/net/clients/accept.rs
@@ -0,0 +1,131 @@
+//! Accepting client connections.
+
+use super::connection::{Connection, ConnectionState};
+use super::ClientConnections;
+use crate::coordinator::{log_rarely, COUNTERS};
+use crate::net::spawn;
+use crate::sync;
+use may::coroutine;
+use may::io::{CoIo, WaitIo};
+use std::io::{self, ErrorKind};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The pause while no connection can be accepted.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+
+impl ClientConnections {
+    /// Accepts connections for as long as the process lives. While `predecessor_lives`, which accepts at the same address,
+    /// this process begins to accept only once it knows the servers.
+    pub fn accept(self: &Arc<Self>, predecessor_lives: impl Fn() -> bool) {
+        while predecessor_lives() && !self.lifecycle.endpoints_known() {
+            coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+        }
+        loop {
+            if !self.lifecycle.service_phase().accepts_connections() {
+                coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+            } else if self.open_connections() >= self.limits().connections {
+                self.make_room();
+            } else {
+                self.accept_one();
+            }
+        }
+    }
+
+    /// Evicts a connection, or waits where none may be evicted.
+    fn make_room(&self) {
+        if self.evict_one() {
+            // The evicted connection is closed by its own coroutine.
+            coroutine::yield_now();
+        } else {
+            // New connections wait in the backlog: the kernel has completed them, so they must not be closed.
+            coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+        }
+    }
+
+    fn accept_one(self: &Arc<Self>) {
+        match self.listener.inner().accept() {
+            Ok((stream, _)) => {
+                self.serve(stream);
+                self.evict_excess_idle();
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                self.listener.wait_io();
+            }
+            Err(e) => {
+                // Most likely no descriptor is left (EMFILE): evicting a connection frees one.
+                log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
+                self.evict_one();
+                coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+            }
+        }
+    }
+
+    /// Serves a connection on a coroutine of its own.
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
+        COUNTERS.accepted.add();
+        let _ = stream.set_nodelay(true);
+        let stream = match CoIo::new(stream) {
+            Ok(stream) => stream,
+            Err(e) => {
+                return log_rarely(&COUNTERS.accept_errors, || {
+                    format!("a connection cannot be waited on: {e}")
+                });
+            }
+        };
+        let connection = Arc::new(Connection::new(self.accepted_state(&stream)));
+        let id = self.next_id();
+        sync::lock(&self.connections).insert(id, connection.clone());
+        if let Err(e) = self.spawn_connection(id, connection, stream) {
+            log_rarely(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
+            sync::lock(&self.connections).remove(&id);
+        }
+    }
+
+    fn accepted_state(&self, stream: &CoIo<TcpStream>) -> ConnectionState {
+        let accepted_at = self.clock.now();
+        let mut state = ConnectionState {
+            accepted_at,
+            last_activity_at: accepted_at,
+            waker: Some(stream.waker()),
+            ..ConnectionState::default()
+        };
+        state.http.allow_body(self.front.max_body());
+        state
+    }
+
+    fn spawn_connection(
+        self: &Arc<Self>,
+        id: u64,
+        connection: Arc<Connection>,
+        stream: CoIo<TcpStream>,
+    ) -> io::Result<()> {
+        let clients = self.clone();
+        spawn(self.front.stack_words(), move || {
+            while clients.drive(&connection, &stream) {
+                clients.evict_for_memory();
+                stream.wait_io();
+            }
+            clients.release(&connection);
+            let _ = stream.inner().shutdown(Shutdown::Both);
+            sync::lock(&clients.connections).remove(&id);
+        })
+        .map(drop)
+    }
+
+    /// Whether no connection waits in the backlog of the listening socket; one that does is accepted, since the kernel would
+    /// reset it when the process exits.
+    pub fn backlog_is_empty(self: &Arc<Self>) -> bool {
+        if !self.lifecycle.service_phase().accepts_connections() {
+            return true;
+        }
+        match self.listener.inner().accept() {
+            Ok((stream, _)) => {
+                self.serve(stream);
+                false
+            }
+            Err(_) => true,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/clients/requests.rs
@@ -0,0 +1,161 @@
+//! Serving one client connection: its requests are read, handed to the front, and answered.
+
+use super::connection::{AwaitedResponse, Connection, ConnectionState};
+use super::ClientConnections;
+use crate::coordinator::{Answer, Input, Request, Token, COUNTERS};
+use crate::front::{Reaction, Render};
+use crate::net::IoOutcome;
+use crate::proto::http::{HttpError, HttpRequest};
+use crate::sync;
+use may::io::CoIo;
+use std::net::TcpStream;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+
+impl ClientConnections {
+    /// Reads, handles and answers what is possible without waiting. Returns whether the connection stays open.
+    pub(super) fn drive(&self, connection: &Arc<Connection>, stream: &CoIo<TcpStream>) -> bool {
+        let mut state = connection.lock();
+        // A first request that is in the socket when its connection is evicted is still taken: its client would get a
+        // reset in place of a response.
+        let may_exchange = !state.abort_requested || !state.received_request;
+        let mut open = may_exchange && self.exchange(connection, &mut state, stream.inner());
+        if open && state.abort_requested {
+            open = state.http.busy();
+            state.abort_requested = false;
+            state.http.close_when_idle();
+        }
+        self.count_memory(&mut state, open);
+        open
+    }
+
+    /// Counts the memory that a connection holds in place of what it held before.
+    fn count_memory(&self, state: &mut ConnectionState, open: bool) {
+        let bytes = if open { state.http.memory() } else { 0 };
+        self.buffered_bytes.fetch_add(bytes, Relaxed);
+        self.buffered_bytes.fetch_sub(std::mem::replace(&mut state.buffered_bytes, bytes), Relaxed);
+    }
+
+    fn exchange(
+        &self,
+        connection: &Arc<Connection>,
+        state: &mut ConnectionState,
+        socket: &TcpStream,
+    ) -> bool {
+        // Input that came behind a request while that was in progress.
+        self.handle_requests(connection, state);
+        if !self.read_requests(connection, state, socket) || !state.write_output(socket, &self.clock) {
+            return false;
+        }
+        if state.http.idle() {
+            state.request_started_at = None;
+        }
+        if !state.http.finished() {
+            return true;
+        }
+        state.begin_linger(socket, &self.clock) && state.discard_input(socket)
+    }
+
+    /// Reads and handles requests for as long as there is input. False: the client closed the connection while a request
+    /// is in progress, which it no longer waits for.
+    fn read_requests(
+        &self,
+        connection: &Arc<Connection>,
+        state: &mut ConnectionState,
+        socket: &TcpStream,
+    ) -> bool {
+        while !state.is_lingering() && (state.http.wants_input() || state.http.overrun()) {
+            match state.read_input(socket, &self.clock) {
+                IoOutcome::Transferred(_) => self.handle_requests(connection, state),
+                IoOutcome::WouldBlock => return true,
+                IoOutcome::EndOfStream | IoOutcome::Broken if state.http.busy() => return false,
+                IoOutcome::EndOfStream | IoOutcome::Broken => {
+                    state.http.end();
+                    self.handle_requests(connection, state);
+                    return true;
+                }
+            }
+        }
+        true
+    }
+
+    /// Handles the requests that are complete.
+    fn handle_requests(&self, connection: &Arc<Connection>, state: &mut ConnectionState) {
+        while let Some(polled) = state.http.poll() {
+            match polled {
+                Ok(request) => self.handle_request(request, connection, state),
+                Err(error) => self.reject_malformed(error, state),
+            }
+        }
+    }
+
+    fn reject_malformed(&self, error: HttpError, state: &mut ConnectionState) {
+        COUNTERS.bad_requests.add();
+        state.http.respond(self.front.malformed_response(error), true);
+    }
+
+    fn handle_request(
+        &self,
+        request: HttpRequest,
+        connection: &Arc<Connection>,
+        state: &mut ConnectionState,
+    ) {
+        let close = self.lifecycle.service_phase().closes_after_response();
+        state.received_request = true;
+        let token = Token(self.next_id());
+        // A request's time counts from its last byte, which came with the last read.
+        let sent_at = state.last_activity_at;
+        match self.front.handle(request, token, sent_at, self.lifecycle.is_ready()) {
+            Reaction::Respond(response) => {
+                state.http.respond(response, close);
+                state.restart_request_time();
+            }
+            Reaction::Submit(request, render) => {
+                state.submitted_query = true;
+                self.submit(request, token, render, connection, state);
+            }
+        }
+    }
+
+    fn submit(
+        &self,
+        request: Request,
+        token: Token,
+        render: Render,
+        connection: &Arc<Connection>,
+        state: &mut ConnectionState,
+    ) {
+        state.awaited = Some(AwaitedResponse { token, render });
+        sync::lock(&self.awaiting).insert(token, connection.clone());
+        let _ = self.inbox.send(Input::Submit(request));
+    }
+
+    /// Gives a request its answer, whose response is written by the connection's coroutine. Does nothing if its client has
+    /// left.
+    pub fn deliver(&self, token: Token, answer: Answer) {
+        let Some(connection) = sync::lock(&self.awaiting).remove(&token) else { return };
+        let mut state = connection.lock();
+        let Some(awaited) = state.awaited.take_if(|awaited| awaited.token == token) else { return };
+        let response = match (awaited.render)(answer) {
+            Reaction::Respond(response) => response,
+            Reaction::Submit(request, render) => {
+                return self.submit(request, token, render, &connection, &mut state);
+            }
+        };
+        let close = self.lifecycle.service_phase().closes_after_response();
+        state.http.respond(response, close);
+        state.last_activity_at = self.clock.now();
+        state.restart_request_time();
+        state.wake();
+    }
+
+    /// Reports to the coordinator that the client of a connection has left, if it still awaits a response.
+    pub(super) fn release(&self, connection: &Connection) {
+        let mut state = connection.lock();
+        state.waker = None;
+        if let Some(awaited) = state.awaited.take() {
+            sync::lock(&self.awaiting).remove(&awaited.token);
+            let _ = self.inbox.send(Input::ClientLeft(awaited.token));
+        }
+    }
+}
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -1,12 +1,16 @@
-//! Tests of the client connections.
+//! Tests of the eviction of client connections.
 
 use super::*;
+use crate::front::Reaction;
 use crate::proto::http::{HttpRequest, Response};
 use may::sync::mpsc::channel;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
-struct Nothing;
+/// A front that knows no resource.
+struct NotFoundFront;
 
-impl Front for Nothing {
+impl Front for NotFoundFront {
     fn handle(&self, _: HttpRequest, _: Token, _: Micros, _: bool) -> Reaction {
         Reaction::Respond(Response::new(404, "", ""))
     }
@@ -15,101 +19,93 @@
     }
 }
 
-/// Connections without sockets, each as old as it says.
+/// Client connections in these states, without sockets.
 fn clients(
-    bounds: ClientLimits,
-    conns: Vec<ConnectionState>,
+    limits: ClientLimits,
+    states: Vec<ConnectionState>,
 ) -> (Arc<ClientConnections>, Vec<Arc<Connection>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let listener = Arc::new(CoIo::new(listener).expect("waited on"));
-    let clients = ClientConnections::new(Box::new(Nothing), listener, bounds, channel().0, Clock::start());
-    let conns: Vec<_> = conns.into_iter().map(|c| Arc::new(Connection { state: Mutex::new(c) })).collect();
-    guard(&clients.connections).extend((0..).zip(conns.iter().cloned()));
-    (clients, conns)
+    let listener = Arc::new(CoIo::new(listener).expect("a socket of the runtime"));
+    let clients =
+        ClientConnections::new(Box::new(NotFoundFront), listener, limits, channel().0, Clock::start());
+    let connections: Vec<_> = states.into_iter().map(|state| Arc::new(Connection::new(state))).collect();
+    sync::lock(&clients.connections).extend((0..).zip(connections.iter().cloned()));
+    (clients, connections)
 }
 
-fn conn(age_s: u64, asked: bool, queried: bool) -> ConnectionState {
-    let accepted = Clock::start().now() - Micros::from_secs(age_s);
+/// An idle connection that was accepted, and last active, so many seconds ago.
+fn connection(age_s: u64, received_request: bool, submitted_query: bool) -> ConnectionState {
+    let accepted_at = Clock::start().now() - Micros::from_secs(age_s);
     ConnectionState {
-        accepted_at: accepted,
-        last_activity_at: accepted,
-        received_request: asked,
-        submitted_query: queried,
+        accepted_at,
+        last_activity_at: accepted_at,
+        received_request,
+        submitted_query,
         ..ConnectionState::default()
     }
 }
 
-fn ending(conns: &[Arc<Connection>]) -> Vec<bool> {
-    conns.iter().map(|c| c.lock().abort_requested || c.lock().server.winding_up()).collect()
+fn are_closing(connections: &[Arc<Connection>]) -> Vec<bool> {
+    connections.iter().map(|c| c.lock().abort_requested || c.lock().http.winding_up()).collect()
 }
 
 #[test]
-fn the_longest_idle_end_so_that_new_clients_find_a_place() {
-    // ClientConnections that asked once kept all the places that the platform grants to clients, for two minutes.
-    let bounds = ClientLimits { connections: 100, idle: 2, bytes: 1 };
-    let mut busy = conn(50, true, true);
-    busy.server.input().feed(b"GET / HTTP/1.1\r\n\r\n");
-    assert!(matches!(busy.server.poll(), Some(Ok(_))));
-    let states =
-        vec![conn(9, true, true), busy, conn(3, true, true), conn(7, true, true), conn(99, true, false)];
-    let (clients, conns) = clients(bounds, states);
+fn the_longest_idle_connections_are_evicted_beyond_the_idle_limit() {
+    // Clients that sent one query kept all the places that the platform grants to clients, for two minutes.
+    let limits = ClientLimits { connections: 100, idle: 2, bytes: 1 };
+    let mut busy = connection(50, true, true);
+    busy.http.input().feed(b"GET / HTTP/1.1\r\n\r\n");
+    assert!(matches!(busy.http.poll(), Some(Ok(_))));
+    let states = vec![
+        connection(9, true, true),
+        busy,
+        connection(3, true, true),
+        connection(7, true, true),
+        connection(99, true, false),
+    ];
+    let (clients, connections) = clients(limits, states);
     clients.evict_excess_idle();
-    assert_eq!(ending(&conns), [true, false, false, false, false]);
+    assert_eq!(are_closing(&connections), [true, false, false, false, false]);
 }
 
 #[test]
-fn who_brought_no_query_gives_way_before_who_did() {
-    // A crowd that asked for /up and stayed had the usual clients' connections closed, which were idle for longer.
-    let bounds = ClientLimits { connections: 3, idle: 3, bytes: 1 };
-    let states =
-        vec![conn(50, true, true), conn(5, true, false), conn(4, false, false), conn(0, false, false)];
-    let (clients, conns) = clients(bounds, states);
+fn connections_without_a_query_are_evicted_before_those_with_one() {
+    // A crowd that requested /up and stayed had the connections of regular clients closed, which were idle for longer.
+    let limits = ClientLimits { connections: 3, idle: 3, bytes: 1 };
+    let states = vec![
+        connection(50, true, true),
+        connection(5, true, false),
+        connection(4, false, false),
+        connection(0, false, false),
+    ];
+    let (clients, connections) = clients(limits, states);
     for expected in [[false, true, false, false], [false, true, true, false], [true, true, true, false]] {
         assert!(clients.evict_one());
-        assert_eq!(ending(&conns), expected);
+        assert_eq!(are_closing(&connections), expected);
     }
-    assert!(!clients.evict_one(), "the last one has only just come");
+    assert!(!clients.evict_one(), "the last one was accepted just now");
 }
 
 #[test]
-fn a_new_connection_that_gives_way_is_answered_if_its_request_is_here() {
-    // It was closed unread, so the client had a reset for an answer.
-    let (clients, conns) =
-        clients(ClientLimits { connections: 1, idle: 1, bytes: 1 }, vec![conn(1, false, false)]);
-    let mut client =
-        TcpStream::connect(clients.listener.inner().local_addr().expect("bound")).expect("it listens");
-    std::io::Write::write_all(&mut client, b"GET /up HTTP/1.1\r\n\r\n").expect("sent");
+fn an_evicted_new_connection_is_answered_if_its_request_is_in_the_socket() {
+    // It was closed unread, so the client had a reset for a response.
+    let limits = ClientLimits { connections: 1, idle: 1, bytes: 1 };
+    let (clients, connections) = clients(limits, vec![connection(1, false, false)]);
+    let address = clients.listener.inner().local_addr().expect("bound");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    client.write_all(b"GET /up HTTP/1.1\r\n\r\n").expect("sent");
     let stream = loop {
         match clients.listener.inner().accept() {
             Ok((stream, _)) => break stream,
             Err(_) => std::thread::yield_now(),
         }
     };
-    stream.peek(&mut [0]).expect("it is here");
-    let stream = CoIo::new(stream).expect("waited on");
+    stream.peek(&mut [0]).expect("the request has arrived");
+    let stream = CoIo::new(stream).expect("a socket of the runtime");
     assert!(clients.evict_one());
-    assert!(!clients.drive(&conns[0], &stream), "it gives way");
+    assert!(!clients.drive(&connections[0], &stream), "it closes");
     drop(stream);
     let mut head = [0; 12];
-    std::io::Read::read_exact(&mut client, &mut head).expect("an answer");
+    client.read_exact(&mut head).expect("a response");
     assert_eq!(&head, b"HTTP/1.1 404");
 }
-
-#[test]
-fn bounds_follow_the_limits_however_small() {
-    // Half of the descriptors or more went to clients, but with 256 nothing was left for a crowd beside the usual.
-    let of = |sockets, mb: usize| ClientLimits::new(sockets, mb * 1024 * 1024);
-    for (sockets, mb) in [(256, 32), (384, 48), (1024, 192)] {
-        let bounds = of(sockets, mb);
-        assert!(bounds.connections > sockets / 2 && bounds.connections + sockets / 4 < sockets);
-        // The usual clients may hold a third of the descriptors: there is always room for new ones among them.
-        assert!(bounds.idle > 0 && bounds.idle < sockets / 3 - sockets / 8);
-        assert!(bounds.bytes >= 5 * 1024 * 1024 && bounds.bytes < mb * 1024 * 1024 / 2);
-    }
-    assert_eq!(of(40, 0), ClientLimits { connections: 24, idle: 6, bytes: 1024 * 1024 });
-    assert_eq!(of(1, 32).shared(2).connections, 1);
-    // Two processes of an upgrade keep the limits of one, and the old one's idle clients are not cut for it.
-    let (whole, half) = (of(384, 48), of(384, 48).halved());
-    assert!(half.connections * 2 <= whole.connections && half.bytes * 2 <= whole.bytes);
-    assert_eq!(half.idle, whole.idle);
-}
