--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,129 +1,166 @@
-//! The second address, for operators: a thread of its own, so that a worker with too much to do delays no reply. It
-//! reads atomics only.
+//! The admin endpoint, which operators call the second address: health check and metrics. It has a thread of its own and
+//! reads atomics only, so that a saturated worker delays no reply.
 
 use super::lifecycle::Unhealthy;
 use super::{try_read, IoOutcome};
 use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use std::io::Write;
+use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
-/// A caller without a whole call is closed after this; the oldest goes sooner where places are short.
+/// A caller without a complete call is closed after this time; the oldest goes sooner where places are short.
 const MAX_CALL: Duration = Duration::from_secs(6);
-/// The longest sleep, and the pause when no connection can be accepted.
-const MAX_SLEEP_MS: (i64, u64) = (250, 10);
+/// The longest wait for a socket: callers' time limits are checked this often.
+const MAX_POLL: Timespec = Timespec { tv_sec: 0, tv_nsec: 250_000_000 };
+/// The pause while no connection can be accepted.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Stack of the thread, in bytes.
+const STACK_BYTES: usize = 128 * 1024;
 
-/// Descriptors kept for this address, out of so many of the process: its listener and its callers.
-pub fn reserved(sockets: usize) -> usize {
-    (sockets / 16).clamp(3, 33)
+/// The descriptors reserved for this endpoint, out of so many of the process: its listening socket and its callers.
+#[must_use]
+pub fn reserved(descriptors: usize) -> usize {
+    (descriptors / 16).clamp(3, 33)
 }
 
-/// What is told here.
+/// Why the endpoint cannot be served.
+#[derive(Debug, Error)]
+#[error("the second address {address}: {source}")]
+pub struct AdminError {
+    /// Where it was to listen.
+    pub address: SocketAddr,
+    /// What went wrong.
+    pub source: io::Error,
+}
+
+/// What the endpoint reports.
 pub struct AdminEndpoint {
-    /// The figures.
-    pub figures: Arc<Metrics>,
-    /// Can this process serve? If not, why.
+    /// The metrics of the process.
+    pub metrics: Arc<Metrics>,
+    /// Whether the process serves requests; if not, why.
     pub health: Box<dyn Fn() -> Result<(), Unhealthy> + Send>,
-    /// Callers at a time.
-    pub most: usize,
+    /// Most callers at a time.
+    pub max_callers: usize,
 }
 
-/// Answers calls for as long as the process lives.
-pub fn start(address: SocketAddr, told: AdminEndpoint) -> Result<(), String> {
-    let fault = |e: std::io::Error| format!("the second address {address}: {e}");
-    let listener = TcpListener::bind(address).map_err(fault)?;
-    listener.set_nonblocking(true).map_err(fault)?;
-    let at = listener.local_addr().map_err(fault)?;
-    std::thread::Builder::new()
-        .name("second address".to_owned())
-        .stack_size(128 * 1024)
-        .spawn(move || {
+/// Answers calls on a thread, for as long as the process lives.
+///
+/// # Errors
+/// The address cannot be bound, or the thread cannot be started.
+pub fn start(address: SocketAddr, endpoint: AdminEndpoint) -> Result<(), AdminError> {
+    let bound = try_start(address, endpoint).map_err(|source| AdminError { address, source })?;
+    tracing::info!("operators are answered on {bound}");
+    Ok(())
+}
+
+fn try_start(address: SocketAddr, endpoint: AdminEndpoint) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    std::thread::Builder::new().name("second address".to_owned()).stack_size(STACK_BYTES).spawn(
+        move || {
             let mut callers = Vec::new();
             loop {
-                round(&listener, &mut callers, &told);
+                serve_once(&listener, &mut callers, &endpoint);
             }
-        })
-        .map_err(fault)?;
-    tracing::info!("operators are answered on {at}");
-    Ok(())
+        },
+    )?;
+    Ok(bound)
 }
 
-struct Conn {
+/// A connection of an operator.
+struct CallerConnection {
     stream: TcpStream,
     caller: Caller,
-    since: Instant,
+    accepted_at: Instant,
     replied: bool,
 }
 
-/// Waits, accepts, and answers whoever has asked.
-fn round(listener: &TcpListener, callers: &mut Vec<Conn>, told: &AdminEndpoint) {
-    let mut waited: Vec<PollFd<'_>> = vec![PollFd::new(listener, PollFlags::IN)];
-    waited.extend(callers.iter().map(|c| PollFd::new(&c.stream, PollFlags::IN)));
-    let sleep = Timespec { tv_sec: 0, tv_nsec: MAX_SLEEP_MS.0 * 1_000_000 };
-    if poll(&mut waited, Some(&sleep)).is_err() {
+impl CallerConnection {
+    fn new(stream: TcpStream) -> Self {
+        CallerConnection { stream, caller: Caller::default(), accepted_at: Instant::now(), replied: false }
+    }
+}
+
+/// Waits for input, accepts, and answers the calls that are complete.
+fn serve_once(listener: &TcpListener, callers: &mut Vec<CallerConnection>, endpoint: &AdminEndpoint) {
+    if !wait_for_input(listener, callers) {
         return;
     }
-    drop(waited);
     while let Some(stream) = accept(listener) {
-        if callers.len() >= told.most {
-            // One that has its reply, or else the oldest, has had its time: a caller that asks must not wait behind those
-            // that do not.
+        if callers.len() >= endpoint.max_callers {
+            // One that has its reply, or else the oldest: a caller with a call must not wait behind those without.
             callers.remove(callers.iter().position(|c| c.replied).unwrap_or(0));
         }
-        callers.push(Conn { stream, caller: Caller::default(), since: Instant::now(), replied: false });
+        callers.push(CallerConnection::new(stream));
         // Most calls come with their connection.
-        callers.retain_mut(|c| !answered(c, told));
+        callers.retain_mut(|c| !is_done(c, endpoint));
     }
-    callers.retain_mut(|c| !answered(c, told) && c.since.elapsed() < MAX_CALL);
+    callers.retain_mut(|c| !is_done(c, endpoint) && c.accepted_at.elapsed() < MAX_CALL);
+}
+
+/// Returns whether the wait went well.
+fn wait_for_input(listener: &TcpListener, callers: &[CallerConnection]) -> bool {
+    let mut sockets: Vec<PollFd<'_>> = vec![PollFd::new(listener, PollFlags::IN)];
+    sockets.extend(callers.iter().map(|c| PollFd::new(&c.stream, PollFlags::IN)));
+    poll(&mut sockets, Some(&MAX_POLL)).is_ok()
 }
 
 fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept() {
         Ok((stream, _)) => stream.set_nonblocking(true).is_ok().then_some(stream),
-        Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::Interrupted) => {
-            None
-        }
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
         Err(e) => {
-            static REFUSED: Counter = Counter::new();
-            log_rarely(&REFUSED, || format!("the second address: accept: {e}"));
-            std::thread::sleep(Duration::from_millis(MAX_SLEEP_MS.1));
+            static ACCEPT_ERRORS: Counter = Counter::new();
+            log_rarely(&ACCEPT_ERRORS, || format!("the second address: accept: {e}"));
+            std::thread::sleep(ACCEPT_RETRY_INTERVAL);
             None
         }
     }
 }
 
-/// Reads on, and replies once the call is here. True: this caller is done.
-fn answered(conn: &mut Conn, told: &AdminEndpoint) -> bool {
-    let ended = match try_read(&conn.stream, conn.caller.input.room()) {
-        IoOutcome::Transferred(n) => {
-            conn.caller.input.filled(n);
+/// Reads on, and replies once the call is complete. Returns whether the connection is to be closed.
+fn is_done(connection: &mut CallerConnection, endpoint: &AdminEndpoint) -> bool {
+    let ended = read_once(connection);
+    if connection.replied {
+        // Input behind the call is discarded until the caller has closed: closing a socket with unread input sends a reset,
+        // on which the caller may lose the reply.
+        connection.caller = Caller::default();
+        return ended;
+    }
+    if let Some(call) = connection.caller.call(ended) {
+        COUNTERS.calls.add();
+        // A new connection takes a few KiB at once; a caller that does not read is not waited for.
+        let _ = connection.stream.write_all(reply(call, endpoint).as_bytes());
+        let _ = connection.stream.shutdown(Shutdown::Write);
+        connection.replied = true;
+    }
+    ended
+}
+
+/// Returns whether the caller sends nothing more.
+fn read_once(connection: &mut CallerConnection) -> bool {
+    match try_read(&connection.stream, connection.caller.input.room()) {
+        IoOutcome::Transferred(bytes) => {
+            connection.caller.input.filled(bytes);
             false
         }
         IoOutcome::WouldBlock => false,
         IoOutcome::EndOfStream | IoOutcome::Broken => true,
-    };
-    if conn.replied {
-        // What comes behind the call is dropped until the caller has closed: a close on unread bytes is a reset, which
-        // can eat the reply.
-        conn.caller = Caller::default();
-        return ended;
     }
-    let Some(call) = conn.caller.call(ended) else { return ended };
-    COUNTERS.calls.add();
-    let reply = match call {
-        Call::Health => match (told.health)() {
+}
+
+fn reply(call: Call, endpoint: &AdminEndpoint) -> String {
+    match call {
+        Call::Health => match (endpoint.health)() {
             Ok(()) => "YES\n".to_owned(),
             Err(why) => format!("NO {why}\n"),
         },
-        Call::Dump => format!("YES\n{}END\n", told.figures.dump()),
+        Call::Dump => format!("YES\n{}END\n", endpoint.metrics.dump()),
         Call::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
-    };
-    // A fresh connection takes a few KiB at once; who lets nothing through is not waited for.
-    let _ = conn.stream.write_all(reply.as_bytes());
-    let _ = conn.stream.shutdown(Shutdown::Write);
-    conn.replied = true;
-    ended
+    }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,5 +1,8 @@
-//! A new version beside the old one: the old process hands its listening sockets over a Unix socket in `$TMPDIR`, and
-//! the line between the two stays open for as long as both live.
+//! Hand-over of the listening sockets to a new version of the program that is started beside the old one.
+//!
+//! The old process, the predecessor, waits on a Unix socket in `$TMPDIR` and passes its listening sockets to the new one,
+//! the successor, as ancillary data (`SCM_RIGHTS`). The connection stays open for as long as both live, so that each
+//! learns when the other has exited, however that came about.
 
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -14,46 +17,115 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
+use thiserror::Error;
 
-/// What both say first: a peer that says something else is of another version, and each goes its own way.
+/// The first line of both sides: a peer with another one is of an incompatible version.
 const HELLO: &str = "quinceflow hand-over 1";
-/// What the new process says once it has the sockets.
-const TAKEN: &[u8] = b"taken\n";
-/// A peer that hangs is not waited for: a start must not depend on it.
-const MAX_WAIT: Duration = Duration::from_millis(400);
-/// Sockets that one message carries: a process has a front or two.
+/// The successor's acknowledgement that it has the sockets.
+const ACKNOWLEDGEMENT: &[u8] = b"taken\n";
+/// Time-out of each read and write: a start must not depend on a peer that hangs.
+const IO_TIMEOUT: Duration = Duration::from_millis(400);
+/// Most sockets of a message: a process has one or two fronts.
 const MAX_SOCKETS: usize = 4;
 /// Most bytes of a message.
 const MAX_MESSAGE: usize = 1024;
-/// Stack of a thread that waits for the other process.
-const STACK: usize = 64 * 1024;
+/// Stack of a thread that waits for the other process, in bytes.
+const STACK_BYTES: usize = 64 * 1024;
+/// Length of the backlog of a listening socket.
+const BACKLOG: i32 = 1024;
 
-/// A listening socket and the address that its operator gave it.
-pub type ListeningSocket<L> = (SocketAddr, L);
+/// Why the sockets were not handed over.
+#[derive(Debug, Error)]
+pub enum HandoverError {
+    /// The peer's first line is not [`HELLO`].
+    #[error("the other process is of another version")]
+    IncompatibleVersion,
+    /// The message has no sockets, or not one for each address.
+    #[error("sockets and addresses do not match")]
+    SocketMismatch,
+    /// The sockets do not fit into a message.
+    #[error("too many sockets")]
+    TooManySockets,
+    /// The peer cannot be reached, hangs or has exited.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// A listening socket, by the address that was configured for it.
+#[derive(Debug)]
+pub struct ListeningSocket<S> {
+    /// The configured address; its port may be 0.
+    pub address: SocketAddr,
+    /// The socket.
+    pub socket: S,
+}
+
+/// The listening sockets of a predecessor.
+#[derive(Debug)]
+pub struct TakenOver {
+    /// The sockets.
+    pub sockets: Vec<ListeningSocket<TcpListener>>,
+    /// The process that they come from.
+    pub predecessor: PeerProcess,
+}
 
-/// Where the process that listens at this address waits for the next one; nowhere without `$TMPDIR`, since a folder that
-/// all users share is no place for it.
+/// The path of the Unix socket where the process that listens at this address waits for its successor. `None` without
+/// `$TMPDIR`: a folder that all users share is not safe.
+#[must_use]
 pub fn socket_path(address: SocketAddr) -> Option<PathBuf> {
-    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
     Some(PathBuf::from(folder).join(format!("quinceflow-{}-{}.sock", address.ip(), address.port())))
 }
 
-/// Has the other process gone? Its end of the line tells, however it went.
+/// The other process of a hand-over.
 #[derive(Debug, Clone)]
-pub struct PeerProcess(Arc<AtomicBool>);
+pub struct PeerProcess {
+    alive: Arc<AtomicBool>,
+}
 
 impl PeerProcess {
-    /// It lives.
-    pub fn lives(&self) -> bool {
-        self.0.load(Relaxed)
+    /// Whether it has not exited yet.
+    #[must_use]
+    pub fn is_alive(&self) -> bool {
+        self.alive.load(Relaxed)
+    }
+
+    /// Follows a peer on a thread until its end of the connection closes.
+    fn watch(mut connection: UnixStream) -> io::Result<Self> {
+        connection.set_read_timeout(None)?;
+        let peer = PeerProcess { alive: Arc::new(AtomicBool::new(true)) };
+        let alive = peer.alive.clone();
+        std::thread::Builder::new().stack_size(STACK_BYTES).spawn(move || {
+            wait_for_close(&mut connection);
+            alive.store(false, Relaxed);
+        })?;
+        Ok(peer)
     }
 }
 
-/// Asks the process that waits here for its sockets. `None`: nobody is there, or nobody that can be used.
-pub fn take_over(place: &Path) -> Option<(Vec<ListeningSocket<TcpListener>>, PeerProcess)> {
-    match try_take_over(place) {
-        Ok(taken) => Some(taken),
-        Err(e) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => None,
+fn wait_for_close(connection: &mut UnixStream) {
+    let mut ignored = [0; 64];
+    loop {
+        match connection.read(&mut ignored) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// Takes the listening sockets over from the process that waits at this path. `None`: there is no such process, or none
+/// that can hand them over, which is logged.
+#[must_use]
+pub fn take_over(path: &Path) -> Option<TakenOver> {
+    match try_take_over(path) {
+        Ok(taken_over) => Some(taken_over),
+        Err(HandoverError::Io(e))
+            if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) =>
+        {
+            None
+        }
         Err(e) => {
             tracing::warn!("no hand-over: {e}");
             None
@@ -61,107 +133,130 @@
     }
 }
 
-fn try_take_over(place: &Path) -> io::Result<(Vec<ListeningSocket<TcpListener>>, PeerProcess)> {
-    let mut line = UnixStream::connect(place)?;
-    line.set_read_timeout(Some(MAX_WAIT))?;
-    line.set_write_timeout(Some(MAX_WAIT))?;
-    writeln!(line, "{HELLO}")?;
+fn try_take_over(path: &Path) -> Result<TakenOver, HandoverError> {
+    let mut connection = UnixStream::connect(path)?;
+    set_timeouts(&connection)?;
+    writeln!(connection, "{HELLO}")?;
+    let sockets = receive_sockets(&connection)?;
+    connection.write_all(ACKNOWLEDGEMENT)?;
+    Ok(TakenOver { sockets, predecessor: PeerProcess::watch(connection)? })
+}
+
+fn set_timeouts(connection: &UnixStream) -> io::Result<()> {
+    connection.set_read_timeout(Some(IO_TIMEOUT))?;
+    connection.set_write_timeout(Some(IO_TIMEOUT))
+}
+
+/// Receives the message that [`send_sockets`] sends.
+fn receive_sockets(connection: &UnixStream) -> Result<Vec<ListeningSocket<TcpListener>>, HandoverError> {
     let mut text = [0; MAX_MESSAGE];
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_SOCKETS))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
-    let message = recvmsg(&line, &mut [IoSliceMut::new(&mut text)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let buffers = &mut [IoSliceMut::new(&mut text)];
+    let message =
+        recvmsg(connection, buffers, &mut control, RecvFlags::CMSG_CLOEXEC).map_err(io::Error::from)?;
     let mut sockets: Vec<OwnedFd> = Vec::new();
     for part in control.drain() {
-        if let RecvAncillaryMessage::ScmRights(rights) = part {
-            sockets.extend(rights);
+        if let RecvAncillaryMessage::ScmRights(descriptors) = part {
+            sockets.extend(descriptors);
         }
     }
-    let fault = |why: &str| io::Error::new(io::ErrorKind::InvalidData, why.to_owned());
-    let words = std::str::from_utf8(&text[..message.bytes]).ok().and_then(|t| t.strip_prefix(HELLO));
-    let words = words.ok_or_else(|| fault("the other process is of another version"))?;
-    let addresses: Vec<SocketAddr> = words.split_whitespace().filter_map(|w| w.parse().ok()).collect();
+    let addresses = parse_addresses(&text[..message.bytes])?;
     if sockets.is_empty() || addresses.len() != sockets.len() {
-        return Err(fault("sockets and addresses do not match"));
+        return Err(HandoverError::SocketMismatch);
     }
-    line.write_all(TAKEN)?;
-    let listening = addresses.into_iter().zip(sockets.into_iter().map(TcpListener::from)).collect();
-    Ok((listening, watch(line)?))
-}
-
-/// Waits on a thread for the end of the line.
-fn watch(mut line: UnixStream) -> io::Result<PeerProcess> {
-    line.set_read_timeout(None)?;
-    let peer = PeerProcess(Arc::new(AtomicBool::new(true)));
-    let lives = peer.0.clone();
-    std::thread::Builder::new().stack_size(STACK).spawn(move || {
-        let mut rest = [0; 64];
-        loop {
-            match line.read(&mut rest) {
-                Ok(0) => break,
-                Ok(_) => {}
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break,
-            }
-        }
-        lives.store(false, Relaxed);
-    })?;
-    Ok(peer)
+    let listening_socket = |(address, socket)| ListeningSocket { address, socket: TcpListener::from(socket) };
+    Ok(addresses.into_iter().zip(sockets).map(listening_socket).collect())
 }
 
-/// Waits for the next process, for as long as this one lives. `taken` learns of each that has the sockets.
-pub fn offer<L: AsFd + Send + 'static>(
-    place: PathBuf,
-    listening: Vec<ListeningSocket<L>>,
-    taken: impl Fn(PeerProcess) + Send + 'static,
+/// The addresses that follow [`HELLO`], in the order of the sockets.
+fn parse_addresses(message: &[u8]) -> Result<Vec<SocketAddr>, HandoverError> {
+    let text = std::str::from_utf8(message).ok().and_then(|text| text.strip_prefix(HELLO));
+    let addresses = text.ok_or(HandoverError::IncompatibleVersion)?;
+    Ok(addresses.split_whitespace().filter_map(|word| word.parse().ok()).collect())
+}
+
+/// Waits on a thread for successors, for as long as this process lives. `on_taken_over` is called for each that has taken
+/// the sockets over.
+///
+/// # Errors
+/// The Unix socket cannot be created at this path, or the thread cannot be started.
+pub fn offer<S: AsFd + Send + 'static>(
+    path: &Path,
+    sockets: Vec<ListeningSocket<S>>,
+    on_taken_over: impl Fn(PeerProcess) + Send + 'static,
 ) -> io::Result<()> {
-    // Made under a name of its own and then put in place: what stands there may be stale, or a predecessor's.
-    let own = place.with_extension(std::process::id().to_string());
-    let _ = std::fs::remove_file(&own);
-    let door = UnixListener::bind(&own)?;
-    std::fs::rename(&own, &place)?;
-    std::thread::Builder::new().stack_size(STACK).spawn(move || {
-        let mut last: Option<PeerProcess> = None;
-        for line in door.incoming().flatten() {
-            // One at a time: limits are split between two.
-            if last.as_ref().is_some_and(PeerProcess::lives) {
-                continue;
-            }
-            match give(line, &listening) {
-                Ok(peer) => {
-                    last = Some(peer.clone());
-                    taken(peer);
-                }
-                Err(e) => tracing::warn!("no hand-over: {e}"),
+    // Created under a name of its own and then moved: a stale socket, or a predecessor's, may stand at the path.
+    let own_path = path.with_extension(std::process::id().to_string());
+    let _ = std::fs::remove_file(&own_path);
+    let listener = UnixListener::bind(&own_path)?;
+    std::fs::rename(&own_path, path)?;
+    std::thread::Builder::new()
+        .stack_size(STACK_BYTES)
+        .spawn(move || serve_successors(&listener, &sockets, on_taken_over))?;
+    Ok(())
+}
+
+fn serve_successors<S: AsFd>(
+    listener: &UnixListener,
+    sockets: &[ListeningSocket<S>],
+    on_taken_over: impl Fn(PeerProcess),
+) {
+    let mut successor: Option<PeerProcess> = None;
+    for connection in listener.incoming().flatten() {
+        // One at a time: limits are shared by two processes.
+        if successor.as_ref().is_some_and(PeerProcess::is_alive) {
+            continue;
+        }
+        match hand_over(connection, sockets) {
+            Ok(peer) => {
+                successor = Some(peer.clone());
+                on_taken_over(peer);
             }
+            Err(e) => tracing::warn!("no hand-over: {e}"),
         }
-    })?;
-    Ok(())
+    }
 }
 
-/// Gives the sockets to whoever says the right words.
-fn give<L: AsFd>(mut line: UnixStream, listening: &[ListeningSocket<L>]) -> io::Result<PeerProcess> {
-    line.set_read_timeout(Some(MAX_WAIT))?;
-    line.set_write_timeout(Some(MAX_WAIT))?;
-    let mut said = [0; HELLO.len() + 1];
-    line.read_exact(&mut said)?;
-    if said.strip_suffix(b"\n") != Some(HELLO.as_bytes()) {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "the other process is of another version"));
+/// Hands the sockets over to a process that speaks this protocol, and waits for its acknowledgement.
+fn hand_over<S: AsFd>(
+    mut connection: UnixStream,
+    sockets: &[ListeningSocket<S>],
+) -> Result<PeerProcess, HandoverError> {
+    set_timeouts(&connection)?;
+    let mut hello = [0; HELLO.len() + 1];
+    connection.read_exact(&mut hello)?;
+    if hello.strip_suffix(b"\n") != Some(HELLO.as_bytes()) {
+        return Err(HandoverError::IncompatibleVersion);
     }
-    let words: Vec<String> = listening.iter().map(|l| l.0.to_string()).collect();
-    let text = format!("{HELLO} {}", words.join(" "));
-    let sockets: Vec<BorrowedFd<'_>> = listening.iter().map(|l| l.1.as_fd()).collect();
+    send_sockets(&connection, sockets)?;
+    let mut acknowledgement = [0; ACKNOWLEDGEMENT.len()];
+    connection.read_exact(&mut acknowledgement)?;
+    Ok(PeerProcess::watch(connection)?)
+}
+
+/// Sends [`HELLO`] and the addresses of the sockets as text, and the sockets as ancillary data.
+fn send_sockets<S: AsFd>(
+    connection: &UnixStream,
+    sockets: &[ListeningSocket<S>],
+) -> Result<(), HandoverError> {
+    let addresses: Vec<String> = sockets.iter().map(|s| s.address.to_string()).collect();
+    let text = format!("{HELLO} {}", addresses.join(" "));
+    let descriptors: Vec<BorrowedFd<'_>> = sockets.iter().map(|s| s.socket.as_fd()).collect();
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_SOCKETS))];
     let mut control = SendAncillaryBuffer::new(&mut space);
-    if !control.push(SendAncillaryMessage::ScmRights(&sockets)) {
-        return Err(io::Error::other("too many sockets"));
+    if !control.push(SendAncillaryMessage::ScmRights(&descriptors)) {
+        return Err(HandoverError::TooManySockets);
     }
-    sendmsg(&line, &[IoSlice::new(text.as_bytes())], &mut control, SendFlags::NOSIGNAL)?;
-    let mut said = [0; TAKEN.len()];
-    line.read_exact(&mut said)?;
-    watch(line)
+    let buffers = &[IoSlice::new(text.as_bytes())];
+    sendmsg(connection, buffers, &mut control, SendFlags::NOSIGNAL).map_err(io::Error::from)?;
+    Ok(())
 }
 
-/// A listening socket of one's own. SO_REUSEPORT: a process that could not get the sockets can still start beside this.
+/// Opens a listening socket. `SO_REUSEPORT` lets a process that could not take the sockets over start beside this one.
+///
+/// # Errors
+/// The address cannot be bound.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     use rustix::net::{bind, listen, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
     let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
@@ -169,7 +264,7 @@
     sockopt::set_socket_reuseaddr(&socket, true)?;
     sockopt::set_socket_reuseport(&socket, true)?;
     bind(&socket, &address)?;
-    listen(&socket, 1024)?;
+    listen(&socket, BACKLOG)?;
     Ok(socket.into())
 }
 
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -1,80 +1,94 @@
-//! Tests of the hand-over of listening sockets between processes.
+//! Tests of the hand-over of listening sockets.
 
 use super::*;
 use std::sync::mpsc::channel;
 
-/// A place of its own for a test.
-fn empty(test: &str) -> PathBuf {
-    let place = std::env::temp_dir().join(format!("quinceflow-{test}-{}.sock", std::process::id()));
-    let _ = std::fs::remove_file(&place);
-    place
+/// A path of its own for a test.
+fn unused_path(test: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("quinceflow-{test}-{}.sock", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    path
+}
+
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn listening_socket() -> ListeningSocket<TcpListener> {
+    ListeningSocket { address: ANY_PORT, socket: listen(ANY_PORT).expect("a port") }
 }
 
 #[test]
-fn the_sockets_go_over_and_each_end_tells_of_the_other() {
-    let place = empty("over");
-    // What a killed process leaves stands in nobody's way.
-    drop(UnixListener::bind(&place));
-    assert!(take_over(&place).is_none(), "stale");
-    let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-    let listener = listen(address).expect("a port");
-    let at = listener.local_addr().expect("bound");
-    let (tell, told) = channel();
-    offer(place.clone(), vec![(address, listener)], move |peer| drop(tell.send(peer))).expect("offered");
-    let (taken, old) = take_over(&place).expect("somebody is there");
-    let new = told.recv().expect("told");
-    assert_eq!((taken[0].0, taken[0].1.local_addr().expect("bound")), (address, at));
-    assert!(old.lives() && new.lives());
-    // A second one gets none while the first lives: limits are split between two.
-    assert!(take_over(&place).is_none());
-    let _ = std::fs::remove_file(&place);
+fn a_successor_takes_the_sockets_over_and_each_process_sees_the_other_alive() {
+    let path = unused_path("over");
+    // A stale socket, which a killed process leaves, is no obstacle.
+    drop(UnixListener::bind(&path));
+    assert!(take_over(&path).is_none(), "stale");
+    let socket = listening_socket();
+    let bound = socket.socket.local_addr().expect("bound");
+    let (sender, successors) = channel();
+    offer(&path, vec![socket], move |peer| drop(sender.send(peer))).expect("offered");
+    let taken_over = take_over(&path).expect("a predecessor waits");
+    let successor = successors.recv().expect("the predecessor is notified");
+    let first = &taken_over.sockets[0];
+    assert_eq!((first.address, first.socket.local_addr().expect("bound")), (ANY_PORT, bound));
+    assert!(taken_over.predecessor.is_alive() && successor.is_alive());
+    // A second successor gets no sockets while the first lives: limits are shared by two processes.
+    assert!(take_over(&path).is_none());
+    let _ = std::fs::remove_file(&path);
 }
 
 #[test]
-fn a_peer_that_hangs_or_says_something_else_does_not_stop_a_start() {
-    let place = empty("hung");
-    let door = UnixListener::bind(&place).expect("a door");
-    // It accepts, by its queue, and says nothing.
-    assert!(take_over(&place).is_none());
-    let other = std::thread::spawn(move || {
+fn a_peer_that_hangs_or_is_of_another_version_does_not_stop_a_start() {
+    let path = unused_path("hung");
+    let listener = UnixListener::bind(&path).expect("a socket");
+    // The kernel accepts, and nothing answers.
+    assert!(take_over(&path).is_none());
+    let other_version = std::thread::spawn(move || {
         for _ in 0..2 {
-            let (mut line, _) = door.accept().expect("a caller");
-            let _ = line.write_all(b"quinceflow hand-over 2 127.0.0.1:80");
-            // Held until the caller has left.
-            let _ = line.read_to_end(&mut Vec::new());
+            let (mut connection, _) = listener.accept().expect("a successor");
+            let _ = connection.write_all(b"quinceflow hand-over 2 127.0.0.1:80");
+            // Open until the successor has closed.
+            let _ = connection.read_to_end(&mut Vec::new());
         }
     });
-    assert!(take_over(&place).is_none(), "of another version");
-    other.join().expect("it ends");
-    let _ = std::fs::remove_file(&place);
+    assert!(take_over(&path).is_none(), "of another version");
+    other_version.join().expect("it ends");
+    let _ = std::fs::remove_file(&path);
+}
+
+#[test]
+fn a_successor_that_exits_before_it_acknowledges_the_sockets_does_not_count() {
+    let path = unused_path("broken");
+    let (sender, successors) = channel();
+    offer(&path, vec![listening_socket()], move |peer| drop(sender.send(peer))).expect("offered");
+    let mut connection = UnixStream::connect(&path).expect("the predecessor waits");
+    writeln!(connection, "{HELLO}").expect("written");
+    assert!(connection.read(&mut [0; MAX_MESSAGE]).expect("the sockets") > 0);
+    drop(connection);
+    let taken_over = take_over(&path).expect("the next one is served");
+    assert!(successors.recv().expect("notified").is_alive() && taken_over.predecessor.is_alive());
+    assert!(successors.try_recv().is_err(), "the first one never had them");
+    let _ = std::fs::remove_file(&path);
 }
 
 #[test]
-fn a_successor_that_dies_before_it_says_that_it_has_the_sockets_is_none() {
-    let place = empty("broken");
-    let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-    let listener = listen(address).expect("a port");
-    let (tell, told) = channel();
-    offer(place.clone(), vec![(address, listener)], move |peer| drop(tell.send(peer))).expect("offered");
-    let mut line = UnixStream::connect(&place).expect("it waits");
-    writeln!(line, "{HELLO}").expect("said");
-    assert!(line.read(&mut [0; MAX_MESSAGE]).expect("the sockets") > 0);
-    drop(line);
-    let (_, old) = take_over(&place).expect("the next one is served");
-    assert!(told.recv().expect("told").lives() && old.lives());
-    assert!(told.try_recv().is_err(), "the first one never had them");
-    let _ = std::fs::remove_file(&place);
+fn a_process_with_another_first_line_gets_no_sockets() {
+    let path = unused_path("stranger");
+    offer(&path, vec![listening_socket()], |_| panic!("nobody took them over")).expect("offered");
+    let mut connection = UnixStream::connect(&path).expect("the predecessor waits");
+    connection.write_all(&[b'x'; HELLO.len() + 1]).expect("written");
+    assert_eq!(connection.read_to_end(&mut Vec::new()).ok(), Some(0));
+    assert!(take_over(&path).is_some(), "the next one is served");
+    let _ = std::fs::remove_file(&path);
 }
 
 #[test]
-fn what_is_no_successor_gets_no_socket() {
-    let place = empty("stranger");
-    let address: SocketAddr = ([127, 0, 0, 1], 0).into();
-    let listener = listen(address).expect("a port");
-    offer(place.clone(), vec![(address, listener)], |_| panic!("nobody took them")).expect("offered");
-    let mut line = UnixStream::connect(&place).expect("it waits");
-    line.write_all(&[b'x'; HELLO.len() + 1]).expect("said");
-    assert_eq!(line.read_to_end(&mut Vec::new()).ok(), Some(0));
-    assert!(take_over(&place).is_some(), "the next one is served");
-    let _ = std::fs::remove_file(&place);
+fn a_message_of_another_version_or_without_one_socket_for_each_address_is_an_error() {
+    let error = parse_addresses(b"quinceflow hand-over 2 127.0.0.1:80").expect_err("another version");
+    assert!(matches!(error, HandoverError::IncompatibleVersion));
+    assert_eq!(error.to_string(), "the other process is of another version");
+    let (here, there) = UnixStream::pair().expect("a pair");
+    (&there).write_all(format!("{HELLO} {ANY_PORT}").as_bytes()).expect("written");
+    let error = receive_sockets(&here).expect_err("no socket came");
+    assert!(matches!(error, HandoverError::SocketMismatch));
+    assert_eq!(error.to_string(), "sockets and addresses do not match");
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -75,7 +75,7 @@
 impl Others {
     /// Which of two this one is, as long as both live.
     fn beside(&self) -> Option<ProcessGeneration> {
-        let lives = |p: &Option<PeerProcess>| p.as_ref().is_some_and(PeerProcess::lives);
+        let lives = |p: &Option<PeerProcess>| p.as_ref().is_some_and(PeerProcess::is_alive);
         let after = lives(&self.after.lock().unwrap_or_else(|e| e.into_inner()));
         after
             .then_some(ProcessGeneration::Predecessor)
@@ -125,8 +125,10 @@
     // Asked before anything else is made: whoever takes over is not to go in step with the one before.
     let first = platform.as_ref().map(|c| c.listen).or(edge.as_ref().map(|e| e.listen));
     let place = first.and_then(handover::socket_path);
-    let (mut taken, before) =
-        place.as_deref().and_then(handover::take_over).map_or((Vec::new(), None), |t| (t.0, Some(t.1)));
+    let (mut taken, before) = place
+        .as_deref()
+        .and_then(handover::take_over)
+        .map_or((Vec::new(), None), |t| (t.sockets, Some(t.predecessor)));
     let others = Arc::new(Others { before, after: Mutex::default() });
     let mut services = Vec::new();
     if let Some(config) = platform {
@@ -138,8 +140,11 @@
     services.iter_mut().for_each(|s| s.bounds = s.bounds.shared(fronts));
     let listeners: Vec<_> =
         services.iter().map(|s| listen(s.listen, &mut taken)).collect::<Result<_, _>>()?;
-    let listening: Vec<_> =
-        services.iter().map(|s| s.listen).zip(listeners.iter().cloned().map(Socket)).collect();
+    let listening: Vec<_> = services
+        .iter()
+        .zip(&listeners)
+        .map(|(s, l)| handover::ListeningSocket { address: s.listen, socket: Socket(l.clone()) })
+        .collect();
     if let Some(place) = place {
         let others = others.clone();
         if others.before.is_none() {
@@ -160,8 +165,10 @@
         let health = Box::new(move || fronts.iter().try_for_each(|c| c.lifecycle().health()));
         let most = admin::reserved(sockets) - 1;
         // ClientConnections are served without it too.
-        if let Err(e) = admin::start(address, admin::AdminEndpoint { figures: figures.clone(), health, most })
-        {
+        if let Err(e) = admin::start(
+            address,
+            admin::AdminEndpoint { metrics: figures.clone(), health, max_callers: most },
+        ) {
             tracing::warn!("operators are not answered: {e}");
         }
     }
@@ -177,9 +184,9 @@
     address: SocketAddr,
     taken: &mut Vec<handover::ListeningSocket<TcpListener>>,
 ) -> Result<Listener, String> {
-    let at = taken.iter().position(|t| t.0 == address);
+    let at = taken.iter().position(|t| t.address == address);
     let listener = match at {
-        Some(at) => taken.swap_remove(at).1,
+        Some(at) => taken.swap_remove(at).socket,
         None => handover::listen(address).map_err(|e| format!("listen on {address}: {e}"))?,
     };
     CoIo::new(listener).map(Arc::new).map_err(|e| format!("listen on {address}: {e}"))
@@ -196,10 +203,10 @@
 
 /// Offers the sockets to the next process, once the one before has gone: until then that one does.
 fn offer_sockets(place: &Path, listening: Vec<handover::ListeningSocket<Socket>>, others: Arc<Others>) {
-    while others.before.as_ref().is_some_and(PeerProcess::lives) {
+    while others.before.as_ref().is_some_and(PeerProcess::is_alive) {
         may::coroutine::sleep(MAX_SLEEP.to_duration());
     }
-    let offered = handover::offer(place.to_owned(), listening, move |peer| {
+    let offered = handover::offer(place, listening, move |peer| {
         tracing::info!("the sockets are handed over to a new process");
         *others.after.lock().unwrap_or_else(|e| e.into_inner()) = Some(peer);
     });
@@ -342,7 +349,7 @@
     let alarm = Timer::start(clock, move || drop(ring.send(Input::TimerDue))).map_err(|e| e.to_string())?;
     let clients = ClientConnections::new(parts.front, listener, parts.bounds, parts.inbox, clock);
     let (accepting, watched) = (clients.clone(), others.clone());
-    let beside = move || watched.before.as_ref().is_some_and(PeerProcess::lives);
+    let beside = move || watched.before.as_ref().is_some_and(PeerProcess::is_alive);
     spawn(LARGE_STACK_WORDS, move || accepting.accept(beside)).map_err(no_coroutine)?;
     if others.before.is_some() {
         tracing::info!("the sockets are taken over from the process before");
--- a/src/net/timer.rs
+++ b/src/net/timer.rs
@@ -1,37 +1,43 @@
-//! Rings when the turns are to go on although nothing came.
+//! A timer thread that wakes a coroutine at a set time.
 //!
-//! The runtime's own wait with a limit can be lost: it starts its timer before the coroutine is where the timer looks for
-//! it, and where the machine stops this thread in between for longer than the wait, the coroutine waits for what may never
-//! come. So the turns wait without a limit, and a thread of its own sends them word.
+//! The runtime's own timed wait can lose its wake-up: it starts its timer before the coroutine is registered where the
+//! timer looks for it, and if the operating system suspends the thread in between for longer than the wait, the coroutine
+//! waits for ever. So coroutines wait without a limit, and this thread sends them a message when their time has come.
 
+use crate::sync;
 use crate::time::{Clock, Micros};
 use std::io;
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+
+/// Stack of the thread, in bytes.
+const STACK_BYTES: usize = 128 * 1024;
 
 #[derive(Default)]
 struct State {
-    /// When to ring next; `None`: not before it is set again.
+    /// When to fire next; `None`: not until it is set again.
     due: Option<Micros>,
-    /// Until when the thread sleeps; `None`: until it is woken.
-    until: Option<Micros>,
-    ended: bool,
+    /// Until when the thread sleeps; `None`: until it is notified.
+    sleeps_until: Option<Micros>,
+    stopped: bool,
 }
 
 impl State {
-    /// The thread is up: true if it is to ring now, else it sleeps until the time that is noted.
-    fn look(&mut self, now: Micros) -> bool {
-        let rings = self.due.is_some_and(|due| due <= now);
-        if rings {
+    /// Called when the thread is awake. Returns whether the timer fires now; if not, the thread is to sleep until
+    /// `sleeps_until`.
+    fn poll(&mut self, now: Micros) -> bool {
+        let fires = self.due.is_some_and(|due| due <= now);
+        if fires {
             self.due = None;
         }
-        self.until = self.due;
-        rings
+        self.sleeps_until = self.due;
+        fires
     }
 
-    /// Set anew: must the thread be woken for it? It finds out by itself that a time has moved on.
+    /// Sets the time to fire. Returns whether the thread must be woken for it: one that wakes earlier finds the new time by
+    /// itself.
     fn set(&mut self, due: Micros) -> bool {
         self.due = Some(due);
-        self.until.is_none_or(|until| due < until)
+        self.sleeps_until.is_none_or(|wakes_at| due < wakes_at)
     }
 }
 
@@ -41,59 +47,57 @@
     changed: Condvar,
 }
 
-impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        // Nothing panics while it holds the lock.
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
-    }
+/// A timer for one time at a time. Its thread ends when it is dropped.
+pub struct Timer {
+    shared: Arc<Shared>,
 }
 
-/// One time at which to ring; its thread ends with it.
-pub struct Timer(Arc<Shared>);
-
 impl Timer {
-    /// Nothing is set yet.
-    pub fn start(clock: Clock, ring: impl Fn() + Send + 'static) -> io::Result<Self> {
+    /// Starts the thread; no time is set yet. `fire` is called on it each time the timer fires.
+    ///
+    /// # Errors
+    /// The thread cannot be started.
+    pub fn start(clock: Clock, fire: impl Fn() + Send + 'static) -> io::Result<Self> {
         let shared = Arc::<Shared>::default();
         let seen = shared.clone();
         std::thread::Builder::new()
             .name("alarm".to_owned())
-            .stack_size(128 * 1024)
-            .spawn(move || keep(&seen, clock, ring))?;
-        Ok(Timer(shared))
+            .stack_size(STACK_BYTES)
+            .spawn(move || run(&seen, clock, fire))?;
+        Ok(Timer { shared })
     }
 
-    /// Rings once at that time, or as soon after it as the machine allows. An earlier setting is forgotten.
+    /// Fires once at that time, or as soon after it as the machine allows. Replaces an earlier setting.
     pub fn set(&self, due: Micros) {
-        if self.0.lock().set(due) {
-            self.0.changed.notify_one();
+        if sync::lock(&self.shared.state).set(due) {
+            self.shared.changed.notify_one();
         }
     }
 }
 
 impl Drop for Timer {
     fn drop(&mut self) {
-        self.0.lock().ended = true;
-        self.0.changed.notify_one();
+        sync::lock(&self.shared.state).stopped = true;
+        self.shared.changed.notify_one();
     }
 }
 
-fn keep(shared: &Shared, clock: Clock, ring: impl Fn()) {
-    let mut state = shared.lock();
-    while !state.ended {
+fn run(shared: &Shared, clock: Clock, fire: impl Fn()) {
+    let mut state = sync::lock(&shared.state);
+    while !state.stopped {
         let now = clock.now();
-        if state.look(now) {
+        if state.poll(now) {
             drop(state);
-            ring();
-            state = shared.lock();
+            fire();
+            state = sync::lock(&shared.state);
             continue;
         }
-        state = match state.until {
-            Some(until) => {
-                let slept = shared.changed.wait_timeout(state, until.since(now).to_duration());
-                slept.unwrap_or_else(|e| e.into_inner()).0
+        state = match state.sleeps_until {
+            Some(wakes_at) => {
+                let slept = shared.changed.wait_timeout(state, wakes_at.since(now).to_duration());
+                slept.unwrap_or_else(PoisonError::into_inner).0
             }
-            None => shared.changed.wait(state).unwrap_or_else(|e| e.into_inner()),
+            None => shared.changed.wait(state).unwrap_or_else(PoisonError::into_inner),
         };
     }
 }
--- a/src/net/timer/tests.rs
+++ b/src/net/timer/tests.rs
@@ -1,32 +1,33 @@
 //! Tests of the timer thread.
 
 use super::*;
+use crate::net::{spawn, LARGE_STACK_WORDS};
 
 #[test]
-fn the_thread_is_woken_for_what_it_would_sleep_through_and_for_nothing_else() {
+fn the_thread_is_woken_only_for_a_time_before_its_next_wake_up() {
     let ms = Micros::from_millis;
     let mut state = State::default();
-    assert!(!state.look(ms(1)));
-    assert!(state.set(ms(20)), "it sleeps for good");
-    assert!(!state.look(ms(2)));
-    assert!(!state.set(ms(30)), "it is up before that");
+    assert!(!state.poll(ms(1)));
+    assert!(state.set(ms(20)), "it sleeps without a limit");
+    assert!(!state.poll(ms(2)));
+    assert!(!state.set(ms(30)), "it wakes before that");
     assert!(state.set(ms(10)), "it would sleep through it");
     assert!(!state.set(ms(40)));
-    assert!(!state.look(ms(20)), "the time has moved on");
-    assert!(state.look(ms(50)), "late is not never");
-    assert!(!state.look(ms(60)), "once");
+    assert!(!state.poll(ms(20)), "the time was replaced by a later one");
+    assert!(state.poll(ms(50)), "it fires late rather than never");
+    assert!(!state.poll(ms(60)), "it fires once");
 }
 
 #[test]
-fn a_coroutine_that_waits_for_very_little_always_goes_on() {
-    // With the runtime's wait this stopped for good within some thousand rounds.
+fn a_coroutine_that_waits_for_a_microsecond_is_always_woken() {
+    // With the runtime's timed wait this hung within some thousand rounds.
     let (clock, (inbox, arrivals)) = (Clock::start(), may::sync::mpsc::channel());
-    let alarm = Timer::start(clock, move || inbox.send(()).expect("it waits")).expect("a thread");
+    let timer = Timer::start(clock, move || inbox.send(()).expect("it waits")).expect("a thread");
     let rounds = move || {
         for _ in 0..5_000 {
-            alarm.set(clock.now() + Micros(1));
-            arrivals.recv().expect("the alarm lives");
+            timer.set(clock.now() + Micros(1));
+            arrivals.recv().expect("the timer lives");
         }
     };
-    crate::net::spawn(crate::net::LARGE_STACK_WORDS, rounds).expect("a coroutine").join().expect("ended");
+    spawn(LARGE_STACK_WORDS, rounds).expect("a coroutine").join().expect("ended");
 }
