--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -67,5 +67,5 @@
         None if edge.is_some() => None,
         _ => Some(Config::from_env()?),
     };
-    server::run(platform, edge)
+    server::run(platform, edge).map_err(|e| e.to_string())
 }
--- /dev/null
+++ b/src/net/server/error.rs
@@ -0,0 +1,52 @@
+//! Errors of the server's startup and of a reload.
+
+use crate::front::ogc::config::EdgeError;
+use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Why the server could not start, or ended other than by a shutdown.
+#[derive(Debug, Error)]
+pub enum ServerError {
+    /// A front's address cannot be listened on.
+    #[error("listen on {address}: {source}")]
+    Listen {
+        /// The configured address.
+        address: SocketAddr,
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// The address of a listening socket cannot be read.
+    #[error(transparent)]
+    LocalAddress(io::Error),
+    /// A coroutine cannot be started.
+    #[error("a coroutine: {0}")]
+    Coroutine(#[source] io::Error),
+    /// The thread that waits for signals cannot be started.
+    #[error(transparent)]
+    Signals(io::Error),
+    /// The timer thread cannot be started.
+    #[error(transparent)]
+    Timer(io::Error),
+    /// The inventory of feature servers cannot be loaded.
+    #[error(transparent)]
+    Inventory(#[from] ReloadError),
+    /// The key that seals cursors cannot be read.
+    #[error("{0}")]
+    CursorKey(#[source] Box<dyn Error + Send + Sync>),
+    /// The coroutine of a coordinator panicked.
+    #[error("a core panicked")]
+    CoordinatorPanicked,
+}
+
+/// Why a reload changed nothing.
+#[derive(Debug, Error)]
+pub enum ReloadError {
+    /// The platform's configuration file cannot be used.
+    #[error("the configuration stays as it was: {0}")]
+    Configuration(#[source] Box<dyn Error + Send + Sync>),
+    /// The inventory of feature servers cannot be used.
+    #[error("the inventory stays as it was: {0}")]
+    Inventory(#[source] EdgeError),
+}
--- /dev/null
+++ b/src/net/server/generations.rs
@@ -0,0 +1,45 @@
+//! The other process while a new version is started beside the old one.
+
+use crate::coordinator::ProcessGeneration;
+use crate::net::handover::PeerProcess;
+use crate::sync;
+use std::sync::Mutex;
+
+/// The processes before and after this one.
+#[derive(Debug, Default)]
+pub(super) struct ProcessGenerations {
+    /// The process whose listening sockets this one took over.
+    predecessor: Option<PeerProcess>,
+    /// The process that took over this one's listening sockets.
+    successor: Mutex<Option<PeerProcess>>,
+}
+
+impl ProcessGenerations {
+    /// This process after its start, with the predecessor that it took sockets over from.
+    pub(super) fn new(predecessor: Option<PeerProcess>) -> Self {
+        ProcessGenerations { predecessor, successor: Mutex::default() }
+    }
+
+    /// Whether this process took its listening sockets over from another one.
+    pub(super) fn has_predecessor(&self) -> bool {
+        self.predecessor.is_some()
+    }
+
+    /// Whether that process has not exited yet.
+    pub(super) fn predecessor_lives(&self) -> bool {
+        self.predecessor.as_ref().is_some_and(PeerProcess::is_alive)
+    }
+
+    /// Records the process that took over this one's listening sockets.
+    pub(super) fn set_successor(&self, successor: PeerProcess) {
+        *sync::lock(&self.successor) = Some(successor);
+    }
+
+    /// Which of two processes this one is, as long as both live.
+    pub(super) fn current(&self) -> Option<ProcessGeneration> {
+        if sync::lock(&self.successor).as_ref().is_some_and(PeerProcess::is_alive) {
+            return Some(ProcessGeneration::Predecessor);
+        }
+        self.predecessor_lives().then_some(ProcessGeneration::Successor)
+    }
+}
--- /dev/null
+++ b/src/net/server/listeners.rs
@@ -0,0 +1,68 @@
+//! The listening sockets of the fronts: taken over from a predecessor, opened, and offered to a successor.
+
+use super::coordinator_loop::MAX_SLEEP;
+use super::generations::ProcessGenerations;
+use super::ServerError;
+use crate::net::handover::{self, ListeningSocket};
+use crate::net::{spawn, SMALL_STACK_WORDS};
+use may::coroutine;
+use may::io::CoIo;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// A listening socket that coroutines can wait on.
+pub(super) type Listener = Arc<CoIo<TcpListener>>;
+
+/// The listening socket for this address: the one taken over, or a new one.
+pub(super) fn listener_for(
+    address: SocketAddr,
+    taken_over: &mut Vec<ListeningSocket<TcpListener>>,
+) -> Result<Listener, ServerError> {
+    let fault = |source| ServerError::Listen { address, source };
+    let socket = match taken_over.iter().position(|s| s.address == address) {
+        Some(index) => taken_over.swap_remove(index).socket,
+        None => handover::listen(address).map_err(fault)?,
+    };
+    CoIo::new(socket).map(Arc::new).map_err(|e| fault(e.into()))
+}
+
+/// A listening socket as it is offered to a successor.
+pub(super) struct SharedListener(pub(super) Listener);
+
+impl AsFd for SharedListener {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.inner().as_fd()
+    }
+}
+
+/// Offers the listening sockets to a successor. A process with a predecessor does so only once that has exited: until then
+/// the predecessor waits at the path.
+pub(super) fn offer_to_successor(
+    path: PathBuf,
+    sockets: Vec<ListeningSocket<SharedListener>>,
+    generations: Arc<ProcessGenerations>,
+) -> Result<(), ServerError> {
+    if !generations.has_predecessor() {
+        offer(&path, sockets, generations);
+        return Ok(());
+    }
+    let offer_later = move || {
+        while generations.predecessor_lives() {
+            coroutine::sleep(MAX_SLEEP.to_duration());
+        }
+        offer(&path, sockets, generations);
+    };
+    spawn(SMALL_STACK_WORDS, offer_later).map(drop).map_err(ServerError::Coroutine)
+}
+
+fn offer(path: &Path, sockets: Vec<ListeningSocket<SharedListener>>, generations: Arc<ProcessGenerations>) {
+    let offered = handover::offer(path, sockets, move |successor| {
+        tracing::info!("the sockets are handed over to a new process");
+        generations.set_successor(successor);
+    });
+    if let Err(e) = offered {
+        tracing::warn!("a new version cannot take the sockets over: {}: {e}", path.display());
+    }
+}
--- /dev/null
+++ b/src/net/server/mod.rs
@@ -0,0 +1,147 @@
+//! The server process: it starts a service for each front that is configured and runs them until the shutdown.
+
+mod coordinator_loop;
+mod error;
+mod generations;
+mod listeners;
+mod reload;
+mod service;
+mod shutdown;
+mod signals;
+mod wiring;
+
+pub use error::{ReloadError, ServerError};
+
+use super::admin::{self, AdminEndpoint};
+use super::config::Config;
+use super::handover::{self, ListeningSocket};
+use crate::coordinator::{Metrics, COUNTERS};
+use crate::front::ogc::config::Edge;
+use crate::time::Clock;
+use generations::ProcessGenerations;
+use listeners::{Listener, SharedListener};
+use service::{ProcessContext, RunningService, Service};
+use signals::Signals;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// Runs the fronts that are configured, the platform's, the one for feature queries, or both, until a signal has asked for a
+/// shutdown and that is complete.
+///
+/// # Errors
+/// A service cannot be started, or its coordinator panicked.
+pub fn run(platform: Option<Config>, edge: Option<Edge>) -> Result<(), ServerError> {
+    // A coordinator has one core; and the worker is not pinned to one, since other processes may share it.
+    may::config().set_workers(1).set_worker_pin(false);
+    let clock = Clock::start();
+    let signals = Signals::listen()?;
+    let metrics = Arc::new(Metrics::default());
+    let admin = admin_config(platform.as_ref(), edge.as_ref());
+    // Before all else: a process with a predecessor is set up differently.
+    let mut inherited = take_over(platform.as_ref(), edge.as_ref());
+    let process = ProcessContext { clock, signals, generations: inherited.generations };
+    let services = build_services(platform, edge, &process, &metrics)?;
+    let listeners = open_listeners(&services, &mut inherited.sockets)?;
+    if let Some(path) = inherited.path {
+        let shared = shared_listeners(&services, &listeners);
+        listeners::offer_to_successor(path, shared, process.generations.clone())?;
+    }
+    let running: Vec<_> = services
+        .into_iter()
+        .zip(listeners)
+        .map(|(service, listener)| service.start(listener, process.clone()))
+        .collect::<Result<_, _>>()?;
+    if let Some(admin) = admin {
+        start_admin(admin, &running, &metrics);
+    }
+    for service in running {
+        service.coordinator.join().map_err(|_| ServerError::CoordinatorPanicked)?;
+    }
+    tracing::info!("{COUNTERS}");
+    Ok(())
+}
+
+/// The configuration of the admin endpoint.
+struct AdminConfig {
+    address: SocketAddr,
+    /// The descriptors of the process, a share of which is reserved for the endpoint.
+    max_descriptors: usize,
+}
+
+/// One endpoint serves the whole process; the platform's address takes precedence.
+fn admin_config(platform: Option<&Config>, edge: Option<&Edge>) -> Option<AdminConfig> {
+    let of_platform = platform
+        .and_then(|config| Some(AdminConfig { address: config.mgmt?, max_descriptors: config.sockets }));
+    of_platform.or_else(|| {
+        edge.and_then(|edge| Some(AdminConfig { address: edge.mgmt?, max_descriptors: edge.sockets }))
+    })
+}
+
+/// What a process has from the one before it.
+struct Inheritance {
+    /// Where it waits for its own successor.
+    path: Option<PathBuf>,
+    /// The listening sockets taken over.
+    sockets: Vec<ListeningSocket<TcpListener>>,
+    generations: Arc<ProcessGenerations>,
+}
+
+/// Takes the listening sockets over from a predecessor, if there is one.
+fn take_over(platform: Option<&Config>, edge: Option<&Edge>) -> Inheritance {
+    let address = platform.map(|config| config.listen).or(edge.map(|edge| edge.listen));
+    let path = address.and_then(handover::socket_path);
+    let (sockets, predecessor) = match path.as_deref().and_then(handover::take_over) {
+        Some(taken_over) => (taken_over.sockets, Some(taken_over.predecessor)),
+        None => (Vec::new(), None),
+    };
+    Inheritance { path, sockets, generations: Arc::new(ProcessGenerations::new(predecessor)) }
+}
+
+/// Builds the services that are configured. They share the descriptors and the memory of the process.
+fn build_services(
+    platform: Option<Config>,
+    edge: Option<Edge>,
+    process: &ProcessContext,
+    metrics: &Arc<Metrics>,
+) -> Result<Vec<Service>, ServerError> {
+    let mut services = Vec::new();
+    if let Some(config) = platform {
+        let has_predecessor = process.generations.has_predecessor();
+        services.push(wiring::platform_service(&config, process.clock, metrics, has_predecessor)?);
+    }
+    if let Some(edge) = edge {
+        services.push(wiring::feature_service(edge, process.clock, metrics)?);
+    }
+    let fronts = services.len();
+    services.iter_mut().for_each(|service| service.limits = service.limits.shared(fronts));
+    Ok(services)
+}
+
+fn open_listeners(
+    services: &[Service],
+    taken_over: &mut Vec<ListeningSocket<TcpListener>>,
+) -> Result<Vec<Listener>, ServerError> {
+    services.iter().map(|service| listeners::listener_for(service.listen, taken_over)).collect()
+}
+
+fn shared_listeners(services: &[Service], listeners: &[Listener]) -> Vec<ListeningSocket<SharedListener>> {
+    let share = |(service, listener): (&Service, &Listener)| ListeningSocket {
+        address: service.listen,
+        socket: SharedListener(listener.clone()),
+    };
+    services.iter().zip(listeners).map(share).collect()
+}
+
+/// Starts the admin endpoint. Clients are served without it, too.
+fn start_admin(config: AdminConfig, services: &[RunningService], metrics: &Arc<Metrics>) {
+    let fronts: Vec<_> = services.iter().map(|service| service.clients.clone()).collect();
+    let endpoint = AdminEndpoint {
+        metrics: metrics.clone(),
+        health: Box::new(move || fronts.iter().try_for_each(|clients| clients.lifecycle().health())),
+        max_callers: admin::reserved(config.max_descriptors) - 1,
+    };
+    if let Err(e) = admin::start(config.address, endpoint) {
+        tracing::warn!("operators are not answered: {e}");
+    }
+}
--- /dev/null
+++ b/src/net/server/service.rs
@@ -0,0 +1,111 @@
+//! A service: a front with its coordinator, client connections and connections to servers.
+
+use super::coordinator_loop::CoordinatorLoop;
+use super::generations::ProcessGenerations;
+use super::listeners::Listener;
+use super::reload::Reload;
+use super::signals::Signals;
+use super::ServerError;
+use crate::coordinator::{Coordinator, Input};
+use crate::front::Front;
+use crate::interface::Settings;
+use crate::net::clients::{ClientConnections, ClientLimits};
+use crate::net::timer::Timer;
+use crate::net::{spawn, Upstream, LARGE_STACK_WORDS, TURN_STACK_WORDS};
+use crate::time::{Clock, Micros};
+use may::coroutine::JoinHandle;
+use may::sync::mpsc::{Receiver, Sender};
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+/// A service before its start.
+pub(super) struct Service {
+    /// Its name in the log.
+    pub(super) name: String,
+    /// Where clients connect.
+    pub(super) listen: SocketAddr,
+    /// The limits of its client connections.
+    pub(super) limits: ClientLimits,
+    /// The longest deadline of a query.
+    pub(super) longest_deadline: Micros,
+    pub(super) front: Box<dyn Front>,
+    pub(super) coordinator: Coordinator,
+    pub(super) upstream: Box<dyn Upstream>,
+    /// Where inputs of the coordinator are sent,
+    pub(super) inbox: Sender<Input>,
+    /// and received.
+    pub(super) arrivals: Receiver<Input>,
+    /// Set once the endpoint list is known.
+    pub(super) endpoints_listed: Arc<AtomicBool>,
+    pub(super) reload: Box<dyn Reload>,
+}
+
+/// A service that was started.
+pub(super) struct RunningService {
+    /// Its client connections.
+    pub(super) clients: Arc<ClientConnections>,
+    /// Its coordinator's coroutine, which returns after a shutdown.
+    pub(super) coordinator: JoinHandle<()>,
+}
+
+/// What all services of a process share.
+#[derive(Clone)]
+pub(super) struct ProcessContext {
+    pub(super) clock: Clock,
+    pub(super) signals: Arc<Signals>,
+    pub(super) generations: Arc<ProcessGenerations>,
+}
+
+/// The longest deadline of a class.
+pub(super) fn longest_deadline(settings: &Settings) -> Micros {
+    Micros::from_nanos(settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
+}
+
+impl Service {
+    /// Starts to accept connections and to run the coordinator.
+    pub(super) fn start(
+        self,
+        listener: Listener,
+        process: ProcessContext,
+    ) -> Result<RunningService, ServerError> {
+        let address = listener.inner().local_addr().map_err(ServerError::LocalAddress)?;
+        let timer = self.start_timer(process.clock)?;
+        let clients = ClientConnections::new(self.front, listener, self.limits, self.inbox, process.clock);
+        accept(clients.clone(), process.generations.clone())?;
+        if process.generations.has_predecessor() {
+            tracing::info!("the sockets are taken over from the process before");
+        }
+        tracing::info!("{} listens on {address}", self.name);
+        let coordinator_loop = CoordinatorLoop {
+            coordinator: self.coordinator,
+            upstream: self.upstream,
+            clients: clients.clone(),
+            arrivals: self.arrivals,
+            timer,
+            endpoints_listed: self.endpoints_listed,
+            reload: self.reload,
+            reloads_done: process.signals.reloads_requested(),
+            longest_deadline: self.longest_deadline,
+            started_at: process.clock.now(),
+            generation: None,
+            shutdown: None,
+            process,
+        };
+        let coordinator =
+            spawn(TURN_STACK_WORDS, move || coordinator_loop.run()).map_err(ServerError::Coroutine)?;
+        Ok(RunningService { clients, coordinator })
+    }
+
+    /// Starts the timer, which wakes the coordinator by an input.
+    fn start_timer(&self, clock: Clock) -> Result<Timer, ServerError> {
+        let inbox = self.inbox.clone();
+        // The receiver outlives the timer.
+        Timer::start(clock, move || drop(inbox.send(Input::TimerDue))).map_err(ServerError::Timer)
+    }
+}
+
+fn accept(clients: Arc<ClientConnections>, generations: Arc<ProcessGenerations>) -> Result<(), ServerError> {
+    let accept = move || clients.accept(|| generations.predecessor_lives());
+    spawn(LARGE_STACK_WORDS, accept).map(drop).map_err(ServerError::Coroutine)
+}
--- /dev/null
+++ b/src/net/server/wiring.rs
@@ -0,0 +1,116 @@
+//! Building the services that are configured.
+
+use super::reload::{InventoryReload, PlatformReload, Reload};
+use super::service::{longest_deadline, Service};
+use super::ServerError;
+use crate::coordinator::{Coordinator, Input, Metrics};
+use crate::front::ogc::config::Edge;
+use crate::front::ogc::cursor::Key;
+use crate::front::ogc::{Ogc, SharedCatalog};
+use crate::front::platform::{Named, Platform};
+use crate::limits::ServerCapacity;
+use crate::net::clients::ClientLimits;
+use crate::net::config::Config;
+use crate::net::feature_client::FeatureClient;
+use crate::net::node_client::NodeClient;
+use crate::net::{spawn, watch, LARGE_STACK_WORDS};
+use crate::proto::discovery::read_listing;
+use crate::time::{unix_ms, Clock};
+use may::sync::mpsc::{channel, Sender};
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+
+/// Builds the service that speaks the platform's protocol, and starts to watch discovery.
+pub(super) fn platform_service(
+    config: &Config,
+    clock: Clock,
+    metrics: &Arc<Metrics>,
+    has_predecessor: bool,
+) -> Result<Service, ServerError> {
+    let (inbox, arrivals) = channel();
+    let revision = load_known_endpoints(config, clock, &inbox);
+    let settings = &config.deployment;
+    let source = watch::Place::new(config.discovery, settings.policy.max_poll_interval);
+    let endpoints_listed = Arc::new(AtomicBool::new(false));
+    watch_discovery(config, clock, revision, &source, &inbox, &endpoints_listed)?;
+    let catalog = Arc::new(Mutex::new(Named::new(settings)));
+    // In an upgrade both processes have one seed; with the same one they would choose the same servers in step.
+    let seed =
+        if has_predecessor { config.seed ^ (u64::from(std::process::id()) << 32) } else { config.seed };
+    Ok(Service {
+        name: config.name.clone(),
+        listen: config.listen,
+        limits: ClientLimits::new(config.sockets, config.memory),
+        longest_deadline: longest_deadline(&settings.policy),
+        front: Box::new(Platform::new(catalog.clone())),
+        coordinator: Coordinator::new(
+            settings.policy.clone(),
+            settings.max_in_flight,
+            seed,
+            clock.now(),
+            metrics.clone(),
+        ),
+        upstream: Box::new(NodeClient::new(settings, inbox.clone(), clock)),
+        inbox,
+        arrivals,
+        endpoints_listed,
+        reload: Box::new(PlatformReload::new(config, source, catalog, metrics.clone())),
+    })
+}
+
+/// Sends the endpoint list of the configuration to the coordinator and returns its revision, 0 if there is none.
+fn load_known_endpoints(config: &Config, clock: Clock, inbox: &Sender<Input>) -> u64 {
+    match read_listing(&config.known, true, clock.now(), unix_ms()) {
+        Ok(known) => {
+            let _ = inbox.send(Input::EndpointUpdate(known.roster));
+            known.rev
+        }
+        Err(e) => {
+            tracing::warn!("the known list cannot be read: {e}");
+            0
+        }
+    }
+}
+
+fn watch_discovery(
+    config: &Config,
+    clock: Clock,
+    revision: u64,
+    source: &watch::Place,
+    inbox: &Sender<Input>,
+    endpoints_listed: &Arc<AtomicBool>,
+) -> Result<(), ServerError> {
+    let (source, inbox, endpoints_listed) = (source.clone(), inbox.clone(), endpoints_listed.clone());
+    let waits = watch::Waits::new(config.seed);
+    let follow = move || watch::follow(&source, revision, &inbox, clock, &endpoints_listed, waits);
+    spawn(LARGE_STACK_WORDS, follow).map(drop).map_err(ServerError::Coroutine)
+}
+
+/// Builds the service for feature queries.
+pub(super) fn feature_service(
+    edge: Edge,
+    clock: Clock,
+    metrics: &Arc<Metrics>,
+) -> Result<Service, ServerError> {
+    let (inbox, arrivals) = channel();
+    let catalog = SharedCatalog::default();
+    let mut reload = InventoryReload::new(edge.clone(), catalog.clone());
+    let _ = inbox.send(reload.reload(clock.now())?.input);
+    let capacity = Arc::new(ServerCapacity::default());
+    let key = Key::new(&edge.cursor_key().map_err(|e| ServerError::CursorKey(e.into()))?);
+    // Two edges that start at the same time must not choose the same servers in step.
+    let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
+    Ok(Service {
+        name: "feature queries".to_owned(),
+        listen: edge.listen,
+        limits: ClientLimits::new(edge.sockets, edge.memory_mb * 1024 * 1024),
+        longest_deadline: longest_deadline(&edge.settings()),
+        coordinator: Coordinator::new(edge.settings(), edge.most_held, seed, clock.now(), metrics.clone()),
+        upstream: Box::new(FeatureClient::new(&edge, inbox.clone(), clock, capacity.clone())),
+        front: Box::new(Ogc::new(edge, catalog, key, metrics.clone(), capacity)),
+        inbox,
+        arrivals,
+        endpoints_listed: Arc::new(AtomicBool::new(true)),
+        reload: Box::new(reload),
+    })
+}
