--- a/src/net/server/coordinator_loop.rs
+++ b/src/net/server/coordinator_loop.rs
@@ -26,23 +26,31 @@
 
 /// A coordinator with everything that its turns act on.
 pub(super) struct CoordinatorLoop {
+    /// Takes the inputs of each turn and gives the commands.
     pub(super) coordinator: Coordinator,
+    /// Carries attempts to servers.
     pub(super) upstream: Box<dyn Upstream>,
+    /// Receive the answers.
     pub(super) clients: Arc<ClientConnections>,
+    /// The inputs that have arrived.
     pub(super) arrivals: Receiver<Input>,
+    /// Sends an input when a turn is due although none has arrived.
     pub(super) timer: Timer,
     /// Set once the endpoint list is known.
     pub(super) endpoints_listed: Arc<AtomicBool>,
+    /// The configuration, as far as it can be reloaded.
     pub(super) reload: Box<dyn Reload>,
     /// How many of the requested reloads are done.
     pub(super) reloads_done: u64,
     /// The longest deadline of a query under the present settings.
     pub(super) longest_deadline: Micros,
+    /// When the loop was started.
     pub(super) started_at: Micros,
     /// Which of two processes this one is, as last seen.
     pub(super) generation: Option<ProcessGeneration>,
     /// The timetable of the shutdown, once it was requested.
     pub(super) shutdown: Option<ShutdownSchedule>,
+    /// What it shares with the other services.
     pub(super) process: ProcessContext,
 }
 
--- a/src/net/server/service.rs
+++ b/src/net/server/service.rs
@@ -29,8 +29,11 @@
     pub(super) limits: ClientLimits,
     /// The longest deadline of a query.
     pub(super) longest_deadline: Micros,
+    /// Its protocol towards clients.
     pub(super) front: Box<dyn Front>,
+    /// Decides about its queries.
     pub(super) coordinator: Coordinator,
+    /// Its connections to servers.
     pub(super) upstream: Box<dyn Upstream>,
     /// Where inputs of the coordinator are sent,
     pub(super) inbox: Sender<Input>,
@@ -38,6 +41,7 @@
     pub(super) arrivals: Receiver<Input>,
     /// Set once the endpoint list is known.
     pub(super) endpoints_listed: Arc<AtomicBool>,
+    /// Its configuration, as far as it can be reloaded.
     pub(super) reload: Box<dyn Reload>,
 }
 
@@ -52,8 +56,11 @@
 /// What all services of a process share.
 #[derive(Clone)]
 pub(super) struct ProcessContext {
+    /// The clock of all times.
     pub(super) clock: Clock,
+    /// Requests for a reload or a shutdown.
     pub(super) signals: Arc<Signals>,
+    /// The other process during an upgrade.
     pub(super) generations: Arc<ProcessGenerations>,
 }
 
