--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,7 +1,7 @@
 //! Which collections there are, which shards hold each, and which servers hold each shard.
 
 use super::inventory::{Server, Share};
-use crate::coordinator::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, NodeEndpoint};
 use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -82,14 +82,14 @@
                 _ => (server.state == EndpointState::Ready).then_some(now),
             };
             known.insert(server.name.clone(), (server.state, started));
-            nodes.push(Node {
+            nodes.push(NodeEndpoint {
                 name: server.name.as_str().into(),
                 address: server.address.to_string().into(),
                 zone: 0,
                 cell: 0,
                 shards: Some(shards),
                 state: server.state,
-                started,
+                started_at: started,
             });
         }
         let shares = &self.shares;
@@ -97,7 +97,7 @@
             .values_mut()
             .for_each(|l| l.sort_by(|a, b| shares[a.0 as usize].cmp(&shares[b.0 as usize])));
         (self.known, self.loaded) = (known, true);
-        EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes }
+        EndpointUpdate { kind: EndpointListKind::Full, version: None, endpoints: nodes }
     }
 
     /// The names of the collections, in order.
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -3,7 +3,7 @@
 
 use super::lifecycle::Unhealthy;
 use super::{try_read, IoOutcome};
-use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
+use crate::coordinator::{log_throttled, Counter, Metrics, COUNTERS};
 use crate::proto::calls::{Call, Caller};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Write};
@@ -116,7 +116,7 @@
         Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
         Err(e) => {
             static ACCEPT_ERRORS: Counter = Counter::new();
-            log_rarely(&ACCEPT_ERRORS, || format!("the second address: accept: {e}"));
+            log_throttled(&ACCEPT_ERRORS, || format!("the second address: accept: {e}"));
             std::thread::sleep(ACCEPT_RETRY_INTERVAL);
             None
         }
@@ -133,7 +133,7 @@
         return ended;
     }
     if let Some(call) = connection.caller.call(ended) {
-        COUNTERS.calls.add();
+        COUNTERS.admin_calls.increment();
         // A new connection takes a few KiB at once; a caller that does not read is not waited for.
         let _ = connection.stream.write_all(reply(call, endpoint).as_bytes());
         let _ = connection.stream.shutdown(Shutdown::Write);
--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{Connection, ConnectionState};
 use super::ClientConnections;
-use crate::coordinator::{log_rarely, COUNTERS};
+use crate::coordinator::{log_throttled, COUNTERS};
 use crate::net::spawn;
 use crate::sync;
 use may::coroutine;
@@ -55,7 +55,7 @@
             }
             Err(e) => {
                 // Most likely no descriptor is left (EMFILE): evicting a connection frees one.
-                log_rarely(&COUNTERS.accept_errors, || format!("accept: {e}"));
+                log_throttled(&COUNTERS.accept_errors, || format!("accept: {e}"));
                 self.evict_one();
                 coroutine::sleep(ACCEPT_RETRY_INTERVAL);
             }
@@ -64,12 +64,12 @@
 
     /// Serves a connection on a coroutine of its own.
     fn serve(self: &Arc<Self>, stream: TcpStream) {
-        COUNTERS.accepted.add();
+        COUNTERS.connections_accepted.increment();
         let _ = stream.set_nodelay(true);
         let stream = match CoIo::new(stream) {
             Ok(stream) => stream,
             Err(e) => {
-                return log_rarely(&COUNTERS.accept_errors, || {
+                return log_throttled(&COUNTERS.accept_errors, || {
                     format!("a connection cannot be waited on: {e}")
                 });
             }
@@ -78,7 +78,7 @@
         let id = self.next_id();
         sync::lock(&self.connections).insert(id, connection.clone());
         if let Err(e) = self.spawn_connection(id, connection, stream) {
-            log_rarely(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
+            log_throttled(&COUNTERS.accept_errors, || format!("no coroutine for a connection: {e}"));
             sync::lock(&self.connections).remove(&id);
         }
     }
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -129,7 +129,7 @@
 
     /// Closes the connection to make room. A request that is in the socket but not read yet is still taken.
     pub(super) fn evict(&mut self) {
-        COUNTERS.evicted.add();
+        COUNTERS.connections_evicted.increment();
         if self.received_request && self.http.idle() {
             self.close_when_idle();
         } else {
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -112,7 +112,7 @@
         let connections = sync::lock(&self.connections);
         let largest = eviction::largest_without_response(connections.values(), |c| c.activity());
         if let Some(connection) = largest {
-            COUNTERS.evicted.add();
+            COUNTERS.connections_evicted.increment();
             connection.lock().abort();
         }
     }
@@ -135,11 +135,11 @@
             Timeout::Linger => state.abort(),
             Timeout::Idle => state.close_when_idle(),
             Timeout::Response | Timeout::FirstByte => {
-                COUNTERS.client_timeouts.add();
+                COUNTERS.client_timeouts.increment();
                 state.abort();
             }
             Timeout::Request => {
-                COUNTERS.client_timeouts.add();
+                COUNTERS.client_timeouts.increment();
                 state.http.give_up(self.front.malformed_response(HttpError::TooSlow));
                 state.wake();
             }
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -90,7 +90,7 @@
     }
 
     fn reject_malformed(&self, error: HttpError, state: &mut ConnectionState) {
-        COUNTERS.bad_requests.add();
+        COUNTERS.bad_requests.increment();
         state.http.respond(self.front.malformed_response(error), true);
     }
 
--- a/src/net/server/coordinator_loop.rs
+++ b/src/net/server/coordinator_loop.rs
@@ -105,7 +105,7 @@
     fn wait(&self) -> Option<Input> {
         let now = self.now();
         let latest = now + MAX_SLEEP;
-        let due = self.coordinator.due().map_or(latest, |due| due.min(latest));
+        let due = self.coordinator.next_turn_due().map_or(latest, |due| due.min(latest));
         if due <= now {
             return None;
         }
@@ -115,14 +115,14 @@
 
     fn carry_out(&mut self, now: Micros, command: Command) {
         match command {
-            Command::UpdateServer(replica, address, ready) => {
+            Command::UpdateServer { replica, address, ready } => {
                 self.upstream.update_server(replica, &address, ready, now);
             }
-            Command::Dispatch(replica, attempts) => self.upstream.dispatch(replica, &attempts, now),
-            Command::CancelAttempt(replica, key) => self.upstream.cancel(replica, key, now),
+            Command::Dispatch { replica, attempts } => self.upstream.dispatch(replica, &attempts, now),
+            Command::CancelAttempt { replica, key } => self.upstream.cancel(replica, key, now),
             Command::RemoveServer(replica) => self.upstream.remove_server(replica),
             Command::CloseIdle(replica) => self.upstream.close_idle(replica),
-            Command::Reply(token, answer) => self.clients.deliver(token, answer),
+            Command::Reply { token, answer } => self.clients.deliver(token, answer),
         }
     }
 
@@ -130,7 +130,7 @@
     fn reap(&mut self, now: Micros, reaped_at: &mut ReapTimes) {
         if now.since(reaped_at.servers) >= REAP_SERVERS_INTERVAL {
             reaped_at.servers = now;
-            self.upstream.reap(now, &|key| self.coordinator.is_out(key));
+            self.upstream.reap(now, &|key| self.coordinator.is_in_flight(key));
         }
         if now.since(reaped_at.clients) >= REAP_CLIENTS_INTERVAL {
             reaped_at.clients = now;
@@ -154,7 +154,7 @@
         let generation = self.process.generations.current();
         if generation != self.generation {
             self.generation = generation;
-            self.coordinator.share(generation);
+            self.coordinator.set_process_generation(generation);
             self.clients.lifecycle().set_limits_shared(generation.is_some());
         }
     }
@@ -169,14 +169,14 @@
         match self.reload.reload(now) {
             Ok(reloaded) => self.apply(reloaded, inputs),
             Err(e) => {
-                COUNTERS.bad_reloads.add();
+                COUNTERS.bad_reloads.increment();
                 tracing::warn!("{e}");
             }
         }
     }
 
     fn apply(&mut self, reloaded: Reloaded, inputs: &mut Vec<Input>) {
-        COUNTERS.reloads.add();
+        COUNTERS.reloads.increment();
         tracing::info!("{}", reloaded.message);
         if let Some(settings) = reloaded.settings {
             self.longest_deadline = longest_deadline(&settings.policy);
@@ -192,7 +192,7 @@
         let just_requested = self.shutdown.is_none() && self.process.signals.shutdown_requested();
         if just_requested {
             let schedule = ShutdownSchedule::new(now, self.longest_deadline);
-            self.coordinator.answer_by(schedule.final_deadline());
+            self.coordinator.set_final_deadline(schedule.final_deadline());
             self.shutdown = Some(schedule);
         }
         let Some(schedule) = self.shutdown else { return false };
@@ -201,7 +201,7 @@
         self.clients.drain(successor_accepts);
         if just_requested {
             // Logged only once the health check fails: whoever waits for this line may ask at once.
-            tracing::info!("told to end: {} queries held", self.coordinator.held());
+            tracing::info!("told to end: {} queries held", self.coordinator.pending_queries());
         }
         let phase = schedule.phase(now);
         if phase.closes_connections() {
@@ -209,7 +209,7 @@
         }
         let exits = self.exits(phase, successor_accepts);
         if exits {
-            tracing::info!("ends: {} queries held", self.coordinator.held());
+            tracing::info!("ends: {} queries held", self.coordinator.pending_queries());
         }
         exits
     }
@@ -220,7 +220,7 @@
         } else {
             self.clients.owed_connections()
         };
-        let pending = PendingWork { queries: self.coordinator.held(), connections };
+        let pending = PendingWork { queries: self.coordinator.pending_queries(), connections };
         let drained = phase.may_exit(successor_accepts, pending) && self.clients.backlog_is_empty();
         drained || phase == ShutdownPhase::Expired
     }
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -55,10 +55,10 @@
 impl Reload for PlatformReload {
     fn reload(&mut self, _now: Micros) -> Result<Reloaded, ReloadError> {
         let file = self.file.reread().map_err(|e| {
-            self.metrics.config_rejected.add();
+            self.metrics.config_rejected.increment();
             ReloadError::Configuration(e.into())
         })?;
-        self.metrics.config_applied.add();
+        self.metrics.config_applied.increment();
         if self.discovery_in_file.replace(file.discovery) != Some(file.discovery) {
             self.source.move_to(file.discovery);
         }
@@ -71,7 +71,10 @@
             self.source.address(),
             classes.join(" ")
         );
-        let input = Input::Settings(Box::new(settings.policy.clone()), settings.max_in_flight);
+        let input = Input::Settings {
+            settings: Box::new(settings.policy.clone()),
+            max_in_flight: settings.max_in_flight,
+        };
         Ok(Reloaded { message, input, settings: Some(settings) })
     }
 }
@@ -92,7 +95,7 @@
     fn reload(&mut self, now: Micros) -> Result<Reloaded, ReloadError> {
         let servers = self.edge.servers().map_err(ReloadError::Inventory)?;
         let update = sync::lock(&self.catalog).load(&servers, now);
-        let message = format!("the inventory is loaded anew: {} servers", update.nodes.len());
+        let message = format!("the inventory is loaded anew: {} servers", update.endpoints.len());
         Ok(Reloaded { message, input: Input::EndpointUpdate(update), settings: None })
     }
 }
