--- /dev/null
+++ b/src/net/clients/tests.rs
@@ -0,0 +1,111 @@
+//! Tests of the eviction of client connections.
+
+use super::*;
+use crate::front::Reaction;
+use crate::proto::http::{HttpRequest, Response};
+use may::sync::mpsc::channel;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+/// A front that knows no resource.
+struct NotFoundFront;
+
+impl Front for NotFoundFront {
+    fn handle(&self, _: HttpRequest, _: Token, _: Micros, _: bool) -> Reaction {
+        Reaction::Respond(Response::new(404, "", ""))
+    }
+    fn malformed_response(&self, error: HttpError) -> Response {
+        Response::new(error.status(), "", "")
+    }
+}
+
+/// Client connections in these states, without sockets.
+fn clients(
+    limits: ClientLimits,
+    states: Vec<ConnectionState>,
+) -> (Arc<ClientConnections>, Vec<Arc<Connection>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = Arc::new(CoIo::new(listener).expect("a socket of the runtime"));
+    let clients =
+        ClientConnections::new(Box::new(NotFoundFront), listener, limits, channel().0, Clock::start());
+    let connections: Vec<_> = states.into_iter().map(|state| Arc::new(Connection::new(state))).collect();
+    sync::lock(&clients.connections).extend((0..).zip(connections.iter().cloned()));
+    (clients, connections)
+}
+
+/// An idle connection that was accepted, and last active, so many seconds ago.
+fn connection(age_s: u64, received_request: bool, submitted_query: bool) -> ConnectionState {
+    let accepted_at = Clock::start().now() - Micros::from_secs(age_s);
+    ConnectionState {
+        accepted_at,
+        last_activity_at: accepted_at,
+        received_request,
+        submitted_query,
+        ..ConnectionState::default()
+    }
+}
+
+fn are_closing(connections: &[Arc<Connection>]) -> Vec<bool> {
+    connections.iter().map(|c| c.lock().abort_requested || c.lock().http.winding_up()).collect()
+}
+
+#[test]
+fn the_longest_idle_connections_are_evicted_beyond_the_idle_limit() {
+    // Clients that sent one query kept all the places that the platform grants to clients, for two minutes.
+    let limits = ClientLimits { connections: 100, idle: 2, bytes: 1 };
+    let mut busy = connection(50, true, true);
+    busy.http.input().feed(b"GET / HTTP/1.1\r\n\r\n");
+    assert!(matches!(busy.http.poll(), Some(Ok(_))));
+    let states = vec![
+        connection(9, true, true),
+        busy,
+        connection(3, true, true),
+        connection(7, true, true),
+        connection(99, true, false),
+    ];
+    let (clients, connections) = clients(limits, states);
+    clients.evict_excess_idle();
+    assert_eq!(are_closing(&connections), [true, false, false, false, false]);
+}
+
+#[test]
+fn connections_without_a_query_are_evicted_before_those_with_one() {
+    // A crowd that requested /up and stayed had the connections of regular clients closed, which were idle for longer.
+    let limits = ClientLimits { connections: 3, idle: 3, bytes: 1 };
+    let states = vec![
+        connection(50, true, true),
+        connection(5, true, false),
+        connection(4, false, false),
+        connection(0, false, false),
+    ];
+    let (clients, connections) = clients(limits, states);
+    for expected in [[false, true, false, false], [false, true, true, false], [true, true, true, false]] {
+        assert!(clients.evict_one());
+        assert_eq!(are_closing(&connections), expected);
+    }
+    assert!(!clients.evict_one(), "the last one was accepted just now");
+}
+
+#[test]
+fn an_evicted_new_connection_is_answered_if_its_request_is_in_the_socket() {
+    // It was closed unread, so the client had a reset for a response.
+    let limits = ClientLimits { connections: 1, idle: 1, bytes: 1 };
+    let (clients, connections) = clients(limits, vec![connection(1, false, false)]);
+    let address = clients.listener.inner().local_addr().expect("bound");
+    let mut client = TcpStream::connect(address).expect("it listens");
+    client.write_all(b"GET /up HTTP/1.1\r\n\r\n").expect("sent");
+    let stream = loop {
+        match clients.listener.inner().accept() {
+            Ok((stream, _)) => break stream,
+            Err(_) => std::thread::yield_now(),
+        }
+    };
+    stream.peek(&mut [0]).expect("the request has arrived");
+    let stream = CoIo::new(stream).expect("a socket of the runtime");
+    assert!(clients.evict_one());
+    assert!(!clients.drive(&connections[0], &stream), "it closes");
+    drop(stream);
+    let mut head = [0; 12];
+    client.read_exact(&mut head).expect("a response");
+    assert_eq!(&head, b"HTTP/1.1 404");
+}
