--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,6 +97,7 @@
 pub mod levels;
 pub mod limits;
 pub mod log;
+pub mod membership;
 pub mod net;
 pub mod policy;
 pub mod proto;
--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,101 @@
+//! The endpoint list and its polls.
+
+use super::{EndpointPoll, Membership};
+use crate::interface::{
+    CellId, Endpoint, EndpointListKind, EndpointState, ReplicaId, Settings, ShardId, ZoneId,
+};
+
+const INTERVAL: u64 = 8_000;
+
+fn replica(number: u8) -> ReplicaId {
+    ReplicaId([10, 0, 0, number, 0, 80])
+}
+
+fn endpoint(number: u8, state: EndpointState) -> Endpoint {
+    Endpoint { replica: replica(number), zone: ZoneId(0), cell: CellId(number.into()), state, started_at: 0 }
+}
+
+fn three() -> (Membership, Settings) {
+    let mut membership = Membership::default();
+    let endpoints = [0, 1, 2].map(|number| endpoint(number, EndpointState::Ready));
+    membership.apply(EndpointListKind::Full, &endpoints, 100);
+    (membership, Settings { cells: 3, cells_per_shard: 2, ..Settings::default() })
+}
+
+fn holders(membership: &Membership, shard: u32, settings: &Settings) -> Vec<u8> {
+    membership.holders(ShardId(shard), settings).map(|id| id.0[3]).collect()
+}
+
+#[test]
+fn a_shard_is_held_by_the_cells_from_its_own_on() {
+    let (membership, settings) = three();
+    assert_eq!(
+        [0, 1, 2, 3].map(|shard| holders(&membership, shard, &settings)),
+        [[0, 1], [1, 2], [0, 2], [0, 1]]
+    );
+}
+
+#[test]
+fn a_placement_overrides_the_cell() {
+    let (mut membership, settings) = three();
+    membership.place(replica(0), &[ShardId(1)]);
+    assert_eq!((membership.placed_shards(replica(0)), membership.placed_shards(replica(1))), (2, 0));
+    assert_eq!(
+        [0, 1, 2].map(|shard| holders(&membership, shard, &settings)),
+        [vec![1], vec![0, 1, 2], vec![2]]
+    );
+}
+
+#[test]
+fn only_ready_replicas_hold_shards() {
+    let (mut membership, settings) = three();
+    membership.apply(EndpointListKind::Delta, &[endpoint(0, EndpointState::Draining)], 200);
+    assert_eq!(holders(&membership, 0, &settings), [1]);
+    assert!(!membership.is_ready(replica(0)) && membership.contains(replica(0)));
+    membership.apply(EndpointListKind::Full, &[endpoint(2, EndpointState::Ready)], 300);
+    assert_eq!(membership.ready().collect::<Vec<_>>(), [replica(2)]);
+}
+
+#[test]
+fn replicas_that_no_list_names_any_more_are_removed() {
+    let (mut membership, _) = three();
+    membership.place(replica(0), &[ShardId(1)]);
+    membership.apply(EndpointListKind::Full, &[endpoint(2, EndpointState::Ready)], 200);
+    membership.remove_unlisted(199, |_| false);
+    assert!(membership.contains(replica(0)), "it was listed until lately");
+    membership.remove_unlisted(200, |id| id == replica(1));
+    let left = [0, 1, 2].map(|number| membership.contains(replica(number)));
+    assert_eq!(left, [false, true, true]);
+    assert!(membership.placements.is_empty());
+}
+
+#[test]
+fn a_poll_is_due_at_once_and_then_twice_in_the_longest_interval() {
+    let mut poll = EndpointPoll::new(Some(INTERVAL), 100);
+    assert!(poll.take_due(Some(INTERVAL), 100));
+    assert!(!poll.take_due(Some(INTERVAL), 100 + INTERVAL / 2 - 1));
+    assert!(poll.take_due(Some(INTERVAL), 100 + INTERVAL / 2));
+    assert!(!EndpointPoll::new(None, 100).take_due(None, 100), "the list comes on its own");
+}
+
+#[test]
+fn a_list_ends_polling_unless_it_is_a_cached_one() {
+    for (kind, due) in
+        [(EndpointListKind::Cached, true), (EndpointListKind::Full, false), (EndpointListKind::Delta, false)]
+    {
+        let mut poll = EndpointPoll::new(Some(INTERVAL), 100);
+        poll.list_received(kind);
+        assert_eq!(poll.due_at().is_some(), due, "{kind:?}");
+    }
+}
+
+#[test]
+fn a_failed_poll_is_made_again_within_a_fraction_of_the_interval() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    for _ in 0..100 {
+        let mut poll = EndpointPoll::new(Some(INTERVAL), 0);
+        poll.poll_failed(Some(INTERVAL), 100, &mut rng);
+        let wait = poll.due_at().expect("a poll") - 100;
+        assert!((INTERVAL / 32..=INTERVAL / 8).contains(&wait), "{wait}");
+    }
+}
--- a/src/stats/mod.rs
+++ b/src/stats/mod.rs
@@ -1,19 +1,25 @@
-//! Small statistics for a stream of observations: moving averages, sliding windows, token buckets.
+//! Statistics and primitives for the policy: moving averages, sliding windows, budgets, backoff, control.
 //!
-//! Nothing here decides. Times are [`Nanos`] of the
-//! caller's clock, handed in with each call; random draws come from the caller's generator.
+//! Nothing here decides. Times are [`Nanos`] of the caller's clock, handed in with each call; random draws come
+//! from the caller's generator.
 
 mod average;
+mod backoff;
 mod budget;
+mod control;
 mod fleet;
+mod shares;
 mod window;
 
 #[cfg(test)]
 mod tests;
 
 pub use average::{DecayingAverage, Ewma};
+pub use backoff::Backoff;
 pub use budget::{RatioBudget, TokenBucket};
+pub use control::{FallingRamp, PidGains, VelocityPid};
 pub use fleet::{ConnectionUse, FleetLatency};
+pub use shares::{balance_shares, Share};
 pub use window::{RecentValues, TimeWindow};
 
 use crate::interface::Nanos;
@@ -24,6 +30,12 @@
     -rng.f64().max(f64::MIN_POSITIVE).ln()
 }
 
+/// The highest mean of a Poisson count that stays under `limit` within so many standard deviations.
+#[must_use]
+pub fn safe_mean(limit: f64, deviations: f64) -> f64 {
+    (((deviations * deviations / 4.0 + limit).sqrt() - deviations / 2.0).powi(2)).min(limit)
+}
+
 /// Nanoseconds as seconds.
 #[must_use]
 pub fn seconds(time: Nanos) -> f64 {
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -1,8 +1,10 @@
 //! Each statistic on its own.
 
-use super::{exponential, ConnectionUse, DecayingAverage, Ewma, FleetLatency, RatioBudget};
+use super::{balance_shares, exponential, safe_mean, FallingRamp, PidGains, Share, VelocityPid};
+use super::{Backoff, ConnectionUse, DecayingAverage, Ewma, FleetLatency, RatioBudget};
 use super::{RecentValues, TimeWindow, TokenBucket};
 use crate::interface::{Class, ClassId, Effect, Nanos, Settings};
+use std::collections::BTreeMap;
 
 const SECOND: Nanos = 1_000_000_000;
 
@@ -190,3 +192,58 @@
     connections.record_reuse(100);
     assert_eq!(connections.reuse_interval(), 3.0);
 }
+
+#[test]
+fn a_safe_mean_leaves_room_for_chance_under_its_limit() {
+    for limit in [0.5, 4.0, 100.0] {
+        let mean = safe_mean(limit, 2.5);
+        assert!((mean + 2.5 * mean.sqrt() - limit).abs() < 1e-9, "{mean} under {limit}");
+    }
+    assert_eq!(safe_mean(9.0, 0.0), 9.0);
+}
+
+#[test]
+fn a_pid_controller_gives_the_change_of_its_output() {
+    let only = |proportional, integral, derivative| PidGains { proportional, integral, derivative };
+    for (gains, changes) in [
+        (only(0.5, 0.0, 0.0), [0.25, 0.0, -0.25]),
+        (only(0.0, 0.5, 0.0), [1.0, 1.0, 0.0]),
+        (only(0.0, 0.0, 0.5), [0.25, -0.25, -0.25]),
+    ] {
+        let mut pid = VelocityPid::default();
+        let given = [1.0, 1.0, 0.0].map(|error| pid.step(gains, error, 2.0, 2 * SECOND));
+        assert_eq!(given, changes, "{gains:?}");
+    }
+}
+
+#[test]
+fn a_falling_ramp_goes_from_one_to_nothing() {
+    let ramp = FallingRamp { from: 0.5, to: 1.5 };
+    assert_eq!([0.0, 0.5, 0.75, 1.5, 9.0].map(|x| ramp.at(x)), [1.0, 1.0, 0.75, 0.0, 0.0]);
+}
+
+#[test]
+fn shares_are_balanced_over_groups_that_overlap() {
+    let group = |members: [usize; 2]| members.map(|member| Share { member, share: 1.0 });
+    // Members 0 and 1 hold the first group, 1 and 2 the second; member 1 can do less than the others.
+    let (mut first, mut second) = (group([0, 1]), group([1, 2]));
+    let capacities = BTreeMap::from([(0, 1.0), (1, 0.5), (2, 1.0)]);
+    balance_shares(&mut [&mut first, &mut second], &capacities, 50);
+    let groups = [first, second];
+    let load = |member| groups.iter().flatten().filter(|s| s.member == member).map(|s| s.share).sum::<f64>();
+    assert!((load(0) - 0.8).abs() < 1e-6 && (load(1) - 0.4).abs() < 1e-6 && (load(2) - 0.8).abs() < 1e-6);
+    assert!(groups.iter().all(|group| (group.iter().map(|s| s.share).sum::<f64>() - 1.0).abs() < 1e-9));
+}
+
+#[test]
+fn a_backoff_doubles_with_each_failure_up_to_its_bound() {
+    let mut backoff = Backoff::default();
+    assert!(!backoff.is_failing() && backoff.is_due(0));
+    for (failures, wait) in [(1, 200), (2, 400), (3, 800), (4, 1_600), (5, 1_600)] {
+        backoff.fail(1_000, 100.0);
+        assert_eq!(backoff.failures(), failures);
+        assert!(!backoff.is_due(1_000 + wait - 1) && backoff.is_due(1_000 + wait), "{failures}");
+    }
+    backoff.succeed();
+    assert!(!backoff.is_failing());
+}
