--- a/src/interface.rs
+++ b/src/interface.rs
@@ -113,6 +113,15 @@
     pub warm_up: Nanos,
 }
 
+impl SlowStartRule {
+    /// The capacity of a replica that started so long ago, as a share of its capacity when warm.
+    #[must_use]
+    pub fn capacity(&self, age: Nanos) -> f64 {
+        let warmth = (age as f64 / self.warm_up.max(1) as f64).min(1.0);
+        self.initial_capacity + (1.0 - self.initial_capacity) * warmth
+    }
+}
+
 /// What an instance is told at its start.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,281 +1,186 @@
 //! Every decision of the coordinator. Its types, events and actions: `src/interface.rs`.
 //!
 //! Each batch of events is applied, then every open query is advanced in order of arrival: admit, send,
-//! retry, answer or give up. Each rule is checked where its action leaves: `send`, `finish`.
+//! retry, answer or give up. Each rule is checked where its action leaves: `dispatch`, `finish`. The design
+//! follows "Obtaining and Managing Answer Quality for Online Data-Intensive Services" (Ubora, by Kelley et
+//! al.), here the paper: the quality of sampled answers sets how much of low priority is admitted.
 
 mod admission;
+mod answering;
 mod controller;
-mod quality;
-mod replicas;
+mod dispatch;
+mod endpoints;
+mod outlier;
 mod rotation;
-mod sending;
 mod slow_start;
 
-use crate::interface::*;
-use crate::queries::{Attempt, FirstAnswer, Part, PartKey, Query, QueryNo, QueryTable, Stage};
-use crate::stats::{
-    exponential, ConnectionUse, DecayingAverage, FleetLatency, RatioBudget, RecentValues, TokenBucket,
-};
-use controller::PidController;
-use quality::QUALITY_WINDOW;
-use replicas::{reaped, Replica};
-use rotation::Rotation;
-use slow_start::SlowStartGuard;
-use std::collections::{BTreeMap, BTreeSet};
+use crate::interface::{Action, EndpointListKind, Event, Nanos, ReplicaId, Settings};
+use crate::membership::EndpointPoll;
+use crate::queries::{measure_quality, take_sample, AttemptKey, Part, Query, QueryTable, QUALITY_WINDOW};
+use crate::stats::{FleetStatistics, RatioBudget};
+use admission::Admission;
+use controller::AdmissionController;
+use endpoints::EndpointTable;
 
-/// Ticks kept free before an aim: one to see the answer, one to send it, one for the way to the client.
-const AIM_TICKS: u64 = 3;
+/// Ticks kept free before an objective: to see the answer, to send it, and for the way to the client.
+const OBJECTIVE_MARGIN_TICKS: u64 = 3;
 /// Ticks kept free before the client's time is up.
-const END_TICKS: u64 = 4;
+const DEADLINE_MARGIN_TICKS: u64 = 4;
 /// Period of the controller, in ticks; open queries are looked at after each tenth of it.
 const CONTROL_TICKS: u64 = 50;
-/// A replica that is not ready is forgotten after so many windows.
-const GONE_WINDOWS: u64 = 3;
-/// A part is overdue after so many times the fleet's usual response time.
-const OVERDUE_RATIO: f64 = 5.5;
+/// A replica that is not ready is removed after so many windows.
+const REMOVAL_WINDOWS: u64 = 3;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Final {
-    Answer,
-    /// Refused where that is true and harmless, failed otherwise.
-    GiveUp,
+/// What each decision is made by; `now` is the time of the present batch.
+#[derive(Debug)]
+struct Context {
+    settings: Settings,
+    now: Nanos,
+    fleet: FleetStatistics,
+    rng: fastrand::Rng,
 }
 
 /// The decisions of one coordinator.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DecisionPolicy {
-    settings: Settings,
-    rng: fastrand::Rng,
-    now: Nanos,
+    context: Context,
     queries: QueryTable,
-    /// Where each attempt is, its class, how many of this instance's were there, it included, and whether
-    /// it went out on a connection that had been idle.
-    flights: BTreeMap<(PartId, AttemptNo), (ReplicaId, ClassId, f64, bool)>,
-    replicas: BTreeMap<ReplicaId, Replica>,
-    rotation: Rotation,
-    /// What a replica holds where its cell does not tell.
-    placed: BTreeMap<ReplicaId, BTreeSet<ShardId>>,
-    latency: FleetLatency,
-    connections: ConnectionUse,
+    endpoints: EndpointTable,
+    admission: Admission,
+    controller: AdmissionController,
     /// Retries and hedged requests against what was received; see rule 6.
     retries: RatioBudget,
-    ranks: RecentValues,
-    quotas: Vec<TokenBucket>,
-    controller: PidController,
-    control_at: Nanos,
-    ask_at: Option<Nanos>,
-    wake: Nanos,
+    poll: EndpointPoll,
+    next_control_at: Nanos,
+    timer_at: Nanos,
 }
 
 impl DecisionPolicy {
     /// An instance that holds nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
-        let shards = settings.shards as usize;
-        let mut module = Self {
-            rng: fastrand::Rng::with_seed(seed),
-            now,
-            latency: FleetLatency::new(&settings),
-            quotas: vec![TokenBucket::new(1.0, now); settings.tenants.len()],
-            controller: PidController::new(),
-            control_at: now,
-            ask_at: settings.max_poll_interval.map(|_| now),
-            settings,
-            ..Self::default()
+        let (fleet, rng) = (FleetStatistics::new(&settings), fastrand::Rng::with_seed(seed));
+        let mut policy = DecisionPolicy {
+            queries: QueryTable::default(),
+            endpoints: EndpointTable::default(),
+            admission: Admission::default(),
+            controller: AdmissionController::new(),
+            retries: RatioBudget::default(),
+            poll: EndpointPoll::new(settings.max_poll_interval, now),
+            next_control_at: now,
+            timer_at: 0,
+            context: Context { settings, now, fleet, rng },
         };
-        module.rotation.grow(shards, &mut module.rng);
-        module
+        policy.admission.apply_settings(&policy.context);
+        policy.endpoints.apply_settings(&mut policy.context);
+        policy
     }
 
     /// Takes a batch of events that came at `now`, in order, and appends what is to be done, in order.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
-        self.now = now.max(self.now);
+        self.context.now = now.max(self.context.now);
         for event in events {
-            self.take(event, actions);
+            self.apply(event, actions);
         }
-        if self.ask_at.is_some_and(|at| at <= self.now) {
+        if self.poll.take_due(self.context.settings.max_poll_interval, self.context.now) {
             actions.push(Action::Subscribe);
-            self.ask_at = Some(self.now + self.settings.max_poll_interval.unwrap_or(Nanos::MAX) / 2);
         }
-        self.control();
-        let numbers: Vec<QueryNo> = self.queries.numbers().collect();
-        for number in numbers {
-            self.step(number, actions);
+        if self.context.now >= self.next_control_at {
+            self.control();
         }
-        self.wake_up(actions);
+        for number in self.queries.numbers().collect::<Vec<_>>() {
+            self.advance(number, actions);
+        }
+        self.set_timer(actions);
+    }
+
+    /// Ready replicas that no part of a class in force would go to now, whatever its shard.
+    pub fn ejected(&self) -> Vec<ReplicaId> {
+        self.endpoints.ejected(&self.context)
     }
 
-    fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
+    fn apply(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        let now = self.context.now;
         match event {
-            Event::Endpoints { kind, endpoints } => self.take_list(*kind, endpoints),
-            Event::Placement { replica, shards } => {
-                let count = shards.iter().map(|shard| shard.0 as usize + 1).max().unwrap_or(0);
-                self.rotation.grow(count, &mut self.rng);
-                self.placed.insert(*replica, shards.iter().copied().collect());
+            Event::Endpoints { kind: EndpointListKind::Failed, .. } => {
+                self.poll.poll_failed(self.context.settings.max_poll_interval, now, &mut self.context.rng);
             }
-            Event::Query { query, group, class, tenant, expected_work, time_left } => {
-                let Some(c) = self.settings.classes.get(usize::from(class.0)).cloned() else {
-                    return actions.push(Action::Fail(*query));
-                };
-                let stretch = (c.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
-                let objective = (c.latency_objective + stretch).min(c.deadline);
-                let share = if self.over_quota(*tenant) { self.settings.over_quota_weight } else { 1.0 };
-                let priority = c.priority_weight * share;
-                let time_left = time_left.saturating_sub(self.settings.ticks(END_TICKS));
-                let deadline = self.now.saturating_add(time_left);
-                let respond_by = self.now + objective.saturating_sub(self.settings.ticks(AIM_TICKS));
-                self.retries.earn(self.now);
-                let top = priority >= self.settings.max_priority_weight();
-                let sampled = top && quality::take_sample(self.queries.samples().count(), &mut self.rng);
-                self.queries.insert(Query {
-                    id: *query,
-                    class: *class,
-                    group: *group,
-                    priority,
-                    admission_draw: self.rng.f64(),
-                    stage: Stage::Received,
-                    received_at: self.now,
-                    respond_by: respond_by.min(deadline),
-                    deadline,
-                    sampled,
-                    first_answer: None,
-                    parts: Vec::new(),
-                });
+            Event::Endpoints { kind, endpoints } => {
+                self.poll.list_received(*kind);
+                self.endpoints.apply_list(*kind, endpoints, &mut self.context);
             }
+            Event::Placement { replica, shards } => self.endpoints.place(*replica, shards, &mut self.context),
+            Event::Query { .. } => self.receive(event, actions),
             Event::Part { part, group, shard, weight } => {
-                self.retries.earn(self.now);
+                self.retries.earn(now);
                 self.queries.add_part(*group, Part::new(*part, *shard, *weight));
             }
             Event::Outcome { part, attempt, outcome, elapsed } => {
-                self.on_outcome(*part, *attempt, *outcome, *elapsed)
-            }
-            Event::Abandoned(query) => {
-                if let Some(query) = self.queries.find_open_mut(*query) {
-                    query.stage = Stage::Closed;
-                    // Nobody waits for these any more: on poor links clients leave long before their time.
-                    let parts = query.parts.iter().filter(|_| self.settings.cancellation);
-                    actions.extend(parts.flat_map(Part::cancellations));
+                let key = AttemptKey { part: *part, attempt: *attempt };
+                if self.endpoints.complete(key, *outcome, *elapsed, &mut self.context) {
+                    self.queries.complete_attempt(*part, *attempt, *outcome, now);
                 }
             }
-            Event::Settings { settings, class_mapping } => self.take_settings(settings, class_mapping),
-            Event::TimerFired => self.wake = 0,
-        }
-    }
-
-    /// What was seen of replicas and classes stays; a class that is new begins with a guess.
-    fn take_settings(&mut self, settings: &Settings, heirs: &[ClassId]) {
-        self.latency.apply_settings(settings, heirs);
-        self.quotas.resize(settings.tenants.len(), TokenBucket::new(1.0, self.now));
-        self.settings = settings.clone();
-        self.rotation.grow(settings.shards as usize, &mut self.rng);
-        let ask_at = self.ask_at;
-        self.take_list(EndpointListKind::Delta, &[]);
-        self.ask_at = ask_at;
-    }
-
-    /// The one way out for a query. Rules 1, 2 and 5 are checked here.
-    fn finish(&mut self, number: QueryNo, how: Final, actions: &mut Vec<Action>) {
-        let Some(query) = self.queries.get_open_mut(number) else { return };
-        let class = self.settings.class(query.class);
-        let risky = class.effect != Effect::Idempotent && query.parts.iter().any(Part::may_have_run);
-        match how {
-            Final::Answer => {
-                let weight = query.answered_weight();
-                let follow_up = query.stage == Stage::FollowUp;
-                let floor =
-                    if follow_up { class.min_share } else { class.min_share.min(class.required_share) };
-                // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
-                let all = query.all_answered();
-                if !all && (weight + 1e-6 < floor || (follow_up && !class.allows_partial())) {
-                    return;
-                }
-                let enough = all || (!follow_up && weight + 1e-6 >= class.required_share);
-                let complete = enough && query.first_answer.is_none_or(|first| first.complete);
-                actions.push(Action::Answer { query: query.id, complete });
-                let first = query.first_answer.is_none();
-                query.first_answer = query.first_answer.or(Some(FirstAnswer { at: self.now, complete }));
-                if first && class.follow_up_parts > 0 {
-                    query.stage = Stage::FollowUp;
-                    return;
-                }
+            Event::Abandoned(query) => {
+                // Nobody waits for its parts any more: on poor links clients leave long before their time.
+                let query = self.queries.abandon(*query).filter(|_| self.context.settings.cancellation);
+                actions.extend(query.iter().flat_map(|query| &query.parts).flat_map(Part::cancellations));
             }
-            Final::GiveUp if !risky => {
-                let drawn = 0.5 * self.rng.f64() / self.settings.reduction.retry_after_factor.max(1.0);
-                let retry_after =
-                    self.settings.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
-                actions.push(Action::Reject { query: query.id, retry_after });
+            Event::Settings { settings, class_mapping } => {
+                self.context.settings = Settings::clone(settings);
+                self.context.fleet.latency.apply_settings(settings, class_mapping);
+                self.admission.apply_settings(&self.context);
+                self.endpoints.apply_settings(&mut self.context);
             }
-            Final::GiveUp => actions.push(Action::Fail(query.id)),
+            Event::TimerFired => self.timer_at = 0,
         }
-        // A sample's late parts run on to the record limit; the others are cancelled.
-        let sampled = query.sampled && !self.settings.reduction.skip_late_samples;
-        let runs_on = |part: &Part| sampled && !part.follow_up && !part.is_answered();
-        let parts = query.parts.iter().filter(|part| self.settings.cancellation && !runs_on(part));
-        actions.extend(parts.flat_map(Part::cancellations));
-        query.stage = Stage::Closed;
     }
 
-    /// Advances an open query: admits or rejects it, sends its parts, and ends it when that is due.
-    fn step(&mut self, number: QueryNo, actions: &mut Vec<Action>) {
-        let Some(query) = self.queries.get_open(number) else { return };
-        let class = self.settings.class(query.class).clone();
-        if query.stage == Stage::Received && !self.admit(number, &class) {
-            return self.finish(number, Final::GiveUp, actions);
-        }
-        self.send_parts(number, &class, actions);
-        let Some(query) = self.queries.get(number) else { return };
-        let partial = class.allows_partial();
-        let weight = query.answered_weight();
-        let time = query.respond_by.saturating_sub(query.received_at) as f64;
-        let answer_at = query.received_at + (self.settings.reduction.answer_after * time) as Nanos;
-        let first = query.stage == Stage::FirstStep;
-        let required = first && weight >= class.required_share && class.required_share < 1.0;
-        let due = self.now >= answer_at;
-        if query.all_requested_answered()
-            || required
-            || (due && partial && weight > 0.0 && weight >= class.min_share)
-        {
-            return self.finish(number, Final::Answer, actions);
-        }
-        let lost = |p: &&Part| !p.is_answered() && p.in_flight().next().is_none() && !self.may_try(p, &class);
-        let gone: f64 = query.step_parts().filter(lost).map(|part| part.weight).sum();
-        let hopeless = if partial { 1.0 - gone < class.min_share - 1e-6 } else { gone > 0.0 };
-        let worthless = class.late_weight <= 0.0 && self.now >= query.respond_by;
-        if self.now >= query.deadline || hopeless || worthless {
-            self.finish(number, Final::GiveUp, actions);
-        }
+    fn receive(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        let Event::Query { query, group, class, tenant, expected_work, time_left } = event else { return };
+        let (settings, now) = (&self.context.settings, self.context.now);
+        let Some(of_class) = settings.classes.get(usize::from(class.0)) else {
+            return actions.push(Action::Fail(*query));
+        };
+        let stretch = (of_class.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
+        let objective = (of_class.latency_objective + stretch).min(of_class.deadline);
+        let over_quota = self.admission.over_quota(*tenant, &self.context);
+        let priority = of_class.priority_weight * if over_quota { settings.over_quota_weight } else { 1.0 };
+        let deadline = now.saturating_add(time_left.saturating_sub(settings.ticks(DEADLINE_MARGIN_TICKS)));
+        let respond_by = now + objective.saturating_sub(settings.ticks(OBJECTIVE_MARGIN_TICKS));
+        let top = priority >= settings.max_priority_weight();
+        let sampled = top && take_sample(self.queries.samples().count(), &mut self.context.rng);
+        self.retries.earn(now);
+        self.queries.insert(Query {
+            priority,
+            admission_draw: self.context.rng.f64(),
+            respond_by: respond_by.min(deadline),
+            deadline,
+            sampled,
+            ..Query::new(*query, *class, *group, now)
+        });
     }
 
-    /// Forgets what is over, and sets the admitted share by the quality of the last window.
+    /// Removes what is over, and sets the admitted share by the quality of the last window.
     fn control(&mut self) {
-        if self.now < self.control_at {
-            return;
-        }
-        let period = self.settings.ticks(CONTROL_TICKS);
-        self.control_at = self.now + period;
-        let horizon = self.now.saturating_sub(QUALITY_WINDOW);
-        self.queries.remove_closed(horizon);
-        // Replicas are replaced by new ones for ever; one that comes back is told anew, with its start.
-        let unused = self.now.saturating_sub(GONE_WINDOWS * QUALITY_WINDOW);
-        self.replicas.retain(|_, r| r.ready || !r.flights.is_empty() || r.listed > unused);
-        self.placed.retain(|id, _| self.replicas.contains_key(id));
-        self.retries.expire(self.now, self.settings.retry_budget.map_or(0, |b| 2 * b.window));
-        self.balance();
-        let last_ok = |a: &Attempt| self.replicas.get(&a.replica).map(|r| r.last_ok);
-        let reading = quality::measure(
-            self.queries.samples(),
-            |a| last_ok(a).is_some_and(|ok| ok > a.sent_at),
-            self.now,
-        );
+        let (settings, now) = (&self.context.settings, self.context.now);
+        let period = settings.ticks(CONTROL_TICKS);
+        self.next_control_at = now + period;
+        self.queries.remove_closed(now.saturating_sub(QUALITY_WINDOW));
+        self.endpoints.remove_unlisted(now.saturating_sub(REMOVAL_WINDOWS * QUALITY_WINDOW));
+        self.retries.expire(now, settings.retry_budget.map_or(0, |budget| 2 * budget.window));
+        self.endpoints.balance(&self.context);
+        let reading = measure_quality(self.queries.samples(), |a| self.endpoints.served_since(a), now);
         self.controller.update(&reading, period);
     }
 
-    fn wake_up(&mut self, actions: &mut Vec<Action>) {
-        let dues = self.queries.open().flat_map(|query| [query.respond_by, query.deadline]);
-        let poll = self.queries.open().next().map(|_| self.now + self.settings.ticks(CONTROL_TICKS / 10));
-        let idle = Some(self.control_at.max(self.now + self.settings.tick));
-        let next = dues.filter(|t| *t > self.now).chain(poll).chain(idle).chain(self.ask_at).min();
-        if let Some(at) = next.filter(|at| self.wake <= self.now || *at < self.wake) {
-            self.wake = at;
+    /// Asks to be called when the next thing is due, unless a timer is set for before that.
+    fn set_timer(&mut self, actions: &mut Vec<Action>) {
+        let (settings, now) = (&self.context.settings, self.context.now);
+        let look = self.queries.open().next().map(|_| now + settings.ticks(CONTROL_TICKS / 10));
+        let control = Some(self.next_control_at.max(now + settings.tick));
+        let next = self.queries.due_after(now).chain(look).chain(control).chain(self.poll.due_at()).min();
+        if let Some(at) = next.filter(|at| self.timer_at <= now || *at < self.timer_at) {
+            self.timer_at = at;
             actions.push(Action::SetTimer(at));
         }
     }
--- a/src/queries/mod.rs
+++ b/src/queries/mod.rs
@@ -1,13 +1,17 @@
-//! The table of queries: each with its parts, their attempts, and how far it is.
+//! The table of queries, each with its parts, their attempts and how far it is, and of attempts in flight.
 //!
 //! Plain records that are kept up to date by what happens. What to do about them is for the policy to decide.
 
+mod in_flight;
+mod quality;
 mod query;
 
 #[cfg(test)]
 mod tests;
 
-pub use query::{Attempt, FirstAnswer, Part, Query, Stage};
+pub use in_flight::{AttemptKey, AttemptsByAge, EndedAttempt, InFlight, InFlightTable};
+pub use quality::{measure_quality, take_sample, QualityReading, QUALITY_WINDOW, WANTED_SAMPLES};
+pub use query::{Attempt, FirstAnswer, Part, Query, Stage, WEIGHT_TOLERANCE};
 
 use crate::interface::{AttemptNo, GroupId, Nanos, Outcome, PartId, QueryId};
 use std::collections::BTreeMap;
@@ -70,9 +74,11 @@
         self.get_mut(number).filter(|query| query.is_open())
     }
 
-    /// The open query with this id, to change it.
-    pub fn find_open_mut(&mut self, id: QueryId) -> Option<&mut Query> {
-        self.queries.values_mut().find(|query| query.id == id && query.is_open())
+    /// Closes the open query with this id, whose client has left.
+    pub fn abandon(&mut self, id: QueryId) -> Option<&Query> {
+        let query = self.queries.values_mut().find(|query| query.id == id && query.is_open())?;
+        query.stage = Stage::Closed;
+        Some(query)
     }
 
     /// A part of a query.
@@ -96,6 +102,11 @@
         self.queries.values().filter(|query| query.is_open())
     }
 
+    /// When open queries are to be answered, and their deadlines, as far as they come after `now`.
+    pub fn due_after(&self, now: Nanos) -> impl Iterator<Item = Nanos> + '_ {
+        self.open().flat_map(|query| [query.respond_by, query.deadline]).filter(move |at| *at > now)
+    }
+
     /// The queries sampled for the quality of answers, open or closed.
     pub fn samples(&self) -> impl Iterator<Item = &Query> {
         self.queries.values().filter(|query| query.sampled)
--- a/src/policy/quality.rs
+++ b/src/queries/quality.rs
@@ -1,12 +1,13 @@
-//! Answer quality as the paper (Ubora) measures it: on a sample of the queries of the highest priority.
+//! Answer quality, measured on a sample of the queries of the highest priority as in Ubora (Kelley et al.,
+//! "Obtaining and Managing Answer Quality for Online Data-Intensive Services"), here the paper.
 
+use super::{Attempt, Query};
 use crate::interface::{Nanos, Outcome};
-use crate::queries::{Attempt, Query};
 
 /// Window of the quality readings, in ns: the design's 10 s.
-pub(super) const QUALITY_WINDOW: Nanos = 10_000_000_000;
+pub const QUALITY_WINDOW: Nanos = 10_000_000_000;
 /// Samples wanted in a window: the paper takes 20 of 100 requests; 6 cost more than they save.
-pub(super) const WANTED_SAMPLES: f64 = 20.0;
+pub const WANTED_SAMPLES: f64 = 20.0;
 /// Samples kept at most: more cost time in each batch and tell nothing new.
 const MAX_SAMPLES: f64 = 200.0;
 /// Least share of high-priority queries sampled: the paper's.
@@ -14,22 +15,23 @@
 
 /// The quality of the sampled answers in a window.
 #[derive(Debug)]
-pub(super) struct QualityReading {
+pub struct QualityReading {
     /// The weight that was answered over the weight that would have been in by the record limit.
-    pub(super) quality: f64,
+    pub quality: f64,
     /// How many samples it rests on.
-    pub(super) samples: f64,
+    pub samples: f64,
 }
 
 /// Should the next query of the highest priority be sampled, beside the samples kept?
-pub(super) fn take_sample(samples: usize, rng: &mut fastrand::Rng) -> bool {
+#[must_use]
+pub fn take_sample(samples: usize, rng: &mut fastrand::Rng) -> bool {
     let samples = samples as f64;
     samples < WANTED_SAMPLES || (samples < MAX_SAMPLES && rng.f64() < MIN_SAMPLED_SHARE)
 }
 
 /// Reads the samples of the last window. A part that is missing counts if its replica has answered others
 /// since, which `answered_since` tells of an attempt: then it is late, not lost.
-pub(super) fn measure<'a>(
+pub fn measure_quality<'a>(
     samples: impl Iterator<Item = &'a Query>,
     answered_since: impl Fn(&Attempt) -> bool,
     now: Nanos,
--- a/src/queries/query.rs
+++ b/src/queries/query.rs
@@ -4,6 +4,9 @@
     Action, AttemptNo, ClassId, GroupId, Nanos, Outcome, PartId, QueryId, ReplicaId, ShardId,
 };
 
+/// What rounding may take from a sum of weights.
+pub const WEIGHT_TOLERANCE: f64 = 1e-6;
+
 /// An attempt at a part.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Attempt {
@@ -61,6 +64,12 @@
         self.attempts.iter().filter(|attempt| attempt.outcome.is_none())
     }
 
+    /// Some attempt is in flight.
+    #[must_use]
+    pub fn is_in_flight(&self) -> bool {
+        self.in_flight().next().is_some()
+    }
+
     /// Nothing proves that none of its attempts ran.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
@@ -136,6 +145,25 @@
 }
 
 impl Query {
+    /// A query that was received at `now`, without parts yet, to be answered at once; the rest is for the caller.
+    #[must_use]
+    pub fn new(id: QueryId, class: ClassId, group: GroupId, now: Nanos) -> Self {
+        Query {
+            id,
+            class,
+            group,
+            priority: 0.0,
+            admission_draw: 0.0,
+            stage: Stage::Received,
+            received_at: now,
+            respond_by: now,
+            deadline: now,
+            sampled: false,
+            first_answer: None,
+            parts: Vec::new(),
+        }
+    }
+
     /// It awaits its final answer.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/src/queries/tests.rs
+++ b/src/queries/tests.rs
@@ -1,6 +1,6 @@
 //! The query table and its records.
 
-use super::{Attempt, Part, PartKey, Query, QueryNo, QueryTable, Stage};
+use super::{Attempt, AttemptKey, AttemptsByAge, Part, PartKey, Query, QueryNo, QueryTable, Stage};
 use crate::interface::{
     Action, AttemptNo, ClassId, GroupId, Nanos, Outcome, PartId, QueryId, ReplicaId, ShardId,
 };
@@ -45,7 +45,7 @@
     table.insert(query(2, 7, 0));
     table.insert(query(3, 8, 0));
     table.add_part(GroupId(7), part(10, 1.0));
-    table.find_open_mut(QueryId(2)).expect("open").stage = Stage::Closed;
+    table.abandon(QueryId(2)).expect("open");
     table.add_part(GroupId(7), part(11, 1.0));
     table.add_part(GroupId(9), part(12, 1.0));
     let parts = |id| table.get(number(&table, id)).map(|query| query.parts.iter().map(|p| p.id.0).collect());
@@ -58,13 +58,14 @@
     table.insert(query(1, 7, 0));
     table.add_part(GroupId(7), part(10, 0.75));
     table.complete_attempt(PartId(10), AttemptNo(0), Outcome::Ok, 5);
-    let first = table.find_open_mut(QueryId(1)).expect("open");
+    let number = number(&table, 1);
+    let first = table.get_open_mut(number).expect("open");
     assert!(first.all_answered());
     assert_eq!(first.answered_weight(), 0.75);
     first.stage = Stage::FollowUp;
     assert!(!first.all_answered(), "no part of this step has come yet");
     table.add_part(GroupId(7), part(11, 0.5));
-    let query = table.get(number(&table, 1)).expect("kept");
+    let query = table.get(number).expect("kept");
     assert_eq!(query.step_parts().map(|part| part.id).collect::<Vec<_>>(), [PartId(11)]);
     assert_eq!(query.answered_weight(), 0.0);
 }
@@ -145,7 +146,7 @@
         table.add_part(GroupId(id as u32), part(10 * id, 1.0));
     }
     for id in [1, 2, 3] {
-        table.find_open_mut(QueryId(id)).expect("open").stage = Stage::Closed;
+        table.abandon(QueryId(id)).expect("open");
     }
     table.remove_closed(50);
     let left: Vec<u64> = table.numbers().filter_map(|n| table.get(n)).map(|query| query.id.0).collect();
@@ -154,3 +155,19 @@
     assert_eq!(table.samples().map(|query| query.id.0).collect::<Vec<_>>(), [2]);
     assert_eq!(table.parts.len(), 2, "their parts are gone with them");
 }
+
+#[test]
+fn attempts_at_a_replica_are_kept_by_age() {
+    let key = |part| AttemptKey { part: PartId(part), attempt: AttemptNo(0) };
+    let mut attempts = AttemptsByAge::default();
+    assert!(attempts.is_empty() && attempts.oldest().is_none());
+    attempts.insert(20, key(1));
+    attempts.insert(10, key(2));
+    attempts.insert(10, key(3));
+    assert_eq!((attempts.len(), attempts.oldest()), (3, Some(10)));
+    attempts.remove(key(2));
+    attempts.remove(key(2));
+    assert_eq!((attempts.len(), attempts.oldest()), (2, Some(10)));
+    attempts.remove(key(3));
+    assert_eq!(attempts.oldest(), Some(20));
+}
--- a/src/stats/fleet.rs
+++ b/src/stats/fleet.rs
@@ -14,6 +14,9 @@
 const WORK_GAIN: f64 = 0.5;
 const SLOW_WORK_GAIN: f64 = 0.002;
 
+/// Idle connections count as dropped unseen when they lose so much more of what is sent than others.
+const EXCESS_IDLE_LOSS: f64 = 0.25;
+
 /// The work of a class's parts, as observed by the time of its answers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct ClassWork {
@@ -106,6 +109,23 @@
     Ewma::new(objective as f64 * INITIAL_SHARE)
 }
 
+/// All statistics over the fleet.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct FleetStatistics {
+    /// Response times.
+    pub latency: FleetLatency,
+    /// Connections.
+    pub connections: ConnectionUse,
+}
+
+impl FleetStatistics {
+    /// Guesses by the classes' objectives, until answers are observed.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        FleetStatistics { latency: FleetLatency::new(settings), connections: ConnectionUse::default() }
+    }
+}
+
 /// How often connections are used, and what share of the attempts on them is lost.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct ConnectionUse {
@@ -115,9 +135,11 @@
 }
 
 impl ConnectionUse {
-    /// Records the time, in ns, between two uses of a replica.
-    pub fn record_reuse(&mut self, interval: Nanos) {
-        self.reuse_interval.record(interval as f64, FLEET_GAIN);
+    /// Records that a replica is used that was last used at `last`; 0: never. Two uses at one time are one.
+    pub fn record_use(&mut self, last: Nanos, now: Nanos) {
+        if last > 0 && last < now {
+            self.reuse_interval.record((now - last) as f64, FLEET_GAIN);
+        }
     }
 
     /// Records whether an attempt was lost, on a connection that had been idle or on another.
@@ -132,15 +154,9 @@
         self.reuse_interval.value()
     }
 
-    /// The share of attempts lost on connections that had been idle.
-    #[must_use]
-    pub fn idle_loss(&self) -> f64 {
-        self.lost_idle.value()
-    }
-
-    /// The share of attempts lost on connections in use or new.
+    /// Far more is lost on idle connections than on others: they are dropped unseen. An outage raises both.
     #[must_use]
-    pub fn in_use_loss(&self) -> f64 {
-        self.lost_in_use.value()
+    pub fn idle_are_dropped(&self) -> bool {
+        self.lost_idle.value() > self.lost_in_use.value() + EXCESS_IDLE_LOSS
     }
 }
--- a/src/stats/mod.rs
+++ b/src/stats/mod.rs
@@ -18,7 +18,7 @@
 pub use backoff::Backoff;
 pub use budget::{RatioBudget, TokenBucket};
 pub use control::{FallingRamp, PidGains, VelocityPid};
-pub use fleet::{ConnectionUse, FleetLatency};
+pub use fleet::{ConnectionUse, FleetLatency, FleetStatistics};
 pub use shares::{balance_shares, Share};
 pub use window::{RecentValues, TimeWindow};
 
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -120,6 +120,15 @@
     assert_eq!(recent.rank(1.5, 0.0), 0.0, "the oldest is gone");
 }
 
+#[test]
+fn a_safe_mean_leaves_room_for_chance_under_its_limit() {
+    for limit in [0.5, 4.0, 100.0] {
+        let mean = safe_mean(limit, 2.5);
+        assert!((mean + 2.5 * mean.sqrt() - limit).abs() < 1e-9, "{mean} under {limit}");
+    }
+    assert_eq!(safe_mean(9.0, 0.0), 9.0);
+}
+
 #[test]
 fn exponential_draws_have_mean_one() {
     let mut rng = fastrand::Rng::with_seed(1);
@@ -183,23 +192,25 @@
 }
 
 #[test]
-fn losses_are_kept_apart_for_idle_connections_and_others() {
+fn idle_connections_are_dropped_where_they_lose_far_more_than_others() {
     let mut connections = ConnectionUse::default();
-    connections.record_attempt(true, true);
-    assert_eq!((connections.idle_loss(), connections.in_use_loss()), (0.03, 0.0));
-    connections.record_attempt(false, true);
-    assert_eq!((connections.idle_loss(), connections.in_use_loss()), (0.03, 0.03));
-    connections.record_reuse(100);
-    assert_eq!(connections.reuse_interval(), 3.0);
+    let losses = |connections: &mut ConnectionUse, idle, count| {
+        (0..count).for_each(|_| connections.record_attempt(idle, true));
+        connections.idle_are_dropped()
+    };
+    assert!(!losses(&mut connections, true, 9), "0.24");
+    assert!(losses(&mut connections, true, 1), "0.26");
+    assert!(!losses(&mut connections, false, 1), "an outage raises both");
 }
 
 #[test]
-fn a_safe_mean_leaves_room_for_chance_under_its_limit() {
-    for limit in [0.5, 4.0, 100.0] {
-        let mean = safe_mean(limit, 2.5);
-        assert!((mean + 2.5 * mean.sqrt() - limit).abs() < 1e-9, "{mean} under {limit}");
-    }
-    assert_eq!(safe_mean(9.0, 0.0), 9.0);
+fn the_interval_between_uses_is_smoothed() {
+    let mut connections = ConnectionUse::default();
+    connections.record_use(0, 5_000);
+    connections.record_use(5_000, 5_000);
+    assert_eq!(connections.reuse_interval(), 0.0, "neither is an interval");
+    connections.record_use(5_000, 5_100);
+    assert_eq!(connections.reuse_interval(), 3.0);
 }
 
 #[test]
