--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,319 +1,186 @@
 //! Every decision of the coordinator. Its types, events and actions: `src/interface.rs`.
 //!
 //! Each batch of events is applied, then every open query is advanced in order of arrival: admit, send,
-//! retry, answer or give up. Each rule is checked where its action leaves: `send`, `finish`.
+//! retry, answer or give up. Each rule is checked where its action leaves: `dispatch`, `finish`. The design
+//! follows "Obtaining and Managing Answer Quality for Online Data-Intensive Services" (Ubora, by Kelley et
+//! al.), here the paper: the quality of sampled answers sets how much of low priority is admitted.
 
 mod admission;
-mod cold;
-mod quality;
-mod query;
-mod replicas;
-mod sending;
-mod shares;
-
-use crate::interface::*;
-use admission::{outlook, LIGHT_CROWD, TOP_CROWD};
-use quality::{CONTROL_TICKS, MAX_READINGS, MIN_SAMPLE, WANTED_READINGS};
-use query::{Attempt, Part, Query, Stage};
-use replicas::{reaped, Replica, FLEET_GAIN};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-/// Ticks kept free before an aim: one to see the answer, one to send it, one for the way to the client.
-const AIM_TICKS: u64 = 3;
+mod answering;
+mod controller;
+mod dispatch;
+mod endpoints;
+mod outlier;
+mod rotation;
+mod slow_start;
+
+use crate::interface::{Action, EndpointListKind, Event, Nanos, ReplicaId, Settings};
+use crate::membership::EndpointPoll;
+use crate::queries::{measure_quality, take_sample, AttemptKey, Part, Query, QueryTable, QUALITY_WINDOW};
+use crate::stats::{FleetStatistics, RatioBudget};
+use admission::Admission;
+use controller::AdmissionController;
+use endpoints::EndpointTable;
+
+/// Ticks kept free before an objective: to see the answer, to send it, and for the way to the client.
+const OBJECTIVE_MARGIN_TICKS: u64 = 3;
 /// Ticks kept free before the client's time is up.
-const END_TICKS: u64 = 4;
-/// A part is overdue after so many times the fleet's usual response time.
-const OVERDUE_RATIO: f64 = 5.5;
-/// Share of an aim taken for a response time before any was seen.
-const FIRST_GUESS: f64 = 0.125;
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Final {
-    Answer,
-    /// Refused where that is true and harmless, failed otherwise.
-    GiveUp,
-}
-
-fn least_aim(set: &Settings) -> Nanos {
-    set.classes.iter().filter(|c| c.in_force).map(|c| c.latency_objective).min().unwrap_or(set.tick)
+const DEADLINE_MARGIN_TICKS: u64 = 4;
+/// Period of the controller, in ticks; open queries are looked at after each tenth of it.
+const CONTROL_TICKS: u64 = 50;
+/// A replica that is not ready is removed after so many windows.
+const REMOVAL_WINDOWS: u64 = 3;
+
+/// What each decision is made by; `now` is the time of the present batch.
+#[derive(Debug)]
+struct Context {
+    settings: Settings,
+    now: Nanos,
+    fleet: FleetStatistics,
+    rng: fastrand::Rng,
 }
 
-/// A part: its query, and its place there.
-type PartAt = (u64, usize);
-
 /// The decisions of one coordinator.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DecisionPolicy {
-    set: Settings,
-    rng: fastrand::Rng,
-    now: Nanos,
-    least_aim: Nanos,
-    queries: BTreeMap<u64, Query>,
-    next_query: u64,
-    parts: BTreeMap<PartId, PartAt>,
-    /// Where each attempt is, its class, how many of this instance's were there, it included, and whether
-    /// it went out on a connection that had been idle.
-    flights: BTreeMap<(PartId, AttemptNo), (ReplicaId, ClassId, f64, bool)>,
-    /// Share lost of what went out on connections in use or new, and on idle ones; see `reaped`.
-    lost: [f64; 2],
-    replicas: BTreeMap<ReplicaId, Replica>,
-    /// Who holds each shard, and its share of the turns.
-    holders: Vec<Vec<(ReplicaId, f64)>>,
-    /// What a replica holds where its cell does not tell.
-    placed: BTreeMap<ReplicaId, BTreeSet<ShardId>>,
-    /// Where the turns of each shard are, 0 to 1.
-    turns: Vec<f64>,
-    /// Typical response time of the fleet, and of a part of each class on an idle core.
-    typical: f64,
-    /// The same of what is not slow: a few slow replicas must not put off when their parts are overdue.
-    usual: f64,
-    /// Typical response time for each part that this instance has at the replica: what its queue costs.
-    per_part: f64,
-    /// Time between two uses of a replica: memory of its pace lasts no shorter.
-    visits: f64,
-    work: Vec<f64>,
-    /// The classes whose work was seen; until then it is a guess.
-    met: Vec<bool>,
-    taken: VecDeque<Nanos>,
-    extras: VecDeque<Nanos>,
-    ranks: VecDeque<f64>,
-    quotas: Vec<(f64, Nanos)>,
-    share: f64,
-    errors: [f64; 2],
-    control_at: Nanos,
-    ask_at: Option<Nanos>,
-    wake: Nanos,
+    context: Context,
+    queries: QueryTable,
+    endpoints: EndpointTable,
+    admission: Admission,
+    controller: AdmissionController,
+    /// Retries and hedged requests against what was received; see rule 6.
+    retries: RatioBudget,
+    poll: EndpointPoll,
+    next_control_at: Nanos,
+    timer_at: Nanos,
 }
 
 impl DecisionPolicy {
     /// An instance that holds nothing yet.
-    pub fn new(set: Settings, seed: u64, now: Nanos) -> Self {
-        let least_aim = least_aim(&set);
-        let shards = set.shards as usize;
-        let mut module = Self {
-            rng: fastrand::Rng::with_seed(seed),
-            now,
-            least_aim,
-            typical: least_aim as f64 * FIRST_GUESS,
-            usual: least_aim as f64 * FIRST_GUESS,
-            work: set.classes.iter().map(|c| c.latency_objective as f64 * FIRST_GUESS).collect(),
-            met: vec![false; set.classes.len()],
-            quotas: vec![(1.0, now); set.tenants.len()],
-            share: 1.0,
-            control_at: now,
-            ask_at: set.max_poll_interval.map(|_| now),
-            set,
-            ..Self::default()
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
+        let (fleet, rng) = (FleetStatistics::new(&settings), fastrand::Rng::with_seed(seed));
+        let mut policy = DecisionPolicy {
+            queries: QueryTable::default(),
+            endpoints: EndpointTable::default(),
+            admission: Admission::default(),
+            controller: AdmissionController::new(),
+            retries: RatioBudget::default(),
+            poll: EndpointPoll::new(settings.max_poll_interval, now),
+            next_control_at: now,
+            timer_at: 0,
+            context: Context { settings, now, fleet, rng },
         };
-        module.grow(shards);
-        module
+        policy.admission.apply_settings(&policy.context);
+        policy.endpoints.apply_settings(&mut policy.context);
+        policy
     }
 
     /// Takes a batch of events that came at `now`, in order, and appends what is to be done, in order.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
-        self.now = now.max(self.now);
+        self.context.now = now.max(self.context.now);
         for event in events {
-            self.take(event, actions);
+            self.apply(event, actions);
         }
-        if self.ask_at.is_some_and(|at| at <= self.now) {
+        if self.poll.take_due(self.context.settings.max_poll_interval, self.context.now) {
             actions.push(Action::Subscribe);
-            self.ask_at = Some(self.now + self.set.max_poll_interval.unwrap_or(Nanos::MAX) / 2);
         }
-        self.control();
-        let open: Vec<u64> = self.queries.keys().copied().collect();
-        for seq in open {
-            self.step(seq, actions);
+        if self.context.now >= self.next_control_at {
+            self.control();
+        }
+        for number in self.queries.numbers().collect::<Vec<_>>() {
+            self.advance(number, actions);
         }
-        self.wake_up(actions);
+        self.set_timer(actions);
     }
 
-    fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
+    /// Ready replicas that no part of a class in force would go to now, whatever its shard.
+    pub fn ejected(&self) -> Vec<ReplicaId> {
+        self.endpoints.ejected(&self.context)
+    }
+
+    fn apply(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        let now = self.context.now;
         match event {
-            Event::Endpoints { kind, endpoints } => self.take_list(*kind, endpoints),
-            Event::Placement { replica, shards } => {
-                self.grow(shards.iter().map(|s| s.0 as usize + 1).max().unwrap_or(0));
-                self.placed.insert(*replica, shards.iter().copied().collect());
+            Event::Endpoints { kind: EndpointListKind::Failed, .. } => {
+                self.poll.poll_failed(self.context.settings.max_poll_interval, now, &mut self.context.rng);
             }
-            Event::Query { query, group, class, tenant, expected_work, time_left } => {
-                let Some(c) = self.set.classes.get(usize::from(class.0)).cloned() else {
-                    return actions.push(Action::Fail(*query));
-                };
-                let stretch = (c.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
-                let aim = (c.latency_objective + stretch).min(c.deadline);
-                let share = if self.over_quota(*tenant) { self.set.over_quota_weight } else { 1.0 };
-                let worth = c.priority_weight * share;
-                let end = self.now.saturating_add(time_left.saturating_sub(END_TICKS * self.set.tick));
-                let due = self.now + aim.saturating_sub(AIM_TICKS * self.set.tick);
-                self.taken.push_back(self.now);
-                let seen = self.queries.values().filter(|q| q.sampled).count() as f64;
-                let more = |rng: &mut fastrand::Rng| seen < MAX_READINGS && rng.f64() < MIN_SAMPLE;
-                let sampled = worth >= self.top() && (seen < WANTED_READINGS || more(&mut self.rng));
-                let seq = self.next_query;
-                self.next_query += 1;
-                let q = Query {
-                    id: *query,
-                    class: *class,
-                    group: *group,
-                    worth,
-                    luck: self.rng.f64(),
-                    stage: Stage::New,
-                    taken: self.now,
-                    due: due.min(end),
-                    end,
-                    sampled,
-                    first: None,
-                    parts: Vec::new(),
-                };
-                self.queries.insert(seq, q);
+            Event::Endpoints { kind, endpoints } => {
+                self.poll.list_received(*kind);
+                self.endpoints.apply_list(*kind, endpoints, &mut self.context);
             }
+            Event::Placement { replica, shards } => self.endpoints.place(*replica, shards, &mut self.context),
+            Event::Query { .. } => self.receive(event, actions),
             Event::Part { part, group, shard, weight } => {
-                self.taken.push_back(self.now);
-                let mut open = self.queries.iter_mut().rev().filter(|(_, q)| q.open());
-                let Some((seq, q)) = open.find(|(_, q)| q.group == *group) else { return };
-                self.parts.insert(*part, (*seq, q.parts.len()));
-                let second = q.stage == Stage::Second;
-                let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
-                let (id, class, shard) = (*part, q.class, *shard);
-                q.parts.push(Part { id, class, shard, weight, second, asked: true, ..Part::default() });
+                self.retries.earn(now);
+                self.queries.add_part(*group, Part::new(*part, *shard, *weight));
             }
-            Event::Outcome { part, attempt, outcome, waited } => {
-                self.take_outcome(*part, *attempt, *outcome, *waited)
+            Event::Outcome { part, attempt, outcome, elapsed } => {
+                let key = AttemptKey { part: *part, attempt: *attempt };
+                if self.endpoints.complete(key, *outcome, *elapsed, &mut self.context) {
+                    self.queries.complete_attempt(*part, *attempt, *outcome, now);
+                }
             }
             Event::Abandoned(query) => {
-                if let Some(q) = self.queries.values_mut().find(|q| q.id == *query && q.open()) {
-                    q.stage = Stage::Over;
-                    // Nobody waits for these any more: on poor links clients leave long before their time.
-                    let parts = q.parts.iter().filter(|_| self.set.cancellation);
-                    actions.extend(parts.flat_map(Part::call_off));
-                }
+                // Nobody waits for its parts any more: on poor links clients leave long before their time.
+                let query = self.queries.abandon(*query).filter(|_| self.context.settings.cancellation);
+                actions.extend(query.iter().flat_map(|query| &query.parts).flat_map(Part::cancellations));
+            }
+            Event::Settings { settings, class_mapping } => {
+                self.context.settings = Settings::clone(settings);
+                self.context.fleet.latency.apply_settings(settings, class_mapping);
+                self.admission.apply_settings(&self.context);
+                self.endpoints.apply_settings(&mut self.context);
             }
-            Event::Settings { settings, class_mapping } => self.take_settings(settings, class_mapping),
-            Event::TimerFired => self.wake = 0,
+            Event::TimerFired => self.timer_at = 0,
         }
     }
 
-    /// Shards that are new get their places here. Where turns begin is drawn: were it the same everywhere,
-    /// instances with little traffic would go in step.
-    fn grow(&mut self, shards: usize) {
-        let most = shards.max(self.holders.len());
-        self.holders.resize(most, Vec::new());
-        let rng = &mut self.rng;
-        self.turns.resize_with(most, || rng.f64());
-    }
-
-    /// What was seen of replicas and classes stays; a class that is new begins with a guess.
-    fn take_settings(&mut self, set: &Settings, heirs: &[ClassId]) {
-        let seen = |(c, heir): (&Class, &ClassId)| {
-            let at = usize::from(heir.0);
-            let work = self.work.get(at).copied().filter(|_| self.met[at]);
-            (work.unwrap_or(c.latency_objective as f64 * FIRST_GUESS), work.is_some())
+    fn receive(&mut self, event: &Event, actions: &mut Vec<Action>) {
+        let Event::Query { query, group, class, tenant, expected_work, time_left } = event else { return };
+        let (settings, now) = (&self.context.settings, self.context.now);
+        let Some(of_class) = settings.classes.get(usize::from(class.0)) else {
+            return actions.push(Action::Fail(*query));
         };
-        (self.work, self.met) = set.classes.iter().zip(heirs).map(seen).unzip();
-        self.least_aim = least_aim(set);
-        self.quotas.resize(set.tenants.len(), (1.0, self.now));
-        self.set = set.clone();
-        self.grow(set.shards as usize);
-        let ask_at = self.ask_at;
-        self.take_list(EndpointListKind::Delta, &[]);
-        self.ask_at = ask_at;
+        let stretch = (of_class.objective_stretch * expected_work.unwrap_or(0) as f64) as Nanos;
+        let objective = (of_class.latency_objective + stretch).min(of_class.deadline);
+        let over_quota = self.admission.over_quota(*tenant, &self.context);
+        let priority = of_class.priority_weight * if over_quota { settings.over_quota_weight } else { 1.0 };
+        let deadline = now.saturating_add(time_left.saturating_sub(settings.ticks(DEADLINE_MARGIN_TICKS)));
+        let respond_by = now + objective.saturating_sub(settings.ticks(OBJECTIVE_MARGIN_TICKS));
+        let top = priority >= settings.max_priority_weight();
+        let sampled = top && take_sample(self.queries.samples().count(), &mut self.context.rng);
+        self.retries.earn(now);
+        self.queries.insert(Query {
+            priority,
+            admission_draw: self.context.rng.f64(),
+            respond_by: respond_by.min(deadline),
+            deadline,
+            sampled,
+            ..Query::new(*query, *class, *group, now)
+        });
     }
 
-    fn class(&self, class: ClassId) -> &Class {
-        &self.set.classes[usize::from(class.0)]
-    }
-
-    fn top(&self) -> f64 {
-        self.set.classes.iter().filter(|c| c.in_force).map(|c| c.priority_weight).fold(0.0, f64::max)
-    }
-
-    /// The one way out for a query. Rules 1, 2 and 5 are checked here.
-    fn finish(&mut self, seq: u64, how: Final, actions: &mut Vec<Action>) {
-        let Some(q) = self.queries.get_mut(&seq).filter(|q| q.open()) else { return };
-        let c = &self.set.classes[usize::from(q.class.0)];
-        let risky = c.effect != Effect::Idempotent && q.parts.iter().any(Part::may_have_run);
-        match how {
-            Final::Answer => {
-                let weight = q.weight_in();
-                let second = q.stage == Stage::Second;
-                let floor = if second { c.min_share } else { c.min_share.min(c.required_share) };
-                // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
-                let all = q.complete(false);
-                if !all && (weight + 1e-6 < floor || (second && c.min_share >= c.required_share)) {
-                    return;
-                }
-                let enough = all || (!second && weight + 1e-6 >= c.required_share);
-                let complete = enough && q.first.is_none_or(|f| f.1);
-                actions.push(Action::Answer { query: q.id, complete });
-                let first = q.first.is_none();
-                q.first = q.first.or(Some((self.now, complete)));
-                if first && c.follow_up > 0 {
-                    q.stage = Stage::Second;
-                    return;
-                }
-            }
-            Final::GiveUp if !risky => {
-                let drawn = 0.5 * self.rng.f64() / self.set.reduction.retry_after_factor.max(1.0);
-                let retry_after = self.set.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
-                actions.push(Action::Reject { query: q.id, retry_after });
-            }
-            Final::GiveUp => actions.push(Action::Fail(q.id)),
-        }
-        // A sample's late parts run on to the record limit; the others are called off.
-        let sampled = q.sampled && !self.set.reduction.skip_late_samples;
-        let runs_on = |p: &Part| sampled && !p.second && p.came.is_none();
-        let parts = q.parts.iter().filter(|p| self.set.cancellation && !runs_on(p));
-        actions.extend(parts.flat_map(Part::call_off));
-        q.stage = Stage::Over;
-    }
-
-    /// Looks at an open query: admits or refuses it, sends, and ends it when that is due.
-    fn step(&mut self, seq: u64, actions: &mut Vec<Action>) {
-        let Some(q) = self.queries.get(&seq).filter(|q| q.open()) else { return };
-        let c = self.class(q.class).clone();
-        if q.stage == Stage::New {
-            let waits = self.waits(q);
-            let (crowd, late) = (self.crowd(q, &waits), q.due.saturating_sub(self.now) as f64 * TOP_CROWD.0);
-            if self.turned_away(seq, crowd) {
-                return self.finish(seq, Final::GiveUp, actions);
-            }
-            let admitted = self.share.min(outlook(crowd, LIGHT_CROWD));
-            let long = waits.iter().filter(|w| c.min_share < c.required_share && w.0 >= late).map(|w| w.2);
-            if let Some(q) = self.queries.get_mut(&seq) {
-                q.stage = Stage::First;
-                q.trim(c.min_share, admitted, long);
-                for (at, p) in q.parts.iter().enumerate() {
-                    self.parts.insert(p.id, (seq, at));
-                }
-            }
-        }
-        self.send_parts(seq, &c, actions);
-        let Some(q) = self.queries.get(&seq) else { return };
-        let partial = c.min_share < c.required_share;
-        let weight = q.weight_in();
-        let first = q.stage == Stage::First;
-        let early = self.set.reduction.answer_after * q.due.saturating_sub(q.taken) as f64;
-        let due = self.now >= q.taken + early as Nanos;
-        let enough = q.complete(true) || (first && weight >= c.required_share && c.required_share < 1.0);
-        if enough || (due && partial && weight > 0.0 && weight >= c.min_share) {
-            return self.finish(seq, Final::Answer, actions);
-        }
-        let lost = |p: &Part| p.came.is_none() && p.out() == 0 && !self.may_try(p, &c);
-        let gone: f64 = q.parts.iter().filter(|p| p.second != first && lost(p)).map(|p| p.weight).sum();
-        let hopeless = if partial { 1.0 - gone < c.min_share - 1e-6 } else { gone > 0.0 };
-        let worthless = c.late_weight <= 0.0 && self.now >= q.due;
-        if self.now >= q.end || hopeless || worthless {
-            self.finish(seq, Final::GiveUp, actions);
-        }
+    /// Removes what is over, and sets the admitted share by the quality of the last window.
+    fn control(&mut self) {
+        let (settings, now) = (&self.context.settings, self.context.now);
+        let period = settings.ticks(CONTROL_TICKS);
+        self.next_control_at = now + period;
+        self.queries.remove_closed(now.saturating_sub(QUALITY_WINDOW));
+        self.endpoints.remove_unlisted(now.saturating_sub(REMOVAL_WINDOWS * QUALITY_WINDOW));
+        self.retries.expire(now, settings.retry_budget.map_or(0, |budget| 2 * budget.window));
+        self.endpoints.balance(&self.context);
+        let reading = measure_quality(self.queries.samples(), |a| self.endpoints.served_since(a), now);
+        self.controller.update(&reading, period);
     }
 
-    fn wake_up(&mut self, actions: &mut Vec<Action>) {
-        let open = || self.queries.values().filter(|q| q.open());
-        let dues = open().flat_map(|q| [q.due, q.end]);
-        let poll = open().next().map(|_| self.now + CONTROL_TICKS / 10 * self.set.tick);
-        let idle = Some(self.control_at.max(self.now + self.set.tick));
-        let next = dues.filter(|t| *t > self.now).chain(poll).chain(idle).chain(self.ask_at).min();
-        if let Some(at) = next.filter(|at| self.wake <= self.now || *at < self.wake) {
-            self.wake = at;
+    /// Asks to be called when the next thing is due, unless a timer is set for before that.
+    fn set_timer(&mut self, actions: &mut Vec<Action>) {
+        let (settings, now) = (&self.context.settings, self.context.now);
+        let look = self.queries.open().next().map(|_| now + settings.ticks(CONTROL_TICKS / 10));
+        let control = Some(self.next_control_at.max(now + settings.tick));
+        let next = self.queries.due_after(now).chain(look).chain(control).chain(self.poll.due_at()).min();
+        if let Some(at) = next.filter(|at| self.timer_at <= now || *at < self.timer_at) {
+            self.timer_at = at;
             actions.push(Action::SetTimer(at));
         }
     }
