--- a/fuzz/fuzz_targets/head.rs
+++ b/fuzz/fuzz_targets/head.rs
@@ -11,13 +11,13 @@
     while let Some(polled) = server.poll() {
         match polled {
             Ok(_) => server.respond(Response::new(200, "", "x"), false),
-            Err(error) => {
+            Err(e) => {
                 errors += 1;
-                server.respond(Response::new(error.status(), "", ""), true);
+                server.respond(Response::new(e.status(), "", ""), true);
             }
         }
-        let written = server.output().len();
-        server.wrote(written);
+        let n = server.output().len();
+        server.wrote(n);
     }
     assert!(errors <= 1);
 });
--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -2,7 +2,7 @@
 //! `cargo bench -p quinceflow-testkit`
 
 use divan::Bencher;
-use quinceflow::coordinator::{Answer, AttemptEnd, RequestContext, ServedPart, Token};
+use quinceflow::coordinator::{Answer, AttemptEnd, ServedPart, Token};
 use quinceflow::front::ogc::config::Edge;
 use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Able, Matcher, Queryables};
 use quinceflow::front::ogc::cursor::Key;
@@ -125,8 +125,7 @@
                 }
                 Reaction::Submit(request, render) => {
                     let parts = request.parts.iter().map(|part| {
-                        let visit =
-                            part.context.as_ref().and_then(RequestContext::get::<Visit>).expect("a visit");
+                        let visit = part.context.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
                         let fetched =
                             Fetched { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
