--- /dev/null
+++ b/lab/src/fault_scenario.rs
@@ -0,0 +1,140 @@
+//! Fault scenario: feature queries under a mix of faults for a while, observed from the wire alone.
+//!
+//! Each query carries a mark of its own, the last digits of a box that holds everything. The program passes the box on to the
+//! servers, so their logs tell which query a request belongs to.
+
+mod client;
+mod fleet;
+mod observer;
+mod query;
+mod report;
+
+pub use report::{AnswerGroup, AnswerKind, AnswerViolation, Report, Violation};
+
+use crate::error::RunError;
+use crate::fault_injection::{FaultInjector, INJECTED_FAULTS};
+use crate::feature_server::ALL_FAULTS;
+use crate::process::{EdgeProcess, CLASSES};
+use client::ScenarioClient;
+use fleet::Fleet;
+use observer::{observe, Drain};
+use query::QueryLog;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+const CLIENTS: usize = 6;
+/// How long a fault or a drain lasts.
+const FAULT_DURATION: Duration = Duration::from_millis(1_500);
+/// The time between two faults.
+const PAUSE: Duration = Duration::from_millis(500);
+/// How many of the choices of what happens next are drains; the others are faults.
+const DRAIN_CHOICES: usize = 2;
+/// Marks of a run are this far apart from those of the next seed.
+const MARKS_PER_SEED: u64 = 1_000_000;
+const SETTINGS: &str = "retry_after_ms = 300\nlearned_age_s = 5";
+/// The check that finds a feature too many in a page.
+const LIMIT_CHECK: &str = "/conf/core/fc-limit-response";
+
+/// A fault that is planted to see that the observer finds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlantedFault {
+    /// Each request is seen twice at the servers.
+    DuplicateRequests,
+    /// Answers have one feature more than the limit.
+    ExcessFeatures,
+}
+
+/// What a scenario is run with.
+#[derive(Debug, Clone, Copy)]
+pub struct ScenarioOptions {
+    /// How long faults are injected.
+    pub duration: Duration,
+    /// The seed of faults and queries. Faults begin by the clock, so runs of one seed are not alike.
+    pub seed: u64,
+    /// See [`PlantedFault`].
+    pub planted: Option<PlantedFault>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn into_inner<T>(mutex: Mutex<T>) -> T {
+    mutex.into_inner().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs a scenario and reports what was seen.
+///
+/// # Errors
+/// If a stand-in or the program can't be started, or the program ends before its time.
+pub fn run(program: &Path, options: &ScenarioOptions) -> Result<Report, RunError> {
+    let fleet = Fleet::start()?;
+    let process = EdgeProcess::start(program, SETTINGS, &fleet.inventory(None), CLASSES)?;
+    if options.planted == Some(PlantedFault::DuplicateRequests) {
+        fleet.servers.iter().for_each(|server| server.set_log_twice(true));
+    }
+    let injector = FaultInjector::start(process.address)?;
+    let mut address = process.address;
+    if options.planted == Some(PlantedFault::ExcessFeatures) {
+        injector.inject(INJECTED_FAULTS.iter().find(|fault| fault.found_by == LIMIT_CHECK));
+        address = injector.address;
+    }
+    let (report, queries) = (Mutex::new(Report::default()), QueryLog::default());
+    let (stopped, next_mark) = (AtomicBool::new(false), AtomicU64::new(options.seed * MARKS_PER_SEED + 1));
+    let drains = std::thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            let seed = options.seed ^ ((number as u64) << 32);
+            let mut client = ScenarioClient::new(address, seed, &next_mark, &queries, &report);
+            let stopped = &stopped;
+            scope.spawn(move || {
+                while !stopped.load(Relaxed) {
+                    client.run_query();
+                }
+            });
+        }
+        let drains = inject_faults(&fleet, &process, options);
+        stopped.store(true, Relaxed);
+        drains
+    })?;
+    let mut report = into_inner(report);
+    observe(&fleet, &drains, &queries, &mut report);
+    report.record_counters(process.counters()?);
+    Ok(report)
+}
+
+/// Injects one fault or drain after the other for the scenario's duration; the drains.
+fn inject_faults(
+    fleet: &Fleet,
+    process: &EdgeProcess,
+    options: &ScenarioOptions,
+) -> Result<Vec<Drain>, RunError> {
+    let mut rng = fastrand::Rng::with_seed(options.seed);
+    let mut drains = Vec::new();
+    let started = Instant::now();
+    while started.elapsed() < options.duration {
+        let (machine, choice) =
+            (rng.usize(..fleet.machines.len()), rng.usize(..ALL_FAULTS.len() + DRAIN_CHOICES));
+        match ALL_FAULTS.get(choice) {
+            Some(_) => {
+                fleet.machines[machine].set_fault(Some(choice));
+                std::thread::sleep(FAULT_DURATION);
+                fleet.machines[machine].set_fault(None);
+            }
+            None => drains.push(drain(fleet, process, rng.usize(..fleet.servers.len()))?),
+        }
+        std::thread::sleep(PAUSE);
+    }
+    Ok(drains)
+}
+
+/// Drains a server for a while by reloads of the inventory.
+fn drain(fleet: &Fleet, process: &EdgeProcess, server: usize) -> Result<Drain, RunError> {
+    process.reload_inventory(&fleet.inventory(Some(server)))?;
+    let started_at = Instant::now();
+    std::thread::sleep(FAULT_DURATION);
+    let ended_at = Instant::now();
+    process.reload_inventory(&fleet.inventory(None))?;
+    Ok(Drain { server, started_at, ended_at })
+}
--- /dev/null
+++ b/lab/tests/conformance.rs
@@ -0,0 +1,132 @@
+//! The conformance suite against the program over faulty feature servers, and against injected faults.
+
+use quinceflow_testkit::client::{Client, Response};
+use quinceflow_testkit::conformance::{Outcome, Suite};
+use quinceflow_testkit::fault_injection::{FaultInjector, INJECTED_FAULTS};
+use quinceflow_testkit::feature_server::{devices, Capabilities, Fault, FeatureServer};
+use quinceflow_testkit::process::{find_program, EdgeProcess, CLASSES};
+
+const FEATURES_PER_SHARD: usize = 150;
+const ITEMS: &str = "/collections/devices/items";
+
+/// Faults that the program must hide as long as another replica is healthy.
+const HIDDEN_FAULTS: [Fault; 8] = [
+    Fault::InternalError,
+    Fault::TruncatedBody,
+    Fault::HtmlPage,
+    Fault::CloseDelimited,
+    Fault::TooManyRequests,
+    Fault::ServiceUnavailable,
+    Fault::ShortPage,
+    Fault::Slow,
+];
+
+/// The program over two shards, each on two servers of different capabilities.
+struct Deployment {
+    process: EdgeProcess,
+    servers: Vec<FeatureServer>,
+}
+
+impl Deployment {
+    fn start() -> Deployment {
+        let start_server = |from: usize, capabilities| {
+            let features = devices(from..from + FEATURES_PER_SHARD);
+            FeatureServer::start(features, capabilities).expect("a stand-in")
+        };
+        let servers = vec![
+            start_server(0, Capabilities::FiltersAndSorting),
+            start_server(0, Capabilities::SimpleFilters),
+            start_server(FEATURES_PER_SHARD, Capabilities::Core),
+            start_server(FEATURES_PER_SHARD, Capabilities::FiltersAndSorting),
+        ];
+        let collections = ["devices/north", "devices/north", "devices/south", "devices/south"];
+        let row = |(index, (server, collection)): (usize, (&FeatureServer, &str))| {
+            server.inventory_row(&format!("s{index}"), collection, "")
+        };
+        let rows: String = servers.iter().zip(collections).enumerate().map(row).collect();
+        // Capabilities are discovered again every second: they must not change what queries return.
+        let settings = "retry_after_ms = 50\nlearned_age_s = 1\npage_size = 100";
+        let program = find_program().expect("the program is built with the workspace");
+        let process = EdgeProcess::start(&program, settings, &rows, CLASSES).expect("it starts");
+        Deployment { process, servers }
+    }
+}
+
+#[test]
+fn service_conforms_while_one_replica_of_each_shard_is_faulty() {
+    let Deployment { process, servers } = Deployment::start();
+    for server in servers.iter().step_by(2) {
+        // One in seven requests fails, each time by another fault.
+        server.set_fault_script(|number, _| match number % 7 {
+            3 => HIDDEN_FAULTS[(number / 7) as usize % HIDDEN_FAULTS.len()],
+            _ => Fault::None,
+        });
+    }
+    let mut suite = Suite::open(process.address, "/").expect("it answers");
+    let results = suite.run();
+    // Every check must pass: none has a reason not to apply here.
+    let others: Vec<_> = results.iter().filter(|r| !matches!(r.outcome, Outcome::Pass)).collect();
+    assert!(others.is_empty(), "{others:#?}");
+    assert!(results.len() >= 90, "{}", results.len());
+    let counters = process.counters().expect("counters");
+    assert!(counters.contains(" broken_invariants=0"), "{counters}");
+}
+
+#[test]
+fn each_injected_fault_fails_the_check_that_must_find_it() {
+    let Deployment { process, servers: _servers } = Deployment::start();
+    let injector = FaultInjector::start(process.address).expect("it starts");
+    assert!(INJECTED_FAULTS.len() >= 25);
+    let mut suite = Suite::open(injector.address, "/").expect("it answers");
+    for fault in INJECTED_FAULTS {
+        injector.inject(None);
+        let healthy = suite.run_one(fault.found_by);
+        assert_eq!(healthy, Some(Outcome::Pass), "{} without a fault", fault.found_by);
+        injector.inject(Some(fault));
+        // Some faults are seen only by a suite that is opened with them.
+        let mut opened_faulty = Suite::open(injector.address, "/").expect("it answers");
+        opened_faulty.claim_all();
+        let outcomes = [suite.run_one(fault.found_by), opened_faulty.run_one(fault.found_by)];
+        let failed = |outcome: &Option<Outcome>| matches!(outcome, Some(Outcome::Fail(_)));
+        assert!(outcomes.iter().any(failed), "{}: {}: {outcomes:?}", fault.found_by, fault.description);
+    }
+}
+
+#[test]
+fn queryables_are_known_to_the_first_request() {
+    // Regression: until a request had a filter, a queryable was an unknown parameter and any name was accepted.
+    let first_response = |query: &str| -> Response {
+        let deployment = Deployment::start();
+        Client::new(deployment.process.address).get(&format!("{ITEMS}?{query}")).expect("a response")
+    };
+    let all = devices(0..2 * FEATURES_PER_SHARD);
+    let expected = all.iter().filter(|device| device["properties"]["volts"] == 141).count();
+    assert!(expected > 0);
+    let response = first_response("limit=500&volts=141");
+    assert_eq!((response.status, response.ids().len()), (200, expected));
+    assert_eq!(first_response("watts=141").status, 400);
+    assert_eq!(first_response("filter=watts=141").status, 400);
+    assert_eq!(first_response("sortby=watts").status, 400);
+}
+
+#[test]
+fn capabilities_are_discovered_for_a_class_with_a_long_latency_objective() {
+    // Regression: the discovery request was predicted to be late and rejected, so every filter was evaluated by the program.
+    let features = devices(0..FEATURES_PER_SHARD);
+    let server = FeatureServer::start(features, Capabilities::FiltersAndSorting).expect("a stand-in");
+    let program = find_program().expect("the program is built with the workspace");
+    let classes = "[[class]]\nname = \"map\"\naim_ms = 8000\ndeadline_ms = 10000\n";
+    let rows = server.inventory_row("a", "devices", "");
+    let process = EdgeProcess::start(&program, "", &rows, classes).expect("it starts");
+    let mut client = Client::new(process.address);
+    let target = format!("{ITEMS}?filter=volts%3E200&sortby=-volts&limit=5");
+    let response = client.get(&target).expect("a response");
+    assert_eq!((response.status, response.ids().len()), (200, 5));
+    let requested: Vec<String> = server.log().into_iter().map(|request| request.target).collect();
+    let is_passed_on = |target: &String| {
+        target.contains("filter=") && target.contains("sortby=-volts") && target.contains("limit=5")
+    };
+    assert!(requested.iter().any(is_passed_on), "{requested:?}");
+    let pages = requested.iter().filter(|target| target.contains("/items")).count();
+    assert_eq!(pages, 1, "{requested:?}");
+}
