--- /dev/null
+++ b/tests/coordinator/endpoints.rs
@@ -0,0 +1,139 @@
+//! Endpoint lists: readiness, stale lists and the removal of servers.
+
+use crate::support::{coordinator, endpoint_list, fleet, node, node_number, submit, IDEMPOTENT, START};
+use quinceflow::coordinator::{Answer, Command, Coordinator, Input, NodeEndpoint, Token};
+use quinceflow::time::Micros;
+use quinceflow::{EndpointListKind, EndpointState, ReplicaId};
+use std::collections::BTreeSet;
+
+fn dispatches_to(commands: &[Command], number: u8) -> usize {
+    let to_node = |command: &&Command| match command {
+        Command::Dispatch { replica, .. } => node_number(*replica) == number,
+        _ => false,
+    };
+    commands.iter().filter(to_node).count()
+}
+
+#[test]
+fn removed_servers_are_forgotten_and_their_ids_not_reused() {
+    // Regression: names, addresses and connections of every server that ever was were kept.
+    let mut now = START;
+    let mut core = coordinator();
+    let mut commands = Vec::new();
+    let mut seen = BTreeSet::new();
+    let mut open: BTreeSet<ReplicaId> = BTreeSet::new();
+    for number in 0..400 {
+        now = now + Micros::from_secs(1);
+        let nodes = [node(number, EndpointState::Removed), node(number + 1, EndpointState::Ready)];
+        core.turn(now, [endpoint_list(EndpointListKind::Delta, None, nodes)], &mut commands);
+        for command in commands.drain(..) {
+            match command {
+                Command::UpdateServer { replica, ready: true, .. } => {
+                    assert!(seen.insert(replica) && open.insert(replica));
+                }
+                Command::RemoveServer(replica) => {
+                    open.remove(&replica);
+                }
+                _ => {}
+            }
+        }
+        let known = core.known_endpoints();
+        assert!(known <= 35 && open.len() <= 35, "{known} known");
+    }
+}
+
+#[test]
+fn list_with_a_duplicate_or_no_endpoint_causes_no_dispatch_that_it_forbids() {
+    let mut core = coordinator();
+    let mut commands = Vec::new();
+    let full = |nodes: Vec<NodeEndpoint>| endpoint_list(EndpointListKind::Full, None, nodes);
+    core.turn(START, [fleet()], &mut commands);
+    let duplicate = vec![
+        node(0, EndpointState::Ready),
+        node(0, EndpointState::Draining),
+        node(1, EndpointState::Ready),
+        node(2, EndpointState::Ready),
+    ];
+    core.turn(START, [full(duplicate)], &mut commands);
+    (0..4).for_each(|token| core.turn(START, [submit(token, IDEMPOTENT, 2, START)], &mut commands));
+    assert_eq!(dispatches_to(&commands, 0), 0, "its last line says that it drains");
+    assert_eq!(dispatches_to(&commands, 1) + dispatches_to(&commands, 2), 8);
+    commands.clear();
+    let later = START + Micros::from_secs(1);
+    core.turn(later, [full(Vec::new()), submit(9, IDEMPOTENT, 2, later)], &mut commands);
+    for ms in (0..1_000).step_by(10) {
+        core.turn(later + Micros::from_millis(ms), [], &mut commands);
+    }
+    let dispatches: usize = (0..3).map(|number| dispatches_to(&commands, number)).sum();
+    assert_eq!(dispatches, 0, "no server is listed");
+    let is_rejection = |command: &&Command| {
+        matches!(command, Command::Reply { token: Token(9), answer: Answer::Rejected { .. } })
+    };
+    assert_eq!(commands.iter().filter(is_rejection).count(), 1);
+}
+
+/// A change of a server's readiness: its number, and whether it is ready.
+#[derive(Debug, PartialEq)]
+struct Readiness {
+    node: u8,
+    ready: bool,
+}
+
+fn ready(node: u8) -> Readiness {
+    Readiness { node, ready: true }
+}
+
+fn not_ready(node: u8) -> Readiness {
+    Readiness { node, ready: false }
+}
+
+/// Applies an endpoint update and returns what it changes.
+fn apply(core: &mut Coordinator, update: Input) -> Vec<Readiness> {
+    let mut commands = Vec::new();
+    core.turn(START, [update], &mut commands);
+    let changes = commands.into_iter().filter_map(|command| match command {
+        Command::UpdateServer { replica, ready, .. } => Some(Readiness { node: node_number(replica), ready }),
+        _ => None,
+    });
+    changes.collect()
+}
+
+#[test]
+fn stale_list_reverts_no_drain_and_removes_no_server() {
+    // Regression: discovery had moved, or came back from an older copy. Its list called servers ready that had been told to
+    // drain, and parts were sent there again; servers that it did not know yet got no more work.
+    let mut core = coordinator();
+    let list = |version, kind, nodes: Vec<NodeEndpoint>| endpoint_list(kind, Some(version), nodes);
+    let started = |number, state, seconds: u64| NodeEndpoint {
+        started_at: Some(Micros::from_secs(seconds)),
+        ..node(number, state)
+    };
+    let fleet_with = |first| vec![first, started(1, EndpointState::Ready, 50), node(2, EndpointState::Ready)];
+    let first = fleet_with(started(0, EndpointState::Ready, 50));
+    assert_eq!(apply(&mut core, list(7, EndpointListKind::Full, first)), [ready(0), ready(1), ready(2)]);
+    let drain = vec![started(0, EndpointState::Draining, 50)];
+    assert_eq!(apply(&mut core, list(8, EndpointListKind::Delta, drain)), [not_ready(0)]);
+
+    let before_the_drain = vec![started(0, EndpointState::Ready, 50)];
+    let changes = apply(&mut core, list(6, EndpointListKind::Full, before_the_drain));
+    assert_eq!(changes, [], "the drain stands, and so do the servers that the list lacks");
+    let mut commands = Vec::new();
+    core.turn(START, [submit(1, IDEMPOTENT, 2, START)], &mut commands);
+    assert_eq!(dispatches_to(&commands, 0), 0, "nothing is sent to the draining server");
+
+    let restarted = fleet_with(started(0, EndpointState::Ready, 90));
+    assert_eq!(
+        apply(&mut core, list(6, EndpointListKind::Full, restarted)),
+        [ready(0)],
+        "it has restarted since"
+    );
+    let earlier_drain = vec![started(0, EndpointState::Draining, 50)];
+    let changes = apply(&mut core, list(5, EndpointListKind::Delta, earlier_drain));
+    assert_eq!(changes, [], "that drain was of the earlier incarnation");
+    let drain = vec![started(1, EndpointState::Draining, 50)];
+    let changes = apply(&mut core, list(5, EndpointListKind::Delta, drain));
+    assert_eq!(changes, [not_ready(1)], "a drain is believed however old its list is");
+    let current = fleet_with(started(0, EndpointState::Draining, 90));
+    let changes = apply(&mut core, list(8, EndpointListKind::Full, current));
+    assert_eq!(changes, [not_ready(0), ready(1)], "a list as new as the newest is applied as it is");
+}
--- /dev/null
+++ b/tests/coordinator/shutdown.rs
@@ -0,0 +1,44 @@
+//! The final deadline of a shutdown.
+
+use crate::support::{coordinator, dispatched, fleet, submit, IDEMPOTENT, NON_IDEMPOTENT, START};
+use quinceflow::coordinator::{Answer, Command, Input, Token};
+use quinceflow::time::Micros;
+
+#[test]
+fn query_submitted_after_the_shutdown_began_is_answered_by_the_final_deadline() {
+    // Regression: after SIGTERM it went on to accept queries whose timeout ended after the kill.
+    let mut now = START;
+    let mut core = coordinator();
+    let final_deadline = now + Micros::from_millis(400);
+    core.set_final_deadline(final_deadline);
+    let mut commands = Vec::new();
+    core.turn(now, [fleet(), submit(1, IDEMPOTENT, 1, now)], &mut commands);
+    while core.pending_queries() > 0 {
+        now = now + Micros::from_millis(5);
+        core.turn(now, [], &mut commands);
+    }
+    assert!(now <= final_deadline);
+    core.turn(final_deadline, [submit(2, IDEMPOTENT, 1, final_deadline)], &mut commands);
+    assert_eq!(core.pending_queries(), 0, "too late to be accepted");
+}
+
+#[test]
+fn query_pending_when_the_shutdown_begins_is_answered_by_the_final_deadline() {
+    // Regression: queries accepted before SIGTERM whose clients waited longer than the kill takes got a reset for an answer.
+    let mut core = coordinator();
+    let mut commands = Vec::new();
+    core.turn(START, [fleet(), submit(1, NON_IDEMPOTENT, 1, START)], &mut commands);
+    let written = commands.drain(..).find_map(|command| dispatched(&command)).map(Input::FullyWritten);
+    let final_deadline = START + Micros::from_millis(30);
+    core.turn(START + Micros::from_millis(1), written, &mut commands);
+    core.set_final_deadline(final_deadline);
+    assert_eq!(core.next_turn_due().map(|due| due <= final_deadline), Some(true));
+    core.turn(final_deadline, [], &mut commands);
+    let replies: Vec<&Command> =
+        commands.iter().filter(|command| matches!(command, Command::Reply { .. })).collect();
+    assert!(
+        matches!(replies[..], [Command::Reply { token: Token(1), answer: Answer::Failed { .. } }]),
+        "it may have run: {replies:?}"
+    );
+    assert_eq!(core.pending_queries(), 0);
+}
--- /dev/null
+++ b/tests/coordinator/support.rs
@@ -0,0 +1,132 @@
+//! A coordinator of three servers and three classes, the inputs for it, and readers of its commands.
+
+use crate::common::{self, MS};
+use quinceflow::coordinator::{
+    Answer, AttemptEnd, AttemptKey, Command, Coordinator, EndpointUpdate, Input, NodeEndpoint, PartRequest,
+    Request, Token,
+};
+use quinceflow::time::Micros;
+use quinceflow::{
+    Class, Effect, EndpointListKind, EndpointState, Outcome, ReplicaId, Settings, ShardId, TenantId,
+};
+use std::sync::Arc;
+
+pub const MAX_IN_FLIGHT: usize = 12;
+/// The time of the first turn.
+pub const START: Micros = Micros::from_secs(100);
+
+/// The numbers of the classes in [`settings`].
+pub const IDEMPOTENT: u16 = 0;
+pub const NON_IDEMPOTENT: u16 = 1;
+/// Idempotent, and answered from half of the parts at the objective.
+pub const PARTIAL: u16 = 2;
+
+pub fn settings() -> Settings {
+    let class = |number: u16, effect, min_share| Class {
+        name: format!("c{number}"),
+        latency_objective: 300 * MS,
+        deadline: 900 * MS,
+        min_share,
+        max_attempts: 3,
+        ..common::class(effect)
+    };
+    let mut settings = common::settings(class(IDEMPOTENT, Effect::Idempotent, 1.0));
+    settings.classes.push(class(NON_IDEMPOTENT, Effect::NonIdempotent, 1.0));
+    settings.classes.push(class(PARTIAL, Effect::Idempotent, 0.5));
+    settings
+}
+
+pub fn coordinator() -> Coordinator {
+    coordinator_with(settings())
+}
+
+pub fn coordinator_with(settings: Settings) -> Coordinator {
+    Coordinator::new(settings, MAX_IN_FLIGHT, 7, START, Arc::default())
+}
+
+/// A server whose number is that of its cell and its port.
+pub fn node(number: u16, state: EndpointState) -> NodeEndpoint {
+    NodeEndpoint {
+        name: format!("s{number}").into(),
+        address: format!("127.0.0.1:{number}").into(),
+        zone: 0,
+        cell: number,
+        shards: None,
+        state,
+        started_at: None,
+    }
+}
+
+/// The number of a server, from its id: ids are given in the order of the first list.
+pub fn node_number(replica: ReplicaId) -> u8 {
+    replica.0[3]
+}
+
+pub fn endpoint_list(
+    kind: EndpointListKind,
+    version: Option<u64>,
+    endpoints: impl IntoIterator<Item = NodeEndpoint>,
+) -> Input {
+    Input::EndpointUpdate(EndpointUpdate { kind, version, endpoints: endpoints.into_iter().collect() })
+}
+
+/// The list of all three servers.
+pub fn fleet() -> Input {
+    let nodes = (0..3).map(|number| node(number, EndpointState::Ready));
+    endpoint_list(EndpointListKind::Cached, None, nodes)
+}
+
+/// A request of the class for the first `parts` shards. Its id is `q` and the token.
+pub fn submit(token: u64, class: u16, parts: u32, sent_at: Micros) -> Input {
+    submit_with_id(&format!("q{token}"), token, class, parts, sent_at)
+}
+
+pub fn submit_with_id(request_id: &str, token: u64, class: u16, parts: u32, sent_at: Micros) -> Input {
+    let part = |shard| PartRequest {
+        shard: ShardId(shard),
+        weight: 1.0 / f64::from(parts),
+        expected_work: None,
+        context: None,
+    };
+    Input::Submit(Request {
+        token: Token(token),
+        request_id: request_id.into(),
+        class: format!("c{class}").into(),
+        tenant: TenantId(0),
+        timeout: Micros::from_millis(900),
+        sent_at,
+        parts: (0..parts).map(part).collect(),
+        payload: b"x".as_slice().into(),
+        counted: true,
+    })
+}
+
+pub fn served(key: AttemptKey) -> Input {
+    Input::AttemptEnded { key, end: AttemptEnd::Served(b"v".as_slice().into()) }
+}
+
+pub fn failed(key: AttemptKey, outcome: Outcome) -> Input {
+    Input::AttemptEnded { key, end: AttemptEnd::Failed(outcome) }
+}
+
+/// The first attempt that a command dispatches.
+pub fn dispatched(command: &Command) -> Option<AttemptKey> {
+    match command {
+        Command::Dispatch { attempts, .. } => Some(attempts[0].key),
+        _ => None,
+    }
+}
+
+pub fn cancelled(command: &Command) -> Option<AttemptKey> {
+    match command {
+        Command::CancelAttempt { key, .. } => Some(*key),
+        _ => None,
+    }
+}
+
+pub fn answer(command: &Command) -> Option<&Answer> {
+    match command {
+        Command::Reply { answer, .. } => Some(answer),
+        _ => None,
+    }
+}
