--- a/src/coordinator/endpoints.rs
+++ b/src/coordinator/endpoints.rs
@@ -98,7 +98,7 @@
         let current = self.version;
         log_throttled(&COUNTERS.stale_endpoint_updates, || {
             format!(
-                "discovery: the list goes back from version {current} to {version}: drains are taken from it"
+                "discovery: stale endpoint list of version {version} after {current}: only its drains, removals and restarts are applied"
             )
         });
         update.kind = EndpointListKind::Delta;
--- a/src/coordinator/queries/attempts.rs
+++ b/src/coordinator/queries/attempts.rs
@@ -32,10 +32,10 @@
         turn: &mut Turn<'_>,
     ) {
         let Some(pending) = self.pending.part(order.part) else {
-            return check_invariant(false, "an attempt at a part that is over");
+            return check_invariant(false, "an attempt at a part that has ended");
         };
         let no_attempt_in_flight = || !self.in_flight.contains_part(order.part);
-        check_invariant(settings.hedging() || no_attempt_in_flight(), "a part has two attempts out");
+        check_invariant(settings.hedging() || no_attempt_in_flight(), "a part has two attempts in flight");
         COUNTERS.attempts_dispatched.increment();
         let query = pending.query;
         let deadline = (turn.now + order.timeout).min(query.deadline);
--- a/src/coordinator/queries/completion.rs
+++ b/src/coordinator/queries/completion.rs
@@ -25,7 +25,7 @@
     /// Answers a query from the parts that have a value.
     pub(in crate::coordinator) fn answer(&mut self, query: QueryId, complete: bool, turn: &mut Turn<'_>) {
         let Some(mut pending) = self.remove_query(query, turn) else {
-            return check_invariant(false, "an answer to no query");
+            return check_invariant(false, "an answer to a query that is not pending");
         };
         let class = self.classes.get(pending.class);
         let min_weight = if complete { class.required_share } else { class.min_share };
@@ -45,7 +45,7 @@
         turn: &mut Turn<'_>,
     ) {
         let Some(pending) = self.remove_query(query, turn) else {
-            return check_invariant(false, "an end to no query");
+            return check_invariant(false, "an end of a query that is not pending");
         };
         COUNTERS.queries_rejected.increment();
         let answer = Answer::Rejected { retry_after, late: pending.is_late(turn.now) };
@@ -55,7 +55,7 @@
     /// Fails a query: parts of it may have run.
     pub(in crate::coordinator) fn fail(&mut self, query: QueryId, turn: &mut Turn<'_>) {
         let Some(pending) = self.remove_query(query, turn) else {
-            return check_invariant(false, "an end to no query");
+            return check_invariant(false, "an end of a query that is not pending");
         };
         COUNTERS.queries_failed.increment();
         let answer = Answer::Failed { late: pending.is_late(turn.now) };
@@ -68,7 +68,7 @@
         while let Some(query) = self.pending.next_expired(turn.now) {
             if let Some(pending) = self.remove_query(query, turn) {
                 let shut_down = self.pending.is_final(pending.deadline);
-                check_invariant(shut_down, "a query outlived its client's time");
+                check_invariant(shut_down, "a query is pending after its deadline");
                 COUNTERS.queries_failed.increment();
                 self.reply(pending.class, &pending.request, Answer::Failed { late: true }, turn);
             }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -192,7 +192,7 @@
     let (edge, mut watch) = started("back", &USUAL, &agent, &addresses);
     watch.say(&list(7, false, &[(0, addresses[0], "terminating")]).to_string());
     watch.say(&list(6, true, &in_service(&addresses)).to_string());
-    edge.wait_for("the list goes back from version 7 to 6");
+    edge.wait_for("stale endpoint list of version 6 after 7");
     until(&edge, "endpoint_updates", 4);
     for n in 0..6 {
         assert_eq!(ask(&edge, &format!("q{n}"), "look", &[0, 1, 2, 3]).status, 200);
