--- a/src/coordinator/reporting.rs
+++ b/src/coordinator/reporting.rs
@@ -55,7 +55,7 @@
         if now.since(self.last_policy_poll) >= POLICY_POLL_INTERVAL {
             self.last_policy_poll = now;
             values.pool_size = count_listed();
-            values.pool_ejected = self.count_ejected(now, policy.avoided());
+            values.pool_ejected = self.count_ejected(now, policy.ejected());
         }
         self.publish(values);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,4 @@
-//! The words between a coordinator and the module: settings, events and actions. Plain data, no logic.
+//! The words between a coordinator and the module: settings, events and actions. Plain data, no decisions.
 
 /// A point in time or a span of it, in nanoseconds of the caller's clock.
 pub type Nanos = u64;
@@ -17,7 +17,7 @@
     /// One part of a query; queries and parts share one space of ids.
     PartId(u64);
     /// The number that ties parts to their query.
-    Group(u32);
+    GroupId(u32);
     /// A shard, from 0.
     ShardId(u32);
     /// A place in [`Settings::classes`].
@@ -51,7 +51,7 @@
     /// Its name, which outlives its number.
     pub name: String,
     /// It is in the settings in force; one that is not is kept for the queries that began with it.
-    pub in_force: bool,
+    pub active: bool,
     /// Wanted within this time.
     pub latency_objective: Nanos,
     /// The aim grows by so many times the work that the query's hint names.
@@ -69,11 +69,19 @@
     /// Least share of the weight that an answer may be given from.
     pub min_share: f64,
     /// Parts of the second step; 0 where there is none.
-    pub follow_up: u32,
+    pub follow_up_parts: u32,
     /// Most attempts at a part.
     pub max_attempts: u32,
 }
 
+impl Class {
+    /// An answer may lack parts.
+    #[must_use]
+    pub fn allows_partial(&self) -> bool {
+        self.min_share < self.required_share
+    }
+}
+
 /// A tenant and its quota of queries a second, over all coordinators; `None` where none is stated.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
@@ -127,7 +135,7 @@
     /// Most parts that one call carries.
     pub max_batch: u32,
     /// Work of a call beside its parts'.
-    pub call_cost: Nanos,
+    pub call_overhead: Nanos,
     /// The list comes only when asked; without asking for so long an instance counts as told. `None`: it
     /// comes on its own.
     pub max_poll_interval: Option<Nanos>,
@@ -145,6 +153,39 @@
     pub reduction: ServiceReduction,
 }
 
+impl Settings {
+    /// A class by its number.
+    ///
+    /// # Panics
+    /// Where the settings have no such class.
+    #[must_use]
+    pub fn class(&self, id: ClassId) -> &Class {
+        &self.classes[usize::from(id.0)]
+    }
+
+    /// The shortest latency objective of an active class; a tick where no class is active.
+    #[must_use]
+    pub fn min_latency_objective(&self) -> Nanos {
+        self.active_classes().map(|class| class.latency_objective).min().unwrap_or(self.tick)
+    }
+
+    /// The highest priority weight of an active class; 0 where no class is active.
+    #[must_use]
+    pub fn max_priority_weight(&self) -> f64 {
+        self.active_classes().map(|class| class.priority_weight).fold(0.0, f64::max)
+    }
+
+    /// The time of so many ticks.
+    #[must_use]
+    pub fn ticks(&self, count: u64) -> Nanos {
+        count * self.tick
+    }
+
+    fn active_classes(&self) -> impl Iterator<Item = &Class> {
+        self.classes.iter().filter(|class| class.active)
+    }
+}
+
 /// What a level of reduced service takes back; the default takes nothing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceReduction {
@@ -229,6 +270,14 @@
     NotSent,
 }
 
+impl Outcome {
+    /// The attempt may have run at the replica: nothing proves that it did not.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
 /// What a coordinator tells the module.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -251,7 +300,7 @@
         /// Its id.
         query: QueryId,
         /// The number its parts bear.
-        group: Group,
+        group: GroupId,
         /// Its class.
         class: ClassId,
         /// Its tenant.
@@ -266,7 +315,7 @@
         /// Its id.
         part: PartId,
         /// The number of its query.
-        group: Group,
+        group: GroupId,
         /// Its shard.
         shard: ShardId,
         /// Its weight in its step.
@@ -281,7 +330,7 @@
         /// How.
         outcome: Outcome,
         /// How long ago it was sent.
-        waited: Nanos,
+        elapsed: Nanos,
     },
     /// The client of a query has left, or the query's time is over.
     Abandoned(QueryId),
