--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -204,7 +204,7 @@
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("back", &agent, &addresses);
     watch.send(&endpoint_list(7, false, &[terminating(0, addresses[0])]));
     watch.send(&endpoint_list(6, true, &all_in_service(&addresses)));
-    edge.wait_for_log("the list goes back from version 7 to 6");
+    edge.wait_for_log("stale endpoint list of version 6 after 7");
     edge.wait_for_counter("endpoint_updates", 4);
     for n in 0..6 {
         assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1, 2, 3]).status, 200);
