--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -3,9 +3,8 @@
 mod standin;
 
 use standin::feature_server::{healthy_reply, inventory_row, query_parameter, FeatureServer, Reply};
+use standin::management::management_call;
 use standin::process::Process;
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
 
@@ -259,13 +258,7 @@
     let server = FeatureServer::healthy(0..3, 2);
     let edge =
         Process::start_edge("figures", "mgmt = \"127.0.0.1:0\"", &inventory_row("a", &server, "devices", ""));
-    let dump = |call: &str| {
-        let mut stream = TcpStream::connect(edge.management_address()).expect("it listens");
-        stream.write_all(call.as_bytes()).expect("it reads");
-        let mut text = String::new();
-        stream.read_to_string(&mut text).expect("it replies and ends");
-        text
-    };
+    let dump = |call: &str| management_call(edge.management_address(), call);
     while dump("HEALTH\n") != "YES\n" {}
     assert_eq!(edge.get(ITEMS).status, 200);
     assert_eq!(edge.get_with_headers(ITEMS, "X-Qos: once\r\n").status, 200);
