--- a/lab/src/fault_injection.rs
+++ b/lab/src/fault_injection.rs
@@ -7,10 +7,11 @@
 pub use faults::INJECTED_FAULTS;
 
 use crate::client::{Client, ClientError, Header, Request, Response};
+use crate::sync::lock;
 use flate2::{write::GzEncoder, Compression};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use thiserror::Error;
 
 /// Headers that the proxy writes itself.
@@ -103,7 +104,7 @@
 
     /// From now on this fault is injected, or none.
     pub fn inject(&self, fault: Option<&'static InjectedFault>) {
-        *self.active.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        *lock(&self.active) = fault;
     }
 }
 
@@ -118,7 +119,7 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut client = Client::new(service);
     while let Some(mut request) = read_request(&mut reader)? {
-        let fault = *active.lock().unwrap_or_else(PoisonError::into_inner);
+        let fault = *lock(active);
         if let Some(Alteration::Request(alter)) = fault.map(|fault| fault.alteration) {
             alter(&mut request);
         }
--- a/lab/src/fault_scenario.rs
+++ b/lab/src/fault_scenario.rs
@@ -15,13 +15,14 @@
 use crate::fault_injection::{FaultInjector, INJECTED_FAULTS};
 use crate::feature_server::ALL_FAULTS;
 use crate::process::{EdgeProcess, CLASSES};
+use crate::sync::into_inner;
 use client::ScenarioClient;
 use fleet::Fleet;
 use observer::{observe, Drain};
 use query::QueryLog;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 const CLIENTS: usize = 6;
@@ -57,14 +58,6 @@
     pub planted: Option<PlantedFault>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn into_inner<T>(mutex: Mutex<T>) -> T {
-    mutex.into_inner().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Runs a scenario and reports what was seen.
 ///
 /// # Errors
--- a/lab/src/fault_scenario/client.rs
+++ b/lab/src/fault_scenario/client.rs
@@ -1,10 +1,10 @@
 //! Clients of a fault scenario: they send queries, follow links and check the answers.
 
 use super::fleet::{shard_of_feature, FEATURES_PER_SHARD, SHARDS};
-use super::lock;
 use super::query::{Class, Query, QueryLog};
 use super::report::{AnswerKind, AnswerViolation, Report, Violation};
 use crate::client::{Client, ClientError, Header, Response};
+use crate::sync::lock;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
--- a/lab/src/fault_scenario/query.rs
+++ b/lab/src/fault_scenario/query.rs
@@ -1,6 +1,6 @@
 //! Queries of a fault scenario and what is known of those that were sent.
 
-use super::lock;
+use crate::sync::lock;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Instant;
--- a/lab/src/feature_server.rs
+++ b/lab/src/feature_server.rs
@@ -15,6 +15,7 @@
 pub use dataset::devices;
 pub use faults::{Fault, ALL_FAULTS};
 
+use crate::sync::lock;
 use capacity::WorkerSlots;
 use dataset::Dataset;
 use faults::FaultScript;
@@ -22,7 +23,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 /// Stack of a connection's thread: there may be hundreds.
@@ -61,10 +62,6 @@
     log: Mutex<Vec<LoggedRequest>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl FeatureServer {
     /// Starts a server of these features on a free loopback port.
     ///
--- a/lab/src/feature_server/capacity.rs
+++ b/lab/src/feature_server/capacity.rs
@@ -1,6 +1,6 @@
 //! A bound on what a feature server works on at a time.
 
-use super::lock;
+use crate::sync::lock;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod load;
 pub mod measure;
 pub mod process;
+mod sync;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,10 +1,11 @@
 //! Load on a server: closed-loop and open-loop clients, with latencies in an HDR histogram.
 
 use crate::client::{Client, ClientError, Response};
+use crate::sync::{into_inner, lock};
 use hdrhistogram::Histogram;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// Queries of an open-loop load that are in flight at a time at most.
@@ -73,7 +74,7 @@
                 self.served.fetch_add(1, Relaxed);
                 self.bytes.fetch_add(response.body.len() as u64, Relaxed);
                 let micros = (latency.as_micros() as u64).max(1);
-                self.latencies_micros.lock().unwrap_or_else(PoisonError::into_inner).push(micros);
+                lock(&self.latencies_micros).push(micros);
             }
             Ok(response) if response.status == 503 => {
                 self.rejected.fetch_add(1, Relaxed);
@@ -89,7 +90,7 @@
     fn finish(self, elapsed: Duration) -> LoadResult {
         let histogram = Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, HISTOGRAM_DIGITS);
         let mut latencies = histogram.unwrap_or_else(|_| unreachable!("fixed bounds"));
-        for micros in self.latencies_micros.into_inner().unwrap_or_else(PoisonError::into_inner) {
+        for micros in into_inner(self.latencies_micros) {
             latencies.saturating_record(micros);
         }
         LoadResult {
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -1,12 +1,13 @@
 //! The front for feature queries as a process of its own: the program under test.
 
+use crate::sync::lock;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver};
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use thiserror::Error;
 
 /// The name of the program's file.
@@ -110,7 +111,7 @@
     /// # Errors
     /// If the log ends before.
     pub fn wait_for_log(&self, text: &str) -> Result<String, ProcessError> {
-        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let log = lock(&self.log);
         loop {
             match log.recv() {
                 Ok(line) if line.contains(text) => return Ok(line),
