--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -11,7 +11,7 @@
 use quinceflow::front::ogc::visit::{read_page, Visit};
 use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
-use quinceflow::proto::fetch::Fetched;
+use quinceflow::proto::fetch::FetchedResponse;
 use quinceflow::proto::http::Server;
 use quinceflow::time::Micros;
 use quinceflow_testkit::features::devices;
@@ -127,7 +127,7 @@
                     let parts = request.parts.iter().map(|part| {
                         let visit = part.context.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
                         let fetched =
-                            Fetched { status: 200, headers: Default::default(), body: body.clone() };
+                            FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => (part.shard, value),
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -4,7 +4,7 @@
 use super::paging::Page;
 use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
-use crate::proto::fetch::Fetched;
+use crate::proto::fetch::FetchedResponse;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
@@ -67,7 +67,7 @@
     }
 
     /// What a response comes to.
-    pub fn judge(&self, server: &str, host: &str, fetched: Fetched) -> AttemptEnd {
+    pub fn judge(&self, server: &str, host: &str, fetched: FetchedResponse) -> AttemptEnd {
         let page = match (fetched.status, self.kind) {
             (200, Kind::Items) => read_page(fetched.body, host, &self.target, self.sieve.as_ref()),
             (200, Kind::Feature) => read_feature(fetched.body),
@@ -196,7 +196,8 @@
 
     #[test]
     fn each_status_has_its_end() {
-        let fetched = |status, body: &str| Fetched { status, headers: Default::default(), body: body.into() };
+        let fetched =
+            |status, body: &str| FetchedResponse { status, headers: Default::default(), body: body.into() };
         let end = |kind, status, body| Visit::new(kind, "/x".into()).judge("s", "a:1", fetched(status, body));
         assert_eq!(end(Kind::Items, 429, ""), AttemptEnd::Failed(Outcome::Rejected));
         assert_eq!(end(Kind::Items, 503, ""), AttemptEnd::Failed(Outcome::Error));
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -245,15 +245,15 @@
         let stream = self.idle_connection().or_else(|| self.dial(self.address));
         let progress = match &stream {
             Some(stream) => self.drive(stream),
-            None => self.fetch.broken(),
+            None => self.fetch.on_broken(),
         };
         let now = self.clock.now();
-        let sound = matches!(progress, Progress::Came(_)) && self.fetch.reusable();
+        let sound = matches!(progress, Progress::Complete(_)) && self.fetch.reusable();
         let (mut how, mut wish) = (Ended::Otherwise, None);
         let host = self.address.to_string();
         let end = match progress {
             // The server's name is where it is: what goes on there is asked by that.
-            Progress::Came(fetched) => {
+            Progress::Complete(fetched) => {
                 if matches!(fetched.status, 429 | 503) {
                     how = Ended::Overload;
                     wish = fetched.headers.get("Retry-After").and_then(|s| s.trim().parse().ok());
@@ -264,13 +264,13 @@
                 }
                 end
             }
-            Progress::Broke(outcome) => {
+            Progress::Failed(outcome) => {
                 if guard(&self.slot).called_off && self.fetch.may_have_run() {
                     how = Ended::GivenUp;
                 }
                 AttemptEnd::Failed(outcome)
             }
-            Progress::On => AttemptEnd::Failed(Outcome::Error),
+            Progress::Pending => AttemptEnd::Failed(Outcome::Error),
         };
         let mut server = guard(&self.server);
         let beside = server.busy;
@@ -307,7 +307,7 @@
         guard(&self.slot).waker = Some(stream.waker());
         loop {
             match self.step(stream.inner()) {
-                Progress::On => {
+                Progress::Pending => {
                     stream.wait_io();
                 }
                 done => return done,
@@ -329,36 +329,36 @@
 
     fn step(&mut self, stream: &std::net::TcpStream) -> Progress {
         if guard(&self.slot).called_off {
-            return Progress::Broke(self.called_off());
+            return Progress::Failed(self.called_off());
         }
         loop {
             while !self.fetch.output().is_empty() {
                 // The last look before it goes out: a server that drains gets nothing new.
-                if self.fetch.not_begun() && !guard(&self.server).ready {
-                    return Progress::Broke(self.called_off());
+                if self.fetch.is_unstarted() && !guard(&self.server).ready {
+                    return Progress::Failed(self.called_off());
                 }
                 match try_write(stream, self.fetch.output()) {
                     Tried::Moved(n) => {
-                        if self.fetch.wrote(n) {
+                        if self.fetch.record_written(n) {
                             self.tally.tries.add();
                             let _ = self.inbox.send(Input::FullyWritten(self.key));
                         }
                     }
                     Tried::Wait => break,
-                    Tried::Ended | Tried::Broke => return self.fetch.broken(),
+                    Tried::Ended | Tried::Broke => return self.fetch.on_broken(),
                 }
             }
             match try_read(stream, self.fetch.reader.input.room()) {
                 Tried::Moved(n) => {
                     self.fetch.reader.input.filled(n);
                     match self.fetch.advance() {
-                        Progress::On => {}
+                        Progress::Pending => {}
                         done => return done,
                     }
                 }
-                Tried::Wait => return Progress::On,
-                Tried::Ended => return self.fetch.ended(),
-                Tried::Broke => return self.fetch.broken(),
+                Tried::Wait => return Progress::Pending,
+                Tried::Ended => return self.fetch.on_end_of_stream(),
+                Tried::Broke => return self.fetch.on_broken(),
             }
         }
     }
--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -3,7 +3,7 @@
 use super::{spawn, try_read, try_write, Tried, Upstream, SMALL_STACK_WORDS};
 use crate::coordinator::{log_rarely, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
-use crate::proto::frames::{Link, LinkEvent};
+use crate::proto::frames::{AttemptEvent, MultiplexedConnection};
 use crate::settings::CoordinatorSettings;
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
@@ -39,7 +39,7 @@
 
 #[derive(Default)]
 struct SlotState {
-    link: Link,
+    link: MultiplexedConnection,
     waker: Option<WaitIoWaker>,
     /// It has ended, or never came up.
     dead: bool,
@@ -65,9 +65,9 @@
 
 impl SlotState {
     /// An attempt that has ended is out no more; when it was launched.
-    fn forget(&mut self, event: &LinkEvent) -> Option<Micros> {
+    fn forget(&mut self, event: &AttemptEvent) -> Option<Micros> {
         match event {
-            LinkEvent::Ended(key, _) => self.sent.remove(key),
+            AttemptEvent::Ended(key, _) => self.sent.remove(key),
             _ => None,
         }
     }
@@ -169,13 +169,13 @@
         let mut silent = None;
         for slot in &node.links {
             let mut state = slot.lock();
-            if state.link.idle() && now.since(state.used) >= limit {
+            if state.link.is_idle() && now.since(state.used) >= limit {
                 state.closing = true;
                 wake(&state);
             }
             if state.closing
-                || state.link.load() + jobs.len() > most
-                || jobs.iter().any(|j| state.link.owes(j))
+                || state.link.in_flight() + jobs.len() > most
+                || jobs.iter().any(|j| state.link.awaits_late_answer(j))
             {
                 continue;
             }
@@ -223,7 +223,7 @@
             for slot in &node.links {
                 let mut events = Vec::new();
                 let mut state = slot.lock();
-                state.link.take_back(&mut events);
+                state.link.reclaim_unwritten(&mut events);
                 for event in &events {
                     let _ = state.forget(event);
                 }
@@ -239,11 +239,11 @@
         let slot = self.slot(replica, now, jobs);
         let Some(slot) = slot else {
             let refused =
-                jobs.iter().map(|j| LinkEvent::Ended(j.key, AttemptEnd::Failed(Outcome::ConnectFailed)));
+                jobs.iter().map(|j| AttemptEvent::Ended(j.key, AttemptEnd::Failed(Outcome::ConnectFailed)));
             return forward(&self.inbox, refused);
         };
         let mut state = slot.lock();
-        state.link.call(jobs);
+        state.link.enqueue(jobs);
         state.sent.extend(jobs.iter().map(|j| (j.key, now)));
         state.used = now;
         wake(&state);
@@ -254,8 +254,8 @@
         let Some(node) = self.nodes.get(&replica) else { return };
         for slot in &node.links {
             let mut state = slot.lock();
-            if state.link.holds(key) {
-                state.link.call_off(key);
+            if state.link.contains(key) {
+                state.link.cancel(key);
                 state.used = now;
                 if state.give_up(key, now, patience) && !state.suspect {
                     COUNTERS.links_suspect.add();
@@ -276,7 +276,7 @@
 
     fn close_idle(&mut self, replica: ReplicaId) {
         if let Some(node) = self.nodes.get(&replica) {
-            node.links.iter().filter(|l| l.lock().link.idle()).for_each(|l| close_when_idle(l));
+            node.links.iter().filter(|l| l.lock().link.is_idle()).for_each(|l| close_when_idle(l));
         }
     }
 
@@ -299,7 +299,7 @@
                     (state.spoilt, state.closing) = (true, true);
                     wake(&state);
                 }
-                if state.link.idle() && !state.closing && now.since(state.used) >= limit {
+                if state.link.is_idle() && !state.closing && now.since(state.used) >= limit {
                     COUNTERS.links_idle_closed.add();
                     state.closing = true;
                     wake(&state);
@@ -322,12 +322,12 @@
     wake(&state);
 }
 
-fn forward(inbox: &Sender<Input>, events: impl IntoIterator<Item = LinkEvent>) {
+fn forward(inbox: &Sender<Input>, events: impl IntoIterator<Item = AttemptEvent>) {
     for event in events {
         let input = match event {
-            LinkEvent::Begun(key) => Input::WriteStarted(key),
-            LinkEvent::Written(key) => Input::FullyWritten(key),
-            LinkEvent::Ended(key, end) => Input::AttemptEnded(key, end),
+            AttemptEvent::WriteStarted(key) => Input::WriteStarted(key),
+            AttemptEvent::FullyWritten(key) => Input::FullyWritten(key),
+            AttemptEvent::Ended(key, end) => Input::AttemptEnded(key, end),
         };
         // The core outlives every driver.
         let _ = inbox.send(input);
@@ -348,7 +348,7 @@
             let mut state = self.slot.lock();
             state.waker = None;
             state.partial = None;
-            if state.closing || !state.link.restart() {
+            if state.closing || !state.link.restart_unsent() {
                 break;
             }
             COUNTERS.links_redialed.add();
@@ -359,10 +359,10 @@
             let mut state = self.slot.lock();
             state.dead = true;
             state.waker = None;
-            if !state.link.idle() {
+            if !state.link.is_idle() {
                 COUNTERS.links_lost.add();
             }
-            state.link.broken(&mut events);
+            state.link.fail_all(&mut events);
         }
         self.forward(events);
     }
@@ -390,7 +390,7 @@
         let mut events = Vec::new();
         let mut state = self.slot.lock();
         let open = !state.spoilt && self.exchange(&mut state, stream, &mut events, heard);
-        let done = state.closing && state.link.idle();
+        let done = state.closing && state.link.is_idle();
         drop(state);
         self.forward(events);
         open && !done
@@ -400,7 +400,7 @@
         &self,
         state: &mut SlotState,
         stream: &std::net::TcpStream,
-        events: &mut Vec<LinkEvent>,
+        events: &mut Vec<AttemptEvent>,
         heard: &mut bool,
     ) -> bool {
         // Reading comes first: a frame must not go out on a connection whose end is here already.
@@ -409,10 +409,10 @@
                 Tried::Moved(n) => {
                     state.link.input().filled(n);
                     state.hear(self.clock.now());
-                    let read = state.link.read(events);
+                    let read = state.link.process_input(events);
                     for event in events.iter() {
                         let sent = state.forget(event);
-                        if let (Some(sent), LinkEvent::Ended(_, AttemptEnd::Served(_))) = (sent, event) {
+                        if let (Some(sent), AttemptEvent::Ended(_, AttemptEnd::Served(_))) = (sent, event) {
                             self.typical.saw(state.heard.since(sent));
                         }
                     }
@@ -420,7 +420,7 @@
                         Ok(whole) => {
                             *heard |= whole > 0;
                             let since = state.partial.filter(|_| whole == 0).or(Some(state.heard));
-                            state.partial = since.filter(|_| state.link.partial());
+                            state.partial = since.filter(|_| state.link.has_partial_frame());
                         }
                         Err(bad) => {
                             log_rarely(&COUNTERS.bad_frames, || {
@@ -436,7 +436,7 @@
         }
         while !state.link.output().is_empty() {
             match try_write(stream, state.link.output()) {
-                Tried::Moved(n) => state.link.wrote(n, events),
+                Tried::Moved(n) => state.link.record_written(n, events),
                 Tried::Wait => break,
                 Tried::Ended | Tried::Broke => return false,
             }
@@ -444,7 +444,7 @@
         true
     }
 
-    fn forward(&self, events: Vec<LinkEvent>) {
+    fn forward(&self, events: Vec<AttemptEvent>) {
         forward(&self.inbox, events);
     }
 }
@@ -505,7 +505,7 @@
         };
         let slot = driver.slot.clone();
         let mut state = slot.lock();
-        state.link.call(&[AttemptRequest {
+        state.link.enqueue(&[AttemptRequest {
             key: key(1),
             request_id: "q1".into(),
             shard: ShardId(0),
@@ -517,7 +517,7 @@
         let mut events = Vec::new();
         assert!(!driver.exchange(&mut state, &stream, &mut events, &mut true), "it has ended");
         assert!(events.is_empty(), "nothing was written: {events:?}");
-        assert!(state.link.restart(), "the part is owed another connection");
+        assert!(state.link.restart_unsent(), "the part is owed another connection");
     }
 
     #[test]
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -16,7 +16,7 @@
 use crate::front::Front;
 use crate::interface::Settings;
 use crate::limits::ServerCapacity;
-use crate::proto::discovery::read_listing;
+use crate::proto::discovery::parse_endpoint_list;
 use crate::settings::CoordinatorSettings;
 use crate::time::{unix_ms, Clock, Micros};
 use may::coroutine::JoinHandle;
@@ -223,17 +223,17 @@
     let (inbox, arrivals) = channel();
     let listed = Arc::new(AtomicBool::new(false));
     let mut rev = 0;
-    match read_listing(&config.known, true, clock.now(), unix_ms()) {
+    match parse_endpoint_list(&config.known, true, clock.now(), unix_ms()) {
         Ok(known) => {
-            rev = known.rev;
-            let _ = inbox.send(Input::EndpointUpdate(known.roster));
+            rev = known.revision;
+            let _ = inbox.send(Input::EndpointUpdate(known.update));
         }
         Err(e) => tracing::warn!("the known list cannot be read: {e}"),
     }
     let deployment = &config.deployment;
-    let place = watch::Place::new(config.discovery, deployment.policy.max_poll_interval);
+    let place = watch::DiscoverySource::new(config.discovery, deployment.policy.max_poll_interval);
     let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
-    let waits = watch::Waits::new(config.seed);
+    let waits = watch::Backoff::new(config.seed);
     spawn(LARGE_STACK_WORDS, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
         .map_err(no_coroutine)?;
     let named = Arc::new(Mutex::new(Named::new(deployment)));
@@ -263,7 +263,7 @@
 /// outranks the file, but it cannot change; an address that is new in the file is the later word.
 fn reload_configuration(
     config: &Config,
-    place: watch::Place,
+    place: watch::DiscoverySource,
     named: SharedNamed,
     figures: Arc<Metrics>,
 ) -> Reload {
@@ -275,10 +275,10 @@
         })?;
         figures.config_applied.add();
         if told.replace(replaced.discovery) != Some(replaced.discovery) {
-            place.move_to(replaced.discovery);
+            place.set_address(replaced.discovery);
         }
         let deployment = replaced.deployment;
-        place.ask_within_is(deployment.policy.max_poll_interval);
+        place.set_max_poll_interval(deployment.policy.max_poll_interval);
         let names: Vec<_> = deployment.policy.classes.iter().map(|c| c.name.as_str()).collect();
         let words = format!(
             "the configuration is read anew: discovery is at {}, classes {}",
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -34,16 +34,16 @@
 /// How long to wait before a watch is asked for again: growing, and drawn, so that coordinators that lost it at one
 /// moment do not come back at one; and how long for the first word of it.
 #[derive(Debug)]
-pub struct Waits {
+pub struct Backoff {
     next: u64,
     word: u64,
     rng: fastrand::Rng,
 }
 
-impl Waits {
+impl Backoff {
     /// The first ones.
     pub fn new(seed: u64) -> Self {
-        Waits { next: 0, word: AGENT_WORD_MS.0, rng: fastrand::Rng::with_seed(seed) }
+        Backoff { next: 0, word: AGENT_WORD_MS.0, rng: fastrand::Rng::with_seed(seed) }
     }
 
     /// The wait after a watch that brought a list, or brought none. `ask_within`: the time after which a coordinator that
@@ -63,12 +63,12 @@
 
 /// Where discovery is, and how often it has to be asked: a reload may change both while it is followed.
 #[derive(Debug, Clone)]
-pub struct Place(Arc<Mutex<(SocketAddr, Option<Nanos>)>>);
+pub struct DiscoverySource(Arc<Mutex<(SocketAddr, Option<Nanos>)>>);
 
-impl Place {
+impl DiscoverySource {
     /// Discovery is here.
     pub fn new(address: SocketAddr, ask_within: Option<Nanos>) -> Self {
-        Place(Arc::new(Mutex::new((address, ask_within))))
+        DiscoverySource(Arc::new(Mutex::new((address, ask_within))))
     }
 
     fn lock(&self) -> MutexGuard<'_, (SocketAddr, Option<Nanos>)> {
@@ -86,12 +86,12 @@
     }
 
     /// From now on it is there. The list in use stays; the watch goes on there from its last version.
-    pub fn move_to(&self, address: SocketAddr) {
+    pub fn set_address(&self, address: SocketAddr) {
         self.lock().0 = address;
     }
 
     /// The settings are others.
-    pub fn ask_within_is(&self, ask_within: Option<Nanos>) {
+    pub fn set_max_poll_interval(&self, ask_within: Option<Nanos>) {
         self.lock().1 = ask_within;
     }
 }
@@ -106,12 +106,12 @@
 
 /// Follows discovery for as long as the program runs. `listed` is set once a list came.
 pub fn follow(
-    place: &Place,
+    place: &DiscoverySource,
     mut rev: u64,
     inbox: &Sender<Input>,
     clock: Clock,
     listed: &AtomicBool,
-    mut waits: Waits,
+    mut waits: Backoff,
 ) {
     loop {
         let before = rev;
@@ -141,7 +141,7 @@
 }
 
 fn one_watch(
-    place: &Place,
+    place: &DiscoverySource,
     address: SocketAddr,
     rev: &mut u64,
     inbox: &Sender<Input>,
@@ -181,8 +181,8 @@
         })?;
         for one in news {
             // One that goes back brings older words; what came since the newest is asked for.
-            *rev = one.rev.max(*rev);
-            let _ = inbox.send(Input::EndpointUpdate(one.roster));
+            *rev = one.revision.max(*rev);
+            let _ = inbox.send(Input::EndpointUpdate(one.update));
             listed.store(true, Release);
         }
         if ended {
@@ -203,7 +203,7 @@
         // room for: coordinators that asked again after 25 ms to 1 s kept it busy with calls that nobody waited for.
         let served = |within: Option<Nanos>| {
             let (calls, patience, each, room) = (100, 2_000, 80, 40);
-            let mut waits: Vec<_> = (0..calls as u64).map(Waits::new).collect();
+            let mut waits: Vec<_> = (0..calls as u64).map(Backoff::new).collect();
             let mut asks: std::collections::BTreeSet<_> = (0..calls).map(|n| (0, n)).collect();
             let (mut free, mut listed) = (0, 0);
             while let Some((at, n)) = asks.pop_first().filter(|a| a.0 < 30_000) {
@@ -225,21 +225,21 @@
 
     #[test]
     fn an_agent_is_asked_again_soon_and_no_two_coordinators_go_in_step() {
-        let mut agent = Waits::new(1);
+        let mut agent = Backoff::new(1);
         let longest = (0..20).map(|_| agent.after(false, None)).max();
         assert!(longest <= Some(Duration::from_millis(AGENT_MS.1)));
         assert!(agent.after(true, None) <= Duration::from_millis(AGENT_MS.0), "a list came: begun anew");
         let first: std::collections::BTreeSet<_> =
-            (0..100).map(|seed| Waits::new(seed).after(false, Some(WITHIN))).collect();
+            (0..100).map(|seed| Backoff::new(seed).after(false, Some(WITHIN))).collect();
         assert!(first.len() > 80, "{} different waits of 100", first.len());
-        let mut shared = Waits::new(1);
+        let mut shared = Backoff::new(1);
         let long: Vec<_> = (0..20).map(|_| shared.after(false, Some(WITHIN))).collect();
         assert!(long.iter().all(|w| w.as_nanos() <= u128::from(WITHIN)), "{long:?}");
     }
 
     #[test]
     fn an_agent_that_is_silent_is_asked_again_before_what_it_missed_counts_as_told() {
-        let mut agent = Waits::new(1);
+        let mut agent = Backoff::new(1);
         let mut gap = agent.first_word(None);
         assert!(gap < Micros::from_secs(1), "it answers at once, or not at all: {gap:?}");
         for _ in 0..10 {
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -33,11 +33,11 @@
 
 /// A list with its version.
 #[derive(Debug, Clone, PartialEq)]
-pub struct News {
+pub struct EndpointListUpdate {
     /// The version.
-    pub rev: u64,
+    pub revision: u64,
     /// What it says.
-    pub roster: EndpointUpdate,
+    pub update: EndpointUpdate,
 }
 
 /// What is wrong with a watch.
@@ -52,11 +52,16 @@
 }
 
 /// Reads one list. `now` and `unix_now_ms` are one moment on the two clocks.
-pub fn read_listing(text: &[u8], cached: bool, now: Micros, unix_now_ms: u64) -> Result<News, String> {
+pub fn parse_endpoint_list(
+    text: &[u8],
+    cached: bool,
+    now: Micros,
+    unix_now_ms: u64,
+) -> Result<EndpointListUpdate, String> {
     read(serde_json::from_slice(text).map_err(|e| e.to_string())?, cached, now, unix_now_ms)
 }
 
-fn read(listing: Listing, cached: bool, now: Micros, unix_now_ms: u64) -> Result<News, String> {
+fn read(listing: Listing, cached: bool, now: Micros, unix_now_ms: u64) -> Result<EndpointListUpdate, String> {
     let node = |t: Target| {
         Ok(Node {
             name: t.uid.into(),
@@ -80,14 +85,14 @@
     };
     let nodes = listing.targets.into_iter().map(node).collect::<Result<_, String>>()?;
     let roster = EndpointUpdate { kind, version: Some(listing.rev), nodes };
-    Ok(News { rev: listing.rev, roster })
+    Ok(EndpointListUpdate { revision: listing.rev, update: roster })
 }
 
 /// The lists that are whole at the front of what came, and how many bytes they took. A list stands on one line, or is
 /// indented over several: its end is where its object ends, whether or not the line's end has come yet, for a watch may be
 /// reset in between. None has an empty line in it, for that is what discovery says
 /// while nothing changes: a list that was cut off would else be waited for as long as the watch lives.
-fn lists(text: &[u8], now: Micros, unix_now_ms: u64) -> Result<(Vec<News>, usize), String> {
+fn lists(text: &[u8], now: Micros, unix_now_ms: u64) -> Result<(Vec<EndpointListUpdate>, usize), String> {
     let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
     let mut objects = serde_json::Deserializer::from_slice(&text[..whole]).into_iter::<Listing>();
     let (mut news, mut used) = (Vec::new(), 0);
@@ -139,7 +144,11 @@
     }
 
     /// Takes in what was read: the lists that are whole, and whether the watch has ended.
-    pub fn advance(&mut self, now: Micros, unix_now_ms: u64) -> Result<(Vec<News>, bool), WatchError> {
+    pub fn advance(
+        &mut self,
+        now: Micros,
+        unix_now_ms: u64,
+    ) -> Result<(Vec<EndpointListUpdate>, bool), WatchError> {
         let ended = self.reader.advance().map_err(WatchError::Http)?;
         if let Some(status) = self.reader.head().map(|h| h.status).filter(|s| *s != 200) {
             return Err(WatchError::Status(status));
@@ -167,7 +176,7 @@
             } else {
                 chunk.as_bytes()
             });
-            versions.extend(watch.advance(Micros::ZERO, 0)?.0.iter().map(|n| n.rev));
+            versions.extend(watch.advance(Micros::ZERO, 0)?.0.iter().map(|n| n.revision));
         }
         Ok(versions)
     }
--- a/src/proto/fetch.rs
+++ b/src/proto/fetch.rs
@@ -5,7 +5,7 @@
 
 /// A response that came whole.
 #[derive(Debug)]
-pub struct Fetched {
+pub struct FetchedResponse {
     /// Its status.
     pub status: u16,
     /// Its headers.
@@ -18,11 +18,11 @@
 #[derive(Debug)]
 pub enum Progress {
     /// Something is still to come.
-    On,
+    Pending,
     /// The response is here whole.
-    Came(Fetched),
+    Complete(FetchedResponse),
     /// It ended otherwise.
-    Broke(Outcome),
+    Failed(Outcome),
 }
 
 /// A request under way.
@@ -46,13 +46,13 @@
     }
 
     /// So many of them were written; true: that was the last byte, from here on it may run.
-    pub fn wrote(&mut self, n: usize) -> bool {
+    pub fn record_written(&mut self, n: usize) -> bool {
         self.written += n;
         n > 0 && self.output().is_empty()
     }
 
     /// No byte of it is written yet.
-    pub fn not_begun(&self) -> bool {
+    pub fn is_unstarted(&self) -> bool {
         self.written == 0
     }
 
@@ -64,32 +64,34 @@
     /// Takes in what was read.
     pub fn advance(&mut self) -> Progress {
         match self.reader.advance() {
-            Err(_) => Progress::Broke(Outcome::Error),
-            Ok(false) => Progress::On,
+            Err(_) => Progress::Failed(Outcome::Error),
+            Ok(false) => Progress::Pending,
             Ok(true) => self.came(),
         }
     }
 
     /// The connection has ended in good order: a response without a length ends so.
-    pub fn ended(&mut self) -> Progress {
+    pub fn on_end_of_stream(&mut self) -> Progress {
         if self.reader.end() {
             return self.came();
         }
-        self.broken()
+        self.on_broken()
     }
 
     /// The connection broke, or never came up.
-    pub fn broken(&mut self) -> Progress {
-        Progress::Broke(if self.may_have_run() { Outcome::Reset } else { Outcome::ConnectFailed })
+    pub fn on_broken(&mut self) -> Progress {
+        Progress::Failed(if self.may_have_run() { Outcome::Reset } else { Outcome::ConnectFailed })
     }
 
     fn came(&mut self) -> Progress {
         let body = std::mem::take(&mut self.reader.body);
         match self.reader.head() {
-            Some(head) => {
-                Progress::Came(Fetched { status: head.status, headers: head.headers.clone(), body })
-            }
-            None => Progress::Broke(Outcome::Error),
+            Some(head) => Progress::Complete(FetchedResponse {
+                status: head.status,
+                headers: head.headers.clone(),
+                body,
+            }),
+            None => Progress::Failed(Outcome::Error),
         }
     }
 
@@ -111,10 +113,13 @@
             [(false, ""), (true, ""), (false, "Content-Length: 9\r\n"), (true, "Content-Length: 9\r\n")]
         {
             let mut fetch = Fetch::new(b"GET / HTTP/1.1\r\n\r\n".to_vec(), 100);
-            fetch.wrote(18);
+            fetch.record_written(18);
             fetch.reader.input.feed(format!("HTTP/1.1 200 OK\r\n{head}\r\n{{}}").as_bytes());
-            assert!(matches!(fetch.advance(), Progress::On));
-            let whole = matches!(if reset { fetch.broken() } else { fetch.ended() }, Progress::Came(_));
+            assert!(matches!(fetch.advance(), Progress::Pending));
+            let whole = matches!(
+                if reset { fetch.on_broken() } else { fetch.on_end_of_stream() },
+                Progress::Complete(_)
+            );
             assert_eq!(whole, !reset && head.is_empty());
         }
     }
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -17,11 +17,11 @@
 
 /// What came of the bytes that were written or read.
 #[derive(Debug, Clone, PartialEq)]
-pub enum LinkEvent {
+pub enum AttemptEvent {
     /// Some of an attempt's frame is written: it can't be taken back any more.
-    Begun(AttemptKey),
+    WriteStarted(AttemptKey),
     /// The last byte of an attempt's frame is written.
-    Written(AttemptKey),
+    FullyWritten(AttemptKey),
     /// An attempt ended.
     Ended(AttemptKey, AttemptEnd),
 }
@@ -78,7 +78,7 @@
 
 /// One connection to a data node.
 #[derive(Debug, Default)]
-pub struct Link {
+pub struct MultiplexedConnection {
     input: Buffer,
     output: VecDeque<Outgoing>,
     /// The parts that are out here, by their ids, and whether their frames are written.
@@ -96,9 +96,9 @@
     bytes
 }
 
-impl Link {
+impl MultiplexedConnection {
     /// Queues one call of these parts.
-    pub fn call(&mut self, jobs: &[AttemptRequest]) {
+    pub fn enqueue(&mut self, jobs: &[AttemptRequest]) {
         let mut rest = Vec::new();
         let mut parts = Vec::new();
         for job in jobs {
@@ -119,7 +119,7 @@
     }
 
     /// Gives an attempt up. One whose frame has not begun to go out never goes, whatever else is in that frame.
-    pub fn call_off(&mut self, key: AttemptKey) {
+    pub fn cancel(&mut self, key: AttemptKey) {
         let Some(id) = self.ids.remove(&key) else { return };
         self.out.remove(&id);
         match self.output.iter().position(|f| f.waits_with(key)) {
@@ -139,19 +139,19 @@
     /// An earlier attempt at this part was given up here and may still be answered. The answer would be taken for that to
     /// the next attempt, which bears the same id: were it turned away or broken, the part would go out a third time while
     /// the second is out.
-    pub fn owes(&self, job: &AttemptRequest) -> bool {
+    pub fn awaits_late_answer(&self, job: &AttemptRequest) -> bool {
         job.key.attempt.0 > 0 && self.past.contains(&(id(job), false))
     }
 
     /// Takes back every frame that has not begun to go out: after a drain nothing new may.
-    pub fn take_back(&mut self, events: &mut Vec<LinkEvent>) {
+    pub fn reclaim_unwritten(&mut self, events: &mut Vec<AttemptEvent>) {
         let (back, kept) =
             self.output.drain(..).partition::<Vec<_>, _>(|f| f.written == 0 && !f.parts.is_empty());
         self.output = kept.into();
         for key in back.into_iter().flat_map(|f| f.parts).map(|p| p.key) {
             if let Some(id) = self.ids.remove(&key) {
                 self.out.remove(&id);
-                events.push(LinkEvent::Ended(key, AttemptEnd::Failed(Outcome::NotSent)));
+                events.push(AttemptEvent::Ended(key, AttemptEnd::Failed(Outcome::NotSent)));
             }
         }
     }
@@ -162,20 +162,20 @@
     }
 
     /// So many of them were written.
-    pub fn wrote(&mut self, n: usize, events: &mut Vec<LinkEvent>) {
+    pub fn record_written(&mut self, n: usize, events: &mut Vec<AttemptEvent>) {
         let Some(front) = self.output.front_mut() else { return };
         let begins = front.written == 0 && n > 0;
         front.written += n;
         if front.written < front.bytes.len() {
             let here = front.parts.iter().map(|p| p.key).filter(|key| begins && self.ids.contains_key(key));
-            return events.extend(here.map(LinkEvent::Begun));
+            return events.extend(here.map(AttemptEvent::WriteStarted));
         }
         let Some(whole) = self.output.pop_front() else { return };
         for part in whole.parts {
             part.tally.tries.add();
             if let Some(entry) = self.ids.get(&part.key).and_then(|id| self.out.get_mut(id)) {
                 entry.1 = true;
-                events.push(LinkEvent::Written(part.key));
+                events.push(AttemptEvent::FullyWritten(part.key));
             }
         }
     }
@@ -186,7 +186,7 @@
     }
 
     /// Takes in what was read: how many frames came whole.
-    pub fn read(&mut self, events: &mut Vec<LinkEvent>) -> Result<usize, BadFrame> {
+    pub fn process_input(&mut self, events: &mut Vec<AttemptEvent>) -> Result<usize, BadFrame> {
         let mut whole = 0;
         loop {
             let data = self.input.data();
@@ -203,7 +203,7 @@
                     if let Some((key, _)) = self.out.remove(id) {
                         self.ids.remove(&key);
                         remember(&mut self.past, id.to_owned(), true);
-                        events.push(LinkEvent::Ended(key, end));
+                        events.push(AttemptEvent::Ended(key, end));
                     } else if let Some(past) = self.past.iter_mut().find(|p| p.0 == id) {
                         past.1 = true;
                     } else {
@@ -223,13 +223,13 @@
     }
 
     /// The begin of a frame is here and its end is not.
-    pub fn partial(&self) -> bool {
+    pub fn has_partial_frame(&self) -> bool {
         !self.input.data().is_empty()
     }
 
     /// The connection has ended: can what waits on it go out on a new one? Only if nothing that may have run is out;
     /// then every frame begins anew. A node closes idle connections, and a part must not pay for that.
-    pub fn restart(&mut self) -> bool {
+    pub fn restart_unsent(&mut self) -> bool {
         if self.out.is_empty() || self.out.values().any(|o| o.1) {
             return false;
         }
@@ -243,29 +243,29 @@
 
     /// The connection has ended, or never came up: every attempt on it gets its outcome. Only a frame whose last
     /// byte was written can have run.
-    pub fn broken(&mut self, events: &mut Vec<LinkEvent>) {
+    pub fn fail_all(&mut self, events: &mut Vec<AttemptEvent>) {
         self.output.clear();
         self.ids.clear();
         let mut out: Vec<_> = self.out.drain().map(|o| o.1).collect();
         out.sort_unstable();
         for (key, written) in out {
             let outcome = if written { Outcome::Reset } else { Outcome::ConnectFailed };
-            events.push(LinkEvent::Ended(key, AttemptEnd::Failed(outcome)));
+            events.push(AttemptEvent::Ended(key, AttemptEnd::Failed(outcome)));
         }
     }
 
     /// Parts that are out here.
-    pub fn load(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.out.len()
     }
 
     /// Nothing is out and nothing is to be written.
-    pub fn idle(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         self.out.is_empty() && self.output.is_empty()
     }
 
     /// Is this attempt here?
-    pub fn holds(&self, key: AttemptKey) -> bool {
+    pub fn contains(&self, key: AttemptKey) -> bool {
         self.ids.contains_key(&key)
     }
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -5,7 +5,7 @@
 use proptest::test_runner::RngSeed;
 use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics};
 use quinceflow::proto::calls::{Call, Caller};
-use quinceflow::proto::frames::{Link, LinkEvent};
+use quinceflow::proto::frames::{AttemptEvent, MultiplexedConnection};
 use quinceflow::proto::http::{Response, Server};
 use quinceflow::time::Micros;
 use quinceflow::{AttemptNo, Outcome, PartId, ShardId};
@@ -107,7 +107,7 @@
 
     #[test]
     fn every_attempt_on_a_link_ends_once_and_as_far_as_its_frame_went(steps in vec(step(), 1..60)) {
-        let mut link = Link::default();
+        let mut link = MultiplexedConnection::default();
         let mut known: Vec<Known> = Vec::new();
         // What is written on the present connection, and what is queued: whose call it is, and its bytes left.
         let mut wire = Vec::new();
@@ -123,14 +123,14 @@
             match step {
                 Step::Call => {
                     let n = known.len();
-                    link.call(&[AttemptRequest { metrics: tally.clone(), ..job(n) }]);
+                    link.enqueue(&[AttemptRequest { metrics: tally.clone(), ..job(n) }]);
                     let size = frame('q', &format!("9b1f.{n} {n} d=240 8\nc41e77d0")).len();
                     known.push(Known::Left(size));
                     queue.push((Some(n), size, size));
                 }
                 Step::CallOff(n) if !known.is_empty() => {
                     let n = n % known.len();
-                    link.call_off(key(n));
+                    link.cancel(key(n));
                     let unbegun = queue.iter().position(|q| q.0 == Some(n) && q.1 == q.2);
                     if known[n] != Known::Over {
                         match unbegun {
@@ -146,11 +146,11 @@
                 Step::Write(n) => {
                     let n = n.min(link.output().len());
                     wire.extend_from_slice(&link.output()[..n]);
-                    link.wrote(n, &mut events);
+                    link.record_written(n, &mut events);
                     if n > 0 {
                         let begins = queue[0].1 == queue[0].2 && n < queue[0].1;
                         if let Some(call) = queue[0].0.filter(|c| begins && known[*c] != Known::Over) {
-                            prop_assert_eq!(&events[..], &[LinkEvent::Begun(key(call))]);
+                            prop_assert_eq!(&events[..], &[AttemptEvent::WriteStarted(key(call))]);
                             events.clear();
                         }
                         queue[0].1 -= n;
@@ -160,7 +160,7 @@
                             whole += u64::from(call.is_some());
                             if let Some(call) = call.filter(|c| known[*c] != Known::Over) {
                                 known[call] = Known::Written;
-                                prop_assert_eq!(&events[..], &[LinkEvent::Written(key(call))]);
+                                prop_assert_eq!(&events[..], &[AttemptEvent::FullyWritten(key(call))]);
                                 events.clear();
                             }
                         }
@@ -176,14 +176,14 @@
                     let cut = cut % bytes.len();
                     for half in [&bytes[..cut], &bytes[cut..]] {
                         link.input().feed(half);
-                        prop_assert!(link.read(&mut events).is_ok());
+                        prop_assert!(link.process_input(&mut events).is_ok());
                     }
                     if std::mem::replace(&mut known[n], Known::Over) == Known::Written {
                         expected.insert(n, [None, Some(Outcome::Error), Some(Outcome::Rejected)][how]);
                     }
                 }
                 Step::TakeBack => {
-                    link.take_back(&mut events);
+                    link.reclaim_unwritten(&mut events);
                     queue.retain(|q| q.1 < q.2 || q.0.is_none() || {
                         expected.insert(q.0.unwrap_or_default(), Some(Outcome::NotSent));
                         false
@@ -192,7 +192,7 @@
                 }
                 Step::Restart => {
                     let may = !known.contains(&Known::Written) && known.iter().any(|k| matches!(k, Known::Left(_)));
-                    prop_assert_eq!(link.restart(), may);
+                    prop_assert_eq!(link.restart_unsent(), may);
                     if may {
                         queue.retain(|q| q.0.is_some_and(|n| known[n] != Known::Over));
                         queue.iter_mut().for_each(|q| q.1 = q.2);
@@ -201,7 +201,7 @@
                     }
                 }
                 Step::Break => {
-                    link.broken(&mut events);
+                    link.fail_all(&mut events);
                     for (n, k) in known.iter_mut().enumerate() {
                         match std::mem::replace(k, Known::Over) {
                             Known::Over => continue,
@@ -214,18 +214,18 @@
                 _ => continue,
             }
             let got: BTreeMap<usize, Option<Outcome>> = events.iter().filter_map(|e| match e {
-                LinkEvent::Ended(k, AttemptEnd::Served(v)) => {
+                AttemptEvent::Ended(k, AttemptEnd::Served(v)) => {
                     assert_eq!(&v[..], b"value");
                     Some((k.part.0 as usize, None))
                 }
-                LinkEvent::Ended(k, AttemptEnd::Failed(o)) => Some((k.part.0 as usize, Some(*o))),
+                AttemptEvent::Ended(k, AttemptEnd::Failed(o)) => Some((k.part.0 as usize, Some(*o))),
                 _ => None,
             }).collect();
             prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
             prop_assert_eq!(got, expected);
             prop_assert_eq!(tally.tries.get(), whole);
             if broken {
-                prop_assert!(link.idle());
+                prop_assert!(link.is_idle());
                 queue.clear();
                 wire.clear();
                 met.clear();
@@ -313,7 +313,7 @@
 
     #[test]
     fn no_bytes_make_a_connection_panic_or_grow_without_end(chunks in vec(vec(any::<u8>(), 0..400), 0..20), text in "[ -~\r\n]{0,600}") {
-        let (mut server, mut link) = (Server::default(), Link::default());
+        let (mut server, mut link) = (Server::default(), MultiplexedConnection::default());
         let mut events = Vec::new();
         let mut sound = true;
         for chunk in chunks.iter().map(Vec::as_slice).chain([text.as_bytes()]) {
@@ -326,7 +326,7 @@
             }
             if sound {
                 link.input().feed(chunk);
-                sound = link.read(&mut events).is_ok();
+                sound = link.process_input(&mut events).is_ok();
             }
         }
         server.end();
@@ -339,44 +339,44 @@
 fn only_a_sound_answer_is_an_answer_and_its_report_may_be_anything() {
     // An unknown id was passed over, and its part waited in vain; values came as they were, with the next frame's head.
     for (text, sound) in ODD {
-        let (mut link, mut events) = (Link::default(), Vec::new());
-        link.call(&[job(0)]);
-        link.wrote(link.output().len(), &mut events);
+        let (mut link, mut events) = (MultiplexedConnection::default(), Vec::new());
+        link.enqueue(&[job(0)]);
+        link.record_written(link.output().len(), &mut events);
         events.clear();
         link.input().feed(&frame('a', text));
-        assert_eq!(link.read(&mut events).is_ok(), sound, "{text:?}");
+        assert_eq!(link.process_input(&mut events).is_ok(), sound, "{text:?}");
         assert_eq!(events.len(), usize::from(sound), "{text:?}");
         let served =
-            matches!(&events[..], [LinkEvent::Ended(_, AttemptEnd::Served(v))] if &v[..] == b"value");
+            matches!(&events[..], [AttemptEvent::Ended(_, AttemptEnd::Served(v))] if &v[..] == b"value");
         assert_eq!(served, sound && text.contains("served"), "{text:?}");
         events.clear();
-        link.broken(&mut events);
-        let reset = [LinkEvent::Ended(key(0), AttemptEnd::Failed(Outcome::Reset))];
+        link.fail_all(&mut events);
+        let reset = [AttemptEvent::Ended(key(0), AttemptEnd::Failed(Outcome::Reset))];
         assert_eq!(&events[..], if sound { &[][..] } else { &reset[..] }, "it may have run: {text:?}");
     }
 }
 
 #[test]
 fn copies_and_late_answers_spoil_nothing_and_half_a_frame_shows() {
-    let (mut link, mut events) = (Link::default(), Vec::new());
-    link.call(&[job(0)]);
-    link.call(&[job(1)]);
+    let (mut link, mut events) = (MultiplexedConnection::default(), Vec::new());
+    link.enqueue(&[job(0)]);
+    link.enqueue(&[job(1)]);
     while !link.output().is_empty() {
-        link.wrote(link.output().len(), &mut events);
+        link.record_written(link.output().len(), &mut events);
     }
-    link.call_off(key(1));
+    link.cancel(key(1));
     let answer = |n: usize| frame('a', &format!("9b1f.{n} served 1 -\nvalue"));
     events.clear();
     for bytes in [answer(0), answer(0), answer(1)] {
         link.input().feed(&bytes);
     }
-    assert_eq!(link.read(&mut events).ok(), Some(3));
+    assert_eq!(link.process_input(&mut events).ok(), Some(3));
     assert_eq!(events.len(), 1, "{events:?}");
-    assert!(!link.partial());
+    assert!(!link.has_partial_frame());
     // A length that does not fit: nothing may come after it that would be taken for its end.
     link.input().feed(&answer(0)[..9]);
-    assert_eq!(link.read(&mut events).ok(), Some(0));
-    assert!(link.partial());
+    assert_eq!(link.process_input(&mut events).ok(), Some(0));
+    assert!(link.has_partial_frame());
 }
 
 #[test]
@@ -385,26 +385,26 @@
     // their query was over, each with a cancel behind it.
     for gone in 0..8_usize {
         for (begun, restarts) in [(false, false), (true, false), (false, true), (true, true)] {
-            let (mut link, mut events, mut wire) = (Link::default(), Vec::new(), Vec::new());
-            link.call(&[job(0), job(1), job(2)]);
+            let (mut link, mut events, mut wire) = (MultiplexedConnection::default(), Vec::new(), Vec::new());
+            link.enqueue(&[job(0), job(1), job(2)]);
             if begun {
                 wire.extend_from_slice(&link.output()[..7]);
-                link.wrote(7, &mut events);
-                assert_eq!(events, [0, 1, 2].map(|n| LinkEvent::Begun(key(n))));
+                link.record_written(7, &mut events);
+                assert_eq!(events, [0, 1, 2].map(|n| AttemptEvent::WriteStarted(key(n))));
             }
             events.clear();
             let given_up = |n: usize| gone & (1 << n) > 0;
-            (0..3).filter(|n| given_up(*n)).for_each(|n| link.call_off(key(n)));
+            (0..3).filter(|n| given_up(*n)).for_each(|n| link.cancel(key(n)));
             if restarts {
-                assert_eq!(link.restart(), gone < 7, "the rest is owed another connection");
+                assert_eq!(link.restart_unsent(), gone < 7, "the rest is owed another connection");
                 wire.clear();
             }
             while !link.output().is_empty() {
                 wire.extend_from_slice(link.output());
-                link.wrote(link.output().len(), &mut events);
+                link.record_written(link.output().len(), &mut events);
             }
             let went: Vec<_> = (0..3).filter(|n| !given_up(*n)).collect();
-            assert_eq!(events, went.iter().map(|n| LinkEvent::Written(key(*n))).collect::<Vec<_>>());
+            assert_eq!(events, went.iter().map(|n| AttemptEvent::FullyWritten(key(*n))).collect::<Vec<_>>());
             let on_wire = |n: usize| format!("9b1f.{n} {n} d=240 8\nc41e77d0");
             let (all, left) =
                 ((0..3).map(on_wire).collect::<String>(), went.iter().map(|n| on_wire(*n)).collect());
@@ -429,21 +429,27 @@
     // was out: the part went out a third time beside it.
     let again =
         |attempt| AttemptRequest { key: AttemptKey { attempt: AttemptNo(attempt), ..key(1) }, ..job(1) };
-    let (mut link, mut events) = (Link::default(), Vec::new());
-    link.call(&[job(0), job(1)]);
-    link.wrote(link.output().len(), &mut events);
-    assert!(!link.owes(&again(1)), "it is out here, and asked for nowhere else");
-    link.call_off(key(1));
-    link.wrote(link.output().len(), &mut events);
-    assert!(link.owes(&again(1)), "it may still be answered");
-    assert!(!link.owes(&AttemptRequest { request_id: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
+    let (mut link, mut events) = (MultiplexedConnection::default(), Vec::new());
+    link.enqueue(&[job(0), job(1)]);
+    link.record_written(link.output().len(), &mut events);
+    assert!(!link.awaits_late_answer(&again(1)), "it is out here, and asked for nowhere else");
+    link.cancel(key(1));
+    link.record_written(link.output().len(), &mut events);
+    assert!(link.awaits_late_answer(&again(1)), "it may still be answered");
+    assert!(
+        !link.awaits_late_answer(&AttemptRequest { request_id: "9b20".into(), ..again(1) })
+            && !link.awaits_late_answer(&job(2))
+    );
     link.input().feed(&frame('a', "9b1f.1 skipped 1 -\n"));
-    assert_eq!(link.read(&mut events).ok(), Some(1));
-    assert!(!link.owes(&again(1)), "now it is answered");
+    assert_eq!(link.process_input(&mut events).ok(), Some(1));
+    assert!(!link.awaits_late_answer(&again(1)), "now it is answered");
     link.input().feed(&frame('a', "9b1f.0 skipped 1 -\n"));
-    assert_eq!(link.read(&mut events).ok(), Some(1));
+    assert_eq!(link.process_input(&mut events).ok(), Some(1));
     assert!(
-        !link.owes(&AttemptRequest { key: AttemptKey { attempt: AttemptNo(1), ..key(0) }, ..job(0) }),
+        !link.awaits_late_answer(&AttemptRequest {
+            key: AttemptKey { attempt: AttemptNo(1), ..key(0) },
+            ..job(0)
+        }),
         "answered in time"
     );
 }
