--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -16,7 +16,7 @@
 use crate::front::Front;
 use crate::interface::Settings;
 use crate::limits::ServerCapacity;
-use crate::proto::discovery::parse_endpoint_list;
+use crate::proto::discovery::parse_cached_endpoint_list;
 use crate::settings::CoordinatorSettings;
 use crate::time::{unix_ms, Clock, Micros};
 use may::coroutine::JoinHandle;
@@ -223,7 +223,7 @@
     let (inbox, arrivals) = channel();
     let listed = Arc::new(AtomicBool::new(false));
     let mut rev = 0;
-    match parse_endpoint_list(&config.known, true, clock.now(), unix_ms()) {
+    match parse_cached_endpoint_list(&config.known, clock.now(), unix_ms()) {
         Ok(known) => {
             rev = known.revision;
             let _ = inbox.send(Input::EndpointUpdate(known.update));
@@ -232,10 +232,15 @@
     }
     let deployment = &config.deployment;
     let place = watch::DiscoverySource::new(config.discovery, deployment.policy.max_poll_interval);
-    let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
-    let waits = watch::Backoff::new(config.seed);
-    spawn(LARGE_STACK_WORDS, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
-        .map_err(no_coroutine)?;
+    let watcher = watch::Watcher {
+        source: place.clone(),
+        revision: rev,
+        inbox: inbox.clone(),
+        clock,
+        endpoints_known: listed.clone(),
+        backoff: watch::Backoff::new(config.seed),
+    };
+    spawn(LARGE_STACK_WORDS, move || watcher.run()).map_err(no_coroutine)?;
     let named = Arc::new(Mutex::new(Named::new(deployment)));
     Ok(Parts {
         last_answer: last_answer(longest(&deployment.policy)),
--- a/src/net/watch/backoff.rs
+++ b/src/net/watch/backoff.rs
@@ -1,51 +1,91 @@
-//! How long the discovery watch waits before it is opened again.
+//! How long to wait before the discovery watch is opened again, and how long for its first message.
 
-use super::SILENT;
+use super::SILENCE_TIMEOUT;
 use crate::interface::Nanos;
 use crate::time::Micros;
 use std::time::Duration;
 
-/// Waits between tries, doubled from the first to the last, where an agent beside the coordinator has the lists: it
-/// answers at no cost, and what it has counts as told, at its return from silence too.
-const AGENT_MS: (u64, u64) = (25, 250);
-/// How long the first word of such an agent is waited for, doubled likewise: it answers at once, or a watch that was asked
-/// for while it was silent may never be answered. Growing, for on a machine that is slow for long nothing would be heard.
-const AGENT_WORD_MS: (u64, u64) = (500, SILENT.0 / 1_000);
-/// The waits where one discovery serves all coordinators, from this share of the time that the settings give a coordinator
-/// between two calls up to all of it: discovery has room for few calls at once and lets the others wait in vain, so what
-/// all of them ask again has to become less until some of it is served.
-const SHARED: u64 = 10;
-/// And how long its first word is waited for: it answers late.
-const SHARED_WORD_MS: u64 = 4_500;
-
-/// How long to wait before a watch is asked for again: growing, and drawn, so that coordinators that lost it at one
-/// moment do not come back at one; and how long for the first word of it.
+/// The first and the longest value of something that doubles from attempt to attempt, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct DelayRange {
+    min_ms: u64,
+    max_ms: u64,
+}
+
+/// Delays between attempts where an agent beside the coordinator serves the endpoint lists: it answers at no cost, and
+/// what it knows counts as notified, also when it comes back from silence.
+const AGENT_DELAY: DelayRange = DelayRange { min_ms: 25, max_ms: 250 };
+/// Timeouts for the first message of such an agent: it answers at once, and a watch that was opened while the agent was
+/// silent may never be answered. They grow, since on a machine that is slow for long no short timeout would be met.
+const AGENT_FIRST_MESSAGE_TIMEOUT: DelayRange =
+    DelayRange { min_ms: 500, max_ms: SILENCE_TIMEOUT.0 / MICROS_PER_MILLI };
+/// Where one discovery service serves all coordinators, the delays go from this fraction of the poll interval that the
+/// settings allow up to the whole of it. Discovery admits few calls at once and lets the others wait in vain, so the load of
+/// all repeated calls has to fall until some of them are served.
+const SHARED_MIN_DELAY_DIVISOR: u64 = 10;
+/// The shortest poll interval that is respected, in milliseconds.
+const MIN_SHARED_POLL_INTERVAL_MS: u64 = 1_000;
+/// The timeout for the first message of a shared discovery service, which answers late.
+pub(super) const SHARED_FIRST_MESSAGE_TIMEOUT: Micros = Micros::from_millis(4_500);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// An exponential backoff with jitter: coordinators that lost their watches at the same moment do not return at the same
+/// moment.
 #[derive(Debug)]
 pub struct Backoff {
-    pub(super) next: u64,
-    word: u64,
+    delay_ms: u64,
+    first_message_timeout_ms: u64,
     rng: fastrand::Rng,
 }
 
 impl Backoff {
-    /// The first ones.
+    /// A backoff that starts with the shortest delay; `seed` sets its jitter.
+    #[must_use]
     pub fn new(seed: u64) -> Self {
-        Backoff { next: 0, word: AGENT_WORD_MS.0, rng: fastrand::Rng::with_seed(seed) }
+        Backoff {
+            delay_ms: 0,
+            first_message_timeout_ms: AGENT_FIRST_MESSAGE_TIMEOUT.min_ms,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
-    /// The wait after a watch that brought a list, or brought none. `ask_within`: the time after which a coordinator that
-    /// does not ask counts as told, where lists are asked for.
-    pub(super) fn after(&mut self, listed: bool, ask_within: Option<Nanos>) -> Duration {
-        let most = |within| (Micros::from_nanos(within).0 / 1_000).max(1_000);
-        let (least, most) = ask_within.map(most).map_or(AGENT_MS, |most| (most / SHARED, most));
-        self.next = if listed { least } else { (self.next * 2).clamp(2 * least, most) };
-        self.word = if listed { AGENT_WORD_MS.0 } else { (self.word * 2).min(AGENT_WORD_MS.1) };
-        Duration::from_millis(self.rng.u64(self.next / 2..=self.next))
+    /// The delay after a watch has ended. It starts anew if that watch brought an endpoint list, and doubles otherwise.
+    ///
+    /// `max_poll_interval` is set where lists are polled from a shared discovery service: a coordinator that does not poll
+    /// within it counts as notified.
+    pub(super) fn next_delay(&mut self, list_received: bool, max_poll_interval: Option<Nanos>) -> Duration {
+        let delays = delay_range(max_poll_interval);
+        let timeouts = AGENT_FIRST_MESSAGE_TIMEOUT;
+        if list_received {
+            self.delay_ms = delays.min_ms;
+            self.first_message_timeout_ms = timeouts.min_ms;
+        } else {
+            self.delay_ms = (self.delay_ms * 2).clamp(2 * delays.min_ms, delays.max_ms);
+            self.first_message_timeout_ms = (self.first_message_timeout_ms * 2).min(timeouts.max_ms);
+        }
+        Duration::from_millis(self.rng.u64(self.delay_ms / 2..=self.delay_ms))
     }
 
-    pub(super) fn first_word(&self, ask_within: Option<Nanos>) -> Micros {
-        Micros::from_millis(if ask_within.is_some() { SHARED_WORD_MS } else { self.word })
+    /// Starts the delays anew; the timeout for the first message stays.
+    pub(super) fn reset_delay(&mut self) {
+        self.delay_ms = 0;
     }
+
+    /// How long the first message of the next watch is waited for.
+    pub(super) fn first_message_timeout(&self, max_poll_interval: Option<Nanos>) -> Micros {
+        match max_poll_interval {
+            Some(_) => SHARED_FIRST_MESSAGE_TIMEOUT,
+            None => Micros::from_millis(self.first_message_timeout_ms),
+        }
+    }
+}
+
+fn delay_range(max_poll_interval: Option<Nanos>) -> DelayRange {
+    let Some(interval) = max_poll_interval else { return AGENT_DELAY };
+    let interval_ms = Micros::from_nanos(interval).0 / MICROS_PER_MILLI;
+    let max_ms = interval_ms.max(MIN_SHARED_POLL_INTERVAL_MS);
+    DelayRange { min_ms: max_ms / SHARED_MIN_DELAY_DIVISOR, max_ms }
 }
 
 #[cfg(test)]
--- a/src/net/watch/backoff/tests.rs
+++ b/src/net/watch/backoff/tests.rs
@@ -1,59 +1,76 @@
 use super::*;
+use std::collections::BTreeSet;
 
-const WITHIN: Nanos = 10_000_000_000;
+const POLL_INTERVAL: Nanos = 10_000_000_000;
 
-#[test]
-fn what_all_ask_of_a_shared_discovery_becomes_less_until_some_is_served() {
-    // Discovery serves 12 calls a second in turn, also those whose caller left after 2 s, and turns away whom it has no
-    // room for: coordinators that asked again after 25 ms to 1 s kept it busy with calls that nobody waited for.
-    let served = |within: Option<Nanos>| {
-        let (calls, patience, each, room) = (100, 2_000, 80, 40);
-        let mut waits: Vec<_> = (0..calls as u64).map(Backoff::new).collect();
-        let mut asks: std::collections::BTreeSet<_> = (0..calls).map(|n| (0, n)).collect();
-        let (mut free, mut listed) = (0, 0);
-        while let Some((at, n)) = asks.pop_first().filter(|a| a.0 < 30_000) {
-            free = free.max(at);
-            let full = free > at + room * each;
-            free += if full { 0 } else { each };
-            if free <= at + patience {
-                listed += 1;
-            } else {
-                let told = at + if full { 0 } else { patience };
-                asks.insert((told + waits[n].after(false, within).as_millis() as u64, n));
-            }
+/// How many coordinators get an endpoint list within 30 s from one discovery service that serves 12 calls a second in turn,
+/// also those whose caller has timed out after 2 s, and rejects calls beyond its queue.
+fn coordinators_served(max_poll_interval: Option<Nanos>) -> usize {
+    const COORDINATORS: usize = 100;
+    const CALLER_TIMEOUT_MS: u64 = 2_000;
+    const SERVICE_TIME_MS: u64 = 80;
+    const MAX_QUEUED: u64 = 40;
+    const END_MS: u64 = 30_000;
+    let mut backoffs: Vec<_> = (0..COORDINATORS as u64).map(Backoff::new).collect();
+    let mut calls: BTreeSet<_> = (0..COORDINATORS).map(|coordinator| (0, coordinator)).collect();
+    let mut served = 0;
+    let mut queue_end = 0;
+    while let Some((called_at, coordinator)) = calls.pop_first().filter(|call| call.0 < END_MS) {
+        queue_end = queue_end.max(called_at);
+        let rejected = queue_end > called_at + MAX_QUEUED * SERVICE_TIME_MS;
+        queue_end += if rejected { 0 } else { SERVICE_TIME_MS };
+        if queue_end <= called_at + CALLER_TIMEOUT_MS {
+            served += 1;
+        } else {
+            let failed_at = called_at + if rejected { 0 } else { CALLER_TIMEOUT_MS };
+            let delay = backoffs[coordinator].next_delay(false, max_poll_interval);
+            calls.insert((failed_at + delay.as_millis() as u64, coordinator));
         }
-        listed
-    };
-    assert!(served(None) < 60, "the check can fail: {}", served(None));
-    assert_eq!(served(Some(WITHIN)), 100);
+    }
+    served
+}
+
+#[test]
+fn load_on_a_shared_discovery_falls_until_all_coordinators_are_served() {
+    // Coordinators that returned after 25 ms to 1 s kept discovery busy with calls that nobody waited for.
+    let without_limit = coordinators_served(None);
+    assert!(without_limit < 60, "the simulation can fail: {without_limit}");
+    assert_eq!(coordinators_served(Some(POLL_INTERVAL)), 100);
 }
 
 #[test]
-fn an_agent_is_asked_again_soon_and_no_two_coordinators_go_in_step() {
+fn agent_is_retried_soon_and_jitter_spreads_the_coordinators() {
     let mut agent = Backoff::new(1);
-    let longest = (0..20).map(|_| agent.after(false, None)).max();
-    assert!(longest <= Some(Duration::from_millis(AGENT_MS.1)));
-    assert!(agent.after(true, None) <= Duration::from_millis(AGENT_MS.0), "a list came: begun anew");
-    let first: std::collections::BTreeSet<_> =
-        (0..100).map(|seed| Backoff::new(seed).after(false, Some(WITHIN))).collect();
-    assert!(first.len() > 80, "{} different waits of 100", first.len());
+    let longest = (0..20).map(|_| agent.next_delay(false, None)).max();
+    assert!(longest <= Some(Duration::from_millis(AGENT_DELAY.max_ms)));
+    assert!(
+        agent.next_delay(true, None) <= Duration::from_millis(AGENT_DELAY.min_ms),
+        "a list was received: the delays start anew"
+    );
+    let first_delays: BTreeSet<_> =
+        (0..100).map(|seed| Backoff::new(seed).next_delay(false, Some(POLL_INTERVAL))).collect();
+    assert!(first_delays.len() > 80, "{} different delays of 100", first_delays.len());
     let mut shared = Backoff::new(1);
-    let long: Vec<_> = (0..20).map(|_| shared.after(false, Some(WITHIN))).collect();
-    assert!(long.iter().all(|w| w.as_nanos() <= u128::from(WITHIN)), "{long:?}");
+    let delays: Vec<_> = (0..20).map(|_| shared.next_delay(false, Some(POLL_INTERVAL))).collect();
+    assert!(delays.iter().all(|delay| delay.as_nanos() <= u128::from(POLL_INTERVAL)), "{delays:?}");
 }
 
 #[test]
-fn an_agent_that_is_silent_is_asked_again_before_what_it_missed_counts_as_told() {
+fn silent_agent_is_retried_before_what_it_missed_counts_as_notified() {
     let mut agent = Backoff::new(1);
-    let mut gap = agent.first_word(None);
-    assert!(gap < Micros::from_secs(1), "it answers at once, or not at all: {gap:?}");
+    let mut gap = agent.first_message_timeout(None);
+    assert!(gap < Micros::from_secs(1), "an agent answers at once or not at all: {gap:?}");
     for _ in 0..10 {
-        let wait = Micros(agent.after(false, None).as_micros() as u64);
-        gap = agent.first_word(None) + wait;
-        assert!(SILENT + gap < Micros::from_millis(6_500), "{gap:?}");
+        let delay = Micros(agent.next_delay(false, None).as_micros() as u64);
+        gap = agent.first_message_timeout(None) + delay;
+        assert!(SILENCE_TIMEOUT + gap < Micros::from_millis(6_500), "{gap:?}");
     }
-    assert!(gap > Micros::from_secs(2), "a slow machine is heard all the same");
-    agent.after(true, None);
-    assert!(agent.first_word(None) < Micros::from_secs(1), "begun anew");
-    assert_eq!(agent.first_word(Some(WITHIN)), Micros::from_millis(SHARED_WORD_MS), "discovery is late");
+    assert!(gap > Micros::from_secs(2), "a slow machine gets its message in time too");
+    agent.next_delay(true, None);
+    assert!(agent.first_message_timeout(None) < Micros::from_secs(1), "the timeouts start anew");
+    assert_eq!(
+        agent.first_message_timeout(Some(POLL_INTERVAL)),
+        SHARED_FIRST_MESSAGE_TIMEOUT,
+        "a shared discovery answers late"
+    );
 }
--- a/src/net/watch/mod.rs
+++ b/src/net/watch/mod.rs
@@ -1,4 +1,5 @@
-//! The watch on discovery: followed from the known list on, opened anew when it ends or falls silent.
+//! The watch on the discovery service: it continues from the revision already known and is opened again whenever it ends
+//! or falls silent.
 
 mod backoff;
 mod source;
@@ -7,112 +8,147 @@
 pub use source::DiscoverySource;
 
 use crate::coordinator::{log_rarely, Input, COUNTERS};
-use crate::proto::discovery::Watch;
+use crate::proto::discovery::{EndpointListUpdate, WatchError, WatchResponse};
 use crate::time::{unix_ms, Clock, Micros};
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::Release};
+use std::sync::Arc;
 use std::time::Duration;
 
-/// Discovery says something every 2 s: after so long without a word the watch is dead. What it misses counts as told 6 s
-/// after its last word, so the other half of that is left for opening it anew.
-const SILENT: Micros = Micros::from_secs(3);
-/// A watch that is quiet looks this often whether discovery has moved, and so does who waits to ask again.
-const LOOK: Duration = Duration::from_millis(100);
-const DIAL: Duration = Duration::from_millis(500);
+/// Discovery sends something every 2 s: a watch that is silent for longer than this is dead. What it misses counts as
+/// notified 6 s after its last message, so the other half of that is left for opening it again.
+const SILENCE_TIMEOUT: Micros = Micros::from_secs(3);
+/// How often a silent watch, and a coordinator that waits to open one, checks whether discovery has moved.
+const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// How a watch ended without an error.
-enum Ended {
+enum WatchEnd {
     /// Discovery closed it in good order.
     Closed,
-    /// Discovery is elsewhere now.
-    Moved,
+    /// Discovery is at another address now.
+    SourceMoved,
+}
+
+/// How a watch failed.
+#[derive(Debug, thiserror::Error)]
+enum WatchFailure {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Protocol(#[from] WatchError),
 }
 
-/// Follows discovery for as long as the program runs. `listed` is set once a list came.
-pub fn follow(
-    place: &DiscoverySource,
-    mut rev: u64,
-    inbox: &Sender<Input>,
-    clock: Clock,
-    listed: &AtomicBool,
-    mut waits: Backoff,
-) {
-    loop {
-        let before = rev;
-        let word = waits.first_word(place.ask_within());
-        let address = place.address();
-        let ended = one_watch(place, address, &mut rev, inbox, clock, listed, word);
-        match &ended {
-            Ok(Ended::Moved) => {
-                waits.next = 0;
+/// Follows discovery and passes its endpoint lists on to the core.
+pub struct Watcher {
+    /// The discovery service to follow.
+    pub source: DiscoverySource,
+    /// The last revision that is known; 0: none, the whole list is asked for.
+    pub revision: u64,
+    /// Where endpoint lists go.
+    pub inbox: Sender<Input>,
+    /// The time base of the lists.
+    pub clock: Clock,
+    /// Set once discovery has sent a list.
+    pub endpoints_known: Arc<AtomicBool>,
+    /// The delays between two watches.
+    pub backoff: Backoff,
+}
+
+impl Watcher {
+    /// Follows discovery for as long as the program runs.
+    pub fn run(mut self) {
+        loop {
+            let revision_before = self.revision;
+            let address = self.source.address();
+            let result = self.watch_once(address);
+            if matches!(result, Ok(WatchEnd::SourceMoved)) {
+                self.backoff.reset_delay();
                 continue;
             }
-            Ok(Ended::Closed) => {
-                log_rarely(&COUNTERS.watch_breaks, || format!("discovery: the watch ended at version {rev}"))
-            }
-            Err(e) => log_rarely(&COUNTERS.watch_breaks, || {
-                format!("discovery: the watch broke at version {rev}: {e}")
-            }),
+            self.log_end(&result);
+            let list_received = self.revision != revision_before;
+            let delay = self.backoff.next_delay(list_received, self.source.max_poll_interval());
+            self.sleep_unless_moved(delay, address);
         }
-        let mut left = waits.after(rev != before, place.ask_within());
-        // A reload that moves discovery counts some seconds later, however long the wait.
-        while !left.is_zero() && place.address() == address {
-            let step = left.min(LOOK);
+    }
+
+    fn log_end(&self, result: &Result<WatchEnd, WatchFailure>) {
+        let revision = self.revision;
+        log_rarely(&COUNTERS.watch_breaks, || match result {
+            Ok(_) => format!("discovery: the watch ended at version {revision}"),
+            Err(e) => format!("discovery: the watch broke at version {revision}: {e}"),
+        });
+    }
+
+    /// Waits for `delay`, but not on after discovery has moved: a reload that moves it takes effect within seconds.
+    fn sleep_unless_moved(&self, delay: Duration, address: SocketAddr) {
+        let mut remaining = delay;
+        while !remaining.is_zero() && self.source.address() == address {
+            let step = remaining.min(MOVE_CHECK_INTERVAL);
             may::coroutine::sleep(step);
-            left -= step;
+            remaining -= step;
         }
     }
-}
 
-fn one_watch(
-    place: &DiscoverySource,
-    address: SocketAddr,
-    rev: &mut u64,
-    inbox: &Sender<Input>,
-    clock: Clock,
-    listed: &AtomicBool,
-    first_word: Micros,
-) -> io::Result<Ended> {
-    let mut stream = TcpStream::connect_timeout(&address, DIAL)?;
-    stream.set_read_timeout(Some(LOOK))?;
-    stream.write_all(Watch::request(&address.to_string(), *rev).as_bytes())?;
-    let mut watch = Watch::default();
-    let (mut heard, mut patience) = (clock.now(), first_word);
-    loop {
-        // The old address may go on talking for a while; what it says is not waited for.
-        if place.address() != address {
-            return Ok(Ended::Moved);
-        }
-        let n = match stream.read(watch.reader.input.room()) {
-            Ok(0) => return Ok(Ended::Closed),
-            Ok(n) => n,
-            Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
-                if clock.now().since(heard) > patience {
-                    return Err(e);
-                }
-                continue;
+    /// Opens one watch and follows it to its end.
+    fn watch_once(&mut self, address: SocketAddr) -> Result<WatchEnd, WatchFailure> {
+        let mut timeout = self.backoff.first_message_timeout(self.source.max_poll_interval());
+        let mut stream = self.open(address)?;
+        let mut response = WatchResponse::default();
+        let mut last_received = self.clock.now();
+        loop {
+            // The old address may go on sending for a while; that is not waited for.
+            if self.source.address() != address {
+                return Ok(WatchEnd::SourceMoved);
+            }
+            let bytes_read = match stream.read(response.reader.input.room()) {
+                Ok(0) => return Ok(WatchEnd::Closed),
+                Ok(n) => n,
+                Err(e) if is_timeout(&e) && self.clock.now().since(last_received) <= timeout => continue,
+                Err(e) => return Err(e.into()),
+            };
+            response.reader.input.filled(bytes_read);
+            last_received = self.clock.now();
+            timeout = SILENCE_TIMEOUT;
+            if self.process(&mut response, last_received)? {
+                return Ok(WatchEnd::Closed);
             }
-            Err(e) => return Err(e),
-        };
-        watch.reader.input.filled(n);
-        let now = clock.now();
-        (heard, patience) = (now, SILENT);
-        let (news, ended) = watch.advance(now, unix_ms()).map_err(|e| {
+        }
+    }
+
+    fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
+        stream.set_read_timeout(Some(MOVE_CHECK_INTERVAL))?;
+        let request = WatchResponse::request(&address.to_string(), self.revision);
+        stream.write_all(request.as_bytes())?;
+        Ok(stream)
+    }
+
+    /// Passes on the lists that are complete; true: the response has ended.
+    fn process(&mut self, response: &mut WatchResponse, now: Micros) -> Result<bool, WatchError> {
+        let progress = response.advance(now, unix_ms()).inspect_err(|_| {
             COUNTERS.bad_rosters.add();
-            // What the line said is not known, so changes after it would not do: the whole list is asked for.
-            *rev = 0;
-            io::Error::new(io::ErrorKind::InvalidData, format!("{e:?}"))
+            // What the message contained is unknown, so later deltas would not apply: the whole list is asked for.
+            self.revision = 0;
         })?;
-        for one in news {
-            // One that goes back brings older words; what came since the newest is asked for.
-            *rev = one.revision.max(*rev);
-            let _ = inbox.send(Input::EndpointUpdate(one.update));
-            listed.store(true, Release);
-        }
-        if ended {
-            return Ok(Ended::Closed);
+        for update in progress.updates {
+            self.publish(update);
         }
+        Ok(progress.ended)
+    }
+
+    fn publish(&mut self, list: EndpointListUpdate) {
+        // Discovery may go back to an older revision; what came since the newest one is asked for.
+        self.revision = list.revision.max(self.revision);
+        let _ = self.inbox.send(Input::EndpointUpdate(list.update));
+        self.endpoints_known.store(true, Release);
     }
 }
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock)
+}
--- a/src/net/watch/source.rs
+++ b/src/net/watch/source.rs
@@ -1,40 +1,50 @@
-//! Where discovery is and how often it is polled.
+//! Where discovery is and how often it has to be polled.
 
 use crate::interface::Nanos;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// Where discovery is, and how often it has to be asked: a reload may change both while it is followed.
+/// The discovery service that a watch follows. A reload of the configuration may change it while it is followed, so that
+/// clones share one state.
 #[derive(Debug, Clone)]
-pub struct DiscoverySource(Arc<Mutex<(SocketAddr, Option<Nanos>)>>);
+pub struct DiscoverySource(Arc<Mutex<SourceSettings>>);
+
+#[derive(Debug)]
+struct SourceSettings {
+    address: SocketAddr,
+    max_poll_interval: Option<Nanos>,
+}
 
 impl DiscoverySource {
-    /// Discovery is here.
-    pub fn new(address: SocketAddr, ask_within: Option<Nanos>) -> Self {
-        DiscoverySource(Arc::new(Mutex::new((address, ask_within))))
+    /// Discovery at this address. `max_poll_interval` is set where lists are polled: a coordinator that does not poll within
+    /// it counts as notified.
+    #[must_use]
+    pub fn new(address: SocketAddr, max_poll_interval: Option<Nanos>) -> Self {
+        DiscoverySource(Arc::new(Mutex::new(SourceSettings { address, max_poll_interval })))
     }
 
-    fn lock(&self) -> MutexGuard<'_, (SocketAddr, Option<Nanos>)> {
+    fn lock(&self) -> MutexGuard<'_, SourceSettings> {
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Where it is now.
+    /// The current address.
+    #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.lock().0
+        self.lock().address
     }
 
-    /// Where lists are asked for: the time after which a coordinator that does not ask counts as told.
-    pub(super) fn ask_within(&self) -> Option<Nanos> {
-        self.lock().1
+    /// The current longest interval between two polls, where lists are polled.
+    pub(super) fn max_poll_interval(&self) -> Option<Nanos> {
+        self.lock().max_poll_interval
     }
 
-    /// From now on it is there. The list in use stays; the watch goes on there from its last version.
+    /// Moves discovery to another address. The endpoint list in use stays; the watch goes on from its last revision.
     pub fn set_address(&self, address: SocketAddr) {
-        self.lock().0 = address;
+        self.lock().address = address;
     }
 
-    /// The settings are others.
-    pub fn set_max_poll_interval(&self, ask_within: Option<Nanos>) {
-        self.lock().1 = ask_within;
+    /// Changes the longest interval between two polls.
+    pub fn set_max_poll_interval(&self, max_poll_interval: Option<Nanos>) {
+        self.lock().max_poll_interval = max_poll_interval;
     }
 }
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -1,4 +1,4 @@
-//! Discovery's watch: an answer that stays open and holds one JSON object a line.
+//! Discovery's watch: an HTTP response that stays open and carries endpoint lists as JSON objects, one a line.
 
 use super::http::{HttpError, ResponseReader};
 use crate::coordinator::{EndpointUpdate, Node};
@@ -6,156 +6,241 @@
 use crate::time::{started_at, Micros};
 use serde::Deserialize;
 
-/// Most bytes of one line: a whole list of a fleet far larger than any served.
+/// The most bytes of one line: a complete list of a fleet far larger than any served.
 const MAX_LINE: usize = 1024 * 1024;
+/// The status of a watch that was accepted.
+const STATUS_OK: u16 = 200;
 
+/// An endpoint list as discovery writes it.
 #[derive(Deserialize)]
-struct Listing {
-    rev: u64,
-    #[serde(default)]
-    all: bool,
-    #[serde(default)]
-    targets: Vec<Target>,
+struct ListMessage {
+    #[serde(rename = "rev")]
+    revision: u64,
+    #[serde(default, rename = "all")]
+    complete: bool,
+    #[serde(default, rename = "targets")]
+    endpoints: Vec<EndpointMessage>,
 }
 
+/// One endpoint of a [`ListMessage`].
 #[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    pod_group: u16,
+struct EndpointMessage {
+    #[serde(rename = "uid")]
+    name: String,
+    #[serde(rename = "endpoint")]
+    address: String,
+    #[serde(default, rename = "az")]
+    zone: String,
+    #[serde(default, rename = "pod_group")]
+    cell: u16,
     state: String,
-    #[serde(default)]
-    boot_ms: u64,
+    #[serde(default, rename = "boot_ms")]
+    started_unix_ms: u64,
 }
 
-/// A list with its version.
+/// An endpoint list with its revision.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointListUpdate {
-    /// The version.
+    /// The revision.
     pub revision: u64,
-    /// What it says.
+    /// The endpoints that it names.
     pub update: EndpointUpdate,
 }
 
-/// What is wrong with a watch.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Why a text is no endpoint list.
+#[derive(Debug, thiserror::Error)]
+pub enum EndpointListError {
+    /// Not JSON, or not of the list's form.
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
+    /// An endpoint is in a state that is not known here.
+    #[error("unknown state {0:?}")]
+    UnknownState(String),
+    /// The next message came before the list was complete.
+    #[error("a list without its end")]
+    Truncated,
+}
+
+/// Why a watch cannot be followed.
+#[derive(Debug, thiserror::Error)]
 pub enum WatchError {
-    /// Not HTTP.
+    /// The response is not HTTP.
+    #[error("Http({0:?})")]
     Http(HttpError),
-    /// Another status than 200.
+    /// Discovery answered with another status than 200.
+    #[error("Status({0})")]
     Status(u16),
-    /// A line that is no list.
-    Line(String),
+    /// A line is no endpoint list.
+    #[error("Line({:?})", .0.to_string())]
+    List(#[from] EndpointListError),
+}
+
+/// The moment at which a list is read, on the monotonic and on the wall clock.
+#[derive(Debug, Clone, Copy)]
+struct ReadTime {
+    now: Micros,
+    unix_now_ms: u64,
 }
 
-/// Reads one list. `now` and `unix_now_ms` are one moment on the two clocks.
-pub fn parse_endpoint_list(
+/// Reads an endpoint list that was cached by an earlier process. `now` and `unix_now_ms` are the same moment on the
+/// monotonic and on the wall clock.
+///
+/// # Errors
+/// If the text is not one complete list, or names an unknown state.
+pub fn parse_cached_endpoint_list(
     text: &[u8],
-    cached: bool,
     now: Micros,
     unix_now_ms: u64,
-) -> Result<EndpointListUpdate, String> {
-    read(serde_json::from_slice(text).map_err(|e| e.to_string())?, cached, now, unix_now_ms)
-}
-
-fn read(listing: Listing, cached: bool, now: Micros, unix_now_ms: u64) -> Result<EndpointListUpdate, String> {
-    let node = |t: Target| {
-        Ok(Node {
-            name: t.uid.into(),
-            address: t.endpoint.into(),
-            zone: t.az.bytes().next().map_or(0, |b| u16::from(b.saturating_sub(b'a'))),
-            cell: t.pod_group,
-            shards: None,
-            state: match t.state.as_str() {
-                "in_service" => EndpointState::Ready,
-                "terminating" => EndpointState::Draining,
-                "terminated" => EndpointState::Removed,
-                other => return Err(format!("unknown state {other:?}")),
-            },
-            started: started_at(t.boot_ms, unix_now_ms, now),
-        })
-    };
-    let kind = match (cached, listing.all) {
-        (true, _) => EndpointListKind::Cached,
-        (_, true) => EndpointListKind::Full,
-        _ => EndpointListKind::Delta,
-    };
-    let nodes = listing.targets.into_iter().map(node).collect::<Result<_, String>>()?;
-    let roster = EndpointUpdate { kind, version: Some(listing.rev), nodes };
-    Ok(EndpointListUpdate { revision: listing.rev, update: roster })
-}
-
-/// The lists that are whole at the front of what came, and how many bytes they took. A list stands on one line, or is
-/// indented over several: its end is where its object ends, whether or not the line's end has come yet, for a watch may be
-/// reset in between. None has an empty line in it, for that is what discovery says
-/// while nothing changes: a list that was cut off would else be waited for as long as the watch lives.
-fn lists(text: &[u8], now: Micros, unix_now_ms: u64) -> Result<(Vec<EndpointListUpdate>, usize), String> {
-    let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
-    let mut objects = serde_json::Deserializer::from_slice(&text[..whole]).into_iter::<Listing>();
-    let (mut news, mut used) = (Vec::new(), 0);
-    let begun = loop {
+) -> Result<EndpointListUpdate, EndpointListError> {
+    let list = serde_json::from_slice(text)?;
+    to_update(list, EndpointListKind::Cached, ReadTime { now, unix_now_ms })
+}
+
+fn to_update(
+    list: ListMessage,
+    kind: EndpointListKind,
+    read_at: ReadTime,
+) -> Result<EndpointListUpdate, EndpointListError> {
+    let revision = list.revision;
+    let nodes = list.endpoints.into_iter().map(|e| to_node(e, read_at)).collect::<Result<_, _>>()?;
+    let update = EndpointUpdate { kind, version: Some(revision), nodes };
+    Ok(EndpointListUpdate { revision, update })
+}
+
+fn to_node(endpoint: EndpointMessage, read_at: ReadTime) -> Result<Node, EndpointListError> {
+    Ok(Node {
+        name: endpoint.name.into(),
+        address: endpoint.address.into(),
+        zone: zone_number(&endpoint.zone),
+        cell: endpoint.cell,
+        shards: None,
+        state: match endpoint.state.as_str() {
+            "in_service" => EndpointState::Ready,
+            "terminating" => EndpointState::Draining,
+            "terminated" => EndpointState::Removed,
+            _ => return Err(EndpointListError::UnknownState(endpoint.state)),
+        },
+        started: started_at(endpoint.started_unix_ms, read_at.unix_now_ms, read_at.now),
+    })
+}
+
+/// Zones are named by letters, from `a` on.
+fn zone_number(zone: &str) -> u16 {
+    zone.bytes().next().map_or(0, |letter| u16::from(letter.saturating_sub(b'a')))
+}
+
+/// The complete lists at the front of a text.
+#[derive(Default)]
+struct ParsedLists {
+    updates: Vec<EndpointListUpdate>,
+    /// How many bytes of the text they take.
+    consumed: usize,
+}
+
+impl ParsedLists {
+    fn push(&mut self, list: ListMessage, read_at: ReadTime) -> Result<(), EndpointListError> {
+        let kind = if list.complete { EndpointListKind::Full } else { EndpointListKind::Delta };
+        self.updates.push(to_update(list, kind, read_at)?);
+        Ok(())
+    }
+}
+
+/// Reads the complete lists at the front of what was received. A list stands on one line or is indented over several: it is
+/// complete where its object ends, whether or not the line has ended, since a watch may be reset in between. No list
+/// contains an empty line, which is what discovery sends while nothing changes: a list that was cut off would otherwise be
+/// waited for as long as the watch lives.
+fn parse_lists(text: &[u8], read_at: ReadTime) -> Result<ParsedLists, EndpointListError> {
+    let lines_end = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
+    let mut parsed = parse_ended_lines(&text[..lines_end], read_at)?;
+    let unfinished = text[parsed.consumed..lines_end].trim_ascii_start();
+    let consumed_before = parsed.consumed;
+    parse_open_line(text, &mut parsed, read_at)?;
+    if parsed.consumed == consumed_before && has_empty_line(unfinished) {
+        return Err(EndpointListError::Truncated);
+    }
+    Ok(parsed)
+}
+
+/// Reads lists from lines that have all ended, up to one that is incomplete.
+fn parse_ended_lines(lines: &[u8], read_at: ReadTime) -> Result<ParsedLists, EndpointListError> {
+    let mut objects = serde_json::Deserializer::from_slice(lines).into_iter::<ListMessage>();
+    let mut parsed = ParsedLists::default();
+    loop {
         match objects.next() {
             None => {
-                used = whole;
-                break &[][..];
+                parsed.consumed = lines.len();
+                return Ok(parsed);
             }
-            Some(Ok(listing)) => news.push(read(listing, false, now, unix_now_ms)?),
-            Some(Err(e)) if e.is_eof() => break text[used..whole].trim_ascii_start(),
-            Some(Err(e)) => return Err(e.to_string()),
+            Some(Ok(list)) => parsed.push(list, read_at)?,
+            Some(Err(e)) if e.is_eof() => return Ok(parsed),
+            Some(Err(e)) => return Err(e.into()),
         }
-        used = objects.byte_offset();
-    };
-    // Of a line that has not ended nothing but whole lists can be told: cut within a number it looks malformed.
-    let mut objects = serde_json::Deserializer::from_slice(&text[used..]).into_iter::<Listing>();
-    let mut further = 0;
-    while let Some(Ok(listing)) = objects.next() {
-        news.push(read(listing, false, now, unix_now_ms)?);
-        further = objects.byte_offset();
+        parsed.consumed = objects.byte_offset();
     }
-    if further > 0 {
-        return Ok((news, used + further));
-    }
-    if begun.split(|b| *b == b'\n').rev().skip(1).any(|line| line.trim_ascii().is_empty()) {
-        return Err("a list without its end".to_owned());
+}
+
+/// Reads lists from what follows, up to a line that has not ended. Only complete lists can be told of it: cut within a
+/// number it looks malformed, so that errors mean nothing here.
+fn parse_open_line(
+    text: &[u8],
+    parsed: &mut ParsedLists,
+    read_at: ReadTime,
+) -> Result<(), EndpointListError> {
+    let start = parsed.consumed;
+    let mut objects = serde_json::Deserializer::from_slice(&text[start..]).into_iter::<ListMessage>();
+    while let Some(Ok(list)) = objects.next() {
+        parsed.push(list, read_at)?;
+        parsed.consumed = start + objects.byte_offset();
     }
-    Ok((news, used))
+    Ok(())
+}
+
+/// Whether a line that has ended is empty; the first one begins with a list.
+fn has_empty_line(lines: &[u8]) -> bool {
+    lines.split(|b| *b == b'\n').rev().skip(1).any(|line| line.trim_ascii().is_empty())
+}
+
+/// What a watch has brought since it was last advanced.
+#[derive(Debug)]
+pub struct WatchProgress {
+    /// The lists that are complete, in order.
+    pub updates: Vec<EndpointListUpdate>,
+    /// Whether the response has ended.
+    pub ended: bool,
 }
 
-/// One watch.
+/// The response to one watch.
 #[derive(Debug)]
-pub struct Watch {
-    /// The answer as it comes.
+pub struct WatchResponse {
+    /// Reads the response as it arrives.
     pub reader: ResponseReader,
 }
 
-impl Default for Watch {
+impl Default for WatchResponse {
     fn default() -> Self {
-        Watch { reader: ResponseReader::new(MAX_LINE) }
+        WatchResponse { reader: ResponseReader::new(MAX_LINE) }
     }
 }
 
-impl Watch {
-    /// The request that starts it.
+impl WatchResponse {
+    /// The request that opens a watch on what came after the revision `since`.
+    #[must_use]
     pub fn request(host: &str, since: u64) -> String {
         format!("GET /discovery/hosts?follow=1&since={since} HTTP/1.1\r\nHost: {host}\r\n\r\n")
     }
 
-    /// Takes in what was read: the lists that are whole, and whether the watch has ended.
-    pub fn advance(
-        &mut self,
-        now: Micros,
-        unix_now_ms: u64,
-    ) -> Result<(Vec<EndpointListUpdate>, bool), WatchError> {
+    /// Processes what was read. `now` and `unix_now_ms` are the same moment on the monotonic and on the wall clock.
+    ///
+    /// # Errors
+    /// If the response is not HTTP, has another status than 200, or contains something else than endpoint lists.
+    pub fn advance(&mut self, now: Micros, unix_now_ms: u64) -> Result<WatchProgress, WatchError> {
         let ended = self.reader.advance().map_err(WatchError::Http)?;
-        if let Some(status) = self.reader.head().map(|h| h.status).filter(|s| *s != 200) {
-            return Err(WatchError::Status(status));
+        if let Some(head) = self.reader.head().filter(|head| head.status != STATUS_OK) {
+            return Err(WatchError::Status(head.status));
         }
-        let (news, used) = lists(&self.reader.body, now, unix_now_ms).map_err(WatchError::Line)?;
-        self.reader.body.drain(..used);
-        Ok((news, ended))
+        let parsed = parse_lists(&self.reader.body, ReadTime { now, unix_now_ms })?;
+        self.reader.body.drain(..parsed.consumed);
+        Ok(WatchProgress { updates: parsed.updates, ended })
     }
 }
 
--- a/src/proto/discovery/tests.rs
+++ b/src/proto/discovery/tests.rs
@@ -2,47 +2,69 @@
 
 const LIST: &str = r#"{"rev":43,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"terminating","capacity_hint":1.25e-1}]}"#;
 
-/// What comes of these pieces of a watch's answer: the versions that were told, in order.
-fn told(pieces: &[&str]) -> Result<Vec<u64>, WatchError> {
-    let mut watch = Watch::default();
-    let mut versions = Vec::new();
-    for piece in std::iter::once(&"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chain(pieces) {
-        let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
-        watch.reader.input.feed(if piece.starts_with("HTTP") { piece.as_bytes() } else { chunk.as_bytes() });
-        versions.extend(watch.advance(Micros::ZERO, 0)?.0.iter().map(|n| n.revision));
+const RESPONSE_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// The revisions read from a watch's response that arrives in these pieces, in order.
+fn revisions(pieces: &[&str]) -> Result<Vec<u64>, WatchError> {
+    let mut response = WatchResponse::default();
+    let mut revisions = Vec::new();
+    let chunks = pieces.iter().map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len()));
+    for bytes in std::iter::once(RESPONSE_HEAD.to_owned()).chain(chunks) {
+        response.reader.input.feed(bytes.as_bytes());
+        revisions.extend(response.advance(Micros::ZERO, 0)?.updates.iter().map(|update| update.revision));
     }
-    Ok(versions)
+    Ok(revisions)
+}
+
+fn read_revisions(pieces: &[&str]) -> Vec<u64> {
+    revisions(pieces).expect("only lists")
 }
 
 #[test]
-fn a_list_is_read_on_one_line_or_indented_however_it_is_cut() {
-    // An indented list was no list by its first line: the watch was closed and opened for ever, and no drain was heard.
+fn lists_on_one_line_or_indented_are_parsed_however_they_are_split() {
+    // Indented lists were once rejected by their first line: the watch was closed and opened for ever, and no draining
+    // endpoint was noticed.
     let value: serde_json::Value = serde_json::from_str(LIST).expect("a list");
     let indented = serde_json::to_string_pretty(&value).expect("a list");
     for form in [
         format!("{LIST}\n"),
         format!("{indented}\n"),
         format!("\r\n  {}\r\n\n", indented.replace('\n', "\r\n")),
-        // Reset before the line's end: what it said was not heard before the next watch.
+        // The watch is reset before the line's end: the list was once lost until the next watch.
         LIST.to_owned(),
     ] {
-        assert_eq!(told(&[&form, "\n", &form]), Ok(vec![43, 43]), "{form}");
-        assert_eq!(told(&[&format!("{form}{form}")]), Ok(vec![43, 43]), "{form}");
-        let cut: Vec<String> = form.chars().map(String::from).collect();
-        let cut: Vec<&str> = cut.iter().map(String::as_str).collect();
-        assert_eq!(told(&cut), Ok(vec![43]), "{form}");
+        assert_eq!(read_revisions(&[&form, "\n", &form]), [43, 43], "{form}");
+        assert_eq!(read_revisions(&[&format!("{form}{form}")]), [43, 43], "{form}");
+        let characters: Vec<String> = form.chars().map(String::from).collect();
+        let characters: Vec<&str> = characters.iter().map(String::as_str).collect();
+        assert_eq!(read_revisions(&characters), [43], "{form}");
     }
 }
 
 #[test]
-fn a_list_that_is_cut_off_ends_the_watch_at_the_next_word_and_not_never() {
-    let whole = format!("{LIST}\n");
+fn truncated_list_ends_the_watch_at_the_next_message() {
+    let complete = format!("{LIST}\n");
     for cut in 1..LIST.len() {
-        let begun = format!("{}\n", &LIST[..cut]);
+        let truncated = format!("{}\n", &LIST[..cut]);
+        assert!(
+            matches!(revisions(&[&complete, &truncated, "\n"]), Err(WatchError::List(_))),
+            "then a keep-alive: {truncated}"
+        );
         assert!(
-            matches!(told(&[&whole, &begun, "\n"]), Err(WatchError::Line(_))),
-            "then nothing new: {begun}"
+            matches!(revisions(&[&truncated, &complete, "\n"]), Err(WatchError::List(_))),
+            "then a list: {truncated}"
         );
-        assert!(matches!(told(&[&begun, &whole, "\n"]), Err(WatchError::Line(_))), "then a list: {begun}");
     }
 }
+
+#[test]
+fn errors_keep_the_texts_of_the_log() {
+    let unknown_state = LIST.replace("terminating", "asleep");
+    let list_error = parse_cached_endpoint_list(unknown_state.as_bytes(), Micros::ZERO, 0);
+    let list_error = list_error.expect_err("an unknown state");
+    assert!(matches!(&list_error, EndpointListError::UnknownState(state) if state == "asleep"));
+    assert_eq!(list_error.to_string(), r#"unknown state "asleep""#);
+    assert_eq!(WatchError::List(list_error).to_string(), r#"Line("unknown state \"asleep\"")"#);
+    assert_eq!(WatchError::Status(404).to_string(), "Status(404)");
+    assert_eq!(WatchError::Http(HttpError::Malformed).to_string(), "Http(Malformed)");
+}
