--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -424,7 +424,7 @@
                         }
                         Err(bad) => {
                             log_rarely(&COUNTERS.bad_frames, || {
-                                format!("data node {}: {}", stream_name(stream), bad.0)
+                                format!("data node {}: {}", stream_name(stream), bad)
                             });
                             return false;
                         }
--- /dev/null
+++ b/src/proto/frames/connection.rs
@@ -0,0 +1,189 @@
+//! The state of one connection to a data node.
+
+use super::attempts::{AnsweredAttempt, AttemptTable};
+use super::codec::{self, AttemptAnswer, FrameContent, FrameError};
+use super::outgoing::{OutgoingFrame, QueuedAttempt};
+use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest};
+use crate::interface::Outcome;
+use crate::proto::buffer::Buffer;
+use std::collections::VecDeque;
+
+/// What became of an attempt with the bytes that were written or read.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AttemptEvent {
+    /// The first bytes of the attempt's frame are written: it cannot be reclaimed any more.
+    WriteStarted(AttemptKey),
+    /// The last byte of the attempt's frame is written.
+    FullyWritten(AttemptKey),
+    /// The attempt has ended.
+    Ended(AttemptKey, AttemptEnd),
+}
+
+/// A connection to a data node that carries many attempts at a time. It is fed bytes and yields events and bytes to write.
+#[derive(Debug, Default)]
+pub struct MultiplexedConnection {
+    input: Buffer,
+    output: VecDeque<OutgoingFrame>,
+    attempts: AttemptTable,
+}
+
+impl MultiplexedConnection {
+    /// Queues one frame with these attempts.
+    pub fn enqueue(&mut self, requests: &[AttemptRequest]) {
+        let mut payload = Vec::new();
+        let mut queued = Vec::new();
+        for request in requests {
+            let id = codec::attempt_id(request);
+            let start = payload.len();
+            codec::encode_attempt(&id, request, &mut payload);
+            let bytes = payload.len() - start;
+            queued.push(QueuedAttempt { key: request.key, bytes, metrics: request.metrics.clone() });
+            self.attempts.insert(request.key, id);
+        }
+        self.output.push_back(OutgoingFrame::query(&payload, queued));
+    }
+
+    /// Cancels an attempt. If no byte of its frame is written it never goes out, whatever else the frame carries; otherwise
+    /// the node is told to cancel it.
+    pub fn cancel(&mut self, key: AttemptKey) {
+        let Some(id) = self.attempts.remove(key) else { return };
+        let Some(at) = self.output.iter().position(|frame| frame.is_unstarted_with(key)) else {
+            self.output.push_back(OutgoingFrame::cancel(&id));
+            return self.attempts.retire(id, false);
+        };
+        self.output[at].retain(|other| other != key);
+        if !self.output[at].carries_attempts() {
+            self.output.remove(at);
+        }
+    }
+
+    /// Whether an earlier attempt at this part was cancelled here and may still be answered. The answer would be taken for
+    /// one to the next attempt, which has the same id: were it a rejection or an error, the part would be sent a third time
+    /// while the second attempt is in flight.
+    #[must_use]
+    pub fn awaits_late_answer(&self, request: &AttemptRequest) -> bool {
+        request.key.attempt.0 > 0 && self.attempts.is_unanswered(&codec::attempt_id(request))
+    }
+
+    /// Takes back every frame of which no byte is written: a draining node gets nothing new.
+    pub fn reclaim_unwritten(&mut self, events: &mut Vec<AttemptEvent>) {
+        let (reclaimed, kept): (Vec<_>, Vec<_>) =
+            self.output.drain(..).partition(OutgoingFrame::is_reclaimable);
+        self.output = kept.into();
+        for key in reclaimed.iter().flat_map(OutgoingFrame::keys) {
+            if self.attempts.remove(key).is_some() {
+                events.push(AttemptEvent::Ended(key, AttemptEnd::Failed(Outcome::NotSent)));
+            }
+        }
+    }
+
+    /// The bytes to write next.
+    #[must_use]
+    pub fn output(&self) -> &[u8] {
+        self.output.front().map_or(&[], OutgoingFrame::remaining)
+    }
+
+    /// Notes how many bytes of [`MultiplexedConnection::output`] were written.
+    pub fn record_written(&mut self, bytes: usize, events: &mut Vec<AttemptEvent>) {
+        let Some(front) = self.output.front_mut() else { return };
+        let started = front.record_written(bytes);
+        if !front.is_fully_written() {
+            if started {
+                let in_flight = front.keys().filter(|key| self.attempts.contains(*key));
+                events.extend(in_flight.map(AttemptEvent::WriteStarted));
+            }
+            return;
+        }
+        let Some(written) = self.output.pop_front() else { return };
+        for attempt in written.into_attempts() {
+            attempt.metrics.tries.add();
+            if self.attempts.mark_fully_written(attempt.key) {
+                events.push(AttemptEvent::FullyWritten(attempt.key));
+            }
+        }
+    }
+
+    /// Where reads go; follow with [`MultiplexedConnection::process_input`].
+    pub fn input(&mut self) -> &mut Buffer {
+        &mut self.input
+    }
+
+    /// Processes what was read; the number of complete frames.
+    ///
+    /// # Errors
+    /// If a frame cannot be used. The events of the frames before it are valid.
+    pub fn process_input(&mut self, events: &mut Vec<AttemptEvent>) -> Result<usize, FrameError> {
+        let mut complete_frames = 0;
+        while let Some(frame) = codec::decode(self.input.data())? {
+            if let FrameContent::Answer(answer) = frame.content {
+                events.extend(accept_answer(&mut self.attempts, answer)?);
+            }
+            self.input.used(frame.length);
+            complete_frames += 1;
+        }
+        Ok(complete_frames)
+    }
+
+    /// Whether the beginning of a frame was received and its end was not.
+    #[must_use]
+    pub fn has_partial_frame(&self) -> bool {
+        !self.input.data().is_empty()
+    }
+
+    /// The connection has ended: prepares what is queued for another one, and returns whether it may be sent there. It may
+    /// not if an attempt that may have run is in flight; else every frame starts again. A node closes idle connections, and
+    /// no part must fail for that.
+    pub fn restart_unsent(&mut self) -> bool {
+        if self.attempts.is_empty() || self.attempts.any_fully_written() {
+            return false;
+        }
+        self.input = Buffer::default();
+        self.attempts.clear_retired();
+        let attempts = &self.attempts;
+        self.output.iter_mut().for_each(|frame| frame.retain(|key| attempts.contains(key)));
+        self.output.retain(OutgoingFrame::carries_attempts);
+        true
+    }
+
+    /// The connection has ended, or was never established: ends every attempt on it. Only an attempt whose last byte was
+    /// written can have run.
+    pub fn fail_all(&mut self, events: &mut Vec<AttemptEvent>) {
+        self.output.clear();
+        for attempt in self.attempts.drain() {
+            let outcome = if attempt.fully_written { Outcome::Reset } else { Outcome::ConnectFailed };
+            events.push(AttemptEvent::Ended(attempt.key, AttemptEnd::Failed(outcome)));
+        }
+    }
+
+    /// How many attempts are in flight or queued.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether nothing is in flight and nothing is to be written.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.attempts.is_empty() && self.output.is_empty()
+    }
+
+    /// Whether this attempt is in flight or queued here.
+    #[must_use]
+    pub fn contains(&self, key: AttemptKey) -> bool {
+        self.attempts.contains(key)
+    }
+}
+
+/// The event that an answer brings, if it belongs to an attempt in flight. A duplicate, or the answer to a cancelled
+/// attempt, is of no use any more. One to an attempt that was never sent here is the corrupt answer to another one, which
+/// would be waited for in vain.
+fn accept_answer(
+    attempts: &mut AttemptTable,
+    answer: AttemptAnswer<'_>,
+) -> Result<Option<AttemptEvent>, FrameError> {
+    match attempts.answer(answer.id) {
+        AnsweredAttempt::InFlight(key) => Ok(Some(AttemptEvent::Ended(key, answer.end))),
+        AnsweredAttempt::Retired => Ok(None),
+        AnsweredAttempt::Unknown => Err(FrameError::UnknownAttempt),
+    }
+}
