--- /dev/null
+++ b/src/net/node_client/driver.rs
@@ -0,0 +1,208 @@
+//! The driver of one connection to a data node: a coroutine that dials, reads and writes.
+
+use super::connection::{ConnectionState, NodeConnection};
+use super::silence::ResponseTimeBaseline;
+use crate::coordinator::{log_rarely, AttemptEnd, Input, COUNTERS};
+use crate::net::{spawn, try_read, try_write, Tried, SMALL_STACK_WORDS};
+use crate::proto::frames::AttemptEvent;
+use crate::time::{Clock, Micros};
+use may::io::{WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use may::sync::mpsc::Sender;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What the drivers of all connections share.
+#[derive(Clone)]
+pub(super) struct DriverContext {
+    pub(super) inbox: Sender<Input>,
+    pub(super) clock: Clock,
+    pub(super) baseline: Arc<ResponseTimeBaseline>,
+}
+
+impl DriverContext {
+    /// Reports events to the core.
+    pub(super) fn forward(&self, events: impl IntoIterator<Item = AttemptEvent>) {
+        for event in events {
+            let input = match event {
+                AttemptEvent::WriteStarted(key) => Input::WriteStarted(key),
+                AttemptEvent::FullyWritten(key) => Input::FullyWritten(key),
+                AttemptEvent::Ended(key, end) => Input::AttemptEnded(key, end),
+            };
+            // The core outlives every driver.
+            let _ = self.inbox.send(input);
+        }
+    }
+}
+
+/// Where and how a connection is established.
+#[derive(Clone, Copy)]
+pub(super) struct DialTarget {
+    pub(super) address: SocketAddr,
+    pub(super) timeout: Micros,
+}
+
+/// Drives one connection until it ends.
+pub(super) struct ConnectionDriver {
+    connection: Arc<NodeConnection>,
+    context: DriverContext,
+}
+
+impl ConnectionDriver {
+    pub(super) fn new(connection: Arc<NodeConnection>, context: DriverContext) -> Self {
+        ConnectionDriver { connection, context }
+    }
+
+    /// Starts the driver on a coroutine of its own.
+    pub(super) fn start(self, target: DialTarget) -> io::Result<()> {
+        spawn(SMALL_STACK_WORDS, move || self.run(target)).map(drop)
+    }
+
+    fn run(self, target: DialTarget) {
+        while self.connect_and_drive(target) {
+            // The node closed the connection before anything that waits was written: that is sent on another one.
+            if !self.connection.lock().prepare_redial() {
+                break;
+            }
+            COUNTERS.links_redialed.add();
+            COUNTERS.dials.add();
+        }
+        self.finish();
+    }
+
+    /// Ends every attempt that is left.
+    fn finish(&self) {
+        let mut events = Vec::new();
+        {
+            let mut state = self.connection.lock();
+            state.closed = true;
+            state.waker = None;
+            if !state.protocol.is_idle() {
+                COUNTERS.links_lost.add();
+            }
+            state.protocol.fail_all(&mut events);
+        }
+        self.context.forward(events);
+    }
+
+    /// Establishes a connection and drives it to its end; true if another one may follow. None may after one that could not
+    /// be established, or that ended before a complete frame was received: another one would end in the same way, and one
+    /// that brings only invalid bytes would be dialled again without a pause.
+    fn connect_and_drive(&self, target: DialTarget) -> bool {
+        let Ok(stream) = TcpStream::connect_timeout(&target.address, target.timeout.to_duration()) else {
+            COUNTERS.dials_failed.add();
+            return false;
+        };
+        // Only latency is lost without it.
+        let _ = stream.set_nodelay(true);
+        self.on_connected(stream.waker());
+        while self.step(stream.inner()) {
+            stream.wait_io();
+        }
+        self.connection.lock().frame_received
+    }
+
+    fn on_connected(&self, waker: WaitIoWaker) {
+        let mut state = self.connection.lock();
+        state.waker = Some(waker);
+        state.frame_received = false;
+    }
+
+    /// Reads and writes until the socket would block; false: the connection has ended.
+    fn step(&self, stream: &std::net::TcpStream) -> bool {
+        let mut events = Vec::new();
+        let mut state = self.connection.lock();
+        let open = !state.corrupt && self.exchange(&mut state, stream, &mut events);
+        let finished = state.closing && state.protocol.is_idle();
+        drop(state);
+        self.context.forward(events);
+        open && !finished
+    }
+
+    /// Reading comes first: no frame may be sent on a connection whose end is here already.
+    fn exchange(
+        &self,
+        state: &mut ConnectionState,
+        stream: &std::net::TcpStream,
+        events: &mut Vec<AttemptEvent>,
+    ) -> bool {
+        self.read_available(state, stream, events) && write_pending(state, stream, events)
+    }
+
+    fn read_available(
+        &self,
+        state: &mut ConnectionState,
+        stream: &std::net::TcpStream,
+        events: &mut Vec<AttemptEvent>,
+    ) -> bool {
+        loop {
+            match try_read(stream, state.protocol.input().room()) {
+                Tried::Moved(bytes) => {
+                    state.protocol.input().filled(bytes);
+                    if !self.process_received(state, stream, events) {
+                        return false;
+                    }
+                }
+                Tried::Wait => return true,
+                Tried::Ended | Tried::Broke => return false,
+            }
+        }
+    }
+
+    /// Processes what was just read; false if it cannot be used.
+    fn process_received(
+        &self,
+        state: &mut ConnectionState,
+        stream: &std::net::TcpStream,
+        events: &mut Vec<AttemptEvent>,
+    ) -> bool {
+        let now = self.context.clock.now();
+        state.silence.record_received(now);
+        let result = state.protocol.process_input(events);
+        for event in events.iter() {
+            self.record_ended(state, event, now);
+        }
+        match result {
+            Ok(complete_frames) => {
+                state.record_frames(complete_frames, now);
+                true
+            }
+            Err(error) => {
+                log_rarely(&COUNTERS.bad_frames, || format!("data node {}: {error}", peer_name(stream)));
+                false
+            }
+        }
+    }
+
+    /// Takes the response time of a served attempt into the baseline.
+    fn record_ended(&self, state: &mut ConnectionState, event: &AttemptEvent, now: Micros) {
+        let AttemptEvent::Ended(key, end) = event else { return };
+        let dispatched_at = state.silence.record_ended(*key);
+        if let (Some(dispatched_at), AttemptEnd::Served(_)) = (dispatched_at, end) {
+            self.context.baseline.record(now.since(dispatched_at));
+        }
+    }
+}
+
+fn write_pending(
+    state: &mut ConnectionState,
+    stream: &std::net::TcpStream,
+    events: &mut Vec<AttemptEvent>,
+) -> bool {
+    while !state.protocol.output().is_empty() {
+        match try_write(stream, state.protocol.output()) {
+            Tried::Moved(bytes) => state.protocol.record_written(bytes, events),
+            Tried::Wait => break,
+            Tried::Ended | Tried::Broke => return false,
+        }
+    }
+    true
+}
+
+fn peer_name(stream: &std::net::TcpStream) -> String {
+    stream.peer_addr().map_or_else(|_| "?".to_owned(), |address| address.to_string())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/node_client/driver/tests.rs
@@ -0,0 +1,57 @@
+use super::*;
+use crate::coordinator::{AttemptKey, AttemptRequest, ClassMetrics};
+use crate::interface::{AttemptNo, PartId, ShardId};
+use std::io::Write;
+use std::net::TcpListener;
+
+fn driver() -> ConnectionDriver {
+    let inbox = may::sync::mpsc::channel().0;
+    let context = DriverContext { inbox, clock: Clock::start(), baseline: Arc::default() };
+    ConnectionDriver::new(Arc::default(), context)
+}
+
+/// A connection on which the node has sent these bytes and closed its side.
+fn closed_by_node_after(bytes: &[u8]) -> std::net::TcpStream {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stream = std::net::TcpStream::connect(address).expect("connected");
+    let (mut node, _) = listener.accept().expect("a connection");
+    node.write_all(bytes).expect("written");
+    drop(node);
+    let peeked = stream.peek(&mut [0]).expect("bytes or their end");
+    assert_eq!(peeked, bytes.len().min(1));
+    stream.set_nonblocking(true).expect("set");
+    stream
+}
+
+#[test]
+fn nothing_is_written_to_a_connection_that_the_node_has_closed() {
+    // A part written to a connection that its node had closed counts as one that may have run.
+    let stream = closed_by_node_after(b"");
+    let driver = driver();
+    let mut state = driver.connection.lock();
+    state.protocol.enqueue(&[AttemptRequest {
+        key: AttemptKey { part: PartId(1), attempt: AttemptNo(0) },
+        request_id: "q1".into(),
+        shard: ShardId(0),
+        payload: Arc::from(&b"c41e77d0"[..]),
+        context: None,
+        timeout: Micros::from_millis(100),
+        metrics: Arc::new(ClassMetrics::default()),
+    }]);
+    let mut events = Vec::new();
+    assert!(!driver.exchange(&mut state, &stream, &mut events), "it has ended");
+    assert!(events.is_empty(), "nothing was written: {events:?}");
+    assert!(state.protocol.restart_unsent(), "the part may be sent on another connection");
+}
+
+#[test]
+fn connection_with_only_invalid_bytes_does_not_count_as_one_that_served() {
+    // It counted as one that had served, so another one was dialled for its waiting parts, for as long as they waited.
+    for (bytes, served) in [(&b"\0\0\0\x06zwhat"[..], false), (b"\0\0\0\x02l-", true)] {
+        let stream = closed_by_node_after(bytes);
+        let driver = driver();
+        while driver.exchange(&mut driver.connection.lock(), &stream, &mut Vec::new()) {}
+        assert_eq!(driver.connection.lock().frame_received, served);
+    }
+}
--- /dev/null
+++ b/src/net/node_client/mod.rs
@@ -0,0 +1,227 @@
+//! Connections to data nodes: one carries many attempts, so that a node has a single one as long as it is responsive.
+
+mod connection;
+mod driver;
+mod silence;
+
+use super::Upstream;
+use crate::coordinator::{log_rarely, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
+use crate::interface::{Outcome, ReplicaId};
+use crate::proto::frames::AttemptEvent;
+use crate::settings::CoordinatorSettings;
+use crate::time::{Clock, Micros};
+use connection::NodeConnection;
+use driver::{ConnectionDriver, DialTarget, DriverContext};
+use may::sync::mpsc::Sender;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A connection is closed this long before the node may close it as idle: a write after that is reset, and an attempt that
+/// was reset may have run.
+const IDLE_MARGIN: Micros = Micros::from_secs(3);
+/// The most connections to one node.
+const MAX_CONNECTIONS: usize = 4;
+
+/// A data node and the connections to it.
+struct Node {
+    address: Option<SocketAddr>,
+    ready: bool,
+    connections: Vec<Arc<NodeConnection>>,
+}
+
+/// When a connection may be used, and by how many attempts.
+#[derive(Clone, Copy)]
+struct ConnectionLimits {
+    connect_timeout: Micros,
+    idle_limit: Micros,
+    max_attempts: usize,
+}
+
+impl ConnectionLimits {
+    fn new(settings: &CoordinatorSettings) -> Self {
+        let node_idle_timeout = Micros::from_nanos(settings.idle_close);
+        ConnectionLimits {
+            connect_timeout: Micros::from_nanos(settings.dial_timeout),
+            idle_limit: (node_idle_timeout - IDLE_MARGIN).max(Micros(node_idle_timeout.0 / 2)),
+            max_attempts: settings.streams_per_conn,
+        }
+    }
+}
+
+/// The existing connections that could carry new attempts.
+#[derive(Default)]
+struct Candidates {
+    responsive: Option<Arc<NodeConnection>>,
+    silent: Option<Arc<NodeConnection>>,
+}
+
+impl Node {
+    /// Finds the first responsive connection for these attempts, and otherwise the last silent one.
+    fn find_connection(
+        &self,
+        requests: &[AttemptRequest],
+        limits: ConnectionLimits,
+        silence_timeout: Micros,
+        now: Micros,
+    ) -> Candidates {
+        let mut silent = None;
+        for connection in &self.connections {
+            let mut state = connection.lock();
+            if state.is_idle_for(limits.idle_limit, now) {
+                state.close_when_idle();
+            }
+            if !state.accepts(requests, limits.max_attempts) {
+                continue;
+            }
+            // A connection can fall silent while its node is sound: what follows takes another one.
+            if state.is_responsive(now, silence_timeout) {
+                return Candidates { responsive: Some(connection.clone()), silent: None };
+            }
+            silent = Some(connection.clone());
+        }
+        Candidates { responsive: None, silent }
+    }
+}
+
+/// The pool of connections to all data nodes.
+pub struct NodeClient {
+    nodes: HashMap<ReplicaId, Node>,
+    limits: ConnectionLimits,
+    context: DriverContext,
+}
+
+impl NodeClient {
+    /// A pool without connections; ends of attempts go to `inbox`.
+    #[must_use]
+    pub fn new(settings: &CoordinatorSettings, inbox: Sender<Input>, clock: Clock) -> Self {
+        NodeClient {
+            nodes: HashMap::new(),
+            limits: ConnectionLimits::new(settings),
+            context: DriverContext { inbox, clock, baseline: Arc::default() },
+        }
+    }
+
+    /// A connection for these attempts: a responsive one, else a new one, else a silent one. None if the node is not ready.
+    fn connection_for(
+        &mut self,
+        replica: ReplicaId,
+        requests: &[AttemptRequest],
+        now: Micros,
+    ) -> Option<Arc<NodeConnection>> {
+        let node = self.nodes.get_mut(&replica)?;
+        let address = node.address.filter(|_| node.ready)?;
+        node.connections.retain(|connection| !connection.lock().closed);
+        let silence_timeout = self.context.baseline.silence_timeout();
+        let candidates = node.find_connection(requests, self.limits, silence_timeout, now);
+        if candidates.responsive.is_some() {
+            return candidates.responsive;
+        }
+        if node.connections.len() >= MAX_CONNECTIONS {
+            return candidates.silent;
+        }
+        let connection = Arc::new(NodeConnection::opened_at(now));
+        node.connections.push(connection.clone());
+        self.dial(connection, address)
+    }
+
+    fn dial(&self, connection: Arc<NodeConnection>, address: SocketAddr) -> Option<Arc<NodeConnection>> {
+        COUNTERS.dials.add();
+        let driver = ConnectionDriver::new(connection.clone(), self.context.clone());
+        if driver.start(DialTarget { address, timeout: self.limits.connect_timeout }).is_err() {
+            connection.lock().closed = true;
+            return None;
+        }
+        Some(connection)
+    }
+}
+
+impl Upstream for NodeClient {
+    fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
+        let address = address.parse().ok();
+        let node = self.nodes.entry(replica).or_insert(Node { address, ready, connections: Vec::new() });
+        let moved = node.address != address;
+        node.address = address;
+        node.ready = ready;
+        if !moved && ready {
+            return;
+        }
+        // The node drains or is at another address: nothing that waits for its connection may still be sent, nor go out
+        // anew on another one.
+        for connection in &node.connections {
+            let reclaimed = connection.lock().drain();
+            self.context.forward(reclaimed);
+        }
+    }
+
+    fn dispatch(&mut self, replica: ReplicaId, requests: &[AttemptRequest], now: Micros) {
+        match self.connection_for(replica, requests, now) {
+            Some(connection) => connection.lock().dispatch(requests, now),
+            None => {
+                self.context.forward(requests.iter().map(|request| {
+                    AttemptEvent::Ended(request.key, AttemptEnd::Failed(Outcome::ConnectFailed))
+                }))
+            }
+        }
+    }
+
+    fn cancel(&mut self, replica: ReplicaId, key: AttemptKey, now: Micros) {
+        let silence_timeout = self.context.baseline.cancelled_silence_timeout();
+        let Some(node) = self.nodes.get(&replica) else { return };
+        for connection in &node.connections {
+            let mut state = connection.lock();
+            if state.protocol.contains(key) && state.cancel(key, now, silence_timeout) {
+                COUNTERS.links_suspect.add();
+            }
+        }
+    }
+
+    fn remove_server(&mut self, replica: ReplicaId) {
+        let Some(node) = self.nodes.remove(&replica) else { return };
+        // No attempt is in flight on any of them: what is still open ends here.
+        for connection in &node.connections {
+            connection.lock().close_when_idle();
+        }
+    }
+
+    fn close_idle(&mut self, replica: ReplicaId) {
+        let Some(node) = self.nodes.get(&replica) else { return };
+        for connection in &node.connections {
+            let mut state = connection.lock();
+            if state.protocol.is_idle() {
+                state.close_when_idle();
+            }
+        }
+    }
+
+    fn reconfigure(&mut self, settings: &CoordinatorSettings) {
+        self.limits = ConnectionLimits::new(settings);
+    }
+
+    fn reap(&mut self, now: Micros, _in_flight: &dyn Fn(AttemptKey) -> bool) {
+        let idle_limit = self.limits.idle_limit;
+        for node in self.nodes.values_mut() {
+            let address = node.address;
+            node.connections.retain(|connection| !reap_connection(connection, address, idle_limit, now));
+        }
+    }
+}
+
+/// Closes a connection that is corrupt or has been idle for too long; true if it has ended.
+fn reap_connection(
+    connection: &NodeConnection,
+    address: Option<SocketAddr>,
+    idle_limit: Micros,
+    now: Micros,
+) -> bool {
+    let mut state = connection.lock();
+    if state.is_frame_overdue(now) && !state.corrupt {
+        log_rarely(&COUNTERS.bad_frames, || format!("data node {address:?}: a frame without its end"));
+        state.close_corrupt();
+    }
+    if state.is_idle_for(idle_limit, now) && !state.closing {
+        COUNTERS.links_idle_closed.add();
+        state.close_when_idle();
+    }
+    state.closed
+}
