--- /dev/null
+++ b/src/net/feature_client/mod.rs
@@ -0,0 +1,177 @@
+//! Attempts at feature servers: each is one request over one connection, which is taken from the idle ones if possible.
+
+mod driver;
+mod request;
+mod server;
+
+use super::Upstream;
+use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
+use crate::front::ogc::config::Edge;
+use crate::front::ogc::visit::Visit;
+use crate::interface::{Outcome, ReplicaId};
+use crate::limits::{Rule, ServerCapacity};
+use crate::proto::fetch::Fetch;
+use crate::time::{Clock, Micros};
+use driver::{DriverContext, FetchDriver};
+use may::sync::mpsc::Sender;
+use request::{Cancellation, FetchRequest};
+use server::FeatureServer;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// The most connections to all servers at a time: what the bound on clients leaves, with some to spare.
+const MAX_CONNECTIONS: usize = 200;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// All feature servers with their connections, and the attempts at them.
+pub struct FeatureClient {
+    servers: HashMap<ReplicaId, Arc<Mutex<FeatureServer>>>,
+    in_flight: HashMap<AttemptKey, Arc<Cancellation>>,
+    max_body: usize,
+    limit_rule: Rule,
+    context: DriverContext,
+}
+
+impl FeatureClient {
+    /// A client without servers. Ends of attempts go to `inbox`, what servers can serve to `capacity`.
+    #[must_use]
+    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, capacity: Arc<ServerCapacity>) -> Self {
+        FeatureClient {
+            servers: HashMap::new(),
+            in_flight: HashMap::new(),
+            max_body: edge.most_bytes,
+            limit_rule: edge.limit_rule(),
+            context: DriverContext {
+                inbox,
+                clock,
+                connect_timeout: Micros::from_millis(edge.dial_timeout_ms),
+                idle_limit: Micros::from_millis(edge.idle_ms),
+                capacity,
+            },
+        }
+    }
+
+    /// Whether one more connection may be opened; idle ones are closed for it.
+    fn make_room_for_connection(&self) -> bool {
+        let total = |count: fn(&FeatureServer) -> usize| -> usize {
+            self.servers.values().map(|server| count(&lock(server))).sum()
+        };
+        if total(|server| server.in_flight + server.idle.len()) >= MAX_CONNECTIONS {
+            self.servers.values().for_each(|server| lock(server).idle.clear());
+        }
+        total(|server| server.in_flight) < MAX_CONNECTIONS
+    }
+
+    /// Starts an attempt, or has it wait for its server.
+    fn start(&mut self, replica: ReplicaId, request: &AttemptRequest) -> Result<(), Outcome> {
+        if !self.make_room_for_connection() {
+            // As with a server that takes no more connections: nothing was sent.
+            return Err(Outcome::ConnectFailed);
+        }
+        let now = self.context.clock.now();
+        let server = self.servers.get(&replica).ok_or(Outcome::NotSent)?;
+        let page_request = page_request(request).ok_or(Outcome::NotSent)?;
+        let cancellation = Arc::new(Cancellation::default());
+        let startable = {
+            let mut state = lock(server);
+            let address = state.ready_address().ok_or(Outcome::NotSent)?;
+            if state.is_overloaded(now) {
+                // Nothing was sent.
+                return Err(Outcome::Rejected);
+            }
+            let fetch = Fetch::new(page_request.request(&address.to_string()), self.max_body);
+            let fetch_request = FetchRequest {
+                key: request.key,
+                replica,
+                address,
+                fetch,
+                page_request,
+                cancellation: cancellation.clone(),
+                metrics: request.metrics.clone(),
+            };
+            state.admit(fetch_request, now)
+        };
+        self.in_flight.insert(request.key, cancellation);
+        if let Some(request) = startable {
+            self.start_driver(request, server.clone());
+        }
+        Ok(())
+    }
+
+    fn start_driver(&self, request: FetchRequest, server: Arc<Mutex<FeatureServer>>) {
+        FetchDriver { request, server, context: self.context.clone() }.start();
+    }
+
+    fn fail(&self, key: AttemptKey, outcome: Outcome) {
+        let _ = self.context.inbox.send(Input::AttemptEnded(key, AttemptEnd::Failed(outcome)));
+    }
+}
+
+/// The page that the front asks for with this attempt.
+fn page_request(request: &AttemptRequest) -> Option<Arc<Visit>> {
+    request.context.as_ref()?.get::<Visit>()
+}
+
+impl Upstream for FeatureClient {
+    fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, _now: Micros) {
+        let new_server = || Arc::new(Mutex::new(FeatureServer::new(self.limit_rule)));
+        let server = self.servers.entry(replica).or_insert_with(new_server);
+        let mut state = lock(server);
+        let address = address.parse().ok();
+        if state.address != address || !ready {
+            state.idle.clear();
+        }
+        state.address = address;
+        state.ready = ready;
+        self.context.capacity.report(replica, state.throughput());
+        // A draining server gets nothing that has not started.
+        let unsent = if ready { VecDeque::new() } else { state.take_queue() };
+        drop(state);
+        for request in unsent {
+            self.fail(request.key, Outcome::NotSent);
+        }
+    }
+
+    fn dispatch(&mut self, replica: ReplicaId, requests: &[AttemptRequest], _now: Micros) {
+        for request in requests {
+            if let Err(outcome) = self.start(replica, request) {
+                self.fail(request.key, outcome);
+            }
+        }
+    }
+
+    fn cancel(&mut self, _replica: ReplicaId, key: AttemptKey, _now: Micros) {
+        if let Some(cancellation) = self.in_flight.remove(&key) {
+            cancellation.cancel();
+        }
+    }
+
+    fn remove_server(&mut self, replica: ReplicaId) {
+        self.servers.remove(&replica);
+        self.context.capacity.report(replica, None);
+    }
+
+    fn close_idle(&mut self, replica: ReplicaId) {
+        if let Some(server) = self.servers.get(&replica) {
+            lock(server).idle.clear();
+        }
+    }
+
+    fn reap(&mut self, now: Micros, in_flight: &dyn Fn(AttemptKey) -> bool) {
+        for server in self.servers.values() {
+            let mut state = lock(server);
+            COUNTERS.links_idle_closed.add_n(state.close_expired(now, self.context.idle_limit));
+            state.remove_cancelled();
+            // A pause that the server asked for may be over.
+            let startable = state.take_startable(now);
+            drop(state);
+            for request in startable {
+                self.start_driver(request, server.clone());
+            }
+        }
+        self.in_flight.retain(|key, _| in_flight(*key));
+    }
+}
--- /dev/null
+++ b/src/net/feature_client/request.rs
@@ -0,0 +1,53 @@
+//! One attempt at a feature server before and while it runs.
+
+use crate::coordinator::{AttemptKey, ClassMetrics};
+use crate::front::ogc::visit::Visit;
+use crate::interface::ReplicaId;
+use crate::proto::fetch::Fetch;
+use may::io::WaitIoWaker;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// Whether an attempt is cancelled; the pool and the attempt's driver share it.
+#[derive(Default)]
+pub(super) struct Cancellation {
+    state: Mutex<CancellationState>,
+}
+
+#[derive(Default)]
+struct CancellationState {
+    cancelled: bool,
+    /// Wakes the driver; set while it has a connection.
+    waker: Option<WaitIoWaker>,
+}
+
+impl Cancellation {
+    /// Cancels the attempt and wakes its driver.
+    pub(super) fn cancel(&self) {
+        let mut state = super::lock(&self.state);
+        state.cancelled = true;
+        if let Some(waker) = &state.waker {
+            waker.wakeup();
+        }
+    }
+
+    pub(super) fn is_cancelled(&self) -> bool {
+        super::lock(&self.state).cancelled
+    }
+
+    pub(super) fn set_waker(&self, waker: Option<WaitIoWaker>) {
+        super::lock(&self.state).waker = waker;
+    }
+}
+
+/// The request for one page, and the attempt that it belongs to.
+pub(super) struct FetchRequest {
+    pub(super) key: AttemptKey,
+    pub(super) replica: ReplicaId,
+    pub(super) address: SocketAddr,
+    pub(super) fetch: Fetch,
+    pub(super) page_request: Arc<Visit>,
+    pub(super) cancellation: Arc<Cancellation>,
+    /// Where the attempt is counted once it is written.
+    pub(super) metrics: Arc<ClassMetrics>,
+}
