--- a/src/net/feature_client/mod.rs
+++ b/src/net/feature_client/mod.rs
@@ -55,7 +55,7 @@
     }
 
     /// Whether one more connection may be opened; idle ones are closed for it.
-    fn make_room_for_connection(&self) -> bool {
+    fn ensure_connection_capacity(&self) -> bool {
         let total = |count: fn(&FeatureServer) -> usize| -> usize {
             self.servers.values().map(|server| count(&lock(server))).sum()
         };
@@ -67,7 +67,7 @@
 
     /// Starts an attempt, or has it wait for its server.
     fn start(&mut self, replica: ReplicaId, request: &AttemptRequest) -> Result<(), Outcome> {
-        if !self.make_room_for_connection() {
+        if !self.ensure_connection_capacity() {
             // As with a server that takes no more connections: nothing was sent.
             return Err(Outcome::ConnectFailed);
         }
--- a/src/net/node_client/silence.rs
+++ b/src/net/node_client/silence.rs
@@ -62,7 +62,7 @@
     /// How long attempts that were cancelled since the last bytes had waited; attempts that waited together count once.
     cancelled_silence: Micros,
     /// Up to when `cancelled_silence` is counted.
-    counted_until: Micros,
+    counted_through: Micros,
 }
 
 impl SilenceDetector {
@@ -87,7 +87,7 @@
     /// How long attempts have waited with nothing received, cancelled ones included.
     pub(super) fn silent_for(&self, now: Micros) -> Micros {
         let Some(oldest) = self.dispatched_at.values().min() else { return self.cancelled_silence };
-        let silent_since = self.last_received.max(*oldest).max(self.counted_until);
+        let silent_since = self.last_received.max(*oldest).max(self.counted_through);
         self.cancelled_silence + now.since(silent_since)
     }
 
@@ -100,9 +100,9 @@
         if self.last_received > dispatched_at {
             return false;
         }
-        let silent_since = dispatched_at.max(self.counted_until);
+        let silent_since = dispatched_at.max(self.counted_through);
         self.cancelled_silence = self.cancelled_silence + now.since(silent_since);
-        self.counted_until = now;
+        self.counted_through = now;
         self.cancelled_silence > timeout
     }
 }
