--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -1,16 +1,10 @@
-//! Models of a connection's states, against which random steps are checked. Fixed seeds: the same verdict each time.
+//! Connections from clients and operators, against random bytes and cuts. Fixed seeds: the same verdict each time.
 
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics};
 use quinceflow::proto::calls::{Call, Caller};
-use quinceflow::proto::frames::{AttemptEvent, MultiplexedConnection};
 use quinceflow::proto::http::{Response, Server};
-use quinceflow::time::Micros;
-use quinceflow::{AttemptNo, Outcome, PartId, ShardId};
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 fn config() -> ProptestConfig {
     ProptestConfig {
@@ -20,225 +14,9 @@
     }
 }
 
-/// What a data node may send that is no good answer to part 0: what it is, and whether the connection is of use after.
-const ODD: [(&str, bool); 12] = [
-    ("9b1f.0 served 1 inflight=\u{fffd} x,util\nvalue", true),
-    ("9b1f.0 served 1 -\nvalue\0\0\0", false),
-    ("9b1f.0 served 1 -\nva\nlue", false),
-    ("9b1f.0 served x -\nvalue", false),
-    ("9b1f.0 served 1\nvalue", false),
-    ("9b1f.0 serve 1 -\nvalue", false),
-    ("9b1f.0served 1 -\nvalue", false),
-    ("9b1f.0 served 1 -", false),
-    ("9b1f.00 served 1 -\nvalue", false),
-    ("", false),
-    ("9b1f.0 broke 1 -\n", true),
-    ("9b1f.0 skipped 1 -\n", true),
-];
-
-#[derive(Debug, Clone)]
-enum Step {
-    Call,
-    CallOff(usize),
-    Write(usize),
-    /// An answer for one of the parts, how it ended, and where its frame is cut in two.
-    Answer(usize, usize, usize),
-    TakeBack,
-    Restart,
-    Break,
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    prop_oneof![
-        4 => Just(Step::Call),
-        2 => any::<usize>().prop_map(Step::CallOff),
-        4 => (1usize..90).prop_map(Step::Write),
-        4 => (any::<usize>(), 0usize..3, any::<usize>()).prop_map(|(n, how, cut)| Step::Answer(n, how, cut)),
-        1 => Just(Step::TakeBack),
-        1 => Just(Step::Restart),
-        1 => Just(Step::Break),
-    ]
-}
-
-/// What the model knows of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Known {
-    /// Of its frame so many bytes are still to be written.
-    Left(usize),
-    Written,
-    /// Given up here, or ended.
-    Over,
-}
-
-fn key(n: usize) -> AttemptKey {
-    AttemptKey { part: PartId(n as u64), attempt: AttemptNo(0) }
-}
-
-fn job(n: usize) -> AttemptRequest {
-    let text: &[u8] = b"c41e77d0";
-    AttemptRequest {
-        key: key(n),
-        request_id: "9b1f".into(),
-        shard: ShardId(n as u32),
-        payload: text.into(),
-        context: None,
-        timeout: Micros(240_000),
-        metrics: Default::default(),
-    }
-}
-
-fn frame(letter: char, rest: &str) -> Vec<u8> {
-    [&(rest.len() as u32 + 1).to_be_bytes()[..], letter.to_string().as_bytes(), rest.as_bytes()].concat()
-}
-
-/// The frames that the data node has read whole, as letter and rest.
-fn frames(mut bytes: &[u8]) -> Vec<(char, String)> {
-    let mut all = Vec::new();
-    while let Some(head) = bytes.first_chunk::<4>() {
-        let Some(body) = bytes.get(4..4 + u32::from_be_bytes(*head) as usize) else { break };
-        all.push((char::from(body[0]), String::from_utf8_lossy(&body[1..]).into_owned()));
-        bytes = &bytes[4 + body.len()..];
-    }
-    all
-}
-
 proptest! {
     #![proptest_config(config())]
 
-    #[test]
-    fn every_attempt_on_a_link_ends_once_and_as_far_as_its_frame_went(steps in vec(step(), 1..60)) {
-        let mut link = MultiplexedConnection::default();
-        let mut known: Vec<Known> = Vec::new();
-        // What is written on the present connection, and what is queued: whose call it is, and its bytes left.
-        let mut wire = Vec::new();
-        let mut queue: Vec<(Option<usize>, usize, usize)> = Vec::new();
-        // The parts that the data node has read on the present connection: it answers no others.
-        let mut met = BTreeSet::new();
-        // Frames written whole, whatever became of their parts: operators are told of these.
-        let (tally, mut whole) = (Arc::new(ClassMetrics::default()), 0);
-        for step in steps.into_iter().chain([Step::Break]) {
-            let mut events = Vec::new();
-            let mut expected: BTreeMap<usize, Option<Outcome>> = BTreeMap::new();
-            let mut broken = false;
-            match step {
-                Step::Call => {
-                    let n = known.len();
-                    link.enqueue(&[AttemptRequest { metrics: tally.clone(), ..job(n) }]);
-                    let size = frame('q', &format!("9b1f.{n} {n} d=240 8\nc41e77d0")).len();
-                    known.push(Known::Left(size));
-                    queue.push((Some(n), size, size));
-                }
-                Step::CallOff(n) if !known.is_empty() => {
-                    let n = n % known.len();
-                    link.cancel(key(n));
-                    let unbegun = queue.iter().position(|q| q.0 == Some(n) && q.1 == q.2);
-                    if known[n] != Known::Over {
-                        match unbegun {
-                            Some(at) => drop(queue.remove(at)),
-                            None => {
-                                let size = frame('c', &format!("9b1f.{n}")).len();
-                                queue.push((None, size, size));
-                            }
-                        }
-                    }
-                    known[n] = Known::Over;
-                }
-                Step::Write(n) => {
-                    let n = n.min(link.output().len());
-                    wire.extend_from_slice(&link.output()[..n]);
-                    link.record_written(n, &mut events);
-                    if n > 0 {
-                        let begins = queue[0].1 == queue[0].2 && n < queue[0].1;
-                        if let Some(call) = queue[0].0.filter(|c| begins && known[*c] != Known::Over) {
-                            prop_assert_eq!(&events[..], &[AttemptEvent::WriteStarted(key(call))]);
-                            events.clear();
-                        }
-                        queue[0].1 -= n;
-                        if queue[0].1 == 0 {
-                            let call = queue.remove(0).0;
-                            met.extend(call);
-                            whole += u64::from(call.is_some());
-                            if let Some(call) = call.filter(|c| known[*c] != Known::Over) {
-                                known[call] = Known::Written;
-                                prop_assert_eq!(&events[..], &[AttemptEvent::FullyWritten(key(call))]);
-                                events.clear();
-                            }
-                        }
-                    }
-                }
-                Step::Answer(n, how, cut) if !known.is_empty() => {
-                    let n = n % known.len();
-                    if !met.contains(&n) {
-                        continue;
-                    }
-                    let word = ["served", "broke", "skipped"][how];
-                    let bytes = frame('a', &format!("9b1f.{n} {word} 1 -\nvalue"));
-                    let cut = cut % bytes.len();
-                    for half in [&bytes[..cut], &bytes[cut..]] {
-                        link.input().feed(half);
-                        prop_assert!(link.process_input(&mut events).is_ok());
-                    }
-                    if std::mem::replace(&mut known[n], Known::Over) == Known::Written {
-                        expected.insert(n, [None, Some(Outcome::Error), Some(Outcome::Rejected)][how]);
-                    }
-                }
-                Step::TakeBack => {
-                    link.reclaim_unwritten(&mut events);
-                    queue.retain(|q| q.1 < q.2 || q.0.is_none() || {
-                        expected.insert(q.0.unwrap_or_default(), Some(Outcome::NotSent));
-                        false
-                    });
-                    expected.keys().for_each(|n| known[*n] = Known::Over);
-                }
-                Step::Restart => {
-                    let may = !known.contains(&Known::Written) && known.iter().any(|k| matches!(k, Known::Left(_)));
-                    prop_assert_eq!(link.restart_unsent(), may);
-                    if may {
-                        queue.retain(|q| q.0.is_some_and(|n| known[n] != Known::Over));
-                        queue.iter_mut().for_each(|q| q.1 = q.2);
-                        wire.clear();
-                        met.clear();
-                    }
-                }
-                Step::Break => {
-                    link.fail_all(&mut events);
-                    for (n, k) in known.iter_mut().enumerate() {
-                        match std::mem::replace(k, Known::Over) {
-                            Known::Over => continue,
-                            Known::Written => expected.insert(n, Some(Outcome::Reset)),
-                            Known::Left(_) => expected.insert(n, Some(Outcome::ConnectFailed)),
-                        };
-                    }
-                    broken = true;
-                }
-                _ => continue,
-            }
-            let got: BTreeMap<usize, Option<Outcome>> = events.iter().filter_map(|e| match e {
-                AttemptEvent::Ended(k, AttemptEnd::Served(v)) => {
-                    assert_eq!(&v[..], b"value");
-                    Some((k.part.0 as usize, None))
-                }
-                AttemptEvent::Ended(k, AttemptEnd::Failed(o)) => Some((k.part.0 as usize, Some(*o))),
-                _ => None,
-            }).collect();
-            prop_assert_eq!(got.len(), events.len(), "one end each: {:?}", events);
-            prop_assert_eq!(got, expected);
-            prop_assert_eq!(tally.tries.get(), whole);
-            if broken {
-                prop_assert!(link.is_idle());
-                queue.clear();
-                wire.clear();
-                met.clear();
-            }
-            let written = frames(&wire);
-            for (n, k) in known.iter().enumerate().filter(|(_, k)| **k == Known::Written) {
-                let id = format!("9b1f.{n} ");
-                let calls = written.iter().filter(|f| f.0 == 'q' && f.1.starts_with(&id)).count();
-                prop_assert_eq!(calls, 1, "part {} is {:?}", n, k);
-            }
-        }
-    }
-
     #[test]
     fn an_operators_call_is_known_by_its_first_line_however_it_is_cut(
         line in prop_oneof![Just("HEALTH".to_owned()), Just("DUMP".to_owned()), "[ -~]{0,300}"],
@@ -313,9 +91,7 @@
 
     #[test]
     fn no_bytes_make_a_connection_panic_or_grow_without_end(chunks in vec(vec(any::<u8>(), 0..400), 0..20), text in "[ -~\r\n]{0,600}") {
-        let (mut server, mut link) = (Server::default(), MultiplexedConnection::default());
-        let mut events = Vec::new();
-        let mut sound = true;
+        let mut server = Server::default();
         for chunk in chunks.iter().map(Vec::as_slice).chain([text.as_bytes()]) {
             server.input().feed(chunk);
             if let Some(Err(error)) = server.poll() {
@@ -324,10 +100,6 @@
                 server.wrote(server.output().len());
                 prop_assert!(server.finished());
             }
-            if sound {
-                link.input().feed(chunk);
-                sound = link.process_input(&mut events).is_ok();
-            }
         }
         server.end();
         let _ = server.poll();
@@ -335,125 +107,6 @@
     }
 }
 
-#[test]
-fn only_a_sound_answer_is_an_answer_and_its_report_may_be_anything() {
-    // An unknown id was passed over, and its part waited in vain; values came as they were, with the next frame's head.
-    for (text, sound) in ODD {
-        let (mut link, mut events) = (MultiplexedConnection::default(), Vec::new());
-        link.enqueue(&[job(0)]);
-        link.record_written(link.output().len(), &mut events);
-        events.clear();
-        link.input().feed(&frame('a', text));
-        assert_eq!(link.process_input(&mut events).is_ok(), sound, "{text:?}");
-        assert_eq!(events.len(), usize::from(sound), "{text:?}");
-        let served =
-            matches!(&events[..], [AttemptEvent::Ended(_, AttemptEnd::Served(v))] if &v[..] == b"value");
-        assert_eq!(served, sound && text.contains("served"), "{text:?}");
-        events.clear();
-        link.fail_all(&mut events);
-        let reset = [AttemptEvent::Ended(key(0), AttemptEnd::Failed(Outcome::Reset))];
-        assert_eq!(&events[..], if sound { &[][..] } else { &reset[..] }, "it may have run: {text:?}");
-    }
-}
-
-#[test]
-fn copies_and_late_answers_spoil_nothing_and_half_a_frame_shows() {
-    let (mut link, mut events) = (MultiplexedConnection::default(), Vec::new());
-    link.enqueue(&[job(0)]);
-    link.enqueue(&[job(1)]);
-    while !link.output().is_empty() {
-        link.record_written(link.output().len(), &mut events);
-    }
-    link.cancel(key(1));
-    let answer = |n: usize| frame('a', &format!("9b1f.{n} served 1 -\nvalue"));
-    events.clear();
-    for bytes in [answer(0), answer(0), answer(1)] {
-        link.input().feed(&bytes);
-    }
-    assert_eq!(link.process_input(&mut events).ok(), Some(3));
-    assert_eq!(events.len(), 1, "{events:?}");
-    assert!(!link.has_partial_frame());
-    // A length that does not fit: nothing may come after it that would be taken for its end.
-    link.input().feed(&answer(0)[..9]);
-    assert_eq!(link.process_input(&mut events).ok(), Some(0));
-    assert!(link.has_partial_frame());
-}
-
-#[test]
-fn of_a_call_only_the_parts_that_are_not_given_up_go_out_whatever_is_given_up_when() {
-    // A part was taken out of its frame only where it was the only one: of a call of several, all went out to the node after
-    // their query was over, each with a cancel behind it.
-    for gone in 0..8_usize {
-        for (begun, restarts) in [(false, false), (true, false), (false, true), (true, true)] {
-            let (mut link, mut events, mut wire) = (MultiplexedConnection::default(), Vec::new(), Vec::new());
-            link.enqueue(&[job(0), job(1), job(2)]);
-            if begun {
-                wire.extend_from_slice(&link.output()[..7]);
-                link.record_written(7, &mut events);
-                assert_eq!(events, [0, 1, 2].map(|n| AttemptEvent::WriteStarted(key(n))));
-            }
-            events.clear();
-            let given_up = |n: usize| gone & (1 << n) > 0;
-            (0..3).filter(|n| given_up(*n)).for_each(|n| link.cancel(key(n)));
-            if restarts {
-                assert_eq!(link.restart_unsent(), gone < 7, "the rest is owed another connection");
-                wire.clear();
-            }
-            while !link.output().is_empty() {
-                wire.extend_from_slice(link.output());
-                link.record_written(link.output().len(), &mut events);
-            }
-            let went: Vec<_> = (0..3).filter(|n| !given_up(*n)).collect();
-            assert_eq!(events, went.iter().map(|n| AttemptEvent::FullyWritten(key(*n))).collect::<Vec<_>>());
-            let on_wire = |n: usize| format!("9b1f.{n} {n} d=240 8\nc41e77d0");
-            let (all, left) =
-                ((0..3).map(on_wire).collect::<String>(), went.iter().map(|n| on_wire(*n)).collect());
-            let mut expected = vec![];
-            let whole = begun && !restarts;
-            if whole || (!went.is_empty()) {
-                expected.push(('q', if whole { all } else { left }));
-            }
-            if whole {
-                expected.extend((0..3).filter(|n| given_up(*n)).map(|n| ('c', format!("9b1f.{n}"))));
-            }
-            if !(restarts && gone == 7) {
-                assert_eq!(frames(&wire), expected, "given up {gone:b}, begun {begun}, anew {restarts}");
-            }
-        }
-    }
-}
-
-#[test]
-fn a_late_answer_is_not_taken_for_the_next_attempts() {
-    // Both attempts at a part have one id. A late "broke" or "skipped" to the one that was given up ended the other, which
-    // was out: the part went out a third time beside it.
-    let again =
-        |attempt| AttemptRequest { key: AttemptKey { attempt: AttemptNo(attempt), ..key(1) }, ..job(1) };
-    let (mut link, mut events) = (MultiplexedConnection::default(), Vec::new());
-    link.enqueue(&[job(0), job(1)]);
-    link.record_written(link.output().len(), &mut events);
-    assert!(!link.awaits_late_answer(&again(1)), "it is out here, and asked for nowhere else");
-    link.cancel(key(1));
-    link.record_written(link.output().len(), &mut events);
-    assert!(link.awaits_late_answer(&again(1)), "it may still be answered");
-    assert!(
-        !link.awaits_late_answer(&AttemptRequest { request_id: "9b20".into(), ..again(1) })
-            && !link.awaits_late_answer(&job(2))
-    );
-    link.input().feed(&frame('a', "9b1f.1 skipped 1 -\n"));
-    assert_eq!(link.process_input(&mut events).ok(), Some(1));
-    assert!(!link.awaits_late_answer(&again(1)), "now it is answered");
-    link.input().feed(&frame('a', "9b1f.0 skipped 1 -\n"));
-    assert_eq!(link.process_input(&mut events).ok(), Some(1));
-    assert!(
-        !link.awaits_late_answer(&AttemptRequest {
-            key: AttemptKey { attempt: AttemptNo(1), ..key(0) },
-            ..job(0)
-        }),
-        "answered in time"
-    );
-}
-
 #[test]
 fn what_comes_behind_a_request_never_stops_the_reading_of_it_and_costs_it_no_answer() {
     // With 80 KB behind its request a client was not read from any more, so nobody saw that it left.
--- /dev/null
+++ b/tests/node_connections/cases.rs
@@ -0,0 +1,182 @@
+//! Particular cases of a connection: invalid and late answers, cancellations, restarts.
+
+use super::wire::{frame, frames, key, query_payload, request};
+use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest};
+use quinceflow::proto::frames::{AttemptEvent, FrameError, MultiplexedConnection};
+use quinceflow::{AttemptNo, Outcome};
+
+/// Answers to attempt 0 that are not the usual ones, and whether the connection can be used after them.
+const UNUSUAL_ANSWERS: [(&str, bool); 12] = [
+    ("9b1f.0 served 1 inflight=\u{fffd} x,util\nvalue", true),
+    ("9b1f.0 served 1 -\nvalue\0\0\0", false),
+    ("9b1f.0 served 1 -\nva\nlue", false),
+    ("9b1f.0 served x -\nvalue", false),
+    ("9b1f.0 served 1\nvalue", false),
+    ("9b1f.0 serve 1 -\nvalue", false),
+    ("9b1f.0served 1 -\nvalue", false),
+    ("9b1f.0 served 1 -", false),
+    ("9b1f.00 served 1 -\nvalue", false),
+    ("", false),
+    ("9b1f.0 broke 1 -\n", true),
+    ("9b1f.0 skipped 1 -\n", true),
+];
+
+/// A connection with these attempts in flight, each frame fully written.
+fn connection_with_written(queries: &[&[AttemptRequest]]) -> MultiplexedConnection {
+    let mut connection = MultiplexedConnection::default();
+    for requests in queries {
+        connection.enqueue(requests);
+    }
+    write_all(&mut connection);
+    connection
+}
+
+/// Writes all output; the bytes and the events.
+fn write_all(connection: &mut MultiplexedConnection) -> (Vec<u8>, Vec<AttemptEvent>) {
+    let (mut wire, mut events) = (Vec::new(), Vec::new());
+    while !connection.output().is_empty() {
+        wire.extend_from_slice(connection.output());
+        connection.record_written(connection.output().len(), &mut events);
+    }
+    (wire, events)
+}
+
+/// Receives these bytes; the number of complete frames and the events.
+fn receive(
+    connection: &mut MultiplexedConnection,
+    bytes: &[u8],
+) -> (Result<usize, FrameError>, Vec<AttemptEvent>) {
+    let mut events = Vec::new();
+    connection.input().feed(bytes);
+    (connection.process_input(&mut events), events)
+}
+
+#[test]
+fn only_valid_answers_end_an_attempt_and_load_reports_are_ignored() {
+    // An unknown id was ignored once, and its part waited in vain; values were taken as they came, with the header of the
+    // next frame in them.
+    for (text, usable) in UNUSUAL_ANSWERS {
+        let mut connection = connection_with_written(&[&[request(0)]]);
+        let (result, mut events) = receive(&mut connection, &frame('a', text));
+        assert_eq!(result.is_ok(), usable, "{text:?}");
+        assert_eq!(events.len(), usize::from(usable), "{text:?}");
+        let served = matches!(&events[..], [AttemptEvent::Ended(_, AttemptEnd::Served(value))] if &value[..] == b"value");
+        assert_eq!(served, usable && text.contains("served"), "{text:?}");
+        events.clear();
+        connection.fail_all(&mut events);
+        let reset = AttemptEvent::Ended(key(0), AttemptEnd::Failed(Outcome::Reset));
+        let expected = if usable { vec![] } else { vec![reset] };
+        assert_eq!(events, expected, "it may have run: {text:?}");
+    }
+}
+
+#[test]
+fn duplicate_and_late_answers_are_ignored_and_a_partial_frame_is_noticed() {
+    let mut connection = connection_with_written(&[&[request(0)], &[request(1)]]);
+    connection.cancel(key(1));
+    let answer = |n: usize| frame('a', &format!("9b1f.{n} served 1 -\nvalue"));
+    let (result, events) = receive(&mut connection, &[answer(0), answer(0), answer(1)].concat());
+    assert_eq!(result, Ok(3));
+    assert_eq!(events.len(), 1, "{events:?}");
+    assert!(!connection.has_partial_frame());
+    // Its length is wrong: nothing may come after it that would be taken for its end.
+    let (result, _) = receive(&mut connection, &answer(0)[..9]);
+    assert_eq!(result, Ok(0));
+    assert!(connection.has_partial_frame());
+}
+
+/// When some of three attempts in one frame are cancelled.
+#[derive(Debug, Clone, Copy)]
+struct CancelCase {
+    /// The cancelled attempts, a bit for each.
+    cancelled: usize,
+    /// Some bytes of the frame are written before.
+    write_started: bool,
+    /// The connection ends after, and the rest is sent on another one.
+    restarted: bool,
+}
+
+impl CancelCase {
+    const ALL_CANCELLED: usize = 0b111;
+
+    fn is_cancelled(self, n: usize) -> bool {
+        self.cancelled & (1 << n) > 0
+    }
+
+    fn attempts(self, cancelled: bool) -> impl Iterator<Item = usize> {
+        (0..3).filter(move |n| self.is_cancelled(*n) == cancelled)
+    }
+
+    /// The frames that the node must receive on the last connection.
+    fn expected_frames(self) -> Vec<(char, String)> {
+        let mut expected = Vec::new();
+        if self.write_started && !self.restarted {
+            expected.push(('q', (0..3).map(query_payload).collect()));
+            expected.extend(self.attempts(true).map(|n| ('c', format!("9b1f.{n}"))));
+        } else if self.cancelled != Self::ALL_CANCELLED {
+            expected.push(('q', self.attempts(false).map(query_payload).collect()));
+        }
+        expected
+    }
+
+    fn check(self) {
+        let mut connection = MultiplexedConnection::default();
+        connection.enqueue(&[request(0), request(1), request(2)]);
+        let mut wire = Vec::new();
+        if self.write_started {
+            let mut events = Vec::new();
+            wire.extend_from_slice(&connection.output()[..7]);
+            connection.record_written(7, &mut events);
+            assert_eq!(events, [0, 1, 2].map(|n| AttemptEvent::WriteStarted(key(n))));
+        }
+        self.attempts(true).for_each(|n| connection.cancel(key(n)));
+        if self.restarted {
+            let rest = self.cancelled != Self::ALL_CANCELLED;
+            assert_eq!(connection.restart_unsent(), rest, "the rest may be sent on another connection");
+            wire.clear();
+        }
+        let (written, events) = write_all(&mut connection);
+        wire.extend(written);
+        let fully_written: Vec<_> =
+            self.attempts(false).map(|n| AttemptEvent::FullyWritten(key(n))).collect();
+        assert_eq!(events, fully_written);
+        if !(self.restarted && self.cancelled == Self::ALL_CANCELLED) {
+            assert_eq!(frames(&wire), self.expected_frames(), "{self:?}");
+        }
+    }
+}
+
+#[test]
+fn cancelled_attempts_of_a_frame_are_not_sent_unless_its_write_has_started() {
+    // An attempt was once removed from its frame only where it was the only one: of several, all were sent to the node after
+    // their query was over, each with a cancellation behind it.
+    for cancelled in 0..=CancelCase::ALL_CANCELLED {
+        for write_started in [false, true] {
+            for restarted in [false, true] {
+                CancelCase { cancelled, write_started, restarted }.check();
+            }
+        }
+    }
+}
+
+#[test]
+fn late_answer_is_not_taken_for_one_to_the_next_attempt() {
+    // All attempts at a part have one id. A late "broke" or "skipped" to the cancelled attempt ended the one in flight, and
+    // the part was sent a third time beside it.
+    let retry =
+        |n: usize| AttemptRequest { key: AttemptKey { attempt: AttemptNo(1), ..key(n) }, ..request(n) };
+    let other_query = AttemptRequest { request_id: "9b20".into(), ..retry(1) };
+    let mut connection = connection_with_written(&[&[request(0), request(1)]]);
+    assert!(!connection.awaits_late_answer(&retry(1)), "it is in flight, and not cancelled");
+    connection.cancel(key(1));
+    write_all(&mut connection);
+    assert!(connection.awaits_late_answer(&retry(1)), "it may still be answered");
+    assert!(!connection.awaits_late_answer(&other_query));
+    assert!(!connection.awaits_late_answer(&request(2)));
+    let (result, _) = receive(&mut connection, &frame('a', "9b1f.1 skipped 1 -\n"));
+    assert_eq!(result, Ok(1));
+    assert!(!connection.awaits_late_answer(&retry(1)), "now it is answered");
+    let (result, _) = receive(&mut connection, &frame('a', "9b1f.0 skipped 1 -\n"));
+    assert_eq!(result, Ok(1));
+    assert!(!connection.awaits_late_answer(&retry(0)), "answered in time");
+}
--- /dev/null
+++ b/tests/node_connections/main.rs
@@ -0,0 +1,5 @@
+//! Connections to data nodes: random steps against a model of their state, and particular cases.
+
+mod cases;
+mod model;
+mod wire;
--- /dev/null
+++ b/tests/node_connections/wire.rs
@@ -0,0 +1,44 @@
+//! Requests and frames as the tests build and read them.
+
+use quinceflow::coordinator::{AttemptKey, AttemptRequest};
+use quinceflow::time::Micros;
+use quinceflow::{AttemptNo, PartId, ShardId};
+use std::sync::Arc;
+
+pub fn key(n: usize) -> AttemptKey {
+    AttemptKey { part: PartId(n as u64), attempt: AttemptNo(0) }
+}
+
+pub fn request(n: usize) -> AttemptRequest {
+    let payload: &[u8] = b"c41e77d0";
+    AttemptRequest {
+        key: key(n),
+        request_id: "9b1f".into(),
+        shard: ShardId(n as u32),
+        payload: payload.into(),
+        context: None,
+        timeout: Micros(240_000),
+        metrics: Arc::default(),
+    }
+}
+
+/// The payload of a query frame with one attempt.
+pub fn query_payload(n: usize) -> String {
+    format!("9b1f.{n} {n} d=240 8\nc41e77d0")
+}
+
+pub fn frame(letter: char, payload: &str) -> Vec<u8> {
+    let length = (payload.len() as u32 + 1).to_be_bytes();
+    [&length[..], letter.to_string().as_bytes(), payload.as_bytes()].concat()
+}
+
+/// The complete frames in what a data node has received, as letter and payload.
+pub fn frames(mut bytes: &[u8]) -> Vec<(char, String)> {
+    let mut frames = Vec::new();
+    while let Some(length) = bytes.first_chunk::<4>() {
+        let Some(body) = bytes.get(4..4 + u32::from_be_bytes(*length) as usize) else { break };
+        frames.push((char::from(body[0]), String::from_utf8_lossy(&body[1..]).into_owned()));
+        bytes = &bytes[4 + body.len()..];
+    }
+    frames
+}
