--- a/src/net/feature_client/driver.rs
+++ b/src/net/feature_client/driver.rs
@@ -6,7 +6,7 @@
 use crate::coordinator::{AttemptEnd, Input, COUNTERS};
 use crate::interface::Outcome;
 use crate::limits::{Ended, ServerCapacity};
-use crate::net::{spawn, try_read, try_write, Tried, LARGE_STACK_WORDS};
+use crate::net::{spawn, try_read, try_write, IoOutcome, LARGE_STACK_WORDS};
 use crate::proto::fetch::{FetchedResponse, Progress};
 use crate::time::{Clock, Micros};
 use may::io::WaitIo;
@@ -51,7 +51,7 @@
         let (server, inbox, key) = (self.server.clone(), self.context.inbox.clone(), self.request.key);
         if spawn(LARGE_STACK_WORDS, move || self.run()).is_err() {
             lock(&server).in_flight -= 1;
-            let _ = inbox.send(Input::AttemptEnded(key, AttemptEnd::Failed(Outcome::NotSent)));
+            let _ = inbox.send(Input::AttemptEnded { key, end: AttemptEnd::Failed(Outcome::NotSent) });
         }
     }
 
@@ -75,7 +75,7 @@
             server.take_startable(now)
         };
         // The core ignores the end of an attempt that it has cancelled.
-        let _ = self.context.inbox.send(Input::AttemptEnded(self.request.key, result.end));
+        let _ = self.context.inbox.send(Input::AttemptEnded { key: self.request.key, end: result.end });
         for request in startable {
             let (server, context) = (self.server.clone(), self.context.clone());
             FetchDriver { request, server, context }.start();
@@ -148,11 +148,11 @@
     }
 
     fn dial(&self) -> Option<TcpStream> {
-        COUNTERS.dials.add();
+        COUNTERS.dials.increment();
         let timeout = self.context.connect_timeout.to_duration();
         let stream = TcpStream::connect_timeout(&self.request.address, timeout);
         if stream.is_err() {
-            COUNTERS.dials_failed.add();
+            COUNTERS.dials_failed.increment();
         }
         stream.ok()
     }
@@ -182,16 +182,16 @@
                 return written;
             }
             match try_read(stream, self.request.fetch.reader.input.room()) {
-                Tried::Moved(bytes) => {
+                IoOutcome::Transferred(bytes) => {
                     self.request.fetch.reader.input.filled(bytes);
                     let progress = self.request.fetch.advance();
                     if !progress.is_pending() {
                         return progress;
                     }
                 }
-                Tried::Wait => return Progress::Pending,
-                Tried::Ended => return self.request.fetch.on_end_of_stream(),
-                Tried::Broke => return self.request.fetch.on_broken(),
+                IoOutcome::WouldBlock => return Progress::Pending,
+                IoOutcome::EndOfStream => return self.request.fetch.on_end_of_stream(),
+                IoOutcome::Broken => return self.request.fetch.on_broken(),
             }
         }
     }
@@ -203,9 +203,9 @@
                 return Progress::Failed(self.cancelled_outcome());
             }
             match try_write(stream, self.request.fetch.output()) {
-                Tried::Moved(bytes) => self.record_written(bytes),
-                Tried::Wait => break,
-                Tried::Ended | Tried::Broke => return self.request.fetch.on_broken(),
+                IoOutcome::Transferred(bytes) => self.record_written(bytes),
+                IoOutcome::WouldBlock => break,
+                IoOutcome::EndOfStream | IoOutcome::Broken => return self.request.fetch.on_broken(),
             }
         }
         Progress::Pending
@@ -213,7 +213,7 @@
 
     fn record_written(&mut self, bytes: usize) {
         if self.request.fetch.record_written(bytes) {
-            self.request.metrics.tries.add();
+            self.request.metrics.attempts.increment();
             let _ = self.context.inbox.send(Input::FullyWritten(self.request.key));
         }
     }
@@ -235,5 +235,5 @@
 
 /// Whether an idle connection is open: nothing is received on it, not even its end.
 fn is_open(stream: &TcpStream) -> bool {
-    matches!(try_read(stream.inner(), &mut [0]), Tried::Wait)
+    matches!(try_read(stream.inner(), &mut [0]), IoOutcome::WouldBlock)
 }
--- a/src/net/feature_client/mod.rs
+++ b/src/net/feature_client/mod.rs
@@ -106,7 +106,7 @@
     }
 
     fn fail(&self, key: AttemptKey, outcome: Outcome) {
-        let _ = self.context.inbox.send(Input::AttemptEnded(key, AttemptEnd::Failed(outcome)));
+        let _ = self.context.inbox.send(Input::AttemptEnded { key, end: AttemptEnd::Failed(outcome) });
     }
 }
 
@@ -163,7 +163,7 @@
     fn reap(&mut self, now: Micros, in_flight: &dyn Fn(AttemptKey) -> bool) {
         for server in self.servers.values() {
             let mut state = lock(server);
-            COUNTERS.links_idle_closed.add_n(state.close_expired(now, self.context.idle_limit));
+            COUNTERS.server_connections_idle_closed.add(state.close_expired(now, self.context.idle_limit));
             state.remove_cancelled();
             // A pause that the server asked for may be over.
             let startable = state.take_startable(now);
--- a/src/net/node_client/driver.rs
+++ b/src/net/node_client/driver.rs
@@ -2,8 +2,8 @@
 
 use super::connection::{ConnectionState, NodeConnection};
 use super::silence::ResponseTimeBaseline;
-use crate::coordinator::{log_rarely, AttemptEnd, Input, COUNTERS};
-use crate::net::{spawn, try_read, try_write, Tried, SMALL_STACK_WORDS};
+use crate::coordinator::{log_throttled, AttemptEnd, Input, COUNTERS};
+use crate::net::{spawn, try_read, try_write, IoOutcome, SMALL_STACK_WORDS};
 use crate::proto::frames::AttemptEvent;
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
@@ -28,7 +28,7 @@
             let input = match event {
                 AttemptEvent::WriteStarted(key) => Input::WriteStarted(key),
                 AttemptEvent::FullyWritten(key) => Input::FullyWritten(key),
-                AttemptEvent::Ended(key, end) => Input::AttemptEnded(key, end),
+                AttemptEvent::Ended(key, end) => Input::AttemptEnded { key, end },
             };
             // The core outlives every driver.
             let _ = self.inbox.send(input);
@@ -65,8 +65,8 @@
             if !self.connection.lock().prepare_redial() {
                 break;
             }
-            COUNTERS.links_redialed.add();
-            COUNTERS.dials.add();
+            COUNTERS.server_connections_redialed.increment();
+            COUNTERS.dials.increment();
         }
         self.finish();
     }
@@ -79,7 +79,7 @@
             state.closed = true;
             state.waker = None;
             if !state.protocol.is_idle() {
-                COUNTERS.links_lost.add();
+                COUNTERS.server_connections_lost.increment();
             }
             state.protocol.fail_all(&mut events);
         }
@@ -91,7 +91,7 @@
     /// that brings only invalid bytes would be dialled again without a pause.
     fn connect_and_drive(&self, target: DialTarget) -> bool {
         let Ok(stream) = TcpStream::connect_timeout(&target.address, target.timeout.to_duration()) else {
-            COUNTERS.dials_failed.add();
+            COUNTERS.dials_failed.increment();
             return false;
         };
         // Only latency is lost without it.
@@ -138,14 +138,14 @@
     ) -> bool {
         loop {
             match try_read(stream, state.protocol.input().room()) {
-                Tried::Moved(bytes) => {
+                IoOutcome::Transferred(bytes) => {
                     state.protocol.input().filled(bytes);
                     if !self.process_received(state, stream, events) {
                         return false;
                     }
                 }
-                Tried::Wait => return true,
-                Tried::Ended | Tried::Broke => return false,
+                IoOutcome::WouldBlock => return true,
+                IoOutcome::EndOfStream | IoOutcome::Broken => return false,
             }
         }
     }
@@ -169,7 +169,7 @@
                 true
             }
             Err(error) => {
-                log_rarely(&COUNTERS.bad_frames, || format!("data node {}: {error}", peer_name(stream)));
+                log_throttled(&COUNTERS.bad_frames, || format!("data node {}: {error}", peer_name(stream)));
                 false
             }
         }
@@ -192,9 +192,9 @@
 ) -> bool {
     while !state.protocol.output().is_empty() {
         match try_write(stream, state.protocol.output()) {
-            Tried::Moved(bytes) => state.protocol.record_written(bytes, events),
-            Tried::Wait => break,
-            Tried::Ended | Tried::Broke => return false,
+            IoOutcome::Transferred(bytes) => state.protocol.record_written(bytes, events),
+            IoOutcome::WouldBlock => break,
+            IoOutcome::EndOfStream | IoOutcome::Broken => return false,
         }
     }
     true
--- a/src/net/node_client/mod.rs
+++ b/src/net/node_client/mod.rs
@@ -5,7 +5,7 @@
 mod silence;
 
 use super::Upstream;
-use crate::coordinator::{log_rarely, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
+use crate::coordinator::{log_throttled, AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
 use crate::interface::{Outcome, ReplicaId};
 use crate::proto::frames::AttemptEvent;
 use crate::settings::CoordinatorSettings;
@@ -126,7 +126,7 @@
     }
 
     fn dial(&self, connection: Arc<NodeConnection>, address: SocketAddr) -> Option<Arc<NodeConnection>> {
-        COUNTERS.dials.add();
+        COUNTERS.dials.increment();
         let driver = ConnectionDriver::new(connection.clone(), self.context.clone());
         if driver.start(DialTarget { address, timeout: self.limits.connect_timeout }).is_err() {
             connection.lock().closed = true;
@@ -171,7 +171,7 @@
         for connection in &node.connections {
             let mut state = connection.lock();
             if state.protocol.contains(key) && state.cancel(key, now, silence_timeout) {
-                COUNTERS.links_suspect.add();
+                COUNTERS.server_connections_unresponsive.increment();
             }
         }
     }
@@ -216,11 +216,11 @@
 ) -> bool {
     let mut state = connection.lock();
     if state.is_frame_overdue(now) && !state.corrupt {
-        log_rarely(&COUNTERS.bad_frames, || format!("data node {address:?}: a frame without its end"));
+        log_throttled(&COUNTERS.bad_frames, || format!("data node {address:?}: a frame without its end"));
         state.close_corrupt();
     }
     if state.is_idle_for(idle_limit, now) && !state.closing {
-        COUNTERS.links_idle_closed.add();
+        COUNTERS.server_connections_idle_closed.increment();
         state.close_when_idle();
     }
     state.closed
--- a/src/net/watch/mod.rs
+++ b/src/net/watch/mod.rs
@@ -7,7 +7,7 @@
 pub use backoff::Backoff;
 pub use source::DiscoverySource;
 
-use crate::coordinator::{log_rarely, Input, COUNTERS};
+use crate::coordinator::{log_throttled, Input, COUNTERS};
 use crate::proto::discovery::{EndpointListUpdate, WatchError, WatchResponse};
 use crate::time::{unix_ms, Clock, Micros};
 use may::net::TcpStream;
@@ -53,7 +53,7 @@
     /// The time base of the lists.
     pub clock: Clock,
     /// Set once discovery has sent a list.
-    pub endpoints_known: Arc<AtomicBool>,
+    pub endpoints_listed: Arc<AtomicBool>,
     /// The delays between two watches.
     pub backoff: Backoff,
 }
@@ -78,7 +78,7 @@
 
     fn log_end(&self, result: &Result<WatchEnd, WatchFailure>) {
         let revision = self.revision;
-        log_rarely(&COUNTERS.watch_breaks, || match result {
+        log_throttled(&COUNTERS.watch_disconnects, || match result {
             Ok(_) => format!("discovery: the watch ended at version {revision}"),
             Err(e) => format!("discovery: the watch broke at version {revision}: {e}"),
         });
@@ -131,7 +131,7 @@
     /// Passes on the lists that are complete; true: the response has ended.
     fn process(&mut self, response: &mut WatchResponse, now: Micros) -> Result<bool, WatchError> {
         let progress = response.advance(now, unix_ms()).inspect_err(|_| {
-            COUNTERS.bad_rosters.add();
+            COUNTERS.bad_endpoint_updates.increment();
             // What the message contained is unknown, so later deltas would not apply: the whole list is asked for.
             self.revision = 0;
         })?;
@@ -145,7 +145,7 @@
         // Discovery may go back to an older revision; what came since the newest one is asked for.
         self.revision = list.revision.max(self.revision);
         let _ = self.inbox.send(Input::EndpointUpdate(list.update));
-        self.endpoints_known.store(true, Release);
+        self.endpoints_listed.store(true, Release);
     }
 }
 
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery's watch: an HTTP response that stays open and carries endpoint lists as JSON objects, one a line.
 
 use super::http::{HttpError, ResponseReader};
-use crate::coordinator::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, NodeEndpoint};
 use crate::interface::{EndpointListKind, EndpointState};
 use crate::time::{started_at, Micros};
 use serde::Deserialize;
@@ -102,13 +102,13 @@
     read_at: ReadTime,
 ) -> Result<EndpointListUpdate, EndpointListError> {
     let revision = list.revision;
-    let nodes = list.endpoints.into_iter().map(|e| to_node(e, read_at)).collect::<Result<_, _>>()?;
-    let update = EndpointUpdate { kind, version: Some(revision), nodes };
+    let endpoints = list.endpoints.into_iter().map(|e| to_node(e, read_at)).collect::<Result<_, _>>()?;
+    let update = EndpointUpdate { kind, version: Some(revision), endpoints };
     Ok(EndpointListUpdate { revision, update })
 }
 
-fn to_node(endpoint: EndpointMessage, read_at: ReadTime) -> Result<Node, EndpointListError> {
-    Ok(Node {
+fn to_node(endpoint: EndpointMessage, read_at: ReadTime) -> Result<NodeEndpoint, EndpointListError> {
+    Ok(NodeEndpoint {
         name: endpoint.name.into(),
         address: endpoint.address.into(),
         zone: zone_number(&endpoint.zone),
@@ -120,7 +120,7 @@
             "terminated" => EndpointState::Removed,
             _ => return Err(EndpointListError::UnknownState(endpoint.state)),
         },
-        started: started_at(endpoint.started_unix_ms, read_at.unix_now_ms, read_at.now),
+        started_at: started_at(endpoint.started_unix_ms, read_at.unix_now_ms, read_at.now),
     })
 }
 
--- a/src/proto/frames/connection.rs
+++ b/src/proto/frames/connection.rs
@@ -96,7 +96,7 @@
         }
         let Some(written) = self.output.pop_front() else { return };
         for attempt in written.into_attempts() {
-            attempt.metrics.tries.add();
+            attempt.metrics.attempts.increment();
             if self.attempts.mark_fully_written(attempt.key) {
                 events.push(AttemptEvent::FullyWritten(attempt.key));
             }
--- a/tests/node_connections/model.rs
+++ b/tests/node_connections/model.rs
@@ -241,7 +241,7 @@
         let ends = ends(&result.events);
         prop_assert_eq!(ends.len(), result.events.len(), "one end each: {:?}", result.events);
         prop_assert_eq!(ends, result.expected);
-        prop_assert_eq!(self.metrics.tries.get(), self.fully_written);
+        prop_assert_eq!(self.metrics.attempts.get(), self.fully_written);
         let written = frames(&self.wire);
         for (n, state) in self.attempts.iter().enumerate() {
             if *state == AttemptState::FullyWritten {
