--- a/src/net/feature_client/driver.rs
+++ b/src/net/feature_client/driver.rs
@@ -1,6 +1,5 @@
 //! The driver of one attempt at a feature server: a coroutine that fetches one page over one connection.
 
-use super::lock;
 use super::request::FetchRequest;
 use super::server::{FeatureServer, IdleConnection};
 use crate::coordinator::{AttemptEnd, Input, COUNTERS};
@@ -8,6 +7,7 @@
 use crate::limits::{Ended, ServerCapacity};
 use crate::net::{spawn, try_read, try_write, IoOutcome, LARGE_STACK_WORDS};
 use crate::proto::fetch::{FetchedResponse, Progress};
+use crate::sync::lock;
 use crate::time::{Clock, Micros};
 use may::io::WaitIo;
 use may::net::TcpStream;
--- a/src/net/feature_client/mod.rs
+++ b/src/net/feature_client/mod.rs
@@ -11,21 +11,18 @@
 use crate::interface::{Outcome, ReplicaId};
 use crate::limits::{Rule, ServerCapacity};
 use crate::proto::fetch::Fetch;
+use crate::sync::lock;
 use crate::time::{Clock, Micros};
 use driver::{DriverContext, FetchDriver};
 use may::sync::mpsc::Sender;
 use request::{Cancellation, FetchRequest};
 use server::FeatureServer;
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 
 /// The most connections to all servers at a time: what the bound on clients leaves, with some to spare.
 const MAX_CONNECTIONS: usize = 200;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 /// All feature servers with their connections, and the attempts at them.
 pub struct FeatureClient {
     servers: HashMap<ReplicaId, Arc<Mutex<FeatureServer>>>,
--- a/src/net/feature_client/request.rs
+++ b/src/net/feature_client/request.rs
@@ -4,6 +4,7 @@
 use crate::front::ogc::visit::Visit;
 use crate::interface::ReplicaId;
 use crate::proto::fetch::Fetch;
+use crate::sync::lock;
 use may::io::WaitIoWaker;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -24,7 +25,7 @@
 impl Cancellation {
     /// Cancels the attempt and wakes its driver.
     pub(super) fn cancel(&self) {
-        let mut state = super::lock(&self.state);
+        let mut state = lock(&self.state);
         state.cancelled = true;
         if let Some(waker) = &state.waker {
             waker.wakeup();
@@ -32,11 +33,11 @@
     }
 
     pub(super) fn is_cancelled(&self) -> bool {
-        super::lock(&self.state).cancelled
+        lock(&self.state).cancelled
     }
 
     pub(super) fn set_waker(&self, waker: Option<WaitIoWaker>) {
-        super::lock(&self.state).waker = waker;
+        lock(&self.state).waker = waker;
     }
 }
 
--- a/src/net/node_client/connection.rs
+++ b/src/net/node_client/connection.rs
@@ -3,6 +3,7 @@
 use super::silence::SilenceDetector;
 use crate::coordinator::{AttemptKey, AttemptRequest};
 use crate::proto::frames::{AttemptEvent, MultiplexedConnection};
+use crate::sync::lock;
 use crate::time::Micros;
 use may::io::WaitIoWaker;
 use std::sync::{Mutex, MutexGuard};
@@ -26,8 +27,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, ConnectionState> {
-        // Nothing panics while it holds the lock; if something did, the state is still valid.
-        self.state.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.state)
     }
 }
 
--- a/src/net/watch/source.rs
+++ b/src/net/watch/source.rs
@@ -1,6 +1,7 @@
 //! Where discovery is and how often it has to be polled.
 
 use crate::interface::Nanos;
+use crate::sync::lock;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -24,7 +25,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, SourceSettings> {
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
+        lock(&self.0)
     }
 
     /// The current address.
