--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,12 +1,14 @@
-//! Stand-ins, load and checks for quinceflow. The program links none of it; this links the program's filters.
+//! Test kit of quinceflow: stand-ins, load, fault injection and conformance checks. The program links none of it; the kit
+//! links the program's filter evaluator for its stand-ins.
 #![forbid(unsafe_code)]
 
 pub mod client;
-pub mod conform;
+pub mod conformance;
 pub mod demo;
-pub mod edge;
-pub mod features;
+pub mod error;
+pub mod fault_injection;
+pub mod fault_scenario;
+pub mod feature_server;
 pub mod load;
 pub mod measure;
-pub mod storm;
-pub mod twist;
+pub mod process;
