--- a/src/net/feature_client/driver.rs
+++ b/src/net/feature_client/driver.rs
@@ -32,12 +32,18 @@
 struct FetchResult {
     /// The end of the attempt.
     end: AttemptEnd,
-    /// What the concurrency limit learns from it.
-    outcome: Ended,
+    /// What the server's concurrency limit learns from it.
+    limit_outcome: Ended,
     /// How long the server has asked to be left alone.
     retry_after: Option<Micros>,
 }
 
+impl FetchResult {
+    fn failed(outcome: Outcome, limit_outcome: Ended) -> Self {
+        FetchResult { end: AttemptEnd::Failed(outcome), limit_outcome, retry_after: None }
+    }
+}
+
 /// Drives one attempt whose slot at the server is taken already.
 pub(super) struct FetchDriver {
     pub(super) request: FetchRequest,
@@ -74,7 +80,7 @@
             }
             server.take_startable(now)
         };
-        // The core ignores the end of an attempt that it has cancelled.
+        // The coordinator ignores the end of an attempt that it has cancelled.
         let _ = self.context.inbox.send(Input::AttemptEnded { key: self.request.key, end: result.end });
         for request in startable {
             let (server, context) = (self.server.clone(), self.context.clone());
@@ -92,7 +98,7 @@
     ) {
         let in_flight = server.in_flight;
         server.in_flight -= 1;
-        server.limiter.ended(now, result.outcome, now.since(started_at), in_flight);
+        server.limiter.ended(now, result.limit_outcome, now.since(started_at), in_flight);
         if let Some(pause) = result.retry_after {
             server.limiter.hold(now, pause);
         }
@@ -105,17 +111,10 @@
             Progress::Complete(response) => self.interpret_response(response),
             Progress::Failed(outcome) => {
                 let cancelled = self.request.cancellation.is_cancelled() && self.request.fetch.may_have_run();
-                FetchResult {
-                    end: AttemptEnd::Failed(outcome),
-                    outcome: if cancelled { Ended::GivenUp } else { Ended::Otherwise },
-                    retry_after: None,
-                }
+                let limit_outcome = if cancelled { Ended::GivenUp } else { Ended::Otherwise };
+                FetchResult::failed(outcome, limit_outcome)
             }
-            Progress::Pending => FetchResult {
-                end: AttemptEnd::Failed(Outcome::Error),
-                outcome: Ended::Otherwise,
-                retry_after: None,
-            },
+            Progress::Pending => FetchResult::failed(Outcome::Error, Ended::Otherwise),
         }
     }
 
@@ -125,14 +124,14 @@
         // The server is named by its address: further pages are requested there by that name.
         let host = self.request.address.to_string();
         let end = self.request.page_request.judge(&host, &host, response);
-        let outcome = match &end {
+        let limit_outcome = match &end {
             AttemptEnd::Served(value) => {
                 Ended::Well(self.request.page_request.page(value).map_or(0, |page| page.given))
             }
             AttemptEnd::Failed(_) if overloaded => Ended::Overload,
             AttemptEnd::Failed(_) => Ended::Otherwise,
         };
-        FetchResult { end, outcome, retry_after }
+        FetchResult { end, limit_outcome, retry_after }
     }
 
     /// An idle connection that is still open: a request on one that the server has closed would be lost.
--- a/src/net/feature_client/server.rs
+++ b/src/net/feature_client/server.rs
@@ -1,4 +1,4 @@
-//! What is known of one feature server: its idle connections, its concurrency limit and the attempts that wait for it.
+//! The state of one feature server: its idle connections, its concurrency limit and the attempts that wait for it.
 
 use super::request::FetchRequest;
 use crate::limits::{Limiter, Rule};
@@ -30,7 +30,7 @@
 }
 
 impl FeatureServer {
-    /// A server of which nothing is known yet.
+    /// A server whose address is not known yet.
     pub(super) fn new(rule: Rule) -> Self {
         FeatureServer {
             address: None,
@@ -47,7 +47,7 @@
         self.address.filter(|_| self.ready)
     }
 
-    /// How many requests a second it can serve, if that is known and it takes new ones.
+    /// How many requests a second it can serve, if that is measured and the server takes new ones.
     pub(super) fn throughput(&self) -> Option<f64> {
         self.limiter.rate().filter(|_| self.ready)
     }
--- a/src/net/node_client/connection.rs
+++ b/src/net/node_client/connection.rs
@@ -61,6 +61,7 @@
         }
     }
 
+    /// Closes the connection once nothing is in flight; nothing new is sent on it.
     pub(super) fn close_when_idle(&mut self) {
         self.closing = true;
         self.wake_driver();
@@ -83,6 +84,7 @@
         self.partial_frame_since.is_none() && self.silence.silent_for(now) <= silence_timeout
     }
 
+    /// Sends these attempts.
     pub(super) fn dispatch(&mut self, requests: &[AttemptRequest], now: Micros) {
         self.protocol.enqueue(requests);
         for request in requests {
@@ -92,7 +94,7 @@
         self.wake_driver();
     }
 
-    /// Cancels an attempt; true: with that the connection has become unresponsive.
+    /// Cancels an attempt; true if this makes the connection unresponsive.
     pub(super) fn cancel(&mut self, key: AttemptKey, now: Micros, silence_timeout: Micros) -> bool {
         self.protocol.cancel(key);
         self.last_used = now;
--- a/src/net/node_client/driver.rs
+++ b/src/net/node_client/driver.rs
@@ -22,7 +22,7 @@
 }
 
 impl DriverContext {
-    /// Reports events to the core.
+    /// Reports events to the coordinator.
     pub(super) fn forward(&self, events: impl IntoIterator<Item = AttemptEvent>) {
         for event in events {
             let input = match event {
@@ -30,7 +30,7 @@
                 AttemptEvent::FullyWritten(key) => Input::FullyWritten(key),
                 AttemptEvent::Ended(key, end) => Input::AttemptEnded { key, end },
             };
-            // The core outlives every driver.
+            // The coordinator outlives every driver.
             let _ = self.inbox.send(input);
         }
     }
@@ -120,7 +120,8 @@
         open && !finished
     }
 
-    /// Reading comes first: no frame may be sent on a connection whose end is here already.
+    /// Reads, then writes; false: the connection has ended. Reading comes first: no frame may be sent on a connection that the
+    /// node has closed already.
     fn exchange(
         &self,
         state: &mut ConnectionState,
@@ -130,6 +131,7 @@
         self.read_available(state, stream, events) && write_pending(state, stream, events)
     }
 
+    /// Reads until the socket would block; false: the connection has ended.
     fn read_available(
         &self,
         state: &mut ConnectionState,
@@ -185,6 +187,7 @@
     }
 }
 
+/// Writes until the socket would block or nothing is left; false: the connection has ended.
 fn write_pending(
     state: &mut ConnectionState,
     stream: &std::net::TcpStream,
--- a/src/net/node_client/mod.rs
+++ b/src/net/node_client/mod.rs
@@ -74,7 +74,7 @@
             if !state.accepts(requests, limits.max_attempts) {
                 continue;
             }
-            // A connection can fall silent while its node is sound: what follows takes another one.
+            // A connection can fall silent while its node is healthy: new attempts use another one.
             if state.is_responsive(now, silence_timeout) {
                 return Candidates { responsive: Some(connection.clone()), silent: None };
             }
--- a/src/net/node_client/silence.rs
+++ b/src/net/node_client/silence.rs
@@ -1,14 +1,14 @@
 //! When a connection counts as silent: attempts on it wait for much longer than attempts usually take, and nothing is
-//! received. Such attempts may just be slow; what matters is that nothing new waits behind them.
+//! received. The attempts may just be slow, but nothing new must wait behind them.
 
 use crate::coordinator::AttemptKey;
 use crate::time::Micros;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
-/// A connection is silent after this multiple of the baseline response time,
+/// A connection counts as silent after this multiple of the baseline response time and [`SILENCE_MARGIN`].
 const SILENCE_RATIO: u64 = 4;
-/// with this margin for attempts that are still in flight.
+/// Added for attempts that are still in flight.
 const SILENCE_MARGIN: Micros = Micros::from_millis(5);
 /// A response time counts in the baseline as at most this multiple of it, as in the policy: were it more here, a few
 /// outliers would have the policy cancel attempts before their connection counts as silent, again and again.
--- a/src/net/watch/backoff.rs
+++ b/src/net/watch/backoff.rs
@@ -13,15 +13,15 @@
 }
 
 /// Delays between attempts where an agent beside the coordinator serves the endpoint lists: it answers at no cost, and
-/// what it knows counts as notified, also when it comes back from silence.
+/// the coordinator counts as notified of all that the agent has, also right after the agent was silent.
 const AGENT_DELAY: DelayRange = DelayRange { min_ms: 25, max_ms: 250 };
 /// Timeouts for the first message of such an agent: it answers at once, and a watch that was opened while the agent was
-/// silent may never be answered. They grow, since on a machine that is slow for long no short timeout would be met.
+/// silent may never be answered. They grow, since no short timeout would be met while the machine is slow.
 const AGENT_FIRST_MESSAGE_TIMEOUT: DelayRange =
     DelayRange { min_ms: 500, max_ms: SILENCE_TIMEOUT.0 / MICROS_PER_MILLI };
 /// Where one discovery service serves all coordinators, the delays go from this fraction of the poll interval that the
-/// settings allow up to the whole of it. Discovery admits few calls at once and lets the others wait in vain, so the load of
-/// all repeated calls has to fall until some of them are served.
+/// settings allow up to the whole of it. Discovery serves few calls at once and lets the others time out, so the total rate
+/// of calls has to fall until some of them are served.
 const SHARED_MIN_DELAY_DIVISOR: u64 = 10;
 /// The shortest poll interval that is respected, in milliseconds.
 const MIN_SHARED_POLL_INTERVAL_MS: u64 = 1_000;
--- a/src/net/watch/mod.rs
+++ b/src/net/watch/mod.rs
@@ -42,11 +42,11 @@
     Protocol(#[from] WatchError),
 }
 
-/// Follows discovery and passes its endpoint lists on to the core.
+/// Follows discovery and passes its endpoint lists on to the coordinator.
 pub struct Watcher {
     /// The discovery service to follow.
     pub source: DiscoverySource,
-    /// The last revision that is known; 0: none, the whole list is asked for.
+    /// The last revision that is known; 0 requests the complete list.
     pub revision: u64,
     /// Where endpoint lists go.
     pub inbox: Sender<Input>,
@@ -132,7 +132,7 @@
     fn process(&mut self, response: &mut WatchResponse, now: Micros) -> Result<bool, WatchError> {
         let progress = response.advance(now, unix_ms()).inspect_err(|_| {
             COUNTERS.bad_endpoint_updates.increment();
-            // What the message contained is unknown, so later deltas would not apply: the whole list is asked for.
+            // What the message contained is unknown, so later deltas would not apply: the complete list is requested.
             self.revision = 0;
         })?;
         for update in progress.updates {
@@ -142,7 +142,7 @@
     }
 
     fn publish(&mut self, list: EndpointListUpdate) {
-        // Discovery may go back to an older revision; what came since the newest one is asked for.
+        // Discovery may go back to an older revision; changes since the newest one are requested.
         self.revision = list.revision.max(self.revision);
         let _ = self.inbox.send(Input::EndpointUpdate(list.update));
         self.endpoints_listed.store(true, Release);
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -179,8 +179,8 @@
     }
 }
 
-/// Reads lists from what follows, up to a line that has not ended. Only complete lists can be told of it: cut within a
-/// number it looks malformed, so that errors mean nothing here.
+/// Reads lists from what follows, up to a line that has not ended. Only complete lists are recognized there: one that is
+/// split within a number looks malformed, so errors are ignored.
 fn parse_open_line(
     text: &[u8],
     parsed: &mut ParsedLists,
--- a/src/proto/frames/codec.rs
+++ b/src/proto/frames/codec.rs
@@ -9,18 +9,23 @@
 const LENGTH_BYTES: usize = 4;
 /// The bytes of a frame's length and letter.
 pub(super) const HEADER_BYTES: usize = LENGTH_BYTES + 1;
-/// Node timeouts are in milliseconds.
+/// Timeouts in frames are in milliseconds.
 const MICROS_PER_MILLI: u64 = 1_000;
 
 /// The letters for the kinds of frames.
 mod letter {
+    /// Attempts at parts of queries, to the node.
     pub(super) const QUERY: u8 = b'q';
+    /// The id of a cancelled attempt, to the node.
     pub(super) const CANCEL: u8 = b'c';
+    /// The answer to an attempt.
     pub(super) const ANSWER: u8 = b'a';
+    /// The node could not use a frame and closes the connection.
     pub(super) const ERROR: u8 = b'e';
-    /// Answers to health checks; this program sends none.
-    pub(super) const LOAD: u8 = b'l';
-    pub(super) const PING: u8 = b'p';
+    /// A health check, or its answer; this program sends none.
+    pub(super) const HEALTH_CHECK: u8 = b'p';
+    /// A request for a load report, or its answer; this program sends none.
+    pub(super) const LOAD_REPORT: u8 = b'l';
 }
 
 /// Why bytes from a data node cannot be used; the connection ends then.
@@ -62,7 +67,8 @@
 /// What a frame from a data node carries.
 pub(super) enum FrameContent<'a> {
     Answer(AttemptAnswer<'a>),
-    HealthCheckAnswer,
+    /// Something that this program does not ask for; it does no harm.
+    Ignored,
 }
 
 /// The answer to one attempt.
@@ -121,7 +127,7 @@
     let payload = &body[1..];
     let content = match body[0] {
         letter::ANSWER => FrameContent::Answer(decode_answer(payload)?),
-        letter::LOAD | letter::PING => FrameContent::HealthCheckAnswer,
+        letter::HEALTH_CHECK | letter::LOAD_REPORT => FrameContent::Ignored,
         letter::ERROR => return Err(FrameError::Rejected(String::from_utf8_lossy(payload).into_owned())),
         other => return Err(FrameError::UnknownLetter(char::from(other))),
     };
--- a/src/proto/frames/connection.rs
+++ b/src/proto/frames/connection.rs
@@ -8,7 +8,7 @@
 use crate::proto::buffer::Buffer;
 use std::collections::VecDeque;
 
-/// What became of an attempt with the bytes that were written or read.
+/// What happened to an attempt when bytes were written or read.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AttemptEvent {
     /// The first bytes of the attempt's frame are written: it cannot be reclaimed any more.
