--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -11,7 +11,7 @@
 use quinceflow::front::ogc::visit::{read_page, Visit};
 use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
-use quinceflow::proto::fetch::Fetched;
+use quinceflow::proto::fetch::FetchedResponse;
 use quinceflow::proto::http::Server;
 use quinceflow::time::Micros;
 use quinceflow_testkit::feature_server::devices;
@@ -128,7 +128,7 @@
                         let visit =
                             part.context.as_ref().and_then(RequestContext::get::<Visit>).expect("a visit");
                         let fetched =
-                            Fetched { status: 200, headers: Default::default(), body: body.clone() };
+                            FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -6,7 +6,7 @@
 use crate::front::ogc::SharedCatalog;
 use crate::front::platform::{Named, SharedNamed};
 use crate::net::config::{Config, InForce};
-use crate::net::watch::Place;
+use crate::net::watch::DiscoverySource;
 use crate::settings::CoordinatorSettings;
 use crate::sync;
 use crate::time::Micros;
@@ -35,13 +35,18 @@
     /// The address of discovery in the file. At the start the environment takes precedence over it; a new address in a
     /// reloaded file takes precedence over the environment, which cannot change.
     discovery_in_file: Option<SocketAddr>,
-    source: Place,
+    source: DiscoverySource,
     catalog: SharedNamed,
     metrics: Arc<Metrics>,
 }
 
 impl PlatformReload {
-    pub(super) fn new(config: &Config, source: Place, catalog: SharedNamed, metrics: Arc<Metrics>) -> Self {
+    pub(super) fn new(
+        config: &Config,
+        source: DiscoverySource,
+        catalog: SharedNamed,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         PlatformReload {
             file: InForce::at_start(config),
             discovery_in_file: config.told,
@@ -60,10 +65,10 @@
         })?;
         self.metrics.config_applied.increment();
         if self.discovery_in_file.replace(file.discovery) != Some(file.discovery) {
-            self.source.move_to(file.discovery);
+            self.source.set_address(file.discovery);
         }
         let settings = file.deployment;
-        self.source.ask_within_is(settings.policy.max_poll_interval);
+        self.source.set_max_poll_interval(settings.policy.max_poll_interval);
         *sync::lock(&self.catalog) = Named::new(&settings);
         let classes: Vec<_> = settings.policy.classes.iter().map(|c| c.name.as_str()).collect();
         let message = format!(
