--- a/src/bin/quinceflow-sim-adapter/host.rs
+++ b/src/bin/quinceflow-sim-adapter/host.rs
@@ -1,10 +1,15 @@
 //! The instances in this process, and which events are whose.
 
-use crate::codec::{read_records, Batch, Malformed, Record, Reply};
-
-use quinceflow::{settings, *};
+use crate::error::AdapterError;
+use crate::frame::Batch;
+use crate::record::Record;
+use crate::reply::Reply;
+use quinceflow::{settings, DecisionPolicy, Endpoint, EndpointListKind, Event};
 use std::collections::BTreeMap;
 
+/// The events of one batch by instance, in order.
+type Inboxes = BTreeMap<u16, Vec<Event>>;
+
 /// All instances of this process; they share nothing but the wire.
 #[derive(Default)]
 pub struct Host {
@@ -14,56 +19,78 @@
 
 impl Host {
     /// Hands a batch to the instances it is for and gathers their reply.
-    pub fn answer(&mut self, batch: &Batch) -> Result<Vec<u8>, Malformed> {
-        let mut inboxes: BTreeMap<u16, Vec<Event>> = BTreeMap::new();
+    pub fn answer(&mut self, batch: &Batch) -> Result<Vec<u8>, AdapterError> {
+        let mut inboxes = Inboxes::new();
         let mut current = None;
-        for record in read_records(batch)? {
-            let here = || {
-                current.ok_or_else(|| {
-                    Malformed(format!("batch {}: an event comes before any ON record", batch.number))
-                })
-            };
+        for record in Record::read_all(batch)? {
             match record {
                 Record::On(instance) => current = Some(instance),
-                Record::Pool { sheet, members } => {
-                    self.pools.insert(sheet, members);
-                }
-                Record::New { seed, boot_info } => {
-                    let set = settings::read(&boot_info)
-                        .map_err(|e| Malformed(format!("batch {}: boot-info: {e}", batch.number)))?;
-                    self.instances.insert(here()?, DecisionPolicy::new(set, seed, batch.now));
-                    inboxes.insert(here()?, Vec::new());
-                }
-                Record::Destroy => {
-                    self.instances.remove(&here()?);
-                    inboxes.remove(&here()?);
-                }
-                Record::Members { kind, sheet } => {
-                    let members = match kind {
-                        EndpointListKind::Failed => Vec::new(),
-                        _ => self.pools.get(&sheet).cloned().ok_or_else(|| {
-                            Malformed(format!("batch {}: MEMBERSHIP names no POOL {sheet}", batch.number))
-                        })?,
-                    };
-                    inboxes.entry(here()?).or_default().push(Event::Endpoints { kind, endpoints: members });
-                }
-                Record::Event(event) => inboxes.entry(here()?).or_default().push(event),
-                Record::Other => {
-                    here()?;
+                Record::Pool { pool, endpoints } => {
+                    self.pools.insert(pool, endpoints);
                 }
+                record => self.apply(record, current, batch, &mut inboxes)?,
             }
         }
+        self.reply(batch, inboxes)
+    }
+
+    /// Applies a record that is for the current instance.
+    fn apply(
+        &mut self,
+        record: Record,
+        current: Option<u16>,
+        batch: &Batch,
+        inboxes: &mut Inboxes,
+    ) -> Result<(), AdapterError> {
+        let instance = || current.ok_or(AdapterError::NoCurrentInstance { batch: batch.number });
+        match record {
+            Record::New { seed, settings } => {
+                let settings = settings::read(&settings)
+                    .map_err(|error| AdapterError::Settings { batch: batch.number, source: error.into() })?;
+                self.instances.insert(instance()?, DecisionPolicy::new(settings, seed, batch.now));
+                inboxes.insert(instance()?, Vec::new());
+            }
+            Record::Destroy => {
+                self.instances.remove(&instance()?);
+                inboxes.remove(&instance()?);
+            }
+            Record::EndpointList { kind, pool } => {
+                let endpoints = self.endpoints(kind, pool, batch)?;
+                inboxes.entry(instance()?).or_default().push(Event::Endpoints { kind, endpoints });
+            }
+            Record::Event(event) => inboxes.entry(instance()?).or_default().push(event),
+            Record::On(_) | Record::Pool { .. } | Record::Other => {
+                instance()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn endpoints(
+        &self,
+        kind: EndpointListKind,
+        pool: u16,
+        batch: &Batch,
+    ) -> Result<Vec<Endpoint>, AdapterError> {
+        if kind == EndpointListKind::Failed {
+            return Ok(Vec::new());
+        }
+        self.pools.get(&pool).cloned().ok_or(AdapterError::UnknownPool { batch: batch.number, pool })
+    }
+
+    /// Has each instance handle its events.
+    fn reply(&mut self, batch: &Batch, inboxes: Inboxes) -> Result<Vec<u8>, AdapterError> {
         let mut reply = Reply::new(batch.number);
         let mut actions = Vec::new();
         for (instance, events) in inboxes {
-            let Some(aggregator) = self.instances.get_mut(&instance) else {
-                return Err(Malformed(format!("batch {}: no instance {instance} was started", batch.number)));
+            let Some(policy) = self.instances.get_mut(&instance) else {
+                return Err(AdapterError::UnknownInstance { batch: batch.number, instance });
             };
             actions.clear();
-            aggregator.handle(batch.now, &events, &mut actions);
+            policy.handle(batch.now, &events, &mut actions);
             if !actions.is_empty() {
                 reply.from(instance);
-                actions.iter().for_each(|a| reply.action(a));
+                actions.iter().for_each(|action| reply.action(action));
             }
         }
         Ok(reply.finish())
--- a/src/bin/quinceflow-sim-adapter/main.rs
+++ b/src/bin/quinceflow-sim-adapter/main.rs
@@ -1,32 +1,37 @@
-//! Hosts instances of the module and speaks the bench's wire on standard input and output. Decides nothing.
+//! Hosts instances of the policy and speaks the simulator's protocol on standard input and output. Decides nothing.
 #![forbid(unsafe_code)]
 
-mod codec;
+mod error;
+mod fields;
+mod frame;
 mod host;
+mod record;
+mod reply;
 
+use error::AdapterError;
 use std::io::{self, BufReader, BufWriter, Write};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("quinceflow-sim-adapter: {why}");
+        Err(error) => {
+            eprintln!("quinceflow-sim-adapter: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn serve() -> Result<(), codec::Malformed> {
+fn serve() -> Result<(), AdapterError> {
     let mut input = BufReader::new(io::stdin().lock());
     let mut output = BufWriter::new(io::stdout().lock());
     let mut host = host::Host::default();
-    while let Some(batch) = codec::read_batch(&mut input)? {
+    while let Some(batch) = frame::Batch::read(&mut input)? {
         let reply = host.answer(&batch)?;
         output
             .write_all(&reply)
             .and_then(|()| output.flush())
-            .map_err(|e| codec::Malformed(format!("reply {}: {e}", batch.number)))?;
+            .map_err(|source| AdapterError::WriteReply { batch: batch.number, source })?;
     }
     Ok(())
 }
--- /dev/null
+++ b/src/bin/quinceflow-sim-adapter/record.rs
@@ -0,0 +1,183 @@
+//! The records of a batch: what happened to which instance.
+
+use crate::error::AdapterError;
+use crate::fields::Fields;
+use crate::frame::Batch;
+use quinceflow::{
+    AttemptNo, CellId, ClassId, Endpoint, EndpointListKind, EndpointState, Event, GroupId, Outcome, PartId,
+    QueryId, ShardId, TenantId, ZoneId,
+};
+
+/// The codes of records, by their names on the wire.
+mod code {
+    pub const NEW_INSTANCE: u8 = 1;
+    pub const MEMBERSHIP: u8 = 2;
+    pub const ASK: u8 = 3;
+    /// An answer has started; no class streams here.
+    pub const ACCEPTED: u8 = 4;
+    pub const VERDICT: u8 = 5;
+    pub const LAPSED: u8 = 6;
+    pub const REMINDER: u8 = 7;
+    pub const PROBED: u8 = 8;
+    /// A message of another coordinator; none is sent here.
+    pub const HEARD: u8 = 9;
+    pub const DESTROY: u8 = 10;
+    pub const POOL: u8 = 11;
+    pub const ON: u8 = 12;
+}
+
+/// A query states the work that it expects.
+const WORK_STATED: u8 = 1;
+
+/// One record of a batch.
+#[derive(Debug, PartialEq)]
+pub enum Record {
+    /// What follows is for this instance.
+    On(u16),
+    /// The endpoints that later lists refer to by this number.
+    Pool { pool: u16, endpoints: Vec<Endpoint> },
+    /// The instance starts.
+    New { seed: u64, settings: String },
+    /// The instance receives an endpoint list.
+    EndpointList { kind: EndpointListKind, pool: u16 },
+    /// The instance ends.
+    Destroy,
+    /// An event for the instance.
+    Event(Event),
+    /// A record that the policy has no use for.
+    Other,
+}
+
+impl Record {
+    /// Reads all records of a batch.
+    pub fn read_all(batch: &Batch) -> Result<Vec<Record>, AdapterError> {
+        let mut body = Fields::new(&batch.body, "batch");
+        let mut records = Vec::new();
+        for number in 0..batch.records {
+            let record = Record::read(&mut body).map_err(|error| AdapterError::Record {
+                batch: batch.number,
+                record: number,
+                source: Box::new(error),
+            })?;
+            records.push(record);
+        }
+        if !body.is_empty() {
+            return Err(AdapterError::TrailingBytes { batch: batch.number, records: batch.records });
+        }
+        Ok(records)
+    }
+
+    fn read(body: &mut Fields<'_>) -> Result<Record, AdapterError> {
+        let (code, length) = (body.u8()?, body.u32()?);
+        let bytes = body.bytes(length as usize)?;
+        let fields = |context| Fields::new(bytes, context);
+        match code {
+            code::NEW_INSTANCE => read_new(&mut fields("NEW_INSTANCE")),
+            code::MEMBERSHIP => read_endpoint_list(&mut fields("MEMBERSHIP")),
+            code::ASK => read_query_or_part(&mut fields("ASK")).map(Record::Event),
+            code::VERDICT => read_outcome(&mut fields("VERDICT")).map(Record::Event),
+            code::LAPSED => Ok(Record::Event(Event::Abandoned(QueryId(fields("LAPSED").u64()?)))),
+            code::REMINDER => {
+                fields("REMINDER").u64()?;
+                Ok(Record::Event(Event::TimerFired))
+            }
+            code::PROBED => read_health_check(&mut fields("PROBED")),
+            code::ACCEPTED | code::HEARD => Ok(Record::Other),
+            code::DESTROY => Ok(Record::Destroy),
+            code::POOL => read_pool(&mut fields("POOL")),
+            code::ON => Ok(Record::On(fields("ON").u16()?)),
+            _ => Err(AdapterError::UnknownRecord(code)),
+        }
+    }
+}
+
+fn read_new(fields: &mut Fields<'_>) -> Result<Record, AdapterError> {
+    let (seed, length) = (fields.u64()?, fields.u32()?);
+    let text = fields.bytes(length as usize)?.to_vec();
+    let settings = String::from_utf8(text).map_err(AdapterError::SettingsEncoding)?;
+    Ok(Record::New { seed, settings })
+}
+
+fn read_endpoint_list(fields: &mut Fields<'_>) -> Result<Record, AdapterError> {
+    let kind = fields.u8()?;
+    let (_version, pool) = (fields.u32()?, fields.u16()?);
+    let kind = match kind {
+        0 => EndpointListKind::Delta,
+        1 => EndpointListKind::Full,
+        2 => EndpointListKind::Cached,
+        3 => EndpointListKind::Failed,
+        _ => return Err(AdapterError::UnknownListKind(kind)),
+    };
+    Ok(Record::EndpointList { kind, pool })
+}
+
+fn read_query_or_part(fields: &mut Fields<'_>) -> Result<Event, AdapterError> {
+    let id = fields.u64()?;
+    let group = GroupId(fields.integer()?.unwrap_or(0));
+    let (work, _key, marks, tenant) = (fields.u64()?, fields.u64()?, fields.u8()?, TenantId(fields.u32()?));
+    let shard = fields.integer()?;
+    let weight = f64::from(fields.f32()?);
+    let (class, time_left) = (ClassId(u16::from(fields.u8()?)), fields.u64()?);
+    Ok(match shard {
+        Some(shard) => Event::Part { part: PartId(id), group, shard: ShardId(shard), weight },
+        None => Event::Query {
+            query: QueryId(id),
+            group,
+            class,
+            tenant,
+            expected_work: (marks & WORK_STATED != 0).then_some(work),
+            time_left,
+        },
+    })
+}
+
+fn read_outcome(fields: &mut Fields<'_>) -> Result<Event, AdapterError> {
+    let (part, attempt) = (PartId(fields.u64()?), AttemptNo(fields.u16()?));
+    fields.replica()?;
+    let outcome = outcome(fields.u8()?)?;
+    let elapsed = fields.u64()?;
+    let _flags = fields.u8()?;
+    fields.skip_load_report()?;
+    Ok(Event::Outcome { part, attempt, outcome, elapsed })
+}
+
+fn read_health_check(fields: &mut Fields<'_>) -> Result<Record, AdapterError> {
+    fields.replica()?;
+    outcome(fields.u8()?)?;
+    let _elapsed = fields.u64()?;
+    fields.skip_load_report()?;
+    Ok(Record::Other)
+}
+
+fn read_pool(fields: &mut Fields<'_>) -> Result<Record, AdapterError> {
+    let (pool, count) = (fields.u16()?, fields.u32()?);
+    let endpoints = (0..count).map(|_| read_endpoint(fields)).collect::<Result<_, _>>()?;
+    Ok(Record::Pool { pool, endpoints })
+}
+
+fn read_endpoint(fields: &mut Fields<'_>) -> Result<Endpoint, AdapterError> {
+    let (replica, zone) = (fields.replica()?, ZoneId(fields.u16()?));
+    let (_kind, cell) = (fields.u16()?, CellId(fields.u16()?));
+    let state = match fields.u8()? {
+        0 => EndpointState::Removed,
+        1 => EndpointState::Ready,
+        2 => EndpointState::Draining,
+        other => return Err(AdapterError::UnknownState(other)),
+    };
+    let _weight = fields.f32()?;
+    Ok(Endpoint { replica, zone, cell, state, started_at: fields.u64()? })
+}
+
+fn outcome(code: u8) -> Result<Outcome, AdapterError> {
+    Ok(match code {
+        0 => Outcome::Ok,
+        1 => Outcome::Cancelled,
+        4 => Outcome::TimedOut,
+        8 => Outcome::Rejected,
+        9 => Outcome::NotSent,
+        10 => Outcome::Reset,
+        13 => Outcome::Error,
+        14 => Outcome::ConnectFailed,
+        _ => return Err(AdapterError::UnknownOutcome(code)),
+    })
+}
--- /dev/null
+++ b/src/bin/quinceflow-sim-adapter/reply.rs
@@ -0,0 +1,77 @@
+//! A reply: the actions of all instances to one batch.
+
+use quinceflow::Action;
+
+/// The codes of records in a reply.
+mod code {
+    pub const SEND: u8 = 65;
+    pub const REJECT: u8 = 66;
+    pub const FAIL: u8 = 67;
+    pub const CANCEL: u8 = 68;
+    pub const SET_TIMER: u8 = 69;
+    pub const CLOSE_IDLE: u8 = 71;
+    pub const SUBSCRIBE: u8 = 75;
+    pub const ANSWER: u8 = 77;
+    pub const FROM: u8 = 78;
+}
+
+/// Bytes of a frame's length, which counts what follows it.
+const LENGTH_BYTES: usize = 4;
+
+/// A reply in the making.
+pub struct Reply {
+    bytes: Vec<u8>,
+}
+
+impl Reply {
+    /// An empty reply to the batch of this number.
+    pub fn new(batch: u32) -> Self {
+        let mut bytes = vec![0; LENGTH_BYTES];
+        bytes.extend(batch.to_le_bytes());
+        Reply { bytes }
+    }
+
+    /// The actions that follow are this instance's.
+    pub fn from(&mut self, instance: u16) {
+        self.record(code::FROM, &[&instance.to_le_bytes()]);
+    }
+
+    /// Adds an action.
+    pub fn action(&mut self, action: &Action) {
+        match action {
+            Action::Send { part, replica, timeout, .. } => {
+                self.record(code::SEND, &[&part.0.to_le_bytes(), &replica.0, &timeout.to_le_bytes()]);
+            }
+            Action::Cancel { part, attempt } => {
+                self.record(code::CANCEL, &[&part.0.to_le_bytes(), &attempt.0.to_le_bytes()]);
+            }
+            Action::Answer { query, complete } => {
+                self.record(code::ANSWER, &[&query.0.to_le_bytes(), &[u8::from(*complete)]]);
+            }
+            Action::Reject { query, retry_after } => {
+                let retry_after = retry_after.unwrap_or(0);
+                self.record(code::REJECT, &[&query.0.to_le_bytes(), &retry_after.to_le_bytes()]);
+            }
+            Action::Fail(query) => self.record(code::FAIL, &[&query.0.to_le_bytes()]),
+            Action::SetTimer(at) => {
+                self.record(code::SET_TIMER, &[&at.to_le_bytes(), &0u64.to_le_bytes()]);
+            }
+            Action::CloseIdle(replica) => self.record(code::CLOSE_IDLE, &[&replica.0]),
+            Action::Subscribe => self.record(code::SUBSCRIBE, &[&[1]]),
+        }
+    }
+
+    /// The finished frame.
+    pub fn finish(mut self) -> Vec<u8> {
+        let length = (self.bytes.len() - LENGTH_BYTES) as u32;
+        self.bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+        self.bytes
+    }
+
+    fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        let length: usize = fields.iter().map(|field| field.len()).sum();
+        self.bytes.push(code);
+        self.bytes.extend((length as u32).to_le_bytes());
+        fields.iter().for_each(|field| self.bytes.extend_from_slice(field));
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,6 @@
-//! The words between a coordinator and the module: settings, events and actions. Plain data, no decisions.
+//! The interface between a coordinator and its policy: settings, events and actions. Plain data, no decisions.
+//!
+//! All times are [`Nanos`] of the caller's clock.
 
 /// A point in time or a span of it, in nanoseconds of the caller's clock.
 pub type Nanos = u64;
@@ -16,61 +18,61 @@
     QueryId(u64);
     /// One part of a query; queries and parts share one space of ids.
     PartId(u64);
-    /// The number that ties parts to their query.
+    /// The number that parts have in common with their query.
     GroupId(u32);
     /// A shard, from 0.
     ShardId(u32);
-    /// A place in [`Settings::classes`].
+    /// An index into [`Settings::classes`].
     ClassId(u16);
-    /// A place in [`Settings::tenants`].
+    /// An index into [`Settings::tenants`].
     TenantId(u32);
-    /// A zone: servers of one room fail together.
+    /// An availability zone: replicas of one zone fail together.
     ZoneId(u16);
-    /// A cell of replicas; see [`Settings::reach`].
+    /// A cell of replicas; see [`Settings::cells`].
     CellId(u16);
-    /// Four bytes of address and two of port, sent back as they came.
+    /// A replica: four bytes of address and two of port, opaque to the policy.
     ReplicaId([u8; 6]);
     /// The number of an attempt at a part, from 0.
     AttemptNo(u16);
 }
 
-/// What happens when a part runs twice.
+/// What happens when a part runs more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
-    /// Nothing: repeat it freely.
+    /// Nothing: it may be retried freely.
     Idempotent,
-    /// Repeats are dropped for so long after the first attempt that may have run.
+    /// Replicas drop repeats for this time after the first attempt that may have run.
     Deduplicated(Nanos),
-    /// Harm: never again unless no earlier attempt ran.
+    /// Harm: it is not retried unless no earlier attempt can have run.
     NonIdempotent,
 }
 
-/// A class of query.
+/// A class of queries, and what its clients expect.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Class {
-    /// Its name, which outlives its number.
+    /// Its name, by which it is found again after a change of settings.
     pub name: String,
-    /// It is in the settings in force; one that is not is kept for the queries that began with it.
+    /// It is in the settings in force; others remain for the queries that began with them.
     pub active: bool,
-    /// Wanted within this time.
+    /// An answer within this time earns the full weight.
     pub latency_objective: Nanos,
-    /// The aim grows by so many times the work that the query's hint names.
+    /// The objective grows by this multiple of the query's expected work.
     pub objective_stretch: f64,
-    /// The client's patience over all its tries.
+    /// How long a client waits over all its attempts.
     pub deadline: Nanos,
-    /// May its parts run twice?
+    /// What happens when a part runs more than once.
     pub effect: Effect,
-    /// Worth of a whole answer.
+    /// The weight of a complete answer, against those of other classes.
     pub priority_weight: f64,
-    /// Share of the worth that an answer after the aim still earns.
+    /// The share of that weight which an answer after the objective still earns.
     pub late_weight: f64,
-    /// Share of the first step's weight that makes a whole answer.
+    /// The share of the first step's weight that makes an answer complete.
     pub required_share: f64,
-    /// Least share of the weight that an answer may be given from.
+    /// The least share of the weight that an answer may be given from.
     pub min_share: f64,
-    /// Parts of the second step; 0 where there is none.
+    /// How many parts the follow-up step has; 0 where there is none.
     pub follow_up_parts: u32,
-    /// Most attempts at a part.
+    /// The most attempts at a part; at least one is made.
     pub max_attempts: u32,
 }
 
@@ -82,34 +84,34 @@
     }
 }
 
-/// A tenant and its quota of queries a second, over all coordinators; `None` where none is stated.
+/// A tenant.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
-    /// Queries a second within its share.
+    /// Its quota in queries a second over all coordinators, if there is one.
     pub quota: Option<f64>,
 }
 
-/// The budget for attempts beyond each part's first.
+/// The budget for retries and hedged requests: attempts beyond each part's first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudget {
-    /// So many are free in any window.
+    /// How many are free in any window.
     pub free: f64,
-    /// And so many for each query or part taken in it.
+    /// How many each query or part received in the window adds.
     pub ratio: f64,
-    /// The window.
+    /// The length of the window.
     pub window: Nanos,
 }
 
-/// When a replica that just started falls over.
+/// How much a replica bears that has just started.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SlowStartRule {
-    /// It falls when sent this multiple of what it can do,
+    /// It is overloaded when it is sent this multiple of its capacity,
     pub overload_factor: f64,
     /// for this long.
     pub overload_window: Nanos,
-    /// Least share of its capacity at the start.
+    /// Its capacity at the start, as a share of that when warm.
     pub initial_capacity: f64,
-    /// Warm after this time at the latest.
+    /// It has its full capacity after this time.
     pub warm_up: Nanos,
 }
 
@@ -122,51 +124,48 @@
     }
 }
 
-/// What an instance is told at its start.
+/// The settings of an instance.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
     /// How many coordinators share the replicas, this one included.
     pub coordinators: u32,
     /// The shortest time between two batches.
     pub tick: Nanos,
-    /// The classes of query.
+    /// The classes of queries, by [`ClassId`].
     pub classes: Vec<Class>,
-    /// The tenants; may be empty.
+    /// The tenants, by [`TenantId`].
     pub tenants: Vec<Tenant>,
-    /// Worth of a query past its tenant's quota, as a share of its class's.
+    /// The weight of a query beyond its tenant's quota, as a share of its class's.
     pub over_quota_weight: f64,
-    /// Number of shards.
+    /// The number of shards.
     pub shards: u32,
-    /// Number of cells: shard `s` is held by cells `(s + j) % cells`, `j` below `reach`.
+    /// The number of cells: shard `s` is held by cells `(s + n) % cells`, `n` below `cells_per_shard`.
     pub cells: u32,
-    /// See `cells`.
+    /// The number of cells that hold a shard.
     pub cells_per_shard: u32,
-    /// Most parts that one call carries.
+    /// The most parts that one call carries.
     pub max_batch: u32,
-    /// Work of a call beside its parts'.
+    /// The work of a call beside that of its parts.
     pub call_overhead: Nanos,
-    /// The list comes only when asked; without asking for so long an instance counts as told. `None`: it
-    /// comes on its own.
+    /// The endpoint list comes only when polled; an instance that does not poll for this long counts as notified.
+    /// `None`: it comes on its own.
     pub max_poll_interval: Option<Nanos>,
-    /// The budget for further attempts, if there is one.
+    /// The retry budget, if there is one.
     pub retry_budget: Option<RetryBudget>,
-    /// The rule for replicas that just started, if there is one.
+    /// The slow-start rule, if there is one.
     pub slow_start: Option<SlowStartRule>,
-    /// Attempts can be called off.
+    /// Attempts can be cancelled.
     pub cancellation: bool,
-    /// Two attempts at a part may be out at once.
+    /// Two attempts at a part may be in flight at once.
     pub hedging: bool,
-    /// Longest wait that a refused client obeys; `None` where it is not told.
+    /// The longest `Retry-After` that a rejected client follows; `None` where clients get none.
     pub max_retry_after: Option<Nanos>,
-    /// What the level of reduced service takes back.
+    /// What the level of reduced service in force cuts back.
     pub reduction: ServiceReduction,
 }
 
 impl Settings {
-    /// A class by its number.
-    ///
-    /// # Panics
-    /// Where the settings have no such class.
+    /// A class by its number, which the settings must have.
     #[must_use]
     pub fn class(&self, id: ClassId) -> &Class {
         &self.classes[usize::from(id.0)]
@@ -195,16 +194,16 @@
     }
 }
 
-/// What a level of reduced service takes back; the default takes nothing.
+/// What a level of reduced service cuts back; the default cuts nothing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceReduction {
-    /// Share of each class's queries that is admitted, by its number; a class without one is admitted whole.
+    /// The share of each class's queries that is admitted, by [`ClassId`]; a class without one has no limit.
     pub admitted_shares: Vec<f64>,
-    /// Late parts of samples are called off like others.
+    /// Late parts of sampled queries are cancelled like others.
     pub skip_late_samples: bool,
-    /// A class that may lack parts is answered after this share of its aim, once its floor is in.
+    /// Where parts may be missing an answer is given after this share of the objective, from the floor on.
     pub answer_after: f64,
-    /// The least that a refused client is told to wait, half of the most, comes so many times nearer to that.
+    /// The shortest `Retry-After` is half of the longest; this factor brings it that many times nearer to it.
     pub retry_after_factor: f64,
 }
 
@@ -219,21 +218,21 @@
     }
 }
 
-/// The state of a replica in the list.
+/// The state of a replica in the endpoint list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointState {
-    /// Takes work.
+    /// It accepts work.
     Ready,
-    /// Wraps up; nothing new.
+    /// It completes what it has and accepts nothing new.
     Draining,
-    /// Removed.
+    /// It is gone.
     Removed,
 }
 
-/// A line of the list.
+/// A replica in the endpoint list.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Endpoint {
-    /// Which replica.
+    /// Its id.
     pub replica: ReplicaId,
     /// Its zone.
     pub zone: ZoneId,
@@ -245,37 +244,37 @@
     pub started_at: Nanos,
 }
 
-/// How much of the list came.
+/// What an endpoint list covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointListKind {
-    /// Changes only.
+    /// Changes to the list.
     Delta,
-    /// All of it.
+    /// The full list.
     Full,
-    /// All of it, as this instance last had it.
+    /// The full list, as this instance last had it.
     Cached,
-    /// A call for it failed, or the subscription broke; nothing came.
+    /// Nothing: a poll failed, or the subscription broke.
     Failed,
 }
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
-    /// Served.
+    /// It was answered.
     Ok,
-    /// An error came back; it may have run.
+    /// The replica returned an error; it may have run.
     Error,
-    /// Turned away unseen: it never ran.
+    /// The replica rejected it: it never ran.
     Rejected,
-    /// No answer in time; it may have run.
+    /// It timed out; it may have run.
     TimedOut,
-    /// No connection: it never ran.
+    /// No connection was made: it never ran.
     ConnectFailed,
-    /// The connection broke; it may have run.
+    /// The connection was reset; it may have run.
     Reset,
-    /// Called off; it may have run.
+    /// It was cancelled; it may have run.
     Cancelled,
-    /// Not sent: it never ran.
+    /// It was not sent: it never ran.
     NotSent,
 }
 
@@ -287,114 +286,114 @@
     }
 }
 
-/// What a coordinator tells the module.
+/// What a coordinator reports to its policy.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    /// News of the list.
+    /// An endpoint list was received, or a poll for it failed.
     Endpoints {
-        /// How much of it came.
+        /// What it covers.
         kind: EndpointListKind,
-        /// Its lines.
+        /// Its replicas.
         endpoints: Vec<Endpoint>,
     },
-    /// What a replica holds, where its cell does not tell; comes ahead of the list that names it.
+    /// The shards of a replica, where its cell does not determine them; precedes the list that names it.
     Placement {
-        /// Which replica.
+        /// The replica.
         replica: ReplicaId,
         /// The shards it holds.
         shards: Vec<ShardId>,
     },
-    /// A query was taken; its parts follow in the same batch.
+    /// A query was received; its parts follow in the same batch.
     Query {
         /// Its id.
         query: QueryId,
-        /// The number its parts bear.
+        /// The number that its parts have in common with it.
         group: GroupId,
         /// Its class.
         class: ClassId,
         /// Its tenant.
         tenant: TenantId,
-        /// Expected work of all parts, where told.
+        /// The expected work of all its parts, where the client stated it.
         expected_work: Option<Nanos>,
-        /// Time before the client abandons this try.
+        /// The time until the client abandons this attempt.
         time_left: Nanos,
     },
-    /// A part of a query: of the first step, or of the second after the first answer.
+    /// A part of a query was received: of its first step or, after the first answer, of its follow-up step.
     Part {
         /// Its id.
         part: PartId,
-        /// The number of its query.
+        /// The number that it has in common with its query.
         group: GroupId,
         /// Its shard.
         shard: ShardId,
-        /// Its weight in its step.
+        /// Its share of its step's weight.
         weight: f64,
     },
     /// An attempt ended.
     Outcome {
         /// The part.
         part: PartId,
-        /// Which attempt.
+        /// The number of the attempt.
         attempt: AttemptNo,
-        /// How.
+        /// How it ended.
         outcome: Outcome,
         /// How long ago it was sent.
         elapsed: Nanos,
     },
-    /// The client of a query has left, or the query's time is over.
+    /// The client of a query has disconnected, or its time is over.
     Abandoned(QueryId),
-    /// The settings change. Open queries keep the number of their class, and what it says stays as it was.
+    /// The settings have changed. Open queries keep their class, whose settings stay as they were.
     Settings {
-        /// From now on.
+        /// The settings in force from now on.
         settings: Box<Settings>,
-        /// For each class, the one whose seen figures it goes on with.
+        /// For each class, the former one whose statistics it continues.
         class_mapping: Vec<ClassId>,
     },
-    /// A wake-up is due.
+    /// The timer of [`Action::SetTimer`] fired.
     TimerFired,
 }
 
-/// What the module tells its coordinator to do, in order.
+/// What a policy has its coordinator do, in order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Launch an attempt at a part.
+    /// Send an attempt at a part.
     Send {
         /// The part.
         part: PartId,
-        /// Where to.
+        /// The replica it goes to.
         replica: ReplicaId,
-        /// Time-out of this attempt.
+        /// The time-out of this attempt.
         timeout: Nanos,
-        /// Not begun to leave by then it never may: it would repeat a part outside its class's window.
+        /// Unless its writing has started by then it must not be sent: it would repeat a part too late.
         not_after: Nanos,
     },
-    /// Call an attempt off.
+    /// Cancel an attempt.
     Cancel {
         /// The part.
         part: PartId,
-        /// Which attempt.
+        /// The number of the attempt.
         attempt: AttemptNo,
     },
-    /// Answer from the parts that are in; the first of two steps' answers brings further parts.
+    /// Answer from the parts received; the answer from a first step brings the parts of the follow-up step.
     Answer {
-        /// Which query.
+        /// The query.
         query: QueryId,
-        /// It is whole.
+        /// The answer is complete.
         complete: bool,
     },
-    /// Send a query back: asking again does no harm.
+    /// Reject a query: the client may safely retry it.
     Reject {
-        /// Which query.
+        /// The query.
         query: QueryId,
-        /// When to come back, where clients are told.
+        /// The `Retry-After`, where clients get one.
         retry_after: Option<Nanos>,
     },
-    /// Give a query up, with no promise.
+    /// Fail a query: it may have run.
     Fail(QueryId),
-    /// Send [`Event::Wake`] at this time.
+    /// Report [`Event::TimerFired`] at this time.
     SetTimer(Nanos),
     /// Close the idle connections to a replica.
     CloseIdle(ReplicaId),
-    /// Subscribe to the list.
+    /// Subscribe to the endpoint list.
     Subscribe,
 }
