--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,12 +1,16 @@
-//! A small coordinator for the tests: settings, a fleet and a clock.
+//! A harness for the policy: settings, three replicas and a clock that the test advances.
 #![allow(dead_code)]
 
 use quinceflow::*;
 
+/// A millisecond.
 pub const MS: Nanos = 1_000_000;
+/// A second.
 pub const S: Nanos = 1_000 * MS;
+/// When the tests begin.
 pub const START: Nanos = 1_000 * S;
 
+/// A class that needs all parts within a second.
 pub fn class(effect: Effect) -> Class {
     Class {
         name: "lookup".to_owned(),
@@ -47,15 +51,17 @@
     }
 }
 
+/// The id of replica `n`.
 pub fn replica(n: u8) -> ReplicaId {
     ReplicaId([10, 0, 0, n, 0, 80])
 }
 
-pub fn member(n: u8, state: EndpointState, since: Nanos) -> Endpoint {
-    Endpoint { replica: replica(n), zone: ZoneId(0), cell: CellId(u16::from(n)), state, started_at: since }
+/// Replica `n`, in the cell of its number.
+pub fn endpoint(n: u8, state: EndpointState, started_at: Nanos) -> Endpoint {
+    Endpoint { replica: replica(n), zone: ZoneId(0), cell: CellId(u16::from(n)), state, started_at }
 }
 
-/// A query whose parts bear its id as their group.
+/// A query; its group has the number of its id.
 pub fn query_event(id: u64, class: u16, tenant: u32, time_left: Nanos) -> Event {
     Event::Query {
         query: QueryId(id),
@@ -67,54 +73,64 @@
     }
 }
 
-pub struct Bench {
-    pub module: DecisionPolicy,
+/// A policy, and the time of its next batch.
+pub struct Harness {
+    pub policy: DecisionPolicy,
     pub now: Nanos,
     next: u64,
 }
 
-impl Bench {
+impl Harness {
     /// A fleet of three ready replicas, one a cell: shard s is held by replicas s and s + 1.
     pub fn new(set: Settings) -> Self {
         Self::with_seed(set, 7)
     }
 
+    /// The same with another seed for the policy's draws.
     pub fn with_seed(set: Settings, seed: u64) -> Self {
-        let mut bench = Self { module: DecisionPolicy::new(set, seed, START), now: START, next: 1 };
-        let members = (0..3).map(|n| member(n, EndpointState::Ready, 0)).collect();
-        bench.tell(vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: members }]);
-        bench
+        let mut harness = Self { policy: DecisionPolicy::new(set, seed, START), now: START, next: 1 };
+        let members = (0..3).map(|n| endpoint(n, EndpointState::Ready, 0)).collect();
+        harness.report(vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: members }]);
+        harness
     }
 
-    pub fn tell(&mut self, events: Vec<Event>) -> Vec<Action> {
+    /// Reports events at the present time; the actions but for timers.
+    pub fn report(&mut self, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.module.handle(self.now, &events, &mut actions);
+        self.policy.handle(self.now, &events, &mut actions);
         actions.retain(|a| !matches!(a, Action::SetTimer(_)));
         actions
     }
 
-    pub fn pass(&mut self, time: Nanos) -> Vec<Action> {
+    /// Lets time pass up to a timer; the actions.
+    pub fn advance(&mut self, time: Nanos) -> Vec<Action> {
         self.now += time;
-        self.tell(vec![Event::TimerFired])
+        self.report(vec![Event::TimerFired])
     }
 
-    /// Passes time in steps, as wake-ups would; all actions.
-    pub fn wait(&mut self, time: Nanos) -> Vec<Action> {
+    /// Lets time pass in steps, as timers would; all actions.
+    pub fn run_for(&mut self, time: Nanos) -> Vec<Action> {
         let end = self.now + time;
         let mut all = Vec::new();
         while self.now < end {
             let step = (25 * MS).min(end - self.now);
-            all.extend(self.pass(step));
+            all.extend(self.advance(step));
         }
         all
     }
 
-    /// A query of class 0 with one part for each shard named; ids count up from the query's.
-    pub fn ask(&mut self, shards: &[u32]) -> (QueryId, Vec<PartId>, Vec<Action>) {
-        self.ask_as(0, 0, shards)
+    /// Submits a query of class 0 with one part for each shard; ids count up from the query's.
+    pub fn submit(&mut self, shards: &[u32]) -> (QueryId, Vec<PartId>, Vec<Action>) {
+        self.submit_as(0, 0, shards)
     }
 
-    pub fn ask_as(&mut self, class: u16, tenant: u32, shards: &[u32]) -> (QueryId, Vec<PartId>, Vec<Action>) {
+    /// The same for another class and tenant.
+    pub fn submit_as(
+        &mut self,
+        class: u16,
+        tenant: u32,
+        shards: &[u32],
+    ) -> (QueryId, Vec<PartId>, Vec<Action>) {
         let id = self.next;
         self.next += 1 + shards.len() as u64;
         let group = GroupId(id as u32);
@@ -125,23 +141,25 @@
         for (part, shard) in parts.iter().zip(shards) {
             events.push(Event::Part { part: *part, group, shard: ShardId(*shard), weight });
         }
-        let actions = self.tell(events);
+        let actions = self.report(events);
         (query, parts, actions)
     }
 
-    pub fn end(&mut self, part: PartId, attempt: u16, outcome: Outcome, elapsed: Nanos) -> Vec<Action> {
+    /// Reports how an attempt ended.
+    pub fn complete(&mut self, part: PartId, attempt: u16, outcome: Outcome, elapsed: Nanos) -> Vec<Action> {
         let attempt = AttemptNo(attempt);
-        self.tell(vec![Event::Outcome { part, attempt, outcome, elapsed }])
+        self.report(vec![Event::Outcome { part, attempt, outcome, elapsed }])
     }
 
-    /// Answers a part after 100 ms.
-    pub fn serve(&mut self, part: PartId) -> Vec<Action> {
+    /// Answers the first attempt at a part after 100 ms.
+    pub fn answer(&mut self, part: PartId) -> Vec<Action> {
         self.now += 100 * MS;
-        self.end(part, 0, Outcome::Ok, 100 * MS)
+        self.complete(part, 0, Outcome::Ok, 100 * MS)
     }
 }
 
-pub fn sends(actions: &[Action]) -> Vec<(PartId, ReplicaId)> {
+/// The attempts sent: part and replica.
+pub fn sent_attempts(actions: &[Action]) -> Vec<(PartId, ReplicaId)> {
     let send = |a: &Action| match a {
         Action::Send { part, replica, .. } => Some((*part, *replica)),
         _ => None,
@@ -149,12 +167,13 @@
     actions.iter().filter_map(send).collect()
 }
 
-/// The final answers (and first ones of two steps) among the actions.
-pub fn finals(actions: &[Action]) -> Vec<Action> {
+/// What ends queries among the actions, and the answers from first steps.
+pub fn final_actions(actions: &[Action]) -> Vec<Action> {
     let end = |a: &&Action| matches!(a, Action::Answer { .. } | Action::Reject { .. } | Action::Fail(_));
     actions.iter().filter(end).cloned().collect()
 }
 
-pub fn refused(actions: &[Action]) -> bool {
+/// A query was rejected.
+pub fn is_rejected(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! The full fleet in virtual time: 300 instances of the module side by side, each with a query in two seconds.
+//! The full fleet in virtual time: 300 instances of the policy side by side, each with a query every two seconds.
 
 mod common;
 use common::*;
@@ -14,7 +14,7 @@
 const LOOKUP: u16 = 1;
 const REPORT: u16 = 2;
 
-/// Sent, looked up whole, and reported from four fifths of it.
+/// Three classes: sends, which are not idempotent; lookups, which need all parts; reports, from four fifths of them.
 fn site() -> Settings {
     let of = |name: &str, effect| Class {
         name: name.to_owned(),
@@ -38,97 +38,121 @@
     }
 }
 
+/// What happens at an instance.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Ask,
-    Wake,
+    Query,
+    Timer,
     AttemptEnd(PartId, AttemptNo, Outcome, Nanos),
-    /// The list tells of a node: it has just started, or it drains.
-    Fresh(u8),
-    Drains(u8),
+    /// The endpoint list reports a node that has just started, or one that drains.
+    Started(u8),
+    Draining(u8),
 }
 
-/// What became of a query, and when it was asked.
+/// Something that is scheduled, in the order in which it happens.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Scheduled {
+    at: Nanos,
+    /// Orders what is due at the same time.
+    order: u64,
+    instance: usize,
+    due: Due,
+}
+
+/// What became of a query that was submitted.
 struct Fate {
     at: Nanos,
     class: u16,
-    finals: usize,
+    final_answers: usize,
     served: bool,
 }
 
+/// A part that a node was sent, and the work it is.
+struct SentPart {
+    at: Nanos,
+    node: u8,
+    work: Nanos,
+}
+
+/// Nodes below `nodes` answer nothing from one time to another.
+#[derive(Default)]
+struct Outage {
+    nodes: u8,
+    from: Nanos,
+    until: Nanos,
+}
+
 struct Fleet {
-    modules: Vec<DecisionPolicy>,
-    /// When each is due next, and what for; the first number orders what is due at once.
-    due: BinaryHeap<Reverse<(Nanos, u64, usize, Due)>>,
+    policies: Vec<DecisionPolicy>,
+    scheduled: BinaryHeap<Reverse<Scheduled>>,
     order: u64,
     now: Nanos,
     rng: fastrand::Rng,
     /// Attempts at each part so far.
-    tries: BTreeMap<(usize, PartId), u16>,
-    out: BTreeMap<(usize, PartId, AttemptNo), Nanos>,
+    attempts: BTreeMap<(usize, PartId), u16>,
+    in_flight: BTreeMap<(usize, PartId, AttemptNo), Nanos>,
     fates: BTreeMap<(usize, QueryId), Fate>,
-    /// Each part that a node was sent, and the work it is.
-    sent: Vec<(Nanos, u8, Nanos)>,
-    /// Queries of ten that are not sends.
+    sent: Vec<SentPart>,
+    /// How many queries of ten are not sends.
     wide: usize,
-    /// Nodes below this say nothing from the one time to the other.
-    silent: (u8, Nanos, Nanos),
+    outage: Outage,
 }
 
 impl Fleet {
     fn new(set: &Settings) -> Self {
         let mut fleet = Fleet {
-            modules: (0..INSTANCES).map(|n| DecisionPolicy::new(set.clone(), n as u64, START)).collect(),
-            due: BinaryHeap::new(),
+            policies: (0..INSTANCES).map(|n| DecisionPolicy::new(set.clone(), n as u64, START)).collect(),
+            scheduled: BinaryHeap::new(),
             order: 0,
             now: START,
             rng: fastrand::Rng::with_seed(42),
-            tries: BTreeMap::new(),
-            out: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
             fates: BTreeMap::new(),
             sent: Vec::new(),
             wide: 3,
-            silent: (0, 0, 0),
+            outage: Outage::default(),
         };
         for n in 0..INSTANCES {
-            let members = (0..NODES).map(|n| member(n, EndpointState::Ready, 0)).collect();
-            fleet.tell(n, vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: members }]);
+            let members = (0..NODES).map(|n| endpoint(n, EndpointState::Ready, 0)).collect();
+            fleet.report(n, vec![Event::Endpoints { kind: EndpointListKind::Cached, endpoints: members }]);
             let first = fleet.rng.u64(..PAUSE);
-            fleet.later(first, n, Due::Ask);
+            fleet.schedule(first, n, Due::Query);
         }
         fleet
     }
 
-    fn later(&mut self, wait: Nanos, instance: usize, what: Due) {
+    fn schedule(&mut self, wait: Nanos, instance: usize, due: Due) {
         self.order += 1;
-        self.due.push(Reverse((self.now + wait, self.order, instance, what)));
+        let scheduled = Scheduled { at: self.now + wait, order: self.order, instance, due };
+        self.scheduled.push(Reverse(scheduled));
     }
 
     fn run(&mut self, until: Nanos) {
-        while self.due.peek().is_some_and(|d| d.0 .0 < until) {
-            let Some(Reverse((at, _, instance, what))) = self.due.pop() else { return };
+        while self.scheduled.peek().is_some_and(|next| next.0.at < until) {
+            let Some(Reverse(Scheduled { at, instance, due, .. })) = self.scheduled.pop() else { return };
             self.now = at;
-            match what {
-                Due::Ask => self.ask(instance),
-                Due::Wake => self.tell(instance, vec![Event::TimerFired]),
+            match due {
+                Due::Query => self.submit(instance),
+                Due::Timer => self.report(instance, vec![Event::TimerFired]),
                 Due::AttemptEnd(part, attempt, outcome, elapsed) => {
-                    self.end(instance, part, attempt, outcome, elapsed)
+                    self.complete(instance, part, attempt, outcome, elapsed)
                 }
-                Due::Fresh(node) => self.list(instance, member(node, EndpointState::Ready, at)),
-                Due::Drains(node) => self.list(instance, member(node, EndpointState::Draining, 0)),
+                Due::Started(node) => self.list(instance, endpoint(node, EndpointState::Ready, at)),
+                Due::Draining(node) => self.list(instance, endpoint(node, EndpointState::Draining, 0)),
             }
         }
     }
 
     fn list(&mut self, instance: usize, member: Endpoint) {
-        self.tell(
+        self.report(
             instance,
             vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![member] }],
         );
     }
 
-    fn ask(&mut self, instance: usize) {
-        self.later(PAUSE, instance, Due::Ask);
+    fn submit(&mut self, instance: usize) {
+        self.schedule(PAUSE, instance, Due::Query);
         self.order += 100;
         let (id, dice) = (self.order, self.rng.usize(..10));
         let class = if dice >= self.wide { SEND } else { [LOOKUP, REPORT][dice % 2] };
@@ -137,7 +161,8 @@
             LOOKUP => (0..5).map(|_| self.rng.u32(..u32::from(NODES))).collect(),
             _ => (0..5 * u32::from(NODES)).map(|n| n % u32::from(NODES)).collect(),
         };
-        self.fates.insert((instance, QueryId(id)), Fate { at: self.now, class, finals: 0, served: false });
+        self.fates
+            .insert((instance, QueryId(id)), Fate { at: self.now, class, final_answers: 0, served: false });
         let mut events = vec![query_event(id, class, 0, 800 * MS)];
         let weight = 1.0 / shards.len() as f64;
         events.extend(shards.iter().zip(id + 1..).map(|(shard, part)| Event::Part {
@@ -146,56 +171,69 @@
             shard: ShardId(*shard),
             weight,
         }));
-        self.tell(instance, events);
+        self.report(instance, events);
     }
 
-    fn end(&mut self, instance: usize, part: PartId, attempt: AttemptNo, outcome: Outcome, elapsed: Nanos) {
-        if self.out.remove(&(instance, part, attempt)).is_some() {
-            self.tell(instance, vec![Event::Outcome { part, attempt, outcome, elapsed }]);
+    fn complete(
+        &mut self,
+        instance: usize,
+        part: PartId,
+        attempt: AttemptNo,
+        outcome: Outcome,
+        elapsed: Nanos,
+    ) {
+        if self.in_flight.remove(&(instance, part, attempt)).is_some() {
+            self.report(instance, vec![Event::Outcome { part, attempt, outcome, elapsed }]);
         }
     }
 
-    fn tell(&mut self, instance: usize, events: Vec<Event>) {
+    fn report(&mut self, instance: usize, events: Vec<Event>) {
         let mut actions = Vec::new();
-        self.modules[instance].handle(self.now, &events, &mut actions);
+        self.policies[instance].handle(self.now, &events, &mut actions);
         for action in actions {
             match action {
                 Action::Send { part, replica: ReplicaId(id), timeout, .. } => {
                     self.send(instance, part, id[3], timeout);
                 }
                 Action::Cancel { part, attempt } => {
-                    if let Some(at) = self.out.get(&(instance, part, attempt)) {
+                    if let Some(at) = self.in_flight.get(&(instance, part, attempt)) {
                         let elapsed = self.now - at;
-                        self.later(0, instance, Due::AttemptEnd(part, attempt, Outcome::Cancelled, elapsed));
+                        self.schedule(
+                            0,
+                            instance,
+                            Due::AttemptEnd(part, attempt, Outcome::Cancelled, elapsed),
+                        );
                     }
                 }
                 Action::Answer { query, .. } => self.answered(instance, query, true),
                 Action::Reject { query, .. } | Action::Fail(query) => self.answered(instance, query, false),
-                Action::SetTimer(at) => self.later(at - self.now, instance, Due::Wake),
+                Action::SetTimer(at) => self.schedule(at - self.now, instance, Due::Timer),
                 Action::CloseIdle(_) | Action::Subscribe => {}
             }
         }
     }
 
     fn send(&mut self, instance: usize, part: PartId, node: u8, timeout: Nanos) {
-        let tries = self.tries.entry((instance, part)).or_default();
-        let attempt = AttemptNo(*tries);
-        *tries += 1;
-        self.out.insert((instance, part, attempt), self.now);
+        let attempts = self.attempts.entry((instance, part)).or_default();
+        let attempt = AttemptNo(*attempts);
+        *attempts += 1;
+        self.in_flight.insert((instance, part, attempt), self.now);
         let took = 30 * MS + self.rng.u64(..40 * MS);
-        self.sent.push((self.now, node, took));
-        let silent = node < self.silent.0 && (self.silent.1..self.silent.2).contains(&self.now);
+        self.sent.push(SentPart { at: self.now, node, work: took });
+        let outage = &self.outage;
+        let silent = node < outage.nodes && (outage.from..outage.until).contains(&self.now);
         let (outcome, elapsed) =
             if silent || took > timeout { (Outcome::TimedOut, timeout) } else { (Outcome::Ok, took) };
-        self.later(elapsed, instance, Due::AttemptEnd(part, attempt, outcome, elapsed));
+        self.schedule(elapsed, instance, Due::AttemptEnd(part, attempt, outcome, elapsed));
     }
 
     fn answered(&mut self, instance: usize, query: QueryId, served: bool) {
-        let fate = self.fates.get_mut(&(instance, query)).expect("a query that was asked");
-        (fate.finals, fate.served) = (fate.finals + 1, served);
+        let fate = self.fates.get_mut(&(instance, query)).expect("a query that was submitted");
+        fate.final_answers += 1;
+        fate.served = served;
     }
 
-    /// Share served of a class among queries asked from the one time to the other.
+    /// The share of a class's queries served, of those submitted from one time to another.
     fn served(&self, class: u16, from: Nanos, to: Nanos) -> f64 {
         let asked: Vec<&Fate> =
             self.fates.values().filter(|f| f.class == class && (from..to).contains(&f.at)).collect();
@@ -204,22 +242,25 @@
 }
 
 #[test]
-fn all_instances_return_to_nodes_that_were_silent_and_not_all_at_once() {
+fn all_instances_return_to_recovered_nodes_gradually() {
     let mut fleet = Fleet::new(&site());
     let (from, back, end) = (START + 5 * S, START + 10 * S, START + 26 * S);
     // Two neighbours: nobody answers for the shard that both hold.
-    fleet.silent = (2, from, back);
+    fleet.outage = Outage { nodes: 2, from, until: back };
     fleet.run(end);
-    let open = |f: &Fate| f.finals == 0 && f.at + S >= end;
-    assert!(fleet.fates.values().all(|f| f.finals == 1 || open(f)), "one final answer each");
+    let open = |f: &Fate| f.final_answers == 0 && f.at + S >= end;
+    assert!(fleet.fates.values().all(|f| f.final_answers == 1 || open(f)), "one final answer each");
     for class in [SEND, LOOKUP, REPORT] {
         assert!(fleet.served(class, START, from - S) > 0.99, "class {class} before");
         let after = fleet.served(class, back + 8 * S, end - S);
         assert!(after > 0.95, "class {class} after: {after}");
     }
-    assert!(fleet.served(REPORT, from, back) > 0.9, "who can spare two of twenty parts is served meanwhile");
+    assert!(
+        fleet.served(REPORT, from, back) > 0.9,
+        "reports may lack two of twenty parts: they are served meanwhile"
+    );
     let most = |from: Nanos, to: Nanos| {
-        let parts: Vec<Nanos> = fleet.sent.iter().filter(|s| s.1 == 0).map(|s| s.0).collect();
+        let parts: Vec<Nanos> = fleet.sent.iter().filter(|s| s.node == 0).map(|s| s.at).collect();
         let within = |at: Nanos| parts.iter().filter(|p| (at..at + 100 * MS).contains(p)).count();
         (from..to).step_by(100 * MS as usize).map(within).max().unwrap_or(0)
     };
@@ -228,76 +269,77 @@
 }
 
 #[test]
-fn instances_that_ask_only_for_what_must_not_run_twice_return_too() {
-    // Only what may run again made trials of a node that had been silent: these instances refused its shard for good.
+fn instances_with_only_non_idempotent_queries_return_to_recovered_nodes() {
+    // Only idempotent parts probed a failed node: these instances rejected queries to its shard for good.
     let mut fleet = Fleet::new(&site());
     let (back, end) = (START + 10 * S, START + 26 * S);
-    (fleet.wide, fleet.silent) = (0, (2, START + 3 * S, back));
+    fleet.wide = 0;
+    fleet.outage = Outage { nodes: 2, from: START + 3 * S, until: back };
     fleet.run(end);
     let after = fleet.served(SEND, back + 8 * S, end - S);
     assert!(after > 0.98, "{after}");
 }
 
-/// The rule over the sum of all instances: what a node that starts is sent in any second stays under what it bears.
-/// How many parts it was sent.
-fn spared(fleet: &Fleet, node: u8, told: Nanos) -> usize {
-    let sent: Vec<_> = fleet.sent.iter().filter(|s| s.1 == node && s.0 >= told).collect();
-    for (n, (at, ..)) in sent.iter().enumerate() {
-        let age = (at - told) as f64 / (20 * S) as f64;
-        let work: Nanos = sent[..=n].iter().filter(|s| s.0 + S > *at).map(|s| s.2).sum();
-        let bears = 3.0 * (0.2 + 0.8 * age) * S as f64;
-        assert!(work as f64 <= bears, "node {node}: {work} ns of work at {age:.2} of the warm-up");
+/// Checks that what all instances together send a starting node in any second stays within its capacity; returns how
+/// many parts it was sent.
+fn parts_within_capacity(fleet: &Fleet, node: u8, started: Nanos) -> usize {
+    let sent: Vec<_> = fleet.sent.iter().filter(|s| s.node == node && s.at >= started).collect();
+    for (n, SentPart { at, .. }) in sent.iter().enumerate() {
+        let age = (at - started) as f64 / (20 * S) as f64;
+        let work: Nanos = sent[..=n].iter().filter(|s| s.at + S > *at).map(|s| s.work).sum();
+        let capacity = 3.0 * (0.2 + 0.8 * age) * S as f64;
+        assert!(work as f64 <= capacity, "node {node}: {work} ns of work at {age:.2} of the warm-up");
     }
     sent.len()
 }
 
-/// A fleet in which these nodes start at one time, told to all at once.
-fn with_fresh(nodes: &[u8], told: Nanos) -> Fleet {
+/// A fleet in which these nodes start at one time, which all instances learn at once.
+fn fleet_with_starting(nodes: &[u8], started: Nanos) -> Fleet {
     let rule =
         SlowStartRule { overload_factor: 3.0, overload_window: S, initial_capacity: 0.2, warm_up: 20 * S };
     let mut fleet = Fleet::new(&Settings { slow_start: Some(rule), ..site() });
     for n in 0..INSTANCES {
-        nodes.iter().for_each(|node| fleet.later(told - START, n, Due::Fresh(*node)));
+        nodes.iter().for_each(|node| fleet.schedule(started - START, n, Due::Started(*node)));
     }
-    fleet.run(told + 20 * S);
+    fleet.run(started + 20 * S);
     fleet
 }
 
 #[test]
-fn the_whole_fleet_spares_a_node_that_starts_and_uses_it() {
-    let told = START + 5 * S;
-    let fleet = with_fresh(&[3], told);
-    let sent = spared(&fleet, 3, told);
+fn the_fleet_does_not_overload_a_starting_node_and_uses_it() {
+    let started = START + 5 * S;
+    let fleet = fleet_with_starting(&[3], started);
+    let sent = parts_within_capacity(&fleet, 3, started);
     assert!(sent > 100, "{sent} parts in its warm-up");
     for class in [SEND, LOOKUP, REPORT] {
-        assert!(fleet.served(class, told, told + 18 * S) > 0.99, "class {class}");
+        assert!(fleet.served(class, started, started + 18 * S) > 0.99, "class {class}");
     }
 }
 
 #[test]
-fn all_holders_of_a_shard_that_start_at_once_are_spared_and_no_query_is_lost() {
-    let told = START + 5 * S;
-    let fleet = with_fresh(&[3, 4], told);
-    let sent = [3, 4].map(|node| spared(&fleet, node, told));
+fn starting_all_holders_of_a_shard_overloads_none_and_loses_no_query() {
+    let started = START + 5 * S;
+    let fleet = fleet_with_starting(&[3, 4], started);
+    let sent = [3, 4].map(|node| parts_within_capacity(&fleet, node, started));
     assert!(sent.iter().all(|n| *n > 100), "{sent:?} parts in their warm-up");
-    let open = |f: &Fate| f.finals == 0 && f.at + S >= told + 20 * S;
-    assert!(fleet.fates.values().all(|f| f.finals == 1 || open(f)), "one final answer each");
-    // Who can spare a part of twenty is served meanwhile.
-    assert!(fleet.served(REPORT, told, told + 18 * S) > 0.9);
+    let open = |f: &Fate| f.final_answers == 0 && f.at + S >= started + 20 * S;
+    assert!(fleet.fates.values().all(|f| f.final_answers == 1 || open(f)), "one final answer each");
+    // Reports may lack a part of twenty: they are served meanwhile.
+    assert!(fleet.served(REPORT, started, started + 18 * S) > 0.9);
 }
 
 #[test]
-fn the_neighbours_of_a_node_that_drains_share_its_parts_with_theirs() {
+fn the_load_of_a_draining_node_spreads_beyond_its_neighbours() {
     // They held two shards alone and half of the two they share: half as much again, and their queues filled, while
     // each instance met them too seldom to see it.
     let mut fleet = Fleet::new(&site());
-    let told = START + 2 * S;
+    let drained = START + 2 * S;
     for n in 0..INSTANCES {
-        fleet.later(told - START, n, Due::Drains(10));
+        fleet.schedule(drained - START, n, Due::Draining(10));
     }
-    let (from, end) = (told + S, told + 12 * S);
+    let (from, end) = (drained + S, drained + 12 * S);
     fleet.run(end);
-    let load = |node: u8| fleet.sent.iter().filter(|s| s.1 == node && s.0 >= from).count() as f64;
+    let load = |node: u8| fleet.sent.iter().filter(|s| s.node == node && s.at >= from).count() as f64;
     let mean = (0..NODES).filter(|n| *n != 10).map(load).sum::<f64>() / f64::from(NODES - 1);
     assert_eq!(load(10), 0.0);
     for node in [9, 11] {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn a_query_goes_through_and_unknown_keys_are_skipped() {
+fn a_query_is_answered_and_unknown_settings_are_ignored() {
     let on = || record(12, &3u16.to_le_bytes());
     let mut input = batch(1, 1_000, &[]);
     input.extend(batch(2, 2_000, &start(SETTINGS)));
@@ -104,7 +104,7 @@
 }
 
 #[test]
-fn an_instance_restarts_within_a_batch() {
+fn an_instance_can_be_restarted_within_a_batch() {
     let mut records = start(SETTINGS);
     records.push(record(10, &[]));
     records.extend(start(SETTINGS));
@@ -114,7 +114,7 @@
 }
 
 #[test]
-fn malformed_input_gets_a_plain_line_and_no_reply() {
+fn malformed_input_gets_one_error_line_and_no_reply() {
     let with = |extra: Vec<u8>| {
         let mut records = start(SETTINGS);
         records.push(extra);
