--- a/src/bin/quinceflow-sim-adapter/error.rs
+++ b/src/bin/quinceflow-sim-adapter/error.rs
@@ -9,8 +9,8 @@
 #[derive(Debug, Error)]
 pub enum AdapterError {
     /// Fields of a frame or record reach beyond its end.
-    #[error("{context}: {wanted} bytes wanted at {offset}, {available} there")]
-    Truncated { context: &'static str, wanted: usize, offset: usize, available: usize },
+    #[error("{context}: {requested} bytes wanted at {offset}, {available} there")]
+    Truncated { context: &'static str, requested: usize, offset: usize, available: usize },
     /// A number that travels as a float is none.
     #[error("{context}: {value} at {offset} is no number")]
     NotANumber { context: &'static str, value: f32, offset: usize },
--- a/src/bin/quinceflow-sim-adapter/fields.rs
+++ b/src/bin/quinceflow-sim-adapter/fields.rs
@@ -32,7 +32,7 @@
         let Some(end) = end else {
             return Err(AdapterError::Truncated {
                 context: self.context,
-                wanted: count,
+                requested: count,
                 offset: self.offset,
                 available: self.bytes.len() - self.offset,
             });
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -46,7 +46,7 @@
     }
 
     /// Takes the shards that a replica holds, where its cell does not tell.
-    pub fn place(&mut self, replica: ReplicaId, shards: &[ShardId]) {
+    pub fn set_placement(&mut self, replica: ReplicaId, shards: &[ShardId]) {
         self.placements.insert(replica, shards.iter().copied().collect());
     }
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -38,7 +38,7 @@
 #[test]
 fn a_placement_overrides_the_cell() {
     let (mut membership, settings) = three();
-    membership.place(replica(0), &[ShardId(1)]);
+    membership.set_placement(replica(0), &[ShardId(1)]);
     assert_eq!((membership.placed_shards(replica(0)), membership.placed_shards(replica(1))), (2, 0));
     assert_eq!(
         [0, 1, 2].map(|shard| holders(&membership, shard, &settings)),
@@ -59,7 +59,7 @@
 #[test]
 fn replicas_that_no_list_names_any_more_are_removed() {
     let (mut membership, _) = three();
-    membership.place(replica(0), &[ShardId(1)]);
+    membership.set_placement(replica(0), &[ShardId(1)]);
     membership.apply(EndpointListKind::Full, &[endpoint(2, EndpointState::Ready)], 200);
     membership.remove_unlisted(199, |_| false);
     assert!(membership.contains(replica(0)), "it was listed until lately");
--- a/src/policy/answering.rs
+++ b/src/policy/answering.rs
@@ -6,7 +6,7 @@
 use crate::queries::{FirstAnswer, Part, Query, QueryNo, Stage, WEIGHT_TOLERANCE};
 
 /// How a query ends.
-enum Ending {
+enum FinalAction {
     Answer,
     /// Rejected where that is true and harmless, failed otherwise.
     GiveUp,
@@ -18,14 +18,14 @@
         let Some(query) = self.queries.get_open(number) else { return };
         let class = self.context.settings.class(query.class).clone();
         if query.stage == Stage::Received && !self.admit(number, &class) {
-            return self.finish(number, Ending::GiveUp, actions);
+            return self.finish(number, FinalAction::GiveUp, actions);
         }
         self.send_parts(number, &class, actions);
         let Some(query) = self.queries.get(number) else { return };
         if self.may_answer(query, &class) {
-            self.finish(number, Ending::Answer, actions);
+            self.finish(number, FinalAction::Answer, actions);
         } else if self.is_hopeless(query, &class) {
-            self.finish(number, Ending::GiveUp, actions);
+            self.finish(number, FinalAction::GiveUp, actions);
         }
     }
 
@@ -73,13 +73,13 @@
     }
 
     /// The one way out for a query. Rules 1, 2 and 5 are checked here.
-    fn finish(&mut self, number: QueryNo, ending: Ending, actions: &mut Vec<Action>) {
+    fn finish(&mut self, number: QueryNo, action: FinalAction, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get_open_mut(number) else { return };
         let settings = &self.context.settings;
         let class = settings.class(query.class);
         let harmful = class.effect != Effect::Idempotent && query.parts.iter().any(Part::may_have_run);
-        match ending {
-            Ending::Answer => {
+        match action {
+            FinalAction::Answer => {
                 let Some(complete) = is_complete(query, class) else { return };
                 actions.push(Action::Answer { query: query.id, complete });
                 if query.first_answer.is_none() {
@@ -90,12 +90,12 @@
                     }
                 }
             }
-            Ending::GiveUp if !harmful => {
+            FinalAction::GiveUp if !harmful => {
                 let drawn = 0.5 * self.context.rng.f64() / settings.reduction.retry_after_factor.max(1.0);
                 let retry_after = settings.max_retry_after.map(|max| (max as f64 * (1.0 - drawn)) as Nanos);
                 actions.push(Action::Reject { query: query.id, retry_after });
             }
-            Ending::GiveUp => actions.push(Action::Fail(query.id)),
+            FinalAction::GiveUp => actions.push(Action::Fail(query.id)),
         }
         // A sample's late parts run on to the record limit; the others are cancelled.
         let sampled = query.sampled && !settings.reduction.skip_late_samples;
--- a/src/policy/controller.rs
+++ b/src/policy/controller.rs
@@ -1,7 +1,7 @@
 //! The controller that sets the admitted share of low-priority queries by the quality of answers.
 
 use crate::interface::Nanos;
-use crate::queries::{QualityReading, WANTED_SAMPLES};
+use crate::queries::{QualityReading, TARGET_SAMPLES};
 use crate::stats::{PidGains, VelocityPid};
 
 /// Target of the controller, a share; the paper has 0.9: from there to here shedding mends little.
@@ -32,7 +32,7 @@
 
     /// Takes the reading of one period.
     pub fn update(&mut self, reading: &QualityReading, period: Nanos) {
-        let trust = (reading.samples / (WANTED_SAMPLES / 4.0)).min(1.0);
+        let trust = (reading.samples / (TARGET_SAMPLES / 4.0)).min(1.0);
         let error = trust * ((reading.quality - QUALITY_TARGET) / (1.0 - QUALITY_TARGET)).max(-MAX_ERROR);
         let change = self.pid.step(GAINS, error, MAX_ERROR, period);
         // Clamping the share itself is what keeps the integral from winding up.
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -59,8 +59,8 @@
         self.assign_shards(context);
     }
 
-    pub fn place(&mut self, replica: ReplicaId, shards: &[ShardId], context: &mut Context) {
-        self.membership.place(replica, shards);
+    pub fn set_placement(&mut self, replica: ReplicaId, shards: &[ShardId], context: &mut Context) {
+        self.membership.set_placement(replica, shards);
         self.rotation.grow(self.membership.placed_shards(replica), &mut context.rng);
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -57,6 +57,7 @@
 
 impl DecisionPolicy {
     /// An instance that holds nothing yet.
+    #[must_use]
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
         let (fleet, rng) = (FleetStatistics::new(&settings), fastrand::Rng::with_seed(seed));
         let mut policy = DecisionPolicy {
@@ -94,6 +95,7 @@
     }
 
     /// Ready replicas that no part of a class in force would go to now, whatever its shard.
+    #[must_use]
     pub fn ejected(&self) -> Vec<ReplicaId> {
         self.endpoints.ejected(&self.context)
     }
@@ -108,7 +110,9 @@
                 self.poll.list_received(*kind);
                 self.endpoints.apply_list(*kind, endpoints, &mut self.context);
             }
-            Event::Placement { replica, shards } => self.endpoints.place(*replica, shards, &mut self.context),
+            Event::Placement { replica, shards } => {
+                self.endpoints.set_placement(*replica, shards, &mut self.context)
+            }
             Event::Query { .. } => self.receive(event, actions),
             Event::Part { part, group, shard, weight } => {
                 self.retries.earn(now);
--- a/src/queries/in_flight.rs
+++ b/src/queries/in_flight.rs
@@ -41,27 +41,34 @@
 /// All attempts in flight.
 pub type InFlightTable = BTreeMap<AttemptKey, InFlight>;
 
+/// An attempt in order of age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SentAttempt {
+    sent_at: Nanos,
+    key: AttemptKey,
+}
+
 /// The attempts in flight at one replica, the oldest first.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct AttemptsByAge {
-    attempts: BTreeSet<(Nanos, AttemptKey)>,
+    attempts: BTreeSet<SentAttempt>,
 }
 
 impl AttemptsByAge {
     /// Adds an attempt.
     pub fn insert(&mut self, sent_at: Nanos, key: AttemptKey) {
-        self.attempts.insert((sent_at, key));
+        self.attempts.insert(SentAttempt { sent_at, key });
     }
 
     /// Removes an attempt.
     pub fn remove(&mut self, key: AttemptKey) {
-        self.attempts.retain(|(_, other)| *other != key);
+        self.attempts.retain(|attempt| attempt.key != key);
     }
 
     /// When the oldest attempt was sent.
     #[must_use]
     pub fn oldest(&self) -> Option<Nanos> {
-        self.attempts.first().map(|(sent_at, _)| *sent_at)
+        self.attempts.first().map(|attempt| attempt.sent_at)
     }
 
     /// How many there are.
--- a/src/queries/mod.rs
+++ b/src/queries/mod.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 pub use in_flight::{AttemptKey, AttemptsByAge, EndedAttempt, InFlight, InFlightTable};
-pub use quality::{measure_quality, take_sample, QualityReading, QUALITY_WINDOW, WANTED_SAMPLES};
+pub use quality::{measure_quality, take_sample, QualityReading, QUALITY_WINDOW, TARGET_SAMPLES};
 pub use query::{Attempt, FirstAnswer, Part, Query, Stage, WEIGHT_TOLERANCE};
 
 use crate::interface::{AttemptNo, GroupId, Nanos, Outcome, PartId, QueryId};
--- a/src/queries/quality.rs
+++ b/src/queries/quality.rs
@@ -7,7 +7,7 @@
 /// Window of the quality readings, in ns: the design's 10 s.
 pub const QUALITY_WINDOW: Nanos = 10_000_000_000;
 /// Samples wanted in a window: the paper takes 20 of 100 requests; 6 cost more than they save.
-pub const WANTED_SAMPLES: f64 = 20.0;
+pub const TARGET_SAMPLES: f64 = 20.0;
 /// Samples kept at most: more cost time in each batch and tell nothing new.
 const MAX_SAMPLES: f64 = 200.0;
 /// Least share of high-priority queries sampled: the paper's.
@@ -26,7 +26,7 @@
 #[must_use]
 pub fn take_sample(samples: usize, rng: &mut fastrand::Rng) -> bool {
     let samples = samples as f64;
-    samples < WANTED_SAMPLES || (samples < MAX_SAMPLES && rng.f64() < MIN_SAMPLED_SHARE)
+    samples < TARGET_SAMPLES || (samples < MAX_SAMPLES && rng.f64() < MIN_SAMPLED_SHARE)
 }
 
 /// Reads the samples of the last window. A part that is missing counts if its replica has answered others
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -482,8 +482,11 @@
             .report(vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![gone, ready] }]);
         harness.run_for(S);
     }
-    let kept = format!("{:?}", harness.policy).matches("Replica {").count();
-    assert!(kept <= 40, "{kept} kept");
+    let state = format!("{:?}", harness.policy);
+    for record in ["Replica {", "Member {"] {
+        let kept = state.matches(record).count();
+        assert!((1..=40).contains(&kept), "{kept} records {record} .. }}");
+    }
     assert_eq!(sent_attempts(&harness.submit(&[0, 1]).2).len(), 2);
 }
 
