--- a/src/lib.rs
+++ b/src/lib.rs
@@ -104,6 +104,7 @@
 pub mod queries;
 pub mod settings;
 pub mod stats;
+pub mod sync;
 pub mod time;
 
 pub use interface::*;
