--- a/tests/node_connections/cases.rs
+++ b/tests/node_connections/cases.rs
@@ -180,3 +180,16 @@
     assert_eq!(result, Ok(1));
     assert!(!connection.awaits_late_answer(&retry(0)), "answered in time");
 }
+
+#[test]
+fn restart_clears_the_ids_of_the_ended_connection() {
+    let retry = AttemptRequest { key: AttemptKey { attempt: AttemptNo(1), ..key(0) }, ..request(0) };
+    let mut connection = connection_with_written(&[&[request(0)]]);
+    connection.cancel(key(0));
+    assert!(connection.awaits_late_answer(&retry), "it may still be answered");
+    connection.enqueue(&[request(1)]);
+    assert!(connection.restart_unsent(), "only an unsent attempt is in flight");
+    assert!(!connection.awaits_late_answer(&retry), "no answer can arrive any more");
+    let (result, _) = receive(&mut connection, &frame('a', "9b1f.0 served 1 -\nvalue"));
+    assert_eq!(result, Err(FrameError::UnknownAttempt), "it was never sent on the new connection");
+}
