--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -177,3 +177,10 @@
 pub fn is_rejected(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
+
+/// Two classes: 0 of high priority, 1 of low.
+pub fn two_priorities() -> Settings {
+    let mut settings = settings(Class { priority_weight: 3.0, ..class(Effect::Idempotent) });
+    settings.classes.push(class(Effect::Idempotent));
+    settings
+}
--- /dev/null
+++ b/tests/replica_choice.rs
@@ -0,0 +1,257 @@
+//! How the policy chooses among replicas: rotation, outliers, failures and their recovery.
+
+mod common;
+use common::*;
+use quinceflow::*;
+
+/// With how many of 20 seeds a low-priority query is sent after so long without any traffic.
+fn admitted_after(rest: Nanos, prepare: impl Fn(&mut Harness)) -> usize {
+    let mut sent = 0;
+    for seed in 0..20 {
+        let mut harness = Harness::with_seed(two_priorities(), seed);
+        prepare(&mut harness);
+        harness.run_for(rest);
+        sent += usize::from(!sent_attempts(&harness.submit_as(1, 0, &[0]).2).is_empty());
+    }
+    sent
+}
+
+#[test]
+fn replicas_rotate_and_one_with_an_overdue_attempt_is_skipped() {
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        let (_, parts, actions) = harness.submit(&[0]);
+        seen.push(sent_attempts(&actions)[0].1);
+        harness.answer(parts[0]);
+    }
+    // Which is first is drawn.
+    let (first, next) = (seen[0], seen[1]);
+    assert_ne!(first, next);
+    assert_eq!(seen, [first, next, first, next]);
+    let (_, _, stuck) = harness.submit(&[0]);
+    assert_eq!(sent_attempts(&stuck)[0].1, first);
+    harness.run_for(1100 * MS);
+    for _ in 0..4 {
+        let (_, parts, actions) = harness.submit(&[0]);
+        assert_eq!(sent_attempts(&actions)[0].1, next);
+        harness.answer(parts[0]);
+    }
+}
+
+#[test]
+fn if_all_replicas_are_late_the_next_in_turn_is_used() {
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    harness.submit(&[0]);
+    harness.submit(&[0]);
+    harness.run_for(1200 * MS);
+    let (_, _, actions) = harness.submit_as(0, 0, &[0]);
+    assert_eq!(
+        sent_attempts(&actions).len() + final_actions(&actions).len(),
+        1,
+        "sent, or rejected as hopeless: {actions:?}"
+    );
+}
+
+#[test]
+fn slow_answers_of_long_ago_reject_nobody() {
+    // On the full fleet one slow query of 200 parts was all that a coordinator had seen: every query was rejected for
+    // what its own parts would cost, so that nothing new was ever observed ("shut=36 struck=11 ... typical=509.6").
+    let slow = |harness: &mut Harness| {
+        for _ in 0..40 {
+            let (_, parts, _) = harness.submit(&[0, 1, 2]);
+            harness.now += 950 * MS;
+            parts.iter().for_each(|p| drop(harness.complete(*p, 0, Outcome::Ok, 950 * MS)));
+        }
+    };
+    assert_eq!(admitted_after(60 * S, slow), 20);
+}
+
+#[test]
+fn a_failure_of_long_ago_does_not_reject_non_idempotent_queries() {
+    // Only idempotent parts probed failed replicas: on the full fleet a coordinator has a few in ten seconds over 180
+    // servers, and rejected non-idempotent queries at two of them for the rest of the day.
+    let mut sent = 0;
+    for seed in 0..20 {
+        let mut settings = two_priorities();
+        settings.classes[1].effect = Effect::NonIdempotent;
+        let mut harness = Harness::with_seed(settings, seed);
+        for _ in 0..6 {
+            let (_, parts, _) = harness.submit(&[0]);
+            harness.now += S;
+            harness.complete(parts[0], 0, Outcome::TimedOut, S);
+            harness.run_for(2 * S);
+        }
+        harness.run_for(60 * S);
+        sent += usize::from(!sent_attempts(&harness.submit_as(1, 0, &[0]).2).is_empty());
+    }
+    assert!(sent >= 8, "{sent} of 20");
+}
+
+#[test]
+fn dropped_idle_connections_are_closed_before_use_and_count_as_no_failure() {
+    // Found on midshires-fleet-later: connections idle for a second were dropped, and all looked silent.
+    let closes = |a: &[Action]| a.iter().any(|a| matches!(a, Action::CloseIdle(_)));
+    let mut closed = [0, 0];
+    for (idle, closed) in [true, false].into_iter().zip(&mut closed) {
+        let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+        for n in 0..200 {
+            let (_, parts, actions) = harness.submit(&[0]);
+            *closed += u32::from(closes(&actions));
+            // Idle connections lose everything and new ones nothing; an overload loses half on both.
+            if if idle { !closes(&actions) } else { n % 2 == 0 } {
+                harness.now += S;
+                harness.complete(parts[0], 0, Outcome::TimedOut, S);
+            } else {
+                harness.answer(parts[0]);
+            }
+            harness.now += S;
+        }
+    }
+    assert!(closed[0] > 100 && closed[1] < 50, "{closed:?}");
+}
+
+#[test]
+fn a_replica_that_rejects_is_skipped_for_a_while() {
+    // Found on i7896a1 and i7ec26b: rejecting in no time, a full replica looked fast and drew a third of the sends.
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    for _ in 0..20 {
+        let (_, parts, actions) = harness.submit(&[0]);
+        let full = sent_attempts(&actions)[0].1 == replica(0);
+        let again = harness.complete(parts[0], 0, if full { Outcome::Rejected } else { Outcome::Ok }, 2 * MS);
+        if full {
+            assert_eq!(sent_attempts(&again)[0].1, replica(1));
+            harness.complete(parts[0], 1, Outcome::Ok, 100 * MS);
+            harness.now += 100 * MS;
+            let (_, _, next) = harness.submit(&[0]);
+            assert_eq!(
+                sent_attempts(&next)[0].1,
+                replica(1),
+                "its turn is skipped while the rejection is recent"
+            );
+            return;
+        }
+    }
+    panic!("replica 0 never had its turn");
+}
+
+#[test]
+fn a_slow_replica_is_remembered_for_the_interval_between_its_uses() {
+    // Found on wms-kalendarz-later: with ten seconds between two uses a slow replica was forgotten each time.
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    let mut met = 0;
+    for n in 0..180 {
+        let (_, parts, actions) = harness.submit(&[n % 3]);
+        let took = if sent_attempts(&actions)[0].1 == replica(0) { 700 * MS } else { 100 * MS };
+        met += u32::from(n >= 90 && took > 100 * MS);
+        harness.now += took;
+        harness.complete(parts[0], 0, Outcome::Ok, took);
+        harness.now += 2 * S;
+    }
+    // Two of three shards could go there: by turns alone 30 of 90 would.
+    assert!(met < 20, "{met} of 90 went to the slow one");
+}
+
+#[test]
+fn a_part_rejected_by_all_holders_waits_before_its_retry() {
+    // Found on i45c43f: with one holder left each part was sent three times to the same full queue.
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    let (_, parts, _) = harness.submit(&[0]);
+    let again = harness.complete(parts[0], 0, Outcome::Rejected, MS);
+    assert_eq!(sent_attempts(&again).len(), 1, "the other holder is tried: {again:?}");
+    let third = harness.complete(parts[0], 1, Outcome::Rejected, MS);
+    assert!(sent_attempts(&third).is_empty(), "{third:?}");
+    assert_eq!(sent_attempts(&harness.run_for(1100 * MS)).len(), 1, "and retried once it is late anyhow");
+}
+
+#[test]
+fn resets_between_answers_count_as_no_failure() {
+    // Found on i281b39: broken connections all over a healthy fleet ejected its replicas.
+    let mut settings = settings(class(Effect::Idempotent));
+    settings.slow_start = Some(SlowStartRule {
+        overload_factor: 2.0,
+        overload_window: S,
+        initial_capacity: 0.1,
+        warm_up: 20 * S,
+    });
+    let mut harness = Harness::new(settings);
+    for n in 0..30 {
+        let (_, parts, actions) = harness.submit(&[0]);
+        assert_eq!(sent_attempts(&actions).len(), 1, "query {n}: {actions:?}");
+        if n % 3 == 2 {
+            harness.answer(parts[0]);
+        } else {
+            harness.now += 2 * MS;
+            let again = harness.complete(parts[0], 0, Outcome::Reset, 2 * MS);
+            assert_eq!(sent_attempts(&again).len(), 1, "query {n}: {again:?}");
+            harness.now += 100 * MS;
+            harness.complete(parts[0], 1, Outcome::Ok, 100 * MS);
+        }
+    }
+}
+
+#[test]
+fn a_replica_that_fails_fast_gets_no_non_idempotent_parts() {
+    // It looked idle: errors did not count where answers were recent, and half of the parts were lost there.
+    let mut settings = settings(class(Effect::Idempotent));
+    settings.classes.push(class(Effect::NonIdempotent));
+    let mut harness = Harness::new(settings);
+    let mut errors = |class: u16, rounds: usize, failing: bool| {
+        let (mut seen, mut met) = (0, 0);
+        for _ in 0..rounds {
+            let (_, parts, actions) = harness.submit_as(class, 0, &[0]);
+            let mut sent = sent_attempts(&actions);
+            let mut attempt = 0;
+            while let Some((_, to)) = sent.pop() {
+                harness.now += 10 * MS;
+                // Every other answer of replica 0 is an error.
+                met += usize::from(to == replica(0));
+                let fails = failing && to == replica(0) && met % 2 == 1;
+                seen += usize::from(fails);
+                let outcome = if fails { Outcome::Error } else { Outcome::Ok };
+                sent = sent_attempts(&harness.complete(parts[0], attempt, outcome, 10 * MS));
+                attempt += 1;
+            }
+        }
+        seen
+    };
+    errors(0, 20, false);
+    assert!(errors(0, 40, true) > 0, "idempotent parts find it out");
+    assert_eq!(errors(1, 40, true), 0);
+}
+
+#[test]
+fn replaced_replicas_are_removed_from_the_table() {
+    // Every replica that ever existed stayed in the tables, and each list was processed over all of them.
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    for n in 3..200 {
+        let gone = endpoint(n, EndpointState::Removed, 0);
+        let ready = endpoint(n + 1, EndpointState::Ready, 0);
+        harness
+            .report(vec![Event::Endpoints { kind: EndpointListKind::Delta, endpoints: vec![gone, ready] }]);
+        harness.run_for(S);
+    }
+    let state = format!("{:?}", harness.policy);
+    for record in ["Replica {", "Member {"] {
+        let kept = state.matches(record).count();
+        assert!((1..=40).contains(&kept), "{kept} records {record} .. }}");
+    }
+    assert_eq!(sent_attempts(&harness.submit(&[0, 1]).2).len(), 2);
+}
+
+#[test]
+fn a_few_slow_replicas_do_not_delay_retries_elsewhere() {
+    // Their answers raised the mean response time, and with it the wait before the other replica was tried.
+    let mut harness = Harness::new(settings(class(Effect::Idempotent)));
+    for (answers, took) in [(200, 20), (8, 800)] {
+        for _ in 0..answers {
+            let (_, parts, _) = harness.submit(&[0]);
+            harness.now += took * MS;
+            harness.complete(parts[0], 0, Outcome::Ok, took * MS);
+        }
+    }
+    let (_, parts, actions) = harness.submit(&[0]);
+    assert_eq!(sent_attempts(&actions).len(), 1);
+    let cancel = Action::Cancel { part: parts[0], attempt: AttemptNo(0) };
+    assert!(harness.run_for(400 * MS).contains(&cancel));
+}
