--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -51,7 +51,7 @@
         target: "/collections/devices/items?bbox=-120.5,37.5,-119.5,38.5&limit=1000",
         expected: |devices| {
             count(devices, |device| {
-                let (longitude, latitude) = point(device);
+                let Point { longitude, latitude } = point_of(device);
                 (-120.5..=-119.5).contains(&longitude) && (37.5..=38.5).contains(&latitude)
             })
         },
@@ -61,7 +61,7 @@
         target: "/collections/devices/items?limit=1000&filter=S_INTERSECTS(geometry,POLYGON((-121%2037,-120%2037,-121%2038,-121%2037)))",
         expected: |devices| {
             count(devices, |device| {
-                let (longitude, latitude) = point(device);
+                let Point { longitude, latitude } = point_of(device);
                 (longitude + 121.0) + (latitude - 37.0) <= 1.0 + EDGE_TOLERANCE
             })
         },
@@ -186,9 +186,18 @@
     }
 }
 
-fn point(device: &Json) -> (f64, f64) {
+/// Where a device is, in degrees.
+struct Point {
+    longitude: f64,
+    latitude: f64,
+}
+
+fn point_of(device: &Json) -> Point {
     let coordinates = &device["geometry"]["coordinates"];
-    (coordinates[0].as_f64().unwrap_or(0.0), coordinates[1].as_f64().unwrap_or(0.0))
+    Point {
+        longitude: coordinates[0].as_f64().unwrap_or(0.0),
+        latitude: coordinates[1].as_f64().unwrap_or(0.0),
+    }
 }
 
 fn count(devices: &[Json], matches: impl Fn(&Json) -> bool) -> usize {
--- a/lab/src/fault_scenario/client.rs
+++ b/lab/src/fault_scenario/client.rs
@@ -3,7 +3,7 @@
 use super::fleet::{shard_of_feature, FEATURES_PER_SHARD, SHARDS};
 use super::query::{Class, Query, QueryLog};
 use super::report::{AnswerKind, AnswerViolation, Report, Violation};
-use crate::client::{Client, ClientError, Header, Response};
+use crate::client::{Client, Header, Response};
 use crate::sync::lock;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -37,6 +37,13 @@
     report: &'a Mutex<Report>,
 }
 
+/// What a request for a page came to.
+struct PageAnswer {
+    /// `None`: the connection ended or timed out.
+    response: Option<Response>,
+    kind: AnswerKind,
+}
+
 /// What the pages of a query have given so far.
 #[derive(Default)]
 struct Answers {
@@ -81,8 +88,8 @@
         let mut next = Some(query.first_target());
         let mut pages = 0;
         while let Some(target) = next.take() {
-            let (response, kind) = self.request_page(query, &target, &mut answers);
-            let Ok(response) = response else {
+            let PageAnswer { response, kind } = self.request_page(query, &target, &mut answers);
+            let Some(response) = response else {
                 answers.violations.push(AnswerViolation::NoResponse);
                 break;
             };
@@ -114,24 +121,19 @@
     }
 
     /// Requests one page and records its latency and kind.
-    fn request_page(
-        &mut self,
-        query: &Query,
-        target: &str,
-        answers: &mut Answers,
-    ) -> (Result<Response, ClientError>, AnswerKind) {
+    fn request_page(&mut self, query: &Query, target: &str, answers: &mut Answers) -> PageAnswer {
         let started = Instant::now();
         self.queries.record_page(query.mark, started);
         let timeout = TIMEOUT_SECONDS.to_string();
         let headers = [Header::new("X-Qos", query.class.name()), Header::new("X-Expires-In", &timeout)];
-        let response = self.client.get_with(target, &headers);
+        let response = self.client.get_with(target, &headers).ok();
         let latency = started.elapsed();
         let kind = response.as_ref().map_or(AnswerKind::Lost, kind_of);
         lock(self.report).record_answer(query.class.name(), kind, latency);
         if latency > Duration::from_secs_f64(TIMEOUT_SECONDS) + NETWORK_MARGIN {
             answers.violations.push(AnswerViolation::Late(latency));
         }
-        (response, kind)
+        PageAnswer { response, kind }
     }
 }
 
--- a/lab/src/feature_server/dataset.rs
+++ b/lab/src/feature_server/dataset.rs
@@ -9,6 +9,13 @@
     pub(super) texts: Vec<String>,
 }
 
+/// A location in degrees.
+#[derive(Clone, Copy)]
+pub(super) struct Point {
+    pub(super) longitude: f64,
+    pub(super) latitude: f64,
+}
+
 impl Dataset {
     pub(super) fn new(features: Vec<Json>) -> Dataset {
         let texts = features.iter().map(Json::to_string).collect();
@@ -21,9 +28,13 @@
         Some(&self.texts[index])
     }
 
-    pub(super) fn longitude_latitude(&self, index: usize) -> (f64, f64) {
+    /// Where a feature is.
+    pub(super) fn point(&self, index: usize) -> Point {
         let coordinates = &self.features[index]["geometry"]["coordinates"];
-        (coordinates[0].as_f64().unwrap_or(0.0), coordinates[1].as_f64().unwrap_or(0.0))
+        Point {
+            longitude: coordinates[0].as_f64().unwrap_or(0.0),
+            latitude: coordinates[1].as_f64().unwrap_or(0.0),
+        }
     }
 
     /// When the device was installed: its instant in time.
--- a/lab/src/feature_server/items.rs
+++ b/lab/src/feature_server/items.rs
@@ -1,7 +1,7 @@
 //! Pages of features: selection by filter, box and time, order, and `next` links.
 
 use super::connection::Document;
-use super::dataset::Dataset;
+use super::dataset::{Dataset, Point};
 use super::{Capabilities, Fault, RegisteredRequest, ServerState};
 use quinceflow::front::ogc::cql2::{self, Matcher};
 use serde_json::{json, Value as Json};
@@ -76,7 +76,7 @@
         }
         if let Some(bbox) = items.text("bbox") {
             let Some(bbox) = BoundingBox::parse(bbox) else { return Document::bad_request("the box") };
-            selected.retain(|index| bbox.contains(self.dataset.longitude_latitude(*index)));
+            selected.retain(|index| bbox.contains(self.dataset.point(*index)));
         }
         if let Some(interval) = items.text("datetime") {
             let interval = TimeInterval::parse(interval);
@@ -128,7 +128,7 @@
         Some(BoundingBox { west, south, east, north })
     }
 
-    fn contains(&self, (longitude, latitude): (f64, f64)) -> bool {
+    fn contains(&self, Point { longitude, latitude }: Point) -> bool {
         let BoundingBox { west, south, east, north } = *self;
         let across = if west <= east {
             west <= longitude && longitude <= east
