--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -171,6 +171,42 @@
         }
     }
 
+    /// Tokens that an earlier release sealed with this key, and what they carry.
+    fn earlier_tokens() -> [(&'static str, Cursor); 2] {
+        let full = Cursor {
+            query: 7,
+            at: 1_000,
+            shard: "north".to_owned(),
+            skip: 3,
+            link: Some(("a".to_owned(), "/x?offset=50".to_owned(), 50)),
+            kept: true,
+            after: Some(vec![1.5.into(), "b".into(), serde_json::Value::Null, "d9".into()]),
+            answers: 5,
+            mark: 11,
+        };
+        let minimal =
+            Cursor { skip: 0, link: None, kept: false, after: None, answers: 1, mark: 0, ..full.clone() };
+        [
+            ("AXsicSI6NywiYSI6MTAwMCwicyI6Im5vcnRoIiwiayI6MywibCI6WyJhIiwiL3g_b2Zmc2V0PTUwIiw1MF0sImYiOnRydWUsIm8iOlsxLjUsImIiLG51bGwsImQ5Il0sIm4iOjUsIm0iOjExfamQYAELlfzdD2OToBD_zh4", full),
+            ("AXsicSI6NywiYSI6MTAwMCwicyI6Im5vcnRoIiwibiI6MSwibSI6MH22flZWs1saqAb8CgRMGLXb", minimal),
+        ]
+    }
+
+    #[test]
+    fn tokens_of_an_earlier_release_are_accepted_and_sealed_to_the_same_text() {
+        let key = Key::new(b"some key");
+        for (token, cursor) in earlier_tokens() {
+            assert_eq!(key.open(token, 7, 1_000, 60), Ok(cursor.clone()));
+            assert_eq!(key.seal(&cursor), token);
+        }
+    }
+
+    #[test]
+    fn link_marks_are_those_of_an_earlier_release() {
+        let marks = earlier_tokens().map(|(_, cursor)| cursor.followed(None).map(|c| c.mark));
+        assert_eq!(marks, [Ok(7_573_812_884_547_551_149), Ok(2_975_487_154_951_754_334)]);
+    }
+
     #[test]
     fn only_what_was_given_out_is_taken_back() {
         let key = Key::new(b"some key");
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -198,3 +198,62 @@
     let thread = std::thread::Builder::new().stack_size(words * 8).spawn(run).expect("a thread");
     thread.join().expect("no panic, and no overflow");
 }
+
+/// Queries, and a cursor for each that an earlier release sealed with the key of [`front`]. A cursor is bound to the text of
+/// its query's parameters: were that text to change, the cursors that clients hold would no longer be accepted.
+const EARLIER_CURSORS: [(&str, &str); 3] = [
+    (
+        "bbox=-121,37,-120,38&datetime=2026-01-01T00:00:00Z/..&limit=50",
+        "AXsicSI6MTIwMzA1MTY1MzM1NzUwNzUzMTMsImEiOjQwMDAwMDAwMDAsInMiOiJkZXZpY2VzLXNvdXRoIiwiayI6MywibCI6WyJmZWF0dXJlcy0yIiwiL2NvbGxlY3Rpb25zL2RldmljZXMtc291dGgvaXRlbXM_YmJveD0tMTIxJTJDMzclMkMtMTIwJTJDMzgmbGltaXQ9NTAmb2Zmc2V0PTUwIiw1MF0sIm4iOjEsIm0iOjE3OTQ1NTI1MjUwMjQ3NDQ0OTd9D9bsUsCjlqyH612DPmYwSA",
+    ),
+    (
+        "filter=volts%3E120%20AND%20name%20LIKE%20%27a%25%27&crs=EPSG:32611&properties=volts,name",
+        "AXsicSI6MTM1MzAwNzI2OTM3NDgwNzk3MjAsImEiOjQwMDAwMDAwMDAsInMiOiJkZXZpY2VzLXNvdXRoIiwiayI6MywibCI6WyJmZWF0dXJlcy0yIiwiL2NvbGxlY3Rpb25zL2RldmljZXMtc291dGgvaXRlbXM_YmJveD0tMTIxJTJDMzclMkMtMTIwJTJDMzgmbGltaXQ9NTAmb2Zmc2V0PTUwIiw1MF0sImYiOnRydWUsIm4iOjMsIm0iOjk5fRGoPG99SQwH-Ay1UbpWc-k",
+    ),
+    (
+        "sortby=-volts,name",
+        "AXsicSI6MTMzMjAwNjc5MDY3NzU2OTgwMiwiYSI6NDAwMDAwMDAwMCwicyI6IiIsIm8iOlsxMjAuNSwibWV0ZXIiLCJkNyJdLCJuIjoxLCJtIjoxNzU2MjM1NjEwNDgyMjIwMzE0Mn0TPvNGUBnNDXTp6_oeR2sJ",
+    ),
+];
+
+/// The targets that servers are asked for at last, once it is known what they can do.
+fn targets(front: &Ogc, query: &str) -> Vec<String> {
+    let mut server = Server::default();
+    server.input().feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
+    let request = server.poll().expect("complete").expect("well formed");
+    let mut reaction = front.handle(request, Token(1), Micros::ZERO, true);
+    loop {
+        match reaction {
+            Reaction::Respond(response) => panic!("{query}: {response:?}"),
+            Reaction::Submit(request, render) => {
+                let contexts = request.parts.iter().filter_map(|p| p.context.as_ref()?.get::<Visit>());
+                let targets: Vec<String> = contexts.map(|c| c.target.clone()).collect();
+                if targets.iter().all(|t| t.contains("/items?")) {
+                    return targets;
+                }
+                reaction = render(Answer::Failed { late: false });
+            }
+        }
+    }
+}
+
+#[test]
+fn cursors_of_an_earlier_release_are_accepted_for_their_queries() {
+    let front = front();
+    let link = "/collections/devices-south/items?bbox=-121%2C37%2C-120%2C38&limit=50&offset=50";
+    let first = |shard: &str| format!("/collections/{shard}/items?limit=500");
+    let expected = [
+        vec![link.to_owned()],
+        vec![link.to_owned()],
+        ["devices-north", "devices-south"].map(first).to_vec(),
+    ];
+    for ((query, cursor), expected) in EARLIER_CURSORS.into_iter().zip(expected) {
+        assert_eq!(targets(&front, &format!("{query}&cursor={cursor}")), expected, "{query}");
+        let other = said(
+            &front,
+            format!("GET /collections/devices/items?limit=9&bbox=0,0,1,1&cursor={cursor} HTTP/1.1\r\n\r\n")
+                .as_bytes(),
+        );
+        assert_eq!(other.map(|r| r.status), Some(400), "{query}: a cursor of another query");
+    }
+}
