--- a/fuzz/fuzz_targets/cursor.rs
+++ b/fuzz/fuzz_targets/cursor.rs
@@ -1,9 +1,9 @@
 //! No bytes but those that were given out are a cursor.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
-use quinceflow::front::ogc::cursor::{CursorError, Key};
+use quinceflow::front::ogc::cursor::{CursorError, CursorKey};
 
 fuzz_target!(|text: &str| {
-    let key = Key::new(b"the key of this run");
-    assert_eq!(key.open(text, 1, 1, 1), Err(CursorError::Forged));
+    let key = CursorKey::new(b"the key of this run");
+    assert_eq!(key.open(text, 1, 1, 1), Err(CursorError::NotAuthentic));
 });
--- a/fuzz/fuzz_targets/page.rs
+++ b/fuzz/fuzz_targets/page.rs
@@ -6,6 +6,6 @@
 fuzz_target!(|bytes: &[u8]| {
     if let Some(page) = read_page(bytes.to_vec(), "127.0.0.1:9", "/collections/a/items?limit=2", None) {
         assert!(page.features.iter().all(|f| page.body[f.clone()].starts_with(b"{")));
-        assert!(page.next.is_none_or(|n| n.starts_with('/')));
+        assert!(page.next_target.is_none_or(|n| n.starts_with('/')));
     }
 });
--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -5,11 +5,11 @@
 use quinceflow::coordinator::{Answer, AttemptEnd, Token};
 use quinceflow::front::ogc::config::Edge;
 use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Able, Matcher, Queryables};
-use quinceflow::front::ogc::cursor::Key;
-use quinceflow::front::ogc::paging::Place;
-use quinceflow::front::ogc::ranking::{By, Ranked, Ranking};
+use quinceflow::front::ogc::cursor::CursorKey;
+use quinceflow::front::ogc::paging::PageLocation;
+use quinceflow::front::ogc::ranking::{SortKey, SortedMerge, SortedProgress};
 use quinceflow::front::ogc::visit::{read_page, Visit};
-use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
+use quinceflow::front::ogc::{lock, OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
 use quinceflow::proto::fetch::Fetched;
 use quinceflow::proto::http::Server;
@@ -87,14 +87,14 @@
     let pages: Vec<_> =
         (0..shards).map(|_| Arc::new(read_page(body(500), "a:1", "/c", None).expect("a page"))).collect();
     bencher.bench(|| {
-        let by = vec![By { name: "volts".to_owned(), descending: true }];
-        let mut ranking = Ranking::new(by, 500, 500, 100, 1.0, None, &vec![false; shards]);
+        let by = vec![SortKey { property: "volts".to_owned(), descending: true }];
+        let mut ranking = SortedMerge::new(by, 500, 500, 100, 1.0, None, &vec![false; shards]);
         loop {
             let asks = ranking.asks();
-            assert!(asks.iter().all(|a| a.place == Place::Start));
+            assert!(asks.iter().all(|a| a.place == PageLocation::ShardStart));
             let came = asks.iter().map(|a| (a.shard, a.size, Some(pages[a.shard].clone()))).collect();
-            if ranking.take(came) == Ranked::Done {
-                return ranking.page().given;
+            if ranking.take(came) == SortedProgress::Done {
+                return ranking.page().returned_count;
             }
         }
     });
@@ -108,7 +108,7 @@
             .expect("sound");
     let catalog = SharedCatalog::default();
     lock(&catalog).load(&edge.servers().expect("sound"), Micros::ZERO);
-    let front = Ogc::new(edge, catalog, Key::new(b"k"), Arc::default(), Arc::default());
+    let front = OgcFront::new(edge, catalog, CursorKey::new(b"k"), Arc::default(), Arc::default());
     let body = body(500);
     bencher.bench(|| {
         let mut server = Server::default();
--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -56,31 +56,31 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CursorError {
     /// It was not made here, or was altered.
-    Forged,
+    NotAuthentic,
     /// It is good, but of another query.
-    OfAnother,
+    WrongQuery,
     /// It is too old, or of a version that is not read any more.
-    Stale,
+    Expired,
     /// Its links go in a circle.
-    Circle,
+    LinkCycle,
 }
 
 /// The key that tokens are made with.
 #[derive(Clone)]
-pub struct Key(Hmac<Sha256>);
+pub struct CursorKey(Hmac<Sha256>);
 
-impl std::fmt::Debug for Key {
+impl std::fmt::Debug for CursorKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Key")
     }
 }
 
-impl Key {
+impl CursorKey {
     /// A key of these bytes.
     pub fn new(bytes: &[u8]) -> Self {
         // Any length will do for HMAC.
         let mac = Hmac::<Sha256>::new_from_slice(bytes);
-        Key(mac.unwrap_or_else(|_| Hmac::new(&Default::default())))
+        CursorKey(mac.unwrap_or_else(|_| Hmac::new(&Default::default())))
     }
 
     fn code(&self, bytes: &[u8]) -> [u8; CODE] {
@@ -102,21 +102,25 @@
     /// The cursor of a token: of this query, and no older than `age` seconds at `now` (Unix time in seconds).
     pub fn open(&self, token: &str, query: u64, now: u64, age: u64) -> Result<Cursor, CursorError> {
         if token.len() > MAX_TOKEN {
-            return Err(CursorError::Forged);
+            return Err(CursorError::NotAuthentic);
         }
-        let bytes = URL_SAFE_NO_PAD.decode(token).map_err(|_| CursorError::Forged)?;
-        let split = bytes.len().checked_sub(CODE).ok_or(CursorError::Forged)?;
+        let bytes = URL_SAFE_NO_PAD.decode(token).map_err(|_| CursorError::NotAuthentic)?;
+        let split = bytes.len().checked_sub(CODE).ok_or(CursorError::NotAuthentic)?;
         let (said, code) = bytes.split_at(split);
         // Compared in constant time: a code must not be found out byte by byte.
-        self.0.clone().chain_update(said).verify_truncated_left(code).map_err(|_| CursorError::Forged)?;
-        let (version, fields) = said.split_first().ok_or(CursorError::Forged)?;
+        self.0
+            .clone()
+            .chain_update(said)
+            .verify_truncated_left(code)
+            .map_err(|_| CursorError::NotAuthentic)?;
+        let (version, fields) = said.split_first().ok_or(CursorError::NotAuthentic)?;
         if *version != VERSION {
-            return Err(CursorError::Stale);
+            return Err(CursorError::Expired);
         }
-        let cursor: Cursor = serde_json::from_slice(fields).map_err(|_| CursorError::Stale)?;
+        let cursor: Cursor = serde_json::from_slice(fields).map_err(|_| CursorError::Expired)?;
         match () {
-            () if cursor.query != query => Err(CursorError::OfAnother),
-            () if now.saturating_sub(cursor.at) > age => Err(CursorError::Stale),
+            () if cursor.query != query => Err(CursorError::WrongQuery),
+            () if now.saturating_sub(cursor.at) > age => Err(CursorError::Expired),
             () => Ok(cursor),
         }
     }
@@ -126,7 +130,7 @@
     /// The cursor after this one, which leads on to `link`. Found to go in a circle by Brent's method: the link of answer
     /// 1, 2, 4, 8 ... is remembered, and if it comes again nothing new will ever come.
     pub fn followed(mut self, before: Option<&Cursor>) -> Result<Self, CursorError> {
-        let here = hash(&[
+        let here = stable_hash(&[
             self.shard.as_bytes(),
             format!("{:?} {} {:?}", self.link, self.skip, self.after).as_bytes(),
         ]);
@@ -134,7 +138,7 @@
         self.at = before.at;
         self.answers = before.answers.saturating_add(1);
         if before.mark == here {
-            return Err(CursorError::Circle);
+            return Err(CursorError::LinkCycle);
         }
         self.mark = if self.answers.is_power_of_two() { here } else { before.mark };
         Ok(self)
@@ -142,7 +146,7 @@
 }
 
 /// A hash of these, the same in every process: the first bytes of SHA-256, each part with its length before it.
-pub fn hash(parts: &[&[u8]]) -> u64 {
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
     let mut state = Sha256::new();
     for part in parts {
         state.update((part.len() as u64).to_be_bytes());
@@ -194,7 +198,7 @@
 
     #[test]
     fn tokens_of_an_earlier_release_are_accepted_and_sealed_to_the_same_text() {
-        let key = Key::new(b"some key");
+        let key = CursorKey::new(b"some key");
         for (token, cursor) in earlier_tokens() {
             assert_eq!(key.open(token, 7, 1_000, 60), Ok(cursor.clone()));
             assert_eq!(key.seal(&cursor), token);
@@ -209,12 +213,12 @@
 
     #[test]
     fn only_what_was_given_out_is_taken_back() {
-        let key = Key::new(b"some key");
+        let key = CursorKey::new(b"some key");
         let token = key.seal(&cursor("/x?offset=50"));
         assert_eq!(key.open(&token, 7, 1_010, 60), Ok(cursor("/x?offset=50")));
-        assert_eq!(key.open(&token, 8, 1_010, 60), Err(CursorError::OfAnother));
-        assert_eq!(key.open(&token, 7, 1_061, 60), Err(CursorError::Stale));
-        assert_eq!(Key::new(b"another").open(&token, 7, 1_010, 60), Err(CursorError::Forged));
+        assert_eq!(key.open(&token, 8, 1_010, 60), Err(CursorError::WrongQuery));
+        assert_eq!(key.open(&token, 7, 1_061, 60), Err(CursorError::Expired));
+        assert_eq!(CursorKey::new(b"another").open(&token, 7, 1_010, 60), Err(CursorError::NotAuthentic));
         for n in 0..token.len() {
             let mut altered = token.clone().into_bytes();
             altered[n] = if altered[n] == b'A' { b'B' } else { b'A' };
@@ -222,12 +226,12 @@
             // The last character has bits to spare: other texts may mean the same bytes.
             let found = key.open(&altered, 7, 1_010, 60);
             assert!(
-                found == Err(CursorError::Forged) || found == Ok(cursor("/x?offset=50")),
+                found == Err(CursorError::NotAuthentic) || found == Ok(cursor("/x?offset=50")),
                 "{n}: {found:?}"
             );
         }
         for text in ["", "A", "no token!", &"A".repeat(100), &"A".repeat(10_000)] {
-            assert_eq!(key.open(text, 7, 1_010, 60), Err(CursorError::Forged));
+            assert_eq!(key.open(text, 7, 1_010, 60), Err(CursorError::NotAuthentic));
         }
     }
 
@@ -241,7 +245,7 @@
                         before = Some(next);
                         false
                     }
-                    Err(e) => e == CursorError::Circle,
+                    Err(e) => e == CursorError::LinkCycle,
                 }
             });
             assert!(found.is_some_and(|n| n <= 4 * length + 4), "{length}: {found:?}");
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -6,16 +6,16 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-fn front() -> Ogc {
+fn front() -> OgcFront {
     let edge = Edge::read_file(std::path::Path::new("deploy/edge.toml")).expect("sound");
     let catalog = SharedCatalog::default();
     let servers = edge.servers().expect("sound");
     lock(&catalog).load(&servers, Micros::ZERO);
-    Ogc::new(edge, catalog, Key::new(b"a key"), Arc::default(), Arc::default())
+    OgcFront::new(edge, catalog, CursorKey::new(b"a key"), Arc::default(), Arc::default())
 }
 
 /// What a connection's bytes come to: an answer, or a query that goes to the core (with the answer to one that fails).
-fn said(front: &Ogc, bytes: &[u8]) -> Option<Response> {
+fn said(front: &OgcFront, bytes: &[u8]) -> Option<Response> {
     let mut server = Server::default();
     server.allow_body(front.max_body());
     server.input().feed(bytes);
@@ -217,7 +217,7 @@
 ];
 
 /// The targets that servers are asked for at last, once it is known what they can do.
-fn targets(front: &Ogc, query: &str) -> Vec<String> {
+fn targets(front: &OgcFront, query: &str) -> Vec<String> {
     let mut server = Server::default();
     server.input().feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
     let request = server.poll().expect("complete").expect("well formed");
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -2,12 +2,14 @@
 //! answer is ready.
 
 use super::cql2::{Filter, Queryables};
-use super::cursor::{hash, Cursor, CursorError};
+use super::cursor::{stable_hash, Cursor, CursorError};
 use super::learn::{self, Want};
-use super::paging::{Ask, Gather, Page, Place, Position, Step, Wanted};
+use super::paging::{
+    ConcatMerge, ConcatProgress, FeaturePage, PageFetch, PageLocation, PagingLimits, ResumePosition,
+};
 use super::params::Params;
 use super::plans::{holders, plans, server_query, Plan};
-use super::ranking::{Ranked, Ranking};
+use super::ranking::{SortedMerge, SortedProgress};
 use super::visit::{Kind, Visit};
 use super::{lock, render, Fault, Shared};
 use crate::coordinator::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
@@ -46,12 +48,12 @@
 }
 
 enum Mode {
-    Pages(Box<Gather>),
-    Ranked(Ranking),
+    Concat(Box<ConcatMerge>),
+    Sorted(SortedMerge),
 }
 
 /// What came of a round: the shard's place, the size that was asked for, and the page.
-type Came = (usize, usize, Option<Arc<Page>>);
+type Came = (usize, usize, Option<Arc<FeaturePage>>);
 
 /// A query for features of a collection.
 pub(super) struct Items {
@@ -63,7 +65,7 @@
     plans: Vec<Plan>,
     mode: Mode,
     /// What was asked in the round under way, and under which number.
-    out: Vec<(ShardId, Ask, Arc<Visit>)>,
+    out: Vec<(ShardId, PageFetch, Arc<Visit>)>,
     before: Option<Cursor>,
     _pages: PagesTaken,
     bytes: Arc<BytesTaken>,
@@ -91,7 +93,7 @@
 pub(super) struct Ready<'a> {
     pub asked: &'a Asked,
     pub bytes: Arc<BytesTaken>,
-    pub pages: Vec<(Arc<Page>, Range<usize>)>,
+    pub pages: Vec<(Arc<FeaturePage>, Range<usize>)>,
     pub count: usize,
     pub whole: bool,
     pub missing: Vec<&'a str>,
@@ -141,7 +143,7 @@
 }
 
 fn query_hash(asked: &Asked) -> u64 {
-    hash(&[asked.collection.as_bytes(), asked.params.bound().as_bytes()])
+    stable_hash(&[asked.collection.as_bytes(), asked.params.bound().as_bytes()])
 }
 
 /// The queryables of a collection: the operator's, else what any of its servers tells: what one of them cannot filter is
@@ -211,7 +213,7 @@
         }
         let from = match &before {
             Some(cursor) if cursor.after.is_none() => position(&shared, &asked.collection, cursor, &shards)?,
-            _ => Position::START,
+            _ => ResumePosition::START,
         };
         let taken = match admit(&shared, &asker, &asked, shards.len()) {
             Ok(taken) => taken,
@@ -237,13 +239,13 @@
         asked: Asked,
         shards: Vec<(ShardId, String)>,
         plans: Vec<Plan>,
-        (from, before): (Position, Option<Cursor>),
+        (from, before): (ResumePosition, Option<Cursor>),
         (pages, bytes): (PagesTaken, Arc<BytesTaken>),
     ) -> Reaction {
         let (edge, params) = (&shared.edge, &asked.params);
         let class = &edge.classes[asker.class];
         let mode = if params.sortby.is_empty() {
-            let wanted = Wanted {
+            let wanted = PagingLimits {
                 limit: params.limit,
                 page: edge.page_size,
                 at_once: edge.at_once,
@@ -253,13 +255,13 @@
                 floor: class.floor,
                 again: class.effect != "unsafe",
             };
-            Mode::Pages(Box::new(Gather::new(wanted, from, shards.len())))
+            Mode::Concat(Box::new(ConcatMerge::new(wanted, from, shards.len())))
         } else {
             let ordered: Vec<bool> = plans.iter().map(|p| p.ordered).collect();
             let after = before.as_ref().and_then(|c| c.after.clone());
             let by = params.sortby.clone();
             let (page, pages) = (edge.page_size, edge.most_pages);
-            Mode::Ranked(Ranking::new(by, params.limit, page, pages, class.floor, after, &ordered))
+            Mode::Sorted(SortedMerge::new(by, params.limit, page, pages, class.floor, after, &ordered))
         };
         Items { shared, asker, asked, shards, plans, mode, out: Vec::new(), before, _pages: pages, bytes }
             .ask()
@@ -268,8 +270,8 @@
     /// Asks for the next round's pages.
     fn ask(mut self) -> Reaction {
         let asks = match &self.mode {
-            Mode::Pages(gather) => gather.asks(),
-            Mode::Ranked(ranking) => ranking.asks(),
+            Mode::Concat(gather) => gather.asks(),
+            Mode::Sorted(ranking) => ranking.asks(),
         };
         let mut parts = Vec::new();
         let mut gone = Vec::new();
@@ -291,24 +293,26 @@
     }
 
     /// What is asked for a page, and under which number: that of its shard, or of its shard at the one server that can go on.
-    fn visit(&self, ask: &Ask) -> Option<(ShardId, Arc<Visit>)> {
+    fn visit(&self, ask: &PageFetch) -> Option<(ShardId, Arc<Visit>)> {
         let (shard, name) = &self.shards[ask.shard];
         let plan = &self.plans[ask.shard];
         let catalog = lock(&self.shared.catalog);
         let (number, target) = match &ask.place {
-            Place::Start => {
+            PageLocation::ShardStart => {
                 let broken = match &self.mode {
-                    Mode::Pages(gather) => gather.broken.as_ref().filter(|b| b.0 == ask.shard),
-                    Mode::Ranked(_) => None,
+                    Mode::Concat(gather) => gather.broken.as_ref().filter(|b| b.0 == ask.shard),
+                    Mode::Sorted(_) => None,
                 };
                 let elsewhere = broken.and_then(|b| catalog.elsewhere(*shard, &b.1));
                 (elsewhere.unwrap_or(*shard), server_query(name, &self.asked.params, plan, ask.size))
             }
-            Place::Link { target, .. } if self.shared.same_order(&self.asked.collection) => {
+            PageLocation::NextLink { target, .. } if self.shared.same_order(&self.asked.collection) => {
                 (*shard, target.to_string())
             }
             // What comes after a page is known to its server alone.
-            Place::Link { server, target, .. } => (catalog.pinned(*shard, server)?, target.to_string()),
+            PageLocation::NextLink { server, target, .. } => {
+                (catalog.pinned(*shard, server)?, target.to_string())
+            }
         };
         let mut visit = Visit::new(Kind::Items, target);
         visit.sieve = plan.sieve.clone();
@@ -324,7 +328,7 @@
                     let value = parts.iter().find(|p| p.0 == number);
                     let page = value.and_then(|v| visit.page(&v.1));
                     if let Some(page) = &page {
-                        self.shared.admission().page(page.body.len(), page.given, ask.size);
+                        self.shared.admission().page(page.body.len(), page.returned_count, ask.size);
                     }
                     came.push((ask.shard, ask.size, page));
                 }
@@ -347,15 +351,15 @@
             matches!(answer, Some(Answer::Rejected { late: true, .. } | Answer::Failed { late: true }));
         let failed = || answer.unwrap_or(Answer::Failed { late: false });
         match &mut self.mode {
-            Mode::Pages(gather) => match gather.take(came, render::feature_id) {
-                Step::More if !late => self.ask(),
-                Step::Done if gather.above_floor() => self.end(None),
+            Mode::Concat(gather) => match gather.take(came, render::feature_id) {
+                ConcatProgress::More if !late => self.ask(),
+                ConcatProgress::Done if gather.above_floor() => self.end(None),
                 _ => self.end(Some(failed())),
             },
-            Mode::Ranked(ranking) => match ranking.take(came) {
-                Ranked::More if !late => self.ask(),
-                Ranked::Done => self.end(None),
-                Ranked::TooMany => {
+            Mode::Sorted(ranking) => match ranking.take(came) {
+                SortedProgress::More if !late => self.ask(),
+                SortedProgress::Done => self.end(None),
+                SortedProgress::TooMany => {
                     let why = "too many features to put in order here, and their servers cannot: ask for fewer by a filter or a box";
                     self.finish(render::problem(400, why))
                 }
@@ -368,8 +372,8 @@
     fn end(self, failed: Option<Answer>) -> Reaction {
         // What is in is in order and whole up to where its next link leads; an ordered answer is in order only once all is in.
         let good = match &self.mode {
-            Mode::Pages(gather) => gather.count() > 0 && gather.above_floor(),
-            Mode::Ranked(_) => false,
+            Mode::Concat(gather) => gather.count() > 0 && gather.above_floor(),
+            Mode::Sorted(_) => false,
         };
         if let Some(answer) = failed.filter(|_| !good) {
             let response = render::unanswered(&answer).unwrap_or_else(|| render::problem(500, "no answer"));
@@ -393,7 +397,7 @@
     fn ready(&self, next: Option<String>) -> Ready<'_> {
         let names = |missing: Vec<usize>| missing.into_iter().map(|n| self.shards[n].1.as_str()).collect();
         match &self.mode {
-            Mode::Pages(gather) => {
+            Mode::Concat(gather) => {
                 let end = gather.next().map_or(usize::MAX, |p| p.shard);
                 Ready {
                     asked: &self.asked,
@@ -406,7 +410,7 @@
                     next,
                 }
             }
-            Mode::Ranked(ranking) => {
+            Mode::Sorted(ranking) => {
                 let page = Arc::new(ranking.page());
                 let count = page.features.len();
                 Ready {
@@ -436,17 +440,17 @@
             mark: 0,
         };
         match &self.mode {
-            Mode::Pages(gather) => {
+            Mode::Concat(gather) => {
                 let Some(at) = gather.next() else { return Ok(None) };
                 cursor.shard = self.shards[at.shard].1.clone();
                 cursor.skip = at.skip;
-                if let Place::Link { server, target, size } = &at.place {
+                if let PageLocation::NextLink { server, target, page_size } = &at.place {
                     let name = lock(&self.shared.catalog).name_at(server).unwrap_or(server).to_owned();
-                    cursor.link = Some((name, target.to_string(), *size));
+                    cursor.link = Some((name, target.to_string(), *page_size));
                     cursor.kept = self.plans[at.shard].sieve.is_some();
                 }
             }
-            Mode::Ranked(ranking) => {
+            Mode::Sorted(ranking) => {
                 let Some(after) = ranking.next() else { return Ok(None) };
                 cursor.after = Some(after);
             }
@@ -483,10 +487,12 @@
 /// Why a cursor is not gone on with, in words.
 fn told(e: CursorError) -> Fault {
     match e {
-        CursorError::Forged => (400, "cursor: it was not made by this service, or was altered".to_owned()),
-        CursorError::OfAnother => (400, "cursor: it belongs to another query".to_owned()),
-        CursorError::Stale => (410, "cursor: it is too old; begin anew without it".to_owned()),
-        CursorError::Circle => (502, "the server's pages go in a circle".to_owned()),
+        CursorError::NotAuthentic => {
+            (400, "cursor: it was not made by this service, or was altered".to_owned())
+        }
+        CursorError::WrongQuery => (400, "cursor: it belongs to another query".to_owned()),
+        CursorError::Expired => (410, "cursor: it is too old; begin anew without it".to_owned()),
+        CursorError::LinkCycle => (502, "the server's pages go in a circle".to_owned()),
     }
 }
 
@@ -496,12 +502,12 @@
     collection: &str,
     cursor: &Cursor,
     shards: &[(ShardId, String)],
-) -> Result<Position, Fault> {
+) -> Result<ResumePosition, Fault> {
     let gone = |why: &str| (410, format!("cursor: {why}; begin anew without it"));
     let shard = shards.iter().position(|s| s.1 == cursor.shard);
     let shard = shard.ok_or_else(|| gone("the shard that it leads to is no more"))?;
     let place = match &cursor.link {
-        None => Place::Start,
+        None => PageLocation::ShardStart,
         Some((server, target, size)) => {
             let catalog = lock(&shared.catalog);
             let address = catalog.address_of(server);
@@ -511,8 +517,8 @@
                 return Err(gone("the server that its pages came from has left"));
             }
             let server = address.unwrap_or_else(|| server.clone());
-            Place::Link { server: server.into(), target: target.as_str().into(), size: *size }
+            PageLocation::NextLink { server: server.into(), target: target.as_str().into(), page_size: *size }
         }
     };
-    Ok(Position { shard, place, skip: cursor.skip })
+    Ok(ResumePosition { shard, place, skip: cursor.skip })
 }
--- a/src/front/ogc/learn.rs
+++ b/src/front/ogc/learn.rs
@@ -63,8 +63,9 @@
             oldest.map(|at| self.entries.remove(&at));
         }
         // Servers that were learned together are not learned anew together.
-        let spread =
-            Micros(self.age.0 / 4 * (super::cursor::hash(&[at.0.as_bytes(), at.1.as_bytes()]) % 256) / 256);
+        let spread = Micros(
+            self.age.0 / 4 * (super::cursor::stable_hash(&[at.0.as_bytes(), at.1.as_bytes()]) % 256) / 256,
+        );
         let age = self.age - spread;
         let entry = self.entries.entry(at.clone()).or_default();
         entry.used = now;
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -33,7 +33,7 @@
 use config::Edge;
 use cql2::Queryables;
 use crs::Crs;
-use cursor::Key;
+use cursor::CursorKey;
 use deliver::Manner;
 use items::{Asked, Asker, Items};
 use learn::Learned;
@@ -59,7 +59,7 @@
 pub(crate) struct Shared {
     edge: Edge,
     catalog: SharedCatalog,
-    key: Key,
+    key: CursorKey,
     figures: Arc<Metrics>,
     learned: Mutex<Learned>,
     bears: Arc<ServerCapacity>,
@@ -91,7 +91,7 @@
 }
 
 /// The front for feature queries.
-pub struct Ogc {
+pub struct OgcFront {
     shared: Arc<Shared>,
 }
 
@@ -101,19 +101,19 @@
 /// What is wrong with a request, as a status and what to say.
 type Fault = (u16, String);
 
-impl Ogc {
+impl OgcFront {
     /// A front with these settings.
     pub fn new(
         edge: Edge,
         catalog: SharedCatalog,
-        key: Key,
+        key: CursorKey,
         figures: Arc<Metrics>,
         bears: Arc<ServerCapacity>,
     ) -> Self {
         let learned = Mutex::new(Learned::new(Micros::from_secs(edge.learned_age_s)));
         let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY);
         let admission = Mutex::new(Admission::new((memory as f64 * ANSWERS_SHARE) as usize));
-        Ogc { shared: Arc::new(Shared { edge, catalog, key, figures, learned, bears, admission }) }
+        OgcFront { shared: Arc::new(Shared { edge, catalog, key, figures, learned, bears, admission }) }
     }
 
     fn route(
@@ -334,7 +334,7 @@
 /// Most bytes of a request's body: a drawn area of ten thousand points is half of this.
 const MAX_SEARCH: usize = 1024 * 1024;
 
-impl Front for Ogc {
+impl Front for OgcFront {
     fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
         let manner = Manner::of(&request);
         let reaction = self.route(&request, token, sent, ready).unwrap_or_else(|(status, detail)| {
--- a/src/front/ogc/paging.rs
+++ b/src/front/ogc/paging.rs
@@ -23,7 +23,7 @@
 
 /// A page as a server gave it.
 #[derive(Debug, Default)]
-pub struct Page {
+pub struct FeaturePage {
     /// The server's name.
     pub server: Arc<str>,
     /// Its body.
@@ -31,56 +31,60 @@
     /// Where the features stand in it that pass what is filtered here.
     pub features: Vec<Range<usize>>,
     /// Features in it, those that do not pass included.
-    pub given: usize,
+    pub returned_count: usize,
     /// Where it goes on, at the same server: path and query.
-    pub next: Option<String>,
+    pub next_target: Option<String>,
     /// How many match in all at that server, as it says.
-    pub matched: Option<u64>,
+    pub number_matched: Option<u64>,
 }
 
-impl Page {
+impl FeaturePage {
     /// Where its shard is gone on with after it; its pages hold what this one holds, whatever was asked for.
-    pub fn link(&self) -> Option<Place> {
-        let target = self.next.as_deref()?.into();
-        Some(Place::Link { server: self.server.clone(), target, size: self.given.max(1) })
+    pub fn next_location(&self) -> Option<PageLocation> {
+        let target = self.next_target.as_deref()?.into();
+        Some(PageLocation::NextLink {
+            server: self.server.clone(),
+            target,
+            page_size: self.returned_count.max(1),
+        })
     }
 }
 
 /// Where a shard is gone on with.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Place {
+pub enum PageLocation {
     /// At its begin.
-    Start,
+    ShardStart,
     /// Where a page's link led.
-    Link {
+    NextLink {
         /// Who gave the link.
         server: Arc<str>,
         /// Path and query.
         target: Arc<str>,
         /// Features a page has there.
-        size: usize,
+        page_size: usize,
     },
 }
 
 /// Where an answer begins.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Position {
+pub struct ResumePosition {
     /// Which shard, in their order.
     pub shard: usize,
     /// Where in it.
-    pub place: Place,
+    pub place: PageLocation,
     /// Features of that page that were given already.
     pub skip: usize,
 }
 
-impl Position {
+impl ResumePosition {
     /// Of a first answer.
-    pub const START: Position = Position { shard: 0, place: Place::Start, skip: 0 };
+    pub const START: ResumePosition = ResumePosition { shard: 0, place: PageLocation::ShardStart, skip: 0 };
 }
 
 /// What bounds an answer.
 #[derive(Debug, Clone, Copy)]
-pub struct Wanted {
+pub struct PagingLimits {
     /// Most features.
     pub limit: usize,
     /// Most features asked of a server at a time.
@@ -101,18 +105,18 @@
 
 /// A page that is wanted.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ask {
+pub struct PageFetch {
     /// Of which shard.
     pub shard: usize,
     /// Where.
-    pub place: Place,
+    pub place: PageLocation,
     /// How many features.
     pub size: usize,
 }
 
 /// How far an answer is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Step {
+pub enum ConcatProgress {
     /// Another round is wanted.
     More,
     /// The answer is ready.
@@ -124,7 +128,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     /// A page that is in and not used yet, and the size that was asked for.
-    page: Option<(Arc<Page>, usize)>,
+    page: Option<(Arc<FeaturePage>, usize)>,
     /// The count that its server told, and whether it told different ones.
     matched: Option<u64>,
     fickle: bool,
@@ -135,13 +139,13 @@
 
 /// An answer that is being made.
 #[derive(Debug)]
-pub struct Gather {
-    wanted: Wanted,
-    from: Position,
-    at: Position,
+pub struct ConcatMerge {
+    wanted: PagingLimits,
+    from: ResumePosition,
+    at: ResumePosition,
     seen: Vec<Seen>,
     /// What the answer holds: the features of these pages.
-    pub taken: Vec<(Arc<Page>, Range<usize>)>,
+    pub taken: Vec<(Arc<FeaturePage>, Range<usize>)>,
     count: usize,
     bytes: usize,
     pages: usize,
@@ -160,10 +164,10 @@
     pub doubled: usize,
 }
 
-impl Gather {
+impl ConcatMerge {
     /// An answer from this position on, over so many shards.
-    pub fn new(wanted: Wanted, from: Position, shards: usize) -> Self {
-        Gather {
+    pub fn new(wanted: PagingLimits, from: ResumePosition, shards: usize) -> Self {
+        ConcatMerge {
             wanted,
             at: from.clone(),
             seen: (0..shards).map(|_| Seen::default()).collect(),
@@ -174,7 +178,7 @@
             ahead: FIRST_AHEAD,
             hasher: RandomState::new(),
             ids: HashSet::new(),
-            begun: (from.place == Place::Start && from.skip == 0).then_some((0, 0)),
+            begun: (from.place == PageLocation::ShardStart && from.skip == 0).then_some((0, 0)),
             restarts: 0,
             broken: None,
             links: HashSet::new(),
@@ -197,7 +201,7 @@
     }
 
     /// The pages wanted next; none if a page that is here must be used first.
-    pub fn asks(&self) -> Vec<Ask> {
+    pub fn asks(&self) -> Vec<PageFetch> {
         let mut asks = Vec::new();
         if self.at_end() {
             return asks;
@@ -205,20 +209,24 @@
         let here = self.at.shard;
         if self.seen[here].page.is_none() {
             let size = match &self.at.place {
-                Place::Start => self.start_size(self.need()),
-                Place::Link { size, .. } => *size,
+                PageLocation::ShardStart => self.start_size(self.need()),
+                PageLocation::NextLink { page_size, .. } => *page_size,
             };
-            asks.push(Ask { shard: here, place: self.at.place.clone(), size });
+            asks.push(PageFetch { shard: here, place: self.at.place.clone(), size });
         }
         let shards = self.seen.len();
-        if self.from == Position::START && self.pages == 0 && shards <= self.wanted.at_once {
+        if self.from == ResumePosition::START && self.pages == 0 && shards <= self.wanted.at_once {
             // Small sets are whole after one round, and of large ones the count is known.
             let size = if self.wanted.sieved { self.wanted.page } else { self.wanted.limit.div_ceil(shards) };
             let size = size.min(self.wanted.page);
-            asks.extend((here + 1..shards).map(|shard| Ask { shard, place: Place::Start, size }));
+            asks.extend((here + 1..shards).map(|shard| PageFetch {
+                shard,
+                place: PageLocation::ShardStart,
+                size,
+            }));
             return asks;
         }
-        if self.at.place != Place::Start {
+        if self.at.place != PageLocation::ShardStart {
             return asks;
         }
         // Further shards, as far as those before them will not do.
@@ -228,7 +236,7 @@
             let seen = &self.seen[shard];
             if shard > here && seen.page.is_none() && !seen.missing {
                 let size = self.start_size(left.max(1) as usize);
-                asks.push(Ask { shard, place: Place::Start, size });
+                asks.push(PageFetch { shard, place: PageLocation::ShardStart, size });
             }
             match seen.matched {
                 Some(matched) => left = left.saturating_sub(matched),
@@ -242,7 +250,11 @@
     }
 
     /// Takes in what came of a round's pages: of each ask its shard, the size asked for and the page, or nothing.
-    pub fn take(&mut self, came: Vec<(usize, usize, Option<Arc<Page>>)>, id: impl Fn(&[u8]) -> u64) -> Step {
+    pub fn take(
+        &mut self,
+        came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>,
+        id: impl Fn(&[u8]) -> u64,
+    ) -> ConcatProgress {
         self.pages += came.len();
         self.ahead = (self.ahead * 2).min(MAX_AHEAD);
         for (shard, size, page) in came {
@@ -250,7 +262,7 @@
             match page {
                 None => seen.missing = true,
                 Some(page) => {
-                    let told = page.matched;
+                    let told = page.number_matched;
                     seen.fickle |= seen.matched.is_some() && told.is_some() && seen.matched != told;
                     seen.matched = told.or(seen.matched);
                     self.bytes += page.body.len();
@@ -262,19 +274,19 @@
     }
 
     /// Uses the pages that are in, in order.
-    fn use_up(&mut self, id: &impl Fn(&[u8]) -> u64) -> Step {
+    fn use_up(&mut self, id: &impl Fn(&[u8]) -> u64) -> ConcatProgress {
         loop {
             let shards = self.seen.len();
             let here = self.at.shard;
             if here >= shards {
-                return Step::Done;
+                return ConcatProgress::Done;
             }
             if self.seen[here].missing && self.begin_anew() {
-                return Step::More;
+                return ConcatProgress::More;
             }
             if self.seen[here].missing && self.wanted.floor >= 1.0 {
                 // What is in stays good, and its next link leads to where it broke off.
-                return if self.count > 0 { Step::Done } else { Step::Failed };
+                return if self.count > 0 { ConcatProgress::Done } else { ConcatProgress::Failed };
             }
             if self.seen[here].missing {
                 self.next_shard();
@@ -283,9 +295,9 @@
             let Some((page, size)) = self.seen[here].page.take() else {
                 return self.wants_more();
             };
-            let begun = self.at.place != Place::Start || here == self.from.shard;
+            let begun = self.at.place != PageLocation::ShardStart || here == self.from.shard;
             let need = self.need();
-            let more = page.next.is_some();
+            let more = page.next_target.is_some();
             // What must not run twice is not begun anew: it goes on in the pages that it has.
             if more && !begun && !self.wanted.sieved && self.wanted.again {
                 let look = (size as f64) < LOOK * self.start_size(need) as f64;
@@ -293,7 +305,7 @@
                 let small = size < self.start_size(self.wanted.limit);
                 // Begun anew, in pages that fit: by the next answer, or by this one.
                 if need == 0 || (small && filled) {
-                    return Step::Done;
+                    return ConcatProgress::Done;
                 }
                 if look {
                     return self.wants_more();
@@ -312,12 +324,12 @@
             if used < page.features.len() {
                 // The server gave more than was asked for, or it is thinned here: the rest is read again.
                 self.at.skip = used;
-                return Step::Done;
+                return ConcatProgress::Done;
             }
-            match page.link() {
+            match page.next_location() {
                 None => self.next_shard(),
                 Some(link) => {
-                    if !self.links.insert(self.hasher.hash_one((here, &page.server, &page.next))) {
+                    if !self.links.insert(self.hasher.hash_one((here, &page.server, &page.next_target))) {
                         // It leads in a circle: what is in is all that can be had of this shard.
                         self.seen[here].missing = true;
                         continue;
@@ -326,11 +338,11 @@
                 }
             }
             if self.need() == 0 && !self.at_end() {
-                return Step::Done;
+                return ConcatProgress::Done;
             }
-            if let Place::Link { size, .. } = &self.at.place {
-                if *size > self.need() && !self.wanted.sieved && self.count > 0 {
-                    return Step::Done;
+            if let PageLocation::NextLink { page_size, .. } = &self.at.place {
+                if *page_size > self.need() && !self.wanted.sieved && self.count > 0 {
+                    return ConcatProgress::Done;
                 }
             }
         }
@@ -342,7 +354,7 @@
         let Some((taken, count)) = self.begun.filter(|_| self.wanted.again && self.restarts == 0) else {
             return false;
         };
-        let Place::Link { server, .. } = &self.at.place else { return false };
+        let PageLocation::NextLink { server, .. } = &self.at.place else { return false };
         self.broken = Some((self.at.shard, server.clone()));
         self.restarts += 1;
         self.taken.truncate(taken);
@@ -350,7 +362,7 @@
         self.ids.clear();
         self.links.clear();
         self.seen[self.at.shard] = Seen::default();
-        self.at = Position { shard: self.at.shard, place: Place::Start, skip: 0 };
+        self.at = ResumePosition { shard: self.at.shard, place: PageLocation::ShardStart, skip: 0 };
         true
     }
 
@@ -359,25 +371,25 @@
     }
 
     fn next_shard(&mut self) {
-        self.at = Position { shard: self.at.shard + 1, place: Place::Start, skip: 0 };
+        self.at = ResumePosition { shard: self.at.shard + 1, place: PageLocation::ShardStart, skip: 0 };
         self.begun = Some((self.taken.len(), self.count));
         self.ids.clear();
     }
 
-    fn wants_more(&self) -> Step {
+    fn wants_more(&self) -> ConcatProgress {
         let spent = self.pages >= self.wanted.pages || self.bytes >= self.wanted.bytes;
         if self.need() == 0 || (spent && (self.count > 0 || self.wanted.sieved)) {
-            Step::Done
+            ConcatProgress::Done
         } else if spent {
-            Step::Failed
+            ConcatProgress::Failed
         } else {
-            Step::More
+            ConcatProgress::More
         }
     }
 
     /// Features of a page from here on into the answer, until its limit; what a server gives twice is passed over. Up to
     /// where the page is used, and how many were new.
-    fn put(&mut self, page: &Arc<Page>, start: usize, id: &impl Fn(&[u8]) -> u64) -> (usize, usize) {
+    fn put(&mut self, page: &Arc<FeaturePage>, start: usize, id: &impl Fn(&[u8]) -> u64) -> (usize, usize) {
         let (mut from, mut at, before) = (start, start, self.count);
         while at < page.features.len() {
             let key = id(&page.body[page.features[at].clone()]);
@@ -427,13 +439,13 @@
     }
 
     /// Where the next answer begins; `None` after the last feature.
-    pub fn next(&self) -> Option<&Position> {
+    pub fn next(&self) -> Option<&ResumePosition> {
         (!self.at_end()).then_some(&self.at)
     }
 
     /// How many match in all: only where every server told it, or gave all it has.
     pub fn matched(&self) -> Option<u64> {
-        if self.from != Position::START || self.wanted.sieved || self.doubled > 0 {
+        if self.from != ResumePosition::START || self.wanted.sieved || self.doubled > 0 {
             return None;
         }
         let of = |(n, seen): (usize, &Seen)| match seen {
--- a/src/front/ogc/params.rs
+++ b/src/front/ogc/params.rs
@@ -4,7 +4,7 @@
 use super::area;
 use super::cql2::{self, check, Comparison, Filter, Kind, Queryables, Value};
 use super::crs::{filter_to_crs84, Crs, Transform};
-use super::ranking::By;
+use super::ranking::{BoundSortKeys, SortKey};
 use serde_json::Value as Json;
 use time::format_description::well_known::Rfc3339;
 use time::OffsetDateTime;
@@ -39,7 +39,7 @@
     /// The system of the answer.
     pub crs: Crs,
     /// The order, if one is wanted.
-    pub sortby: Vec<By>,
+    pub sortby: Vec<SortKey>,
     /// The properties of the answer, if not all.
     pub properties: Option<Vec<String>>,
 }
@@ -78,7 +78,7 @@
             self.datetime,
             self.filter.as_ref().map(Filter::to_string),
             self.crs,
-            self.sortby,
+            BoundSortKeys(&self.sortby),
             self.properties
         )
     }
@@ -284,7 +284,7 @@
     Ok(names)
 }
 
-fn sortby(value: &str, queryables: &Queryables) -> Result<Vec<By>, String> {
+fn sortby(value: &str, queryables: &Queryables) -> Result<Vec<SortKey>, String> {
     let key = |text: &str| {
         let text = text.trim();
         let (name, descending) = match text.strip_prefix('-') {
@@ -292,37 +292,40 @@
             // A plus in a query is a blank by the time it is here.
             None => (text.strip_prefix('+').unwrap_or(text).trim(), false),
         };
-        By { name: name.to_owned(), descending }
+        SortKey { property: name.to_owned(), descending }
     };
     sortable(value.split(',').map(key).collect(), queryables)
 }
 
-fn sort_list(value: &Json, queryables: &Queryables) -> Result<Vec<By>, String> {
+fn sort_list(value: &Json, queryables: &Queryables) -> Result<Vec<SortKey>, String> {
     let key = |key: &Json| {
         let descending = match key["direction"].as_str() {
             None | Some("asc") => false,
             Some("desc") => true,
             Some(_) => return None,
         };
-        Some(By { name: key["field"].as_str()?.trim_start_matches("properties.").to_owned(), descending })
+        Some(SortKey {
+            property: key["field"].as_str()?.trim_start_matches("properties.").to_owned(),
+            descending,
+        })
     };
     let keys = value.as_array().and_then(|list| list.iter().map(key).collect::<Option<_>>());
     sortable(keys.ok_or("sortby: a list of field and direction is needed")?, queryables)
 }
 
-fn sortable(keys: Vec<By>, queryables: &Queryables) -> Result<Vec<By>, String> {
+fn sortable(keys: Vec<SortKey>, queryables: &Queryables) -> Result<Vec<SortKey>, String> {
     if keys.is_empty() || keys.len() > MAX_KEYS {
         return Err(format!("sortby: 1 to {MAX_KEYS} properties are needed"));
     }
     for (n, key) in keys.iter().enumerate() {
-        let kind = queryables.named.get(&key.name);
+        let kind = queryables.named.get(&key.property);
         let fit = !matches!(kind, Some(Kind::Geometry | Kind::Array))
-            && (queryables.open || kind.is_some() || key.name == "id");
-        if key.name.is_empty() || !fit {
-            return Err(format!("sortby: {:?} is no sortable", key.name));
+            && (queryables.open || kind.is_some() || key.property == "id");
+        if key.property.is_empty() || !fit {
+            return Err(format!("sortby: {:?} is no sortable", key.property));
         }
-        if keys[..n].iter().any(|k| k.name == key.name) {
-            return Err(format!("sortby: {:?} is there twice", key.name));
+        if keys[..n].iter().any(|k| k.property == key.property) {
+            return Err(format!("sortby: {:?} is there twice", key.property));
         }
     }
     Ok(keys)
@@ -448,7 +451,7 @@
             params.filter.map(|f| f.to_string()).as_deref(),
             Some("\"name\" = 'a''b' AND \"volts\" = 24 AND \"live\" = TRUE")
         );
-        let order: Vec<_> = params.sortby.iter().map(|b| (b.name.as_str(), b.descending)).collect();
+        let order: Vec<_> = params.sortby.iter().map(|b| (b.property.as_str(), b.descending)).collect();
         assert_eq!(order, [("volts", true), ("name", false), ("id", false)]);
         for bad in [
             "watts=1",
--- a/src/front/ogc/plans.rs
+++ b/src/front/ogc/plans.rs
@@ -75,7 +75,7 @@
     !params.sortby.is_empty()
         && able.classes.contains("sorting")
         && known("id")
-        && params.sortby.iter().all(|b| known(&b.name))
+        && params.sortby.iter().all(|b| known(&b.property))
 }
 
 /// What lies beyond these keys in the order. `None`: it cannot be said, since one of them has no value.
@@ -85,7 +85,7 @@
         serde_json::Value::Number(n) => n.as_f64().map(Value::Number),
         _ => None,
     };
-    let names = params.sortby.iter().map(|b| (b.name.as_str(), b.descending)).chain([("id", false)]);
+    let names = params.sortby.iter().map(|b| (b.property.as_str(), b.descending)).chain([("id", false)]);
     let keys: Vec<_> = names.zip(keys).map(|((n, d), k)| Some((n, d, literal(k)?))).collect::<Option<_>>()?;
     let compare = |op, (name, _, value): &(&str, bool, Value)| {
         Filter::Compare(op, Value::Property((*name).to_owned()), value.clone())
@@ -123,7 +123,8 @@
         query.append_pair("filter", filter).append_pair("filter-lang", "cql2-text");
     }
     if plan.ordered {
-        let key = |b: &super::ranking::By| format!("{}{}", if b.descending { "-" } else { "+" }, b.name);
+        let key =
+            |b: &super::ranking::SortKey| format!("{}{}", if b.descending { "-" } else { "+" }, b.property);
         let keys: Vec<String> = params.sortby.iter().map(key).chain(["+id".to_owned()]).collect();
         query.append_pair("sortby", &keys.join(","));
     }
--- a/src/front/ogc/ranking.rs
+++ b/src/front/ogc/ranking.rs
@@ -4,10 +4,11 @@
 //! order, its pages are merged and reading stops as soon as nothing that matters can follow. Where they do not, the shard is
 //! read to its end, and what is not among the least is dropped at once.
 
-use super::paging::{Ask, Page, Place};
+use super::paging::{FeaturePage, PageFetch, PageLocation};
 use serde_json::Value as Json;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
 /// Shards asked at a time.
@@ -15,31 +16,50 @@
 
 /// One key of the order.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct By {
+pub struct SortKey {
     /// The property.
-    pub name: String,
+    pub property: String,
     /// The largest first.
     pub descending: bool,
 }
 
+/// Sort keys in the text that cursors are bound to. Its hash is in the cursors that clients hold, so the text stays as it
+/// is whatever the type and its fields are called.
+pub(super) struct BoundSortKeys<'a>(pub &'a [SortKey]);
+
+impl fmt::Debug for BoundSortKeys<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.0.iter().map(BoundSortKey)).finish()
+    }
+}
+
+struct BoundSortKey<'a>(&'a SortKey);
+
+impl fmt::Debug for BoundSortKey<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let SortKey { property, descending } = self.0;
+        f.debug_struct("By").field("name", property).field("descending", descending).finish()
+    }
+}
+
 /// Where a feature stands in the order: the values of its keys, then its id and shard, so that no two stand alike.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Rank {
+pub struct SortValues {
     /// The keys' values, the id last.
     pub keys: Vec<Json>,
     down: Arc<[bool]>,
     shard: usize,
 }
 
-impl Eq for Rank {}
+impl Eq for SortValues {}
 
-impl PartialOrd for Rank {
+impl PartialOrd for SortValues {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl Ord for Rank {
+impl Ord for SortValues {
     fn cmp(&self, other: &Self) -> Ordering {
         let keys = self.keys.iter().zip(&other.keys).enumerate().map(|(n, (a, b))| {
             let order = value(a, b);
@@ -76,22 +96,23 @@
 }
 
 /// A feature's rank. `None`: it is no JSON.
-fn rank(feature: &[u8], by: &[By], down: &Arc<[bool]>, shard: usize) -> Option<Rank> {
+fn rank(feature: &[u8], by: &[SortKey], down: &Arc<[bool]>, shard: usize) -> Option<SortValues> {
     let json: Json = serde_json::from_slice(feature).ok()?;
     let seen = super::cql2::Feature(&json);
-    let mut keys: Vec<Json> = by.iter().map(|b| seen.value(&b.name).cloned().unwrap_or(Json::Null)).collect();
+    let mut keys: Vec<Json> =
+        by.iter().map(|b| seen.value(&b.property).cloned().unwrap_or(Json::Null)).collect();
     // Ids as text: 7 and "7" are one id in a link.
     keys.push(match &json["id"] {
         Json::Null => Json::Null,
         Json::String(id) => Json::String(id.clone()),
         id => Json::String(id.to_string()),
     });
-    Some(Rank { keys, down: down.clone(), shard })
+    Some(SortValues { keys, down: down.clone(), shard })
 }
 
 /// How far it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ranked {
+pub enum SortedProgress {
     /// Another round is wanted.
     More,
     /// The answer is ready.
@@ -104,33 +125,33 @@
 
 #[derive(Debug)]
 struct Shard {
-    place: Option<Place>,
+    place: Option<PageLocation>,
     /// Its server gives it in this order, as far as was seen.
     ordered: bool,
-    last: Option<Rank>,
+    last: Option<SortValues>,
     missing: bool,
 }
 
 /// An ordered answer that is being made.
 #[derive(Debug)]
-pub struct Ranking {
-    by: Vec<By>,
+pub struct SortedMerge {
+    by: Vec<SortKey>,
     down: Arc<[bool]>,
     limit: usize,
     page: usize,
     pages_left: usize,
     floor: f64,
-    after: Option<Rank>,
+    after: Option<SortValues>,
     shards: Vec<Shard>,
-    least: BTreeMap<Rank, Arc<[u8]>>,
+    least: BTreeMap<SortValues, Arc<[u8]>>,
     /// More follows what is kept.
     more: bool,
 }
 
-impl Ranking {
+impl SortedMerge {
     /// The least `limit` features after a place; `ordered`: which shards come in order. At most so many pages are read.
     pub fn new(
-        by: Vec<By>,
+        by: Vec<SortKey>,
         limit: usize,
         page: usize,
         pages: usize,
@@ -140,14 +161,14 @@
     ) -> Self {
         let down: Arc<[bool]> = by.iter().map(|b| b.descending).collect();
         let shard = |ordered: &bool| Shard {
-            place: Some(Place::Start),
+            place: Some(PageLocation::ShardStart),
             ordered: *ordered,
             last: None,
             missing: false,
         };
-        Ranking {
+        SortedMerge {
             // The id after the last one given may be in any shard: all of that rank were given.
-            after: after.map(|keys| Rank { keys, down: down.clone(), shard: usize::MAX }),
+            after: after.map(|keys| SortValues { keys, down: down.clone(), shard: usize::MAX }),
             by,
             down,
             limit,
@@ -170,23 +191,23 @@
     }
 
     /// The pages wanted next.
-    pub fn asks(&self) -> Vec<Ask> {
+    pub fn asks(&self) -> Vec<PageFetch> {
         let open = self.shards.iter().enumerate().filter(|(_, s)| self.open(s));
         open.take(MAX_AT_ONCE.min(self.pages_left.max(1)))
             .filter_map(|(shard, s)| {
                 let place = s.place.clone()?;
                 let size = match &place {
-                    Place::Start if s.ordered => self.page.min(self.limit),
-                    Place::Start => self.page,
-                    Place::Link { size, .. } => *size,
+                    PageLocation::ShardStart if s.ordered => self.page.min(self.limit),
+                    PageLocation::ShardStart => self.page,
+                    PageLocation::NextLink { page_size, .. } => *page_size,
                 };
-                Some(Ask { shard, place, size })
+                Some(PageFetch { shard, place, size })
             })
             .collect()
     }
 
     /// Takes in what came of the asks of a round.
-    pub fn take(&mut self, came: Vec<(usize, usize, Option<Arc<Page>>)>) -> Ranked {
+    pub fn take(&mut self, came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>) -> SortedProgress {
         self.pages_left = self.pages_left.saturating_sub(came.len());
         for (at, _, page) in came {
             let Some(page) = page else {
@@ -197,7 +218,7 @@
             for feature in &page.features {
                 self.put(at, &page.body[feature.clone()]);
             }
-            let next = page.link();
+            let next = page.next_location();
             let shard = &mut self.shards[at];
             // A link that leads to where it stands would never end.
             let circle = next.is_some() && next == shard.place;
@@ -207,12 +228,12 @@
         let missing = self.shards.iter().filter(|s| s.missing).count() as f64;
         let all = self.shards.len().max(1) as f64;
         if (all - missing) / all + 1e-6 < self.floor {
-            return Ranked::Missing;
+            return SortedProgress::Missing;
         }
         match self.shards.iter().any(|s| self.open(s)) {
-            false => Ranked::Done,
-            true if self.pages_left == 0 => Ranked::TooMany,
-            true => Ranked::More,
+            false => SortedProgress::Done,
+            true if self.pages_left == 0 => SortedProgress::TooMany,
+            true => SortedProgress::More,
         }
     }
 
@@ -237,14 +258,14 @@
     }
 
     /// The features, in order, as one page.
-    pub fn page(&self) -> Page {
-        let mut page = Page::default();
+    pub fn page(&self) -> FeaturePage {
+        let mut page = FeaturePage::default();
         for feature in self.least.values() {
             let from = page.body.len();
             page.body.extend_from_slice(feature);
             page.features.push(from..page.body.len());
         }
-        page.given = page.features.len();
+        page.returned_count = page.features.len();
         page
     }
 
@@ -279,46 +300,46 @@
         page: usize,
         down: bool,
     ) -> (Vec<usize>, usize) {
-        let by = vec![By { name: "k".into(), descending: down }];
+        let by = vec![SortKey { property: "k".into(), descending: down }];
         let text = |f: &(Option<i64>, usize)| match f.0 {
             Some(k) => format!(r#"{{"id":"d{:05}","properties":{{"k":{k}}}}}"#, f.1),
             None => format!(r#"{{"id":"d{:05}","properties":{{}}}}"#, f.1),
         };
         let (mut all, mut after, mut read) = (Vec::new(), None, 0);
         loop {
-            let mut ranking = Ranking::new(by.clone(), limit, page, 100_000, 1.0, after, ordered);
+            let mut ranking = SortedMerge::new(by.clone(), limit, page, 100_000, 1.0, after, ordered);
             loop {
                 let asks = ranking.asks();
                 let came = asks.iter().map(|ask| {
                     let from = match &ask.place {
-                        Place::Start => 0,
-                        Place::Link { target, .. } => target.parse::<usize>().expect("a number"),
+                        PageLocation::ShardStart => 0,
+                        PageLocation::NextLink { target, .. } => target.parse::<usize>().expect("a number"),
                     };
                     let features = &shards[ask.shard][from.min(shards[ask.shard].len())..];
                     let to = ask.size.min(features.len());
                     read += to;
-                    let mut page = Page::default();
+                    let mut page = FeaturePage::default();
                     for f in &features[..to] {
                         let at = page.body.len();
                         page.body.extend(text(f).bytes());
                         page.features.push(at..page.body.len());
                     }
-                    page.given = to;
-                    page.next = (to < features.len()).then(|| (from + to).to_string());
+                    page.returned_count = to;
+                    page.next_target = (to < features.len()).then(|| (from + to).to_string());
                     (ask.shard, ask.size, Some(Arc::new(page)))
                 });
                 let came: Vec<_> = came.collect();
                 assert!(ranking.held() <= limit);
                 match ranking.take(came) {
-                    Ranked::More => {}
+                    SortedProgress::More => {}
                     step => {
-                        assert_eq!(step, Ranked::Done);
+                        assert_eq!(step, SortedProgress::Done);
                         break;
                     }
                 }
             }
             let page = ranking.page();
-            assert!(page.given <= limit);
+            assert!(page.returned_count <= limit);
             all.extend(page.features.iter().map(|r| {
                 let json: Json = serde_json::from_slice(&page.body[r.clone()]).expect("JSON");
                 json["id"].as_str().expect("an id")[1..].parse::<usize>().expect("a number")
@@ -359,8 +380,8 @@
         let shards: Vec<Vec<_>> = (0..4)
             .map(|s| (0..1_000).map(|n| (Some(n as i64 * 4 + s as i64), s * 1_000 + n)).collect())
             .collect();
-        let by = vec![By { name: "k".into(), descending: false }];
-        let ranking = Ranking::new(by, 20, 500, 10, 1.0, None, &[true; 4]);
+        let by = vec![SortKey { property: "k".into(), descending: false }];
+        let ranking = SortedMerge::new(by, 20, 500, 10, 1.0, None, &[true; 4]);
         assert_eq!(ranking.asks().iter().map(|a| a.size).sum::<usize>(), 80);
         let (all, read) = run(&shards, &[true; 4], 4_000, 500, false);
         assert_eq!((all.len(), read), (4_000, 4_000));
@@ -368,30 +389,30 @@
 
     #[test]
     fn missing_shards_endless_pages_and_broken_promises_are_met() {
-        let by = || vec![By { name: "k".into(), descending: false }];
+        let by = || vec![SortKey { property: "k".into(), descending: false }];
         let page = |next: Option<&str>, keys: &[i64]| {
-            let mut page = Page { next: next.map(str::to_owned), ..Page::default() };
+            let mut page = FeaturePage { next_target: next.map(str::to_owned), ..FeaturePage::default() };
             for k in keys {
                 let at = page.body.len();
                 page.body.extend(format!(r#"{{"id":{k},"properties":{{"k":{k}}}}}"#).bytes());
                 page.features.push(at..page.body.len());
             }
-            page.given = keys.len();
+            page.returned_count = keys.len();
             Some(Arc::new(page))
         };
-        let mut ranking = Ranking::new(by(), 5, 10, 10, 1.0, None, &[true, true]);
-        assert_eq!(ranking.take(vec![(0, 5, page(None, &[1])), (1, 5, None)]), Ranked::Missing);
-        let mut ranking = Ranking::new(by(), 5, 10, 10, 0.5, None, &[true, true]);
-        assert_eq!(ranking.take(vec![(0, 5, page(None, &[1])), (1, 5, None)]), Ranked::Done);
+        let mut ranking = SortedMerge::new(by(), 5, 10, 10, 1.0, None, &[true, true]);
+        assert_eq!(ranking.take(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::Missing);
+        let mut ranking = SortedMerge::new(by(), 5, 10, 10, 0.5, None, &[true, true]);
+        assert_eq!(ranking.take(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::Done);
         assert_eq!((ranking.missing(), ranking.next()), (vec![1], None));
-        let mut ranking = Ranking::new(by(), 1, 10, 3, 1.0, None, &[false]);
-        assert_eq!(ranking.take(vec![(0, 5, page(Some("a"), &[3]))]), Ranked::More);
-        assert_eq!(ranking.take(vec![(0, 5, page(Some("b"), &[2]))]), Ranked::More);
-        assert_eq!(ranking.take(vec![(0, 5, page(Some("c"), &[1]))]), Ranked::TooMany);
+        let mut ranking = SortedMerge::new(by(), 1, 10, 3, 1.0, None, &[false]);
+        assert_eq!(ranking.take(vec![(0, 5, page(Some("a"), &[3]))]), SortedProgress::More);
+        assert_eq!(ranking.take(vec![(0, 5, page(Some("b"), &[2]))]), SortedProgress::More);
+        assert_eq!(ranking.take(vec![(0, 5, page(Some("c"), &[1]))]), SortedProgress::TooMany);
         // Said to be in order, and is not: reading goes on.
-        let mut ranking = Ranking::new(by(), 2, 10, 9, 1.0, None, &[true]);
-        assert_eq!(ranking.take(vec![(0, 2, page(Some("a"), &[5, 4]))]), Ranked::More);
-        assert_eq!(ranking.take(vec![(0, 2, page(None, &[1, 2]))]), Ranked::Done);
+        let mut ranking = SortedMerge::new(by(), 2, 10, 9, 1.0, None, &[true]);
+        assert_eq!(ranking.take(vec![(0, 2, page(Some("a"), &[5, 4]))]), SortedProgress::More);
+        assert_eq!(ranking.take(vec![(0, 2, page(None, &[1, 2]))]), SortedProgress::Done);
         assert_eq!(ranking.next().map(|k| k[0].clone()), Some(2.into()));
     }
 }
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -3,9 +3,9 @@
 use super::config::Edge;
 use super::cql2::Queryables;
 use super::crs::{Crs, Transform};
-use super::cursor::hash;
+use super::cursor::stable_hash;
 use super::items::{BytesTaken, Ready};
-use super::paging::Page;
+use super::paging::FeaturePage;
 use super::params::Params;
 use super::visit::Visit;
 use super::{deliver, html};
@@ -335,11 +335,11 @@
         id: Option<&'a RawValue>,
     }
     let id = serde_json::from_slice::<Named<'_>>(feature).ok().and_then(|f| f.id);
-    id.map_or(0, |id| hash(&[id.get().as_bytes()]) | 1)
+    id.map_or(0, |id| stable_hash(&[id.get().as_bytes()]) | 1)
 }
 
 /// A page's bytes, shared with an answer that is written.
-struct Bytes(Arc<Page>, #[allow(dead_code)] Arc<BytesTaken>);
+struct Bytes(Arc<FeaturePage>, #[allow(dead_code)] Arc<BytesTaken>);
 
 impl AsRef<[u8]> for Bytes {
     fn as_ref(&self) -> &[u8] {
@@ -353,7 +353,7 @@
     let path = format!("{}/collections/{}/items", asked.base, asked.collection);
     let rest = about(&ready, &path);
     let tag = {
-        let features = |(page, range): &(Arc<Page>, std::ops::Range<usize>)| {
+        let features = |(page, range): &(Arc<FeaturePage>, std::ops::Range<usize>)| {
             let first = page.features[range.clone()].first().map_or(0, |f| f.start);
             let last = page.features[range.clone()].last().map_or(0, |f| f.end);
             (page.clone(), first..last.max(first))
@@ -475,7 +475,7 @@
     }
     let Answer::Served { complete: whole, parts } = answer else { return problem(500, "no answer") };
     let page = |(shard, value): &(ShardId, Value)| visits.iter().find(|v| v.0 == *shard)?.1.page(value);
-    let text = |page: Arc<Page>| Some(page.body[page.features.first()?.clone()].to_vec());
+    let text = |page: Arc<FeaturePage>| Some(page.body[page.features.first()?.clone()].to_vec());
     let found = parts.iter().filter_map(page).find_map(text);
     match found {
         Some(text) => {
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/visit.rs
@@ -1,7 +1,7 @@
 //! What is asked of a feature server in one attempt, and what its response comes to.
 
 use super::lock;
-use super::paging::Page;
+use super::paging::FeaturePage;
 use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
 use crate::proto::fetch::Fetched;
@@ -41,7 +41,7 @@
     /// A server was, or was to be, asked.
     tried: AtomicBool,
     /// What came, by attempts that were served. The core knows a page by its place here.
-    came: Mutex<Vec<Arc<Page>>>,
+    came: Mutex<Vec<Arc<FeaturePage>>>,
 }
 
 impl Visit {
@@ -50,7 +50,7 @@
         Visit { kind, target, sieve: None, tried: AtomicBool::new(false), came: Mutex::default() }
     }
 
-    fn came(&self) -> MutexGuard<'_, Vec<Arc<Page>>> {
+    fn came(&self) -> MutexGuard<'_, Vec<Arc<FeaturePage>>> {
         lock(&self.came)
     }
 
@@ -71,27 +71,27 @@
         let page = match (fetched.status, self.kind) {
             (200, Kind::Items) => read_page(fetched.body, host, &self.target, self.sieve.as_ref()),
             (200, Kind::Feature) => read_feature(fetched.body),
-            (200, Kind::Document) => Some(Page { body: fetched.body, ..Page::default() }),
-            (404, Kind::Feature) => Some(Page::default()),
+            (200, Kind::Document) => Some(FeaturePage { body: fetched.body, ..FeaturePage::default() }),
+            (404, Kind::Feature) => Some(FeaturePage::default()),
             // A server without such a document has said so: its look must not end those at others.
-            (status, Kind::Document) if status != 429 => Some(Page::default()),
+            (status, Kind::Document) if status != 429 => Some(FeaturePage::default()),
             // Only this status says that the request was not taken up; any other failure may have run.
             (429, _) => return AttemptEnd::Failed(Outcome::Rejected),
             _ => None,
         };
         let Some(page) = page else { return AttemptEnd::Failed(Outcome::Error) };
         let mut came = self.came();
-        came.push(Arc::new(Page { server: server.into(), ..page }));
+        came.push(Arc::new(FeaturePage { server: server.into(), ..page }));
         AttemptEnd::Served(Value::from((came.len() as u32 - 1).to_be_bytes().as_slice()))
     }
 
     /// What came last, whatever the core made of it.
-    pub fn last(&self) -> Option<Arc<Page>> {
+    pub fn last(&self) -> Option<Arc<FeaturePage>> {
         self.came().last().cloned()
     }
 
     /// The page that the core's value stands for.
-    pub fn page(&self, value: &Value) -> Option<Arc<Page>> {
+    pub fn page(&self, value: &Value) -> Option<Arc<FeaturePage>> {
         let place: [u8; 4] = value.as_ref().try_into().ok()?;
         self.came().get(u32::from_be_bytes(place) as usize).cloned()
     }
@@ -122,7 +122,7 @@
 }
 
 /// A page of features. `None`: it is none (HTML under 200 too), or its link leads away from its server.
-pub fn read_page(body: Vec<u8>, host: &str, target: &str, sieve: Option<&Sieve>) -> Option<Page> {
+pub fn read_page(body: Vec<u8>, host: &str, target: &str, sieve: Option<&Sieve>) -> Option<FeaturePage> {
     let read: Collection<'_> = serde_json::from_slice(&body).ok()?;
     if !read.features.iter().all(|f| f.get().starts_with('{')) {
         return None;
@@ -138,15 +138,22 @@
         Some(link) => Some(follow(host, target, &link.href)?),
     };
     let matched = read.matched;
-    Some(Page { server: Arc::default(), features, given, next, matched, body })
+    Some(FeaturePage {
+        server: Arc::default(),
+        features,
+        returned_count: given,
+        next_target: next,
+        number_matched: matched,
+        body,
+    })
 }
 
-fn read_feature(body: Vec<u8>) -> Option<Page> {
+fn read_feature(body: Vec<u8>) -> Option<FeaturePage> {
     let whole = {
         let feature: &RawValue = serde_json::from_slice(&body).ok()?;
         feature.get().starts_with('{').then(|| place(&body, feature))?
     };
-    Some(Page { features: vec![whole], given: 1, body, ..Page::default() })
+    Some(FeaturePage { features: vec![whole], returned_count: 1, body, ..FeaturePage::default() })
 }
 
 /// A link's path and query; it may lead nowhere but on at this server, and not to where it stands.
@@ -172,10 +179,10 @@
         let page = read(None).expect("a page");
         let texts: Vec<_> = page.features.iter().map(|r| &page.body[r.clone()]).collect();
         assert_eq!(texts, [b"{\"id\":1}".as_slice(), b"{\"id\":22}"]);
-        assert_eq!((page.given, page.matched), (2, Some(9)));
-        assert_eq!(page.next.as_deref(), Some("/c/items?offset=2"));
+        assert_eq!((page.returned_count, page.number_matched), (2, Some(9)));
+        assert_eq!(page.next_target.as_deref(), Some("/c/items?offset=2"));
         let sieve: Sieve = Arc::new(|f| f.len() > 8);
-        assert_eq!(read(Some(&sieve)).map(|p| (p.features.len(), p.given)), Some((1, 2)));
+        assert_eq!(read(Some(&sieve)).map(|p| (p.features.len(), p.returned_count)), Some((1, 2)));
     }
 
     #[test]
@@ -206,6 +213,9 @@
         assert!(matches!(end(Kind::Document, 500, ""), AttemptEnd::Served(_)));
         let visit = Visit::new(Kind::Feature, "/x".into());
         let AttemptEnd::Served(value) = visit.judge("s", "a:1", fetched(200, "{}")) else { panic!("served") };
-        assert_eq!(visit.page(&value).map(|p| (p.server.to_string(), p.given)), Some(("s".to_owned(), 1)));
+        assert_eq!(
+            visit.page(&value).map(|p| (p.server.to_string(), p.returned_count)),
+            Some(("s".to_owned(), 1))
+        );
     }
 }
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -260,7 +260,7 @@
                 }
                 let end = self.visit.judge(&host, &host, fetched);
                 if let AttemptEnd::Served(value) = &end {
-                    how = Ended::Well(self.visit.page(value).map_or(0, |p| p.given));
+                    how = Ended::Well(self.visit.page(value).map_or(0, |p| p.returned_count));
                 }
                 end
             }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -10,8 +10,8 @@
 use super::{spawn, watch, Upstream, LARGE_STACK_WORDS, SMALL_STACK_WORDS, TURN_STACK_WORDS};
 use crate::coordinator::{Command, Coordinator, Input, Metrics, ProcessGeneration, COUNTERS};
 use crate::front::ogc::config::Edge;
-use crate::front::ogc::cursor::Key;
-use crate::front::ogc::{self, Ogc, SharedCatalog};
+use crate::front::ogc::cursor::CursorKey;
+use crate::front::ogc::{self, OgcFront, SharedCatalog};
 use crate::front::platform::{Named, Platform, SharedNamed};
 use crate::front::Front;
 use crate::interface::Settings;
@@ -306,7 +306,7 @@
     };
     let _ = inbox.send(reload(clock.now())?.input);
     let bears = Arc::new(ServerCapacity::default());
-    let key = Key::new(&edge.cursor_key().map_err(|e| e.to_string())?);
+    let key = CursorKey::new(&edge.cursor_key().map_err(|e| e.to_string())?);
     // Two edges that start together must not go in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Parts {
@@ -316,7 +316,7 @@
         bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
         core: Coordinator::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
         upstream: Box::new(FeatureClient::new(&edge, inbox.clone(), clock, bears.clone())),
-        front: Box::new(Ogc::new(edge, catalog, key, figures.clone(), bears)),
+        front: Box::new(OgcFront::new(edge, catalog, key, figures.clone(), bears)),
         inbox,
         arrivals,
         listed: Arc::new(AtomicBool::new(true)),
