--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -3,12 +3,12 @@
 
 use divan::Bencher;
 use quinceflow::coordinator::{Answer, AttemptEnd, Token};
-use quinceflow::front::ogc::config::Edge;
-use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Able, Matcher, Queryables};
+use quinceflow::front::ogc::config::EdgeConfig;
+use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Capabilities, Matcher, Queryables};
 use quinceflow::front::ogc::cursor::Key;
+use quinceflow::front::ogc::page_request::{parse_page, PageRequest};
 use quinceflow::front::ogc::paging::Place;
 use quinceflow::front::ogc::ranking::{By, Ranked, Ranking};
-use quinceflow::front::ogc::visit::{read_page, Visit};
 use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
 use quinceflow::proto::fetch::Fetched;
@@ -63,7 +63,7 @@
 fn split_filter(bencher: Bencher) {
     let filter = read_text(FILTER).expect("a filter");
     let classes = ["cql2-text", "features-filter", "basic-cql2"].map(str::to_owned).into();
-    let able = Able { classes, queryables: Queryables::unknown(), most_text: 2_000 };
+    let able = Capabilities { classes, queryables: Queryables::unknown(), max_filter_text: 2_000 };
     bencher.bench(|| split(divan::black_box(&filter), &able));
 }
 
@@ -79,13 +79,13 @@
     let body = body(500);
     bencher
         .with_inputs(|| body.clone())
-        .bench_values(|body| read_page(body, "127.0.0.1:9", "/c/items", None));
+        .bench_values(|body| parse_page(body, "127.0.0.1:9", "/c/items", None));
 }
 
 #[divan::bench(args = [2, 16])]
 fn merge_500_from_shards(bencher: Bencher, shards: usize) {
     let pages: Vec<_> =
-        (0..shards).map(|_| Arc::new(read_page(body(500), "a:1", "/c", None).expect("a page"))).collect();
+        (0..shards).map(|_| Arc::new(parse_page(body(500), "a:1", "/c", None).expect("a page"))).collect();
     bencher.bench(|| {
         let by = vec![By { name: "volts".to_owned(), descending: true }];
         let mut ranking = Ranking::new(by, 500, 500, 100, 1.0, None, &vec![false; shards]);
@@ -104,10 +104,10 @@
 #[divan::bench(args = ["limit=500", "limit=500&f=html", "limit=500&crs=EPSG:3857", "limit=500&properties=volts"])]
 fn answer_of_500(bencher: Bencher, query: &str) {
     let edge =
-        Edge::read_file(std::path::Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/edge.toml")))
+        EdgeConfig::load(std::path::Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/edge.toml")))
             .expect("sound");
     let catalog = SharedCatalog::default();
-    lock(&catalog).load(&edge.servers().expect("sound"), Micros::ZERO);
+    lock(&catalog).load(&edge.load_inventory().expect("sound"), Micros::ZERO);
     let front = Ogc::new(edge, catalog, Key::new(b"k"), Arc::default(), Arc::default());
     let body = body(500);
     bencher.bench(|| {
@@ -125,10 +125,11 @@
                 }
                 Reaction::Submit(request, render) => {
                     let parts = request.parts.iter().map(|part| {
-                        let visit = part.context.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
+                        let visit =
+                            part.context.as_ref().and_then(|e| e.get::<PageRequest>()).expect("a visit");
                         let fetched =
                             Fetched { status: 200, headers: Default::default(), body: body.clone() };
-                        match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
+                        match visit.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => (part.shard, value),
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
                         }
--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand};
 use quinceflow::front::ogc::check;
-use quinceflow::front::ogc::config::Edge;
+use quinceflow::front::ogc::config::EdgeConfig;
 use quinceflow::log::{self, LogForm};
 use quinceflow::net::{config::Config, server};
 use std::path::PathBuf;
@@ -62,7 +62,7 @@
 }
 
 fn serve(edge: Option<PathBuf>) -> Result<(), String> {
-    let edge = edge.map(|file| Edge::read_file(&file).map_err(|e| e.to_string())).transpose()?;
+    let edge = edge.map(|file| EdgeConfig::load(&file).map_err(|e| e.to_string())).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
         None if edge.is_some() => None,
         _ => Some(Config::from_env()?),
--- a/src/front/ogc/learn.rs
+++ b/src/front/ogc/capabilities.rs
@@ -1,9 +1,9 @@
 //! What servers can do: learned from their conformance pages and queryables, kept with an age, and learned anew.
 //!
-//! A decision table without clock or socket. Who wants to know asks [`Learned::want`]; whoever is told to look does so for all,
+//! A decision table without clock or socket. Who wants to know asks [`CapabilityCache::want`]; whoever is told to look does so for all,
 //! so that neither a restart nor an age that ends sends more than one look to a server at a time.
 
-use super::cql2::{Able, Queryables};
+use super::cql2::{Capabilities, Queryables};
 use crate::time::Micros;
 use serde_json::Value as Json;
 use std::collections::HashMap;
@@ -19,11 +19,11 @@
 const MAX_KNOWN: usize = 4_096;
 
 /// A shard at a server: the server's address, and its name for the shard.
-pub type At = (Arc<str>, Arc<str>);
+pub type ReplicaKey = (Arc<str>, Arc<str>);
 
 #[derive(Debug, Default)]
 struct Entry {
-    known: Option<(Arc<Able>, Micros)>,
+    known: Option<(Arc<Capabilities>, Micros)>,
     /// Since when somebody looks.
     looking: Option<Micros>,
     /// Looks in a row that came to nothing, and when the next may be made.
@@ -34,30 +34,30 @@
 
 /// What is to be done about a server's abilities.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Want {
+pub enum CapabilityLookup {
     /// This is known.
-    Known(Arc<Able>),
+    Known(Arc<Capabilities>),
     /// Look, and tell what came; until then this is known, if anything.
-    Look(Option<Arc<Able>>),
+    Discover(Option<Arc<Capabilities>>),
     /// Go on without.
-    Without,
+    Unavailable,
 }
 
 /// What is known of all servers.
 #[derive(Debug, Default)]
-pub struct Learned {
-    entries: HashMap<At, Entry>,
+pub struct CapabilityCache {
+    entries: HashMap<ReplicaKey, Entry>,
     age: Micros,
 }
 
-impl Learned {
+impl CapabilityCache {
     /// Nothing yet; what is learned serves for `age`.
     pub fn new(age: Micros) -> Self {
-        Learned { entries: HashMap::new(), age }
+        CapabilityCache { entries: HashMap::new(), age }
     }
 
     /// Somebody wants to know what a server can do with a shard.
-    pub fn want(&mut self, at: &At, now: Micros) -> Want {
+    pub fn lookup(&mut self, at: &ReplicaKey, now: Micros) -> CapabilityLookup {
         if !self.entries.contains_key(at) && self.entries.len() >= MAX_KNOWN {
             let oldest = self.entries.iter().min_by_key(|e| e.1.used).map(|e| e.0.clone());
             oldest.map(|at| self.entries.remove(&at));
@@ -72,17 +72,17 @@
         let fresh = entry.known.as_ref().is_some_and(|k| now.since(k.1) < age);
         let looked_at = entry.looking.is_some_and(|since| now.since(since) < MAX_LOOK);
         match known {
-            Some(able) if fresh || looked_at || now < entry.not_before => Want::Known(able),
-            None if looked_at || now < entry.not_before => Want::Without,
+            Some(able) if fresh || looked_at || now < entry.not_before => CapabilityLookup::Known(able),
+            None if looked_at || now < entry.not_before => CapabilityLookup::Unavailable,
             known => {
                 entry.looking = Some(now);
-                Want::Look(known)
+                CapabilityLookup::Discover(known)
             }
         }
     }
 
     /// What a look came to; `None`: to nothing.
-    pub fn found(&mut self, at: &At, able: Option<Able>, now: Micros) {
+    pub fn record(&mut self, at: &ReplicaKey, able: Option<Capabilities>, now: Micros) {
         let Some(entry) = self.entries.get_mut(at) else { return };
         entry.looking = None;
         match able {
@@ -99,22 +99,22 @@
     }
 
     /// What any of these tells that can be asked; `None` if none tells anything.
-    pub fn told<'a>(&self, of: impl Iterator<Item = &'a At>) -> Option<Queryables> {
+    pub fn any_queryables<'a>(&self, of: impl Iterator<Item = &'a ReplicaKey>) -> Option<Queryables> {
         let known = of.filter_map(|at| Some(&self.entries.get(at)?.known.as_ref()?.0.queryables));
         known.filter(|q| !q.named.is_empty()).cloned().reduce(|all, more| all.either(&more))
     }
 
     /// What all of these can do together; `None` if of one of them nothing is known.
-    pub fn common<'a>(&self, of: impl Iterator<Item = &'a At>) -> Option<Able> {
-        let mut all: Option<Able> = None;
+    pub fn common<'a>(&self, of: impl Iterator<Item = &'a ReplicaKey>) -> Option<Capabilities> {
+        let mut all: Option<Capabilities> = None;
         for at in of {
             let able = &self.entries.get(at)?.known.as_ref()?.0;
             all = Some(match all {
-                None => Able::clone(able),
-                Some(before) => Able {
+                None => Capabilities::clone(able),
+                Some(before) => Capabilities {
                     classes: before.classes.intersection(&able.classes).cloned().collect(),
                     queryables: before.queryables.both(&able.queryables),
-                    most_text: before.most_text.min(able.most_text),
+                    max_filter_text: before.max_filter_text.min(able.max_filter_text),
                 },
             });
         }
@@ -123,20 +123,24 @@
 }
 
 /// A server's abilities from its two documents. `None`: the first is no conformance page.
-pub fn read(conformance: &[u8], queryables: Option<&[u8]>, most_text: usize) -> Option<Able> {
+pub fn parse_capabilities(
+    conformance: &[u8],
+    queryables: Option<&[u8]>,
+    most_text: usize,
+) -> Option<Capabilities> {
     let json: Json = serde_json::from_slice(conformance).ok()?;
     let classes = json["conformsTo"].as_array()?.iter().filter_map(Json::as_str);
     let last = |uri: &str| uri.rsplit('/').next().unwrap_or_default().to_owned();
     let schema = queryables.and_then(|q| serde_json::from_slice::<Json>(q).ok());
     let queryables = schema.as_ref().and_then(Queryables::from_schema).unwrap_or_default();
-    Some(Able { classes: classes.map(last).collect(), queryables, most_text })
+    Some(Capabilities { classes: classes.map(last).collect(), queryables, max_filter_text: most_text })
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn at(n: usize) -> At {
+    fn at(n: usize) -> ReplicaKey {
         (format!("s{n}").into(), "north".into())
     }
 
@@ -146,26 +150,35 @@
 
     #[test]
     fn one_looks_for_all_and_the_others_go_on() {
-        let mut learned = Learned::new(secs(100));
-        assert_eq!(learned.want(&at(1), secs(1)), Want::Look(None));
-        assert_eq!(learned.want(&at(1), secs(2)), Want::Without, "another looks");
-        assert_eq!(learned.want(&at(1), secs(7)), Want::Look(None), "who looked never came back");
-        let able = read(br#"{"conformsTo":["http://x/conf/basic-cql2"]}"#, None, 9).expect("a page");
-        learned.found(&at(1), Some(able.clone()), secs(8));
-        let known = Want::Known(Arc::new(able.clone()));
-        assert_eq!(learned.want(&at(1), secs(9)), known);
-        assert_eq!(learned.want(&at(1), secs(200)), Want::Look(Some(Arc::new(able))), "too old, yet of use");
-        assert_eq!(learned.want(&at(1), secs(200)), known);
+        let mut learned = CapabilityCache::new(secs(100));
+        assert_eq!(learned.lookup(&at(1), secs(1)), CapabilityLookup::Discover(None));
+        assert_eq!(learned.lookup(&at(1), secs(2)), CapabilityLookup::Unavailable, "another looks");
+        assert_eq!(
+            learned.lookup(&at(1), secs(7)),
+            CapabilityLookup::Discover(None),
+            "who looked never came back"
+        );
+        let able =
+            parse_capabilities(br#"{"conformsTo":["http://x/conf/basic-cql2"]}"#, None, 9).expect("a page");
+        learned.record(&at(1), Some(able.clone()), secs(8));
+        let known = CapabilityLookup::Known(Arc::new(able.clone()));
+        assert_eq!(learned.lookup(&at(1), secs(9)), known);
+        assert_eq!(
+            learned.lookup(&at(1), secs(200)),
+            CapabilityLookup::Discover(Some(Arc::new(able))),
+            "too old, yet of use"
+        );
+        assert_eq!(learned.lookup(&at(1), secs(200)), known);
     }
 
     #[test]
     fn a_look_that_fails_is_not_made_again_at_once() {
-        let mut learned = Learned::new(secs(100));
+        let mut learned = CapabilityCache::new(secs(100));
         let mut looks = 0;
         for second in 0..1_000 {
-            if let Want::Look(_) = learned.want(&at(1), secs(second)) {
+            if let CapabilityLookup::Discover(_) = learned.lookup(&at(1), secs(second)) {
                 looks += 1;
-                learned.found(&at(1), None, secs(second));
+                learned.record(&at(1), None, secs(second));
             }
         }
         assert!((8..=16).contains(&looks), "{looks}");
@@ -173,47 +186,50 @@
 
     #[test]
     fn servers_are_not_learned_anew_all_at_once_and_memory_has_an_end() {
-        let mut learned = Learned::new(secs(100));
-        let able = || read(br#"{"conformsTo":[]}"#, None, 9);
+        let mut learned = CapabilityCache::new(secs(100));
+        let able = || parse_capabilities(br#"{"conformsTo":[]}"#, None, 9);
         for n in 0..200 {
-            learned.want(&at(n), secs(0));
-            learned.found(&at(n), able(), secs(0));
+            learned.lookup(&at(n), secs(0));
+            learned.record(&at(n), able(), secs(0));
         }
         let mut most = 0;
         for second in 70..=100 {
-            let looks: Vec<_> =
-                (0..200).filter(|n| matches!(learned.want(&at(*n), secs(second)), Want::Look(_))).collect();
+            let looks: Vec<_> = (0..200)
+                .filter(|n| matches!(learned.lookup(&at(*n), secs(second)), CapabilityLookup::Discover(_)))
+                .collect();
             most = most.max(looks.len());
-            looks.into_iter().for_each(|n| learned.found(&at(n), able(), secs(second)));
+            looks.into_iter().for_each(|n| learned.record(&at(n), able(), secs(second)));
         }
         assert!(most < 40, "{most} at once");
         for n in 0..10_000 {
-            learned.want(&at(n), secs(200 + n as u64));
+            learned.lookup(&at(n), secs(200 + n as u64));
         }
         assert!(learned.entries.len() <= MAX_KNOWN);
     }
 
     #[test]
     fn together_servers_can_do_what_each_can() {
-        let mut learned = Learned::new(secs(100));
+        let mut learned = CapabilityCache::new(secs(100));
         let told = |classes: &str, names: &str| {
             let page = format!("{{\"conformsTo\":[{classes}]}}");
             let schema = format!("{{\"properties\":{{{names}}}}}");
-            read(page.as_bytes(), Some(schema.as_bytes()), 9)
+            parse_capabilities(page.as_bytes(), Some(schema.as_bytes()), 9)
         };
         for (n, able) in [told("\"c/a\",\"c/b\"", "\"x\":{},\"y\":{}"), told("\"d/b\"", "\"y\":{}")]
             .into_iter()
             .enumerate()
         {
-            learned.want(&at(n), secs(0));
-            learned.found(&at(n), able, secs(0));
+            learned.lookup(&at(n), secs(0));
+            learned.record(&at(n), able, secs(0));
         }
         let both = learned.common([at(0), at(1)].iter()).expect("known");
         assert_eq!((both.classes.len(), both.queryables.named.len()), (1, 1));
         assert_eq!(learned.common([at(0), at(2)].iter()), None);
-        let either = learned.told([at(0), at(1), at(2)].iter()).expect("told");
+        let either = learned.any_queryables([at(0), at(1), at(2)].iter()).expect("told");
         assert_eq!(either.named.into_keys().collect::<Vec<_>>(), ["x", "y"]);
-        assert_eq!(learned.told([at(2)].iter()), None);
-        assert!(read(b"<html>", None, 9).is_none() && read(b"{}", None, 9).is_none());
+        assert_eq!(learned.any_queryables([at(2)].iter()), None);
+        assert!(
+            parse_capabilities(b"<html>", None, 9).is_none() && parse_capabilities(b"{}", None, 9).is_none()
+        );
     }
 }
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,6 +1,6 @@
 //! Which collections there are, which shards hold each, and which servers hold each shard.
 
-use super::inventory::{Server, Share};
+use super::inventory::{CollectionShard, Server};
 use crate::coordinator::{EndpointUpdate, Node};
 use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
@@ -13,8 +13,8 @@
 /// The collections of the present inventory. Shards keep their numbers over reloads.
 #[derive(Debug, Default)]
 pub struct Catalog {
-    numbers: HashMap<Share, ShardId>,
-    shares: Vec<Share>,
+    numbers: HashMap<CollectionShard, ShardId>,
+    shares: Vec<CollectionShard>,
     live: BTreeMap<String, Vec<ShardId>>,
     known: HashMap<String, (EndpointState, Option<Micros>)>,
     loaded: bool,
@@ -33,8 +33,8 @@
 fn number<K: Eq + Hash>(
     numbers: &mut HashMap<K, ShardId>,
     key: K,
-    shares: &mut Vec<Share>,
-    share: &Share,
+    shares: &mut Vec<CollectionShard>,
+    share: &CollectionShard,
 ) -> ShardId {
     *numbers.entry(key).or_insert_with(|| {
         shares.push(share.clone());
@@ -111,39 +111,40 @@
     }
 
     /// The number of a shard anywhere but at the server of this address, if another one that takes new work holds it.
-    pub fn elsewhere(&self, shard: ShardId, address: &str) -> Option<ShardId> {
+    pub fn excluding_server(&self, shard: ShardId, address: &str) -> Option<ShardId> {
         let (name, _) = self.places.get(address)?;
-        let other = self.holders(shard).iter().any(|h| h.1 != address);
+        let other = self.ready_holders(shard).iter().any(|h| h.1 != address);
         other.then(|| self.without.get(&(shard, name.clone())).copied()).flatten()
     }
 
     /// The number of a shard at the server of this address, if that takes new work and holds it.
-    pub fn pinned(&self, shard: ShardId, address: &str) -> Option<ShardId> {
+    pub fn sticky_shard(&self, shard: ShardId, address: &str) -> Option<ShardId> {
         let (name, _) = self.places.get(address).filter(|p| p.1 == EndpointState::Ready)?;
         self.pins.get(&(shard, name.clone())).copied().filter(|pin| self.pinned_now.contains(pin))
     }
 
     /// The servers that take new work and hold a shard: the shard's number there, and the server's address.
-    pub fn holders(&self, shard: ShardId) -> Vec<(ShardId, &str)> {
+    pub fn ready_holders(&self, shard: ShardId) -> Vec<(ShardId, &str)> {
         let ready = self.places.iter().filter(|p| p.1 .1 == EndpointState::Ready);
-        let mut holders: Vec<_> =
-            ready.filter_map(|(address, _)| Some((self.pinned(shard, address)?, address.as_str()))).collect();
+        let mut holders: Vec<_> = ready
+            .filter_map(|(address, _)| Some((self.sticky_shard(shard, address)?, address.as_str())))
+            .collect();
         holders.sort_unstable_by_key(|h| h.0 .0);
         holders
     }
 
     /// The name of the server at an address.
-    pub fn name_at(&self, address: &str) -> Option<&str> {
+    pub fn server_name(&self, address: &str) -> Option<&str> {
         self.places.get(address).map(|p| p.0.as_str())
     }
 
     /// Where a server is.
-    pub fn address_of(&self, name: &str) -> Option<String> {
+    pub fn server_address(&self, name: &str) -> Option<String> {
         self.places.iter().find(|p| p.1 .0 == name).map(|p| p.0.clone())
     }
 
     /// The server's own name for a shard.
-    pub fn source(&self, shard: ShardId) -> Option<&str> {
+    pub fn source_name(&self, shard: ShardId) -> Option<&str> {
         self.shares.get(shard.0 as usize).map(|s| s.source.as_str())
     }
 }
--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -1,6 +1,6 @@
 //! `quinceflow check`: every fault of an edge file and its inventory, each with its line.
 
-use super::config::Edge;
+use super::config::EdgeConfig;
 use super::inventory::read_whole_file;
 use std::fmt;
 use std::path::Path;
@@ -78,11 +78,11 @@
 
 /// The settings of a text, if it can be read at all, and its faults. A reader stops at the first fault; what it
 /// complains of is mended and all read again, so that one run tells them all.
-fn read(text: &str) -> (Option<Edge>, Vec<(usize, String)>) {
+fn read(text: &str) -> (Option<EdgeConfig>, Vec<(usize, String)>) {
     let mut left = text.to_owned();
     let mut faults: Vec<(usize, String)> = Vec::new();
     while faults.len() < MAX_FAULTS {
-        match toml::from_str::<Edge>(&left) {
+        match toml::from_str::<EdgeConfig>(&left) {
             Ok(edge) => {
                 // Values that were put in for faulty ones are none of the file's.
                 let told: Vec<usize> = faults.iter().map(|f| f.0).collect();
@@ -113,7 +113,7 @@
     let start: usize = text.split_inclusive('\n').take(line - 1).map(str::len).sum();
     let end = text[start..].find('\n').map_or(text.len(), |n| start + n);
     let before = text[start..end].to_owned();
-    let still = |text: &str| match toml::from_str::<Edge>(text) {
+    let still = |text: &str| match toml::from_str::<EdgeConfig>(text) {
         Ok(_) => false,
         Err(e) => line_at(text, &e.span().unwrap_or(0..0)) == line,
     };
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -1,6 +1,6 @@
 //! The operator's file that sets this front up.
 
-use super::cql2::{Kind, Queryables};
+use super::cql2::{QueryableType, Queryables};
 use super::inventory::{read_file, InventoryError, Server};
 use crate::interface::{Class, Effect, RetryBudget, ServiceReduction, Settings, SlowStartRule};
 use crate::limits::Rule;
@@ -13,8 +13,8 @@
 
 /// The file as written.
 #[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Edge {
+#[serde(deny_unknown_fields, expecting = "struct Edge")]
+pub struct EdgeConfig {
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where operators are answered, if anywhere.
@@ -26,13 +26,16 @@
     pub coordinators: u32,
     /// Most attempts at a part.
     #[serde(default = "four")]
-    pub attempts: u32,
+    #[serde(rename = "attempts")]
+    pub max_attempts: u32,
     /// Queries and parts held at a time.
     #[serde(default = "held")]
-    pub most_held: usize,
+    #[serde(rename = "most_held")]
+    pub max_in_flight: usize,
     /// Descriptors that the process may hold.
     #[serde(default = "sockets")]
-    pub sockets: usize,
+    #[serde(rename = "sockets")]
+    pub max_descriptors: usize,
     /// Memory that the process may use, in MiB.
     #[serde(default = "memory")]
     pub memory_mb: usize,
@@ -41,75 +44,89 @@
     pub default_limit: usize,
     /// Most features of an answer, whatever its query says.
     #[serde(default = "most_limit")]
-    pub most_limit: usize,
+    #[serde(rename = "most_limit")]
+    pub max_limit: usize,
     /// Features asked of a server at a time.
     #[serde(default = "page")]
     pub page_size: usize,
     /// A first answer asks up to so many shards at once.
     #[serde(default = "at_once")]
-    pub at_once: usize,
+    #[serde(rename = "at_once")]
+    pub max_initial_shards: usize,
     /// What cursors are authenticated with, 32 hexadecimal digits or more; absent: a new key at each start, so that
     /// cursors end with the process. Coordinators that share clients need the same.
     pub cursor_key: Option<String>,
     /// A cursor serves for so long, in seconds from its query's first answer.
     #[serde(default = "cursor_age")]
-    pub cursor_age_s: u64,
+    #[serde(rename = "cursor_age_s")]
+    pub cursor_max_age_s: u64,
     /// What servers can do is learned anew after so long, in seconds.
     #[serde(default = "learned_age")]
-    pub learned_age_s: u64,
+    #[serde(rename = "learned_age_s")]
+    pub capability_max_age_s: u64,
     /// Most characters of a filter that is passed on in a request's head.
     #[serde(default = "filter_text")]
-    pub most_filter_text: usize,
+    #[serde(rename = "most_filter_text")]
+    pub max_filter_text: usize,
     /// Most pages of an answer.
     #[serde(default = "pages")]
-    pub most_pages: usize,
+    #[serde(rename = "most_pages")]
+    pub max_pages: usize,
     /// Most bytes of a page, and of an answer's pages together.
     #[serde(default = "bytes")]
-    pub most_bytes: usize,
+    #[serde(rename = "most_bytes")]
+    pub max_bytes: usize,
     /// Connections to one server at a time.
     #[serde(default = "connections")]
-    pub most_connections: usize,
+    #[serde(rename = "most_connections")]
+    pub max_connections: usize,
     /// A connection that is not ready by then has failed.
     #[serde(default = "dial")]
     pub dial_timeout_ms: u64,
     /// Idle connections to servers are kept so long: less than the servers keep theirs.
     #[serde(default = "idle")]
-    pub idle_ms: u64,
+    #[serde(rename = "idle_ms")]
+    pub idle_timeout_ms: u64,
     /// The longest wait that a refused client is asked for.
     #[serde(default = "retry")]
-    pub retry_after_ms: u64,
+    #[serde(rename = "retry_after_ms")]
+    pub max_retry_after_ms: u64,
     /// Limits on what servers and this edge take on.
     #[serde(default)]
-    pub limits: Limits,
+    pub limits: LimitsConfig,
     /// How a server that just started is spared; absent: not at all.
-    pub warm_up: Option<WarmUp>,
+    #[serde(rename = "warm_up")]
+    pub slow_start: Option<SlowStartConfig>,
     /// Classes of query; the first is for queries that name none.
     #[serde(rename = "class")]
-    pub classes: Vec<EdgeClass>,
+    pub classes: Vec<ClassConfig>,
     /// What is to be told of collections beside their names.
     #[serde(rename = "collection", default)]
-    pub collections: Vec<Collection>,
+    pub collections: Vec<CollectionConfig>,
 }
 
 /// Limits on what servers and this edge take on.
 #[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Limits {
+#[serde(deny_unknown_fields, default, expecting = "struct Limits")]
+pub struct LimitsConfig {
     /// `adaptive`: requests under way at a server follow its response times; `fixed`: always `most_connections`.
     pub mode: String,
     /// Requests under way at a server at first, and at least.
-    pub start: usize,
+    #[serde(rename = "start")]
+    pub initial: usize,
     /// See `start`.
-    pub least: usize,
+    #[serde(rename = "least")]
+    pub min: usize,
     /// Further attempts at parts, as a share of the parts of the last ten seconds; ten more are free.
-    pub repeats: f64,
+    #[serde(rename = "repeats")]
+    pub retry_ratio: f64,
     /// Queries are taken on by what they cost against what servers bear; `false`: all that `most_held` allows.
     pub admission: bool,
 }
 
-impl Default for Limits {
+impl Default for LimitsConfig {
     fn default() -> Self {
-        Limits { mode: "adaptive".to_owned(), start: 8, least: 2, repeats: 0.25, admission: true }
+        LimitsConfig { mode: "adaptive".to_owned(), initial: 8, min: 2, retry_ratio: 0.25, admission: true }
     }
 }
 
@@ -120,46 +137,54 @@
 
 /// A class of query.
 #[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EdgeClass {
+#[serde(deny_unknown_fields, expecting = "struct EdgeClass")]
+pub struct ClassConfig {
     /// Its name, as `X-Qos` gives it.
     pub name: String,
     /// Wanted within this time.
-    pub aim_ms: u64,
+    #[serde(rename = "aim_ms")]
+    pub latency_objective_ms: u64,
     /// Given up after this time.
     pub deadline_ms: u64,
     /// Least share of the parts that an answer may be given from.
     #[serde(default = "whole")]
-    pub floor: f64,
+    #[serde(rename = "floor")]
+    pub min_share: f64,
     /// `safe`: parts may be asked again; `unsafe`: never once they may have run.
     #[serde(default = "safe")]
     pub effect: String,
     /// Worth of a whole answer beside other classes'.
     #[serde(default = "whole")]
-    pub worth: f64,
+    #[serde(rename = "worth")]
+    pub priority_weight: f64,
     /// Share of the worth that an answer after the aim still has.
     #[serde(default)]
-    pub late_worth: f64,
+    #[serde(rename = "late_worth")]
+    pub late_weight: f64,
 }
 
 /// How a server that just started is spared.
 #[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct WarmUp {
+#[serde(deny_unknown_fields, expecting = "struct WarmUp")]
+pub struct SlowStartConfig {
     /// Share of its capacity that it starts with.
-    pub start: f64,
+    #[serde(rename = "start")]
+    pub initial_capacity: f64,
     /// Warm after this.
-    pub ms: u64,
+    #[serde(rename = "ms")]
+    pub warm_up_ms: u64,
     /// Never sent more than this multiple of what it can do
-    pub factor: f64,
+    #[serde(rename = "factor")]
+    pub overload_factor: f64,
     /// for this long.
-    pub span_ms: u64,
+    #[serde(rename = "span_ms")]
+    pub overload_window_ms: u64,
 }
 
 /// What is told of a collection.
 #[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Collection {
+#[serde(deny_unknown_fields, expecting = "struct Collection")]
+pub struct CollectionConfig {
     /// Its name.
     pub id: String,
     /// Its title.
@@ -178,7 +203,7 @@
     pub queryables: BTreeMap<String, String>,
 }
 
-impl Collection {
+impl CollectionConfig {
     /// What can be asked of it, if that is told.
     pub fn queryables(&self) -> Option<Queryables> {
         if self.queryables.is_empty() {
@@ -189,15 +214,15 @@
     }
 }
 
-fn kind(name: &str) -> Option<Kind> {
+fn kind(name: &str) -> Option<QueryableType> {
     Some(match name {
-        "text" => Kind::Text,
-        "number" => Kind::Number,
-        "bool" => Kind::Bool,
-        "time" => Kind::Time,
-        "geometry" => Kind::Geometry,
-        "array" => Kind::Array,
-        "any" => Kind::Any,
+        "text" => QueryableType::Text,
+        "number" => QueryableType::Number,
+        "bool" => QueryableType::Bool,
+        "time" => QueryableType::Time,
+        "geometry" => QueryableType::Geometry,
+        "array" => QueryableType::Array,
+        "any" => QueryableType::Any,
         _ => return None,
     })
 }
@@ -265,30 +290,30 @@
 
 /// What is wrong with the operator's file.
 #[derive(Debug)]
-pub enum EdgeError {
+pub enum EdgeConfigError {
     /// It, or a value in it.
     File(String),
     /// Its inventory.
     Inventory(InventoryError),
 }
 
-impl fmt::Display for EdgeError {
+impl fmt::Display for EdgeConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            EdgeError::File(why) => f.write_str(why),
-            EdgeError::Inventory(e) => e.fmt(f),
+            EdgeConfigError::File(why) => f.write_str(why),
+            EdgeConfigError::Inventory(e) => e.fmt(f),
         }
     }
 }
 
-impl std::error::Error for EdgeError {}
+impl std::error::Error for EdgeConfigError {}
 
-impl Edge {
+impl EdgeConfig {
     /// Reads the file.
-    pub fn read_file(path: &Path) -> Result<Self, EdgeError> {
-        let fault = |why: String| EdgeError::File(format!("{}: {why}", path.display()));
+    pub fn load(path: &Path) -> Result<Self, EdgeConfigError> {
+        let fault = |why: String| EdgeConfigError::File(format!("{}: {why}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
-        let mut edge: Edge = toml::from_str(&text).map_err(|e| fault(e.to_string()))?;
+        let mut edge: EdgeConfig = toml::from_str(&text).map_err(|e| fault(e.to_string()))?;
         if let Some((_, why)) = edge.faults().into_iter().next() {
             return Err(fault(why));
         }
@@ -311,10 +336,10 @@
             if self.classes[..n].iter().any(|other| other.name == c.name) {
                 fault("is there twice");
             }
-            if c.aim_ms == 0 || c.deadline_ms < c.aim_ms {
+            if c.latency_objective_ms == 0 || c.deadline_ms < c.latency_objective_ms {
                 fault("aim_ms must be above 0 and at most deadline_ms");
             }
-            if !(c.floor > 0.0 && c.floor <= 1.0) {
+            if !(c.min_share > 0.0 && c.min_share <= 1.0) {
                 fault("floor must be above 0 and at most 1");
             }
             if !matches!(c.effect.as_str(), "safe" | "unsafe") {
@@ -330,10 +355,10 @@
         if !matches!(self.limits.mode.as_str(), "adaptive" | "fixed") {
             faults.push(("mode".to_owned(), "limits: mode must be adaptive or fixed".to_owned()));
         }
-        if self.limits.start == 0 || self.limits.least == 0 || self.limits.least > self.limits.start {
+        if self.limits.initial == 0 || self.limits.min == 0 || self.limits.min > self.limits.initial {
             faults.push(("least".to_owned(), "limits: least must be above 0 and at most start".to_owned()));
         }
-        if !(0.0..=10.0).contains(&self.limits.repeats) {
+        if !(0.0..=10.0).contains(&self.limits.retry_ratio) {
             faults.push(("repeats".to_owned(), "limits: repeats must be from 0 to 10".to_owned()));
         }
         if let Err(why) = self.cursor_key() {
@@ -341,12 +366,12 @@
         }
         let positive = [
             ("default_limit", self.default_limit),
-            ("most_limit", self.most_limit),
+            ("most_limit", self.max_limit),
             ("page_size", self.page_size),
-            ("most_pages", self.most_pages),
-            ("most_bytes", self.most_bytes),
-            ("most_connections", self.most_connections),
-            ("attempts", self.attempts as usize),
+            ("most_pages", self.max_pages),
+            ("most_bytes", self.max_bytes),
+            ("most_connections", self.max_connections),
+            ("attempts", self.max_attempts as usize),
             ("coordinators", self.coordinators as usize),
         ];
         for (key, _) in positive.iter().filter(|p| p.1 == 0) {
@@ -356,13 +381,13 @@
     }
 
     /// How the requests under way at a server are limited.
-    pub fn limit_rule(&self) -> Rule {
+    pub fn concurrency_rule(&self) -> Rule {
         match self.limits.mode.as_str() {
-            "fixed" => Rule::Fixed(self.most_connections),
+            "fixed" => Rule::Fixed(self.max_connections),
             _ => Rule::Adaptive {
-                start: self.limits.start.min(self.most_connections),
-                least: self.limits.least.min(self.most_connections),
-                most: self.most_connections,
+                start: self.limits.initial.min(self.max_connections),
+                least: self.limits.min.min(self.max_connections),
+                most: self.max_connections,
             },
         }
     }
@@ -382,32 +407,32 @@
     }
 
     /// Reads the inventory.
-    pub fn servers(&self) -> Result<Vec<Server>, EdgeError> {
-        read_file(&self.inventory).map_err(EdgeError::Inventory)
+    pub fn load_inventory(&self) -> Result<Vec<Server>, EdgeConfigError> {
+        read_file(&self.inventory).map_err(EdgeConfigError::Inventory)
     }
 
     /// The module's settings.
     pub fn settings(&self) -> Settings {
         let ns = |ms: u64| Micros::from_millis(ms).to_nanos();
-        let class = |c: &EdgeClass| Class {
+        let class = |c: &ClassConfig| Class {
             name: c.name.clone(),
             in_force: true,
-            latency_objective: ns(c.aim_ms),
+            latency_objective: ns(c.latency_objective_ms),
             objective_stretch: 0.0,
             deadline: ns(c.deadline_ms),
             effect: if c.effect == "unsafe" { Effect::NonIdempotent } else { Effect::Idempotent },
-            priority_weight: c.worth,
-            late_weight: c.late_worth,
+            priority_weight: c.priority_weight,
+            late_weight: c.late_weight,
             required_share: 1.0,
-            min_share: c.floor,
+            min_share: c.min_share,
             follow_up: 0,
-            max_attempts: self.attempts,
+            max_attempts: self.max_attempts,
         };
-        let cold = |w: &WarmUp| SlowStartRule {
-            overload_factor: w.factor,
-            overload_window: ns(w.span_ms),
-            initial_capacity: w.start,
-            warm_up: ns(w.ms),
+        let cold = |w: &SlowStartConfig| SlowStartRule {
+            overload_factor: w.overload_factor,
+            overload_window: ns(w.overload_window_ms),
+            initial_capacity: w.initial_capacity,
+            warm_up: ns(w.warm_up_ms),
         };
         Settings {
             coordinators: self.coordinators,
@@ -424,14 +449,14 @@
             max_poll_interval: None,
             // The module's own budget for further attempts.
             retry_budget: Some(RetryBudget {
-                ratio: self.limits.repeats,
+                ratio: self.limits.retry_ratio,
                 free: FREE_REPEATS,
                 window: REPEATS_SPAN.to_nanos(),
             }),
-            slow_start: self.warm_up.as_ref().map(cold),
+            slow_start: self.slow_start.as_ref().map(cold),
             cancellation: true,
             hedging: false,
-            max_retry_after: Some(ns(self.retry_after_ms)),
+            max_retry_after: Some(ns(self.max_retry_after_ms)),
             reduction: ServiceReduction::default(),
         }
     }
--- a/src/front/ogc/cql2/check.rs
+++ b/src/front/ogc/cql2/check.rs
@@ -7,7 +7,7 @@
 
 /// What kind of values a queryable has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
+pub enum QueryableType {
     /// Text.
     Text,
     /// A number, whole or not.
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Queryables {
     /// By name.
-    pub named: BTreeMap<String, Kind>,
+    pub named: BTreeMap<String, QueryableType>,
     /// Other names may be used too; nothing is known of them.
     pub open: bool,
 }
@@ -47,15 +47,15 @@
             if format.starts_with("geometry-")
                 || of.get("$ref").is_some_and(|r| r.to_string().contains("geojson"))
             {
-                return Kind::Geometry;
+                return QueryableType::Geometry;
             }
             match (of["type"].as_str(), format) {
-                (Some("string"), "date" | "date-time") => Kind::Time,
-                (Some("string"), _) => Kind::Text,
-                (Some("number" | "integer"), _) => Kind::Number,
-                (Some("boolean"), _) => Kind::Bool,
-                (Some("array"), _) => Kind::Array,
-                _ => Kind::Any,
+                (Some("string"), "date" | "date-time") => QueryableType::Time,
+                (Some("string"), _) => QueryableType::Text,
+                (Some("number" | "integer"), _) => QueryableType::Number,
+                (Some("boolean"), _) => QueryableType::Bool,
+                (Some("array"), _) => QueryableType::Array,
+                _ => QueryableType::Any,
             }
         };
         let named = properties.iter().map(|(name, of)| (name.clone(), kind(of))).collect();
@@ -64,14 +64,14 @@
 
     /// As a JSON schema.
     pub fn to_schema(&self) -> Json {
-        let of = |kind: &Kind| match kind {
-            Kind::Text => json!({"type": "string"}),
-            Kind::Number => json!({"type": "number"}),
-            Kind::Bool => json!({"type": "boolean"}),
-            Kind::Time => json!({"type": "string", "format": "date-time"}),
-            Kind::Geometry => json!({"format": "geometry-any"}),
-            Kind::Array => json!({"type": "array"}),
-            Kind::Any => json!({}),
+        let of = |kind: &QueryableType| match kind {
+            QueryableType::Text => json!({"type": "string"}),
+            QueryableType::Number => json!({"type": "number"}),
+            QueryableType::Bool => json!({"type": "boolean"}),
+            QueryableType::Time => json!({"type": "string", "format": "date-time"}),
+            QueryableType::Geometry => json!({"format": "geometry-any"}),
+            QueryableType::Array => json!({"type": "array"}),
+            QueryableType::Any => json!({}),
         };
         let properties: Map<String, Json> =
             self.named.iter().map(|(name, kind)| (name.clone(), of(kind))).collect();
@@ -80,9 +80,9 @@
 
     /// What both have; of one kind, if they agree on it.
     pub fn both(&self, other: &Queryables) -> Self {
-        let kind = |name: &String, kind: Kind| match other.named.get(name) {
+        let kind = |name: &String, kind: QueryableType| match other.named.get(name) {
             Some(theirs) if *theirs == kind => Some(kind),
-            Some(_) => Some(Kind::Any),
+            Some(_) => Some(QueryableType::Any),
             None => other.open.then_some(kind),
         };
         let ours = self.named.iter().filter_map(|(n, k)| Some((n.clone(), kind(n, *k)?)));
@@ -96,17 +96,17 @@
         for (name, theirs) in &other.named {
             let kind = self.named.entry(name.clone()).or_insert(*theirs);
             if kind != theirs {
-                *kind = Kind::Any;
+                *kind = QueryableType::Any;
             }
         }
         self.open |= other.open;
         self
     }
 
-    fn kind(&self, name: &str) -> Result<Kind, FilterError> {
+    fn kind(&self, name: &str) -> Result<QueryableType, FilterError> {
         match self.named.get(name) {
             Some(kind) => Ok(*kind),
-            None if self.open => Ok(Kind::Any),
+            None if self.open => Ok(QueryableType::Any),
             None => fault(format!("there is no queryable {name:?}")),
         }
     }
@@ -115,9 +115,9 @@
 /// Is this filter one that can be asked of such features?
 pub fn check(filter: &Filter, queryables: &Queryables) -> Result<(), FilterError> {
     let kind = |value: &Value| kind_of(value, queryables);
-    let needs = |value: &Value, wanted: Kind, what: &str| {
+    let needs = |value: &Value, wanted: QueryableType, what: &str| {
         let found = kind(value)?;
-        if found == wanted || found == Kind::Any {
+        if found == wanted || found == QueryableType::Any {
             Ok(())
         } else {
             fault(format!("{value} is no {what}"))
@@ -129,15 +129,15 @@
         Filter::Constant(_) => Ok(()),
         Filter::Compare(_, a, b) => same(a, kind(a)?, b, kind(b)?),
         Filter::Like(a, b) => {
-            needs(a, Kind::Text, "text")?;
+            needs(a, QueryableType::Text, "text")?;
             if !matches!(b, Value::Text(_)) && !matches!(b, Value::Casei(_) | Value::Accenti(_)) {
                 return fault(format!("{b} is no pattern"));
             }
-            needs(b, Kind::Text, "text")
+            needs(b, QueryableType::Text, "text")
         }
         Filter::Between(a, b, c) => {
             let kind = kind(a)?;
-            if !matches!(kind, Kind::Number | Kind::Time | Kind::Any) {
+            if !matches!(kind, QueryableType::Number | QueryableType::Time | QueryableType::Any) {
                 return fault(format!("{a} is neither a number nor a time"));
             }
             [b, c].into_iter().try_for_each(|v| same(a, kind, v, kind_of(v, queryables)?))
@@ -148,15 +148,18 @@
         }
         Filter::IsNull(a) | Filter::Test(a) if matches!(a, Value::Property(_)) => {
             let found = kind(a)?;
-            if matches!(filter, Filter::Test(_)) && !matches!(found, Kind::Bool | Kind::Any) {
+            if matches!(filter, Filter::Test(_)) && !matches!(found, QueryableType::Bool | QueryableType::Any)
+            {
                 return fault(format!("{a} is neither true nor false"));
             }
             Ok(())
         }
         Filter::IsNull(a) | Filter::Test(a) => fault(format!("{a} is no property")),
-        Filter::Spatial(_, a, b) => [a, b].into_iter().try_for_each(|v| needs(v, Kind::Geometry, "geometry")),
+        Filter::Spatial(_, a, b) => {
+            [a, b].into_iter().try_for_each(|v| needs(v, QueryableType::Geometry, "geometry"))
+        }
         Filter::Temporal(op, a, b) => {
-            [a, b].into_iter().try_for_each(|v| needs(v, Kind::Time, "time"))?;
+            [a, b].into_iter().try_for_each(|v| needs(v, QueryableType::Time, "time"))?;
             let instant = |v: &&Value| matches!(v, Value::Date(_) | Value::Timestamp(_));
             match [a, b].iter().find(|v| instant(v)) {
                 Some(v) if !op.takes_instants() && !matches!(v, Value::Date(_)) => {
@@ -165,43 +168,48 @@
                 _ => Ok(()),
             }
         }
-        Filter::Array(_, a, b) => [a, b].into_iter().try_for_each(|v| needs(v, Kind::Array, "array")),
+        Filter::Array(_, a, b) => {
+            [a, b].into_iter().try_for_each(|v| needs(v, QueryableType::Array, "array"))
+        }
     }
 }
 
-fn same(a: &Value, left: Kind, b: &Value, right: Kind) -> Result<(), FilterError> {
-    let simple = |k: Kind| !matches!(k, Kind::Geometry | Kind::Array);
+fn same(a: &Value, left: QueryableType, b: &Value, right: QueryableType) -> Result<(), FilterError> {
+    let simple = |k: QueryableType| !matches!(k, QueryableType::Geometry | QueryableType::Array);
     if !simple(left) || !simple(right) {
         return fault(format!("{a} and {b} cannot be compared so"));
     }
     // A time may be written as text.
-    let timely = matches!((left, right), (Kind::Time, Kind::Text) | (Kind::Text, Kind::Time));
-    if left == right || left == Kind::Any || right == Kind::Any || timely {
+    let timely = matches!(
+        (left, right),
+        (QueryableType::Time, QueryableType::Text) | (QueryableType::Text, QueryableType::Time)
+    );
+    if left == right || left == QueryableType::Any || right == QueryableType::Any || timely {
         return Ok(());
     }
     fault(format!("{a} and {b} are of different kinds"))
 }
 
-fn kind_of(value: &Value, queryables: &Queryables) -> Result<Kind, FilterError> {
+fn kind_of(value: &Value, queryables: &Queryables) -> Result<QueryableType, FilterError> {
     let number = |v: &Value| match kind_of(v, queryables)? {
-        Kind::Number | Kind::Any => Ok(()),
+        QueryableType::Number | QueryableType::Any => Ok(()),
         _ => fault(format!("{v} is no number")),
     };
     let time = |text: &str, day: bool| match instant(text) {
-        Some(Span { from, to }) if day == (from != to) => Ok(Kind::Time),
+        Some(Span { from, to }) if day == (from != to) => Ok(QueryableType::Time),
         _ => fault(format!("{text:?} is no {}", if day { "date" } else { "timestamp" })),
     };
     match value {
         Value::Property(name) => queryables.kind(name),
-        Value::Text(_) => Ok(Kind::Text),
-        Value::Number(_) => Ok(Kind::Number),
-        Value::Bool(_) => Ok(Kind::Bool),
+        Value::Text(_) => Ok(QueryableType::Text),
+        Value::Number(_) => Ok(QueryableType::Number),
+        Value::Bool(_) => Ok(QueryableType::Bool),
         Value::Date(text) => time(text, true),
         Value::Timestamp(text) => time(text, false),
         Value::Interval(a, b) => {
             for end in a.iter().chain(b) {
                 match kind_of(end, queryables)? {
-                    Kind::Time | Kind::Any => {}
+                    QueryableType::Time | QueryableType::Any => {}
                     _ => return fault(format!("{end} is no time")),
                 }
             }
@@ -214,20 +222,20 @@
                     return fault("an interval ends before it begins");
                 }
             }
-            Ok(Kind::Time)
+            Ok(QueryableType::Time)
         }
-        Value::Geometry(_) | Value::Bbox(_) => Ok(Kind::Geometry),
+        Value::Geometry(_) | Value::Bbox(_) => Ok(QueryableType::Geometry),
         Value::Array(list) => {
             list.iter().try_for_each(|v| kind_of(v, queryables).map(drop))?;
-            Ok(Kind::Array)
+            Ok(QueryableType::Array)
         }
         Value::Arithmetic(_, a, b) => {
             number(a)?;
             number(b)?;
-            Ok(Kind::Number)
+            Ok(QueryableType::Number)
         }
         Value::Casei(a) | Value::Accenti(a) => match kind_of(a, queryables)? {
-            Kind::Text | Kind::Any => Ok(Kind::Text),
+            QueryableType::Text | QueryableType::Any => Ok(QueryableType::Text),
             _ => fault(format!("{a} is no text")),
         },
     }
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -11,11 +11,11 @@
 mod split;
 mod text;
 
-pub use check::{check, Kind, Queryables};
+pub use check::{check, QueryableType, Queryables};
 pub use eval::{Feature, Matcher};
 pub use geometry::{envelope, read_geojson};
 pub use json::{from_json, read_json, to_json};
-pub use split::{split, Able, Split};
+pub use split::{split, Capabilities, FilterSplit};
 pub use text::{flat, read_text};
 
 use geo::Geometry;
--- a/src/front/ogc/cql2/split.rs
+++ b/src/front/ogc/cql2/split.rs
@@ -6,42 +6,42 @@
 
 /// What a server can filter, by the conformance classes that it declares and the queryables that it tells.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Able {
+pub struct Capabilities {
     /// The last parts of the classes' identifiers: `basic-cql2`, `spatial-functions`, ...
     pub classes: BTreeSet<String>,
     /// What can be asked of the shard there.
     pub queryables: Queryables,
     /// Most characters of a filter in a request's head.
-    pub most_text: usize,
+    pub max_filter_text: usize,
 }
 
 /// A filter in two: whatever features pass both pass the whole.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Split {
+pub struct FilterSplit {
     /// What the server is asked.
-    pub passed: Option<Filter>,
+    pub pushed_down: Option<Filter>,
     /// What is filtered here.
-    pub kept: Option<Filter>,
+    pub residual: Option<Filter>,
     /// A box that everything lies in that can pass what is kept: the server may be asked for that at least.
     pub envelope: Option<[f64; 4]>,
 }
 
 /// Splits a filter between a server and here. What is joined by AND is split part by part, since a feature has to pass each;
 /// anything else goes whole or not at all.
-pub fn split(filter: &Filter, able: &Able) -> Split {
+pub fn split(filter: &Filter, able: &Capabilities) -> FilterSplit {
     let whole = std::slice::from_ref(filter);
     let parts = if let Filter::And(parts) = filter { parts.as_slice() } else { whole };
     let (mut passed, mut kept): (Vec<&Filter>, Vec<&Filter>) = parts.iter().partition(|p| can(able, p));
     // The longest stay here where the request's head would grow too long.
     let mut lengths: Vec<usize> = passed.iter().map(|p| p.to_string().len() + 7).collect();
-    while lengths.iter().sum::<usize>() > able.most_text {
+    while lengths.iter().sum::<usize>() > able.max_filter_text {
         let Some(longest) = (0..lengths.len()).max_by_key(|n| lengths[*n]) else { break };
         lengths.remove(longest);
         kept.push(passed.remove(longest));
     }
     let envelope = kept.iter().filter_map(|p| bounds(p)).reduce(common);
     let of = |parts: Vec<&Filter>| Filter::all(parts.into_iter().cloned().collect());
-    Split { passed: of(passed), kept: of(kept), envelope }
+    FilterSplit { pushed_down: of(passed), residual: of(kept), envelope }
 }
 
 /// The box of what can pass, where a filter needs its feature's geometry to meet a fixed one.
@@ -79,7 +79,7 @@
 }
 
 /// Can the server filter this?
-fn can(able: &Able, filter: &Filter) -> bool {
+fn can(able: &Capabilities, filter: &Filter) -> bool {
     let has = |class: &str| able.classes.contains(class);
     let known = |name: &str| able.queryables.open || able.queryables.named.contains_key(name);
     if !has("cql2-text") || !has("features-filter") || !filter.properties().into_iter().all(known) {
--- a/src/front/ogc/cql2/tests.rs
+++ b/src/front/ogc/cql2/tests.rs
@@ -8,12 +8,12 @@
 
 fn queryables() -> Queryables {
     let kinds = [
-        ("name", Kind::Text),
-        ("volts", Kind::Number),
-        ("live", Kind::Bool),
-        ("built", Kind::Time),
-        ("geometry", Kind::Geometry),
-        ("tags", Kind::Array),
+        ("name", QueryableType::Text),
+        ("volts", QueryableType::Number),
+        ("live", QueryableType::Bool),
+        ("built", QueryableType::Time),
+        ("geometry", QueryableType::Geometry),
+        ("tags", QueryableType::Array),
     ];
     Queryables { named: kinds.map(|(n, k)| (n.to_owned(), k)).into(), open: false }
 }
@@ -187,14 +187,19 @@
     let schema = queryables().to_schema();
     assert_eq!(Queryables::from_schema(&schema), Some(queryables()));
     assert_eq!(Queryables::from_schema(&json!([])), None);
-    let fewer = Queryables { named: BTreeMap::from([("volts".to_owned(), Kind::Text)]), open: false };
-    assert_eq!(queryables().both(&fewer).named, BTreeMap::from([("volts".to_owned(), Kind::Any)]));
+    let fewer =
+        Queryables { named: BTreeMap::from([("volts".to_owned(), QueryableType::Text)]), open: false };
+    assert_eq!(queryables().both(&fewer).named, BTreeMap::from([("volts".to_owned(), QueryableType::Any)]));
     assert_eq!(Queryables::unknown().both(&fewer), fewer);
 }
 
-fn able(classes: &[&str]) -> Able {
+fn able(classes: &[&str]) -> Capabilities {
     let all = ["cql2-text", "features-filter", "basic-cql2"].iter().chain(classes);
-    Able { classes: all.map(|c| (*c).to_owned()).collect(), queryables: queryables(), most_text: 2_000 }
+    Capabilities {
+        classes: all.map(|c| (*c).to_owned()).collect(),
+        queryables: queryables(),
+        max_filter_text: 2_000,
+    }
 }
 
 #[test]
@@ -202,10 +207,10 @@
     let text =
         "volts > 1 AND S_INTERSECTS(geometry,POLYGON((0 0,4 0,4 4,0 0))) AND name LIKE 'a%' AND other = 1";
     let filter = read_text(text).expect("a filter");
-    let of = |able: &Able| {
+    let of = |able: &Capabilities| {
         let split = split(&filter, able);
         let text = |f: Option<Filter>| f.map(|f| f.to_string()).unwrap_or_default();
-        (text(split.passed), text(split.kept), split.envelope)
+        (text(split.pushed_down), text(split.residual), split.envelope)
     };
     let (passed, kept, envelope) = of(&able(&[]));
     assert_eq!(passed, "\"volts\" > 1");
@@ -215,14 +220,14 @@
         of(&able(&["basic-spatial-functions-plus", "advanced-comparison-operators"]));
     assert!(passed.contains("POLYGON") && passed.contains("LIKE"));
     assert_eq!((kept.as_str(), envelope), ("\"other\" = 1", None));
-    assert_eq!(of(&Able::default()).0, "", "a server that says nothing is asked nothing");
+    assert_eq!(of(&Capabilities::default()).0, "", "a server that says nothing is asked nothing");
     let odd = read_json(r#"{"op":"=","args":[{"property":"name"},"x\\"]}"#).expect("a filter");
-    assert_eq!(split(&odd, &able(&[])).passed, None, "text cannot say it");
-    let short = Able { most_text: 30, ..able(&["basic-spatial-functions-plus"]) };
+    assert_eq!(split(&odd, &able(&[])).pushed_down, None, "text cannot say it");
+    let short = Capabilities { max_filter_text: 30, ..able(&["basic-spatial-functions-plus"]) };
     assert_eq!(of(&short).0, "\"volts\" > 1");
     // What is joined by OR goes whole or not at all.
     let either = read_text("volts > 1 OR other = 1").expect("a filter");
-    assert_eq!(split(&either, &able(&[])).passed, None);
+    assert_eq!(split(&either, &able(&[])).pushed_down, None);
 }
 
 fn value() -> impl Strategy<Value = Value> {
@@ -332,10 +337,10 @@
         let names = ["advanced-comparison-operators", "basic-spatial-functions", "basic-spatial-functions-plus",
             "spatial-functions", "temporal-functions", "array-functions", "property-property", "arithmetic"];
         let some: Vec<&str> = names.iter().zip(&picked).filter(|p| *p.1).map(|p| *p.0).collect();
-        let able = Able { most_text: most, queryables: Queryables::unknown(), ..able(&some) };
+        let able = Capabilities { max_filter_text: most, queryables: Queryables::unknown(), ..able(&some) };
         let split = split(&filter, &able);
         let holds = |f: &Filter| Matcher::new(f.clone()).matches(&feature());
-        let both = split.passed.iter().all(holds) && split.kept.iter().all(holds);
+        let both = split.pushed_down.iter().all(holds) && split.residual.iter().all(holds);
         prop_assert_eq!(both, holds(&filter));
     }
 }
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -7,9 +7,9 @@
 use proptest::test_runner::RngSeed;
 
 fn front() -> Ogc {
-    let edge = Edge::read_file(std::path::Path::new("deploy/edge.toml")).expect("sound");
+    let edge = EdgeConfig::load(std::path::Path::new("deploy/edge.toml")).expect("sound");
     let catalog = SharedCatalog::default();
-    let servers = edge.servers().expect("sound");
+    let servers = edge.load_inventory().expect("sound");
     lock(&catalog).load(&servers, Micros::ZERO);
     Ogc::new(edge, catalog, Key::new(b"a key"), Arc::default(), Arc::default())
 }
--- a/src/front/ogc/inventory.rs
+++ b/src/front/ogc/inventory.rs
@@ -14,7 +14,7 @@
 
 /// A share of a collection: the collection's name, and the server's own name for the share.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Share {
+pub struct CollectionShard {
     /// The collection as clients know it.
     pub collection: String,
     /// The collection at the server.
@@ -29,7 +29,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// What it holds.
-    pub shares: Vec<Share>,
+    pub shares: Vec<CollectionShard>,
     /// Its state.
     pub state: EndpointState,
 }
@@ -347,7 +347,7 @@
             if !plain(collection) || !plain(source) {
                 return Err(fault("collections", &format!("{word:?} is no collection or collection/shard")));
             }
-            let share = Share { collection: collection.to_owned(), source: source.to_owned() };
+            let share = CollectionShard { collection: collection.to_owned(), source: source.to_owned() };
             if !shares.contains(&share) {
                 shares.push(share);
             }
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -1,14 +1,14 @@
 //! A query for features under way: it learns what servers can do where that is of use, then asks rounds of pages until its
 //! answer is ready.
 
+use super::capabilities::{self, CapabilityLookup};
 use super::cql2::{Filter, Queryables};
 use super::cursor::{hash, Cursor, CursorError};
-use super::learn::{self, Want};
+use super::page_request::{PageRequest, RequestKind};
 use super::paging::{Ask, Gather, Page, Place, Position, Step, Wanted};
 use super::params::Params;
 use super::plans::{holders, plans, server_query, Plan};
 use super::ranking::{Ranked, Ranking};
-use super::visit::{Kind, Visit};
 use super::{lock, render, Fault, Shared};
 use crate::coordinator::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
 use crate::front::{Reaction, Render};
@@ -63,7 +63,7 @@
     plans: Vec<Plan>,
     mode: Mode,
     /// What was asked in the round under way, and under which number.
-    out: Vec<(ShardId, Ask, Arc<Visit>)>,
+    out: Vec<(ShardId, Ask, Arc<PageRequest>)>,
     before: Option<Cursor>,
     _pages: PagesTaken,
     bytes: Arc<BytesTaken>,
@@ -106,7 +106,7 @@
 pub(super) fn round(
     shared: &Shared,
     asker: &Asker,
-    parts: impl ExactSizeIterator<Item = (ShardId, Arc<Visit>)>,
+    parts: impl ExactSizeIterator<Item = (ShardId, Arc<PageRequest>)>,
 ) -> Request {
     let weight = 1.0 / parts.len().max(1) as f64;
     Request {
@@ -151,7 +151,7 @@
         return told;
     }
     let all = holders(shared, shards);
-    shared.learned().told(all.iter().flatten().map(|h| &h.1)).unwrap_or_else(Queryables::unknown)
+    shared.learned().any_queryables(all.iter().flatten().map(|h| &h.1)).unwrap_or_else(Queryables::unknown)
 }
 
 /// Asks servers what they can do, if that is of use and nobody else does; then goes on.
@@ -164,8 +164,8 @@
     let mut looks = Vec::new();
     for (pin, at) in holders(&shared, shards).into_iter().flatten() {
         if looks.len() < MAX_LOOKS {
-            if let Want::Look(_) = shared.learned().want(&at, asker.sent) {
-                let document = |path: String| Arc::new(Visit::new(Kind::Document, path));
+            if let CapabilityLookup::Discover(_) = shared.learned().lookup(&at, asker.sent) {
+                let document = |path: String| Arc::new(PageRequest::new(RequestKind::Document, path));
                 let of = format!("/collections/{}/queryables", at.1);
                 looks.push((pin, at, document("/conformance".to_owned()), document(of)));
             }
@@ -176,7 +176,7 @@
     }
     let parts: Vec<_> = looks.iter().flat_map(|l| [(l.0, l.2.clone()), (l.0, l.3.clone())]).collect();
     // A class with a long aim is taken for a slow one until answers were seen: with less time the module would refuse it.
-    let aim = Micros::from_millis(shared.edge.classes[asker.class].aim_ms);
+    let aim = Micros::from_millis(shared.edge.classes[asker.class].latency_objective_ms);
     let patience = Micros(asker.patience.0 / 4).min(MAX_LOOK.max(Micros(aim.0 / 4)));
     let request = round(&shared, &Asker { patience, ..asker.clone() }, parts.into_iter());
     Reaction::Submit(
@@ -184,10 +184,12 @@
         Box::new(move |_| {
             for (_, at, conformance, queryables) in &looks {
                 // Whatever became of the round: what came is there.
-                let (page, schema) = (conformance.last(), queryables.last());
+                let (page, schema) = (conformance.last_page(), queryables.last_page());
                 let schema = schema.as_ref().map(|s| s.body.as_slice());
-                let able = page.and_then(|p| learn::read(&p.body, schema, shared.edge.most_filter_text));
-                shared.learned().found(at, able, asker.sent);
+                let able = page.and_then(|p| {
+                    capabilities::parse_capabilities(&p.body, schema, shared.edge.max_filter_text)
+                });
+                shared.learned().record(at, able, asker.sent);
             }
             then(shared)
         }),
@@ -205,8 +207,10 @@
         let mut before = None;
         if let Some(token) = &asked.params.cursor {
             let now = unix_ms() / 1_000;
-            let cursor =
-                shared.key.open(token, query_hash(&asked), now, shared.edge.cursor_age_s).map_err(told)?;
+            let cursor = shared
+                .key
+                .open(token, query_hash(&asked), now, shared.edge.cursor_max_age_s)
+                .map_err(told)?;
             before = Some(cursor);
         }
         let from = match &before {
@@ -246,11 +250,11 @@
             let wanted = Wanted {
                 limit: params.limit,
                 page: edge.page_size,
-                at_once: edge.at_once,
-                pages: edge.most_pages,
-                bytes: edge.most_bytes,
+                at_once: edge.max_initial_shards,
+                pages: edge.max_pages,
+                bytes: edge.max_bytes,
                 sieved: plans.iter().any(|p| p.sieve.is_some()),
-                floor: class.floor,
+                floor: class.min_share,
                 again: class.effect != "unsafe",
             };
             Mode::Pages(Box::new(Gather::new(wanted, from, shards.len())))
@@ -258,8 +262,8 @@
             let ordered: Vec<bool> = plans.iter().map(|p| p.ordered).collect();
             let after = before.as_ref().and_then(|c| c.after.clone());
             let by = params.sortby.clone();
-            let (page, pages) = (edge.page_size, edge.most_pages);
-            Mode::Ranked(Ranking::new(by, params.limit, page, pages, class.floor, after, &ordered))
+            let (page, pages) = (edge.page_size, edge.max_pages);
+            Mode::Ranked(Ranking::new(by, params.limit, page, pages, class.min_share, after, &ordered))
         };
         Items { shared, asker, asked, shards, plans, mode, out: Vec::new(), before, _pages: pages, bytes }
             .ask()
@@ -291,7 +295,7 @@
     }
 
     /// What is asked for a page, and under which number: that of its shard, or of its shard at the one server that can go on.
-    fn visit(&self, ask: &Ask) -> Option<(ShardId, Arc<Visit>)> {
+    fn visit(&self, ask: &Ask) -> Option<(ShardId, Arc<PageRequest>)> {
         let (shard, name) = &self.shards[ask.shard];
         let plan = &self.plans[ask.shard];
         let catalog = lock(&self.shared.catalog);
@@ -301,17 +305,17 @@
                     Mode::Pages(gather) => gather.broken.as_ref().filter(|b| b.0 == ask.shard),
                     Mode::Ranked(_) => None,
                 };
-                let elsewhere = broken.and_then(|b| catalog.elsewhere(*shard, &b.1));
+                let elsewhere = broken.and_then(|b| catalog.excluding_server(*shard, &b.1));
                 (elsewhere.unwrap_or(*shard), server_query(name, &self.asked.params, plan, ask.size))
             }
             Place::Link { target, .. } if self.shared.same_order(&self.asked.collection) => {
                 (*shard, target.to_string())
             }
             // What comes after a page is known to its server alone.
-            Place::Link { server, target, .. } => (catalog.pinned(*shard, server)?, target.to_string()),
+            Place::Link { server, target, .. } => (catalog.sticky_shard(*shard, server)?, target.to_string()),
         };
-        let mut visit = Visit::new(Kind::Items, target);
-        visit.sieve = plan.sieve.clone();
+        let mut visit = PageRequest::new(RequestKind::Items, target);
+        visit.predicate = plan.sieve.clone();
         Some((number, Arc::new(visit)))
     }
 
@@ -441,7 +445,7 @@
                 cursor.shard = self.shards[at.shard].1.clone();
                 cursor.skip = at.skip;
                 if let Place::Link { server, target, size } = &at.place {
-                    let name = lock(&self.shared.catalog).name_at(server).unwrap_or(server).to_owned();
+                    let name = lock(&self.shared.catalog).server_name(server).unwrap_or(server).to_owned();
                     cursor.link = Some((name, target.to_string(), *size));
                     cursor.kept = self.plans[at.shard].sieve.is_some();
                 }
@@ -464,9 +468,9 @@
 ) -> Result<(PagesTaken, Arc<BytesTaken>), Response> {
     let (edge, params) = (&shared.edge, &asked.params);
     let weight = params.filter.as_ref().map_or(0, Filter::weight);
-    let ordered = (!params.sortby.is_empty()).then_some(edge.most_pages);
-    let cost = Cost::of(params.limit, edge.page_size, shards, edge.at_once, weight, ordered);
-    let aim = Micros::from_millis(edge.classes[asker.class].aim_ms).min(asker.patience);
+    let ordered = (!params.sortby.is_empty()).then_some(edge.max_pages);
+    let cost = Cost::of(params.limit, edge.page_size, shards, edge.max_initial_shards, weight, ordered);
+    let aim = Micros::from_millis(edge.classes[asker.class].latency_objective_ms).min(asker.patience);
     let (cost, bytes) = if edge.limits.admission {
         let admitted = shared.admission().admit(cost, aim, shared.bears.rate());
         let bytes = admitted.map_err(|refusal| {
@@ -504,8 +508,8 @@
         None => Place::Start,
         Some((server, target, size)) => {
             let catalog = lock(&shared.catalog);
-            let address = catalog.address_of(server);
-            let held = address.as_deref().is_some_and(|a| catalog.pinned(shards[shard].0, a).is_some());
+            let address = catalog.server_address(server);
+            let held = address.as_deref().is_some_and(|a| catalog.sticky_shard(shards[shard].0, a).is_some());
             if !held && !shared.same_order(collection) {
                 // No other server need have its features in the same order.
                 return Err(gone("the server that its pages came from has left"));
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -4,6 +4,7 @@
 //! decided in [`paging`]; which server is asked, whether again, and what is refused, by the module.
 
 mod area;
+pub mod capabilities;
 mod catalog;
 pub mod check;
 pub mod config;
@@ -14,13 +15,12 @@
 mod html;
 pub mod inventory;
 mod items;
-pub mod learn;
+pub mod page_request;
 pub mod paging;
 pub mod params;
 mod plans;
 pub mod ranking;
 mod render;
-pub mod visit;
 
 pub use catalog::Catalog;
 
@@ -30,16 +30,16 @@
 use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
-use config::Edge;
+use capabilities::CapabilityCache;
+use config::EdgeConfig;
 use cql2::Queryables;
 use crs::Crs;
 use cursor::Key;
 use deliver::Manner;
 use items::{Asked, Asker, Items};
-use learn::Learned;
+use page_request::{PageRequest, RequestKind};
 use render::Here;
 use std::sync::{Arc, Mutex, MutexGuard};
-use visit::{Kind, Visit};
 
 /// Longest feature id passed on.
 const MAX_ID: usize = 512;
@@ -57,11 +57,11 @@
 
 /// What all queries of this front share.
 pub(crate) struct Shared {
-    edge: Edge,
+    edge: EdgeConfig,
     catalog: SharedCatalog,
     key: Key,
     figures: Arc<Metrics>,
-    learned: Mutex<Learned>,
+    learned: Mutex<CapabilityCache>,
     bears: Arc<ServerCapacity>,
     admission: Mutex<Admission>,
 }
@@ -71,7 +71,7 @@
         lock(&self.admission)
     }
 
-    fn learned(&self) -> MutexGuard<'_, Learned> {
+    fn learned(&self) -> MutexGuard<'_, CapabilityCache> {
         lock(&self.learned)
     }
 
@@ -104,13 +104,13 @@
 impl Ogc {
     /// A front with these settings.
     pub fn new(
-        edge: Edge,
+        edge: EdgeConfig,
         catalog: SharedCatalog,
         key: Key,
         figures: Arc<Metrics>,
         bears: Arc<ServerCapacity>,
     ) -> Self {
-        let learned = Mutex::new(Learned::new(Micros::from_secs(edge.learned_age_s)));
+        let learned = Mutex::new(CapabilityCache::new(Micros::from_secs(edge.capability_max_age_s)));
         let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY);
         let admission = Mutex::new(Admission::new((memory as f64 * ANSWERS_SHARE) as usize));
         Ogc { shared: Arc::new(Shared { edge, catalog, key, figures, learned, bears, admission }) }
@@ -138,9 +138,9 @@
         if !matches!(request.method.as_str(), "GET" | "HEAD") {
             return Err((405, "only GET and HEAD are served here".to_owned()));
         }
-        let pairs = params::form_urlencoded(query);
+        let pairs = params::decode_query(query);
         let f = pairs.iter().find(|p| p.0 == "f").map(|p| p.1.as_str());
-        let html = params::format(f, request.headers.get("Accept"))? == params::Format::Html;
+        let html = params::negotiate_format(f, request.headers.get("Accept"))? == params::Format::Html;
         let path = path.trim_end_matches('/');
         let here = Here { base: &base, path: if path.is_empty() { "/" } else { path }, html };
         let only =
@@ -174,7 +174,7 @@
                 Ok(items::learned(self.shared.clone(), asker, &of, move |shared| {
                     let mut told = items::queryables(&shared, &id, &shards);
                     if what == "sortables" {
-                        use cql2::Kind::{Array, Geometry};
+                        use cql2::QueryableType::{Array, Geometry};
                         told.named.retain(|_, kind| !matches!(kind, Geometry | Array));
                     }
                     let here = Here { base: &base, path: &path, html };
@@ -193,9 +193,13 @@
                         true => Queryables::unknown(),
                         false => items::queryables(&shared, &collection, &shards),
                     };
-                    let (default_limit, most_limit) = (shared.edge.default_limit, shared.edge.most_limit);
-                    let known = params::Known { default_limit, most_limit, queryables: &queryables };
-                    let params = params::read(&pairs, &known).map_err(|e| (400, e))?;
+                    let (default_limit, most_limit) = (shared.edge.default_limit, shared.edge.max_limit);
+                    let known = params::ParameterRules {
+                        default_limit,
+                        max_limit: most_limit,
+                        queryables: &queryables,
+                    };
+                    let params = params::parse_items_query(&pairs, &known).map_err(|e| (400, e))?;
                     let asked = Asked { base, collection, query, search: None, params, html };
                     Items::begin(shared, own, asked, shards)
                 };
@@ -220,7 +224,7 @@
                     .iter()
                     .map(|(shard, name)| {
                         let target = format!("/collections/{name}/items/{escaped}");
-                        (*shard, Arc::new(Visit::new(Kind::Feature, target)))
+                        (*shard, Arc::new(PageRequest::new(RequestKind::Feature, target)))
                     })
                     .collect();
                 let request = items::round(&self.shared, &asker, visits.iter().cloned());
@@ -242,7 +246,7 @@
     fn find(&self, id: &str) -> Result<Vec<(ShardId, String)>, Fault> {
         let catalog = lock(&self.shared.catalog);
         let shards = catalog.shards(id).ok_or_else(|| (404, format!("there is no collection {id:?}")))?;
-        let named = |s: &ShardId| (*s, catalog.source(*s).unwrap_or_default().to_owned());
+        let named = |s: &ShardId| (*s, catalog.source_name(*s).unwrap_or_default().to_owned());
         Ok(shards.iter().map(named).collect())
     }
 
@@ -261,15 +265,15 @@
         if !kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("application/json") {
             return Err((415, "Content-Type: application/json is needed".to_owned()));
         }
-        let body = params::search_body(&request.body).map_err(|e| (400, e))?;
-        let collection = params::searched(&body).map_err(|e| (400, e))?;
+        let body = params::parse_search_body(&request.body).map_err(|e| (400, e))?;
+        let collection = params::search_collection(&body).map_err(|e| (400, e))?;
         let shards = self.find(&collection)?;
         let asker = self.asker(request, token, sent)?;
         let (of, own) = (shards.clone(), asker.clone());
         let begin = move |shared: Arc<Shared>| {
             let known = |id: &str| Some(items::queryables(&shared, id, &shards));
-            let most = (shared.edge.default_limit, shared.edge.most_limit);
-            let (collection, params) = params::read_search(&body, known, most).map_err(|e| (400, e))?;
+            let most = (shared.edge.default_limit, shared.edge.max_limit);
+            let (collection, params) = params::parse_search(&body, known, most).map_err(|e| (400, e))?;
             let asked =
                 Asked { base, collection, query: String::new(), search: Some(body), params, html: false };
             Items::begin(shared, own, asked, shards)
--- a/src/front/ogc/visit.rs
+++ b/src/front/ogc/page_request.rs
@@ -18,7 +18,7 @@
 
 /// What a visit is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
+pub enum RequestKind {
     /// A page of features.
     Items,
     /// One feature by its id: its absence is an answer too.
@@ -28,26 +28,32 @@
 }
 
 /// Keeps a feature, as its server gave it, or drops it.
-pub type Sieve = Arc<dyn Fn(&[u8]) -> bool + Send + Sync>;
+pub type FeaturePredicate = Arc<dyn Fn(&[u8]) -> bool + Send + Sync>;
 
 /// What is asked of a server.
-pub struct Visit {
+pub struct PageRequest {
     /// What for.
-    pub kind: Kind,
+    pub kind: RequestKind,
     /// Path and query.
     pub target: String,
     /// What is filtered here.
-    pub sieve: Option<Sieve>,
+    pub predicate: Option<FeaturePredicate>,
     /// A server was, or was to be, asked.
-    tried: AtomicBool,
+    attempted: AtomicBool,
     /// What came, by attempts that were served. The core knows a page by its place here.
     came: Mutex<Vec<Arc<Page>>>,
 }
 
-impl Visit {
+impl PageRequest {
     /// A visit that has not been made.
-    pub fn new(kind: Kind, target: String) -> Self {
-        Visit { kind, target, sieve: None, tried: AtomicBool::new(false), came: Mutex::default() }
+    pub fn new(kind: RequestKind, target: String) -> Self {
+        PageRequest {
+            kind,
+            target,
+            predicate: None,
+            attempted: AtomicBool::new(false),
+            came: Mutex::default(),
+        }
     }
 
     fn came(&self) -> MutexGuard<'_, Vec<Arc<Page>>> {
@@ -56,25 +62,27 @@
 
     /// The request as it is written.
     pub fn request(&self, host: &str) -> Vec<u8> {
-        self.tried.store(true, Relaxed);
+        self.attempted.store(true, Relaxed);
         let head = "Accept: application/geo+json, application/json\r\n";
         format!("GET {} HTTP/1.1\r\nHost: {host}\r\n{head}\r\n", self.target).into_bytes()
     }
 
     /// A server was tried: a refusal is not for want of room, but since none could answer.
     pub fn tried(&self) -> bool {
-        self.tried.load(Relaxed)
+        self.attempted.load(Relaxed)
     }
 
     /// What a response comes to.
-    pub fn judge(&self, server: &str, host: &str, fetched: Fetched) -> AttemptEnd {
+    pub fn interpret(&self, server: &str, host: &str, fetched: Fetched) -> AttemptEnd {
         let page = match (fetched.status, self.kind) {
-            (200, Kind::Items) => read_page(fetched.body, host, &self.target, self.sieve.as_ref()),
-            (200, Kind::Feature) => read_feature(fetched.body),
-            (200, Kind::Document) => Some(Page { body: fetched.body, ..Page::default() }),
-            (404, Kind::Feature) => Some(Page::default()),
+            (200, RequestKind::Items) => {
+                parse_page(fetched.body, host, &self.target, self.predicate.as_ref())
+            }
+            (200, RequestKind::Feature) => read_feature(fetched.body),
+            (200, RequestKind::Document) => Some(Page { body: fetched.body, ..Page::default() }),
+            (404, RequestKind::Feature) => Some(Page::default()),
             // A server without such a document has said so: its look must not end those at others.
-            (status, Kind::Document) if status != 429 => Some(Page::default()),
+            (status, RequestKind::Document) if status != 429 => Some(Page::default()),
             // Only this status says that the request was not taken up; any other failure may have run.
             (429, _) => return AttemptEnd::Failed(Outcome::Rejected),
             _ => None,
@@ -86,7 +94,7 @@
     }
 
     /// What came last, whatever the core made of it.
-    pub fn last(&self) -> Option<Arc<Page>> {
+    pub fn last_page(&self) -> Option<Arc<Page>> {
         self.came().last().cloned()
     }
 
@@ -122,7 +130,7 @@
 }
 
 /// A page of features. `None`: it is none (HTML under 200 too), or its link leads away from its server.
-pub fn read_page(body: Vec<u8>, host: &str, target: &str, sieve: Option<&Sieve>) -> Option<Page> {
+pub fn parse_page(body: Vec<u8>, host: &str, target: &str, sieve: Option<&FeaturePredicate>) -> Option<Page> {
     let read: Collection<'_> = serde_json::from_slice(&body).ok()?;
     if !read.features.iter().all(|f| f.get().starts_with('{')) {
         return None;
@@ -168,20 +176,21 @@
     fn a_page_is_read_in_place_and_thinned() {
         let body = br#" {"features": [ {"id":1} ,{"id":22}],"numberMatched":9,
             "links":[{"rel":"next","href":"?offset=2"}]}"#;
-        let read = |sieve: Option<&Sieve>| read_page(body.to_vec(), "a:1", "/c/items?limit=2", sieve);
+        let read =
+            |sieve: Option<&FeaturePredicate>| parse_page(body.to_vec(), "a:1", "/c/items?limit=2", sieve);
         let page = read(None).expect("a page");
         let texts: Vec<_> = page.features.iter().map(|r| &page.body[r.clone()]).collect();
         assert_eq!(texts, [b"{\"id\":1}".as_slice(), b"{\"id\":22}"]);
         assert_eq!((page.given, page.matched), (2, Some(9)));
         assert_eq!(page.next.as_deref(), Some("/c/items?offset=2"));
-        let sieve: Sieve = Arc::new(|f| f.len() > 8);
+        let sieve: FeaturePredicate = Arc::new(|f| f.len() > 8);
         assert_eq!(read(Some(&sieve)).map(|p| (p.features.len(), p.given)), Some((1, 2)));
     }
 
     #[test]
     fn what_is_no_page_or_leads_astray_is_none() {
         let with = |href: &str| format!(r#"{{"features":[],"links":[{{"rel":"next","href":"{href}"}}]}}"#);
-        let read = |body: &str| read_page(body.into(), "a:1", "/c/items?limit=2", None).is_some();
+        let read = |body: &str| parse_page(body.into(), "a:1", "/c/items?limit=2", None).is_some();
         assert!(read(&with("http://a:1/c/items?offset=2")) && read(r#"{"features":[]}"#));
         let away =
             ["http://b:1/c/items", "https://a:1/c/items?o=2", "http://u@a:1/c?o", "/c/items?limit=2", ""];
@@ -197,15 +206,19 @@
     #[test]
     fn each_status_has_its_end() {
         let fetched = |status, body: &str| Fetched { status, headers: Default::default(), body: body.into() };
-        let end = |kind, status, body| Visit::new(kind, "/x".into()).judge("s", "a:1", fetched(status, body));
-        assert_eq!(end(Kind::Items, 429, ""), AttemptEnd::Failed(Outcome::Rejected));
-        assert_eq!(end(Kind::Items, 503, ""), AttemptEnd::Failed(Outcome::Error));
-        assert_eq!(end(Kind::Items, 200, "<html>"), AttemptEnd::Failed(Outcome::Error));
-        assert_eq!(end(Kind::Feature, 200, "[1]"), AttemptEnd::Failed(Outcome::Error));
-        assert!(matches!(end(Kind::Feature, 404, ""), AttemptEnd::Served(_)));
-        assert!(matches!(end(Kind::Document, 500, ""), AttemptEnd::Served(_)));
-        let visit = Visit::new(Kind::Feature, "/x".into());
-        let AttemptEnd::Served(value) = visit.judge("s", "a:1", fetched(200, "{}")) else { panic!("served") };
+        let end = |kind, status, body| {
+            PageRequest::new(kind, "/x".into()).interpret("s", "a:1", fetched(status, body))
+        };
+        assert_eq!(end(RequestKind::Items, 429, ""), AttemptEnd::Failed(Outcome::Rejected));
+        assert_eq!(end(RequestKind::Items, 503, ""), AttemptEnd::Failed(Outcome::Error));
+        assert_eq!(end(RequestKind::Items, 200, "<html>"), AttemptEnd::Failed(Outcome::Error));
+        assert_eq!(end(RequestKind::Feature, 200, "[1]"), AttemptEnd::Failed(Outcome::Error));
+        assert!(matches!(end(RequestKind::Feature, 404, ""), AttemptEnd::Served(_)));
+        assert!(matches!(end(RequestKind::Document, 500, ""), AttemptEnd::Served(_)));
+        let visit = PageRequest::new(RequestKind::Feature, "/x".into());
+        let AttemptEnd::Served(value) = visit.interpret("s", "a:1", fetched(200, "{}")) else {
+            panic!("served")
+        };
         assert_eq!(visit.page(&value).map(|p| (p.server.to_string(), p.given)), Some(("s".to_owned(), 1)));
     }
 }
--- a/src/front/ogc/params.rs
+++ b/src/front/ogc/params.rs
@@ -2,7 +2,7 @@
 //! is in CRS84 from here on.
 
 use super::area;
-use super::cql2::{self, check, Comparison, Filter, Kind, Queryables, Value};
+use super::cql2::{self, check, Comparison, Filter, QueryableType, Queryables, Value};
 use super::crs::{filter_to_crs84, Crs, Transform};
 use super::ranking::By;
 use serde_json::Value as Json;
@@ -46,20 +46,20 @@
 
 /// What is allowed and known of a collection.
 #[derive(Debug, Clone)]
-pub struct Known<'a> {
+pub struct ParameterRules<'a> {
     /// Features of an answer when its query names no limit.
     pub default_limit: usize,
     /// Most features of an answer.
-    pub most_limit: usize,
+    pub max_limit: usize,
     /// What can be asked.
     pub queryables: &'a Queryables,
 }
 
 impl Params {
     /// Features without any condition.
-    fn plain(known: &Known<'_>) -> Self {
+    fn plain(known: &ParameterRules<'_>) -> Self {
         Params {
-            limit: known.default_limit.min(known.most_limit),
+            limit: known.default_limit.min(known.max_limit),
             cursor: None,
             bbox: None,
             datetime: None,
@@ -90,7 +90,7 @@
 }
 
 /// Reads the parameters of `/items`.
-pub fn read(pairs: &[(String, String)], known: &Known<'_>) -> Result<Params, String> {
+pub fn parse_items_query(pairs: &[(String, String)], known: &ParameterRules<'_>) -> Result<Params, String> {
     let mut params = Params::plain(known);
     let (mut filter, mut lang, mut filter_crs) = (None, None, Crs::Crs84);
     let (mut bbox_text, mut bbox_crs) = (None, Crs::Crs84);
@@ -100,7 +100,7 @@
             return Err(format!("{name} is given twice"));
         }
         match name.as_str() {
-            "limit" => params.limit = limit(value, known.most_limit)?,
+            "limit" => params.limit = limit(value, known.max_limit)?,
             "bbox" => bbox_text = Some(value),
             "bbox-crs" => bbox_crs = crs(name, value)?,
             "filter-crs" => filter_crs = crs(name, value)?,
@@ -136,12 +136,12 @@
 }
 
 /// The body of a search as JSON.
-pub fn search_body(body: &[u8]) -> Result<Json, String> {
+pub fn parse_search_body(body: &[u8]) -> Result<Json, String> {
     serde_json::from_slice(body).map_err(|e| format!("the body: {e}"))
 }
 
 /// The collection that the body of a search names.
-pub fn searched(json: &Json) -> Result<String, String> {
+pub fn search_collection(json: &Json) -> Result<String, String> {
     let collections = json["collections"].as_array().ok_or("collections: a list of one is needed")?;
     match collections.as_slice() {
         [Json::String(one)] => Ok(one.clone()),
@@ -150,15 +150,15 @@
 }
 
 /// Reads the body of a search (STAC API, Item Search, `POST /search`): the collection and its parameters.
-pub fn read_search(
+pub fn parse_search(
     json: &Json,
     known: impl Fn(&str) -> Option<Queryables>,
     most: (usize, usize),
 ) -> Result<(String, Params), String> {
     let members = json.as_object().ok_or("the body is no JSON object")?;
-    let collection = searched(json)?;
+    let collection = search_collection(json)?;
     let queryables = known(&collection).ok_or_else(|| format!("there is no collection {collection:?}"))?;
-    let known = Known { default_limit: most.0, most_limit: most.1, queryables: &queryables };
+    let known = ParameterRules { default_limit: most.0, max_limit: most.1, queryables: &queryables };
     let mut params = Params::plain(&known);
     let text = |name: &str, value: &Json| {
         value.as_str().map(str::to_owned).ok_or_else(|| format!("{name}: text is needed"))
@@ -170,7 +170,7 @@
     for (name, value) in members {
         match name.as_str() {
             "collections" | "filter-crs" => {}
-            "limit" => params.limit = limit(&value.to_string(), known.most_limit)?,
+            "limit" => params.limit = limit(&value.to_string(), known.max_limit)?,
             "bbox" => {
                 let numbers =
                     value.as_array().and_then(|a| a.iter().map(Json::as_f64).collect::<Option<_>>());
@@ -214,21 +214,23 @@
     let kind = queryables.named.get(name).ok_or_else(|| format!("unknown parameter {name:?}"))?;
     let wrong = || format!("{name}: {value:?} is of another kind");
     let value = match kind {
-        Kind::Number => Value::Number(value.parse().ok().filter(|n: &f64| n.is_finite()).ok_or_else(wrong)?),
-        Kind::Bool => Value::Bool(value.parse().map_err(|_| wrong())?),
-        Kind::Text | Kind::Time | Kind::Any => Value::Text(value.to_owned()),
-        Kind::Geometry | Kind::Array => return Err(wrong()),
+        QueryableType::Number => {
+            Value::Number(value.parse().ok().filter(|n: &f64| n.is_finite()).ok_or_else(wrong)?)
+        }
+        QueryableType::Bool => Value::Bool(value.parse().map_err(|_| wrong())?),
+        QueryableType::Text | QueryableType::Time | QueryableType::Any => Value::Text(value.to_owned()),
+        QueryableType::Geometry | QueryableType::Array => return Err(wrong()),
     };
     Ok(Filter::Compare(Comparison::Equal, Value::Property(name.to_owned()), value))
 }
 
 /// The decoded pairs of a query string.
-pub fn form_urlencoded(query: &str) -> Vec<(String, String)> {
+pub fn decode_query(query: &str) -> Vec<(String, String)> {
     url::form_urlencoded::parse(query.as_bytes()).into_owned().collect()
 }
 
 /// How the answer is to be written: as `f` says, else as `Accept` does. An error has its status: 400 or 406.
-pub fn format(f: Option<&str>, accept: Option<&str>) -> Result<Format, (u16, String)> {
+pub fn negotiate_format(f: Option<&str>, accept: Option<&str>) -> Result<Format, (u16, String)> {
     match f {
         Some("json" | "geojson") => return Ok(Format::Json),
         Some("html") => return Ok(Format::Html),
@@ -316,7 +318,7 @@
     }
     for (n, key) in keys.iter().enumerate() {
         let kind = queryables.named.get(&key.name);
-        let fit = !matches!(kind, Some(Kind::Geometry | Kind::Array))
+        let fit = !matches!(kind, Some(QueryableType::Geometry | QueryableType::Array))
             && (queryables.open || kind.is_some() || key.name == "id");
         if key.name.is_empty() || !fit {
             return Err(format!("sortby: {:?} is no sortable", key.name));
@@ -390,7 +392,10 @@
     use super::*;
 
     fn of(query: &str, queryables: &Queryables) -> Result<Params, String> {
-        read(&form_urlencoded(query), &Known { default_limit: 10, most_limit: 50, queryables })
+        parse_items_query(
+            &decode_query(query),
+            &ParameterRules { default_limit: 10, max_limit: 50, queryables },
+        )
     }
 
     fn closed() -> Queryables {
@@ -466,7 +471,7 @@
     #[test]
     fn a_search_says_the_same_in_its_body() {
         let known = |name: &str| (name == "devices").then(closed);
-        let search = |body: &str| read_search(&search_body(body.as_bytes())?, known, (10, 50));
+        let search = |body: &str| parse_search(&parse_search_body(body.as_bytes())?, known, (10, 50));
         let body = r#"{"collections":["devices"],"limit":5,"bbox":[0,0,9,9],"filter-lang":"cql2-json",
             "filter":{"op":">","args":[{"property":"volts"},1]},"sortby":[{"field":"properties.volts","direction":"desc"}]}"#;
         let (collection, params) = search(body).expect("good");
@@ -489,7 +494,7 @@
 
     #[test]
     fn the_format_is_what_the_client_likes_best() {
-        let of = |accept: &str| format(None, Some(accept)).map_err(|e| e.0);
+        let of = |accept: &str| negotiate_format(None, Some(accept)).map_err(|e| e.0);
         let browser = "text/html,application/xhtml+xml,application/xml;q=0.9,*/*;q=0.8";
         assert_eq!(of(browser), Ok(Format::Html));
         assert_eq!(of("*/*"), Ok(Format::Json));
@@ -497,7 +502,7 @@
         assert_eq!(of("text/html;q=0.1, application/json;q=0"), Ok(Format::Html));
         assert_eq!(of("image/png"), Err(406));
         assert_eq!(of("application/json;q=0"), Err(406));
-        assert_eq!(format(Some("html"), Some("application/json")), Ok(Format::Html));
-        assert_eq!(format(Some("pdf"), None).map_err(|e| e.0), Err(400));
+        assert_eq!(negotiate_format(Some("html"), Some("application/json")), Ok(Format::Html));
+        assert_eq!(negotiate_format(Some("pdf"), None).map_err(|e| e.0), Err(400));
     }
 }
--- a/src/front/ogc/plans.rs
+++ b/src/front/ogc/plans.rs
@@ -1,10 +1,10 @@
 //! How each shard of a query is asked: what of its filter its servers do, whether they give its order, and what lies beyond
 //! the last feature that was given.
 
-use super::cql2::{flat, split, Able, Comparison, Filter, Matcher, Value};
-use super::learn::At;
+use super::capabilities::ReplicaKey;
+use super::cql2::{flat, split, Capabilities, Comparison, Filter, Matcher, Value};
+use super::page_request::FeaturePredicate;
 use super::params::Params;
-use super::visit::Sieve;
 use super::{lock, Shared};
 use crate::interface::ShardId;
 use std::sync::Arc;
@@ -13,17 +13,17 @@
 #[derive(Clone, Default)]
 pub(super) struct Plan {
     pub passed: Option<String>,
-    pub sieve: Option<Sieve>,
+    pub sieve: Option<FeaturePredicate>,
     pub envelope: Option<[f64; 4]>,
     /// It comes in the order that is wanted.
     pub ordered: bool,
 }
 
 /// Where the pages of a shard can come from.
-pub(super) fn holders(shared: &Shared, shards: &[(ShardId, String)]) -> Vec<Vec<(ShardId, At)>> {
+pub(super) fn holders(shared: &Shared, shards: &[(ShardId, String)]) -> Vec<Vec<(ShardId, ReplicaKey)>> {
     let catalog = lock(&shared.catalog);
     let of = |(shard, name): &(ShardId, String)| {
-        let servers = catalog.holders(*shard).into_iter();
+        let servers = catalog.ready_holders(*shard).into_iter();
         servers.map(|(pin, address)| (pin, (Arc::from(address), Arc::from(name.as_str())))).collect()
     };
     shards.iter().map(of).collect()
@@ -38,12 +38,12 @@
     after: Option<&[serde_json::Value]>,
     kept: Option<(usize, bool)>,
 ) -> Vec<Plan> {
-    let whole = |filter: &Filter| -> Sieve {
+    let whole = |filter: &Filter| -> FeaturePredicate {
         let matcher = Matcher::new(filter.clone());
         Arc::new(move |feature: &[u8]| matcher.matches_text(feature))
     };
     let all = holders(shared, shards);
-    let plan = |(n, at): (usize, &Vec<(ShardId, At)>)| {
+    let plan = |(n, at): (usize, &Vec<(ShardId, ReplicaKey)>)| {
         let able = shared.learned().common(at.iter().map(|h| &h.1)).unwrap_or_default();
         let mut plan = Plan::default();
         if let Some((_, kept)) = kept.filter(|k| k.0 == n) {
@@ -54,14 +54,14 @@
         let mut wanted = params.filter.clone();
         if let Some(beyond) = after.filter(|_| plan.ordered).and_then(|keys| beyond(params, keys)) {
             // Only where the server can do all of it: the rank is looked at here in any case.
-            if split(&beyond, &able).kept.is_none() {
+            if split(&beyond, &able).residual.is_none() {
                 wanted = Filter::all(wanted.into_iter().chain([beyond]).collect());
             }
         }
         if let Some(filter) = wanted {
             let split = split(&filter, &able);
-            plan.passed = split.passed.map(|f| f.to_string());
-            plan.sieve = split.kept.as_ref().map(whole);
+            plan.passed = split.pushed_down.map(|f| f.to_string());
+            plan.sieve = split.residual.as_ref().map(whole);
             plan.envelope = split.envelope;
         }
         plan
@@ -70,7 +70,7 @@
 }
 
 /// Can servers of these abilities give features in this order?
-fn can_order(able: &Able, params: &Params) -> bool {
+fn can_order(able: &Capabilities, params: &Params) -> bool {
     let known = |name: &str| able.queryables.named.contains_key(name);
     !params.sortby.is_empty()
         && able.classes.contains("sorting")
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -1,13 +1,13 @@
 //! Answers as JSON: pages about the service, features as GeoJSON, errors as problem JSON.
 
-use super::config::Edge;
+use super::config::EdgeConfig;
 use super::cql2::Queryables;
 use super::crs::{Crs, Transform};
 use super::cursor::hash;
 use super::items::{BytesTaken, Ready};
+use super::page_request::PageRequest;
 use super::paging::Page;
 use super::params::Params;
-use super::visit::Visit;
 use super::{deliver, html};
 use crate::coordinator::{Answer, Value, COUNTERS};
 use crate::interface::ShardId;
@@ -143,7 +143,7 @@
     here.respond("Conformance", JSON, &json!({"conformsTo": CLASSES, "links": here.links(JSON)}))
 }
 
-fn described(base: &str, id: &str, edge: &Edge) -> Json {
+fn described(base: &str, id: &str, edge: &EdgeConfig) -> Json {
     let told = edge.collections.iter().find(|c| c.id == id);
     let path = format!("{base}/collections/{id}");
     let mut collection = json!({
@@ -170,12 +170,12 @@
     collection
 }
 
-pub(super) fn collections(here: &Here<'_>, names: &[String], edge: &Edge) -> Response {
+pub(super) fn collections(here: &Here<'_>, names: &[String], edge: &EdgeConfig) -> Response {
     let all: Vec<Json> = names.iter().map(|n| described(here.base, n, edge)).collect();
     here.respond("Collections", JSON, &json!({"links": here.links(JSON), "collections": all}))
 }
 
-pub(super) fn collection(here: &Here<'_>, id: &str, edge: &Edge) -> Response {
+pub(super) fn collection(here: &Here<'_>, id: &str, edge: &EdgeConfig) -> Response {
     let mut json = described(here.base, id, edge);
     let more = json["links"].as_array().cloned().unwrap_or_default();
     json["links"] = here.links(JSON).into_iter().chain(more.into_iter().skip(1)).collect();
@@ -193,7 +193,7 @@
 }
 
 /// The service's description in OpenAPI's form.
-pub(super) fn api(here: &Here<'_>, edge: &Edge) -> Response {
+pub(super) fn api(here: &Here<'_>, edge: &EdgeConfig) -> Response {
     let text = |name: &str, place: &str, what: &str| {
         json!({"name": name, "in": place, "required": place == "path", "description": what,
             "schema": {"type": "string"}})
@@ -216,7 +216,7 @@
     let items = vec![
         collection.clone(),
         json!({"name": "limit", "in": "query", "required": false, "style": "form", "explode": false,
-            "schema": {"type": "integer", "minimum": 1, "maximum": edge.most_limit, "default": edge.default_limit}}),
+            "schema": {"type": "integer", "minimum": 1, "maximum": edge.max_limit, "default": edge.default_limit}}),
         numbers("bbox", "a box: four or six numbers"),
         text("bbox-crs", "query", "the system of bbox"),
         text("datetime", "query", "a time or an interval, RFC 3339"),
@@ -382,7 +382,7 @@
     let mut links = Vec::new();
     match &asked.search {
         None => {
-            let mut others = super::params::form_urlencoded(&asked.query);
+            let mut others = super::params::decode_query(&asked.query);
             others.retain(|p| p.0 != "f");
             let form = |f: &str, more: Option<&str>| {
                 let mut query = url::form_urlencoded::Serializer::new(String::new());
@@ -466,7 +466,7 @@
 pub(super) fn feature(
     base: &str,
     collection: &str,
-    visits: &[(ShardId, Arc<Visit>)],
+    visits: &[(ShardId, Arc<PageRequest>)],
     (crs, html): (Crs, bool),
     answer: Answer,
 ) -> Response {
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -46,36 +46,36 @@
 /// The front for the platform's protocol.
 #[derive(Debug)]
 pub struct Platform {
-    named: SharedNamed,
+    catalog: SharedPlatformCatalog,
 }
 
 /// What a request may name; a reload changes it.
 #[derive(Debug)]
-pub struct Named {
+pub struct PlatformCatalog {
     classes: Vec<Arc<str>>,
     shards: u32,
 }
 
 /// The same as the front and a reload share it.
-pub type SharedNamed = Arc<Mutex<Arc<Named>>>;
+pub type SharedPlatformCatalog = Arc<Mutex<Arc<PlatformCatalog>>>;
 
-impl Named {
+impl PlatformCatalog {
     /// By these settings.
     pub fn new(deployment: &CoordinatorSettings) -> Arc<Self> {
         let module = &deployment.policy;
         let classes = module.classes.iter().map(|c| c.name.as_str().into()).collect();
-        Arc::new(Named { classes, shards: module.shards })
+        Arc::new(PlatformCatalog { classes, shards: module.shards })
     }
 }
 
 impl Platform {
     /// A front for what may be named now.
-    pub fn new(named: SharedNamed) -> Self {
-        Platform { named }
+    pub fn new(named: SharedPlatformCatalog) -> Self {
+        Platform { catalog: named }
     }
 
     fn query(&self, request: &HttpRequest, token: Token, sent: Micros) -> Result<Request, String> {
-        let named = self.named.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        let named = self.catalog.lock().unwrap_or_else(|e| e.into_inner()).clone();
         let header = |name| request.headers.get(name).ok_or_else(|| format!("{name} is missing"));
         let label = header("X-Trace-Id")?;
         if label.is_empty() || label.len() > MAX_ID || !label.bytes().all(|b| b.is_ascii_graphic()) {
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -2,8 +2,8 @@
 
 use super::{spawn, try_read, try_write, Tried, Upstream, LARGE_STACK_WORDS};
 use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics, Input, COUNTERS};
-use crate::front::ogc::config::Edge;
-use crate::front::ogc::visit::Visit;
+use crate::front::ogc::config::EdgeConfig;
+use crate::front::ogc::page_request::PageRequest;
 use crate::interface::{Outcome, ReplicaId};
 use crate::limits::{Ended, Limiter, Rule, ServerCapacity};
 use crate::proto::fetch::{Fetch, Progress};
@@ -77,16 +77,16 @@
 
 impl FeatureClient {
     /// None yet.
-    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, bears: Arc<ServerCapacity>) -> Self {
+    pub fn new(edge: &EdgeConfig, inbox: Sender<Input>, clock: Clock, bears: Arc<ServerCapacity>) -> Self {
         FeatureClient {
             servers: HashMap::new(),
             out: HashMap::new(),
             inbox,
             clock,
-            most_body: edge.most_bytes,
+            most_body: edge.max_bytes,
             dial_timeout: Micros::from_millis(edge.dial_timeout_ms),
-            idle_limit: Micros::from_millis(edge.idle_ms),
-            rule: edge.limit_rule(),
+            idle_limit: Micros::from_millis(edge.idle_timeout_ms),
+            rule: edge.concurrency_rule(),
             bears,
         }
     }
@@ -108,7 +108,7 @@
         }
         let now = self.clock.now();
         let server = self.servers.get(&replica).ok_or(Outcome::NotSent)?;
-        let visit = job.context.as_ref().and_then(|e| e.get::<Visit>()).ok_or(Outcome::NotSent)?;
+        let visit = job.context.as_ref().and_then(|e| e.get::<PageRequest>()).ok_or(Outcome::NotSent)?;
         let slot = Arc::new(Mutex::new(Slot::default()));
         let driver = {
             let mut state = guard(server);
@@ -225,7 +225,7 @@
 
 struct Driver {
     fetch: Fetch,
-    visit: Arc<Visit>,
+    visit: Arc<PageRequest>,
     address: SocketAddr,
     replica: ReplicaId,
     server: Arc<Mutex<Server>>,
@@ -258,7 +258,7 @@
                     how = Ended::Overload;
                     wish = fetched.headers.get("Retry-After").and_then(|s| s.trim().parse().ok());
                 }
-                let end = self.visit.judge(&host, &host, fetched);
+                let end = self.visit.interpret(&host, &host, fetched);
                 if let AttemptEnd::Served(value) = &end {
                     how = Ended::Well(self.visit.page(value).map_or(0, |p| p.given));
                 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -9,10 +9,10 @@
 use super::timer::Timer;
 use super::{spawn, watch, Upstream, LARGE_STACK_WORDS, SMALL_STACK_WORDS, TURN_STACK_WORDS};
 use crate::coordinator::{Command, Coordinator, Input, Metrics, ProcessGeneration, COUNTERS};
-use crate::front::ogc::config::Edge;
+use crate::front::ogc::config::EdgeConfig;
 use crate::front::ogc::cursor::Key;
 use crate::front::ogc::{self, Ogc, SharedCatalog};
-use crate::front::platform::{Named, Platform, SharedNamed};
+use crate::front::platform::{Platform, PlatformCatalog, SharedPlatformCatalog};
 use crate::front::Front;
 use crate::interface::Settings;
 use crate::limits::ServerCapacity;
@@ -111,7 +111,7 @@
 type Reload = Box<dyn FnMut(Micros) -> Result<Reloaded, String> + Send>;
 
 /// Runs what is set up, the platform's front, the one for feature queries, or both, until it is told to end.
-pub fn run(platform: Option<Config>, edge: Option<Edge>) -> Result<(), String> {
+pub fn run(platform: Option<Config>, edge: Option<EdgeConfig>) -> Result<(), String> {
     // One core is all there is; and the worker must not choose which, since others may share it.
     may::config().set_workers(1).set_worker_pin(false);
     let clock = Clock::start();
@@ -120,7 +120,7 @@
     let fronts = usize::from(platform.is_some()) + usize::from(edge.is_some());
     let figures = Arc::new(Metrics::default());
     let told = platform.as_ref().map(|c| (c.mgmt, c.sockets));
-    let also = edge.as_ref().map(|e| (e.mgmt, e.sockets));
+    let also = edge.as_ref().map(|e| (e.mgmt, e.max_descriptors));
     // Asked before anything else is made: whoever takes over is not to go in step with the one before.
     let first = platform.as_ref().map(|c| c.listen).or(edge.as_ref().map(|e| e.listen));
     let place = first.and_then(handover::place);
@@ -236,7 +236,7 @@
     let waits = watch::Waits::new(config.seed);
     spawn(LARGE_STACK_WORDS, move || watch::follow(&watched, rev, &watch_inbox, clock, &watch_listed, waits))
         .map_err(no_coroutine)?;
-    let named = Arc::new(Mutex::new(Named::new(deployment)));
+    let named = Arc::new(Mutex::new(PlatformCatalog::new(deployment)));
     Ok(Parts {
         last_answer: last_answer(longest(&deployment.policy)),
         name: config.name.clone(),
@@ -264,7 +264,7 @@
 fn reload_configuration(
     config: &Config,
     place: watch::Place,
-    named: SharedNamed,
+    named: SharedPlatformCatalog,
     figures: Arc<Metrics>,
 ) -> Reload {
     let (mut file, mut told) = (InForce::at_start(config), config.told);
@@ -285,19 +285,19 @@
             place.address(),
             names.join(" ")
         );
-        *named.lock().unwrap_or_else(|e| e.into_inner()) = Named::new(&deployment);
+        *named.lock().unwrap_or_else(|e| e.into_inner()) = PlatformCatalog::new(&deployment);
         let input = Input::Settings(Box::new(deployment.policy.clone()), deployment.max_in_flight);
         Ok(Reloaded { words, input, deployment: Some(deployment) })
     })
 }
 
-fn edge_service(edge: Edge, clock: Clock, figures: &Arc<Metrics>) -> Result<Parts, String> {
+fn edge_service(edge: EdgeConfig, clock: Clock, figures: &Arc<Metrics>) -> Result<Parts, String> {
     let (inbox, arrivals) = channel();
     let catalog = SharedCatalog::default();
     let mut reload: Reload = {
         let (edge, catalog) = (edge.clone(), catalog.clone());
         Box::new(move |now| {
-            let servers = edge.servers().map_err(|e| format!("the inventory stays as it was: {e}"))?;
+            let servers = edge.load_inventory().map_err(|e| format!("the inventory stays as it was: {e}"))?;
             let roster = ogc::lock(&catalog).load(&servers, now);
             let nodes = roster.nodes.len();
             let words = format!("the inventory is loaded anew: {nodes} servers");
@@ -313,8 +313,8 @@
         last_answer: last_answer(longest(&edge.settings())),
         name: "feature queries".to_owned(),
         listen: edge.listen,
-        bounds: Bounds::new(edge.sockets, edge.memory_mb * 1024 * 1024),
-        core: Coordinator::new(edge.settings(), edge.most_held, seed, clock.now(), figures.clone()),
+        bounds: Bounds::new(edge.max_descriptors, edge.memory_mb * 1024 * 1024),
+        core: Coordinator::new(edge.settings(), edge.max_in_flight, seed, clock.now(), figures.clone()),
         upstream: Box::new(FeatureClient::new(&edge, inbox.clone(), clock, bears.clone())),
         front: Box::new(Ogc::new(edge, catalog, key, figures.clone(), bears)),
         inbox,
