--- a/src/front/ogc/capabilities.rs
+++ b/src/front/ogc/capabilities.rs
@@ -18,8 +18,14 @@
 /// Most that is remembered; the longest unused gives way.
 const MAX_KNOWN: usize = 4_096;
 
-/// A shard at a server: the server's address, and its name for the shard.
-pub type ReplicaKey = (Arc<str>, Arc<str>);
+/// A shard at a server, which is what capabilities are kept for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ReplicaKey {
+    /// The server's address.
+    pub address: Arc<str>,
+    /// The server's own name for the shard.
+    pub source: Arc<str>,
+}
 
 #[derive(Debug, Default)]
 struct Entry {
@@ -63,8 +69,10 @@
             oldest.map(|at| self.entries.remove(&at));
         }
         // Servers that were learned together are not learned anew together.
-        let spread =
-            Micros(self.age.0 / 4 * (super::cursor::hash(&[at.0.as_bytes(), at.1.as_bytes()]) % 256) / 256);
+        let spread = Micros(
+            self.age.0 / 4 * (super::cursor::hash(&[at.address.as_bytes(), at.source.as_bytes()]) % 256)
+                / 256,
+        );
         let age = self.age - spread;
         let entry = self.entries.entry(at.clone()).or_default();
         entry.used = now;
@@ -141,7 +149,7 @@
     use super::*;
 
     fn at(n: usize) -> ReplicaKey {
-        (format!("s{n}").into(), "north".into())
+        ReplicaKey { address: format!("s{n}").into(), source: "north".into() }
     }
 
     fn secs(s: u64) -> Micros {
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -10,6 +10,15 @@
 /// Other holders of a shard that are told apart: numbers grow with the square of the holders.
 const MAX_OTHERS: usize = 8;
 
+/// A server that takes new work and holds a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardHolder<'a> {
+    /// The number of the shard at this server alone.
+    pub sticky_shard: ShardId,
+    /// The server's address.
+    pub address: &'a str,
+}
+
 /// The collections of the present inventory. Shards keep their numbers over reloads.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -113,7 +122,7 @@
     /// The number of a shard anywhere but at the server of this address, if another one that takes new work holds it.
     pub fn excluding_server(&self, shard: ShardId, address: &str) -> Option<ShardId> {
         let (name, _) = self.places.get(address)?;
-        let other = self.ready_holders(shard).iter().any(|h| h.1 != address);
+        let other = self.ready_holders(shard).iter().any(|holder| holder.address != address);
         other.then(|| self.without.get(&(shard, name.clone())).copied()).flatten()
     }
 
@@ -123,13 +132,15 @@
         self.pins.get(&(shard, name.clone())).copied().filter(|pin| self.pinned_now.contains(pin))
     }
 
-    /// The servers that take new work and hold a shard: the shard's number there, and the server's address.
-    pub fn ready_holders(&self, shard: ShardId) -> Vec<(ShardId, &str)> {
+    /// The servers that take new work and hold a shard, ordered by the shard's number there.
+    pub fn ready_holders(&self, shard: ShardId) -> Vec<ShardHolder<'_>> {
         let ready = self.places.iter().filter(|p| p.1 .1 == EndpointState::Ready);
         let mut holders: Vec<_> = ready
-            .filter_map(|(address, _)| Some((self.sticky_shard(shard, address)?, address.as_str())))
+            .filter_map(|(address, _)| {
+                Some(ShardHolder { sticky_shard: self.sticky_shard(shard, address)?, address })
+            })
             .collect();
-        holders.sort_unstable_by_key(|h| h.0 .0);
+        holders.sort_unstable_by_key(|holder| holder.sticky_shard.0);
         holders
     }
 
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -166,7 +166,7 @@
         if looks.len() < MAX_LOOKS {
             if let CapabilityLookup::Discover(_) = shared.learned().lookup(&at, asker.sent) {
                 let document = |path: String| Arc::new(PageRequest::new(RequestKind::Document, path));
-                let of = format!("/collections/{}/queryables", at.1);
+                let of = format!("/collections/{}/queryables", at.source);
                 looks.push((pin, at, document("/conformance".to_owned()), document(of)));
             }
         }
--- a/src/front/ogc/plans.rs
+++ b/src/front/ogc/plans.rs
@@ -2,6 +2,7 @@
 //! the last feature that was given.
 
 use super::capabilities::ReplicaKey;
+use super::catalog::ShardHolder;
 use super::cql2::{flat, split, Capabilities, Comparison, Filter, Matcher, Value};
 use super::page_request::FeaturePredicate;
 use super::params::Params;
@@ -24,7 +25,11 @@
     let catalog = lock(&shared.catalog);
     let of = |(shard, name): &(ShardId, String)| {
         let servers = catalog.ready_holders(*shard).into_iter();
-        servers.map(|(pin, address)| (pin, (Arc::from(address), Arc::from(name.as_str())))).collect()
+        let replica = |holder: ShardHolder<'_>| {
+            let key = ReplicaKey { address: Arc::from(holder.address), source: Arc::from(name.as_str()) };
+            (holder.sticky_shard, key)
+        };
+        servers.map(replica).collect()
     };
     shards.iter().map(of).collect()
 }
