--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -52,9 +52,9 @@
         match read_whole_file(&place) {
             Ok(servers) => {
                 let edge = edge.as_ref();
-                let shares: std::collections::BTreeSet<_> = servers.iter().flat_map(|s| &s.shares).collect();
+                let shards: std::collections::BTreeSet<_> = servers.iter().flat_map(|s| &s.shards).collect();
                 for told in edge.map(|e| e.collections.as_slice()).unwrap_or_default() {
-                    if shares.iter().all(|s| s.collection != told.id) {
+                    if shards.iter().all(|s| s.collection != told.id) {
                         let at = line_with(&text, &format!("\"{}\"", told.id));
                         faults.push(fault(at, format!("collection {:?}: no server holds it", told.id)));
                     }
@@ -62,7 +62,7 @@
                 report.summary = format!(
                     "{file} is sound: {} servers, {} shards, {} classes",
                     servers.len(),
-                    shares.len(),
+                    shards.len(),
                     edge.map_or(0, |e| e.classes.len())
                 );
             }
--- a/src/front/ogc/inventory.rs
+++ b/src/front/ogc/inventory.rs
@@ -12,7 +12,7 @@
 use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::Path;
 
-/// A share of a collection: the collection's name, and the server's own name for the share.
+/// A shard of a collection: the collection's name, and the server's own name for the shard.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CollectionShard {
     /// The collection as clients know it.
@@ -29,7 +29,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// What it holds.
-    pub shares: Vec<CollectionShard>,
+    pub shards: Vec<CollectionShard>,
     /// Its state.
     pub state: EndpointState,
 }
@@ -338,7 +338,7 @@
             .and_then(|mut a| a.next())
             .ok_or_else(|| fault("address", &format!("{address:?} is no host:port")))?;
         let held = get("collections").ok_or_else(|| fault("collections", "is missing"))?;
-        let mut shares = Vec::new();
+        let mut shards = Vec::new();
         for word in held.split([';', ',', ' ']).filter(|w| !w.is_empty()) {
             let (collection, source) = word.split_once('/').unwrap_or((word, word));
             let plain = |t: &str| {
@@ -347,12 +347,12 @@
             if !plain(collection) || !plain(source) {
                 return Err(fault("collections", &format!("{word:?} is no collection or collection/shard")));
             }
-            let share = CollectionShard { collection: collection.to_owned(), source: source.to_owned() };
-            if !shares.contains(&share) {
-                shares.push(share);
+            let shard = CollectionShard { collection: collection.to_owned(), source: source.to_owned() };
+            if !shards.contains(&shard) {
+                shards.push(shard);
             }
         }
-        if shares.is_empty() {
+        if shards.is_empty() {
             return Err(fault("collections", "is empty"));
         }
         let state = match get("state").unwrap_or("in_service") {
@@ -361,7 +361,7 @@
             "gone" | "terminated" | "absent" => EndpointState::Removed,
             other => return Err(fault("state", &format!("{other:?} is none of in_service, draining, gone"))),
         };
-        Ok(Server { name: entry.name.clone(), address, shares, state })
+        Ok(Server { name: entry.name.clone(), address, shards, state })
     }
 }
 
@@ -384,7 +384,7 @@
             address: 127.0.0.1:9002\n          collections: devices/south\n          state: draining\n";
         let (a, b) = (read_csv("i.csv", csv).expect("csv"), read_yaml("i.yaml", yaml).expect("yaml"));
         assert_eq!(a, b);
-        assert_eq!(a[0].shares.len(), 2);
+        assert_eq!(a[0].shards.len(), 2);
         assert_eq!(a[1].state, EndpointState::Draining);
     }
 
