--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -1,6 +1,6 @@
 //! `quinceflow check`: every fault of an edge file and its inventory, each with its line.
 
-use super::config::Edge;
+use super::config::EdgeConfig;
 use super::inventory::read_whole_file;
 use std::fmt;
 use std::path::Path;
@@ -52,9 +52,9 @@
         match read_whole_file(&place) {
             Ok(servers) => {
                 let edge = edge.as_ref();
-                let shares: std::collections::BTreeSet<_> = servers.iter().flat_map(|s| &s.shares).collect();
+                let shards: std::collections::BTreeSet<_> = servers.iter().flat_map(|s| &s.shards).collect();
                 for told in edge.map(|e| e.collections.as_slice()).unwrap_or_default() {
-                    if shares.iter().all(|s| s.collection != told.id) {
+                    if shards.iter().all(|s| s.collection != told.id) {
                         let at = line_with(&text, &format!("\"{}\"", told.id));
                         faults.push(fault(at, format!("collection {:?}: no server holds it", told.id)));
                     }
@@ -62,7 +62,7 @@
                 report.summary = format!(
                     "{file} is sound: {} servers, {} shards, {} classes",
                     servers.len(),
-                    shares.len(),
+                    shards.len(),
                     edge.map_or(0, |e| e.classes.len())
                 );
             }
@@ -78,11 +78,11 @@
 
 /// The settings of a text, if it can be read at all, and its faults. A reader stops at the first fault; what it
 /// complains of is mended and all read again, so that one run tells them all.
-fn read(text: &str) -> (Option<Edge>, Vec<(usize, String)>) {
+fn read(text: &str) -> (Option<EdgeConfig>, Vec<(usize, String)>) {
     let mut left = text.to_owned();
     let mut faults: Vec<(usize, String)> = Vec::new();
     while faults.len() < MAX_FAULTS {
-        match toml::from_str::<Edge>(&left) {
+        match toml::from_str::<EdgeConfig>(&left) {
             Ok(edge) => {
                 // Values that were put in for faulty ones are none of the file's.
                 let told: Vec<usize> = faults.iter().map(|f| f.0).collect();
@@ -113,7 +113,7 @@
     let start: usize = text.split_inclusive('\n').take(line - 1).map(str::len).sum();
     let end = text[start..].find('\n').map_or(text.len(), |n| start + n);
     let before = text[start..end].to_owned();
-    let still = |text: &str| match toml::from_str::<Edge>(text) {
+    let still = |text: &str| match toml::from_str::<EdgeConfig>(text) {
         Ok(_) => false,
         Err(e) => line_at(text, &e.span().unwrap_or(0..0)) == line,
     };
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -7,9 +7,9 @@
 use proptest::test_runner::RngSeed;
 
 fn front() -> OgcFront {
-    let edge = Edge::read_file(std::path::Path::new("deploy/edge.toml")).expect("sound");
+    let edge = EdgeConfig::load(std::path::Path::new("deploy/edge.toml")).expect("sound");
     let catalog = SharedCatalog::default();
-    let servers = edge.servers().expect("sound");
+    let servers = edge.load_inventory().expect("sound");
     lock(&catalog).load(&servers, Micros::ZERO);
     OgcFront::new(edge, catalog, CursorKey::new(b"a key"), Arc::default(), Arc::default())
 }
@@ -226,7 +226,7 @@
         match reaction {
             Reaction::Respond(response) => panic!("{query}: {response:?}"),
             Reaction::Submit(request, render) => {
-                let contexts = request.parts.iter().filter_map(|p| p.context.as_ref()?.get::<Visit>());
+                let contexts = request.parts.iter().filter_map(|p| p.context.as_ref()?.get::<PageRequest>());
                 let targets: Vec<String> = contexts.map(|c| c.target.clone()).collect();
                 if targets.iter().all(|t| t.contains("/items?")) {
                     return targets;
