--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -90,11 +90,11 @@
         let by = vec![SortKey { property: "volts".to_owned(), descending: true }];
         let mut ranking = SortedMerge::new(by, 500, 500, 100, 1.0, None, &vec![false; shards]);
         loop {
-            let asks = ranking.asks();
-            assert!(asks.iter().all(|a| a.place == PageLocation::ShardStart));
-            let came = asks.iter().map(|a| (a.shard, a.size, Some(pages[a.shard].clone()))).collect();
-            if ranking.take(came) == SortedProgress::Done {
-                return ranking.page().returned_count;
+            let asks = ranking.next_fetches();
+            assert!(asks.iter().all(|a| a.location == PageLocation::ShardStart));
+            let came = asks.iter().map(|a| (a.shard, a.page_size, Some(pages[a.shard].clone()))).collect();
+            if ranking.accept(came) == SortedProgress::Complete {
+                return ranking.to_page().returned_count;
             }
         }
     });
--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -21,10 +21,10 @@
 pub struct Cursor {
     /// Hash of the query that it goes on with.
     #[serde(rename = "q")]
-    pub query: u64,
+    pub query_hash: u64,
     /// Unix time in seconds when its first answer was given: age counts from there.
     #[serde(rename = "a")]
-    pub at: u64,
+    pub issued_at_s: u64,
     /// The shard, by its server's name for it.
     #[serde(rename = "s")]
     pub shard: String,
@@ -36,16 +36,16 @@
     pub link: Option<(String, String, usize)>,
     /// Something of the filter is done here on what that server gives.
     #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
-    pub kept: bool,
+    pub filtered_locally: bool,
     /// The last feature's sort keys and id, in an ordered answer.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
-    pub after: Option<Vec<serde_json::Value>>,
+    pub after_values: Option<Vec<serde_json::Value>>,
     /// Answers so far, and the link that one of them began with: a link that comes again goes in a circle.
     #[serde(rename = "n", default)]
-    pub answers: u32,
+    pub response_count: u32,
     /// See `answers`.
     #[serde(rename = "m", default)]
-    pub mark: u64,
+    pub link_checkpoint: u64,
 }
 
 fn is_zero(n: &usize) -> bool {
@@ -119,8 +119,8 @@
         }
         let cursor: Cursor = serde_json::from_slice(fields).map_err(|_| CursorError::Expired)?;
         match () {
-            () if cursor.query != query => Err(CursorError::WrongQuery),
-            () if now.saturating_sub(cursor.at) > age => Err(CursorError::Expired),
+            () if cursor.query_hash != query => Err(CursorError::WrongQuery),
+            () if now.saturating_sub(cursor.issued_at_s) > age => Err(CursorError::Expired),
             () => Ok(cursor),
         }
     }
@@ -129,18 +129,21 @@
 impl Cursor {
     /// The cursor after this one, which leads on to `link`. Found to go in a circle by Brent's method: the link of answer
     /// 1, 2, 4, 8 ... is remembered, and if it comes again nothing new will ever come.
-    pub fn followed(mut self, before: Option<&Cursor>) -> Result<Self, CursorError> {
+    pub fn advanced_from(mut self, before: Option<&Cursor>) -> Result<Self, CursorError> {
         let here = stable_hash(&[
             self.shard.as_bytes(),
-            format!("{:?} {} {:?}", self.link, self.skip, self.after).as_bytes(),
+            format!("{:?} {} {:?}", self.link, self.skip, self.after_values).as_bytes(),
         ]);
-        let Some(before) = before else { return Ok(Cursor { mark: here, answers: 1, ..self }) };
-        self.at = before.at;
-        self.answers = before.answers.saturating_add(1);
-        if before.mark == here {
+        let Some(before) = before else {
+            return Ok(Cursor { link_checkpoint: here, response_count: 1, ..self });
+        };
+        self.issued_at_s = before.issued_at_s;
+        self.response_count = before.response_count.saturating_add(1);
+        if before.link_checkpoint == here {
             return Err(CursorError::LinkCycle);
         }
-        self.mark = if self.answers.is_power_of_two() { here } else { before.mark };
+        self.link_checkpoint =
+            if self.response_count.is_power_of_two() { here } else { before.link_checkpoint };
         Ok(self)
     }
 }
@@ -163,33 +166,40 @@
 
     fn cursor(target: &str) -> Cursor {
         Cursor {
-            query: 7,
-            at: 1_000,
+            query_hash: 7,
+            issued_at_s: 1_000,
             shard: "north".to_owned(),
             skip: 3,
             link: Some(("a".to_owned(), target.to_owned(), 50)),
-            kept: false,
-            after: None,
-            answers: 0,
-            mark: 0,
+            filtered_locally: false,
+            after_values: None,
+            response_count: 0,
+            link_checkpoint: 0,
         }
     }
 
     /// Tokens that an earlier release sealed with this key, and what they carry.
     fn earlier_tokens() -> [(&'static str, Cursor); 2] {
         let full = Cursor {
-            query: 7,
-            at: 1_000,
+            query_hash: 7,
+            issued_at_s: 1_000,
             shard: "north".to_owned(),
             skip: 3,
             link: Some(("a".to_owned(), "/x?offset=50".to_owned(), 50)),
-            kept: true,
-            after: Some(vec![1.5.into(), "b".into(), serde_json::Value::Null, "d9".into()]),
-            answers: 5,
-            mark: 11,
+            filtered_locally: true,
+            after_values: Some(vec![1.5.into(), "b".into(), serde_json::Value::Null, "d9".into()]),
+            response_count: 5,
+            link_checkpoint: 11,
+        };
+        let minimal = Cursor {
+            skip: 0,
+            link: None,
+            filtered_locally: false,
+            after_values: None,
+            response_count: 1,
+            link_checkpoint: 0,
+            ..full.clone()
         };
-        let minimal =
-            Cursor { skip: 0, link: None, kept: false, after: None, answers: 1, mark: 0, ..full.clone() };
         [
             ("AXsicSI6NywiYSI6MTAwMCwicyI6Im5vcnRoIiwiayI6MywibCI6WyJhIiwiL3g_b2Zmc2V0PTUwIiw1MF0sImYiOnRydWUsIm8iOlsxLjUsImIiLG51bGwsImQ5Il0sIm4iOjUsIm0iOjExfamQYAELlfzdD2OToBD_zh4", full),
             ("AXsicSI6NywiYSI6MTAwMCwicyI6Im5vcnRoIiwibiI6MSwibSI6MH22flZWs1saqAb8CgRMGLXb", minimal),
@@ -207,7 +217,7 @@
 
     #[test]
     fn link_marks_are_those_of_an_earlier_release() {
-        let marks = earlier_tokens().map(|(_, cursor)| cursor.followed(None).map(|c| c.mark));
+        let marks = earlier_tokens().map(|(_, cursor)| cursor.advanced_from(None).map(|c| c.link_checkpoint));
         assert_eq!(marks, [Ok(7_573_812_884_547_551_149), Ok(2_975_487_154_951_754_334)]);
     }
 
@@ -240,7 +250,7 @@
         for length in [1_usize, 2, 3, 7, 30] {
             let mut before: Option<Cursor> = None;
             let found = (0..10 * length + 10).position(|n| {
-                match cursor(&format!("/x?offset={}", n % length)).followed(before.as_ref()) {
+                match cursor(&format!("/x?offset={}", n % length)).advanced_from(before.as_ref()) {
                     Ok(next) => {
                         before = Some(next);
                         false
@@ -252,10 +262,11 @@
         }
         let mut before: Option<Cursor> = None;
         for n in 0..1_000 {
-            before = Some(cursor(&format!("/x?offset={n}")).followed(before.as_ref()).expect("no circle"));
+            before =
+                Some(cursor(&format!("/x?offset={n}")).advanced_from(before.as_ref()).expect("no circle"));
         }
         assert_eq!(
-            before.map(|c| (c.answers, c.at)),
+            before.map(|c| (c.response_count, c.issued_at_s)),
             Some((1_000, 1_000)),
             "age counts from the first answer"
         );
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -216,7 +216,9 @@
             before = Some(cursor);
         }
         let from = match &before {
-            Some(cursor) if cursor.after.is_none() => position(&shared, &asked.collection, cursor, &shards)?,
+            Some(cursor) if cursor.after_values.is_none() => {
+                position(&shared, &asked.collection, cursor, &shards)?
+            }
             _ => ResumePosition::START,
         };
         let taken = match admit(&shared, &asker, &asked, shards.len()) {
@@ -230,8 +232,8 @@
         let plans = if asked.params.filter.is_none() && asked.params.sortby.is_empty() {
             vec![Plan::default(); shards.len()]
         } else {
-            let after = before.as_ref().and_then(|c| c.after.as_deref());
-            let kept = before.as_ref().filter(|c| c.link.is_some()).map(|c| (from.shard, c.kept));
+            let after = before.as_ref().and_then(|c| c.after_values.as_deref());
+            let kept = before.as_ref().filter(|c| c.link.is_some()).map(|c| (from.shard, c.filtered_locally));
             plans(&shared, &asked.params, &shards, after, kept)
         };
         Ok(Items::start(shared, asker, asked, shards, plans, (from, before), taken))
@@ -251,18 +253,18 @@
         let mode = if params.sortby.is_empty() {
             let wanted = PagingLimits {
                 limit: params.limit,
-                page: edge.page_size,
-                at_once: edge.max_initial_shards,
-                pages: edge.max_pages,
-                bytes: edge.max_bytes,
-                sieved: plans.iter().any(|p| p.sieve.is_some()),
-                floor: class.min_share,
-                again: class.effect != "unsafe",
+                page_size: edge.page_size,
+                max_initial_shards: edge.max_initial_shards,
+                max_pages: edge.max_pages,
+                max_bytes: edge.max_bytes,
+                filtered_locally: plans.iter().any(|p| p.sieve.is_some()),
+                min_shard_share: class.min_share,
+                idempotent: class.effect != "unsafe",
             };
             Mode::Concat(Box::new(ConcatMerge::new(wanted, from, shards.len())))
         } else {
             let ordered: Vec<bool> = plans.iter().map(|p| p.ordered).collect();
-            let after = before.as_ref().and_then(|c| c.after.clone());
+            let after = before.as_ref().and_then(|c| c.after_values.clone());
             let by = params.sortby.clone();
             let (page, pages) = (edge.page_size, edge.max_pages);
             Mode::Sorted(SortedMerge::new(by, params.limit, page, pages, class.min_share, after, &ordered))
@@ -274,8 +276,8 @@
     /// Asks for the next round's pages.
     fn ask(mut self) -> Reaction {
         let asks = match &self.mode {
-            Mode::Concat(gather) => gather.asks(),
-            Mode::Sorted(ranking) => ranking.asks(),
+            Mode::Concat(gather) => gather.next_fetches(),
+            Mode::Sorted(ranking) => ranking.next_fetches(),
         };
         let mut parts = Vec::new();
         let mut gone = Vec::new();
@@ -285,7 +287,7 @@
                     parts.push((number, visit.clone()));
                     self.out.push((number, ask, visit));
                 }
-                None => gone.push((ask.shard, ask.size, None)),
+                None => gone.push((ask.shard, ask.page_size, None)),
             }
         }
         if parts.is_empty() {
@@ -301,14 +303,14 @@
         let (shard, name) = &self.shards[ask.shard];
         let plan = &self.plans[ask.shard];
         let catalog = lock(&self.shared.catalog);
-        let (number, target) = match &ask.place {
+        let (number, target) = match &ask.location {
             PageLocation::ShardStart => {
                 let broken = match &self.mode {
-                    Mode::Concat(gather) => gather.broken.as_ref().filter(|b| b.0 == ask.shard),
+                    Mode::Concat(gather) => gather.interrupted.as_ref().filter(|b| b.0 == ask.shard),
                     Mode::Sorted(_) => None,
                 };
                 let elsewhere = broken.and_then(|b| catalog.excluding_server(*shard, &b.1));
-                (elsewhere.unwrap_or(*shard), server_query(name, &self.asked.params, plan, ask.size))
+                (elsewhere.unwrap_or(*shard), server_query(name, &self.asked.params, plan, ask.page_size))
             }
             PageLocation::NextLink { target, .. } if self.shared.same_order(&self.asked.collection) => {
                 (*shard, target.to_string())
@@ -332,9 +334,9 @@
                     let value = parts.iter().find(|p| p.0 == number);
                     let page = value.and_then(|v| visit.page(&v.1));
                     if let Some(page) = &page {
-                        self.shared.admission().page(page.body.len(), page.returned_count, ask.size);
+                        self.shared.admission().page(page.body.len(), page.returned_count, ask.page_size);
                     }
-                    came.push((ask.shard, ask.size, page));
+                    came.push((ask.shard, ask.page_size, page));
                 }
                 self.came(came, None)
             }
@@ -344,7 +346,7 @@
                 self.end(Some(answer))
             }
             answer => {
-                came.extend(out.into_iter().map(|(_, ask, _)| (ask.shard, ask.size, None)));
+                came.extend(out.into_iter().map(|(_, ask, _)| (ask.shard, ask.page_size, None)));
                 self.came(came, Some(answer))
             }
         }
@@ -355,15 +357,15 @@
             matches!(answer, Some(Answer::Rejected { late: true, .. } | Answer::Failed { late: true }));
         let failed = || answer.unwrap_or(Answer::Failed { late: false });
         match &mut self.mode {
-            Mode::Concat(gather) => match gather.take(came, render::feature_id) {
-                ConcatProgress::More if !late => self.ask(),
-                ConcatProgress::Done if gather.above_floor() => self.end(None),
+            Mode::Concat(gather) => match gather.accept(came, render::feature_id) {
+                ConcatProgress::NeedsPages if !late => self.ask(),
+                ConcatProgress::Complete if gather.has_enough_shards() => self.end(None),
                 _ => self.end(Some(failed())),
             },
-            Mode::Sorted(ranking) => match ranking.take(came) {
-                SortedProgress::More if !late => self.ask(),
-                SortedProgress::Done => self.end(None),
-                SortedProgress::TooMany => {
+            Mode::Sorted(ranking) => match ranking.accept(came) {
+                SortedProgress::NeedsPages if !late => self.ask(),
+                SortedProgress::Complete => self.end(None),
+                SortedProgress::TooManyPages => {
                     let why = "too many features to put in order here, and their servers cannot: ask for fewer by a filter or a box";
                     self.finish(render::problem(400, why))
                 }
@@ -376,7 +378,7 @@
     fn end(self, failed: Option<Answer>) -> Reaction {
         // What is in is in order and whole up to where its next link leads; an ordered answer is in order only once all is in.
         let good = match &self.mode {
-            Mode::Concat(gather) => gather.count() > 0 && gather.above_floor(),
+            Mode::Concat(gather) => gather.count() > 0 && gather.has_enough_shards(),
             Mode::Sorted(_) => false,
         };
         if let Some(answer) = failed.filter(|_| !good) {
@@ -402,28 +404,28 @@
         let names = |missing: Vec<usize>| missing.into_iter().map(|n| self.shards[n].1.as_str()).collect();
         match &self.mode {
             Mode::Concat(gather) => {
-                let end = gather.next().map_or(usize::MAX, |p| p.shard);
+                let end = gather.resume_position().map_or(usize::MAX, |p| p.shard);
                 Ready {
                     asked: &self.asked,
                     bytes: self.bytes.clone(),
-                    pages: gather.taken.clone(),
+                    pages: gather.slices.clone(),
                     count: gather.count(),
-                    whole: gather.whole(),
-                    missing: names(gather.missing().into_iter().filter(|n| *n < end).collect()),
-                    matched: gather.matched(),
+                    whole: gather.is_complete(),
+                    missing: names(gather.missing_shards().into_iter().filter(|n| *n < end).collect()),
+                    matched: gather.number_matched(),
                     next,
                 }
             }
             Mode::Sorted(ranking) => {
-                let page = Arc::new(ranking.page());
+                let page = Arc::new(ranking.to_page());
                 let count = page.features.len();
                 Ready {
                     asked: &self.asked,
                     bytes: self.bytes.clone(),
                     pages: vec![(page, 0..count)],
                     count,
-                    whole: ranking.missing().is_empty(),
-                    missing: names(ranking.missing()),
+                    whole: ranking.missing_shards().is_empty(),
+                    missing: names(ranking.missing_shards()),
                     matched: None,
                     next,
                 }
@@ -433,33 +435,33 @@
 
     fn next_cursor(&self) -> Result<Option<String>, CursorError> {
         let mut cursor = Cursor {
-            query: query_hash(&self.asked),
-            at: unix_ms() / 1_000,
+            query_hash: query_hash(&self.asked),
+            issued_at_s: unix_ms() / 1_000,
             shard: String::new(),
             skip: 0,
             link: None,
-            kept: false,
-            after: None,
-            answers: 0,
-            mark: 0,
+            filtered_locally: false,
+            after_values: None,
+            response_count: 0,
+            link_checkpoint: 0,
         };
         match &self.mode {
             Mode::Concat(gather) => {
-                let Some(at) = gather.next() else { return Ok(None) };
+                let Some(at) = gather.resume_position() else { return Ok(None) };
                 cursor.shard = self.shards[at.shard].1.clone();
                 cursor.skip = at.skip;
-                if let PageLocation::NextLink { server, target, page_size } = &at.place {
+                if let PageLocation::NextLink { server, target, page_size } = &at.location {
                     let name = lock(&self.shared.catalog).server_name(server).unwrap_or(server).to_owned();
                     cursor.link = Some((name, target.to_string(), *page_size));
-                    cursor.kept = self.plans[at.shard].sieve.is_some();
+                    cursor.filtered_locally = self.plans[at.shard].sieve.is_some();
                 }
             }
             Mode::Sorted(ranking) => {
-                let Some(after) = ranking.next() else { return Ok(None) };
-                cursor.after = Some(after);
+                let Some(after) = ranking.resume_after() else { return Ok(None) };
+                cursor.after_values = Some(after);
             }
         }
-        Ok(Some(self.shared.key.seal(&cursor.followed(self.before.as_ref())?)))
+        Ok(Some(self.shared.key.seal(&cursor.advanced_from(self.before.as_ref())?)))
     }
 }
 
@@ -524,5 +526,5 @@
             PageLocation::NextLink { server: server.into(), target: target.as_str().into(), page_size: *size }
         }
     };
-    Ok(ResumePosition { shard, place, skip: cursor.skip })
+    Ok(ResumePosition { shard, location: place, skip: cursor.skip })
 }
--- a/src/front/ogc/paging.rs
+++ b/src/front/ogc/paging.rs
@@ -72,14 +72,15 @@
     /// Which shard, in their order.
     pub shard: usize,
     /// Where in it.
-    pub place: PageLocation,
+    pub location: PageLocation,
     /// Features of that page that were given already.
     pub skip: usize,
 }
 
 impl ResumePosition {
     /// Of a first answer.
-    pub const START: ResumePosition = ResumePosition { shard: 0, place: PageLocation::ShardStart, skip: 0 };
+    pub const START: ResumePosition =
+        ResumePosition { shard: 0, location: PageLocation::ShardStart, skip: 0 };
 }
 
 /// What bounds an answer.
@@ -88,19 +89,19 @@
     /// Most features.
     pub limit: usize,
     /// Most features asked of a server at a time.
-    pub page: usize,
+    pub page_size: usize,
     /// A first answer asks up to so many shards at once: it tells how many match in all, and which shards are missing.
-    pub at_once: usize,
+    pub max_initial_shards: usize,
     /// Most pages of one answer.
-    pub pages: usize,
+    pub max_pages: usize,
     /// Most bytes of one answer.
-    pub bytes: usize,
+    pub max_bytes: usize,
     /// Pages are thinned here: servers give more than is wanted.
-    pub sieved: bool,
+    pub filtered_locally: bool,
     /// Least share of the shards asked that an answer may be given from.
-    pub floor: f64,
+    pub min_shard_share: f64,
     /// A shard that breaks off may be begun anew, if its begin is in this answer: nothing of it was given yet.
-    pub again: bool,
+    pub idempotent: bool,
 }
 
 /// A page that is wanted.
@@ -109,140 +110,147 @@
     /// Of which shard.
     pub shard: usize,
     /// Where.
-    pub place: PageLocation,
+    pub location: PageLocation,
     /// How many features.
-    pub size: usize,
+    pub page_size: usize,
 }
 
 /// How far an answer is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConcatProgress {
     /// Another round is wanted.
-    More,
+    NeedsPages,
     /// The answer is ready.
-    Done,
+    Complete,
     /// None can be given: too many shards are missing, and nothing is in.
     Failed,
 }
 
 #[derive(Debug, Default)]
-struct Seen {
+struct ShardState {
     /// A page that is in and not used yet, and the size that was asked for.
-    page: Option<(Arc<FeaturePage>, usize)>,
+    unused_page: Option<(Arc<FeaturePage>, usize)>,
     /// The count that its server told, and whether it told different ones.
-    matched: Option<u64>,
-    fickle: bool,
+    number_matched: Option<u64>,
+    inconsistent_count: bool,
     missing: bool,
     /// Features passed before and in this answer.
-    used: u64,
+    used_features: u64,
 }
 
 /// An answer that is being made.
 #[derive(Debug)]
 pub struct ConcatMerge {
-    wanted: PagingLimits,
-    from: ResumePosition,
-    at: ResumePosition,
-    seen: Vec<Seen>,
+    limits: PagingLimits,
+    start: ResumePosition,
+    position: ResumePosition,
+    shards: Vec<ShardState>,
     /// What the answer holds: the features of these pages.
-    pub taken: Vec<(Arc<FeaturePage>, Range<usize>)>,
+    pub slices: Vec<(Arc<FeaturePage>, Range<usize>)>,
     count: usize,
-    bytes: usize,
-    pages: usize,
-    ahead: usize,
+    fetched_bytes: usize,
+    fetched_pages: usize,
+    lookahead: usize,
     hasher: RandomState,
     /// The features of the present shard, and how much was in the answer when it was begun; `None`: in an earlier one.
-    ids: HashSet<u64>,
-    begun: Option<(usize, usize)>,
+    seen_ids: HashSet<u64>,
+    shard_checkpoint: Option<(usize, usize)>,
     /// Shards that were begun anew.
     restarts: usize,
     /// Where the last of them broke off: another server is to be asked from its begin on.
-    pub broken: Option<(usize, Arc<str>)>,
+    pub interrupted: Option<(usize, Arc<str>)>,
     /// Links that were followed.
-    links: HashSet<u64>,
+    followed_links: HashSet<u64>,
     /// Features that a server gave twice.
-    pub doubled: usize,
+    pub duplicates: usize,
 }
 
 impl ConcatMerge {
     /// An answer from this position on, over so many shards.
     pub fn new(wanted: PagingLimits, from: ResumePosition, shards: usize) -> Self {
         ConcatMerge {
-            wanted,
-            at: from.clone(),
-            seen: (0..shards).map(|_| Seen::default()).collect(),
-            taken: Vec::new(),
+            limits: wanted,
+            position: from.clone(),
+            shards: (0..shards).map(|_| ShardState::default()).collect(),
+            slices: Vec::new(),
             count: 0,
-            bytes: 0,
-            pages: 0,
-            ahead: FIRST_AHEAD,
+            fetched_bytes: 0,
+            fetched_pages: 0,
+            lookahead: FIRST_AHEAD,
             hasher: RandomState::new(),
-            ids: HashSet::new(),
-            begun: (from.place == PageLocation::ShardStart && from.skip == 0).then_some((0, 0)),
+            seen_ids: HashSet::new(),
+            shard_checkpoint: (from.location == PageLocation::ShardStart && from.skip == 0).then_some((0, 0)),
             restarts: 0,
-            broken: None,
-            links: HashSet::new(),
-            doubled: 0,
-            from,
+            interrupted: None,
+            followed_links: HashSet::new(),
+            duplicates: 0,
+            start: from,
         }
     }
 
-    fn need(&self) -> usize {
-        self.wanted.limit - self.count
+    fn remaining(&self) -> usize {
+        self.limits.limit - self.count
     }
 
     /// The size of pages for a shard that is begun now, so that they fit what is wanted.
-    fn start_size(&self, need: usize) -> usize {
-        if self.wanted.sieved {
-            return self.wanted.page;
+    fn initial_page_size(&self, need: usize) -> usize {
+        if self.limits.filtered_locally {
+            return self.limits.page_size;
         }
-        let pages = need.div_ceil(self.wanted.page).max(1);
+        let pages = need.div_ceil(self.limits.page_size).max(1);
         need.div_ceil(pages).max(1)
     }
 
     /// The pages wanted next; none if a page that is here must be used first.
-    pub fn asks(&self) -> Vec<PageFetch> {
+    pub fn next_fetches(&self) -> Vec<PageFetch> {
         let mut asks = Vec::new();
-        if self.at_end() {
+        if self.is_exhausted() {
             return asks;
         }
-        let here = self.at.shard;
-        if self.seen[here].page.is_none() {
-            let size = match &self.at.place {
-                PageLocation::ShardStart => self.start_size(self.need()),
+        let here = self.position.shard;
+        if self.shards[here].unused_page.is_none() {
+            let size = match &self.position.location {
+                PageLocation::ShardStart => self.initial_page_size(self.remaining()),
                 PageLocation::NextLink { page_size, .. } => *page_size,
             };
-            asks.push(PageFetch { shard: here, place: self.at.place.clone(), size });
+            asks.push(PageFetch { shard: here, location: self.position.location.clone(), page_size: size });
         }
-        let shards = self.seen.len();
-        if self.from == ResumePosition::START && self.pages == 0 && shards <= self.wanted.at_once {
+        let shards = self.shards.len();
+        if self.start == ResumePosition::START
+            && self.fetched_pages == 0
+            && shards <= self.limits.max_initial_shards
+        {
             // Small sets are whole after one round, and of large ones the count is known.
-            let size = if self.wanted.sieved { self.wanted.page } else { self.wanted.limit.div_ceil(shards) };
-            let size = size.min(self.wanted.page);
+            let size = if self.limits.filtered_locally {
+                self.limits.page_size
+            } else {
+                self.limits.limit.div_ceil(shards)
+            };
+            let size = size.min(self.limits.page_size);
             asks.extend((here + 1..shards).map(|shard| PageFetch {
                 shard,
-                place: PageLocation::ShardStart,
-                size,
+                location: PageLocation::ShardStart,
+                page_size: size,
             }));
             return asks;
         }
-        if self.at.place != PageLocation::ShardStart {
+        if self.position.location != PageLocation::ShardStart {
             return asks;
         }
         // Further shards, as far as those before them will not do.
-        let mut left = self.need() as u64;
+        let mut left = self.remaining() as u64;
         let mut unknown = 0;
         for shard in here..shards {
-            let seen = &self.seen[shard];
-            if shard > here && seen.page.is_none() && !seen.missing {
-                let size = self.start_size(left.max(1) as usize);
-                asks.push(PageFetch { shard, place: PageLocation::ShardStart, size });
+            let seen = &self.shards[shard];
+            if shard > here && seen.unused_page.is_none() && !seen.missing {
+                let size = self.initial_page_size(left.max(1) as usize);
+                asks.push(PageFetch { shard, location: PageLocation::ShardStart, page_size: size });
             }
-            match seen.matched {
+            match seen.number_matched {
                 Some(matched) => left = left.saturating_sub(matched),
                 None => unknown += 1,
             }
-            if left == 0 || unknown > self.ahead || asks.len() > MAX_AHEAD {
+            if left == 0 || unknown > self.lookahead || asks.len() > MAX_AHEAD {
                 break;
             }
         }
@@ -250,99 +258,104 @@
     }
 
     /// Takes in what came of a round's pages: of each ask its shard, the size asked for and the page, or nothing.
-    pub fn take(
+    pub fn accept(
         &mut self,
         came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>,
         id: impl Fn(&[u8]) -> u64,
     ) -> ConcatProgress {
-        self.pages += came.len();
-        self.ahead = (self.ahead * 2).min(MAX_AHEAD);
+        self.fetched_pages += came.len();
+        self.lookahead = (self.lookahead * 2).min(MAX_AHEAD);
         for (shard, size, page) in came {
-            let seen = &mut self.seen[shard];
+            let seen = &mut self.shards[shard];
             match page {
                 None => seen.missing = true,
                 Some(page) => {
                     let told = page.number_matched;
-                    seen.fickle |= seen.matched.is_some() && told.is_some() && seen.matched != told;
-                    seen.matched = told.or(seen.matched);
-                    self.bytes += page.body.len();
-                    seen.page = Some((page, size));
+                    seen.inconsistent_count |=
+                        seen.number_matched.is_some() && told.is_some() && seen.number_matched != told;
+                    seen.number_matched = told.or(seen.number_matched);
+                    self.fetched_bytes += page.body.len();
+                    seen.unused_page = Some((page, size));
                 }
             }
         }
-        self.use_up(&id)
+        self.consume_pages(&id)
     }
 
     /// Uses the pages that are in, in order.
-    fn use_up(&mut self, id: &impl Fn(&[u8]) -> u64) -> ConcatProgress {
+    fn consume_pages(&mut self, id: &impl Fn(&[u8]) -> u64) -> ConcatProgress {
         loop {
-            let shards = self.seen.len();
-            let here = self.at.shard;
+            let shards = self.shards.len();
+            let here = self.position.shard;
             if here >= shards {
-                return ConcatProgress::Done;
+                return ConcatProgress::Complete;
             }
-            if self.seen[here].missing && self.begin_anew() {
-                return ConcatProgress::More;
+            if self.shards[here].missing && self.restart_shard() {
+                return ConcatProgress::NeedsPages;
             }
-            if self.seen[here].missing && self.wanted.floor >= 1.0 {
+            if self.shards[here].missing && self.limits.min_shard_share >= 1.0 {
                 // What is in stays good, and its next link leads to where it broke off.
-                return if self.count > 0 { ConcatProgress::Done } else { ConcatProgress::Failed };
+                return if self.count > 0 { ConcatProgress::Complete } else { ConcatProgress::Failed };
             }
-            if self.seen[here].missing {
-                self.next_shard();
+            if self.shards[here].missing {
+                self.advance_shard();
                 continue;
             }
-            let Some((page, size)) = self.seen[here].page.take() else {
-                return self.wants_more();
+            let Some((page, size)) = self.shards[here].unused_page.take() else {
+                return self.progress_without_page();
             };
-            let begun = self.at.place != PageLocation::ShardStart || here == self.from.shard;
-            let need = self.need();
+            let begun = self.position.location != PageLocation::ShardStart || here == self.start.shard;
+            let need = self.remaining();
             let more = page.next_target.is_some();
             // What must not run twice is not begun anew: it goes on in the pages that it has.
-            if more && !begun && !self.wanted.sieved && self.wanted.again {
-                let look = (size as f64) < LOOK * self.start_size(need) as f64;
-                let filled = self.count as f64 >= SHORT_ENOUGH * self.wanted.limit as f64;
-                let small = size < self.start_size(self.wanted.limit);
+            if more && !begun && !self.limits.filtered_locally && self.limits.idempotent {
+                let look = (size as f64) < LOOK * self.initial_page_size(need) as f64;
+                let filled = self.count as f64 >= SHORT_ENOUGH * self.limits.limit as f64;
+                let small = size < self.initial_page_size(self.limits.limit);
                 // Begun anew, in pages that fit: by the next answer, or by this one.
                 if need == 0 || (small && filled) {
-                    return ConcatProgress::Done;
+                    return ConcatProgress::Complete;
                 }
                 if look {
-                    return self.wants_more();
+                    return self.progress_without_page();
                 }
             }
             // A page that is read again may be shorter than it was: the next one has the rest of what was given.
-            let skip = self.at.skip.min(page.features.len());
-            self.at.skip -= skip;
-            let (used, fresh) = self.put(&page, skip, id);
-            self.seen[here].used += fresh as u64;
+            let skip = self.position.skip.min(page.features.len());
+            self.position.skip -= skip;
+            let (used, fresh) = self.append(&page, skip, id);
+            self.shards[here].used_features += fresh as u64;
             if used > skip && fresh == 0 && more {
                 // Pages that bring nothing new may come for ever.
-                self.seen[here].missing = true;
+                self.shards[here].missing = true;
                 continue;
             }
             if used < page.features.len() {
                 // The server gave more than was asked for, or it is thinned here: the rest is read again.
-                self.at.skip = used;
-                return ConcatProgress::Done;
+                self.position.skip = used;
+                return ConcatProgress::Complete;
             }
             match page.next_location() {
-                None => self.next_shard(),
+                None => self.advance_shard(),
                 Some(link) => {
-                    if !self.links.insert(self.hasher.hash_one((here, &page.server, &page.next_target))) {
+                    if !self.followed_links.insert(self.hasher.hash_one((
+                        here,
+                        &page.server,
+                        &page.next_target,
+                    ))) {
                         // It leads in a circle: what is in is all that can be had of this shard.
-                        self.seen[here].missing = true;
+                        self.shards[here].missing = true;
                         continue;
                     }
-                    self.at.place = link;
+                    self.position.location = link;
                 }
             }
-            if self.need() == 0 && !self.at_end() {
-                return ConcatProgress::Done;
+            if self.remaining() == 0 && !self.is_exhausted() {
+                return ConcatProgress::Complete;
             }
-            if let PageLocation::NextLink { page_size, .. } = &self.at.place {
-                if *page_size > self.need() && !self.wanted.sieved && self.count > 0 {
-                    return ConcatProgress::Done;
+            if let PageLocation::NextLink { page_size, .. } = &self.position.location {
+                if *page_size > self.remaining() && !self.limits.filtered_locally && self.count > 0 {
+                    return ConcatProgress::Complete;
                 }
             }
         }
@@ -350,69 +363,79 @@
 
     /// The present shard broke off at the server that knows how it goes on. Another one may have it in another order, so
     /// there it can only be begun anew: once, and only if no feature of it was given in an earlier answer.
-    fn begin_anew(&mut self) -> bool {
-        let Some((taken, count)) = self.begun.filter(|_| self.wanted.again && self.restarts == 0) else {
+    fn restart_shard(&mut self) -> bool {
+        let Some((taken, count)) =
+            self.shard_checkpoint.filter(|_| self.limits.idempotent && self.restarts == 0)
+        else {
             return false;
         };
-        let PageLocation::NextLink { server, .. } = &self.at.place else { return false };
-        self.broken = Some((self.at.shard, server.clone()));
+        let PageLocation::NextLink { server, .. } = &self.position.location else { return false };
+        self.interrupted = Some((self.position.shard, server.clone()));
         self.restarts += 1;
-        self.taken.truncate(taken);
+        self.slices.truncate(taken);
         self.count = count;
-        self.ids.clear();
-        self.links.clear();
-        self.seen[self.at.shard] = Seen::default();
-        self.at = ResumePosition { shard: self.at.shard, place: PageLocation::ShardStart, skip: 0 };
+        self.seen_ids.clear();
+        self.followed_links.clear();
+        self.shards[self.position.shard] = ShardState::default();
+        self.position =
+            ResumePosition { shard: self.position.shard, location: PageLocation::ShardStart, skip: 0 };
         true
     }
 
-    fn at_end(&self) -> bool {
-        self.at.shard >= self.seen.len()
+    fn is_exhausted(&self) -> bool {
+        self.position.shard >= self.shards.len()
     }
 
-    fn next_shard(&mut self) {
-        self.at = ResumePosition { shard: self.at.shard + 1, place: PageLocation::ShardStart, skip: 0 };
-        self.begun = Some((self.taken.len(), self.count));
-        self.ids.clear();
+    fn advance_shard(&mut self) {
+        self.position =
+            ResumePosition { shard: self.position.shard + 1, location: PageLocation::ShardStart, skip: 0 };
+        self.shard_checkpoint = Some((self.slices.len(), self.count));
+        self.seen_ids.clear();
     }
 
-    fn wants_more(&self) -> ConcatProgress {
-        let spent = self.pages >= self.wanted.pages || self.bytes >= self.wanted.bytes;
-        if self.need() == 0 || (spent && (self.count > 0 || self.wanted.sieved)) {
-            ConcatProgress::Done
+    fn progress_without_page(&self) -> ConcatProgress {
+        let spent =
+            self.fetched_pages >= self.limits.max_pages || self.fetched_bytes >= self.limits.max_bytes;
+        if self.remaining() == 0 || (spent && (self.count > 0 || self.limits.filtered_locally)) {
+            ConcatProgress::Complete
         } else if spent {
             ConcatProgress::Failed
         } else {
-            ConcatProgress::More
+            ConcatProgress::NeedsPages
         }
     }
 
     /// Features of a page from here on into the answer, until its limit; what a server gives twice is passed over. Up to
     /// where the page is used, and how many were new.
-    fn put(&mut self, page: &Arc<FeaturePage>, start: usize, id: &impl Fn(&[u8]) -> u64) -> (usize, usize) {
+    fn append(
+        &mut self,
+        page: &Arc<FeaturePage>,
+        start: usize,
+        id: &impl Fn(&[u8]) -> u64,
+    ) -> (usize, usize) {
         let (mut from, mut at, before) = (start, start, self.count);
         while at < page.features.len() {
             let key = id(&page.body[page.features[at].clone()]);
-            let known = key != 0 && self.ids.contains(&key);
-            if !known && self.need() == 0 {
+            let known = key != 0 && self.seen_ids.contains(&key);
+            if !known && self.remaining() == 0 {
                 break;
             }
             if known {
-                self.doubled += 1;
+                self.duplicates += 1;
                 if from < at {
-                    self.taken.push((page.clone(), from..at));
+                    self.slices.push((page.clone(), from..at));
                 }
                 from = at + 1;
             } else {
-                self.ids.insert(key);
+                self.seen_ids.insert(key);
                 self.count += 1;
             }
             at += 1;
         }
         if from < at {
-            self.taken.push((page.clone(), from..at));
+            self.slices.push((page.clone(), from..at));
         }
-        invariant(self.count <= self.wanted.limit, "an answer beyond its limit");
+        invariant(self.count <= self.limits.limit, "an answer beyond its limit");
         (at, self.count - before)
     }
 
@@ -422,40 +445,40 @@
     }
 
     /// The shards that could not be asked, of those that the answer passed or needed.
-    pub fn missing(&self) -> Vec<usize> {
-        (0..self.seen.len()).filter(|n| self.seen[*n].missing).collect()
+    pub fn missing_shards(&self) -> Vec<usize> {
+        (0..self.shards.len()).filter(|n| self.shards[*n].missing).collect()
     }
 
     /// Enough of the shards are in: those that the answer passed over count, not the one that it ends at.
-    pub fn above_floor(&self) -> bool {
-        let all = self.seen.len() as f64;
-        let passed = self.missing().iter().filter(|n| **n < self.at.shard).count() as f64;
-        (all - passed) / all.max(1.0) + 1e-6 >= self.wanted.floor
+    pub fn has_enough_shards(&self) -> bool {
+        let all = self.shards.len() as f64;
+        let passed = self.missing_shards().iter().filter(|n| **n < self.position.shard).count() as f64;
+        (all - passed) / all.max(1.0) + 1e-6 >= self.limits.min_shard_share
     }
 
     /// Nothing that belongs into this answer is missing from it.
-    pub fn whole(&self) -> bool {
-        self.missing().iter().all(|n| *n >= self.at.shard)
+    pub fn is_complete(&self) -> bool {
+        self.missing_shards().iter().all(|n| *n >= self.position.shard)
     }
 
     /// Where the next answer begins; `None` after the last feature.
-    pub fn next(&self) -> Option<&ResumePosition> {
-        (!self.at_end()).then_some(&self.at)
+    pub fn resume_position(&self) -> Option<&ResumePosition> {
+        (!self.is_exhausted()).then_some(&self.position)
     }
 
     /// How many match in all: only where every server told it, or gave all it has.
-    pub fn matched(&self) -> Option<u64> {
-        if self.from != ResumePosition::START || self.wanted.sieved || self.doubled > 0 {
+    pub fn number_matched(&self) -> Option<u64> {
+        if self.start != ResumePosition::START || self.limits.filtered_locally || self.duplicates > 0 {
             return None;
         }
-        let of = |(n, seen): (usize, &Seen)| match seen {
-            Seen { fickle: true, .. } | Seen { missing: true, .. } => None,
-            Seen { matched: Some(told), .. } => Some(*told),
+        let of = |(n, seen): (usize, &ShardState)| match seen {
+            ShardState { inconsistent_count: true, .. } | ShardState { missing: true, .. } => None,
+            ShardState { number_matched: Some(told), .. } => Some(*told),
             // It gave all it has.
-            Seen { used, .. } if n < self.at.shard => Some(*used),
+            ShardState { used_features: used, .. } if n < self.position.shard => Some(*used),
             _ => None,
         };
-        self.seen.iter().enumerate().map(of).sum()
+        self.shards.iter().enumerate().map(of).sum()
     }
 }
 
--- a/src/front/ogc/paging_tests.rs
+++ b/src/front/ogc/paging_tests.rs
@@ -20,8 +20,8 @@
 impl Model {
     fn page(&mut self, ask: &PageFetch) -> Arc<FeaturePage> {
         self.asked += 1;
-        let (from, size) = match &ask.place {
-            PageLocation::ShardStart => (0, ask.size.min(self.most)),
+        let (from, size) = match &ask.location {
+            PageLocation::ShardStart => (0, ask.page_size.min(self.most)),
             PageLocation::NextLink { target, .. } => {
                 let (from, size) = target.split_once(' ').expect("a link");
                 (from.parse().expect("a number"), size.parse().expect("a number"))
@@ -44,9 +44,9 @@
     fn answer(&mut self, wanted: PagingLimits, from: ResumePosition) -> ConcatMerge {
         let mut gather = ConcatMerge::new(wanted, from, self.shards.len());
         for _ in 0..10_000 {
-            let asks = gather.asks();
-            let came = asks.iter().map(|a| (a.shard, a.size, Some(self.page(a)))).collect();
-            if gather.take(came, id) == ConcatProgress::Done {
+            let asks = gather.next_fetches();
+            let came = asks.iter().map(|a| (a.shard, a.page_size, Some(self.page(a)))).collect();
+            if gather.accept(came, id) == ConcatProgress::Complete {
                 return gather;
             }
         }
@@ -58,12 +58,12 @@
         let (mut features, mut answers, mut at) = (Vec::new(), 0, Some(ResumePosition::START));
         while let Some(from) = at {
             let gather = self.answer(wanted, from);
-            assert!(gather.count() <= wanted.limit && gather.whole());
-            for (page, range) in &gather.taken {
+            assert!(gather.count() <= wanted.limit && gather.is_complete());
+            for (page, range) in &gather.slices {
                 features.extend(page.features[range.clone()].iter().map(|r| id(&page.body[r.clone()]) - 1));
             }
             answers += 1;
-            at = gather.next().cloned();
+            at = gather.resume_position().cloned();
             assert!(at.is_none() || gather.count() > 0, "an answer of none that goes on");
         }
         (features, answers)
@@ -73,13 +73,13 @@
 fn wanted(limit: usize) -> PagingLimits {
     PagingLimits {
         limit,
-        page: 500,
-        at_once: 8,
-        pages: 200,
-        bytes: usize::MAX,
-        sieved: false,
-        floor: 1.0,
-        again: true,
+        page_size: 500,
+        max_initial_shards: 8,
+        max_pages: 200,
+        max_bytes: usize::MAX,
+        filtered_locally: false,
+        min_shard_share: 1.0,
+        idempotent: true,
     }
 }
 
@@ -96,7 +96,7 @@
     let shards = [20_000, 20_000];
     let mut servers = model(&shards);
     let gather = servers.answer(wanted(2), ResumePosition::START);
-    assert_eq!((gather.count(), gather.matched(), servers.asked), (2, Some(40_000), 2));
+    assert_eq!((gather.count(), gather.number_matched(), servers.asked), (2, Some(40_000), 2));
     for limit in [100, 300, 500, 700, 1_000, 5_000] {
         let mut servers = model(&shards);
         let (features, answers) = servers.all(wanted(limit));
@@ -114,57 +114,66 @@
     let shards = [3, 0, 7, 40, 1];
     let mut servers = model(&shards);
     let gather = servers.answer(wanted(100), ResumePosition::START);
-    assert_eq!((gather.count(), gather.next(), gather.matched()), (51, None, Some(51)));
+    assert_eq!((gather.count(), gather.resume_position(), gather.number_matched()), (51, None, Some(51)));
     assert!(servers.asked <= 6, "{}", servers.asked);
     let many = [5; 100];
     let mut servers = Model { told: false, ..model(&many) };
     let gather = servers.answer(wanted(1_000), ResumePosition::START);
-    assert_eq!((gather.count(), gather.next()), (500, None));
+    assert_eq!((gather.count(), gather.resume_position()), (500, None));
     assert!(servers.asked <= 100);
 }
 
 #[test]
 fn what_must_not_run_twice_is_asked_for_once() {
     let mut servers = model(&[40, 300, 300]);
-    let mut gather = ConcatMerge::new(PagingLimits { again: false, ..wanted(100) }, ResumePosition::START, 3);
+    let mut gather =
+        ConcatMerge::new(PagingLimits { idempotent: false, ..wanted(100) }, ResumePosition::START, 3);
     let mut asked = HashSet::new();
     loop {
-        let asks = gather.asks();
-        assert!(asks.iter().all(|a| asked.insert(format!("{} {:?}", a.shard, a.place))), "{asks:?}");
-        let came = asks.iter().map(|a| (a.shard, a.size, Some(servers.page(a)))).collect();
-        if gather.take(came, id) == ConcatProgress::Done {
+        let asks = gather.next_fetches();
+        assert!(asks.iter().all(|a| asked.insert(format!("{} {:?}", a.shard, a.location))), "{asks:?}");
+        let came = asks.iter().map(|a| (a.shard, a.page_size, Some(servers.page(a)))).collect();
+        if gather.accept(came, id) == ConcatProgress::Complete {
             break;
         }
     }
-    assert!(gather.count() > 40 && gather.whole());
+    assert!(gather.count() > 40 && gather.is_complete());
 }
 
 #[test]
 fn a_missing_shard_is_told_and_passed_only_where_the_floor_allows() {
     let run = |floor: f64, gone: usize| {
         let mut servers = model(&[10, 10, 10]);
-        let mut gather = ConcatMerge::new(PagingLimits { floor, ..wanted(100) }, ResumePosition::START, 3);
+        let mut gather = ConcatMerge::new(
+            PagingLimits { min_shard_share: floor, ..wanted(100) },
+            ResumePosition::START,
+            3,
+        );
         loop {
-            let asks = gather.asks();
-            let came =
-                asks.iter().map(|a| (a.shard, a.size, (a.shard != gone).then(|| servers.page(a)))).collect();
-            match gather.take(came, id) {
-                ConcatProgress::More => {}
+            let asks = gather.next_fetches();
+            let came = asks
+                .iter()
+                .map(|a| (a.shard, a.page_size, (a.shard != gone).then(|| servers.page(a))))
+                .collect();
+            match gather.accept(came, id) {
+                ConcatProgress::NeedsPages => {}
                 step => return (step, gather),
             }
         }
     };
     let (step, gather) = run(0.5, 1);
     assert_eq!(
-        (step, gather.count(), gather.missing(), gather.whole()),
-        (ConcatProgress::Done, 20, vec![1], false)
+        (step, gather.count(), gather.missing_shards(), gather.is_complete()),
+        (ConcatProgress::Complete, 20, vec![1], false)
+    );
+    assert!(
+        gather.has_enough_shards() && gather.number_matched().is_none() && gather.resume_position().is_none()
     );
-    assert!(gather.above_floor() && gather.matched().is_none() && gather.next().is_none());
     assert_eq!(run(1.0, 0).0, ConcatProgress::Failed);
     // What is in before the shard that is missing is a whole answer that goes on there.
     let (step, gather) = run(1.0, 1);
-    assert_eq!((step, gather.count(), gather.whole()), (ConcatProgress::Done, 10, true));
-    assert_eq!(gather.next().map(|p| p.shard), Some(1));
+    assert_eq!((step, gather.count(), gather.is_complete()), (ConcatProgress::Complete, 10, true));
+    assert_eq!(gather.resume_position().map(|p| p.shard), Some(1));
 }
 
 #[test]
@@ -181,49 +190,60 @@
             number_matched: matched,
         }))
     };
-    let mut gather = ConcatMerge::new(PagingLimits { again: false, ..wanted(10) }, ResumePosition::START, 1);
+    let mut gather =
+        ConcatMerge::new(PagingLimits { idempotent: false, ..wanted(10) }, ResumePosition::START, 1);
+    assert_eq!(
+        gather.accept(vec![(0, 2, page("0000000100000001", Some("x"), Some(9)))], id),
+        ConcatProgress::NeedsPages
+    );
     assert_eq!(
-        gather.take(vec![(0, 2, page("0000000100000001", Some("x"), Some(9)))], id),
-        ConcatProgress::More
+        gather.accept(vec![(0, 2, page("00000002", Some("x"), Some(8)))], id),
+        ConcatProgress::Complete
     );
-    assert_eq!(gather.take(vec![(0, 2, page("00000002", Some("x"), Some(8)))], id), ConcatProgress::Done);
     // It goes on where the circle was met: what is in is in order.
-    assert_eq!((gather.count(), gather.doubled, gather.matched()), (2, 1, None));
-    assert!(gather.next().is_some());
+    assert_eq!((gather.count(), gather.duplicates, gather.number_matched()), (2, 1, None));
+    assert!(gather.resume_position().is_some());
     // One more than was asked for, and it is one that came already: nothing of it is left for the next answer.
     let mut gather = ConcatMerge::new(wanted(2), ResumePosition::START, 1);
     assert_eq!(
-        gather.take(vec![(0, 2, page("000000010000000200000001", Some("x"), None))], id),
-        ConcatProgress::Done
+        gather.accept(vec![(0, 2, page("000000010000000200000001", Some("x"), None))], id),
+        ConcatProgress::Complete
     );
-    assert_eq!((gather.count(), gather.next().map(|p| p.skip)), (2, Some(0)));
+    assert_eq!((gather.count(), gather.resume_position().map(|p| p.skip)), (2, Some(0)));
     // Links that are new each time, and pages that are not.
-    let mut gather =
-        ConcatMerge::new(PagingLimits { floor: 0.5, again: false, ..wanted(10) }, ResumePosition::START, 1);
-    assert_eq!(gather.take(vec![(0, 2, page("00000001", Some("x"), None))], id), ConcatProgress::More);
-    assert_eq!(gather.take(vec![(0, 2, page("00000001", Some("y"), None))], id), ConcatProgress::Done);
-    assert_eq!((gather.count(), gather.whole(), gather.missing()), (1, false, vec![0]));
+    let mut gather = ConcatMerge::new(
+        PagingLimits { min_shard_share: 0.5, idempotent: false, ..wanted(10) },
+        ResumePosition::START,
+        1,
+    );
+    assert_eq!(
+        gather.accept(vec![(0, 2, page("00000001", Some("x"), None))], id),
+        ConcatProgress::NeedsPages
+    );
+    assert_eq!(gather.accept(vec![(0, 2, page("00000001", Some("y"), None))], id), ConcatProgress::Complete);
+    assert_eq!((gather.count(), gather.is_complete(), gather.missing_shards()), (1, false, vec![0]));
 }
 
 #[test]
 fn a_shard_that_breaks_off_is_begun_anew_once_and_never_where_it_must_not_run_twice() {
     for (again, steps) in [
-        (true, [ConcatProgress::More, ConcatProgress::Done]),
-        (false, [ConcatProgress::Done, ConcatProgress::Done]),
+        (true, [ConcatProgress::NeedsPages, ConcatProgress::Complete]),
+        (false, [ConcatProgress::Complete, ConcatProgress::Complete]),
     ] {
         let mut servers = model(&[700]);
-        let mut gather = ConcatMerge::new(PagingLimits { again, ..wanted(1_000) }, ResumePosition::START, 1);
+        let mut gather =
+            ConcatMerge::new(PagingLimits { idempotent: again, ..wanted(1_000) }, ResumePosition::START, 1);
         let mut come = |gather: &mut ConcatMerge, whole: bool| {
-            let asks = gather.asks();
-            let came = asks.iter().map(|a| (a.shard, a.size, whole.then(|| servers.page(a)))).collect();
-            gather.take(came, id)
+            let asks = gather.next_fetches();
+            let came = asks.iter().map(|a| (a.shard, a.page_size, whole.then(|| servers.page(a)))).collect();
+            gather.accept(came, id)
         };
-        assert_eq!(come(&mut gather, true), ConcatProgress::More);
+        assert_eq!(come(&mut gather, true), ConcatProgress::NeedsPages);
         assert_eq!(come(&mut gather, false), steps[0], "it broke off");
         assert_eq!(gather.count(), if again { 0 } else { 500 });
         if again {
-            assert_eq!(gather.asks()[0].place, PageLocation::ShardStart);
-            assert_eq!(come(&mut gather, true), ConcatProgress::More);
+            assert_eq!(gather.next_fetches()[0].location, PageLocation::ShardStart);
+            assert_eq!(come(&mut gather, true), ConcatProgress::NeedsPages);
             assert_eq!(come(&mut gather, false), steps[1], "once");
             assert_eq!(gather.count(), 500);
         }
@@ -244,7 +264,7 @@
         most in prop_oneof![Just(10_000_usize), 1_usize..50],
     ) {
         let mut servers = Model { told, most, ..model(&shards) };
-        let wanted = PagingLimits { page, at_once, pages: 10_000, ..wanted(limit) };
+        let wanted = PagingLimits { page_size: page, max_initial_shards: at_once, max_pages: 10_000, ..wanted(limit) };
         let (features, answers) = servers.all(wanted);
         prop_assert_eq!(features, expected(&shards));
         let least = limit.min(page).min(most);
--- a/src/front/ogc/ranking.rs
+++ b/src/front/ogc/ranking.rs
@@ -46,8 +46,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct SortValues {
     /// The keys' values, the id last.
-    pub keys: Vec<Json>,
-    down: Arc<[bool]>,
+    pub values: Vec<Json>,
+    descending: Arc<[bool]>,
     shard: usize,
 }
 
@@ -61,10 +61,10 @@
 
 impl Ord for SortValues {
     fn cmp(&self, other: &Self) -> Ordering {
-        let keys = self.keys.iter().zip(&other.keys).enumerate().map(|(n, (a, b))| {
+        let keys = self.values.iter().zip(&other.values).enumerate().map(|(n, (a, b))| {
             let order = value(a, b);
             // What is missing comes last either way.
-            let turned = self.down.get(n).copied().unwrap_or(false) && !a.is_null() && !b.is_null();
+            let turned = self.descending.get(n).copied().unwrap_or(false) && !a.is_null() && !b.is_null();
             if turned {
                 order.reverse()
             } else {
@@ -107,45 +107,45 @@
         Json::String(id) => Json::String(id.clone()),
         id => Json::String(id.to_string()),
     });
-    Some(SortValues { keys, down: down.clone(), shard })
+    Some(SortValues { values: keys, descending: down.clone(), shard })
 }
 
 /// How far it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SortedProgress {
     /// Another round is wanted.
-    More,
+    NeedsPages,
     /// The answer is ready.
-    Done,
+    Complete,
     /// A shard is missing that must not be.
-    Missing,
+    TooFewShards,
     /// More pages would have to be read than are allowed.
-    TooMany,
+    TooManyPages,
 }
 
 #[derive(Debug)]
 struct Shard {
-    place: Option<PageLocation>,
+    location: Option<PageLocation>,
     /// Its server gives it in this order, as far as was seen.
-    ordered: bool,
-    last: Option<SortValues>,
+    sorted: bool,
+    last_seen: Option<SortValues>,
     missing: bool,
 }
 
 /// An ordered answer that is being made.
 #[derive(Debug)]
 pub struct SortedMerge {
-    by: Vec<SortKey>,
-    down: Arc<[bool]>,
+    keys: Vec<SortKey>,
+    descending: Arc<[bool]>,
     limit: usize,
-    page: usize,
+    page_size: usize,
     pages_left: usize,
-    floor: f64,
+    min_shard_share: f64,
     after: Option<SortValues>,
     shards: Vec<Shard>,
-    least: BTreeMap<SortValues, Arc<[u8]>>,
+    selected: BTreeMap<SortValues, Arc<[u8]>>,
     /// More follows what is kept.
-    more: bool,
+    dropped: bool,
 }
 
 impl SortedMerge {
@@ -161,106 +161,112 @@
     ) -> Self {
         let down: Arc<[bool]> = by.iter().map(|b| b.descending).collect();
         let shard = |ordered: &bool| Shard {
-            place: Some(PageLocation::ShardStart),
-            ordered: *ordered,
-            last: None,
+            location: Some(PageLocation::ShardStart),
+            sorted: *ordered,
+            last_seen: None,
             missing: false,
         };
         SortedMerge {
             // The id after the last one given may be in any shard: all of that rank were given.
-            after: after.map(|keys| SortValues { keys, down: down.clone(), shard: usize::MAX }),
-            by,
-            down,
+            after: after.map(|keys| SortValues { values: keys, descending: down.clone(), shard: usize::MAX }),
+            keys: by,
+            descending: down,
             limit,
-            page,
+            page_size: page,
             pages_left: pages,
-            floor,
+            min_shard_share: floor,
             shards: ordered.iter().map(shard).collect(),
-            least: BTreeMap::new(),
-            more: false,
+            selected: BTreeMap::new(),
+            dropped: false,
         }
     }
 
     /// Can a shard still bring what matters?
-    fn open(&self, shard: &Shard) -> bool {
-        let full = self.least.len() >= self.limit;
+    fn can_contribute(&self, shard: &Shard) -> bool {
+        let full = self.selected.len() >= self.limit;
         let beyond = || {
-            shard.last.as_ref().zip(self.least.last_key_value()).is_some_and(|(last, most)| last >= most.0)
+            shard
+                .last_seen
+                .as_ref()
+                .zip(self.selected.last_key_value())
+                .is_some_and(|(last, most)| last >= most.0)
         };
-        shard.place.is_some() && !(full && shard.ordered && beyond())
+        shard.location.is_some() && !(full && shard.sorted && beyond())
     }
 
     /// The pages wanted next.
-    pub fn asks(&self) -> Vec<PageFetch> {
-        let open = self.shards.iter().enumerate().filter(|(_, s)| self.open(s));
+    pub fn next_fetches(&self) -> Vec<PageFetch> {
+        let open = self.shards.iter().enumerate().filter(|(_, s)| self.can_contribute(s));
         open.take(MAX_AT_ONCE.min(self.pages_left.max(1)))
             .filter_map(|(shard, s)| {
-                let place = s.place.clone()?;
+                let place = s.location.clone()?;
                 let size = match &place {
-                    PageLocation::ShardStart if s.ordered => self.page.min(self.limit),
-                    PageLocation::ShardStart => self.page,
+                    PageLocation::ShardStart if s.sorted => self.page_size.min(self.limit),
+                    PageLocation::ShardStart => self.page_size,
                     PageLocation::NextLink { page_size, .. } => *page_size,
                 };
-                Some(PageFetch { shard, place, size })
+                Some(PageFetch { shard, location: place, page_size: size })
             })
             .collect()
     }
 
     /// Takes in what came of the asks of a round.
-    pub fn take(&mut self, came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>) -> SortedProgress {
+    pub fn accept(&mut self, came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>) -> SortedProgress {
         self.pages_left = self.pages_left.saturating_sub(came.len());
         for (at, _, page) in came {
             let Some(page) = page else {
                 self.shards[at].missing = true;
-                self.shards[at].place = None;
+                self.shards[at].location = None;
                 continue;
             };
             for feature in &page.features {
-                self.put(at, &page.body[feature.clone()]);
+                self.insert(at, &page.body[feature.clone()]);
             }
             let next = page.next_location();
             let shard = &mut self.shards[at];
             // A link that leads to where it stands would never end.
-            let circle = next.is_some() && next == shard.place;
+            let circle = next.is_some() && next == shard.location;
             shard.missing |= circle;
-            shard.place = next.filter(|_| !circle);
+            shard.location = next.filter(|_| !circle);
         }
         let missing = self.shards.iter().filter(|s| s.missing).count() as f64;
         let all = self.shards.len().max(1) as f64;
-        if (all - missing) / all + 1e-6 < self.floor {
-            return SortedProgress::Missing;
+        if (all - missing) / all + 1e-6 < self.min_shard_share {
+            return SortedProgress::TooFewShards;
         }
-        match self.shards.iter().any(|s| self.open(s)) {
-            false => SortedProgress::Done,
-            true if self.pages_left == 0 => SortedProgress::TooMany,
-            true => SortedProgress::More,
+        match self.shards.iter().any(|s| self.can_contribute(s)) {
+            false => SortedProgress::Complete,
+            true if self.pages_left == 0 => SortedProgress::TooManyPages,
+            true => SortedProgress::NeedsPages,
         }
     }
 
-    fn put(&mut self, at: usize, feature: &[u8]) {
-        let Some(rank) = rank(feature, &self.by, &self.down, at) else { return };
+    fn insert(&mut self, at: usize, feature: &[u8]) {
+        let Some(rank) = rank(feature, &self.keys, &self.descending, at) else { return };
         let shard = &mut self.shards[at];
         // Promised in order and not given so: it is read to its end after all.
-        shard.ordered &= shard.last.as_ref().is_none_or(|last| *last <= rank);
-        shard.last = Some(rank.clone());
+        shard.sorted &= shard.last_seen.as_ref().is_none_or(|last| *last <= rank);
+        shard.last_seen = Some(rank.clone());
         if self.after.as_ref().is_some_and(|after| rank <= *after) {
             return;
         }
-        if self.least.len() >= self.limit && self.least.last_key_value().is_some_and(|most| rank > *most.0) {
-            self.more = true;
+        if self.selected.len() >= self.limit
+            && self.selected.last_key_value().is_some_and(|most| rank > *most.0)
+        {
+            self.dropped = true;
             return;
         }
-        self.least.insert(rank, feature.into());
-        if self.least.len() > self.limit {
-            self.least.pop_last();
-            self.more = true;
+        self.selected.insert(rank, feature.into());
+        if self.selected.len() > self.limit {
+            self.selected.pop_last();
+            self.dropped = true;
         }
     }
 
     /// The features, in order, as one page.
-    pub fn page(&self) -> FeaturePage {
+    pub fn to_page(&self) -> FeaturePage {
         let mut page = FeaturePage::default();
-        for feature in self.least.values() {
+        for feature in self.selected.values() {
             let from = page.body.len();
             page.body.extend_from_slice(feature);
             page.features.push(from..page.body.len());
@@ -270,19 +276,19 @@
     }
 
     /// The place of the last feature, if more follows.
-    pub fn next(&self) -> Option<Vec<Json>> {
-        let open = self.more || self.shards.iter().any(|s| s.place.is_some());
-        self.least.last_key_value().filter(|_| open).map(|l| l.0.keys.clone())
+    pub fn resume_after(&self) -> Option<Vec<Json>> {
+        let open = self.dropped || self.shards.iter().any(|s| s.location.is_some());
+        self.selected.last_key_value().filter(|_| open).map(|l| l.0.values.clone())
     }
 
     /// The shards that are missing from it.
-    pub fn missing(&self) -> Vec<usize> {
+    pub fn missing_shards(&self) -> Vec<usize> {
         (0..self.shards.len()).filter(|n| self.shards[*n].missing).collect()
     }
 
     /// Most that it holds, in features.
-    pub fn held(&self) -> usize {
-        self.least.len()
+    pub fn selected_count(&self) -> usize {
+        self.selected.len()
     }
 }
 
@@ -309,14 +315,14 @@
         loop {
             let mut ranking = SortedMerge::new(by.clone(), limit, page, 100_000, 1.0, after, ordered);
             loop {
-                let asks = ranking.asks();
+                let asks = ranking.next_fetches();
                 let came = asks.iter().map(|ask| {
-                    let from = match &ask.place {
+                    let from = match &ask.location {
                         PageLocation::ShardStart => 0,
                         PageLocation::NextLink { target, .. } => target.parse::<usize>().expect("a number"),
                     };
                     let features = &shards[ask.shard][from.min(shards[ask.shard].len())..];
-                    let to = ask.size.min(features.len());
+                    let to = ask.page_size.min(features.len());
                     read += to;
                     let mut page = FeaturePage::default();
                     for f in &features[..to] {
@@ -326,25 +332,25 @@
                     }
                     page.returned_count = to;
                     page.next_target = (to < features.len()).then(|| (from + to).to_string());
-                    (ask.shard, ask.size, Some(Arc::new(page)))
+                    (ask.shard, ask.page_size, Some(Arc::new(page)))
                 });
                 let came: Vec<_> = came.collect();
-                assert!(ranking.held() <= limit);
-                match ranking.take(came) {
-                    SortedProgress::More => {}
+                assert!(ranking.selected_count() <= limit);
+                match ranking.accept(came) {
+                    SortedProgress::NeedsPages => {}
                     step => {
-                        assert_eq!(step, SortedProgress::Done);
+                        assert_eq!(step, SortedProgress::Complete);
                         break;
                     }
                 }
             }
-            let page = ranking.page();
+            let page = ranking.to_page();
             assert!(page.returned_count <= limit);
             all.extend(page.features.iter().map(|r| {
                 let json: Json = serde_json::from_slice(&page.body[r.clone()]).expect("JSON");
                 json["id"].as_str().expect("an id")[1..].parse::<usize>().expect("a number")
             }));
-            after = ranking.next();
+            after = ranking.resume_after();
             if after.is_none() {
                 return (all, read);
             }
@@ -382,7 +388,7 @@
             .collect();
         let by = vec![SortKey { property: "k".into(), descending: false }];
         let ranking = SortedMerge::new(by, 20, 500, 10, 1.0, None, &[true; 4]);
-        assert_eq!(ranking.asks().iter().map(|a| a.size).sum::<usize>(), 80);
+        assert_eq!(ranking.next_fetches().iter().map(|a| a.page_size).sum::<usize>(), 80);
         let (all, read) = run(&shards, &[true; 4], 4_000, 500, false);
         assert_eq!((all.len(), read), (4_000, 4_000));
     }
@@ -401,18 +407,21 @@
             Some(Arc::new(page))
         };
         let mut ranking = SortedMerge::new(by(), 5, 10, 10, 1.0, None, &[true, true]);
-        assert_eq!(ranking.take(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::Missing);
+        assert_eq!(
+            ranking.accept(vec![(0, 5, page(None, &[1])), (1, 5, None)]),
+            SortedProgress::TooFewShards
+        );
         let mut ranking = SortedMerge::new(by(), 5, 10, 10, 0.5, None, &[true, true]);
-        assert_eq!(ranking.take(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::Done);
-        assert_eq!((ranking.missing(), ranking.next()), (vec![1], None));
+        assert_eq!(ranking.accept(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::Complete);
+        assert_eq!((ranking.missing_shards(), ranking.resume_after()), (vec![1], None));
         let mut ranking = SortedMerge::new(by(), 1, 10, 3, 1.0, None, &[false]);
-        assert_eq!(ranking.take(vec![(0, 5, page(Some("a"), &[3]))]), SortedProgress::More);
-        assert_eq!(ranking.take(vec![(0, 5, page(Some("b"), &[2]))]), SortedProgress::More);
-        assert_eq!(ranking.take(vec![(0, 5, page(Some("c"), &[1]))]), SortedProgress::TooMany);
+        assert_eq!(ranking.accept(vec![(0, 5, page(Some("a"), &[3]))]), SortedProgress::NeedsPages);
+        assert_eq!(ranking.accept(vec![(0, 5, page(Some("b"), &[2]))]), SortedProgress::NeedsPages);
+        assert_eq!(ranking.accept(vec![(0, 5, page(Some("c"), &[1]))]), SortedProgress::TooManyPages);
         // Said to be in order, and is not: reading goes on.
         let mut ranking = SortedMerge::new(by(), 2, 10, 9, 1.0, None, &[true]);
-        assert_eq!(ranking.take(vec![(0, 2, page(Some("a"), &[5, 4]))]), SortedProgress::More);
-        assert_eq!(ranking.take(vec![(0, 2, page(None, &[1, 2]))]), SortedProgress::Done);
-        assert_eq!(ranking.next().map(|k| k[0].clone()), Some(2.into()));
+        assert_eq!(ranking.accept(vec![(0, 2, page(Some("a"), &[5, 4]))]), SortedProgress::NeedsPages);
+        assert_eq!(ranking.accept(vec![(0, 2, page(None, &[1, 2]))]), SortedProgress::Complete);
+        assert_eq!(ranking.resume_after().map(|k| k[0].clone()), Some(2.into()));
     }
 }
