--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -7,10 +7,10 @@
 use super::page_request::{PageRequest, RequestKind};
 use super::paging::{
     ConcatMerge, ConcatProgress, FeaturePage, PageFetch, PageLocation, PagingLimits, ResumePosition,
+    SortedMerge, SortedProgress,
 };
 use super::params::Params;
 use super::plans::{holders, plans, server_query, Plan};
-use super::ranking::{SortedMerge, SortedProgress};
 use super::{lock, render, Fault, Shared};
 use crate::coordinator::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
 use crate::front::{Reaction, Render};
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -19,7 +19,6 @@
 pub mod paging;
 pub mod params;
 mod plans;
-pub mod ranking;
 mod render;
 
 pub use catalog::Catalog;
--- a/src/front/ogc/params.rs
+++ b/src/front/ogc/params.rs
@@ -4,7 +4,7 @@
 use super::area;
 use super::cql2::{self, check, Comparison, Filter, QueryableType, Queryables, Value};
 use super::crs::{filter_to_crs84, Crs, Transform};
-use super::ranking::{BoundSortKeys, SortKey};
+use super::paging::{BoundSortKeys, SortKey};
 use serde_json::Value as Json;
 use time::format_description::well_known::Rfc3339;
 use time::OffsetDateTime;
--- a/src/front/ogc/plans.rs
+++ b/src/front/ogc/plans.rs
@@ -129,7 +129,7 @@
     }
     if plan.ordered {
         let key =
-            |b: &super::ranking::SortKey| format!("{}{}", if b.descending { "-" } else { "+" }, b.property);
+            |b: &super::paging::SortKey| format!("{}{}", if b.descending { "-" } else { "+" }, b.property);
         let keys: Vec<String> = params.sortby.iter().map(key).chain(["+id".to_owned()]).collect();
         query.append_pair("sortby", &keys.join(","));
     }
