--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -7,7 +7,9 @@
 use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Capabilities, Matcher, Queryables};
 use quinceflow::front::ogc::cursor::CursorKey;
 use quinceflow::front::ogc::page_request::{parse_page, PageRequest};
-use quinceflow::front::ogc::paging::{PageLocation, SortKey, SortedMerge, SortedProgress};
+use quinceflow::front::ogc::paging::{
+    PageFetch, PageLocation, SortKey, SortedMerge, SortedProgress, SortedQuery,
+};
 use quinceflow::front::ogc::{lock, OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
 use quinceflow::proto::fetch::Fetched;
@@ -86,14 +88,22 @@
     let pages: Vec<_> =
         (0..shards).map(|_| Arc::new(parse_page(body(500), "a:1", "/c", None).expect("a page"))).collect();
     bencher.bench(|| {
-        let by = vec![SortKey { property: "volts".to_owned(), descending: true }];
-        let mut ranking = SortedMerge::new(by, 500, 500, 100, 1.0, None, &vec![false; shards]);
+        let keys = vec![SortKey { property: "volts".to_owned(), descending: true }];
+        let query = SortedQuery {
+            keys,
+            limit: 500,
+            page_size: 500,
+            max_pages: 100,
+            min_shard_share: 1.0,
+            after_values: None,
+        };
+        let mut merge = SortedMerge::new(query, &vec![false; shards]);
         loop {
-            let asks = ranking.next_fetches();
-            assert!(asks.iter().all(|a| a.location == PageLocation::ShardStart));
-            let came = asks.iter().map(|a| (a.shard, a.page_size, Some(pages[a.shard].clone()))).collect();
-            if ranking.accept(came) == SortedProgress::Complete {
-                return ranking.to_page().returned_count;
+            let fetches = merge.next_fetches();
+            assert!(fetches.iter().all(|fetch| fetch.location == PageLocation::ShardStart));
+            let fetched = |fetch: &PageFetch| fetch.fetched(Some(pages[fetch.shard].clone()));
+            if merge.accept(fetches.iter().map(fetched).collect()) == SortedProgress::Complete {
+                return merge.to_page().returned_count;
             }
         }
     });
--- a/src/front/ogc/html.rs
+++ b/src/front/ogc/html.rs
@@ -1,6 +1,7 @@
 //! Pages for people: the same resources as HTML, features with a map drawn as SVG.
 
 use super::items::Ready;
+use super::paging::PageSlice;
 use super::render;
 use crate::proto::http::Response;
 use serde_json::Value as Json;
@@ -104,10 +105,7 @@
 /// Features as a page: a map and a table.
 pub(super) fn items(ready: &Ready<'_>, rest: &Json) -> Response {
     let asked = ready.asked;
-    let all = ready
-        .pages
-        .iter()
-        .flat_map(|(page, range)| page.features[range.clone()].iter().map(move |f| &page.body[f.clone()]));
+    let all = ready.pages.iter().flat_map(PageSlice::texts);
     let shape = render::Shape::of(&asked.params);
     let shown: Vec<Json> = all
         .take(MAX_SHOWN)
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -6,8 +6,8 @@
 use super::cursor::{stable_hash, Cursor, CursorError};
 use super::page_request::{PageRequest, RequestKind};
 use super::paging::{
-    ConcatMerge, ConcatProgress, FeaturePage, PageFetch, PageLocation, PagingLimits, ResumePosition,
-    SortedMerge, SortedProgress,
+    ConcatMerge, ConcatProgress, FetchedPage, PageFetch, PageLocation, PageSlice, PagingLimits,
+    ResumePosition, SortedMerge, SortedProgress, SortedQuery,
 };
 use super::params::Params;
 use super::plans::{holders, plans, server_query, Plan};
@@ -18,7 +18,6 @@
 use crate::limits::Cost;
 use crate::proto::http::Response;
 use crate::time::{unix_ms, Micros};
-use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 
@@ -52,9 +51,6 @@
     Sorted(SortedMerge),
 }
 
-/// What came of a round: the shard's place, the size that was asked for, and the page.
-type Came = (usize, usize, Option<Arc<FeaturePage>>);
-
 /// A query for features of a collection.
 pub(super) struct Items {
     shared: Arc<Shared>,
@@ -93,7 +89,7 @@
 pub(super) struct Ready<'a> {
     pub asked: &'a Asked,
     pub bytes: Arc<BytesTaken>,
-    pub pages: Vec<(Arc<FeaturePage>, Range<usize>)>,
+    pub pages: Vec<PageSlice>,
     pub count: usize,
     pub whole: bool,
     pub missing: Vec<&'a str>,
@@ -266,8 +262,15 @@
             let ordered: Vec<bool> = plans.iter().map(|p| p.ordered).collect();
             let after = before.as_ref().and_then(|c| c.after_values.clone());
             let by = params.sortby.clone();
-            let (page, pages) = (edge.page_size, edge.max_pages);
-            Mode::Sorted(SortedMerge::new(by, params.limit, page, pages, class.min_share, after, &ordered))
+            let query = SortedQuery {
+                keys: by,
+                limit: params.limit,
+                page_size: edge.page_size,
+                max_pages: edge.max_pages,
+                min_shard_share: class.min_share,
+                after_values: after,
+            };
+            Mode::Sorted(SortedMerge::new(query, &ordered))
         };
         Items { shared, asker, asked, shards, plans, mode, out: Vec::new(), before, _pages: pages, bytes }
             .ask()
@@ -287,7 +290,7 @@
                     parts.push((number, visit.clone()));
                     self.out.push((number, ask, visit));
                 }
-                None => gone.push((ask.shard, ask.page_size, None)),
+                None => gone.push(ask.fetched(None)),
             }
         }
         if parts.is_empty() {
@@ -306,10 +309,10 @@
         let (number, target) = match &ask.location {
             PageLocation::ShardStart => {
                 let broken = match &self.mode {
-                    Mode::Concat(gather) => gather.interrupted.as_ref().filter(|b| b.0 == ask.shard),
+                    Mode::Concat(gather) => gather.interrupted().filter(|b| b.shard == ask.shard),
                     Mode::Sorted(_) => None,
                 };
-                let elsewhere = broken.and_then(|b| catalog.excluding_server(*shard, &b.1));
+                let elsewhere = broken.and_then(|b| catalog.excluding_server(*shard, &b.server));
                 (elsewhere.unwrap_or(*shard), server_query(name, &self.asked.params, plan, ask.page_size))
             }
             PageLocation::NextLink { target, .. } if self.shared.same_order(&self.asked.collection) => {
@@ -325,7 +328,7 @@
         Some((number, Arc::new(visit)))
     }
 
-    fn answered(mut self, answer: Answer, gone: Vec<Came>) -> Reaction {
+    fn answered(mut self, answer: Answer, gone: Vec<FetchedPage>) -> Reaction {
         let out = std::mem::take(&mut self.out);
         let mut came = gone;
         match answer {
@@ -336,7 +339,7 @@
                     if let Some(page) = &page {
                         self.shared.admission().page(page.body.len(), page.returned_count, ask.page_size);
                     }
-                    came.push((ask.shard, ask.page_size, page));
+                    came.push(ask.fetched(page));
                 }
                 self.came(came, None)
             }
@@ -346,13 +349,13 @@
                 self.end(Some(answer))
             }
             answer => {
-                came.extend(out.into_iter().map(|(_, ask, _)| (ask.shard, ask.page_size, None)));
+                came.extend(out.into_iter().map(|(_, ask, _)| ask.fetched(None)));
                 self.came(came, Some(answer))
             }
         }
     }
 
-    fn came(mut self, came: Vec<Came>, answer: Option<Answer>) -> Reaction {
+    fn came(mut self, came: Vec<FetchedPage>, answer: Option<Answer>) -> Reaction {
         let late =
             matches!(answer, Some(Answer::Rejected { late: true, .. } | Answer::Failed { late: true }));
         let failed = || answer.unwrap_or(Answer::Failed { late: false });
@@ -408,7 +411,7 @@
                 Ready {
                     asked: &self.asked,
                     bytes: self.bytes.clone(),
-                    pages: gather.slices.clone(),
+                    pages: gather.slices().to_vec(),
                     count: gather.count(),
                     whole: gather.is_complete(),
                     missing: names(gather.missing_shards().into_iter().filter(|n| *n < end).collect()),
@@ -422,7 +425,7 @@
                 Ready {
                     asked: &self.asked,
                     bytes: self.bytes.clone(),
-                    pages: vec![(page, 0..count)],
+                    pages: vec![PageSlice { page, features: 0..count }],
                     count,
                     whole: ranking.missing_shards().is_empty(),
                     missing: names(ranking.missing_shards()),
--- a/src/front/ogc/paging/concat_merge.rs
+++ b/src/front/ogc/paging/concat_merge.rs
@@ -1,412 +1,406 @@
-//! Which pages of which shards an answer is made from: a decision of its own, free of input and output.
+//! The response to a query without a sort order: the features of the shards, one shard after the other.
 //!
-//! An answer begins at a [`Position`] and takes features in the order of the shards until its limit. It is made in rounds:
-//! [`Gather::asks`] names the pages wanted next, [`Gather::take`] takes in what came of them. Pages are taken whole, so that
-//! a client that follows `next` to the end has each of them read once: sizes are chosen so that a page boundary falls on
-//! the limit, and an answer ends early, with a `next` link, rather than begin a page that it could not use up.
+//! A response starts at a [`ResumePosition`] and ends at its limit. It is built in rounds: [`ConcatMerge::next_fetches`] names
+//! the pages to fetch, [`ConcatMerge::accept`] takes in what came of them. Pages are used up completely, so that a client
+//! that follows the `next` links to the end has each of them fetched once: page sizes are chosen so that a page boundary
+//! falls on the limit, and a response ends early, with a `next` link, rather than start a page that it cannot use up.
 
-use super::page::{FeaturePage, PageFetch, PageLocation, ResumePosition};
+mod fetch_planning;
+mod shard_state;
+
+use super::page::{FeaturePage, FetchedPage, PageLocation, PageSlice, ResumePosition};
 use crate::coordinator::invariant;
+use shard_state::{RequestedPage, ShardState};
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
-use std::ops::Range;
 use std::sync::Arc;
 
-/// An answer that has this share of its limit ends at a shard's end rather than begin the next shard with a small page,
-/// whose links would go on with that size. Requests stay under 1 / (1 - this) times the pages there are.
-const SHORT_ENOUGH: f64 = 0.15;
-/// A first page under this share of the size that is wanted was a look only: the shard is asked anew, in larger pages.
-const LOOK: f64 = 0.25;
-/// Shards asked beside the present one when nothing is known of their size: doubled each round.
-const FIRST_AHEAD: usize = 1;
-/// Most shards asked in a round beside the present one.
-const MAX_AHEAD: usize = 32;
-
-/// What bounds an answer.
+/// A response that holds this share of its limit ends at the end of a shard rather than start the next shard with a small
+/// page, whose links would continue with that size. Requests stay under 1 / (1 - this share) times the number of pages.
+const SUFFICIENT_FILL_SHARE: f64 = 0.15;
+/// A first page under this share of the suitable size only tells the shard's size: the shard is started again with larger
+/// pages.
+const MIN_USEFUL_PAGE_SHARE: f64 = 0.25;
+/// Shards fetched ahead of the current one when nothing is known of their size; doubled each round.
+const INITIAL_LOOKAHEAD: usize = 1;
+/// Most shards fetched ahead of the current one in a round.
+const MAX_LOOKAHEAD: usize = 32;
+/// Tolerance in the comparison of the share of shards with its minimum.
+const SHARE_TOLERANCE: f64 = 1e-6;
+
+/// The bounds of a response.
 #[derive(Debug, Clone, Copy)]
 pub struct PagingLimits {
-    /// Most features.
+    /// Most features of the response.
     pub limit: usize,
-    /// Most features asked of a server at a time.
+    /// Most features to request from a server at a time.
     pub page_size: usize,
-    /// A first answer asks up to so many shards at once: it tells how many match in all, and which shards are missing.
+    /// The first response of a query starts up to this many shards at once: it then knows how many features match in all,
+    /// and which shards are missing.
     pub max_initial_shards: usize,
-    /// Most pages of one answer.
+    /// Most pages of the response.
     pub max_pages: usize,
-    /// Most bytes of one answer.
+    /// Most bytes of the response's pages.
     pub max_bytes: usize,
-    /// Pages are thinned here: servers give more than is wanted.
+    /// Pages are filtered here: servers return more features than the response uses.
     pub filtered_locally: bool,
-    /// Least share of the shards asked that an answer may be given from.
+    /// The least share of the shards from which a response may be given.
     pub min_shard_share: f64,
-    /// A shard that breaks off may be begun anew, if its begin is in this answer: nothing of it was given yet.
+    /// A part of the query may run more than once. A shard that is interrupted may then be started again, if no earlier
+    /// response returned any of its features.
     pub idempotent: bool,
 }
 
-/// How far an answer is.
+/// How far a [`ConcatMerge`] is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConcatProgress {
-    /// Another round is wanted.
+    /// Another round is needed.
     NeedsPages,
-    /// The answer is ready.
+    /// The response is complete.
     Complete,
-    /// None can be given: too many shards are missing, and nothing is in.
+    /// There is no response: too many shards are missing, or the bounds are reached, and it holds no feature.
     Failed,
 }
 
-#[derive(Debug, Default)]
-struct ShardState {
-    /// A page that is in and not used yet, and the size that was asked for.
-    unused_page: Option<(Arc<FeaturePage>, usize)>,
-    /// The count that its server told, and whether it told different ones.
-    number_matched: Option<u64>,
-    inconsistent_count: bool,
-    missing: bool,
-    /// Features passed before and in this answer.
-    used_features: u64,
+/// How much the response held when the current shard was started.
+#[derive(Debug, Clone, Copy)]
+struct ShardCheckpoint {
+    slices: usize,
+    count: usize,
 }
 
-/// An answer that is being made.
+/// A shard whose server did not return the next page.
+#[derive(Debug, Clone)]
+pub struct InterruptedShard {
+    /// The index of the shard.
+    pub shard: usize,
+    /// The address of the server.
+    pub server: Arc<str>,
+}
+
+/// What was appended of a page.
+struct Appended {
+    /// The index of the first feature that was not used.
+    end: usize,
+    new_features: usize,
+}
+
+/// A response under construction.
 #[derive(Debug)]
 pub struct ConcatMerge {
     limits: PagingLimits,
     start: ResumePosition,
     position: ResumePosition,
     shards: Vec<ShardState>,
-    /// What the answer holds: the features of these pages.
-    pub slices: Vec<(Arc<FeaturePage>, Range<usize>)>,
+    /// The features of the response, in order.
+    slices: Vec<PageSlice>,
     count: usize,
     fetched_bytes: usize,
     fetched_pages: usize,
     lookahead: usize,
     hasher: RandomState,
-    /// The features of the present shard, and how much was in the answer when it was begun; `None`: in an earlier one.
+    /// The identifiers of the current shard's features.
     seen_ids: HashSet<u64>,
-    shard_checkpoint: Option<(usize, usize)>,
-    /// Shards that were begun anew.
+    /// `None`: an earlier response started the current shard.
+    shard_checkpoint: Option<ShardCheckpoint>,
     restarts: usize,
-    /// Where the last of them broke off: another server is to be asked from its begin on.
-    pub interrupted: Option<(usize, Arc<str>)>,
-    /// Links that were followed.
+    interrupted: Option<InterruptedShard>,
     followed_links: HashSet<u64>,
-    /// Features that a server gave twice.
-    pub duplicates: usize,
+    duplicates: usize,
 }
 
 impl ConcatMerge {
-    /// An answer from this position on, over so many shards.
-    pub fn new(wanted: PagingLimits, from: ResumePosition, shards: usize) -> Self {
+    /// Starts a response at `start`, over a number of shards.
+    #[must_use]
+    pub fn new(limits: PagingLimits, start: ResumePosition, shards: usize) -> Self {
+        let at_shard_start = start.location == PageLocation::ShardStart && start.skip == 0;
         ConcatMerge {
-            limits: wanted,
-            position: from.clone(),
+            limits,
+            position: start.clone(),
             shards: (0..shards).map(|_| ShardState::default()).collect(),
             slices: Vec::new(),
             count: 0,
             fetched_bytes: 0,
             fetched_pages: 0,
-            lookahead: FIRST_AHEAD,
+            lookahead: INITIAL_LOOKAHEAD,
             hasher: RandomState::new(),
             seen_ids: HashSet::new(),
-            shard_checkpoint: (from.location == PageLocation::ShardStart && from.skip == 0).then_some((0, 0)),
+            shard_checkpoint: at_shard_start.then_some(ShardCheckpoint { slices: 0, count: 0 }),
             restarts: 0,
             interrupted: None,
             followed_links: HashSet::new(),
             duplicates: 0,
-            start: from,
+            start,
         }
     }
 
-    fn remaining(&self) -> usize {
-        self.limits.limit - self.count
-    }
-
-    /// The size of pages for a shard that is begun now, so that they fit what is wanted.
-    fn initial_page_size(&self, need: usize) -> usize {
-        if self.limits.filtered_locally {
-            return self.limits.page_size;
+    /// Takes in the pages of a round, then uses all that have arrived in order. `feature_id` gives the hash of a feature's
+    /// identifier, 0 if it has none.
+    pub fn accept(
+        &mut self,
+        fetched_pages: Vec<FetchedPage>,
+        feature_id: impl Fn(&[u8]) -> u64,
+    ) -> ConcatProgress {
+        self.fetched_pages += fetched_pages.len();
+        self.lookahead = (self.lookahead * 2).min(MAX_LOOKAHEAD);
+        for fetched in fetched_pages {
+            self.fetched_bytes += fetched.page.as_ref().map_or(0, |page| page.body.len());
+            self.shards[fetched.shard].receive(fetched);
+        }
+        loop {
+            if let Some(progress) = self.use_next_page(&feature_id) {
+                return progress;
+            }
         }
-        let pages = need.div_ceil(self.limits.page_size).max(1);
-        need.div_ceil(pages).max(1)
     }
 
-    /// The pages wanted next; none if a page that is here must be used first.
-    pub fn next_fetches(&self) -> Vec<PageFetch> {
-        let mut asks = Vec::new();
+    /// Uses the page at the current position, or passes over a missing shard. `None`: there is more to use.
+    fn use_next_page(&mut self, feature_id: &impl Fn(&[u8]) -> u64) -> Option<ConcatProgress> {
         if self.is_exhausted() {
-            return asks;
+            return Some(ConcatProgress::Complete);
         }
-        let here = self.position.shard;
-        if self.shards[here].unused_page.is_none() {
-            let size = match &self.position.location {
-                PageLocation::ShardStart => self.initial_page_size(self.remaining()),
-                PageLocation::NextLink { page_size, .. } => *page_size,
-            };
-            asks.push(PageFetch { shard: here, location: self.position.location.clone(), page_size: size });
+        let shard = self.position.shard;
+        if self.shards[shard].missing {
+            return self.pass_missing_shard();
         }
-        let shards = self.shards.len();
-        if self.start == ResumePosition::START
-            && self.fetched_pages == 0
-            && shards <= self.limits.max_initial_shards
-        {
-            // Small sets are whole after one round, and of large ones the count is known.
-            let size = if self.limits.filtered_locally {
-                self.limits.page_size
-            } else {
-                self.limits.limit.div_ceil(shards)
-            };
-            let size = size.min(self.limits.page_size);
-            asks.extend((here + 1..shards).map(|shard| PageFetch {
-                shard,
-                location: PageLocation::ShardStart,
-                page_size: size,
-            }));
-            return asks;
+        let Some(requested) = self.shards[shard].unused_page.take() else {
+            return Some(self.progress_without_page());
+        };
+        if let Some(progress) = self.discard_small_first_page(&requested) {
+            return Some(progress);
         }
-        if self.position.location != PageLocation::ShardStart {
-            return asks;
+        self.use_page(&requested.page, feature_id)
+    }
+
+    fn pass_missing_shard(&mut self) -> Option<ConcatProgress> {
+        if self.restart_shard() {
+            return Some(ConcatProgress::NeedsPages);
         }
-        // Further shards, as far as those before them will not do.
-        let mut left = self.remaining() as u64;
-        let mut unknown = 0;
-        for shard in here..shards {
-            let seen = &self.shards[shard];
-            if shard > here && seen.unused_page.is_none() && !seen.missing {
-                let size = self.initial_page_size(left.max(1) as usize);
-                asks.push(PageFetch { shard, location: PageLocation::ShardStart, page_size: size });
-            }
-            match seen.number_matched {
-                Some(matched) => left = left.saturating_sub(matched),
-                None => unknown += 1,
-            }
-            if left == 0 || unknown > self.lookahead || asks.len() > MAX_AHEAD {
-                break;
-            }
+        if self.limits.min_shard_share >= 1.0 {
+            // The features before the missing shard are a valid response, whose next link leads to that shard.
+            let empty = self.count == 0;
+            return Some(if empty { ConcatProgress::Failed } else { ConcatProgress::Complete });
         }
-        asks
+        self.advance_shard();
+        None
     }
 
-    /// Takes in what came of a round's pages: of each ask its shard, the size asked for and the page, or nothing.
-    pub fn accept(
+    /// A shard that was fetched ahead with pages too small for what is needed is started again with larger ones, by this
+    /// response or by the next. Parts that are not idempotent are not: they continue in the pages that they have.
+    fn discard_small_first_page(&self, requested: &RequestedPage) -> Option<ConcatProgress> {
+        let started =
+            self.position.location != PageLocation::ShardStart || self.position.shard == self.start.shard;
+        let last_page = requested.page.next_target.is_none();
+        if started || last_page || self.limits.filtered_locally || !self.limits.idempotent {
+            return None;
+        }
+        let remaining = self.remaining();
+        let size = requested.page_size;
+        let filled = self.count as f64 >= SUFFICIENT_FILL_SHARE * self.limits.limit as f64;
+        let small = size < self.initial_page_size(self.limits.limit);
+        if remaining == 0 || (small && filled) {
+            return Some(ConcatProgress::Complete);
+        }
+        let too_small = (size as f64) < MIN_USEFUL_PAGE_SHARE * self.initial_page_size(remaining) as f64;
+        too_small.then(|| self.progress_without_page())
+    }
+
+    fn use_page(
         &mut self,
-        came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>,
-        id: impl Fn(&[u8]) -> u64,
-    ) -> ConcatProgress {
-        self.fetched_pages += came.len();
-        self.lookahead = (self.lookahead * 2).min(MAX_AHEAD);
-        for (shard, size, page) in came {
-            let seen = &mut self.shards[shard];
-            match page {
-                None => seen.missing = true,
-                Some(page) => {
-                    let told = page.number_matched;
-                    seen.inconsistent_count |=
-                        seen.number_matched.is_some() && told.is_some() && seen.number_matched != told;
-                    seen.number_matched = told.or(seen.number_matched);
-                    self.fetched_bytes += page.body.len();
-                    seen.unused_page = Some((page, size));
-                }
-            }
+        page: &Arc<FeaturePage>,
+        feature_id: &impl Fn(&[u8]) -> u64,
+    ) -> Option<ConcatProgress> {
+        let shard = self.position.shard;
+        // A page that is fetched again may be shorter than it was: the next one has the rest of what was returned.
+        let skip = self.position.skip.min(page.features.len());
+        self.position.skip -= skip;
+        let appended = self.append(page, skip, feature_id);
+        self.shards[shard].used_features += appended.new_features as u64;
+        if appended.end > skip && appended.new_features == 0 && page.next_target.is_some() {
+            // Pages without a new feature may go on for ever.
+            self.shards[shard].missing = true;
+            return None;
+        }
+        if appended.end < page.features.len() {
+            // The server returned more than was requested, or the page is filtered here: the rest is fetched again.
+            self.position.skip = appended.end;
+            return Some(ConcatProgress::Complete);
+        }
+        if !self.move_past(page) {
+            return None;
         }
-        self.consume_pages(&id)
+        self.is_filled().then_some(ConcatProgress::Complete)
     }
 
-    /// Uses the pages that are in, in order.
-    fn consume_pages(&mut self, id: &impl Fn(&[u8]) -> u64) -> ConcatProgress {
-        loop {
-            let shards = self.shards.len();
-            let here = self.position.shard;
-            if here >= shards {
-                return ConcatProgress::Complete;
-            }
-            if self.shards[here].missing && self.restart_shard() {
-                return ConcatProgress::NeedsPages;
-            }
-            if self.shards[here].missing && self.limits.min_shard_share >= 1.0 {
-                // What is in stays good, and its next link leads to where it broke off.
-                return if self.count > 0 { ConcatProgress::Complete } else { ConcatProgress::Failed };
-            }
-            if self.shards[here].missing {
-                self.advance_shard();
-                continue;
-            }
-            let Some((page, size)) = self.shards[here].unused_page.take() else {
-                return self.progress_without_page();
-            };
-            let begun = self.position.location != PageLocation::ShardStart || here == self.start.shard;
-            let need = self.remaining();
-            let more = page.next_target.is_some();
-            // What must not run twice is not begun anew: it goes on in the pages that it has.
-            if more && !begun && !self.limits.filtered_locally && self.limits.idempotent {
-                let look = (size as f64) < LOOK * self.initial_page_size(need) as f64;
-                let filled = self.count as f64 >= SHORT_ENOUGH * self.limits.limit as f64;
-                let small = size < self.initial_page_size(self.limits.limit);
-                // Begun anew, in pages that fit: by the next answer, or by this one.
-                if need == 0 || (small && filled) {
-                    return ConcatProgress::Complete;
-                }
-                if look {
-                    return self.progress_without_page();
-                }
-            }
-            // A page that is read again may be shorter than it was: the next one has the rest of what was given.
-            let skip = self.position.skip.min(page.features.len());
-            self.position.skip -= skip;
-            let (used, fresh) = self.append(&page, skip, id);
-            self.shards[here].used_features += fresh as u64;
-            if used > skip && fresh == 0 && more {
-                // Pages that bring nothing new may come for ever.
-                self.shards[here].missing = true;
-                continue;
-            }
-            if used < page.features.len() {
-                // The server gave more than was asked for, or it is thinned here: the rest is read again.
-                self.position.skip = used;
-                return ConcatProgress::Complete;
-            }
-            match page.next_location() {
-                None => self.advance_shard(),
-                Some(link) => {
-                    if !self.followed_links.insert(self.hasher.hash_one((
-                        here,
-                        &page.server,
-                        &page.next_target,
-                    ))) {
-                        // It leads in a circle: what is in is all that can be had of this shard.
-                        self.shards[here].missing = true;
-                        continue;
-                    }
-                    self.position.location = link;
-                }
-            }
-            if self.remaining() == 0 && !self.is_exhausted() {
-                return ConcatProgress::Complete;
+    /// Moves to the page after this one, or to the next shard. `false`: the link was followed before, and the shard counts
+    /// as missing from here on.
+    fn move_past(&mut self, page: &FeaturePage) -> bool {
+        let Some(next) = page.next_location() else {
+            self.advance_shard();
+            return true;
+        };
+        let shard = self.position.shard;
+        let link = self.hasher.hash_one((shard, &page.server, &page.next_target));
+        if !self.followed_links.insert(link) {
+            self.shards[shard].missing = true;
+            return false;
+        }
+        self.position.location = next;
+        true
+    }
+
+    /// The response is full, or could not use up the next page.
+    fn is_filled(&self) -> bool {
+        if self.remaining() == 0 && !self.is_exhausted() {
+            return true;
+        }
+        let PageLocation::NextLink { page_size, .. } = &self.position.location else { return false };
+        *page_size > self.remaining() && !self.limits.filtered_locally && self.count > 0
+    }
+
+    /// Appends the features of a page from `start` on, until the limit; features that were seen before are left out.
+    fn append(
+        &mut self,
+        page: &Arc<FeaturePage>,
+        start: usize,
+        feature_id: &impl Fn(&[u8]) -> u64,
+    ) -> Appended {
+        let count_before = self.count;
+        let mut slice_start = start;
+        let mut end = start;
+        while end < page.features.len() {
+            let id = feature_id(&page.body[page.features[end].clone()]);
+            let duplicate = id != 0 && self.seen_ids.contains(&id);
+            if !duplicate && self.remaining() == 0 {
+                break;
             }
-            if let PageLocation::NextLink { page_size, .. } = &self.position.location {
-                if *page_size > self.remaining() && !self.limits.filtered_locally && self.count > 0 {
-                    return ConcatProgress::Complete;
-                }
+            if duplicate {
+                self.duplicates += 1;
+                self.append_slice(page, slice_start, end);
+                slice_start = end + 1;
+            } else {
+                self.seen_ids.insert(id);
+                self.count += 1;
             }
+            end += 1;
         }
+        self.append_slice(page, slice_start, end);
+        invariant(self.count <= self.limits.limit, "an answer beyond its limit");
+        Appended { end, new_features: self.count - count_before }
     }
 
-    /// The present shard broke off at the server that knows how it goes on. Another one may have it in another order, so
-    /// there it can only be begun anew: once, and only if no feature of it was given in an earlier answer.
+    fn append_slice(&mut self, page: &Arc<FeaturePage>, start: usize, end: usize) {
+        if start < end {
+            self.slices.push(PageSlice { page: page.clone(), features: start..end });
+        }
+    }
+
+    /// Starts the current shard again at another server, after the server that knows how its pages continue failed. Another
+    /// server may have the features in another order, so this is possible once, and only if no earlier response returned
+    /// any feature of the shard. `false`: it is not possible.
     fn restart_shard(&mut self) -> bool {
-        let Some((taken, count)) =
-            self.shard_checkpoint.filter(|_| self.limits.idempotent && self.restarts == 0)
-        else {
-            return false;
-        };
+        let may_restart = self.limits.idempotent && self.restarts == 0;
+        let Some(checkpoint) = self.shard_checkpoint.filter(|_| may_restart) else { return false };
         let PageLocation::NextLink { server, .. } = &self.position.location else { return false };
-        self.interrupted = Some((self.position.shard, server.clone()));
+        let shard = self.position.shard;
+        self.interrupted = Some(InterruptedShard { shard, server: server.clone() });
         self.restarts += 1;
-        self.slices.truncate(taken);
-        self.count = count;
+        self.slices.truncate(checkpoint.slices);
+        self.count = checkpoint.count;
         self.seen_ids.clear();
         self.followed_links.clear();
-        self.shards[self.position.shard] = ShardState::default();
-        self.position =
-            ResumePosition { shard: self.position.shard, location: PageLocation::ShardStart, skip: 0 };
+        self.shards[shard] = ShardState::default();
+        self.position = ResumePosition::shard_start(shard);
         true
     }
 
-    fn is_exhausted(&self) -> bool {
-        self.position.shard >= self.shards.len()
-    }
-
     fn advance_shard(&mut self) {
-        self.position =
-            ResumePosition { shard: self.position.shard + 1, location: PageLocation::ShardStart, skip: 0 };
-        self.shard_checkpoint = Some((self.slices.len(), self.count));
+        self.position = ResumePosition::shard_start(self.position.shard + 1);
+        self.shard_checkpoint = Some(ShardCheckpoint { slices: self.slices.len(), count: self.count });
         self.seen_ids.clear();
     }
 
+    /// The progress when the page at the current position has not arrived.
     fn progress_without_page(&self) -> ConcatProgress {
-        let spent =
+        let bounds_reached =
             self.fetched_pages >= self.limits.max_pages || self.fetched_bytes >= self.limits.max_bytes;
-        if self.remaining() == 0 || (spent && (self.count > 0 || self.limits.filtered_locally)) {
-            ConcatProgress::Complete
-        } else if spent {
-            ConcatProgress::Failed
-        } else {
-            ConcatProgress::NeedsPages
+        if self.remaining() == 0 {
+            return ConcatProgress::Complete;
+        }
+        match bounds_reached {
+            false => ConcatProgress::NeedsPages,
+            true if self.count > 0 || self.limits.filtered_locally => ConcatProgress::Complete,
+            true => ConcatProgress::Failed,
         }
     }
 
-    /// Features of a page from here on into the answer, until its limit; what a server gives twice is passed over. Up to
-    /// where the page is used, and how many were new.
-    fn append(
-        &mut self,
-        page: &Arc<FeaturePage>,
-        start: usize,
-        id: &impl Fn(&[u8]) -> u64,
-    ) -> (usize, usize) {
-        let (mut from, mut at, before) = (start, start, self.count);
-        while at < page.features.len() {
-            let key = id(&page.body[page.features[at].clone()]);
-            let known = key != 0 && self.seen_ids.contains(&key);
-            if !known && self.remaining() == 0 {
-                break;
-            }
-            if known {
-                self.duplicates += 1;
-                if from < at {
-                    self.slices.push((page.clone(), from..at));
-                }
-                from = at + 1;
-            } else {
-                self.seen_ids.insert(key);
-                self.count += 1;
-            }
-            at += 1;
-        }
-        if from < at {
-            self.slices.push((page.clone(), from..at));
-        }
-        invariant(self.count <= self.limits.limit, "an answer beyond its limit");
-        (at, self.count - before)
+    fn is_exhausted(&self) -> bool {
+        self.position.shard >= self.shards.len()
+    }
+
+    fn remaining(&self) -> usize {
+        self.limits.limit - self.count
+    }
+
+    /// The features of the response, in order.
+    #[must_use]
+    pub fn slices(&self) -> &[PageSlice] {
+        &self.slices
     }
 
-    /// Features in the answer.
+    /// The number of features in the response.
+    #[must_use]
     pub fn count(&self) -> usize {
         self.count
     }
 
-    /// The shards that could not be asked, of those that the answer passed or needed.
+    /// The number of features that servers returned more than once.
+    #[must_use]
+    pub fn duplicates(&self) -> usize {
+        self.duplicates
+    }
+
+    /// The shard that was started again last, and the server that failed: another one is to be asked.
+    #[must_use]
+    pub fn interrupted(&self) -> Option<&InterruptedShard> {
+        self.interrupted.as_ref()
+    }
+
+    /// The indexes of the shards that could not be fetched, of those that the response passed or needed.
+    #[must_use]
     pub fn missing_shards(&self) -> Vec<usize> {
-        (0..self.shards.len()).filter(|n| self.shards[*n].missing).collect()
+        (0..self.shards.len()).filter(|shard| self.shards[*shard].missing).collect()
     }
 
-    /// Enough of the shards are in: those that the answer passed over count, not the one that it ends at.
+    /// Whether enough of the shards are there. Missing shards count that the response passed, not the one that it ends at.
+    #[must_use]
     pub fn has_enough_shards(&self) -> bool {
         let all = self.shards.len() as f64;
-        let passed = self.missing_shards().iter().filter(|n| **n < self.position.shard).count() as f64;
-        (all - passed) / all.max(1.0) + 1e-6 >= self.limits.min_shard_share
+        let passed =
+            self.missing_shards().iter().filter(|shard| **shard < self.position.shard).count() as f64;
+        (all - passed) / all.max(1.0) + SHARE_TOLERANCE >= self.limits.min_shard_share
     }
 
-    /// Nothing that belongs into this answer is missing from it.
+    /// Whether the response has the features of all shards that it passed.
+    #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.missing_shards().iter().all(|n| *n >= self.position.shard)
+        self.missing_shards().iter().all(|shard| *shard >= self.position.shard)
     }
 
-    /// Where the next answer begins; `None` after the last feature.
+    /// Where the next response starts; `None` after the last feature.
+    #[must_use]
     pub fn resume_position(&self) -> Option<&ResumePosition> {
         (!self.is_exhausted()).then_some(&self.position)
     }
 
-    /// How many match in all: only where every server told it, or gave all it has.
+    /// The number of features that match in all shards; `None` unless every server reported it or returned all it has.
+    #[must_use]
     pub fn number_matched(&self) -> Option<u64> {
         if self.start != ResumePosition::START || self.limits.filtered_locally || self.duplicates > 0 {
             return None;
         }
-        let of = |(n, seen): (usize, &ShardState)| match seen {
-            ShardState { inconsistent_count: true, .. } | ShardState { missing: true, .. } => None,
-            ShardState { number_matched: Some(told), .. } => Some(*told),
-            // It gave all it has.
-            ShardState { used_features: used, .. } if n < self.position.shard => Some(*used),
-            _ => None,
-        };
-        self.shards.iter().enumerate().map(of).sum()
+        let states = self.shards.iter().enumerate();
+        states.map(|(shard, state)| state.total(shard < self.position.shard)).sum()
     }
 }
 
--- /dev/null
+++ b/src/front/ogc/paging/concat_merge/fetch_planning.rs
@@ -0,0 +1,77 @@
+//! Which pages a [`ConcatMerge`] fetches in its next round, and how large they are.
+
+use super::super::page::{PageFetch, PageLocation, ResumePosition};
+use super::{ConcatMerge, MAX_LOOKAHEAD};
+
+impl ConcatMerge {
+    /// The pages to fetch next; none if a page that has arrived must be used first.
+    #[must_use]
+    pub fn next_fetches(&self) -> Vec<PageFetch> {
+        let mut fetches = Vec::new();
+        if self.is_exhausted() {
+            return fetches;
+        }
+        fetches.extend(self.current_fetch());
+        let first_round = self.start == ResumePosition::START && self.fetched_pages == 0;
+        if first_round && self.shards.len() <= self.limits.max_initial_shards {
+            self.add_initial_fetches(&mut fetches);
+        } else if self.position.location == PageLocation::ShardStart {
+            self.add_lookahead_fetches(&mut fetches);
+        }
+        fetches
+    }
+
+    /// The page at the current position, unless it has arrived.
+    fn current_fetch(&self) -> Option<PageFetch> {
+        let shard = self.position.shard;
+        if self.shards[shard].unused_page.is_some() {
+            return None;
+        }
+        let page_size = match &self.position.location {
+            PageLocation::ShardStart => self.initial_page_size(self.remaining()),
+            PageLocation::NextLink { page_size, .. } => *page_size,
+        };
+        Some(PageFetch { shard, location: self.position.location.clone(), page_size })
+    }
+
+    /// The first pages of all further shards: small data sets are then complete after one round, and of large ones the
+    /// number of matching features is known.
+    fn add_initial_fetches(&self, fetches: &mut Vec<PageFetch>) {
+        let shards = self.shards.len();
+        let even_share = self.limits.limit.div_ceil(shards);
+        let wanted = if self.limits.filtered_locally { self.limits.page_size } else { even_share };
+        let page_size = wanted.min(self.limits.page_size);
+        let further_shards = self.position.shard + 1..shards;
+        fetches.extend(further_shards.map(|shard| PageFetch::shard_start(shard, page_size)));
+    }
+
+    /// The first pages of further shards, as far as those before them do not fill the response.
+    fn add_lookahead_fetches(&self, fetches: &mut Vec<PageFetch>) {
+        let current = self.position.shard;
+        let mut remaining = self.remaining() as u64;
+        let mut unknown_shards = 0;
+        for shard in current..self.shards.len() {
+            let state = &self.shards[shard];
+            if shard > current && state.unused_page.is_none() && !state.missing {
+                let page_size = self.initial_page_size(remaining.max(1) as usize);
+                fetches.push(PageFetch::shard_start(shard, page_size));
+            }
+            match state.number_matched {
+                Some(matched) => remaining = remaining.saturating_sub(matched),
+                None => unknown_shards += 1,
+            }
+            if remaining == 0 || unknown_shards > self.lookahead || fetches.len() > MAX_LOOKAHEAD {
+                break;
+            }
+        }
+    }
+
+    /// The page size for a shard that is started now, so that its pages fit the number of features that are needed.
+    pub(super) fn initial_page_size(&self, needed: usize) -> usize {
+        if self.limits.filtered_locally {
+            return self.limits.page_size;
+        }
+        let pages = needed.div_ceil(self.limits.page_size).max(1);
+        needed.div_ceil(pages).max(1)
+    }
+}
--- /dev/null
+++ b/src/front/ogc/paging/concat_merge/shard_state.rs
@@ -0,0 +1,49 @@
+//! What is known of a shard while a response is built.
+
+use super::super::page::{FeaturePage, FetchedPage};
+use std::sync::Arc;
+
+/// A page that has arrived, and the number of features that were requested.
+#[derive(Debug)]
+pub(super) struct RequestedPage {
+    pub page: Arc<FeaturePage>,
+    pub page_size: usize,
+}
+
+/// A shard's state.
+#[derive(Debug, Default)]
+pub(super) struct ShardState {
+    /// A page that has arrived and is not used yet.
+    pub unused_page: Option<RequestedPage>,
+    /// The number of matching features that the server reported last.
+    pub number_matched: Option<u64>,
+    /// The server reported different numbers of matching features.
+    pub inconsistent_count: bool,
+    /// Its pages could not be fetched, or did not end.
+    pub missing: bool,
+    /// The number of its features that the response uses.
+    pub used_features: u64,
+}
+
+impl ShardState {
+    /// Takes in a page, or that there is none.
+    pub fn receive(&mut self, fetched: FetchedPage) {
+        let Some(page) = fetched.page else {
+            self.missing = true;
+            return;
+        };
+        let reported = page.number_matched;
+        self.inconsistent_count |=
+            self.number_matched.is_some() && reported.is_some() && self.number_matched != reported;
+        self.number_matched = reported.or(self.number_matched);
+        self.unused_page = Some(RequestedPage { page, page_size: fetched.page_size });
+    }
+
+    /// The number of its features that match, if it is known. `passed`: the response has used all of its pages.
+    pub fn total(&self, passed: bool) -> Option<u64> {
+        if self.inconsistent_count || self.missing {
+            return None;
+        }
+        self.number_matched.or(passed.then_some(self.used_features))
+    }
+}
--- a/src/front/ogc/paging/concat_merge/tests.rs
+++ b/src/front/ogc/paging/concat_merge/tests.rs
@@ -1,76 +1,81 @@
-//! A model of servers against which answers are gathered.
+//! Responses built from the pages of modelled servers.
 
 use super::*;
+use crate::front::ogc::paging::PageFetch;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 /// Servers of shards with so many features each; a feature's body is its number, eight digits.
 struct Model {
     shards: Vec<usize>,
-    told: bool,
+    reports_count: bool,
     /// The most features that a server gives, whatever it is asked for.
-    most: usize,
-    asked: usize,
+    max_page_size: usize,
+    requests: usize,
 }
 
 fn id(bytes: &[u8]) -> u64 {
     std::str::from_utf8(bytes).expect("text").parse::<u64>().expect("a number") + 1
 }
 
+fn fetched(shard: usize, page_size: usize, page: Option<Arc<FeaturePage>>) -> FetchedPage {
+    FetchedPage { shard, page_size, page }
+}
+
 impl Model {
-    fn page(&mut self, ask: &PageFetch) -> Arc<FeaturePage> {
-        self.asked += 1;
-        let (from, size) = match &ask.location {
-            PageLocation::ShardStart => (0, ask.page_size.min(self.most)),
+    fn page(&mut self, fetch: &PageFetch) -> Arc<FeaturePage> {
+        self.requests += 1;
+        let (from, size) = match &fetch.location {
+            PageLocation::ShardStart => (0, fetch.page_size.min(self.max_page_size)),
             PageLocation::NextLink { target, .. } => {
                 let (from, size) = target.split_once(' ').expect("a link");
                 (from.parse().expect("a number"), size.parse().expect("a number"))
             }
         };
-        let all = self.shards[ask.shard];
+        let all = self.shards[fetch.shard];
         let to = (from + size).min(all);
-        let text: String = (from..to).map(|n| format!("{:08}", ask.shard * 1_000_000 + n)).collect();
+        let text: String = (from..to).map(|n| format!("{:08}", fetch.shard * 1_000_000 + n)).collect();
         let features: Vec<_> = (0..to.saturating_sub(from)).map(|n| n * 8..n * 8 + 8).collect();
         Arc::new(FeaturePage {
-            server: format!("s{}", ask.shard).into(),
+            server: format!("s{}", fetch.shard).into(),
             body: text.into_bytes(),
             returned_count: features.len(),
             features,
             next_target: (to < all).then(|| format!("{to} {size}")),
-            number_matched: self.told.then_some(all as u64),
+            number_matched: self.reports_count.then_some(all as u64),
         })
     }
 
-    fn answer(&mut self, wanted: PagingLimits, from: ResumePosition) -> ConcatMerge {
-        let mut gather = ConcatMerge::new(wanted, from, self.shards.len());
+    fn response(&mut self, limits: PagingLimits, from: ResumePosition) -> ConcatMerge {
+        let mut merge = ConcatMerge::new(limits, from, self.shards.len());
         for _ in 0..10_000 {
-            let asks = gather.next_fetches();
-            let came = asks.iter().map(|a| (a.shard, a.page_size, Some(self.page(a)))).collect();
-            if gather.accept(came, id) == ConcatProgress::Complete {
-                return gather;
+            let fetches = merge.next_fetches();
+            let pages = fetches.iter().map(|a| a.fetched(Some(self.page(a)))).collect();
+            if merge.accept(pages, id) == ConcatProgress::Complete {
+                return merge;
             }
         }
         panic!("an answer without end");
     }
 
     /// All features over all answers, and how many answers there were.
-    fn all(&mut self, wanted: PagingLimits) -> (Vec<u64>, usize) {
-        let (mut features, mut answers, mut at) = (Vec::new(), 0, Some(ResumePosition::START));
+    fn all(&mut self, limits: PagingLimits) -> (Vec<u64>, usize) {
+        let (mut features, mut responses, mut at) = (Vec::new(), 0, Some(ResumePosition::START));
         while let Some(from) = at {
-            let gather = self.answer(wanted, from);
-            assert!(gather.count() <= wanted.limit && gather.is_complete());
-            for (page, range) in &gather.slices {
-                features.extend(page.features[range.clone()].iter().map(|r| id(&page.body[r.clone()]) - 1));
+            let merge = self.response(limits, from);
+            assert!(merge.count() <= limits.limit && merge.is_complete());
+            for slice in merge.slices() {
+                features.extend(slice.texts().map(|text| id(text) - 1));
             }
-            answers += 1;
-            at = gather.resume_position().cloned();
-            assert!(at.is_none() || gather.count() > 0, "an answer of none that goes on");
+            responses += 1;
+            at = merge.resume_position().cloned();
+            assert!(at.is_none() || merge.count() > 0, "an answer of none that goes on");
         }
-        (features, answers)
+        (features, responses)
     }
 }
 
-fn wanted(limit: usize) -> PagingLimits {
+fn limits(limit: usize) -> PagingLimits {
     PagingLimits {
         limit,
         page_size: 500,
@@ -84,7 +89,7 @@
 }
 
 fn model(shards: &[usize]) -> Model {
-    Model { shards: shards.to_vec(), told: true, most: 10_000, asked: 0 }
+    Model { shards: shards.to_vec(), reports_count: true, max_page_size: 10_000, requests: 0 }
 }
 
 fn expected(shards: &[usize]) -> Vec<u64> {
@@ -92,92 +97,90 @@
 }
 
 #[test]
-fn two_features_cost_two_requests_and_all_cost_the_pages_there_are() {
+fn request_count_follows_the_number_of_features_returned() {
     let shards = [20_000, 20_000];
     let mut servers = model(&shards);
-    let gather = servers.answer(wanted(2), ResumePosition::START);
-    assert_eq!((gather.count(), gather.number_matched(), servers.asked), (2, Some(40_000), 2));
+    let merge = servers.response(limits(2), ResumePosition::START);
+    assert_eq!((merge.count(), merge.number_matched(), servers.requests), (2, Some(40_000), 2));
     for limit in [100, 300, 500, 700, 1_000, 5_000] {
         let mut servers = model(&shards);
-        let (features, answers) = servers.all(wanted(limit));
+        let (features, responses) = servers.all(limits(limit));
         assert_eq!(features, expected(&shards), "limit {limit}");
         // Of the largest size that makes up the limit.
         let size = limit.div_ceil(limit.div_ceil(500));
         let pages = 40_000_usize.div_ceil(size);
-        assert!(servers.asked * 10 <= pages * 12, "limit {limit}: {} for {pages} pages", servers.asked);
-        assert!(answers * 10 <= 40_000_usize.div_ceil(limit) * 12, "limit {limit}: {answers} answers");
+        assert!(servers.requests * 10 <= pages * 12, "limit {limit}: {} for {pages} pages", servers.requests);
+        assert!(responses * 10 <= 40_000_usize.div_ceil(limit) * 12, "limit {limit}: {responses} responses");
     }
 }
 
 #[test]
-fn small_shards_are_whole_after_one_round_or_two() {
+fn small_shards_are_complete_after_one_or_two_rounds() {
     let shards = [3, 0, 7, 40, 1];
     let mut servers = model(&shards);
-    let gather = servers.answer(wanted(100), ResumePosition::START);
-    assert_eq!((gather.count(), gather.resume_position(), gather.number_matched()), (51, None, Some(51)));
-    assert!(servers.asked <= 6, "{}", servers.asked);
+    let merge = servers.response(limits(100), ResumePosition::START);
+    assert_eq!((merge.count(), merge.resume_position(), merge.number_matched()), (51, None, Some(51)));
+    assert!(servers.requests <= 6, "{}", servers.requests);
     let many = [5; 100];
-    let mut servers = Model { told: false, ..model(&many) };
-    let gather = servers.answer(wanted(1_000), ResumePosition::START);
-    assert_eq!((gather.count(), gather.resume_position()), (500, None));
-    assert!(servers.asked <= 100);
+    let mut servers = Model { reports_count: false, ..model(&many) };
+    let merge = servers.response(limits(1_000), ResumePosition::START);
+    assert_eq!((merge.count(), merge.resume_position()), (500, None));
+    assert!(servers.requests <= 100);
 }
 
 #[test]
-fn what_must_not_run_twice_is_asked_for_once() {
+fn non_idempotent_parts_are_fetched_once() {
     let mut servers = model(&[40, 300, 300]);
-    let mut gather =
-        ConcatMerge::new(PagingLimits { idempotent: false, ..wanted(100) }, ResumePosition::START, 3);
-    let mut asked = HashSet::new();
+    let mut merge =
+        ConcatMerge::new(PagingLimits { idempotent: false, ..limits(100) }, ResumePosition::START, 3);
+    let mut requested = HashSet::new();
     loop {
-        let asks = gather.next_fetches();
-        assert!(asks.iter().all(|a| asked.insert(format!("{} {:?}", a.shard, a.location))), "{asks:?}");
-        let came = asks.iter().map(|a| (a.shard, a.page_size, Some(servers.page(a)))).collect();
-        if gather.accept(came, id) == ConcatProgress::Complete {
+        let fetches = merge.next_fetches();
+        assert!(
+            fetches.iter().all(|a| requested.insert(format!("{} {:?}", a.shard, a.location))),
+            "{fetches:?}"
+        );
+        let pages = fetches.iter().map(|a| a.fetched(Some(servers.page(a)))).collect();
+        if merge.accept(pages, id) == ConcatProgress::Complete {
             break;
         }
     }
-    assert!(gather.count() > 40 && gather.is_complete());
+    assert!(merge.count() > 40 && merge.is_complete());
 }
 
 #[test]
-fn a_missing_shard_is_told_and_passed_only_where_the_floor_allows() {
-    let run = |floor: f64, gone: usize| {
+fn a_missing_shard_is_reported_and_skipped_only_above_the_minimum_share() {
+    let run = |min_shard_share: f64, missing: usize| {
         let mut servers = model(&[10, 10, 10]);
-        let mut gather = ConcatMerge::new(
-            PagingLimits { min_shard_share: floor, ..wanted(100) },
-            ResumePosition::START,
-            3,
-        );
+        let mut merge =
+            ConcatMerge::new(PagingLimits { min_shard_share, ..limits(100) }, ResumePosition::START, 3);
         loop {
-            let asks = gather.next_fetches();
-            let came = asks
-                .iter()
-                .map(|a| (a.shard, a.page_size, (a.shard != gone).then(|| servers.page(a))))
-                .collect();
-            match gather.accept(came, id) {
+            let fetches = merge.next_fetches();
+            let pages =
+                fetches.iter().map(|a| a.fetched((a.shard != missing).then(|| servers.page(a)))).collect();
+            match merge.accept(pages, id) {
                 ConcatProgress::NeedsPages => {}
-                step => return (step, gather),
+                progress => return (progress, merge),
             }
         }
     };
-    let (step, gather) = run(0.5, 1);
+    let (progress, merge) = run(0.5, 1);
     assert_eq!(
-        (step, gather.count(), gather.missing_shards(), gather.is_complete()),
+        (progress, merge.count(), merge.missing_shards(), merge.is_complete()),
         (ConcatProgress::Complete, 20, vec![1], false)
     );
     assert!(
-        gather.has_enough_shards() && gather.number_matched().is_none() && gather.resume_position().is_none()
+        merge.has_enough_shards() && merge.number_matched().is_none() && merge.resume_position().is_none()
     );
     assert_eq!(run(1.0, 0).0, ConcatProgress::Failed);
     // What is in before the shard that is missing is a whole answer that goes on there.
-    let (step, gather) = run(1.0, 1);
-    assert_eq!((step, gather.count(), gather.is_complete()), (ConcatProgress::Complete, 10, true));
-    assert_eq!(gather.resume_position().map(|p| p.shard), Some(1));
+    let (progress, merge) = run(1.0, 1);
+    assert_eq!((progress, merge.count(), merge.is_complete()), (ConcatProgress::Complete, 10, true));
+    assert_eq!(merge.resume_position().map(|p| p.shard), Some(1));
 }
 
 #[test]
-fn doubles_loops_and_fickle_counts_do_no_harm() {
+fn duplicate_features_link_cycles_and_changing_counts_are_handled() {
     let page = |text: &str, next: Option<&str>, matched| {
         let features = (0..text.len() / 8).map(|n| n * 8..n * 8 + 8).collect();
         let next = next.map(str::to_owned);
@@ -190,62 +193,65 @@
             number_matched: matched,
         }))
     };
-    let mut gather =
-        ConcatMerge::new(PagingLimits { idempotent: false, ..wanted(10) }, ResumePosition::START, 1);
+    let mut merge =
+        ConcatMerge::new(PagingLimits { idempotent: false, ..limits(10) }, ResumePosition::START, 1);
     assert_eq!(
-        gather.accept(vec![(0, 2, page("0000000100000001", Some("x"), Some(9)))], id),
+        merge.accept(vec![fetched(0, 2, page("0000000100000001", Some("x"), Some(9)))], id),
         ConcatProgress::NeedsPages
     );
     assert_eq!(
-        gather.accept(vec![(0, 2, page("00000002", Some("x"), Some(8)))], id),
+        merge.accept(vec![fetched(0, 2, page("00000002", Some("x"), Some(8)))], id),
         ConcatProgress::Complete
     );
     // It goes on where the circle was met: what is in is in order.
-    assert_eq!((gather.count(), gather.duplicates, gather.number_matched()), (2, 1, None));
-    assert!(gather.resume_position().is_some());
+    assert_eq!((merge.count(), merge.duplicates(), merge.number_matched()), (2, 1, None));
+    assert!(merge.resume_position().is_some());
     // One more than was asked for, and it is one that came already: nothing of it is left for the next answer.
-    let mut gather = ConcatMerge::new(wanted(2), ResumePosition::START, 1);
+    let mut merge = ConcatMerge::new(limits(2), ResumePosition::START, 1);
     assert_eq!(
-        gather.accept(vec![(0, 2, page("000000010000000200000001", Some("x"), None))], id),
+        merge.accept(vec![fetched(0, 2, page("000000010000000200000001", Some("x"), None))], id),
         ConcatProgress::Complete
     );
-    assert_eq!((gather.count(), gather.resume_position().map(|p| p.skip)), (2, Some(0)));
+    assert_eq!((merge.count(), merge.resume_position().map(|p| p.skip)), (2, Some(0)));
     // Links that are new each time, and pages that are not.
-    let mut gather = ConcatMerge::new(
-        PagingLimits { min_shard_share: 0.5, idempotent: false, ..wanted(10) },
+    let mut merge = ConcatMerge::new(
+        PagingLimits { min_shard_share: 0.5, idempotent: false, ..limits(10) },
         ResumePosition::START,
         1,
     );
     assert_eq!(
-        gather.accept(vec![(0, 2, page("00000001", Some("x"), None))], id),
+        merge.accept(vec![fetched(0, 2, page("00000001", Some("x"), None))], id),
         ConcatProgress::NeedsPages
     );
-    assert_eq!(gather.accept(vec![(0, 2, page("00000001", Some("y"), None))], id), ConcatProgress::Complete);
-    assert_eq!((gather.count(), gather.is_complete(), gather.missing_shards()), (1, false, vec![0]));
+    assert_eq!(
+        merge.accept(vec![fetched(0, 2, page("00000001", Some("y"), None))], id),
+        ConcatProgress::Complete
+    );
+    assert_eq!((merge.count(), merge.is_complete(), merge.missing_shards()), (1, false, vec![0]));
 }
 
 #[test]
-fn a_shard_that_breaks_off_is_begun_anew_once_and_never_where_it_must_not_run_twice() {
-    for (again, steps) in [
+fn an_interrupted_shard_is_restarted_once_and_only_if_idempotent() {
+    for (idempotent, expected) in [
         (true, [ConcatProgress::NeedsPages, ConcatProgress::Complete]),
         (false, [ConcatProgress::Complete, ConcatProgress::Complete]),
     ] {
         let mut servers = model(&[700]);
-        let mut gather =
-            ConcatMerge::new(PagingLimits { idempotent: again, ..wanted(1_000) }, ResumePosition::START, 1);
-        let mut come = |gather: &mut ConcatMerge, whole: bool| {
-            let asks = gather.next_fetches();
-            let came = asks.iter().map(|a| (a.shard, a.page_size, whole.then(|| servers.page(a)))).collect();
-            gather.accept(came, id)
+        let mut merge =
+            ConcatMerge::new(PagingLimits { idempotent, ..limits(1_000) }, ResumePosition::START, 1);
+        let mut round = |merge: &mut ConcatMerge, served: bool| {
+            let fetches = merge.next_fetches();
+            let pages = fetches.iter().map(|a| a.fetched(served.then(|| servers.page(a)))).collect();
+            merge.accept(pages, id)
         };
-        assert_eq!(come(&mut gather, true), ConcatProgress::NeedsPages);
-        assert_eq!(come(&mut gather, false), steps[0], "it broke off");
-        assert_eq!(gather.count(), if again { 0 } else { 500 });
-        if again {
-            assert_eq!(gather.next_fetches()[0].location, PageLocation::ShardStart);
-            assert_eq!(come(&mut gather, true), ConcatProgress::NeedsPages);
-            assert_eq!(come(&mut gather, false), steps[1], "once");
-            assert_eq!(gather.count(), 500);
+        assert_eq!(round(&mut merge, true), ConcatProgress::NeedsPages);
+        assert_eq!(round(&mut merge, false), expected[0], "it broke off");
+        assert_eq!(merge.count(), if idempotent { 0 } else { 500 });
+        if idempotent {
+            assert_eq!(merge.next_fetches()[0].location, PageLocation::ShardStart);
+            assert_eq!(round(&mut merge, true), ConcatProgress::NeedsPages);
+            assert_eq!(round(&mut merge, false), expected[1], "once");
+            assert_eq!(merge.count(), 500);
         }
     }
 }
@@ -255,20 +261,20 @@
 
     /// Whatever the sizes: every feature once, in order, and never many more requests than pages.
     #[test]
-    fn every_feature_comes_once(
+    fn every_feature_is_returned_once_and_in_order(
         shards in proptest::collection::vec(0_usize..400, 1..12),
         limit in 1_usize..300,
         page in 1_usize..100,
         at_once in 1_usize..12,
-        told: bool,
-        most in prop_oneof![Just(10_000_usize), 1_usize..50],
+        reports_count: bool,
+        max_page_size in prop_oneof![Just(10_000_usize), 1_usize..50],
     ) {
-        let mut servers = Model { told, most, ..model(&shards) };
-        let wanted = PagingLimits { page_size: page, max_initial_shards: at_once, max_pages: 10_000, ..wanted(limit) };
-        let (features, answers) = servers.all(wanted);
+        let mut servers = Model { reports_count, max_page_size, ..model(&shards) };
+        let limits = PagingLimits { page_size: page, max_initial_shards: at_once, max_pages: 10_000, ..limits(limit) };
+        let (features, responses) = servers.all(limits);
         prop_assert_eq!(features, expected(&shards));
-        let least = limit.min(page).min(most);
+        let least = limit.min(page).min(max_page_size);
         let pages: usize = shards.iter().map(|n| n.div_ceil(least).max(1)).sum();
-        prop_assert!(servers.asked <= 3 * pages + shards.len() + 2 * answers, "{} of {}", servers.asked, pages);
+        prop_assert!(servers.requests <= 3 * pages + shards.len() + 2 * responses, "{} of {}", servers.requests, pages);
     }
 }
--- a/src/front/ogc/paging/mod.rs
+++ b/src/front/ogc/paging/mod.rs
@@ -9,8 +9,8 @@
 mod sort_key;
 mod sorted_merge;
 
-pub use concat_merge::{ConcatMerge, ConcatProgress, PagingLimits};
-pub use page::{FeaturePage, PageFetch, PageLocation, ResumePosition};
+pub use concat_merge::{ConcatMerge, ConcatProgress, InterruptedShard, PagingLimits};
+pub use page::{FeaturePage, FetchedPage, PageFetch, PageLocation, PageSlice, ResumePosition};
 pub(super) use sort_key::BoundSortKeys;
 pub use sort_key::SortKey;
-pub use sorted_merge::{SortedMerge, SortedProgress};
+pub use sorted_merge::{SortedMerge, SortedProgress, SortedQuery};
--- a/src/front/ogc/paging/sort_key.rs
+++ b/src/front/ogc/paging/sort_key.rs
@@ -1,16 +1,17 @@
 //! The order of features: sort keys, and the values that a feature has for them.
 
+use crate::front::ogc::cql2::Feature;
 use serde_json::Value as Json;
 use std::cmp::Ordering;
 use std::fmt;
 use std::sync::Arc;
 
-/// One key of the order.
+/// One key of a sort order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SortKey {
-    /// The property.
+    /// The name of the property.
     pub property: String,
-    /// The largest first.
+    /// The largest value comes first.
     pub descending: bool,
 }
 
@@ -33,17 +34,39 @@
     }
 }
 
-/// Where a feature stands in the order: the values of its keys, then its id and shard, so that no two stand alike.
+/// The position of a feature in the order: the values of the sort keys, then its identifier and shard, so that no two
+/// features have the same position.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct SortValues {
-    /// The keys' values, the id last.
+    /// The values of the sort keys, the identifier last.
     pub values: Vec<Json>,
-    /// Which of the keys put the largest value first.
+    /// For each key, whether the largest value comes first.
     pub descending: Arc<[bool]>,
     /// The index of the feature's shard.
     pub shard: usize,
 }
 
+impl SortValues {
+    /// The position of a feature. `None`: it is no JSON.
+    pub fn of(feature: &[u8], keys: &[SortKey], descending: &Arc<[bool]>, shard: usize) -> Option<Self> {
+        let json: Json = serde_json::from_slice(feature).ok()?;
+        let feature = Feature(&json);
+        let value = |key: &SortKey| feature.value(&key.property).cloned().unwrap_or(Json::Null);
+        let mut values: Vec<Json> = keys.iter().map(value).collect();
+        values.push(identifier(&json["id"]));
+        Some(SortValues { values, descending: descending.clone(), shard })
+    }
+}
+
+/// An identifier as text: 7 and "7" are the same in a link.
+fn identifier(id: &Json) -> Json {
+    match id {
+        Json::Null => Json::Null,
+        Json::String(id) => Json::String(id.clone()),
+        id => Json::String(id.to_string()),
+    }
+}
+
 impl Eq for SortValues {}
 
 impl PartialOrd for SortValues {
@@ -54,51 +77,41 @@
 
 impl Ord for SortValues {
     fn cmp(&self, other: &Self) -> Ordering {
-        let keys = self.values.iter().zip(&other.values).enumerate().map(|(n, (a, b))| {
-            let order = value(a, b);
-            // What is missing comes last either way.
-            let turned = self.descending.get(n).copied().unwrap_or(false) && !a.is_null() && !b.is_null();
-            if turned {
+        let pairs = self.values.iter().zip(&other.values).enumerate();
+        let orders = pairs.map(|(index, (left, right))| {
+            let order = compare_values(left, right);
+            let descending = self.descending.get(index).copied().unwrap_or(false);
+            // A missing value comes last in either direction.
+            if descending && !left.is_null() && !right.is_null() {
                 order.reverse()
             } else {
                 order
             }
         });
-        keys.fold(Ordering::Equal, Ordering::then).then(self.shard.cmp(&other.shard))
+        orders.fold(Ordering::Equal, Ordering::then).then(self.shard.cmp(&other.shard))
     }
 }
 
-/// Numbers, text by code points, false before true, then all that has no order; nothing at all comes last.
-fn value(a: &Json, b: &Json) -> Ordering {
-    let kind = |v: &Json| match v {
+/// Numbers come first, then text by code points, false before true, then what has no order; null comes last.
+fn compare_values(left: &Json, right: &Json) -> Ordering {
+    match (left, right) {
+        (Json::Number(left), Json::Number(right)) => {
+            let left = left.as_f64().unwrap_or(f64::MAX);
+            let right = right.as_f64().unwrap_or(f64::MAX);
+            left.total_cmp(&right)
+        }
+        (Json::String(left), Json::String(right)) => left.cmp(right),
+        (Json::Bool(left), Json::Bool(right)) => left.cmp(right),
+        (left, right) => kind_rank(left).cmp(&kind_rank(right)),
+    }
+}
+
+fn kind_rank(value: &Json) -> u8 {
+    match value {
         Json::Number(_) => 0,
         Json::String(_) => 1,
         Json::Bool(_) => 2,
         Json::Array(_) | Json::Object(_) => 3,
         Json::Null => 4,
-    };
-    match (a, b) {
-        (Json::Number(a), Json::Number(b)) => {
-            let (a, b) = (a.as_f64().unwrap_or(f64::MAX), b.as_f64().unwrap_or(f64::MAX));
-            a.total_cmp(&b)
-        }
-        (Json::String(a), Json::String(b)) => a.cmp(b),
-        (Json::Bool(a), Json::Bool(b)) => a.cmp(b),
-        (a, b) => kind(a).cmp(&kind(b)),
     }
 }
-
-/// A feature's rank. `None`: it is no JSON.
-pub(super) fn rank(feature: &[u8], by: &[SortKey], down: &Arc<[bool]>, shard: usize) -> Option<SortValues> {
-    let json: Json = serde_json::from_slice(feature).ok()?;
-    let seen = crate::front::ogc::cql2::Feature(&json);
-    let mut keys: Vec<Json> =
-        by.iter().map(|b| seen.value(&b.property).cloned().unwrap_or(Json::Null)).collect();
-    // Ids as text: 7 and "7" are one id in a link.
-    keys.push(match &json["id"] {
-        Json::Null => Json::Null,
-        Json::String(id) => Json::String(id.clone()),
-        id => Json::String(id.to_string()),
-    });
-    Some(SortValues { values: keys, descending: down.clone(), shard })
-}
--- a/src/front/ogc/paging/sorted_merge.rs
+++ b/src/front/ogc/paging/sorted_merge.rs
@@ -1,41 +1,87 @@
-//! An ordered answer over shards: the least features after a place in the order, in bounded memory.
+//! The response to a query with a sort order: the first features after a position in the order, over all shards, in bounded
+//! memory.
 //!
-//! A decision of its own, like `paging`: pages go in, the next asks and the answer come out. Where servers give a shard in
-//! order, its pages are merged and reading stops as soon as nothing that matters can follow. Where they do not, the shard is
-//! read to its end, and what is not among the least is dropped at once.
+//! Like [`ConcatMerge`](super::ConcatMerge) it is built in rounds. Where servers return a shard in order, fetching stops as
+//! soon as none of its further features can be among the first. Where they do not, the shard is read to its end, and what is
+//! not among the first is dropped at once.
 
-use super::page::{FeaturePage, PageFetch, PageLocation};
-use super::sort_key::{rank, SortKey, SortValues};
+use super::page::{FeaturePage, FetchedPage, PageFetch, PageLocation};
+use super::sort_key::{SortKey, SortValues};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Shards asked at a time.
-const MAX_AT_ONCE: usize = 8;
+/// Shards fetched at a time.
+const MAX_CONCURRENT_SHARDS: usize = 8;
+/// Tolerance in the comparison of the share of shards with its minimum.
+const SHARE_TOLERANCE: f64 = 1e-6;
 
-/// How far it is.
+/// How far a [`SortedMerge`] is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SortedProgress {
-    /// Another round is wanted.
+    /// Another round is needed.
     NeedsPages,
-    /// The answer is ready.
+    /// The response is complete.
     Complete,
-    /// A shard is missing that must not be.
+    /// Too many shards are missing.
     TooFewShards,
-    /// More pages would have to be read than are allowed.
+    /// More pages would have to be fetched than the bounds allow.
     TooManyPages,
 }
 
+/// The order and the bounds of a response.
+#[derive(Debug, Clone)]
+pub struct SortedQuery {
+    /// The sort keys.
+    pub keys: Vec<SortKey>,
+    /// Most features of the response.
+    pub limit: usize,
+    /// Most features to request from a server at a time.
+    pub page_size: usize,
+    /// Most pages to fetch.
+    pub max_pages: usize,
+    /// The least share of the shards from which a response may be given.
+    pub min_shard_share: f64,
+    /// The values of the last feature of the response before, its identifier last; `None` in the first response.
+    pub after_values: Option<Vec<Json>>,
+}
+
 #[derive(Debug)]
-struct Shard {
+struct ShardState {
+    /// Its next page; `None` after its last.
     location: Option<PageLocation>,
-    /// Its server gives it in this order, as far as was seen.
+    /// Its server has returned its features in order so far.
     sorted: bool,
     last_seen: Option<SortValues>,
     missing: bool,
 }
 
-/// An ordered answer that is being made.
+impl ShardState {
+    fn new(sorted: bool) -> Self {
+        ShardState { location: Some(PageLocation::ShardStart), sorted, last_seen: None, missing: false }
+    }
+
+    fn mark_missing(&mut self) {
+        self.missing = true;
+        self.location = None;
+    }
+
+    /// Moves to the next page. A link that leads to the page that it came from would never end.
+    fn move_to(&mut self, next: Option<PageLocation>) {
+        let cycle = next.is_some() && next == self.location;
+        self.missing |= cycle;
+        self.location = next.filter(|_| !cycle);
+    }
+
+    /// Records the values of a feature that its server returned after all before.
+    fn record(&mut self, values: &SortValues) {
+        // A server that returns its features out of order after all has its shard read to the end.
+        self.sorted &= self.last_seen.as_ref().is_none_or(|last| last <= values);
+        self.last_seen = Some(values.clone());
+    }
+}
+
+/// A response under construction.
 #[derive(Debug)]
 pub struct SortedMerge {
     keys: Vec<SortKey>,
@@ -45,151 +91,152 @@
     pages_left: usize,
     min_shard_share: f64,
     after: Option<SortValues>,
-    shards: Vec<Shard>,
+    shards: Vec<ShardState>,
+    /// The first features so far.
     selected: BTreeMap<SortValues, Arc<[u8]>>,
-    /// More follows what is kept.
+    /// Features after the selected ones were dropped.
     dropped: bool,
 }
 
 impl SortedMerge {
-    /// The least `limit` features after a place; `ordered`: which shards come in order. At most so many pages are read.
-    pub fn new(
-        by: Vec<SortKey>,
-        limit: usize,
-        page: usize,
-        pages: usize,
-        floor: f64,
-        after: Option<Vec<Json>>,
-        ordered: &[bool],
-    ) -> Self {
-        let down: Arc<[bool]> = by.iter().map(|b| b.descending).collect();
-        let shard = |ordered: &bool| Shard {
-            location: Some(PageLocation::ShardStart),
-            sorted: *ordered,
-            last_seen: None,
-            missing: false,
-        };
+    /// Starts a response. `sorted_shards` has an entry per shard: whether its servers return features in this order.
+    #[must_use]
+    pub fn new(query: SortedQuery, sorted_shards: &[bool]) -> Self {
+        let descending: Arc<[bool]> = query.keys.iter().map(|key| key.descending).collect();
+        // The response before returned all features of these values, whichever shard they were in.
+        let after = query.after_values.map(|values| SortValues {
+            values,
+            descending: descending.clone(),
+            shard: usize::MAX,
+        });
         SortedMerge {
-            // The id after the last one given may be in any shard: all of that rank were given.
-            after: after.map(|keys| SortValues { values: keys, descending: down.clone(), shard: usize::MAX }),
-            keys: by,
-            descending: down,
-            limit,
-            page_size: page,
-            pages_left: pages,
-            min_shard_share: floor,
-            shards: ordered.iter().map(shard).collect(),
+            after,
+            keys: query.keys,
+            descending,
+            limit: query.limit,
+            page_size: query.page_size,
+            pages_left: query.max_pages,
+            min_shard_share: query.min_shard_share,
+            shards: sorted_shards.iter().map(|sorted| ShardState::new(*sorted)).collect(),
             selected: BTreeMap::new(),
             dropped: false,
         }
     }
 
-    /// Can a shard still bring what matters?
-    fn can_contribute(&self, shard: &Shard) -> bool {
-        let full = self.selected.len() >= self.limit;
-        let beyond = || {
-            shard
-                .last_seen
-                .as_ref()
-                .zip(self.selected.last_key_value())
-                .is_some_and(|(last, most)| last >= most.0)
+    /// The pages to fetch next.
+    #[must_use]
+    pub fn next_fetches(&self) -> Vec<PageFetch> {
+        let contributing = self.shards.iter().enumerate().filter(|(_, state)| self.can_contribute(state));
+        let fetches = contributing.take(MAX_CONCURRENT_SHARDS.min(self.pages_left.max(1)));
+        fetches.filter_map(|(shard, state)| self.next_fetch(shard, state)).collect()
+    }
+
+    fn next_fetch(&self, shard: usize, state: &ShardState) -> Option<PageFetch> {
+        let location = state.location.clone()?;
+        let page_size = match &location {
+            PageLocation::ShardStart if state.sorted => self.page_size.min(self.limit),
+            PageLocation::ShardStart => self.page_size,
+            PageLocation::NextLink { page_size, .. } => *page_size,
         };
-        shard.location.is_some() && !(full && shard.sorted && beyond())
+        Some(PageFetch { shard, location, page_size })
     }
 
-    /// The pages wanted next.
-    pub fn next_fetches(&self) -> Vec<PageFetch> {
-        let open = self.shards.iter().enumerate().filter(|(_, s)| self.can_contribute(s));
-        open.take(MAX_AT_ONCE.min(self.pages_left.max(1)))
-            .filter_map(|(shard, s)| {
-                let place = s.location.clone()?;
-                let size = match &place {
-                    PageLocation::ShardStart if s.sorted => self.page_size.min(self.limit),
-                    PageLocation::ShardStart => self.page_size,
-                    PageLocation::NextLink { page_size, .. } => *page_size,
-                };
-                Some(PageFetch { shard, location: place, page_size: size })
-            })
-            .collect()
-    }
-
-    /// Takes in what came of the asks of a round.
-    pub fn accept(&mut self, came: Vec<(usize, usize, Option<Arc<FeaturePage>>)>) -> SortedProgress {
-        self.pages_left = self.pages_left.saturating_sub(came.len());
-        for (at, _, page) in came {
-            let Some(page) = page else {
-                self.shards[at].missing = true;
-                self.shards[at].location = None;
-                continue;
-            };
-            for feature in &page.features {
-                self.insert(at, &page.body[feature.clone()]);
+    /// Whether a further page of the shard can have one of the first features.
+    fn can_contribute(&self, state: &ShardState) -> bool {
+        if state.location.is_none() {
+            return false;
+        }
+        let full = self.selected.len() >= self.limit;
+        !(full && state.sorted && self.is_beyond_selected(state))
+    }
+
+    /// Whether the last feature seen of a shard comes after all that are selected, or is the last of them.
+    fn is_beyond_selected(&self, state: &ShardState) -> bool {
+        let last_selected = self.selected.last_key_value();
+        let compared = state.last_seen.as_ref().zip(last_selected);
+        compared.is_some_and(|(seen, (selected, _))| seen >= selected)
+    }
+
+    /// Takes in the pages of a round.
+    pub fn accept(&mut self, fetched_pages: Vec<FetchedPage>) -> SortedProgress {
+        self.pages_left = self.pages_left.saturating_sub(fetched_pages.len());
+        for fetched in fetched_pages {
+            match fetched.page {
+                None => self.shards[fetched.shard].mark_missing(),
+                Some(page) => self.accept_page(fetched.shard, &page),
             }
-            let next = page.next_location();
-            let shard = &mut self.shards[at];
-            // A link that leads to where it stands would never end.
-            let circle = next.is_some() && next == shard.location;
-            shard.missing |= circle;
-            shard.location = next.filter(|_| !circle);
         }
-        let missing = self.shards.iter().filter(|s| s.missing).count() as f64;
-        let all = self.shards.len().max(1) as f64;
-        if (all - missing) / all + 1e-6 < self.min_shard_share {
+        if self.has_too_few_shards() {
             return SortedProgress::TooFewShards;
         }
-        match self.shards.iter().any(|s| self.can_contribute(s)) {
+        match self.shards.iter().any(|state| self.can_contribute(state)) {
             false => SortedProgress::Complete,
             true if self.pages_left == 0 => SortedProgress::TooManyPages,
             true => SortedProgress::NeedsPages,
         }
     }
 
-    fn insert(&mut self, at: usize, feature: &[u8]) {
-        let Some(rank) = rank(feature, &self.keys, &self.descending, at) else { return };
-        let shard = &mut self.shards[at];
-        // Promised in order and not given so: it is read to its end after all.
-        shard.sorted &= shard.last_seen.as_ref().is_none_or(|last| *last <= rank);
-        shard.last_seen = Some(rank.clone());
-        if self.after.as_ref().is_some_and(|after| rank <= *after) {
+    fn accept_page(&mut self, shard: usize, page: &FeaturePage) {
+        for feature in &page.features {
+            self.insert(shard, &page.body[feature.clone()]);
+        }
+        self.shards[shard].move_to(page.next_location());
+    }
+
+    fn has_too_few_shards(&self) -> bool {
+        let missing = self.shards.iter().filter(|state| state.missing).count() as f64;
+        let all = self.shards.len().max(1) as f64;
+        (all - missing) / all + SHARE_TOLERANCE < self.min_shard_share
+    }
+
+    /// Selects a feature if it is among the first. One that is no JSON is left out.
+    fn insert(&mut self, shard: usize, feature: &[u8]) {
+        let Some(values) = SortValues::of(feature, &self.keys, &self.descending, shard) else { return };
+        self.shards[shard].record(&values);
+        if self.after.as_ref().is_some_and(|after| values <= *after) {
             return;
         }
-        if self.selected.len() >= self.limit
-            && self.selected.last_key_value().is_some_and(|most| rank > *most.0)
-        {
+        let full = self.selected.len() >= self.limit;
+        if full && self.selected.last_key_value().is_some_and(|(last, _)| values > *last) {
             self.dropped = true;
             return;
         }
-        self.selected.insert(rank, feature.into());
+        self.selected.insert(values, feature.into());
         if self.selected.len() > self.limit {
             self.selected.pop_last();
             self.dropped = true;
         }
     }
 
-    /// The features, in order, as one page.
+    /// The features of the response, in order, as one page.
+    #[must_use]
     pub fn to_page(&self) -> FeaturePage {
         let mut page = FeaturePage::default();
         for feature in self.selected.values() {
-            let from = page.body.len();
+            let start = page.body.len();
             page.body.extend_from_slice(feature);
-            page.features.push(from..page.body.len());
+            page.features.push(start..page.body.len());
         }
         page.returned_count = page.features.len();
         page
     }
 
-    /// The place of the last feature, if more follows.
+    /// The values after which the next response starts; `None` if no feature follows.
+    #[must_use]
     pub fn resume_after(&self) -> Option<Vec<Json>> {
-        let open = self.dropped || self.shards.iter().any(|s| s.location.is_some());
-        self.selected.last_key_value().filter(|_| open).map(|l| l.0.values.clone())
+        let more_follows = self.dropped || self.shards.iter().any(|state| state.location.is_some());
+        let last = self.selected.last_key_value().filter(|_| more_follows);
+        last.map(|(values, _)| values.values.clone())
     }
 
-    /// The shards that are missing from it.
+    /// The indexes of the shards that could not be fetched.
+    #[must_use]
     pub fn missing_shards(&self) -> Vec<usize> {
-        (0..self.shards.len()).filter(|n| self.shards[*n].missing).collect()
+        (0..self.shards.len()).filter(|shard| self.shards[*shard].missing).collect()
     }
 
-    /// Most that it holds, in features.
+    /// The number of features selected so far; never more than the limit.
+    #[must_use]
     pub fn selected_count(&self) -> usize {
         self.selected.len()
     }
--- a/src/front/ogc/paging/sorted_merge/tests.rs
+++ b/src/front/ogc/paging/sorted_merge/tests.rs
@@ -1,129 +1,182 @@
-//! Sorted merges against a model of sorted and unsorted shards.
+//! Sorted merges over modelled shards, some of which return their features in order.
 
 use super::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-/// Shards of features `(key, id)`, given in pages; those of `ordered` in order.
-fn run(
-    shards: &[Vec<(Option<i64>, usize)>],
-    ordered: &[bool],
-    limit: usize,
-    page: usize,
-    down: bool,
-) -> (Vec<usize>, usize) {
-    let by = vec![SortKey { property: "k".into(), descending: down }];
-    let text = |f: &(Option<i64>, usize)| match f.0 {
-        Some(k) => format!(r#"{{"id":"d{:05}","properties":{{"k":{k}}}}}"#, f.1),
-        None => format!(r#"{{"id":"d{:05}","properties":{{}}}}"#, f.1),
+/// A feature of a modelled shard.
+#[derive(Debug, Clone, Copy)]
+struct ModelFeature {
+    key: Option<i64>,
+    id: usize,
+}
+
+impl ModelFeature {
+    fn text(&self) -> String {
+        match self.key {
+            Some(key) => format!(r#"{{"id":"d{:05}","properties":{{"k":{key}}}}}"#, self.id),
+            None => format!(r#"{{"id":"d{:05}","properties":{{}}}}"#, self.id),
+        }
+    }
+
+    /// Features without a key come last in either direction.
+    fn sort_key(&self, descending: bool) -> (bool, Option<i64>, usize) {
+        (self.key.is_none(), self.key.map(|key| if descending { -key } else { key }), self.id)
+    }
+}
+
+/// All features over all responses, and how many features the servers returned.
+struct Run {
+    ids: Vec<usize>,
+    features_read: usize,
+}
+
+fn query(limit: usize, page_size: usize, max_pages: usize, min_shard_share: f64) -> SortedQuery {
+    let keys = vec![SortKey { property: "k".into(), descending: false }];
+    SortedQuery { keys, limit, page_size, max_pages, min_shard_share, after_values: None }
+}
+
+fn fetched(shard: usize, page_size: usize, page: Option<Arc<FeaturePage>>) -> FetchedPage {
+    FetchedPage { shard, page_size, page }
+}
+
+fn page_of(texts: impl Iterator<Item = String>) -> FeaturePage {
+    let mut page = FeaturePage::default();
+    for text in texts {
+        let start = page.body.len();
+        page.body.extend(text.bytes());
+        page.features.push(start..page.body.len());
+    }
+    page.returned_count = page.features.len();
+    page
+}
+
+/// A modelled server's page; the target of its `next` link is the index of the feature that follows.
+fn serve(features: &[ModelFeature], fetch: &PageFetch) -> FeaturePage {
+    let start = match &fetch.location {
+        PageLocation::ShardStart => 0,
+        PageLocation::NextLink { target, .. } => target.parse::<usize>().expect("a number"),
+    };
+    let rest = &features[start.min(features.len())..];
+    let count = fetch.page_size.min(rest.len());
+    let next_target = (count < rest.len()).then(|| (start + count).to_string());
+    FeaturePage { next_target, ..page_of(rest[..count].iter().map(ModelFeature::text)) }
+}
+
+fn ids(page: &FeaturePage) -> Vec<usize> {
+    let id = |range: &std::ops::Range<usize>| {
+        let json: Json = serde_json::from_slice(&page.body[range.clone()]).expect("JSON");
+        json["id"].as_str().expect("an id")[1..].parse::<usize>().expect("a number")
     };
-    let (mut all, mut after, mut read) = (Vec::new(), None, 0);
+    page.features.iter().map(id).collect()
+}
+
+/// Follows the responses to the end.
+fn run(shards: &[Vec<ModelFeature>], sorted: &[bool], query: &SortedQuery) -> Run {
+    let mut run = Run { ids: Vec::new(), features_read: 0 };
+    let mut after_values = None;
     loop {
-        let mut ranking = SortedMerge::new(by.clone(), limit, page, 100_000, 1.0, after, ordered);
+        let mut merge = SortedMerge::new(SortedQuery { after_values, ..query.clone() }, sorted);
         loop {
-            let asks = ranking.next_fetches();
-            let came = asks.iter().map(|ask| {
-                let from = match &ask.location {
-                    PageLocation::ShardStart => 0,
-                    PageLocation::NextLink { target, .. } => target.parse::<usize>().expect("a number"),
-                };
-                let features = &shards[ask.shard][from.min(shards[ask.shard].len())..];
-                let to = ask.page_size.min(features.len());
-                read += to;
-                let mut page = FeaturePage::default();
-                for f in &features[..to] {
-                    let at = page.body.len();
-                    page.body.extend(text(f).bytes());
-                    page.features.push(at..page.body.len());
-                }
-                page.returned_count = to;
-                page.next_target = (to < features.len()).then(|| (from + to).to_string());
-                (ask.shard, ask.page_size, Some(Arc::new(page)))
-            });
-            let came: Vec<_> = came.collect();
-            assert!(ranking.selected_count() <= limit);
-            match ranking.accept(came) {
+            let serve_fetch = |fetch: &PageFetch| {
+                let page = serve(&shards[fetch.shard], fetch);
+                fetch.fetched(Some(Arc::new(page)))
+            };
+            let pages: Vec<_> = merge.next_fetches().iter().map(serve_fetch).collect();
+            run.features_read +=
+                pages.iter().flat_map(|f| f.page.as_ref()).map(|p| p.returned_count).sum::<usize>();
+            assert!(merge.selected_count() <= query.limit);
+            match merge.accept(pages) {
                 SortedProgress::NeedsPages => {}
-                step => {
-                    assert_eq!(step, SortedProgress::Complete);
+                progress => {
+                    assert_eq!(progress, SortedProgress::Complete);
                     break;
                 }
             }
         }
-        let page = ranking.to_page();
-        assert!(page.returned_count <= limit);
-        all.extend(page.features.iter().map(|r| {
-            let json: Json = serde_json::from_slice(&page.body[r.clone()]).expect("JSON");
-            json["id"].as_str().expect("an id")[1..].parse::<usize>().expect("a number")
-        }));
-        after = ranking.resume_after();
-        if after.is_none() {
-            return (all, read);
+        let page = merge.to_page();
+        assert!(page.returned_count <= query.limit);
+        run.ids.extend(ids(&page));
+        after_values = merge.resume_after();
+        if after_values.is_none() {
+            return run;
         }
     }
 }
 
-fn sorted(shards: &[Vec<(Option<i64>, usize)>], down: bool) -> Vec<usize> {
+fn sorted_ids(shards: &[Vec<ModelFeature>], descending: bool) -> Vec<usize> {
     let mut all: Vec<_> = shards.concat();
-    all.sort_by_key(|f| (f.0.is_none(), f.0.map(|k| if down { -k } else { k }), f.1));
-    all.into_iter().map(|f| f.1).collect()
+    all.sort_by_key(|feature| feature.sort_key(descending));
+    all.into_iter().map(|feature| feature.id).collect()
+}
+
+/// Keys of a shard's features; some features have none.
+fn shard_keys() -> impl Strategy<Value = Vec<Option<i64>>> {
+    proptest::collection::vec(proptest::option::weighted(0.9, -5_i64..5), 0..40)
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(9), failure_persistence: None, ..ProptestConfig::with_cases(200) })]
 
     #[test]
-    fn all_features_come_once_in_order(
-        keys in proptest::collection::vec(proptest::collection::vec(proptest::option::weighted(0.9, -5_i64..5), 0..40), 1..5),
-        limit in 1_usize..30, page in 1_usize..20, down: bool, promised in proptest::collection::vec(any::<bool>(), 5),
+    fn all_features_are_returned_once_and_in_order(
+        keys in proptest::collection::vec(shard_keys(), 1..5),
+        limit in 1_usize..30,
+        page_size in 1_usize..20,
+        descending: bool,
+        sorted in proptest::collection::vec(any::<bool>(), 5),
     ) {
         let mut id = 0;
-        let mut shards: Vec<Vec<_>> = keys.into_iter().map(|keys| keys.into_iter().map(|k| { id += 1; (k, id) }).collect()).collect();
-        for (shard, _) in shards.iter_mut().zip(&promised).filter(|(_, p)| **p) {
-            shard.sort_by_key(|f: &(Option<i64>, usize)| (f.0.is_none(), f.0.map(|k| if down { -k } else { k }), f.1));
+        let mut feature = |key| {
+            id += 1;
+            ModelFeature { key, id }
+        };
+        let mut shards: Vec<Vec<_>> =
+            keys.into_iter().map(|keys| keys.into_iter().map(&mut feature).collect()).collect();
+        for (shard, _) in shards.iter_mut().zip(&sorted).filter(|(_, sorted)| **sorted) {
+            shard.sort_by_key(|feature: &ModelFeature| feature.sort_key(descending));
         }
-        let (all, _) = run(&shards, &promised[..shards.len()], limit, page, down);
-        prop_assert_eq!(all, sorted(&shards, down));
+        let keys = vec![SortKey { property: "k".into(), descending }];
+        let query = SortedQuery { keys, ..query(limit, page_size, 100_000, 1.0) };
+        let run = run(&shards, &sorted[..shards.len()], &query);
+        prop_assert_eq!(run.ids, sorted_ids(&shards, descending));
     }
 }
 
 #[test]
-fn ordered_shards_are_read_no_further_than_needed() {
-    let shards: Vec<Vec<_>> = (0..4)
-        .map(|s| (0..1_000).map(|n| (Some(n as i64 * 4 + s as i64), s * 1_000 + n)).collect())
-        .collect();
-    let by = vec![SortKey { property: "k".into(), descending: false }];
-    let ranking = SortedMerge::new(by, 20, 500, 10, 1.0, None, &[true; 4]);
-    assert_eq!(ranking.next_fetches().iter().map(|a| a.page_size).sum::<usize>(), 80);
-    let (all, read) = run(&shards, &[true; 4], 4_000, 500, false);
-    assert_eq!((all.len(), read), (4_000, 4_000));
+fn sorted_shards_are_read_no_further_than_needed() {
+    let feature = |shard: usize, n: usize| ModelFeature {
+        key: Some(n as i64 * 4 + shard as i64),
+        id: shard * 1_000 + n,
+    };
+    let shards: Vec<Vec<_>> = (0..4).map(|shard| (0..1_000).map(|n| feature(shard, n)).collect()).collect();
+    let merge = SortedMerge::new(query(20, 500, 10, 1.0), &[true; 4]);
+    assert_eq!(merge.next_fetches().iter().map(|fetch| fetch.page_size).sum::<usize>(), 80);
+    let run = run(&shards, &[true; 4], &query(4_000, 500, 100_000, 1.0));
+    assert_eq!((run.ids.len(), run.features_read), (4_000, 4_000));
+}
+
+/// A page of features with these keys, which are their identifiers too.
+fn page(next: Option<&str>, keys: &[i64]) -> Option<Arc<FeaturePage>> {
+    let texts = keys.iter().map(|key| format!(r#"{{"id":{key},"properties":{{"k":{key}}}}}"#));
+    Some(Arc::new(FeaturePage { next_target: next.map(str::to_owned), ..page_of(texts) }))
 }
 
 #[test]
-fn missing_shards_endless_pages_and_broken_promises_are_met() {
-    let by = || vec![SortKey { property: "k".into(), descending: false }];
-    let page = |next: Option<&str>, keys: &[i64]| {
-        let mut page = FeaturePage { next_target: next.map(str::to_owned), ..FeaturePage::default() };
-        for k in keys {
-            let at = page.body.len();
-            page.body.extend(format!(r#"{{"id":{k},"properties":{{"k":{k}}}}}"#).bytes());
-            page.features.push(at..page.body.len());
-        }
-        page.returned_count = keys.len();
-        Some(Arc::new(page))
-    };
-    let mut ranking = SortedMerge::new(by(), 5, 10, 10, 1.0, None, &[true, true]);
-    assert_eq!(ranking.accept(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::TooFewShards);
-    let mut ranking = SortedMerge::new(by(), 5, 10, 10, 0.5, None, &[true, true]);
-    assert_eq!(ranking.accept(vec![(0, 5, page(None, &[1])), (1, 5, None)]), SortedProgress::Complete);
-    assert_eq!((ranking.missing_shards(), ranking.resume_after()), (vec![1], None));
-    let mut ranking = SortedMerge::new(by(), 1, 10, 3, 1.0, None, &[false]);
-    assert_eq!(ranking.accept(vec![(0, 5, page(Some("a"), &[3]))]), SortedProgress::NeedsPages);
-    assert_eq!(ranking.accept(vec![(0, 5, page(Some("b"), &[2]))]), SortedProgress::NeedsPages);
-    assert_eq!(ranking.accept(vec![(0, 5, page(Some("c"), &[1]))]), SortedProgress::TooManyPages);
-    // Said to be in order, and is not: reading goes on.
-    let mut ranking = SortedMerge::new(by(), 2, 10, 9, 1.0, None, &[true]);
-    assert_eq!(ranking.accept(vec![(0, 2, page(Some("a"), &[5, 4]))]), SortedProgress::NeedsPages);
-    assert_eq!(ranking.accept(vec![(0, 2, page(None, &[1, 2]))]), SortedProgress::Complete);
-    assert_eq!(ranking.resume_after().map(|k| k[0].clone()), Some(2.into()));
+fn missing_shards_endless_pages_and_unsorted_pages_are_handled() {
+    let one_missing = || vec![fetched(0, 5, page(None, &[1])), fetched(1, 5, None)];
+    let mut merge = SortedMerge::new(query(5, 10, 10, 1.0), &[true, true]);
+    assert_eq!(merge.accept(one_missing()), SortedProgress::TooFewShards);
+    let mut merge = SortedMerge::new(query(5, 10, 10, 0.5), &[true, true]);
+    assert_eq!(merge.accept(one_missing()), SortedProgress::Complete);
+    assert_eq!((merge.missing_shards(), merge.resume_after()), (vec![1], None));
+    let mut merge = SortedMerge::new(query(1, 10, 3, 1.0), &[false]);
+    assert_eq!(merge.accept(vec![fetched(0, 5, page(Some("a"), &[3]))]), SortedProgress::NeedsPages);
+    assert_eq!(merge.accept(vec![fetched(0, 5, page(Some("b"), &[2]))]), SortedProgress::NeedsPages);
+    assert_eq!(merge.accept(vec![fetched(0, 5, page(Some("c"), &[1]))]), SortedProgress::TooManyPages);
+    // The server is said to return features in order and does not: its shard is read on.
+    let mut merge = SortedMerge::new(query(2, 10, 9, 1.0), &[true]);
+    assert_eq!(merge.accept(vec![fetched(0, 2, page(Some("a"), &[5, 4]))]), SortedProgress::NeedsPages);
+    assert_eq!(merge.accept(vec![fetched(0, 2, page(None, &[1, 2]))]), SortedProgress::Complete);
+    assert_eq!(merge.resume_after().map(|values| values[0].clone()), Some(2.into()));
 }
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -6,7 +6,7 @@
 use super::cursor::stable_hash;
 use super::items::{BytesTaken, Ready};
 use super::page_request::PageRequest;
-use super::paging::FeaturePage;
+use super::paging::{FeaturePage, PageSlice};
 use super::params::Params;
 use super::{deliver, html};
 use crate::coordinator::{Answer, Value, COUNTERS};
@@ -353,17 +353,11 @@
     let path = format!("{}/collections/{}/items", asked.base, asked.collection);
     let rest = about(&ready, &path);
     let tag = {
-        let features = |(page, range): &(Arc<FeaturePage>, std::ops::Range<usize>)| {
-            let first = page.features[range.clone()].first().map_or(0, |f| f.start);
-            let last = page.features[range.clone()].last().map_or(0, |f| f.end);
-            (page.clone(), first..last.max(first))
-        };
         // Not the cursor itself: each answer's is another one.
         let more = ready.next.is_some();
         let told =
             format!("{more} {:?} {:?} {} {}", ready.matched, ready.missing, asked.html, asked.params.bound());
-        let all: Vec<_> = ready.pages.iter().map(features).collect();
-        deliver::tag(all.iter().map(|(page, range)| &page.body[range.clone()]).chain([told.as_bytes()]))
+        deliver::tag(ready.pages.iter().map(PageSlice::span).chain([told.as_bytes()]))
     };
     let mut response = if asked.html {
         html::items(&ready, &rest)
@@ -432,8 +426,8 @@
     let mut body = Body::from("{\"features\":[");
     let shape = Shape::of(&ready.asked.params);
     let mut first = true;
-    for (page, range) in &ready.pages {
-        let features = &page.features[range.clone()];
+    for slice in &ready.pages {
+        let (page, features) = (&slice.page, slice.ranges());
         if !shape.none() {
             for feature in features.iter().filter_map(|f| shape.apply(&page.body[f.clone()])) {
                 if !std::mem::take(&mut first) {
