--- /dev/null
+++ b/src/front/ogc/cursor/tests.rs
@@ -0,0 +1,110 @@
+//! Cursors are accepted as they were given out, and no others.
+
+use super::*;
+
+fn cursor(target: &str) -> Cursor {
+    Cursor {
+        query_hash: 7,
+        issued_at_s: 1_000,
+        shard: "north".to_owned(),
+        skip: 3,
+        link: Some(("a".to_owned(), target.to_owned(), 50)),
+        filtered_locally: false,
+        after_values: None,
+        response_count: 0,
+        link_checkpoint: 0,
+    }
+}
+
+/// Tokens that an earlier release sealed with this key, and what they carry.
+fn earlier_tokens() -> [(&'static str, Cursor); 2] {
+    let full = Cursor {
+        query_hash: 7,
+        issued_at_s: 1_000,
+        shard: "north".to_owned(),
+        skip: 3,
+        link: Some(("a".to_owned(), "/x?offset=50".to_owned(), 50)),
+        filtered_locally: true,
+        after_values: Some(vec![1.5.into(), "b".into(), serde_json::Value::Null, "d9".into()]),
+        response_count: 5,
+        link_checkpoint: 11,
+    };
+    let minimal = Cursor {
+        skip: 0,
+        link: None,
+        filtered_locally: false,
+        after_values: None,
+        response_count: 1,
+        link_checkpoint: 0,
+        ..full.clone()
+    };
+    [
+        ("AXsicSI6NywiYSI6MTAwMCwicyI6Im5vcnRoIiwiayI6MywibCI6WyJhIiwiL3g_b2Zmc2V0PTUwIiw1MF0sImYiOnRydWUsIm8iOlsxLjUsImIiLG51bGwsImQ5Il0sIm4iOjUsIm0iOjExfamQYAELlfzdD2OToBD_zh4", full),
+        ("AXsicSI6NywiYSI6MTAwMCwicyI6Im5vcnRoIiwibiI6MSwibSI6MH22flZWs1saqAb8CgRMGLXb", minimal),
+    ]
+}
+
+#[test]
+fn tokens_of_an_earlier_release_are_accepted_and_sealed_to_the_same_text() {
+    let key = CursorKey::new(b"some key");
+    for (token, cursor) in earlier_tokens() {
+        assert_eq!(key.open(token, 7, 1_000, 60), Ok(cursor.clone()));
+        assert_eq!(key.seal(&cursor), token);
+    }
+}
+
+#[test]
+fn link_marks_are_those_of_an_earlier_release() {
+    let marks = earlier_tokens().map(|(_, cursor)| cursor.advanced_from(None).map(|c| c.link_checkpoint));
+    assert_eq!(marks, [Ok(7_573_812_884_547_551_149), Ok(2_975_487_154_951_754_334)]);
+}
+
+#[test]
+fn only_what_was_given_out_is_taken_back() {
+    let key = CursorKey::new(b"some key");
+    let token = key.seal(&cursor("/x?offset=50"));
+    assert_eq!(key.open(&token, 7, 1_010, 60), Ok(cursor("/x?offset=50")));
+    assert_eq!(key.open(&token, 8, 1_010, 60), Err(CursorError::WrongQuery));
+    assert_eq!(key.open(&token, 7, 1_061, 60), Err(CursorError::Expired));
+    assert_eq!(CursorKey::new(b"another").open(&token, 7, 1_010, 60), Err(CursorError::NotAuthentic));
+    for n in 0..token.len() {
+        let mut altered = token.clone().into_bytes();
+        altered[n] = if altered[n] == b'A' { b'B' } else { b'A' };
+        let altered = String::from_utf8(altered).expect("text");
+        // The last character has bits to spare: other texts may mean the same bytes.
+        let found = key.open(&altered, 7, 1_010, 60);
+        assert!(
+            found == Err(CursorError::NotAuthentic) || found == Ok(cursor("/x?offset=50")),
+            "{n}: {found:?}"
+        );
+    }
+    for text in ["", "A", "no token!", &"A".repeat(100), &"A".repeat(10_000)] {
+        assert_eq!(key.open(text, 7, 1_010, 60), Err(CursorError::NotAuthentic));
+    }
+}
+
+#[test]
+fn a_circle_of_links_is_found() {
+    for length in [1_usize, 2, 3, 7, 30] {
+        let mut before: Option<Cursor> = None;
+        let found = (0..10 * length + 10).position(|n| {
+            match cursor(&format!("/x?offset={}", n % length)).advanced_from(before.as_ref()) {
+                Ok(next) => {
+                    before = Some(next);
+                    false
+                }
+                Err(e) => e == CursorError::LinkCycle,
+            }
+        });
+        assert!(found.is_some_and(|n| n <= 4 * length + 4), "{length}: {found:?}");
+    }
+    let mut before: Option<Cursor> = None;
+    for n in 0..1_000 {
+        before = Some(cursor(&format!("/x?offset={n}")).advanced_from(before.as_ref()).expect("no circle"));
+    }
+    assert_eq!(
+        before.map(|c| (c.response_count, c.issued_at_s)),
+        Some((1_000, 1_000)),
+        "age counts from the first answer"
+    );
+}
