--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -1,49 +1,49 @@
-//! Cursors: where a next answer begins, as clients carry it. Opaque to them, bound to their query, and authenticated, so
-//! that what comes back is what was given out and leads nowhere but where the edge meant it to.
+//! Cursors: where the next response of a query starts, as a token that clients carry. A token is opaque to them, bound to
+//! their query, and authenticated, so that only cursors that were given out are accepted.
 //!
 //! A token is base64url of a version byte, the fields as JSON, and the first 16 bytes of HMAC-SHA-256 (RFC 2104) over both.
 
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine as _;
 use hmac::{Hmac, KeyInit, Mac};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 use sha2::{Digest, Sha256};
 
-/// Of the fields' form; a token of another version is stale.
+/// The version of the serialized fields; a token of another version counts as expired.
 const VERSION: u8 = 1;
-/// Bytes of the code at a token's end.
-const CODE: usize = 16;
-/// Most characters of a token: a link of a server is the largest part.
-const MAX_TOKEN: usize = 8 * 1024;
+/// Bytes of the authentication code at the end of a token.
+const CODE_BYTES: usize = 16;
+/// Most characters of a token: a server's link is the largest part.
+const MAX_TOKEN_CHARS: usize = 8 * 1024;
 
-/// What a cursor carries.
+/// Where the next response starts, and to which query it belongs. The serialized names are part of tokens that clients hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cursor {
-    /// Hash of the query that it goes on with.
+    /// The hash of the query that it continues.
     #[serde(rename = "q")]
     pub query_hash: u64,
-    /// Unix time in seconds when its first answer was given: age counts from there.
+    /// When the first response of the query was given, as Unix time in seconds: the age counts from there.
     #[serde(rename = "a")]
     pub issued_at_s: u64,
     /// The shard, by its server's name for it.
     #[serde(rename = "s")]
     pub shard: String,
-    /// Features of that page that were given already.
+    /// Features of the page that earlier responses returned.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
     pub skip: usize,
-    /// The server, its link, and its page's size; absent at the shard's begin.
+    /// The page; absent at the start of the shard.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
-    pub link: Option<(String, String, usize)>,
-    /// Something of the filter is done here on what that server gives.
+    pub link: Option<CursorLink>,
+    /// A part of the filter is evaluated here on the features of this shard.
     #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
     pub filtered_locally: bool,
-    /// The last feature's sort keys and id, in an ordered answer.
+    /// In a sorted response, the values of the sort keys of the last feature, and its identifier.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub after_values: Option<Vec<serde_json::Value>>,
-    /// Answers so far, and the link that one of them began with: a link that comes again goes in a circle.
+    /// The number of responses so far.
     #[serde(rename = "n", default)]
     pub response_count: u32,
-    /// See `answers`.
+    /// The hash of an earlier position, by which cycles are found (see [`Cursor::advanced_from`]).
     #[serde(rename = "m", default)]
     pub link_checkpoint: u64,
 }
@@ -52,103 +52,183 @@
     *n == 0
 }
 
-/// Why a token is of no use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// A page by the link that a server gave. Serialized as an array of its fields.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(from = "(String, String, usize)")]
+pub struct CursorLink {
+    /// The name of the server.
+    pub server: String,
+    /// Path and query.
+    pub target: String,
+    /// Features in a page that the link leads to.
+    pub page_size: usize,
+}
+
+impl CursorLink {
+    fn as_tuple(&self) -> (&str, &str, usize) {
+        (&self.server, &self.target, self.page_size)
+    }
+}
+
+impl From<(String, String, usize)> for CursorLink {
+    fn from((server, target, page_size): (String, String, usize)) -> Self {
+        CursorLink { server, target, page_size }
+    }
+}
+
+impl Serialize for CursorLink {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.as_tuple().serialize(serializer)
+    }
+}
+
+/// Why a cursor cannot be used. The messages are read by clients.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum CursorError {
-    /// It was not made here, or was altered.
+    /// It was not made with this key, or was altered.
+    #[error("cursor: it was not made by this service, or was altered")]
     NotAuthentic,
-    /// It is good, but of another query.
+    /// It belongs to another query.
+    #[error("cursor: it belongs to another query")]
     WrongQuery,
-    /// It is too old, or of a version that is not read any more.
+    /// It is too old, or of a version that is no longer read.
+    #[error("cursor: it is too old; begin anew without it")]
     Expired,
-    /// Its links go in a circle.
+    /// The links that the server gave go in a cycle.
+    #[error("the server's pages go in a circle")]
     LinkCycle,
 }
 
-/// The key that tokens are made with.
+/// The key with which tokens are authenticated.
 #[derive(Clone)]
 pub struct CursorKey(Hmac<Sha256>);
 
 impl std::fmt::Debug for CursorKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Key")
+        f.write_str("CursorKey")
     }
 }
 
 impl CursorKey {
-    /// A key of these bytes.
+    /// A key of these bytes, of any length.
+    #[must_use]
     pub fn new(bytes: &[u8]) -> Self {
-        // Any length will do for HMAC.
+        // HMAC accepts keys of any length: this never fails.
         let mac = Hmac::<Sha256>::new_from_slice(bytes);
         CursorKey(mac.unwrap_or_else(|_| Hmac::new(&Default::default())))
     }
 
-    fn code(&self, bytes: &[u8]) -> [u8; CODE] {
-        let whole = self.0.clone().chain_update(bytes).finalize().into_bytes();
-        let mut code = [0; CODE];
-        code.copy_from_slice(&whole[..CODE]);
-        code
-    }
-
     /// The token of a cursor.
+    #[must_use]
     pub fn seal(&self, cursor: &Cursor) -> String {
         let mut bytes = vec![VERSION];
         bytes.extend(serde_json::to_vec(cursor).unwrap_or_default());
-        let code = self.code(&bytes);
+        let code = self.authentication_code(&bytes);
         bytes.extend(code);
         URL_SAFE_NO_PAD.encode(bytes)
     }
 
-    /// The cursor of a token: of this query, and no older than `age` seconds at `now` (Unix time in seconds).
-    pub fn open(&self, token: &str, query: u64, now: u64, age: u64) -> Result<Cursor, CursorError> {
-        if token.len() > MAX_TOKEN {
+    /// The cursor of a token. `query_hash` is the hash of the query that the token came with, `now_s` the Unix time and
+    /// `max_age_s` the age that is accepted, both in seconds.
+    ///
+    /// # Errors
+    ///
+    /// If the token was not made with this key, belongs to another query, or is too old.
+    pub fn open(
+        &self,
+        token: &str,
+        query_hash: u64,
+        now_s: u64,
+        max_age_s: u64,
+    ) -> Result<Cursor, CursorError> {
+        if token.len() > MAX_TOKEN_CHARS {
             return Err(CursorError::NotAuthentic);
         }
         let bytes = URL_SAFE_NO_PAD.decode(token).map_err(|_| CursorError::NotAuthentic)?;
-        let split = bytes.len().checked_sub(CODE).ok_or(CursorError::NotAuthentic)?;
-        let (said, code) = bytes.split_at(split);
-        // Compared in constant time: a code must not be found out byte by byte.
-        self.0
-            .clone()
-            .chain_update(said)
-            .verify_truncated_left(code)
-            .map_err(|_| CursorError::NotAuthentic)?;
-        let (version, fields) = said.split_first().ok_or(CursorError::NotAuthentic)?;
+        let authenticated = self.verified(&bytes)?;
+        let (version, fields) = authenticated.split_first().ok_or(CursorError::NotAuthentic)?;
         if *version != VERSION {
             return Err(CursorError::Expired);
         }
         let cursor: Cursor = serde_json::from_slice(fields).map_err(|_| CursorError::Expired)?;
-        match () {
-            () if cursor.query_hash != query => Err(CursorError::WrongQuery),
-            () if now.saturating_sub(cursor.issued_at_s) > age => Err(CursorError::Expired),
-            () => Ok(cursor),
+        if cursor.query_hash != query_hash {
+            return Err(CursorError::WrongQuery);
+        }
+        if now_s.saturating_sub(cursor.issued_at_s) > max_age_s {
+            return Err(CursorError::Expired);
         }
+        Ok(cursor)
+    }
+
+    fn authentication_code(&self, bytes: &[u8]) -> [u8; CODE_BYTES] {
+        let full = self.0.clone().chain_update(bytes).finalize().into_bytes();
+        let mut code = [0; CODE_BYTES];
+        code.copy_from_slice(&full[..CODE_BYTES]);
+        code
+    }
+
+    /// The bytes before the authentication code. The code is compared in constant time, so that it cannot be found out
+    /// byte by byte.
+    fn verified<'a>(&self, bytes: &'a [u8]) -> Result<&'a [u8], CursorError> {
+        let split = bytes.len().checked_sub(CODE_BYTES).ok_or(CursorError::NotAuthentic)?;
+        let (authenticated, code) = bytes.split_at(split);
+        let mac = self.0.clone().chain_update(authenticated);
+        mac.verify_truncated_left(code).map_err(|_| CursorError::NotAuthentic)?;
+        Ok(authenticated)
     }
 }
 
 impl Cursor {
-    /// The cursor after this one, which leads on to `link`. Found to go in a circle by Brent's method: the link of answer
-    /// 1, 2, 4, 8 ... is remembered, and if it comes again nothing new will ever come.
-    pub fn advanced_from(mut self, before: Option<&Cursor>) -> Result<Self, CursorError> {
-        let here = stable_hash(&[
-            self.shard.as_bytes(),
-            format!("{:?} {} {:?}", self.link, self.skip, self.after_values).as_bytes(),
-        ]);
-        let Some(before) = before else {
-            return Ok(Cursor { link_checkpoint: here, response_count: 1, ..self });
+    /// A cursor at the start of the first shard.
+    #[must_use]
+    pub fn new(query_hash: u64, issued_at_s: u64) -> Self {
+        Cursor {
+            query_hash,
+            issued_at_s,
+            shard: String::new(),
+            skip: 0,
+            link: None,
+            filtered_locally: false,
+            after_values: None,
+            response_count: 0,
+            link_checkpoint: 0,
+        }
+    }
+
+    /// This cursor as the successor of the one that its response started at; `None` if that was the first response.
+    ///
+    /// Cycles of links are found by Brent's method: the position after response 1, 2, 4, 8 ... is remembered, and if it
+    /// occurs again, no new feature will follow.
+    ///
+    /// # Errors
+    ///
+    /// [`CursorError::LinkCycle`] if the position occurred before.
+    pub fn advanced_from(mut self, previous: Option<&Cursor>) -> Result<Self, CursorError> {
+        let position = self.position_hash();
+        let Some(previous) = previous else {
+            return Ok(Cursor { link_checkpoint: position, response_count: 1, ..self });
         };
-        self.issued_at_s = before.issued_at_s;
-        self.response_count = before.response_count.saturating_add(1);
-        if before.link_checkpoint == here {
+        self.issued_at_s = previous.issued_at_s;
+        self.response_count = previous.response_count.saturating_add(1);
+        if previous.link_checkpoint == position {
             return Err(CursorError::LinkCycle);
         }
-        self.link_checkpoint =
-            if self.response_count.is_power_of_two() { here } else { before.link_checkpoint };
+        let is_checkpoint = self.response_count.is_power_of_two();
+        self.link_checkpoint = if is_checkpoint { position } else { previous.link_checkpoint };
         Ok(self)
     }
+
+    /// The hash of the position. Tokens that clients hold contain it: the text that is hashed must not change.
+    fn position_hash(&self) -> u64 {
+        let link = self.link.as_ref().map(CursorLink::as_tuple);
+        let text = format!("{link:?} {} {:?}", self.skip, self.after_values);
+        stable_hash(&[self.shard.as_bytes(), text.as_bytes()])
+    }
 }
 
-/// A hash of these, the same in every process: the first bytes of SHA-256, each part with its length before it.
+/// A hash of these parts that is the same in every process: the first eight bytes of SHA-256 over all parts, each with its
+/// length before it.
+#[must_use]
 pub fn stable_hash(parts: &[&[u8]]) -> u64 {
     let mut state = Sha256::new();
     for part in parts {
--- a/src/front/ogc/cursor/tests.rs
+++ b/src/front/ogc/cursor/tests.rs
@@ -2,13 +2,17 @@
 
 use super::*;
 
+fn link(target: &str) -> Option<CursorLink> {
+    Some(CursorLink { server: "a".to_owned(), target: target.to_owned(), page_size: 50 })
+}
+
 fn cursor(target: &str) -> Cursor {
     Cursor {
         query_hash: 7,
         issued_at_s: 1_000,
         shard: "north".to_owned(),
         skip: 3,
-        link: Some(("a".to_owned(), target.to_owned(), 50)),
+        link: link(target),
         filtered_locally: false,
         after_values: None,
         response_count: 0,
@@ -23,7 +27,7 @@
         issued_at_s: 1_000,
         shard: "north".to_owned(),
         skip: 3,
-        link: Some(("a".to_owned(), "/x?offset=50".to_owned(), 50)),
+        link: link("/x?offset=50"),
         filtered_locally: true,
         after_values: Some(vec![1.5.into(), "b".into(), serde_json::Value::Null, "d9".into()]),
         response_count: 5,
@@ -54,13 +58,14 @@
 }
 
 #[test]
-fn link_marks_are_those_of_an_earlier_release() {
-    let marks = earlier_tokens().map(|(_, cursor)| cursor.advanced_from(None).map(|c| c.link_checkpoint));
-    assert_eq!(marks, [Ok(7_573_812_884_547_551_149), Ok(2_975_487_154_951_754_334)]);
+fn link_checkpoints_are_those_of_an_earlier_release() {
+    let checkpoints =
+        earlier_tokens().map(|(_, cursor)| cursor.advanced_from(None).map(|c| c.link_checkpoint));
+    assert_eq!(checkpoints, [Ok(7_573_812_884_547_551_149), Ok(2_975_487_154_951_754_334)]);
 }
 
 #[test]
-fn only_what_was_given_out_is_taken_back() {
+fn altered_foreign_and_expired_tokens_are_rejected() {
     let key = CursorKey::new(b"some key");
     let token = key.seal(&cursor("/x?offset=50"));
     assert_eq!(key.open(&token, 7, 1_010, 60), Ok(cursor("/x?offset=50")));
@@ -84,13 +89,13 @@
 }
 
 #[test]
-fn a_circle_of_links_is_found() {
+fn cycles_of_links_are_found() {
     for length in [1_usize, 2, 3, 7, 30] {
-        let mut before: Option<Cursor> = None;
+        let mut previous: Option<Cursor> = None;
         let found = (0..10 * length + 10).position(|n| {
-            match cursor(&format!("/x?offset={}", n % length)).advanced_from(before.as_ref()) {
+            match cursor(&format!("/x?offset={}", n % length)).advanced_from(previous.as_ref()) {
                 Ok(next) => {
-                    before = Some(next);
+                    previous = Some(next);
                     false
                 }
                 Err(e) => e == CursorError::LinkCycle,
@@ -98,12 +103,13 @@
         });
         assert!(found.is_some_and(|n| n <= 4 * length + 4), "{length}: {found:?}");
     }
-    let mut before: Option<Cursor> = None;
+    let mut previous: Option<Cursor> = None;
     for n in 0..1_000 {
-        before = Some(cursor(&format!("/x?offset={n}")).advanced_from(before.as_ref()).expect("no circle"));
+        previous =
+            Some(cursor(&format!("/x?offset={n}")).advanced_from(previous.as_ref()).expect("no cycle"));
     }
     assert_eq!(
-        before.map(|c| (c.response_count, c.issued_at_s)),
+        previous.map(|c| (c.response_count, c.issued_at_s)),
         Some((1_000, 1_000)),
         "age counts from the first answer"
     );
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -3,7 +3,7 @@
 
 use super::capabilities::{self, CapabilityLookup};
 use super::cql2::{Filter, Queryables};
-use super::cursor::{stable_hash, Cursor, CursorError};
+use super::cursor::{stable_hash, Cursor, CursorError, CursorLink};
 use super::page_request::{PageRequest, RequestKind};
 use super::paging::{
     ConcatMerge, ConcatProgress, FetchedPage, PageFetch, PageLocation, PageSlice, PagingLimits,
@@ -437,17 +437,7 @@
     }
 
     fn next_cursor(&self) -> Result<Option<String>, CursorError> {
-        let mut cursor = Cursor {
-            query_hash: query_hash(&self.asked),
-            issued_at_s: unix_ms() / 1_000,
-            shard: String::new(),
-            skip: 0,
-            link: None,
-            filtered_locally: false,
-            after_values: None,
-            response_count: 0,
-            link_checkpoint: 0,
-        };
+        let mut cursor = Cursor::new(query_hash(&self.asked), unix_ms() / 1_000);
         match &self.mode {
             Mode::Concat(gather) => {
                 let Some(at) = gather.resume_position() else { return Ok(None) };
@@ -455,7 +445,8 @@
                 cursor.skip = at.skip;
                 if let PageLocation::NextLink { server, target, page_size } = &at.location {
                     let name = lock(&self.shared.catalog).server_name(server).unwrap_or(server).to_owned();
-                    cursor.link = Some((name, target.to_string(), *page_size));
+                    cursor.link =
+                        Some(CursorLink { server: name, target: target.to_string(), page_size: *page_size });
                     cursor.filtered_locally = self.plans[at.shard].sieve.is_some();
                 }
             }
@@ -495,14 +486,12 @@
 
 /// Why a cursor is not gone on with, in words.
 fn told(e: CursorError) -> Fault {
-    match e {
-        CursorError::NotAuthentic => {
-            (400, "cursor: it was not made by this service, or was altered".to_owned())
-        }
-        CursorError::WrongQuery => (400, "cursor: it belongs to another query".to_owned()),
-        CursorError::Expired => (410, "cursor: it is too old; begin anew without it".to_owned()),
-        CursorError::LinkCycle => (502, "the server's pages go in a circle".to_owned()),
-    }
+    let status = match e {
+        CursorError::NotAuthentic | CursorError::WrongQuery => 400,
+        CursorError::Expired => 410,
+        CursorError::LinkCycle => 502,
+    };
+    (status, e.to_string())
 }
 
 /// Where a cursor leads now.
@@ -517,7 +506,7 @@
     let shard = shard.ok_or_else(|| gone("the shard that it leads to is no more"))?;
     let place = match &cursor.link {
         None => PageLocation::ShardStart,
-        Some((server, target, size)) => {
+        Some(CursorLink { server, target, page_size: size }) => {
             let catalog = lock(&shared.catalog);
             let address = catalog.server_address(server);
             let held = address.as_deref().is_some_and(|a| catalog.sticky_shard(shards[shard].0, a).is_some());
