--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -86,7 +86,10 @@
             Ok(edge) => {
                 // Values that were put in for faulty ones are none of the file's.
                 let told: Vec<usize> = faults.iter().map(|f| f.0).collect();
-                let of_values = edge.faults().into_iter().map(|(key, why)| (line_with(text, &key), why));
+                let of_values = edge
+                    .validate()
+                    .into_iter()
+                    .map(|issue| (line_with(text, &issue.anchor), issue.error.to_string()));
                 faults.extend(of_values.filter(|f| !told.contains(&f.0)));
                 faults.sort();
                 return (faults.is_empty().then_some(edge), faults);
--- /dev/null
+++ b/src/front/ogc/config/settings.rs
@@ -0,0 +1,93 @@
+//! The mapping of an edge file to the settings of the policy module and of the limits.
+
+use super::{ClassConfig, EdgeConfig, SlowStartConfig};
+use crate::interface::{Class, Effect, RetryBudget, ServiceReduction, Settings, SlowStartRule};
+use crate::limits::Rule;
+use crate::time::Micros;
+
+/// Time between two ticks of the module, in milliseconds.
+const TICK_MS: u64 = 5;
+/// The window over which the retry budget counts.
+const RETRY_WINDOW: Micros = Micros::from_secs(10);
+/// Retries that are always allowed within the window.
+const FREE_RETRIES: f64 = 10.0;
+
+/// Milliseconds of the file as nanoseconds of the module.
+fn nanos(milliseconds: u64) -> u64 {
+    Micros::from_millis(milliseconds).to_nanos()
+}
+
+impl EdgeConfig {
+    /// How the requests in flight at a server are limited.
+    #[must_use]
+    pub fn concurrency_rule(&self) -> Rule {
+        match self.limits.mode.as_str() {
+            "fixed" => Rule::Fixed(self.max_connections),
+            _ => Rule::Adaptive {
+                start: self.limits.initial.min(self.max_connections),
+                least: self.limits.min.min(self.max_connections),
+                most: self.max_connections,
+            },
+        }
+    }
+
+    /// The policy module's settings.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        let retry_budget = RetryBudget {
+            ratio: self.limits.retry_ratio,
+            free: FREE_RETRIES,
+            window: RETRY_WINDOW.to_nanos(),
+        };
+        Settings {
+            coordinators: self.coordinators,
+            tick: nanos(TICK_MS),
+            classes: self.classes.iter().map(|class| class.settings(self.max_attempts)).collect(),
+            tenants: Vec::new(),
+            over_quota_weight: 1.0,
+            // Shards and their holders come with the inventory.
+            shards: 0,
+            cells: 1,
+            cells_per_shard: 1,
+            max_batch: 1,
+            call_cost: 0,
+            max_poll_interval: None,
+            retry_budget: Some(retry_budget),
+            slow_start: self.slow_start.as_ref().map(SlowStartConfig::rule),
+            cancellation: true,
+            hedging: false,
+            max_retry_after: Some(nanos(self.max_retry_after_ms)),
+            reduction: ServiceReduction::default(),
+        }
+    }
+}
+
+impl ClassConfig {
+    fn settings(&self, max_attempts: u32) -> Class {
+        Class {
+            name: self.name.clone(),
+            in_force: true,
+            latency_objective: nanos(self.latency_objective_ms),
+            objective_stretch: 0.0,
+            deadline: nanos(self.deadline_ms),
+            effect: if self.effect == "unsafe" { Effect::NonIdempotent } else { Effect::Idempotent },
+            priority_weight: self.priority_weight,
+            late_weight: self.late_weight,
+            required_share: 1.0,
+            min_share: self.min_share,
+            follow_up: 0,
+            max_attempts,
+        }
+    }
+}
+
+impl SlowStartConfig {
+    fn rule(&self) -> SlowStartRule {
+        SlowStartRule {
+            overload_factor: self.overload_factor,
+            overload_window: nanos(self.overload_window_ms),
+            initial_capacity: self.initial_capacity,
+            warm_up: nanos(self.warm_up_ms),
+        }
+    }
+}
--- /dev/null
+++ b/src/front/ogc/config/validation.rs
@@ -0,0 +1,113 @@
+//! The check of an edge file's values against their ranges.
+
+use super::{
+    queryable_type, ClassConfig, ClassError, CollectionConfig, EdgeConfig, LimitsConfig, ValueError,
+};
+
+/// Largest retry budget, as a share of the parts.
+const MAX_RETRY_RATIO: f64 = 10.0;
+
+/// A value that is out of range.
+#[derive(Debug)]
+pub struct ValueIssue {
+    /// Text that stands in the faulty line.
+    pub anchor: String,
+    /// What is wrong with the value.
+    pub error: ValueError,
+}
+
+impl ValueIssue {
+    fn new(anchor: &str, error: ValueError) -> Self {
+        ValueIssue { anchor: anchor.to_owned(), error }
+    }
+}
+
+impl EdgeConfig {
+    /// All values that are out of range.
+    #[must_use]
+    pub fn validate(&self) -> Vec<ValueIssue> {
+        let mut issues = Vec::new();
+        if self.classes.is_empty() {
+            issues.push(ValueIssue::new("class", ValueError::NoClass));
+        }
+        for (position, class) in self.classes.iter().enumerate() {
+            let anchor = format!("\"{}\"", class.name);
+            for source in class.validate(&self.classes[..position]) {
+                let error = ValueError::Class { name: class.name.clone(), source };
+                issues.push(ValueIssue::new(&anchor, error));
+            }
+        }
+        issues.extend(self.collections.iter().flat_map(CollectionConfig::validate));
+        issues.extend(self.limits.validate());
+        if let Err(error) = self.cursor_key() {
+            issues.push(ValueIssue::new("cursor_key", error.into()));
+        }
+        issues.extend(self.zero_values());
+        issues
+    }
+
+    /// Values that must not be 0 and are.
+    fn zero_values(&self) -> impl Iterator<Item = ValueIssue> {
+        let positive = [
+            ("default_limit", self.default_limit),
+            ("most_limit", self.max_limit),
+            ("page_size", self.page_size),
+            ("most_pages", self.max_pages),
+            ("most_bytes", self.max_bytes),
+            ("most_connections", self.max_connections),
+            ("attempts", self.max_attempts as usize),
+            ("coordinators", self.coordinators as usize),
+        ];
+        let zero = positive.into_iter().filter(|(_, value)| *value == 0);
+        zero.map(|(key, _)| ValueIssue::new(key, ValueError::Zero { key }))
+    }
+}
+
+impl ClassConfig {
+    /// The class' faults; `earlier`: the classes before it in the file.
+    fn validate(&self, earlier: &[ClassConfig]) -> Vec<ClassError> {
+        let mut errors = Vec::new();
+        if self.name.is_empty() {
+            errors.push(ClassError::EmptyName);
+        }
+        if earlier.iter().any(|other| other.name == self.name) {
+            errors.push(ClassError::Duplicate);
+        }
+        if self.latency_objective_ms == 0 || self.deadline_ms < self.latency_objective_ms {
+            errors.push(ClassError::LatencyObjective);
+        }
+        if !(self.min_share > 0.0 && self.min_share <= 1.0) {
+            errors.push(ClassError::MinShare);
+        }
+        if !matches!(self.effect.as_str(), "safe" | "unsafe") {
+            errors.push(ClassError::Effect);
+        }
+        errors
+    }
+}
+
+impl CollectionConfig {
+    fn validate(&self) -> impl Iterator<Item = ValueIssue> + '_ {
+        let unknown = self.queryables.iter().filter(|(_, kind)| queryable_type(kind).is_none());
+        unknown.map(|(name, _)| {
+            let error = ValueError::QueryableType { collection: self.id.clone(), queryable: name.clone() };
+            ValueIssue::new(name, error)
+        })
+    }
+}
+
+impl LimitsConfig {
+    fn validate(&self) -> Vec<ValueIssue> {
+        let mut issues = Vec::new();
+        if !matches!(self.mode.as_str(), "adaptive" | "fixed") {
+            issues.push(ValueIssue::new("mode", ValueError::LimitsMode));
+        }
+        if self.initial == 0 || self.min == 0 || self.min > self.initial {
+            issues.push(ValueIssue::new("least", ValueError::LimitsRange));
+        }
+        if !(0.0..=MAX_RETRY_RATIO).contains(&self.retry_ratio) {
+            issues.push(ValueIssue::new("repeats", ValueError::RetryRatio));
+        }
+        issues
+    }
+}
