--- a/src/front/ogc/check.rs
+++ b/src/front/ogc/check.rs
@@ -1,7 +1,7 @@
 //! `quinceflow check`: every fault of an edge file and its inventory, each with its line.
 
 use super::config::EdgeConfig;
-use super::inventory::read_whole_file;
+use super::inventory::read_file_with_all_errors;
 use std::fmt;
 use std::path::Path;
 
@@ -49,7 +49,7 @@
     let inventory = edge.as_ref().map(|e| e.inventory.clone()).or_else(|| named_inventory(&text));
     if let Some(inventory) = inventory {
         let place = path.parent().unwrap_or(Path::new("")).join(inventory);
-        match read_whole_file(&place) {
+        match read_file_with_all_errors(&place) {
             Ok(servers) => {
                 let edge = edge.as_ref();
                 let shards: std::collections::BTreeSet<_> = servers.iter().flat_map(|s| &s.shards).collect();
@@ -67,8 +67,8 @@
                 );
             }
             Err(all) => faults.extend(all.into_iter().map(|e| {
-                let field = if e.field.is_empty() { String::new() } else { format!("{}: ", e.field) };
-                Fault { file: e.file, line: e.line, why: format!("{field}{}", e.why) }
+                let why = e.message();
+                Fault { file: e.file, line: e.line, why }
             })),
         }
     }
--- /dev/null
+++ b/src/front/ogc/inventory/error.rs
@@ -0,0 +1,99 @@
+//! What can be wrong with an inventory, and where. The texts are what operators read.
+
+use std::fmt;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// A fault of an inventory, and where it is.
+#[derive(Debug)]
+pub struct InventoryError {
+    /// Name of the file.
+    pub file: String,
+    /// The line, from 1; 0 where it has none.
+    pub line: usize,
+    /// The field; empty where the fault is of the whole line.
+    pub field: String,
+    /// What is wrong.
+    pub kind: InventoryErrorKind,
+}
+
+impl InventoryError {
+    /// A fault of the file as a whole.
+    pub(super) fn of_file(file: &str, kind: InventoryErrorKind) -> Self {
+        InventoryError { file: file.to_owned(), line: 0, field: String::new(), kind }
+    }
+
+    /// What is wrong, after the field that it is wrong with; without file and line.
+    #[must_use]
+    pub fn message(&self) -> String {
+        if self.field.is_empty() {
+            return self.kind.to_string();
+        }
+        format!("{}: {}", self.field, self.kind)
+    }
+}
+
+impl fmt::Display for InventoryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.file, self.line, self.message())
+    }
+}
+
+impl std::error::Error for InventoryError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.kind)
+    }
+}
+
+/// What is wrong with an inventory.
+#[derive(Debug, Error)]
+pub enum InventoryErrorKind {
+    /// The file can't be read.
+    #[error(transparent)]
+    Io(std::io::Error),
+    /// The extension of the file's name is of no known format.
+    #[error("neither .csv nor .yaml")]
+    UnknownFormat,
+    /// The CSV is malformed.
+    #[error(transparent)]
+    Csv(csv::Error),
+    /// The YAML is malformed.
+    #[error(transparent)]
+    Yaml(Box<marked_yaml::LoadError>),
+    /// A column of the CSV is missing.
+    #[error("the header lacks this column")]
+    MissingColumn,
+    /// A node of the YAML is no mapping.
+    #[error("a mapping is needed")]
+    NoMapping,
+    /// An item of a list in the YAML is no scalar.
+    #[error("a list of plain words is needed")]
+    NoWordList,
+    /// A key of a group in the YAML is unknown.
+    #[error("only hosts, vars and children are known here")]
+    UnknownGroupKey,
+    /// Two servers have the same name.
+    #[error("{0:?} is there twice")]
+    DuplicateName(String),
+    /// Two servers have the same address.
+    #[error("{0} is there twice")]
+    DuplicateAddress(SocketAddr),
+    /// There is no server.
+    #[error("no server is named")]
+    NoServer,
+    /// A field is missing.
+    #[error("is missing")]
+    MissingField,
+    /// A field is empty.
+    #[error("is empty")]
+    EmptyField,
+    /// An address is malformed or its host name can't be resolved.
+    #[error("{0:?} is no host:port")]
+    Address(String),
+    /// A shard is malformed.
+    #[error("{0:?} is no collection or collection/shard")]
+    Shard(String),
+    /// A state is unknown.
+    #[error("{0:?} is none of in_service, draining, gone")]
+    State(String),
+}
--- /dev/null
+++ b/src/front/ogc/inventory/tests.rs
@@ -0,0 +1,63 @@
+//! Tests of the inventory's formats and errors.
+
+use super::{read_csv, read_yaml, InventoryError, InventoryErrorKind, Server};
+use crate::interface::EndpointState;
+
+fn error_text(result: Result<Vec<Server>, InventoryError>) -> String {
+    result.expect_err("it is bad").to_string()
+}
+
+#[test]
+fn csv_and_yaml_are_read_alike() {
+    let csv = "name,address,collections,state\n\
+        a,127.0.0.1:9001,devices/north;zones,in_service\n\
+        b,127.0.0.1:9002,devices/south,draining\n";
+    let yaml = "all:\n  vars:\n    state: in_service\n  children:\n    north:\n      vars:\n        collections: devices/north\n      \
+        hosts:\n        a: {ansible_host: 127.0.0.1, ansible_port: 9001}\n    zones:\n      hosts:\n        a:\n          \
+        collections: [zones]\n          ansible_host: 127.0.0.1\n          ansible_port: 9001\n    south:\n      hosts:\n        b:\n          \
+        address: 127.0.0.1:9002\n          collections: devices/south\n          state: draining\n";
+    let (a, b) = (read_csv("i.csv", csv).expect("csv"), read_yaml("i.yaml", yaml).expect("yaml"));
+    assert_eq!(a, b);
+    assert_eq!(a[0].shards.len(), 2);
+    assert_eq!(a[1].state, EndpointState::Draining);
+}
+
+#[test]
+fn errors_name_file_line_and_field() {
+    let head = "name,address,collections,state\na,127.0.0.1:1,x,in_service\n";
+    let bad = |row: &str| error_text(read_csv("i.csv", &format!("{head}{row}\n")));
+    assert!(bad("b,nowhere,x,").starts_with("i.csv:3: address: "));
+    assert!(bad("b,127.0.0.1:2,a b/,").starts_with("i.csv:3: collections: "));
+    assert!(bad("b,127.0.0.1:2,x,asleep").starts_with("i.csv:3: state: "));
+    assert!(bad("a,127.0.0.1:2,x,").starts_with("i.csv:3: name: "));
+    assert!(bad("b,127.0.0.1:2").starts_with("i.csv:3: "));
+    assert!(error_text(read_csv("i.csv", "name,address\n")).starts_with("i.csv:1: collections: "));
+    assert!(error_text(read_csv("i.csv", "name,address,collections\n")).starts_with("i.csv:1: "));
+    let yaml =
+        "all:\n  hosts:\n    a:\n      address: 127.0.0.1:1\n      collections: x\n      state: asleep\n";
+    assert!(error_text(read_yaml("i.yaml", yaml)).starts_with("i.yaml:6: state: "));
+    assert!(error_text(read_yaml("i.yaml", "all:\n  hots: {}\n")).starts_with("i.yaml:2: hots: "));
+    assert!(error_text(read_yaml("i.yaml", "all:\n  hosts: [a\n")).starts_with("i.yaml:"));
+    let twice = "all:\n  hosts:\n    a: {}\n    b: {}\n    a: {}\n";
+    assert!(error_text(read_yaml("i.yaml", twice)).starts_with("i.yaml:5: a: "));
+}
+
+#[test]
+fn errors_have_a_kind_and_its_text() {
+    let error = |row: &str| {
+        let text = format!("name,address,collections,state\na,127.0.0.1:1,x,in_service\n{row}\n");
+        read_csv("i.csv", &text).expect_err("it is bad")
+    };
+    let duplicate = error("a,127.0.0.1:2,x,");
+    assert!(matches!(&duplicate.kind, InventoryErrorKind::DuplicateName(name) if name == "a"));
+    assert_eq!(duplicate.to_string(), "i.csv:3: name: \"a\" is there twice");
+    let duplicate = error("b,127.0.0.1:1,x,");
+    assert!(matches!(duplicate.kind, InventoryErrorKind::DuplicateAddress(_)));
+    assert_eq!(duplicate.to_string(), "i.csv:3: address: 127.0.0.1:1 is there twice");
+    let state = error("b,127.0.0.1:2,x,asleep");
+    assert!(matches!(&state.kind, InventoryErrorKind::State(state) if state == "asleep"));
+    assert_eq!(state.message(), "state: \"asleep\" is none of in_service, draining, gone");
+    let empty = read_csv("i.csv", "name,address,collections\n").expect_err("it is empty");
+    assert!(matches!(empty.kind, InventoryErrorKind::NoServer));
+    assert_eq!(empty.to_string(), "i.csv:1: no server is named");
+}
