--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -1,144 +1,79 @@
 //! The platform's protocol: `POST /api` with a query's parts in JSON, and `GET /up`.
 
+mod error;
+mod request;
+mod response;
+
+pub use error::RequestError;
+
 use super::{Front, Reaction};
-use crate::coordinator::{Answer, PartRequest, Request, Token, COUNTERS};
-use crate::interface::{ShardId, TenantId};
+use crate::coordinator::{Token, COUNTERS};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::settings::CoordinatorSettings;
 use crate::time::Micros;
-use serde::{Deserialize, Serialize};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 
+/// Media type of answers.
 const JSON: &str = "application/json";
+/// Media type of everything else.
 const TEXT: &str = "text/plain; charset=utf-8";
-/// Longest id of a query: it is repeated in every frame.
-const MAX_ID: usize = 128;
-/// Longest time a client may state; anything longer is as good as this.
-const MAX_PATIENCE_S: f64 = 3_600.0;
-/// Shares are rounded: together they may miss 1 by so much.
-const MAX_ROUNDING: f64 = 1e-3;
-
-#[derive(Deserialize)]
-struct Query {
-    tablets: Vec<Tablet>,
-    statement: String,
-}
-
-#[derive(Deserialize)]
-struct Tablet {
-    tablet: u32,
-    fraction: f64,
-    guess: Option<f64>,
-}
-
-#[derive(Serialize)]
-struct Served<'a> {
-    full: bool,
-    pieces: Vec<Piece<'a>>,
-}
-
-#[derive(Serialize)]
-struct Piece<'a> {
-    tablet: u32,
-    cell: std::borrow::Cow<'a, str>,
-}
-
-/// The front for the platform's protocol.
-#[derive(Debug)]
-pub struct Platform {
-    catalog: SharedPlatformCatalog,
-}
 
-/// What a request may name; a reload changes it.
+/// What a request may refer to; a reload of the settings replaces it.
 #[derive(Debug)]
 pub struct PlatformCatalog {
     classes: Vec<Arc<str>>,
     shards: u32,
 }
 
-/// The same as the front and a reload share it.
+/// The catalog as the front and a reload share it.
 pub type SharedPlatformCatalog = Arc<Mutex<Arc<PlatformCatalog>>>;
 
 impl PlatformCatalog {
-    /// By these settings.
-    pub fn new(deployment: &CoordinatorSettings) -> Arc<Self> {
-        let module = &deployment.policy;
-        let classes = module.classes.iter().map(|c| c.name.as_str().into()).collect();
-        Arc::new(PlatformCatalog { classes, shards: module.shards })
+    /// The catalog of these settings.
+    #[must_use]
+    pub fn new(settings: &CoordinatorSettings) -> Arc<Self> {
+        let policy = &settings.policy;
+        let classes = policy.classes.iter().map(|class| class.name.as_str().into()).collect();
+        Arc::new(PlatformCatalog { classes, shards: policy.shards })
     }
 }
 
+/// The front for the platform's protocol.
+#[derive(Debug)]
+pub struct Platform {
+    catalog: SharedPlatformCatalog,
+}
+
 impl Platform {
-    /// A front for what may be named now.
-    pub fn new(named: SharedPlatformCatalog) -> Self {
-        Platform { catalog: named }
+    /// A front for requests that refer to `catalog`.
+    #[must_use]
+    pub fn new(catalog: SharedPlatformCatalog) -> Self {
+        Platform { catalog }
     }
 
-    fn query(&self, request: &HttpRequest, token: Token, sent: Micros) -> Result<Request, String> {
-        let named = self.catalog.lock().unwrap_or_else(|e| e.into_inner()).clone();
-        let header = |name| request.headers.get(name).ok_or_else(|| format!("{name} is missing"));
-        let label = header("X-Trace-Id")?;
-        if label.is_empty() || label.len() > MAX_ID || !label.bytes().all(|b| b.is_ascii_graphic()) {
-            return Err("X-Trace-Id is no id".to_owned());
-        }
-        let name = header("X-Qos")?;
-        let class = named.classes.iter().find(|c| &***c == name).ok_or("X-Qos names no class")?.clone();
-        let seconds = header("X-Expires-In")?.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0);
-        let seconds = seconds.ok_or("X-Expires-In is no time")?.min(MAX_PATIENCE_S);
-        let patience = Micros((seconds * 1e6) as u64);
-        let query: Query = serde_json::from_slice(&request.body).map_err(|e| format!("body: {e}"))?;
-        let mut parts: Vec<PartRequest> = Vec::with_capacity(query.tablets.len());
-        for t in query.tablets {
-            let weight =
-                Some(t.fraction).filter(|w| w.is_finite() && *w >= 0.0).ok_or("a fraction is no share")?;
-            if t.tablet >= named.shards {
-                return Err(format!("tablet {} is none", t.tablet));
+    fn query(&self, request: &HttpRequest, token: Token, sent_at: Micros) -> Reaction {
+        let catalog = self.catalog.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        match request::parse(&catalog, request, token, sent_at) {
+            Ok(request) => {
+                Reaction::Submit(request, Box::new(|answer| Reaction::Respond(response::render(answer))))
             }
-            if parts.iter().any(|p| p.shard.0 == t.tablet) {
-                return Err(format!("tablet {} is named twice", t.tablet));
+            Err(error) => {
+                COUNTERS.bad_requests.add();
+                text(400, &format!("{error}\n"))
             }
-            let hint = t.guess.filter(|g| g.is_finite() && *g >= 0.0).map(|g| Micros(g as u64));
-            parts.push(PartRequest { shard: ShardId(t.tablet), weight, expected_work: hint, context: None });
         }
-        if parts.is_empty() {
-            return Err("no tablets".to_owned());
-        }
-        // Shares that do not add up would let an answer pass for whole that is not.
-        if (parts.iter().map(|p| p.weight).sum::<f64>() - 1.0).abs() > MAX_ROUNDING {
-            return Err("the fractions do not add up to 1".to_owned());
-        }
-        Ok(Request {
-            token,
-            request_id: label.into(),
-            class,
-            tenant: TenantId(0),
-            timeout: patience,
-            sent_at: sent,
-            parts,
-            payload: query.statement.into_bytes().into(),
-            counted: true,
-        })
     }
 }
 
 impl Front for Platform {
     fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction {
         let path = request.target.split('?').next().unwrap_or_default();
-        let respond = |status, text: &str| Reaction::Respond(Response::new(status, TEXT, text));
         match (request.method.as_str(), path) {
-            ("GET" | "HEAD", "/up") if ready => respond(200, "ready\n"),
-            ("GET" | "HEAD", "/up") => respond(503, "not ready\n"),
-            ("POST", "/api") => match self.query(&request, token, sent) {
-                Ok(request) => {
-                    Reaction::Submit(request, Box::new(|answer| Reaction::Respond(render(answer))))
-                }
-                Err(why) => {
-                    COUNTERS.bad_requests.add();
-                    respond(400, &format!("{why}\n"))
-                }
-            },
-            (_, "/up" | "/api") => respond(405, "another method is needed\n"),
-            _ => respond(404, "nothing is here\n"),
+            ("GET" | "HEAD", "/up") if ready => text(200, "ready\n"),
+            ("GET" | "HEAD", "/up") => text(503, "not ready\n"),
+            ("POST", "/api") => self.query(&request, token, sent),
+            (_, "/up" | "/api") => text(405, "another method is needed\n"),
+            _ => text(404, "nothing is here\n"),
         }
     }
 
@@ -147,29 +82,10 @@
     }
 }
 
-/// Seconds with decimals, as `Retry-After` may have them here.
-fn seconds(time: Micros) -> String {
-    format!("{}.{:03}", time.0 / 1_000_000, time.0 / 1_000 % 1_000)
+/// A response of plain text.
+fn text(status: u16, text: &str) -> Reaction {
+    Reaction::Respond(Response::new(status, TEXT, text))
 }
 
-fn render(answer: Answer) -> Response {
-    match answer {
-        Answer::Served { complete: whole, parts } => {
-            let piece = |(shard, value)| Piece { tablet: shard, cell: String::from_utf8_lossy(value) };
-            let body = Served { full: whole, pieces: parts.iter().map(|p| piece((p.0 .0, &p.1))).collect() };
-            match serde_json::to_vec(&body) {
-                Ok(body) => Response::new(200, JSON, body),
-                Err(e) => Response::new(500, TEXT, format!("{e}\n")),
-            }
-        }
-        Answer::Rejected { retry_after: come_back, .. } => {
-            let mut response = Response::new(503, TEXT, "refused: ask again\n");
-            response.headers.extend(come_back.map(|t| ("Retry-After", seconds(t))));
-            response
-        }
-        Answer::UnknownClass => Response::new(400, TEXT, "X-Qos names no class\n"),
-        Answer::DuplicateRequestId => Response::new(409, TEXT, "X-Trace-Id is that of an open request\n"),
-        Answer::Failed { late: true } => Response::new(504, TEXT, "out of time\n"),
-        Answer::Failed { late: false } => Response::new(502, TEXT, "failed\n"),
-    }
-}
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/platform/response.rs
@@ -0,0 +1,51 @@
+//! Rendering of the core's answers as responses to `POST /api`.
+
+use super::{JSON, TEXT};
+use crate::coordinator::Answer;
+use crate::proto::http::Response;
+use crate::time::Micros;
+use serde::Serialize;
+use std::borrow::Cow;
+
+/// The body of an answer.
+#[derive(Serialize)]
+struct Served<'a> {
+    /// The answer is complete.
+    full: bool,
+    pieces: Vec<Piece<'a>>,
+}
+
+/// A part of an answer.
+#[derive(Serialize)]
+struct Piece<'a> {
+    tablet: u32,
+    cell: Cow<'a, str>,
+}
+
+/// The response that an answer becomes.
+pub(super) fn render(answer: Answer) -> Response {
+    match answer {
+        Answer::Served { complete, parts } => {
+            let piece = |shard: u32, value| Piece { tablet: shard, cell: String::from_utf8_lossy(value) };
+            let pieces = parts.iter().map(|(shard, value)| piece(shard.0, value)).collect();
+            match serde_json::to_vec(&Served { full: complete, pieces }) {
+                Ok(body) => Response::new(200, JSON, body),
+                Err(error) => Response::new(500, TEXT, format!("{error}\n")),
+            }
+        }
+        Answer::Rejected { retry_after, .. } => {
+            let mut response = Response::new(503, TEXT, "refused: ask again\n");
+            response.headers.extend(retry_after.map(|time| ("Retry-After", seconds(time))));
+            response
+        }
+        Answer::UnknownClass => Response::new(400, TEXT, "X-Qos names no class\n"),
+        Answer::DuplicateRequestId => Response::new(409, TEXT, "X-Trace-Id is that of an open request\n"),
+        Answer::Failed { late: true } => Response::new(504, TEXT, "out of time\n"),
+        Answer::Failed { late: false } => Response::new(502, TEXT, "failed\n"),
+    }
+}
+
+/// A time in seconds with three decimals, as the platform's `Retry-After` has it.
+fn seconds(time: Micros) -> String {
+    format!("{}.{:03}", time.0 / 1_000_000, time.0 / 1_000 % 1_000)
+}
