--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -12,6 +12,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Exit code of a check that found faults.
+const EXIT_FAULTS: u8 = 2;
+
 /// A query coordinator: serves the platform's protocol as NODE_CONFIG sets it up, and feature queries as an edge file does
 #[derive(Parser)]
 #[command(name = "quinceflow", version, args_conflicts_with_subcommands = true)]
@@ -38,7 +41,7 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     if let Some(Command::Check { file }) = arguments.command {
-        return told(&check::edge_file(&file));
+        return print_report(&check::check_edge_file(&file));
     }
     log::start(arguments.log);
     match serve(arguments.edge) {
@@ -50,17 +53,24 @@
     }
 }
 
-/// Prints what a check found.
-fn told(report: &check::Report) -> ExitCode {
-    report.faults.iter().for_each(|fault| println!("{fault}"));
+/// Prints the report of a check; the exit code is 0 if there is no fault, else 2.
+fn print_report(report: &check::Report) -> ExitCode {
+    for fault in &report.faults {
+        println!("{fault}");
+    }
+    match report.faults.len() {
+        0 => println!("{}", report.summary),
+        1 => println!("1 fault"),
+        count => println!("{count} faults"),
+    }
     if report.faults.is_empty() {
-        println!("{}", report.summary);
-        return ExitCode::SUCCESS;
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAULTS)
     }
-    println!("{} fault{}", report.faults.len(), if report.faults.len() == 1 { "" } else { "s" });
-    ExitCode::from(2)
 }
 
+/// Runs the coordinator until it is told to end. `edge`: the edge file, if any.
 fn serve(edge: Option<PathBuf>) -> Result<(), String> {
     let edge = edge.map(|file| EdgeConfig::load(&file).map_err(|e| e.to_string())).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,4 +1,5 @@
-//! The fronts: each parses its protocol's requests, maps them to the core's, and renders the core's answers.
+//! The fronts: each parses the requests of its protocol, maps them to requests to the core, and renders the core's
+//! answers as responses.
 
 pub mod ogc;
 pub mod platform;
@@ -7,24 +8,24 @@
 use crate::proto::http::{HttpError, HttpRequest, Response, MAX_BODY};
 use crate::time::Micros;
 
-/// How a core's answer becomes a response, or another question to the core where one round is not enough.
+/// Turns the core's answer into a response, or into another request to the core where one round is not enough.
 pub type Render = Box<dyn FnOnce(Answer) -> Reaction + Send>;
 
-/// What becomes of a request.
+/// What a front makes of a client's request.
 pub enum Reaction {
-    /// It is answered at once.
+    /// The client gets this response at once.
     Respond(Response),
-    /// It goes to the core, and its answer is rendered by this.
+    /// The request goes to the core, and the function renders the core's answer.
     Submit(Request, Render),
 }
 
-/// A front.
+/// A protocol that clients speak.
 pub trait Front: Send + Sync {
-    /// Takes a request that came whole. `sent`: when its client sent it, as near as can be told; `ready`: the
-    /// program is ready to serve.
+    /// Handles a request that was received completely. `sent`: when its client sent it, as near as can be known;
+    /// `ready`: the program is ready to serve.
     fn handle(&self, request: HttpRequest, token: Token, sent: Micros, ready: bool) -> Reaction;
 
-    /// The response to what could not be read.
+    /// The response to a request that could not be parsed.
     fn malformed_response(&self, error: HttpError) -> Response;
 
     /// Most bytes of a request's body.
@@ -32,9 +33,8 @@
         MAX_BODY
     }
 
-    /// Stack of the coroutine that serves a connection, in words of eight bytes. Only touched pages count as memory.
-    /// Measured over the tests of the platform's front in a release build: 722 words at most; debug builds need several
-    /// times that.
+    /// Stack size of the coroutine that serves a connection, in words of eight bytes. Only touched pages count as memory.
+    /// The tests of the platform's front use at most 722 words in a release build; debug builds need several times that.
     fn stack_words(&self) -> usize {
         0x4000
     }
--- /dev/null
+++ b/src/front/ogc/check/mod.rs
@@ -0,0 +1,107 @@
+//! `quinceflow check`: every fault of an edge file and its inventory, each with its line.
+
+mod recovery;
+
+use super::config::{CollectionConfig, EdgeConfig};
+use super::inventory::{read_file_with_all_errors, CollectionShard, InventoryError, Server};
+use recovery::{line_with, parse_with_recovery};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+/// Most faults that are reported: a file of another kind has one in each line.
+const MAX_FAULTS: usize = 100;
+
+/// A fault of a file, and where it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Name of the file.
+    pub file: String,
+    /// The line, from 1; 0 where it has none.
+    pub line: usize,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.file, self.line, self.message)
+    }
+}
+
+impl From<InventoryError> for Fault {
+    fn from(error: InventoryError) -> Self {
+        let message = error.message();
+        Fault { file: error.file, line: error.line, message }
+    }
+}
+
+/// The result of a check.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Every fault, in the order of files and lines.
+    pub faults: Vec<Fault>,
+    /// What the files set up; of use if there is no fault.
+    pub summary: String,
+}
+
+/// Checks an edge file and the inventory that it names. No connection is opened and no address is listened at.
+#[must_use]
+pub fn check_edge_file(path: &Path) -> Report {
+    let file = path.file_name().unwrap_or(path.as_os_str()).to_string_lossy().into_owned();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            let fault = Fault { file, line: 0, message: error.to_string() };
+            return Report { faults: vec![fault], summary: String::new() };
+        }
+    };
+    let (edge, faults) = parse_with_recovery(&text);
+    let in_file =
+        |fault: recovery::LineFault| Fault { file: file.clone(), line: fault.line, message: fault.message };
+    let mut report = Report { faults: faults.into_iter().map(in_file).collect(), summary: String::new() };
+    // The inventory's name may be readable in a file that is otherwise faulty.
+    let inventory = edge.as_ref().map(|edge| edge.inventory.clone()).or_else(|| inventory_name(&text));
+    if let Some(inventory) = inventory {
+        let inventory = path.parent().unwrap_or(Path::new("")).join(inventory);
+        match read_file_with_all_errors(&inventory) {
+            Ok(servers) => report.add_servers(&file, &text, edge.as_ref(), &servers),
+            Err(errors) => report.faults.extend(errors.into_iter().map(Fault::from)),
+        }
+    }
+    report.faults.truncate(MAX_FAULTS);
+    report
+}
+
+impl Report {
+    /// Checks the collections of an edge file against its servers and sums both up.
+    fn add_servers(&mut self, file: &str, text: &str, edge: Option<&EdgeConfig>, servers: &[Server]) {
+        let shards: BTreeSet<_> = servers.iter().flat_map(|server| &server.shards).collect();
+        let collections = edge.map(|edge| edge.collections.as_slice()).unwrap_or_default();
+        let unheld = collections.iter().filter(|collection| !has_shard(collection, &shards));
+        self.faults.extend(unheld.map(|collection| Fault {
+            file: file.to_owned(),
+            line: line_with(text, &format!("\"{}\"", collection.id)),
+            message: format!("collection {:?}: no server holds it", collection.id),
+        }));
+        self.summary = format!(
+            "{file} is sound: {} servers, {} shards, {} classes",
+            servers.len(),
+            shards.len(),
+            edge.map_or(0, |edge| edge.classes.len())
+        );
+    }
+}
+
+fn has_shard(collection: &CollectionConfig, shards: &BTreeSet<&CollectionShard>) -> bool {
+    shards.iter().any(|shard| shard.collection == collection.id)
+}
+
+/// The inventory that a file names, if it is TOML at least.
+fn inventory_name(text: &str) -> Option<PathBuf> {
+    let table: toml::Table = text.parse().ok()?;
+    table.get("inventory")?.as_str().map(Into::into)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/ogc/check/recovery.rs
@@ -0,0 +1,94 @@
+//! Parsing of an edge file past its faults. The TOML reader stops at the first fault: its line is mended and all is read
+//! again, so that one run finds every fault.
+
+use super::super::config::EdgeConfig;
+use super::MAX_FAULTS;
+use std::ops::Range;
+
+/// Values that are tried in place of a faulty one: one of each type that a key may need.
+const SUBSTITUTES: [&str; 6] = ["1", "1.0", "\"x\"", "\"127.0.0.1:0\"", "true", "[]"];
+
+/// A fault and its line, from 1.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct LineFault {
+    pub(super) line: usize,
+    pub(super) message: String,
+}
+
+/// The configuration in `text` if it has no fault, and its faults by line.
+pub(super) fn parse_with_recovery(text: &str) -> (Option<EdgeConfig>, Vec<LineFault>) {
+    let mut mended = text.to_owned();
+    let mut faults: Vec<LineFault> = Vec::new();
+    while faults.len() < MAX_FAULTS {
+        let error = match toml::from_str::<EdgeConfig>(&mended) {
+            Ok(edge) => {
+                add_value_faults(text, &edge, &mut faults);
+                faults.sort();
+                return (faults.is_empty().then_some(edge), faults);
+            }
+            Err(error) => error,
+        };
+        let message = error.message().to_owned();
+        let span = error.span().unwrap_or(0..0);
+        let line = line_at(&mended, &span);
+        // What is missing can't be blanked; an unfinished table hides the rest.
+        let is_final = span.is_empty() || message.starts_with("missing field");
+        faults.push(LineFault { line, message });
+        if is_final || !mend(&mut mended, line) {
+            break;
+        }
+    }
+    faults.sort();
+    (None, faults)
+}
+
+/// Adds the values of `edge` that are out of range, but for lines with a fault: their values were substituted.
+fn add_value_faults(text: &str, edge: &EdgeConfig, faults: &mut Vec<LineFault>) {
+    let substituted: Vec<usize> = faults.iter().map(|fault| fault.line).collect();
+    let issues = edge.validate().into_iter();
+    let values = issues
+        .map(|issue| LineFault { line: line_with(text, &issue.anchor), message: issue.error.to_string() });
+    faults.extend(values.filter(|fault| !substituted.contains(&fault.line)));
+}
+
+/// Gives a faulty line a value that can be read, or blanks it, so that the lines after it are read too. False: the line
+/// was blank already.
+fn mend(text: &mut String, line: usize) -> bool {
+    let start: usize = text.split_inclusive('\n').take(line - 1).map(str::len).sum();
+    let faulty = text[line_range(text, start)].to_owned();
+    if let Some((key, _)) = faulty.split_once('=') {
+        for value in SUBSTITUTES {
+            text.replace_range(line_range(text, start), &format!("{key}={value}"));
+            if !fails_at(text, line) {
+                return true;
+            }
+        }
+    }
+    text.replace_range(line_range(text, start), "");
+    !faulty.trim().is_empty()
+}
+
+/// Whether the reader's next fault is at this line.
+fn fails_at(text: &str, line: usize) -> bool {
+    match toml::from_str::<EdgeConfig>(text) {
+        Ok(_) => false,
+        Err(error) => line_at(text, &error.span().unwrap_or(0..0)) == line,
+    }
+}
+
+/// The line that begins at `start`, without its end.
+fn line_range(text: &str, start: usize) -> Range<usize> {
+    let end = text[start..].find('\n').map_or(text.len(), |length| start + length);
+    start..end
+}
+
+/// The line in which a range of a text begins, from 1.
+fn line_at(text: &str, range: &Range<usize>) -> usize {
+    text[..range.start.min(text.len())].matches('\n').count() + 1
+}
+
+/// The first line that has `part` outside of a comment; 1 if none has.
+pub(super) fn line_with(text: &str, part: &str) -> usize {
+    let has_part = |line: &str| line.split('#').next().unwrap_or_default().contains(part);
+    text.lines().position(has_part).map_or(1, |position| position + 1)
+}
