--- a/src/front/ogc/cql2/split.rs
+++ b/src/front/ogc/cql2/split.rs
@@ -15,6 +15,18 @@
     pub max_filter_text: usize,
 }
 
+impl Capabilities {
+    /// What both of two servers can do.
+    #[must_use]
+    pub fn intersection(&self, other: &Capabilities) -> Self {
+        Capabilities {
+            classes: self.classes.intersection(&other.classes).cloned().collect(),
+            queryables: self.queryables.both(&other.queryables),
+            max_filter_text: self.max_filter_text.min(other.max_filter_text),
+        }
+    }
+}
+
 /// A filter in two: whatever features pass both pass the whole.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FilterSplit {
