--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -336,7 +336,7 @@
             }
             Answer::DuplicateRequestId | Answer::UnknownClass => self.end(Some(answer)),
             // Refused for load: no shard is missing, there was just no room to ask.
-            Answer::Rejected { late: false, .. } if !out.iter().any(|o| o.2.tried()) => {
+            Answer::Rejected { late: false, .. } if !out.iter().any(|o| o.2.attempted()) => {
                 self.end(Some(answer))
             }
             answer => {
--- a/src/front/ogc/page_request.rs
+++ b/src/front/ogc/page_request.rs
@@ -1,22 +1,19 @@
-//! What is asked of a feature server in one attempt, and what its response comes to.
+//! What one attempt asks a feature server, and what its response amounts to.
+
+mod page;
+
+pub use page::parse_page;
 
 use super::lock;
 use super::paging::Page;
 use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
 use crate::proto::fetch::Fetched;
-use serde::Deserialize;
-use serde_json::value::RawValue;
-use std::borrow::Cow;
-use std::ops::Range;
+use page::parse_feature;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
-use url::Url;
 
-/// Most characters of a link that is followed.
-const MAX_LINK: usize = 4 * 1024;
-
-/// What a visit is for.
+/// What a request is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
     /// A page of features.
@@ -27,198 +24,85 @@
     Document,
 }
 
-/// Keeps a feature, as its server gave it, or drops it.
+/// Decides whether a feature, as its server sent it, belongs in the answer.
 pub type FeaturePredicate = Arc<dyn Fn(&[u8]) -> bool + Send + Sync>;
 
-/// What is asked of a server.
+/// A request to a feature server.
 pub struct PageRequest {
-    /// What for.
+    /// What it is for.
     pub kind: RequestKind,
     /// Path and query.
     pub target: String,
-    /// What is filtered here.
+    /// The part of the query's filter that is applied here rather than by the server.
     pub predicate: Option<FeaturePredicate>,
-    /// A server was, or was to be, asked.
+    /// An attempt was dispatched, or was about to be.
     attempted: AtomicBool,
-    /// What came, by attempts that were served. The core knows a page by its place here.
-    came: Mutex<Vec<Arc<Page>>>,
+    /// The pages of the attempts that were served. The core refers to a page by its index.
+    pages: Mutex<Vec<Arc<Page>>>,
 }
 
 impl PageRequest {
-    /// A visit that has not been made.
+    /// A request that no attempt was made for.
+    #[must_use]
     pub fn new(kind: RequestKind, target: String) -> Self {
         PageRequest {
             kind,
             target,
             predicate: None,
             attempted: AtomicBool::new(false),
-            came: Mutex::default(),
+            pages: Mutex::default(),
         }
     }
 
-    fn came(&self) -> MutexGuard<'_, Vec<Arc<Page>>> {
-        lock(&self.came)
+    fn pages(&self) -> MutexGuard<'_, Vec<Arc<Page>>> {
+        lock(&self.pages)
     }
 
-    /// The request as it is written.
+    /// The bytes of an attempt's HTTP request.
     pub fn request(&self, host: &str) -> Vec<u8> {
         self.attempted.store(true, Relaxed);
         let head = "Accept: application/geo+json, application/json\r\n";
         format!("GET {} HTTP/1.1\r\nHost: {host}\r\n{head}\r\n", self.target).into_bytes()
     }
 
-    /// A server was tried: a refusal is not for want of room, but since none could answer.
-    pub fn tried(&self) -> bool {
+    /// Whether a server was asked: if so, a rejection is not for want of capacity, but since no server could answer.
+    pub fn attempted(&self) -> bool {
         self.attempted.load(Relaxed)
     }
 
-    /// What a response comes to.
+    /// The outcome of an attempt by its response. A page is kept for [`page`](PageRequest::page).
     pub fn interpret(&self, server: &str, host: &str, fetched: Fetched) -> AttemptEnd {
         let page = match (fetched.status, self.kind) {
             (200, RequestKind::Items) => {
                 parse_page(fetched.body, host, &self.target, self.predicate.as_ref())
             }
-            (200, RequestKind::Feature) => read_feature(fetched.body),
+            (200, RequestKind::Feature) => parse_feature(fetched.body),
             (200, RequestKind::Document) => Some(Page { body: fetched.body, ..Page::default() }),
             (404, RequestKind::Feature) => Some(Page::default()),
-            // A server without such a document has said so: its look must not end those at others.
+            // A server without such a document has answered: that must not end the discoveries at others.
             (status, RequestKind::Document) if status != 429 => Some(Page::default()),
-            // Only this status says that the request was not taken up; any other failure may have run.
+            // Only this status says that the request was not started; with any other failure it may have run.
             (429, _) => return AttemptEnd::Failed(Outcome::Rejected),
             _ => None,
         };
         let Some(page) = page else { return AttemptEnd::Failed(Outcome::Error) };
-        let mut came = self.came();
-        came.push(Arc::new(Page { server: server.into(), ..page }));
-        AttemptEnd::Served(Value::from((came.len() as u32 - 1).to_be_bytes().as_slice()))
+        let mut pages = self.pages();
+        pages.push(Arc::new(Page { server: server.into(), ..page }));
+        let index = pages.len() as u32 - 1;
+        AttemptEnd::Served(Value::from(index.to_be_bytes().as_slice()))
     }
 
-    /// What came last, whatever the core made of it.
+    /// The page that came last, whatever the core made of it.
     pub fn last_page(&self) -> Option<Arc<Page>> {
-        self.came().last().cloned()
+        self.pages().last().cloned()
     }
 
-    /// The page that the core's value stands for.
+    /// The page that a value of the core refers to.
     pub fn page(&self, value: &Value) -> Option<Arc<Page>> {
-        let place: [u8; 4] = value.as_ref().try_into().ok()?;
-        self.came().get(u32::from_be_bytes(place) as usize).cloned()
+        let index: [u8; 4] = value.as_ref().try_into().ok()?;
+        self.pages().get(u32::from_be_bytes(index) as usize).cloned()
     }
 }
 
-#[derive(Deserialize)]
-struct Collection<'a> {
-    #[serde(borrow)]
-    features: Vec<&'a RawValue>,
-    #[serde(default)]
-    links: Vec<Link<'a>>,
-    #[serde(rename = "numberMatched", default)]
-    matched: Option<u64>,
-}
-
-#[derive(Deserialize)]
-struct Link<'a> {
-    #[serde(borrow, default)]
-    href: Cow<'a, str>,
-    #[serde(borrow, default)]
-    rel: Cow<'a, str>,
-}
-
-/// Where a borrowed value stands in its text.
-fn place(text: &[u8], value: &RawValue) -> Range<usize> {
-    let from = value.get().as_ptr() as usize - text.as_ptr() as usize;
-    from..from + value.get().len()
-}
-
-/// A page of features. `None`: it is none (HTML under 200 too), or its link leads away from its server.
-pub fn parse_page(body: Vec<u8>, host: &str, target: &str, sieve: Option<&FeaturePredicate>) -> Option<Page> {
-    let read: Collection<'_> = serde_json::from_slice(&body).ok()?;
-    if !read.features.iter().all(|f| f.get().starts_with('{')) {
-        return None;
-    }
-    let given = read.features.len();
-    let kept = read.features.iter().map(|f| place(&body, f));
-    let features: Vec<_> = match sieve {
-        None => kept.collect(),
-        Some(sieve) => kept.filter(|r| sieve(&body[r.clone()])).collect(),
-    };
-    let next = match read.links.iter().find(|l| l.rel == "next") {
-        None => None,
-        Some(link) => Some(follow(host, target, &link.href)?),
-    };
-    let matched = read.matched;
-    Some(Page { server: Arc::default(), features, given, next, matched, body })
-}
-
-fn read_feature(body: Vec<u8>) -> Option<Page> {
-    let whole = {
-        let feature: &RawValue = serde_json::from_slice(&body).ok()?;
-        feature.get().starts_with('{').then(|| place(&body, feature))?
-    };
-    Some(Page { features: vec![whole], given: 1, body, ..Page::default() })
-}
-
-/// A link's path and query; it may lead nowhere but on at this server, and not to where it stands.
-fn follow(host: &str, target: &str, href: &str) -> Option<String> {
-    let here = Url::parse(&format!("http://{host}{target}")).ok()?;
-    let there = here.join(href).ok()?;
-    let home = there.scheme() == "http" && there.host() == here.host() && there.port() == here.port();
-    let plain = there.username().is_empty() && there.password().is_none();
-    let on = there[url::Position::BeforePath..url::Position::AfterQuery].to_owned();
-    let same = here[url::Position::BeforePath..url::Position::AfterQuery] == on;
-    (home && plain && !same && on.len() <= MAX_LINK).then_some(on)
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_page_is_read_in_place_and_thinned() {
-        let body = br#" {"features": [ {"id":1} ,{"id":22}],"numberMatched":9,
-            "links":[{"rel":"next","href":"?offset=2"}]}"#;
-        let read =
-            |sieve: Option<&FeaturePredicate>| parse_page(body.to_vec(), "a:1", "/c/items?limit=2", sieve);
-        let page = read(None).expect("a page");
-        let texts: Vec<_> = page.features.iter().map(|r| &page.body[r.clone()]).collect();
-        assert_eq!(texts, [b"{\"id\":1}".as_slice(), b"{\"id\":22}"]);
-        assert_eq!((page.given, page.matched), (2, Some(9)));
-        assert_eq!(page.next.as_deref(), Some("/c/items?offset=2"));
-        let sieve: FeaturePredicate = Arc::new(|f| f.len() > 8);
-        assert_eq!(read(Some(&sieve)).map(|p| (p.features.len(), p.given)), Some((1, 2)));
-    }
-
-    #[test]
-    fn what_is_no_page_or_leads_astray_is_none() {
-        let with = |href: &str| format!(r#"{{"features":[],"links":[{{"rel":"next","href":"{href}"}}]}}"#);
-        let read = |body: &str| parse_page(body.into(), "a:1", "/c/items?limit=2", None).is_some();
-        assert!(read(&with("http://a:1/c/items?offset=2")) && read(r#"{"features":[]}"#));
-        let away =
-            ["http://b:1/c/items", "https://a:1/c/items?o=2", "http://u@a:1/c?o", "/c/items?limit=2", ""];
-        assert!(away.iter().all(|href| !read(&with(href))));
-        assert!(!read(&with(&format!("?x={}", "y".repeat(5_000)))), "a link without end");
-        for body in
-            ["", "<html>", "{}", "[]", r#"{"features":[1]}"#, r#"{"features":{}}"#, r#"{"features":[{}"#]
-        {
-            assert!(!read(body), "{body}");
-        }
-    }
-
-    #[test]
-    fn each_status_has_its_end() {
-        let fetched = |status, body: &str| Fetched { status, headers: Default::default(), body: body.into() };
-        let end = |kind, status, body| {
-            PageRequest::new(kind, "/x".into()).interpret("s", "a:1", fetched(status, body))
-        };
-        assert_eq!(end(RequestKind::Items, 429, ""), AttemptEnd::Failed(Outcome::Rejected));
-        assert_eq!(end(RequestKind::Items, 503, ""), AttemptEnd::Failed(Outcome::Error));
-        assert_eq!(end(RequestKind::Items, 200, "<html>"), AttemptEnd::Failed(Outcome::Error));
-        assert_eq!(end(RequestKind::Feature, 200, "[1]"), AttemptEnd::Failed(Outcome::Error));
-        assert!(matches!(end(RequestKind::Feature, 404, ""), AttemptEnd::Served(_)));
-        assert!(matches!(end(RequestKind::Document, 500, ""), AttemptEnd::Served(_)));
-        let visit = PageRequest::new(RequestKind::Feature, "/x".into());
-        let AttemptEnd::Served(value) = visit.interpret("s", "a:1", fetched(200, "{}")) else {
-            panic!("served")
-        };
-        assert_eq!(visit.page(&value).map(|p| (p.server.to_string(), p.given)), Some(("s".to_owned(), 1)));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/front/ogc/page_request/page.rs
@@ -0,0 +1,90 @@
+//! Parsing of a server's pages in place: features stay the bytes that they came as.
+
+use super::super::paging::Page;
+use super::FeaturePredicate;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::ops::Range;
+use std::sync::Arc;
+use url::{Position, Url};
+
+/// Most characters of a link that is followed.
+const MAX_LINK: usize = 4 * 1024;
+
+/// A GeoJSON feature collection, as far as it is read.
+#[derive(Deserialize)]
+struct FeatureCollection<'a> {
+    #[serde(borrow)]
+    features: Vec<&'a RawValue>,
+    #[serde(default)]
+    links: Vec<Link<'a>>,
+    #[serde(rename = "numberMatched", default)]
+    matched: Option<u64>,
+}
+
+/// A link of a feature collection.
+#[derive(Deserialize)]
+struct Link<'a> {
+    #[serde(borrow, default)]
+    href: Cow<'a, str>,
+    #[serde(borrow, default)]
+    rel: Cow<'a, str>,
+}
+
+/// Parses a page of features and drops those that `predicate` doesn't hold for. `None`: the body is no page (a server may
+/// send HTML with status 200), or its `next` link doesn't stay at the server.
+#[must_use]
+pub fn parse_page(
+    body: Vec<u8>,
+    host: &str,
+    target: &str,
+    predicate: Option<&FeaturePredicate>,
+) -> Option<Page> {
+    let collection: FeatureCollection<'_> = serde_json::from_slice(&body).ok()?;
+    if !collection.features.iter().all(|feature| is_object(feature)) {
+        return None;
+    }
+    let given = collection.features.len();
+    let ranges = collection.features.iter().map(|feature| range_in(&body, feature));
+    let features: Vec<_> = match predicate {
+        None => ranges.collect(),
+        Some(predicate) => ranges.filter(|range| predicate(&body[range.clone()])).collect(),
+    };
+    let next = match collection.links.iter().find(|link| link.rel == "next") {
+        None => None,
+        Some(link) => Some(resolve_link(host, target, &link.href)?),
+    };
+    let matched = collection.matched;
+    Some(Page { server: Arc::default(), features, given, next, matched, body })
+}
+
+/// Parses a single feature as a page of one. `None`: the body is no JSON object.
+pub(super) fn parse_feature(body: Vec<u8>) -> Option<Page> {
+    let range = {
+        let feature: &RawValue = serde_json::from_slice(&body).ok()?;
+        is_object(feature).then(|| range_in(&body, feature))?
+    };
+    Some(Page { features: vec![range], given: 1, body, ..Page::default() })
+}
+
+fn is_object(value: &RawValue) -> bool {
+    value.get().starts_with('{')
+}
+
+/// Where a value that borrows from `body` lies in it.
+fn range_in(body: &[u8], value: &RawValue) -> Range<usize> {
+    let start = value.get().as_ptr() as usize - body.as_ptr() as usize;
+    start..start + value.get().len()
+}
+
+/// The path and query of a link on a page of `target`. `None`: it leads to another server, or to the same page again.
+fn resolve_link(host: &str, target: &str, href: &str) -> Option<String> {
+    let page = Url::parse(&format!("http://{host}{target}")).ok()?;
+    let link = page.join(href).ok()?;
+    let same_server = link.scheme() == "http" && link.host() == page.host() && link.port() == page.port();
+    let has_credentials = !link.username().is_empty() || link.password().is_some();
+    let path = link[Position::BeforePath..Position::AfterQuery].to_owned();
+    let same_page = page[Position::BeforePath..Position::AfterQuery] == path;
+    (same_server && !has_credentials && !same_page && path.len() <= MAX_LINK).then_some(path)
+}
