--- a/src/front/ogc/capabilities.rs
+++ b/src/front/ogc/capabilities.rs
@@ -127,7 +127,7 @@
     /// How much sooner than others an entry is stale, up to a quarter of the age: servers that were discovered together
     /// are not discovered again together.
     fn spread(&self, key: &ReplicaKey) -> Micros {
-        let hash = super::cursor::hash(&[key.address.as_bytes(), key.source.as_bytes()]);
+        let hash = super::cursor::stable_hash(&[key.address.as_bytes(), key.source.as_bytes()]);
         Micros(self.max_age.0 / 4 * (hash % 256) / 256)
     }
 
--- a/src/front/ogc/page_request.rs
+++ b/src/front/ogc/page_request.rs
@@ -5,7 +5,7 @@
 pub use page::parse_page;
 
 use super::lock;
-use super::paging::Page;
+use super::paging::FeaturePage;
 use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
 use crate::proto::fetch::Fetched;
@@ -38,7 +38,7 @@
     /// An attempt was dispatched, or was about to be.
     attempted: AtomicBool,
     /// The pages of the attempts that were served. The core refers to a page by its index.
-    pages: Mutex<Vec<Arc<Page>>>,
+    pages: Mutex<Vec<Arc<FeaturePage>>>,
 }
 
 impl PageRequest {
@@ -54,7 +54,7 @@
         }
     }
 
-    fn pages(&self) -> MutexGuard<'_, Vec<Arc<Page>>> {
+    fn pages(&self) -> MutexGuard<'_, Vec<Arc<FeaturePage>>> {
         lock(&self.pages)
     }
 
@@ -77,28 +77,30 @@
                 parse_page(fetched.body, host, &self.target, self.predicate.as_ref())
             }
             (200, RequestKind::Feature) => parse_feature(fetched.body),
-            (200, RequestKind::Document) => Some(Page { body: fetched.body, ..Page::default() }),
-            (404, RequestKind::Feature) => Some(Page::default()),
+            (200, RequestKind::Document) => {
+                Some(FeaturePage { body: fetched.body, ..FeaturePage::default() })
+            }
+            (404, RequestKind::Feature) => Some(FeaturePage::default()),
             // A server without such a document has answered: that must not end the discoveries at others.
-            (status, RequestKind::Document) if status != 429 => Some(Page::default()),
+            (status, RequestKind::Document) if status != 429 => Some(FeaturePage::default()),
             // Only this status says that the request was not started; with any other failure it may have run.
             (429, _) => return AttemptEnd::Failed(Outcome::Rejected),
             _ => None,
         };
         let Some(page) = page else { return AttemptEnd::Failed(Outcome::Error) };
         let mut pages = self.pages();
-        pages.push(Arc::new(Page { server: server.into(), ..page }));
+        pages.push(Arc::new(FeaturePage { server: server.into(), ..page }));
         let index = pages.len() as u32 - 1;
         AttemptEnd::Served(Value::from(index.to_be_bytes().as_slice()))
     }
 
     /// The page that came last, whatever the core made of it.
-    pub fn last_page(&self) -> Option<Arc<Page>> {
+    pub fn last_page(&self) -> Option<Arc<FeaturePage>> {
         self.pages().last().cloned()
     }
 
     /// The page that a value of the core refers to.
-    pub fn page(&self, value: &Value) -> Option<Arc<Page>> {
+    pub fn page(&self, value: &Value) -> Option<Arc<FeaturePage>> {
         let index: [u8; 4] = value.as_ref().try_into().ok()?;
         self.pages().get(u32::from_be_bytes(index) as usize).cloned()
     }
--- a/src/front/ogc/page_request/page.rs
+++ b/src/front/ogc/page_request/page.rs
@@ -1,6 +1,6 @@
 //! Parsing of a server's pages in place: features stay the bytes that they came as.
 
-use super::super::paging::Page;
+use super::super::paging::FeaturePage;
 use super::FeaturePredicate;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -20,7 +20,7 @@
     #[serde(default)]
     links: Vec<Link<'a>>,
     #[serde(rename = "numberMatched", default)]
-    matched: Option<u64>,
+    number_matched: Option<u64>,
 }
 
 /// A link of a feature collection.
@@ -40,32 +40,32 @@
     host: &str,
     target: &str,
     predicate: Option<&FeaturePredicate>,
-) -> Option<Page> {
+) -> Option<FeaturePage> {
     let collection: FeatureCollection<'_> = serde_json::from_slice(&body).ok()?;
     if !collection.features.iter().all(|feature| is_object(feature)) {
         return None;
     }
-    let given = collection.features.len();
+    let returned_count = collection.features.len();
     let ranges = collection.features.iter().map(|feature| range_in(&body, feature));
     let features: Vec<_> = match predicate {
         None => ranges.collect(),
         Some(predicate) => ranges.filter(|range| predicate(&body[range.clone()])).collect(),
     };
-    let next = match collection.links.iter().find(|link| link.rel == "next") {
+    let next_target = match collection.links.iter().find(|link| link.rel == "next") {
         None => None,
         Some(link) => Some(resolve_link(host, target, &link.href)?),
     };
-    let matched = collection.matched;
-    Some(Page { server: Arc::default(), features, given, next, matched, body })
+    let number_matched = collection.number_matched;
+    Some(FeaturePage { server: Arc::default(), features, returned_count, next_target, number_matched, body })
 }
 
 /// Parses a single feature as a page of one. `None`: the body is no JSON object.
-pub(super) fn parse_feature(body: Vec<u8>) -> Option<Page> {
+pub(super) fn parse_feature(body: Vec<u8>) -> Option<FeaturePage> {
     let range = {
         let feature: &RawValue = serde_json::from_slice(&body).ok()?;
         is_object(feature).then(|| range_in(&body, feature))?
     };
-    Some(Page { features: vec![range], given: 1, body, ..Page::default() })
+    Some(FeaturePage { features: vec![range], returned_count: 1, body, ..FeaturePage::default() })
 }
 
 fn is_object(value: &RawValue) -> bool {
--- a/src/front/ogc/page_request/tests.rs
+++ b/src/front/ogc/page_request/tests.rs
@@ -16,10 +16,10 @@
     let page = read(None).expect("a page");
     let texts: Vec<_> = page.features.iter().map(|r| &page.body[r.clone()]).collect();
     assert_eq!(texts, [b"{\"id\":1}".as_slice(), b"{\"id\":22}"]);
-    assert_eq!((page.given, page.matched), (2, Some(9)));
-    assert_eq!(page.next.as_deref(), Some("/c/items?offset=2"));
+    assert_eq!((page.returned_count, page.number_matched), (2, Some(9)));
+    assert_eq!(page.next_target.as_deref(), Some("/c/items?offset=2"));
     let predicate: FeaturePredicate = Arc::new(|f| f.len() > 8);
-    assert_eq!(read(Some(&predicate)).map(|p| (p.features.len(), p.given)), Some((1, 2)));
+    assert_eq!(read(Some(&predicate)).map(|p| (p.features.len(), p.returned_count)), Some((1, 2)));
 }
 
 #[test]
@@ -51,5 +51,8 @@
     let AttemptEnd::Served(value) = request.interpret("s", "a:1", fetched(200, "{}")) else {
         panic!("served")
     };
-    assert_eq!(request.page(&value).map(|p| (p.server.to_string(), p.given)), Some(("s".to_owned(), 1)));
+    assert_eq!(
+        request.page(&value).map(|p| (p.server.to_string(), p.returned_count)),
+        Some(("s".to_owned(), 1))
+    );
 }
