--- /dev/null
+++ b/src/front/ogc/admission.rs
@@ -0,0 +1,78 @@
+//! The admission of queries, by what they cost, and the reservations of those that are admitted.
+
+use super::client_request::{ClientContext, ItemsRequest};
+use super::cql2::Filter;
+use super::error::ApiError;
+use super::state::FrontState;
+use crate::coordinator::COUNTERS;
+use crate::limits::Cost;
+use crate::time::Micros;
+use std::sync::Arc;
+
+/// What an admitted query has in flight; released when the query ends, however it does.
+pub(super) struct PageReservation {
+    state: Arc<FrontState>,
+    cost: Cost,
+}
+
+impl Drop for PageReservation {
+    fn drop(&mut self) {
+        self.state.admission().release(self.cost);
+    }
+}
+
+/// The memory reserved for a response; released once the response is written.
+pub(super) struct MemoryReservation {
+    state: Arc<FrontState>,
+    bytes: f64,
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.state.admission().freed(self.bytes);
+    }
+}
+
+/// The reservations of an admitted query.
+pub(super) struct AdmittedQuery {
+    _pages: PageReservation,
+    pub memory: Arc<MemoryReservation>,
+}
+
+impl AdmittedQuery {
+    fn new(state: &Arc<FrontState>, cost: Cost, bytes: f64) -> Self {
+        AdmittedQuery {
+            _pages: PageReservation { state: state.clone(), cost },
+            memory: Arc::new(MemoryReservation { state: state.clone(), bytes }),
+        }
+    }
+
+    /// Admits a query over a number of shards, or rejects it with the time after which to retry.
+    pub fn admit(
+        state: &Arc<FrontState>,
+        client: &ClientContext,
+        request: &ItemsRequest,
+        shards: usize,
+    ) -> Result<Self, ApiError> {
+        let edge = &state.edge;
+        if !edge.limits.admission {
+            return Ok(Self::new(state, Cost { pages: 0.0, held: 0.0 }, 0.0));
+        }
+        let cost = cost(state, request, shards);
+        let objective =
+            Micros::from_millis(edge.classes[client.class].latency_objective_ms).min(client.timeout);
+        let admitted = state.admission().admit(cost, objective, state.server_capacity.rate());
+        let bytes = admitted.map_err(|refusal| {
+            COUNTERS.over_cost.add();
+            ApiError::Overloaded { retry_after: Some(refusal.come_back) }
+        })?;
+        Ok(Self::new(state, cost, bytes))
+    }
+}
+
+fn cost(state: &FrontState, request: &ItemsRequest, shards: usize) -> Cost {
+    let (edge, params) = (&state.edge, &request.params);
+    let filter_weight = params.filter.as_ref().map_or(0, Filter::weight);
+    let max_sorted_pages = (!params.sortby.is_empty()).then_some(edge.max_pages);
+    Cost::of(params.limit, edge.page_size, shards, edge.max_initial_shards, filter_weight, max_sorted_pages)
+}
--- a/src/front/ogc/capabilities.rs
+++ b/src/front/ogc/capabilities.rs
@@ -6,6 +6,7 @@
 //! server at a time.
 
 use super::cql2::{Capabilities, Queryables};
+use super::stable_hash::stable_hash;
 use crate::time::Micros;
 use serde_json::Value as Json;
 use std::collections::HashMap;
@@ -127,7 +128,7 @@
     /// How much sooner than others an entry is stale, up to a quarter of the age: servers that were discovered together
     /// are not discovered again together.
     fn spread(&self, key: &ReplicaKey) -> Micros {
-        let hash = super::cursor::stable_hash(&[key.address.as_bytes(), key.source.as_bytes()]);
+        let hash = stable_hash(&[key.address.as_bytes(), key.source.as_bytes()]);
         Micros(self.max_age.0 / 4 * (hash % 256) / 256)
     }
 
--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -3,11 +3,12 @@
 //!
 //! A token is base64url of a version byte, the fields as JSON, and the first 16 bytes of HMAC-SHA-256 (RFC 2104) over both.
 
+use super::stable_hash::stable_hash;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use base64::Engine as _;
 use hmac::{Hmac, KeyInit, Mac};
 use serde::{Deserialize, Serialize, Serializer};
-use sha2::{Digest, Sha256};
+use sha2::Sha256;
 
 /// The version of the serialized fields; a token of another version counts as expired.
 const VERSION: u8 = 1;
@@ -226,19 +227,5 @@
     }
 }
 
-/// A hash of these parts that is the same in every process: the first eight bytes of SHA-256 over all parts, each with its
-/// length before it.
-#[must_use]
-pub fn stable_hash(parts: &[&[u8]]) -> u64 {
-    let mut state = Sha256::new();
-    for part in parts {
-        state.update((part.len() as u64).to_be_bytes());
-        state.update(part);
-    }
-    let mut first = [0; 8];
-    first.copy_from_slice(&state.finalize()[..8]);
-    u64::from_be_bytes(first)
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/front/ogc/delivery.rs
@@ -0,0 +1,111 @@
+//! The last step of every response: conditional requests (RFC 9110, 13) and compression.
+
+use crate::front::Reaction;
+use crate::proto::body::Body;
+use crate::proto::http::{HttpRequest, Response};
+use flate2::write::GzEncoder;
+use flate2::Compression;
+use sha2::{Digest, Sha256};
+use std::io::Write;
+
+/// Smaller bodies are not compressed: the head alone is as large.
+const MIN_GZIP_BYTES: usize = 1_024;
+/// Bytes of the hash in an entity tag.
+const TAG_BYTES: usize = 12;
+/// The request headers that a response depends on.
+const VARY: &str = "Accept, Accept-Encoding, X-Qos";
+
+/// What a request says about the delivery of its response.
+#[derive(Debug, Clone, Default)]
+pub(super) struct DeliveryOptions {
+    accepts_gzip: bool,
+    if_none_match: Option<String>,
+}
+
+impl DeliveryOptions {
+    /// The options of a request by its headers.
+    pub fn of(request: &HttpRequest) -> Self {
+        let accept_encoding = request.headers.get("Accept-Encoding").unwrap_or_default();
+        DeliveryOptions {
+            accepts_gzip: accept_encoding.split(',').any(accepts_gzip),
+            if_none_match: request.headers.get("If-None-Match").map(str::to_owned),
+        }
+    }
+
+    /// Delivers the response of a reaction in this way, at once or when it comes.
+    pub fn wrap(self, reaction: Reaction) -> Reaction {
+        match reaction {
+            Reaction::Respond(response) => Reaction::Respond(self.deliver(response)),
+            Reaction::Submit(request, render) => {
+                Reaction::Submit(request, Box::new(move |answer| self.wrap(render(answer))))
+            }
+        }
+    }
+
+    fn deliver(&self, mut response: Response) -> Response {
+        if response.status != 200 || response.body.is_empty() {
+            return response;
+        }
+        response.headers.push(("Vary", VARY.to_owned()));
+        let tag = tag_of(&mut response);
+        if self.matches(&tag) {
+            return Response {
+                status: 304,
+                content_type: "",
+                headers: response.headers,
+                body: Body::default(),
+            };
+        }
+        if self.accepts_gzip && response.body.len() >= MIN_GZIP_BYTES {
+            compress(&mut response);
+        }
+        response
+    }
+
+    /// Whether the client has the version with this tag: the weak comparison of RFC 9110, 8.8.3.2.
+    fn matches(&self, tag: &str) -> bool {
+        let opaque = |tag: &str| tag.trim().trim_start_matches("W/").to_owned();
+        let matches_one = |listed: &str| listed.trim() == "*" || opaque(listed) == opaque(tag);
+        self.if_none_match.as_ref().is_some_and(|list| list.split(',').any(matches_one))
+    }
+}
+
+/// Whether an element of `Accept-Encoding` allows gzip.
+fn accepts_gzip(element: &str) -> bool {
+    let mut words = element.split(';').map(str::trim);
+    let named = matches!(words.next(), Some("gzip" | "x-gzip" | "*"));
+    let excluded = words.any(|word| word.strip_prefix("q=").is_some_and(|weight| weight.parse() == Ok(0.0)));
+    named && !excluded
+}
+
+/// The tag of a response; one that has none gets the tag of its body.
+fn tag_of(response: &mut Response) -> String {
+    if let Some((_, tag)) = response.headers.iter().find(|(name, _)| *name == "ETag") {
+        return tag.clone();
+    }
+    let tag = entity_tag(response.body.chunks());
+    response.headers.push(("ETag", tag.clone()));
+    tag
+}
+
+/// Compresses a body, for speed rather than size: one thread serves all requests.
+fn compress(response: &mut Response) {
+    let mut encoder = GzEncoder::new(Vec::with_capacity(response.body.len() / 4), Compression::fast());
+    let written = response.body.chunks().try_for_each(|chunk| encoder.write_all(chunk));
+    if let (Ok(()), Ok(compressed)) = (written, encoder.finish()) {
+        response.body = compressed.into();
+        response.headers.push(("Content-Encoding", "gzip".to_owned()));
+    }
+}
+
+/// A weak entity tag of these bytes.
+pub(super) fn entity_tag<'a>(chunks: impl Iterator<Item = &'a [u8]>) -> String {
+    let mut state = Sha256::new();
+    chunks.for_each(|chunk| state.update(chunk));
+    let hash = state.finalize();
+    let hex: String = hash[..TAG_BYTES].iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("W/\"{hex}\"")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/ogc/discovery.rs
@@ -0,0 +1,105 @@
+//! Capability discovery before a query: which servers are asked for what they can filter and sort, and for how long.
+
+use super::capabilities::{parse_capabilities, CapabilityLookup, ReplicaKey};
+use super::client_request::ClientContext;
+use super::cql2::Queryables;
+use super::page_request::{PageRequest, RequestKind};
+use super::round::{core_request, ShardRequest};
+use super::shards::{replicas, ShardSource};
+use super::state::FrontState;
+use crate::front::Reaction;
+use crate::interface::ShardId;
+use crate::time::Micros;
+use std::sync::Arc;
+
+/// Longest discovery before a query, or a quarter of the class's latency objective if that is longer; never more than a
+/// quarter of the query's time.
+const MAX_DISCOVERY: Micros = Micros::from_millis(500);
+/// Most servers that one query discovers.
+const MAX_DISCOVERIES: usize = 16;
+
+/// The discovery of one server's capabilities for a shard.
+struct Discovery {
+    shard: ShardId,
+    key: ReplicaKey,
+    conformance: Arc<PageRequest>,
+    queryables: Arc<PageRequest>,
+}
+
+impl Discovery {
+    fn new(shard: ShardId, key: ReplicaKey) -> Self {
+        let document = |path: String| Arc::new(PageRequest::new(RequestKind::Document, path));
+        let queryables = document(format!("/collections/{}/queryables", key.source));
+        Discovery { shard, key, conformance: document("/conformance".to_owned()), queryables }
+    }
+
+    fn requests(&self) -> [ShardRequest; 2] {
+        let part = |request: &Arc<PageRequest>| ShardRequest { shard: self.shard, request: request.clone() };
+        [part(&self.conformance), part(&self.queryables)]
+    }
+
+    /// Records what arrived, whatever the core's answer to the round was.
+    fn record(&self, state: &FrontState, now: Micros) {
+        let conformance = self.conformance.last_page();
+        let queryables = self.queryables.last_page();
+        let queryables = queryables.as_ref().map(|page| page.body.as_slice());
+        let capabilities = conformance
+            .and_then(|page| parse_capabilities(&page.body, queryables, state.edge.max_filter_text));
+        state.capabilities().record(&self.key, capabilities, now);
+    }
+}
+
+/// The queryables of a collection: those that the edge file declares, otherwise those of any of its servers, since what one
+/// of them cannot filter is filtered here.
+pub(super) fn queryables(state: &FrontState, collection: &str, shards: &[ShardSource]) -> Queryables {
+    if let Some(declared) = state.declared_queryables(collection) {
+        return declared;
+    }
+    let replicas = replicas(state, shards);
+    let keys = replicas.iter().flatten().map(|replica| &replica.key);
+    state.capabilities().any_queryables(keys).unwrap_or_else(Queryables::unknown)
+}
+
+/// Discovers the capabilities of the shards' servers where that is due and no other query does, then continues.
+pub(super) fn discover_then(
+    state: Arc<FrontState>,
+    client: &ClientContext,
+    shards: &[ShardSource],
+    then: impl FnOnce(Arc<FrontState>) -> Reaction + Send + 'static,
+) -> Reaction {
+    let discoveries = due_discoveries(&state, shards, client.sent_at);
+    if discoveries.is_empty() {
+        return then(state);
+    }
+    let client = ClientContext { timeout: discovery_timeout(&state, client), ..client.clone() };
+    let parts: Vec<_> = discoveries.iter().flat_map(Discovery::requests).collect();
+    let request = core_request(&state, &client, parts.into_iter());
+    Reaction::Submit(
+        request,
+        Box::new(move |_| {
+            discoveries.iter().for_each(|discovery| discovery.record(&state, client.sent_at));
+            then(state)
+        }),
+    )
+}
+
+fn due_discoveries(state: &FrontState, shards: &[ShardSource], now: Micros) -> Vec<Discovery> {
+    let mut discoveries = Vec::new();
+    for replica in replicas(state, shards).into_iter().flatten() {
+        if discoveries.len() >= MAX_DISCOVERIES {
+            break;
+        }
+        let lookup = state.capabilities().lookup(&replica.key, now);
+        if matches!(lookup, CapabilityLookup::Discover(_)) {
+            discoveries.push(Discovery::new(replica.sticky_shard, replica.key));
+        }
+    }
+    discoveries
+}
+
+/// A class with a long latency objective is assumed to be slow until it was measured: with less time than that the policy
+/// module would reject the discovery.
+fn discovery_timeout(state: &FrontState, client: &ClientContext) -> Micros {
+    let objective = Micros::from_millis(state.edge.classes[client.class].latency_objective_ms);
+    Micros(client.timeout.0 / 4).min(MAX_DISCOVERY.max(Micros(objective.0 / 4)))
+}
--- /dev/null
+++ b/src/front/ogc/error.rs
@@ -0,0 +1,109 @@
+//! Why a request gets an error response. The messages are the `detail` of the problem documents that clients read.
+
+use super::cursor::CursorError;
+use crate::coordinator::Answer;
+use crate::time::Micros;
+
+/// Why a request gets an error response.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub(super) enum ApiError {
+    #[error("the path is no UTF-8")]
+    PathNotUtf8,
+    #[error("unknown parameter {0:?}")]
+    UnknownParameter(String),
+    #[error("{0}")]
+    InvalidParameters(String),
+    #[error("{detail}")]
+    Format { status: u16, detail: String },
+    #[error("crs: {0:?} is not served")]
+    UnsupportedCrs(String),
+    #[error("X-Qos names no class")]
+    UnknownClass,
+    #[error("X-Expires-In is no time")]
+    InvalidTimeout,
+    #[error("too many features to put in order here, and their servers cannot: ask for fewer by a filter or a box")]
+    TooManyFeaturesToSort,
+    #[error("nothing is here")]
+    NoSuchResource,
+    #[error("there is no collection {0:?}")]
+    NoSuchCollection(String),
+    #[error("there is no feature of that id")]
+    NoSuchFeature,
+    #[error("only GET and HEAD are served here")]
+    OnlyGetAndHead,
+    #[error("only POST is served here")]
+    OnlyPost,
+    #[error("Content-Type: application/json is needed")]
+    UnsupportedMediaType,
+    #[error(transparent)]
+    Cursor(#[from] CursorError),
+    #[error("cursor: the shard that it leads to is no more; begin anew without it")]
+    ShardRemoved,
+    #[error("cursor: the server that its pages came from has left; begin anew without it")]
+    ServerRemoved,
+    #[error("another request of that name is open")]
+    DuplicateRequestId,
+    #[error("no answer")]
+    NoAnswer,
+    #[error("too many of the servers failed")]
+    ServersFailed,
+    #[error("a server gave what is no feature")]
+    InvalidFeature,
+    /// A shard that did not answer may hold the feature.
+    #[error("not found where it could be looked for; some servers failed")]
+    FeatureLookupIncomplete,
+    #[error("too much is asked at present; ask again")]
+    Overloaded { retry_after: Option<Micros> },
+    #[error("the servers did not answer in time")]
+    Timeout,
+}
+
+impl From<(u16, String)> for ApiError {
+    fn from((status, detail): (u16, String)) -> Self {
+        ApiError::Format { status, detail }
+    }
+}
+
+impl ApiError {
+    /// Why the core's answer is no result; `None` if it is one.
+    pub fn from_answer(answer: &Answer) -> Option<Self> {
+        match answer {
+            Answer::Served { .. } => None,
+            Answer::Rejected { late: true, .. } | Answer::Failed { late: true } => Some(ApiError::Timeout),
+            Answer::Rejected { retry_after, late: false } => {
+                Some(ApiError::Overloaded { retry_after: *retry_after })
+            }
+            Answer::UnknownClass => Some(ApiError::UnknownClass),
+            Answer::DuplicateRequestId => Some(ApiError::DuplicateRequestId),
+            Answer::Failed { late: false } => Some(ApiError::ServersFailed),
+        }
+    }
+
+    /// The HTTP status (RFC 9110).
+    pub fn status(&self) -> u16 {
+        match self {
+            ApiError::Format { status, .. } => *status,
+            ApiError::PathNotUtf8
+            | ApiError::UnknownParameter(_)
+            | ApiError::InvalidParameters(_)
+            | ApiError::UnsupportedCrs(_)
+            | ApiError::UnknownClass
+            | ApiError::InvalidTimeout
+            | ApiError::TooManyFeaturesToSort => 400,
+            ApiError::NoSuchResource | ApiError::NoSuchCollection(_) | ApiError::NoSuchFeature => 404,
+            ApiError::OnlyGetAndHead | ApiError::OnlyPost => 405,
+            ApiError::DuplicateRequestId => 409,
+            ApiError::ShardRemoved | ApiError::ServerRemoved => 410,
+            ApiError::UnsupportedMediaType => 415,
+            ApiError::NoAnswer => 500,
+            ApiError::ServersFailed | ApiError::InvalidFeature | ApiError::FeatureLookupIncomplete => 502,
+            ApiError::Overloaded { .. } => 503,
+            ApiError::Timeout => 504,
+            ApiError::Cursor(error) => match error {
+                CursorError::NotAuthentic | CursorError::WrongQuery => 400,
+                CursorError::Expired => 410,
+                CursorError::LinkCycle => 502,
+            },
+        }
+    }
+}
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -1,5 +1,8 @@
 //! Whatever comes in: a 4xx as problem JSON, or a query; never a panic.
 
+use super::cql2;
+use super::cursor::CursorKey;
+use super::page_request::PageRequest;
 use super::*;
 use crate::coordinator::Answer;
 use crate::proto::http::Server;
--- /dev/null
+++ b/src/front/ogc/handlers/documents.rs
@@ -0,0 +1,99 @@
+//! Documents about the service.
+
+use super::ResourceRequest;
+use crate::front::ogc::cql2::{QueryableType, Queryables};
+use crate::front::ogc::discovery::{discover_then, queryables};
+use crate::front::ogc::error::ApiError;
+use crate::front::ogc::response::{documents, openapi};
+use crate::front::ogc::shards::shards_of;
+use crate::front::ogc::state::lock;
+use crate::front::Reaction;
+use crate::proto::http::Response;
+
+/// The schemas of a collection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SchemaKind {
+    /// What can be filtered by.
+    Queryables,
+    /// What can be sorted by.
+    Sortables,
+    /// What is returned.
+    Schema,
+}
+
+impl SchemaKind {
+    fn name(self) -> &'static str {
+        match self {
+            SchemaKind::Queryables => "queryables",
+            SchemaKind::Sortables => "sortables",
+            SchemaKind::Schema => "schema",
+        }
+    }
+
+    /// Leaves out the properties that do not belong in this schema.
+    fn restrict(self, queryables: &mut Queryables) {
+        if self == SchemaKind::Sortables {
+            queryables.named.retain(|_, queryable_type| {
+                !matches!(queryable_type, QueryableType::Geometry | QueryableType::Array)
+            });
+        }
+    }
+}
+
+/// Responds, unless the request has parameters: documents have none.
+fn respond(request: &ResourceRequest<'_>, response: Response) -> Result<Reaction, ApiError> {
+    request.allow_parameters(&[])?;
+    Ok(Reaction::Respond(response))
+}
+
+/// Whether the program is ready to serve.
+pub(super) fn readiness(request: &ResourceRequest<'_>) -> Result<Reaction, ApiError> {
+    let response = match request.incoming.ready {
+        true => Response::new(200, "text/plain", "ready\n"),
+        false => Response::new(503, "text/plain", "not ready\n"),
+    };
+    respond(request, response)
+}
+
+pub(super) fn landing_page(request: &ResourceRequest<'_>) -> Result<Reaction, ApiError> {
+    respond(request, documents::landing_page(&request.document))
+}
+
+pub(super) fn conformance(request: &ResourceRequest<'_>) -> Result<Reaction, ApiError> {
+    respond(request, documents::conformance(&request.document))
+}
+
+pub(super) fn openapi(request: &ResourceRequest<'_>) -> Result<Reaction, ApiError> {
+    respond(request, openapi::openapi(&request.document, &request.incoming.state.edge))
+}
+
+pub(super) fn collections(request: &ResourceRequest<'_>) -> Result<Reaction, ApiError> {
+    let state = request.incoming.state;
+    let ids: Vec<String> = lock(&state.catalog).collections().map(str::to_owned).collect();
+    respond(request, documents::collections(&request.document, &ids, &state.edge))
+}
+
+pub(super) fn collection(request: &ResourceRequest<'_>, id: &str) -> Result<Reaction, ApiError> {
+    let state = request.incoming.state;
+    shards_of(state, id)?;
+    respond(request, documents::collection(&request.document, id, &state.edge))
+}
+
+/// A schema of a collection, after the discovery of what its servers can do.
+pub(super) fn schema(
+    request: &ResourceRequest<'_>,
+    id: &str,
+    kind: SchemaKind,
+) -> Result<Reaction, ApiError> {
+    request.allow_parameters(&[])?;
+    let incoming = request.incoming;
+    let shards = shards_of(incoming.state, id)?;
+    let client = incoming.client()?;
+    let (id, document, discovered) = (id.to_owned(), request.document.clone(), shards.clone());
+    Ok(discover_then(incoming.state.clone(), &client, &discovered, move |state| {
+        let mut queryables = queryables(&state, &id, &shards);
+        kind.restrict(&mut queryables);
+        let title = format!("{} of {id}", kind.name());
+        Reaction::Respond(documents::schema(&document, &title, &queryables))
+    }))
+}
--- /dev/null
+++ b/src/front/ogc/handlers/feature.rs
@@ -0,0 +1,66 @@
+//! One feature by its identifier: `GET /collections/{collectionId}/items/{featureId}`.
+
+use super::ResourceRequest;
+use crate::front::ogc::crs::Crs;
+use crate::front::ogc::error::ApiError;
+use crate::front::ogc::page_request::{PageRequest, RequestKind};
+use crate::front::ogc::response::feature::{feature as feature_response, FeatureRequest};
+use crate::front::ogc::round::{core_request, count_response, ShardRequest};
+use crate::front::ogc::shards::{shards_of, ShardSource};
+use crate::front::Reaction;
+use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
+use std::sync::Arc;
+
+/// Longest identifier of a feature that servers are asked for, in bytes.
+const MAX_ID_BYTES: usize = 512;
+
+pub(super) fn feature(
+    request: &ResourceRequest<'_>,
+    collection: &str,
+    feature_id: &str,
+) -> Result<Reaction, ApiError> {
+    let incoming = request.incoming;
+    let shards = shards_of(incoming.state, collection)?;
+    if feature_id.len() > MAX_ID_BYTES {
+        return Err(ApiError::NoSuchFeature);
+    }
+    request.allow_parameters(&["crs"])?;
+    let crs = crs(request)?;
+    let client = incoming.client()?;
+    let shard_requests = shard_requests(&shards, feature_id);
+    let core_request = core_request(incoming.state, &client, shard_requests.iter().cloned());
+    let feature_request = FeatureRequest {
+        base_url: request.document.base_url.clone(),
+        collection: collection.to_owned(),
+        crs,
+        format: request.document.format,
+        shard_requests,
+    };
+    let metrics = incoming.state.class_metrics(client.class);
+    Ok(Reaction::Submit(
+        core_request,
+        Box::new(move |answer| {
+            let response = feature_response(&feature_request, answer);
+            count_response(&metrics, &response);
+            Reaction::Respond(response)
+        }),
+    ))
+}
+
+/// The coordinate reference system of the response.
+fn crs(request: &ResourceRequest<'_>) -> Result<Crs, ApiError> {
+    match request.parameters.iter().find(|(name, _)| name == "crs") {
+        None => Ok(Crs::Crs84),
+        Some((_, text)) => Crs::read(text).ok_or_else(|| ApiError::UnsupportedCrs(text.clone())),
+    }
+}
+
+fn shard_requests(shards: &[ShardSource], feature_id: &str) -> Vec<ShardRequest> {
+    let escaped_id = utf8_percent_encode(feature_id, NON_ALPHANUMERIC);
+    let shard_request = |source: &ShardSource| {
+        let target = format!("/collections/{}/items/{escaped_id}", source.name);
+        let request = Arc::new(PageRequest::new(RequestKind::Feature, target));
+        ShardRequest { shard: source.shard, request }
+    };
+    shards.iter().map(shard_request).collect()
+}
--- /dev/null
+++ b/src/front/ogc/handlers/items.rs
@@ -0,0 +1,53 @@
+//! The features of a collection: `GET /collections/{collectionId}/items`.
+
+use super::ResourceRequest;
+use crate::front::ogc::client_request::ItemsRequest;
+use crate::front::ogc::cql2::Queryables;
+use crate::front::ogc::discovery::queryables;
+use crate::front::ogc::error::ApiError;
+use crate::front::ogc::params::{parse_items_query, ParameterRules};
+use crate::front::ogc::query::ItemsQuery;
+use crate::front::ogc::shards::shards_of;
+use crate::front::ogc::state::FrontState;
+use crate::front::Reaction;
+use std::sync::Arc;
+
+/// Parameters that mean the same whatever the capabilities of the servers are.
+const CAPABILITY_INDEPENDENT: [&str; 8] =
+    ["limit", "bbox", "bbox-crs", "datetime", "crs", "properties", "cursor", "f"];
+
+pub(super) fn items(request: &ResourceRequest<'_>, collection: &str) -> Result<Reaction, ApiError> {
+    let incoming = request.incoming;
+    let shards = shards_of(incoming.state, collection)?;
+    let client = incoming.client()?;
+    let parameters = request.parameters.clone();
+    let needs_discovery = !parameters.iter().all(|(name, _)| CAPABILITY_INDEPENDENT.contains(&name.as_str()));
+    let document = request.document.clone();
+    let (collection, query_string) = (collection.to_owned(), request.query_string.to_owned());
+    let (query_client, query_shards) = (client.clone(), shards.clone());
+    let start = move |state: Arc<FrontState>| {
+        let queryables = match needs_discovery {
+            true => queryables(&state, &collection, &query_shards),
+            false => Queryables::unknown(),
+        };
+        let rules = ParameterRules {
+            default_limit: state.edge.default_limit,
+            max_limit: state.edge.max_limit,
+            queryables: &queryables,
+        };
+        let params = parse_items_query(&parameters, &rules).map_err(ApiError::InvalidParameters)?;
+        let request = ItemsRequest {
+            base_url: document.base_url,
+            collection,
+            query_string,
+            search_body: None,
+            params,
+            format: document.format,
+        };
+        ItemsQuery::start(state, query_client, request, query_shards)
+    };
+    match needs_discovery {
+        true => Ok(incoming.start_after_discovery(&client, &shards, start)),
+        false => start(incoming.state.clone()),
+    }
+}
--- /dev/null
+++ b/src/front/ogc/handlers/mod.rs
@@ -0,0 +1,134 @@
+//! The resources of the front: which handler a request goes to, and the handlers.
+
+mod documents;
+mod feature;
+mod items;
+mod search;
+
+use super::client_request::{base_url, ClientContext};
+use super::discovery::discover_then;
+use super::error::ApiError;
+use super::params::{decode_query, negotiate_format};
+use super::response::documents::DocumentContext;
+use super::response::problem::error_response;
+use super::shards::ShardSource;
+use super::state::FrontState;
+use crate::coordinator::{Token, COUNTERS};
+use crate::front::Reaction;
+use crate::proto::http::HttpRequest;
+use crate::time::Micros;
+use documents::SchemaKind;
+use std::sync::Arc;
+
+/// The parameter that all resources have: the format of the response.
+const FORMAT_PARAMETER: &str = "f";
+
+/// A request that was received, and what it is handled with.
+pub(super) struct IncomingRequest<'a> {
+    pub state: &'a Arc<FrontState>,
+    pub http: &'a HttpRequest,
+    pub token: Token,
+    pub sent_at: Micros,
+    /// The program is ready to serve.
+    pub ready: bool,
+}
+
+/// A `GET` or `HEAD` request for a resource.
+struct ResourceRequest<'a> {
+    incoming: &'a IncomingRequest<'a>,
+    document: DocumentContext,
+    query_string: &'a str,
+    /// The decoded names and values of the query string.
+    parameters: Vec<(String, String)>,
+}
+
+impl IncomingRequest<'_> {
+    /// Handles the request.
+    pub fn handle(&self) -> Result<Reaction, ApiError> {
+        let (path, query_string) = self.http.target.split_once('?').unwrap_or((&self.http.target, ""));
+        let segments = decode_segments(path)?;
+        let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+        if segments == ["search"] {
+            return search::search(self);
+        }
+        if !matches!(self.http.method.as_str(), "GET" | "HEAD") {
+            return Err(ApiError::OnlyGetAndHead);
+        }
+        self.resource_request(path, query_string)?.route(&segments)
+    }
+
+    fn resource_request<'a>(
+        &'a self,
+        path: &str,
+        query_string: &'a str,
+    ) -> Result<ResourceRequest<'a>, ApiError> {
+        let parameters = decode_query(query_string);
+        let requested = parameters.iter().find(|(name, _)| name == FORMAT_PARAMETER);
+        let requested = requested.map(|(_, value)| value.as_str());
+        let format = negotiate_format(requested, self.http.headers.get("Accept"))?;
+        let path = path.trim_end_matches('/');
+        let path = if path.is_empty() { "/" } else { path };
+        let document = DocumentContext { base_url: self.base_url(), path: path.to_owned(), format };
+        Ok(ResourceRequest { incoming: self, document, query_string, parameters })
+    }
+
+    fn base_url(&self) -> String {
+        base_url(self.http, &self.state.edge)
+    }
+
+    fn client(&self) -> Result<ClientContext, ApiError> {
+        ClientContext::of(self.http, &self.state.edge, self.token, self.sent_at)
+    }
+
+    /// Starts a query after capability discovery: whether a name is a queryable must not depend on earlier requests.
+    fn start_after_discovery(
+        &self,
+        client: &ClientContext,
+        shards: &[ShardSource],
+        start: impl FnOnce(Arc<FrontState>) -> Result<Reaction, ApiError> + Send + 'static,
+    ) -> Reaction {
+        discover_then(self.state.clone(), client, shards, |state| {
+            start(state).unwrap_or_else(|error| {
+                COUNTERS.bad_requests.add();
+                Reaction::Respond(error_response(&error))
+            })
+        })
+    }
+}
+
+impl ResourceRequest<'_> {
+    fn route(&self, segments: &[&str]) -> Result<Reaction, ApiError> {
+        match *segments {
+            ["up"] => documents::readiness(self),
+            [] => documents::landing_page(self),
+            ["conformance"] => documents::conformance(self),
+            ["api"] => documents::openapi(self),
+            ["collections"] => documents::collections(self),
+            ["collections", id] => documents::collection(self, id),
+            ["collections", id, "queryables"] => documents::schema(self, id, SchemaKind::Queryables),
+            ["collections", id, "sortables"] => documents::schema(self, id, SchemaKind::Sortables),
+            ["collections", id, "schema"] => documents::schema(self, id, SchemaKind::Schema),
+            ["collections", id, "items"] => items::items(self, id),
+            ["collections", id, "items", feature_id] => feature::feature(self, id, feature_id),
+            _ => Err(ApiError::NoSuchResource),
+        }
+    }
+
+    /// Rejects parameters other than these and the format.
+    fn allow_parameters(&self, allowed: &[&str]) -> Result<(), ApiError> {
+        let is_allowed = |name: &str| name == FORMAT_PARAMETER || allowed.contains(&name);
+        match self.parameters.iter().find(|(name, _)| !is_allowed(name)) {
+            Some((name, _)) => Err(ApiError::UnknownParameter(name.clone())),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The segments of a path, decoded; empty ones are left out.
+fn decode_segments(path: &str) -> Result<Vec<String>, ApiError> {
+    let decode = |segment: &str| {
+        let decoded = percent_encoding::percent_decode_str(segment).decode_utf8();
+        decoded.map(|text| text.into_owned()).map_err(|_| ApiError::PathNotUtf8)
+    };
+    path.split('/').filter(|segment| !segment.is_empty()).map(decode).collect()
+}
--- /dev/null
+++ b/src/front/ogc/handlers/search.rs
@@ -0,0 +1,50 @@
+//! A query in a body, for parameters too long for a request's head: `POST /search`, in the form of the STAC API's Item Search.
+
+use super::IncomingRequest;
+use crate::front::ogc::client_request::ItemsRequest;
+use crate::front::ogc::discovery::queryables;
+use crate::front::ogc::error::ApiError;
+use crate::front::ogc::params::{parse_search, parse_search_body, search_collection, Format};
+use crate::front::ogc::query::ItemsQuery;
+use crate::front::ogc::shards::shards_of;
+use crate::front::ogc::state::FrontState;
+use crate::front::Reaction;
+use crate::proto::http::HttpRequest;
+use std::sync::Arc;
+
+pub(super) fn search(incoming: &IncomingRequest<'_>) -> Result<Reaction, ApiError> {
+    if incoming.http.method != "POST" {
+        return Err(ApiError::OnlyPost);
+    }
+    if !has_json_body(incoming.http) {
+        return Err(ApiError::UnsupportedMediaType);
+    }
+    let body = parse_search_body(&incoming.http.body).map_err(ApiError::InvalidParameters)?;
+    let collection = search_collection(&body).map_err(ApiError::InvalidParameters)?;
+    let shards = shards_of(incoming.state, &collection)?;
+    let client = incoming.client()?;
+    let base_url = incoming.base_url();
+    let (query_client, query_shards) = (client.clone(), shards.clone());
+    let start = move |state: Arc<FrontState>| {
+        let queryables_of = |id: &str| Some(queryables(&state, id, &query_shards));
+        let limits = (state.edge.default_limit, state.edge.max_limit);
+        let (collection, params) =
+            parse_search(&body, queryables_of, limits).map_err(ApiError::InvalidParameters)?;
+        let request = ItemsRequest {
+            base_url,
+            collection,
+            query_string: String::new(),
+            search_body: Some(body),
+            params,
+            format: Format::Json,
+        };
+        ItemsQuery::start(state, query_client, request, query_shards)
+    };
+    Ok(incoming.start_after_discovery(&client, &shards, start))
+}
+
+fn has_json_body(request: &HttpRequest) -> bool {
+    let content_type = request.headers.get("Content-Type").unwrap_or_default();
+    let media_type = content_type.split(';').next().unwrap_or_default().trim();
+    media_type.eq_ignore_ascii_case("application/json")
+}
--- /dev/null
+++ b/src/front/ogc/query/merge.rs
@@ -0,0 +1,161 @@
+//! The merge of a query's pages, with or without a sort order.
+
+use super::resume::ResumePoint;
+use crate::front::ogc::config::{ClassConfig, EdgeConfig};
+use crate::front::ogc::paging::{
+    ConcatMerge, ConcatProgress, FetchedPage, PageFetch, PageSlice, PagingLimits, ResumePosition,
+    SortedMerge, SortedProgress, SortedQuery,
+};
+use crate::front::ogc::params::Params;
+use crate::front::ogc::shard_plan::ShardPlan;
+use crate::front::ogc::stable_hash::feature_id_hash;
+use serde_json::Value as Json;
+use std::sync::Arc;
+
+/// The effect of a class whose parts must not run twice, as the edge file names it.
+const UNSAFE_EFFECT: &str = "unsafe";
+
+/// A merge of pages.
+pub(super) enum Merge {
+    Concat(Box<ConcatMerge>),
+    Sorted(SortedMerge),
+}
+
+/// How far a merge is.
+pub(super) enum MergeProgress {
+    NeedsPages,
+    Complete,
+    /// Too many shards are missing, or there is nothing to respond with.
+    Failed,
+    TooManyPages,
+}
+
+/// What a merge holds.
+pub(super) struct MergedItems {
+    pub slices: Vec<PageSlice>,
+    pub number_returned: usize,
+    pub complete: bool,
+    /// The indexes of the missing shards.
+    pub missing_shards: Vec<usize>,
+    pub number_matched: Option<u64>,
+}
+
+/// Where the next response starts.
+pub(super) enum NextStart<'a> {
+    Position(&'a ResumePosition),
+    AfterValues(Vec<Json>),
+}
+
+impl Merge {
+    /// A merge for a query, at the point where it resumes.
+    pub fn new(
+        edge: &EdgeConfig,
+        class: &ClassConfig,
+        params: &Params,
+        plans: &[ShardPlan],
+        resume_point: &ResumePoint,
+    ) -> Self {
+        if params.sortby.is_empty() {
+            let limits = PagingLimits {
+                limit: params.limit,
+                page_size: edge.page_size,
+                max_initial_shards: edge.max_initial_shards,
+                max_pages: edge.max_pages,
+                max_bytes: edge.max_bytes,
+                filtered_locally: plans.iter().any(|plan| plan.predicate.is_some()),
+                min_shard_share: class.min_share,
+                idempotent: class.effect != UNSAFE_EFFECT,
+            };
+            let start = resume_point.position.clone();
+            return Merge::Concat(Box::new(ConcatMerge::new(limits, start, plans.len())));
+        }
+        let query = SortedQuery {
+            keys: params.sortby.clone(),
+            limit: params.limit,
+            page_size: edge.page_size,
+            max_pages: edge.max_pages,
+            min_shard_share: class.min_share,
+            after_values: resume_point.after_values().map(<[Json]>::to_vec),
+        };
+        let sorted: Vec<bool> = plans.iter().map(|plan| plan.sorted).collect();
+        Merge::Sorted(SortedMerge::new(query, &sorted))
+    }
+
+    pub fn next_fetches(&self) -> Vec<PageFetch> {
+        match self {
+            Merge::Concat(merge) => merge.next_fetches(),
+            Merge::Sorted(merge) => merge.next_fetches(),
+        }
+    }
+
+    pub fn accept(&mut self, fetched: Vec<FetchedPage>) -> MergeProgress {
+        match self {
+            Merge::Concat(merge) => match merge.accept(fetched, feature_id_hash) {
+                ConcatProgress::NeedsPages => MergeProgress::NeedsPages,
+                ConcatProgress::Complete if merge.has_enough_shards() => MergeProgress::Complete,
+                ConcatProgress::Complete | ConcatProgress::Failed => MergeProgress::Failed,
+            },
+            Merge::Sorted(merge) => match merge.accept(fetched) {
+                SortedProgress::NeedsPages => MergeProgress::NeedsPages,
+                SortedProgress::Complete => MergeProgress::Complete,
+                SortedProgress::TooFewShards => MergeProgress::Failed,
+                SortedProgress::TooManyPages => MergeProgress::TooManyPages,
+            },
+        }
+    }
+
+    /// The server at which this shard was interrupted, if it was.
+    pub fn interrupted_server(&self, shard: usize) -> Option<&str> {
+        let Merge::Concat(merge) = self else { return None };
+        merge.interrupted().filter(|interrupted| interrupted.shard == shard).map(|i| &*i.server)
+    }
+
+    /// Whether the features so far are a valid response, which continues where they end. Sorted features are not before all
+    /// shards are there.
+    pub fn is_valid_when_cut(&self) -> bool {
+        match self {
+            Merge::Concat(merge) => merge.count() > 0 && merge.has_enough_shards(),
+            Merge::Sorted(_) => false,
+        }
+    }
+
+    pub fn result(&self) -> MergedItems {
+        match self {
+            Merge::Concat(merge) => concat_result(merge),
+            Merge::Sorted(merge) => sorted_result(merge),
+        }
+    }
+
+    /// Where the next response starts; `None` after the last.
+    pub fn next_start(&self) -> Option<NextStart<'_>> {
+        match self {
+            Merge::Concat(merge) => merge.resume_position().map(NextStart::Position),
+            Merge::Sorted(merge) => merge.resume_after().map(NextStart::AfterValues),
+        }
+    }
+}
+
+fn concat_result(merge: &ConcatMerge) -> MergedItems {
+    // Shards from the next response's start on are not missing from this one.
+    let end = merge.resume_position().map_or(usize::MAX, |position| position.shard);
+    MergedItems {
+        slices: merge.slices().to_vec(),
+        number_returned: merge.count(),
+        complete: merge.is_complete(),
+        missing_shards: merge.missing_shards().into_iter().filter(|shard| *shard < end).collect(),
+        number_matched: merge.number_matched(),
+    }
+}
+
+fn sorted_result(merge: &SortedMerge) -> MergedItems {
+    let page = Arc::new(merge.to_page());
+    let count = page.features.len();
+    let missing_shards = merge.missing_shards();
+    MergedItems {
+        slices: vec![PageSlice { page, features: 0..count }],
+        number_returned: count,
+        complete: missing_shards.is_empty(),
+        missing_shards,
+        number_matched: None,
+    }
+}
--- /dev/null
+++ b/src/front/ogc/query/mod.rs
@@ -0,0 +1,217 @@
+//! A query for the features of a collection: rounds of page requests until its response is complete.
+
+mod merge;
+mod resume;
+
+use super::admission::AdmittedQuery;
+use super::client_request::{ClientContext, ItemsRequest};
+use super::error::ApiError;
+use super::page_request::{PageRequest, RequestKind};
+use super::paging::{FetchedPage, PageFetch, PageLocation};
+use super::response::feature_collection::feature_collection;
+use super::response::items_result::ItemsResult;
+use super::response::problem::error_response;
+use super::round::{core_request, count_response, ShardRequest};
+use super::shard_plan::ShardPlan;
+use super::shards::ShardSource;
+use super::state::{lock, FrontState};
+use crate::coordinator::Answer;
+use crate::front::{Reaction, Render};
+use crate::interface::ShardId;
+use crate::proto::http::Response;
+use merge::{Merge, MergeProgress};
+use resume::ResumePoint;
+use std::sync::Arc;
+
+/// A query in progress.
+pub(super) struct ItemsQuery {
+    state: Arc<FrontState>,
+    client: ClientContext,
+    request: ItemsRequest,
+    /// The shards of the collection, in order.
+    shards: Vec<ShardSource>,
+    /// How each of the shards is asked.
+    plans: Vec<ShardPlan>,
+    merge: Merge,
+    /// The fetches of the current round.
+    in_flight: Vec<InFlightFetch>,
+    resume_point: ResumePoint,
+    admitted: AdmittedQuery,
+}
+
+/// A page that the current round fetches.
+struct InFlightFetch {
+    fetch: PageFetch,
+    request: ShardRequest,
+}
+
+impl ItemsQuery {
+    /// Starts a query, at its cursor if it has one.
+    pub fn start(
+        state: Arc<FrontState>,
+        client: ClientContext,
+        request: ItemsRequest,
+        shards: Vec<ShardSource>,
+    ) -> Result<Reaction, ApiError> {
+        let resume_point = ResumePoint::of(&state, &request, &shards)?;
+        let admitted = match AdmittedQuery::admit(&state, &client, &request, shards.len()) {
+            Ok(admitted) => admitted,
+            Err(error) => {
+                let response = error_response(&error);
+                count_response(&state.class_metrics(client.class), &response);
+                return Ok(Reaction::Respond(response));
+            }
+        };
+        let plans = plans(&state, &request, &shards, &resume_point);
+        let class = &state.edge.classes[client.class];
+        let merge = Merge::new(&state.edge, class, &request.params, &plans, &resume_point);
+        let in_flight = Vec::new();
+        let query =
+            ItemsQuery { state, client, request, shards, plans, merge, in_flight, resume_point, admitted };
+        Ok(query.next_round())
+    }
+
+    /// Sends the requests of the next round.
+    fn next_round(mut self) -> Reaction {
+        let mut unavailable = Vec::new();
+        for fetch in self.merge.next_fetches() {
+            match self.shard_request(&fetch) {
+                Some(request) => self.in_flight.push(InFlightFetch { fetch, request }),
+                None => unavailable.push(fetch.fetched(None)),
+            }
+        }
+        if self.in_flight.is_empty() {
+            return self.accept(unavailable, None);
+        }
+        let parts = self.in_flight.iter().map(|fetch| fetch.request.clone());
+        let request = core_request(&self.state, &self.client, parts);
+        let render: Render = Box::new(move |answer| self.accept_answer(answer, unavailable));
+        Reaction::Submit(request, render)
+    }
+
+    /// The request for a page. `None`: the only server that can return it has left.
+    fn shard_request(&self, fetch: &PageFetch) -> Option<ShardRequest> {
+        let plan = &self.plans[fetch.shard];
+        let (shard, target) = match &fetch.location {
+            PageLocation::ShardStart => self.first_page(fetch),
+            PageLocation::NextLink { server, target, .. } => {
+                (self.shard_of_link(fetch.shard, server)?, target.to_string())
+            }
+        };
+        let mut request = PageRequest::new(RequestKind::Items, target);
+        request.predicate = plan.predicate.clone();
+        Some(ShardRequest { shard, request: Arc::new(request) })
+    }
+
+    /// The shard for the first page, and the target of the request. A shard that was interrupted at a server is started
+    /// again at another one.
+    fn first_page(&self, fetch: &PageFetch) -> (ShardId, String) {
+        let source = &self.shards[fetch.shard];
+        let interrupted_server = self.merge.interrupted_server(fetch.shard);
+        let elsewhere = interrupted_server
+            .and_then(|server| lock(&self.state.catalog).excluding_server(source.shard, server));
+        let target = self.plans[fetch.shard].target(&source.name, &self.request.params, fetch.page_size);
+        (elsewhere.unwrap_or(source.shard), target)
+    }
+
+    /// The shard in which a link is followed: anywhere if all servers have the same order, otherwise at the server that gave
+    /// the link, since others may have the features in another order.
+    fn shard_of_link(&self, index: usize, server: &str) -> Option<ShardId> {
+        let shard = self.shards[index].shard;
+        if self.state.has_same_order(&self.request.collection) {
+            return Some(shard);
+        }
+        lock(&self.state.catalog).sticky_shard(shard, server)
+    }
+
+    /// Takes in the core's answer to a round. `unavailable`: fetches of the round that could not be sent.
+    fn accept_answer(mut self, answer: Answer, unavailable: Vec<FetchedPage>) -> Reaction {
+        let in_flight = std::mem::take(&mut self.in_flight);
+        let error = ApiError::from_answer(&answer);
+        let mut fetched = unavailable;
+        match answer {
+            Answer::Served { parts, .. } => {
+                for InFlightFetch { fetch, request } in in_flight {
+                    let part = parts.iter().find(|(shard, _)| *shard == request.shard);
+                    let page = part.and_then(|(_, value)| request.request.page(value));
+                    if let Some(page) = &page {
+                        let mut admission = self.state.admission();
+                        admission.page(page.body.len(), page.returned_count, fetch.page_size);
+                    }
+                    fetched.push(fetch.fetched(page));
+                }
+            }
+            Answer::DuplicateRequestId | Answer::UnknownClass => return self.end(error),
+            // Rejected for load: no shard is missing, there was just no capacity to ask.
+            Answer::Rejected { late: false, .. }
+                if !in_flight.iter().any(|fetch| fetch.request.request.attempted()) =>
+            {
+                return self.end(error);
+            }
+            Answer::Rejected { .. } | Answer::Failed { .. } => {
+                fetched.extend(in_flight.into_iter().map(|in_flight| in_flight.fetch.fetched(None)));
+            }
+        }
+        self.accept(fetched, error)
+    }
+
+    /// Takes in the pages of a round. `error`: why the round failed.
+    fn accept(mut self, fetched: Vec<FetchedPage>, error: Option<ApiError>) -> Reaction {
+        let timed_out = error == Some(ApiError::Timeout);
+        match self.merge.accept(fetched) {
+            MergeProgress::NeedsPages if !timed_out => self.next_round(),
+            MergeProgress::Complete => self.end(None),
+            MergeProgress::TooManyPages => self.finish(error_response(&ApiError::TooManyFeaturesToSort)),
+            MergeProgress::NeedsPages | MergeProgress::Failed => {
+                self.end(Some(error.unwrap_or(ApiError::ServersFailed)))
+            }
+        }
+    }
+
+    /// Ends the query with its result. After an error that is what there is so far, if it is a valid response of its own.
+    fn end(self, error: Option<ApiError>) -> Reaction {
+        if let Some(error) = error.filter(|_| !self.merge.is_valid_when_cut()) {
+            return self.finish(error_response(&error));
+        }
+        let response = match self.next_cursor() {
+            Ok(next_cursor) => feature_collection(&self.result(next_cursor)),
+            Err(error) => error_response(&error.into()),
+        };
+        self.finish(response)
+    }
+
+    fn finish(self, response: Response) -> Reaction {
+        count_response(&self.state.class_metrics(self.client.class), &response);
+        Reaction::Respond(response)
+    }
+
+    fn result(&self, next_cursor: Option<String>) -> ItemsResult<'_> {
+        let merged = self.merge.result();
+        let name = |shard: usize| self.shards[shard].name.as_str();
+        ItemsResult {
+            request: &self.request,
+            memory: self.admitted.memory.clone(),
+            slices: merged.slices,
+            number_returned: merged.number_returned,
+            complete: merged.complete,
+            missing_shards: merged.missing_shards.into_iter().map(name).collect(),
+            number_matched: merged.number_matched,
+            next_cursor,
+        }
+    }
+}
+
+/// How the shards are asked. The capabilities of their servers matter, and were discovered, only if there is a filter or a
+/// sort order.
+fn plans(
+    state: &FrontState,
+    request: &ItemsRequest,
+    shards: &[ShardSource],
+    resume_point: &ResumePoint,
+) -> Vec<ShardPlan> {
+    let params = &request.params;
+    if params.filter.is_none() && params.sortby.is_empty() {
+        return vec![ShardPlan::default(); shards.len()];
+    }
+    ShardPlan::for_shards(state, params, shards, resume_point.after_values(), resume_point.resumed_shard())
+}
--- /dev/null
+++ b/src/front/ogc/query/resume.rs
@@ -0,0 +1,120 @@
+//! Where a query resumes by its cursor, and the cursor of its next response.
+
+use super::merge::NextStart;
+use super::ItemsQuery;
+use crate::front::ogc::client_request::ItemsRequest;
+use crate::front::ogc::cursor::{Cursor, CursorError, CursorLink};
+use crate::front::ogc::error::ApiError;
+use crate::front::ogc::paging::{PageLocation, ResumePosition};
+use crate::front::ogc::shard_plan::ResumedShard;
+use crate::front::ogc::shards::ShardSource;
+use crate::front::ogc::stable_hash::stable_hash;
+use crate::front::ogc::state::{lock, FrontState};
+use crate::time::unix_ms;
+use serde_json::Value as Json;
+
+/// Where a query resumes.
+pub(super) struct ResumePoint {
+    /// The cursor of the request, if it has one.
+    cursor: Option<Cursor>,
+    /// Where a response without a sort order starts.
+    pub position: ResumePosition,
+}
+
+impl ResumePoint {
+    /// The point where a request resumes: by its cursor, otherwise the start.
+    pub fn of(state: &FrontState, request: &ItemsRequest, shards: &[ShardSource]) -> Result<Self, ApiError> {
+        let Some(token) = &request.params.cursor else {
+            return Ok(ResumePoint { cursor: None, position: ResumePosition::START });
+        };
+        let cursor =
+            state.cursor_key.open(token, query_hash(request), unix_seconds(), state.edge.cursor_max_age_s)?;
+        let position = match cursor.after_values {
+            None => position(state, &request.collection, &cursor, shards)?,
+            Some(_) => ResumePosition::START,
+        };
+        Ok(ResumePoint { cursor: Some(cursor), position })
+    }
+
+    /// The values of the last feature of the response before, in a sorted response.
+    pub fn after_values(&self) -> Option<&[Json]> {
+        self.cursor.as_ref()?.after_values.as_deref()
+    }
+
+    /// The shard that continues in pages started before.
+    pub fn resumed_shard(&self) -> Option<ResumedShard> {
+        let cursor = self.cursor.as_ref().filter(|cursor| cursor.link.is_some())?;
+        Some(ResumedShard { index: self.position.shard, filtered_locally: cursor.filtered_locally })
+    }
+}
+
+impl ItemsQuery {
+    /// The token of the cursor of the next response; `None` after the last.
+    pub(super) fn next_cursor(&self) -> Result<Option<String>, CursorError> {
+        let mut cursor = Cursor::new(query_hash(&self.request), unix_seconds());
+        match self.merge.next_start() {
+            None => return Ok(None),
+            Some(NextStart::Position(position)) => self.set_position(&mut cursor, position),
+            Some(NextStart::AfterValues(values)) => cursor.after_values = Some(values),
+        }
+        let cursor = cursor.advanced_from(self.resume_point.cursor.as_ref())?;
+        Ok(Some(self.state.cursor_key.seal(&cursor)))
+    }
+
+    fn set_position(&self, cursor: &mut Cursor, position: &ResumePosition) {
+        cursor.shard = self.shards[position.shard].name.clone();
+        cursor.skip = position.skip;
+        if let PageLocation::NextLink { server, target, page_size } = &position.location {
+            let server = lock(&self.state.catalog).server_name(server).unwrap_or(server).to_owned();
+            cursor.link = Some(CursorLink { server, target: target.to_string(), page_size: *page_size });
+            cursor.filtered_locally = self.plans[position.shard].predicate.is_some();
+        }
+    }
+}
+
+fn unix_seconds() -> u64 {
+    unix_ms() / 1_000
+}
+
+/// The hash that binds a cursor to its query.
+fn query_hash(request: &ItemsRequest) -> u64 {
+    stable_hash(&[request.collection.as_bytes(), request.params.bound().as_bytes()])
+}
+
+/// The position that a cursor leads to, by the present inventory.
+fn position(
+    state: &FrontState,
+    collection: &str,
+    cursor: &Cursor,
+    shards: &[ShardSource],
+) -> Result<ResumePosition, ApiError> {
+    let shard = shards.iter().position(|source| source.name == cursor.shard);
+    let shard = shard.ok_or(ApiError::ShardRemoved)?;
+    let location = match &cursor.link {
+        None => PageLocation::ShardStart,
+        Some(link) => link_location(state, collection, link, &shards[shard])?,
+    };
+    Ok(ResumePosition { shard, location, skip: cursor.skip })
+}
+
+fn link_location(
+    state: &FrontState,
+    collection: &str,
+    link: &CursorLink,
+    source: &ShardSource,
+) -> Result<PageLocation, ApiError> {
+    let catalog = lock(&state.catalog);
+    let address = catalog.server_address(&link.server);
+    let serves_shard =
+        address.as_deref().is_some_and(|address| catalog.sticky_shard(source.shard, address).is_some());
+    if !serves_shard && !state.has_same_order(collection) {
+        // Another server may have the features in another order.
+        return Err(ApiError::ServerRemoved);
+    }
+    let server = address.unwrap_or_else(|| link.server.clone());
+    Ok(PageLocation::NextLink {
+        server: server.into(),
+        target: link.target.as_str().into(),
+        page_size: link.page_size,
+    })
+}
--- /dev/null
+++ b/src/front/ogc/response/feature.rs
@@ -0,0 +1,76 @@
+//! The response to a request for one feature by its identifier.
+
+use super::html;
+use super::json::{json_response, GEOJSON, JSON};
+use super::links::{link, self_and_alternate};
+use super::problem::error_response;
+use super::projection::FeatureProjection;
+use crate::coordinator::{Answer, Value, COUNTERS};
+use crate::front::ogc::crs::Crs;
+use crate::front::ogc::error::ApiError;
+use crate::front::ogc::paging::FeaturePage;
+use crate::front::ogc::params::Format;
+use crate::front::ogc::round::ShardRequest;
+use crate::interface::ShardId;
+use crate::proto::http::Response;
+use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
+use serde_json::{json, Value as Json};
+use std::sync::Arc;
+
+/// A request for one feature, which may be in any shard of its collection.
+pub(in crate::front::ogc) struct FeatureRequest {
+    pub base_url: String,
+    pub collection: String,
+    pub crs: Crs,
+    pub format: Format,
+    pub shard_requests: Vec<ShardRequest>,
+}
+
+/// The response to a request for one feature.
+pub(in crate::front::ogc) fn feature(request: &FeatureRequest, answer: Answer) -> Response {
+    find_feature(request, answer)
+        .and_then(|text| render(request, &text))
+        .unwrap_or_else(|error| error_response(&error))
+}
+
+/// The text of the feature, from the first shard that has it.
+fn find_feature(request: &FeatureRequest, answer: Answer) -> Result<Vec<u8>, ApiError> {
+    if let Some(error) = ApiError::from_answer(&answer) {
+        return Err(error);
+    }
+    let Answer::Served { complete, parts } = answer else { return Err(ApiError::NoAnswer) };
+    let page = |(shard, value): &(ShardId, Value)| {
+        request.shard_requests.iter().find(|r| r.shard == *shard)?.request.page(value)
+    };
+    let text = |page: Arc<FeaturePage>| Some(page.body[page.features.first()?.clone()].to_vec());
+    let found = parts.iter().filter_map(page).find_map(text);
+    let all_searched = complete && parts.len() == request.shard_requests.len();
+    found.ok_or(if all_searched { ApiError::NoSuchFeature } else { ApiError::FeatureLookupIncomplete })
+}
+
+fn render(request: &FeatureRequest, text: &[u8]) -> Result<Response, ApiError> {
+    let Ok(mut feature @ Json::Object(_)) = serde_json::from_slice::<Json>(text) else {
+        COUNTERS.bad_frames.add();
+        return Err(ApiError::InvalidFeature);
+    };
+    FeatureProjection::to_crs(request.crs).change(&mut feature);
+    feature["links"] = links(request, &feature["id"]);
+    let mut response = match request.format {
+        Format::Json => json_response(200, GEOJSON, &feature),
+        Format::Html => html::feature(&feature),
+    };
+    response.headers.push(("Content-Crs", format!("<{}>", request.crs)));
+    Ok(response)
+}
+
+fn links(request: &FeatureRequest, id: &Json) -> Json {
+    let id = match id {
+        Json::String(id) => id.clone(),
+        Json::Null => String::new(),
+        id => id.to_string(),
+    };
+    let collection = format!("{}/collections/{}", request.base_url, request.collection);
+    let url = format!("{collection}/items/{}", utf8_percent_encode(&id, NON_ALPHANUMERIC));
+    let [own, alternate] = self_and_alternate(request.format, GEOJSON, |f| format!("{url}?f={f}"));
+    json!([own, alternate, link(collection, "collection", JSON)])
+}
--- /dev/null
+++ b/src/front/ogc/response/html.rs
@@ -0,0 +1,166 @@
+//! HTML pages of the same resources: documents as tables, features with a map.
+
+use super::items_result::ItemsResult;
+use super::projection::FeatureProjection;
+use super::svg_map::svg_map;
+use crate::front::ogc::paging::PageSlice;
+use crate::proto::http::Response;
+use serde_json::Value as Json;
+use std::fmt::Write as _;
+
+const HTML_UTF8: &str = "text/html; charset=utf-8";
+/// Most features that are drawn and listed; a response may have more.
+const MAX_SHOWN_FEATURES: usize = 1_000;
+/// Most properties that are listed as columns.
+const MAX_COLUMNS: usize = 30;
+
+/// A JSON document about the service: its members and its links.
+pub(super) fn document(title: &str, json: &Json) -> Response {
+    let mut main = String::new();
+    for collection in json["collections"].as_array().into_iter().flatten() {
+        let name = collection["title"].as_str().or(collection["id"].as_str()).unwrap_or_default();
+        let _ = write!(main, "<h2>{}</h2>{}", escape(name), link_list(collection));
+    }
+    if main.is_empty() {
+        main = member_table(json);
+    }
+    page(title, &(main + &link_list(json)))
+}
+
+/// One feature.
+pub(super) fn feature(json: &Json) -> Response {
+    let title = match &json["id"] {
+        Json::String(id) => id.clone(),
+        id => id.to_string(),
+    };
+    let main = svg_map(std::slice::from_ref(json)) + &member_table(&json["properties"]) + &link_list(json);
+    page(&title, &main)
+}
+
+/// The features of a query: a map and a table. `members`: the other members of the collection.
+pub(super) fn feature_collection(result: &ItemsResult<'_>, members: &Json) -> Response {
+    let shown = shown_features(result);
+    let mut main = summary(result, shown.len());
+    main.push_str(&svg_map(&shown));
+    main.push_str(&feature_table(&shown));
+    main.push_str(&link_list(members));
+    page(&result.request.collection, &main)
+}
+
+fn shown_features(result: &ItemsResult<'_>) -> Vec<Json> {
+    let projection = FeatureProjection::of(&result.request.params);
+    let features = result.slices.iter().flat_map(PageSlice::texts).take(MAX_SHOWN_FEATURES);
+    features
+        .filter_map(|feature| projection.apply(feature))
+        .filter_map(|feature| serde_json::from_slice(&feature).ok())
+        .collect()
+}
+
+/// How many features there are, and which shards are missing.
+fn summary(result: &ItemsResult<'_>, shown: usize) -> String {
+    let mut text = String::new();
+    if !result.complete {
+        let names: Vec<_> = result.missing_shards.iter().map(|name| escape(name)).collect();
+        let _ = write!(text, "<p><strong>Not whole: missing {}.</strong></p>", names.join(", "));
+    }
+    let _ = write!(text, "<p>{} features", result.number_returned);
+    if let Some(matched) = result.number_matched.filter(|_| result.complete) {
+        let _ = write!(text, " of {matched}");
+    }
+    if result.number_returned > shown {
+        let _ = write!(text, ", {shown} shown");
+    }
+    text + "</p>"
+}
+
+fn feature_table(features: &[Json]) -> String {
+    let columns = columns(features);
+    let mut text = String::from("<table><tr><th>id</th>");
+    for column in &columns {
+        let _ = write!(text, "<th>{}</th>", escape(column));
+    }
+    text.push_str("</tr>");
+    for feature in features {
+        let _ = write!(text, "<tr><td>{}</td>", cell(&feature["id"]));
+        for column in &columns {
+            let _ = write!(text, "<td>{}</td>", cell(&feature["properties"][column]));
+        }
+        text.push_str("</tr>");
+    }
+    text + "</table>"
+}
+
+/// The names of the features' properties, in the order in which they occur.
+fn columns(features: &[Json]) -> Vec<&str> {
+    let properties = features.iter().filter_map(|feature| feature["properties"].as_object());
+    let mut columns: Vec<&str> = Vec::new();
+    for name in properties.flat_map(|members| members.keys()) {
+        if !columns.contains(&name.as_str()) && columns.len() < MAX_COLUMNS {
+            columns.push(name);
+        }
+    }
+    columns
+}
+
+/// The members of an object except its links.
+fn member_table(json: &Json) -> String {
+    let mut text = String::from("<table>");
+    let members = json.as_object().into_iter().flatten();
+    for (name, value) in members.filter(|(name, _)| *name != "links") {
+        let _ = write!(text, "<tr><th>{}</th><td>{}</td></tr>", escape(name), cell(value));
+    }
+    text + "</table>"
+}
+
+fn cell(value: &Json) -> String {
+    match value {
+        Json::String(text) if text.starts_with("http://") || text.starts_with("https://") => {
+            format!("<a href=\"{0}\">{0}</a>", escape(text))
+        }
+        Json::String(text) => escape(text),
+        Json::Null => String::new(),
+        other => escape(&other.to_string()),
+    }
+}
+
+/// The links of a document that have an address.
+fn link_list(json: &Json) -> String {
+    let mut text = String::from("<ul>");
+    for link in json["links"].as_array().into_iter().flatten() {
+        let (Some(href), Some(rel)) = (link["href"].as_str(), link["rel"].as_str()) else { continue };
+        let title = link["title"].as_str().unwrap_or(rel);
+        let (href, rel, title) = (escape(href), escape(rel), escape(title));
+        let _ = write!(text, "<li><a rel=\"{rel}\" href=\"{href}\">{title}</a></li>");
+    }
+    text + "</ul>"
+}
+
+fn page(title: &str, main: &str) -> Response {
+    let title = escape(title);
+    let text = format!(
+        "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{title}</title><style>\
+         body{{font-family:sans-serif;margin:1.5em;max-width:70em}}table{{border-collapse:collapse}}\
+         td,th{{border:1px solid #ccc;padding:.2em .5em;text-align:left;vertical-align:top}}\
+         svg{{background:#eef3f7;border:1px solid #ccc}}</style></head>\n<body><h1>{title}</h1>\n{main}\n</body></html>\n"
+    );
+    Response::new(200, HTML_UTF8, text)
+}
+
+/// Text with the characters escaped that are markup in HTML.
+fn escape(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for c in text.chars() {
+        match c {
+            '&' => out.push_str("&amp;"),
+            '<' => out.push_str("&lt;"),
+            '>' => out.push_str("&gt;"),
+            '"' => out.push_str("&quot;"),
+            '\'' => out.push_str("&#39;"),
+            c => out.push(c),
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/ogc/response/svg_map.rs
@@ -0,0 +1,140 @@
+//! A map of features as SVG: the first axis to the right, the second up.
+
+use serde_json::Value as Json;
+use std::fmt::Write as _;
+
+/// Most points that are drawn of one line or ring.
+const MAX_POINTS: usize = 2_000;
+/// The size of the map, in pixels.
+const WIDTH: f64 = 800.0;
+const HEIGHT: f64 = 500.0;
+/// The margin around the features, both sides together, in pixels.
+const MARGIN: f64 = 40.0;
+/// The smallest scale: of a single point.
+const MIN_UNITS_PER_PIXEL: f64 = 1e-9;
+
+/// A map of the features; empty if none has a position.
+pub(super) fn svg_map(features: &[Json]) -> String {
+    let mut positions = Vec::new();
+    features.iter().for_each(|feature| collect_positions(&feature["geometry"], &mut positions));
+    let Some(view) = View::around(&positions) else { return String::new() };
+    let mut text = format!(
+        "<svg role=\"img\" width=\"{WIDTH}\" height=\"{HEIGHT}\" viewBox=\"0 0 {WIDTH} {HEIGHT}\"><title>Map of {} features</title>",
+        features.len()
+    );
+    features.iter().for_each(|feature| view.draw(&feature["geometry"], &mut text));
+    text + "</svg>"
+}
+
+/// A position, in the units of the features' coordinate reference system.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    x: f64,
+    y: f64,
+}
+
+/// All positions in a geometry, or in its coordinates.
+fn collect_positions(json: &Json, into: &mut Vec<Position>) {
+    match json {
+        Json::Array(list) => {
+            match (list.first().and_then(Json::as_f64), list.get(1).and_then(Json::as_f64)) {
+                (Some(x), Some(y)) => into.push(Position { x, y }),
+                _ => list.iter().for_each(|inner| collect_positions(inner, into)),
+            }
+        }
+        Json::Object(members) => {
+            members.get("coordinates").into_iter().for_each(|c| collect_positions(c, into));
+            members.get("geometries").into_iter().for_each(|g| collect_positions(g, into));
+        }
+        _ => {}
+    }
+}
+
+fn elements(json: &Json) -> &[Json] {
+    json.as_array().map_or(&[], Vec::as_slice)
+}
+
+/// The area that the map shows.
+struct View {
+    west: f64,
+    south: f64,
+    east: f64,
+    north: f64,
+    units_per_pixel: f64,
+}
+
+impl View {
+    /// The smallest view with all positions in it. `None`: there are none.
+    fn around(positions: &[Position]) -> Option<Self> {
+        let first = positions.first()?;
+        let (mut west, mut south, mut east, mut north) = (first.x, first.y, first.x, first.y);
+        for position in positions {
+            (west, east) = (west.min(position.x), east.max(position.x));
+            (south, north) = (south.min(position.y), north.max(position.y));
+        }
+        let horizontal = (east - west) / (WIDTH - MARGIN);
+        let vertical = (north - south) / (HEIGHT - MARGIN);
+        let units_per_pixel = horizontal.max(vertical).max(MIN_UNITS_PER_PIXEL);
+        Some(View { west, south, east, north, units_per_pixel })
+    }
+
+    /// Where a position is on the map, in pixels.
+    fn project(&self, position: Position) -> Position {
+        Position {
+            x: WIDTH / 2.0 + (position.x - (self.west + self.east) / 2.0) / self.units_per_pixel,
+            y: HEIGHT / 2.0 - (position.y - (self.south + self.north) / 2.0) / self.units_per_pixel,
+        }
+    }
+
+    fn draw(&self, geometry: &Json, text: &mut String) {
+        let coordinates = &geometry["coordinates"];
+        match geometry["type"].as_str() {
+            Some("Polygon") => self.draw_polygon(coordinates, text),
+            Some("MultiPolygon") => elements(coordinates).iter().for_each(|p| self.draw_polygon(p, text)),
+            Some("LineString") => self.draw_line(coordinates, text),
+            Some("MultiLineString") => elements(coordinates).iter().for_each(|l| self.draw_line(l, text)),
+            Some("Point" | "MultiPoint") => self.draw_points(coordinates, text),
+            Some("GeometryCollection") => {
+                elements(&geometry["geometries"]).iter().for_each(|g| self.draw(g, text));
+            }
+            _ => {}
+        }
+    }
+
+    fn draw_polygon(&self, rings: &Json, text: &mut String) {
+        let path: String = elements(rings).iter().map(|ring| self.path(ring) + "Z").collect();
+        let _ = write!(
+            text,
+            "<path d=\"{path}\" fill=\"#27a\" fill-opacity=\".3\" fill-rule=\"evenodd\" stroke=\"#27a\"/>"
+        );
+    }
+
+    fn draw_line(&self, line: &Json, text: &mut String) {
+        let _ = write!(text, "<path d=\"{}\" fill=\"none\" stroke=\"#27a\"/>", self.path(line));
+    }
+
+    fn draw_points(&self, coordinates: &Json, text: &mut String) {
+        let mut positions = Vec::new();
+        collect_positions(coordinates, &mut positions);
+        for position in positions {
+            let Position { x, y } = self.project(position);
+            let _ = write!(text, "<circle cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"3\" fill=\"#c33\"/>");
+        }
+    }
+
+    /// The path data of a line or ring (SVG 1.1, 8.3).
+    fn path(&self, line: &Json) -> String {
+        let mut positions = Vec::new();
+        collect_positions(line, &mut positions);
+        positions.truncate(MAX_POINTS);
+        let mut path = String::new();
+        for (index, position) in positions.into_iter().enumerate() {
+            let Position { x, y } = self.project(position);
+            let _ = write!(path, "{}{x:.1} {y:.1}", if index == 0 { "M" } else { "L" });
+        }
+        path
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/ogc/shard_plan.rs
@@ -0,0 +1,184 @@
+//! How each shard of a query is asked: what of the filter and the order its servers evaluate, and what is evaluated here.
+
+use super::cql2::{flat, split, Capabilities, Comparison, Filter, Matcher, Value};
+use super::page_request::FeaturePredicate;
+use super::paging::SortKey;
+use super::params::Params;
+use super::shards::{replicas, ShardReplica, ShardSource};
+use super::state::FrontState;
+use serde_json::Value as Json;
+use std::sync::Arc;
+
+/// The conformance class of servers that sort (OGC API - Features, Part 8).
+const SORTING_CLASS: &str = "sorting";
+/// The property that breaks ties in a sort order.
+const ID_PROPERTY: &str = "id";
+
+/// How a shard is asked.
+#[derive(Clone, Default)]
+pub(super) struct ShardPlan {
+    /// The part of the filter that servers evaluate, as CQL2 text.
+    pushed_down: Option<String>,
+    /// The part of the filter that is evaluated here.
+    pub predicate: Option<FeaturePredicate>,
+    /// A box that all features lie in that can pass: west, south, east, north.
+    envelope: Option<[f64; 4]>,
+    /// Servers return the features in the order of the query.
+    pub sorted: bool,
+}
+
+/// The shard in which a cursor continues in pages that an earlier response started.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ResumedShard {
+    /// The index of the shard.
+    pub index: usize,
+    /// A part of the filter was evaluated here from the start of the shard on.
+    pub filtered_locally: bool,
+}
+
+impl ShardPlan {
+    /// How the shards of a query are asked. `after_values`: the values of the last feature of the response before, in a
+    /// sorted response.
+    pub fn for_shards(
+        state: &FrontState,
+        params: &Params,
+        shards: &[ShardSource],
+        after_values: Option<&[Json]>,
+        resumed: Option<ResumedShard>,
+    ) -> Vec<ShardPlan> {
+        let replicas = replicas(state, shards);
+        let plan = |(index, replicas): (usize, &Vec<ShardReplica>)| {
+            let keys = replicas.iter().map(|replica| &replica.key);
+            let capabilities = state.capabilities().common(keys).unwrap_or_default();
+            match resumed.filter(|resumed| resumed.index == index) {
+                Some(resumed) => Self::resumed(params, resumed),
+                None => Self::from_start(params, &capabilities, after_values),
+            }
+        };
+        replicas.iter().enumerate().map(plan).collect()
+    }
+
+    /// A shard that continues in pages started before. If a part of the filter was evaluated here, all of it is, since the
+    /// link's request may contain less of it than would be pushed down now.
+    fn resumed(params: &Params, resumed: ResumedShard) -> Self {
+        let filter = params.filter.as_ref().filter(|_| resumed.filtered_locally);
+        ShardPlan { predicate: filter.map(predicate), ..ShardPlan::default() }
+    }
+
+    /// A shard that is asked from its first feature on, or from the last one returned before.
+    fn from_start(params: &Params, capabilities: &Capabilities, after_values: Option<&[Json]>) -> Self {
+        let mut plan = ShardPlan { sorted: can_sort(capabilities, params), ..ShardPlan::default() };
+        let mut filter = params.filter.clone();
+        let after = after_values.filter(|_| plan.sorted).and_then(|values| after_filter(params, values));
+        if let Some(after) = after {
+            // Only if servers can evaluate all of it: features before the position are left out here in any case.
+            if split(&after, capabilities).residual.is_none() {
+                filter = Filter::all(filter.into_iter().chain([after]).collect());
+            }
+        }
+        if let Some(filter) = filter {
+            let split = split(&filter, capabilities);
+            plan.pushed_down = split.pushed_down.map(|filter| filter.to_string());
+            plan.predicate = split.residual.as_ref().map(predicate);
+            plan.envelope = split.envelope;
+        }
+        plan
+    }
+
+    /// Path and query of the request for the first page of a shard. `source`: the servers' own name for it.
+    pub fn target(&self, source: &str, params: &Params, page_size: usize) -> String {
+        let mut query = url::form_urlencoded::Serializer::new(String::new());
+        let envelope = || self.envelope.map(|box_2d| box_2d.map(|n| n.to_string()).join(","));
+        if let Some(bbox) = params.bbox_text().or_else(envelope) {
+            query.append_pair("bbox", &bbox);
+        }
+        if let Some(datetime) = &params.datetime {
+            query.append_pair("datetime", datetime);
+        }
+        if let Some(filter) = &self.pushed_down {
+            query.append_pair("filter", filter).append_pair("filter-lang", "cql2-text");
+        }
+        if self.sorted {
+            query.append_pair("sortby", &sortby(&params.sortby));
+        }
+        query.append_pair("limit", &page_size.to_string());
+        format!("/collections/{source}/items?{}", query.finish())
+    }
+}
+
+fn predicate(filter: &Filter) -> FeaturePredicate {
+    let matcher = Matcher::new(filter.clone());
+    Arc::new(move |feature: &[u8]| matcher.matches_text(feature))
+}
+
+/// The value of `sortby` for servers: the sort keys, then the identifier.
+fn sortby(keys: &[SortKey]) -> String {
+    let key = |key: &SortKey| format!("{}{}", if key.descending { "-" } else { "+" }, key.property);
+    let keys: Vec<String> = keys.iter().map(key).chain([format!("+{ID_PROPERTY}")]).collect();
+    keys.join(",")
+}
+
+/// Whether servers with these capabilities can return features in the order of a query.
+fn can_sort(capabilities: &Capabilities, params: &Params) -> bool {
+    let known = |name: &str| capabilities.queryables.named.contains_key(name);
+    !params.sortby.is_empty()
+        && capabilities.classes.contains(SORTING_CLASS)
+        && known(ID_PROPERTY)
+        && params.sortby.iter().all(|key| known(&key.property))
+}
+
+/// A sort key with a value.
+struct BoundKey<'a> {
+    property: &'a str,
+    descending: bool,
+    value: Value,
+}
+
+impl BoundKey<'_> {
+    fn compare(&self, comparison: Comparison) -> Filter {
+        Filter::Compare(comparison, Value::Property(self.property.to_owned()), self.value.clone())
+    }
+
+    fn comes_after(&self) -> Filter {
+        self.compare(if self.descending { Comparison::Less } else { Comparison::Greater })
+    }
+}
+
+/// A filter for the features that come after these values in the order of a query. `None`: there is none, since one of the
+/// values is missing or has no literal.
+fn after_filter(params: &Params, values: &[Json]) -> Option<Filter> {
+    let sort_keys = params.sortby.iter().map(|key| (key.property.as_str(), key.descending));
+    let pairs = sort_keys.chain([(ID_PROPERTY, false)]).zip(values);
+    let bind =
+        |((property, descending), value)| Some(BoundKey { property, descending, value: literal(value)? });
+    let keys: Vec<BoundKey<'_>> = pairs.map(bind).collect::<Option<_>>()?;
+    let alternatives = (0..keys.len()).filter_map(|index| after_at_key(&keys, index));
+    let mut alternatives: Vec<Filter> = alternatives.collect();
+    Some(match alternatives.len() {
+        1 => alternatives.swap_remove(0),
+        _ => Filter::Or(flat(alternatives, false)),
+    })
+}
+
+/// A filter for the features that have the same values as the position for all keys before this one, and come after it by
+/// this one. Features without a value come last.
+fn after_at_key(keys: &[BoundKey<'_>], index: usize) -> Option<Filter> {
+    let key = &keys[index];
+    let mut conditions: Vec<Filter> =
+        keys[..index].iter().map(|key| key.compare(Comparison::Equal)).collect();
+    let is_id = index + 1 == keys.len();
+    conditions.push(if is_id {
+        key.comes_after()
+    } else {
+        Filter::Or(vec![key.comes_after(), Filter::IsNull(Value::Property(key.property.to_owned()))])
+    });
+    Filter::all(conditions)
+}
+
+fn literal(value: &Json) -> Option<Value> {
+    match value {
+        Json::String(text) => Some(Value::Text(text.clone())),
+        Json::Number(number) => number.as_f64().map(Value::Number),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/front/ogc/shards.rs
@@ -0,0 +1,48 @@
+//! The shards of a collection and where they are.
+
+use super::capabilities::ReplicaKey;
+use super::catalog::ShardHolder;
+use super::error::ApiError;
+use super::state::{lock, FrontState};
+use crate::interface::ShardId;
+use std::sync::Arc;
+
+/// A shard of a collection.
+#[derive(Debug, Clone)]
+pub(super) struct ShardSource {
+    pub shard: ShardId,
+    /// The servers' own name for the shard.
+    pub name: String,
+}
+
+/// A shard at a server that takes new work.
+pub(super) struct ShardReplica {
+    /// The identifier of the shard at this server alone.
+    pub sticky_shard: ShardId,
+    pub key: ReplicaKey,
+}
+
+/// The shards of a collection, in order.
+pub(super) fn shards_of(state: &FrontState, collection: &str) -> Result<Vec<ShardSource>, ApiError> {
+    let catalog = lock(&state.catalog);
+    let shards = catalog.shards(collection);
+    let shards = shards.ok_or_else(|| ApiError::NoSuchCollection(collection.to_owned()))?;
+    let source = |shard: &ShardId| ShardSource {
+        shard: *shard,
+        name: catalog.source_name(*shard).unwrap_or_default().to_owned(),
+    };
+    Ok(shards.iter().map(source).collect())
+}
+
+/// The servers from which the pages of each shard can come.
+pub(super) fn replicas(state: &FrontState, shards: &[ShardSource]) -> Vec<Vec<ShardReplica>> {
+    let catalog = lock(&state.catalog);
+    let replicas_of = |source: &ShardSource| {
+        let replica = |holder: ShardHolder<'_>| ShardReplica {
+            sticky_shard: holder.sticky_shard,
+            key: ReplicaKey { address: Arc::from(holder.address), source: Arc::from(source.name.as_str()) },
+        };
+        catalog.ready_holders(source.shard).into_iter().map(replica).collect()
+    };
+    shards.iter().map(replicas_of).collect()
+}
--- /dev/null
+++ b/src/front/ogc/stable_hash.rs
@@ -0,0 +1,29 @@
+//! Hashes that are the same in every process.
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use sha2::{Digest, Sha256};
+
+/// A hash of these parts: the first eight bytes of SHA-256 over all parts, each with its length before it.
+#[must_use]
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut state = Sha256::new();
+    for part in parts {
+        state.update((part.len() as u64).to_be_bytes());
+        state.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&state.finalize()[..8]);
+    u64::from_be_bytes(first)
+}
+
+/// A hash of a feature's identifier; 0 for a feature without one.
+pub(super) fn feature_id_hash(feature: &[u8]) -> u64 {
+    #[derive(Deserialize)]
+    struct Identified<'a> {
+        #[serde(borrow)]
+        id: Option<&'a RawValue>,
+    }
+    let id = serde_json::from_slice::<Identified<'_>>(feature).ok().and_then(|feature| feature.id);
+    id.map_or(0, |id| stable_hash(&[id.get().as_bytes()]) | 1)
+}
--- /dev/null
+++ b/src/front/ogc/state.rs
@@ -0,0 +1,79 @@
+//! The state that all queries of the front share.
+
+use super::capabilities::CapabilityCache;
+use super::catalog::Catalog;
+use super::config::EdgeConfig;
+use super::cql2::Queryables;
+use super::cursor::CursorKey;
+use crate::coordinator::{ClassMetrics, Metrics};
+use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
+use crate::time::Micros;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// The share of the memory beyond the base that responses may hold; a third is for what clients send.
+const RESPONSE_MEMORY_SHARE: f64 = 0.45;
+
+/// The catalog, shared by the front, the driver and reloads of the inventory.
+pub type SharedCatalog = Arc<Mutex<Catalog>>;
+
+/// Locks shared state. No code panics while it holds one of these locks; if it did, the state would still be valid.
+pub fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// The state that all queries of the front share.
+pub(super) struct FrontState {
+    pub edge: EdgeConfig,
+    pub catalog: SharedCatalog,
+    pub cursor_key: CursorKey,
+    pub server_capacity: Arc<ServerCapacity>,
+    metrics: Arc<Metrics>,
+    capabilities: Mutex<CapabilityCache>,
+    admission: Mutex<Admission>,
+}
+
+impl FrontState {
+    pub fn new(
+        edge: EdgeConfig,
+        catalog: SharedCatalog,
+        cursor_key: CursorKey,
+        metrics: Arc<Metrics>,
+        server_capacity: Arc<ServerCapacity>,
+    ) -> Self {
+        let capabilities = CapabilityCache::new(Micros::from_secs(edge.capability_max_age_s));
+        let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY);
+        let response_memory = (memory as f64 * RESPONSE_MEMORY_SHARE) as usize;
+        FrontState {
+            edge,
+            catalog,
+            cursor_key,
+            server_capacity,
+            metrics,
+            capabilities: Mutex::new(capabilities),
+            admission: Mutex::new(Admission::new(response_memory)),
+        }
+    }
+
+    pub fn admission(&self) -> MutexGuard<'_, Admission> {
+        lock(&self.admission)
+    }
+
+    pub fn capabilities(&self) -> MutexGuard<'_, CapabilityCache> {
+        lock(&self.capabilities)
+    }
+
+    /// The queryables that the edge file declares for a collection.
+    pub fn declared_queryables(&self, collection: &str) -> Option<Queryables> {
+        self.edge.collections.iter().find(|c| c.id == collection)?.queryables()
+    }
+
+    /// The metrics of a class, by its index in the edge file.
+    pub fn class_metrics(&self, class: usize) -> Arc<ClassMetrics> {
+        self.metrics.class(&self.edge.classes[class].name)
+    }
+
+    /// Whether all servers of a collection return its features in the same order, with links that lead to the same place.
+    pub fn has_same_order(&self, collection: &str) -> bool {
+        self.edge.collections.iter().any(|c| c.id == collection && c.same_order)
+    }
+}
