--- a/src/front/ogc/config/settings.rs
+++ b/src/front/ogc/config/settings.rs
@@ -1,5 +1,6 @@
 //! The mapping of an edge file to the settings of the policy module and of the limits.
 
+use super::super::params::LimitRules;
 use super::{ClassConfig, EdgeConfig, SlowStartConfig};
 use crate::interface::{Class, Effect, RetryBudget, ServiceReduction, Settings, SlowStartRule};
 use crate::limits::Rule;
@@ -18,6 +19,12 @@
 }
 
 impl EdgeConfig {
+    /// The bounds of a query's `limit`.
+    #[must_use]
+    pub fn limit_rules(&self) -> LimitRules {
+        LimitRules { default_limit: self.default_limit, max_limit: self.max_limit }
+    }
+
     /// How the requests in flight at a server are limited.
     #[must_use]
     pub fn concurrency_rule(&self) -> Rule {
--- a/src/front/ogc/crs.rs
+++ b/src/front/ogc/crs.rs
@@ -33,7 +33,7 @@
 
 impl Crs {
     /// By its identifier, in the form of a URI, a safe CURIE or a URN.
-    pub fn read(text: &str) -> Option<Self> {
+    pub fn parse(text: &str) -> Option<Self> {
         let text = text.trim_start_matches('[').trim_end_matches(']');
         if matches!(text, CRS84 | CRS84H | "OGC:CRS84" | "OGC:CRS84h" | "urn:ogc:def:crs:OGC:1.3:CRS84") {
             return Some(Crs::Crs84);
@@ -63,6 +63,16 @@
         }
     }
 
+    /// The name of the system in the text that cursors are bound to; see `Params::cursor_binding`.
+    pub(super) fn binding_name(self) -> String {
+        match self {
+            Crs::Crs84 => "Crs84".to_owned(),
+            Crs::Wgs84 => "Wgs84".to_owned(),
+            Crs::Mercator => "Mercator".to_owned(),
+            Crs::Utm(zone, north) => format!("Utm({zone}, {north})"),
+        }
+    }
+
     /// All that are served, CRS84 first.
     pub fn all() -> impl Iterator<Item = Crs> {
         let zones = |north| (1..=60).map(move |zone| Crs::Utm(zone, north));
@@ -153,6 +163,20 @@
         Some(held)
     }
 
+    /// A box of four numbers, or six with heights, in CRS84. `None`: it has another count of numbers, or lies outside of
+    /// where the system is defined.
+    #[must_use]
+    pub fn bbox_to_crs84(&self, numbers: &[f64]) -> Option<Vec<f64>> {
+        match *numbers {
+            [a, b, c, d] => Some(self.box_to_crs84([a, b, c, d])?.to_vec()),
+            [a, b, low, c, d, high] => {
+                let [west, south, east, north] = self.box_to_crs84([a, b, c, d])?;
+                Some(vec![west, south, low, east, north, high])
+            }
+            _ => None,
+        }
+    }
+
     /// A geometry of the system in CRS84.
     pub fn geometry_to_crs84(&self, geometry: &Geometry<f64>) -> Option<Geometry<f64>> {
         let turned = |c: Coord<f64>| self.to_crs84(c.x, c.y).map(|(x, y)| Coord { x, y }).ok_or(());
@@ -191,14 +215,7 @@
         Filter::Spatial(_, a, b) => [a, b].into_iter().try_for_each(|value| {
             match value {
                 Value::Geometry(g) => *g = by.geometry_to_crs84(g)?,
-                Value::Bbox(numbers) => match numbers[..] {
-                    [a, b, c, d] => *numbers = by.box_to_crs84([a, b, c, d])?.to_vec(),
-                    [a, b, low, c, d, high] => {
-                        let [w, s, e, n] = by.box_to_crs84([a, b, c, d])?;
-                        *numbers = vec![w, s, low, e, n, high];
-                    }
-                    _ => return None,
-                },
+                Value::Bbox(numbers) => *numbers = by.bbox_to_crs84(numbers)?,
                 _ => {}
             }
             Some(())
@@ -215,11 +232,11 @@
     fn each_system_is_known_by_its_identifier_and_led_back() {
         let all: Vec<Crs> = Crs::all().collect();
         assert_eq!(all.len(), 123);
-        assert!(all.iter().all(|c| Crs::read(&c.uri()) == Some(*c) && Transform::of(*c).is_some()));
-        assert_eq!(Crs::read("http://www.opengis.net/def/crs/EPSG/9.9.1/4326"), Some(Crs::Wgs84));
-        assert_eq!(Crs::read("[EPSG:32633]"), Some(Crs::Utm(33, true)));
+        assert!(all.iter().all(|c| Crs::parse(&c.uri()) == Some(*c) && Transform::of(*c).is_some()));
+        assert_eq!(Crs::parse("http://www.opengis.net/def/crs/EPSG/9.9.1/4326"), Some(Crs::Wgs84));
+        assert_eq!(Crs::parse("[EPSG:32633]"), Some(Crs::Utm(33, true)));
         for text in ["", "EPSG:", "EPSG:4258", "http://www.opengis.net/def/crs/EPSG/0/32661", "CRS84"] {
-            assert_eq!(Crs::read(text), None, "{text}");
+            assert_eq!(Crs::parse(text), None, "{text}");
         }
     }
 
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -143,7 +143,7 @@
 }
 
 fn query_hash(asked: &Asked) -> u64 {
-    stable_hash(&[asked.collection.as_bytes(), asked.params.bound().as_bytes()])
+    stable_hash(&[asked.collection.as_bytes(), asked.params.cursor_binding().as_bytes()])
 }
 
 /// The queryables of a collection: the operator's, else what any of its servers tells: what one of them cannot filter is
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -101,6 +101,12 @@
 /// What is wrong with a request, as a status and what to say.
 type Fault = (u16, String);
 
+impl From<params::RequestError> for Fault {
+    fn from(error: params::RequestError) -> Self {
+        (error.status(), error.to_string())
+    }
+}
+
 impl OgcFront {
     /// A front with these settings.
     pub fn new(
@@ -193,13 +199,9 @@
                         true => Queryables::unknown(),
                         false => items::queryables(&shared, &collection, &shards),
                     };
-                    let (default_limit, most_limit) = (shared.edge.default_limit, shared.edge.max_limit);
-                    let known = params::ParameterRules {
-                        default_limit,
-                        max_limit: most_limit,
-                        queryables: &queryables,
-                    };
-                    let params = params::parse_items_query(&pairs, &known).map_err(|e| (400, e))?;
+                    let rules =
+                        params::ParameterRules { limits: shared.edge.limit_rules(), queryables: &queryables };
+                    let params = params::parse_items_query(&pairs, &rules)?;
                     let asked = Asked { base, collection, query, search: None, params, html };
                     Items::begin(shared, own, asked, shards)
                 };
@@ -214,7 +216,7 @@
                 let crs = match pairs.iter().find(|p| p.0 == "crs") {
                     None => Crs::Crs84,
                     Some((_, text)) => {
-                        Crs::read(text).ok_or_else(|| (400, format!("crs: {text:?} is not served")))?
+                        Crs::parse(text).ok_or_else(|| (400, format!("crs: {text:?} is not served")))?
                     }
                 };
                 let escaped =
@@ -265,15 +267,15 @@
         if !kind.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case("application/json") {
             return Err((415, "Content-Type: application/json is needed".to_owned()));
         }
-        let body = params::parse_search_body(&request.body).map_err(|e| (400, e))?;
-        let collection = params::search_collection(&body).map_err(|e| (400, e))?;
+        let body = params::parse_search_body(&request.body)?;
+        let collection = params::search_collection(&body)?;
         let shards = self.find(&collection)?;
         let asker = self.asker(request, token, sent)?;
         let (of, own) = (shards.clone(), asker.clone());
         let begin = move |shared: Arc<Shared>| {
             let known = |id: &str| Some(items::queryables(&shared, id, &shards));
-            let most = (shared.edge.default_limit, shared.edge.max_limit);
-            let (collection, params) = params::parse_search(&body, known, most).map_err(|e| (400, e))?;
+            let search = params::parse_search(&body, known, shared.edge.limit_rules())?;
+            let params::Search { collection, params } = search;
             let asked =
                 Asked { base, collection, query: String::new(), search: Some(body), params, html: false };
             Items::begin(shared, own, asked, shards)
--- /dev/null
+++ b/src/front/ogc/params/format.rs
@@ -0,0 +1,100 @@
+//! Content negotiation: the parameter `f`, or else the header `Accept` (RFC 9110, 12.5.1).
+
+use super::RequestError;
+
+/// Most media ranges of an `Accept` header that are read.
+const MAX_MEDIA_RANGES: usize = 64;
+
+/// The format of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Format {
+    /// JSON, GeoJSON for features.
+    Json,
+    /// HTML.
+    Html,
+}
+
+/// How a media range matches a format: the more specific range takes precedence.
+type Specificity = u8;
+
+const ANY: Specificity = 0;
+const ANY_SUBTYPE: Specificity = 1;
+const EXACT: Specificity = 2;
+
+/// A media range of an `Accept` header.
+struct MediaRange {
+    weight: f32,
+    json: Option<Specificity>,
+    html: Option<Specificity>,
+}
+
+/// The most specific range seen for a format.
+#[derive(Default)]
+struct Preference {
+    best: Option<MatchedRange>,
+}
+
+struct MatchedRange {
+    weight: f32,
+    specificity: Specificity,
+}
+
+impl Preference {
+    fn consider(&mut self, weight: f32, specificity: Option<Specificity>) {
+        let Some(specificity) = specificity else { return };
+        if self.best.as_ref().is_none_or(|best| specificity >= best.specificity) {
+            self.best = Some(MatchedRange { weight, specificity });
+        }
+    }
+
+    /// The weight of the format; 0: it is not accepted.
+    fn weight(&self) -> f32 {
+        self.best.as_ref().map_or(0.0, |best| best.weight)
+    }
+}
+
+/// The format of an answer, from the parameter `f` if given, else from the header `Accept`. JSON is chosen where both are
+/// accepted alike.
+///
+/// # Errors
+/// `f` names an unknown format, or the client accepts neither.
+pub fn negotiate_format(f: Option<&str>, accept: Option<&str>) -> Result<Format, RequestError> {
+    match f {
+        Some("json" | "geojson") => return Ok(Format::Json),
+        Some("html") => return Ok(Format::Html),
+        Some(other) => return Err(RequestError::UnsupportedFormat(other.to_owned())),
+        None => {}
+    }
+    let Some(accept) = accept else { return Ok(Format::Json) };
+    let (mut json, mut html) = (Preference::default(), Preference::default());
+    for range in accept.split(',').take(MAX_MEDIA_RANGES).map(parse_media_range) {
+        json.consider(range.weight, range.json);
+        html.consider(range.weight, range.html);
+    }
+    if html.weight() > json.weight() {
+        Ok(Format::Html)
+    } else if json.weight() > 0.0 {
+        Ok(Format::Json)
+    } else {
+        Err(RequestError::NotAcceptable)
+    }
+}
+
+/// A media range with its weight; a malformed weight counts as 0.
+fn parse_media_range(text: &str) -> MediaRange {
+    let mut words = text.split(';').map(str::trim);
+    let media_type = words.next().unwrap_or_default().to_ascii_lowercase();
+    let weight = match words.find_map(|word| word.strip_prefix("q=")) {
+        None => 1.0,
+        Some(weight) => weight.trim().parse().unwrap_or(0.0),
+    };
+    let (json, html) = match media_type.as_str() {
+        "*/*" => (Some(ANY), Some(ANY)),
+        "application/*" => (Some(ANY_SUBTYPE), None),
+        "text/*" => (None, Some(ANY_SUBTYPE)),
+        "text/html" | "application/xhtml+xml" => (None, Some(EXACT)),
+        other if other.starts_with("application/") && other.ends_with("json") => (Some(EXACT), None),
+        _ => (None, None),
+    };
+    MediaRange { weight, json, html }
+}
--- /dev/null
+++ b/src/front/ogc/params/items.rs
@@ -0,0 +1,87 @@
+//! The parameters of `/items` (OGC API - Features, Parts 1 to 3).
+
+use super::super::cql2::{self, Filter};
+use super::super::crs::Crs;
+use super::bbox::bbox_to_crs84;
+use super::filter::{prepare_filter, queryable_condition};
+use super::sorting::parse_sortby;
+use super::{values, ParameterRules, Params, RequestError};
+
+/// Parameters whose meaning depends on others, whatever their order.
+#[derive(Default)]
+struct Dependent<'a> {
+    bbox: Option<&'a str>,
+    bbox_crs: Option<Crs>,
+    filter: Option<&'a str>,
+    filter_language: Option<&'a str>,
+    filter_crs: Option<Crs>,
+    /// Conditions on queryables.
+    conditions: Vec<Filter>,
+}
+
+/// The decoded names and values of a query string.
+#[must_use]
+pub fn decode_query(query: &str) -> Vec<(String, String)> {
+    url::form_urlencoded::parse(query.as_bytes()).into_owned().collect()
+}
+
+/// Parses the parameters of `/items`, given as names and values.
+///
+/// # Errors
+/// A parameter is unknown, malformed or given twice.
+pub fn parse_items_query(
+    pairs: &[(String, String)],
+    rules: &ParameterRules<'_>,
+) -> Result<Params, RequestError> {
+    let mut params = Params::unconditional(rules.limits);
+    let mut dependent = Dependent::default();
+    for (position, (name, value)) in pairs.iter().enumerate() {
+        if pairs[..position].iter().any(|earlier| earlier.0 == *name) {
+            return Err(RequestError::DuplicateParameter(name.clone()));
+        }
+        match name.as_str() {
+            "limit" => params.limit = values::limit(value, rules.limits.max_limit)?,
+            "bbox" => dependent.bbox = Some(value),
+            "bbox-crs" => dependent.bbox_crs = Some(values::crs(name, value)?),
+            "filter-crs" => dependent.filter_crs = Some(values::crs(name, value)?),
+            "crs" => params.crs = values::crs(name, value)?,
+            "datetime" => params.datetime = Some(values::datetime(value)?),
+            "filter" => dependent.filter = Some(value),
+            "filter-lang" => dependent.filter_language = Some(value),
+            "sortby" => params.sortby = parse_sortby(value, rules.queryables)?,
+            "properties" => params.properties = Some(values::properties(value)?),
+            "cursor" => params.cursor = Some(value.clone()),
+            "f" => {}
+            other => dependent.conditions.push(queryable_condition(other, value, rules.queryables)?),
+        }
+    }
+    params.bbox = dependent.parse_bbox()?;
+    params.filter = dependent.parse_filter(rules)?;
+    Ok(params)
+}
+
+impl Dependent<'_> {
+    fn parse_bbox(&self) -> Result<Option<Vec<f64>>, RequestError> {
+        let Some(text) = self.bbox else { return Ok(None) };
+        let numbers = text.split(',').map(|number| number.trim().parse::<f64>().ok());
+        let numbers = numbers.collect::<Option<_>>().ok_or(RequestError::BboxNumbers)?;
+        bbox_to_crs84(numbers, self.bbox_crs.unwrap_or(Crs::Crs84)).map(Some)
+    }
+
+    /// The filter and the conditions on queryables, joined.
+    fn parse_filter(self, rules: &ParameterRules<'_>) -> Result<Option<Filter>, RequestError> {
+        let mut filter = match (self.filter, self.filter_language) {
+            (None, None) => None,
+            (None, Some(_)) => return Err(RequestError::FilterLanguageWithoutFilter),
+            (Some(text), None | Some("cql2-text")) => Some(cql2::read_text(text)?),
+            (Some(text), Some("cql2-json")) => Some(cql2::read_json(text)?),
+            (Some(_), Some(other)) => {
+                return Err(RequestError::UnsupportedFilterLanguage(format!("{other:?}")))
+            }
+        };
+        if let Some(filter) = &mut filter {
+            prepare_filter(filter, self.filter_crs.unwrap_or(Crs::Crs84), rules.queryables)?;
+        }
+        Ok(Filter::all(filter.into_iter().chain(self.conditions).collect()))
+    }
+}
--- /dev/null
+++ b/src/front/ogc/params/search.rs
@@ -0,0 +1,94 @@
+//! The body of a search (STAC API, Item Search, `POST /search`).
+
+use super::super::cql2::{self, Filter, Queryables};
+use super::super::crs::Crs;
+use super::bbox::bbox_to_crs84;
+use super::filter::prepare_filter;
+use super::sorting::parse_sort_list;
+use super::{values, LimitRules, Params, RequestError};
+use serde_json::Value as Json;
+
+/// A search.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Search {
+    /// The collection that is searched.
+    pub collection: String,
+    /// The query on it.
+    pub params: Params,
+}
+
+/// Parses the body of a search as JSON.
+///
+/// # Errors
+/// The body is no JSON.
+pub fn parse_search_body(body: &[u8]) -> Result<Json, RequestError> {
+    serde_json::from_slice(body).map_err(RequestError::Body)
+}
+
+/// The collection that the body of a search names.
+///
+/// # Errors
+/// The body names none or several.
+pub fn search_collection(body: &Json) -> Result<String, RequestError> {
+    let collections = body["collections"].as_array().ok_or(RequestError::CollectionsList)?;
+    match collections.as_slice() {
+        [Json::String(collection)] => Ok(collection.clone()),
+        _ => Err(RequestError::CollectionsCount),
+    }
+}
+
+/// Parses the body of a search; `queryables_of` gives the queryables of a collection, or `None` if there is no such one.
+///
+/// # Errors
+/// A member is unknown or malformed.
+pub fn parse_search(
+    body: &Json,
+    queryables_of: impl Fn(&str) -> Option<Queryables>,
+    limits: LimitRules,
+) -> Result<Search, RequestError> {
+    let members = body.as_object().ok_or(RequestError::BodyObject)?;
+    let collection = search_collection(body)?;
+    let queryables =
+        queryables_of(&collection).ok_or_else(|| RequestError::UnknownCollection(collection.clone()))?;
+    let filter_crs = match members.get("filter-crs") {
+        None => Crs::Crs84,
+        Some(value) => values::crs("filter-crs", text("filter-crs", value)?)?,
+    };
+    let mut params = Params::unconditional(limits);
+    for (name, value) in members {
+        match name.as_str() {
+            "collections" | "filter-crs" => {}
+            "limit" => params.limit = values::limit(&value.to_string(), limits.max_limit)?,
+            "bbox" => params.bbox = Some(parse_bbox(value)?),
+            "datetime" => params.datetime = Some(values::datetime(text(name, value)?)?),
+            "filter-lang" if value == "cql2-json" || value == "cql2-text" => {}
+            "filter-lang" => return Err(RequestError::UnsupportedFilterLanguage(value.to_string())),
+            "filter" => params.filter = Some(parse_filter(value, filter_crs, &queryables)?),
+            "sortby" => params.sortby = parse_sort_list(value, &queryables)?,
+            "crs" => params.crs = values::crs(name, text(name, value)?)?,
+            "token" => params.cursor = Some(text(name, value)?.to_owned()),
+            other => return Err(RequestError::UnknownMember(other.to_owned())),
+        }
+    }
+    Ok(Search { collection, params })
+}
+
+/// The text of member `name`.
+fn text<'a>(name: &str, value: &'a Json) -> Result<&'a str, RequestError> {
+    value.as_str().ok_or_else(|| RequestError::MemberText(name.to_owned()))
+}
+
+fn parse_bbox(value: &Json) -> Result<Vec<f64>, RequestError> {
+    let numbers = value.as_array().and_then(|list| list.iter().map(Json::as_f64).collect::<Option<_>>());
+    bbox_to_crs84(numbers.ok_or(RequestError::BboxNumbers)?, Crs::Crs84)
+}
+
+/// A filter as CQL2 text or CQL2 JSON, whichever it is.
+fn parse_filter(value: &Json, crs: Crs, queryables: &Queryables) -> Result<Filter, RequestError> {
+    let mut filter = match value.as_str() {
+        Some(text) => cql2::read_text(text)?,
+        None => cql2::from_json(value)?,
+    };
+    prepare_filter(&mut filter, crs, queryables)?;
+    Ok(filter)
+}
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -360,8 +360,13 @@
         };
         // Not the cursor itself: each answer's is another one.
         let more = ready.next.is_some();
-        let told =
-            format!("{more} {:?} {:?} {} {}", ready.matched, ready.missing, asked.html, asked.params.bound());
+        let told = format!(
+            "{more} {:?} {:?} {} {}",
+            ready.matched,
+            ready.missing,
+            asked.html,
+            asked.params.cursor_binding()
+        );
         let all: Vec<_> = ready.pages.iter().map(features).collect();
         deliver::tag(all.iter().map(|(page, range)| &page.body[range.clone()]).chain([told.as_bytes()]))
     };
