--- a/src/front/ogc/error.rs
+++ b/src/front/ogc/error.rs
@@ -1,20 +1,19 @@
 //! Why a request gets an error response. The messages are the `detail` of the problem documents that clients read.
 
 use super::cursor::CursorError;
+use super::params::RequestError;
 use crate::coordinator::Answer;
 use crate::time::Micros;
 
 /// Why a request gets an error response.
-#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub(super) enum ApiError {
     #[error("the path is no UTF-8")]
     PathNotUtf8,
     #[error("unknown parameter {0:?}")]
     UnknownParameter(String),
-    #[error("{0}")]
-    InvalidParameters(String),
-    #[error("{detail}")]
-    Format { status: u16, detail: String },
+    #[error(transparent)]
+    Parameters(#[from] RequestError),
     #[error("crs: {0:?} is not served")]
     UnsupportedCrs(String),
     #[error("X-Qos names no class")]
@@ -58,12 +57,6 @@
     Timeout,
 }
 
-impl From<(u16, String)> for ApiError {
-    fn from((status, detail): (u16, String)) -> Self {
-        ApiError::Format { status, detail }
-    }
-}
-
 impl ApiError {
     /// Why the core's answer is no result; `None` if it is one.
     pub fn from_answer(answer: &Answer) -> Option<Self> {
@@ -82,10 +75,9 @@
     /// The HTTP status (RFC 9110).
     pub fn status(&self) -> u16 {
         match self {
-            ApiError::Format { status, .. } => *status,
+            ApiError::Parameters(error) => error.status(),
             ApiError::PathNotUtf8
             | ApiError::UnknownParameter(_)
-            | ApiError::InvalidParameters(_)
             | ApiError::UnsupportedCrs(_)
             | ApiError::UnknownClass
             | ApiError::InvalidTimeout
--- a/src/front/ogc/handlers/feature.rs
+++ b/src/front/ogc/handlers/feature.rs
@@ -51,7 +51,7 @@
 fn crs(request: &ResourceRequest<'_>) -> Result<Crs, ApiError> {
     match request.parameters.iter().find(|(name, _)| name == "crs") {
         None => Ok(Crs::Crs84),
-        Some((_, text)) => Crs::read(text).ok_or_else(|| ApiError::UnsupportedCrs(text.clone())),
+        Some((_, text)) => Crs::parse(text).ok_or_else(|| ApiError::UnsupportedCrs(text.clone())),
     }
 }
 
--- a/src/front/ogc/handlers/items.rs
+++ b/src/front/ogc/handlers/items.rs
@@ -30,12 +30,8 @@
             true => queryables(&state, &collection, &query_shards),
             false => Queryables::unknown(),
         };
-        let rules = ParameterRules {
-            default_limit: state.edge.default_limit,
-            max_limit: state.edge.max_limit,
-            queryables: &queryables,
-        };
-        let params = parse_items_query(&parameters, &rules).map_err(ApiError::InvalidParameters)?;
+        let rules = ParameterRules { limits: state.edge.limit_rules(), queryables: &queryables };
+        let params = parse_items_query(&parameters, &rules)?;
         let request = ItemsRequest {
             base_url: document.base_url,
             collection,
--- a/src/front/ogc/handlers/search.rs
+++ b/src/front/ogc/handlers/search.rs
@@ -4,7 +4,7 @@
 use crate::front::ogc::client_request::ItemsRequest;
 use crate::front::ogc::discovery::queryables;
 use crate::front::ogc::error::ApiError;
-use crate::front::ogc::params::{parse_search, parse_search_body, search_collection, Format};
+use crate::front::ogc::params::{parse_search, parse_search_body, search_collection, Format, Search};
 use crate::front::ogc::query::ItemsQuery;
 use crate::front::ogc::shards::shards_of;
 use crate::front::ogc::state::FrontState;
@@ -19,17 +19,15 @@
     if !has_json_body(incoming.http) {
         return Err(ApiError::UnsupportedMediaType);
     }
-    let body = parse_search_body(&incoming.http.body).map_err(ApiError::InvalidParameters)?;
-    let collection = search_collection(&body).map_err(ApiError::InvalidParameters)?;
+    let body = parse_search_body(&incoming.http.body)?;
+    let collection = search_collection(&body)?;
     let shards = shards_of(incoming.state, &collection)?;
     let client = incoming.client()?;
     let base_url = incoming.base_url();
     let (query_client, query_shards) = (client.clone(), shards.clone());
     let start = move |state: Arc<FrontState>| {
         let queryables_of = |id: &str| Some(queryables(&state, id, &query_shards));
-        let limits = (state.edge.default_limit, state.edge.max_limit);
-        let (collection, params) =
-            parse_search(&body, queryables_of, limits).map_err(ApiError::InvalidParameters)?;
+        let Search { collection, params } = parse_search(&body, queryables_of, state.edge.limit_rules())?;
         let request = ItemsRequest {
             base_url,
             collection,
--- a/src/front/ogc/query/mod.rs
+++ b/src/front/ogc/query/mod.rs
@@ -157,7 +157,7 @@
 
     /// Takes in the pages of a round. `error`: why the round failed.
     fn accept(mut self, fetched: Vec<FetchedPage>, error: Option<ApiError>) -> Reaction {
-        let timed_out = error == Some(ApiError::Timeout);
+        let timed_out = matches!(error, Some(ApiError::Timeout));
         match self.merge.accept(fetched) {
             MergeProgress::NeedsPages if !timed_out => self.next_round(),
             MergeProgress::Complete => self.end(None),
--- a/src/front/ogc/query/resume.rs
+++ b/src/front/ogc/query/resume.rs
@@ -78,7 +78,7 @@
 
 /// The hash that binds a cursor to its query.
 fn query_hash(request: &ItemsRequest) -> u64 {
-    stable_hash(&[request.collection.as_bytes(), request.params.bound().as_bytes()])
+    stable_hash(&[request.collection.as_bytes(), request.params.cursor_binding().as_bytes()])
 }
 
 /// The position that a cursor leads to, by the present inventory.
--- a/src/front/ogc/response/feature_collection.rs
+++ b/src/front/ogc/response/feature_collection.rs
@@ -46,7 +46,7 @@
         result.next_cursor.is_some(),
         result.number_matched,
         result.missing_shards,
-        request.params.bound()
+        request.params.cursor_binding()
     );
     entity_tag(result.slices.iter().map(PageSlice::span).chain([other_members.as_bytes()]))
 }
