--- /dev/null
+++ b/src/coordinator/metrics.rs
@@ -0,0 +1,97 @@
+//! The figures that operators read at the admin address, by class name where they belong to a class.
+//!
+//! Each is counted in one place, where it happens: an answer where the coordinator gives it, an attempt where its last byte is
+//! written. So both fronts count, and a class that a reload brings counts from its first request on.
+
+use super::counters::Counter;
+use crate::sync::lock;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+
+/// The counters of one class.
+#[derive(Debug, Default)]
+pub struct ClassMetrics {
+    /// Requests served.
+    pub ok: Counter,
+    /// Requests rejected.
+    pub shed: Counter,
+    /// Requests failed.
+    pub errors: Counter,
+    /// Attempts whose last byte was written.
+    pub attempts: Counter,
+}
+
+/// A figure that rises and falls: the sum of what each coordinator of the process last reported.
+#[derive(Debug, Default)]
+pub struct Gauge(AtomicUsize);
+
+impl Gauge {
+    /// Replaces a coordinator's previous value by its current one.
+    pub fn update(&self, previous: usize, current: usize) {
+        self.0.fetch_add(current.wrapping_sub(previous), Relaxed);
+    }
+
+    /// The sum over all coordinators.
+    #[must_use]
+    pub fn get(&self) -> usize {
+        self.0.load(Relaxed)
+    }
+}
+
+/// All figures of the process.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    classes: Mutex<BTreeMap<String, Arc<ClassMetrics>>>,
+    /// Requests accepted and not yet ended.
+    pub active: Gauge,
+    /// Servers in the endpoint list.
+    pub pool_size: Gauge,
+    /// Those of them that the policy has avoided for a while.
+    pub pool_ejected: Gauge,
+    /// Configurations applied at SIGHUP.
+    pub config_applied: Counter,
+    /// Configurations rejected at SIGHUP.
+    pub config_rejected: Counter,
+}
+
+impl Metrics {
+    /// The metrics of a class. A class that is dropped keeps them: they count from the start of the process.
+    pub fn class(&self, name: &str) -> Arc<ClassMetrics> {
+        let mut classes = lock(&self.classes);
+        classes.entry(name.to_owned()).or_default().clone()
+    }
+
+    /// All figures, one on each line.
+    #[must_use]
+    pub fn dump(&self) -> String {
+        let mut text = String::new();
+        for (name, metrics) in lock(&self.classes).iter() {
+            append_class(&mut text, name, metrics);
+        }
+        let figures = [
+            ("active", self.active.get() as u64),
+            ("pool_size", self.pool_size.get() as u64),
+            ("pool_ejected", self.pool_ejected.get() as u64),
+            ("config_applied", self.config_applied.get()),
+            ("config_rejected", self.config_rejected.get()),
+        ];
+        for (name, figure) in figures {
+            let _ = writeln!(text, "node.{name}={figure}");
+        }
+        text
+    }
+}
+
+fn append_class(text: &mut String, class: &str, metrics: &ClassMetrics) {
+    let counters = [
+        ("ok", &metrics.ok),
+        ("shed", &metrics.shed),
+        ("errors", &metrics.errors),
+        ("tries", &metrics.attempts),
+    ];
+    for (name, counter) in counters {
+        let _ = writeln!(text, "node.responses.{class}.{name}={}", counter.get());
+    }
+}
--- a/src/front/ogc/handlers/mod.rs
+++ b/src/front/ogc/handlers/mod.rs
@@ -89,7 +89,7 @@
     ) -> Reaction {
         discover_then(self.state.clone(), client, shards, |state| {
             start(state).unwrap_or_else(|error| {
-                COUNTERS.bad_requests.add();
+                COUNTERS.bad_requests.increment();
                 Reaction::Respond(error_response(&error))
             })
         })
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -94,7 +94,7 @@
 
 /// The response to a request that cannot be handled.
 fn reject(request: &HttpRequest, error: &ApiError) -> Reaction {
-    COUNTERS.bad_requests.add();
+    COUNTERS.bad_requests.increment();
     let mut response = error_response(error);
     if response.status == 405 {
         let search = request.target.starts_with("/search");
--- a/src/front/ogc/response/feature.rs
+++ b/src/front/ogc/response/feature.rs
@@ -5,13 +5,12 @@
 use super::links::{link, self_and_alternate};
 use super::problem::error_response;
 use super::projection::FeatureProjection;
-use crate::coordinator::{Answer, Value, COUNTERS};
+use crate::coordinator::{Answer, ServedPart, COUNTERS};
 use crate::front::ogc::crs::Crs;
 use crate::front::ogc::error::ApiError;
 use crate::front::ogc::paging::FeaturePage;
 use crate::front::ogc::params::Format;
 use crate::front::ogc::round::ShardRequest;
-use crate::interface::ShardId;
 use crate::proto::http::Response;
 use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
 use serde_json::{json, Value as Json};
@@ -39,8 +38,9 @@
         return Err(error);
     }
     let Answer::Served { complete, parts } = answer else { return Err(ApiError::NoAnswer) };
-    let page = |(shard, value): &(ShardId, Value)| {
-        request.shard_requests.iter().find(|r| r.shard == *shard)?.request.page(value)
+    let page = |part: &ServedPart| {
+        let shard_request = request.shard_requests.iter().find(|request| request.shard == part.shard)?;
+        shard_request.request.page(&part.value)
     };
     let text = |page: Arc<FeaturePage>| Some(page.body[page.features.first()?.clone()].to_vec());
     let found = parts.iter().filter_map(page).find_map(text);
@@ -50,7 +50,7 @@
 
 fn render(request: &FeatureRequest, text: &[u8]) -> Result<Response, ApiError> {
     let Ok(mut feature @ Json::Object(_)) = serde_json::from_slice::<Json>(text) else {
-        COUNTERS.bad_frames.add();
+        COUNTERS.bad_frames.increment();
         return Err(ApiError::InvalidFeature);
     };
     FeatureProjection::to_crs(request.crs).change(&mut feature);
--- a/src/front/ogc/round.rs
+++ b/src/front/ogc/round.rs
@@ -53,5 +53,5 @@
         503 | 429 => &metrics.shed,
         _ => &metrics.errors,
     };
-    counter.add();
+    counter.increment();
 }
--- a/src/front/platform/mod.rs
+++ b/src/front/platform/mod.rs
@@ -58,7 +58,7 @@
                 Reaction::Submit(request, Box::new(|answer| Reaction::Respond(response::render(answer))))
             }
             Err(error) => {
-                COUNTERS.bad_requests.add();
+                COUNTERS.bad_requests.increment();
                 text(400, &format!("{error}\n"))
             }
         }
--- a/src/front/platform/tests.rs
+++ b/src/front/platform/tests.rs
@@ -2,7 +2,7 @@
 
 use super::request::parse;
 use super::{Platform, PlatformCatalog, RequestError};
-use crate::coordinator::{Answer, Request, Token};
+use crate::coordinator::{Answer, Request, ServedPart, Token};
 use crate::front::{Front, Reaction};
 use crate::interface::ShardId;
 use crate::proto::http::{HttpRequest, Response, Server};
@@ -113,8 +113,10 @@
 #[test]
 fn each_answer_has_its_status_and_body() {
     let rendered = |answer: Answer| -> Response { super::response::render(answer) };
-    let served =
-        rendered(Answer::Served { complete: true, parts: vec![(ShardId(2), b"v".as_slice().into())] });
+    let served = rendered(Answer::Served {
+        complete: true,
+        parts: vec![ServedPart { shard: ShardId(2), value: b"v".as_slice().into() }],
+    });
     assert_eq!((served.status, served.content_type), (200, "application/json"));
     assert_eq!(served.body.to_vec(), br#"{"full":true,"pieces":[{"tablet":2,"cell":"v"}]}"#);
     for (answer, status, body) in [
