--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -280,7 +280,7 @@
 
     fn change(&self, feature: &mut Json) {
         if let Some(transform) = &self.transform {
-            if !transform.geojson_out(&mut feature["geometry"]) {
+            if !transform.geojson_from_crs84(&mut feature["geometry"]) {
                 // Where the system is not defined there is no place to give.
                 feature["geometry"] = Json::Null;
             }
