--- a/fuzz/fuzz_targets/filter.rs
+++ b/fuzz/fuzz_targets/filter.rs
@@ -1,15 +1,15 @@
 //! Any text is a filter or an error; a filter reads back as printed, in both forms.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
-use quinceflow::front::ogc::cql2::{read_json, read_text, to_json};
+use quinceflow::front::ogc::cql2::{parse_json, parse_text, to_json};
 
 fuzz_target!(|text: &str| {
-    for filter in [read_text(text), read_json(text)].into_iter().flatten() {
+    for filter in [parse_text(text), parse_json(text)].into_iter().flatten() {
         let json = to_json(&filter).to_string();
-        assert_eq!(read_json(&json).as_ref(), Ok(&filter), "{json}");
+        assert_eq!(parse_json(&json).as_ref(), Ok(&filter), "{json}");
     }
-    if let Ok(filter) = read_text(text) {
+    if let Ok(filter) = parse_text(text) {
         let printed = filter.to_string();
-        assert_eq!(read_text(&printed).as_ref(), Ok(&filter), "{printed}");
+        assert_eq!(parse_text(&printed).as_ref(), Ok(&filter), "{printed}");
     }
 });
--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -4,7 +4,9 @@
 use divan::Bencher;
 use quinceflow::coordinator::{Answer, AttemptEnd, Token};
 use quinceflow::front::ogc::config::EdgeConfig;
-use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Capabilities, Matcher, Queryables};
+use quinceflow::front::ogc::cql2::{
+    parse_json, parse_text, split, to_json, Capabilities, Matcher, Queryables,
+};
 use quinceflow::front::ogc::cursor::CursorKey;
 use quinceflow::front::ogc::page_request::{parse_page, PageRequest};
 use quinceflow::front::ogc::paging::PageLocation;
@@ -44,24 +46,24 @@
 
 #[divan::bench]
 fn parse_filter_text(bencher: Bencher) {
-    bencher.bench(|| read_text(divan::black_box(FILTER)));
+    bencher.bench(|| parse_text(divan::black_box(FILTER)));
 }
 
 #[divan::bench(args = [100, 10_000])]
 fn parse_area_text(bencher: Bencher, points: usize) {
     let text = area(points);
-    bencher.bench(|| read_text(divan::black_box(&text)));
+    bencher.bench(|| parse_text(divan::black_box(&text)));
 }
 
 #[divan::bench(args = [100, 10_000])]
 fn parse_area_json(bencher: Bencher, points: usize) {
-    let text = to_json(&read_text(&area(points)).expect("a filter")).to_string();
-    bencher.bench(|| read_json(divan::black_box(&text)));
+    let text = to_json(&parse_text(&area(points)).expect("a filter")).to_string();
+    bencher.bench(|| parse_json(divan::black_box(&text)));
 }
 
 #[divan::bench]
 fn split_filter(bencher: Bencher) {
-    let filter = read_text(FILTER).expect("a filter");
+    let filter = parse_text(FILTER).expect("a filter");
     let classes = ["cql2-text", "features-filter", "basic-cql2"].map(str::to_owned).into();
     let able = Capabilities { classes, queryables: Queryables::unknown(), max_filter_text: 2_000 };
     bencher.bench(|| split(divan::black_box(&filter), &able));
@@ -69,7 +71,7 @@
 
 #[divan::bench(args = [4, 10_000])]
 fn evaluate_on_500_features(bencher: Bencher, points: usize) {
-    let matcher = Matcher::new(read_text(&area(points)).expect("a filter"));
+    let matcher = Matcher::new(parse_text(&area(points)).expect("a filter"));
     let texts: Vec<Vec<u8>> = devices(0..500).iter().map(|f| f.to_string().into_bytes()).collect();
     bencher.bench(|| texts.iter().filter(|t| matcher.matches_text(t)).count());
 }
--- a/lab/src/features.rs
+++ b/lab/src/features.rs
@@ -396,7 +396,7 @@
             if self.skill == Skill::Core {
                 return bad("no filter is known here");
             }
-            let Ok(filter) = cql2::read_text(text) else { return bad("the filter") };
+            let Ok(filter) = cql2::parse_text(text) else { return bad("the filter") };
             let matcher = Matcher::new(filter);
             chosen.retain(|n| matcher.matches(&self.features[*n]));
         }
--- a/src/front/ogc/cql2/eval.rs
+++ b/src/front/ogc/cql2/eval.rs
@@ -1,7 +1,9 @@
 //! What a filter says of a feature: true, false, or unknown where a value is missing.
 
-use super::geometry::{envelope, read_geojson};
-use super::{Arithmetic, Arrays, Comparison, Filter, Spatial, Temporal, Value};
+use super::geometry::{envelope, parse_geojson};
+use super::{
+    ArithmeticOperator, ArrayRelation, ComparisonOperator, Filter, SpatialRelation, TemporalRelation, Value,
+};
 use geo::{Geometry, Intersects, Rect, Relate};
 use serde_json::Value as Json;
 use std::borrow::Cow;
@@ -138,14 +140,14 @@
     (!unknown).then_some(!decisive)
 }
 
-fn fits(op: Comparison, order: Ordering) -> bool {
+fn fits(op: ComparisonOperator, order: Ordering) -> bool {
     match op {
-        Comparison::Equal => order == Ordering::Equal,
-        Comparison::NotEqual => order != Ordering::Equal,
-        Comparison::Less => order == Ordering::Less,
-        Comparison::LessEqual => order != Ordering::Greater,
-        Comparison::Greater => order == Ordering::Greater,
-        Comparison::GreaterEqual => order != Ordering::Less,
+        ComparisonOperator::Equal => order == Ordering::Equal,
+        ComparisonOperator::NotEqual => order != Ordering::Equal,
+        ComparisonOperator::Less => order == Ordering::Less,
+        ComparisonOperator::LessEqual => order != Ordering::Greater,
+        ComparisonOperator::Greater => order == Ordering::Greater,
+        ComparisonOperator::GreaterEqual => order != Ordering::Less,
     }
 }
 
@@ -183,13 +185,13 @@
         Value::Arithmetic(op, a, b) => match (got(a, feature)?, got(b, feature)?) {
             (Got::Number(a), Got::Number(b)) => {
                 let result = match op {
-                    Arithmetic::Add => a + b,
-                    Arithmetic::Subtract => a - b,
-                    Arithmetic::Multiply => a * b,
-                    Arithmetic::Divide => a / b,
-                    Arithmetic::Modulo => a % b,
-                    Arithmetic::Div => (a / b).trunc(),
-                    Arithmetic::Power => a.powf(b),
+                    ArithmeticOperator::Add => a + b,
+                    ArithmeticOperator::Subtract => a - b,
+                    ArithmeticOperator::Multiply => a * b,
+                    ArithmeticOperator::Divide => a / b,
+                    ArithmeticOperator::Modulo => a % b,
+                    ArithmeticOperator::Div => (a / b).trunc(),
+                    ArithmeticOperator::Power => a.powf(b),
                 };
                 // By zero, or beyond all numbers: unknown.
                 Got::Number(Some(result).filter(|r| r.is_finite())?)
@@ -254,7 +256,7 @@
 fn place<'a>(value: &'a Value, feature: &Feature<'_>) -> Option<Cow<'a, Geometry<f64>>> {
     match value {
         Value::Geometry(g) => Some(Cow::Borrowed(g)),
-        Value::Property(name) => read_geojson(feature.value(name)?).ok().map(Cow::Owned),
+        Value::Property(name) => parse_geojson(feature.value(name)?).ok().map(Cow::Owned),
         Value::Bbox(b) => {
             let (w, s, e, n) = if b.len() == 6 { (b[0], b[1], b[3], b[4]) } else { (b[0], b[1], b[2], b[3]) };
             let of = |w: f64, e: f64| Rect::new((w, s), (e, n)).to_polygon();
@@ -269,22 +271,24 @@
     }
 }
 
-fn spatial(op: Spatial, a: &Geometry<f64>, b: &Geometry<f64>) -> Option<bool> {
-    let (Some(left), Some(right)) = (envelope(a), envelope(b)) else { return Some(op == Spatial::Disjoint) };
+fn spatial(op: SpatialRelation, a: &Geometry<f64>, b: &Geometry<f64>) -> Option<bool> {
+    let (Some(left), Some(right)) = (envelope(a), envelope(b)) else {
+        return Some(op == SpatialRelation::Disjoint);
+    };
     if !left.intersects(&right) {
-        return Some(op == Spatial::Disjoint);
+        return Some(op == SpatialRelation::Disjoint);
     }
     Some(match op {
-        Spatial::Intersects => a.intersects(b),
-        Spatial::Disjoint => !a.intersects(b),
+        SpatialRelation::Intersects => a.intersects(b),
+        SpatialRelation::Disjoint => !a.intersects(b),
         op => {
             let matrix = a.relate(b);
             match op {
-                Spatial::Equals => matrix.is_equal_topo(),
-                Spatial::Touches => matrix.is_touches(),
-                Spatial::Within => matrix.is_within(),
-                Spatial::Overlaps => matrix.is_overlaps(),
-                Spatial::Crosses => matrix.is_crosses(),
+                SpatialRelation::Equals => matrix.is_equal_topo(),
+                SpatialRelation::Touches => matrix.is_touches(),
+                SpatialRelation::Within => matrix.is_within(),
+                SpatialRelation::Overlaps => matrix.is_overlaps(),
+                SpatialRelation::Crosses => matrix.is_crosses(),
                 _ => matrix.is_contains(),
             }
         }
@@ -311,37 +315,37 @@
     }
 }
 
-fn temporal(op: Temporal, a: Span, b: Span) -> bool {
+fn temporal(op: TemporalRelation, a: Span, b: Span) -> bool {
     match op {
-        Temporal::After => a.from > b.to,
-        Temporal::Before => a.to < b.from,
-        Temporal::Disjoint => a.to < b.from || a.from > b.to,
-        Temporal::Intersects => a.to >= b.from && a.from <= b.to,
-        Temporal::Equals => a == b,
-        Temporal::Contains => a.from < b.from && a.to > b.to,
-        Temporal::During => a.from > b.from && a.to < b.to,
-        Temporal::FinishedBy => a.from < b.from && a.to == b.to,
-        Temporal::Finishes => a.from > b.from && a.to == b.to,
-        Temporal::Meets => a.to == b.from,
-        Temporal::MetBy => a.from == b.to,
-        Temporal::OverlappedBy => a.from > b.from && a.from < b.to && a.to > b.to,
-        Temporal::Overlaps => a.from < b.from && a.to > b.from && a.to < b.to,
-        Temporal::StartedBy => a.from == b.from && a.to > b.to,
-        Temporal::Starts => a.from == b.from && a.to < b.to,
+        TemporalRelation::After => a.from > b.to,
+        TemporalRelation::Before => a.to < b.from,
+        TemporalRelation::Disjoint => a.to < b.from || a.from > b.to,
+        TemporalRelation::Intersects => a.to >= b.from && a.from <= b.to,
+        TemporalRelation::Equals => a == b,
+        TemporalRelation::Contains => a.from < b.from && a.to > b.to,
+        TemporalRelation::During => a.from > b.from && a.to < b.to,
+        TemporalRelation::FinishedBy => a.from < b.from && a.to == b.to,
+        TemporalRelation::Finishes => a.from > b.from && a.to == b.to,
+        TemporalRelation::Meets => a.to == b.from,
+        TemporalRelation::MetBy => a.from == b.to,
+        TemporalRelation::OverlappedBy => a.from > b.from && a.from < b.to && a.to > b.to,
+        TemporalRelation::Overlaps => a.from < b.from && a.to > b.from && a.to < b.to,
+        TemporalRelation::StartedBy => a.from == b.from && a.to > b.to,
+        TemporalRelation::Starts => a.from == b.from && a.to < b.to,
     }
 }
 
-fn arrays(op: Arrays, a: &[Got<'_>], b: &[Got<'_>]) -> bool {
+fn arrays(op: ArrayRelation, a: &[Got<'_>], b: &[Got<'_>]) -> bool {
     let equal = |x: &Got<'_>, y: &Got<'_>| match (x, y) {
-        (Got::Array(x), Got::Array(y)) => arrays(Arrays::Equals, x, y),
+        (Got::Array(x), Got::Array(y)) => arrays(ArrayRelation::Equals, x, y),
         (x, y) => compared(x, y) == Some(Ordering::Equal),
     };
     let within = |a: &[Got<'_>], b: &[Got<'_>]| a.iter().all(|x| b.iter().any(|y| equal(x, y)));
     match op {
         // As sets: order and repeats are of no consequence.
-        Arrays::Equals => within(a, b) && within(b, a),
-        Arrays::Contains => within(b, a),
-        Arrays::ContainedBy => within(a, b),
-        Arrays::Overlaps => a.iter().any(|x| b.iter().any(|y| equal(x, y))),
+        ArrayRelation::Equals => within(a, b) && within(b, a),
+        ArrayRelation::Contains => within(b, a),
+        ArrayRelation::ContainedBy => within(a, b),
+        ArrayRelation::Overlaps => a.iter().any(|x| b.iter().any(|y| equal(x, y))),
     }
 }
--- a/src/front/ogc/cql2/geometry.rs
+++ b/src/front/ogc/cql2/geometry.rs
@@ -65,7 +65,7 @@
 }
 
 /// Reads a GeoJSON geometry (RFC 7946).
-pub fn read_geojson(json: &Json) -> Result<Geometry<f64>, FilterError> {
+pub fn parse_geojson(json: &Json) -> Result<Geometry<f64>, FilterError> {
     nested(json, 0)
 }
 
--- a/src/front/ogc/cql2/json.rs
+++ b/src/front/ogc/cql2/json.rs
@@ -1,16 +1,17 @@
 //! CQL2 JSON: read and written after the standard's schema (OGC 21-065r2, clause 7 and annex B).
 
-use super::geometry::{read_geojson, to_geojson};
+use super::geometry::{parse_geojson, to_geojson};
 use super::text::flat;
 use super::{
-    fault, Arithmetic, Arrays, Comparison, Filter, FilterError, Spatial, Temporal, Value, MAX_DEPTH,
+    fault, ArithmeticOperator, ArrayRelation, ComparisonOperator, Filter, FilterError, SpatialRelation,
+    TemporalRelation, Value, MAX_DEPTH,
 };
 use serde_json::{json, Value as Json};
 
 type Read<T> = Result<T, FilterError>;
 
 /// Reads a filter from JSON text.
-pub fn read_json(text: &str) -> Read<Filter> {
+pub fn parse_json(text: &str) -> Read<Filter> {
     let json: Json = serde_json::from_str(text).map_err(|e| FilterError(e.to_string()))?;
     from_json(&json)
 }
@@ -57,16 +58,16 @@
         let [inner] = args::<1>(op, list)?;
         return Ok(Filter::Not(Box::new(filter(inner, depth + 1)?)));
     }
-    if let Some(op) = Comparison::ALL.iter().find(|o| o.json() == op) {
+    if let Some(op) = ComparisonOperator::ALL.iter().find(|o| o.json() == op) {
         return two().map(|(a, b)| Filter::Compare(*op, a, b));
     }
-    if let Some(op) = Spatial::ALL.iter().find(|o| o.json() == op) {
+    if let Some(op) = SpatialRelation::ALL.iter().find(|o| o.json() == op) {
         return two().map(|(a, b)| Filter::Spatial(*op, a, b));
     }
-    if let Some(op) = Temporal::ALL.iter().find(|o| o.json() == op) {
+    if let Some(op) = TemporalRelation::ALL.iter().find(|o| o.json() == op) {
         return two().map(|(a, b)| Filter::Temporal(*op, a, b));
     }
-    if let Some(op) = Arrays::ALL.iter().find(|o| o.json() == op) {
+    if let Some(op) = ArrayRelation::ALL.iter().find(|o| o.json() == op) {
         return two().map(|(a, b)| Filter::Array(*op, a, b));
     }
     match op {
@@ -128,7 +129,7 @@
                     _ => return fault("a bbox needs four or six numbers"),
                 }
             } else if object.contains_key("type") {
-                Value::Geometry(read_geojson(json)?)
+                Value::Geometry(parse_geojson(json)?)
             } else {
                 operation(json, depth)?
             }
@@ -144,7 +145,7 @@
     match op {
         "casei" => Ok(Value::Casei(inner(&args::<1>(op, list)?[0])?)),
         "accenti" => Ok(Value::Accenti(inner(&args::<1>(op, list)?[0])?)),
-        op => match Arithmetic::ALL.iter().find(|o| o.json() == op) {
+        op => match ArithmeticOperator::ALL.iter().find(|o| o.json() == op) {
             Some(found) => {
                 let [a, b] = args::<2>(op, list)?;
                 Ok(Value::Arithmetic(*found, inner(a)?, inner(b)?))
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -13,10 +13,10 @@
 
 pub use check::{check, QueryableType, Queryables};
 pub use eval::{Feature, Matcher};
-pub use geometry::{envelope, read_geojson};
-pub use json::{from_json, read_json, to_json};
+pub use geometry::{envelope, parse_geojson};
+pub use json::{from_json, parse_json, to_json};
 pub use split::{split, Capabilities, FilterSplit};
-pub use text::{flat, read_text};
+pub use text::{flat, parse_text};
 
 use geo::Geometry;
 
@@ -55,7 +55,7 @@
     /// A constant.
     Constant(bool),
     /// One value against another.
-    Compare(Comparison, Value, Value),
+    Compare(ComparisonOperator, Value, Value),
     /// Text against a pattern with `%`, `_` and `\`.
     Like(Value, Value),
     /// A number between two others, both included.
@@ -65,11 +65,11 @@
     /// There is no value.
     IsNull(Value),
     /// One geometry against another.
-    Spatial(Spatial, Value, Value),
+    Spatial(SpatialRelation, Value, Value),
     /// One time against another.
-    Temporal(Temporal, Value, Value),
+    Temporal(TemporalRelation, Value, Value),
     /// One array against another.
-    Array(Arrays, Value, Value),
+    Array(ArrayRelation, Value, Value),
     /// A property that is itself true or false.
     Test(Value),
 }
@@ -98,7 +98,7 @@
     /// An array.
     Array(Vec<Value>),
     /// Two numbers.
-    Arithmetic(Arithmetic, Box<Value>, Box<Value>),
+    Arithmetic(ArithmeticOperator, Box<Value>, Box<Value>),
     /// Text without its case.
     Casei(Box<Value>),
     /// Text without its accents.
@@ -128,15 +128,15 @@
 
 operators! {
     /// Comparisons.
-    Comparison { Equal "=" "=", NotEqual "<>" "<>", LessEqual "<=" "<=", GreaterEqual ">=" ">=", Less "<" "<", Greater ">" ">" }
+    ComparisonOperator { Equal "=" "=", NotEqual "<>" "<>", LessEqual "<=" "<=", GreaterEqual ">=" ">=", Less "<" "<", Greater ">" ">" }
 }
 operators! {
     /// Arithmetic on two numbers.
-    Arithmetic { Add "+" "+", Subtract "-" "-", Multiply "*" "*", Divide "/" "/", Modulo "%" "%", Div "div" "div", Power "^" "^" }
+    ArithmeticOperator { Add "+" "+", Subtract "-" "-", Multiply "*" "*", Divide "/" "/", Modulo "%" "%", Div "div" "div", Power "^" "^" }
 }
 operators! {
     /// Spatial relations, by the dimensionally extended nine-intersection model.
-    Spatial {
+    SpatialRelation {
         Intersects "S_INTERSECTS" "s_intersects", Equals "S_EQUALS" "s_equals", Disjoint "S_DISJOINT" "s_disjoint",
         Touches "S_TOUCHES" "s_touches", Within "S_WITHIN" "s_within", Overlaps "S_OVERLAPS" "s_overlaps",
         Crosses "S_CROSSES" "s_crosses", Contains "S_CONTAINS" "s_contains",
@@ -144,7 +144,7 @@
 }
 operators! {
     /// Temporal relations, after Allen.
-    Temporal {
+    TemporalRelation {
         After "T_AFTER" "t_after", Before "T_BEFORE" "t_before", Contains "T_CONTAINS" "t_contains",
         Disjoint "T_DISJOINT" "t_disjoint", During "T_DURING" "t_during", Equals "T_EQUALS" "t_equals",
         FinishedBy "T_FINISHEDBY" "t_finishedBy", Finishes "T_FINISHES" "t_finishes",
@@ -155,17 +155,23 @@
 }
 operators! {
     /// Array relations.
-    Arrays {
+    ArrayRelation {
         Equals "A_EQUALS" "a_equals", Contains "A_CONTAINS" "a_contains", ContainedBy "A_CONTAINEDBY" "a_containedBy",
         Overlaps "A_OVERLAPS" "a_overlaps",
     }
 }
 
-impl Temporal {
+impl TemporalRelation {
     /// May stand between instants too; the others need two spans.
     pub fn takes_instants(self) -> bool {
-        use Temporal::*;
-        matches!(self, After | Before | Disjoint | Equals | Intersects)
+        matches!(
+            self,
+            TemporalRelation::After
+                | TemporalRelation::Before
+                | TemporalRelation::Disjoint
+                | TemporalRelation::Equals
+                | TemporalRelation::Intersects
+        )
     }
 }
 
--- a/src/front/ogc/cql2/split.rs
+++ b/src/front/ogc/cql2/split.rs
@@ -1,7 +1,7 @@
 //! What of a filter a server is asked, and what is filtered here on what it gives: a decision of its own.
 
 use super::geometry::envelope;
-use super::{Filter, Queryables, Spatial, Value};
+use super::{Filter, Queryables, SpatialRelation, Value};
 use std::collections::BTreeSet;
 
 /// What a server can filter, by the conformance classes that it declares and the queryables that it tells.
@@ -60,7 +60,7 @@
 fn bounds(filter: &Filter) -> Option<[f64; 4]> {
     match filter {
         Filter::And(parts) => parts.iter().filter_map(bounds).reduce(common),
-        Filter::Spatial(op, a, b) if *op != Spatial::Disjoint => {
+        Filter::Spatial(op, a, b) if *op != SpatialRelation::Disjoint => {
             let fixed = match (a, b) {
                 (Value::Property(_), fixed) | (fixed, Value::Property(_)) => fixed,
                 _ => return None,
@@ -128,8 +128,8 @@
         Filter::Spatial(op, a, b) => {
             let simple = |v: &Value| matches!(v, Value::Geometry(geo::Geometry::Point(_)) | Value::Bbox(_));
             into.insert(match op {
-                Spatial::Intersects if plain(a) && simple(b) => "basic-spatial-functions",
-                Spatial::Intersects if plain(a) && literal(b) => "basic-spatial-functions-plus",
+                SpatialRelation::Intersects if plain(a) && simple(b) => "basic-spatial-functions",
+                SpatialRelation::Intersects if plain(a) && literal(b) => "basic-spatial-functions-plus",
                 _ => "spatial-functions",
             });
             if !(plain(a) && literal(b)) {
--- a/src/front/ogc/cql2/tests.rs
+++ b/src/front/ogc/cql2/tests.rs
@@ -24,11 +24,11 @@
 }
 
 fn holds(text: &str) -> bool {
-    let filter = read_text(text).unwrap_or_else(|e| panic!("{text}: {e}"));
+    let filter = parse_text(text).unwrap_or_else(|e| panic!("{text}: {e}"));
     let printed = filter.to_string();
-    assert_eq!(read_text(&printed).as_ref(), Ok(&filter), "{text} as {printed}");
+    assert_eq!(parse_text(&printed).as_ref(), Ok(&filter), "{text} as {printed}");
     let json = to_json(&filter).to_string();
-    assert_eq!(read_json(&json).as_ref(), Ok(&filter), "{text} as {json}");
+    assert_eq!(parse_json(&json).as_ref(), Ok(&filter), "{text} as {json}");
     Matcher::new(filter).matches(&feature())
 }
 
@@ -135,21 +135,21 @@
     ];
     let strict = queryables();
     for text in bad {
-        let read = read_text(text).and_then(|f| check(&f, &strict));
+        let read = parse_text(text).and_then(|f| check(&f, &strict));
         let why = read.expect_err(&text.chars().take(60).collect::<String>()).to_string();
         assert!(!why.is_empty() && why.len() < 400, "{why}");
     }
     for json in
         ["", "{}", "[]", "1", r#"{"op":"and","args":[true]}"#, r#"{"op":"x","args":[]}"#, &"[".repeat(9_000)]
     {
-        assert!(read_json(json).is_err(), "{json}");
+        assert!(parse_json(json).is_err(), "{json}");
     }
-    assert!(read_json(&(r#"{"op":"not","args":["#.repeat(60) + "true" + &"]}".repeat(60))).is_err());
+    assert!(parse_json(&(r#"{"op":"not","args":["#.repeat(60) + "true" + &"]}".repeat(60))).is_err());
 }
 
 #[test]
 fn operands_must_fit_the_queryables() {
-    let told = |text: &str| check(&read_text(text).expect(text), &queryables());
+    let told = |text: &str| check(&parse_text(text).expect(text), &queryables());
     for text in [
         "volts = 1",
         "name = 'x'",
@@ -206,7 +206,7 @@
 fn a_server_is_asked_what_it_can_filter_and_the_rest_is_kept() {
     let text =
         "volts > 1 AND S_INTERSECTS(geometry,POLYGON((0 0,4 0,4 4,0 0))) AND name LIKE 'a%' AND other = 1";
-    let filter = read_text(text).expect("a filter");
+    let filter = parse_text(text).expect("a filter");
     let of = |able: &Capabilities| {
         let split = split(&filter, able);
         let text = |f: Option<Filter>| f.map(|f| f.to_string()).unwrap_or_default();
@@ -221,12 +221,12 @@
     assert!(passed.contains("POLYGON") && passed.contains("LIKE"));
     assert_eq!((kept.as_str(), envelope), ("\"other\" = 1", None));
     assert_eq!(of(&Capabilities::default()).0, "", "a server that says nothing is asked nothing");
-    let odd = read_json(r#"{"op":"=","args":[{"property":"name"},"x\\"]}"#).expect("a filter");
+    let odd = parse_json(r#"{"op":"=","args":[{"property":"name"},"x\\"]}"#).expect("a filter");
     assert_eq!(split(&odd, &able(&[])).pushed_down, None, "text cannot say it");
     let short = Capabilities { max_filter_text: 30, ..able(&["basic-spatial-functions-plus"]) };
     assert_eq!(of(&short).0, "\"volts\" > 1");
     // What is joined by OR goes whole or not at all.
-    let either = read_text("volts > 1 OR other = 1").expect("a filter");
+    let either = parse_text("volts > 1 OR other = 1").expect("a filter");
     assert_eq!(split(&either, &able(&[])).pushed_down, None);
 }
 
@@ -240,7 +240,7 @@
         (1900..2100, 1..13, 1..29).prop_map(|(y, m, d)| Value::Date(format!("{y:04}-{m:02}-{d:02}"))),
     ];
     plain.prop_recursive(3, 8, 2, |inner| {
-        let two = (proptest::sample::select(Arithmetic::ALL), inner.clone(), inner.clone());
+        let two = (proptest::sample::select(ArithmeticOperator::ALL), inner.clone(), inner.clone());
         prop_oneof![
             two.prop_map(|(op, a, b)| Value::Arithmetic(op, Box::new(a), Box::new(b))),
             inner.clone().prop_map(|v| Value::Casei(Box::new(v))),
@@ -258,7 +258,7 @@
         (n(), n()).prop_map(|(a, b)| format!("MULTILINESTRING(({a} 1,2 {b}),(3 3,4 4))")),
         (n(), n()).prop_map(|(a, b)| format!("GEOMETRYCOLLECTION(POINT({a} {b}),MULTIPOINT({b} 1,2 2))")),
     ];
-    let read = |text: String| match read_text(&format!("S_EQUALS(g,{text})")) {
+    let read = |text: String| match parse_text(&format!("S_EQUALS(g,{text})")) {
         Ok(Filter::Spatial(_, _, value)) => value,
         other => panic!("{text}: {other:?}"),
     };
@@ -277,28 +277,26 @@
         Just(Value::Interval(date(), Some(Box::new(Value::Property("t".into()))))),
     ];
     let list = || proptest::collection::vec(value(), 1..4);
-    let leaf = prop_oneof![
-        any::<bool>().prop_map(Filter::Constant),
-        (proptest::sample::select(Comparison::ALL), value(), value())
-            .prop_map(|(o, a, b)| Filter::Compare(o, a, b)),
-        (value(), value()).prop_map(|(a, b)| Filter::Like(a, b)),
-        (value(), value(), value()).prop_map(|(a, b, c)| Filter::Between(a, b, c)),
-        (value(), list()).prop_map(|(a, list)| Filter::In(a, list)),
-        value().prop_map(Filter::IsNull),
-        (proptest::sample::select(Spatial::ALL), place(), place())
-            .prop_map(|(o, a, b)| Filter::Spatial(o, a, b)),
-        (proptest::sample::select(Temporal::ALL), time).prop_map(|(o, b)| Filter::Temporal(
-            o,
-            Value::Property("t".into()),
-            b
-        )),
-        (proptest::sample::select(Arrays::ALL), list(), list()).prop_map(|(o, a, b)| Filter::Array(
-            o,
-            Value::Array(a),
-            Value::Array(b)
-        )),
-        "[a-z]{1,6}x".prop_map(|n| Filter::Test(Value::Property(n))),
-    ];
+    let leaf =
+        prop_oneof![
+            any::<bool>().prop_map(Filter::Constant),
+            (proptest::sample::select(ComparisonOperator::ALL), value(), value())
+                .prop_map(|(o, a, b)| Filter::Compare(o, a, b)),
+            (value(), value()).prop_map(|(a, b)| Filter::Like(a, b)),
+            (value(), value(), value()).prop_map(|(a, b, c)| Filter::Between(a, b, c)),
+            (value(), list()).prop_map(|(a, list)| Filter::In(a, list)),
+            value().prop_map(Filter::IsNull),
+            (proptest::sample::select(SpatialRelation::ALL), place(), place())
+                .prop_map(|(o, a, b)| Filter::Spatial(o, a, b)),
+            (proptest::sample::select(TemporalRelation::ALL), time).prop_map(|(o, b)| Filter::Temporal(
+                o,
+                Value::Property("t".into()),
+                b
+            )),
+            (proptest::sample::select(ArrayRelation::ALL), list(), list())
+                .prop_map(|(o, a, b)| Filter::Array(o, Value::Array(a), Value::Array(b))),
+            "[a-z]{1,6}x".prop_map(|n| Filter::Test(Value::Property(n))),
+        ];
     leaf.prop_recursive(3, 16, 3, |inner| {
         let many = proptest::collection::vec(inner.clone(), 2..4);
         prop_oneof![
@@ -315,19 +313,19 @@
     #[test]
     fn parse_and_print_are_inverse(filter in filters()) {
         let text = filter.to_string();
-        prop_assert_eq!(read_text(&text), Ok(filter.clone()), "{}", text);
+        prop_assert_eq!(parse_text(&text), Ok(filter.clone()), "{}", text);
         let json = to_json(&filter).to_string();
-        prop_assert_eq!(read_json(&json), Ok(filter), "{}", json);
+        prop_assert_eq!(parse_json(&json), Ok(filter), "{}", json);
     }
 
     #[test]
     fn any_text_is_a_filter_or_an_error(text in any::<String>(), pieces in proptest::collection::vec(
         proptest::sample::select(vec!["(", ")", "'", "\"", ",", "NOT ", "AND ", "a ", "= ", "1 ", "POINT(", "S_EQUALS(", "^", "-"]), 0..40)) {
         for text in [text, pieces.concat()] {
-            if let Ok(filter) = read_text(&text) {
-                prop_assert_eq!(read_text(&filter.to_string()), Ok(filter));
+            if let Ok(filter) = parse_text(&text) {
+                prop_assert_eq!(parse_text(&filter.to_string()), Ok(filter));
             }
-            let _ = read_json(&text);
+            let _ = parse_json(&text);
         }
     }
 
@@ -349,7 +347,7 @@
 fn an_input_that_broke_printing_reads_back_in_both_forms() {
     // Left by the fuzz target: what of it is text. Marks, control characters, and backslashes before an escaped mark.
     let text = "a = '= ''''''=2\0\0\0z\0/\\\\'/t\0'";
-    let filter = read_text(text).expect("it is a filter");
-    assert_eq!(read_text(&filter.to_string()).as_ref(), Ok(&filter), "{filter}");
-    assert_eq!(read_json(&to_json(&filter).to_string()).as_ref(), Ok(&filter), "{filter}");
+    let filter = parse_text(text).expect("it is a filter");
+    assert_eq!(parse_text(&filter.to_string()).as_ref(), Ok(&filter), "{filter}");
+    assert_eq!(parse_json(&to_json(&filter).to_string()).as_ref(), Ok(&filter), "{filter}");
 }
--- a/src/front/ogc/cql2/text.rs
+++ b/src/front/ogc/cql2/text.rs
@@ -2,7 +2,8 @@
 
 use super::geometry::{line, polygon, ring};
 use super::{
-    fault, Arithmetic, Arrays, Comparison, Filter, FilterError, Spatial, Temporal, Value, MAX_DEPTH,
+    fault, ArithmeticOperator, ArrayRelation, ComparisonOperator, Filter, FilterError, SpatialRelation,
+    TemporalRelation, Value, MAX_DEPTH,
 };
 use geo::{
     Coord, Geometry, GeometryCollection, LineString, MultiLineString, MultiPoint, MultiPolygon, Point,
@@ -23,7 +24,7 @@
 type Parsed<T> = ModalResult<T>;
 
 /// Reads a filter.
-pub fn read_text(text: &str) -> Result<Filter, FilterError> {
+pub fn parse_text(text: &str) -> Result<Filter, FilterError> {
     let mut input = Stateful { input: LocatingSlice::new(text), state: Depth::default() };
     let read = filter.parse_next(&mut input);
     let rest = |input: &Input<'_>| {
@@ -143,16 +144,16 @@
             }
         };
     }
-    found!(Spatial, Filter::Spatial, place);
-    found!(Temporal, Filter::Temporal, time);
-    found!(Arrays, Filter::Array, array_value);
+    found!(SpatialRelation, Filter::Spatial, place);
+    found!(TemporalRelation, Filter::Temporal, time);
+    found!(ArrayRelation, Filter::Array, array_value);
     Err(ErrMode::Backtrack(ContextError::new()))
 }
 
 fn predicate(input: &mut Input<'_>) -> Parsed<Filter> {
     let left = scalar(input)?;
     let comparison = |input: &mut Input<'_>| {
-        for op in Comparison::ALL {
+        for op in ComparisonOperator::ALL {
             if opt(mark(op.text())).parse_next(input)?.is_some() {
                 return Ok(*op);
             }
@@ -200,7 +201,9 @@
 fn scalar(input: &mut Input<'_>) -> Parsed<Value> {
     deeper(|input| {
         let mut left = product(input)?;
-        while let Some(op) = opt(operator(&[Arithmetic::Add, Arithmetic::Subtract])).parse_next(input)? {
+        while let Some(op) =
+            opt(operator(&[ArithmeticOperator::Add, ArithmeticOperator::Subtract])).parse_next(input)?
+        {
             let right = cut_err(product).context(StrContext::Label("a number")).parse_next(input)?;
             left = joined(input, op, left, right)?;
         }
@@ -209,8 +212,12 @@
 }
 
 fn product(input: &mut Input<'_>) -> Parsed<Value> {
-    const SIGNS: [Arithmetic; 4] =
-        [Arithmetic::Multiply, Arithmetic::Divide, Arithmetic::Modulo, Arithmetic::Div];
+    const SIGNS: [ArithmeticOperator; 4] = [
+        ArithmeticOperator::Multiply,
+        ArithmeticOperator::Divide,
+        ArithmeticOperator::Modulo,
+        ArithmeticOperator::Div,
+    ];
     let mut left = power(input)?;
     while let Some(op) = opt(operator(&SIGNS)).parse_next(input)? {
         let right = cut_err(power).context(StrContext::Label("a number")).parse_next(input)?;
@@ -221,15 +228,15 @@
 
 fn power(input: &mut Input<'_>) -> Parsed<Value> {
     let left = single(input)?;
-    if opt(operator(&[Arithmetic::Power])).parse_next(input)?.is_none() {
+    if opt(operator(&[ArithmeticOperator::Power])).parse_next(input)?.is_none() {
         return Ok(left);
     }
     let right = deeper(|i| cut_err(power).context(StrContext::Label("a number")).parse_next(i))(input)?;
-    joined(input, Arithmetic::Power, left, right)
+    joined(input, ArithmeticOperator::Power, left, right)
 }
 
 /// Chains lean to one side: their depth is the tree's.
-fn joined(input: &Input<'_>, op: Arithmetic, left: Value, right: Value) -> Parsed<Value> {
+fn joined(input: &Input<'_>, op: ArithmeticOperator, left: Value, right: Value) -> Parsed<Value> {
     fn depth(value: &Value) -> usize {
         match value {
             Value::Arithmetic(_, a, b) => 1 + depth(a).max(depth(b)),
@@ -244,11 +251,13 @@
     Ok(Value::Arithmetic(op, Box::new(left), Box::new(right)))
 }
 
-fn operator<'a>(among: &'static [Arithmetic]) -> impl FnMut(&mut Input<'a>) -> Parsed<Arithmetic> {
+fn operator<'a>(
+    among: &'static [ArithmeticOperator],
+) -> impl FnMut(&mut Input<'a>) -> Parsed<ArithmeticOperator> {
     move |input| {
         for op in among {
             let found = match op {
-                Arithmetic::Div => opt(word("DIV")).parse_next(input)?,
+                ArithmeticOperator::Div => opt(word("DIV")).parse_next(input)?,
                 op => opt(mark(op.text())).parse_next(input)?,
             };
             if found.is_some() {
--- a/src/front/ogc/params/filter.rs
+++ b/src/front/ogc/params/filter.rs
@@ -1,7 +1,7 @@
 //! Filters: the check of parsed ones, and queryables that are given as parameters.
 
 use super::super::area;
-use super::super::cql2::{check, Comparison, Filter, QueryableType, Queryables, Value};
+use super::super::cql2::{check, ComparisonOperator, Filter, QueryableType, Queryables, Value};
 use super::super::crs::{filter_to_crs84, Crs, Transform};
 use super::RequestError;
 
@@ -41,5 +41,5 @@
     };
     let wrong_type = || RequestError::ValueType { name: name.to_owned(), value: text.to_owned() };
     let value = value.ok_or_else(wrong_type)?;
-    Ok(Filter::Compare(Comparison::Equal, Value::Property(name.to_owned()), value))
+    Ok(Filter::Compare(ComparisonOperator::Equal, Value::Property(name.to_owned()), value))
 }
--- a/src/front/ogc/params/items.rs
+++ b/src/front/ogc/params/items.rs
@@ -73,8 +73,8 @@
         let mut filter = match (self.filter, self.filter_language) {
             (None, None) => None,
             (None, Some(_)) => return Err(RequestError::FilterLanguageWithoutFilter),
-            (Some(text), None | Some("cql2-text")) => Some(cql2::read_text(text)?),
-            (Some(text), Some("cql2-json")) => Some(cql2::read_json(text)?),
+            (Some(text), None | Some("cql2-text")) => Some(cql2::parse_text(text)?),
+            (Some(text), Some("cql2-json")) => Some(cql2::parse_json(text)?),
             (Some(_), Some(other)) => {
                 return Err(RequestError::UnsupportedFilterLanguage(format!("{other:?}")))
             }
--- a/src/front/ogc/params/search.rs
+++ b/src/front/ogc/params/search.rs
@@ -86,7 +86,7 @@
 /// A filter as CQL2 text or CQL2 JSON, whichever it is.
 fn parse_filter(value: &Json, crs: Crs, queryables: &Queryables) -> Result<Filter, RequestError> {
     let mut filter = match value.as_str() {
-        Some(text) => cql2::read_text(text)?,
+        Some(text) => cql2::parse_text(text)?,
         None => cql2::from_json(value)?,
     };
     prepare_filter(&mut filter, crs, queryables)?;
--- a/src/front/ogc/plans.rs
+++ b/src/front/ogc/plans.rs
@@ -3,7 +3,7 @@
 
 use super::capabilities::ReplicaKey;
 use super::catalog::ShardHolder;
-use super::cql2::{flat, split, Capabilities, Comparison, Filter, Matcher, Value};
+use super::cql2::{flat, split, Capabilities, ComparisonOperator, Filter, Matcher, Value};
 use super::page_request::FeaturePredicate;
 use super::params::Params;
 use super::{lock, Shared};
@@ -96,8 +96,8 @@
         Filter::Compare(op, Value::Property((*name).to_owned()), value.clone())
     };
     let ways = (0..keys.len()).map(|n| {
-        let op = if keys[n].1 { Comparison::Less } else { Comparison::Greater };
-        let same = keys[..n].iter().map(|k| compare(Comparison::Equal, k));
+        let op = if keys[n].1 { ComparisonOperator::Less } else { ComparisonOperator::Greater };
+        let same = keys[..n].iter().map(|k| compare(ComparisonOperator::Equal, k));
         let mut parts: Vec<Filter> = same.chain([compare(op, &keys[n])]).collect();
         // What has no value comes last.
         if n + 1 < keys.len() {
