--- a/src/front/ogc/params/mod.rs
+++ b/src/front/ogc/params/mod.rs
@@ -17,7 +17,7 @@
 
 use super::cql2::{Filter, Queryables};
 use super::crs::Crs;
-use super::ranking::{BoundSortKeys, SortKey};
+use super::paging::{BoundSortKeys, SortKey};
 
 /// A query for features.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/front/ogc/params/sorting.rs
+++ b/src/front/ogc/params/sorting.rs
@@ -1,7 +1,7 @@
 //! Parsing of sort keys.
 
 use super::super::cql2::{QueryableType, Queryables};
-use super::super::ranking::SortKey;
+use super::super::paging::SortKey;
 use super::RequestError;
 use serde_json::Value as Json;
 
