--- a/src/front/ogc/response/projection.rs
+++ b/src/front/ogc/response/projection.rs
@@ -52,7 +52,7 @@
 
 /// A geometry outside the area for which the system is defined becomes null.
 fn transform_geometry(feature: &mut Json, transform: &Transform) {
-    if !transform.geojson_out(&mut feature["geometry"]) {
+    if !transform.geojson_from_crs84(&mut feature["geometry"]) {
         feature["geometry"] = Json::Null;
     }
     if let Some(members) = feature.as_object_mut() {
--- a/src/front/ogc/shard_plan.rs
+++ b/src/front/ogc/shard_plan.rs
@@ -1,6 +1,6 @@
 //! How each shard of a query is asked: what of the filter and the order its servers evaluate, and what is evaluated here.
 
-use super::cql2::{flat, split, Capabilities, Comparison, Filter, Matcher, Value};
+use super::cql2::{flat, split, Capabilities, ComparisonOperator, Filter, Matcher, Value};
 use super::page_request::FeaturePredicate;
 use super::paging::SortKey;
 use super::params::Params;
@@ -135,12 +135,12 @@
 }
 
 impl BoundKey<'_> {
-    fn compare(&self, comparison: Comparison) -> Filter {
+    fn compare(&self, comparison: ComparisonOperator) -> Filter {
         Filter::Compare(comparison, Value::Property(self.property.to_owned()), self.value.clone())
     }
 
     fn comes_after(&self) -> Filter {
-        self.compare(if self.descending { Comparison::Less } else { Comparison::Greater })
+        self.compare(if self.descending { ComparisonOperator::Less } else { ComparisonOperator::Greater })
     }
 }
 
@@ -165,7 +165,7 @@
 fn after_at_key(keys: &[BoundKey<'_>], index: usize) -> Option<Filter> {
     let key = &keys[index];
     let mut conditions: Vec<Filter> =
-        keys[..index].iter().map(|key| key.compare(Comparison::Equal)).collect();
+        keys[..index].iter().map(|key| key.compare(ComparisonOperator::Equal)).collect();
     let is_id = index + 1 == keys.len();
     conditions.push(if is_id {
         key.comes_after()
