--- a/src/coordinator/active_settings.rs
+++ b/src/coordinator/active_settings.rs
@@ -97,7 +97,7 @@
 /// Neither front has queries with a second step.
 fn without_follow_ups(mut settings: Settings) -> Settings {
     for class in &mut settings.classes {
-        class.follow_up = 0;
+        class.follow_up_parts = 0;
     }
     settings
 }
--- a/src/coordinator/queries/attempts.rs
+++ b/src/coordinator/queries/attempts.rs
@@ -127,7 +127,7 @@
 fn record_outcome(key: AttemptKey, attempt: &InFlightAttempt, outcome: Outcome, now: Micros) -> Event {
     outcome_counter(outcome).increment();
     let waited = now.since(attempt.dispatched_at).to_nanos();
-    Event::Outcome { part: key.part, attempt: key.attempt, outcome, waited }
+    Event::Outcome { part: key.part, attempt: key.attempt, outcome, elapsed: waited }
 }
 
 fn outcome_counter(outcome: Outcome) -> &'static Counter {
--- a/src/coordinator/queries/pending.rs
+++ b/src/coordinator/queries/pending.rs
@@ -3,7 +3,7 @@
 use crate::coordinator::messages::ServedPart;
 use crate::coordinator::request::{PartRequest, Request, Token, Value};
 use crate::coordinator::turn::Turn;
-use crate::interface::{ClassId, Event, Group, PartId, QueryId};
+use crate::interface::{ClassId, Event, GroupId, PartId, QueryId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -189,7 +189,7 @@
     pub(super) fn insert(&mut self, query: PendingQuery, turn: &mut Turn<'_>) {
         let slots = slots(&query.request);
         let id = QueryId(self.next_id);
-        let group = Group(self.next_group);
+        let group = GroupId(self.next_group);
         self.next_id += slots as u64;
         self.next_group = self.next_group.wrapping_add(1);
         self.reserved_slots += slots;
--- a/src/front/ogc/config/settings.rs
+++ b/src/front/ogc/config/settings.rs
@@ -57,7 +57,7 @@
             cells: 1,
             cells_per_shard: 1,
             max_batch: 1,
-            call_cost: 0,
+            call_overhead: 0,
             max_poll_interval: None,
             retry_budget: Some(retry_budget),
             slow_start: self.slow_start.as_ref().map(SlowStartConfig::rule),
@@ -73,7 +73,7 @@
     fn settings(&self, max_attempts: u32) -> Class {
         Class {
             name: self.name.clone(),
-            in_force: true,
+            active: true,
             latency_objective: nanos(self.latency_objective_ms),
             objective_stretch: 0.0,
             deadline: nanos(self.deadline_ms),
@@ -82,7 +82,7 @@
             late_weight: self.late_weight,
             required_share: 1.0,
             min_share: self.min_share,
-            follow_up: 0,
+            follow_up_parts: 0,
             max_attempts,
         }
     }
