--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -2,7 +2,7 @@
 //! `cargo bench -p quinceflow-testkit`
 
 use divan::Bencher;
-use quinceflow::coordinator::{Answer, AttemptEnd, ServedPart, Token};
+use quinceflow::coordinator::{Answer, AttemptEnd, RequestContext, ServedPart, Token};
 use quinceflow::front::ogc::config::EdgeConfig;
 use quinceflow::front::ogc::cql2::{
     parse_json, parse_text, split, to_json, Capabilities, Matcher, Queryables,
@@ -17,7 +17,7 @@
 use quinceflow::proto::fetch::Fetched;
 use quinceflow::proto::http::Server;
 use quinceflow::time::Micros;
-use quinceflow_testkit::features::devices;
+use quinceflow_testkit::feature_server::devices;
 use std::sync::Arc;
 
 fn main() {
@@ -37,7 +37,7 @@
 }
 
 fn body(count: usize) -> Vec<u8> {
-    let texts: Vec<String> = devices(0..count).iter().map(|f| f.to_string()).collect();
+    let texts: Vec<String> = devices(0..count).iter().map(ToString::to_string).collect();
     format!(
         "{{\"type\":\"FeatureCollection\",\"numberMatched\":{count},\"links\":[],\"features\":[{}]}}",
         texts.join(",")
@@ -136,8 +136,11 @@
                 }
                 Reaction::Submit(request, render) => {
                     let parts = request.parts.iter().map(|part| {
-                        let visit =
-                            part.context.as_ref().and_then(|e| e.get::<PageRequest>()).expect("a visit");
+                        let visit = part
+                            .context
+                            .as_ref()
+                            .and_then(RequestContext::get::<PageRequest>)
+                            .expect("a request");
                         let fetched =
                             Fetched { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
--- /dev/null
+++ b/lab/src/conformance/filters.rs
@@ -0,0 +1,193 @@
+//! Part 3 and the basic classes of CQL2: queryables, filter parameters, comparisons and logic.
+
+use super::check::{all_unique, require, require_same, Check, Stop, Verdict};
+use super::documents::{link_of, parameter};
+use super::samples::{number_of, text_of, BoundingBox, Sample};
+use super::Suite;
+use crate::client::feature_id;
+use serde_json::{json, Value as Json};
+
+const QUERYABLES: &str = "ogcapi-features-3/1.0/conf/queryables";
+const QUERYABLE_PARAMETERS: &str = "ogcapi-features-3/1.0/conf/queryables-query-parameters";
+const FILTER: &str = "ogcapi-features-3/1.0/conf/filter";
+const FEATURES_FILTER: &str = "ogcapi-features-3/1.0/conf/features-filter";
+const CQL2_TEXT: &str = "conf/cql2-text";
+const CQL2_JSON: &str = "conf/cql2-json";
+const BASIC_CQL2: &str = "conf/basic-cql2";
+
+/// The relation of links to queryables.
+const QUERYABLES_RELATION: &str = "http://www.opengis.net/def/rel/ogc/1.0/queryables";
+/// Latitude and longitude, in this order.
+const WGS84: &str = "http://www.opengis.net/def/crs/EPSG/0/4326";
+/// Filters that are none, percent-encoded.
+const INVALID_FILTERS: [&str; 6] = ["((", "a%20=", "=1", "NOT", "a%20LIKE", "S_INTERSECTS(a)"];
+
+/// A comparison of CQL2 and what it means for numbers.
+struct Comparison {
+    operator: &'static str,
+    holds: fn(f64, f64) -> bool,
+}
+
+const COMPARISONS: [Comparison; 6] = [
+    Comparison { operator: "=", holds: |left, right| left == right },
+    Comparison { operator: "<>", holds: |left, right| left != right },
+    Comparison { operator: "<", holds: |left, right| left < right },
+    Comparison { operator: "<=", holds: |left, right| left <= right },
+    Comparison { operator: ">", holds: |left, right| left > right },
+    Comparison { operator: ">=", holds: |left, right| left >= right },
+];
+
+pub(super) const CHECKS: &[Check] = &[
+    Check::new("/req/queryables/queryables-link", QUERYABLES, |suite| {
+        let collection = suite.get_collection()?;
+        require(link_of(&collection, QUERYABLES_RELATION).is_some(), || {
+            "no link to the queryables".to_owned()
+        })
+    }),
+    Check::new("/req/queryables/get-queryables-response", QUERYABLES, |suite| {
+        let response = suite.get(&suite.collection_path("queryables"))?;
+        require(response.header("content-type").starts_with("application/schema+json"), || {
+            format!("Content-Type is {:?}", response.header("content-type"))
+        })?;
+        let schema = response.json();
+        let is_schema =
+            schema["$id"].is_string() && schema["$schema"].is_string() && schema["type"] == "object";
+        require(is_schema, || "it is no schema with $id".to_owned())
+    }),
+    Check::new("/req/queryables-query-parameters/parameters", QUERYABLE_PARAMETERS, |suite| {
+        let name = suite.queryable("number", "")?;
+        let value = suite.sorted_numbers(&name)?[0];
+        let found = suite.get_ids(&format!("{name}={value}"))?;
+        let expected = suite.expected_ids(|feature| number_of(feature, &name) == Some(value));
+        require_same("a queryable as parameter", &found, &expected)
+    }),
+    Check::new("/req/filter/filter-param", FILTER, |suite| {
+        parameter(suite, "filter")?;
+        let Sample { name, value: median } = suite.median()?;
+        let filter = format!("{name} > {median}");
+        require_matches(suite, &filter, |feature| number_is(feature, &name, |n| n > median))
+    }),
+    Check::new("/req/filter/filter-lang-param", FILTER, |suite| {
+        parameter(suite, "filter-lang")?;
+        let items = suite.items_path();
+        let response = suite.get(&format!("{items}?filter=a=1&filter-lang=no-such-language"))?;
+        require(response.status == 400, || format!("status {} for a language that is none", response.status))
+    }),
+    Check::new("/req/filter/filter-crs-param", FILTER, |suite| {
+        let bbox = suite.middle_box()?;
+        let name = suite.geometry()?;
+        let BoundingBox { west, south, east, north } = bbox;
+        let swapped = BoundingBox { west: south, south: west, east: north, north: east };
+        let mut query = url::form_urlencoded::Serializer::new(String::new());
+        query.append_pair("filter", &format!("S_INTERSECTS({name},{})", swapped.to_polygon()));
+        query.append_pair("filter-crs", WGS84);
+        let found = suite.get_ids(&query.finish())?;
+        require_same("filter-crs", &found, &suite.expected_ids(|feature| bbox.contains(feature)))
+    }),
+    Check::new("/req/filter/mixing-expressions", FILTER, |suite| {
+        let Sample { name, value: median } = suite.median()?;
+        let bbox = suite.middle_box()?;
+        let found = suite.get_ids(&format!("bbox={}&filter={name}%3E{median}", bbox.to_query()))?;
+        let expected =
+            suite.expected_ids(|feature| bbox.contains(feature) && number_is(feature, &name, |n| n > median));
+        require_same("a box and a filter", &found, &expected)
+    }),
+    Check::new("/req/filter/invalid", FILTER, |suite| {
+        for filter in INVALID_FILTERS {
+            let response = suite.get(&format!("{}?filter={filter}", suite.items_path()))?;
+            require(response.status == 400, || format!("filter={filter}: status {}", response.status))?;
+        }
+        Ok(())
+    }),
+    Check::new("/req/features-filter/queryable-unknown", FEATURES_FILTER, |suite| {
+        if suite.queryables.is_empty() {
+            return Err(Stop::not_applicable("no queryables are told"));
+        }
+        let response = suite.get(&format!("{}?filter=no_such_queryable=1", suite.items_path()))?;
+        require(response.status == 400, || format!("status {}", response.status))
+    }),
+    Check::new("/req/features-filter/paging", FEATURES_FILTER, |suite| {
+        let Sample { name, value: median } = suite.median()?;
+        let path = format!("{}?limit=37&filter={name}%3C%3D{median}", suite.items_path());
+        let mut ids: Vec<String> = suite.get_all(&path)?.iter().map(feature_id).collect();
+        require(all_unique(&ids), || "features come twice over the next links".to_owned())?;
+        ids.sort();
+        let expected = suite.expected_ids(|feature| number_is(feature, &name, |n| n <= median));
+        require_same("a filter over pages", &ids, &expected)
+    }),
+    Check::new("/req/cql2-text/validate", CQL2_TEXT, |suite| {
+        let Sample { name, value: median } = suite.median()?;
+        let filter = format!("( {name}>{median} oR nOt ({name} <= {median}) ) AND \"{name}\" >= {median}.0");
+        require_matches(suite, &filter, |feature| number_is(feature, &name, |n| n > median))
+    }),
+    Check::new("/req/cql2-json/validate", CQL2_JSON, |suite| {
+        let Sample { name, value: median } = suite.median()?;
+        let property = json!({"property": name});
+        let above = json!({"op": ">", "args": [property, median]});
+        let not_equal = json!({"op": "not", "args": [{"op": "=", "args": [property, -1]}]});
+        let filter = json!({"op": "and", "args": [above, not_equal]});
+        let found = suite.get_filtered(&filter.to_string(), "cql2-json")?;
+        let expected = suite.expected_ids(|feature| number_is(feature, &name, |n| n > median));
+        require_same("CQL2 JSON", &found, &expected)
+    }),
+    Check::new("/req/basic-cql2/cql2-filter", BASIC_CQL2, |suite| {
+        let Sample { name, value: median } = suite.median()?;
+        for Comparison { operator, holds } in COMPARISONS {
+            let filter = format!("{name} {operator} {median}");
+            require_matches(suite, &filter, |feature| number_is(feature, &name, |n| holds(n, median)))?;
+        }
+        Ok(())
+    }),
+    Check::new("/req/basic-cql2/logic", BASIC_CQL2, logic_is_right),
+    Check::new("/req/basic-cql2/is-null", BASIC_CQL2, |suite| {
+        let name = suite.nullable_text()?;
+        let is_null = |feature: &Json| feature["properties"][&name].is_null();
+        require_matches(suite, &format!("{name} IS NULL"), is_null)?;
+        require_matches(suite, &format!("{name} IS NOT NULL"), |feature| !is_null(feature))?;
+        // A comparison with no value is unknown, and so is its negation.
+        require_matches(suite, &format!("NOT ({name} = 'no such value')"), |feature| !is_null(feature))
+    }),
+    Check::new("/req/basic-cql2/text", BASIC_CQL2, |suite| {
+        let Sample { name, value } = suite.text()?;
+        let filter = format!("{name} = '{}'", quoted(&value));
+        require_matches(suite, &filter, |feature| text_of(feature, &name) == Some(value.as_str()))
+    }),
+    Check::new("/req/basic-cql2/times", BASIC_CQL2, |suite| {
+        let Sample { name, value: time } = suite.median_time()?;
+        require_matches(suite, &format!("{name} >= TIMESTAMP('{time}')"), |feature| {
+            text_of(feature, &name).is_some_and(|instant| instant >= time.as_str())
+        })
+    }),
+];
+
+fn logic_is_right(suite: &mut Suite) -> Verdict {
+    let Sample { name, value: median } = suite.median()?;
+    let flag = suite.queryable("boolean", "")?;
+    let flag_of = |feature: &Json| feature["properties"][&flag].as_bool();
+    let is_above = |feature: &Json| number_is(feature, &name, |n| n > median);
+    require_matches(suite, &format!("{name} > {median} AND {flag} = TRUE"), |feature| {
+        is_above(feature) && flag_of(feature) == Some(true)
+    })?;
+    require_matches(suite, &format!("{name} > {median} OR {flag} = FALSE"), |feature| {
+        is_above(feature) || flag_of(feature) == Some(false)
+    })?;
+    require_matches(suite, &format!("NOT ({name} > {median})"), |feature| {
+        number_is(feature, &name, |n| n <= median)
+    })
+}
+
+/// Whether a feature has a number of this name for which this holds.
+pub(super) fn number_is(feature: &Json, name: &str, holds: impl Fn(f64) -> bool) -> bool {
+    number_of(feature, name).is_some_and(holds)
+}
+
+/// A text as it stands between the quotes of a CQL2 literal.
+pub(super) fn quoted(text: &str) -> String {
+    text.replace('\'', "''")
+}
+
+/// Requires a CQL2 text filter to match the features for which this holds, and no others.
+pub(super) fn require_matches(suite: &mut Suite, filter: &str, matches: impl Fn(&Json) -> bool) -> Verdict {
+    let found = suite.get_filtered(filter, "cql2-text")?;
+    require_same(filter, &found, &suite.expected_ids(matches))
+}
