--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -12,10 +12,11 @@
 use quinceflow::front::ogc::paging::{
     PageFetch, PageLocation, SortKey, SortedMerge, SortedProgress, SortedQuery,
 };
-use quinceflow::front::ogc::{lock, OgcFront, SharedCatalog};
+use quinceflow::front::ogc::{OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
 use quinceflow::proto::fetch::Fetched;
 use quinceflow::proto::http::Server;
+use quinceflow::sync::lock;
 use quinceflow::time::Micros;
 use quinceflow_testkit::feature_server::devices;
 use std::sync::Arc;
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::coordinator::Answer;
 use crate::proto::http::Server;
+use crate::sync::lock;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/src/front/ogc/handlers/documents.rs
+++ b/src/front/ogc/handlers/documents.rs
@@ -6,9 +6,9 @@
 use crate::front::ogc::error::ApiError;
 use crate::front::ogc::response::{documents, openapi};
 use crate::front::ogc::shards::shards_of;
-use crate::front::ogc::state::lock;
 use crate::front::Reaction;
 use crate::proto::http::Response;
+use crate::sync::lock;
 
 /// The schemas of a collection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -31,7 +31,7 @@
 mod state;
 
 pub use catalog::Catalog;
-pub use state::{lock, SharedCatalog};
+pub use state::SharedCatalog;
 
 use super::{Front, Reaction};
 use crate::coordinator::{Metrics, Token, COUNTERS};
--- a/src/front/ogc/page_request.rs
+++ b/src/front/ogc/page_request.rs
@@ -4,11 +4,11 @@
 
 pub use page::parse_page;
 
-use super::lock;
 use super::paging::FeaturePage;
 use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
 use crate::proto::fetch::Fetched;
+use crate::sync::lock;
 use page::parse_feature;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/src/front/ogc/query/resume.rs
+++ b/src/front/ogc/query/resume.rs
@@ -9,7 +9,8 @@
 use crate::front::ogc::shard_plan::ResumedShard;
 use crate::front::ogc::shards::ShardSource;
 use crate::front::ogc::stable_hash::stable_hash;
-use crate::front::ogc::state::{lock, FrontState};
+use crate::front::ogc::state::FrontState;
+use crate::sync::lock;
 use crate::time::unix_ms;
 use serde_json::Value as Json;
 
--- a/src/front/ogc/shards.rs
+++ b/src/front/ogc/shards.rs
@@ -3,8 +3,9 @@
 use super::capabilities::ReplicaKey;
 use super::catalog::ShardHolder;
 use super::error::ApiError;
-use super::state::{lock, FrontState};
+use super::state::FrontState;
 use crate::interface::ShardId;
+use crate::sync::lock;
 use std::sync::Arc;
 
 /// A shard of a collection.
--- a/src/front/ogc/state.rs
+++ b/src/front/ogc/state.rs
@@ -7,6 +7,7 @@
 use super::cursor::CursorKey;
 use crate::coordinator::{ClassMetrics, Metrics};
 use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
+use crate::sync::lock;
 use crate::time::Micros;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -16,11 +17,6 @@
 /// The catalog, shared by the front, the driver and reloads of the inventory.
 pub type SharedCatalog = Arc<Mutex<Catalog>>;
 
-/// Locks shared state. No code panics while it holds one of these locks; if it did, the state would still be valid.
-pub fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
-    shared.lock().unwrap_or_else(|e| e.into_inner())
-}
-
 /// The state that all queries of the front share.
 pub(super) struct FrontState {
     pub edge: EdgeConfig,
