--- a/src/front/ogc/error.rs
+++ b/src/front/ogc/error.rs
@@ -99,3 +99,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -5,7 +5,6 @@
 //! asked, whether attempts are retried, and what is rejected, is decided by the policy module.
 
 mod admission;
-mod area;
 pub mod capabilities;
 mod catalog;
 pub mod check;
@@ -17,6 +16,7 @@
 mod delivery;
 mod discovery;
 mod error;
+mod filter_bounds;
 mod handlers;
 pub mod inventory;
 pub mod page_request;
@@ -104,5 +104,4 @@
 }
 
 #[cfg(test)]
-#[path = "front_tests.rs"]
-mod front_tests;
+mod tests;
--- a/src/front/ogc/paging/concat_merge.rs
+++ b/src/front/ogc/paging/concat_merge.rs
@@ -6,10 +6,12 @@
 //! falls on the limit, and a response ends early, with a `next` link, rather than start a page that it cannot use up.
 
 mod fetch_planning;
+mod limits;
 mod shard_state;
 
 use super::page::{FeaturePage, FetchedPage, PageLocation, PageSlice, ResumePosition};
 use crate::coordinator::check_invariant;
+pub use limits::PagingLimits;
 use shard_state::{RequestedPage, ShardState};
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
@@ -28,29 +30,6 @@
 /// Tolerance in the comparison of the share of shards with its minimum.
 const SHARE_TOLERANCE: f64 = 1e-6;
 
-/// The bounds of a response.
-#[derive(Debug, Clone, Copy)]
-pub struct PagingLimits {
-    /// Most features of the response.
-    pub limit: usize,
-    /// Most features to request from a server at a time.
-    pub page_size: usize,
-    /// The first response of a query starts up to this many shards at once: it then knows how many features match in all,
-    /// and which shards are missing.
-    pub max_initial_shards: usize,
-    /// Most pages of the response.
-    pub max_pages: usize,
-    /// Most bytes of the response's pages.
-    pub max_bytes: usize,
-    /// Pages are filtered here: servers return more features than the response uses.
-    pub filtered_locally: bool,
-    /// The least share of the shards from which a response may be given.
-    pub min_shard_share: f64,
-    /// A part of the query may run more than once. A shard that is interrupted may then be started again, if no earlier
-    /// response returned any of its features.
-    pub idempotent: bool,
-}
-
 /// How far a [`ConcatMerge`] is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConcatProgress {
@@ -197,11 +176,12 @@
         let remaining = self.remaining();
         let size = requested.page_size;
         let filled = self.count as f64 >= SUFFICIENT_FILL_SHARE * self.limits.limit as f64;
-        let small = size < self.initial_page_size(self.limits.limit);
+        let small = size < self.limits.initial_page_size(self.limits.limit);
         if remaining == 0 || (small && filled) {
             return Some(ConcatProgress::Complete);
         }
-        let too_small = (size as f64) < MIN_USEFUL_PAGE_SHARE * self.initial_page_size(remaining) as f64;
+        let too_small =
+            (size as f64) < MIN_USEFUL_PAGE_SHARE * self.limits.initial_page_size(remaining) as f64;
         too_small.then(|| self.progress_without_page())
     }
 
--- a/src/front/ogc/paging/concat_merge/fetch_planning.rs
+++ b/src/front/ogc/paging/concat_merge/fetch_planning.rs
@@ -28,7 +28,7 @@
             return None;
         }
         let page_size = match &self.position.location {
-            PageLocation::ShardStart => self.initial_page_size(self.remaining()),
+            PageLocation::ShardStart => self.limits.initial_page_size(self.remaining()),
             PageLocation::NextLink { page_size, .. } => *page_size,
         };
         Some(PageFetch { shard, location: self.position.location.clone(), page_size })
@@ -53,7 +53,7 @@
         for shard in current..self.shards.len() {
             let state = &self.shards[shard];
             if shard > current && state.unused_page.is_none() && !state.missing {
-                let page_size = self.initial_page_size(remaining.max(1) as usize);
+                let page_size = self.limits.initial_page_size(remaining.max(1) as usize);
                 fetches.push(PageFetch::shard_start(shard, page_size));
             }
             match state.number_matched {
@@ -65,13 +65,4 @@
             }
         }
     }
-
-    /// The page size for a shard that is started now, so that its pages fit the number of features that are needed.
-    pub(super) fn initial_page_size(&self, needed: usize) -> usize {
-        if self.limits.filtered_locally {
-            return self.limits.page_size;
-        }
-        let pages = needed.div_ceil(self.limits.page_size).max(1);
-        needed.div_ceil(pages).max(1)
-    }
 }
--- a/src/front/ogc/params/filter.rs
+++ b/src/front/ogc/params/filter.rs
@@ -1,8 +1,8 @@
 //! Filters: the check of parsed ones, and queryables that are given as parameters.
 
-use super::super::area;
 use super::super::cql2::{check, ComparisonOperator, Filter, QueryableType, Queryables, Value};
 use super::super::crs::{filter_to_crs84, Crs, Transform};
+use super::super::filter_bounds::is_on_globe;
 use super::RequestError;
 
 /// Checks a filter against the queryables and turns its geometries into CRS84.
@@ -16,7 +16,7 @@
         let transform = Transform::of(crs).ok_or(RequestError::UnusableCrs("filter-crs"))?;
         filter_to_crs84(filter, &transform).ok_or(RequestError::FilterUndefined)?;
     }
-    if area::on_the_globe(filter) {
+    if is_on_globe(filter) {
         Ok(())
     } else {
         Err(RequestError::FilterOffGlobe)
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/tests.rs
@@ -1,4 +1,5 @@
-//! Whatever comes in: a 4xx as problem JSON, or a query; never a panic.
+//! The front without sockets: arbitrary requests get a problem document or start a query, and cursors of earlier releases
+//! are accepted.
 
 use super::cql2;
 use super::cursor::CursorKey;
@@ -18,8 +19,9 @@
     OgcFront::new(edge, catalog, CursorKey::new(b"a key"), Arc::default(), Arc::default())
 }
 
-/// What a connection's bytes come to: an answer, or a query that goes to the core (with the answer to one that fails).
-fn said(front: &OgcFront, bytes: &[u8]) -> Option<Response> {
+/// The response to a connection's bytes; `None` if they start a query whose round fails, after capability discovery failed
+/// too.
+fn response_to(front: &OgcFront, bytes: &[u8]) -> Option<Response> {
     let mut server = Server::default();
     server.allow_body(front.max_body());
     server.input().feed(bytes);
@@ -30,22 +32,22 @@
             Reaction::Respond(response) => Some(response),
             Reaction::Submit(_, render) => match render(Answer::Failed { late: false }) {
                 Reaction::Respond(response) => Some(response),
-                // Learning came to nothing: the query itself is asked.
+                // The discovery failed: this is the query's own round.
                 Reaction::Submit(..) => None,
             },
         },
     }
 }
 
-fn is_sound(response: &Response) -> Result<(), TestCaseError> {
+fn check_response(response: &Response) -> Result<(), TestCaseError> {
     let problem = response.content_type == "application/problem+json";
     let json: Option<serde_json::Value> = serde_json::from_slice(&response.body.to_vec()).ok();
     prop_assert!((200..600).contains(&response.status));
     if response.status >= 400 {
-        let told = json.as_ref().and_then(|j| j["status"].as_u64());
-        prop_assert!(problem && told == Some(u64::from(response.status)), "{response:?}");
+        let status = json.as_ref().and_then(|j| j["status"].as_u64());
+        prop_assert!(problem && status == Some(u64::from(response.status)), "{response:?}");
     }
-    // A query that fails is the servers' fault; input never is.
+    // Only a query whose servers fail gets a server error; input never does.
     prop_assert!(response.status < 500 || response.status == 502 || response.status == 501, "{response:?}");
     Ok(())
 }
@@ -133,7 +135,7 @@
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(23), failure_persistence: None, ..ProptestConfig::with_cases(600) })]
 
     #[test]
-    fn parameters_of_any_kind_are_taken_or_told(
+    fn arbitrary_parameters_are_accepted_or_rejected_with_a_problem(
         path in path(),
         method in proptest::sample::select(vec!["GET", "HEAD", "POST", "DELETE", "BREW"]),
         pairs in proptest::collection::vec((name(), value()), 0..5),
@@ -145,46 +147,46 @@
         query.extend_pairs(&pairs);
         let head: String = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
         let bytes = format!("{method} {path}?{} HTTP/1.1\r\n{head}\r\n", query.finish());
-        if let Some(response) = said(&front, bytes.as_bytes()) {
-            is_sound(&response)?;
+        if let Some(response) = response_to(&front, bytes.as_bytes()) {
+            check_response(&response)?;
         }
     }
 
     #[test]
-    fn bodies_of_any_kind_are_taken_or_told(
+    fn arbitrary_bodies_are_accepted_or_rejected_with_a_problem(
         text in prop_oneof![any::<String>(), "[\\[\\]{}\",:a-z0-9 ]{0,120}"],
         members in proptest::collection::vec((proptest::sample::select(vec!["limit", "bbox", "filter", "filter-lang", "filter-crs",
             "sortby", "datetime", "token", "crs", "x"]), value()), 0..4),
-        whole: bool,
+        well_formed: bool,
     ) {
         let front = front();
         let mut body = serde_json::json!({"collections": ["devices"]});
         for (name, value) in members {
             body[name] = serde_json::from_str(&value).unwrap_or(value.into());
         }
-        let body = if whole { body.to_string() } else { text };
+        let body = if well_formed { body.to_string() } else { text };
         let bytes = format!("POST /search HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-        if let Some(response) = said(&front, bytes.as_bytes()) {
-            is_sound(&response)?;
+        if let Some(response) = response_to(&front, bytes.as_bytes()) {
+            check_response(&response)?;
         }
     }
 
     #[test]
-    fn heads_of_any_kind_are_taken_or_told(bytes in proptest::collection::vec(any::<u8>(), 0..200), cut in 0_usize..200) {
+    fn arbitrary_heads_are_accepted_or_rejected_with_a_problem(bytes in proptest::collection::vec(any::<u8>(), 0..200), cut in 0_usize..200) {
         let front = front();
-        let sound = b"GET /collections/devices/items?limit=2 HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n\r\n".to_vec();
-        let at = cut.min(sound.len());
-        for bytes in [bytes.clone(), [&sound[..at], &bytes, &sound[at..]].concat()] {
-            if let Some(response) = said(&front, &bytes) {
-                is_sound(&response)?;
+        let valid = b"GET /collections/devices/items?limit=2 HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n\r\n".to_vec();
+        let at = cut.min(valid.len());
+        for bytes in [bytes.clone(), [&valid[..at], &bytes, &valid[at..]].concat()] {
+            if let Some(response) = response_to(&front, &bytes) {
+                check_response(&response)?;
             }
         }
     }
 }
 
 #[test]
-fn the_deepest_filters_fit_the_stack_of_a_connection() {
-    // On a stack as small as the coroutines', in whatever build this is.
+fn the_deepest_filters_fit_on_the_stack_of_a_connection() {
+    // On a stack as small as that of the coroutines, in whatever build this is.
     let words = front().stack_words();
     let deep = |n: usize| format!("{}volts = 1{}", "NOT (".repeat(n), ")".repeat(n));
     let run = move || {
@@ -193,9 +195,9 @@
             let mut query = url::form_urlencoded::Serializer::new(String::new());
             query.append_pair("filter", &deep(n));
             let bytes = format!("GET /collections/devices/items?{} HTTP/1.1\r\n\r\n", query.finish());
-            let response = said(&front, bytes.as_bytes());
-            let refused = response.as_ref().is_some_and(|r| r.status == 400);
-            assert_eq!(refused, 2 * n + 1 > cql2::MAX_DEPTH, "{n}: {response:?}");
+            let response = response_to(&front, bytes.as_bytes());
+            let rejected = response.as_ref().is_some_and(|r| r.status == 400);
+            assert_eq!(rejected, 2 * n + 1 > cql2::MAX_DEPTH, "{n}: {response:?}");
         }
     };
     // The test's own frames and libraries need some more than the program's.
@@ -220,7 +222,7 @@
     ),
 ];
 
-/// The targets that servers are asked for at last, once it is known what they can do.
+/// The targets of a query's first round, after capability discovery.
 fn targets(front: &OgcFront, query: &str) -> Vec<String> {
     let mut server = Server::default();
     server.input().feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
@@ -253,7 +255,7 @@
     ];
     for ((query, cursor), expected) in EARLIER_CURSORS.into_iter().zip(expected) {
         assert_eq!(targets(&front, &format!("{query}&cursor={cursor}")), expected, "{query}");
-        let other = said(
+        let other = response_to(
             &front,
             format!("GET /collections/devices/items?limit=9&bbox=0,0,1,1&cursor={cursor} HTTP/1.1\r\n\r\n")
                 .as_bytes(),
