--- a/tests/ogc.rs
+++ b/tests/ogc.rs
@@ -1,4 +1,4 @@
-//! The front for feature queries against stand-in feature servers: pages, faults, drains, refusals.
+//! The front for feature queries against stand-in feature servers: pages, faults, draining, rejections.
 
 mod standin;
 
@@ -16,29 +16,32 @@
 }
 
 #[test]
-fn pages_of_all_shards_are_joined_and_a_cut_answer_goes_on() {
+fn pages_of_all_shards_are_merged_and_a_limited_response_continues() {
     let (north, south) = (FeatureServer::healthy(0..7, 3), FeatureServer::healthy(100..105, 2));
     let rows = inventory_row("a", &north, "devices/n", "") + &inventory_row("b", &south, "devices/s", "");
     let edge = Process::start_edge("pages", "", &rows);
-    let whole = edge.get(ITEMS);
+    let complete = edge.get(ITEMS);
     let all: Vec<String> = expected(0..7).into_iter().chain(expected(100..105)).collect();
-    assert_eq!((whole.status, whole.ids()), (200, all.clone()));
-    assert_eq!(whole.json()["numberMatched"], 12);
-    assert_eq!(whole.headers["x-answer-whole"], "true");
-    assert_eq!(north.count_requests(|t| t.starts_with("/collections/n/items")), 3, "every page, each once");
-    let (mut got, mut at) = (Vec::new(), Some(format!("{ITEMS}?limit=4&bbox=0,0,9,9")));
-    while let Some(target) = at {
+    assert_eq!((complete.status, complete.ids()), (200, all.clone()));
+    assert_eq!(complete.json()["numberMatched"], 12);
+    assert_eq!(complete.headers["x-answer-whole"], "true");
+    assert_eq!(north.count_requests(|t| t.starts_with("/collections/n/items")), 3, "each page once");
+    let (mut returned, mut next) = (Vec::new(), Some(format!("{ITEMS}?limit=4&bbox=0,0,9,9")));
+    while let Some(target) = next {
         let page = edge.get(&target);
         assert!(page.ids().len() <= 4);
-        got.extend(page.ids());
-        at = page.link("next");
+        returned.extend(page.ids());
+        next = page.link("next");
     }
-    assert_eq!(got, all, "nothing doubled, nothing missing over the next links");
-    assert!(north.count_requests(|t| t.contains("bbox=0%2C0%2C9%2C9")) > 0, "the box goes on to the servers");
+    assert_eq!(returned, all, "no duplicates and no gaps over the next links");
+    assert!(
+        north.count_requests(|t| t.contains("bbox=0%2C0%2C9%2C9")) > 0,
+        "the box is passed on to the servers"
+    );
 }
 
 #[test]
-fn the_core_pages_and_their_errors() {
+fn core_resources_and_their_errors_are_served() {
     let server = FeatureServer::healthy(0..3, 10);
     let edge = Process::start_edge("core", "", &inventory_row("a", &server, "devices", ""));
     let landing = edge.get("/");
@@ -53,7 +56,7 @@
     assert_eq!((one.status, one.json()["id"].as_str()), (200, Some("d1")));
     let area = "filter=S_INTERSECTS(geometry,POLYGON((0%200,9%200,9%209,0%200)))&filter-lang=cql2-text";
     assert_eq!(edge.get(&format!("{ITEMS}?{area}")).status, 200);
-    // A server that does not say it can filter is asked for the box that all of it lies in, and no more.
+    // A server that does not declare filters is asked for the envelope of the polygon only.
     assert_eq!(server.count_requests(|t| t.contains("filter=")), 0);
     assert_eq!(server.count_requests(|t| t.contains("bbox=0%2C0%2C9%2C9")), 1);
     let bad = [
@@ -69,17 +72,17 @@
         (400, "/conformance?color=red".to_owned()),
     ];
     for (status, target) in bad {
-        let answer = edge.get(&target);
-        assert_eq!(answer.status, status, "{target}");
-        assert_eq!(answer.headers["content-type"], "application/problem+json", "{target}");
-        assert_eq!(answer.json()["status"], status, "{target}");
+        let response = edge.get(&target);
+        assert_eq!(response.status, status, "{target}");
+        assert_eq!(response.headers["content-type"], "application/problem+json", "{target}");
+        assert_eq!(response.json()["status"], status, "{target}");
     }
     assert_eq!(edge.send_request("POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").status, 405);
     assert_eq!(edge.send_request("no http at all\r\n\r\n").status, 400);
 }
 
 #[test]
-fn fast_errors_and_a_page_cut_off_go_to_the_other_server_and_double_nothing() {
+fn failed_and_truncated_pages_are_retried_elsewhere_without_duplicates() {
     let cut = |target: &str| match (query_parameter(target, "offset"), healthy_reply(target, 0..6, 2)) {
         (Some(4), Reply::Json(body)) => Reply::Truncated(body),
         (_, reply) => reply,
@@ -87,32 +90,33 @@
     for (test, bad) in
         [("errors", FeatureServer::start(|_| Reply::Status(500))), ("cut", FeatureServer::start(cut))]
     {
-        let sound = FeatureServer::healthy(0..6, 2);
-        let rows = inventory_row("bad", &bad, "devices", "") + &inventory_row("good", &sound, "devices", "");
+        let healthy = FeatureServer::healthy(0..6, 2);
+        let rows =
+            inventory_row("bad", &bad, "devices", "") + &inventory_row("good", &healthy, "devices", "");
         let edge = Process::start_edge(test, "", &rows);
         for _ in 0..4 {
-            let answer = edge.get(ITEMS);
-            assert_eq!((answer.status, answer.ids()), (200, expected(0..6)), "{test}");
+            let response = edge.get(ITEMS);
+            assert_eq!((response.status, response.ids()), (200, expected(0..6)), "{test}");
         }
-        assert!(bad.count_requests(|_| true) > 0, "{test}: its turn came");
+        assert!(bad.count_requests(|_| true) > 0, "{test}: the faulty server was asked");
     }
 }
 
 #[test]
-fn a_server_that_closes_after_every_page_is_walked_to_the_end() {
-    // Such a walk failed at its first next link.
+fn all_pages_are_fetched_from_a_server_that_closes_after_each() {
+    // A connection that the server closed once made the fetch of the next page fail.
     let server = FeatureServer::start(|target| match healthy_reply(target, 0..6, 2) {
         Reply::Json(body) => Reply::CloseDelimited(body),
         other => other,
     });
     let edge = Process::start_edge("close", "", &inventory_row("a", &server, "devices", ""));
-    let answer = edge.get(ITEMS);
-    assert_eq!((answer.status, answer.ids()), (200, expected(0..6)));
+    let response = edge.get(ITEMS);
+    assert_eq!((response.status, response.ids()), (200, expected(0..6)));
     assert_eq!(server.count_requests(|_| true), 3);
 }
 
 #[test]
-fn a_part_that_may_have_run_is_not_asked_again_where_its_class_forbids_it() {
+fn parts_of_a_non_idempotent_class_are_not_retried() {
     let cut = |target: &str| match healthy_reply(target, 0..6, 2) {
         Reply::Json(body) => Reply::Truncated(body),
         other => other,
@@ -126,24 +130,24 @@
 }
 
 #[test]
-fn a_server_that_hangs_runs_out_of_time_or_leaves_an_answer_in_part() {
-    let (sound, hung) = (FeatureServer::healthy(0..3, 10), FeatureServer::start(|_| Reply::Hang));
-    let rows = inventory_row("a", &sound, "devices/n", "") + &inventory_row("b", &hung, "devices/s", "");
+fn a_hanging_server_causes_a_timeout_or_a_partial_response() {
+    let (healthy, hung) = (FeatureServer::healthy(0..3, 10), FeatureServer::start(|_| Reply::Hang));
+    let rows = inventory_row("a", &healthy, "devices/n", "") + &inventory_row("b", &hung, "devices/s", "");
     let edge = Process::start_edge("hang", "", &rows);
-    let late = edge.get_with_headers(ITEMS, "X-Qos: brief\r\n");
-    assert_eq!((late.status, late.json()["status"].as_u64()), (504, Some(504)));
-    let part = edge.get_with_headers(ITEMS, "X-Qos: part\r\n");
-    assert_eq!((part.status, part.ids()), (200, expected(0..3)));
-    assert_eq!(part.headers["x-answer-whole"], "false");
-    let json = part.json();
+    let timed_out = edge.get_with_headers(ITEMS, "X-Qos: brief\r\n");
+    assert_eq!((timed_out.status, timed_out.json()["status"].as_u64()), (504, Some(504)));
+    let partial = edge.get_with_headers(ITEMS, "X-Qos: part\r\n");
+    assert_eq!((partial.status, partial.ids()), (200, expected(0..3)));
+    assert_eq!(partial.headers["x-answer-whole"], "false");
+    let json = partial.json();
     assert_eq!((&json["partial"], &json["missing"][0]), (&true.into(), &"s".into()));
-    assert!(json.get("numberMatched").is_none(), "what is not known is not told");
+    assert!(json.get("numberMatched").is_none(), "an unknown number is left out");
     let one = edge.get_with_headers("/collections/devices/items/d77", "X-Qos: part\r\n");
-    assert_eq!(one.status, 502, "the server that hangs may hold it");
+    assert_eq!(one.status, 502, "the hanging server may have it");
 }
 
 #[test]
-fn next_links_lead_nowhere_but_on_at_the_same_server() {
+fn next_links_are_followed_only_on_at_the_same_server() {
     let elsewhere = FeatureServer::healthy(0..2, 1);
     let other = elsewhere.address;
     let lead = move |href: String| {
@@ -168,27 +172,27 @@
     }
     assert_eq!(elsewhere.count_requests(|_| true), 0);
     assert_eq!((round.count_requests(|_| true), large.count_requests(|_| true)), (1, 1));
-    // New links for ever, and never a new feature: what there is, once, after no more than two tries of two pages.
-    let answer = edge.get("/collections/endless/items");
-    assert_eq!((answer.status, answer.ids()), (200, expected(0..1)));
+    // Endless links without a new feature: the one feature is returned once, after at most two attempts of two pages.
+    let response = edge.get("/collections/endless/items");
+    assert_eq!((response.status, response.ids()), (200, expected(0..1)));
     assert!(endless.count_requests(|_| true) <= 4, "{}", endless.count_requests(|_| true));
 }
 
 #[test]
-fn a_drain_ends_a_walk_between_pages_and_a_bad_reload_changes_nothing() {
-    let (gate, held) = channel::<()>();
-    let held = Mutex::new(held);
+fn a_draining_server_gets_no_further_pages_and_a_failed_reload_changes_nothing() {
+    let (opener, gate) = channel::<()>();
+    let gate = Mutex::new(gate);
     let draining = FeatureServer::start(move |target| {
         if query_parameter(target, "offset").is_none() {
-            held.lock().expect("gate").recv().expect("opened");
+            gate.lock().expect("gate").recv().expect("opened");
         }
         healthy_reply(target, 0..6, 2)
     });
-    let (sound, hung) = (FeatureServer::healthy(0..6, 2), FeatureServer::start(|_| Reply::Hang));
+    let (healthy, hung) = (FeatureServer::healthy(0..6, 2), FeatureServer::start(|_| Reply::Hang));
     let clock = inventory_row("h", &hung, "hung", "");
     let edge = Process::start_edge("drain", "", &(inventory_row("a", &draining, "devices", "") + &clock));
     std::thread::scope(|scope| {
-        let asked = scope.spawn(|| edge.get(ITEMS));
+        let client = scope.spawn(|| edge.get(ITEMS));
         while draining.count_requests(|_| true) == 0 {
             std::thread::yield_now();
         }
@@ -197,24 +201,24 @@
         assert!(edge.wait_for_log("stays as it was").contains("i.csv:2: address: "));
         edge.write_inventory(
             &(inventory_row("a", &draining, "devices", "draining")
-                + &inventory_row("b", &sound, "devices", "")
+                + &inventory_row("b", &healthy, "devices", "")
                 + &clock),
         );
         edge.signal("HUP");
         edge.wait_for_log("loaded anew");
-        // This one runs out of time 400 ms on: by then the drain's grace is over.
+        // This query times out after 400 ms: by then the grace period of draining is over.
         assert_eq!(edge.get_with_headers("/collections/hung/items", "X-Qos: brief\r\n").status, 504);
-        gate.send(()).expect("it waits");
-        let answer = asked.join().expect("asked");
-        assert_eq!((answer.status, answer.ids()), (200, expected(0..6)));
+        opener.send(()).expect("the server waits");
+        let response = client.join().expect("a response");
+        assert_eq!((response.status, response.ids()), (200, expected(0..6)));
     });
-    assert_eq!(draining.count_requests(|_| true), 1, "no page was asked of it after the grace");
+    assert_eq!(draining.count_requests(|_| true), 1, "no page was requested after the grace period");
     assert_eq!(edge.get(ITEMS).status, 200);
     assert_eq!(draining.count_requests(|_| true), 1);
 }
 
 #[test]
-fn a_burst_beyond_what_is_held_is_refused_with_retry_after() {
+fn queries_beyond_max_in_flight_are_rejected_with_retry_after() {
     let hung = FeatureServer::start(|_| Reply::Hang);
     let edge = Process::start_edge(
         "burst",
@@ -222,40 +226,40 @@
         &inventory_row("a", &hung, "devices", ""),
     );
     let statuses = std::thread::scope(|scope| {
-        let ask = || edge.get_with_headers(ITEMS, "X-Qos: brief\r\n");
-        let asked: Vec<_> = (0..12).map(|_| scope.spawn(ask)).collect();
-        asked.into_iter().map(|a| a.join().expect("asked")).collect::<Vec<_>>()
+        let send = || edge.get_with_headers(ITEMS, "X-Qos: brief\r\n");
+        let clients: Vec<_> = (0..12).map(|_| scope.spawn(send)).collect();
+        clients.into_iter().map(|a| a.join().expect("a response")).collect::<Vec<_>>()
     });
-    let refused: Vec<_> = statuses.iter().filter(|a| a.status == 503).collect();
-    assert!(!refused.is_empty() && statuses.iter().all(|a| matches!(a.status, 503 | 504)), "{statuses:?}");
-    assert!(refused.iter().all(|a| matches!(a.headers["retry-after"].as_str(), "1" | "2")), "{refused:?}");
+    let rejected: Vec<_> = statuses.iter().filter(|a| a.status == 503).collect();
+    assert!(!rejected.is_empty() && statuses.iter().all(|a| matches!(a.status, 503 | 504)), "{statuses:?}");
+    assert!(rejected.iter().all(|a| matches!(a.headers["retry-after"].as_str(), "1" | "2")), "{rejected:?}");
 }
 
 #[test]
-fn told_to_end_it_answers_what_it_holds_and_leaves() {
-    let (gate, held) = channel::<()>();
-    let held = Mutex::new(held);
+fn after_sigterm_pending_queries_are_answered_before_the_exit() {
+    let (opener, gate) = channel::<()>();
+    let gate = Mutex::new(gate);
     let server = FeatureServer::start(move |target| {
-        held.lock().expect("gate").recv().expect("opened");
+        gate.lock().expect("gate").recv().expect("opened");
         healthy_reply(target, 0..2, 2)
     });
     let mut edge = Process::start_edge("end", "", &inventory_row("a", &server, "devices", ""));
     std::thread::scope(|scope| {
-        let asked = scope.spawn(|| edge.send_request(&format!("GET {ITEMS} HTTP/1.1\r\nHost: x\r\n\r\n")));
+        let client = scope.spawn(|| edge.send_request(&format!("GET {ITEMS} HTTP/1.1\r\nHost: x\r\n\r\n")));
         while server.count_requests(|_| true) == 0 {
             std::thread::yield_now();
         }
         edge.signal("TERM");
         edge.wait_for_log("told to end");
-        gate.send(()).expect("it waits");
-        // Its connection is kept: it ends with the program.
-        assert_eq!(asked.join().expect("asked").status, 200);
+        opener.send(()).expect("the server waits");
+        // The connection is persistent: it ends with the program.
+        assert_eq!(client.join().expect("a response").status, 200);
     });
     assert!(edge.wait_for_exit());
 }
 
 #[test]
-fn feature_queries_count_in_the_figures_by_their_class() {
+fn feature_queries_are_counted_by_class() {
     let server = FeatureServer::healthy(0..3, 2);
     let edge =
         Process::start_edge("figures", "mgmt = \"127.0.0.1:0\"", &inventory_row("a", &server, "devices", ""));
--- a/tests/paging.rs
+++ b/tests/paging.rs
@@ -1,4 +1,4 @@
-//! Following `next` to the end: each feature once, and no more requests to servers than pages there are.
+//! Following the `next` links to the end: each feature is returned once, with no more requests to servers than pages.
 
 mod standin;
 
@@ -26,14 +26,14 @@
     ))
 }
 
-/// One of two replicas, which answers with errors while it is away.
+/// One of two replicas, which responds with errors while it is down.
 fn replica(
-    away: &Arc<AtomicBool>,
+    down: &Arc<AtomicBool>,
     ids: std::ops::Range<usize>,
     order: impl Fn(usize) -> usize + Send + 'static,
 ) -> FeatureServer {
-    let away = away.clone();
-    FeatureServer::start(move |target| match away.load(Relaxed) {
+    let down = down.clone();
+    FeatureServer::start(move |target| match down.load(Relaxed) {
         true => Reply::Status(500),
         false => page(target, &ids, &order),
     })
@@ -43,65 +43,69 @@
     FeatureServer::start(move |target| page(target, &ids, &|n| n))
 }
 
-/// All ids over the next links; `between` is called before each answer with its number.
+/// All identifiers over the next links; `between` is called before each response with its number.
 fn follow(edge: &Process, first: &str, mut between: impl FnMut(usize)) -> (Vec<String>, usize) {
-    let (mut ids, mut at, mut answers) = (Vec::new(), Some(first.to_owned()), 0);
-    while let Some(target) = at {
-        between(answers);
-        let answer = edge.get(&target);
-        if answer.status == 503 {
-            assert!(answer.headers.contains_key("retry-after"));
-            at = Some(target);
-            answers += 1;
+    let (mut ids, mut next, mut responses) = (Vec::new(), Some(first.to_owned()), 0);
+    while let Some(target) = next {
+        between(responses);
+        let response = edge.get(&target);
+        if response.status == 503 {
+            assert!(response.headers.contains_key("retry-after"));
+            next = Some(target);
+            responses += 1;
             continue;
         }
-        assert_eq!((answer.status, answer.headers["x-answer-whole"].as_str()), (200, "true"), "{answer:?}");
-        ids.extend(answer.ids());
-        at = answer.link("next");
-        answers += 1;
+        assert_eq!(
+            (response.status, response.headers["x-answer-whole"].as_str()),
+            (200, "true"),
+            "{response:?}"
+        );
+        ids.extend(response.ids());
+        next = response.link("next");
+        responses += 1;
     }
-    (ids, answers)
+    (ids, responses)
 }
 
 fn each_once(mut ids: Vec<String>, all: usize) {
-    let came = ids.len();
+    let returned = ids.len();
     ids.sort();
     ids.dedup();
-    assert_eq!((came, ids.len()), (all, all), "each feature exactly once");
+    assert_eq!((returned, ids.len()), (all, all), "each feature exactly once");
 }
 
 #[test]
-fn an_answer_costs_what_it_returns() {
+fn the_number_of_requests_follows_the_features_returned() {
     let (north, south) = (server(0..20_000), server(20_000..40_000));
     let rows = inventory_row("a", &north, "devices/n", "") + &inventory_row("b", &south, "devices/s", "");
     let edge = Process::start_edge("cost", "", &rows);
-    let asked = || north.count_requests(|_| true) + south.count_requests(|_| true);
+    let requests = || north.count_requests(|_| true) + south.count_requests(|_| true);
     let two = edge.get(&format!("{ITEMS}?limit=2"));
-    assert_eq!((two.ids().len(), two.json()["numberMatched"].as_u64(), asked()), (2, Some(40_000), 2));
+    assert_eq!((two.ids().len(), two.json()["numberMatched"].as_u64(), requests()), (2, Some(40_000), 2));
     for (limit, pages) in [(500, 80), (5_000, 80)] {
-        let before = asked();
-        let (ids, answers) = follow(&edge, &format!("{ITEMS}?limit={limit}"), |_| {});
+        let before = requests();
+        let (ids, responses) = follow(&edge, &format!("{ITEMS}?limit={limit}"), |_| {});
         each_once(ids, 40_000);
-        let requests = asked() - before;
+        let requests = requests() - before;
         assert!(requests * 10 <= pages * 12, "limit {limit}: {requests} requests for {pages} pages");
-        assert!(answers * 10 <= 40_000 / limit * 12 + 10, "limit {limit}: {answers} answers");
+        assert!(responses * 10 <= 40_000 / limit * 12 + 10, "limit {limit}: {responses} responses");
     }
 }
 
 #[test]
-fn each_feature_comes_once_though_replicas_differ_a_server_leaves_and_the_inventory_is_read_anew() {
-    // Two replicas in opposite orders, each gone for a while in turn: what one began the other cannot go on with.
-    let away: [Arc<AtomicBool>; 2] = Default::default();
-    let (a, b) = (replica(&away[0], 0..2_000, |at| at), replica(&away[1], 0..2_000, |at| 1_999 - at));
+fn each_feature_is_returned_once_despite_differing_replicas_outages_and_a_reload() {
+    // Two replicas in opposite orders, each down for a while in turn: neither can continue the pages of the other.
+    let down: [Arc<AtomicBool>; 2] = Default::default();
+    let (a, b) = (replica(&down[0], 0..2_000, |next| next), replica(&down[1], 0..2_000, |next| 1_999 - next));
     let other = server(5_000..6_000);
     let rows = inventory_row("a", &a, "devices/n", "")
         + &inventory_row("b", &b, "devices/n", "")
         + &inventory_row("c", &other, "devices/s", "");
     let edge = Process::start_edge("differ", "retry_after_ms = 50", &rows);
     let (ids, _) = follow(&edge, &format!("{ITEMS}?limit=100"), |n| {
-        // Each is away before one answer, and both are back at the next.
-        away[0].store(n == 3, Relaxed);
-        away[1].store(n == 7, Relaxed);
+        // Each is down before one response, and both are up again at the next.
+        down[0].store(n == 3, Relaxed);
+        down[1].store(n == 7, Relaxed);
         if n == 5 {
             edge.write_inventory(
                 &(rows.clone()
@@ -112,45 +116,45 @@
         }
     });
     each_once(ids, 3_000);
-    let asked = a.count_requests(|_| true) + b.count_requests(|_| true) + other.count_requests(|_| true);
-    assert!(asked <= 36 + 8, "30 pages, and what a server that was away was asked: {asked}");
+    let requests = a.count_requests(|_| true) + b.count_requests(|_| true) + other.count_requests(|_| true);
+    assert!(requests <= 36 + 8, "30 pages, and the requests to servers that were down: {requests}");
 }
 
 #[test]
-fn a_cursor_that_is_forged_stale_or_of_another_query_is_told_as_such() {
+fn forged_expired_and_foreign_cursors_are_rejected() {
     let (north, south) = (server(0..50), server(100..150));
     let rows = inventory_row("a", &north, "devices/n", "") + &inventory_row("b", &south, "devices/s", "");
     let edge = Process::start_edge("cursors", "", &rows);
     let next = edge.get(&format!("{ITEMS}?limit=10&bbox=0,0,9,9")).link("next").expect("a next link");
     assert_eq!(edge.get(&next).status, 200);
-    let told = |target: &str, status: u16, words: &str| {
-        let answer = edge.get(target);
-        let detail = answer.json()["detail"].as_str().unwrap_or_default().to_owned();
-        assert_eq!((answer.status, detail.contains(words)), (status, true), "{target}: {detail}");
+    let expect_problem = |target: &str, status: u16, words: &str| {
+        let response = edge.get(target);
+        let detail = response.json()["detail"].as_str().unwrap_or_default().to_owned();
+        assert_eq!((response.status, detail.contains(words)), (status, true), "{target}: {detail}");
     };
-    told(&next.replace("bbox=0%2C0%2C9%2C9", "bbox=0%2C0%2C9%2C8"), 400, "another query");
-    told(&format!("{ITEMS}?cursor=AAAA"), 400, "not made by this service");
+    expect_problem(&next.replace("bbox=0%2C0%2C9%2C9", "bbox=0%2C0%2C9%2C8"), 400, "another query");
+    expect_problem(&format!("{ITEMS}?cursor=AAAA"), 400, "not made by this service");
     assert_eq!(edge.get(&next.replace("limit=10", "limit=20")).status, 200, "the limit may change");
-    // The server that knows how its pages go on has left for good.
+    // The server that knows how its pages continue has been removed.
     edge.write_inventory(
         &(inventory_row("e", &server(0..50), "devices/n", "") + &inventory_row("b", &south, "devices/s", "")),
     );
     edge.signal("HUP");
     edge.wait_for_log("loaded anew");
-    told(&next, 410, "begin anew");
+    expect_problem(&next, 410, "begin anew");
 }
 
 #[test]
-fn where_all_servers_have_one_order_another_goes_on() {
-    let away: [Arc<AtomicBool>; 2] = Default::default();
-    let [a, b] = [0, 1].map(|n| replica(&away[n], 0..1_000, |at| at));
+fn servers_of_the_same_order_continue_the_pages_of_each_other() {
+    let down: [Arc<AtomicBool>; 2] = Default::default();
+    let [a, b] = [0, 1].map(|n| replica(&down[n], 0..1_000, |next| next));
     let rows = inventory_row("a", &a, "devices/n", "") + &inventory_row("b", &b, "devices/n", "");
     let settings = "[[collection]]\nid = \"devices\"\nsame_order = true\n";
     let edge = Process::start_edge("order", settings, &rows);
-    let (ids, answers) = follow(&edge, &format!("{ITEMS}?limit=100"), |n| {
-        away[0].store((2..5).contains(&n), Relaxed);
-        away[1].store((6..9).contains(&n), Relaxed);
+    let (ids, responses) = follow(&edge, &format!("{ITEMS}?limit=100"), |n| {
+        down[0].store((2..5).contains(&n), Relaxed);
+        down[1].store((6..9).contains(&n), Relaxed);
     });
     each_once(ids, 1_000);
-    assert_eq!(answers, 10, "no answer failed");
+    assert_eq!(responses, 10, "no response failed");
 }
