--- /dev/null
+++ b/src/front/ogc/paging/sorted_merge.rs
@@ -0,0 +1,246 @@
+//! The response to a query with a sort order: the first features after a position in the order, over all shards, in bounded
+//! memory.
+//!
+//! Like [`ConcatMerge`](super::ConcatMerge) it is built in rounds. Where servers return a shard in order, fetching stops as
+//! soon as none of its further features can be among the first. Where they do not, the shard is read to its end, and what is
+//! not among the first is dropped at once.
+
+use super::page::{FeaturePage, FetchedPage, PageFetch, PageLocation};
+use super::sort_key::{SortKey, SortValues};
+use serde_json::Value as Json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Shards fetched at a time.
+const MAX_CONCURRENT_SHARDS: usize = 8;
+/// Tolerance in the comparison of the share of shards with its minimum.
+const SHARE_TOLERANCE: f64 = 1e-6;
+
+/// How far a [`SortedMerge`] is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SortedProgress {
+    /// Another round is needed.
+    NeedsPages,
+    /// The response is complete.
+    Complete,
+    /// Too many shards are missing.
+    TooFewShards,
+    /// More pages would have to be fetched than the bounds allow.
+    TooManyPages,
+}
+
+/// The order and the bounds of a response.
+#[derive(Debug, Clone)]
+pub struct SortedQuery {
+    /// The sort keys.
+    pub keys: Vec<SortKey>,
+    /// Most features of the response.
+    pub limit: usize,
+    /// Most features to request from a server at a time.
+    pub page_size: usize,
+    /// Most pages to fetch.
+    pub max_pages: usize,
+    /// The least share of the shards from which a response may be given.
+    pub min_shard_share: f64,
+    /// The values of the last feature of the response before, its identifier last; `None` in the first response.
+    pub after_values: Option<Vec<Json>>,
+}
+
+#[derive(Debug)]
+struct ShardState {
+    /// Its next page; `None` after its last.
+    location: Option<PageLocation>,
+    /// Its server has returned its features in order so far.
+    sorted: bool,
+    last_seen: Option<SortValues>,
+    missing: bool,
+}
+
+impl ShardState {
+    fn new(sorted: bool) -> Self {
+        ShardState { location: Some(PageLocation::ShardStart), sorted, last_seen: None, missing: false }
+    }
+
+    fn mark_missing(&mut self) {
+        self.missing = true;
+        self.location = None;
+    }
+
+    /// Moves to the next page. A link that leads to the page that it came from would never end.
+    fn move_to(&mut self, next: Option<PageLocation>) {
+        let cycle = next.is_some() && next == self.location;
+        self.missing |= cycle;
+        self.location = next.filter(|_| !cycle);
+    }
+
+    /// Records the values of a feature that its server returned after all before.
+    fn record(&mut self, values: &SortValues) {
+        // A server that returns its features out of order after all has its shard read to the end.
+        self.sorted &= self.last_seen.as_ref().is_none_or(|last| last <= values);
+        self.last_seen = Some(values.clone());
+    }
+}
+
+/// A response under construction.
+#[derive(Debug)]
+pub struct SortedMerge {
+    keys: Vec<SortKey>,
+    descending: Arc<[bool]>,
+    limit: usize,
+    page_size: usize,
+    pages_left: usize,
+    min_shard_share: f64,
+    after: Option<SortValues>,
+    shards: Vec<ShardState>,
+    /// The first features so far.
+    selected: BTreeMap<SortValues, Arc<[u8]>>,
+    /// Features after the selected ones were dropped.
+    dropped: bool,
+}
+
+impl SortedMerge {
+    /// Starts a response. `sorted_shards` has an entry per shard: whether its servers return features in this order.
+    #[must_use]
+    pub fn new(query: SortedQuery, sorted_shards: &[bool]) -> Self {
+        let descending: Arc<[bool]> = query.keys.iter().map(|key| key.descending).collect();
+        // The response before returned all features of these values, whichever shard they were in.
+        let after = query.after_values.map(|values| SortValues {
+            values,
+            descending: descending.clone(),
+            shard: usize::MAX,
+        });
+        SortedMerge {
+            after,
+            keys: query.keys,
+            descending,
+            limit: query.limit,
+            page_size: query.page_size,
+            pages_left: query.max_pages,
+            min_shard_share: query.min_shard_share,
+            shards: sorted_shards.iter().map(|sorted| ShardState::new(*sorted)).collect(),
+            selected: BTreeMap::new(),
+            dropped: false,
+        }
+    }
+
+    /// The pages to fetch next.
+    #[must_use]
+    pub fn next_fetches(&self) -> Vec<PageFetch> {
+        let contributing = self.shards.iter().enumerate().filter(|(_, state)| self.can_contribute(state));
+        let fetches = contributing.take(MAX_CONCURRENT_SHARDS.min(self.pages_left.max(1)));
+        fetches.filter_map(|(shard, state)| self.next_fetch(shard, state)).collect()
+    }
+
+    fn next_fetch(&self, shard: usize, state: &ShardState) -> Option<PageFetch> {
+        let location = state.location.clone()?;
+        let page_size = match &location {
+            PageLocation::ShardStart if state.sorted => self.page_size.min(self.limit),
+            PageLocation::ShardStart => self.page_size,
+            PageLocation::NextLink { page_size, .. } => *page_size,
+        };
+        Some(PageFetch { shard, location, page_size })
+    }
+
+    /// Whether a further page of the shard can have one of the first features.
+    fn can_contribute(&self, state: &ShardState) -> bool {
+        if state.location.is_none() {
+            return false;
+        }
+        let full = self.selected.len() >= self.limit;
+        !(full && state.sorted && self.is_beyond_selected(state))
+    }
+
+    /// Whether the last feature seen of a shard comes after all that are selected, or is the last of them.
+    fn is_beyond_selected(&self, state: &ShardState) -> bool {
+        let last_selected = self.selected.last_key_value();
+        let compared = state.last_seen.as_ref().zip(last_selected);
+        compared.is_some_and(|(seen, (selected, _))| seen >= selected)
+    }
+
+    /// Takes in the pages of a round.
+    pub fn accept(&mut self, fetched_pages: Vec<FetchedPage>) -> SortedProgress {
+        self.pages_left = self.pages_left.saturating_sub(fetched_pages.len());
+        for fetched in fetched_pages {
+            match fetched.page {
+                None => self.shards[fetched.shard].mark_missing(),
+                Some(page) => self.accept_page(fetched.shard, &page),
+            }
+        }
+        if self.has_too_few_shards() {
+            return SortedProgress::TooFewShards;
+        }
+        match self.shards.iter().any(|state| self.can_contribute(state)) {
+            false => SortedProgress::Complete,
+            true if self.pages_left == 0 => SortedProgress::TooManyPages,
+            true => SortedProgress::NeedsPages,
+        }
+    }
+
+    fn accept_page(&mut self, shard: usize, page: &FeaturePage) {
+        for feature in &page.features {
+            self.insert(shard, &page.body[feature.clone()]);
+        }
+        self.shards[shard].move_to(page.next_location());
+    }
+
+    fn has_too_few_shards(&self) -> bool {
+        let missing = self.shards.iter().filter(|state| state.missing).count() as f64;
+        let all = self.shards.len().max(1) as f64;
+        (all - missing) / all + SHARE_TOLERANCE < self.min_shard_share
+    }
+
+    /// Selects a feature if it is among the first. One that is no JSON is left out.
+    fn insert(&mut self, shard: usize, feature: &[u8]) {
+        let Some(values) = SortValues::of(feature, &self.keys, &self.descending, shard) else { return };
+        self.shards[shard].record(&values);
+        if self.after.as_ref().is_some_and(|after| values <= *after) {
+            return;
+        }
+        let full = self.selected.len() >= self.limit;
+        if full && self.selected.last_key_value().is_some_and(|(last, _)| values > *last) {
+            self.dropped = true;
+            return;
+        }
+        self.selected.insert(values, feature.into());
+        if self.selected.len() > self.limit {
+            self.selected.pop_last();
+            self.dropped = true;
+        }
+    }
+
+    /// The features of the response, in order, as one page.
+    #[must_use]
+    pub fn to_page(&self) -> FeaturePage {
+        let mut page = FeaturePage::default();
+        for feature in self.selected.values() {
+            let start = page.body.len();
+            page.body.extend_from_slice(feature);
+            page.features.push(start..page.body.len());
+        }
+        page.returned_count = page.features.len();
+        page
+    }
+
+    /// The values after which the next response starts; `None` if no feature follows.
+    #[must_use]
+    pub fn resume_after(&self) -> Option<Vec<Json>> {
+        let more_follows = self.dropped || self.shards.iter().any(|state| state.location.is_some());
+        let last = self.selected.last_key_value().filter(|_| more_follows);
+        last.map(|(values, _)| values.values.clone())
+    }
+
+    /// The indexes of the shards that could not be fetched.
+    #[must_use]
+    pub fn missing_shards(&self) -> Vec<usize> {
+        (0..self.shards.len()).filter(|shard| self.shards[*shard].missing).collect()
+    }
+
+    /// The number of features selected so far; never more than the limit.
+    #[must_use]
+    pub fn selected_count(&self) -> usize {
+        self.selected.len()
+    }
+}
+
+#[cfg(test)]
+mod tests;
