--- a/src/coordinator/active_settings.rs
+++ b/src/coordinator/active_settings.rs
@@ -1,17 +1,18 @@
-//! The settings in force and their form for the policy.
+//! The active settings and their form for the policy.
 
 use super::messages::ProcessGeneration;
 use crate::interface::{Class, RetryBudget, Settings};
 use crate::time::Micros;
 
-/// Kept free of a latency objective for the turn, the rendering of some hundred values and their way to the client: the
-/// time of an answer is that of its last byte. The policy keeps a margin of a few of its own ticks, which are short on
-/// some sites: without this one an answer that was given from some of its parts just before the objective arrived after it.
+/// Kept free of a latency objective for the turn, the rendering of some hundred values and their way to the
+/// client: the time of an answer is that of its last byte. The policy keeps a margin of a few of its own
+/// ticks, which are short on some sites: without this one an answer that was given from some of its parts
+/// just before the objective arrived after it.
 const RESPONSE_MARGIN: Micros = Micros::from_millis(10);
 /// During a hand-over two processes share the limits of one.
 const PROCESSES_IN_HANDOVER: u32 = 2;
 
-/// The settings in force, the limit of reserved slots, and whether another process shares both.
+/// The active settings, the limit of reserved slots, and whether another process shares both.
 #[derive(Debug)]
 pub(super) struct ActiveSettings {
     settings: Settings,
@@ -26,7 +27,7 @@
         Self { settings: without_follow_ups(settings), max_in_flight, generation: None }
     }
 
-    /// Puts other settings in force, as after a reload.
+    /// Replaces the settings after a reload.
     pub(super) fn replace(&mut self, settings: Settings, max_in_flight: usize) {
         self.settings = without_follow_ups(settings);
         self.max_in_flight = max_in_flight;
@@ -60,7 +61,8 @@
         self.settings.hedging
     }
 
-    /// The longest time after which a rejected client is told to retry; `None` where clients are told nothing.
+    /// The longest time after which a rejected client is told to retry; `None` where clients are told
+    /// nothing.
     pub(super) fn max_retry_after(&self) -> Option<Micros> {
         self.settings.max_retry_after.map(Micros::from_nanos)
     }
@@ -70,8 +72,9 @@
         with_response_margin(self.settings.clone())
     }
 
-    /// The settings for the running policy, with the classes that it is to know. One of two processes counts as two
-    /// coordinators, which halves its share of every limit; free retries stay with the predecessor, which may have used them.
+    /// The settings for the running policy, with the classes that it is to know. One of two processes counts
+    /// as two coordinators, which halves its share of every limit; free retries stay with the predecessor,
+    /// which may have used them.
     pub(super) fn for_policy(&self, classes: Vec<Class>) -> Settings {
         let mut settings = Settings { classes, ..self.settings.clone() };
         if let Some(generation) = self.generation {
@@ -101,3 +104,6 @@
     }
     settings
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/coordinator/batching.rs
+++ b/src/coordinator/batching.rs
@@ -2,7 +2,8 @@
 
 use super::messages::Command;
 
-/// Joins the dispatches to one server into calls of at most `max_batch` attempts, each in the place of its first attempt.
+/// Joins the dispatches to one server into calls of at most `max_batch` attempts, each in the place of its
+/// first attempt.
 pub(super) fn batch_dispatches(commands: &mut Vec<Command>, max_batch: usize) {
     if max_batch < 2 {
         return;
@@ -28,3 +29,6 @@
     }
     false
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/coordinator/classes.rs
+++ b/src/coordinator/classes.rs
@@ -1,5 +1,5 @@
-//! The classes by name and by number. The policy knows a class by its number, which is its slot here; clients and the
-//! configuration know it by its name.
+//! The classes by name and by number. The policy knows a class by its number, which is its slot here; clients
+//! and the configuration know it by its name.
 
 use super::metrics::{ClassMetrics, Metrics};
 use crate::interface::{Class, ClassId};
@@ -19,13 +19,13 @@
 /// A class of a reloaded configuration.
 struct ReloadedClass<'a> {
     class: &'a Class,
-    /// The class in force of the same name.
+    /// The active class of the same name.
     current: Option<ClassId>,
     /// Whether the reload leaves it as it is.
     unchanged: bool,
 }
 
-/// The classes in force, and those that a reload dropped or changed while queries or attempts still use them.
+/// The active classes, and those that a reload dropped or changed while queries or attempts still use them.
 #[derive(Debug)]
 pub(super) struct Classes {
     slots: Vec<ClassSlot>,
@@ -40,7 +40,7 @@
         all
     }
 
-    /// The number of the class in force of this name.
+    /// The number of the active class of this name.
     pub(super) fn find(&self, name: &str) -> Option<ClassId> {
         let index = self.slots.iter().position(|slot| slot.class.active && slot.class.name == name)?;
         Some(class_id(index))
@@ -66,14 +66,16 @@
         self.slots[usize::from(id.0)].users -= 1;
     }
 
-    /// Puts the classes of a reload in force. An unchanged class keeps its slot; a changed one gets another, so that the
-    /// queries that use the old one keep its rules. A slot is reused once its class is not in force and has no users.
+    /// Activates the classes of a reload. An unchanged class keeps its slot; a changed one gets another,
+    /// so that the queries that use the old one keep its rules. A slot is reused once its class is not in
+    /// force and has no users.
     ///
     /// Returns for each slot the class whose statistics the policy continues there.
     pub(super) fn replace(&mut self, classes: &[Class]) -> Vec<ClassId> {
-        // Compared before the first slot is reused: it may be that of a class that comes later in the configuration.
+        // Compared before the first slot is reused: it may be that of a class that comes later in the
+        // configuration.
         let reloaded: Vec<ReloadedClass<'_>> = classes.iter().map(|class| self.compare(class)).collect();
-        self.keep_in_force(&reloaded);
+        self.keep_active(&reloaded);
         let mut predecessors: Vec<ClassId> = (0..self.slots.len()).map(class_id).collect();
         for class in reloaded.iter().filter(|class| !class.unchanged) {
             let slot = self.new_slot(class.class);
@@ -96,12 +98,12 @@
 
     fn compare<'a>(&self, class: &'a Class) -> ReloadedClass<'a> {
         let current = self.find(&class.name);
-        let unchanged = current.is_some_and(|id| *self.get(id) == in_force(class));
+        let unchanged = current.is_some_and(|id| *self.get(id) == activated(class));
         ReloadedClass { class, current, unchanged }
     }
 
-    /// Takes all classes out of force but those that the reload leaves unchanged.
-    fn keep_in_force(&mut self, reloaded: &[ReloadedClass<'_>]) {
+    /// Deactivates all classes but those that the reload leaves unchanged.
+    fn keep_active(&mut self, reloaded: &[ReloadedClass<'_>]) {
         for slot in &mut self.slots {
             slot.class.active = false;
         }
@@ -111,7 +113,7 @@
     }
 
     fn new_slot(&self, class: &Class) -> ClassSlot {
-        ClassSlot { class: in_force(class), metrics: self.metrics.class(&class.name), users: 0 }
+        ClassSlot { class: activated(class), metrics: self.metrics.class(&class.name), users: 0 }
     }
 
     fn free_slot(&self) -> Option<usize> {
@@ -119,7 +121,7 @@
     }
 }
 
-fn in_force(class: &Class) -> Class {
+fn activated(class: &Class) -> Class {
     Class { active: true, ..class.clone() }
 }
 
--- a/src/coordinator/classes/tests.rs
+++ b/src/coordinator/classes/tests.rs
@@ -1,28 +1,16 @@
 //! Tests of the classes over reloads.
 
 use super::{Classes, NO_PREDECESSOR};
-use crate::interface::{Class, ClassId, Effect};
+use crate::coordinator::test_fixtures;
+use crate::interface::{Class, ClassId};
 use std::sync::Arc;
 
 fn class(name: &str, max_attempts: u32) -> Class {
-    Class {
-        name: name.to_owned(),
-        active: true,
-        latency_objective: 1,
-        objective_stretch: 0.0,
-        deadline: 2,
-        effect: Effect::Idempotent,
-        priority_weight: 1.0,
-        late_weight: 0.0,
-        required_share: 1.0,
-        min_share: 1.0,
-        follow_up_parts: 0,
-        max_attempts,
-    }
+    Class { max_attempts, ..test_fixtures::class(name) }
 }
 
-/// The classes in force: name, attempts, number.
-fn in_force(classes: &Classes) -> Vec<(String, u32, u16)> {
+/// The active classes: name, attempts, number.
+fn active_classes(classes: &Classes) -> Vec<(String, u32, u16)> {
     let listed = classes.all().into_iter().filter(|c| c.active);
     let mut all: Vec<_> =
         listed.map(|c| (c.name.clone(), c.max_attempts, classes.find(&c.name).expect("listed").0)).collect();
@@ -31,13 +19,14 @@
 }
 
 #[test]
-fn reload_that_changes_all_classes_keeps_all_in_force() {
-    // Regression: the slot of a later class was given to an earlier one, and the later one was taken for unchanged.
+fn reload_that_changes_all_classes_keeps_all_active() {
+    // Regression: the slot of a later class was given to an earlier one, and the later one was taken for
+    // unchanged.
     let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
     let predecessors = classes.replace(&[class("a", 2), class("b", 2), class("c", 2)]);
-    let names: Vec<_> = in_force(&classes).into_iter().map(|c| (c.0, c.1)).collect();
+    let names: Vec<_> = active_classes(&classes).into_iter().map(|c| (c.0, c.1)).collect();
     assert_eq!(names, [("a".to_owned(), 2), ("b".to_owned(), 2), ("c".to_owned(), 2)]);
-    let predecessor = |name: &str| predecessors[usize::from(classes.find(name).expect("in force").0)];
+    let predecessor = |name: &str| predecessors[usize::from(classes.find(name).expect("active").0)];
     assert_eq!(
         (predecessor("a"), predecessor("b"), predecessor("c")),
         (ClassId(0), ClassId(1), NO_PREDECESSOR)
@@ -47,12 +36,13 @@
 #[test]
 fn slot_of_a_replaced_class_is_reused_only_after_its_last_user_ends() {
     let mut classes = Classes::new(&[class("a", 4), class("b", 4)], Arc::default());
-    let a = classes.find("a").expect("in force");
+    let a = classes.find("a").expect("active");
     classes.acquire(a);
     classes.replace(&[class("a", 1), class("b", 4)]);
     assert_eq!((classes.get(a).max_attempts, classes.find("b")), (4, Some(ClassId(1))));
-    assert_eq!(classes.get(classes.find("a").expect("in force")).max_attempts, 1);
-    // Class a is dropped while its first slot is in use, so c needs a third one; after the release the slot is reused.
+    assert_eq!(classes.get(classes.find("a").expect("active")).max_attempts, 1);
+    // Class a is dropped while its first slot is in use, so c needs a third one; after the release the slot
+    // is reused.
     classes.replace(&[class("b", 4), class("c", 1)]);
     assert_eq!((classes.find("a"), classes.find("c")), (None, Some(ClassId(2))));
     classes.release(a);
--- a/src/coordinator/diagnostics.rs
+++ b/src/coordinator/diagnostics.rs
@@ -2,8 +2,8 @@
 
 use super::counters::{Counter, COUNTERS};
 
-/// Counts an event that may occur too often to log each time, and logs the 1st, 2nd, 4th, 8th of its counter and so on.
-/// Standard error may be a pipe, and a full one would block the worker.
+/// Counts an event that may occur too often to log each time, and logs the 1st, 2nd, 4th, 8th of its counter
+/// and so on. Standard error may be a pipe, and a full one would block the worker.
 pub fn log_throttled(counter: &Counter, line: impl FnOnce() -> String) {
     counter.increment();
     if counter.get().is_power_of_two() {
--- a/src/coordinator/endpoints.rs
+++ b/src/coordinator/endpoints.rs
@@ -1,4 +1,5 @@
-//! The registry of endpoints: the servers that endpoint lists have named, their ids, and what is known of each.
+//! The registry of endpoints: the servers that endpoint lists have named, their ids, and what is known of
+//! each.
 
 use super::counters::COUNTERS;
 use super::diagnostics::log_throttled;
@@ -12,7 +13,8 @@
 
 /// A removed endpoint is remembered this long: it may come back under its name.
 const REMOVED_RETENTION: Micros = Micros::from_secs(30);
-/// Two start times this close are of the same incarnation: each is computed from two clocks and varies a little.
+/// Two start times this close are of the same incarnation: each is computed from two clocks and varies a
+/// little.
 const START_TIME_TOLERANCE: Micros = Micros::from_millis(500);
 
 /// An endpoint that some list has named.
@@ -40,8 +42,9 @@
             .is_some_and(|known| started_at.is_none_or(|start| start + START_TIME_TOLERANCE < known))
     }
 
-    /// Whether a line of a stale list is news. An incarnation that is draining or removed never becomes ready again, so
-    /// that is believed however old the list is, and so is a later incarnation. All else the newer list knew better.
+    /// Whether a line of a stale list is news. An incarnation that is draining or removed never becomes ready
+    /// again, so that is believed however old the list is, and so is a later incarnation. All else the newer
+    /// list knew better.
     fn accepts_stale(&self, node: &NodeEndpoint) -> bool {
         let stops = self.ready && node.state != EndpointState::Ready;
         self.is_later_incarnation(node.started_at) || (stops && !self.is_earlier_incarnation(node.started_at))
@@ -87,8 +90,9 @@
         turn.events.push(Event::Endpoints { kind: update.kind, endpoints });
     }
 
-    /// Discovery that was moved, or came back from an older copy, may send an older list than the current one: endpoints that
-    /// it lacks may be newer than it, and those that it calls ready may have been told to drain since.
+    /// Discovery that was moved, or came back from an older copy, may send an older list than the current
+    /// one: endpoints that it lacks may be newer than it, and those that it calls ready may have been told to
+    /// drain since.
     fn filter_stale(&mut self, update: &mut EndpointUpdate) {
         let Some(version) = update.version else { return };
         if version >= self.version {
@@ -98,7 +102,8 @@
         let current = self.version;
         log_throttled(&COUNTERS.stale_endpoint_updates, || {
             format!(
-                "discovery: stale endpoint list of version {version} after {current}: only its drains, removals and restarts are applied"
+                "discovery: stale endpoint list of version {version} after {current}: \
+                 only its drains, removals and restarts are applied"
             )
         });
         update.kind = EndpointListKind::Delta;
@@ -157,8 +162,8 @@
         }
     }
 
-    /// Forgets endpoints that were removed long ago and have no attempt in flight: servers are replaced by new ones with new
-    /// names for as long as the program runs.
+    /// Forgets endpoints that were removed long ago and have no attempt in flight: servers are replaced by
+    /// new ones with new names for as long as the program runs.
     pub(super) fn purge_removed(&mut self, has_attempts: impl Fn(ReplicaId) -> bool, turn: &mut Turn<'_>) {
         let expired = |endpoint: &KnownEndpoint| {
             endpoint.removed_at.is_some_and(|since| turn.now.since(since) > REMOVED_RETENTION)
--- a/src/coordinator/messages.rs
+++ b/src/coordinator/messages.rs
@@ -1,4 +1,5 @@
-//! The messages between the coordinator and the program around it: inputs, commands and answers as plain data.
+//! The messages between the coordinator and the program around it: inputs, commands and answers as plain
+//! data.
 
 use super::metrics::ClassMetrics;
 use super::request::{AttemptKey, Request, RequestContext, Token, Value};
--- a/src/coordinator/metrics.rs
+++ b/src/coordinator/metrics.rs
@@ -1,7 +1,8 @@
 //! The figures that operators read at the admin address, by class name where they belong to a class.
 //!
-//! Each is counted in one place, where it happens: an answer where the coordinator gives it, an attempt where its last byte is
-//! written. So both fronts count, and a class that a reload brings counts from its first request on.
+//! Each is counted in one place, where it happens: an answer where the coordinator gives it, an attempt where
+//! its last byte is written. So both fronts count, and a class that a reload brings counts from its first
+//! request on.
 
 use super::counters::Counter;
 use crate::sync::lock;
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -1,8 +1,9 @@
-//! The state of one coordinator. It holds the policy, pending queries, attempts, timers and endpoints, and knows no wire
-//! format and no socket.
+//! The state of one coordinator. It holds the policy, pending queries, attempts, timers and endpoints, and
+//! knows no wire format and no socket.
 //!
-//! A driver collects inputs and calls [`Coordinator::turn`] with all of them and one reading of the clock. The turn hands the
-//! policy its events, executes its actions in order and returns the commands for the drivers.
+//! A driver collects inputs and calls [`Coordinator::turn`] with all of them and one reading of the clock.
+//! The turn hands the policy its events, executes its actions in order and returns the commands for the
+//! drivers.
 
 mod active_settings;
 mod batching;
@@ -15,6 +16,8 @@
 mod queries;
 mod reporting;
 mod request;
+#[cfg(test)]
+mod test_fixtures;
 mod turn;
 
 pub use counters::{Counter, Counters, COUNTERS};
@@ -55,8 +58,8 @@
 }
 
 impl Coordinator {
-    /// A coordinator without queries or endpoints. At most `max_in_flight` queries and parts are pending at the same time;
-    /// `seed` starts the policy's random generator.
+    /// A coordinator without queries or endpoints. At most `max_in_flight` queries and parts are pending at
+    /// the same time; `seed` starts the policy's random generator.
     #[must_use]
     pub fn new(
         settings: Settings,
@@ -115,16 +118,16 @@
         self.queries.set_final_deadline(final_deadline);
     }
 
-    /// Another process of a hand-over shares the limits of this one from now on, or no longer does. Limits hold for the sum
-    /// of both.
+    /// Another process of a hand-over shares the limits of this one from now on, or no longer does. Limits
+    /// hold for the sum of both.
     pub fn set_process_generation(&mut self, generation: Option<ProcessGeneration>) {
         self.settings.set_generation(generation);
         let event = self.settings_event();
         self.deferred_events.push(event);
     }
 
-    /// One turn: handles the inputs, calls the policy with their events, executes its actions, and appends the commands for
-    /// the drivers in order.
+    /// One turn: handles the inputs, calls the policy with their events, executes its actions, and appends
+    /// the commands for the drivers in order.
     pub fn turn(
         &mut self,
         now: Micros,
@@ -167,7 +170,8 @@
         self.endpoints.purge_removed(|replica| self.queries.has_attempts_at(replica), turn);
     }
 
-    /// Brings the classes up to the settings in force, and tells the policy both. A pending query keeps its class.
+    /// Brings the classes up to the active settings, and tells the policy both. A pending query keeps its
+    /// class.
     fn settings_event(&mut self) -> Event {
         let class_mapping = self.queries.replace_classes(self.settings.classes());
         let settings = self.settings.for_policy(self.queries.classes());
--- a/src/coordinator/queries/attempts.rs
+++ b/src/coordinator/queries/attempts.rs
@@ -19,7 +19,8 @@
     pub(in crate::coordinator) replica: ReplicaId,
     /// How long to wait for the value.
     pub(in crate::coordinator) timeout: Micros,
-    /// When the write must have started, or never may: later it would repeat a part outside the window of its class.
+    /// When the write must have started, or never may: later it would repeat a part outside the window of its
+    /// class.
     pub(in crate::coordinator) write_by: Micros,
 }
 
@@ -44,7 +45,8 @@
             replica: order.replica,
             dispatched_at: turn.now,
             deadline,
-            // A connection may be established much later: what must not be written by then is cancelled before.
+            // A connection may be established much later: what must not be written by then is cancelled
+            // before.
             timer_at: deadline.min(order.write_by),
             write_started: false,
             request_id: query.request.request_id.clone(),
@@ -99,8 +101,8 @@
         while let Some(key) = self.in_flight.next_expired(turn.now) {
             let Some(attempt) = self.remove_attempt(key) else { continue };
             turn.commands.push(Command::CancelAttempt { replica: attempt.replica, key });
-            // An attempt whose write never started is taken back, so it never ran, and a part that must not be repeated may
-            // be sent again. One whose write has started goes on to its last byte, and runs.
+            // An attempt whose write never started is taken back, so it never ran, and a part that must not
+            // be repeated may be sent again. One whose write has started goes on to its last byte, and runs.
             let outcome = if attempt.write_started { Outcome::TimedOut } else { Outcome::ConnectFailed };
             turn.events.push(record_outcome(key, &attempt, outcome, turn.now));
         }
--- a/src/coordinator/queries/completion.rs
+++ b/src/coordinator/queries/completion.rs
@@ -62,8 +62,8 @@
         self.reply(pending.class, &pending.request, answer, turn);
     }
 
-    /// Fails the queries whose deadline has passed. The policy ends each query in time, other than at a shutdown; should it
-    /// not, the client still gets its one answer.
+    /// Fails the queries whose deadline has passed. The policy ends each query in time, other than at a
+    /// shutdown; should it not, the client still gets its one answer.
     pub(in crate::coordinator) fn expire_queries(&mut self, turn: &mut Turn<'_>) {
         while let Some(query) = self.pending.next_expired(turn.now) {
             if let Some(pending) = self.remove_query(query, turn) {
@@ -76,8 +76,9 @@
         }
     }
 
-    /// Removes a query with all that it uses. Its attempts whose write has not started are cancelled, whether or not the
-    /// settings allow cancellation at the servers: one that waited for its connection would run to no use.
+    /// Removes a query with all that it uses. Its attempts whose write has not started are cancelled, whether
+    /// or not the settings allow cancellation at the servers: one that waited for its connection would run to
+    /// no use.
     fn remove_query(&mut self, query: QueryId, turn: &mut Turn<'_>) -> Option<PendingQuery> {
         let pending = self.pending.remove(query)?;
         self.request_ids.release(&pending.request.request_id);
--- a/src/coordinator/queries/in_flight.rs
+++ b/src/coordinator/queries/in_flight.rs
@@ -15,7 +15,8 @@
     pub(super) dispatched_at: Micros,
     /// When it times out.
     pub(super) deadline: Micros,
-    /// When its timer fires: at the deadline, or at the time by which its write must have started if that is earlier.
+    /// When its timer fires: at the deadline, or at the time by which its write must have started if that is
+    /// earlier.
     pub(super) timer_at: Micros,
     /// Some of its request was written: it may run.
     pub(super) write_started: bool,
@@ -106,8 +107,8 @@
         attempts.filter(|(_, attempt)| !attempt.write_started).map(|(key, _)| *key).collect()
     }
 
-    /// The first attempt that has expired: its deadline has passed, or its write has not started in time. One whose write has
-    /// started gets a timer for its deadline.
+    /// The first attempt that has expired: its deadline has passed, or its write has not started in time. One
+    /// whose write has started gets a timer for its deadline.
     pub(super) fn next_expired(&mut self, now: Micros) -> Option<AttemptKey> {
         while let Some(timer) = self.timers.first().copied().filter(|timer| timer.at <= now) {
             self.timers.pop_first();
--- a/src/coordinator/queries/mod.rs
+++ b/src/coordinator/queries/mod.rs
@@ -1,7 +1,7 @@
 //! The pending queries and their attempts, from the request to the final answer.
 //!
-//! [`admission`] turns requests into pending queries, [`attempts`] dispatches attempts at their parts and records the outcomes,
-//! [`completion`] gives the final answers.
+//! [`admission`] turns requests into pending queries, [`attempts`] dispatches attempts at their parts and
+//! records the outcomes, [`completion`] gives the final answers.
 
 mod admission;
 mod attempts;
@@ -71,7 +71,7 @@
         self.pending.set_final_deadline(final_deadline);
     }
 
-    /// Puts other classes in force; returns the class that each one succeeds.
+    /// Activates other classes; returns the class that each one succeeds.
     pub(super) fn replace_classes(&mut self, classes: &[Class]) -> Vec<ClassId> {
         self.classes.replace(classes)
     }
--- a/src/coordinator/queries/pending.rs
+++ b/src/coordinator/queries/pending.rs
@@ -7,7 +7,8 @@
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Kept free of a client's timeout for the way here, the turn and the way back; the policy keeps its own ticks.
+/// Kept free of a client's timeout for the way here, the turn and the way back; the policy keeps its own
+/// ticks.
 pub(super) const NETWORK_MARGIN: Micros = Micros::from_millis(3);
 /// An end this close to the objective was brought about by it: the policy ends a query some ticks ahead.
 const LATE_TOLERANCE: Micros = Micros::from_millis(25);
--- a/src/coordinator/queries/request_ids.rs
+++ b/src/coordinator/queries/request_ids.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// The ids of pending queries and in-flight attempts, with the number of their users. Servers know parts by the id of
-/// their request, so two requests must not share one.
+/// The ids of pending queries and in-flight attempts, with the number of their users. Servers know parts by
+/// the id of their request, so two requests must not share one.
 #[derive(Debug, Default)]
 pub(super) struct RequestIds {
     users: HashMap<Arc<str>, usize>,
--- a/src/coordinator/reporting.rs
+++ b/src/coordinator/reporting.rs
@@ -9,8 +9,8 @@
 
 /// The policy's view of the servers is polled this often.
 const POLICY_POLL_INTERVAL: Micros = Micros::from_millis(100);
-/// A server counts as ejected once the policy has avoided it for this long: many are avoided for a moment, while another
-/// one is faster.
+/// A server counts as ejected once the policy has avoided it for this long: many are avoided for a moment,
+/// while another one is faster.
 const EJECTED_AFTER: Micros = Micros::from_secs(1);
 
 /// This coordinator's share of each gauge.
--- a/src/coordinator/request.rs
+++ b/src/coordinator/request.rs
@@ -17,7 +17,8 @@
     pub token: Token,
     /// The id of the request at the servers and in logs. No two pending requests have the same one.
     pub request_id: Arc<str>,
-    /// The name of its class: the class's number may change while the request is on its way to the coordinator.
+    /// The name of its class: the class's number may change while the request is on its way to the
+    /// coordinator.
     pub class: Arc<str>,
     /// Its tenant; 0 where there are none.
     pub tenant: TenantId,
@@ -29,8 +30,8 @@
     pub parts: Vec<PartRequest>,
     /// The bytes that each attempt carries to its server.
     pub payload: Arc<[u8]>,
-    /// Whether its answer counts in the metrics of its class. A front that needs several requests for one answer counts the
-    /// last one itself.
+    /// Whether its answer counts in the metrics of its class. A front that needs several requests for one
+    /// answer counts the last one itself.
     pub counted: bool,
 }
 
--- a/src/coordinator/turn.rs
+++ b/src/coordinator/turn.rs
@@ -10,7 +10,8 @@
     pub(super) now: Micros,
     /// Events that the policy handles in this turn.
     pub(super) events: Vec<Event>,
-    /// Events that the policy handles in the next turn: those that its own actions and ended queries bring about.
+    /// Events that the policy handles in the next turn: those that its own actions and ended queries bring
+    /// about.
     pub(super) deferred_events: Vec<Event>,
     /// What the drivers are to do, in order.
     pub(super) commands: &'a mut Vec<Command>,
--- a/tests/coordinator/endpoints.rs
+++ b/tests/coordinator/endpoints.rs
@@ -100,8 +100,9 @@
 
 #[test]
 fn stale_list_reverts_no_drain_and_removes_no_server() {
-    // Regression: discovery had moved, or came back from an older copy. Its list called servers ready that had been told to
-    // drain, and parts were sent there again; servers that it did not know yet got no more work.
+    // Regression: discovery had moved, or came back from an older copy. Its list called servers ready that
+    // had been told to drain, and parts were sent there again; servers that it did not know yet got no more
+    // work.
     let mut core = coordinator();
     let list = |version, kind, nodes: Vec<NodeEndpoint>| endpoint_list(kind, Some(version), nodes);
     let started = |number, state, seconds: u64| NodeEndpoint {
--- a/tests/coordinator/queries.rs
+++ b/tests/coordinator/queries.rs
@@ -41,8 +41,8 @@
 
 #[test]
 fn partial_answer_is_given_10_ms_before_the_objective() {
-    // Regression: the policy keeps three ticks for turn, rendering and network. With a tick of 1 ms each partial answer was
-    // given 2 ms before the objective, and arrived after it.
+    // Regression: the policy keeps three ticks for turn, rendering and network. With a tick of 1 ms each
+    // partial answer was given 2 ms before the objective, and arrived after it.
     let mut now = START;
     let mut core = coordinator_with(Settings { tick: MS, ..settings() });
     let mut commands = Vec::new();
--- a/tests/coordinator/settings.rs
+++ b/tests/coordinator/settings.rs
@@ -10,7 +10,8 @@
 
 #[test]
 fn pending_query_keeps_its_class_over_a_reload_and_a_new_one_has_the_reloaded_class() {
-    // Regression: attempts and effects were looked up by the class's place in the file, whatever the file said by then.
+    // Regression: attempts and effects were looked up by the class's place in the file, whatever the file
+    // said by then.
     let mut now = START;
     let mut core = coordinator();
     let mut commands = Vec::new();
--- a/tests/coordinator/shutdown.rs
+++ b/tests/coordinator/shutdown.rs
@@ -24,7 +24,8 @@
 
 #[test]
 fn query_pending_when_the_shutdown_begins_is_answered_by_the_final_deadline() {
-    // Regression: queries accepted before SIGTERM whose clients waited longer than the kill takes got a reset for an answer.
+    // Regression: queries accepted before SIGTERM whose clients waited longer than the kill takes got a reset
+    // for an answer.
     let mut core = coordinator();
     let mut commands = Vec::new();
     core.turn(START, [fleet(), submit(1, NON_IDEMPOTENT, 1, START)], &mut commands);
