--- a/fuzz/fuzz_targets/head.rs
+++ b/fuzz/fuzz_targets/head.rs
@@ -1,4 +1,4 @@
-//! Any bytes on a connection are requests or one error, and after an error nothing more is said.
+//! Arbitrary bytes on a connection are HTTP requests and at most one error, after which nothing more is parsed.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
 use quinceflow::proto::http::{Response, Server};
--- a/fuzz/fuzz_targets/page.rs
+++ b/fuzz/fuzz_targets/page.rs
@@ -1,4 +1,5 @@
-//! Any body of a server is a page or none; a page's features lie in it, and its link stays at home.
+//! An arbitrary body of a feature server is a page or rejected; the features of a page are objects within its body, and its
+//! next link is a path on the same server.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
 use quinceflow::front::ogc::visit::read_page;
--- /dev/null
+++ b/src/net/watch/backoff.rs
@@ -0,0 +1,92 @@
+//! How long to wait before the discovery watch is opened again, and how long for its first message.
+
+use super::SILENCE_TIMEOUT;
+use crate::interface::Nanos;
+use crate::time::Micros;
+use std::time::Duration;
+
+/// The first and the longest value of something that doubles from attempt to attempt, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct DelayRange {
+    min_ms: u64,
+    max_ms: u64,
+}
+
+/// Delays between attempts where an agent beside the coordinator serves the endpoint lists: it answers at no cost, and
+/// the coordinator counts as notified of all that the agent has, also right after the agent was silent.
+const AGENT_DELAY: DelayRange = DelayRange { min_ms: 25, max_ms: 250 };
+/// Timeouts for the first message of such an agent: it answers at once, and a watch that was opened while the agent was
+/// silent may never be answered. They grow, since no short timeout would be met while the machine is slow.
+const AGENT_FIRST_MESSAGE_TIMEOUT: DelayRange =
+    DelayRange { min_ms: 500, max_ms: SILENCE_TIMEOUT.0 / MICROS_PER_MILLI };
+/// Where one discovery service serves all coordinators, the delays go from this fraction of the poll interval that the
+/// settings allow up to the whole of it. Discovery serves few calls at once and lets the others time out, so the total rate
+/// of calls has to fall until some of them are served.
+const SHARED_MIN_DELAY_DIVISOR: u64 = 10;
+/// The shortest poll interval that is respected, in milliseconds.
+const MIN_SHARED_POLL_INTERVAL_MS: u64 = 1_000;
+/// The timeout for the first message of a shared discovery service, which answers late.
+pub(super) const SHARED_FIRST_MESSAGE_TIMEOUT: Micros = Micros::from_millis(4_500);
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// An exponential backoff with jitter: coordinators that lost their watches at the same moment do not return at the same
+/// moment.
+#[derive(Debug)]
+pub struct Backoff {
+    delay_ms: u64,
+    first_message_timeout_ms: u64,
+    rng: fastrand::Rng,
+}
+
+impl Backoff {
+    /// A backoff that starts with the shortest delay; `seed` sets its jitter.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Backoff {
+            delay_ms: 0,
+            first_message_timeout_ms: AGENT_FIRST_MESSAGE_TIMEOUT.min_ms,
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// The delay after a watch has ended. It starts anew if that watch brought an endpoint list, and doubles otherwise.
+    ///
+    /// `max_poll_interval` is set where lists are polled from a shared discovery service: a coordinator that does not poll
+    /// within it counts as notified.
+    pub(super) fn next_delay(&mut self, list_received: bool, max_poll_interval: Option<Nanos>) -> Duration {
+        let delays = delay_range(max_poll_interval);
+        let timeouts = AGENT_FIRST_MESSAGE_TIMEOUT;
+        if list_received {
+            self.delay_ms = delays.min_ms;
+            self.first_message_timeout_ms = timeouts.min_ms;
+        } else {
+            self.delay_ms = (self.delay_ms * 2).clamp(2 * delays.min_ms, delays.max_ms);
+            self.first_message_timeout_ms = (self.first_message_timeout_ms * 2).min(timeouts.max_ms);
+        }
+        Duration::from_millis(self.rng.u64(self.delay_ms / 2..=self.delay_ms))
+    }
+
+    /// Starts the delays anew; the timeout for the first message stays.
+    pub(super) fn reset_delay(&mut self) {
+        self.delay_ms = 0;
+    }
+
+    /// How long the first message of the next watch is waited for.
+    pub(super) fn first_message_timeout(&self, max_poll_interval: Option<Nanos>) -> Micros {
+        match max_poll_interval {
+            Some(_) => SHARED_FIRST_MESSAGE_TIMEOUT,
+            None => Micros::from_millis(self.first_message_timeout_ms),
+        }
+    }
+}
+
+fn delay_range(max_poll_interval: Option<Nanos>) -> DelayRange {
+    let Some(interval) = max_poll_interval else { return AGENT_DELAY };
+    let interval_ms = Micros::from_nanos(interval).0 / MICROS_PER_MILLI;
+    let max_ms = interval_ms.max(MIN_SHARED_POLL_INTERVAL_MS);
+    DelayRange { min_ms: max_ms / SHARED_MIN_DELAY_DIVISOR, max_ms }
+}
+
+#[cfg(test)]
+mod tests;
