--- /dev/null
+++ b/lab/src/feature_server.rs
@@ -0,0 +1,160 @@
+//! Stand-in feature servers: OGC API - Features from the published standard, with scripted faults.
+//!
+//! A server holds a shard of made-up devices and serves pages of it by `limit` and `offset`. The filters that it declares are
+//! evaluated by the program's own evaluator; the checks of what comes out do not use that.
+
+mod capabilities;
+mod capacity;
+mod connection;
+mod dataset;
+mod faults;
+mod items;
+
+pub use capabilities::Capabilities;
+pub use capacity::Capacity;
+pub use dataset::devices;
+pub use faults::{Fault, ALL_FAULTS};
+
+use capacity::WorkerSlots;
+use dataset::Dataset;
+use faults::FaultScript;
+use serde_json::Value as Json;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// Stack of a connection's thread: there may be hundreds.
+const CONNECTION_STACK_BYTES: usize = 256 * 1024;
+/// Requests that the log keeps at most.
+const MAX_LOGGED_REQUESTS: usize = 1_000_000;
+
+/// A request as a server logged it.
+#[derive(Debug, Clone)]
+pub struct LoggedRequest {
+    /// When its head had been read.
+    pub received_at: Instant,
+    /// Its path and query.
+    pub target: String,
+    /// What the script chose for it.
+    pub fault: Fault,
+}
+
+/// A stand-in server; clones are handles of the same server.
+#[derive(Clone)]
+pub struct FeatureServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<ServerState>,
+}
+
+/// What a server's connections share.
+struct ServerState {
+    dataset: Dataset,
+    capabilities: Capabilities,
+    script: Mutex<FaultScript>,
+    slots: WorkerSlots,
+    requests: AtomicU64,
+    body_bytes: AtomicU64,
+    log_twice: AtomicBool,
+    log: Mutex<Vec<LoggedRequest>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl FeatureServer {
+    /// Starts a server of these features on a free loopback port.
+    ///
+    /// # Errors
+    /// If no port is free.
+    pub fn start(features: Vec<Json>, capabilities: Capabilities) -> io::Result<FeatureServer> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ServerState {
+            dataset: Dataset::new(features),
+            capabilities,
+            script: Mutex::new(Box::new(|_, _| Fault::None)),
+            slots: WorkerSlots::default(),
+            requests: AtomicU64::new(0),
+            body_bytes: AtomicU64::new(0),
+            log_twice: AtomicBool::new(false),
+            log: Mutex::default(),
+        });
+        let shared = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = shared.clone();
+                let thread = std::thread::Builder::new().stack_size(CONNECTION_STACK_BYTES);
+                let _ = thread.spawn(move || {
+                    let _ = state.serve_connection(stream);
+                });
+            }
+        });
+        Ok(FeatureServer { address, state })
+    }
+
+    /// From now on this script chooses the fault of each request by its number, from 0, and its target.
+    pub fn set_fault_script(&self, script: impl Fn(u64, &str) -> Fault + Send + Sync + 'static) {
+        *lock(&self.state.script) = Box::new(script);
+    }
+
+    /// From now on its work is bounded by this capacity, or by none.
+    pub fn set_capacity(&self, capacity: Option<Capacity>) {
+        self.state.slots.set_capacity(capacity);
+    }
+
+    /// Requests received so far.
+    #[must_use]
+    pub fn request_count(&self) -> u64 {
+        self.state.requests.load(Relaxed)
+    }
+
+    /// Bytes of response bodies so far.
+    #[must_use]
+    pub fn body_bytes(&self) -> u64 {
+        self.state.body_bytes.load(Relaxed)
+    }
+
+    /// All requests, in order; at most a million of them.
+    #[must_use]
+    pub fn log(&self) -> Vec<LoggedRequest> {
+        lock(&self.state.log).clone()
+    }
+
+    /// From now on each request is logged twice: an injected fault that observers of the log must find.
+    pub fn set_log_twice(&self, on: bool) {
+        self.state.log_twice.store(on, Relaxed);
+    }
+
+    /// Its row of an inventory: name, address, the collections that it serves, and its state.
+    #[must_use]
+    pub fn inventory_row(&self, name: &str, collections: &str, state: &str) -> String {
+        format!("{name},{},{collections},{state}\n", self.address)
+    }
+}
+
+impl ServerState {
+    /// Counts and logs a request and chooses its fault.
+    fn register_request(&self, target: &str) -> RegisteredRequest {
+        let number = self.requests.fetch_add(1, Relaxed);
+        let fault = lock(&self.script)(number, target);
+        let mut log = lock(&self.log);
+        let copies = 1 + usize::from(self.log_twice.load(Relaxed));
+        for _ in 0..copies {
+            if log.len() < MAX_LOGGED_REQUESTS {
+                log.push(LoggedRequest { received_at: Instant::now(), target: target.to_owned(), fault });
+            }
+        }
+        RegisteredRequest { number, fault }
+    }
+}
+
+/// What is known of a request before it is answered.
+#[derive(Clone, Copy)]
+struct RegisteredRequest {
+    number: u64,
+    fault: Fault,
+}
