--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -1,5 +1,5 @@
-//! Two events that cross, on real sockets. A stand-in holds one side until the other has happened, so that each order is
-//! forced: `docs/crossings.md` lists the pairs.
+//! Races between two events, on real sockets. A stand-in holds one event back until the other has happened, so that each
+//! order is forced; `docs/crossings.md` lists the pairs.
 
 mod standin;
 
@@ -16,9 +16,9 @@
 use std::sync::mpsc::channel;
 
 #[test]
-fn a_client_that_leaves_while_its_parts_wait_for_a_connection_has_none_of_them_sent() {
-    // Counted at the wire: cases, and parts that came to a node after their client had left. Parts of a call of several, and
-    // all where nodes may not be told to call parts off, went out when the connection came up.
+fn parts_that_wait_for_a_connection_are_not_sent_after_their_client_disconnects() {
+    // Counted at the nodes: parts that arrive after their client has disconnected. Regression: parts of a batch, and all
+    // parts where cancellation is off, were sent when the connection was established.
     let run = |cancel: bool, bundle: u32| {
         let nodes = [UnreachableNode::new(), UnreachableNode::new()];
         let addresses = [nodes[0].address(), nodes[1].address()];
@@ -38,7 +38,7 @@
         {
             let mut client =
                 send_request(&edge, &query_request(&format!("left{n}"), class, &[0, 1, 2, 3, 4, 5], ""));
-            // The program reads only so much of it: what it does not take is not waited for.
+            // The process reads only part of it; the rest is not waited for.
             client.set_nonblocking(true).expect("set");
             let _ = client.write(behind.as_bytes());
             clients.push(client);
@@ -66,13 +66,13 @@
 }
 
 #[test]
-fn a_client_that_leaves_while_its_part_waits_for_a_retry_has_it_not_sent_again() {
+fn a_part_that_waits_for_a_retry_is_not_sent_again_after_its_client_disconnects() {
     let agent = ControlledDiscovery::new();
     let nodes = [0, 1].map(|_| bind_loopback());
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("left-retry", &agent, &addresses);
     let client = send_request(&edge, &query_request("left", "look", &[0], ""));
-    // Whichever node it goes to holds it until nobody is left to take it.
+    // The node that receives it keeps it until no node accepts parts.
     let (tell, asked) = channel();
     let served = nodes.map(|listener| {
         let tell = tell.clone();
@@ -93,7 +93,7 @@
     edge.wait_for_counter("queries_abandoned", 1);
     watch.send(&endpoint_list(3, false, &all_in_service(&addresses)));
     edge.wait_for_counter("endpoint_updates", 4);
-    // Sound again, and asked by another: that one's part alone goes out.
+    // The nodes accept parts again: only that of another client is sent.
     let other = send_request(&edge, &query_request("stays", "look", &[0], ""));
     let (ids, mut stream) = asked.recv().expect("one of them");
     assert_eq!(ids, ["stays.0"]);
@@ -108,7 +108,7 @@
 }
 
 #[test]
-fn a_part_that_waits_for_its_connection_does_not_go_to_a_node_that_is_told_to_drain_meanwhile() {
+fn a_part_that_waits_for_a_connection_is_not_sent_to_a_node_that_starts_draining() {
     for bundle in [1, 4] {
         let nodes = [UnreachableNode::new(), UnreachableNode::new()];
         let addresses = [nodes[0].address(), nodes[1].address()];
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn a_watch_that_falls_silent_or_is_reset_is_opened_anew_and_what_it_missed_is_kept() {
+fn a_silent_or_reset_watch_is_reopened_and_its_missed_events_are_applied() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     for silent in [true, false] {
@@ -155,7 +155,7 @@
                 None
             })
         };
-        // The change comes while no watch is open; the next one tells of it, indented.
+        // The change is made while no watch is open; the next one sends it, as indented JSON.
         let told =
             serde_json::to_string_pretty(&endpoint_list_json(2, false, &[terminating(0, addresses[0])]))
                 .expect("a list");
@@ -174,13 +174,13 @@
 }
 
 #[test]
-fn an_agent_that_says_nothing_at_first_is_asked_again_and_its_return_is_heard() {
+fn a_silent_discovery_agent_is_polled_again_and_its_recovery_is_noticed() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
     let edge = Deployment::ALL_EFFECTS.start_with_discovery("agent", agent.address(), &addresses);
     let began = std::time::Instant::now();
-    // Down: whoever asks gets no answer, then or later.
+    // Down: polls are not answered, then or later.
     let unanswered = [agent.accept_watch(), agent.accept_watch()];
     assert!(began.elapsed().as_millis() < 2_500, "what it gets at its return counts at once");
     let _back = agent.answer_watch(&endpoint_list(
@@ -197,7 +197,7 @@
 }
 
 #[test]
-fn a_list_that_goes_back_takes_no_drain_back() {
+fn an_older_endpoint_list_does_not_undo_a_drain() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
@@ -215,8 +215,8 @@
 }
 
 #[test]
-fn a_move_of_discovery_is_followed_while_a_watch_is_waited_for() {
-    // Where lists are asked for the wait is up to must-ask-in, here 600 s: a SIGHUP was not seen before it was over.
+fn a_new_discovery_address_applies_during_the_backoff_of_a_watch() {
+    // Regression: where lists are polled the backoff is up to must-ask-in, here 600 s, and a SIGHUP took effect after it.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let (old, new) = (ControlledDiscovery::new(), ControlledDiscovery::new());
@@ -240,9 +240,9 @@
 }
 
 #[test]
-fn a_part_whose_frame_has_begun_to_go_out_does_not_go_again() {
-    // Nodes that read nothing: a long frame stands half written until its time-out. It was told as never sent, so its query
-    // was refused, or it went to the other node, while the rest of it went out and ran.
+fn a_part_whose_frame_is_partly_written_is_not_sent_again() {
+    // The nodes read nothing, so a long frame is partly written until its timeout. Regression: it was reported as not sent,
+    // so its query was rejected or it was retried on the other node, while the rest of it was written and ran.
     use rustix::net::sockopt::set_socket_recv_buffer_size;
     let nodes = [0, 1].map(|_| bind_loopback());
     nodes.iter().for_each(|n| set_socket_recv_buffer_size(n, 2_048).expect("set"));
@@ -261,7 +261,7 @@
         listener.set_nonblocking(true).expect("set");
         while let Ok((mut stream, _)) = listener.accept() {
             stream.set_nonblocking(false).expect("set");
-            // Read to the frame that follows it: the cancel.
+            // Read up to the frame that follows it, the cancellation.
             while let Ok((letter, _)) = read_frame(&mut stream) {
                 runs += usize::from(letter == CALL);
                 if letter == CANCEL {
@@ -274,7 +274,7 @@
 }
 
 #[test]
-fn a_late_answer_beside_the_next_attempt_leads_to_no_third() {
+fn a_late_answer_during_the_second_attempt_causes_no_third() {
     let nodes = [0, 1].map(|_| bind_loopback());
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
     let agent = ControlledDiscovery::new();
@@ -300,7 +300,7 @@
     }
     let (first, letter, _, mut its) = asked.recv().expect("the first attempt");
     assert_eq!(letter, CALL);
-    // It is called off and goes to the other, in whichever order that is seen here.
+    // It is cancelled and sent to the other node, in either order as seen here.
     let both = [asked.recv().expect("a frame"), asked.recv().expect("a frame")];
     let other = both.into_iter().find(|f| f.1 == CALL).expect("the next attempt");
     assert_ne!(other.0, first);
@@ -315,7 +315,7 @@
 }
 
 #[test]
-fn a_connection_that_comes_up_after_it_was_given_up_carries_nothing() {
+fn a_connection_established_after_its_dial_timed_out_carries_no_parts() {
     let (shut, sound) = (UnreachableNode::new(), DataNode::serving());
     let agent = ControlledDiscovery::new();
     let site = Deployment { connect_timeout_ms: Some(150), ..Deployment::ALL_EFFECTS };
@@ -343,8 +343,8 @@
 }
 
 #[test]
-fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
-    // The window was looked at when the repeat was launched; its connection came up when it was over, and it went out.
+fn a_retry_whose_connection_is_established_after_the_retry_window_is_not_sent() {
+    // Regression: the retry window was checked at dispatch only; a retry whose connection was established later was sent.
     let (held, shut) = (bind_loopback(), UnreachableNode::new());
     let addresses = [held.local_addr().expect("bound"), shut.address()];
     let agent = ControlledDiscovery::new();
@@ -356,7 +356,7 @@
     assert_eq!(read_part_ids(&mut first).expect("the first attempt"), ["key.0"]);
     watch.send(&endpoint_list(3, false, &[terminating(0, addresses[0]), in_service(1, addresses[1])]));
     edge.wait_for_counter("endpoint_updates", 4);
-    // It may have run: within its window it may go again, to the node that lets nobody in.
+    // It may have run; within its window it may be retried, on the node that accepts no connection.
     drop(first);
     edge.wait_for_counter("attempts_dispatched", 2);
     edge.wait_for_counter("attempts_connect_failed", 1);
@@ -368,8 +368,8 @@
 }
 
 #[test]
-fn clients_that_leave_before_they_are_read_have_nothing_sent_on() {
-    // They stand in the queue of the socket, their request and their end behind it, when the program goes on.
+fn requests_of_clients_that_disconnect_before_they_are_read_are_not_forwarded() {
+    // When the process continues they are in the backlog, with their request and their close.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let agent = ControlledDiscovery::new();
     let (edge, _watch) =
@@ -391,9 +391,9 @@
 }
 
 #[test]
-fn frames_that_break_off_before_their_last_byte_go_to_the_other_node() {
-    // More than the machine keeps for a node that reads nothing: at its reset one frame stands half written and others wait
-    // behind it. They never ran, so they go again, whatever their class; what was written whole may have run and does not.
+fn frames_cut_off_before_their_last_byte_are_retried_on_the_other_node() {
+    // More than the socket buffers hold for a node that reads nothing: at its reset one frame is partly written and others
+    // wait behind it. These never ran, so they are retried whatever their class; fully written ones may have run and are not.
     use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
     const QUERIES: usize = 90;
     let (deaf, sound) = (bind_loopback(), UnreachableNode::new());
@@ -438,11 +438,11 @@
 }
 
 #[test]
-fn a_part_that_answers_after_its_query_harms_nothing_and_goes_nowhere_again() {
+fn an_answer_after_its_query_completed_is_dropped_and_its_part_not_retried() {
     let agent = ControlledDiscovery::new();
     let (sound, held) = (DataNode::serving(), bind_loopback());
     let addresses = [sound.address, held.local_addr().expect("bound")];
-    // Two shards, each with one of the two: the other holders drain, so that the late part has nowhere else to go.
+    // Two shards, one on each node: the other holder is draining, so that the late part cannot be retried elsewhere.
     let (edge, mut watch) = Deployment { latency_objective_ms: 600, ..Deployment::ALL_EFFECTS }
         .start_controlled("after", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
@@ -456,7 +456,7 @@
     write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[0])).expect("told");
     let text = read_until_close(client);
     assert!(text.starts_with("HTTP/1.1 200") && text.contains("\"full\":false"), "{text}");
-    // The late one, then a query on the same connection.
+    // The late answer, then a query on the same connection.
     write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[1])).expect("told");
     let next = send_request(&edge, &query_request("next", "look", &[1], "Connection: close\r\n"));
     assert_eq!(read_part_ids(&mut stream).expect("on the connection that is open"), ["next.1"]);
@@ -466,7 +466,7 @@
 }
 
 #[test]
-fn an_idle_connection_is_left_before_its_node_may_close_it_by_the_time_in_the_settings() {
+fn an_idle_server_connection_is_closed_before_its_node_may_close_it() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -1,4 +1,4 @@
-//! A program that is told to end, and what crosses that on real sockets; see `tests/crossings.rs`.
+//! Graceful shutdown on real sockets, and events that race with it; see also `tests/crossings.rs`.
 
 mod standin;
 
@@ -14,14 +14,14 @@
 use std::sync::mpsc::channel;
 
 #[test]
-fn what_the_machine_accepted_before_a_sigterm_is_read_is_answered() {
+fn connections_in_the_backlog_at_sigterm_are_answered() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let agent = ControlledDiscovery::new();
     let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
     let (mut edge, _watch) = site.start_controlled("queue", &agent, &nodes.each_ref().map(|n| n.address));
     let mut kept = send_request(&edge, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(kept.read(&mut [0; 512]).expect("an answer") > 0);
-    // Stopped: all this is with the machine when the program goes on, and the signal with it.
+    // Stopped: the kernel has all this, and the signal, when the process continues.
     edge.signal("STOP");
     kept.write_all(query_request("kept", "look", &[0], "Connection: close\r\n").as_bytes()).expect("written");
     let queued: Vec<_> = (0..5)
@@ -42,8 +42,8 @@
 }
 
 #[test]
-fn told_to_end_with_hung_nodes_it_answers_all_that_is_sent_and_ends_by_itself() {
-    // One node hangs, to the other no connection comes up; clients' times outlast the kill, which comes after 3.7 s.
+fn after_sigterm_all_requests_are_answered_and_the_process_exits_although_nodes_hang() {
+    // One node hangs, the other cannot be connected to; the clients' timeouts are longer than the 3.7 s until the kill.
     let (hangs, shut) = (DataNode::hanging(), UnreachableNode::new());
     let agent = ControlledDiscovery::new();
     let (mut edge, _watch) =
@@ -62,7 +62,7 @@
     let began = std::time::Instant::now();
     edge.signal("TERM");
     edge.wait_for_log("told to end");
-    // On one connection after the other, for as long as it stays open.
+    // On one connection after the other, each for as long as it stays open.
     let (mut answers, mut closed, mut n) = (0, 0, 0);
     while closed < 4 {
         let mut client = BufReader::new(send_request(&edge, ""));
@@ -94,14 +94,14 @@
 }
 
 #[test]
-fn a_client_that_has_its_answer_and_never_closes_does_not_keep_the_program_until_the_kill() {
+fn an_answered_client_that_never_closes_does_not_delay_the_exit_until_the_kill() {
     let (hangs, other) = (DataNode::hanging(), DataNode::hanging());
     let agent = ControlledDiscovery::new();
     let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
     let (mut edge, _watch) = site.start_controlled("never-closes", &agent, &[hangs.address, other.address]);
     let mut client = BufReader::new(send_request(&edge, &query_request("q", "once", &[0], "")));
     edge.wait_for_counter("queries_accepted", 1);
-    // Settings that come after the signal change nothing about when the kill comes: it is 1.7 s from here.
+    // Settings that are reloaded after the signal do not change the time of the kill, 1.7 s from here.
     edge.signal("TERM");
     edge.wait_for_log("told to end");
     let longer = edge.configuration_with("/settings/classes/0/deadline", json!(8_000_000_000_u64));
@@ -111,7 +111,7 @@
     assert_eq!(client.read(&mut [0]).expect("closed in good order"), 0, "shortly before the last answer");
     let mut last = BufReader::new(send_request(&edge, &query_request("last", "once", &[1], "")));
     let answer = read_response(&mut last).expect("an answer, and no reset");
-    // From here, and not from the signal: the machine may be busy.
+    // Measured from here and not from the signal, since the machine may be busy.
     let began = std::time::Instant::now();
     assert!(answer.status / 100 == 5 && answer.closes, "{answer:?}");
     assert!(edge.wait_for_exit(), "it ends by itself");
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn a_retry_that_is_due_when_it_is_told_to_end_is_made() {
+fn a_retry_that_is_due_at_sigterm_is_made() {
     let agent = ControlledDiscovery::new();
     let nodes = [0, 1].map(|_| bind_loopback());
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
@@ -145,7 +145,7 @@
 }
 
 #[test]
-fn an_answer_that_closes_is_followed_by_no_reset() {
+fn a_response_that_closes_its_connection_is_followed_by_no_reset() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let agent = ControlledDiscovery::new();
     let (edge, _watch) =
@@ -154,15 +154,15 @@
     let mut text = String::new();
     client.read_to_string(&mut text).expect("to its end");
     assert!(text.starts_with("HTTP/1.1 200"), "{text}");
-    // What was on its way meets no closed socket, whose reset could overtake the answer.
+    // Bytes in transit do not reach a closed socket, whose reset could overtake the response.
     for _ in 0..50 {
         client.write_all(&[b'x'; 1_000]).expect("not reset");
     }
 }
 
 #[test]
-fn a_new_version_that_dies_leaves_the_queue_to_the_old_one_that_was_told_to_end() {
-    // Only the new one accepted, so when it died nobody did, and who stood in the queue was reset when the old one ended.
+fn after_a_successor_dies_its_draining_predecessor_accepts_again() {
+    // Regression: nobody accepted after the successor died, and the backlog was reset when the predecessor exited.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = nodes.each_ref().map(|n| n.address);
     let discovery = serve_constant_list(endpoint_list(1, true, &all_in_service(&addresses)));
@@ -171,7 +171,7 @@
     std::fs::create_dir_all(&temporary).expect("a folder");
     let mut old = first.start_successor(&temporary);
     old.wait_until_ready();
-    // Somebody is still there, so the old one does not end when it is told to.
+    // An open connection keeps the predecessor from exiting at SIGTERM.
     let mut kept = send_request(&old, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(kept.read(&mut [0; 512]).expect("an answer") > 0);
     let new = old.start_successor(&temporary);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,4 +1,4 @@
-//! The platform's front with stand-ins for data nodes, discovery and clients.
+//! The platform's protocol on real sockets, with stand-ins for data nodes, discovery and clients.
 
 mod standin;
 
@@ -22,7 +22,7 @@
 }
 
 #[test]
-fn a_query_is_answered_from_its_parts_over_kept_connections() {
+fn a_query_is_answered_from_its_parts_over_persistent_connections() {
     let nodes = [DataNode::serving(), DataNode::serving(), DataNode::serving()];
     let (edge, _changes) = Deployment::BASIC.start("whole", &nodes);
     edge.wait_until_ready();
@@ -33,12 +33,12 @@
         assert_eq!(answer.json(), json!({"full": true, "pieces": [cell(0), cell(1), cell(2)]}));
     }
     let open: Vec<usize> = nodes.iter().map(DataNode::connections).collect();
-    // Not one each: where this machine stops for a while an answer is overdue, and what follows it goes elsewhere.
+    // Not one each: if the machine pauses, an answer is overdue, and the next parts take another connection.
     assert!(open.iter().all(|n| *n <= 4), "connections are kept: {open:?}");
 }
 
 #[test]
-fn errors_and_full_queues_go_to_the_other_node_and_what_may_have_run_does_not() {
+fn failed_parts_are_retried_on_the_other_node_unless_they_may_have_run_and_are_not_idempotent() {
     for (act, class, status) in [
         (NodeBehaviour::Fail, "lookup", 200),
         (NodeBehaviour::Disconnect, "lookup", 200),
@@ -46,7 +46,7 @@
         (NodeBehaviour::Fail, "send", 502),
         (NodeBehaviour::Disconnect, "send", 502),
     ] {
-        // The first part that any node sees meets the fault.
+        // The fault strikes the first part that any node receives.
         let struck = Arc::new(Mutex::new(false));
         let first = |struck: Arc<Mutex<bool>>| {
             move |_| {
@@ -70,9 +70,9 @@
 }
 
 #[test]
-fn a_connection_that_falls_silent_costs_no_query_while_its_node_is_sound() {
-    // It was used on until an attempt had been out for 0.4 s, which where answers take milliseconds none ever was; and
-    // what followed half an answer was taken for its end.
+fn an_unresponsive_connection_fails_no_query_while_its_node_is_healthy() {
+    // Regression: the connection stayed in use until an attempt had been in flight for 0.4 s, which none was where
+    // answers take milliseconds; and the bytes after half an answer were taken for its end.
     for fault in [NodeBehaviour::StopResponding, NodeBehaviour::PartialResponse] {
         let nodes =
             [(); 2].map(|()| DataNode::start(move |n| if n == 100 { fault } else { NodeBehaviour::Serve }));
@@ -94,9 +94,9 @@
 }
 
 #[test]
-fn a_connection_that_its_node_closed_costs_no_part() {
-    // A node closes what stands idle; the part that met that was lost with its connection. Here each end has reached the
-    // program before the next part; `src/net/links.rs` has the part that goes out before its driver has seen it.
+fn a_connection_closed_by_its_node_loses_no_part() {
+    // Regression: a part that was sent on a connection which its node closed as idle was lost. Here each close has reached
+    // the process before the next part; the unit tests of the node client cover a part sent before the close is seen.
     let nodes = [
         DataNode::start(|_| NodeBehaviour::ServeAndClose),
         DataNode::start(|_| NodeBehaviour::ServeAndClose),
@@ -112,13 +112,13 @@
 }
 
 #[test]
-fn nothing_goes_to_a_node_after_its_drain_is_told() {
+fn a_draining_node_receives_no_new_parts() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, changes) = Deployment::BASIC.start("drain", &nodes);
     edge.wait_until_ready();
     assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
     changes.send(&endpoint_list(2, false, &[terminating(0, nodes[0].address)]));
-    // Told when the program has counted it: the known list, discovery's first, and this.
+    // Until the process has counted three lists: the cached one, discovery's first, and this one.
     loop {
         edge.signal("USR1");
         if edge.wait_for_log("counters").contains(" endpoint_updates=3 ") {
@@ -133,8 +133,8 @@
 }
 
 #[test]
-fn a_reload_moves_the_watch_without_dropping_the_list() {
-    // SIGHUP read the edge's inventory only: after discovery had moved no drain was heard of.
+fn a_reload_moves_the_watch_and_keeps_the_endpoint_list() {
+    // Regression: SIGHUP reloaded the inventory only, so no drain was received after discovery had moved.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, first) = Deployment::BASIC.start("moved", &nodes);
     edge.wait_until_ready();
@@ -149,7 +149,7 @@
     edge.signal("HUP");
     edge.wait_for_log("the configuration stays as it was: ");
     assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
-    // The new address knows of a drain, as a change after the version that the old one told last.
+    // The new address sends a drain as a change to the version that the old one sent last.
     let moved = Discovery::start(endpoint_list(2, false, &[terminating(0, nodes[0].address)]));
     edge.write_configuration(&edge.configuration_with("/discovery", json!(moved.address.to_string())));
     edge.signal("HUP");
@@ -165,14 +165,14 @@
 }
 
 #[test]
-fn after_a_line_that_cannot_be_read_the_whole_list_is_asked_for() {
-    // The watch went on from the last good version, so what the bad line said was never known.
+fn after_an_unreadable_watch_event_the_complete_list_is_requested() {
+    // Regression: the watch resumed from the last good version, so the change in the bad event was lost.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, discovery) = Deployment::BASIC.start("line", &nodes);
     edge.wait_until_ready();
     discovery.send("{no list");
     while discovery.requests().len() < 2 {
-        // The stand-in notices at its next words that the watch has ended.
+        // The stand-in notices that the watch is closed when it sends the next event.
         discovery.send("");
         std::thread::yield_now();
     }
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn out_of_time_refused_and_malformed_requests_are_answered_as_such() {
+fn expired_rejected_and_malformed_requests_get_their_status() {
     let nodes = [DataNode::hanging(), DataNode::hanging()];
     let (edge, _changes) = Deployment::BASIC.start("hang", &nodes);
     edge.wait_until_ready();
@@ -194,7 +194,8 @@
     assert_eq!(query(&edge, "q3", "lookup", &[9]).status, 400);
     assert_eq!(query(&edge, "q4", "lookup", &[]).status, 400);
     assert_eq!(query(&edge, "q5", "lookup", &[1, 1]).status, 400);
-    // Shares that miss 1 passed for whole answers; a query without its time or its text went out to the nodes.
+    // Regression: fractions that do not add up to 1 passed for complete answers; a query without timeout or statement was
+    // sent to the nodes.
     let asked = |shares: &str, time: &str, text: &str| {
         let body = format!("{{\"tablets\":[{shares}]{text}}}");
         let head =
@@ -223,8 +224,8 @@
 }
 
 #[test]
-fn the_id_of_an_open_request_is_turned_away_and_that_request_served() {
-    // Data nodes know parts by that id: the second request took over the first one's answers.
+fn a_request_with_the_id_of_a_pending_one_is_rejected_and_the_pending_one_served() {
+    // Regression: data nodes identify parts by that id, so the second request received the first one's answers.
     let gate = Arc::new(Mutex::new(()));
     let held = gate.lock().expect("gate");
     let wait = |gate: Arc<Mutex<()>>| {
@@ -249,8 +250,8 @@
 }
 
 #[test]
-fn who_says_nothing_or_stops_halfway_is_closed_and_shuts_nobody_out() {
-    // Half requests had 10 s and silent connections no end at all; a full table closed none of either.
+fn silent_and_incomplete_connections_are_closed_and_do_not_block_other_clients() {
+    // Regression: incomplete requests had 10 s and silent connections no limit, and neither was evicted for new clients.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, _changes) = Deployment { descriptors: 60, ..Deployment::BASIC }.start("silent", &nodes);
     edge.wait_until_ready();
@@ -263,21 +264,21 @@
     let mut crowd: Vec<TcpStream> = (0..150).map(|_| connect()).collect();
     assert_eq!(query(&edge, "q1", "lookup", &[0, 1]).status, 200);
     for silent in &mut crowd {
-        // Closed with nothing said; the test's reader would wait for ever otherwise.
+        // Closed without a response; otherwise this read would block for ever.
         assert!(matches!(silent.read(&mut [0; 1]), Ok(0) | Err(_)));
     }
 }
 
 #[test]
-fn an_error_reaches_a_client_that_goes_on_sending() {
-    // The connection was closed on unread input: a reset, which ate the error.
+fn an_error_response_reaches_a_client_that_keeps_sending() {
+    // Regression: the connection was closed with unread input, which sends a reset, and the client lost the error.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, _changes) = Deployment::BASIC.start("linger", &nodes);
     let mut client = TcpStream::connect(edge.address).expect("it listens");
     write!(client, "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n").expect("written");
     let mut lines = BufReader::new(client.try_clone().expect("a handle")).lines();
     assert_eq!(lines.next().and_then(Result::ok).as_deref(), Some("HTTP/1.1 413 Content Too Large"));
-    // The answer is here, and what is sent after it is still taken.
+    // The response has come, and bytes that are sent after it are still read.
     for _ in 0..50 {
         client.write_all(&[b'x'; 1_000]).expect("not reset");
     }
@@ -287,7 +288,7 @@
 }
 
 #[test]
-fn it_lives_on_when_no_descriptor_is_left() {
+fn queries_are_served_while_descriptors_are_exhausted() {
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, _changes) = Deployment { descriptors: 40, ..Deployment::BASIC }.start("descriptors", &nodes);
     edge.wait_until_ready();
@@ -301,14 +302,14 @@
 }
 
 #[test]
-fn told_to_end_it_serves_on_kept_connections_before_it_closes_them() {
-    // Every answer closed its connection from the signal on, and for half a second and more nobody took the clients in.
+fn after_sigterm_persistent_connections_are_served_before_they_are_closed() {
+    // Regression: each response closed its connection from the signal on, and for half a second nobody accepted the clients.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (mut edge, _changes) =
         Deployment { latency_objective_ms: 1_000, ..Deployment::BASIC }.start("term", &nodes);
     edge.wait_until_ready();
     let mut kept = TcpStream::connect(edge.address).expect("it listens");
-    // A request that has begun is no idle connection.
+    // A connection with half a request is not idle.
     write!(kept, "GET /up HTTP/1.1\r\n").expect("written");
     edge.signal("HUP");
     edge.signal("TERM");
@@ -330,20 +331,20 @@
 }
 
 #[test]
-fn operators_are_answered_beside_callers_that_never_ask() {
+fn admin_calls_are_answered_despite_callers_that_send_none() {
     let nodes = [
         DataNode::serving(),
         DataNode::start(|n| if n == 1 { NodeBehaviour::Fail } else { NodeBehaviour::Serve }),
     ];
     let (edge, _changes) = Deployment::BASIC.start("mgmt", &nodes);
     let address = edge.management_address();
-    // More than there are places, and half a call each.
+    // More callers than the endpoint has places for, each with half a call.
     let mut idle: Vec<TcpStream> = (0..80).map(|_| TcpStream::connect(address).expect("accepted")).collect();
     idle.iter_mut().for_each(|s| s.write_all(b"HEAL").expect("taken"));
     while !management_call(address, "HEALTH\n").starts_with("YES") {}
     assert!(management_call(address, "health me\r\n").starts_with("NO "));
     assert!(management_call(address, &"x".repeat(400)).starts_with("NO "), "a line without end is no call");
-    // One part fails once and goes again; one query meets no class, one a class that may not repeat.
+    // One part fails once and is retried; one query names an unknown class.
     for n in 0..5 {
         assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
@@ -360,8 +361,8 @@
 }
 
 #[test]
-fn it_is_not_healthy_before_discovery_has_spoken() {
-    // The known list may be old: it serves, but it is not news.
+fn the_health_check_fails_until_discovery_has_sent_its_list() {
+    // The cached list may be old: queries are served from it, but the health check waits for discovery.
     let quiet = bind_loopback();
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = addresses_of(&nodes);
@@ -375,8 +376,8 @@
 }
 
 #[test]
-fn a_reload_takes_all_of_a_file_or_nothing() {
-    // Whatever parsed moved discovery: a broken file sent the watch to an address where nobody was.
+fn a_reload_applies_a_complete_file_or_nothing() {
+    // Regression: any file that parsed moved discovery, so a broken one sent the watch to an unused address.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, _changes) = Deployment::BASIC.start("retune", &nodes);
     let second = edge.management_address();
@@ -415,7 +416,7 @@
     }
     assert_eq!(query(&edge, "q0", "later", &[0]).status, 400);
     assert_eq!(query(&edge, "q1", "brief", &[0]).status, 200);
-    // One class is new, one is dropped, one may not repeat any more, and all have fewer attempts.
+    // One class is new, one is removed, one is no longer idempotent, and all have fewer attempts.
     let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
     config["settings"]["limits"]["max-attempts"] = json!(2);
     config["settings"]["classes"][0]["effect"] = json!("non_idempotent");
@@ -437,15 +438,15 @@
 }
 
 #[test]
-fn a_new_version_takes_over_the_queue_of_the_old_one() {
-    // Each listened by itself: a queue died with its listener, and each had all of what is allowed to one.
+fn a_successor_takes_over_the_listening_socket_and_its_backlog() {
+    // Regression: each process listened by itself, so a backlog was lost with its listener, and each had the full limits.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = addresses_of(&nodes);
     let address = serve_constant_list(endpoint_list(1, true, &all_in_service(&addresses)));
     let first = Deployment::BASIC.start_with_discovery("upgrade", address, &addresses);
     let temporary = std::env::temp_dir().join(format!("quinceflow-upgrade-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a folder");
-    // A process killed here left its socket behind.
+    // The stale socket of a process that was killed.
     drop(std::os::unix::net::UnixListener::bind(temporary.join("quinceflow-127.0.0.1-0.sock")));
     let mut old = first.start_successor(&temporary);
     assert_ne!(old.address, first.address, "nobody was there to take over from");
@@ -482,8 +483,8 @@
 }
 
 #[test]
-fn settings_that_cannot_be_served_by_are_told_by_their_key_before_anything_is_served() {
-    // They were checked at a reload only: at the start a default, or nonsense, stood in for what was given.
+fn invalid_settings_end_the_start_with_their_key() {
+    // Regression: settings were checked at a reload only; at the start a default replaced an invalid value.
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, _changes) = Deployment::BASIC.start("refused", &nodes);
     for (pointer, value, key) in [
@@ -498,7 +499,7 @@
             .stderr(std::process::Stdio::piped())
             .spawn()
             .expect("it starts");
-        // It says why and ends, or that it listens; then it is not waited for.
+        // The first line is the error, or that the process listens; either way it is killed then.
         let mut said = String::new();
         BufReader::new(run.stderr.take().expect("piped")).read_line(&mut said).expect("a word");
         let _ = run.kill();
