--- a/src/net/server/wiring.rs
+++ b/src/net/server/wiring.rs
@@ -14,7 +14,7 @@
 use crate::net::feature_client::FeatureClient;
 use crate::net::node_client::NodeClient;
 use crate::net::{spawn, watch, LARGE_STACK_WORDS};
-use crate::proto::discovery::read_listing;
+use crate::proto::discovery::parse_cached_endpoint_list;
 use crate::time::{unix_ms, Clock};
 use may::sync::mpsc::{channel, Sender};
 use std::sync::atomic::AtomicBool;
@@ -30,7 +30,7 @@
     let (inbox, arrivals) = channel();
     let revision = load_known_endpoints(config, clock, &inbox);
     let settings = &config.deployment;
-    let source = watch::Place::new(config.discovery, settings.policy.max_poll_interval);
+    let source = watch::DiscoverySource::new(config.discovery, settings.policy.max_poll_interval);
     let endpoints_listed = Arc::new(AtomicBool::new(false));
     watch_discovery(config, clock, revision, &source, &inbox, &endpoints_listed)?;
     let catalog = Arc::new(Mutex::new(Named::new(settings)));
@@ -60,10 +60,10 @@
 
 /// Sends the endpoint list of the configuration to the coordinator and returns its revision, 0 if there is none.
 fn load_known_endpoints(config: &Config, clock: Clock, inbox: &Sender<Input>) -> u64 {
-    match read_listing(&config.known, true, clock.now(), unix_ms()) {
+    match parse_cached_endpoint_list(&config.known, clock.now(), unix_ms()) {
         Ok(known) => {
-            let _ = inbox.send(Input::EndpointUpdate(known.roster));
-            known.rev
+            let _ = inbox.send(Input::EndpointUpdate(known.update));
+            known.revision
         }
         Err(e) => {
             tracing::warn!("the known list cannot be read: {e}");
@@ -76,14 +76,19 @@
     config: &Config,
     clock: Clock,
     revision: u64,
-    source: &watch::Place,
+    source: &watch::DiscoverySource,
     inbox: &Sender<Input>,
     endpoints_listed: &Arc<AtomicBool>,
 ) -> Result<(), ServerError> {
-    let (source, inbox, endpoints_listed) = (source.clone(), inbox.clone(), endpoints_listed.clone());
-    let waits = watch::Waits::new(config.seed);
-    let follow = move || watch::follow(&source, revision, &inbox, clock, &endpoints_listed, waits);
-    spawn(LARGE_STACK_WORDS, follow).map(drop).map_err(ServerError::Coroutine)
+    let watcher = watch::Watcher {
+        source: source.clone(),
+        revision,
+        inbox: inbox.clone(),
+        clock,
+        endpoints_listed: endpoints_listed.clone(),
+        backoff: watch::Backoff::new(config.seed),
+    };
+    spawn(LARGE_STACK_WORDS, move || watcher.run()).map(drop).map_err(ServerError::Coroutine)
 }
 
 /// Builds the service for feature queries.
