--- a/lab/src/feature_server/items.rs
+++ b/lab/src/feature_server/items.rs
@@ -70,7 +70,7 @@
             if self.capabilities == Capabilities::Core {
                 return Document::bad_request("no filter is known here");
             }
-            let Ok(filter) = cql2::read_text(filter) else { return Document::bad_request("the filter") };
+            let Ok(filter) = cql2::parse_text(filter) else { return Document::bad_request("the filter") };
             let matcher = Matcher::new(filter);
             selected.retain(|index| matcher.matches(&self.dataset.features[*index]));
         }
--- a/src/front/ogc/cql2/split.rs
+++ b/src/front/ogc/cql2/split.rs
@@ -1,54 +1,66 @@
 //! What of a filter a server is asked, and what is filtered here on what it gives: a decision of its own.
 
 use super::geometry::envelope;
-use super::{Filter, Queryables, Spatial, Value};
+use super::{Filter, Queryables, SpatialRelation, Value};
 use std::collections::BTreeSet;
 
 /// What a server can filter, by the conformance classes that it declares and the queryables that it tells.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Able {
+pub struct Capabilities {
     /// The last parts of the classes' identifiers: `basic-cql2`, `spatial-functions`, ...
     pub classes: BTreeSet<String>,
     /// What can be asked of the shard there.
     pub queryables: Queryables,
     /// Most characters of a filter in a request's head.
-    pub most_text: usize,
+    pub max_filter_text: usize,
+}
+
+impl Capabilities {
+    /// What both of two servers can do.
+    #[must_use]
+    pub fn intersection(&self, other: &Capabilities) -> Self {
+        Capabilities {
+            classes: self.classes.intersection(&other.classes).cloned().collect(),
+            queryables: self.queryables.both(&other.queryables),
+            max_filter_text: self.max_filter_text.min(other.max_filter_text),
+        }
+    }
 }
 
 /// A filter in two: whatever features pass both pass the whole.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Split {
+pub struct FilterSplit {
     /// What the server is asked.
-    pub passed: Option<Filter>,
+    pub pushed_down: Option<Filter>,
     /// What is filtered here.
-    pub kept: Option<Filter>,
+    pub residual: Option<Filter>,
     /// A box that everything lies in that can pass what is kept: the server may be asked for that at least.
     pub envelope: Option<[f64; 4]>,
 }
 
 /// Splits a filter between a server and here. What is joined by AND is split part by part, since a feature has to pass each;
 /// anything else goes whole or not at all.
-pub fn split(filter: &Filter, able: &Able) -> Split {
+pub fn split(filter: &Filter, able: &Capabilities) -> FilterSplit {
     let whole = std::slice::from_ref(filter);
     let parts = if let Filter::And(parts) = filter { parts.as_slice() } else { whole };
     let (mut passed, mut kept): (Vec<&Filter>, Vec<&Filter>) = parts.iter().partition(|p| can(able, p));
     // The longest stay here where the request's head would grow too long.
     let mut lengths: Vec<usize> = passed.iter().map(|p| p.to_string().len() + 7).collect();
-    while lengths.iter().sum::<usize>() > able.most_text {
+    while lengths.iter().sum::<usize>() > able.max_filter_text {
         let Some(longest) = (0..lengths.len()).max_by_key(|n| lengths[*n]) else { break };
         lengths.remove(longest);
         kept.push(passed.remove(longest));
     }
     let envelope = kept.iter().filter_map(|p| bounds(p)).reduce(common);
     let of = |parts: Vec<&Filter>| Filter::all(parts.into_iter().cloned().collect());
-    Split { passed: of(passed), kept: of(kept), envelope }
+    FilterSplit { pushed_down: of(passed), residual: of(kept), envelope }
 }
 
 /// The box of what can pass, where a filter needs its feature's geometry to meet a fixed one.
 fn bounds(filter: &Filter) -> Option<[f64; 4]> {
     match filter {
         Filter::And(parts) => parts.iter().filter_map(bounds).reduce(common),
-        Filter::Spatial(op, a, b) if *op != Spatial::Disjoint => {
+        Filter::Spatial(op, a, b) if *op != SpatialRelation::Disjoint => {
             let fixed = match (a, b) {
                 (Value::Property(_), fixed) | (fixed, Value::Property(_)) => fixed,
                 _ => return None,
@@ -79,7 +91,7 @@
 }
 
 /// Can the server filter this?
-fn can(able: &Able, filter: &Filter) -> bool {
+fn can(able: &Capabilities, filter: &Filter) -> bool {
     let has = |class: &str| able.classes.contains(class);
     let known = |name: &str| able.queryables.open || able.queryables.named.contains_key(name);
     if !has("cql2-text") || !has("features-filter") || !filter.properties().into_iter().all(known) {
@@ -116,8 +128,8 @@
         Filter::Spatial(op, a, b) => {
             let simple = |v: &Value| matches!(v, Value::Geometry(geo::Geometry::Point(_)) | Value::Bbox(_));
             into.insert(match op {
-                Spatial::Intersects if plain(a) && simple(b) => "basic-spatial-functions",
-                Spatial::Intersects if plain(a) && literal(b) => "basic-spatial-functions-plus",
+                SpatialRelation::Intersects if plain(a) && simple(b) => "basic-spatial-functions",
+                SpatialRelation::Intersects if plain(a) && literal(b) => "basic-spatial-functions-plus",
                 _ => "spatial-functions",
             });
             if !(plain(a) && literal(b)) {
--- /dev/null
+++ b/src/front/ogc/tests.rs
@@ -0,0 +1,265 @@
+//! The front without sockets: arbitrary requests get a problem document or start a query, and cursors of earlier releases
+//! are accepted.
+
+use super::cql2;
+use super::cursor::CursorKey;
+use super::page_request::PageRequest;
+use super::*;
+use crate::coordinator::Answer;
+use crate::proto::http::Server;
+use crate::sync::lock;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn front() -> OgcFront {
+    let edge = EdgeConfig::load(std::path::Path::new("deploy/edge.toml")).expect("sound");
+    let catalog = SharedCatalog::default();
+    let servers = edge.load_inventory().expect("sound");
+    lock(&catalog).load(&servers, Micros::ZERO);
+    OgcFront::new(edge, catalog, CursorKey::new(b"a key"), Arc::default(), Arc::default())
+}
+
+/// The response to a connection's bytes; `None` if they start a query whose round fails, after capability discovery failed
+/// too.
+fn response_to(front: &OgcFront, bytes: &[u8]) -> Option<Response> {
+    let mut server = Server::default();
+    server.allow_body(front.max_body());
+    server.input().feed(bytes);
+    server.end();
+    match server.poll()? {
+        Err(e) => Some(front.malformed_response(e)),
+        Ok(request) => match front.handle(request, Token(1), Micros::ZERO, true) {
+            Reaction::Respond(response) => Some(response),
+            Reaction::Submit(_, render) => match render(Answer::Failed { late: false }) {
+                Reaction::Respond(response) => Some(response),
+                // The discovery failed: this is the query's own round.
+                Reaction::Submit(..) => None,
+            },
+        },
+    }
+}
+
+fn check_response(response: &Response) -> Result<(), TestCaseError> {
+    let problem = response.content_type == "application/problem+json";
+    let json: Option<serde_json::Value> = serde_json::from_slice(&response.body.to_vec()).ok();
+    prop_assert!((200..600).contains(&response.status));
+    if response.status >= 400 {
+        let status = json.as_ref().and_then(|j| j["status"].as_u64());
+        prop_assert!(problem && status == Some(u64::from(response.status)), "{response:?}");
+    }
+    // Only a query whose servers fail gets a server error; input never does.
+    prop_assert!(response.status < 500 || response.status == 502 || response.status == 501, "{response:?}");
+    Ok(())
+}
+
+fn value() -> impl Strategy<Value = String> {
+    let words = [
+        "1",
+        "0",
+        "-1",
+        "1e999",
+        "NaN",
+        "a,b",
+        "1,2,3,4",
+        "1,2,3,4,5,6",
+        "170,-5,-170,5",
+        "..",
+        "../..",
+        "2026-01-01T00:00:00Z",
+        "2026-13-01",
+        "http://www.opengis.net/def/crs/EPSG/0/4326",
+        "EPSG:32633",
+        "volts>1",
+        "S_INTERSECTS(geometry,POINT(1 1))",
+        "((((",
+        "NOT NOT",
+        "'",
+        "cql2-json",
+        "{\"op\":\"=\",\"args\":[1,1]}",
+        "-name,+x",
+        "html",
+        "json",
+        "AAAA",
+        "%ff%00",
+        "é",
+    ];
+    prop_oneof![
+        proptest::sample::select(words.to_vec()).prop_map(str::to_owned),
+        any::<String>(),
+        "[ -~]{0,40}"
+    ]
+}
+
+fn name() -> impl Strategy<Value = String> {
+    let names = [
+        "limit",
+        "bbox",
+        "bbox-crs",
+        "crs",
+        "datetime",
+        "filter",
+        "filter-lang",
+        "filter-crs",
+        "sortby",
+        "properties",
+        "cursor",
+        "f",
+        "volts",
+        "x",
+    ];
+    prop_oneof![9 => proptest::sample::select(names.to_vec()).prop_map(str::to_owned), 1 => any::<String>()]
+}
+
+fn path() -> impl Strategy<Value = String> {
+    let paths = [
+        "/",
+        "/api",
+        "/conformance",
+        "/collections",
+        "/collections/devices",
+        "/collections/devices/items",
+        "/search",
+        "/collections/devices/items/d1",
+        "/collections/devices/queryables",
+        "/collections/none/items",
+        "/collections/%ff",
+        "/up",
+        "//",
+        "/..",
+        "/collections/devices/items/%00",
+    ];
+    prop_oneof![8 => proptest::sample::select(paths.to_vec()).prop_map(str::to_owned), 1 => "/[!-~]{0,30}"]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(23), failure_persistence: None, ..ProptestConfig::with_cases(600) })]
+
+    #[test]
+    fn arbitrary_parameters_are_accepted_or_rejected_with_a_problem(
+        path in path(),
+        method in proptest::sample::select(vec!["GET", "HEAD", "POST", "DELETE", "BREW"]),
+        pairs in proptest::collection::vec((name(), value()), 0..5),
+        headers in proptest::collection::vec((proptest::sample::select(vec!["Accept", "Accept-Encoding", "If-None-Match", "Host",
+            "X-Qos", "X-Expires-In", "Content-Type", "Expect"]), "[ -~]{0,30}"), 0..4),
+    ) {
+        let front = front();
+        let mut query = url::form_urlencoded::Serializer::new(String::new());
+        query.extend_pairs(&pairs);
+        let head: String = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+        let bytes = format!("{method} {path}?{} HTTP/1.1\r\n{head}\r\n", query.finish());
+        if let Some(response) = response_to(&front, bytes.as_bytes()) {
+            check_response(&response)?;
+        }
+    }
+
+    #[test]
+    fn arbitrary_bodies_are_accepted_or_rejected_with_a_problem(
+        text in prop_oneof![any::<String>(), "[\\[\\]{}\",:a-z0-9 ]{0,120}"],
+        members in proptest::collection::vec((proptest::sample::select(vec!["limit", "bbox", "filter", "filter-lang", "filter-crs",
+            "sortby", "datetime", "token", "crs", "x"]), value()), 0..4),
+        well_formed: bool,
+    ) {
+        let front = front();
+        let mut body = serde_json::json!({"collections": ["devices"]});
+        for (name, value) in members {
+            body[name] = serde_json::from_str(&value).unwrap_or(value.into());
+        }
+        let body = if well_formed { body.to_string() } else { text };
+        let bytes = format!("POST /search HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if let Some(response) = response_to(&front, bytes.as_bytes()) {
+            check_response(&response)?;
+        }
+    }
+
+    #[test]
+    fn arbitrary_heads_are_accepted_or_rejected_with_a_problem(bytes in proptest::collection::vec(any::<u8>(), 0..200), cut in 0_usize..200) {
+        let front = front();
+        let valid = b"GET /collections/devices/items?limit=2 HTTP/1.1\r\nHost: x\r\nAccept: */*\r\n\r\n".to_vec();
+        let at = cut.min(valid.len());
+        for bytes in [bytes.clone(), [&valid[..at], &bytes, &valid[at..]].concat()] {
+            if let Some(response) = response_to(&front, &bytes) {
+                check_response(&response)?;
+            }
+        }
+    }
+}
+
+#[test]
+fn the_deepest_filters_fit_on_the_stack_of_a_connection() {
+    // On a stack as small as that of the coroutines, in whatever build this is.
+    let words = front().stack_words();
+    let deep = |n: usize| format!("{}volts = 1{}", "NOT (".repeat(n), ")".repeat(n));
+    let run = move || {
+        let front = front();
+        for n in [1, 11, 12, 30, 300] {
+            let mut query = url::form_urlencoded::Serializer::new(String::new());
+            query.append_pair("filter", &deep(n));
+            let bytes = format!("GET /collections/devices/items?{} HTTP/1.1\r\n\r\n", query.finish());
+            let response = response_to(&front, bytes.as_bytes());
+            let rejected = response.as_ref().is_some_and(|r| r.status == 400);
+            assert_eq!(rejected, 2 * n + 1 > cql2::MAX_DEPTH, "{n}: {response:?}");
+        }
+    };
+    // The test's own frames and libraries need some more than the program's.
+    let thread = std::thread::Builder::new().stack_size(words * 8).spawn(run).expect("a thread");
+    thread.join().expect("no panic, and no overflow");
+}
+
+/// Queries, and a cursor for each that an earlier release sealed with the key of [`front`]. A cursor is bound to the text of
+/// its query's parameters: were that text to change, the cursors that clients hold would no longer be accepted.
+const EARLIER_CURSORS: [(&str, &str); 3] = [
+    (
+        "bbox=-121,37,-120,38&datetime=2026-01-01T00:00:00Z/..&limit=50",
+        "AXsicSI6MTIwMzA1MTY1MzM1NzUwNzUzMTMsImEiOjQwMDAwMDAwMDAsInMiOiJkZXZpY2VzLXNvdXRoIiwiayI6MywibCI6WyJmZWF0dXJlcy0yIiwiL2NvbGxlY3Rpb25zL2RldmljZXMtc291dGgvaXRlbXM_YmJveD0tMTIxJTJDMzclMkMtMTIwJTJDMzgmbGltaXQ9NTAmb2Zmc2V0PTUwIiw1MF0sIm4iOjEsIm0iOjE3OTQ1NTI1MjUwMjQ3NDQ0OTd9D9bsUsCjlqyH612DPmYwSA",
+    ),
+    (
+        "filter=volts%3E120%20AND%20name%20LIKE%20%27a%25%27&crs=EPSG:32611&properties=volts,name",
+        "AXsicSI6MTM1MzAwNzI2OTM3NDgwNzk3MjAsImEiOjQwMDAwMDAwMDAsInMiOiJkZXZpY2VzLXNvdXRoIiwiayI6MywibCI6WyJmZWF0dXJlcy0yIiwiL2NvbGxlY3Rpb25zL2RldmljZXMtc291dGgvaXRlbXM_YmJveD0tMTIxJTJDMzclMkMtMTIwJTJDMzgmbGltaXQ9NTAmb2Zmc2V0PTUwIiw1MF0sImYiOnRydWUsIm4iOjMsIm0iOjk5fRGoPG99SQwH-Ay1UbpWc-k",
+    ),
+    (
+        "sortby=-volts,name",
+        "AXsicSI6MTMzMjAwNjc5MDY3NzU2OTgwMiwiYSI6NDAwMDAwMDAwMCwicyI6IiIsIm8iOlsxMjAuNSwibWV0ZXIiLCJkNyJdLCJuIjoxLCJtIjoxNzU2MjM1NjEwNDgyMjIwMzE0Mn0TPvNGUBnNDXTp6_oeR2sJ",
+    ),
+];
+
+/// The targets of a query's first round, after capability discovery.
+fn targets(front: &OgcFront, query: &str) -> Vec<String> {
+    let mut server = Server::default();
+    server.input().feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
+    let request = server.poll().expect("complete").expect("well formed");
+    let mut reaction = front.handle(request, Token(1), Micros::ZERO, true);
+    loop {
+        match reaction {
+            Reaction::Respond(response) => panic!("{query}: {response:?}"),
+            Reaction::Submit(request, render) => {
+                let contexts = request.parts.iter().filter_map(|p| p.context.as_ref()?.get::<PageRequest>());
+                let targets: Vec<String> = contexts.map(|c| c.target.clone()).collect();
+                if targets.iter().all(|t| t.contains("/items?")) {
+                    return targets;
+                }
+                reaction = render(Answer::Failed { late: false });
+            }
+        }
+    }
+}
+
+#[test]
+fn cursors_of_an_earlier_release_are_accepted_for_their_queries() {
+    let front = front();
+    let link = "/collections/devices-south/items?bbox=-121%2C37%2C-120%2C38&limit=50&offset=50";
+    let first = |shard: &str| format!("/collections/{shard}/items?limit=500");
+    let expected = [
+        vec![link.to_owned()],
+        vec![link.to_owned()],
+        ["devices-north", "devices-south"].map(first).to_vec(),
+    ];
+    for ((query, cursor), expected) in EARLIER_CURSORS.into_iter().zip(expected) {
+        assert_eq!(targets(&front, &format!("{query}&cursor={cursor}")), expected, "{query}");
+        let other = response_to(
+            &front,
+            format!("GET /collections/devices/items?limit=9&bbox=0,0,1,1&cursor={cursor} HTTP/1.1\r\n\r\n")
+                .as_bytes(),
+        );
+        assert_eq!(other.map(|r| r.status), Some(400), "{query}: a cursor of another query");
+    }
+}
