--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -2,7 +2,7 @@
 //! `cargo bench -p quinceflow-testkit`
 
 use divan::Bencher;
-use quinceflow::coordinator::{Answer, AttemptEnd, RequestContext, ServedPart, Token};
+use quinceflow::coordinator::{Answer, AttemptEnd, PartRequest, ServedPart, Token};
 use quinceflow::front::ogc::config::EdgeConfig;
 use quinceflow::front::ogc::cql2::{
     parse_json, parse_text, split, to_json, Capabilities, Matcher, Queryables,
@@ -67,8 +67,8 @@
 fn split_filter(bencher: Bencher) {
     let filter = parse_text(FILTER).expect("a filter");
     let classes = ["cql2-text", "features-filter", "basic-cql2"].map(str::to_owned).into();
-    let able = Capabilities { classes, queryables: Queryables::unknown(), max_filter_text: 2_000 };
-    bencher.bench(|| split(divan::black_box(&filter), &able));
+    let capabilities = Capabilities { classes, queryables: Queryables::unknown(), max_filter_text: 2_000 };
+    bencher.bench(|| split(divan::black_box(&filter), &capabilities));
 }
 
 #[divan::bench(args = [4, 10_000])]
@@ -112,6 +112,17 @@
     });
 }
 
+/// A part as its server's page gives it.
+fn serve(part: &PartRequest, body: &[u8]) -> ServedPart {
+    let context = part.context.as_ref().expect("a context");
+    let request = context.get::<PageRequest>().expect("a page request");
+    let fetched = FetchedResponse { status: 200, headers: Default::default(), body: body.to_vec() };
+    match request.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
+        AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
+        AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
+    }
+}
+
 /// From a request's bytes to its answer's, the servers' pages of 500 included: what a query costs the worker.
 #[divan::bench(args = ["limit=500", "limit=500&f=html", "limit=500&crs=EPSG:3857", "limit=500&properties=volts"])]
 fn answer_of_500(bencher: Bencher, query: &str) {
@@ -136,20 +147,7 @@
                     return response.body.len();
                 }
                 Reaction::Submit(request, render) => {
-                    let parts = request.parts.iter().map(|part| {
-                        let visit = part
-                            .context
-                            .as_ref()
-                            .and_then(RequestContext::get::<PageRequest>)
-                            .expect("a request");
-                        let fetched =
-                            FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
-                        match visit.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
-                            AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
-                            AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
-                        }
-                    });
-                    let parts = parts.collect();
+                    let parts = request.parts.iter().map(|part| serve(part, &body)).collect();
                     reaction = render(Answer::Served { complete: true, parts });
                 }
             }
