--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,7 +82,7 @@
 //!     for action in actions {
 //!         match action {
 //!             Action::SetTimer(_) => {} // set a timer that brings Event::TimerFired
-//!             other => done.push(other), // send, cancel, answer, refuse, fail, ...
+//!             other => done.push(other), // send, cancel, answer, reject, fail, ...
 //!         }
 //!     }
 //! }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -5,27 +5,27 @@
 use crate::queries::{Query, WEIGHT_TOLERANCE};
 use crate::stats::{FallingRamp, RecentValues, TokenBucket};
 
-/// Low-priority queries remembered to rank the next among them.
+/// How many recent low-priority queries the next one is ranked among.
 const RANKED_QUERIES: usize = 64;
-/// Share admitted of low-priority queries, by the share of their time that they would wait.
+/// The admitted share of low-priority queries, by the share of their time that they are expected to wait.
 const LOW_PRIORITY: FallingRamp = FallingRamp { from: 0.4, to: 1.1 };
 /// The same for light parts: earlier, since leaving them out costs the least.
 pub const LIGHT_PARTS: FallingRamp = FallingRamp { from: 0.2, to: 0.7 };
 /// The same for the highest priority: from where it would be late, since an estimate errs both ways.
 const TOP_PRIORITY: FallingRamp = FallingRamp { from: 0.8, to: 1.2 };
-/// A part is light under this share of an even weight: it costs as much as any and brings little.
+/// A part is light below this share of an even weight: it costs as much as others and contributes little.
 const LIGHT_PART: f64 = 0.6;
-/// Share of a query's time that a wait takes at most while it is only guessed.
+/// The largest share of a query's time that an estimate without observations may take.
 const MAX_GUESSED_SHARE: f64 = 0.125;
 
-/// The wait to expect for a part, in ns.
+/// The expected wait of a part, in ns, and the part's weight.
 pub struct PartWait {
     pub part: PartId,
     pub weight: f64,
     pub wait: f64,
 }
 
-/// What admission remembers of queries.
+/// The state of admission: a token bucket for each tenant, and the priorities of recent queries.
 #[derive(Debug, Default)]
 pub struct Admission {
     quotas: Vec<TokenBucket>,
@@ -37,7 +37,7 @@
         self.quotas.resize(context.settings.tenants.len(), TokenBucket::new(1.0, context.now));
     }
 
-    /// Is this query beyond this instance's even share of its tenant's quota?
+    /// Takes a token for a query: `true` if it exceeds this instance's even share of its tenant's quota.
     pub fn over_quota(&mut self, tenant: TenantId, context: &Context) -> bool {
         let at = tenant.0 as usize;
         let Some(quota) = context.settings.tenants.get(at).and_then(|t| t.quota) else { return false };
@@ -51,7 +51,7 @@
         let of_class = context.settings.reduction.admitted_shares.get(usize::from(query.class.0));
         let of_class = of_class.copied().unwrap_or(1.0);
         if priority >= context.settings.max_priority_weight() {
-            // Only when all of it would be late: then serving some beats serving none.
+            // Rejected only when all would be late: serving some in time is better than serving none.
             return draw >= TOP_PRIORITY.at(wait_share).min(of_class);
         }
         let rank = self.recent_priorities.rank(priority, draw);
@@ -61,9 +61,9 @@
     }
 }
 
-/// Share of a query's time that its replicas take now, by the waits of its parts, the longest first. The
-/// controller needs a window to see a jam, this sees it at once. Might hurt where one odd answer makes a
-/// shard look slow; that fades.
+/// The share of a query's time that it is expected to wait, by the waits of its parts, the longest first.
+/// The controller needs a window to detect overload, this estimate detects it at once. One slow answer can
+/// raise it for a shard; that effect decays.
 pub fn wait_share(query: &Query, waits: &[PartWait], context: &Context) -> f64 {
     let mut spare = 1.0 - context.settings.class(query.class).min_share + WEIGHT_TOLERANCE;
     let needed = waits.iter().find(|part| {
@@ -71,7 +71,7 @@
         spare <= 0.0
     });
     let time = query.respond_by.saturating_sub(context.now) as f64;
-    // A guess alone rejects nobody: where all are rejected nothing is ever seen that could mend it.
+    // A guess alone rejects nothing: if all queries were rejected, no answer could ever correct it.
     let fair = |wait: f64, seen: bool| if seen { wait } else { wait.min(time * MAX_GUESSED_SHARE) };
     let latency = &context.fleet.latency;
     let longest = needed.map_or(0.0, |part| part.wait);
@@ -79,9 +79,9 @@
     wait.max(fair(latency.work(query.class), latency.observed(query.class))) / time.max(1.0)
 }
 
-/// Beyond the admitted share parts with far less than an even weight are not asked, down to the floor. Nor
-/// are those that are to wait long, the longest first, down to half of what may be missing: they would be
-/// late, and take the capacity for queries that can't spare theirs.
+/// Omits light parts beyond the admitted share, down to the floor; then parts with a long expected wait, the
+/// longest first, down to half of the weight that may be missing: they would be late, and take capacity from
+/// queries that need all of their parts.
 pub fn omit_parts(query: &mut Query, waits: &[PartWait], class: &Class, admitted: f64, context: &Context) {
     let (floor, parts) = (class.min_share, &mut query.parts);
     parts.sort_by(|a, b| b.weight.total_cmp(&a.weight));
--- a/src/policy/answering.rs
+++ b/src/policy/answering.rs
@@ -1,14 +1,14 @@
-//! A query's way to its final answer: admitted or rejected, sent, and answered or given up when that is due.
+//! The life cycle of a query: it is admitted or rejected, its parts are sent, it is answered or given up.
 
 use super::admission::{omit_parts, wait_share, PartWait, LIGHT_PARTS};
 use super::{dispatch::may_retry, endpoints::Target, DecisionPolicy};
 use crate::interface::{Action, Class, Effect, Nanos};
 use crate::queries::{FirstAnswer, Part, Query, QueryNo, Stage, WEIGHT_TOLERANCE};
 
-/// How a query ends.
+/// How a query is to end.
 enum FinalAction {
     Answer,
-    /// Rejected where that is true and harmless, failed otherwise.
+    /// Rejected if the client may safely retry it, failed otherwise.
     GiveUp,
 }
 
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Admits a query, without the parts that it had better do without; `false`: it is to be rejected.
+    /// Admits a query and omits parts that are not worth their cost; `false`: it is to be rejected.
     fn admit(&mut self, number: QueryNo, class: &Class) -> bool {
         let Some(query) = self.queries.get_mut(number) else { return false };
         let expected_wait = |part: &Part| {
@@ -51,7 +51,7 @@
         true
     }
 
-    /// Answer when complete, or, where parts may be missing, from the floor on when the objective is near.
+    /// An answer is due when complete or, where parts may be missing, from the floor on near the objective.
     fn may_answer(&self, query: &Query, class: &Class) -> bool {
         let weight = query.answered_weight();
         let first = query.stage == Stage::FirstStep;
@@ -62,7 +62,7 @@
         query.all_requested_answered() || required || (due && weight > 0.0 && weight >= class.min_share)
     }
 
-    /// No answer can come of it any more that would be worth something.
+    /// No answer of any value is possible any more.
     fn is_hopeless(&self, query: &Query, class: &Class) -> bool {
         let lost = |part: &&Part| !part.is_answered() && !part.is_in_flight() && !may_retry(part, class);
         let lost: f64 = query.step_parts().filter(lost).map(|part| part.weight).sum();
@@ -72,7 +72,7 @@
         self.context.now >= query.deadline || unanswerable || worthless
     }
 
-    /// The one way out for a query. Rules 1, 2 and 5 are checked here.
+    /// The only place where queries are answered, rejected or failed: checks rules 1, 2 and 5.
     fn finish(&mut self, number: QueryNo, action: FinalAction, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get_open_mut(number) else { return };
         let settings = &self.context.settings;
@@ -97,7 +97,7 @@
             }
             FinalAction::GiveUp => actions.push(Action::Fail(query.id)),
         }
-        // A sample's late parts run on to the record limit; the others are cancelled.
+        // Late parts of a sample continue up to the record limit; all others are cancelled.
         let sampled = query.sampled && !settings.reduction.skip_late_samples;
         let runs_on = |part: &Part| sampled && !part.follow_up && !part.is_answered();
         let cancelled = query.parts.iter().filter(|part| settings.cancellation && !runs_on(part));
@@ -106,12 +106,12 @@
     }
 }
 
-/// Would an answer given now be complete? `None`: rule 5 allows none from so little.
+/// Whether an answer given now is complete; `None`: rule 5 does not allow an answer yet.
 fn is_complete(query: &Query, class: &Class) -> Option<bool> {
     let weight = query.answered_weight() + WEIGHT_TOLERANCE;
     let follow_up = query.stage == Stage::FollowUp;
     let floor = if follow_up { class.min_share } else { class.min_share.min(class.required_share) };
-    // All parts are all of it, whatever rounding left of their weights: many sum to less than 1.
+    // With all parts answered it is complete even if rounding left the sum of their weights below 1.
     let all = query.all_answered();
     if !all && (weight < floor || (follow_up && !class.allows_partial())) {
         return None;
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -1,13 +1,13 @@
-//! Attempts at parts: the first ones, retries and hedged requests, within every rule on sending.
+//! Attempts at parts: first attempts, retries and hedged requests, within the rules on sending.
 
 use super::{endpoints::Target, outlier::is_overdue, DecisionPolicy, DEADLINE_MARGIN_TICKS};
 use crate::interface::{Action, AttemptNo, Class, Effect, Nanos, ReplicaId, Settings};
 use crate::queries::{Attempt, AttemptKey, Part, PartKey, Query, QueryNo, Stage};
 
-/// Ticks at the edges of the retry budget's window that count against it.
+/// Ticks at the edge of the retry budget's window that are counted to its disadvantage.
 const EDGE_TICKS: u64 = 2;
 
-/// What to do about a part now.
+/// What to do about a part at this time.
 enum Step {
     Send(ReplicaId),
     Cancel,
@@ -15,12 +15,12 @@
 }
 
 impl DecisionPolicy {
-    /// Sends what parts of a query are to be sent now, for the first time or again.
+    /// Sends, retries and cancels attempts at the parts of a query as needed.
     pub(super) fn send_parts(&mut self, number: QueryNo, class: &Class, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get(number) else { return };
         let (now, settings) = (self.context.now, &self.context.settings);
         let sampled = query.sampled && !settings.reduction.skip_late_samples;
-        // Late answers are pursued only while nothing is shed: otherwise a part not begun in time is dropped.
+        // Late answers are pursued only while nothing is shed; otherwise no part is sent after the objective.
         let pursue = sampled || (class.late_weight > 0.0 && self.controller.admitted_share() >= 1.0);
         let end = if pursue || now >= query.respond_by { query.deadline } else { query.respond_by };
         let timeout = end.saturating_sub(now).max(settings.tick);
@@ -54,11 +54,11 @@
         if (in_flight.is_some() && !overdue) || part.in_flight().count() > 1 || self.retries_left() < 1.0 {
             return Step::Wait;
         }
-        // Another replica, or when all were tried, one where this part is not in flight.
+        // A replica that was not tried yet or, if all were, one where this part is not in flight.
         let busy = in_flight.map_or(vec![], |attempt| vec![attempt.replica]);
         let Some(candidate) = choose(&tried).or_else(|| choose(&busy)) else { return Step::Wait };
         let in_time = now as f64 + candidate.expected_wait < query.respond_by as f64;
-        // Where a part was rejected it goes again when that may be in time, or late anyhow.
+        // A failed attempt is retried if the retry may be in time, or if the part is late in any case.
         let again = now >= query.respond_by || !tried.contains(&candidate.replica);
         let late = in_flight.is_none() && class.late_weight > 0.0 && again;
         let cancel = !settings.hedging && settings.cancellation && class.effect == Effect::Idempotent;
@@ -71,14 +71,14 @@
         }
     }
 
-    /// Rule 6: retries left in the window, never optimistic at its edge.
+    /// Rule 6: the retries left in the budget's window, with a safety margin at its edge.
     fn retries_left(&self) -> f64 {
         let Some(budget) = self.context.settings.retry_budget else { return f64::INFINITY };
         let edge = self.context.settings.ticks(EDGE_TICKS);
         self.retries.available(self.context.now, budget.free, budget.ratio, budget.window, edge)
     }
 
-    /// The one way out for a part. Every rule on sending is checked here, whatever decided to send.
+    /// The only place where attempts are sent: checks every rule on sending, whatever decided to send.
     fn dispatch(&mut self, key: PartKey, replica: ReplicaId, timeout: Nanos, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get_open(key.query) else { return };
         let Some(part) = query.parts.get(key.index) else { return };
@@ -113,7 +113,7 @@
     }
 }
 
-/// Rule 2: until when another attempt at a part may be sent, if an earlier one may have run.
+/// Rule 2: until when another attempt may be sent, given that an earlier one may have run.
 fn not_after(part: &Part, class: &Class, settings: &Settings) -> Nanos {
     let first = part.attempts.iter().find(|attempt| attempt.may_have_run());
     match (class.effect, first) {
@@ -125,7 +125,7 @@
     }
 }
 
-/// May the rules of its class ever allow another attempt?
+/// The rules of its class may allow another attempt at the part, now or later.
 pub(super) fn may_retry(part: &Part, class: &Class) -> bool {
     let harmless = class.effect != Effect::NonIdempotent || !part.may_have_run();
     harmless && (part.attempts.len() as u32) < class.max_attempts.max(1)
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -1,4 +1,4 @@
-//! The endpoint table: the state of each replica, and which one a part goes to.
+//! The endpoint table: the state of each replica, and the choice of a replica for a part.
 
 use super::{outlier::OutlierDetector, rotation::Rotation, slow_start::SlowStartGuard, Context};
 use crate::interface::{ClassId, Endpoint, EndpointListKind, Nanos, Outcome, ReplicaId, ShardId};
@@ -7,15 +7,15 @@
 use crate::stats::exponential;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A replica is skipped when its expected wait is so many times the best of the shard's,
+/// A replica is skipped if its cost exceeds this multiple of the lowest among the shard's holders
 const SKIP_RATIO: f64 = 1.4;
-/// and this share of the mean response time longer.
+/// plus this share of the mean response time.
 const SKIP_MARGIN: f64 = 0.5;
-/// The least capacity of one that fails or warms up, as a share of a sound one: someone has to try it.
+/// The least share of its capacity at which a failing or warming replica counts: some parts must probe it.
 const MIN_CAPACITY: f64 = 0.1;
-/// After this fraction of the shortest objective an unused connection is idle.
+/// An unused connection counts as idle after this fraction of the shortest objective.
 const IDLE_FRACTION: u64 = 4;
-/// Share of sends that still use idle connections where those are dropped unseen, to learn when it ends.
+/// The share of sends that still use idle connections while these are dropped, to detect when that ends.
 const IDLE_SAMPLE: f64 = 0.2;
 
 /// The state of a replica.
@@ -24,26 +24,26 @@
     health: OutlierDetector,
     slow_start: SlowStartGuard,
     in_flight: AttemptsByAge,
-    /// When a connection to it was last in use, and whether it had been idle then.
+    /// When a connection to it was last used, and whether it had been idle before that.
     used_at: Nanos,
     idle_connection: bool,
 }
 
-/// What a part asks, and as which class.
+/// The shard that a part is for, and its class.
 #[derive(Debug, Clone, Copy)]
 pub struct Target {
     pub class: ClassId,
     pub shard: ShardId,
 }
 
-/// A replica that a part may go to, the wait to expect there, and that with what errors may cost, in ns.
+/// A replica that a part may be sent to, its expected wait, and that plus the cost of errors, in ns.
 pub struct Candidate {
     pub replica: ReplicaId,
     pub expected_wait: f64,
     cost: f64,
 }
 
-/// All replicas, with what is in flight there and what their answers tell.
+/// All replicas: their listing, health, warm-up and rotation, and the attempts in flight there.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     membership: Membership,
@@ -53,7 +53,7 @@
 }
 
 impl EndpointTable {
-    /// Takes new settings. What was observed of replicas stays.
+    /// Applies new settings. What was observed of replicas is kept.
     pub fn apply_settings(&mut self, context: &mut Context) {
         self.rotation.grow(context.settings.shards as usize, &mut context.rng);
         self.assign_shards(context);
@@ -85,7 +85,7 @@
         self.balance(context);
     }
 
-    /// Has each replica bear by what it can do now.
+    /// Rebalances the shares of all replicas by their present capacities.
     pub fn balance(&mut self, context: &Context) {
         let capacity = |replica: &Replica| {
             (replica.slow_start.capacity(context) * replica.health.capacity()).max(MIN_CAPACITY)
@@ -94,14 +94,14 @@
         self.rotation.balance(&capacities);
     }
 
-    /// Replicas are replaced by new ones for ever; one that comes back is told anew, with its start.
+    /// Replicas are replaced over time; one that returns is listed again with its start.
     pub fn remove_unlisted(&mut self, horizon: Nanos) {
         let in_use = |id| self.replicas.get(&id).is_some_and(|replica| !replica.in_flight.is_empty());
         self.membership.remove_unlisted(horizon, in_use);
         self.replicas.retain(|id, _| self.membership.contains(*id));
     }
 
-    /// Ready replicas that no part of a class in force would go to now, whatever its shard.
+    /// Ready replicas that no part of an active class would be sent to now, whatever its shard.
     pub fn ejected(&self, context: &Context) -> Vec<ReplicaId> {
         let Some(at) = context.settings.classes.iter().position(|c| c.active) else { return Vec::new() };
         let class = ClassId(at as u16);
@@ -112,13 +112,13 @@
         self.membership.ready().filter(ejected).collect()
     }
 
-    /// Where a part goes.
+    /// Chooses the replica for a part.
     pub fn choose(&self, target: Target, exclude: &[ReplicaId], context: &Context) -> Option<Candidate> {
         self.candidates(target, exclude, context).into_iter().next()
     }
 
-    /// A shard's replicas in turn, skipping one with a part out past the objective; if all are, the next
-    /// goes. Beyond the design it skips any whose wait is far over the shard's best; with all slow, none.
+    /// A shard's holders in rotation, skipping those with an overdue attempt unless all have one. Beyond the
+    /// paper's design it skips replicas that cost far more than the shard's best; none if all are slow.
     fn candidates(&self, target: Target, exclude: &[ReplicaId], context: &Context) -> Vec<Candidate> {
         let class = context.settings.class(target.class);
         let work = work(target.class, context);
@@ -135,7 +135,7 @@
         candidates
     }
 
-    /// Rules 3 and 4: the replica is ready, holds the shard, and bears the part while it warms up.
+    /// Rules 3 and 4: the replica is ready, holds the shard, and has capacity for the part if it warms up.
     pub fn accepts(&self, target: Target, replica: ReplicaId, context: &Context) -> bool {
         let work = work(target.class, context);
         self.membership.is_ready(replica)
@@ -143,13 +143,13 @@
             && self.replicas.get(&replica).is_some_and(|r| r.slow_start.admits(work, context))
     }
 
-    /// An attempt is sent. `true`: the idle connections to its replica are to be closed before.
+    /// Records an attempt that is sent. `true`: idle connections to the replica must be closed first.
     pub fn send(&mut self, key: AttemptKey, target: Target, to: ReplicaId, context: &mut Context) -> bool {
         let work = work(target.class, context);
         let Some(replica) = self.replicas.get_mut(&to) else { return false };
         let mut close = false;
         if replica.used_at < context.now && replica.in_flight.is_empty() {
-            // Dropped idle connections are met by closing them, but for a sample that tells when it ends.
+            // While idle connections are dropped they are closed before use, except for a sample.
             let fresh = context.now.saturating_sub(context.settings.min_latency_objective() / IDLE_FRACTION);
             let idle = (1..fresh).contains(&replica.used_at);
             close = idle && context.fleet.connections.idle_are_dropped() && context.rng.f64() > IDLE_SAMPLE;
@@ -166,7 +166,7 @@
         close
     }
 
-    /// An attempt ended; `false`: none of this key was in flight.
+    /// Records how an attempt ended; `false`: it was not in flight.
     pub fn complete(
         &mut self,
         key: AttemptKey,
@@ -187,13 +187,13 @@
         true
     }
 
-    /// The replica of an attempt served something since that was sent.
+    /// The replica of an attempt has answered something since the attempt was sent.
     pub fn served_since(&self, attempt: &Attempt) -> bool {
         self.replicas.get(&attempt.replica).is_some_and(|r| r.health.last_success > attempt.sent_at)
     }
 }
 
-/// Work of a part with its call, as far as observed.
+/// The work of a part and its call, in ns, by what was observed of its class.
 fn work(class: ClassId, context: &Context) -> f64 {
     context.fleet.latency.work(class) + context.settings.call_overhead as f64
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,9 +1,9 @@
 //! Every decision of the coordinator. Its types, events and actions: `src/interface.rs`.
 //!
 //! Each batch of events is applied, then every open query is advanced in order of arrival: admit, send,
-//! retry, answer or give up. Each rule is checked where its action leaves: `dispatch`, `finish`. The design
-//! follows "Obtaining and Managing Answer Quality for Online Data-Intensive Services" (Ubora, by Kelley et
-//! al.), here the paper: the quality of sampled answers sets how much of low priority is admitted.
+//! retry, answer or give up. The operators' rules are checked in one place each: `dispatch`, `finish`. The
+//! design follows "Obtaining and Managing Answer Quality for Online Data-Intensive Services" (Ubora, by
+//! Kelley et al.), here the paper: the quality of sampled answers sets how much of low priority is admitted.
 
 mod admission;
 mod answering;
@@ -22,16 +22,16 @@
 use controller::AdmissionController;
 use endpoints::EndpointTable;
 
-/// Ticks kept free before an objective: to see the answer, to send it, and for the way to the client.
+/// Ticks reserved before an objective: to receive the last answer, to respond, and for the network.
 const OBJECTIVE_MARGIN_TICKS: u64 = 3;
-/// Ticks kept free before the client's time is up.
+/// Ticks reserved before the client's deadline.
 const DEADLINE_MARGIN_TICKS: u64 = 4;
-/// Period of the controller, in ticks; open queries are looked at after each tenth of it.
+/// The period of the controller, in ticks; open queries are checked every tenth of it.
 const CONTROL_TICKS: u64 = 50;
-/// A replica that is not ready is removed after so many windows.
+/// A replica that is not ready is removed after so many quality windows.
 const REMOVAL_WINDOWS: u64 = 3;
 
-/// What each decision is made by; `now` is the time of the present batch.
+/// The input common to all decisions; `now` is the time of the present batch.
 #[derive(Debug)]
 struct Context {
     settings: Settings,
@@ -40,7 +40,7 @@
     rng: fastrand::Rng,
 }
 
-/// The decisions of one coordinator.
+/// The decision policy of one coordinator.
 #[derive(Debug)]
 pub struct DecisionPolicy {
     context: Context,
@@ -48,7 +48,7 @@
     endpoints: EndpointTable,
     admission: Admission,
     controller: AdmissionController,
-    /// Retries and hedged requests against what was received; see rule 6.
+    /// Retries and hedged requests against queries and parts received; see rule 6.
     retries: RatioBudget,
     poll: EndpointPoll,
     next_control_at: Nanos,
@@ -56,7 +56,7 @@
 }
 
 impl DecisionPolicy {
-    /// An instance that holds nothing yet.
+    /// A policy without queries or replicas; `seed` determines its random draws.
     #[must_use]
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
         let (fleet, rng) = (FleetStatistics::new(&settings), fastrand::Rng::with_seed(seed));
@@ -76,7 +76,7 @@
         policy
     }
 
-    /// Takes a batch of events that came at `now`, in order, and appends what is to be done, in order.
+    /// Applies a batch of events received at `now`, in order, and appends the resulting actions, in order.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         self.context.now = now.max(self.context.now);
         for event in events {
@@ -94,7 +94,7 @@
         self.set_timer(actions);
     }
 
-    /// Ready replicas that no part of a class in force would go to now, whatever its shard.
+    /// Ready replicas that no part of an active class would be sent to now, whatever its shard.
     #[must_use]
     pub fn ejected(&self) -> Vec<ReplicaId> {
         self.endpoints.ejected(&self.context)
@@ -125,7 +125,7 @@
                 }
             }
             Event::Abandoned(query) => {
-                // Nobody waits for its parts any more: on poor links clients leave long before their time.
+                // Its parts are not needed any more: on poor links clients disconnect before their deadline.
                 let query = self.queries.abandon(*query).filter(|_| self.context.settings.cancellation);
                 actions.extend(query.iter().flat_map(|query| &query.parts).flat_map(Part::cancellations));
             }
@@ -164,7 +164,7 @@
         });
     }
 
-    /// Removes what is over, and sets the admitted share by the quality of the last window.
+    /// Removes expired state, and updates the admitted share by the quality of the last window.
     fn control(&mut self) {
         let (settings, now) = (&self.context.settings, self.context.now);
         let period = settings.ticks(CONTROL_TICKS);
@@ -177,7 +177,7 @@
         self.controller.update(&reading, period);
     }
 
-    /// Asks to be called when the next thing is due, unless a timer is set for before that.
+    /// Sets a timer for what is due next, unless an earlier one is set already.
     fn set_timer(&mut self, actions: &mut Vec<Action>) {
         let (settings, now) = (&self.context.settings, self.context.now);
         let look = self.queries.open().next().map(|_| now + settings.ticks(CONTROL_TICKS / 10));
--- a/src/policy/outlier.rs
+++ b/src/policy/outlier.rs
@@ -1,53 +1,53 @@
-//! Outlier detection: what a replica's answers tell about it, and how long a part is to wait there.
+//! Outlier detection: the health of a replica by its answers, and the expected wait there.
 
 use super::Context;
 use crate::interface::{Class, Effect, Nanos, Outcome};
 use crate::queries::{AttemptsByAge, EndedAttempt};
 use crate::stats::{Backoff, DecayingAverage};
 
-/// An attempt is overdue after so many times the fleet's baseline response time.
+/// An attempt is overdue after this multiple of the fleet's baseline response time.
 const OVERDUE_RATIO: f64 = 5.5;
-/// Weight of a new response time in a replica's smoothed one.
+/// The gain of a replica's smoothed response time.
 const LATENCY_GAIN: f64 = 0.5;
-/// That loses half its distance to the fleet's in so many objectives: a skipped replica gets another look.
+/// Its half-life towards the fleet's mean, in objectives: a skipped replica is tried again.
 const LATENCY_HALF_LIFE: f64 = 0.5;
-/// Weight of a new answer in a replica's error rate, which loses half of itself in so many objectives.
+/// The gain of a replica's error rate, and its half-life in objectives.
 const ERROR_GAIN: f64 = 0.15;
 const ERROR_HALF_LIFE: f64 = 4.0;
-/// What an error costs a part that may be repeated, in mean response times: the way there and another.
+/// The cost of an error to a part that may be retried, in mean response times: the attempt and its retry.
 const ERROR_COST: f64 = 2.0;
-/// Share of the objective that a latency fades to at most, so that a jam's memory can't outlive it.
+/// The highest baseline that a latency decays to, as a share of the objective: past overload must decay.
 const MAX_BASELINE: f64 = 0.25;
-/// Capacity of a replica with each of its silent failures in a row, as a share of before.
+/// The factor on a replica's capacity for each consecutive failure without an answer.
 const FAILURE_FACTOR: f64 = 0.5;
 
-/// Has an attempt been in flight for so long that another is due?
+/// An attempt sent at this time has been in flight for so long that a retry is due.
 pub fn is_overdue(sent_at: Nanos, context: &Context) -> bool {
     (context.now - sent_at) as f64 > OVERDUE_RATIO * context.fleet.latency.baseline()
 }
 
-/// The health of one replica, as its answers tell.
+/// The health of one replica, estimated from its answers.
 #[derive(Debug, Default)]
 pub struct OutlierDetector {
     latency: DecayingAverage,
     error_rate: DecayingAverage,
     pub last_success: Nanos,
-    /// Failures in a row without any answer, until the next probe.
+    /// Consecutive failures without any answer, and when the next probe is due.
     backoff: Backoff,
 }
 
 impl OutlierDetector {
-    /// A replica that nothing is known of is taken for one like the others.
+    /// A new replica is assumed to be like the others.
     pub fn new(latency: f64, now: Nanos) -> Self {
         OutlierDetector { latency: DecayingAverage::new(latency, now), ..OutlierDetector::default() }
     }
 
-    /// What it is thought to do after its failures, as a share of what it does when sound.
+    /// Its assumed capacity after its failures, as a share of that when healthy.
     pub fn capacity(&self) -> f64 {
         FAILURE_FACTOR.powi(self.backoff.failures() as i32)
     }
 
-    /// Takes how an attempt ended.
+    /// Records how an attempt ended.
     pub fn record(&mut self, ended: &EndedAttempt, context: &Context) {
         let EndedAttempt { attempt, outcome, silent, .. } = *ended;
         let elapsed = ended.elapsed as f64;
@@ -67,25 +67,25 @@
                 self.latency.record(context.now, elapsed, LATENCY_GAIN);
                 self.last_success = context.now;
             }
-            // Rejected in no time, yet a full queue is a long wait, whatever was seen before.
+            // A rejection is fast, but it means a full queue and thus a long wait.
             Outcome::Rejected => self.latency.raise_to(context.now, objective as f64),
-            // Not sent, lost with an idle connection, or ended early where answers came lately: no sign.
+            // Not sent, lost on an idle connection, or ended early amid recent answers: says nothing.
             _ if outcome == Outcome::NotSent || idle_connection => {}
             Outcome::Cancelled | Outcome::Reset | Outcome::Error if brief => {}
-            // Given up on while others were answered: the wait is known to be at least this long.
+            // Given up on while others were answered: the response time is at least this long.
             _ if !silent && outcome != Outcome::ConnectFailed => {
                 self.latency.record_lower_bound(context.now, elapsed, LATENCY_GAIN);
             }
-            // Nothing answered since it was sent: a probe after two mean response times, then four, ...
+            // No answer since it was sent: probed after two mean response times, then four, and so on.
             _ => self.backoff.fail(context.now, context.fleet.latency.mean()),
         }
     }
 
-    /// The one judgement of a replica: the wait to expect there, in ns. The longest of what it took lately,
-    /// which fades; how long its oldest attempt has been in flight; and what own attempts there cost. One
-    /// that was silent, or has an attempt out past the objective, has an objective on top: it is passed over
-    /// where another can be had. When a probe is due, classes with parts to spare make it; the others have
-    /// half an objective on top, so that nothing is rejected for ever for a silence that is long over.
+    /// The expected wait at a replica, in ns: the longest of its decaying response time, the age of its
+    /// oldest attempt in flight, and the queueing of this instance's attempts there. An ejected replica,
+    /// which fails or has an attempt beyond the objective, has an objective added: it is used only if there
+    /// is no other. A due probe is made by classes that allow partial answers; for other classes half an
+    /// objective is added, so that a failure of long ago does not reject their queries for ever.
     pub fn expected_wait(&self, in_flight: &AttemptsByAge, class: &Class, context: &Context) -> f64 {
         let objective = context.settings.min_latency_objective() as f64;
         let baseline = context.fleet.latency.mean().min(objective * MAX_BASELINE);
@@ -101,8 +101,8 @@
         wait + penalty * class.latency_objective as f64
     }
 
-    /// What errors there may cost a part, as time: one that must not run twice is lost with its query.
-    /// A replica that fails fast looks idle; parts that can go again find out when it is sound again.
+    /// The expected cost of errors, in ns: a part that is not idempotent is lost with its query. A replica
+    /// that fails fast looks idle; parts that may be retried detect when it has recovered.
     pub fn error_cost(&self, class: &Class, context: &Context) -> f64 {
         let half_life = ERROR_HALF_LIFE * context.settings.min_latency_objective() as f64;
         let error_rate = self.error_rate.value_at(context.now, half_life, 0.0);
--- a/src/policy/rotation.rs
+++ b/src/policy/rotation.rs
@@ -1,15 +1,15 @@
-//! Replica rotation: the replicas that hold each shard take turns, in shares that even out their load.
+//! Replica rotation: weighted round robin over the holders of each shard, with weights that balance load.
 
 use crate::interface::{ReplicaId, ShardId};
 use crate::stats::{balance_shares, Share};
 use std::collections::BTreeMap;
 
-/// Rounds of balancing: each carries what a replica has too much of one neighbour further.
+/// Rounds of balancing; each spreads the excess load of a replica one neighbour further.
 const BALANCE_ROUNDS: usize = 8;
-/// What the position goes on beyond an even step, so that in time it meets all of each share.
+/// The drift of the position beyond an even step, so that over time it samples all of each share.
 const DRIFT: f64 = 0.01;
 
-/// The replicas that hold a shard, and where their turns are: from 0 to 1, over their shares in order.
+/// The replicas that hold a shard, and the position of the rotation: 0 to 1, over their shares in order.
 #[derive(Debug)]
 struct Shard {
     holders: Vec<Share<ReplicaId>>,
@@ -23,8 +23,8 @@
 }
 
 impl Rotation {
-    /// Adds shards up to this count. Where turns begin is drawn: were it the same everywhere, instances with
-    /// little traffic would go in step.
+    /// Adds shards up to this count. Each rotation starts at a random position: otherwise instances with
+    /// little traffic would rotate in step.
     pub fn grow(&mut self, count: usize, rng: &mut fastrand::Rng) {
         let count = self.shards.len().max(count);
         self.shards.resize_with(count, || Shard { holders: Vec::new(), position: rng.f64() });
@@ -38,7 +38,7 @@
         self.shards.get(shard.0 as usize).map_or(&[], |shard| &shard.holders)
     }
 
-    /// Sets who holds a shard, in equal shares.
+    /// Sets the holders of a shard, with equal shares.
     pub fn set_holders(&mut self, shard: ShardId, replicas: impl Iterator<Item = ReplicaId>) {
         self.shards[shard.0 as usize].holders = replicas.map(|member| Share { member, share: 1.0 }).collect();
     }
@@ -47,7 +47,7 @@
         self.holders(shard).iter().any(|holder| holder.member == replica)
     }
 
-    /// The holders of a shard in turn, beginning with the one in whose share the position is.
+    /// The holders of a shard in rotation, starting with the one whose share contains the position.
     pub fn in_turn(&self, shard: ShardId) -> impl Iterator<Item = ReplicaId> + '_ {
         let holders = self.holders(shard);
         let position = self.shards.get(shard.0 as usize).map_or(0.0, |shard| shard.position);
@@ -56,15 +56,15 @@
         (0..holders.len()).map(move |n| holders[(first + n) % holders.len()].member)
     }
 
-    /// A part was sent to one of the shard's holders.
+    /// Advances the rotation after a part was sent to one of the shard's holders.
     pub fn advance(&mut self, shard: ShardId) {
         let shard = &mut self.shards[shard.0 as usize];
         shard.position = (shard.position + 1.0 / shard.holders.len() as f64 + DRIFT).fract();
     }
 
-    /// Shares each shard's parts out so that all replicas bear alike for what each can do. A replica whose
-    /// neighbour drains or warms up has that one's parts on top: all instances know that from their list at
-    /// once, while each would need many answers to see it. What it shares goes to others.
+    /// Balances the shares so that load is proportional to capacity. A replica whose neighbour drains or
+    /// warms up receives that one's parts too; all instances know this at once from the endpoint list, while
+    /// from answers alone it would take long. Its parts of other shards are shifted to their other holders.
     pub fn balance(&mut self, capacities: &BTreeMap<ReplicaId, f64>) {
         let mut groups: Vec<_> = self.shards.iter_mut().map(|shard| shard.holders.as_mut_slice()).collect();
         balance_shares(&mut groups, capacities, BALANCE_ROUNDS);
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -4,19 +4,19 @@
 use crate::interface::Nanos;
 use crate::stats::{exponential, safe_mean, TimeWindow};
 
-/// Cores assumed of a replica that warms up: the fewest it can have, less a fifth since work varies.
+/// The cores assumed of a warming replica: the fewest it can have, less a fifth since work varies.
 const ASSUMED_CORES: f64 = 0.8;
-/// Standard deviations by which parts sent at drawn times stay under the rule.
+/// Standard deviations by which randomly spaced parts stay below the limit.
 const SAFETY_DEVIATIONS: f64 = 2.5;
 
-/// What one replica was sent since it started.
+/// The start of one replica, and the work it was sent lately.
 #[derive(Debug, Default)]
 pub struct SlowStartGuard {
-    /// When it is taken to have started; `None`: long ago.
+    /// When it started; `None`: long ago.
     started_at: Option<Nanos>,
-    /// Work sent lately, in ns.
+    /// The work sent, in ns.
     sent: TimeWindow<f64>,
-    /// The drawn gap before the next part, in mean gaps.
+    /// The randomly drawn gap before the next part, in mean gaps.
     drawn_gap: f64,
 }
 
@@ -25,22 +25,22 @@
         SlowStartGuard { drawn_gap, ..SlowStartGuard::default() }
     }
 
-    /// The endpoint list tells a start; 0: long ago.
+    /// The endpoint list reports a start; 0: long ago.
     pub fn restart(&mut self, at: Nanos) {
         if at > 0 {
             self.started_at = self.started_at.max(Some(at));
         }
     }
 
-    /// What the replica can do now, as a share of what it can when warm.
+    /// The replica's present capacity, as a share of that when warm.
     pub fn capacity(&self, context: &Context) -> f64 {
         let rule_and_start = context.settings.slow_start.zip(self.started_at);
         rule_and_start.map_or(1.0, |(rule, start)| rule.capacity(context.now.saturating_sub(start)))
     }
 
-    /// Rule 4: may a part of this work go there? What all coordinators may send is split evenly; where
-    /// a share holds no whole part, parts go at drawn times, as far apart on average as keeps the fleet,
-    /// with a margin for chance, under the rule.
+    /// Rule 4: a part of this work may be sent now. What all coordinators may send is split evenly; if a
+    /// share is less than one part, parts are spaced randomly, on average so far apart that all coordinators
+    /// together stay below the limit with a margin for chance.
     pub fn admits(&self, work: f64, context: &Context) -> bool {
         let Some((rule, started_at)) = context.settings.slow_start.zip(self.started_at) else { return true };
         let capacity = |at: Nanos| rule.capacity(at.saturating_sub(started_at));
@@ -58,7 +58,7 @@
         (context.now - last) as f64 / rule.overload_window as f64 * parts / coordinators >= self.drawn_gap
     }
 
-    /// A part of this work is sent there.
+    /// Records that a part of this work is sent.
     pub fn record_send(&mut self, work: f64, context: &mut Context) {
         if let Some(rule) = context.settings.slow_start {
             self.sent.expire(context.now, rule.overload_window);
