--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -2,17 +2,21 @@
 //! `cargo bench -p quinceflow-testkit`
 
 use divan::Bencher;
-use quinceflow::coordinator::{Answer, AttemptEnd, ServedPart, Token};
-use quinceflow::front::ogc::config::Edge;
-use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Able, Matcher, Queryables};
-use quinceflow::front::ogc::cursor::Key;
-use quinceflow::front::ogc::paging::Place;
-use quinceflow::front::ogc::ranking::{By, Ranked, Ranking};
-use quinceflow::front::ogc::visit::{read_page, Visit};
-use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
+use quinceflow::coordinator::{Answer, AttemptEnd, RequestContext, ServedPart, Token};
+use quinceflow::front::ogc::config::EdgeConfig;
+use quinceflow::front::ogc::cql2::{
+    parse_json, parse_text, split, to_json, Capabilities, Matcher, Queryables,
+};
+use quinceflow::front::ogc::cursor::CursorKey;
+use quinceflow::front::ogc::page_request::{parse_page, PageRequest};
+use quinceflow::front::ogc::paging::{
+    PageFetch, PageLocation, SortKey, SortedMerge, SortedProgress, SortedQuery,
+};
+use quinceflow::front::ogc::{OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
 use quinceflow::proto::fetch::FetchedResponse;
 use quinceflow::proto::http::Server;
+use quinceflow::sync::lock;
 use quinceflow::time::Micros;
 use quinceflow_testkit::feature_server::devices;
 use std::sync::Arc;
@@ -44,32 +48,32 @@
 
 #[divan::bench]
 fn parse_filter_text(bencher: Bencher) {
-    bencher.bench(|| read_text(divan::black_box(FILTER)));
+    bencher.bench(|| parse_text(divan::black_box(FILTER)));
 }
 
 #[divan::bench(args = [100, 10_000])]
 fn parse_area_text(bencher: Bencher, points: usize) {
     let text = area(points);
-    bencher.bench(|| read_text(divan::black_box(&text)));
+    bencher.bench(|| parse_text(divan::black_box(&text)));
 }
 
 #[divan::bench(args = [100, 10_000])]
 fn parse_area_json(bencher: Bencher, points: usize) {
-    let text = to_json(&read_text(&area(points)).expect("a filter")).to_string();
-    bencher.bench(|| read_json(divan::black_box(&text)));
+    let text = to_json(&parse_text(&area(points)).expect("a filter")).to_string();
+    bencher.bench(|| parse_json(divan::black_box(&text)));
 }
 
 #[divan::bench]
 fn split_filter(bencher: Bencher) {
-    let filter = read_text(FILTER).expect("a filter");
+    let filter = parse_text(FILTER).expect("a filter");
     let classes = ["cql2-text", "features-filter", "basic-cql2"].map(str::to_owned).into();
-    let able = Able { classes, queryables: Queryables::unknown(), most_text: 2_000 };
+    let able = Capabilities { classes, queryables: Queryables::unknown(), max_filter_text: 2_000 };
     bencher.bench(|| split(divan::black_box(&filter), &able));
 }
 
 #[divan::bench(args = [4, 10_000])]
 fn evaluate_on_500_features(bencher: Bencher, points: usize) {
-    let matcher = Matcher::new(read_text(&area(points)).expect("a filter"));
+    let matcher = Matcher::new(parse_text(&area(points)).expect("a filter"));
     let texts: Vec<Vec<u8>> = devices(0..500).iter().map(|f| f.to_string().into_bytes()).collect();
     bencher.bench(|| texts.iter().filter(|t| matcher.matches_text(t)).count());
 }
@@ -79,22 +83,30 @@
     let body = body(500);
     bencher
         .with_inputs(|| body.clone())
-        .bench_values(|body| read_page(body, "127.0.0.1:9", "/c/items", None));
+        .bench_values(|body| parse_page(body, "127.0.0.1:9", "/c/items", None));
 }
 
 #[divan::bench(args = [2, 16])]
 fn merge_500_from_shards(bencher: Bencher, shards: usize) {
     let pages: Vec<_> =
-        (0..shards).map(|_| Arc::new(read_page(body(500), "a:1", "/c", None).expect("a page"))).collect();
+        (0..shards).map(|_| Arc::new(parse_page(body(500), "a:1", "/c", None).expect("a page"))).collect();
     bencher.bench(|| {
-        let by = vec![By { name: "volts".to_owned(), descending: true }];
-        let mut ranking = Ranking::new(by, 500, 500, 100, 1.0, None, &vec![false; shards]);
+        let keys = vec![SortKey { property: "volts".to_owned(), descending: true }];
+        let query = SortedQuery {
+            keys,
+            limit: 500,
+            page_size: 500,
+            max_pages: 100,
+            min_shard_share: 1.0,
+            after_values: None,
+        };
+        let mut merge = SortedMerge::new(query, &vec![false; shards]);
         loop {
-            let asks = ranking.asks();
-            assert!(asks.iter().all(|a| a.place == Place::Start));
-            let came = asks.iter().map(|a| (a.shard, a.size, Some(pages[a.shard].clone()))).collect();
-            if ranking.take(came) == Ranked::Done {
-                return ranking.page().given;
+            let fetches = merge.next_fetches();
+            assert!(fetches.iter().all(|fetch| fetch.location == PageLocation::ShardStart));
+            let fetched = |fetch: &PageFetch| fetch.fetched(Some(pages[fetch.shard].clone()));
+            if merge.accept(fetches.iter().map(fetched).collect()) == SortedProgress::Complete {
+                return merge.to_page().returned_count;
             }
         }
     });
@@ -104,11 +116,11 @@
 #[divan::bench(args = ["limit=500", "limit=500&f=html", "limit=500&crs=EPSG:3857", "limit=500&properties=volts"])]
 fn answer_of_500(bencher: Bencher, query: &str) {
     let edge =
-        Edge::read_file(std::path::Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/edge.toml")))
+        EdgeConfig::load(std::path::Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/edge.toml")))
             .expect("sound");
     let catalog = SharedCatalog::default();
-    lock(&catalog).load(&edge.servers().expect("sound"), Micros::ZERO);
-    let front = Ogc::new(edge, catalog, Key::new(b"k"), Arc::default(), Arc::default());
+    lock(&catalog).load(&edge.load_inventory().expect("sound"), Micros::ZERO);
+    let front = OgcFront::new(edge, catalog, CursorKey::new(b"k"), Arc::default(), Arc::default());
     let body = body(500);
     bencher.bench(|| {
         let mut server = Server::default();
@@ -125,10 +137,14 @@
                 }
                 Reaction::Submit(request, render) => {
                     let parts = request.parts.iter().map(|part| {
-                        let visit = part.context.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
+                        let visit = part
+                            .context
+                            .as_ref()
+                            .and_then(RequestContext::get::<PageRequest>)
+                            .expect("a request");
                         let fetched =
                             FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
-                        match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
+                        match visit.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
                         }
