--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -164,3 +164,6 @@
         Call::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/admin/tests.rs
@@ -0,0 +1,29 @@
+//! Tests of the admin endpoint.
+
+use super::*;
+
+fn endpoint() -> AdminEndpoint {
+    AdminEndpoint { metrics: Arc::new(Metrics::default()), health: Box::new(|| Ok(())), max_callers: 1 }
+}
+
+#[test]
+fn an_address_in_use_is_an_error_that_names_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let in_use = listener.local_addr().expect("bound");
+    let error = start(in_use, endpoint()).expect_err("the address is in use");
+    assert_eq!((error.address, error.source.kind()), (in_use, ErrorKind::AddrInUse));
+    assert_eq!(error.to_string(), format!("the second address {in_use}: {}", error.source));
+}
+
+#[test]
+fn a_sixteenth_of_the_descriptors_is_reserved_within_bounds() {
+    assert_eq!([1, 64, 256, 512, 10_000].map(reserved), [3, 4, 16, 32, 33]);
+}
+
+#[test]
+fn the_health_reply_gives_the_reason_of_a_failed_check() {
+    assert_eq!(reply(Call::Health, &endpoint()), "YES\n");
+    let failing = AdminEndpoint { health: Box::new(|| Err(Unhealthy::Draining)), ..endpoint() };
+    assert_eq!(reply(Call::Health, &failing), "NO it is told to end\n");
+    assert_eq!(reply(Call::Unknown, &failing), "NO such call: HEALTH or DUMP\n");
+}
--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -50,3 +50,6 @@
     #[error("the inventory stays as it was: {0}")]
     Inventory(#[source] EdgeError),
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/server/error/tests.rs
@@ -0,0 +1,28 @@
+//! Tests of the texts that operators read.
+
+use super::*;
+
+#[test]
+fn startup_errors_name_the_address_or_the_resource() {
+    let io_error = || io::Error::other("no more");
+    let address = SocketAddr::from(([127, 0, 0, 1], 8080));
+    let errors = [
+        ServerError::Listen { address, source: io_error() },
+        ServerError::LocalAddress(io_error()),
+        ServerError::Coroutine(io_error()),
+        ServerError::Signals(io_error()),
+        ServerError::Timer(io_error()),
+        ServerError::CursorKey("no key".into()),
+        ServerError::CoordinatorPanicked,
+    ];
+    let texts = [
+        "listen on 127.0.0.1:8080: no more",
+        "no more",
+        "a coroutine: no more",
+        "no more",
+        "no more",
+        "no key",
+        "a core panicked",
+    ];
+    assert_eq!(errors.map(|e| e.to_string()), texts);
+}
