--- a/src/net/feature_client/mod.rs
+++ b/src/net/feature_client/mod.rs
@@ -6,8 +6,8 @@
 
 use super::Upstream;
 use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, Input, COUNTERS};
-use crate::front::ogc::config::Edge;
-use crate::front::ogc::visit::Visit;
+use crate::front::ogc::config::EdgeConfig;
+use crate::front::ogc::page_request::PageRequest;
 use crate::interface::{Outcome, ReplicaId};
 use crate::limits::{Rule, ServerCapacity};
 use crate::proto::fetch::Fetch;
@@ -35,17 +35,17 @@
 impl FeatureClient {
     /// A client without servers. Ends of attempts go to `inbox`, what servers can serve to `capacity`.
     #[must_use]
-    pub fn new(edge: &Edge, inbox: Sender<Input>, clock: Clock, capacity: Arc<ServerCapacity>) -> Self {
+    pub fn new(edge: &EdgeConfig, inbox: Sender<Input>, clock: Clock, capacity: Arc<ServerCapacity>) -> Self {
         FeatureClient {
             servers: HashMap::new(),
             in_flight: HashMap::new(),
-            max_body: edge.most_bytes,
-            limit_rule: edge.limit_rule(),
+            max_body: edge.max_bytes,
+            limit_rule: edge.concurrency_rule(),
             context: DriverContext {
                 inbox,
                 clock,
                 connect_timeout: Micros::from_millis(edge.dial_timeout_ms),
-                idle_limit: Micros::from_millis(edge.idle_ms),
+                idle_limit: Micros::from_millis(edge.idle_timeout_ms),
                 capacity,
             },
         }
@@ -108,8 +108,8 @@
 }
 
 /// The page that the front asks for with this attempt.
-fn page_request(request: &AttemptRequest) -> Option<Arc<Visit>> {
-    request.context.as_ref()?.get::<Visit>()
+fn page_request(request: &AttemptRequest) -> Option<Arc<PageRequest>> {
+    request.context.as_ref()?.get::<PageRequest>()
 }
 
 impl Upstream for FeatureClient {
--- a/src/net/server/wiring.rs
+++ b/src/net/server/wiring.rs
@@ -4,10 +4,10 @@
 use super::service::{longest_deadline, Service};
 use super::ServerError;
 use crate::coordinator::{Coordinator, Input, Metrics};
-use crate::front::ogc::config::Edge;
-use crate::front::ogc::cursor::Key;
-use crate::front::ogc::{Ogc, SharedCatalog};
-use crate::front::platform::{Named, Platform};
+use crate::front::ogc::config::EdgeConfig;
+use crate::front::ogc::cursor::CursorKey;
+use crate::front::ogc::{OgcFront, SharedCatalog};
+use crate::front::platform::{Platform, PlatformCatalog};
 use crate::limits::ServerCapacity;
 use crate::net::clients::ClientLimits;
 use crate::net::config::Config;
@@ -33,7 +33,7 @@
     let source = watch::DiscoverySource::new(config.discovery, settings.policy.max_poll_interval);
     let endpoints_listed = Arc::new(AtomicBool::new(false));
     watch_discovery(config, clock, revision, &source, &inbox, &endpoints_listed)?;
-    let catalog = Arc::new(Mutex::new(Named::new(settings)));
+    let catalog = Arc::new(Mutex::new(PlatformCatalog::new(settings)));
     // In an upgrade both processes have one seed; with the same one they would choose the same servers in step.
     let seed =
         if has_predecessor { config.seed ^ (u64::from(std::process::id()) << 32) } else { config.seed };
@@ -93,7 +93,7 @@
 
 /// Builds the service for feature queries.
 pub(super) fn feature_service(
-    edge: Edge,
+    edge: EdgeConfig,
     clock: Clock,
     metrics: &Arc<Metrics>,
 ) -> Result<Service, ServerError> {
@@ -102,17 +102,23 @@
     let mut reload = InventoryReload::new(edge.clone(), catalog.clone());
     let _ = inbox.send(reload.reload(clock.now())?.input);
     let capacity = Arc::new(ServerCapacity::default());
-    let key = Key::new(&edge.cursor_key().map_err(|e| ServerError::CursorKey(e.into()))?);
+    let key = CursorKey::new(&edge.cursor_key().map_err(|e| ServerError::CursorKey(e.into()))?);
     // Two edges that start at the same time must not choose the same servers in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Service {
         name: "feature queries".to_owned(),
         listen: edge.listen,
-        limits: ClientLimits::new(edge.sockets, edge.memory_mb * 1024 * 1024),
+        limits: ClientLimits::new(edge.max_descriptors, edge.memory_mb * 1024 * 1024),
         longest_deadline: longest_deadline(&edge.settings()),
-        coordinator: Coordinator::new(edge.settings(), edge.most_held, seed, clock.now(), metrics.clone()),
+        coordinator: Coordinator::new(
+            edge.settings(),
+            edge.max_in_flight,
+            seed,
+            clock.now(),
+            metrics.clone(),
+        ),
         upstream: Box::new(FeatureClient::new(&edge, inbox.clone(), clock, capacity.clone())),
-        front: Box::new(Ogc::new(edge, catalog, key, metrics.clone(), capacity)),
+        front: Box::new(OgcFront::new(edge, catalog, key, metrics.clone(), capacity)),
         inbox,
         arrivals,
         endpoints_listed: Arc::new(AtomicBool::new(true)),
