--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -20,13 +20,14 @@
 fn parts_that_wait_for_a_connection_are_not_sent_after_their_client_disconnects() {
     // Counted at the nodes: parts that arrive after their client has disconnected. Regression: parts of a batch, and all
     // parts where cancellation is off, were sent when the connection was established.
-    let run = |cancel: bool, bundle: u32| {
+    let run = |cancellation: bool, max_batch: u32| {
         let nodes = [UnreachableNode::new(), UnreachableNode::new()];
         let addresses = [nodes[0].address(), nodes[1].address()];
         let agent = ControlledDiscovery::new();
-        let site = Deployment { cancellation: cancel, max_batch: bundle, ..Deployment::ALL_EFFECTS };
-        let (edge, _watch) = site.start_controlled(&format!("left-{cancel}-{bundle}"), &agent, &addresses);
-        let behind = [
+        let site = Deployment { cancellation, max_batch, ..Deployment::ALL_EFFECTS };
+        let (edge, _watch) =
+            site.start_controlled(&format!("left-{cancellation}-{max_batch}"), &agent, &addresses);
+        let trailing_bytes = [
             String::new(),
             "POST /api HTT".to_owned(),
             query_request("next", "look", &[0], ""),
@@ -34,14 +35,14 @@
         ];
         let classes = ["look", "once", "some"];
         let mut clients = Vec::new();
-        for (n, (class, behind)) in
-            classes.iter().flat_map(|c| behind.iter().map(move |b| (c, b))).enumerate()
+        for (n, (class, trailing_bytes)) in
+            classes.iter().flat_map(|c| trailing_bytes.iter().map(move |b| (c, b))).enumerate()
         {
             let mut client =
                 send_request(&edge, &query_request(&format!("left{n}"), class, &[0, 1, 2, 3, 4, 5], ""));
             // The process reads only part of it; the rest is not waited for.
             client.set_nonblocking(true).expect("set");
-            let _ = client.write(behind.as_bytes());
+            let _ = client.write(trailing_bytes.as_bytes());
             clients.push(client);
         }
         let cases = clients.len();
@@ -49,16 +50,17 @@
         edge.wait_for_counter("attempts_dispatched", 2);
         drop(clients);
         edge.wait_for_counter("queries_abandoned", cases as u64);
-        let logs = nodes.map(RecordingNode::start);
+        let recordings = nodes.map(RecordingNode::start);
         assert_eq!(query(&edge, "stays", "look", &[0, 1, 2, 3, 4, 5]).status, 200);
         drop(edge);
-        let came: Vec<String> = logs.into_iter().flat_map(RecordingNode::wait_until_closed).collect();
-        assert!(came.iter().any(|id| id.starts_with("stays.")), "{came:?}");
-        let late = came.iter().filter(|id| !id.starts_with("stays.")).count();
+        let received: Vec<String> =
+            recordings.into_iter().flat_map(RecordingNode::wait_until_closed).collect();
+        assert!(received.iter().any(|id| id.starts_with("stays.")), "{received:?}");
+        let late = received.iter().filter(|id| !id.starts_with("stays.")).count();
         (cases, late)
     };
     let all: Vec<_> = [(true, 1), (true, 4), (false, 1), (false, 4)]
-        .map(|(cancel, bundle)| std::thread::spawn(move || run(cancel, bundle)))
+        .map(|(cancellation, max_batch)| std::thread::spawn(move || run(cancellation, max_batch)))
         .into_iter()
         .map(|t| t.join().expect("it ends"))
         .collect();
@@ -74,21 +76,22 @@
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("left-retry", &agent, &addresses);
     let client = send_request(&edge, &query_request("left", "look", &[0], ""));
     // The node that receives it keeps it until no node accepts parts.
-    let (tell, asked) = channel();
+    let (sender, attempts) = channel();
     let served = nodes.map(|listener| {
-        let tell = tell.clone();
+        let sender = sender.clone();
         std::thread::spawn(move || {
             let (mut stream, _) = listener.accept().expect("a connection");
-            tell.send((read_part_ids(&mut stream).expect("a part"), stream.try_clone().expect("a handle")))
-                .expect("told");
+            sender
+                .send((read_part_ids(&mut stream).expect("a part"), stream.try_clone().expect("a handle")))
+                .expect("written");
             serve_parts(stream, |_| panic!("nothing more is on this one"))
         })
     });
-    let (ids, mut stream) = asked.recv().expect("one of them");
-    let drained: Vec<_> = addresses.iter().enumerate().map(|(n, a)| terminating(n, *a)).collect();
-    watch.send(&endpoint_list(2, false, &drained));
+    let (ids, mut stream) = attempts.recv().expect("an attempt");
+    let draining: Vec<_> = addresses.iter().enumerate().map(|(n, a)| terminating(n, *a)).collect();
+    watch.send(&endpoint_list(2, false, &draining));
     edge.wait_for_counter("endpoint_updates", 3);
-    write_answer(&mut stream, &format!("{} skipped 0 -\n", ids[0])).expect("told");
+    write_answer(&mut stream, &format!("{} skipped 0 -\n", ids[0])).expect("written");
     edge.wait_for_counter("attempts_rejected", 1);
     drop(client);
     edge.wait_for_counter("queries_abandoned", 1);
@@ -96,9 +99,9 @@
     edge.wait_for_counter("endpoint_updates", 4);
     // The nodes accept parts again: only that of another client is sent.
     let other = send_request(&edge, &query_request("stays", "look", &[0], ""));
-    let (ids, mut stream) = asked.recv().expect("one of them");
+    let (ids, mut stream) = attempts.recv().expect("an attempt");
     assert_eq!(ids, ["stays.0"]);
-    write_answer(&mut stream, "stays.0 served 1 -\ncell").expect("told");
+    write_answer(&mut stream, "stays.0 served 1 -\ncell").expect("written");
     drop(stream);
     let mut first = String::new();
     BufReader::new(other).read_line(&mut first).expect("an answer");
@@ -110,12 +113,12 @@
 
 #[test]
 fn a_part_that_waits_for_a_connection_is_not_sent_to_a_node_that_starts_draining() {
-    for bundle in [1, 4] {
+    for max_batch in [1, 4] {
         let nodes = [UnreachableNode::new(), UnreachableNode::new()];
         let addresses = [nodes[0].address(), nodes[1].address()];
         let agent = ControlledDiscovery::new();
-        let site = Deployment { max_batch: bundle, ..Deployment::ALL_EFFECTS };
-        let (edge, mut watch) = site.start_controlled(&format!("drain-dial-{bundle}"), &agent, &addresses);
+        let site = Deployment { max_batch, ..Deployment::ALL_EFFECTS };
+        let (edge, mut watch) = site.start_controlled(&format!("drain-dial-{max_batch}"), &agent, &addresses);
         let clients: Vec<_> = (0..4)
             .map(|n| {
                 send_request(
@@ -129,13 +132,13 @@
         watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
         edge.wait_for_counter("endpoint_updates", 3);
         edge.wait_for_counter("attempts_not_sent", 1);
-        let logs = nodes.map(RecordingNode::start);
+        let recordings = nodes.map(RecordingNode::start);
         for client in clients {
             assert!(read_until_close(client).starts_with("HTTP/1.1 200"), "the other node serves it");
         }
         drop(edge);
-        let came = logs.map(RecordingNode::wait_until_closed);
-        assert_eq!((came[0].len(), came[1].len()), (0, 16), "{came:?}");
+        let received = recordings.map(RecordingNode::wait_until_closed);
+        assert_eq!((received[0].len(), received[1].len()), (0, 16), "{received:?}");
     }
 }
 
@@ -147,24 +150,22 @@
         let agent = ControlledDiscovery::new();
         let (edge, first) =
             Deployment::ALL_EFFECTS.start_controlled(&format!("watch-{silent}"), &agent, &addresses);
-        let began = std::time::Instant::now();
-        let kept = if silent {
+        let started_at = std::time::Instant::now();
+        let silent_watch = if silent {
             Some(first)
         } else {
-            None.or({
-                first.reset();
-                None
-            })
+            first.reset();
+            None
         };
         // The change is made while no watch is open; the next one sends it, as indented JSON.
-        let told =
+        let event =
             serde_json::to_string_pretty(&endpoint_list_json(2, false, &[terminating(0, addresses[0])]))
                 .expect("a list");
-        let second = agent.answer_watch(&told);
-        let took = began.elapsed().as_millis();
+        let second = agent.answer_watch(&event);
+        let elapsed_ms = started_at.elapsed().as_millis();
         assert!(
-            took < if silent { 5_000 } else { 1_000 },
-            "{took} ms: its events count as received after 6 s"
+            elapsed_ms < if silent { 5_000 } else { 1_000 },
+            "{elapsed_ms} ms: its events count as received after 6 s"
         );
         assert!(second.request.contains("since=1"), "{}", second.request);
         edge.wait_for_counter("endpoint_updates", 3);
@@ -173,7 +174,7 @@
             assert_eq!(query(&edge, &format!("q{silent}{n}"), "look", &[0, 1, 2, 3]).status, 200);
         }
         assert_eq!(nodes[0].received_parts().len(), before, "it is draining");
-        drop(kept);
+        drop(silent_watch);
     }
 }
 
@@ -183,10 +184,10 @@
     let addresses = nodes.each_ref().map(|n| n.address);
     let agent = ControlledDiscovery::new();
     let edge = Deployment::ALL_EFFECTS.start_with_discovery("agent", agent.address(), &addresses);
-    let began = std::time::Instant::now();
+    let started_at = std::time::Instant::now();
     // Down: polls are not answered, then or later.
     let unanswered = [agent.accept_watch(), agent.accept_watch()];
-    assert!(began.elapsed().as_millis() < 2_500, "an event after its recovery applies at once");
+    assert!(started_at.elapsed().as_millis() < 2_500, "an event after its recovery applies at once");
     let _back = agent.answer_watch(&endpoint_list(
         5,
         true,
@@ -295,16 +296,16 @@
     let (edge, _watch) = Deployment { latency_objective_ms: 8_000, ..Deployment::ALL_EFFECTS }
         .start_controlled("late", &agent, &addresses);
     let client = send_request(&edge, &query_request("late", "look", &[0], "Connection: close\r\n"));
-    let (tell, asked) = channel();
+    let (sender, attempts) = channel();
     for (node, listener) in nodes.into_iter().enumerate() {
-        let tell = tell.clone();
+        let sender = sender.clone();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
-                let tell = tell.clone();
+                let sender = sender.clone();
                 std::thread::spawn(move || {
                     while let Ok(Frame { kind, .. }) = read_frame(&mut stream) {
                         let stream = stream.try_clone().expect("a handle");
-                        if tell.send(ReceivedFrame { node, kind, stream }).is_err() {
+                        if sender.send(ReceivedFrame { node, kind, stream }).is_err() {
                             return;
                         }
                     }
@@ -312,27 +313,28 @@
             }
         });
     }
-    let mut first = asked.recv().expect("the first attempt");
+    let mut first = attempts.recv().expect("the first attempt");
     assert_eq!(first.kind, CALL);
     // It is cancelled and sent to the other node, in either order as seen here.
-    let both = [asked.recv().expect("a frame"), asked.recv().expect("a frame")];
+    let both = [attempts.recv().expect("a frame"), attempts.recv().expect("a frame")];
     let mut other = both.into_iter().find(|frame| frame.kind == CALL).expect("the next attempt");
     assert_ne!(other.node, first.node);
-    write_answer(&mut first.stream, "late.0 broke 0 -\n").expect("told");
+    write_answer(&mut first.stream, "late.0 broke 0 -\n").expect("written");
     edge.wait_for_counter("attempts_cancelled", 1);
-    write_answer(&mut other.stream, "late.0 served 1 -\ncell").expect("told");
+    write_answer(&mut other.stream, "late.0 served 1 -\ncell").expect("written");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
     drop(edge);
-    drop(tell);
-    assert!(asked.try_iter().all(|frame| frame.kind != CALL), "two attempts, no third");
+    drop(sender);
+    assert!(attempts.try_iter().all(|frame| frame.kind != CALL), "two attempts, no third");
 }
 
 #[test]
 fn a_connection_established_after_its_dial_timed_out_carries_no_parts() {
-    let (shut, sound) = (UnreachableNode::new(), DataNode::serving());
+    let (unreachable, healthy) = (UnreachableNode::new(), DataNode::serving());
     let agent = ControlledDiscovery::new();
     let site = Deployment { connect_timeout_ms: Some(150), ..Deployment::ALL_EFFECTS };
-    let (edge, _watch) = site.start_controlled("late-dial", &agent, &[shut.address(), sound.address]);
+    let (edge, _watch) =
+        site.start_controlled("late-dial", &agent, &[unreachable.address(), healthy.address]);
     let clients: Vec<_> = (0..4)
         .map(|n| {
             send_request(
@@ -345,27 +347,27 @@
         assert!(read_until_close(client).starts_with("HTTP/1.1 200"), "not sent there, so it may be retried");
     }
     edge.wait_for_counter("dials_failed", 1);
-    let log = RecordingNode::start(shut);
+    let recording = RecordingNode::start(unreachable);
     drop(edge);
-    assert_eq!(log.wait_until_closed(), Vec::<String>::new());
-    let mut came = sound.received_parts();
-    came.sort();
-    came.dedup();
-    assert_eq!(came.len(), 16, "each part once");
-    assert_eq!(sound.received_parts().len(), 16);
+    assert_eq!(recording.wait_until_closed(), Vec::<String>::new());
+    let mut received = healthy.received_parts();
+    received.sort();
+    received.dedup();
+    assert_eq!(received.len(), 16, "each part once");
+    assert_eq!(healthy.received_parts().len(), 16);
 }
 
 #[test]
 fn a_retry_whose_connection_is_established_after_the_retry_window_is_not_sent() {
     // Regression: the retry window was checked at dispatch only; a retry whose connection was established later was sent.
-    let (held, shut) = (bind_loopback(), UnreachableNode::new());
-    let addresses = [held.local_addr().expect("bound"), shut.address()];
+    let (listener, unreachable) = (bind_loopback(), UnreachableNode::new());
+    let addresses = [listener.local_addr().expect("bound"), unreachable.address()];
     let agent = ControlledDiscovery::new();
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("window", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(1, addresses[1])]));
     edge.wait_for_counter("endpoint_updates", 3);
     let client = send_request(&edge, &query_request("key", "key", &[0], "Connection: close\r\n"));
-    let (mut first, _) = held.accept().expect("a connection");
+    let (mut first, _) = listener.accept().expect("a connection");
     assert_eq!(read_part_ids(&mut first).expect("the first attempt"), ["key.0"]);
     watch.send(&endpoint_list(3, false, &[terminating(0, addresses[0]), in_service(1, addresses[1])]));
     edge.wait_for_counter("endpoint_updates", 4);
@@ -373,11 +375,11 @@
     drop(first);
     edge.wait_for_counter("attempts_dispatched", 2);
     edge.wait_for_counter("attempts_connect_failed", 1);
-    let log = RecordingNode::start(shut);
+    let recording = RecordingNode::start(unreachable);
     drop(client);
     edge.wait_for_counter("queries_abandoned", 1);
     drop(edge);
-    assert_eq!(log.wait_until_closed(), Vec::<String>::new());
+    assert_eq!(recording.wait_until_closed(), Vec::<String>::new());
 }
 
 #[test]
@@ -398,9 +400,9 @@
     edge.signal("CONT");
     assert!(read_until_close(stays).starts_with("HTTP/1.1 200"));
     edge.wait_for_counter("queries_abandoned", 20);
-    let mut came: Vec<_> = nodes.iter().flat_map(DataNode::received_parts).collect();
-    came.sort();
-    assert_eq!(came, ["stays.0", "stays.1"]);
+    let mut received: Vec<_> = nodes.iter().flat_map(DataNode::received_parts).collect();
+    received.sort();
+    assert_eq!(received, ["stays.0", "stays.1"]);
 }
 
 #[test]
@@ -409,9 +411,9 @@
     // wait behind it. These never ran, so they are retried whatever their class; fully written ones may have run and are not.
     use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
     const QUERIES: usize = 90;
-    let (deaf, sound) = (bind_loopback(), UnreachableNode::new());
-    set_socket_recv_buffer_size(&deaf, 2_048).expect("set");
-    let addresses = [deaf.local_addr().expect("bound"), sound.address()];
+    let (stalled, healthy) = (bind_loopback(), UnreachableNode::new());
+    set_socket_recv_buffer_size(&stalled, 2_048).expect("set");
+    let addresses = [stalled.local_addr().expect("bound"), healthy.address()];
     let agent = ControlledDiscovery::new();
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("half-frames", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(1, addresses[1])]));
@@ -434,18 +436,18 @@
     edge.wait_for_counter("attempts_fully_written", 1);
     watch.send(&endpoint_list(3, false, &[in_service(1, addresses[1])]));
     edge.wait_for_counter("endpoint_updates", 4);
-    let log = RecordingNode::start(sound);
-    deaf.set_nonblocking(true).expect("set");
-    while let Ok((stream, _)) = deaf.accept() {
+    let recording = RecordingNode::start(healthy);
+    stalled.set_nonblocking(true).expect("set");
+    while let Ok((stream, _)) = stalled.accept() {
         set_socket_linger(&stream, Some(std::time::Duration::ZERO)).expect("set");
     }
     let answers: Vec<String> = clients.into_iter().map(read_until_close).collect();
     drop(edge);
-    let mut again = log.wait_until_closed();
-    again.sort();
+    let mut retried = recording.wait_until_closed();
+    retried.sort();
     let mut served: Vec<_> = (0..QUERIES).filter(|n| answers[*n].starts_with("HTTP/1.1 200")).collect();
     served.sort_by_key(|n| format!("q{n}.0"));
-    assert_eq!(again, served.iter().map(|n| format!("q{n}.0")).collect::<Vec<_>>(), "each once");
+    assert_eq!(retried, served.iter().map(|n| format!("q{n}.0")).collect::<Vec<_>>(), "each once");
     assert!((1..QUERIES).contains(&served.len()), "{} of {QUERIES}", served.len());
     assert!(answers.iter().all(|a| a.starts_with("HTTP/1.1 200") || a.starts_with("HTTP/1.1 502")));
 }
@@ -453,27 +455,27 @@
 #[test]
 fn an_answer_after_its_query_completed_is_dropped_and_its_part_not_retried() {
     let agent = ControlledDiscovery::new();
-    let (sound, held) = (DataNode::serving(), bind_loopback());
-    let addresses = [sound.address, held.local_addr().expect("bound")];
+    let (healthy, listener) = (DataNode::serving(), bind_loopback());
+    let addresses = [healthy.address, listener.local_addr().expect("bound")];
     // Two shards, one on each node: the other holder is draining, so that the late part cannot be retried elsewhere.
     let (edge, mut watch) = Deployment { latency_objective_ms: 600, ..Deployment::ALL_EFFECTS }
         .start_controlled("after", &agent, &addresses);
     watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
     edge.wait_for_counter("endpoint_updates", 3);
     let client = send_request(&edge, &query_request("q", "some", &[0, 1], "Connection: close\r\n"));
-    let (mut stream, _) = held.accept().expect("a connection");
+    let (mut stream, _) = listener.accept().expect("a connection");
     let mut ids = read_part_ids(&mut stream).expect("a part");
     if ids.len() < 2 {
         ids.extend(read_part_ids(&mut stream).expect("the other"));
     }
-    write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[0])).expect("told");
+    write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[0])).expect("written");
     let text = read_until_close(client);
     assert!(text.starts_with("HTTP/1.1 200") && text.contains("\"full\":false"), "{text}");
     // The late answer, then a query on the same connection.
-    write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[1])).expect("told");
+    write_answer(&mut stream, &format!("{} served 1 -\ncell", ids[1])).expect("written");
     let next = send_request(&edge, &query_request("next", "look", &[1], "Connection: close\r\n"));
     assert_eq!(read_part_ids(&mut stream).expect("on the connection that is open"), ["next.1"]);
-    write_answer(&mut stream, "next.1 served 1 -\ncell").expect("told");
+    write_answer(&mut stream, "next.1 served 1 -\ncell").expect("written");
     assert!(read_until_close(next).starts_with("HTTP/1.1 200"));
     edge.wait_for_counter("attempts_dispatched", 3);
 }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -19,23 +19,25 @@
     let agent = ControlledDiscovery::new();
     let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
     let (mut edge, _watch) = site.start_controlled("queue", &agent, &nodes.each_ref().map(|n| n.address));
-    let mut kept = send_request(&edge, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
-    assert!(kept.read(&mut [0; 512]).expect("an answer") > 0);
+    let mut persistent = send_request(&edge, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(persistent.read(&mut [0; 512]).expect("an answer") > 0);
     // Stopped: the kernel has all this, and the signal, when the process continues.
     edge.signal("STOP");
-    kept.write_all(query_request("kept", "look", &[0], "Connection: close\r\n").as_bytes()).expect("written");
+    persistent
+        .write_all(query_request("kept", "look", &[0], "Connection: close\r\n").as_bytes())
+        .expect("written");
     let queued: Vec<_> = (0..5)
         .map(|n| {
             send_request(&edge, &query_request(&format!("q{n}"), "once", &[0, 1], "Connection: close\r\n"))
         })
         .collect();
-    let mut half = send_request(&edge, "GET /up HTTP/1.1\r\nHo");
+    let mut half_request = send_request(&edge, "GET /up HTTP/1.1\r\nHo");
     edge.signal("TERM");
     edge.signal("CONT");
     edge.wait_for_log("told to end");
-    half.write_all(b"st: x\r\nConnection: close\r\n\r\n").expect("written");
-    assert!(read_until_close(half).starts_with("HTTP/1.1 503"), "the readiness check fails");
-    for client in queued.into_iter().chain([kept]) {
+    half_request.write_all(b"st: x\r\nConnection: close\r\n\r\n").expect("written");
+    assert!(read_until_close(half_request).starts_with("HTTP/1.1 503"), "the readiness check fails");
+    for client in queued.into_iter().chain([persistent]) {
         assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
     }
     assert!(edge.wait_for_exit(), "it exits by itself");
@@ -44,11 +46,11 @@
 #[test]
 fn after_sigterm_all_requests_are_answered_and_the_process_exits_although_nodes_hang() {
     // One node hangs, the other cannot be connected to; the clients' timeouts are longer than the 3.7 s until the kill.
-    let (hangs, shut) = (DataNode::hanging(), UnreachableNode::new());
+    let (hanging, unreachable) = (DataNode::hanging(), UnreachableNode::new());
     let agent = ControlledDiscovery::new();
     let (mut edge, _watch) =
-        Deployment::ALL_EFFECTS.start_controlled("hung", &agent, &[hangs.address, shut.address()]);
-    let held: Vec<_> = ["look", "once", "some"]
+        Deployment::ALL_EFFECTS.start_controlled("hung", &agent, &[hanging.address, unreachable.address()]);
+    let pending: Vec<_> = ["look", "once", "some"]
         .iter()
         .flat_map(|class| (0..4).map(move |n| (class, n)))
         .map(|(class, n)| {
@@ -59,7 +61,7 @@
         })
         .collect();
     edge.wait_for_counter("queries_accepted", 12);
-    let began = std::time::Instant::now();
+    let started_at = std::time::Instant::now();
     edge.signal("TERM");
     edge.wait_for_log("told to end");
     // On one connection after the other, each for as long as it stays open.
@@ -85,37 +87,37 @@
         }
     }
     assert!(answers > 4, "{answers}");
-    for client in held {
+    for client in pending {
         let text = read_until_close(client);
         assert!(text.starts_with("HTTP/1.1 50"), "{text}");
     }
     assert!(edge.wait_for_exit(), "it exits by itself");
-    assert!(began.elapsed().as_millis() < 5_500, "{:?}", began.elapsed());
+    assert!(started_at.elapsed().as_millis() < 5_500, "{:?}", started_at.elapsed());
 }
 
 #[test]
 fn an_answered_client_that_never_closes_does_not_delay_the_exit_until_the_kill() {
-    let (hangs, other) = (DataNode::hanging(), DataNode::hanging());
+    let (hanging, other) = (DataNode::hanging(), DataNode::hanging());
     let agent = ControlledDiscovery::new();
     let site = Deployment { latency_objective_ms: 500, ..Deployment::ALL_EFFECTS };
-    let (mut edge, _watch) = site.start_controlled("never-closes", &agent, &[hangs.address, other.address]);
+    let (mut edge, _watch) = site.start_controlled("never-closes", &agent, &[hanging.address, other.address]);
     let mut client = BufReader::new(send_request(&edge, &query_request("q", "once", &[0], "")));
     edge.wait_for_counter("queries_accepted", 1);
     // Settings that are reloaded after the signal do not change the time of the kill, 1.7 s from here.
     edge.signal("TERM");
     edge.wait_for_log("told to end");
-    let longer = edge.configuration_with("/settings/classes/0/deadline", json!(8_000_000_000_u64));
-    edge.write_configuration(&longer);
+    let longer_deadline = edge.configuration_with("/settings/classes/0/deadline", json!(8_000_000_000_u64));
+    edge.write_configuration(&longer_deadline);
     edge.signal("HUP");
     assert_eq!(read_response(&mut client), Some(ResponseHead { status: 504, closes: false }));
     assert_eq!(client.read(&mut [0]).expect("closed in good order"), 0, "shortly before the last answer");
     let mut last = BufReader::new(send_request(&edge, &query_request("last", "once", &[1], "")));
     let answer = read_response(&mut last).expect("an answer, and no reset");
     // Measured from here and not from the signal, since the machine may be busy.
-    let began = std::time::Instant::now();
+    let started_at = std::time::Instant::now();
     assert!(answer.status / 100 == 5 && answer.closes, "{answer:?}");
     assert!(edge.wait_for_exit(), "it exits by itself");
-    assert!(began.elapsed().as_millis() < 900, "{:?}: it stayed for 1 s and more", began.elapsed());
+    assert!(started_at.elapsed().as_millis() < 900, "{:?}: it stayed for 1 s and more", started_at.elapsed());
 }
 
 #[test]
@@ -125,21 +127,21 @@
     let addresses = nodes.each_ref().map(|n| n.local_addr().expect("bound"));
     let (mut edge, _watch) = Deployment::ALL_EFFECTS.start_controlled("retry-end", &agent, &addresses);
     let client = send_request(&edge, &query_request("q", "once", &[0], ""));
-    let (tell, asked) = channel();
+    let (sender, attempts) = channel();
     for listener in nodes {
-        let tell = tell.clone();
+        let sender = sender.clone();
         std::thread::spawn(move || {
             let (mut stream, _) = listener.accept().expect("a connection");
             let ids = read_part_ids(&mut stream).expect("a part");
-            tell.send((ids, stream)).expect("told");
+            sender.send((ids, stream)).expect("written");
         });
     }
-    let (ids, mut first) = asked.recv().expect("the first attempt");
+    let (ids, mut first) = attempts.recv().expect("the first attempt");
     edge.signal("TERM");
     edge.wait_for_log("told to end");
-    write_answer(&mut first, &format!("{} skipped 0 -\n", ids[0])).expect("told");
-    let (ids, mut second) = asked.recv().expect("the next one");
-    write_answer(&mut second, &format!("{} served 1 -\ncell", ids[0])).expect("told");
+    write_answer(&mut first, &format!("{} skipped 0 -\n", ids[0])).expect("written");
+    let (ids, mut second) = attempts.recv().expect("the next one");
+    write_answer(&mut second, &format!("{} served 1 -\ncell", ids[0])).expect("written");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
     assert!(edge.wait_for_exit(), "it exits by itself");
 }
@@ -169,21 +171,21 @@
     let first = Deployment::ALL_EFFECTS.start_with_discovery("broken-off", discovery, &addresses);
     let temporary = std::env::temp_dir().join(format!("quinceflow-off-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a folder");
-    let mut old = first.start_successor(&temporary);
-    old.wait_until_ready();
+    let mut predecessor = first.start_successor(&temporary);
+    predecessor.wait_until_ready();
     // An open connection keeps the predecessor from exiting at SIGTERM.
-    let mut kept = send_request(&old, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
-    assert!(kept.read(&mut [0; 512]).expect("an answer") > 0);
-    let new = old.start_successor(&temporary);
-    while management_call(new.management_address(), "HEALTH\n") != "YES\n" {}
-    let old_told = old.management_address();
-    old.signal("TERM");
-    while management_call(old_told, "HEALTH\n") != "NO it is told to end\n" {}
-    drop(new);
+    let mut persistent = send_request(&predecessor, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(persistent.read(&mut [0; 512]).expect("an answer") > 0);
+    let successor = predecessor.start_successor(&temporary);
+    while management_call(successor.management_address(), "HEALTH\n") != "YES\n" {}
+    let predecessor_admin = predecessor.management_address();
+    predecessor.signal("TERM");
+    while management_call(predecessor_admin, "HEALTH\n") != "NO it is told to end\n" {}
+    drop(successor);
     for n in 0..5 {
-        assert_eq!(query(&old, &format!("q{n}"), "look", &[0, 1]).status, 200);
+        assert_eq!(query(&predecessor, &format!("q{n}"), "look", &[0, 1]).status, 200);
     }
-    drop(kept);
-    assert!(old.wait_for_exit(), "it exits by itself");
+    drop(persistent);
+    assert!(predecessor.wait_for_exit(), "it exits by itself");
     let _ = std::fs::remove_dir_all(&temporary);
 }
