--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -26,24 +26,26 @@
     let nodes = [DataNode::serving(), DataNode::serving()];
     let (edge, first) = Deployment::BASIC.start("moved", &nodes);
     edge.wait_until_ready();
-    let lists = |n: usize| loop {
+    let wait_for_lists = |n: usize| loop {
         edge.signal("USR1");
         if edge.wait_for_log("counters").contains(&format!(" endpoint_updates={n} ")) {
             break;
         }
     };
-    lists(2);
+    wait_for_lists(2);
     edge.write_configuration("{\"discovery\":\"nowhere\"}");
     edge.signal("HUP");
     edge.wait_for_log("the configuration stays as it was: ");
     assert_eq!(query(&edge, "q0", "lookup", &[0, 1]).status, 200);
     // The new address sends a drain as a change to the version that the old one sent last.
-    let moved = Discovery::start(endpoint_list(2, false, &[terminating(0, nodes[0].address)]));
-    edge.write_configuration(&edge.configuration_with("/discovery", json!(moved.address.to_string())));
+    let new_discovery = Discovery::start(endpoint_list(2, false, &[terminating(0, nodes[0].address)]));
+    edge.write_configuration(
+        &edge.configuration_with("/discovery", json!(new_discovery.address.to_string())),
+    );
     edge.signal("HUP");
     edge.wait_for_log("the configuration is read anew: discovery is at ");
-    lists(3);
-    assert!(moved.requests()[0].contains("since=1"), "it resumes from the last version");
+    wait_for_lists(3);
+    assert!(new_discovery.requests()[0].contains("since=1"), "it resumes from the last version");
     let before = nodes[0].received_parts().len();
     for n in 1..10 {
         assert_eq!(query(&edge, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
@@ -88,15 +90,19 @@
 #[test]
 fn the_health_check_fails_until_discovery_has_sent_its_list() {
     // The cached list may be old: queries are served from it, but the health check waits for discovery.
-    let quiet = bind_loopback();
+    let silent_discovery = bind_loopback();
     let nodes = [DataNode::serving(), DataNode::serving()];
     let addresses = addresses_of(&nodes);
-    let edge = Deployment::BASIC.start_with_discovery("news", quiet.local_addr().expect("bound"), &addresses);
+    let edge = Deployment::BASIC.start_with_discovery(
+        "news",
+        silent_discovery.local_addr().expect("bound"),
+        &addresses,
+    );
     assert_eq!(management_call(edge.management_address(), "HEALTH\n"), "NO the servers are not known yet\n");
-    let (mut watch, _) = quiet.accept().expect("a watch");
-    let news = endpoint_list(1, true, &all_in_service(&addresses));
+    let (mut watch, _) = silent_discovery.accept().expect("a watch");
+    let first_list = endpoint_list(1, true, &all_in_service(&addresses));
     write_chunked_head(&mut watch).expect("it listens");
-    write_line_chunk(&mut watch, &news).expect("it listens");
+    write_line_chunk(&mut watch, &first_list).expect("it listens");
     while management_call(edge.management_address(), "HEALTH\n") != "YES\n" {}
 }
 
@@ -107,20 +113,20 @@
     let (edge, _changes) = Deployment::BASIC.start("retune", &nodes);
     let second = edge.management_address();
     edge.wait_until_ready();
-    let whole = edge.configuration_with("/name", json!("n0"));
-    let lost = |pointer: &str, key: &str| {
-        let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
+    let complete = edge.configuration_with("/name", json!("n0"));
+    let without_key = |pointer: &str, key: &str| {
+        let mut config: serde_json::Value = serde_json::from_str(&complete).expect("a configuration");
         config.pointer_mut(pointer).and_then(|o| o.as_object_mut()?.remove(key)).expect("it was there");
         config.to_string()
     };
-    let broken = [
+    let invalid = [
         String::new(),
-        whole[..whole.len() / 2].to_owned(),
-        lost("", "settings"),
-        lost("", "discovery"),
-        lost("/settings", "limits"),
-        lost("/settings/limits", "max-attempts"),
-        lost("/settings/classes/2", "late-worth"),
+        complete[..complete.len() / 2].to_owned(),
+        without_key("", "settings"),
+        without_key("", "discovery"),
+        without_key("/settings", "limits"),
+        without_key("/settings/limits", "max-attempts"),
+        without_key("/settings/classes/2", "late-worth"),
         edge.configuration_with("/settings/limits/max-attempts", json!(0)),
         edge.configuration_with("/settings/limits/max-attempts", json!(-1)),
         edge.configuration_with("/settings/classes/1/deadline", json!(0)),
@@ -134,7 +140,7 @@
         edge.configuration_with("/settings/classes/0/points", json!(-1.0)),
         edge.configuration_with("/discovery", json!("nowhere")),
     ];
-    for text in &broken {
+    for text in &invalid {
         edge.write_configuration(text);
         edge.signal("HUP");
         edge.wait_for_log("the configuration stays as it was: ");
@@ -142,7 +148,7 @@
     assert_eq!(query(&edge, "q0", "later", &[0]).status, 400);
     assert_eq!(query(&edge, "q1", "brief", &[0]).status, 200);
     // One class is new, one is removed, one is no longer idempotent, and all have fewer attempts.
-    let mut config: serde_json::Value = serde_json::from_str(&whole).expect("a configuration");
+    let mut config: serde_json::Value = serde_json::from_str(&complete).expect("a configuration");
     config["settings"]["limits"]["max-attempts"] = json!(2);
     config["settings"]["classes"][0]["effect"] = json!("non_idempotent");
     config["settings"]["classes"][1]["name"] = json!("later");
@@ -157,7 +163,7 @@
     }
     let dump = management_call(second, "DUMP\n");
     let of = |name: &str| dump_value(&dump, &format!("node.{name}"));
-    assert_eq!((of("config_applied"), of("config_rejected")), (1, broken.len() as u64));
+    assert_eq!((of("config_applied"), of("config_rejected")), (1, invalid.len() as u64));
     let ok = ["brief", "later", "lookup", "send"].map(|c| of(&format!("responses.{c}.ok")));
     assert_eq!((ok, of("responses.later.tries")), ([1, 1, 1, 1], 2));
 }
@@ -173,16 +179,16 @@
     std::fs::create_dir_all(&temporary).expect("a folder");
     // The stale socket of a process that was killed.
     drop(std::os::unix::net::UnixListener::bind(temporary.join("quinceflow-127.0.0.1-0.sock")));
-    let mut old = first.start_successor(&temporary);
-    assert_ne!(old.address, first.address, "there was no predecessor");
-    let (old_admin, mut persistent) =
-        (old.management_address(), TcpStream::connect(old.address).expect("it listens"));
-    old.wait_until_ready();
-    let new = old.start_successor(&temporary);
-    assert_eq!(new.address, old.address, "the same socket");
-    let new_admin = new.management_address();
-    while management_call(new_admin, "HEALTH\n") != "YES\n" {}
-    assert_eq!(management_call(old_admin, "HEALTH\n"), "YES\n");
+    let mut predecessor = first.start_successor(&temporary);
+    assert_ne!(predecessor.address, first.address, "there was no predecessor");
+    let (predecessor_admin, mut persistent) =
+        (predecessor.management_address(), TcpStream::connect(predecessor.address).expect("it listens"));
+    predecessor.wait_until_ready();
+    let successor = predecessor.start_successor(&temporary);
+    assert_eq!(successor.address, predecessor.address, "the same socket");
+    let successor_admin = successor.management_address();
+    while management_call(successor_admin, "HEALTH\n") != "YES\n" {}
+    assert_eq!(management_call(predecessor_admin, "HEALTH\n"), "YES\n");
     let query_on = |persistent: &mut TcpStream, id: &str| {
         let body = "{\"tablets\":[{\"tablet\":0,\"fraction\":1}],\"statement\":\"c41e77d0\"}";
         let head = format!("POST /api HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Qos: lookup\r\nX-Expires-In: 9\r\n");
@@ -192,18 +198,18 @@
     };
     let answer = query_on(&mut persistent, "q1");
     assert!(answer.starts_with("HTTP/1.1 200 ") && !answer.contains("Connection: close"), "{answer}");
-    old.signal("TERM");
-    while management_call(old_admin, "HEALTH\n") != "NO it is told to end\n" {}
+    predecessor.signal("TERM");
+    while management_call(predecessor_admin, "HEALTH\n") != "NO it is told to end\n" {}
     for n in 2..12 {
-        assert_eq!(query(&new, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
+        assert_eq!(query(&successor, &format!("q{n}"), "lookup", &[0, 1]).status, 200);
     }
     let ok = |address| dump_value(&management_call(address, "DUMP\n"), "node.responses.lookup.ok");
-    assert_eq!(ok(new_admin), 10, "new connections reach the successor");
+    assert_eq!(ok(successor_admin), 10, "new connections reach the successor");
     let answer = query_on(&mut persistent, "q12");
     assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
     drop(persistent);
-    assert!(old.wait_for_exit(), "it exits once no connection is open");
-    assert_eq!(query(&new, "q13", "lookup", &[0, 1]).status, 200);
+    assert!(predecessor.wait_for_exit(), "it exits once no connection is open");
+    assert_eq!(query(&successor, "q13", "lookup", &[0, 1]).status, 200);
     let _ = std::fs::remove_dir_all(&temporary);
 }
 
@@ -219,16 +225,16 @@
     ] {
         let path = std::env::temp_dir().join(format!("quinceflow-refused-{}-{key}.json", std::process::id()));
         std::fs::write(&path, edge.configuration_with(pointer, value)).expect("written");
-        let mut run = std::process::Command::new(env!("CARGO_BIN_EXE_quinceflow"))
+        let mut process = std::process::Command::new(env!("CARGO_BIN_EXE_quinceflow"))
             .env("NODE_CONFIG", &path)
             .stderr(std::process::Stdio::piped())
             .spawn()
             .expect("it starts");
         // The first line is the error, or that the process listens; either way it is killed then.
         let mut line = String::new();
-        BufReader::new(run.stderr.take().expect("piped")).read_line(&mut line).expect("a log line");
-        let _ = run.kill();
-        assert!(!run.wait().expect("ended").success() && line.contains(key), "{line}");
+        BufReader::new(process.stderr.take().expect("piped")).read_line(&mut line).expect("a log line");
+        let _ = process.kill();
+        assert!(!process.wait().expect("ended").success() && line.contains(key), "{line}");
         let _ = std::fs::remove_file(&path);
     }
 }
