--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -50,3 +50,6 @@
     #[error("the inventory stays as it was: {0}")]
     Inventory(#[source] EdgeConfigError),
 }
+
+#[cfg(test)]
+mod tests;
