--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -14,7 +14,7 @@
 };
 use quinceflow::front::ogc::{OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
-use quinceflow::proto::fetch::Fetched;
+use quinceflow::proto::fetch::FetchedResponse;
 use quinceflow::proto::http::Server;
 use quinceflow::sync::lock;
 use quinceflow::time::Micros;
@@ -143,7 +143,7 @@
                             .and_then(RequestContext::get::<PageRequest>)
                             .expect("a request");
                         let fetched =
-                            Fetched { status: 200, headers: Default::default(), body: body.clone() };
+                            FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
--- a/src/front/ogc/page_request.rs
+++ b/src/front/ogc/page_request.rs
@@ -7,7 +7,7 @@
 use super::paging::FeaturePage;
 use crate::coordinator::{AttemptEnd, Value};
 use crate::interface::Outcome;
-use crate::proto::fetch::Fetched;
+use crate::proto::fetch::FetchedResponse;
 use crate::sync::lock;
 use page::parse_feature;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -71,7 +71,7 @@
     }
 
     /// The outcome of an attempt by its response. A page is kept for [`page`](PageRequest::page).
-    pub fn interpret(&self, server: &str, host: &str, fetched: Fetched) -> AttemptEnd {
+    pub fn interpret(&self, server: &str, host: &str, fetched: FetchedResponse) -> AttemptEnd {
         let page = match (fetched.status, self.kind) {
             (200, RequestKind::Items) => {
                 parse_page(fetched.body, host, &self.target, self.predicate.as_ref())
--- /dev/null
+++ b/src/net/watch/mod.rs
@@ -0,0 +1,154 @@
+//! The watch on the discovery service: it continues from the revision already known and is opened again whenever it ends
+//! or falls silent.
+
+mod backoff;
+mod source;
+
+pub use backoff::Backoff;
+pub use source::DiscoverySource;
+
+use crate::coordinator::{log_throttled, Input, COUNTERS};
+use crate::proto::discovery::{EndpointListUpdate, WatchError, WatchResponse};
+use crate::time::{unix_ms, Clock, Micros};
+use may::net::TcpStream;
+use may::sync::mpsc::Sender;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering::Release};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Discovery sends something every 2 s: a watch that is silent for longer than this is dead. What it misses counts as
+/// notified 6 s after its last message, so the other half of that is left for opening it again.
+const SILENCE_TIMEOUT: Micros = Micros::from_secs(3);
+/// How often a silent watch, and a coordinator that waits to open one, checks whether discovery has moved.
+const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How a watch ended without an error.
+enum WatchEnd {
+    /// Discovery closed it in good order.
+    Closed,
+    /// Discovery is at another address now.
+    SourceMoved,
+}
+
+/// How a watch failed.
+#[derive(Debug, thiserror::Error)]
+enum WatchFailure {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Protocol(#[from] WatchError),
+}
+
+/// Follows discovery and passes its endpoint lists on to the coordinator.
+pub struct Watcher {
+    /// The discovery service to follow.
+    pub source: DiscoverySource,
+    /// The last revision that is known; 0 requests the complete list.
+    pub revision: u64,
+    /// Where endpoint lists go.
+    pub inbox: Sender<Input>,
+    /// The time base of the lists.
+    pub clock: Clock,
+    /// Set once discovery has sent a list.
+    pub endpoints_listed: Arc<AtomicBool>,
+    /// The delays between two watches.
+    pub backoff: Backoff,
+}
+
+impl Watcher {
+    /// Follows discovery for as long as the program runs.
+    pub fn run(mut self) {
+        loop {
+            let revision_before = self.revision;
+            let address = self.source.address();
+            let result = self.watch_once(address);
+            if matches!(result, Ok(WatchEnd::SourceMoved)) {
+                self.backoff.reset_delay();
+                continue;
+            }
+            self.log_end(&result);
+            let list_received = self.revision != revision_before;
+            let delay = self.backoff.next_delay(list_received, self.source.max_poll_interval());
+            self.sleep_unless_moved(delay, address);
+        }
+    }
+
+    fn log_end(&self, result: &Result<WatchEnd, WatchFailure>) {
+        let revision = self.revision;
+        log_throttled(&COUNTERS.watch_disconnects, || match result {
+            Ok(_) => format!("discovery: the watch ended at version {revision}"),
+            Err(e) => format!("discovery: the watch broke at version {revision}: {e}"),
+        });
+    }
+
+    /// Waits for `delay`, but not on after discovery has moved: a reload that moves it takes effect within seconds.
+    fn sleep_unless_moved(&self, delay: Duration, address: SocketAddr) {
+        let mut remaining = delay;
+        while !remaining.is_zero() && self.source.address() == address {
+            let step = remaining.min(MOVE_CHECK_INTERVAL);
+            may::coroutine::sleep(step);
+            remaining -= step;
+        }
+    }
+
+    /// Opens one watch and follows it to its end.
+    fn watch_once(&mut self, address: SocketAddr) -> Result<WatchEnd, WatchFailure> {
+        let mut timeout = self.backoff.first_message_timeout(self.source.max_poll_interval());
+        let mut stream = self.open(address)?;
+        let mut response = WatchResponse::default();
+        let mut last_received = self.clock.now();
+        loop {
+            // The old address may go on sending for a while; that is not waited for.
+            if self.source.address() != address {
+                return Ok(WatchEnd::SourceMoved);
+            }
+            let bytes_read = match stream.read(response.reader.input.room()) {
+                Ok(0) => return Ok(WatchEnd::Closed),
+                Ok(n) => n,
+                Err(e) if is_timeout(&e) && self.clock.now().since(last_received) <= timeout => continue,
+                Err(e) => return Err(e.into()),
+            };
+            response.reader.input.filled(bytes_read);
+            last_received = self.clock.now();
+            timeout = SILENCE_TIMEOUT;
+            if self.process(&mut response, last_received)? {
+                return Ok(WatchEnd::Closed);
+            }
+        }
+    }
+
+    fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
+        stream.set_read_timeout(Some(MOVE_CHECK_INTERVAL))?;
+        let request = WatchResponse::request(&address.to_string(), self.revision);
+        stream.write_all(request.as_bytes())?;
+        Ok(stream)
+    }
+
+    /// Passes on the lists that are complete; true: the response has ended.
+    fn process(&mut self, response: &mut WatchResponse, now: Micros) -> Result<bool, WatchError> {
+        let progress = response.advance(now, unix_ms()).inspect_err(|_| {
+            COUNTERS.bad_endpoint_updates.increment();
+            // What the message contained is unknown, so later deltas would not apply: the complete list is requested.
+            self.revision = 0;
+        })?;
+        for update in progress.updates {
+            self.publish(update);
+        }
+        Ok(progress.ended)
+    }
+
+    fn publish(&mut self, list: EndpointListUpdate) {
+        // Discovery may go back to an older revision; changes since the newest one are requested.
+        self.revision = list.revision.max(self.revision);
+        let _ = self.inbox.send(Input::EndpointUpdate(list.update));
+        self.endpoints_listed.store(true, Release);
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock)
+}
