--- a/src/front/ogc/capabilities.rs
+++ b/src/front/ogc/capabilities.rs
@@ -145,7 +145,7 @@
     pub fn any_queryables<'a>(&self, keys: impl Iterator<Item = &'a ReplicaKey>) -> Option<Queryables> {
         let known = keys.filter_map(|key| self.known(key)).map(|capabilities| &capabilities.queryables);
         let declared = known.filter(|queryables| !queryables.named.is_empty()).cloned();
-        declared.reduce(|all, more| all.either(&more))
+        declared.reduce(|all, more| all.union(&more))
     }
 
     /// The capabilities that all of these servers have; `None` if those of one are unknown.
--- /dev/null
+++ b/src/front/ogc/cql2/eval/mod.rs
@@ -0,0 +1,160 @@
+//! Evaluation of a filter on a feature: true, false, or unknown (`None`) where a value is missing.
+
+mod operand;
+mod pattern;
+mod spatial;
+mod time_span;
+
+pub(super) use time_span::{parse_instant, TimeSpan};
+
+use super::geometry::parse_geojson;
+use super::{ComparisonOperator, Filter, Value};
+use geo::Geometry;
+use operand::Operand;
+use serde_json::Value as Json;
+use std::borrow::Cow;
+use std::cmp::Ordering;
+
+/// A feature as parsed GeoJSON.
+#[derive(Debug)]
+pub struct Feature<'a>(pub &'a Json);
+
+impl<'a> Feature<'a> {
+    /// The value of a name: a property, else `id`, else the geometry under its usual names. `None`: there is none, or it is
+    /// null.
+    #[must_use]
+    pub fn value(&self, name: &str) -> Option<&'a Json> {
+        let found = self.0["properties"].get(name).or_else(|| match name {
+            "id" => self.0.get("id"),
+            "geometry" | "geom" => self.0.get("geometry"),
+            _ => None,
+        });
+        found.filter(|value| !value.is_null())
+    }
+}
+
+/// Matches features against a filter.
+#[derive(Debug, Clone)]
+pub struct Matcher {
+    filter: Filter,
+}
+
+impl Matcher {
+    /// A matcher for a filter.
+    #[must_use]
+    pub fn new(filter: Filter) -> Self {
+        Matcher { filter }
+    }
+
+    /// Whether the filter is true of a feature. If it is unknown, the feature doesn't match.
+    #[must_use]
+    pub fn matches(&self, feature: &Json) -> bool {
+        evaluate(&self.filter, &Feature(feature)) == Some(true)
+    }
+
+    /// Whether the filter is true of a feature as text. What is no JSON doesn't match.
+    #[must_use]
+    pub fn matches_text(&self, feature: &[u8]) -> bool {
+        serde_json::from_slice(feature).is_ok_and(|json: Json| self.matches(&json))
+    }
+}
+
+fn evaluate(filter: &Filter, feature: &Feature<'_>) -> Option<bool> {
+    let operand = |value| Operand::evaluate(value, feature);
+    match filter {
+        Filter::And(parts) => decide(parts.iter().map(|part| evaluate(part, feature)), false),
+        Filter::Or(parts) => decide(parts.iter().map(|part| evaluate(part, feature)), true),
+        Filter::Not(part) => evaluate(part, feature).map(|truth| !truth),
+        Filter::Constant(truth) => Some(*truth),
+        Filter::Compare(operator, left, right) => {
+            let order = operand(left)?.compare(&operand(right)?)?;
+            Some(satisfies(*operator, order))
+        }
+        Filter::Like(text, pattern) => match (operand(text)?, operand(pattern)?) {
+            (Operand::Text(text), Operand::Text(pattern)) => Some(pattern::matches(&text, &pattern)),
+            _ => None,
+        },
+        Filter::Between(value, low, high) => {
+            let value = operand(value)?;
+            let above = value.compare(&operand(low)?)? != Ordering::Less;
+            Some(above && value.compare(&operand(high)?)? != Ordering::Greater)
+        }
+        Filter::In(value, items) => {
+            let value = operand(value)?;
+            decide(items.iter().map(|item| Some(value.compare(&operand(item)?)? == Ordering::Equal)), true)
+        }
+        Filter::IsNull(Value::Property(name)) => Some(feature.value(name).is_none()),
+        Filter::IsNull(value) => Some(operand(value).is_none()),
+        Filter::Test(value) => match operand(value)? {
+            Operand::Bool(truth) => Some(truth),
+            _ => None,
+        },
+        Filter::Spatial(relation, left, right) => {
+            let (left, right) = (geometry(left, feature)?, geometry(right, feature)?);
+            Some(spatial::relates(*relation, &left, &right))
+        }
+        Filter::Temporal(relation, left, right) => {
+            Some(time_span::relates(*relation, time_span(left, feature)?, time_span(right, feature)?))
+        }
+        Filter::Array(relation, left, right) => match (operand(left)?, operand(right)?) {
+            (Operand::Array(left), Operand::Array(right)) => Some(operand::relates(*relation, &left, &right)),
+            _ => None,
+        },
+    }
+}
+
+/// The truth of several conditions of which a `decisive` one decides: `false` for AND, `true` for OR. Unknown if none
+/// decides and one is unknown.
+fn decide(conditions: impl Iterator<Item = Option<bool>>, decisive: bool) -> Option<bool> {
+    let mut unknown = false;
+    for condition in conditions {
+        match condition {
+            Some(truth) if truth == decisive => return Some(decisive),
+            Some(_) => {}
+            None => unknown = true,
+        }
+    }
+    (!unknown).then_some(!decisive)
+}
+
+/// Whether the order of two values satisfies a comparison.
+fn satisfies(operator: ComparisonOperator, order: Ordering) -> bool {
+    match operator {
+        ComparisonOperator::Equal => order == Ordering::Equal,
+        ComparisonOperator::NotEqual => order != Ordering::Equal,
+        ComparisonOperator::Less => order == Ordering::Less,
+        ComparisonOperator::LessEqual => order != Ordering::Greater,
+        ComparisonOperator::Greater => order == Ordering::Greater,
+        ComparisonOperator::GreaterEqual => order != Ordering::Less,
+    }
+}
+
+/// The geometry of an operand; `None`: it is unknown.
+fn geometry<'a>(value: &'a Value, feature: &Feature<'_>) -> Option<Cow<'a, Geometry<f64>>> {
+    match value {
+        Value::Geometry(geometry) => Some(Cow::Borrowed(geometry)),
+        Value::Property(name) => parse_geojson(feature.value(name)?).ok().map(Cow::Owned),
+        Value::Bbox(bbox) => Some(Cow::Owned(spatial::bbox_geometry(bbox))),
+        _ => None,
+    }
+}
+
+/// The span of an operand; `None`: it is unknown, or ends before it begins.
+fn time_span(value: &Value, feature: &Feature<'_>) -> Option<TimeSpan> {
+    match value {
+        Value::Date(text) | Value::Timestamp(text) => parse_instant(text),
+        Value::Property(name) => parse_instant(feature.value(name)?.as_str()?),
+        Value::Interval(from, to) => {
+            let from = match from {
+                None => i128::MIN,
+                Some(from) => time_span(from, feature)?.from,
+            };
+            let to = match to {
+                None => i128::MAX,
+                Some(to) => time_span(to, feature)?.to,
+            };
+            (from <= to).then_some(TimeSpan { from, to })
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/front/ogc/cql2/eval/pattern.rs
@@ -0,0 +1,69 @@
+//! Patterns of `LIKE`.
+
+/// A piece of a pattern.
+#[derive(PartialEq)]
+enum Piece {
+    /// `%`: any text, also none.
+    AnyText,
+    /// `_`: one character.
+    AnyCharacter,
+    /// A character of the text.
+    Character(char),
+}
+
+/// Where to continue when a character doesn't match: the last `%` then takes one more.
+#[derive(Clone, Copy)]
+struct Backtrack {
+    /// Index of the `%` among the pieces.
+    piece: usize,
+    /// Index of the first character after what the `%` takes.
+    character: usize,
+}
+
+/// Whether a text matches a pattern, in which `%` is any text, `_` is one character, and a backslash escapes the next
+/// character. Greedy with one point to backtrack to: at most the text's length times the pattern's steps.
+pub(super) fn matches(text: &str, pattern: &str) -> bool {
+    let pieces = parse(pattern);
+    let text: Vec<char> = text.chars().collect();
+    let (mut character, mut piece) = (0, 0);
+    let mut backtrack: Option<Backtrack> = None;
+    while character < text.len() {
+        match pieces.get(piece) {
+            Some(Piece::AnyText) => {
+                backtrack = Some(Backtrack { piece, character });
+                piece += 1;
+                continue;
+            }
+            Some(Piece::AnyCharacter) => {
+                character += 1;
+                piece += 1;
+                continue;
+            }
+            Some(Piece::Character(expected)) if *expected == text[character] => {
+                character += 1;
+                piece += 1;
+                continue;
+            }
+            _ => {}
+        }
+        let Some(last) = backtrack else { return false };
+        character = last.character + 1;
+        piece = last.piece + 1;
+        backtrack = Some(Backtrack { piece: last.piece, character });
+    }
+    pieces[piece..].iter().all(|piece| *piece == Piece::AnyText)
+}
+
+fn parse(pattern: &str) -> Vec<Piece> {
+    let mut pieces = Vec::new();
+    let mut characters = pattern.chars();
+    while let Some(character) = characters.next() {
+        pieces.push(match character {
+            '%' => Piece::AnyText,
+            '_' => Piece::AnyCharacter,
+            '\\' => Piece::Character(characters.next().unwrap_or('\\')),
+            other => Piece::Character(other),
+        });
+    }
+    pieces
+}
--- a/src/front/ogc/cql2/json.rs
+++ b/src/front/ogc/cql2/json.rs
@@ -1,7 +1,7 @@
 //! CQL2 JSON: read and written after the standard's schema (OGC 21-065r2, clause 7 and annex B).
 
 use super::geometry::{parse_geojson, to_geojson};
-use super::text::flat;
+use super::text::{flatten, Junction};
 use super::{
     fault, ArithmeticOperator, ArrayRelation, ComparisonOperator, Filter, FilterError, SpatialRelation,
     TemporalRelation, Value, MAX_DEPTH,
@@ -51,8 +51,10 @@
             return fault(format!("{op} needs two args or more"));
         }
         let parts: Vec<_> = list.iter().map(|a| filter(a, depth + 1)).collect::<Read<_>>()?;
-        let parts = flat(parts, op == "and");
-        return Ok(if op == "and" { Filter::And(parts) } else { Filter::Or(parts) });
+        return Ok(match op {
+            "and" => Filter::And(flatten(parts, Junction::And)),
+            _ => Filter::Or(flatten(parts, Junction::Or)),
+        });
     }
     if op == "not" {
         let [inner] = args::<1>(op, list)?;
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -3,20 +3,23 @@
 //! It owns the tree, its bounds, its check against queryables, its evaluation on a feature, and the decision what of it a
 //! server is asked. Nothing here does input or output.
 
-mod check;
+mod conformance;
 mod eval;
 mod geometry;
 mod json;
 mod print;
-mod split;
+mod pushdown;
+mod queryables;
 mod text;
+mod validation;
 
-pub use check::{check, QueryableType, Queryables};
 pub use eval::{Feature, Matcher};
 pub use geometry::{envelope, parse_geojson};
 pub use json::{from_json, parse_json, to_json};
-pub use split::{split, Capabilities, FilterSplit};
-pub use text::{flat, parse_text};
+pub use pushdown::{split, Capabilities, FilterSplit};
+pub use queryables::{QueryableType, Queryables};
+pub use text::{flatten, parse_text, Junction};
+pub use validation::check;
 
 use geo::Geometry;
 
--- a/src/front/ogc/cql2/tests.rs
+++ b/src/front/ogc/cql2/tests.rs
@@ -189,8 +189,11 @@
     assert_eq!(Queryables::from_schema(&json!([])), None);
     let fewer =
         Queryables { named: BTreeMap::from([("volts".to_owned(), QueryableType::Text)]), open: false };
-    assert_eq!(queryables().both(&fewer).named, BTreeMap::from([("volts".to_owned(), QueryableType::Any)]));
-    assert_eq!(Queryables::unknown().both(&fewer), fewer);
+    assert_eq!(
+        queryables().intersection(&fewer).named,
+        BTreeMap::from([("volts".to_owned(), QueryableType::Any)])
+    );
+    assert_eq!(Queryables::unknown().intersection(&fewer), fewer);
 }
 
 fn able(classes: &[&str]) -> Capabilities {
@@ -233,7 +236,7 @@
 fn value() -> impl Strategy<Value = Value> {
     let plain = prop_oneof![
         "[a-zA-Z_ .%é-]{1,8}".prop_map(Value::Property),
-        any::<String>().prop_filter("sayable", |t| split::sayable(t)).prop_map(Value::Text),
+        any::<String>().prop_filter("printable", |t| pushdown::is_printable(t)).prop_map(Value::Text),
         prop_oneof![-1e6..1e6_f64, any::<i32>().prop_map(f64::from), Just(1e300), Just(-5e-324)]
             .prop_map(Value::Number),
         any::<bool>().prop_map(Value::Bool),
@@ -300,8 +303,8 @@
     leaf.prop_recursive(3, 16, 3, |inner| {
         let many = proptest::collection::vec(inner.clone(), 2..4);
         prop_oneof![
-            many.clone().prop_map(|p| Filter::And(text::flat(p, true))),
-            many.prop_map(|p| Filter::Or(text::flat(p, false))),
+            many.clone().prop_map(|p| Filter::And(flatten(p, Junction::And))),
+            many.prop_map(|p| Filter::Or(flatten(p, Junction::Or))),
             inner.prop_map(|f| Filter::Not(Box::new(f))),
         ]
     })
--- a/src/front/ogc/cql2/text.rs
+++ b/src/front/ogc/cql2/text.rs
@@ -88,20 +88,30 @@
 fn filter(input: &mut Input<'_>) -> Parsed<Filter> {
     deeper(|input| {
         let mut parts: Vec<Filter> = separated(1.., term, word("OR")).parse_next(input)?;
-        Ok(if parts.len() == 1 { parts.swap_remove(0) } else { Filter::Or(flat(parts, false)) })
+        Ok(if parts.len() == 1 { parts.swap_remove(0) } else { Filter::Or(flatten(parts, Junction::Or)) })
     })(input)
 }
 
 fn term(input: &mut Input<'_>) -> Parsed<Filter> {
     let mut parts: Vec<Filter> = separated(1.., factor, word("AND")).parse_next(input)?;
-    Ok(if parts.len() == 1 { parts.swap_remove(0) } else { Filter::And(flat(parts, true)) })
+    Ok(if parts.len() == 1 { parts.swap_remove(0) } else { Filter::And(flatten(parts, Junction::And)) })
 }
 
-/// One list of parts that are joined alike, however they were put in brackets.
-pub fn flat(parts: Vec<Filter>, and: bool) -> Vec<Filter> {
+/// How conditions are joined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Junction {
+    /// Each has to be true.
+    And,
+    /// One has to be true.
+    Or,
+}
+
+/// Flattens nested conditions that are joined alike into one list, however they were put in brackets.
+#[must_use]
+pub fn flatten(parts: Vec<Filter>, junction: Junction) -> Vec<Filter> {
     let inner = |part| match part {
-        Filter::And(inner) if and => inner,
-        Filter::Or(inner) if !and => inner,
+        Filter::And(inner) if junction == Junction::And => inner,
+        Filter::Or(inner) if junction == Junction::Or => inner,
         part => vec![part],
     };
     parts.into_iter().flat_map(inner).collect()
--- /dev/null
+++ b/src/front/ogc/cql2/validation.rs
@@ -0,0 +1,192 @@
+//! The check of a filter against the queryables of a collection: its names must be known and its operands must fit.
+
+use super::eval::{parse_instant, TimeSpan};
+use super::{fault, Filter, FilterError, QueryableType, Queryables, TemporalRelation, Value};
+
+/// Checks that a filter can be asked of features with these queryables.
+///
+/// # Errors
+/// A name is unknown, or an operand is malformed or has a type that its operator doesn't take.
+pub fn check(filter: &Filter, queryables: &Queryables) -> Result<(), FilterError> {
+    let checker = Checker { queryables };
+    checker.check(filter)
+}
+
+/// Checks filters against queryables.
+#[derive(Clone, Copy)]
+struct Checker<'a> {
+    queryables: &'a Queryables,
+}
+
+impl Checker<'_> {
+    fn check(self, filter: &Filter) -> Result<(), FilterError> {
+        match filter {
+            Filter::And(parts) | Filter::Or(parts) => parts.iter().try_for_each(|part| self.check(part)),
+            Filter::Not(part) => self.check(part),
+            Filter::Constant(_) => Ok(()),
+            Filter::Compare(_, left, right) => self.check_comparable(left, self.type_of(left)?, right),
+            Filter::Like(text, pattern) => self.check_like(text, pattern),
+            Filter::Between(value, low, high) => self.check_between(value, [low, high]),
+            Filter::In(value, list) => {
+                let value_type = self.type_of(value)?;
+                list.iter().try_for_each(|item| self.check_comparable(value, value_type, item))
+            }
+            Filter::IsNull(value) => self.check_property(value).map(drop),
+            Filter::Test(value) => match self.check_property(value)? {
+                QueryableType::Bool | QueryableType::Any => Ok(()),
+                _ => fault(format!("{value} is neither true nor false")),
+            },
+            Filter::Spatial(_, left, right) => {
+                self.check_type(left, QueryableType::Geometry, "geometry")?;
+                self.check_type(right, QueryableType::Geometry, "geometry")
+            }
+            Filter::Temporal(relation, left, right) => self.check_temporal(*relation, left, right),
+            Filter::Array(_, left, right) => {
+                self.check_type(left, QueryableType::Array, "array")?;
+                self.check_type(right, QueryableType::Array, "array")
+            }
+        }
+    }
+
+    /// Checks that a value has a type or may have it; `name` is the type's name in the message.
+    fn check_type(self, value: &Value, expected: QueryableType, name: &str) -> Result<(), FilterError> {
+        let found = self.type_of(value)?;
+        if found == expected || found == QueryableType::Any {
+            Ok(())
+        } else {
+            fault(format!("{value} is no {name}"))
+        }
+    }
+
+    /// Checks that two values can be compared, the left one of a type that is known already.
+    fn check_comparable(
+        self,
+        left: &Value,
+        left_type: QueryableType,
+        right: &Value,
+    ) -> Result<(), FilterError> {
+        let right_type = self.type_of(right)?;
+        if !is_scalar(left_type) || !is_scalar(right_type) {
+            return fault(format!("{left} and {right} cannot be compared so"));
+        }
+        // A time may be written as text.
+        let time_as_text = matches!(
+            (left_type, right_type),
+            (QueryableType::Time, QueryableType::Text) | (QueryableType::Text, QueryableType::Time)
+        );
+        let any = left_type == QueryableType::Any || right_type == QueryableType::Any;
+        if left_type == right_type || any || time_as_text {
+            return Ok(());
+        }
+        fault(format!("{left} and {right} are of different kinds"))
+    }
+
+    fn check_like(self, text: &Value, pattern: &Value) -> Result<(), FilterError> {
+        self.check_type(text, QueryableType::Text, "text")?;
+        if !matches!(pattern, Value::Text(_) | Value::Casei(_) | Value::Accenti(_)) {
+            return fault(format!("{pattern} is no pattern"));
+        }
+        self.check_type(pattern, QueryableType::Text, "text")
+    }
+
+    fn check_between(self, value: &Value, bounds: [&Value; 2]) -> Result<(), FilterError> {
+        let value_type = self.type_of(value)?;
+        if !matches!(value_type, QueryableType::Number | QueryableType::Time | QueryableType::Any) {
+            return fault(format!("{value} is neither a number nor a time"));
+        }
+        bounds.into_iter().try_for_each(|bound| self.check_comparable(value, value_type, bound))
+    }
+
+    /// Checks that a value is a property, and returns its type.
+    fn check_property(self, value: &Value) -> Result<QueryableType, FilterError> {
+        match value {
+            Value::Property(_) => self.type_of(value),
+            _ => fault(format!("{value} is no property")),
+        }
+    }
+
+    fn check_temporal(
+        self,
+        relation: TemporalRelation,
+        left: &Value,
+        right: &Value,
+    ) -> Result<(), FilterError> {
+        self.check_type(left, QueryableType::Time, "time")?;
+        self.check_type(right, QueryableType::Time, "time")?;
+        let is_instant = |value: &&Value| matches!(value, Value::Date(_) | Value::Timestamp(_));
+        match [left, right].into_iter().find(is_instant) {
+            // A date is an interval of a day.
+            Some(instant @ Value::Timestamp(_)) if !relation.takes_instants() => {
+                fault(format!("{} needs two intervals; {instant} is none", relation.text()))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The type of a value, whose own operands are checked too.
+    fn type_of(self, value: &Value) -> Result<QueryableType, FilterError> {
+        match value {
+            Value::Property(name) => self.queryables.type_of(name),
+            Value::Text(_) => Ok(QueryableType::Text),
+            Value::Number(_) => Ok(QueryableType::Number),
+            Value::Bool(_) => Ok(QueryableType::Bool),
+            Value::Date(text) => date(text),
+            Value::Timestamp(text) => timestamp(text),
+            Value::Interval(from, to) => self.interval(from.as_deref(), to.as_deref()),
+            Value::Geometry(_) | Value::Bbox(_) => Ok(QueryableType::Geometry),
+            Value::Array(items) => {
+                items.iter().try_for_each(|item| self.type_of(item).map(drop))?;
+                Ok(QueryableType::Array)
+            }
+            Value::Arithmetic(_, left, right) => {
+                self.check_type(left, QueryableType::Number, "number")?;
+                self.check_type(right, QueryableType::Number, "number")?;
+                Ok(QueryableType::Number)
+            }
+            Value::Casei(text) | Value::Accenti(text) => {
+                self.check_type(text, QueryableType::Text, "text")?;
+                Ok(QueryableType::Text)
+            }
+        }
+    }
+
+    /// Checks the ends of an interval; an absent one is open.
+    fn interval(self, from: Option<&Value>, to: Option<&Value>) -> Result<QueryableType, FilterError> {
+        for end in from.into_iter().chain(to) {
+            self.check_type(end, QueryableType::Time, "time")?;
+        }
+        let from = from.and_then(constant_time);
+        let to = to.and_then(constant_time);
+        if from.zip(to).is_some_and(|(from, to)| from.from > to.to) {
+            return fault("an interval ends before it begins");
+        }
+        Ok(QueryableType::Time)
+    }
+}
+
+/// Whether values of a type can be compared by order or equality.
+fn is_scalar(queryable_type: QueryableType) -> bool {
+    !matches!(queryable_type, QueryableType::Geometry | QueryableType::Array)
+}
+
+/// The time of a date or a timestamp; `None`: it is known with a feature only.
+fn constant_time(value: &Value) -> Option<TimeSpan> {
+    match value {
+        Value::Date(text) | Value::Timestamp(text) => parse_instant(text),
+        _ => None,
+    }
+}
+
+fn date(text: &str) -> Result<QueryableType, FilterError> {
+    match parse_instant(text) {
+        Some(span) if !span.is_instant() => Ok(QueryableType::Time),
+        _ => fault(format!("{text:?} is no date")),
+    }
+}
+
+fn timestamp(text: &str) -> Result<QueryableType, FilterError> {
+    match parse_instant(text) {
+        Some(span) if span.is_instant() => Ok(QueryableType::Time),
+        _ => fault(format!("{text:?} is no timestamp")),
+    }
+}
--- a/src/front/ogc/shard_plan.rs
+++ b/src/front/ogc/shard_plan.rs
@@ -1,6 +1,6 @@
 //! How each shard of a query is asked: what of the filter and the order its servers evaluate, and what is evaluated here.
 
-use super::cql2::{flat, split, Capabilities, ComparisonOperator, Filter, Matcher, Value};
+use super::cql2::{flatten, split, Capabilities, ComparisonOperator, Filter, Junction, Matcher, Value};
 use super::page_request::FeaturePredicate;
 use super::paging::SortKey;
 use super::params::Params;
@@ -156,7 +156,7 @@
     let mut alternatives: Vec<Filter> = alternatives.collect();
     Some(match alternatives.len() {
         1 => alternatives.swap_remove(0),
-        _ => Filter::Or(flat(alternatives, false)),
+        _ => Filter::Or(flatten(alternatives, Junction::Or)),
     })
 }
 
