--- a/src/front/ogc/admission.rs
+++ b/src/front/ogc/admission.rs
@@ -63,7 +63,7 @@
             Micros::from_millis(edge.classes[client.class].latency_objective_ms).min(client.timeout);
         let admitted = state.admission().admit(cost, objective, state.server_capacity.rate());
         let bytes = admitted.map_err(|refusal| {
-            COUNTERS.over_cost.add();
+            COUNTERS.rejected_over_cost.increment();
             ApiError::Overloaded { retry_after: Some(refusal.come_back) }
         })?;
         Ok(Self::new(state, cost, bytes))
--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,7 +1,7 @@
 //! Which collections there are, which shards each consists of, and which servers hold each shard.
 
 use super::inventory::{CollectionShard, Server};
-use crate::coordinator::{EndpointUpdate, Node};
+use crate::coordinator::{EndpointUpdate, NodeEndpoint};
 use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -101,20 +101,20 @@
             self.servers_by_address.insert(server.address.to_string(), entry);
             let started = self.started(server, now);
             history.insert(server.name.clone(), ServerHistory { state: server.state, started });
-            nodes.push(Node {
+            nodes.push(NodeEndpoint {
                 name: server.name.as_str().into(),
                 address: server.address.to_string().into(),
                 zone: 0,
                 cell: 0,
                 shards: Some(shards),
                 state: server.state,
-                started,
+                started_at: started,
             });
         }
         self.sort_live_shards();
         self.history = history;
         self.loaded = true;
-        EndpointUpdate { kind: EndpointListKind::Full, version: None, nodes }
+        EndpointUpdate { kind: EndpointListKind::Full, version: None, endpoints: nodes }
     }
 
     /// Drops what only the previous inventory said, and the identifiers of servers that `servers` doesn't name.
--- a/src/front/ogc/paging/concat_merge.rs
+++ b/src/front/ogc/paging/concat_merge.rs
@@ -9,7 +9,7 @@
 mod shard_state;
 
 use super::page::{FeaturePage, FetchedPage, PageLocation, PageSlice, ResumePosition};
-use crate::coordinator::invariant;
+use crate::coordinator::check_invariant;
 use shard_state::{RequestedPage, ShardState};
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
@@ -285,7 +285,7 @@
             end += 1;
         }
         self.append_slice(page, slice_start, end);
-        invariant(self.count <= self.limits.limit, "an answer beyond its limit");
+        check_invariant(self.count <= self.limits.limit, "an answer beyond its limit");
         Appended { end, new_features: self.count - count_before }
     }
 
--- a/src/front/ogc/query/mod.rs
+++ b/src/front/ogc/query/mod.rs
@@ -132,8 +132,8 @@
         match answer {
             Answer::Served { parts, .. } => {
                 for InFlightFetch { fetch, request } in in_flight {
-                    let part = parts.iter().find(|(shard, _)| *shard == request.shard);
-                    let page = part.and_then(|(_, value)| request.request.page(value));
+                    let part = parts.iter().find(|part| part.shard == request.shard);
+                    let page = part.and_then(|part| request.request.page(&part.value));
                     if let Some(page) = &page {
                         let mut admission = self.state.admission();
                         admission.page(page.body.len(), page.returned_count, fetch.page_size);
--- a/src/front/platform/response.rs
+++ b/src/front/platform/response.rs
@@ -27,7 +27,7 @@
     match answer {
         Answer::Served { complete, parts } => {
             let piece = |shard: u32, value| Piece { tablet: shard, cell: String::from_utf8_lossy(value) };
-            let pieces = parts.iter().map(|(shard, value)| piece(shard.0, value)).collect();
+            let pieces = parts.iter().map(|part| piece(part.shard.0, &part.value)).collect();
             match serde_json::to_vec(&Served { full: complete, pieces }) {
                 Ok(body) => Response::new(200, JSON, body),
                 Err(error) => Response::new(500, TEXT, format!("{error}\n")),
