--- a/src/coordinator/classes.rs
+++ b/src/coordinator/classes.rs
@@ -42,7 +42,7 @@
 
     /// The number of the class in force of this name.
     pub(super) fn find(&self, name: &str) -> Option<ClassId> {
-        let index = self.slots.iter().position(|slot| slot.class.in_force && slot.class.name == name)?;
+        let index = self.slots.iter().position(|slot| slot.class.active && slot.class.name == name)?;
         Some(class_id(index))
     }
 
@@ -103,10 +103,10 @@
     /// Takes all classes out of force but those that the reload leaves unchanged.
     fn keep_in_force(&mut self, reloaded: &[ReloadedClass<'_>]) {
         for slot in &mut self.slots {
-            slot.class.in_force = false;
+            slot.class.active = false;
         }
         for id in reloaded.iter().filter(|class| class.unchanged).filter_map(|class| class.current) {
-            self.slots[usize::from(id.0)].class.in_force = true;
+            self.slots[usize::from(id.0)].class.active = true;
         }
     }
 
@@ -115,12 +115,12 @@
     }
 
     fn free_slot(&self) -> Option<usize> {
-        self.slots.iter().position(|slot| !slot.class.in_force && slot.users == 0)
+        self.slots.iter().position(|slot| !slot.class.active && slot.users == 0)
     }
 }
 
 fn in_force(class: &Class) -> Class {
-    Class { in_force: true, ..class.clone() }
+    Class { active: true, ..class.clone() }
 }
 
 fn class_id(index: usize) -> ClassId {
