--- a/src/net/feature_client/driver.rs
+++ b/src/net/feature_client/driver.rs
@@ -123,10 +123,10 @@
         let retry_after = if overloaded { retry_after(&response) } else { None };
         // The server is named by its address: further pages are requested there by that name.
         let host = self.request.address.to_string();
-        let end = self.request.page_request.judge(&host, &host, response);
+        let end = self.request.page_request.interpret(&host, &host, response);
         let limit_outcome = match &end {
             AttemptEnd::Served(value) => {
-                Ended::Well(self.request.page_request.page(value).map_or(0, |page| page.given))
+                Ended::Well(self.request.page_request.page(value).map_or(0, |page| page.returned_count))
             }
             AttemptEnd::Failed(_) if overloaded => Ended::Overload,
             AttemptEnd::Failed(_) => Ended::Otherwise,
--- a/src/net/feature_client/request.rs
+++ b/src/net/feature_client/request.rs
@@ -1,7 +1,7 @@
 //! One attempt at a feature server before and while it runs.
 
 use crate::coordinator::{AttemptKey, ClassMetrics};
-use crate::front::ogc::visit::Visit;
+use crate::front::ogc::page_request::PageRequest;
 use crate::interface::ReplicaId;
 use crate::proto::fetch::Fetch;
 use crate::sync::lock;
@@ -47,7 +47,7 @@
     pub(super) replica: ReplicaId,
     pub(super) address: SocketAddr,
     pub(super) fetch: Fetch,
-    pub(super) page_request: Arc<Visit>,
+    pub(super) page_request: Arc<PageRequest>,
     pub(super) cancellation: Arc<Cancellation>,
     /// Where the attempt is counted once it is written.
     pub(super) metrics: Arc<ClassMetrics>,
--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the server's startup and of a reload.
 
-use crate::front::ogc::config::EdgeError;
+use crate::front::ogc::config::EdgeConfigError;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -48,5 +48,5 @@
     Configuration(#[source] Box<dyn Error + Send + Sync>),
     /// The inventory of feature servers cannot be used.
     #[error("the inventory stays as it was: {0}")]
-    Inventory(#[source] EdgeError),
+    Inventory(#[source] EdgeConfigError),
 }
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -16,7 +16,7 @@
 use super::config::Config;
 use super::handover::{self, ListeningSocket};
 use crate::coordinator::{Metrics, COUNTERS};
-use crate::front::ogc::config::Edge;
+use crate::front::ogc::config::EdgeConfig;
 use crate::time::Clock;
 use generations::ProcessGenerations;
 use listeners::{Listener, SharedListener};
@@ -31,7 +31,7 @@
 ///
 /// # Errors
 /// A service cannot be started, or its coordinator panicked.
-pub fn run(platform: Option<Config>, edge: Option<Edge>) -> Result<(), ServerError> {
+pub fn run(platform: Option<Config>, edge: Option<EdgeConfig>) -> Result<(), ServerError> {
     // A coordinator has one core; and the worker is not pinned to one, since other processes may share it.
     may::config().set_workers(1).set_worker_pin(false);
     let clock = Clock::start();
@@ -70,11 +70,11 @@
 }
 
 /// One endpoint serves the whole process; the platform's address takes precedence.
-fn admin_config(platform: Option<&Config>, edge: Option<&Edge>) -> Option<AdminConfig> {
+fn admin_config(platform: Option<&Config>, edge: Option<&EdgeConfig>) -> Option<AdminConfig> {
     let of_platform = platform
         .and_then(|config| Some(AdminConfig { address: config.mgmt?, max_descriptors: config.sockets }));
     of_platform.or_else(|| {
-        edge.and_then(|edge| Some(AdminConfig { address: edge.mgmt?, max_descriptors: edge.sockets }))
+        edge.and_then(|edge| Some(AdminConfig { address: edge.mgmt?, max_descriptors: edge.max_descriptors }))
     })
 }
 
@@ -88,7 +88,7 @@
 }
 
 /// Takes the listening sockets over from a predecessor, if there is one.
-fn take_over(platform: Option<&Config>, edge: Option<&Edge>) -> Inheritance {
+fn take_over(platform: Option<&Config>, edge: Option<&EdgeConfig>) -> Inheritance {
     let address = platform.map(|config| config.listen).or(edge.map(|edge| edge.listen));
     let path = address.and_then(handover::socket_path);
     let (sockets, predecessor) = match path.as_deref().and_then(handover::take_over) {
@@ -101,7 +101,7 @@
 /// Builds the services that are configured. They share the descriptors and the memory of the process.
 fn build_services(
     platform: Option<Config>,
-    edge: Option<Edge>,
+    edge: Option<EdgeConfig>,
     process: &ProcessContext,
     metrics: &Arc<Metrics>,
 ) -> Result<Vec<Service>, ServerError> {
