--- a/fuzz/fuzz_targets/head.rs
+++ b/fuzz/fuzz_targets/head.rs
@@ -1,14 +1,14 @@
 //! Any bytes on a connection are requests or one error, and after an error nothing more is said.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
-use quinceflow::proto::http::{Response, Server};
+use quinceflow::proto::http::{Response, ServerConnection};
 
 fuzz_target!(|bytes: &[u8]| {
-    let mut server = Server::default();
-    server.input().feed(bytes);
-    server.end();
+    let mut server = ServerConnection::default();
+    server.input().extend(bytes);
+    server.end_of_input();
     let mut errors = 0;
-    while let Some(polled) = server.poll() {
+    while let Some(polled) = server.next_request() {
         match polled {
             Ok(_) => server.respond(Response::new(200, "", "x"), false),
             Err(e) => {
@@ -17,7 +17,7 @@
             }
         }
         let n = server.output().len();
-        server.wrote(n);
+        server.advance_output(n);
     }
     assert!(errors <= 1);
 });
--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -12,7 +12,7 @@
 use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
 use quinceflow::proto::fetch::Fetched;
-use quinceflow::proto::http::Server;
+use quinceflow::proto::http::ServerConnection;
 use quinceflow::time::Micros;
 use quinceflow_testkit::features::devices;
 use std::sync::Arc;
@@ -111,11 +111,11 @@
     let front = Ogc::new(edge, catalog, Key::new(b"k"), Arc::default(), Arc::default());
     let body = body(500);
     bencher.bench(|| {
-        let mut server = Server::default();
+        let mut server = ServerConnection::default();
         server
             .input()
-            .feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
-        let request = server.poll().expect("whole").expect("well formed");
+            .extend(format!("GET /collections/devices/items?{query} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
+        let request = server.next_request().expect("whole").expect("well formed");
         let mut reaction = front.handle(request, Token(1), Micros::ZERO, true);
         loop {
             match reaction {
--- a/src/bin/quinceflow-sim-adapter/host.rs
+++ b/src/bin/quinceflow-sim-adapter/host.rs
@@ -29,7 +29,7 @@
                     self.pools.insert(sheet, members);
                 }
                 Record::New { seed, boot_info } => {
-                    let set = settings::read(&boot_info)
+                    let set = settings::parse_policy_settings(&boot_info)
                         .map_err(|e| Malformed(format!("batch {}: boot-info: {e}", batch.number)))?;
                     self.instances.insert(here()?, DecisionPolicy::new(set, seed, batch.now));
                     inboxes.insert(here()?, Vec::new());
--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -7,7 +7,7 @@
 use clap::{Parser, Subcommand};
 use quinceflow::front::ogc::check;
 use quinceflow::front::ogc::config::Edge;
-use quinceflow::log::{self, LogForm};
+use quinceflow::log::{self, LogFormat};
 use quinceflow::net::{config::Config, server};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -21,7 +21,7 @@
     edge: Option<PathBuf>,
     /// How the log on standard error is written
     #[arg(long, value_enum, default_value_t, value_name = "FORM")]
-    log: LogForm,
+    log: LogFormat,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -40,7 +40,7 @@
     if let Some(Command::Check { file }) = arguments.command {
         return told(&check::edge_file(&file));
     }
-    log::start(arguments.log);
+    log::init(arguments.log);
     match serve(arguments.edge) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
--- a/src/front/ogc/config.rs
+++ b/src/front/ogc/config.rs
@@ -3,7 +3,7 @@
 use super::cql2::{Kind, Queryables};
 use super::inventory::{read_file, InventoryError, Server};
 use crate::interface::{Class, Effect, RetryBudget, ServiceReduction, Settings, SlowStartRule};
-use crate::limits::Rule;
+use crate::limits::LimitRule;
 use crate::time::Micros;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -356,13 +356,13 @@
     }
 
     /// How the requests under way at a server are limited.
-    pub fn limit_rule(&self) -> Rule {
+    pub fn limit_rule(&self) -> LimitRule {
         match self.limits.mode.as_str() {
-            "fixed" => Rule::Fixed(self.most_connections),
-            _ => Rule::Adaptive {
-                start: self.limits.start.min(self.most_connections),
-                least: self.limits.least.min(self.most_connections),
-                most: self.most_connections,
+            "fixed" => LimitRule::Fixed(self.most_connections),
+            _ => LimitRule::Adaptive {
+                initial: self.limits.start.min(self.most_connections),
+                min: self.limits.least.min(self.most_connections),
+                max: self.most_connections,
             },
         }
     }
--- a/src/front/ogc/deliver.rs
+++ b/src/front/ogc/deliver.rs
@@ -95,9 +95,9 @@
     use std::io::Read;
 
     fn manner(head: &str) -> Manner {
-        let mut server = crate::proto::http::Server::default();
-        server.input().feed(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes());
-        Manner::of(&server.poll().expect("whole").expect("well formed"))
+        let mut server = crate::proto::http::ServerConnection::default();
+        server.input().extend(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes());
+        Manner::of(&server.next_request().expect("whole").expect("well formed"))
     }
 
     fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
--- a/src/front/ogc/front_tests.rs
+++ b/src/front/ogc/front_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::coordinator::Answer;
-use crate::proto::http::Server;
+use crate::proto::http::ServerConnection;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -16,11 +16,11 @@
 
 /// What a connection's bytes come to: an answer, or a query that goes to the core (with the answer to one that fails).
 fn said(front: &Ogc, bytes: &[u8]) -> Option<Response> {
-    let mut server = Server::default();
-    server.allow_body(front.max_body());
-    server.input().feed(bytes);
-    server.end();
-    match server.poll()? {
+    let mut server = ServerConnection::default();
+    server.set_max_body(front.max_body());
+    server.input().extend(bytes);
+    server.end_of_input();
+    match server.next_request()? {
         Err(e) => Some(front.malformed_response(e)),
         Ok(request) => match front.handle(request, Token(1), Micros::ZERO, true) {
             Reaction::Respond(response) => Some(response),
--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -13,7 +13,7 @@
 use crate::coordinator::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
 use crate::front::{Reaction, Render};
 use crate::interface::{ShardId, TenantId};
-use crate::limits::Cost;
+use crate::limits::QueryCost;
 use crate::proto::http::Response;
 use crate::time::{unix_ms, Micros};
 use std::ops::Range;
@@ -70,11 +70,11 @@
 }
 
 /// What a query that was taken on has under way; given back when it ends, however it does.
-struct PagesTaken(Arc<Shared>, Cost);
+struct PagesTaken(Arc<Shared>, QueryCost);
 
 impl Drop for PagesTaken {
     fn drop(&mut self) {
-        self.0.admission().release(self.1);
+        self.0.admission().release_pages(self.1);
     }
 }
 
@@ -83,7 +83,7 @@
 
 impl Drop for BytesTaken {
     fn drop(&mut self) {
-        self.0.admission().freed(self.1);
+        self.0.admission().release_bytes(self.1);
     }
 }
 
@@ -324,7 +324,7 @@
                     let value = parts.iter().find(|p| p.0 == number);
                     let page = value.and_then(|v| visit.page(&v.1));
                     if let Some(page) = &page {
-                        self.shared.admission().page(page.body.len(), page.given, ask.size);
+                        self.shared.admission().record_page(page.body.len(), page.given, ask.size);
                     }
                     came.push((ask.shard, ask.size, page));
                 }
@@ -465,17 +465,17 @@
     let (edge, params) = (&shared.edge, &asked.params);
     let weight = params.filter.as_ref().map_or(0, Filter::weight);
     let ordered = (!params.sortby.is_empty()).then_some(edge.most_pages);
-    let cost = Cost::of(params.limit, edge.page_size, shards, edge.at_once, weight, ordered);
+    let cost = QueryCost::estimate(params.limit, edge.page_size, shards, edge.at_once, weight, ordered);
     let aim = Micros::from_millis(edge.classes[asker.class].aim_ms).min(asker.patience);
     let (cost, bytes) = if edge.limits.admission {
-        let admitted = shared.admission().admit(cost, aim, shared.bears.rate());
+        let admitted = shared.admission().admit(cost, aim, shared.bears.total_throughput());
         let bytes = admitted.map_err(|refusal| {
             COUNTERS.over_cost.add();
-            render::refused(Some(refusal.come_back))
+            render::refused(Some(refusal.retry_after))
         })?;
         (cost, bytes)
     } else {
-        (Cost { pages: 0.0, held: 0.0 }, 0.0)
+        (QueryCost { pages: 0.0, buffered_pages: 0.0 }, 0.0)
     };
     Ok((PagesTaken(shared.clone(), cost), Arc::new(BytesTaken(shared.clone(), bytes))))
 }
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -27,7 +27,7 @@
 use super::{Front, Reaction};
 use crate::coordinator::{ClassMetrics, Metrics, Token, COUNTERS};
 use crate::interface::ShardId;
-use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
+use crate::limits::{AdmissionController, ServerCapacity, BASE_MEMORY};
 use crate::proto::http::{HttpError, HttpRequest, Response};
 use crate::time::Micros;
 use config::Edge;
@@ -63,11 +63,11 @@
     figures: Arc<Metrics>,
     learned: Mutex<Learned>,
     bears: Arc<ServerCapacity>,
-    admission: Mutex<Admission>,
+    admission: Mutex<AdmissionController>,
 }
 
 impl Shared {
-    fn admission(&self) -> MutexGuard<'_, Admission> {
+    fn admission(&self) -> MutexGuard<'_, AdmissionController> {
         lock(&self.admission)
     }
 
@@ -112,7 +112,7 @@
     ) -> Self {
         let learned = Mutex::new(Learned::new(Micros::from_secs(edge.learned_age_s)));
         let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY);
-        let admission = Mutex::new(Admission::new((memory as f64 * ANSWERS_SHARE) as usize));
+        let admission = Mutex::new(AdmissionController::new((memory as f64 * ANSWERS_SHARE) as usize));
         Ogc { shared: Arc::new(Shared { edge, catalog, key, figures, learned, bears, admission }) }
     }
 
--- a/src/front/ogc/render.rs
+++ b/src/front/ogc/render.rs
@@ -11,7 +11,7 @@
 use super::{deliver, html};
 use crate::coordinator::{Answer, Value, COUNTERS};
 use crate::interface::ShardId;
-use crate::proto::body::{Body, Held};
+use crate::proto::body::{Body, SharedBytes};
 use crate::proto::http::Response;
 use crate::time::Micros;
 use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
@@ -443,7 +443,7 @@
             }
             continue;
         }
-        let held: Held = Arc::new(Bytes(page.clone(), ready.bytes.clone()));
+        let held: SharedBytes = Arc::new(Bytes(page.clone(), ready.bytes.clone()));
         // Between two features that follow each other in the page there is a comma and nothing else that counts.
         let joined = |a: &std::ops::Range<usize>, b: &std::ops::Range<usize>| {
             let between = &page.body[a.end..b.start];
@@ -454,7 +454,7 @@
                 body.push(b",");
             }
             let (from, to) = (stretch.first().map_or(0, |f| f.start), stretch.last().map_or(0, |f| f.end));
-            body.push_held(held.clone(), from..to);
+            body.push_shared(held.clone(), from..to);
         }
     }
     body.push(b"],");
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -27,17 +27,17 @@
 
 /// What a query costs.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Cost {
+pub struct QueryCost {
     /// Pages, with the work that is done here on them.
     pub pages: f64,
     /// Pages whose bytes its answer will hold.
-    pub held: f64,
+    pub buffered_pages: f64,
 }
 
-impl Cost {
+impl QueryCost {
     /// Of a query for at most `limit` features in pages of `page`, over `shards` of which `at_once` are asked first. `weight`:
     /// of its filter, where that is evaluated here; `ordered`: all of it is read for an order, at most `most` pages.
-    pub fn of(
+    pub fn estimate(
         limit: usize,
         page: usize,
         shards: usize,
@@ -52,36 +52,36 @@
             Some(most) => (shards as f64 * held).max((most as f64).sqrt()),
             None => held + looks,
         };
-        Cost { pages: pages * (1.0 + weight as f64 / 50.0), held }
+        QueryCost { pages: pages * (1.0 + weight as f64 / 50.0), buffered_pages: held }
     }
 }
 
 /// Why a query is not taken on.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Refusal {
+pub struct Rejection {
     /// When asking again is worth while.
-    pub come_back: Micros,
+    pub retry_after: Micros,
     /// For want of memory, and not of time.
     pub memory: bool,
 }
 
 /// What is under way.
 #[derive(Debug)]
-pub struct Admission {
+pub struct AdmissionController {
     pages: f64,
     bytes: f64,
     most_bytes: f64,
     page_bytes: f64,
 }
 
-impl Admission {
+impl AdmissionController {
     /// Nothing yet; answers may hold so many bytes.
     pub fn new(most_bytes: usize) -> Self {
-        Admission { pages: 0.0, bytes: 0.0, most_bytes: most_bytes as f64, page_bytes: FIRST_PAGE }
+        AdmissionController { pages: 0.0, bytes: 0.0, most_bytes: most_bytes as f64, page_bytes: FIRST_PAGE }
     }
 
     /// A page came of so many bytes, asked for with room for `size` features of which it had `given`.
-    pub fn page(&mut self, bytes: usize, given: usize, size: usize) {
+    pub fn record_page(&mut self, bytes: usize, given: usize, size: usize) {
         // What a full one would have.
         let full = bytes as f64 * size.max(1) as f64 / given.max(1) as f64;
         if given > 0 {
@@ -90,13 +90,13 @@
     }
 
     /// Takes a query on, wanted within `aim`, at servers that together do `rate` pages a second: how many bytes are set
-    /// aside for it. Give both back with [`Admission::release`].
-    pub fn admit(&mut self, cost: Cost, aim: Micros, rate: Option<f64>) -> Result<f64, Refusal> {
-        let bytes = cost.held * self.page_bytes;
+    /// aside for it. Give both back with [`AdmissionController::release`].
+    pub fn admit(&mut self, cost: QueryCost, aim: Micros, rate: Option<f64>) -> Result<f64, Rejection> {
+        let bytes = cost.buffered_pages * self.page_bytes;
         let cheap = cost.pages <= CHEAP;
         let room = self.most_bytes * if cheap { 1.0 } else { DEAR_MEMORY };
         if self.bytes > 0.0 && self.bytes + bytes > room {
-            return Err(Refusal { come_back: RETRY.0 + Micros(aim.0 / 2), memory: true });
+            return Err(Rejection { retry_after: RETRY.0 + Micros(aim.0 / 2), memory: true });
         }
         let ahead = self.pages + cost.pages;
         let wait = match rate {
@@ -109,7 +109,7 @@
         // A dear query alone is taken however long it takes: nobody waits behind it yet.
         if !taken && self.pages >= 1.0 {
             let over = Micros((wait - allowed).max(0.0) as u64);
-            return Err(Refusal { come_back: over.max(RETRY.0).min(RETRY.1), memory: false });
+            return Err(Rejection { retry_after: over.max(RETRY.0).min(RETRY.1), memory: false });
         }
         self.pages += cost.pages;
         self.bytes += bytes;
@@ -117,17 +117,17 @@
     }
 
     /// A query's pages are no more under way.
-    pub fn release(&mut self, cost: Cost) {
+    pub fn release_pages(&mut self, cost: QueryCost) {
         self.pages = (self.pages - cost.pages).max(0.0);
     }
 
     /// An answer's bytes are written.
-    pub fn freed(&mut self, bytes: f64) {
+    pub fn release_bytes(&mut self, bytes: f64) {
         self.bytes = (self.bytes - bytes).max(0.0);
     }
 
     /// Pages and bytes under way.
-    pub fn under_way(&self) -> (f64, f64) {
+    pub fn in_flight(&self) -> (f64, f64) {
         (self.pages, self.bytes)
     }
 }
@@ -140,39 +140,42 @@
 
     const AIM: Micros = Micros::from_secs(2);
 
-    fn admission() -> Admission {
-        Admission::new(100 * 1024 * 1024)
+    fn admission() -> AdmissionController {
+        AdmissionController::new(100 * 1024 * 1024)
     }
 
     #[test]
     fn cheap_queries_find_room_beside_maps_of_everything() {
-        let (map, small) = (Cost::of(5_000, 500, 2, 8, 0, None), Cost::of(10, 500, 2, 8, 0, None));
+        let (map, small) =
+            (QueryCost::estimate(5_000, 500, 2, 8, 0, None), QueryCost::estimate(10, 500, 2, 8, 0, None));
         let mut taken = admission();
         let maps = (0..1_000).take_while(|_| taken.admit(map, AIM, Some(200.0)).is_ok()).count();
         let smalls = (0..10_000).take_while(|_| taken.admit(small, AIM, Some(200.0)).is_ok()).count();
         assert!((5..=20).contains(&maps), "{maps}");
         assert!(smalls >= 100, "{smalls}");
         let refused = taken.admit(map, AIM, Some(200.0)).expect_err("full");
-        assert!(refused.come_back >= RETRY.0 && refused.come_back <= RETRY.1 && !refused.memory);
+        assert!(refused.retry_after >= RETRY.0 && refused.retry_after <= RETRY.1 && !refused.memory);
     }
 
     #[test]
     fn nothing_known_and_nothing_under_way_refuse_nobody() {
-        let everything = Cost::of(1_000_000, 500, 50, 8, 1_000, Some(200));
+        let everything = QueryCost::estimate(1_000_000, 500, 50, 8, 1_000, Some(200));
         assert!(
             admission().admit(everything, AIM, Some(0.1)).is_ok(),
             "alone it is served, however long it takes"
         );
-        assert!(admission().admit(Cost::of(10, 500, 2, 8, 0, None), AIM, None).is_ok());
+        assert!(admission().admit(QueryCost::estimate(10, 500, 2, 8, 0, None), AIM, None).is_ok());
         let mut slow = admission();
-        assert!((0..6).all(|_| slow.admit(Cost::of(1, 500, 1, 8, 0, None), AIM, Some(0.01)).is_ok()));
+        assert!(
+            (0..6).all(|_| slow.admit(QueryCost::estimate(1, 500, 1, 8, 0, None), AIM, Some(0.01)).is_ok())
+        );
     }
 
     #[test]
     fn answers_fit_the_memory() {
-        let mut taken = Admission::new(10 * 1024 * 1024);
-        (0..200).for_each(|_| taken.page(300_000, 500, 500));
-        let map = Cost::of(5_000, 500, 1, 8, 0, None);
+        let mut taken = AdmissionController::new(10 * 1024 * 1024);
+        (0..200).for_each(|_| taken.record_page(300_000, 500, 500));
+        let map = QueryCost::estimate(5_000, 500, 1, 8, 0, None);
         let (mut held, mut refused) = (Vec::new(), 0);
         for _ in 0..20 {
             match taken.admit(map, Micros::from_secs(600), Some(1e6)) {
@@ -184,7 +187,7 @@
             }
         }
         assert!(held.iter().sum::<f64>() <= 10.0 * 1024.0 * 1024.0 && refused > 0, "{held:?}");
-        held.drain(..).for_each(|b| taken.freed(b));
+        held.drain(..).for_each(|b| taken.release_bytes(b));
         assert!(taken.admit(map, AIM, None).is_ok());
     }
 
@@ -197,24 +200,24 @@
             let mut taken = admission();
             let mut open = Vec::new();
             for (limit, shards, end, rate) in steps {
-                let cost = Cost::of(limit, 500, shards, 8, 0, None);
-                let before = taken.under_way();
+                let cost = QueryCost::estimate(limit, 500, shards, 8, 0, None);
+                let before = taken.in_flight();
                 match taken.admit(cost, AIM, Some(rate)) {
                     Ok(bytes) => open.push((cost, bytes)),
-                    Err(_) => prop_assert_eq!(before, taken.under_way()),
+                    Err(_) => prop_assert_eq!(before, taken.in_flight()),
                 }
                 if end {
                     if let Some((cost, bytes)) = open.pop() {
-                        taken.release(cost);
-                        taken.freed(bytes);
+                        taken.release_pages(cost);
+                        taken.release_bytes(bytes);
                     }
                 }
             }
             for (cost, bytes) in open.drain(..) {
-                taken.release(cost);
-                taken.freed(bytes);
+                taken.release_pages(cost);
+                taken.release_bytes(bytes);
             }
-            let (pages, bytes) = taken.under_way();
+            let (pages, bytes) = taken.in_flight();
             prop_assert!(pages.abs() < 1e-6 && bytes.abs() < 1e-3);
         }
     }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -7,8 +7,8 @@
 mod admission;
 mod server;
 
-pub use admission::{Admission, Cost, Refusal};
-pub use server::{Ended, Limiter, Rule};
+pub use admission::{AdmissionController, QueryCost, Rejection};
+pub use server::{ConcurrencyLimiter, LimitRule, RequestOutcome};
 
 use crate::interface::ReplicaId;
 use std::collections::HashMap;
@@ -32,7 +32,7 @@
     }
 
     /// All of them, in pages a second; `None` before anything is known.
-    pub fn rate(&self) -> Option<f64> {
+    pub fn total_throughput(&self) -> Option<f64> {
         let rates = self.0.lock().unwrap_or_else(|e| e.into_inner());
         (!rates.is_empty()).then(|| rates.values().sum())
     }
--- a/src/limits/server.rs
+++ b/src/limits/server.rs
@@ -31,31 +31,31 @@
 
 /// How limits are set.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Rule {
+pub enum LimitRule {
     /// Always this many.
     Fixed(usize),
     /// Between these, from `start` on.
     Adaptive {
         /// At first.
-        start: usize,
+        initial: usize,
         /// Never fewer: a server that gets nothing shows nothing.
-        least: usize,
+        min: usize,
         /// Never more.
-        most: usize,
+        max: usize,
     },
 }
 
 /// How a request ended, as far as limits go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ended {
+pub enum RequestOutcome {
     /// Answered, with so many features.
-    Well(usize),
+    Success(usize),
     /// The server has too much: it said so.
-    Overload,
+    Overloaded,
     /// Given up here: overload if it had waited for long, else nothing follows from it.
-    GivenUp,
+    Cancelled,
     /// Otherwise: nothing follows from it.
-    Otherwise,
+    Ignored,
 }
 
 /// Answers are compared with those of about their size: a page of five hundred features takes longer than a look at one,
@@ -91,8 +91,8 @@
 
 /// The limit of one server.
 #[derive(Debug, Clone)]
-pub struct Limiter {
-    rule: Rule,
+pub struct ConcurrencyLimiter {
+    rule: LimitRule,
     limit: f64,
     /// What a request takes now, whatever its size, in microseconds.
     now: f64,
@@ -102,17 +102,17 @@
     down: Option<(f64, Micros)>,
     moved: Micros,
     cut: Micros,
-    hold: Micros,
+    back_off: Micros,
 }
 
-impl Limiter {
+impl ConcurrencyLimiter {
     /// At the rule's start.
-    pub fn new(rule: Rule) -> Self {
+    pub fn new(rule: LimitRule) -> Self {
         let limit = match rule {
-            Rule::Fixed(n) => n,
-            Rule::Adaptive { start, .. } => start,
+            LimitRule::Fixed(n) => n,
+            LimitRule::Adaptive { initial: start, .. } => start,
         };
-        Limiter {
+        ConcurrencyLimiter {
             rule,
             limit: limit as f64,
             now: 0.0,
@@ -121,7 +121,7 @@
             down: None,
             moved: Micros::ZERO,
             cut: Micros::ZERO,
-            hold: Micros::ZERO,
+            back_off: Micros::ZERO,
         }
     }
 
@@ -131,34 +131,36 @@
     }
 
     /// May another begin beside so many?
-    pub fn room(&self, under_way: usize, now: Micros) -> bool {
-        under_way < self.limit() && !self.held(now)
+    pub fn has_capacity(&self, under_way: usize, now: Micros) -> bool {
+        under_way < self.limit() && !self.is_backing_off(now)
     }
 
     /// Its server wishes to be left alone.
-    pub fn held(&self, now: Micros) -> bool {
-        now < self.hold
+    pub fn is_backing_off(&self, now: Micros) -> bool {
+        now < self.back_off
     }
 
     /// It wishes so for this long.
     pub fn hold(&mut self, now: Micros, wish: Micros) {
-        self.hold = self.hold.max(now + wish.min(MAX_HOLD));
+        self.back_off = self.back_off.max(now + wish.min(MAX_HOLD));
     }
 
     /// Requests a second that it bears as it is now, if that is known.
-    pub fn rate(&self) -> Option<f64> {
+    pub fn throughput(&self) -> Option<f64> {
         let limit = self.down.map_or(self.limit, |d| d.0);
         (self.now > 0.0).then(|| limit * 1e6 / self.now)
     }
 
     /// A request has ended: how, after what time, with how many others beside it.
-    pub fn ended(&mut self, now: Micros, how: Ended, took: Micros, beside: usize) {
+    pub fn record(&mut self, now: Micros, how: RequestOutcome, took: Micros, beside: usize) {
         match how {
-            Ended::Otherwise => {}
-            Ended::Overload => self.overload(now),
-            Ended::GivenUp if self.now > 0.0 && took.0 as f64 > JAM * self.now => self.overload(now),
-            Ended::GivenUp => {}
-            Ended::Well(features) => self.answered(now, features, took, beside),
+            RequestOutcome::Ignored => {}
+            RequestOutcome::Overloaded => self.overload(now),
+            RequestOutcome::Cancelled if self.now > 0.0 && took.0 as f64 > JAM * self.now => {
+                self.overload(now)
+            }
+            RequestOutcome::Cancelled => {}
+            RequestOutcome::Success(features) => self.answered(now, features, took, beside),
         }
     }
 
@@ -184,7 +186,7 @@
     }
 
     fn overload(&mut self, now: Micros) {
-        let Rule::Adaptive { least, .. } = self.rule else { return };
+        let LimitRule::Adaptive { min: least, .. } = self.rule else { return };
         // Of a burst of errors that one jam brought, one counts.
         if now.since(self.cut) > Micros(self.now.max(10_000.0) as u64) {
             self.cut = now;
@@ -198,7 +200,7 @@
         self.now = if self.now == 0.0 { took } else { self.now + (took - self.now) * GAIN };
         let size = (features.checked_ilog2().map_or(0, |n| n / 2 + 1) as usize).min(SIZES - 1);
         let gradient = self.tracks[size].saw(now, took);
-        let Rule::Adaptive { least, most, .. } = self.rule else { return };
+        let LimitRule::Adaptive { min: least, max: most, .. } = self.rule else { return };
         if self.let_down(now, least) {
             return;
         }
@@ -222,17 +224,17 @@
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
-    const RULE: Rule = Rule::Adaptive { start: 8, least: 2, most: 200 };
+    const RULE: LimitRule = LimitRule::Adaptive { initial: 8, min: 2, max: 200 };
 
     /// A server of so many slots, each request 10 ms of work, asked by more clients than any limit allows: each step is a
     /// millisecond. Answers the limit at the end and the most that were under way in the last half.
-    fn play(limiter: &mut Limiter, slots: usize, from: u64, steps: u64) -> usize {
+    fn play(limiter: &mut ConcurrencyLimiter, slots: usize, from: u64, steps: u64) -> usize {
         let ms = Micros::from_millis;
         let mut under_way: Vec<(Micros, f64)> = Vec::new();
         let mut most = 0;
         for step in 0..steps {
             let now = ms(from + step);
-            while limiter.room(under_way.len(), now) {
+            while limiter.has_capacity(under_way.len(), now) {
                 under_way.push((now, 10.0));
             }
             if step > steps / 2 {
@@ -243,7 +245,12 @@
             let beside = under_way.len();
             under_way.retain(|(began, left)| {
                 if *left <= 0.0 {
-                    limiter.ended(now + ms(1), Ended::Well(1), (now + ms(1)).since(*began), beside);
+                    limiter.record(
+                        now + ms(1),
+                        RequestOutcome::Success(1),
+                        (now + ms(1)).since(*began),
+                        beside,
+                    );
                 }
                 *left > 0.0
             });
@@ -254,13 +261,13 @@
     #[test]
     fn the_limit_follows_what_a_server_bears() {
         for slots in [2, 8, 32] {
-            let mut limiter = Limiter::new(RULE);
+            let mut limiter = ConcurrencyLimiter::new(RULE);
             let most = play(&mut limiter, slots, 1_000, 20_000);
             assert!(most >= slots, "{slots} slots are used: {most}");
             assert!(most <= slots * 3 + 6, "{slots} slots are not overrun: {most}");
         }
         // Three quarters of its cores are lost for a while.
-        let mut limiter = Limiter::new(RULE);
+        let mut limiter = ConcurrencyLimiter::new(RULE);
         play(&mut limiter, 32, 1_000, 10_000);
         let before = limiter.limit();
         play(&mut limiter, 8, 11_000, 6_000);
@@ -272,41 +279,48 @@
     #[test]
     fn overload_cuts_once_a_jam_and_wishes_are_followed_within_reason() {
         let s = Micros::from_secs;
-        let mut limiter = Limiter::new(RULE);
-        (0..50).for_each(|_| limiter.ended(s(1), Ended::Overload, s(1), 8));
+        let mut limiter = ConcurrencyLimiter::new(RULE);
+        (0..50).for_each(|_| limiter.record(s(1), RequestOutcome::Overloaded, s(1), 8));
         assert_eq!(limiter.limit(), 5);
-        (2..60).for_each(|n| limiter.ended(s(n), Ended::Overload, s(1), 8));
+        (2..60).for_each(|n| limiter.record(s(n), RequestOutcome::Overloaded, s(1), 8));
         assert_eq!(limiter.limit(), 2, "never none");
         limiter.hold(s(100), s(5));
-        assert!(!limiter.room(0, s(104)) && limiter.room(0, s(106)));
+        assert!(!limiter.has_capacity(0, s(104)) && limiter.has_capacity(0, s(106)));
         limiter.hold(s(200), s(9_999));
-        assert!(!limiter.room(0, s(229)) && limiter.room(0, s(231)), "not for hours");
-        let mut fixed = Limiter::new(Rule::Fixed(16));
-        (0..50).for_each(|n| fixed.ended(s(n), Ended::Overload, s(1), 8));
+        assert!(!limiter.has_capacity(0, s(229)) && limiter.has_capacity(0, s(231)), "not for hours");
+        let mut fixed = ConcurrencyLimiter::new(LimitRule::Fixed(16));
+        (0..50).for_each(|n| fixed.record(s(n), RequestOutcome::Overloaded, s(1), 8));
         assert_eq!(fixed.limit(), 16);
     }
 
     #[test]
     fn large_answers_beside_small_ones_are_no_jam() {
-        let mut limiter = Limiter::new(RULE);
+        let mut limiter = ConcurrencyLimiter::new(RULE);
         for n in 0..2_000 {
             let (features, took) = if n % 2 == 0 { (1, 1_000) } else { (500, 30_000) };
-            limiter.ended(Micros::from_millis(n), Ended::Well(features), Micros(took), limiter.limit());
+            limiter.record(
+                Micros::from_millis(n),
+                RequestOutcome::Success(features),
+                Micros(took),
+                limiter.limit(),
+            );
         }
         assert!(limiter.limit() > 100, "{}", limiter.limit());
         let before = limiter.limit();
-        limiter.ended(Micros::from_secs(3), Ended::GivenUp, Micros(2_000), 9);
+        limiter.record(Micros::from_secs(3), RequestOutcome::Cancelled, Micros(2_000), 9);
         assert_eq!(limiter.limit(), before, "its client left early");
-        limiter.ended(Micros::from_secs(3), Ended::GivenUp, Micros::from_secs(1), 9);
+        limiter.record(Micros::from_secs(3), RequestOutcome::Cancelled, Micros::from_secs(1), 9);
         assert!(limiter.limit() < before, "it waited for long");
     }
 
     #[test]
     fn what_is_not_used_does_not_grow() {
-        let mut limiter = Limiter::new(RULE);
-        (0..1_000).for_each(|n| limiter.ended(Micros::from_millis(n), Ended::Well(1), Micros(1_000), 1));
+        let mut limiter = ConcurrencyLimiter::new(RULE);
+        (0..1_000).for_each(|n| {
+            limiter.record(Micros::from_millis(n), RequestOutcome::Success(1), Micros(1_000), 1)
+        });
         assert_eq!(limiter.limit(), 8);
-        assert!(limiter.rate().is_some_and(|r| (7_000.0..9_000.0).contains(&r)));
+        assert!(limiter.throughput().is_some_and(|r| (7_000.0..9_000.0).contains(&r)));
     }
 
     proptest! {
@@ -314,12 +328,12 @@
 
         #[test]
         fn a_limit_stays_within_its_bounds(steps in proptest::collection::vec((0_u8..3, 0_u64..10_000_000, 0_u64..500_000, 0_usize..300), 0..300)) {
-            let mut limiter = Limiter::new(RULE);
+            let mut limiter = ConcurrencyLimiter::new(RULE);
             let mut now = Micros::ZERO;
             for (how, took, passed, beside) in steps {
                 now = now + Micros(passed);
-                let how = [Ended::Well(usize::from(how) * 40), Ended::Overload, Ended::GivenUp][usize::from(how)];
-                limiter.ended(now, how, Micros(took), beside);
+                let how = [RequestOutcome::Success(usize::from(how) * 40), RequestOutcome::Overloaded, RequestOutcome::Cancelled][usize::from(how)];
+                limiter.record(now, how, Micros(took), beside);
                 prop_assert!((2..=200).contains(&limiter.limit()));
             }
         }
--- a/src/log.rs
+++ b/src/log.rs
@@ -9,7 +9,7 @@
 
 /// How lines are written.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ValueEnum)]
-pub enum LogForm {
+pub enum LogFormat {
     /// `quinceflow: ` and the words that `docs/on-call.md` names.
     #[default]
     Text,
@@ -38,10 +38,10 @@
 }
 
 /// Starts the log of this process; a second start changes nothing.
-pub fn start(form: LogForm) {
+pub fn init(form: LogFormat) {
     let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(tracing::Level::INFO);
     let _ = match form {
-        LogForm::Text => lines.event_format(Words).try_init(),
-        LogForm::Json => lines.json().try_init(),
+        LogFormat::Text => lines.event_format(Words).try_init(),
+        LogFormat::Json => lines.json().try_init(),
     };
 }
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -3,7 +3,7 @@
 
 use super::{try_read, Tried};
 use crate::coordinator::{log_rarely, Counter, Metrics, COUNTERS};
-use crate::proto::calls::{Call, Caller};
+use crate::proto::admin::{AdminCommand, AdminConnection};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -52,7 +52,7 @@
 
 struct Conn {
     stream: TcpStream,
-    caller: Caller,
+    caller: AdminConnection,
     since: Instant,
     replied: bool,
 }
@@ -72,7 +72,12 @@
             // that do not.
             callers.remove(callers.iter().position(|c| c.replied).unwrap_or(0));
         }
-        callers.push(Conn { stream, caller: Caller::default(), since: Instant::now(), replied: false });
+        callers.push(Conn {
+            stream,
+            caller: AdminConnection::default(),
+            since: Instant::now(),
+            replied: false,
+        });
         // Most calls come with their connection.
         callers.retain_mut(|c| !answered(c, told));
     }
@@ -96,9 +101,9 @@
 
 /// Reads on, and replies once the call is here. True: this caller is done.
 fn answered(conn: &mut Conn, told: &Told) -> bool {
-    let ended = match try_read(&conn.stream, conn.caller.input.room()) {
+    let ended = match try_read(&conn.stream, conn.caller.input.free_space()) {
         Tried::Moved(n) => {
-            conn.caller.input.filled(n);
+            conn.caller.input.commit(n);
             false
         }
         Tried::Wait => false,
@@ -107,18 +112,18 @@
     if conn.replied {
         // What comes behind the call is dropped until the caller has closed: a close on unread bytes is a reset, which
         // can eat the reply.
-        conn.caller = Caller::default();
+        conn.caller = AdminConnection::default();
         return ended;
     }
-    let Some(call) = conn.caller.call(ended) else { return ended };
+    let Some(call) = conn.caller.command(ended) else { return ended };
     COUNTERS.calls.add();
     let reply = match call {
-        Call::Health => match (told.health)() {
+        AdminCommand::Health => match (told.health)() {
             Ok(()) => "YES\n".to_owned(),
             Err(why) => format!("NO {why}\n"),
         },
-        Call::Dump => format!("YES\n{}END\n", told.figures.dump()),
-        Call::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
+        AdminCommand::Dump => format!("YES\n{}END\n", told.figures.dump()),
+        AdminCommand::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
     };
     // A fresh connection takes a few KiB at once; who lets nothing through is not waited for.
     let _ = conn.stream.write_all(reply.as_bytes());
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -4,7 +4,7 @@
 use crate::coordinator::{log_rarely, Answer, Input, Token, COUNTERS};
 use crate::front::{Front, Reaction, Render};
 use crate::limits::BASE_MEMORY;
-use crate::proto::http::{HttpError, Server};
+use crate::proto::http::{HttpError, ServerConnection};
 use crate::time::{Clock, Micros};
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use may::sync::mpsc::Sender;
@@ -79,7 +79,7 @@
 
 #[derive(Default)]
 struct ConnState {
-    server: Server,
+    server: ServerConnection,
     waker: Option<WaitIoWaker>,
     waiting: Option<(Token, Render)>,
     /// When the first byte of the present request came; `None` between requests.
@@ -121,7 +121,7 @@
     /// Who gives way first when there is no room: those that were answered with an error, those that have brought no
     /// query, then those between queries; the longest in that state first.
     fn dispensable(&self, now: Micros) -> Option<(u8, Micros)> {
-        if self.cut || self.server.winding_up() || self.server.busy() {
+        if self.cut || self.server.is_draining() || self.server.awaits_response() {
             return None;
         }
         match self.lingering {
@@ -130,14 +130,14 @@
                 let since = if self.asked { self.active } else { self.accepted };
                 (now.since(since) > NEW).then_some((1, since))
             }
-            None => self.server.idle().then_some((2, self.active)),
+            None => self.server.is_idle().then_some((2, self.active)),
         }
     }
 
     /// Makes it end. A request that is here already but unread is still taken.
     fn give_way(&mut self) {
         COUNTERS.evicted.add();
-        if self.asked && self.server.idle() {
+        if self.asked && self.server.is_idle() {
             self.server.close_when_idle();
             self.wake();
         } else {
@@ -218,7 +218,8 @@
         let owed = |c: &&Arc<Conn>| {
             let state = c.lock();
             let server = &state.server;
-            state.lingering.is_none() && (server.busy() || server.began() || !server.output().is_empty())
+            state.lingering.is_none()
+                && (server.awaits_response() || server.has_partial_request() || !server.output().is_empty())
         };
         guard(&self.conns).values().filter(owed).count()
     }
@@ -301,7 +302,7 @@
             state.accepted = self.clock.now();
             state.active = state.accepted;
             state.waker = Some(stream.waker());
-            state.server.allow_body(self.front.max_body());
+            state.server.set_max_body(self.front.max_body());
         }
         let number = self.next.fetch_add(1, Relaxed);
         guard(&self.conns).insert(number, conn.clone());
@@ -328,7 +329,7 @@
         // A request that is here already when a new connection gives way is still taken: its client has no answer else.
         let mut open = (!state.cut || !state.asked) && self.exchange(conn, &mut state, sys);
         if open && state.cut {
-            open = state.server.busy();
+            open = state.server.awaits_response();
             state.cut = false;
             state.server.close_when_idle();
         }
@@ -341,10 +342,10 @@
     fn exchange(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState, sys: &TcpStream) -> bool {
         // A client that was told to go on elsewhere, or was answered while more of its bytes were here already.
         self.take(conn, state);
-        while state.lingering.is_none() && (state.server.wants_input() || state.server.overrun()) {
-            match try_read(sys, state.server.input().room()) {
+        while state.lingering.is_none() && (state.server.wants_input() || state.server.discard_excess()) {
+            match try_read(sys, state.server.input().free_space()) {
                 Tried::Moved(n) => {
-                    state.server.input().filled(n);
+                    state.server.input().commit(n);
                     state.active = self.clock.now();
                     state.began = state.began.or(Some(state.active));
                     self.take(conn, state);
@@ -352,10 +353,10 @@
                 Tried::Wait => break,
                 Tried::Ended | Tried::Broke => {
                     // A client that closes its connection has gone away.
-                    if state.server.busy() {
+                    if state.server.awaits_response() {
                         return false;
                     }
-                    state.server.end();
+                    state.server.end_of_input();
                     self.take(conn, state);
                     break;
                 }
@@ -364,17 +365,17 @@
         while !state.server.output().is_empty() {
             match try_write(sys, state.server.output()) {
                 Tried::Moved(n) => {
-                    state.server.wrote(n);
+                    state.server.advance_output(n);
                     state.active = self.clock.now();
                 }
                 Tried::Wait => break,
                 Tried::Ended | Tried::Broke => return false,
             }
         }
-        if state.server.idle() {
+        if state.server.is_idle() {
             state.began = None;
         }
-        if !state.server.finished() {
+        if !state.server.is_finished() {
             return true;
         }
         if state.lingering.is_none() {
@@ -388,7 +389,7 @@
 
     /// Takes the requests that are here whole.
     fn take(self: &Arc<Self>, conn: &Arc<Conn>, state: &mut ConnState) {
-        while let Some(polled) = state.server.poll() {
+        while let Some(polled) = state.server.next_request() {
             let close = self.leaving.load(Relaxed);
             match polled {
                 Err(error) => {
@@ -405,7 +406,7 @@
                     match self.front.handle(request, token, sent, ready) {
                         Reaction::Respond(response) => {
                             state.server.respond(response, close);
-                            state.began = state.server.began().then_some(state.active);
+                            state.began = state.server.has_partial_request().then_some(state.active);
                         }
                         Reaction::Submit(request, render) => {
                             state.queried = true;
@@ -447,7 +448,7 @@
         state.server.respond(response, close);
         state.active = self.clock.now();
         // What came of a next request while this one was answered has its time from now on.
-        state.began = state.server.began().then_some(state.active);
+        state.began = state.server.has_partial_request().then_some(state.active);
         state.wake();
     }
 
@@ -483,7 +484,7 @@
         let conns = guard(&self.conns);
         let held = |c: &Arc<Conn>| {
             let state = c.lock();
-            (!state.cut && !state.server.busy()).then_some(state.bytes)
+            (!state.cut && !state.server.awaits_response()).then_some(state.bytes)
         };
         if let Some((_, conn)) = conns.values().filter_map(|c| Some((held(c)?, c))).max_by_key(|c| c.0) {
             COUNTERS.evicted.add();
@@ -507,25 +508,25 @@
                     COUNTERS.client_timeouts.add();
                     state.cut();
                 }
-            } else if !state.asked && state.server.idle() {
+            } else if !state.asked && state.server.is_idle() {
                 // A connection that was never used is owed nothing but its end.
                 if now.since(state.accepted) > MAX_REQUEST {
                     COUNTERS.client_timeouts.add();
                     state.cut();
                 }
-            } else if state.server.idle() {
+            } else if state.server.is_idle() {
                 if quiet > most_idle {
                     state.server.close_when_idle();
                     state.wake();
                 }
-            } else if !state.server.busy() && state.lingering.is_none() {
+            } else if !state.server.awaits_response() && state.lingering.is_none() {
                 // The first request has its time from the connection's begin: who sends a byte now and then gains
                 // none.
                 let since = if state.asked { state.began.unwrap_or(state.active) } else { state.accepted };
                 if now.since(since) > MAX_REQUEST {
                     COUNTERS.client_timeouts.add();
                     let response = self.front.malformed_response(HttpError::TooSlow);
-                    state.server.give_up(response);
+                    state.server.respond_and_close(response);
                     state.wake();
                 }
             }
@@ -588,8 +589,8 @@
     let open = loop {
         let input = state.server.input();
         let left = input.data().len();
-        input.used(left);
-        match try_read(sys, input.room()) {
+        input.consume(left);
+        match try_read(sys, input.free_space()) {
             Tried::Moved(n) => {
                 bytes += n;
                 if bytes > MAX_LINGER_BYTES {
@@ -637,7 +638,7 @@
     }
 
     fn ending(conns: &[Arc<Conn>]) -> Vec<bool> {
-        conns.iter().map(|c| c.lock().cut || c.lock().server.winding_up()).collect()
+        conns.iter().map(|c| c.lock().cut || c.lock().server.is_draining()).collect()
     }
 
     #[test]
@@ -645,8 +646,8 @@
         // Clients that asked once kept all the places that the platform grants to clients, for two minutes.
         let bounds = Bounds { connections: 100, idle: 2, bytes: 1 };
         let mut busy = conn(50, true, true);
-        busy.server.input().feed(b"GET / HTTP/1.1\r\n\r\n");
-        assert!(matches!(busy.server.poll(), Some(Ok(_))));
+        busy.server.input().extend(b"GET / HTTP/1.1\r\n\r\n");
+        assert!(matches!(busy.server.next_request(), Some(Ok(_))));
         let states =
             vec![conn(9, true, true), busy, conn(3, true, true), conn(7, true, true), conn(99, true, false)];
         let (clients, conns) = clients(bounds, states);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! What a coordinator is told at its start.
 
-use crate::settings::{missing_key, read_deployment, CoordinatorSettings};
+use crate::settings::{find_missing_key, parse_coordinator_settings, CoordinatorSettings};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -36,7 +36,7 @@
 
 /// What the environment says; it goes before the file.
 #[derive(Debug, Default)]
-pub struct Env {
+pub struct EnvironmentOverrides {
     /// See [`Config`].
     pub listen: Option<String>,
     /// See [`Config`].
@@ -57,23 +57,23 @@
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Where operators are answered, if anywhere.
-    pub mgmt: Option<SocketAddr>,
+    pub admin: Option<SocketAddr>,
     /// Where the file is, to be read anew.
     pub path: PathBuf,
     /// The file's keys, for the next one to be compared with.
-    form: serde_json::Value,
+    file_shape: serde_json::Value,
     /// Where discovery is in the file's own words, whatever the environment said.
-    pub told: Option<SocketAddr>,
+    pub file_discovery: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
-    pub sockets: usize,
+    pub max_descriptors: usize,
     /// Bytes of memory that the process may use.
-    pub memory: usize,
+    pub max_memory: usize,
     /// The servers as last known, in discovery's form.
-    pub known: Vec<u8>,
+    pub known_endpoints: Vec<u8>,
     /// The settings.
-    pub deployment: CoordinatorSettings,
+    pub settings: CoordinatorSettings,
 }
 
 impl Config {
@@ -82,18 +82,18 @@
         let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
         let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
         let var = |name| std::env::var(name).ok();
-        let env = Env {
+        let env = EnvironmentOverrides {
             listen: var("NODE_LISTEN"),
             discovery: var("NODE_DISCOVERY"),
             mgmt: var("NODE_MGMT"),
             name: var("NODE_NAME"),
         };
-        let config = Self::read(&text, env).map_err(|e| format!("{path}: {e}"))?;
+        let config = Self::parse(&text, env).map_err(|e| format!("{path}: {e}"))?;
         Ok(Config { path: path.into(), ..config })
     }
 
     /// Reads the text of the file.
-    pub fn read(text: &[u8], env: Env) -> Result<Self, String> {
+    pub fn parse(text: &[u8], env: EnvironmentOverrides) -> Result<Self, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
         let parse = |what: &str, text: String| {
             text.parse::<SocketAddr>().map_err(|e| format!("{what}: {text:?}: {e}"))
@@ -101,28 +101,28 @@
         let address = |what: &str, env: Option<String>, file: Option<String>| {
             parse(what, env.or(file).ok_or_else(|| format!("{what}: no address"))?)
         };
-        let deployment = read_deployment(file.settings).map_err(|e| format!("settings: {e}"))?;
-        deployment.check().map_err(|e| format!("settings: {e}"))?;
+        let deployment = parse_coordinator_settings(file.settings).map_err(|e| format!("settings: {e}"))?;
+        deployment.validate().map_err(|e| format!("settings: {e}"))?;
         Ok(Config {
             path: PathBuf::new(),
-            form: form(text)?,
-            told: file.discovery.as_ref().and_then(|d| d.parse().ok()),
+            file_shape: form(text)?,
+            file_discovery: file.discovery.as_ref().and_then(|d| d.parse().ok()),
             listen: address("listen", env.listen, file.listen)?,
             discovery: address("discovery", env.discovery, file.discovery)?,
-            mgmt: env.mgmt.or(file.mgmt).map(|text| parse("mgmt", text)).transpose()?,
+            admin: env.mgmt.or(file.mgmt).map(|text| parse("mgmt", text)).transpose()?,
             name: env.name.unwrap_or(file.name),
             seed: seed(&file.seed),
-            sockets: file.limits.sockets,
-            memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
-            known: serde_json::to_vec(&file.known).map_err(|e| format!("known: {e}"))?,
-            deployment,
+            max_descriptors: file.limits.sockets,
+            max_memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
+            known_endpoints: serde_json::to_vec(&file.known).map_err(|e| format!("known: {e}"))?,
+            settings: deployment,
         })
     }
 }
 
 /// The platform's file as a running program has it: the one in force, against which a replaced one is checked.
 #[derive(Debug)]
-pub struct InForce {
+pub struct ActiveConfig {
     path: PathBuf,
     /// Its keys; the list of servers is left out, since it may hold any number of any form.
     form: serde_json::Value,
@@ -130,34 +130,34 @@
 
 /// What a running program takes from a replaced file.
 #[derive(Debug)]
-pub struct Replaced {
+pub struct ReloadedConfig {
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// The settings.
-    pub deployment: CoordinatorSettings,
+    pub settings: CoordinatorSettings,
 }
 
-impl InForce {
+impl ActiveConfig {
     /// The file at the start.
-    pub fn at_start(config: &Config) -> Self {
-        InForce { path: config.path.clone(), form: config.form.clone() }
+    pub fn from_startup(config: &Config) -> Self {
+        ActiveConfig { path: config.path.clone(), form: config.file_shape.clone() }
     }
 
     /// Reads the file anew. With an error nothing of it is to be used.
-    pub fn reread(&mut self) -> Result<Replaced, String> {
+    pub fn reload(&mut self) -> Result<ReloadedConfig, String> {
         let text = std::fs::read(&self.path).map_err(|e| e.to_string());
         text.and_then(|t| self.replace(&t)).map_err(|e| format!("{}: {e}", self.path.display()))
     }
 
     /// The same with its text.
-    fn replace(&mut self, text: &[u8]) -> Result<Replaced, String> {
+    fn replace(&mut self, text: &[u8]) -> Result<ReloadedConfig, String> {
         let form = form(text)?;
-        if let Some(key) = missing_key(&self.form, &form) {
+        if let Some(key) = find_missing_key(&self.form, &form) {
             return Err(format!("{key} is missing"));
         }
-        let config = Config::read(text, Env::default())?;
+        let config = Config::parse(text, EnvironmentOverrides::default())?;
         self.form = form;
-        Ok(Replaced { discovery: config.discovery, deployment: config.deployment })
+        Ok(ReloadedConfig { discovery: config.discovery, settings: config.settings })
     }
 }
 
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -5,7 +5,7 @@
 use crate::front::ogc::config::Edge;
 use crate::front::ogc::visit::Visit;
 use crate::interface::{Outcome, ReplicaId};
-use crate::limits::{Ended, Limiter, Rule, ServerCapacity};
+use crate::limits::{ConcurrencyLimiter, LimitRule, RequestOutcome, ServerCapacity};
 use crate::proto::fetch::{Fetch, Progress};
 use crate::time::{Clock, Micros};
 use may::io::{WaitIo, WaitIoWaker};
@@ -27,7 +27,7 @@
     ready: bool,
     idle: Vec<(TcpStream, Micros)>,
     busy: usize,
-    limiter: Limiter,
+    limiter: ConcurrencyLimiter,
     /// What waits for others to end, the longest first.
     waiting: VecDeque<Driver>,
 }
@@ -37,15 +37,15 @@
 
 impl Server {
     /// One of which nothing is known yet.
-    fn new(rule: Rule) -> Self {
-        let limiter = Limiter::new(rule);
+    fn new(rule: LimitRule) -> Self {
+        let limiter = ConcurrencyLimiter::new(rule);
         Server { address: None, ready: false, idle: Vec::new(), busy: 0, limiter, waiting: VecDeque::new() }
     }
 
     /// What waits and may begin now.
     fn next(&mut self, now: Micros) -> Vec<Driver> {
         let mut next = Vec::new();
-        while self.ready && self.limiter.room(self.busy, now) {
+        while self.ready && self.limiter.has_capacity(self.busy, now) {
             let Some(driver) = self.waiting.pop_front() else { break };
             if !guard(&driver.slot).called_off {
                 self.busy += 1;
@@ -71,7 +71,7 @@
     most_body: usize,
     dial_timeout: Micros,
     idle_limit: Micros,
-    rule: Rule,
+    rule: LimitRule,
     bears: Arc<ServerCapacity>,
 }
 
@@ -114,11 +114,11 @@
             let mut state = guard(server);
             let address = state.address.filter(|_| state.ready).ok_or(Outcome::NotSent)?;
             let (limiter, waiting) = (&state.limiter, state.waiting.len());
-            if limiter.held(now) || waiting >= MAX_WAITING * limiter.limit() {
+            if limiter.is_backing_off(now) || waiting >= MAX_WAITING * limiter.limit() {
                 // It wishes to be left alone, or more wait than it can serve in time: nothing was sent.
                 return Err(Outcome::Rejected);
             }
-            let begins = limiter.room(state.busy, now) && waiting == 0;
+            let begins = limiter.has_capacity(state.busy, now) && waiting == 0;
             let driver = Driver {
                 fetch: Fetch::new(visit.request(&address.to_string()), self.most_body),
                 visit,
@@ -168,7 +168,7 @@
         }
         state.address = address;
         state.ready = ready;
-        let rate = state.limiter.rate().filter(|_| ready);
+        let rate = state.limiter.throughput().filter(|_| ready);
         self.bears.report(replica, rate);
         // A server that drains gets nothing that has not begun.
         let waiting = if ready { VecDeque::new() } else { std::mem::take(&mut state.waiting) };
@@ -249,24 +249,24 @@
         };
         let now = self.clock.now();
         let sound = matches!(progress, Progress::Came(_)) && self.fetch.reusable();
-        let (mut how, mut wish) = (Ended::Otherwise, None);
+        let (mut how, mut wish) = (RequestOutcome::Ignored, None);
         let host = self.address.to_string();
         let end = match progress {
             // The server's name is where it is: what goes on there is asked by that.
             Progress::Came(fetched) => {
                 if matches!(fetched.status, 429 | 503) {
-                    how = Ended::Overload;
+                    how = RequestOutcome::Overloaded;
                     wish = fetched.headers.get("Retry-After").and_then(|s| s.trim().parse().ok());
                 }
                 let end = self.visit.judge(&host, &host, fetched);
                 if let AttemptEnd::Served(value) = &end {
-                    how = Ended::Well(self.visit.page(value).map_or(0, |p| p.given));
+                    how = RequestOutcome::Success(self.visit.page(value).map_or(0, |p| p.given));
                 }
                 end
             }
             Progress::Broke(outcome) => {
                 if guard(&self.slot).called_off && self.fetch.may_have_run() {
-                    how = Ended::GivenUp;
+                    how = RequestOutcome::Cancelled;
                 }
                 AttemptEnd::Failed(outcome)
             }
@@ -275,11 +275,11 @@
         let mut server = guard(&self.server);
         let beside = server.busy;
         server.busy -= 1;
-        server.limiter.ended(now, how, now.since(began), beside);
+        server.limiter.record(now, how, now.since(began), beside);
         if let Some(seconds) = wish {
             server.limiter.hold(now, Micros::from_secs(seconds));
         }
-        self.bears.report(self.replica, server.limiter.rate().filter(|_| server.ready));
+        self.bears.report(self.replica, server.limiter.throughput().filter(|_| server.ready));
         if let Some(stream) = stream.filter(|_| sound && server.ready) {
             guard(&self.slot).waker = None;
             server.idle.push((stream, now));
@@ -348,9 +348,9 @@
                     Tried::Ended | Tried::Broke => return self.fetch.broken(),
                 }
             }
-            match try_read(stream, self.fetch.reader.input.room()) {
+            match try_read(stream, self.fetch.reader.input.free_space()) {
                 Tried::Moved(n) => {
-                    self.fetch.reader.input.filled(n);
+                    self.fetch.reader.input.commit(n);
                     match self.fetch.advance() {
                         Progress::On => {}
                         done => return done,
--- a/src/net/node_client.rs
+++ b/src/net/node_client.rs
@@ -281,10 +281,10 @@
     }
 
     fn reconfigure(&mut self, deployment: &CoordinatorSettings) {
-        let idle = Micros::from_nanos(deployment.idle_close);
-        self.dial_timeout = Micros::from_nanos(deployment.dial_timeout);
+        let idle = Micros::from_nanos(deployment.idle_timeout);
+        self.dial_timeout = Micros::from_nanos(deployment.connect_timeout);
         self.idle_limit = (idle - IDLE_MARGIN).max(Micros(idle.0 / 2));
-        self.most_parts = deployment.streams_per_conn;
+        self.most_parts = deployment.max_streams_per_connection;
     }
 
     fn reap(&mut self, now: Micros, _out: &dyn Fn(AttemptKey) -> bool) {
@@ -405,9 +405,9 @@
     ) -> bool {
         // Reading comes first: a frame must not go out on a connection whose end is here already.
         loop {
-            match try_read(stream, state.link.input().room()) {
+            match try_read(stream, state.link.input().free_space()) {
                 Tried::Moved(n) => {
-                    state.link.input().filled(n);
+                    state.link.input().commit(n);
                     state.hear(self.clock.now());
                     let read = state.link.read(events);
                     for event in events.iter() {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,7 +2,7 @@
 
 use super::admin;
 use super::clients::{Bounds, Clients};
-use super::config::{Config, InForce};
+use super::config::{ActiveConfig, Config};
 use super::feature_client::FeatureClient;
 use super::handover::{self, Peer};
 use super::node_client::NodeClient;
@@ -119,7 +119,7 @@
     // Descriptors and memory are the process's: two fronts share them.
     let fronts = usize::from(platform.is_some()) + usize::from(edge.is_some());
     let figures = Arc::new(Metrics::default());
-    let told = platform.as_ref().map(|c| (c.mgmt, c.sockets));
+    let told = platform.as_ref().map(|c| (c.admin, c.max_descriptors));
     let also = edge.as_ref().map(|e| (e.mgmt, e.sockets));
     // Asked before anything else is made: whoever takes over is not to go in step with the one before.
     let first = platform.as_ref().map(|c| c.listen).or(edge.as_ref().map(|e| e.listen));
@@ -223,14 +223,14 @@
     let (inbox, arrivals) = channel();
     let listed = Arc::new(AtomicBool::new(false));
     let mut rev = 0;
-    match read_listing(&config.known, true, clock.now(), unix_ms()) {
+    match read_listing(&config.known_endpoints, true, clock.now(), unix_ms()) {
         Ok(known) => {
             rev = known.rev;
             let _ = inbox.send(Input::EndpointUpdate(known.roster));
         }
         Err(e) => tracing::warn!("the known list cannot be read: {e}"),
     }
-    let deployment = &config.deployment;
+    let deployment = &config.settings;
     let place = watch::Place::new(config.discovery, deployment.policy.max_poll_interval);
     let (watch_inbox, watch_listed, watched) = (inbox.clone(), listed.clone(), place.clone());
     let waits = watch::Waits::new(config.seed);
@@ -241,7 +241,7 @@
         last_answer: last_answer(longest(&deployment.policy)),
         name: config.name.clone(),
         listen: config.listen,
-        bounds: Bounds::new(config.sockets, config.memory),
+        bounds: Bounds::new(config.max_descriptors, config.max_memory),
         front: Box::new(Platform::new(named.clone())),
         core: Coordinator::new(
             deployment.policy.clone(),
@@ -267,9 +267,9 @@
     named: SharedNamed,
     figures: Arc<Metrics>,
 ) -> Reload {
-    let (mut file, mut told) = (InForce::at_start(config), config.told);
+    let (mut file, mut told) = (ActiveConfig::from_startup(config), config.file_discovery);
     Box::new(move |_| {
-        let replaced = file.reread().map_err(|e| {
+        let replaced = file.reload().map_err(|e| {
             figures.config_rejected.add();
             format!("the configuration stays as it was: {e}")
         })?;
@@ -277,7 +277,7 @@
         if told.replace(replaced.discovery) != Some(replaced.discovery) {
             place.move_to(replaced.discovery);
         }
-        let deployment = replaced.deployment;
+        let deployment = replaced.settings;
         place.ask_within_is(deployment.policy.max_poll_interval);
         let names: Vec<_> = deployment.policy.classes.iter().map(|c| c.name.as_str()).collect();
         let words = format!(
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -159,7 +159,7 @@
         if place.address() != address {
             return Ok(Ended::Moved);
         }
-        let n = match stream.read(watch.reader.input.room()) {
+        let n = match stream.read(watch.reader.input.free_space()) {
             Ok(0) => return Ok(Ended::Closed),
             Ok(n) => n,
             Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
@@ -170,7 +170,7 @@
             }
             Err(e) => return Err(e),
         };
-        watch.reader.input.filled(n);
+        watch.reader.input.commit(n);
         let now = clock.now();
         (heard, patience) = (now, SILENT);
         let (news, ended) = watch.advance(now, unix_ms()).map_err(|e| {
--- a/src/proto/body.rs
+++ b/src/proto/body.rs
@@ -5,22 +5,22 @@
 use std::sync::Arc;
 
 /// Bytes that are shared.
-pub type Held = Arc<dyn AsRef<[u8]> + Send + Sync>;
+pub type SharedBytes = Arc<dyn AsRef<[u8]> + Send + Sync>;
 
 /// Small pieces are joined up to this: a system call costs more than the copy.
 const JOINED: usize = 16 * 1024;
 
 #[derive(Clone)]
 enum Piece {
-    Own(Vec<u8>),
-    Held(Held, Range<usize>),
+    Owned(Vec<u8>),
+    Shared(SharedBytes, Range<usize>),
 }
 
 impl Piece {
     fn bytes(&self) -> &[u8] {
         match self {
-            Piece::Own(bytes) => bytes,
-            Piece::Held(held, range) => &held.as_ref().as_ref()[range.clone()],
+            Piece::Owned(bytes) => bytes,
+            Piece::Shared(held, range) => &held.as_ref().as_ref()[range.clone()],
         }
     }
 }
@@ -39,14 +39,14 @@
     pub fn push(&mut self, bytes: &[u8]) {
         self.length += bytes.len();
         match self.pieces.back_mut() {
-            Some(Piece::Own(last)) if last.len() + bytes.len() <= JOINED => last.extend_from_slice(bytes),
+            Some(Piece::Owned(last)) if last.len() + bytes.len() <= JOINED => last.extend_from_slice(bytes),
             _ if bytes.is_empty() => {}
-            _ => self.pieces.push_back(Piece::Own(bytes.to_vec())),
+            _ => self.pieces.push_back(Piece::Owned(bytes.to_vec())),
         }
     }
 
     /// Adds a stretch of what is held elsewhere; it is kept until it is written.
-    pub fn push_held(&mut self, held: Held, range: Range<usize>) {
+    pub fn push_shared(&mut self, held: SharedBytes, range: Range<usize>) {
         let length = held.as_ref().as_ref().get(range.clone()).map_or(0, <[u8]>::len);
         if length == 0 {
             return;
@@ -56,15 +56,15 @@
             return self.push(&bytes);
         }
         self.length += length;
-        self.pieces.push_back(Piece::Held(held, range));
+        self.pieces.push_back(Piece::Shared(held, range));
     }
 
     /// Adds all of another.
     pub fn append(&mut self, mut other: Body) {
         debug_assert_eq!(other.gone, 0, "only whole bodies are joined");
         // The first piece is joined to what is here, so that a small answer is one write.
-        if matches!(other.pieces.front(), Some(Piece::Own(first)) if first.len() <= JOINED) {
-            if let Some(Piece::Own(first)) = other.pieces.pop_front() {
+        if matches!(other.pieces.front(), Some(Piece::Owned(first)) if first.len() <= JOINED) {
+            if let Some(Piece::Owned(first)) = other.pieces.pop_front() {
                 other.length -= first.len();
                 self.push(&first);
             }
@@ -106,7 +106,7 @@
 
     /// Memory that ends with it; what others hold too is theirs.
     pub fn memory(&self) -> usize {
-        let own = |p: &Piece| if let Piece::Own(bytes) = p { bytes.capacity() } else { 0 };
+        let own = |p: &Piece| if let Piece::Owned(bytes) = p { bytes.capacity() } else { 0 };
         self.pieces.iter().map(own).sum()
     }
 
@@ -128,7 +128,7 @@
 impl From<Vec<u8>> for Body {
     fn from(bytes: Vec<u8>) -> Self {
         let length = bytes.len();
-        let pieces = if bytes.is_empty() { VecDeque::new() } else { VecDeque::from([Piece::Own(bytes)]) };
+        let pieces = if bytes.is_empty() { VecDeque::new() } else { VecDeque::from([Piece::Owned(bytes)]) };
         Body { pieces, length, gone: 0 }
     }
 }
@@ -165,16 +165,16 @@
 
     #[test]
     fn pieces_are_written_in_order_however_little_at_a_time() {
-        let held: Held = Arc::new(vec![b'h'; 5_000]);
+        let held: SharedBytes = Arc::new(vec![b'h'; 5_000]);
         for step in [1, 7, 512, 100_000] {
             let mut body = Body::default();
             body.push(b"head ");
             let mut rest = Body::from("own ");
-            rest.push_held(held.clone(), 10..2_010);
+            rest.push_shared(held.clone(), 10..2_010);
             rest.push(b"");
             rest.push(b" tail");
-            rest.push_held(held.clone(), 0..3);
-            rest.push_held(held.clone(), 4_999..9_999);
+            rest.push_shared(held.clone(), 0..3);
+            rest.push_shared(held.clone(), 4_999..9_999);
             body.append(rest);
             let whole = [b"head own ".as_slice(), &[b'h'; 2_000], b" tailhhh"].concat();
             assert_eq!((body.len(), body.to_vec()), (whole.len(), whole.clone()));
--- a/src/proto/buffer.rs
+++ b/src/proto/buffer.rs
@@ -20,7 +20,7 @@
     }
 
     /// Room for a read; follow with [`Buffer::filled`].
-    pub fn room(&mut self) -> &mut [u8] {
+    pub fn free_space(&mut self) -> &mut [u8] {
         if self.bytes.len() - self.to < MIN_ROOM {
             self.bytes.copy_within(self.from..self.to, 0);
             self.to -= self.from;
@@ -34,12 +34,12 @@
     }
 
     /// So many bytes of the room were read into.
-    pub fn filled(&mut self, n: usize) {
+    pub fn commit(&mut self, n: usize) {
         self.to = (self.to + n).min(self.bytes.len());
     }
 
     /// So many bytes were used.
-    pub fn used(&mut self, n: usize) {
+    pub fn consume(&mut self, n: usize) {
         self.from = (self.from + n).min(self.to);
         if self.from == self.to {
             (self.from, self.to) = (0, 0);
@@ -50,12 +50,12 @@
     }
 
     /// Copies bytes in, for callers that hold them already.
-    pub fn feed(&mut self, mut bytes: &[u8]) {
+    pub fn extend(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
-            let room = self.room();
+            let room = self.free_space();
             let n = room.len().min(bytes.len());
             room[..n].copy_from_slice(&bytes[..n]);
-            self.filled(n);
+            self.commit(n);
             bytes = &bytes[n..];
         }
     }
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -3,7 +3,7 @@
 use super::http::{HttpError, ResponseReader};
 use crate::coordinator::{EndpointUpdate, Node};
 use crate::interface::{EndpointListKind, EndpointState};
-use crate::time::{started_at, Micros};
+use crate::time::{monotonic_start, Micros};
 use serde::Deserialize;
 
 /// Most bytes of one line: a whole list of a fleet far larger than any served.
@@ -70,7 +70,7 @@
                 "terminated" => EndpointState::Removed,
                 other => return Err(format!("unknown state {other:?}")),
             },
-            started: started_at(t.boot_ms, unix_now_ms, now),
+            started: monotonic_start(t.boot_ms, unix_now_ms, now),
         })
     };
     let kind = match (cached, listing.all) {
@@ -162,7 +162,7 @@
         let mut versions = Vec::new();
         for piece in std::iter::once(&"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chain(pieces) {
             let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
-            watch.reader.input.feed(if piece.starts_with("HTTP") {
+            watch.reader.input.extend(if piece.starts_with("HTTP") {
                 piece.as_bytes()
             } else {
                 chunk.as_bytes()
--- a/src/proto/fetch.rs
+++ b/src/proto/fetch.rs
@@ -72,7 +72,7 @@
 
     /// The connection has ended in good order: a response without a length ends so.
     pub fn ended(&mut self) -> Progress {
-        if self.reader.end() {
+        if self.reader.end_of_input() {
             return self.came();
         }
         self.broken()
@@ -112,7 +112,7 @@
         {
             let mut fetch = Fetch::new(b"GET / HTTP/1.1\r\n\r\n".to_vec(), 100);
             fetch.wrote(18);
-            fetch.reader.input.feed(format!("HTTP/1.1 200 OK\r\n{head}\r\n{{}}").as_bytes());
+            fetch.reader.input.extend(format!("HTTP/1.1 200 OK\r\n{head}\r\n{{}}").as_bytes());
             assert!(matches!(fetch.advance(), Progress::On));
             let whole = matches!(if reset { fetch.broken() } else { fetch.ended() }, Progress::Came(_));
             assert_eq!(whole, !reset && head.is_empty());
--- a/src/proto/frames.rs
+++ b/src/proto/frames.rs
@@ -217,7 +217,7 @@
                 b'e' => return Err(BadFrame(format!("refused: {}", String::from_utf8_lossy(rest)))),
                 other => return Err(BadFrame(format!("unknown letter {:?}", char::from(other)))),
             }
-            self.input.used(4 + length);
+            self.input.consume(4 + length);
             whole += 1;
         }
     }
--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -124,7 +124,7 @@
                     body.extend_from_slice(&data[..n]);
                     *left -= n as u64;
                     let whole = *left == 0;
-                    buffer.used(n);
+                    buffer.consume(n);
                     match self {
                         _ if !whole => return Ok(false),
                         Framing::Length(_) => return Ok(true),
@@ -137,12 +137,12 @@
                     }
                     body.extend_from_slice(data);
                     let n = data.len();
-                    buffer.used(n);
+                    buffer.consume(n);
                     return Ok(false);
                 }
                 Framing::Chunked(Chunk::Size) => match httparse::parse_chunk_size(data) {
                     Ok(httparse::Status::Complete((used, size))) => {
-                        buffer.used(used);
+                        buffer.consume(used);
                         *self = Framing::Chunked(if size == 0 { Chunk::Trailers } else { Chunk::Data(size) });
                     }
                     Ok(httparse::Status::Partial) if data.len() < MAX_LINE => return Ok(false),
@@ -155,14 +155,14 @@
                     if &data[..2] != b"\r\n" {
                         return Err(HttpError::Malformed);
                     }
-                    buffer.used(2);
+                    buffer.consume(2);
                     *self = Framing::Chunked(Chunk::Size);
                 }
                 Framing::Chunked(Chunk::Trailers) => {
                     let Some(end) = data.windows(2).position(|w| w == b"\r\n") else {
                         return if data.len() < MAX_LINE { Ok(false) } else { Err(HttpError::Malformed) };
                     };
-                    buffer.used(end + 2);
+                    buffer.consume(end + 2);
                     if end == 0 {
                         return Ok(true);
                     }
@@ -219,7 +219,7 @@
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
+        500 => "Internal ServerConnection Error",
         501 => "Not Implemented",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
@@ -241,7 +241,7 @@
 
 /// The server's side of one connection.
 #[derive(Debug)]
-pub struct Server {
+pub struct ServerConnection {
     input: Buffer,
     state: State,
     output: Body,
@@ -258,9 +258,9 @@
     dropped: usize,
 }
 
-impl Default for Server {
+impl Default for ServerConnection {
     fn default() -> Self {
-        Server {
+        ServerConnection {
             input: Buffer::default(),
             state: State::Head,
             output: Body::default(),
@@ -274,9 +274,9 @@
     }
 }
 
-impl Server {
+impl ServerConnection {
     /// Requests may have a body of so many bytes.
-    pub fn allow_body(&mut self, bytes: usize) {
+    pub fn set_max_body(&mut self, bytes: usize) {
         self.most_body = bytes;
     }
 
@@ -299,12 +299,12 @@
     }
 
     /// Something of a request is here that is not handed out yet.
-    pub fn began(&self) -> bool {
+    pub fn has_partial_request(&self) -> bool {
         matches!(self.state, State::Body(..)) || !self.input.data().is_empty()
     }
 
     /// The rest of a request is not waited for any more: this is its answer.
-    pub fn give_up(&mut self, response: Response) {
+    pub fn respond_and_close(&mut self, response: Response) {
         self.respond(response, true);
     }
 
@@ -316,29 +316,29 @@
 
     /// More came behind the request under way than is kept: true if it was dropped, and the connection ends with the answer.
     /// Reading goes on, for only so is it seen that the client has left: its parts went out for nobody else.
-    pub fn overrun(&mut self) -> bool {
+    pub fn discard_excess(&mut self) -> bool {
         let left = self.input.data().len();
-        let over = self.busy() && left >= MAX_HEAD + MAX_BODY && self.dropped < MAX_DROPPED;
+        let over = self.awaits_response() && left >= MAX_HEAD + MAX_BODY && self.dropped < MAX_DROPPED;
         if over {
             self.dropped += left;
-            self.input.used(left);
+            self.input.consume(left);
             self.close = true;
         }
         over
     }
 
     /// It is to end as soon as no request is under way.
-    pub fn winding_up(&self) -> bool {
+    pub fn is_draining(&self) -> bool {
         self.wind_up
     }
 
     /// The client will send nothing more.
-    pub fn end(&mut self) {
+    pub fn end_of_input(&mut self) {
         self.ended = true;
     }
 
     /// The next request that came whole, or what is wrong; after an error nothing more is read.
-    pub fn poll(&mut self) -> Option<Result<HttpRequest, HttpError>> {
+    pub fn next_request(&mut self) -> Option<Result<HttpRequest, HttpError>> {
         // After an error nothing more is said: told again and again, a request cut off would fill the memory.
         if matches!(self.state, State::Closed) {
             return None;
@@ -384,7 +384,7 @@
     fn head(&mut self) -> Result<Option<(HttpRequest, Framing)>, HttpError> {
         // Empty lines before a request are to be passed over.
         while self.input.data().starts_with(b"\r\n") {
-            self.input.used(2);
+            self.input.consume(2);
         }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
@@ -409,7 +409,7 @@
             headers,
             body: Vec::new(),
         };
-        self.input.used(used);
+        self.input.consume(used);
         if request.headers.lists("expect", "100-continue") {
             self.output.push(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -444,23 +444,23 @@
     }
 
     /// So many of them were written.
-    pub fn wrote(&mut self, n: usize) {
+    pub fn advance_output(&mut self, n: usize) {
         self.output.advance(n);
     }
 
     /// A request was handed out and awaits its answer.
-    pub fn busy(&self) -> bool {
+    pub fn awaits_response(&self) -> bool {
         matches!(self.state, State::Busy)
     }
 
     /// Between requests: nothing of a next one is here, nothing is to be written.
-    pub fn idle(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         matches!(self.state, State::Head) && self.input.data().is_empty() && self.output().is_empty()
     }
 
     /// All is said: the connection can be closed.
-    pub fn finished(&self) -> bool {
-        (matches!(self.state, State::Closed) && self.output().is_empty()) || (self.wind_up && self.idle())
+    pub fn is_finished(&self) -> bool {
+        (matches!(self.state, State::Closed) && self.output().is_empty()) || (self.wind_up && self.is_idle())
     }
 
     /// Close it as soon as no request is under way. One that is here but not read yet is still taken: the client
@@ -525,7 +525,7 @@
             let status = parsed.code.unwrap_or(0);
             let headers = Headers::from_parsed(parsed.headers)?;
             let old = parsed.version == Some(0);
-            self.input.used(used);
+            self.input.consume(used);
             if (100..200).contains(&status) {
                 continue;
             }
@@ -545,7 +545,7 @@
     }
 
     /// The connection ended: true if that ends the response as it should.
-    pub fn end(&mut self) -> bool {
+    pub fn end_of_input(&mut self) -> bool {
         let to_end = self.head.as_ref().is_some_and(|h| h.1 == Framing::ToEnd);
         self.done |= to_end;
         self.done
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -101,18 +101,18 @@
     /// For the module.
     pub policy: Settings,
     /// A connection that is not ready by then has failed.
-    pub dial_timeout: Nanos,
+    pub connect_timeout: Nanos,
     /// An idle connection is closed by the other side after this at the latest.
-    pub idle_close: Nanos,
+    pub idle_timeout: Nanos,
     /// Calls that one connection carries at a time.
-    pub streams_per_conn: usize,
+    pub max_streams_per_connection: usize,
     /// Queries and parts that may be held at a time.
     pub max_in_flight: usize,
 }
 
 impl CoordinatorSettings {
     /// What settings must hold so that a program may begin with them, or go over to them while it runs.
-    pub fn check(&self) -> Result<(), String> {
+    pub fn validate(&self) -> Result<(), String> {
         let m = &self.policy;
         let counts = [
             ("balancers", u64::from(m.coordinators)),
@@ -120,7 +120,7 @@
             ("family-info.slices", u64::from(m.shards)),
             ("family-info.cells", u64::from(m.cells)),
             ("family-info.in-a-row", u64::from(m.cells_per_shard)),
-            ("limits.dial-timeout", self.dial_timeout),
+            ("limits.dial-timeout", self.connect_timeout),
         ];
         if let Some((key, _)) = counts.iter().find(|c| c.1 == 0) {
             return Err(format!("{key} is not above 0"));
@@ -153,15 +153,15 @@
 
 /// The first key that `old` has and `new` lacks, at any depth: defaults would stand in for it unseen. The elements of a
 /// list of objects are all of the form of its first.
-pub fn missing_key(old: &serde_json::Value, new: &serde_json::Value) -> Option<String> {
+pub fn find_missing_key(old: &serde_json::Value, new: &serde_json::Value) -> Option<String> {
     use serde_json::Value::{Array, Object};
     match (old, new) {
         (Object(old), Object(new)) => old.iter().find_map(|(key, value)| match new.get(key) {
             None => (!OPTIONAL.contains(&key.as_str())).then(|| key.clone()),
-            Some(new) => missing_key(value, new).map(|inner| format!("{key}.{inner}")),
+            Some(new) => find_missing_key(value, new).map(|inner| format!("{key}.{inner}")),
         }),
         (Array(old), Array(new)) => {
-            old.first().and_then(|form| new.iter().find_map(|n| missing_key(form, n)))
+            old.first().and_then(|form| new.iter().find_map(|n| find_missing_key(form, n)))
         }
         (Object(old), _) => old.keys().next().cloned(),
         _ => None,
@@ -169,18 +169,18 @@
 }
 
 /// Reads the settings text for the module.
-pub fn read(text: &str) -> Result<Settings, String> {
+pub fn parse_policy_settings(text: &str) -> Result<Settings, String> {
     serde_json::from_str(text).map_err(|e| e.to_string()).and_then(module_settings)
 }
 
 /// Reads the settings for a coordinator on sockets.
-pub fn read_deployment(value: serde_json::Value) -> Result<CoordinatorSettings, String> {
+pub fn parse_coordinator_settings(value: serde_json::Value) -> Result<CoordinatorSettings, String> {
     let boot: BootInfo = serde_json::from_value(value).map_err(|e| e.to_string())?;
     let limits = &boot.limits;
     Ok(CoordinatorSettings {
-        dial_timeout: limits.dial_timeout.unwrap_or(250_000_000),
-        idle_close: limits.idle_close.unwrap_or(15_000_000_000),
-        streams_per_conn: limits.streams_per_conn.unwrap_or(100).max(1),
+        connect_timeout: limits.dial_timeout.unwrap_or(250_000_000),
+        idle_timeout: limits.idle_close.unwrap_or(15_000_000_000),
+        max_streams_per_connection: limits.streams_per_conn.unwrap_or(100).max(1),
         max_in_flight: limits.most_held.unwrap_or(usize::MAX),
         policy: module_settings(boot)?,
     })
--- a/src/time.rs
+++ b/src/time.rs
@@ -87,7 +87,7 @@
 
 /// The one place where a start told in Unix time becomes monotonic time. `None`: long ago. One from the future
 /// (clocks differ a little) counts as now.
-pub fn started_at(boot_ms: u64, unix_now_ms: u64, now: Micros) -> Option<Micros> {
+pub fn monotonic_start(boot_ms: u64, unix_now_ms: u64, now: Micros) -> Option<Micros> {
     let age = Micros::from_millis(unix_now_ms.saturating_sub(boot_ms));
     (boot_ms > 0 && age < now).then(|| now - age)
 }
@@ -99,9 +99,9 @@
     #[test]
     fn a_start_in_unix_time_becomes_monotonic() {
         let now = Micros::from_secs(100);
-        assert_eq!(started_at(0, 1_000_000, now), None);
-        assert_eq!(started_at(999_000, 1_000_000, now), Some(Micros::from_secs(99)));
-        assert_eq!(started_at(1_000_500, 1_000_000, now), Some(now));
-        assert_eq!(started_at(1, 1_000_000, now), None, "before the clock's start: long ago");
+        assert_eq!(monotonic_start(0, 1_000_000, now), None);
+        assert_eq!(monotonic_start(999_000, 1_000_000, now), Some(Micros::from_secs(99)));
+        assert_eq!(monotonic_start(1_000_500, 1_000_000, now), Some(now));
+        assert_eq!(monotonic_start(1, 1_000_000, now), None, "before the clock's start: long ago");
     }
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -4,9 +4,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest, ClassMetrics};
-use quinceflow::proto::calls::{Call, Caller};
+use quinceflow::proto::admin::{AdminCommand, AdminConnection};
 use quinceflow::proto::frames::{Link, LinkEvent};
-use quinceflow::proto::http::{Response, Server};
+use quinceflow::proto::http::{Response, ServerConnection};
 use quinceflow::time::Micros;
 use quinceflow::{AttemptNo, Outcome, PartId, ShardId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -175,7 +175,7 @@
                     let bytes = frame('a', &format!("9b1f.{n} {word} 1 -\nvalue"));
                     let cut = cut % bytes.len();
                     for half in [&bytes[..cut], &bytes[cut..]] {
-                        link.input().feed(half);
+                        link.input().extend(half);
                         prop_assert!(link.read(&mut events).is_ok());
                     }
                     if std::mem::replace(&mut known[n], Known::Over) == Known::Written {
@@ -246,21 +246,21 @@
         cuts in vec(1usize..90, 1..20),
     ) {
         let bytes = format!("{line}{end}");
-        let (mut caller, mut rest, mut cuts) = (Caller::default(), bytes.as_bytes(), cuts.into_iter().cycle());
-        let mut call = caller.call(false);
+        let (mut caller, mut rest, mut cuts) = (AdminConnection::default(), bytes.as_bytes(), cuts.into_iter().cycle());
+        let mut call = caller.command(false);
         while call.is_none() && !rest.is_empty() {
             let (now, later) = rest.split_at(cuts.next().unwrap_or(1).min(rest.len()));
-            caller.input.feed(now);
+            caller.input.extend(now);
             rest = later;
-            call = caller.call(false);
+            call = caller.command(false);
         }
         prop_assert!(call.is_some() || end.is_empty(), "a whole line is a call");
         let known = match line.trim() {
-            "HEALTH" => Some(Call::Health),
-            "DUMP" => Some(Call::Dump),
-            _ => Some(Call::Unknown),
+            "HEALTH" => Some(AdminCommand::Health),
+            "DUMP" => Some(AdminCommand::Dump),
+            _ => Some(AdminCommand::Unknown),
         };
-        prop_assert_eq!(call.or(caller.call(true)), known.filter(|_| !bytes.is_empty()));
+        prop_assert_eq!(call.or(caller.command(true)), known.filter(|_| !bytes.is_empty()));
     }
 
     #[test]
@@ -284,23 +284,23 @@
                 bytes.extend_from_slice(body);
             }
         }
-        let (mut server, mut got, mut out) = (Server::default(), Vec::new(), Vec::new());
+        let (mut server, mut got, mut out) = (ServerConnection::default(), Vec::new(), Vec::new());
         let (mut cuts, mut writes) = (cuts.into_iter().cycle(), writes.into_iter().cycle());
         let mut rest = &bytes[..];
         loop {
             let n = cuts.next().unwrap_or(1).min(rest.len());
-            server.input().feed(&rest[..n]);
+            server.input().extend(&rest[..n]);
             rest = &rest[n..];
-            if let Some(request) = server.poll() {
+            if let Some(request) = server.next_request() {
                 got.push(request.expect("well formed").body);
-                prop_assert!(server.poll().is_none(), "the next one waits for the answer");
-                prop_assert!(server.busy() && !server.idle() && !server.finished());
+                prop_assert!(server.next_request().is_none(), "the next one waits for the answer");
+                prop_assert!(server.awaits_response() && !server.is_idle() && !server.is_finished());
                 server.respond(Response::new(200, "text/plain", got.len().to_string()), got.len() == bodies.len());
             }
             let n = writes.next().unwrap_or(1).min(server.output().len());
             out.extend_from_slice(&server.output()[..n]);
-            server.wrote(n);
-            if server.finished() {
+            server.advance_output(n);
+            if server.is_finished() {
                 break;
             }
         }
@@ -313,25 +313,25 @@
 
     #[test]
     fn no_bytes_make_a_connection_panic_or_grow_without_end(chunks in vec(vec(any::<u8>(), 0..400), 0..20), text in "[ -~\r\n]{0,600}") {
-        let (mut server, mut link) = (Server::default(), Link::default());
+        let (mut server, mut link) = (ServerConnection::default(), Link::default());
         let mut events = Vec::new();
         let mut sound = true;
         for chunk in chunks.iter().map(Vec::as_slice).chain([text.as_bytes()]) {
-            server.input().feed(chunk);
-            if let Some(Err(error)) = server.poll() {
+            server.input().extend(chunk);
+            if let Some(Err(error)) = server.next_request() {
                 prop_assert!((400..=501).contains(&error.status()));
                 server.respond(Response::new(error.status(), "", ""), true);
-                server.wrote(server.output().len());
-                prop_assert!(server.finished());
+                server.advance_output(server.output().len());
+                prop_assert!(server.is_finished());
             }
             if sound {
-                link.input().feed(chunk);
+                link.input().extend(chunk);
                 sound = link.read(&mut events).is_ok();
             }
         }
-        server.end();
-        let _ = server.poll();
-        prop_assert!(server.busy() || server.input().capacity() < 128 * 1024);
+        server.end_of_input();
+        let _ = server.next_request();
+        prop_assert!(server.awaits_response() || server.input().capacity() < 128 * 1024);
     }
 }
 
@@ -343,7 +343,7 @@
         link.call(&[job(0)]);
         link.wrote(link.output().len(), &mut events);
         events.clear();
-        link.input().feed(&frame('a', text));
+        link.input().extend(&frame('a', text));
         assert_eq!(link.read(&mut events).is_ok(), sound, "{text:?}");
         assert_eq!(events.len(), usize::from(sound), "{text:?}");
         let served =
@@ -368,13 +368,13 @@
     let answer = |n: usize| frame('a', &format!("9b1f.{n} served 1 -\nvalue"));
     events.clear();
     for bytes in [answer(0), answer(0), answer(1)] {
-        link.input().feed(&bytes);
+        link.input().extend(&bytes);
     }
     assert_eq!(link.read(&mut events).ok(), Some(3));
     assert_eq!(events.len(), 1, "{events:?}");
     assert!(!link.partial());
     // A length that does not fit: nothing may come after it that would be taken for its end.
-    link.input().feed(&answer(0)[..9]);
+    link.input().extend(&answer(0)[..9]);
     assert_eq!(link.read(&mut events).ok(), Some(0));
     assert!(link.partial());
 }
@@ -437,10 +437,10 @@
     link.wrote(link.output().len(), &mut events);
     assert!(link.owes(&again(1)), "it may still be answered");
     assert!(!link.owes(&AttemptRequest { request_id: "9b20".into(), ..again(1) }) && !link.owes(&job(2)));
-    link.input().feed(&frame('a', "9b1f.1 skipped 1 -\n"));
+    link.input().extend(&frame('a', "9b1f.1 skipped 1 -\n"));
     assert_eq!(link.read(&mut events).ok(), Some(1));
     assert!(!link.owes(&again(1)), "now it is answered");
-    link.input().feed(&frame('a', "9b1f.0 skipped 1 -\n"));
+    link.input().extend(&frame('a', "9b1f.0 skipped 1 -\n"));
     assert_eq!(link.read(&mut events).ok(), Some(1));
     assert!(
         !link.owes(&AttemptRequest { key: AttemptKey { attempt: AttemptNo(1), ..key(0) }, ..job(0) }),
@@ -451,13 +451,16 @@
 #[test]
 fn what_comes_behind_a_request_never_stops_the_reading_of_it_and_costs_it_no_answer() {
     // With 80 KB behind its request a client was not read from any more, so nobody saw that it left.
-    let mut server = Server::default();
-    server.input().feed(b"GET /up HTTP/1.1\r\n\r\n");
-    assert!(matches!(server.poll(), Some(Ok(_))) && server.busy());
+    let mut server = ServerConnection::default();
+    server.input().extend(b"GET /up HTTP/1.1\r\n\r\n");
+    assert!(matches!(server.next_request(), Some(Ok(_))) && server.awaits_response());
     let mut kept = 0;
     for _ in 0..12 {
-        assert!(server.wants_input() || server.overrun(), "what is here is dropped, and reading goes on");
-        server.input().feed(&[b'x'; 20_000]);
+        assert!(
+            server.wants_input() || server.discard_excess(),
+            "what is here is dropped, and reading goes on"
+        );
+        server.input().extend(&[b'x'; 20_000]);
         kept = kept.max(server.memory());
     }
     assert!(kept < 400_000, "{kept} bytes");
@@ -466,29 +469,29 @@
         server.output().starts_with(b"HTTP/1.1 200 OK\r\nConnection: close\r\n"),
         "the rest is not looked at"
     );
-    assert!(server.poll().is_none());
-    server.wrote(server.output().len());
-    assert!(server.finished() && server.must_linger(), "a close on unread bytes is a reset");
+    assert!(server.next_request().is_none());
+    server.advance_output(server.output().len());
+    assert!(server.is_finished() && server.must_linger(), "a close on unread bytes is a reset");
     for _ in 0..200 {
-        server.input().feed(&[b'x'; 20_000]);
-        assert!(!server.overrun(), "nobody is waited for any more");
-        server.input().used(20_000);
+        server.input().extend(&[b'x'; 20_000]);
+        assert!(!server.discard_excess(), "nobody is waited for any more");
+        server.input().consume(20_000);
     }
 }
 
 #[test]
 fn what_is_malformed_gets_a_fitting_status() {
     let status = |text: &str| {
-        let mut server = Server::default();
-        server.input().feed(text.as_bytes());
-        let first = server.poll();
-        server.end();
-        let error = first.or_else(|| server.poll()).and_then(Result::err);
+        let mut server = ServerConnection::default();
+        server.input().extend(text.as_bytes());
+        let first = server.next_request();
+        server.end_of_input();
+        let error = first.or_else(|| server.next_request()).and_then(Result::err);
         if let Some(e) = error {
             // A client that went away in the middle of a request had the worker say so without end.
-            assert!(server.poll().is_none());
+            assert!(server.next_request().is_none());
             server.respond(Response::new(e.status(), "", ""), true);
-            assert!(server.poll().is_none());
+            assert!(server.next_request().is_none());
         }
         error.map(|e| e.status())
     };
@@ -521,11 +524,11 @@
 #[test]
 fn an_idle_connection_told_to_close_still_takes_the_request_that_is_here() {
     // A request that crossed the closing was dropped unread.
-    let mut server = Server::default();
+    let mut server = ServerConnection::default();
     server.close_when_idle();
-    server.input().feed(b"GET /up HTTP/1.1\r\n\r\n");
-    assert!(matches!(server.poll(), Some(Ok(_))));
-    assert!(!server.finished());
+    server.input().extend(b"GET /up HTTP/1.1\r\n\r\n");
+    assert!(matches!(server.next_request(), Some(Ok(_))));
+    assert!(!server.is_finished());
     server.respond(Response::new(200, "", ""), false);
     assert!(String::from_utf8_lossy(server.output()).contains("Connection: close"));
 }
--- a/tests/levels.rs
+++ b/tests/levels.rs
@@ -8,7 +8,7 @@
 /// Tells the module the level, as its settings.
 fn enter(bench: &mut Bench, set: &Settings, effects: &Effects) {
     let heirs = (0..set.classes.len()).map(|c| ClassId(c as u16)).collect();
-    bench.tell(vec![Event::Settings { settings: Box::new(effects.on(set)), class_mapping: heirs }]);
+    bench.tell(vec![Event::Settings { settings: Box::new(effects.apply_to(set)), class_mapping: heirs }]);
 }
 
 /// An alert of high worth, and a survey of low worth.
@@ -43,7 +43,7 @@
     for class in 0..2 {
         let mut bench = Bench::new(set.clone());
         let name = set.classes[class].name.clone();
-        enter(&mut bench, &set, &Effects { admit: [(name, 0.5)].into(), ..Effects::default() });
+        enter(&mut bench, &set, &Effects { admitted_shares: [(name, 0.5)].into(), ..Effects::default() });
         let (of_other, of_this) =
             (admitted(&mut bench, 1 - class as u16), admitted(&mut bench, class as u16));
         assert_eq!(of_other, 400, "the class that is not named");
@@ -52,7 +52,10 @@
         enter(
             &mut bench,
             &set,
-            &Effects { admit: [(set.classes[class].name.clone(), 0.0)].into(), ..Effects::default() },
+            &Effects {
+                admitted_shares: [(set.classes[class].name.clone(), 0.0)].into(),
+                ..Effects::default()
+            },
         );
         assert_eq!(admitted(&mut bench, class as u16), 0);
         enter(&mut bench, &set, &Effects::default());
@@ -67,7 +70,7 @@
     {
         let set = settings(Class { max_attempts: of_settings, ..class(Effect::Idempotent) });
         let mut bench = Bench::new(set.clone());
-        enter(&mut bench, &set, &Effects { most_attempts: of_level, ..Effects::default() });
+        enter(&mut bench, &set, &Effects { max_attempts: of_level, ..Effects::default() });
         let (_, parts, actions) = bench.ask(&[0]);
         let mut sent = sends(&actions).len();
         for attempt in 0..10 {
@@ -106,7 +109,7 @@
     for quiet in [false, true] {
         let set = settings(Class { min_share: 0.3, ..class(Effect::Idempotent) });
         let mut bench = Bench::new(set.clone());
-        enter(&mut bench, &set, &Effects { quiet, ..Effects::default() });
+        enter(&mut bench, &set, &Effects { skip_late_samples: quiet, ..Effects::default() });
         let (_, parts, _) = bench.ask(&[0, 1]);
         bench.serve(parts[0]);
         let actions = bench.wait(S);
@@ -123,7 +126,11 @@
     for (come_back, least) in [(1.0, S / 2), (2.0, 3 * S / 4), (4.0, 7 * S / 8), (0.0, S / 2)] {
         let mut bench = Bench::new(set.clone());
         let admit = [("lookup".to_owned(), 0.0)].into();
-        enter(&mut bench, &set, &Effects { admit, come_back, ..Effects::default() });
+        enter(
+            &mut bench,
+            &set,
+            &Effects { admitted_shares: admit, retry_after_factor: come_back, ..Effects::default() },
+        );
         let told = |_| match finals(&bench.ask(&[0]).2)[..] {
             [Action::Reject { retry_after: Some(wait), .. }] => wait,
             ref other => panic!("{other:?}"),
