--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,92 +3,117 @@
 use crate::interface::*;
 use serde::Deserialize;
 
+/// The settings object.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct BootInfo {
-    balancers: u32,
-    classes: Vec<BootClass>,
+#[serde(rename = "BootInfo", rename_all = "kebab-case")]
+struct SettingsObject {
+    #[serde(rename = "balancers")]
+    coordinators: u32,
+    classes: Vec<ClassObject>,
     #[serde(default)]
     discovery: String,
-    family_info: FamilyInfo,
+    #[serde(rename = "family-info")]
+    query_family: QueryFamily,
+    #[serde(default, rename = "invariants")]
+    rules: PlatformRules,
     #[serde(default)]
-    invariants: Invariants,
+    limits: TransportLimits,
+    #[serde(default = "one", rename = "over-share-worth")]
+    over_quota_weight: f64,
     #[serde(default)]
-    limits: Limits,
-    #[serde(default = "one")]
-    over_share_worth: f64,
-    #[serde(default)]
-    tenants: Vec<BootTenant>,
+    tenants: Vec<TenantObject>,
     tick: Nanos,
 }
 
+/// A class of query.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct BootClass {
-    aim: Nanos,
-    #[serde(default)]
-    aim_stretch: f64,
+#[serde(rename = "BootClass", rename_all = "kebab-case")]
+struct ClassObject {
+    #[serde(rename = "aim")]
+    latency_objective: Nanos,
+    #[serde(default, rename = "aim-stretch")]
+    objective_stretch: f64,
     deadline: Nanos,
     effect: String,
-    #[serde(default)]
-    dedup_window: Nanos,
-    #[serde(default = "one")]
-    points: f64,
-    #[serde(default)]
-    late_worth: f64,
+    #[serde(default, rename = "dedup-window")]
+    deduplication_window: Nanos,
+    #[serde(default = "one", rename = "points")]
+    priority_weight: f64,
+    #[serde(default, rename = "late-worth")]
+    late_weight: f64,
     #[serde(default)]
     name: String,
 }
 
+/// The shape of the queries: how many shards and cells there are, and what each class needs of them. The lists
+/// run parallel to the classes and may be shorter.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct FamilyInfo {
-    #[serde(default)]
-    bundle_max: u32,
+#[serde(rename = "FamilyInfo", rename_all = "kebab-case")]
+struct QueryFamily {
+    #[serde(default, rename = "bundle-max")]
+    max_batch: u32,
     #[serde(default)]
     call_cost: Nanos,
     cells: u32,
-    #[serde(default)]
-    class_need: Vec<f64>,
+    #[serde(default, rename = "class-need")]
+    required_shares: Vec<f64>,
     #[serde(default)]
     follow_up: Vec<u32>,
-    in_a_row: u32,
-    #[serde(default)]
-    least_share: Vec<f64>,
-    slices: u32,
+    #[serde(rename = "in-a-row")]
+    cells_per_shard: u32,
+    #[serde(default, rename = "least-share")]
+    min_shares: Vec<f64>,
+    #[serde(rename = "slices")]
+    shards: u32,
 }
 
+/// What the platform demands of every coordinator: its retry budget, its polling interval and slow start.
 #[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Invariants {
-    extra_floor: Option<f64>,
-    extra_ratio: Option<f64>,
-    look_back: Option<Nanos>,
-    must_ask_in: Option<Nanos>,
+#[serde(rename = "Invariants", rename_all = "kebab-case", default)]
+struct PlatformRules {
+    #[serde(rename = "extra-floor")]
+    free_retries: Option<f64>,
+    #[serde(rename = "extra-ratio")]
+    retry_ratio: Option<f64>,
+    #[serde(rename = "look-back")]
+    retry_window: Option<Nanos>,
+    #[serde(rename = "must-ask-in")]
+    max_poll_interval: Option<Nanos>,
     overload_factor: Option<f64>,
-    overload_for: Option<Nanos>,
-    start_capacity: Option<f64>,
+    #[serde(rename = "overload-for")]
+    overload_window: Option<Nanos>,
+    #[serde(rename = "start-capacity")]
+    initial_capacity: Option<f64>,
     warm_up: Option<Nanos>,
 }
 
+/// Limits of connections and attempts, and the optional features that the platform allows.
 #[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct Limits {
-    cancel: bool,
-    dial_timeout: Option<Nanos>,
-    idle_close: Option<Nanos>,
+#[serde(rename = "Limits", rename_all = "kebab-case", default)]
+struct TransportLimits {
+    #[serde(rename = "cancel")]
+    cancellation: bool,
+    #[serde(rename = "dial-timeout")]
+    connect_timeout: Option<Nanos>,
+    #[serde(rename = "idle-close")]
+    idle_timeout: Option<Nanos>,
     max_attempts: u32,
     max_retry_after: Nanos,
-    most_held: Option<usize>,
+    #[serde(rename = "most-held")]
+    max_in_flight: Option<usize>,
     retry_after: bool,
-    second_copies: bool,
-    streams_per_conn: Option<usize>,
+    #[serde(rename = "second-copies")]
+    hedging: bool,
+    #[serde(rename = "streams-per-conn")]
+    max_streams_per_connection: Option<usize>,
 }
 
+/// A tenant.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct BootTenant {
-    quota_rps: Option<f64>,
+#[serde(rename = "BootTenant", rename_all = "kebab-case")]
+struct TenantObject {
+    #[serde(rename = "quota-rps")]
+    quota: Option<f64>,
 }
 
 fn one() -> f64 {
@@ -170,78 +195,79 @@
 
 /// Reads the settings text for the module.
 pub fn parse_policy_settings(text: &str) -> Result<Settings, String> {
-    serde_json::from_str(text).map_err(|e| e.to_string()).and_then(module_settings)
+    serde_json::from_str(text).map_err(|e| e.to_string()).and_then(policy_settings)
 }
 
 /// Reads the settings for a coordinator on sockets.
 pub fn parse_coordinator_settings(value: serde_json::Value) -> Result<CoordinatorSettings, String> {
-    let boot: BootInfo = serde_json::from_value(value).map_err(|e| e.to_string())?;
-    let limits = &boot.limits;
+    let object: SettingsObject = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    let limits = &object.limits;
     Ok(CoordinatorSettings {
-        connect_timeout: limits.dial_timeout.unwrap_or(250_000_000),
-        idle_timeout: limits.idle_close.unwrap_or(15_000_000_000),
-        max_streams_per_connection: limits.streams_per_conn.unwrap_or(100).max(1),
-        max_in_flight: limits.most_held.unwrap_or(usize::MAX),
-        policy: module_settings(boot)?,
+        connect_timeout: limits.connect_timeout.unwrap_or(250_000_000),
+        idle_timeout: limits.idle_timeout.unwrap_or(15_000_000_000),
+        max_streams_per_connection: limits.max_streams_per_connection.unwrap_or(100).max(1),
+        max_in_flight: limits.max_in_flight.unwrap_or(usize::MAX),
+        policy: policy_settings(object)?,
     })
 }
 
-fn module_settings(boot: BootInfo) -> Result<Settings, String> {
-    let (family, rules, limits) = (boot.family_info, boot.invariants, boot.limits);
+fn policy_settings(object: SettingsObject) -> Result<Settings, String> {
+    let (family, rules, limits) = (object.query_family, object.rules, object.limits);
     let mut classes = Vec::new();
-    for (at, c) in boot.classes.into_iter().enumerate() {
+    for (at, c) in object.classes.into_iter().enumerate() {
         let effect = match c.effect.as_str() {
             "read_like" => Effect::Idempotent,
-            "idempotency_key" => Effect::Deduplicated(c.dedup_window),
+            "idempotency_key" => Effect::Deduplicated(c.deduplication_window),
             "non_idempotent" => Effect::NonIdempotent,
             other => return Err(format!("class {at}: unknown effect {other:?}")),
         };
-        let need = family.class_need.get(at).copied().unwrap_or(1.0);
+        let need = family.required_shares.get(at).copied().unwrap_or(1.0);
         classes.push(Class {
             name: c.name,
             in_force: true,
-            latency_objective: c.aim,
-            objective_stretch: c.aim_stretch,
+            latency_objective: c.latency_objective,
+            objective_stretch: c.objective_stretch,
             deadline: c.deadline,
             effect,
-            priority_weight: c.points,
-            late_weight: c.late_worth,
+            priority_weight: c.priority_weight,
+            late_weight: c.late_weight,
             required_share: need,
-            min_share: family.least_share.get(at).copied().unwrap_or(need),
+            min_share: family.min_shares.get(at).copied().unwrap_or(need),
             follow_up: family.follow_up.get(at).copied().unwrap_or(0),
             max_attempts: limits.max_attempts,
         });
     }
-    let extra = rules.look_back.map(|look_back| RetryBudget {
-        free: rules.extra_floor.unwrap_or(0.0),
-        ratio: rules.extra_ratio.unwrap_or(0.0),
+    let extra = rules.retry_window.map(|look_back| RetryBudget {
+        free: rules.free_retries.unwrap_or(0.0),
+        ratio: rules.retry_ratio.unwrap_or(0.0),
         window: look_back,
     });
-    let cold = match (rules.overload_factor, rules.overload_for) {
+    let cold = match (rules.overload_factor, rules.overload_window) {
         (Some(factor), Some(span)) => Some(SlowStartRule {
             overload_factor: factor,
             overload_window: span,
-            initial_capacity: rules.start_capacity.unwrap_or(0.0),
+            initial_capacity: rules.initial_capacity.unwrap_or(0.0),
             warm_up: rules.warm_up.unwrap_or(0),
         }),
         _ => None,
     };
     Ok(Settings {
-        coordinators: boot.balancers,
-        tick: boot.tick,
+        coordinators: object.coordinators,
+        tick: object.tick,
         classes,
-        tenants: boot.tenants.into_iter().map(|t| Tenant { quota: t.quota_rps }).collect(),
-        over_quota_weight: boot.over_share_worth,
-        shards: family.slices,
+        tenants: object.tenants.into_iter().map(|t| Tenant { quota: t.quota }).collect(),
+        over_quota_weight: object.over_quota_weight,
+        shards: family.shards,
         cells: family.cells,
-        cells_per_shard: family.in_a_row,
-        max_batch: family.bundle_max,
+        cells_per_shard: family.cells_per_shard,
+        max_batch: family.max_batch,
         call_cost: family.call_cost,
-        max_poll_interval: (boot.discovery == "ask").then_some(rules.must_ask_in.unwrap_or(Nanos::MAX)),
+        max_poll_interval: (object.discovery == "ask")
+            .then_some(rules.max_poll_interval.unwrap_or(Nanos::MAX)),
         retry_budget: extra,
         slow_start: cold,
-        cancellation: limits.cancel,
-        hedging: limits.second_copies,
+        cancellation: limits.cancellation,
+        hedging: limits.hedging,
         max_retry_after: limits.retry_after.then_some(limits.max_retry_after),
         reduction: ServiceReduction::default(),
     })
