--- /dev/null
+++ b/src/settings/object.rs
@@ -0,0 +1,123 @@
+//! The settings object as the platform sends it. Unknown keys are skipped; an absent key has the meaning that the wire
+//! protocol gives to its absence. Each field has its usual name here, and the key of the wire in its `serde` attribute;
+//! spans of time are nanoseconds. The types keep the names that messages of the JSON reader have always shown.
+
+use crate::interface::Nanos;
+use serde::Deserialize;
+
+/// The settings object.
+#[derive(Deserialize)]
+#[serde(rename = "BootInfo", rename_all = "kebab-case")]
+pub struct SettingsObject {
+    #[serde(rename = "balancers")]
+    pub coordinators: u32,
+    pub classes: Vec<ClassObject>,
+    #[serde(default)]
+    pub discovery: String,
+    #[serde(rename = "family-info")]
+    pub query_family: QueryFamily,
+    #[serde(default, rename = "invariants")]
+    pub rules: PlatformRules,
+    #[serde(default)]
+    pub limits: TransportLimits,
+    #[serde(default = "one", rename = "over-share-worth")]
+    pub over_quota_weight: f64,
+    #[serde(default)]
+    pub tenants: Vec<TenantObject>,
+    pub tick: Nanos,
+}
+
+/// A class of query.
+#[derive(Deserialize)]
+#[serde(rename = "BootClass", rename_all = "kebab-case")]
+pub struct ClassObject {
+    #[serde(rename = "aim")]
+    pub latency_objective: Nanos,
+    #[serde(default, rename = "aim-stretch")]
+    pub objective_stretch: f64,
+    pub deadline: Nanos,
+    pub effect: String,
+    #[serde(default, rename = "dedup-window")]
+    pub deduplication_window: Nanos,
+    #[serde(default = "one", rename = "points")]
+    pub priority_weight: f64,
+    #[serde(default, rename = "late-worth")]
+    pub late_weight: f64,
+    #[serde(default)]
+    pub name: String,
+}
+
+/// The shape of the queries: how many shards and cells there are, and what each class needs of them. The lists
+/// run parallel to the classes and may be shorter.
+#[derive(Deserialize)]
+#[serde(rename = "FamilyInfo", rename_all = "kebab-case")]
+pub struct QueryFamily {
+    #[serde(default, rename = "bundle-max")]
+    pub max_batch: u32,
+    #[serde(default)]
+    pub call_cost: Nanos,
+    pub cells: u32,
+    #[serde(default, rename = "class-need")]
+    pub required_shares: Vec<f64>,
+    #[serde(default)]
+    pub follow_up: Vec<u32>,
+    #[serde(rename = "in-a-row")]
+    pub cells_per_shard: u32,
+    #[serde(default, rename = "least-share")]
+    pub min_shares: Vec<f64>,
+    #[serde(rename = "slices")]
+    pub shards: u32,
+}
+
+/// What the platform demands of every coordinator: its retry budget, its polling interval and slow start.
+#[derive(Deserialize, Default)]
+#[serde(rename = "Invariants", rename_all = "kebab-case", default)]
+pub struct PlatformRules {
+    #[serde(rename = "extra-floor")]
+    pub free_retries: Option<f64>,
+    #[serde(rename = "extra-ratio")]
+    pub retry_ratio: Option<f64>,
+    #[serde(rename = "look-back")]
+    pub retry_window: Option<Nanos>,
+    #[serde(rename = "must-ask-in")]
+    pub max_poll_interval: Option<Nanos>,
+    pub overload_factor: Option<f64>,
+    #[serde(rename = "overload-for")]
+    pub overload_window: Option<Nanos>,
+    #[serde(rename = "start-capacity")]
+    pub initial_capacity: Option<f64>,
+    pub warm_up: Option<Nanos>,
+}
+
+/// Limits of connections and attempts, and the optional features that the platform allows.
+#[derive(Deserialize, Default)]
+#[serde(rename = "Limits", rename_all = "kebab-case", default)]
+pub struct TransportLimits {
+    #[serde(rename = "cancel")]
+    pub cancellation: bool,
+    #[serde(rename = "dial-timeout")]
+    pub connect_timeout: Option<Nanos>,
+    #[serde(rename = "idle-close")]
+    pub idle_timeout: Option<Nanos>,
+    pub max_attempts: u32,
+    pub max_retry_after: Nanos,
+    #[serde(rename = "most-held")]
+    pub max_in_flight: Option<usize>,
+    pub retry_after: bool,
+    #[serde(rename = "second-copies")]
+    pub hedging: bool,
+    #[serde(rename = "streams-per-conn")]
+    pub max_streams_per_connection: Option<usize>,
+}
+
+/// A tenant.
+#[derive(Deserialize)]
+#[serde(rename = "BootTenant", rename_all = "kebab-case")]
+pub struct TenantObject {
+    #[serde(rename = "quota-rps")]
+    pub quota: Option<f64>,
+}
+
+fn one() -> f64 {
+    1.0
+}
