--- a/src/settings/missing_key.rs
+++ b/src/settings/missing_key.rs
@@ -1,21 +1,32 @@
-//! A guard against settings that lost a key.
+//! A guard for replaced settings: keys that were there before must still be there.
+//!
+//! An absent key is not an error when settings are read: it has a default. When an operator replaces the file of a running
+//! program, though, a key that has gone is more likely an editing mistake or a truncated file than a wish for the default,
+//! so such a file is rejected.
 
-/// Keys that the wire lets settings go without.
-const OPTIONAL: [&str; 5] = ["aim-stretch", "warm-keys", "extra-floor", "extra-ratio", "look-back"];
+use serde_json::Value;
 
-/// The first key that `old` has and `new` lacks, at any depth: defaults would stand in for it unseen. The elements of a
-/// list of objects are all of the form of its first.
-pub fn find_missing_key(old: &serde_json::Value, new: &serde_json::Value) -> Option<String> {
-    use serde_json::Value::{Array, Object};
+/// Keys that a replaced file may omit at any depth: in the wire protocol their absence switches a feature off.
+const OPTIONAL_KEYS: [&str; 5] = ["aim-stretch", "warm-keys", "extra-floor", "extra-ratio", "look-back"];
+
+/// Finds the first key that `old` has and `new` lacks, at any depth, as a path with dots (`limits.max-attempts`).
+///
+/// The first element of an array in `old` is the model for all elements of the array in `new`. Where `old` has an object
+/// and `new` a value of another type, the object's first key is missing.
+#[must_use]
+pub fn find_missing_key(old: &Value, new: &Value) -> Option<String> {
     match (old, new) {
-        (Object(old), Object(new)) => old.iter().find_map(|(key, value)| match new.get(key) {
-            None => (!OPTIONAL.contains(&key.as_str())).then(|| key.clone()),
-            Some(new) => find_missing_key(value, new).map(|inner| format!("{key}.{inner}")),
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old_value)| {
+            let Some(new_value) = new.get(key) else {
+                return (!OPTIONAL_KEYS.contains(&key.as_str())).then(|| key.clone());
+            };
+            find_missing_key(old_value, new_value).map(|path| format!("{key}.{path}"))
         }),
-        (Array(old), Array(new)) => {
-            old.first().and_then(|form| new.iter().find_map(|n| find_missing_key(form, n)))
+        (Value::Array(old), Value::Array(new)) => {
+            let model = old.first()?;
+            new.iter().find_map(|element| find_missing_key(model, element))
         }
-        (Object(old), _) => old.keys().next().cloned(),
+        (Value::Object(old), _) => old.keys().next().cloned(),
         _ => None,
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,45 +1,75 @@
-//! The settings that the platform gives a new instance, from JSON to typed values.
+//! The settings that the platform gives a new instance: from JSON to typed values, and the checks on them.
 
+mod error;
 mod missing_key;
 mod object;
 mod policy;
+#[cfg(test)]
+mod tests;
 mod validate;
 
+pub use error::{ClassFault, SettingsError};
 pub use missing_key::find_missing_key;
 
 use crate::interface::{Nanos, Settings};
-use object::SettingsObject;
+use object::{SettingsObject, TransportLimits};
 use policy::policy_settings;
 
-/// What a coordinator is told beside what the module needs: names and the limits of its connections.
+/// Time to connect where the settings state none: 250 ms.
+const DEFAULT_CONNECT_TIMEOUT: Nanos = 250_000_000;
+/// Idle time after which servers close a connection where the settings state none: 15 s.
+const DEFAULT_IDLE_TIMEOUT: Nanos = 15_000_000_000;
+/// Concurrent calls on one connection where the settings state none.
+const DEFAULT_MAX_STREAMS: usize = 100;
+
+/// The settings of a coordinator on sockets: those of the decision policy and the limits of its connections.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CoordinatorSettings {
-    /// For the module.
+    /// The settings of the decision policy.
     pub policy: Settings,
-    /// A connection that is not ready by then has failed.
+    /// A connection that is not established within this time has failed.
     pub connect_timeout: Nanos,
-    /// An idle connection is closed by the other side after this at the latest.
+    /// The other side closes a connection that has been idle for this time, at the latest.
     pub idle_timeout: Nanos,
-    /// Calls that one connection carries at a time.
+    /// The number of concurrent calls on one connection, at least 1.
     pub max_streams_per_connection: usize,
-    /// Queries and parts that may be held at a time.
+    /// The number of queries and parts that may be in flight at a time.
     pub max_in_flight: usize,
 }
 
-/// Reads the settings text for the module.
-pub fn parse_policy_settings(text: &str) -> Result<Settings, String> {
-    serde_json::from_str(text).map_err(|e| e.to_string()).and_then(policy_settings)
+impl CoordinatorSettings {
+    fn new(policy: Settings, limits: &TransportLimits) -> Self {
+        CoordinatorSettings {
+            policy,
+            connect_timeout: limits.connect_timeout.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
+            idle_timeout: limits.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT),
+            max_streams_per_connection: limits
+                .max_streams_per_connection
+                .unwrap_or(DEFAULT_MAX_STREAMS)
+                .max(1),
+            max_in_flight: limits.max_in_flight.unwrap_or(usize::MAX),
+        }
+    }
+}
+
+/// Reads the settings of the decision policy from a settings object in JSON.
+///
+/// # Errors
+///
+/// [`SettingsError::Json`] if the text has the wrong form, [`SettingsError::UnknownEffect`] for a class with an effect that
+/// the wire protocol does not have. The values are not checked further.
+pub fn parse_policy_settings(text: &str) -> Result<Settings, SettingsError> {
+    policy_settings(serde_json::from_str(text)?)
 }
 
-/// Reads the settings for a coordinator on sockets.
-pub fn parse_coordinator_settings(value: serde_json::Value) -> Result<CoordinatorSettings, String> {
-    let object: SettingsObject = serde_json::from_value(value).map_err(|e| e.to_string())?;
-    let limits = &object.limits;
-    Ok(CoordinatorSettings {
-        connect_timeout: limits.connect_timeout.unwrap_or(250_000_000),
-        idle_timeout: limits.idle_timeout.unwrap_or(15_000_000_000),
-        max_streams_per_connection: limits.max_streams_per_connection.unwrap_or(100).max(1),
-        max_in_flight: limits.max_in_flight.unwrap_or(usize::MAX),
-        policy: policy_settings(object)?,
-    })
+/// Reads the settings of a coordinator on sockets from a settings object; see [`CoordinatorSettings::validate`] for the
+/// checks that follow.
+///
+/// # Errors
+///
+/// Those of [`parse_policy_settings`].
+pub fn parse_coordinator_settings(value: serde_json::Value) -> Result<CoordinatorSettings, SettingsError> {
+    let object: SettingsObject = serde_json::from_value(value)?;
+    let limits = object.limits;
+    Ok(CoordinatorSettings::new(policy_settings(object)?, &limits))
 }
--- a/src/settings/object.rs
+++ b/src/settings/object.rs
@@ -1,13 +1,13 @@
 //! The settings object as the platform sends it. Unknown keys are skipped; an absent key has the meaning that the wire
 //! protocol gives to its absence. Each field has its usual name here, and the key of the wire in its `serde` attribute;
-//! spans of time are nanoseconds. The types keep the names that messages of the JSON reader have always shown.
+//! spans of time are nanoseconds. `expecting` keeps the type names that messages of the JSON reader have always shown.
 
 use crate::interface::Nanos;
 use serde::Deserialize;
 
 /// The settings object.
 #[derive(Deserialize)]
-#[serde(rename = "BootInfo", rename_all = "kebab-case")]
+#[serde(expecting = "struct BootInfo", rename_all = "kebab-case")]
 pub struct SettingsObject {
     #[serde(rename = "balancers")]
     pub coordinators: u32,
@@ -29,7 +29,7 @@
 
 /// A class of query.
 #[derive(Deserialize)]
-#[serde(rename = "BootClass", rename_all = "kebab-case")]
+#[serde(expecting = "struct BootClass", rename_all = "kebab-case")]
 pub struct ClassObject {
     #[serde(rename = "aim")]
     pub latency_objective: Nanos,
@@ -50,7 +50,7 @@
 /// The shape of the queries: how many shards and cells there are, and what each class needs of them. The lists
 /// run parallel to the classes and may be shorter.
 #[derive(Deserialize)]
-#[serde(rename = "FamilyInfo", rename_all = "kebab-case")]
+#[serde(expecting = "struct FamilyInfo", rename_all = "kebab-case")]
 pub struct QueryFamily {
     #[serde(default, rename = "bundle-max")]
     pub max_batch: u32,
@@ -71,7 +71,7 @@
 
 /// What the platform demands of every coordinator: its retry budget, its polling interval and slow start.
 #[derive(Deserialize, Default)]
-#[serde(rename = "Invariants", rename_all = "kebab-case", default)]
+#[serde(expecting = "struct Invariants", rename_all = "kebab-case", default)]
 pub struct PlatformRules {
     #[serde(rename = "extra-floor")]
     pub free_retries: Option<f64>,
@@ -90,8 +90,8 @@
 }
 
 /// Limits of connections and attempts, and the optional features that the platform allows.
-#[derive(Deserialize, Default)]
-#[serde(rename = "Limits", rename_all = "kebab-case", default)]
+#[derive(Deserialize, Default, Clone, Copy)]
+#[serde(expecting = "struct Limits", rename_all = "kebab-case", default)]
 pub struct TransportLimits {
     #[serde(rename = "cancel")]
     pub cancellation: bool,
@@ -112,7 +112,7 @@
 
 /// A tenant.
 #[derive(Deserialize)]
-#[serde(rename = "BootTenant", rename_all = "kebab-case")]
+#[serde(expecting = "struct BootTenant", rename_all = "kebab-case")]
 pub struct TenantObject {
     #[serde(rename = "quota-rps")]
     pub quota: Option<f64>,
--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -1,69 +1,95 @@
 //! The conversion of the settings object into the settings of the decision policy.
 
-use super::object::SettingsObject;
+use super::object::{ClassObject, PlatformRules, QueryFamily, SettingsObject, TransportLimits};
+use super::SettingsError;
 use crate::interface::{
     Class, Effect, Nanos, RetryBudget, ServiceReduction, Settings, SlowStartRule, Tenant,
 };
 
-/// Converts a settings object.
-pub(super) fn policy_settings(object: SettingsObject) -> Result<Settings, String> {
+/// The form of discovery in which the coordinator polls for the endpoint list.
+const POLLED_DISCOVERY: &str = "ask";
+
+/// Converts a settings object; only the effects of classes can be wrong at this point.
+pub fn policy_settings(object: SettingsObject) -> Result<Settings, SettingsError> {
     let (family, rules, limits) = (object.query_family, object.rules, object.limits);
     let mut classes = Vec::new();
-    for (at, c) in object.classes.into_iter().enumerate() {
-        let effect = match c.effect.as_str() {
-            "read_like" => Effect::Idempotent,
-            "idempotency_key" => Effect::Deduplicated(c.deduplication_window),
-            "non_idempotent" => Effect::NonIdempotent,
-            other => return Err(format!("class {at}: unknown effect {other:?}")),
-        };
-        let need = family.required_shares.get(at).copied().unwrap_or(1.0);
-        classes.push(Class {
-            name: c.name,
-            in_force: true,
-            latency_objective: c.latency_objective,
-            objective_stretch: c.objective_stretch,
-            deadline: c.deadline,
-            effect,
-            priority_weight: c.priority_weight,
-            late_weight: c.late_weight,
-            required_share: need,
-            min_share: family.min_shares.get(at).copied().unwrap_or(need),
-            follow_up: family.follow_up.get(at).copied().unwrap_or(0),
-            max_attempts: limits.max_attempts,
-        });
+    for (index, class) in object.classes.into_iter().enumerate() {
+        classes.push(convert_class(index, class, &family, &limits)?);
     }
-    let extra = rules.retry_window.map(|look_back| RetryBudget {
-        free: rules.free_retries.unwrap_or(0.0),
-        ratio: rules.retry_ratio.unwrap_or(0.0),
-        window: look_back,
-    });
-    let cold = match (rules.overload_factor, rules.overload_window) {
-        (Some(factor), Some(span)) => Some(SlowStartRule {
-            overload_factor: factor,
-            overload_window: span,
-            initial_capacity: rules.initial_capacity.unwrap_or(0.0),
-            warm_up: rules.warm_up.unwrap_or(0),
-        }),
-        _ => None,
-    };
+    let polled = object.discovery == POLLED_DISCOVERY;
     Ok(Settings {
         coordinators: object.coordinators,
         tick: object.tick,
         classes,
-        tenants: object.tenants.into_iter().map(|t| Tenant { quota: t.quota }).collect(),
+        tenants: object.tenants.into_iter().map(|tenant| Tenant { quota: tenant.quota }).collect(),
         over_quota_weight: object.over_quota_weight,
         shards: family.shards,
         cells: family.cells,
         cells_per_shard: family.cells_per_shard,
         max_batch: family.max_batch,
         call_cost: family.call_cost,
-        max_poll_interval: (object.discovery == "ask")
-            .then_some(rules.max_poll_interval.unwrap_or(Nanos::MAX)),
-        retry_budget: extra,
-        slow_start: cold,
+        max_poll_interval: polled.then_some(rules.max_poll_interval.unwrap_or(Nanos::MAX)),
+        retry_budget: retry_budget(&rules),
+        slow_start: slow_start(&rules),
         cancellation: limits.cancellation,
         hedging: limits.hedging,
         max_retry_after: limits.retry_after.then_some(limits.max_retry_after),
         reduction: ServiceReduction::default(),
     })
 }
+
+/// Converts the class at `index`. Without a stated share an answer needs all of the weight.
+fn convert_class(
+    index: usize,
+    class: ClassObject,
+    family: &QueryFamily,
+    limits: &TransportLimits,
+) -> Result<Class, SettingsError> {
+    let effect = parse_effect(&class.effect, class.deduplication_window)
+        .ok_or(SettingsError::UnknownEffect { index, effect: class.effect })?;
+    let required_share = family.required_shares.get(index).copied().unwrap_or(1.0);
+    Ok(Class {
+        name: class.name,
+        in_force: true,
+        latency_objective: class.latency_objective,
+        objective_stretch: class.objective_stretch,
+        deadline: class.deadline,
+        effect,
+        priority_weight: class.priority_weight,
+        late_weight: class.late_weight,
+        required_share,
+        min_share: family.min_shares.get(index).copied().unwrap_or(required_share),
+        follow_up: family.follow_up.get(index).copied().unwrap_or(0),
+        max_attempts: limits.max_attempts,
+    })
+}
+
+/// The effects of the wire protocol; `None` for any other word.
+fn parse_effect(word: &str, deduplication_window: Nanos) -> Option<Effect> {
+    match word {
+        "read_like" => Some(Effect::Idempotent),
+        "idempotency_key" => Some(Effect::Deduplicated(deduplication_window)),
+        "non_idempotent" => Some(Effect::NonIdempotent),
+        _ => None,
+    }
+}
+
+/// The retry budget, which the platform sets by stating its window.
+fn retry_budget(rules: &PlatformRules) -> Option<RetryBudget> {
+    let window = rules.retry_window?;
+    Some(RetryBudget {
+        free: rules.free_retries.unwrap_or(0.0),
+        ratio: rules.retry_ratio.unwrap_or(0.0),
+        window,
+    })
+}
+
+/// The slow start, which the platform sets by stating when a server counts as overloaded.
+fn slow_start(rules: &PlatformRules) -> Option<SlowStartRule> {
+    Some(SlowStartRule {
+        overload_factor: rules.overload_factor?,
+        overload_window: rules.overload_window?,
+        initial_capacity: rules.initial_capacity.unwrap_or(0.0),
+        warm_up: rules.warm_up.unwrap_or(0),
+    })
+}
--- a/src/settings/validate.rs
+++ b/src/settings/validate.rs
@@ -1,41 +1,87 @@
 //! What settings must satisfy before a program runs with them.
 
-use super::CoordinatorSettings;
+use super::{ClassFault, CoordinatorSettings, SettingsError};
+use crate::interface::{Class, Settings};
 
 impl CoordinatorSettings {
-    /// What settings must hold so that a program may begin with them, or go over to them while it runs.
-    pub fn validate(&self) -> Result<(), String> {
-        let m = &self.policy;
-        let counts = [
-            ("balancers", u64::from(m.coordinators)),
-            ("tick", m.tick),
-            ("family-info.slices", u64::from(m.shards)),
-            ("family-info.cells", u64::from(m.cells)),
-            ("family-info.in-a-row", u64::from(m.cells_per_shard)),
-            ("limits.dial-timeout", self.connect_timeout),
-        ];
-        if let Some((key, _)) = counts.iter().find(|c| c.1 == 0) {
-            return Err(format!("{key} is not above 0"));
-        }
-        let classes = &m.classes;
-        for (at, c) in classes.iter().enumerate() {
-            let fault = |why: &str| Err(format!("class {:?}: {why}", c.name));
-            match () {
-                () if c.name.is_empty() => return fault("it has no name"),
-                () if classes[..at].iter().any(|b| b.name == c.name) => return fault("it is named twice"),
-                () if c.deadline == 0 => return fault("its deadline is not above 0"),
-                () if c.max_attempts == 0 => {
-                    return fault("its attempts (limits.max-attempts) are not above 0")
-                }
-                () if !(0.0..=1.0).contains(&c.required_share) => return fault("its class-need is no share"),
-                () if !(0.0..=1.0).contains(&c.min_share) => return fault("its least-share is no share"),
-                () if c.priority_weight < 0.0 || c.late_weight < 0.0 => return fault("its worth is below 0"),
-                () => {}
-            }
+    /// Checks that a program can start with these settings, or change to them while it runs.
+    ///
+    /// # Errors
+    ///
+    /// The first violation: counts in the order of the settings object, then each class in turn.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        self.check_positive_values()?;
+        let classes = &self.policy.classes;
+        for (index, class) in classes.iter().enumerate() {
+            check_class(class, &classes[..index])
+                .map_err(|fault| SettingsError::InvalidClass { class: class.name.clone(), fault })?;
         }
         if classes.is_empty() {
-            return Err("there are no classes".to_owned());
+            return Err(SettingsError::NoClasses);
         }
         Ok(())
     }
+
+    /// Checks the values for which 0 has no meaning.
+    fn check_positive_values(&self) -> Result<(), SettingsError> {
+        let Settings { coordinators, tick, shards, cells, cells_per_shard, .. } = self.policy;
+        let values = [
+            ("balancers", u64::from(coordinators)),
+            ("tick", tick),
+            ("family-info.slices", u64::from(shards)),
+            ("family-info.cells", u64::from(cells)),
+            ("family-info.in-a-row", u64::from(cells_per_shard)),
+            ("limits.dial-timeout", self.connect_timeout),
+        ];
+        match values.into_iter().find(|(_, value)| *value == 0) {
+            Some((key, _)) => Err(SettingsError::NotPositive { key }),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Checks one class; `earlier` are the classes before it in the list.
+fn check_class(class: &Class, earlier: &[Class]) -> Result<(), ClassFault> {
+    check_name(class, earlier)?;
+    check_limits(class)?;
+    check_shares(class)?;
+    check_weights(class)
+}
+
+fn check_name(class: &Class, earlier: &[Class]) -> Result<(), ClassFault> {
+    if class.name.is_empty() {
+        return Err(ClassFault::Unnamed);
+    }
+    if earlier.iter().any(|other| other.name == class.name) {
+        return Err(ClassFault::DuplicateName);
+    }
+    Ok(())
+}
+
+fn check_limits(class: &Class) -> Result<(), ClassFault> {
+    if class.deadline == 0 {
+        return Err(ClassFault::NoDeadline);
+    }
+    if class.max_attempts == 0 {
+        return Err(ClassFault::NoAttempts);
+    }
+    Ok(())
+}
+
+fn check_shares(class: &Class) -> Result<(), ClassFault> {
+    let shares = 0.0..=1.0;
+    if !shares.contains(&class.required_share) {
+        return Err(ClassFault::RequiredShareOutOfRange);
+    }
+    if !shares.contains(&class.min_share) {
+        return Err(ClassFault::MinShareOutOfRange);
+    }
+    Ok(())
+}
+
+fn check_weights(class: &Class) -> Result<(), ClassFault> {
+    if class.priority_weight < 0.0 || class.late_weight < 0.0 {
+        return Err(ClassFault::NegativeWeight);
+    }
+    Ok(())
 }
