--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -65,7 +65,7 @@
     let edge = edge.map(|file| Edge::read_file(&file).map_err(|e| e.to_string())).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
         None if edge.is_some() => None,
-        _ => Some(Config::from_env()?),
+        _ => Some(Config::from_env().map_err(|e| e.to_string())?),
     };
     server::run(platform, edge)
 }
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -1,177 +1,183 @@
-//! What a coordinator is told at its start.
+//! The platform's configuration: the file that `NODE_CONFIG` names, and the environment variables that override it.
 
-use crate::settings::{find_missing_key, parse_coordinator_settings, CoordinatorSettings};
+mod error;
+mod reload;
+#[cfg(test)]
+mod tests;
+
+pub use error::{ConfigError, ConfigFileError};
+pub use reload::{ActiveConfig, ReloadedConfig};
+
+use crate::settings::{parse_coordinator_settings, CoordinatorSettings};
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// The file's content. `expecting` keeps the type names that messages of the JSON reader have always shown.
 #[derive(Deserialize)]
-struct File {
+#[serde(expecting = "struct File")]
+struct ConfigFile {
     #[serde(default)]
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
-    mgmt: Option<String>,
+    #[serde(rename = "mgmt")]
+    admin: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
-    limits: Limits,
-    #[serde(default)]
-    known: serde_json::Value,
-    settings: serde_json::Value,
+    limits: ProcessLimits,
+    #[serde(default, rename = "known")]
+    known_endpoints: Value,
+    settings: Value,
 }
 
+/// What the process may use.
 #[derive(Deserialize)]
-#[serde(default)]
-struct Limits {
-    sockets: usize,
-    memory_mb: usize,
+#[serde(default, expecting = "struct Limits")]
+struct ProcessLimits {
+    #[serde(rename = "sockets")]
+    max_descriptors: usize,
+    /// In mebibytes.
+    #[serde(rename = "memory_mb")]
+    max_memory_mib: usize,
 }
 
-impl Default for Limits {
+impl Default for ProcessLimits {
     fn default() -> Self {
-        Limits { sockets: 1024, memory_mb: 192 }
+        ProcessLimits { max_descriptors: 1024, max_memory_mib: 192 }
     }
 }
 
-/// What the environment says; it goes before the file.
+/// What the environment states; it takes precedence over the file.
 #[derive(Debug, Default)]
 pub struct EnvironmentOverrides {
-    /// See [`Config`].
+    /// `NODE_LISTEN`; see [`Config::listen`].
     pub listen: Option<String>,
-    /// See [`Config`].
+    /// `NODE_DISCOVERY`; see [`Config::discovery`].
     pub discovery: Option<String>,
-    /// See [`Config`].
-    pub mgmt: Option<String>,
-    /// See [`Config`].
+    /// `NODE_MGMT`; see [`Config::admin`].
+    pub admin: Option<String>,
+    /// `NODE_NAME`; see [`Config::name`].
     pub name: Option<String>,
 }
 
-/// The start's configuration.
+impl EnvironmentOverrides {
+    /// Reads the variables of this process.
+    fn from_env() -> Self {
+        let variable = |name| std::env::var(name).ok();
+        EnvironmentOverrides {
+            listen: variable("NODE_LISTEN"),
+            discovery: variable("NODE_DISCOVERY"),
+            admin: variable("NODE_MGMT"),
+            name: variable("NODE_NAME"),
+        }
+    }
+}
+
+/// The configuration that a coordinator starts with.
 #[derive(Debug)]
 pub struct Config {
-    /// This coordinator's name.
+    /// The name of this coordinator.
     pub name: String,
-    /// Where clients connect.
+    /// The address on which clients connect.
     pub listen: SocketAddr,
-    /// Where discovery is.
+    /// The address of discovery.
     pub discovery: SocketAddr,
-    /// Where operators are answered, if anywhere.
+    /// The address of the admin protocol, if it is served.
     pub admin: Option<SocketAddr>,
-    /// Where the file is, to be read anew.
+    /// The path of the file, for reloads.
     pub path: PathBuf,
-    /// The file's keys, for the next one to be compared with.
-    file_shape: serde_json::Value,
-    /// Where discovery is in the file's own words, whatever the environment said.
+    /// The file as JSON, with which a replaced one is compared: no key may be lost. The endpoint list is left out,
+    /// since it may have any length and any shape.
+    file_shape: Value,
+    /// The address of discovery as the file states it, whatever the environment states.
     pub file_discovery: Option<SocketAddr>,
-    /// For random numbers.
+    /// The seed of random generators.
     pub seed: u64,
-    /// Descriptors that the process may hold.
+    /// The number of file descriptors that the process may hold.
     pub max_descriptors: usize,
-    /// Bytes of memory that the process may use.
+    /// The memory that the process may use, in bytes.
     pub max_memory: usize,
-    /// The servers as last known, in discovery's form.
+    /// The endpoint list as last known, in discovery's format.
     pub known_endpoints: Vec<u8>,
     /// The settings.
     pub settings: CoordinatorSettings,
 }
 
 impl Config {
-    /// Reads the file that the environment names; the environment's own words go first.
-    pub fn from_env() -> Result<Self, String> {
-        let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_owned())?;
-        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-        let var = |name| std::env::var(name).ok();
-        let env = EnvironmentOverrides {
-            listen: var("NODE_LISTEN"),
-            discovery: var("NODE_DISCOVERY"),
-            mgmt: var("NODE_MGMT"),
-            name: var("NODE_NAME"),
-        };
-        let config = Self::parse(&text, env).map_err(|e| format!("{path}: {e}"))?;
-        Ok(Config { path: path.into(), ..config })
+    /// Reads the file that `NODE_CONFIG` names, and the overrides of the environment.
+    ///
+    /// # Errors
+    ///
+    /// If no file is named, or if it cannot be read or used.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| ConfigError::PathNotSet)?;
+        let path = PathBuf::from(path);
+        let text =
+            std::fs::read(&path).map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
+        match Self::parse(&text, EnvironmentOverrides::from_env()) {
+            Ok(config) => Ok(Config { path, ..config }),
+            Err(source) => Err(ConfigError::Invalid { path, source: Box::new(source) }),
+        }
     }
 
-    /// Reads the text of the file.
-    pub fn parse(text: &[u8], env: EnvironmentOverrides) -> Result<Self, String> {
-        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        let parse = |what: &str, text: String| {
-            text.parse::<SocketAddr>().map_err(|e| format!("{what}: {text:?}: {e}"))
-        };
-        let address = |what: &str, env: Option<String>, file: Option<String>| {
-            parse(what, env.or(file).ok_or_else(|| format!("{what}: no address"))?)
-        };
-        let deployment = parse_coordinator_settings(file.settings).map_err(|e| format!("settings: {e}"))?;
-        deployment.validate().map_err(|e| format!("settings: {e}"))?;
+    /// Parses the content of a file; the path is left empty.
+    ///
+    /// # Errors
+    ///
+    /// If the content is no JSON of the right form, an address is absent or malformed, or the settings are invalid.
+    pub fn parse(text: &[u8], environment: EnvironmentOverrides) -> Result<Self, ConfigFileError> {
+        let file: ConfigFile = serde_json::from_slice(text)?;
+        let settings = parse_coordinator_settings(file.settings)?;
+        settings.validate()?;
+        let file_shape = file_shape(text)?;
+        let file_discovery = file.discovery.as_ref().and_then(|address| address.parse().ok());
+        let listen = required_address("listen", environment.listen.or(file.listen))?;
+        let discovery = required_address("discovery", environment.discovery.or(file.discovery))?;
+        let admin = environment.admin.or(file.admin);
+        let admin = admin.map(|address| parse_address("mgmt", address)).transpose()?;
         Ok(Config {
+            name: environment.name.unwrap_or(file.name),
+            listen,
+            discovery,
+            admin,
             path: PathBuf::new(),
-            file_shape: form(text)?,
-            file_discovery: file.discovery.as_ref().and_then(|d| d.parse().ok()),
-            listen: address("listen", env.listen, file.listen)?,
-            discovery: address("discovery", env.discovery, file.discovery)?,
-            admin: env.mgmt.or(file.mgmt).map(|text| parse("mgmt", text)).transpose()?,
-            name: env.name.unwrap_or(file.name),
-            seed: seed(&file.seed),
-            max_descriptors: file.limits.sockets,
-            max_memory: file.limits.memory_mb.saturating_mul(1024 * 1024),
-            known_endpoints: serde_json::to_vec(&file.known).map_err(|e| format!("known: {e}"))?,
-            settings: deployment,
+            file_shape,
+            file_discovery,
+            seed: parse_seed(&file.seed),
+            max_descriptors: file.limits.max_descriptors,
+            max_memory: file.limits.max_memory_mib.saturating_mul(1024 * 1024),
+            known_endpoints: serde_json::to_vec(&file.known_endpoints)
+                .map_err(ConfigFileError::KnownEndpoints)?,
+            settings,
         })
     }
 }
 
-/// The platform's file as a running program has it: the one in force, against which a replaced one is checked.
-#[derive(Debug)]
-pub struct ActiveConfig {
-    path: PathBuf,
-    /// Its keys; the list of servers is left out, since it may hold any number of any form.
-    form: serde_json::Value,
+fn required_address(key: &'static str, text: Option<String>) -> Result<SocketAddr, ConfigFileError> {
+    parse_address(key, text.ok_or(ConfigFileError::NoAddress { key })?)
 }
 
-/// What a running program takes from a replaced file.
-#[derive(Debug)]
-pub struct ReloadedConfig {
-    /// Where discovery is.
-    pub discovery: SocketAddr,
-    /// The settings.
-    pub settings: CoordinatorSettings,
-}
-
-impl ActiveConfig {
-    /// The file at the start.
-    pub fn from_startup(config: &Config) -> Self {
-        ActiveConfig { path: config.path.clone(), form: config.file_shape.clone() }
-    }
-
-    /// Reads the file anew. With an error nothing of it is to be used.
-    pub fn reload(&mut self) -> Result<ReloadedConfig, String> {
-        let text = std::fs::read(&self.path).map_err(|e| e.to_string());
-        text.and_then(|t| self.replace(&t)).map_err(|e| format!("{}: {e}", self.path.display()))
-    }
-
-    /// The same with its text.
-    fn replace(&mut self, text: &[u8]) -> Result<ReloadedConfig, String> {
-        let form = form(text)?;
-        if let Some(key) = find_missing_key(&self.form, &form) {
-            return Err(format!("{key} is missing"));
-        }
-        let config = Config::parse(text, EnvironmentOverrides::default())?;
-        self.form = form;
-        Ok(ReloadedConfig { discovery: config.discovery, settings: config.settings })
-    }
+fn parse_address(key: &'static str, text: String) -> Result<SocketAddr, ConfigFileError> {
+    text.parse().map_err(|source| ConfigFileError::InvalidAddress { key, text, source })
 }
 
-/// What of a file is compared with the next one.
-fn form(text: &[u8]) -> Result<serde_json::Value, String> {
-    let mut form: serde_json::Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    if let Some(known) = form.get_mut("known") {
-        *known = serde_json::Value::Null;
+/// The file as JSON without its endpoint list; see [`Config`].
+fn file_shape(text: &[u8]) -> Result<Value, ConfigFileError> {
+    let mut file: Value = serde_json::from_slice(text)?;
+    if let Some(known_endpoints) = file.get_mut("known") {
+        *known_endpoints = Value::Null;
     }
-    Ok(form)
+    Ok(file)
 }
 
-/// The seed is hex; anything else still gives one, by its bytes.
-fn seed(text: &str) -> u64 {
-    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    u64::from_str_radix(text, 16).unwrap_or_else(|_| text.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+/// Reads a seed in hexadecimal. Any other text gives a seed too: its FNV-1a hash.
+fn parse_seed(text: &str) -> u64 {
+    const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
+        text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+    })
 }
--- /dev/null
+++ b/src/net/config/reload.rs
@@ -0,0 +1,55 @@
+//! Reloading the configuration file while the program runs.
+
+use super::{file_shape, Config, ConfigError, ConfigFileError, EnvironmentOverrides};
+use crate::settings::{find_missing_key, CoordinatorSettings};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The configuration file in force, against which a replaced one is checked.
+#[derive(Debug)]
+pub struct ActiveConfig {
+    path: PathBuf,
+    /// The keys of the file in force; see [`Config`].
+    file_shape: Value,
+}
+
+/// What a running program adopts from a replaced file.
+#[derive(Debug)]
+pub struct ReloadedConfig {
+    /// The address of discovery.
+    pub discovery: SocketAddr,
+    /// The settings.
+    pub settings: CoordinatorSettings,
+}
+
+impl ActiveConfig {
+    /// The file that the program was started with.
+    #[must_use]
+    pub fn from_startup(config: &Config) -> Self {
+        ActiveConfig { path: config.path.clone(), file_shape: config.file_shape.clone() }
+    }
+
+    /// Reads the file again and makes it the one in force. The environment has no say: it cannot have changed.
+    ///
+    /// # Errors
+    ///
+    /// If the file cannot be read or used, or lacks a key of the file in force. That one stays in force then.
+    pub fn reload(&mut self) -> Result<ReloadedConfig, ConfigError> {
+        let text = std::fs::read(&self.path)
+            .map_err(|source| ConfigError::Unreadable { path: self.path.clone(), source })?;
+        self.replace(&text)
+            .map_err(|source| ConfigError::Invalid { path: self.path.clone(), source: Box::new(source) })
+    }
+
+    /// Makes the file with this text the one in force.
+    fn replace(&mut self, text: &[u8]) -> Result<ReloadedConfig, ConfigFileError> {
+        let file_shape = file_shape(text)?;
+        if let Some(key) = find_missing_key(&self.file_shape, &file_shape) {
+            return Err(ConfigFileError::MissingKey { key });
+        }
+        let config = Config::parse(text, EnvironmentOverrides::default())?;
+        self.file_shape = file_shape;
+        Ok(ReloadedConfig { discovery: config.discovery, settings: config.settings })
+    }
+}
