--- /dev/null
+++ b/src/proto/http/connection.rs
@@ -0,0 +1,246 @@
+//! The server's side of a connection: requests in, responses out, one at a time.
+
+use super::framing::Framing;
+use super::request::{HttpRequest, RequestHead};
+use super::response::Response;
+use super::{HttpError, MAX_BODY, MAX_HEAD};
+use crate::proto::body::Body;
+use crate::proto::buffer::Buffer;
+
+/// While a request is being served, the input behind it may grow to this many bytes.
+const MAX_UNREAD: usize = MAX_HEAD + MAX_BODY;
+/// Input behind a request that is being served is discarded up to this many bytes; after that reading stops.
+const MAX_DISCARDED: usize = 1024 * 1024;
+
+/// What the connection is doing.
+#[derive(Debug)]
+enum State {
+    /// Receiving the head of a request.
+    Head,
+    /// Receiving the body of a request.
+    Body { request: HttpRequest, framing: Framing },
+    /// A request was handed out; the next one waits for the response to it.
+    AwaitingResponse,
+    /// No more requests are read.
+    Closed,
+}
+
+/// The server's side of one connection, without its socket. The owner fills [`input`](Self::input), takes requests from
+/// [`next_request`](Self::next_request), answers each by [`respond`](Self::respond), and writes
+/// [`output`](Self::output).
+#[derive(Debug)]
+pub struct ServerConnection {
+    input: Buffer,
+    state: State,
+    output: Body,
+    /// The maximum length of a request's body, in bytes.
+    max_body: usize,
+    /// The connection closes after the next response.
+    close: bool,
+    /// The connection closes as soon as nothing of a request is here.
+    draining: bool,
+    /// The request under way is a `HEAD` request: its response goes out without the body.
+    omit_body: bool,
+    /// The client has closed its side.
+    input_ended: bool,
+    /// Bytes that were discarded behind requests under way.
+    discarded: usize,
+}
+
+impl Default for ServerConnection {
+    fn default() -> Self {
+        ServerConnection {
+            input: Buffer::default(),
+            state: State::Head,
+            output: Body::default(),
+            max_body: MAX_BODY,
+            close: false,
+            draining: false,
+            omit_body: false,
+            input_ended: false,
+            discarded: 0,
+        }
+    }
+}
+
+impl ServerConnection {
+    /// Sets the maximum length of a request's body, in bytes; [`MAX_BODY`] otherwise.
+    pub fn set_max_body(&mut self, bytes: usize) {
+        self.max_body = bytes;
+    }
+
+    /// The buffer that reads from the socket fill; read only while [`wants_input`](Self::wants_input).
+    pub fn input(&mut self) -> &mut Buffer {
+        &mut self.input
+    }
+
+    /// True while more should be read. A client that pipelines without end, or does not take its responses, must wait.
+    #[must_use]
+    pub fn wants_input(&self) -> bool {
+        self.input.data().len() < MAX_UNREAD
+            && self.output.len() < MAX_BODY
+            && !matches!(self.state, State::Closed)
+    }
+
+    /// The memory held for input and output, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let body = if let State::Body { request, .. } = &self.state { request.body.capacity() } else { 0 };
+        self.input.capacity() + body + self.output.memory()
+    }
+
+    /// True if part of a request has been received that is not handed out yet.
+    #[must_use]
+    pub fn has_partial_request(&self) -> bool {
+        matches!(self.state, State::Body { .. }) || !self.input.data().is_empty()
+    }
+
+    /// True while a request that was handed out has no response yet.
+    #[must_use]
+    pub fn awaits_response(&self) -> bool {
+        matches!(self.state, State::AwaitingResponse)
+    }
+
+    /// True between requests: nothing of the next one is here, and nothing is to be written.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        matches!(self.state, State::Head) && self.input.data().is_empty() && self.output().is_empty()
+    }
+
+    /// True once the socket can be closed.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        let last_response_written = matches!(self.state, State::Closed) && self.output().is_empty();
+        last_response_written || (self.draining && self.is_idle())
+    }
+
+    /// True if the socket must be closed in two steps (a lingering close): the client may still be sending what nobody
+    /// reads, and closing on unread bytes is a reset, which can destroy the response on its way. A connection between
+    /// requests needs none: its client has sent nothing since its last response.
+    #[must_use]
+    pub fn must_linger(&self) -> bool {
+        !self.input_ended && (matches!(self.state, State::Closed) || !self.input.data().is_empty())
+    }
+
+    /// True once [`close_when_idle`](Self::close_when_idle) was called.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Closes the connection as soon as no request is under way. A request of which something is already here is still
+    /// served: the client would count it as lost, or have to retry it.
+    pub fn close_when_idle(&mut self) {
+        self.close = true;
+        self.draining = true;
+    }
+
+    /// The client has closed its side: no more input comes.
+    pub fn end_of_input(&mut self) {
+        self.input_ended = true;
+    }
+
+    /// Discards the input behind a request under way if there is more than may be kept; true if it did. The connection closes
+    /// after the response then. Reading goes on, since only a read shows that the client has disconnected, and the
+    /// request's attempts could be cancelled.
+    pub fn discard_excess(&mut self) -> bool {
+        let unread = self.input.data().len();
+        let excess = self.awaits_response() && unread >= MAX_UNREAD && self.discarded < MAX_DISCARDED;
+        if excess {
+            self.discarded += unread;
+            self.input.consume(unread);
+            self.close = true;
+        }
+        excess
+    }
+
+    /// The next complete request, or the error that ends the connection; `None` if more input is needed, if a request is
+    /// under way, or after an error.
+    pub fn next_request(&mut self) -> Option<Result<HttpRequest, HttpError>> {
+        // An error is reported once: a response to each call would fill the memory.
+        if matches!(self.state, State::Closed) {
+            return None;
+        }
+        match self.read_request() {
+            Ok(Some(request)) => {
+                self.omit_body = request.method == "HEAD";
+                Some(Ok(request))
+            }
+            Ok(None) => self.check_end_of_input().map(Err),
+            Err(error) => {
+                self.stop_reading();
+                Some(Err(error))
+            }
+        }
+    }
+
+    /// Responds to the request that was handed out, or to the error; with `close` the connection closes afterwards.
+    pub fn respond(&mut self, response: Response, close: bool) {
+        self.close |= close;
+        self.output.push(response.encode_head(self.close).as_bytes());
+        if !std::mem::take(&mut self.omit_body) {
+            self.output.append(response.body);
+        }
+        self.state = if self.close { State::Closed } else { State::Head };
+    }
+
+    /// Responds without waiting for the rest of a request, and closes the connection.
+    pub fn respond_and_close(&mut self, response: Response) {
+        self.respond(response, true);
+    }
+
+    /// The next bytes to write: some of them, unless none are left.
+    #[must_use]
+    pub fn output(&self) -> &[u8] {
+        self.output.front()
+    }
+
+    /// Drops the first `count` bytes of the output, which have been written.
+    pub fn advance_output(&mut self, count: usize) {
+        self.output.advance(count);
+    }
+
+    /// Reads on; the request if it is complete by that.
+    fn read_request(&mut self) -> Result<Option<HttpRequest>, HttpError> {
+        if matches!(self.state, State::Head) {
+            self.read_head()?;
+        }
+        let State::Body { request, framing } = &mut self.state else { return Ok(None) };
+        if !framing.read(&mut self.input, &mut request.body, self.max_body)? {
+            return Ok(None);
+        }
+        let request = std::mem::take(request);
+        self.state = State::AwaitingResponse;
+        Ok(Some(request))
+    }
+
+    fn read_head(&mut self) -> Result<(), HttpError> {
+        // RFC 9112, section 2.2: empty lines before a request are ignored.
+        while self.input.data().starts_with(b"\r\n") {
+            self.input.consume(2);
+        }
+        let Some(head) = RequestHead::parse(self.input.data(), self.max_body)? else { return Ok(()) };
+        self.input.consume(head.length);
+        self.close |= head.closes;
+        if head.expects_continue {
+            self.output.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        self.state = State::Body { request: head.request, framing: head.framing };
+        Ok(())
+    }
+
+    /// Stops reading once the client has closed its side, unless a request is under way; an error if that cut a request off.
+    fn check_end_of_input(&mut self) -> Option<HttpError> {
+        if !self.input_ended || self.awaits_response() {
+            return None;
+        }
+        let truncated = self.has_partial_request();
+        self.stop_reading();
+        truncated.then_some(HttpError::Truncated)
+    }
+
+    fn stop_reading(&mut self) {
+        self.state = State::Closed;
+        self.close = true;
+    }
+}
--- /dev/null
+++ b/src/proto/http/framing.rs
@@ -0,0 +1,162 @@
+//! Where a body ends: after a stated length, after its last chunk, or with the connection (RFC 9112, sections 6 and 7).
+
+use super::HttpError;
+use crate::proto::buffer::Buffer;
+
+/// The maximum length of a chunk's size line and of one trailer, in bytes.
+const MAX_LINE: usize = 1024;
+/// The line end that follows the data of a chunk.
+const CRLF: &[u8] = b"\r\n";
+
+/// How the end of a body is found, and how much of it is still to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// After this many more bytes.
+    Length(u64),
+    /// After the last chunk and its trailers.
+    Chunked(ChunkState),
+    /// With the connection.
+    UntilClose,
+}
+
+/// What comes next in a chunked body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ChunkState {
+    /// The size line of a chunk.
+    Size,
+    /// This many more bytes of a chunk.
+    Data(u64),
+    /// The line end after a chunk.
+    DataEnd,
+    /// The trailers, up to an empty line.
+    Trailers,
+}
+
+/// How far a step in a chunked body came.
+enum ChunkProgress {
+    /// The next step can be taken.
+    Advanced,
+    /// The step needs more input.
+    NeedsInput,
+    /// The body is complete.
+    Complete,
+}
+
+impl Framing {
+    /// A chunked body of which nothing has been read.
+    pub(super) fn chunked() -> Self {
+        Framing::Chunked(ChunkState::Size)
+    }
+
+    /// Moves the available part of the body from `buffer` to `body`, which may hold `max_body` bytes; true once the body is
+    /// complete.
+    pub(super) fn read(
+        &mut self,
+        buffer: &mut Buffer,
+        body: &mut Vec<u8>,
+        max_body: usize,
+    ) -> Result<bool, HttpError> {
+        match self {
+            Framing::Length(left) => {
+                move_counted(left, buffer, body, max_body)?;
+                Ok(*left == 0)
+            }
+            Framing::Chunked(state) => state.read(buffer, body, max_body),
+            Framing::UntilClose => {
+                move_all(buffer, body, max_body)?;
+                Ok(false)
+            }
+        }
+    }
+}
+
+impl ChunkState {
+    fn read(&mut self, buffer: &mut Buffer, body: &mut Vec<u8>, max_body: usize) -> Result<bool, HttpError> {
+        loop {
+            let progress = match self {
+                ChunkState::Size => self.read_size(buffer)?,
+                ChunkState::Data(left) => {
+                    move_counted(left, buffer, body, max_body)?;
+                    if *left > 0 {
+                        return Ok(false);
+                    }
+                    *self = ChunkState::DataEnd;
+                    ChunkProgress::Advanced
+                }
+                ChunkState::DataEnd => self.read_data_end(buffer)?,
+                ChunkState::Trailers => read_trailer(buffer)?,
+            };
+            match progress {
+                ChunkProgress::Advanced => {}
+                ChunkProgress::NeedsInput => return Ok(false),
+                ChunkProgress::Complete => return Ok(true),
+            }
+        }
+    }
+
+    fn read_size(&mut self, buffer: &mut Buffer) -> Result<ChunkProgress, HttpError> {
+        let data = buffer.data();
+        match httparse::parse_chunk_size(data) {
+            Ok(httparse::Status::Complete((length, size))) => {
+                buffer.consume(length);
+                *self = if size == 0 { ChunkState::Trailers } else { ChunkState::Data(size) };
+                Ok(ChunkProgress::Advanced)
+            }
+            Ok(httparse::Status::Partial) if data.len() < MAX_LINE => Ok(ChunkProgress::NeedsInput),
+            _ => Err(HttpError::Malformed),
+        }
+    }
+
+    fn read_data_end(&mut self, buffer: &mut Buffer) -> Result<ChunkProgress, HttpError> {
+        let data = buffer.data();
+        if data.len() < CRLF.len() {
+            return Ok(ChunkProgress::NeedsInput);
+        }
+        if !data.starts_with(CRLF) {
+            return Err(HttpError::Malformed);
+        }
+        buffer.consume(CRLF.len());
+        *self = ChunkState::Size;
+        Ok(ChunkProgress::Advanced)
+    }
+}
+
+/// Skips one trailer, or the empty line that ends the body.
+fn read_trailer(buffer: &mut Buffer) -> Result<ChunkProgress, HttpError> {
+    let data = buffer.data();
+    let Some(length) = data.windows(CRLF.len()).position(|window| window == CRLF) else {
+        return if data.len() < MAX_LINE { Ok(ChunkProgress::NeedsInput) } else { Err(HttpError::Malformed) };
+    };
+    buffer.consume(length + CRLF.len());
+    Ok(if length == 0 { ChunkProgress::Complete } else { ChunkProgress::Advanced })
+}
+
+/// Moves at most `left` bytes and counts them off. What is still to come is checked against the maximum beforehand.
+fn move_counted(
+    left: &mut u64,
+    buffer: &mut Buffer,
+    body: &mut Vec<u8>,
+    max_body: usize,
+) -> Result<(), HttpError> {
+    if body.len() as u64 + *left > max_body as u64 {
+        return Err(HttpError::BodyTooLarge);
+    }
+    let data = buffer.data();
+    let length = data.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+    body.extend_from_slice(&data[..length]);
+    buffer.consume(length);
+    *left -= length as u64;
+    Ok(())
+}
+
+/// Moves all bytes that are there.
+fn move_all(buffer: &mut Buffer, body: &mut Vec<u8>, max_body: usize) -> Result<(), HttpError> {
+    let data = buffer.data();
+    let length = data.len();
+    if body.len() + length > max_body {
+        return Err(HttpError::BodyTooLarge);
+    }
+    body.extend_from_slice(data);
+    buffer.consume(length);
+    Ok(())
+}
--- /dev/null
+++ b/src/proto/http/headers.rs
@@ -0,0 +1,80 @@
+//! The header fields of a message.
+
+use super::framing::Framing;
+use super::HttpError;
+
+/// One header field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Header {
+    name: String,
+    /// Without white space around it.
+    value: String,
+}
+
+/// The headers of a message, in the order received.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Headers(Vec<Header>);
+
+impl Headers {
+    /// The value of the first header with that name, in any case of letters.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0
+            .iter()
+            .find(|header| header.name.eq_ignore_ascii_case(name))
+            .map(|header| header.value.as_str())
+    }
+
+    /// Copies the headers out of the parser; a value must be UTF-8.
+    pub(super) fn from_parsed(parsed: &[httparse::Header<'_>]) -> Result<Self, HttpError> {
+        let mut headers = Vec::new();
+        for header in parsed {
+            let value = std::str::from_utf8(header.value).map_err(|_| HttpError::Malformed)?;
+            headers.push(Header { name: header.name.to_owned(), value: value.trim().to_owned() });
+        }
+        Ok(Headers(headers))
+    }
+
+    /// True if a header with that name lists the token, among others separated by commas.
+    pub(super) fn has_token(&self, name: &str, token: &str) -> bool {
+        self.values(name)
+            .flat_map(|value| value.split(','))
+            .any(|listed| listed.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// How the end of the body is found, if the headers state it. Two contradicting statements are rejected, since they
+    /// are a defect or an attempt at request smuggling (RFC 9112, section 6.3).
+    pub(super) fn framing(&self) -> Result<Option<Framing>, HttpError> {
+        let mut codings = self.values("transfer-encoding");
+        let mut lengths = self.values("content-length");
+        match (codings.next(), lengths.next()) {
+            (Some(_), Some(_)) => Err(HttpError::Malformed),
+            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") && codings.next().is_none() => {
+                Ok(Some(Framing::chunked()))
+            }
+            (Some(_), None) => Err(HttpError::UnknownCoding),
+            (None, Some(length)) => {
+                if lengths.any(|other| other != length) {
+                    return Err(HttpError::Malformed);
+                }
+                parse_length(length).map(|length| Some(Framing::Length(length)))
+            }
+            (None, None) => Ok(None),
+        }
+    }
+
+    fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.0
+            .iter()
+            .filter(move |header| header.name.eq_ignore_ascii_case(name))
+            .map(|header| header.value.as_str())
+    }
+}
+
+/// Digits only: the standard parser would take a sign too.
+fn parse_length(text: &str) -> Result<u64, HttpError> {
+    if !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HttpError::Malformed);
+    }
+    text.parse().map_err(|_| HttpError::Malformed)
+}
--- /dev/null
+++ b/src/proto/http/request.rs
@@ -0,0 +1,62 @@
+//! Requests, and the parser of their heads.
+
+use super::framing::Framing;
+use super::headers::Headers;
+use super::{HttpError, MAX_HEAD, MAX_HEADERS};
+
+/// A request that was received completely.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct HttpRequest {
+    /// The method, such as `GET`.
+    pub method: String,
+    /// The request target: path and query.
+    pub target: String,
+    /// The headers.
+    pub headers: Headers,
+    /// The body, decoded.
+    pub body: Vec<u8>,
+}
+
+/// The head of a request, and what follows from it for the connection.
+pub(super) struct RequestHead {
+    /// The request, with an empty body.
+    pub(super) request: HttpRequest,
+    /// How the end of the body is found.
+    pub(super) framing: Framing,
+    /// The length of the head in bytes.
+    pub(super) length: usize,
+    /// The client wants the connection closed after the response.
+    pub(super) closes: bool,
+    /// The client waits for `100 Continue` before it sends the body.
+    pub(super) expects_continue: bool,
+}
+
+impl RequestHead {
+    /// Parses a head; `None` if it is not complete. The body that it announces may have `max_body` bytes.
+    pub(super) fn parse(data: &[u8], max_body: usize) -> Result<Option<Self>, HttpError> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+        let length = match parsed.parse(data) {
+            Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD => length,
+            Ok(httparse::Status::Partial) if data.len() < MAX_HEAD => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
+            Err(_) => return Err(HttpError::Malformed),
+        };
+        let headers = Headers::from_parsed(parsed.headers)?;
+        let framing = headers.framing()?.unwrap_or(Framing::Length(0));
+        if matches!(framing, Framing::Length(length) if length > max_body as u64) {
+            return Err(HttpError::BodyTooLarge);
+        }
+        let is_http_1_0 = parsed.version == Some(0);
+        let closes = headers.has_token("connection", "close")
+            || (is_http_1_0 && !headers.has_token("connection", "keep-alive"));
+        let expects_continue = headers.has_token("expect", "100-continue");
+        let request = HttpRequest {
+            method: parsed.method.unwrap_or_default().to_owned(),
+            target: parsed.path.unwrap_or_default().to_owned(),
+            headers,
+            body: Vec::new(),
+        };
+        Ok(Some(RequestHead { request, framing, length, closes, expects_continue }))
+    }
+}
--- /dev/null
+++ b/src/proto/http/response_reader.rs
@@ -0,0 +1,117 @@
+//! The client's side: a reader of one response.
+
+use super::framing::Framing;
+use super::headers::Headers;
+use super::{HttpError, MAX_HEAD, MAX_HEADERS};
+use crate::proto::buffer::Buffer;
+
+/// The head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Headers,
+    /// The connection can carry another request after this response.
+    pub reusable: bool,
+}
+
+/// A response whose head has been received.
+#[derive(Debug)]
+struct PartialResponse {
+    head: ResponseHead,
+    framing: Framing,
+}
+
+/// Reads one response. The caller may take parts of the body out while the rest is still to come.
+#[derive(Debug)]
+pub struct ResponseReader {
+    /// The buffer that reads from the socket fill.
+    pub input: Buffer,
+    /// What has been received of the body and not been taken by the caller.
+    pub body: Vec<u8>,
+    /// The maximum length of `body`.
+    max_body: usize,
+    /// `None` until the head has been received.
+    response: Option<PartialResponse>,
+    complete: bool,
+}
+
+impl ResponseReader {
+    /// A reader that holds at most `max_body` bytes of the body at a time.
+    #[must_use]
+    pub fn new(max_body: usize) -> Self {
+        ResponseReader {
+            input: Buffer::default(),
+            body: Vec::new(),
+            max_body,
+            response: None,
+            complete: false,
+        }
+    }
+
+    /// Processes the input; true once the response is complete.
+    ///
+    /// # Errors
+    ///
+    /// If the response is not HTTP, or larger than it may be.
+    pub fn advance(&mut self) -> Result<bool, HttpError> {
+        if self.response.is_none() {
+            self.response = self.read_head()?;
+        }
+        match &mut self.response {
+            Some(response) if !self.complete => {
+                self.complete = response.framing.read(&mut self.input, &mut self.body, self.max_body)?;
+            }
+            _ => {}
+        }
+        Ok(self.complete)
+    }
+
+    /// The head, once it has been received.
+    #[must_use]
+    pub fn head(&self) -> Option<&ResponseHead> {
+        self.response.as_ref().map(|response| &response.head)
+    }
+
+    /// The connection has ended; true if the response is complete by that, or was before.
+    pub fn end_of_input(&mut self) -> bool {
+        let framing = self.response.as_ref().map(|response| response.framing);
+        self.complete |= framing == Some(Framing::UntilClose);
+        self.complete
+    }
+
+    /// Reads the head, after any interim responses (1xx), which are skipped.
+    fn read_head(&mut self) -> Result<Option<PartialResponse>, HttpError> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut parsed = httparse::Response::new(&mut headers);
+            let data = self.input.data();
+            let length = match parsed.parse(data) {
+                Ok(httparse::Status::Complete(length)) => length,
+                Ok(httparse::Status::Partial) if data.len() < MAX_HEAD => return Ok(None),
+                Ok(_) => return Err(HttpError::HeadTooLarge),
+                Err(_) => return Err(HttpError::Malformed),
+            };
+            let status = parsed.code.unwrap_or(0);
+            let headers = Headers::from_parsed(parsed.headers)?;
+            let is_http_1_0 = parsed.version == Some(0);
+            self.input.consume(length);
+            if !(100..200).contains(&status) {
+                return PartialResponse::new(status, headers, is_http_1_0).map(Some);
+            }
+        }
+    }
+}
+
+impl PartialResponse {
+    fn new(status: u16, headers: Headers, is_http_1_0: bool) -> Result<Self, HttpError> {
+        let framing = match status {
+            204 | 304 => Framing::Length(0),
+            _ => headers.framing()?.unwrap_or(Framing::UntilClose),
+        };
+        let reusable =
+            !is_http_1_0 && framing != Framing::UntilClose && !headers.has_token("connection", "close");
+        Ok(PartialResponse { head: ResponseHead { status, headers, reusable }, framing })
+    }
+}
