--- a/src/proto/admin.rs
+++ b/src/proto/admin.rs
@@ -1,42 +1,44 @@
-//! The second address: one call a connection, a line each way.
+//! The admin protocol on the second address: one command a connection, a line each way.
 
 use super::buffer::Buffer;
 
-/// Longest line that is read for a call.
+/// The maximum length of a command's line, in bytes.
 const MAX_LINE: usize = 256;
 
-/// What an operator may ask.
+/// What an operator can request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdminCommand {
-    /// Can this process serve?
+    /// `HEALTH`: whether this process can serve.
     Health,
-    /// All figures.
+    /// `DUMP`: all metrics.
     Dump,
-    /// Nothing that is known here.
+    /// Any other line, also one that is too long.
     Unknown,
 }
 
-/// One caller.
+/// The receiving side of one connection of an operator.
 #[derive(Debug, Default)]
 pub struct AdminConnection {
-    /// What came.
+    /// The buffer that reads from the socket fill.
     pub input: Buffer,
 }
 
 impl AdminConnection {
-    /// The call, once its line is here; `ended`: nothing more will come. A line without end is no call.
-    pub fn command(&self, ended: bool) -> Option<AdminCommand> {
+    /// The command, once its line is complete; the end of the input (`input_ended`) completes it too. `None` if more input
+    /// is needed, or if the input ended without any.
+    #[must_use]
+    pub fn command(&self, input_ended: bool) -> Option<AdminCommand> {
         let data = self.input.data();
-        let end = data.iter().position(|b| *b == b'\n');
-        match end {
-            None if data.len() > MAX_LINE => Some(AdminCommand::Unknown),
-            None if !ended => None,
-            None if data.is_empty() => None,
-            _ => Some(match data[..end.unwrap_or(data.len())].trim_ascii() {
-                b"HEALTH" => AdminCommand::Health,
-                b"DUMP" => AdminCommand::Dump,
-                _ => AdminCommand::Unknown,
-            }),
-        }
+        let line = match data.iter().position(|byte| *byte == b'\n') {
+            Some(length) => &data[..length],
+            None if data.len() > MAX_LINE => return Some(AdminCommand::Unknown),
+            None if !input_ended || data.is_empty() => return None,
+            None => data,
+        };
+        Some(match line.trim_ascii() {
+            b"HEALTH" => AdminCommand::Health,
+            b"DUMP" => AdminCommand::Dump,
+            _ => AdminCommand::Unknown,
+        })
     }
 }
--- a/src/proto/body.rs
+++ b/src/proto/body.rs
@@ -1,15 +1,18 @@
-//! The body of a response: bytes of its own and stretches of pages that others hold too, written without being copied.
+//! Bodies of responses: owned bytes, and ranges of shared ones that are written without being copied.
 
 use std::collections::VecDeque;
 use std::ops::Range;
 use std::sync::Arc;
 
-/// Bytes that are shared.
+/// Bytes with several owners, such as a page in a cache.
 pub type SharedBytes = Arc<dyn AsRef<[u8]> + Send + Sync>;
 
-/// Small pieces are joined up to this: a system call costs more than the copy.
-const JOINED: usize = 16 * 1024;
+/// Adjacent owned pieces are joined up to this many bytes: another system call costs more than the copy.
+const MAX_JOINED: usize = 16 * 1024;
+/// Shared ranges of at most this many bytes are copied, since a piece of their own costs more.
+const MAX_COPIED: usize = 512;
 
+/// A consecutive part of a body.
 #[derive(Clone)]
 enum Piece {
     Owned(Vec<u8>),
@@ -20,50 +23,61 @@
     fn bytes(&self) -> &[u8] {
         match self {
             Piece::Owned(bytes) => bytes,
-            Piece::Shared(held, range) => &held.as_ref().as_ref()[range.clone()],
+            Piece::Shared(shared, range) => &shared.as_ref().as_ref()[range.clone()],
+        }
+    }
+
+    /// The memory that is released with this piece, in bytes.
+    fn owned_memory(&self) -> usize {
+        match self {
+            Piece::Owned(bytes) => bytes.capacity(),
+            Piece::Shared(..) => 0,
         }
     }
 }
 
-/// Bytes in pieces, in order.
+/// A queue of bytes, in pieces.
 #[derive(Clone, Default)]
 pub struct Body {
     pieces: VecDeque<Piece>,
+    /// The number of bytes left in all pieces.
     length: usize,
-    /// Bytes of the first piece that are gone.
-    gone: usize,
+    /// The number of bytes of the first piece that have been consumed.
+    consumed: usize,
 }
 
 impl Body {
-    /// Adds bytes.
+    /// Appends a copy of the bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.length += bytes.len();
         match self.pieces.back_mut() {
-            Some(Piece::Owned(last)) if last.len() + bytes.len() <= JOINED => last.extend_from_slice(bytes),
+            Some(Piece::Owned(last)) if last.len() + bytes.len() <= MAX_JOINED => {
+                last.extend_from_slice(bytes)
+            }
             _ if bytes.is_empty() => {}
             _ => self.pieces.push_back(Piece::Owned(bytes.to_vec())),
         }
     }
 
-    /// Adds a stretch of what is held elsewhere; it is kept until it is written.
-    pub fn push_shared(&mut self, held: SharedBytes, range: Range<usize>) {
-        let length = held.as_ref().as_ref().get(range.clone()).map_or(0, <[u8]>::len);
+    /// Appends a range of shared bytes, which are referenced until they are written. A range outside of them adds nothing.
+    pub fn push_shared(&mut self, shared: SharedBytes, range: Range<usize>) {
+        let length = shared.as_ref().as_ref().get(range.clone()).map_or(0, <[u8]>::len);
         if length == 0 {
             return;
         }
-        if length <= 512 {
-            let bytes = held.as_ref().as_ref()[range].to_vec();
+        if length <= MAX_COPIED {
+            let bytes = shared.as_ref().as_ref()[range].to_vec();
             return self.push(&bytes);
         }
         self.length += length;
-        self.pieces.push_back(Piece::Shared(held, range));
+        self.pieces.push_back(Piece::Shared(shared, range));
     }
 
-    /// Adds all of another.
+    /// Appends all of another body, of which nothing may have been consumed.
     pub fn append(&mut self, mut other: Body) {
-        debug_assert_eq!(other.gone, 0, "only whole bodies are joined");
-        // The first piece is joined to what is here, so that a small answer is one write.
-        if matches!(other.pieces.front(), Some(Piece::Owned(first)) if first.len() <= JOINED) {
+        debug_assert_eq!(other.consumed, 0, "only complete bodies are joined");
+        // The first piece is joined to what is here, so that a small response is one write.
+        if matches!(other.pieces.front(), Some(Piece::Owned(first)) if first.len() <= MAX_JOINED) {
             if let Some(Piece::Owned(first)) = other.pieces.pop_front() {
                 other.length -= first.len();
                 self.push(&first);
@@ -73,55 +87,62 @@
         self.pieces.append(&mut other.pieces);
     }
 
-    /// Bytes left.
+    /// The number of bytes left.
+    #[must_use]
     pub fn len(&self) -> usize {
         self.length
     }
 
-    /// None are left.
+    /// True if no bytes are left.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.length == 0
     }
 
-    /// The first bytes that are left: some of them, unless none are.
+    /// The next bytes: some of them, unless none are left.
+    #[must_use]
     pub fn front(&self) -> &[u8] {
-        self.pieces.front().map_or(&[], |p| &p.bytes()[self.gone..])
+        self.pieces.front().map_or(&[], |piece| &piece.bytes()[self.consumed..])
     }
 
-    /// So many of the first bytes are done with.
-    pub fn advance(&mut self, mut n: usize) {
-        n = n.min(self.length);
-        self.length -= n;
+    /// Consumes the next `count` bytes.
+    pub fn advance(&mut self, count: usize) {
+        let mut count = count.min(self.length);
+        self.length -= count;
         while let Some(first) = self.pieces.front() {
-            let left = first.bytes().len() - self.gone;
-            if n < left {
-                self.gone += n;
+            let left = first.bytes().len() - self.consumed;
+            if count < left {
+                self.consumed += count;
                 return;
             }
-            n -= left;
-            self.gone = 0;
+            count -= left;
+            self.consumed = 0;
             self.pieces.pop_front();
         }
     }
 
-    /// Memory that ends with it; what others hold too is theirs.
+    /// The memory that is released with this body, in bytes; shared bytes do not count.
+    #[must_use]
     pub fn memory(&self) -> usize {
-        let own = |p: &Piece| if let Piece::Owned(bytes) = p { bytes.capacity() } else { 0 };
-        self.pieces.iter().map(own).sum()
+        self.pieces.iter().map(Piece::owned_memory).sum()
     }
 
-    /// All bytes left, copied.
+    /// A copy of all bytes left.
+    #[must_use]
     pub fn to_vec(&self) -> Vec<u8> {
         let mut all = Vec::with_capacity(self.length);
-        self.pieces.iter().for_each(|p| all.extend_from_slice(p.bytes()));
-        all.drain(..self.gone);
+        self.pieces.iter().for_each(|piece| all.extend_from_slice(piece.bytes()));
+        all.drain(..self.consumed);
         all
     }
 
-    /// The pieces left, each as bytes.
+    /// The bytes left in each piece.
     pub fn chunks(&self) -> impl Iterator<Item = &[u8]> {
-        let gone = self.gone;
-        self.pieces.iter().enumerate().map(move |(n, p)| &p.bytes()[if n == 0 { gone } else { 0 }..])
+        let consumed = self.consumed;
+        self.pieces.iter().enumerate().map(move |(index, piece)| {
+            let start = if index == 0 { consumed } else { 0 };
+            &piece.bytes()[start..]
+        })
     }
 }
 
@@ -129,7 +150,7 @@
     fn from(bytes: Vec<u8>) -> Self {
         let length = bytes.len();
         let pieces = if bytes.is_empty() { VecDeque::new() } else { VecDeque::from([Piece::Owned(bytes)]) };
-        Body { pieces, length, gone: 0 }
+        Body { pieces, length, consumed: 0 }
     }
 }
 
@@ -160,35 +181,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn pieces_are_written_in_order_however_little_at_a_time() {
-        let held: SharedBytes = Arc::new(vec![b'h'; 5_000]);
-        for step in [1, 7, 512, 100_000] {
-            let mut body = Body::default();
-            body.push(b"head ");
-            let mut rest = Body::from("own ");
-            rest.push_shared(held.clone(), 10..2_010);
-            rest.push(b"");
-            rest.push(b" tail");
-            rest.push_shared(held.clone(), 0..3);
-            rest.push_shared(held.clone(), 4_999..9_999);
-            body.append(rest);
-            let whole = [b"head own ".as_slice(), &[b'h'; 2_000], b" tailhhh"].concat();
-            assert_eq!((body.len(), body.to_vec()), (whole.len(), whole.clone()));
-            let mut written = Vec::new();
-            while !body.is_empty() {
-                let n = body.front().len().min(step);
-                assert!(n > 0);
-                written.extend_from_slice(&body.front()[..n]);
-                body.advance(n);
-                assert_eq!(body.chunks().map(<[u8]>::len).sum::<usize>(), body.len());
-            }
-            assert_eq!(written, whole);
-            assert!(body.front().is_empty() && body.memory() == 0);
-        }
-        assert_eq!(Arc::strong_count(&held), 1, "nothing is kept once it is written");
-    }
-}
+mod tests;
--- a/src/proto/buffer.rs
+++ b/src/proto/buffer.rs
@@ -1,67 +1,76 @@
-//! The one buffer of a connection's reading side: it grows as needed, is compacted in place, and is bounded.
+//! The input buffer of a connection: it grows as needed and compacts in place.
 
-/// Smallest room offered to a read.
-const MIN_ROOM: usize = 2 * 1024;
-/// An empty buffer gives memory beyond this back.
-const KEPT: usize = 16 * 1024;
+/// The minimum free space offered to a read, in bytes.
+const MIN_FREE_SPACE: usize = 2 * 1024;
+/// An empty buffer releases its memory if it holds more than this, in bytes.
+const MAX_IDLE_CAPACITY: usize = 16 * 1024;
 
-/// Bytes that were read and not yet used.
+/// Bytes that were read from a socket and not consumed yet.
 #[derive(Debug, Default)]
 pub struct Buffer {
     bytes: Vec<u8>,
-    from: usize,
-    to: usize,
+    /// The unconsumed bytes are `bytes[start..end]`.
+    start: usize,
+    end: usize,
 }
 
 impl Buffer {
-    /// What is there to be used.
+    /// The unconsumed bytes.
+    #[must_use]
     pub fn data(&self) -> &[u8] {
-        &self.bytes[self.from..self.to]
+        &self.bytes[self.start..self.end]
     }
 
-    /// Room for a read; follow with [`Buffer::filled`].
+    /// Space for a read of at least 2 KiB; report the bytes read by [`Buffer::commit`].
     pub fn free_space(&mut self) -> &mut [u8] {
-        if self.bytes.len() - self.to < MIN_ROOM {
-            self.bytes.copy_within(self.from..self.to, 0);
-            self.to -= self.from;
-            self.from = 0;
-            if self.bytes.len() - self.to < MIN_ROOM {
-                let size = (self.bytes.len() * 2).max(self.to + MIN_ROOM);
-                self.bytes.resize(size, 0);
-            }
+        if self.bytes.len() - self.end < MIN_FREE_SPACE {
+            self.compact();
         }
-        &mut self.bytes[self.to..]
+        if self.bytes.len() - self.end < MIN_FREE_SPACE {
+            let length = (self.bytes.len() * 2).max(self.end + MIN_FREE_SPACE);
+            self.bytes.resize(length, 0);
+        }
+        &mut self.bytes[self.end..]
     }
 
-    /// So many bytes of the room were read into.
-    pub fn commit(&mut self, n: usize) {
-        self.to = (self.to + n).min(self.bytes.len());
+    /// The first `count` bytes of the free space were filled.
+    pub fn commit(&mut self, count: usize) {
+        self.end = (self.end + count).min(self.bytes.len());
     }
 
-    /// So many bytes were used.
-    pub fn consume(&mut self, n: usize) {
-        self.from = (self.from + n).min(self.to);
-        if self.from == self.to {
-            (self.from, self.to) = (0, 0);
-            if self.bytes.len() > KEPT {
-                self.bytes = Vec::new();
-            }
+    /// Drops the first `count` unconsumed bytes.
+    pub fn consume(&mut self, count: usize) {
+        self.start = (self.start + count).min(self.end);
+        if self.start < self.end {
+            return;
+        }
+        (self.start, self.end) = (0, 0);
+        if self.bytes.len() > MAX_IDLE_CAPACITY {
+            self.bytes = Vec::new();
         }
     }
 
-    /// Copies bytes in, for callers that hold them already.
+    /// Appends bytes that the caller has already.
     pub fn extend(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
-            let room = self.free_space();
-            let n = room.len().min(bytes.len());
-            room[..n].copy_from_slice(&bytes[..n]);
-            self.commit(n);
-            bytes = &bytes[n..];
+            let space = self.free_space();
+            let count = space.len().min(bytes.len());
+            space[..count].copy_from_slice(&bytes[..count]);
+            self.commit(count);
+            bytes = &bytes[count..];
         }
     }
 
-    /// Memory held.
+    /// The memory held, in bytes.
+    #[must_use]
     pub fn capacity(&self) -> usize {
         self.bytes.len()
     }
+
+    /// Moves the unconsumed bytes to the front.
+    fn compact(&mut self) {
+        self.bytes.copy_within(self.start..self.end, 0);
+        self.end -= self.start;
+        self.start = 0;
+    }
 }
