--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,18 @@
-//! The decisions of a coordinator that answers a query from many shards.
+//! A query coordinator: the decisions, protocols and sockets of a program that answers a query from many shards.
 //!
-//! A coordinator is handed queries, each with parts that need answers from shards, each shard held by some
-//! replicas. [`DecisionPolicy`] decides where each part goes, how long to wait, whether to try again, when to answer,
-//! and which queries to reject. It opens no socket and reads no clock: hand it the events of a moment, carry out
-//! its actions in order, and wake it when it asks.
+//! A coordinator receives queries. Each consists of parts, a part needs an answer from one shard, and each shard is served by
+//! several replicas. [`DecisionPolicy`] decides where each attempt at a part goes, how long to wait for it, whether to retry
+//! or hedge, when to answer the query, and which queries to reject. It opens no socket and reads no clock: the caller
+//! passes it the events of a moment, carries out the returned actions in order, and calls it again when its timer fires.
 //!
-//! The types are in [`interface`], the decisions in [`policy`].
+//! The modules, from the decisions outwards:
+//!
+//! * [`interface`]: settings, events and actions; [`policy`]: the decisions;
+//! * [`coordinator`]: the queries and attempts in progress, and the events and actions on their behalf;
+//! * [`front`]: the requests of clients, translated to queries and back;
+//! * [`limits`] and [`levels`]: adaptive limits of concurrency, admission by cost, levels of reduced service;
+//! * [`proto`]: protocols without sockets; [`net`]: sockets, signals and the processes of two versions;
+//! * [`settings`], [`time`](mod@time), [`log`]: what all of them share.
 //!
 //! ```
 //! use quinceflow::*;
@@ -46,7 +53,7 @@
 //! };
 //! let mut policy = DecisionPolicy::new(settings, 42, 0);
 //!
-//! // The coordinator's loop: what came in, then what is to be done.
+//! // The coordinator's loop: events in, actions out.
 //! let replica = ReplicaId([10, 0, 0, 1, 0, 80]);
 //! let endpoint = Endpoint { replica, zone: ZoneId(0), cell: CellId(0), state: EndpointState::Ready, started_at: 0 };
 //! let batches = vec![
@@ -82,7 +89,7 @@
 //!     for action in actions {
 //!         match action {
 //!             Action::SetTimer(_) => {} // set a timer that brings Event::TimerFired
-//!             other => done.push(other), // send, cancel, answer, refuse, fail, ...
+//!             other => done.push(other), // send, cancel, answer, reject, fail, ...
 //!         }
 //!     }
 //! }
--- a/src/log.rs
+++ b/src/log.rs
@@ -7,7 +7,7 @@
 use tracing_subscriber::fmt::FmtContext;
 use tracing_subscriber::registry::LookupSpan;
 
-/// How lines are written.
+/// The format of log lines. The texts of the variants are part of the program's `--help`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ValueEnum)]
 pub enum LogFormat {
     /// `quinceflow: ` and the words that `docs/on-call.md` names.
@@ -17,10 +17,10 @@
     Json,
 }
 
-/// The words of the line, then its fields; no time and no colour: who collects the lines adds the time.
-struct Words;
+/// Formats an event as its message and its fields. The time is left to what collects the lines, and there is no colour.
+struct PlainFormat;
 
-impl<S, N> FormatEvent<S, N> for Words
+impl<S, N> FormatEvent<S, N> for PlainFormat
 where
     S: Subscriber + for<'a> LookupSpan<'a>,
     N: for<'a> FormatFields<'a> + 'static,
@@ -37,11 +37,11 @@
     }
 }
 
-/// Starts the log of this process; a second start changes nothing.
-pub fn init(form: LogFormat) {
+/// Starts the log of this process; further calls change nothing.
+pub fn init(format: LogFormat) {
     let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(tracing::Level::INFO);
-    let _ = match form {
-        LogFormat::Text => lines.event_format(Words).try_init(),
+    let _ = match format {
+        LogFormat::Text => lines.event_format(PlainFormat).try_init(),
         LogFormat::Json => lines.json().try_init(),
     };
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,43 +1,49 @@
-//! Time outside the module: whole microseconds of the monotonic clock, and the two places where it is converted.
+//! Time outside the decision policy: whole microseconds of the monotonic clock, and its conversion to and from other clocks.
 
 use crate::interface::Nanos;
 use std::ops::{Add, Sub};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A point in monotonic time or a span of it, in whole microseconds.
+/// A point in monotonic time or a span of it, in whole microseconds. Sums and differences saturate.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Micros(pub u64);
 
 impl Micros {
-    /// Zero: the start of time, or no time at all.
+    /// The origin of time, or an empty span.
     pub const ZERO: Micros = Micros(0);
 
-    /// So many milliseconds.
-    pub const fn from_millis(ms: u64) -> Self {
-        Micros(ms * 1_000)
+    /// A span of `millis` milliseconds.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Micros(millis * 1_000)
     }
 
-    /// So many seconds.
-    pub const fn from_secs(s: u64) -> Self {
-        Micros(s * 1_000_000)
+    /// A span of `secs` seconds.
+    #[must_use]
+    pub const fn from_secs(secs: u64) -> Self {
+        Micros(secs * 1_000_000)
     }
 
-    /// The one way into the module's unit.
+    /// Converts to the unit of the decision policy.
+    #[must_use]
     pub fn to_nanos(self) -> Nanos {
         self.0.saturating_mul(1_000)
     }
 
-    /// The one way back from the module's unit; a fraction of a microsecond is dropped.
+    /// Converts from the unit of the decision policy; a fraction of a microsecond is dropped.
+    #[must_use]
     pub fn from_nanos(nanos: Nanos) -> Self {
         Micros(nanos / 1_000)
     }
 
-    /// What is left from `earlier` to this point; nothing if that is later.
+    /// The span from `earlier` to this point; zero if `earlier` is later.
+    #[must_use]
     pub fn since(self, earlier: Micros) -> Micros {
         Micros(self.0.saturating_sub(earlier.0))
     }
 
-    /// For the standard library.
+    /// Converts to the standard library's type.
+    #[must_use]
     pub fn to_duration(self) -> Duration {
         Duration::from_micros(self.0)
     }
@@ -57,8 +63,8 @@
     }
 }
 
-/// Where the clock starts: a day in, so that what happened shortly before the program's start has a time too.
-const HEAD_START: Micros = Micros::from_secs(86_400);
+/// What a new clock shows: one day, so that events shortly before the program's start have a time too.
+const CLOCK_ORIGIN: Micros = Micros::from_secs(86_400);
 
 /// The monotonic clock.
 #[derive(Debug, Clone, Copy)]
@@ -68,40 +74,34 @@
 
 impl Clock {
     /// A clock that starts now.
+    #[must_use]
     pub fn start() -> Self {
         Clock { start: Instant::now() }
     }
 
-    /// Reads it.
+    /// The present time.
+    #[must_use]
     pub fn now(&self) -> Micros {
-        HEAD_START + Micros(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
+        CLOCK_ORIGIN + Micros(u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 }
 
-/// Milliseconds since the Unix epoch.
+/// The present time in milliseconds since the Unix epoch.
+#[must_use]
 pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+        .map_or(0, |elapsed| u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
 
-/// The one place where a start told in Unix time becomes monotonic time. `None`: long ago. One from the future
-/// (clocks differ a little) counts as now.
-pub fn monotonic_start(boot_ms: u64, unix_now_ms: u64, now: Micros) -> Option<Micros> {
-    let age = Micros::from_millis(unix_now_ms.saturating_sub(boot_ms));
-    (boot_ms > 0 && age < now).then(|| now - age)
+/// Converts the start of a process from Unix time, in milliseconds, to monotonic time; `unix_now_ms` and `now` are the same
+/// moment on the two clocks. `None` if the start is unknown (0) or lies before the origin of the monotonic clock. A start
+/// in the future counts as now, since the clocks of two machines differ a little.
+#[must_use]
+pub fn monotonic_start(start_unix_ms: u64, unix_now_ms: u64, now: Micros) -> Option<Micros> {
+    let age = Micros::from_millis(unix_now_ms.saturating_sub(start_unix_ms));
+    (start_unix_ms > 0 && age < now).then(|| now - age)
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_start_in_unix_time_becomes_monotonic() {
-        let now = Micros::from_secs(100);
-        assert_eq!(monotonic_start(0, 1_000_000, now), None);
-        assert_eq!(monotonic_start(999_000, 1_000_000, now), Some(Micros::from_secs(99)));
-        assert_eq!(monotonic_start(1_000_500, 1_000_000, now), Some(now));
-        assert_eq!(monotonic_start(1, 1_000_000, now), None, "before the clock's start: long ago");
-    }
-}
+mod tests;
