--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -5,10 +5,10 @@
 //! what is given up stays with the module.
 
 mod admission;
-mod server;
+mod limiter;
 
 pub use admission::{AdmissionController, QueryCost, Rejection};
-pub use server::{ConcurrencyLimiter, LimitRule, RequestOutcome};
+pub use limiter::{ConcurrencyLimiter, LimitRule, RequestOutcome};
 
 use crate::interface::ReplicaId;
 use std::collections::HashMap;
