--- a/src/limits/limiter.rs
+++ b/src/limits/limiter.rs
@@ -1,221 +1,227 @@
-//! How many requests a server may have under way.
+//! The limit of concurrent requests to one server, adapted to its latency.
 //!
-//! Weighed: a fixed number (either too many for a server that lost cores or too few for one that has them), AIMD on errors
-//! alone (a server that queues gives no errors until all of it is late), and a gradient on response times: where what is
-//! usual now exceeds what a calm server takes, work waits there, and the limit shrinks by that ratio; else it grows by its
-//! square root, which lets a short queue stand. The gradient is chosen, and errors that tell of overload cut it as AIMD does.
-
+//! Considered and rejected: a fixed limit, which is too high for a server that lost cores or too low for one that has them;
+//! and AIMD on errors alone, since a server that queues returns no errors until everything is late. The limiter follows the
+//! gradient of latency, as in Netflix's `concurrency-limits` (Gradient2): where the smoothed latency exceeds the baseline,
+//! requests wait in a queue, and the limit shrinks by that ratio; otherwise it grows by its square root, which lets a short
+//! queue stand. Errors that report overload decrease it multiplicatively, as AIMD does. From time to time the limit drops to
+//! its minimum for a moment, so that the queue drains and the baseline can be measured (as in BBR's `PROBE_RTT`).
+
+use super::latency::{LatencyGradient, SmoothedLatency};
 use crate::time::Micros;
-use std::collections::VecDeque;
-
-/// Times that long over the calm one are still calm: noise, and a queue of a few.
-const TOLERANCE: f64 = 1.8;
-/// Weight of a new time in what is usual now.
-const GAIN: f64 = 0.2;
-/// Weight of a new limit against the old one.
-const SMOOTH: f64 = 0.4;
-/// The calm time is the least of so many spans
-const SPANS: usize = 6;
-/// of this length: a server that became slower for good is calm again after all of them.
-const SPAN: Micros = Micros::from_secs(5);
-/// A server that always has a queue never shows its calm time: so often the limit is let down to its least,
-const LET_DOWN: Micros = Micros::from_secs(8);
-/// for so many of the times that are usual then: the queue ends, and what comes after it is calm.
-const LET_DOWN_FOR: f64 = 2.5;
-/// What overload does to the limit, at most once in a usual time.
-const CUT: f64 = 0.7;
-/// A limit grows only while at least this share of it is in use: else nothing tells what more would do.
-const USED: f64 = 0.5;
-/// A server's own wish to be left alone is followed for so long at most.
-const MAX_HOLD: Micros = Micros::from_secs(30);
-
-/// How limits are set.
+
+/// The weight of a newly computed limit against the present one.
+const LIMIT_SMOOTHING: f64 = 0.4;
+/// The interval of baseline probes. A server that always has a queue would never show its baseline otherwise.
+const PROBE_INTERVAL: Micros = Micros::from_secs(8);
+/// The first probe comes after this fraction of the interval.
+const FIRST_PROBE_FRACTION: u64 = 8;
+/// A probe lasts for this multiple of the smoothed latency: the queue ends, and what comes after it shows the baseline.
+const PROBE_LATENCIES: f64 = 2.5;
+/// The factor by which overload decreases the limit, at most once per smoothed latency
+const DECREASE_FACTOR: f64 = 0.7;
+/// or per this time in microseconds, whichever is longer.
+const MIN_DECREASE_INTERVAL: f64 = 10_000.0;
+/// A limit grows only while at least this share of it is in use: otherwise nothing shows what more would do.
+const MIN_UTILIZATION: f64 = 0.5;
+/// The longest backoff that a server can request.
+const MAX_BACKOFF: Micros = Micros::from_secs(30);
+/// A request cancelled after more than this multiple of the smoothed latency counts as a sign of overload.
+const OVERLOAD_LATENCIES: f64 = 4.0;
+/// Latencies are compared among responses of similar size: a page of five hundred features takes longer than a single
+/// feature, without any queue.
+const SIZE_CLASSES: usize = 6;
+
+/// How the limit of a server is determined.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum LimitRule {
-    /// Always this many.
+    /// Always this number of requests.
     Fixed(usize),
-    /// Between these, from `start` on.
+    /// Adapted to latency, within bounds.
     Adaptive {
-        /// At first.
+        /// The limit of a server of which nothing is known.
         initial: usize,
-        /// Never fewer: a server that gets nothing shows nothing.
+        /// The minimum: a server without requests would show nothing.
         min: usize,
-        /// Never more.
+        /// The maximum.
         max: usize,
     },
 }
 
-/// How a request ended, as far as limits go.
+/// How a request ended, as far as limits are concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
-    /// Answered, with so many features.
+    /// It was answered, with this number of features.
     Success(usize),
-    /// The server has too much: it said so.
+    /// The server reported overload.
     Overloaded,
-    /// Given up here: overload if it had waited for long, else nothing follows from it.
+    /// The coordinator cancelled it: a sign of overload if it had waited for long, otherwise ignored.
     Cancelled,
-    /// Otherwise: nothing follows from it.
+    /// It says nothing about the server's load.
     Ignored,
 }
 
-/// Answers are compared with those of about their size: a page of five hundred features takes longer than a look at one,
-/// however calm the server is.
-const SIZES: usize = 6;
-/// A request given up after so many times the usual was in a jam.
-const JAM: f64 = 4.0;
-
-/// Times of answers of one size.
-#[derive(Debug, Clone, Default)]
-struct Track {
-    /// What is usual now, in microseconds; 0 before any.
-    now: f64,
-    /// The least of each span: when it began, and what it was.
-    calm: VecDeque<(Micros, f64)>,
-}
-
-impl Track {
-    /// Takes a time in: how calm the server is, from 1 downward.
-    fn saw(&mut self, now: Micros, took: f64) -> f64 {
-        self.now = if self.now == 0.0 { took } else { self.now + (took - self.now) * GAIN };
-        match self.calm.back_mut() {
-            Some((began, least)) if now.since(*began) < SPAN => *least = least.min(took),
-            _ => self.calm.push_back((now, took)),
-        }
-        while self.calm.len() > SPANS {
-            self.calm.pop_front();
-        }
-        let calm = self.calm.iter().map(|c| c.1).fold(f64::INFINITY, f64::min);
-        (TOLERANCE * calm / self.now).clamp(0.5, 1.0)
-    }
+/// A baseline probe in progress: the limit is at its minimum.
+#[derive(Debug, Clone, Copy)]
+struct BaselineProbe {
+    /// The limit afterwards.
+    restored_limit: f64,
+    ends_at: Micros,
 }
 
-/// The limit of one server.
+/// The limit of concurrent requests to one server.
 #[derive(Debug, Clone)]
 pub struct ConcurrencyLimiter {
     rule: LimitRule,
     limit: f64,
-    /// What a request takes now, whatever its size, in microseconds.
-    now: f64,
-    tracks: [Track; SIZES],
-    /// When the limit is let down next; while it is, what it was and until when.
-    down_at: Option<Micros>,
-    down: Option<(f64, Micros)>,
-    moved: Micros,
-    cut: Micros,
-    back_off: Micros,
+    /// Over responses of all sizes.
+    latency: SmoothedLatency,
+    gradients: [LatencyGradient; SIZE_CLASSES],
+    /// `None` before the first response.
+    next_probe_at: Option<Micros>,
+    probe: Option<BaselineProbe>,
+    last_updated: Micros,
+    last_decreased: Micros,
+    backoff_until: Micros,
 }
 
 impl ConcurrencyLimiter {
-    /// At the rule's start.
+    /// A limiter at the rule's initial limit.
+    #[must_use]
     pub fn new(rule: LimitRule) -> Self {
         let limit = match rule {
-            LimitRule::Fixed(n) => n,
-            LimitRule::Adaptive { initial: start, .. } => start,
+            LimitRule::Fixed(limit) => limit,
+            LimitRule::Adaptive { initial, .. } => initial,
         };
         ConcurrencyLimiter {
             rule,
             limit: limit as f64,
-            now: 0.0,
-            tracks: Default::default(),
-            down_at: None,
-            down: None,
-            moved: Micros::ZERO,
-            cut: Micros::ZERO,
-            back_off: Micros::ZERO,
+            latency: SmoothedLatency::default(),
+            gradients: Default::default(),
+            next_probe_at: None,
+            probe: None,
+            last_updated: Micros::ZERO,
+            last_decreased: Micros::ZERO,
+            backoff_until: Micros::ZERO,
         }
     }
 
-    /// How many may be under way.
+    /// The number of requests that may be in flight.
+    #[must_use]
     pub fn limit(&self) -> usize {
         self.limit as usize
     }
 
-    /// May another begin beside so many?
-    pub fn has_capacity(&self, under_way: usize, now: Micros) -> bool {
-        under_way < self.limit() && !self.is_backing_off(now)
+    /// True if a request may start while `in_flight` others are in flight.
+    #[must_use]
+    pub fn has_capacity(&self, in_flight: usize, now: Micros) -> bool {
+        in_flight < self.limit() && !self.is_backing_off(now)
     }
 
-    /// Its server wishes to be left alone.
+    /// True while the server wants no requests.
+    #[must_use]
     pub fn is_backing_off(&self, now: Micros) -> bool {
-        now < self.back_off
+        now < self.backoff_until
     }
 
-    /// It wishes so for this long.
-    pub fn hold(&mut self, now: Micros, wish: Micros) {
-        self.back_off = self.back_off.max(now + wish.min(MAX_HOLD));
+    /// The server wants no requests for this time; at most 30 s of it are granted.
+    pub fn back_off(&mut self, now: Micros, retry_after: Micros) {
+        self.backoff_until = self.backoff_until.max(now + retry_after.min(MAX_BACKOFF));
     }
 
-    /// Requests a second that it bears as it is now, if that is known.
+    /// The throughput at the present limit and latency in requests per second; `None` before the first response.
+    #[must_use]
     pub fn throughput(&self) -> Option<f64> {
-        let limit = self.down.map_or(self.limit, |d| d.0);
-        (self.now > 0.0).then(|| limit * 1e6 / self.now)
+        let limit = self.probe.map_or(self.limit, |probe| probe.restored_limit);
+        self.latency.is_known().then(|| limit * 1e6 / self.latency.micros())
     }
 
-    /// A request has ended: how, after what time, with how many others beside it.
-    pub fn record(&mut self, now: Micros, how: RequestOutcome, took: Micros, beside: usize) {
-        match how {
+    /// Records the end of a request that took `latency`, with `in_flight` requests in flight up to then.
+    pub fn record(&mut self, now: Micros, outcome: RequestOutcome, latency: Micros, in_flight: usize) {
+        match outcome {
             RequestOutcome::Ignored => {}
-            RequestOutcome::Overloaded => self.overload(now),
-            RequestOutcome::Cancelled if self.now > 0.0 && took.0 as f64 > JAM * self.now => {
-                self.overload(now)
-            }
+            RequestOutcome::Success(features) => self.record_success(now, features, latency, in_flight),
+            RequestOutcome::Overloaded => self.decrease(now),
+            RequestOutcome::Cancelled if self.is_overdue(latency) => self.decrease(now),
             RequestOutcome::Cancelled => {}
-            RequestOutcome::Success(features) => self.answered(now, features, took, beside),
         }
     }
 
-    /// Is the limit let down now? Only while it has grown over its least, and comes back as it was.
-    fn let_down(&mut self, now: Micros, least: usize) -> bool {
-        if let Some((was, until)) = self.down {
-            if now < until {
-                return true;
-            }
-            (self.limit, self.down) = (was, None);
-            self.now = 0.0;
-            self.tracks.iter_mut().for_each(|t| t.now = 0.0);
-            return false;
-        }
-        let due = *self.down_at.get_or_insert(now + Micros(LET_DOWN.0 / 8));
-        if now >= due && self.limit > least as f64 + 0.5 {
-            self.down_at = Some(now + LET_DOWN);
-            self.down = Some((self.limit, now + Micros((self.now * LET_DOWN_FOR) as u64)));
-            self.limit = least as f64;
-            return true;
-        }
-        false
+    fn is_overdue(&self, latency: Micros) -> bool {
+        self.latency.is_known() && latency.0 as f64 > OVERLOAD_LATENCIES * self.latency.micros()
     }
 
-    fn overload(&mut self, now: Micros) {
-        let LimitRule::Adaptive { min: least, .. } = self.rule else { return };
-        // Of a burst of errors that one jam brought, one counts.
-        if now.since(self.cut) > Micros(self.now.max(10_000.0) as u64) {
-            self.cut = now;
-            self.limit = (self.limit * CUT).max(least as f64);
-            self.down = self.down.map(|(was, until)| ((was * CUT).max(least as f64), until));
+    /// Decreases an adaptive limit for overload. Of a burst of errors with one cause, one counts.
+    fn decrease(&mut self, now: Micros) {
+        let LimitRule::Adaptive { min, .. } = self.rule else { return };
+        let interval = Micros(self.latency.micros().max(MIN_DECREASE_INTERVAL) as u64);
+        if now.since(self.last_decreased) <= interval {
+            return;
+        }
+        let decreased = |limit: f64| (limit * DECREASE_FACTOR).max(min as f64);
+        self.last_decreased = now;
+        self.limit = decreased(self.limit);
+        if let Some(probe) = &mut self.probe {
+            probe.restored_limit = decreased(probe.restored_limit);
         }
     }
 
-    fn answered(&mut self, now: Micros, features: usize, took: Micros, beside: usize) {
-        let took = (took.0 as f64).max(1.0);
-        self.now = if self.now == 0.0 { took } else { self.now + (took - self.now) * GAIN };
-        let size = (features.checked_ilog2().map_or(0, |n| n / 2 + 1) as usize).min(SIZES - 1);
-        let gradient = self.tracks[size].saw(now, took);
-        let LimitRule::Adaptive { min: least, max: most, .. } = self.rule else { return };
-        if self.let_down(now, least) {
+    fn record_success(&mut self, now: Micros, features: usize, latency: Micros, in_flight: usize) {
+        let latency = (latency.0 as f64).max(1.0);
+        self.latency.record(latency);
+        let gradient = self.gradients[size_class(features)].record(now, latency);
+        let LimitRule::Adaptive { min, max, .. } = self.rule else { return };
+        if self.probe_baseline(now, min) {
             return;
         }
-        // Once a usual time: answers that come sooner were begun under the limit before.
-        if now.since(self.moved) < Micros(self.now as u64) {
+        // Once per smoothed latency: responses that come sooner belong to requests under the previous limit.
+        if now.since(self.last_updated) < Micros(self.latency.micros() as u64) {
             return;
         }
-        let wanted = self.limit * gradient + self.limit.sqrt();
-        if wanted > self.limit && (beside as f64) < USED * self.limit {
+        let target = self.limit * gradient + self.limit.sqrt();
+        if target > self.limit && (in_flight as f64) < MIN_UTILIZATION * self.limit {
             return;
         }
-        self.moved = now;
-        let next = self.limit + (wanted - self.limit) * SMOOTH;
-        self.limit = next.clamp(least as f64, most as f64);
+        self.last_updated = now;
+        let next = self.limit + (target - self.limit) * LIMIT_SMOOTHING;
+        self.limit = next.clamp(min as f64, max as f64);
     }
+
+    /// Ends or starts a baseline probe if it is time; true while one is in progress. Only a limit above its minimum needs
+    /// one, and it is restored afterwards.
+    fn probe_baseline(&mut self, now: Micros, min: usize) -> bool {
+        if let Some(probe) = self.probe {
+            if now < probe.ends_at {
+                return true;
+            }
+            self.end_probe(probe);
+            return false;
+        }
+        let first_probe_at = now + Micros(PROBE_INTERVAL.0 / FIRST_PROBE_FRACTION);
+        let due = now >= *self.next_probe_at.get_or_insert(first_probe_at);
+        if !due || self.limit <= min as f64 + 0.5 {
+            return false;
+        }
+        let duration = Micros((self.latency.micros() * PROBE_LATENCIES) as u64);
+        self.next_probe_at = Some(now + PROBE_INTERVAL);
+        self.probe = Some(BaselineProbe { restored_limit: self.limit, ends_at: now + duration });
+        self.limit = min as f64;
+        true
+    }
+
+    /// Restores the limit. The smoothed latencies start anew, since they still contain the queue from before the probe.
+    fn end_probe(&mut self, probe: BaselineProbe) {
+        self.limit = probe.restored_limit;
+        self.probe = None;
+        self.latency.reset();
+        self.gradients.iter_mut().for_each(LatencyGradient::reset_smoothed);
+    }
+}
+
+/// The size class of a response: each is four times as large as the one before, the last has no upper bound.
+fn size_class(features: usize) -> usize {
+    let class = features.checked_ilog2().map_or(0, |log| log / 2 + 1);
+    (class as usize).min(SIZE_CLASSES - 1)
 }
 
 #[cfg(test)]
--- a/src/limits/limiter/tests.rs
+++ b/src/limits/limiter/tests.rs
@@ -4,95 +4,107 @@
 
 const RULE: LimitRule = LimitRule::Adaptive { initial: 8, min: 2, max: 200 };
 
-/// A server of so many slots, each request 10 ms of work, asked by more clients than any limit allows: each step is a
-/// millisecond. Answers the limit at the end and the most that were under way in the last half.
-fn play(limiter: &mut ConcurrencyLimiter, slots: usize, from: u64, steps: u64) -> usize {
-    let ms = Micros::from_millis;
-    let mut under_way: Vec<(Micros, f64)> = Vec::new();
-    let mut most = 0;
+/// The work of a simulated request: 10 ms.
+const WORK_MS: f64 = 10.0;
+
+/// A request in flight at the simulated server.
+struct SimulatedRequest {
+    started_at: Micros,
+    work_left_ms: f64,
+}
+
+/// Simulates a server that serves `slots` requests at a time, under more load than any limit admits, in steps of a
+/// millisecond. The result is the maximum in flight in the second half.
+fn simulate(limiter: &mut ConcurrencyLimiter, slots: usize, from: u64, steps: u64) -> usize {
+    let millis = Micros::from_millis;
+    let mut in_flight: Vec<SimulatedRequest> = Vec::new();
+    let mut max_in_flight = 0;
     for step in 0..steps {
-        let now = ms(from + step);
-        while limiter.has_capacity(under_way.len(), now) {
-            under_way.push((now, 10.0));
+        let now = millis(from + step);
+        while limiter.has_capacity(in_flight.len(), now) {
+            in_flight.push(SimulatedRequest { started_at: now, work_left_ms: WORK_MS });
         }
         if step > steps / 2 {
-            most = most.max(under_way.len());
+            max_in_flight = max_in_flight.max(in_flight.len());
         }
-        let share = (slots as f64 / under_way.len().max(1) as f64).min(1.0);
-        under_way.iter_mut().for_each(|r| r.1 -= share);
-        let beside = under_way.len();
-        under_way.retain(|(began, left)| {
-            if *left <= 0.0 {
-                limiter.record(now + ms(1), RequestOutcome::Success(1), (now + ms(1)).since(*began), beside);
+        let share = (slots as f64 / in_flight.len().max(1) as f64).min(1.0);
+        in_flight.iter_mut().for_each(|request| request.work_left_ms -= share);
+        let count = in_flight.len();
+        let ended_at = now + millis(1);
+        in_flight.retain(|request| {
+            let complete = request.work_left_ms <= 0.0;
+            if complete {
+                let latency = ended_at.since(request.started_at);
+                limiter.record(ended_at, RequestOutcome::Success(1), latency, count);
             }
-            *left > 0.0
+            !complete
         });
     }
-    most
+    max_in_flight
 }
 
 #[test]
-fn the_limit_follows_what_a_server_bears() {
+fn the_limit_follows_the_capacity_of_the_server() {
     for slots in [2, 8, 32] {
         let mut limiter = ConcurrencyLimiter::new(RULE);
-        let most = play(&mut limiter, slots, 1_000, 20_000);
-        assert!(most >= slots, "{slots} slots are used: {most}");
-        assert!(most <= slots * 3 + 6, "{slots} slots are not overrun: {most}");
+        let max_in_flight = simulate(&mut limiter, slots, 1_000, 20_000);
+        assert!(max_in_flight >= slots, "{slots} slots are used: {max_in_flight}");
+        assert!(max_in_flight <= slots * 3 + 6, "{slots} slots are not overloaded: {max_in_flight}");
     }
     // Three quarters of its cores are lost for a while.
     let mut limiter = ConcurrencyLimiter::new(RULE);
-    play(&mut limiter, 32, 1_000, 10_000);
+    simulate(&mut limiter, 32, 1_000, 10_000);
     let before = limiter.limit();
-    play(&mut limiter, 8, 11_000, 6_000);
+    simulate(&mut limiter, 8, 11_000, 6_000);
     assert!(limiter.limit() < before, "{} after {before}", limiter.limit());
-    play(&mut limiter, 32, 17_000, 20_000);
-    assert!(limiter.limit() >= 32, "it comes back: {}", limiter.limit());
+    simulate(&mut limiter, 32, 17_000, 20_000);
+    assert!(limiter.limit() >= 32, "it recovers: {}", limiter.limit());
 }
 
 #[test]
-fn overload_cuts_once_a_jam_and_wishes_are_followed_within_reason() {
-    let s = Micros::from_secs;
+fn overload_decreases_the_limit_once_per_burst_and_backoff_is_bounded() {
+    let secs = Micros::from_secs;
     let mut limiter = ConcurrencyLimiter::new(RULE);
-    (0..50).for_each(|_| limiter.record(s(1), RequestOutcome::Overloaded, s(1), 8));
+    (0..50).for_each(|_| limiter.record(secs(1), RequestOutcome::Overloaded, secs(1), 8));
     assert_eq!(limiter.limit(), 5);
-    (2..60).for_each(|n| limiter.record(s(n), RequestOutcome::Overloaded, s(1), 8));
-    assert_eq!(limiter.limit(), 2, "never none");
-    limiter.hold(s(100), s(5));
-    assert!(!limiter.has_capacity(0, s(104)) && limiter.has_capacity(0, s(106)));
-    limiter.hold(s(200), s(9_999));
-    assert!(!limiter.has_capacity(0, s(229)) && limiter.has_capacity(0, s(231)), "not for hours");
+    (2..60).for_each(|n| limiter.record(secs(n), RequestOutcome::Overloaded, secs(1), 8));
+    assert_eq!(limiter.limit(), 2, "never below its minimum");
+    limiter.back_off(secs(100), secs(5));
+    assert!(!limiter.has_capacity(0, secs(104)) && limiter.has_capacity(0, secs(106)));
+    limiter.back_off(secs(200), secs(9_999));
+    assert!(!limiter.has_capacity(0, secs(229)) && limiter.has_capacity(0, secs(231)), "not for hours");
     let mut fixed = ConcurrencyLimiter::new(LimitRule::Fixed(16));
-    (0..50).for_each(|n| fixed.record(s(n), RequestOutcome::Overloaded, s(1), 8));
+    (0..50).for_each(|n| fixed.record(secs(n), RequestOutcome::Overloaded, secs(1), 8));
     assert_eq!(fixed.limit(), 16);
 }
 
 #[test]
-fn large_answers_beside_small_ones_are_no_jam() {
+fn a_mix_of_large_and_small_responses_is_no_overload() {
     let mut limiter = ConcurrencyLimiter::new(RULE);
     for n in 0..2_000 {
-        let (features, took) = if n % 2 == 0 { (1, 1_000) } else { (500, 30_000) };
+        let (features, latency) = if n % 2 == 0 { (1, 1_000) } else { (500, 30_000) };
         limiter.record(
             Micros::from_millis(n),
             RequestOutcome::Success(features),
-            Micros(took),
+            Micros(latency),
             limiter.limit(),
         );
     }
     assert!(limiter.limit() > 100, "{}", limiter.limit());
     let before = limiter.limit();
     limiter.record(Micros::from_secs(3), RequestOutcome::Cancelled, Micros(2_000), 9);
-    assert_eq!(limiter.limit(), before, "its client left early");
+    assert_eq!(limiter.limit(), before, "its client disconnected early");
     limiter.record(Micros::from_secs(3), RequestOutcome::Cancelled, Micros::from_secs(1), 9);
-    assert!(limiter.limit() < before, "it waited for long");
+    assert!(limiter.limit() < before, "it had waited for long");
 }
 
 #[test]
-fn what_is_not_used_does_not_grow() {
+fn a_limit_that_is_not_used_does_not_grow() {
     let mut limiter = ConcurrencyLimiter::new(RULE);
     (0..1_000)
         .for_each(|n| limiter.record(Micros::from_millis(n), RequestOutcome::Success(1), Micros(1_000), 1));
     assert_eq!(limiter.limit(), 8);
-    assert!(limiter.throughput().is_some_and(|r| (7_000.0..9_000.0).contains(&r)));
+    assert!(limiter.throughput().is_some_and(|rate| (7_000.0..9_000.0).contains(&rate)));
 }
 
 proptest! {
@@ -102,10 +114,10 @@
     fn a_limit_stays_within_its_bounds(steps in proptest::collection::vec((0_u8..3, 0_u64..10_000_000, 0_u64..500_000, 0_usize..300), 0..300)) {
         let mut limiter = ConcurrencyLimiter::new(RULE);
         let mut now = Micros::ZERO;
-        for (how, took, passed, beside) in steps {
+        for (kind, latency, passed, in_flight) in steps {
             now = now + Micros(passed);
-            let how = [RequestOutcome::Success(usize::from(how) * 40), RequestOutcome::Overloaded, RequestOutcome::Cancelled][usize::from(how)];
-            limiter.record(now, how, Micros(took), beside);
+            let outcome = [RequestOutcome::Success(usize::from(kind) * 40), RequestOutcome::Overloaded, RequestOutcome::Cancelled][usize::from(kind)];
+            limiter.record(now, outcome, Micros(latency), in_flight);
             prop_assert!((2..=200).contains(&limiter.limit()));
         }
     }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! what is given up stays with the module.
 
 mod admission;
+mod latency;
 mod limiter;
 
 pub use admission::{AdmissionController, QueryCost, Rejection};
--- a/src/net/feature_client.rs
+++ b/src/net/feature_client.rs
@@ -277,7 +277,7 @@
         server.busy -= 1;
         server.limiter.record(now, how, now.since(began), beside);
         if let Some(seconds) = wish {
-            server.limiter.hold(now, Micros::from_secs(seconds));
+            server.limiter.back_off(now, Micros::from_secs(seconds));
         }
         self.bears.report(self.replica, server.limiter.throughput().filter(|_| server.ready));
         if let Some(stream) = stream.filter(|_| sound && server.ready) {
