--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -1,134 +1,211 @@
-//! Which queries an edge takes on: by what they cost, against what its servers bear and what its memory holds.
+//! Admission of queries by their cost, against the throughput of the servers and the memory for responses.
 //!
-//! A query's cost is the pages it will ask for, its work here included. What is under way, over what all servers together do
-//! a second, is the wait of whoever comes now. A cheap query is taken as long as that wait leaves it in time; a dear one
-//! only while most of that time is left over, so that one map of everything never keeps small questions out.
+//! The cost of a query is the number of pages it will request, with the work done here on them. All pages in flight over the
+//! servers' throughput is the time that a new query waits. A cheap query is admitted while that wait leaves it in time;
+//! an expensive one only while most of that time is left, so that a map of everything never crowds out small queries.
 
 use crate::time::Micros;
 
-/// Queries of so many pages or fewer are cheap.
-const CHEAP: f64 = 3.0;
-/// Share of its wanted time that a cheap query may wait,
-const CHEAP_WAIT: f64 = 0.8;
-/// and a dear one.
-const DEAR_WAIT: f64 = 0.35;
-/// Taken on however slow the servers seem: nothing under way shows nothing.
-const ALWAYS: f64 = 8.0;
-/// Taken on while nothing is known of the servers.
-const UNKNOWN: f64 = 64.0;
-/// Weight of a new page in the usual size of pages.
-const GAIN: f64 = 0.05;
-/// Bytes taken for a page before any was seen.
-const FIRST_PAGE: f64 = 64.0 * 1024.0;
-/// Share of the memory for answers that a dear query may leave used.
-const DEAR_MEMORY: f64 = 0.7;
-/// The least and the most that a refused client is told to wait.
-const RETRY: (Micros, Micros) = (Micros::from_millis(500), Micros::from_secs(30));
-
-/// What a query costs.
+/// Queries of at most this number of pages are cheap.
+const MAX_CHEAP_PAGES: f64 = 3.0;
+/// The share of its latency objective that a cheap query may wait.
+const CHEAP_WAIT_SHARE: f64 = 0.8;
+/// The share of its latency objective that an expensive query may wait.
+const EXPENSIVE_WAIT_SHARE: f64 = 0.35;
+/// Cheap queries are admitted below this number of pages in flight, however slow the servers seem: too little work is in
+/// flight to measure them.
+const ALWAYS_ADMITTED_PAGES: f64 = 8.0;
+/// The maximum of pages in flight while the throughput is unknown.
+const MAX_PAGES_AT_UNKNOWN_THROUGHPUT: f64 = 64.0;
+/// The weight of a new page in the moving average of page sizes.
+const PAGE_SIZE_SMOOTHING: f64 = 0.05;
+/// The page size assumed before the first page, in bytes.
+const INITIAL_PAGE_BYTES: f64 = 64.0 * 1024.0;
+/// The share of the memory for responses that may be reserved after an expensive query is admitted.
+const EXPENSIVE_MEMORY_SHARE: f64 = 0.7;
+/// The shortest wait that a rejected client is asked for.
+const MIN_RETRY_AFTER: Micros = Micros::from_millis(500);
+/// The longest wait that a rejected client is asked for, where throughput is short.
+const MAX_RETRY_AFTER: Micros = Micros::from_secs(30);
+/// The cost of the lookup at each further shard that is asked at the same time, in pages.
+const LOOKUP_PAGES: f64 = 0.25;
+/// A filter of this weight, evaluated here, doubles the cost of the pages.
+const DOUBLING_FILTER_WEIGHT: f64 = 50.0;
+
+/// The cost of a query.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueryCost {
-    /// Pages, with the work that is done here on them.
+    /// Pages to request, with the work done here on them.
     pub pages: f64,
-    /// Pages whose bytes its answer will hold.
+    /// Pages whose bytes the response holds in memory.
     pub buffered_pages: f64,
 }
 
 impl QueryCost {
-    /// Of a query for at most `limit` features in pages of `page`, over `shards` of which `at_once` are asked first. `weight`:
-    /// of its filter, where that is evaluated here; `ordered`: all of it is read for an order, at most `most` pages.
+    /// Estimates the cost of a query for at most `limit` features in pages of `page_size`, over `shards` of which
+    /// `parallel_shards` are asked at first. `filter_weight` is the weight of its filter if that is evaluated here, else 0.
+    /// A query that is sorted here reads everything, at most the given number of pages.
+    #[must_use]
     pub fn estimate(
         limit: usize,
-        page: usize,
+        page_size: usize,
         shards: usize,
-        at_once: usize,
-        weight: usize,
-        ordered: Option<usize>,
+        parallel_shards: usize,
+        filter_weight: usize,
+        max_sorted_pages: Option<usize>,
     ) -> Self {
-        let held = limit.div_ceil(page.max(1)) as f64;
-        let looks = if shards <= at_once { shards.saturating_sub(1) as f64 * 0.25 } else { 0.0 };
-        let pages = match ordered {
-            // Somewhere between a page a shard and all there are.
-            Some(most) => (shards as f64 * held).max((most as f64).sqrt()),
-            None => held + looks,
+        let buffered_pages = limit.div_ceil(page_size.max(1)) as f64;
+        let pages = match max_sorted_pages {
+            // Between one page a shard and all pages that there are.
+            Some(max_pages) => (shards as f64 * buffered_pages).max((max_pages as f64).sqrt()),
+            None => buffered_pages + lookup_pages(shards, parallel_shards),
         };
-        QueryCost { pages: pages * (1.0 + weight as f64 / 50.0), buffered_pages: held }
+        QueryCost { pages: pages * (1.0 + filter_weight as f64 / DOUBLING_FILTER_WEIGHT), buffered_pages }
+    }
+
+    fn is_cheap(self) -> bool {
+        self.pages <= MAX_CHEAP_PAGES
     }
 }
 
-/// Why a query is not taken on.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// The cost of the lookups at all shards but the first, in pages; none where shards are asked one after the other.
+fn lookup_pages(shards: usize, parallel_shards: usize) -> f64 {
+    if shards <= parallel_shards {
+        shards.saturating_sub(1) as f64 * LOOKUP_PAGES
+    } else {
+        0.0
+    }
+}
+
+/// Why a query is not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectionReason {
+    /// The response would not fit into the memory for responses.
+    Memory,
+    /// The servers would not answer in time.
+    Throughput,
+}
+
+/// A query that is not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rejection {
-    /// When asking again is worth while.
+    /// The wait that the client is asked for.
     pub retry_after: Micros,
-    /// For want of memory, and not of time.
-    pub memory: bool,
+    /// Why it is rejected.
+    pub reason: RejectionReason,
+}
+
+/// The pages and bytes of all admitted queries that have not been released.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct InFlight {
+    /// Pages to request; see [`QueryCost::pages`].
+    pub pages: f64,
+    /// Bytes reserved for responses.
+    pub bytes: f64,
 }
 
-/// What is under way.
+/// Admits queries, and accounts for those in flight.
 #[derive(Debug)]
 pub struct AdmissionController {
-    pages: f64,
-    bytes: f64,
-    most_bytes: f64,
+    in_flight: InFlight,
+    /// The memory for responses, in bytes.
+    max_bytes: f64,
+    /// The moving average of the size of a full page, in bytes.
     page_bytes: f64,
 }
 
 impl AdmissionController {
-    /// Nothing yet; answers may hold so many bytes.
-    pub fn new(most_bytes: usize) -> Self {
-        AdmissionController { pages: 0.0, bytes: 0.0, most_bytes: most_bytes as f64, page_bytes: FIRST_PAGE }
+    /// A controller with nothing in flight; responses may hold `max_bytes` bytes of memory.
+    #[must_use]
+    pub fn new(max_bytes: usize) -> Self {
+        AdmissionController {
+            in_flight: InFlight::default(),
+            max_bytes: max_bytes as f64,
+            page_bytes: INITIAL_PAGE_BYTES,
+        }
     }
 
-    /// A page came of so many bytes, asked for with room for `size` features of which it had `given`.
-    pub fn record_page(&mut self, bytes: usize, given: usize, size: usize) {
-        // What a full one would have.
-        let full = bytes as f64 * size.max(1) as f64 / given.max(1) as f64;
-        if given > 0 {
-            self.page_bytes += (full - self.page_bytes) * GAIN;
+    /// Records the size of a page of `bytes` bytes, which was requested for `page_size` features and contains `features`.
+    pub fn record_page(&mut self, bytes: usize, features: usize, page_size: usize) {
+        let full_page = bytes as f64 * page_size.max(1) as f64 / features.max(1) as f64;
+        if features > 0 {
+            self.page_bytes += (full_page - self.page_bytes) * PAGE_SIZE_SMOOTHING;
         }
     }
 
-    /// Takes a query on, wanted within `aim`, at servers that together do `rate` pages a second: how many bytes are set
-    /// aside for it. Give both back with [`AdmissionController::release`].
-    pub fn admit(&mut self, cost: QueryCost, aim: Micros, rate: Option<f64>) -> Result<f64, Rejection> {
+    /// Admits a query with this latency objective, given the throughput of all servers in pages per second, if known. The
+    /// result is the number of bytes reserved for its response. Release the cost with
+    /// [`AdmissionController::release_pages`] and the bytes with [`AdmissionController::release_bytes`].
+    ///
+    /// # Errors
+    ///
+    /// The rejection, if the memory or the throughput does not suffice. It changes nothing.
+    pub fn admit(
+        &mut self,
+        cost: QueryCost,
+        latency_objective: Micros,
+        throughput: Option<f64>,
+    ) -> Result<f64, Rejection> {
         let bytes = cost.buffered_pages * self.page_bytes;
-        let cheap = cost.pages <= CHEAP;
-        let room = self.most_bytes * if cheap { 1.0 } else { DEAR_MEMORY };
-        if self.bytes > 0.0 && self.bytes + bytes > room {
-            return Err(Rejection { retry_after: RETRY.0 + Micros(aim.0 / 2), memory: true });
-        }
-        let ahead = self.pages + cost.pages;
-        let wait = match rate {
-            Some(rate) if rate > 0.0 => ahead / rate * 1e6,
-            _ => 0.0,
-        };
-        let allowed = aim.0 as f64 * if cheap { CHEAP_WAIT } else { DEAR_WAIT };
-        let known = rate.is_some_and(|r| r > 0.0);
-        let taken = if known { wait <= allowed || self.pages < ALWAYS && cheap } else { ahead <= UNKNOWN };
-        // A dear query alone is taken however long it takes: nobody waits behind it yet.
-        if !taken && self.pages >= 1.0 {
-            let over = Micros((wait - allowed).max(0.0) as u64);
-            return Err(Rejection { retry_after: over.max(RETRY.0).min(RETRY.1), memory: false });
-        }
-        self.pages += cost.pages;
-        self.bytes += bytes;
+        self.check_memory(cost, bytes, latency_objective)?;
+        self.check_throughput(cost, latency_objective, throughput)?;
+        self.in_flight.pages += cost.pages;
+        self.in_flight.bytes += bytes;
         Ok(bytes)
     }
 
-    /// A query's pages are no more under way.
+    /// A query's pages are no longer in flight.
     pub fn release_pages(&mut self, cost: QueryCost) {
-        self.pages = (self.pages - cost.pages).max(0.0);
+        self.in_flight.pages = (self.in_flight.pages - cost.pages).max(0.0);
     }
 
-    /// An answer's bytes are written.
+    /// The bytes reserved for a response are free: it has been written.
     pub fn release_bytes(&mut self, bytes: f64) {
-        self.bytes = (self.bytes - bytes).max(0.0);
+        self.in_flight.bytes = (self.in_flight.bytes - bytes).max(0.0);
+    }
+
+    /// What is in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> InFlight {
+        self.in_flight
     }
 
-    /// Pages and bytes under way.
-    pub fn in_flight(&self) -> (f64, f64) {
-        (self.pages, self.bytes)
+    /// While nothing is reserved any response is admitted: one that exceeds the memory alone would never be.
+    fn check_memory(&self, cost: QueryCost, bytes: f64, latency_objective: Micros) -> Result<(), Rejection> {
+        let capacity = self.max_bytes * if cost.is_cheap() { 1.0 } else { EXPENSIVE_MEMORY_SHARE };
+        if self.in_flight.bytes > 0.0 && self.in_flight.bytes + bytes > capacity {
+            let retry_after = MIN_RETRY_AFTER + Micros(latency_objective.0 / 2);
+            return Err(Rejection { retry_after, reason: RejectionReason::Memory });
+        }
+        Ok(())
+    }
+
+    /// The wait for pages in flight, in microseconds, must leave enough of the latency objective.
+    fn check_throughput(
+        &self,
+        cost: QueryCost,
+        latency_objective: Micros,
+        throughput: Option<f64>,
+    ) -> Result<(), Rejection> {
+        let pages = self.in_flight.pages + cost.pages;
+        let share = if cost.is_cheap() { CHEAP_WAIT_SHARE } else { EXPENSIVE_WAIT_SHARE };
+        let max_wait = latency_objective.0 as f64 * share;
+        let wait =
+            throughput.filter(|throughput| *throughput > 0.0).map(|throughput| pages / throughput * 1e6);
+        let fits = match wait {
+            Some(wait) => {
+                let few_in_flight = self.in_flight.pages < ALWAYS_ADMITTED_PAGES;
+                wait <= max_wait || (few_in_flight && cost.is_cheap())
+            }
+            None => pages <= MAX_PAGES_AT_UNKNOWN_THROUGHPUT,
+        };
+        // An expensive query alone is admitted, however long it takes: no other query waits for it yet.
+        if fits || self.in_flight.pages < 1.0 {
+            return Ok(());
+        }
+        let excess = Micros((wait.unwrap_or(0.0) - max_wait).max(0.0) as u64);
+        let retry_after = excess.max(MIN_RETRY_AFTER).min(MAX_RETRY_AFTER);
+        Err(Rejection { retry_after, reason: RejectionReason::Throughput })
     }
 }
 
