--- a/src/limits/server_capacity.rs
+++ b/src/limits/server_capacity.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::ReplicaId;
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// The throughput of each server in pages per second: drivers report it, admission asks for the sum.
 #[derive(Debug, Default)]
@@ -26,6 +26,6 @@
 
     /// A panic of another thread leaves the map as usable as before.
     fn lock(&self) -> MutexGuard<'_, HashMap<ReplicaId, f64>> {
-        self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
