--- a/src/levels/mod.rs
+++ b/src/levels/mod.rs
@@ -4,10 +4,10 @@
 //! reads no clock and knows no socket. The module obeys a level as settings ([`Effects::on`]); nothing in the program enters
 //! one yet (docs/design-levels.md says what comes next).
 
-mod machine;
+mod controller;
 mod table;
 
-pub use machine::{LevelController, Transition};
+pub use controller::{LevelController, Transition};
 pub use table::{Condition, Effects, Level, LevelTable, LevelTableError};
 
 use crate::time::Micros;
