--- a/src/levels/controller.rs
+++ b/src/levels/controller.rs
@@ -1,177 +1,230 @@
-//! The machine that moves between levels: one step at a time, after a hold, with a stay that grows where it comes back.
+//! The controller that moves between levels: one step at a time, after a hold, and with a longer minimum stay in a level that
+//! is entered again soon after it was left.
 
-use super::{LevelTable, Signal, SignalReadings};
+use super::{Condition, Level, LevelTable, SignalReadings, SignalValue};
 use crate::time::Micros;
 use std::collections::VecDeque;
 
-/// A signal that has said nothing for so long says nothing: it neither enters a level nor keeps it.
-const MAX_AGE: Micros = Micros::from_secs(5);
-/// Moves that are remembered.
+/// A value older than this is ignored: it neither enters a level nor keeps it.
+const MAX_READING_AGE: Micros = Micros::from_secs(5);
+/// The number of transitions that are remembered.
 const MAX_HISTORY: usize = 64;
-/// A level that is entered again within this after it was left was left too soon: it is kept for so long then. So a level is
-/// entered, left and entered again at most once in this time, whatever flaps.
-const AGAIN: Micros = Micros::from_secs(300);
+/// A level that is entered again within this time after it was left was left too soon, and lasts at least this time then. So a
+/// flapping signal enters, leaves and enters a level again at most once in this time.
+const REENTRY_WINDOW: Micros = Micros::from_secs(300);
+/// The name of level 0.
+const FULL_SERVICE: &str = "full";
 
-/// A move, and what brought it.
+/// A transition between two levels.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Transition {
-    /// When.
+    /// The time.
     pub at: Micros,
-    /// From this level, 0 for full service,
+    /// The level before, 0 for full service.
     pub from: usize,
-    /// to this.
+    /// The level after.
     pub to: usize,
-    /// The signals that brought it, with what they said; none for a move down since signals are silent, and for a pin.
-    pub causes: Vec<(Signal, f64)>,
-    /// An operator pinned it.
+    /// The signals that caused it; none for a pin, or if a level is left because its signals have no recent value.
+    pub causes: Vec<SignalValue>,
+    /// An operator caused it by pinning the level.
     pub pinned: bool,
 }
 
-/// Where service is, and how it came there.
+/// The previous visits to a level.
+#[derive(Debug, Clone, Copy, Default)]
+struct LevelVisits {
+    /// It was last entered within [`REENTRY_WINDOW`] after it had been left.
+    reentered_soon: bool,
+    left_at: Option<Micros>,
+}
+
+/// The present level of service, and how it was reached.
 #[derive(Debug, Clone)]
 pub struct LevelController {
     table: LevelTable,
-    /// This instance's own holds, so that many do not move at once: from 0.8 to 1.2.
-    stretch: f64,
+    /// Scales all holds of this instance, from 0.8 to 1.2, so that many instances do not move at the same time.
+    hold_factor: f64,
+    /// 0 for full service, n for the table's level at index n - 1.
     level: usize,
-    since: Micros,
-    /// Since when the next level has been wanted, and since when the present one has not.
-    wanted: Option<Micros>,
-    unwanted: Option<Micros>,
-    /// Of each level whether it was entered again too soon, and when it was left last.
-    again: Vec<(bool, Option<Micros>)>,
-    pin: Option<(usize, Micros)>,
+    entered_at: Micros,
+    /// Since when the next level has been wanted.
+    next_wanted_since: Option<Micros>,
+    /// Since when the present level has not been wanted.
+    unwanted_since: Option<Micros>,
+    /// For each level of the table.
+    visits: Vec<LevelVisits>,
+    /// An operator has fixed the level until then.
+    pinned_until: Option<Micros>,
     history: VecDeque<Transition>,
 }
 
 impl LevelController {
-    /// In full service. `luck`, from 0 to 1, is this instance's own.
-    pub fn new(table: LevelTable, luck: f64, now: Micros) -> Self {
-        let again = vec![(false, None); table.levels.len()];
+    /// A controller in full service. `jitter`, from 0 to 1, is this instance's own: it spreads the holds of many instances.
+    #[must_use]
+    pub fn new(table: LevelTable, jitter: f64, now: Micros) -> Self {
+        let visits = vec![LevelVisits::default(); table.levels.len()];
         LevelController {
             table,
-            stretch: 0.8 + 0.4 * luck.clamp(0.0, 1.0),
+            hold_factor: 0.8 + 0.4 * jitter.clamp(0.0, 1.0),
             level: 0,
-            since: now,
-            wanted: None,
-            unwanted: None,
-            again,
-            pin: None,
+            entered_at: now,
+            next_wanted_since: None,
+            unwanted_since: None,
+            visits,
+            pinned_until: None,
             history: VecDeque::new(),
         }
     }
 
-    /// The present level: 0 is full service, 1 the table's first.
+    /// The present level: 0 is full service, 1 the first level of the table.
+    #[must_use]
     pub fn level(&self) -> usize {
         self.level
     }
 
-    /// Its name.
+    /// The name of the present level.
+    #[must_use]
     pub fn name(&self) -> &str {
-        self.level.checked_sub(1).map_or("full", |n| &self.table.levels[n].name)
+        match self.level.checked_sub(1) {
+            Some(index) => &self.table.levels[index].name,
+            None => FULL_SERVICE,
+        }
     }
 
-    /// The moves, the oldest first.
+    /// The last transitions, the oldest first.
     pub fn history(&self) -> impl Iterator<Item = &Transition> {
         self.history.iter()
     }
 
-    /// An operator holds a level until then, whatever signals say.
+    /// Moves to a level and stays there until the given time, whatever the signals are. A level beyond the table is its last.
     pub fn pin(&mut self, level: usize, until: Micros, now: Micros) {
         let level = level.min(self.table.levels.len());
-        self.pin = Some((level, until));
+        self.pinned_until = Some(until);
         if level != self.level {
-            self.go(level, now, Vec::new(), true);
+            self.move_to(level, now, Vec::new(), true);
         }
     }
 
-    /// Looks at the signals: the move that was made, if one was.
+    /// Evaluates the signals; the transition, if there is one.
     pub fn evaluate(&mut self, readings: &SignalReadings, now: Micros) -> Option<&Transition> {
-        match self.pin {
-            Some((_, until)) if now < until => return None,
-            Some(_) => {
-                // From here on signals count again, and each step wants its hold.
-                (self.pin, self.wanted, self.unwanted) = (None, None, None);
-                self.since = now;
-            }
-            None => {}
-        }
-        let up = self.level < self.table.levels.len();
-        let called = if up { self.called(self.level, readings, now) } else { Vec::new() };
-        if called.is_empty() {
-            self.wanted = None;
-        } else {
-            let since = *self.wanted.get_or_insert(now);
-            let hold = LevelTable::hold(self.table.levels[self.level].enter_after_ms, self.stretch);
-            if now.since(since) >= hold {
-                return self.go(self.level + 1, now, called, false);
-            }
-        }
-        let present = self.level.checked_sub(1)?;
-        let kept = self.kept(present, readings, now);
-        if !kept.is_empty() {
-            self.unwanted = None;
+        if self.is_pinned(now) {
             return None;
         }
-        let since = *self.unwanted.get_or_insert(now);
-        let level = &self.table.levels[present];
-        let stay = LevelTable::hold(level.min_stay_ms, self.stretch);
-        let stay = if self.again[present].0 { stay.max(AGAIN) } else { stay };
-        let calm = now.since(since) >= LevelTable::hold(level.leave_after_ms, self.stretch);
-        if calm && now.since(self.since) >= stay {
-            let by =
-                level.when.iter().filter_map(|c| Some((c.signal, readings.latest(c.signal, now, MAX_AGE)?)));
-            let by = by.collect();
-            return self.go(present, now, by, false);
+        if let Some(causes) = self.causes_to_enter_next(readings, now) {
+            return self.move_to(self.level + 1, now, causes, false);
+        }
+        if let Some(causes) = self.causes_to_leave(readings, now) {
+            return self.move_to(self.level - 1, now, causes, false);
         }
         None
     }
 
-    /// The signals that call for a level; none if they do not.
-    fn called(&self, level: usize, readings: &SignalReadings, now: Micros) -> Vec<(Signal, f64)> {
-        self.held(level, readings, now, |c| c.enter)
+    /// True while a pin is in force. When it ends, signals count from there on, and each step needs its full hold.
+    fn is_pinned(&mut self, now: Micros) -> bool {
+        let Some(until) = self.pinned_until else { return false };
+        if now < until {
+            return true;
+        }
+        self.pinned_until = None;
+        self.next_wanted_since = None;
+        self.unwanted_since = None;
+        self.entered_at = now;
+        false
     }
 
-    /// The signals that keep a level.
-    fn kept(&self, level: usize, readings: &SignalReadings, now: Micros) -> Vec<(Signal, f64)> {
-        self.held(level, readings, now, |c| c.leave)
+    /// The signals that want the next level, if they have for its hold.
+    fn causes_to_enter_next(&mut self, readings: &SignalReadings, now: Micros) -> Option<Vec<SignalValue>> {
+        let next = self.table.levels.get(self.level);
+        let causes = next.map_or_else(Vec::new, |next| met_conditions(next, readings, now, |c| c.enter));
+        if causes.is_empty() {
+            self.next_wanted_since = None;
+            return None;
+        }
+        let wanted_since = *self.next_wanted_since.get_or_insert(now);
+        let hold = self.hold(next?.enter_after_ms);
+        (now.since(wanted_since) >= hold).then_some(causes)
     }
 
-    fn held(
-        &self,
-        level: usize,
-        readings: &SignalReadings,
-        now: Micros,
-        bound: impl Fn(&super::Condition) -> f64,
-    ) -> Vec<(Signal, f64)> {
-        let when = &self.table.levels[level].when;
-        let over = |c: &super::Condition| {
-            let said = readings.latest(c.signal, now, MAX_AGE)?;
-            (said >= bound(c)).then_some((c.signal, said))
-        };
-        let holds = |c: &super::Condition| match &c.group {
-            None => over(c),
-            // All of one mark, or none.
-            mark => over(c).filter(|_| when.iter().filter(|o| o.group == *mark).all(|o| over(o).is_some())),
-        };
-        when.iter().filter_map(holds).collect()
+    /// The present values of the level's signals, if they have not wanted the level for its hold and its minimum stay is over.
+    fn causes_to_leave(&mut self, readings: &SignalReadings, now: Micros) -> Option<Vec<SignalValue>> {
+        let index = self.level.checked_sub(1)?;
+        let present = &self.table.levels[index];
+        if !met_conditions(present, readings, now, |c| c.leave).is_empty() {
+            self.unwanted_since = None;
+            return None;
+        }
+        let unwanted_since = *self.unwanted_since.get_or_insert(now);
+        let mut min_stay = self.hold(present.min_stay_ms);
+        if self.visits[index].reentered_soon {
+            min_stay = min_stay.max(REENTRY_WINDOW);
+        }
+        let held = now.since(unwanted_since) >= self.hold(present.leave_after_ms);
+        if !held || now.since(self.entered_at) < min_stay {
+            return None;
+        }
+        let latest = |condition: &Condition| latest_value(condition, readings, now);
+        Some(present.when.iter().filter_map(latest).collect())
     }
 
-    fn go(&mut self, to: usize, now: Micros, by: Vec<(Signal, f64)>, pinned: bool) -> Option<&Transition> {
+    /// Changes the level and records the transition.
+    fn move_to(
+        &mut self,
+        to: usize,
+        now: Micros,
+        causes: Vec<SignalValue>,
+        pinned: bool,
+    ) -> Option<&Transition> {
         let from = self.level;
         if to < from {
-            self.again[from - 1].1 = Some(now);
-        } else if let Some(entered) = to.checked_sub(1) {
-            let (again, left) = &mut self.again[entered];
-            *again = left.is_some_and(|left| now.since(left) < AGAIN);
+            self.visits[from - 1].left_at = Some(now);
+        } else if let Some(index) = to.checked_sub(1) {
+            let visits = &mut self.visits[index];
+            visits.reentered_soon = visits.left_at.is_some_and(|left_at| now.since(left_at) < REENTRY_WINDOW);
         }
-        (self.level, self.since, self.wanted, self.unwanted) = (to, now, None, None);
+        self.level = to;
+        self.entered_at = now;
+        self.next_wanted_since = None;
+        self.unwanted_since = None;
         if self.history.len() >= MAX_HISTORY {
             self.history.pop_front();
         }
-        self.history.push_back(Transition { at: now, from, to, causes: by, pinned });
+        self.history.push_back(Transition { at: now, from, to, causes, pinned });
         self.history.back()
     }
+
+    /// The duration of a hold in this instance.
+    fn hold(&self, ms: u64) -> Micros {
+        Micros((ms as f64 * 1e3 * self.hold_factor) as u64)
+    }
+}
+
+/// The conditions of a level that are met, with the values of their signals. `bound` selects the bound to enter or to leave. A
+/// condition of a group is met only if all of the group are.
+fn met_conditions(
+    level: &Level,
+    readings: &SignalReadings,
+    now: Micros,
+    bound: impl Fn(&Condition) -> f64,
+) -> Vec<SignalValue> {
+    let reached = |condition: &Condition| {
+        latest_value(condition, readings, now).filter(|latest| latest.value >= bound(condition))
+    };
+    let group_reached = |condition: &Condition| {
+        let mut group = level.when.iter().filter(|other| other.group == condition.group);
+        group.all(|other| reached(other).is_some())
+    };
+    let met = |condition: &Condition| {
+        let value = reached(condition)?;
+        (condition.group.is_none() || group_reached(condition)).then_some(value)
+    };
+    level.when.iter().filter_map(met).collect()
+}
+
+/// The value of the condition's signal, if it has a recent one.
+fn latest_value(condition: &Condition, readings: &SignalReadings, now: Micros) -> Option<SignalValue> {
+    let signal = condition.signal;
+    let value = readings.latest(signal, now, MAX_READING_AGE)?;
+    Some(SignalValue { signal, value })
 }
 
 #[cfg(test)]
--- a/src/levels/controller/tests.rs
+++ b/src/levels/controller/tests.rs
@@ -1,54 +1,52 @@
 use super::*;
-use crate::levels::{Condition, Effects, Level};
+use crate::levels::{Effects, Signal};
 
-const LOOK: Micros = Micros::from_millis(250);
+const EVALUATION_INTERVAL: Micros = Micros::from_millis(250);
 
-fn secs(s: u64) -> Micros {
-    Micros::from_secs(s)
+fn secs(secs: u64) -> Micros {
+    Micros::from_secs(secs)
 }
 
-fn machine(luck: f64) -> LevelController {
-    LevelController::new(LevelTable::built_in(), luck, secs(1))
+fn built_in_controller(jitter: f64) -> LevelController {
+    LevelController::new(LevelTable::built_in(), jitter, secs(1))
 }
 
-/// Plays so many seconds with what a signal says at each look: the moves made.
-fn play(
-    m: &mut LevelController,
+/// Evaluates the signals for so many seconds, with the readings that `record` adds each time. The result is the number of
+/// transitions.
+fn run(
+    controller: &mut LevelController,
     from: u64,
     seconds: u64,
-    mut say: impl FnMut(Micros, &mut SignalReadings),
+    mut record: impl FnMut(Micros, &mut SignalReadings),
 ) -> usize {
     let mut readings = SignalReadings::default();
-    let (mut now, mut moves) = (secs(from), 0);
+    let (mut now, mut transitions) = (secs(from), 0);
     while now < secs(from + seconds) {
-        say(now, &mut readings);
-        let before = m.level();
-        let changed = m.evaluate(&readings, now).cloned();
-        assert!(m.level() <= before + 1, "one level up at a time");
-        assert_eq!(changed.is_some(), before != m.level());
-        moves += usize::from(changed.is_some());
-        now = now + LOOK;
+        record(now, &mut readings);
+        let before = controller.level();
+        let changed = controller.evaluate(&readings, now).is_some();
+        assert!(controller.level() <= before + 1, "one level up at a time");
+        assert_eq!(changed, before != controller.level());
+        transitions += usize::from(changed);
+        now = now + EVALUATION_INTERVAL;
     }
-    moves
+    transitions
 }
 
 #[test]
-fn hovering_at_a_boundary_does_not_swing() {
-    // Ten minutes at each boundary and 2, 5 and 10% round it, with noise of each size: at most 2 moves in 5 minutes
+fn a_signal_near_a_bound_causes_few_transitions() {
+    // Ten minutes at each bound and 2, 5 and 10% around it, with noise of each size: at most 2 transitions in 5 minutes
     // beyond the first.
     let table = LevelTable::built_in();
     for level in &table.levels {
-        for c in level.when.iter().filter(|c| c.group.is_none()) {
-            for bound in [c.enter, c.leave] {
-                for off in [-0.10, -0.05, -0.02, 0.0, 0.02, 0.05, 0.10] {
+        for condition in level.when.iter().filter(|condition| condition.group.is_none()) {
+            for bound in [condition.enter, condition.leave] {
+                for offset in [-0.10, -0.05, -0.02, 0.0, 0.02, 0.05, 0.10] {
                     for noise in [0.05, 0.30] {
-                        let mut rng = fastrand::Rng::with_seed(7);
-                        let mut m = machine(0.5);
-                        let at = bound * (1.0 + off);
-                        let moves = play(&mut m, 10, 600, |now, r| {
-                            r.record(c.signal, at * (1.0 + noise * (2.0 * rng.f64() - 1.0)), now);
-                        });
-                        assert!(moves <= 5, "{} {:?} {bound} {off} {noise}: {moves}", level.name, c.signal);
+                        let value = bound * (1.0 + offset);
+                        let transitions = transitions_with_noise(condition.signal, value, noise);
+                        let case = (&level.name, condition.signal, bound, offset, noise);
+                        assert!(transitions <= 5, "{case:?}: {transitions}");
                     }
                 }
             }
@@ -56,123 +54,161 @@
     }
 }
 
+/// The number of transitions in ten minutes of a signal with uniform noise, relative to its value.
+fn transitions_with_noise(signal: Signal, value: f64, noise: f64) -> usize {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut controller = built_in_controller(0.5);
+    run(&mut controller, 10, 600, |now, readings| {
+        readings.record(signal, value * (1.0 + noise * (2.0 * rng.f64() - 1.0)), now);
+    })
+}
+
 #[test]
-fn flapping_near_the_least_stay_is_ridden_out() {
+fn flapping_near_the_minimum_stay_causes_few_transitions() {
     for period in [8, 10, 12, 20, 25, 40] {
-        let mut m = machine(0.5);
-        let moves = play(&mut m, 10, 600, |now, r| {
+        let mut controller = built_in_controller(0.5);
+        let transitions = run(&mut controller, 10, 600, |now, readings| {
             let bad = (now.0 / 1_000_000) % period < period / 2;
-            r.record(Signal::EjectedNodes, if bad { 0.4 } else { 0.0 }, now);
+            readings.record(Signal::EjectedNodes, if bad { 0.4 } else { 0.0 }, now);
         });
-        assert!(moves <= 6, "a period of {period} s: {moves} moves in 10 minutes");
+        assert!(transitions <= 6, "a period of {period} s: {transitions} transitions in 10 minutes");
     }
 }
 
 #[test]
-fn it_is_never_stuck_where_its_cause_is_gone_and_a_silent_signal_keeps_nothing() {
-    let mut m = machine(0.5);
-    play(&mut m, 10, 20, |now, r| r.record(Signal::EjectedNodes, 0.9, now));
-    assert_eq!((m.level(), m.name()), (2, "essential"));
-    // The signal stops coming.
-    play(&mut m, 30, 120, |_, _| {});
-    assert_eq!(m.level(), 0);
-    let whole: Vec<_> = m.history().map(|c| (c.from, c.to)).collect();
-    assert_eq!(whole, [(0, 1), (1, 2), (2, 1), (1, 0)]);
-    assert_eq!(m.history().next().map(|c| c.causes.clone()), Some(vec![(Signal::EjectedNodes, 0.9)]));
-    play(&mut m, 200, 30, |now, r| r.record(Signal::EjectedNodes, f64::NAN, now));
-    assert_eq!(m.level(), 0, "what is no number says nothing");
+fn levels_are_left_when_their_signal_has_no_recent_value() {
+    let mut controller = built_in_controller(0.5);
+    run(&mut controller, 10, 20, |now, readings| readings.record(Signal::EjectedNodes, 0.9, now));
+    assert_eq!((controller.level(), controller.name()), (2, "essential"));
+    // The signal is not reported any more.
+    run(&mut controller, 30, 120, |_, _| {});
+    assert_eq!(controller.level(), 0);
+    let steps: Vec<_> = controller.history().map(|step| (step.from, step.to)).collect();
+    assert_eq!(steps, [(0, 1), (1, 2), (2, 1), (1, 0)]);
+    assert_eq!(
+        controller.history().next().map(|step| step.causes.clone()),
+        Some(vec![SignalValue { signal: Signal::EjectedNodes, value: 0.9 }])
+    );
+    run(&mut controller, 200, 30, |now, readings| readings.record(Signal::EjectedNodes, f64::NAN, now));
+    assert_eq!(controller.level(), 0, "a value that is not finite is ignored");
 }
 
 #[test]
-fn quality_alone_is_not_believed_and_with_another_it_is() {
-    let mut m = machine(0.5);
-    play(&mut m, 10, 60, |now, r| r.record(Signal::QualityLoss, 1.0, now));
-    assert_eq!(m.level(), 0);
-    play(&mut m, 100, 60, |now, r| {
-        r.record(Signal::QualityLoss, 0.4, now);
-        r.record(Signal::InFlightLoad, 2.0, now);
+fn a_grouped_signal_counts_only_with_its_group() {
+    let mut controller = built_in_controller(0.5);
+    run(&mut controller, 10, 60, |now, readings| readings.record(Signal::QualityLoss, 1.0, now));
+    assert_eq!(controller.level(), 0);
+    run(&mut controller, 100, 60, |now, readings| {
+        readings.record(Signal::QualityLoss, 0.4, now);
+        readings.record(Signal::InFlightLoad, 2.0, now);
     });
-    assert_eq!(m.level(), 1);
+    assert_eq!(controller.level(), 1);
 }
 
 #[test]
-fn a_pin_holds_until_its_end_whatever_signals_say() {
-    let mut m = machine(0.5);
-    m.pin(2, secs(100), secs(10));
-    assert_eq!((m.level(), m.history().last().map(|c| c.pinned)), (2, Some(true)));
-    play(&mut m, 11, 80, |now, r| r.record(Signal::EjectedNodes, 0.0, now));
-    assert_eq!(m.level(), 2);
-    play(&mut m, 100, 120, |now, r| r.record(Signal::EjectedNodes, 0.0, now));
-    assert_eq!(m.level(), 0);
-    m.pin(9, secs(400), secs(300));
-    assert_eq!(m.level(), 2, "no further than the table goes");
+fn a_pin_overrides_signals_until_its_end() {
+    let mut controller = built_in_controller(0.5);
+    controller.pin(2, secs(100), secs(10));
+    assert_eq!((controller.level(), controller.history().last().map(|step| step.pinned)), (2, Some(true)));
+    run(&mut controller, 11, 80, |now, readings| readings.record(Signal::EjectedNodes, 0.0, now));
+    assert_eq!(controller.level(), 2);
+    run(&mut controller, 100, 120, |now, readings| readings.record(Signal::EjectedNodes, 0.0, now));
+    assert_eq!(controller.level(), 0);
+    controller.pin(9, secs(400), secs(300));
+    assert_eq!(controller.level(), 2, "not beyond the table");
 }
 
 #[test]
-fn many_instances_do_not_move_at_once() {
-    let mut when = Vec::new();
+fn many_instances_do_not_move_at_the_same_time() {
+    let mut times = Vec::new();
     for n in 0..100 {
-        let mut m = machine(f64::from(n) / 99.0);
-        play(&mut m, 10, 10, |now, r| r.record(Signal::EjectedNodes, 0.3, now));
-        when.push(m.history().next().expect("it moved").at);
+        let mut controller = built_in_controller(f64::from(n) / 99.0);
+        run(&mut controller, 10, 10, |now, readings| readings.record(Signal::EjectedNodes, 0.3, now));
+        times.push(controller.history().next().expect("a transition").at);
     }
-    when.sort();
-    let most = when.chunk_by(|a, b| a == b).map(<[Micros]>::len).max().unwrap_or(0);
-    assert!(most <= 50, "{most} of 100 in one look");
+    times.sort();
+    let max_at_once = times.chunk_by(|a, b| a == b).map(<[Micros]>::len).max().unwrap_or(0);
+    assert!(max_at_once <= 50, "{max_at_once} of 100 at the same time");
 }
 
-/// All there is to see of a machine over small bounds: every sequence of what two signals can say, and of silence.
-#[test]
-fn no_sequence_breaks_a_rule() {
-    let on = |signal, enter| Condition { signal, enter, leave: enter / 2.0, group: None };
+/// A controller after some evaluations.
+struct ExploredState {
+    controller: LevelController,
+    readings: SignalReadings,
+    depth: u64,
+}
+
+impl ExploredState {
+    /// Records the values, if any, and evaluates them a second later than the last ones. Checks the step.
+    fn after(&self, ejected: Option<f64>, retries: Option<f64>) -> ExploredState {
+        let (mut controller, mut readings) = (self.controller.clone(), self.readings.clone());
+        let now = secs(2 + self.depth);
+        if let Some(ejected) = ejected {
+            readings.record(Signal::EjectedNodes, ejected, now);
+        }
+        if let Some(retries) = retries {
+            readings.record(Signal::RetryRate, retries, now);
+        }
+        let before = controller.level();
+        let transition = controller.evaluate(&readings, now).cloned();
+        let after = controller.level();
+        assert!(after <= before + 1 && after + 1 >= before, "one level at a time");
+        if let Some(step) = transition.filter(|step| step.to > step.from) {
+            assert!(!step.causes.is_empty(), "nothing caused it");
+        }
+        ExploredState { controller, readings, depth: self.depth + 1 }
+    }
+
+    /// Whatever happened before: with both signals calm, service is full after a while.
+    fn check_recovery(mut self) {
+        for step in 0..400 {
+            let now = secs(100 + 2 * step);
+            self.readings.record(Signal::EjectedNodes, 0.0, now);
+            self.readings.record(Signal::RetryRate, 0.0, now);
+            self.controller.evaluate(&self.readings, now);
+        }
+        assert_eq!(self.controller.level(), 0, "stuck");
+    }
+}
+
+/// A table of two levels that are entered by either of two signals.
+fn two_level_table() -> LevelTable {
+    let condition = |signal, enter| Condition { signal, enter, leave: enter / 2.0, group: None };
     let level = |name: &str, enter| Level {
         name: name.to_owned(),
-        when: vec![on(Signal::EjectedNodes, enter), on(Signal::RetryRate, enter)],
+        when: vec![condition(Signal::EjectedNodes, enter), condition(Signal::RetryRate, enter)],
         enter_after_ms: 1_000,
         leave_after_ms: 1_000,
         min_stay_ms: 1_000,
         effects: Effects::default(),
     };
-    let table = LevelTable { levels: vec![level("a", 1.0), level("b", 2.0)] };
+    LevelTable { levels: vec![level("a", 1.0), level("b", 2.0)] }
+}
+
+/// Explores all states within small bounds: every sequence of the values of two signals, and of missing values.
+#[test]
+fn no_sequence_of_values_breaks_a_rule() {
+    let table = two_level_table();
     assert_eq!(table.validate(4), []);
-    let says = [None, Some(0.0), Some(1.0), Some(2.0)];
-    let (mut seen, mut deep) =
-        (0_u64, vec![(LevelController::new(table, 0.5, secs(1)), SignalReadings::default(), 0_u64)]);
-    while let Some((m, readings, depth)) = deep.pop() {
-        seen += 1;
-        if depth == 5 {
-            // Whatever came before: with all calm it is back in full service, and stays there.
-            let (mut m, mut readings) = (m, readings);
-            for step in 0..400 {
-                let now = secs(100 + 2 * step);
-                readings.record(Signal::EjectedNodes, 0.0, now);
-                readings.record(Signal::RetryRate, 0.0, now);
-                m.evaluate(&readings, now);
-            }
-            assert_eq!(m.level(), 0, "stuck");
+    let controller = LevelController::new(table, 0.5, secs(1));
+    let mut open = vec![ExploredState { controller, readings: SignalReadings::default(), depth: 0 }];
+    let mut explored = 0_u64;
+    let values = [None, Some(0.0), Some(1.0), Some(2.0)];
+    while let Some(state) = open.pop() {
+        explored += 1;
+        if state.depth == 5 {
+            state.check_recovery();
             continue;
         }
-        for a in says {
-            for b in says {
-                let (mut m, mut readings) = (m.clone(), readings.clone());
-                let now = secs(2 + depth);
-                if let Some(a) = a {
-                    readings.record(Signal::EjectedNodes, a, now);
-                }
-                if let Some(b) = b {
-                    readings.record(Signal::RetryRate, b, now);
-                }
-                let before = m.level();
-                let change = m.evaluate(&readings, now).cloned();
-                assert!(m.level() <= before + 1 && m.level() + 1 >= before, "a step at a time");
-                if let Some(change) = change.filter(|c| c.to > c.from) {
-                    assert!(!change.causes.is_empty(), "nothing called for it");
-                }
-                if depth < 3 || (a, b) == (None, None) || (a, b) == (Some(2.0), Some(0.0)) {
-                    deep.push((m, readings, depth + 1));
+        for ejected in values {
+            for retries in values {
+                let next = state.after(ejected, retries);
+                let sampled = [(None, None), (Some(2.0), Some(0.0))].contains(&(ejected, retries));
+                if state.depth < 3 || sampled {
+                    open.push(next);
                 }
             }
         }
     }
-    assert!(seen > 5_000, "{seen}");
+    assert!(explored > 5_000, "{explored}");
 }
--- a/src/levels/table/tests.rs
+++ b/src/levels/table/tests.rs
@@ -1,30 +1,38 @@
 use super::*;
 
 #[test]
-fn what_ships_is_sane_and_what_is_not_is_told() {
-    assert_eq!(LevelTable::built_in().validate(4), []);
-    let mut table = LevelTable::built_in();
-    table.levels[0].when[0].leave = 0.19;
-    table.levels[0].when.remove(3);
-    table.levels[1].when[0].enter = 0.2;
-    table.levels[1].when[0].leave = 0.1;
-    table.levels[1].effects.max_attempts = Some(5);
-    table.levels[1].effects.retry_after_factor = 0.5;
-    let faults = table.validate(4);
-    let words =
-        ["would swing", "believed alone", "no more than the level below", "most_attempts", "come_back"];
-    assert!(words.iter().all(|w| faults.iter().any(|f| f.why.contains(w))), "{faults:?}");
-    assert_eq!(faults.len(), words.len(), "{faults:?}");
-    table.levels[0].when.clear();
-    table.levels[1].min_stay_ms = 0;
-    assert!(table.validate(4).iter().any(|f| f.why.contains("out of reach")));
-}
-
-#[test]
-fn the_operators_file_says_the_same() {
+fn the_keys_of_the_operators_file_are_mapped() {
     let text = "[[level]]\nname = \"reduced\"\nenter_ms = 1000\nleave_ms = 2000\nstay_ms = 3000\n\
-        when = [{ signal = \"avoided\", enter = 0.3, leave = 0.1 }]\neffects = { most_attempts = 2, admit = { lookup = 0.5 } }\n";
+        when = [{ signal = \"avoided\", enter = 0.3, leave = 0.1, with = \"jam\" }]\n\
+        effects = { most_attempts = 2, admit = { lookup = 0.5 }, quiet = true, come_back = 3.0 }\n";
     let table: LevelTable = toml::from_str(text).expect("a table");
-    assert_eq!((table.validate(4), table.levels[0].effects.admitted_shares["lookup"]), (vec![], 0.5));
+    assert_eq!(table.validate(4), []);
+    let level = &table.levels[0];
+    assert_eq!((level.enter_after_ms, level.leave_after_ms, level.min_stay_ms), (1_000, 2_000, 3_000));
+    assert_eq!(level.when, [grouped(Signal::EjectedNodes, 0.3, 0.1)]);
+    assert_eq!(level.effects.admitted_shares["lookup"], 0.5);
+    assert_eq!((level.effects.max_attempts, level.effects.skip_late_samples), (Some(2), true));
+    assert_eq!(level.effects.retry_after_factor, 3.0);
     assert!(toml::from_str::<LevelTable>(&text.replace("avoided", "weather")).is_err());
 }
+
+#[test]
+fn each_signal_has_its_key_in_the_operators_file() {
+    let keys = [
+        "avoided",
+        "one_holder",
+        "no_holder",
+        "lacking",
+        "turn_delay",
+        "out",
+        "repeats",
+        "come_back",
+        "descriptors",
+        "memory",
+    ];
+    for (key, signal) in keys.into_iter().zip(Signal::ALL) {
+        let text = format!("signal = \"{key}\"\nenter = 0.3\nleave = 0.1\n");
+        let condition: Condition = toml::from_str(&text).expect("a condition");
+        assert_eq!(condition.signal, signal);
+    }
+}
--- /dev/null
+++ b/src/levels/validate.rs
@@ -0,0 +1,155 @@
+//! The checks of a table of levels.
+
+use super::{Condition, Effects, Level, LevelTable, Signal};
+use thiserror::Error;
+
+/// The minimum distance of `leave` below `enter`, as a share of `enter`: signals have noise of that size.
+const MIN_HYSTERESIS: f64 = 0.15;
+/// The minimum of all holds: in this time, in milliseconds, each signal is refreshed twice.
+const MIN_HOLD_MS: u64 = 500;
+/// The maximum factor by which `Retry-After` is extended.
+const MAX_RETRY_AFTER_FACTOR: f64 = 60.0;
+
+/// A fault of a level.
+#[derive(Debug, Clone, PartialEq, Error)]
+#[error("level {level:?}: {fault}")]
+pub struct LevelTableError {
+    /// The name of the level.
+    pub level: String,
+    /// What is wrong with it.
+    #[source]
+    pub fault: LevelFault,
+}
+
+/// What is wrong with a level. Texts use the keys and signal names of the operators' file.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum LevelFault {
+    /// The name is empty, or an earlier level has it.
+    #[error("its name is empty or there twice")]
+    InvalidName,
+    /// No condition can enter it.
+    #[error("it is out of reach: no condition enters it")]
+    NoCondition,
+    /// A hold is shorter than the signals are refreshed.
+    #[error("enter_ms, leave_ms and stay_ms must be {MIN_HOLD_MS} or more")]
+    HoldTooShort,
+    /// A bound is not finite or has the wrong sign.
+    #[error("{signal}: enter and leave must be numbers, and enter above 0")]
+    InvalidBounds {
+        /// The signal of the condition.
+        signal: Signal,
+    },
+    /// Noise would make the level flap.
+    #[error("{signal}: between enter {enter} and leave {leave} noise would swing it")]
+    HysteresisTooSmall {
+        /// The signal of the condition.
+        signal: Signal,
+        /// The bound to enter.
+        enter: f64,
+        /// The bound to leave.
+        leave: f64,
+    },
+    /// The loss of quality is not grouped with another signal.
+    #[error("Lacking must not be believed alone: name another signal with the same `with`")]
+    UngroupedQualityLoss,
+    /// A milder level needs the same value of the signal or more.
+    #[error("{signal}: it is entered by no more than the level below it")]
+    NotAboveMilderLevel {
+        /// The signal of the condition.
+        signal: Signal,
+    },
+    /// An admitted share lies outside 0 to 1.
+    #[error("admit: shares must be from 0 to 1")]
+    InvalidAdmittedShare,
+    /// No attempt is allowed, or more than the settings allow.
+    #[error("most_attempts must be from 1 to {max}")]
+    InvalidMaxAttempts {
+        /// The maximum over all classes of the settings.
+        max: u32,
+    },
+    /// The share of the latency objective lies outside 0 to 1.
+    #[error("answer_after must be above 0 and at most 1")]
+    InvalidAnswerAfter,
+    /// The factor is too small or too large.
+    #[error("come_back must be from 1 to 60")]
+    InvalidRetryAfterFactor,
+}
+
+impl LevelTable {
+    /// Checks the table: hysteresis that is too small, levels that cannot be entered, effects out of range. `max_attempts`
+    /// is the maximum that any class of the settings allows. All faults are returned, none for a valid table.
+    #[must_use]
+    pub fn validate(&self, max_attempts: u32) -> Vec<LevelTableError> {
+        let mut errors = Vec::new();
+        for (index, level) in self.levels.iter().enumerate() {
+            let milder = &self.levels[..index];
+            let mut faults = Vec::new();
+            check_level(level, milder, &mut faults);
+            for condition in &level.when {
+                check_condition(condition, level, milder.last(), &mut faults);
+            }
+            check_effects(&level.effects, max_attempts, &mut faults);
+            let error = |fault| LevelTableError { level: level.name.clone(), fault };
+            errors.extend(faults.into_iter().map(error));
+        }
+        errors
+    }
+}
+
+fn check_level(level: &Level, milder: &[Level], faults: &mut Vec<LevelFault>) {
+    if level.name.is_empty() || milder.iter().any(|other| other.name == level.name) {
+        faults.push(LevelFault::InvalidName);
+    }
+    if level.when.is_empty() {
+        faults.push(LevelFault::NoCondition);
+    }
+    if [level.enter_after_ms, level.leave_after_ms, level.min_stay_ms].iter().any(|ms| *ms < MIN_HOLD_MS) {
+        faults.push(LevelFault::HoldTooShort);
+    }
+}
+
+fn check_condition(
+    condition: &Condition,
+    level: &Level,
+    milder: Option<&Level>,
+    faults: &mut Vec<LevelFault>,
+) {
+    let &Condition { signal, enter, leave, .. } = condition;
+    if !(enter.is_finite() && leave.is_finite() && enter > 0.0 && leave >= 0.0) {
+        faults.push(LevelFault::InvalidBounds { signal });
+    } else if leave > enter * (1.0 - MIN_HYSTERESIS) {
+        faults.push(LevelFault::HysteresisTooSmall { signal, enter, leave });
+    }
+    if signal == Signal::QualityLoss && !is_grouped(condition, level) {
+        faults.push(LevelFault::UngroupedQualityLoss);
+    }
+    let same = |other: &&Condition| other.signal == signal && other.group == condition.group;
+    let milder_condition = milder.and_then(|milder| milder.when.iter().find(same));
+    if milder_condition.is_some_and(|milder| milder.enter >= enter) {
+        faults.push(LevelFault::NotAboveMilderLevel { signal });
+    }
+}
+
+/// True if another signal of the level is in the condition's group.
+fn is_grouped(condition: &Condition, level: &Level) -> bool {
+    let in_group = |other: &Condition| other.group.is_some() && other.group == condition.group;
+    level.when.iter().any(|other| in_group(other) && other.signal != condition.signal)
+}
+
+fn check_effects(effects: &Effects, max_attempts: u32, faults: &mut Vec<LevelFault>) {
+    if effects.admitted_shares.values().any(|share| !(0.0..=1.0).contains(share)) {
+        faults.push(LevelFault::InvalidAdmittedShare);
+    }
+    if effects.max_attempts.is_some_and(|attempts| attempts == 0 || attempts > max_attempts) {
+        faults.push(LevelFault::InvalidMaxAttempts { max: max_attempts });
+    }
+    if effects.answer_after.is_some_and(|share| !(share > 0.0 && share <= 1.0)) {
+        faults.push(LevelFault::InvalidAnswerAfter);
+    }
+    if !(1.0..=MAX_RETRY_AFTER_FACTOR).contains(&effects.retry_after_factor) {
+        faults.push(LevelFault::InvalidRetryAfterFactor);
+    }
+}
+
+#[cfg(test)]
+mod tests;
