--- a/src/lib.rs
+++ b/src/lib.rs
@@ -108,6 +108,7 @@
 pub mod policy;
 pub mod proto;
 pub mod settings;
+pub mod sync;
 pub mod time;
 
 pub use interface::*;
