--- a/tests/levels.rs
+++ b/tests/levels.rs
@@ -1,143 +1,137 @@
-//! What a level of reduced service has the module take back, and give again once it is left.
+//! What the decision policy does in a level of reduced service, and that it is undone once the level is left.
 
 mod common;
-use common::*;
+use common::{class, finals, sends, settings, Bench, MS, S};
 use quinceflow::levels::Effects;
-use quinceflow::*;
+use quinceflow::{Action, Class, ClassId, Effect, Event, Nanos, Outcome, Settings};
 
-/// Tells the module the level, as its settings.
-fn enter(bench: &mut Bench, set: &Settings, effects: &Effects) {
-    let heirs = (0..set.classes.len()).map(|c| ClassId(c as u16)).collect();
-    bench.tell(vec![Event::Settings { settings: Box::new(effects.apply_to(set)), class_mapping: heirs }]);
+/// Sends the settings of a level to the policy.
+fn enter(bench: &mut Bench, settings: &Settings, effects: &Effects) {
+    let class_mapping = (0..settings.classes.len()).map(|class| ClassId(class as u16)).collect();
+    let settings = Box::new(effects.apply_to(settings));
+    bench.tell(vec![Event::Settings { settings, class_mapping }]);
 }
 
-/// An alert of high worth, and a survey of low worth.
+/// A class with a high priority weight, and one with a low one.
 fn two_classes() -> Settings {
-    let mut set =
-        settings(Class { name: "alert".to_owned(), priority_weight: 3.0, ..class(Effect::Idempotent) });
-    set.classes.push(Class { name: "survey".to_owned(), ..class(Effect::Idempotent) });
-    set
+    let alert = Class { name: "alert".to_owned(), priority_weight: 3.0, ..class(Effect::Idempotent) };
+    let mut settings = settings(alert);
+    settings.classes.push(Class { name: "survey".to_owned(), ..class(Effect::Idempotent) });
+    settings
 }
 
-/// Of 400 queries of a class how many are sent; the others are refused at once.
-fn admitted(bench: &mut Bench, class: u16) -> usize {
-    let mut sent = 0;
+/// The number of 400 queries of a class that are admitted; each of the others must be rejected at once.
+fn count_admitted(bench: &mut Bench, class: u16) -> usize {
+    let mut admitted = 0;
     for _ in 0..400 {
         let (_, parts, actions) = bench.ask_as(class, 0, &[0]);
         if sends(&actions).is_empty() {
-            assert!(
-                matches!(finals(&actions)[..], [Action::Reject { retry_after: Some(_), .. }]),
-                "{actions:?}"
-            );
+            let rejected = matches!(finals(&actions)[..], [Action::Reject { retry_after: Some(_), .. }]);
+            assert!(rejected, "{actions:?}");
         } else {
-            sent += 1;
+            admitted += 1;
             bench.serve(parts[0]);
         }
     }
-    sent
+    admitted
 }
 
 #[test]
-fn a_level_admits_a_share_of_each_class_and_refuses_the_rest_at_once() {
-    let set = two_classes();
-    for class in 0..2 {
-        let mut bench = Bench::new(set.clone());
-        let name = set.classes[class].name.clone();
-        enter(&mut bench, &set, &Effects { admitted_shares: [(name, 0.5)].into(), ..Effects::default() });
-        let (of_other, of_this) =
-            (admitted(&mut bench, 1 - class as u16), admitted(&mut bench, class as u16));
-        assert_eq!(of_other, 400, "the class that is not named");
-        assert!((150..=250).contains(&of_this), "{of_this} of 400 of class {class}");
-        let mut bench = Bench::new(set.clone());
-        enter(
-            &mut bench,
-            &set,
-            &Effects {
-                admitted_shares: [(set.classes[class].name.clone(), 0.0)].into(),
-                ..Effects::default()
-            },
-        );
-        assert_eq!(admitted(&mut bench, class as u16), 0);
-        enter(&mut bench, &set, &Effects::default());
-        assert_eq!(admitted(&mut bench, class as u16), 400, "the level is left");
+fn a_level_admits_a_share_of_each_class_and_rejects_the_rest_at_once() {
+    let settings = two_classes();
+    for (index, other) in [(0, 1), (1, 0)] {
+        let name = &settings.classes[usize::from(index)].name;
+        let share = |share| Effects { admitted_shares: [(name.clone(), share)].into(), ..Effects::default() };
+        let mut bench = Bench::new(settings.clone());
+        enter(&mut bench, &settings, &share(0.5));
+        assert_eq!(count_admitted(&mut bench, other), 400, "the class that is not named");
+        let admitted = count_admitted(&mut bench, index);
+        assert!((150..=250).contains(&admitted), "{admitted} of 400 of class {index}");
+        let mut bench = Bench::new(settings.clone());
+        enter(&mut bench, &settings, &share(0.0));
+        assert_eq!(count_admitted(&mut bench, index), 0);
+        enter(&mut bench, &settings, &Effects::default());
+        assert_eq!(count_admitted(&mut bench, index), 400, "the level is left");
     }
 }
 
 #[test]
-fn a_level_bounds_attempts_and_never_allows_more_than_the_settings() {
-    // Three is what there is time for here.
-    for (of_settings, of_level, allowed) in [(4, None, 3), (4, Some(2), 2), (2, Some(9), 2), (4, Some(0), 1)]
-    {
-        let set = settings(Class { max_attempts: of_settings, ..class(Effect::Idempotent) });
-        let mut bench = Bench::new(set.clone());
-        enter(&mut bench, &set, &Effects { max_attempts: of_level, ..Effects::default() });
+fn a_level_limits_attempts_and_never_allows_more_than_the_settings() {
+    // There is time for three attempts.
+    let cases = [(4, None, 3), (4, Some(2), 2), (2, Some(9), 2), (4, Some(0), 1)];
+    for (max_of_settings, max_of_level, allowed) in cases {
+        let settings = settings(Class { max_attempts: max_of_settings, ..class(Effect::Idempotent) });
+        let mut bench = Bench::new(settings.clone());
+        enter(&mut bench, &settings, &Effects { max_attempts: max_of_level, ..Effects::default() });
         let (_, parts, actions) = bench.ask(&[0]);
         let mut sent = sends(&actions).len();
         for attempt in 0..10 {
             sent += sends(&bench.end(parts[0], attempt, Outcome::ConnectFailed, MS)).len();
             sent += sends(&bench.wait(100 * MS)).len();
         }
-        assert_eq!(sent, allowed, "with {of_settings} and {of_level:?}");
+        assert_eq!(sent, allowed, "with {max_of_settings} and {max_of_level:?}");
     }
 }
 
 #[test]
-fn a_level_answers_early_from_what_is_in_but_never_under_the_floor() {
-    let set = settings(Class { min_share: 0.6, ..class(Effect::Idempotent) });
-    for (come, early) in [(2, true), (1, false)] {
-        let mut bench = Bench::new(set.clone());
-        enter(&mut bench, &set, &Effects { answer_after: Some(0.5), ..Effects::default() });
+fn a_level_answers_early_with_partial_results_but_never_below_the_minimum_share() {
+    let settings = settings(Class { min_share: 0.6, ..class(Effect::Idempotent) });
+    for (received, early) in [(2, true), (1, false)] {
+        let mut bench = Bench::new(settings.clone());
+        enter(&mut bench, &settings, &Effects { answer_after: Some(0.5), ..Effects::default() });
         let (query, parts, _) = bench.ask(&[0, 1, 2]);
-        for part in &parts[..come] {
+        for part in &parts[..received] {
             bench.serve(*part);
         }
         let answer = Action::Answer { query, complete: false };
-        let before = finals(&bench.wait(500 * MS - come as u64 * 100 * MS - 25 * MS));
-        assert_eq!(before, [], "not before half of the aim");
+        let before = finals(&bench.wait(500 * MS - received as u64 * 100 * MS - 25 * MS));
+        assert_eq!(before, [], "not before half of the latency objective");
         let then = finals(&bench.wait(100 * MS));
-        assert_eq!(then, if early { vec![answer.clone()] } else { vec![] }, "{come} of 3 are in");
+        assert_eq!(then, if early { vec![answer.clone()] } else { vec![] }, "{received} of 3 are received");
         if !early {
-            // What comes after that is still waited for, up to the aim.
+            // Later parts are still waited for, up to the latency objective.
             assert!(finals(&bench.wait(200 * MS)).is_empty());
-            assert_eq!(finals(&bench.serve(parts[1])), vec![answer], "as soon as the floor is in");
+            assert_eq!(
+                finals(&bench.serve(parts[1])),
+                vec![answer],
+                "as soon as the minimum share is reached"
+            );
         }
     }
 }
 
 #[test]
-fn a_level_calls_late_parts_of_samples_off() {
-    for quiet in [false, true] {
-        let set = settings(Class { min_share: 0.3, ..class(Effect::Idempotent) });
-        let mut bench = Bench::new(set.clone());
-        enter(&mut bench, &set, &Effects { skip_late_samples: quiet, ..Effects::default() });
+fn a_level_cancels_the_late_parts_that_would_be_sampled() {
+    for skip_late_samples in [false, true] {
+        let settings = settings(Class { min_share: 0.3, ..class(Effect::Idempotent) });
+        let mut bench = Bench::new(settings.clone());
+        enter(&mut bench, &settings, &Effects { skip_late_samples, ..Effects::default() });
         let (_, parts, _) = bench.ask(&[0, 1]);
         bench.serve(parts[0]);
         let actions = bench.wait(S);
-        let answered = actions.iter().position(|a| matches!(a, Action::Answer { .. })).expect("an answer");
-        let late = |a: &Action| matches!(a, Action::Cancel { part, .. } if *part == parts[1]);
-        let called_off = actions[answered..].iter().any(late);
-        assert_eq!(called_off, quiet);
+        let is_answer = |action: &Action| matches!(action, Action::Answer { .. });
+        let answered = actions.iter().position(is_answer).expect("an answer");
+        let cancels = |action: &Action| matches!(action, Action::Cancel { part, .. } if *part == parts[1]);
+        let cancelled = actions[answered..].iter().any(cancels);
+        assert_eq!(cancelled, skip_late_samples);
     }
 }
 
 #[test]
-fn refused_clients_are_told_longer_waits_that_stay_spread_and_within_what_they_follow() {
-    let set = settings(class(Effect::Idempotent));
-    for (come_back, least) in [(1.0, S / 2), (2.0, 3 * S / 4), (4.0, 7 * S / 8), (0.0, S / 2)] {
-        let mut bench = Bench::new(set.clone());
-        let admit = [("lookup".to_owned(), 0.0)].into();
-        enter(
-            &mut bench,
-            &set,
-            &Effects { admitted_shares: admit, retry_after_factor: come_back, ..Effects::default() },
-        );
-        let told = |_| match finals(&bench.ask(&[0]).2)[..] {
+fn a_level_extends_retry_after_which_stays_spread_and_within_its_maximum() {
+    let settings = settings(class(Effect::Idempotent));
+    for (retry_after_factor, min) in [(1.0, S / 2), (2.0, 3 * S / 4), (4.0, 7 * S / 8), (0.0, S / 2)] {
+        let mut bench = Bench::new(settings.clone());
+        let admitted_shares = [("lookup".to_owned(), 0.0)].into();
+        let effects = Effects { admitted_shares, retry_after_factor, ..Effects::default() };
+        enter(&mut bench, &settings, &effects);
+        let retry_after = |_| match finals(&bench.ask(&[0]).2)[..] {
             [Action::Reject { retry_after: Some(wait), .. }] => wait,
             ref other => panic!("{other:?}"),
         };
-        let waits: Vec<Nanos> = (0..200).map(told).collect();
+        let waits: Vec<Nanos> = (0..200).map(retry_after).collect();
         let (low, high) = (*waits.iter().min().expect("some"), *waits.iter().max().expect("some"));
-        assert!(low >= least && high <= S, "{come_back}: {low} to {high}");
-        assert!(high - low > (S - least) * 9 / 10, "{come_back}: spread from {low} to {high}");
+        assert!(low >= min && high <= S, "{retry_after_factor}: {low} to {high}");
+        assert!(high - low > (S - min) * 9 / 10, "{retry_after_factor}: spread from {low} to {high}");
     }
 }
