--- a/src/front/ogc/items.rs
+++ b/src/front/ogc/items.rs
@@ -13,7 +13,7 @@
 use crate::coordinator::{Answer, ClassMetrics, PartRequest, Request, RequestContext, Token, COUNTERS};
 use crate::front::{Reaction, Render};
 use crate::interface::{ShardId, TenantId};
-use crate::limits::QueryCost;
+use crate::limits::{QueryCost, QueryShape};
 use crate::proto::http::Response;
 use crate::time::{unix_ms, Micros};
 use std::ops::Range;
@@ -463,9 +463,14 @@
     shards: usize,
 ) -> Result<(PagesTaken, Arc<BytesTaken>), Response> {
     let (edge, params) = (&shared.edge, &asked.params);
-    let weight = params.filter.as_ref().map_or(0, Filter::weight);
-    let ordered = (!params.sortby.is_empty()).then_some(edge.most_pages);
-    let cost = QueryCost::estimate(params.limit, edge.page_size, shards, edge.at_once, weight, ordered);
+    let cost = QueryCost::estimate(&QueryShape {
+        limit: params.limit,
+        page_size: edge.page_size,
+        shards,
+        parallel_shards: edge.at_once,
+        filter_weight: params.filter.as_ref().map_or(0, Filter::weight),
+        max_sorted_pages: (!params.sortby.is_empty()).then_some(edge.most_pages),
+    });
     let aim = Micros::from_millis(edge.classes[asker.class].aim_ms).min(asker.patience);
     let (cost, bytes) = if edge.limits.admission {
         let admitted = shared.admission().admit(cost, aim, shared.bears.total_throughput());
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -41,26 +41,35 @@
     pub buffered_pages: f64,
 }
 
+/// What the cost of a query is estimated from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueryShape {
+    /// The maximum number of features in the response.
+    pub limit: usize,
+    /// The number of features in a page.
+    pub page_size: usize,
+    /// The number of shards with features of the query.
+    pub shards: usize,
+    /// How many shards are asked at the same time at first.
+    pub parallel_shards: usize,
+    /// The weight of the filter, if it is evaluated here; else 0.
+    pub filter_weight: usize,
+    /// The maximum number of pages to read, if the query is sorted here; such a query reads everything.
+    pub max_sorted_pages: Option<usize>,
+}
+
 impl QueryCost {
-    /// Estimates the cost of a query for at most `limit` features in pages of `page_size`, over `shards` of which
-    /// `parallel_shards` are asked at first. `filter_weight` is the weight of its filter if that is evaluated here, else 0.
-    /// A query that is sorted here reads everything, at most the given number of pages.
+    /// Estimates the cost of a query.
     #[must_use]
-    pub fn estimate(
-        limit: usize,
-        page_size: usize,
-        shards: usize,
-        parallel_shards: usize,
-        filter_weight: usize,
-        max_sorted_pages: Option<usize>,
-    ) -> Self {
-        let buffered_pages = limit.div_ceil(page_size.max(1)) as f64;
-        let pages = match max_sorted_pages {
+    pub fn estimate(query: &QueryShape) -> Self {
+        let buffered_pages = query.limit.div_ceil(query.page_size.max(1)) as f64;
+        let pages = match query.max_sorted_pages {
             // Between one page a shard and all pages that there are.
-            Some(max_pages) => (shards as f64 * buffered_pages).max((max_pages as f64).sqrt()),
-            None => buffered_pages + lookup_pages(shards, parallel_shards),
+            Some(max_pages) => (query.shards as f64 * buffered_pages).max((max_pages as f64).sqrt()),
+            None => buffered_pages + query.lookup_pages(),
         };
-        QueryCost { pages: pages * (1.0 + filter_weight as f64 / DOUBLING_FILTER_WEIGHT), buffered_pages }
+        let filter_factor = 1.0 + query.filter_weight as f64 / DOUBLING_FILTER_WEIGHT;
+        QueryCost { pages: pages * filter_factor, buffered_pages }
     }
 
     fn is_cheap(self) -> bool {
@@ -68,12 +77,14 @@
     }
 }
 
-/// The cost of the lookups at all shards but the first, in pages; none where shards are asked one after the other.
-fn lookup_pages(shards: usize, parallel_shards: usize) -> f64 {
-    if shards <= parallel_shards {
-        shards.saturating_sub(1) as f64 * LOOKUP_PAGES
-    } else {
-        0.0
+impl QueryShape {
+    /// The cost of the lookups at all shards but the first, in pages; none where shards are asked one after the other.
+    fn lookup_pages(&self) -> f64 {
+        if self.shards <= self.parallel_shards {
+            self.shards.saturating_sub(1) as f64 * LOOKUP_PAGES
+        } else {
+            0.0
+        }
     }
 }
 
--- a/src/limits/admission/tests.rs
+++ b/src/limits/admission/tests.rs
@@ -9,9 +9,13 @@
     AdmissionController::new(100 * MIB)
 }
 
-/// The cost of a query without a filter and a sort order, with the page size and the parallel shards of the defaults.
+/// A query without a filter and a sort order, with the page size and the parallel shards of the defaults.
+fn shape(limit: usize, shards: usize) -> QueryShape {
+    QueryShape { limit, page_size: 500, shards, parallel_shards: 8, filter_weight: 0, max_sorted_pages: None }
+}
+
 fn cost(limit: usize, shards: usize) -> QueryCost {
-    QueryCost::estimate(limit, 500, shards, 8, 0, None)
+    QueryCost::estimate(&shape(limit, shards))
 }
 
 #[test]
@@ -29,7 +33,8 @@
 
 #[test]
 fn with_nothing_known_or_nothing_in_flight_no_query_is_rejected() {
-    let everything = QueryCost::estimate(1_000_000, 500, 50, 8, 1_000, Some(200));
+    let everything = QueryShape { filter_weight: 1_000, max_sorted_pages: Some(200), ..shape(1_000_000, 50) };
+    let everything = QueryCost::estimate(&everything);
     assert!(
         controller().admit(everything, OBJECTIVE, Some(0.1)).is_ok(),
         "alone it is served, however long it takes"
--- a/src/limits/limiter.rs
+++ b/src/limits/limiter.rs
@@ -82,7 +82,7 @@
     probe: Option<BaselineProbe>,
     last_updated: Micros,
     last_decreased: Micros,
-    backoff_until: Micros,
+    backoff_ends_at: Micros,
 }
 
 impl ConcurrencyLimiter {
@@ -102,7 +102,7 @@
             probe: None,
             last_updated: Micros::ZERO,
             last_decreased: Micros::ZERO,
-            backoff_until: Micros::ZERO,
+            backoff_ends_at: Micros::ZERO,
         }
     }
 
@@ -121,12 +121,12 @@
     /// True while the server wants no requests.
     #[must_use]
     pub fn is_backing_off(&self, now: Micros) -> bool {
-        now < self.backoff_until
+        now < self.backoff_ends_at
     }
 
     /// The server wants no requests for this time; at most 30 s of it are granted.
     pub fn back_off(&mut self, now: Micros, retry_after: Micros) {
-        self.backoff_until = self.backoff_until.max(now + retry_after.min(MAX_BACKOFF));
+        self.backoff_ends_at = self.backoff_ends_at.max(now + retry_after.min(MAX_BACKOFF));
     }
 
     /// The throughput at the present limit and latency in requests per second; `None` before the first response.
--- a/src/limits/server_capacity.rs
+++ b/src/limits/server_capacity.rs
@@ -4,9 +4,12 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// The throughput of each server in pages per second: drivers report it, admission asks for the sum.
+/// The throughput of each server: drivers report it, admission uses the sum.
 #[derive(Debug, Default)]
-pub struct ServerCapacity(Mutex<HashMap<ReplicaId, f64>>);
+pub struct ServerCapacity {
+    /// In pages per second.
+    throughputs: Mutex<HashMap<ReplicaId, f64>>,
+}
 
 impl ServerCapacity {
     /// Reports the throughput of a server; `None` if it accepts nothing, or if nothing is known of it.
@@ -26,6 +29,6 @@
 
     /// A panic of another thread leaves the map as usable as before.
     fn lock(&self) -> MutexGuard<'_, HashMap<ReplicaId, f64>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.throughputs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
