--- /dev/null
+++ b/lab/src/fault_injection.rs
@@ -0,0 +1,189 @@
+//! Fault injection: a proxy before a sound service that alters requests or responses, so that each check of the conformance
+//! suite can be shown to fail.
+
+mod edits;
+mod faults;
+
+pub use faults::INJECTED_FAULTS;
+
+use crate::client::{Client, ClientError, Header, Request, Response};
+use flate2::{write::GzEncoder, Compression};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use thiserror::Error;
+
+/// Headers that the proxy writes itself.
+const OWN_HEADERS: [&str; 3] = ["content-length", "connection", "transfer-encoding"];
+
+/// A request before it is forwarded.
+#[derive(Debug, Clone)]
+pub struct ForwardedRequest {
+    method: String,
+    /// Path and query.
+    target: String,
+    headers: Vec<OwnedHeader>,
+    body: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+struct OwnedHeader {
+    name: String,
+    value: String,
+}
+
+impl ForwardedRequest {
+    fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    fn target_contains(&self, text: &str) -> bool {
+        self.target.contains(text)
+    }
+
+    fn accepts_encoding(&self) -> bool {
+        self.headers.iter().any(|header| header.name.eq_ignore_ascii_case("accept-encoding"))
+    }
+}
+
+/// What a fault alters.
+#[derive(Clone, Copy)]
+enum Alteration {
+    /// The request before it is forwarded.
+    Request(fn(&mut ForwardedRequest)),
+    /// The response before it is returned.
+    Response(fn(&ForwardedRequest, &mut Response)),
+}
+
+/// A fault that can be injected.
+pub struct InjectedFault {
+    /// The identifier of the check that must find it.
+    pub found_by: &'static str,
+    /// What is wrong.
+    pub description: &'static str,
+    alteration: Alteration,
+}
+
+/// The proxy.
+pub struct FaultInjector {
+    /// Where it listens.
+    pub address: SocketAddr,
+    active: Arc<ActiveFault>,
+}
+
+type ActiveFault = Mutex<Option<&'static InjectedFault>>;
+
+/// Why a connection of the proxy ended.
+#[derive(Debug, Error)]
+enum ForwardError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Client(#[from] ClientError),
+}
+
+impl FaultInjector {
+    /// Starts the proxy on a free loopback port, before this service and without a fault.
+    ///
+    /// # Errors
+    /// If no port is free.
+    pub fn start(service: SocketAddr) -> io::Result<FaultInjector> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let active: Arc<ActiveFault> = Arc::default();
+        let shared = active.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let active = shared.clone();
+                std::thread::spawn(move || forward_connection(stream, service, &active));
+            }
+        });
+        Ok(FaultInjector { address, active })
+    }
+
+    /// From now on this fault is injected, or none.
+    pub fn inject(&self, fault: Option<&'static InjectedFault>) {
+        *self.active.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+}
+
+/// Forwards the requests of a connection until it ends.
+fn forward_connection(
+    mut stream: TcpStream,
+    service: SocketAddr,
+    active: &ActiveFault,
+) -> Result<(), ForwardError> {
+    stream.set_nodelay(true)?;
+    let own_address = stream.local_addr()?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut client = Client::new(service);
+    while let Some(mut request) = read_request(&mut reader)? {
+        let fault = *active.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(Alteration::Request(alter)) = fault.map(|fault| fault.alteration) {
+            alter(&mut request);
+        }
+        let mut response = forward(&mut client, &request)?;
+        // Links must lead back to the proxy.
+        let text = response.text().replace(&service.to_string(), &own_address.to_string());
+        response.body = text.into_bytes();
+        if let Some(Alteration::Response(alter)) = fault.map(|fault| fault.alteration) {
+            alter(&request, &mut response);
+        }
+        write_response(&mut stream, &request, &response)?;
+    }
+    Ok(())
+}
+
+/// Reads a request; `None` at the end of the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<ForwardedRequest>> {
+    let mut request_line = String::new();
+    if reader.read_line(&mut request_line)? == 0 {
+        return Ok(None);
+    }
+    let mut words = request_line.split_whitespace().map(str::to_owned);
+    let method = words.next().unwrap_or_default();
+    let target = words.next().unwrap_or_default();
+    let (mut headers, mut body_length) = (Vec::new(), 0);
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => body_length = value.parse().unwrap_or(0),
+            // The client sets its own.
+            "host" | "connection" => {}
+            _ => headers.push(OwnedHeader { name: name.to_owned(), value: value.to_owned() }),
+        }
+    }
+    let mut body = Vec::new();
+    reader.take(body_length).read_to_end(&mut body)?;
+    Ok(Some(ForwardedRequest { method, target, headers, body }))
+}
+
+fn forward(client: &mut Client, request: &ForwardedRequest) -> Result<Response, ClientError> {
+    let headers: Vec<Header<'_>> =
+        request.headers.iter().map(|header| Header::new(&header.name, &header.value)).collect();
+    client.send(&Request { body: &request.body, ..Request::new(&request.method, &request.target, &headers) })
+}
+
+fn write_response(stream: &mut TcpStream, request: &ForwardedRequest, response: &Response) -> io::Result<()> {
+    let compressed = request.accepts_encoding() && response.header("content-encoding") == "gzip";
+    let body = if compressed { compress(&response.body)? } else { response.body.clone() };
+    let mut bytes = format!("HTTP/1.1 {} X\r\n", response.status);
+    let passed_on = response.headers.iter().filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
+    for (name, value) in passed_on {
+        bytes.push_str(&format!("{name}: {value}\r\n"));
+    }
+    bytes.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
+    let mut bytes = bytes.into_bytes();
+    if request.method != "HEAD" {
+        bytes.extend_from_slice(&body);
+    }
+    stream.write_all(&bytes)
+}
+
+fn compress(body: &[u8]) -> io::Result<Vec<u8>> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(body)?;
+    encoder.finish()
+}
--- a/src/settings/object.rs
+++ b/src/settings/object.rs
@@ -54,13 +54,13 @@
 pub struct QueryFamily {
     #[serde(default, rename = "bundle-max")]
     pub max_batch: u32,
-    #[serde(default)]
-    pub call_cost: Nanos,
+    #[serde(default, rename = "call-cost")]
+    pub call_overhead: Nanos,
     pub cells: u32,
     #[serde(default, rename = "class-need")]
     pub required_shares: Vec<f64>,
-    #[serde(default)]
-    pub follow_up: Vec<u32>,
+    #[serde(default, rename = "follow-up")]
+    pub follow_up_parts: Vec<u32>,
     #[serde(rename = "in-a-row")]
     pub cells_per_shard: u32,
     #[serde(default, rename = "least-share")]
--- a/src/settings/policy.rs
+++ b/src/settings/policy.rs
@@ -27,7 +27,7 @@
         cells: family.cells,
         cells_per_shard: family.cells_per_shard,
         max_batch: family.max_batch,
-        call_cost: family.call_cost,
+        call_overhead: family.call_overhead,
         max_poll_interval: polled.then_some(rules.max_poll_interval.unwrap_or(Nanos::MAX)),
         retry_budget: retry_budget(&rules),
         slow_start: slow_start(&rules),
@@ -50,7 +50,7 @@
     let required_share = family.required_shares.get(index).copied().unwrap_or(1.0);
     Ok(Class {
         name: class.name,
-        in_force: true,
+        active: true,
         latency_objective: class.latency_objective,
         objective_stretch: class.objective_stretch,
         deadline: class.deadline,
@@ -59,7 +59,7 @@
         late_weight: class.late_weight,
         required_share,
         min_share: family.min_shares.get(index).copied().unwrap_or(required_share),
-        follow_up: family.follow_up.get(index).copied().unwrap_or(0),
+        follow_up_parts: family.follow_up_parts.get(index).copied().unwrap_or(0),
         max_attempts: limits.max_attempts,
     })
 }
