--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -1,4 +1,4 @@
-//! Protocols as state machines: fed bytes, they yield events and bytes to write. None knows a socket or a clock.
+//! Protocols as state machines without sockets and clocks: received bytes go in, events and bytes to write come out.
 
 pub mod admin;
 pub mod body;
