--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -2,7 +2,7 @@
 //! `cargo bench -p quinceflow-testkit`
 
 use divan::Bencher;
-use quinceflow::coordinator::{Answer, AttemptEnd, RequestContext, ServedPart, Token};
+use quinceflow::coordinator::{Answer, AttemptEnd, ServedPart, Token};
 use quinceflow::front::ogc::config::Edge;
 use quinceflow::front::ogc::cql2::{read_json, read_text, split, to_json, Able, Matcher, Queryables};
 use quinceflow::front::ogc::cursor::Key;
@@ -11,7 +11,7 @@
 use quinceflow::front::ogc::visit::{read_page, Visit};
 use quinceflow::front::ogc::{lock, Ogc, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
-use quinceflow::proto::fetch::Fetched;
+use quinceflow::proto::fetch::FetchedResponse;
 use quinceflow::proto::http::ServerConnection;
 use quinceflow::time::Micros;
 use quinceflow_testkit::feature_server::devices;
@@ -125,10 +125,9 @@
                 }
                 Reaction::Submit(request, render) => {
                     let parts = request.parts.iter().map(|part| {
-                        let visit =
-                            part.context.as_ref().and_then(RequestContext::get::<Visit>).expect("a visit");
+                        let visit = part.context.as_ref().and_then(|e| e.get::<Visit>()).expect("a visit");
                         let fetched =
-                            Fetched { status: 200, headers: Default::default(), body: body.clone() };
+                            FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.judge("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
--- a/src/proto/fetch.rs
+++ b/src/proto/fetch.rs
@@ -1,121 +1,121 @@
-//! One request to a feature server and its response: one attempt at a part.
+//! One request to a feature server and its response, which is one attempt at a part.
 
 use super::http::{Headers, ResponseReader};
 use crate::interface::Outcome;
 
-/// A response that came whole.
+/// A complete response.
 #[derive(Debug)]
-pub struct Fetched {
-    /// Its status.
+pub struct FetchedResponse {
+    /// The status code.
     pub status: u16,
-    /// Its headers.
+    /// The header fields.
     pub headers: Headers,
-    /// Its body.
+    /// The body.
     pub body: Vec<u8>,
 }
 
-/// How far a fetch is.
+/// How far a fetch has got.
 #[derive(Debug)]
 pub enum Progress {
-    /// Something is still to come.
-    On,
-    /// The response is here whole.
-    Came(Fetched),
-    /// It ended otherwise.
-    Broke(Outcome),
+    /// The response is not complete yet.
+    Pending,
+    /// The response is complete.
+    Complete(FetchedResponse),
+    /// The fetch failed.
+    Failed(Outcome),
 }
 
-/// A request under way.
+impl Progress {
+    /// Whether the response is still to come.
+    #[must_use]
+    pub fn is_pending(&self) -> bool {
+        matches!(self, Progress::Pending)
+    }
+}
+
+/// A request in flight. It is fed what was read and yields what is to be written.
 #[derive(Debug)]
 pub struct Fetch {
-    /// Where reads go.
+    /// Reads the response as it arrives.
     pub reader: ResponseReader,
     request: Vec<u8>,
     written: usize,
 }
 
 impl Fetch {
-    /// A fetch of this request, whose response has at most so many bytes of body.
-    pub fn new(request: Vec<u8>, most_body: usize) -> Self {
-        Fetch { reader: ResponseReader::new(most_body), request, written: 0 }
+    /// A fetch with this request, whose response has a body of at most `max_body` bytes.
+    #[must_use]
+    pub fn new(request: Vec<u8>, max_body: usize) -> Self {
+        Fetch { reader: ResponseReader::new(max_body), request, written: 0 }
     }
 
-    /// Bytes to write.
+    /// The bytes to write next.
+    #[must_use]
     pub fn output(&self) -> &[u8] {
         &self.request[self.written..]
     }
 
-    /// So many of them were written; true: that was the last byte, from here on it may run.
-    pub fn wrote(&mut self, n: usize) -> bool {
-        self.written += n;
-        n > 0 && self.output().is_empty()
+    /// Notes how many bytes of [`Fetch::output`] were written; true: these include the last one, and the request may run from
+    /// now on.
+    pub fn record_written(&mut self, bytes: usize) -> bool {
+        self.written += bytes;
+        bytes > 0 && self.output().is_empty()
     }
 
-    /// No byte of it is written yet.
-    pub fn not_begun(&self) -> bool {
+    /// Whether no byte of the request is written yet.
+    #[must_use]
+    pub fn is_unstarted(&self) -> bool {
         self.written == 0
     }
 
-    /// The server has got the whole request: it may have run.
+    /// Whether the server has the complete request, so that it may have run.
+    #[must_use]
     pub fn may_have_run(&self) -> bool {
         self.output().is_empty()
     }
 
-    /// Takes in what was read.
+    /// Processes what was read.
     pub fn advance(&mut self) -> Progress {
         match self.reader.advance() {
-            Err(_) => Progress::Broke(Outcome::Error),
-            Ok(false) => Progress::On,
-            Ok(true) => self.came(),
+            Err(_) => Progress::Failed(Outcome::Error),
+            Ok(false) => Progress::Pending,
+            Ok(true) => self.take_response(),
         }
     }
 
-    /// The connection has ended in good order: a response without a length ends so.
-    pub fn ended(&mut self) -> Progress {
+    /// The server closed the connection in good order: this completes a response without a length.
+    pub fn on_end_of_stream(&mut self) -> Progress {
         if self.reader.end_of_input() {
-            return self.came();
+            return self.take_response();
         }
-        self.broken()
+        self.on_broken()
     }
 
-    /// The connection broke, or never came up.
-    pub fn broken(&mut self) -> Progress {
-        Progress::Broke(if self.may_have_run() { Outcome::Reset } else { Outcome::ConnectFailed })
+    /// The connection broke, or was never established.
+    pub fn on_broken(&mut self) -> Progress {
+        Progress::Failed(if self.may_have_run() { Outcome::Reset } else { Outcome::ConnectFailed })
     }
 
-    fn came(&mut self) -> Progress {
+    fn take_response(&mut self) -> Progress {
         let body = std::mem::take(&mut self.reader.body);
         match self.reader.head() {
-            Some(head) => {
-                Progress::Came(Fetched { status: head.status, headers: head.headers.clone(), body })
-            }
-            None => Progress::Broke(Outcome::Error),
+            Some(head) => Progress::Complete(FetchedResponse {
+                status: head.status,
+                headers: head.headers.clone(),
+                body,
+            }),
+            None => Progress::Failed(Outcome::Error),
         }
     }
 
-    /// The connection can carry another request after this one.
-    pub fn reusable(&self) -> bool {
+    /// Whether the connection can carry another request after this one.
+    #[must_use]
+    pub fn is_reusable(&self) -> bool {
         self.output().is_empty()
-            && self.reader.head().is_some_and(|h| h.reusable)
+            && self.reader.head().is_some_and(|head| head.reusable)
             && self.reader.input.data().is_empty()
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_response_without_a_length_ends_with_its_connection_and_not_with_a_reset() {
-        for (reset, head) in
-            [(false, ""), (true, ""), (false, "Content-Length: 9\r\n"), (true, "Content-Length: 9\r\n")]
-        {
-            let mut fetch = Fetch::new(b"GET / HTTP/1.1\r\n\r\n".to_vec(), 100);
-            fetch.wrote(18);
-            fetch.reader.input.extend(format!("HTTP/1.1 200 OK\r\n{head}\r\n{{}}").as_bytes());
-            assert!(matches!(fetch.advance(), Progress::On));
-            let whole = matches!(if reset { fetch.broken() } else { fetch.ended() }, Progress::Came(_));
-            assert_eq!(whole, !reset && head.is_empty());
-        }
-    }
-}
+mod tests;
