--- a/fuzz/fuzz_targets/cursor.rs
+++ b/fuzz/fuzz_targets/cursor.rs
@@ -1,9 +1,9 @@
 //! Arbitrary text is never accepted as a cursor: a cursor is authenticated by a key that the fuzzer does not have.
 #![no_main]
 use libfuzzer_sys::fuzz_target;
-use quinceflow::front::ogc::cursor::{CursorError, Key};
+use quinceflow::front::ogc::cursor::{CursorError, CursorKey};
 
 fuzz_target!(|text: &str| {
-    let key = Key::new(b"the key of this run");
-    assert_eq!(key.open(text, 1, 1, 1), Err(CursorError::Forged));
+    let key = CursorKey::new(b"the key of this run");
+    assert_eq!(key.open(text, 1, 1, 1), Err(CursorError::NotAuthentic));
 });
--- /dev/null
+++ b/src/front/ogc/capabilities.rs
@@ -0,0 +1,187 @@
+//! Capability discovery: what servers can filter and sort, from their conformance pages and queryables, cached with an
+//! age.
+//!
+//! A decision table without clock or socket. Whoever needs capabilities calls [`CapabilityCache::lookup`]; the caller that
+//! is told to discover does so for all, so that neither a restart nor an age that ends sends more than one discovery to a
+//! server at a time.
+
+use super::cql2::{Capabilities, Queryables};
+use super::stable_hash::stable_hash;
+use crate::time::Micros;
+use serde_json::Value as Json;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Backoff after the first discovery that failed; doubled after each further one.
+const INITIAL_BACKOFF: Micros = Micros::from_secs(2);
+/// Longest backoff.
+const MAX_BACKOFF: Micros = Micros::from_secs(120);
+/// Most doublings of the backoff, so that it can't overflow.
+const MAX_DOUBLINGS: u32 = 16;
+/// Time that a discovery may take; then another caller may discover.
+const DISCOVERY_TIMEOUT: Micros = Micros::from_secs(5);
+/// Most entries of the cache; beyond that the least recently used one is evicted.
+const MAX_ENTRIES: usize = 4_096;
+
+/// A shard at a server, which is what capabilities are kept for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ReplicaKey {
+    /// The server's address.
+    pub address: Arc<str>,
+    /// The server's own name for the shard.
+    pub source: Arc<str>,
+}
+
+/// Capabilities and when they were discovered.
+#[derive(Debug, Clone)]
+struct Discovered {
+    capabilities: Arc<Capabilities>,
+    at: Micros,
+}
+
+/// What is cached for a shard at a server.
+#[derive(Debug, Default)]
+struct Entry {
+    discovered: Option<Discovered>,
+    /// Since when a discovery is in flight.
+    in_flight_since: Option<Micros>,
+    consecutive_failures: u32,
+    /// End of the backoff.
+    retry_at: Micros,
+    last_used: Micros,
+}
+
+impl Entry {
+    fn is_fresh(&self, now: Micros, max_age: Micros) -> bool {
+        self.discovered.as_ref().is_some_and(|discovered| now.since(discovered.at) < max_age)
+    }
+
+    fn in_flight(&self, now: Micros) -> bool {
+        self.in_flight_since.is_some_and(|since| now.since(since) < DISCOVERY_TIMEOUT)
+    }
+
+    /// Counts a failure and begins its backoff. What was discovered before stays: a server that is down can do nothing
+    /// else.
+    fn fail(&mut self, now: Micros) {
+        let backoff = INITIAL_BACKOFF.0 << self.consecutive_failures.min(MAX_DOUBLINGS);
+        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
+        self.retry_at = now + Micros(backoff).min(MAX_BACKOFF);
+    }
+}
+
+/// What a caller that needs a server's capabilities is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CapabilityLookup {
+    /// Use these.
+    Known(Arc<Capabilities>),
+    /// Discover them and [`record`](CapabilityCache::record) the result; until then use these, if any.
+    Discover(Option<Arc<Capabilities>>),
+    /// Go on without: another caller discovers them, or a discovery failed a short time ago.
+    Unavailable,
+}
+
+/// The capabilities of all servers.
+#[derive(Debug, Default)]
+pub struct CapabilityCache {
+    entries: HashMap<ReplicaKey, Entry>,
+    max_age: Micros,
+}
+
+impl CapabilityCache {
+    /// An empty cache whose entries are stale after `max_age` at the latest.
+    #[must_use]
+    pub fn new(max_age: Micros) -> Self {
+        CapabilityCache { entries: HashMap::new(), max_age }
+    }
+
+    /// What a caller is to do that needs the capabilities of a server for a shard.
+    pub fn lookup(&mut self, key: &ReplicaKey, now: Micros) -> CapabilityLookup {
+        self.evict_for(key);
+        let max_age = self.max_age - self.spread(key);
+        let entry = self.entries.entry(key.clone()).or_default();
+        entry.last_used = now;
+        let capabilities = entry.discovered.as_ref().map(|discovered| discovered.capabilities.clone());
+        let must_wait = entry.in_flight(now) || now < entry.retry_at;
+        match capabilities {
+            Some(capabilities) if must_wait || entry.is_fresh(now, max_age) => {
+                CapabilityLookup::Known(capabilities)
+            }
+            None if must_wait => CapabilityLookup::Unavailable,
+            stale => {
+                entry.in_flight_since = Some(now);
+                CapabilityLookup::Discover(stale)
+            }
+        }
+    }
+
+    /// Makes room for a new entry by evicting the least recently used one.
+    fn evict_for(&mut self, key: &ReplicaKey) {
+        if self.entries.contains_key(key) || self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        let least_recent = self.entries.iter().min_by_key(|(_, entry)| entry.last_used);
+        if let Some(evicted) = least_recent.map(|(key, _)| key.clone()) {
+            self.entries.remove(&evicted);
+        }
+    }
+
+    /// How much sooner than others an entry is stale, up to a quarter of the age: servers that were discovered together
+    /// are not discovered again together.
+    fn spread(&self, key: &ReplicaKey) -> Micros {
+        let hash = stable_hash(&[key.address.as_bytes(), key.source.as_bytes()]);
+        Micros(self.max_age.0 / 4 * (hash % 256) / 256)
+    }
+
+    /// Records the result of a discovery; `None`: it failed.
+    pub fn record(&mut self, key: &ReplicaKey, capabilities: Option<Capabilities>, now: Micros) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.in_flight_since = None;
+        let Some(capabilities) = capabilities else { return entry.fail(now) };
+        entry.discovered = Some(Discovered { capabilities: Arc::new(capabilities), at: now });
+        entry.consecutive_failures = 0;
+    }
+
+    /// The queryables that any of these servers declares; `None` if none declares any.
+    pub fn any_queryables<'a>(&self, keys: impl Iterator<Item = &'a ReplicaKey>) -> Option<Queryables> {
+        let known = keys.filter_map(|key| self.known(key)).map(|capabilities| &capabilities.queryables);
+        let declared = known.filter(|queryables| !queryables.named.is_empty()).cloned();
+        declared.reduce(|all, more| all.either(&more))
+    }
+
+    /// The capabilities that all of these servers have; `None` if those of one are unknown.
+    pub fn common<'a>(&self, keys: impl Iterator<Item = &'a ReplicaKey>) -> Option<Capabilities> {
+        let mut common: Option<Capabilities> = None;
+        for key in keys {
+            let capabilities = self.known(key)?;
+            common = Some(match common {
+                None => capabilities.clone(),
+                Some(common) => common.intersection(capabilities),
+            });
+        }
+        common
+    }
+
+    fn known(&self, key: &ReplicaKey) -> Option<&Capabilities> {
+        Some(&self.entries.get(key)?.discovered.as_ref()?.capabilities)
+    }
+}
+
+/// The capabilities that a server's two documents declare. `None`: the first is no conformance page.
+///
+/// Conformance classes are known by the last segment of their URIs; `max_filter_text` is this edge's own bound.
+#[must_use]
+pub fn parse_capabilities(
+    conformance: &[u8],
+    queryables: Option<&[u8]>,
+    max_filter_text: usize,
+) -> Option<Capabilities> {
+    let conformance: Json = serde_json::from_slice(conformance).ok()?;
+    let uris = conformance["conformsTo"].as_array()?.iter().filter_map(Json::as_str);
+    let last_segment = |uri: &str| uri.rsplit('/').next().unwrap_or_default().to_owned();
+    let schema = queryables.and_then(|document| serde_json::from_slice::<Json>(document).ok());
+    let queryables = schema.as_ref().and_then(Queryables::from_schema).unwrap_or_default();
+    Some(Capabilities { classes: uris.map(last_segment).collect(), queryables, max_filter_text })
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -2,9 +2,9 @@
 
 use super::ReloadError;
 use crate::coordinator::{Input, Metrics};
-use crate::front::ogc::config::Edge;
+use crate::front::ogc::config::EdgeConfig;
 use crate::front::ogc::SharedCatalog;
-use crate::front::platform::{Named, SharedNamed};
+use crate::front::platform::{PlatformCatalog, SharedPlatformCatalog};
 use crate::net::config::{ActiveConfig, Config};
 use crate::net::watch::DiscoverySource;
 use crate::settings::CoordinatorSettings;
@@ -36,7 +36,7 @@
     /// reloaded file takes precedence over the environment, which cannot change.
     discovery_in_file: Option<SocketAddr>,
     source: DiscoverySource,
-    catalog: SharedNamed,
+    catalog: SharedPlatformCatalog,
     metrics: Arc<Metrics>,
 }
 
@@ -44,7 +44,7 @@
     pub(super) fn new(
         config: &Config,
         source: DiscoverySource,
-        catalog: SharedNamed,
+        catalog: SharedPlatformCatalog,
         metrics: Arc<Metrics>,
     ) -> Self {
         PlatformReload {
@@ -69,7 +69,7 @@
         }
         let settings = file.settings;
         self.source.set_max_poll_interval(settings.policy.max_poll_interval);
-        *sync::lock(&self.catalog) = Named::new(&settings);
+        *sync::lock(&self.catalog) = PlatformCatalog::new(&settings);
         let classes: Vec<_> = settings.policy.classes.iter().map(|c| c.name.as_str()).collect();
         let message = format!(
             "the configuration is read anew: discovery is at {}, classes {}",
@@ -86,19 +86,19 @@
 
 /// Reloads the inventory of feature servers.
 pub(super) struct InventoryReload {
-    edge: Edge,
+    edge: EdgeConfig,
     catalog: SharedCatalog,
 }
 
 impl InventoryReload {
-    pub(super) fn new(edge: Edge, catalog: SharedCatalog) -> Self {
+    pub(super) fn new(edge: EdgeConfig, catalog: SharedCatalog) -> Self {
         InventoryReload { edge, catalog }
     }
 }
 
 impl Reload for InventoryReload {
     fn reload(&mut self, now: Micros) -> Result<Reloaded, ReloadError> {
-        let servers = self.edge.servers().map_err(ReloadError::Inventory)?;
+        let servers = self.edge.load_inventory().map_err(ReloadError::Inventory)?;
         let update = sync::lock(&self.catalog).load(&servers, now);
         let message = format!("the inventory is loaded anew: {} servers", update.endpoints.len());
         Ok(Reloaded { message, input: Input::EndpointUpdate(update), settings: None })
