--- a/src/front/ogc/admission.rs
+++ b/src/front/ogc/admission.rs
@@ -5,19 +5,19 @@
 use super::error::ApiError;
 use super::state::FrontState;
 use crate::coordinator::COUNTERS;
-use crate::limits::Cost;
+use crate::limits::{QueryCost, QueryShape};
 use crate::time::Micros;
 use std::sync::Arc;
 
 /// What an admitted query has in flight; released when the query ends, however it does.
 pub(super) struct PageReservation {
     state: Arc<FrontState>,
-    cost: Cost,
+    cost: QueryCost,
 }
 
 impl Drop for PageReservation {
     fn drop(&mut self) {
-        self.state.admission().release(self.cost);
+        self.state.admission().release_pages(self.cost);
     }
 }
 
@@ -29,7 +29,7 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.state.admission().freed(self.bytes);
+        self.state.admission().release_bytes(self.bytes);
     }
 }
 
@@ -40,7 +40,7 @@
 }
 
 impl AdmittedQuery {
-    fn new(state: &Arc<FrontState>, cost: Cost, bytes: f64) -> Self {
+    fn new(state: &Arc<FrontState>, cost: QueryCost, bytes: f64) -> Self {
         AdmittedQuery {
             _pages: PageReservation { state: state.clone(), cost },
             memory: Arc::new(MemoryReservation { state: state.clone(), bytes }),
@@ -56,23 +56,28 @@
     ) -> Result<Self, ApiError> {
         let edge = &state.edge;
         if !edge.limits.admission {
-            return Ok(Self::new(state, Cost { pages: 0.0, held: 0.0 }, 0.0));
+            return Ok(Self::new(state, QueryCost { pages: 0.0, buffered_pages: 0.0 }, 0.0));
         }
         let cost = cost(state, request, shards);
         let objective =
             Micros::from_millis(edge.classes[client.class].latency_objective_ms).min(client.timeout);
-        let admitted = state.admission().admit(cost, objective, state.server_capacity.rate());
-        let bytes = admitted.map_err(|refusal| {
+        let admitted = state.admission().admit(cost, objective, state.server_capacity.total_throughput());
+        let bytes = admitted.map_err(|rejection| {
             COUNTERS.rejected_over_cost.increment();
-            ApiError::Overloaded { retry_after: Some(refusal.come_back) }
+            ApiError::Overloaded { retry_after: Some(rejection.retry_after) }
         })?;
         Ok(Self::new(state, cost, bytes))
     }
 }
 
-fn cost(state: &FrontState, request: &ItemsRequest, shards: usize) -> Cost {
+fn cost(state: &FrontState, request: &ItemsRequest, shards: usize) -> QueryCost {
     let (edge, params) = (&state.edge, &request.params);
-    let filter_weight = params.filter.as_ref().map_or(0, Filter::weight);
-    let max_sorted_pages = (!params.sortby.is_empty()).then_some(edge.max_pages);
-    Cost::of(params.limit, edge.page_size, shards, edge.max_initial_shards, filter_weight, max_sorted_pages)
+    QueryCost::estimate(&QueryShape {
+        limit: params.limit,
+        page_size: edge.page_size,
+        shards,
+        parallel_shards: edge.max_initial_shards,
+        filter_weight: params.filter.as_ref().map_or(0, Filter::weight),
+        max_sorted_pages: (!params.sortby.is_empty()).then_some(edge.max_pages),
+    })
 }
--- a/src/front/ogc/config/settings.rs
+++ b/src/front/ogc/config/settings.rs
@@ -3,7 +3,7 @@
 use super::super::params::LimitRules;
 use super::{ClassConfig, EdgeConfig, SlowStartConfig};
 use crate::interface::{Class, Effect, RetryBudget, ServiceReduction, Settings, SlowStartRule};
-use crate::limits::Rule;
+use crate::limits::LimitRule;
 use crate::time::Micros;
 
 /// Time between two ticks of the module, in milliseconds.
@@ -27,13 +27,13 @@
 
     /// How the requests in flight at a server are limited.
     #[must_use]
-    pub fn concurrency_rule(&self) -> Rule {
+    pub fn concurrency_rule(&self) -> LimitRule {
         match self.limits.mode.as_str() {
-            "fixed" => Rule::Fixed(self.max_connections),
-            _ => Rule::Adaptive {
-                start: self.limits.initial.min(self.max_connections),
-                least: self.limits.min.min(self.max_connections),
-                most: self.max_connections,
+            "fixed" => LimitRule::Fixed(self.max_connections),
+            _ => LimitRule::Adaptive {
+                initial: self.limits.initial.min(self.max_connections),
+                min: self.limits.min.min(self.max_connections),
+                max: self.max_connections,
             },
         }
     }
--- a/src/front/ogc/tests.rs
+++ b/src/front/ogc/tests.rs
@@ -6,7 +6,7 @@
 use super::page_request::PageRequest;
 use super::*;
 use crate::coordinator::Answer;
-use crate::proto::http::Server;
+use crate::proto::http::ServerConnection;
 use crate::sync::lock;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -22,11 +22,11 @@
 /// The response to a connection's bytes; `None` if they start a query whose round fails, after capability discovery failed
 /// too.
 fn response_to(front: &OgcFront, bytes: &[u8]) -> Option<Response> {
-    let mut server = Server::default();
-    server.allow_body(front.max_body());
-    server.input().feed(bytes);
-    server.end();
-    match server.poll()? {
+    let mut server = ServerConnection::default();
+    server.set_max_body(front.max_body());
+    server.input().extend(bytes);
+    server.end_of_input();
+    match server.next_request()? {
         Err(e) => Some(front.malformed_response(e)),
         Ok(request) => match front.handle(request, Token(1), Micros::ZERO, true) {
             Reaction::Respond(response) => Some(response),
@@ -224,9 +224,9 @@
 
 /// The targets of a query's first round, after capability discovery.
 fn targets(front: &OgcFront, query: &str) -> Vec<String> {
-    let mut server = Server::default();
-    server.input().feed(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
-    let request = server.poll().expect("complete").expect("well formed");
+    let mut server = ServerConnection::default();
+    server.input().extend(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
+    let request = server.next_request().expect("complete").expect("well formed");
     let mut reaction = front.handle(request, Token(1), Micros::ZERO, true);
     loop {
         match reaction {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,7 +4,7 @@
 use super::lifecycle::Unhealthy;
 use super::{try_read, IoOutcome};
 use crate::coordinator::{log_throttled, Counter, Metrics, COUNTERS};
-use crate::proto::calls::{Call, Caller};
+use crate::proto::admin::{AdminCommand, AdminConnection};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -75,14 +75,19 @@
 /// A connection of an operator.
 struct CallerConnection {
     stream: TcpStream,
-    caller: Caller,
+    caller: AdminConnection,
     accepted_at: Instant,
     replied: bool,
 }
 
 impl CallerConnection {
     fn new(stream: TcpStream) -> Self {
-        CallerConnection { stream, caller: Caller::default(), accepted_at: Instant::now(), replied: false }
+        CallerConnection {
+            stream,
+            caller: AdminConnection::default(),
+            accepted_at: Instant::now(),
+            replied: false,
+        }
     }
 }
 
@@ -129,10 +134,10 @@
     if connection.replied {
         // Input behind the call is discarded until the caller has closed: closing a socket with unread input sends a reset,
         // on which the caller may lose the reply.
-        connection.caller = Caller::default();
+        connection.caller = AdminConnection::default();
         return ended;
     }
-    if let Some(call) = connection.caller.call(ended) {
+    if let Some(call) = connection.caller.command(ended) {
         COUNTERS.admin_calls.increment();
         // A new connection takes a few KiB at once; a caller that does not read is not waited for.
         let _ = connection.stream.write_all(reply(call, endpoint).as_bytes());
@@ -144,9 +149,9 @@
 
 /// Returns whether the caller sends nothing more.
 fn read_once(connection: &mut CallerConnection) -> bool {
-    match try_read(&connection.stream, connection.caller.input.room()) {
+    match try_read(&connection.stream, connection.caller.input.free_space()) {
         IoOutcome::Transferred(bytes) => {
-            connection.caller.input.filled(bytes);
+            connection.caller.input.commit(bytes);
             false
         }
         IoOutcome::WouldBlock => false,
@@ -154,14 +159,14 @@
     }
 }
 
-fn reply(call: Call, endpoint: &AdminEndpoint) -> String {
+fn reply(call: AdminCommand, endpoint: &AdminEndpoint) -> String {
     match call {
-        Call::Health => match (endpoint.health)() {
+        AdminCommand::Health => match (endpoint.health)() {
             Ok(()) => "YES\n".to_owned(),
             Err(why) => format!("NO {why}\n"),
         },
-        Call::Dump => format!("YES\n{}END\n", endpoint.metrics.dump()),
-        Call::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
+        AdminCommand::Dump => format!("YES\n{}END\n", endpoint.metrics.dump()),
+        AdminCommand::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
     }
 }
 
--- a/src/net/server/wiring.rs
+++ b/src/net/server/wiring.rs
@@ -29,7 +29,7 @@
 ) -> Result<Service, ServerError> {
     let (inbox, arrivals) = channel();
     let revision = load_known_endpoints(config, clock, &inbox);
-    let settings = &config.deployment;
+    let settings = &config.settings;
     let source = watch::DiscoverySource::new(config.discovery, settings.policy.max_poll_interval);
     let endpoints_listed = Arc::new(AtomicBool::new(false));
     watch_discovery(config, clock, revision, &source, &inbox, &endpoints_listed)?;
@@ -40,7 +40,7 @@
     Ok(Service {
         name: config.name.clone(),
         listen: config.listen,
-        limits: ClientLimits::new(config.sockets, config.memory),
+        limits: ClientLimits::new(config.max_descriptors, config.max_memory),
         longest_deadline: longest_deadline(&settings.policy),
         front: Box::new(Platform::new(catalog.clone())),
         coordinator: Coordinator::new(
@@ -60,7 +60,7 @@
 
 /// Sends the endpoint list of the configuration to the coordinator and returns its revision, 0 if there is none.
 fn load_known_endpoints(config: &Config, clock: Clock, inbox: &Sender<Input>) -> u64 {
-    match parse_cached_endpoint_list(&config.known, clock.now(), unix_ms()) {
+    match parse_cached_endpoint_list(&config.known_endpoints, clock.now(), unix_ms()) {
         Ok(known) => {
             let _ = inbox.send(Input::EndpointUpdate(known.update));
             known.revision
--- a/src/proto/fetch/tests.rs
+++ b/src/proto/fetch/tests.rs
@@ -8,7 +8,7 @@
     {
         let mut fetch = Fetch::new(REQUEST.to_vec(), 100);
         fetch.record_written(REQUEST.len());
-        fetch.reader.input.feed(format!("HTTP/1.1 200 OK\r\n{length_header}\r\n{{}}").as_bytes());
+        fetch.reader.input.extend(format!("HTTP/1.1 200 OK\r\n{length_header}\r\n{{}}").as_bytes());
         assert!(fetch.advance().is_pending());
         let progress = if reset { fetch.on_broken() } else { fetch.on_end_of_stream() };
         let complete = matches!(progress, Progress::Complete(_));
