--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -12,10 +12,19 @@
 };
 use standin::frames::{read_frame, read_part_ids, serve_parts, write_answer, Frame, CALL, CANCEL};
 use standin::http::bind_loopback;
+use standin::process::Process;
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::sync::mpsc::channel;
 
+/// Asserts that queries of these shards are answered, and that a node has received no part beyond the first ones.
+fn assert_draining(process: &Process, node: &DataNode, shards: &[u32], received_before: usize) {
+    for n in 0..6 {
+        assert_eq!(query(process, &format!("q{n}"), "look", shards).status, 200);
+    }
+    assert_eq!(node.received_parts().len(), received_before, "it is draining");
+}
+
 #[test]
 fn parts_that_wait_for_a_connection_are_not_sent_after_their_client_disconnects() {
     // Counted at the nodes: parts that arrive after their client has disconnected. Regression: parts of a batch, and all
@@ -169,11 +178,8 @@
         );
         assert!(second.request.contains("since=1"), "{}", second.request);
         edge.wait_for_counter("endpoint_updates", 3);
-        let before = nodes[0].received_parts().len();
-        for n in 0..6 {
-            assert_eq!(query(&edge, &format!("q{silent}{n}"), "look", &[0, 1, 2, 3]).status, 200);
-        }
-        assert_eq!(nodes[0].received_parts().len(), before, "it is draining");
+        let received_before = nodes[0].received_parts().len();
+        assert_draining(&edge, &nodes[0], &[0, 1, 2, 3], received_before);
         drop(silent_watch);
     }
 }
@@ -194,10 +200,7 @@
         &[terminating(0, addresses[0]), in_service(1, addresses[1])],
     ));
     edge.wait_for_counter("endpoint_updates", 2);
-    for n in 0..6 {
-        assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
-    }
-    assert_eq!(nodes[0].received_parts().len(), 0);
+    assert_draining(&edge, &nodes[0], &[0, 1], 0);
     drop(unanswered);
 }
 
@@ -211,10 +214,7 @@
     watch.send(&endpoint_list(6, true, &all_in_service(&addresses)));
     edge.wait_for_log("stale endpoint list of version 6 after 7");
     edge.wait_for_counter("endpoint_updates", 4);
-    for n in 0..6 {
-        assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1, 2, 3]).status, 200);
-    }
-    assert_eq!(nodes[0].received_parts().len(), 0);
+    assert_draining(&edge, &nodes[0], &[0, 1, 2, 3], 0);
     watch.reset();
     assert!(
         agent.accept_watch().request.contains("since=7"),
@@ -241,10 +241,7 @@
     old.listener.set_nonblocking(true).expect("set");
     assert!(old.listener.accept().is_err(), "the old address was not polled again");
     edge.wait_for_counter("endpoint_updates", 2);
-    for n in 0..6 {
-        assert_eq!(query(&edge, &format!("q{n}"), "look", &[0, 1]).status, 200);
-    }
-    assert_eq!(nodes[0].received_parts().len(), 0);
+    assert_draining(&edge, &nodes[0], &[0, 1], 0);
 }
 
 #[test]
