--- /dev/null
+++ b/src/front/ogc/cql2/text/geometry.rs
@@ -0,0 +1,92 @@
+//! Geometries as well-known text, and bounding boxes.
+
+use super::super::geometry::{line, polygon, ring};
+use super::super::{FilterError, Value};
+use super::lexer::{fatal, keyword, nested, number, property, required_sign, sign, Input, Parsed};
+use geo::{
+    Coord, Geometry, GeometryCollection, LineString, MultiLineString, MultiPoint, MultiPolygon, Point,
+    Polygon,
+};
+use winnow::combinator::{alt, cut_err, delimited, opt, peek, separated};
+use winnow::error::{ContextError, ErrMode, StrContext};
+use winnow::prelude::*;
+
+/// A box, a geometry or a property.
+pub(super) fn spatial_operand(input: &mut Input<'_>) -> Parsed<Value> {
+    alt((bbox, geometry.map(Value::Geometry), property))
+        .context(StrContext::Label("a geometry"))
+        .parse_next(input)
+}
+
+/// `BBOX(...)` with four numbers, or six with heights.
+fn bbox(input: &mut Input<'_>) -> Parsed<Value> {
+    (keyword("BBOX"), sign("(")).parse_next(input)?;
+    let numbers: Vec<f64> = separated(4..=6, number, sign(",")).parse_next(input)?;
+    required_sign(")")(input)?;
+    if numbers.len() == 5 {
+        return Err(ErrMode::Cut(ContextError::new()));
+    }
+    Ok(Value::Bbox(numbers))
+}
+
+fn geometry(input: &mut Input<'_>) -> Parsed<Geometry<f64>> {
+    let point = |input: &mut Input<'_>| delimited(sign("("), position, sign(")")).parse_next(input);
+    alt((
+        tagged("POINT", point).map(|position| Point(position).into()),
+        tagged("LINESTRING", line_string).map(Geometry::from),
+        tagged("POLYGON", polygon_rings).map(Geometry::from),
+        tagged("MULTIPOINT", list(multipoint_position)).map(|points| MultiPoint(points).into()),
+        tagged("MULTILINESTRING", list(line_string)).map(|lines| MultiLineString(lines).into()),
+        tagged("MULTIPOLYGON", list(polygon_rings)).map(|polygons| MultiPolygon(polygons).into()),
+        tagged("GEOMETRYCOLLECTION", |input| nested(list(geometry))(input))
+            .map(|geometries| Geometry::GeometryCollection(GeometryCollection(geometries))),
+    ))
+    .parse_next(input)
+}
+
+/// The keyword of a geometry, perhaps `Z` for heights, and its coordinates.
+fn tagged<'a, T>(
+    name: &'static str,
+    mut coordinates: impl FnMut(&mut Input<'a>) -> Parsed<T>,
+) -> impl FnMut(&mut Input<'a>) -> Parsed<T> {
+    move |input| {
+        (keyword(name), opt(keyword("Z")), peek(sign("("))).void().parse_next(input)?;
+        cut_err(&mut coordinates).context(StrContext::Label("the coordinates")).parse_next(input)
+    }
+}
+
+/// A position; its height, if any, is of no consequence to any relation.
+fn position(input: &mut Input<'_>) -> Parsed<Coord<f64>> {
+    let (x, y, _) = (number, number, opt(number)).parse_next(input)?;
+    Ok(Coord { x, y })
+}
+
+/// Items in brackets, with commas between them.
+fn list<'a, T>(item: fn(&mut Input<'a>) -> Parsed<T>) -> impl FnMut(&mut Input<'a>) -> Parsed<Vec<T>> {
+    move |input| delimited(sign("("), separated(1.., item, sign(",")), required_sign(")")).parse_next(input)
+}
+
+/// The result of a check of what was parsed.
+fn checked<T>(result: Result<T, FilterError>) -> Parsed<T> {
+    result.map_err(|_| fatal("a sound line or ring (closed, four points or more)"))
+}
+
+fn line_string(input: &mut Input<'_>) -> Parsed<LineString<f64>> {
+    let positions = list(position)(input)?;
+    checked(line(positions))
+}
+
+fn linear_ring(input: &mut Input<'_>) -> Parsed<LineString<f64>> {
+    let positions = list(position)(input)?;
+    checked(ring(positions))
+}
+
+fn polygon_rings(input: &mut Input<'_>) -> Parsed<Polygon<f64>> {
+    let rings = list(linear_ring)(input)?;
+    checked(polygon(rings))
+}
+
+/// A position of a multipoint. Both forms are in use: with brackets round each position and without.
+fn multipoint_position(input: &mut Input<'_>) -> Parsed<Point<f64>> {
+    alt((delimited(sign("("), position, sign(")")), position)).map(Point).parse_next(input)
+}
--- /dev/null
+++ b/src/front/ogc/cql2/text/operand.rs
@@ -0,0 +1,166 @@
+//! Operands: scalars with arithmetic, times and arrays.
+
+use super::super::{ArithmeticOperator, Value, MAX_DEPTH};
+use super::lexer::{
+    boolean, fatal, keyword, nested, number, property, required_sign, sign, text_literal, Input, Parsed,
+    DEPTH_LABEL,
+};
+use winnow::combinator::{alt, cut_err, delimited, opt, peek, separated, terminated};
+use winnow::error::{ContextError, ErrMode, StrContext};
+use winnow::prelude::*;
+
+/// Characters of a date, such as `2026-12-01`.
+const DATE_LENGTH: usize = 10;
+
+/// A value that can be compared: sums of products of powers of atoms.
+pub(super) fn scalar(input: &mut Input<'_>) -> Parsed<Value> {
+    const SUM: [ArithmeticOperator; 2] = [ArithmeticOperator::Add, ArithmeticOperator::Subtract];
+    nested(|input| {
+        let mut left = product(input)?;
+        while let Some(operator) = opt(one_operator(&SUM)).parse_next(input)? {
+            let right = cut_err(product).context(StrContext::Label("a number")).parse_next(input)?;
+            left = arithmetic(input, operator, left, right)?;
+        }
+        Ok(left)
+    })(input)
+}
+
+fn product(input: &mut Input<'_>) -> Parsed<Value> {
+    const PRODUCT: [ArithmeticOperator; 4] = [
+        ArithmeticOperator::Multiply,
+        ArithmeticOperator::Divide,
+        ArithmeticOperator::Modulo,
+        ArithmeticOperator::Div,
+    ];
+    let mut left = power(input)?;
+    while let Some(operator) = opt(one_operator(&PRODUCT)).parse_next(input)? {
+        let right = cut_err(power).context(StrContext::Label("a number")).parse_next(input)?;
+        left = arithmetic(input, operator, left, right)?;
+    }
+    Ok(left)
+}
+
+fn power(input: &mut Input<'_>) -> Parsed<Value> {
+    let left = atom(input)?;
+    if opt(one_operator(&[ArithmeticOperator::Power])).parse_next(input)?.is_none() {
+        return Ok(left);
+    }
+    let right =
+        nested(|input| cut_err(power).context(StrContext::Label("a number")).parse_next(input))(input)?;
+    arithmetic(input, ArithmeticOperator::Power, left, right)
+}
+
+/// An operator with its two operands. Chains of operators nest on the left, so that their depth is the tree's.
+fn arithmetic(input: &Input<'_>, operator: ArithmeticOperator, left: Value, right: Value) -> Parsed<Value> {
+    if input.state.0 + arithmetic_depth(&left) > MAX_DEPTH {
+        return Err(fatal(DEPTH_LABEL));
+    }
+    Ok(Value::Arithmetic(operator, Box::new(left), Box::new(right)))
+}
+
+fn arithmetic_depth(value: &Value) -> usize {
+    match value {
+        Value::Arithmetic(_, left, right) => 1 + arithmetic_depth(left).max(arithmetic_depth(right)),
+        _ => 0,
+    }
+}
+
+fn one_operator<'a>(
+    operators: &'static [ArithmeticOperator],
+) -> impl FnMut(&mut Input<'a>) -> Parsed<ArithmeticOperator> {
+    move |input| {
+        for operator in operators {
+            let found = match operator {
+                ArithmeticOperator::Div => opt(keyword("DIV")).parse_next(input)?,
+                operator => opt(sign(operator.text())).parse_next(input)?,
+            };
+            if found.is_some() {
+                return Ok(*operator);
+            }
+        }
+        Err(ErrMode::Backtrack(ContextError::new()))
+    }
+}
+
+/// An instant, a function of a text, a literal, a property, or a scalar in brackets.
+fn atom(input: &mut Input<'_>) -> Parsed<Value> {
+    alt((
+        instant,
+        text_function("CASEI", Value::Casei),
+        text_function("ACCENTI", Value::Accenti),
+        text_literal.map(Value::Text),
+        number.map(Value::Number),
+        boolean.map(Value::Bool),
+        property,
+        delimited(sign("("), scalar, sign(")")),
+    ))
+    .parse_next(input)
+}
+
+fn text_function<'a>(
+    name: &'static str,
+    make: fn(Box<Value>) -> Value,
+) -> impl FnMut(&mut Input<'a>) -> Parsed<Value> {
+    move |input| {
+        (keyword(name), sign("(")).parse_next(input)?;
+        let inner = cut_err(scalar).context(StrContext::Label("text")).parse_next(input)?;
+        required_sign(")")(input)?;
+        Ok(make(Box::new(inner)))
+    }
+}
+
+/// `DATE(...)` or `TIMESTAMP(...)`.
+fn instant(input: &mut Input<'_>) -> Parsed<Value> {
+    let date = delimited((keyword("DATE"), sign("(")), text_literal, required_sign(")")).map(Value::Date);
+    let timestamp =
+        delimited((keyword("TIMESTAMP"), sign("(")), text_literal, required_sign(")")).map(Value::Timestamp);
+    alt((date, timestamp)).parse_next(input)
+}
+
+/// An interval, an instant or a property.
+pub(super) fn temporal_operand(input: &mut Input<'_>) -> Parsed<Value> {
+    alt((interval, instant, property)).context(StrContext::Label("a time")).parse_next(input)
+}
+
+/// `INTERVAL(...)`.
+fn interval(input: &mut Input<'_>) -> Parsed<Value> {
+    (keyword("INTERVAL"), sign("(")).parse_next(input)?;
+    let from = interval_end(input)?;
+    required_sign(",")(input)?;
+    let to = interval_end(input)?;
+    required_sign(")")(input)?;
+    Ok(Value::Interval(from, to))
+}
+
+/// An end of an interval; `None`: it is open.
+fn interval_end(input: &mut Input<'_>) -> Parsed<Option<Box<Value>>> {
+    let from_text = |text: String| match text.as_str() {
+        ".." | "" => None,
+        date if date.len() == DATE_LENGTH => Some(Box::new(Value::Date(text))),
+        _ => Some(Box::new(Value::Timestamp(text))),
+    };
+    let value = alt((instant, property)).map(|value| Some(Box::new(value)));
+    cut_err(alt((text_literal.map(from_text), value)))
+        .context(StrContext::Label("an end of the interval"))
+        .parse_next(input)
+}
+
+/// An array or a property.
+pub(super) fn array_operand(input: &mut Input<'_>) -> Parsed<Value> {
+    element.context(StrContext::Label("an array")).parse_next(input)
+}
+
+/// An element of an array. Brackets round all of an element are those of an array, others belong to arithmetic.
+fn element(input: &mut Input<'_>) -> Parsed<Value> {
+    let complete = terminated(array, peek(alt((sign(","), sign(")")))));
+    alt((complete, scalar)).parse_next(input)
+}
+
+fn array(input: &mut Input<'_>) -> Parsed<Value> {
+    let items = |input: &mut Input<'_>| {
+        let items: Vec<Value> =
+            delimited(sign("("), separated(0.., element, sign(",")), sign(")")).parse_next(input)?;
+        Ok(Value::Array(items))
+    };
+    nested(items)(input)
+}
