--- a/src/front/ogc/cql2/geometry.rs
+++ b/src/front/ogc/cql2/geometry.rs
@@ -1,4 +1,4 @@
-//! Geometries: from GeoJSON, to GeoJSON and well-known text, and what is measured of them.
+//! Geometries: from GeoJSON, to GeoJSON and well-known text, and their measures.
 
 use super::{fault, FilterError};
 use geo::{
@@ -9,14 +9,15 @@
 use std::fmt::Write as _;
 
 /// Deepest nesting of collections.
-const MAX_NESTED: usize = 4;
+const MAX_COLLECTION_DEPTH: usize = 4;
 
-/// Points of a geometry.
+/// The number of points of a geometry.
 pub fn points(geometry: &Geometry<f64>) -> usize {
     geometry.coords_count()
 }
 
-/// The box round a geometry; `None` where it has no point.
+/// The bounding box of a geometry; `None`: it has no point.
+#[must_use]
 pub fn envelope(geometry: &Geometry<f64>) -> Option<Rect<f64>> {
     geometry.bounding_rect()
 }
@@ -44,7 +45,7 @@
     Ok(LineString(points))
 }
 
-fn coord(json: &Json) -> Result<Coord<f64>, FilterError> {
+fn position(json: &Json) -> Result<Coord<f64>, FilterError> {
     let numbers: Option<Vec<f64>> = json.as_array().and_then(|a| a.iter().map(Json::as_f64).collect());
     match numbers.as_deref() {
         // Heights are of no consequence to any relation here.
@@ -61,24 +62,27 @@
 }
 
 fn rings(json: &Json) -> Result<Polygon<f64>, FilterError> {
-    polygon(list(json, |r| ring(list(r, coord)?))?)
+    polygon(list(json, |r| ring(list(r, position)?))?)
 }
 
 /// Reads a GeoJSON geometry (RFC 7946).
+///
+/// # Errors
+/// The JSON is no geometry, or collections are nested too deep.
 pub fn parse_geojson(json: &Json) -> Result<Geometry<f64>, FilterError> {
     nested(json, 0)
 }
 
 fn nested(json: &Json, depth: usize) -> Result<Geometry<f64>, FilterError> {
-    if depth > MAX_NESTED {
+    if depth > MAX_COLLECTION_DEPTH {
         return fault("geometry collections are nested too deep");
     }
     let at = &json["coordinates"];
     Ok(match json["type"].as_str() {
-        Some("Point") => Point(coord(at)?).into(),
-        Some("MultiPoint") => MultiPoint(list(at, coord)?.into_iter().map(Point).collect()).into(),
-        Some("LineString") => line(list(at, coord)?)?.into(),
-        Some("MultiLineString") => MultiLineString(list(at, |l| line(list(l, coord)?))?).into(),
+        Some("Point") => Point(position(at)?).into(),
+        Some("MultiPoint") => MultiPoint(list(at, position)?.into_iter().map(Point).collect()).into(),
+        Some("LineString") => line(list(at, position)?)?.into(),
+        Some("MultiLineString") => MultiLineString(list(at, |l| line(list(l, position)?))?).into(),
         Some("Polygon") => rings(at)?.into(),
         Some("MultiPolygon") => MultiPolygon(list(at, rings)?).into(),
         Some("GeometryCollection") => {
@@ -89,7 +93,7 @@
     })
 }
 
-/// As GeoJSON.
+/// Writes a geometry as GeoJSON.
 pub fn to_geojson(geometry: &Geometry<f64>) -> Json {
     let at = |c: &Coord<f64>| json!([c.x, c.y]);
     let line = |l: &LineString<f64>| Json::Array(l.0.iter().map(at).collect());
@@ -114,7 +118,7 @@
     }
 }
 
-/// As well-known text.
+/// Writes a geometry as well-known text.
 pub fn to_wkt(geometry: &Geometry<f64>) -> String {
     let at = |c: &Coord<f64>| format!("{} {}", c.x, c.y);
     let line = |l: &LineString<f64>| format!("({})", l.0.iter().map(at).collect::<Vec<_>>().join(","));
--- a/src/front/ogc/cql2/json.rs
+++ b/src/front/ogc/cql2/json.rs
@@ -6,34 +6,41 @@
     fault, ArithmeticOperator, ArrayRelation, ComparisonOperator, Filter, FilterError, SpatialRelation,
     TemporalRelation, Value, MAX_DEPTH,
 };
-use serde_json::{json, Value as Json};
+use serde_json::{json, Map, Value as Json};
+
+/// Characters of a date, such as `2026-12-01`.
+const DATE_LENGTH: usize = 10;
 
 type Read<T> = Result<T, FilterError>;
 
-/// Reads a filter from JSON text.
+/// Parses a filter.
+///
+/// # Errors
+/// The text is no JSON, no filter, or one beyond the bounds.
 pub fn parse_json(text: &str) -> Read<Filter> {
     let json: Json = serde_json::from_str(text).map_err(|e| FilterError(e.to_string()))?;
     from_json(&json)
 }
 
-/// Reads a filter from JSON that is parsed already.
+/// Reads a filter from parsed JSON.
+///
+/// # Errors
+/// The JSON is no filter, or one beyond the bounds.
 pub fn from_json(json: &Json) -> Read<Filter> {
-    filter(json, 1)?.bounded()
+    condition(json, 1)?.bounded()
 }
 
-fn deep(depth: usize) -> Read<()> {
+/// Checks a depth of nesting against the bound.
+fn check_depth(depth: usize) -> Read<()> {
     if depth > MAX_DEPTH {
         return fault(format!("it is nested more than {MAX_DEPTH} deep"));
     }
     Ok(())
 }
 
-fn args<'a, const N: usize>(op: &str, args: &'a [Json]) -> Read<&'a [Json; N]> {
-    args.try_into().or_else(|_| fault(format!("{op} needs {N} args")))
-}
-
-fn filter(json: &Json, depth: usize) -> Read<Filter> {
-    deep(depth)?;
+/// A condition at a depth of nesting, counted from 1.
+fn condition(json: &Json, depth: usize) -> Read<Filter> {
+    check_depth(depth)?;
     if let Some(constant) = json.as_bool() {
         return Ok(Filter::Constant(constant));
     }
@@ -41,174 +48,230 @@
         return Ok(Filter::Test(value(json, depth)?));
     }
     let Some(op) = json["op"].as_str() else { return fault("a condition needs op and args") };
-    let Some(list) = json["args"].as_array() else { return fault(format!("{op} needs args")) };
-    let two = || -> Read<(Value, Value)> {
-        let [a, b] = args::<2>(op, list)?;
-        Ok((value(a, depth + 1)?, value(b, depth + 1)?))
-    };
-    if let "and" | "or" = op {
-        if list.len() < 2 {
-            return fault(format!("{op} needs two args or more"));
+    let Some(args) = json["args"].as_array() else { return fault(format!("{op} needs args")) };
+    let call = Call { op, args, depth };
+    match op {
+        "and" => Ok(Filter::And(flatten(call.conditions()?, Junction::And))),
+        "or" => Ok(Filter::Or(flatten(call.conditions()?, Junction::Or))),
+        "not" => {
+            let [inner] = call.exactly::<1>()?;
+            Ok(Filter::Not(Box::new(condition(inner, depth + 1)?)))
         }
-        let parts: Vec<_> = list.iter().map(|a| filter(a, depth + 1)).collect::<Read<_>>()?;
-        return Ok(match op {
-            "and" => Filter::And(flatten(parts, Junction::And)),
-            _ => Filter::Or(flatten(parts, Junction::Or)),
-        });
+        "like" => call.two_values().map(|(text, pattern)| Filter::Like(text, pattern)),
+        "isNull" => {
+            let [operand] = call.values::<1>()?;
+            Ok(Filter::IsNull(operand))
+        }
+        "between" => {
+            let [operand, low, high] = call.values::<3>()?;
+            Ok(Filter::Between(operand, low, high))
+        }
+        "in" => call.in_list(),
+        _ => call.relation(),
     }
-    if op == "not" {
-        let [inner] = args::<1>(op, list)?;
-        return Ok(Filter::Not(Box::new(filter(inner, depth + 1)?)));
+}
+
+/// An operator and its arguments.
+struct Call<'a> {
+    op: &'a str,
+    args: &'a [Json],
+    depth: usize,
+}
+
+impl<'a> Call<'a> {
+    /// The arguments, if there are `N`.
+    fn exactly<const N: usize>(&self) -> Read<&'a [Json; N]> {
+        self.args.try_into().or_else(|_| fault(format!("{} needs {N} args", self.op)))
     }
-    if let Some(op) = ComparisonOperator::ALL.iter().find(|o| o.json() == op) {
-        return two().map(|(a, b)| Filter::Compare(*op, a, b));
+
+    /// The arguments as `N` values.
+    fn values<const N: usize>(&self) -> Read<[Value; N]> {
+        let values = self.exactly::<N>()?.iter().map(|arg| value(arg, self.depth + 1));
+        let values = values.collect::<Read<Vec<_>>>()?;
+        values.try_into().or_else(|_| fault(format!("{} needs {N} args", self.op)))
     }
-    if let Some(op) = SpatialRelation::ALL.iter().find(|o| o.json() == op) {
-        return two().map(|(a, b)| Filter::Spatial(*op, a, b));
+
+    fn two_values(&self) -> Read<(Value, Value)> {
+        let [left, right] = self.values::<2>()?;
+        Ok((left, right))
     }
-    if let Some(op) = TemporalRelation::ALL.iter().find(|o| o.json() == op) {
-        return two().map(|(a, b)| Filter::Temporal(*op, a, b));
+
+    /// The arguments as two conditions or more.
+    fn conditions(&self) -> Read<Vec<Filter>> {
+        if self.args.len() < 2 {
+            return fault(format!("{} needs two args or more", self.op));
+        }
+        self.args.iter().map(|arg| condition(arg, self.depth + 1)).collect()
     }
-    if let Some(op) = ArrayRelation::ALL.iter().find(|o| o.json() == op) {
-        return two().map(|(a, b)| Filter::Array(*op, a, b));
+
+    fn in_list(&self) -> Read<Filter> {
+        let [operand, list] = self.exactly::<2>()?;
+        let Some(list) = list.as_array().filter(|list| !list.is_empty()) else {
+            return fault("in needs a list that is not empty");
+        };
+        let list = list.iter().map(|item| value(item, self.depth + 1)).collect::<Read<_>>()?;
+        Ok(Filter::In(value(operand, self.depth + 1)?, list))
     }
-    match op {
-        "like" => two().map(|(a, b)| Filter::Like(a, b)),
-        "isNull" => {
-            let [a] = args::<1>(op, list)?;
-            Ok(Filter::IsNull(value(a, depth + 1)?))
+
+    /// A comparison, or a spatial, temporal or array relation.
+    fn relation(&self) -> Read<Filter> {
+        if let Some(operator) = ComparisonOperator::ALL.iter().find(|known| known.json() == self.op) {
+            return self.two_values().map(|(left, right)| Filter::Compare(*operator, left, right));
         }
-        "between" => {
-            let [a, b, c] = args::<3>(op, list)?;
-            Ok(Filter::Between(value(a, depth + 1)?, value(b, depth + 1)?, value(c, depth + 1)?))
+        if let Some(relation) = SpatialRelation::ALL.iter().find(|known| known.json() == self.op) {
+            return self.two_values().map(|(left, right)| Filter::Spatial(*relation, left, right));
         }
-        "in" => {
-            let [a, among] = args::<2>(op, list)?;
-            let Some(among) = among.as_array().filter(|l| !l.is_empty()) else {
-                return fault("in needs a list that is not empty");
-            };
-            let among = among.iter().map(|v| value(v, depth + 1)).collect::<Read<_>>()?;
-            Ok(Filter::In(value(a, depth + 1)?, among))
+        if let Some(relation) = TemporalRelation::ALL.iter().find(|known| known.json() == self.op) {
+            return self.two_values().map(|(left, right)| Filter::Temporal(*relation, left, right));
         }
-        other => fault(format!("the operator {other:?} is not known")),
+        if let Some(relation) = ArrayRelation::ALL.iter().find(|known| known.json() == self.op) {
+            return self.two_values().map(|(left, right)| Filter::Array(*relation, left, right));
+        }
+        fault(format!("the operator {:?} is not known", self.op))
     }
 }
 
+/// A value at a depth of nesting.
 fn value(json: &Json, depth: usize) -> Read<Value> {
-    deep(depth)?;
-    Ok(match json {
-        Json::String(text) => Value::Text(text.clone()),
-        Json::Bool(b) => Value::Bool(*b),
-        Json::Number(n) => match n.as_f64() {
-            Some(n) => Value::Number(n),
-            None => return fault("a number is too large"),
+    check_depth(depth)?;
+    match json {
+        Json::String(text) => Ok(Value::Text(text.clone())),
+        Json::Bool(truth) => Ok(Value::Bool(*truth)),
+        Json::Number(number) => match number.as_f64() {
+            Some(number) => Ok(Value::Number(number)),
+            None => fault("a number is too large"),
         },
-        Json::Array(list) => Value::Array(list.iter().map(|v| value(v, depth + 1)).collect::<Read<_>>()?),
-        Json::Null => return fault("null is no value"),
-        Json::Object(object) => {
-            let text = |key: &str| object.get(key).and_then(Json::as_str).map(str::to_owned);
-            if let Some(name) = text("property") {
-                if name.is_empty() || name.contains('"') {
-                    return fault("a property's name is empty or has a quotation mark");
-                }
-                Value::Property(name)
-            } else if let Some(date) = text("date") {
-                Value::Date(date)
-            } else if let Some(stamp) = text("timestamp") {
-                Value::Timestamp(stamp)
-            } else if let Some(span) = object.get("interval") {
-                let Some([from, to]) =
-                    span.as_array().and_then(|s| <&[Json; 2]>::try_from(s.as_slice()).ok())
-                else {
-                    return fault("an interval needs two ends");
-                };
-                Value::Interval(end(from, depth)?, end(to, depth)?)
-            } else if let Some(bbox) = object.get("bbox") {
-                let numbers: Option<Vec<f64>> =
-                    bbox.as_array().and_then(|b| b.iter().map(Json::as_f64).collect());
-                match numbers {
-                    Some(numbers) if matches!(numbers.len(), 4 | 6) => Value::Bbox(numbers),
-                    _ => return fault("a bbox needs four or six numbers"),
-                }
-            } else if object.contains_key("type") {
-                Value::Geometry(parse_geojson(json)?)
-            } else {
-                operation(json, depth)?
-            }
+        Json::Array(items) => {
+            let items = items.iter().map(|item| value(item, depth + 1));
+            items.collect::<Read<_>>().map(Value::Array)
         }
-    })
+        Json::Null => fault("null is no value"),
+        Json::Object(object) => object_value(json, object, depth),
+    }
+}
+
+/// A value that is an object, told apart by its members.
+fn object_value(json: &Json, object: &Map<String, Json>, depth: usize) -> Read<Value> {
+    let text = |key: &str| object.get(key).and_then(Json::as_str).map(str::to_owned);
+    if let Some(name) = text("property") {
+        return property(name);
+    }
+    if let Some(date) = text("date") {
+        return Ok(Value::Date(date));
+    }
+    if let Some(timestamp) = text("timestamp") {
+        return Ok(Value::Timestamp(timestamp));
+    }
+    if let Some(ends) = object.get("interval") {
+        return interval(ends, depth);
+    }
+    if let Some(numbers) = object.get("bbox") {
+        return bbox(numbers);
+    }
+    if object.contains_key("type") {
+        return parse_geojson(json).map(Value::Geometry);
+    }
+    operation(json, depth)
 }
 
+fn property(name: String) -> Read<Value> {
+    if name.is_empty() || name.contains('"') {
+        return fault("a property's name is empty or has a quotation mark");
+    }
+    Ok(Value::Property(name))
+}
+
+fn interval(ends: &Json, depth: usize) -> Read<Value> {
+    match ends.as_array().map(Vec::as_slice) {
+        Some([from, to]) => Ok(Value::Interval(interval_end(from, depth)?, interval_end(to, depth)?)),
+        _ => fault("an interval needs two ends"),
+    }
+}
+
+fn bbox(numbers: &Json) -> Read<Value> {
+    let numbers =
+        numbers.as_array().and_then(|list| list.iter().map(Json::as_f64).collect::<Option<Vec<_>>>());
+    match numbers {
+        Some(numbers) if matches!(numbers.len(), 4 | 6) => Ok(Value::Bbox(numbers)),
+        _ => fault("a bbox needs four or six numbers"),
+    }
+}
+
+/// A value that an operator or a function gives.
 fn operation(json: &Json, depth: usize) -> Read<Value> {
-    let (Some(op), Some(list)) = (json["op"].as_str(), json["args"].as_array()) else {
+    let (Some(op), Some(args)) = (json["op"].as_str(), json["args"].as_array()) else {
         return fault("a value is none that is known");
     };
-    let inner = |json: &Json| value(json, depth + 1).map(Box::new);
+    let call = Call { op, args, depth };
     match op {
-        "casei" => Ok(Value::Casei(inner(&args::<1>(op, list)?[0])?)),
-        "accenti" => Ok(Value::Accenti(inner(&args::<1>(op, list)?[0])?)),
-        op => match ArithmeticOperator::ALL.iter().find(|o| o.json() == op) {
-            Some(found) => {
-                let [a, b] = args::<2>(op, list)?;
-                Ok(Value::Arithmetic(*found, inner(a)?, inner(b)?))
+        "casei" => call.values().map(|[text]| Value::Casei(Box::new(text))),
+        "accenti" => call.values().map(|[text]| Value::Accenti(Box::new(text))),
+        op => match ArithmeticOperator::ALL.iter().find(|known| known.json() == op) {
+            Some(operator) => {
+                let (left, right) = call.two_values()?;
+                Ok(Value::Arithmetic(*operator, Box::new(left), Box::new(right)))
             }
             None => fault(format!("the function {op:?} is not known")),
         },
     }
 }
 
-fn end(json: &Json, depth: usize) -> Read<Option<Box<Value>>> {
-    let made = match json.as_str() {
+/// An end of an interval; `None`: it is open.
+fn interval_end(json: &Json, depth: usize) -> Read<Option<Box<Value>>> {
+    let end = match json.as_str() {
         Some(".." | "") => return Ok(None),
-        Some(text) if text.len() == 10 => Value::Date(text.to_owned()),
+        Some(text) if text.len() == DATE_LENGTH => Value::Date(text.to_owned()),
         Some(text) => Value::Timestamp(text.to_owned()),
         None => match value(json, depth + 1)? {
-            made @ (Value::Property(_) | Value::Date(_) | Value::Timestamp(_)) => made,
+            end @ (Value::Property(_) | Value::Date(_) | Value::Timestamp(_)) => end,
             _ => return fault("an interval's end is a time or a property"),
         },
     };
-    Ok(Some(Box::new(made)))
+    Ok(Some(Box::new(end)))
 }
 
-/// As CQL2 JSON.
+/// Writes a filter as CQL2 JSON.
+#[must_use]
 pub fn to_json(filter: &Filter) -> Json {
     let op = |op: &str, args: Vec<Json>| json!({"op": op, "args": args});
     match filter {
         Filter::And(parts) => op("and", parts.iter().map(to_json).collect()),
         Filter::Or(parts) => op("or", parts.iter().map(to_json).collect()),
         Filter::Not(inner) => op("not", vec![to_json(inner)]),
-        Filter::Constant(b) => json!(b),
-        Filter::Compare(o, a, b) => op(o.json(), vec![of(a), of(b)]),
-        Filter::Spatial(o, a, b) => op(o.json(), vec![of(a), of(b)]),
-        Filter::Temporal(o, a, b) => op(o.json(), vec![of(a), of(b)]),
-        Filter::Array(o, a, b) => op(o.json(), vec![of(a), of(b)]),
-        Filter::Like(a, b) => op("like", vec![of(a), of(b)]),
-        Filter::Between(a, b, c) => op("between", vec![of(a), of(b), of(c)]),
-        Filter::In(a, list) => op("in", vec![of(a), list.iter().map(of).collect()]),
-        Filter::IsNull(a) => op("isNull", vec![of(a)]),
-        Filter::Test(a) => of(a),
+        Filter::Constant(truth) => json!(truth),
+        Filter::Compare(operator, a, b) => op(operator.json(), vec![value_to_json(a), value_to_json(b)]),
+        Filter::Spatial(relation, a, b) => op(relation.json(), vec![value_to_json(a), value_to_json(b)]),
+        Filter::Temporal(relation, a, b) => op(relation.json(), vec![value_to_json(a), value_to_json(b)]),
+        Filter::Array(relation, a, b) => op(relation.json(), vec![value_to_json(a), value_to_json(b)]),
+        Filter::Like(a, b) => op("like", vec![value_to_json(a), value_to_json(b)]),
+        Filter::Between(a, b, c) => op("between", vec![value_to_json(a), value_to_json(b), value_to_json(c)]),
+        Filter::In(a, list) => op("in", vec![value_to_json(a), list.iter().map(value_to_json).collect()]),
+        Filter::IsNull(a) => op("isNull", vec![value_to_json(a)]),
+        Filter::Test(a) => value_to_json(a),
     }
 }
 
-fn of(value: &Value) -> Json {
+fn value_to_json(value: &Value) -> Json {
     let end = |end: &Option<Box<Value>>| match end.as_deref() {
         None => json!(".."),
         Some(Value::Date(text) | Value::Timestamp(text)) => json!(text),
-        Some(other) => of(other),
+        Some(other) => value_to_json(other),
     };
     match value {
         Value::Property(name) => json!({"property": name}),
         Value::Text(text) => json!(text),
-        Value::Number(n) => json!(n),
-        Value::Bool(b) => json!(b),
+        Value::Number(number) => json!(number),
+        Value::Bool(truth) => json!(truth),
         Value::Date(text) => json!({"date": text}),
         Value::Timestamp(text) => json!({"timestamp": text}),
         Value::Interval(a, b) => json!({"interval": [end(a), end(b)]}),
-        Value::Geometry(g) => to_geojson(g),
+        Value::Geometry(geometry) => to_geojson(geometry),
         Value::Bbox(numbers) => json!({"bbox": numbers}),
-        Value::Array(list) => list.iter().map(of).collect(),
-        Value::Arithmetic(o, a, b) => json!({"op": o.json(), "args": [of(a), of(b)]}),
-        Value::Casei(a) => json!({"op": "casei", "args": [of(a)]}),
-        Value::Accenti(a) => json!({"op": "accenti", "args": [of(a)]}),
+        Value::Array(list) => list.iter().map(value_to_json).collect(),
+        Value::Arithmetic(operator, a, b) => {
+            json!({"op": operator.json(), "args": [value_to_json(a), value_to_json(b)]})
+        }
+        Value::Casei(a) => json!({"op": "casei", "args": [value_to_json(a)]}),
+        Value::Accenti(a) => json!({"op": "accenti", "args": [value_to_json(a)]}),
     }
 }
--- a/src/front/ogc/cql2/mod.rs
+++ b/src/front/ogc/cql2/mod.rs
@@ -1,7 +1,7 @@
-//! CQL2 (OGC 21-065r2): a filter as one typed tree, read from text and from JSON, printed again as either.
+//! CQL2 (OGC 21-065r2): a filter as a typed tree, parsed from text and from JSON, and printed as either.
 //!
-//! It owns the tree, its bounds, its check against queryables, its evaluation on a feature, and the decision what of it a
-//! server is asked. Nothing here does input or output.
+//! It owns the tree, its bounds, its check against queryables, its evaluation on a feature, and its pushdown to servers.
+//! Nothing here does input or output.
 
 mod conformance;
 mod eval;
@@ -25,12 +25,12 @@
 
 /// Deepest nesting of a filter.
 pub const MAX_DEPTH: usize = 24;
-/// Most nodes of a filter's tree, geometries' points apart.
+/// Most nodes of a filter's tree, not counting points of geometries.
 pub const MAX_NODES: usize = 2_000;
 /// Most points of all its geometries.
 pub const MAX_POINTS: usize = 20_000;
 
-/// What is wrong with a filter, in words for whoever wrote it.
+/// What is wrong with a filter, in words for the client that wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FilterError(pub String);
 
@@ -46,7 +46,7 @@
     Err(FilterError(why.into()))
 }
 
-/// What is true or false of a feature, or unknown.
+/// A condition that is true, false or unknown of a feature.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Filter {
     /// All of these; two or more.
@@ -65,7 +65,7 @@
     Between(Value, Value, Value),
     /// A value among others.
     In(Value, Vec<Value>),
-    /// There is no value.
+    /// The value is missing.
     IsNull(Value),
     /// One geometry against another.
     Spatial(SpatialRelation, Value, Value),
@@ -73,11 +73,11 @@
     Temporal(TemporalRelation, Value, Value),
     /// One array against another.
     Array(ArrayRelation, Value, Value),
-    /// A property that is itself true or false.
+    /// A boolean property.
     Test(Value),
 }
 
-/// What a filter speaks of.
+/// An operand of a filter.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Value {
     /// A feature's property, `id` or its geometry.
@@ -100,7 +100,7 @@
     Bbox(Vec<f64>),
     /// An array.
     Array(Vec<Value>),
-    /// Two numbers.
+    /// The result of an operator on two numbers.
     Arithmetic(ArithmeticOperator, Box<Value>, Box<Value>),
     /// Text without its case.
     Casei(Box<Value>),
@@ -112,16 +112,18 @@
     ($(#[$doc:meta])* $name:ident { $($(#[$about:meta])* $variant:ident $text:literal $json:literal),* $(,)? }) => {
         $(#[$doc])*
         #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        #[allow(missing_docs)]
+        #[expect(missing_docs, reason = "the variants have the names of the standard's operators")]
         pub enum $name { $($(#[$about])* $variant),* }
         impl $name {
             /// All of them.
             pub const ALL: &'static [$name] = &[$($name::$variant),*];
-            /// As CQL2 text has it.
+            /// The name in CQL2 text.
+            #[must_use]
             pub fn text(self) -> &'static str {
                 match self { $($name::$variant => $text),* }
             }
-            /// As CQL2 JSON has it.
+            /// The name in CQL2 JSON.
+            #[must_use]
             pub fn json(self) -> &'static str {
                 match self { $($name::$variant => $json),* }
             }
@@ -165,7 +167,8 @@
 }
 
 impl TemporalRelation {
-    /// May stand between instants too; the others need two spans.
+    /// Whether the relation may hold between instants too; the others need two intervals.
+    #[must_use]
     pub fn takes_instants(self) -> bool {
         matches!(
             self,
@@ -179,7 +182,8 @@
 }
 
 impl Filter {
-    /// Its values, in order.
+    /// The operands, in order.
+    #[must_use]
     pub fn values(&self) -> Vec<&Value> {
         match self {
             Filter::And(_) | Filter::Or(_) | Filter::Not(_) | Filter::Constant(_) => Vec::new(),
@@ -194,7 +198,8 @@
         }
     }
 
-    /// The filters that it is made of.
+    /// The conditions that it joins or negates.
+    #[must_use]
     pub fn parts(&self) -> &[Filter] {
         match self {
             Filter::And(parts) | Filter::Or(parts) => parts,
@@ -203,13 +208,14 @@
         }
     }
 
-    /// Calls this for every value in it, the inner ones too.
+    /// Calls `visit` for every operand of the filter and of its parts, inner operands too.
     pub fn each_value<'a>(&'a self, visit: &mut dyn FnMut(&'a Value)) {
         self.values().into_iter().for_each(|v| v.each(visit));
         self.parts().iter().for_each(|p| p.each_value(visit));
     }
 
-    /// The names of its properties.
+    /// The names of the properties that it refers to.
+    #[must_use]
     pub fn properties(&self) -> std::collections::BTreeSet<&str> {
         let mut names = std::collections::BTreeSet::new();
         self.each_value(&mut |v| {
@@ -220,7 +226,8 @@
         names
     }
 
-    /// All of these; `None` of none.
+    /// The conjunction of several conditions; `None` of none.
+    #[must_use]
     pub fn all(mut parts: Vec<Filter>) -> Option<Filter> {
         match parts.len() {
             0 => None,
@@ -229,7 +236,8 @@
         }
     }
 
-    /// What it costs to evaluate on a feature beside others: nodes, and points of geometries by a hundred.
+    /// The relative cost of evaluating it on a feature: its nodes, and the points of its geometries by the hundred.
+    #[must_use]
     pub fn weight(&self) -> usize {
         let mut weight = 1 + self.parts().iter().map(Filter::weight).sum::<usize>();
         for value in self.values() {
@@ -243,18 +251,19 @@
         weight
     }
 
-    /// Is it within the bounds?
+    /// The number of conditions in it, itself included.
+    fn conditions(&self) -> usize {
+        1 + self.parts().iter().map(Filter::conditions).sum::<usize>()
+    }
+
+    /// The filter, if it is within the bounds on nodes and points.
     fn bounded(self) -> Result<Self, FilterError> {
-        let (mut nodes, mut points) = (0, 0);
-        fn count(filter: &Filter, nodes: &mut usize) {
-            *nodes += 1;
-            filter.parts().iter().for_each(|p| count(p, nodes));
-        }
-        count(&self, &mut nodes);
-        self.each_value(&mut |v| {
+        let mut nodes = self.conditions();
+        let mut points = 0;
+        self.each_value(&mut |value| {
             nodes += 1;
-            if let Value::Geometry(g) = v {
-                points += geometry::points(g);
+            if let Value::Geometry(geometry) = value {
+                points += geometry::points(geometry);
             }
         });
         if nodes > MAX_NODES {
@@ -268,6 +277,7 @@
 }
 
 impl Value {
+    /// Calls `visit` for the value and its inner values.
     fn each<'a>(&'a self, visit: &mut dyn FnMut(&'a Value)) {
         visit(self);
         match self {
--- a/src/front/ogc/cql2/print.rs
+++ b/src/front/ogc/cql2/print.rs
@@ -1,4 +1,4 @@
-//! As CQL2 text: what is printed reads as the same tree again.
+//! Printing as CQL2 text, which parses to the same tree again.
 
 use super::geometry::to_wkt;
 use super::{Filter, Value};
@@ -38,8 +38,8 @@
     }
 }
 
-/// In quotation marks. A mark inside is doubled; after a backslash it is escaped by another one, since the two would be read
-/// as an escaped mark.
+/// A text literal. A quotation mark is doubled; after a backslash it is written as it is, since the two are read as an
+/// escaped mark.
 fn quoted(text: &str) -> String {
     let mut out = String::from("'");
     let mut before = ' ';
--- a/src/front/ogc/inventory/yaml_reader.rs
+++ b/src/front/ogc/inventory/yaml_reader.rs
@@ -3,8 +3,8 @@
 use super::entry::{Entry, Field, Fields, Locator};
 use super::error::{InventoryError, InventoryErrorKind};
 use super::{first, Server};
-use marked_yaml::types::MarkedMappingNode;
-use marked_yaml::{LoadError, LoaderOptions, Node};
+use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode};
+use marked_yaml::{LoadError, LoaderOptions, Marker, Node};
 
 /// Reads YAML with groups. A host's own vars take precedence over its groups', an inner group's over an outer's; the
 /// collections of a host add up over its groups. `file` is the name that errors tell.
@@ -43,7 +43,7 @@
         | LoadError::UnexpectedTag(marker)
         | LoadError::ScanError(marker, _) => (marker.line(), String::new()),
         LoadError::DuplicateKey(duplicate) => {
-            let line = duplicate.key.span().start().map_or(1, |marker| marker.line());
+            let line = duplicate.key.span().start().map_or(1, Marker::line);
             (line, duplicate.key.as_str().to_owned())
         }
     };
@@ -52,7 +52,7 @@
 
 /// The line of a node; 0 if it has none.
 fn line_of(node: &Node) -> usize {
-    node.span().start().map_or(0, |marker| marker.line())
+    node.span().start().map_or(0, Marker::line)
 }
 
 /// Collects the hosts of groups.
@@ -82,7 +82,7 @@
             let text = match value {
                 Node::Scalar(scalar) => scalar.as_str().to_owned(),
                 Node::Sequence(items) => {
-                    let words = items.iter().map(|item| item.as_scalar().map(|word| word.as_str()));
+                    let words = items.iter().map(|item| item.as_scalar().map(MarkedScalarNode::as_str));
                     let words = words.collect::<Option<Vec<_>>>().ok_or_else(|| {
                         self.locator.error(line_of(value), key.as_str(), InventoryErrorKind::NoWordList)
                     })?;
@@ -109,7 +109,7 @@
                 "hosts" => self.hosts(value, &vars)?,
                 "children" => self.children(value, &vars)?,
                 other => {
-                    let line = key.span().start().map_or(0, |marker| marker.line());
+                    let line = key.span().start().map_or(0, Marker::line);
                     return Err(self.locator.error(line, other, InventoryErrorKind::UnknownGroupKey));
                 }
             }
@@ -122,7 +122,7 @@
         for (host, own) in hosts.iter() {
             let mut fields = vars.clone();
             self.vars(own, host.as_str(), &mut fields)?;
-            let line = host.span().start().map_or(0, |marker| marker.line());
+            let line = host.span().start().map_or(0, Marker::line);
             self.merge(Entry { name: host.as_str().to_owned(), line, fields });
         }
         Ok(())
