--- a/lab/benches/front.rs
+++ b/lab/benches/front.rs
@@ -12,10 +12,11 @@
 use quinceflow::front::ogc::paging::{
     PageFetch, PageLocation, SortKey, SortedMerge, SortedProgress, SortedQuery,
 };
-use quinceflow::front::ogc::{lock, OgcFront, SharedCatalog};
+use quinceflow::front::ogc::{OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
-use quinceflow::proto::fetch::Fetched;
+use quinceflow::proto::fetch::FetchedResponse;
 use quinceflow::proto::http::Server;
+use quinceflow::sync::lock;
 use quinceflow::time::Micros;
 use quinceflow_testkit::feature_server::devices;
 use std::sync::Arc;
@@ -140,9 +141,9 @@
                             .context
                             .as_ref()
                             .and_then(RequestContext::get::<PageRequest>)
-                            .expect("a visit");
+                            .expect("a request");
                         let fetched =
-                            Fetched { status: 200, headers: Default::default(), body: body.clone() };
+                            FetchedResponse { status: 200, headers: Default::default(), body: body.clone() };
                         match visit.interpret("127.0.0.1:9101", "127.0.0.1:9101", fetched) {
                             AttemptEnd::Served(value) => ServedPart { shard: part.shard, value },
                             AttemptEnd::Failed(outcome) => panic!("{outcome:?}"),
--- a/src/front/ogc/page_request/tests.rs
+++ b/src/front/ogc/page_request/tests.rs
@@ -3,7 +3,7 @@
 use super::{parse_page, FeaturePredicate, PageRequest, RequestKind};
 use crate::coordinator::AttemptEnd;
 use crate::interface::Outcome;
-use crate::proto::fetch::Fetched;
+use crate::proto::fetch::FetchedResponse;
 use std::sync::Arc;
 
 #[test]
@@ -38,7 +38,8 @@
 
 #[test]
 fn each_status_has_its_outcome() {
-    let fetched = |status, body: &str| Fetched { status, headers: Default::default(), body: body.into() };
+    let fetched =
+        |status, body: &str| FetchedResponse { status, headers: Default::default(), body: body.into() };
     let end =
         |kind, status, body| PageRequest::new(kind, "/x".into()).interpret("s", "a:1", fetched(status, body));
     assert_eq!(end(RequestKind::Items, 429, ""), AttemptEnd::Failed(Outcome::Rejected));
