--- a/src/coordinator/queries/completion.rs
+++ b/src/coordinator/queries/completion.rs
@@ -84,7 +84,7 @@
         self.request_ids.release(&pending.request.request_id);
         self.classes.release(pending.class);
         for part in part_ids(query, &pending.request) {
-            self.in_flight.forget_part(part);
+            self.in_flight.remove_part(part);
             for key in self.in_flight.unwritten_at(part) {
                 self.cancel(key, turn);
             }
--- a/src/coordinator/queries/in_flight.rs
+++ b/src/coordinator/queries/in_flight.rs
@@ -76,7 +76,7 @@
     }
 
     /// A part that has ended gets no further attempts.
-    pub(super) fn forget_part(&mut self, part: PartId) {
+    pub(super) fn remove_part(&mut self, part: PartId) {
         self.next_numbers.remove(&part);
     }
 
