--- a/src/front/ogc/response/feature_collection.rs
+++ b/src/front/ogc/response/feature_collection.rs
@@ -10,7 +10,7 @@
 use crate::front::ogc::delivery::entity_tag;
 use crate::front::ogc::paging::{FeaturePage, PageSlice};
 use crate::front::ogc::params::{decode_query, Format};
-use crate::proto::body::{Body, Held};
+use crate::proto::body::{Body, SharedBytes};
 use crate::proto::http::Response;
 use serde_json::{json, Value as Json};
 use std::ops::Range;
@@ -166,12 +166,12 @@
     memory: &Arc<MemoryReservation>,
 ) {
     let page = &slice.page;
-    let shared: Held = Arc::new(SharedPage { page: page.clone(), _memory: memory.clone() });
+    let shared: SharedBytes = Arc::new(SharedPage { page: page.clone(), _memory: memory.clone() });
     for adjacent in slice.ranges().chunk_by(|left, right| is_adjacent(page, left, right)) {
         separator.push_to(body);
         let start = adjacent.first().map_or(0, |range| range.start);
         let end = adjacent.last().map_or(0, |range| range.end);
-        body.push_held(shared.clone(), start..end);
+        body.push_shared(shared.clone(), start..end);
     }
 }
 
--- /dev/null
+++ b/src/levels/controller/tests.rs
@@ -0,0 +1,214 @@
+use super::*;
+use crate::levels::{Effects, Signal};
+
+const EVALUATION_INTERVAL: Micros = Micros::from_millis(250);
+
+fn secs(secs: u64) -> Micros {
+    Micros::from_secs(secs)
+}
+
+fn built_in_controller(jitter: f64) -> LevelController {
+    LevelController::new(LevelTable::built_in(), jitter, secs(1))
+}
+
+/// Evaluates the signals for so many seconds, with the readings that `record` adds each time. The result is the number of
+/// transitions.
+fn run(
+    controller: &mut LevelController,
+    from: u64,
+    seconds: u64,
+    mut record: impl FnMut(Micros, &mut SignalReadings),
+) -> usize {
+    let mut readings = SignalReadings::default();
+    let (mut now, mut transitions) = (secs(from), 0);
+    while now < secs(from + seconds) {
+        record(now, &mut readings);
+        let before = controller.level();
+        let changed = controller.evaluate(&readings, now).is_some();
+        assert!(controller.level() <= before + 1, "one level up at a time");
+        assert_eq!(changed, before != controller.level());
+        transitions += usize::from(changed);
+        now = now + EVALUATION_INTERVAL;
+    }
+    transitions
+}
+
+#[test]
+fn a_signal_near_a_bound_causes_few_transitions() {
+    // Ten minutes at each bound and 2, 5 and 10% around it, with noise of each size: at most 2 transitions in 5 minutes
+    // beyond the first.
+    let table = LevelTable::built_in();
+    for level in &table.levels {
+        for condition in level.when.iter().filter(|condition| condition.group.is_none()) {
+            for bound in [condition.enter, condition.leave] {
+                for offset in [-0.10, -0.05, -0.02, 0.0, 0.02, 0.05, 0.10] {
+                    for noise in [0.05, 0.30] {
+                        let value = bound * (1.0 + offset);
+                        let transitions = transitions_with_noise(condition.signal, value, noise);
+                        let case = (&level.name, condition.signal, bound, offset, noise);
+                        assert!(transitions <= 5, "{case:?}: {transitions}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The number of transitions in ten minutes of a signal with uniform noise, relative to its value.
+fn transitions_with_noise(signal: Signal, value: f64, noise: f64) -> usize {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut controller = built_in_controller(0.5);
+    run(&mut controller, 10, 600, |now, readings| {
+        readings.record(signal, value * (1.0 + noise * (2.0 * rng.f64() - 1.0)), now);
+    })
+}
+
+#[test]
+fn flapping_near_the_minimum_stay_causes_few_transitions() {
+    for period in [8, 10, 12, 20, 25, 40] {
+        let mut controller = built_in_controller(0.5);
+        let transitions = run(&mut controller, 10, 600, |now, readings| {
+            let bad = (now.0 / 1_000_000) % period < period / 2;
+            readings.record(Signal::EjectedNodes, if bad { 0.4 } else { 0.0 }, now);
+        });
+        assert!(transitions <= 6, "a period of {period} s: {transitions} transitions in 10 minutes");
+    }
+}
+
+#[test]
+fn levels_are_left_when_their_signal_has_no_recent_value() {
+    let mut controller = built_in_controller(0.5);
+    run(&mut controller, 10, 20, |now, readings| readings.record(Signal::EjectedNodes, 0.9, now));
+    assert_eq!((controller.level(), controller.name()), (2, "essential"));
+    // The signal is not reported any more.
+    run(&mut controller, 30, 120, |_, _| {});
+    assert_eq!(controller.level(), 0);
+    let steps: Vec<_> = controller.history().map(|step| (step.from, step.to)).collect();
+    assert_eq!(steps, [(0, 1), (1, 2), (2, 1), (1, 0)]);
+    assert_eq!(
+        controller.history().next().map(|step| step.causes.clone()),
+        Some(vec![SignalValue { signal: Signal::EjectedNodes, value: 0.9 }])
+    );
+    run(&mut controller, 200, 30, |now, readings| readings.record(Signal::EjectedNodes, f64::NAN, now));
+    assert_eq!(controller.level(), 0, "a value that is not finite is ignored");
+}
+
+#[test]
+fn a_grouped_signal_counts_only_with_its_group() {
+    let mut controller = built_in_controller(0.5);
+    run(&mut controller, 10, 60, |now, readings| readings.record(Signal::QualityLoss, 1.0, now));
+    assert_eq!(controller.level(), 0);
+    run(&mut controller, 100, 60, |now, readings| {
+        readings.record(Signal::QualityLoss, 0.4, now);
+        readings.record(Signal::InFlightLoad, 2.0, now);
+    });
+    assert_eq!(controller.level(), 1);
+}
+
+#[test]
+fn a_pin_overrides_signals_until_its_end() {
+    let mut controller = built_in_controller(0.5);
+    controller.pin(2, secs(100), secs(10));
+    assert_eq!((controller.level(), controller.history().last().map(|step| step.pinned)), (2, Some(true)));
+    run(&mut controller, 11, 80, |now, readings| readings.record(Signal::EjectedNodes, 0.0, now));
+    assert_eq!(controller.level(), 2);
+    run(&mut controller, 100, 120, |now, readings| readings.record(Signal::EjectedNodes, 0.0, now));
+    assert_eq!(controller.level(), 0);
+    controller.pin(9, secs(400), secs(300));
+    assert_eq!(controller.level(), 2, "not beyond the table");
+}
+
+#[test]
+fn many_instances_do_not_move_at_the_same_time() {
+    let mut times = Vec::new();
+    for n in 0..100 {
+        let mut controller = built_in_controller(f64::from(n) / 99.0);
+        run(&mut controller, 10, 10, |now, readings| readings.record(Signal::EjectedNodes, 0.3, now));
+        times.push(controller.history().next().expect("a transition").at);
+    }
+    times.sort();
+    let max_at_once = times.chunk_by(|a, b| a == b).map(<[Micros]>::len).max().unwrap_or(0);
+    assert!(max_at_once <= 50, "{max_at_once} of 100 at the same time");
+}
+
+/// A controller after some evaluations.
+struct ExploredState {
+    controller: LevelController,
+    readings: SignalReadings,
+    depth: u64,
+}
+
+impl ExploredState {
+    /// Records the values, if any, and evaluates them a second later than the last ones. Checks the step.
+    fn after(&self, ejected: Option<f64>, retries: Option<f64>) -> ExploredState {
+        let (mut controller, mut readings) = (self.controller.clone(), self.readings.clone());
+        let now = secs(2 + self.depth);
+        if let Some(ejected) = ejected {
+            readings.record(Signal::EjectedNodes, ejected, now);
+        }
+        if let Some(retries) = retries {
+            readings.record(Signal::RetryRate, retries, now);
+        }
+        let before = controller.level();
+        let transition = controller.evaluate(&readings, now).cloned();
+        let after = controller.level();
+        assert!(after <= before + 1 && after + 1 >= before, "one level at a time");
+        if let Some(step) = transition.filter(|step| step.to > step.from) {
+            assert!(!step.causes.is_empty(), "nothing caused it");
+        }
+        ExploredState { controller, readings, depth: self.depth + 1 }
+    }
+
+    /// Whatever happened before: with both signals calm, service is full after a while.
+    fn check_recovery(mut self) {
+        for step in 0..400 {
+            let now = secs(100 + 2 * step);
+            self.readings.record(Signal::EjectedNodes, 0.0, now);
+            self.readings.record(Signal::RetryRate, 0.0, now);
+            self.controller.evaluate(&self.readings, now);
+        }
+        assert_eq!(self.controller.level(), 0, "stuck");
+    }
+}
+
+/// A table of two levels that are entered by either of two signals.
+fn two_level_table() -> LevelTable {
+    let condition = |signal, enter| Condition { signal, enter, leave: enter / 2.0, group: None };
+    let level = |name: &str, enter| Level {
+        name: name.to_owned(),
+        when: vec![condition(Signal::EjectedNodes, enter), condition(Signal::RetryRate, enter)],
+        enter_after_ms: 1_000,
+        leave_after_ms: 1_000,
+        min_stay_ms: 1_000,
+        effects: Effects::default(),
+    };
+    LevelTable { levels: vec![level("a", 1.0), level("b", 2.0)] }
+}
+
+/// Explores all states within small bounds: every sequence of the values of two signals, and of missing values.
+#[test]
+fn no_sequence_of_values_breaks_a_rule() {
+    let table = two_level_table();
+    assert_eq!(table.validate(4), []);
+    let controller = LevelController::new(table, 0.5, secs(1));
+    let mut open = vec![ExploredState { controller, readings: SignalReadings::default(), depth: 0 }];
+    let mut explored = 0_u64;
+    let values = [None, Some(0.0), Some(1.0), Some(2.0)];
+    while let Some(state) = open.pop() {
+        explored += 1;
+        if state.depth == 5 {
+            state.check_recovery();
+            continue;
+        }
+        for ejected in values {
+            for retries in values {
+                let next = state.after(ejected, retries);
+                let sampled = [(None, None), (Some(2.0), Some(0.0))].contains(&(ejected, retries));
+                if state.depth < 3 || sampled {
+                    open.push(next);
+                }
+            }
+        }
+    }
+    assert!(explored > 5_000, "{explored}");
+}
--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -91,7 +91,7 @@
             waker: Some(stream.waker()),
             ..ConnectionState::default()
         };
-        state.http.allow_body(self.front.max_body());
+        state.http.set_max_body(self.front.max_body());
         state
     }
 
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -4,7 +4,7 @@
 use crate::coordinator::{Token, COUNTERS};
 use crate::front::Render;
 use crate::net::{try_read, try_write, IoOutcome};
-use crate::proto::http::Server;
+use crate::proto::http::ServerConnection;
 use crate::sync;
 use crate::time::{Clock, Micros};
 use may::io::WaitIoWaker;
@@ -56,7 +56,7 @@
 #[derive(Default)]
 pub(super) struct ConnectionState {
     /// The HTTP protocol's state, with its input and output.
-    pub(super) http: Server,
+    pub(super) http: ServerConnection,
     /// Wakes the connection's coroutine; `None` once that has ended.
     pub(super) waker: Option<WaitIoWaker>,
     /// The request that the coordinator is to answer.
@@ -89,10 +89,10 @@
             lingering_since: self.linger.map(|linger| linger.since),
             received_request: self.received_request,
             submitted_query: self.submitted_query,
-            busy: self.http.busy(),
-            idle: self.http.idle(),
+            busy: self.http.awaits_response(),
+            idle: self.http.is_idle(),
             output_pending: !self.http.output().is_empty(),
-            closing: self.http.winding_up(),
+            closing: self.http.is_draining(),
             aborted: self.abort_requested,
             buffered_bytes: self.buffered_bytes,
         }
@@ -105,7 +105,10 @@
 
     /// Whether its client sends a request, awaits the response or has not read it.
     pub(super) fn is_owed_response(&self) -> bool {
-        !self.is_lingering() && (self.http.busy() || self.http.began() || !self.http.output().is_empty())
+        !self.is_lingering()
+            && (self.http.awaits_response()
+                || self.http.has_partial_request()
+                || !self.http.output().is_empty())
     }
 
     /// Wakes the connection's coroutine.
@@ -130,7 +133,7 @@
     /// Closes the connection to make room. A request that is in the socket but not read yet is still taken.
     pub(super) fn evict(&mut self) {
         COUNTERS.connections_evicted.increment();
-        if self.received_request && self.http.idle() {
+        if self.received_request && self.http.is_idle() {
             self.close_when_idle();
         } else {
             self.abort();
@@ -139,14 +142,14 @@
 
     /// Counts the time of a request that came, at least in part, behind the one just answered from the last activity on.
     pub(super) fn restart_request_time(&mut self) {
-        self.request_started_at = self.http.began().then_some(self.last_activity_at);
+        self.request_started_at = self.http.has_partial_request().then_some(self.last_activity_at);
     }
 
     /// Reads once, and notes the time if bytes came.
     pub(super) fn read_input(&mut self, socket: &TcpStream, clock: &Clock) -> IoOutcome {
-        let outcome = try_read(socket, self.http.input().room());
+        let outcome = try_read(socket, self.http.input().free_space());
         if let IoOutcome::Transferred(bytes) = outcome {
-            self.http.input().filled(bytes);
+            self.http.input().commit(bytes);
             self.last_activity_at = clock.now();
             self.request_started_at = self.request_started_at.or(Some(self.last_activity_at));
         }
@@ -158,7 +161,7 @@
         while !self.http.output().is_empty() {
             match try_write(socket, self.http.output()) {
                 IoOutcome::Transferred(bytes) => {
-                    self.http.wrote(bytes);
+                    self.http.advance_output(bytes);
                     self.last_activity_at = clock.now();
                 }
                 IoOutcome::WouldBlock => return true,
@@ -188,8 +191,8 @@
         let open = loop {
             let input = self.http.input();
             let unread = input.data().len();
-            input.used(unread);
-            match try_read(socket, input.room()) {
+            input.consume(unread);
+            match try_read(socket, input.free_space()) {
                 IoOutcome::Transferred(bytes) => {
                     linger.discarded_bytes += bytes;
                     if linger.discarded_bytes > MAX_LINGER_BYTES {
--- a/src/net/node_client/driver.rs
+++ b/src/net/node_client/driver.rs
@@ -139,9 +139,9 @@
         events: &mut Vec<AttemptEvent>,
     ) -> bool {
         loop {
-            match try_read(stream, state.protocol.input().room()) {
+            match try_read(stream, state.protocol.input().free_space()) {
                 IoOutcome::Transferred(bytes) => {
-                    state.protocol.input().filled(bytes);
+                    state.protocol.input().commit(bytes);
                     if !self.process_received(state, stream, events) {
                         return false;
                     }
--- a/src/net/node_client/mod.rs
+++ b/src/net/node_client/mod.rs
@@ -40,11 +40,11 @@
 
 impl ConnectionLimits {
     fn new(settings: &CoordinatorSettings) -> Self {
-        let node_idle_timeout = Micros::from_nanos(settings.idle_close);
+        let node_idle_timeout = Micros::from_nanos(settings.idle_timeout);
         ConnectionLimits {
-            connect_timeout: Micros::from_nanos(settings.dial_timeout),
+            connect_timeout: Micros::from_nanos(settings.connect_timeout),
             idle_limit: (node_idle_timeout - IDLE_MARGIN).max(Micros(node_idle_timeout.0 / 2)),
-            max_attempts: settings.streams_per_conn,
+            max_attempts: settings.max_streams_per_connection,
         }
     }
 }
--- a/src/net/watch/mod.rs
+++ b/src/net/watch/mod.rs
@@ -105,13 +105,13 @@
             if self.source.address() != address {
                 return Ok(WatchEnd::SourceMoved);
             }
-            let bytes_read = match stream.read(response.reader.input.room()) {
+            let bytes_read = match stream.read(response.reader.input.free_space()) {
                 Ok(0) => return Ok(WatchEnd::Closed),
                 Ok(n) => n,
                 Err(e) if is_timeout(&e) && self.clock.now().since(last_received) <= timeout => continue,
                 Err(e) => return Err(e.into()),
             };
-            response.reader.input.filled(bytes_read);
+            response.reader.input.commit(bytes_read);
             last_received = self.clock.now();
             timeout = SILENCE_TIMEOUT;
             if self.process(&mut response, last_received)? {
--- a/src/proto/frames/connection.rs
+++ b/src/proto/frames/connection.rs
@@ -118,7 +118,7 @@
             if let FrameContent::Answer(answer) = frame.content {
                 events.extend(accept_answer(&mut self.attempts, answer)?);
             }
-            self.input.used(frame.length);
+            self.input.consume(frame.length);
             complete_frames += 1;
         }
         Ok(complete_frames)
--- a/tests/node_connections/model.rs
+++ b/tests/node_connections/model.rs
@@ -181,7 +181,7 @@
         let bytes = frame('a', &format!("9b1f.{n} {word} 1 -\nvalue"));
         let (first, second) = bytes.split_at(split % bytes.len());
         for half in [first, second] {
-            self.connection.input().feed(half);
+            self.connection.input().extend(half);
             prop_assert!(self.connection.process_input(&mut result.events).is_ok());
         }
         let before = std::mem::replace(&mut self.attempts[n], AttemptState::Ended);
@@ -286,7 +286,7 @@
         let mut connection = MultiplexedConnection::default();
         let mut events = Vec::new();
         for chunk in chunks.iter().map(Vec::as_slice).chain([text.as_bytes()]) {
-            connection.input().feed(chunk);
+            connection.input().extend(chunk);
             if connection.process_input(&mut events).is_err() {
                 break;
             }
