--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -26,7 +26,7 @@
             if !self.lifecycle.service_phase().accepts_connections() {
                 coroutine::sleep(ACCEPT_RETRY_INTERVAL);
             } else if self.open_connections() >= self.limits().connections {
-                self.make_room();
+                self.evict_or_wait();
             } else {
                 self.accept_one();
             }
@@ -34,7 +34,7 @@
     }
 
     /// Evicts a connection, or waits where none may be evicted.
-    fn make_room(&self) {
+    fn evict_or_wait(&self) {
         if self.evict_one() {
             // The evicted connection is closed by its own coroutine.
             coroutine::yield_now();
--- a/src/net/clients/draining.rs
+++ b/src/net/clients/draining.rs
@@ -16,7 +16,7 @@
     pub fn drain(&self, successor_accepts: bool) {
         let before = self.lifecycle.service_phase();
         let event =
-            if successor_accepts { ShutdownEvent::DrainBesideSuccessor } else { ShutdownEvent::DrainAlone };
+            if successor_accepts { ShutdownEvent::DrainWithSuccessor } else { ShutdownEvent::DrainAlone };
         let after = self.lifecycle.shut_down(event);
         if before.accepts_connections() && !after.accepts_connections() {
             self.listener.waker().wakeup();
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -41,7 +41,7 @@
     /// Told to exit, and no successor has the listening socket (any more).
     DrainAlone,
     /// Told to exit, and a successor accepts at the same listening socket.
-    DrainBesideSuccessor,
+    DrainWithSuccessor,
     /// The time for new requests on connections that are open is over.
     Close,
 }
@@ -62,11 +62,11 @@
         use ServicePhase::{Closing, ClosingHandedOver, Draining, HandedOver, Serving};
         match (self, event) {
             (Serving | Draining | HandedOver, ShutdownEvent::DrainAlone) => Draining,
-            (Serving | Draining | HandedOver, ShutdownEvent::DrainBesideSuccessor) => HandedOver,
+            (Serving | Draining | HandedOver, ShutdownEvent::DrainWithSuccessor) => HandedOver,
             (Serving | Draining, ShutdownEvent::Close) => Closing,
             (HandedOver, ShutdownEvent::Close) => ClosingHandedOver,
             (Closing | ClosingHandedOver, ShutdownEvent::DrainAlone) => Closing,
-            (Closing | ClosingHandedOver, ShutdownEvent::DrainBesideSuccessor) => ClosingHandedOver,
+            (Closing | ClosingHandedOver, ShutdownEvent::DrainWithSuccessor) => ClosingHandedOver,
             (Closing | ClosingHandedOver, ShutdownEvent::Close) => self,
         }
     }
--- a/src/net/lifecycle/tests.rs
+++ b/src/net/lifecycle/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the life cycle's transitions.
 
 use super::*;
-use ShutdownEvent::{Close, DrainAlone, DrainBesideSuccessor};
+use ShutdownEvent::{Close, DrainAlone, DrainWithSuccessor};
 
 #[test]
 fn each_service_phase_is_found_by_its_discriminant() {
@@ -36,12 +36,12 @@
 #[test]
 fn a_successor_takes_the_accepting_over_and_gives_it_back_when_it_exits_first() {
     let lifecycle = Lifecycle::default();
-    let handed_over = lifecycle.shut_down(DrainBesideSuccessor);
+    let handed_over = lifecycle.shut_down(DrainWithSuccessor);
     assert_eq!(handed_over, ServicePhase::HandedOver);
     assert!(!handed_over.accepts_connections() && handed_over.closes_after_response());
     assert_eq!(lifecycle.shut_down(DrainAlone), ServicePhase::Draining);
     // Connections that are closing stay closing, whether or not the successor lives.
-    lifecycle.shut_down(DrainBesideSuccessor);
+    lifecycle.shut_down(DrainWithSuccessor);
     assert_eq!(lifecycle.shut_down(Close), ServicePhase::ClosingHandedOver);
     assert!(!lifecycle.service_phase().accepts_connections());
     assert_eq!(lifecycle.shut_down(DrainAlone), ServicePhase::Closing);
@@ -51,7 +51,7 @@
 #[test]
 fn no_event_leads_back_to_serving_or_out_of_closing() {
     for phase in ServicePhase::ALL {
-        for event in [DrainAlone, DrainBesideSuccessor, Close] {
+        for event in [DrainAlone, DrainWithSuccessor, Close] {
             let next = phase.next(event);
             assert!(next.is_draining(), "{phase:?} {event:?}");
             let closing = |p| matches!(p, ServicePhase::Closing | ServicePhase::ClosingHandedOver);
--- a/src/net/timer.rs
+++ b/src/net/timer.rs
@@ -17,19 +17,19 @@
     /// When to fire next; `None`: not until it is set again.
     due: Option<Micros>,
     /// Until when the thread sleeps; `None`: until it is notified.
-    sleeps_until: Option<Micros>,
+    wakes_at: Option<Micros>,
     stopped: bool,
 }
 
 impl State {
     /// Called when the thread is awake. Returns whether the timer fires now; if not, the thread is to sleep until
-    /// `sleeps_until`.
+    /// `wakes_at`.
     fn poll(&mut self, now: Micros) -> bool {
         let fires = self.due.is_some_and(|due| due <= now);
         if fires {
             self.due = None;
         }
-        self.sleeps_until = self.due;
+        self.wakes_at = self.due;
         fires
     }
 
@@ -37,7 +37,7 @@
     /// itself.
     fn set(&mut self, due: Micros) -> bool {
         self.due = Some(due);
-        self.sleeps_until.is_none_or(|wakes_at| due < wakes_at)
+        self.wakes_at.is_none_or(|wakes_at| due < wakes_at)
     }
 }
 
@@ -92,7 +92,7 @@
             state = sync::lock(&shared.state);
             continue;
         }
-        state = match state.sleeps_until {
+        state = match state.wakes_at {
             Some(wakes_at) => {
                 let slept = shared.changed.wait_timeout(state, wakes_at.since(now).to_duration());
                 slept.unwrap_or_else(PoisonError::into_inner).0
