--- a/src/bin/quinceflow-sim-adapter/host.rs
+++ b/src/bin/quinceflow-sim-adapter/host.rs
@@ -45,7 +45,7 @@
         let instance = || current.ok_or(AdapterError::NoCurrentInstance { batch: batch.number });
         match record {
             Record::New { seed, settings } => {
-                let settings = settings::read(&settings)
+                let settings = settings::parse_policy_settings(&settings)
                     .map_err(|error| AdapterError::Settings { batch: batch.number, source: error.into() })?;
                 self.instances.insert(instance()?, DecisionPolicy::new(settings, seed, batch.now));
                 inboxes.insert(instance()?, Vec::new());
--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -7,7 +7,7 @@
 use clap::{Parser, Subcommand};
 use quinceflow::front::ogc::check;
 use quinceflow::front::ogc::config::EdgeConfig;
-use quinceflow::log::{self, LogForm};
+use quinceflow::log::{self, LogFormat};
 use quinceflow::net::{config::Config, server};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -24,7 +24,7 @@
     edge: Option<PathBuf>,
     /// How the log on standard error is written
     #[arg(long, value_enum, default_value_t, value_name = "FORM")]
-    log: LogForm,
+    log: LogFormat,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -43,7 +43,7 @@
     if let Some(Command::Check { file }) = arguments.command {
         return print_report(&check::check_edge_file(&file));
     }
-    log::start(arguments.log);
+    log::init(arguments.log);
     match serve(arguments.edge) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
@@ -75,7 +75,7 @@
     let edge = edge.map(|file| EdgeConfig::load(&file).map_err(|e| e.to_string())).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
         None if edge.is_some() => None,
-        _ => Some(Config::from_env()?),
+        _ => Some(Config::from_env().map_err(|e| e.to_string())?),
     };
     server::run(platform, edge).map_err(|e| e.to_string())
 }
--- a/src/front/ogc/config/tests.rs
+++ b/src/front/ogc/config/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{EdgeConfig, EdgeConfigError, ValueError};
 use crate::interface::Effect;
-use crate::limits::Rule;
+use crate::limits::LimitRule;
 use std::path::Path;
 
 /// An edge file with every key of version 0.1.0, written by hand. Files like it are in use: it must always be read.
@@ -136,9 +136,9 @@
 #[test]
 fn a_file_becomes_the_settings_of_the_module_and_of_the_limits() {
     let edge = parse(EVERY_KEY);
-    assert!(matches!(edge.concurrency_rule(), Rule::Fixed(33)));
+    assert!(matches!(edge.concurrency_rule(), LimitRule::Fixed(33)));
     let adaptive = parse(REQUIRED_KEYS).concurrency_rule();
-    assert!(matches!(adaptive, Rule::Adaptive { start: 8, least: 2, most: 32 }));
+    assert!(matches!(adaptive, LimitRule::Adaptive { initial: 8, min: 2, max: 32 }));
     let settings = edge.settings();
     assert_eq!((settings.coordinators, settings.tick, settings.shards), (2, 5_000_000, 0));
     assert_eq!(settings.max_retry_after, Some(2_001_000_000));
--- a/src/front/ogc/query/mod.rs
+++ b/src/front/ogc/query/mod.rs
@@ -137,7 +137,7 @@
                     let page = part.and_then(|part| request.request.page(&part.value));
                     if let Some(page) = &page {
                         let mut admission = self.state.admission();
-                        admission.page(page.body.len(), page.returned_count, fetch.page_size);
+                        admission.record_page(page.body.len(), page.returned_count, fetch.page_size);
                     }
                     fetched.push(fetch.fetched(page));
                 }
--- a/src/front/platform/tests.rs
+++ b/src/front/platform/tests.rs
@@ -5,7 +5,7 @@
 use crate::coordinator::{Answer, Request, ServedPart, Token};
 use crate::front::{Front, Reaction};
 use crate::interface::ShardId;
-use crate::proto::http::{HttpRequest, Response, Server};
+use crate::proto::http::{HttpRequest, Response, ServerConnection};
 use crate::time::Micros;
 use std::sync::{Arc, Mutex};
 
@@ -20,9 +20,9 @@
     let headers: String = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
     let length = body.len();
     let text = format!("{method} {target} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
-    let mut server = Server::default();
-    server.input().feed(text.as_bytes());
-    server.poll().expect("complete").expect("well formed")
+    let mut server = ServerConnection::default();
+    server.input().extend(text.as_bytes());
+    server.next_request().expect("complete").expect("well formed")
 }
 
 /// Parses a request with these headers, `replaced` put in place of the usual ones or, without a value, left out.
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -46,7 +46,7 @@
 }
 
 fn are_closing(connections: &[Arc<Connection>]) -> Vec<bool> {
-    connections.iter().map(|c| c.lock().abort_requested || c.lock().http.winding_up()).collect()
+    connections.iter().map(|c| c.lock().abort_requested || c.lock().http.is_draining()).collect()
 }
 
 #[test]
@@ -54,8 +54,8 @@
     // Clients that sent one query kept all the places that the platform grants to clients, for two minutes.
     let limits = ClientLimits { connections: 100, idle: 2, bytes: 1 };
     let mut busy = connection(50, true, true);
-    busy.http.input().feed(b"GET / HTTP/1.1\r\n\r\n");
-    assert!(matches!(busy.http.poll(), Some(Ok(_))));
+    busy.http.input().extend(b"GET / HTTP/1.1\r\n\r\n");
+    assert!(matches!(busy.http.next_request(), Some(Ok(_))));
     let states = vec![
         connection(9, true, true),
         busy,
--- a/src/net/feature_client/server.rs
+++ b/src/net/feature_client/server.rs
@@ -1,7 +1,7 @@
 //! The state of one feature server: its idle connections, its concurrency limit and the attempts that wait for it.
 
 use super::request::FetchRequest;
-use crate::limits::{Limiter, Rule};
+use crate::limits::{ConcurrencyLimiter, LimitRule};
 use crate::time::Micros;
 use may::net::TcpStream;
 use std::collections::VecDeque;
@@ -24,20 +24,20 @@
     pub(super) idle: Vec<IdleConnection>,
     /// The attempts that have a slot of the limit.
     pub(super) in_flight: usize,
-    pub(super) limiter: Limiter,
+    pub(super) limiter: ConcurrencyLimiter,
     /// The attempts that wait for a slot, the oldest first.
     queue: VecDeque<FetchRequest>,
 }
 
 impl FeatureServer {
     /// A server whose address is not known yet.
-    pub(super) fn new(rule: Rule) -> Self {
+    pub(super) fn new(rule: LimitRule) -> Self {
         FeatureServer {
             address: None,
             ready: false,
             idle: Vec::new(),
             in_flight: 0,
-            limiter: Limiter::new(rule),
+            limiter: ConcurrencyLimiter::new(rule),
             queue: VecDeque::new(),
         }
     }
@@ -49,17 +49,17 @@
 
     /// How many requests a second it can serve, if that is measured and the server takes new ones.
     pub(super) fn throughput(&self) -> Option<f64> {
-        self.limiter.rate().filter(|_| self.ready)
+        self.limiter.throughput().filter(|_| self.ready)
     }
 
     /// Whether it has asked for a pause, or more attempts wait than it can serve in time.
     pub(super) fn is_overloaded(&self, now: Micros) -> bool {
-        self.limiter.held(now) || self.queue.len() >= MAX_QUEUED_RATIO * self.limiter.limit()
+        self.limiter.is_backing_off(now) || self.queue.len() >= MAX_QUEUED_RATIO * self.limiter.limit()
     }
 
     /// Returns the attempt if it may start now, with its slot taken; it waits in the queue otherwise.
     pub(super) fn admit(&mut self, request: FetchRequest, now: Micros) -> Option<FetchRequest> {
-        if self.limiter.room(self.in_flight, now) && self.queue.is_empty() {
+        if self.limiter.has_capacity(self.in_flight, now) && self.queue.is_empty() {
             self.in_flight += 1;
             return Some(request);
         }
@@ -70,7 +70,7 @@
     /// Takes the attempts from the queue that may start now; their slots are taken.
     pub(super) fn take_startable(&mut self, now: Micros) -> Vec<FetchRequest> {
         let mut startable = Vec::new();
-        while self.ready && self.limiter.room(self.in_flight, now) {
+        while self.ready && self.limiter.has_capacity(self.in_flight, now) {
             let Some(request) = self.queue.pop_front() else { break };
             if !request.cancellation.is_cancelled() {
                 self.in_flight += 1;
