--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the server's startup and of a reload.
 
 use crate::front::ogc::config::EdgeConfigError;
+use crate::net::config::ConfigError;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -45,7 +46,7 @@
 pub enum ReloadError {
     /// The platform's configuration file cannot be used.
     #[error("the configuration stays as it was: {0}")]
-    Configuration(#[source] Box<dyn Error + Send + Sync>),
+    Configuration(#[source] ConfigError),
     /// The inventory of feature servers cannot be used.
     #[error("the inventory stays as it was: {0}")]
     Inventory(#[source] EdgeConfigError),
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -61,7 +61,7 @@
     fn reload(&mut self, _now: Micros) -> Result<Reloaded, ReloadError> {
         let file = self.file.reload().map_err(|e| {
             self.metrics.config_rejected.increment();
-            ReloadError::Configuration(e.into())
+            ReloadError::Configuration(e)
         })?;
         self.metrics.config_applied.increment();
         if self.discovery_in_file.replace(file.discovery) != Some(file.discovery) {
