--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -9,6 +9,7 @@
 use quinceflow::front::ogc::config::EdgeConfig;
 use quinceflow::log::{self, LogFormat};
 use quinceflow::net::{config::Config, server};
+use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -71,11 +72,11 @@
 }
 
 /// Runs the coordinator until it is told to end. `edge`: the edge file, if any.
-fn serve(edge: Option<PathBuf>) -> Result<(), String> {
-    let edge = edge.map(|file| EdgeConfig::load(&file).map_err(|e| e.to_string())).transpose()?;
+fn serve(edge: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+    let edge = edge.map(|file| EdgeConfig::load(&file)).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
         None if edge.is_some() => None,
-        _ => Some(Config::from_env().map_err(|e| e.to_string())?),
+        _ => Some(Config::from_env()?),
     };
-    server::run(platform, edge).map_err(|e| e.to_string())
+    Ok(server::run(platform, edge)?)
 }
--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -1,8 +1,7 @@
 //! Errors of the server's startup and of a reload.
 
-use crate::front::ogc::config::EdgeConfigError;
+use crate::front::ogc::config::{CursorKeyError, EdgeConfigError};
 use crate::net::config::ConfigError;
-use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -34,8 +33,8 @@
     #[error(transparent)]
     Inventory(#[from] ReloadError),
     /// The key that seals cursors cannot be read.
-    #[error("{0}")]
-    CursorKey(#[source] Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    CursorKey(#[from] CursorKeyError),
     /// The coroutine of a coordinator panicked.
     #[error("a core panicked")]
     CoordinatorPanicked,
--- a/src/net/server/error/tests.rs
+++ b/src/net/server/error/tests.rs
@@ -12,7 +12,7 @@
         ServerError::Coroutine(io_error()),
         ServerError::Signals(io_error()),
         ServerError::Timer(io_error()),
-        ServerError::CursorKey("no key".into()),
+        ServerError::CursorKey(CursorKeyError::Malformed),
         ServerError::CoordinatorPanicked,
     ];
     let texts = [
@@ -21,7 +21,7 @@
         "a coroutine: no more",
         "no more",
         "no more",
-        "no key",
+        "cursor_key must be 32 hexadecimal digits or more, an even number",
         "a core panicked",
     ];
     assert_eq!(errors.map(|e| e.to_string()), texts);
--- a/src/net/server/wiring.rs
+++ b/src/net/server/wiring.rs
@@ -102,7 +102,7 @@
     let mut reload = InventoryReload::new(edge.clone(), catalog.clone());
     let _ = inbox.send(reload.reload(clock.now())?.input);
     let capacity = Arc::new(ServerCapacity::default());
-    let key = CursorKey::new(&edge.cursor_key().map_err(|e| ServerError::CursorKey(e.into()))?);
+    let key = CursorKey::new(&edge.cursor_key()?);
     // Two edges that start at the same time must not choose the same servers in step.
     let seed = unix_ms() ^ (u64::from(std::process::id()) << 40);
     Ok(Service {
