--- a/src/net/server/error.rs
+++ b/src/net/server/error.rs
@@ -1,7 +1,7 @@
 //! Errors of the server's startup and of a reload.
 
-use crate::front::ogc::config::EdgeConfigError;
-use std::error::Error;
+use crate::front::ogc::config::{CursorKeyError, EdgeConfigError};
+use crate::net::config::ConfigError;
 use std::io;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -33,8 +33,8 @@
     #[error(transparent)]
     Inventory(#[from] ReloadError),
     /// The key that seals cursors cannot be read.
-    #[error("{0}")]
-    CursorKey(#[source] Box<dyn Error + Send + Sync>),
+    #[error(transparent)]
+    CursorKey(#[from] CursorKeyError),
     /// The coroutine of a coordinator panicked.
     #[error("a core panicked")]
     CoordinatorPanicked,
@@ -45,7 +45,7 @@
 pub enum ReloadError {
     /// The platform's configuration file cannot be used.
     #[error("the configuration stays as it was: {0}")]
-    Configuration(#[source] Box<dyn Error + Send + Sync>),
+    Configuration(#[source] ConfigError),
     /// The inventory of feature servers cannot be used.
     #[error("the inventory stays as it was: {0}")]
     Inventory(#[source] EdgeConfigError),
