--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,4 +1,4 @@
-//! The adapter as a process: frames in, frames out, and plain words for what is malformed.
+//! The simulator's adapter as a process: frames in, frames out, and one error line for malformed input.
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -36,7 +36,7 @@
     bytes
 }
 
-fn start(settings: &str) -> Vec<Vec<u8>> {
+fn start_records(settings: &str) -> Vec<Vec<u8>> {
     let mut pool = vec![0, 0, 1, 0, 0, 0];
     pool.extend([10, 0, 0, 1, 0, 80, 0, 0, 0, 0, 0, 0, 1, 0, 0, 128, 63]);
     pool.extend(0u64.to_le_bytes());
@@ -47,7 +47,8 @@
     vec![on, record(1, &new), record(11, &pool), record(2, &[2, 0, 0, 0, 0, 0, 0])]
 }
 
-fn ask(id: u64, shard: f32) -> Vec<u8> {
+/// A query, where `shard` is below 0, or a part.
+fn request_record(id: u64, shard: f32) -> Vec<u8> {
     let mut fields = id.to_le_bytes().to_vec();
     fields.extend(5f32.to_le_bytes());
     fields.extend(0u64.to_le_bytes());
@@ -61,7 +62,7 @@
     record(3, &fields)
 }
 
-fn verdict(id: u64) -> Vec<u8> {
+fn outcome_record(id: u64) -> Vec<u8> {
     let mut fields = id.to_le_bytes().to_vec();
     fields.extend([0, 0, 10, 0, 0, 1, 0, 80, 0]);
     fields.extend(100_000_000u64.to_le_bytes());
@@ -69,8 +70,14 @@
     record(5, &fields)
 }
 
-/// The codes of the records of each reply.
-fn replies(mut bytes: &[u8]) -> Vec<(u32, Vec<u8>)> {
+/// A reply: its number, and the codes of its records.
+#[derive(Debug)]
+struct Reply {
+    number: u32,
+    codes: Vec<u8>,
+}
+
+fn replies(mut bytes: &[u8]) -> Vec<Reply> {
     let word = |b: &[u8]| u32::from_le_bytes(b[..4].try_into().expect("four bytes"));
     let mut all = Vec::new();
     while !bytes.is_empty() {
@@ -81,7 +88,7 @@
             codes.push(body[0]);
             body = &body[5 + word(&body[1..]) as usize..];
         }
-        all.push((number, codes));
+        all.push(Reply { number, codes });
         bytes = rest;
     }
     all
@@ -91,23 +98,23 @@
 fn a_query_is_answered_and_unknown_settings_are_ignored() {
     let on = || record(12, &3u16.to_le_bytes());
     let mut input = batch(1, 1_000, &[]);
-    input.extend(batch(2, 2_000, &start(SETTINGS)));
-    input.extend(batch(3, 5_002_000, &[on(), ask(40, -1.0), ask(41, 0.0)]));
-    input.extend(batch(4, 105_002_000, &[on(), verdict(41)]));
+    input.extend(batch(2, 2_000, &start_records(SETTINGS)));
+    input.extend(batch(3, 5_002_000, &[on(), request_record(40, -1.0), request_record(41, 0.0)]));
+    input.extend(batch(4, 105_002_000, &[on(), outcome_record(41)]));
     let output = run(&input);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let replies = replies(&output.stdout);
-    assert_eq!(replies.iter().map(|r| r.0).collect::<Vec<_>>(), [1, 2, 3, 4]);
-    assert!(replies[0].1.is_empty());
-    assert!(replies[2].1.contains(&65), "sent: {replies:?}");
-    assert!(replies[3].1.contains(&77), "answered: {replies:?}");
+    assert_eq!(replies.iter().map(|reply| reply.number).collect::<Vec<_>>(), [1, 2, 3, 4]);
+    assert!(replies[0].codes.is_empty());
+    assert!(replies[2].codes.contains(&65), "sent: {replies:?}");
+    assert!(replies[3].codes.contains(&77), "answered: {replies:?}");
 }
 
 #[test]
 fn an_instance_can_be_restarted_within_a_batch() {
-    let mut records = start(SETTINGS);
+    let mut records = start_records(SETTINGS);
     records.push(record(10, &[]));
-    records.extend(start(SETTINGS));
+    records.extend(start_records(SETTINGS));
     let output = run(&batch(1, 1_000, &records));
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     assert_eq!(replies(&output.stdout).len(), 1);
@@ -116,7 +123,7 @@
 #[test]
 fn malformed_input_gets_one_error_line_and_no_reply() {
     let with = |extra: Vec<u8>| {
-        let mut records = start(SETTINGS);
+        let mut records = start_records(SETTINGS);
         records.push(extra);
         batch(7, 1_000, &records)
     };
@@ -129,30 +136,30 @@
         (
             "unknown outcome",
             with({
-                let mut bytes = verdict(41);
+                let mut bytes = outcome_record(41);
                 bytes[5 + 16] = 77;
                 bytes
             }),
         ),
-        ("boot-info", batch(7, 0, &start("{\"balancers\": "))),
-        ("effect", batch(7, 0, &start(&SETTINGS.replace("read_like", "whimsical")))),
+        ("boot-info", batch(7, 0, &start_records("{\"balancers\": "))),
+        ("effect", batch(7, 0, &start_records(&SETTINGS.replace("read_like", "whimsical")))),
         ("POOL", batch(7, 0, &[record(12, &[0, 0]), record(2, &[1, 0, 0, 0, 0, 9, 0])])),
         ("before any ON", batch(7, 0, &[record(10, &[])])),
-        ("frame", batch(7, 0, &start(SETTINGS))[..50].to_vec()),
+        ("frame", batch(7, 0, &start_records(SETTINGS))[..50].to_vec()),
         ("frame header", vec![1, 0, 0]),
         ("under 12", [0u32.to_le_bytes(), 3u32.to_le_bytes()].concat()),
         ("bytes left", {
-            let mut bytes = batch(7, 0, &start(SETTINGS));
+            let mut bytes = batch(7, 0, &start_records(SETTINGS));
             bytes[0] = 2;
             bytes
         }),
     ];
     for (word, input) in cases {
         let output = run(&input);
-        let said = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert_eq!(output.status.code(), Some(1), "{word}: {said}");
-        assert!(said.contains(word), "{word}: {said}");
-        assert_eq!(said.lines().count(), 1, "{word}: {said}");
-        assert!(!said.contains("panicked") && output.stdout.is_empty(), "{word}: {said}");
+        let error_line = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{word}: {error_line}");
+        assert!(error_line.contains(word), "{word}: {error_line}");
+        assert_eq!(error_line.lines().count(), 1, "{word}: {error_line}");
+        assert!(!error_line.contains("panicked") && output.stdout.is_empty(), "{word}: {error_line}");
     }
 }
