--- a/src/front/ogc/state.rs
+++ b/src/front/ogc/state.rs
@@ -6,7 +6,7 @@
 use super::cql2::Queryables;
 use super::cursor::CursorKey;
 use crate::coordinator::{ClassMetrics, Metrics};
-use crate::limits::{Admission, ServerCapacity, BASE_MEMORY};
+use crate::limits::{AdmissionController, ServerCapacity, BASE_MEMORY};
 use crate::sync::lock;
 use crate::time::Micros;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -25,7 +25,7 @@
     pub server_capacity: Arc<ServerCapacity>,
     metrics: Arc<Metrics>,
     capabilities: Mutex<CapabilityCache>,
-    admission: Mutex<Admission>,
+    admission: Mutex<AdmissionController>,
 }
 
 impl FrontState {
@@ -46,11 +46,11 @@
             server_capacity,
             metrics,
             capabilities: Mutex::new(capabilities),
-            admission: Mutex::new(Admission::new(response_memory)),
+            admission: Mutex::new(AdmissionController::new(response_memory)),
         }
     }
 
-    pub fn admission(&self) -> MutexGuard<'_, Admission> {
+    pub fn admission(&self) -> MutexGuard<'_, AdmissionController> {
         lock(&self.admission)
     }
 
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -140,7 +140,7 @@
             }
             Timeout::Request => {
                 COUNTERS.client_timeouts.increment();
-                state.http.give_up(self.front.malformed_response(HttpError::TooSlow));
+                state.http.respond_and_close(self.front.malformed_response(HttpError::TooSlow));
                 state.wake();
             }
         }
--- a/src/net/feature_client/driver.rs
+++ b/src/net/feature_client/driver.rs
@@ -4,7 +4,7 @@
 use super::server::{FeatureServer, IdleConnection};
 use crate::coordinator::{AttemptEnd, Input, COUNTERS};
 use crate::interface::Outcome;
-use crate::limits::{Ended, ServerCapacity};
+use crate::limits::{RequestOutcome, ServerCapacity};
 use crate::net::{spawn, try_read, try_write, IoOutcome, LARGE_STACK_WORDS};
 use crate::proto::fetch::{FetchedResponse, Progress};
 use crate::sync::lock;
@@ -33,13 +33,13 @@
     /// The end of the attempt.
     end: AttemptEnd,
     /// What the server's concurrency limit learns from it.
-    limit_outcome: Ended,
+    limit_outcome: RequestOutcome,
     /// How long the server has asked to be left alone.
     retry_after: Option<Micros>,
 }
 
 impl FetchResult {
-    fn failed(outcome: Outcome, limit_outcome: Ended) -> Self {
+    fn failed(outcome: Outcome, limit_outcome: RequestOutcome) -> Self {
         FetchResult { end: AttemptEnd::Failed(outcome), limit_outcome, retry_after: None }
     }
 }
@@ -98,9 +98,9 @@
     ) {
         let in_flight = server.in_flight;
         server.in_flight -= 1;
-        server.limiter.ended(now, result.limit_outcome, now.since(started_at), in_flight);
+        server.limiter.record(now, result.limit_outcome, now.since(started_at), in_flight);
         if let Some(pause) = result.retry_after {
-            server.limiter.hold(now, pause);
+            server.limiter.back_off(now, pause);
         }
         self.context.capacity.report(self.request.replica, server.throughput());
     }
@@ -111,10 +111,11 @@
             Progress::Complete(response) => self.interpret_response(response),
             Progress::Failed(outcome) => {
                 let cancelled = self.request.cancellation.is_cancelled() && self.request.fetch.may_have_run();
-                let limit_outcome = if cancelled { Ended::GivenUp } else { Ended::Otherwise };
+                let limit_outcome =
+                    if cancelled { RequestOutcome::Cancelled } else { RequestOutcome::Ignored };
                 FetchResult::failed(outcome, limit_outcome)
             }
-            Progress::Pending => FetchResult::failed(Outcome::Error, Ended::Otherwise),
+            Progress::Pending => FetchResult::failed(Outcome::Error, RequestOutcome::Ignored),
         }
     }
 
@@ -125,11 +126,11 @@
         let host = self.request.address.to_string();
         let end = self.request.page_request.interpret(&host, &host, response);
         let limit_outcome = match &end {
-            AttemptEnd::Served(value) => {
-                Ended::Well(self.request.page_request.page(value).map_or(0, |page| page.returned_count))
-            }
-            AttemptEnd::Failed(_) if overloaded => Ended::Overload,
-            AttemptEnd::Failed(_) => Ended::Otherwise,
+            AttemptEnd::Served(value) => RequestOutcome::Success(
+                self.request.page_request.page(value).map_or(0, |page| page.returned_count),
+            ),
+            AttemptEnd::Failed(_) if overloaded => RequestOutcome::Overloaded,
+            AttemptEnd::Failed(_) => RequestOutcome::Ignored,
         };
         FetchResult { end, limit_outcome, retry_after }
     }
@@ -180,9 +181,9 @@
             if !written.is_pending() {
                 return written;
             }
-            match try_read(stream, self.request.fetch.reader.input.room()) {
+            match try_read(stream, self.request.fetch.reader.input.free_space()) {
                 IoOutcome::Transferred(bytes) => {
-                    self.request.fetch.reader.input.filled(bytes);
+                    self.request.fetch.reader.input.commit(bytes);
                     let progress = self.request.fetch.advance();
                     if !progress.is_pending() {
                         return progress;
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -71,8 +71,9 @@
 
 /// One endpoint serves the whole process; the platform's address takes precedence.
 fn admin_config(platform: Option<&Config>, edge: Option<&EdgeConfig>) -> Option<AdminConfig> {
-    let of_platform = platform
-        .and_then(|config| Some(AdminConfig { address: config.mgmt?, max_descriptors: config.sockets }));
+    let of_platform = platform.and_then(|config| {
+        Some(AdminConfig { address: config.admin?, max_descriptors: config.max_descriptors })
+    });
     of_platform.or_else(|| {
         edge.and_then(|edge| Some(AdminConfig { address: edge.mgmt?, max_descriptors: edge.max_descriptors }))
     })
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -5,7 +5,7 @@
 use crate::front::ogc::config::EdgeConfig;
 use crate::front::ogc::SharedCatalog;
 use crate::front::platform::{PlatformCatalog, SharedPlatformCatalog};
-use crate::net::config::{Config, InForce};
+use crate::net::config::{ActiveConfig, Config};
 use crate::net::watch::DiscoverySource;
 use crate::settings::CoordinatorSettings;
 use crate::sync;
@@ -31,7 +31,7 @@
 
 /// Reloads the platform's configuration file: the address of discovery and the settings.
 pub(super) struct PlatformReload {
-    file: InForce,
+    file: ActiveConfig,
     /// The address of discovery in the file. At the start the environment takes precedence over it; a new address in a
     /// reloaded file takes precedence over the environment, which cannot change.
     discovery_in_file: Option<SocketAddr>,
@@ -48,8 +48,8 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         PlatformReload {
-            file: InForce::at_start(config),
-            discovery_in_file: config.told,
+            file: ActiveConfig::from_startup(config),
+            discovery_in_file: config.file_discovery,
             source,
             catalog,
             metrics,
@@ -59,7 +59,7 @@
 
 impl Reload for PlatformReload {
     fn reload(&mut self, _now: Micros) -> Result<Reloaded, ReloadError> {
-        let file = self.file.reread().map_err(|e| {
+        let file = self.file.reload().map_err(|e| {
             self.metrics.config_rejected.increment();
             ReloadError::Configuration(e.into())
         })?;
@@ -67,7 +67,7 @@
         if self.discovery_in_file.replace(file.discovery) != Some(file.discovery) {
             self.source.set_address(file.discovery);
         }
-        let settings = file.deployment;
+        let settings = file.settings;
         self.source.set_max_poll_interval(settings.policy.max_poll_interval);
         *sync::lock(&self.catalog) = PlatformCatalog::new(&settings);
         let classes: Vec<_> = settings.policy.classes.iter().map(|c| c.name.as_str()).collect();
--- a/src/proto/fetch.rs
+++ b/src/proto/fetch.rs
@@ -85,7 +85,7 @@
 
     /// The server closed the connection in good order: this completes a response without a length.
     pub fn on_end_of_stream(&mut self) -> Progress {
-        if self.reader.end() {
+        if self.reader.end_of_input() {
             return self.take_response();
         }
         self.on_broken()
--- /dev/null
+++ b/src/settings/missing_key.rs
@@ -0,0 +1,32 @@
+//! A guard for replaced settings: keys that were there before must still be there.
+//!
+//! An absent key is not an error when settings are read: it has a default. When an operator replaces the file of a running
+//! program, though, a key that has gone is more likely an editing mistake or a truncated file than a wish for the default,
+//! so such a file is rejected.
+
+use serde_json::Value;
+
+/// Keys that a replaced file may omit at any depth: in the wire protocol their absence switches a feature off.
+const OPTIONAL_KEYS: [&str; 5] = ["aim-stretch", "warm-keys", "extra-floor", "extra-ratio", "look-back"];
+
+/// Finds the first key that `old` has and `new` lacks, at any depth, as a path with dots (`limits.max-attempts`).
+///
+/// The first element of an array in `old` is the model for all elements of the array in `new`. Where `old` has an object
+/// and `new` a value of another type, the object's first key is missing.
+#[must_use]
+pub fn find_missing_key(old: &Value, new: &Value) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old_value)| {
+            let Some(new_value) = new.get(key) else {
+                return (!OPTIONAL_KEYS.contains(&key.as_str())).then(|| key.clone());
+            };
+            find_missing_key(old_value, new_value).map(|path| format!("{key}.{path}"))
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let model = old.first()?;
+            new.iter().find_map(|element| find_missing_key(model, element))
+        }
+        (Value::Object(old), _) => old.keys().next().cloned(),
+        _ => None,
+    }
+}
