--- a/src/front/ogc/client_request.rs
+++ b/src/front/ogc/client_request.rs
@@ -13,11 +13,13 @@
 /// Which client a query is for, and how long it waits: the same for all rounds of the query.
 #[derive(Debug, Clone)]
 pub(super) struct ClientContext {
+    /// Where the core's answers go.
     pub token: Token,
     /// The index of the class in the edge file.
     pub class: usize,
     /// How long the client waits, from `sent_at`.
     pub timeout: Micros,
+    /// When the client sent the request, as near as can be known.
     pub sent_at: Micros,
 }
 
@@ -61,6 +63,7 @@
 
 /// A query for the features of a collection, and what the links of its response need.
 pub(super) struct ItemsRequest {
+    /// Scheme and host of the links.
     pub base_url: String,
     pub collection: String,
     /// The query string as it was received; empty for a search.
--- a/src/front/ogc/handlers/feature.rs
+++ b/src/front/ogc/handlers/feature.rs
@@ -14,6 +14,7 @@
 /// Longest identifier of a feature that servers are asked for, in bytes.
 const MAX_ID_BYTES: usize = 512;
 
+/// Requests the feature from all shards of the collection.
 pub(super) fn feature(
     request: &ResourceRequest<'_>,
     collection: &str,
--- a/src/front/ogc/handlers/items.rs
+++ b/src/front/ogc/handlers/items.rs
@@ -16,6 +16,7 @@
 const CAPABILITY_INDEPENDENT: [&str; 8] =
     ["limit", "bbox", "bbox-crs", "datetime", "crs", "properties", "cursor", "f"];
 
+/// Starts a query, after capability discovery if its parameters depend on capabilities.
 pub(super) fn items(request: &ResourceRequest<'_>, collection: &str) -> Result<Reaction, ApiError> {
     let incoming = request.incoming;
     let shards = shards_of(incoming.state, collection)?;
--- a/src/front/ogc/handlers/search.rs
+++ b/src/front/ogc/handlers/search.rs
@@ -12,6 +12,7 @@
 use crate::proto::http::HttpRequest;
 use std::sync::Arc;
 
+/// Starts a query whose parameters are in the body.
 pub(super) fn search(incoming: &IncomingRequest<'_>) -> Result<Reaction, ApiError> {
     if incoming.http.method != "POST" {
         return Err(ApiError::OnlyPost);
--- a/src/front/ogc/paging/concat_merge/tests.rs
+++ b/src/front/ogc/paging/concat_merge/tests.rs
@@ -5,11 +5,11 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-/// Servers of shards with so many features each; a feature's body is its number, eight digits.
+/// Servers of shards with these numbers of features each. The text of a feature is its number in eight digits.
 struct Model {
     shards: Vec<usize>,
     reports_count: bool,
-    /// The most features that a server gives, whatever it is asked for.
+    /// The most features that a server returns, whatever is requested.
     max_page_size: usize,
     requests: usize,
 }
@@ -50,15 +50,15 @@
         let mut merge = ConcatMerge::new(limits, from, self.shards.len());
         for _ in 0..10_000 {
             let fetches = merge.next_fetches();
-            let pages = fetches.iter().map(|a| a.fetched(Some(self.page(a)))).collect();
+            let pages = fetches.iter().map(|fetch| fetch.fetched(Some(self.page(fetch)))).collect();
             if merge.accept(pages, id) == ConcatProgress::Complete {
                 return merge;
             }
         }
-        panic!("an answer without end");
+        panic!("a response without end");
     }
 
-    /// All features over all answers, and how many answers there were.
+    /// All features over all responses, and the number of responses.
     fn all(&mut self, limits: PagingLimits) -> (Vec<u64>, usize) {
         let (mut features, mut responses, mut at) = (Vec::new(), 0, Some(ResumePosition::START));
         while let Some(from) = at {
@@ -69,7 +69,7 @@
             }
             responses += 1;
             at = merge.resume_position().cloned();
-            assert!(at.is_none() || merge.count() > 0, "an answer of none that goes on");
+            assert!(at.is_none() || merge.count() > 0, "an empty response that continues");
         }
         (features, responses)
     }
@@ -106,7 +106,7 @@
         let mut servers = model(&shards);
         let (features, responses) = servers.all(limits(limit));
         assert_eq!(features, expected(&shards), "limit {limit}");
-        // Of the largest size that makes up the limit.
+        // Pages of the largest size that divides the limit evenly.
         let size = limit.div_ceil(limit.div_ceil(500));
         let pages = 40_000_usize.div_ceil(size);
         assert!(servers.requests * 10 <= pages * 12, "limit {limit}: {} for {pages} pages", servers.requests);
@@ -140,7 +140,7 @@
             fetches.iter().all(|a| requested.insert(format!("{} {:?}", a.shard, a.location))),
             "{fetches:?}"
         );
-        let pages = fetches.iter().map(|a| a.fetched(Some(servers.page(a)))).collect();
+        let pages = fetches.iter().map(|fetch| fetch.fetched(Some(servers.page(fetch)))).collect();
         if merge.accept(pages, id) == ConcatProgress::Complete {
             break;
         }
@@ -173,7 +173,7 @@
         merge.has_enough_shards() && merge.number_matched().is_none() && merge.resume_position().is_none()
     );
     assert_eq!(run(1.0, 0).0, ConcatProgress::Failed);
-    // What is in before the shard that is missing is a whole answer that goes on there.
+    // The features before the missing shard are a complete response, which continues at that shard.
     let (progress, merge) = run(1.0, 1);
     assert_eq!((progress, merge.count(), merge.is_complete()), (ConcatProgress::Complete, 10, true));
     assert_eq!(merge.resume_position().map(|p| p.shard), Some(1));
@@ -203,17 +203,17 @@
         merge.accept(vec![fetched(0, 2, page("00000002", Some("x"), Some(8)))], id),
         ConcatProgress::Complete
     );
-    // It goes on where the circle was met: what is in is in order.
+    // The response continues where the cycle was found: its features are in order.
     assert_eq!((merge.count(), merge.duplicates(), merge.number_matched()), (2, 1, None));
     assert!(merge.resume_position().is_some());
-    // One more than was asked for, and it is one that came already: nothing of it is left for the next answer.
+    // The server returned one feature more than requested, a duplicate: nothing is left for the next response.
     let mut merge = ConcatMerge::new(limits(2), ResumePosition::START, 1);
     assert_eq!(
         merge.accept(vec![fetched(0, 2, page("000000010000000200000001", Some("x"), None))], id),
         ConcatProgress::Complete
     );
     assert_eq!((merge.count(), merge.resume_position().map(|p| p.skip)), (2, Some(0)));
-    // Links that are new each time, and pages that are not.
+    // New links each time, but no new features.
     let mut merge = ConcatMerge::new(
         PagingLimits { min_shard_share: 0.5, idempotent: false, ..limits(10) },
         ResumePosition::START,
@@ -241,16 +241,17 @@
             ConcatMerge::new(PagingLimits { idempotent, ..limits(1_000) }, ResumePosition::START, 1);
         let mut round = |merge: &mut ConcatMerge, served: bool| {
             let fetches = merge.next_fetches();
-            let pages = fetches.iter().map(|a| a.fetched(served.then(|| servers.page(a)))).collect();
+            let pages =
+                fetches.iter().map(|fetch| fetch.fetched(served.then(|| servers.page(fetch)))).collect();
             merge.accept(pages, id)
         };
         assert_eq!(round(&mut merge, true), ConcatProgress::NeedsPages);
-        assert_eq!(round(&mut merge, false), expected[0], "it broke off");
+        assert_eq!(round(&mut merge, false), expected[0], "the shard was interrupted");
         assert_eq!(merge.count(), if idempotent { 0 } else { 500 });
         if idempotent {
             assert_eq!(merge.next_fetches()[0].location, PageLocation::ShardStart);
             assert_eq!(round(&mut merge, true), ConcatProgress::NeedsPages);
-            assert_eq!(round(&mut merge, false), expected[1], "once");
+            assert_eq!(round(&mut merge, false), expected[1], "only once");
             assert_eq!(merge.count(), 500);
         }
     }
@@ -259,7 +260,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::with_cases(300) })]
 
-    /// Whatever the sizes: every feature once, in order, and never many more requests than pages.
+    /// Whatever the sizes, requests stay in proportion to the pages.
     #[test]
     fn every_feature_is_returned_once_and_in_order(
         shards in proptest::collection::vec(0_usize..400, 1..12),
--- a/src/front/ogc/query/merge.rs
+++ b/src/front/ogc/query/merge.rs
@@ -81,6 +81,7 @@
         Merge::Sorted(SortedMerge::new(query, &sorted))
     }
 
+    /// The pages to fetch next.
     pub fn next_fetches(&self) -> Vec<PageFetch> {
         match self {
             Merge::Concat(merge) => merge.next_fetches(),
@@ -88,6 +89,7 @@
         }
     }
 
+    /// Takes in the pages of a round.
     pub fn accept(&mut self, fetched: Vec<FetchedPage>) -> MergeProgress {
         match self {
             Merge::Concat(merge) => match merge.accept(fetched, feature_id_hash) {
@@ -119,6 +121,7 @@
         }
     }
 
+    /// The features so far, and what is known of the shards.
     pub fn result(&self) -> MergedItems {
         match self {
             Merge::Concat(merge) => concat_result(merge),
--- a/src/front/ogc/round.rs
+++ b/src/front/ogc/round.rs
@@ -15,6 +15,7 @@
 /// What a round asks of a shard.
 #[derive(Clone)]
 pub(super) struct ShardRequest {
+    /// The shard, or the shard at one server alone.
     pub shard: ShardId,
     pub request: Arc<PageRequest>,
 }
--- a/src/front/ogc/state.rs
+++ b/src/front/ogc/state.rs
@@ -22,6 +22,7 @@
     pub edge: EdgeConfig,
     pub catalog: SharedCatalog,
     pub cursor_key: CursorKey,
+    /// The pages per second that the servers together can return, by which queries are admitted.
     pub server_capacity: Arc<ServerCapacity>,
     metrics: Arc<Metrics>,
     capabilities: Mutex<CapabilityCache>,
@@ -29,6 +30,7 @@
 }
 
 impl FrontState {
+    /// The state of a front with these settings.
     pub fn new(
         edge: EdgeConfig,
         catalog: SharedCatalog,
@@ -50,10 +52,12 @@
         }
     }
 
+    /// The admission of queries, locked.
     pub fn admission(&self) -> MutexGuard<'_, AdmissionController> {
         lock(&self.admission)
     }
 
+    /// The cache of the servers' capabilities, locked.
     pub fn capabilities(&self) -> MutexGuard<'_, CapabilityCache> {
         lock(&self.capabilities)
     }
