--- a/src/front/ogc/handlers/mod.rs
+++ b/src/front/ogc/handlers/mod.rs
@@ -18,6 +18,7 @@
 use crate::proto::http::HttpRequest;
 use crate::time::Micros;
 use documents::SchemaKind;
+use std::borrow::Cow;
 use std::sync::Arc;
 
 /// The parameter that all resources have: the format of the response.
@@ -128,7 +129,7 @@
 fn decode_segments(path: &str) -> Result<Vec<String>, ApiError> {
     let decode = |segment: &str| {
         let decoded = percent_encoding::percent_decode_str(segment).decode_utf8();
-        decoded.map(|text| text.into_owned()).map_err(|_| ApiError::PathNotUtf8)
+        decoded.map(Cow::into_owned).map_err(|_| ApiError::PathNotUtf8)
     };
     path.split('/').filter(|segment| !segment.is_empty()).map(decode).collect()
 }
