--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -169,3 +169,6 @@
         AdminCommand::Unknown => "NO such call: HEALTH or DUMP\n".to_owned(),
     }
 }
+
+#[cfg(test)]
+mod tests;
