--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -22,8 +22,8 @@
 
 #[test]
 fn the_health_reply_gives_the_reason_of_a_failed_check() {
-    assert_eq!(reply(Call::Health, &endpoint()), "YES\n");
+    assert_eq!(reply(AdminCommand::Health, &endpoint()), "YES\n");
     let failing = AdminEndpoint { health: Box::new(|| Err(Unhealthy::Draining)), ..endpoint() };
-    assert_eq!(reply(Call::Health, &failing), "NO it is told to end\n");
-    assert_eq!(reply(Call::Unknown, &failing), "NO such call: HEALTH or DUMP\n");
+    assert_eq!(reply(AdminCommand::Health, &failing), "NO it is told to end\n");
+    assert_eq!(reply(AdminCommand::Unknown, &failing), "NO such call: HEALTH or DUMP\n");
 }
