--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -37,44 +37,48 @@
 }
 
 #[test]
-fn each_validation_error_names_its_key_or_class_to_operators() {
-    assert_eq!(validation_text(|object| object["balancers"] = json!(0)), "balancers is not above 0");
-    assert_eq!(validation_text(|object| object["tick"] = json!(0)), "tick is not above 0");
-    assert_eq!(
-        validation_text(|object| object["family-info"]["slices"] = json!(0)),
-        "family-info.slices is not above 0"
-    );
-    assert_eq!(
-        validation_text(|object| object["limits"]["dial-timeout"] = json!(0)),
-        "limits.dial-timeout is not above 0"
-    );
-    assert_eq!(validation_text(|object| object["classes"] = json!([])), "there are no classes");
+fn values_that_must_be_positive_are_reported_by_their_key() {
+    let text = |pointer: &str| {
+        validation_text(|object| {
+            *object.pointer_mut(pointer).expect("a value of the valid object") = json!(0)
+        })
+    };
+    assert_eq!(text("/balancers"), "balancers is not above 0");
+    assert_eq!(text("/tick"), "tick is not above 0");
+    assert_eq!(text("/family-info/slices"), "family-info.slices is not above 0");
+    assert_eq!(text("/family-info/cells"), "family-info.cells is not above 0");
+    assert_eq!(text("/family-info/in-a-row"), "family-info.in-a-row is not above 0");
+    let text = validation_text(|object| object["limits"]["dial-timeout"] = json!(0));
+    assert_eq!(text, "limits.dial-timeout is not above 0");
+}
+
+#[test]
+fn faults_of_classes_are_reported_by_the_name_of_the_class() {
+    let text = |change: fn(&mut Value)| validation_text(change);
+    assert_eq!(text(|object| object["classes"] = json!([])), "there are no classes");
+    assert_eq!(text(|object| object["classes"][0]["name"] = json!("")), "class \"\": it has no name");
     assert_eq!(
-        validation_text(|object| object["classes"][1]["name"] = json!("lookup")),
+        text(|object| object["classes"][1]["name"] = json!("lookup")),
         "class \"lookup\": it is named twice"
     );
     assert_eq!(
-        validation_text(|object| object["classes"][0]["name"] = json!("")),
-        "class \"\": it has no name"
-    );
-    assert_eq!(
-        validation_text(|object| object["classes"][1]["deadline"] = json!(0)),
+        text(|object| object["classes"][1]["deadline"] = json!(0)),
         "class \"survey\": its deadline is not above 0"
     );
     assert_eq!(
-        validation_text(|object| object["limits"]["max-attempts"] = json!(0)),
+        text(|object| object["limits"]["max-attempts"] = json!(0)),
         "class \"lookup\": its attempts (limits.max-attempts) are not above 0"
     );
     assert_eq!(
-        validation_text(|object| object["family-info"]["class-need"] = json!([1.5])),
+        text(|object| object["family-info"]["class-need"] = json!([1.5])),
         "class \"lookup\": its class-need is no share"
     );
     assert_eq!(
-        validation_text(|object| object["family-info"]["least-share"] = json!([1.0, -0.5])),
+        text(|object| object["family-info"]["least-share"] = json!([1.0, -0.5])),
         "class \"survey\": its least-share is no share"
     );
     assert_eq!(
-        validation_text(|object| object["classes"][0]["points"] = json!(-1.0)),
+        text(|object| object["classes"][0]["points"] = json!(-1.0)),
         "class \"lookup\": its worth is below 0"
     );
 }
