--- a/src/bin/quinceflow.rs
+++ b/src/bin/quinceflow.rs
@@ -9,6 +9,7 @@
 use quinceflow::front::ogc::config::EdgeConfig;
 use quinceflow::log::{self, LogForm};
 use quinceflow::net::{config::Config, server};
+use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -46,8 +47,8 @@
     log::start(arguments.log);
     match serve(arguments.edge) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            tracing::error!("{why}");
+        Err(error) => {
+            tracing::error!("{error}");
             ExitCode::FAILURE
         }
     }
@@ -71,11 +72,12 @@
 }
 
 /// Runs the coordinator until it is told to end. `edge`: the edge file, if any.
-fn serve(edge: Option<PathBuf>) -> Result<(), String> {
-    let edge = edge.map(|file| EdgeConfig::load(&file).map_err(|e| e.to_string())).transpose()?;
+fn serve(edge: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+    let edge = edge.map(|file| EdgeConfig::load(&file)).transpose()?;
     let platform = match std::env::var_os("NODE_CONFIG") {
         None if edge.is_some() => None,
         _ => Some(Config::from_env()?),
     };
-    server::run(platform, edge).map_err(|e| e.to_string())
+    server::run(platform, edge)?;
+    Ok(())
 }
--- a/src/front/ogc/cql2/tests.rs
+++ b/src/front/ogc/cql2/tests.rs
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn filters_hold_for_what_they_describe() {
+fn filters_are_true_of_the_features_that_they_describe() {
     let yes = [
         "volts = 240",
         "volts > 100 AND volts <= 240.0",
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn what_is_no_filter_is_told() {
+fn malformed_filters_are_rejected_with_a_message() {
     let deep = format!("{}live{}", "(".repeat(400), ")".repeat(400));
     let chain = vec!["volts"; 5_000].join("+") + " = 1";
     let nots = "NOT ".repeat(5_000) + "live";
@@ -149,7 +149,7 @@
 
 #[test]
 fn operands_must_fit_the_queryables() {
-    let told = |text: &str| check(&parse_text(text).expect(text), &queryables());
+    let checked = |text: &str| check(&parse_text(text).expect(text), &queryables());
     for text in [
         "volts = 1",
         "name = 'x'",
@@ -162,7 +162,7 @@
         "T_AFTER(built,DATE('2026-01-01'))",
         "A_CONTAINS(tags,('a'))",
     ] {
-        assert_eq!(told(text), Ok(()), "{text}");
+        assert_eq!(checked(text), Ok(()), "{text}");
     }
     for text in [
         "watts = 1",
@@ -182,7 +182,7 @@
         "T_AFTER(built,INTERVAL('2026-02-01','2026-01-01'))",
         "name BETWEEN 'a' AND 'b'",
     ] {
-        assert!(told(text).is_err(), "{text}");
+        assert!(checked(text).is_err(), "{text}");
     }
     let schema = queryables().to_schema();
     assert_eq!(Queryables::from_schema(&schema), Some(queryables()));
@@ -196,7 +196,7 @@
     assert_eq!(Queryables::unknown().intersection(&fewer), fewer);
 }
 
-fn able(classes: &[&str]) -> Capabilities {
+fn capabilities(classes: &[&str]) -> Capabilities {
     let all = ["cql2-text", "features-filter", "basic-cql2"].iter().chain(classes);
     Capabilities {
         classes: all.map(|c| (*c).to_owned()).collect(),
@@ -206,7 +206,7 @@
 }
 
 #[test]
-fn a_server_is_asked_what_it_can_filter_and_the_rest_is_kept() {
+fn conditions_that_a_server_can_apply_are_pushed_down_and_the_others_are_residual() {
     let text =
         "volts > 1 AND S_INTERSECTS(geometry,POLYGON((0 0,4 0,4 4,0 0))) AND name LIKE 'a%' AND other = 1";
     let filter = parse_text(text).expect("a filter");
@@ -215,22 +215,22 @@
         let text = |f: Option<Filter>| f.map(|f| f.to_string()).unwrap_or_default();
         (text(split.pushed_down), text(split.residual), split.envelope)
     };
-    let (passed, kept, envelope) = of(&able(&[]));
-    assert_eq!(passed, "\"volts\" > 1");
-    assert!(kept.contains("POLYGON") && kept.contains("LIKE") && kept.contains("other"));
+    let (pushed_down, residual, envelope) = of(&capabilities(&[]));
+    assert_eq!(pushed_down, "\"volts\" > 1");
+    assert!(residual.contains("POLYGON") && residual.contains("LIKE") && residual.contains("other"));
     assert_eq!(envelope, Some([0.0, 0.0, 4.0, 4.0]));
-    let (passed, kept, envelope) =
-        of(&able(&["basic-spatial-functions-plus", "advanced-comparison-operators"]));
-    assert!(passed.contains("POLYGON") && passed.contains("LIKE"));
-    assert_eq!((kept.as_str(), envelope), ("\"other\" = 1", None));
+    let (pushed_down, residual, envelope) =
+        of(&capabilities(&["basic-spatial-functions-plus", "advanced-comparison-operators"]));
+    assert!(pushed_down.contains("POLYGON") && pushed_down.contains("LIKE"));
+    assert_eq!((residual.as_str(), envelope), ("\"other\" = 1", None));
     assert_eq!(of(&Capabilities::default()).0, "", "a server that says nothing is asked nothing");
     let odd = parse_json(r#"{"op":"=","args":[{"property":"name"},"x\\"]}"#).expect("a filter");
-    assert_eq!(split(&odd, &able(&[])).pushed_down, None, "text cannot say it");
-    let short = Capabilities { max_filter_text: 30, ..able(&["basic-spatial-functions-plus"]) };
+    assert_eq!(split(&odd, &capabilities(&[])).pushed_down, None, "text cannot say it");
+    let short = Capabilities { max_filter_text: 30, ..capabilities(&["basic-spatial-functions-plus"]) };
     assert_eq!(of(&short).0, "\"volts\" > 1");
     // What is joined by OR goes whole or not at all.
     let either = parse_text("volts > 1 OR other = 1").expect("a filter");
-    assert_eq!(split(&either, &able(&[])).pushed_down, None);
+    assert_eq!(split(&either, &capabilities(&[])).pushed_down, None);
 }
 
 fn value() -> impl Strategy<Value = Value> {
@@ -252,7 +252,7 @@
     })
 }
 
-fn place() -> impl Strategy<Value = Value> {
+fn spatial_operand() -> impl Strategy<Value = Value> {
     let n = || -180.0..180.0_f64;
     let wkt = prop_oneof![
         (n(), n()).prop_map(|(x, y)| format!("POINT({x} {y})")),
@@ -289,7 +289,7 @@
             (value(), value(), value()).prop_map(|(a, b, c)| Filter::Between(a, b, c)),
             (value(), list()).prop_map(|(a, list)| Filter::In(a, list)),
             value().prop_map(Filter::IsNull),
-            (proptest::sample::select(SpatialRelation::ALL), place(), place())
+            (proptest::sample::select(SpatialRelation::ALL), spatial_operand(), spatial_operand())
                 .prop_map(|(o, a, b)| Filter::Spatial(o, a, b)),
             (proptest::sample::select(TemporalRelation::ALL), time).prop_map(|(o, b)| Filter::Temporal(
                 o,
@@ -322,7 +322,7 @@
     }
 
     #[test]
-    fn any_text_is_a_filter_or_an_error(text in any::<String>(), pieces in proptest::collection::vec(
+    fn arbitrary_text_is_a_filter_or_an_error(text in any::<String>(), pieces in proptest::collection::vec(
         proptest::sample::select(vec!["(", ")", "'", "\"", ",", "NOT ", "AND ", "a ", "= ", "1 ", "POINT(", "S_EQUALS(", "^", "-"]), 0..40)) {
         for text in [text, pieces.concat()] {
             if let Ok(filter) = parse_text(&text) {
@@ -334,11 +334,11 @@
 
     /// Whatever a server can do: both parts of a split together are the whole.
     #[test]
-    fn a_split_changes_nothing(filter in filters(), picked in proptest::collection::vec(any::<bool>(), 8), most in 0_usize..400) {
+    fn both_parts_of_a_split_filter_together_match_the_same_features(filter in filters(), picked in proptest::collection::vec(any::<bool>(), 8), most in 0_usize..400) {
         let names = ["advanced-comparison-operators", "basic-spatial-functions", "basic-spatial-functions-plus",
             "spatial-functions", "temporal-functions", "array-functions", "property-property", "arithmetic"];
         let some: Vec<&str> = names.iter().zip(&picked).filter(|p| *p.1).map(|p| *p.0).collect();
-        let able = Capabilities { max_filter_text: most, queryables: Queryables::unknown(), ..able(&some) };
+        let able = Capabilities { max_filter_text: most, queryables: Queryables::unknown(), ..capabilities(&some) };
         let split = split(&filter, &able);
         let holds = |f: &Filter| Matcher::new(f.clone()).matches(&feature());
         let both = split.pushed_down.iter().all(holds) && split.residual.iter().all(holds);
@@ -347,7 +347,7 @@
 }
 
 #[test]
-fn an_input_that_broke_printing_reads_back_in_both_forms() {
+fn a_filter_that_was_once_misprinted_parses_back_in_both_forms() {
     // Left by the fuzz target: what of it is text. Marks, control characters, and backslashes before an escaped mark.
     let text = "a = '= ''''''=2\0\0\0z\0/\\\\'/t\0'";
     let filter = parse_text(text).expect("it is a filter");
