--- a/src/front/ogc/delivery/tests.rs
+++ b/src/front/ogc/delivery/tests.rs
@@ -4,9 +4,9 @@
 use std::io::Read;
 
 fn options(head: &str) -> DeliveryOptions {
-    let mut server = crate::proto::http::Server::default();
-    server.input().feed(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes());
-    DeliveryOptions::of(&server.poll().expect("complete").expect("well formed"))
+    let mut server = crate::proto::http::ServerConnection::default();
+    server.input().extend(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes());
+    DeliveryOptions::of(&server.next_request().expect("complete").expect("well formed"))
 }
 
 fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
--- /dev/null
+++ b/src/limits/admission/tests.rs
@@ -0,0 +1,96 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const OBJECTIVE: Micros = Micros::from_secs(2);
+const MIB: usize = 1024 * 1024;
+
+fn controller() -> AdmissionController {
+    AdmissionController::new(100 * MIB)
+}
+
+/// A query without a filter and a sort order, with the page size and the parallel shards of the defaults.
+fn shape(limit: usize, shards: usize) -> QueryShape {
+    QueryShape { limit, page_size: 500, shards, parallel_shards: 8, filter_weight: 0, max_sorted_pages: None }
+}
+
+fn cost(limit: usize, shards: usize) -> QueryCost {
+    QueryCost::estimate(&shape(limit, shards))
+}
+
+#[test]
+fn cheap_queries_are_admitted_beside_expensive_ones() {
+    let (map, small) = (cost(5_000, 2), cost(10, 2));
+    let mut admission = controller();
+    let maps = (0..1_000).take_while(|_| admission.admit(map, OBJECTIVE, Some(200.0)).is_ok()).count();
+    let smalls = (0..10_000).take_while(|_| admission.admit(small, OBJECTIVE, Some(200.0)).is_ok()).count();
+    assert!((5..=20).contains(&maps), "{maps}");
+    assert!(smalls >= 100, "{smalls}");
+    let rejection = admission.admit(map, OBJECTIVE, Some(200.0)).expect_err("full");
+    assert!(rejection.retry_after >= MIN_RETRY_AFTER && rejection.retry_after <= MAX_RETRY_AFTER);
+    assert_eq!(rejection.reason, RejectionReason::Throughput);
+}
+
+#[test]
+fn with_nothing_known_or_nothing_in_flight_no_query_is_rejected() {
+    let everything = QueryShape { filter_weight: 1_000, max_sorted_pages: Some(200), ..shape(1_000_000, 50) };
+    let everything = QueryCost::estimate(&everything);
+    assert!(
+        controller().admit(everything, OBJECTIVE, Some(0.1)).is_ok(),
+        "alone it is served, however long it takes"
+    );
+    assert!(controller().admit(cost(10, 2), OBJECTIVE, None).is_ok());
+    let mut slow = controller();
+    assert!((0..6).all(|_| slow.admit(cost(1, 1), OBJECTIVE, Some(0.01)).is_ok()));
+}
+
+#[test]
+fn responses_fit_into_the_memory() {
+    let mut admission = AdmissionController::new(10 * MIB);
+    (0..200).for_each(|_| admission.record_page(300_000, 500, 500));
+    let map = cost(5_000, 1);
+    let (mut reserved, mut rejected) = (Vec::new(), 0);
+    for _ in 0..20 {
+        match admission.admit(map, Micros::from_secs(600), Some(1e6)) {
+            Ok(bytes) => reserved.push(bytes),
+            Err(rejection) => {
+                assert_eq!(rejection.reason, RejectionReason::Memory);
+                rejected += 1;
+            }
+        }
+    }
+    assert!(reserved.iter().sum::<f64>() <= 10.0 * 1024.0 * 1024.0 && rejected > 0, "{reserved:?}");
+    reserved.drain(..).for_each(|bytes| admission.release_bytes(bytes));
+    assert!(admission.admit(map, OBJECTIVE, None).is_ok());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+
+    /// In any order of queries: releasing all that was admitted leaves nothing in flight, and a rejection changes nothing.
+    #[test]
+    fn all_that_is_admitted_is_released(steps in proptest::collection::vec((1_usize..6_000, 1_usize..20, any::<bool>(), 0.0_f64..500.0), 0..100)) {
+        let mut admission = controller();
+        let mut open = Vec::new();
+        for (limit, shards, end, throughput) in steps {
+            let cost = cost(limit, shards);
+            let before = admission.in_flight();
+            match admission.admit(cost, OBJECTIVE, Some(throughput)) {
+                Ok(bytes) => open.push((cost, bytes)),
+                Err(_) => prop_assert_eq!(before, admission.in_flight()),
+            }
+            if end {
+                if let Some((cost, bytes)) = open.pop() {
+                    admission.release_pages(cost);
+                    admission.release_bytes(bytes);
+                }
+            }
+        }
+        for (cost, bytes) in open.drain(..) {
+            admission.release_pages(cost);
+            admission.release_bytes(bytes);
+        }
+        let InFlight { pages, bytes } = admission.in_flight();
+        prop_assert!(pages.abs() < 1e-6 && bytes.abs() < 1e-3);
+    }
+}
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -21,7 +21,7 @@
         let may_exchange = !state.abort_requested || !state.received_request;
         let mut open = may_exchange && self.exchange(connection, &mut state, stream.inner());
         if open && state.abort_requested {
-            open = state.http.busy();
+            open = state.http.awaits_response();
             state.abort_requested = false;
             state.http.close_when_idle();
         }
@@ -47,10 +47,10 @@
         if !self.read_requests(connection, state, socket) || !state.write_output(socket, &self.clock) {
             return false;
         }
-        if state.http.idle() {
+        if state.http.is_idle() {
             state.request_started_at = None;
         }
-        if !state.http.finished() {
+        if !state.http.is_finished() {
             return true;
         }
         state.begin_linger(socket, &self.clock) && state.discard_input(socket)
@@ -64,13 +64,13 @@
         state: &mut ConnectionState,
         socket: &TcpStream,
     ) -> bool {
-        while !state.is_lingering() && (state.http.wants_input() || state.http.overrun()) {
+        while !state.is_lingering() && (state.http.wants_input() || state.http.discard_excess()) {
             match state.read_input(socket, &self.clock) {
                 IoOutcome::Transferred(_) => self.handle_requests(connection, state),
                 IoOutcome::WouldBlock => return true,
-                IoOutcome::EndOfStream | IoOutcome::Broken if state.http.busy() => return false,
+                IoOutcome::EndOfStream | IoOutcome::Broken if state.http.awaits_response() => return false,
                 IoOutcome::EndOfStream | IoOutcome::Broken => {
-                    state.http.end();
+                    state.http.end_of_input();
                     self.handle_requests(connection, state);
                     return true;
                 }
@@ -81,7 +81,7 @@
 
     /// Handles the requests that are complete.
     fn handle_requests(&self, connection: &Arc<Connection>, state: &mut ConnectionState) {
-        while let Some(polled) = state.http.poll() {
+        while let Some(polled) = state.http.next_request() {
             match polled {
                 Ok(request) => self.handle_request(request, connection, state),
                 Err(error) => self.reject_malformed(error, state),
--- /dev/null
+++ b/src/net/config/mod.rs
@@ -0,0 +1,183 @@
+//! The platform's configuration: the file that `NODE_CONFIG` names, and the environment variables that override it.
+
+mod error;
+mod reload;
+#[cfg(test)]
+mod tests;
+
+pub use error::{ConfigError, ConfigFileError};
+pub use reload::{ActiveConfig, ReloadedConfig};
+
+use crate::settings::{parse_coordinator_settings, CoordinatorSettings};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The file's content. `expecting` keeps the type names that messages of the JSON reader have always shown.
+#[derive(Deserialize)]
+#[serde(expecting = "struct File")]
+struct ConfigFile {
+    #[serde(default)]
+    name: String,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(rename = "mgmt")]
+    admin: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: ProcessLimits,
+    #[serde(default, rename = "known")]
+    known_endpoints: Value,
+    settings: Value,
+}
+
+/// What the process may use.
+#[derive(Deserialize)]
+#[serde(default, expecting = "struct Limits")]
+struct ProcessLimits {
+    #[serde(rename = "sockets")]
+    max_descriptors: usize,
+    /// In mebibytes.
+    #[serde(rename = "memory_mb")]
+    max_memory_mib: usize,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> Self {
+        ProcessLimits { max_descriptors: 1024, max_memory_mib: 192 }
+    }
+}
+
+/// What the environment states; it takes precedence over the file.
+#[derive(Debug, Default)]
+pub struct EnvironmentOverrides {
+    /// `NODE_LISTEN`; see [`Config::listen`].
+    pub listen: Option<String>,
+    /// `NODE_DISCOVERY`; see [`Config::discovery`].
+    pub discovery: Option<String>,
+    /// `NODE_MGMT`; see [`Config::admin`].
+    pub admin: Option<String>,
+    /// `NODE_NAME`; see [`Config::name`].
+    pub name: Option<String>,
+}
+
+impl EnvironmentOverrides {
+    /// Reads the variables of this process.
+    fn from_env() -> Self {
+        let variable = |name| std::env::var(name).ok();
+        EnvironmentOverrides {
+            listen: variable("NODE_LISTEN"),
+            discovery: variable("NODE_DISCOVERY"),
+            admin: variable("NODE_MGMT"),
+            name: variable("NODE_NAME"),
+        }
+    }
+}
+
+/// The configuration that a coordinator starts with.
+#[derive(Debug)]
+pub struct Config {
+    /// The name of this coordinator.
+    pub name: String,
+    /// The address on which clients connect.
+    pub listen: SocketAddr,
+    /// The address of discovery.
+    pub discovery: SocketAddr,
+    /// The address of the admin protocol, if it is served.
+    pub admin: Option<SocketAddr>,
+    /// The path of the file, for reloads.
+    pub path: PathBuf,
+    /// The file as JSON, with which a replaced one is compared: no key may be lost. The endpoint list is left out,
+    /// since it may have any length and any shape.
+    file_shape: Value,
+    /// The address of discovery as the file states it, whatever the environment states.
+    pub file_discovery: Option<SocketAddr>,
+    /// The seed of random generators.
+    pub seed: u64,
+    /// The number of file descriptors that the process may hold.
+    pub max_descriptors: usize,
+    /// The memory that the process may use, in bytes.
+    pub max_memory: usize,
+    /// The endpoint list as last known, in discovery's format.
+    pub known_endpoints: Vec<u8>,
+    /// The settings.
+    pub settings: CoordinatorSettings,
+}
+
+impl Config {
+    /// Reads the file that `NODE_CONFIG` names, and the overrides of the environment.
+    ///
+    /// # Errors
+    ///
+    /// If no file is named, or if it cannot be read or used.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| ConfigError::PathNotSet)?;
+        let path = PathBuf::from(path);
+        let text =
+            std::fs::read(&path).map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
+        match Self::parse(&text, EnvironmentOverrides::from_env()) {
+            Ok(config) => Ok(Config { path, ..config }),
+            Err(source) => Err(ConfigError::Invalid { path, source: Box::new(source) }),
+        }
+    }
+
+    /// Parses the content of a file; the path is left empty.
+    ///
+    /// # Errors
+    ///
+    /// If the content is no JSON of the right form, an address is absent or malformed, or the settings are invalid.
+    pub fn parse(text: &[u8], environment: EnvironmentOverrides) -> Result<Self, ConfigFileError> {
+        let file: ConfigFile = serde_json::from_slice(text)?;
+        let settings = parse_coordinator_settings(file.settings)?;
+        settings.validate()?;
+        let file_shape = file_shape(text)?;
+        let file_discovery = file.discovery.as_ref().and_then(|address| address.parse().ok());
+        let listen = required_address("listen", environment.listen.or(file.listen))?;
+        let discovery = required_address("discovery", environment.discovery.or(file.discovery))?;
+        let admin = environment.admin.or(file.admin);
+        let admin = admin.map(|address| parse_address("mgmt", address)).transpose()?;
+        Ok(Config {
+            name: environment.name.unwrap_or(file.name),
+            listen,
+            discovery,
+            admin,
+            path: PathBuf::new(),
+            file_shape,
+            file_discovery,
+            seed: parse_seed(&file.seed),
+            max_descriptors: file.limits.max_descriptors,
+            max_memory: file.limits.max_memory_mib.saturating_mul(1024 * 1024),
+            known_endpoints: serde_json::to_vec(&file.known_endpoints)
+                .map_err(ConfigFileError::KnownEndpoints)?,
+            settings,
+        })
+    }
+}
+
+fn required_address(key: &'static str, text: Option<String>) -> Result<SocketAddr, ConfigFileError> {
+    parse_address(key, text.ok_or(ConfigFileError::NoAddress { key })?)
+}
+
+fn parse_address(key: &'static str, text: String) -> Result<SocketAddr, ConfigFileError> {
+    text.parse().map_err(|source| ConfigFileError::InvalidAddress { key, text, source })
+}
+
+/// The file as JSON without its endpoint list; see [`Config`].
+fn file_shape(text: &[u8]) -> Result<Value, ConfigFileError> {
+    let mut file: Value = serde_json::from_slice(text)?;
+    if let Some(known_endpoints) = file.get_mut("known") {
+        *known_endpoints = Value::Null;
+    }
+    Ok(file)
+}
+
+/// Reads a seed in hexadecimal. Any other text gives a seed too: its FNV-1a hash.
+fn parse_seed(text: &str) -> u64 {
+    const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
+        text.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+    })
+}
--- a/src/net/feature_client/mod.rs
+++ b/src/net/feature_client/mod.rs
@@ -9,7 +9,7 @@
 use crate::front::ogc::config::EdgeConfig;
 use crate::front::ogc::page_request::PageRequest;
 use crate::interface::{Outcome, ReplicaId};
-use crate::limits::{Rule, ServerCapacity};
+use crate::limits::{LimitRule, ServerCapacity};
 use crate::proto::fetch::Fetch;
 use crate::sync::lock;
 use crate::time::{Clock, Micros};
@@ -28,7 +28,7 @@
     servers: HashMap<ReplicaId, Arc<Mutex<FeatureServer>>>,
     in_flight: HashMap<AttemptKey, Arc<Cancellation>>,
     max_body: usize,
-    limit_rule: Rule,
+    limit_rule: LimitRule,
     context: DriverContext,
 }
 
--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -3,7 +3,7 @@
 use super::http::{HttpError, ResponseReader};
 use crate::coordinator::{EndpointUpdate, NodeEndpoint};
 use crate::interface::{EndpointListKind, EndpointState};
-use crate::time::{started_at, Micros};
+use crate::time::{monotonic_start, Micros};
 use serde::Deserialize;
 
 /// The most bytes of one line: a complete list of a fleet far larger than any served.
@@ -120,7 +120,7 @@
             "terminated" => EndpointState::Removed,
             _ => return Err(EndpointListError::UnknownState(endpoint.state)),
         },
-        started_at: started_at(endpoint.started_unix_ms, read_at.unix_now_ms, read_at.now),
+        started_at: monotonic_start(endpoint.started_unix_ms, read_at.unix_now_ms, read_at.now),
     })
 }
 
--- a/src/proto/discovery/tests.rs
+++ b/src/proto/discovery/tests.rs
@@ -10,7 +10,7 @@
     let mut revisions = Vec::new();
     let chunks = pieces.iter().map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len()));
     for bytes in std::iter::once(RESPONSE_HEAD.to_owned()).chain(chunks) {
-        response.reader.input.feed(bytes.as_bytes());
+        response.reader.input.extend(bytes.as_bytes());
         revisions.extend(response.advance(Micros::ZERO, 0)?.updates.iter().map(|update| update.revision));
     }
     Ok(revisions)
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -3,8 +3,8 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use quinceflow::proto::calls::{Call, Caller};
-use quinceflow::proto::http::{Response, Server};
+use quinceflow::proto::admin::{AdminCommand, AdminConnection};
+use quinceflow::proto::http::{Response, ServerConnection};
 
 fn config() -> ProptestConfig {
     ProptestConfig {
@@ -24,21 +24,21 @@
         cuts in vec(1usize..90, 1..20),
     ) {
         let bytes = format!("{line}{end}");
-        let (mut caller, mut rest, mut cuts) = (Caller::default(), bytes.as_bytes(), cuts.into_iter().cycle());
-        let mut call = caller.call(false);
+        let (mut caller, mut rest, mut cuts) = (AdminConnection::default(), bytes.as_bytes(), cuts.into_iter().cycle());
+        let mut call = caller.command(false);
         while call.is_none() && !rest.is_empty() {
             let (now, later) = rest.split_at(cuts.next().unwrap_or(1).min(rest.len()));
-            caller.input.feed(now);
+            caller.input.extend(now);
             rest = later;
-            call = caller.call(false);
+            call = caller.command(false);
         }
         prop_assert!(call.is_some() || end.is_empty(), "a whole line is a call");
         let known = match line.trim() {
-            "HEALTH" => Some(Call::Health),
-            "DUMP" => Some(Call::Dump),
-            _ => Some(Call::Unknown),
+            "HEALTH" => Some(AdminCommand::Health),
+            "DUMP" => Some(AdminCommand::Dump),
+            _ => Some(AdminCommand::Unknown),
         };
-        prop_assert_eq!(call.or(caller.call(true)), known.filter(|_| !bytes.is_empty()));
+        prop_assert_eq!(call.or(caller.command(true)), known.filter(|_| !bytes.is_empty()));
     }
 
     #[test]
@@ -62,23 +62,23 @@
                 bytes.extend_from_slice(body);
             }
         }
-        let (mut server, mut got, mut out) = (Server::default(), Vec::new(), Vec::new());
+        let (mut server, mut got, mut out) = (ServerConnection::default(), Vec::new(), Vec::new());
         let (mut cuts, mut writes) = (cuts.into_iter().cycle(), writes.into_iter().cycle());
         let mut rest = &bytes[..];
         loop {
             let n = cuts.next().unwrap_or(1).min(rest.len());
-            server.input().feed(&rest[..n]);
+            server.input().extend(&rest[..n]);
             rest = &rest[n..];
-            if let Some(request) = server.poll() {
+            if let Some(request) = server.next_request() {
                 got.push(request.expect("well formed").body);
-                prop_assert!(server.poll().is_none(), "the next one waits for the answer");
-                prop_assert!(server.busy() && !server.idle() && !server.finished());
+                prop_assert!(server.next_request().is_none(), "the next one waits for the answer");
+                prop_assert!(server.awaits_response() && !server.is_idle() && !server.is_finished());
                 server.respond(Response::new(200, "text/plain", got.len().to_string()), got.len() == bodies.len());
             }
             let n = writes.next().unwrap_or(1).min(server.output().len());
             out.extend_from_slice(&server.output()[..n]);
-            server.wrote(n);
-            if server.finished() {
+            server.advance_output(n);
+            if server.is_finished() {
                 break;
             }
         }
@@ -91,32 +91,35 @@
 
     #[test]
     fn no_bytes_make_a_connection_panic_or_grow_without_end(chunks in vec(vec(any::<u8>(), 0..400), 0..20), text in "[ -~\r\n]{0,600}") {
-        let mut server = Server::default();
+        let mut server = ServerConnection::default();
         for chunk in chunks.iter().map(Vec::as_slice).chain([text.as_bytes()]) {
-            server.input().feed(chunk);
-            if let Some(Err(error)) = server.poll() {
+            server.input().extend(chunk);
+            if let Some(Err(error)) = server.next_request() {
                 prop_assert!((400..=501).contains(&error.status()));
                 server.respond(Response::new(error.status(), "", ""), true);
-                server.wrote(server.output().len());
-                prop_assert!(server.finished());
+                server.advance_output(server.output().len());
+                prop_assert!(server.is_finished());
             }
         }
-        server.end();
-        let _ = server.poll();
-        prop_assert!(server.busy() || server.input().capacity() < 128 * 1024);
+        server.end_of_input();
+        let _ = server.next_request();
+        prop_assert!(server.awaits_response() || server.input().capacity() < 128 * 1024);
     }
 }
 
 #[test]
 fn what_comes_behind_a_request_never_stops_the_reading_of_it_and_costs_it_no_answer() {
     // With 80 KB behind its request a client was not read from any more, so nobody saw that it left.
-    let mut server = Server::default();
-    server.input().feed(b"GET /up HTTP/1.1\r\n\r\n");
-    assert!(matches!(server.poll(), Some(Ok(_))) && server.busy());
+    let mut server = ServerConnection::default();
+    server.input().extend(b"GET /up HTTP/1.1\r\n\r\n");
+    assert!(matches!(server.next_request(), Some(Ok(_))) && server.awaits_response());
     let mut kept = 0;
     for _ in 0..12 {
-        assert!(server.wants_input() || server.overrun(), "what is here is dropped, and reading goes on");
-        server.input().feed(&[b'x'; 20_000]);
+        assert!(
+            server.wants_input() || server.discard_excess(),
+            "what is here is dropped, and reading goes on"
+        );
+        server.input().extend(&[b'x'; 20_000]);
         kept = kept.max(server.memory());
     }
     assert!(kept < 400_000, "{kept} bytes");
@@ -125,29 +128,29 @@
         server.output().starts_with(b"HTTP/1.1 200 OK\r\nConnection: close\r\n"),
         "the rest is not looked at"
     );
-    assert!(server.poll().is_none());
-    server.wrote(server.output().len());
-    assert!(server.finished() && server.must_linger(), "a close on unread bytes is a reset");
+    assert!(server.next_request().is_none());
+    server.advance_output(server.output().len());
+    assert!(server.is_finished() && server.must_linger(), "a close on unread bytes is a reset");
     for _ in 0..200 {
-        server.input().feed(&[b'x'; 20_000]);
-        assert!(!server.overrun(), "nobody is waited for any more");
-        server.input().used(20_000);
+        server.input().extend(&[b'x'; 20_000]);
+        assert!(!server.discard_excess(), "nobody is waited for any more");
+        server.input().consume(20_000);
     }
 }
 
 #[test]
 fn what_is_malformed_gets_a_fitting_status() {
     let status = |text: &str| {
-        let mut server = Server::default();
-        server.input().feed(text.as_bytes());
-        let first = server.poll();
-        server.end();
-        let error = first.or_else(|| server.poll()).and_then(Result::err);
+        let mut server = ServerConnection::default();
+        server.input().extend(text.as_bytes());
+        let first = server.next_request();
+        server.end_of_input();
+        let error = first.or_else(|| server.next_request()).and_then(Result::err);
         if let Some(e) = error {
             // A client that went away in the middle of a request had the worker say so without end.
-            assert!(server.poll().is_none());
+            assert!(server.next_request().is_none());
             server.respond(Response::new(e.status(), "", ""), true);
-            assert!(server.poll().is_none());
+            assert!(server.next_request().is_none());
         }
         error.map(|e| e.status())
     };
@@ -180,11 +183,11 @@
 #[test]
 fn an_idle_connection_told_to_close_still_takes_the_request_that_is_here() {
     // A request that crossed the closing was dropped unread.
-    let mut server = Server::default();
+    let mut server = ServerConnection::default();
     server.close_when_idle();
-    server.input().feed(b"GET /up HTTP/1.1\r\n\r\n");
-    assert!(matches!(server.poll(), Some(Ok(_))));
-    assert!(!server.finished());
+    server.input().extend(b"GET /up HTTP/1.1\r\n\r\n");
+    assert!(matches!(server.next_request(), Some(Ok(_))));
+    assert!(!server.is_finished());
     server.respond(Response::new(200, "", ""), false);
     assert!(String::from_utf8_lossy(server.output()).contains("Connection: close"));
 }
--- a/tests/node_connections/cases.rs
+++ b/tests/node_connections/cases.rs
@@ -47,7 +47,7 @@
     bytes: &[u8],
 ) -> (Result<usize, FrameError>, Vec<AttemptEvent>) {
     let mut events = Vec::new();
-    connection.input().feed(bytes);
+    connection.input().extend(bytes);
     (connection.process_input(&mut events), events)
 }
 
