--- a/src/proto/discovery.rs
+++ b/src/proto/discovery.rs
@@ -13,6 +13,7 @@
 
 /// An endpoint list as discovery writes it.
 #[derive(Deserialize)]
+#[serde(expecting = "struct Listing")]
 struct ListMessage {
     #[serde(rename = "rev")]
     revision: u64,
@@ -24,6 +25,7 @@
 
 /// One endpoint of a [`ListMessage`].
 #[derive(Deserialize)]
+#[serde(expecting = "struct Target")]
 struct EndpointMessage {
     #[serde(rename = "uid")]
     name: String,
--- a/src/proto/discovery/tests.rs
+++ b/src/proto/discovery/tests.rs
@@ -68,3 +68,15 @@
     assert_eq!(WatchError::Status(404).to_string(), "Status(404)");
     assert_eq!(WatchError::Http(HttpError::Malformed).to_string(), "Http(Malformed)");
 }
+
+#[test]
+fn json_of_another_shape_is_rejected_in_the_words_of_earlier_versions() {
+    let message = |text: &str| {
+        let error = parse_cached_endpoint_list(text.as_bytes(), Micros::ZERO, 0).expect_err("no list");
+        error.to_string()
+    };
+    let list = message("7");
+    assert!(list.starts_with("invalid type: integer `7`, expected struct Listing at line 1"), "{list}");
+    let target = message(r#"{"rev":1,"all":true,"targets":[7]}"#);
+    assert!(target.starts_with("invalid type: integer `7`, expected struct Target at line 1"), "{target}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! A harness for the policy: settings, three replicas and a clock that the test advances.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file is a program of its own and uses some of these")]
 
 use quinceflow::*;
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use quinceflow::proto::admin::{AdminCommand, AdminConnection};
-use quinceflow::proto::http::{Response, ServerConnection};
+use quinceflow::proto::http::{HttpError, Response, ServerConnection};
 
 fn config() -> ProptestConfig {
     ProptestConfig {
@@ -152,7 +152,7 @@
             server.respond(Response::new(e.status(), "", ""), true);
             assert!(server.next_request().is_none());
         }
-        error.map(|e| e.status())
+        error.map(HttpError::status)
     };
     let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000));
     let headers = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(100));
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -1,5 +1,5 @@
 //! Stand-ins on loopback for the socket tests: the process under test, its clients, and what it talks to.
-#![allow(dead_code)] // Each test file is a program of its own and uses some of these.
+#![allow(dead_code, reason = "each test file is a program of its own and uses some of these")]
 
 pub mod client;
 pub mod data_node;
