--- a/tests/crossings.rs
+++ b/tests/races.rs
@@ -1,5 +1,5 @@
 //! Races between two events, on real sockets. A stand-in holds one event back until the other has happened, so that each
-//! order is forced; `docs/crossings.md` lists the pairs.
+//! order is forced; `docs/races.md` lists the pairs.
 
 mod standin;
 
