--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -148,7 +148,7 @@
 }
 
 impl OpenLoop {
-    /// Runs it; `target(number)` gives the target of a query. Where [`MAX_IN_FLIGHT`] queries are in flight, those that
+    /// Runs it; `target(number)` gives the target of a query. Where `MAX_IN_FLIGHT` queries are in flight, those that
     /// are due meanwhile start late and may fail without being sent.
     pub fn run(&self, target: impl Fn(u64) -> String + Sync) -> LoadResult {
         let (recorder, next) = (Recorder::default(), AtomicU64::new(0));
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -1,6 +1,6 @@
 //! OGC API - Features: Parts 1, 2, 3 and 5, with CQL2 filters, sort orders and selections of properties.
 //!
-//! A request is routed to its resource in [`handlers`]. A query for features ([`query`]) runs in rounds: each requests pages
+//! A request is routed to its resource in `handlers`. A query for features (`query`) runs in rounds: each requests pages
 //! of some shards, a part of the core's request per page. Which pages those are is decided in [`paging`]; which server is
 //! asked, whether attempts are retried, and what is rejected, is decided by the policy module.
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -37,7 +37,7 @@
 /// Why the sockets were not handed over.
 #[derive(Debug, Error)]
 pub enum HandoverError {
-    /// The peer's first line is not [`HELLO`].
+    /// The peer's first line is not `HELLO`.
     #[error("the other process is of another version")]
     IncompatibleVersion,
     /// The message has no sockets, or not one for each address.
