--- a/src/bin/quinceflow-sim-adapter/record.rs
+++ b/src/bin/quinceflow-sim-adapter/record.rs
@@ -8,11 +8,11 @@
     QueryId, ShardId, TenantId, ZoneId,
 };
 
-/// The codes of records, by their names on the wire.
+/// The codes of records, by their meaning.
 mod code {
     pub const NEW_INSTANCE: u8 = 1;
     pub const MEMBERSHIP: u8 = 2;
-    pub const ASK: u8 = 3;
+    pub const REQUEST: u8 = 3;
     /// An answer has started; no class streams here.
     pub const ACCEPTED: u8 = 4;
     pub const VERDICT: u8 = 5;
@@ -20,7 +20,7 @@
     pub const REMINDER: u8 = 7;
     pub const PROBED: u8 = 8;
     /// A message of another coordinator; none is sent here.
-    pub const HEARD: u8 = 9;
+    pub const PEER_MESSAGE: u8 = 9;
     pub const DESTROY: u8 = 10;
     pub const POOL: u8 = 11;
     pub const ON: u8 = 12;
@@ -74,7 +74,7 @@
         match code {
             code::NEW_INSTANCE => read_new(&mut fields("NEW_INSTANCE")),
             code::MEMBERSHIP => read_endpoint_list(&mut fields("MEMBERSHIP")),
-            code::ASK => read_query_or_part(&mut fields("ASK")).map(Record::Event),
+            code::REQUEST => read_query_or_part(&mut fields("ASK")).map(Record::Event),
             code::VERDICT => read_outcome(&mut fields("VERDICT")).map(Record::Event),
             code::LAPSED => Ok(Record::Event(Event::Abandoned(QueryId(fields("LAPSED").u64()?)))),
             code::REMINDER => {
@@ -82,7 +82,7 @@
                 Ok(Record::Event(Event::TimerFired))
             }
             code::PROBED => read_health_check(&mut fields("PROBED")),
-            code::ACCEPTED | code::HEARD => Ok(Record::Other),
+            code::ACCEPTED | code::PEER_MESSAGE => Ok(Record::Other),
             code::DESTROY => Ok(Record::Destroy),
             code::POOL => read_pool(&mut fields("POOL")),
             code::ON => Ok(Record::On(fields("ON").u16()?)),
--- a/src/front/ogc/check/recovery.rs
+++ b/src/front/ogc/check/recovery.rs
@@ -17,10 +17,10 @@
 
 /// The configuration in `text` if it has no fault, and its faults by line.
 pub(super) fn parse_with_recovery(text: &str) -> (Option<EdgeConfig>, Vec<LineFault>) {
-    let mut mended = text.to_owned();
+    let mut repaired = text.to_owned();
     let mut faults: Vec<LineFault> = Vec::new();
     while faults.len() < MAX_FAULTS {
-        let error = match toml::from_str::<EdgeConfig>(&mended) {
+        let error = match toml::from_str::<EdgeConfig>(&repaired) {
             Ok(edge) => {
                 add_value_faults(text, &edge, &mut faults);
                 faults.sort();
@@ -30,11 +30,11 @@
         };
         let message = error.message().to_owned();
         let span = error.span().unwrap_or(0..0);
-        let line = line_at(&mended, &span);
+        let line = line_at(&repaired, &span);
         // What is missing can't be blanked; an unfinished table hides the rest.
         let is_final = span.is_empty() || message.starts_with("missing field");
         faults.push(LineFault { line, message });
-        if is_final || !mend(&mut mended, line) {
+        if is_final || !repair(&mut repaired, line) {
             break;
         }
     }
@@ -53,7 +53,7 @@
 
 /// Gives a faulty line a value that can be read, or blanks it, so that the lines after it are read too. False: the line
 /// was blank already.
-fn mend(text: &mut String, line: usize) -> bool {
+fn repair(text: &mut String, line: usize) -> bool {
     let start: usize = text.split_inclusive('\n').take(line - 1).map(str::len).sum();
     let faulty = text[line_range(text, start)].to_owned();
     if let Some((key, _)) = faulty.split_once('=') {
--- a/src/front/ogc/cql2/text/lexer.rs
+++ b/src/front/ogc/cql2/text/lexer.rs
@@ -9,7 +9,7 @@
 use winnow::token::{any, one_of, take_while};
 
 /// Label of the error that a filter is nested too deep.
-pub(super) const DEPTH_LABEL: &str = "depth";
+pub(super) const DEPTH_CONTEXT: &str = "depth";
 
 /// Words that are no names.
 const RESERVED: [&str; 11] =
@@ -36,7 +36,7 @@
     move |input| {
         input.state.0 += 1;
         if input.state.0 > MAX_DEPTH {
-            return Err(fatal(DEPTH_LABEL));
+            return Err(fatal(DEPTH_CONTEXT));
         }
         let parsed = parser(input);
         input.state.0 -= 1;
--- a/src/front/ogc/cql2/text/mod.rs
+++ b/src/front/ogc/cql2/text/mod.rs
@@ -7,7 +7,7 @@
 
 use super::{fault, Filter, FilterError, MAX_DEPTH};
 use condition::condition;
-use lexer::{Depth, Input, DEPTH_LABEL};
+use lexer::{Depth, Input, DEPTH_CONTEXT};
 use winnow::error::{ContextError, ErrMode, StrContext};
 use winnow::prelude::*;
 use winnow::stream::{LocatingSlice, Location, Stateful};
@@ -44,7 +44,7 @@
         _ => None,
     });
     match label {
-        Some(DEPTH_LABEL) => format!("it is nested more than {MAX_DEPTH} deep"),
+        Some(DEPTH_CONTEXT) => format!("it is nested more than {MAX_DEPTH} deep"),
         Some(label) if rest.is_empty() => format!("{label} is needed at the end"),
         Some(label) => format!("{label} is needed before {rest:?}"),
         None => format!("not understood from {rest:?} on"),
--- a/src/front/ogc/cql2/text/operand.rs
+++ b/src/front/ogc/cql2/text/operand.rs
@@ -3,7 +3,7 @@
 use super::super::{ArithmeticOperator, Value, MAX_DEPTH};
 use super::lexer::{
     boolean, fatal, keyword, nested, number, property, required_sign, sign, text_literal, Input, Parsed,
-    DEPTH_LABEL,
+    DEPTH_CONTEXT,
 };
 use winnow::combinator::{alt, cut_err, delimited, opt, peek, separated, terminated};
 use winnow::error::{ContextError, ErrMode, StrContext};
@@ -53,7 +53,7 @@
 /// An operator with its two operands. Chains of operators nest on the left, so that their depth is the tree's.
 fn arithmetic(input: &Input<'_>, operator: ArithmeticOperator, left: Value, right: Value) -> Parsed<Value> {
     if input.state.0 + arithmetic_depth(&left) > MAX_DEPTH {
-        return Err(fatal(DEPTH_LABEL));
+        return Err(fatal(DEPTH_CONTEXT));
     }
     Ok(Value::Arithmetic(operator, Box::new(left), Box::new(right)))
 }
--- a/src/levels/controller.rs
+++ b/src/levels/controller.rs
@@ -43,18 +43,18 @@
 pub struct LevelController {
     table: LevelTable,
     /// Scales all holds of this instance, from 0.8 to 1.2, so that many instances do not move at the same time.
-    hold_factor: f64,
+    hysteresis_factor: f64,
     /// 0 for full service, n for the table's level at index n - 1.
     level: usize,
     entered_at: Micros,
     /// Since when the next level has been wanted.
-    next_wanted_since: Option<Micros>,
+    next_requested_since: Option<Micros>,
     /// Since when the present level has not been wanted.
     unwanted_since: Option<Micros>,
     /// For each level of the table.
     visits: Vec<LevelVisits>,
     /// An operator has fixed the level until then.
-    pinned_until: Option<Micros>,
+    pin_expires_at: Option<Micros>,
     history: VecDeque<Transition>,
 }
 
@@ -65,13 +65,13 @@
         let visits = vec![LevelVisits::default(); table.levels.len()];
         LevelController {
             table,
-            hold_factor: 0.8 + 0.4 * jitter.clamp(0.0, 1.0),
+            hysteresis_factor: 0.8 + 0.4 * jitter.clamp(0.0, 1.0),
             level: 0,
             entered_at: now,
-            next_wanted_since: None,
+            next_requested_since: None,
             unwanted_since: None,
             visits,
-            pinned_until: None,
+            pin_expires_at: None,
             history: VecDeque::new(),
         }
     }
@@ -99,7 +99,7 @@
     /// Moves to a level and stays there until the given time, whatever the signals are. A level beyond the table is its last.
     pub fn pin(&mut self, level: usize, until: Micros, now: Micros) {
         let level = level.min(self.table.levels.len());
-        self.pinned_until = Some(until);
+        self.pin_expires_at = Some(until);
         if level != self.level {
             self.move_to(level, now, Vec::new(), true);
         }
@@ -121,12 +121,12 @@
 
     /// True while a pin is in force. When it ends, signals count from there on, and each step needs its full hold.
     fn is_pinned(&mut self, now: Micros) -> bool {
-        let Some(until) = self.pinned_until else { return false };
+        let Some(until) = self.pin_expires_at else { return false };
         if now < until {
             return true;
         }
-        self.pinned_until = None;
-        self.next_wanted_since = None;
+        self.pin_expires_at = None;
+        self.next_requested_since = None;
         self.unwanted_since = None;
         self.entered_at = now;
         false
@@ -137,12 +137,12 @@
         let next = self.table.levels.get(self.level);
         let causes = next.map_or_else(Vec::new, |next| met_conditions(next, readings, now, |c| c.enter));
         if causes.is_empty() {
-            self.next_wanted_since = None;
+            self.next_requested_since = None;
             return None;
         }
-        let wanted_since = *self.next_wanted_since.get_or_insert(now);
-        let hold = self.hold(next?.enter_after_ms);
-        (now.since(wanted_since) >= hold).then_some(causes)
+        let requested_since = *self.next_requested_since.get_or_insert(now);
+        let hold = self.with_hysteresis(next?.enter_after_ms);
+        (now.since(requested_since) >= hold).then_some(causes)
     }
 
     /// The present values of the level's signals, if they have not wanted the level for its hold and its minimum stay is over.
@@ -154,11 +154,11 @@
             return None;
         }
         let unwanted_since = *self.unwanted_since.get_or_insert(now);
-        let mut min_stay = self.hold(present.min_stay_ms);
+        let mut min_stay = self.with_hysteresis(present.min_stay_ms);
         if self.visits[index].reentered_soon {
             min_stay = min_stay.max(REENTRY_WINDOW);
         }
-        let held = now.since(unwanted_since) >= self.hold(present.leave_after_ms);
+        let held = now.since(unwanted_since) >= self.with_hysteresis(present.leave_after_ms);
         if !held || now.since(self.entered_at) < min_stay {
             return None;
         }
@@ -183,7 +183,7 @@
         }
         self.level = to;
         self.entered_at = now;
-        self.next_wanted_since = None;
+        self.next_requested_since = None;
         self.unwanted_since = None;
         if self.history.len() >= MAX_HISTORY {
             self.history.pop_front();
@@ -192,9 +192,9 @@
         self.history.back()
     }
 
-    /// The duration of a hold in this instance.
-    fn hold(&self, ms: u64) -> Micros {
-        Micros((ms as f64 * 1e3 * self.hold_factor) as u64)
+    /// A duration of the table, varied for this instance so that coordinators do not change levels in step.
+    fn with_hysteresis(&self, ms: u64) -> Micros {
+        Micros((ms as f64 * 1e3 * self.hysteresis_factor) as u64)
     }
 }
 
--- a/src/levels/validate.rs
+++ b/src/levels/validate.rs
@@ -6,7 +6,7 @@
 /// The minimum distance of `leave` below `enter`, as a share of `enter`: signals have noise of that size.
 const MIN_HYSTERESIS: f64 = 0.15;
 /// The minimum of all holds: in this time, in milliseconds, each signal is refreshed twice.
-const MIN_HOLD_MS: u64 = 500;
+const MIN_DURATION_MS: u64 = 500;
 /// The maximum factor by which `Retry-After` is extended.
 const MAX_RETRY_AFTER_FACTOR: f64 = 60.0;
 
@@ -31,8 +31,8 @@
     #[error("it is out of reach: no condition enters it")]
     NoCondition,
     /// A hold is shorter than the signals are refreshed.
-    #[error("enter_ms, leave_ms and stay_ms must be {MIN_HOLD_MS} or more")]
-    HoldTooShort,
+    #[error("enter_ms, leave_ms and stay_ms must be {MIN_DURATION_MS} or more")]
+    DurationTooShort,
     /// A bound is not finite or has the wrong sign.
     #[error("{signal}: enter and leave must be numbers, and enter above 0")]
     InvalidBounds {
@@ -103,8 +103,9 @@
     if level.when.is_empty() {
         faults.push(LevelFault::NoCondition);
     }
-    if [level.enter_after_ms, level.leave_after_ms, level.min_stay_ms].iter().any(|ms| *ms < MIN_HOLD_MS) {
-        faults.push(LevelFault::HoldTooShort);
+    if [level.enter_after_ms, level.leave_after_ms, level.min_stay_ms].iter().any(|ms| *ms < MIN_DURATION_MS)
+    {
+        faults.push(LevelFault::DurationTooShort);
     }
 }
 
--- a/src/levels/validate/tests.rs
+++ b/src/levels/validate/tests.rs
@@ -30,7 +30,7 @@
     table.levels[1].min_stay_ms = 0;
     let errors = table.validate(4);
     assert!(errors.contains(&error("reduced", LevelFault::NoCondition)), "{errors:?}");
-    assert!(errors.contains(&error("essential", LevelFault::HoldTooShort)), "{errors:?}");
+    assert!(errors.contains(&error("essential", LevelFault::DurationTooShort)), "{errors:?}");
 }
 
 #[test]
@@ -39,7 +39,7 @@
     let texts = [
         (LevelFault::InvalidName, "its name is empty or there twice"),
         (LevelFault::NoCondition, "it is out of reach: no condition enters it"),
-        (LevelFault::HoldTooShort, "enter_ms, leave_ms and stay_ms must be 500 or more"),
+        (LevelFault::DurationTooShort, "enter_ms, leave_ms and stay_ms must be 500 or more"),
         (LevelFault::InvalidBounds { signal }, "Avoided: enter and leave must be numbers, and enter above 0"),
         (
             LevelFault::HysteresisTooSmall { signal, enter: 0.2, leave: 0.19 },
