--- a/src/levels/controller.rs
+++ b/src/levels/controller.rs
@@ -42,8 +42,8 @@
 #[derive(Debug, Clone)]
 pub struct LevelController {
     table: LevelTable,
-    /// Scales all holds of this instance, from 0.8 to 1.2, so that many instances do not move at the same time.
-    hysteresis_factor: f64,
+    /// Scales all durations of this instance, from 0.8 to 1.2, so that many instances do not move at the same time.
+    jitter_factor: f64,
     /// 0 for full service, n for the table's level at index n - 1.
     level: usize,
     entered_at: Micros,
@@ -65,7 +65,7 @@
         let visits = vec![LevelVisits::default(); table.levels.len()];
         LevelController {
             table,
-            hysteresis_factor: 0.8 + 0.4 * jitter.clamp(0.0, 1.0),
+            jitter_factor: 0.8 + 0.4 * jitter.clamp(0.0, 1.0),
             level: 0,
             entered_at: now,
             next_requested_since: None,
@@ -141,7 +141,7 @@
             return None;
         }
         let requested_since = *self.next_requested_since.get_or_insert(now);
-        let hold = self.with_hysteresis(next?.enter_after_ms);
+        let hold = self.jittered(next?.enter_after_ms);
         (now.since(requested_since) >= hold).then_some(causes)
     }
 
@@ -154,11 +154,11 @@
             return None;
         }
         let unwanted_since = *self.unwanted_since.get_or_insert(now);
-        let mut min_stay = self.with_hysteresis(present.min_stay_ms);
+        let mut min_stay = self.jittered(present.min_stay_ms);
         if self.visits[index].reentered_soon {
             min_stay = min_stay.max(REENTRY_WINDOW);
         }
-        let held = now.since(unwanted_since) >= self.with_hysteresis(present.leave_after_ms);
+        let held = now.since(unwanted_since) >= self.jittered(present.leave_after_ms);
         if !held || now.since(self.entered_at) < min_stay {
             return None;
         }
@@ -193,8 +193,8 @@
     }
 
     /// A duration of the table, varied for this instance so that coordinators do not change levels in step.
-    fn with_hysteresis(&self, ms: u64) -> Micros {
-        Micros((ms as f64 * 1e3 * self.hysteresis_factor) as u64)
+    fn jittered(&self, ms: u64) -> Micros {
+        Micros((ms as f64 * 1e3 * self.jitter_factor) as u64)
     }
 }
 
