--- a/src/coordinator/active_settings.rs
+++ b/src/coordinator/active_settings.rs
@@ -61,8 +61,7 @@
         self.settings.hedging
     }
 
-    /// The longest time after which a rejected client is told to retry; `None` where clients are told
-    /// nothing.
+    /// The longest `Retry-After` of a rejected client; `None` where rejections carry none.
     pub(super) fn max_retry_after(&self) -> Option<Micros> {
         self.settings.max_retry_after.map(Micros::from_nanos)
     }
--- a/src/coordinator/endpoints.rs
+++ b/src/coordinator/endpoints.rs
@@ -23,7 +23,7 @@
     name: Arc<str>,
     address: Arc<str>,
     ready: bool,
-    /// When it last started, as far as lists have told.
+    /// When it last started, according to the lists received.
     started_at: Option<Micros>,
     /// Since when it has been removed from the list, or missing in it.
     removed_at: Option<Micros>,
@@ -91,7 +91,7 @@
     }
 
     /// Discovery that was moved, or came back from an older copy, may send an older list than the current
-    /// one: endpoints that it lacks may be newer than it, and those that it calls ready may have been told to
+    /// one: endpoints that it lacks may be newer than it, and those that it calls ready may have begun to
     /// drain since.
     fn filter_stale(&mut self, update: &mut EndpointUpdate) {
         let Some(version) = update.version else { return };
--- a/src/coordinator/messages.rs
+++ b/src/coordinator/messages.rs
@@ -156,7 +156,7 @@
     },
     /// Rejected: a retry does no harm.
     Rejected {
-        /// After what time a retry has better prospects, where clients are told.
+        /// After what time a retry has better prospects, where clients are informed of it.
         retry_after: Option<Micros>,
         /// Its time ran out.
         late: bool,
--- a/src/front/ogc/capabilities.rs
+++ b/src/front/ogc/capabilities.rs
@@ -1,8 +1,8 @@
 //! Capability discovery: what servers can filter and sort, from their conformance pages and queryables, cached with an
 //! age.
 //!
-//! A decision table without clock or socket. Whoever needs capabilities calls [`CapabilityCache::lookup`]; the caller that
-//! is told to discover does so for all, so that neither a restart nor an age that ends sends more than one discovery to a
+//! A decision table without clock or socket. Callers look capabilities up by [`CapabilityCache::lookup`]; the one that is
+//! asked to discover them does so for all, so that neither a restart nor an age that ends sends more than one discovery to a
 //! server at a time.
 
 use super::cql2::{Capabilities, Queryables};
--- a/src/front/ogc/config/mod.rs
+++ b/src/front/ogc/config/mod.rs
@@ -191,7 +191,7 @@
     /// Reads an edge file. The path of the inventory becomes relative to the working directory.
     ///
     /// # Errors
-    /// The file can't be read, is no edge file, or has a value out of range: the first such value is told.
+    /// The file can't be read, is no edge file, or has a value out of range: the first such value is reported.
     pub fn load(path: &Path) -> Result<Self, EdgeConfigError> {
         let file = path.to_owned();
         let text = match std::fs::read_to_string(path) {
--- a/src/front/ogc/cql2/json.rs
+++ b/src/front/ogc/cql2/json.rs
@@ -150,7 +150,7 @@
     }
 }
 
-/// A value that is an object, told apart by its members.
+/// A value that is an object, distinguished by its members.
 fn object_value(json: &Json, object: &Map<String, Json>, depth: usize) -> Read<Value> {
     let text = |key: &str| object.get(key).and_then(Json::as_str).map(str::to_owned);
     if let Some(name) = text("property") {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,7 +102,7 @@
     pub window: Nanos,
 }
 
-/// How much a replica bears that has just started.
+/// How much load a replica that has just started may get.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SlowStartRule {
     /// It is overloaded when it is sent this multiple of its capacity,
--- a/src/stats/shares.rs
+++ b/src/stats/shares.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-/// What a member of a group bears of the group's load.
+/// The part of a group's load that one member carries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Share<K> {
     /// The member.
