--- a/src/coordinator/active_settings/tests.rs
+++ b/src/coordinator/active_settings/tests.rs
@@ -1,8 +1,9 @@
 //! Tests of the settings that the policy gets.
 
 use super::ActiveSettings;
-use crate::coordinator::{test_fixtures, ProcessGeneration};
+use crate::coordinator::ProcessGeneration;
 use crate::interface::{Class, RetryBudget, ServiceReduction, Settings};
+use crate::test_fixtures;
 
 const MS: u64 = 1_000_000;
 
--- a/src/coordinator/classes/tests.rs
+++ b/src/coordinator/classes/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of the classes over reloads.
 
 use super::{Classes, NO_PREDECESSOR};
-use crate::coordinator::test_fixtures;
 use crate::interface::{Class, ClassId};
+use crate::test_fixtures;
 use std::sync::Arc;
 
 fn class(name: &str, max_attempts: u32) -> Class {
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -16,8 +16,6 @@
 mod queries;
 mod reporting;
 mod request;
-#[cfg(test)]
-mod test_fixtures;
 mod turn;
 
 pub use counters::{Counter, Counters, COUNTERS};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -114,5 +114,8 @@
 pub mod sync;
 pub mod time;
 
+#[cfg(test)]
+mod test_fixtures;
+
 pub use interface::*;
 pub use policy::DecisionPolicy;
--- a/src/stats/tests.rs
+++ b/src/stats/tests.rs
@@ -3,7 +3,8 @@
 use super::{balance_shares, exponential, safe_mean, FallingRamp, PidGains, Share, VelocityPid};
 use super::{Backoff, ConnectionUse, DecayingAverage, Ewma, FleetLatency, RatioBudget};
 use super::{RecentValues, TimeWindow, TokenBucket};
-use crate::interface::{Class, ClassId, Effect, Nanos, Settings};
+use crate::interface::{Class, ClassId, Nanos, Settings};
+use crate::test_fixtures;
 use std::collections::BTreeMap;
 
 const SECOND: Nanos = 1_000_000_000;
@@ -140,18 +141,10 @@
 
 fn class(objective: Nanos) -> Class {
     Class {
-        name: String::new(),
-        active: true,
         latency_objective: objective,
-        objective_stretch: 0.0,
         deadline: 2 * objective,
-        effect: Effect::Idempotent,
-        priority_weight: 1.0,
-        late_weight: 0.0,
-        required_share: 1.0,
-        min_share: 1.0,
-        follow_up_parts: 0,
         max_attempts: 1,
+        ..test_fixtures::class("")
     }
 }
 
--- a/src/coordinator/test_fixtures.rs
+++ b/src/test_fixtures.rs
@@ -1,9 +1,9 @@
-//! Values for the unit tests of the coordinator.
+//! Values for unit tests of several modules.
 
 use crate::interface::{Class, Effect};
 
 /// An idempotent class of this name.
-pub(super) fn class(name: &str) -> Class {
+pub(crate) fn class(name: &str) -> Class {
     Class {
         name: name.to_owned(),
         active: true,
