--- a/tests/races.rs
+++ b/tests/races.rs
@@ -14,9 +14,16 @@
 use standin::http::bind_loopback;
 use standin::process::Process;
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
 
+/// Two data nodes that answer every part, and their addresses.
+fn two_serving_nodes() -> ([DataNode; 2], [SocketAddr; 2]) {
+    let nodes = [DataNode::serving(), DataNode::serving()];
+    let addresses = nodes.each_ref().map(|node| node.address);
+    (nodes, addresses)
+}
+
 /// Asserts that queries of these shards are answered, and that a node has received no part beyond the first ones.
 fn assert_draining(process: &Process, node: &DataNode, shards: &[u32], received_before: usize) {
     for n in 0..6 {
@@ -153,8 +160,7 @@
 
 #[test]
 fn a_silent_or_reset_watch_is_reopened_and_its_missed_events_are_applied() {
-    let nodes = [DataNode::serving(), DataNode::serving()];
-    let addresses = nodes.each_ref().map(|n| n.address);
+    let (nodes, addresses) = two_serving_nodes();
     for silent in [true, false] {
         let agent = ControlledDiscovery::new();
         let (edge, first) =
@@ -186,8 +192,7 @@
 
 #[test]
 fn a_silent_discovery_agent_is_polled_again_and_its_recovery_is_noticed() {
-    let nodes = [DataNode::serving(), DataNode::serving()];
-    let addresses = nodes.each_ref().map(|n| n.address);
+    let (nodes, addresses) = two_serving_nodes();
     let agent = ControlledDiscovery::new();
     let edge = Deployment::ALL_EFFECTS.start_with_discovery("agent", agent.address(), &addresses);
     let started_at = std::time::Instant::now();
@@ -206,8 +211,7 @@
 
 #[test]
 fn an_older_endpoint_list_does_not_undo_a_drain() {
-    let nodes = [DataNode::serving(), DataNode::serving()];
-    let addresses = nodes.each_ref().map(|n| n.address);
+    let (nodes, addresses) = two_serving_nodes();
     let agent = ControlledDiscovery::new();
     let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("back", &agent, &addresses);
     watch.send(&endpoint_list(7, false, &[terminating(0, addresses[0])]));
@@ -225,8 +229,7 @@
 #[test]
 fn a_new_discovery_address_applies_during_the_backoff_of_a_watch() {
     // Regression: where lists are polled the backoff is up to must-ask-in, here 600 s, and a SIGHUP took effect after it.
-    let nodes = [DataNode::serving(), DataNode::serving()];
-    let addresses = nodes.each_ref().map(|n| n.address);
+    let (nodes, addresses) = two_serving_nodes();
     let (old, new) = (ControlledDiscovery::new(), ControlledDiscovery::new());
     let edge = Deployment { push_discovery: false, ..Deployment::ALL_EFFECTS }.start_with_discovery(
         "moved",
@@ -479,8 +482,7 @@
 
 #[test]
 fn an_idle_server_connection_is_closed_before_its_node_may_close_it() {
-    let nodes = [DataNode::serving(), DataNode::serving()];
-    let addresses = nodes.each_ref().map(|n| n.address);
+    let (nodes, addresses) = two_serving_nodes();
     let agent = ControlledDiscovery::new();
     let site = Deployment { idle_timeout_ms: Some(600), ..Deployment::ALL_EFFECTS };
     let (edge, _watch) = site.start_controlled("idle", &agent, &addresses);
