--- a/tests/races.rs
+++ b/tests/races.rs
@@ -24,6 +24,12 @@
     (nodes, addresses)
 }
 
+/// Sends four queries whose parts must not run twice, each on a connection of its own.
+fn send_non_idempotent_queries(process: &Process) -> Vec<TcpStream> {
+    let query = |n| query_request(&format!("q{n}"), "once", &[0, 1, 2, 3], "Connection: close\r\n");
+    (0..4).map(|n| send_request(process, &query(n))).collect()
+}
+
 /// Asserts that queries of these shards are answered, and that a node has received no part beyond the first ones.
 fn assert_draining(process: &Process, node: &DataNode, shards: &[u32], received_before: usize) {
     for n in 0..6 {
@@ -135,14 +141,7 @@
         let agent = ControlledDiscovery::new();
         let site = Deployment { max_batch, ..Deployment::ALL_EFFECTS };
         let (edge, mut watch) = site.start_controlled(&format!("drain-dial-{max_batch}"), &agent, &addresses);
-        let clients: Vec<_> = (0..4)
-            .map(|n| {
-                send_request(
-                    &edge,
-                    &query_request(&format!("q{n}"), "once", &[0, 1, 2, 3], "Connection: close\r\n"),
-                )
-            })
-            .collect();
+        let clients = send_non_idempotent_queries(&edge);
         edge.wait_for_counter("dials", 2);
         edge.wait_for_counter("queries_accepted", 4);
         watch.send(&endpoint_list(2, false, &[terminating(0, addresses[0])]));
@@ -335,14 +334,7 @@
     let site = Deployment { connect_timeout_ms: Some(150), ..Deployment::ALL_EFFECTS };
     let (edge, _watch) =
         site.start_controlled("late-dial", &agent, &[unreachable.address(), healthy.address]);
-    let clients: Vec<_> = (0..4)
-        .map(|n| {
-            send_request(
-                &edge,
-                &query_request(&format!("q{n}"), "once", &[0, 1, 2, 3], "Connection: close\r\n"),
-            )
-        })
-        .collect();
+    let clients = send_non_idempotent_queries(&edge);
     for client in clients {
         assert!(read_until_close(client).starts_with("HTTP/1.1 200"), "not sent there, so it may be retried");
     }
