Drop the features of a shard that a partial response passes as missing

Callers of a class with partial answers saw 200 with `missing: ["s"]` beside the first pages of s.

Cause: ConcatMerge::pass_missing_shard advanced past the shard and kept the features appended since its start. It came when a restarted shard broke again, when its class is not idempotent, and when an earlier response had started the shard.

Now the response is cut back to its length before the shard. A response that continues a shard ends before the missing page, with a link to it, so that the next one tries again and reports the shard.

new_links_without_new_features_end_a_shard asserted one feature of the shard that it called missing, the very fault; it asserts none now and is as strict.

--- a/src/front/ogc/paging/concat_merge.rs
+++ b/src/front/ogc/paging/concat_merge.rs
@@ -20,9 +20,9 @@
 use super::progress::MergeProgress;
 use crate::coordinator::check_invariant;
 use current_shard::CurrentShard;
-use features::{FeaturesCheckpoint, ResponseFeatures};
+use features::ResponseFeatures;
 pub use limits::PagingLimits;
-use shard_state::{RequestedPage, ShardState};
+use shard_state::{RequestedPage, ShardLoss, ShardState};
 use std::sync::Arc;
 use usage::FetchUsage;
 
@@ -72,7 +72,7 @@
             position: start.clone(),
             shards: (0..shards).map(|_| ShardState::default()).collect(),
             features: ResponseFeatures::default(),
-            current_shard: CurrentShard::new(at_shard_start.then(FeaturesCheckpoint::default)),
+            current_shard: CurrentShard::new(!at_shard_start),
             usage: FetchUsage::default(),
             lookahead: fetch_planning::INITIAL_LOOKAHEAD,
             interrupted: None,
@@ -107,7 +107,7 @@
             return Some(MergeProgress::Complete);
         }
         let shard = self.position.shard;
-        if self.shards[shard].missing {
+        if self.shards[shard].is_missing() {
             return self.pass_missing_shard();
         }
         let Some(requested) = self.shards[shard].unused_page.take() else {
@@ -125,9 +125,8 @@
         if self.restart_shard() {
             return Some(MergeProgress::NeedsPages);
         }
-        if self.limits.min_shard_share >= 1.0 {
-            // The features before the missing shard are a valid response, whose next link leads to
-            // that shard.
+        if self.ends_at_missing_shard() {
+            // The features so far are a valid response, whose next link leads to the missing page.
             let empty = self.features.count() == 0;
             return Some(if empty {
                 MergeProgress::Failed
@@ -135,10 +134,26 @@
                 MergeProgress::Complete
             });
         }
+        // A response has none of the features of a shard that it reports as missing.
+        self.features.truncate(self.current_shard.checkpoint());
         self.advance_shard();
         None
     }
 
+    /// Returns whether the response ends before the missing shard at the current position instead
+    /// of passing over it: if no shard may be missing, or if the response continues the shard and
+    /// has features of it, to which the next response can add the missing page.
+    fn ends_at_missing_shard(&self) -> bool {
+        if self.limits.min_shard_share >= 1.0 {
+            return true;
+        }
+        let loss = self.shards[self.position.shard].loss;
+        let has_features = self
+            .features
+            .has_grown_since(self.current_shard.checkpoint());
+        loss == Some(ShardLoss::PageNotFetched) && self.current_shard.is_resumed() && has_features
+    }
+
     /// Discards the first page of a shard that was fetched ahead, if the page is too small for the
     /// features still needed; this response or the next restarts the shard with larger pages.
     /// Returns the progress if the page was discarded. Shards whose parts are not idempotent
@@ -189,7 +204,7 @@
         self.shards[shard].used_features += appended.new_features as u64;
         if appended.end > skip && appended.new_features == 0 && page.next_target.is_some() {
             // Pages without a new feature might never end.
-            self.shards[shard].missing = true;
+            self.shards[shard].loss = Some(ShardLoss::LinksDoNotEnd);
             return None;
         }
         if appended.end < page.features.len() {
@@ -213,7 +228,7 @@
         };
         let shard = self.position.shard;
         if !self.current_shard.follow_link(shard, page) {
-            self.shards[shard].missing = true;
+            self.shards[shard].loss = Some(ShardLoss::LinksDoNotEnd);
             return false;
         }
         self.position.location = next;
@@ -236,11 +251,10 @@
     /// restarts one shard at most, and only if no earlier response returned a feature of the shard.
     /// Returns whether the shard was restarted.
     fn restart_shard(&mut self) -> bool {
-        let may_restart = self.limits.idempotent && self.interrupted.is_none();
-        let checkpoint = self.current_shard.checkpoint();
-        let Some(checkpoint) = checkpoint.filter(|_| may_restart) else {
+        let resumed = self.current_shard.is_resumed();
+        if resumed || !self.limits.idempotent || self.interrupted.is_some() {
             return false;
-        };
+        }
         let PageLocation::NextLink { server, .. } = &self.position.location else {
             return false;
         };
@@ -249,7 +263,7 @@
             shard,
             server: server.clone(),
         });
-        self.features.truncate(checkpoint);
+        self.features.truncate(self.current_shard.checkpoint());
         self.current_shard.restart();
         self.shards[shard] = ShardState::default();
         self.position = ResumePosition::shard_start(shard);
--- a/src/front/ogc/paging/concat_merge/current_shard.rs
+++ b/src/front/ogc/paging/concat_merge/current_shard.rs
@@ -13,26 +13,29 @@
     /// The hashes of the links followed, in this shard and in those before.
     followed_links: HashSet<u64>,
     hasher: RandomState,
-    /// The length of the response at the start of the shard; `None` if an earlier response
-    /// started the shard.
-    checkpoint: Option<FeaturesCheckpoint>,
+    /// Whether an earlier response started the shard.
+    resumed: bool,
+    /// The length of the response before its first feature of the shard.
+    checkpoint: FeaturesCheckpoint,
 }
 
 impl CurrentShard {
-    /// Creates the progress in the first shard of a response. `checkpoint` is `None` if an earlier
+    /// Creates the progress in the first shard of a response. `resumed` is whether an earlier
     /// response started the shard.
-    pub fn new(checkpoint: Option<FeaturesCheckpoint>) -> Self {
+    pub fn new(resumed: bool) -> Self {
         CurrentShard {
             seen_ids: HashSet::new(),
             followed_links: HashSet::new(),
             hasher: RandomState::new(),
-            checkpoint,
+            resumed,
+            checkpoint: FeaturesCheckpoint::default(),
         }
     }
 
     /// Moves to the next shard.
     pub fn advance(&mut self, checkpoint: FeaturesCheckpoint) {
-        self.checkpoint = Some(checkpoint);
+        self.resumed = false;
+        self.checkpoint = checkpoint;
         self.seen_ids.clear();
     }
 
@@ -42,9 +45,13 @@
         self.followed_links.clear();
     }
 
-    /// Returns the length of the response at the start of the shard; `None` if an earlier response
-    /// started the shard.
-    pub fn checkpoint(&self) -> Option<FeaturesCheckpoint> {
+    /// Returns whether an earlier response started the shard.
+    pub fn is_resumed(&self) -> bool {
+        self.resumed
+    }
+
+    /// Returns the length of the response before its first feature of the shard.
+    pub fn checkpoint(&self) -> FeaturesCheckpoint {
         self.checkpoint
     }
 
--- a/src/front/ogc/paging/concat_merge/features.rs
+++ b/src/front/ogc/paging/concat_merge/features.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns whether the response has features since a checkpoint.
+    pub fn has_grown_since(&self, checkpoint: FeaturesCheckpoint) -> bool {
+        self.count > checkpoint.count
+    }
+
     /// Removes the features appended since a checkpoint.
     pub fn truncate(&mut self, checkpoint: FeaturesCheckpoint) {
         self.slices.truncate(checkpoint.slices);
--- a/src/front/ogc/paging/concat_merge/fetch_planning.rs
+++ b/src/front/ogc/paging/concat_merge/fetch_planning.rs
@@ -70,7 +70,7 @@
         let mut unknown_shards = 0;
         for shard in current..self.shards.len() {
             let state = &self.shards[shard];
-            if shard > current && state.unused_page.is_none() && !state.missing {
+            if shard > current && state.unused_page.is_none() && !state.is_missing() {
                 let page_size = self.limits.initial_page_size(remaining.max(1) as usize);
                 fetches.push(PageFetch::shard_start(shard, page_size));
             }
--- a/src/front/ogc/paging/concat_merge/result.rs
+++ b/src/front/ogc/paging/concat_merge/result.rs
@@ -35,7 +35,7 @@
     /// passed or requested.
     #[must_use]
     pub fn missing_shards(&self) -> Vec<usize> {
-        missing_indexes(self.shards.iter().map(|state| state.missing))
+        missing_indexes(self.shards.iter().map(|state| state.is_missing()))
     }
 
     /// Returns whether the response has the minimum share of the shards. Missing shards that the
--- a/src/front/ogc/paging/concat_merge/shard_state.rs
+++ b/src/front/ogc/paging/concat_merge/shard_state.rs
@@ -12,6 +12,15 @@
     pub page_size: usize,
 }
 
+/// The reason why a part of a shard's features is missing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ShardLoss {
+    /// No server returned a page.
+    PageNotFetched,
+    /// The links lead to pages that were used before, or to features that were.
+    LinksDoNotEnd,
+}
+
 /// The state of a shard while a response is built.
 #[derive(Debug, Default)]
 pub(super) struct ShardState {
@@ -21,8 +30,8 @@
     pub number_matched: Option<u64>,
     /// Whether the server reported different numbers of matching features.
     pub inconsistent_count: bool,
-    /// Whether the shard's pages could not be fetched, or did not end.
-    pub missing: bool,
+    /// The reason why the shard is missing; `None` if it is not.
+    pub loss: Option<ShardLoss>,
     /// The number of the shard's features that the response uses.
     pub used_features: u64,
 }
@@ -31,7 +40,7 @@
     /// Records a page, or that no server returned it.
     pub fn receive(&mut self, fetched: FetchedPage) {
         let Some(page) = fetched.page else {
-            self.missing = true;
+            self.loss = Some(ShardLoss::PageNotFetched);
             return;
         };
         let reported = page.number_matched;
@@ -44,10 +53,15 @@
         });
     }
 
+    /// Returns whether a part of the shard's features is missing.
+    pub fn is_missing(&self) -> bool {
+        self.loss.is_some()
+    }
+
     /// Returns the number of the shard's features that match, if it is known. `passed` is whether
     /// the response has used all of the shard's pages.
     pub fn total(&self, passed: bool) -> Option<u64> {
-        if self.inconsistent_count || self.missing {
+        if self.inconsistent_count || self.is_missing() {
             return None;
         }
         self.number_matched.or(passed.then_some(self.used_features))
--- a/src/front/ogc/paging/concat_merge/tests.rs
+++ b/src/front/ogc/paging/concat_merge/tests.rs
@@ -3,6 +3,7 @@
 mod model;
 
 use super::*;
+use crate::front::ogc::paging::PageSlice;
 use model::{id, model, Model};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -238,7 +239,7 @@
     );
     assert_eq!(
         (merge.count(), merge.is_complete(), merge.missing_shards()),
-        (1, false, vec![0])
+        (0, false, vec![0])
     );
 }
 
@@ -277,6 +278,129 @@
     assert_eq!(merge.count(), 500);
 }
 
+/// Guards against features of a shard in the response that reports it as missing, where the class
+/// does not allow the shard to be restarted.
+#[test]
+fn an_interrupted_shard_that_is_missing_contributes_no_features_unless_idempotent() {
+    let mut servers = model(&[700, 10]);
+    let limits = PagingLimits {
+        idempotent: false,
+        min_shard_share: 0.5,
+        ..limits(1_000)
+    };
+    let mut merge = ConcatMerge::new(limits, ResumePosition::START, 2);
+
+    let progress = servers.round(&mut merge, |_| true);
+    assert_eq!(progress, MergeProgress::NeedsPages);
+    let progress = servers.round(&mut merge, |_| false);
+    assert_eq!(progress, MergeProgress::Complete);
+    assert_eq!((merge.count(), merge.missing_shards()), (10, vec![0]));
+}
+
+/// Guards against the same in a response that continues a shard: it ends before the missing page,
+/// and the next response reports the shard.
+#[test]
+fn a_resumed_shard_that_is_interrupted_is_missing_from_the_next_response() {
+    let mut servers = model(&[700, 10]);
+    let limits = PagingLimits {
+        min_shard_share: 0.5,
+        ..limits(200)
+    };
+    let first = servers.response(limits, ResumePosition::START);
+    let resume = first.resume_position().expect("more features").clone();
+
+    let long = PagingLimits {
+        limit: 400,
+        ..limits
+    };
+    let mut second = ConcatMerge::new(long, resume, 2);
+    let progress = servers.round(&mut second, |_| true);
+    assert_eq!(progress, MergeProgress::NeedsPages);
+    let progress = servers.round(&mut second, |_| false);
+    assert_eq!(progress, MergeProgress::Complete);
+    assert_eq!((second.count(), second.is_complete()), (200, true));
+
+    let resume = second.resume_position().expect("more features").clone();
+    let mut third = ConcatMerge::new(limits, resume, 2);
+    while servers.round(&mut third, |fetch| fetch.shard != 0) == MergeProgress::NeedsPages {}
+    assert_eq!((third.count(), third.is_complete()), (10, false));
+    assert_eq!(third.missing_shards(), [0]);
+}
+
+/// Asserts that a response has no features of the shards that it passed as missing. Returns its
+/// features.
+fn features_without_missing_shards(merge: &ConcatMerge) -> Vec<u64> {
+    let end = merge.resume_position().map_or(usize::MAX, |at| at.shard);
+    let passed = |shard: &usize| *shard < end;
+    let missing: Vec<usize> = merge.missing_shards().into_iter().filter(passed).collect();
+    let texts = merge.slices().iter().flat_map(PageSlice::texts);
+    let features: Vec<u64> = texts.map(|text| id(text) - 1).collect();
+    let shard_of = |feature: &u64| (*feature / 1_000_000) as usize;
+    assert!(
+        features
+            .iter()
+            .map(shard_of)
+            .all(|shard| !missing.contains(&shard)),
+        "{missing:?}: {features:?}"
+    );
+    features
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(500)
+    })]
+
+    /// Guards against features of a shard that is reported as missing, whichever pages fail.
+    #[test]
+    fn missing_shards_contribute_no_features(
+        shards in proptest::collection::vec(0_usize..60, 1..6),
+        limit in 1_usize..80,
+        page_size in 1_usize..30,
+        idempotent: bool,
+        failures in proptest::collection::vec(proptest::bool::weighted(0.3), 60),
+    ) {
+        let mut servers = model(&shards);
+        let limits = PagingLimits {
+            page_size,
+            idempotent,
+            min_shard_share: 0.0,
+            ..limits(limit)
+        };
+        let mut failures = failures.into_iter();
+        let mut returned = Vec::new();
+        let mut missing = HashSet::new();
+        let mut at = Some(ResumePosition::START);
+        while let Some(start) = at {
+            let mut merge = ConcatMerge::new(limits, start, shards.len());
+            loop {
+                let fetches = merge.next_fetches();
+                let pages = fetches.iter().map(|fetch| {
+                    let fails = failures.next().unwrap_or(false);
+                    fetch.fetched((!fails).then(|| servers.page(fetch)))
+                });
+                match merge.accept(pages.collect(), id) {
+                    MergeProgress::NeedsPages => {}
+                    progress => {
+                        prop_assert_eq!(progress, MergeProgress::Complete);
+                        break;
+                    }
+                }
+            }
+            returned.extend(features_without_missing_shards(&merge));
+            let end = merge.resume_position().map_or(usize::MAX, |at| at.shard);
+            missing.extend(merge.missing_shards().into_iter().filter(|shard| *shard < end));
+            at = merge.resume_position().cloned();
+        }
+        let is_whole = |feature: &u64| !missing.contains(&((*feature / 1_000_000) as usize));
+        let whole: Vec<u64> = returned.iter().copied().filter(is_whole).collect();
+        let expected: Vec<u64> = expected(&shards).into_iter().filter(is_whole).collect();
+        prop_assert_eq!(whole, expected);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(3),
