--- a/src/front/ogc/paging/concat_merge/result.rs
+++ b/src/front/ogc/paging/concat_merge/result.rs
@@ -3,6 +3,7 @@
 
 use super::super::page::{PageSlice, ResumePosition};
 use super::super::progress::{has_min_share, missing_indexes};
+use super::shard_state::ShardState;
 use super::{ConcatMerge, InterruptedShard};
 
 impl ConcatMerge {
@@ -35,7 +36,7 @@
     /// passed or requested.
     #[must_use]
     pub fn missing_shards(&self) -> Vec<usize> {
-        missing_indexes(self.shards.iter().map(|state| state.is_missing()))
+        missing_indexes(self.shards.iter().map(ShardState::is_missing))
     }
 
     /// Returns whether the response has the minimum share of the shards. Missing shards that the
