Drop the features of a missing shard from sorted responses too

Callers of a class with partial answers who sort saw features of a shard that the response called missing, and features of other shards were displaced by them.

Cause: SortedMerge::accept marked the shard as missing and kept its features selected; the features that these had pushed beyond the limit were forgotten but for a flag.

Change: the features of a missing shard are removed. The merge remembers the first feature that it dropped: nothing at or after it is selected, so the response has no gap and the next link leads to it. If nothing is left before it, the other shards are read again (classes that are not idempotent get the error instead).

Evidence: with the removal taken out, a_shard_that_is_missing_contributes_no_features and the property test missing_shards_contribute_no_features (500 cases with failing pages) fail; both pass with it, as do the three tests of sorted merges that were there.

--- a/src/front/ogc/paging/sorted_merge.rs
+++ b/src/front/ogc/paging/sorted_merge.rs
@@ -29,6 +29,9 @@
     pub max_pages: usize,
     /// The minimum share of the shards, between 0 and 1, for a response.
     pub min_shard_share: f64,
+    /// Whether a part of the query may run more than once. If so, shards may be read again after
+    /// another one is lost.
+    pub idempotent: bool,
     /// The values of the last feature of the response before, its identifier last; `None` in the
     /// first response.
     pub after_values: Option<Vec<Json>>,
@@ -62,6 +65,12 @@
         self.location = None;
     }
 
+    /// Moves back to the start of the shard.
+    fn restart(&mut self) {
+        self.location = Some(PageLocation::ShardStart);
+        self.last_seen = None;
+    }
+
     /// Moves to the next page. Marks the shard as missing if the link leads to its own page, since
     /// such pages never end.
     fn move_to(&mut self, next: Option<PageLocation>) {
@@ -89,14 +98,17 @@
     /// The number of pages that may still be fetched.
     pages_left: usize,
     min_shard_share: f64,
+    /// Whether a part of the query may run more than once.
+    idempotent: bool,
     /// The position after which the response starts; `None` in the first response.
     after: Option<SortValues>,
     /// The state of each shard, by its index.
     shards: Vec<ShardState>,
     /// The first features in the order so far, at most `limit`.
     selected: BTreeMap<SortValues, Arc<[u8]>>,
-    /// Whether features after the selected ones were dropped.
-    dropped: bool,
+    /// The first in the order of the features that were dropped, which come after all selected
+    /// ones; `None` if there is none.
+    first_dropped: Option<SortValues>,
 }
 
 impl SortedMerge {
@@ -120,12 +132,13 @@
             page_size: query.page_size,
             pages_left: query.max_pages,
             min_shard_share: query.min_shard_share,
+            idempotent: query.idempotent,
             shards: sorted_shards
                 .iter()
                 .map(|sorted| ShardState::new(*sorted))
                 .collect(),
             selected: BTreeMap::new(),
-            dropped: false,
+            first_dropped: None,
         }
     }
 
@@ -163,16 +176,26 @@
         if state.location.is_none() {
             return false;
         }
-        let full = self.selected.len() >= self.limit;
-        !(full && state.sorted && self.is_beyond_selected(state))
+        !(state.sorted && self.is_beyond_selected(state))
     }
 
-    /// Returns whether the last feature seen of a shard comes after all selected features, or is
-    /// the last of them.
+    /// Returns whether no feature can be selected after the last one seen of a shard.
     fn is_beyond_selected(&self, state: &ShardState) -> bool {
-        let last_selected = self.selected.last_key_value();
-        let compared = state.last_seen.as_ref().zip(last_selected);
-        compared.is_some_and(|(seen, (selected, _))| seen >= selected)
+        let Some(seen) = &state.last_seen else {
+            return false;
+        };
+        let after_dropped = self
+            .first_dropped
+            .as_ref()
+            .is_some_and(|first| seen >= first);
+        after_dropped || self.last_if_full().is_some_and(|last| seen >= last)
+    }
+
+    /// Returns the last selected feature if the response has no room for a further one.
+    fn last_if_full(&self) -> Option<&SortValues> {
+        let full = self.selected.len() >= self.limit;
+        let last = self.selected.last_key_value().filter(|_| full);
+        last.map(|(values, _)| values)
     }
 
     /// Accepts the pages of a round.
@@ -184,7 +207,8 @@
                 Some(page) => self.accept_page(fetched.shard, &page),
             }
         }
-        if self.has_too_few_shards() {
+        self.remove_missing_shards();
+        if self.has_too_few_shards() || !self.has_first_feature() {
             return MergeProgress::Failed;
         }
         match self.shards.iter().any(|state| self.can_contribute(state)) {
@@ -202,6 +226,27 @@
         self.shards[shard].move_to(page.next_location());
     }
 
+    /// Removes the selected features of missing shards: a response has none of the features of a
+    /// shard that it reports as missing. If no feature is left of the others, although some were
+    /// dropped, their shards are read again.
+    fn remove_missing_shards(&mut self) {
+        let shards = &self.shards;
+        self.selected
+            .retain(|values, _| !shards[values.shard].missing);
+        if self.has_first_feature() || !self.idempotent {
+            return;
+        }
+        self.first_dropped = None;
+        let left = self.shards.iter_mut().filter(|state| !state.missing);
+        left.for_each(ShardState::restart);
+    }
+
+    /// Returns whether the first features are still selected: a response cannot start with those
+    /// that were dropped.
+    fn has_first_feature(&self) -> bool {
+        self.first_dropped.is_none() || !self.selected.is_empty()
+    }
+
     /// Returns whether less than the minimum share of the shards is left.
     fn has_too_few_shards(&self) -> bool {
         let missing = self.shards.iter().filter(|state| state.missing).count();
@@ -218,20 +263,17 @@
         if self.after.as_ref().is_some_and(|after| values <= *after) {
             return;
         }
-        let full = self.selected.len() >= self.limit;
-        if full
-            && self
-                .selected
-                .last_key_value()
-                .is_some_and(|(last, _)| values > *last)
-        {
-            self.dropped = true;
+        let dropped = self.first_dropped.as_ref();
+        if dropped.is_some_and(|dropped| values >= *dropped) {
+            return;
+        }
+        if self.last_if_full().is_some_and(|last| values > *last) {
+            self.first_dropped = Some(values);
             return;
         }
         self.selected.insert(values, feature.into());
         if self.selected.len() > self.limit {
-            self.selected.pop_last();
-            self.dropped = true;
+            self.first_dropped = self.selected.pop_last().map(|(values, _)| values);
         }
     }
 
@@ -251,7 +293,8 @@
     /// Returns the values after which the next response starts; `None` if no feature follows.
     #[must_use]
     pub fn resume_after(&self) -> Option<Vec<Json>> {
-        let more_follows = self.dropped || self.shards.iter().any(|state| state.location.is_some());
+        let more_follows = self.first_dropped.is_some()
+            || self.shards.iter().any(|state| state.location.is_some());
         let last = self.selected.last_key_value().filter(|_| more_follows);
         last.map(|(values, _)| values.values.clone())
     }
--- a/src/front/ogc/paging/sorted_merge/tests.rs
+++ b/src/front/ogc/paging/sorted_merge/tests.rs
@@ -46,6 +46,7 @@
         page_size,
         max_pages,
         min_shard_share,
+        idempotent: true,
         after_values: None,
     }
 }
@@ -118,6 +119,25 @@
     }
 }
 
+/// Serves the rounds of a response until it ends; the next of `failures` is whether a page fails,
+/// and none fails after the last.
+fn complete_with_failures(
+    merge: &mut SortedMerge,
+    shards: &[Vec<ModelFeature>],
+    failures: &mut impl Iterator<Item = bool>,
+) -> MergeProgress {
+    loop {
+        let pages = merge.next_fetches().into_iter().map(|fetch| {
+            let fails = failures.next().unwrap_or(false);
+            fetch.fetched((!fails).then(|| Arc::new(serve(&shards[fetch.shard], &fetch))))
+        });
+        match merge.accept(pages.collect()) {
+            MergeProgress::NeedsPages => {}
+            progress => return progress,
+        }
+    }
+}
+
 /// Follows the responses to the end.
 fn run(shards: &[Vec<ModelFeature>], sorted: &[bool], query: &SortedQuery) -> Run {
     let mut run = Run {
@@ -143,12 +163,28 @@
     }
 }
 
-fn sorted_ids(shards: &[Vec<ModelFeature>], descending: bool) -> Vec<usize> {
+fn sorted_features(shards: &[Vec<ModelFeature>], descending: bool) -> Vec<ModelFeature> {
     let mut all: Vec<_> = shards.concat();
     all.sort_by_key(|feature| feature.sort_key(descending));
+    all
+}
+
+fn sorted_ids(shards: &[Vec<ModelFeature>], descending: bool) -> Vec<usize> {
+    let all = sorted_features(shards, descending);
     all.into_iter().map(|feature| feature.id).collect()
 }
 
+/// Returns shards of features with these keys, numbered from 1 on.
+fn shards_with(keys: Vec<Vec<Option<i64>>>) -> Vec<Vec<ModelFeature>> {
+    let mut id = 0;
+    let mut feature = |key| {
+        id += 1;
+        ModelFeature { key, id }
+    };
+    let shard = |keys: Vec<Option<i64>>| keys.into_iter().map(&mut feature).collect();
+    keys.into_iter().map(shard).collect()
+}
+
 /// Returns a strategy for the keys of a shard's features; some features have none.
 fn shard_keys() -> impl Strategy<Value = Vec<Option<i64>>> {
     proptest::collection::vec(proptest::option::weighted(0.9, -5_i64..5), 0..40)
@@ -169,13 +205,7 @@
         descending: bool,
         sorted in proptest::collection::vec(any::<bool>(), 5),
     ) {
-        let mut id = 0;
-        let mut feature = |key| {
-            id += 1;
-            ModelFeature { key, id }
-        };
-        let mut shards: Vec<Vec<_>> =
-            keys.into_iter().map(|keys| keys.into_iter().map(&mut feature).collect()).collect();
+        let mut shards = shards_with(keys);
         for (shard, _) in shards.iter_mut().zip(&sorted).filter(|(_, sorted)| **sorted) {
             shard.sort_by_key(|feature: &ModelFeature| feature.sort_key(descending));
         }
@@ -186,6 +216,93 @@
     }
 }
 
+/// Guards against features of a shard that is reported as missing, where they displaced those of
+/// another shard.
+#[test]
+fn a_shard_that_is_missing_contributes_no_features() {
+    let features = |keys: &[i64], next| page(next, keys);
+    let mut merge = SortedMerge::new(query(2, 2, 10, 0.5), &[false, false]);
+    let first_pages = vec![
+        fetched(0, 2, features(&[1, 2], Some("a"))),
+        fetched(1, 2, features(&[3, 4], None)),
+    ];
+    assert_eq!(merge.accept(first_pages), MergeProgress::NeedsPages);
+    let progress = merge.accept(vec![fetched(0, 2, None)]);
+    assert_eq!(progress, MergeProgress::NeedsPages, "shard 1 is read again");
+    let fetches = merge.next_fetches();
+    assert_eq!((fetches.len(), fetches[0].shard), (1, 1));
+    let progress = merge.accept(vec![fetched(1, 2, features(&[3, 4], None))]);
+    assert_eq!(progress, MergeProgress::Complete);
+    assert_eq!(merge.missing_shards(), [0]);
+    assert_eq!(sort_keys(&merge.to_page()), [3, 4]);
+    assert_eq!(merge.resume_after(), None);
+}
+
+/// Returns the sort keys of a page's features.
+fn sort_keys(page: &FeaturePage) -> Vec<i64> {
+    let key = |range: &std::ops::Range<usize>| {
+        let json: Json = serde_json::from_slice(&page.body[range.clone()]).expect("JSON");
+        json["properties"]["k"].as_i64().expect("a key")
+    };
+    page.features.iter().map(key).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(500)
+    })]
+
+    /// Guards against features of a shard that is reported as missing, and against gaps in the
+    /// features of the others.
+    #[test]
+    fn missing_shards_contribute_no_features(
+        keys in proptest::collection::vec(shard_keys(), 1..5),
+        limit in 1_usize..30,
+        page_size in 1_usize..20,
+        idempotent: bool,
+        sorted in proptest::collection::vec(any::<bool>(), 5),
+        failures in proptest::collection::vec(proptest::bool::weighted(0.2), 40),
+    ) {
+        let mut shards = shards_with(keys);
+        for (shard, _) in shards.iter_mut().zip(&sorted).filter(|(_, sorted)| **sorted) {
+            shard.sort_by_key(|feature: &ModelFeature| feature.sort_key(false));
+        }
+        let mut failures = failures.into_iter();
+        let mut after_values = None;
+        let mut last_returned = None;
+        loop {
+            let query = SortedQuery { idempotent, after_values, ..query(limit, page_size, 100_000, 0.0) };
+            let mut merge = SortedMerge::new(query, &sorted[..shards.len()]);
+            let progress = complete_with_failures(&mut merge, &shards, &mut failures);
+            if progress == MergeProgress::Failed {
+                prop_assert!(!idempotent, "the other shards can be read again");
+                break;
+            }
+            let missing = merge.missing_shards();
+            let left: Vec<Vec<ModelFeature>> = shards.iter().enumerate()
+                .filter(|(shard, _)| !missing.contains(shard))
+                .map(|(_, features)| features.clone())
+                .collect();
+            let all = sorted_features(&left, false);
+            let follows = |feature: &&ModelFeature| last_returned < Some(feature.sort_key(false));
+            let expected: Vec<usize> = all.iter().filter(follows).map(|feature| feature.id).collect();
+            let returned = ids(&merge.to_page());
+            prop_assert!(returned.len() <= limit);
+            prop_assert_eq!(&returned[..], &expected[..returned.len()]);
+            let Some(values) = merge.resume_after() else {
+                prop_assert_eq!(returned, expected);
+                break;
+            };
+            let last = returned.last().expect("a response that continues has features");
+            let last = all.iter().find(|feature| feature.id == *last).expect("a feature");
+            last_returned = Some(last.sort_key(false));
+            after_values = Some(values);
+        }
+    }
+}
+
 #[test]
 fn sorted_shards_are_read_no_further_than_needed() {
     let feature = |shard: usize, n: usize| ModelFeature {
--- a/src/front/ogc/query/merge.rs
+++ b/src/front/ogc/query/merge.rs
@@ -19,7 +19,7 @@
     /// A merge without a sort order.
     Concat(Box<ConcatMerge>),
     /// A merge with a sort order.
-    Sorted(SortedMerge),
+    Sorted(Box<SortedMerge>),
 }
 
 /// The result of a merge.
@@ -71,6 +71,7 @@
         plans: &[ShardPlan],
         start: &ResponseStart,
     ) -> Self {
+        let idempotent = class.effect != UNSAFE_EFFECT;
         if params.sortby.is_empty() {
             let limits = PagingLimits {
                 limit: params.limit,
@@ -80,7 +81,7 @@
                 max_bytes: edge.max_bytes,
                 filtered_locally: plans.iter().any(|plan| plan.predicate.is_some()),
                 min_shard_share: class.min_share,
-                idempotent: class.effect != UNSAFE_EFFECT,
+                idempotent,
             };
             let start = start.position();
             return Merge::Concat(Box::new(ConcatMerge::new(limits, start, plans.len())));
@@ -91,10 +92,11 @@
             page_size: edge.page_size,
             max_pages: edge.max_pages,
             min_shard_share: class.min_share,
+            idempotent,
             after_values: start.after_values().map(<[Json]>::to_vec),
         };
         let sorted: Vec<bool> = plans.iter().map(|plan| plan.sorted).collect();
-        Merge::Sorted(SortedMerge::new(query, &sorted))
+        Merge::Sorted(Box::new(SortedMerge::new(query, &sorted)))
     }
 
     /// Returns the pages to fetch next.
