--- a/testkit/benches/front.rs
+++ b/testkit/benches/front.rs
@@ -114,6 +114,7 @@
             page_size: 500,
             max_pages: 100,
             min_shard_share: 1.0,
+            idempotent: true,
             after_values: None,
         };
         let mut merge = SortedMerge::new(query, &vec![false; shards]);
