Read responses in the test kit's client as RFC 9112 says, within one timeout

The client took a reset or a timeout for the end of a body without a length, let each received byte extend the timeout, left the trailers of a chunked body in its buffer, where they were read as the next response, and passed over client threads of a load that could not be started: a fault of the service could count as an answer.

Now a body ends as its framing says, the timeout holds for the whole response, trailers are read, and a load whose threads cannot be started fails.

--- a/testkit/src/client.rs
+++ b/testkit/src/client.rs
@@ -30,6 +30,9 @@
     /// Chunk size that is not a hexadecimal number.
     #[error("invalid chunk size")]
     ChunkSize,
+    /// Chunk that is longer than its size.
+    #[error("chunk without its end")]
+    ChunkEnd,
     /// `Content-Length` that is not a number.
     #[error("invalid Content-Length")]
     ContentLength,
@@ -52,7 +55,7 @@
 pub struct Client {
     address: SocketAddr,
     connection: Option<Connection>,
-    /// Response timeout.
+    /// Timeout of a complete response, from when its request is sent.
     pub timeout: Duration,
 }
 
@@ -119,3 +122,6 @@
         Ok(response)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/testkit/src/client/connection.rs
+++ b/testkit/src/client/connection.rs
@@ -4,7 +4,7 @@
 use flate2::read::GzDecoder;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum number of bytes of one read from the socket.
 const READ_SIZE: usize = 16 * 1024;
@@ -17,6 +17,8 @@
 pub(super) struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Time by which the response must have arrived.
+    deadline: Instant,
 }
 
 /// Response with the state of the connection after it.
@@ -39,12 +41,13 @@
         Ok(Connection {
             stream,
             buffer: Vec::new(),
+            deadline: Instant::now() + timeout,
         })
     }
 
-    /// Writes a serialized request and sets the timeout of its response.
+    /// Writes a serialized request and sets the timeout of its complete response.
     pub(super) fn write(&mut self, request: &[u8], timeout: Duration) -> io::Result<()> {
-        self.stream.set_read_timeout(Some(timeout))?;
+        self.deadline = Instant::now() + timeout;
         self.stream.write_all(request)
     }
 
@@ -63,7 +66,7 @@
             self.read_exact(length.parse().map_err(|_| ClientError::ContentLength)?)?
         } else {
             closes = true;
-            self.read_to_end()
+            self.read_to_end()?
         };
         let encoded_length = body.len();
         if head.headers.get("content-encoding") == Some("gzip") {
@@ -92,20 +95,32 @@
         }
     }
 
+    /// Reads a chunked body with its trailers (RFC 9112, section 7.1), which are discarded.
     fn read_chunks(&mut self) -> Result<Vec<u8>, ClientError> {
         let mut body = Vec::new();
         loop {
             let size = self.read_chunk_size()?;
-            let mut chunk = self.read_exact(size + CRLF.len())?;
-            chunk.truncate(size);
-            body.append(&mut chunk);
             if size == 0 {
+                while !self.read_line()?.is_empty() {}
                 return Ok(body);
             }
+            body.append(&mut self.read_exact(size)?);
+            if self.read_exact(CRLF.len())? != CRLF {
+                return Err(ClientError::ChunkEnd);
+            }
         }
     }
 
+    /// Reads the line before a chunk. Extensions behind the size are ignored.
     fn read_chunk_size(&mut self) -> Result<usize, ClientError> {
+        let line = self.read_line()?;
+        let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+        let text = std::str::from_utf8(size).map_err(|_| ClientError::ChunkSize)?;
+        usize::from_str_radix(text.trim(), 16).map_err(|_| ClientError::ChunkSize)
+    }
+
+    /// Reads a line and returns it without its end.
+    fn read_line(&mut self) -> io::Result<Vec<u8>> {
         let end = loop {
             match self
                 .buffer
@@ -116,9 +131,9 @@
                 None => self.fill()?,
             }
         };
-        let line: Vec<u8> = self.buffer.drain(..end + CRLF.len()).collect();
-        let text = String::from_utf8_lossy(&line).trim().to_owned();
-        usize::from_str_radix(&text, 16).map_err(|_| ClientError::ChunkSize)
+        let mut line: Vec<u8> = self.buffer.drain(..end + CRLF.len()).collect();
+        line.truncate(end);
+        Ok(line)
     }
 
     fn read_exact(&mut self, length: usize) -> io::Result<Vec<u8>> {
@@ -128,22 +143,33 @@
         Ok(self.buffer.drain(..length).collect())
     }
 
-    fn read_to_end(&mut self) -> Vec<u8> {
-        while self.fill().is_ok() {}
-        std::mem::take(&mut self.buffer)
+    /// Reads a body that ends with its connection. A reset or a timeout is no end.
+    fn read_to_end(&mut self) -> io::Result<Vec<u8>> {
+        while self.read_some()? > 0 {}
+        Ok(std::mem::take(&mut self.buffer))
     }
 
     /// Reads at least one byte into the buffer.
     fn fill(&mut self) -> io::Result<()> {
-        let mut bytes = [0; READ_SIZE];
-        match self.stream.read(&mut bytes)? {
+        match self.read_some()? {
             0 => Err(ErrorKind::UnexpectedEof.into()),
-            count => {
-                self.buffer.extend_from_slice(&bytes[..count]);
-                Ok(())
-            }
+            _ => Ok(()),
         }
     }
+
+    /// Reads into the buffer and returns the number of bytes, which is 0 at the end of the
+    /// connection. Fails after the deadline of the response.
+    fn read_some(&mut self) -> io::Result<usize> {
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        if time_left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(time_left))?;
+        let mut bytes = [0; READ_SIZE];
+        let count = self.stream.read(&mut bytes)?;
+        self.buffer.extend_from_slice(&bytes[..count]);
+        Ok(count)
+    }
 }
 
 fn owned_headers(parsed: &[httparse::Header<'_>]) -> Headers {
--- /dev/null
+++ b/testkit/src/client/tests.rs
@@ -0,0 +1,98 @@
+//! Tests of the client against servers that write prepared bytes.
+
+use super::{Client, ClientError};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Starts a server that does this with its connection.
+fn serve(respond: impl FnOnce(TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || respond(listener.accept().expect("a connection").0));
+    address
+}
+
+/// Reads a request, since closing a connection with unread bytes resets it.
+fn read_request(stream: &mut TcpStream) {
+    let read = stream.read(&mut [0; 4096]).expect("a request");
+    assert!(read > 0);
+}
+
+/// Returns the body of the response that consists of these bytes.
+fn body_of(response: &'static str) -> Result<String, ClientError> {
+    let address = serve(move |mut stream| {
+        read_request(&mut stream);
+        stream.write_all(response.as_bytes()).expect("written");
+    });
+    let response = Client::new(address).get("/")?;
+    Ok(response.text())
+}
+
+#[test]
+fn chunks_extensions_and_trailers_are_read() {
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+        2;name=value\r\nab\r\n3\r\ncde\r\n0\r\nExpires: now\r\nVary: x\r\n\r\n";
+    assert_eq!(body_of(chunked).expect("a body"), "abcde");
+}
+
+/// Guards against a truncated body that counts as complete.
+#[test]
+fn truncated_bodies_are_errors() {
+    let is_truncated = |response| match body_of(response) {
+        Err(ClientError::Io(error)) => error.kind() == ErrorKind::UnexpectedEof,
+        _ => false,
+    };
+    assert!(is_truncated(
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab"
+    ));
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+    assert!(is_truncated(head));
+    let without_end = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nVary: x\r\n";
+    assert!(is_truncated(without_end));
+    let too_long = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n";
+    assert!(matches!(body_of(too_long), Err(ClientError::ChunkEnd)));
+}
+
+/// Guards against a reset that counts as the end of a body without a length.
+#[test]
+fn a_reset_does_not_end_a_body() {
+    let whole = "HTTP/1.1 200 OK\r\n\r\nab";
+    assert_eq!(body_of(whole).expect("a body"), "ab");
+    let address = serve(|mut stream| {
+        stream.peek(&mut [0]).expect("a request");
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\n\r\nab")
+            .expect("written");
+    });
+    let response = Client::new(address).get("/");
+    assert!(
+        matches!(&response, Err(ClientError::Io(e)) if e.kind() == ErrorKind::ConnectionReset),
+        "{response:?}"
+    );
+}
+
+/// Guards against a timeout that each received byte extends.
+#[test]
+fn the_timeout_holds_for_the_whole_response() {
+    let address = serve(|mut stream| {
+        read_request(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+        while stream.write_all(b"x").is_ok() {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let mut client = Client::new(address);
+    client.timeout = Duration::from_millis(200);
+    let started = Instant::now();
+    let response = client.get("/");
+    let is_timeout = |kind| matches!(kind, ErrorKind::TimedOut | ErrorKind::WouldBlock);
+    assert!(
+        matches!(&response, Err(ClientError::Io(e)) if is_timeout(e.kind())),
+        "{response:?}"
+    );
+    assert!(
+        started.elapsed() < Duration::from_secs(10),
+        "1000 bytes take 20 s"
+    );
+}
--- a/testkit/src/load.rs
+++ b/testkit/src/load.rs
@@ -3,6 +3,7 @@
 use crate::client::{Client, ClientError, Response};
 use crate::sync::{into_inner, lock};
 use hdrhistogram::Histogram;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::Mutex;
@@ -165,19 +166,29 @@
 impl OpenLoop {
     /// Runs the load; `target(number)` returns the target of a query. While `MAX_IN_FLIGHT` queries
     /// are in flight, due queries start late and may fail without being sent.
-    pub fn run(&self, target: impl Fn(u64) -> String + Sync) -> LoadResult {
+    ///
+    /// # Errors
+    /// Fails if the thread of a client cannot be started; the load then ends early.
+    pub fn run(&self, target: impl Fn(u64) -> String + Sync) -> io::Result<LoadResult> {
         let recorder = Recorder::default();
         let next = AtomicU64::new(0);
         let started = Instant::now();
         std::thread::scope(|scope| {
             for _ in 0..MAX_IN_FLIGHT {
                 let client = || self.run_client(started, &next, &recorder, &target);
-                let _ = std::thread::Builder::new()
+                std::thread::Builder::new()
                     .stack_size(CLIENT_STACK_BYTES)
-                    .spawn_scoped(scope, client);
+                    .spawn_scoped(scope, client)
+                    .inspect_err(|_| next.store(self.total(), Relaxed))?;
             }
-        });
-        recorder.finish(started.elapsed())
+            Ok::<(), io::Error>(())
+        })?;
+        Ok(recorder.finish(started.elapsed()))
+    }
+
+    /// Returns the number of queries.
+    fn total(&self) -> u64 {
+        (self.rate * self.duration.as_secs_f64()) as u64
     }
 
     fn run_client(
@@ -187,7 +198,7 @@
         recorder: &Recorder,
         target: &impl Fn(u64) -> String,
     ) {
-        let total = (self.rate * self.duration.as_secs_f64()) as u64;
+        let total = self.total();
         let mut client = Client::new(self.address);
         loop {
             let number = next.fetch_add(1, Relaxed);
--- a/testkit/src/measure/overload.rs
+++ b/testkit/src/measure/overload.rs
@@ -144,14 +144,15 @@
             duration: plan.load_duration,
             timeout: OVERLOAD_TIMEOUT,
         };
-        Ok(open_loop.run(|number| {
+        let load = open_loop.run(|number| {
             let limit = if number % QUERIES_PER_LARGE == 0 {
                 LARGE_LIMIT
             } else {
                 SMALL_LIMIT
             };
             format!("/collections/devices/items?limit={limit}")
-        }))
+        });
+        Ok(load?)
     }
 
     fn write_row(&self, text: &mut String, load: &LoadResult) {
