Fail a test when a stand-in's thread panics, and bound the waits of the socket tests

Tests could miss a fault: a panic on a stand-in's thread was printed and forgotten, threads that record calls were not read to the end, one connection per node was recorded where the program may open a second, and wait_for_log, wait_until_ready and wait_for_exit waited for ever.

Now a stand-in owns its threads, waits for those that serve a connection and fails the test with their panics; the nodes of the races tests record every frame on every connection until the process has ended; waits have a limit, and that for a log line prints the log.

Everything was run once with this. One test turned red: in tests/platform the data node's check of a part's statement had failed unseen in expired_rejected_and_malformed_requests_get_their_status, whose hand-written request carries another statement than all tests agree on.

--- a/tests/log_events/support.rs
+++ b/tests/log_events/support.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// The time in which a process must log an event that a test waits for.
@@ -18,6 +19,8 @@
     pub child: Child,
     pub events: Receiver<Value>,
     pub folder: PathBuf,
+    /// The thread that reads the log to its end.
+    reader: Option<JoinHandle<()>>,
 }
 
 impl LoggingProcess {
@@ -62,7 +65,7 @@
             .expect("the program starts");
         let stderr = child.stderr.take().expect("piped");
         let (sender, events) = channel();
-        std::thread::spawn(move || {
+        let reader = std::thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 let event = serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line}"));
                 let _ = sender.send(event);
@@ -72,6 +75,7 @@
             child,
             events,
             folder,
+            reader: Some(reader),
         }
     }
 
@@ -105,6 +109,10 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
+        let reader = self.reader.take().map(JoinHandle::join);
+        if !std::thread::panicking() {
+            assert!(matches!(reader, None | Some(Ok(()))), "a line is no event");
+        }
     }
 }
 
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -50,7 +50,7 @@
     const VALID: RequestText<'static> = RequestText {
         tablets: "{\"tablet\":0,\"fraction\":1}",
         timeout_header: "X-Expires-In: 0.2\r\n",
-        statement: ",\"statement\":\"c\"",
+        statement: ",\"statement\":\"c41e77d0\"",
     };
 
     /// Sends the request and returns the status of its response.
--- a/tests/races/attempts.rs
+++ b/tests/races/attempts.rs
@@ -4,42 +4,10 @@
 use crate::standin::data_node::DataNode;
 use crate::standin::deployment::Deployment;
 use crate::standin::discovery::{changed_endpoints, terminating, ControlledDiscovery};
-use crate::standin::frames::{read_frame, read_part_ids, write_answer, Frame, CALL};
+use crate::standin::frame_recorder::FrameRecorder;
+use crate::standin::frames::{read_part_ids, write_answer, CALL};
 use crate::standin::http::bind_loopback;
-use std::net::{TcpListener, TcpStream};
-use std::sync::mpsc::{channel, Receiver, Sender};
-
-/// A frame that one of two data nodes received, and the connection that it arrived on.
-struct ReceivedFrame {
-    node: usize,
-    kind: u8,
-    stream: TcpStream,
-}
-
-/// Accepts all connections at each listener and passes on every frame, unanswered.
-fn record_frames(listeners: [TcpListener; 2]) -> Receiver<ReceivedFrame> {
-    let (sender, frames) = channel();
-    for (node, listener) in listeners.into_iter().enumerate() {
-        let sender = sender.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let sender = sender.clone();
-                std::thread::spawn(move || pass_on_frames(node, stream, &sender));
-            }
-        });
-    }
-    frames
-}
-
-/// Passes on the frames of a connection until it ends, or until the test has ended.
-fn pass_on_frames(node: usize, mut stream: TcpStream, frames: &Sender<ReceivedFrame>) {
-    while let Ok(Frame { kind, .. }) = read_frame(&mut stream) {
-        let stream = stream.try_clone().expect("a handle");
-        if frames.send(ReceivedFrame { node, kind, stream }).is_err() {
-            return;
-        }
-    }
-}
+use std::net::TcpStream;
 
 #[test]
 fn a_late_answer_during_the_second_attempt_causes_no_third() {
@@ -53,11 +21,11 @@
     .start_controlled("late", &agent, &addresses);
     let request = QueryRequest::new("late", Class("look"), Shards(&[0])).close_connection();
     let client = send_request(&edge, &request.to_http());
-    let frames = record_frames(nodes);
-    let mut first = frames.recv().expect("the first attempt");
+    let recorder = FrameRecorder::start(nodes);
+    let mut first = recorder.wait_for_frame();
     assert_eq!(first.kind, CALL);
     // The part is cancelled and sent to the other node, in either order as seen here.
-    let both = [0, 1].map(|_| frames.recv().expect("a frame"));
+    let both = [0, 1].map(|_| recorder.wait_for_frame());
     let mut other = both
         .into_iter()
         .find(|frame| frame.kind == CALL)
@@ -67,11 +35,7 @@
     edge.wait_for_counter("attempts_cancelled", 1);
     write_answer(&mut other.stream, "late.0 served 1 -\ncell").expect("written");
     assert!(read_until_close(client).starts_with("HTTP/1.1 200"));
-    drop(edge);
-    assert!(
-        frames.try_iter().all(|frame| frame.kind != CALL),
-        "two attempts, no third"
-    );
+    recorder.assert_no_further_call(edge);
 }
 
 /// Reads the ids of two parts, in one call or in two.
--- a/tests/races/clients.rs
+++ b/tests/races/clients.rs
@@ -6,13 +6,12 @@
 use crate::standin::discovery::{
     all_in_service, changed_endpoints, terminating, ControlledDiscovery,
 };
-use crate::standin::frames::{read_part_ids, write_answer};
+use crate::standin::frame_recorder::FrameRecorder;
+use crate::standin::frames::write_answer;
 use crate::standin::http::bind_loopback;
 use crate::standin::process::Process;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::thread::JoinHandle;
+use std::net::TcpStream;
 
 /// The shards of each query of [`count_late_parts`].
 const ALL_SHARDS: [u32; 6] = [0, 1, 2, 3, 4, 5];
@@ -107,67 +106,6 @@
     );
 }
 
-/// A call that a node received, and the connection on which its answer is written.
-struct ReceivedCall {
-    /// The index of the node.
-    node: usize,
-    part_ids: Vec<String>,
-    stream: TcpStream,
-}
-
-/// Nodes that accept one connection each and pass on every call on it, unanswered.
-struct CallRecorder {
-    calls: Receiver<ReceivedCall>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl CallRecorder {
-    /// Starts to accept on each listener, whose index is the node's.
-    fn start(listeners: [TcpListener; 2]) -> CallRecorder {
-        let (sender, calls) = channel();
-        let threads = listeners
-            .into_iter()
-            .enumerate()
-            .map(|(node, listener)| {
-                let sender = sender.clone();
-                std::thread::spawn(move || record_calls(node, &listener, &sender))
-            })
-            .collect();
-        CallRecorder { calls, threads }
-    }
-
-    /// Waits for the next call at any node and returns it.
-    fn wait_for_call(&self) -> ReceivedCall {
-        self.calls.recv().expect("an attempt")
-    }
-
-    /// Ends the process, waits until its connections are read to their ends, and asserts that no
-    /// further call was on them.
-    fn assert_no_further_call(self, process: Process) {
-        drop(process);
-        for thread in self.threads {
-            thread.join().expect("the node's thread ends");
-        }
-        let further: Vec<ReceivedCall> = self.calls.try_iter().collect();
-        let part_ids: Vec<_> = further.iter().map(|call| &call.part_ids).collect();
-        assert!(part_ids.is_empty(), "further calls: {part_ids:?}");
-    }
-}
-
-/// Accepts a connection and passes on its calls until it ends.
-fn record_calls(node: usize, listener: &TcpListener, calls: &Sender<ReceivedCall>) {
-    let (mut stream, _) = listener.accept().expect("a connection");
-    while let Ok(part_ids) = read_part_ids(&mut stream) {
-        let answering = stream.try_clone().expect("a handle");
-        let call = ReceivedCall {
-            node,
-            part_ids,
-            stream: answering,
-        };
-        calls.send(call).expect("the test receives calls");
-    }
-}
-
 #[test]
 fn a_part_that_waits_for_a_retry_is_not_sent_again_after_its_client_disconnects() {
     let agent = ControlledDiscovery::new();
@@ -179,14 +117,14 @@
         Deployment::ALL_EFFECTS.start_controlled("left-retry", &agent, &addresses);
     let request = QueryRequest::new("left", Class("look"), Shards(&[0]));
     let client = send_request(&edge, &request.to_http());
-    let recorder = CallRecorder::start(nodes);
+    let recorder = FrameRecorder::start(nodes);
 
     // The node that receives the part answers once no node accepts parts, so that its retry waits.
     let mut rejected = recorder.wait_for_call();
     let draining = [0, 1].map(|index| terminating(index, addresses[index]));
     watch.send(&changed_endpoints(2, &draining));
     edge.wait_for_counter("endpoint_updates", 3);
-    let rejection = format!("{} skipped 0 -\n", rejected.part_ids[0]);
+    let rejection = format!("{} skipped 0 -\n", rejected.part_ids()[0]);
     write_answer(&mut rejected.stream, &rejection).expect("written");
     edge.wait_for_counter("attempts_rejected", 1);
     drop(client);
@@ -198,7 +136,7 @@
     let request = QueryRequest::new("stays", Class("look"), Shards(&[0]));
     let other = send_request(&edge, &request.to_http());
     let mut served = recorder.wait_for_call();
-    assert_eq!(served.part_ids, ["stays.0"]);
+    assert_eq!(served.part_ids(), ["stays.0"]);
     assert_ne!(served.node, rejected.node, "one call on each connection");
     write_answer(&mut served.stream, "stays.0 served 1 -\ncell").expect("written");
     let mut first = String::new();
--- a/tests/standin/data_node.rs
+++ b/tests/standin/data_node.rs
@@ -2,10 +2,14 @@
 
 use super::frames::{read_call, serve_parts, write_answer};
 use super::http::accept_on_thread;
+use super::threads::OwnedThreads;
 use std::io::{Read, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
+/// The time in which the connections of a process that has ended must close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The payload of each part that tests send.
 const PAYLOAD: &str = "c41e77d0";
 
@@ -55,6 +59,7 @@
     /// The address at which the node listens.
     pub address: SocketAddr,
     log: Arc<NodeLog>,
+    threads: OwnedThreads,
 }
 
 impl DataNode {
@@ -73,17 +78,23 @@
         let log = Arc::new(NodeLog::default());
         let shared = log.clone();
         let behaviour = Arc::new(behaviour);
-        let address = accept_on_thread(move |stream| {
+        let threads = OwnedThreads::default();
+        let serving = threads.0.clone();
+        let address = accept_on_thread(&threads.0, move |stream| {
             *shared.connections.lock().expect("count") += 1;
             let log = shared.clone();
             let behaviour = behaviour.clone();
-            std::thread::spawn(move || {
+            serving.serve(move || {
                 if serve(stream, &log, &*behaviour).is_ok() {
                     *log.closed_connections.lock().expect("count") += 1;
                 }
             });
         });
-        DataNode { address, log }
+        DataNode {
+            address,
+            log,
+            threads,
+        }
     }
 
     /// Returns the ids of the received parts, in order.
@@ -214,6 +225,7 @@
 /// A data node that serves every part and reads its connections to their ends.
 pub struct RecordingNode {
     recording: Arc<Mutex<Recording>>,
+    threads: OwnedThreads,
 }
 
 impl RecordingNode {
@@ -221,13 +233,15 @@
     pub fn start(node: UnreachableNode) -> RecordingNode {
         let recording = Arc::new(Mutex::new(Recording::default()));
         let shared = recording.clone();
-        std::thread::spawn(move || {
+        let threads = OwnedThreads::default();
+        let serving = threads.0.clone();
+        threads.0.listen(move || {
             drop(node.listener.accept());
             drop(node.queued);
             for stream in node.listener.incoming().flatten() {
                 let recording = shared.clone();
                 recording.lock().expect("recording").open_connections += 1;
-                std::thread::spawn(move || {
+                serving.serve(move || {
                     let record = |id: &str| {
                         recording
                             .lock()
@@ -240,17 +254,19 @@
                 });
             }
         });
-        RecordingNode { recording }
+        RecordingNode { recording, threads }
     }
 
     /// Waits until no connection is open and returns the ids of all received parts.
     pub fn wait_until_closed(self) -> Vec<String> {
+        let started = Instant::now();
         loop {
             let recording = self.recording.lock().expect("recording");
             if recording.open_connections == 0 {
                 return recording.parts.clone();
             }
             drop(recording);
+            assert!(started.elapsed() < CLOSE_TIMEOUT, "a connection stays open");
             std::thread::yield_now();
         }
     }
--- a/tests/standin/discovery.rs
+++ b/tests/standin/discovery.rs
@@ -5,6 +5,7 @@
     accept_on_thread, bind_loopback, lines_of, read_request_line, write_chunked_head,
     write_line_chunk,
 };
+use super::threads::{OwnedThreads, Threads};
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Sender};
@@ -101,6 +102,7 @@
     updates: Sender<String>,
     /// The request lines of the watches.
     requests: Arc<Mutex<Vec<String>>>,
+    threads: OwnedThreads,
 }
 
 impl Discovery {
@@ -109,7 +111,8 @@
         let (updates, pending) = channel::<String>();
         let requests: Arc<Mutex<Vec<String>>> = Arc::default();
         let log = requests.clone();
-        let address = accept_on_thread(move |mut stream| {
+        let threads = OwnedThreads::default();
+        let address = accept_on_thread(&threads.0, move |mut stream| {
             let request = read_request_line(&mut lines_of(&stream)).unwrap_or_default();
             if is_abandoned(&stream) {
                 return;
@@ -126,6 +129,7 @@
             address,
             updates,
             requests,
+            threads,
         }
     }
 
@@ -143,7 +147,7 @@
 /// Starts discovery that answers any number of watches with this line and sends nothing more.
 pub fn serve_constant_list(first: String) -> SocketAddr {
     let mut open = Vec::new();
-    accept_on_thread(move |mut stream| {
+    accept_on_thread(&Threads::default(), move |mut stream| {
         let _ = write_chunked_head(&mut stream);
         let _ = write_line_chunk(&mut stream, &first);
         open.push(stream);
--- a/tests/standin/feature_server.rs
+++ b/tests/standin/feature_server.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 use super::http::{accept_on_thread, lines_of, read_request_line};
+use super::threads::OwnedThreads;
 use std::io::{Result, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
@@ -29,6 +30,7 @@
     pub address: SocketAddr,
     /// The targets of all requests, in order.
     targets: Arc<Mutex<Vec<String>>>,
+    threads: OwnedThreads,
 }
 
 impl FeatureServer {
@@ -37,12 +39,18 @@
         let targets: Arc<Mutex<Vec<String>>> = Arc::default();
         let log = targets.clone();
         let behaviour: Arc<Mutex<Behaviour>> = Arc::new(Mutex::new(Box::new(behaviour)));
-        let address = accept_on_thread(move |stream| {
+        let threads = OwnedThreads::default();
+        let serving = threads.0.clone();
+        let address = accept_on_thread(&threads.0, move |stream| {
             let log = log.clone();
             let behaviour = behaviour.clone();
-            std::thread::spawn(move || serve(stream, &log, &behaviour));
+            serving.serve(move || serve(stream, &log, &behaviour));
         });
-        FeatureServer { address, targets }
+        FeatureServer {
+            address,
+            targets,
+            threads,
+        }
     }
 
     /// Starts a healthy server of these features, in pages of so many.
--- a/tests/standin/frames.rs
+++ b/tests/standin/frames.rs
@@ -57,8 +57,12 @@
 
 /// Reads the next call and returns the ids of its parts; cancels before it are skipped.
 pub fn read_part_ids(stream: &mut TcpStream) -> Result<Vec<String>> {
-    let call = read_call(stream)?;
-    let mut rest = call.as_str();
+    Ok(call_part_ids(&read_call(stream)?))
+}
+
+/// Returns the ids of the parts of a call.
+pub fn call_part_ids(call: &str) -> Vec<String> {
+    let mut rest = call;
     let mut ids = Vec::new();
     while let Some((line, after)) = rest.split_once('\n') {
         let words: Vec<&str> = line.split(' ').collect();
@@ -66,7 +70,7 @@
         ids.push(words[0].to_owned());
         rest = &after[payload_length..];
     }
-    Ok(ids)
+    ids
 }
 
 /// Serves every part on this connection until it ends; `received` is called with each part's id
--- a/tests/standin/http.rs
+++ b/tests/standin/http.rs
@@ -1,5 +1,6 @@
 //! The subset of HTTP/1.1 that stand-in servers use, and their listeners.
 
+use super::threads::Threads;
 use std::io::{BufRead, BufReader, Lines, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
@@ -13,10 +14,13 @@
 
 /// Accepts connections on a free loopback port, on a thread that lives as long as the test program,
 /// and returns the address.
-pub fn accept_on_thread(mut accept: impl FnMut(TcpStream) + Send + 'static) -> SocketAddr {
+pub fn accept_on_thread(
+    threads: &Threads,
+    mut accept: impl FnMut(TcpStream) + Send + 'static,
+) -> SocketAddr {
     let listener = bind_loopback();
     let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || listener.incoming().flatten().for_each(&mut accept));
+    threads.listen(move || listener.incoming().flatten().for_each(&mut accept));
     address
 }
 
--- a/tests/standin/process.rs
+++ b/tests/standin/process.rs
@@ -8,10 +8,19 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Mutex;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// The time in which a counter must reach the value that a test waits for.
 const COUNTER_TIMEOUT: Duration = Duration::from_secs(20);
+/// The time in which a log line that a test waits for must come.
+const LOG_TIMEOUT: Duration = Duration::from_secs(60);
+/// The time in which the process must be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// The time in which the process must exit once a test waits for that.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(60);
+/// The pause between two checks whether the process has exited.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The configuration that the process reads again at SIGHUP.
 const CONFIGURATION: &str = "config.json";
 /// The configuration as it was at the start.
@@ -48,6 +57,10 @@
     folder: PathBuf,
     /// The lines of the log that no test has waited for yet.
     log: Mutex<Receiver<String>>,
+    /// The lines of the log that a test has waited for or passed over.
+    read_lines: Mutex<Vec<String>>,
+    /// The thread that reads the log to its end.
+    log_reader: Option<JoinHandle<()>>,
     /// The management address, once the log has told it.
     management: Mutex<Option<SocketAddr>>,
 }
@@ -115,11 +128,11 @@
             .expect("the program starts");
         let (lines, log) = channel();
         let errors = child.stderr.take().expect("piped");
-        std::thread::spawn(move || {
-            BufReader::new(errors)
-                .lines()
-                .map_while(Result::ok)
-                .for_each(|l| drop(lines.send(l)))
+        let log_reader = std::thread::spawn(move || {
+            for line in BufReader::new(errors).lines() {
+                // The test may have ended its wait for further lines.
+                let _ = lines.send(line.expect("a line of text"));
+            }
         });
         let address = ([127, 0, 0, 1], 0).into();
         let management = Mutex::default();
@@ -128,6 +141,8 @@
             address,
             folder,
             log: Mutex::new(log),
+            read_lines: Mutex::default(),
+            log_reader: Some(log_reader),
             management,
         };
         process.address = last_address(&process.wait_for_log("listening for client connections"));
@@ -140,15 +155,21 @@
         *known.get_or_insert_with(|| last_address(&self.wait_for_log("admin endpoint listening")))
     }
 
-    /// Waits for the next log line that contains this text and returns it.
+    /// Waits for the next log line that contains this text and returns it. Fails with the log so
+    /// far if it does not come in time.
     pub fn wait_for_log(&self, text: &str) -> String {
+        let started = Instant::now();
+        let log = self.log.lock().expect("log");
+        let mut read_lines = self.read_lines.lock().expect("lines");
         loop {
-            let line = self
-                .log
-                .lock()
-                .expect("log")
-                .recv()
-                .expect("the program's log goes on");
+            let left = LOG_TIMEOUT.saturating_sub(started.elapsed());
+            let line = log.recv_timeout(left).unwrap_or_else(|error| {
+                panic!(
+                    "no line with {text:?} ({error}) after:\n{}",
+                    read_lines.join("\n")
+                )
+            });
+            read_lines.push(line.clone());
             if line.contains(text) {
                 return line;
             }
@@ -183,7 +204,10 @@
 
     /// Waits until the readiness check succeeds.
     pub fn wait_until_ready(&self) {
-        while self.get("/up").status != 200 {}
+        let started = Instant::now();
+        while self.get("/up").status != 200 {
+            assert!(started.elapsed() < START_TIMEOUT, "it is never ready");
+        }
     }
 
     /// Returns the configuration of the start with another value at this JSON pointer.
@@ -244,7 +268,14 @@
 
     /// Waits until the process has exited and returns whether it did so with success.
     pub fn wait_for_exit(&mut self) -> bool {
-        self.child.wait().expect("it ends").success()
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("it is a child") {
+                return status.success();
+            }
+            assert!(started.elapsed() < EXIT_TIMEOUT, "it never exits");
+            std::thread::sleep(EXIT_POLL_INTERVAL);
+        }
     }
 }
 
@@ -253,6 +284,13 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
+        let log_reader = self.log_reader.take().map(JoinHandle::join);
+        if !std::thread::panicking() {
+            assert!(
+                matches!(log_reader, None | Some(Ok(()))),
+                "its log cannot be read"
+            );
+        }
     }
 }
 
