Bound the features of a shard by conditions on the main geometry only

Callers who filtered by a geometry property other than the main one lost features: the constant of any spatial condition was sent to servers as `bbox`, which selects by the main geometry (OGC API - Features, Part 1, 7.15.3).

Cause: pushdown::bounds took any property name. It takes the usual names of the main geometry now, which it shares with the evaluation.

only_conditions_on_the_main_geometry_bound_the_features failed before: it got the polygon's box for `service_area`.

--- a/src/front/ogc/cql2/eval/mod.rs
+++ b/src/front/ogc/cql2/eval/mod.rs
@@ -26,13 +26,18 @@
     pub fn value(&self, name: &str) -> Option<&'a Json> {
         let found = self.0["properties"].get(name).or_else(|| match name {
             "id" => self.0.get("id"),
-            "geometry" | "geom" => self.0.get("geometry"),
+            name if is_main_geometry(name) => self.0.get("geometry"),
             _ => None,
         });
         found.filter(|value| !value.is_null())
     }
 }
 
+/// Returns whether a name is a usual one of the main geometry.
+pub(super) fn is_main_geometry(name: &str) -> bool {
+    matches!(name, "geometry" | "geom")
+}
+
 /// Filter that is applied to features.
 #[derive(Debug, Clone)]
 pub struct Matcher {
--- a/src/front/ogc/cql2/pushdown.rs
+++ b/src/front/ogc/cql2/pushdown.rs
@@ -2,6 +2,7 @@
 //! that is evaluated here on the returned features.
 
 use super::conformance::required_classes;
+use super::eval::is_main_geometry;
 use super::geometry::envelope;
 use super::{Filter, Queryables, SpatialRelation, Value};
 use std::collections::BTreeSet;
@@ -98,14 +99,18 @@
     }
 }
 
-/// Returns the box around all features that can pass a filter that relates their geometry to a
-/// constant one.
+/// Returns the box around all features that can pass a filter that relates their main geometry to a
+/// constant one: servers select by that geometry.
 fn bounds(filter: &Filter) -> Option<Envelope> {
     match filter {
         Filter::And(parts) => parts.iter().filter_map(bounds).reduce(intersection),
         Filter::Spatial(relation, left, right) if *relation != SpatialRelation::Disjoint => {
             let constant = match (left, right) {
-                (Value::Property(_), constant) | (constant, Value::Property(_)) => constant,
+                (Value::Property(name), constant) | (constant, Value::Property(name))
+                    if is_main_geometry(name) =>
+                {
+                    constant
+                }
                 _ => return None,
             };
             constant_bounds(constant)
--- a/src/front/ogc/cql2/tests/pushdown.rs
+++ b/src/front/ogc/cql2/tests/pushdown.rs
@@ -71,3 +71,16 @@
     let filter = parse_text("volts > 1 OR other = 1").expect("a filter");
     assert_eq!(split(&filter, &capabilities(&[])).pushed_down, None);
 }
+
+/// Guards against lost features: `bbox` selects by the main geometry (OGC API - Features, Part 1,
+/// 7.15.3), so a condition on another geometry says nothing about it.
+#[test]
+fn only_conditions_on_the_main_geometry_bound_the_features() {
+    let envelope = |property: &str| {
+        let text = format!("S_INTERSECTS({property},POLYGON((0 0,4 0,4 4,0 0)))");
+        let filter = parse_text(&text).expect("a filter");
+        split(&filter, &Capabilities::default()).envelope
+    };
+    assert_eq!(envelope("geometry"), Some([0.0, 0.0, 4.0, 4.0]));
+    assert_eq!(envelope("service_area"), None);
+}
