Keep a projected box across the antimeridian narrow

A box in UTM zones 60 and 1 that crosses the antimeridian selected almost the whole globe: the least and the greatest longitude along its edges, -180 and 180, became its west and east.

Longitudes are now compared as the equal ones nearest to the box's center, and the result is wrapped to -180 to 180: the west is then beyond the east, which means such a box (Part 1, 7.15.3).

a_box_across_the_antimeridian_stays_narrow failed before (west under 179.4); it covers both zones on both hemispheres and the whole width of Web Mercator, which stays -180 to 180.

--- a/src/front/ogc/crs.rs
+++ b/src/front/ogc/crs.rs
@@ -25,6 +25,9 @@
 /// corners alone don't bound it.
 const EDGE_STEPS: usize = 16;
 
+/// Half of a full turn, in degrees.
+const HALF_TURN: f64 = 180.0;
+
 /// A coordinate reference system that is served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Crs {
@@ -204,7 +207,8 @@
         }
     }
 
-    /// Returns a box in CRS84 (west, south, east, north) that contains a box of the system.
+    /// Returns a box in CRS84 (west, south, east, north) that contains a box of the system. Its west
+    /// is beyond its east if it spans the antimeridian.
     #[must_use]
     pub fn box_to_crs84(&self, numbers: [f64; 4]) -> Option<[f64; 4]> {
         let [min_x, min_y, max_x, max_y] = numbers;
@@ -213,6 +217,10 @@
             let max = self.to_crs84(Coord { x: max_x, y: max_y })?;
             return Some([min.x, min.y, max.x, max.y]);
         }
+        let center = self.to_crs84(Coord {
+            x: f64::midpoint(min_x, max_x),
+            y: f64::midpoint(min_y, max_y),
+        })?;
         let mut bounds = [
             f64::INFINITY,
             f64::INFINITY,
@@ -225,15 +233,17 @@
             let y = min_y + (max_y - min_y) * share;
             for (x, y) in [(x, min_y), (x, max_y), (min_x, y), (max_x, y)] {
                 let position = self.to_crs84(Coord { x, y })?;
+                let longitude = nearest_turn(position.x, center.x);
                 bounds = [
-                    bounds[0].min(position.x),
+                    bounds[0].min(longitude),
                     bounds[1].min(position.y),
-                    bounds[2].max(position.x),
+                    bounds[2].max(longitude),
                     bounds[3].max(position.y),
                 ];
             }
         }
-        Some(bounds)
+        let [west, south, east, north] = bounds;
+        Some([wrapped(west), south, wrapped(east), north])
     }
 
     /// Transforms a box of four numbers, or six with heights, to CRS84. Returns `None` for another
@@ -297,6 +307,20 @@
     }
 }
 
+/// Returns a longitude as the equal one, by full turns, that is nearest to another.
+fn nearest_turn(longitude: f64, other: f64) -> f64 {
+    match longitude - other {
+        ahead if ahead > HALF_TURN => longitude - 2.0 * HALF_TURN,
+        ahead if ahead < -HALF_TURN => longitude + 2.0 * HALF_TURN,
+        _ => longitude,
+    }
+}
+
+/// Returns the longitude within -180 to 180 degrees that equals one beyond them.
+fn wrapped(longitude: f64) -> f64 {
+    nearest_turn(longitude, 0.0)
+}
+
 fn swap_axes(position: Coord<f64>) -> Coord<f64> {
     Coord {
         x: position.y,
--- a/src/front/ogc/crs/tests.rs
+++ b/src/front/ogc/crs/tests.rs
@@ -152,3 +152,35 @@
         json!([[2.0, 1.0, 9], [4.0, 3.0]])
     );
 }
+
+/// Guards against a box that selects almost the whole globe: a west beyond the east spans the
+/// antimeridian (OGC API - Features, Part 1, 7.15.3).
+#[test]
+fn a_box_across_the_antimeridian_stays_narrow() {
+    for (zone, north) in [(60, true), (60, false), (1, true), (1, false)] {
+        let crs = Crs::Utm { zone, north };
+        let latitude = if north { 10.0 } else { -10.0 };
+        let corners = [179.5, -179.5].map(|longitude| projected(crs, longitude, latitude));
+        let [left, right] = corners.map(|corner| corner.x);
+        let y = corners[0].y;
+        let transform = Transform::of(crs).expect("a system");
+        let [west, south, east, north] = transform
+            .box_to_crs84([left, y, right, y + 1_000.0])
+            .expect("a box");
+        assert!((179.4..179.6).contains(&west), "{zone}: {west}");
+        assert!((-179.6..-179.4).contains(&east), "{zone}: {east}");
+        assert!(
+            south < north && (north - south) < 0.1,
+            "{zone}: {south} {north}"
+        );
+    }
+    let world = Transform::of(Crs::Mercator).expect("a system");
+    let edge = projected(Crs::Mercator, 180.0, 0.0).x;
+    let [west, _, east, _] = world
+        .box_to_crs84([-edge, 0.0, edge, 1_000.0])
+        .expect("a box");
+    assert!(
+        (west + 180.0).abs() < 1e-6 && (east - 180.0).abs() < 1e-6,
+        "{west} {east}"
+    );
+}
