Reject a timestamp where an interval is needed, whatever the other operand

T_DURING(DATE(..), TIMESTAMP(..)) was accepted and evaluated to a fixed result.

operands_must_fit_the_queryables has both orders of the operands now; it failed before.

--- a/src/front/ogc/cql2/tests/validation.rs
+++ b/src/front/ogc/cql2/tests/validation.rs
@@ -34,6 +34,8 @@
     "live IN (1)",
     "A_CONTAINS(name,('a'))",
     "T_DURING(built,TIMESTAMP('2026-01-01T00:00:00Z'))",
+    "T_DURING(DATE('2026-01-01'),TIMESTAMP('2026-01-01T00:00:00Z'))",
+    "T_DURING(TIMESTAMP('2026-01-01T00:00:00Z'),DATE('2026-01-01'))",
     "CASEI(volts) = 'x'",
     "T_AFTER(built,INTERVAL('2026-02-01','2026-01-01'))",
     "name BETWEEN 'a' AND 'b'",
--- a/src/front/ogc/cql2/validation.rs
+++ b/src/front/ogc/cql2/validation.rs
@@ -134,10 +134,10 @@
     ) -> Result<(), FilterError> {
         self.check_type(left, QueryableType::Time, "time")?;
         self.check_type(right, QueryableType::Time, "time")?;
-        let is_instant = |value: &&Value| matches!(value, Value::Date(_) | Value::Timestamp(_));
+        // A date is an interval of a day.
+        let is_instant = |value: &&Value| matches!(value, Value::Timestamp(_));
         match [left, right].into_iter().find(is_instant) {
-            // A date is an interval of a day.
-            Some(instant @ Value::Timestamp(_)) if !relation.takes_instants() => fault(format!(
+            Some(instant) if !relation.takes_instants() => fault(format!(
                 "{} needs two intervals; {instant} is none",
                 relation.text()
             )),
