Answer 404 for an unknown path whatever the method, and name a path's own methods

POST /searchx got 405 with `Allow: POST`: the methods were found by the prefix of the path, and the method was checked before it was known whether there is such a path.

Paths are now parsed to a resource first; an unknown one is 404, and `Allow` follows the error (RFC 9110, section 10.2.1). a_405_names_the_methods_of_its_own_path failed before.

--- a/src/front/ogc/handlers/mod.rs
+++ b/src/front/ogc/handlers/mod.rs
@@ -38,6 +38,21 @@
     pub ready: bool,
 }
 
+/// A resource of the front. Collections and features are named by their ids.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Resource<'a> {
+    Search,
+    Readiness,
+    LandingPage,
+    Conformance,
+    OpenApi,
+    Collections,
+    Collection(&'a str),
+    Schema(&'a str, SchemaKind),
+    Items(&'a str),
+    Feature(&'a str, &'a str),
+}
+
 /// A `GET` or `HEAD` request for a resource.
 struct ResourceRequest<'a> {
     incoming: &'a IncomingRequest<'a>,
@@ -61,13 +76,14 @@
             .unwrap_or((&self.http.target, ""));
         let segments = decode_segments(path)?;
         let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
-        if segments == ["search"] {
+        let resource = Resource::at(&segments).ok_or(ApiError::NoSuchResource)?;
+        if resource == Resource::Search {
             return search::search(self);
         }
         if !matches!(self.http.method.as_str(), "GET" | "HEAD") {
             return Err(ApiError::OnlyGetAndHead);
         }
-        self.resource_request(path, query_string)?.route(&segments)
+        self.resource_request(path, query_string)?.route(resource)
     }
 
     /// Parses the query string and negotiates the format of the response.
@@ -119,24 +135,41 @@
     }
 }
 
+impl<'a> Resource<'a> {
+    /// Returns the resource with these path segments, if there is one.
+    fn at(segments: &[&'a str]) -> Option<Self> {
+        Some(match *segments {
+            ["search"] => Resource::Search,
+            ["up"] => Resource::Readiness,
+            [] => Resource::LandingPage,
+            ["conformance"] => Resource::Conformance,
+            ["api"] => Resource::OpenApi,
+            ["collections"] => Resource::Collections,
+            ["collections", id] => Resource::Collection(id),
+            ["collections", id, "queryables"] => Resource::Schema(id, SchemaKind::Queryables),
+            ["collections", id, "sortables"] => Resource::Schema(id, SchemaKind::Sortables),
+            ["collections", id, "schema"] => Resource::Schema(id, SchemaKind::Schema),
+            ["collections", id, "items"] => Resource::Items(id),
+            ["collections", id, "items", feature_id] => Resource::Feature(id, feature_id),
+            _ => return None,
+        })
+    }
+}
+
 impl ResourceRequest<'_> {
-    /// Calls the handler of the resource with these path segments.
-    fn route(&self, segments: &[&str]) -> Result<Reaction, ApiError> {
-        match *segments {
-            ["up"] => documents::readiness(self),
-            [] => documents::landing_page(self),
-            ["conformance"] => documents::conformance(self),
-            ["api"] => documents::openapi(self),
-            ["collections"] => documents::collections(self),
-            ["collections", id] => documents::collection(self, id),
-            ["collections", id, "queryables"] => {
-                documents::schema(self, id, SchemaKind::Queryables)
-            }
-            ["collections", id, "sortables"] => documents::schema(self, id, SchemaKind::Sortables),
-            ["collections", id, "schema"] => documents::schema(self, id, SchemaKind::Schema),
-            ["collections", id, "items"] => items::items(self, id),
-            ["collections", id, "items", feature_id] => feature::feature(self, id, feature_id),
-            _ => Err(ApiError::NoSuchResource),
+    /// Calls the handler of the resource.
+    fn route(&self, resource: Resource<'_>) -> Result<Reaction, ApiError> {
+        match resource {
+            Resource::Search => search::search(self.incoming),
+            Resource::Readiness => documents::readiness(self),
+            Resource::LandingPage => documents::landing_page(self),
+            Resource::Conformance => documents::conformance(self),
+            Resource::OpenApi => documents::openapi(self),
+            Resource::Collections => documents::collections(self),
+            Resource::Collection(id) => documents::collection(self, id),
+            Resource::Schema(id, kind) => documents::schema(self, id, kind),
+            Resource::Items(id) => items::items(self, id),
+            Resource::Feature(id, feature_id) => feature::feature(self, id, feature_id),
         }
     }
 
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -75,9 +75,7 @@
             sent_at: sent,
             ready,
         };
-        let reaction = incoming
-            .handle()
-            .unwrap_or_else(|error| reject(&request, &error));
+        let reaction = incoming.handle().unwrap_or_else(|error| reject(&error));
         delivery.wrap(reaction)
     }
 
@@ -100,12 +98,13 @@
 }
 
 /// Returns the response to a request that cannot be handled.
-fn reject(request: &HttpRequest, error: &ApiError) -> Reaction {
+fn reject(error: &ApiError) -> Reaction {
     COUNTERS.bad_requests.increment();
     let mut response = error_response(error);
-    if response.status == 405 {
-        let search = request.target.starts_with("/search");
-        response.add_header("Allow", if search { "POST" } else { "GET, HEAD" });
+    match error {
+        ApiError::OnlyPost => response.add_header("Allow", "POST"),
+        ApiError::OnlyGetAndHead => response.add_header("Allow", "GET, HEAD"),
+        _ => {}
     }
     Reaction::Respond(response)
 }
--- a/src/front/ogc/tests.rs
+++ b/src/front/ogc/tests.rs
@@ -196,7 +196,9 @@
         let mut query = url::form_urlencoded::Serializer::new(String::new());
         query.extend_pairs(&pairs);
         let head: String = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
-        let bytes = format!("{method} {path}?{} HTTP/1.1\r\n{head}\r\n", query.finish());
+        let names_host = headers.iter().any(|(name, _)| *name == "Host");
+        let host = if names_host { "" } else { "Host: x\r\n" };
+        let bytes = format!("{method} {path}?{} HTTP/1.1\r\n{host}{head}\r\n", query.finish());
         if let Some(response) = response_to(&front, bytes.as_bytes()) {
             check_response(&response)?;
         }
@@ -214,7 +216,7 @@
             body[name] = serde_json::from_str(&value).unwrap_or(value.into());
         }
         let body = if well_formed { body.to_string() } else { text };
-        let head = "POST /search HTTP/1.1\r\nContent-Type: application/json";
+        let head = "POST /search HTTP/1.1\r\nHost: x\r\nContent-Type: application/json";
         let bytes = format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         if let Some(response) = response_to(&front, bytes.as_bytes()) {
             check_response(&response)?;
@@ -249,7 +251,7 @@
             let mut query = url::form_urlencoded::Serializer::new(String::new());
             query.append_pair("filter", &deep(n));
             let bytes = format!(
-                "GET /collections/devices/items?{} HTTP/1.1\r\n\r\n",
+                "GET /collections/devices/items?{} HTTP/1.1\r\nHost: x\r\n\r\n",
                 query.finish()
             );
             let response = response_to(&front, bytes.as_bytes());
@@ -294,9 +296,9 @@
 /// Returns the targets of a query's first round, after capability discovery.
 fn targets(front: &OgcFront, query: &str) -> Vec<String> {
     let mut server = ServerConnection::default();
-    server
-        .input()
-        .extend(format!("GET /collections/devices/items?{query} HTTP/1.1\r\n\r\n").as_bytes());
+    server.input().extend(
+        format!("GET /collections/devices/items?{query} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes(),
+    );
     let request = server
         .next_request()
         .expect("complete")
@@ -338,7 +340,7 @@
         );
         let other_query = format!("limit=9&bbox=0,0,1,1&cursor={cursor}");
         let other_request =
-            format!("GET /collections/devices/items?{other_query} HTTP/1.1\r\n\r\n");
+            format!("GET /collections/devices/items?{other_query} HTTP/1.1\r\nHost: x\r\n\r\n");
         let other = response_to(&front, other_request.as_bytes());
         assert_eq!(
             other.map(|r| r.status),
@@ -347,3 +349,26 @@
         );
     }
 }
+
+/// Returns the `Allow` of the response to a request line.
+fn allowed_methods(front: &OgcFront, request_line: &str) -> Option<String> {
+    let bytes = format!("{request_line} HTTP/1.1\r\nHost: x\r\n\r\n");
+    let response = response_to(front, bytes.as_bytes()).expect("an answer at once");
+    assert!(
+        matches!(response.status, 404 | 405),
+        "{request_line}: {}",
+        response.status
+    );
+    response.header("Allow").map(str::to_owned)
+}
+
+/// Guards against methods that a path does not have (RFC 9110, section 10.2.1).
+#[test]
+fn a_405_names_the_methods_of_its_own_path() {
+    let front = front();
+    let allowed = |line| allowed_methods(&front, line);
+    assert_eq!(allowed("GET /search"), Some("POST".to_owned()));
+    assert_eq!(allowed("GET /search?limit=1"), Some("POST".to_owned()));
+    assert_eq!(allowed("POST /searchx"), None, "there is no such path");
+    assert_eq!(allowed("POST /collections"), Some("GET, HEAD".to_owned()));
+}
