Leave out a coding that the client excludes, also beside `*`

`Accept-Encoding: gzip;q=0, *` was answered with gzip: each element of the list was judged by itself, and `*` allowed what the first had excluded. `*` stands only for codings that are not listed (RFC 9110, section 12.5.3). Names and `q` are compared without case now, as they are defined.

an_excluded_coding_is_not_used failed before.

--- a/src/front/ogc/delivery.rs
+++ b/src/front/ogc/delivery.rs
@@ -27,7 +27,7 @@
     pub fn of(request: &HttpRequest) -> Self {
         let accept_encoding = request.headers.get("Accept-Encoding").unwrap_or_default();
         DeliveryOptions {
-            accepts_gzip: accept_encoding.split(',').any(accepts_gzip),
+            accepts_gzip: accepts_gzip(accept_encoding),
             if_none_match: request.headers.get("If-None-Match").map(str::to_owned),
         }
     }
@@ -75,15 +75,44 @@
     }
 }
 
-/// Returns whether an element of `Accept-Encoding` allows gzip.
-fn accepts_gzip(element: &str) -> bool {
-    let mut words = element.split(';').map(str::trim);
-    let named = matches!(words.next(), Some("gzip" | "x-gzip" | "*"));
-    let excluded = words.any(|word| {
-        word.strip_prefix("q=")
-            .is_some_and(|weight| weight.parse() == Ok(0.0))
-    });
-    named && !excluded
+/// Returns whether an `Accept-Encoding` allows gzip. `*` stands for the codings that are not listed
+/// (RFC 9110, section 12.5.3).
+fn accepts_gzip(accept_encoding: &str) -> bool {
+    let elements: Vec<AcceptedCoding> =
+        accept_encoding.split(',').map(AcceptedCoding::of).collect();
+    let named = elements.iter().find(|element| element.is_gzip());
+    let listed = named.or_else(|| elements.iter().find(|element| element.name == "*"));
+    listed.is_some_and(|element| !element.excluded)
+}
+
+/// An element of `Accept-Encoding`.
+struct AcceptedCoding<'a> {
+    name: &'a str,
+    /// Whether the weight is 0.
+    excluded: bool,
+}
+
+impl AcceptedCoding<'_> {
+    fn of(element: &str) -> AcceptedCoding<'_> {
+        let mut words = element.split(';').map(str::trim);
+        let name = words.next().unwrap_or_default();
+        let is_zero = |word: &str| {
+            let weight = word
+                .split_once('=')
+                .filter(|(key, _)| key.eq_ignore_ascii_case("q"));
+            weight.is_some_and(|(_, weight)| weight.parse() == Ok(0.0))
+        };
+        AcceptedCoding {
+            name,
+            excluded: words.any(is_zero),
+        }
+    }
+
+    fn is_gzip(&self) -> bool {
+        ["gzip", "x-gzip"]
+            .iter()
+            .any(|name| self.name.eq_ignore_ascii_case(name))
+    }
 }
 
 /// Returns the entity tag of a response, after adding that of its body if there is none.
--- a/src/front/ogc/delivery/tests.rs
+++ b/src/front/ogc/delivery/tests.rs
@@ -4,10 +4,14 @@
 use std::io::Read;
 
 fn options(head: &str) -> DeliveryOptions {
+    options_of("GET", head)
+}
+
+fn options_of(method: &str, head: &str) -> DeliveryOptions {
     let mut server = crate::proto::http::ServerConnection::default();
     server
         .input()
-        .extend(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes());
+        .extend(format!("{method} / HTTP/1.1\r\nHost: x\r\n{head}\r\n").as_bytes());
     DeliveryOptions::of(
         &server
             .next_request()
@@ -60,3 +64,28 @@
     assert_eq!(error.body.len(), text().len());
     assert_eq!(error.header("ETag"), None);
 }
+
+/// Guards against a coding that the client excluded: `*` matches only codings that are not listed
+/// (RFC 9110, section 12.5.3).
+#[test]
+fn an_excluded_coding_is_not_used() {
+    let excluded = [
+        "gzip;q=0, *",
+        "*, gzip;q=0",
+        "x-gzip; q=0.0, *;q=1",
+        "GZIP;Q=0, *",
+        "*;q=0",
+    ];
+    for accepted in excluded {
+        let response = delivered(&format!("Accept-Encoding: {accepted}\r\n"), 200);
+        assert_eq!(response.header("Content-Encoding"), None, "{accepted}");
+    }
+    for accepted in ["*", "gzip, *;q=0", "x-gzip", "br;q=0, *;q=0.1", "GZIP"] {
+        let response = delivered(&format!("Accept-Encoding: {accepted}\r\n"), 200);
+        assert_eq!(
+            response.header("Content-Encoding"),
+            Some("gzip"),
+            "{accepted}"
+        );
+    }
+}
