Answer 412 to If-None-Match on other methods than GET and HEAD

POST /search with the entity tag of its response got 304, which only GET and HEAD may get; other methods get 412 (RFC 9110, section 13.1.2). The method was not considered.

a_known_version_answers_only_get_and_head_with_304 failed before (304 for POST).

--- a/src/front/ogc/delivery.rs
+++ b/src/front/ogc/delivery.rs
@@ -1,5 +1,6 @@
 //! The last step of every response: conditional requests (RFC 9110, 13) and compression.
 
+use super::response::problem::problem;
 use crate::front::Reaction;
 use crate::proto::body::Body;
 use crate::proto::http::{HttpRequest, Response};
@@ -10,6 +11,8 @@
 
 /// The minimum size of a body that is compressed, in bytes: about that of a response's head.
 const MIN_GZIP_BYTES: usize = 1_024;
+/// The status of a request whose condition does not hold.
+const PRECONDITION_FAILED: u16 = 412;
 /// The length of the hash in an entity tag, in bytes.
 const TAG_BYTES: usize = 12;
 /// The request headers that a response depends on.
@@ -20,6 +23,8 @@
 pub(super) struct DeliveryOptions {
     accepts_gzip: bool,
     if_none_match: Option<String>,
+    /// Whether the method is `GET` or `HEAD`.
+    retrieves: bool,
 }
 
 impl DeliveryOptions {
@@ -29,6 +34,7 @@
         DeliveryOptions {
             accepts_gzip: accepts_gzip(accept_encoding),
             if_none_match: request.headers.get("If-None-Match").map(str::to_owned),
+            retrieves: matches!(request.method.as_str(), "GET" | "HEAD"),
         }
     }
 
@@ -42,14 +48,17 @@
         }
     }
 
-    /// Adds the entity tag to a successful response, then empties it if the client has this
-    /// version, or compresses it if the client accepts that.
+    /// Adds the entity tag to a successful response, then replaces it if the client has this
+    /// version (RFC 9110, section 13.1.2), or compresses it if the client accepts that.
     fn deliver(&self, mut response: Response) -> Response {
         if response.status != 200 || response.body.is_empty() {
             return response;
         }
         response.add_header("Vary", VARY);
         let tag = tag_of(&mut response);
+        if self.matches(&tag) && !self.retrieves {
+            return problem(PRECONDITION_FAILED, "the client has this version");
+        }
         if self.matches(&tag) {
             return Response {
                 status: 304,
--- a/src/front/ogc/delivery/tests.rs
+++ b/src/front/ogc/delivery/tests.rs
@@ -89,3 +89,18 @@
         );
     }
 }
+
+/// Guards against a 304 that answers another method than GET or HEAD: their condition fails with
+/// 412 (RFC 9110, section 13.1.2).
+#[test]
+fn a_known_version_answers_only_get_and_head_with_304() {
+    let response = || Response::new(200, "text/plain", text().as_str());
+    let tag = delivered("", 200).header("ETag").expect("a tag").to_owned();
+    let status = |method| {
+        let options = options_of(method, &format!("If-None-Match: {tag}\r\n"));
+        options.deliver(response()).status
+    };
+    assert_eq!(["GET", "HEAD", "POST"].map(status), [304, 304, 412]);
+    let other = options_of("POST", "If-None-Match: \"x\"\r\n");
+    assert_eq!(other.deliver(response()).status, 200);
+}
--- a/src/front/ogc/response/problem.rs
+++ b/src/front/ogc/response/problem.rs
@@ -42,6 +42,7 @@
         405 => "Method not allowed",
         406 => "Not acceptable",
         410 => "Gone",
+        412 => "Precondition failed",
         415 => "Unsupported media type",
         502 => "The servers failed",
         503 => "Refused",
