State no length in a 304

A 304 carried `Content-Length: 0`. A 304 may only state the length that the 200 response would have (RFC 9110, section 8.6); caches may take the 0 for that length. The head was always written with the length of the body that is sent. It is left out of a 304 now, which has no body in any case.

a_304_states_no_length failed before.

--- a/src/proto/http/mod.rs
+++ b/src/proto/http/mod.rs
@@ -22,3 +22,6 @@
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// The maximum number of header fields in a message.
 const MAX_HEADERS: usize = 64;
+
+#[cfg(test)]
+mod tests;
--- a/src/proto/http/response.rs
+++ b/src/proto/http/response.rs
@@ -75,7 +75,11 @@
         if close {
             head.push_str("Connection: close\r\n");
         }
-        let _ = write!(head, "Content-Length: {}\r\n\r\n", self.body.len());
+        if self.status != 304 {
+            // RFC 9110, section 8.6: a 304 may only state the length of the 200 response.
+            let _ = write!(head, "Content-Length: {}\r\n", self.body.len());
+        }
+        head.push_str("\r\n");
         head
     }
 }
--- /dev/null
+++ b/src/proto/http/tests.rs
@@ -0,0 +1,36 @@
+//! Tests of the server side of a connection and of the reader of responses.
+
+use super::*;
+
+/// Returns the bytes that the server side writes for a response to a request.
+fn written(request: &str, response: Response) -> String {
+    let mut server = ServerConnection::default();
+    server.input().extend(request.as_bytes());
+    let request = server.next_request().expect("complete");
+    request.expect("well formed");
+    server.respond(response, false);
+    let mut bytes = Vec::new();
+    while !server.output().is_empty() {
+        bytes.extend_from_slice(server.output());
+        let count = server.output().len();
+        server.advance_output(count);
+    }
+    String::from_utf8(bytes).expect("text")
+}
+
+/// Guards against a 304 that states the length of an empty body: only the length of the 200
+/// response may be stated (RFC 9110, section 8.6).
+#[test]
+fn a_304_states_no_length() {
+    let text = written(
+        "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        Response::new(304, "", ""),
+    );
+    assert!(text.starts_with("HTTP/1.1 304 Not Modified\r\n"), "{text}");
+    assert!(!text.contains("Content-Length"), "{text}");
+    let text = written(
+        "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        Response::new(200, "", ""),
+    );
+    assert!(text.contains("Content-Length: 0\r\n"), "{text}");
+}
