--- a/src/proto/http/tests.rs
+++ b/src/proto/http/tests.rs
@@ -34,3 +34,16 @@
     );
     assert!(text.contains("Content-Length: 0\r\n"), "{text}");
 }
+
+/// Guards against reason phrases of no meaning (RFC 9110, section 15).
+#[test]
+fn each_status_that_is_sent_has_its_reason_phrase() {
+    for (status, phrase) in [(409, "Conflict"), (412, "Precondition Failed")] {
+        let response = Response::new(status, "", "");
+        let text = written("GET / HTTP/1.1\r\nHost: x\r\n\r\n", response);
+        assert!(
+            text.starts_with(&format!("HTTP/1.1 {status} {phrase}\r\n")),
+            "{text}"
+        );
+    }
+}
