Hold a server's response head to its limits however it arrives

A head longer than the limit was accepted if it arrived complete, and one with too many fields was reported as malformed: the limit was checked for incomplete heads only. Both are reported as too large now. a_response_head_beyond_the_limits_is_too_large failed before.

--- a/src/proto/http/response_reader.rs
+++ b/src/proto/http/response_reader.rs
@@ -93,9 +93,11 @@
             let mut parsed = httparse::Response::new(&mut headers);
             let data = self.input.data();
             let length = match parsed.parse(data) {
-                Ok(httparse::Status::Complete(length)) => length,
+                Ok(httparse::Status::Complete(length)) if length <= MAX_HEAD_BYTES => length,
                 Ok(httparse::Status::Partial) if data.len() < MAX_HEAD_BYTES => return Ok(None),
-                Ok(_) => return Err(HttpError::HeadTooLarge),
+                Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+                    return Err(HttpError::HeadTooLarge)
+                }
                 Err(_) => return Err(HttpError::Malformed),
             };
             let status = parsed.code.unwrap_or(0);
--- a/src/proto/http/tests.rs
+++ b/src/proto/http/tests.rs
@@ -47,3 +47,21 @@
         );
     }
 }
+
+/// Returns the error of a response whose head has these fields, if it has one.
+fn response_error(fields: &str) -> Option<HttpError> {
+    let mut reader = ResponseReader::new(MAX_BODY_BYTES);
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n");
+    reader.input.extend(head.as_bytes());
+    reader.advance().err()
+}
+
+/// Guards against a head beyond the limits that is accepted since it arrives at once.
+#[test]
+fn a_response_head_beyond_the_limits_is_too_large() {
+    assert_eq!(response_error("Vary: x\r\n"), None);
+    let long = format!("Vary: {}\r\n", "x".repeat(MAX_HEAD_BYTES));
+    assert_eq!(response_error(&long), Some(HttpError::HeadTooLarge));
+    let many = "Vary: x\r\n".repeat(MAX_HEADERS);
+    assert_eq!(response_error(&many), Some(HttpError::HeadTooLarge));
+}
