--- a/src/proto/http/tests.rs
+++ b/src/proto/http/tests.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// Guards against an interim response that a client of HTTP/1.0 cannot read (RFC 9110, section
+/// 10.1.1).
+#[test]
+fn a_client_of_http_1_0_gets_no_interim_response() {
+    let output = |version: &str| {
+        let mut server = ServerConnection::default();
+        let head = format!(
+            "POST / HTTP/{version}\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        );
+        server.input().extend(head.as_bytes());
+        assert!(server.next_request().is_none());
+        String::from_utf8(server.output().to_vec()).expect("text")
+    };
+    assert_eq!(output("1.1"), "HTTP/1.1 100 Continue\r\n\r\n");
+    assert_eq!(output("1.0"), "");
+}
+
 /// Returns the error of a response whose head has these fields, if it has one.
 fn response_error(fields: &str) -> Option<HttpError> {
     let mut reader = ResponseReader::new(MAX_BODY_BYTES);
