Answer 400 to requests that name no host or several

RFC 9112, section 3.2: a request of HTTP/1.1 without `Host`, or one with several, is answered 400. Neither was checked; the links in the responses of the feature front are made from that field.

a_request_names_its_host_once failed before. Requests that tests write by hand name a host now; each malformed one keeps the fault that it is there for, and its expected status.

--- a/src/front/platform/tests.rs
+++ b/src/front/platform/tests.rs
@@ -37,8 +37,9 @@
         .map(|(name, value)| format!("{name}: {value}\r\n"))
         .collect();
     let length = body.len();
-    let text =
-        format!("{method} {target} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+    let text = format!(
+        "{method} {target} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    );
     let mut server = ServerConnection::default();
     server.input().extend(text.as_bytes());
     server
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -86,7 +86,9 @@
         bytes: 1,
     };
     let mut busy = between_queries(50);
-    busy.http.input().extend(b"GET / HTTP/1.1\r\n\r\n");
+    busy.http
+        .input()
+        .extend(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(matches!(busy.http.next_request(), Some(Ok(_))));
     let states = vec![
         between_queries(9),
@@ -140,7 +142,9 @@
     let (clients, connections) = clients(limits, vec![without_request(1)]);
     let address = clients.listener.inner().local_addr().expect("bound");
     let mut client = TcpStream::connect(address).expect("it listens");
-    client.write_all(b"GET /up HTTP/1.1\r\n\r\n").expect("sent");
+    client
+        .write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        .expect("sent");
     let stream = loop {
         match clients.listener.inner().accept() {
             Ok((stream, _)) => break stream,
--- a/src/proto/http/headers.rs
+++ b/src/proto/http/headers.rs
@@ -38,6 +38,11 @@
         Ok(Headers(headers))
     }
 
+    /// Returns the number of fields with that name.
+    pub(super) fn count(&self, name: &str) -> usize {
+        self.values(name).count()
+    }
+
     /// Returns whether a field with that name lists the token, in a list separated by commas.
     pub(super) fn has_token(&self, name: &str, token: &str) -> bool {
         self.values(name)
--- a/src/proto/http/request.rs
+++ b/src/proto/http/request.rs
@@ -49,9 +49,14 @@
             return Err(HttpError::BodyTooLarge);
         }
         let is_http_1_0 = parsed.version == Some(0);
+        // RFC 9112, section 3.2.
+        let hosts = headers.count("host");
+        if hosts > 1 || (hosts == 0 && !is_http_1_0) {
+            return Err(HttpError::Malformed);
+        }
         let closes = headers.has_token("connection", "close")
             || (is_http_1_0 && !headers.has_token("connection", "keep-alive"));
-        let expects_continue = headers.has_token("expect", "100-continue");
+        let expects_continue = !is_http_1_0 && headers.has_token("expect", "100-continue");
         let request = HttpRequest {
             method: parsed.method.unwrap_or_default().to_owned(),
             target: parsed.path.unwrap_or_default().to_owned(),
--- a/src/proto/http/tests.rs
+++ b/src/proto/http/tests.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// Returns what a server connection makes of these bytes.
+fn request(bytes: &str) -> Option<Result<HttpRequest, HttpError>> {
+    let mut server = ServerConnection::default();
+    server.input().extend(bytes.as_bytes());
+    server.next_request()
+}
+
 /// Returns the bytes that the server side writes for a response to a request.
 fn written(request: &str, response: Response) -> String {
     let mut server = ServerConnection::default();
@@ -48,6 +55,18 @@
     }
 }
 
+/// Guards against requests that name no host or several (RFC 9112, section 3.2).
+#[test]
+fn a_request_names_its_host_once() {
+    let status = |text| request(text).map(|request| request.map_err(HttpError::status).err());
+    assert_eq!(status("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), Some(None));
+    assert_eq!(status("GET / HTTP/1.1\r\nHost:\r\n\r\n"), Some(None));
+    assert_eq!(status("GET / HTTP/1.0\r\n\r\n"), Some(None));
+    assert_eq!(status("GET / HTTP/1.1\r\n\r\n"), Some(Some(400)));
+    let twice = "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n";
+    assert_eq!(status(twice), Some(Some(400)));
+}
+
 /// Guards against an interim response that a client of HTTP/1.0 cannot read (RFC 9110, section
 /// 10.1.1).
 #[test]
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -21,11 +21,16 @@
     for (body, chunked) in bodies {
         if !chunked {
             let length = body.len();
-            bytes.extend(format!("POST /api HTTP/1.1\r\nContent-Length: {length}\r\n\r\n").bytes());
+            bytes.extend(
+                format!("POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n")
+                    .bytes(),
+            );
             bytes.extend_from_slice(body);
             continue;
         }
-        bytes.extend_from_slice(b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        bytes.extend_from_slice(
+            b"POST /api HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+        );
         for chunk in body.chunks(7) {
             bytes.extend(format!("{:x}\r\n", chunk.len()).bytes());
             bytes.extend_from_slice(chunk);
@@ -124,7 +129,9 @@
 fn what_comes_behind_a_request_never_stops_the_reading_of_it_and_costs_it_no_answer() {
     // A client that sends more than 80 KB behind its request is read on, so that its close is seen.
     let mut server = ServerConnection::default();
-    server.input().extend(b"GET /up HTTP/1.1\r\n\r\n");
+    server
+        .input()
+        .extend(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(matches!(server.next_request(), Some(Ok(_))) && server.awaits_response());
     let mut kept = 0;
     for _ in 0..12 {
@@ -177,21 +184,33 @@
 const MALFORMED_REQUESTS: [(&str, u16); 9] = [
     ("\0\0\0", 400),
     (
-        "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        400,
+    ),
+    (
+        "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
         400,
     ),
     (
-        "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: +1\r\n\r\n",
         400,
     ),
-    ("GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 400),
-    ("GET / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
     (
-        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n",
+        413,
+    ),
+    (
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
         413,
     ),
-    ("GET / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
-    ("GET / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc", 400),
+    (
+        "GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n",
+        501,
+    ),
+    (
+        "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabc",
+        400,
+    ),
     ("GET / HT", 400),
 ];
 
@@ -202,12 +221,18 @@
     }
     assert_eq!(error_status(""), None);
 
-    let long_header = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000));
+    let long_header = format!(
+        "GET / HTTP/1.1\r\nHost: x\r\nX: {}\r\n\r\n",
+        "x".repeat(20_000)
+    );
     assert_eq!(error_status(&long_header), Some(431));
-    let many_headers = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(100));
+    let many_headers = format!(
+        "GET / HTTP/1.1\r\nHost: x\r\n{}\r\n",
+        "X: y\r\n".repeat(100)
+    );
     assert_eq!(error_status(&many_headers), Some(431));
     let unended_chunk = format!(
-        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n{}",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n{}",
         "x".repeat(300)
     );
     assert_eq!(error_status(&unended_chunk), Some(400));
@@ -218,7 +243,9 @@
     // The request and the decision to close cross: the request is read and answered.
     let mut server = ServerConnection::default();
     server.close_when_idle();
-    server.input().extend(b"GET /up HTTP/1.1\r\n\r\n");
+    server
+        .input()
+        .extend(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
     assert!(matches!(server.next_request(), Some(Ok(_))));
     assert!(!server.is_finished());
     server.respond(Response::new(200, "", ""), false);
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -236,8 +236,9 @@
 /// Sends a query on a persistent connection and returns the head of its response.
 fn query_on(persistent: &mut TcpStream, id: &str) -> String {
     let body = "{\"tablets\":[{\"tablet\":0,\"fraction\":1}],\"statement\":\"c41e77d0\"}";
-    let head =
-        format!("POST /api HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Qos: lookup\r\nX-Expires-In: 9\r\n");
+    let head = format!(
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {id}\r\nX-Qos: lookup\r\nX-Expires-In: 9\r\n"
+    );
     write!(
         persistent,
         "{head}Content-Length: {}\r\n\r\n{body}",
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -85,7 +85,11 @@
     edge.wait_until_ready();
     let connect = || TcpStream::connect(edge.address).expect("the machine accepts");
     let mut half = connect();
-    write!(half, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
+    write!(
+        half,
+        "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{{"
+    )
+    .expect("written");
     let mut text = String::new();
     half.read_to_string(&mut text)
         .expect("an answer and an end");
@@ -112,7 +116,7 @@
     let mut client = TcpStream::connect(edge.address).expect("it listens");
     write!(
         client,
-        "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"
+        "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n"
     )
     .expect("written");
     let mut lines = BufReader::new(client.try_clone().expect("a handle")).lines();
@@ -171,7 +175,7 @@
     edge.wait_until_ready();
     let mut kept = TcpStream::connect(edge.address).expect("it listens");
     // A connection with half a request is not idle.
-    write!(kept, "GET /up HTTP/1.1\r\n").expect("written");
+    write!(kept, "GET /up HTTP/1.1\r\nHost: x\r\n").expect("written");
     edge.signal("HUP");
     edge.signal("TERM");
     edge.wait_for_log("graceful shutdown started");
@@ -179,7 +183,7 @@
     let body = "{\"tablets\":[{\"tablet\":0,\"fraction\":1}],\"statement\":\"c41e77d0\"}";
     write!(
         kept,
-        "POST /api HTTP/1.1\r\nX-Trace-Id: q1\r\nX-Qos: lookup\r\nX-Expires-In: 1\r\n\
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: q1\r\nX-Qos: lookup\r\nX-Expires-In: 1\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
--- a/tests/platform/requests.rs
+++ b/tests/platform/requests.rs
@@ -57,7 +57,7 @@
     fn send(&self, process: &Process) -> u16 {
         let body = format!("{{\"tablets\":[{}]{}}}", self.tablets, self.statement);
         let request = format!(
-            "POST /api HTTP/1.1\r\nX-Trace-Id: q6\r\nX-Qos: brief\r\n{}Connection: close\r\n\
+            "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: q6\r\nX-Qos: brief\r\n{}Connection: close\r\n\
              Content-Length: {}\r\n\r\n{body}",
             self.timeout_header,
             body.len()
@@ -100,13 +100,17 @@
     assert_eq!(edge.get("/elsewhere").status, 404);
     assert_eq!(edge.get("/api").status, 405);
     assert_eq!(
-        edge.send_request("POST /api HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+        edge.send_request("POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
             .status,
         413
     );
     assert_eq!(edge.send_request("\u{1}\u{2}\r\n\r\n").status, 400);
     let mut cut = TcpStream::connect(edge.address).expect("it listens");
-    write!(cut, "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n{{").expect("written");
+    write!(
+        cut,
+        "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{{"
+    )
+    .expect("written");
     cut.shutdown(std::net::Shutdown::Write)
         .expect("half closed");
     let mut text = String::new();
