Forget the duplicates of pages that a response discards

A response whose shard was restarted had no `numberMatched` if the discarded pages held a feature twice: the count of duplicates was not taken back with the features. It is part of the checkpoint now. duplicates_of_discarded_pages_do_not_hide_the_number_matched failed before.

--- a/src/front/ogc/paging/concat_merge/features.rs
+++ b/src/front/ogc/paging/concat_merge/features.rs
@@ -17,6 +17,7 @@
 pub(super) struct FeaturesCheckpoint {
     slices: usize,
     count: usize,
+    duplicates: usize,
 }
 
 /// The part of a page that was appended to a response.
@@ -79,6 +80,7 @@
         FeaturesCheckpoint {
             slices: self.slices.len(),
             count: self.count,
+            duplicates: self.duplicates,
         }
     }
 
@@ -87,10 +89,11 @@
         self.count > checkpoint.count
     }
 
-    /// Removes the features appended since a checkpoint.
+    /// Removes the features appended since a checkpoint, and forgets their duplicates.
     pub fn truncate(&mut self, checkpoint: FeaturesCheckpoint) {
         self.slices.truncate(checkpoint.slices);
         self.count = checkpoint.count;
+        self.duplicates = checkpoint.duplicates;
     }
 
     /// Returns the features, in order.
@@ -103,8 +106,7 @@
         self.count
     }
 
-    /// Returns the number of features that servers returned more than once. Those of a shard that
-    /// was restarted stay counted.
+    /// Returns the number of features that servers returned more than once.
     pub fn duplicates(&self) -> usize {
         self.duplicates
     }
--- a/src/front/ogc/paging/concat_merge/tests.rs
+++ b/src/front/ogc/paging/concat_merge/tests.rs
@@ -433,3 +433,24 @@
         prop_assert!(servers.requests <= max_requests, "{} of {pages}", servers.requests);
     }
 }
+
+/// Guards against a response without `numberMatched` since pages that it discarded had duplicates.
+#[test]
+fn duplicates_of_discarded_pages_do_not_hide_the_number_matched() {
+    let mut merge = ConcatMerge::new(limits(10), ResumePosition::START, 1);
+    let with_duplicate = page("0000000100000001", Some("x"), Some(2));
+    assert_eq!(
+        merge.accept(vec![fetched(0, 2, with_duplicate)], id),
+        MergeProgress::NeedsPages
+    );
+    assert_eq!(
+        merge.accept(vec![fetched(0, 2, None)], id),
+        MergeProgress::NeedsPages
+    );
+    let complete = page("0000000100000002", None, Some(2));
+    assert_eq!(
+        merge.accept(vec![fetched(0, 10, complete)], id),
+        MergeProgress::Complete
+    );
+    assert_eq!((merge.count(), merge.number_matched()), (2, Some(2)));
+}
