End a shard whose links lead in a circle of any length in sorted queries

A sorted query over a server whose links go a, b, a, b read pages up to its limit and told the client that there are too many features to sort; the shard was not named. Only a link to its own page counted as a circle. A shard remembers the pages it has visited now, at most as many as a query may read. a_cycle_of_two_links_ends_its_shard failed before.

--- a/src/front/ogc/paging/page.rs
+++ b/src/front/ogc/paging/page.rs
@@ -36,7 +36,7 @@
 }
 
 /// The location of a page within its shard.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum PageLocation {
     /// The first page of the shard.
     ShardStart,
--- a/src/front/ogc/paging/sorted_merge.rs
+++ b/src/front/ogc/paging/sorted_merge.rs
@@ -10,7 +10,7 @@
 use super::progress::{has_min_share, missing_indexes, MergeProgress};
 use super::sort_key::{SortKey, SortValues};
 use serde_json::Value as Json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 /// The maximum number of shards fetched at a time.
@@ -42,6 +42,8 @@
 struct ShardState {
     /// The next page; `None` after the last.
     location: Option<PageLocation>,
+    /// The pages that were read or are to be read next.
+    visited: HashSet<PageLocation>,
     /// Whether the server has returned the shard's features in order so far.
     sorted: bool,
     /// The values of the feature that the server returned last.
@@ -54,6 +56,7 @@
     fn new(sorted: bool) -> Self {
         ShardState {
             location: Some(PageLocation::ShardStart),
+            visited: HashSet::new(),
             sorted,
             last_seen: None,
             missing: false,
@@ -68,15 +71,19 @@
     /// Moves back to the start of the shard.
     fn restart(&mut self) {
         self.location = Some(PageLocation::ShardStart);
+        self.visited.clear();
         self.last_seen = None;
     }
 
-    /// Moves to the next page. Marks the shard as missing if the link leads to its own page, since
-    /// such pages never end.
+    /// Moves to the next page. Marks the shard as missing if the link leads to a page that was read
+    /// before, since such pages never end.
     fn move_to(&mut self, next: Option<PageLocation>) {
-        let cycle = next.is_some() && next == self.location;
-        self.missing |= cycle;
-        self.location = next.filter(|_| !cycle);
+        let is_cycle = |next: &PageLocation| !self.visited.insert(next.clone());
+        if next.as_ref().is_some_and(is_cycle) {
+            self.mark_missing();
+        } else {
+            self.location = next;
+        }
     }
 
     /// Records the values of the feature that the server returned last.
--- a/src/front/ogc/paging/sorted_merge/tests.rs
+++ b/src/front/ogc/paging/sorted_merge/tests.rs
@@ -376,3 +376,25 @@
         Some(2.into())
     );
 }
+
+/// Guards against a cycle of links that is followed until the limit of pages, which clients see as
+/// too many features.
+#[test]
+fn a_cycle_of_two_links_ends_its_shard() {
+    let mut merge = SortedMerge::new(query(5, 10, 100, 0.5), &[false, false]);
+    let first_pages = vec![
+        fetched(0, 5, page(Some("a"), &[1])),
+        fetched(1, 5, page(None, &[2])),
+    ];
+    let mut progress = merge.accept(first_pages);
+    for next in ["b", "a", "b"] {
+        assert_eq!(progress, MergeProgress::NeedsPages);
+        progress = merge.accept(vec![fetched(0, 5, page(Some(next), &[3]))]);
+        if progress != MergeProgress::NeedsPages {
+            break;
+        }
+    }
+    assert_eq!(progress, MergeProgress::Complete);
+    assert_eq!(merge.missing_shards(), [0]);
+    assert_eq!(sort_keys(&merge.to_page()), [2]);
+}
