Answer 503 instead of 410 to a next link while its server drains

Clients that followed a `next` link whose server drained got 410, "the server has left", and began anew, although the server was listed and might take requests again; design-paging.md promises 503 with Retry-After while the server is listed.

Cause: ResumePoint took any server that is not ready for a removed one (Catalog::sticky_shard). A draining server gets the new error ServerDraining; once it is not listed, 410 as before.

--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -279,6 +279,13 @@
         holders
     }
 
+    /// Returns whether a server with this name is listed and drains.
+    #[must_use]
+    pub fn is_draining(&self, name: &str) -> bool {
+        let mut servers = self.servers_by_address.values();
+        servers.any(|server| server.name == name && server.state == EndpointState::Draining)
+    }
+
     /// Returns the name of the server at an address.
     #[must_use]
     pub fn server_name(&self, address: &str) -> Option<&str> {
--- a/src/front/ogc/error.rs
+++ b/src/front/ogc/error.rs
@@ -43,6 +43,11 @@
     ShardRemoved,
     #[error("cursor: the server that its pages came from has left; begin anew without it")]
     ServerRemoved,
+    #[error(
+        "cursor: the server that its pages come from takes no requests at present; \
+        ask again, or begin anew without it"
+    )]
+    ServerDraining,
     #[error("another request of that name is open")]
     DuplicateRequestId,
     #[error("no answer")]
@@ -80,6 +85,15 @@
         }
     }
 
+    /// Returns the least time after which the same request may succeed; `None` if it will not.
+    pub fn retry_after(&self) -> Option<Micros> {
+        match self {
+            ApiError::Overloaded { retry_after } => Some(retry_after.unwrap_or(Micros::ZERO)),
+            ApiError::ServerDraining => Some(Micros::ZERO),
+            _ => None,
+        }
+    }
+
     /// Returns the HTTP status (RFC 9110).
     pub fn status(&self) -> u16 {
         match self {
@@ -101,7 +115,7 @@
             ApiError::ServersFailed
             | ApiError::InvalidFeature
             | ApiError::FeatureLookupIncomplete => 502,
-            ApiError::Overloaded { .. } => 503,
+            ApiError::Overloaded { .. } | ApiError::ServerDraining => 503,
             ApiError::Timeout => 504,
             ApiError::Cursor(error) => match error {
                 CursorError::NotAuthentic | CursorError::WrongQuery => 400,
--- a/src/front/ogc/error/tests.rs
+++ b/src/front/ogc/error/tests.rs
@@ -95,6 +95,12 @@
         503,
         "too much is asked at present; ask again",
     );
+    assert_rendered(
+        ApiError::ServerDraining,
+        503,
+        "cursor: the server that its pages come from takes no requests at present; \
+         ask again, or begin anew without it",
+    );
     assert_rendered(ApiError::Timeout, 504, "the servers did not answer in time");
 }
 
--- a/src/front/ogc/query/resume.rs
+++ b/src/front/ogc/query/resume.rs
@@ -154,7 +154,7 @@
 /// # Errors
 ///
 /// [`ApiError::ServerRemoved`] if the server no longer serves the shard and another one may have
-/// the features in another order.
+/// the features in another order; [`ApiError::ServerDraining`] if it may serve the shard again.
 fn link_location(
     state: &FrontState,
     collection: &str,
@@ -167,6 +167,9 @@
         .as_deref()
         .is_some_and(|address| catalog.sticky_shard(source.shard, address).is_some());
     if !serves_shard && !state.has_same_order(collection) {
+        if catalog.is_draining(&link.server) {
+            return Err(ApiError::ServerDraining);
+        }
         // Another server may have the features in another order.
         return Err(ApiError::ServerRemoved);
     }
--- a/src/front/ogc/response/problem.rs
+++ b/src/front/ogc/response/problem.rs
@@ -18,20 +18,16 @@
 /// The response to a request that failed.
 pub(in crate::front::ogc) fn error_response(error: &ApiError) -> Response {
     let mut response = problem(error.status(), &error.to_string());
-    if let ApiError::Overloaded { retry_after } = error {
-        let seconds = retry_after_seconds(*retry_after);
+    if let Some(retry_after) = error.retry_after() {
+        let seconds = retry_after_seconds(retry_after);
         response.add_header("Retry-After", seconds.to_string());
     }
     response
 }
 
 /// Whole seconds (RFC 9110, 10.2.3), and never 0: that would invite all clients to retry at once.
-fn retry_after_seconds(retry_after: Option<Micros>) -> u64 {
-    retry_after
-        .unwrap_or(Micros::ZERO)
-        .0
-        .div_ceil(MICROS_PER_SECOND)
-        .max(1)
+fn retry_after_seconds(retry_after: Micros) -> u64 {
+    retry_after.0.div_ceil(MICROS_PER_SECOND).max(1)
 }
 
 /// Returns the title of a problem with a status.
--- a/tests/ogc/pages.rs
+++ b/tests/ogc/pages.rs
@@ -1,6 +1,8 @@
 //! Pages of feature servers: merged over shards, continued over `next` links, and bounded.
 
-use crate::standin::feature_server::{healthy_reply, inventory_row, FeatureServer, Reply};
+use crate::standin::feature_server::{
+    healthy_reply, inventory_row, inventory_row_in_state, FeatureServer, Reply,
+};
 use crate::standin::process::Process;
 use crate::support::{expected, ITEMS};
 
@@ -115,3 +117,53 @@
     let requests = endless.count_requests(|_| true);
     assert!(requests <= 4, "{requests}");
 }
+
+/// Guards against a client that begins anew although the server of its next page is still listed.
+#[test]
+fn a_next_link_at_a_draining_server_can_be_tried_again_until_the_server_leaves() {
+    let server = FeatureServer::healthy(0..6, 2);
+    let other = FeatureServer::healthy(0..6, 2);
+    let other_row = inventory_row("b", &other, "devices");
+    let rows_with = |state| inventory_row_in_state("a", &server, "devices", state) + &other_row;
+    let edge = Process::start_edge("drained-link", "", &inventory_row("a", &server, "devices"));
+    let first = edge.get(&format!("{ITEMS}?limit=2"));
+    let next = first.link("next").expect("more features");
+
+    edge.reload_inventory(&rows_with("draining"));
+    let draining = edge.get(&next);
+    assert_eq!(
+        (
+            draining.status,
+            draining.headers.contains_key("retry-after")
+        ),
+        (503, true)
+    );
+    edge.reload_inventory(&rows_with("in_service"));
+    let served = edge.get(&next);
+    assert_eq!((served.status, served.ids()), (200, expected(2..4)));
+    edge.reload_inventory(&other_row);
+    assert_eq!(edge.get(&next).status, 410);
+}
+
+/// Guards against a page that is requested from a server that no longer has its shard.
+#[test]
+fn a_next_link_of_servers_with_the_same_order_goes_to_a_holder_of_its_shard() {
+    let servers = [0, 1].map(|_| FeatureServer::healthy(0..6, 2));
+    let rows = |first: &str| {
+        inventory_row("a", &servers[0], first) + &inventory_row("b", &servers[1], "devices/n")
+    };
+    let settings = "[[collection]]\nid = \"devices\"\nsame_order = true\n";
+    let edge = Process::start_edge("moved-link", settings, &rows("devices/n"));
+    let mut next = None;
+    while servers[0].count_requests(|_| true) == 0 {
+        next = edge.get(&format!("{ITEMS}?limit=2")).link("next");
+    }
+    let next = next.expect("more features");
+    edge.reload_inventory(&rows("devices/m"));
+    let requests = servers[0].count_requests(|_| true);
+    for _ in 0..4 {
+        let served = edge.get(&next);
+        assert_eq!((served.status, served.ids()), (200, expected(2..4)));
+    }
+    assert_eq!(servers[0].count_requests(|_| true), requests);
+}
