Count a request that waits on a new connection from the accept

A request whose bytes are there at the first read may have come with the connection; it counts from the accept now.

a_request_that_is_there_at_the_first_read_was_sent_at_the_accept fails with the time of the read.

--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -73,6 +73,8 @@
     pub(super) last_activity_at: Micros,
     /// The time of the accept.
     pub(super) accepted_at: Micros,
+    /// Whether a read found nothing: further input arrives later than that read.
+    pub(super) waited_for_input: bool,
     /// Whether at least one complete request was received.
     pub(super) received_request: bool,
     /// Whether at least one request was submitted to the coordinator as a query.
@@ -164,9 +166,20 @@
             self.last_activity_at = clock.now();
             self.request_started_at = self.request_started_at.or(Some(self.last_activity_at));
         }
+        self.waited_for_input |= matches!(outcome, IoOutcome::WouldBlock);
         outcome
     }
 
+    /// Returns the time at which the client sent the request that is complete now, as near as can
+    /// be known: that of the last read, or of the accept if the request may have arrived with it.
+    pub(super) fn request_sent_at(&self) -> Micros {
+        if self.waited_for_input {
+            self.last_activity_at
+        } else {
+            self.accepted_at
+        }
+    }
+
     /// Writes output until none is left or the socket would block. Returns whether the connection
     /// is intact.
     pub(super) fn write_output(&mut self, socket: &TcpStream, clock: &Clock) -> bool {
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -114,8 +114,7 @@
         let close = self.lifecycle.service_phase().closes_after_response();
         state.received_request = true;
         let token = Token(self.next_id());
-        // The deadline counts from the request's last byte, which came with the last read.
-        let sent_at = state.last_activity_at;
+        let sent_at = state.request_sent_at();
         match self
             .front
             .handle(request, token, sent_at, self.lifecycle.is_ready())
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -7,11 +7,15 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
-/// A front that knows no resource.
-struct NotFoundFront;
+/// A front that knows no resource and records the times at which its requests were sent.
+#[derive(Clone, Default)]
+struct NotFoundFront {
+    sent_at: Arc<Mutex<Vec<Micros>>>,
+}
 
 impl Front for NotFoundFront {
-    fn handle(&self, _: HttpRequest, _: Token, _: Micros, _: bool) -> Reaction {
+    fn handle(&self, _: HttpRequest, _: Token, sent: Micros, _: bool) -> Reaction {
+        sync::lock(&self.sent_at).push(sent);
         Reaction::Respond(Response::new(404, "", ""))
     }
     fn malformed_response(&self, error: HttpError) -> Response {
@@ -23,11 +27,20 @@
 fn clients(
     limits: ClientLimits,
     states: Vec<ConnectionState>,
+) -> (Arc<ClientConnections>, Vec<Arc<Connection>>) {
+    clients_of(NotFoundFront::default(), limits, states)
+}
+
+/// Creates client connections of a front in these states, without sockets.
+fn clients_of(
+    front: NotFoundFront,
+    limits: ClientLimits,
+    states: Vec<ConnectionState>,
 ) -> (Arc<ClientConnections>, Vec<Arc<Connection>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let listener = Arc::new(CoIo::new(listener).expect("a socket of the runtime"));
     let clients = ClientConnections::new(
-        Box::new(NotFoundFront),
+        Box::new(front),
         listener,
         limits,
         channel().0,
@@ -140,23 +153,66 @@
         bytes: 1,
     };
     let (clients, connections) = clients(limits, vec![without_request(1)]);
+    let (mut client, stream) = connect(&clients);
+    send_request(&mut client, &stream);
+    let stream = CoIo::new(stream).expect("a socket of the runtime");
+    assert!(clients.evict_one());
+    assert!(!clients.drive(&connections[0], &stream), "it closes");
+    drop(stream);
+    let mut head = [0; 12];
+    client.read_exact(&mut head).expect("a response");
+    assert_eq!(&head, b"HTTP/1.1 404");
+}
+
+/// Connects a client and returns both ends of its connection.
+fn connect(clients: &ClientConnections) -> (TcpStream, TcpStream) {
     let address = clients.listener.inner().local_addr().expect("bound");
-    let mut client = TcpStream::connect(address).expect("it listens");
-    client
-        .write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
-        .expect("sent");
+    let client = TcpStream::connect(address).expect("it listens");
     let stream = loop {
         match clients.listener.inner().accept() {
             Ok((stream, _)) => break stream,
             Err(_) => std::thread::yield_now(),
         }
     };
+    (client, stream)
+}
+
+/// Sends a request and waits until it has arrived at the other end.
+fn send_request(client: &mut TcpStream, stream: &TcpStream) {
+    let request = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    client.write_all(request).expect("sent");
     stream.peek(&mut [0]).expect("the request has arrived");
+}
+
+/// Guards against responses after the client's time: a request that waits in the socket until its
+/// new connection is first read counts from the accept.
+#[test]
+fn a_request_that_is_there_at_the_first_read_was_sent_at_the_accept() {
+    let limits = ClientLimits {
+        connections: 2,
+        idle: 2,
+        bytes: 1,
+    };
+    let front = NotFoundFront::default();
+    let states = vec![without_request(1), without_request(1)];
+    let (clients, connections) = clients_of(front.clone(), limits, states);
+    let accepted_at = connections[0].lock().accepted_at;
+    let (mut client, stream) = connect(&clients);
+    send_request(&mut client, &stream);
     let stream = CoIo::new(stream).expect("a socket of the runtime");
-    assert!(clients.evict_one());
-    assert!(!clients.drive(&connections[0], &stream), "it closes");
-    drop(stream);
-    let mut head = [0; 12];
-    client.read_exact(&mut head).expect("a response");
-    assert_eq!(&head, b"HTTP/1.1 404");
+    assert!(clients.drive(&connections[0], &stream));
+    assert_eq!(*sync::lock(&front.sent_at), [accepted_at]);
+
+    // The second client sends its request after the first read.
+    let (mut client, stream) = connect(&clients);
+    let other_end = stream.try_clone().expect("a handle");
+    let stream = CoIo::new(stream).expect("a socket of the runtime");
+    assert!(clients.drive(&connections[1], &stream));
+    let waited_until = clients.clock.now();
+    client
+        .write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        .expect("sent");
+    while other_end.peek(&mut [0]).is_err() {}
+    assert!(clients.drive(&connections[1], &stream));
+    assert!(sync::lock(&front.sent_at)[1] >= waited_until);
 }
