Number an event and count it in one step, so that no throttled line is lost or doubled

Throttled log lines are written at the 1st, 2nd, 4th, 8th event. The counter was incremented and then read in a second step: of two events at the same time both could see the count of both, and the line of the first was skipped, or doubled.

--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -41,6 +41,11 @@
         self.add(1);
     }
 
+    /// Counts one event and returns its number, from 1.
+    pub fn next(&self) -> u64 {
+        self.0.fetch_add(1, Relaxed) + 1
+    }
+
     /// Counts `n` events.
     pub fn add(&self, n: usize) {
         self.0.fetch_add(n as u64, Relaxed);
--- a/src/coordinator/diagnostics.rs
+++ b/src/coordinator/diagnostics.rs
@@ -9,8 +9,7 @@
 /// event may occur too often to log each time: standard error may be a pipe, and a full one would
 /// block the worker.
 pub fn log_throttled(counter: &Counter, log_event: impl FnOnce()) {
-    counter.increment();
-    if counter.get().is_power_of_two() {
+    if counter.next().is_power_of_two() {
         log_event();
     }
 }
