Reject a hand-over with a word that is no address

Such words were skipped; the sockets behind them then belonged to other addresses or their number did not match, and the log said nothing of the word. The error names it now. a_message_with_a_word_that_is_no_address_is_rejected failed before.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -45,6 +45,9 @@
     /// The message has no sockets, or not one for each address.
     #[error("sockets and addresses do not match")]
     SocketMismatch,
+    /// A word of the message is not an address.
+    #[error("{0:?} is no address")]
+    InvalidAddress(String),
     /// The sockets do not fit into a message.
     #[error("too many sockets")]
     TooManySockets,
@@ -205,10 +208,11 @@
         .ok()
         .and_then(|text| text.strip_prefix(HELLO));
     let addresses = text.ok_or(HandoverError::IncompatibleVersion)?;
-    Ok(addresses
-        .split_whitespace()
-        .filter_map(|word| word.parse().ok())
-        .collect())
+    let address = |word: &str| {
+        let invalid = |_| HandoverError::InvalidAddress(word.to_owned());
+        word.parse().map_err(invalid)
+    };
+    addresses.split_whitespace().map(address).collect()
 }
 
 /// Starts a thread that waits for successors for as long as this process lives. Calls
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -114,3 +114,13 @@
     assert!(matches!(error, HandoverError::SocketMismatch));
     assert_eq!(error.to_string(), "sockets and addresses do not match");
 }
+
+/// Guards against words that are dropped, after which sockets would go with other addresses.
+#[test]
+fn a_message_with_a_word_that_is_no_address_is_rejected() {
+    let message = |words: &str| parse_addresses(format!("{HELLO} {words}").as_bytes());
+    let addresses = message("127.0.0.1:80 [::1]:81").expect("two addresses");
+    assert_eq!(addresses.len(), 2);
+    let rejected = message("127.0.0.1:80 nowhere 127.0.0.1:81").expect_err("no address");
+    assert_eq!(rejected.to_string(), "\"nowhere\" is no address");
+}
