Let very long times saturate instead of wrap

A `Retry-After` of a feature server beyond 2^64 / 10^6 s had the effect of a short one: it wrapped when it was turned into microseconds, before it was bounded to 30 s. Micros::from_secs and from_millis saturate now, as sums and differences do, for all their callers. spans_beyond_the_longest_saturate failed before.

--- a/src/time.rs
+++ b/src/time.rs
@@ -25,13 +25,13 @@
     /// Returns a span of `millis` milliseconds.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Micros(millis * 1_000)
+        Micros(millis.saturating_mul(1_000))
     }
 
     /// Returns a span of `secs` seconds.
     #[must_use]
     pub const fn from_secs(secs: u64) -> Self {
-        Micros(secs * 1_000_000)
+        Micros(secs.saturating_mul(1_000_000))
     }
 
     /// Converts to the unit of the decision policy.
--- a/src/time/tests.rs
+++ b/src/time/tests.rs
@@ -25,3 +25,11 @@
         assert_eq!(Micros::from_nanos_rounded_up(nanos), Micros(up));
     }
 }
+
+/// Guards against a very long time that wraps to a short one.
+#[test]
+fn spans_beyond_the_longest_saturate() {
+    assert_eq!(Micros::from_secs(u64::MAX), Micros(u64::MAX));
+    assert_eq!(Micros::from_millis(u64::MAX / 2), Micros(u64::MAX));
+    assert_eq!(Micros::from_secs(2), Micros::from_millis(2_000));
+}
