Never report an optional key as missing in a reload

Where an object changed its type, find_missing_key named its first key, optional or not, and the operator's file was rejected for a key that it may omit. an_optional_key_is_never_missing failed before.

--- a/src/settings/missing_key.rs
+++ b/src/settings/missing_key.rs
@@ -20,13 +20,14 @@
 /// (`limits.max-attempts`).
 ///
 /// The first element of an array in `old` is the model for all elements of the array in `new`.
-/// Where `old` has an object and `new` a value of another type, the object's first key is missing.
+/// Where `old` has an object and `new` a value of another type, the object's first key that is not
+/// optional is missing.
 #[must_use]
 pub fn find_missing_key(old: &Value, new: &Value) -> Option<String> {
     match (old, new) {
         (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, old_value)| {
             let Some(new_value) = new.get(key) else {
-                return (!OPTIONAL_KEYS.contains(&key.as_str())).then(|| key.clone());
+                return (!is_optional(key)).then(|| key.clone());
             };
             find_missing_key(old_value, new_value).map(|path| format!("{key}.{path}"))
         }),
@@ -35,7 +36,11 @@
             new.iter()
                 .find_map(|element| find_missing_key(model, element))
         }
-        (Value::Object(old), _) => old.keys().next().cloned(),
+        (Value::Object(old), _) => old.keys().find(|key| !is_optional(key)).cloned(),
         _ => None,
     }
 }
+
+fn is_optional(key: &str) -> bool {
+    OPTIONAL_KEYS.contains(&key)
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -170,3 +170,16 @@
         Some("list.c".to_owned())
     );
 }
+
+/// Guards against an optional key that is reported as missing where an object changed its type.
+#[test]
+fn an_optional_key_is_never_missing() {
+    let old = json!({"limits": {"extra-floor": 1, "max-attempts": 2}, "other": {"look-back": 3}});
+    let missing = |new: Value| find_missing_key(&old, &new);
+    let changed = json!({"limits": 5, "other": {}});
+    assert_eq!(missing(changed), Some("limits.max-attempts".to_owned()));
+    assert_eq!(
+        missing(json!({"limits": {"max-attempts": 1}, "other": null})),
+        None
+    );
+}
