Reload files whose addresses come from the environment

A process whose NODE_LISTEN or NODE_DISCOVERY gave an address that its file lacks started, and then rejected every reload with "listen: no address", since a reload ignored the environment altogether. Addresses that the file does not have are now those of the start; the file's own are checked as strictly as before, and a key that the file in force had may still not go.

a_file_without_addresses_is_reloaded_with_those_of_the_environment failed before.

--- a/src/net/config/reload.rs
+++ b/src/net/config/reload.rs
@@ -12,13 +12,17 @@
     path: PathBuf,
     /// The keys of the file in force; see [`Config`].
     file_shape: Value,
+    /// The address on which clients connect, which a reload does not change.
+    listen: SocketAddr,
+    /// The address of discovery at the start.
+    startup_discovery: SocketAddr,
 }
 
 /// The values that a running program takes over from a replaced file.
 #[derive(Debug)]
 pub struct ReloadedConfig {
-    /// The address of discovery.
-    pub discovery: SocketAddr,
+    /// The address of discovery; `None` if the file leaves it to the environment.
+    pub discovery: Option<SocketAddr>,
     /// The settings.
     pub settings: CoordinatorSettings,
 }
@@ -30,11 +34,13 @@
         ActiveConfig {
             path: config.path.clone(),
             file_shape: config.file_shape.clone(),
+            listen: config.listen,
+            startup_discovery: config.discovery,
         }
     }
 
-    /// Reads the file again and makes it the one in force. Ignores the environment, which cannot
-    /// have changed.
+    /// Reads the file again and makes it the one in force. The environment, which cannot have
+    /// changed, only gives the addresses that the file does not have.
     ///
     /// # Errors
     ///
@@ -57,10 +63,19 @@
         if let Some(key) = find_missing_key(&self.file_shape, &file_shape) {
             return Err(ConfigFileError::MissingKey { key });
         }
-        let config = Config::parse(text, EnvironmentOverrides::default())?;
+        let if_absent = |key: &str, address: SocketAddr| {
+            let absent = file_shape.get(key).is_none_or(Value::is_null);
+            absent.then(|| address.to_string())
+        };
+        let environment = EnvironmentOverrides {
+            listen: if_absent("listen", self.listen),
+            discovery: if_absent("discovery", self.startup_discovery),
+            ..EnvironmentOverrides::default()
+        };
+        let config = Config::parse(text, environment)?;
         self.file_shape = file_shape;
         Ok(ReloadedConfig {
-            discovery: config.discovery,
+            discovery: config.file_discovery,
             settings: config.settings,
         })
     }
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -108,7 +108,8 @@
     let mut replaced = file();
     replaced["known"] = json!({});
     replaced["discovery"] = json!("127.0.0.1:7001");
-    assert_eq!(reload(&replaced).expect("a reload").discovery.port(), 7001);
+    let discovery = reload(&replaced).expect("a reload").discovery;
+    assert_eq!(discovery.map(|address| address.port()), Some(7001));
     replaced["settings"]["limits"] = json!({});
     let error = reload(&replaced).expect_err("a lost key");
     let ConfigError::Invalid { source, .. } = &error else {
@@ -126,3 +127,29 @@
         )
     );
 }
+
+/// Guards against reloads that are all rejected where the environment gives the addresses.
+#[test]
+fn a_file_without_addresses_is_reloaded_with_those_of_the_environment() {
+    let path = std::env::temp_dir().join(format!("quinceflow-env-{}.json", std::process::id()));
+    let mut without_addresses = file();
+    let keys = without_addresses.as_object_mut().expect("an object");
+    keys.remove("listen");
+    keys.remove("discovery");
+    let environment = EnvironmentOverrides {
+        listen: Some("127.0.0.1:7100".to_owned()),
+        discovery: Some("127.0.0.1:7101".to_owned()),
+        ..EnvironmentOverrides::default()
+    };
+    let text = without_addresses.to_string();
+    let started = Config::parse(text.as_bytes(), environment).expect("a configuration");
+    let config = Config {
+        path: path.clone(),
+        ..started
+    };
+    let mut active = ActiveConfig::from_startup(&config);
+    std::fs::write(&path, text).expect("a file");
+    let reloaded = active.reload();
+    std::fs::remove_file(&path).expect("no file");
+    assert_eq!(reloaded.expect("a reload").discovery, None, "as before");
+}
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -135,8 +135,10 @@
             ReloadError::Configuration(e)
         })?;
         self.metrics.config_applied.increment();
-        if self.discovery_in_file.replace(file.discovery) != Some(file.discovery) {
-            self.source.set_address(file.discovery);
+        if let Some(discovery) = file.discovery {
+            if self.discovery_in_file.replace(discovery) != Some(discovery) {
+                self.source.set_address(discovery);
+            }
         }
         let settings = file.settings;
         self.source
