--- a/src/policy/replicas/slow_start.rs
+++ b/src/policy/replicas/slow_start.rs
@@ -80,7 +80,7 @@
         (now - last) as f64 / rule.overload_window as f64 * parts_per_window
     }
 
-    /// Records that a part of this work, in ns, is sent.
+    /// Records that a part of this work, in ns, is sent, which counts where there is a rule.
     pub fn record_send(
         &mut self,
         work: f64,
@@ -90,8 +90,8 @@
     ) {
         if let Some(rule) = rule {
             self.sent_work.expire(now, rule.overload_window);
+            self.sent_work.push(now, work);
         }
-        self.sent_work.push(now, work);
         self.drawn_gap = exponential(rng);
     }
 }
@@ -100,3 +100,6 @@
 fn window_limit(rule: &SlowStartRule, age: Nanos) -> f64 {
     rule.overload_factor * rule.capacity(age) * ASSUMED_CORES * rule.overload_window as f64
 }
+
+#[cfg(test)]
+mod tests;
