Do a reload that SIGHUP requests while the process starts

A SIGHUP right after `listening for client connections` could be ignored: requests made before the coordinator's loop counted as done, and the line is logged before the loop is built. The file may have changed after it was read, so a request made at any time after the handlers are set is done now. a_reload_that_was_requested_during_the_start_is_done_once: the record was built with the number of requests until then and did nothing before.

--- a/src/net/server/coordinator_loop.rs
+++ b/src/net/server/coordinator_loop.rs
@@ -94,7 +94,7 @@
             arrivals: parts.arrivals,
             timer,
             startup: Startup::new(lifecycle, process.clock.now()),
-            reloads: RequestedReloads::new(parts.reload, process.signals.reloads_requested()),
+            reloads: RequestedReloads::new(parts.reload),
             shutdown: GracefulShutdown::new(parts.longest_deadline),
             generation: None,
             process,
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -28,12 +28,10 @@
 }
 
 impl RequestedReloads {
-    /// Creates a record in which the requests made before the start count as done.
-    pub(super) fn new(reload: Box<dyn Reload>, requested_before: u64) -> Self {
-        RequestedReloads {
-            reload,
-            done: requested_before,
-        }
+    /// Creates a record without a reload. A request made during the start counts: the file may have
+    /// changed after it was read.
+    pub(super) fn new(reload: Box<dyn Reload>) -> Self {
+        RequestedReloads { reload, done: 0 }
     }
 
     /// Reloads if a reload was requested since the last call. A rejected reload changes nothing and
@@ -193,3 +191,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
