Log a received listening socket only for the service that has it

A successor with more fronts than its predecessor logged `listening sockets received from predecessor` for each of them, also for one that opened its own socket: the line depended on there being a predecessor. It follows the socket now. only_a_service_whose_socket_was_handed_over_logs_it failed before.

--- a/src/net/server/listeners.rs
+++ b/src/net/server/listeners.rs
@@ -19,18 +19,31 @@
 /// A listening socket that coroutines can wait on.
 pub(super) type Listener = Arc<CoIo<TcpListener>>;
 
+/// The listening socket of a front.
+pub(super) struct OpenListener {
+    /// The socket.
+    pub(super) listener: Listener,
+    /// Whether it was received from the predecessor.
+    pub(super) inherited: bool,
+}
+
 /// Returns the listening socket for an address: the one received from the predecessor, or a new
 /// one.
 pub(super) fn listener_for(
     address: SocketAddr,
     inherited: &mut Vec<ListeningSocket<TcpListener>>,
-) -> Result<Listener, ServerError> {
+) -> Result<OpenListener, ServerError> {
     let fault = |source| ServerError::Listen { address, source };
-    let socket = match inherited.iter().position(|s| s.address == address) {
+    let received = inherited.iter().position(|s| s.address == address);
+    let socket = match received {
         Some(index) => inherited.swap_remove(index).socket,
         None => handover::listen(address).map_err(fault)?,
     };
-    CoIo::new(socket).map(Arc::new).map_err(|e| fault(e.into()))
+    let listener = CoIo::new(socket).map_err(|e| fault(e.into()))?;
+    Ok(OpenListener {
+        listener: Arc::new(listener),
+        inherited: received.is_some(),
+    })
 }
 
 /// A listening socket as it is offered to a successor.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -26,7 +26,7 @@
 use crate::front::ogc::config::EdgeConfig;
 use crate::time::Clock;
 use generations::ProcessGenerations;
-use listeners::{Listener, SharedListener};
+use listeners::{OpenListener, SharedListener};
 use process::ProcessContext;
 use service::{RunningService, Service};
 use signals::Signals;
@@ -158,7 +158,7 @@
 fn open_listeners(
     services: &[Service],
     inherited: &mut Vec<ListeningSocket<TcpListener>>,
-) -> Result<Vec<Listener>, ServerError> {
+) -> Result<Vec<OpenListener>, ServerError> {
     services
         .iter()
         .map(|service| listeners::listener_for(service.listen_address(), inherited))
@@ -167,11 +167,11 @@
 
 fn shared_listeners(
     services: &[Service],
-    listeners: &[Listener],
+    listeners: &[OpenListener],
 ) -> Vec<ListeningSocket<SharedListener>> {
-    let share = |(service, listener): (&Service, &Listener)| ListeningSocket {
+    let share = |(service, open): (&Service, &OpenListener)| ListeningSocket {
         address: service.listen_address(),
-        socket: SharedListener::new(listener.clone()),
+        socket: SharedListener::new(open.listener.clone()),
     };
     services.iter().zip(listeners).map(share).collect()
 }
--- a/src/net/server/service.rs
+++ b/src/net/server/service.rs
@@ -3,7 +3,7 @@
 
 use super::coordinator_loop::{CoordinatorLoop, CoordinatorParts};
 use super::generations::ProcessGenerations;
-use super::listeners::Listener;
+use super::listeners::OpenListener;
 use super::process::ProcessContext;
 use super::ServerError;
 use crate::coordinator::Input;
@@ -79,9 +79,13 @@
     /// Starts to accept connections, and starts the coordinator.
     pub(super) fn start(
         self,
-        listener: Listener,
+        open: OpenListener,
         process: ProcessContext,
     ) -> Result<RunningService, ServerError> {
+        let OpenListener {
+            listener,
+            inherited,
+        } = open;
         let address = listener
             .inner()
             .local_addr()
@@ -96,7 +100,7 @@
             self.lifecycle,
         );
         accept(clients.clone(), process.generations.clone())?;
-        if process.generations.has_predecessor() {
+        if inherited {
             tracing::info!(
                 service = self.name,
                 "listening sockets received from predecessor"
--- a/tests/log_events/start.rs
+++ b/tests/log_events/start.rs
@@ -4,7 +4,10 @@
 use crate::standin::deployment::Deployment;
 use crate::standin::discovery::{all_in_service, complete_list, serve_constant_list};
 use crate::standin::http::bind_loopback;
-use crate::support::{create_short_folder, refusing_address, LoggingProcess};
+use crate::support::{
+    create_folder, create_short_folder, platform_command, refusing_address, write_edge_file,
+    write_inventory, LoggingProcess,
+};
 use serde_json::json;
 use std::io::Write;
 use std::os::unix::net::UnixListener;
@@ -28,6 +31,36 @@
     let _ = std::fs::remove_dir_all(&temporary);
 }
 
+/// Guards against a line that says a service received a socket that it opened itself.
+#[test]
+fn only_a_service_whose_socket_was_handed_over_logs_it() {
+    let nodes = [DataNode::serving()];
+    let addresses = addresses_of(&nodes);
+    let discovery = serve_constant_list(complete_list(1, &all_in_service(&addresses)));
+    let configuration = Deployment::BASIC.configuration(discovery, &addresses);
+    let temporary = create_short_folder("one-of-two");
+    let predecessor = LoggingProcess::start_with_hand_over("one-front", &configuration, &temporary);
+    predecessor.wait_for("listening for client connections");
+    // The successor has a second front, for feature queries.
+    let folder = create_folder("two-fronts");
+    write_edge_file(&folder, "");
+    write_inventory(&folder, "a,127.0.0.1:9,devices,\n");
+    let mut command = platform_command(&folder, &configuration);
+    command
+        .env("TMPDIR", &temporary)
+        .arg("--edge")
+        .arg(folder.join("edge.toml"));
+    let successor = LoggingProcess::spawn(command, folder);
+    let events = successor.collect_until("listening for client connections", 2);
+    let received: Vec<_> = events
+        .iter()
+        .filter(|fields| fields["message"] == "listening sockets received from predecessor")
+        .map(|fields| &fields["service"])
+        .collect();
+    assert_eq!(received, ["n0"]);
+    let _ = std::fs::remove_dir_all(&temporary);
+}
+
 #[test]
 fn failed_hand_overs_are_logged_by_both_sides() {
     let nodes = [DataNode::serving()];
--- a/tests/log_events/support.rs
+++ b/tests/log_events/support.rs
@@ -94,6 +94,18 @@
         }
     }
 
+    /// Returns the fields of the events up to the one with this message that comes `times` times.
+    pub fn collect_until(&self, message: &str, times: usize) -> Vec<Value> {
+        let mut collected: Vec<Value> = Vec::new();
+        let is_awaited = |fields: &&Value| fields["message"] == message;
+        while collected.iter().filter(is_awaited).count() < times {
+            let event = self.events.recv_timeout(EVENT_TIMEOUT);
+            let mut event = event.unwrap_or_else(|e| panic!("no event {message:?}: {e}"));
+            collected.push(event["fields"].take());
+        }
+        collected
+    }
+
     /// Sends a signal by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill")
