Write the whole reply of an admin call, however large it is

A large `DUMP` could arrive cut off, without its `END`: the reply was one write on a non-blocking socket whose error was ignored.

a_dump_larger_than_the_socket_buffers_arrives_whole (60,000 classes, a caller that reads late and has ended its side) failed before.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,16 +1,14 @@
 //! The admin endpoint, which serves the health check and the metrics. It runs on a thread of its
 //! own and reads atomics only, so that a saturated worker delays no reply. The protocol is in
 //! `proto::admin`.
-//!
-//! The counter that throttles the log of failed accepts is a static, since there is one endpoint in
-//! a process.
 
 use super::lifecycle::Unhealthy;
-use super::{try_read, IoOutcome};
+use super::{try_read, try_write, IoOutcome};
 use crate::coordinator::{log_throttled, Counter, Metrics, COUNTERS};
 use crate::proto::admin::{AdminCommand, AdminConnection};
+use crate::proto::body::Body;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -88,8 +86,10 @@
     /// The protocol state.
     caller: AdminConnection,
     accepted_at: Instant,
-    /// Whether the reply was written.
-    replied: bool,
+    /// The rest of the reply, once there is one.
+    reply: Option<Body>,
+    /// Whether the caller sends nothing more.
+    input_ended: bool,
 }
 
 impl CallerConnection {
@@ -98,9 +98,43 @@
             stream,
             caller: AdminConnection::default(),
             accepted_at: Instant::now(),
-            replied: false,
+            reply: None,
+            input_ended: false,
         }
     }
+
+    /// Returns whether the whole reply was written.
+    fn is_replied(&self) -> bool {
+        self.reply.as_ref().is_some_and(Body::is_empty)
+    }
+
+    /// Writes the rest of the reply until the socket would block, and ends the connection's sending
+    /// side after it. A caller that has gone needs no reply.
+    fn write_reply(&mut self) {
+        let Some(reply) = self.reply.as_mut().filter(|reply| !reply.is_empty()) else {
+            return;
+        };
+        while !reply.is_empty() {
+            match try_write(&self.stream, reply.front()) {
+                IoOutcome::Transferred(bytes) => reply.advance(bytes),
+                IoOutcome::WouldBlock => return,
+                IoOutcome::EndOfStream | IoOutcome::Broken => *reply = Body::default(),
+            }
+        }
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    /// Returns the events to wait for.
+    fn awaited_events(&self) -> PollFlags {
+        let mut events = PollFlags::empty();
+        events.set(PollFlags::IN, !self.input_ended);
+        events.set(PollFlags::OUT, self.has_unwritten_reply());
+        events
+    }
+
+    fn has_unwritten_reply(&self) -> bool {
+        self.reply.as_ref().is_some_and(|reply| !reply.is_empty())
+    }
 }
 
 /// Waits for input, accepts callers, and answers the calls that are complete.
@@ -116,7 +150,8 @@
         if callers.len() >= endpoint.max_callers {
             // Callers that have their reply go first, then the oldest: a caller with a call must
             // not wait behind callers without one.
-            callers.remove(callers.iter().position(|c| c.replied).unwrap_or(0));
+            let replied = callers.iter().position(CallerConnection::is_replied);
+            callers.remove(replied.unwrap_or(0));
         }
         callers.push(CallerConnection::new(stream));
         // Most calls come with their connection.
@@ -131,7 +166,7 @@
     sockets.extend(
         callers
             .iter()
-            .map(|c| PollFd::new(&c.stream, PollFlags::IN)),
+            .map(|c| PollFd::new(&c.stream, c.awaited_events())),
     );
     poll(&mut sockets, Some(&MAX_POLL_WAIT)).is_ok()
 }
@@ -154,24 +189,17 @@
 
 /// Reads once, and replies if the call is complete. Returns whether the connection is to be closed.
 fn is_done(connection: &mut CallerConnection, endpoint: &AdminEndpoint) -> bool {
-    let ended = read_once(connection);
-    if connection.replied {
+    connection.input_ended = connection.input_ended || read_once(connection);
+    if connection.reply.is_some() {
         // Input behind the call is discarded until the caller closes: closing a socket with unread
         // input sends a reset, which can destroy the reply on its way.
         connection.caller = AdminConnection::default();
-        return ended;
-    }
-    if let Some(call) = connection.caller.command(ended) {
+    } else if let Some(call) = connection.caller.command(connection.input_ended) {
         COUNTERS.admin_calls.increment();
-        // The send buffer of a new connection takes the start of a reply at once; a caller that
-        // does not read is not waited for.
-        let _ = connection
-            .stream
-            .write_all(reply(call, endpoint).as_bytes());
-        let _ = connection.stream.shutdown(Shutdown::Write);
-        connection.replied = true;
+        connection.reply = Some(reply(call, endpoint).into_bytes().into());
     }
-    ended
+    connection.write_reply();
+    connection.input_ended && !connection.has_unwritten_reply()
 }
 
 /// Reads once from the caller. Returns whether the caller sends nothing more.
--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the admin endpoint.
 
 use super::*;
+use std::io::{Read, Write};
 
 fn endpoint() -> AdminEndpoint {
     AdminEndpoint {
@@ -49,3 +50,38 @@
         "NO such call: HEALTH or DUMP\n"
     );
 }
+
+/// The number of classes whose metrics no pair of socket buffers holds.
+const MANY_CLASSES: usize = 60_000;
+
+/// Starts an endpoint on a free port.
+fn start_endpoint(endpoint: AdminEndpoint) -> SocketAddr {
+    try_start(([127, 0, 0, 1], 0).into(), endpoint).expect("a port")
+}
+
+/// Guards against a dump that is cut off without its `END`.
+#[test]
+fn a_dump_larger_than_the_socket_buffers_arrives_whole() {
+    let endpoint = AdminEndpoint {
+        max_callers: 4,
+        ..endpoint()
+    };
+    for class in 0..MANY_CLASSES {
+        endpoint
+            .metrics
+            .class(&format!("a-class-with-a-long-name-{class:06}"));
+    }
+    let mut caller = TcpStream::connect(start_endpoint(endpoint)).expect("it listens");
+    caller.write_all(b"DUMP\n").expect("sent");
+    caller.shutdown(Shutdown::Write).expect("ended");
+    // The caller reads late, so that the buffers are full.
+    std::thread::sleep(Duration::from_millis(200));
+    let mut text = String::new();
+    caller.read_to_string(&mut text).expect("a reply");
+    assert!(
+        text.starts_with("YES\n") && text.ends_with("\nEND\n"),
+        "{} bytes",
+        text.len()
+    );
+    assert_eq!(text.matches(".ok=0\n").count(), MANY_CLASSES);
+}
