Count failures to accept an admin connection in accept_errors

They were counted in a counter of the endpoint that nobody could read; the log line was throttled by it. a_failure_to_accept_counts_as_an_accept_error failed before (0 instead of 1).

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,7 +4,7 @@
 
 use super::lifecycle::Unhealthy;
 use super::{try_read, try_write, IoOutcome};
-use crate::coordinator::{log_throttled, Counter, Metrics, COUNTERS};
+use crate::coordinator::{log_throttled, Metrics, COUNTERS};
 use crate::proto::admin::{AdminCommand, AdminConnection};
 use crate::proto::body::Body;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -172,13 +172,17 @@
 }
 
 fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    match listener.accept() {
+    accept_result(listener.accept())
+}
+
+/// Returns the connection that was accepted, if there is one. Counts and logs a failure.
+fn accept_result(accepted: io::Result<(TcpStream, SocketAddr)>) -> Option<TcpStream> {
+    match accepted {
         Ok((stream, _)) => stream.set_nonblocking(true).is_ok().then_some(stream),
         Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
         Err(e) => {
-            static ACCEPT_ERRORS: Counter = Counter::new();
             log_throttled(
-                &ACCEPT_ERRORS,
+                &COUNTERS.accept_errors,
                 || tracing::warn!(error = %e, "accepting an admin connection failed"),
             );
             std::thread::sleep(ACCEPT_RETRY_INTERVAL);
--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -85,3 +85,13 @@
     );
     assert_eq!(text.matches(".ok=0\n").count(), MANY_CLASSES);
 }
+
+/// Guards against failures to accept that `accept_errors` does not count.
+#[test]
+fn a_failure_to_accept_counts_as_an_accept_error() {
+    let before = COUNTERS.accept_errors.get();
+    assert!(accept_result(Err(ErrorKind::OutOfMemory.into())).is_none());
+    assert_eq!(COUNTERS.accept_errors.get() - before, 1);
+    assert!(accept_result(Err(ErrorKind::WouldBlock.into())).is_none());
+    assert_eq!(COUNTERS.accept_errors.get() - before, 1);
+}
