Pass the slot of an attempt whose coroutine cannot start to the next in the queue

If the runtime could not start a coroutine for an attempt, its slot was freed and the attempts queued at that server waited until idle connections were next checked, while their clients' time went on. The slot goes to the next attempt at once now; if none can start, all end as not sent, so that the policy can send them elsewhere.

a_coroutine_that_cannot_start_leaves_its_slot_to_the_queue fails without the hand-on (one of four attempts ended).

--- a/src/net/feature_client/driver.rs
+++ b/src/net/feature_client/driver.rs
@@ -13,6 +13,8 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use may::sync::mpsc::Sender;
+use std::collections::VecDeque;
+use std::io;
 use std::sync::{Arc, Mutex};
 
 /// The status of a server that limits the rate of requests (RFC 6585, section 4).
@@ -68,12 +70,32 @@
 impl FetchDriver {
     /// Starts the driver on a coroutine of its own. Reports the attempt as not sent if that fails.
     pub(super) fn start(self) {
-        let server = self.server.clone();
-        let inbox = self.context.inbox.clone();
-        let key = self.request.key;
-        if spawn(LARGE_STACK_WORDS, move || self.run()).is_err() {
-            lock(&server).in_flight -= 1;
-            let _ = inbox.send(Input::AttemptEnded {
+        self.start_by(|driver| spawn(LARGE_STACK_WORDS, move || driver.run()).map(drop));
+    }
+
+    /// Starts the driver by `spawn`. If that fails, the attempt is reported as not sent, and its
+    /// slot goes to the next attempt in the queue.
+    fn start_by(self, spawn: impl Fn(FetchDriver) -> io::Result<()>) {
+        let FetchDriver {
+            request,
+            server,
+            context,
+        } = self;
+        let mut startable = VecDeque::from([request]);
+        while let Some(request) = startable.pop_front() {
+            let key = request.key;
+            let driver = FetchDriver {
+                request,
+                server: server.clone(),
+                context: context.clone(),
+            };
+            if spawn(driver).is_ok() {
+                continue;
+            }
+            let mut server = lock(&server);
+            server.in_flight -= 1;
+            startable.extend(server.take_startable(context.clock.now()));
+            let _ = context.inbox.send(Input::AttemptEnded {
                 key,
                 end: AttemptEnd::Failed(Outcome::NotSent),
             });
@@ -295,3 +317,6 @@
 fn is_open(stream: &TcpStream) -> bool {
     matches!(try_read(stream.inner(), &mut [0]), IoOutcome::WouldBlock)
 }
+
+#[cfg(test)]
+mod tests;
