Let empty lines keep no client connection open

A client that sends an empty line now and then held a connection for ever: such lines are ignored before a request (RFC 9112, section 2.2), but each read counted as activity. A connection that is idle after a read counts from its last write now.

--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -96,6 +96,7 @@
         let mut state = ConnectionState {
             accepted_at,
             last_activity_at: accepted_at,
+            last_write_at: accepted_at,
             waker: Some(stream.waker()),
             ..ConnectionState::default()
         };
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -71,6 +71,8 @@
     pub(super) request_started_at: Option<Micros>,
     /// The time of the last read, write or response.
     pub(super) last_activity_at: Micros,
+    /// The time of the last write, or of the accept before the first.
+    pub(super) last_write_at: Micros,
     /// The time of the accept.
     pub(super) accepted_at: Micros,
     /// Whether a read found nothing: further input arrives later than that read.
@@ -149,6 +151,15 @@
         }
     }
 
+    /// Takes back the activity of a read that brought only empty lines, which are ignored before a
+    /// request (RFC 9112, section 2.2): they keep no connection open.
+    pub(super) fn ignore_empty_lines(&mut self) {
+        if self.http.is_idle() {
+            self.last_activity_at = self.last_write_at;
+            self.request_started_at = None;
+        }
+    }
+
     /// Restarts the time of the current request after a response: a request that was received
     /// behind the answered one counts from the last activity.
     pub(super) fn restart_request_time(&mut self) {
@@ -188,6 +199,7 @@
                 IoOutcome::Transferred(bytes) => {
                     self.http.advance_output(bytes);
                     self.last_activity_at = clock.now();
+                    self.last_write_at = self.last_activity_at;
                 }
                 IoOutcome::WouldBlock => return true,
                 IoOutcome::EndOfStream | IoOutcome::Broken => return false,
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -73,7 +73,10 @@
     ) -> bool {
         while !state.is_lingering() && (state.http.wants_input() || state.http.discard_excess()) {
             match state.read_input(socket, &self.clock) {
-                IoOutcome::Transferred(_) => self.handle_requests(connection, state),
+                IoOutcome::Transferred(_) => {
+                    self.handle_requests(connection, state);
+                    state.ignore_empty_lines();
+                }
                 IoOutcome::WouldBlock => return true,
                 IoOutcome::EndOfStream | IoOutcome::Broken if state.http.awaits_response() => {
                     return false
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -63,6 +63,7 @@
     ConnectionState {
         accepted_at,
         last_activity_at: accepted_at,
+        last_write_at: accepted_at,
         ..ConnectionState::default()
     }
 }
@@ -216,3 +217,26 @@
     assert!(clients.drive(&connections[1], &stream));
     assert!(sync::lock(&front.sent_at)[1] >= waited_until);
 }
+
+/// Guards against a connection that empty lines, which are ignored before a request, keep open for
+/// ever.
+#[test]
+fn empty_lines_do_not_keep_an_idle_connection() {
+    let limits = ClientLimits {
+        connections: 1,
+        idle: 1,
+        bytes: 1,
+    };
+    let (clients, connections) = clients(limits, vec![without_query(10)]);
+    let idle_since = connections[0].lock().last_activity_at;
+    let (mut client, stream) = connect(&clients);
+    client.write_all(b"\r\n\r\n").expect("sent");
+    stream.peek(&mut [0]).expect("it has arrived");
+    let stream = CoIo::new(stream).expect("a socket of the runtime");
+    assert!(clients.drive(&connections[0], &stream));
+    assert_eq!(connections[0].lock().last_activity_at, idle_since);
+    client.write_all(b"GET").expect("sent");
+    while connections[0].lock().last_activity_at == idle_since {
+        assert!(clients.drive(&connections[0], &stream), "a request begins");
+    }
+}
