See a client as gone whatever it has sent behind its request

A client that disconnected with more than 1 MiB of unread bytes behind its request was noticed only when its answer was written, and its attempts went on for nobody: reading stopped after 1 MiB of discarded bytes, to bound the work for a client that sends without end.

Reading goes on now: after each 2 MiB that are discarded at a time it pauses for 10 ms, so that such a client takes a small share of the worker, in the memory of one request.

The test of the protocol's state has the same checks on the number of bytes that discard_excess returns now.

--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -15,6 +15,9 @@
 /// The pause before the next attempt while no connection can be accepted.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The pause of a connection after it has discarded many bytes.
+const DISCARD_PAUSE: Duration = Duration::from_millis(10);
+
 impl ClientConnections {
     /// Accepts connections for as long as the process lives. While `predecessor_lives`, which
     /// accepts at the same address, this process does not accept before the endpoint list is known.
@@ -115,7 +118,11 @@
         spawn(self.front.stack_words(), move || {
             while clients.drive(&connection, &stream) {
                 clients.evict_for_memory();
-                stream.wait_io();
+                if connection.lock().discard_paused {
+                    coroutine::sleep(DISCARD_PAUSE);
+                } else {
+                    stream.wait_io();
+                }
             }
             clients.release(&connection);
             let _ = stream.inner().shutdown(Shutdown::Both);
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -14,6 +14,9 @@
 
 /// The maximum length of the input that is discarded after an error response, in bytes.
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
+/// The number of bytes behind a request in progress that are discarded between two pauses. A client
+/// that sends without end takes a small share of the worker's time.
+const MAX_DISCARDED_BYTES: usize = 2 * 1024 * 1024;
 
 /// A client connection, shared by its coroutine and the callers that answer or close it.
 #[derive(Default)]
@@ -87,6 +90,8 @@
     pub(super) buffered_bytes: usize,
     /// Whether the connection closes now, even with a request in progress.
     pub(super) abort_requested: bool,
+    /// Whether reading goes on after a pause, since many bytes were discarded at a time.
+    pub(super) discard_paused: bool,
 }
 
 impl ConnectionState {
@@ -169,6 +174,21 @@
             .then_some(self.last_activity_at);
     }
 
+    /// Returns whether input is to be read now. Makes room for it by discarding bytes behind a
+    /// request in progress, which are added to `discarded_bytes`; pauses if that are too many.
+    pub(super) fn wants_input(&mut self, discarded_bytes: &mut usize) -> bool {
+        self.discard_paused = *discarded_bytes >= MAX_DISCARDED_BYTES;
+        if self.discard_paused {
+            return false;
+        }
+        if self.http.wants_input() {
+            return true;
+        }
+        let discarded = self.http.discard_excess();
+        *discarded_bytes += discarded;
+        discarded > 0
+    }
+
     /// Reads once. Records the time if bytes were received.
     pub(super) fn read_input(&mut self, socket: &TcpStream, clock: &Clock) -> IoOutcome {
         let outcome = try_read(socket, self.http.input().free_space());
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -71,7 +71,8 @@
         state: &mut ConnectionState,
         socket: &TcpStream,
     ) -> bool {
-        while !state.is_lingering() && (state.http.wants_input() || state.http.discard_excess()) {
+        let mut discarded_bytes = 0;
+        while !state.is_lingering() && state.wants_input(&mut discarded_bytes) {
             match state.read_input(socket, &self.clock) {
                 IoOutcome::Transferred(_) => {
                     self.handle_requests(connection, state);
--- a/src/proto/http/connection.rs
+++ b/src/proto/http/connection.rs
@@ -9,8 +9,6 @@
 
 /// The maximum length of the input behind a request in progress, in bytes.
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES;
-/// The maximum number of bytes that are discarded behind requests in progress; reading stops then.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 
 /// The state of the connection.
 #[derive(Debug)]
@@ -46,8 +44,6 @@
     omit_body: bool,
     /// Whether the client has closed its sending side.
     input_ended: bool,
-    /// The number of bytes that were discarded behind requests in progress.
-    discarded: usize,
 }
 
 impl Default for ServerConnection {
@@ -61,7 +57,6 @@
             draining: false,
             omit_body: false,
             input_ended: false,
-            discarded: 0,
         }
     }
 }
@@ -154,20 +149,17 @@
     }
 
     /// Discards the input behind a request in progress if it exceeds the maximum, and closes the
-    /// connection after the response. Returns whether input was discarded. Reading goes on, since
+    /// connection after the response. Returns the number of bytes discarded. Reading goes on, since
     /// only a read shows that the client has disconnected, after which the request's attempts can
     /// be cancelled.
-    pub fn discard_excess(&mut self) -> bool {
+    pub fn discard_excess(&mut self) -> usize {
         let unread = self.input.data().len();
-        let excess = self.awaits_response()
-            && unread >= MAX_PIPELINED_BYTES
-            && self.discarded < MAX_DISCARDED_BYTES;
-        if excess {
-            self.discarded += unread;
-            self.input.consume(unread);
-            self.close = true;
+        if !self.awaits_response() || unread < MAX_PIPELINED_BYTES {
+            return 0;
         }
-        excess
+        self.input.consume(unread);
+        self.close = true;
+        unread
     }
 
     /// Returns the next complete request, or the error that ends the connection. Returns `None` if
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -136,7 +136,7 @@
     let mut kept = 0;
     for _ in 0..12 {
         assert!(
-            server.wants_input() || server.discard_excess(),
+            server.wants_input() || server.discard_excess() > 0,
             "what is here is dropped, and reading goes on"
         );
         server.input().extend(&[b'x'; 20_000]);
@@ -158,7 +158,7 @@
     );
     for _ in 0..200 {
         server.input().extend(&[b'x'; 20_000]);
-        assert!(!server.discard_excess(), "nobody is waited for any more");
+        assert_eq!(server.discard_excess(), 0, "nobody is waited for any more");
         server.input().consume(20_000);
     }
 }
--- a/tests/ogc/operation.rs
+++ b/tests/ogc/operation.rs
@@ -1,5 +1,6 @@
 //! Operation of the front: draining, overload, shutdown and counters.
 
+use crate::standin::client::{disconnect_behind, send_request};
 use crate::standin::feature_server::{inventory_row, inventory_row_in_state, FeatureServer, Reply};
 use crate::standin::management::management_call;
 use crate::standin::process::Process;
@@ -126,3 +127,16 @@
         "{text}"
     );
 }
+
+/// Guards against work for a client that has disconnected with more unread bytes behind its request
+/// than the process takes.
+#[test]
+fn a_client_that_disconnects_behind_many_unread_bytes_is_seen_as_gone() {
+    let hung = FeatureServer::start(|_| Reply::Hang);
+    let edge = Process::start_edge("unread", "", &inventory_row("a", &hung, "devices"));
+    for (abandoned, bytes) in [(1, 1_500_000), (2, 3_000_000), (3, 60_000_000)] {
+        let request = format!("GET {ITEMS} HTTP/1.1\r\nHost: x\r\n\r\n");
+        disconnect_behind(send_request(&edge, &request), bytes);
+        edge.wait_for_counter("queries_abandoned", abandoned);
+    }
+}
--- a/tests/races/clients.rs
+++ b/tests/races/clients.rs
@@ -1,6 +1,8 @@
 //! Clients that disconnect while their query waits: nothing of it is sent afterwards.
 
-use crate::standin::client::{query, read_until_close, send_request, Class, QueryRequest, Shards};
+use crate::standin::client::{
+    disconnect_behind, query, read_until_close, send_request, Class, QueryRequest, Shards,
+};
 use crate::standin::data_node::{DataNode, RecordingNode, UnreachableNode};
 use crate::standin::deployment::Deployment;
 use crate::standin::discovery::{
@@ -182,3 +184,19 @@
     received.sort();
     assert_eq!(received, ["stays.0", "stays.1"]);
 }
+
+/// Guards against work for a client that has disconnected with more unread bytes behind its request
+/// than the process takes.
+#[test]
+fn a_client_that_disconnects_behind_many_unread_bytes_is_seen_as_gone() {
+    let nodes = [DataNode::hanging(), DataNode::hanging()];
+    let agent = ControlledDiscovery::new();
+    let addresses = nodes.each_ref().map(|node| node.address);
+    let (edge, _watch) = Deployment::ALL_EFFECTS.start_controlled("unread", &agent, &addresses);
+    for (abandoned, bytes) in [(1, 1_500_000), (2, 3_000_000), (3, 60_000_000)] {
+        let id = format!("left{abandoned}");
+        let request = QueryRequest::new(&id, Class("look"), Shards(&[0]));
+        disconnect_behind(send_request(&edge, &request.to_http()), bytes);
+        edge.wait_for_counter("queries_abandoned", abandoned);
+    }
+}
--- a/tests/standin/client.rs
+++ b/tests/standin/client.rs
@@ -5,9 +5,12 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// The time in seconds that a client waits for the answer of a query, as its header says.
 const QUERY_TIMEOUT_SECONDS: f64 = 30.0;
+/// The time after which a client that can send nothing more gives up.
+const STALL_TIMEOUT: Duration = Duration::from_millis(200);
 /// The statement of each query.
 const STATEMENT: &str = "c41e77d0";
 
@@ -194,3 +197,18 @@
         Some(format!("/{}", href.splitn(4, '/').nth(3)?))
     }
 }
+
+/// Sends bytes behind a request until so many are sent or the process reads no more of them, and
+/// disconnects.
+pub fn disconnect_behind(mut client: TcpStream, bytes: usize) {
+    client.set_write_timeout(Some(STALL_TIMEOUT)).expect("set");
+    let chunk = [b'x'; 64 * 1024];
+    let mut sent = 0;
+    while sent < bytes {
+        match client.write(&chunk) {
+            Ok(written) => sent += written,
+            Err(_) => break,
+        }
+    }
+    drop(client);
+}
