--- a/tests/ogc/operation.rs
+++ b/tests/ogc/operation.rs
@@ -132,11 +132,13 @@
 /// than the process takes.
 #[test]
 fn a_client_that_disconnects_behind_many_unread_bytes_is_seen_as_gone() {
-    let hung = FeatureServer::start(|_| Reply::Hang);
-    let edge = Process::start_edge("unread", "", &inventory_row("a", &hung, "devices"));
-    for (abandoned, bytes) in [(1, 1_500_000), (2, 3_000_000), (3, 60_000_000)] {
+    for bytes in [1_500_000, 3_000_000, 60_000_000] {
+        // A process for each: one that knows the server to hang rejects queries by itself.
+        let hung = FeatureServer::start(|_| Reply::Hang);
+        let test = format!("unread-{bytes}");
+        let edge = Process::start_edge(&test, "", &inventory_row("a", &hung, "devices"));
         let request = format!("GET {ITEMS} HTTP/1.1\r\nHost: x\r\n\r\n");
         disconnect_behind(send_request(&edge, &request), bytes);
-        edge.wait_for_counter("queries_abandoned", abandoned);
+        edge.wait_for_counter("queries_abandoned", 1);
     }
 }
