End the connections to a node's earlier incarnation when a list tells of its restart

Callers lost a part that must not be repeated, or waited until the deadline, when a node restarted under its name and address: the connections to the process that was gone stayed in use, idle or not, until they were reset or counted as silent.

An endpoint list that tells a later start (EndpointRegistry::update) now gives the drivers the command EndEarlierConnections. Connections that were first dialled 0.5 s or more before the start, the tolerance of start times, read what has arrived and end: what was not written is reported as not sent and goes on a new connection, what may have run ends as reset. A dial that is still under way carries nothing when it comes up.

--- a/src/coordinator/endpoints.rs
+++ b/src/coordinator/endpoints.rs
@@ -156,6 +156,13 @@
                 ready,
             });
         }
+        let restarted = known.is_some_and(|known| known.is_later_incarnation(node.started_at));
+        if let Some(started_at) = node.started_at.filter(|_| restarted) {
+            turn.commands.push(Command::EndEarlierConnections {
+                replica,
+                opened_before: started_at - START_TIME_TOLERANCE,
+            });
+        }
         let removed = node.state == EndpointState::Removed;
         let removed_at =
             removed.then(|| known.and_then(|known| known.removed_at).unwrap_or(turn.now));
--- a/src/coordinator/messages.rs
+++ b/src/coordinator/messages.rs
@@ -99,6 +99,13 @@
         /// Whether the server accepts new attempts.
         ready: bool,
     },
+    /// Ends the connections to the earlier incarnations of a server that has restarted.
+    EndEarlierConnections {
+        /// The server.
+        replica: ReplicaId,
+        /// The time before which a connection leads to an earlier incarnation.
+        opened_before: Micros,
+    },
     /// Starts the attempts in one call.
     Dispatch {
         /// The server to call.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,6 +31,9 @@
 pub trait Upstream: Send {
     /// Records the address of a server, and whether it accepts new attempts.
     fn update_server(&mut self, replica: ReplicaId, address: &str, ready: bool, now: Micros);
+    /// Ends the connections to a server that were opened before this time: they lead to a process
+    /// that is gone. Their attempts that were not sent are reported as such.
+    fn end_earlier_connections(&mut self, _replica: ReplicaId, _opened_before: Micros) {}
     /// Sends these attempts to a server in one call.
     fn dispatch(&mut self, replica: ReplicaId, attempts: &[AttemptRequest], now: Micros);
     /// Cancels an attempt, whose end is no longer reported.
--- a/src/net/node_client/connection.rs
+++ b/src/net/node_client/connection.rs
@@ -25,6 +25,7 @@
         NodeConnection {
             state: Mutex::new(ConnectionState {
                 silence,
+                opened_at: now,
                 last_used: now,
                 ..ConnectionState::default()
             }),
@@ -58,6 +59,10 @@
     partial_frame_since: Option<Micros>,
     /// Whether a complete frame was received since the connection was established.
     pub(super) frame_received: bool,
+    /// Whether the node's process at the other end is gone, by the endpoint list.
+    pub(super) superseded: bool,
+    /// The time of the first dial.
+    opened_at: Micros,
     /// The time at which an attempt was last dispatched or cancelled.
     last_used: Micros,
 }
@@ -133,6 +138,18 @@
         events
     }
 
+    /// Ends the connection since the process at its other end is gone. Returns the ends of the
+    /// attempts that are not written; the driver ends the others, after it has read what is left.
+    pub(super) fn supersede(&mut self) -> Vec<AttemptEvent> {
+        self.superseded = true;
+        self.drain()
+    }
+
+    /// Returns the time of the first dial.
+    pub(super) fn opened_at(&self) -> Micros {
+        self.opened_at
+    }
+
     /// Records the number of frames that the last read completed, and whether part of another frame
     /// is left.
     pub(super) fn record_frames(&mut self, complete_frames: usize, now: Micros) {
--- a/src/net/node_client/driver.rs
+++ b/src/net/node_client/driver.rs
@@ -127,21 +127,22 @@
         let mut events = Vec::new();
         let mut state = self.connection.lock();
         let open = !state.corrupt && self.exchange(&mut state, stream, &mut events);
-        let finished = state.closing && state.protocol.is_idle();
+        let finished = state.superseded || (state.closing && state.protocol.is_idle());
         drop(state);
         self.context.forward(events);
         open && !finished
     }
 
     /// Reads, then writes. Returns whether the connection stays open. Reading comes first, since no
-    /// frame may be sent on a connection that the node has closed.
+    /// frame may be sent on a connection that the node has closed, nor to a process that is gone.
     fn exchange(
         &self,
         state: &mut ConnectionState,
         stream: &std::net::TcpStream,
         events: &mut Vec<AttemptEvent>,
     ) -> bool {
-        self.read_available(state, stream, events) && write_pending(state, stream, events)
+        self.read_available(state, stream, events)
+            && (state.superseded || write_pending(state, stream, events))
     }
 
     /// Reads until the socket would block. Returns whether the connection stays open.
--- a/src/net/node_client/mod.rs
+++ b/src/net/node_client/mod.rs
@@ -194,6 +194,20 @@
         }
     }
 
+    fn end_earlier_connections(&mut self, replica: ReplicaId, opened_before: Micros) {
+        let Some(node) = self.nodes.get(&replica) else {
+            return;
+        };
+        for connection in &node.connections {
+            let mut state = connection.lock();
+            if state.opened_at() < opened_before {
+                let unsent = state.supersede();
+                drop(state);
+                self.context.forward(unsent);
+            }
+        }
+    }
+
     fn dispatch(&mut self, replica: ReplicaId, requests: &[AttemptRequest], now: Micros) {
         match self.connection_for(replica, requests, now) {
             Some(connection) => connection.lock().dispatch(requests, now),
--- a/src/net/server/coordinator_loop.rs
+++ b/src/net/server/coordinator_loop.rs
@@ -169,6 +169,12 @@
             } => {
                 self.upstream.update_server(replica, &address, ready, now);
             }
+            Command::EndEarlierConnections {
+                replica,
+                opened_before,
+            } => self
+                .upstream
+                .end_earlier_connections(replica, opened_before),
             Command::Dispatch { replica, attempts } => {
                 self.upstream.dispatch(replica, &attempts, now)
             }
--- a/tests/coordinator/endpoints.rs
+++ b/tests/coordinator/endpoints.rs
@@ -193,3 +193,35 @@
     let expected = [not_ready(0), ready(1)];
     assert_eq!(changes, expected, "the newest list is applied as it is");
 }
+
+/// Guards against connections to an earlier incarnation that stay in use, and against the end of
+/// those to the present one: a start is told with a tolerance, and again in each list.
+#[test]
+fn connections_end_once_for_each_restart_that_a_list_tells_of() {
+    let mut core = coordinator();
+    let mut commands = Vec::new();
+    let mut ended_at = |start_ms: Option<u64>| {
+        let started_at = start_ms.map(|ms| START + Micros::from_millis(ms));
+        let restarted = NodeEndpoint {
+            started_at,
+            ..node(0, EndpointState::Ready)
+        };
+        let list = endpoint_list(EndpointListKind::Delta, None, vec![restarted]);
+        core.turn(START, [list], &mut commands);
+        let ended = commands.drain(..).find_map(|command| match command {
+            Command::EndEarlierConnections { opened_before, .. } => Some(opened_before),
+            _ => None,
+        });
+        ended.map(|opened_before| opened_before.since(START).0 / 1_000)
+    };
+    assert_eq!(ended_at(None), None, "the first list");
+    assert_eq!(ended_at(Some(5_000)), Some(4_500));
+    assert_eq!(ended_at(Some(5_000)), None);
+    assert_eq!(
+        ended_at(Some(5_400)),
+        None,
+        "the same start by other clocks"
+    );
+    assert_eq!(ended_at(None), None, "an older line");
+    assert_eq!(ended_at(Some(9_000)), Some(8_500));
+}
--- a/tests/coordinator/random_inputs.rs
+++ b/tests/coordinator/random_inputs.rs
@@ -131,7 +131,9 @@
                 }
             }
             Command::Reply { token, answer } => self.check_answer(token, &answer),
-            Command::CloseIdle(_) | Command::RemoveServer(_) => {}
+            Command::CloseIdle(_)
+            | Command::RemoveServer(_)
+            | Command::EndEarlierConnections { .. } => {}
         }
     }
 
--- a/tests/races/connections.rs
+++ b/tests/races/connections.rs
@@ -1,12 +1,13 @@
 //! Connections that are established late, or closed when idle.
 
 use crate::standin::client::{query, read_until_close, send_request, Class, QueryRequest, Shards};
-use crate::standin::data_node::{DataNode, RecordingNode, UnreachableNode};
+use crate::standin::data_node::{DataNode, NodeBehaviour, RecordingNode, UnreachableNode};
 use crate::standin::deployment::Deployment;
 use crate::standin::discovery::{changed_endpoints, in_service, terminating, ControlledDiscovery};
 use crate::standin::frames::read_part_ids;
 use crate::standin::http::bind_loopback;
 use crate::support::{send_non_idempotent_queries, two_serving_nodes};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 #[test]
 fn a_connection_established_after_its_dial_timed_out_carries_no_parts() {
@@ -102,3 +103,91 @@
         (2, 2)
     );
 }
+
+/// Returns the present time since the Unix epoch, in milliseconds.
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("after 1970").as_millis() as u64
+}
+
+/// Waits until the process counts a connection opened now as one of before a start that is listed
+/// next: starts are compared with a tolerance of 0.5 s.
+fn wait_for_start_tolerance() {
+    std::thread::sleep(Duration::from_millis(700));
+}
+
+/// Guards against a part that is lost, or waits until its deadline, on a connection to a process of
+/// the node that is gone.
+#[test]
+fn connections_to_an_earlier_incarnation_carry_nothing_after_the_list_that_tells_of_the_restart() {
+    // The node answers the first part and then nothing on that connection; it has restarted.
+    let first_connection_hangs = |part| match part {
+        1 => NodeBehaviour::Serve,
+        2 => NodeBehaviour::StopResponding,
+        _ => NodeBehaviour::Serve,
+    };
+    let node = DataNode::start(first_connection_hangs);
+    let other = DataNode::serving();
+    let agent = ControlledDiscovery::new();
+    let addresses = [node.address, other.address];
+    let (edge, mut watch) = Deployment::ALL_EFFECTS.start_controlled("reborn", &agent, &addresses);
+    watch.send(&changed_endpoints(2, &[terminating(1, other.address)]));
+    edge.wait_for_counter("endpoint_updates", 3);
+    assert_eq!(
+        query(&edge, "idle", Class("once"), Shards(&[0])).status,
+        200
+    );
+    let hung = QueryRequest::new("hung", Class("once"), Shards(&[0])).close_connection();
+    let hung = send_request(&edge, &hung.to_http());
+    edge.wait_for_counter("attempts_fully_written", 2);
+    assert_eq!(node.connections(), 1);
+
+    wait_for_start_tolerance();
+    let restarted = in_service(0, node.address).started_at(unix_ms());
+    watch.send(&changed_endpoints(3, &[restarted]));
+    // What may have run is not sent again, and its client does not wait for the deadline of 40 s.
+    let started = Instant::now();
+    assert!(read_until_close(hung).starts_with("HTTP/1.1 502"));
+    assert!(started.elapsed() < Duration::from_secs(20));
+    assert_eq!(node.received_parts(), ["idle.0", "hung.0"]);
+
+    let next = query(&edge, "next", Class("once"), Shards(&[0]));
+    assert_eq!((next.status, node.connections()), (200, 2));
+    assert_eq!(node.received_parts(), ["idle.0", "hung.0", "next.0"]);
+}
+
+/// Guards against the same for a connection that is idle when the list comes: a part that must not
+/// be repeated would be lost on it.
+#[test]
+fn an_idle_connection_to_an_earlier_incarnation_is_not_used_again() {
+    let node = DataNode::serving();
+    let other = DataNode::serving();
+    let agent = ControlledDiscovery::new();
+    let addresses = [node.address, other.address];
+    let (edge, mut watch) =
+        Deployment::ALL_EFFECTS.start_controlled("reborn-idle", &agent, &addresses);
+    watch.send(&changed_endpoints(2, &[terminating(1, other.address)]));
+    edge.wait_for_counter("endpoint_updates", 3);
+    for (revision, connections) in [(3, 2), (4, 3)] {
+        assert_eq!(
+            query(&edge, "before", Class("once"), Shards(&[0])).status,
+            200
+        );
+        wait_for_start_tolerance();
+        let restarted = in_service(0, node.address).started_at(unix_ms());
+        watch.send(&changed_endpoints(revision, &[restarted]));
+        edge.wait_for_counter("endpoint_updates", revision + 1);
+        assert_eq!(
+            query(&edge, "after", Class("once"), Shards(&[0])).status,
+            200
+        );
+        assert_eq!(node.connections(), connections);
+        // The same start again ends nothing.
+        watch.send(&changed_endpoints(revision, &[restarted]));
+        assert_eq!(
+            query(&edge, "again", Class("once"), Shards(&[0])).status,
+            200
+        );
+        assert_eq!(node.connections(), connections);
+    }
+}
--- a/tests/standin/discovery.rs
+++ b/tests/standin/discovery.rs
@@ -22,6 +22,18 @@
     index: usize,
     address: SocketAddr,
     state: &'static str,
+    /// The time of its last start since the Unix epoch; 0 for long ago.
+    started_unix_ms: u64,
+}
+
+impl ListedEndpoint {
+    /// Sets the time of the last start.
+    pub fn started_at(self, started_unix_ms: u64) -> ListedEndpoint {
+        ListedEndpoint {
+            started_unix_ms,
+            ..self
+        }
+    }
 }
 
 /// Returns an endpoint in service.
@@ -30,6 +42,7 @@
         index,
         address,
         state: "in_service",
+        started_unix_ms: 0,
     }
 }
 
@@ -39,6 +52,7 @@
         index,
         address,
         state: "terminating",
+        started_unix_ms: 0,
     }
 }
 
@@ -78,9 +92,10 @@
             index,
             address,
             state,
+            started_unix_ms,
         } = endpoint;
         json!({"uid": format!("s-{index}"), "endpoint": address.to_string(), "az": "a", "model": "m",
-            "pod_group": index, "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+            "pod_group": index, "state": state, "capacity_hint": 1.0, "boot_ms": started_unix_ms})
     };
     json!({"rev": revision, "all": complete, "targets": endpoints.iter().map(target).collect::<Vec<_>>()})
 }
