Add a soak of starts, reloads and ends over both fronts, with a checker of its history

Each seed draws a script: signals in series (SIGTERM twice, SIGHUP while draining, SIGTERM during a start, a reload or a hand-over, successors that are killed, SIGKILL at any time), clients that use their connections until the kill, in pieces, resting, leaving, a crowd of idle clients, servers that fail, reject, hang, disconnect, answer late or with invalid bytes, drain and restart, and discovery that falls silent or cuts a list.

--- /dev/null
+++ b/tests/soak/clients.rs
@@ -0,0 +1,347 @@
+//! Clients that use kept connections to their ends: at once, in pieces, resting, leaving.
+
+use crate::history::{Class, Content, RefusedConnect, RequestEnd, RequestRecord};
+use crate::script::FrontKind;
+use crate::standin::client::{QueryRequest, Shards};
+use serde_json::Value;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// The names of the feature servers' shards.
+pub const SHARDS: [&str; 2] = ["east", "west"];
+/// The number of features in a shard.
+pub const FEATURES_PER_SHARD: usize = 20;
+/// The number of features in a page.
+pub const PAGE: usize = 10;
+/// The last coordinate of a query's `bbox` is the request's number over this.
+pub const BBOX_SCALE: f64 = 1e6;
+
+/// The time beyond its timeout for which a client reads, to tell a late answer from none.
+const READ_BEYOND: Duration = Duration::from_secs(3);
+/// The pause before the next attempt to connect.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// The rests between two requests, in milliseconds.
+const SHORT_REST: Range<u64> = 0..30;
+const LONG_REST: Range<u64> = 100..700;
+/// The pause between two pieces of a request.
+const PIECE_PAUSE: Duration = Duration::from_millis(15);
+
+/// What the clients of a run share.
+pub struct ClientContext {
+    pub front: FrontKind,
+    pub start: Instant,
+    pub address: Mutex<SocketAddr>,
+    /// The time from which on clients open no connection: "New connections keep coming for 0.2 to
+    /// 0.4 s" after SIGTERM to the only process.
+    pub connects_until: Mutex<Option<Duration>>,
+    pub over: AtomicBool,
+    pub next_number: AtomicUsize,
+    pub requests: Mutex<Vec<RequestRecord>>,
+    pub refused_connects: Mutex<Vec<RefusedConnect>>,
+}
+
+/// A request before it is sent.
+struct Request {
+    number: usize,
+    class: Class,
+    shards: Vec<u32>,
+    timeout: Duration,
+    text: String,
+}
+
+/// The way in which a client sends a request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    AtOnce,
+    InPieces,
+    LeavesAfter(Duration),
+}
+
+/// A complete response.
+struct Response {
+    status: u16,
+    closes: bool,
+    body: Vec<u8>,
+}
+
+impl ClientContext {
+    /// Sends requests until the run is over.
+    pub fn run_client(&self, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut kept = None;
+        let mut resend = None;
+        while !self.over.load(Relaxed) {
+            let Some(mut stream) = kept.take().or_else(|| self.connect()) else {
+                std::thread::sleep(RECONNECT_PAUSE);
+                continue;
+            };
+            let class = resend.take().unwrap_or_else(|| draw_class(&mut rng));
+            let request = self.request_of(class, &mut rng);
+            let manner = match rng.u8(0..20) {
+                0..3 => Manner::InPieces,
+                3..5 => Manner::LeavesAfter(Duration::from_millis(rng.u64(0..60))),
+                _ => Manner::AtOnce,
+            };
+            let (end, stays_open) = self.exchange(&mut stream, &request, manner);
+            if matches!(end, RequestEnd::Unanswered { .. }) {
+                resend = Some(request.class);
+            }
+            if stays_open && rng.u8(0..10) > 0 {
+                kept = Some(stream);
+            }
+            // Some rest for so long that the process may close just when they send again.
+            let rest = if rng.u8(0..4) == 0 {
+                LONG_REST
+            } else {
+                SHORT_REST
+            };
+            std::thread::sleep(Duration::from_millis(rng.u64(rest)));
+        }
+    }
+
+    fn connect(&self) -> Option<TcpStream> {
+        let until = *self.connects_until.lock().expect("connects");
+        if until.is_some_and(|until| self.start.elapsed() > until) {
+            return None;
+        }
+        let address = *self.address.lock().expect("address");
+        match TcpStream::connect(address) {
+            Ok(stream) => Some(stream),
+            Err(_) => {
+                let at = self.start.elapsed();
+                let mut refused = self.refused_connects.lock().expect("refused");
+                refused.push(RefusedConnect { at });
+                None
+            }
+        }
+    }
+
+    fn request_of(&self, class: Class, rng: &mut fastrand::Rng) -> Request {
+        let number = self.next_number.fetch_add(1, Relaxed);
+        let timeout = Duration::from_millis(rng.u64(300..1_400));
+        let shards: Vec<u32> = match rng.u8(0..3) {
+            0 => vec![rng.u32(0..8)],
+            1 => vec![0, 5],
+            _ => vec![1, 3, 6, 7],
+        };
+        let text = match self.front {
+            FrontKind::Platform => {
+                let name = match class {
+                    Class::Whole => "look",
+                    Class::Partial => "some",
+                    Class::Once => "once",
+                };
+                let id = format!("q{number}");
+                let class = crate::standin::client::Class(name);
+                let request = QueryRequest::new(&id, class, Shards(&shards));
+                request.timeout_seconds(timeout.as_secs_f64()).to_http()
+            }
+            FrontKind::Features => {
+                let name = match class {
+                    Class::Whole => "exact",
+                    Class::Partial => "part",
+                    Class::Once => "once",
+                };
+                format!(
+                    "GET /collections/devices/items?limit=1000&bbox=0,0,9,{} HTTP/1.1\r\n\
+                     Host: x\r\nX-Qos: {name}\r\nX-Expires-In: {}\r\n\r\n",
+                    number as f64 / BBOX_SCALE,
+                    timeout.as_secs_f64()
+                )
+            }
+        };
+        Request {
+            number,
+            class,
+            shards,
+            timeout,
+            text,
+        }
+    }
+
+    /// Sends a request, reads its response and records both. Returns the end, and whether the
+    /// connection stays open.
+    fn exchange(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        manner: Manner,
+    ) -> (RequestEnd, bool) {
+        let bytes = request.text.as_bytes();
+        let written = match manner {
+            Manner::InPieces => bytes.chunks(40).try_for_each(|piece| {
+                std::thread::sleep(PIECE_PAUSE);
+                stream.write_all(piece)
+            }),
+            _ => stream.write_all(bytes),
+        };
+        let sent_at = self.start.elapsed();
+        let (end, stays_open) = match (written, manner) {
+            (Err(_), _) => (RequestEnd::Unanswered { reset: true }, false),
+            (Ok(()), Manner::LeavesAfter(pause)) => {
+                std::thread::sleep(pause);
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                (RequestEnd::ClientLeft, false)
+            }
+            (Ok(()), _) => match read_response(stream, request.timeout + READ_BEYOND) {
+                Ok(response) => {
+                    let content = self.judge(request, &response);
+                    let status = response.status;
+                    (RequestEnd::Answered { status, content }, !response.closes)
+                }
+                Err(kind) => (end_of(kind), false),
+            },
+        };
+        let record = RequestRecord {
+            number: request.number,
+            class: request.class,
+            sent_at,
+            timeout: request.timeout,
+            end: end.clone(),
+            ended_at: self.start.elapsed(),
+        };
+        self.requests.lock().expect("requests").push(record);
+        (end, stays_open)
+    }
+
+    fn judge(&self, request: &Request, response: &Response) -> Content {
+        if response.status != 200 {
+            return Content::Error;
+        }
+        let Ok(json) = serde_json::from_slice::<Value>(&response.body) else {
+            return Content::Wrong("a body that is no JSON".to_owned());
+        };
+        match self.front {
+            FrontKind::Platform => judge_pieces(request, &json),
+            FrontKind::Features => judge_features(&json),
+        }
+    }
+}
+
+fn draw_class(rng: &mut fastrand::Rng) -> Class {
+    [Class::Whole, Class::Partial, Class::Once][rng.usize(0..3)]
+}
+
+/// Judges an answer of the platform's front: each piece is of a shard that was asked for, once, and
+/// has its value; the answer is whole if and only if it has all, and has half of them at least.
+fn judge_pieces(request: &Request, json: &Value) -> Content {
+    let pieces = json["pieces"].as_array().cloned().unwrap_or_default();
+    let mut tablets: Vec<u64> = Vec::new();
+    for piece in &pieces {
+        let tablet = piece["tablet"].as_u64().unwrap_or(u64::MAX);
+        if piece["cell"] != format!("cell{tablet}") || tablets.contains(&tablet) {
+            return Content::Wrong(format!("a wrong piece: {json}"));
+        }
+        tablets.push(tablet);
+    }
+    let asked = request.shards.len();
+    let unasked = tablets
+        .iter()
+        .any(|tablet| !request.shards.contains(&(*tablet as u32)));
+    match json["full"].as_bool() {
+        Some(full)
+            if !unasked && full == (tablets.len() == asked) && 2 * tablets.len() >= asked =>
+        {
+            if full {
+                Content::Whole
+            } else {
+                Content::Partial
+            }
+        }
+        _ => Content::Wrong(format!("{asked} shards asked for: {json}")),
+    }
+}
+
+/// Judges an answer of the feature front: it holds the features in order, those of a shard whole or,
+/// in the last shard before a `next` link, from its first on; none of a shard that it calls missing.
+fn judge_features(json: &Value) -> Content {
+    let ids: Vec<&str> = json["features"]
+        .as_array()
+        .map(|features| features.iter().filter_map(|f| f["id"].as_str()).collect())
+        .unwrap_or_default();
+    let missing: Vec<&str> = json["missing"]
+        .as_array()
+        .map(|names| names.iter().filter_map(Value::as_str).collect())
+        .unwrap_or_default();
+    let continues = json["links"]
+        .as_array()
+        .is_some_and(|links| links.iter().any(|link| link["rel"] == "next"));
+    let mut expected = Vec::new();
+    for (shard, name) in SHARDS.iter().enumerate() {
+        if !missing.contains(name) {
+            let from = shard * FEATURES_PER_SHARD;
+            expected.extend((from..from + FEATURES_PER_SHARD).map(|id| format!("d{id}")));
+        }
+    }
+    let right = if continues {
+        !ids.is_empty()
+            && expected
+                .iter()
+                .map(String::as_str)
+                .take(ids.len())
+                .eq(ids.clone())
+    } else {
+        expected.iter().map(String::as_str).eq(ids.clone())
+    };
+    match (right, missing.is_empty()) {
+        (false, _) => Content::Wrong(format!("missing {missing:?}, next {continues}: {ids:?}")),
+        (true, true) => Content::Whole,
+        (true, false) => Content::Partial,
+    }
+}
+
+fn end_of(kind: ErrorKind) -> RequestEnd {
+    match kind {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => RequestEnd::NeverAnswered,
+        ErrorKind::UnexpectedEof => RequestEnd::Unanswered { reset: false },
+        _ => RequestEnd::Unanswered { reset: true },
+    }
+}
+
+/// Reads a response with a length.
+fn read_response(stream: &mut TcpStream, timeout: Duration) -> Result<Response, ErrorKind> {
+    let deadline = Instant::now() + timeout;
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(response) = parse_response(&bytes) {
+            return Ok(response);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut);
+        }
+        stream.set_read_timeout(Some(left)).map_err(|e| e.kind())?;
+        let mut buffer = [0; 16 * 1024];
+        match stream.read(&mut buffer) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof),
+            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
+            Err(error) => return Err(error.kind()),
+        }
+    }
+}
+
+/// Returns the response in these bytes, if it is complete.
+fn parse_response(bytes: &[u8]) -> Option<Response> {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let head = std::str::from_utf8(&bytes[..end]).expect("a head of text");
+    let mut lines = head.split("\r\n");
+    let status = lines.next()?.split(' ').nth(1)?.parse().expect("a status");
+    let mut closes = false;
+    let mut length = 0;
+    for line in lines {
+        closes |= line == "Connection: close";
+        if let Some(text) = line.strip_prefix("Content-Length: ") {
+            length = text.parse().expect("a length");
+        }
+    }
+    let body = bytes[end + 4..].to_vec();
+    (body.len() >= length).then_some(Response {
+        status,
+        closes,
+        body,
+    })
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,452 @@
+//! A run: starts the process over its servers, lets clients send, and plays the script's end.
+
+use crate::clients::{ClientContext, SHARDS};
+use crate::delay::DelayMeter;
+use crate::history::{DrainRecord, History, ProcessRecord};
+use crate::script::{Ending, FrontKind, Script};
+use crate::servers::{start_feature_server, ServerContext, SoakNode};
+use crate::standin::deployment::Deployment;
+use crate::standin::discovery::{
+    changed_endpoints, in_service, terminating, ListedEndpoint, SwitchedDiscovery,
+};
+use crate::standin::feature_server::{inventory_row_in_state, FeatureServer};
+use crate::standin::process::Process;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The number of data nodes and of feature servers.
+const SERVERS: usize = 3;
+/// The latency objective of the platform's classes; their deadline is twice that.
+const OBJECTIVE_MS: u64 = 800;
+/// The longest deadline of the feature front's classes counts as this.
+const LONGEST_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// The time after the longest deadline at which SIGKILL comes at the earliest.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The descriptors of a process with a crowd of idle clients, and the number of these.
+const CROWDED_DESCRIPTORS: usize = 128;
+const CROWD: usize = 200;
+/// The interval at which the state of a process is polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The time in which a process must be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The servers behind the process, and where they are announced.
+enum Backend {
+    Platform {
+        nodes: Vec<SoakNode>,
+        discovery: SwitchedDiscovery,
+    },
+    Features(Vec<FeatureServer>),
+}
+
+/// A run in progress.
+struct Run<'a> {
+    script: &'a Script,
+    rng: fastrand::Rng,
+    start: Instant,
+    backend: Backend,
+    temporary: PathBuf,
+    clients: Arc<ClientContext>,
+    drains: Vec<DrainRecord>,
+    revision: u64,
+}
+
+/// A process with its record.
+struct RecordedProcess {
+    process: Process,
+    record: ProcessRecord,
+}
+
+/// Plays a script and returns the history.
+pub fn play(script: &Script) -> History {
+    let start = Instant::now();
+    let meter = DelayMeter::start(start);
+    let servers = ServerContext {
+        start,
+        forwards: Arc::default(),
+        faulty: Arc::new(script.server_faults.into()),
+        seed: script.seed,
+    };
+    let backend = start_backend(script, &servers);
+    let temporary = std::env::temp_dir().join(format!("qf-soak-{}", std::process::id()));
+    std::fs::create_dir_all(&temporary).expect("a folder");
+    let clients = Arc::new(ClientContext {
+        front: script.front,
+        start,
+        address: Mutex::new(([127, 0, 0, 1], 0).into()),
+        connects_until: Mutex::default(),
+        over: false.into(),
+        next_number: 1.into(),
+        requests: Mutex::default(),
+        refused_connects: Mutex::default(),
+    });
+    let mut run = Run {
+        script,
+        rng: fastrand::Rng::with_seed(script.seed ^ 0x50a4),
+        start,
+        backend,
+        temporary,
+        clients,
+        drains: Vec::new(),
+        revision: 1,
+    };
+    let processes = run.play();
+    let Run {
+        clients,
+        drains,
+        temporary,
+        ..
+    } = run;
+    let _ = std::fs::remove_dir_all(&temporary);
+    let requests = std::mem::take(&mut *clients.requests.lock().expect("requests"));
+    let refused_connects = std::mem::take(&mut *clients.refused_connects.lock().expect("refused"));
+    let forwards = std::mem::take(&mut *servers.forwards.lock().expect("forwards"));
+    History {
+        requests,
+        forwards,
+        drains,
+        processes,
+        refused_connects,
+        delays: meter.finish(),
+    }
+}
+
+fn start_backend(script: &Script, servers: &ServerContext) -> Backend {
+    match script.front {
+        FrontKind::Platform => {
+            let nodes: Vec<SoakNode> = (0..SERVERS).map(|n| SoakNode::start(n, servers)).collect();
+            let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.address).collect();
+            let discovery = SwitchedDiscovery::start(&addresses);
+            Backend::Platform { nodes, discovery }
+        }
+        FrontKind::Features => Backend::Features(
+            (0..SERVERS)
+                .map(|n| start_feature_server(n, servers))
+                .collect(),
+        ),
+    }
+}
+
+impl Run<'_> {
+    /// Plays the script and returns the records of its processes.
+    fn play(&mut self) -> Vec<ProcessRecord> {
+        let first = self.start_process();
+        *self.clients.address.lock().expect("address") = first.process.address;
+        let clients = self.clients.clone();
+        let crowd: Vec<TcpStream> = if self.script.crowd {
+            (0..CROWD)
+                .filter_map(|_| TcpStream::connect(first.process.address).ok())
+                .collect()
+        } else {
+            Vec::new()
+        };
+        let records = std::thread::scope(|scope| {
+            for client in 0..self.script.clients {
+                let clients = clients.clone();
+                let seed = self.script.seed * 100 + client as u64;
+                scope.spawn(move || clients.run_client(seed));
+            }
+            let records = self.play_processes(first);
+            clients.over.store(true, Relaxed);
+            records
+        });
+        drop(crowd);
+        records
+    }
+
+    fn play_processes(&mut self, mut first: RecordedProcess) -> Vec<ProcessRecord> {
+        if self.script.ending == Ending::TermDuringStart {
+            return vec![self.end_last(first, |_, _| {})];
+        }
+        self.wait_until_ready(&mut first);
+        self.serve(&first.process);
+        match self.script.ending {
+            Ending::Term | Ending::TermDuringStart => vec![self.end_last(first, |_, _| {})],
+            Ending::TermTwice => {
+                let pause = Duration::from_millis(self.rng.u64(1..1_500));
+                vec![self.end_last(first, move |process, since| {
+                    signal_after(process, "TERM", pause, since);
+                })]
+            }
+            Ending::HupWhileDraining => {
+                let pause = Duration::from_millis(self.rng.u64(1..1_500));
+                vec![self.end_last(first, move |process, since| {
+                    signal_after(process, "HUP", pause, since);
+                    process.signal_if_alive("HUP");
+                })]
+            }
+            Ending::TermDuringReload => {
+                first.process.signal("HUP");
+                vec![self.end_last(first, |_, _| {})]
+            }
+            Ending::HandOver {
+                generations,
+                when_ready,
+            } => self.hand_over(first, generations, when_ready),
+            Ending::SuccessorKilled { when_ready } => self.kill_successor(first, when_ready),
+            Ending::KilledAtAnyTime => vec![self.kill(first)],
+        }
+    }
+
+    /// Serves clients for the script's time, with its reloads, drain and faults of discovery.
+    fn serve(&mut self, process: &Process) {
+        let until = Instant::now() + self.script.serve_for;
+        for _ in 0..self.script.reloads {
+            process.signal("HUP");
+            std::thread::sleep(Duration::from_millis(self.rng.u64(0..40)));
+        }
+        if self.script.drain {
+            self.drain(process);
+        }
+        if self.script.discovery_faults {
+            self.disturb_discovery();
+        }
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
+    /// Drains a server for a while; on the platform it comes back restarted.
+    fn drain(&mut self, process: &Process) {
+        let server = self.rng.usize(0..SERVERS);
+        let duration = Duration::from_millis(self.rng.u64(600..1_200));
+        match &self.backend {
+            Backend::Platform { nodes, discovery } => {
+                let address = nodes[server].address;
+                discovery.announce(self.revision + 1, terminating(server, address));
+                let told_at = self.start.elapsed();
+                std::thread::sleep(duration);
+                let ended_at = self.start.elapsed();
+                let restarted = in_service(server, address).started_at(unix_ms());
+                discovery.announce(self.revision + 2, restarted);
+                self.drains.push(DrainRecord {
+                    server,
+                    told_at,
+                    ended_at,
+                });
+                self.revision += 2;
+            }
+            Backend::Features(servers) => {
+                process.reload_inventory(&inventory(servers, Some(server)));
+                let told_at = self.start.elapsed();
+                std::thread::sleep(duration);
+                let ended_at = self.start.elapsed();
+                process.reload_inventory(&inventory(servers, None));
+                self.drains.push(DrainRecord {
+                    server,
+                    told_at,
+                    ended_at,
+                });
+            }
+        }
+    }
+
+    /// Makes discovery silent, or cuts a list, for a while.
+    fn disturb_discovery(&mut self) {
+        let Backend::Platform { nodes, discovery } = &self.backend else {
+            return;
+        };
+        let pause = Duration::from_millis(self.rng.u64(200..900));
+        if self.rng.bool() {
+            discovery.set_silent(true);
+            std::thread::sleep(pause);
+            discovery.set_silent(false);
+        } else {
+            let all: Vec<ListedEndpoint> = (0..nodes.len())
+                .map(|n| in_service(n, nodes[n].address))
+                .collect();
+            self.revision += 1;
+            discovery.cut_list(&changed_endpoints(self.revision, &all));
+        }
+    }
+
+    fn hand_over(
+        &mut self,
+        first: RecordedProcess,
+        generations: usize,
+        when_ready: bool,
+    ) -> Vec<ProcessRecord> {
+        let mut records = Vec::new();
+        let mut current = first;
+        for _ in 1..generations {
+            let mut successor = self.start_successor(&current);
+            if when_ready {
+                self.wait_until_ready(&mut successor);
+                std::thread::sleep(Duration::from_millis(self.rng.u64(0..500)));
+            }
+            records.push(self.end(current, |_, _| {}));
+            self.wait_until_ready(&mut successor);
+            current = successor;
+        }
+        std::thread::sleep(Duration::from_millis(self.rng.u64(0..800)));
+        records.push(self.end_last(current, |_, _| {}));
+        records
+    }
+
+    fn kill_successor(&mut self, first: RecordedProcess, when_ready: bool) -> Vec<ProcessRecord> {
+        let mut successor = self.start_successor(&first);
+        if when_ready {
+            self.wait_until_ready(&mut successor);
+        }
+        let killed = self.kill(successor);
+        std::thread::sleep(Duration::from_millis(self.rng.u64(100..800)));
+        vec![killed, self.end_last(first, |_, _| {})]
+    }
+
+    /// Ends the last process: clients open connections for a while after the signal only.
+    fn end_last(
+        &mut self,
+        ended: RecordedProcess,
+        further_signals: impl FnOnce(&Process, Instant),
+    ) -> ProcessRecord {
+        let until = self.start.elapsed() + Duration::from_millis(self.rng.u64(200..400));
+        *self.clients.connects_until.lock().expect("connects") = Some(until);
+        self.end(ended, further_signals)
+    }
+
+    /// Sends SIGTERM and further signals, and waits for the exit until the earliest SIGKILL.
+    fn end(
+        &self,
+        mut ended: RecordedProcess,
+        further_signals: impl FnOnce(&Process, Instant),
+    ) -> ProcessRecord {
+        sample_resources(&mut ended);
+        let deadline = match self.script.front {
+            FrontKind::Platform => Duration::from_millis(2 * OBJECTIVE_MS),
+            FrontKind::Features => LONGEST_COUNTED_DEADLINE,
+        };
+        let since = Instant::now();
+        ended.record.terminated_at = Some(self.start.elapsed());
+        ended.process.signal("TERM");
+        further_signals(&ended.process, since);
+        while since.elapsed() < deadline + KILL_MARGIN {
+            if let Some(success) = ended.process.exit_status() {
+                ended.record.exited_with_success = success;
+                break;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        if ended.process.exit_status().is_none() {
+            ended.record.killed_at = Some(self.start.elapsed());
+            ended.process.signal("KILL");
+        }
+        self.finish(ended)
+    }
+
+    /// Sends SIGKILL without a SIGTERM.
+    fn kill(&self, mut killed: RecordedProcess) -> ProcessRecord {
+        sample_resources(&mut killed);
+        killed.record.killed_at = Some(self.start.elapsed());
+        killed.process.signal("KILL");
+        self.finish(killed)
+    }
+
+    /// Waits for the exit and reads the rest of the log.
+    fn finish(&self, mut ended: RecordedProcess) -> ProcessRecord {
+        ended.process.wait_for_exit();
+        ended.record.exited_at = Some(self.start.elapsed());
+        let log = ended.process.finish_log();
+        let counters = log.iter().rev().find(|line| line.contains(" counters "));
+        let broken = counters.and_then(|line| {
+            let words = line.split(' ');
+            words
+                .filter_map(|word| word.strip_prefix("broken_invariants="))
+                .next()
+        });
+        ended.record.broken_invariants = broken.and_then(|number| number.parse().ok());
+        ended.record
+    }
+
+    fn start_process(&self) -> RecordedProcess {
+        let test = format!("soak-{}", self.script.seed);
+        let process = match &self.backend {
+            Backend::Platform { nodes, discovery } => {
+                let descriptors = if self.script.crowd {
+                    CROWDED_DESCRIPTORS
+                } else {
+                    1024
+                };
+                let site = Deployment {
+                    latency_objective_ms: OBJECTIVE_MS,
+                    descriptors,
+                    max_batch: 4,
+                    ..Deployment::ALL_EFFECTS
+                };
+                let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.address).collect();
+                let configuration = site.configuration(discovery.address, &addresses);
+                let temporary = Some(self.temporary.as_path());
+                Process::start_platform_in(&test, &configuration, descriptors, temporary)
+            }
+            Backend::Features(servers) => Process::start_edge(&test, "", &inventory(servers, None)),
+        };
+        RecordedProcess {
+            process,
+            record: ProcessRecord::default(),
+        }
+    }
+
+    fn start_successor(&self, predecessor: &RecordedProcess) -> RecordedProcess {
+        RecordedProcess {
+            process: predecessor
+                .process
+                .start_successor(Path::new(&self.temporary)),
+            record: ProcessRecord::default(),
+        }
+    }
+
+    /// Waits until the process says that it is ready.
+    fn wait_until_ready(&self, process: &mut RecordedProcess) {
+        let started = Instant::now();
+        while !is_ready(process.process.address) {
+            assert!(started.elapsed() < READY_TIMEOUT, "it is never ready");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        process.record.ready_at = Some(self.start.elapsed());
+    }
+}
+
+/// Returns whether a readiness check succeeds.
+fn is_ready(address: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return false;
+    };
+    let sent = stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let mut text = Vec::new();
+    let read = sent.and_then(|()| stream.read_to_end(&mut text));
+    read.is_ok() && text.starts_with(b"HTTP/1.1 200")
+}
+
+fn signal_after(process: &Process, signal: &str, pause: Duration, since: Instant) {
+    std::thread::sleep(pause.saturating_sub(since.elapsed()));
+    process.signal_if_alive(signal);
+}
+
+fn sample_resources(process: &mut RecordedProcess) {
+    let proc = PathBuf::from(format!("/proc/{}", process.process.id()));
+    let status = std::fs::read_to_string(proc.join("status")).unwrap_or_default();
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = memory.and_then(|text| text.trim().split(' ').next()?.parse().ok());
+    process.record.peak_memory_kib = kib.unwrap_or(0);
+    process.record.peak_descriptors = std::fs::read_dir(proc.join("fd")).map_or(0, Iterator::count);
+}
+
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.expect("after 1970").as_millis() as u64
+}
+
+/// Returns the inventory of the feature servers, of which one may drain.
+fn inventory(servers: &[FeatureServer], draining: Option<usize>) -> String {
+    let collections = SHARDS.map(|shard| format!("devices/{shard}")).join(";");
+    let row = |(n, server): (usize, &FeatureServer)| {
+        let state = if draining == Some(n) {
+            "draining"
+        } else {
+            "in_service"
+        };
+        inventory_row_in_state(&format!("s{n}"), server, &collections, state)
+    };
+    servers.iter().enumerate().map(row).collect()
+}
--- a/tests/standin/discovery.rs
+++ b/tests/standin/discovery.rs
@@ -7,6 +7,7 @@
 };
 use super::threads::{OwnedThreads, Threads};
 use serde_json::{json, Value};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex, Once};
@@ -245,3 +246,104 @@
         linger.expect("set");
     }
 }
+
+/// The interval at which [`SwitchedDiscovery`] sends the list again.
+const HEARTBEAT: Duration = Duration::from_millis(800);
+
+/// What a [`SwitchedDiscovery`] sends.
+struct SwitchedState {
+    endpoints: Vec<ListedEndpoint>,
+    revision: u64,
+    /// Whether watches get nothing.
+    silent: bool,
+    /// The open watches that have their first list.
+    watches: Vec<TcpStream>,
+    /// The watches that were opened while discovery was silent, which are never answered.
+    unanswered: Vec<TcpStream>,
+}
+
+/// Discovery that keeps the list of endpoints, and may fall silent or cut a list.
+pub struct SwitchedDiscovery {
+    /// The address at which discovery listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<SwitchedState>>,
+    threads: OwnedThreads,
+}
+
+impl SwitchedDiscovery {
+    /// Starts with these endpoints in service.
+    pub fn start(addresses: &[SocketAddr]) -> SwitchedDiscovery {
+        let state = Arc::new(Mutex::new(SwitchedState {
+            endpoints: all_in_service(addresses),
+            revision: 1,
+            silent: false,
+            watches: Vec::new(),
+            unanswered: Vec::new(),
+        }));
+        let threads = OwnedThreads::default();
+        let shared = state.clone();
+        let address = accept_on_thread(&threads.0, move |mut stream| {
+            let _ = read_request_line(&mut lines_of(&stream));
+            let mut state = shared.lock().expect("state");
+            if state.silent {
+                state.unanswered.push(stream);
+            } else if write_chunked_head(&mut stream).is_ok() {
+                let list = complete_list(state.revision, &state.endpoints);
+                let _ = write_line_chunk(&mut stream, &list);
+                state.watches.push(stream);
+            }
+        });
+        let beating = Arc::downgrade(&state);
+        threads.0.listen(move || {
+            while let Some(state) = beating.upgrade() {
+                state.lock().expect("state").send_list();
+                drop(state);
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
+        SwitchedDiscovery {
+            address,
+            state,
+            threads,
+        }
+    }
+
+    /// Replaces an endpoint and sends the change on all watches.
+    pub fn announce(&self, revision: u64, endpoint: ListedEndpoint) {
+        let mut state = self.state.lock().expect("state");
+        state.revision = revision;
+        state.endpoints[endpoint.index] = endpoint;
+        state.send(&changed_endpoints(revision, &[endpoint]));
+    }
+
+    /// Falls silent, or speaks again; watches that were opened meanwhile stay unanswered.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.lock().expect("state").silent = silent;
+    }
+
+    /// Sends the beginning of a list and resets all watches.
+    pub fn cut_list(&self, list: &str) {
+        let mut state = self.state.lock().expect("state");
+        for mut watch in state.watches.drain(..) {
+            let half = &list.as_bytes()[..list.len() / 2];
+            let _ = write!(watch, "{:x}\r\n", list.len() + 1);
+            let _ = watch.write_all(half);
+            let reset = rustix::net::sockopt::set_socket_linger(&watch, Some(Duration::ZERO));
+            reset.expect("set");
+        }
+    }
+}
+
+impl SwitchedState {
+    fn send_list(&mut self) {
+        self.send(&complete_list(self.revision, &self.endpoints));
+    }
+
+    /// Sends a line on all watches that are open, unless discovery is silent.
+    fn send(&mut self, line: &str) {
+        if !self.silent {
+            self.watches
+                .retain_mut(|watch| write_line_chunk(watch, line).is_ok());
+        }
+    }
+}
--- a/tests/standin/feature_server.rs
+++ b/tests/standin/feature_server.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// The reply of a feature server to a request.
 pub enum Reply {
@@ -14,6 +15,8 @@
     Json(String),
     /// This status, without a body.
     Status(u16),
+    /// 200 with this body, after this time.
+    Late(Duration, String),
     /// No answer; the connection stays open.
     Hang,
     /// 200 with this body, which ends with the connection.
@@ -93,6 +96,10 @@
 
 fn write_reply(stream: &mut TcpStream, reply: Reply) -> Result<()> {
     match reply {
+        Reply::Late(time, body) => {
+            std::thread::sleep(time);
+            write_reply(stream, Reply::Json(body))
+        }
         Reply::Json(body) => {
             write!(
                 stream,
--- a/tests/standin/process.rs
+++ b/tests/standin/process.rs
@@ -84,6 +84,16 @@
 
     /// Starts the platform's front with its configuration and a limit of file descriptors.
     pub fn start_platform(test: &str, configuration: &Value, descriptors: usize) -> Process {
+        Process::start_platform_in(test, configuration, descriptors, None)
+    }
+
+    /// Starts the platform's front; it hands its sockets over in `temporary`, if that is given.
+    pub fn start_platform_in(
+        test: &str,
+        configuration: &Value,
+        descriptors: usize,
+        temporary: Option<&Path>,
+    ) -> Process {
         let folder = create_folder(test);
         for file in [CONFIGURATION, START_CONFIGURATION] {
             std::fs::write(folder.join(file), configuration.to_string()).expect("a configuration");
@@ -103,6 +113,9 @@
             command.env_remove(name);
         }
         command.env("NODE_CONFIG", folder.join(CONFIGURATION));
+        if let Some(temporary) = temporary {
+            command.env("TMPDIR", temporary);
+        }
         Process::spawn(command, folder)
     }
 
@@ -244,6 +257,33 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Sends a signal by its name without `SIG`, if the process has not exited.
+    pub fn signal_if_alive(&self, name: &str) {
+        // A process that has exited and is not waited for can still be signalled.
+        self.signal(name);
+    }
+
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has exited with success; `None` if it still runs.
+    pub fn exit_status(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().expect("it is a child");
+        status.map(|status| status.success())
+    }
+
+    /// Returns all lines of the log of a process that has exited.
+    pub fn finish_log(&mut self) -> Vec<String> {
+        if let Some(reader) = self.log_reader.take() {
+            reader.join().expect("its log can be read");
+        }
+        let mut lines = std::mem::take(&mut *self.read_lines.lock().expect("lines"));
+        lines.extend(self.log.lock().expect("log").try_iter());
+        lines
+    }
+
     /// Sends a GET request on a connection of its own.
     pub fn get(&self, target: &str) -> Response {
         self.get_with_headers(target, "")
