Let soak clients send bytes behind a request, and check that connections are accepted after SIGTERM

Processes that have ended keep their folder until the run is over, which the third generation needs; a panic of the run ends its clients.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -19,6 +19,9 @@
 /// The time after SIGTERM from which on a request that SIGKILL finds unanswered may be lost.
 const KILL_EXCUSES_AFTER: Duration = Duration::from_millis(700);
 
+/// The time after SIGTERM for which new connections keep coming, and are accepted.
+const ACCEPTS_AFTER_TERM: Duration = Duration::from_millis(400);
+
 /// A rule of the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
@@ -250,8 +253,9 @@
     let is_ready = |at: Duration| {
         history.processes.iter().any(|process| {
             let ready = process.ready_at.is_some_and(|ready| ready <= at);
-            // A process that ends accepts until it exits; that it did is noticed later.
-            ready && process.terminated_at.is_none() && process.killed_at.is_none_or(|k| at < k)
+            let accepts_until = process.terminated_at.map(|at| at + ACCEPTS_AFTER_TERM);
+            let before = |end: Option<Duration>| end.is_none_or(|end| at < end);
+            ready && before(accepts_until) && before(process.killed_at)
         })
     };
     let refused = history
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -198,21 +198,26 @@
     let refused = |at| RefusedConnect { at: ms(at) };
     let serving = |history: &mut History| {
         history.processes.push(ProcessRecord {
-            ready_at: Some(ms(1_000)),
+            ready_at: Some(ms(6_500)),
             killed_at: Some(ms(9_000)),
             ..ProcessRecord::default()
         });
     };
     assert_breaks(Rule::Accept, |history| {
         serving(history);
-        history.refused_connects.push(refused(2_000));
+        history.refused_connects.push(refused(7_000));
     });
     assert_sound(|history| {
         serving(history);
         history
             .refused_connects
-            .extend([refused(500), refused(9_001)]);
+            .extend([refused(20), refused(9_001)]);
     });
+    // New connections keep coming for up to 0.4 s after SIGTERM.
+    assert_breaks(Rule::Accept, |history| {
+        history.refused_connects.push(refused(5_399));
+    });
+    assert_sound(|history| history.refused_connects.push(refused(5_401)));
 }
 
 #[test]
--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -24,6 +24,8 @@
 const READ_BEYOND: Duration = Duration::from_secs(3);
 /// The pause before the next attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// The number of bytes behind a request.
+const BYTES_BEHIND: usize = 3_000;
 /// The rests between two requests, in milliseconds.
 const SHORT_REST: Range<u64> = 0..30;
 const LONG_REST: Range<u64> = 100..700;
@@ -59,6 +61,8 @@
     AtOnce,
     InPieces,
     LeavesAfter(Duration),
+    /// With more bytes behind the request, which asks for the connection to be closed.
+    BytesBehind,
 }
 
 /// A complete response.
@@ -68,6 +72,15 @@
     body: Vec<u8>,
 }
 
+/// Ends the clients when it is dropped, also by a panic.
+pub struct ClientsEnd<'a>(pub &'a ClientContext);
+
+impl Drop for ClientsEnd<'_> {
+    fn drop(&mut self) {
+        self.0.over.store(true, Relaxed);
+    }
+}
+
 impl ClientContext {
     /// Sends requests until the run is over.
     pub fn run_client(&self, seed: u64) {
@@ -84,6 +97,7 @@
             let manner = match rng.u8(0..20) {
                 0..3 => Manner::InPieces,
                 3..5 => Manner::LeavesAfter(Duration::from_millis(rng.u64(0..60))),
+                5 => Manner::BytesBehind,
                 _ => Manner::AtOnce,
             };
             let (end, stays_open) = self.exchange(&mut stream, &request, manner);
@@ -173,6 +187,11 @@
     ) -> (RequestEnd, bool) {
         let bytes = request.text.as_bytes();
         let written = match manner {
+            Manner::BytesBehind => {
+                let close = "HTTP/1.1\r\nConnection: close\r\n";
+                let closing = request.text.replacen("HTTP/1.1\r\n", close, 1);
+                stream.write_all(&[closing.as_bytes(), &[b'x'; BYTES_BEHIND]].concat())
+            }
             Manner::InPieces => bytes.chunks(40).try_for_each(|piece| {
                 std::thread::sleep(PIECE_PAUSE);
                 stream.write_all(piece)
@@ -188,6 +207,10 @@
                 (RequestEnd::ClientLeft, false)
             }
             (Ok(()), _) => match read_response(stream, request.timeout + READ_BEYOND) {
+                // A close over the bytes behind the request is a reset.
+                Ok(_) if manner == Manner::BytesBehind && !ends_without_reset(stream) => {
+                    (RequestEnd::Unanswered { reset: true }, false)
+                }
                 Ok(response) => {
                     let content = self.judge(request, &response);
                     let status = response.status;
@@ -302,6 +325,12 @@
     }
 }
 
+/// Reads to the end of a connection. Returns whether it ends in good order.
+fn ends_without_reset(stream: &mut TcpStream) -> bool {
+    let _ = stream.set_read_timeout(Some(READ_BEYOND));
+    stream.read_to_end(&mut Vec::new()).is_ok()
+}
+
 /// Reads a response with a length.
 fn read_response(stream: &mut TcpStream, timeout: Duration) -> Result<Response, ErrorKind> {
     let deadline = Instant::now() + timeout;
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,6 +1,6 @@
 //! A run: starts the process over its servers, lets clients send, and plays the script's end.
 
-use crate::clients::{ClientContext, SHARDS};
+use crate::clients::{ClientContext, ClientsEnd, SHARDS};
 use crate::delay::DelayMeter;
 use crate::history::{DrainRecord, History, ProcessRecord};
 use crate::script::{Ending, FrontKind, Script};
@@ -14,7 +14,6 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -51,6 +50,8 @@
     backend: Backend,
     temporary: PathBuf,
     clients: Arc<ClientContext>,
+    /// The processes that have ended, whose folders their successors use.
+    ended: Mutex<Vec<Process>>,
     drains: Vec<DrainRecord>,
     revision: u64,
 }
@@ -91,6 +92,7 @@
         backend,
         temporary,
         clients,
+        ended: Mutex::default(),
         drains: Vec::new(),
         revision: 1,
     };
@@ -150,9 +152,8 @@
                 let seed = self.script.seed * 100 + client as u64;
                 scope.spawn(move || clients.run_client(seed));
             }
-            let records = self.play_processes(first);
-            clients.over.store(true, Relaxed);
-            records
+            let _end = ClientsEnd(&clients);
+            self.play_processes(first)
         });
         drop(crowd);
         records
@@ -356,6 +357,7 @@
                 .next()
         });
         ended.record.broken_invariants = broken.and_then(|number| number.parse().ok());
+        self.ended.lock().expect("ended").push(ended.process);
         ended.record
     }
 
--- a/tests/soak/script.rs
+++ b/tests/soak/script.rs
@@ -78,7 +78,7 @@
             ending,
             serve_for: Duration::from_millis(rng.u64(1_500..4_000)),
             reloads: rng.usize(0..4),
-            clients: rng.usize(4..10),
+            clients: rng.usize(8..16),
             crowd: platform && rng.u8(0..4) == 0,
             server_faults: rng.u8(0..4) > 0,
             drain,
