Record the earliest kill in the soak, and give all generations of a run one address

A process whose exit was noticed just at the earliest kill counted as one that failed; its exit is now compared with that time. Generations that follow each other within 50 ms get no sockets handed over, and with port 0 in the configuration the third listened elsewhere: a run has a fixed port.

--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -288,6 +288,14 @@
                 format!("process {index} had to be killed: {process:?}"),
             );
         }
+        if let Some((due, exited)) = process.kill_due_at.zip(process.exited_at) {
+            if exited > due + history.delay_between(due, exited) {
+                add(
+                    Rule::Exit,
+                    format!("process {index} exited at {exited:?}, kill due at {due:?}"),
+                );
+            }
+        }
         if process.killed_at.is_none() && !process.exited_with_success {
             add(
                 Rule::Exit,
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -42,6 +42,7 @@
     ProcessRecord {
         ready_at: Some(ms(50)),
         terminated_at: Some(ms(5_000)),
+        kill_due_at: Some(ms(7_300)),
         exited_at: Some(ms(6_000)),
         exited_with_success: true,
         broken_invariants: Some(0),
@@ -228,6 +229,9 @@
     assert_breaks(Rule::Exit, |history| {
         history.processes[0].killed_at = Some(ms(7_000))
     });
+    assert_breaks(Rule::Exit, |history| {
+        history.processes[0].exited_at = Some(ms(7_301))
+    });
     assert_breaks(Rule::Invariant, |history| {
         history.processes[0].broken_invariants = Some(1)
     });
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -83,6 +83,8 @@
     /// The time of the first readiness check that succeeded.
     pub ready_at: Option<Duration>,
     pub terminated_at: Option<Duration>,
+    /// The time at which SIGKILL comes at the earliest after SIGTERM.
+    pub kill_due_at: Option<Duration>,
     /// The time of the SIGKILL, if one was sent.
     pub killed_at: Option<Duration>,
     /// The time at which the exit was noticed.
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -10,6 +10,7 @@
     changed_endpoints, in_service, terminating, ListedEndpoint, SwitchedDiscovery,
 };
 use crate::standin::feature_server::{inventory_row_in_state, FeatureServer};
+use crate::standin::http::bind_loopback;
 use crate::standin::process::Process;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -30,6 +31,8 @@
 const CROWD: usize = 200;
 /// The interval at which the state of a process is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The interval at which the exit of a process is looked for.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// The time in which a process must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -322,16 +325,17 @@
         ended.record.terminated_at = Some(self.start.elapsed());
         ended.process.signal("TERM");
         further_signals(&ended.process, since);
-        while since.elapsed() < deadline + KILL_MARGIN {
-            if let Some(success) = ended.process.exit_status() {
-                ended.record.exited_with_success = success;
-                break;
-            }
-            std::thread::sleep(POLL_INTERVAL);
+        let kill_due = since + deadline + KILL_MARGIN;
+        ended.record.kill_due_at = Some(kill_due.duration_since(self.start));
+        while ended.process.exit_status().is_none() && Instant::now() < kill_due {
+            std::thread::sleep(EXIT_POLL_INTERVAL);
         }
-        if ended.process.exit_status().is_none() {
-            ended.record.killed_at = Some(self.start.elapsed());
-            ended.process.signal("KILL");
+        match ended.process.exit_status() {
+            Some(success) => ended.record.exited_with_success = success,
+            None => {
+                ended.record.killed_at = Some(self.start.elapsed());
+                ended.process.signal("KILL");
+            }
         }
         self.finish(ended)
     }
@@ -377,7 +381,9 @@
                     ..Deployment::ALL_EFFECTS
                 };
                 let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.address).collect();
-                let configuration = site.configuration(discovery.address, &addresses);
+                let mut configuration = site.configuration(discovery.address, &addresses);
+                // All generations have one address, also one that no socket was handed over to.
+                configuration["listen"] = unused_address().to_string().into();
                 let temporary = Some(self.temporary.as_path());
                 Process::start_platform_in(&test, &configuration, descriptors, temporary)
             }
@@ -409,6 +415,11 @@
     }
 }
 
+/// Returns an address whose port was free a moment ago.
+fn unused_address() -> SocketAddr {
+    bind_loopback().local_addr().expect("bound")
+}
+
 /// Returns whether a readiness check succeeds.
 fn is_ready(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect(address) else {
