Count a shutdown from its signal, and wake the loop for each of its phases

The platform kills a process at a time that it counts from SIGTERM. The program counted from when its loop noticed the signal, up to 50 ms later, and noticed the begin of a phase only at its next turn, up to 50 ms later again, while its last phase, in which it exits whatever clients do, begins 50 ms before the kill.

The signal's thread records the time, the schedule tells when its next phase begins, and the loop waits no longer than that. a_shutdown_counts_from_the_first_signal and each_phase_is_due_at_its_beginning are for what was not there before.

--- a/src/net/server/coordinator_loop.rs
+++ b/src/net/server/coordinator_loop.rs
@@ -144,15 +144,16 @@
         }
     }
 
-    /// Waits for an input until the coordinator's next turn is due, and at most for the longest
-    /// sleep.
+    /// Waits for an input until the coordinator's next turn or the next phase of the shutdown is
+    /// due, and at most for the longest sleep.
     fn wait(&self) -> Option<Input> {
         let now = self.now();
+        let times = [
+            self.coordinator.next_turn_due(),
+            self.shutdown.next_phase_at(now),
+        ];
         let latest = now + MAX_SLEEP;
-        let due = self
-            .coordinator
-            .next_turn_due()
-            .map_or(latest, |due| due.min(latest));
+        let due = times.into_iter().flatten().fold(latest, Micros::min);
         if due <= now {
             return None;
         }
@@ -232,7 +233,8 @@
 
     /// Advances a requested shutdown by its schedule. Returns whether the process exits now.
     fn shut_down_if_requested(&mut self, now: Micros) -> bool {
-        let just_started = self.process.signals.shutdown_requested() && self.shutdown.start(now);
+        let requested_at = self.process.signals.shutdown_requested_at();
+        let just_started = requested_at.is_some_and(|at| self.shutdown.start(at));
         let Some(schedule) = self.shutdown.schedule() else {
             return false;
         };
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -43,7 +43,7 @@
     // A coordinator has one core, but is not pinned to it: other processes may share it.
     may::config().set_workers(1).set_worker_pin(false);
     let clock = Clock::start();
-    let signals = Signals::listen()?;
+    let signals = Signals::listen(clock)?;
     let metrics = Arc::new(Metrics::default());
     let admin = admin_config(platform.as_ref(), edge.as_ref());
     // First, since a process with a predecessor is set up differently.
--- a/src/net/server/shutdown.rs
+++ b/src/net/server/shutdown.rs
@@ -114,17 +114,28 @@
     /// Returns the phase at the time `now`.
     #[must_use]
     pub fn phase(&self, now: Micros) -> ShutdownPhase {
-        let elapsed = now.since(self.signalled_at);
-        if elapsed >= MAX_SHUTDOWN {
-            return ShutdownPhase::Expired;
-        }
-        if elapsed >= self.answer_time + KILL_MARGIN - EXIT_MARGIN {
-            return ShutdownPhase::LastResponses;
-        }
-        if elapsed >= (self.answer_time - CLOSING_TIME).max(MIN_DRAIN_TIME) {
-            return ShutdownPhase::Closing;
-        }
-        ShutdownPhase::Draining
+        let begun = self.phase_starts().into_iter().rev();
+        let current = begun.into_iter().find(|(at, _)| *at <= now);
+        current.map_or(ShutdownPhase::Draining, |(_, phase)| phase)
+    }
+
+    /// Returns the time at which the next phase begins; `None` in the last one.
+    #[must_use]
+    pub fn next_phase_at(&self, now: Micros) -> Option<Micros> {
+        let mut starts = self.phase_starts().into_iter();
+        starts.find(|(at, _)| *at > now).map(|(at, _)| at)
+    }
+
+    /// Returns the phases after the first with the times at which they begin, in order.
+    fn phase_starts(&self) -> [(Micros, ShutdownPhase); 3] {
+        let closing = (self.answer_time - CLOSING_TIME).max(MIN_DRAIN_TIME);
+        let last_responses = self.answer_time + KILL_MARGIN - EXIT_MARGIN;
+        [
+            (closing, ShutdownPhase::Closing),
+            (last_responses, ShutdownPhase::LastResponses),
+            (MAX_SHUTDOWN, ShutdownPhase::Expired),
+        ]
+        .map(|(elapsed, phase)| (self.signalled_at + elapsed, phase))
     }
 }
 
@@ -152,14 +163,21 @@
         self.longest_deadline = longest_deadline;
     }
 
-    /// Starts the shutdown. Returns whether it had not started before.
-    pub fn start(&mut self, now: Micros) -> bool {
+    /// Starts the shutdown that was requested at this time. Returns whether it had not started
+    /// before.
+    pub fn start(&mut self, requested_at: Micros) -> bool {
         let starts = self.schedule.is_none();
         self.schedule
-            .get_or_insert_with(|| ShutdownSchedule::new(now, self.longest_deadline));
+            .get_or_insert_with(|| ShutdownSchedule::new(requested_at, self.longest_deadline));
         starts
     }
 
+    /// Returns the time at which the next phase begins; `None` before the shutdown.
+    #[must_use]
+    pub fn next_phase_at(&self, now: Micros) -> Option<Micros> {
+        self.schedule?.next_phase_at(now)
+    }
+
     /// Returns the schedule once the shutdown has started.
     #[must_use]
     pub fn schedule(&self) -> Option<ShutdownSchedule> {
--- a/src/net/server/shutdown/tests.rs
+++ b/src/net/server/shutdown/tests.rs
@@ -136,3 +136,22 @@
         [true, true, false, false]
     );
 }
+
+/// Guards against a phase that begins late, since nothing wakes the loop for it: the last one begins
+/// 0.05 s before the kill.
+#[test]
+fn each_phase_is_due_at_its_beginning() {
+    let mut shutdown = GracefulShutdown::new(Micros::from_secs(1));
+    let at = |elapsed_ms| SIGNALLED_AT + Micros::from_millis(elapsed_ms);
+    assert_eq!(shutdown.next_phase_at(SIGNALLED_AT), None, "no shutdown");
+    assert!(shutdown.start(SIGNALLED_AT));
+    for (elapsed, next) in [(0, 1_200), (1_199, 1_200), (1_200, 1_650), (1_650, 8_000)] {
+        assert_eq!(
+            shutdown.next_phase_at(at(elapsed)),
+            Some(at(next)),
+            "{elapsed}"
+        );
+        assert!(phase_after(1_000, next) > phase_after(1_000, next - 1));
+    }
+    assert_eq!(shutdown.next_phase_at(at(8_000)), None);
+}
--- a/src/net/server/signals.rs
+++ b/src/net/server/signals.rs
@@ -2,10 +2,11 @@
 
 use super::ServerError;
 use crate::coordinator::COUNTERS;
+use crate::time::{Clock, Micros};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, OnceLock};
 
 /// The stack of the thread that waits for signals, in bytes.
 const STACK_BYTES: usize = 64 * 1024;
@@ -13,8 +14,8 @@
 /// The requests made by signals so far.
 #[derive(Debug, Default)]
 pub(super) struct Signals {
-    /// Whether a shutdown was requested.
-    shutdown_requested: AtomicBool,
+    /// The time of the first request for a shutdown.
+    shutdown_requested_at: OnceLock<Micros>,
     /// The number of reloads that were requested.
     reloads_requested: AtomicU64,
 }
@@ -22,7 +23,7 @@
 impl Signals {
     /// Starts a thread that waits for signals. SIGTERM and SIGINT request a shutdown, SIGHUP a
     /// reload, and SIGUSR1 logs the counters.
-    pub(super) fn listen() -> Result<Arc<Self>, ServerError> {
+    pub(super) fn listen(clock: Clock) -> Result<Arc<Self>, ServerError> {
         let signals = Arc::new(Signals::default());
         let received = signals.clone();
         let mut incoming = iterator::Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP])
@@ -33,15 +34,17 @@
             .spawn(move || {
                 incoming
                     .forever()
-                    .for_each(|signal| received.handle(signal))
+                    .for_each(|signal| received.handle(signal, clock.now()))
             })
             .map_err(ServerError::Signals)?;
         Ok(signals)
     }
 
-    fn handle(&self, signal: i32) {
+    fn handle(&self, signal: i32, now: Micros) {
         match signal {
-            SIGTERM | SIGINT => self.shutdown_requested.store(true, Relaxed),
+            SIGTERM | SIGINT => {
+                self.shutdown_requested_at.get_or_init(|| now);
+            }
             SIGUSR1 => COUNTERS.log(),
             _ => {
                 self.reloads_requested.fetch_add(1, Relaxed);
@@ -49,9 +52,9 @@
         }
     }
 
-    /// Returns whether a shutdown was requested.
-    pub(super) fn shutdown_requested(&self) -> bool {
-        self.shutdown_requested.load(Relaxed)
+    /// Returns the time at which a shutdown was first requested; `None` before that.
+    pub(super) fn shutdown_requested_at(&self) -> Option<Micros> {
+        self.shutdown_requested_at.get().copied()
     }
 
     /// Returns the number of reloads that were requested.
@@ -59,3 +62,6 @@
         self.reloads_requested.load(Relaxed)
     }
 }
+
+#[cfg(test)]
+mod tests;
