Let soak clients send behind a request until its response has ended

The bytes that were sent at once with the request were read with it, so that a close over unread bytes did not show. They trickle in now until the client has read to the end.

--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -8,7 +8,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// The names of the feature servers' shards.
@@ -24,8 +25,9 @@
 const READ_BEYOND: Duration = Duration::from_secs(3);
 /// The pause before the next attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
-/// The number of bytes behind a request.
-const BYTES_BEHIND: usize = 3_000;
+/// The number of bytes that are sent at a time behind a request, and the pause between them.
+const BYTES_BEHIND: usize = 512;
+const TRICKLE_PAUSE: Duration = Duration::from_millis(1);
 /// The rests between two requests, in milliseconds.
 const SHORT_REST: Range<u64> = 0..30;
 const LONG_REST: Range<u64> = 100..700;
@@ -61,7 +63,8 @@
     AtOnce,
     InPieces,
     LeavesAfter(Duration),
-    /// With more bytes behind the request, which asks for the connection to be closed.
+    /// With bytes behind the request that go on coming until the response has ended; the request
+    /// asks for the connection to be closed.
     BytesBehind,
 }
 
@@ -190,7 +193,7 @@
             Manner::BytesBehind => {
                 let close = "HTTP/1.1\r\nConnection: close\r\n";
                 let closing = request.text.replacen("HTTP/1.1\r\n", close, 1);
-                stream.write_all(&[closing.as_bytes(), &[b'x'; BYTES_BEHIND]].concat())
+                stream.write_all(closing.as_bytes())
             }
             Manner::InPieces => bytes.chunks(40).try_for_each(|piece| {
                 std::thread::sleep(PIECE_PAUSE);
@@ -199,6 +202,7 @@
             _ => stream.write_all(bytes),
         };
         let sent_at = self.start.elapsed();
+        let trickle = (manner == Manner::BytesBehind).then(|| Trickle::start(stream));
         let (end, stays_open) = match (written, manner) {
             (Err(_), _) => (RequestEnd::Unanswered { reset: true }, false),
             (Ok(()), Manner::LeavesAfter(pause)) => {
@@ -219,6 +223,7 @@
                 Err(kind) => (end_of(kind), false),
             },
         };
+        drop(trickle);
         let record = RequestRecord {
             number: request.number,
             class: request.class,
@@ -245,6 +250,37 @@
     }
 }
 
+/// Sends bytes behind a request until it is dropped.
+struct Trickle {
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Trickle {
+    fn start(stream: &TcpStream) -> Trickle {
+        let over = Arc::new(AtomicBool::new(false));
+        let ends = over.clone();
+        let mut stream = stream.try_clone().expect("a handle");
+        let thread = std::thread::spawn(move || {
+            while !ends.load(Relaxed) && stream.write_all(&[b'x'; BYTES_BEHIND]).is_ok() {
+                std::thread::sleep(TRICKLE_PAUSE);
+            }
+        });
+        Trickle {
+            over,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for Trickle {
+    fn drop(&mut self) {
+        self.over.store(true, Relaxed);
+        let thread = self.thread.take().map(JoinHandle::join);
+        assert!(matches!(thread, Some(Ok(()))), "the thread ends");
+    }
+}
+
 fn draw_class(rng: &mut fastrand::Rng) -> Class {
     [Class::Whole, Class::Partial, Class::Once][rng.usize(0..3)]
 }
