Let the soak see a reset that follows a response

Bytes go on coming for 20 ms after it now, and a write that fails while no process is told to end is a reset.

--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -28,6 +28,8 @@
 /// The number of bytes that are sent at a time behind a request, and the pause between them.
 const BYTES_BEHIND: usize = 512;
 const TRICKLE_PAUSE: Duration = Duration::from_millis(1);
+/// The time after the end of a response for which bytes behind the request are still read.
+const READ_ON: Duration = Duration::from_millis(20);
 /// The rests between two requests, in milliseconds.
 const SHORT_REST: Range<u64> = 0..30;
 const LONG_REST: Range<u64> = 100..700;
@@ -212,7 +214,7 @@
             }
             (Ok(()), _) => match read_response(stream, request.timeout + READ_BEYOND) {
                 // A close over the bytes behind the request is a reset.
-                Ok(_) if manner == Manner::BytesBehind && !ends_without_reset(stream) => {
+                Ok(_) if trickle.is_some_and(|trickle| self.is_reset(stream, trickle)) => {
                     (RequestEnd::Unanswered { reset: true }, false)
                 }
                 Ok(response) => {
@@ -223,7 +225,6 @@
                 Err(kind) => (end_of(kind), false),
             },
         };
-        drop(trickle);
         let record = RequestRecord {
             number: request.number,
             class: request.class,
@@ -236,6 +237,18 @@
         (end, stays_open)
     }
 
+    /// Reads to the end of a connection behind whose request bytes go on coming. Returns whether it
+    /// was reset: while no process is told to end, the bytes are read on for a while after the end
+    /// of the response.
+    fn is_reset(&self, stream: &mut TcpStream, trickle: Trickle) -> bool {
+        let _ = stream.set_read_timeout(Some(READ_BEYOND));
+        let ended = stream.read_to_end(&mut Vec::new()).is_ok();
+        std::thread::sleep(READ_ON);
+        let serving = self.connects_until.lock().expect("connects").is_none();
+        let taken = trickle.finish();
+        !ended || (serving && !taken)
+    }
+
     fn judge(&self, request: &Request, response: &Response) -> Content {
         if response.status != 200 {
             return Content::Error;
@@ -250,10 +263,11 @@
     }
 }
 
-/// Sends bytes behind a request until it is dropped.
+/// A thread that sends bytes behind a request.
 struct Trickle {
     over: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
+    /// Returns whether all writes succeeded.
+    thread: Option<JoinHandle<bool>>,
 }
 
 impl Trickle {
@@ -262,22 +276,31 @@
         let ends = over.clone();
         let mut stream = stream.try_clone().expect("a handle");
         let thread = std::thread::spawn(move || {
-            while !ends.load(Relaxed) && stream.write_all(&[b'x'; BYTES_BEHIND]).is_ok() {
+            while !ends.load(Relaxed) {
+                if stream.write_all(&[b'x'; BYTES_BEHIND]).is_err() {
+                    return false;
+                }
                 std::thread::sleep(TRICKLE_PAUSE);
             }
+            true
         });
         Trickle {
             over,
             thread: Some(thread),
         }
     }
+
+    /// Ends the thread. Returns whether all of its writes succeeded.
+    fn finish(mut self) -> bool {
+        self.over.store(true, Relaxed);
+        let thread = self.thread.take().expect("it is finished once");
+        thread.join().expect("the thread ends")
+    }
 }
 
 impl Drop for Trickle {
     fn drop(&mut self) {
         self.over.store(true, Relaxed);
-        let thread = self.thread.take().map(JoinHandle::join);
-        assert!(matches!(thread, Some(Ok(()))), "the thread ends");
     }
 }
 
@@ -361,12 +384,6 @@
     }
 }
 
-/// Reads to the end of a connection. Returns whether it ends in good order.
-fn ends_without_reset(stream: &mut TcpStream) -> bool {
-    let _ = stream.set_read_timeout(Some(READ_BEYOND));
-    stream.read_to_end(&mut Vec::new()).is_ok()
-}
-
 /// Reads a response with a length.
 fn read_response(stream: &mut TcpStream, timeout: Duration) -> Result<Response, ErrorKind> {
     let deadline = Instant::now() + timeout;
