Forget the identifiers of feature servers that are no longer listed

Memory grew with each server name that was ever in the inventory: every identifier, also those of a shard at one server, kept its shard in a list that never shrank. Only the identifiers of shards need their names; the others are counted, and go with their server. None is used again.

--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -47,29 +47,19 @@
 /// refer to it.
 #[derive(Debug, Default)]
 struct ShardIds {
-    /// The shard that each identifier stands for, indexed by the identifier.
-    shards: Vec<CollectionShard>,
+    /// The number of identifiers assigned so far.
+    assigned: u32,
 }
 
 impl ShardIds {
-    /// Returns the identifier that `ids` has under `key`, after assigning a new one to `shard` if
-    /// there is none.
-    fn get_or_assign<K: Eq + Hash>(
-        &mut self,
-        ids: &mut HashMap<K, ShardId>,
-        key: K,
-        shard: &CollectionShard,
-    ) -> ShardId {
+    /// Returns the identifier that `ids` has under `key`, after assigning a new one if there is
+    /// none.
+    fn get_or_assign<K: Eq + Hash>(&mut self, ids: &mut HashMap<K, ShardId>, key: K) -> ShardId {
         *ids.entry(key).or_insert_with(|| {
-            self.shards.push(shard.clone());
-            ShardId(self.shards.len() as u32 - 1)
+            self.assigned += 1;
+            ShardId(self.assigned - 1)
         })
     }
-
-    /// Returns the shard that an identifier stands for.
-    fn get(&self, id: ShardId) -> Option<&CollectionShard> {
-        self.shards.get(id.0 as usize)
-    }
 }
 
 /// The collections of the present inventory. Shards keep their identifiers when the inventory is
@@ -78,6 +68,8 @@
 pub struct Catalog {
     ids: ShardIds,
     shard_ids: HashMap<CollectionShard, ShardId>,
+    /// The shard that each identifier of a shard stands for, whichever server holds it.
+    shards_by_id: HashMap<ShardId, CollectionShard>,
     /// The identifiers that only one server holds. The policy module can route a request for such
     /// an identifier to no other server: requests for pages that continue at a server use it.
     sticky_ids: HashMap<ShardAtServer, ShardId>,
@@ -155,26 +147,20 @@
     fn assign_shards(&mut self, server: &Server, servers: &[Server]) -> Vec<ShardId> {
         let mut assigned = Vec::new();
         for shard in &server.shards {
-            let id = self
-                .ids
-                .get_or_assign(&mut self.shard_ids, shard.clone(), shard);
+            let id = self.ids.get_or_assign(&mut self.shard_ids, shard.clone());
+            self.shards_by_id.insert(id, shard.clone());
             let at = |server: &Server| ShardAtServer {
                 shard: id,
                 server: server.name.clone(),
             };
-            let sticky = self
-                .ids
-                .get_or_assign(&mut self.sticky_ids, at(server), shard);
+            let sticky = self.ids.get_or_assign(&mut self.sticky_ids, at(server));
             self.active_sticky_ids.insert(sticky);
             assigned.extend([id, sticky]);
             let others = servers
                 .iter()
                 .filter(|s| s.name != server.name && s.shards.contains(shard));
             for other in others.take(MAX_EXCLUDED_HOLDERS) {
-                assigned.push(
-                    self.ids
-                        .get_or_assign(&mut self.excluding_ids, at(other), shard),
-                );
+                assigned.push(self.ids.get_or_assign(&mut self.excluding_ids, at(other)));
             }
             if server.state != EndpointState::Removed {
                 self.add_live_shard(&shard.collection, id);
@@ -206,9 +192,9 @@
 
     /// Sorts each collection's shards by their names.
     fn sort_live_shards(&mut self) {
-        let ids = &self.ids;
+        let by_id = &self.shards_by_id;
         for shards in self.live_shards.values_mut() {
-            shards.sort_by(|a, b| ids.get(*a).cmp(&ids.get(*b)));
+            shards.sort_by(|a, b| by_id.get(a).cmp(&by_id.get(b)));
         }
     }
 
@@ -307,6 +293,10 @@
     /// Returns the name that the servers use for a shard.
     #[must_use]
     pub fn source_name(&self, shard: ShardId) -> Option<&str> {
-        self.ids.get(shard).map(|shard| shard.source.as_str())
+        let shard = self.shards_by_id.get(&shard)?;
+        Some(shard.source.as_str())
     }
 }
+
+#[cfg(test)]
+mod tests;
