Divide the soak's run and clients into modules of one job

The servers behind the process, observations of it, the judgement of answers and the reading of responses have modules of their own; no check changes.

--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -1,10 +1,12 @@
 //! Clients that use kept connections to their ends: at once, in pieces, resting, leaving.
 
+use crate::content::{judge_features, judge_pieces};
 use crate::history::{Class, Content, RefusedConnect, RequestEnd, RequestRecord};
+use crate::response::{end_of, read_response, Response};
 use crate::script::FrontKind;
 use crate::standin::client::{QueryRequest, Shards};
 use serde_json::Value;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
@@ -70,13 +72,6 @@
     BytesBehind,
 }
 
-/// A complete response.
-struct Response {
-    status: u16,
-    closes: bool,
-    body: Vec<u8>,
-}
-
 /// Ends the clients when it is dropped, also by a panic.
 pub struct ClientsEnd<'a>(pub &'a ClientContext);
 
@@ -257,7 +252,7 @@
             return Content::Wrong("a body that is no JSON".to_owned());
         };
         match self.front {
-            FrontKind::Platform => judge_pieces(request, &json),
+            FrontKind::Platform => judge_pieces(&request.shards, &json),
             FrontKind::Features => judge_features(&json),
         }
     }
@@ -307,123 +302,3 @@
 fn draw_class(rng: &mut fastrand::Rng) -> Class {
     [Class::Whole, Class::Partial, Class::Once][rng.usize(0..3)]
 }
-
-/// Judges an answer of the platform's front: each piece is of a shard that was asked for, once, and
-/// has its value; the answer is whole if and only if it has all, and has half of them at least.
-fn judge_pieces(request: &Request, json: &Value) -> Content {
-    let pieces = json["pieces"].as_array().cloned().unwrap_or_default();
-    let mut tablets: Vec<u64> = Vec::new();
-    for piece in &pieces {
-        let tablet = piece["tablet"].as_u64().unwrap_or(u64::MAX);
-        if piece["cell"] != format!("cell{tablet}") || tablets.contains(&tablet) {
-            return Content::Wrong(format!("a wrong piece: {json}"));
-        }
-        tablets.push(tablet);
-    }
-    let asked = request.shards.len();
-    let unasked = tablets
-        .iter()
-        .any(|tablet| !request.shards.contains(&(*tablet as u32)));
-    match json["full"].as_bool() {
-        Some(full)
-            if !unasked && full == (tablets.len() == asked) && 2 * tablets.len() >= asked =>
-        {
-            if full {
-                Content::Whole
-            } else {
-                Content::Partial
-            }
-        }
-        _ => Content::Wrong(format!("{asked} shards asked for: {json}")),
-    }
-}
-
-/// Judges an answer of the feature front: it holds the features in order, those of a shard whole or,
-/// in the last shard before a `next` link, from its first on; none of a shard that it calls missing.
-fn judge_features(json: &Value) -> Content {
-    let ids: Vec<&str> = json["features"]
-        .as_array()
-        .map(|features| features.iter().filter_map(|f| f["id"].as_str()).collect())
-        .unwrap_or_default();
-    let missing: Vec<&str> = json["missing"]
-        .as_array()
-        .map(|names| names.iter().filter_map(Value::as_str).collect())
-        .unwrap_or_default();
-    let continues = json["links"]
-        .as_array()
-        .is_some_and(|links| links.iter().any(|link| link["rel"] == "next"));
-    let mut expected = Vec::new();
-    for (shard, name) in SHARDS.iter().enumerate() {
-        if !missing.contains(name) {
-            let from = shard * FEATURES_PER_SHARD;
-            expected.extend((from..from + FEATURES_PER_SHARD).map(|id| format!("d{id}")));
-        }
-    }
-    let right = if continues {
-        !ids.is_empty()
-            && expected
-                .iter()
-                .map(String::as_str)
-                .take(ids.len())
-                .eq(ids.clone())
-    } else {
-        expected.iter().map(String::as_str).eq(ids.clone())
-    };
-    match (right, missing.is_empty()) {
-        (false, _) => Content::Wrong(format!("missing {missing:?}, next {continues}: {ids:?}")),
-        (true, true) => Content::Whole,
-        (true, false) => Content::Partial,
-    }
-}
-
-fn end_of(kind: ErrorKind) -> RequestEnd {
-    match kind {
-        ErrorKind::WouldBlock | ErrorKind::TimedOut => RequestEnd::NeverAnswered,
-        ErrorKind::UnexpectedEof => RequestEnd::Unanswered { reset: false },
-        _ => RequestEnd::Unanswered { reset: true },
-    }
-}
-
-/// Reads a response with a length.
-fn read_response(stream: &mut TcpStream, timeout: Duration) -> Result<Response, ErrorKind> {
-    let deadline = Instant::now() + timeout;
-    let mut bytes = Vec::new();
-    loop {
-        if let Some(response) = parse_response(&bytes) {
-            return Ok(response);
-        }
-        let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(ErrorKind::TimedOut);
-        }
-        stream.set_read_timeout(Some(left)).map_err(|e| e.kind())?;
-        let mut buffer = [0; 16 * 1024];
-        match stream.read(&mut buffer) {
-            Ok(0) => return Err(ErrorKind::UnexpectedEof),
-            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
-            Err(error) => return Err(error.kind()),
-        }
-    }
-}
-
-/// Returns the response in these bytes, if it is complete.
-fn parse_response(bytes: &[u8]) -> Option<Response> {
-    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
-    let head = std::str::from_utf8(&bytes[..end]).expect("a head of text");
-    let mut lines = head.split("\r\n");
-    let status = lines.next()?.split(' ').nth(1)?.parse().expect("a status");
-    let mut closes = false;
-    let mut length = 0;
-    for line in lines {
-        closes |= line == "Connection: close";
-        if let Some(text) = line.strip_prefix("Content-Length: ") {
-            length = text.parse().expect("a length");
-        }
-    }
-    let body = bytes[end + 4..].to_vec();
-    (body.len() >= length).then_some(Response {
-        status,
-        closes,
-        body,
-    })
-}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,12 +4,16 @@
 //! A few seeds run with the other tests. The long run is started by hand, see docs/soak.md:
 //! `SOAK_SEEDS=60 SOAK_FIRST_SEED=1 cargo test --release --locked --test soak -- --nocapture`.
 
+mod backend;
 mod checker;
 mod checker_tests;
 mod clients;
+mod content;
 mod delay;
 mod history;
+mod probe;
 mod report;
+mod response;
 mod run;
 mod script;
 mod servers;
--- /dev/null
+++ b/tests/soak/response.rs
@@ -0,0 +1,66 @@
+//! Responses as clients of the soak read them.
+
+use crate::history::RequestEnd;
+use std::io::{ErrorKind, Read};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// A complete response.
+pub struct Response {
+    pub status: u16,
+    pub closes: bool,
+    pub body: Vec<u8>,
+}
+
+/// Returns the end of a request whose response could not be read.
+pub fn end_of(kind: ErrorKind) -> RequestEnd {
+    match kind {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => RequestEnd::NeverAnswered,
+        ErrorKind::UnexpectedEof => RequestEnd::Unanswered { reset: false },
+        _ => RequestEnd::Unanswered { reset: true },
+    }
+}
+
+/// Reads a response with a length.
+pub fn read_response(stream: &mut TcpStream, timeout: Duration) -> Result<Response, ErrorKind> {
+    let deadline = Instant::now() + timeout;
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(response) = parse_response(&bytes) {
+            return Ok(response);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut);
+        }
+        stream.set_read_timeout(Some(left)).map_err(|e| e.kind())?;
+        let mut buffer = [0; 16 * 1024];
+        match stream.read(&mut buffer) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof),
+            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
+            Err(error) => return Err(error.kind()),
+        }
+    }
+}
+
+/// Returns the response in these bytes, if it is complete.
+fn parse_response(bytes: &[u8]) -> Option<Response> {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let head = std::str::from_utf8(&bytes[..end]).expect("a head of text");
+    let mut lines = head.split("\r\n");
+    let status = lines.next()?.split(' ').nth(1)?.parse().expect("a status");
+    let mut closes = false;
+    let mut length = 0;
+    for line in lines {
+        closes |= line == "Connection: close";
+        if let Some(text) = line.strip_prefix("Content-Length: ") {
+            length = text.parse().expect("a length");
+        }
+    }
+    let body = bytes[end + 4..].to_vec();
+    (body.len() >= length).then_some(Response {
+        status,
+        closes,
+        body,
+    })
+}
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,25 +1,20 @@
 //! A run: starts the process over its servers, lets clients send, and plays the script's end.
 
-use crate::clients::{ClientContext, ClientsEnd, SHARDS};
+use crate::backend::{inventory, start_backend, Backend, SERVERS};
+use crate::clients::{ClientContext, ClientsEnd};
 use crate::delay::DelayMeter;
 use crate::history::{DrainRecord, History, ProcessRecord};
+use crate::probe::{is_ready, sample_resources, signal_after, unix_ms, unused_address};
 use crate::script::{Ending, FrontKind, Script};
-use crate::servers::{start_feature_server, ServerContext, SoakNode};
+use crate::servers::ServerContext;
 use crate::standin::deployment::Deployment;
-use crate::standin::discovery::{
-    changed_endpoints, in_service, terminating, ListedEndpoint, SwitchedDiscovery,
-};
-use crate::standin::feature_server::{inventory_row_in_state, FeatureServer};
-use crate::standin::http::bind_loopback;
+use crate::standin::discovery::{changed_endpoints, in_service, terminating, ListedEndpoint};
 use crate::standin::process::Process;
-use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// The number of data nodes and of feature servers.
-const SERVERS: usize = 3;
 /// The latency objective of the platform's classes; their deadline is twice that.
 const OBJECTIVE_MS: u64 = 800;
 /// The longest deadline of the feature front's classes counts as this.
@@ -36,15 +31,6 @@
 /// The time in which a process must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The servers behind the process, and where they are announced.
-enum Backend {
-    Platform {
-        nodes: Vec<SoakNode>,
-        discovery: SwitchedDiscovery,
-    },
-    Features(Vec<FeatureServer>),
-}
-
 /// A run in progress.
 struct Run<'a> {
     script: &'a Script,
@@ -120,22 +106,6 @@
     }
 }
 
-fn start_backend(script: &Script, servers: &ServerContext) -> Backend {
-    match script.front {
-        FrontKind::Platform => {
-            let nodes: Vec<SoakNode> = (0..SERVERS).map(|n| SoakNode::start(n, servers)).collect();
-            let addresses: Vec<SocketAddr> = nodes.iter().map(|node| node.address).collect();
-            let discovery = SwitchedDiscovery::start(&addresses);
-            Backend::Platform { nodes, discovery }
-        }
-        FrontKind::Features => Backend::Features(
-            (0..SERVERS)
-                .map(|n| start_feature_server(n, servers))
-                .collect(),
-        ),
-    }
-}
-
 impl Run<'_> {
     /// Plays the script and returns the records of its processes.
     fn play(&mut self) -> Vec<ProcessRecord> {
@@ -316,7 +286,7 @@
         mut ended: RecordedProcess,
         further_signals: impl FnOnce(&Process, Instant),
     ) -> ProcessRecord {
-        sample_resources(&mut ended);
+        sample_resources(&ended.process, &mut ended.record);
         let deadline = match self.script.front {
             FrontKind::Platform => Duration::from_millis(2 * OBJECTIVE_MS),
             FrontKind::Features => LONGEST_COUNTED_DEADLINE,
@@ -342,7 +312,7 @@
 
     /// Sends SIGKILL without a SIGTERM.
     fn kill(&self, mut killed: RecordedProcess) -> ProcessRecord {
-        sample_resources(&mut killed);
+        sample_resources(&killed.process, &mut killed.record);
         killed.record.killed_at = Some(self.start.elapsed());
         killed.process.signal("KILL");
         self.finish(killed)
@@ -414,52 +384,3 @@
         process.record.ready_at = Some(self.start.elapsed());
     }
 }
-
-/// Returns an address whose port was free a moment ago.
-fn unused_address() -> SocketAddr {
-    bind_loopback().local_addr().expect("bound")
-}
-
-/// Returns whether a readiness check succeeds.
-fn is_ready(address: SocketAddr) -> bool {
-    let Ok(mut stream) = TcpStream::connect(address) else {
-        return false;
-    };
-    let sent = stream.write_all(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    let mut text = Vec::new();
-    let read = sent.and_then(|()| stream.read_to_end(&mut text));
-    read.is_ok() && text.starts_with(b"HTTP/1.1 200")
-}
-
-fn signal_after(process: &Process, signal: &str, pause: Duration, since: Instant) {
-    std::thread::sleep(pause.saturating_sub(since.elapsed()));
-    process.signal_if_alive(signal);
-}
-
-fn sample_resources(process: &mut RecordedProcess) {
-    let proc = PathBuf::from(format!("/proc/{}", process.process.id()));
-    let status = std::fs::read_to_string(proc.join("status")).unwrap_or_default();
-    let memory = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kib = memory.and_then(|text| text.trim().split(' ').next()?.parse().ok());
-    process.record.peak_memory_kib = kib.unwrap_or(0);
-    process.record.peak_descriptors = std::fs::read_dir(proc.join("fd")).map_or(0, Iterator::count);
-}
-
-fn unix_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.expect("after 1970").as_millis() as u64
-}
-
-/// Returns the inventory of the feature servers, of which one may drain.
-fn inventory(servers: &[FeatureServer], draining: Option<usize>) -> String {
-    let collections = SHARDS.map(|shard| format!("devices/{shard}")).join(";");
-    let row = |(n, server): (usize, &FeatureServer)| {
-        let state = if draining == Some(n) {
-            "draining"
-        } else {
-            "in_service"
-        };
-        inventory_row_in_state(&format!("s{n}"), server, &collections, state)
-    };
-    servers.iter().enumerate().map(row).collect()
-}
