--- a/tests/soak/report.rs
+++ b/tests/soak/report.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// A run with more delay than this is reported as disturbed.
+/// A run with more delay than this, over all threads that measure it, is reported as disturbed.
 const DISTURBED: Duration = Duration::from_millis(250);
 
 /// The sums over all seeds.
