Let no request that has arrived in part, and no late notice, hold the exit past the kill

Nothing wakes the loop when a response has been written. And a request of which a part has arrived held the exit for up to 2.2 s from its first byte.

--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -120,10 +120,14 @@
 
     /// Returns whether the client is sending a request, awaits a response, or has not read it.
     pub(super) fn is_owed_response(&self) -> bool {
-        !self.is_lingering()
-            && (self.http.awaits_response()
-                || self.http.has_partial_request()
-                || !self.http.output().is_empty())
+        let receives = !self.is_lingering() && self.http.has_partial_request();
+        receives || self.has_taken_request()
+    }
+
+    /// Returns whether the client awaits the response to a complete request, or has not read it.
+    pub(super) fn has_taken_request(&self) -> bool {
+        let unanswered = self.http.awaits_response() || !self.http.output().is_empty();
+        unanswered && !self.is_lingering()
     }
 
     /// Wakes the connection's coroutine.
--- a/src/net/clients/draining.rs
+++ b/src/net/clients/draining.rs
@@ -55,4 +55,13 @@
             .filter(|c| c.lock().is_owed_response())
             .count()
     }
+
+    /// Returns the number of open connections whose clients have sent a complete request, and await
+    /// its response or have not read it.
+    pub fn taken_connections(&self) -> usize {
+        sync::lock(&self.connections)
+            .values()
+            .filter(|c| c.lock().has_taken_request())
+            .count()
+    }
 }
--- a/src/net/server/coordinator_loop.rs
+++ b/src/net/server/coordinator_loop.rs
@@ -3,7 +3,9 @@
 
 use super::process::ProcessContext;
 use super::reload::{Reload, Reloaded, RequestedReloads};
-use super::shutdown::{longest_deadline, GracefulShutdown, PendingWork, ShutdownPhase};
+use super::shutdown::{
+    longest_deadline, AwaitedConnections, GracefulShutdown, PendingWork, ShutdownPhase,
+};
 use super::startup::Startup;
 use crate::coordinator::{Command, Coordinator, Input, ProcessGeneration};
 use crate::net::clients::ClientConnections;
@@ -144,13 +146,13 @@
         }
     }
 
-    /// Waits for an input until the coordinator's next turn or the next phase of the shutdown is
-    /// due, and at most for the longest sleep.
+    /// Waits for an input until the coordinator's next turn or the next check of the shutdown is due,
+    /// and at most for the longest sleep.
     fn wait(&self) -> Option<Input> {
         let now = self.now();
         let times = [
             self.coordinator.next_turn_due(),
-            self.shutdown.next_phase_at(now),
+            self.shutdown.next_check_at(now),
         ];
         let latest = now + MAX_SLEEP;
         let due = times.into_iter().flatten().fold(latest, Micros::min);
@@ -265,10 +267,10 @@
 
     /// Returns whether the process exits in this phase, given its pending work.
     fn exits(&self, phase: ShutdownPhase, successor_accepts: bool) -> bool {
-        let connections = if phase.waits_for_idle_connections() {
-            self.clients.open_connections()
-        } else {
-            self.clients.owed_connections()
+        let connections = match phase.awaited_connections() {
+            AwaitedConnections::Open => self.clients.open_connections(),
+            AwaitedConnections::Owed => self.clients.owed_connections(),
+            AwaitedConnections::Taken => self.clients.taken_connections(),
         };
         let pending = PendingWork {
             queries: self.coordinator.pending_queries(),
--- a/src/net/server/shutdown.rs
+++ b/src/net/server/shutdown.rs
@@ -23,6 +23,10 @@
 /// The time before the earliest kill from which connections without a pending response no longer
 /// delay the exit.
 const EXIT_MARGIN: Micros = Micros::from_millis(50);
+/// The time before the earliest kill from which only requests that were taken delay the exit.
+const TAKEN_MARGIN: Micros = Micros::from_millis(25);
+/// The interval at which the pending work is checked while only last responses are waited for.
+const LAST_RESPONSES_INTERVAL: Micros = Micros::from_millis(5);
 /// The time from the signal to the exit, whatever is pending.
 const MAX_SHUTDOWN: Micros = Micros::from_secs(8);
 
@@ -49,6 +53,9 @@
     /// As in [`ShutdownPhase::Closing`], but connections without a pending response do not delay
     /// the exit.
     LastResponses,
+    /// As in [`ShutdownPhase::LastResponses`], but requests that have arrived in part do not delay
+    /// the exit either: their clients send them again elsewhere.
+    TakenRequests,
     /// The process exits, whatever is pending.
     Expired,
 }
@@ -58,22 +65,36 @@
 pub struct PendingWork {
     /// The number of queries that are not answered.
     pub queries: usize,
-    /// The number of open connections; from [`ShutdownPhase::LastResponses`] on, of those with a
-    /// pending response.
+    /// The number of [`ShutdownPhase::awaited_connections`].
     pub connections: usize,
 }
 
+/// The connections that delay the exit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AwaitedConnections {
+    /// All that are open.
+    Open,
+    /// Those with a request that has arrived, in whole or in part, or with a response to write.
+    Owed,
+    /// Those with a request that has arrived in whole, or with a response to write.
+    Taken,
+}
+
 impl ShutdownPhase {
-    /// Returns whether idle connections have to be closed.
+    /// Returns the connections that delay the exit.
     #[must_use]
-    pub fn closes_connections(self) -> bool {
-        self >= ShutdownPhase::Closing
+    pub fn awaited_connections(self) -> AwaitedConnections {
+        match self {
+            ShutdownPhase::Draining | ShutdownPhase::Closing => AwaitedConnections::Open,
+            ShutdownPhase::LastResponses => AwaitedConnections::Owed,
+            ShutdownPhase::TakenRequests | ShutdownPhase::Expired => AwaitedConnections::Taken,
+        }
     }
 
-    /// Returns whether connections without a pending response count as pending work.
+    /// Returns whether idle connections have to be closed.
     #[must_use]
-    pub fn waits_for_idle_connections(self) -> bool {
-        self < ShutdownPhase::LastResponses
+    pub fn closes_connections(self) -> bool {
+        self >= ShutdownPhase::Closing
     }
 
     /// Returns whether the process may exit if the backlog of its listening socket is empty.
@@ -127,12 +148,15 @@
     }
 
     /// Returns the phases after the first with the times at which they begin, in order.
-    fn phase_starts(&self) -> [(Micros, ShutdownPhase); 3] {
+    fn phase_starts(&self) -> [(Micros, ShutdownPhase); 4] {
         let closing = (self.answer_time - CLOSING_TIME).max(MIN_DRAIN_TIME);
-        let last_responses = self.answer_time + KILL_MARGIN - EXIT_MARGIN;
+        let kill_time = self.answer_time + KILL_MARGIN;
+        let last_responses = kill_time - EXIT_MARGIN;
+        let taken_requests = kill_time - TAKEN_MARGIN;
         [
             (closing, ShutdownPhase::Closing),
             (last_responses, ShutdownPhase::LastResponses),
+            (taken_requests, ShutdownPhase::TakenRequests),
             (MAX_SHUTDOWN, ShutdownPhase::Expired),
         ]
         .map(|(elapsed, phase)| (self.signalled_at + elapsed, phase))
@@ -172,10 +196,15 @@
         starts
     }
 
-    /// Returns the time at which the next phase begins; `None` before the shutdown.
+    /// Returns the time at which the phase and the pending work are to be checked next; `None`
+    /// before the shutdown. Connections report the end of a write to nobody, so in the last phase
+    /// the work is checked often.
     #[must_use]
-    pub fn next_phase_at(&self, now: Micros) -> Option<Micros> {
-        self.schedule?.next_phase_at(now)
+    pub fn next_check_at(&self, now: Micros) -> Option<Micros> {
+        let schedule = self.schedule?;
+        let in_last_phase = schedule.phase(now) >= ShutdownPhase::LastResponses;
+        let check = in_last_phase.then_some(now + LAST_RESPONSES_INTERVAL);
+        check.into_iter().chain(schedule.next_phase_at(now)).min()
     }
 
     /// Returns the schedule once the shutdown has started.
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -282,3 +282,38 @@
     assert!(predecessor.wait_for_exit(), "it exits by itself");
     let _ = std::fs::remove_dir_all(&temporary);
 }
+
+/// Guards against an exit after the earliest kill: a request of which a part has arrived may be lost
+/// that late, and must not hold the process.
+#[test]
+fn a_request_that_trickles_in_does_not_hold_the_exit_past_the_kill() {
+    let node = DataNode::serving();
+    let agent = ControlledDiscovery::new();
+    let site = Deployment {
+        latency_objective_ms: 500,
+        ..Deployment::ALL_EFFECTS
+    };
+    let (mut edge, _watch) = site.start_controlled("trickles", &agent, &[node.address]);
+    let request = QueryRequest::new("q", Class("look"), Shards(&[0])).to_http();
+    edge.signal("TERM");
+    let signalled_at = std::time::Instant::now();
+    // The longest deadline is 1 s: the kill comes 1.7 s after the signal, idle connections are
+    // closed from 1.2 s on.
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    let mut client = send_request(&edge, &request[..10]);
+    let rest = request.as_bytes()[10..40].to_vec();
+    let trickle = std::thread::spawn(move || {
+        for byte in rest {
+            std::thread::sleep(std::time::Duration::from_millis(50));
+            if client.write_all(&[byte]).is_err() {
+                return;
+            }
+        }
+    });
+    assert!(edge.wait_for_exit());
+    let took = signalled_at.elapsed();
+    trickle.join().expect("it ends");
+    // The request would hold it until 2.5 s. The soak compares exits with the kill itself, with the
+    // delay of a busy machine.
+    assert!(took.as_millis() < 2_200, "{took:?}");
+}
