Give each process of the socket tests a folder of its own

It shared its name, and so the folder with its configuration, with another test of the same program, and read the other one's. Folders are numbered now, and the test has a name of its own.

--- a/tests/races/clients.rs
+++ b/tests/races/clients.rs
@@ -192,7 +192,8 @@
     let nodes = [DataNode::hanging(), DataNode::hanging()];
     let agent = ControlledDiscovery::new();
     let addresses = nodes.each_ref().map(|node| node.address);
-    let (edge, _watch) = Deployment::ALL_EFFECTS.start_controlled("unread", &agent, &addresses);
+    let (edge, _watch) =
+        Deployment::ALL_EFFECTS.start_controlled("unread-behind", &agent, &addresses);
     for (abandoned, bytes) in [(1, 1_500_000), (2, 3_000_000), (3, 60_000_000)] {
         let id = format!("left{abandoned}");
         let request = QueryRequest::new(&id, Class("look"), Shards(&[0]));
--- a/tests/standin/process.rs
+++ b/tests/standin/process.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Mutex;
 use std::thread::JoinHandle;
@@ -334,9 +335,12 @@
     }
 }
 
+/// Creates a folder of its own for a process, also where two tests have the same name.
 fn create_folder(test: &str) -> PathBuf {
-    let folder =
-        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
+    static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+    let number = FOLDERS.fetch_add(1, Relaxed);
+    let name = format!("{test}-{}-{number}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::create_dir_all(&folder).expect("a folder");
     folder
 }
