Fail a part whose value a too small frame length may have truncated

Cause: MultiplexedConnection::process_input added the event of a complete frame before it looked at the bytes behind it. A truncated frame is valid in itself; the rest of the value was rejected as the next frame's length and closed the connection, but the event was forwarded. A rest shorter than a length field was not even rejected.

Fix: the end of an attempt is held until the next frame, or until all arrived bytes are read. If the bytes behind its answer may be the rest of the value, it ends as reset, since it may have run; the log says so. An answer with noise behind it counts as before. Length fields are rejected as soon as their first bytes rule out a valid length.

--- a/src/net/node_client/driver.rs
+++ b/src/net/node_client/driver.rs
@@ -142,8 +142,10 @@
         stream: &std::net::TcpStream,
         events: &mut Vec<AttemptEvent>,
     ) -> bool {
-        self.read_available(state, stream, events)
-            && (state.superseded || write_pending(state, stream, events))
+        let open = self.read_available(state, stream, events);
+        state.protocol.confirm_last_answer(events);
+        self.record_ended(state, events);
+        open && (state.superseded || write_pending(state, stream, events))
     }
 
     /// Reads until the socket would block. Returns whether the connection stays open.
@@ -176,11 +178,7 @@
     ) -> bool {
         let now = self.context.clock.now();
         state.silence.record_received(now);
-        let result = state.protocol.process_input(events);
-        for event in events.iter() {
-            self.record_ended(state, event, now);
-        }
-        match result {
+        match state.protocol.process_input(events) {
             Ok(complete_frames) => {
                 state.record_frames(complete_frames, now);
                 true
@@ -199,14 +197,20 @@
         }
     }
 
-    /// Records the end of an attempt, and its response time if it was served. Ignores other events.
-    fn record_ended(&self, state: &mut ConnectionState, event: &AttemptEvent, now: Micros) {
-        let AttemptEvent::Ended(key, end) = event else {
+    /// Records the attempts that have ended, and the response times of those that were served.
+    fn record_ended(&self, state: &mut ConnectionState, events: &[AttemptEvent]) {
+        if events.is_empty() {
             return;
-        };
-        let dispatched_at = state.silence.record_ended(*key);
-        if let (Some(dispatched_at), AttemptEnd::Served(_)) = (dispatched_at, end) {
-            self.context.baseline.record(now.since(dispatched_at));
+        }
+        let now = self.context.clock.now();
+        for event in events {
+            let AttemptEvent::Ended(key, end) = event else {
+                continue;
+            };
+            let dispatched_at = state.silence.record_ended(*key);
+            if let (Some(dispatched_at), AttemptEnd::Served(_)) = (dispatched_at, end) {
+                self.context.baseline.record(now.since(dispatched_at));
+            }
         }
     }
 }
--- a/src/proto/frames/attempts.rs
+++ b/src/proto/frames/attempts.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Returns whether the node may send an answer: to an attempt in flight, or to a cancelled one.
+    pub(super) fn awaits_any_answer(&self) -> bool {
+        self.any_fully_written() || self.retired.iter().any(|retired| !retired.answered)
+    }
+
     /// Returns whether the node may have run one of the attempts in flight.
     pub(super) fn any_fully_written(&self) -> bool {
         self.in_flight.values().any(|attempt| attempt.fully_written)
--- a/src/proto/frames/codec.rs
+++ b/src/proto/frames/codec.rs
@@ -1,5 +1,6 @@
 //! The encoding of frames: requests are encoded, answers are decoded and validated.
 
+use super::plain_text::is_plain_text;
 use crate::coordinator::{AttemptEnd, AttemptRequest};
 use crate::interface::Outcome;
 
@@ -32,9 +33,14 @@
 /// The reason why bytes from a data node are rejected, after which the connection is closed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// The length of a frame is zero or exceeds the maximum.
+    /// The length of a frame is zero or exceeds the maximum. If part of the length field is missing,
+    /// this is the smallest length that the field can state.
     #[error("frame length of {0} bytes is zero or exceeds the maximum")]
     InvalidLength(usize),
+    /// The bytes behind an answer are no frame and may be the rest of its value, so that the
+    /// answer's length may be too small.
+    #[error("bytes behind an answer may be the rest of its value")]
+    ShortAnswer,
     /// The letter of a frame denotes no known kind.
     #[error("unknown frame letter {0:?}")]
     UnknownLetter(char),
@@ -126,13 +132,9 @@
 
 /// Decodes the first frame of the received bytes. Returns `None` if the frame is incomplete.
 pub(super) fn decode(data: &[u8]) -> Result<Option<IncomingFrame<'_>>, FrameError> {
-    let Some(length) = data.first_chunk::<LENGTH_BYTES>() else {
+    let Some(length) = decode_length(data)? else {
         return Ok(None);
     };
-    let length = u32::from_be_bytes(*length) as usize;
-    if length == 0 || length > MAX_FRAME_BYTES {
-        return Err(FrameError::InvalidLength(length));
-    }
     let Some(body) = data.get(LENGTH_BYTES..LENGTH_BYTES + length) else {
         return Ok(None);
     };
@@ -153,6 +155,20 @@
     }))
 }
 
+/// Decodes the length field of a frame. Returns `None` if part of the field is missing, unless the
+/// part that was received rules out a valid length.
+fn decode_length(data: &[u8]) -> Result<Option<usize>, FrameError> {
+    let received = data.len().min(LENGTH_BYTES);
+    let mut field = [0; LENGTH_BYTES];
+    field[..received].copy_from_slice(&data[..received]);
+    let length = u32::from_be_bytes(field) as usize;
+    let complete = received == LENGTH_BYTES;
+    if length > MAX_FRAME_BYTES || (complete && length == 0) {
+        return Err(FrameError::InvalidLength(length));
+    }
+    Ok(complete.then_some(length))
+}
+
 /// Decodes an answer: a line with the id, the end of the attempt, the score and the load report, and
 /// after it the value. An answer with a malformed field is rejected, since no corrupted value may
 /// reach a client. Only the load report is not checked, since it is not used.
@@ -183,8 +199,7 @@
 /// characters.
 fn checked_value<'a>(score: &str, value: &'a [u8]) -> Result<&'a [u8], FrameError> {
     let score_valid = score.parse::<f64>().is_ok_and(f64::is_finite);
-    let is_plain_text = |text: &str| !text.contains(char::is_control);
-    if score_valid && std::str::from_utf8(value).is_ok_and(is_plain_text) {
+    if score_valid && is_plain_text(value) {
         Ok(value)
     } else {
         Err(FrameError::MalformedValue)
--- a/src/proto/frames/connection.rs
+++ b/src/proto/frames/connection.rs
@@ -4,6 +4,7 @@
 use super::attempts::{AnsweredAttempt, AttemptTable};
 use super::codec::{self, AttemptAnswer, FrameContent, FrameError};
 use super::outgoing::{OutgoingFrame, QueuedAttempt};
+use super::plain_text::plain_text_length;
 use crate::coordinator::{AttemptEnd, AttemptKey, AttemptRequest};
 use crate::interface::Outcome;
 use crate::proto::buffer::Buffer;
@@ -28,6 +29,27 @@
     input: Buffer,
     output: VecDeque<OutgoingFrame>,
     attempts: AttemptTable,
+    /// The end of the attempt that was answered last, until the bytes behind its answer show whether
+    /// the answer's length is right.
+    unconfirmed: Option<UnconfirmedEnd>,
+}
+
+/// The end of an attempt according to an answer whose length may be wrong.
+#[derive(Debug)]
+struct UnconfirmedEnd {
+    key: AttemptKey,
+    end: AttemptEnd,
+}
+
+impl UnconfirmedEnd {
+    fn into_event(self) -> AttemptEvent {
+        AttemptEvent::Ended(self.key, self.end)
+    }
+
+    /// Returns the event of an attempt whose answer is corrupt. The node may have run it.
+    fn into_corrupt_event(self) -> AttemptEvent {
+        AttemptEvent::Ended(self.key, AttemptEnd::Failed(Outcome::Reset))
+    }
 }
 
 impl MultiplexedConnection {
@@ -137,20 +159,61 @@
         &mut self.input
     }
 
-    /// Processes the input buffer and returns the number of complete frames in it.
+    /// Processes the input buffer and returns the number of complete frames in it. The event of the
+    /// last answer is added once the next frame has been received, or by
+    /// [`MultiplexedConnection::confirm_last_answer`].
     ///
     /// # Errors
     /// Fails if a frame is invalid. The events of the frames before it are valid.
     pub fn process_input(&mut self, events: &mut Vec<AttemptEvent>) -> Result<usize, FrameError> {
         let mut complete_frames = 0;
-        while let Some(frame) = codec::decode(self.input.data())? {
+        loop {
+            let frame = match codec::decode(self.input.data()) {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return Ok(complete_frames),
+                Err(error) => return Err(self.resolve_last_answer(error, events)),
+            };
+            events.extend(self.unconfirmed.take().map(UnconfirmedEnd::into_event));
             if let FrameContent::Answer(answer) = frame.content {
-                events.extend(accept_answer(&mut self.attempts, answer)?);
+                self.unconfirmed = accept_answer(&mut self.attempts, answer)?;
             }
             self.input.consume(frame.length);
             complete_frames += 1;
         }
-        Ok(complete_frames)
+    }
+
+    /// Adds the event of the last answer. The caller has read all bytes that have arrived: a node
+    /// writes a frame at once, so that the rest of a value would have arrived with the frame.
+    pub fn confirm_last_answer(&mut self, events: &mut Vec<AttemptEvent>) {
+        events.extend(self.unconfirmed.take().map(UnconfirmedEnd::into_event));
+    }
+
+    /// Adds the event of the last answer, behind which there are invalid bytes, and returns the
+    /// error. The attempt fails if these bytes may be the rest of its value.
+    fn resolve_last_answer(
+        &mut self,
+        error: FrameError,
+        events: &mut Vec<AttemptEvent>,
+    ) -> FrameError {
+        let Some(unconfirmed) = self.unconfirmed.take() else {
+            return error;
+        };
+        if self.may_be_rest_of_value(self.input.data()) {
+            events.push(unconfirmed.into_corrupt_event());
+            return FrameError::ShortAnswer;
+        }
+        events.push(unconfirmed.into_event());
+        error
+    }
+
+    /// Returns whether bytes that are no frame may be the rest of the value before them. The rest of
+    /// a value is plain text, and only frames follow it. If the node has no more answers to send,
+    /// text with other bytes behind it is noise.
+    fn may_be_rest_of_value(&self, bytes: &[u8]) -> bool {
+        let behind_text = &bytes[plain_text_length(bytes)..];
+        let begins_with_text = behind_text.len() < bytes.len();
+        begins_with_text
+            && (self.attempts.awaits_any_answer() || codec::decode(behind_text).is_ok())
     }
 
     /// Returns whether part of a frame has been received.
@@ -180,6 +243,7 @@
     /// Ends every attempt after the connection has ended or could not be established. The node can
     /// only have run an attempt whose last byte was written.
     pub fn fail_all(&mut self, events: &mut Vec<AttemptEvent>) {
+        self.confirm_last_answer(events);
         self.output.clear();
         for attempt in self.attempts.drain() {
             let outcome = if attempt.fully_written {
@@ -213,15 +277,18 @@
     }
 }
 
-/// Returns the event of an answer to an attempt in flight. Duplicate answers and answers to cancelled
+/// Returns the end of an attempt in flight that is answered. Duplicate answers and answers to cancelled
 /// attempts are ignored. An answer to an attempt that was never sent on this connection is an error:
 /// its id must be corrupted, and the attempt to which it belongs would get no other answer.
 fn accept_answer(
     attempts: &mut AttemptTable,
     answer: AttemptAnswer<'_>,
-) -> Result<Option<AttemptEvent>, FrameError> {
+) -> Result<Option<UnconfirmedEnd>, FrameError> {
     match attempts.record_answer(answer.id) {
-        AnsweredAttempt::InFlight(key) => Ok(Some(AttemptEvent::Ended(key, answer.end))),
+        AnsweredAttempt::InFlight(key) => Ok(Some(UnconfirmedEnd {
+            key,
+            end: answer.end,
+        })),
         AnsweredAttempt::Retired => Ok(None),
         AnsweredAttempt::Unknown => Err(FrameError::UnknownAttempt),
     }
--- a/src/proto/frames/mod.rs
+++ b/src/proto/frames/mod.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod connection;
 mod outgoing;
+mod plain_text;
 
 pub use codec::FrameError;
 pub use connection::{AttemptEvent, MultiplexedConnection};
--- a/tests/node_connections/cases.rs
+++ b/tests/node_connections/cases.rs
@@ -1,6 +1,6 @@
 //! Particular cases of a connection: invalid and late answers, cancellations and restarts.
 
-use super::wire::{frame, frames, key, query_payload, request};
+use super::wire::{frame, frames, key, query_payload, request, write_all};
 use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest};
 use quinceflow::proto::frames::{AttemptEvent, FrameError, MultiplexedConnection};
 use quinceflow::{AttemptNo, Outcome};
@@ -32,25 +32,17 @@
     connection
 }
 
-/// Writes all output and returns the bytes and the events.
-fn write_all(connection: &mut MultiplexedConnection) -> (Vec<u8>, Vec<AttemptEvent>) {
-    let mut wire = Vec::new();
-    let mut events = Vec::new();
-    while !connection.output().is_empty() {
-        wire.extend_from_slice(connection.output());
-        connection.record_written(connection.output().len(), &mut events);
-    }
-    (wire, events)
-}
-
-/// Receives these bytes and returns the number of complete frames and the events.
+/// Receives these bytes, behind which no others have arrived, and returns the number of complete
+/// frames and the events.
 fn receive(
     connection: &mut MultiplexedConnection,
     bytes: &[u8],
 ) -> (Result<usize, FrameError>, Vec<AttemptEvent>) {
     let mut events = Vec::new();
     connection.input().extend(bytes);
-    (connection.process_input(&mut events), events)
+    let result = connection.process_input(&mut events);
+    connection.confirm_last_answer(&mut events);
+    (result, events)
 }
 
 #[test]
--- a/tests/node_connections/main.rs
+++ b/tests/node_connections/main.rs
@@ -2,4 +2,5 @@
 
 mod cases;
 mod model;
+mod short_lengths;
 mod wire;
--- a/tests/node_connections/model.rs
+++ b/tests/node_connections/model.rs
@@ -210,6 +210,7 @@
             self.connection.input().extend(half);
             prop_assert!(self.connection.process_input(&mut result.events).is_ok());
         }
+        self.connection.confirm_last_answer(&mut result.events);
         let before = std::mem::replace(&mut self.attempts[n], AttemptState::Ended);
         if before == AttemptState::FullyWritten {
             result.expected.insert(
--- a/tests/node_connections/wire.rs
+++ b/tests/node_connections/wire.rs
@@ -1,6 +1,7 @@
 //! Requests and frames as the tests build and read them.
 
 use quinceflow::coordinator::{AttemptKey, AttemptRequest};
+use quinceflow::proto::frames::{AttemptEvent, MultiplexedConnection};
 use quinceflow::time::Micros;
 use quinceflow::{AttemptNo, PartId, ShardId};
 use std::sync::Arc;
@@ -38,6 +39,26 @@
     [&length[..], kind.to_string().as_bytes(), payload.as_bytes()].concat()
 }
 
+/// Returns a connection with the attempts 0 to `attempts - 1` in flight, each in a frame of its own
+/// that is fully written.
+pub fn connection_with_attempts(attempts: usize) -> MultiplexedConnection {
+    let mut connection = MultiplexedConnection::default();
+    (0..attempts).for_each(|n| connection.enqueue(&[request(n)]));
+    write_all(&mut connection);
+    connection
+}
+
+/// Writes all output and returns the bytes and the events.
+pub fn write_all(connection: &mut MultiplexedConnection) -> (Vec<u8>, Vec<AttemptEvent>) {
+    let mut wire = Vec::new();
+    let mut events = Vec::new();
+    while !connection.output().is_empty() {
+        wire.extend_from_slice(connection.output());
+        connection.record_written(connection.output().len(), &mut events);
+    }
+    (wire, events)
+}
+
 /// Returns the kind and payload of each complete frame in the bytes that a data node has received.
 pub fn frames(mut bytes: &[u8]) -> Vec<(char, String)> {
     let mut frames = Vec::new();
--- a/tests/ogc/faults.rs
+++ b/tests/ogc/faults.rs
@@ -15,12 +15,17 @@
         (Some(4), ServerResponse::Json(body)) => ServerResponse::Truncated(body),
         (_, response) => response,
     };
+    let short_length = |target: &str| match healthy_response(target, 0..6, 2) {
+        ServerResponse::Json(body) => ServerResponse::ShortLength(body),
+        response => response,
+    };
     for (test, bad) in [
         (
             "errors",
             FeatureServer::start(|_| ServerResponse::Status(500)),
         ),
         ("cut", FeatureServer::start(truncate_third)),
+        ("short", FeatureServer::start(short_length)),
     ] {
         let healthy = FeatureServer::healthy(0..6, 2);
         let rows =
--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -6,10 +6,10 @@
 use crate::standin::feature_server::{
     healthy_response, query_parameter, FeatureServer, ServerResponse,
 };
-use crate::standin::frames::{read_part_ids, write_answer};
+use crate::standin::frames::{read_part_ids, write_answer, write_answer_with_short_length};
 use crate::standin::http::accept_on_thread;
 use crate::standin::threads::OwnedThreadGroup;
-use std::io::{Result, Write};
+use std::io::{Read, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -17,6 +17,8 @@
 
 /// The delay of a late answer.
 const LATE_ANSWER_DELAY: Duration = Duration::from_millis(300);
+/// The number of bytes by which a length field is too small.
+const MISSING_LENGTH: usize = 3;
 
 /// The state that the servers of a run share.
 #[derive(Clone)]
@@ -65,6 +67,7 @@
             11..14 => Fault::Disconnect,
             14..18 => Fault::Late,
             18..20 => Fault::Invalid,
+            20..22 => Fault::ShortLength,
             _ => Fault::None,
         }
     }
@@ -80,6 +83,8 @@
     Disconnect,
     Late,
     Invalid,
+    /// An answer whose length field is too small. Nothing else is sent on the connection.
+    ShortLength,
 }
 
 /// A data node with planted faults.
@@ -145,6 +150,11 @@
                         );
                     });
                 }
+                Fault::ShortLength => {
+                    let mut writer = writer.lock().expect("the mutex is not poisoned");
+                    write_answer_with_short_length(&mut writer, &served, MISSING_LENGTH)?;
+                    return wait_for_close(&mut reader);
+                }
                 Fault::Invalid => writer
                     .lock()
                     .expect("the mutex is not poisoned")
@@ -154,6 +164,12 @@
     }
 }
 
+/// Reads until the process closes the connection.
+fn wait_for_close(reader: &mut TcpStream) -> Result<()> {
+    while reader.read(&mut [0; 64])? > 0 {}
+    Ok(())
+}
+
 /// Starts the feature server with this number, which has all shards and planted faults.
 pub fn start_faulty_feature_server(number: usize, context: &ServerContext) -> FeatureServer {
     let mut rng = context.rng(number);
@@ -194,6 +210,7 @@
             (Fault::Disconnect | Fault::Invalid, ServerResponse::Json(body)) => {
                 ServerResponse::Truncated(body)
             }
+            (Fault::ShortLength, ServerResponse::Json(body)) => ServerResponse::ShortLength(body),
             (_, response) => response,
         }
     })
--- a/tests/standin/data_node.rs
+++ b/tests/standin/data_node.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for data nodes.
 
-use super::frames::{read_call, serve_parts, write_answer};
+use super::frames::{read_call, serve_parts, write_answer, write_answer_with_short_length};
 use super::http::accept_on_thread;
 use super::threads::OwnedThreadGroup;
 use std::io::{Read, Result, Write};
@@ -12,6 +12,10 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The payload of every part: the statement of the queries that tests send.
 const PAYLOAD: &str = "c41e77d0";
+/// The number of bytes by which a length field is too small; less than the size of such a field.
+const MISSING_LENGTH: usize = 2;
+/// Bytes that are no part of a frame. They begin like text.
+const NOISE: &[u8] = b"P\xa7nS-\x1b\x02\xf3\r\n";
 
 /// What a data node does when it receives a part.
 #[derive(Clone, Copy, PartialEq)]
@@ -32,6 +36,10 @@
     StopAnswering,
     /// Sends the beginning of an answer and nothing else on the connection.
     TruncatedAnswer,
+    /// Sends a complete answer whose length field is too small, and nothing else on the connection.
+    ServeWithShortLength,
+    /// Answers with the shard's value, followed by noise, and sends nothing else on the connection.
+    ServeWithNoise,
 }
 
 /// What a data node has received, and its connections.
@@ -178,23 +186,33 @@
                 answering = false;
                 stream.write_all(&[0, 0, 0, 90, b'a', b'9'])?;
             }
+            NodeBehaviour::ServeWithShortLength => {
+                answering = false;
+                write_answer_with_short_length(
+                    &mut stream,
+                    &served_answer(id, shard),
+                    MISSING_LENGTH,
+                )?;
+            }
+            NodeBehaviour::ServeWithNoise => {
+                answering = false;
+                write_answer(&mut stream, &served_answer(id, shard))?;
+                stream.write_all(NOISE)?;
+            }
             NodeBehaviour::Disconnect => return Ok(()),
             NodeBehaviour::Fail => write_answer(&mut stream, &format!("{id} broke 0 -\n"))?,
             NodeBehaviour::Reject => write_answer(&mut stream, &format!("{id} skipped 0 -\n"))?,
-            NodeBehaviour::Serve => write_served(&mut stream, id, shard)?,
+            NodeBehaviour::Serve => write_answer(&mut stream, &served_answer(id, shard))?,
             NodeBehaviour::ServeAndClose => {
-                write_served(&mut stream, id, shard)?;
+                write_answer(&mut stream, &served_answer(id, shard))?;
                 return close_and_wait(&mut stream);
             }
         }
     }
 }
 
-fn write_served(stream: &mut TcpStream, id: &str, shard: &str) -> Result<()> {
-    write_answer(
-        stream,
-        &format!("{id} served 18 inflight=1,util=0.5\ncell{shard}"),
-    )
+fn served_answer(id: &str, shard: &str) -> String {
+    format!("{id} served 18 inflight=1,util=0.5\ncell{shard}")
 }
 
 /// Closes the sending side and waits until the process closes its side, which it does when it
--- a/tests/standin/feature_server.rs
+++ b/tests/standin/feature_server.rs
@@ -22,8 +22,14 @@
     CloseDelimited(String),
     /// Sends status 200 with the first half of this body and closes the connection.
     Truncated(String),
+    /// Sends status 200 with this body and a `Content-Length` that is too small, and keeps the
+    /// connection open.
+    ShortLength(String),
 }
 
+/// The number of bytes by which a `Content-Length` is too small.
+const MISSING_LENGTH: usize = 1;
+
 /// Returns the response to each target.
 type Behaviour = Box<dyn FnMut(&str) -> ServerResponse + Send>;
 
@@ -110,12 +116,9 @@
             std::thread::sleep(delay);
             write_response(stream, ServerResponse::Json(body))
         }
-        ServerResponse::Json(body) => {
-            write!(
-                stream,
-                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            )
+        ServerResponse::Json(body) => write_with_length(stream, &body, body.len()),
+        ServerResponse::ShortLength(body) => {
+            write_with_length(stream, &body, body.len() - MISSING_LENGTH)
         }
         ServerResponse::Status(status) => {
             write!(stream, "HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n")
@@ -135,6 +138,14 @@
     }
 }
 
+/// Writes a successful response with this `Content-Length`.
+fn write_with_length(stream: &mut TcpStream, body: &str, length: usize) -> Result<()> {
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Returns the value, which is a number, of a parameter in the query of a target.
 pub fn query_parameter(target: &str, name: &str) -> Option<usize> {
     let query = target.split_once('?')?.1;
--- a/tests/standin/frames.rs
+++ b/tests/standin/frames.rs
@@ -13,10 +13,24 @@
 
 /// Writes a frame of this kind.
 pub fn write_frame(stream: &mut TcpStream, kind: u8, text: &str) -> Result<()> {
-    let mut bytes = (text.len() as u32 + 1).to_be_bytes().to_vec();
+    stream.write_all(&encode_frame(kind, text, text.len()))
+}
+
+/// Writes a complete answer whose length field is too small by this number of bytes.
+pub fn write_answer_with_short_length(
+    stream: &mut TcpStream,
+    text: &str,
+    missing: usize,
+) -> Result<()> {
+    stream.write_all(&encode_frame(ANSWER, text, text.len() - missing))
+}
+
+/// Encodes a frame whose length field states this length of the text.
+fn encode_frame(kind: u8, text: &str, stated_length: usize) -> Vec<u8> {
+    let mut bytes = (stated_length as u32 + 1).to_be_bytes().to_vec();
     bytes.push(kind);
     bytes.extend_from_slice(text.as_bytes());
-    stream.write_all(&bytes)
+    bytes
 }
 
 /// Writes the answer to an attempt at a part. The text has the part's id, the outcome and the
