Name the effects of the edge file's classes once

The words "safe" and "unsafe" stood in the validation, the defaults, the policy's settings and the merge. ClassConfig::is_idempotent is the one place that interprets them.

--- a/src/front/ogc/config/defaults.rs
+++ b/src/front/ogc/config/defaults.rs
@@ -93,5 +93,5 @@
 }
 
 pub(super) fn effect() -> String {
-    "safe".to_owned()
+    super::IDEMPOTENT.to_owned()
 }
--- a/src/front/ogc/config/mod.rs
+++ b/src/front/ogc/config/mod.rs
@@ -23,6 +23,11 @@
 /// Length of a generated cursor key, in bytes.
 const GENERATED_CURSOR_KEY_BYTES: usize = 32;
 
+/// The effect of a class whose parts may run more than once.
+const IDEMPOTENT: &str = "safe";
+/// The effect of a class whose parts must not run more than once.
+const NON_IDEMPOTENT: &str = "unsafe";
+
 /// Contents of an edge file.
 ///
 /// `rename` keeps the name of a key that differs from the field's name. `expecting` keeps the name
@@ -158,6 +163,14 @@
     pub late_weight: f64,
 }
 
+impl ClassConfig {
+    /// Returns whether a part may run more than once.
+    #[must_use]
+    pub fn is_idempotent(&self) -> bool {
+        self.effect != NON_IDEMPOTENT
+    }
+}
+
 /// Slow start: how the load on a server that has just started is increased.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, expecting = "struct WarmUp")]
--- a/src/front/ogc/config/settings.rs
+++ b/src/front/ogc/config/settings.rs
@@ -85,10 +85,10 @@
             latency_objective: nanos(self.latency_objective_ms),
             objective_stretch: 0.0,
             deadline: nanos(self.deadline_ms),
-            effect: if self.effect == "unsafe" {
-                Effect::NonIdempotent
-            } else {
+            effect: if self.is_idempotent() {
                 Effect::Idempotent
+            } else {
+                Effect::NonIdempotent
             },
             priority_weight: self.priority_weight,
             late_weight: self.late_weight,
--- a/src/front/ogc/config/validation.rs
+++ b/src/front/ogc/config/validation.rs
@@ -1,7 +1,8 @@
 //! Validation of the values of an edge file.
 
 use super::{
-    queryable_type, ClassConfig, ClassError, CollectionConfig, EdgeConfig, LimitsConfig, ValueError,
+    queryable_type, ClassConfig, ClassError, CollectionConfig, EdgeConfig, LimitsConfig,
+    ValueError, IDEMPOTENT, NON_IDEMPOTENT,
 };
 
 /// Maximum of `limits.repeats`, the ratio of retries to parts.
@@ -85,7 +86,7 @@
         if !(self.min_share > 0.0 && self.min_share <= 1.0) {
             errors.push(ClassError::InvalidMinShare);
         }
-        if !matches!(self.effect.as_str(), "safe" | "unsafe") {
+        if !matches!(self.effect.as_str(), IDEMPOTENT | NON_IDEMPOTENT) {
             errors.push(ClassError::UnknownEffect);
         }
         errors
--- a/src/front/ogc/query/merge.rs
+++ b/src/front/ogc/query/merge.rs
@@ -11,9 +11,6 @@
 use serde_json::Value as Json;
 use std::sync::Arc;
 
-/// The value of `effect` in the edge file for a class whose parts must not run more than once.
-const UNSAFE_EFFECT: &str = "unsafe";
-
 /// The merge of a query's pages.
 pub(super) enum Merge {
     /// A merge without a sort order.
@@ -73,7 +70,7 @@
         plans: &[ShardPlan],
         start: &ResponseStart,
     ) -> Self {
-        let idempotent = class.effect != UNSAFE_EFFECT;
+        let idempotent = class.is_idempotent();
         if params.sortby.is_empty() {
             let limits = PagingLimits {
                 limit: params.limit,
