Fail a non-idempotent feature query whose later page is rejected

Cause: each round of pages is a request of its own to the coordinator, which rejects a round if nothing of it ran. ItemsQuery passed the rejection on as the response to the whole query, on two paths: in accept_answer if no request of the round was sent, in accept if the servers turned all away.

Fix: the query records that a round may have run. If its class is not idempotent, an error that permits a retry becomes 502 with an error of its own. It is decided where the query ends, so it holds for every path. Queries without a page and those of other classes are rejected as before.

Tests: front/ogc/tests/rejections.rs and tests/ogc/rejections.rs failed before the fix with 503 in place of 502. The soak test's checker has a rule more, shown to fail by a planted history.

--- a/src/front/ogc/error.rs
+++ b/src/front/ogc/error.rs
@@ -55,6 +55,9 @@
     NoAnswer,
     #[error("too many of the servers failed")]
     ServersFailed,
+    /// Pages of a query that must not run twice have run, and the request for another was rejected.
+    #[error("the servers turned pages away after others had run")]
+    RejectedAfterPages,
     #[error("a server gave what is no feature")]
     InvalidFeature,
     /// No shard that answered has the feature, but a shard without an answer may have it.
@@ -116,6 +119,7 @@
             ApiError::UnsupportedMediaType => 415,
             ApiError::NoAnswer => 500,
             ApiError::ServersFailed
+            | ApiError::RejectedAfterPages
             | ApiError::InvalidFeature
             | ApiError::FeatureLookupIncomplete => 502,
             ApiError::Overloaded { .. } | ApiError::ServerDraining => 503,
--- a/src/front/ogc/error/tests.rs
+++ b/src/front/ogc/error/tests.rs
@@ -80,6 +80,11 @@
         502,
         "too many of the servers failed",
     );
+    assert_status_and_message(
+        ApiError::RejectedAfterPages,
+        502,
+        "the servers turned pages away after others had run",
+    );
     assert_status_and_message(
         ApiError::InvalidFeature,
         502,
--- a/src/front/ogc/query/mod.rs
+++ b/src/front/ogc/query/mod.rs
@@ -38,6 +38,8 @@
     merge: Merge,
     /// The page fetches of the current round that were submitted.
     in_flight: Vec<InFlightFetch>,
+    /// Whether a page request of a completed round may have run.
+    may_have_run: bool,
     resume_point: ResumePoint,
     /// The capacity that is reserved for the query.
     admitted: AdmittedQuery,
@@ -83,6 +85,7 @@
             plans,
             merge,
             in_flight,
+            may_have_run: false,
             resume_point,
             admitted,
         };
@@ -162,6 +165,7 @@
     fn accept_answer(mut self, answer: Answer, unavailable: Vec<FetchedPage>) -> Reaction {
         let in_flight = std::mem::take(&mut self.in_flight);
         let error = ApiError::from_answer(&answer);
+        self.may_have_run |= matches!(answer, Answer::Served { .. } | Answer::Failed { .. });
         let attempted = in_flight
             .iter()
             .any(|fetch| fetch.shard_request.page_request.was_attempted());
@@ -218,6 +222,7 @@
     /// features so far are a valid response.
     fn end(self, error: Option<ApiError>) -> Reaction {
         if let Some(error) = error.filter(|_| !self.merge.can_end_early()) {
+            let error = self.query_error(error);
             return self.respond(error_response(&error));
         }
         let response = match self.next_cursor() {
@@ -227,6 +232,17 @@
         self.respond(response)
     }
 
+    /// Returns the error of the query if one of its rounds ends with this error. A round that was
+    /// rejected has not run, but the client would repeat the rounds before it too.
+    fn query_error(&self, error: ApiError) -> ApiError {
+        let class = &self.state.edge.classes[self.client.class];
+        let is_repeatable = class.is_idempotent() || !self.may_have_run;
+        if error.retry_after().is_some() && !is_repeatable {
+            return ApiError::RejectedAfterPages;
+        }
+        error
+    }
+
     /// Counts the response in the metrics of the class and returns it.
     fn respond(self, response: Response) -> Reaction {
         count_response(&self.state.class_metrics(self.client.class), &response);
--- a/src/front/ogc/tests.rs
+++ b/src/front/ogc/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the front without sockets: arbitrary requests get a problem document or start a query,
 //! and cursors of earlier releases are accepted.
 
+mod rejections;
+
 use super::config::EdgeConfig;
 use super::cql2;
 use super::cursor::CursorKey;
--- a/tests/ogc/main.rs
+++ b/tests/ogc/main.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod operation;
 mod pages;
+mod rejections;
 mod resources;
 #[path = "../standin/mod.rs"]
 mod standin;
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -37,6 +37,9 @@
     FinalAnswer,
     /// A part of a non-idempotent query is not executed twice.
     Duplicate,
+    /// A non-idempotent query of which a part may have been executed is not rejected, since its
+    /// client may then send it again.
+    Rejection,
     /// No attempt is sent to a draining server.
     Drain,
     /// Connections are accepted whenever a process is ready.
@@ -217,19 +220,34 @@
         }
     }
     if request.class == Class::NonIdempotent {
-        let mut sent_counts: BTreeMap<&str, usize> = BTreeMap::new();
-        for attempt in attempts.iter().filter(|attempt| !attempt.rejected) {
-            *sent_counts.entry(&attempt.part).or_default() += 1;
-        }
-        let repeated = sent_counts.into_iter().filter(|(_, count)| *count > 1);
-        found.extend(repeated.map(|(part, count)| {
-            violation(
-                Rule::Duplicate,
-                request,
-                format!("part {part} sent {count} times"),
-            )
+        found.extend(check_executions(request, attempts));
+    }
+    found
+}
+
+/// Checks that no part of a non-idempotent query was sent twice, and that the query was not rejected
+/// after a part was sent. Attempts that a server rejected do not count.
+fn check_executions(request: &RequestRecord, attempts: &[&AttemptRecord]) -> Vec<Violation> {
+    let mut sent_counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for attempt in attempts.iter().filter(|attempt| !attempt.rejected) {
+        *sent_counts.entry(&attempt.part).or_default() += 1;
+    }
+    let mut found = Vec::new();
+    if let RequestEnd::Answered {
+        status: status @ (429 | 503),
+        ..
+    } = request.end
+    {
+        found.extend(sent_counts.keys().map(|part| {
+            let text = format!("status {status} after part {part} was sent");
+            violation(Rule::Rejection, request, text)
         }));
     }
+    let repeated = sent_counts.iter().filter(|(_, count)| **count > 1);
+    found.extend(repeated.map(|(part, count)| {
+        let text = format!("part {part} sent {count} times");
+        violation(Rule::Duplicate, request, text)
+    }));
     found
 }
 
--- a/tests/soak/checker_tests.rs
+++ b/tests/soak/checker_tests.rs
@@ -180,6 +180,25 @@
     assert_no_violation(|history| history.attempts.push(attempt(150)));
 }
 
+#[test]
+fn rejection_of_a_non_idempotent_query_is_a_violation_if_a_part_was_sent() {
+    let reject = |history: &mut History, class, rejected| {
+        history.requests[0].class = class;
+        history.requests[0].end = answered(503, Content::Error);
+        history.attempts[0].rejected = rejected;
+    };
+    let non_idempotent = Class::NonIdempotent;
+    assert_violates(Rule::Rejection, |history| {
+        reject(history, non_idempotent, false)
+    });
+    assert_no_violation(|history| reject(history, non_idempotent, true));
+    assert_no_violation(|history| reject(history, Class::Complete, false));
+    assert_no_violation(|history| {
+        reject(history, non_idempotent, false);
+        history.requests[0].end = answered(502, Content::Error);
+    });
+}
+
 #[test]
 fn attempt_at_a_draining_server_is_a_violation() {
     let drain = |history: &mut History, server, announced_at| {
