--- a/src/front/ogc/tests.rs
+++ b/src/front/ogc/tests.rs
@@ -298,17 +298,22 @@
     ),
 ];
 
-/// Returns the targets of a query's first round, after capability discovery.
-fn first_round_targets(front: &OgcFront, query: &str) -> Vec<String> {
+/// Starts a query for the features of the collection. Each line of `headers` ends with CRLF.
+fn start_items_query(front: &OgcFront, query: &str, headers: &str) -> Reaction {
+    let path = format!("/collections/devices/items?{query}");
+    let bytes = format!("GET {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n");
     let mut server = ServerConnection::default();
-    server.input().extend(
-        format!("GET /collections/devices/items?{query} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes(),
-    );
+    server.input().extend(bytes.as_bytes());
     let request = server
         .next_request()
         .expect("the request is complete")
         .expect("the request is well formed");
-    let mut reaction = front.handle(request, Token(1), Micros::ZERO, true);
+    front.handle(request, Token(1), Micros::ZERO, true)
+}
+
+/// Returns the targets of a query's first round, after capability discovery.
+fn first_round_targets(front: &OgcFront, query: &str) -> Vec<String> {
+    let mut reaction = start_items_query(front, query, "");
     loop {
         match reaction {
             Reaction::Respond(response) => panic!("{query}: {response:?}"),
--- a/src/front/ogc/tests/rejections.rs
+++ b/src/front/ogc/tests/rejections.rs
@@ -29,17 +29,8 @@
 impl RejectedQuery {
     /// Returns the final response of a query that the servers can neither sort nor filter.
     fn response(&self) -> Response {
-        let bytes = format!(
-            "GET /collections/devices/items?sortby=volts HTTP/1.1\r\nHost: x\r\nX-Qos: {}\r\n\r\n",
-            self.class
-        );
-        let mut server = ServerConnection::default();
-        server.input().extend(bytes.as_bytes());
-        let request = server
-            .next_request()
-            .expect("the request is complete")
-            .expect("the request is well formed");
-        let mut reaction = front().handle(request, Token(1), Micros::ZERO, true);
+        let headers = format!("X-Qos: {}\r\n", self.class);
+        let mut reaction = start_items_query(&front(), "sortby=volts", &headers);
         let mut served_rounds = 0;
         loop {
             let (request, render) = match reaction {
