Tests: share the connection with written frames, read to the end by io::copy

connection_with_attempts repeated connection_with_written, which now serves both files of tests/node_connections; the soak's data node had a read loop of its own.

--- a/tests/node_connections/cases.rs
+++ b/tests/node_connections/cases.rs
@@ -1,6 +1,6 @@
 //! Particular cases of a connection: invalid and late answers, cancellations and restarts.
 
-use super::wire::{frame, frames, key, query_payload, request, write_all};
+use super::wire::{connection_with_written, frame, frames, key, query_payload, request, write_all};
 use quinceflow::coordinator::{AttemptEnd, AttemptKey, AttemptRequest};
 use quinceflow::proto::frames::{AttemptEvent, FrameError, MultiplexedConnection};
 use quinceflow::{AttemptNo, Outcome};
@@ -22,16 +22,6 @@
     ("9b1f.0 skipped 1 -\n", true),
 ];
 
-/// Returns a connection with these attempts in flight, each frame fully written.
-fn connection_with_written(queries: &[&[AttemptRequest]]) -> MultiplexedConnection {
-    let mut connection = MultiplexedConnection::default();
-    for requests in queries {
-        connection.enqueue(requests);
-    }
-    write_all(&mut connection);
-    connection
-}
-
 /// Receives these bytes, behind which no others have arrived, and returns the number of complete
 /// frames and the events.
 fn receive(
--- a/tests/node_connections/short_lengths.rs
+++ b/tests/node_connections/short_lengths.rs
@@ -1,6 +1,6 @@
 //! Answers whose length is too small, and good answers with noise behind them.
 
-use super::wire::{connection_with_attempts, frame, key};
+use super::wire::{connection_with_written, frame, key, request};
 use quinceflow::coordinator::AttemptEnd;
 use quinceflow::proto::frames::{AttemptEvent, FrameError};
 use quinceflow::Outcome;
@@ -29,7 +29,9 @@
 
 /// Receives the bytes in two reads on a connection with this number of attempts in flight.
 fn receive(attempts: usize, bytes: &[u8], split: usize) -> Received {
-    let mut connection = connection_with_attempts(attempts);
+    let requests: Vec<_> = (0..attempts).map(request).collect();
+    let queries: Vec<_> = requests.chunks(1).collect();
+    let mut connection = connection_with_written(&queries);
     let mut events = Vec::new();
     let (first, second) = bytes.split_at(split);
     let mut result = Ok(());
--- a/tests/node_connections/wire.rs
+++ b/tests/node_connections/wire.rs
@@ -39,11 +39,12 @@
     [&length[..], kind.to_string().as_bytes(), payload.as_bytes()].concat()
 }
 
-/// Returns a connection with the attempts 0 to `attempts - 1` in flight, each in a frame of its own
-/// that is fully written.
-pub fn connection_with_attempts(attempts: usize) -> MultiplexedConnection {
+/// Returns a connection with these attempts in flight, each frame fully written.
+pub fn connection_with_written(queries: &[&[AttemptRequest]]) -> MultiplexedConnection {
     let mut connection = MultiplexedConnection::default();
-    (0..attempts).for_each(|n| connection.enqueue(&[request(n)]));
+    for requests in queries {
+        connection.enqueue(requests);
+    }
     write_all(&mut connection);
     connection
 }
--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -9,7 +9,7 @@
 use crate::standin::frames::{read_part_ids, write_answer, write_answer_with_short_length};
 use crate::standin::http::accept_on_thread;
 use crate::standin::threads::OwnedThreadGroup;
-use std::io::{Read, Result, Write};
+use std::io::{copy, sink, Result, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -153,7 +153,8 @@
                 Fault::ShortLength => {
                     let mut writer = writer.lock().expect("the mutex is not poisoned");
                     write_answer_with_short_length(&mut writer, &served, MISSING_LENGTH)?;
-                    return wait_for_close(&mut reader);
+                    // The process closes the connection.
+                    return copy(&mut reader, &mut sink()).map(drop);
                 }
                 Fault::Invalid => writer
                     .lock()
@@ -164,12 +165,6 @@
     }
 }
 
-/// Reads until the process closes the connection.
-fn wait_for_close(reader: &mut TcpStream) -> Result<()> {
-    while reader.read(&mut [0; 64])? > 0 {}
-    Ok(())
-}
-
 /// Starts the feature server with this number, which has all shards and planted faults.
 pub fn start_faulty_feature_server(number: usize, context: &ServerContext) -> FeatureServer {
     let mut rng = context.rng(number);
