--- a/review/support-2/case_drawn_area.rs
+++ b/review/support-2/case_drawn_area.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Points of the drawn area.
-const POINTS: usize = 10_000;
+const POINTS: usize = 15_000;
 /// Devices of each shard, all inside the area.
 const DEVICES: usize = 500;
 /// The time that the other clients give their queries.
