--- a/review/support-2/feature_server.rs
+++ b/review/support-2/feature_server.rs
@@ -1,18 +1,19 @@
 //! A stand-in for a feature server (OGC API - Features, Part 1): collections of features, pages
-//! with `next` links, `bbox`. It declares no filters and no sorting, and answers 400 to parameters
-//! that it does not have, as the standard wants.
+//! with `next` links, `bbox`. It declares no filters, and sorting only if it is told to, and answers
+//! 400 to parameters that it does not have, as the standard wants.
 
 use super::http;
 use super::record::Record;
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-/// A feature: its identifier, and its position in degrees.
+/// A feature: its identifier, and its position in degrees. Its voltage is that of all others.
 #[derive(Clone)]
 pub struct Device {
+    /// The identifier; a whole number if it consists of digits.
     pub id: String,
     pub longitude: f64,
     pub latitude: f64,
@@ -28,9 +29,13 @@
             latitude,
             note,
         } = self;
+        let id = match id.parse::<u32>() {
+            Ok(number) => number.to_string(),
+            Err(_) => format!("\"{id}\""),
+        };
         format!(
-            "{{\"type\":\"Feature\",\"id\":\"{id}\",\"geometry\":{{\"type\":\"Point\",\
-             \"coordinates\":[{longitude},{latitude}]}},\"properties\":{{\"note\":\"{note}\"}}}}"
+            "{{\"type\":\"Feature\",\"id\":{id},\"geometry\":{{\"type\":\"Point\",\
+             \"coordinates\":[{longitude},{latitude}]}},\"properties\":{{\"note\":\"{note}\",\"volts\":230}}}}"
         )
     }
 }
@@ -41,28 +46,48 @@
     pub name: String,
     pub address: SocketAddr,
     collections: Arc<BTreeMap<String, Vec<Device>>>,
-    received: Arc<Mutex<Vec<f64>>>,
-    in_progress: Arc<Mutex<usize>>,
     work: Duration,
+    /// Whether it declares sorting.
+    sorts: bool,
     record: Record,
 }
 
 impl FeatureServer {
+    /// Starts a server that sorts by `volts` and `id`, both queryables. Its ids are whole numbers,
+    /// and it orders them so.
+    pub fn start_sorting(
+        record: &Record,
+        name: &str,
+        collections: BTreeMap<String, Vec<Device>>,
+        work: Duration,
+    ) -> Result<Self, String> {
+        Self::start_with(record, name, collections, work, true)
+    }
+
     /// Starts a server with these collections. Each request takes it `work`.
     pub fn start(
         record: &Record,
         name: &str,
         collections: BTreeMap<String, Vec<Device>>,
         work: Duration,
+    ) -> Result<Self, String> {
+        Self::start_with(record, name, collections, work, false)
+    }
+
+    fn start_with(
+        record: &Record,
+        name: &str,
+        collections: BTreeMap<String, Vec<Device>>,
+        work: Duration,
+        sorts: bool,
     ) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
         let server = FeatureServer {
             name: name.to_owned(),
             address: listener.local_addr().map_err(|e| e.to_string())?,
             collections: Arc::new(collections),
-            received: Arc::default(),
-            in_progress: Arc::default(),
             work,
+            sorts,
             record: record.clone(),
         };
         record.note(format!("{name}: feature server at {}", server.address));
@@ -76,16 +101,6 @@
         Ok(server)
     }
 
-    /// Returns when each request was received so far.
-    pub fn received(&self) -> Vec<f64> {
-        self.received.lock().unwrap().clone()
-    }
-
-    /// Returns the number of requests in progress.
-    pub fn in_progress(&self) -> usize {
-        *self.in_progress.lock().unwrap()
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
@@ -93,11 +108,8 @@
         };
         let mut reader = BufReader::new(stream);
         while let Some(target) = http::read_target(&mut reader) {
-            let at = self
-                .record
+            self.record
                 .note(format!("{}: received {target}", self.name));
-            self.received.lock().unwrap().push(at);
-            *self.in_progress.lock().unwrap() += 1;
             std::thread::sleep(self.work);
             let (status, body) = self.answer(&target);
             let head = format!(
@@ -105,7 +117,6 @@
                 body.len()
             );
             let written = writer.write_all(format!("{head}{body}").as_bytes());
-            *self.in_progress.lock().unwrap() -= 1;
             if written.is_err() {
                 return;
             }
@@ -116,9 +127,11 @@
         let path = target.split('?').next().unwrap_or_default();
         let segments: Vec<&str> = path.split('/').filter(|s| !s.is_empty()).collect();
         match segments[..] {
-            ["conformance"] => (
+            ["conformance"] => (200, self.conformance()),
+            ["collections", _, "queryables"] if self.sorts => (
                 200,
-                "{\"conformsTo\":[\"http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core\"]}"
+                "{\"type\":\"object\",\"properties\":{\"id\":{\"type\":\"integer\"},\
+                 \"volts\":{\"type\":\"integer\"}},\"additionalProperties\":false}"
                     .to_owned(),
             ),
             ["collections", collection, "items"] => match self.collections.get(collection) {
@@ -134,9 +147,20 @@
         }
     }
 
+    fn conformance(&self) -> String {
+        let core = "\"http://www.opengis.net/spec/ogcapi-features-1/1.0/conf/core\"";
+        let sorting = "\"http://www.opengis.net/spec/ogcapi-features-8/1.0/conf/sorting\"";
+        if self.sorts {
+            format!("{{\"conformsTo\":[{core},{sorting}]}}")
+        } else {
+            format!("{{\"conformsTo\":[{core}]}}")
+        }
+    }
+
     fn page(&self, target: &str, path: &str, devices: &[Device]) -> (u16, String) {
         for unknown in ["filter", "filter-lang", "sortby"] {
-            if http::parameter(target, unknown).is_some() {
+            let known = self.sorts && unknown == "sortby";
+            if http::parameter(target, unknown).is_some() && !known {
                 return (400, "{}".to_owned());
             }
         }
@@ -156,7 +180,12 @@
             }
             _ => true,
         };
-        let selected: Vec<&Device> = devices.iter().filter(inside).collect();
+        let mut selected: Vec<&Device> = devices.iter().filter(inside).collect();
+        let sortby = http::parameter(target, "sortby");
+        if sortby.is_some() {
+            // All have one voltage, so that the id alone decides.
+            selected.sort_by_key(|device| device.id.parse::<u32>().unwrap_or(u32::MAX));
+        }
         let start = number("offset").unwrap_or(0).min(selected.len());
         let end = (start + limit).min(selected.len());
         let features: Vec<String> = selected[start..end]
@@ -165,7 +194,12 @@
             .collect();
         let next = if end < selected.len() {
             let box_text = bbox.map(|b| format!("&bbox={b}")).unwrap_or_default();
-            format!("{{\"rel\":\"next\",\"href\":\"{path}?limit={limit}&offset={end}{box_text}\"}}")
+            let order = if sortby.is_some() {
+                "&sortby=%2Bvolts%2C%2Bid"
+            } else {
+                ""
+            };
+            format!("{{\"rel\":\"next\",\"href\":\"{path}?limit={limit}&offset={end}{box_text}{order}\"}}")
         } else {
             String::new()
         };
--- a/review/support-2/main.rs
+++ b/review/support-2/main.rs
@@ -2,12 +2,11 @@
 //! folder and exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 //! `TROUBLE=0` leaves the disruption out.
 
-mod case_address_change;
 mod case_drawn_area;
 mod case_gone_shard;
 mod case_poll_backoff;
 mod case_resumed_page;
-mod case_two_addresses;
+mod case_sorted_pages;
 mod data_node;
 mod discovery;
 mod edge;
@@ -47,12 +46,11 @@
         exit(2);
     };
     let run = match name.as_str() {
-        "address-change" => case_address_change::run,
         "drawn-area" => case_drawn_area::run,
         "gone-shard" => case_gone_shard::run,
         "poll-backoff" => case_poll_backoff::run,
         "resumed-page" => case_resumed_page::run,
-        "two-addresses" => case_two_addresses::run,
+        "sorted-pages" => case_sorted_pages::run,
         _ => {
             eprintln!("no case has the name {name}");
             exit(2);
