Keep shards without a server in their collection

Cause: Catalog::register_shards added a shard to its collection only for a server that is not removed. Without one the shard was not missing but unknown, and every check of completeness counted against the shards that were left.

Change: a shard stays in its collection whatever the states of its servers are, and when no server lists it any longer. The policy then has no replica for it, so a class that needs all shards gets 503 at once, one that may lack shards gets 200 marked partial with the shard named, numberMatched is omitted, and a feature that is not found elsewhere gets 502 in place of 404. Each load of the inventory logs the shards without a server.

--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -81,8 +81,11 @@
     /// The identifier of each shard that all of its servers but this one have. It is used to
     /// restart a shard at another server after its pages were interrupted at this one.
     excluding_ids: HashMap<ShardAtServer, ShardId>,
-    /// The shards of each collection, without those whose servers are all removed.
+    /// The shards of each collection. A shard stays in its collection when its last server is
+    /// removed: answers without it are not complete.
     shards_by_collection: BTreeMap<String, Vec<ShardId>>,
+    /// The shards of the current inventory's servers, without servers that are removed.
+    served_shards: HashSet<ShardId>,
     /// The servers of the current inventory.
     servers_by_address: HashMap<String, ServerEntry>,
     /// The servers of the previous inventory by name.
@@ -134,11 +137,11 @@
         }
     }
 
-    /// Removes the entries of the previous inventory, and the sticky and excluding identifiers of
+    /// Removes the servers of the previous inventory, and the sticky and excluding identifiers of
     /// servers that are not among `servers`.
     fn clear_inventory(&mut self, servers: &[Server]) {
-        self.shards_by_collection.clear();
         self.servers_by_address.clear();
+        self.served_shards.clear();
         self.active_sticky_ids.clear();
         let names: HashSet<&str> = servers.iter().map(|server| server.name.as_str()).collect();
         self.sticky_ids
@@ -175,8 +178,9 @@
                         .get_or_allocate(&mut self.excluding_ids, key_at(other)),
                 );
             }
+            self.add_shard(&shard.collection, id);
             if server.state != EndpointState::Removed {
-                self.add_shard(&shard.collection, id);
+                self.served_shards.insert(id);
             }
         }
         ids
@@ -227,6 +231,16 @@
         self.shards_by_collection.get(collection).map(Vec::as_slice)
     }
 
+    /// Returns the shards that no server of the inventory has, other than servers that are removed.
+    #[must_use]
+    pub fn unserved_shards(&self) -> Vec<&CollectionShard> {
+        let shards = self.shards_by_collection.values().flatten();
+        shards
+            .filter(|shard| !self.served_shards.contains(shard))
+            .filter_map(|shard| self.shards_by_id.get(shard))
+            .collect()
+    }
+
     /// Returns the identifier of a shard that excludes the server at `address`, or `None` if no
     /// other server that accepts new work has the shard.
     #[must_use]
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -4,6 +4,7 @@
 use super::ReloadError;
 use crate::coordinator::{Input, Metrics, COUNTERS};
 use crate::front::ogc::config::EdgeConfig;
+use crate::front::ogc::inventory::CollectionShard;
 use crate::front::ogc::SharedCatalog;
 use crate::front::platform::{PlatformCatalog, SharedPlatformCatalog};
 use crate::net::config::{ActiveConfig, Config};
@@ -180,7 +181,15 @@
 impl Reload for InventoryReload {
     fn reload(&mut self, now: Micros) -> Result<Reloaded, ReloadError> {
         let servers = self.edge.load_inventory().map_err(ReloadError::Inventory)?;
-        let update = sync::lock(&self.catalog).load(&servers, now);
+        let mut catalog = sync::lock(&self.catalog);
+        let update = catalog.load(&servers, now);
+        for CollectionShard {
+            collection,
+            server_collection,
+        } in catalog.unserved_shards()
+        {
+            tracing::warn!(%collection, shard = %server_collection, "shard without a server");
+        }
         let change = ReloadedChange::Inventory {
             servers: update.endpoints.len(),
         };
--- a/tests/ogc/main.rs
+++ b/tests/ogc/main.rs
@@ -8,3 +8,4 @@
 #[path = "../standin/mod.rs"]
 mod standin;
 mod support;
+mod unserved_shards;
