Retire a shard by a row of its own in the inventory

Need: since a shard stays in its collection when its last server leaves, an operator who gives it up for good had no way to say so.

Change: a row in the state `retired` is no server and needs no address; its shards leave their collections. `check` and reloads reject a shard that is retired and listed by a server. A `next` link into a retired shard gets 410. Identifiers of retired shards are removed, so their names no longer take up memory.

The tests of `retired` are new with the feature. The text of one message lists the new state, and its test with it.

--- a/src/front/ogc/catalog.rs
+++ b/src/front/ogc/catalog.rs
@@ -1,7 +1,7 @@
 //! The catalog of the current inventory: its collections, the shards of each collection, and the
 //! replicas of each shard. The inventory itself is read by [`inventory`](super::inventory).
 
-use super::inventory::{CollectionShard, Server};
+use super::inventory::{CollectionShard, Inventory, Server};
 use crate::coordinator::{EndpointUpdate, ServerEndpoint};
 use crate::interface::{EndpointListKind, EndpointState, ShardId};
 use crate::time::Micros;
@@ -82,7 +82,7 @@
     /// restart a shard at another server after its pages were interrupted at this one.
     excluding_ids: HashMap<ShardAtServer, ShardId>,
     /// The shards of each collection. A shard stays in its collection when its last server is
-    /// removed: answers without it are not complete.
+    /// removed, until the operator retires it: answers without it are not complete.
     shards_by_collection: BTreeMap<String, Vec<ShardId>>,
     /// The shards of the current inventory's servers, without servers that are removed.
     served_shards: HashSet<ShardId>,
@@ -97,8 +97,12 @@
 impl Catalog {
     /// Replaces the inventory and returns the endpoint update for the coordinator. A server that
     /// appears or becomes ready again after the first inventory counts as started at `now`.
-    pub fn load(&mut self, servers: &[Server], now: Micros) -> EndpointUpdate {
+    pub fn load(&mut self, inventory: &Inventory, now: Micros) -> EndpointUpdate {
+        let servers = &inventory.servers;
         self.clear_inventory(servers);
+        for shard in &inventory.retired_shards {
+            self.remove_shard(shard);
+        }
         let mut endpoints = Vec::new();
         let mut previous_servers = HashMap::new();
         for server in servers {
@@ -186,6 +190,23 @@
         ids
     }
 
+    /// Removes a shard from its collection. If a later inventory has it again, it gets another
+    /// identifier.
+    fn remove_shard(&mut self, shard: &CollectionShard) {
+        let Some(id) = self.shard_ids.remove(shard) else {
+            return;
+        };
+        self.shards_by_id.remove(&id);
+        self.sticky_ids.retain(|key, _| key.shard != id);
+        self.excluding_ids.retain(|key, _| key.shard != id);
+        if let Some(shards) = self.shards_by_collection.get_mut(&shard.collection) {
+            shards.retain(|other| *other != id);
+            if shards.is_empty() {
+                self.shards_by_collection.remove(&shard.collection);
+            }
+        }
+    }
+
     /// Adds a shard to those of its collection unless it is already among them.
     fn add_shard(&mut self, collection: &str, shard: ShardId) {
         let shards = self
--- a/src/front/ogc/catalog/tests.rs
+++ b/src/front/ogc/catalog/tests.rs
@@ -15,6 +15,47 @@
     }
 }
 
+/// Returns an inventory without retired shards.
+fn inventory(servers: Vec<Server>) -> Inventory {
+    Inventory {
+        servers,
+        ..Inventory::default()
+    }
+}
+
+/// Guards against shards that can never be taken out of a collection, and against memory use that
+/// grows with their names.
+#[test]
+fn a_retired_shard_leaves_its_collection_and_returns_under_another_identifier() {
+    let mut catalog = Catalog::default();
+    let north = CollectionShard {
+        collection: "devices".to_owned(),
+        server_collection: "north".to_owned(),
+    };
+    let in_service = inventory(vec![server("a".to_owned())]);
+    catalog.load(&in_service, Micros::ZERO);
+    let first = catalog.shards("devices").expect("the collection exists")[0];
+    assert!(catalog.unserved_shards().is_empty());
+
+    catalog.load(&Inventory::default(), Micros::ZERO);
+    assert_eq!(catalog.shards("devices"), Some(&[first][..]));
+    assert_eq!(catalog.unserved_shards(), [&north]);
+
+    let retired = Inventory {
+        retired_shards: vec![north],
+        ..Inventory::default()
+    };
+    catalog.load(&retired, Micros::ZERO);
+    assert_eq!(catalog.shards("devices"), None);
+    assert!(catalog.unserved_shards().is_empty());
+    assert_eq!(catalog.server_collection(first), None);
+    assert!(catalog.shard_ids.is_empty() && catalog.sticky_ids.is_empty());
+
+    catalog.load(&in_service, Micros::ZERO);
+    let second = catalog.shards("devices").expect("the collection exists")[0];
+    assert_ne!(first, second);
+}
+
 /// Guards against memory use that grows with the number of server names in all inventories, when
 /// servers are replaced by servers with new names.
 #[test]
@@ -23,7 +64,7 @@
     let mut assigned = HashSet::new();
     for generation in 0..1_000 {
         let servers = [0, 1].map(|n| server(format!("server-{generation}-{n}")));
-        let update = catalog.load(&servers, Micros::ZERO);
+        let update = catalog.load(&inventory(servers.to_vec()), Micros::ZERO);
         let shards = update.endpoints[0]
             .shards
             .as_ref()
--- a/src/front/ogc/check/mod.rs
+++ b/src/front/ogc/check/mod.rs
@@ -91,7 +91,7 @@
     if let Some(inventory) = inventory {
         let inventory = path.parent().unwrap_or(Path::new("")).join(inventory);
         match read_file_with_all_errors(&inventory) {
-            Ok(servers) => report.add_servers(file, text, edge.as_ref(), &servers),
+            Ok(inventory) => report.add_servers(file, text, edge.as_ref(), &inventory.servers),
             Err(errors) => report.faults.extend(errors.into_iter().map(Fault::from)),
         }
     }
--- a/src/front/ogc/config/mod.rs
+++ b/src/front/ogc/config/mod.rs
@@ -12,7 +12,7 @@
 pub use validation::ValueIssue;
 
 use super::cql2::{QueryableType, Queryables};
-use super::inventory::{read_file, Server};
+use super::inventory::{read_file, Inventory};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -245,7 +245,7 @@
     /// # Errors
     ///
     /// Fails with the first error of the inventory.
-    pub fn load_inventory(&self) -> Result<Vec<Server>, EdgeConfigError> {
+    pub fn load_inventory(&self) -> Result<Inventory, EdgeConfigError> {
         read_file(&self.inventory).map_err(EdgeConfigError::Inventory)
     }
 
--- a/src/front/ogc/inventory/csv_reader.rs
+++ b/src/front/ogc/inventory/csv_reader.rs
@@ -2,7 +2,7 @@
 
 use super::entry::{Entry, EntryValidator, Field};
 use super::error::{InventoryError, InventoryErrorKind};
-use super::{first_error, Server};
+use super::{first_error, Inventory};
 use csv::StringRecord;
 
 /// Columns that a header must have.
@@ -13,7 +13,7 @@
 /// # Errors
 ///
 /// Fails with the first error of the inventory.
-pub fn read_csv(file: &str, text: &str) -> Result<Vec<Server>, InventoryError> {
+pub fn read_csv(file: &str, text: &str) -> Result<Inventory, InventoryError> {
     read_with_all_errors(file, text).map_err(first_error)
 }
 
@@ -21,7 +21,7 @@
 pub(super) fn read_with_all_errors(
     file: &str,
     text: &str,
-) -> Result<Vec<Server>, Vec<InventoryError>> {
+) -> Result<Inventory, Vec<InventoryError>> {
     let validator = EntryValidator { file };
     let mut rows = csv::ReaderBuilder::new()
         .trim(csv::Trim::All)
--- a/src/front/ogc/inventory/entry.rs
+++ b/src/front/ogc/inventory/entry.rs
@@ -2,11 +2,14 @@
 //! validation.
 
 use super::error::{InventoryError, InventoryErrorKind};
-use super::{CollectionShard, Server};
+use super::{CollectionShard, Inventory, Server};
 use crate::interface::EndpointState;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, ToSocketAddrs};
 
+/// State of an entry that retires its shards.
+const RETIRED_STATE: &str = "retired";
+
 /// Value of a field and the number of its line.
 #[derive(Debug, Clone)]
 pub(super) struct Field {
@@ -36,6 +39,11 @@
         self.fields.get(field).map(|field| field.text.as_str())
     }
 
+    /// Returns whether the entry retires its shards and is not a server.
+    fn is_retired(&self) -> bool {
+        self.text("state") == Some(RETIRED_STATE)
+    }
+
     /// Returns the line of a field, or of the entry if it lacks the field.
     fn line(&self, field: &str) -> usize {
         self.fields.get(field).map_or(self.line, |field| field.line)
@@ -65,15 +73,17 @@
         }
     }
 
-    /// Returns the servers that the entries describe, or all errors in the order of their lines:
-    /// the reader's `errors` and those of the entries.
+    /// Returns the servers and the retired shards that the entries describe, or all errors in the
+    /// order of their lines: the reader's `errors` and those of the entries.
     pub(super) fn validate(
         &self,
         entries: &[Entry],
         mut errors: Vec<InventoryError>,
-    ) -> Result<Vec<Server>, Vec<InventoryError>> {
+    ) -> Result<Inventory, Vec<InventoryError>> {
+        let (retired, in_use): (Vec<&Entry>, Vec<&Entry>) =
+            entries.iter().partition(|entry| entry.is_retired());
         let mut servers: Vec<Server> = Vec::new();
-        for entry in entries {
+        for entry in in_use {
             match self
                 .validate_entry(entry)
                 .and_then(|server| self.require_unique(server, entry, &servers))
@@ -82,6 +92,13 @@
                 Err(error) => errors.push(error),
             }
         }
+        let mut retired_shards = Vec::new();
+        for entry in retired {
+            match self.validate_retired(entry, &servers) {
+                Ok(shards) => retired_shards.extend(shards),
+                Err(error) => errors.push(error),
+            }
+        }
         if servers.is_empty() && errors.is_empty() {
             // An empty inventory would take every server out of service. Most likely the file is
             // truncated or is not an inventory.
@@ -89,12 +106,35 @@
         }
         errors.sort_by_key(|error| error.line);
         if errors.is_empty() {
-            Ok(servers)
+            Ok(Inventory {
+                servers,
+                retired_shards,
+            })
         } else {
             Err(errors)
         }
     }
 
+    /// Returns the shards of a retired entry if none of the servers lists one of them. The address
+    /// of such an entry is ignored.
+    fn validate_retired(
+        &self,
+        entry: &Entry,
+        servers: &[Server],
+    ) -> Result<Vec<CollectionShard>, InventoryError> {
+        let error = |kind| self.error(entry.line("collections"), "collections", kind);
+        let shards = parse_shards(entry).map_err(error)?;
+        for shard in &shards {
+            if let Some(server) = servers.iter().find(|server| server.shards.contains(shard)) {
+                return Err(error(InventoryErrorKind::RetiredShardListed {
+                    shard: shard.server_collection.clone(),
+                    server: server.name.clone(),
+                }));
+            }
+        }
+        Ok(shards)
+    }
+
     /// Returns the server if no earlier server has the same name or address.
     fn require_unique(
         &self,
--- a/src/front/ogc/inventory/error.rs
+++ b/src/front/ogc/inventory/error.rs
@@ -98,7 +98,15 @@
     /// A shard is malformed.
     #[error("{0:?} is no collection or collection/shard")]
     InvalidShard(String),
+    /// A shard is retired, and a server lists it.
+    #[error("the shard {shard:?} is retired, and {server:?} lists it")]
+    RetiredShardListed {
+        /// Name of the shard's collection at its servers.
+        shard: String,
+        /// Name of a server that lists the shard.
+        server: String,
+    },
     /// A state is unknown.
-    #[error("{0:?} is none of in_service, draining, gone")]
+    #[error("{0:?} is none of in_service, draining, gone, retired")]
     UnknownState(String),
 }
--- a/src/front/ogc/inventory/mod.rs
+++ b/src/front/ogc/inventory/mod.rs
@@ -4,6 +4,9 @@
 //! A server has a name, an address, a state, and shards. A shard is written as `collection` or
 //! `collection/shard`. `shard` is the name under which the server offers its shard of the
 //! collection; without it, the server uses the collection's name.
+//!
+//! An entry in the state `retired` is not a server: its shards no longer belong to their
+//! collections. Without such an entry, a shard whose servers are all removed is missing.
 
 mod csv_reader;
 mod entry;
@@ -41,12 +44,21 @@
     pub state: EndpointState,
 }
 
+/// The feature servers, and the shards that the operator has taken out of service for good.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Inventory {
+    /// The servers, in the order of the file.
+    pub servers: Vec<Server>,
+    /// The shards that no longer belong to their collections. No server has them.
+    pub retired_shards: Vec<CollectionShard>,
+}
+
 /// Reads an inventory, whose format is chosen by the extension of the file's name.
 ///
 /// # Errors
 ///
 /// Fails with the first error of the inventory; [`read_file_with_all_errors`] returns all of them.
-pub fn read_file(path: &Path) -> Result<Vec<Server>, InventoryError> {
+pub fn read_file(path: &Path) -> Result<Inventory, InventoryError> {
     read_file_with_all_errors(path).map_err(first_error)
 }
 
@@ -55,7 +67,7 @@
 /// # Errors
 ///
 /// Fails with all errors of the inventory, of which there is at least one.
-pub fn read_file_with_all_errors(path: &Path) -> Result<Vec<Server>, Vec<InventoryError>> {
+pub fn read_file_with_all_errors(path: &Path) -> Result<Inventory, Vec<InventoryError>> {
     let file = path
         .file_name()
         .unwrap_or(path.as_os_str())
--- a/src/front/ogc/inventory/tests.rs
+++ b/src/front/ogc/inventory/tests.rs
@@ -1,9 +1,9 @@
 //! Tests of the inventory's formats and errors.
 
-use super::{read_csv, read_yaml, InventoryError, InventoryErrorKind, Server};
+use super::{read_csv, read_yaml, CollectionShard, Inventory, InventoryError, InventoryErrorKind};
 use crate::interface::EndpointState;
 
-fn error_text(result: Result<Vec<Server>, InventoryError>) -> String {
+fn error_text(result: Result<Inventory, InventoryError>) -> String {
     result.expect_err("an invalid inventory").to_string()
 }
 
@@ -38,8 +38,8 @@
     let from_csv = read_csv("i.csv", csv).expect("the CSV is valid");
     let from_yaml = read_yaml("i.yaml", yaml).expect("the YAML is valid");
     assert_eq!(from_csv, from_yaml);
-    assert_eq!(from_csv[0].shards.len(), 2);
-    assert_eq!(from_csv[1].state, EndpointState::Draining);
+    assert_eq!(from_csv.servers[0].shards.len(), 2);
+    assert_eq!(from_csv.servers[1].state, EndpointState::Draining);
 }
 
 #[test]
@@ -84,9 +84,39 @@
     assert!(matches!(&state.kind, InventoryErrorKind::UnknownState(state) if state == "asleep"));
     assert_eq!(
         state.message(),
-        "state: \"asleep\" is none of in_service, draining, gone"
+        "state: \"asleep\" is none of in_service, draining, gone, retired"
     );
     let empty = read_csv("i.csv", "name,address,collections\n").expect_err("an empty inventory");
     assert!(matches!(empty.kind, InventoryErrorKind::NoServer));
     assert_eq!(empty.to_string(), "i.csv:1: no server is named");
 }
+
+#[test]
+fn a_retired_entry_is_no_server_and_names_shards_that_no_server_lists() {
+    let head = "name,address,collections,state\na,127.0.0.1:1,devices/n,in_service\n";
+    let csv = format!("{head}b,,devices/s;zones,retired\n");
+    let yaml = "all:\n  hosts:\n    a: {address: '127.0.0.1:1', collections: devices/n}\n    \
+        b: {collections: [devices/s, zones], state: retired}\n";
+    let inventory = read_csv("i.csv", &csv).expect("the CSV is valid");
+    let shard = |collection: &str, server_collection: &str| CollectionShard {
+        collection: collection.to_owned(),
+        server_collection: server_collection.to_owned(),
+    };
+    assert_eq!(inventory.servers.len(), 1);
+    assert_eq!(
+        inventory.retired_shards,
+        [shard("devices", "s"), shard("zones", "zones")]
+    );
+    assert_eq!(
+        inventory,
+        read_yaml("i.yaml", yaml).expect("the YAML is valid")
+    );
+
+    let listed = read_csv("i.csv", &format!("{head}b,,devices/n,retired\n"));
+    assert_eq!(
+        error_text(listed),
+        "i.csv:3: collections: the shard \"n\" is retired, and \"a\" lists it"
+    );
+    let only_retired = "name,address,collections,state\nb,,devices/s,retired\n";
+    assert!(error_text(read_csv("i.csv", only_retired)).ends_with("no server is named"));
+}
--- a/src/front/ogc/inventory/yaml_reader.rs
+++ b/src/front/ogc/inventory/yaml_reader.rs
@@ -3,7 +3,7 @@
 
 use super::entry::{Entry, EntryValidator, Field, Fields};
 use super::error::{InventoryError, InventoryErrorKind};
-use super::{first_error, Server};
+use super::{first_error, Inventory};
 use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode};
 use marked_yaml::{LoadError, LoaderOptions, Marker, Node};
 
@@ -15,7 +15,7 @@
 /// # Errors
 ///
 /// Fails with the first error of the inventory.
-pub fn read_yaml(file: &str, text: &str) -> Result<Vec<Server>, InventoryError> {
+pub fn read_yaml(file: &str, text: &str) -> Result<Inventory, InventoryError> {
     read_with_all_errors(file, text).map_err(first_error)
 }
 
@@ -23,7 +23,7 @@
 pub(super) fn read_with_all_errors(
     file: &str,
     text: &str,
-) -> Result<Vec<Server>, Vec<InventoryError>> {
+) -> Result<Inventory, Vec<InventoryError>> {
     let validator = EntryValidator { file };
     let options = LoaderOptions::default().error_on_duplicate_keys(true);
     let root = match marked_yaml::parse_yaml_with_options(0, text, options) {
--- a/src/net/server/reload.rs
+++ b/src/net/server/reload.rs
@@ -180,9 +180,9 @@
 
 impl Reload for InventoryReload {
     fn reload(&mut self, now: Micros) -> Result<Reloaded, ReloadError> {
-        let servers = self.edge.load_inventory().map_err(ReloadError::Inventory)?;
+        let inventory = self.edge.load_inventory().map_err(ReloadError::Inventory)?;
         let mut catalog = sync::lock(&self.catalog);
-        let update = catalog.load(&servers, now);
+        let update = catalog.load(&inventory, now);
         for CollectionShard {
             collection,
             server_collection,
--- a/tests/ogc/unserved_shards.rs
+++ b/tests/ogc/unserved_shards.rs
@@ -5,7 +5,7 @@
     healthy_response, inventory_row, inventory_row_in_state, FeatureServer, ServerResponse,
 };
 use crate::standin::process::Process;
-use crate::support::{feature_ids, ITEMS};
+use crate::support::{feature_ids, GatedServer, ITEMS};
 use std::time::{Duration, Instant};
 
 /// The time within which a query that lacks a shard without a server is answered or rejected. The
@@ -113,7 +113,7 @@
 }
 
 /// Guards against responses marked complete that lack a shard whose only server is gone between
-/// two pages of the response, or between two responses.
+/// two responses.
 #[test]
 fn a_shard_whose_only_server_is_gone_during_a_traversal_is_missing() {
     let fleet = Fleet::start();
@@ -130,6 +130,33 @@
     assert_eq!(json["missing"], serde_json::json!(["s"]), "{json}");
 }
 
+/// Guards against a response marked complete that lacks the later pages of a shard whose only server
+/// is gone between two of its pages.
+#[test]
+fn a_shard_whose_only_server_is_gone_between_two_pages_is_missing() {
+    for class in ["exact", "part"] {
+        let north = FeatureServer::healthy(0..3, 10);
+        let south = GatedServer::start(100..106, 2);
+        let rows = |state| {
+            inventory_row("a", &north, "devices/n")
+                + &inventory_row_in_state("b", &south.server, "devices/s", state)
+        };
+        let process = Process::start_feature_front("gone-page", "", &rows("in_service"));
+        let response = std::thread::scope(|scope| {
+            let query = scope.spawn(|| get_in_time(&process, ITEMS, class));
+            south.wait_for_request();
+            process.reload_inventory(&rows("gone"));
+            south.open();
+            query.join().expect("the thread does not panic")
+        });
+        assert_eq!((response.status, response.ids()), (200, feature_ids(0..3)));
+        // The response ends before the shard, and its link leads there.
+        let next = response.link("next").expect("the shard is still to come");
+        let following = get_in_time(&process, &next, class);
+        assert_eq!(following.status, 503, "{class}: {following:?}");
+    }
+}
+
 /// Guards against a number of matching features that leaves out a shard without a server.
 #[test]
 fn the_number_matched_is_unknown_without_a_shard() {
@@ -153,3 +180,22 @@
     let partial = get_in_time(&process, ITEMS, "part").json();
     assert!(partial.get("numberMatched").is_none(), "{partial}");
 }
+
+/// Guards against a shard that an operator cannot take out of its collection.
+#[test]
+fn a_retired_shard_no_longer_belongs_to_its_collection() {
+    let fleet = Fleet::start();
+    let process = Process::start_feature_front("retired", "", &fleet.rows("in_service"));
+    let in_retired_shard = process.get(&format!("{ITEMS}?limit=4")).link("next");
+    process.reload_inventory(&(fleet.north_row() + "b,,devices/s,retired\n"));
+
+    let complete = process.get(ITEMS);
+    assert_eq!((complete.status, complete.ids()), (200, feature_ids(0..3)));
+    assert_eq!(complete.headers["x-answer-whole"], "true");
+    let next = in_retired_shard.expect("the first response has a link");
+    assert_eq!(
+        process.get(&next).status,
+        410,
+        "the link leads to the shard"
+    );
+}
