Continue within a first page at the server that returned it

Cause: an answer can end within the first page of a shard (a page fetched ahead has more features than are left to the limit, or the front filters pages). Its cursor had a number of features to skip and no server, so the next answer skipped as many at whichever server the policy chose. Evidence: in the record the cursor skips 17 of devices-south, of which features-3 had returned 17; the next request for the same first page goes to features-4, which has the reverse order.

Change: a position within a first page names its server, its page size and the hash of its request, and is continued as a position behind a link: at that server, 503 while it drains, 410 when it is gone, at any server with `same_order`. If the page can no longer be requested as before (a filter that is no longer pushed down), 410. Cursors of the earlier release that count without a server get 410. This works because the count is applied to the list in which it was counted.

--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -36,9 +36,12 @@
     /// The number of features of the page to skip because earlier responses returned them.
     #[serde(rename = "k", default, skip_serializing_if = "is_zero")]
     pub skip: usize,
-    /// The page within the shard; `None` for its first page.
+    /// The link to the page within the shard; `None` for its first page.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub link: Option<CursorLink>,
+    /// The first page of the shard if some of its features are skipped; `None` otherwise.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub first_page: Option<CursorFirstPage>,
     /// Whether the front evaluates a part of the filter on the features of this shard.
     #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
     pub filtered_locally: bool,
@@ -71,6 +74,35 @@
     pub page_size: usize,
 }
 
+/// The first page of a shard, of which earlier responses returned some features. It is serialized as
+/// an array of its fields.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(String, usize, u64)", into = "(String, usize, u64)")]
+pub struct CursorFirstPage {
+    /// The name of the server that returned the page.
+    pub server: String,
+    /// The number of features that were requested.
+    pub page_size: usize,
+    /// The hash of the path and query of the request. The order of the features may depend on them.
+    pub target_hash: u64,
+}
+
+impl From<(String, usize, u64)> for CursorFirstPage {
+    fn from((server, page_size, target_hash): (String, usize, u64)) -> Self {
+        CursorFirstPage {
+            server,
+            page_size,
+            target_hash,
+        }
+    }
+}
+
+impl From<CursorFirstPage> for (String, usize, u64) {
+    fn from(page: CursorFirstPage) -> Self {
+        (page.server, page.page_size, page.target_hash)
+    }
+}
+
 impl CursorLink {
     fn as_tuple(&self) -> (&str, &str, usize) {
         (&self.server, &self.target, self.page_size)
@@ -210,6 +242,7 @@
             shard: String::new(),
             skip: 0,
             link: None,
+            first_page: None,
             filtered_locally: false,
             after_values: None,
             response_count: 0,
--- a/src/front/ogc/cursor/tests.rs
+++ b/src/front/ogc/cursor/tests.rs
@@ -17,6 +17,7 @@
         shard: "north".to_owned(),
         skip: 3,
         link: link(target),
+        first_page: None,
         filtered_locally: false,
         after_values: None,
         response_count: 0,
@@ -32,6 +33,7 @@
         shard: "north".to_owned(),
         skip: 3,
         link: link("/x?offset=50"),
+        first_page: None,
         filtered_locally: true,
         after_values: Some(vec![
             1.5.into(),
@@ -70,6 +72,21 @@
     }
 }
 
+#[test]
+fn a_first_page_is_a_part_of_the_token() {
+    let key = CursorKey::new(b"some key");
+    let cursor = Cursor {
+        link: None,
+        first_page: Some(CursorFirstPage {
+            server: "a".to_owned(),
+            page_size: 500,
+            target_hash: u64::MAX,
+        }),
+        ..cursor("")
+    };
+    assert_eq!(key.verify(&key.sign(&cursor), 7, 1_000, 60), Ok(cursor));
+}
+
 #[test]
 fn link_checkpoints_are_those_of_an_earlier_release() {
     let checkpoints =
--- a/src/front/ogc/error.rs
+++ b/src/front/ogc/error.rs
@@ -49,6 +49,8 @@
         ask again, or begin anew without it"
     )]
     ServerDraining,
+    #[error("cursor: its page cannot be requested as before; begin anew without it")]
+    PageNotReproducible,
     #[error("another request of that name is open")]
     DuplicateRequestId,
     #[error("no answer")]
@@ -115,7 +117,7 @@
             }
             ApiError::OnlyGetAndHead | ApiError::OnlyPost => 405,
             ApiError::DuplicateRequestId => 409,
-            ApiError::ShardRemoved | ApiError::ServerRemoved => 410,
+            ApiError::ShardRemoved | ApiError::ServerRemoved | ApiError::PageNotReproducible => 410,
             ApiError::UnsupportedMediaType => 415,
             ApiError::NoAnswer => 500,
             ApiError::ServersFailed
--- a/src/front/ogc/paging/concat_merge.rs
+++ b/src/front/ogc/paging/concat_merge.rs
@@ -120,7 +120,7 @@
         if let Some(progress) = self.discard_small_first_page(&requested) {
             return Some(progress);
         }
-        self.use_page(&requested.page, feature_id)
+        self.use_page(&requested, feature_id)
     }
 
     /// Restarts the missing shard at the current position, moves past it, or ends the response.
@@ -191,9 +191,10 @@
     /// if there may be another page to use.
     fn use_page(
         &mut self,
-        page: &Arc<FeaturePage>,
+        requested: &RequestedPage,
         feature_id: &impl Fn(&[u8]) -> u64,
     ) -> Option<MergeProgress> {
+        let page = &requested.page;
         let shard = self.position.shard;
         // If a page is fetched again, it may have fewer features than before. The rest of the
         // features to skip are then at the start of the next page.
@@ -221,6 +222,7 @@
             // therefore requested more than the response needs. The next response fetches the page
             // again and skips the features that are used now.
             self.position.skip = appended.end;
+            self.stay_at_server(requested);
             return Some(MergeProgress::Finished);
         }
         if !self.move_past(page) {
@@ -229,6 +231,16 @@
         self.is_filled().then_some(MergeProgress::Finished)
     }
 
+    /// Binds the position within the page of a shard to the server that returned the page.
+    fn stay_at_server(&mut self, requested: &RequestedPage) {
+        if self.position.location == PageLocation::ShardStart {
+            self.position.location = PageLocation::FirstPage {
+                server: requested.page.server.clone(),
+                page_size: requested.page_size,
+            };
+        }
+    }
+
     /// Moves to the page after this one, or to the next shard if this is the last page. If the link
     /// to the next page was followed before, marks the shard as missing and returns `false`.
     fn move_past(&mut self, page: &FeaturePage) -> bool {
--- a/src/front/ogc/paging/concat_merge/fetch_planning.rs
+++ b/src/front/ogc/paging/concat_merge/fetch_planning.rs
@@ -22,7 +22,7 @@
         let first_round = self.start == ResumePosition::START && self.usage.is_empty();
         if first_round && self.shards.len() <= self.limits.max_initial_shards {
             self.add_initial_fetches(&mut fetches);
-        } else if self.position.location == PageLocation::ShardStart {
+        } else if !matches!(self.position.location, PageLocation::NextLink { .. }) {
             self.add_lookahead_fetches(&mut fetches);
         }
         fetches
@@ -41,7 +41,8 @@
         }
         let page_size = match &self.position.location {
             PageLocation::ShardStart => self.limits.initial_page_size(self.remaining()),
-            PageLocation::NextLink { page_size, .. } => *page_size,
+            PageLocation::FirstPage { page_size, .. }
+            | PageLocation::NextLink { page_size, .. } => *page_size,
         };
         Some(PageFetch {
             shard,
--- a/src/front/ogc/paging/concat_merge/tests/model.rs
+++ b/src/front/ogc/paging/concat_merge/tests/model.rs
@@ -42,7 +42,9 @@
     pub fn page(&mut self, fetch: &PageFetch) -> Arc<FeaturePage> {
         self.requests += 1;
         let (from, size) = match &fetch.location {
-            PageLocation::ShardStart => (0, fetch.page_size.min(self.max_page_size)),
+            PageLocation::ShardStart | PageLocation::FirstPage { .. } => {
+                (0, fetch.page_size.min(self.max_page_size))
+            }
             PageLocation::NextLink { target, .. } => {
                 let (from, size) = target.split_once(' ').expect("a link has two numbers");
                 (
--- a/src/front/ogc/paging/page.rs
+++ b/src/front/ogc/paging/page.rs
@@ -38,8 +38,16 @@
 /// The location of a page within its shard.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum PageLocation {
-    /// The first page of the shard.
+    /// The first page of the shard, at any of its servers.
     ShardStart,
+    /// The first page of the shard at the server that returned it before. Other servers may return
+    /// the features in another order, so a number of features to skip has a meaning only there.
+    FirstPage {
+        /// The address of the server.
+        server: Arc<str>,
+        /// The number of features that were requested.
+        page_size: usize,
+    },
     /// The target of the `next` link of the previous page.
     NextLink {
         /// The address of the server that returned the link.
--- a/src/front/ogc/paging/sorted_merge.rs
+++ b/src/front/ogc/paging/sorted_merge.rs
@@ -170,7 +170,8 @@
         let page_size = match &location {
             PageLocation::ShardStart if state.sorted => self.page_size.min(self.limit),
             PageLocation::ShardStart => self.page_size,
-            PageLocation::NextLink { page_size, .. } => *page_size,
+            PageLocation::FirstPage { page_size, .. }
+            | PageLocation::NextLink { page_size, .. } => *page_size,
         };
         Some(PageFetch {
             shard,
--- a/src/front/ogc/paging/sorted_merge/tests.rs
+++ b/src/front/ogc/paging/sorted_merge/tests.rs
@@ -75,7 +75,7 @@
 /// feature.
 fn serve(features: &[ModelFeature], fetch: &PageFetch) -> FeaturePage {
     let start = match &fetch.location {
-        PageLocation::ShardStart => 0,
+        PageLocation::ShardStart | PageLocation::FirstPage { .. } => 0,
         PageLocation::NextLink { target, .. } => {
             target.parse::<usize>().expect("the target is a number")
         }
--- a/src/front/ogc/query/mod.rs
+++ b/src/front/ogc/query/mod.rs
@@ -72,7 +72,7 @@
                 return Ok(Reaction::Respond(response));
             }
         };
-        let plans = plans(&state, &request, &shards, &resume_point);
+        let plans = plans(&state, &request, &shards, &resume_point)?;
         let class = &state.edge.classes[client.class];
         let start = &resume_point.start;
         let merge = Merge::new(&state.edge, class, &request.params, &plans, start);
@@ -122,10 +122,12 @@
         let plan = &self.plans[fetch.shard];
         let shard = match &fetch.location {
             PageLocation::ShardStart => self.shard_to_start(fetch.shard),
-            PageLocation::NextLink { server, .. } => self.shard_of_link(fetch.shard, server)?,
+            PageLocation::FirstPage { server, .. } | PageLocation::NextLink { server, .. } => {
+                self.shard_at_server(fetch.shard, server)?
+            }
         };
         let target = match &fetch.location {
-            PageLocation::ShardStart => {
+            PageLocation::ShardStart | PageLocation::FirstPage { .. } => {
                 let name = &self.shards[fetch.shard].server_collection;
                 plan.target(name, &self.request.params, fetch.page_size)
             }
@@ -149,10 +151,10 @@
         shard_at_other_servers.unwrap_or(shard)
     }
 
-    /// Returns the identifier of the shard for the request that follows a link. It stands for all
-    /// servers of the shard if they return the features in the same order, and otherwise for the
-    /// server that returned the link.
-    fn shard_of_link(&self, index: usize, server: &str) -> Option<ShardId> {
+    /// Returns the identifier of the shard for a request that continues the pages of a server. It
+    /// stands for all servers of the shard if they return the features in the same order, and
+    /// otherwise for that server.
+    fn shard_at_server(&self, index: usize, server: &str) -> Option<ShardId> {
         let shard = self.shards[index].shard;
         if self.state.has_same_order(&self.request.collection) {
             return Some(shard);
@@ -268,15 +270,20 @@
 
 /// Returns the plan for each shard. Only queries with a filter or a sort order depend on the
 /// capabilities of the servers, and the capabilities are discovered only for these queries.
+///
+/// # Errors
+///
+/// Returns [`ApiError::PageNotReproducible`] if the first page of the resumed shard can no longer be
+/// requested as it was before.
 fn plans(
     state: &FrontState,
     request: &ItemsRequest,
     shards: &[NamedShard],
     resume_point: &ResumePoint,
-) -> Vec<ShardPlan> {
+) -> Result<Vec<ShardPlan>, ApiError> {
     let params = &request.params;
     if params.filter.is_none() && params.sortby.is_empty() {
-        return vec![ShardPlan::default(); shards.len()];
+        return Ok(vec![ShardPlan::default(); shards.len()]);
     }
     ShardPlan::for_shards(
         state,
--- a/src/front/ogc/query/resume.rs
+++ b/src/front/ogc/query/resume.rs
@@ -4,15 +4,16 @@
 use super::merge::ResponseStart;
 use super::ItemsQuery;
 use crate::front::ogc::client_request::ItemsRequest;
-use crate::front::ogc::cursor::{Cursor, CursorError, CursorLink};
+use crate::front::ogc::cursor::{Cursor, CursorError, CursorFirstPage, CursorLink};
 use crate::front::ogc::error::ApiError;
 use crate::front::ogc::paging::{PageLocation, ResumePosition};
-use crate::front::ogc::shard_plan::ResumedShard;
+use crate::front::ogc::shard_plan::{ResumedFirstPage, ResumedPage, ResumedShard};
 use crate::front::ogc::shards::NamedShard;
 use crate::front::ogc::stable_hash::stable_hash;
 use crate::front::ogc::state::FrontState;
 use crate::sync::lock;
 use crate::time::unix_ms;
+use std::sync::Arc;
 
 /// The point at which a query resumes.
 pub(super) struct ResumePoint {
@@ -59,15 +60,22 @@
         })
     }
 
-    /// Returns the shard that continues after pages of an earlier response, if there is one.
+    /// Returns the shard that continues with pages of an earlier response, if there is one.
     pub fn resumed_shard(&self) -> Option<ResumedShard> {
-        let cursor = self
-            .cursor
-            .as_ref()
-            .filter(|cursor| cursor.link.is_some())?;
+        let cursor = self.cursor.as_ref()?;
+        let page = match (&cursor.link, &cursor.first_page) {
+            (Some(_), _) => ResumedPage::AfterLink {
+                filtered_locally: cursor.filtered_locally,
+            },
+            (None, Some(first_page)) => ResumedPage::First(ResumedFirstPage {
+                page_size: first_page.page_size,
+                target_hash: first_page.target_hash,
+            }),
+            (None, None) => return None,
+        };
         Some(ResumedShard {
             index: self.start.position().shard,
-            filtered_locally: cursor.filtered_locally,
+            page,
         })
     }
 }
@@ -93,24 +101,39 @@
     fn set_position(&self, cursor: &mut Cursor, position: &ResumePosition) {
         cursor.shard = self.shards[position.shard].server_collection.clone();
         cursor.skip = position.skip;
-        if let PageLocation::NextLink {
-            server,
-            target,
-            page_size,
-        } = &position.location
-        {
-            let server = lock(&self.state.catalog)
-                .server_name(server)
-                .unwrap_or(server)
-                .to_owned();
-            cursor.link = Some(CursorLink {
+        let plan = &self.plans[position.shard];
+        match &position.location {
+            PageLocation::ShardStart => {}
+            PageLocation::FirstPage { server, page_size } => {
+                let target = plan.target(&cursor.shard, &self.request.params, *page_size);
+                cursor.first_page = Some(CursorFirstPage {
+                    server: self.server_name(server),
+                    page_size: *page_size,
+                    target_hash: stable_hash(&[target.as_bytes()]),
+                });
+            }
+            PageLocation::NextLink {
                 server,
-                target: target.to_string(),
-                page_size: *page_size,
-            });
-            cursor.filtered_locally = self.plans[position.shard].predicate.is_some();
+                target,
+                page_size,
+            } => {
+                cursor.link = Some(CursorLink {
+                    server: self.server_name(server),
+                    target: target.to_string(),
+                    page_size: *page_size,
+                });
+                cursor.filtered_locally = plan.predicate.is_some();
+            }
         }
     }
+
+    /// Returns the name of the server at an address, or the address if no server has it any longer.
+    fn server_name(&self, address: &str) -> String {
+        lock(&self.state.catalog)
+            .server_name(address)
+            .unwrap_or(address)
+            .to_owned()
+    }
 }
 
 /// Returns the current Unix time, in seconds.
@@ -130,8 +153,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`ApiError::ShardRemoved`] if the inventory no longer has the shard, or the error of
-/// [`link_location`].
+/// Returns [`ApiError::ShardRemoved`] if the inventory no longer has the shard,
+/// [`CursorError::Expired`] if an earlier release did not record at which server the features to skip
+/// were counted, or the error of [`server_address`].
 fn position(
     state: &FrontState,
     collection: &str,
@@ -142,9 +166,21 @@
         .iter()
         .position(|shard| shard.server_collection == cursor.shard);
     let shard = shard.ok_or(ApiError::ShardRemoved)?;
-    let location = match &cursor.link {
-        None => PageLocation::ShardStart,
-        Some(link) => link_location(state, collection, link, &shards[shard])?,
+    let address = |server: &str| server_address(state, collection, server, &shards[shard]);
+    let location = match (&cursor.link, &cursor.first_page) {
+        (Some(link), _) => PageLocation::NextLink {
+            server: address(&link.server)?,
+            target: link.target.as_str().into(),
+            page_size: link.page_size,
+        },
+        (None, Some(first_page)) => PageLocation::FirstPage {
+            server: address(&first_page.server)?,
+            page_size: first_page.page_size,
+        },
+        (None, None) if cursor.skip > 0 && !state.has_same_order(collection) => {
+            return Err(CursorError::Expired.into());
+        }
+        (None, None) => PageLocation::ShardStart,
     };
     Ok(ResumePosition {
         shard,
@@ -153,35 +189,30 @@
     })
 }
 
-/// Returns the location of a cursor's link at the current address of its server.
+/// Returns the current address of the server whose pages a cursor continues.
 ///
 /// # Errors
 ///
 /// Unless all servers return the features in the same order, returns [`ApiError::ServerRemoved`] if
 /// the server no longer serves the shard, and [`ApiError::ServerDraining`] if it is draining and
 /// may therefore serve the shard again.
-fn link_location(
+fn server_address(
     state: &FrontState,
     collection: &str,
-    link: &CursorLink,
+    server: &str,
     shard: &NamedShard,
-) -> Result<PageLocation, ApiError> {
+) -> Result<Arc<str>, ApiError> {
     let catalog = lock(&state.catalog);
-    let address = catalog.server_address(&link.server);
+    let address = catalog.server_address(server);
     let serves_shard = address
         .as_deref()
         .is_some_and(|address| catalog.sticky_shard(shard.shard, address).is_some());
     if !serves_shard && !state.has_same_order(collection) {
-        if catalog.is_draining(&link.server) {
+        if catalog.is_draining(server) {
             return Err(ApiError::ServerDraining);
         }
         // Another server may return the features in another order.
         return Err(ApiError::ServerRemoved);
     }
-    let server = address.unwrap_or_else(|| link.server.clone());
-    Ok(PageLocation::NextLink {
-        server: server.into(),
-        target: link.target.as_str().into(),
-        page_size: link.page_size,
-    })
+    Ok(address.as_deref().unwrap_or(server).into())
 }
--- a/src/front/ogc/shard_plan.rs
+++ b/src/front/ogc/shard_plan.rs
@@ -4,10 +4,12 @@
 use super::cql2::{
     flatten, split, Capabilities, ComparisonOperator, Filter, Junction, Matcher, Value,
 };
+use super::error::ApiError;
 use super::page_request::FeaturePredicate;
 use super::paging::SortKey;
 use super::params::Params;
 use super::shards::{replicas, NamedShard, ShardReplica};
+use super::stable_hash::stable_hash;
 use super::state::FrontState;
 use serde_json::Value as Json;
 use std::sync::Arc;
@@ -31,25 +33,51 @@
     pub sorted: bool,
 }
 
-/// The shard that continues after pages of an earlier response.
+/// The shard that continues with pages of an earlier response.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ResumedShard {
     /// The index of the shard.
     pub index: usize,
-    /// Whether the front has evaluated a part of the filter since the start of the shard.
-    pub filtered_locally: bool,
+    /// The page with which the shard continues.
+    pub page: ResumedPage,
+}
+
+/// The page with which a shard continues.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum ResumedPage {
+    /// The page that a server's link leads to.
+    AfterLink {
+        /// Whether the front has evaluated a part of the filter since the start of the shard.
+        filtered_locally: bool,
+    },
+    /// The first page, of which earlier responses returned some features.
+    First(ResumedFirstPage),
+}
+
+/// The request for the first page of a shard, of which earlier responses returned some features.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ResumedFirstPage {
+    /// The number of features that were requested.
+    pub page_size: usize,
+    /// The hash of the path and query of the request.
+    pub target_hash: u64,
 }
 
 impl ShardPlan {
     /// Returns the plans for the shards of a query. For a sorted response that is not the first
     /// one, `after_values` has the values of the last feature in the previous response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ApiError::PageNotReproducible`] if the resumed shard continues with its first page
+    /// and that page can no longer be requested as it was before.
     pub fn for_shards(
         state: &FrontState,
         params: &Params,
         shards: &[NamedShard],
         after_values: Option<&[Json]>,
         resumed: Option<ResumedShard>,
-    ) -> Vec<ShardPlan> {
+    ) -> Result<Vec<ShardPlan>, ApiError> {
         let replicas = replicas(state, shards);
         let plan = |(index, replicas): (usize, &Vec<ShardReplica>)| {
             let keys = replicas.iter().map(|replica| &replica.key);
@@ -57,9 +85,17 @@
                 .capabilities()
                 .common_capabilities(keys)
                 .unwrap_or_default();
-            match resumed.filter(|resumed| resumed.index == index) {
-                Some(resumed) => Self::resumed(params, resumed),
-                None => Self::from_start(params, &capabilities, after_values),
+            let resumed = resumed.filter(|resumed| resumed.index == index);
+            match resumed.map(|resumed| resumed.page) {
+                None => Ok(Self::from_start(params, &capabilities, after_values)),
+                Some(ResumedPage::AfterLink { filtered_locally }) => {
+                    Ok(Self::after_link(params, filtered_locally))
+                }
+                Some(ResumedPage::First(first_page)) => {
+                    let name = &shards[index].server_collection;
+                    Self::at_first_page(params, &capabilities, name, first_page)
+                        .ok_or(ApiError::PageNotReproducible)
+                }
             }
         };
         replicas.iter().enumerate().map(plan).collect()
@@ -68,14 +104,33 @@
     /// Returns the plan for a shard that continues after pages of an earlier response. If the front
     /// evaluated a part of the filter then, it now evaluates the whole filter, because the link may
     /// contain less of the filter than would be pushed down now.
-    fn resumed(params: &Params, resumed: ResumedShard) -> Self {
-        let filter = params.filter.as_ref().filter(|_| resumed.filtered_locally);
+    fn after_link(params: &Params, filtered_locally: bool) -> Self {
+        let filter = params.filter.as_ref().filter(|_| filtered_locally);
         ShardPlan {
             predicate: filter.map(predicate),
             ..ShardPlan::default()
         }
     }
 
+    /// Returns the plan with which the first page of a shard is requested as it was before, since
+    /// the order of the features may depend on the request. Returns `None` if there is none.
+    fn at_first_page(
+        params: &Params,
+        capabilities: &Capabilities,
+        server_collection: &str,
+        first_page: ResumedFirstPage,
+    ) -> Option<Self> {
+        let is_same = |plan: &ShardPlan| {
+            let target = plan.target(server_collection, params, first_page.page_size);
+            stable_hash(&[target.as_bytes()]) == first_page.target_hash
+        };
+        // The servers' capabilities may be known now and were not before.
+        [capabilities, &Capabilities::default()]
+            .map(|capabilities| Self::from_start(params, capabilities, None))
+            .into_iter()
+            .find(is_same)
+    }
+
     /// Returns the plan for a shard that is requested from its start, or from the first feature
     /// after `after_values`.
     fn from_start(
@@ -239,3 +294,6 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/ogc/tests.rs
+++ b/src/front/ogc/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the front without sockets: arbitrary requests get a problem document or start a query,
 //! and cursors of earlier releases are accepted.
 
+mod cursors;
 mod rejections;
 
 use super::config::EdgeConfig;
--- a/tests/paging.rs
+++ b/tests/paging.rs
@@ -203,3 +203,73 @@
     assert_each_once(ids, 1_000);
     assert_eq!(responses, 10, "no response failed");
 }
+
+/// A filter that all features match and that the front evaluates, so that it requests large pages
+/// and cuts them.
+const FRONT_FILTER: &str = "filter=id%20LIKE%20'd%25'";
+
+/// Starts two servers that have these features in opposite orders.
+fn start_opposite_replicas(ids: std::ops::Range<usize>) -> [FeatureServer; 2] {
+    let last = ids.len() - 1;
+    let up: Arc<AtomicBool> = Arc::default();
+    let ascending = start_replica(&up, ids.clone(), |next| next);
+    let descending = start_replica(&up, ids, move |next| last - next);
+    [ascending, descending]
+}
+
+/// Guards against features that are in no response, since a response that ended within the first
+/// page of a shard was continued at a replica that has another order.
+#[test]
+fn a_response_that_ends_within_a_first_page_is_continued_at_its_server() {
+    let north = start_opposite_replicas(0..37);
+    let south = start_opposite_replicas(100..137);
+    let rows = inventory_row("a", &north[0], "devices/n")
+        + &inventory_row("b", &north[1], "devices/n")
+        + &inventory_row("c", &south[0], "devices/s")
+        + &inventory_row("d", &south[1], "devices/s");
+    let process = Process::start_feature_front("within", "", &rows);
+    for query in ["limit=54", "limit=45", &format!("limit=4&{FRONT_FILTER}")] {
+        for _ in 0..8 {
+            let (ids, _) = follow_next_links(&process, &format!("{ITEMS}?{query}"), |_| {});
+            assert_each_once(ids, 74);
+        }
+    }
+}
+
+/// Guards against features that are in no response, since the server in whose first page a response
+/// ended was replaced by one with another order.
+#[test]
+fn a_response_that_ends_within_a_first_page_needs_its_server() {
+    let [first, second] = start_opposite_replicas(0..30);
+    let row =
+        |state: &str| inventory_row("a", &first, "devices").replace(",\n", &format!(",{state}\n"));
+    let process = Process::start_feature_front("replaced", "", &row("in_service"));
+    let first_target = format!("{ITEMS}?limit=4&{FRONT_FILTER}");
+    let next = process
+        .get(&first_target)
+        .link("next")
+        .expect("there are more features");
+
+    process.reload_inventory(&(row("draining") + &inventory_row("b", &second, "devices")));
+    let draining = process.get(&next);
+    assert_eq!(draining.status, 503);
+    assert!(draining.headers.contains_key("retry-after"));
+    process.reload_inventory(&inventory_row("b", &second, "devices"));
+    assert_problem(&process, &next, 410, "begin anew");
+    process.reload_inventory(&row("in_service"));
+    assert_eq!(process.get(&next).ids(), ["d4", "d5", "d6", "d7"]);
+}
+
+/// Guards against a rejected link although another server can continue the page.
+#[test]
+fn servers_of_the_same_order_continue_a_first_page_of_each_other() {
+    let up: Arc<AtomicBool> = Arc::default();
+    let [a, b] = [0, 1].map(|_| start_replica(&up, 0..30, |next| next));
+    let settings = "[[collection]]\nid = \"devices\"\nsame_order = true\n";
+    let process =
+        Process::start_feature_front("same-first", settings, &inventory_row("a", &a, "devices"));
+    let first = process.get(&format!("{ITEMS}?limit=4&{FRONT_FILTER}"));
+    process.reload_inventory(&inventory_row("b", &b, "devices"));
+    let next = first.link("next").expect("there are more features");
+    assert_eq!(process.get(&next).ids(), ["d4", "d5", "d6", "d7"]);
+}
