Rely on a server's sort order only where the front shares it

Cause: the front merged sorted pages as if the servers' order were its own. Equal keys were ordered by the identifier as a number there and as a text here; reading stopped at the first page in which both agree, and the next answer dropped ids 10 to 25 as before "5". Evidence: the record shows the ids 1 to 5 after one page, then all pages and 6 to 9.

Change: a shard's order is relied on in the leading columns that all of its servers declare as numbers, or as texts with the new key `same_text_order`; while these are equal, reading goes on; a feature out of order or without a value ends the reliance. Ids that are numbers are compared as numbers, exactly. The cursor names the shard. The filter for servers compares agreed columns only, the last one inclusively, with a margin for numbers that may be stored otherwise. Cursors of the earlier release whose id may be a number get 410. It works because nothing is decided by an order that only one side has.

Property test for ties and missing values in any order. The existing tests of the merge pass the columns in place of a flag, with the same inputs and expectations. Stand-ins can write a response at once, used by the new tests alone.

--- a/src/front/ogc/config/mod.rs
+++ b/src/front/ogc/config/mod.rs
@@ -204,6 +204,10 @@
     /// links, so that a sequence of pages can be continued at another server.
     #[serde(default)]
     pub same_order: bool,
+    /// Whether all servers order texts, identifiers among them, by their code points. If so, the
+    /// order of sorted pages is relied on for texts too.
+    #[serde(default)]
+    pub same_text_order: bool,
     /// Bounding box of the collection's features, in CRS84.
     pub bbox: Option<[f64; 4]>,
     /// Types of the collection's queryables by name: `text`, `number`, `bool`, `time`, `geometry`,
--- a/src/front/ogc/cursor.rs
+++ b/src/front/ogc/cursor.rs
@@ -46,7 +46,7 @@
     #[serde(rename = "f", default, skip_serializing_if = "std::ops::Not::not")]
     pub filtered_locally: bool,
     /// The values of the sort keys of the last feature, followed by its identifier; `None` unless
-    /// the response is sorted.
+    /// the response is sorted. `shard` is then the shard of that feature.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub after_values: Option<Vec<serde_json::Value>>,
     /// The number of responses so far.
--- a/src/front/ogc/paging/mod.rs
+++ b/src/front/ogc/paging/mod.rs
@@ -9,12 +9,15 @@
 mod concat_merge;
 mod page;
 mod progress;
+mod shard_order;
 mod sort_key;
 mod sorted_merge;
+mod value_order;
 
 pub use concat_merge::{ConcatMerge, InterruptedShard, PagingLimits};
 pub use page::{FeaturePage, FetchedPage, PageFetch, PageLocation, PageSlice, ResumePosition};
 pub use progress::MergeProgress;
+pub use shard_order::{AgreedColumns, ColumnKind};
 pub(super) use sort_key::BoundSortKeys;
-pub use sort_key::SortKey;
+pub use sort_key::{SortKey, SortPosition};
 pub use sorted_merge::{SortedMerge, SortedQuery};
--- a/src/front/ogc/paging/sort_key.rs
+++ b/src/front/ogc/paging/sort_key.rs
@@ -1,5 +1,7 @@
 //! The sort order of features: the sort keys of a query and the values that a feature has for them.
 
+use super::shard_order::ColumnKind;
+use super::value_order::{compare_values, FeatureId};
 use crate::front::ogc::cql2::Feature;
 use serde_json::Value as Json;
 use std::cmp::Ordering;
@@ -43,14 +45,25 @@
     }
 }
 
-/// The position of a feature in the sort order: the values of its sort keys, followed by its
-/// identifier and its shard, so that no two features have the same position.
+/// The position of a feature in a sort order, as a cursor contains it.
 #[derive(Debug, Clone, PartialEq)]
-pub(super) struct SortValues {
+pub struct SortPosition {
     /// The values of the sort keys, followed by the identifier.
     pub values: Vec<Json>,
+    /// The index of the feature's shard.
+    pub shard: usize,
+}
+
+/// The position of a feature in the sort order: the values of its sort keys, its identifier and its
+/// shard, so that no two features have the same position.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct SortValues {
+    /// The values of the sort keys.
+    keys: Vec<Json>,
+    /// The identifier, or the content of a feature without one.
+    id: FeatureId,
     /// For each sort key, whether the largest value comes first.
-    pub descending: Arc<[bool]>,
+    descending: Arc<[bool]>,
     /// The index of the feature's shard.
     pub shard: usize,
 }
@@ -66,22 +79,75 @@
         let json: Json = serde_json::from_slice(feature).ok()?;
         let feature = Feature(&json);
         let value = |key: &SortKey| feature.value(&key.property).cloned().unwrap_or(Json::Null);
-        let mut values: Vec<Json> = keys.iter().map(value).collect();
-        values.push(identifier(&json["id"]));
         Some(SortValues {
-            values,
+            keys: keys.iter().map(value).collect(),
+            id: FeatureId::from_feature(&json),
             descending: descending.clone(),
             shard,
         })
     }
+
+    /// Returns the position that a cursor contains, or `None` if its last value is not that of an
+    /// identifier.
+    pub fn from_position(position: &SortPosition, descending: &Arc<[bool]>) -> Option<Self> {
+        let (id, keys) = position.values.split_last()?;
+        Some(SortValues {
+            keys: keys.to_vec(),
+            id: FeatureId::from_json(id)?,
+            descending: descending.clone(),
+            shard: position.shard,
+        })
+    }
+
+    /// Returns the position as a cursor contains it.
+    pub fn to_position(&self) -> SortPosition {
+        let id = self.id.to_json();
+        SortPosition {
+            values: self.keys.iter().cloned().chain([id]).collect(),
+            shard: self.shard,
+        }
+    }
+
+    /// Returns the kind of the value in a column, or `None` if it has none or it is neither a number
+    /// nor a text.
+    pub fn kind(&self, column: usize) -> Option<ColumnKind> {
+        match (self.keys.get(column), &self.id) {
+            (Some(value), _) => ColumnKind::of(value),
+            (None, FeatureId::Number(_)) => Some(ColumnKind::Number),
+            (None, FeatureId::Text(_)) => Some(ColumnKind::Text),
+            (None, FeatureId::Content(_)) => None,
+        }
+    }
+
+    /// Returns whether a feature has no value in a column.
+    pub fn is_null(&self, column: usize) -> bool {
+        match self.keys.get(column) {
+            Some(value) => value.is_null(),
+            None => matches!(self.id, FeatureId::Content(_)),
+        }
+    }
+
+    /// Compares the values of the first `columns` columns.
+    pub fn compare_columns(&self, other: &Self, columns: usize) -> Ordering {
+        let keys = self.keys.iter().zip(&other.keys).zip(&*self.descending);
+        let key_order = keys
+            .take(columns)
+            .map(|((left, right), descending)| compare_key(left, right, *descending))
+            .fold(Ordering::Equal, Ordering::then);
+        if columns <= self.keys.len() {
+            return key_order;
+        }
+        key_order.then_with(|| self.id.cmp(&other.id))
+    }
 }
 
-/// Returns an identifier as text, because the identifiers 7 and "7" are the same in a URL.
-fn identifier(id: &Json) -> Json {
-    match id {
-        Json::Null => Json::Null,
-        Json::String(id) => Json::String(id.clone()),
-        id => Json::String(id.to_string()),
+/// Compares two values of a sort key. Missing values come last in both directions.
+fn compare_key(left: &Json, right: &Json, descending: bool) -> Ordering {
+    let order = compare_values(left, right);
+    if descending && !left.is_null() && !right.is_null() {
+        order.reverse()
+    } else {
+        order
     }
 }
 
@@ -95,45 +161,8 @@
 
 impl Ord for SortValues {
     fn cmp(&self, other: &Self) -> Ordering {
-        let pairs = self.values.iter().zip(&other.values).enumerate();
-        let orders = pairs.map(|(index, (left, right))| {
-            let order = compare_values(left, right);
-            let descending = self.descending.get(index).copied().unwrap_or(false);
-            // Missing values come last in both directions.
-            if descending && !left.is_null() && !right.is_null() {
-                order.reverse()
-            } else {
-                order
-            }
-        });
-        orders
-            .fold(Ordering::Equal, Ordering::then)
+        let all_columns = self.keys.len() + 1;
+        self.compare_columns(other, all_columns)
             .then(self.shard.cmp(&other.shard))
     }
 }
-
-/// Compares two values. Numbers come first, then texts in the order of their code points, then
-/// booleans with false before true, then arrays and objects, which all compare as equal, then null.
-fn compare_values(left: &Json, right: &Json) -> Ordering {
-    match (left, right) {
-        (Json::Number(left), Json::Number(right)) => {
-            let left = left.as_f64().unwrap_or(f64::MAX);
-            let right = right.as_f64().unwrap_or(f64::MAX);
-            left.total_cmp(&right)
-        }
-        (Json::String(left), Json::String(right)) => left.cmp(right),
-        (Json::Bool(left), Json::Bool(right)) => left.cmp(right),
-        (left, right) => kind_rank(left).cmp(&kind_rank(right)),
-    }
-}
-
-/// Returns the rank of a value's type in the sort order.
-fn kind_rank(value: &Json) -> u8 {
-    match value {
-        Json::Number(_) => 0,
-        Json::String(_) => 1,
-        Json::Bool(_) => 2,
-        Json::Array(_) | Json::Object(_) => 3,
-        Json::Null => 4,
-    }
-}
--- a/src/front/ogc/paging/sorted_merge.rs
+++ b/src/front/ogc/paging/sorted_merge.rs
@@ -4,12 +4,13 @@
 //! Like a [`ConcatMerge`](super::ConcatMerge), the response is built in rounds. If the servers of a
 //! shard return its features in order, fetching stops when no other feature of the shard can be
 //! among the first. Otherwise the shard is read to its end, and features that are not among the
-//! first ones so far are dropped immediately.
+//! first ones so far are dropped immediately. [`shard_order`](super::shard_order) decides how far a
+//! server's order is relied on.
 
 use super::page::{FeaturePage, FetchedPage, PageFetch, PageLocation};
 use super::progress::{has_min_share, missing_indexes, MergeProgress};
-use super::sort_key::{SortKey, SortValues};
-use serde_json::Value as Json;
+use super::shard_order::{AgreedColumns, ObservedOrder};
+use super::sort_key::{SortKey, SortPosition, SortValues};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
@@ -32,9 +33,8 @@
     /// Whether a part of the query may run more than once. If so, shards may be read again when
     /// another shard is missing.
     pub idempotent: bool,
-    /// The values of the sort keys of the last feature in the previous response, followed by the
-    /// identifier of that feature; `None` in the first response.
-    pub after_values: Option<Vec<Json>>,
+    /// The position of the last feature in the previous response; `None` in the first response.
+    pub after: Option<SortPosition>,
 }
 
 /// The state of a shard while a response is built.
@@ -44,22 +44,22 @@
     location: Option<PageLocation>,
     /// The pages that have been read or will be read next.
     visited: HashSet<PageLocation>,
-    /// Whether the server returns the shard's features in order. Becomes `false` when it returns a
-    /// feature out of order.
-    sorted: bool,
-    /// The values of the feature that the server returned last.
-    last_seen: Option<SortValues>,
+    /// The order of the features that the server has returned.
+    order: ObservedOrder,
+    /// Whether its pages are only as large as the response, since all features that follow a full
+    /// page are beyond the response.
+    has_small_pages: bool,
     /// Whether a page of the shard could not be fetched, or its links form a cycle.
     missing: bool,
 }
 
 impl ShardState {
-    fn new(sorted: bool) -> Self {
+    fn new(order: ObservedOrder) -> Self {
         ShardState {
             location: Some(PageLocation::ShardStart),
             visited: HashSet::new(),
-            sorted,
-            last_seen: None,
+            has_small_pages: order.is_fully_agreed(),
+            order,
             missing: false,
         }
     }
@@ -73,7 +73,13 @@
     fn restart(&mut self) {
         self.location = Some(PageLocation::ShardStart);
         self.visited.clear();
-        self.last_seen = None;
+        self.order.restart();
+    }
+
+    /// Moves back to the start of the shard to read it in larger pages.
+    fn restart_with_large_pages(&mut self) {
+        self.has_small_pages = false;
+        self.restart();
     }
 
     /// Moves to the next page. Marks the shard as missing if the link leads to a page that was read
@@ -86,13 +92,6 @@
             self.location = next;
         }
     }
-
-    /// Records the values of the feature that the server returned last.
-    fn record(&mut self, values: &SortValues) {
-        // If a server returns features out of order, the shard is read to its end.
-        self.sorted &= self.last_seen.as_ref().is_none_or(|last| last <= values);
-        self.last_seen = Some(values.clone());
-    }
 }
 
 /// A response under construction, with a sort order.
@@ -120,18 +119,15 @@
 }
 
 impl SortedMerge {
-    /// Creates an empty response. `sorted_shards` has an entry for each shard: whether its servers
-    /// return features in the order of the query.
+    /// Creates an empty response. `agreed_columns` has an entry for each shard: the columns in whose
+    /// order its servers return features.
     #[must_use]
-    pub fn new(query: SortedQuery, sorted_shards: &[bool]) -> Self {
+    pub fn new(query: SortedQuery, agreed_columns: Vec<AgreedColumns>) -> Self {
         let descending: Arc<[bool]> = query.keys.iter().map(|key| key.descending).collect();
-        // The previous response returned all features with these values, whichever shards they are
-        // in. With the maximum index, none of them comes after the position.
-        let after = query.after_values.map(|values| SortValues {
-            values,
-            descending: descending.clone(),
-            shard: usize::MAX,
-        });
+        let after = query.after.as_ref();
+        let after = after.and_then(|after| SortValues::from_position(after, &descending));
+        let column_count = query.keys.len() + 1;
+        let shard_state = |agreed| ShardState::new(ObservedOrder::new(agreed, column_count));
         SortedMerge {
             after,
             keys: query.keys,
@@ -141,10 +137,7 @@
             pages_left: query.max_pages,
             min_shard_share: query.min_shard_share,
             idempotent: query.idempotent,
-            shards: sorted_shards
-                .iter()
-                .map(|sorted| ShardState::new(*sorted))
-                .collect(),
+            shards: agreed_columns.into_iter().map(shard_state).collect(),
             selected: BTreeMap::new(),
             first_dropped: None,
         }
@@ -168,7 +161,7 @@
     fn next_fetch(&self, shard: usize, state: &ShardState) -> Option<PageFetch> {
         let location = state.location.clone()?;
         let page_size = match &location {
-            PageLocation::ShardStart if state.sorted => self.page_size.min(self.limit),
+            PageLocation::ShardStart if state.has_small_pages => self.page_size.min(self.limit),
             PageLocation::ShardStart => self.page_size,
             PageLocation::FirstPage { page_size, .. }
             | PageLocation::NextLink { page_size, .. } => *page_size,
@@ -183,23 +176,15 @@
     /// Returns whether a page of the shard that has not been read can contain one of the first
     /// features.
     fn can_contribute(&self, state: &ShardState) -> bool {
-        if state.location.is_none() {
-            return false;
-        }
-        !(state.sorted && self.is_beyond_selected(state))
+        state.location.is_some() && !self.is_beyond_selected(state)
     }
 
-    /// Returns whether none of the features that follow the last one seen of a sorted shard can be
+    /// Returns whether none of the features that a shard's server has not returned yet can be
     /// selected.
     fn is_beyond_selected(&self, state: &ShardState) -> bool {
-        let Some(seen) = &state.last_seen else {
-            return false;
-        };
-        let after_dropped = self
-            .first_dropped
-            .as_ref()
-            .is_some_and(|first| seen >= first);
-        after_dropped || self.last_if_full().is_some_and(|last| seen >= last)
+        let has_passed = |position| state.order.has_passed(position);
+        self.first_dropped.as_ref().is_some_and(has_passed)
+            || self.last_if_full().is_some_and(has_passed)
     }
 
     /// Returns the values of the last selected feature if the limit of the response is reached.
@@ -234,7 +219,14 @@
         for feature in &page.features {
             self.insert(shard, &page.body[feature.clone()]);
         }
-        self.shards[shard].move_to(page.next_location());
+        let state = &mut self.shards[shard];
+        // Pages are now read on beyond the response, and links repeat the size of the first page.
+        let needs_large_pages = state.has_small_pages && !state.order.is_fully_agreed();
+        if needs_large_pages && self.idempotent && page.next_target.is_some() {
+            state.restart_with_large_pages();
+        } else {
+            state.move_to(page.next_location());
+        }
     }
 
     /// Removes the selected features of missing shards: a response has none of the features of a
@@ -271,7 +263,7 @@
         else {
             return;
         };
-        self.shards[shard].record(&values);
+        self.shards[shard].order.record(&values);
         if self.after.as_ref().is_some_and(|after| values <= *after) {
             return;
         }
@@ -302,14 +294,14 @@
         page
     }
 
-    /// Returns the values after which the next response starts; `None` if this is the last
+    /// Returns the position after which the next response starts; `None` if this is the last
     /// response.
     #[must_use]
-    pub fn resume_after(&self) -> Option<Vec<Json>> {
+    pub fn resume_after(&self) -> Option<SortPosition> {
         let more_follows = self.first_dropped.is_some()
             || self.shards.iter().any(|state| state.location.is_some());
         let last = self.selected.last_key_value().filter(|_| more_follows);
-        last.map(|(values, _)| values.values.clone())
+        last.map(|(values, _)| values.to_position())
     }
 
     /// Returns the indexes of the missing shards.
--- a/src/front/ogc/paging/sorted_merge/tests.rs
+++ b/src/front/ogc/paging/sorted_merge/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of sorted merges of model shards, some of which return their features in order.
 
+use super::super::shard_order::ColumnKind;
 use super::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use serde_json::Value as Json;
 
 /// A feature of a model shard.
 #[derive(Debug, Clone, Copy)]
@@ -48,10 +50,20 @@
         max_pages,
         min_shard_share,
         idempotent: true,
-        after_values: None,
+        after: None,
     }
 }
 
+/// Returns the columns in whose order shards are returned: all of them, as numbers and texts by
+/// their code points, or none.
+fn agreed(sorted: &[bool]) -> Vec<AgreedColumns> {
+    let columns = |sorted: &bool| match sorted {
+        true => vec![ColumnKind::Number, ColumnKind::Text],
+        false => AgreedColumns::new(),
+    };
+    sorted.iter().map(columns).collect()
+}
+
 fn fetched(shard: usize, page_size: usize, page: Option<Arc<FeaturePage>>) -> FetchedPage {
     FetchedPage {
         shard,
@@ -142,26 +154,35 @@
     }
 }
 
-/// Builds all responses of a query.
+/// Builds all responses of a query over shards that are in the order of the query or not.
 fn run(shards: &[Vec<ModelFeature>], sorted: &[bool], query: &SortedQuery) -> QueryResult {
+    run_with(shards, &agreed(sorted), query)
+}
+
+/// Builds all responses of a query.
+fn run_with(
+    shards: &[Vec<ModelFeature>],
+    agreed: &[AgreedColumns],
+    query: &SortedQuery,
+) -> QueryResult {
     let mut result = QueryResult {
         ids: Vec::new(),
         features_read: 0,
     };
-    let mut after_values = None;
+    let mut after = None;
     loop {
         let query = SortedQuery {
-            after_values,
+            after,
             ..query.clone()
         };
         let limit = query.limit;
-        let mut merge = SortedMerge::new(query, sorted);
+        let mut merge = SortedMerge::new(query, agreed.to_vec());
         result.features_read += finish(&mut merge, shards, limit);
         let page = merge.to_page();
         assert!(page.returned_count <= limit);
         result.ids.extend(ids(&page));
-        after_values = merge.resume_after();
-        if after_values.is_none() {
+        after = merge.resume_after();
+        if after.is_none() {
             return result;
         }
     }
@@ -220,12 +241,62 @@
     }
 }
 
+/// Returns the features in the order of a server that sorts by the key alone. Features with equal
+/// keys are in the order of `ranks`, and those without a key come first or last.
+fn in_server_order(
+    shard: &[ModelFeature],
+    descending: bool,
+    missing_first: bool,
+    ranks: &[u8],
+) -> Vec<ModelFeature> {
+    let mut features = shard.to_vec();
+    features.sort_by_key(|feature| {
+        let key = feature.key.map(|key| if descending { -key } else { key });
+        (
+            key.is_none() != missing_first,
+            key,
+            ranks[feature.id % ranks.len()],
+        )
+    });
+    features
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(300)
+    })]
+
+    /// Guards against features that are in no response, since servers order features with equal
+    /// keys, or without a key, differently from the front.
+    #[test]
+    fn servers_may_place_equal_and_missing_keys_in_any_order(
+        keys in proptest::collection::vec(shard_keys(), 1..4),
+        limit in 1_usize..12,
+        page_size in 1_usize..20,
+        descending: bool,
+        missing_first: bool,
+        ranks in proptest::collection::vec(any::<u8>(), 1..9),
+    ) {
+        let shards: Vec<_> = shards_with(keys)
+            .iter()
+            .map(|shard| in_server_order(shard, descending, missing_first, &ranks))
+            .collect();
+        let keys = vec![SortKey { property: "k".into(), descending }];
+        let query = SortedQuery { keys, ..query(limit, page_size, 100_000, 1.0) };
+        let agreed = vec![vec![ColumnKind::Number]; shards.len()];
+        let result = run_with(&shards, &agreed, &query);
+        prop_assert_eq!(result.ids, sorted_ids(&shards, descending));
+    }
+}
+
 /// Guards against a response that has features of a shard that it reports as missing, instead of
 /// features of another shard that were dropped because of them.
 #[test]
 fn a_missing_shard_contributes_no_features() {
     let features = |keys: &[i64], next| page(next, keys);
-    let mut merge = SortedMerge::new(query(2, 2, 10, 0.5), &[false, false]);
+    let mut merge = SortedMerge::new(query(2, 2, 10, 0.5), agreed(&[false, false]));
     let first_pages = vec![
         fetched(0, 2, features(&[1, 2], Some("a"))),
         fetched(1, 2, features(&[3, 4], None)),
@@ -277,11 +348,11 @@
             shard.sort_by_key(|feature: &ModelFeature| feature.sort_key(false));
         }
         let mut failures = failures.into_iter();
-        let mut after_values = None;
+        let mut after = None;
         let mut last_returned = None;
         loop {
-            let query = SortedQuery { idempotent, after_values, ..query(limit, page_size, 100_000, 0.0) };
-            let mut merge = SortedMerge::new(query, &sorted[..shards.len()]);
+            let query = SortedQuery { idempotent, after, ..query(limit, page_size, 100_000, 0.0) };
+            let mut merge = SortedMerge::new(query, agreed(&sorted[..shards.len()]));
             let progress = finish_with_failures(&mut merge, &shards, &mut failures);
             if progress == MergeProgress::Failed {
                 prop_assert!(!idempotent, "the query failed although the other shards could be read again");
@@ -298,14 +369,14 @@
             let returned = ids(&merge.to_page());
             prop_assert!(returned.len() <= limit);
             prop_assert_eq!(&returned[..], &expected[..returned.len()]);
-            let Some(values) = merge.resume_after() else {
+            let Some(position) = merge.resume_after() else {
                 prop_assert_eq!(returned, expected);
                 break;
             };
             let last = returned.last().expect("a response before the last has features");
             let last = all.iter().find(|feature| feature.id == *last).expect("the last feature is in an available shard");
             last_returned = Some(last.sort_key(false));
-            after_values = Some(values);
+            after = Some(position);
         }
     }
 }
@@ -319,7 +390,7 @@
     let shards: Vec<Vec<_>> = (0..4)
         .map(|shard| (0..1_000).map(|n| feature(shard, n)).collect())
         .collect();
-    let merge = SortedMerge::new(query(20, 500, 10, 1.0), &[true; 4]);
+    let merge = SortedMerge::new(query(20, 500, 10, 1.0), agreed(&[true; 4]));
     assert_eq!(
         merge
             .next_fetches()
@@ -346,15 +417,15 @@
 #[test]
 fn missing_shards_too_many_pages_and_unsorted_pages_are_handled() {
     let one_missing = || vec![fetched(0, 5, page(None, &[1])), fetched(1, 5, None)];
-    let mut merge = SortedMerge::new(query(5, 10, 10, 1.0), &[true, true]);
+    let mut merge = SortedMerge::new(query(5, 10, 10, 1.0), agreed(&[true, true]));
     assert_eq!(merge.accept(one_missing()), MergeProgress::Failed);
-    let mut merge = SortedMerge::new(query(5, 10, 10, 0.5), &[true, true]);
+    let mut merge = SortedMerge::new(query(5, 10, 10, 0.5), agreed(&[true, true]));
     assert_eq!(merge.accept(one_missing()), MergeProgress::Finished);
     assert_eq!(
         (merge.missing_shards(), merge.resume_after()),
         (vec![1], None)
     );
-    let mut merge = SortedMerge::new(query(1, 10, 3, 1.0), &[false]);
+    let mut merge = SortedMerge::new(query(1, 10, 3, 1.0), agreed(&[false]));
     assert_eq!(
         merge.accept(vec![fetched(0, 5, page(Some("a"), &[3]))]),
         MergeProgress::NeedsPages
@@ -369,7 +440,7 @@
     );
     // The server declares that it returns features in order but does not do so. Its shard is read
     // to the end.
-    let mut merge = SortedMerge::new(query(2, 10, 9, 1.0), &[true]);
+    let mut merge = SortedMerge::new(query(2, 10, 9, 1.0), agreed(&[true]));
     assert_eq!(
         merge.accept(vec![fetched(0, 2, page(Some("a"), &[5, 4]))]),
         MergeProgress::NeedsPages
@@ -379,7 +450,9 @@
         MergeProgress::Finished
     );
     assert_eq!(
-        merge.resume_after().map(|values| values[0].clone()),
+        merge
+            .resume_after()
+            .map(|position| position.values[0].clone()),
         Some(2.into())
     );
 }
@@ -388,7 +461,7 @@
 /// so that the client receives the error that there are too many features to sort.
 #[test]
 fn a_shard_with_a_cycle_of_two_links_is_missing() {
-    let mut merge = SortedMerge::new(query(5, 10, 100, 0.5), &[false, false]);
+    let mut merge = SortedMerge::new(query(5, 10, 100, 0.5), agreed(&[false, false]));
     let first_pages = vec![
         fetched(0, 5, page(Some("a"), &[1])),
         fetched(1, 5, page(None, &[2])),
--- a/src/front/ogc/query/merge.rs
+++ b/src/front/ogc/query/merge.rs
@@ -3,12 +3,11 @@
 use crate::front::ogc::config::{ClassConfig, EdgeConfig};
 use crate::front::ogc::paging::{
     ConcatMerge, FetchedPage, MergeProgress, PageFetch, PageSlice, PagingLimits, ResumePosition,
-    SortedMerge, SortedQuery,
+    SortPosition, SortedMerge, SortedQuery,
 };
 use crate::front::ogc::params::Params;
 use crate::front::ogc::shard_plan::ShardPlan;
 use crate::front::ogc::stable_hash::feature_id_hash;
-use serde_json::Value as Json;
 use std::sync::Arc;
 
 /// The merge of a query's pages.
@@ -37,8 +36,8 @@
 pub(super) enum ResponseStart {
     /// A position in a shard, for a response without a sort order.
     Position(ResumePosition),
-    /// The values of the last feature in the previous response, for a sorted response.
-    AfterValues(Vec<Json>),
+    /// The position of the last feature in the previous response, for a sorted response.
+    After(SortPosition),
 }
 
 impl ResponseStart {
@@ -47,16 +46,16 @@
     pub fn position(&self) -> ResumePosition {
         match self {
             ResponseStart::Position(position) => position.clone(),
-            ResponseStart::AfterValues(_) => ResumePosition::START,
+            ResponseStart::After(_) => ResumePosition::START,
         }
     }
 
-    /// Returns the values of the last feature in the previous response if the response is sorted
+    /// Returns the position of the last feature in the previous response if the response is sorted
     /// and not the first one.
-    pub fn after_values(&self) -> Option<&[Json]> {
+    pub fn after(&self) -> Option<&SortPosition> {
         match self {
             ResponseStart::Position(_) => None,
-            ResponseStart::AfterValues(values) => Some(values),
+            ResponseStart::After(position) => Some(position),
         }
     }
 }
@@ -92,10 +91,10 @@
             max_pages: edge.max_pages,
             min_shard_share: class.min_share,
             idempotent,
-            after_values: start.after_values().map(<[Json]>::to_vec),
+            after: start.after().cloned(),
         };
-        let sorted: Vec<bool> = plans.iter().map(|plan| plan.sorted).collect();
-        Merge::Sorted(Box::new(SortedMerge::new(query, &sorted)))
+        let agreed_columns = plans.iter().map(|plan| plan.agreed_columns.clone());
+        Merge::Sorted(Box::new(SortedMerge::new(query, agreed_columns.collect())))
     }
 
     /// Returns the pages to fetch next.
@@ -153,7 +152,7 @@
                 .resume_position()
                 .cloned()
                 .map(ResponseStart::Position),
-            Merge::Sorted(merge) => merge.resume_after().map(ResponseStart::AfterValues),
+            Merge::Sorted(merge) => merge.resume_after().map(ResponseStart::After),
         }
     }
 }
--- a/src/front/ogc/query/mod.rs
+++ b/src/front/ogc/query/mod.rs
@@ -287,9 +287,9 @@
     }
     ShardPlan::for_shards(
         state,
-        params,
+        request,
         shards,
-        resume_point.start.after_values(),
+        resume_point.start.after(),
         resume_point.resumed_shard(),
     )
 }
--- a/src/front/ogc/query/resume.rs
+++ b/src/front/ogc/query/resume.rs
@@ -6,13 +6,14 @@
 use crate::front::ogc::client_request::ItemsRequest;
 use crate::front::ogc::cursor::{Cursor, CursorError, CursorFirstPage, CursorLink};
 use crate::front::ogc::error::ApiError;
-use crate::front::ogc::paging::{PageLocation, ResumePosition};
+use crate::front::ogc::paging::{PageLocation, ResumePosition, SortPosition};
 use crate::front::ogc::shard_plan::{ResumedFirstPage, ResumedPage, ResumedShard};
 use crate::front::ogc::shards::NamedShard;
 use crate::front::ogc::stable_hash::stable_hash;
 use crate::front::ogc::state::FrontState;
 use crate::sync::lock;
 use crate::time::unix_ms;
+use serde_json::Value as Json;
 use std::sync::Arc;
 
 /// The point at which a query resumes.
@@ -52,7 +53,7 @@
                 let position = position(state, &request.collection, &cursor, shards)?;
                 ResponseStart::Position(position)
             }
-            Some(values) => ResponseStart::AfterValues(values.clone()),
+            Some(values) => ResponseStart::After(sort_position(&cursor.shard, values, shards)?),
         };
         Ok(ResumePoint {
             cursor: Some(cursor),
@@ -91,7 +92,10 @@
         match self.merge.next_start() {
             None => return Ok(None),
             Some(ResponseStart::Position(position)) => self.set_position(&mut cursor, &position),
-            Some(ResponseStart::AfterValues(values)) => cursor.after_values = Some(values),
+            Some(ResponseStart::After(position)) => {
+                cursor.shard = self.shards[position.shard].server_collection.clone();
+                cursor.after_values = Some(position.values);
+            }
         }
         let cursor = cursor.advanced_from(self.resume_point.cursor.as_ref())?;
         Ok(Some(self.state.cursor_key.sign(&cursor)))
@@ -149,6 +153,42 @@
     ])
 }
 
+/// Returns the position of a cursor with these sort values in the current inventory.
+///
+/// # Errors
+///
+/// Returns [`ApiError::ShardRemoved`] if the inventory no longer has the shard, and
+/// [`CursorError::Expired`] if an earlier release, which named no shard, created the cursor and may
+/// have had another order.
+fn sort_position(
+    shard: &str,
+    values: &[Json],
+    shards: &[NamedShard],
+) -> Result<SortPosition, ApiError> {
+    let index = if !shard.is_empty() {
+        let shard = shards
+            .iter()
+            .position(|named| named.server_collection == shard);
+        shard.ok_or(ApiError::ShardRemoved)?
+    } else if has_unchanged_order(values) {
+        // The earlier release had returned the features of all shards with these values.
+        shards.len()
+    } else {
+        return Err(CursorError::Expired.into());
+    };
+    Ok(SortPosition {
+        values: values.to_vec(),
+        shard: index,
+    })
+}
+
+/// Returns whether the last of these values is an identifier that an earlier release ordered as this
+/// one does. That release ordered all identifiers as texts.
+fn has_unchanged_order(values: &[Json]) -> bool {
+    let id = values.last().and_then(Json::as_str);
+    id.is_some_and(|id| id.parse::<f64>().is_err())
+}
+
 /// Returns the position of a cursor in the current inventory.
 ///
 /// # Errors
--- a/src/front/ogc/shard_plan.rs
+++ b/src/front/ogc/shard_plan.rs
@@ -1,17 +1,17 @@
 //! The plan of a query for each shard: which parts of the filter the shard's servers evaluate and
-//! which the front evaluates, and whether the servers sort the features.
+//! which the front evaluates, and how far the servers sort the features.
 
-use super::cql2::{
-    flatten, split, Capabilities, ComparisonOperator, Filter, Junction, Matcher, Value,
-};
+mod sort_filter;
+
+use super::client_request::ItemsRequest;
+use super::cql2::{split, Capabilities, Filter, Matcher, QueryableType};
 use super::error::ApiError;
 use super::page_request::FeaturePredicate;
-use super::paging::SortKey;
+use super::paging::{AgreedColumns, ColumnKind, SortKey, SortPosition};
 use super::params::Params;
 use super::shards::{replicas, NamedShard, ShardReplica};
 use super::stable_hash::stable_hash;
 use super::state::FrontState;
-use serde_json::Value as Json;
 use std::sync::Arc;
 
 /// The conformance class of servers that can sort features (OGC API - Features, Part 8).
@@ -29,8 +29,8 @@
     /// The bounding box of all features that can match the filter: west, south, east and north, in
     /// degrees.
     envelope: Option<[f64; 4]>,
-    /// Whether the servers return the features in the order of the query.
-    pub sorted: bool,
+    /// The leading columns of the sort order in which the servers return the features.
+    pub agreed_columns: AgreedColumns,
 }
 
 /// The shard that continues with pages of an earlier response.
@@ -65,7 +65,7 @@
 
 impl ShardPlan {
     /// Returns the plans for the shards of a query. For a sorted response that is not the first
-    /// one, `after_values` has the values of the last feature in the previous response.
+    /// one, `after` is the position of the last feature in the previous response.
     ///
     /// # Errors
     ///
@@ -73,11 +73,13 @@
     /// and that page can no longer be requested as it was before.
     pub fn for_shards(
         state: &FrontState,
-        params: &Params,
+        request: &ItemsRequest,
         shards: &[NamedShard],
-        after_values: Option<&[Json]>,
+        after: Option<&SortPosition>,
         resumed: Option<ResumedShard>,
     ) -> Result<Vec<ShardPlan>, ApiError> {
+        let params = &request.params;
+        let same_text_order = state.has_same_text_order(&request.collection);
         let replicas = replicas(state, shards);
         let plan = |(index, replicas): (usize, &Vec<ShardReplica>)| {
             let keys = replicas.iter().map(|replica| &replica.key);
@@ -87,7 +89,10 @@
                 .unwrap_or_default();
             let resumed = resumed.filter(|resumed| resumed.index == index);
             match resumed.map(|resumed| resumed.page) {
-                None => Ok(Self::from_start(params, &capabilities, after_values)),
+                None => {
+                    let agreed_columns = agreed_columns(&capabilities, params, same_text_order);
+                    Ok(Self::sorted(params, &capabilities, agreed_columns, after))
+                }
                 Some(ResumedPage::AfterLink { filtered_locally }) => {
                     Ok(Self::after_link(params, filtered_locally))
                 }
@@ -126,26 +131,28 @@
         };
         // The servers' capabilities may be known now and were not before.
         [capabilities, &Capabilities::default()]
-            .map(|capabilities| Self::from_start(params, capabilities, None))
+            .map(|capabilities| Self::from_start(params, capabilities))
             .into_iter()
             .find(is_same)
     }
 
-    /// Returns the plan for a shard that is requested from its start, or from the first feature
-    /// after `after_values`.
-    fn from_start(
+    /// Returns the plan for a shard that is requested from its start, without a sort order.
+    fn from_start(params: &Params, capabilities: &Capabilities) -> Self {
+        Self::sorted(params, capabilities, AgreedColumns::new(), None)
+    }
+
+    /// Returns the plan for a shard whose servers return features in the order of these columns. It
+    /// is requested from its start, or from about the first feature after `after`.
+    fn sorted(
         params: &Params,
         capabilities: &Capabilities,
-        after_values: Option<&[Json]>,
+        agreed_columns: AgreedColumns,
+        after: Option<&SortPosition>,
     ) -> Self {
-        let mut plan = ShardPlan {
-            sorted: can_sort(capabilities, params),
-            ..ShardPlan::default()
-        };
         let mut filter = params.filter.clone();
-        let after = after_values
-            .filter(|_| plan.sorted)
-            .and_then(|values| after_filter(params, values));
+        let after = after.and_then(|after| {
+            sort_filter::filter_from(&params.sortby, &agreed_columns, &after.values)
+        });
         if let Some(after) = after {
             // The filter is pushed down only if the servers can evaluate all of it. Otherwise it is
             // not needed, because the merge leaves out features before the position in any case.
@@ -153,6 +160,10 @@
                 filter = Filter::conjunction(filter.into_iter().chain([after]).collect());
             }
         }
+        let mut plan = ShardPlan {
+            agreed_columns,
+            ..ShardPlan::default()
+        };
         if let Some(filter) = filter {
             let split = split(&filter, capabilities);
             plan.pushed_down = split.pushed_down.map(|filter| filter.to_string());
@@ -181,7 +192,7 @@
                 .append_pair("filter", filter)
                 .append_pair("filter-lang", "cql2-text");
         }
-        if self.sorted {
+        if !self.agreed_columns.is_empty() {
             query.append_pair("sortby", &sortby(&params.sortby));
         }
         query.append_pair("limit", &page_size.to_string());
@@ -206,93 +217,28 @@
     keys.join(",")
 }
 
-/// Returns whether servers with these capabilities can return features in the order of a query.
-fn can_sort(capabilities: &Capabilities, params: &Params) -> bool {
-    let is_queryable = |name: &str| capabilities.queryables.named.contains_key(name);
-    !params.sortby.is_empty()
+/// Returns the leading columns of a query's sort order in which servers with these capabilities return
+/// features. `same_text_order` is whether they order texts by their code points.
+fn agreed_columns(
+    capabilities: &Capabilities,
+    params: &Params,
+    same_text_order: bool,
+) -> AgreedColumns {
+    let queryables = &capabilities.queryables.named;
+    let keys = params.sortby.iter().map(|key| key.property.as_str());
+    let columns: Vec<&str> = keys.chain([ID_PROPERTY]).collect();
+    let can_sort = !params.sortby.is_empty()
         && capabilities.classes.contains(SORTING_CLASS)
-        && is_queryable(ID_PROPERTY)
-        && params.sortby.iter().all(|key| is_queryable(&key.property))
-}
-
-/// A sort key and a value for it.
-struct SortKeyValue<'a> {
-    property: &'a str,
-    descending: bool,
-    value: Value,
-}
-
-impl SortKeyValue<'_> {
-    /// Returns a filter that compares the property of a feature with the value.
-    fn comparison_filter(&self, comparison: ComparisonOperator) -> Filter {
-        Filter::Compare(
-            comparison,
-            Value::Property(self.property.to_owned()),
-            self.value.clone(),
-        )
+        && columns.iter().all(|name| queryables.contains_key(*name));
+    if !can_sort {
+        return AgreedColumns::new();
     }
-
-    /// Returns a filter for the features whose property comes after the value in the sort order.
-    fn filter_after(&self) -> Filter {
-        self.comparison_filter(if self.descending {
-            ComparisonOperator::Less
-        } else {
-            ComparisonOperator::Greater
-        })
-    }
-}
-
-/// Returns a filter for the features that come after these values in the order of a query. Returns
-/// `None` if a value is missing or cannot be written as a literal in a filter.
-fn after_filter(params: &Params, values: &[Json]) -> Option<Filter> {
-    let sort_keys = params
-        .sortby
-        .iter()
-        .map(|key| (key.property.as_str(), key.descending));
-    let pairs = sort_keys.chain([(ID_PROPERTY, false)]).zip(values);
-    let bind = |((property, descending), value)| {
-        Some(SortKeyValue {
-            property,
-            descending,
-            value: literal(value)?,
-        })
-    };
-    let keys: Vec<SortKeyValue<'_>> = pairs.map(bind).collect::<Option<_>>()?;
-    let alternatives = (0..keys.len()).filter_map(|index| after_filter_at_key(&keys, index));
-    let mut alternatives: Vec<Filter> = alternatives.collect();
-    Some(match alternatives.len() {
-        1 => alternatives.swap_remove(0),
-        _ => Filter::Or(flatten(alternatives, Junction::Or)),
-    })
-}
-
-/// Returns a filter for the features that equal the position in all keys before the one at `index`
-/// and come after it in the key at `index`. Features without a value come last.
-fn after_filter_at_key(keys: &[SortKeyValue<'_>], index: usize) -> Option<Filter> {
-    let key = &keys[index];
-    let mut conditions: Vec<Filter> = keys[..index]
-        .iter()
-        .map(|key| key.comparison_filter(ComparisonOperator::Equal))
-        .collect();
-    let is_id = index + 1 == keys.len();
-    conditions.push(if is_id {
-        key.filter_after()
-    } else {
-        Filter::Or(vec![
-            key.filter_after(),
-            Filter::IsNull(Value::Property(key.property.to_owned())),
-        ])
-    });
-    Filter::conjunction(conditions)
-}
-
-/// Returns the literal for a JSON value in a filter; `None` unless it is a string or a number.
-fn literal(value: &Json) -> Option<Value> {
-    match value {
-        Json::String(text) => Some(Value::Text(text.clone())),
-        Json::Number(number) => number.as_f64().map(Value::Number),
+    let agreed_kind = |name: &&str| match queryables.get(*name)? {
+        QueryableType::Number => Some(ColumnKind::Number),
+        QueryableType::Text | QueryableType::Time if same_text_order => Some(ColumnKind::Text),
         _ => None,
-    }
+    };
+    columns.iter().map_while(agreed_kind).collect()
 }
 
 #[cfg(test)]
--- a/src/front/ogc/state.rs
+++ b/src/front/ogc/state.rs
@@ -104,4 +104,12 @@
             .iter()
             .any(|c| c.id == collection && c.same_order)
     }
+
+    /// Returns whether all servers of a collection order texts by their code points.
+    pub fn has_same_text_order(&self, collection: &str) -> bool {
+        self.edge
+            .collections
+            .iter()
+            .any(|c| c.id == collection && c.same_text_order)
+    }
 }
--- a/testkit/benches/front.rs
+++ b/testkit/benches/front.rs
@@ -10,7 +10,7 @@
 use quinceflow::front::ogc::cursor::CursorKey;
 use quinceflow::front::ogc::page_request::{parse_page, PageRequest};
 use quinceflow::front::ogc::paging::{
-    MergeProgress, PageFetch, PageLocation, SortKey, SortedMerge, SortedQuery,
+    AgreedColumns, MergeProgress, PageFetch, PageLocation, SortKey, SortedMerge, SortedQuery,
 };
 use quinceflow::front::ogc::{FrontDependencies, OgcFront, SharedCatalog};
 use quinceflow::front::{Front, Reaction};
@@ -119,9 +119,9 @@
             max_pages: 100,
             min_shard_share: 1.0,
             idempotent: true,
-            after_values: None,
+            after: None,
         };
-        let mut merge = SortedMerge::new(query, &vec![false; shards]);
+        let mut merge = SortedMerge::new(query, vec![AgreedColumns::new(); shards]);
         loop {
             let fetches = merge.next_fetches();
             assert!(fetches
--- a/tests/ogc/main.rs
+++ b/tests/ogc/main.rs
@@ -5,6 +5,7 @@
 mod pages;
 mod rejections;
 mod resources;
+mod sorting;
 #[path = "../standin/mod.rs"]
 mod standin;
 mod support;
--- a/tests/standin/feature_server.rs
+++ b/tests/standin/feature_server.rs
@@ -12,6 +12,9 @@
 pub enum ServerResponse {
     /// Sends status 200 with this body.
     Json(String),
+    /// Sends status 200 with this body in one write. The parts of other responses are written one by
+    /// one, and wait for the acknowledgement of the first.
+    JsonInOneWrite(String),
     /// Sends this status without a body.
     Status(u16),
     /// Sends status 200 with this body after this delay.
@@ -117,6 +120,11 @@
             write_response(stream, ServerResponse::Json(body))
         }
         ServerResponse::Json(body) => write_with_length(stream, &body, body.len()),
+        ServerResponse::JsonInOneWrite(body) => {
+            let length = body.len();
+            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+            stream.write_all(response.as_bytes())
+        }
         ServerResponse::ShortLength(body) => {
             write_with_length(stream, &body, body.len() - MISSING_LENGTH)
         }
