Bound the memory of large requests, with and without queries in flight

Cause: only the bytes on client connections were counted, and a connection whose request awaits its response was never made to free any. Nothing counted the payload of a request in flight with its copy for each part, the requests that wait for the coordinator's turn, or the values of a parsed search, which need up to a hundred times their text. Memory of an evicted connection was freed by its own coroutine, after many others had read more.

Change: payloads of requests in progress have a limit; beyond it a query is rejected with its payload dropped at once (counter rejected_over_memory). A search reserves an estimate of its parsed memory before it is parsed, until its query ends: 503 if others hold the memory, 413 if it alone would not fit. Over the limit, input behind requests in progress is discarded too, and memory is freed by whoever finds the excess. The heads of requests whose body is awaited are counted. Shards with the same capabilities share a query's filter. Each rejection of a query now has a counter by reason (rejected_by_policy is new).

--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -76,7 +76,13 @@
     /// Queries rejected because their deadline had passed or was too near on arrival; also in
     /// `queries_rejected`.
     rejected_expired,
-    /// Feature queries rejected for their estimated cost; the coordinator never received them.
+    /// Queries rejected by the policy, which expects no answer in time; also in `queries_rejected`.
+    rejected_by_policy,
+    /// Queries rejected because the payloads of those in flight hold too much memory; also in
+    /// `queries_rejected`.
+    rejected_over_memory,
+    /// Feature queries rejected for their estimated cost or memory; the coordinator never received
+    /// them.
     rejected_over_cost,
     /// Requests rejected because their id is that of a pending one.
     duplicate_request_ids,
--- a/src/coordinator/messages.rs
+++ b/src/coordinator/messages.rs
@@ -13,6 +13,9 @@
     EndpointUpdate(EndpointUpdate),
     /// A request that a front submits.
     Submit(Request),
+    /// A client's request, without its payload, that is rejected since the payloads of the queries
+    /// in flight hold too much memory.
+    RejectForMemory(Request),
     /// The client disconnected: its request needs no answer any more.
     ClientDisconnected(Token),
     /// The start of an attempt's write. Some of its request is written and the rest will follow, so
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -159,6 +159,10 @@
         match input {
             Input::EndpointUpdate(update) => self.update_endpoints(update, turn),
             Input::Submit(request) => self.queries.submit(request, &self.settings, turn),
+            Input::RejectForMemory(request) => {
+                self.queries
+                    .reject_for_memory(&request, &self.settings, turn);
+            }
             Input::ClientDisconnected(token) => self.queries.abandon(token, turn),
             Input::WriteStarted(key) => self.queries.write_started(key),
             Input::FullyWritten(key) => self.queries.fully_written(key),
--- a/src/coordinator/queries/admission.rs
+++ b/src/coordinator/queries/admission.rs
@@ -18,12 +18,7 @@
         turn: &mut Turn<'_>,
     ) {
         let Some(class) = self.classes.find(&request.class) else {
-            // A reload dropped the class before the coordinator received the request.
-            COUNTERS.bad_requests.increment();
-            turn.commands.push(Command::Reply {
-                token: request.token,
-                answer: Answer::UnknownClass,
-            });
+            reply_unknown_class(&request, turn);
             return;
         };
         let deadline = self
@@ -42,6 +37,26 @@
             .insert(PendingQuery::new(request, class, deadline, objective), turn);
     }
 
+    /// Rejects a request for whose payload there is no memory.
+    pub(in crate::coordinator) fn reject_for_memory(
+        &mut self,
+        request: &Request,
+        settings: &ActiveSettings,
+        turn: &mut Turn<'_>,
+    ) {
+        let Some(class) = self.classes.find(&request.class) else {
+            reply_unknown_class(request, turn);
+            return;
+        };
+        COUNTERS.rejected_over_memory.increment();
+        COUNTERS.queries_rejected.increment();
+        let answer = Answer::Rejected {
+            retry_after: settings.max_retry_after(),
+            late: false,
+        };
+        self.reply(class, request, answer, turn);
+    }
+
     /// Returns the rejection of a request that cannot be accepted. Nothing of the request was sent,
     /// so a retry is safe.
     fn rejection(
@@ -74,3 +89,12 @@
         None
     }
 }
+
+/// Answers a request whose class a reload dropped before the coordinator received the request.
+fn reply_unknown_class(request: &Request, turn: &mut Turn<'_>) {
+    COUNTERS.bad_requests.increment();
+    turn.commands.push(Command::Reply {
+        token: request.token,
+        answer: Answer::UnknownClass,
+    });
+}
--- a/src/coordinator/queries/completion.rs
+++ b/src/coordinator/queries/completion.rs
@@ -76,6 +76,7 @@
                 "a rejection was ordered for a query that is not pending",
             );
         };
+        COUNTERS.rejected_by_policy.increment();
         COUNTERS.queries_rejected.increment();
         let answer = Answer::Rejected {
             retry_after,
--- a/src/coordinator/request.rs
+++ b/src/coordinator/request.rs
@@ -35,6 +35,15 @@
     pub counted: bool,
 }
 
+impl Request {
+    /// Returns the memory that the request holds until its answer, in bytes: its payload, and a copy
+    /// for each part that may be waiting to be written to a server.
+    #[must_use]
+    pub fn payload_memory(&self) -> usize {
+        self.payload.len().saturating_mul(1 + self.parts.len())
+    }
+}
+
 /// Data of a front for its own driver. The coordinator passes it on with a part and does not read
 /// it.
 #[derive(Clone)]
--- a/src/front/ogc/admission.rs
+++ b/src/front/ogc/admission.rs
@@ -6,7 +6,7 @@
 use super::error::ApiError;
 use super::state::FrontState;
 use crate::coordinator::COUNTERS;
-use crate::limits::{QueryCost, QueryShape};
+use crate::limits::{json_memory, QueryCost, QueryShape, RequestRejection};
 use crate::time::Micros;
 use std::sync::Arc;
 
@@ -35,6 +35,43 @@
     }
 }
 
+/// The reservation of the memory for a parsed request. It is released when the query ends or is
+/// dropped.
+pub(super) struct RequestReservation {
+    state: Arc<FrontState>,
+    bytes: f64,
+}
+
+impl RequestReservation {
+    /// Reserves the memory for a request with this body in JSON, before it is parsed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ApiError::Overloaded`] if the coordinator lacks the memory now, and
+    /// [`ApiError::BodyTooComplex`] if it would lack it without any other query.
+    pub fn for_json(state: &Arc<FrontState>, body: &[u8]) -> Result<Self, ApiError> {
+        let bytes = json_memory(body) as f64;
+        let reserved = state.admission().reserve_request(bytes);
+        reserved.map_err(|rejection| match rejection {
+            RequestRejection::TooLarge => ApiError::BodyTooComplex,
+            RequestRejection::NoMemory => {
+                COUNTERS.rejected_over_cost.increment();
+                ApiError::Overloaded { retry_after: None }
+            }
+        })?;
+        Ok(RequestReservation {
+            state: state.clone(),
+            bytes,
+        })
+    }
+}
+
+impl Drop for RequestReservation {
+    fn drop(&mut self) {
+        self.state.admission().release_request(self.bytes);
+    }
+}
+
 /// The reservations of an admitted query.
 pub(super) struct AdmittedQuery {
     _pages: PageReservation,
--- a/src/front/ogc/client_request.rs
+++ b/src/front/ogc/client_request.rs
@@ -1,6 +1,7 @@
 //! The properties of a query that the client's request sets: class, timeout and parameters. The
 //! parameters are parsed by [`params`](super::params).
 
+use super::admission::RequestReservation;
 use super::config::EdgeConfig;
 use super::error::ApiError;
 use super::params::{Format, Params};
@@ -86,6 +87,14 @@
     }
 }
 
+/// The body of a search, with the reservation of its memory.
+pub(super) struct SearchBody {
+    /// The members of the body.
+    pub json: serde_json::Value,
+    /// The reservation of the memory for the body and the parameters parsed from it.
+    pub _memory: RequestReservation,
+}
+
 /// A query for the features of a collection, with the values of the request that the links in the
 /// response contain.
 pub(super) struct ItemsRequest {
@@ -96,7 +105,7 @@
     /// The query string as received; empty for a search.
     pub query_string: String,
     /// The body of a search; `None` for a query in the query string.
-    pub search_body: Option<serde_json::Value>,
+    pub search_body: Option<SearchBody>,
     /// The parameters of the query.
     pub params: Params,
     /// The format of the response.
--- a/src/front/ogc/error.rs
+++ b/src/front/ogc/error.rs
@@ -36,6 +36,8 @@
     OnlyGetAndHead,
     #[error("only POST is served here")]
     OnlyPost,
+    #[error("the body has too many values")]
+    BodyTooComplex,
     #[error("Content-Type: application/json is needed")]
     UnsupportedMediaType,
     #[error(transparent)]
@@ -118,6 +120,7 @@
             ApiError::OnlyGetAndHead | ApiError::OnlyPost => 405,
             ApiError::DuplicateRequestId => 409,
             ApiError::ShardRemoved | ApiError::ServerRemoved | ApiError::PageNotReproducible => 410,
+            ApiError::BodyTooComplex => 413,
             ApiError::UnsupportedMediaType => 415,
             ApiError::NoAnswer => 500,
             ApiError::ServersFailed
--- a/src/front/ogc/handlers/search.rs
+++ b/src/front/ogc/handlers/search.rs
@@ -2,13 +2,16 @@
 //! long for its head: `POST /search` in the format of STAC API - Item Search.
 
 use super::IncomingRequest;
+use crate::front::ogc::admission::RequestReservation;
 use crate::front::ogc::capability_discovery::queryables;
-use crate::front::ogc::client_request::ItemsRequest;
+use crate::front::ogc::client_request::{ItemsRequest, SearchBody};
 use crate::front::ogc::error::ApiError;
 use crate::front::ogc::params::{
     parse_search, parse_search_body, search_collection, Format, Search,
 };
 use crate::front::ogc::query::ItemsQuery;
+use crate::front::ogc::response::problem::error_response;
+use crate::front::ogc::round::count_response;
 use crate::front::ogc::shards::shards_of;
 use crate::front::ogc::state::FrontState;
 use crate::front::Reaction;
@@ -23,10 +26,15 @@
     if !has_json_body(incoming.http) {
         return Err(ApiError::UnsupportedMediaType);
     }
+    let client = incoming.client()?;
+    let memory = RequestReservation::for_json(incoming.state, &incoming.http.body);
+    let memory = memory.inspect_err(|error| {
+        let metrics = incoming.state.class_metrics(client.class);
+        count_response(&metrics, &error_response(error));
+    })?;
     let body = parse_search_body(&incoming.http.body)?;
     let collection = search_collection(&body)?;
     let shards = shards_of(incoming.state, &collection)?;
-    let client = incoming.client()?;
     let base_url = incoming.base_url();
     let query_client = client.clone();
     let query_shards = shards.clone();
@@ -38,7 +46,10 @@
             base_url,
             collection,
             query_string: String::new(),
-            search_body: Some(body),
+            search_body: Some(SearchBody {
+                json: body,
+                _memory: memory,
+            }),
             params,
             format: Format::Json,
         };
--- a/src/front/ogc/response/feature_collection.rs
+++ b/src/front/ogc/response/feature_collection.rs
@@ -82,7 +82,7 @@
     let request = result.request;
     let mut links = match &request.search_body {
         None => items_links(request, result.next_cursor.as_deref()),
-        Some(body) => search_links(request, body, result.next_cursor.as_deref()),
+        Some(body) => search_links(request, &body.json, result.next_cursor.as_deref()),
     };
     let collection = format!("{}/collections/{}", request.base_url, request.collection);
     links.push(link(collection, "collection", JSON));
--- a/src/front/ogc/shard_plan.rs
+++ b/src/front/ogc/shard_plan.rs
@@ -81,6 +81,8 @@
         let params = &request.params;
         let same_text_order = state.has_same_text_order(&request.collection);
         let replicas = replicas(state, shards);
+        // Shards of servers with the same capabilities share a plan, and so the memory of its filter.
+        let mut shared: Option<(Capabilities, ShardPlan)> = None;
         let plan = |(index, replicas): (usize, &Vec<ShardReplica>)| {
             let keys = replicas.iter().map(|replica| &replica.key);
             let capabilities = state
@@ -90,8 +92,13 @@
             let resumed = resumed.filter(|resumed| resumed.index == index);
             match resumed.map(|resumed| resumed.page) {
                 None => {
+                    if let Some((_, plan)) = shared.as_ref().filter(|(c, _)| *c == capabilities) {
+                        return Ok(plan.clone());
+                    }
                     let agreed_columns = agreed_columns(&capabilities, params, same_text_order);
-                    Ok(Self::sorted(params, &capabilities, agreed_columns, after))
+                    let plan = Self::sorted(params, &capabilities, agreed_columns, after);
+                    shared = Some((capabilities, plan.clone()));
+                    Ok(plan)
                 }
                 Some(ResumedPage::AfterLink { filtered_locally }) => {
                     Ok(Self::after_link(params, filtered_locally))
--- a/src/front/ogc/state.rs
+++ b/src/front/ogc/state.rs
@@ -6,15 +6,11 @@
 use super::cql2::Queryables;
 use super::cursor::CursorKey;
 use crate::coordinator::{ClassMetrics, Metrics};
-use crate::limits::{AdmissionController, ServerCapacity, BASE_MEMORY_BYTES};
+use crate::limits::{query_memory, AdmissionController, ServerCapacity};
 use crate::sync::lock;
 use crate::time::Micros;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// The share of the memory beyond [`BASE_MEMORY_BYTES`] that responses may reserve. A third of that
-/// memory is for the input of clients.
-const RESPONSE_MEMORY_SHARE: f64 = 0.45;
-
 /// The catalog, which the front shares with the reloads of the inventory.
 pub type SharedCatalog = Arc<Mutex<Catalog>>;
 
@@ -59,8 +55,7 @@
             server_capacity,
         } = dependencies;
         let capabilities = CapabilityCache::new(Micros::from_secs(edge.capability_max_age_s));
-        let memory = (edge.memory_mb * 1024 * 1024).saturating_sub(BASE_MEMORY_BYTES);
-        let response_memory = (memory as f64 * RESPONSE_MEMORY_SHARE) as usize;
+        let memory = query_memory(edge.memory_mb * 1024 * 1024);
         FrontState {
             edge,
             catalog,
@@ -68,7 +63,7 @@
             server_capacity,
             metrics,
             capabilities: Mutex::new(capabilities),
-            admission: Mutex::new(AdmissionController::new(response_memory)),
+            admission: Mutex::new(AdmissionController::new(memory)),
         }
     }
 
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -109,6 +109,15 @@
     Throughput,
 }
 
+/// The reason why no memory is reserved for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestRejection {
+    /// Other requests and responses hold the memory.
+    NoMemory,
+    /// The request needs more memory than all may hold together.
+    TooLarge,
+}
+
 /// A rejection of a query.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rejection {
@@ -131,18 +140,22 @@
 #[derive(Debug)]
 pub struct AdmissionController {
     in_flight: InFlight,
-    /// The memory for responses, in bytes.
+    /// The memory that parsed requests hold, in bytes.
+    request_bytes: f64,
+    /// The memory for requests and responses, in bytes.
     max_bytes: f64,
     /// The moving average of the size of a full page, in bytes.
     page_bytes: f64,
 }
 
 impl AdmissionController {
-    /// Creates a controller with nothing in flight; responses may hold `max_bytes` bytes of memory.
+    /// Creates a controller with nothing in flight; requests and responses may hold `max_bytes` bytes
+    /// of memory.
     #[must_use]
     pub fn new(max_bytes: usize) -> Self {
         AdmissionController {
             in_flight: InFlight::default(),
+            request_bytes: 0.0,
             max_bytes: max_bytes as f64,
             page_bytes: INITIAL_PAGE_BYTES,
         }
@@ -180,6 +193,29 @@
         Ok(bytes)
     }
 
+    /// Reserves memory for a request before it is parsed. Release it with
+    /// [`AdmissionController::release_request`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the memory does not suffice, now or for this request alone. A rejected
+    /// request changes nothing.
+    pub fn reserve_request(&mut self, bytes: f64) -> Result<(), RequestRejection> {
+        if bytes > self.max_bytes {
+            return Err(RequestRejection::TooLarge);
+        }
+        if self.request_bytes + self.in_flight.bytes + bytes > self.max_bytes {
+            return Err(RequestRejection::NoMemory);
+        }
+        self.request_bytes += bytes;
+        Ok(())
+    }
+
+    /// Releases the memory of a request whose query has ended.
+    pub fn release_request(&mut self, bytes: f64) {
+        self.request_bytes = (self.request_bytes - bytes).max(0.0);
+    }
+
     /// Releases the pages of a query that are no longer in flight.
     pub fn release_pages(&mut self, cost: QueryCost) {
         self.in_flight.pages = (self.in_flight.pages - cost.pages).max(0.0);
@@ -210,7 +246,8 @@
             } else {
                 EXPENSIVE_MEMORY_SHARE
             };
-        if self.in_flight.bytes > 0.0 && self.in_flight.bytes + bytes > capacity {
+        let reserved = self.request_bytes + self.in_flight.bytes;
+        if self.in_flight.bytes > 0.0 && reserved + bytes > capacity {
             let retry_after = MIN_RETRY_AFTER + Micros(latency_objective.0 / 2);
             return Err(Rejection {
                 retry_after,
--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -120,7 +120,7 @@
         let clients = self.clone();
         spawn(self.front.stack_words(), move || {
             while clients.drive(&connection, &stream) {
-                clients.evict_for_memory();
+                clients.free_memory();
                 if connection.lock().discard_paused {
                     coroutine::sleep(DISCARD_PAUSE);
                 } else {
--- a/src/net/clients/activity.rs
+++ b/src/net/clients/activity.rs
@@ -27,6 +27,8 @@
     pub closing: bool,
     /// Whether the connection closes even with a request in progress.
     pub aborted: bool,
+    /// The memory for input that belongs to no request in progress, in bytes.
+    pub unread_bytes: usize,
     /// The memory for requests and responses, in bytes.
     pub buffered_bytes: usize,
 }
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -49,6 +49,8 @@
     pub(super) token: Token,
     /// The function that renders the coordinator's answer as a response.
     pub(super) render: Render,
+    /// The memory that the request's payload holds until the answer, in bytes.
+    pub(super) payload_memory: usize,
 }
 
 /// The progress of a lingering close: input is discarded after the last response, which is an
@@ -105,6 +107,7 @@
             received_request: self.received_request,
             submitted_query: self.submitted_query,
             busy: self.http.awaits_response(),
+            unread_bytes: self.http.unread_memory(),
             idle: self.http.is_idle(),
             output_pending: !self.http.output().is_empty(),
             closing: self.http.is_draining(),
--- a/src/net/clients/eviction.rs
+++ b/src/net/clients/eviction.rs
@@ -97,19 +97,26 @@
     idle.into_iter().map(|(_, connection)| connection).collect()
 }
 
-/// Returns the connection that holds the most memory among those without a request that awaits its
-/// response.
-pub fn largest_without_response<C>(
+/// Returns the connection whose memory is freed next: the one that holds the most among those without
+/// a request that awaits its response, otherwise the one with the most input behind such a request.
+/// Returns `None` if no memory can be freed.
+pub fn largest_buffers<C>(
     connections: impl Iterator<Item = C>,
     activity: impl Fn(&C) -> ConnectionActivity,
 ) -> Option<C> {
-    let buffered_bytes = |connection: &C| {
+    let rank = |connection: &C| {
         let activity = activity(connection);
-        (!activity.aborted && !activity.busy).then_some(activity.buffered_bytes)
+        let bytes = if activity.busy {
+            activity.unread_bytes
+        } else {
+            activity.buffered_bytes
+        };
+        let can_be_freed = bytes > 0 && (activity.busy || !activity.aborted);
+        can_be_freed.then_some((!activity.busy, bytes))
     };
     connections
-        .filter_map(|c| Some((buffered_bytes(&c)?, c)))
-        .max_by_key(|(bytes, _)| *bytes)
+        .filter_map(|c| Some((rank(&c)?, c)))
+        .max_by_key(|(rank, _)| *rank)
         .map(|(_, connection)| connection)
 }
 
--- a/src/net/clients/eviction/tests.rs
+++ b/src/net/clients/eviction/tests.rs
@@ -129,6 +129,7 @@
 fn memory_is_reclaimed_from_the_largest_connection_that_awaits_no_response() {
     let sized = |buffered_bytes, busy| ConnectionActivity {
         buffered_bytes,
+        unread_bytes: 0,
         busy,
         ..ConnectionActivity::default()
     };
@@ -138,8 +139,30 @@
     };
     let connections = [sized(5, false), sized(50, true), sized(7, false), aborted];
     assert_eq!(
-        largest_without_response(0..connections.len(), |c| connections[*c]),
+        largest_buffers(0..connections.len(), |c| connections[*c]),
         Some(2)
     );
-    assert_eq!(largest_without_response(1..2, |c| connections[*c]), None);
+    assert_eq!(largest_buffers(1..2, |c| connections[*c]), None);
+}
+
+/// Guards against input behind requests in progress that holds memory without a limit.
+#[test]
+fn memory_is_reclaimed_from_input_behind_requests_if_nothing_else_can_be_freed() {
+    let busy = |unread_bytes| ConnectionActivity {
+        buffered_bytes: 90,
+        unread_bytes,
+        busy: true,
+        ..ConnectionActivity::default()
+    };
+    let waiting = ConnectionActivity {
+        buffered_bytes: 1,
+        unread_bytes: 1,
+        ..ConnectionActivity::default()
+    };
+    let largest = |connections: &[ConnectionActivity]| {
+        largest_buffers(0..connections.len(), |c| connections[*c])
+    };
+    assert_eq!(largest(&[busy(5), busy(50), waiting]), Some(2));
+    assert_eq!(largest(&[busy(5), busy(50), busy(0)]), Some(1));
+    assert_eq!(largest(&[busy(0)]), None);
 }
--- a/src/net/clients/limits.rs
+++ b/src/net/clients/limits.rs
@@ -1,6 +1,6 @@
 //! The shares of the process's descriptors and memory that client connections may use.
 
-use crate::limits::BASE_MEMORY_BYTES;
+use crate::limits::{payload_memory, BASE_MEMORY_BYTES};
 use crate::net::admin;
 
 /// The minimum memory for requests in progress, in bytes.
@@ -17,6 +17,8 @@
     pub idle: usize,
     /// The maximum memory for requests that are not answered yet, in bytes.
     pub bytes: usize,
+    /// The maximum memory for the payloads of requests in progress, in bytes.
+    pub payload_bytes: usize,
 }
 
 impl ClientLimits {
@@ -31,6 +33,7 @@
             connections: (available * 2 / 3).max(1),
             idle: available / 6,
             bytes: (memory_bytes.saturating_sub(BASE_MEMORY_BYTES) / 3).max(MIN_REQUEST_BYTES),
+            payload_bytes: payload_memory(memory_bytes).max(MIN_REQUEST_BYTES),
         }
     }
 
@@ -43,6 +46,7 @@
             connections,
             idle: self.idle.min(connections / 2),
             bytes: self.bytes / 2,
+            payload_bytes: self.payload_bytes / 2,
         }
     }
 
@@ -54,6 +58,7 @@
             connections: (self.connections / fronts).max(1),
             idle: self.idle / fronts,
             bytes: self.bytes / fronts,
+            payload_bytes: self.payload_bytes / fronts,
         }
     }
 }
--- a/src/net/clients/limits/tests.rs
+++ b/src/net/clients/limits/tests.rs
@@ -28,7 +28,8 @@
         ClientLimits {
             connections: 24,
             idle: 6,
-            bytes: 1024 * 1024
+            bytes: 1024 * 1024,
+            payload_bytes: 1024 * 1024,
         }
     );
     assert_eq!(limits(1, 32).shared(2).connections, 1);
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -49,6 +49,8 @@
     listener: Arc<CoIo<TcpListener>>,
     /// The memory that all connections hold for input and output, in bytes.
     buffered_bytes: AtomicUsize,
+    /// The memory that the payloads of all requests in progress hold, in bytes.
+    payload_bytes: AtomicUsize,
     front: Box<dyn Front>,
     inbox: Sender<Input>,
     clock: Clock,
@@ -73,6 +75,7 @@
             limits,
             listener,
             buffered_bytes: AtomicUsize::new(0),
+            payload_bytes: AtomicUsize::new(0),
             front,
             inbox,
             clock,
@@ -123,16 +126,24 @@
             .for_each(|connection| connection.lock().evict());
     }
 
-    /// Evicts the connection with the largest buffers if all of them together exceed their limit.
-    fn evict_for_memory(&self) {
-        if self.buffered_bytes.load(Relaxed) <= self.limits().bytes {
-            return;
-        }
-        let connections = sync::lock(&self.connections);
-        let largest = eviction::largest_without_response(connections.values(), |c| c.activity());
-        if let Some(connection) = largest {
-            COUNTERS.connections_evicted.increment();
-            connection.lock().abort();
+    /// Frees memory while the buffers of all connections together exceed their limit: evicts the
+    /// connections with the largest buffers, then discards input behind requests in progress.
+    fn free_memory(&self) {
+        while self.buffered_bytes.load(Relaxed) > self.limits().bytes {
+            let connections = sync::lock(&self.connections);
+            let largest = eviction::largest_buffers(connections.values(), |c| c.activity());
+            let Some(connection) = largest else {
+                return;
+            };
+            let mut state = connection.lock();
+            if !state.http.awaits_response() {
+                COUNTERS.connections_evicted.increment();
+                state.abort();
+            }
+            // The memory is freed here and not by the connection's own coroutine, which may run only
+            // after many others have read more.
+            state.http.discard_unread();
+            self.count_memory(&mut state, true);
         }
     }
 
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -32,7 +32,7 @@
     }
 
     /// Updates the total memory of all connections with the current memory of this one.
-    fn count_memory(&self, state: &mut ConnectionState, open: bool) {
+    pub(super) fn count_memory(&self, state: &mut ConnectionState, open: bool) {
         let bytes = if open { state.http.memory() } else { 0 };
         self.buffered_bytes.fetch_add(bytes, Relaxed);
         self.buffered_bytes
@@ -144,9 +144,33 @@
         connection: &Arc<Connection>,
         state: &mut ConnectionState,
     ) {
-        state.awaited = Some(AwaitedResponse { token, render });
+        let payload_memory = request.payload_memory();
+        let held = self.payload_bytes.fetch_add(payload_memory, Relaxed);
+        state.awaited = Some(AwaitedResponse {
+            token,
+            render,
+            payload_memory,
+        });
         sync::lock(&self.awaiting).insert(token, connection.clone());
-        let _ = self.inbox.send(Input::Submit(request));
+        let has_memory = held + payload_memory <= self.limits().payload_bytes;
+        let input = if payload_memory == 0 || has_memory {
+            Input::Submit(request)
+        } else {
+            // The payload is dropped here, since many requests may wait for the coordinator's turn.
+            Input::RejectForMemory(Request {
+                payload: Arc::default(),
+                ..request
+            })
+        };
+        let _ = self.inbox.send(input);
+    }
+
+    /// Takes the request that awaits the coordinator's answer, and releases its payload's memory.
+    fn take_awaited(&self, state: &mut ConnectionState, token: Token) -> Option<AwaitedResponse> {
+        let awaited = state.awaited.take_if(|awaited| awaited.token == token)?;
+        self.payload_bytes
+            .fetch_sub(awaited.payload_memory, Relaxed);
+        Some(awaited)
     }
 
     /// Renders the answer to a request as a response, which the connection's coroutine writes, or
@@ -157,7 +181,7 @@
             return;
         };
         let mut state = connection.lock();
-        let Some(awaited) = state.awaited.take_if(|awaited| awaited.token == token) else {
+        let Some(awaited) = self.take_awaited(&mut state, token) else {
             return;
         };
         let response = match (awaited.render)(answer) {
@@ -177,7 +201,9 @@
     pub(super) fn report_disconnect(&self, connection: &Connection) {
         let mut state = connection.lock();
         state.waker = None;
-        if let Some(awaited) = state.awaited.take() {
+        let token = state.awaited.as_ref().map(|awaited| awaited.token);
+        let awaited = token.and_then(|token| self.take_awaited(&mut state, token));
+        if let Some(awaited) = awaited {
             sync::lock(&self.awaiting).remove(&awaited.token);
             let _ = self.inbox.send(Input::ClientDisconnected(awaited.token));
         }
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -99,6 +99,7 @@
         connections: 100,
         idle: 2,
         bytes: 1,
+        payload_bytes: usize::MAX,
     };
     let mut busy = between_queries(50);
     busy.http
@@ -128,6 +129,7 @@
         connections: 3,
         idle: 3,
         bytes: 1,
+        payload_bytes: usize::MAX,
     };
     let states = vec![
         between_queries(50),
@@ -157,6 +159,7 @@
         connections: 1,
         idle: 1,
         bytes: 1,
+        payload_bytes: usize::MAX,
     };
     let (clients, connections) = clients(limits, vec![without_request(1)]);
     let (mut client, stream) = connect(&clients);
@@ -207,6 +210,7 @@
         connections: 2,
         idle: 2,
         bytes: 1,
+        payload_bytes: usize::MAX,
     };
     let front = NotFoundFront::default();
     let states = vec![without_request(1), without_request(1)];
@@ -240,6 +244,7 @@
         connections: 1,
         idle: 1,
         bytes: 1,
+        payload_bytes: usize::MAX,
     };
     let (clients, connections) = clients(limits, vec![without_query(10)]);
     let idle_since = connections[0].lock().last_activity_at;
--- a/src/proto/http/connection.rs
+++ b/src/proto/http/connection.rs
@@ -85,12 +85,17 @@
     /// Returns the memory held for input and output, in bytes.
     #[must_use]
     pub fn memory(&self) -> usize {
-        let body = if let State::Body { request, .. } = &self.state {
-            request.body.capacity()
-        } else {
-            0
+        let request = match &self.state {
+            State::Body { request, .. } => request.memory(),
+            _ => 0,
         };
-        self.input.capacity() + body + self.output.memory()
+        self.input.capacity() + request + self.output.memory()
+    }
+
+    /// Returns the memory held for input that was not returned as a request, in bytes.
+    #[must_use]
+    pub fn unread_memory(&self) -> usize {
+        self.memory() - self.output.memory()
     }
 
     /// Returns whether a request was received in part, or is complete but was not returned yet.
@@ -158,11 +163,25 @@
         if !self.awaits_response() || unread < MAX_PIPELINED_BYTES {
             return 0;
         }
-        self.input.consume(unread);
-        self.close_after_response = true;
+        self.discard_input();
         unread
     }
 
+    /// Discards all input that was not returned as a request, to free its memory. A connection whose
+    /// request awaits its response closes after the response, any other one at once and without a
+    /// response.
+    pub fn discard_unread(&mut self) {
+        self.discard_input();
+        if !self.awaits_response() {
+            self.stop_reading();
+        }
+    }
+
+    fn discard_input(&mut self) {
+        self.input = Buffer::default();
+        self.close_after_response = true;
+    }
+
     /// Returns the next complete request, or the error that ends the connection. Returns `None` if
     /// more input is needed, while a request is in progress, and after an error.
     pub fn next_request(&mut self) -> Option<Result<HttpRequest, HttpError>> {
--- a/src/proto/http/headers.rs
+++ b/src/proto/http/headers.rs
@@ -25,6 +25,12 @@
             .map(|header| header.value.as_str())
     }
 
+    /// Returns the memory held, in bytes.
+    pub(super) fn memory(&self) -> usize {
+        let text = |header: &Header| header.name.capacity() + header.value.capacity();
+        self.0.capacity() * size_of::<Header>() + self.0.iter().map(text).sum::<usize>()
+    }
+
     /// Copies the fields from the parser. Fails if a value is not valid UTF-8.
     pub(super) fn from_parsed(parsed: &[httparse::Header<'_>]) -> Result<Self, HttpError> {
         let mut headers = Vec::new();
--- a/src/proto/http/request.rs
+++ b/src/proto/http/request.rs
@@ -17,6 +17,17 @@
     pub body: Vec<u8>,
 }
 
+impl HttpRequest {
+    /// Returns the memory held, in bytes.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        self.method.capacity()
+            + self.target.capacity()
+            + self.headers.memory()
+            + self.body.capacity()
+    }
+}
+
 /// The request line and header section of a request.
 pub(super) struct RequestHead {
     /// The request with an empty body.
--- /dev/null
+++ b/tests/pressure/main.rs
@@ -0,0 +1,9 @@
+//! Many misbehaving clients at small limits of memory and descriptors, with servers behind and
+//! queries in flight.
+
+mod crowd;
+
+mod fronts;
+mod memory;
+#[path = "../standin/mod.rs"]
+mod standin;
