Keep the id of an abandoned non-idempotent query until its deadline

Cause: an id is free once its query and attempts have ended, also by a disconnect. Not changed: the other process of an upgrade, which shares no ids; PROTOCOL says that each request and each retry has a new one.

Tests: tests/pressure/disconnects.rs.

--- a/src/coordinator/queries/completion.rs
+++ b/src/coordinator/queries/completion.rs
@@ -8,7 +8,7 @@
 use crate::coordinator::messages::{Answer, Command};
 use crate::coordinator::request::{Request, Token};
 use crate::coordinator::turn::Turn;
-use crate::interface::{ClassId, Event, QueryId};
+use crate::interface::{ClassId, Effect, Event, QueryId};
 use crate::time::Micros;
 
 /// The amount by which a sum of part weights may fall short of a share, since the weights are
@@ -23,7 +23,18 @@
         };
         COUNTERS.queries_abandoned.increment();
         turn.events.push(Event::Abandoned(query));
-        self.remove_query(query, turn);
+        if let Some(pending) = self.remove_query(query, turn) {
+            self.retain_id(&pending);
+        }
+    }
+
+    /// Keeps the id of an abandoned query in use until its deadline if its parts must not run twice:
+    /// they may have run, and a request with the same id would run them again.
+    fn retain_id(&mut self, abandoned: &PendingQuery) {
+        if self.classes.get(abandoned.class).effect == Effect::NonIdempotent {
+            self.request_ids
+                .retain(&abandoned.request.request_id, abandoned.deadline);
+        }
     }
 
     /// Answers a query with the values of its parts.
@@ -103,6 +114,7 @@
     /// Fails the queries whose deadline has passed. The policy ends each query before its deadline,
     /// except during a graceful shutdown; if it does not, the client still gets one answer.
     pub(in crate::coordinator) fn expire_queries(&mut self, turn: &mut Turn<'_>) {
+        self.request_ids.release_expired(turn.now);
         while let Some(query) = self.pending.next_expired(turn.now) {
             if let Some(pending) = self.remove_query(query, turn) {
                 let is_final_deadline = self.pending.is_final(pending.deadline);
--- a/tests/pressure/fronts.rs
+++ b/tests/pressure/fronts.rs
@@ -39,9 +39,13 @@
 pub const FRONTS: [FrontKind; 2] = [FrontKind::Platform, FrontKind::Features];
 
 /// The servers behind a front.
-#[expect(dead_code, reason = "the servers run until they are dropped")]
 enum Servers {
-    Platform(DataNode, OwnedThreadGroup, Discovery),
+    Platform(
+        DataNode,
+        #[expect(dead_code, reason = "the threads run until the group is dropped")]
+        OwnedThreadGroup,
+        #[expect(dead_code, reason = "discovery answers until it is dropped")] Discovery,
+    ),
     Features([FeatureServer; 2]),
 }
 
@@ -51,7 +55,7 @@
     pub process: Process,
     /// The peak of the resident memory before the first client, in KiB.
     initial_memory_kib: u64,
-    _servers: Servers,
+    servers: Servers,
 }
 
 impl LimitedFront {
@@ -89,7 +93,7 @@
             kind: FrontKind::Platform,
             process,
             initial_memory_kib: 0,
-            _servers: Servers::Platform(node, threads, discovery),
+            servers: Servers::Platform(node, threads, discovery),
         }
     }
 
@@ -107,7 +111,7 @@
             kind: FrontKind::Features,
             process,
             initial_memory_kib: 0,
-            _servers: Servers::Features(servers),
+            servers: Servers::Features(servers),
         }
     }
 
@@ -125,6 +129,14 @@
         }
     }
 
+    /// Returns the number of requests that the server which answers has received.
+    pub fn answered_requests(&self) -> usize {
+        match &self.servers {
+            Servers::Platform(node, ..) => node.received_part_ids().len(),
+            Servers::Features(servers) => servers[0].count_requests(|_| true),
+        }
+    }
+
     /// Returns the head of a request with a body of this length.
     pub fn head_with_body(&self, length: usize) -> String {
         let target = match self.kind {
--- a/tests/pressure/main.rs
+++ b/tests/pressure/main.rs
@@ -2,6 +2,7 @@
 //! queries in flight.
 
 mod crowd;
+mod disconnects;
 mod fairness;
 mod fronts;
 mod memory;
