--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -3,10 +3,9 @@
 use super::connection::{Connection, ConnectionState, NextStep};
 use super::{ClientConnections, ConnectionId};
 use crate::coordinator::{log_throttled, COUNTERS};
-use crate::net::spawn;
+use crate::net::{sleep, spawn, PolledSocket};
 use crate::sync;
 use may::coroutine;
-use may::io::{CoIo, WaitIo};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
@@ -27,11 +26,11 @@
     /// its startup has ended.
     pub fn accept(self: &Arc<Self>, is_predecessor_running: impl Fn() -> bool) {
         while is_predecessor_running() && !self.lifecycle.endpoints_known() {
-            coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+            sleep(ACCEPT_RETRY_INTERVAL);
         }
         loop {
             if !self.lifecycle.service_phase().accepts_connections() {
-                coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+                sleep(ACCEPT_RETRY_INTERVAL);
             } else if self.open_connections() >= self.limits().connections {
                 self.evict_or_wait();
             } else {
@@ -48,19 +47,19 @@
         } else {
             // New connections stay in the backlog. The kernel has already established them, so they
             // must not be closed.
-            coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+            sleep(ACCEPT_RETRY_INTERVAL);
         }
     }
 
     /// Accepts a connection, or waits until there is one to accept.
     fn accept_one(self: &Arc<Self>) {
-        match self.listener.inner().accept() {
+        match self.listener.socket().accept() {
             Ok((stream, _)) => {
                 self.serve(stream);
                 self.evict_excess_idle();
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                self.listener.wait_io();
+                self.listener.wait();
             }
             Err(e) => {
                 // The most likely reason is that no descriptor is left (EMFILE). Evicting a
@@ -70,7 +69,7 @@
                     || tracing::warn!(error = %e, "accepting a client connection failed"),
                 );
                 self.evict_one();
-                coroutine::sleep(ACCEPT_RETRY_INTERVAL);
+                sleep(ACCEPT_RETRY_INTERVAL);
             }
         }
     }
@@ -79,7 +78,7 @@
     fn serve(self: &Arc<Self>, stream: TcpStream) {
         COUNTERS.connections_accepted.increment();
         let _ = stream.set_nodelay(true);
-        let stream = match CoIo::new(stream) {
+        let stream = match PolledSocket::new(stream) {
             Ok(stream) => stream,
             Err(e) => {
                 return log_throttled(&COUNTERS.accept_errors, || {
@@ -99,7 +98,7 @@
     }
 
     /// Returns the state of a connection that was just accepted.
-    fn accepted_state(&self, stream: &CoIo<TcpStream>) -> ConnectionState {
+    fn accepted_state(&self, stream: &PolledSocket<TcpStream>) -> ConnectionState {
         let accepted_at = self.clock.now();
         let mut state = ConnectionState {
             accepted_at,
@@ -118,7 +117,7 @@
         self: &Arc<Self>,
         id: ConnectionId,
         connection: Arc<Connection>,
-        stream: CoIo<TcpStream>,
+        stream: PolledSocket<TcpStream>,
     ) -> io::Result<()> {
         let clients = self.clone();
         spawn(self.front.stack_words(), move || {
@@ -127,13 +126,13 @@
                 // The lock is released before the coroutine waits.
                 let next_step = connection.lock().next_step();
                 match next_step {
-                    NextStep::Pause => coroutine::sleep(DISCARD_PAUSE),
-                    NextStep::Yield => coroutine::sleep(TURN_PAUSE),
-                    NextStep::Wait => drop(stream.wait_io()),
+                    NextStep::Pause => sleep(DISCARD_PAUSE),
+                    NextStep::Yield => sleep(TURN_PAUSE),
+                    NextStep::Wait => stream.wait(),
                 }
             }
             clients.report_disconnect(&connection);
-            let _ = stream.inner().shutdown(Shutdown::Both);
+            let _ = stream.socket().shutdown(Shutdown::Both);
             sync::lock(&clients.connections).remove(&id);
         })
         .map(drop)
@@ -146,7 +145,7 @@
         if !self.lifecycle.service_phase().accepts_connections() {
             return true;
         }
-        match self.listener.inner().accept() {
+        match self.listener.socket().accept() {
             Ok((stream, _)) => {
                 self.serve(stream);
                 false
--- a/src/net/clients/draining.rs
+++ b/src/net/clients/draining.rs
@@ -5,7 +5,6 @@
 use crate::net::lifecycle::ShutdownEvent;
 use crate::sync;
 use crate::time::Micros;
-use may::io::WaitIo;
 
 /// The time from the accept in which the client of a new connection must send its first request
 /// while connections are closed.
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -17,13 +17,13 @@
 pub use limits::ClientLimits;
 
 use super::lifecycle::Lifecycle;
+use super::PolledSocket;
 use crate::coordinator::{Input, Token, COUNTERS};
 use crate::front::Front;
 use crate::proto::http::HttpError;
 use crate::sync;
 use crate::time::{Clock, Micros};
 use connection::{Connection, ConnectionState};
-use may::io::CoIo;
 use may::sync::mpsc::Sender;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -46,7 +46,7 @@
     limits: ClientLimits,
     /// The listening socket. It is kept until the process exits: the runtime's record of a socket
     /// that another process shares must exist for as long as the socket is in use.
-    listener: Arc<CoIo<TcpListener>>,
+    listener: Arc<PolledSocket<TcpListener>>,
     /// The memory that all connections hold for input and output, in bytes.
     buffered_bytes: AtomicUsize,
     /// The memory that the payloads of all requests in progress hold, in bytes.
@@ -62,7 +62,7 @@
     /// connections that are accepted later.
     pub fn new(
         front: Box<dyn Front>,
-        listener: Arc<CoIo<TcpListener>>,
+        listener: Arc<PolledSocket<TcpListener>>,
         limits: ClientLimits,
         inbox: Sender<Input>,
         clock: Clock,
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -5,10 +5,9 @@
 use super::ClientConnections;
 use crate::coordinator::{Answer, Input, Request, Token, COUNTERS};
 use crate::front::{Reaction, Render};
-use crate::net::IoOutcome;
+use crate::net::{IoOutcome, PolledSocket};
 use crate::proto::http::{HttpError, HttpRequest};
 use crate::sync;
-use may::io::CoIo;
 use std::net::TcpStream;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
@@ -16,12 +15,16 @@
 impl ClientConnections {
     /// Reads and handles requests and writes responses until the socket would block. Returns
     /// whether the connection stays open.
-    pub(super) fn drive(&self, connection: &Arc<Connection>, stream: &CoIo<TcpStream>) -> bool {
+    pub(super) fn drive(
+        &self,
+        connection: &Arc<Connection>,
+        stream: &PolledSocket<TcpStream>,
+    ) -> bool {
         let mut state = connection.lock();
         // A first request that is in the socket when its connection is evicted is still served:
         // otherwise its client would receive a reset instead of a response.
         let may_exchange = !state.abort_requested || !state.received_request;
-        let mut open = may_exchange && self.exchange(connection, &mut state, stream.inner());
+        let mut open = may_exchange && self.exchange(connection, &mut state, stream.socket());
         if open && state.abort_requested {
             open = state.http.awaits_response();
             state.abort_requested = false;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,9 @@
 pub mod lifecycle;
 pub mod node_client;
 mod nonblocking;
+mod polled_socket;
 pub mod server;
+mod sleep;
 pub mod timer;
 pub mod watch;
 
@@ -24,6 +26,8 @@
 use crate::time::Micros;
 use may::coroutine::{Builder, JoinHandle};
 use nonblocking::{try_read, try_write, IoOutcome};
+pub use polled_socket::PolledSocket;
+use sleep::sleep;
 use std::io;
 
 /// The connections that carry attempts to servers. They report the end of each attempt to the
--- a/src/net/server/listeners.rs
+++ b/src/net/server/listeners.rs
@@ -4,9 +4,7 @@
 use super::generations::ProcessGenerations;
 use super::ServerError;
 use crate::net::handover::{self, ListeningSocket};
-use crate::net::{spawn, SMALL_STACK_WORDS};
-use may::coroutine;
-use may::io::CoIo;
+use crate::net::{sleep, spawn, PolledSocket, SMALL_STACK_WORDS};
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::path::{Path, PathBuf};
@@ -17,7 +15,7 @@
 const PREDECESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A listening socket that coroutines can wait on.
-pub(super) type Listener = Arc<CoIo<TcpListener>>;
+pub(super) type Listener = Arc<PolledSocket<TcpListener>>;
 
 /// The listening socket of a front.
 pub(super) struct OpenListener {
@@ -39,7 +37,7 @@
         Some(index) => inherited.swap_remove(index).socket,
         None => handover::listen(address).map_err(listen_error)?,
     };
-    let listener = CoIo::new(socket).map_err(|e| listen_error(e.into()))?;
+    let listener = PolledSocket::new(socket).map_err(listen_error)?;
     Ok(OpenListener {
         listener: Arc::new(listener),
         inherited: received.is_some(),
@@ -58,7 +56,7 @@
 
 impl AsFd for SharedListener {
     fn as_fd(&self) -> BorrowedFd<'_> {
-        self.0.inner().as_fd()
+        self.0.socket().as_fd()
     }
 }
 
@@ -75,7 +73,7 @@
     }
     let offer_later = move || {
         while generations.is_predecessor_running() {
-            coroutine::sleep(PREDECESSOR_CHECK_INTERVAL);
+            sleep(PREDECESSOR_CHECK_INTERVAL);
         }
         offer(&path, sockets, generations);
     };
--- a/src/net/server/service.rs
+++ b/src/net/server/service.rs
@@ -87,7 +87,7 @@
             inherited,
         } = open_listener;
         let address = listener
-            .inner()
+            .socket()
             .local_addr()
             .map_err(ServerError::LocalAddress)?;
         let timer = self.start_timer(process.clock)?;
--- a/src/net/watch/mod.rs
+++ b/src/net/watch/mod.rs
@@ -12,6 +12,7 @@
 pub use source::DiscoverySource;
 
 use super::lifecycle::{Lifecycle, StartupPhase};
+use super::sleep;
 use crate::coordinator::{log_throttled, Input, COUNTERS};
 use crate::proto::discovery::{EndpointListUpdate, WatchError, WatchResponse};
 use crate::time::{unix_ms, Clock, Micros};
@@ -99,7 +100,7 @@
         let mut remaining = delay;
         while !remaining.is_zero() && self.source.address() == address {
             let step = remaining.min(ADDRESS_CHECK_INTERVAL);
-            may::coroutine::sleep(step);
+            sleep(step);
             remaining -= step;
         }
     }
--- a/tests/pressure/fairness.rs
+++ b/tests/pressure/fairness.rs
@@ -16,19 +16,20 @@
 const REQUESTS_PER_WRITE: usize = 200;
 
 /// Returns the request with this number that the client sends.
-type RequestText = fn(&LimitedFront, usize) -> String;
+pub type RequestText = fn(&LimitedFront, usize) -> String;
 
-/// The number of bytes that a client sent and received.
+/// The requests of clients, and the number of bytes that they sent and received.
 #[derive(Default)]
-struct Traffic {
+pub struct Traffic {
+    /// The number of the next request.
+    pub requests: AtomicUsize,
     sent: AtomicUsize,
     received: AtomicUsize,
 }
 
 /// Sends requests at full speed and reads the responses until `stop` is set. Connects again whenever
 /// the process closes the connection.
-fn flood(front: &LimitedFront, request: RequestText, traffic: &Traffic, stop: &AtomicBool) {
-    let mut number = 0;
+pub fn flood(front: &LimitedFront, request: RequestText, traffic: &Traffic, stop: &AtomicBool) {
     let mut buffer = vec![0; 256 * 1024];
     while !stop.load(Relaxed) {
         let mut stream = TcpStream::connect(front.process.address).expect("the process accepts");
@@ -38,7 +39,7 @@
         while open && !stop.load(Relaxed) {
             if pending.is_empty() {
                 for _ in 0..REQUESTS_PER_WRITE {
-                    number += 1;
+                    let number = traffic.requests.fetch_add(1, Relaxed);
                     pending.extend(request(front, number).into_bytes());
                 }
             }
--- a/tests/pressure/fronts.rs
+++ b/tests/pressure/fronts.rs
@@ -9,6 +9,7 @@
 use crate::standin::process::Process;
 use crate::standin::threads::OwnedThreadGroup;
 use serde_json::json;
+use std::time::Duration;
 
 /// The memory limit of the process under test, in MiB.
 pub const MEMORY_LIMIT_MIB: u64 = 32;
@@ -129,6 +130,20 @@
         }
     }
 
+    /// Returns a request whose query a server answers, with this timeout.
+    pub fn query_with_timeout(&self, id: &str, timeout: Duration) -> String {
+        let seconds = timeout.as_secs_f64();
+        match self.kind {
+            FrontKind::Platform => QueryRequest::new(id, Class("lookup"), Shards(&[0]))
+                .timeout_seconds(seconds)
+                .to_http(),
+            FrontKind::Features => {
+                let header = format!("\r\nX-Expires-In: {seconds}\r\n");
+                self.query(id, true).replacen("\r\n", &header, 1)
+            }
+        }
+    }
+
     /// Returns the number of requests that the server which answers has received.
     pub fn answered_requests(&self) -> usize {
         match &self.servers {
