Leave the poll set before a client connection is closed

Cause: the runtime's CoIo closes its socket before it takes the descriptor out of the poll set. In between another thread opened a socket with the same number, and the late removal took that one out. Change: PolledSocket shares the socket with the polled handle and drops the handle first, so the descriptor is still open, and its own, when it leaves the poll set. The runtime's own TcpStream (servers, discovery) has the right order already; a test holds it to that.

--- a/src/net/polled_socket.rs
+++ b/src/net/polled_socket.rs
@@ -3,11 +3,19 @@
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::io;
 use std::os::fd::AsRawFd;
+use std::sync::Arc;
 
 /// A non-blocking socket whose events resume the coroutine that waits for it.
+///
+/// It leaves the poll set before it is closed. Otherwise a socket that another thread opens in
+/// between, with the same descriptor, would be removed from the poll set in its place.
 #[derive(Debug)]
 pub struct PolledSocket<S: AsRawFd> {
-    poll: CoIo<S>,
+    /// The membership in the poll set. Fields are dropped in the order of their declaration, so this
+    /// one must precede `socket`.
+    poll: CoIo<Arc<S>>,
+    /// The socket, which is closed once all shares of it are dropped.
+    socket: Arc<S>,
 }
 
 impl<S: AsRawFd> PolledSocket<S> {
@@ -16,14 +24,16 @@
     /// # Errors
     /// Fails if the socket cannot be polled or made non-blocking.
     pub fn new(socket: S) -> io::Result<Self> {
+        let socket = Arc::new(socket);
         Ok(PolledSocket {
-            poll: CoIo::new(socket)?,
+            poll: CoIo::new(socket.clone())?,
+            socket,
         })
     }
 
     /// Returns the socket.
     pub fn socket(&self) -> &S {
-        self.poll.inner()
+        &self.socket
     }
 
     /// Waits until the socket has an event or a waker is used. Returns at once if one of these
--- a/src/net/polled_socket/tests.rs
+++ b/src/net/polled_socket/tests.rs
@@ -3,7 +3,7 @@
 use rustix::io::fcntl_dupfd_cloexec;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
-use std::os::fd::{AsRawFd, OwnedFd, RawFd};
+use std::os::fd::{AsFd, AsRawFd, OwnedFd, RawFd};
 use std::sync::mpsc::{channel, Sender};
 use std::time::Duration;
 
@@ -52,7 +52,6 @@
 
 /// Guards against a socket that is never polled again since it got the number of a closed one.
 #[test]
-#[ignore = "known red"]
 fn a_socket_that_is_opened_while_another_is_closed_stays_polled() {
     let (opened, receiver) = channel();
     let (socket, _peer) = connection(UNUSED_DESCRIPTOR);
@@ -79,3 +78,45 @@
     read.recv_timeout(INPUT_TIMEOUT)
         .expect("the input is noticed");
 }
+
+/// Returns whether an open socket is in a poll set of this process.
+fn is_polled(socket: &impl AsFd) -> bool {
+    let inode = rustix::fs::fstat(socket)
+        .expect("the socket is open")
+        .st_ino;
+    let field = format!("ino:{inode:x} ");
+    let descriptors = std::fs::read_dir("/proc/self/fdinfo").expect("the process has descriptors");
+    let texts = descriptors
+        .flatten()
+        .filter_map(|entry| std::fs::read_to_string(entry.path()).ok());
+    texts
+        .flat_map(|text| text.lines().map(str::to_owned).collect::<Vec<_>>())
+        .any(|line| line.starts_with("tfd:") && line.contains(&field))
+}
+
+/// Guards against a socket that is closed before it leaves the poll set: its duplicate, which another
+/// process may hold, would keep it there.
+#[test]
+fn a_client_connection_leaves_the_poll_set_before_it_is_closed() {
+    let (socket, _peer) = connection(0);
+    let duplicate = socket.try_clone().expect("the socket is duplicated");
+    let polled = PolledSocket::new(socket).expect("the socket can be polled");
+    assert!(is_polled(&duplicate));
+    drop(polled);
+    assert!(!is_polled(&duplicate));
+}
+
+/// Guards against the same fault in the type of the connections to servers and to discovery.
+#[test]
+fn a_connection_to_a_server_leaves_the_poll_set_before_it_is_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let polled = may::net::TcpStream::connect(address).expect("the listener accepts");
+    let duplicate = polled
+        .inner()
+        .try_clone()
+        .expect("the socket is duplicated");
+    assert!(is_polled(&duplicate));
+    drop(polled);
+    assert!(!is_polled(&duplicate));
+}
