--- a/src/net/polled_socket.rs
+++ b/src/net/polled_socket.rs
@@ -25,10 +25,12 @@
     /// Fails if the socket cannot be polled or made non-blocking.
     pub fn new(socket: S) -> io::Result<Self> {
         let socket = Arc::new(socket);
-        Ok(PolledSocket {
-            poll: CoIo::new(socket.clone())?,
-            socket,
-        })
+        #[expect(
+            clippy::disallowed_methods,
+            reason = "the share below outlives the membership in the poll set"
+        )]
+        let poll = CoIo::new(socket.clone())?;
+        Ok(PolledSocket { poll, socket })
     }
 
     /// Returns the socket.
