Notice, count and log a request that lies unread although its connection waits

Measured: the new test finds input at the second check and none after a turn. Tests of the library, pressure, races, platform and log_events green (debug build).

--- a/src/coordinator/counters.rs
+++ b/src/coordinator/counters.rs
@@ -134,6 +134,8 @@
     server_connections_redialed,
     /// Requests of clients that could not be parsed, or whose target does not exist.
     bad_requests,
+    /// Checks that found input of a client unread since the check before; a defect of the program.
+    client_input_missed,
     /// Clients that sent nothing or an incomplete request, or did not read their response in time.
     client_timeouts,
     /// Calls of the admin endpoint.
--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -97,15 +97,13 @@
     /// Pauses while no connection can be evicted. New connections stay in the backlog: the kernel has
     /// already established them, so they must not be closed.
     fn wait_for_room(&self) {
-        let ordinal = COUNTERS.accept_pauses.next();
-        if ordinal.is_power_of_two() {
+        log_throttled(&COUNTERS.accept_pauses, || {
             let open = self.open_connections();
             tracing::warn!(
                 open,
-                ordinal,
                 "new client connections wait, since none can be closed"
             );
-        }
+        });
         sleep(FULL_RETRY_INTERVAL);
     }
 
@@ -141,7 +139,7 @@
                 return log_unserved(&e);
             }
         };
-        connection.lock().waker = Some(stream.waker());
+        connection.lock().begin_polling(&stream);
         let id = ConnectionId(self.next_id());
         sync::lock(&self.connections).insert(id, connection.clone());
         if let Err(e) = self.spawn_connection(id, connection.clone(), stream) {
--- a/src/net/clients/connection.rs
+++ b/src/net/clients/connection.rs
@@ -4,13 +4,14 @@
 use super::activity::ConnectionActivity;
 use crate::coordinator::{Input, Token, COUNTERS};
 use crate::front::Render;
-use crate::net::{try_read, try_write, IoOutcome};
+use crate::net::{try_read, try_write, IoOutcome, PolledSocket};
 use crate::proto::http::ServerConnection;
 use crate::sync;
 use crate::time::{Clock, Micros};
 use may::io::WaitIoWaker;
+use rustix::io::ioctl_fionread;
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// The maximum length of the input that is discarded after an error response, in bytes.
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
@@ -104,6 +105,10 @@
     pub(super) http: ServerConnection,
     /// The waker of the connection's coroutine; `None` once the coroutine has ended.
     pub(super) waker: Option<WaitIoWaker>,
+    /// The socket; `None` before the connection is polled and once its coroutine has ended.
+    pub(super) socket: Option<Arc<TcpStream>>,
+    /// Whether the last check found input that no turn has read since.
+    pub(super) unread_at_last_check: bool,
     /// The request that awaits the coordinator's answer.
     pub(super) awaited: Option<AwaitedResponse>,
     /// The input that submits this request, until the end of the turn shows that the client is still
@@ -178,6 +183,18 @@
         }
     }
 
+    /// Records that the coroutine of the connection waits for events of this socket.
+    pub(super) fn begin_polling(&mut self, socket: &PolledSocket<TcpStream>) {
+        self.waker = Some(socket.waker());
+        self.socket = Some(socket.share());
+    }
+
+    /// Releases the socket at the end of the coroutine.
+    pub(super) fn end_polling(&mut self) {
+        self.waker = None;
+        self.socket = None;
+    }
+
     /// Returns whether input is discarded after an error response.
     pub(super) fn is_lingering(&self) -> bool {
         self.linger.is_some()
@@ -197,6 +214,18 @@
         unanswered && !self.is_lingering()
     }
 
+    /// Checks whether input lies unread although the connection waits for it. Returns whether it has
+    /// since the last check: the worker polls the sockets many times in between.
+    pub(super) fn has_missed_input(&mut self) -> bool {
+        let waits_for_input = !self.http.awaits_response()
+            && self.http.output().is_empty()
+            && !self.is_lingering()
+            && self.next_step() == NextStep::Wait;
+        let socket = self.socket.as_ref().filter(|_| waits_for_input);
+        let unread = socket.is_some_and(|s| ioctl_fionread(s).is_ok_and(|bytes| bytes > 0));
+        std::mem::replace(&mut self.unread_at_last_check, unread) && unread
+    }
+
     /// Wakes the connection's coroutine.
     pub(super) fn wake(&self) {
         if let Some(waker) = &self.waker {
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -18,7 +18,7 @@
 
 use super::lifecycle::Lifecycle;
 use super::PolledSocket;
-use crate::coordinator::{Input, Token, COUNTERS};
+use crate::coordinator::{log_throttled, Input, Token, COUNTERS};
 use crate::front::Front;
 use crate::proto::http::HttpError;
 use crate::sync;
@@ -152,13 +152,18 @@
         }
     }
 
-    /// Closes connections that have exceeded a time limit or the limit on idle connections.
+    /// Closes connections that have exceeded a time limit or the limit on idle connections, and wakes
+    /// those whose input was not noticed.
     pub fn reap(&self, now: Micros) {
         self.evict_excess_idle();
         let connections = sync::lock(&self.connections);
         let idle_timeout = timeouts::idle_timeout(connections.len(), self.limits().connections);
-        for connection in connections.values() {
+        for (id, connection) in connections.iter() {
             let mut state = connection.lock();
+            if state.has_missed_input() {
+                report_missed_input(*id);
+                state.wake();
+            }
             if let Some(timeout) = timeouts::exceeded(&state.activity(), now, idle_timeout) {
                 self.time_out(&mut state, timeout);
             }
@@ -186,5 +191,14 @@
     }
 }
 
+fn report_missed_input(connection: ConnectionId) {
+    log_throttled(&COUNTERS.client_input_missed, || {
+        tracing::warn!(
+            connection = connection.0,
+            "input of a client connection was not noticed"
+        );
+    });
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/clients/requests.rs
+++ b/src/net/clients/requests.rs
@@ -17,6 +17,7 @@
     /// whether the connection stays open.
     pub(super) fn drive(&self, connection: &Arc<Connection>, socket: &TcpStream) -> bool {
         let mut state = connection.lock();
+        state.unread_at_last_check = false;
         // A first request that is in the socket when its connection is evicted is still served:
         // otherwise its client would receive a reset instead of a response.
         let may_exchange = !state.abort_requested || !state.received_request;
@@ -234,7 +235,7 @@
     /// Reports to the coordinator that the client has disconnected, if an answer is still awaited.
     pub(super) fn report_disconnect(&self, connection: &Connection) {
         let mut state = connection.lock();
-        state.waker = None;
+        state.end_polling();
         let token = state.awaited.as_ref().map(|awaited| awaited.token);
         let awaited = token.and_then(|token| self.take_awaited(&mut state, token));
         let was_submitted = state.submission.take().is_none();
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -273,3 +273,32 @@
         );
     }
 }
+
+/// Guards against a request that lies unread in silence since its connection is not polled.
+#[test]
+fn input_that_no_event_announced_is_found_by_the_second_check() {
+    let limits = ClientLimits {
+        connections: 1,
+        idle: 1,
+        bytes: 1,
+        payload_bytes: usize::MAX,
+    };
+    let (clients, connections) = clients(limits, vec![without_query(10)]);
+    let (mut client, stream) = connect(&clients);
+    stream
+        .set_nonblocking(true)
+        .expect("the socket can be non-blocking");
+    let duplicate = stream.try_clone().expect("the socket is duplicated");
+    connections[0].lock().socket = Some(Arc::new(duplicate));
+    assert!(!connections[0].lock().has_missed_input());
+    client
+        .write_all(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+        .expect("the request is sent");
+    while stream.peek(&mut [0]).is_err() {}
+    assert!(!connections[0].lock().has_missed_input());
+    assert!(connections[0].lock().has_missed_input());
+
+    assert!(clients.drive(&connections[0], &stream));
+    assert!(!connections[0].lock().has_missed_input());
+    assert!(!connections[0].lock().has_missed_input());
+}
--- a/src/net/polled_socket.rs
+++ b/src/net/polled_socket.rs
@@ -38,6 +38,11 @@
         &self.socket
     }
 
+    /// Returns a share of the socket, which delays its close.
+    pub fn share(&self) -> Arc<S> {
+        self.socket.clone()
+    }
+
     /// Waits until the socket has an event or a waker is used. Returns at once if one of these
     /// happened since the last wait.
     pub fn wait(&self) {
