--- a/src/front/ogc/paging/mod.rs
+++ b/src/front/ogc/paging/mod.rs
@@ -6,6 +6,7 @@
 //! features of one shard after the other; with a sort order, [`SortedMerge`] selects the first
 //! features of all shards.
 
+mod column_kind;
 mod concat_merge;
 mod page;
 mod progress;
@@ -14,10 +15,11 @@
 mod sorted_merge;
 mod value_order;
 
+pub use column_kind::ColumnKind;
 pub use concat_merge::{ConcatMerge, InterruptedShard, PagingLimits};
 pub use page::{FeaturePage, FetchedPage, PageFetch, PageLocation, PageSlice, ResumePosition};
 pub use progress::MergeProgress;
-pub use shard_order::{AgreedColumns, ColumnKind};
+pub use shard_order::AgreedColumns;
 pub(super) use sort_key::BoundSortKeys;
 pub use sort_key::{SortKey, SortPosition};
 pub use sorted_merge::{SortedMerge, SortedQuery};
--- a/src/front/ogc/paging/shard_order.rs
+++ b/src/front/ogc/paging/shard_order.rs
@@ -4,30 +4,10 @@
 //! same order everywhere. Texts have not, since servers compare them by the rules of a language, and
 //! neither have features without a value, which servers place first or last.
 
+use super::column_kind::ColumnKind;
 use super::sort_key::SortValues;
-use serde_json::Value as Json;
 use std::cmp::Ordering;
 
-/// The type of the values of a column whose order is that of the query.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ColumnKind {
-    /// Numbers.
-    Number,
-    /// Texts in the order of their code points.
-    Text,
-}
-
-impl ColumnKind {
-    /// Returns the kind of a value, or `None` if it is neither a number nor a text.
-    pub(in crate::front::ogc) fn of(value: &Json) -> Option<Self> {
-        match value {
-            Json::Number(_) => Some(ColumnKind::Number),
-            Json::String(_) => Some(ColumnKind::Text),
-            _ => None,
-        }
-    }
-}
-
 /// The leading columns in whose order a shard's servers return features; empty if they do not sort
 /// as the query does.
 pub type AgreedColumns = Vec<ColumnKind>;
--- a/src/front/ogc/paging/sort_key.rs
+++ b/src/front/ogc/paging/sort_key.rs
@@ -1,6 +1,6 @@
 //! The sort order of features: the sort keys of a query and the values that a feature has for them.
 
-use super::shard_order::ColumnKind;
+use super::column_kind::ColumnKind;
 use super::value_order::{compare_values, FeatureId};
 use crate::front::ogc::cql2::Feature;
 use serde_json::Value as Json;
--- a/src/front/ogc/paging/sorted_merge/tests.rs
+++ b/src/front/ogc/paging/sorted_merge/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of sorted merges of model shards, some of which return their features in order.
 
-use super::super::shard_order::ColumnKind;
+use super::super::column_kind::ColumnKind;
 use super::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
