--- a/src/front/ogc/client_request.rs
+++ b/src/front/ogc/client_request.rs
@@ -1,10 +1,10 @@
 //! The properties of a query that the client's request sets: class, timeout and parameters. The
 //! parameters are parsed by [`params`](super::params).
 
-use super::admission::RequestReservation;
 use super::config::EdgeConfig;
 use super::error::ApiError;
 use super::params::{Format, Params};
+use super::reservations::RequestReservation;
 use crate::coordinator::Token;
 use crate::proto::http::HttpRequest;
 use crate::time::Micros;
--- a/src/front/ogc/handlers/search.rs
+++ b/src/front/ogc/handlers/search.rs
@@ -2,7 +2,6 @@
 //! long for its head: `POST /search` in the format of STAC API - Item Search.
 
 use super::IncomingRequest;
-use crate::front::ogc::admission::RequestReservation;
 use crate::front::ogc::capability_discovery::queryables;
 use crate::front::ogc::client_request::{ItemsRequest, SearchBody};
 use crate::front::ogc::error::ApiError;
@@ -10,6 +9,7 @@
     parse_search, parse_search_body, search_collection, Format, Search,
 };
 use crate::front::ogc::query::ItemsQuery;
+use crate::front::ogc::reservations::RequestReservation;
 use crate::front::ogc::response::problem::error_response;
 use crate::front::ogc::round::count_response;
 use crate::front::ogc::shards::shards_of;
--- a/src/front/ogc/mod.rs
+++ b/src/front/ogc/mod.rs
@@ -25,6 +25,7 @@
 pub mod paging;
 pub mod params;
 mod query;
+mod reservations;
 mod response;
 mod round;
 mod shard_plan;
--- a/src/front/ogc/response/items_result.rs
+++ b/src/front/ogc/response/items_result.rs
@@ -1,8 +1,8 @@
 //! The result of a query for features, from which the response is rendered.
 
-use crate::front::ogc::admission::MemoryReservation;
 use crate::front::ogc::client_request::ItemsRequest;
 use crate::front::ogc::paging::PageSlice;
+use crate::front::ogc::reservations::MemoryReservation;
 use std::sync::Arc;
 
 /// The result of a query for features.
