Compute shares of memory and the memory of input in one place each

payload_memory and query_memory were one formula with two shares; memory and unread_memory of a connection computed the output twice. No change of logic; tests of the library green.

--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -37,14 +37,18 @@
 /// limit, both in bytes.
 #[must_use]
 pub fn payload_memory(memory_limit: usize) -> usize {
-    let available = memory_limit.saturating_sub(BASE_MEMORY_BYTES);
-    (available as f64 * PAYLOAD_MEMORY_SHARE) as usize
+    share_of_available(memory_limit, PAYLOAD_MEMORY_SHARE)
 }
 
 /// Returns the memory that queries in flight and their responses may hold in a process with this
 /// memory limit, both in bytes.
 #[must_use]
 pub fn query_memory(memory_limit: usize) -> usize {
+    share_of_available(memory_limit, QUERY_MEMORY_SHARE)
+}
+
+/// Returns a share of the memory beyond [`BASE_MEMORY_BYTES`], in bytes.
+fn share_of_available(memory_limit: usize, share: f64) -> usize {
     let available = memory_limit.saturating_sub(BASE_MEMORY_BYTES);
-    (available as f64 * QUERY_MEMORY_SHARE) as usize
+    (available as f64 * share) as usize
 }
--- a/src/proto/http/connection.rs
+++ b/src/proto/http/connection.rs
@@ -85,17 +85,17 @@
     /// Returns the memory held for input and output, in bytes.
     #[must_use]
     pub fn memory(&self) -> usize {
-        let request = match &self.state {
-            State::Body { request, .. } => request.memory(),
-            _ => 0,
-        };
-        self.input.capacity() + request + self.output.memory()
+        self.unread_memory() + self.output.memory()
     }
 
     /// Returns the memory held for input that was not returned as a request, in bytes.
     #[must_use]
     pub fn unread_memory(&self) -> usize {
-        self.memory() - self.output.memory()
+        let request = match &self.state {
+            State::Body { request, .. } => request.memory(),
+            _ => 0,
+        };
+        self.input.capacity() + request
     }
 
     /// Returns whether a request was received in part, or is complete but was not returned yet.
