--- a/src/net/clients/accept.rs
+++ b/src/net/clients/accept.rs
@@ -61,7 +61,7 @@
             match end {
                 AcceptEnd::TurnOver => sleep(Duration::ZERO),
                 AcceptEnd::BacklogEmpty => self.listener.wait(),
-                AcceptEnd::Full => self.wait_for_room(),
+                AcceptEnd::Full => self.wait_for_capacity(),
                 AcceptEnd::Failed(error) => self.recover_from(&error),
             }
         }
@@ -96,7 +96,7 @@
 
     /// Pauses while no connection can be evicted. New connections stay in the backlog: the kernel has
     /// already established them, so they must not be closed.
-    fn wait_for_room(&self) {
+    fn wait_for_capacity(&self) {
         log_throttled(&COUNTERS.accept_pauses, || {
             let open = self.open_connections();
             tracing::warn!(
--- a/tests/pressure/fairness.rs
+++ b/tests/pressure/fairness.rs
@@ -29,7 +29,12 @@
 
 /// Sends requests at full speed and reads the responses until `stop` is set. Connects again whenever
 /// the process closes the connection.
-pub fn flood(front: &LimitedFront, request: RequestText, traffic: &Traffic, stop: &AtomicBool) {
+pub fn send_at_full_speed(
+    front: &LimitedFront,
+    request: RequestText,
+    traffic: &Traffic,
+    stop: &AtomicBool,
+) {
     let mut buffer = vec![0; 256 * 1024];
     while !stop.load(Relaxed) {
         let mut stream = TcpStream::connect(front.process.address).expect("the process accepts");
@@ -67,7 +72,7 @@
     let traffic = Traffic::default();
     let mut times = Vec::new();
     std::thread::scope(|scope| {
-        scope.spawn(|| flood(&front, request, &traffic, &stop));
+        scope.spawn(|| send_at_full_speed(&front, request, &traffic, &stop));
         let started = Instant::now();
         while started.elapsed() < DURATION {
             let query = front.query(&format!("other{}", times.len()), true);
--- a/tests/pressure/floods.rs
+++ b/tests/pressure/floods.rs
@@ -2,7 +2,7 @@
 //! clients whose queries must be answered in time.
 
 use crate::cores::BusyProcesses;
-use crate::fairness::{flood, RequestText, Traffic};
+use crate::fairness::{send_at_full_speed, RequestText, Traffic};
 use crate::fronts::{FrontKind, LimitedFront, FRONTS};
 use crate::other_clients::{self, Answers};
 use crate::poll_set::unpolled_connections;
@@ -117,8 +117,8 @@
 }
 
 /// Lets clients flood a front, and returns the answers of the other clients.
-fn play(front: &LimitedFront, flood_: Flood) -> Answers {
-    let busy = BusyProcesses::share_core(&front.process, flood_.busy_processes);
+fn play(front: &LimitedFront, flood: Flood) -> Answers {
+    let busy = BusyProcesses::share_core(&front.process, flood.busy_processes);
     let stop = AtomicBool::new(false);
     let stop_flood = AtomicBool::new(false);
     let traffic = Traffic::default();
@@ -126,20 +126,20 @@
     std::thread::scope(|scope| {
         for _ in 0..FLOODING_CLIENTS {
             scope.spawn(|| {
-                if flood_.manner == Manner::Pipelined {
-                    flood(front, flood_.request, &traffic, &stop_flood);
+                if flood.manner == Manner::Pipelined {
+                    send_at_full_speed(front, flood.request, &traffic, &stop_flood);
                     return;
                 }
                 while !stop_flood.load(Relaxed) {
                     // A connect fails if the local ports are used up.
-                    let _ = flood_of_connections(front, flood_, &traffic, &stop_flood);
+                    let _ = flood_of_connections(front, flood, &traffic, &stop_flood);
                 }
             });
         }
         let stop = &stop;
         let start = |client| scope.spawn(move || other_clients::run(front, client, stop));
         let others: Vec<_> = (0..OTHER_CLIENTS).map(start).collect();
-        std::thread::sleep(flood_.duration);
+        std::thread::sleep(flood.duration);
         stop_flood.store(true, Relaxed);
         std::thread::sleep(SETTLING_TIME);
         stop.store(true, Relaxed);
